--- /dev/null
+++ b/cmake/DriftlugLibrary.cmake
@@ -0,0 +1,10 @@
+# Adds one library of the project.
+# driftlug_library(NAME SOURCES a.cc … DEPENDS other …)
+function(driftlug_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(driftlug_${name} STATIC ${ARG_SOURCES})
+  add_library(driftlug::${name} ALIAS driftlug_${name})
+  target_include_directories(driftlug_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(driftlug_${name} PUBLIC ${ARG_DEPENDS})
+  target_compile_options(driftlug_${name} PRIVATE -Wall -Wextra -Werror=return-type -Wno-missing-field-initializers)
+endfunction()
--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,61 @@
+/// Typed errors: every absl::Status of the project carries an ErrorCode payload.
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <string>
+#include <string_view>
+
+namespace driftlug::base {
+
+/// Every failure that the project reports. The numbers travel on the wire and never change.
+enum class ErrorCode : int {
+  kNone = 0,
+  // settings and command line
+  kBadSetting = 1,
+  kBadFlag = 2,
+  // table and edits
+  kInvalidEdit = 10,
+  kRevisionConflict = 11,
+  kRequestIdExpired = 12,
+  kNotLeader = 13,
+  kNotAccepted = 14,
+  kOutcomeUnknown = 15,
+  kRowNotFound = 16,
+  kBadRequestBody = 17,
+  kBodyTooLarge = 18,
+  kRequestIdReused = 19,
+  // storage
+  kStorageCorrupt = 20,
+  kStorageFailed = 21,
+  kStorageFull = 22,
+  // frames and connections
+  kBadFrame = 30,
+  kFrameTooLarge = 31,
+  kConnectionLost = 32,
+  kConnectFailed = 33,
+  // calls
+  kNoRoute = 40,
+  kNoEndpoint = 41,
+  kOverloaded = 42,
+  kDraining = 43,
+  kDeadlineExceeded = 44,
+  kBackendFailed = 45,
+  kBackendUnreachable = 46,
+  kNoTable = 47,
+  kKeyReused = 48,
+};
+
+/// @return the stable lower-case name of a code, as it appears in JSON bodies and logs.
+std::string_view errorName(ErrorCode code);
+
+/// @return a status with the code as a payload and a short sentence as its message.
+absl::Status makeError(ErrorCode code, std::string_view sentence);
+
+/// @return the message of a status as a standard string.
+std::string errorText(const absl::Status& status);
+
+/// @return the code of a status; kNone for OK or for a status made elsewhere.
+ErrorCode errorCodeOf(const absl::Status& status);
+
+}  // namespace driftlug::base
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,74 @@
+/// Time as the decision logic sees it: durations and points on a monotonic clock, in microseconds.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace driftlug::base {
+
+using Duration = std::chrono::microseconds;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A point on the process's (or the simulation's) monotonic clock.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Source of monotonic time; never compared between processes.
+class TimeSource {
+ public:
+  virtual ~TimeSource() = default;
+
+  /// @return the current point in time.
+  virtual TimePoint now() const = 0;
+};
+
+/// Identifies a scheduled callback; 0 is never used.
+using TimerId = uint64_t;
+
+/// Runs callbacks later, on the caller's event loop.
+class Scheduler : public TimeSource {
+ public:
+  /// Runs `callback` once after `delay`.
+  /// @return an id for cancel().
+  virtual TimerId schedule(Duration delay, std::function<void()> callback) = 0;
+
+  /// Forgets a callback that has not run yet; unknown ids are ignored.
+  virtual void cancel(TimerId id) = 0;
+};
+
+/// A single restartable timer that cancels itself on destruction.
+class Timer {
+ public:
+  Timer(Scheduler& scheduler, std::function<void()> callback)
+      : scheduler_(scheduler), callback_(std::move(callback)) {}
+  ~Timer() { stop(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  /// (Re)starts the timer.
+  void start(Duration delay) {
+    stop();
+    id_ = scheduler_.schedule(delay, [this] {
+      id_ = 0;
+      callback_();
+    });
+  }
+
+  /// Stops the timer if it runs.
+  void stop() {
+    if (id_ != 0) scheduler_.cancel(id_);
+    id_ = 0;
+  }
+
+  /// @return whether the callback is still to come.
+  bool running() const { return id_ != 0; }
+
+ private:
+  Scheduler& scheduler_;            // outlives the timer
+  std::function<void()> callback_;  // runs on the scheduler's loop
+  TimerId id_ = 0;                  // 0 while stopped
+};
+
+}  // namespace driftlug::base
--- /dev/null
+++ b/src/consensus/raft_replication.cc
@@ -0,0 +1,297 @@
+/// Replication: appends, commit, quorum checks and snapshots.
+#include <algorithm>
+
+#include "base/error.h"
+#include "consensus/raft.h"
+
+namespace driftlug::consensus {
+
+void Raft::onHeartbeatTimer() {
+  heartbeatTimer_.start(options_.heartbeatInterval);
+  ++round_;
+  checkQuorum();
+  if (role_ == RaftRole::kLeader) broadcast();
+  if (role_ == RaftRole::kLeader) confirmRounds();
+}
+
+void Raft::broadcast() {
+  for (auto& [memberId, progress] : progress_) sendAppend(memberId, &progress);
+}
+
+void Raft::sendAppend(const std::string& memberId, Progress* progress) {
+  const auto previousTerm = termAt(progress->nextIndex - 1);
+  if (!previousTerm) return sendSnapshotChunk(memberId, progress);
+  progress->snapshotOffset.reset();
+  wire::AppendRequest request;
+  request.term = hardState_.term;
+  request.leader = id_;
+  request.previousIndex = progress->nextIndex - 1;
+  request.previousTerm = *previousTerm;
+  request.commitIndex = commitIndex_;
+  request.round = round_;
+  while (progress->nextIndex <= lastIndex() && request.entries.size() < options_.maxBatchEntries) {
+    request.entries.push_back(entryAt(progress->nextIndex));
+    ++progress->nextIndex;
+  }
+  transport_.sendTo(memberId, request);
+}
+
+void Raft::onAppendRequest(const std::string& from, const wire::AppendRequest& request) {
+  if (request.term < hardState_.term) return answerAppend(from, request, false, lastIndex());
+  if (request.term > hardState_.term || role_ != RaftRole::kFollower || leaderId_ != from) {
+    becomeFollower(request.term, from);
+  }
+  lastLeaderContact_ = scheduler_.now();
+  resetElectionTimer();
+  if (store_.failed() || installing_) return;
+  if (request.previousIndex < snapshotIndex_) return answerAppend(from, request, false, commitIndex_);
+  const auto previousTerm = termAt(request.previousIndex);
+  if (!previousTerm) return answerAppend(from, request, false, lastIndex());
+  if (*previousTerm != request.previousTerm) {
+    return answerAppend(from, request, false, std::max(commitIndex_, request.previousIndex - 1));
+  }
+  takeEntries(from, request);
+}
+
+void Raft::takeEntries(const std::string& from, const wire::AppendRequest& request) {
+  std::vector<wire::LogEntry> added;
+  for (const auto& entry : request.entries) {
+    const auto term = termAt(entry.index);
+    if (added.empty() && term && *term == entry.term) continue;
+    added.push_back(entry);
+  }
+  if (!added.empty()) {
+    if (added.front().index <= lastIndex()) truncateFrom(added.front().index);
+    if (!store_.append(added).ok()) return;
+    blank_ = false;
+    for (const auto& entry : added) {
+      entries_.push_back(entry);
+      if (entry.kind == wire::EntryKind::MEMBERS) useMembersFrom(entries_.back());
+    }
+  }
+  const int64_t match = request.previousIndex + static_cast<int64_t>(request.entries.size());
+  const int64_t commit = std::min(request.commitIndex, match);
+  const auto finish = [this, from, request, match, epoch = logEpoch_] {
+    if (epoch != logEpoch_ || hardState_.term != request.term) return;
+    durableIndex_ = std::max(durableIndex_, match);
+    answerAppend(from, request, true, match);
+  };
+  if (match <= durableIndex_) {
+    finish();
+  } else {
+    afterSync(finish);
+  }
+  if (commit <= commitIndex_) return;
+  commitIndex_ = commit;
+  applyCommitted();
+}
+
+void Raft::answerAppend(const std::string& to, const wire::AppendRequest& request, bool success, int64_t matchIndex) {
+  wire::AppendResponse response;
+  response.term = hardState_.term;
+  response.success = success;
+  response.matchIndex = matchIndex;
+  response.round = request.round;
+  transport_.sendTo(to, response);
+}
+
+void Raft::onAppendResponse(const std::string& from, const wire::AppendResponse& response) {
+  if (response.term > hardState_.term) return becomeFollower(response.term, "");
+  if (role_ != RaftRole::kLeader || response.term < hardState_.term) return;
+  const auto found = progress_.find(from);
+  if (found == progress_.end()) return;
+  auto& progress = found->second;
+  progress.lastAnswer = scheduler_.now();
+  progress.confirmedRound = std::max(progress.confirmedRound, response.round);
+  if (!response.success) {
+    progress.nextIndex = std::clamp<int64_t>(response.matchIndex + 1, 1, std::max<int64_t>(1, progress.nextIndex - 1));
+    sendAppend(from, &progress);
+    confirmRounds();
+    return;
+  }
+  progress.matchIndex = std::max(progress.matchIndex, response.matchIndex);
+  progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+  if (progress.nextIndex <= lastIndex()) sendAppend(from, &progress);
+  advanceCommit();
+  if (role_ == RaftRole::kLeader) confirmRounds();
+}
+
+int64_t Raft::quorumValue(const std::function<int64_t(const std::string&)>& valueOf) const {
+  std::vector<int64_t> values;
+  for (const auto& member : members_) {
+    if (member.voting) values.push_back(valueOf(member.id));
+  }
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return options_.quorumCommit ? values[values.size() / 2] : values.front();
+}
+
+void Raft::advanceCommit() {
+  if (role_ != RaftRole::kLeader) return;
+  const int64_t index = quorumValue([this](const std::string& memberId) {
+    if (memberId == id_) return durableIndex_;
+    const auto found = progress_.find(memberId);
+    return found == progress_.end() ? int64_t{0} : found->second.matchIndex;
+  });
+  if (index <= commitIndex_ || termAt(index) != hardState_.term) return;
+  commitIndex_ = index;
+  applyCommitted();
+  if (role_ != RaftRole::kLeader) return;
+  // A leader that was removed steps down once the others know that.
+  if (!isVoter(id_) && membersIndex_ <= commitIndex_) {
+    broadcast();
+    becomeFollower(hardState_.term, "");
+  }
+}
+
+void Raft::checkQuorum() {
+  if (role_ != RaftRole::kLeader) return;
+  std::set<std::string> active;
+  for (const auto& member : members_) {
+    if (recentlyActive(member.id)) active.insert(member.id);
+  }
+  const auto now = scheduler_.now();
+  if (hasQuorum(active)) quorumSeen_ = now;
+  if (!options_.checkQuorum || now - quorumSeen_ < options_.electionTimeout * 2) return;
+  log_.warn("{} lost its quorum in term {} and steps down", id_, hardState_.term);
+  becomeFollower(hardState_.term, "");
+}
+
+void Raft::confirmRounds() {
+  if (role_ != RaftRole::kLeader) return;
+  const int64_t confirmed = quorumValue([this](const std::string& memberId) {
+    if (memberId == id_) return round_;
+    const auto found = progress_.find(memberId);
+    return found == progress_.end() ? int64_t{0} : found->second.confirmedRound;
+  });
+  const bool advanced = confirmed > confirmedRound_;
+  confirmedRound_ = std::max(confirmedRound_, confirmed);
+  std::vector<ConfirmCallback> served;
+  std::erase_if(confirms_, [&](auto& pending) {
+    if (pending.round > confirmedRound_ || pending.index > appliedIndex_) return false;
+    served.push_back(std::move(pending.done));
+    return true;
+  });
+  for (const auto& done : served) done(true);
+  if (advanced) listener_.onProgress();
+}
+
+void Raft::failConfirms() {
+  std::vector<PendingConfirm> failed;
+  failed.swap(confirms_);
+  for (const auto& pending : failed) pending.done(false);
+}
+
+void Raft::sendSnapshotChunk(const std::string& memberId, Progress* progress) {
+  const auto now = scheduler_.now();
+  const bool waiting = progress->snapshotOffset && now - progress->lastChunk < options_.electionTimeout;
+  if (waiting) return;
+  if (encodedSnapshot_.empty()) encodedSnapshot_ = wire::encodeStruct(snapshot_);
+  if (!progress->snapshotOffset) progress->snapshotOffset = 0;
+  progress->lastChunk = now;
+  wire::SnapshotChunk chunk;
+  chunk.term = hardState_.term;
+  chunk.leader = id_;
+  chunk.lastIndex = snapshotIndex_;
+  chunk.lastTerm = snapshotTerm_;
+  chunk.offset = *progress->snapshotOffset;
+  chunk.totalBytes = static_cast<int64_t>(encodedSnapshot_.size());
+  chunk.data = encodedSnapshot_.substr(static_cast<size_t>(chunk.offset), options_.snapshotChunkBytes);
+  transport_.sendTo(memberId, chunk);
+}
+
+void Raft::onSnapshotChunk(const std::string& from, const wire::SnapshotChunk& chunk) {
+  if (chunk.term < hardState_.term) return;
+  if (chunk.term > hardState_.term || role_ != RaftRole::kFollower || leaderId_ != from) {
+    becomeFollower(chunk.term, from);
+  }
+  lastLeaderContact_ = scheduler_.now();
+  resetElectionTimer();
+  if (store_.failed()) return;
+  if (chunk.lastIndex != incomingIndex_ || chunk.lastTerm != incomingTerm_) {
+    incoming_.clear();
+    incomingIndex_ = chunk.lastIndex;
+    incomingTerm_ = chunk.lastTerm;
+  }
+  // A chunk that does not continue what is there is answered with the place to continue from.
+  if (chunk.offset == static_cast<int64_t>(incoming_.size())) incoming_ += chunk.data;
+  const bool complete = static_cast<int64_t>(incoming_.size()) >= chunk.totalBytes;
+  if (complete && chunk.lastIndex > commitIndex_) return installSnapshot(from, chunk);
+  wire::SnapshotChunkAck ack;
+  ack.term = hardState_.term;
+  ack.lastIndex = chunk.lastIndex;
+  ack.nextOffset = static_cast<int64_t>(incoming_.size());
+  transport_.sendTo(from, ack);
+}
+
+void Raft::installSnapshot(const std::string& from, const wire::SnapshotChunk& last) {
+  auto snapshot = wire::decodeStruct<wire::LogSnapshot>(incoming_);
+  incoming_.clear();
+  incomingIndex_ = 0;
+  if (!snapshot.ok() || compacting_) return;
+  compacting_ = true;
+  installing_ = true;
+  const auto keepsTail = termAt(snapshot->index) == snapshot->term;
+  const auto carry = [this, index = snapshot->index, keepsTail] {
+    storage::CarriedState carried;
+    carried.hardState = hardState_;
+    for (const auto& entry : entries_) {
+      if (keepsTail && entry.index > index) carried.entries.push_back(entry);
+    }
+    return carried;
+  };
+  store_.saveSnapshot(*snapshot, carry, [this, alive = alive_, from, snapshot = *snapshot, last,
+                                         keepsTail](const absl::Status& status) {
+    if (!*alive) return;
+    compacting_ = false;
+    installing_ = false;
+    if (!status.ok() || snapshot.index <= commitIndex_) return;
+    if (keepsTail) {
+      while (!entries_.empty() && entries_.front().index <= snapshot.index) entries_.pop_front();
+    } else {
+      entries_.clear();
+      ++logEpoch_;
+    }
+    blank_ = false;
+    snapshot_ = snapshot;
+    encodedSnapshot_.clear();
+    snapshotIndex_ = snapshot.index;
+    snapshotTerm_ = snapshot.term;
+    snapshotMembers_ = snapshot.members;
+    snapshotForming_ = snapshot.forming;
+    commitIndex_ = snapshot.index;
+    appliedIndex_ = snapshot.index;
+    durableIndex_ = std::max(durableIndex_, snapshot.index);
+    if (!keepsTail) durableIndex_ = snapshot.index;
+    recomputeMembers();
+    listener_.restore(snapshot.state);
+    listener_.onProgress();
+    wire::SnapshotChunkAck ack;
+    ack.term = hardState_.term;
+    ack.lastIndex = last.lastIndex;
+    ack.nextOffset = last.totalBytes;
+    transport_.sendTo(from, ack);
+  });
+}
+
+void Raft::onSnapshotAck(const std::string& from, const wire::SnapshotChunkAck& ack) {
+  if (ack.term > hardState_.term) return becomeFollower(ack.term, "");
+  const auto found = progress_.find(from);
+  if (role_ != RaftRole::kLeader || found == progress_.end()) return;
+  auto& progress = found->second;
+  progress.lastAnswer = scheduler_.now();
+  if (!progress.snapshotOffset) return;
+  progress.lastChunk = base::TimePoint{};
+  if (ack.lastIndex != snapshotIndex_) {
+    progress.snapshotOffset = 0;
+  } else if (ack.nextOffset >= static_cast<int64_t>(encodedSnapshot_.size())) {
+    progress.snapshotOffset.reset();
+    progress.matchIndex = std::max(progress.matchIndex, ack.lastIndex);
+    progress.nextIndex = ack.lastIndex + 1;
+  } else {
+    progress.snapshotOffset = ack.nextOffset;
+  }
+  sendAppend(from, &progress);
+}
+
+}  // namespace driftlug::consensus
--- /dev/null
+++ b/src/controller/controller.cc
@@ -0,0 +1,380 @@
+#include "controller/controller.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+#include "base/error.h"
+
+namespace driftlug::controller {
+namespace {
+
+using base::ErrorCode;
+using base::makeError;
+using consensus::RaftRole;
+
+constexpr base::Duration kHousekeepingInterval = base::milliseconds(50);
+constexpr int kProtocolVersion = 1;
+
+}  // namespace
+
+Controller::Controller(ControllerOptions options, base::Scheduler& scheduler, base::RandomSource random,
+                       base::Network& network, storage::Disk& disk)
+    : options_(std::move(options)),
+      scheduler_(scheduler),
+      random_(random),
+      network_(network),
+      store_(disk),
+      links_(network, scheduler, base::RandomSource(random_.bits())),
+      relays_(network),
+      convergence_(scheduler, options_.nodeLease),
+      housekeeping_(scheduler, [this] { onHousekeeping(); }),
+      heartbeat_(scheduler, [this] {
+        heartbeat_.start(options_.relayHeartbeat);
+        if (announcedTerm_) relays_.heartbeat(state_.table().revision(), raft_->freshness());
+      }) {
+  relays_.useFullPush(options_.fullPush);
+}
+
+Controller::~Controller() { *alive_ = false; }
+
+void Controller::start(std::function<void(absl::Status)> ready) {
+  auto recovered = store_.open();
+  if (!recovered.ok()) return ready(recovered.status());
+  store_.settle([this, alive = alive_, state = *recovered, ready](absl::Status status) mutable {
+    if (!*alive) return;
+    if (!status.ok()) return ready(status);
+    if (state.hardState.identity.empty()) {
+      state.hardState.identity = options_.name + "-" + absl::StrFormat("%08x", random_.bits() & 0xffffffffU);
+      status = store_.saveHardState(state.hardState);
+      if (!status.ok()) return ready(status);
+    }
+    identity_ = state.hardState.identity;
+    store_.sync([this, alive, state = std::move(state), ready](const absl::Status& synced) {
+      if (!*alive) return;
+      if (synced.ok()) begin(state);
+      ready(synced);
+    });
+  });
+}
+
+void Controller::begin(storage::RecoveredState state) {
+  raft_ = std::make_unique<consensus::Raft>(identity_, options_.raft, scheduler_, base::RandomSource(random_.bits()),
+                                            store_, *this, *this);
+  raft_->start(state);
+  announce();
+  updateLinks();
+  housekeeping_.start(kHousekeepingInterval);
+  heartbeat_.start(options_.relayHeartbeat);
+  log_.info("{} started as {} at index {}", options_.name, identity_, raft_->lastIndex());
+}
+
+void Controller::announce() {
+  wire::Hello hello;
+  hello.protocolVersion = kProtocolVersion;
+  hello.role = wire::Role::CONTROLLER;
+  hello.id = identity_;
+  hello.zone = options_.zone;
+  hello.blank = raft_->blank();
+  network_.setHello(hello);
+}
+
+void Controller::updateLinks() {
+  std::set<base::Address> addresses;
+  for (const auto& controller : options_.controllers) {
+    if (controller.name != options_.name) addresses.insert(controller.frames);
+  }
+  for (const auto& member : raft_->members()) {
+    if (member.name != options_.name) addresses.insert({member.address, member.framePort});
+  }
+  for (const auto& [name, address] : joining_) addresses.insert(address.frames);
+  links_.setAddresses(addresses);
+}
+
+const ControllerAddress* Controller::ownAddress() const {
+  for (const auto& controller : options_.controllers) {
+    if (controller.name == options_.name) return &controller;
+  }
+  return nullptr;
+}
+
+wire::Member Controller::memberFor(const ControllerAddress& address, const wire::Hello& hello) const {
+  wire::Member member;
+  member.id = hello.id;
+  member.name = address.name;
+  member.address = address.frames.host;
+  member.framePort = address.frames.port;
+  member.httpPort = address.httpPort;
+  return member;
+}
+
+std::string Controller::leaderName() const {
+  if (!raft_) return "";
+  for (const auto& member : raft_->members()) {
+    if (member.id == raft_->leaderId()) return member.name;
+  }
+  return "";
+}
+
+void Controller::submitEdit(wire::EditCommand edit, EditCallback done) {
+  EditAnswer answer;
+  if (!raft_ || raft_->role() != RaftRole::kLeader) {
+    answer.code = ErrorCode::kNotLeader;
+    answer.leaderName = leaderName();
+    return done(answer);
+  }
+  if (const auto* known = state_.findOutcome(edit.requestId)) {
+    answer.code = static_cast<ErrorCode>(known->code);
+    answer.outcome = *known;
+    if (known->fingerprint != fingerprintOf(edit)) answer.code = ErrorCode::kRequestIdReused;
+    // The remembered outcome may be newer than what a quorum agrees on if this leader was cut off.
+    return confirmLeadership([answer, done](bool confirmed) {
+      EditAnswer final = answer;
+      if (!confirmed) final.code = ErrorCode::kOutcomeUnknown;
+      done(final);
+    });
+  }
+  wire::LogEntry entry;
+  entry.kind = wire::EntryKind::EDIT;
+  entry.__set_edit(std::move(edit));
+  const auto index = raft_->propose(std::move(entry));
+  if (!index.ok()) {
+    answer.code = base::errorCodeOf(index.status());
+    if (answer.code == ErrorCode::kStorageFailed) answer.code = ErrorCode::kOutcomeUnknown;
+    return done(answer);
+  }
+  pending_[*index] = {raft_->term(), std::move(done)};
+}
+
+void Controller::confirmLeadership(consensus::Raft::ConfirmCallback done) {
+  if (!raft_) return done(false);
+  raft_->confirmLeadership(std::move(done));
+}
+
+void Controller::answerPending(int64_t index, const wire::EditOutcome& outcome) {
+  const auto found = pending_.find(index);
+  if (found == pending_.end()) return;
+  EditAnswer answer;
+  answer.code = static_cast<ErrorCode>(outcome.code);
+  answer.outcome = outcome;
+  const auto done = std::move(found->second.done);
+  pending_.erase(found);
+  done(answer);
+}
+
+void Controller::failPending() {
+  std::map<int64_t, PendingEdit> failed;
+  failed.swap(pending_);
+  for (const auto& [index, edit] : failed) {
+    EditAnswer answer;
+    answer.code = ErrorCode::kOutcomeUnknown;
+    answer.leaderName = leaderName();
+    edit.done(answer);
+  }
+}
+
+void Controller::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  if (links_.owns(connection)) links_.onOpen(connection, peer);
+  peers_[connection] = peer;
+  if (peer.role != wire::Role::RELAY) return;
+  relays_.open(connection, peer.id);
+  if (raft_ && announcedTerm_) relays_.heartbeatTo(connection, state_.table().revision(), raft_->freshness());
+}
+
+void Controller::onClose(base::ConnectionId connection) {
+  if (links_.owns(connection)) links_.onClose(connection);
+  const auto relayId = relays_.remove(connection);
+  peers_.erase(connection);
+  if (relayId.empty()) return;
+  convergence_.onRelayLost(relayId);
+  log_.info("relay {} disconnected", relayId);
+}
+
+void Controller::onMessage(base::ConnectionId connection, wire::Message message) {
+  const auto peer = peers_.find(connection);
+  if (peer == peers_.end() || !raft_) return;
+  if (peer->second.role != wire::Role::CONTROLLER) return onRelayMessage(connection, message);
+  const bool wasBlank = raft_->blank();
+  raft_->onMessage(peer->second.id, message);
+  if (wasBlank && !raft_->blank()) announce();
+}
+
+void Controller::onRelayMessage(base::ConnectionId connection, const wire::Message& message) {
+  const auto& relayId = peers_[connection].id;
+  if (raft_->role() != RaftRole::kLeader) {
+    wire::NotLeader notLeader;
+    notLeader.leaderId = raft_->leaderId();
+    network_.send(connection, wire::encodeFrame(notLeader));
+    return;
+  }
+  relays_.heard(connection, scheduler_.now());
+  if (const auto* subscribe = std::get_if<wire::RelaySubscribe>(&message)) {
+    relays_.subscribe(connection, relayId, *subscribe, state_.table());
+    log_.info("relay {} subscribed from revision {}", relayId, subscribe->revision);
+  } else if (const auto* report = std::get_if<wire::ConvergenceReport>(&message)) {
+    if (!relays_.relayOn(connection).empty()) convergence_.onReport(relayId, *report);
+  } else if (const auto* confirm = std::get_if<wire::ConfirmRequest>(&message)) {
+    confirmLeadership([this, alive = std::weak_ptr<bool>(alive_), connection, token = confirm->token](bool confirmed) {
+      if (alive.expired() || !confirmed) return;
+      wire::ConfirmReply reply;
+      reply.token = token;
+      reply.revision = state_.table().revision();
+      network_.send(connection, wire::encodeFrame(reply));
+    });
+  }
+}
+
+void Controller::sendTo(const std::string& memberId, const wire::Message& message) {
+  links_.sendTo(memberId, message);
+}
+
+void Controller::apply(const wire::LogEntry& entry) {
+  if (entry.kind == wire::EntryKind::EDIT) {
+    const auto fingerprint = fingerprintOf(entry.edit);
+    auto outcome = state_.apply(entry.index, entry.edit);
+    if (outcome.fingerprint != fingerprint) outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
+    answerPending(entry.index, outcome);
+  }
+  if (entry.kind == wire::EntryKind::MEMBERS) updateLinks();
+  if (pushScheduled_ || raft_->role() != RaftRole::kLeader) return;
+  pushScheduled_ = true;
+  scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) return;
+    pushScheduled_ = false;
+    if (raft_->role() == RaftRole::kLeader) relays_.push(state_.table());
+  });
+}
+
+std::string Controller::takeSnapshot() { return wire::encodeStruct(state_.takeSnapshot()); }
+
+void Controller::restore(const std::string& state) {
+  auto snapshot = wire::decodeStruct<wire::TableSnapshot>(state);
+  if (snapshot.ok()) {
+    state_.restore(*snapshot);
+  } else {
+    log_.error("snapshot can't be decoded: {}", base::errorText(snapshot.status()));
+  }
+}
+
+void Controller::onLeadership(RaftRole role) {
+  convergence_.reset();
+  announcedTerm_ = false;
+  if (role == RaftRole::kLeader) return;
+  failPending();
+  relays_.endAll(raft_->leaderId());
+}
+
+void Controller::onProgress() {
+  // Relays follow a leader only once it has a quorum behind it and has applied what earlier leaders committed.
+  if (announcedTerm_ || raft_->role() != RaftRole::kLeader || raft_->freshness().round == 0) return;
+  if (!raft_->appliedOwnTerm()) return;
+  announcedTerm_ = true;
+  relays_.heartbeat(state_.table().revision(), raft_->freshness());
+}
+
+void Controller::onHousekeeping() {
+  housekeeping_.start(kHousekeepingInterval);
+  updateLinks();
+  if (raft_->blank()) return formCluster();
+  if (raft_->role() != RaftRole::kLeader) return;
+  if (raft_->forming() && !raft_->membershipChangePending()) completeFormation();
+  promoteLearners();
+  for (const auto connection : relays_.silentSince(scheduler_.now() - options_.relayTimeout)) {
+    network_.close(connection);
+    onClose(connection);
+  }
+}
+
+void Controller::formCluster() {
+  const auto* own = ownAddress();
+  if (own == nullptr || options_.controllers.front().name != options_.name) return;
+  // Only when every initial member is there and none has ever been part of a cluster; otherwise this data folder
+  // was lost, and the controller waits to be added under its new identity.
+  for (const auto& controller : options_.controllers) {
+    if (controller.name == options_.name) continue;
+    const auto* hello = links_.helloOf(controller.frames);
+    if (hello == nullptr || !hello->blank) return;
+  }
+  wire::Hello self;
+  self.id = identity_;
+  auto member = memberFor(*own, self);
+  member.voting = true;
+  log_.info("{} forms a new cluster", identity_);
+  raft_->bootstrap(member);
+  announce();
+}
+
+void Controller::completeFormation() {
+  auto members = raft_->members();
+  for (const auto& controller : options_.controllers) {
+    const bool known = std::any_of(members.begin(), members.end(),
+                                   [&](const auto& member) { return member.name == controller.name; });
+    if (known) continue;
+    const auto* hello = links_.helloOf(controller.frames);
+    if (hello == nullptr) return;
+    members.push_back(memberFor(controller, *hello));
+    (void)raft_->proposeMembers(members, true);
+    return;
+  }
+  const bool allVote = std::all_of(members.begin(), members.end(), [](const auto& member) { return member.voting; });
+  if (allVote) (void)raft_->proposeMembers(members, false);
+}
+
+void Controller::promoteLearners() {
+  if (raft_->membershipChangePending()) return;
+  auto members = raft_->members();
+  for (const auto& [name, address] : joining_) {
+    const auto* hello = links_.helloOf(address.frames);
+    if (hello == nullptr || !hello->blank) continue;
+    members.push_back(memberFor(address, *hello));
+    if (raft_->proposeMembers(members, raft_->forming()).ok()) joining_.erase(name);
+    return;
+  }
+  for (auto& member : members) {
+    if (member.voting || !raft_->recentlyActive(member.id) || !raft_->caughtUp(member.id)) continue;
+    member.voting = true;
+    (void)raft_->proposeMembers(members, raft_->forming());
+    return;
+  }
+}
+
+absl::Status Controller::addController(const ControllerAddress& address) {
+  if (!raft_ || raft_->role() != RaftRole::kLeader) return makeError(ErrorCode::kNotLeader, "this controller does not lead");
+  for (const auto& member : raft_->members()) {
+    if (member.name == address.name) return makeError(ErrorCode::kNotAccepted, "a controller of that name is a member");
+  }
+  joining_[address.name] = address;
+  updateLinks();
+  return absl::OkStatus();
+}
+
+absl::Status Controller::removeController(const std::string& name) {
+  if (!raft_ || raft_->role() != RaftRole::kLeader) return makeError(ErrorCode::kNotLeader, "this controller does not lead");
+  auto members = raft_->members();
+  const auto leaving = std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.name == name; });
+  if (leaving == members.end()) return makeError(ErrorCode::kRowNotFound, "no controller of that name");
+  if (leaving->voting) {
+    // All that remain must be there and caught up, unless the one that leaves is already lost.
+    size_t remaining = 0;
+    size_t good = 0;
+    for (const auto& member : members) {
+      if (!member.voting || member.id == leaving->id) continue;
+      ++remaining;
+      const bool current = member.id == raft_->id() || raft_->caughtUp(member.id);
+      if (raft_->recentlyActive(member.id) && current) ++good;
+    }
+    if (remaining == 0) return makeError(ErrorCode::kNotAccepted, "the last voter can't be removed");
+    const bool leavingActive = raft_->recentlyActive(leaving->id);
+    if (good * 2 <= remaining || (leavingActive && good < remaining)) {
+      return makeError(ErrorCode::kNotAccepted, "the remaining voters are not all there and caught up");
+    }
+  }
+  members.erase(leaving);
+  return raft_->proposeMembers(members, false);
+}
+
+void Controller::prepareStop() {
+  if (raft_) raft_->transferLeadership();
+}
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/controller/controller.h
@@ -0,0 +1,145 @@
+/// The controller: accepts edits into the replicated log and feeds relays.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "base/network.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "consensus/raft.h"
+#include "controller/convergence.h"
+#include "controller/relay_sessions.h"
+#include "controller/table_state.h"
+#include "membership/peer_links.h"
+
+namespace driftlug::controller {
+
+/// A controller as the settings name it.
+struct ControllerAddress {
+  std::string name;
+  base::Address frames;
+  int httpPort = 0;
+};
+
+/// Settings of one controller.
+struct ControllerOptions {
+  std::string name;
+  std::string zone;
+  std::vector<ControllerAddress> controllers;  ///< all initial members; the first one forms the cluster
+  consensus::RaftOptions raft;
+  base::Duration relayHeartbeat = base::seconds(1);
+  base::Duration relayTimeout = base::seconds(3);  ///< a relay that is silent for longer is dropped
+  base::Duration nodeLease = base::seconds(5);
+  bool fullPush = false;  ///< baseline for experiments
+};
+
+/// Answer to an edit.
+struct EditAnswer {
+  base::ErrorCode code = base::ErrorCode::kNone;
+  wire::EditOutcome outcome;  ///< set when the edit was decided
+  std::string leaderName;     ///< set with kNotLeader when known
+};
+
+using EditCallback = std::function<void(const EditAnswer&)>;
+
+/// One controller process without its sockets and files.
+///
+/// Invariants: an edit is answered as accepted only after it was committed and applied; only the leader answers
+/// edits and feeds relays.
+class Controller : public base::ConnectionHandler, public consensus::RaftTransport, public consensus::RaftListener {
+ public:
+  Controller(ControllerOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
+             storage::Disk& disk);
+  ~Controller() override;
+
+  /// Opens the data folder and begins; `ready` is called with the result of recovery.
+  void start(std::function<void(absl::Status)> ready);
+
+  /// Decides an edit. The callback gets kNone, kInvalidEdit, kRevisionConflict, kRequestIdExpired,
+  /// kRequestIdReused, kNotLeader, kNotAccepted, kStorageFull or kOutcomeUnknown.
+  void submitEdit(wire::EditCommand edit, EditCallback done);
+
+  /// Calls back with true once this controller is known to have led after the call.
+  void confirmLeadership(consensus::Raft::ConfirmCallback done);
+
+  /// Adds the controller listening at an address as a learner; it votes once it has caught up.
+  absl::Status addController(const ControllerAddress& address);
+
+  /// Removes a controller; refused when the remaining voters could not lose one more or are not caught up.
+  absl::Status removeController(const std::string& name);
+
+  /// Prepares a planned stop: hands leadership over.
+  void prepareStop();
+
+  const TableState& state() const { return state_; }
+  const consensus::Raft& raft() const { return *raft_; }
+  const ConvergenceTracker& convergence() const { return convergence_; }
+  const RelaySessions& relays() const { return relays_; }
+  const std::string& name() const { return options_.name; }
+  std::string leaderName() const;
+  bool ready() const { return raft_ != nullptr && !raft_->leaderId().empty(); }
+
+  // base::ConnectionHandler
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
+  void onMessage(base::ConnectionId connection, wire::Message message) override;
+  void onClose(base::ConnectionId connection) override;
+
+  // consensus::RaftTransport
+  void sendTo(const std::string& memberId, const wire::Message& message) override;
+
+  // consensus::RaftListener
+  void apply(const wire::LogEntry& entry) override;
+  std::string takeSnapshot() override;
+  void restore(const std::string& state) override;
+  void onLeadership(consensus::RaftRole role) override;
+  void onProgress() override;
+
+ private:
+  struct PendingEdit {
+    int64_t term;
+    EditCallback done;
+  };
+
+  void begin(storage::RecoveredState state);
+  void announce();
+  void updateLinks();
+  void onRelayMessage(base::ConnectionId connection, const wire::Message& message);
+  void onHousekeeping();
+  void formCluster();
+  void completeFormation();
+  void promoteLearners();
+  void answerPending(int64_t index, const wire::EditOutcome& outcome);
+  void failPending();
+  wire::Member memberFor(const ControllerAddress& address, const wire::Hello& hello) const;
+  const ControllerAddress* ownAddress() const;
+
+  ControllerOptions options_;
+  base::Scheduler& scheduler_;
+  base::RandomSource random_;
+  base::Network& network_;
+  base::Logger log_{"control"};
+  storage::LogStore store_;
+  std::string identity_;              // bound to the data folder
+  TableState state_;
+  membership::PeerLinks links_;
+  RelaySessions relays_;
+  ConvergenceTracker convergence_;
+  std::unique_ptr<consensus::Raft> raft_;  // null until recovery ended
+  std::map<base::ConnectionId, wire::Hello> peers_;  // open connections
+  std::map<int64_t, PendingEdit> pending_;  // by log index
+  std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
+  std::map<std::string, ControllerAddress> joining_;  // added by an operator, not yet a member
+  bool pushScheduled_ = false;
+  bool announcedTerm_ = false;        // relays were told of this term's leadership
+  base::Timer housekeeping_;
+  base::Timer heartbeat_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/controller/convergence.h
@@ -0,0 +1,77 @@
+/// Convergence: which nodes have which revision in force, from the reports of relays.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "wire/gen/driftlug_types.h"
+
+namespace driftlug::controller {
+
+/// A node that does not have a revision in force.
+struct LaggingNode {
+  std::string nodeId;
+  int64_t revision = 0;  ///< 0 when unknown
+  bool attached = false;  ///< whether a relay holds a connection to it now
+};
+
+/// What is known of one revision.
+struct ConvergenceView {
+  int64_t revision = 0;
+  size_t inForce = 0;
+  std::vector<LaggingNode> lagging;
+  size_t gone = 0;        ///< nodes without a relay for longer than the lease; they don't count
+  bool complete = false;  ///< whether all relays have had time to report to this controller
+  bool everywhere() const { return complete && lagging.empty(); }
+};
+
+/// Soft state of the leading controller, rebuilt from full reports after a change of leader.
+///
+/// Invariant: a node counts as in force only by a relay's word that covers the revision; a node whose relay was
+/// lost counts as lagging until another relay reports it or its lease ends.
+class ConvergenceTracker {
+ public:
+  ConvergenceTracker(const base::TimeSource& time, base::Duration lease) : time_(time), lease_(lease) {}
+
+  /// Forgets everything, and waits for relays to report anew.
+  void reset();
+
+  /// A relay's report arrived.
+  void onReport(const std::string& relayId, const wire::ConvergenceReport& report);
+
+  /// A relay's connection closed.
+  void onRelayLost(const std::string& relayId);
+
+  /// @return the state of a revision.
+  ConvergenceView view(int64_t revision) const;
+
+  /// @return whether view(revision) would be everywhere(), without listing nodes.
+  bool inForceEverywhere(int64_t revision) const { return view(revision).everywhere(); }
+
+  size_t attachedNodes() const;
+
+ private:
+  struct Node {
+    std::string relayId;         // relay that reported it last
+    bool attached = false;
+    base::TimePoint lostAt{};    // when it was detached
+  };
+
+  struct Relay {
+    int64_t inForceRevision = 0;
+    std::map<std::string, int64_t> lagging;
+  };
+
+  void detach(const std::string& nodeId, const std::string& relayId);
+
+  const base::TimeSource& time_;
+  base::Duration lease_;
+  base::TimePoint startedAt_{};
+  std::map<std::string, Relay> relays_;
+  std::map<std::string, Node> nodes_;
+};
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/controller/relay_sessions.cc
@@ -0,0 +1,104 @@
+#include "controller/relay_sessions.h"
+
+#include <vector>
+
+namespace driftlug::controller {
+
+void RelaySessions::open(base::ConnectionId connection, const std::string& relayId) {
+  sessions_[connection].relayId = relayId;
+}
+
+void RelaySessions::subscribe(base::ConnectionId connection, const std::string& relayId,
+                              const wire::RelaySubscribe& request, const table::Table& table) {
+  auto& session = sessions_[connection];
+  session.relayId = relayId;
+  session.subscribed = true;
+  session.sentRevision = request.revision;
+  const bool sameRevision = request.revision == table.revision();
+  if (sameRevision && !(request.digest == table.digest())) session.sentRevision = 0;
+  if (session.sentRevision >= table.revision()) return;
+  sendUpdate(connection, &session, encodeUpdate(table, session.sentRevision), table);
+}
+
+std::string RelaySessions::remove(base::ConnectionId connection) {
+  const auto found = sessions_.find(connection);
+  if (found == sessions_.end()) return "";
+  const auto relayId = found->second.subscribed ? found->second.relayId : "";
+  sessions_.erase(found);
+  return relayId;
+}
+
+void RelaySessions::endAll(const std::string& leaderId) {
+  wire::NotLeader notLeader;
+  notLeader.leaderId = leaderId;
+  const auto frame = wire::encodeFrame(notLeader);
+  for (auto& [connection, session] : sessions_) {
+    if (session.subscribed) network_.send(connection, frame);
+    session.subscribed = false;
+  }
+}
+
+void RelaySessions::heard(base::ConnectionId connection, base::TimePoint now) {
+  const auto found = sessions_.find(connection);
+  if (found != sessions_.end()) found->second.lastHeard = now;
+}
+
+std::vector<base::ConnectionId> RelaySessions::silentSince(base::TimePoint then) const {
+  std::vector<base::ConnectionId> silent;
+  for (const auto& [connection, session] : sessions_) {
+    if (session.subscribed && session.lastHeard < then) silent.push_back(connection);
+  }
+  return silent;
+}
+
+wire::FramePtr RelaySessions::encodeUpdate(const table::Table& table, int64_t fromRevision) const {
+  wire::TableUpdate update;
+  update.full = fullPush_ || fromRevision < table.horizon() || fromRevision == 0;
+  update.fromRevision = update.full ? 0 : fromRevision;
+  update.toRevision = table.revision();
+  for (const auto& row : table.changedSince(update.fromRevision)) {
+    if (!update.full || !row->deleted) update.rows.push_back(*row);
+  }
+  update.digest = table.digest();
+  return wire::encodeFrame(update);
+}
+
+void RelaySessions::sendUpdate(base::ConnectionId connection, Session* session, const wire::FramePtr& frame,
+                               const table::Table& table) {
+  network_.send(connection, frame);
+  ++counters_.updates;
+  counters_.updateBytes += static_cast<int64_t>(frame->size());
+  if (session->sentRevision == 0) ++counters_.fullUpdates;
+  session->sentRevision = table.revision();
+}
+
+void RelaySessions::push(const table::Table& table) {
+  std::map<int64_t, wire::FramePtr> frames;
+  for (auto& [connection, session] : sessions_) {
+    if (!session.subscribed || session.sentRevision >= table.revision()) continue;
+    auto& frame = frames[session.sentRevision];
+    if (!frame) frame = encodeUpdate(table, session.sentRevision);
+    sendUpdate(connection, &session, frame, table);
+  }
+}
+
+void RelaySessions::heartbeatTo(base::ConnectionId connection, int64_t revision, const wire::Freshness& freshness) {
+  wire::ControllerHeartbeat heartbeat;
+  heartbeat.revision = revision;
+  heartbeat.freshness = freshness;
+  const auto frame = wire::encodeFrame(heartbeat);
+  network_.send(connection, frame);
+  ++counters_.heartbeats;
+  counters_.heartbeatBytes += static_cast<int64_t>(frame->size());
+}
+
+void RelaySessions::heartbeat(int64_t revision, const wire::Freshness& freshness) {
+  for (const auto& [connection, session] : sessions_) heartbeatTo(connection, revision, freshness);
+}
+
+std::string RelaySessions::relayOn(base::ConnectionId connection) const {
+  const auto found = sessions_.find(connection);
+  return found == sessions_.end() || !found->second.subscribed ? "" : found->second.relayId;
+}
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/controller/relay_sessions.h
@@ -0,0 +1,86 @@
+/// Relays that read from this controller: what each was sent, and pushes of new revisions.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/network.h"
+#include "base/time.h"
+#include "table/table.h"
+
+namespace driftlug::controller {
+
+/// Counters of the bytes and messages sent to relays.
+struct RelaySessionCounters {
+  int64_t updates = 0;
+  int64_t updateBytes = 0;
+  int64_t fullUpdates = 0;
+  int64_t heartbeats = 0;
+  int64_t heartbeatBytes = 0;
+};
+
+/// Sends each subscribed relay the rows it lacks; equal updates are encoded once.
+///
+/// Invariant: a relay is sent only committed rows, and each revision range once per connection.
+class RelaySessions {
+ public:
+  explicit RelaySessions(base::Network& network) : network_(network) {}
+
+  /// A relay's connection opened.
+  void open(base::ConnectionId connection, const std::string& relayId);
+
+  /// A relay subscribed from a revision; it is brought up to date at once.
+  void subscribe(base::ConnectionId connection, const std::string& relayId, const wire::RelaySubscribe& request,
+                 const table::Table& table);
+
+  /// Forgets a connection.
+  /// @return the relay's id, or empty when none was subscribed there
+  std::string remove(base::ConnectionId connection);
+
+  /// Ends all subscriptions, after leadership was lost.
+  void endAll(const std::string& leaderId);
+
+  /// Notes that a relay is alive.
+  void heard(base::ConnectionId connection, base::TimePoint now);
+
+  /// @return subscribed relays that were not heard since then.
+  std::vector<base::ConnectionId> silentSince(base::TimePoint then) const;
+
+  /// Sends rows changed since each relay's last update.
+  void push(const table::Table& table);
+
+  /// Sends the revision and freshness to one relay.
+  void heartbeatTo(base::ConnectionId connection, int64_t revision, const wire::Freshness& freshness);
+
+  /// Sends the revision and freshness to all relays.
+  void heartbeat(int64_t revision, const wire::Freshness& freshness);
+
+  /// @return the id of the relay subscribed on a connection, or empty.
+  std::string relayOn(base::ConnectionId connection) const;
+
+  size_t size() const { return sessions_.size(); }
+  const RelaySessionCounters& counters() const { return counters_; }
+
+  /// Sends the whole table with each update instead of a delta; a baseline for experiments.
+  void useFullPush(bool enabled) { fullPush_ = enabled; }
+
+ private:
+  struct Session {
+    std::string relayId;
+    bool subscribed = false;
+    int64_t sentRevision = 0;
+    base::TimePoint lastHeard{};
+  };
+
+  wire::FramePtr encodeUpdate(const table::Table& table, int64_t fromRevision) const;
+  void sendUpdate(base::ConnectionId connection, Session* session, const wire::FramePtr& frame,
+                  const table::Table& table);
+
+  base::Network& network_;
+  std::map<base::ConnectionId, Session> sessions_;
+  RelaySessionCounters counters_;
+  bool fullPush_ = false;
+};
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/controller/table_state.cc
@@ -0,0 +1,176 @@
+#include "controller/table_state.h"
+
+#include <xxhash.h>
+
+#include <set>
+
+#include "base/error.h"
+#include "wire/frame.h"
+
+namespace driftlug::controller {
+namespace {
+
+using base::ErrorCode;
+
+constexpr int64_t kAnyRevision = -1;
+
+wire::EditProblem toWire(const table::Problem& problem) {
+  wire::EditProblem out;
+  out.key = problem.row;
+  out.field = problem.field;
+  out.problem = std::string(table::problemName(problem.kind));
+  out.message = problem.sentence;
+  return out;
+}
+
+/// Changes rows in place and takes every change back unless it is kept.
+class TableEdit {
+ public:
+  TableEdit(table::Table* table, int64_t revision)
+      : table_(table), revision_(revision), previousRevision_(table->revision()) {}
+  TableEdit(const TableEdit&) = delete;
+  TableEdit& operator=(const TableEdit&) = delete;
+
+  ~TableEdit() {
+    if (kept_) return;
+    for (size_t i = keys_.size(); i-- > 0;) table_->undoPut(keys_[i], previous_[i], previousRevision_);
+  }
+
+  void put(const wire::Row& row) {
+    auto changed = std::make_shared<wire::Row>(row);
+    changed->revision = revision_;
+    previous_.push_back(table_->findAny(row.key));
+    keys_.push_back(row.key);
+    table_->put(changed);
+  }
+
+  std::vector<table::Problem> check() const { return table::checkEdit(*table_, keys_); }
+
+  void keep() { kept_ = true; }
+
+ private:
+  table::Table* table_;
+  int64_t revision_;
+  int64_t previousRevision_;
+  bool kept_ = false;
+  std::vector<wire::RowKey> keys_;        // changed rows, in order
+  std::vector<table::RowPtr> previous_;   // what each was before; null when the key was not in use
+};
+
+}  // namespace
+
+int64_t fingerprintOf(const wire::EditCommand& edit) {
+  wire::EditCommand content;
+  content.mutations = edit.mutations;
+  const auto bytes = wire::encodeStruct(content);
+  return static_cast<int64_t>(XXH3_64bits(bytes.data(), bytes.size()));
+}
+
+const wire::EditOutcome* TableState::findOutcome(const std::string& requestId) const {
+  const auto found = outcomeByRequest_.find(requestId);
+  if (found == outcomeByRequest_.end()) return nullptr;
+  return &outcomes_[static_cast<size_t>(found->second - dropped_)];
+}
+
+const wire::EditOutcome& TableState::apply(int64_t index, const wire::EditCommand& edit) {
+  if (const auto* known = findOutcome(edit.requestId)) return *known;
+  wire::EditOutcome outcome;
+  outcome.requestId = edit.requestId;
+  outcome.revision = index;
+  outcome.fingerprint = fingerprintOf(edit);
+  decide(index, edit, &outcome);
+  remember(std::move(outcome));
+  return outcomes_.back();
+}
+
+void TableState::decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome) {
+  if (edit.baseRevision < windowFloor_) {
+    outcome->code = static_cast<int>(ErrorCode::kRequestIdExpired);
+    return;
+  }
+  if (findConflicts(edit, outcome)) {
+    outcome->code = static_cast<int>(ErrorCode::kRevisionConflict);
+    return;
+  }
+  TableEdit change(&table_, index);
+  for (const auto& mutation : edit.mutations) change.put(mutation.row);
+  for (const auto& problem : change.check()) outcome->problems.push_back(toWire(problem));
+  if (!outcome->problems.empty()) {
+    outcome->code = static_cast<int>(ErrorCode::kInvalidEdit);
+    return;
+  }
+  change.keep();
+  if (index - table_.horizon() > 2 * kTombstoneHorizon) table_.dropTombstones(index - kTombstoneHorizon);
+  recordHistory(index, edit);
+}
+
+bool TableState::findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const {
+  bool conflict = false;
+  std::set<wire::RowKey, table::RowKeyLess> seen;
+  for (const auto& mutation : edit.mutations) {
+    const bool twice = !seen.insert(mutation.row.key).second;
+    const auto live = table_.find(mutation.row.key);
+    const int64_t current = live ? live->revision : 0;
+    const bool vanished = mutation.row.deleted && !live;
+    const bool matches = mutation.expectedRevision == kAnyRevision || mutation.expectedRevision == current;
+    if (matches && !vanished && !twice) continue;
+    conflict = true;
+    if (live) {
+      outcome->currentRows.push_back(*live);
+    } else {
+      wire::Row absent;
+      absent.key = mutation.row.key;
+      absent.revision = table_.rowRevision(mutation.row.key);
+      absent.deleted = true;
+      outcome->currentRows.push_back(absent);
+    }
+  }
+  return conflict;
+}
+
+void TableState::remember(wire::EditOutcome outcome) {
+  outcomeByRequest_[outcome.requestId] = dropped_ + static_cast<int64_t>(outcomes_.size());
+  outcomes_.push_back(std::move(outcome));
+  if (outcomes_.size() <= kOutcomeWindow) return;
+  windowFloor_ = outcomes_.front().revision;
+  outcomeByRequest_.erase(outcomes_.front().requestId);
+  outcomes_.pop_front();
+  ++dropped_;
+}
+
+void TableState::recordHistory(int64_t index, const wire::EditCommand& edit) {
+  wire::HistoryRecord record;
+  record.revision = index;
+  record.requestId = edit.requestId;
+  record.author = edit.author;
+  for (const auto& mutation : edit.mutations) record.keys.push_back(mutation.row.key);
+  history_.push_back(std::move(record));
+  if (history_.size() > kHistoryLength) history_.pop_front();
+}
+
+wire::TableSnapshot TableState::takeSnapshot() const {
+  wire::TableSnapshot snapshot;
+  for (const auto& [key, row] : table_.rows()) snapshot.rows.push_back(*row);
+  for (const auto& [key, row] : table_.tombstones()) snapshot.rows.push_back(*row);
+  snapshot.outcomes.assign(outcomes_.begin(), outcomes_.end());
+  snapshot.history.assign(history_.begin(), history_.end());
+  snapshot.tableRevision = table_.revision();
+  snapshot.historyFloor = windowFloor_;
+  snapshot.horizon = table_.horizon();
+  return snapshot;
+}
+
+void TableState::restore(const wire::TableSnapshot& snapshot) {
+  *this = TableState();
+  for (const auto& row : snapshot.rows) table_.put(std::make_shared<wire::Row>(row));
+  table_.advanceTo(snapshot.tableRevision);
+  table_.setHorizon(snapshot.horizon);
+  for (const auto& outcome : snapshot.outcomes) {
+    outcomeByRequest_[outcome.requestId] = static_cast<int64_t>(outcomes_.size());
+    outcomes_.push_back(outcome);
+  }
+  history_.assign(snapshot.history.begin(), snapshot.history.end());
+  windowFloor_ = snapshot.historyFloor;
+}
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/controller/table_state.h
@@ -0,0 +1,64 @@
+/// The replicated state machine: the table, the outcomes of recent edits, and the history.
+#pragma once
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "table/table.h"
+#include "table/validator.h"
+#include "wire/gen/driftlug_types.h"
+
+namespace driftlug::controller {
+
+/// Edits whose outcomes are remembered; an edit based on an older revision is refused.
+constexpr size_t kOutcomeWindow = 10'000;
+/// Accepted edits that history shows.
+constexpr size_t kHistoryLength = 10'000;
+/// Log entries for which tombstones are kept.
+constexpr int64_t kTombstoneHorizon = 50'000;
+
+/// Applies committed edits; equal on every controller after equal entries.
+///
+/// Invariants: an edit is applied whole or not at all; a request id has one outcome inside the window; the
+/// table's revision is the index of the last accepted edit.
+class TableState {
+ public:
+  /// Applies the edit of one log entry.
+  /// @param index the entry's log index, which becomes the revision of changed rows
+  const wire::EditOutcome& apply(int64_t index, const wire::EditCommand& edit);
+
+  /// @return the remembered outcome of a request id, or null.
+  const wire::EditOutcome* findOutcome(const std::string& requestId) const;
+
+  /// @return lowest base revision that an edit may name.
+  int64_t windowFloor() const { return windowFloor_; }
+
+  const table::Table& table() const { return table_; }
+  const std::deque<wire::HistoryRecord>& history() const { return history_; }
+
+  /// @return the whole state.
+  wire::TableSnapshot takeSnapshot() const;
+
+  /// Replaces the state.
+  void restore(const wire::TableSnapshot& snapshot);
+
+ private:
+  void decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome);
+  bool findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const;
+  void remember(wire::EditOutcome outcome);
+  void recordHistory(int64_t index, const wire::EditCommand& edit);
+
+  table::Table table_;
+  std::deque<wire::EditOutcome> outcomes_;                     // oldest first, kOutcomeWindow at most
+  std::unordered_map<std::string, int64_t> outcomeByRequest_;  // position in outcomes_ plus dropped_
+  int64_t dropped_ = 0;                                        // outcomes dropped at the front
+  int64_t windowFloor_ = 0;
+  std::deque<wire::HistoryRecord> history_;
+};
+
+/// @return a hash over what an edit changes, to notice a request id that is used for another edit.
+int64_t fingerprintOf(const wire::EditCommand& edit);
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/membership/peer_links.cc
@@ -0,0 +1,77 @@
+#include "membership/peer_links.h"
+
+namespace driftlug::membership {
+namespace {
+
+constexpr base::Duration kReconnectDelay = base::milliseconds(100);
+
+}  // namespace
+
+PeerLinks::PeerLinks(base::Network& network, base::Scheduler& scheduler, base::RandomSource random)
+    : network_(network), scheduler_(scheduler), random_(random) {}
+
+void PeerLinks::setAddresses(const std::set<base::Address>& addresses) {
+  for (auto link = links_.begin(); link != links_.end();) {
+    if (addresses.count(link->first) > 0) {
+      ++link;
+      continue;
+    }
+    byConnection_.erase(link->second.connection);
+    network_.close(link->second.connection);
+    link = links_.erase(link);
+  }
+  for (const auto& address : addresses) {
+    if (links_.count(address) > 0) continue;
+    links_[address] = Link{};
+    connect(address);
+  }
+}
+
+void PeerLinks::connect(const base::Address& address) {
+  const auto found = links_.find(address);
+  if (found == links_.end() || found->second.connection != 0) return;
+  found->second.connection = network_.connect(address);
+  byConnection_[found->second.connection] = address;
+}
+
+void PeerLinks::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  const auto found = byConnection_.find(connection);
+  if (found == byConnection_.end()) return;
+  auto& link = links_[found->second];
+  link.open = true;
+  link.hello = peer;
+}
+
+void PeerLinks::onClose(base::ConnectionId connection) {
+  const auto found = byConnection_.find(connection);
+  if (found == byConnection_.end()) return;
+  const auto address = found->second;
+  byConnection_.erase(found);
+  links_[address] = Link{};
+  const auto delay = kReconnectDelay / 2 + random_.duration(kReconnectDelay);
+  scheduler_.schedule(delay, [this, alive = std::weak_ptr<bool>(alive_), address] {
+    if (!alive.expired()) connect(address);
+  });
+}
+
+void PeerLinks::sendTo(const std::string& peerId, const wire::Message& message) {
+  for (const auto& [address, link] : links_) {
+    if (!link.open || link.hello.id != peerId) continue;
+    network_.send(link.connection, wire::encodeFrame(message));
+    return;
+  }
+}
+
+void PeerLinks::sendToAll(const wire::Message& message) {
+  const auto frame = wire::encodeFrame(message);
+  for (const auto& [address, link] : links_) {
+    if (link.open) network_.send(link.connection, frame);
+  }
+}
+
+const wire::Hello* PeerLinks::helloOf(const base::Address& address) const {
+  const auto found = links_.find(address);
+  return found != links_.end() && found->second.open ? &found->second.hello : nullptr;
+}
+
+}  // namespace driftlug::membership
--- /dev/null
+++ b/src/relay/freshness_confirmer.h
@@ -0,0 +1,60 @@
+/// Proof that a relay's table is recent enough for a node that restarted without memory.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "relay/release_group.h"
+
+namespace driftlug::relay {
+
+/// Asks the leading controller, and the members of a zone's release group, in parallel; either proof is enough.
+///
+/// Invariant: a waiter is served only by answers to questions that were asked after it came, and only once the
+/// own table has reached the revision they named.
+class FreshnessConfirmer {
+ public:
+  /// Sends the questions of a round.
+  using AskFunction = std::function<void(int64_t token)>;
+  using Waiter = std::function<void()>;
+
+  FreshnessConfirmer(base::Scheduler& scheduler, const ReleaseGroup* group, std::string ownId, AskFunction ask);
+
+  /// Calls back once the table is proven recent.
+  void confirm(Waiter waiter);
+
+  /// The leading controller answered: its committed revision after the question.
+  void onController(int64_t token, int64_t revision);
+
+  /// A member of the group answered.
+  void onMember(int64_t token, const std::string& relayId, int64_t revision, bool recovered);
+
+  /// The own table is at this revision.
+  void onOwn(int64_t revision, bool recovered);
+
+  size_t waiting() const { return waiting_.size() + asked_.size(); }
+
+ private:
+  void startRound();
+  void evaluate();
+
+  base::Scheduler& scheduler_;
+  const ReleaseGroup* group_;  // null for a confirmer that trusts controllers alone
+  std::string ownId_;
+  AskFunction ask_;
+  base::Timer retryTimer_;
+  std::vector<Waiter> waiting_;  // came after the current round was asked
+  std::vector<Waiter> asked_;    // covered by the current round
+  int64_t token_ = 0;
+  bool controllerAnswered_ = false;
+  int64_t controllerRevision_ = 0;
+  std::map<std::string, int64_t> memberRevisions_;  // recovered members that answered this round
+  int64_t ownRevision_ = 0;
+  bool ownRecovered_ = false;
+};
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/node_sessions.h
@@ -0,0 +1,94 @@
+/// Nodes attached to a relay: what each was sent and has in force.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/network.h"
+#include "base/time.h"
+#include "relay/release_group.h"
+#include "relay/slice_cache.h"
+
+namespace driftlug::relay {
+
+/// Counters of the bytes and messages exchanged with nodes.
+struct NodeSessionCounters {
+  int64_t subscriptions = 0;
+  int64_t updates = 0;
+  int64_t updateBytes = 0;
+  int64_t fullUpdates = 0;
+  int64_t fullBytes = 0;
+  int64_t heartbeatBytes = 0;
+  int64_t rejected = 0;
+  int64_t skippedSlow = 0;
+};
+
+/// One attached node.
+struct NodeSession {
+  std::string nodeId;
+  std::string zone;
+  std::shared_ptr<CachedSlice> slice;
+  int64_t sentRevision = 0;
+  int64_t appliedRevision = 0;
+  bool confirmed = false;  ///< whether the node may be sent its first slice
+  base::TimePoint lastHeard{};
+};
+
+/// Sends slices to nodes once they are released.
+///
+/// Invariants: a node is sent a slice only when the slice's revision is released for the node's zone and is not
+/// older than what the node has; a node that does not read is skipped, not waited for.
+class NodeSessions {
+ public:
+  NodeSessions(base::Network& network, const ReleaseTracker& releases) : network_(network), releases_(releases) {}
+
+  /// A node subscribed; `confirmed` tells whether it remembers a revision of its own.
+  NodeSession& add(base::ConnectionId connection, NodeSession session);
+
+  /// @return the node's session, or null.
+  NodeSession* find(base::ConnectionId connection);
+
+  /// Forgets a node.
+  void remove(base::ConnectionId connection);
+
+  /// The node has a revision in force.
+  void onApplied(base::ConnectionId connection, int64_t revision);
+
+  /// The node refused an update; it is sent everything.
+  void onRejected(base::ConnectionId connection);
+
+  /// Sends the node what it lacks, if that is released.
+  void deliver(base::ConnectionId connection);
+
+  /// Sends all nodes what they lack.
+  void deliverAll();
+
+  /// Answers a subscription of a node that is already up to date.
+  void deliverFirst(base::ConnectionId connection, const wire::Digest& nodeDigest);
+
+  /// Sends a heartbeat to every node.
+  void heartbeat(const wire::Freshness& freshness);
+
+  /// @return nodes whose slice has changed beyond what they have in force.
+  std::vector<wire::NodeStatus> lagging() const;
+
+  const std::map<base::ConnectionId, NodeSession>& all() const { return sessions_; }
+  const NodeSessionCounters& counters() const { return counters_; }
+
+  /// Sends whole slices instead of deltas; a baseline for experiments.
+  void useFullPush(bool enabled) { fullPush_ = enabled; }
+
+ private:
+  void deliver(base::ConnectionId connection, NodeSession* session);
+
+  base::Network& network_;
+  const ReleaseTracker& releases_;
+  std::map<base::ConnectionId, NodeSession> sessions_;
+  NodeSessionCounters counters_;
+  bool fullPush_ = false;
+};
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/relay.cc
@@ -0,0 +1,397 @@
+#include "relay/relay.h"
+
+#include <algorithm>
+
+namespace driftlug::relay {
+namespace {
+
+constexpr int kProtocolVersion = 1;
+/// Distinguishes questions about the relay's own table from those of confirmers.
+constexpr int64_t kOwnTokenBase = int64_t{1} << 48;
+constexpr base::Duration kReportDelay = base::milliseconds(1);
+
+}  // namespace
+
+Relay::Relay(RelayOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network)
+    : options_(std::move(options)),
+      scheduler_(scheduler),
+      random_(random),
+      network_(network),
+      releases_(options_.id, options_.releaseGroups),
+      nodes_(network, releases_),
+      source_(network, scheduler, base::RandomSource(random_.bits()), options_.controllers),
+      peers_(network, scheduler, base::RandomSource(random_.bits())),
+      nodeTimer_(scheduler, [this] { onNodeTimer(); }),
+      reportTimer_(scheduler, [this] {
+        reportTimer_.start(options_.reportInterval);
+        sendReport(false);
+      }) {
+  nodes_.useFullPush(options_.fullPush);
+  if (!options_.releaseQuorum) releases_.disable();
+}
+
+Relay::~Relay() { *alive_ = false; }
+
+void Relay::start() {
+  wire::Hello hello;
+  hello.protocolVersion = kProtocolVersion;
+  hello.role = wire::Role::RELAY;
+  hello.id = options_.id;
+  hello.zone = options_.zone;
+  network_.setHello(hello);
+  admissionTokens_ = options_.admissionBurst;
+  admissionAt_ = scheduler_.now();
+  releasedAt_ = scheduler_.now();
+  source_.start();
+  peers_.setAddresses({options_.peers.begin(), options_.peers.end()});
+  nodeTimer_.start(options_.nodeHeartbeat);
+  reportTimer_.start(options_.reportInterval);
+  log_.info("{} started in zone {}", options_.id, options_.zone);
+}
+
+void Relay::prepareStop() {
+  stopping_ = true;
+  sendAllAway();
+}
+
+void Relay::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  if (source_.owns(connection)) {
+    source_.onOpen(connection);
+    return;
+  }
+  hellos_[connection] = peer;
+  ++connectionsOf_[peer.id];
+  if (!peers_.owns(connection)) return;
+  peers_.onOpen(connection, peer);
+  sendHeld(peer.id, 0, false);
+  std::vector<wire::EndpointState> own;
+  for (const auto& [nodeConnection, session] : nodes_.all()) {
+    const auto states = endpoints_.ofOrigin(session.nodeId);
+    own.insert(own.end(), states.begin(), states.end());
+  }
+  if (!own.empty()) sendStates(connection, own);
+}
+
+void Relay::onClose(base::ConnectionId connection) {
+  if (source_.owns(connection)) {
+    if (source_.onClose(connection)) log_.info("{} lost its source", options_.id);
+    return;
+  }
+  const bool outgoing = peers_.owns(connection);
+  if (outgoing) peers_.onClose(connection);
+  const auto found = hellos_.find(connection);
+  if (found == hellos_.end()) return;
+  const auto peer = found->second;
+  hellos_.erase(found);
+  if (--connectionsOf_[peer.id] == 0) connectionsOf_.erase(peer.id);
+  if (peer.role == wire::Role::RELAY) {
+    if (!outgoing) releases_.onConnection(peer.id, false);
+    expireLater(peer.id, options_.peerLease);
+  } else if (nodes_.find(connection) != nullptr) {
+    dropNode(connection);
+  }
+}
+
+void Relay::onMessage(base::ConnectionId connection, wire::Message message) {
+  if (source_.owns(connection)) return onControllerMessage(connection, message);
+  const auto peer = hellos_.find(connection);
+  if (peer == hellos_.end()) return;
+  if (peer->second.role == wire::Role::RELAY) return onRelayMessage(peer->second.id, message);
+  if (peer->second.role == wire::Role::NODE) return onNodeMessage(connection, message);
+}
+
+void Relay::onControllerMessage(base::ConnectionId connection, const wire::Message& message) {
+  if (const auto* heartbeat = std::get_if<wire::ControllerHeartbeat>(&message)) {
+    if (source_.onLeader(connection, heartbeat->freshness)) subscribeToSource(replica_.revision());
+  } else if (std::get_if<wire::NotLeader>(&message) != nullptr) {
+    source_.onNotLeader(connection);
+  } else if (connection == source_.source()) {
+    if (const auto* update = std::get_if<wire::TableUpdate>(&message)) onTableUpdate(*update);
+    if (const auto* reply = std::get_if<wire::ConfirmReply>(&message)) onConfirmReply(*reply);
+  }
+}
+
+void Relay::subscribeToSource(int64_t revision) {
+  wire::RelaySubscribe subscribe;
+  subscribe.revision = revision;
+  subscribe.digest = replica_.table().digest();
+  source_.send(subscribe);
+  reportFull_ = true;
+  scheduleReport();
+  if (recovered_) return;
+  wire::ConfirmRequest confirm;
+  confirm.token = kOwnTokenBase + ++ownToken_;
+  source_.send(confirm);
+}
+
+void Relay::onTableUpdate(const wire::TableUpdate& update) {
+  ReplicaChange change;
+  const auto result = replica_.apply(update, &change);
+  if (result == ReplicaResult::kNothingNew) return;
+  if (result != ReplicaResult::kApplied) {
+    log_.warn("{} could not apply revision {} and asks for everything", options_.id, update.toRevision);
+    return subscribeToSource(0);
+  }
+  slices_.onTableChange(replica_.table(), change.changed, change.previous);
+  onTableAdvanced();
+}
+
+void Relay::onTableAdvanced() {
+  releases_.setOwn(replica_.revision(), recovered_);
+  announceHeld();
+  for (const auto& [zone, confirmer] : confirmers_) confirmer->onOwn(replica_.revision(), recovered_);
+  nodes_.deliverAll();
+  scheduleReport();
+}
+
+void Relay::onConfirmReply(const wire::ConfirmReply& reply) {
+  // Any answer of the leader proves the table, whoever asked.
+  if (!recovered_ && replica_.revision() >= reply.revision) {
+    recovered_ = true;
+    onTableAdvanced();
+  }
+  for (const auto& [zone, confirmer] : confirmers_) confirmer->onController(reply.token, reply.revision);
+}
+
+void Relay::announceHeld() {
+  for (const auto& relayId : releases_.peers()) sendHeld(relayId, 0, false);
+}
+
+void Relay::sendHeld(const std::string& relayId, int64_t probe, bool wantsReply) {
+  if (releases_.peers().count(relayId) == 0) return;
+  wire::RelayHeld held;
+  held.revision = replica_.revision();
+  held.recovered = recovered_;
+  held.probe = probe;
+  held.wantsReply = wantsReply;
+  held.freshness = source_.freshness();
+  peers_.sendTo(relayId, held);
+}
+
+void Relay::onRelayMessage(const std::string& relayId, const wire::Message& message) {
+  if (const auto* held = std::get_if<wire::RelayHeld>(&message)) {
+    releases_.onHeld(relayId, held->revision, held->recovered);
+    if (held->wantsReply) sendHeld(relayId, held->probe, false);
+    if (!held->wantsReply && held->probe != 0) {
+      for (const auto& [zone, confirmer] : confirmers_) {
+        confirmer->onMember(held->probe, relayId, held->revision, held->recovered);
+      }
+    }
+    nodes_.deliverAll();
+  } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
+    onEndpointStates(states->states, relayId, false);
+  }
+}
+
+void Relay::onNodeMessage(base::ConnectionId connection, const wire::Message& message) {
+  if (auto* session = nodes_.find(connection)) session->lastHeard = scheduler_.now();
+  if (const auto* subscribe = std::get_if<wire::NodeSubscribe>(&message)) {
+    onNodeSubscribe(connection, *subscribe);
+  } else if (const auto* applied = std::get_if<wire::SliceApplied>(&message)) {
+    const auto* session = nodes_.find(connection);
+    const bool news = session != nullptr && applied->revision > session->appliedRevision;
+    nodes_.onApplied(connection, applied->revision);
+    if (news) scheduleReport();
+  } else if (std::get_if<wire::SliceRejected>(&message) != nullptr) {
+    nodes_.onRejected(connection);
+  } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
+    onEndpointStates(states->states, hellos_[connection].id, true);
+  }
+}
+
+bool Relay::admit() {
+  const auto now = scheduler_.now();
+  const double elapsed = std::chrono::duration<double>(now - admissionAt_).count();
+  admissionAt_ = now;
+  admissionTokens_ = std::min<double>(options_.admissionBurst, admissionTokens_ + elapsed * options_.admissionsPerSecond);
+  if (admissionTokens_ < 1) return false;
+  admissionTokens_ -= 1;
+  return true;
+}
+
+void Relay::sendRetryLater(base::ConnectionId connection, base::Duration delay) {
+  wire::RetryLater later;
+  later.delayMs = static_cast<int32_t>(delay.count() / 1000);
+  network_.send(connection, wire::encodeFrame(later));
+}
+
+void Relay::onNodeSubscribe(base::ConnectionId connection, const wire::NodeSubscribe& request) {
+  constexpr base::Duration kStormSpread = base::seconds(1);
+  constexpr base::Duration kElsewhereDelay = base::milliseconds(100);
+  const auto& peer = hellos_[connection];
+  if (!admit()) return sendRetryLater(connection, random_.duration(kStormSpread) + base::milliseconds(1));
+  if (stopping_ || !releases_.serves(peer.zone)) return sendRetryLater(connection, kElsewhereDelay);
+  table::Interest interest{request.hosts, request.services};
+  std::sort(interest.hosts.begin(), interest.hosts.end());
+  std::sort(interest.services.begin(), interest.services.end());
+  NodeSession session;
+  session.nodeId = peer.id;
+  session.zone = peer.zone;
+  session.slice = slices_.get(interest, replica_.table());
+  session.sentRevision = request.revision;
+  session.appliedRevision = request.revision;
+  session.confirmed = request.revision > 0 || !options_.confirmRestartedNodes;
+  session.lastHeard = scheduler_.now();
+  const bool confirmed = session.confirmed;
+  nodes_.add(connection, std::move(session));
+  newlyAttached_.insert(peer.id);
+  newlyDetached_.erase(peer.id);
+  scheduleReport();
+  if (confirmed) {
+    nodes_.deliverFirst(connection, request.digest);
+  } else {
+    confirmerFor(peer.zone).confirm([this, connection] {
+      auto* waiting = nodes_.find(connection);
+      if (waiting == nullptr) return;
+      waiting->confirmed = true;
+      nodes_.deliver(connection);
+    });
+  }
+  std::vector<wire::EndpointState> exceptions;
+  for (const auto& state : endpoints_.all()) {
+    const auto key = table::makeKey(table::RowKind::ENDPOINT, state.endpoint);
+    const bool exceptional = state.condition != wire::EndpointCondition::LIVE;
+    if (exceptional && nodes_.find(connection)->slice->slice().contains(key)) exceptions.push_back(state);
+  }
+  if (!exceptions.empty()) sendStates(connection, exceptions);
+}
+
+FreshnessConfirmer& Relay::confirmerFor(const std::string& zone) {
+  auto& confirmer = confirmers_[zone];
+  if (confirmer) return *confirmer;
+  const auto* group = releases_.group(zone);
+  confirmer = std::make_unique<FreshnessConfirmer>(scheduler_, group, options_.id, [this, group](int64_t token) {
+    wire::ConfirmRequest confirm;
+    confirm.token = token;
+    source_.send(confirm);
+    if (group == nullptr) return;
+    for (const auto& relayId : group->members) {
+      if (relayId != options_.id) sendHeld(relayId, token, true);
+    }
+  });
+  confirmer->onOwn(replica_.revision(), recovered_);
+  return *confirmer;
+}
+
+void Relay::dropNode(base::ConnectionId connection) {
+  const auto* session = nodes_.find(connection);
+  const auto nodeId = session->nodeId;
+  nodes_.remove(connection);
+  const bool elsewhere = std::any_of(nodes_.all().begin(), nodes_.all().end(),
+                                     [&](const auto& item) { return item.second.nodeId == nodeId; });
+  if (elsewhere) return;
+  newlyAttached_.erase(nodeId);
+  newlyDetached_.insert(nodeId);
+  scheduleReport();
+  expireLater(nodeId, options_.endpointLease);
+}
+
+void Relay::sendAllAway() {
+  constexpr base::Duration kSpread = base::milliseconds(200);
+  std::vector<base::ConnectionId> connections;
+  for (const auto& [connection, session] : nodes_.all()) connections.push_back(connection);
+  for (const auto connection : connections) {
+    sendRetryLater(connection, random_.duration(kSpread));
+    dropNode(connection);
+  }
+}
+
+void Relay::onNodeTimer() {
+  nodeTimer_.start(options_.nodeHeartbeat);
+  nodes_.heartbeat(source_.freshness());
+  nodes_.deliverAll();
+  const auto now = scheduler_.now();
+  std::vector<base::ConnectionId> silent;
+  for (const auto& [connection, session] : nodes_.all()) {
+    if (now - session.lastHeard > options_.nodeTimeout) silent.push_back(connection);
+  }
+  for (const auto connection : silent) {
+    dropNode(connection);
+    network_.close(connection);
+    const auto hello = hellos_.find(connection);
+    if (hello == hellos_.end()) continue;
+    if (--connectionsOf_[hello->second.id] == 0) connectionsOf_.erase(hello->second.id);
+    hellos_.erase(hello);
+  }
+  // A relay whose releases stall can't serve changes; its nodes are better off elsewhere.
+  bool blocked = false;
+  for (const auto& group : options_.releaseGroups) {
+    blocked = blocked || (releases_.serves(group.zone) && releases_.released(group.zone) < replica_.revision());
+  }
+  if (!blocked) releasedAt_ = now;
+  if (blocked && now - releasedAt_ > options_.blockedLimit) {
+    for (const auto& relayId : releases_.peers()) sendHeld(relayId, 0, true);
+    sendAllAway();
+  }
+}
+
+void Relay::scheduleReport() {
+  if (reportScheduled_) return;
+  reportScheduled_ = true;
+  scheduler_.schedule(kReportDelay, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) return;
+    reportScheduled_ = false;
+    sendReport(reportFull_);
+  });
+}
+
+void Relay::sendReport(bool full) {
+  wire::ConvergenceReport report;
+  report.sequence = ++reportSequence_;
+  report.inForceRevision = replica_.revision();
+  report.full = full;
+  report.lagging = nodes_.lagging();
+  if (full) {
+    for (const auto& [connection, session] : nodes_.all()) report.attached.push_back(session.nodeId);
+  } else {
+    report.attached.assign(newlyAttached_.begin(), newlyAttached_.end());
+    report.detached.assign(newlyDetached_.begin(), newlyDetached_.end());
+  }
+  if (!source_.send(report)) {
+    reportFull_ = true;
+    return;
+  }
+  reportFull_ = false;
+  newlyAttached_.clear();
+  newlyDetached_.clear();
+}
+
+void Relay::onEndpointStates(const std::vector<wire::EndpointState>& states, const std::string& origin, bool fromNode) {
+  std::vector<wire::EndpointState> news;
+  for (const auto& state : states) {
+    if (endpoints_.update(state, origin)) news.push_back(state);
+  }
+  spread(news, fromNode);
+}
+
+void Relay::spread(const std::vector<wire::EndpointState>& states, bool toPeers) {
+  if (states.empty()) return;
+  if (toPeers) {
+    wire::EndpointStates message;
+    message.states = states;
+    peers_.sendToAll(message);
+  }
+  for (const auto& [connection, session] : nodes_.all()) {
+    std::vector<wire::EndpointState> wanted;
+    for (const auto& state : states) {
+      const auto key = table::makeKey(table::RowKind::ENDPOINT, state.endpoint);
+      if (session.slice->slice().contains(key)) wanted.push_back(state);
+    }
+    if (!wanted.empty()) sendStates(connection, wanted);
+  }
+}
+
+void Relay::sendStates(base::ConnectionId connection, const std::vector<wire::EndpointState>& states) {
+  wire::EndpointStates message;
+  message.states = states;
+  network_.send(connection, wire::encodeFrame(message));
+}
+
+void Relay::expireLater(const std::string& origin, base::Duration lease) {
+  scheduler_.schedule(lease, [this, alive = std::weak_ptr<bool>(alive_), origin] {
+    if (alive.expired() || connectionsOf_.count(origin) > 0) return;
+    spread(endpoints_.expire(origin), true);
+  });
+}
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,136 @@
+/// The relay: reads the table from the leading controller and hands slices to the nodes of its zones.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+#include "base/network.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/endpoint_directory.h"
+#include "membership/peer_links.h"
+#include "relay/freshness_confirmer.h"
+#include "relay/node_sessions.h"
+#include "relay/release_group.h"
+#include "relay/source.h"
+#include "relay/table_replica.h"
+
+namespace driftlug::relay {
+
+/// Settings of one relay.
+struct RelayOptions {
+  std::string id;
+  std::string zone;
+  std::vector<base::Address> controllers;
+  std::vector<base::Address> peers;        ///< all other relays
+  std::vector<ReleaseGroup> releaseGroups;  ///< groups that this relay is a member of
+  base::Duration nodeHeartbeat = base::milliseconds(600);
+  base::Duration nodeTimeout = base::seconds(4);  ///< a node that is silent for longer is dropped
+  base::Duration reportInterval = base::seconds(1);
+  base::Duration endpointLease = base::seconds(2);  ///< after a node's connection was lost
+  base::Duration peerLease = base::seconds(5);      ///< after a relay's connection was lost
+  base::Duration blockedLimit = base::milliseconds(800);  ///< nodes are sent away when releases stall for longer
+  int admissionsPerSecond = 2000;
+  int admissionBurst = 400;
+  bool fullPush = false;             ///< baseline for experiments
+  bool releaseQuorum = true;         ///< off only in the simulator
+  bool confirmRestartedNodes = true;  ///< off only in the simulator
+};
+
+/// One relay process without its sockets. All state is soft.
+class Relay : public base::ConnectionHandler {
+ public:
+  Relay(RelayOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network);
+  ~Relay() override;
+
+  /// Connects to controllers and peers.
+  void start();
+
+  /// Prepares a planned stop: nodes are asked to move elsewhere.
+  void prepareStop();
+
+  const TableReplica& replica() const { return replica_; }
+  const NodeSessions& nodes() const { return nodes_; }
+  const ReleaseTracker& releases() const { return releases_; }
+  const membership::EndpointDirectory& endpoints() const { return endpoints_; }
+  const ControllerLinks& source() const { return source_; }
+
+  /// @return whether the table was confirmed by a controller since the start.
+  bool recovered() const { return recovered_; }
+
+  /// @return whether freshness has advanced within the given time.
+  bool fresh(base::Duration within) const { return scheduler_.now() - source_.freshSince() <= within; }
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
+  void onMessage(base::ConnectionId connection, wire::Message message) override;
+  void onClose(base::ConnectionId connection) override;
+
+ private:
+  // Source
+  void onControllerMessage(base::ConnectionId connection, const wire::Message& message);
+  void subscribeToSource(int64_t revision);
+  void onTableUpdate(const wire::TableUpdate& update);
+  void onConfirmReply(const wire::ConfirmReply& reply);
+  void onTableAdvanced();
+
+  // Peers
+  void onRelayMessage(const std::string& relayId, const wire::Message& message);
+  void announceHeld();
+  void sendHeld(const std::string& relayId, int64_t probe, bool wantsReply);
+
+  // Nodes
+  void onNodeMessage(base::ConnectionId connection, const wire::Message& message);
+  void onNodeSubscribe(base::ConnectionId connection, const wire::NodeSubscribe& request);
+  void sendRetryLater(base::ConnectionId connection, base::Duration delay);
+  bool admit();
+  FreshnessConfirmer& confirmerFor(const std::string& zone);
+  void dropNode(base::ConnectionId connection);
+  void sendAllAway();
+  void onNodeTimer();
+
+  // Reports
+  void scheduleReport();
+  void sendReport(bool full);
+
+  // Endpoint states
+  void onEndpointStates(const std::vector<wire::EndpointState>& states, const std::string& origin, bool fromNode);
+  void spread(const std::vector<wire::EndpointState>& states, bool toPeers);
+  void sendStates(base::ConnectionId connection, const std::vector<wire::EndpointState>& states);
+  void expireLater(const std::string& origin, base::Duration lease);
+
+  RelayOptions options_;
+  base::Scheduler& scheduler_;
+  base::RandomSource random_;
+  base::Network& network_;
+  base::Logger log_{"relay"};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  TableReplica replica_;
+  SliceCache slices_;
+  ReleaseTracker releases_;
+  NodeSessions nodes_;
+  ControllerLinks source_;
+  membership::PeerLinks peers_;
+  membership::EndpointDirectory endpoints_;
+  std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
+  std::map<base::ConnectionId, wire::Hello> hellos_;  // open connections
+  std::map<std::string, int> connectionsOf_;  // open connections by peer id, for leases
+  bool recovered_ = false;
+  bool stopping_ = false;
+  int64_t ownToken_ = 0;  // confirms the relay's own table after a start
+  bool reportScheduled_ = false;
+  bool reportFull_ = true;
+  int64_t reportSequence_ = 0;
+  std::set<std::string> newlyAttached_;
+  std::set<std::string> newlyDetached_;
+  double admissionTokens_ = 0;
+  base::TimePoint admissionAt_{};
+  base::TimePoint releasedAt_{};  // when the table was last fully released
+  base::Timer nodeTimer_;
+  base::Timer reportTimer_;
+};
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/release_group.cc
@@ -0,0 +1,66 @@
+#include "relay/release_group.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace driftlug::relay {
+
+ReleaseTracker::ReleaseTracker(std::string ownId, std::vector<ReleaseGroup> groups) : ownId_(std::move(ownId)) {
+  for (auto& group : groups) {
+    const bool member = std::find(group.members.begin(), group.members.end(), ownId_) != group.members.end();
+    if (!member) continue;
+    for (const auto& relayId : group.members) {
+      if (relayId != ownId_) peers_.insert(relayId);
+    }
+    groups_[group.zone] = std::move(group);
+  }
+}
+
+void ReleaseTracker::setOwn(int64_t revision, bool /*recovered*/) {
+  ownRevision_ = std::max(ownRevision_, revision);
+  recompute();
+}
+
+void ReleaseTracker::onHeld(const std::string& relayId, int64_t revision, bool recovered) {
+  auto& holding = holdings_[relayId];
+  holding.revision = revision;
+  holding.recovered = recovered;
+  recompute();
+}
+
+void ReleaseTracker::onConnection(const std::string& relayId, bool connected) {
+  auto& holding = holdings_[relayId];
+  holding.connected = connected;
+  // A peer that was lost may have restarted without its table.
+  if (!connected) holding = PeerHolding{};
+}
+
+void ReleaseTracker::recompute() {
+  for (const auto& [zone, group] : groups_) {
+    std::vector<int64_t> revisions;
+    for (const auto& relayId : group.members) {
+      if (relayId == ownId_) {
+        revisions.push_back(ownRevision_);
+        continue;
+      }
+      const auto found = holdings_.find(relayId);
+      revisions.push_back(found == holdings_.end() ? 0 : found->second.revision);
+    }
+    std::sort(revisions.begin(), revisions.end(), std::greater<>());
+    const int64_t quorum = disabled_ ? ownRevision_ : revisions[group.writeQuorum() - 1];
+    auto& released = released_[zone];
+    released = std::max(released, std::min(quorum, ownRevision_));
+  }
+}
+
+int64_t ReleaseTracker::released(const std::string& zone) const {
+  const auto found = released_.find(zone);
+  return found == released_.end() ? 0 : found->second;
+}
+
+const ReleaseGroup* ReleaseTracker::group(const std::string& zone) const {
+  const auto found = groups_.find(zone);
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/slice_cache.cc
@@ -0,0 +1,68 @@
+#include "relay/slice_cache.h"
+
+namespace driftlug::relay {
+namespace {
+
+constexpr size_t kMaxCachedFrames = 64;
+
+}  // namespace
+
+bool CachedSlice::refresh(const table::Table& table) {
+  if (!slice_.refresh(table)) return false;
+  frames_.clear();
+  return true;
+}
+
+wire::FramePtr CachedSlice::updateFrom(int64_t fromRevision) {
+  const auto found = frames_.find(fromRevision);
+  if (found != frames_.end()) return found->second;
+  wire::SliceUpdate update;
+  update.full = fromRevision == 0;
+  update.fromRevision = fromRevision;
+  update.toRevision = slice_.revision();
+  update.rows = update.full ? slice_.allRows() : slice_.changedSince(fromRevision);
+  update.digest = slice_.digest();
+  auto frame = wire::encodeFrame(update);
+  if (frames_.size() >= kMaxCachedFrames) frames_.clear();
+  frames_[fromRevision] = frame;
+  return frame;
+}
+
+std::shared_ptr<CachedSlice> SliceCache::get(const table::Interest& interest, const table::Table& table) {
+  auto& entry = slices_[interest];
+  if (auto slice = entry.lock()) return slice;
+  auto slice = std::make_shared<CachedSlice>(interest, table);
+  entry = slice;
+  return slice;
+}
+
+std::vector<std::shared_ptr<CachedSlice>> SliceCache::onTableChange(const table::Table& table,
+                                                                    const std::vector<table::RowPtr>& changed,
+                                                                    const std::vector<table::RowPtr>& previous) {
+  std::vector<std::shared_ptr<CachedSlice>> refreshed;
+  for (auto entry = slices_.begin(); entry != slices_.end();) {
+    const auto slice = entry->second.lock();
+    if (!slice) {
+      entry = slices_.erase(entry);
+      continue;
+    }
+    ++entry;
+    bool touched = false;
+    for (size_t i = 0; i < changed.size() && !touched; ++i) {
+      touched = slice->slice().mayContain(*changed[i], previous[i].get());
+    }
+    if (touched && slice->refresh(table)) refreshed.push_back(slice);
+  }
+  return refreshed;
+}
+
+std::vector<std::shared_ptr<CachedSlice>> SliceCache::refreshAll(const table::Table& table) {
+  std::vector<std::shared_ptr<CachedSlice>> refreshed;
+  for (const auto& [interest, entry] : slices_) {
+    const auto slice = entry.lock();
+    if (slice && slice->refresh(table)) refreshed.push_back(slice);
+  }
+  return refreshed;
+}
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/slice_cache.h
@@ -0,0 +1,57 @@
+/// Slices by interest, shared by all nodes that ask for the same, with each frame encoded once.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "table/slice.h"
+#include "wire/frame.h"
+
+namespace driftlug::relay {
+
+/// One slice and the frames encoded from it.
+class CachedSlice {
+ public:
+  CachedSlice(table::Interest interest, const table::Table& table) : slice_(std::move(interest), table) {}
+
+  const table::Slice& slice() const { return slice_; }
+  int64_t revision() const { return slice_.revision(); }
+
+  /// Computes the slice anew.
+  /// @return whether it changed
+  bool refresh(const table::Table& table);
+
+  /// @return the update from a revision; from 0 it is full.
+  wire::FramePtr updateFrom(int64_t fromRevision);
+
+ private:
+  table::Slice slice_;
+  std::map<int64_t, wire::FramePtr> frames_;  // updates to revision(), by the revision they start from
+};
+
+/// All slices that are in use.
+class SliceCache {
+ public:
+  /// @return the slice of an interest, computed from the table when it is new.
+  std::shared_ptr<CachedSlice> get(const table::Interest& interest, const table::Table& table);
+
+  /// Brings slices up to date after rows changed.
+  /// @param changed rows as they are now
+  /// @param previous the same rows before, null where there was none
+  /// @return slices that changed
+  std::vector<std::shared_ptr<CachedSlice>> onTableChange(const table::Table& table,
+                                                         const std::vector<table::RowPtr>& changed,
+                                                         const std::vector<table::RowPtr>& previous);
+
+  /// Computes every slice anew.
+  /// @return slices that changed
+  std::vector<std::shared_ptr<CachedSlice>> refreshAll(const table::Table& table);
+
+  size_t size() const { return slices_.size(); }
+
+ private:
+  std::map<table::Interest, std::weak_ptr<CachedSlice>> slices_;
+};
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/relay/source.h
@@ -0,0 +1,74 @@
+/// Where a relay gets its table: connections to all controllers, of which the leader feeds it.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "base/network.h"
+#include "base/random.h"
+#include "base/time.h"
+
+namespace driftlug::relay {
+
+/// Keeps a connection to every controller; follows the one whose freshness is newest.
+///
+/// Invariant: at most one controller is the source; it is left only for one with a newer freshness or when its
+/// connection closes.
+class ControllerLinks {
+ public:
+  ControllerLinks(base::Network& network, base::Scheduler& scheduler, base::RandomSource random,
+                  std::vector<base::Address> controllers);
+
+  /// Opens all connections.
+  void start();
+
+  bool owns(base::ConnectionId connection) const { return byConnection_.count(connection) > 0; }
+
+  /// A connection opened.
+  void onOpen(base::ConnectionId connection);
+
+  /// A connection closed; it is opened again after a random delay.
+  /// @return whether it was the source
+  bool onClose(base::ConnectionId connection);
+
+  /// A controller answered as the leader with this freshness.
+  /// @return whether it became the source just now
+  bool onLeader(base::ConnectionId connection, const wire::Freshness& freshness);
+
+  /// A controller said that it does not lead.
+  /// @return whether it was the source
+  bool onNotLeader(base::ConnectionId connection);
+
+  /// Sends to the source.
+  /// @return whether there is one
+  bool send(const wire::Message& message);
+
+  /// Sends to every open controller connection.
+  void sendToAll(const wire::Message& message);
+
+  base::ConnectionId source() const { return source_; }
+  const wire::Freshness& freshness() const { return freshness_; }
+
+  /// @return when the freshness last advanced.
+  base::TimePoint freshSince() const { return freshSince_; }
+
+ private:
+  void connect(size_t position);
+
+  base::Network& network_;
+  base::Scheduler& scheduler_;
+  base::RandomSource random_;
+  std::vector<base::Address> controllers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::map<base::ConnectionId, size_t> byConnection_;  // position in controllers_
+  std::map<base::ConnectionId, bool> open_;
+  base::ConnectionId source_ = 0;
+  wire::Freshness freshness_;
+  base::TimePoint freshSince_{};
+};
+
+/// @return whether `left` is newer than `right`.
+bool isNewer(const wire::Freshness& left, const wire::Freshness& right);
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/src/storage/log_store.cc
@@ -0,0 +1,231 @@
+#include "storage/log_store.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "storage/record_file.h"
+#include "wire/frame.h"
+
+namespace driftlug::storage {
+namespace {
+
+using base::ErrorCode;
+using base::makeError;
+
+constexpr std::string_view kSegmentPrefix = "log-";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+constexpr std::string_view kTemporarySuffix = ".tmp";
+
+std::string numberedName(std::string_view prefix, int64_t number) {
+  return std::string(prefix) + absl::StrFormat("%016d", number);
+}
+
+std::string segmentName(int64_t number) { return numberedName(kSegmentPrefix, number); }
+std::string snapshotName(int64_t index) { return numberedName(kSnapshotPrefix, index); }
+
+/// @return the numbers of the files with a prefix, ascending; temporary files are left out.
+std::vector<int64_t> numbersOf(const std::vector<std::string>& names, std::string_view prefix) {
+  std::vector<int64_t> numbers;
+  for (const auto& name : names) {
+    int64_t number = 0;
+    if (name.rfind(prefix, 0) != 0 || !absl::SimpleAtoi(name.substr(prefix.size()), &number)) continue;
+    numbers.push_back(number);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+absl::Status corrupt(const std::string& name, const std::string& what) {
+  return makeError(ErrorCode::kStorageCorrupt, name + ": " + what);
+}
+
+/// Adds an entry read from a segment; entries at or below the snapshot are skipped.
+absl::Status addEntry(const std::string& name, wire::LogEntry entry, RecoveredState* state) {
+  const int64_t base = state->snapshot ? state->snapshot->index : 0;
+  if (entry.index <= base) return absl::OkStatus();
+  const int64_t last = base + static_cast<int64_t>(state->entries.size());
+  if (entry.index > last + 1) return corrupt(name, "entry " + std::to_string(entry.index) + " behind a gap");
+  state->entries.resize(static_cast<size_t>(entry.index - base - 1));
+  state->entries.push_back(std::move(entry));
+  return absl::OkStatus();
+}
+
+absl::Status applyRecord(const std::string& name, const Record& record, RecoveredState* state) {
+  state->empty = false;
+  if (record.type == RecordType::kHardState) {
+    auto hardState = wire::decodeStruct<wire::HardState>(record.payload);
+    if (!hardState.ok()) return corrupt(name, "hard state can't be decoded");
+    state->hardState = std::move(*hardState);
+    return absl::OkStatus();
+  }
+  if (record.type != RecordType::kEntry) return corrupt(name, "record of an unknown type");
+  auto entry = wire::decodeStruct<wire::LogEntry>(record.payload);
+  if (!entry.ok()) return corrupt(name, "entry can't be decoded");
+  return addEntry(name, std::move(*entry), state);
+}
+
+absl::Status readSnapshot(Disk& disk, const std::string& name, RecoveredState* state) {
+  const auto bytes = disk.read(name);
+  if (!bytes.ok()) return bytes.status();
+  const auto scan = scanRecords(*bytes, false);
+  if (!scan.ok()) return corrupt(name, std::string(scan.status().message()));
+  if (scan->records.size() != 1 || scan->records[0].type != RecordType::kSnapshot) {
+    return corrupt(name, "is not one snapshot record");
+  }
+  auto snapshot = wire::decodeStruct<wire::LogSnapshot>(scan->records[0].payload);
+  if (!snapshot.ok()) return corrupt(name, "snapshot can't be decoded");
+  state->snapshot = std::move(*snapshot);
+  state->empty = false;
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+absl::StatusOr<RecoveredState> LogStore::load(bool repair) {
+  const auto names = disk_.list();
+  if (!names.ok()) return names.status();
+  RecoveredState state;
+  const auto snapshots = numbersOf(*names, kSnapshotPrefix);
+  if (!snapshots.empty()) {
+    if (auto status = readSnapshot(disk_, snapshotName(snapshots.back()), &state); !status.ok()) return status;
+  }
+  const auto segments = numbersOf(*names, kSegmentPrefix);
+  for (const auto number : segments) {
+    const auto name = segmentName(number);
+    const auto bytes = disk_.read(name);
+    if (!bytes.ok()) return bytes.status();
+    const bool newest = number == segments.back();
+    const auto scan = scanRecords(*bytes, newest);
+    if (!scan.ok()) return corrupt(name, std::string(scan.status().message()));
+    for (const auto& record : scan->records) {
+      if (auto status = applyRecord(name, record, &state); !status.ok()) return status;
+    }
+    if (scan->tornTail && repair) {
+      if (auto status = disk_.truncate(name, scan->goodBytes); !status.ok()) return status;
+    }
+  }
+  segment_ = segments.empty() ? 0 : segments.back();
+  return state;
+}
+
+absl::StatusOr<RecoveredState> LogStore::open() {
+  auto state = load(true);
+  if (!state.ok()) return state;
+  // A new segment keeps every older one free of tails that may be torn: settle() syncs them before it is used.
+  settling_ = segment_ > 0 ? segmentName(segment_) : "";
+  ++segment_;
+  written_ = 0;
+  durable_ = 0;
+  return state;
+}
+
+absl::StatusOr<RecoveredState> LogStore::inspect() { return load(false); }
+
+absl::Status LogStore::write(const std::string& bytes) {
+  if (failed_) return makeError(ErrorCode::kStorageFailed, "storage failed earlier");
+  const auto name = segmentName(segment_);
+  const auto status = disk_.append(name, bytes);
+  if (status.ok()) {
+    written_ += bytes.size();
+    return status;
+  }
+  const bool undone = disk_.truncate(name, written_).ok();
+  if (!undone || base::errorCodeOf(status) != ErrorCode::kStorageFull) failed_ = true;
+  return status;
+}
+
+absl::Status LogStore::append(const std::vector<wire::LogEntry>& entries) {
+  std::string bytes;
+  for (const auto& entry : entries) bytes += encodeRecord(RecordType::kEntry, wire::encodeStruct(entry), durable_);
+  return write(bytes);
+}
+
+absl::Status LogStore::saveHardState(const wire::HardState& state) {
+  return write(encodeRecord(RecordType::kHardState, wire::encodeStruct(state), durable_));
+}
+
+void LogStore::sync(SyncCallback done) {
+  waiting_.push_back(std::move(done));
+  if (!syncing_) startSync();
+}
+
+void LogStore::startSync() {
+  syncing_ = true;
+  inSync_.swap(waiting_);
+  syncTarget_ = written_;
+  syncSegment_ = segment_;
+  disk_.sync(segmentName(segment_), [this](const absl::Status& status) { finishSync(status); });
+}
+
+void LogStore::finishSync(const absl::Status& status) {
+  syncing_ = false;
+  if (!status.ok()) failed_ = true;
+  if (status.ok() && syncSegment_ == segment_) durable_ = std::max(durable_, syncTarget_);
+  std::vector<SyncCallback> served;
+  served.swap(inSync_);
+  for (const auto& done : served) done(status);
+  if (!waiting_.empty() && !syncing_) startSync();
+}
+
+void LogStore::settle(SyncCallback done) {
+  const auto name = settling_.empty() ? segmentName(segment_) : settling_;
+  settling_.clear();
+  disk_.sync(name, std::move(done));
+}
+
+void LogStore::saveSnapshot(const wire::LogSnapshot& snapshot, std::function<CarriedState()> carry,
+                            SyncCallback done) {
+  const auto name = snapshotName(snapshot.index);
+  const auto temporary = name + std::string(kTemporarySuffix);
+  (void)disk_.remove(temporary);
+  const auto status = disk_.append(temporary, encodeRecord(RecordType::kSnapshot, wire::encodeStruct(snapshot), 0));
+  if (!status.ok()) {
+    (void)disk_.remove(temporary);
+    done(status);
+    return;
+  }
+  disk_.sync(temporary, [this, name, temporary, index = snapshot.index, carry = std::move(carry),
+                         done = std::move(done)](absl::Status synced) {
+    if (synced.ok()) synced = disk_.rename(temporary, name);
+    if (!synced.ok()) return done(synced);
+    rotate(carry(), index, done);
+  });
+}
+
+void LogStore::rotate(const CarriedState& carried, int64_t snapshotIndex, const SyncCallback& done) {
+  const int64_t previousSegment = segment_;
+  const size_t previousWritten = written_;
+  const size_t previousDurable = durable_;
+  ++segment_;
+  written_ = 0;
+  durable_ = 0;
+  auto status = saveHardState(carried.hardState);
+  if (status.ok()) status = append(carried.entries);
+  if (!status.ok()) {
+    (void)disk_.remove(segmentName(segment_));
+    segment_ = previousSegment;
+    written_ = previousWritten;
+    durable_ = previousDurable;
+    return done(status);
+  }
+  sync([this, snapshotIndex, segment = segment_, done](const absl::Status& rotated) {
+    if (rotated.ok()) removeOlderThan(segment, snapshotIndex);
+    done(rotated);
+  });
+}
+
+void LogStore::removeOlderThan(int64_t segment, int64_t snapshotIndex) {
+  const auto names = disk_.list();
+  if (!names.ok()) return;
+  for (const auto number : numbersOf(*names, kSegmentPrefix)) {
+    if (number < segment) (void)disk_.remove(segmentName(number));
+  }
+  for (const auto index : numbersOf(*names, kSnapshotPrefix)) {
+    if (index < snapshotIndex) (void)disk_.remove(snapshotName(index));
+  }
+}
+
+}  // namespace driftlug::storage
--- /dev/null
+++ b/src/storage/posix_disk.h
@@ -0,0 +1,43 @@
+/// Files in a real folder.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/time.h"
+#include "storage/disk.h"
+
+namespace driftlug::storage {
+
+/// Disk over a folder of the file system. sync() runs at the end of the current turn of the event loop, so that
+/// everything written in one turn shares one fdatasync.
+class PosixDisk : public Disk {
+ public:
+  PosixDisk(std::string folder, base::Scheduler& scheduler);
+  ~PosixDisk() override;
+
+  /// Creates the folder when it is missing.
+  absl::Status prepare();
+
+  absl::StatusOr<std::vector<std::string>> list() override;
+  absl::StatusOr<std::string> read(const std::string& name) override;
+  absl::Status append(const std::string& name, std::string_view bytes) override;
+  absl::Status truncate(const std::string& name, size_t size) override;
+  absl::Status rename(const std::string& from, const std::string& to) override;
+  absl::Status remove(const std::string& name) override;
+  void sync(const std::string& name, SyncCallback done) override;
+
+ private:
+  std::string path(const std::string& name) const { return folder_ + "/" + name; }
+  absl::StatusOr<int> descriptor(const std::string& name);
+  void forget(const std::string& name);
+  absl::Status syncNow(const std::string& name);
+  absl::Status syncFolder();
+
+  std::string folder_;
+  base::Scheduler& scheduler_;
+  std::map<std::string, int> open_;  // descriptors of files being appended to
+  bool folderDirty_ = false;         // names changed since the folder was synced
+};
+
+}  // namespace driftlug::storage
--- /dev/null
+++ b/src/table/row.cc
@@ -0,0 +1,91 @@
+#include "table/row.h"
+
+#include <xxhash.h>
+
+#include "wire/frame.h"
+
+namespace driftlug::table {
+namespace {
+
+struct KindName {
+  RowKind::type kind;
+  std::string_view name;
+};
+
+constexpr KindName kKindNames[] = {
+    {RowKind::SERVICE, "service"}, {RowKind::ENDPOINT, "endpoint"},         {RowKind::ROUTE, "route"},
+    {RowKind::LIMIT, "limit"},     {RowKind::RETRY_POLICY, "retry_policy"}, {RowKind::SECRET, "secret"},
+};
+
+XXH128_hash_t hashRow(const Row& row) {
+  const auto bytes = wire::encodeStruct(row);
+  return XXH3_128bits(bytes.data(), bytes.size());
+}
+
+}  // namespace
+
+std::string_view kindName(RowKind::type kind) {
+  for (const auto& entry : kKindNames) {
+    if (entry.kind == kind) return entry.name;
+  }
+  return "unknown";
+}
+
+RowKind::type kindFromName(std::string_view name) {
+  for (const auto& entry : kKindNames) {
+    if (entry.name == name) return entry.kind;
+  }
+  return static_cast<RowKind::type>(0);
+}
+
+RowKey makeKey(RowKind::type kind, std::string name) {
+  RowKey key;
+  key.kind = kind;
+  key.name = std::move(name);
+  return key;
+}
+
+std::string keyText(const RowKey& key) { return std::string(kindName(key.kind)) + "/" + key.name; }
+
+bool bodyMatchesKind(const Row& row) {
+  const auto& set = row.__isset;
+  const int bodies = set.serviceRow + set.endpointRow + set.routeRow + set.limitRow + set.retryPolicyRow + set.secretRow;
+  if (row.deleted) return bodies == 0;
+  if (bodies != 1) return false;
+  switch (row.key.kind) {
+    case RowKind::SERVICE:
+      return set.serviceRow;
+    case RowKind::ENDPOINT:
+      return set.endpointRow;
+    case RowKind::ROUTE:
+      return set.routeRow;
+    case RowKind::LIMIT:
+      return set.limitRow;
+    case RowKind::RETRY_POLICY:
+      return set.retryPolicyRow;
+    case RowKind::SECRET:
+      return set.secretRow;
+  }
+  return false;
+}
+
+void DigestSum::add(const Row& row) {
+  const auto hash = hashRow(row);
+  low_ += hash.low64;
+  high_ += hash.high64;
+}
+
+void DigestSum::remove(const Row& row) {
+  const auto hash = hashRow(row);
+  low_ -= hash.low64;
+  high_ -= hash.high64;
+}
+
+Digest DigestSum::value() const {
+  Digest digest;
+  digest.low = static_cast<int64_t>(low_);
+  digest.high = static_cast<int64_t>(high_);
+  return digest;
+}
+
+}  // namespace driftlug::table
--- /dev/null
+++ b/src/table/row.h
@@ -0,0 +1,60 @@
+/// Rows of the configuration table: keys, encodings and digests.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+#include "wire/gen/driftlug_types.h"
+
+namespace driftlug::table {
+
+using wire::Digest;
+using wire::Row;
+using wire::RowKey;
+using wire::RowKind;
+
+/// Rows are immutable once they are in a table and are shared between tables and slices.
+using RowPtr = std::shared_ptr<const Row>;
+
+/// Orders keys by kind, then by name.
+struct RowKeyLess {
+  bool operator()(const RowKey& left, const RowKey& right) const {
+    return std::tie(left.kind, left.name) < std::tie(right.kind, right.name);
+  }
+};
+
+/// @return the name of a kind in paths and files, such as `retry_policy`.
+std::string_view kindName(RowKind::type kind);
+
+/// @return the kind of that name, or 0 when there is none.
+RowKind::type kindFromName(std::string_view name);
+
+/// @return a key.
+RowKey makeKey(RowKind::type kind, std::string name);
+
+/// @return `kind/name`, for logs and messages.
+std::string keyText(const RowKey& key);
+
+/// @return whether exactly the body that fits the kind is set (none for a deleted row).
+bool bodyMatchesKind(const Row& row);
+
+/// A digest over a set of rows that can be updated row by row in any order.
+class DigestSum {
+ public:
+  void add(const Row& row);
+  void remove(const Row& row);
+
+  /// @return the digest of the rows added and not removed.
+  Digest value() const;
+
+  bool operator==(const DigestSum&) const = default;
+
+ private:
+  uint64_t low_ = 0;   // sum of the low halves of the rows' hashes, modulo 2^64
+  uint64_t high_ = 0;  // sum of the high halves
+};
+
+}  // namespace driftlug::table
--- /dev/null
+++ b/src/table/row_json.cc
@@ -0,0 +1,201 @@
+#include "table/row_json.h"
+
+#include "base/error.h"
+
+namespace driftlug::table {
+namespace {
+
+using base::ErrorCode;
+using base::makeError;
+using nlohmann::json;
+
+/// Reads typed fields of one JSON object and remembers which were used.
+class FieldReader {
+ public:
+  FieldReader(const RowKey& key, const json& fields) : key_(key), fields_(fields) {}
+
+  void text(const char* name, std::string* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return;
+    if (!field->is_string()) return fail(name, "must be a string");
+    *value = field->get<std::string>();
+  }
+
+  void number(const char* name, int32_t* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return;
+    if (!field->is_number_integer()) return fail(name, "must be a whole number");
+    const auto wide = field->get<int64_t>();
+    if (wide < INT32_MIN || wide > INT32_MAX) return fail(name, "is out of range");
+    *value = static_cast<int32_t>(wide);
+  }
+
+  void flag(const char* name, bool* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return;
+    if (!field->is_boolean()) return fail(name, "must be true or false");
+    *value = field->get<bool>();
+  }
+
+  void names(const char* name, std::vector<std::string>* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return;
+    if (!field->is_array()) return fail(name, "must be a list of strings");
+    for (const auto& item : *field) {
+      if (!item.is_string()) return fail(name, "must be a list of strings");
+      value->push_back(item.get<std::string>());
+    }
+  }
+
+  void shares(const char* name, std::vector<wire::WeightedService>* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return;
+    if (!field->is_object()) return fail(name, "must map services to weights");
+    for (const auto& [service, weight] : field->items()) {
+      if (!weight.is_number_integer()) return fail(name, "must map services to whole numbers");
+      wire::WeightedService share;
+      share.serviceName = service;
+      share.weight = weight.get<int32_t>();
+      value->push_back(share);
+    }
+  }
+
+  absl::Status finish() {
+    for (const auto& [name, value] : fields_.items()) {
+      const bool known = used_.count(name) > 0 || name == "kind" || name == "name" || name == "revision";
+      if (!known) fail(name.c_str(), "is unknown");
+    }
+    return status_;
+  }
+
+ private:
+  const json* take(const char* name) {
+    const auto found = fields_.find(name);
+    if (found == fields_.end()) return nullptr;
+    used_.insert(name);
+    return &*found;
+  }
+
+  void fail(const char* name, const char* what) {
+    if (!status_.ok()) return;
+    status_ = makeError(ErrorCode::kBadRequestBody, keyText(key_) + ": field " + name + " " + what);
+  }
+
+  const RowKey& key_;
+  const json& fields_;
+  std::set<std::string> used_;
+  absl::Status status_;
+};
+
+json sharesToJson(const std::vector<wire::WeightedService>& shares) {
+  json object = json::object();
+  for (const auto& share : shares) object[share.serviceName] = share.weight;
+  return object;
+}
+
+}  // namespace
+
+json rowToJson(const Row& row, bool withSecretValue) {
+  json out = {{"kind", kindName(row.key.kind)}, {"name", row.key.name}, {"revision", row.revision}};
+  if (row.deleted) out["deleted"] = true;
+  if (row.__isset.serviceRow) {
+    out["retry_policy"] = row.serviceRow.retryPolicy;
+    out["secrets"] = row.serviceRow.secrets;
+  }
+  if (row.__isset.endpointRow) {
+    out["service"] = row.endpointRow.serviceName;
+    out["address"] = row.endpointRow.address;
+    out["port"] = row.endpointRow.port;
+    out["zone"] = row.endpointRow.zone;
+    out["weight"] = row.endpointRow.weight;
+  }
+  if (row.__isset.routeRow) {
+    out["host"] = row.routeRow.host;
+    out["path_prefix"] = row.routeRow.pathPrefix;
+    out["method"] = row.routeRow.method;
+    out["shares"] = sharesToJson(row.routeRow.shares);
+    out["required_services"] = row.routeRow.requiredServices;
+    out["required_secrets"] = row.routeRow.requiredSecrets;
+    out["repeatable"] = row.routeRow.repeatable;
+    out["timeout_ms"] = row.routeRow.timeoutMs;
+  }
+  if (row.__isset.limitRow) {
+    out["service"] = row.limitRow.serviceName;
+    out["max_concurrent"] = row.limitRow.maxConcurrent;
+    out["max_queued"] = row.limitRow.maxQueued;
+  }
+  if (row.__isset.retryPolicyRow) {
+    out["max_attempts"] = row.retryPolicyRow.maxAttempts;
+    out["budget_percent"] = row.retryPolicyRow.budgetPercent;
+  }
+  if (row.__isset.secretRow) {
+    if (withSecretValue) {
+      out["value"] = row.secretRow.value;
+    } else {
+      out["value_bytes"] = row.secretRow.value.size();
+    }
+  }
+  return out;
+}
+
+absl::StatusOr<Row> rowFromJson(const RowKey& key, const json& fields) {
+  if (!fields.is_object()) return makeError(ErrorCode::kBadRequestBody, keyText(key) + ": must be an object");
+  Row row;
+  row.key = key;
+  FieldReader reader(key, fields);
+  switch (key.kind) {
+    case RowKind::SERVICE:
+      row.__isset.serviceRow = true;
+      reader.text("retry_policy", &row.serviceRow.retryPolicy);
+      reader.names("secrets", &row.serviceRow.secrets);
+      break;
+    case RowKind::ENDPOINT:
+      row.__isset.endpointRow = true;
+      row.endpointRow.weight = kWeightSum;
+      reader.text("service", &row.endpointRow.serviceName);
+      reader.text("address", &row.endpointRow.address);
+      reader.number("port", &row.endpointRow.port);
+      reader.text("zone", &row.endpointRow.zone);
+      reader.number("weight", &row.endpointRow.weight);
+      break;
+    case RowKind::ROUTE:
+      row.__isset.routeRow = true;
+      reader.text("host", &row.routeRow.host);
+      reader.text("path_prefix", &row.routeRow.pathPrefix);
+      reader.text("method", &row.routeRow.method);
+      reader.shares("shares", &row.routeRow.shares);
+      reader.names("required_services", &row.routeRow.requiredServices);
+      reader.names("required_secrets", &row.routeRow.requiredSecrets);
+      reader.flag("repeatable", &row.routeRow.repeatable);
+      reader.number("timeout_ms", &row.routeRow.timeoutMs);
+      break;
+    case RowKind::LIMIT:
+      row.__isset.limitRow = true;
+      reader.text("service", &row.limitRow.serviceName);
+      reader.number("max_concurrent", &row.limitRow.maxConcurrent);
+      reader.number("max_queued", &row.limitRow.maxQueued);
+      break;
+    case RowKind::RETRY_POLICY:
+      row.__isset.retryPolicyRow = true;
+      reader.number("max_attempts", &row.retryPolicyRow.maxAttempts);
+      reader.number("budget_percent", &row.retryPolicyRow.budgetPercent);
+      break;
+    case RowKind::SECRET:
+      row.__isset.secretRow = true;
+      reader.text("value", &row.secretRow.value);
+      break;
+    default:
+      return makeError(ErrorCode::kBadRequestBody, "unknown row kind");
+  }
+  if (const auto status = reader.finish(); !status.ok()) return status;
+  return row;
+}
+
+json problemToJson(const Problem& problem) {
+  return {{"row", keyText(problem.row)},
+          {"field", problem.field},
+          {"problem", problemName(problem.kind)},
+          {"message", problem.sentence}};
+}
+
+}  // namespace driftlug::table
--- /dev/null
+++ b/src/table/table.h
@@ -0,0 +1,87 @@
+/// The configuration table: rows by key, tombstones, and indexes for references between rows.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "table/row.h"
+
+namespace driftlug::table {
+
+using RowMap = std::map<RowKey, RowPtr, RowKeyLess>;
+
+/// All rows at one revision.
+///
+/// Invariants: live and deleted rows are kept apart; a key is in at most one of them; no row's
+/// revision is above revision().
+class Table {
+ public:
+  /// @return the revision of the last change.
+  int64_t revision() const { return revision_; }
+
+  /// @return the live row, or null.
+  RowPtr find(const RowKey& key) const;
+
+  /// @return the live row or the tombstone, or null.
+  RowPtr findAny(const RowKey& key) const;
+
+  /// @return the revision of the row or of its tombstone, 0 when the key was never used.
+  int64_t rowRevision(const RowKey& key) const;
+
+  const RowMap& rows() const { return rows_; }
+  const RowMap& tombstones() const { return tombstones_; }
+
+  /// @return digest over the live rows.
+  Digest digest() const { return digest_.value(); }
+
+  /// @return names of the endpoints of a service.
+  const std::set<std::string>& endpointsOf(const std::string& service) const;
+
+  /// @return names of the limits of a service.
+  const std::set<std::string>& limitsOf(const std::string& service) const;
+
+  /// @return names of the routes that match on a host.
+  const std::set<std::string>& routesOf(const std::string& host) const;
+
+  /// Puts a row or, when it is marked deleted, a tombstone; moves revision() up to the row's.
+  void put(const RowPtr& row);
+
+  /// Takes back put(): sets a key to what findAny() returned before, and the revision to what it was.
+  void undoPut(const RowKey& key, const RowPtr& previous, int64_t previousRevision);
+
+  /// Sets the revision without a row change; it never moves back.
+  void advanceTo(int64_t revision);
+
+  /// Forgets tombstones up to a revision.
+  void dropTombstones(int64_t upTo);
+
+  /// @return rows and tombstones changed after a revision, in revision order.
+  std::vector<RowPtr> changedSince(int64_t revision) const;
+
+  /// @return lowest revision from which changedSince() is complete.
+  int64_t horizon() const { return horizon_; }
+
+  /// Declares that changes up to a revision may be missing from changedSince().
+  void setHorizon(int64_t revision) { horizon_ = revision; }
+
+ private:
+  using NameIndex = std::map<std::string, std::set<std::string>>;
+
+  void unlink(const Row& row);
+  void link(const Row& row);
+
+  RowMap rows_;                          // live rows
+  RowMap tombstones_;                    // deleted rows above horizon_
+  std::map<int64_t, std::set<RowKey, RowKeyLess>> byRevision_;  // keys of rows_ and tombstones_ by revision
+  NameIndex endpointsByService_;         // of live rows
+  NameIndex limitsByService_;            // of live rows
+  NameIndex routesByHost_;               // of live rows
+  DigestSum digest_;                     // over rows_
+  int64_t revision_ = 0;
+  int64_t horizon_ = 0;
+};
+
+}  // namespace driftlug::table
--- /dev/null
+++ b/src/table/validator.cc
@@ -0,0 +1,196 @@
+#include "table/validator.h"
+
+#include <absl/strings/match.h>
+
+#include <cctype>
+#include <string>
+
+namespace driftlug::table {
+namespace {
+
+/// Collects problems of one row.
+class RowProblems {
+ public:
+  RowProblems(const RowKey& key, std::vector<Problem>* problems) : key_(key), problems_(problems) {}
+
+  void add(std::string field, ProblemKind kind, std::string sentence) {
+    problems_->push_back({key_, std::move(field), kind, std::move(sentence)});
+  }
+
+  void range(const char* field, int64_t value, int64_t lowest, int64_t highest) {
+    if (value >= lowest && value <= highest) return;
+    add(field, ProblemKind::kOutOfRange,
+        std::to_string(value) + " is outside " + std::to_string(lowest) + " to " + std::to_string(highest));
+  }
+
+ private:
+  const RowKey& key_;
+  std::vector<Problem>* problems_;
+};
+
+bool nameIsGood(const std::string& name) {
+  if (name.empty() || name.size() > kMaxNameBytes) return false;
+  for (const char c : name) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) == 0 && c != '-' && c != '_' && c != '.') return false;
+  }
+  return true;
+}
+
+void checkEndpoint(const wire::EndpointRow& endpoint, RowProblems* problems) {
+  if (endpoint.address.empty()) problems->add("address", ProblemKind::kOutOfRange, "must be an IP number");
+  problems->range("port", endpoint.port, 1, 65535);
+  problems->range("weight", endpoint.weight, 0, kWeightSum);
+}
+
+void checkRoute(const wire::RouteRow& route, RowProblems* problems) {
+  if (route.host.empty()) problems->add("host", ProblemKind::kOutOfRange, "must not be empty");
+  if (route.pathPrefix.empty() || route.pathPrefix[0] != '/') {
+    problems->add("path_prefix", ProblemKind::kOutOfRange, "must begin with /");
+  }
+  problems->range("timeout_ms", route.timeoutMs, 1, kMaxTimeoutMs);
+  int64_t sum = 0;
+  for (const auto& share : route.shares) {
+    problems->range("shares.weight", share.weight, 0, kWeightSum);
+    sum += share.weight;
+  }
+  if (sum != kWeightSum) {
+    problems->add("shares", ProblemKind::kWeightSum, "weights sum to " + std::to_string(sum) + ", not 100");
+  }
+  std::set<std::string> seen;
+  for (const auto& share : route.shares) {
+    if (!seen.insert(share.serviceName).second) {
+      problems->add("shares", ProblemKind::kDuplicateMatch, "service " + share.serviceName + " stands twice");
+    }
+  }
+}
+
+/// @return whether every request that `inner` matches is matched by `outer`, which comes first.
+bool covers(const wire::RouteRow& outer, const wire::RouteRow& inner) {
+  const bool methodCovers = outer.method.empty() || outer.method == inner.method;
+  return outer.host == inner.host && outer.pathPrefix == inner.pathPrefix && methodCovers;
+}
+
+/// Equal match conditions are an error; the order (longest prefix, then exact method) decides all others.
+void checkOtherRoutes(const Row& row, const Table& table, RowProblems* problems) {
+  for (const auto& name : table.routesOf(row.routeRow.host)) {
+    if (name == row.key.name) continue;
+    const auto other = table.find(makeKey(RowKind::ROUTE, name));
+    if (!other || !covers(other->routeRow, row.routeRow) || !covers(row.routeRow, other->routeRow)) continue;
+    problems->add("path_prefix", ProblemKind::kDuplicateMatch, "same host, prefix and method as route " + name);
+  }
+}
+
+void requireRow(const Table& table, RowKind::type kind, const std::string& name, const char* field,
+                RowProblems* problems) {
+  if (table.find(makeKey(kind, name))) return;
+  problems->add(field, ProblemKind::kUnknownReference, std::string(kindName(kind)) + " " + name + " does not exist");
+}
+
+/// Reports rows that still refer to a deleted one.
+void checkReferrers(const RowKey& deleted, const Table& table, std::vector<Problem>* problems) {
+  for (const auto& [key, row] : table.rows()) {
+    std::vector<Problem> found;
+    checkReferences(*row, table, &found);
+    for (auto& problem : found) {
+      if (problem.kind != ProblemKind::kUnknownReference || !absl::StrContains(problem.sentence, deleted.name)) continue;
+      problem.kind = ProblemKind::kDanglingReference;
+      problem.sentence = "still refers to deleted " + keyText(deleted);
+      problems->push_back(problem);
+    }
+  }
+}
+
+}  // namespace
+
+std::string_view problemName(ProblemKind kind) {
+  switch (kind) {
+    case ProblemKind::kBadName:
+      return "bad_name";
+    case ProblemKind::kWrongBody:
+      return "wrong_body";
+    case ProblemKind::kOutOfRange:
+      return "out_of_range";
+    case ProblemKind::kWeightSum:
+      return "weight_sum";
+    case ProblemKind::kUnknownReference:
+      return "unknown_reference";
+    case ProblemKind::kDuplicateMatch:
+      return "duplicate_match";
+    case ProblemKind::kShadowedMatch:
+      return "shadowed_match";
+    case ProblemKind::kDanglingReference:
+      return "dangling_reference";
+  }
+  return "unnamed";
+}
+
+void checkRow(const Row& row, std::vector<Problem>* problems) {
+  RowProblems out(row.key, problems);
+  if (!nameIsGood(row.key.name)) out.add("name", ProblemKind::kBadName, "letters, digits, '-', '_' and '.' only");
+  if (!bodyMatchesKind(row)) {
+    out.add("kind", ProblemKind::kWrongBody, "the body does not fit the kind");
+    return;
+  }
+  if (row.deleted) return;
+  if (row.__isset.endpointRow) checkEndpoint(row.endpointRow, &out);
+  if (row.__isset.routeRow) checkRoute(row.routeRow, &out);
+  if (row.__isset.limitRow) {
+    out.range("max_concurrent", row.limitRow.maxConcurrent, 1, kMaxConcurrentLimit);
+    out.range("max_queued", row.limitRow.maxQueued, 0, kMaxQueuedLimit);
+  }
+  if (row.__isset.retryPolicyRow) {
+    out.range("max_attempts", row.retryPolicyRow.maxAttempts, 1, kMaxAttempts);
+    out.range("budget_percent", row.retryPolicyRow.budgetPercent, 0, 100);
+  }
+  if (row.__isset.secretRow) {
+    out.range("value", static_cast<int64_t>(row.secretRow.value.size()), 1, kMaxSecretBytes);
+  }
+}
+
+void checkReferences(const Row& row, const Table& table, std::vector<Problem>* problems) {
+  RowProblems out(row.key, problems);
+  if (row.__isset.serviceRow) {
+    const auto& policy = row.serviceRow.retryPolicy;
+    if (!policy.empty()) requireRow(table, RowKind::RETRY_POLICY, policy, "retry_policy", &out);
+    for (const auto& secret : row.serviceRow.secrets) requireRow(table, RowKind::SECRET, secret, "secrets", &out);
+  }
+  if (row.__isset.endpointRow) requireRow(table, RowKind::SERVICE, row.endpointRow.serviceName, "service", &out);
+  if (row.__isset.limitRow) requireRow(table, RowKind::SERVICE, row.limitRow.serviceName, "service", &out);
+  if (!row.__isset.routeRow) return;
+  for (const auto& share : row.routeRow.shares) requireRow(table, RowKind::SERVICE, share.serviceName, "shares", &out);
+  for (const auto& name : row.routeRow.requiredServices) {
+    requireRow(table, RowKind::SERVICE, name, "required_services", &out);
+  }
+  for (const auto& name : row.routeRow.requiredSecrets) {
+    requireRow(table, RowKind::SECRET, name, "required_secrets", &out);
+  }
+}
+
+std::vector<Problem> checkEdit(const Table& table, const std::vector<RowKey>& changed) {
+  std::vector<Problem> problems;
+  for (const auto& key : changed) {
+    const auto row = table.find(key);
+    if (!row) {
+      if (key.kind == RowKind::SERVICE || key.kind == RowKind::SECRET || key.kind == RowKind::RETRY_POLICY) {
+        checkReferrers(key, table, &problems);
+      }
+      continue;
+    }
+    checkRow(*row, &problems);
+    if (!bodyMatchesKind(*row)) continue;
+    checkReferences(*row, table, &problems);
+    if (!row->__isset.routeRow) continue;
+    RowProblems out(key, &problems);
+    checkOtherRoutes(*row, table, &out);
+  }
+  return problems;
+}
+
+std::vector<Problem> checkTable(const Table& table) {
+  std::vector<RowKey> keys;
+  for (const auto& [key, row] : table.rows()) keys.push_back(key);
+  return checkEdit(table, keys);
+}
+
+}  // namespace driftlug::table
--- /dev/null
+++ b/src/table/validator.h
@@ -0,0 +1,59 @@
+/// One validator for rows, used by the controller before acceptance, by nodes before activation and by
+/// `driftlugctl check`.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "table/table.h"
+
+namespace driftlug::table {
+
+/// What is wrong with a row.
+enum class ProblemKind {
+  kBadName,
+  kWrongBody,
+  kOutOfRange,
+  kWeightSum,
+  kUnknownReference,
+  kDuplicateMatch,
+  kShadowedMatch,
+  kDanglingReference,
+};
+
+/// @return the stable lower-case name of a kind of problem.
+std::string_view problemName(ProblemKind kind);
+
+/// One problem with one field of one row.
+struct Problem {
+  RowKey row;
+  std::string field;
+  ProblemKind kind;
+  std::string sentence;
+};
+
+constexpr int kWeightSum = 100;
+constexpr int kMaxConcurrentLimit = 100'000;
+constexpr int kMaxQueuedLimit = 100'000;
+constexpr int kMaxAttempts = 10;
+constexpr int kMaxTimeoutMs = 600'000;
+constexpr size_t kMaxNameBytes = 200;
+constexpr size_t kMaxSecretBytes = 64 << 10;
+
+/// Checks the fields of one row by themselves.
+void checkRow(const Row& row, std::vector<Problem>* problems);
+
+/// Checks all references from a row into a set of live rows.
+void checkReferences(const Row& row, const Table& table, std::vector<Problem>* problems);
+
+/// Checks the table that results from an edit: the changed rows themselves, their references, and the rows
+/// that refer to deleted ones.
+/// @param table the table after the edit
+/// @param changed keys of the rows that the edit changed or deleted
+/// @return every problem found, none when the edit is good
+std::vector<Problem> checkEdit(const Table& table, const std::vector<RowKey>& changed);
+
+/// Checks every row of a table.
+std::vector<Problem> checkTable(const Table& table);
+
+}  // namespace driftlug::table
--- /dev/null
+++ b/src/wire/driftlug.thrift
@@ -0,0 +1,437 @@
+/**
+ * Messages between driftlug processes and the records of the replicated log.
+ * Regenerate with scripts/generate-wire. Field numbers are never reused.
+ */
+namespace cpp driftlug.wire
+
+/** Kinds of rows in the configuration table. */
+enum RowKind {
+  SERVICE = 1,
+  ENDPOINT = 2,
+  ROUTE = 3,
+  LIMIT = 4,
+  RETRY_POLICY = 5,
+  SECRET = 6
+}
+
+/** Roles a process announces when a connection opens. */
+enum Role {
+  CONTROLLER = 1,
+  RELAY = 2,
+  NODE = 3,
+  TOOL = 4
+}
+
+/** Identity of a row: names are unique within one kind. */
+struct RowKey {
+  1: RowKind kind
+  2: string name
+}
+
+/** A group of interchangeable endpoints. */
+struct ServiceRow {
+  1: string retryPolicy
+  2: list<string> secrets
+}
+
+/** One back end, reached through the node that runs beside it. */
+struct EndpointRow {
+  1: string serviceName
+  2: string address
+  3: i32 port
+  4: string zone
+  5: i32 weight
+}
+
+/** A part of a route's traffic, in percent. */
+struct WeightedService {
+  1: string serviceName
+  2: i32 weight
+}
+
+/** Matches requests and splits them over services. */
+struct RouteRow {
+  1: string host
+  2: string pathPrefix
+  3: string method
+  4: list<WeightedService> shares
+  5: list<string> requiredServices
+  6: list<string> requiredSecrets
+  7: bool repeatable
+  8: i32 timeoutMs
+}
+
+/** Concurrency bound of every endpoint of a service, enforced at the endpoint's node. */
+struct LimitRow {
+  1: string serviceName
+  2: i32 maxConcurrent
+  3: i32 maxQueued
+}
+
+/** How often a request may be sent again. */
+struct RetryPolicyRow {
+  1: i32 maxAttempts
+  2: i32 budgetPercent
+}
+
+/** Secret material; the value is opaque to driftlug. */
+struct SecretRow {
+  1: string value
+}
+
+/** One row; exactly the body that matches key.kind is set, none when deleted. */
+struct Row {
+  1: RowKey key
+  2: i64 revision
+  3: bool deleted
+  4: optional ServiceRow serviceRow
+  5: optional EndpointRow endpointRow
+  6: optional RouteRow routeRow
+  7: optional LimitRow limitRow
+  8: optional RetryPolicyRow retryPolicyRow
+  9: optional SecretRow secretRow
+}
+
+/** Order-independent digest over the rows of a slice. */
+struct Digest {
+  1: i64 low
+  2: i64 high
+}
+
+/** One change of one row; expectedRevision 0 means that the row must not exist, -1 means any. */
+struct Mutation {
+  1: Row row
+  2: i64 expectedRevision
+}
+
+/** An atomic edit; requestId identifies it when it is sent again. */
+struct EditCommand {
+  1: string requestId
+  2: string author
+  3: list<Mutation> mutations
+  4: i64 baseRevision
+}
+
+enum EntryKind {
+  NOOP = 1,
+  EDIT = 2,
+  MEMBERS = 3,
+  LEDGER = 4
+}
+
+enum LedgerAction {
+  CLAIM = 1,
+  COMPLETE = 2
+}
+
+struct HttpHeader {
+  1: string name
+  2: string value
+}
+
+/** Answer of a back end, kept for resends of the same request. */
+struct StoredAnswer {
+  1: i32 httpStatus
+  2: list<HttpHeader> headers
+  3: binary body
+}
+
+/** A change of one idempotency key. */
+struct LedgerCommand {
+  1: LedgerAction action
+  2: string key
+  3: i64 fingerprint
+  4: string owner
+  5: i64 timestampMs
+  6: optional StoredAnswer answer
+}
+
+/** One controller of the replicated log; the id is bound to its data folder, the name to its machine. */
+struct Member {
+  1: string id
+  6: string name
+  2: string address
+  3: i32 framePort
+  4: i32 httpPort
+  5: bool voting
+}
+
+struct LogEntry {
+  1: i64 index
+  2: i64 term
+  3: EntryKind kind
+  4: optional EditCommand edit
+  5: optional list<Member> members
+  6: bool forming
+  7: optional LedgerCommand ledger
+}
+
+/** Term and vote, synced before any answer that depends on them. */
+struct HardState {
+  1: i64 term
+  2: string votedFor
+  3: string identity
+}
+
+/** One thing wrong with a refused edit. */
+struct EditProblem {
+  1: RowKey key
+  2: string field
+  3: string problem
+  4: string message
+}
+
+/** Outcome of one edit, kept so that a resent edit gets the first answer. */
+struct EditOutcome {
+  1: string requestId
+  2: i64 revision
+  3: i32 code
+  4: list<EditProblem> problems
+  5: list<Row> currentRows
+  6: i64 fingerprint
+}
+
+/** One accepted edit as history shows it. */
+struct HistoryRecord {
+  1: i64 revision
+  2: string requestId
+  3: string author
+  4: list<RowKey> keys
+}
+
+/** Everything a member of a replicated log needs to continue from a log index. */
+struct LogSnapshot {
+  1: i64 index
+  2: i64 term
+  3: list<Member> members
+  4: bool forming
+  5: binary state
+}
+
+/** State of the table's state machine. */
+struct TableSnapshot {
+  4: list<Row> rows
+  5: list<EditOutcome> outcomes
+  6: list<HistoryRecord> history
+  7: i64 tableRevision
+  9: i64 historyFloor
+  10: i64 horizon
+}
+
+/** First message on each connection, in both directions. */
+struct Hello {
+  1: i32 protocolVersion
+  2: Role role
+  3: string id
+  4: string zone
+  5: bool blank
+}
+
+struct VoteRequest {
+  1: i64 term
+  2: string candidate
+  3: i64 lastIndex
+  4: i64 lastTerm
+  5: bool preVote
+  6: bool transfer
+}
+
+struct VoteResponse {
+  1: i64 term
+  2: bool granted
+  3: bool preVote
+}
+
+struct AppendRequest {
+  1: i64 term
+  2: string leader
+  3: i64 previousIndex
+  4: i64 previousTerm
+  5: list<LogEntry> entries
+  6: i64 commitIndex
+  7: i64 round
+}
+
+struct AppendResponse {
+  1: i64 term
+  2: bool success
+  3: i64 matchIndex
+  4: i64 round
+}
+
+struct SnapshotChunk {
+  1: i64 term
+  2: string leader
+  3: i64 lastIndex
+  4: i64 lastTerm
+  5: i64 offset
+  6: i64 totalBytes
+  7: binary data
+}
+
+struct SnapshotChunkAck {
+  1: i64 term
+  2: i64 lastIndex
+  3: i64 nextOffset
+}
+
+/** Asks the most advanced follower to start an election at once. */
+struct TimeoutNow {
+  1: i64 term
+}
+
+/** Freshness advances only with a quorum of controllers behind it. */
+struct Freshness {
+  1: i64 term
+  2: i64 round
+}
+
+struct RelaySubscribe {
+  1: i64 revision
+  2: Digest digest
+}
+
+/** Answer of a controller that does not lead. */
+struct NotLeader {
+  1: string leaderId
+}
+
+/** Rows changed in (fromRevision, toRevision]; full replaces everything. */
+struct TableUpdate {
+  1: i64 fromRevision
+  2: i64 toRevision
+  3: bool full
+  4: list<Row> rows
+  5: Digest digest
+}
+
+struct ControllerHeartbeat {
+  1: i64 revision
+  2: Freshness freshness
+}
+
+/** Asks for a revision that was committed after the question was asked. */
+struct ConfirmRequest {
+  1: i64 token
+}
+
+struct ConfirmReply {
+  1: i64 token
+  2: i64 revision
+}
+
+struct NodeStatus {
+  1: string nodeId
+  2: i64 revision
+}
+
+/** What a relay knows of its nodes: additions and removals since the last report. */
+struct ConvergenceReport {
+  1: i64 sequence
+  2: i64 inForceRevision
+  3: list<string> attached
+  4: list<string> detached
+  5: list<NodeStatus> lagging
+  6: bool full
+}
+
+struct NodeSubscribe {
+  1: list<string> hosts
+  2: list<string> services
+  3: i64 revision
+  4: Digest digest
+}
+
+struct SliceUpdate {
+  1: i64 fromRevision
+  2: i64 toRevision
+  3: bool full
+  4: list<Row> rows
+  5: Digest digest
+}
+
+struct SliceApplied {
+  1: i64 revision
+}
+
+enum SliceRejectReason {
+  DIGEST_MISMATCH = 1,
+  DANGLING_REFERENCE = 2,
+  OLDER_REVISION = 3,
+  BASE_MISMATCH = 4
+}
+
+struct SliceRejected {
+  1: i64 revision
+  2: SliceRejectReason reason
+}
+
+struct NodeHeartbeat {
+  1: Freshness freshness
+}
+
+/** The sender is overloaded or not ready; ask again after the given time. */
+struct RetryLater {
+  1: i32 delayMs
+}
+
+/** Revision that a relay holds, told to the members of its release group. */
+struct RelayHeld {
+  1: i64 revision
+  2: bool recovered
+  3: i64 probe
+  4: bool wantsReply
+  5: Freshness freshness
+}
+
+enum EndpointCondition {
+  LIVE = 1,
+  DRAINING = 2,
+  GONE = 3
+}
+
+/** State of an endpoint, announced by the node beside it. */
+struct EndpointState {
+  5: string serviceName
+  1: string endpoint
+  2: EndpointCondition condition
+  3: i64 incarnation
+  4: i64 sequence
+}
+
+struct EndpointStates {
+  1: list<EndpointState> states
+}
+
+struct CallRequest {
+  1: i64 callId
+  2: string serviceName
+  3: string method
+  4: string path
+  5: list<HttpHeader> headers
+  6: binary body
+  7: i32 remainingMs
+  8: string idempotencyKey
+}
+
+/** How a call ended, as seen by the side that answers it. */
+enum CallOutcome {
+  COMPLETED = 1,
+  NOT_RUN = 2,
+  UNKNOWN = 3
+}
+
+struct CallResponse {
+  1: i64 callId
+  2: CallOutcome outcome
+  3: i32 httpStatus
+  4: list<HttpHeader> headers
+  5: binary body
+  6: i32 errorCode
+  7: i32 inFlight
+  8: i32 retryAfterMs
+}
+
+struct CallCancel {
+  1: i64 callId
+}
--- /dev/null
+++ b/src/wire/frame.cc
@@ -0,0 +1,135 @@
+#include "wire/frame.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <array>
+#include <utility>
+
+#include "base/error.h"
+
+namespace driftlug::wire {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using CompactProtocol = TCompactProtocolT<TMemoryBuffer>;
+
+template <typename T>
+void appendStruct(const T& value, std::string* out) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  CompactProtocol protocol(buffer);
+  value.write(&protocol);
+  uint8_t* bytes = nullptr;
+  uint32_t size = 0;
+  buffer->getBuffer(&bytes, &size);
+  out->append(reinterpret_cast<const char*>(bytes), size);
+}
+
+template <typename T>
+bool readStruct(std::string_view bytes, T* value) {
+  auto* start = reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));
+  auto buffer = std::make_shared<TMemoryBuffer>(start, static_cast<uint32_t>(bytes.size()));
+  CompactProtocol protocol(buffer, kMaxStringBytes, kMaxListItems);
+  try {
+    return value->read(&protocol) == bytes.size();
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+using Decoder = bool (*)(std::string_view, Message*);
+
+template <typename T>
+bool decodeAs(std::string_view bytes, Message* message) {
+  return readStruct(bytes, &message->emplace<T>());
+}
+
+template <size_t... Index>
+constexpr auto makeDecoders(std::index_sequence<Index...>) {
+  return std::array<Decoder, sizeof...(Index)>{&decodeAs<std::variant_alternative_t<Index, Message>>...};
+}
+
+constexpr auto kDecoders = makeDecoders(std::make_index_sequence<std::variant_size_v<Message>>());
+
+size_t readLength(const char* bytes) {
+  size_t length = 0;
+  for (size_t i = 0; i < kLengthBytes; ++i) length = (length << 8) | static_cast<unsigned char>(bytes[i]);
+  return length;
+}
+
+void writeLength(size_t length, char* bytes) {
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    bytes[i] = static_cast<char>((length >> (8 * (kLengthBytes - 1 - i))) & 0xff);
+  }
+}
+
+}  // namespace
+
+FramePtr encodeFrame(const Message& message) {
+  auto frame = std::make_shared<std::string>(kHeaderBytes, '\0');
+  (*frame)[kLengthBytes] = static_cast<char>(message.index());
+  std::visit([&](const auto& body) { appendStruct(body, frame.get()); }, message);
+  writeLength(frame->size() - kLengthBytes, frame->data());
+  return frame;
+}
+
+absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload) {
+  if (typeAndPayload.empty()) return base::makeError(base::ErrorCode::kBadFrame, "frame without a type");
+  const auto type = static_cast<unsigned char>(typeAndPayload[0]);
+  if (type >= kDecoders.size()) return base::makeError(base::ErrorCode::kBadFrame, "unknown message type");
+  Message message;
+  if (!kDecoders[type](typeAndPayload.substr(1), &message)) {
+    return base::makeError(base::ErrorCode::kBadFrame, "message can't be decoded");
+  }
+  return message;
+}
+
+template <typename T>
+std::string encodeStruct(const T& value) {
+  std::string bytes;
+  appendStruct(value, &bytes);
+  return bytes;
+}
+
+template <typename T>
+absl::StatusOr<T> decodeStruct(std::string_view bytes) {
+  T value;
+  if (!readStruct(bytes, &value)) return base::makeError(base::ErrorCode::kBadFrame, "record can't be decoded");
+  return value;
+}
+
+template std::string encodeStruct(const Row&);
+template std::string encodeStruct(const LogEntry&);
+template std::string encodeStruct(const HardState&);
+template std::string encodeStruct(const TableSnapshot&);
+template std::string encodeStruct(const LogSnapshot&);
+template std::string encodeStruct(const EditCommand&);
+template absl::StatusOr<Row> decodeStruct(std::string_view);
+template absl::StatusOr<LogEntry> decodeStruct(std::string_view);
+template absl::StatusOr<HardState> decodeStruct(std::string_view);
+template absl::StatusOr<TableSnapshot> decodeStruct(std::string_view);
+template absl::StatusOr<LogSnapshot> decodeStruct(std::string_view);
+template absl::StatusOr<EditCommand> decodeStruct(std::string_view);
+
+absl::StatusOr<bool> FrameReader::next(Message* message) {
+  const size_t available = buffer_.size() - position_;
+  if (available < kLengthBytes) return false;
+  const size_t length = readLength(buffer_.data() + position_);
+  if (length > kMaxFrameBytes) return base::makeError(base::ErrorCode::kFrameTooLarge, "frame over the size limit");
+  if (available < kLengthBytes + length) return false;
+  auto decoded = decodeFrame(std::string_view(buffer_).substr(position_ + kLengthBytes, length));
+  if (!decoded.ok()) return decoded.status();
+  *message = std::move(*decoded);
+  position_ += kLengthBytes + length;
+  if (position_ == buffer_.size()) {
+    buffer_.clear();
+    position_ = 0;
+  } else if (position_ > (1U << 16)) {
+    buffer_.erase(0, position_);
+    position_ = 0;
+  }
+  return true;
+}
+
+}  // namespace driftlug::wire
--- /dev/null
+++ b/src/wire/frame.h
@@ -0,0 +1,67 @@
+/// Frames: a four-byte big-endian length, one byte of message type, then a Thrift compact struct.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "wire/gen/driftlug_types.h"
+
+namespace driftlug::wire {
+
+/// Every message that travels between processes. The position is the type byte and never changes.
+using Message = std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
+                             SnapshotChunkAck, TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat,
+                             ConfirmRequest, ConfirmReply, ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied,
+                             SliceRejected, NodeHeartbeat, RetryLater, RelayHeld, EndpointStates, CallRequest,
+                             CallResponse, CallCancel>;
+
+/// An encoded frame, shared between the connections it is sent on.
+using FramePtr = std::shared_ptr<const std::string>;
+
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kHeaderBytes = kLengthBytes + 1;
+/// Longest frame that a peer may send, in bytes.
+constexpr size_t kMaxFrameBytes = 64U << 20;
+/// Longest string and longest list inside a frame.
+constexpr int kMaxStringBytes = 32 << 20;
+constexpr int kMaxListItems = 2'000'000;
+
+/// @return the message as a complete frame.
+FramePtr encodeFrame(const Message& message);
+
+/// Decodes the part of a frame behind its length.
+/// @return the message, or kBadFrame
+absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload);
+
+/// @return a struct in Thrift compact form, without a frame around it.
+template <typename T>
+std::string encodeStruct(const T& value);
+
+/// @return the struct, or kBadFrame
+template <typename T>
+absl::StatusOr<T> decodeStruct(std::string_view bytes);
+
+/// Cuts a stream of bytes into frames.
+class FrameReader {
+ public:
+  /// Adds bytes as they arrived.
+  void append(std::string_view bytes) { buffer_.append(bytes); }
+
+  /// Takes the next whole message.
+  /// @return true when `message` was set, false when more bytes are needed, or the error that ends the stream
+  absl::StatusOr<bool> next(Message* message);
+
+  /// @return whether a message has begun and its rest is missing.
+  bool midFrame() const { return position_ < buffer_.size(); }
+
+ private:
+  std::string buffer_;   // bytes not yet taken, from position_ on
+  size_t position_ = 0;  // start of the next frame in buffer_
+};
+
+}  // namespace driftlug::wire
