--- /dev/null
+++ b/apps/controller_main.cc
@@ -0,0 +1,150 @@
+/// driftlug-controller: accepts edits, replicates the table and feeds relays.
+#include <gflags/gflags.h>
+
+#include <cstdio>
+
+#include "base/settings.h"
+#include "controller/controller.h"
+#include "controller/http_api.h"
+#include "daemon.h"
+#include "storage/posix_disk.h"
+#include "transport/frame_transport.h"
+#include "wire/frame.h"
+
+DEFINE_string(name, "", "name of this controller; must be one of --controllers, or one added later");
+DEFINE_string(zone, "", "zone that this process runs in");
+DEFINE_string(listen_host, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(frame_port, 0, "port for relays and other controllers");
+DEFINE_int32(http_port, 0, "port for operators, health and metrics");
+DEFINE_string(controllers, "", "initial controllers as name@host:frame_port:http_port, separated by commas");
+DEFINE_string(data_folder, "", "folder for the log and snapshots");
+DEFINE_int32(heartbeat_ms, 50, "interval of heartbeats between controllers");
+DEFINE_int32(election_timeout_ms, 300, "lowest time without a leader before an election");
+DEFINE_int32(snapshot_entries, 4096, "log entries between snapshots");
+DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
+DEFINE_bool(full_push, false, "send the whole table with each update; for experiments only");
+DEFINE_bool(inspect_data, false, "print and verify the data folder, then exit");
+
+namespace {
+
+using namespace driftlug;
+
+controller::ControllerAddress parseControllerOrExit(const std::string& text) {
+  const auto at = text.find('@');
+  const auto lastColon = text.rfind(':');
+  if (at == std::string::npos || lastColon == std::string::npos || lastColon < at) {
+    apps::exitWithError(base::makeError(base::ErrorCode::kBadSetting,
+                                        "controllers: '" + text + "' is not name@host:frame_port:http_port"));
+  }
+  controller::ControllerAddress address;
+  address.name = text.substr(0, at);
+  address.frames = apps::parseAddressOrExit("controllers", text.substr(at + 1, lastColon - at - 1));
+  address.httpPort = apps::parseAddressOrExit("controllers", "http" + text.substr(lastColon)).port;
+  return address;
+}
+
+int inspectData(storage::Disk& disk) {
+  storage::LogStore store(disk);
+  const auto state = store.inspect();
+  if (!state.ok()) apps::exitWithError(state.status());
+  std::printf("identity %s, term %lld, voted for '%s'\n", state->hardState.identity.c_str(),
+              static_cast<long long>(state->hardState.term), state->hardState.votedFor.c_str());
+  if (state->snapshot) {
+    std::printf("snapshot at index %lld, %zu bytes, %zu members\n", static_cast<long long>(state->snapshot->index),
+                state->snapshot->state.size(), state->snapshot->members.size());
+  }
+  for (const auto& entry : state->entries) {
+    std::printf("entry %lld term %lld kind %d", static_cast<long long>(entry.index), static_cast<long long>(entry.term),
+                static_cast<int>(entry.kind));
+    if (entry.__isset.edit) {
+      std::printf(" request %s, %zu rows", entry.edit.requestId.c_str(), entry.edit.mutations.size());
+    }
+    std::printf("\n");
+  }
+  std::printf("the data folder is sound\n");
+  return 0;
+}
+
+void addMetrics(const controller::Controller& controller, const transport::FrameTransport& frames,
+                base::MetricsPage* page) {
+  const auto& raft = controller.raft();
+  page->gauge("controller_leads", "1 while this controller leads", raft.role() == consensus::RaftRole::kLeader ? 1 : 0);
+  page->gauge("controller_term", "current term", static_cast<double>(raft.term()));
+  page->gauge("controller_commit_index", "last committed log entry", static_cast<double>(raft.commitIndex()));
+  page->gauge("table_revision", "revision of the table", static_cast<double>(controller.state().table().revision()));
+  page->gauge("table_rows", "live rows", static_cast<double>(controller.state().table().rows().size()));
+  page->gauge("controller_nodes", "nodes attached to relays", static_cast<double>(controller.convergence().attachedNodes()));
+  const auto& relays = controller.relays().counters();
+  page->counter("controller_updates_total", "updates sent to relays", relays.updates);
+  page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
+  page->counter("controller_full_updates_total", "whole tables sent to relays", relays.fullUpdates);
+  page->counter("controller_heartbeat_bytes_total", "bytes of heartbeats to relays", relays.heartbeatBytes);
+  page->counter("frame_bytes_sent_total", "bytes of frames sent", frames.counters().bytesSent);
+  page->counter("frame_bytes_received_total", "bytes of frames received", frames.counters().bytesReceived);
+  page->counter("frame_bad_total", "connections closed for a bad frame", frames.counters().badFrames);
+}
+
+controller::ControllerOptions optionsFromSettings() {
+  controller::ControllerOptions options;
+  options.name = FLAGS_name;
+  options.zone = FLAGS_zone;
+  for (const auto& text : base::splitList(FLAGS_controllers)) {
+    options.controllers.push_back(parseControllerOrExit(text));
+  }
+  options.raft.heartbeatInterval = base::milliseconds(FLAGS_heartbeat_ms);
+  options.raft.electionTimeout = base::milliseconds(FLAGS_election_timeout_ms);
+  options.raft.compactAfterEntries = static_cast<size_t>(FLAGS_snapshot_entries);
+  options.fullPush = FLAGS_full_push;
+  return options;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  base::declareRequired("name");
+  base::declareRequired("data_folder");
+  base::declareRange("frame_port", 1, 65535);
+  base::declareRange("http_port", 1, 65535);
+  base::declareRange("heartbeat_ms", 1, 60'000);
+  base::declareRange("election_timeout_ms", 10, 600'000);
+  base::declareRange("snapshot_entries", 16, 1'000'000);
+  base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
+  base::loadSettingsOrExit(argc, argv, "driftlug-controller: accepts edits and feeds relays", false);
+  apps::configureLogsFromSettings();
+
+  transport::EventLoop loop;
+  storage::PosixDisk disk(FLAGS_data_folder, loop);
+  if (const auto status = disk.prepare(); !status.ok()) apps::exitWithError(status);
+  if (FLAGS_inspect_data) return inspectData(disk);
+
+  transport::FrameTransport frames(loop, "frames");
+  frames.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
+  controller::Controller controller(optionsFromSettings(), loop, base::RandomSource(apps::processSeed()), frames, disk);
+  controller::HttpApi api(controller, loop);
+  controller.onConvergenceReport([&api] { api.onConvergenceChanged(); });
+  frames.setHandler(&controller);
+
+  apps::DaemonPages pages;
+  pages.ready = [&controller] { return controller.ready(); };
+  pages.metrics = [&controller, &frames](base::MetricsPage* page) { addMetrics(controller, frames, page); };
+  pages.other = [&api](const transport::HttpRequest& request, controller::HttpRespond respond) {
+    api.handle(request, std::move(respond));
+  };
+  apps::AdminServer admin(loop, pages);
+
+  controller.start([&](const absl::Status& status) {
+    if (!status.ok()) apps::exitWithError(status);
+    if (const auto listening = frames.listen(FLAGS_listen_host, FLAGS_frame_port); !listening.ok()) {
+      apps::exitWithError(listening);
+    }
+    admin.listenOrExit(FLAGS_listen_host, FLAGS_http_port);
+  });
+  loop.onTerminate([&] {
+    constexpr base::Duration kStopTime = base::milliseconds(300);
+    admin.setStopping();
+    controller.prepareStop();
+    loop.schedule(kStopTime, [&loop] { loop.stop(); });
+  });
+  loop.run();
+  return 0;
+}
--- /dev/null
+++ b/apps/http_backend.cc
@@ -0,0 +1,52 @@
+#include "http_backend.h"
+
+namespace driftlug::apps {
+namespace {
+
+node::BackendOutcome outcomeOf(transport::HttpOutcome outcome) {
+  switch (outcome) {
+    case transport::HttpOutcome::kCompleted:
+      return node::BackendOutcome::kCompleted;
+    case transport::HttpOutcome::kNotSent:
+      return node::BackendOutcome::kNotSent;
+    case transport::HttpOutcome::kUnknown:
+      return node::BackendOutcome::kUnknown;
+  }
+  return node::BackendOutcome::kUnknown;
+}
+
+}  // namespace
+
+HttpBackend::HttpBackend(transport::EventLoop& loop, const base::Address& address, size_t maxConnections)
+    : pool_(loop, "backend", address.host, address.port, maxConnections) {}
+
+uint64_t HttpBackend::send(const wire::CallRequest& request, base::Duration timeout,
+                           std::function<void(node::BackendAnswer)> done) {
+  transport::HttpRequest out;
+  out.method = request.method;
+  const auto question = request.path.find('?');
+  out.path = request.path.substr(0, question);
+  if (question != std::string::npos) out.query = request.path.substr(question + 1);
+  out.headers = request.headers;
+  std::erase_if(out.headers, [](const auto& header) {
+    return header.name == "x-deadline-ms" || header.name == "idempotency-key";
+  });
+  out.headers.push_back(transport::makeHeader("x-deadline-ms", std::to_string(timeout.count() / 1000)));
+  if (!request.idempotencyKey.empty()) {
+    out.headers.push_back(transport::makeHeader("idempotency-key", request.idempotencyKey));
+  }
+  out.body = request.body;
+  return pool_.send(std::move(out), timeout, [done = std::move(done)](transport::HttpResult result) {
+    node::BackendAnswer answer;
+    answer.outcome = outcomeOf(result.outcome);
+    answer.timedOut = result.timedOut;
+    answer.httpStatus = result.response.status;
+    answer.headers = std::move(result.response.headers);
+    answer.body = std::move(result.response.body);
+    done(std::move(answer));
+  });
+}
+
+void HttpBackend::cancel(uint64_t id) { pool_.cancel(id); }
+
+}  // namespace driftlug::apps
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -212,7 +212,9 @@
     relays_.subscribe(connection, relayId, *subscribe, state_.table());
     log_.info("relay {} subscribed from revision {}", relayId, subscribe->revision);
   } else if (const auto* report = std::get_if<wire::ConvergenceReport>(&message)) {
-    if (!relays_.relayOn(connection).empty()) convergence_.onReport(relayId, *report);
+    if (relays_.relayOn(connection).empty()) return;
+    convergence_.onReport(relayId, *report);
+    if (reportHook_) reportHook_();
   } else if (const auto* confirm = std::get_if<wire::ConfirmRequest>(&message)) {
     confirmLeadership([this, alive = std::weak_ptr<bool>(alive_), connection, token = confirm->token](bool confirmed) {
       if (alive.expired() || !confirmed) return;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -74,6 +74,9 @@
   /// Removes a controller; refused when the remaining voters could not lose one more or are not caught up.
   absl::Status removeController(const std::string& name);
 
+  /// Called after each report of a relay.
+  void onConvergenceReport(std::function<void()> hook) { reportHook_ = std::move(hook); }
+
   /// Prepares a planned stop: hands leadership over.
   void prepareStop();
 
@@ -135,6 +138,7 @@
   std::map<int64_t, PendingEdit> pending_;  // by log index
   std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
   std::map<std::string, ControllerAddress> joining_;  // added by an operator, not yet a member
+  std::function<void()> reportHook_;  // may be empty
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;        // relays were told of this term's leadership
   base::Timer housekeeping_;
--- /dev/null
+++ b/src/controller/http_api.h
@@ -0,0 +1,60 @@
+/// The operators' interface of a controller: HTTP and JSON. Documented in docs/operators/api.md.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <string>
+
+#include "base/time.h"
+#include "controller/controller.h"
+#include "transport/http.h"
+
+namespace driftlug::controller {
+
+/// Sends the answer to one request; called once.
+using HttpRespond = std::function<void(transport::HttpResponse)>;
+
+/// Turns HTTP requests into calls of a Controller. Only the leader answers; others redirect to it.
+///
+/// Reads are answered only after a quorum confirmed that this controller still leads.
+class HttpApi {
+ public:
+  HttpApi(Controller& controller, base::Scheduler& scheduler);
+
+  /// Answers a request, now or later.
+  void handle(const transport::HttpRequest& request, HttpRespond respond);
+
+  /// Convergence may have moved; waiting requests are looked at again.
+  void onConvergenceChanged();
+
+ private:
+  struct Waiter {
+    int64_t revision;
+    base::TimePoint until;
+    HttpRespond respond;
+  };
+
+  using Read = std::function<transport::HttpResponse()>;
+
+  void confirmedRead(const transport::HttpRequest& request, const HttpRespond& respond, Read read);
+  void postEdit(const transport::HttpRequest& request, const HttpRespond& respond);
+  void getConvergence(const transport::HttpRequest& request, const HttpRespond& respond);
+  void controllers(const transport::HttpRequest& request, const HttpRespond& respond);
+  transport::HttpResponse rows(const transport::HttpRequest& request) const;
+  transport::HttpResponse oneRow(const std::string& kindAndName) const;
+  transport::HttpResponse history(const transport::HttpRequest& request) const;
+  transport::HttpResponse status() const;
+  transport::HttpResponse convergence(int64_t revision) const;
+  transport::HttpResponse notLeader(const transport::HttpRequest& request) const;
+  void onWaitTimer();
+
+  Controller& controller_;
+  base::Scheduler& scheduler_;
+  std::list<Waiter> waiters_;
+  base::Timer waitTimer_;
+};
+
+/// @return a JSON error body with the HTTP status that fits the code.
+transport::HttpResponse errorResponse(base::ErrorCode code, const std::string& sentence);
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/src/limits/slot_limiter.cc
@@ -0,0 +1,95 @@
+#include "limits/slot_limiter.h"
+
+#include <algorithm>
+
+namespace driftlug::limits {
+namespace {
+
+constexpr double kAverageWeight = 0.1;
+
+}  // namespace
+
+SlotLimiter::SlotLimiter(const base::TimeSource& time, int maxConcurrent, int maxQueued)
+    : time_(time), maxConcurrent_(maxConcurrent), maxQueued_(maxQueued) {}
+
+void SlotLimiter::setLimits(int maxConcurrent, int maxQueued) {
+  maxConcurrent_ = maxConcurrent;
+  maxQueued_ = maxQueued;
+  while (waiting_.size() > static_cast<size_t>(std::max(0, maxQueued_))) {
+    auto last = waiting_.extract(std::prev(waiting_.end()));
+    ++counters_.refusedFull;
+    last.mapped().refuse(SlotRefusal::kQueueFull);
+  }
+  startWaiting();
+}
+
+base::Duration SlotLimiter::expectedWait() const {
+  const auto ahead = static_cast<double>(waiting_.size() + 1);
+  return base::Duration(static_cast<int64_t>(heldUs_ * ahead / std::max(1, maxConcurrent_)));
+}
+
+bool SlotLimiter::displaceFor(Priority priority) {
+  if (waiting_.empty()) return false;
+  const auto last = std::prev(waiting_.end());
+  if (last->first.priority <= priority) return false;
+  auto displaced = waiting_.extract(last);
+  ++counters_.displaced;
+  displaced.mapped().refuse(SlotRefusal::kQueueFull);
+  return true;
+}
+
+TicketId SlotLimiter::acquire(Priority priority, base::TimePoint deadline, Start start, Refuse refuse) {
+  const auto ticket = nextTicket_++;
+  if (running_ < maxConcurrent_ && waiting_.empty()) {
+    ++running_;
+    ++counters_.admitted;
+    start();
+    return ticket;
+  }
+  if (priority != Priority::kMustRun && time_.now() + expectedWait() >= deadline) {
+    ++counters_.refusedLate;
+    refuse(SlotRefusal::kWouldBeLate);
+    return ticket;
+  }
+  const bool full = waiting_.size() >= static_cast<size_t>(std::max(0, maxQueued_));
+  if (full && !displaceFor(priority)) {
+    ++counters_.refusedFull;
+    refuse(SlotRefusal::kQueueFull);
+    return ticket;
+  }
+  ++counters_.queued;
+  waiting_[{priority, deadline, ticket}] = {std::move(start), std::move(refuse)};
+  startWaiting();
+  return ticket;
+}
+
+void SlotLimiter::startWaiting() {
+  while (running_ < maxConcurrent_ && !waiting_.empty()) {
+    auto first = waiting_.extract(waiting_.begin());
+    if (first.key().deadline <= time_.now()) {
+      ++counters_.refusedLate;
+      first.mapped().refuse(SlotRefusal::kWouldBeLate);
+      continue;
+    }
+    ++running_;
+    ++counters_.admitted;
+    first.mapped().start();
+  }
+}
+
+void SlotLimiter::release(base::Duration held) {
+  --running_;
+  const auto heldUs = static_cast<double>(held.count());
+  heldUs_ = heldUs_ == 0 ? heldUs : heldUs_ * (1 - kAverageWeight) + heldUs * kAverageWeight;
+  startWaiting();
+}
+
+bool SlotLimiter::cancel(TicketId ticket) {
+  const auto found = std::find_if(waiting_.begin(), waiting_.end(),
+                                  [&](const auto& item) { return item.first.ticket == ticket; });
+  if (found == waiting_.end()) return false;
+  waiting_.erase(found);
+  return true;
+}
+
+}  // namespace driftlug::limits
--- /dev/null
+++ b/src/limits/slot_limiter.h
@@ -0,0 +1,95 @@
+/// Slots of one back end, with a short queue in order of deadline and priority.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "base/time.h"
+
+namespace driftlug::limits {
+
+/// Which requests go first when slots are short.
+enum class Priority : int {
+  kMustRun = 0,  ///< filings, orders: requests that may not be repeated
+  kNormal = 1,
+};
+
+/// Identifies one request within a limiter.
+using TicketId = uint64_t;
+
+/// Counters of a limiter.
+struct SlotCounters {
+  int64_t admitted = 0;
+  int64_t queued = 0;
+  int64_t refusedFull = 0;
+  int64_t refusedLate = 0;
+  int64_t displaced = 0;
+};
+
+/// Why a request was not started.
+enum class SlotRefusal {
+  kQueueFull,
+  kWouldBeLate,  ///< its deadline would pass before a slot is free
+};
+
+/// Bounds how many requests run at once; the others wait in a bounded queue or are refused while that is cheap.
+///
+/// Invariants: at most maxConcurrent requests run, except that a smaller limit never cuts running ones; a
+/// kNormal request never starts before a waiting kMustRun request.
+class SlotLimiter {
+ public:
+  using Start = std::function<void()>;
+  using Refuse = std::function<void(SlotRefusal)>;
+
+  SlotLimiter(const base::TimeSource& time, int maxConcurrent, int maxQueued);
+
+  /// Changes the limits; running requests go on, waiting ones may start or be refused.
+  void setLimits(int maxConcurrent, int maxQueued);
+
+  /// Asks for a slot. Exactly one of the callbacks is called, now or later, unless the ticket is cancelled.
+  TicketId acquire(Priority priority, base::TimePoint deadline, Start start, Refuse refuse);
+
+  /// A request that had started has ended.
+  /// @param held how long it held its slot
+  void release(base::Duration held);
+
+  /// Gives up a request that waits.
+  /// @return false when it had started or was unknown
+  bool cancel(TicketId ticket);
+
+  int running() const { return running_; }
+  size_t waiting() const { return waiting_.size(); }
+
+  /// @return an estimate of when a new request would get a slot.
+  base::Duration expectedWait() const;
+
+  const SlotCounters& counters() const { return counters_; }
+
+ private:
+  struct Order {
+    Priority priority;
+    base::TimePoint deadline;
+    TicketId ticket;
+    auto operator<=>(const Order&) const = default;
+  };
+
+  struct Request {
+    Start start;
+    Refuse refuse;
+  };
+
+  void startWaiting();
+  bool displaceFor(Priority priority);
+
+  const base::TimeSource& time_;
+  int maxConcurrent_;
+  int maxQueued_;
+  int running_ = 0;
+  TicketId nextTicket_ = 1;
+  std::map<Order, Request> waiting_;  // first to start first
+  double heldUs_ = 0;                 // moving average of how long a slot is held
+  SlotCounters counters_;
+};
+
+}  // namespace driftlug::limits
--- /dev/null
+++ b/src/node/control_client.cc
@@ -0,0 +1,246 @@
+#include "node/control_client.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "base/error.h"
+#include "storage/record_file.h"
+
+namespace driftlug::node {
+namespace {
+
+constexpr int kProtocolVersion = 1;
+constexpr base::Duration kWatchInterval = base::milliseconds(200);
+constexpr int kMaxBackoffDoublings = 4;
+constexpr char kSliceFile[] = "slice";
+constexpr char kTemporaryFile[] = "slice.tmp";
+
+}  // namespace
+
+ControlClient::ControlClient(ControlOptions options, base::Scheduler& scheduler, base::RandomSource random,
+                             base::Network& network, ActivationHandler onActivation, EndpointStatesHandler onStates)
+    : options_(std::move(options)),
+      scheduler_(scheduler),
+      random_(random),
+      network_(network),
+      onActivation_(std::move(onActivation)),
+      onStates_(std::move(onStates)),
+      reconnectTimer_(scheduler, [this] { connect(); }),
+      watchTimer_(scheduler, [this] { onWatch(); }),
+      keepAliveTimer_(scheduler, [this] {
+        keepAliveTimer_.start(options_.keepAlive);
+        if (open_) sendApplied();
+      }) {
+  slices_.setChecks(options_.checks);
+}
+
+ControlClient::~ControlClient() { alive_.reset(); }
+
+void ControlClient::start(storage::Disk* disk) {
+  disk_ = disk;
+  wire::Hello hello;
+  hello.protocolVersion = kProtocolVersion;
+  hello.role = wire::Role::NODE;
+  hello.id = options_.nodeId;
+  hello.zone = options_.zone;
+  network_.setHello(hello);
+  freshSince_ = scheduler_.now();
+  load();
+  connect();
+  watchTimer_.start(kWatchInterval);
+  keepAliveTimer_.start(options_.keepAlive);
+}
+
+void ControlClient::connect() {
+  if (options_.relays.empty()) return;
+  open_ = false;
+  sliceSeen_ = false;
+  openedAt_ = scheduler_.now();
+  connection_ = network_.connect(options_.relays[position_ % options_.relays.size()]);
+}
+
+void ControlClient::moveOn(base::Duration delay) {
+  network_.close(connection_);
+  connection_ = 0;
+  open_ = false;
+  pending_.clear();
+  ++position_;
+  ++counters_.reconnects;
+  reconnectTimer_.start(delay);
+}
+
+void ControlClient::reconnectLater() {
+  const auto limit = options_.reconnectDelay * (1 << std::min(attempts_, kMaxBackoffDoublings));
+  ++attempts_;
+  // The first other relay is tried at once; only when that fails too does the node wait.
+  const bool atOnce = attempts_ == 1;
+  moveOn(atOnce ? random_.duration(options_.reconnectDelay / 4) : random_.duration(limit));
+}
+
+void ControlClient::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  if (connection != connection_) return;
+  open_ = true;
+  lastHeard_ = scheduler_.now();
+  openedAt_ = lastHeard_;
+  log_.debug("{} subscribes to {}", options_.nodeId, peer.id);
+  wire::NodeSubscribe subscribe;
+  subscribe.hosts = options_.hosts;
+  subscribe.services = options_.services;
+  subscribe.revision = slices_.revision();
+  subscribe.digest = slices_.rows().digest();
+  network_.send(connection, wire::encodeFrame(subscribe));
+  if (!announcing_) return;
+  ++state_.sequence;
+  sendState();
+}
+
+void ControlClient::onClose(base::ConnectionId connection) {
+  if (connection == connection_) reconnectLater();
+}
+
+void ControlClient::onMessage(base::ConnectionId connection, wire::Message message) {
+  if (connection != connection_) return;
+  lastHeard_ = scheduler_.now();
+  if (const auto* update = std::get_if<wire::SliceUpdate>(&message)) {
+    onUpdate(*update);
+  } else if (const auto* heartbeat = std::get_if<wire::NodeHeartbeat>(&message)) {
+    onHeartbeat(heartbeat->freshness);
+  } else if (const auto* later = std::get_if<wire::RetryLater>(&message)) {
+    moveOn(base::milliseconds(later->delayMs) + random_.duration(options_.reconnectDelay));
+  } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
+    if (onStates_) onStates_(states->states);
+  }
+}
+
+void ControlClient::onUpdate(const wire::SliceUpdate& update) {
+  sliceSeen_ = true;
+  attempts_ = 0;
+  pending_.push_back(update);
+  takePending();
+}
+
+void ControlClient::takePending() {
+  while (!pending_.empty() && !persisting_) {
+    const auto update = std::move(pending_.front());
+    pending_.pop_front();
+    SliceVersion next;
+    const auto result = slices_.prepare(update, &next);
+    if (result != SliceResult::kActivated && result != SliceResult::kUnchanged) {
+      refuse(result, update.toRevision);
+      continue;
+    }
+    if (disk_ == nullptr || result == SliceResult::kUnchanged) {
+      activate(result, std::move(next));
+      continue;
+    }
+    persisting_ = true;
+    persist(next, [this, alive = std::weak_ptr<bool>(alive_), result, next] {
+      if (alive.expired()) return;
+      persisting_ = false;
+      activate(result, next);
+      takePending();
+    });
+  }
+}
+
+void ControlClient::activate(SliceResult result, SliceVersion next) {
+  slices_.activate(std::move(next));
+  if (result == SliceResult::kActivated) {
+    ++counters_.activations;
+    if (onActivation_) onActivation_(slices_.active());
+  }
+  sendApplied();
+}
+
+void ControlClient::refuse(SliceResult result, int64_t revision) {
+  ++counters_.rejected;
+  // A relay that is behind can't help; another one may be further.
+  if (result == SliceResult::kOlder) return reconnectLater();
+  wire::SliceRejected rejected;
+  rejected.revision = revision;
+  rejected.reason = wire::SliceRejectReason::DANGLING_REFERENCE;
+  if (result == SliceResult::kBaseMismatch) rejected.reason = wire::SliceRejectReason::BASE_MISMATCH;
+  if (result == SliceResult::kDigestMismatch) rejected.reason = wire::SliceRejectReason::DIGEST_MISMATCH;
+  network_.send(connection_, wire::encodeFrame(rejected));
+}
+
+void ControlClient::onHeartbeat(const wire::Freshness& freshness) {
+  if (std::tie(freshness.term, freshness.round) <= std::tie(freshness_.term, freshness_.round)) return;
+  freshness_ = freshness;
+  freshSince_ = scheduler_.now();
+}
+
+void ControlClient::sendApplied() {
+  wire::SliceApplied applied;
+  applied.revision = slices_.revision();
+  network_.send(connection_, wire::encodeFrame(applied));
+}
+
+void ControlClient::onWatch() {
+  watchTimer_.start(kWatchInterval);
+  if (connection_ == 0) return;
+  const auto now = scheduler_.now();
+  const bool silent = open_ && now - lastHeard_ > options_.relayTimeout;
+  const bool noAnswer = !open_ && now - openedAt_ > options_.relayTimeout;
+  const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > options_.firstSliceTimeout;
+  const bool stale = open_ && !fresh() && now - openedAt_ > options_.staleAfter;
+  if (silent || noAnswer || noSlice || stale) reconnectLater();
+}
+
+void ControlClient::announce(const wire::EndpointState& state) {
+  const auto sequence = state_.sequence + 1;
+  state_ = state;
+  state_.sequence = sequence;
+  announcing_ = true;
+  if (open_) sendState();
+}
+
+void ControlClient::sendState() {
+  wire::EndpointStates states;
+  states.states.push_back(state_);
+  network_.send(connection_, wire::encodeFrame(states));
+}
+
+void ControlClient::persist(const SliceVersion& version, std::function<void()> done) {
+  wire::SliceUpdate whole;
+  whole.full = true;
+  whole.toRevision = version.revision;
+  whole.digest = version.rows.digest();
+  for (const auto& [key, row] : version.rows.rows()) whole.rows.push_back(*row);
+  const auto record = storage::encodeRecord(storage::RecordType::kSnapshot, *wire::encodeFrame(whole), 0);
+  (void)disk_->remove(kTemporaryFile);
+  if (const auto status = disk_->append(kTemporaryFile, record); !status.ok()) return onDiskFailed(status, done);
+  disk_->sync(kTemporaryFile, [this, alive = std::weak_ptr<bool>(alive_), done](absl::Status status) {
+    if (alive.expired()) return;
+    if (status.ok()) status = disk_->rename(kTemporaryFile, kSliceFile);
+    if (!status.ok()) return onDiskFailed(status, done);
+    disk_->sync(kSliceFile, [this, alive, done](const absl::Status& synced) {
+      if (alive.expired()) return;
+      if (!synced.ok()) return onDiskFailed(synced, done);
+      done();
+    });
+  });
+}
+
+void ControlClient::onDiskFailed(const absl::Status& status, const std::function<void()>& done) {
+  // Without its disk the node goes on in memory; the file is dropped so that a restart can't serve it.
+  log_.error("{} stops keeping its version on disk: {}", options_.nodeId, base::errorText(status));
+  (void)disk_->remove(kSliceFile);
+  disk_ = nullptr;
+  done();
+}
+
+void ControlClient::load() {
+  if (disk_ == nullptr) return;
+  const auto bytes = disk_->read(kSliceFile);
+  if (!bytes.ok()) return;
+  const auto scan = storage::scanRecords(*bytes, false);
+  if (!scan.ok() || scan->records.size() != 1) return;
+  const auto message = wire::decodeFrame(std::string_view(scan->records[0].payload).substr(wire::kLengthBytes));
+  if (!message.ok() || !std::holds_alternative<wire::SliceUpdate>(*message)) return;
+  if (slices_.apply(std::get<wire::SliceUpdate>(*message)) != SliceResult::kActivated) return;
+  log_.info("{} serves revision {} from its disk", options_.nodeId, slices_.revision());
+  if (onActivation_) onActivation_(slices_.active());
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/control_client.h
@@ -0,0 +1,119 @@
+/// A node's connection to the control plane: subscribes to a relay and activates versions.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+#include "base/network.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "node/slice_store.h"
+#include "storage/disk.h"
+
+namespace driftlug::node {
+
+/// Settings of the control connection.
+struct ControlOptions {
+  std::string nodeId;
+  std::string zone;
+  std::vector<base::Address> relays;  ///< the zone's release group, nearest first
+  std::vector<std::string> hosts;     ///< hosts that this node accepts calls for
+  std::vector<std::string> services;  ///< services that it runs beside
+  base::Duration relayTimeout = base::milliseconds(1800);  ///< without a heartbeat
+  base::Duration firstSliceTimeout = base::milliseconds(2000);
+  base::Duration staleAfter = base::seconds(4);  ///< without an advance of freshness
+  base::Duration reconnectDelay = base::milliseconds(200);  ///< highest first delay; it doubles up to a limit
+  base::Duration keepAlive = base::seconds(1);
+  SliceStore::Checks checks;
+};
+
+/// Counters of the control connection.
+struct ControlCounters {
+  int64_t activations = 0;
+  int64_t rejected = 0;
+  int64_t reconnects = 0;
+  int64_t bytesReceived = 0;
+};
+
+/// What the node is told of endpoints.
+using EndpointStatesHandler = std::function<void(const std::vector<wire::EndpointState>&)>;
+/// Called after each activation.
+using ActivationHandler = std::function<void(const routing::RoutingTablePtr&)>;
+
+/// Invariants: at most one relay is subscribed to at a time, and what another connection says is ignored; where
+/// there is a disk, a version is durable before it is active, so a restart never serves an older one.
+class ControlClient : public base::ConnectionHandler {
+ public:
+  ControlClient(ControlOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
+                ActivationHandler onActivation, EndpointStatesHandler onStates);
+  ~ControlClient() override;
+
+  /// Loads the last version from the disk, if there is one, and connects.
+  /// @param disk null where the node has none
+  void start(storage::Disk* disk);
+
+  /// Announces the state of the endpoint beside this node.
+  void announce(const wire::EndpointState& state);
+
+  const SliceStore& slices() const { return slices_; }
+  bool connected() const { return open_; }
+
+  /// @return whether a quorum of controllers was heard of recently.
+  bool fresh() const { return scheduler_.now() - freshSince_ <= options_.staleAfter; }
+
+  const ControlCounters& counters() const { return counters_; }
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
+  void onMessage(base::ConnectionId connection, wire::Message message) override;
+  void onClose(base::ConnectionId connection) override;
+
+ private:
+  void connect();
+  void moveOn(base::Duration delay);
+  void reconnectLater();
+  void onUpdate(const wire::SliceUpdate& update);
+  void onHeartbeat(const wire::Freshness& freshness);
+  void sendApplied();
+  void onWatch();
+  void sendState();
+  void refuse(SliceResult result, int64_t revision);
+  void activate(SliceResult result, SliceVersion next);
+  void persist(const SliceVersion& version, std::function<void()> done);
+  void onDiskFailed(const absl::Status& status, const std::function<void()>& done);
+  void takePending();
+  void load();
+
+  ControlOptions options_;
+  base::Scheduler& scheduler_;
+  base::RandomSource random_;
+  base::Network& network_;
+  base::Logger log_{"node"};
+  ActivationHandler onActivation_;
+  EndpointStatesHandler onStates_;
+  SliceStore slices_;
+  storage::Disk* disk_ = nullptr;
+  size_t position_ = 0;                 // of the relay in use
+  base::ConnectionId connection_ = 0;   // 0 while waiting to reconnect
+  bool open_ = false;
+  bool sliceSeen_ = false;              // on this connection
+  int attempts_ = 0;                    // since the last working connection
+  base::TimePoint lastHeard_{};
+  base::TimePoint openedAt_{};
+  base::TimePoint freshSince_{};
+  wire::Freshness freshness_;
+  bool announcing_ = false;
+  wire::EndpointState state_;           // of the endpoint beside this node
+  ControlCounters counters_;
+  std::deque<wire::SliceUpdate> pending_;  // arrived while a version was being written to the disk
+  bool persisting_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  base::Timer reconnectTimer_;
+  base::Timer watchTimer_;
+  base::Timer keepAliveTimer_;
+};
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/endpoint_calls.h
@@ -0,0 +1,85 @@
+/// The endpoint side of calls: admits them to the back end beside this node.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/network.h"
+#include "base/time.h"
+#include "limits/slot_limiter.h"
+#include "node/call_types.h"
+#include "routing/routing_table.h"
+
+namespace driftlug::node {
+
+/// Settings of the endpoint side.
+struct EndpointOptions {
+  std::string service;  ///< empty on a node without a back end
+  int defaultSlots = 16;
+  int defaultQueue = 32;
+};
+
+/// Counters of the endpoint side.
+struct EndpointCounters {
+  int64_t calls = 0;
+  int64_t completed = 0;
+  int64_t refused = 0;
+  int64_t unknown = 0;
+  int64_t cancelled = 0;
+};
+
+/// Invariants: a call answered NOT_RUN was never sent to the back end, or the back end itself said that it did
+/// not run it; a call is sent to the back end at most once.
+class EndpointCalls {
+ public:
+  EndpointCalls(EndpointOptions options, base::Scheduler& scheduler, base::Network& network, BackendClient& backend);
+
+  /// Takes limits from a new version.
+  void useTable(const routing::RoutingTable& table);
+
+  void onRequest(base::ConnectionId connection, const wire::CallRequest& request);
+  void onCancel(base::ConnectionId connection, int64_t callId);
+  void onClose(base::ConnectionId connection);
+
+  /// Refuses new calls from now on, or accepts them again; running ones go on.
+  void setDraining(bool draining) { draining_ = draining; }
+
+  bool draining() const { return draining_; }
+  size_t active() const { return calls_.size(); }
+  const EndpointCounters& counters() const { return counters_; }
+  const limits::SlotLimiter& limiter() const { return limiter_; }
+
+ private:
+  struct CallKey {
+    base::ConnectionId connection;
+    int64_t callId;
+    auto operator<=>(const CallKey&) const = default;
+  };
+
+  struct Call {
+    wire::CallRequest request;
+    base::TimePoint deadline;
+    limits::TicketId ticket = 0;
+    bool running = false;
+    uint64_t backendId = 0;
+    base::TimePoint startedAt{};
+  };
+
+  void run(const CallKey& key);
+  void onBackendAnswer(const CallKey& key, BackendAnswer answer);
+  void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
+  void answer(const CallKey& key, wire::CallResponse response);
+  static bool isRepeatable(const wire::CallRequest& request);
+
+  EndpointOptions options_;
+  base::Scheduler& scheduler_;
+  base::Network& network_;
+  BackendClient& backend_;
+  limits::SlotLimiter limiter_;
+  std::map<CallKey, Call> calls_;
+  bool draining_ = false;
+  EndpointCounters counters_;
+};
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/entry_calls.cc
@@ -0,0 +1,314 @@
+#include "node/entry_calls.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+#include "membership/endpoint_directory.h"
+#include "wire/frame.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+using wire::CallOutcome;
+
+constexpr char kIdempotencyHeader[] = "idempotency-key";
+constexpr int kUnavailableStatus = 503;
+constexpr int kNotFoundStatus = 404;
+constexpr int kBadGatewayStatus = 502;
+constexpr int kGatewayTimeoutStatus = 504;
+constexpr int kDefaultRetryAfterMs = 200;
+constexpr int kMaxBackoffDoublings = 4;
+
+std::string headerValue(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
+  for (const auto& header : headers) {
+    if (header.name == name) return header.value;
+  }
+  return "";
+}
+
+int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
+}
+
+}  // namespace
+
+EntryCalls::EntryCalls(EntryOptions options, base::Scheduler& scheduler, base::RandomSource random,
+                       base::Network& network)
+    : options_(std::move(options)),
+      scheduler_(scheduler),
+      random_(random),
+      network_(network),
+      picker_(options_.picker, scheduler, base::RandomSource(random_.bits())) {}
+
+EntryCalls::~EntryCalls() { alive_.reset(); }
+
+void EntryCalls::useTable(routing::RoutingTablePtr table) {
+  table_ = std::move(table);
+  std::map<std::string, base::Address> wanted;
+  for (const auto& endpoint : table_->allEndpoints()) wanted[endpoint.name] = {endpoint.address, endpoint.port};
+  // Links of endpoints that left the table are closed once their last call has ended.
+  for (auto link = links_.begin(); link != links_.end();) {
+    const auto& [name, state] = *link;
+    const auto found = wanted.find(name);
+    const bool moved = found == wanted.end() || !(found->second == state.address);
+    if (!moved || (state.open && picker_.inFlight(name) > 0 && found == wanted.end())) {
+      ++link;
+      continue;
+    }
+    const auto connection = state.connection;
+    picker_.setConnected(name, false);
+    link = links_.erase(link);
+    if (connection == 0) continue;
+    onClose(connection);
+    network_.close(connection);
+  }
+  for (const auto& [name, address] : wanted) {
+    if (links_.count(name) > 0) continue;
+    links_[name].address = address;
+    connect(name);
+  }
+}
+
+void EntryCalls::connect(const std::string& endpoint) {
+  const auto found = links_.find(endpoint);
+  if (found == links_.end() || found->second.connection != 0) return;
+  found->second.connection = network_.connect(found->second.address);
+  endpointOf_[found->second.connection] = endpoint;
+}
+
+void EntryCalls::onOpen(base::ConnectionId connection, const wire::Hello& /*peer*/) {
+  const auto endpoint = endpointOf_.find(connection);
+  if (endpoint == endpointOf_.end()) return;
+  auto& link = links_[endpoint->second];
+  link.open = true;
+  link.failures = 0;
+  picker_.setConnected(endpoint->second, true);
+}
+
+void EntryCalls::onClose(base::ConnectionId connection) {
+  const auto found = endpointOf_.find(connection);
+  if (found == endpointOf_.end()) return;
+  const auto endpoint = found->second;
+  endpointOf_.erase(found);
+  picker_.setConnected(endpoint, false);
+  std::vector<int64_t> lost;
+  for (const auto& [attemptId, attempt] : attempts_) {
+    if (attempt.connection == connection) lost.push_back(attemptId);
+  }
+  for (const auto attemptId : lost) {
+    const auto attempt = attempts_[attemptId];
+    attempts_.erase(attemptId);
+    picker_.onDone(endpoint, base::Duration(0), true);
+    onAttemptFailed(attempt.call, false,
+                    failureAnswer(CallOutcome::UNKNOWN, ErrorCode::kConnectionLost, kBadGatewayStatus, 0));
+  }
+  const auto link = links_.find(endpoint);
+  if (link == links_.end()) return;
+  link->second.connection = 0;
+  link->second.open = false;
+  const auto limit = options_.reconnectDelay * (1 << std::min(link->second.failures, kMaxBackoffDoublings));
+  ++link->second.failures;
+  scheduler_.schedule(random_.duration(limit) + base::milliseconds(1),
+                      [this, alive = std::weak_ptr<bool>(alive_), endpoint] {
+                        if (!alive.expired()) connect(endpoint);
+                      });
+}
+
+void EntryCalls::onEndpointStates(const std::vector<wire::EndpointState>& states) {
+  for (const auto& state : states) {
+    const auto known = states_.find(state.endpoint);
+    if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
+    states_[state.endpoint] = state;
+    picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
+  }
+}
+
+std::string EntryCalls::mintKey() { return options_.nodeId + "-" + absl::StrFormat("%016x", random_.bits()); }
+
+CallId EntryCalls::begin(InboundCall inbound, AnswerCallback done) {
+  const auto id = nextCall_++;
+  ++counters_.calls;
+  auto& call = calls_[id];
+  call.inbound = std::move(inbound);
+  call.done = std::move(done);
+  call.table = table_;
+  const auto now = scheduler_.now();
+  const auto path = call.inbound.path.substr(0, call.inbound.path.find('?'));
+  const auto* route = table_ ? table_->match(call.inbound.host, path, call.inbound.method) : nullptr;
+  if (route == nullptr) {
+    const bool noTable = !table_;
+    call.lastFailure = failureAnswer(CallOutcome::NOT_RUN, noTable ? ErrorCode::kNoTable : ErrorCode::kNoRoute,
+                                     noTable ? kUnavailableStatus : kNotFoundStatus, noTable ? kDefaultRetryAfterMs : 0);
+    scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
+      if (!alive.expired() && calls_.count(id) > 0) finish(id, calls_[id].lastFailure);
+    });
+    return id;
+  }
+  int timeoutMs = route->timeoutMs;
+  if (call.inbound.deadlineMs > 0) timeoutMs = std::min(timeoutMs, call.inbound.deadlineMs);
+  call.deadline = now + base::milliseconds(timeoutMs);
+  call.repeatable = route->repeatable;
+  call.service = splits_[route->name].pick(route->shares);
+  call.idempotencyKey = headerValue(call.inbound.headers, kIdempotencyHeader);
+  if (!call.repeatable && call.idempotencyKey.empty()) call.idempotencyKey = mintKey();
+  if (call.repeatable) call.idempotencyKey.clear();
+  call.timer = scheduler_.schedule(call.deadline - now, [this, alive = std::weak_ptr<bool>(alive_), id] {
+    if (!alive.expired()) onDeadline(id);
+  });
+  budgets_[call.service].onRequest(call.table->retryRule(call.service).budgetPercent);
+  scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
+    if (!alive.expired()) attempt(id);
+  });
+  return id;
+}
+
+void EntryCalls::attempt(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
+  const auto& endpoints = table_->endpoints(call.service);
+  const auto* target = picker_.pick(endpoints, options_.zone, call.tried);
+  if (target == nullptr) {
+    if (call.attempts > 0) return finish(id, call.lastFailure);
+    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
+                                    kDefaultRetryAfterMs));
+  }
+  send(id, &call, *target);
+}
+
+void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target) {
+  const auto now = scheduler_.now();
+  const auto attemptId = nextAttempt_++;
+  ++call->attempts;
+  ++counters_.attempts;
+  call->tried.insert(target.name);
+  call->attemptId = attemptId;
+  const auto& link = links_[target.name];
+  attempts_[attemptId] = {id, target.name, link.connection, now};
+  picker_.onSent(target.name);
+  wire::CallRequest request;
+  request.callId = attemptId;
+  request.serviceName = call->service;
+  request.method = call->inbound.method;
+  request.path = call->inbound.path;
+  request.headers = call->inbound.headers;
+  request.body = call->inbound.body;
+  request.remainingMs = static_cast<int32_t>(std::max<int64_t>(1, remainingMs(call->deadline, now)));
+  request.idempotencyKey = call->idempotencyKey;
+  network_.send(link.connection, wire::encodeFrame(request));
+}
+
+void EntryCalls::onMessage(base::ConnectionId connection, wire::Message message) {
+  if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
+}
+
+void EntryCalls::onResponse(base::ConnectionId connection, const wire::CallResponse& response) {
+  const auto found = attempts_.find(response.callId);
+  if (found == attempts_.end() || found->second.connection != connection) {
+    ++counters_.lateAnswers;
+    return;
+  }
+  const auto attempt = found->second;
+  attempts_.erase(found);
+  const auto error = static_cast<ErrorCode>(response.errorCode);
+  const auto latency = scheduler_.now() - attempt.sentAt;
+  if (response.outcome == CallOutcome::COMPLETED) {
+    picker_.onDone(attempt.endpoint, latency, false);
+    CallAnswer answer;
+    answer.outcome = CallOutcome::COMPLETED;
+    answer.httpStatus = response.httpStatus;
+    answer.headers = response.headers;
+    answer.body = response.body;
+    return finish(attempt.call, std::move(answer));
+  }
+  if (response.outcome == CallOutcome::NOT_RUN) {
+    const bool fault = error == ErrorCode::kBackendUnreachable;
+    if (fault) {
+      picker_.onDone(attempt.endpoint, latency, true);
+    } else {
+      picker_.onAbandoned(attempt.endpoint);
+    }
+    // Its own node is the truth for draining; the choice heeds it before any relay says so.
+    if (error == ErrorCode::kDraining) picker_.setAvailable(attempt.endpoint, false);
+    return onAttemptFailed(attempt.call, true,
+                           failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, response.retryAfterMs));
+  }
+  picker_.onDone(attempt.endpoint, latency, true);
+  const int status = error == ErrorCode::kDeadlineExceeded ? kGatewayTimeoutStatus : kBadGatewayStatus;
+  onAttemptFailed(attempt.call, false, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
+}
+
+void EntryCalls::onAttemptFailed(CallId id, bool provablyNotRun, CallAnswer failure) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  call.attemptId = 0;
+  call.lastFailure = std::move(failure);
+  const auto rule = call.table->retryRule(call.service);
+  const bool allowed = options_.retries && (provablyNotRun || call.repeatable) && call.attempts < rule.maxAttempts &&
+                       scheduler_.now() < call.deadline;
+  if (!allowed) return finish(id, call.lastFailure);
+  if (!budgets_[call.service].spend()) {
+    ++counters_.budgetSpent;
+    return finish(id, call.lastFailure);
+  }
+  ++counters_.retries;
+  attempt(id);
+}
+
+void EntryCalls::onDeadline(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  call.timer = 0;
+  const bool inFlight = call.attemptId != 0;
+  const auto outcome = inFlight ? CallOutcome::UNKNOWN : CallOutcome::NOT_RUN;
+  finish(id, failureAnswer(outcome, ErrorCode::kDeadlineExceeded, kGatewayTimeoutStatus, 0));
+}
+
+void EntryCalls::abandon(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  found->second.done = nullptr;
+  finish(id, CallAnswer{});
+}
+
+void EntryCalls::finish(CallId id, CallAnswer answer) {
+  auto node = calls_.extract(id);
+  if (node.empty()) return;
+  auto& call = node.mapped();
+  scheduler_.cancel(call.timer);
+  const auto attempt = attempts_.find(call.attemptId);
+  if (call.attemptId != 0 && attempt != attempts_.end()) {
+    wire::CallCancel cancel;
+    cancel.callId = call.attemptId;
+    network_.send(attempt->second.connection, wire::encodeFrame(cancel));
+    picker_.onDone(attempt->second.endpoint, scheduler_.now() - attempt->second.sentAt, false);
+    attempts_.erase(attempt);
+  }
+  if (!call.done) return;
+  if (answer.outcome == CallOutcome::COMPLETED) ++counters_.completed;
+  if (answer.outcome == CallOutcome::NOT_RUN) ++counters_.refused;
+  if (answer.outcome == CallOutcome::UNKNOWN) ++counters_.unknown;
+  if (!call.idempotencyKey.empty()) {
+    wire::HttpHeader header;
+    header.name = kIdempotencyHeader;
+    header.value = call.idempotencyKey;
+    answer.headers.push_back(header);
+  }
+  call.done(std::move(answer));
+}
+
+CallAnswer EntryCalls::failureAnswer(CallOutcome::type outcome, ErrorCode error, int status, int retryAfterMs) const {
+  CallAnswer answer;
+  answer.outcome = outcome;
+  answer.error = error;
+  answer.httpStatus = status;
+  answer.retryAfterMs = retryAfterMs;
+  return answer;
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/entry_calls.h
@@ -0,0 +1,131 @@
+/// The entry side of calls: routes requests of callers to endpoints, and retries what provably did not run.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/network.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "node/call_types.h"
+#include "retry/retry_budget.h"
+#include "routing/endpoint_picker.h"
+#include "routing/routing_table.h"
+#include "routing/weighted_split.h"
+
+namespace driftlug::node {
+
+/// Settings of the entry side.
+struct EntryOptions {
+  std::string nodeId;
+  std::string zone;
+  routing::PickerOptions picker;
+  bool retries = true;
+  base::Duration reconnectDelay = base::milliseconds(200);
+};
+
+/// Counters of the entry side.
+struct EntryCounters {
+  int64_t calls = 0;
+  int64_t completed = 0;
+  int64_t refused = 0;       ///< final answers "not run"
+  int64_t unknown = 0;       ///< final answers "outcome unknown"
+  int64_t attempts = 0;
+  int64_t retries = 0;
+  int64_t budgetSpent = 0;   ///< retries that the budget did not allow
+  int64_t lateAnswers = 0;   ///< answers that came after the call had ended; dropped
+};
+
+/// Identifies one call within this object; never reused.
+using CallId = int64_t;
+
+/// Invariants: each call is answered exactly once, at its deadline at the latest; an answer is matched to its
+/// attempt by id and connection, or dropped; a request that may not be repeated is sent again only after an
+/// endpoint answered NOT_RUN or the attempt was never sent; a call keeps the version it began with.
+class EntryCalls : public base::ConnectionHandler {
+ public:
+  EntryCalls(EntryOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network);
+  ~EntryCalls() override;
+
+  /// Uses a new version for calls that begin from now on.
+  void useTable(routing::RoutingTablePtr table);
+
+  /// What relays say of endpoints.
+  void onEndpointStates(const std::vector<wire::EndpointState>& states);
+
+  /// Begins a call. The callback is called once, never from within this call.
+  CallId begin(InboundCall call, AnswerCallback done);
+
+  /// The caller went away.
+  void abandon(CallId call);
+
+  size_t active() const { return calls_.size(); }
+  const EntryCounters& counters() const { return counters_; }
+  const routing::RoutingTablePtr& table() const { return table_; }
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
+  void onMessage(base::ConnectionId connection, wire::Message message) override;
+  void onClose(base::ConnectionId connection) override;
+
+ private:
+  struct Call {
+    InboundCall inbound;
+    AnswerCallback done;
+    routing::RoutingTablePtr table;  // the version the call began with
+    std::string service;
+    bool repeatable = false;
+    std::string idempotencyKey;
+    base::TimePoint deadline;
+    base::TimerId timer = 0;
+    int attempts = 0;
+    int64_t attemptId = 0;  // of the attempt in flight, 0 while there is none
+    std::set<std::string> tried;
+    CallAnswer lastFailure;
+  };
+
+  struct Attempt {
+    CallId call;
+    std::string endpoint;
+    base::ConnectionId connection;
+    base::TimePoint sentAt;
+  };
+
+  struct Link {
+    base::Address address;
+    base::ConnectionId connection = 0;  // 0 while waiting to reconnect
+    bool open = false;
+    int failures = 0;  // connections lost in a row
+  };
+
+  void attempt(CallId id);
+  void send(CallId id, Call* call, const routing::EndpointTarget& target);
+  void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
+  void onAttemptFailed(CallId id, bool provablyNotRun, CallAnswer failure);
+  void onDeadline(CallId id);
+  void finish(CallId id, CallAnswer answer);
+  void connect(const std::string& endpoint);
+  CallAnswer failureAnswer(wire::CallOutcome::type outcome, base::ErrorCode error, int status, int retryAfterMs) const;
+  std::string mintKey();
+
+  EntryOptions options_;
+  base::Scheduler& scheduler_;
+  base::RandomSource random_;
+  base::Network& network_;
+  routing::RoutingTablePtr table_;  // null before the first version
+  routing::EndpointPicker picker_;
+  std::map<std::string, routing::WeightedSplit> splits_;  // by route
+  std::map<std::string, retry::RetryBudget> budgets_;     // by service
+  std::map<CallId, Call> calls_;
+  std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
+  std::map<std::string, Link> links_;    // by endpoint
+  std::map<base::ConnectionId, std::string> endpointOf_;
+  std::map<std::string, wire::EndpointState> states_;     // newest said of each endpoint
+  CallId nextCall_ = 1;
+  int64_t nextAttempt_ = 1;
+  EntryCounters counters_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/slice_store.h
@@ -0,0 +1,63 @@
+/// A node's slice of the table, and the rules by which a new version replaces it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "routing/routing_table.h"
+#include "table/table.h"
+
+namespace driftlug::node {
+
+/// Result of taking an update.
+enum class SliceResult {
+  kActivated,
+  kUnchanged,  ///< the same rows under a newer revision
+  kOlder,
+  kBaseMismatch,
+  kDigestMismatch,
+  kDanglingReference,
+};
+
+/// A verified version of the slice.
+struct SliceVersion {
+  table::Table rows;
+  int64_t revision = 0;
+  routing::RoutingTablePtr routing;  ///< null before the first version
+};
+
+/// Invariants: the revision never decreases; a version is active whole or not at all; every reference of an
+/// active version is inside it.
+class SliceStore {
+ public:
+  /// Verifies an update on a copy.
+  /// @param next set to the version to activate, with kActivated and kUnchanged
+  SliceResult prepare(const wire::SliceUpdate& update, SliceVersion* next) const;
+
+  /// Replaces the active version in one step.
+  void activate(SliceVersion next);
+
+  /// prepare() and activate() in one.
+  SliceResult apply(const wire::SliceUpdate& update);
+
+  /// @return the active version, null before the first one; callers keep it as long as they need it.
+  routing::RoutingTablePtr active() const { return version_.routing; }
+
+  int64_t revision() const { return version_.revision; }
+  const table::Table& rows() const { return version_.rows; }
+
+  /// Parts of the verification that the simulator can switch off, to prove that a checker notices.
+  struct Checks {
+    bool neverOlder = true;
+    bool digest = true;
+    bool references = true;
+  };
+  void setChecks(const Checks& checks) { checks_ = checks; }
+
+ private:
+  SliceVersion version_;
+  Checks checks_;
+};
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/routing/endpoint_picker.cc
@@ -0,0 +1,122 @@
+#include "routing/endpoint_picker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace driftlug::routing {
+namespace {
+
+constexpr double kAverageWeight = 0.2;       // of a new latency in the moving average
+constexpr double kAssumedLatencyUs = 1000;   // of an endpoint that was never used
+constexpr double kOtherZoneFactor = 1.3;     // how much dearer an endpoint of another zone counts
+constexpr double kLowestSlowStartShare = 0.1;
+
+double secondsOf(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+EndpointPicker::EndpointPicker(PickerOptions options, const base::TimeSource& time, base::RandomSource random)
+    : options_(options), time_(time), random_(random) {}
+
+bool EndpointPicker::usable(const State& state, base::TimePoint now) const {
+  return state.connected && state.available && state.ejectedUntil <= now;
+}
+
+std::vector<const EndpointTarget*> EndpointPicker::candidates(const std::vector<EndpointTarget>& endpoints,
+                                                              const std::set<std::string>& excluded) {
+  const auto now = time_.now();
+  std::vector<const EndpointTarget*> good;
+  std::vector<const EndpointTarget*> connected;
+  size_t weighted = 0;
+  for (const auto& endpoint : endpoints) {
+    if (endpoint.weight <= 0) continue;
+    ++weighted;
+    const auto& state = states_[endpoint.name];
+    if (!state.connected || excluded.count(endpoint.name) > 0) continue;
+    connected.push_back(&endpoint);
+    if (usable(state, now)) good.push_back(&endpoint);
+  }
+  // Reports that condemn most of a service are more likely wrong than right.
+  const double lowest = static_cast<double>(weighted) * (1 - options_.maxEjectedShare);
+  const bool tooFew = static_cast<double>(good.size() + excluded.size()) < lowest;
+  return good.empty() || (tooFew && excluded.empty()) ? connected : good;
+}
+
+double EndpointPicker::slowStartShare(const State& state, base::TimePoint now) const {
+  if (options_.slowStart.count() == 0) return 1;
+  const double share = secondsOf(now - state.since) / secondsOf(options_.slowStart);
+  return std::clamp(share, kLowestSlowStartShare, 1.0);
+}
+
+double EndpointPicker::cost(const EndpointTarget& target, const std::string& ownZone) {
+  const auto& state = states_[target.name];
+  const auto now = time_.now();
+  double cost = state.inFlight + 1;
+  if (options_.policy == PickPolicy::kLeastCost) {
+    double latency = state.latencyUs > 0 ? state.latencyUs : kAssumedLatencyUs;
+    const double age = secondsOf(now - state.latencyAt) / secondsOf(options_.latencyMemory);
+    latency = std::max(kAssumedLatencyUs / 10, latency * std::exp2(-age));
+    cost *= latency;
+  }
+  if (target.zone != ownZone) cost *= kOtherZoneFactor;
+  return cost / (target.weight * slowStartShare(state, now));
+}
+
+const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
+                                           const std::set<std::string>& excluded) {
+  const auto choices = candidates(endpoints, excluded);
+  if (choices.empty()) return nullptr;
+  if (choices.size() == 1) return choices[0];
+  if (options_.policy == PickPolicy::kRoundRobin) return choices[turn_++ % choices.size()];
+  const auto first = random_.below(choices.size());
+  if (options_.policy == PickPolicy::kRandom) return choices[first];
+  auto second = random_.below(choices.size() - 1);
+  if (second >= first) ++second;
+  return cost(*choices[second], ownZone) < cost(*choices[first], ownZone) ? choices[second] : choices[first];
+}
+
+void EndpointPicker::onSent(const std::string& endpoint) { ++states_[endpoint].inFlight; }
+
+void EndpointPicker::onAbandoned(const std::string& endpoint) {
+  auto& state = states_[endpoint];
+  state.inFlight = std::max(0, state.inFlight - 1);
+}
+
+void EndpointPicker::onDone(const std::string& endpoint, base::Duration latency, bool failed) {
+  onAbandoned(endpoint);
+  auto& state = states_[endpoint];
+  const auto now = time_.now();
+  if (failed) {
+    if (++state.failures >= options_.ejectAfterFailures) {
+      state.ejectedUntil = now + options_.ejectFor;
+      state.failures = 0;
+    }
+    return;
+  }
+  state.failures = 0;
+  const auto latencyUs = static_cast<double>(latency.count());
+  const bool known = state.latencyUs > 0;
+  // A slower answer counts at once, a faster one only gradually.
+  const double weight = known && latencyUs > state.latencyUs ? 2 * kAverageWeight : kAverageWeight;
+  state.latencyUs = known ? state.latencyUs * (1 - weight) + latencyUs * weight : latencyUs;
+  state.latencyAt = now;
+}
+
+void EndpointPicker::setConnected(const std::string& endpoint, bool connected) {
+  auto& state = states_[endpoint];
+  if (connected && !state.connected) state.since = time_.now();
+  state.connected = connected;
+}
+
+void EndpointPicker::setAvailable(const std::string& endpoint, bool available) {
+  auto& state = states_[endpoint];
+  if (available && !state.available) state.since = time_.now();
+  state.available = available;
+}
+
+int EndpointPicker::inFlight(const std::string& endpoint) const {
+  const auto found = states_.find(endpoint);
+  return found == states_.end() ? 0 : found->second.inFlight;
+}
+
+}  // namespace driftlug::routing
--- /dev/null
+++ b/src/routing/endpoint_picker.h
@@ -0,0 +1,90 @@
+/// Chooses an endpoint of a service by what this node has itself observed.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "routing/routing_table.h"
+
+namespace driftlug::routing {
+
+/// How candidates are compared.
+enum class PickPolicy {
+  kRoundRobin,
+  kRandom,
+  kLeastInFlight,  ///< fewer own requests in flight, of two drawn at random
+  kLeastCost,      ///< smaller (latency × requests in flight), of two drawn at random
+};
+
+/// Settings of the picker.
+struct PickerOptions {
+  PickPolicy policy = PickPolicy::kLeastCost;
+  base::Duration slowStart = base::seconds(5);       ///< over which a new endpoint gets its full share
+  base::Duration latencyMemory = base::seconds(10);  ///< half-life of an observed latency
+  int ejectAfterFailures = 5;                        ///< consecutive failures
+  base::Duration ejectFor = base::seconds(3);
+  double maxEjectedShare = 0.5;                      ///< of a service's endpoints
+};
+
+/// State of all endpoints that this node uses, kept across table versions.
+///
+/// Own observations lead: a load or a condition that others report can take an endpoint out of the choice, but
+/// never below half of a service's endpoints, and it never makes a slow endpoint look fast.
+class EndpointPicker {
+ public:
+  EndpointPicker(PickerOptions options, const base::TimeSource& time, base::RandomSource random);
+
+  /// Chooses among a service's endpoints.
+  /// @param excluded endpoints that were already tried for this request
+  /// @return null when there is no candidate
+  const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
+                             const std::set<std::string>& excluded);
+
+  /// A request was sent to an endpoint.
+  void onSent(const std::string& endpoint);
+
+  /// A request ended.
+  /// @param failed whether the endpoint, not the request, was at fault
+  void onDone(const std::string& endpoint, base::Duration latency, bool failed);
+
+  /// A request ended without telling anything of the endpoint.
+  void onAbandoned(const std::string& endpoint);
+
+  /// The connection to an endpoint's node opened or closed.
+  void setConnected(const std::string& endpoint, bool connected);
+
+  /// The endpoint said, or a relay said of it, that it takes no new work, or that it does again.
+  void setAvailable(const std::string& endpoint, bool available);
+
+  int inFlight(const std::string& endpoint) const;
+
+ private:
+  struct State {
+    int inFlight = 0;
+    double latencyUs = 0;  // moving average; 0 while unknown
+    base::TimePoint latencyAt{};
+    int failures = 0;  // consecutive
+    base::TimePoint ejectedUntil{};
+    bool connected = false;
+    bool available = true;
+    base::TimePoint since{};  // when it was first connected
+  };
+
+  bool usable(const State& state, base::TimePoint now) const;
+  double cost(const EndpointTarget& target, const std::string& ownZone);
+  double slowStartShare(const State& state, base::TimePoint now) const;
+  std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
+                                                const std::set<std::string>& excluded);
+
+  PickerOptions options_;
+  const base::TimeSource& time_;
+  base::RandomSource random_;
+  std::map<std::string, State> states_;
+  uint64_t turn_ = 0;  // of round robin
+};
+
+}  // namespace driftlug::routing
--- /dev/null
+++ b/src/transport/frame_transport.h
@@ -0,0 +1,87 @@
+/// Frames over TCP, driven by libwebsockets.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/log.h"
+#include "base/network.h"
+#include "transport/event_loop.h"
+
+namespace driftlug::transport {
+
+/// Counters of one transport.
+struct FrameCounters {
+  int64_t bytesSent = 0;
+  int64_t bytesReceived = 0;
+  int64_t framesSent = 0;
+  int64_t framesReceived = 0;
+  int64_t badFrames = 0;
+  int64_t slowClosed = 0;
+};
+
+/// base::Network over real sockets. Every connection begins with a Hello from each side.
+class FrameTransport : public base::Network {
+ public:
+  FrameTransport(EventLoop& loop, std::string name);
+  ~FrameTransport() override;
+
+  /// Sets who receives events; must outlive the transport's use.
+  void setHandler(base::ConnectionHandler* handler) { handler_ = handler; }
+
+  /// Accepts connections.
+  /// @return OK, or kConnectFailed when the address can't be used
+  absl::Status listen(const std::string& host, int port);
+
+  /// Delays frames to peers in other zones; for tests only.
+  void setEmulatedZoneDelay(base::Duration delay) { zoneDelay_ = delay; }
+
+  const FrameCounters& counters() const { return counters_; }
+
+  void setHello(const wire::Hello& hello) override { hello_ = hello; }
+  base::ConnectionId connect(const base::Address& address) override;
+  void send(base::ConnectionId connection, const wire::FramePtr& frame) override;
+  void close(base::ConnectionId connection) override;
+  size_t queuedBytes(base::ConnectionId connection) const override;
+
+ private:
+  struct Connection {
+    base::ConnectionId id = 0;
+    lws* wsi = nullptr;
+    bool established = false;  // the socket is connected
+    bool greeted = false;      // the peer's Hello arrived
+    wire::Hello peer;
+    wire::FrameReader reader;
+    std::deque<wire::FramePtr> queue;
+    size_t queuedBytes = 0;
+    size_t offset = 0;  // bytes of the first queued frame already written
+    base::TimerId greetingTimer = 0;
+  };
+
+  static int onEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+  int handleEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length);
+  Connection* find(base::ConnectionId id);
+  Connection* connectionOf(lws* wsi);
+  void onEstablished(Connection* connection);
+  int onReceived(Connection* connection, std::string_view bytes);
+  int onWriteable(Connection* connection);
+  void onGone(base::ConnectionId id);
+  void enqueue(base::ConnectionId id, const wire::FramePtr& frame);
+
+  EventLoop& loop_;
+  std::string name_;
+  base::Logger log_{"frames"};
+  base::ConnectionHandler* handler_ = nullptr;
+  lws_protocols protocols_[2];
+  lws_vhost* clientVhost_ = nullptr;
+  wire::Hello hello_;
+  base::Duration zoneDelay_{0};
+  base::ConnectionId nextId_ = 1;
+  std::map<base::ConnectionId, std::unique_ptr<Connection>> connections_;
+  FrameCounters counters_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace driftlug::transport
