--- a/apps/controller_main.cc
+++ b/apps/controller_main.cc
@@ -73,7 +73,8 @@
   page->gauge("controller_commit_index", "last committed log entry", static_cast<double>(raft.commitIndex()));
   page->gauge("table_revision", "revision of the table", static_cast<double>(controller.state().table().revision()));
   page->gauge("table_rows", "live rows", static_cast<double>(controller.state().table().rows().size()));
-  page->gauge("controller_nodes", "nodes attached to relays", static_cast<double>(controller.convergence().attachedNodes()));
+  page->gauge("controller_nodes", "nodes attached to relays",
+              static_cast<double>(controller.convergence().attachedNodes()));
   const auto& relays = controller.relays().counters();
   page->counter("controller_updates_total", "updates sent to relays", relays.updates);
   page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
--- a/apps/ctl_main.cc
+++ b/apps/ctl_main.cc
@@ -130,7 +130,8 @@
   }
 
   int remove(const Arguments& arguments) {
-    if (arguments.size() != 1 || arguments[0].find('/') == std::string::npos) return usageError("delete needs KIND/NAME");
+    if (arguments.size() != 1 || arguments[0].find('/') == std::string::npos)
+      return usageError("delete needs KIND/NAME");
     const auto slash = arguments[0].find('/');
     const json item = {{"kind", arguments[0].substr(0, slash)},
                        {"name", arguments[0].substr(slash + 1)},
--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -48,11 +48,11 @@
     return server_.respond(exchange, response);
   }
   if (pages_.other) {
-    return pages_.other(request, [this, exchange](HttpResponse response) {
-      server_.respond(exchange, std::move(response));
-    });
+    return pages_.other(request,
+                        [this, exchange](HttpResponse response) { server_.respond(exchange, std::move(response)); });
   }
-  server_.respond(exchange, transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
+  server_.respond(exchange,
+                  transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
 }
 
 void exitWithError(const absl::Status& status) {
--- a/apps/http_backend.cc
+++ b/apps/http_backend.cc
@@ -28,9 +28,8 @@
   out.path = request.path.substr(0, question);
   if (question != std::string::npos) out.query = request.path.substr(question + 1);
   out.headers = request.headers;
-  std::erase_if(out.headers, [](const auto& header) {
-    return header.name == "x-deadline-ms" || header.name == "idempotency-key";
-  });
+  std::erase_if(out.headers,
+                [](const auto& header) { return header.name == "x-deadline-ms" || header.name == "idempotency-key"; });
   out.headers.push_back(transport::makeHeader("x-deadline-ms", std::to_string(timeout.count() / 1000)));
   if (!request.idempotencyKey.empty()) {
     out.headers.push_back(transport::makeHeader("idempotency-key", request.idempotencyKey));
--- a/apps/node_main.cc
+++ b/apps/node_main.cc
@@ -146,9 +146,9 @@
     state_.endpoint = FLAGS_name;
     state_.serviceName = FLAGS_service;
     state_.condition = wire::EndpointCondition::LIVE;
-    state_.incarnation = std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now().time_since_epoch())
-                             .count();
+    state_.incarnation =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
   }
 
   void start() {
@@ -203,7 +203,8 @@
   page->counter("node_activations_total", "versions activated", control.counters().activations);
   page->counter("node_rejected_total", "updates refused", control.counters().rejected);
   page->counter("node_reconnects_total", "changes of relay", control.counters().reconnects);
-  page->counter("node_control_bytes_received_total", "bytes received from relays", controlFrames.counters().bytesReceived);
+  page->counter("node_control_bytes_received_total", "bytes received from relays",
+                controlFrames.counters().bytesReceived);
   page->counter("node_control_bytes_sent_total", "bytes sent to relays", controlFrames.counters().bytesSent);
   const auto& calls = entry.counters();
   page->counter("entry_calls_total", "calls taken from callers", calls.calls);
@@ -299,12 +300,14 @@
       return respond(transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
     }
     health.setDrainAsked(request.method == "POST");
-    respond(transport::jsonResponse(200, "{\"result\":\"" + std::string(endpoint.draining() ? "draining" : "live") + "\"}\n"));
+    respond(transport::jsonResponse(
+        200, "{\"result\":\"" + std::string(endpoint.draining() ? "draining" : "live") + "\"}\n"));
   };
   apps::AdminServer admin(loop, pages);
   admin.listenOrExit(FLAGS_listen_host, FLAGS_http_port);
   if (FLAGS_frame_port > 0) {
-    if (const auto status = callFrames.listen(FLAGS_listen_host, FLAGS_frame_port); !status.ok()) apps::exitWithError(status);
+    if (const auto status = callFrames.listen(FLAGS_listen_host, FLAGS_frame_port); !status.ok())
+      apps::exitWithError(status);
   }
   if (FLAGS_entry_port > 0) {
     const auto status = entryServer.server().listen(FLAGS_listen_host, FLAGS_entry_port);
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -16,7 +16,8 @@
 DEFINE_int32(http_port, 0, "port for health and metrics");
 DEFINE_string(controllers, "", "controllers as host:port, separated by commas");
 DEFINE_string(peers, "", "all other relays as host:port, separated by commas");
-DEFINE_string(release_groups, "", "groups that this relay is a member of, as zone=relay|relay|relay, separated by commas");
+DEFINE_string(release_groups, "",
+              "groups that this relay is a member of, as zone=relay|relay|relay, separated by commas");
 DEFINE_int32(node_heartbeat_ms, 600, "interval of heartbeats to nodes");
 DEFINE_int32(admissions_per_second, 2000, "subscriptions admitted in a second");
 DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
@@ -32,8 +33,8 @@
   group.zone = parts.first;
   for (const auto& member : absl::StrSplit(parts.second, '|', absl::SkipEmpty())) group.members.emplace_back(member);
   if (group.members.empty()) {
-    apps::exitWithError(base::makeError(base::ErrorCode::kBadSetting,
-                                        "release_groups: '" + text + "' is not zone=relay|relay"));
+    apps::exitWithError(
+        base::makeError(base::ErrorCode::kBadSetting, "release_groups: '" + text + "' is not zone=relay|relay"));
   }
   return group;
 }
@@ -48,7 +49,8 @@
   for (const auto& text : base::splitList(FLAGS_peers)) {
     options.peers.push_back(apps::parseAddressOrExit("peers", text));
   }
-  for (const auto& text : base::splitList(FLAGS_release_groups)) options.releaseGroups.push_back(parseGroupOrExit(text));
+  for (const auto& text : base::splitList(FLAGS_release_groups))
+    options.releaseGroups.push_back(parseGroupOrExit(text));
   if (options.releaseGroups.empty()) options.releaseGroups.push_back({options.zone, {options.id}});
   options.nodeHeartbeat = base::milliseconds(FLAGS_node_heartbeat_ms);
   options.admissionsPerSecond = FLAGS_admissions_per_second;
--- a/apps/sync_http.h
+++ b/apps/sync_http.h
@@ -13,6 +13,8 @@
 /// Sends one request at a time and waits for its result.
 class SyncHttp {
  public:
+  ~SyncHttp() { loop_.close(); }
+
   /// @return the result; timedOut when no answer came in time
   transport::HttpResult call(const base::Address& address, transport::HttpRequest request, base::Duration timeout);
 
--- a/apps/table_file.cc
+++ b/apps/table_file.cc
@@ -4,10 +4,10 @@
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
+#include <toml++/toml.h>
 #include <fstream>
 #include <map>
 #include <sstream>
-#include <toml++/toml.h>
 
 #include "base/error.h"
 
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -6,11 +6,11 @@
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
 
+#include <toml++/toml.h>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <set>
-#include <toml++/toml.h>
 
 DEFINE_string(config, "", "TOML file with settings; flags win over it");
 DEFINE_bool(check_config, false, "check the settings, print problems and exit");
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -41,8 +41,7 @@
 /// A single restartable timer that cancels itself on destruction.
 class Timer {
  public:
-  Timer(Scheduler& scheduler, std::function<void()> callback)
-      : scheduler_(scheduler), callback_(std::move(callback)) {}
+  Timer(Scheduler& scheduler, std::function<void()> callback) : scheduler_(scheduler), callback_(std::move(callback)) {}
   ~Timer() { stop(); }
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -137,7 +137,7 @@
   entry.kind = wire::EntryKind::MEMBERS;
   entry.__set_members(std::move(members));
   entry.forming = forming;
-  return propose(std::move(entry)).status();
+  return propose(entry).status();
 }
 
 void Raft::confirmLeadership(ConfirmCallback done) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -25,7 +25,7 @@
 struct RaftOptions {
   base::Duration heartbeatInterval = base::milliseconds(50);
   base::Duration electionTimeout = base::milliseconds(300);  ///< lowest; the highest is twice that
-  size_t maxBatchEntries = 256;      ///< entries in one append
+  size_t maxBatchEntries = 256;                              ///< entries in one append
   size_t snapshotChunkBytes = 256 << 10;
   size_t compactAfterEntries = 4096;  ///< applied entries kept before a snapshot is taken
   size_t keepEntries = 1024;          ///< entries kept behind a snapshot for slow followers
@@ -186,7 +186,9 @@
   void truncateFrom(int64_t index);
   void useMembersFrom(const wire::LogEntry& entry);
   void recomputeMembers();
-  const wire::LogEntry& entryAt(int64_t index) const { return entries_[static_cast<size_t>(index - snapshotIndex_ - 1)]; }
+  const wire::LogEntry& entryAt(int64_t index) const {
+    return entries_[static_cast<size_t>(index - snapshotIndex_ - 1)];
+  }
   void afterSync(std::function<void()> then);
 
   std::string id_;  // fixed at construction
@@ -199,41 +201,41 @@
   base::Logger log_{"control"};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // false once destroyed; guards callbacks
 
-  wire::HardState hardState_;          // written to the store at each change
+  wire::HardState hardState_;           // written to the store at each change
   std::deque<wire::LogEntry> entries_;  // behind snapshotIndex_
   int64_t snapshotIndex_ = 0;
   int64_t snapshotTerm_ = 0;
-  wire::LogSnapshot snapshot_;       // newest snapshot, sent to members that are too far behind
-  std::string encodedSnapshot_;        // snapshot_ as sent in chunks; empty until needed
-  bool compacting_ = false;            // a snapshot is being written
-  bool installing_ = false;            // the snapshot being written came from the leader
+  wire::LogSnapshot snapshot_;   // newest snapshot, sent to members that are too far behind
+  std::string encodedSnapshot_;  // snapshot_ as sent in chunks; empty until needed
+  bool compacting_ = false;      // a snapshot is being written
+  bool installing_ = false;      // the snapshot being written came from the leader
   int64_t commitIndex_ = 0;
   int64_t appliedIndex_ = 0;
-  int64_t durableIndex_ = 0;           // highest own entry known to be synced
-  int64_t logEpoch_ = 0;               // changes whenever entries are cut from the end
+  int64_t durableIndex_ = 0;  // highest own entry known to be synced
+  int64_t logEpoch_ = 0;      // changes whenever entries are cut from the end
 
   std::vector<wire::Member> members_;  // newest in the log, committed or not
   std::vector<wire::Member> snapshotMembers_;
   bool snapshotForming_ = false;
-  int64_t membersIndex_ = 0;           // entry that members_ came from
+  int64_t membersIndex_ = 0;  // entry that members_ came from
   bool forming_ = false;
   bool blank_ = true;
 
   RaftRole role_ = RaftRole::kFollower;
-  std::string leaderId_;               // empty when unknown
+  std::string leaderId_;  // empty when unknown
   base::TimePoint lastLeaderContact_{};
-  std::set<std::string> votes_;        // granted in the current (pre-)election
+  std::set<std::string> votes_;  // granted in the current (pre-)election
   bool preVoting_ = false;
   bool transferring_ = false;
   std::map<std::string, Progress> progress_;  // leader only: other members
-  int64_t round_ = 0;                  // heartbeat rounds begun in this term
+  int64_t round_ = 0;                         // heartbeat rounds begun in this term
   int64_t confirmedRound_ = 0;
-  int64_t termStartIndex_ = 0;         // the leader's first entry of its term
-  base::TimePoint quorumSeen_{};       // when a quorum last answered
+  int64_t termStartIndex_ = 0;    // the leader's first entry of its term
+  base::TimePoint quorumSeen_{};  // when a quorum last answered
   std::vector<PendingConfirm> confirms_;
   bool confirmRoundSent_ = false;
 
-  std::string incoming_;               // snapshot being received
+  std::string incoming_;  // snapshot being received
   int64_t incomingIndex_ = 0;
   int64_t incomingTerm_ = 0;
 
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -83,9 +83,8 @@
 
 void Raft::onVoteRequest(const std::string& from, const wire::VoteRequest& request) {
   if (store_.failed()) return;
-  const bool leaderIsFresh =
-      role_ == RaftRole::kLeader ||
-      (!leaderId_.empty() && scheduler_.now() - lastLeaderContact_ < options_.electionTimeout);
+  const bool leaderIsFresh = role_ == RaftRole::kLeader ||
+                             (!leaderId_.empty() && scheduler_.now() - lastLeaderContact_ < options_.electionTimeout);
   wire::VoteResponse response;
   response.preVote = request.preVote;
   response.term = request.preVote ? request.term : std::max(request.term, hardState_.term);
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -240,38 +240,38 @@
     }
     return carried;
   };
-  store_.saveSnapshot(*snapshot, carry, [this, alive = alive_, from, snapshot = *snapshot, last,
-                                         keepsTail](const absl::Status& status) {
-    if (!*alive) return;
-    compacting_ = false;
-    installing_ = false;
-    if (!status.ok() || snapshot.index <= commitIndex_) return;
-    if (keepsTail) {
-      while (!entries_.empty() && entries_.front().index <= snapshot.index) entries_.pop_front();
-    } else {
-      entries_.clear();
-      ++logEpoch_;
-    }
-    blank_ = false;
-    snapshot_ = snapshot;
-    encodedSnapshot_.clear();
-    snapshotIndex_ = snapshot.index;
-    snapshotTerm_ = snapshot.term;
-    snapshotMembers_ = snapshot.members;
-    snapshotForming_ = snapshot.forming;
-    commitIndex_ = snapshot.index;
-    appliedIndex_ = snapshot.index;
-    durableIndex_ = std::max(durableIndex_, snapshot.index);
-    if (!keepsTail) durableIndex_ = snapshot.index;
-    recomputeMembers();
-    listener_.restore(snapshot.state);
-    listener_.onProgress();
-    wire::SnapshotChunkAck ack;
-    ack.term = hardState_.term;
-    ack.lastIndex = last.lastIndex;
-    ack.nextOffset = last.totalBytes;
-    transport_.sendTo(from, ack);
-  });
+  store_.saveSnapshot(*snapshot, carry,
+                      [this, alive = alive_, from, snapshot = *snapshot, last, keepsTail](const absl::Status& status) {
+                        if (!*alive) return;
+                        compacting_ = false;
+                        installing_ = false;
+                        if (!status.ok() || snapshot.index <= commitIndex_) return;
+                        if (keepsTail) {
+                          while (!entries_.empty() && entries_.front().index <= snapshot.index) entries_.pop_front();
+                        } else {
+                          entries_.clear();
+                          ++logEpoch_;
+                        }
+                        blank_ = false;
+                        snapshot_ = snapshot;
+                        encodedSnapshot_.clear();
+                        snapshotIndex_ = snapshot.index;
+                        snapshotTerm_ = snapshot.term;
+                        snapshotMembers_ = snapshot.members;
+                        snapshotForming_ = snapshot.forming;
+                        commitIndex_ = snapshot.index;
+                        appliedIndex_ = snapshot.index;
+                        durableIndex_ = std::max(durableIndex_, snapshot.index);
+                        if (!keepsTail) durableIndex_ = snapshot.index;
+                        recomputeMembers();
+                        listener_.restore(snapshot.state);
+                        listener_.onProgress();
+                        wire::SnapshotChunkAck ack;
+                        ack.term = hardState_.term;
+                        ack.lastIndex = last.lastIndex;
+                        ack.nextOffset = last.totalBytes;
+                        transport_.sendTo(from, ack);
+                      });
 }
 
 void Raft::onSnapshotAck(const std::string& from, const wire::SnapshotChunkAck& ack) {
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -137,7 +137,7 @@
   wire::LogEntry entry;
   entry.kind = wire::EntryKind::EDIT;
   entry.__set_edit(std::move(edit));
-  const auto index = raft_->propose(std::move(entry));
+  const auto index = raft_->propose(entry);
   if (!index.ok()) {
     answer.code = base::errorCodeOf(index.status());
     if (answer.code == ErrorCode::kStorageFailed) answer.code = ErrorCode::kOutcomeUnknown;
@@ -226,9 +226,7 @@
   }
 }
 
-void Controller::sendTo(const std::string& memberId, const wire::Message& message) {
-  links_.sendTo(memberId, message);
-}
+void Controller::sendTo(const std::string& memberId, const wire::Message& message) { links_.sendTo(memberId, message); }
 
 void Controller::apply(const wire::LogEntry& entry) {
   if (entry.kind == wire::EntryKind::EDIT) {
@@ -309,8 +307,8 @@
 void Controller::completeFormation() {
   auto members = raft_->members();
   for (const auto& controller : options_.controllers) {
-    const bool known = std::any_of(members.begin(), members.end(),
-                                   [&](const auto& member) { return member.name == controller.name; });
+    const bool known =
+        std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.name == controller.name; });
     if (known) continue;
     const auto* hello = links_.helloOf(controller.frames);
     if (hello == nullptr) return;
@@ -341,7 +339,8 @@
 }
 
 absl::Status Controller::addController(const ControllerAddress& address) {
-  if (!raft_ || raft_->role() != RaftRole::kLeader) return makeError(ErrorCode::kNotLeader, "this controller does not lead");
+  if (!raft_ || raft_->role() != RaftRole::kLeader)
+    return makeError(ErrorCode::kNotLeader, "this controller does not lead");
   for (const auto& member : raft_->members()) {
     if (member.name == address.name) return makeError(ErrorCode::kNotAccepted, "a controller of that name is a member");
   }
@@ -351,9 +350,11 @@
 }
 
 absl::Status Controller::removeController(const std::string& name) {
-  if (!raft_ || raft_->role() != RaftRole::kLeader) return makeError(ErrorCode::kNotLeader, "this controller does not lead");
+  if (!raft_ || raft_->role() != RaftRole::kLeader)
+    return makeError(ErrorCode::kNotLeader, "this controller does not lead");
   auto members = raft_->members();
-  const auto leaving = std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.name == name; });
+  const auto leaving =
+      std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.name == name; });
   if (leaving == members.end()) return makeError(ErrorCode::kRowNotFound, "no controller of that name");
   if (leaving->voting) {
     // All that remain must be there and caught up, unless the one that leaves is already lost.
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -128,19 +128,19 @@
   base::Network& network_;
   base::Logger log_{"control"};
   storage::LogStore store_;
-  std::string identity_;              // bound to the data folder
+  std::string identity_;  // bound to the data folder
   TableState state_;
   membership::PeerLinks links_;
   RelaySessions relays_;
   ConvergenceTracker convergence_;
-  std::unique_ptr<consensus::Raft> raft_;  // null until recovery ended
-  std::map<base::ConnectionId, wire::Hello> peers_;  // open connections
-  std::map<int64_t, PendingEdit> pending_;  // by log index
+  std::unique_ptr<consensus::Raft> raft_;                    // null until recovery ended
+  std::map<base::ConnectionId, wire::Hello> peers_;          // open connections
+  std::map<int64_t, PendingEdit> pending_;                   // by log index
   std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
-  std::map<std::string, ControllerAddress> joining_;  // added by an operator, not yet a member
-  std::function<void()> reportHook_;  // may be empty
+  std::map<std::string, ControllerAddress> joining_;         // added by an operator, not yet a member
+  std::function<void()> reportHook_;                         // may be empty
   bool pushScheduled_ = false;
-  bool announcedTerm_ = false;        // relays were told of this term's leadership
+  bool announcedTerm_ = false;  // relays were told of this term's leadership
   base::Timer housekeeping_;
   base::Timer heartbeat_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/controller/convergence.h
+++ b/src/controller/convergence.h
@@ -14,7 +14,7 @@
 /// A node that does not have a revision in force.
 struct LaggingNode {
   std::string nodeId;
-  int64_t revision = 0;  ///< 0 when unknown
+  int64_t revision = 0;   ///< 0 when unknown
   bool attached = false;  ///< whether a relay holds a connection to it now
 };
 
@@ -55,9 +55,9 @@
 
  private:
   struct Node {
-    std::string relayId;         // relay that reported it last
+    std::string relayId;  // relay that reported it last
     bool attached = false;
-    base::TimePoint lostAt{};    // when it was detached
+    base::TimePoint lostAt{};  // when it was detached
   };
 
   struct Relay {
--- a/src/controller/http_api.cc
+++ b/src/controller/http_api.cc
@@ -282,9 +282,9 @@
     if (lagging.size() == kMaxLaggingListed) break;
     lagging.push_back({{"node", node.nodeId}, {"revision", node.revision}, {"attached", node.attached}});
   }
-  const json body = {{"revision", revision},       {"everywhere", view.everywhere()},
-                     {"in_force", view.inForce},   {"lagging", view.lagging.size()},
-                     {"gone", view.gone},          {"complete", view.complete},
+  const json body = {{"revision", revision},     {"everywhere", view.everywhere()},
+                     {"in_force", view.inForce}, {"lagging", view.lagging.size()},
+                     {"gone", view.gone},        {"complete", view.complete},
                      {"lagging_nodes", lagging}};
   return transport::jsonResponse(200, body.dump() + "\n");
 }
--- a/src/controller/relay_sessions.cc
+++ b/src/controller/relay_sessions.cc
@@ -23,7 +23,7 @@
 std::string RelaySessions::remove(base::ConnectionId connection) {
   const auto found = sessions_.find(connection);
   if (found == sessions_.end()) return "";
-  const auto relayId = found->second.subscribed ? found->second.relayId : "";
+  auto relayId = found->second.subscribed ? found->second.relayId : "";
   sessions_.erase(found);
   return relayId;
 }
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -53,8 +53,8 @@
   int64_t revision_;
   int64_t previousRevision_;
   bool kept_ = false;
-  std::vector<wire::RowKey> keys_;        // changed rows, in order
-  std::vector<table::RowPtr> previous_;   // what each was before; null when the key was not in use
+  std::vector<wire::RowKey> keys_;       // changed rows, in order
+  std::vector<table::RowPtr> previous_;  // what each was before; null when the key was not in use
 };
 
 }  // namespace
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -85,8 +85,8 @@
 }
 
 bool SlotLimiter::cancel(TicketId ticket) {
-  const auto found = std::find_if(waiting_.begin(), waiting_.end(),
-                                  [&](const auto& item) { return item.first.ticket == ticket; });
+  const auto found =
+      std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& item) { return item.first.ticket == ticket; });
   if (found == waiting_.end()) return false;
   waiting_.erase(found);
   return true;
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -20,12 +20,12 @@
 struct ControlOptions {
   std::string nodeId;
   std::string zone;
-  std::vector<base::Address> relays;  ///< the zone's release group, nearest first
-  std::vector<std::string> hosts;     ///< hosts that this node accepts calls for
-  std::vector<std::string> services;  ///< services that it runs beside
+  std::vector<base::Address> relays;                       ///< the zone's release group, nearest first
+  std::vector<std::string> hosts;                          ///< hosts that this node accepts calls for
+  std::vector<std::string> services;                       ///< services that it runs beside
   base::Duration relayTimeout = base::milliseconds(1800);  ///< without a heartbeat
   base::Duration firstSliceTimeout = base::milliseconds(2000);
-  base::Duration staleAfter = base::seconds(4);  ///< without an advance of freshness
+  base::Duration staleAfter = base::seconds(4);             ///< without an advance of freshness
   base::Duration reconnectDelay = base::milliseconds(200);  ///< highest first delay; it doubles up to a limit
   base::Duration keepAlive = base::seconds(1);
   SliceStore::Checks checks;
@@ -96,17 +96,17 @@
   EndpointStatesHandler onStates_;
   SliceStore slices_;
   storage::Disk* disk_ = nullptr;
-  size_t position_ = 0;                 // of the relay in use
-  base::ConnectionId connection_ = 0;   // 0 while waiting to reconnect
+  size_t position_ = 0;                // of the relay in use
+  base::ConnectionId connection_ = 0;  // 0 while waiting to reconnect
   bool open_ = false;
-  bool sliceSeen_ = false;              // on this connection
-  int attempts_ = 0;                    // since the last working connection
+  bool sliceSeen_ = false;  // on this connection
+  int attempts_ = 0;        // since the last working connection
   base::TimePoint lastHeard_{};
   base::TimePoint openedAt_{};
   base::TimePoint freshSince_{};
   wire::Freshness freshness_;
   bool announcing_ = false;
-  wire::EndpointState state_;           // of the endpoint beside this node
+  wire::EndpointState state_;  // of the endpoint beside this node
   ControlCounters counters_;
   std::deque<wire::SliceUpdate> pending_;  // arrived while a version was being written to the disk
   bool persisting_ = false;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -64,9 +64,8 @@
   call.running = true;
   call.startedAt = scheduler_.now();
   const auto timeout = call.deadline - call.startedAt;
-  call.backendId = backend_.send(call.request, timeout, [this, key](BackendAnswer answer) {
-    onBackendAnswer(key, std::move(answer));
-  });
+  call.backendId = backend_.send(call.request, timeout,
+                                 [this, key](BackendAnswer answer) { onBackendAnswer(key, std::move(answer)); });
 }
 
 void EndpointCalls::onBackendAnswer(const CallKey& key, BackendAnswer answer) {
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -139,8 +139,9 @@
   const auto* route = table_ ? table_->match(call.inbound.host, path, call.inbound.method) : nullptr;
   if (route == nullptr) {
     const bool noTable = !table_;
-    call.lastFailure = failureAnswer(CallOutcome::NOT_RUN, noTable ? ErrorCode::kNoTable : ErrorCode::kNoRoute,
-                                     noTable ? kUnavailableStatus : kNotFoundStatus, noTable ? kDefaultRetryAfterMs : 0);
+    call.lastFailure =
+        failureAnswer(CallOutcome::NOT_RUN, noTable ? ErrorCode::kNoTable : ErrorCode::kNoRoute,
+                      noTable ? kUnavailableStatus : kNotFoundStatus, noTable ? kDefaultRetryAfterMs : 0);
     scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
       if (!alive.expired() && calls_.count(id) > 0) finish(id, calls_[id].lastFailure);
     });
@@ -173,8 +174,8 @@
   const auto* target = picker_.pick(endpoints, options_.zone, call.tried);
   if (target == nullptr) {
     if (call.attempts > 0) return finish(id, call.lastFailure);
-    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
-                                    kDefaultRetryAfterMs));
+    return finish(
+        id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus, kDefaultRetryAfterMs));
   }
   send(id, &call, *target);
 }
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -30,12 +30,12 @@
 struct EntryCounters {
   int64_t calls = 0;
   int64_t completed = 0;
-  int64_t refused = 0;       ///< final answers "not run"
-  int64_t unknown = 0;       ///< final answers "outcome unknown"
+  int64_t refused = 0;  ///< final answers "not run"
+  int64_t unknown = 0;  ///< final answers "outcome unknown"
   int64_t attempts = 0;
   int64_t retries = 0;
-  int64_t budgetSpent = 0;   ///< retries that the budget did not allow
-  int64_t lateAnswers = 0;   ///< answers that came after the call had ended; dropped
+  int64_t budgetSpent = 0;  ///< retries that the budget did not allow
+  int64_t lateAnswers = 0;  ///< answers that came after the call had ended; dropped
 };
 
 /// Identifies one call within this object; never reused.
@@ -121,7 +121,7 @@
   std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
   std::map<std::string, Link> links_;    // by endpoint
   std::map<base::ConnectionId, std::string> endpointOf_;
-  std::map<std::string, wire::EndpointState> states_;     // newest said of each endpoint
+  std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
   CallId nextCall_ = 1;
   int64_t nextAttempt_ = 1;
   EntryCounters counters_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -203,7 +203,8 @@
   const auto now = scheduler_.now();
   const double elapsed = std::chrono::duration<double>(now - admissionAt_).count();
   admissionAt_ = now;
-  admissionTokens_ = std::min<double>(options_.admissionBurst, admissionTokens_ + elapsed * options_.admissionsPerSecond);
+  admissionTokens_ =
+      std::min<double>(options_.admissionBurst, admissionTokens_ + elapsed * options_.admissionsPerSecond);
   if (admissionTokens_ < 1) return false;
   admissionTokens_ -= 1;
   return true;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -26,18 +26,18 @@
   std::string id;
   std::string zone;
   std::vector<base::Address> controllers;
-  std::vector<base::Address> peers;        ///< all other relays
+  std::vector<base::Address> peers;         ///< all other relays
   std::vector<ReleaseGroup> releaseGroups;  ///< groups that this relay is a member of
   base::Duration nodeHeartbeat = base::milliseconds(600);
   base::Duration nodeTimeout = base::seconds(4);  ///< a node that is silent for longer is dropped
   base::Duration reportInterval = base::seconds(1);
-  base::Duration endpointLease = base::seconds(2);  ///< after a node's connection was lost
-  base::Duration peerLease = base::seconds(5);      ///< after a relay's connection was lost
+  base::Duration endpointLease = base::seconds(2);        ///< after a node's connection was lost
+  base::Duration peerLease = base::seconds(5);            ///< after a relay's connection was lost
   base::Duration blockedLimit = base::milliseconds(800);  ///< nodes are sent away when releases stall for longer
   int admissionsPerSecond = 2000;
   int admissionBurst = 400;
-  bool fullPush = false;             ///< baseline for experiments
-  bool releaseQuorum = true;         ///< off only in the simulator
+  bool fullPush = false;              ///< baseline for experiments
+  bool releaseQuorum = true;          ///< off only in the simulator
   bool confirmRestartedNodes = true;  ///< off only in the simulator
 };
 
@@ -116,8 +116,8 @@
   membership::PeerLinks peers_;
   membership::EndpointDirectory endpoints_;
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
-  std::map<base::ConnectionId, wire::Hello> hellos_;  // open connections
-  std::map<std::string, int> connectionsOf_;  // open connections by peer id, for leases
+  std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
+  std::map<std::string, int> connectionsOf_;                               // open connections by peer id, for leases
   bool recovered_ = false;
   bool stopping_ = false;
   int64_t ownToken_ = 0;  // confirms the relay's own table after a start
--- a/src/relay/release_group.h
+++ b/src/relay/release_group.h
@@ -68,7 +68,7 @@
   void recompute();
 
   std::string ownId_;
-  std::map<std::string, ReleaseGroup> groups_;   // by zone
+  std::map<std::string, ReleaseGroup> groups_;  // by zone
   std::set<std::string> peers_;
   std::map<std::string, PeerHolding> holdings_;  // by relay id, without this one
   std::map<std::string, int64_t> released_;      // by zone
--- a/src/relay/slice_cache.h
+++ b/src/relay/slice_cache.h
@@ -41,8 +41,8 @@
   /// @param previous the same rows before, null where there was none
   /// @return slices that changed
   std::vector<std::shared_ptr<CachedSlice>> onTableChange(const table::Table& table,
-                                                         const std::vector<table::RowPtr>& changed,
-                                                         const std::vector<table::RowPtr>& previous);
+                                                          const std::vector<table::RowPtr>& changed,
+                                                          const std::vector<table::RowPtr>& previous);
 
   /// Computes every slice anew.
   /// @return slices that changed
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -6,9 +6,9 @@
 namespace driftlug::routing {
 namespace {
 
-constexpr double kAverageWeight = 0.2;       // of a new latency in the moving average
-constexpr double kAssumedLatencyUs = 1000;   // of an endpoint that was never used
-constexpr double kOtherZoneFactor = 1.3;     // how much dearer an endpoint of another zone counts
+constexpr double kAverageWeight = 0.2;      // of a new latency in the moving average
+constexpr double kAssumedLatencyUs = 1000;  // of an endpoint that was never used
+constexpr double kOtherZoneFactor = 1.3;    // how much dearer an endpoint of another zone counts
 constexpr double kLowestSlowStartShare = 0.1;
 
 double secondsOf(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -27,7 +27,7 @@
   base::Duration latencyMemory = base::seconds(10);  ///< half-life of an observed latency
   int ejectAfterFailures = 5;                        ///< consecutive failures
   base::Duration ejectFor = base::seconds(3);
-  double maxEjectedShare = 0.5;                      ///< of a service's endpoints
+  double maxEjectedShare = 0.5;  ///< of a service's endpoints
 };
 
 /// State of all endpoints that this node uses, kept across table versions.
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -77,7 +77,8 @@
 
 std::vector<EndpointTarget> RoutingTable::allEndpoints() const {
   std::vector<EndpointTarget> all;
-  for (const auto& [service, endpoints] : endpointsByService_) all.insert(all.end(), endpoints.begin(), endpoints.end());
+  for (const auto& [service, endpoints] : endpointsByService_)
+    all.insert(all.end(), endpoints.begin(), endpoints.end());
   return all;
 }
 
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -127,7 +127,7 @@
 absl::Status LogStore::write(const std::string& bytes) {
   if (failed_) return makeError(ErrorCode::kStorageFailed, "storage failed earlier");
   const auto name = segmentName(segment_);
-  const auto status = disk_.append(name, bytes);
+  auto status = disk_.append(name, bytes);
   if (status.ok()) {
     written_ += bytes.size();
     return status;
@@ -176,8 +176,7 @@
   disk_.sync(name, std::move(done));
 }
 
-void LogStore::saveSnapshot(const wire::LogSnapshot& snapshot, std::function<CarriedState()> carry,
-                            SyncCallback done) {
+void LogStore::saveSnapshot(const wire::LogSnapshot& snapshot, std::function<CarriedState()> carry, SyncCallback done) {
   const auto name = snapshotName(snapshot.index);
   const auto temporary = name + std::string(kTemporarySuffix);
   (void)disk_.remove(temporary);
--- a/src/storage/record_file.h
+++ b/src/storage/record_file.h
@@ -29,7 +29,7 @@
 /// Records read from a file.
 struct RecordScan {
   std::vector<Record> records;
-  size_t goodBytes = 0;  ///< length of the valid beginning
+  size_t goodBytes = 0;   ///< length of the valid beginning
   bool tornTail = false;  ///< whether bytes behind goodBytes were never synced and may be cut
 };
 
--- a/src/table/row.cc
+++ b/src/table/row.cc
@@ -49,7 +49,8 @@
 
 bool bodyMatchesKind(const Row& row) {
   const auto& set = row.__isset;
-  const int bodies = set.serviceRow + set.endpointRow + set.routeRow + set.limitRow + set.retryPolicyRow + set.secretRow;
+  const int bodies =
+      set.serviceRow + set.endpointRow + set.routeRow + set.limitRow + set.retryPolicyRow + set.secretRow;
   if (row.deleted) return bodies == 0;
   if (bodies != 1) return false;
   switch (row.key.kind) {
--- a/src/table/slice.h
+++ b/src/table/slice.h
@@ -64,9 +64,9 @@
   };
 
   Interest interest_;
-  std::map<RowKey, Member, RowKeyLess> members_;       // rows of the slice
-  std::map<RowKey, int64_t, RowKeyLess> departed_;     // keys that left, with the revision
-  std::set<std::string> services_;                     // services whose rows are members
+  std::map<RowKey, Member, RowKeyLess> members_;    // rows of the slice
+  std::map<RowKey, int64_t, RowKeyLess> departed_;  // keys that left, with the revision
+  std::set<std::string> services_;                  // services whose rows are members
   DigestSum digest_;
   int64_t firstRevision_ = 0;
   int64_t revision_ = 0;
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -73,13 +73,13 @@
   void unlink(const Row& row);
   void link(const Row& row);
 
-  RowMap rows_;                          // live rows
-  RowMap tombstones_;                    // deleted rows above horizon_
+  RowMap rows_;                                                 // live rows
+  RowMap tombstones_;                                           // deleted rows above horizon_
   std::map<int64_t, std::set<RowKey, RowKeyLess>> byRevision_;  // keys of rows_ and tombstones_ by revision
-  NameIndex endpointsByService_;         // of live rows
-  NameIndex limitsByService_;            // of live rows
-  NameIndex routesByHost_;               // of live rows
-  DigestSum digest_;                     // over rows_
+  NameIndex endpointsByService_;                                // of live rows
+  NameIndex limitsByService_;                                   // of live rows
+  NameIndex routesByHost_;                                      // of live rows
+  DigestSum digest_;                                            // over rows_
   int64_t revision_ = 0;
   int64_t horizon_ = 0;
 };
--- a/src/table/validator.cc
+++ b/src/table/validator.cc
@@ -93,7 +93,8 @@
     std::vector<Problem> found;
     checkReferences(*row, table, &found);
     for (auto& problem : found) {
-      if (problem.kind != ProblemKind::kUnknownReference || !absl::StrContains(problem.sentence, deleted.name)) continue;
+      if (problem.kind != ProblemKind::kUnknownReference || !absl::StrContains(problem.sentence, deleted.name))
+        continue;
       problem.kind = ProblemKind::kDanglingReference;
       problem.sentence = "still refers to deleted " + keyText(deleted);
       problems->push_back(problem);
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -51,7 +51,14 @@
   lws_adopt_descriptor_vhost(timerVhost_, LWS_ADOPT_RAW_FILE_DESC, file, "timer", nullptr);
 }
 
-EventLoop::~EventLoop() { lws_context_destroy(context_); }
+EventLoop::~EventLoop() { close(); }
+
+void EventLoop::close() {
+  if (context_ == nullptr) return;
+  running_ = true;  // callbacks of closing sockets may schedule, but nothing runs any more
+  lws_context_destroy(context_);
+  context_ = nullptr;
+}
 
 base::TimePoint EventLoop::now() const {
   return std::chrono::time_point_cast<base::Duration>(std::chrono::steady_clock::now());
@@ -109,8 +116,9 @@
 
 void EventLoop::run() {
   while (!stopped_) {
-    if (lws_service(context_, 0) < 0) return;
+    if (lws_service(context_, 0) < 0) break;
   }
+  close();
 }
 
 void EventLoop::onTerminate(std::function<void()> callback) {
@@ -123,8 +131,8 @@
   });
 }
 
-lws_vhost* EventLoop::listen(const std::string& name, const std::string& host, int port,
-                             const lws_protocols* protocols, const char* role) {
+lws_vhost* EventLoop::listen(const std::string& name, const std::string& host, int port, const lws_protocols* protocols,
+                             const char* role) {
   lws_context_creation_info info{};
   info.port = port;
   info.iface = host.c_str();
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -29,6 +29,10 @@
   /// Runs until stop() is called.
   void run();
 
+  /// Closes all sockets. Must come before the objects that own listeners and connections are destroyed; run()
+  /// ends with it.
+  void close();
+
   /// Ends run() after the current turn.
   void stop() { stopped_ = true; }
 
@@ -61,10 +65,10 @@
   lws_vhost* timerVhost_ = nullptr;
   int timerFile_ = -1;
   bool stopped_ = false;
-  bool running_ = false;                                          // inside runDue()
+  bool running_ = false;  // inside runDue()
   base::TimerId nextId_ = 1;
-  std::map<Due, std::function<void()>> due_;                      // by time, then by order of scheduling
-  std::unordered_map<base::TimerId, base::TimePoint> timeOf_;     // of timers in due_
+  std::map<Due, std::function<void()>> due_;                   // by time, then by order of scheduling
+  std::unordered_map<base::TimerId, base::TimePoint> timeOf_;  // of timers in due_
   base::TimePoint armedFor_{};
 };
 
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -19,7 +19,7 @@
   protocols_[0].name = "frames";
   protocols_[0].callback = &FrameTransport::onEvent;
   protocols_[0].user = this;
-  protocols_[0].rx_buffer_size = 64 * 1024;
+  protocols_[0].rx_buffer_size = size_t{64} * 1024;
   clientVhost_ = loop_.createClientVhost(name_ + "-client", protocols_);
 }
 
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -12,8 +12,8 @@
 /// A whole request.
 struct HttpRequest {
   std::string method;
-  std::string path;   ///< without the query
-  std::string query;  ///< without '?'
+  std::string path;                       ///< without the query
+  std::string query;                      ///< without '?'
   std::vector<wire::HttpHeader> headers;  ///< names in lower case, hop-by-hop ones left out
   std::string body;
   bool firstOnConnection = false;  ///< set by a server for the first request of a connection
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -11,10 +11,33 @@
 namespace {
 
 constexpr uint16_t kKeepWarmSeconds = 20;
-constexpr size_t kReadBufferBytes = 64 * 1024;
+constexpr size_t kReadBufferBytes = size_t{64} * 1024;
+constexpr size_t kMaxHeadBytes = size_t{8} * 1024;
 /// Time in which libwebsockets has certainly closed a connection that it was told to kill.
 constexpr base::Duration kKillDelay = base::milliseconds(10);
 
+/// Puts another host name into the request head that libwebsockets has written so far.
+/// @param position where the head ends; moved with it
+/// @return whether the result fits before end
+bool replaceHost(std::string_view current, std::string_view wanted, unsigned char** position,
+                 const unsigned char* end) {
+  const std::string field = "Host: " + std::string(current) + "\r\n";
+  auto* head = reinterpret_cast<char*>(*position);
+  // The head holds the field exactly once, at most kMaxHeadBytes before its end.
+  for (size_t back = field.size(); back < kMaxHeadBytes; ++back) {
+    char* start = head - back;
+    if (std::memcmp(start, field.data(), field.size()) != 0) continue;
+    const auto growth = static_cast<ptrdiff_t>(wanted.size()) - static_cast<ptrdiff_t>(current.size());
+    if (*position + growth >= end) return false;
+    char* rest = start + field.size() - 2;
+    std::memmove(rest + growth, rest, static_cast<size_t>(head - rest));
+    std::memcpy(rest - current.size(), wanted.data(), wanted.size());
+    *position += growth;
+    return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 HttpClientPool::HttpClientPool(EventLoop& loop, std::string name, std::string host, int port, size_t maxConnections)
@@ -65,15 +88,14 @@
   });
   std::string path = active->request.path;
   if (!active->request.query.empty()) path += "?" + active->request.query;
-  const auto hostHeader = std::string(active->request.header("host"));
   lws_client_connect_info info{};
   info.context = loop_.context();
   info.vhost = slots_[active->slot];
   info.address = host_.c_str();
   info.port = port_;
   info.path = path.c_str();
-  info.host = hostHeader.empty() ? host_.c_str() : hostHeader.c_str();
-  info.origin = info.host;
+  // libwebsockets reuses a connection only when this equals the address; replaceHost() puts the real name in.
+  info.host = host_.c_str();
   info.method = active->request.method.c_str();
   info.local_protocol_name = protocols_[0].name;
   info.opaque_user_data = reinterpret_cast<void*>(id);
@@ -150,6 +172,8 @@
 int HttpClientPool::appendHeaders(Active* active, lws* wsi, unsigned char** position, size_t room) {
   active->handshakeSent = true;
   auto* end = *position + room;
+  const auto hostName = active->request.header("host");
+  if (!hostName.empty() && hostName != host_ && !replaceHost(host_, hostName, position, end)) return -1;
   auto headers = active->request.headers;
   std::erase_if(headers, [](const auto& header) { return header.name == "host" || header.name == "origin"; });
   if (!writeHeaders(wsi, headers, position, end)) return -1;
@@ -216,7 +240,8 @@
   }
   auto& result = active->result;
   const auto received = static_cast<int64_t>(result.response.body.size());
-  const bool headOnly = active->request.method == "HEAD" || result.response.status == 204 || result.response.status == 304;
+  const bool headOnly =
+      active->request.method == "HEAD" || result.response.status == 204 || result.response.status == 304;
   const bool whole = active->completed && (headOnly || active->contentLength < 0 || active->contentLength == received);
   if (whole) {
     result.outcome = HttpOutcome::kCompleted;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -96,8 +96,8 @@
   int port_;
   size_t maxConnections_;
   lws_protocols protocols_[2];
-  std::vector<lws_vhost*> slots_;    // one connection each
-  std::vector<size_t> freeSlots_;    // most recently used last
+  std::vector<lws_vhost*> slots_;  // one connection each
+  std::vector<size_t> freeSlots_;  // most recently used last
   HttpRequestId nextId_ = 1;
   std::map<HttpRequestId, std::unique_ptr<Active>> active_;
   std::deque<Waiting> waiting_;
--- a/src/transport/http_headers.cc
+++ b/src/transport/http_headers.cc
@@ -9,8 +9,8 @@
 namespace {
 
 std::vector<std::string>& mutableCustomNames() {
-  static std::vector<std::string> names = {"idempotency-key", "x-request-id", "x-load", "x-deadline-ms", "x-shed",
-                                           "x-priority"};
+  static std::vector<std::string> names = {"idempotency-key", "x-request-id", "x-load",
+                                           "x-deadline-ms",   "x-shed",       "x-priority"};
   return names;
 }
 
--- a/src/transport/http_headers.h
+++ b/src/transport/http_headers.h
@@ -24,7 +24,6 @@
 
 /// Writes headers behind *position.
 /// @return whether they fitted before end
-bool writeHeaders(lws* wsi, const std::vector<wire::HttpHeader>& headers, unsigned char** position,
-                  unsigned char* end);
+bool writeHeaders(lws* wsi, const std::vector<wire::HttpHeader>& headers, unsigned char** position, unsigned char* end);
 
 }  // namespace driftlug::transport
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -10,8 +10,8 @@
 namespace driftlug::transport {
 namespace {
 
-constexpr size_t kMaxHeaderBytes = 32 * 1024;
-constexpr size_t kMaxWriteBytes = 256 * 1024;
+constexpr size_t kMaxHeaderBytes = size_t{32} * 1024;
+constexpr size_t kMaxWriteBytes = size_t{256} * 1024;
 constexpr int kBodyTimeoutSeconds = 10;
 
 struct MethodToken {
@@ -20,8 +20,8 @@
 };
 
 constexpr MethodToken kMethods[] = {
-    {WSI_TOKEN_GET_URI, "GET"},     {WSI_TOKEN_POST_URI, "POST"},       {WSI_TOKEN_PUT_URI, "PUT"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"}, {WSI_TOKEN_DELETE_URI, "DELETE"},   {WSI_TOKEN_HEAD_URI, "HEAD"},
+    {WSI_TOKEN_GET_URI, "GET"},         {WSI_TOKEN_POST_URI, "POST"},     {WSI_TOKEN_PUT_URI, "PUT"},
+    {WSI_TOKEN_PATCH_URI, "PATCH"},     {WSI_TOKEN_DELETE_URI, "DELETE"}, {WSI_TOKEN_HEAD_URI, "HEAD"},
     {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
 };
 
@@ -45,7 +45,7 @@
   protocols_[0].name = "http";
   protocols_[0].callback = &HttpServer::onEvent;
   protocols_[0].user = this;
-  protocols_[0].rx_buffer_size = 64 * 1024;
+  protocols_[0].rx_buffer_size = size_t{64} * 1024;
   protocols_[0].per_session_data_size = sizeof(int);  // requests seen on the connection
 }
 
--- /dev/null
+++ b/test/storage/log_store_test.cc
@@ -0,0 +1,130 @@
+#include "storage/log_store.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/error.h"
+#include "memory_disk.h"
+
+using namespace driftlug;
+
+namespace {
+
+wire::LogEntry entry(int64_t index, int64_t term) {
+  wire::LogEntry entry;
+  entry.index = index;
+  entry.term = term;
+  entry.kind = wire::EntryKind::NOOP;
+  return entry;
+}
+
+storage::RecoveredState reopen(test::MemoryDisk& disk) {
+  storage::LogStore store(disk);
+  auto state = store.open();
+  REQUIRE(state.ok());
+  return *state;
+}
+
+}  // namespace
+
+TEST_CASE("entries and hard state are recovered; later entries replace a cut suffix") {
+  test::MemoryDisk disk;
+  storage::LogStore store(disk);
+  REQUIRE(store.open().ok());
+  wire::HardState hard;
+  hard.term = 3;
+  hard.identity = "c1-x";
+  REQUIRE(store.saveHardState(hard).ok());
+  REQUIRE(store.append({entry(1, 1), entry(2, 1), entry(3, 1)}).ok());
+  REQUIRE(store.append({entry(2, 2)}).ok());
+  const auto state = reopen(disk);
+  CHECK(state.hardState.identity == "c1-x");
+  REQUIRE(state.entries.size() == 2);
+  CHECK(state.entries[1].term == 2);
+}
+
+TEST_CASE("calls that wait share one sync") {
+  test::MemoryDisk disk;
+  storage::LogStore store(disk);
+  REQUIRE(store.open().ok());
+  int done = 0;
+  const auto count = [&done](const absl::Status&) { ++done; };
+  REQUIRE(store.append({entry(1, 1)}).ok());
+  store.sync(count);
+  store.sync(count);
+  store.sync(count);
+  CHECK(disk.pending.size() == 1);
+  disk.finishSyncs();
+  CHECK(done == 3);
+}
+
+TEST_CASE("a full disk refuses entries and leaves what was there") {
+  test::MemoryDisk disk;
+  storage::LogStore store(disk);
+  REQUIRE(store.open().ok());
+  REQUIRE(store.append({entry(1, 1)}).ok());
+  disk.capacity = store.segmentBytes() + 10;
+  CHECK(base::errorCodeOf(store.append({entry(2, 1)})) == base::ErrorCode::kStorageFull);
+  CHECK_FALSE(store.failed());
+  disk.capacity = SIZE_MAX;
+  REQUIRE(store.append({entry(2, 1)}).ok());
+  CHECK(reopen(disk).entries.size() == 2);
+}
+
+TEST_CASE("a failed sync ends writing for good") {
+  test::MemoryDisk disk;
+  storage::LogStore store(disk);
+  REQUIRE(store.open().ok());
+  disk.syncResult = base::makeError(base::ErrorCode::kStorageFailed, "broken");
+  absl::Status seen;
+  store.sync([&seen](const absl::Status& status) { seen = status; });
+  disk.finishSyncs();
+  CHECK_FALSE(seen.ok());
+  CHECK(base::errorCodeOf(store.append({entry(1, 1)})) == base::ErrorCode::kStorageFailed);
+}
+
+TEST_CASE("a snapshot replaces older segments and keeps entries written meanwhile") {
+  test::MemoryDisk disk;
+  storage::LogStore store(disk);
+  REQUIRE(store.open().ok());
+  std::vector<wire::LogEntry> log = {entry(1, 1), entry(2, 1), entry(3, 1)};
+  REQUIRE(store.append(log).ok());
+  wire::LogSnapshot snapshot;
+  snapshot.index = 2;
+  snapshot.term = 1;
+  snapshot.state = "state";
+  bool saved = false;
+  store.saveSnapshot(
+      snapshot,
+      [&] {
+        return storage::CarriedState{{}, {log.begin() + 2, log.end()}};
+      },
+      [&](const absl::Status& status) { saved = status.ok(); });
+  log.push_back(entry(4, 1));
+  REQUIRE(store.append({log.back()}).ok());
+  disk.finishSyncs();
+  REQUIRE(saved);
+  const auto state = reopen(disk);
+  REQUIRE(state.snapshot);
+  CHECK(state.snapshot->state == "state");
+  REQUIRE(state.entries.size() == 2);
+  CHECK(state.entries.back().index == 4);
+  CHECK(disk.files.size() <= 3);
+}
+
+TEST_CASE("a crash at every byte of the last segment is recovered") {
+  test::MemoryDisk disk;
+  storage::LogStore store(disk);
+  REQUIRE(store.open().ok());
+  for (int64_t index = 1; index <= 20; ++index) REQUIRE(store.append({entry(index, 1)}).ok());
+  const auto name = disk.files.begin()->first;
+  const auto bytes = disk.files.begin()->second;
+  size_t previous = 0;
+  for (size_t cut = 0; cut <= bytes.size(); ++cut) {
+    test::MemoryDisk crashed;
+    crashed.files[name] = bytes.substr(0, cut);
+    const auto state = reopen(crashed);
+    CHECK(state.entries.size() >= previous);
+    previous = state.entries.size();
+  }
+  CHECK(previous == 20);
+}
--- a/tools/backend_main.cc
+++ b/tools/backend_main.cc
@@ -71,7 +71,8 @@
     if (request.path == "/control") return control(exchange, request);
     int deadlineMs = 0;
     (void)absl::SimpleAtoi(std::string(request.header("x-deadline-ms")), &deadlineMs);
-    const auto limit = deadlineMs > 0 ? base::Duration(base::milliseconds(deadlineMs)) : base::Duration(base::seconds(60));
+    const auto limit =
+        deadlineMs > 0 ? base::Duration(base::milliseconds(deadlineMs)) : base::Duration(base::seconds(60));
     waiting_.push_back({exchange, std::move(request), loop_.now() + limit});
     if (waiting_.size() > static_cast<size_t>(FLAGS_queue)) {
       const auto shed = std::move(waiting_.back());
@@ -155,7 +156,8 @@
 
   void answerHealth(ExchangeId exchange) {
     const bool good = !draining_ || FLAGS_health_lies;
-    server_.respond(exchange, transport::jsonResponse(good ? 200 : 503, good ? "{\"status\":\"ok\"}\n" : "{\"status\":\"draining\"}\n"));
+    server_.respond(exchange, transport::jsonResponse(good ? 200 : 503,
+                                                      good ? "{\"status\":\"ok\"}\n" : "{\"status\":\"draining\"}\n"));
   }
 
   void answerRecord(ExchangeId exchange) {
--- a/tools/call_content.h
+++ b/tools/call_content.h
@@ -20,8 +20,6 @@
 }
 
 /// @return a digest of a request body.
-inline std::string digestOf(const std::string& body) {
-  return std::to_string(XXH3_64bits(body.data(), body.size()));
-}
+inline std::string digestOf(const std::string& body) { return std::to_string(XXH3_64bits(body.data(), body.size())); }
 
 }  // namespace driftlug::tools
--- /dev/null
+++ b/tools/fleet_main.cc
@@ -0,0 +1,157 @@
+/// driftlug-fleet: runs a deployment as processes on loopback and measures it.
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
+#include "base/settings.h"
+#include "daemon.h"
+#include "fleet.h"
+#include "scenario.h"
+
+DEFINE_string(deployment, "examples/crash-report", "folder of the deployment");
+DEFINE_string(scenario, "", "TOML file with steps; empty for edits alone");
+DEFINE_string(report, "", "folder for logs and report.json");
+DEFINE_int32(duration_ms, 6000, "time in which calls begin");
+DEFINE_int32(edits, 20, "edits made while calls run");
+DEFINE_double(rate, 0, "calls a second; 0 for the deployment's own");
+DEFINE_int32(seed, 1, "seed of the load");
+DEFINE_bool(emulate_latency, true, "delay frames and calls by the deployment's latencies");
+DEFINE_bool(full_push, false, "baseline: send everything with each update");
+
+namespace {
+
+using namespace driftlug;
+using nlohmann::json;
+
+std::string folderOf(const std::string& program) {
+  const auto slash = program.rfind('/');
+  return slash == std::string::npos ? "." : program.substr(0, slash);
+}
+
+double percentile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1, static_cast<size_t>(share * static_cast<double>(values.size())))];
+}
+
+/// Measurements of the edits of one run.
+struct EditMeasurements {
+  std::vector<double> convergenceMs;
+  int accepted = 0;
+  int failed = 0;
+};
+
+/// An edit that touches the limit of one service; nodes of that service and all entries need it.
+json limitEdit(const tools::DeployedService& service, int step) {
+  const json row = {
+      {"service", service.name}, {"max_concurrent", service.slots}, {"max_queued", 4 * service.slots + step % 7}};
+  return json::array({{{"kind", "limit"}, {"name", service.name}, {"expected_revision", -1}, {"row", row}}});
+}
+
+void makeEdits(tools::Fleet& fleet, int count, base::Duration pause, EditMeasurements* out) {
+  constexpr int kLimitMs = 30'000;
+  const auto& services = fleet.deployment().services;
+  for (int i = 0; i < count; ++i) {
+    const auto answer = fleet.edit(limitEdit(services[static_cast<size_t>(i) % services.size()], i + 1));
+    const auto accepted = fleet.http().loop().now();
+    if (answer.status != 200) {
+      ++out->failed;
+      continue;
+    }
+    ++out->accepted;
+    const double took = fleet.waitEverywhere(answer.body.value("revision", int64_t{0}), accepted, kLimitMs);
+    if (took >= 0) {
+      out->convergenceMs.push_back(took);
+    } else {
+      ++out->failed;
+    }
+    fleet.http().wait(pause);
+  }
+}
+
+json convergenceSummary(const std::vector<double>& values) {
+  return {{"p50", percentile(values, 0.5)}, {"p99", percentile(values, 0.99)}, {"max", percentile(values, 1)}};
+}
+
+int run() {
+  const auto deployment = tools::readDeployment(FLAGS_deployment);
+  if (!deployment.ok()) apps::exitWithError(deployment.status());
+  tools::Scenario scenario;
+  if (!FLAGS_scenario.empty()) {
+    auto read = tools::readScenario(FLAGS_scenario);
+    if (!read.ok()) apps::exitWithError(read.status());
+    scenario = std::move(*read);
+  }
+  tools::FleetOptions options;
+  options.binaries = folderOf(gflags::GetArgv0());
+  options.report = FLAGS_report;
+  options.emulateLatency = FLAGS_emulate_latency;
+  if (FLAGS_full_push) {
+    options.controllerFlags.push_back("--full-push");
+    options.relayFlags.push_back("--full-push");
+  }
+  tools::Fleet fleet(*deployment, options);
+  if (const auto status = fleet.start(); !status.ok()) {
+    std::fprintf(stderr, "%s\n", base::errorText(status).c_str());
+    return 1;
+  }
+  const double rate = FLAGS_rate > 0 ? FLAGS_rate : deployment->rate;
+  const double bytesBefore = fleet.sumMetric(fleet.relays(), "frame_bytes_sent_total") +
+                             fleet.sumMetric(fleet.controllers(), "frame_bytes_sent_total");
+  const double updatesBefore = fleet.sumMetric(fleet.relays(), "relay_update_bytes_total") +
+                               fleet.sumMetric(fleet.controllers(), "controller_update_bytes_total");
+  fleet.startLoad("load", rate, FLAGS_duration_ms, FLAGS_seed);
+  EditMeasurements edits;
+  const base::Duration pause = base::milliseconds(FLAGS_duration_ms) / (2 * std::max(1, FLAGS_edits));
+  if (scenario.steps.empty()) {
+    makeEdits(fleet, FLAGS_edits, pause, &edits);
+  } else {
+    tools::runScenario(scenario, fleet, [&] { makeEdits(fleet, 1, base::Duration(0), &edits); });
+  }
+  const auto load = fleet.finishLoad("load", FLAGS_duration_ms + 60'000);
+  const double controlBytes = fleet.sumMetric(fleet.relays(), "frame_bytes_sent_total") +
+                              fleet.sumMetric(fleet.controllers(), "frame_bytes_sent_total") - bytesBefore;
+  const double updateBytes = fleet.sumMetric(fleet.relays(), "relay_update_bytes_total") +
+                             fleet.sumMetric(fleet.controllers(), "controller_update_bytes_total") - updatesBefore;
+  const auto records = fleet.checkRecords({"load"});
+  const auto stuck = fleet.stop();
+
+  json report = {{"deployment", deployment->name}, {"scenario", scenario.name}, {"load", load}};
+  report["calls_ok"] = load.value("ok", int64_t{0});
+  report["calls_failed"] = load.value("calls", int64_t{0}) - load.value("ok", int64_t{0});
+  report["lost"] = load.value("lost", int64_t{0}) + records.lost;
+  report["duplicated"] = records.doubled;
+  report["false_not_run"] = records.falseNotRun;
+  report["crossed"] = load.value("crossed", int64_t{0});
+  report["truncated"] = load.value("truncated", int64_t{0});
+  report["edits_accepted"] = edits.accepted;
+  report["edits_failed"] = edits.failed;
+  report["convergence_ms"] = convergenceSummary(edits.convergenceMs);
+  report["control_bytes"] = static_cast<int64_t>(controlBytes);
+  report["update_bytes"] = static_cast<int64_t>(updateBytes);
+  report["not_stopped"] = stuck;
+  std::ofstream(FLAGS_report + "/report.json") << report.dump(2) << "\n";
+  const bool callsFailed = scenario.callsMayFail ? false : report["calls_failed"] != 0;
+  const bool wrong = load.contains("failed") || report["lost"] != 0 || report["duplicated"] != 0 ||
+                     report["false_not_run"] != 0 || report["crossed"] != 0 || report["truncated"] != 0 ||
+                     edits.failed != 0 || !stuck.empty();
+  std::printf("%s\n", report.dump().c_str());
+  return callsFailed || wrong ? 1 : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  base::declareRange("duration_ms", 1, 3'600'000);
+  base::declareRange("edits", 0, 100'000);
+  gflags::SetArgv(argc, const_cast<const char**>(argv));
+  auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
+  apps::configureLogsFromSettings();
+  if (arguments.size() != 1 || arguments[0] != "run" || FLAGS_report.empty()) {
+    std::fprintf(stderr, "bad_flag: the command is 'run', with --report FOLDER\n");
+    return 2;
+  }
+  return run();
+}
--- a/tools/load_main.cc
+++ b/tools/load_main.cc
@@ -134,14 +134,15 @@
     auto& target = *targets_[random_.below(targets_.size())];
     const auto begun = loop_.now();
     const base::Duration delay(FLAGS_emulated_delay_us);
-    loop_.schedule(delay, [this, &target, &kind, request = std::move(request), id, filing, expectedDigest, begun, delay] {
-      target.send(request, base::milliseconds(FLAGS_call_timeout_ms),
-                  [this, &kind, id, filing, expectedDigest, begun, delay](const transport::HttpResult& result) {
-                    loop_.schedule(delay, [this, &kind, id, filing, expectedDigest, begun, result] {
-                      onResult(&kind, id, filing, expectedDigest, begun, result);
-                    });
-                  });
-    });
+    loop_.schedule(
+        delay, [this, &target, &kind, request = std::move(request), id, filing, expectedDigest, begun, delay] {
+          target.send(request, base::milliseconds(FLAGS_call_timeout_ms),
+                      [this, &kind, id, filing, expectedDigest, begun, delay](const transport::HttpResult& result) {
+                        loop_.schedule(delay, [this, &kind, id, filing, expectedDigest, begun, result] {
+                          onResult(&kind, id, filing, expectedDigest, begun, result);
+                        });
+                      });
+        });
   }
 
   void onResult(CallKind* kind, const std::string& id, bool filing, const std::string& expectedDigest,
--- /dev/null
+++ b/tools/process_group.cc
@@ -0,0 +1,119 @@
+#include "process_group.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+extern char** environ;
+
+namespace driftlug::tools {
+namespace {
+
+constexpr int kPollMs = 5;
+constexpr int kSignalBase = 128;
+
+}  // namespace
+
+ProcessGroup::~ProcessGroup() {
+  for (auto& [name, process] : processes_) {
+    if (process.pid == 0) continue;
+    ::kill(process.pid, SIGKILL);
+    collect(&process, true);
+  }
+}
+
+bool ProcessGroup::start(const std::string& name, const std::vector<std::string>& command) {
+  std::vector<char*> arguments;
+  for (const auto& argument : command) arguments.push_back(const_cast<char*>(argument.c_str()));
+  arguments.push_back(nullptr);
+  const auto out = folder_ + "/" + name + ".out";
+  const auto log = folder_ + "/" + name + ".log";
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  pid_t pid = 0;
+  const int result = posix_spawn(&pid, command[0].c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (result != 0) return false;
+  processes_[name] = {pid, 0, command};
+  return true;
+}
+
+bool ProcessGroup::startAgain(const std::string& name) {
+  const auto command = processes_[name].command;
+  return start(name, command);
+}
+
+void ProcessGroup::collect(Process* process, bool block) {
+  if (process->pid == 0) return;
+  int status = 0;
+  if (::waitpid(process->pid, &status, block ? 0 : WNOHANG) != process->pid) return;
+  process->pid = 0;
+  process->exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : kSignalBase + WTERMSIG(status);
+}
+
+void ProcessGroup::signal(const std::string& name, int number) {
+  auto& process = processes_[name];
+  collect(&process, false);
+  if (process.pid != 0) ::kill(process.pid, number);
+}
+
+bool ProcessGroup::running(const std::string& name) {
+  auto& process = processes_[name];
+  collect(&process, false);
+  return process.pid != 0;
+}
+
+int ProcessGroup::waitFor(const std::string& name, int timeoutMs) {
+  auto& process = processes_[name];
+  for (int waited = 0; waited < timeoutMs; waited += kPollMs) {
+    collect(&process, false);
+    if (process.pid == 0) return process.exitCode;
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+  }
+  ::kill(process.pid, SIGKILL);
+  collect(&process, true);
+  return -1;
+}
+
+std::string ProcessGroup::output(const std::string& name) const {
+  std::ifstream stream(folder_ + "/" + name + ".out");
+  return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+}
+
+pid_t ProcessGroup::pidOf(const std::string& name) const {
+  const auto found = processes_.find(name);
+  return found == processes_.end() ? 0 : found->second.pid;
+}
+
+std::vector<int> findFreePorts(size_t count) {
+  std::vector<int> sockets;
+  std::vector<int> ports;
+  for (size_t i = 0; i < count; ++i) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    sockets.push_back(fd);
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), length) != 0) continue;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    ports.push_back(ntohs(address.sin_port));
+  }
+  for (const int fd : sockets) ::close(fd);
+  return ports;
+}
+
+}  // namespace driftlug::tools
