--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -8,6 +8,7 @@
 namespace {
 
 bool jsonForm = false;
+thread_local const TimeSource* shownClock = nullptr;
 
 }  // namespace
 
@@ -20,11 +21,17 @@
   spdlog::set_default_logger(logger);
 }
 
+void showLogTime(const TimeSource* clock) { shownClock = clock; }
+
 Logger::Logger(std::string_view prefix) : prefix_(prefix) {}
 
 void Logger::write(spdlog::level::level_enum level, const std::string& sentence) const {
   auto* logger = spdlog::default_logger_raw();
-  if (!logger->should_log(level)) return;
+  if (shownClock != nullptr) {
+    const auto virtualSeconds = std::chrono::duration<double>(shownClock->now().time_since_epoch()).count();
+    logger->log(level, "[{:.6f}] {}: {}", virtualSeconds, prefix_, sentence);
+    return;
+  }
   if (!jsonForm) {
     logger->log(level, "{}: {}", prefix_, sentence);
     return;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/time.h"
+
 namespace driftlug::base {
 
 /// Sets the process-wide form of logs.
@@ -14,6 +16,9 @@
 /// @param level spdlog's name of the lowest level that is written
 void configureLogs(bool json, std::string_view level);
 
+/// Shows this clock's time in the lines of the current thread; null for none. For simulations.
+void showLogTime(const TimeSource* clock);
+
 /// Writes log lines behind one fixed prefix, such as `control:`.
 class Logger {
  public:
@@ -21,22 +26,23 @@
 
   template <typename... Args>
   void debug(fmt::format_string<Args...> format, Args&&... args) const {
-    write(spdlog::level::debug, fmt::format(format, std::forward<Args>(args)...));
+    if (enabled(spdlog::level::debug)) write(spdlog::level::debug, fmt::format(format, std::forward<Args>(args)...));
   }
   template <typename... Args>
   void info(fmt::format_string<Args...> format, Args&&... args) const {
-    write(spdlog::level::info, fmt::format(format, std::forward<Args>(args)...));
+    if (enabled(spdlog::level::info)) write(spdlog::level::info, fmt::format(format, std::forward<Args>(args)...));
   }
   template <typename... Args>
   void warn(fmt::format_string<Args...> format, Args&&... args) const {
-    write(spdlog::level::warn, fmt::format(format, std::forward<Args>(args)...));
+    if (enabled(spdlog::level::warn)) write(spdlog::level::warn, fmt::format(format, std::forward<Args>(args)...));
   }
   template <typename... Args>
   void error(fmt::format_string<Args...> format, Args&&... args) const {
-    write(spdlog::level::err, fmt::format(format, std::forward<Args>(args)...));
+    if (enabled(spdlog::level::err)) write(spdlog::level::err, fmt::format(format, std::forward<Args>(args)...));
   }
 
  private:
+  static bool enabled(spdlog::level::level_enum level) { return spdlog::default_logger_raw()->should_log(level); }
   void write(spdlog::level::level_enum level, const std::string& sentence) const;
 
   std::string prefix_;  // fixed at construction
--- a/src/base/network.h
+++ b/src/base/network.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "base/time.h"
 #include "wire/frame.h"
 
 namespace driftlug::base {
@@ -36,6 +37,10 @@
   virtual void onClose(ConnectionId connection) = 0;
 };
 
+/// How often a connection that may be idle carries a keep-alive, so that a peer whose machine lost the connection
+/// in silence resets it.
+constexpr Duration kConnectionKeepAlive = seconds(1);
+
 /// Opens connections and sends frames on them, in order for each connection.
 class Network {
  public:
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -25,6 +25,7 @@
       random_(random),
       network_(network),
       store_(disk),
+      state_(options_.checks),
       links_(network, scheduler, base::RandomSource(random_.bits())),
       relays_(network),
       convergence_(scheduler, options_.nodeLease),
@@ -77,6 +78,10 @@
   hello.zone = options_.zone;
   hello.blank = raft_->blank();
   network_.setHello(hello);
+  // Others may add only a blank controller; those that are connected must not go by what was once true.
+  for (const auto& [connection, peer] : peers_) {
+    if (peer.role == wire::Role::CONTROLLER) network_.send(connection, wire::encodeFrame(hello));
+  }
 }
 
 void Controller::updateLinks() {
@@ -123,7 +128,7 @@
     answer.leaderName = leaderName();
     return done(answer);
   }
-  if (const auto* known = state_.findOutcome(edit.requestId)) {
+  if (const auto* known = state_.findOutcome(edit.requestId); known != nullptr && options_.checks.resends) {
     answer.code = static_cast<ErrorCode>(known->code);
     answer.outcome = *known;
     if (known->fingerprint != fingerprintOf(edit)) answer.code = ErrorCode::kRequestIdReused;
@@ -193,7 +198,13 @@
 void Controller::onMessage(base::ConnectionId connection, wire::Message message) {
   const auto peer = peers_.find(connection);
   if (peer == peers_.end() || !raft_) return;
+  if (peer->second.role == wire::Role::TOOL) return;
   if (peer->second.role != wire::Role::CONTROLLER) return onRelayMessage(connection, message);
+  if (const auto* hello = std::get_if<wire::Hello>(&message)) {
+    peer->second = *hello;
+    links_.onHello(connection, *hello);
+    return;
+  }
   const bool wasBlank = raft_->blank();
   raft_->onMessage(peer->second.id, message);
   if (wasBlank && !raft_->blank()) announce();
@@ -201,6 +212,7 @@
 
 void Controller::onRelayMessage(base::ConnectionId connection, const wire::Message& message) {
   const auto& relayId = peers_[connection].id;
+  if (std::holds_alternative<wire::KeepAlive>(message)) return relays_.heard(connection, scheduler_.now());
   if (raft_->role() != RaftRole::kLeader) {
     wire::NotLeader notLeader;
     notLeader.leaderId = raft_->leaderId();
@@ -210,6 +222,7 @@
   relays_.heard(connection, scheduler_.now());
   if (const auto* subscribe = std::get_if<wire::RelaySubscribe>(&message)) {
     relays_.subscribe(connection, relayId, *subscribe, state_.table());
+    registerRelay(peers_[connection]);
     log_.info("relay {} subscribed from revision {}", relayId, subscribe->revision);
   } else if (const auto* report = std::get_if<wire::ConvergenceReport>(&message)) {
     if (relays_.relayOn(connection).empty()) return;
@@ -232,10 +245,16 @@
   if (entry.kind == wire::EntryKind::EDIT) {
     const auto fingerprint = fingerprintOf(entry.edit);
     auto outcome = state_.apply(entry.index, entry.edit);
+    if (appliedHook_) appliedHook_(entry);
     if (outcome.fingerprint != fingerprint) outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
     answerPending(entry.index, outcome);
   }
-  if (entry.kind == wire::EntryKind::MEMBERS) updateLinks();
+  if (entry.kind == wire::EntryKind::RELAY) {
+    state_.applyRelay(entry.relay);
+    useRegisteredRelays();
+  }
+  if (entry.kind != wire::EntryKind::EDIT && appliedHook_) appliedHook_(entry);
+  if (entry.kind == wire::EntryKind::MEMBERS) onMembers(entry);
   if (pushScheduled_ || raft_->role() != RaftRole::kLeader) return;
   pushScheduled_ = true;
   scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_)] {
@@ -251,6 +270,7 @@
   auto snapshot = wire::decodeStruct<wire::TableSnapshot>(state);
   if (snapshot.ok()) {
     state_.restore(*snapshot);
+    useRegisteredRelays();
   } else {
     log_.error("snapshot can't be decoded: {}", base::errorText(snapshot.status()));
   }
@@ -272,6 +292,42 @@
   relays_.heartbeat(state_.table().revision(), raft_->freshness());
 }
 
+void Controller::onMembers(const wire::LogEntry& entry) {
+  updateLinks();
+  for (const auto& member : entry.members) {
+    log_.debug("{} counts {} as a {} since index {}", identity_, member.id, member.voting ? "voter" : "learner",
+               entry.index);
+  }
+}
+
+void Controller::useRegisteredRelays() {
+  std::set<std::string> relayIds;
+  for (const auto& [id, record] : state_.relays()) relayIds.insert(id);
+  convergence_.setRegistered(std::move(relayIds));
+}
+
+void Controller::registerRelay(const wire::Hello& hello) {
+  if (state_.relays().count(hello.id) > 0) return;
+  wire::LogEntry entry;
+  entry.kind = wire::EntryKind::RELAY;
+  entry.__isset.relay = true;
+  entry.relay.id = hello.id;
+  entry.relay.zone = hello.zone;
+  (void)raft_->propose(entry);
+}
+
+void Controller::removeSilentRelays() {
+  for (const auto& relayId : convergence_.silentRelays(options_.relayRegistration)) {
+    wire::LogEntry entry;
+    entry.kind = wire::EntryKind::RELAY;
+    entry.__isset.relay = true;
+    entry.relay.id = relayId;
+    entry.relay.removed = true;
+    (void)raft_->propose(entry);
+    convergence_.onRelayLost(relayId);
+  }
+}
+
 void Controller::onHousekeeping() {
   housekeeping_.start(kHousekeepingInterval);
   updateLinks();
@@ -279,6 +335,7 @@
   if (raft_->role() != RaftRole::kLeader) return;
   if (raft_->forming() && !raft_->membershipChangePending()) completeFormation();
   promoteLearners();
+  removeSilentRelays();
   for (const auto connection : relays_.silentSince(scheduler_.now() - options_.relayTimeout)) {
     network_.close(connection);
     onClose(connection);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -36,7 +36,9 @@
   base::Duration relayHeartbeat = base::seconds(1);
   base::Duration relayTimeout = base::seconds(3);  ///< a relay that is silent for longer is dropped
   base::Duration nodeLease = base::seconds(5);
-  bool fullPush = false;  ///< baseline for experiments
+  base::Duration relayRegistration = base::seconds(3600);  ///< a relay that is silent for longer is forgotten
+  bool fullPush = false;                                   ///< baseline for experiments
+  TableState::Checks checks;                               ///< parts off only in the simulator
 };
 
 /// Answer to an edit.
@@ -74,6 +76,9 @@
   /// Removes a controller; refused when the remaining voters could not lose one more or are not caught up.
   absl::Status removeController(const std::string& name);
 
+  /// Called for each committed entry once it is applied.
+  void onApplied(std::function<void(const wire::LogEntry&)> hook) { appliedHook_ = std::move(hook); }
+
   /// Called after each report of a relay.
   void onConvergenceReport(std::function<void()> hook) { reportHook_ = std::move(hook); }
 
@@ -119,6 +124,10 @@
   void promoteLearners();
   void answerPending(int64_t index, const wire::EditOutcome& outcome);
   void failPending();
+  void onMembers(const wire::LogEntry& entry);
+  void registerRelay(const wire::Hello& hello);
+  void useRegisteredRelays();
+  void removeSilentRelays();
   wire::Member memberFor(const ControllerAddress& address, const wire::Hello& hello) const;
   const ControllerAddress* ownAddress() const;
 
@@ -138,6 +147,7 @@
   std::map<int64_t, PendingEdit> pending_;                   // by log index
   std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
   std::map<std::string, ControllerAddress> joining_;         // added by an operator, not yet a member
+  std::function<void(const wire::LogEntry&)> appliedHook_;   // may be empty
   std::function<void()> reportHook_;                         // may be empty
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;  // relays were told of this term's leadership
--- a/src/controller/convergence.cc
+++ b/src/controller/convergence.cc
@@ -1,10 +1,12 @@
 #include "controller/convergence.h"
 
+#include <algorithm>
+
 namespace driftlug::controller {
 namespace {
 
-/// Time that relays have to find a new leader and report to it.
-constexpr base::Duration kReportGrace = base::seconds(1);
+/// After this time without a leader's word a relay has lost its nodes: they notice that it is stale, and leave.
+constexpr base::Duration kRelayGone = base::seconds(12);
 constexpr size_t kMaxListedNodes = 100'000;
 
 }  // namespace
@@ -12,6 +14,7 @@
 void ConvergenceTracker::reset() {
   relays_.clear();
   nodes_.clear();
+  relayLostAt_.clear();
   startedAt_ = time_.now();
 }
 
@@ -24,6 +27,7 @@
 
 void ConvergenceTracker::onReport(const std::string& relayId, const wire::ConvergenceReport& report) {
   auto& relay = relays_[relayId];
+  relayLostAt_.erase(relayId);
   if (report.full) {
     std::set<std::string> listed(report.attached.begin(), report.attached.end());
     for (auto& [nodeId, node] : nodes_) {
@@ -39,16 +43,36 @@
 
 void ConvergenceTracker::onRelayLost(const std::string& relayId) {
   relays_.erase(relayId);
+  relayLostAt_[relayId] = time_.now();
   for (auto& [nodeId, node] : nodes_) {
     if (node.relayId == relayId) detach(nodeId, relayId);
   }
 }
 
+base::TimePoint ConvergenceTracker::silentSince(const std::string& relayId) const {
+  const auto lost = relayLostAt_.find(relayId);
+  return lost == relayLostAt_.end() ? startedAt_ : lost->second;
+}
+
+bool ConvergenceTracker::allReported() const {
+  return std::all_of(registered_.begin(), registered_.end(), [this](const auto& relayId) {
+    return relays_.count(relayId) > 0 || time_.now() - silentSince(relayId) >= kRelayGone;
+  });
+}
+
+std::vector<std::string> ConvergenceTracker::silentRelays(base::Duration duration) const {
+  std::vector<std::string> silent;
+  for (const auto& relayId : registered_) {
+    if (relays_.count(relayId) == 0 && time_.now() - silentSince(relayId) >= duration) silent.push_back(relayId);
+  }
+  return silent;
+}
+
 ConvergenceView ConvergenceTracker::view(int64_t revision) const {
   ConvergenceView view;
   view.revision = revision;
   const auto now = time_.now();
-  view.complete = now - startedAt_ >= kReportGrace;
+  view.complete = allReported();
   for (const auto& [nodeId, node] : nodes_) {
     if (!node.attached) {
       if (now - node.lostAt >= lease_) {
--- a/src/controller/convergence.h
+++ b/src/controller/convergence.h
@@ -24,7 +24,7 @@
   size_t inForce = 0;
   std::vector<LaggingNode> lagging;
   size_t gone = 0;        ///< nodes without a relay for longer than the lease; they don't count
-  bool complete = false;  ///< whether all relays have had time to report to this controller
+  bool complete = false;  ///< whether all registered relays reported, or were silent until their nodes left them
   bool everywhere() const { return complete && lagging.empty(); }
 };
 
@@ -39,6 +39,9 @@
   /// Forgets everything, and waits for relays to report anew.
   void reset();
 
+  /// Sets the relays that must report before anything is known to be everywhere.
+  void setRegistered(std::set<std::string> relayIds) { registered_ = std::move(relayIds); }
+
   /// A relay's report arrived.
   void onReport(const std::string& relayId, const wire::ConvergenceReport& report);
 
@@ -53,6 +56,9 @@
 
   size_t attachedNodes() const;
 
+  /// @return registered relays that have not reported to this leader, or were lost, for longer than a duration.
+  std::vector<std::string> silentRelays(base::Duration duration) const;
+
  private:
   struct Node {
     std::string relayId;  // relay that reported it last
@@ -65,11 +71,15 @@
     std::map<std::string, int64_t> lagging;
   };
 
+  bool allReported() const;
+  base::TimePoint silentSince(const std::string& relayId) const;
   void detach(const std::string& nodeId, const std::string& relayId);
 
   const base::TimeSource& time_;
   base::Duration lease_;
   base::TimePoint startedAt_{};
+  std::set<std::string> registered_;
+  std::map<std::string, base::TimePoint> relayLostAt_;  // of relays whose connection closed in this term
   std::map<std::string, Relay> relays_;
   std::map<std::string, Node> nodes_;
 };
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -73,7 +73,7 @@
 }
 
 const wire::EditOutcome& TableState::apply(int64_t index, const wire::EditCommand& edit) {
-  if (const auto* known = findOutcome(edit.requestId)) return *known;
+  if (const auto* known = findOutcome(edit.requestId); known != nullptr && checks_.resends) return *known;
   wire::EditOutcome outcome;
   outcome.requestId = edit.requestId;
   outcome.revision = index;
@@ -88,14 +88,14 @@
     outcome->code = static_cast<int>(ErrorCode::kRequestIdExpired);
     return;
   }
-  if (findConflicts(edit, outcome)) {
+  if (checks_.revisions && findConflicts(edit, outcome)) {
     outcome->code = static_cast<int>(ErrorCode::kRevisionConflict);
     return;
   }
   TableEdit change(&table_, index);
   for (const auto& mutation : edit.mutations) change.put(mutation.row);
   for (const auto& problem : change.check()) outcome->problems.push_back(toWire(problem));
-  if (!outcome->problems.empty()) {
+  if (checks_.rows && !outcome->problems.empty()) {
     outcome->code = static_cast<int>(ErrorCode::kInvalidEdit);
     return;
   }
@@ -148,8 +148,17 @@
   if (history_.size() > kHistoryLength) history_.pop_front();
 }
 
+void TableState::applyRelay(const wire::RelayRecord& record) {
+  if (record.removed) {
+    relays_.erase(record.id);
+  } else {
+    relays_[record.id] = record;
+  }
+}
+
 wire::TableSnapshot TableState::takeSnapshot() const {
   wire::TableSnapshot snapshot;
+  for (const auto& [id, record] : relays_) snapshot.relays.push_back(record);
   for (const auto& [key, row] : table_.rows()) snapshot.rows.push_back(*row);
   for (const auto& [key, row] : table_.tombstones()) snapshot.rows.push_back(*row);
   snapshot.outcomes.assign(outcomes_.begin(), outcomes_.end());
@@ -161,7 +170,7 @@
 }
 
 void TableState::restore(const wire::TableSnapshot& snapshot) {
-  *this = TableState();
+  *this = TableState(checks_);
   for (const auto& row : snapshot.rows) table_.put(std::make_shared<wire::Row>(row));
   table_.advanceTo(snapshot.tableRevision);
   table_.setHorizon(snapshot.horizon);
@@ -171,6 +180,7 @@
   }
   history_.assign(snapshot.history.begin(), snapshot.history.end());
   windowFloor_ = snapshot.historyFloor;
+  for (const auto& record : snapshot.relays) relays_[record.id] = record;
 }
 
 }  // namespace driftlug::controller
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,10 +26,26 @@
 /// table's revision is the index of the last accepted edit.
 class TableState {
  public:
+  /// Parts of the decision that the simulator can switch off, to prove that a checker notices.
+  struct Checks {
+    bool rows = true;       ///< refuse edits that leave the table invalid
+    bool revisions = true;  ///< refuse edits whose expected revision is not the row's
+    bool resends = true;    ///< give a resent edit its first outcome
+  };
+
+  explicit TableState(const Checks& checks) : checks_(checks) {}
+  TableState() = default;
+
   /// Applies the edit of one log entry.
   /// @param index the entry's log index, which becomes the revision of changed rows
   const wire::EditOutcome& apply(int64_t index, const wire::EditCommand& edit);
 
+  /// Registers or removes a relay.
+  void applyRelay(const wire::RelayRecord& record);
+
+  /// @return all registered relays, by id.
+  const std::map<std::string, wire::RelayRecord>& relays() const { return relays_; }
+
   /// @return the remembered outcome of a request id, or null.
   const wire::EditOutcome* findOutcome(const std::string& requestId) const;
 
@@ -50,12 +67,14 @@
   void remember(wire::EditOutcome outcome);
   void recordHistory(int64_t index, const wire::EditCommand& edit);
 
+  Checks checks_;
   table::Table table_;
   std::deque<wire::EditOutcome> outcomes_;                     // oldest first, kOutcomeWindow at most
   std::unordered_map<std::string, int64_t> outcomeByRequest_;  // position in outcomes_ plus dropped_
   int64_t dropped_ = 0;                                        // outcomes dropped at the front
   int64_t windowFloor_ = 0;
   std::deque<wire::HistoryRecord> history_;
+  std::map<std::string, wire::RelayRecord> relays_;  // by id
 };
 
 /// @return a hash over what an edit changes, to notice a request id that is used for another edit.
--- a/src/membership/peer_links.cc
+++ b/src/membership/peer_links.cc
@@ -8,7 +8,17 @@
 }  // namespace
 
 PeerLinks::PeerLinks(base::Network& network, base::Scheduler& scheduler, base::RandomSource random)
-    : network_(network), scheduler_(scheduler), random_(random) {}
+    : network_(network),
+      scheduler_(scheduler),
+      random_(random),
+      keepAliveTimer_(scheduler, [this] { sendKeepAlive(); }) {
+  keepAliveTimer_.start(base::kConnectionKeepAlive);
+}
+
+void PeerLinks::sendKeepAlive() {
+  keepAliveTimer_.start(base::kConnectionKeepAlive);
+  sendToAll(wire::KeepAlive());
+}
 
 void PeerLinks::setAddresses(const std::set<base::Address>& addresses) {
   for (auto link = links_.begin(); link != links_.end();) {
@@ -42,6 +52,11 @@
   link.hello = peer;
 }
 
+void PeerLinks::onHello(base::ConnectionId connection, const wire::Hello& peer) {
+  const auto found = byConnection_.find(connection);
+  if (found != byConnection_.end()) links_[found->second].hello = peer;
+}
+
 void PeerLinks::onClose(base::ConnectionId connection) {
   const auto found = byConnection_.find(connection);
   if (found == byConnection_.end()) return;
--- a/src/membership/peer_links.h
+++ b/src/membership/peer_links.h
@@ -28,6 +28,9 @@
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onClose(base::ConnectionId connection);
 
+  /// The process on a connection said something new of itself.
+  void onHello(base::ConnectionId connection, const wire::Hello& peer);
+
   /// Sends to the process with this id, if a connection to it is open.
   void sendTo(const std::string& peerId, const wire::Message& message);
 
@@ -45,6 +48,7 @@
   };
 
   void connect(const base::Address& address);
+  void sendKeepAlive();
 
   base::Network& network_;
   base::Scheduler& scheduler_;
@@ -52,6 +56,7 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::map<base::Address, Link> links_;
   std::map<base::ConnectionId, base::Address> byConnection_;
+  base::Timer keepAliveTimer_;
 };
 
 }  // namespace driftlug::membership
--- a/src/relay/freshness_confirmer.cc
+++ b/src/relay/freshness_confirmer.cc
@@ -26,11 +26,10 @@
   asked_.insert(asked_.end(), waiting_.begin(), waiting_.end());
   waiting_.clear();
   if (asked_.empty()) return;
-  ++token_;
   controllerAnswered_ = false;
   memberRevisions_.clear();
   retryTimer_.start(kRetryInterval);
-  ask_(token_);
+  token_ = ask_();
   evaluate();
 }
 
--- a/src/relay/freshness_confirmer.h
+++ b/src/relay/freshness_confirmer.h
@@ -19,7 +19,8 @@
 class FreshnessConfirmer {
  public:
   /// Sends the questions of a round.
-  using AskFunction = std::function<void(int64_t token)>;
+  /// @return their token, never used before by this relay
+  using AskFunction = std::function<int64_t()>;
   using Waiter = std::function<void()>;
 
   FreshnessConfirmer(base::Scheduler& scheduler, const ReleaseGroup* group, std::string ownId, AskFunction ask);
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -43,20 +43,23 @@
   if (!session->confirmed) return;
   const int64_t target = session->slice->revision();
   const int64_t released = releases_.released(session->zone);
-  if (session->sentRevision >= target || released < target || released < session->appliedRevision) return;
+  const bool older = target < session->appliedRevision || released < session->appliedRevision;
+  if (session->sentRevision >= target || released < target || (refuseOlder_ && older)) return;
   if (network_.queuedBytes(connection) > kMaxQueuedBytes) {
     ++counters_.skippedSlow;
     return;
   }
-  const auto frame = session->slice->updateFrom(fullPush_ ? 0 : session->sentRevision);
+  const bool whole = session->sentRevision == 0 || fullPush_;
+  if (whole && released < session->floorRevision) return;
+  const auto frame = whole ? session->slice->wholeAt(released) : session->slice->updateFrom(session->sentRevision);
   network_.send(connection, frame);
   ++counters_.updates;
   counters_.updateBytes += static_cast<int64_t>(frame->size());
-  if (session->sentRevision == 0) {
+  if (whole) {
     ++counters_.fullUpdates;
     counters_.fullBytes += static_cast<int64_t>(frame->size());
   }
-  session->sentRevision = target;
+  session->sentRevision = whole ? released : target;
 }
 
 void NodeSessions::deliverAll() {
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -34,11 +34,17 @@
   int64_t sentRevision = 0;
   int64_t appliedRevision = 0;
   bool confirmed = false;  ///< whether the node may be sent its first slice
+  /// Revision that must be released before a whole slice is sent: the newest that this node may have run.
+  int64_t floorRevision = 0;
   base::TimePoint lastHeard{};
 };
 
 /// Sends slices to nodes once they are released.
 ///
+/// A whole slice is labelled with the released revision of the table, not with the slice's last change: a slice that
+/// a relay computed late has a late revision of its own, and a node that restarts must not see a lower label than
+/// another relay gave it.
+///
 /// Invariants: a node is sent a slice only when the slice's revision is released for the node's zone and is not
 /// older than what the node has; a node that does not read is skipped, not waited for.
 class NodeSessions {
@@ -81,6 +87,9 @@
   /// Sends whole slices instead of deltas; a baseline for experiments.
   void useFullPush(bool enabled) { fullPush_ = enabled; }
 
+  /// Sends versions older than what a node has; only to prove in the simulator that a checker notices.
+  void sendOlder() { refuseOlder_ = false; }
+
  private:
   void deliver(base::ConnectionId connection, NodeSession* session);
 
@@ -89,6 +98,7 @@
   std::map<base::ConnectionId, NodeSession> sessions_;
   NodeSessionCounters counters_;
   bool fullPush_ = false;
+  bool refuseOlder_ = true;
 };
 
 }  // namespace driftlug::relay
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr int kProtocolVersion = 1;
-/// Distinguishes questions about the relay's own table from those of confirmers.
-constexpr int64_t kOwnTokenBase = int64_t{1} << 48;
 constexpr base::Duration kReportDelay = base::milliseconds(1);
 
 }  // namespace
@@ -28,6 +26,7 @@
       }) {
   nodes_.useFullPush(options_.fullPush);
   if (!options_.releaseQuorum) releases_.disable();
+  if (!options_.refuseOlder) nodes_.sendOlder();
 }
 
 Relay::~Relay() { *alive_ = false; }
@@ -120,7 +119,7 @@
   scheduleReport();
   if (recovered_) return;
   wire::ConfirmRequest confirm;
-  confirm.token = kOwnTokenBase + ++ownToken_;
+  confirm.token = ++lastToken_;
   source_.send(confirm);
 }
 
@@ -245,6 +244,7 @@
       auto* waiting = nodes_.find(connection);
       if (waiting == nullptr) return;
       waiting->confirmed = true;
+      waiting->floorRevision = replica_.revision();
       nodes_.deliver(connection);
     });
   }
@@ -261,14 +261,15 @@
   auto& confirmer = confirmers_[zone];
   if (confirmer) return *confirmer;
   const auto* group = releases_.group(zone);
-  confirmer = std::make_unique<FreshnessConfirmer>(scheduler_, group, options_.id, [this, group](int64_t token) {
+  confirmer = std::make_unique<FreshnessConfirmer>(scheduler_, group, options_.id, [this, group] {
     wire::ConfirmRequest confirm;
-    confirm.token = token;
+    confirm.token = ++lastToken_;
     source_.send(confirm);
-    if (group == nullptr) return;
+    if (group == nullptr) return confirm.token;
     for (const auto& relayId : group->members) {
-      if (relayId != options_.id) sendHeld(relayId, token, true);
+      if (relayId != options_.id) sendHeld(relayId, confirm.token, true);
     }
+    return confirm.token;
   });
   confirmer->onOwn(replica_.revision(), recovered_);
   return *confirmer;
@@ -341,7 +342,7 @@
   report.sequence = ++reportSequence_;
   report.inForceRevision = replica_.revision();
   report.full = full;
-  report.lagging = nodes_.lagging();
+  if (options_.reportLag) report.lagging = nodes_.lagging();
   if (full) {
     for (const auto& [connection, session] : nodes_.all()) report.attached.push_back(session.nodeId);
   } else {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -39,6 +39,8 @@
   bool fullPush = false;              ///< baseline for experiments
   bool releaseQuorum = true;          ///< off only in the simulator
   bool confirmRestartedNodes = true;  ///< off only in the simulator
+  bool refuseOlder = true;            ///< off only in the simulator
+  bool reportLag = true;              ///< off only in the simulator
 };
 
 /// One relay process without its sockets. All state is soft.
@@ -120,7 +122,7 @@
   std::map<std::string, int> connectionsOf_;                               // open connections by peer id, for leases
   bool recovered_ = false;
   bool stopping_ = false;
-  int64_t ownToken_ = 0;  // confirms the relay's own table after a start
+  int64_t lastToken_ = 0;  // of all questions about freshness; never reused
   bool reportScheduled_ = false;
   bool reportFull_ = true;
   int64_t reportSequence_ = 0;
--- a/src/relay/slice_cache.cc
+++ b/src/relay/slice_cache.cc
@@ -10,17 +10,29 @@
 bool CachedSlice::refresh(const table::Table& table) {
   if (!slice_.refresh(table)) return false;
   frames_.clear();
+  whole_.reset();
   return true;
 }
 
+wire::FramePtr CachedSlice::wholeAt(int64_t revision) {
+  if (whole_ && wholeRevision_ == revision) return whole_;
+  wire::SliceUpdate update;
+  update.full = true;
+  update.toRevision = revision;
+  update.rows = slice_.allRows();
+  update.digest = slice_.digest();
+  whole_ = wire::encodeFrame(update);
+  wholeRevision_ = revision;
+  return whole_;
+}
+
 wire::FramePtr CachedSlice::updateFrom(int64_t fromRevision) {
   const auto found = frames_.find(fromRevision);
   if (found != frames_.end()) return found->second;
   wire::SliceUpdate update;
-  update.full = fromRevision == 0;
   update.fromRevision = fromRevision;
   update.toRevision = slice_.revision();
-  update.rows = update.full ? slice_.allRows() : slice_.changedSince(fromRevision);
+  update.rows = slice_.changedSince(fromRevision);
   update.digest = slice_.digest();
   auto frame = wire::encodeFrame(update);
   if (frames_.size() >= kMaxCachedFrames) frames_.clear();
--- a/src/relay/slice_cache.h
+++ b/src/relay/slice_cache.h
@@ -22,11 +22,16 @@
   /// @return whether it changed
   bool refresh(const table::Table& table);
 
-  /// @return the update from a revision; from 0 it is full.
+  /// @return every row, labelled with a table revision at which the slice is as it is now.
+  wire::FramePtr wholeAt(int64_t revision);
+
+  /// @return the changes since a revision above 0.
   wire::FramePtr updateFrom(int64_t fromRevision);
 
  private:
   table::Slice slice_;
+  wire::FramePtr whole_;                      // null until asked for
+  int64_t wholeRevision_ = 0;                 // label of whole_
   std::map<int64_t, wire::FramePtr> frames_;  // updates to revision(), by the revision they start from
 };
 
--- a/src/relay/source.cc
+++ b/src/relay/source.cc
@@ -15,10 +15,15 @@
 
 ControllerLinks::ControllerLinks(base::Network& network, base::Scheduler& scheduler, base::RandomSource random,
                                  std::vector<base::Address> controllers)
-    : network_(network), scheduler_(scheduler), random_(random), controllers_(std::move(controllers)) {}
+    : network_(network),
+      scheduler_(scheduler),
+      random_(random),
+      controllers_(std::move(controllers)),
+      keepAliveTimer_(scheduler, [this] { sendKeepAlive(); }) {}
 
 void ControllerLinks::start() {
   freshSince_ = scheduler_.now();
+  keepAliveTimer_.start(base::kConnectionKeepAlive);
   for (size_t position = 0; position < controllers_.size(); ++position) connect(position);
 }
 
@@ -61,6 +66,11 @@
   return true;
 }
 
+void ControllerLinks::sendKeepAlive() {
+  keepAliveTimer_.start(base::kConnectionKeepAlive);
+  sendToAll(wire::KeepAlive());
+}
+
 bool ControllerLinks::send(const wire::Message& message) {
   if (source_ == 0) return false;
   network_.send(source_, wire::encodeFrame(message));
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -55,6 +55,7 @@
 
  private:
   void connect(size_t position);
+  void sendKeepAlive();
 
   base::Network& network_;
   base::Scheduler& scheduler_;
@@ -66,6 +67,7 @@
   base::ConnectionId source_ = 0;
   wire::Freshness freshness_;
   base::TimePoint freshSince_{};
+  base::Timer keepAliveTimer_;
 };
 
 /// @return whether `left` is newer than `right`.
--- /dev/null
+++ b/src/simulation/fault_plan.cc
@@ -0,0 +1,358 @@
+#include "simulation/fault_plan.h"
+
+#include <algorithm>
+
+namespace driftlug::simulation {
+namespace {
+
+constexpr double kPairShare = 0.3;
+constexpr base::Duration kPairGap = base::milliseconds(400);
+constexpr base::Duration kShortest = base::milliseconds(50);
+constexpr base::Duration kReplacementStep = base::milliseconds(200);
+constexpr base::Duration kHerdSpread = base::milliseconds(300);
+constexpr double kSlowFactor = 20;
+constexpr double kLossShare = 0.2;
+
+size_t targetsOfClass(FaultClass kind, const ClusterPlan& plan) {
+  switch (kind) {
+    case FaultClass::kCrashRelay:
+    case FaultClass::kIsolateRelay:
+      return plan.relays.size();
+    case FaultClass::kCrashNode:
+      return plan.nodes.size();
+    case FaultClass::kFreeze:
+      return plan.controllers.size() + plan.relays.size() + plan.nodes.size();
+    case FaultClass::kCutZone:
+      return plan.groups.size();
+    default:
+      return plan.controllers.size();
+  }
+}
+
+}  // namespace
+
+const std::vector<FaultInfo>& allFaults() {
+  static const std::vector<FaultInfo> kAll = {
+      {FaultClass::kCrashController, "crash-controller"},
+      {FaultClass::kPowerController, "power-controller"},
+      {FaultClass::kControlOutage, "control-outage"},
+      {FaultClass::kIsolateController, "isolate-controller"},
+      {FaultClass::kOneWayController, "one-way-controller"},
+      {FaultClass::kWipeController, "wipe-controller"},
+      {FaultClass::kFullDisk, "full-disk"},
+      {FaultClass::kFailingDisk, "failing-disk"},
+      {FaultClass::kCrashRelay, "crash-relay"},
+      {FaultClass::kHerdRelays, "herd-relays"},
+      {FaultClass::kIsolateRelay, "isolate-relay"},
+      {FaultClass::kCrashNode, "crash-node"},
+      {FaultClass::kHerdNodes, "herd-nodes"},
+      {FaultClass::kReconnectStorm, "reconnect-storm"},
+      {FaultClass::kCutZone, "cut-zone"},
+      {FaultClass::kFreeze, "freeze"},
+      {FaultClass::kSlowNetwork, "slow-network"},
+      {FaultClass::kLossyNetwork, "lossy-network"},
+  };
+  return kAll;
+}
+
+const FaultInfo* findFault(std::string_view name) {
+  for (const auto& info : allFaults()) {
+    if (info.name == name) return &info;
+  }
+  return nullptr;
+}
+
+std::string_view faultName(FaultClass kind) {
+  for (const auto& info : allFaults()) {
+    if (info.kind == kind) return info.name;
+  }
+  return "unknown";
+}
+
+std::vector<Fault> drawFaults(const FaultOptions& options, base::RandomSource random, const ClusterPlan& plan) {
+  std::vector<Fault> faults;
+  if (options.classes.empty()) return faults;
+  const auto draw = [&](base::TimePoint at) {
+    if (at + kShortest >= options.until) return;
+    Fault fault;
+    fault.kind = options.classes[random.below(options.classes.size())];
+    fault.at = at;
+    fault.lasts = std::min(kShortest + random.duration(options.longest), options.until - at);
+    fault.target = random.below(targetsOfClass(fault.kind, plan));
+    fault.detail = random.bits();
+    faults.push_back(fault);
+  };
+  auto at = options.from;
+  while (true) {
+    at += kShortest + random.duration(2 * options.meanGap);
+    if (at + kShortest >= options.until) break;
+    draw(at);
+    if (random.chance(kPairShare)) draw(at + random.duration(kPairGap));
+  }
+  return faults;
+}
+
+FaultInjector::FaultInjector(Cluster& cluster, std::vector<Fault> faults)
+    : cluster_(cluster), faults_(std::move(faults)) {}
+
+void FaultInjector::start() {
+  for (const auto& fault : faults_) {
+    cluster_.queue().at(fault.at, [this, fault] { apply(fault); });
+    cluster_.queue().at(fault.at + fault.lasts, [this, fault] { heal(fault); });
+  }
+}
+
+void FaultInjector::disturb(const std::string& node) { disturbed_[node] = cluster_.queue().now(); }
+
+void FaultInjector::disturbAll() {
+  for (const auto& machine : cluster_.nodes()) disturb(machine->name());
+}
+
+std::set<std::string> FaultInjector::disturbedNodes(base::Duration within) const {
+  std::set<std::string> nodes;
+  for (const auto& [node, at] : disturbed_) {
+    if (cluster_.queue().now() - at <= within) nodes.insert(node);
+  }
+  return nodes;
+}
+
+std::vector<Machine*> FaultInjector::allMachines() {
+  std::vector<Machine*> machines;
+  for (auto& machine : cluster_.controllers()) machines.push_back(machine.get());
+  for (auto& machine : cluster_.relays()) machines.push_back(machine.get());
+  for (auto& machine : cluster_.nodes()) machines.push_back(machine.get());
+  return machines;
+}
+
+std::vector<Machine*> FaultInjector::targetsOf(const Fault& fault) {
+  std::vector<Machine*> targets;
+  switch (fault.kind) {
+    case FaultClass::kCrashController:
+    case FaultClass::kPowerController:
+    case FaultClass::kFailingDisk:
+    case FaultClass::kFullDisk:
+      targets.push_back(cluster_.controllers()[fault.target].get());
+      break;
+    case FaultClass::kControlOutage:
+      for (auto& machine : cluster_.controllers()) targets.push_back(machine.get());
+      break;
+    case FaultClass::kCrashRelay:
+      targets.push_back(cluster_.relays()[fault.target].get());
+      break;
+    case FaultClass::kHerdRelays:
+      for (auto& machine : cluster_.relays()) targets.push_back(machine.get());
+      break;
+    case FaultClass::kCrashNode:
+      targets.push_back(cluster_.nodes()[fault.target].get());
+      break;
+    case FaultClass::kHerdNodes:
+      for (auto& machine : cluster_.nodes()) targets.push_back(machine.get());
+      break;
+    case FaultClass::kFreeze:
+      targets.push_back(allMachines()[fault.target]);
+      break;
+    default:
+      break;
+  }
+  return targets;
+}
+
+void FaultInjector::setCutBothWays(const std::string& left, const std::string& right, bool cut) {
+  cluster_.network().setCut(left, right, cut);
+  cluster_.network().setCut(right, left, cut);
+}
+
+void FaultInjector::isolate(const Machine& machine, bool cut, uint64_t detail) {
+  // An odd draw leaves the relays connected: they must notice that this controller has no quorum.
+  const bool alsoRelays = detail % 2 == 0;
+  for (const auto& other : cluster_.controllers()) {
+    if (other.get() != &machine) setCutBothWays(machine.name(), other->name(), cut);
+  }
+  for (const auto& other : cluster_.relays()) {
+    if (other.get() != &machine && alsoRelays) setCutBothWays(machine.name(), other->name(), cut);
+  }
+}
+
+void FaultInjector::cutZone(const std::string& zone, bool cut) {
+  const auto machines = allMachines();
+  for (auto* inside : machines) {
+    if (inside->process().placement().zone != zone) continue;
+    for (auto* outside : machines) {
+      if (outside->process().placement().zone != zone) setCutBothWays(inside->name(), outside->name(), cut);
+    }
+  }
+}
+
+void FaultInjector::apply(const Fault& fault) {
+  constexpr uint64_t kPowerLossOdds = 2;
+  const bool drawnPowerLoss = fault.detail % kPowerLossOdds == 0;
+  const auto name = std::string(faultName(fault.kind));
+  cluster_.network().mixTrace(static_cast<uint64_t>(fault.kind));
+  for (auto* machine : targetsOf(fault)) {
+    const bool power = fault.kind == FaultClass::kPowerController || fault.kind == FaultClass::kControlOutage ||
+                       (fault.kind != FaultClass::kCrashController && drawnPowerLoss);
+    if (fault.kind == FaultClass::kFreeze) {
+      if (machine->process().alive()) machine->process().setFrozen(true);
+    } else if (fault.kind == FaultClass::kFullDisk) {
+      machine->disk().setFull(true);
+    } else if (fault.kind == FaultClass::kFailingDisk) {
+      machine->disk().setFailing(true);
+    } else {
+      machine->crash(power);
+    }
+    disturb(machine->name());
+  }
+  switch (fault.kind) {
+    case FaultClass::kIsolateController:
+      isolate(*cluster_.controllers()[fault.target], true, fault.detail);
+      break;
+    case FaultClass::kIsolateRelay:
+      isolate(*cluster_.relays()[fault.target], true, 0);
+      disturbAll();
+      break;
+    case FaultClass::kOneWayController: {
+      const auto& from = cluster_.controllers()[fault.target]->name();
+      const auto& to = cluster_.controllers()[(fault.target + 1) % cluster_.controllers().size()]->name();
+      cluster_.network().setCut(from, to, true);
+      break;
+    }
+    case FaultClass::kCutZone:
+      cutZone(cluster_.plan().groups[fault.target].zone, true);
+      disturbAll();
+      break;
+    case FaultClass::kReconnectStorm:
+      for (auto& machine : cluster_.relays()) {
+        if (machine->sockets() != nullptr) machine->sockets()->resetAll();
+      }
+      disturbAll();
+      break;
+    case FaultClass::kSlowNetwork:
+      cluster_.network().setSlowness(kSlowFactor);
+      disturbAll();
+      break;
+    case FaultClass::kLossyNetwork:
+      cluster_.network().setLoss(kLossShare);
+      disturbAll();
+      break;
+    case FaultClass::kWipeController:
+      wipe(fault);
+      break;
+    case FaultClass::kCrashRelay:
+    case FaultClass::kHerdRelays:
+      disturbAll();
+      break;
+    default:
+      break;
+  }
+}
+
+void FaultInjector::heal(const Fault& fault) {
+  size_t position = 0;
+  for (auto* machine : targetsOf(fault)) {
+    disturb(machine->name());
+    if (fault.kind == FaultClass::kFreeze) {
+      machine->process().setFrozen(false);
+      continue;
+    }
+    if (fault.kind == FaultClass::kFullDisk) {
+      machine->disk().setFull(false);
+      continue;
+    }
+    if (fault.kind == FaultClass::kFailingDisk) {
+      machine->crash(true);
+      machine->disk().setFailing(false);
+    }
+    // A herd returns within a moment, in an order of its own.
+    restartLater(machine, base::Duration(static_cast<int64_t>((fault.detail >> (position++ % 8)) %
+                                                              static_cast<uint64_t>(kHerdSpread.count()))));
+  }
+  switch (fault.kind) {
+    case FaultClass::kIsolateController:
+      isolate(*cluster_.controllers()[fault.target], false, fault.detail);
+      break;
+    case FaultClass::kIsolateRelay:
+      isolate(*cluster_.relays()[fault.target], false, 0);
+      disturbAll();
+      break;
+    case FaultClass::kOneWayController: {
+      const auto& from = cluster_.controllers()[fault.target]->name();
+      const auto& to = cluster_.controllers()[(fault.target + 1) % cluster_.controllers().size()]->name();
+      cluster_.network().setCut(from, to, false);
+      break;
+    }
+    case FaultClass::kCutZone:
+      cutZone(cluster_.plan().groups[fault.target].zone, false);
+      disturbAll();
+      break;
+    case FaultClass::kSlowNetwork:
+      cluster_.network().setSlowness(1);
+      break;
+    case FaultClass::kLossyNetwork:
+      cluster_.network().setLoss(0);
+      break;
+    case FaultClass::kHerdRelays:
+    case FaultClass::kCrashRelay:
+      disturbAll();
+      break;
+    default:
+      break;
+  }
+}
+
+void FaultInjector::restartLater(Machine* machine, base::Duration delay) {
+  cluster_.queue().after(delay, [this, machine] {
+    machine->start();
+    disturb(machine->name());
+  });
+}
+
+bool FaultInjector::wipeAllowed() {
+  if (!replacing_.empty() || cluster_.controllers().size() < 3) return false;
+  // Only while every other controller votes under its own identity; two lost disks of three lose data for good.
+  auto* leader = cluster_.leader();
+  if (leader == nullptr) return false;
+  const auto& raft = leader->controller()->raft();
+  size_t voters = 0;
+  for (const auto& member : raft.members()) voters += member.voting ? 1 : 0;
+  return voters == cluster_.controllers().size() && !raft.forming() && !raft.membershipChangePending();
+}
+
+void FaultInjector::wipe(const Fault& fault) {
+  auto& machine = cluster_.controllers()[fault.target];
+  if (!wipeAllowed()) return;
+  machine->crash(true);
+  machine->disk().wipe();
+  replacing_ = machine->name();
+  removed_ = false;
+  restartLater(machine.get(), fault.lasts);
+  cluster_.queue().after(kReplacementStep, [this] { stepReplacement(); });
+}
+
+void FaultInjector::stepReplacement() {
+  if (replacing_.empty()) return;
+  cluster_.queue().after(kReplacementStep, [this] { stepReplacement(); });
+  auto* leader = cluster_.leader();
+  if (leader == nullptr || leader->name() == replacing_) return;
+  auto* controller = leader->controller();
+  const auto& members = controller->raft().members();
+  const auto found =
+      std::find_if(members.begin(), members.end(), [this](const auto& member) { return member.name == replacing_; });
+  if (!removed_) {
+    if (found == members.end()) {
+      removed_ = !controller->raft().membershipChangePending();
+    } else {
+      (void)controller->removeController(replacing_);
+    }
+    return;
+  }
+  if (found == members.end()) {
+    for (size_t i = 0; i < cluster_.controllers().size(); ++i) {
+      if (cluster_.controllers()[i]->name() != replacing_) continue;
+      (void)controller->addController({replacing_, cluster_.controllerAddress(i), 0});
+    }
+  } else if (found->voting && !controller->raft().membershipChangePending()) {
+    replacing_.clear();
+  }
+}
+
+}  // namespace driftlug::simulation
--- /dev/null
+++ b/src/simulation/invariants.cc
@@ -0,0 +1,193 @@
+#include "simulation/invariants.h"
+
+#include <absl/strings/str_format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "table/validator.h"
+#include "wire/frame.h"
+
+namespace driftlug::simulation {
+namespace {
+
+constexpr size_t kMaxViolations = 20;
+
+uint64_t hashOf(const wire::LogEntry& entry) {
+  const auto bytes = wire::encodeStruct(entry);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+}  // namespace
+
+InvariantChecker::InvariantChecker(const base::TimeSource& time) : time_(time) {}
+
+void InvariantChecker::violate(Guarantee guarantee, std::string sentence) {
+  if (violations_.size() < kMaxViolations) violations_.push_back({guarantee, time_.now(), std::move(sentence)});
+}
+
+InvariantChecker::SliceHistory& InvariantChecker::historyOf(const table::Interest& interest) {
+  auto& history = slices_[interest];
+  if (history.slice) return history;
+  history.slice = std::make_unique<table::Slice>(interest, truth_);
+  history.digests[truth_.revision()] = history.slice->digest();
+  return history;
+}
+
+void InvariantChecker::onApplied(const std::string& controller, const wire::LogEntry& entry,
+                                 const table::Table& result) {
+  const auto hash = hashOf(entry);
+  const auto known = entryHashes_.find(entry.index);
+  if (known == entryHashes_.end()) {
+    entryHashes_[entry.index] = hash;
+    appliedIndex_ = std::max(appliedIndex_, entry.index);
+    if (entry.kind != wire::EntryKind::EDIT) return;
+    if (result.revision() == entry.index) takeEffect(entry);
+    tableDigests_[entry.index] = truth_.digest();
+  } else if (known->second != hash) {
+    violate(Guarantee::kAcceptedStays,
+            absl::StrFormat("%s applied another entry at index %d than was committed", controller, entry.index));
+    return;
+  }
+  const auto digest = tableDigests_.find(entry.index);
+  if (digest != tableDigests_.end() && !(digest->second == result.digest())) {
+    violate(Guarantee::kWholeVersion,
+            absl::StrFormat("the table of %s differs at revision %d", controller, entry.index));
+  }
+}
+
+void InvariantChecker::takeEffect(const wire::LogEntry& entry) {
+  const auto [effect, first] = effects_.emplace(entry.edit.requestId, Effect{entry.index, time_.now()});
+  if (!first) {
+    violate(Guarantee::kAcceptedStays, absl::StrFormat("edit %s took effect at revisions %d and %d",
+                                                       entry.edit.requestId, effect->second.revision, entry.index));
+  }
+  std::vector<wire::RowKey> keys;
+  for (const auto& mutation : entry.edit.mutations) {
+    const auto live = truth_.find(mutation.row.key);
+    const int64_t current = live ? live->revision : 0;
+    if (mutation.expectedRevision >= 0 && mutation.expectedRevision != current) {
+      violate(Guarantee::kAcceptedStays,
+              absl::StrFormat("edit %s expected %s at revision %d and replaced revision %d", entry.edit.requestId,
+                              table::keyText(mutation.row.key), mutation.expectedRevision, current));
+    }
+  }
+  for (const auto& mutation : entry.edit.mutations) {
+    auto row = std::make_shared<wire::Row>(mutation.row);
+    row->revision = entry.index;
+    truth_.put(row);
+    keys.push_back(row->key);
+  }
+  for (auto& [interest, history] : slices_) {
+    if (history.slice->refresh(truth_)) history.digests[entry.index] = history.slice->digest();
+  }
+  const auto problems = table::checkEdit(truth_, keys);
+  if (!problems.empty()) {
+    violate(Guarantee::kReferencesPresent,
+            absl::StrFormat("revision %d leaves %s: %s", entry.index, table::keyText(problems.front().row),
+                            problems.front().sentence));
+  }
+  changed_ = true;
+}
+
+void InvariantChecker::onActivated(const std::string& node, const table::Interest& interest,
+                                   const node::SliceStore& slices) {
+  const auto revision = slices.revision();
+  auto& newest = newestActive_[node];
+  if (revision < newest) {
+    violate(Guarantee::kNeverBackwards, absl::StrFormat("%s went from revision %d back to %d", node, newest, revision));
+  }
+  newest = std::max(newest, revision);
+  auto& history = historyOf(interest);
+  const auto later = history.digests.upper_bound(revision);
+  const bool unknown = later == history.digests.begin();
+  if (!unknown && !(std::prev(later)->second == slices.rows().digest())) {
+    violate(Guarantee::kWholeVersion, absl::StrFormat("%s runs rows that revision %d does not have", node, revision));
+  }
+  for (const auto& [key, row] : slices.rows().rows()) {
+    std::vector<table::Problem> problems;
+    table::checkReferences(*row, slices.rows(), &problems);
+    if (problems.empty()) continue;
+    violate(Guarantee::kReferencesPresent, absl::StrFormat("%s at revision %d, %s: %s", node, revision,
+                                                           table::keyText(key), problems.front().sentence));
+    break;
+  }
+  serving_[node] = {&history, revision};
+  changed_ = true;
+}
+
+void InvariantChecker::onOutcome(const std::string& requestId, const wire::EditOutcome& outcome) {
+  if (outcome.code != static_cast<int>(base::ErrorCode::kNone)) return;
+  const auto effect = effects_.find(requestId);
+  if (effect == effects_.end() || effect->second.revision != outcome.revision) {
+    violate(Guarantee::kAcceptedStays,
+            absl::StrFormat("edit %s was answered as accepted at revision %d but is not committed there", requestId,
+                            outcome.revision));
+    return;
+  }
+  if (accepted_.count(requestId) > 0) return;
+  accepted_[requestId] = {requestId, outcome.revision, effect->second.at, {}, false};
+  converging_.push_back(requestId);
+  changed_ = true;
+}
+
+bool InvariantChecker::inForceOnAll(int64_t revision) {
+  for (const auto& [node, serving] : serving_) {
+    // What the node runs is as good as the revision when its slice did not change in between.
+    const auto& digests = serving.history->digests;
+    const auto needed = digests.upper_bound(revision);
+    if (needed == digests.begin() || serving.revision >= std::prev(needed)->first) continue;
+    return false;
+  }
+  return true;
+}
+
+void InvariantChecker::trackConvergence() {
+  if (!changed_ || converging_.empty()) return;
+  changed_ = false;
+  std::vector<std::string> waiting;
+  for (const auto& requestId : converging_) {
+    auto& edit = accepted_[requestId];
+    edit.inForce = inForceOnAll(edit.revision);
+    if (edit.inForce) {
+      edit.inForceAt = time_.now();
+    } else {
+      waiting.push_back(requestId);
+    }
+  }
+  converging_.swap(waiting);
+}
+
+void InvariantChecker::onSaidEverywhere(int64_t revision, const std::set<std::string>& excused) {
+  for (const auto& [node, serving] : serving_) {
+    const auto& digests = serving.history->digests;
+    const auto needed = digests.upper_bound(revision);
+    const bool current = needed == digests.begin() || serving.revision >= std::prev(needed)->first;
+    if (current || excused.count(node) > 0) continue;
+    violate(Guarantee::kAcceptedStays,
+            absl::StrFormat("revision %d was said to be in force everywhere while %s ran revision %d", revision, node,
+                            serving.revision));
+  }
+}
+
+void InvariantChecker::checkEnd(const std::map<std::string, const table::Table*>& controllers,
+                                const std::map<std::string, const node::SliceStore*>& nodes) {
+  for (const auto& [name, table] : controllers) {
+    if (table->digest() == truth_.digest()) continue;
+    violate(Guarantee::kAcceptedStays,
+            absl::StrFormat("%s ends at revision %d with another table than was committed up to %d", name,
+                            table->revision(), truth_.revision()));
+  }
+  for (const auto& [name, slices] : nodes) {
+    const auto serving = serving_.find(name);
+    if (serving == serving_.end()) {
+      violate(Guarantee::kAcceptedStays, absl::StrFormat("%s ends without a version", name));
+    } else if (!(slices->rows().digest() == serving->second.history->slice->digest())) {
+      violate(Guarantee::kAcceptedStays,
+              absl::StrFormat("%s ends at revision %d, behind the committed table", name, slices->revision()));
+    }
+  }
+}
+
+}  // namespace driftlug::simulation
--- /dev/null
+++ b/src/simulation/invariants.h
@@ -0,0 +1,120 @@
+/// What must always hold, checked against the truth after every event that could break it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "node/slice_store.h"
+#include "table/slice.h"
+
+namespace driftlug::simulation {
+
+/// The guarantees of the product, by the numbers that the documents use.
+enum class Guarantee : int {
+  kNeverBackwards = 1,
+  kReferencesPresent = 2,
+  kWholeVersion = 3,
+  kWholeAnswer = 4,
+  kNotRunIsTrue = 5,
+  kAtMostOnce = 6,
+  kLeavingGetsNoWork = 7,
+  kStopCutsNothing = 8,
+  kAcceptedStays = 9,
+};
+
+/// One broken guarantee.
+struct Violation {
+  Guarantee guarantee;
+  base::TimePoint at;
+  std::string sentence;
+};
+
+/// An operator's view of one accepted edit.
+struct AcceptedEdit {
+  std::string requestId;
+  int64_t revision = 0;
+  base::TimePoint committedAt{};  ///< when the first controller applied it, which is when its answer leaves
+  base::TimePoint inForceAt{};    ///< when the last serving node had it; unset until then
+  bool inForce = false;
+};
+
+/// Keeps the truth, which is the sequence of committed entries, and compares every controller and node with it.
+class InvariantChecker {
+ public:
+  explicit InvariantChecker(const base::TimeSource& time);
+
+  /// Begins to keep the history of an interest, so that versions of any later revision can be compared.
+  void watch(const table::Interest& interest) { historyOf(interest); }
+
+  /// A controller applied a committed entry.
+  void onApplied(const std::string& controller, const wire::LogEntry& entry, const table::Table& result);
+
+  /// A node activated a version.
+  void onActivated(const std::string& node, const table::Interest& interest, const node::SliceStore& slices);
+
+  /// An operator was told the outcome of an edit.
+  void onOutcome(const std::string& requestId, const wire::EditOutcome& outcome);
+
+  /// A node stopped to serve; its next version must still not be older.
+  void onNodeDown(const std::string& node) { serving_.erase(node); }
+
+  /// Notes which accepted edits are in force on all serving nodes; cheap when nothing changed.
+  void trackConvergence();
+
+  /// A controller says that a revision is in force everywhere.
+  /// @param excused nodes that were cut off, frozen or restarted a short time ago
+  void onSaidEverywhere(int64_t revision, const std::set<std::string>& excused);
+
+  /// At the end of a run, after all faults were healed.
+  void checkEnd(const std::map<std::string, const table::Table*>& controllers,
+                const std::map<std::string, const node::SliceStore*>& nodes);
+
+  /// Reports a broken guarantee.
+  void violate(Guarantee guarantee, std::string sentence);
+
+  const std::vector<Violation>& violations() const { return violations_; }
+  const std::map<std::string, AcceptedEdit>& accepted() const { return accepted_; }
+  const table::Table& table() const { return truth_; }
+  int64_t appliedIndex() const { return appliedIndex_; }
+
+ private:
+  struct SliceHistory {
+    std::unique_ptr<table::Slice> slice;
+    std::map<int64_t, table::Digest> digests;  // by the revision from which it was valid
+  };
+
+  struct Effect {
+    int64_t revision;
+    base::TimePoint at;
+  };
+
+  struct Serving {
+    SliceHistory* history = nullptr;
+    int64_t revision = 0;  // of the version in force
+  };
+
+  SliceHistory& historyOf(const table::Interest& interest);
+  void takeEffect(const wire::LogEntry& entry);
+  bool inForceOnAll(int64_t revision);
+
+  const base::TimeSource& time_;
+  table::Table truth_;
+  int64_t appliedIndex_ = 0;
+  std::map<int64_t, uint64_t> entryHashes_;
+  std::map<int64_t, table::Digest> tableDigests_;  // after each edit, by its log index
+  std::map<std::string, Effect> effects_;          // by request id
+  std::map<table::Interest, SliceHistory> slices_;
+  std::map<std::string, int64_t> newestActive_;   // by node, across its restarts
+  std::map<std::string, Serving> serving_;        // nodes with an active version now
+  std::map<std::string, AcceptedEdit> accepted_;  // by request id
+  std::vector<std::string> converging_;           // accepted, not yet in force everywhere
+  bool changed_ = false;                          // since the last trackConvergence()
+  std::vector<Violation> violations_;
+};
+
+}  // namespace driftlug::simulation
--- /dev/null
+++ b/src/simulation/operators.cc
@@ -0,0 +1,211 @@
+#include "simulation/operators.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace driftlug::simulation {
+namespace {
+
+using base::ErrorCode;
+using table::RowKind;
+
+constexpr base::Duration kRetryGap = base::milliseconds(50);
+constexpr char kBundlePrefix[] = "extra-";
+
+wire::Mutation mutationOf(wire::Row row, int64_t expectedRevision) {
+  wire::Mutation mutation;
+  row.revision = 0;
+  mutation.row = std::move(row);
+  mutation.expectedRevision = expectedRevision;
+  return mutation;
+}
+
+wire::Mutation deletionOf(const wire::Row& row) {
+  wire::Row deleted;
+  deleted.key = row.key;
+  deleted.deleted = true;
+  return mutationOf(deleted, row.revision);
+}
+
+bool isFinal(ErrorCode code) {
+  return code == ErrorCode::kNone || code == ErrorCode::kInvalidEdit || code == ErrorCode::kRevisionConflict ||
+         code == ErrorCode::kRequestIdExpired || code == ErrorCode::kRequestIdReused;
+}
+
+}  // namespace
+
+Operators::Operators(Cluster& cluster, OperatorOptions options)
+    : cluster_(cluster), options_(options), random_(cluster.fork()) {}
+
+std::string Operators::nextRequestId() { return absl::StrFormat("edit-%d", ++sequence_); }
+
+void Operators::start() {
+  wire::EditCommand first;
+  first.requestId = nextRequestId();
+  first.author = "setup";
+  first.mutations = cluster_.plan().table;
+  submit(first);
+  if (options_.meanGap.count() > 0) cluster_.queue().at(options_.from, [this] { editNow(); });
+}
+
+void Operators::submit(wire::EditCommand edit) {
+  ++counters_.edits;
+  const auto requestId = edit.requestId;
+  open_[requestId].edit = std::move(edit);
+  attempt(requestId);
+}
+
+void Operators::editNow() {
+  if (cluster_.queue().now() >= options_.until) return;
+  cluster_.queue().after(random_.duration(2 * options_.meanGap), [this] { editNow(); });
+  auto& machine = *cluster_.controllers()[preferred_];
+  if (!machine.running() || machine.controller() == nullptr) {
+    preferred_ = (preferred_ + 1) % cluster_.controllers().size();
+    return;
+  }
+  const auto& known = machine.controller()->state().table();
+  if (known.rows().empty()) return;
+  const auto edit = drawEdit(known);
+  submit(edit);
+  if (!random_.chance(options_.races)) return;
+  // Another operator saw the same revision and wants something else.
+  auto rival = edit;
+  rival.requestId = nextRequestId();
+  rival.author = "rival";
+  for (auto& mutation : rival.mutations) {
+    if (mutation.row.__isset.limitRow) ++mutation.row.limitRow.maxConcurrent;
+    if (mutation.row.__isset.secretRow) mutation.row.secretRow.value += "-rival";
+  }
+  submit(rival);
+}
+
+wire::Mutation Operators::changeOf(const table::Row& row) {
+  auto changed = row;
+  if (changed.__isset.limitRow) changed.limitRow.maxConcurrent = 1 + static_cast<int32_t>(random_.below(100));
+  if (changed.__isset.secretRow) changed.secretRow.value = absl::StrFormat("value-%016x", random_.bits());
+  if (changed.__isset.routeRow) changed.routeRow.timeoutMs = 1000 + static_cast<int32_t>(random_.below(4000));
+  if (changed.__isset.retryPolicyRow) {
+    changed.retryPolicyRow.budgetPercent = 5 + static_cast<int32_t>(random_.below(20));
+  }
+  if (changed.__isset.endpointRow) changed.endpointRow.weight = 50 + static_cast<int32_t>(random_.below(100));
+  return mutationOf(changed, row.revision);
+}
+
+void Operators::addBundle(wire::EditCommand* edit) {
+  // A service, its secret and a route to it, all at once: no node may see one without the others.
+  const auto name = kBundlePrefix + edit->requestId;
+  wire::Row secret;
+  secret.key = table::makeKey(RowKind::SECRET, name);
+  secret.__isset.secretRow = true;
+  secret.secretRow.value = name;
+  wire::Row service;
+  service.key = table::makeKey(RowKind::SERVICE, name);
+  service.__isset.serviceRow = true;
+  service.serviceRow.secrets = {name};
+  wire::Row route;
+  route.key = table::makeKey(RowKind::ROUTE, name);
+  route.__isset.routeRow = true;
+  const auto& hosts = cluster_.plan().nodes.front().hosts;
+  route.routeRow.host = hosts.empty() ? "host.example" : hosts.front();
+  route.routeRow.pathPrefix = "/" + name;
+  wire::WeightedService share;
+  share.serviceName = name;
+  share.weight = 100;
+  route.routeRow.shares = {share};
+  route.routeRow.requiredSecrets = {name};
+  route.routeRow.timeoutMs = 1000;
+  for (const auto& row : {secret, service, route}) edit->mutations.push_back(mutationOf(row, 0));
+}
+
+void Operators::removeBundle(const table::Table& known, wire::EditCommand* edit) {
+  std::vector<table::RowPtr> bundle;
+  std::string name;
+  for (const auto& [key, row] : known.rows()) {
+    if (key.name.rfind(kBundlePrefix, 0) != 0) continue;
+    if (name.empty()) name = key.name;
+    if (key.name == name) bundle.push_back(row);
+  }
+  for (const auto& row : bundle) edit->mutations.push_back(deletionOf(*row));
+}
+
+void Operators::breakReference(const table::Table& known, wire::EditCommand* edit) {
+  // A secret or service goes while a route still needs it.
+  std::vector<table::RowPtr> needed;
+  for (const auto& [key, row] : known.rows()) {
+    if (key.kind == RowKind::SECRET || key.kind == RowKind::SERVICE) needed.push_back(row);
+  }
+  if (!needed.empty()) edit->mutations.push_back(deletionOf(*needed[random_.below(needed.size())]));
+}
+
+wire::EditCommand Operators::drawEdit(const table::Table& known) {
+  constexpr uint64_t kChoices = 10;
+  wire::EditCommand edit;
+  edit.requestId = nextRequestId();
+  edit.author = "operator";
+  edit.baseRevision = known.revision();
+  if (random_.chance(options_.badEdits)) {
+    breakReference(known, &edit);
+    if (!edit.mutations.empty()) return edit;
+  }
+  const auto choice = random_.below(kChoices);
+  if (choice == 0) addBundle(&edit);
+  if (choice == 1) removeBundle(known, &edit);
+  if (!edit.mutations.empty()) return edit;
+  const size_t count = 1 + random_.below(2);
+  std::set<size_t> positions;
+  for (size_t i = 0; i < count; ++i) positions.insert(random_.below(known.rows().size()));
+  size_t position = 0;
+  for (const auto& [key, row] : known.rows()) {
+    if (positions.count(position++) > 0 && key.kind != RowKind::SERVICE) edit.mutations.push_back(changeOf(*row));
+  }
+  if (edit.mutations.empty()) addBundle(&edit);
+  return edit;
+}
+
+void Operators::attempt(const std::string& requestId) {
+  const auto found = open_.find(requestId);
+  if (found == open_.end()) return;
+  auto& open = found->second;
+  if (open.attempts++ > 0) ++counters_.resends;
+  const int attempt = open.attempts;
+  const auto position = preferred_;
+  auto& machine = *cluster_.controllers()[position];
+  const auto edit = open.edit;
+  auto& queue = cluster_.queue();
+  const auto tryNext = [this, requestId, attempt, position] {
+    const auto still = open_.find(requestId);
+    if (still == open_.end() || still->second.attempts != attempt) return;
+    if (preferred_ == position) preferred_ = (position + 1) % cluster_.controllers().size();
+    this->attempt(requestId);
+  };
+  queue.after(options_.answerTimeout, tryNext);
+  queue.after(options_.oneWay, [this, &machine, &queue, edit, requestId, tryNext] {
+    if (!machine.running() || machine.controller() == nullptr) {
+      queue.after(kRetryGap, tryNext);
+      return;
+    }
+    machine.process().run(machine.process().incarnation(), [this, &machine, &queue, edit, requestId, tryNext] {
+      machine.controller()->submitEdit(edit, [this, &queue, requestId, tryNext](const controller::EditAnswer& answer) {
+        if (random_.chance(options_.lostAnswers)) return;
+        if (!isFinal(answer.code)) {
+          queue.after(options_.oneWay + kRetryGap, tryNext);
+          return;
+        }
+        queue.after(options_.oneWay, [this, requestId, answer] { onAnswer(requestId, answer); });
+      });
+    });
+  });
+}
+
+void Operators::onAnswer(const std::string& requestId, const controller::EditAnswer& answer) {
+  auto outcome = answer.outcome;
+  outcome.code = static_cast<int>(answer.code);
+  cluster_.checker().onOutcome(requestId, outcome);
+  if (open_.erase(requestId) == 0) return;
+  if (answer.code == ErrorCode::kNone) ++counters_.accepted;
+  if (answer.code == ErrorCode::kRevisionConflict) ++counters_.conflicts;
+  if (answer.code == ErrorCode::kInvalidEdit) ++counters_.invalid;
+}
+
+}  // namespace driftlug::simulation
--- /dev/null
+++ b/src/simulation/operators.h
@@ -0,0 +1,77 @@
+/// Operators and their scripts: edit rows, race each other, lose answers and send again.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "simulation/cluster.h"
+
+namespace driftlug::simulation {
+
+/// What operators do.
+struct OperatorOptions {
+  base::TimePoint from{};
+  base::TimePoint until{};
+  base::Duration meanGap = base::milliseconds(1500);        ///< between edits
+  base::Duration answerTimeout = base::milliseconds(1500);  ///< before an edit is sent again
+  double lostAnswers = 0.1;                                 ///< share of answers that never arrive
+  double races = 0.2;                                       ///< share of edits sent as two that compete
+  double badEdits = 0.1;                                    ///< share of edits that must be refused
+  base::Duration oneWay = base::milliseconds(1);            ///< between an operator and a controller
+};
+
+/// Counts of what operators were told.
+struct OperatorCounters {
+  int64_t edits = 0;
+  int64_t resends = 0;
+  int64_t accepted = 0;
+  int64_t conflicts = 0;
+  int64_t invalid = 0;
+  int64_t undecided = 0;  ///< still without an answer at the end
+};
+
+/// Sends edits until each has a final answer, and reports every answer to the checker.
+class Operators {
+ public:
+  Operators(Cluster& cluster, OperatorOptions options);
+
+  /// Sends the rows of the plan, then begins to edit.
+  void start();
+
+  /// @return edits without a final answer.
+  size_t undecided() const { return open_.size(); }
+
+  const OperatorCounters& counters() const { return counters_; }
+
+  /// Sends one edit now.
+  void submit(wire::EditCommand edit);
+
+ private:
+  struct Open {
+    wire::EditCommand edit;
+    int attempts = 0;
+  };
+
+  void editNow();
+  void attempt(const std::string& requestId);
+  void onAnswer(const std::string& requestId, const controller::EditAnswer& answer);
+  wire::EditCommand drawEdit(const table::Table& known);
+  wire::Mutation changeOf(const table::Row& row);
+  void addBundle(wire::EditCommand* edit);
+  void removeBundle(const table::Table& known, wire::EditCommand* edit);
+  void breakReference(const table::Table& known, wire::EditCommand* edit);
+  std::string nextRequestId();
+
+  Cluster& cluster_;
+  OperatorOptions options_;
+  base::RandomSource random_;
+  std::map<std::string, Open> open_;  // by request id
+  int64_t sequence_ = 0;
+  size_t preferred_ = 0;  // controller that answered last
+  OperatorCounters counters_;
+};
+
+}  // namespace driftlug::simulation
--- /dev/null
+++ b/src/simulation/run.cc
@@ -0,0 +1,148 @@
+#include "simulation/run.h"
+
+#include <algorithm>
+
+namespace driftlug::simulation {
+namespace {
+
+/// Time from the start in which the cluster forms and the first rows are accepted.
+constexpr base::Duration kFormation = base::seconds(3);
+/// Time at the end without faults or edits, in which everything must converge.
+constexpr base::Duration kSettle = base::seconds(20);
+constexpr base::Duration kProbeInterval = base::milliseconds(250);
+/// Nodes hit by a fault within this time may differ from what a controller says of them.
+constexpr base::Duration kExcuse = base::seconds(12);
+
+/// Asks the leader now and then whether the newest revision is in force everywhere.
+class ConvergenceProbe {
+ public:
+  ConvergenceProbe(Cluster& cluster, FaultInjector& faults) : cluster_(cluster), faults_(faults) {}
+
+  void start() {
+    cluster_.queue().after(kProbeInterval, [this] {
+      start();
+      auto* leader = cluster_.leader();
+      if (leader == nullptr) return;
+      auto* controller = leader->controller();
+      const auto revision = controller->state().table().revision();
+      controller->confirmLeadership([this, controller, revision](bool confirmed) {
+        if (!confirmed || !controller->convergence().inForceEverywhere(revision)) return;
+        cluster_.checker().onSaidEverywhere(revision, faults_.disturbedNodes(kExcuse));
+      });
+    });
+  }
+
+ private:
+  Cluster& cluster_;
+  FaultInjector& faults_;
+};
+
+std::vector<Fault> selectFaults(const RunOptions& options, std::vector<Fault> drawn) {
+  if (!options.restrictFaults) return drawn;
+  std::vector<Fault> selected;
+  for (const auto position : options.onlyFaults) {
+    if (position < drawn.size()) selected.push_back(drawn[position]);
+  }
+  return selected;
+}
+
+int64_t controlBytesOf(const Traffic& traffic) {
+  int64_t bytes = 0;
+  for (size_t kind = 0; kind < kMessageKinds; ++kind) {
+    const auto name = messageKindName(kind);
+    const bool log = name.rfind("Vote", 0) == 0 || name.rfind("Append", 0) == 0 || name.rfind("Snapshot", 0) == 0 ||
+                     name == "TimeoutNow";
+    const bool call = name.rfind("Call", 0) == 0;
+    if (!log && !call) bytes += traffic.bytes[kind];
+  }
+  return bytes;
+}
+
+void checkEnd(Cluster& cluster, const Operators& operators) {
+  auto& checker = cluster.checker();
+  std::map<std::string, const table::Table*> controllers;
+  for (auto& machine : cluster.controllers()) {
+    if (machine->controller() != nullptr) controllers[machine->name()] = &machine->controller()->state().table();
+  }
+  std::map<std::string, const node::SliceStore*> nodes;
+  for (auto& machine : cluster.nodes()) {
+    if (machine->control() != nullptr) nodes[machine->name()] = &machine->control()->slices();
+  }
+  checker.checkEnd(controllers, nodes);
+  if (operators.undecided() > 0) {
+    checker.violate(Guarantee::kAcceptedStays,
+                    std::to_string(operators.undecided()) + " edits have no answer though all faults have healed");
+  }
+}
+
+}  // namespace
+
+RunResult runSeed(const RunOptions& options) {
+  Cluster cluster(options.plan, options.seed);
+  const base::TimePoint begin{};
+  const auto end = begin + options.duration;
+  const auto calm = end - kSettle;
+  FaultOptions faultOptions;
+  faultOptions.classes = options.faults;
+  faultOptions.from = begin + kFormation;
+  faultOptions.until = calm;
+  faultOptions.meanGap = options.meanFaultGap;
+  const auto drawn = drawFaults(faultOptions, cluster.fork(), cluster.plan());
+  FaultInjector faults(cluster, selectFaults(options, drawn));
+  OperatorOptions operatorOptions;
+  operatorOptions.from = begin + kFormation;
+  operatorOptions.until = calm + kSettle / 4;
+  operatorOptions.meanGap = options.meanEditGap;
+  Operators operators(cluster, operatorOptions);
+  ConvergenceProbe probe(cluster, faults);
+
+  cluster.start();
+  operators.start();
+  faults.start();
+  probe.start();
+  cluster.runUntil(end);
+  checkEnd(cluster, operators);
+
+  RunResult result;
+  result.seed = options.seed;
+  result.traceHash = cluster.network().traceHash();
+  result.events = cluster.queue().executed();
+  result.violations = cluster.checker().violations();
+  result.operators = operators.counters();
+  result.operators.undecided = static_cast<int64_t>(operators.undecided());
+  result.traffic = cluster.network().traffic();
+  result.controlBytes = controlBytesOf(result.traffic);
+  result.faultsDrawn = drawn.size();
+  result.faults = drawn;
+  for (const auto& [requestId, edit] : cluster.checker().accepted()) {
+    // The rows of the start are in force when the cluster has formed, which is no convergence.
+    if (!edit.inForce || edit.committedAt < begin + kFormation) continue;
+    result.convergenceMs.push_back(
+        std::chrono::duration<double, std::milli>(edit.inForceAt - edit.committedAt).count());
+  }
+  return result;
+}
+
+std::vector<size_t> shrinkFaults(const RunOptions& options, size_t faultsDrawn) {
+  std::vector<size_t> kept;
+  for (size_t i = 0; i < faultsDrawn; ++i) kept.push_back(i);
+  RunOptions trial = options;
+  trial.restrictFaults = true;
+  // Halves first, then single faults, until nothing more can go.
+  for (size_t chunk = std::max<size_t>(1, kept.size() / 2); chunk >= 1; chunk /= 2) {
+    for (size_t start = 0; start < kept.size();) {
+      trial.onlyFaults = kept;
+      const auto last = std::min(kept.size(), start + chunk);
+      trial.onlyFaults.erase(trial.onlyFaults.begin() + static_cast<std::ptrdiff_t>(start),
+                             trial.onlyFaults.begin() + static_cast<std::ptrdiff_t>(last));
+      if (!runSeed(trial).violations.empty()) {
+        kept = trial.onlyFaults;
+      } else {
+        start += chunk;
+      }
+    }
+  }
+  return kept;
+}
+
+}  // namespace driftlug::simulation
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -116,7 +116,8 @@
   NOOP = 1,
   EDIT = 2,
   MEMBERS = 3,
-  LEDGER = 4
+  LEDGER = 4,
+  RELAY = 5
 }
 
 enum LedgerAction {
@@ -156,6 +157,13 @@
   5: bool voting
 }
 
+/** A relay that feeds nodes; known to every leader, so that none takes silence for agreement. */
+struct RelayRecord {
+  1: string id
+  2: string zone
+  3: bool removed
+}
+
 struct LogEntry {
   1: i64 index
   2: i64 term
@@ -164,6 +172,7 @@
   5: optional list<Member> members
   6: bool forming
   7: optional LedgerCommand ledger
+  8: optional RelayRecord relay
 }
 
 /** Term and vote, synced before any answer that depends on them. */
@@ -216,6 +225,7 @@
   7: i64 tableRevision
   9: i64 historyFloor
   10: i64 horizon
+  11: list<RelayRecord> relays
 }
 
 /** First message on each connection, in both directions. */
@@ -227,6 +237,10 @@
   5: bool blank
 }
 
+/** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
+struct KeepAlive {
+}
+
 struct VoteRequest {
   1: i64 term
   2: string candidate
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -18,7 +18,7 @@
     std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck,
                  TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat, ConfirmRequest, ConfirmReply,
                  ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied, SliceRejected, NodeHeartbeat, RetryLater,
-                 RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel>;
+                 RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel, KeepAlive>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -87,15 +87,17 @@
   EntryKind::NOOP,
   EntryKind::EDIT,
   EntryKind::MEMBERS,
-  EntryKind::LEDGER
+  EntryKind::LEDGER,
+  EntryKind::RELAY
 };
 const char* _kEntryKindNames[] = {
   "NOOP",
   "EDIT",
   "MEMBERS",
-  "LEDGER"
+  "LEDGER",
+  "RELAY"
 };
-const std::map<int, const char*> _EntryKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kEntryKindValues, _kEntryKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _EntryKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kEntryKindValues, _kEntryKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const EntryKind::type& val) {
   std::map<int, const char*>::const_iterator it = _EntryKind_VALUES_TO_NAMES.find(val);
@@ -2941,6 +2943,151 @@
 }
 
 
+RelayRecord::~RelayRecord() noexcept {
+}
+
+
+void RelayRecord::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void RelayRecord::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void RelayRecord::__set_removed(const bool val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayRecord &a, RelayRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.zone, b.zone);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+RelayRecord::RelayRecord(const RelayRecord& other102) {
+  id = other102.id;
+  zone = other102.zone;
+  removed = other102.removed;
+  __isset = other102.__isset;
+}
+RelayRecord::RelayRecord(RelayRecord&& other103) noexcept {
+  id = std::move(other103.id);
+  zone = std::move(other103.zone);
+  removed = other103.removed;
+  __isset = other103.__isset;
+}
+RelayRecord& RelayRecord::operator=(const RelayRecord& other104) {
+  id = other104.id;
+  zone = other104.zone;
+  removed = other104.removed;
+  __isset = other104.__isset;
+  return *this;
+}
+RelayRecord& RelayRecord::operator=(RelayRecord&& other105) noexcept {
+  id = std::move(other105.id);
+  zone = std::move(other105.zone);
+  removed = other105.removed;
+  __isset = other105.__isset;
+  return *this;
+}
+void RelayRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayRecord(";
+  out << "id=" << to_string(id);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
 LogEntry::~LogEntry() noexcept {
 }
 
@@ -2975,6 +3122,11 @@
   this->ledger = val;
 __isset.ledger = true;
 }
+
+void LogEntry::__set_relay(const RelayRecord& val) {
+  this->relay = val;
+__isset.relay = true;
+}
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
@@ -3021,9 +3173,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast102;
-          xfer += iprot->readI32(ecast102);
-          this->kind = static_cast<EntryKind::type>(ecast102);
+          int32_t ecast106;
+          xfer += iprot->readI32(ecast106);
+          this->kind = static_cast<EntryKind::type>(ecast106);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3041,14 +3193,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->members.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->members.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->members[_i107].read(iprot);
+              xfer += this->members[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3073,6 +3225,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relay.read(iprot);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3111,10 +3271,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter108;
-      for (_iter108 = this->members.begin(); _iter108 != this->members.end(); ++_iter108)
+      std::vector<Member> ::const_iterator _iter112;
+      for (_iter112 = this->members.begin(); _iter112 != this->members.end(); ++_iter112)
       {
-        xfer += (*_iter108).write(oprot);
+        xfer += (*_iter112).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3129,6 +3289,11 @@
     xfer += this->ledger.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relay) {
+    xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->relay.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3143,49 +3308,54 @@
   swap(a.members, b.members);
   swap(a.forming, b.forming);
   swap(a.ledger, b.ledger);
+  swap(a.relay, b.relay);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other109) {
-  index = other109.index;
-  term = other109.term;
-  kind = other109.kind;
-  edit = other109.edit;
-  members = other109.members;
-  forming = other109.forming;
-  ledger = other109.ledger;
-  __isset = other109.__isset;
-}
-LogEntry::LogEntry(LogEntry&& other110) noexcept {
-  index = other110.index;
-  term = other110.term;
-  kind = other110.kind;
-  edit = std::move(other110.edit);
-  members = std::move(other110.members);
-  forming = other110.forming;
-  ledger = std::move(other110.ledger);
-  __isset = other110.__isset;
-}
-LogEntry& LogEntry::operator=(const LogEntry& other111) {
-  index = other111.index;
-  term = other111.term;
-  kind = other111.kind;
-  edit = other111.edit;
-  members = other111.members;
-  forming = other111.forming;
-  ledger = other111.ledger;
-  __isset = other111.__isset;
+LogEntry::LogEntry(const LogEntry& other113) {
+  index = other113.index;
+  term = other113.term;
+  kind = other113.kind;
+  edit = other113.edit;
+  members = other113.members;
+  forming = other113.forming;
+  ledger = other113.ledger;
+  relay = other113.relay;
+  __isset = other113.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other114) noexcept {
+  index = other114.index;
+  term = other114.term;
+  kind = other114.kind;
+  edit = std::move(other114.edit);
+  members = std::move(other114.members);
+  forming = other114.forming;
+  ledger = std::move(other114.ledger);
+  relay = std::move(other114.relay);
+  __isset = other114.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other115) {
+  index = other115.index;
+  term = other115.term;
+  kind = other115.kind;
+  edit = other115.edit;
+  members = other115.members;
+  forming = other115.forming;
+  ledger = other115.ledger;
+  relay = other115.relay;
+  __isset = other115.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other112) noexcept {
-  index = other112.index;
-  term = other112.term;
-  kind = other112.kind;
-  edit = std::move(other112.edit);
-  members = std::move(other112.members);
-  forming = other112.forming;
-  ledger = std::move(other112.ledger);
-  __isset = other112.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other116) noexcept {
+  index = other116.index;
+  term = other116.term;
+  kind = other116.kind;
+  edit = std::move(other116.edit);
+  members = std::move(other116.members);
+  forming = other116.forming;
+  ledger = std::move(other116.ledger);
+  relay = std::move(other116.relay);
+  __isset = other116.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -3198,6 +3368,7 @@
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "forming=" << to_string(forming);
   out << ", " << "ledger="; (__isset.ledger ? (out << to_string(ledger)) : (out << "<null>"));
+  out << ", " << "relay="; (__isset.relay ? (out << to_string(relay)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3311,30 +3482,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other113) {
-  term = other113.term;
-  votedFor = other113.votedFor;
-  identity = other113.identity;
-  __isset = other113.__isset;
+HardState::HardState(const HardState& other117) {
+  term = other117.term;
+  votedFor = other117.votedFor;
+  identity = other117.identity;
+  __isset = other117.__isset;
 }
-HardState::HardState(HardState&& other114) noexcept {
-  term = other114.term;
-  votedFor = std::move(other114.votedFor);
-  identity = std::move(other114.identity);
-  __isset = other114.__isset;
+HardState::HardState(HardState&& other118) noexcept {
+  term = other118.term;
+  votedFor = std::move(other118.votedFor);
+  identity = std::move(other118.identity);
+  __isset = other118.__isset;
 }
-HardState& HardState::operator=(const HardState& other115) {
-  term = other115.term;
-  votedFor = other115.votedFor;
-  identity = other115.identity;
-  __isset = other115.__isset;
+HardState& HardState::operator=(const HardState& other119) {
+  term = other119.term;
+  votedFor = other119.votedFor;
+  identity = other119.identity;
+  __isset = other119.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other116) noexcept {
-  term = other116.term;
-  votedFor = std::move(other116.votedFor);
-  identity = std::move(other116.identity);
-  __isset = other116.__isset;
+HardState& HardState::operator=(HardState&& other120) noexcept {
+  term = other120.term;
+  votedFor = std::move(other120.votedFor);
+  identity = std::move(other120.identity);
+  __isset = other120.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -3473,34 +3644,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EditProblem::EditProblem(const EditProblem& other117) {
-  key = other117.key;
-  field = other117.field;
-  problem = other117.problem;
-  message = other117.message;
-  __isset = other117.__isset;
-}
-EditProblem::EditProblem(EditProblem&& other118) noexcept {
-  key = std::move(other118.key);
-  field = std::move(other118.field);
-  problem = std::move(other118.problem);
-  message = std::move(other118.message);
-  __isset = other118.__isset;
-}
-EditProblem& EditProblem::operator=(const EditProblem& other119) {
-  key = other119.key;
-  field = other119.field;
-  problem = other119.problem;
-  message = other119.message;
-  __isset = other119.__isset;
+EditProblem::EditProblem(const EditProblem& other121) {
+  key = other121.key;
+  field = other121.field;
+  problem = other121.problem;
+  message = other121.message;
+  __isset = other121.__isset;
+}
+EditProblem::EditProblem(EditProblem&& other122) noexcept {
+  key = std::move(other122.key);
+  field = std::move(other122.field);
+  problem = std::move(other122.problem);
+  message = std::move(other122.message);
+  __isset = other122.__isset;
+}
+EditProblem& EditProblem::operator=(const EditProblem& other123) {
+  key = other123.key;
+  field = other123.field;
+  problem = other123.problem;
+  message = other123.message;
+  __isset = other123.__isset;
   return *this;
 }
-EditProblem& EditProblem::operator=(EditProblem&& other120) noexcept {
-  key = std::move(other120.key);
-  field = std::move(other120.field);
-  problem = std::move(other120.problem);
-  message = std::move(other120.message);
-  __isset = other120.__isset;
+EditProblem& EditProblem::operator=(EditProblem&& other124) noexcept {
+  key = std::move(other124.key);
+  field = std::move(other124.field);
+  problem = std::move(other124.problem);
+  message = std::move(other124.message);
+  __isset = other124.__isset;
   return *this;
 }
 void EditProblem::printTo(std::ostream& out) const {
@@ -3597,14 +3768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->problems.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->problems.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->problems.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->problems[_i125].read(iprot);
+              xfer += this->problems[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3617,14 +3788,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->currentRows.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->currentRows.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->currentRows.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->currentRows[_i130].read(iprot);
+              xfer += this->currentRows[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3673,10 +3844,10 @@
   xfer += oprot->writeFieldBegin("problems", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->problems.size()));
-    std::vector<EditProblem> ::const_iterator _iter131;
-    for (_iter131 = this->problems.begin(); _iter131 != this->problems.end(); ++_iter131)
+    std::vector<EditProblem> ::const_iterator _iter135;
+    for (_iter135 = this->problems.begin(); _iter135 != this->problems.end(); ++_iter135)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3685,10 +3856,10 @@
   xfer += oprot->writeFieldBegin("currentRows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->currentRows.size()));
-    std::vector<Row> ::const_iterator _iter132;
-    for (_iter132 = this->currentRows.begin(); _iter132 != this->currentRows.end(); ++_iter132)
+    std::vector<Row> ::const_iterator _iter136;
+    for (_iter136 = this->currentRows.begin(); _iter136 != this->currentRows.end(); ++_iter136)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3714,42 +3885,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EditOutcome::EditOutcome(const EditOutcome& other133) {
-  requestId = other133.requestId;
-  revision = other133.revision;
-  code = other133.code;
-  problems = other133.problems;
-  currentRows = other133.currentRows;
-  fingerprint = other133.fingerprint;
-  __isset = other133.__isset;
-}
-EditOutcome::EditOutcome(EditOutcome&& other134) noexcept {
-  requestId = std::move(other134.requestId);
-  revision = other134.revision;
-  code = other134.code;
-  problems = std::move(other134.problems);
-  currentRows = std::move(other134.currentRows);
-  fingerprint = other134.fingerprint;
-  __isset = other134.__isset;
-}
-EditOutcome& EditOutcome::operator=(const EditOutcome& other135) {
-  requestId = other135.requestId;
-  revision = other135.revision;
-  code = other135.code;
-  problems = other135.problems;
-  currentRows = other135.currentRows;
-  fingerprint = other135.fingerprint;
-  __isset = other135.__isset;
+EditOutcome::EditOutcome(const EditOutcome& other137) {
+  requestId = other137.requestId;
+  revision = other137.revision;
+  code = other137.code;
+  problems = other137.problems;
+  currentRows = other137.currentRows;
+  fingerprint = other137.fingerprint;
+  __isset = other137.__isset;
+}
+EditOutcome::EditOutcome(EditOutcome&& other138) noexcept {
+  requestId = std::move(other138.requestId);
+  revision = other138.revision;
+  code = other138.code;
+  problems = std::move(other138.problems);
+  currentRows = std::move(other138.currentRows);
+  fingerprint = other138.fingerprint;
+  __isset = other138.__isset;
+}
+EditOutcome& EditOutcome::operator=(const EditOutcome& other139) {
+  requestId = other139.requestId;
+  revision = other139.revision;
+  code = other139.code;
+  problems = other139.problems;
+  currentRows = other139.currentRows;
+  fingerprint = other139.fingerprint;
+  __isset = other139.__isset;
   return *this;
 }
-EditOutcome& EditOutcome::operator=(EditOutcome&& other136) noexcept {
-  requestId = std::move(other136.requestId);
-  revision = other136.revision;
-  code = other136.code;
-  problems = std::move(other136.problems);
-  currentRows = std::move(other136.currentRows);
-  fingerprint = other136.fingerprint;
-  __isset = other136.__isset;
+EditOutcome& EditOutcome::operator=(EditOutcome&& other140) noexcept {
+  requestId = std::move(other140.requestId);
+  revision = other140.revision;
+  code = other140.code;
+  problems = std::move(other140.problems);
+  currentRows = std::move(other140.currentRows);
+  fingerprint = other140.fingerprint;
+  __isset = other140.__isset;
   return *this;
 }
 void EditOutcome::printTo(std::ostream& out) const {
@@ -3840,14 +4011,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->keys.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->keys.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->keys[_i141].read(iprot);
+              xfer += this->keys[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3888,10 +4059,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RowKey> ::const_iterator _iter142;
-    for (_iter142 = this->keys.begin(); _iter142 != this->keys.end(); ++_iter142)
+    std::vector<RowKey> ::const_iterator _iter146;
+    for (_iter146 = this->keys.begin(); _iter146 != this->keys.end(); ++_iter146)
     {
-      xfer += (*_iter142).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3911,34 +4082,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRecord::HistoryRecord(const HistoryRecord& other143) {
-  revision = other143.revision;
-  requestId = other143.requestId;
-  author = other143.author;
-  keys = other143.keys;
-  __isset = other143.__isset;
-}
-HistoryRecord::HistoryRecord(HistoryRecord&& other144) noexcept {
-  revision = other144.revision;
-  requestId = std::move(other144.requestId);
-  author = std::move(other144.author);
-  keys = std::move(other144.keys);
-  __isset = other144.__isset;
-}
-HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other145) {
-  revision = other145.revision;
-  requestId = other145.requestId;
-  author = other145.author;
-  keys = other145.keys;
-  __isset = other145.__isset;
+HistoryRecord::HistoryRecord(const HistoryRecord& other147) {
+  revision = other147.revision;
+  requestId = other147.requestId;
+  author = other147.author;
+  keys = other147.keys;
+  __isset = other147.__isset;
+}
+HistoryRecord::HistoryRecord(HistoryRecord&& other148) noexcept {
+  revision = other148.revision;
+  requestId = std::move(other148.requestId);
+  author = std::move(other148.author);
+  keys = std::move(other148.keys);
+  __isset = other148.__isset;
+}
+HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other149) {
+  revision = other149.revision;
+  requestId = other149.requestId;
+  author = other149.author;
+  keys = other149.keys;
+  __isset = other149.__isset;
   return *this;
 }
-HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other146) noexcept {
-  revision = other146.revision;
-  requestId = std::move(other146.requestId);
-  author = std::move(other146.author);
-  keys = std::move(other146.keys);
-  __isset = other146.__isset;
+HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other150) noexcept {
+  revision = other150.revision;
+  requestId = std::move(other150.requestId);
+  author = std::move(other150.author);
+  keys = std::move(other150.keys);
+  __isset = other150.__isset;
   return *this;
 }
 void HistoryRecord::printTo(std::ostream& out) const {
@@ -4023,14 +4194,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->members.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->members.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += this->members[_i151].read(iprot);
+              xfer += this->members[_i155].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4083,10 +4254,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter152;
-    for (_iter152 = this->members.begin(); _iter152 != this->members.end(); ++_iter152)
+    std::vector<Member> ::const_iterator _iter156;
+    for (_iter156 = this->members.begin(); _iter156 != this->members.end(); ++_iter156)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4115,38 +4286,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshot::LogSnapshot(const LogSnapshot& other153) {
-  index = other153.index;
-  term = other153.term;
-  members = other153.members;
-  forming = other153.forming;
-  state = other153.state;
-  __isset = other153.__isset;
-}
-LogSnapshot::LogSnapshot(LogSnapshot&& other154) noexcept {
-  index = other154.index;
-  term = other154.term;
-  members = std::move(other154.members);
-  forming = other154.forming;
-  state = std::move(other154.state);
-  __isset = other154.__isset;
-}
-LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other155) {
-  index = other155.index;
-  term = other155.term;
-  members = other155.members;
-  forming = other155.forming;
-  state = other155.state;
-  __isset = other155.__isset;
+LogSnapshot::LogSnapshot(const LogSnapshot& other157) {
+  index = other157.index;
+  term = other157.term;
+  members = other157.members;
+  forming = other157.forming;
+  state = other157.state;
+  __isset = other157.__isset;
+}
+LogSnapshot::LogSnapshot(LogSnapshot&& other158) noexcept {
+  index = other158.index;
+  term = other158.term;
+  members = std::move(other158.members);
+  forming = other158.forming;
+  state = std::move(other158.state);
+  __isset = other158.__isset;
+}
+LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other159) {
+  index = other159.index;
+  term = other159.term;
+  members = other159.members;
+  forming = other159.forming;
+  state = other159.state;
+  __isset = other159.__isset;
   return *this;
 }
-LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other156) noexcept {
-  index = other156.index;
-  term = other156.term;
-  members = std::move(other156.members);
-  forming = other156.forming;
-  state = std::move(other156.state);
-  __isset = other156.__isset;
+LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other160) noexcept {
+  index = other160.index;
+  term = other160.term;
+  members = std::move(other160.members);
+  forming = other160.forming;
+  state = std::move(other160.state);
+  __isset = other160.__isset;
   return *this;
 }
 void LogSnapshot::printTo(std::ostream& out) const {
@@ -4188,6 +4359,10 @@
 void TableSnapshot::__set_horizon(const int64_t val) {
   this->horizon = val;
 }
+
+void TableSnapshot::__set_relays(const std::vector<RelayRecord> & val) {
+  this->relays = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj)
 {
   obj.printTo(out);
@@ -4220,14 +4395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->rows.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->rows.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->rows[_i161].read(iprot);
+              xfer += this->rows[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4240,14 +4415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->outcomes.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->outcomes.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->outcomes[_i166].read(iprot);
+              xfer += this->outcomes[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4260,14 +4435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _etype170;
-            xfer += iprot->readListBegin(_etype170, _size167);
-            this->history.resize(_size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->history.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += this->history[_i171].read(iprot);
+              xfer += this->history[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4300,6 +4475,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relays.clear();
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->relays.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
+            {
+              xfer += this->relays[_i180].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4320,10 +4515,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter172;
-    for (_iter172 = this->rows.begin(); _iter172 != this->rows.end(); ++_iter172)
+    std::vector<Row> ::const_iterator _iter181;
+    for (_iter181 = this->rows.begin(); _iter181 != this->rows.end(); ++_iter181)
     {
-      xfer += (*_iter172).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4332,10 +4527,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<EditOutcome> ::const_iterator _iter173;
-    for (_iter173 = this->outcomes.begin(); _iter173 != this->outcomes.end(); ++_iter173)
+    std::vector<EditOutcome> ::const_iterator _iter182;
+    for (_iter182 = this->outcomes.begin(); _iter182 != this->outcomes.end(); ++_iter182)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter182).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4344,10 +4539,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRecord> ::const_iterator _iter174;
-    for (_iter174 = this->history.begin(); _iter174 != this->history.end(); ++_iter174)
+    std::vector<HistoryRecord> ::const_iterator _iter183;
+    for (_iter183 = this->history.begin(); _iter183 != this->history.end(); ++_iter183)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4365,6 +4560,18 @@
   xfer += oprot->writeI64(this->horizon);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
+    std::vector<RelayRecord> ::const_iterator _iter184;
+    for (_iter184 = this->relays.begin(); _iter184 != this->relays.end(); ++_iter184)
+    {
+      xfer += (*_iter184).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4378,45 +4585,50 @@
   swap(a.tableRevision, b.tableRevision);
   swap(a.historyFloor, b.historyFloor);
   swap(a.horizon, b.horizon);
+  swap(a.relays, b.relays);
   swap(a.__isset, b.__isset);
 }
 
-TableSnapshot::TableSnapshot(const TableSnapshot& other175) {
-  rows = other175.rows;
-  outcomes = other175.outcomes;
-  history = other175.history;
-  tableRevision = other175.tableRevision;
-  historyFloor = other175.historyFloor;
-  horizon = other175.horizon;
-  __isset = other175.__isset;
-}
-TableSnapshot::TableSnapshot(TableSnapshot&& other176) noexcept {
-  rows = std::move(other176.rows);
-  outcomes = std::move(other176.outcomes);
-  history = std::move(other176.history);
-  tableRevision = other176.tableRevision;
-  historyFloor = other176.historyFloor;
-  horizon = other176.horizon;
-  __isset = other176.__isset;
-}
-TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other177) {
-  rows = other177.rows;
-  outcomes = other177.outcomes;
-  history = other177.history;
-  tableRevision = other177.tableRevision;
-  historyFloor = other177.historyFloor;
-  horizon = other177.horizon;
-  __isset = other177.__isset;
+TableSnapshot::TableSnapshot(const TableSnapshot& other185) {
+  rows = other185.rows;
+  outcomes = other185.outcomes;
+  history = other185.history;
+  tableRevision = other185.tableRevision;
+  historyFloor = other185.historyFloor;
+  horizon = other185.horizon;
+  relays = other185.relays;
+  __isset = other185.__isset;
+}
+TableSnapshot::TableSnapshot(TableSnapshot&& other186) noexcept {
+  rows = std::move(other186.rows);
+  outcomes = std::move(other186.outcomes);
+  history = std::move(other186.history);
+  tableRevision = other186.tableRevision;
+  historyFloor = other186.historyFloor;
+  horizon = other186.horizon;
+  relays = std::move(other186.relays);
+  __isset = other186.__isset;
+}
+TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other187) {
+  rows = other187.rows;
+  outcomes = other187.outcomes;
+  history = other187.history;
+  tableRevision = other187.tableRevision;
+  historyFloor = other187.historyFloor;
+  horizon = other187.horizon;
+  relays = other187.relays;
+  __isset = other187.__isset;
   return *this;
 }
-TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other178) noexcept {
-  rows = std::move(other178.rows);
-  outcomes = std::move(other178.outcomes);
-  history = std::move(other178.history);
-  tableRevision = other178.tableRevision;
-  historyFloor = other178.historyFloor;
-  horizon = other178.horizon;
-  __isset = other178.__isset;
+TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other188) noexcept {
+  rows = std::move(other188.rows);
+  outcomes = std::move(other188.outcomes);
+  history = std::move(other188.history);
+  tableRevision = other188.tableRevision;
+  historyFloor = other188.historyFloor;
+  horizon = other188.horizon;
+  relays = std::move(other188.relays);
+  __isset = other188.__isset;
   return *this;
 }
 void TableSnapshot::printTo(std::ostream& out) const {
@@ -4428,6 +4640,7 @@
   out << ", " << "tableRevision=" << to_string(tableRevision);
   out << ", " << "historyFloor=" << to_string(historyFloor);
   out << ", " << "horizon=" << to_string(horizon);
+  out << ", " << "relays=" << to_string(relays);
   out << ")";
 }
 
@@ -4493,9 +4706,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast179;
-          xfer += iprot->readI32(ecast179);
-          this->role = static_cast<Role::type>(ecast179);
+          int32_t ecast189;
+          xfer += iprot->readI32(ecast189);
+          this->role = static_cast<Role::type>(ecast189);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4577,38 +4790,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other180) {
-  protocolVersion = other180.protocolVersion;
-  role = other180.role;
-  id = other180.id;
-  zone = other180.zone;
-  blank = other180.blank;
-  __isset = other180.__isset;
-}
-Hello::Hello(Hello&& other181) noexcept {
-  protocolVersion = other181.protocolVersion;
-  role = other181.role;
-  id = std::move(other181.id);
-  zone = std::move(other181.zone);
-  blank = other181.blank;
-  __isset = other181.__isset;
-}
-Hello& Hello::operator=(const Hello& other182) {
-  protocolVersion = other182.protocolVersion;
-  role = other182.role;
-  id = other182.id;
-  zone = other182.zone;
-  blank = other182.blank;
-  __isset = other182.__isset;
+Hello::Hello(const Hello& other190) {
+  protocolVersion = other190.protocolVersion;
+  role = other190.role;
+  id = other190.id;
+  zone = other190.zone;
+  blank = other190.blank;
+  __isset = other190.__isset;
+}
+Hello::Hello(Hello&& other191) noexcept {
+  protocolVersion = other191.protocolVersion;
+  role = other191.role;
+  id = std::move(other191.id);
+  zone = std::move(other191.zone);
+  blank = other191.blank;
+  __isset = other191.__isset;
+}
+Hello& Hello::operator=(const Hello& other192) {
+  protocolVersion = other192.protocolVersion;
+  role = other192.role;
+  id = other192.id;
+  zone = other192.zone;
+  blank = other192.blank;
+  __isset = other192.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other183) noexcept {
-  protocolVersion = other183.protocolVersion;
-  role = other183.role;
-  id = std::move(other183.id);
-  zone = std::move(other183.zone);
-  blank = other183.blank;
-  __isset = other183.__isset;
+Hello& Hello::operator=(Hello&& other193) noexcept {
+  protocolVersion = other193.protocolVersion;
+  role = other193.role;
+  id = std::move(other193.id);
+  zone = std::move(other193.zone);
+  blank = other193.blank;
+  __isset = other193.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -4623,6 +4836,81 @@
 }
 
 
+KeepAlive::~KeepAlive() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const KeepAlive& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeepAlive::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeepAlive::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeepAlive");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeepAlive &a, KeepAlive &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+KeepAlive::KeepAlive(const KeepAlive& other194) noexcept {
+  (void) other194;
+}
+KeepAlive::KeepAlive(KeepAlive&& other195) noexcept {
+  (void) other195;
+}
+KeepAlive& KeepAlive::operator=(const KeepAlive& other196) noexcept {
+  (void) other196;
+  return *this;
+}
+KeepAlive& KeepAlive::operator=(KeepAlive&& other197) noexcept {
+  (void) other197;
+  return *this;
+}
+void KeepAlive::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeepAlive(";
+  out << ")";
+}
+
+
 VoteRequest::~VoteRequest() noexcept {
 }
 
@@ -4783,42 +5071,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other184) {
-  term = other184.term;
-  candidate = other184.candidate;
-  lastIndex = other184.lastIndex;
-  lastTerm = other184.lastTerm;
-  preVote = other184.preVote;
-  transfer = other184.transfer;
-  __isset = other184.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other185) noexcept {
-  term = other185.term;
-  candidate = std::move(other185.candidate);
-  lastIndex = other185.lastIndex;
-  lastTerm = other185.lastTerm;
-  preVote = other185.preVote;
-  transfer = other185.transfer;
-  __isset = other185.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other198) {
+  term = other198.term;
+  candidate = other198.candidate;
+  lastIndex = other198.lastIndex;
+  lastTerm = other198.lastTerm;
+  preVote = other198.preVote;
+  transfer = other198.transfer;
+  __isset = other198.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other186) {
-  term = other186.term;
-  candidate = other186.candidate;
-  lastIndex = other186.lastIndex;
-  lastTerm = other186.lastTerm;
-  preVote = other186.preVote;
-  transfer = other186.transfer;
-  __isset = other186.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other199) noexcept {
+  term = other199.term;
+  candidate = std::move(other199.candidate);
+  lastIndex = other199.lastIndex;
+  lastTerm = other199.lastTerm;
+  preVote = other199.preVote;
+  transfer = other199.transfer;
+  __isset = other199.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other200) {
+  term = other200.term;
+  candidate = other200.candidate;
+  lastIndex = other200.lastIndex;
+  lastTerm = other200.lastTerm;
+  preVote = other200.preVote;
+  transfer = other200.transfer;
+  __isset = other200.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other187) noexcept {
-  term = other187.term;
-  candidate = std::move(other187.candidate);
-  lastIndex = other187.lastIndex;
-  lastTerm = other187.lastTerm;
-  preVote = other187.preVote;
-  transfer = other187.transfer;
-  __isset = other187.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other201) noexcept {
+  term = other201.term;
+  candidate = std::move(other201.candidate);
+  lastIndex = other201.lastIndex;
+  lastTerm = other201.lastTerm;
+  preVote = other201.preVote;
+  transfer = other201.transfer;
+  __isset = other201.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -4943,30 +5231,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other188) noexcept {
-  term = other188.term;
-  granted = other188.granted;
-  preVote = other188.preVote;
-  __isset = other188.__isset;
+VoteResponse::VoteResponse(const VoteResponse& other202) noexcept {
+  term = other202.term;
+  granted = other202.granted;
+  preVote = other202.preVote;
+  __isset = other202.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other189) noexcept {
-  term = other189.term;
-  granted = other189.granted;
-  preVote = other189.preVote;
-  __isset = other189.__isset;
+VoteResponse::VoteResponse(VoteResponse&& other203) noexcept {
+  term = other203.term;
+  granted = other203.granted;
+  preVote = other203.preVote;
+  __isset = other203.__isset;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other190) noexcept {
-  term = other190.term;
-  granted = other190.granted;
-  preVote = other190.preVote;
-  __isset = other190.__isset;
+VoteResponse& VoteResponse::operator=(const VoteResponse& other204) noexcept {
+  term = other204.term;
+  granted = other204.granted;
+  preVote = other204.preVote;
+  __isset = other204.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other191) noexcept {
-  term = other191.term;
-  granted = other191.granted;
-  preVote = other191.preVote;
-  __isset = other191.__isset;
+VoteResponse& VoteResponse::operator=(VoteResponse&& other205) noexcept {
+  term = other205.term;
+  granted = other205.granted;
+  preVote = other205.preVote;
+  __isset = other205.__isset;
   return *this;
 }
 void VoteResponse::printTo(std::ostream& out) const {
@@ -5074,14 +5362,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->entries.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->entries.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->entries[_i196].read(iprot);
+              xfer += this->entries[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5142,10 +5430,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter197;
-    for (_iter197 = this->entries.begin(); _iter197 != this->entries.end(); ++_iter197)
+    std::vector<LogEntry> ::const_iterator _iter211;
+    for (_iter211 = this->entries.begin(); _iter211 != this->entries.end(); ++_iter211)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5176,46 +5464,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other198) {
-  term = other198.term;
-  leader = other198.leader;
-  previousIndex = other198.previousIndex;
-  previousTerm = other198.previousTerm;
-  entries = other198.entries;
-  commitIndex = other198.commitIndex;
-  round = other198.round;
-  __isset = other198.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other212) {
+  term = other212.term;
+  leader = other212.leader;
+  previousIndex = other212.previousIndex;
+  previousTerm = other212.previousTerm;
+  entries = other212.entries;
+  commitIndex = other212.commitIndex;
+  round = other212.round;
+  __isset = other212.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other199) noexcept {
-  term = other199.term;
-  leader = std::move(other199.leader);
-  previousIndex = other199.previousIndex;
-  previousTerm = other199.previousTerm;
-  entries = std::move(other199.entries);
-  commitIndex = other199.commitIndex;
-  round = other199.round;
-  __isset = other199.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other213) noexcept {
+  term = other213.term;
+  leader = std::move(other213.leader);
+  previousIndex = other213.previousIndex;
+  previousTerm = other213.previousTerm;
+  entries = std::move(other213.entries);
+  commitIndex = other213.commitIndex;
+  round = other213.round;
+  __isset = other213.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other200) {
-  term = other200.term;
-  leader = other200.leader;
-  previousIndex = other200.previousIndex;
-  previousTerm = other200.previousTerm;
-  entries = other200.entries;
-  commitIndex = other200.commitIndex;
-  round = other200.round;
-  __isset = other200.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other214) {
+  term = other214.term;
+  leader = other214.leader;
+  previousIndex = other214.previousIndex;
+  previousTerm = other214.previousTerm;
+  entries = other214.entries;
+  commitIndex = other214.commitIndex;
+  round = other214.round;
+  __isset = other214.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other201) noexcept {
-  term = other201.term;
-  leader = std::move(other201.leader);
-  previousIndex = other201.previousIndex;
-  previousTerm = other201.previousTerm;
-  entries = std::move(other201.entries);
-  commitIndex = other201.commitIndex;
-  round = other201.round;
-  __isset = other201.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other215) noexcept {
+  term = other215.term;
+  leader = std::move(other215.leader);
+  previousIndex = other215.previousIndex;
+  previousTerm = other215.previousTerm;
+  entries = std::move(other215.entries);
+  commitIndex = other215.commitIndex;
+  round = other215.round;
+  __isset = other215.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -5358,34 +5646,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other202) noexcept {
-  term = other202.term;
-  success = other202.success;
-  matchIndex = other202.matchIndex;
-  round = other202.round;
-  __isset = other202.__isset;
+AppendResponse::AppendResponse(const AppendResponse& other216) noexcept {
+  term = other216.term;
+  success = other216.success;
+  matchIndex = other216.matchIndex;
+  round = other216.round;
+  __isset = other216.__isset;
 }
-AppendResponse::AppendResponse(AppendResponse&& other203) noexcept {
-  term = other203.term;
-  success = other203.success;
-  matchIndex = other203.matchIndex;
-  round = other203.round;
-  __isset = other203.__isset;
+AppendResponse::AppendResponse(AppendResponse&& other217) noexcept {
+  term = other217.term;
+  success = other217.success;
+  matchIndex = other217.matchIndex;
+  round = other217.round;
+  __isset = other217.__isset;
 }
-AppendResponse& AppendResponse::operator=(const AppendResponse& other204) noexcept {
-  term = other204.term;
-  success = other204.success;
-  matchIndex = other204.matchIndex;
-  round = other204.round;
-  __isset = other204.__isset;
+AppendResponse& AppendResponse::operator=(const AppendResponse& other218) noexcept {
+  term = other218.term;
+  success = other218.success;
+  matchIndex = other218.matchIndex;
+  round = other218.round;
+  __isset = other218.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other205) noexcept {
-  term = other205.term;
-  success = other205.success;
-  matchIndex = other205.matchIndex;
-  round = other205.round;
-  __isset = other205.__isset;
+AppendResponse& AppendResponse::operator=(AppendResponse&& other219) noexcept {
+  term = other219.term;
+  success = other219.success;
+  matchIndex = other219.matchIndex;
+  round = other219.round;
+  __isset = other219.__isset;
   return *this;
 }
 void AppendResponse::printTo(std::ostream& out) const {
@@ -5576,46 +5864,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other206) {
-  term = other206.term;
-  leader = other206.leader;
-  lastIndex = other206.lastIndex;
-  lastTerm = other206.lastTerm;
-  offset = other206.offset;
-  totalBytes = other206.totalBytes;
-  data = other206.data;
-  __isset = other206.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other207) noexcept {
-  term = other207.term;
-  leader = std::move(other207.leader);
-  lastIndex = other207.lastIndex;
-  lastTerm = other207.lastTerm;
-  offset = other207.offset;
-  totalBytes = other207.totalBytes;
-  data = std::move(other207.data);
-  __isset = other207.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other208) {
-  term = other208.term;
-  leader = other208.leader;
-  lastIndex = other208.lastIndex;
-  lastTerm = other208.lastTerm;
-  offset = other208.offset;
-  totalBytes = other208.totalBytes;
-  data = other208.data;
-  __isset = other208.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other220) {
+  term = other220.term;
+  leader = other220.leader;
+  lastIndex = other220.lastIndex;
+  lastTerm = other220.lastTerm;
+  offset = other220.offset;
+  totalBytes = other220.totalBytes;
+  data = other220.data;
+  __isset = other220.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other221) noexcept {
+  term = other221.term;
+  leader = std::move(other221.leader);
+  lastIndex = other221.lastIndex;
+  lastTerm = other221.lastTerm;
+  offset = other221.offset;
+  totalBytes = other221.totalBytes;
+  data = std::move(other221.data);
+  __isset = other221.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other222) {
+  term = other222.term;
+  leader = other222.leader;
+  lastIndex = other222.lastIndex;
+  lastTerm = other222.lastTerm;
+  offset = other222.offset;
+  totalBytes = other222.totalBytes;
+  data = other222.data;
+  __isset = other222.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other209) noexcept {
-  term = other209.term;
-  leader = std::move(other209.leader);
-  lastIndex = other209.lastIndex;
-  lastTerm = other209.lastTerm;
-  offset = other209.offset;
-  totalBytes = other209.totalBytes;
-  data = std::move(other209.data);
-  __isset = other209.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other223) noexcept {
+  term = other223.term;
+  leader = std::move(other223.leader);
+  lastIndex = other223.lastIndex;
+  lastTerm = other223.lastTerm;
+  offset = other223.offset;
+  totalBytes = other223.totalBytes;
+  data = std::move(other223.data);
+  __isset = other223.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -5741,30 +6029,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other210) noexcept {
-  term = other210.term;
-  lastIndex = other210.lastIndex;
-  nextOffset = other210.nextOffset;
-  __isset = other210.__isset;
+SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other224) noexcept {
+  term = other224.term;
+  lastIndex = other224.lastIndex;
+  nextOffset = other224.nextOffset;
+  __isset = other224.__isset;
 }
-SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other211) noexcept {
-  term = other211.term;
-  lastIndex = other211.lastIndex;
-  nextOffset = other211.nextOffset;
-  __isset = other211.__isset;
+SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other225) noexcept {
+  term = other225.term;
+  lastIndex = other225.lastIndex;
+  nextOffset = other225.nextOffset;
+  __isset = other225.__isset;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other212) noexcept {
-  term = other212.term;
-  lastIndex = other212.lastIndex;
-  nextOffset = other212.nextOffset;
-  __isset = other212.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other226) noexcept {
+  term = other226.term;
+  lastIndex = other226.lastIndex;
+  nextOffset = other226.nextOffset;
+  __isset = other226.__isset;
   return *this;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other213) noexcept {
-  term = other213.term;
-  lastIndex = other213.lastIndex;
-  nextOffset = other213.nextOffset;
-  __isset = other213.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other227) noexcept {
+  term = other227.term;
+  lastIndex = other227.lastIndex;
+  nextOffset = other227.nextOffset;
+  __isset = other227.__isset;
   return *this;
 }
 void SnapshotChunkAck::printTo(std::ostream& out) const {
@@ -5852,22 +6140,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other214) noexcept {
-  term = other214.term;
-  __isset = other214.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other228) noexcept {
+  term = other228.term;
+  __isset = other228.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other215) noexcept {
-  term = other215.term;
-  __isset = other215.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other229) noexcept {
+  term = other229.term;
+  __isset = other229.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other216) noexcept {
-  term = other216.term;
-  __isset = other216.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other230) noexcept {
+  term = other230.term;
+  __isset = other230.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other217) noexcept {
-  term = other217.term;
-  __isset = other217.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other231) noexcept {
+  term = other231.term;
+  __isset = other231.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -5970,26 +6258,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Freshness::Freshness(const Freshness& other218) noexcept {
-  term = other218.term;
-  round = other218.round;
-  __isset = other218.__isset;
+Freshness::Freshness(const Freshness& other232) noexcept {
+  term = other232.term;
+  round = other232.round;
+  __isset = other232.__isset;
 }
-Freshness::Freshness(Freshness&& other219) noexcept {
-  term = other219.term;
-  round = other219.round;
-  __isset = other219.__isset;
+Freshness::Freshness(Freshness&& other233) noexcept {
+  term = other233.term;
+  round = other233.round;
+  __isset = other233.__isset;
 }
-Freshness& Freshness::operator=(const Freshness& other220) noexcept {
-  term = other220.term;
-  round = other220.round;
-  __isset = other220.__isset;
+Freshness& Freshness::operator=(const Freshness& other234) noexcept {
+  term = other234.term;
+  round = other234.round;
+  __isset = other234.__isset;
   return *this;
 }
-Freshness& Freshness::operator=(Freshness&& other221) noexcept {
-  term = other221.term;
-  round = other221.round;
-  __isset = other221.__isset;
+Freshness& Freshness::operator=(Freshness&& other235) noexcept {
+  term = other235.term;
+  round = other235.round;
+  __isset = other235.__isset;
   return *this;
 }
 void Freshness::printTo(std::ostream& out) const {
@@ -6093,26 +6381,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RelaySubscribe::RelaySubscribe(const RelaySubscribe& other222) noexcept {
-  revision = other222.revision;
-  digest = other222.digest;
-  __isset = other222.__isset;
+RelaySubscribe::RelaySubscribe(const RelaySubscribe& other236) noexcept {
+  revision = other236.revision;
+  digest = other236.digest;
+  __isset = other236.__isset;
 }
-RelaySubscribe::RelaySubscribe(RelaySubscribe&& other223) noexcept {
-  revision = other223.revision;
-  digest = std::move(other223.digest);
-  __isset = other223.__isset;
+RelaySubscribe::RelaySubscribe(RelaySubscribe&& other237) noexcept {
+  revision = other237.revision;
+  digest = std::move(other237.digest);
+  __isset = other237.__isset;
 }
-RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other224) noexcept {
-  revision = other224.revision;
-  digest = other224.digest;
-  __isset = other224.__isset;
+RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other238) noexcept {
+  revision = other238.revision;
+  digest = other238.digest;
+  __isset = other238.__isset;
   return *this;
 }
-RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other225) noexcept {
-  revision = other225.revision;
-  digest = std::move(other225.digest);
-  __isset = other225.__isset;
+RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other239) noexcept {
+  revision = other239.revision;
+  digest = std::move(other239.digest);
+  __isset = other239.__isset;
   return *this;
 }
 void RelaySubscribe::printTo(std::ostream& out) const {
@@ -6199,22 +6487,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other226) {
-  leaderId = other226.leaderId;
-  __isset = other226.__isset;
+NotLeader::NotLeader(const NotLeader& other240) {
+  leaderId = other240.leaderId;
+  __isset = other240.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other227) noexcept {
-  leaderId = std::move(other227.leaderId);
-  __isset = other227.__isset;
+NotLeader::NotLeader(NotLeader&& other241) noexcept {
+  leaderId = std::move(other241.leaderId);
+  __isset = other241.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other228) {
-  leaderId = other228.leaderId;
-  __isset = other228.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other242) {
+  leaderId = other242.leaderId;
+  __isset = other242.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other229) noexcept {
-  leaderId = std::move(other229.leaderId);
-  __isset = other229.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other243) noexcept {
+  leaderId = std::move(other243.leaderId);
+  __isset = other243.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -6304,14 +6592,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->rows.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->rows.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += this->rows[_i234].read(iprot);
+              xfer += this->rows[_i248].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6360,10 +6648,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter235;
-    for (_iter235 = this->rows.begin(); _iter235 != this->rows.end(); ++_iter235)
+    std::vector<Row> ::const_iterator _iter249;
+    for (_iter249 = this->rows.begin(); _iter249 != this->rows.end(); ++_iter249)
     {
-      xfer += (*_iter235).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6388,38 +6676,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TableUpdate::TableUpdate(const TableUpdate& other236) {
-  fromRevision = other236.fromRevision;
-  toRevision = other236.toRevision;
-  full = other236.full;
-  rows = other236.rows;
-  digest = other236.digest;
-  __isset = other236.__isset;
+TableUpdate::TableUpdate(const TableUpdate& other250) {
+  fromRevision = other250.fromRevision;
+  toRevision = other250.toRevision;
+  full = other250.full;
+  rows = other250.rows;
+  digest = other250.digest;
+  __isset = other250.__isset;
 }
-TableUpdate::TableUpdate(TableUpdate&& other237) noexcept {
-  fromRevision = other237.fromRevision;
-  toRevision = other237.toRevision;
-  full = other237.full;
-  rows = std::move(other237.rows);
-  digest = std::move(other237.digest);
-  __isset = other237.__isset;
+TableUpdate::TableUpdate(TableUpdate&& other251) noexcept {
+  fromRevision = other251.fromRevision;
+  toRevision = other251.toRevision;
+  full = other251.full;
+  rows = std::move(other251.rows);
+  digest = std::move(other251.digest);
+  __isset = other251.__isset;
 }
-TableUpdate& TableUpdate::operator=(const TableUpdate& other238) {
-  fromRevision = other238.fromRevision;
-  toRevision = other238.toRevision;
-  full = other238.full;
-  rows = other238.rows;
-  digest = other238.digest;
-  __isset = other238.__isset;
+TableUpdate& TableUpdate::operator=(const TableUpdate& other252) {
+  fromRevision = other252.fromRevision;
+  toRevision = other252.toRevision;
+  full = other252.full;
+  rows = other252.rows;
+  digest = other252.digest;
+  __isset = other252.__isset;
   return *this;
 }
-TableUpdate& TableUpdate::operator=(TableUpdate&& other239) noexcept {
-  fromRevision = other239.fromRevision;
-  toRevision = other239.toRevision;
-  full = other239.full;
-  rows = std::move(other239.rows);
-  digest = std::move(other239.digest);
-  __isset = other239.__isset;
+TableUpdate& TableUpdate::operator=(TableUpdate&& other253) noexcept {
+  fromRevision = other253.fromRevision;
+  toRevision = other253.toRevision;
+  full = other253.full;
+  rows = std::move(other253.rows);
+  digest = std::move(other253.digest);
+  __isset = other253.__isset;
   return *this;
 }
 void TableUpdate::printTo(std::ostream& out) const {
@@ -6526,26 +6814,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other240) noexcept {
-  revision = other240.revision;
-  freshness = other240.freshness;
-  __isset = other240.__isset;
+ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other254) noexcept {
+  revision = other254.revision;
+  freshness = other254.freshness;
+  __isset = other254.__isset;
 }
-ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other241) noexcept {
-  revision = other241.revision;
-  freshness = std::move(other241.freshness);
-  __isset = other241.__isset;
+ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other255) noexcept {
+  revision = other255.revision;
+  freshness = std::move(other255.freshness);
+  __isset = other255.__isset;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other242) noexcept {
-  revision = other242.revision;
-  freshness = other242.freshness;
-  __isset = other242.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other256) noexcept {
+  revision = other256.revision;
+  freshness = other256.freshness;
+  __isset = other256.__isset;
   return *this;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other243) noexcept {
-  revision = other243.revision;
-  freshness = std::move(other243.freshness);
-  __isset = other243.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other257) noexcept {
+  revision = other257.revision;
+  freshness = std::move(other257.freshness);
+  __isset = other257.__isset;
   return *this;
 }
 void ControllerHeartbeat::printTo(std::ostream& out) const {
@@ -6632,22 +6920,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other244) noexcept {
-  token = other244.token;
-  __isset = other244.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other258) noexcept {
+  token = other258.token;
+  __isset = other258.__isset;
 }
-ConfirmRequest::ConfirmRequest(ConfirmRequest&& other245) noexcept {
-  token = other245.token;
-  __isset = other245.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other259) noexcept {
+  token = other259.token;
+  __isset = other259.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other246) noexcept {
-  token = other246.token;
-  __isset = other246.__isset;
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other260) noexcept {
+  token = other260.token;
+  __isset = other260.__isset;
   return *this;
 }
-ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other247) noexcept {
-  token = other247.token;
-  __isset = other247.__isset;
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other261) noexcept {
+  token = other261.token;
+  __isset = other261.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -6750,26 +7038,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other248) noexcept {
-  token = other248.token;
-  revision = other248.revision;
-  __isset = other248.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other262) noexcept {
+  token = other262.token;
+  revision = other262.revision;
+  __isset = other262.__isset;
 }
-ConfirmReply::ConfirmReply(ConfirmReply&& other249) noexcept {
-  token = other249.token;
-  revision = other249.revision;
-  __isset = other249.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other263) noexcept {
+  token = other263.token;
+  revision = other263.revision;
+  __isset = other263.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other250) noexcept {
-  token = other250.token;
-  revision = other250.revision;
-  __isset = other250.__isset;
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other264) noexcept {
+  token = other264.token;
+  revision = other264.revision;
+  __isset = other264.__isset;
   return *this;
 }
-ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other251) noexcept {
-  token = other251.token;
-  revision = other251.revision;
-  __isset = other251.__isset;
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other265) noexcept {
+  token = other265.token;
+  revision = other265.revision;
+  __isset = other265.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -6873,26 +7161,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other252) {
-  nodeId = other252.nodeId;
-  revision = other252.revision;
-  __isset = other252.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other266) {
+  nodeId = other266.nodeId;
+  revision = other266.revision;
+  __isset = other266.__isset;
 }
-NodeStatus::NodeStatus(NodeStatus&& other253) noexcept {
-  nodeId = std::move(other253.nodeId);
-  revision = other253.revision;
-  __isset = other253.__isset;
+NodeStatus::NodeStatus(NodeStatus&& other267) noexcept {
+  nodeId = std::move(other267.nodeId);
+  revision = other267.revision;
+  __isset = other267.__isset;
 }
-NodeStatus& NodeStatus::operator=(const NodeStatus& other254) {
-  nodeId = other254.nodeId;
-  revision = other254.revision;
-  __isset = other254.__isset;
+NodeStatus& NodeStatus::operator=(const NodeStatus& other268) {
+  nodeId = other268.nodeId;
+  revision = other268.revision;
+  __isset = other268.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other255) noexcept {
-  nodeId = std::move(other255.nodeId);
-  revision = other255.revision;
-  __isset = other255.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other269) noexcept {
+  nodeId = std::move(other269.nodeId);
+  revision = other269.revision;
+  __isset = other269.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -6979,14 +7267,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attached.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->attached.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size270;
+            ::apache::thrift::protocol::TType _etype273;
+            xfer += iprot->readListBegin(_etype273, _size270);
+            this->attached.resize(_size270);
+            uint32_t _i274;
+            for (_i274 = 0; _i274 < _size270; ++_i274)
             {
-              xfer += iprot->readString(this->attached[_i260]);
+              xfer += iprot->readString(this->attached[_i274]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6999,14 +7287,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->detached.clear();
-            uint32_t _size261;
-            ::apache::thrift::protocol::TType _etype264;
-            xfer += iprot->readListBegin(_etype264, _size261);
-            this->detached.resize(_size261);
-            uint32_t _i265;
-            for (_i265 = 0; _i265 < _size261; ++_i265)
+            uint32_t _size275;
+            ::apache::thrift::protocol::TType _etype278;
+            xfer += iprot->readListBegin(_etype278, _size275);
+            this->detached.resize(_size275);
+            uint32_t _i279;
+            for (_i279 = 0; _i279 < _size275; ++_i279)
             {
-              xfer += iprot->readString(this->detached[_i265]);
+              xfer += iprot->readString(this->detached[_i279]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7019,14 +7307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->lagging.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->lagging.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
             {
-              xfer += this->lagging[_i270].read(iprot);
+              xfer += this->lagging[_i284].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7071,10 +7359,10 @@
   xfer += oprot->writeFieldBegin("attached", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->attached.size()));
-    std::vector<std::string> ::const_iterator _iter271;
-    for (_iter271 = this->attached.begin(); _iter271 != this->attached.end(); ++_iter271)
+    std::vector<std::string> ::const_iterator _iter285;
+    for (_iter285 = this->attached.begin(); _iter285 != this->attached.end(); ++_iter285)
     {
-      xfer += oprot->writeString((*_iter271));
+      xfer += oprot->writeString((*_iter285));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7083,10 +7371,10 @@
   xfer += oprot->writeFieldBegin("detached", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->detached.size()));
-    std::vector<std::string> ::const_iterator _iter272;
-    for (_iter272 = this->detached.begin(); _iter272 != this->detached.end(); ++_iter272)
+    std::vector<std::string> ::const_iterator _iter286;
+    for (_iter286 = this->detached.begin(); _iter286 != this->detached.end(); ++_iter286)
     {
-      xfer += oprot->writeString((*_iter272));
+      xfer += oprot->writeString((*_iter286));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7095,10 +7383,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<NodeStatus> ::const_iterator _iter273;
-    for (_iter273 = this->lagging.begin(); _iter273 != this->lagging.end(); ++_iter273)
+    std::vector<NodeStatus> ::const_iterator _iter287;
+    for (_iter287 = this->lagging.begin(); _iter287 != this->lagging.end(); ++_iter287)
     {
-      xfer += (*_iter273).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7124,42 +7412,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConvergenceReport::ConvergenceReport(const ConvergenceReport& other274) {
-  sequence = other274.sequence;
-  inForceRevision = other274.inForceRevision;
-  attached = other274.attached;
-  detached = other274.detached;
-  lagging = other274.lagging;
-  full = other274.full;
-  __isset = other274.__isset;
-}
-ConvergenceReport::ConvergenceReport(ConvergenceReport&& other275) noexcept {
-  sequence = other275.sequence;
-  inForceRevision = other275.inForceRevision;
-  attached = std::move(other275.attached);
-  detached = std::move(other275.detached);
-  lagging = std::move(other275.lagging);
-  full = other275.full;
-  __isset = other275.__isset;
-}
-ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other276) {
-  sequence = other276.sequence;
-  inForceRevision = other276.inForceRevision;
-  attached = other276.attached;
-  detached = other276.detached;
-  lagging = other276.lagging;
-  full = other276.full;
-  __isset = other276.__isset;
+ConvergenceReport::ConvergenceReport(const ConvergenceReport& other288) {
+  sequence = other288.sequence;
+  inForceRevision = other288.inForceRevision;
+  attached = other288.attached;
+  detached = other288.detached;
+  lagging = other288.lagging;
+  full = other288.full;
+  __isset = other288.__isset;
+}
+ConvergenceReport::ConvergenceReport(ConvergenceReport&& other289) noexcept {
+  sequence = other289.sequence;
+  inForceRevision = other289.inForceRevision;
+  attached = std::move(other289.attached);
+  detached = std::move(other289.detached);
+  lagging = std::move(other289.lagging);
+  full = other289.full;
+  __isset = other289.__isset;
+}
+ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other290) {
+  sequence = other290.sequence;
+  inForceRevision = other290.inForceRevision;
+  attached = other290.attached;
+  detached = other290.detached;
+  lagging = other290.lagging;
+  full = other290.full;
+  __isset = other290.__isset;
   return *this;
 }
-ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other277) noexcept {
-  sequence = other277.sequence;
-  inForceRevision = other277.inForceRevision;
-  attached = std::move(other277.attached);
-  detached = std::move(other277.detached);
-  lagging = std::move(other277.lagging);
-  full = other277.full;
-  __isset = other277.__isset;
+ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other291) noexcept {
+  sequence = other291.sequence;
+  inForceRevision = other291.inForceRevision;
+  attached = std::move(other291.attached);
+  detached = std::move(other291.detached);
+  lagging = std::move(other291.lagging);
+  full = other291.full;
+  __isset = other291.__isset;
   return *this;
 }
 void ConvergenceReport::printTo(std::ostream& out) const {
@@ -7226,14 +7514,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size278;
-            ::apache::thrift::protocol::TType _etype281;
-            xfer += iprot->readListBegin(_etype281, _size278);
-            this->hosts.resize(_size278);
-            uint32_t _i282;
-            for (_i282 = 0; _i282 < _size278; ++_i282)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->hosts.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += iprot->readString(this->hosts[_i282]);
+              xfer += iprot->readString(this->hosts[_i296]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7246,14 +7534,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size283;
-            ::apache::thrift::protocol::TType _etype286;
-            xfer += iprot->readListBegin(_etype286, _size283);
-            this->services.resize(_size283);
-            uint32_t _i287;
-            for (_i287 = 0; _i287 < _size283; ++_i287)
+            uint32_t _size297;
+            ::apache::thrift::protocol::TType _etype300;
+            xfer += iprot->readListBegin(_etype300, _size297);
+            this->services.resize(_size297);
+            uint32_t _i301;
+            for (_i301 = 0; _i301 < _size297; ++_i301)
             {
-              xfer += iprot->readString(this->services[_i287]);
+              xfer += iprot->readString(this->services[_i301]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7298,10 +7586,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter288;
-    for (_iter288 = this->hosts.begin(); _iter288 != this->hosts.end(); ++_iter288)
+    std::vector<std::string> ::const_iterator _iter302;
+    for (_iter302 = this->hosts.begin(); _iter302 != this->hosts.end(); ++_iter302)
     {
-      xfer += oprot->writeString((*_iter288));
+      xfer += oprot->writeString((*_iter302));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7310,10 +7598,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter289;
-    for (_iter289 = this->services.begin(); _iter289 != this->services.end(); ++_iter289)
+    std::vector<std::string> ::const_iterator _iter303;
+    for (_iter303 = this->services.begin(); _iter303 != this->services.end(); ++_iter303)
     {
-      xfer += oprot->writeString((*_iter289));
+      xfer += oprot->writeString((*_iter303));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7341,34 +7629,34 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeSubscribe::NodeSubscribe(const NodeSubscribe& other290) {
-  hosts = other290.hosts;
-  services = other290.services;
-  revision = other290.revision;
-  digest = other290.digest;
-  __isset = other290.__isset;
+NodeSubscribe::NodeSubscribe(const NodeSubscribe& other304) {
+  hosts = other304.hosts;
+  services = other304.services;
+  revision = other304.revision;
+  digest = other304.digest;
+  __isset = other304.__isset;
 }
-NodeSubscribe::NodeSubscribe(NodeSubscribe&& other291) noexcept {
-  hosts = std::move(other291.hosts);
-  services = std::move(other291.services);
-  revision = other291.revision;
-  digest = std::move(other291.digest);
-  __isset = other291.__isset;
+NodeSubscribe::NodeSubscribe(NodeSubscribe&& other305) noexcept {
+  hosts = std::move(other305.hosts);
+  services = std::move(other305.services);
+  revision = other305.revision;
+  digest = std::move(other305.digest);
+  __isset = other305.__isset;
 }
-NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other292) {
-  hosts = other292.hosts;
-  services = other292.services;
-  revision = other292.revision;
-  digest = other292.digest;
-  __isset = other292.__isset;
+NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other306) {
+  hosts = other306.hosts;
+  services = other306.services;
+  revision = other306.revision;
+  digest = other306.digest;
+  __isset = other306.__isset;
   return *this;
 }
-NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other293) noexcept {
-  hosts = std::move(other293.hosts);
-  services = std::move(other293.services);
-  revision = other293.revision;
-  digest = std::move(other293.digest);
-  __isset = other293.__isset;
+NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other307) noexcept {
+  hosts = std::move(other307.hosts);
+  services = std::move(other307.services);
+  revision = other307.revision;
+  digest = std::move(other307.digest);
+  __isset = other307.__isset;
   return *this;
 }
 void NodeSubscribe::printTo(std::ostream& out) const {
@@ -7461,14 +7749,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size294;
-            ::apache::thrift::protocol::TType _etype297;
-            xfer += iprot->readListBegin(_etype297, _size294);
-            this->rows.resize(_size294);
-            uint32_t _i298;
-            for (_i298 = 0; _i298 < _size294; ++_i298)
+            uint32_t _size308;
+            ::apache::thrift::protocol::TType _etype311;
+            xfer += iprot->readListBegin(_etype311, _size308);
+            this->rows.resize(_size308);
+            uint32_t _i312;
+            for (_i312 = 0; _i312 < _size308; ++_i312)
             {
-              xfer += this->rows[_i298].read(iprot);
+              xfer += this->rows[_i312].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7517,10 +7805,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter299;
-    for (_iter299 = this->rows.begin(); _iter299 != this->rows.end(); ++_iter299)
+    std::vector<Row> ::const_iterator _iter313;
+    for (_iter313 = this->rows.begin(); _iter313 != this->rows.end(); ++_iter313)
     {
-      xfer += (*_iter299).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7545,38 +7833,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceUpdate::SliceUpdate(const SliceUpdate& other300) {
-  fromRevision = other300.fromRevision;
-  toRevision = other300.toRevision;
-  full = other300.full;
-  rows = other300.rows;
-  digest = other300.digest;
-  __isset = other300.__isset;
-}
-SliceUpdate::SliceUpdate(SliceUpdate&& other301) noexcept {
-  fromRevision = other301.fromRevision;
-  toRevision = other301.toRevision;
-  full = other301.full;
-  rows = std::move(other301.rows);
-  digest = std::move(other301.digest);
-  __isset = other301.__isset;
-}
-SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other302) {
-  fromRevision = other302.fromRevision;
-  toRevision = other302.toRevision;
-  full = other302.full;
-  rows = other302.rows;
-  digest = other302.digest;
-  __isset = other302.__isset;
+SliceUpdate::SliceUpdate(const SliceUpdate& other314) {
+  fromRevision = other314.fromRevision;
+  toRevision = other314.toRevision;
+  full = other314.full;
+  rows = other314.rows;
+  digest = other314.digest;
+  __isset = other314.__isset;
+}
+SliceUpdate::SliceUpdate(SliceUpdate&& other315) noexcept {
+  fromRevision = other315.fromRevision;
+  toRevision = other315.toRevision;
+  full = other315.full;
+  rows = std::move(other315.rows);
+  digest = std::move(other315.digest);
+  __isset = other315.__isset;
+}
+SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other316) {
+  fromRevision = other316.fromRevision;
+  toRevision = other316.toRevision;
+  full = other316.full;
+  rows = other316.rows;
+  digest = other316.digest;
+  __isset = other316.__isset;
   return *this;
 }
-SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other303) noexcept {
-  fromRevision = other303.fromRevision;
-  toRevision = other303.toRevision;
-  full = other303.full;
-  rows = std::move(other303.rows);
-  digest = std::move(other303.digest);
-  __isset = other303.__isset;
+SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other317) noexcept {
+  fromRevision = other317.fromRevision;
+  toRevision = other317.toRevision;
+  full = other317.full;
+  rows = std::move(other317.rows);
+  digest = std::move(other317.digest);
+  __isset = other317.__isset;
   return *this;
 }
 void SliceUpdate::printTo(std::ostream& out) const {
@@ -7666,22 +7954,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceApplied::SliceApplied(const SliceApplied& other304) noexcept {
-  revision = other304.revision;
-  __isset = other304.__isset;
+SliceApplied::SliceApplied(const SliceApplied& other318) noexcept {
+  revision = other318.revision;
+  __isset = other318.__isset;
 }
-SliceApplied::SliceApplied(SliceApplied&& other305) noexcept {
-  revision = other305.revision;
-  __isset = other305.__isset;
+SliceApplied::SliceApplied(SliceApplied&& other319) noexcept {
+  revision = other319.revision;
+  __isset = other319.__isset;
 }
-SliceApplied& SliceApplied::operator=(const SliceApplied& other306) noexcept {
-  revision = other306.revision;
-  __isset = other306.__isset;
+SliceApplied& SliceApplied::operator=(const SliceApplied& other320) noexcept {
+  revision = other320.revision;
+  __isset = other320.__isset;
   return *this;
 }
-SliceApplied& SliceApplied::operator=(SliceApplied&& other307) noexcept {
-  revision = other307.revision;
-  __isset = other307.__isset;
+SliceApplied& SliceApplied::operator=(SliceApplied&& other321) noexcept {
+  revision = other321.revision;
+  __isset = other321.__isset;
   return *this;
 }
 void SliceApplied::printTo(std::ostream& out) const {
@@ -7741,9 +8029,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast308;
-          xfer += iprot->readI32(ecast308);
-          this->reason = static_cast<SliceRejectReason::type>(ecast308);
+          int32_t ecast322;
+          xfer += iprot->readI32(ecast322);
+          this->reason = static_cast<SliceRejectReason::type>(ecast322);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7786,26 +8074,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceRejected::SliceRejected(const SliceRejected& other309) noexcept {
-  revision = other309.revision;
-  reason = other309.reason;
-  __isset = other309.__isset;
+SliceRejected::SliceRejected(const SliceRejected& other323) noexcept {
+  revision = other323.revision;
+  reason = other323.reason;
+  __isset = other323.__isset;
 }
-SliceRejected::SliceRejected(SliceRejected&& other310) noexcept {
-  revision = other310.revision;
-  reason = other310.reason;
-  __isset = other310.__isset;
+SliceRejected::SliceRejected(SliceRejected&& other324) noexcept {
+  revision = other324.revision;
+  reason = other324.reason;
+  __isset = other324.__isset;
 }
-SliceRejected& SliceRejected::operator=(const SliceRejected& other311) noexcept {
-  revision = other311.revision;
-  reason = other311.reason;
-  __isset = other311.__isset;
+SliceRejected& SliceRejected::operator=(const SliceRejected& other325) noexcept {
+  revision = other325.revision;
+  reason = other325.reason;
+  __isset = other325.__isset;
   return *this;
 }
-SliceRejected& SliceRejected::operator=(SliceRejected&& other312) noexcept {
-  revision = other312.revision;
-  reason = other312.reason;
-  __isset = other312.__isset;
+SliceRejected& SliceRejected::operator=(SliceRejected&& other326) noexcept {
+  revision = other326.revision;
+  reason = other326.reason;
+  __isset = other326.__isset;
   return *this;
 }
 void SliceRejected::printTo(std::ostream& out) const {
@@ -7892,22 +8180,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other313) noexcept {
-  freshness = other313.freshness;
-  __isset = other313.__isset;
+NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other327) noexcept {
+  freshness = other327.freshness;
+  __isset = other327.__isset;
 }
-NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other314) noexcept {
-  freshness = std::move(other314.freshness);
-  __isset = other314.__isset;
+NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other328) noexcept {
+  freshness = std::move(other328.freshness);
+  __isset = other328.__isset;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other315) noexcept {
-  freshness = other315.freshness;
-  __isset = other315.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other329) noexcept {
+  freshness = other329.freshness;
+  __isset = other329.__isset;
   return *this;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other316) noexcept {
-  freshness = std::move(other316.freshness);
-  __isset = other316.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other330) noexcept {
+  freshness = std::move(other330.freshness);
+  __isset = other330.__isset;
   return *this;
 }
 void NodeHeartbeat::printTo(std::ostream& out) const {
@@ -7993,22 +8281,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other317) noexcept {
-  delayMs = other317.delayMs;
-  __isset = other317.__isset;
+RetryLater::RetryLater(const RetryLater& other331) noexcept {
+  delayMs = other331.delayMs;
+  __isset = other331.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other318) noexcept {
-  delayMs = other318.delayMs;
-  __isset = other318.__isset;
+RetryLater::RetryLater(RetryLater&& other332) noexcept {
+  delayMs = other332.delayMs;
+  __isset = other332.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other319) noexcept {
-  delayMs = other319.delayMs;
-  __isset = other319.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other333) noexcept {
+  delayMs = other333.delayMs;
+  __isset = other333.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other320) noexcept {
-  delayMs = other320.delayMs;
-  __isset = other320.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other334) noexcept {
+  delayMs = other334.delayMs;
+  __isset = other334.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -8162,38 +8450,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeld::RelayHeld(const RelayHeld& other321) noexcept {
-  revision = other321.revision;
-  recovered = other321.recovered;
-  probe = other321.probe;
-  wantsReply = other321.wantsReply;
-  freshness = other321.freshness;
-  __isset = other321.__isset;
-}
-RelayHeld::RelayHeld(RelayHeld&& other322) noexcept {
-  revision = other322.revision;
-  recovered = other322.recovered;
-  probe = other322.probe;
-  wantsReply = other322.wantsReply;
-  freshness = std::move(other322.freshness);
-  __isset = other322.__isset;
+RelayHeld::RelayHeld(const RelayHeld& other335) noexcept {
+  revision = other335.revision;
+  recovered = other335.recovered;
+  probe = other335.probe;
+  wantsReply = other335.wantsReply;
+  freshness = other335.freshness;
+  __isset = other335.__isset;
+}
+RelayHeld::RelayHeld(RelayHeld&& other336) noexcept {
+  revision = other336.revision;
+  recovered = other336.recovered;
+  probe = other336.probe;
+  wantsReply = other336.wantsReply;
+  freshness = std::move(other336.freshness);
+  __isset = other336.__isset;
 }
-RelayHeld& RelayHeld::operator=(const RelayHeld& other323) noexcept {
-  revision = other323.revision;
-  recovered = other323.recovered;
-  probe = other323.probe;
-  wantsReply = other323.wantsReply;
-  freshness = other323.freshness;
-  __isset = other323.__isset;
+RelayHeld& RelayHeld::operator=(const RelayHeld& other337) noexcept {
+  revision = other337.revision;
+  recovered = other337.recovered;
+  probe = other337.probe;
+  wantsReply = other337.wantsReply;
+  freshness = other337.freshness;
+  __isset = other337.__isset;
   return *this;
 }
-RelayHeld& RelayHeld::operator=(RelayHeld&& other324) noexcept {
-  revision = other324.revision;
-  recovered = other324.recovered;
-  probe = other324.probe;
-  wantsReply = other324.wantsReply;
-  freshness = std::move(other324.freshness);
-  __isset = other324.__isset;
+RelayHeld& RelayHeld::operator=(RelayHeld&& other338) noexcept {
+  revision = other338.revision;
+  recovered = other338.recovered;
+  probe = other338.probe;
+  wantsReply = other338.wantsReply;
+  freshness = std::move(other338.freshness);
+  __isset = other338.__isset;
   return *this;
 }
 void RelayHeld::printTo(std::ostream& out) const {
@@ -8277,9 +8565,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast325;
-          xfer += iprot->readI32(ecast325);
-          this->condition = static_cast<EndpointCondition::type>(ecast325);
+          int32_t ecast339;
+          xfer += iprot->readI32(ecast339);
+          this->condition = static_cast<EndpointCondition::type>(ecast339);
           this->__isset.condition = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8353,38 +8641,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other326) {
-  serviceName = other326.serviceName;
-  endpoint = other326.endpoint;
-  condition = other326.condition;
-  incarnation = other326.incarnation;
-  sequence = other326.sequence;
-  __isset = other326.__isset;
-}
-EndpointState::EndpointState(EndpointState&& other327) noexcept {
-  serviceName = std::move(other327.serviceName);
-  endpoint = std::move(other327.endpoint);
-  condition = other327.condition;
-  incarnation = other327.incarnation;
-  sequence = other327.sequence;
-  __isset = other327.__isset;
-}
-EndpointState& EndpointState::operator=(const EndpointState& other328) {
-  serviceName = other328.serviceName;
-  endpoint = other328.endpoint;
-  condition = other328.condition;
-  incarnation = other328.incarnation;
-  sequence = other328.sequence;
-  __isset = other328.__isset;
+EndpointState::EndpointState(const EndpointState& other340) {
+  serviceName = other340.serviceName;
+  endpoint = other340.endpoint;
+  condition = other340.condition;
+  incarnation = other340.incarnation;
+  sequence = other340.sequence;
+  __isset = other340.__isset;
+}
+EndpointState::EndpointState(EndpointState&& other341) noexcept {
+  serviceName = std::move(other341.serviceName);
+  endpoint = std::move(other341.endpoint);
+  condition = other341.condition;
+  incarnation = other341.incarnation;
+  sequence = other341.sequence;
+  __isset = other341.__isset;
+}
+EndpointState& EndpointState::operator=(const EndpointState& other342) {
+  serviceName = other342.serviceName;
+  endpoint = other342.endpoint;
+  condition = other342.condition;
+  incarnation = other342.incarnation;
+  sequence = other342.sequence;
+  __isset = other342.__isset;
   return *this;
 }
-EndpointState& EndpointState::operator=(EndpointState&& other329) noexcept {
-  serviceName = std::move(other329.serviceName);
-  endpoint = std::move(other329.endpoint);
-  condition = other329.condition;
-  incarnation = other329.incarnation;
-  sequence = other329.sequence;
-  __isset = other329.__isset;
+EndpointState& EndpointState::operator=(EndpointState&& other343) noexcept {
+  serviceName = std::move(other343.serviceName);
+  endpoint = std::move(other343.endpoint);
+  condition = other343.condition;
+  incarnation = other343.incarnation;
+  sequence = other343.sequence;
+  __isset = other343.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -8438,14 +8726,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->states.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size344;
+            ::apache::thrift::protocol::TType _etype347;
+            xfer += iprot->readListBegin(_etype347, _size344);
+            this->states.resize(_size344);
+            uint32_t _i348;
+            for (_i348 = 0; _i348 < _size344; ++_i348)
             {
-              xfer += this->states[_i334].read(iprot);
+              xfer += this->states[_i348].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8474,10 +8762,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<EndpointState> ::const_iterator _iter335;
-    for (_iter335 = this->states.begin(); _iter335 != this->states.end(); ++_iter335)
+    std::vector<EndpointState> ::const_iterator _iter349;
+    for (_iter349 = this->states.begin(); _iter349 != this->states.end(); ++_iter349)
     {
-      xfer += (*_iter335).write(oprot);
+      xfer += (*_iter349).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8494,22 +8782,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointStates::EndpointStates(const EndpointStates& other336) {
-  states = other336.states;
-  __isset = other336.__isset;
+EndpointStates::EndpointStates(const EndpointStates& other350) {
+  states = other350.states;
+  __isset = other350.__isset;
 }
-EndpointStates::EndpointStates(EndpointStates&& other337) noexcept {
-  states = std::move(other337.states);
-  __isset = other337.__isset;
+EndpointStates::EndpointStates(EndpointStates&& other351) noexcept {
+  states = std::move(other351.states);
+  __isset = other351.__isset;
 }
-EndpointStates& EndpointStates::operator=(const EndpointStates& other338) {
-  states = other338.states;
-  __isset = other338.__isset;
+EndpointStates& EndpointStates::operator=(const EndpointStates& other352) {
+  states = other352.states;
+  __isset = other352.__isset;
   return *this;
 }
-EndpointStates& EndpointStates::operator=(EndpointStates&& other339) noexcept {
-  states = std::move(other339.states);
-  __isset = other339.__isset;
+EndpointStates& EndpointStates::operator=(EndpointStates&& other353) noexcept {
+  states = std::move(other353.states);
+  __isset = other353.__isset;
   return *this;
 }
 void EndpointStates::printTo(std::ostream& out) const {
@@ -8619,14 +8907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size340;
-            ::apache::thrift::protocol::TType _etype343;
-            xfer += iprot->readListBegin(_etype343, _size340);
-            this->headers.resize(_size340);
-            uint32_t _i344;
-            for (_i344 = 0; _i344 < _size340; ++_i344)
+            uint32_t _size354;
+            ::apache::thrift::protocol::TType _etype357;
+            xfer += iprot->readListBegin(_etype357, _size354);
+            this->headers.resize(_size354);
+            uint32_t _i358;
+            for (_i358 = 0; _i358 < _size354; ++_i358)
             {
-              xfer += this->headers[_i344].read(iprot);
+              xfer += this->headers[_i358].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8695,10 +8983,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter345;
-    for (_iter345 = this->headers.begin(); _iter345 != this->headers.end(); ++_iter345)
+    std::vector<HttpHeader> ::const_iterator _iter359;
+    for (_iter359 = this->headers.begin(); _iter359 != this->headers.end(); ++_iter359)
     {
-      xfer += (*_iter345).write(oprot);
+      xfer += (*_iter359).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8734,50 +9022,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other346) {
-  callId = other346.callId;
-  serviceName = other346.serviceName;
-  method = other346.method;
-  path = other346.path;
-  headers = other346.headers;
-  body = other346.body;
-  remainingMs = other346.remainingMs;
-  idempotencyKey = other346.idempotencyKey;
-  __isset = other346.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other347) noexcept {
-  callId = other347.callId;
-  serviceName = std::move(other347.serviceName);
-  method = std::move(other347.method);
-  path = std::move(other347.path);
-  headers = std::move(other347.headers);
-  body = std::move(other347.body);
-  remainingMs = other347.remainingMs;
-  idempotencyKey = std::move(other347.idempotencyKey);
-  __isset = other347.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other348) {
-  callId = other348.callId;
-  serviceName = other348.serviceName;
-  method = other348.method;
-  path = other348.path;
-  headers = other348.headers;
-  body = other348.body;
-  remainingMs = other348.remainingMs;
-  idempotencyKey = other348.idempotencyKey;
-  __isset = other348.__isset;
+CallRequest::CallRequest(const CallRequest& other360) {
+  callId = other360.callId;
+  serviceName = other360.serviceName;
+  method = other360.method;
+  path = other360.path;
+  headers = other360.headers;
+  body = other360.body;
+  remainingMs = other360.remainingMs;
+  idempotencyKey = other360.idempotencyKey;
+  __isset = other360.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other361) noexcept {
+  callId = other361.callId;
+  serviceName = std::move(other361.serviceName);
+  method = std::move(other361.method);
+  path = std::move(other361.path);
+  headers = std::move(other361.headers);
+  body = std::move(other361.body);
+  remainingMs = other361.remainingMs;
+  idempotencyKey = std::move(other361.idempotencyKey);
+  __isset = other361.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other362) {
+  callId = other362.callId;
+  serviceName = other362.serviceName;
+  method = other362.method;
+  path = other362.path;
+  headers = other362.headers;
+  body = other362.body;
+  remainingMs = other362.remainingMs;
+  idempotencyKey = other362.idempotencyKey;
+  __isset = other362.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other349) noexcept {
-  callId = other349.callId;
-  serviceName = std::move(other349.serviceName);
-  method = std::move(other349.method);
-  path = std::move(other349.path);
-  headers = std::move(other349.headers);
-  body = std::move(other349.body);
-  remainingMs = other349.remainingMs;
-  idempotencyKey = std::move(other349.idempotencyKey);
-  __isset = other349.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other363) noexcept {
+  callId = other363.callId;
+  serviceName = std::move(other363.serviceName);
+  method = std::move(other363.method);
+  path = std::move(other363.path);
+  headers = std::move(other363.headers);
+  body = std::move(other363.body);
+  remainingMs = other363.remainingMs;
+  idempotencyKey = std::move(other363.idempotencyKey);
+  __isset = other363.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -8868,9 +9156,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast350;
-          xfer += iprot->readI32(ecast350);
-          this->outcome = static_cast<CallOutcome::type>(ecast350);
+          int32_t ecast364;
+          xfer += iprot->readI32(ecast364);
+          this->outcome = static_cast<CallOutcome::type>(ecast364);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8888,14 +9176,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size351;
-            ::apache::thrift::protocol::TType _etype354;
-            xfer += iprot->readListBegin(_etype354, _size351);
-            this->headers.resize(_size351);
-            uint32_t _i355;
-            for (_i355 = 0; _i355 < _size351; ++_i355)
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->headers.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
             {
-              xfer += this->headers[_i355].read(iprot);
+              xfer += this->headers[_i369].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8968,10 +9256,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter356;
-    for (_iter356 = this->headers.begin(); _iter356 != this->headers.end(); ++_iter356)
+    std::vector<HttpHeader> ::const_iterator _iter370;
+    for (_iter370 = this->headers.begin(); _iter370 != this->headers.end(); ++_iter370)
     {
-      xfer += (*_iter356).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9011,50 +9299,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other357) {
-  callId = other357.callId;
-  outcome = other357.outcome;
-  httpStatus = other357.httpStatus;
-  headers = other357.headers;
-  body = other357.body;
-  errorCode = other357.errorCode;
-  inFlight = other357.inFlight;
-  retryAfterMs = other357.retryAfterMs;
-  __isset = other357.__isset;
-}
-CallResponse::CallResponse(CallResponse&& other358) noexcept {
-  callId = other358.callId;
-  outcome = other358.outcome;
-  httpStatus = other358.httpStatus;
-  headers = std::move(other358.headers);
-  body = std::move(other358.body);
-  errorCode = other358.errorCode;
-  inFlight = other358.inFlight;
-  retryAfterMs = other358.retryAfterMs;
-  __isset = other358.__isset;
-}
-CallResponse& CallResponse::operator=(const CallResponse& other359) {
-  callId = other359.callId;
-  outcome = other359.outcome;
-  httpStatus = other359.httpStatus;
-  headers = other359.headers;
-  body = other359.body;
-  errorCode = other359.errorCode;
-  inFlight = other359.inFlight;
-  retryAfterMs = other359.retryAfterMs;
-  __isset = other359.__isset;
+CallResponse::CallResponse(const CallResponse& other371) {
+  callId = other371.callId;
+  outcome = other371.outcome;
+  httpStatus = other371.httpStatus;
+  headers = other371.headers;
+  body = other371.body;
+  errorCode = other371.errorCode;
+  inFlight = other371.inFlight;
+  retryAfterMs = other371.retryAfterMs;
+  __isset = other371.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other372) noexcept {
+  callId = other372.callId;
+  outcome = other372.outcome;
+  httpStatus = other372.httpStatus;
+  headers = std::move(other372.headers);
+  body = std::move(other372.body);
+  errorCode = other372.errorCode;
+  inFlight = other372.inFlight;
+  retryAfterMs = other372.retryAfterMs;
+  __isset = other372.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other373) {
+  callId = other373.callId;
+  outcome = other373.outcome;
+  httpStatus = other373.httpStatus;
+  headers = other373.headers;
+  body = other373.body;
+  errorCode = other373.errorCode;
+  inFlight = other373.inFlight;
+  retryAfterMs = other373.retryAfterMs;
+  __isset = other373.__isset;
   return *this;
 }
-CallResponse& CallResponse::operator=(CallResponse&& other360) noexcept {
-  callId = other360.callId;
-  outcome = other360.outcome;
-  httpStatus = other360.httpStatus;
-  headers = std::move(other360.headers);
-  body = std::move(other360.body);
-  errorCode = other360.errorCode;
-  inFlight = other360.inFlight;
-  retryAfterMs = other360.retryAfterMs;
-  __isset = other360.__isset;
+CallResponse& CallResponse::operator=(CallResponse&& other374) noexcept {
+  callId = other374.callId;
+  outcome = other374.outcome;
+  httpStatus = other374.httpStatus;
+  headers = std::move(other374.headers);
+  body = std::move(other374.body);
+  errorCode = other374.errorCode;
+  inFlight = other374.inFlight;
+  retryAfterMs = other374.retryAfterMs;
+  __isset = other374.__isset;
   return *this;
 }
 void CallResponse::printTo(std::ostream& out) const {
@@ -9147,22 +9435,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other361) noexcept {
-  callId = other361.callId;
-  __isset = other361.__isset;
+CallCancel::CallCancel(const CallCancel& other375) noexcept {
+  callId = other375.callId;
+  __isset = other375.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other362) noexcept {
-  callId = other362.callId;
-  __isset = other362.__isset;
+CallCancel::CallCancel(CallCancel&& other376) noexcept {
+  callId = other376.callId;
+  __isset = other376.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other363) noexcept {
-  callId = other363.callId;
-  __isset = other363.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other377) noexcept {
+  callId = other377.callId;
+  __isset = other377.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other364) noexcept {
-  callId = other364.callId;
-  __isset = other364.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other378) noexcept {
+  callId = other378.callId;
+  __isset = other378.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -64,7 +64,8 @@
     NOOP = 1,
     EDIT = 2,
     MEMBERS = 3,
-    LEDGER = 4
+    LEDGER = 4,
+    RELAY = 5
   };
 };
 
@@ -165,6 +166,8 @@
 
 class Member;
 
+class RelayRecord;
+
 class LogEntry;
 
 class HardState;
@@ -181,6 +184,8 @@
 
 class Hello;
 
+class KeepAlive;
+
 class VoteRequest;
 
 class VoteResponse;
@@ -1310,8 +1315,70 @@
 
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
+typedef struct _RelayRecord__isset {
+  _RelayRecord__isset() : id(false), zone(false), removed(false) {}
+  bool id :1;
+  bool zone :1;
+  bool removed :1;
+} _RelayRecord__isset;
+
+/**
+ * A relay that feeds nodes; known to every leader, so that none takes silence for agreement.
+ */
+class RelayRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayRecord(const RelayRecord&);
+  RelayRecord(RelayRecord&&) noexcept;
+  RelayRecord& operator=(const RelayRecord&);
+  RelayRecord& operator=(RelayRecord&&) noexcept;
+  RelayRecord() noexcept
+              : id(),
+                zone(),
+                removed(0) {
+  }
+
+  virtual ~RelayRecord() noexcept;
+  std::string id;
+  std::string zone;
+  bool removed;
+
+  _RelayRecord__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const RelayRecord & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayRecord &a, RelayRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayRecord& obj);
+
 typedef struct _LogEntry__isset {
-  _LogEntry__isset() : index(false), term(false), kind(false), edit(false), members(false), forming(false), ledger(false) {}
+  _LogEntry__isset() : index(false), term(false), kind(false), edit(false), members(false), forming(false), ledger(false), relay(false) {}
   bool index :1;
   bool term :1;
   bool kind :1;
@@ -1319,6 +1386,7 @@
   bool members :1;
   bool forming :1;
   bool ledger :1;
+  bool relay :1;
 } _LogEntry__isset;
 
 class LogEntry : public virtual ::apache::thrift::TBase {
@@ -1347,6 +1415,7 @@
   std::vector<Member>  members;
   bool forming;
   LedgerCommand ledger;
+  RelayRecord relay;
 
   _LogEntry__isset __isset;
 
@@ -1364,6 +1433,8 @@
 
   void __set_ledger(const LedgerCommand& val);
 
+  void __set_relay(const RelayRecord& val);
+
   bool operator == (const LogEntry & rhs) const
   {
     if (!(index == rhs.index))
@@ -1386,6 +1457,10 @@
       return false;
     else if (__isset.ledger && !(ledger == rhs.ledger))
       return false;
+    if (__isset.relay != rhs.__isset.relay)
+      return false;
+    else if (__isset.relay && !(relay == rhs.relay))
+      return false;
     return true;
   }
   bool operator != (const LogEntry &rhs) const {
@@ -1759,13 +1834,14 @@
 std::ostream& operator<<(std::ostream& out, const LogSnapshot& obj);
 
 typedef struct _TableSnapshot__isset {
-  _TableSnapshot__isset() : rows(false), outcomes(false), history(false), tableRevision(false), historyFloor(false), horizon(false) {}
+  _TableSnapshot__isset() : rows(false), outcomes(false), history(false), tableRevision(false), historyFloor(false), horizon(false), relays(false) {}
   bool rows :1;
   bool outcomes :1;
   bool history :1;
   bool tableRevision :1;
   bool historyFloor :1;
   bool horizon :1;
+  bool relays :1;
 } _TableSnapshot__isset;
 
 /**
@@ -1791,6 +1867,7 @@
   int64_t tableRevision;
   int64_t historyFloor;
   int64_t horizon;
+  std::vector<RelayRecord>  relays;
 
   _TableSnapshot__isset __isset;
 
@@ -1806,6 +1883,8 @@
 
   void __set_horizon(const int64_t val);
 
+  void __set_relays(const std::vector<RelayRecord> & val);
+
   bool operator == (const TableSnapshot & rhs) const
   {
     if (!(rows == rhs.rows))
@@ -1820,6 +1899,8 @@
       return false;
     if (!(horizon == rhs.horizon))
       return false;
+    if (!(relays == rhs.relays))
+      return false;
     return true;
   }
   bool operator != (const TableSnapshot &rhs) const {
@@ -1918,6 +1999,42 @@
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
+
+/**
+ * Carries nothing: a machine that lost the connection in silence answers it with a reset.
+ */
+class KeepAlive : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeepAlive(const KeepAlive&) noexcept;
+  KeepAlive(KeepAlive&&) noexcept;
+  KeepAlive& operator=(const KeepAlive&) noexcept;
+  KeepAlive& operator=(KeepAlive&&) noexcept;
+  KeepAlive() noexcept {
+  }
+
+  virtual ~KeepAlive() noexcept;
+
+  bool operator == (const KeepAlive & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const KeepAlive &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeepAlive & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeepAlive &a, KeepAlive &b);
+
+std::ostream& operator<<(std::ostream& out, const KeepAlive& obj);
+
 typedef struct _VoteRequest__isset {
   _VoteRequest__isset() : term(false), candidate(false), lastIndex(false), lastTerm(false), preVote(false), transfer(false) {}
   bool term :1;
