Report nodes that were lost before a leader began

Change: full reports list nodes lost within their lease, and how long the relay has been running; partial reports never replace a full one; the lease is 8 s.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -70,13 +70,18 @@
   log_.info("{} started as {} at index {}", options_.name, identity_, raft_->lastIndex());
 }
 
-void Controller::announce() {
+wire::Hello Controller::ownHello() const {
   wire::Hello hello;
   hello.protocolVersion = kProtocolVersion;
   hello.role = wire::Role::CONTROLLER;
   hello.id = identity_;
   hello.zone = options_.zone;
   hello.blank = raft_->blank();
+  return hello;
+}
+
+void Controller::announce() {
+  const auto hello = ownHello();
   network_.setHello(hello);
   // Others may add only a blank controller; those that are connected must not go by what was once true.
   for (const auto& [connection, peer] : peers_) {
@@ -181,6 +186,8 @@
 void Controller::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   if (links_.owns(connection)) links_.onOpen(connection, peer);
   peers_[connection] = peer;
+  // The other side may have taken this controller's Hello before it last changed.
+  if (peer.role == wire::Role::CONTROLLER && raft_) network_.send(connection, wire::encodeFrame(ownHello()));
   if (peer.role != wire::Role::RELAY) return;
   relays_.open(connection, peer.id);
   if (raft_ && announcedTerm_) relays_.heartbeatTo(connection, state_.table().revision(), raft_->freshness());
@@ -324,7 +331,6 @@
     entry.relay.id = relayId;
     entry.relay.removed = true;
     (void)raft_->propose(entry);
-    convergence_.onRelayLost(relayId);
   }
 }
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -35,7 +35,7 @@
   consensus::RaftOptions raft;
   base::Duration relayHeartbeat = base::seconds(1);
   base::Duration relayTimeout = base::seconds(3);  ///< a relay that is silent for longer is dropped
-  base::Duration nodeLease = base::seconds(5);
+  base::Duration nodeLease = base::seconds(8);
   base::Duration relayRegistration = base::seconds(3600);  ///< a relay that is silent for longer is forgotten
   bool fullPush = false;                                   ///< baseline for experiments
   TableState::Checks checks;                               ///< parts off only in the simulator
@@ -115,6 +115,7 @@
   };
 
   void begin(storage::RecoveredState state);
+  wire::Hello ownHello() const;
   void announce();
   void updateLinks();
   void onRelayMessage(base::ConnectionId connection, const wire::Message& message);
--- a/src/controller/convergence.cc
+++ b/src/controller/convergence.cc
@@ -14,20 +14,32 @@
 void ConvergenceTracker::reset() {
   relays_.clear();
   nodes_.clear();
-  relayLostAt_.clear();
+  relayLost_.clear();
   startedAt_ = time_.now();
 }
 
 void ConvergenceTracker::detach(const std::string& nodeId, const std::string& relayId) {
   const auto node = nodes_.find(nodeId);
-  if (node == nodes_.end() || !node->second.attached || node->second.relayId != relayId) return;
+  if (node == nodes_.end()) {
+    // Lost before this controller led; it may still serve an older version while it looks for another relay.
+    nodes_[nodeId] = {relayId, false, time_.now()};
+    return;
+  }
+  if (!node->second.attached || node->second.relayId != relayId) return;
   node->second.attached = false;
   node->second.lostAt = time_.now();
 }
 
 void ConvergenceTracker::onReport(const std::string& relayId, const wire::ConvergenceReport& report) {
+  if (relays_.count(relayId) == 0) {
+    // A relay that started a moment ago knows nothing of nodes that its predecessor lost. Where this leader saw the
+    // predecessor go, it knows them itself.
+    const auto lost = relayLost_.find(relayId);
+    const auto began = time_.now() - base::milliseconds(report.runningMs);
+    relays_[relayId].knowsSince = lost == relayLost_.end() ? began : std::min(began, lost->second.knowsSince);
+    relayLost_.erase(relayId);
+  }
   auto& relay = relays_[relayId];
-  relayLostAt_.erase(relayId);
   if (report.full) {
     std::set<std::string> listed(report.attached.begin(), report.attached.end());
     for (auto& [nodeId, node] : nodes_) {
@@ -42,21 +54,25 @@
 }
 
 void ConvergenceTracker::onRelayLost(const std::string& relayId) {
-  relays_.erase(relayId);
-  relayLostAt_[relayId] = time_.now();
+  const auto relay = relays_.find(relayId);
+  if (relay == relays_.end()) return;
+  relayLost_[relayId] = {time_.now(), relay->second.knowsSince};
+  relays_.erase(relay);
   for (auto& [nodeId, node] : nodes_) {
     if (node.relayId == relayId) detach(nodeId, relayId);
   }
 }
 
 base::TimePoint ConvergenceTracker::silentSince(const std::string& relayId) const {
-  const auto lost = relayLostAt_.find(relayId);
-  return lost == relayLostAt_.end() ? startedAt_ : lost->second;
+  const auto lost = relayLost_.find(relayId);
+  return lost == relayLost_.end() ? startedAt_ : lost->second.at;
 }
 
 bool ConvergenceTracker::allReported() const {
   return std::all_of(registered_.begin(), registered_.end(), [this](const auto& relayId) {
-    return relays_.count(relayId) > 0 || time_.now() - silentSince(relayId) >= kRelayGone;
+    const auto relay = relays_.find(relayId);
+    if (relay == relays_.end()) return time_.now() - silentSince(relayId) >= kRelayGone;
+    return time_.now() - relay->second.knowsSince >= lease_;
   });
 }
 
--- a/src/controller/convergence.h
+++ b/src/controller/convergence.h
@@ -67,10 +67,16 @@
   };
 
   struct Relay {
+    base::TimePoint knowsSince{};  // before this time nodes may have been lost that it does not know of
     int64_t inForceRevision = 0;
     std::map<std::string, int64_t> lagging;
   };
 
+  struct LostRelay {
+    base::TimePoint at;
+    base::TimePoint knowsSince;
+  };
+
   bool allReported() const;
   base::TimePoint silentSince(const std::string& relayId) const;
   void detach(const std::string& nodeId, const std::string& relayId);
@@ -79,7 +85,7 @@
   base::Duration lease_;
   base::TimePoint startedAt_{};
   std::set<std::string> registered_;
-  std::map<std::string, base::TimePoint> relayLostAt_;  // of relays whose connection closed in this term
+  std::map<std::string, LostRelay> relayLost_;  // relays whose connection closed in this term
   std::map<std::string, Relay> relays_;
   std::map<std::string, Node> nodes_;
 };
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -22,7 +22,7 @@
       nodeTimer_(scheduler, [this] { onNodeTimer(); }),
       reportTimer_(scheduler, [this] {
         reportTimer_.start(options_.reportInterval);
-        sendReport(false);
+        sendReport();
       }) {
   nodes_.useFullPush(options_.fullPush);
   if (!options_.releaseQuorum) releases_.disable();
@@ -39,6 +39,7 @@
   hello.zone = options_.zone;
   network_.setHello(hello);
   admissionTokens_ = options_.admissionBurst;
+  startedAt_ = scheduler_.now();
   admissionAt_ = scheduler_.now();
   releasedAt_ = scheduler_.now();
   source_.start();
@@ -236,6 +237,7 @@
   nodes_.add(connection, std::move(session));
   newlyAttached_.insert(peer.id);
   newlyDetached_.erase(peer.id);
+  lostAt_.erase(peer.id);
   scheduleReport();
   if (confirmed) {
     nodes_.deliverFirst(connection, request.digest);
@@ -284,6 +286,7 @@
   if (elsewhere) return;
   newlyAttached_.erase(nodeId);
   newlyDetached_.insert(nodeId);
+  lostAt_[nodeId] = scheduler_.now();
   scheduleReport();
   expireLater(nodeId, options_.endpointLease);
 }
@@ -333,22 +336,30 @@
   scheduler_.schedule(kReportDelay, [this, alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired()) return;
     reportScheduled_ = false;
-    sendReport(reportFull_);
+    sendReport();
   });
 }
 
-void Relay::sendReport(bool full) {
+void Relay::sendReport() {
+  // Until a full report is out, nothing else may be: it would tell a new leader of a part as if it were all.
+  const bool full = reportFull_;
+  const auto now = scheduler_.now();
   wire::ConvergenceReport report;
+  report.runningMs = std::chrono::duration_cast<base::milliseconds>(now - startedAt_).count();
   report.sequence = ++reportSequence_;
   report.inForceRevision = replica_.revision();
   report.full = full;
   if (options_.reportLag) report.lagging = nodes_.lagging();
   if (full) {
     for (const auto& [connection, session] : nodes_.all()) report.attached.push_back(session.nodeId);
+    std::erase_if(lostAt_, [&](const auto& lost) { return now - lost.second > options_.nodeLease; });
+    for (const auto& [nodeId, at] : lostAt_) report.detached.push_back(nodeId);
   } else {
     report.attached.assign(newlyAttached_.begin(), newlyAttached_.end());
     report.detached.assign(newlyDetached_.begin(), newlyDetached_.end());
   }
+  log_.debug("{} reports revision {}: {}{} attached, {} detached, {} lagging", options_.id, report.inForceRevision,
+             full ? "all " : "", report.attached.size(), report.detached.size(), report.lagging.size());
   if (!source_.send(report)) {
     reportFull_ = true;
     return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -31,6 +31,7 @@
   base::Duration nodeHeartbeat = base::milliseconds(600);
   base::Duration nodeTimeout = base::seconds(4);  ///< a node that is silent for longer is dropped
   base::Duration reportInterval = base::seconds(1);
+  base::Duration nodeLease = base::seconds(8);            ///< a full report lists nodes lost within this time
   base::Duration endpointLease = base::seconds(2);        ///< after a node's connection was lost
   base::Duration peerLease = base::seconds(5);            ///< after a relay's connection was lost
   base::Duration blockedLimit = base::milliseconds(800);  ///< nodes are sent away when releases stall for longer
@@ -96,7 +97,7 @@
 
   // Reports
   void scheduleReport();
-  void sendReport(bool full);
+  void sendReport();
 
   // Endpoint states
   void onEndpointStates(const std::vector<wire::EndpointState>& states, const std::string& origin, bool fromNode);
@@ -128,6 +129,8 @@
   int64_t reportSequence_ = 0;
   std::set<std::string> newlyAttached_;
   std::set<std::string> newlyDetached_;
+  std::map<std::string, base::TimePoint> lostAt_;  // nodes lost within the lease of a node
+  base::TimePoint startedAt_{};
   double admissionTokens_ = 0;
   base::TimePoint admissionAt_{};
   base::TimePoint releasedAt_{};  // when the table was last fully released
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -339,7 +339,10 @@
   2: i64 revision
 }
 
-/** What a relay knows of its nodes: additions and removals since the last report. */
+/**
+ * What a relay knows of its nodes: additions and removals since the last report. A full report lists all that are
+ * attached, and those that were lost within the lease of a node.
+ */
 struct ConvergenceReport {
   1: i64 sequence
   2: i64 inForceRevision
@@ -347,6 +350,7 @@
   4: list<string> detached
   5: list<NodeStatus> lagging
   6: bool full
+  7: i64 runningMs
 }
 
 struct NodeSubscribe {
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -7219,6 +7219,10 @@
 void ConvergenceReport::__set_full(const bool val) {
   this->full = val;
 }
+
+void ConvergenceReport::__set_runningMs(const int64_t val) {
+  this->runningMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConvergenceReport& obj)
 {
   obj.printTo(out);
@@ -7331,6 +7335,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runningMs);
+          this->__isset.runningMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7396,6 +7408,10 @@
   xfer += oprot->writeBool(this->full);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("runningMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->runningMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7409,6 +7425,7 @@
   swap(a.detached, b.detached);
   swap(a.lagging, b.lagging);
   swap(a.full, b.full);
+  swap(a.runningMs, b.runningMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7419,6 +7436,7 @@
   detached = other288.detached;
   lagging = other288.lagging;
   full = other288.full;
+  runningMs = other288.runningMs;
   __isset = other288.__isset;
 }
 ConvergenceReport::ConvergenceReport(ConvergenceReport&& other289) noexcept {
@@ -7428,6 +7446,7 @@
   detached = std::move(other289.detached);
   lagging = std::move(other289.lagging);
   full = other289.full;
+  runningMs = other289.runningMs;
   __isset = other289.__isset;
 }
 ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other290) {
@@ -7437,6 +7456,7 @@
   detached = other290.detached;
   lagging = other290.lagging;
   full = other290.full;
+  runningMs = other290.runningMs;
   __isset = other290.__isset;
   return *this;
 }
@@ -7447,6 +7467,7 @@
   detached = std::move(other291.detached);
   lagging = std::move(other291.lagging);
   full = other291.full;
+  runningMs = other291.runningMs;
   __isset = other291.__isset;
   return *this;
 }
@@ -7459,6 +7480,7 @@
   out << ", " << "detached=" << to_string(detached);
   out << ", " << "lagging=" << to_string(lagging);
   out << ", " << "full=" << to_string(full);
+  out << ", " << "runningMs=" << to_string(runningMs);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -2952,17 +2952,19 @@
 std::ostream& operator<<(std::ostream& out, const NodeStatus& obj);
 
 typedef struct _ConvergenceReport__isset {
-  _ConvergenceReport__isset() : sequence(false), inForceRevision(false), attached(false), detached(false), lagging(false), full(false) {}
+  _ConvergenceReport__isset() : sequence(false), inForceRevision(false), attached(false), detached(false), lagging(false), full(false), runningMs(false) {}
   bool sequence :1;
   bool inForceRevision :1;
   bool attached :1;
   bool detached :1;
   bool lagging :1;
   bool full :1;
+  bool runningMs :1;
 } _ConvergenceReport__isset;
 
 /**
- * What a relay knows of its nodes: additions and removals since the last report.
+ * What a relay knows of its nodes: additions and removals since the last report. A full report lists all that are
+ * attached, and those that were lost within the lease of a node.
  */
 class ConvergenceReport : public virtual ::apache::thrift::TBase {
  public:
@@ -2974,7 +2976,8 @@
   ConvergenceReport() noexcept
                     : sequence(0),
                       inForceRevision(0),
-                      full(0) {
+                      full(0),
+                      runningMs(0) {
   }
 
   virtual ~ConvergenceReport() noexcept;
@@ -2984,6 +2987,7 @@
   std::vector<std::string>  detached;
   std::vector<NodeStatus>  lagging;
   bool full;
+  int64_t runningMs;
 
   _ConvergenceReport__isset __isset;
 
@@ -2999,6 +3003,8 @@
 
   void __set_full(const bool val);
 
+  void __set_runningMs(const int64_t val);
+
   bool operator == (const ConvergenceReport & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -3013,6 +3019,8 @@
       return false;
     if (!(full == rhs.full))
       return false;
+    if (!(runningMs == rhs.runningMs))
+      return false;
     return true;
   }
   bool operator != (const ConvergenceReport &rhs) const {
