Keep attachments per relay, and answer waits without a look at every node

Change: the tracker keeps the set of relays that hold each node; everywhere is decided from relays and their lagging lists. A leader forgets unfinished additions when it steps down.

--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -90,7 +90,8 @@
   response.term = request.preVote ? request.term : std::max(request.term, hardState_.term);
   if (request.preVote) {
     response.granted = !leaderIsFresh && request.term > hardState_.term && candidateIsUpToDate(request);
-    if (request.term <= hardState_.term) response.term = hardState_.term;
+    // A refusal carries the own term only: the term that was asked for has not begun, and must not by a refusal.
+    if (!response.granted) response.term = hardState_.term;
     transport_.sendTo(from, response);
     return;
   }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -287,6 +287,8 @@
   convergence_.reset();
   announcedTerm_ = false;
   if (role == RaftRole::kLeader) return;
+  // An addition that this leader did not finish must not come back when it leads again.
+  joining_.clear();
   failPending();
   relays_.endAll(raft_->leaderId());
 }
@@ -342,6 +344,7 @@
   if (raft_->forming() && !raft_->membershipChangePending()) completeFormation();
   promoteLearners();
   removeSilentRelays();
+  convergence_.forgetGone();
   for (const auto connection : relays_.silentSince(scheduler_.now() - options_.relayTimeout)) {
     network_.close(connection);
     onClose(connection);
@@ -435,6 +438,7 @@
       return makeError(ErrorCode::kNotAccepted, "the remaining voters are not all there and caught up");
     }
   }
+  joining_.erase(name);
   members.erase(leaving);
   return raft_->proposeMembers(members, false);
 }
--- a/src/controller/convergence.cc
+++ b/src/controller/convergence.cc
@@ -7,27 +7,42 @@
 
 /// After this time without a leader's word a relay has lost its nodes: they notice that it is stale, and leave.
 constexpr base::Duration kRelayGone = base::seconds(12);
-constexpr size_t kMaxListedNodes = 100'000;
+/// Time for which a node that is gone is still counted as such.
+constexpr base::Duration kGoneListed = base::seconds(600);
 
 }  // namespace
 
 void ConvergenceTracker::reset() {
   relays_.clear();
   nodes_.clear();
+  detached_.clear();
   relayLost_.clear();
   startedAt_ = time_.now();
 }
 
+void ConvergenceTracker::attach(const std::string& nodeId, const std::string& relayId) {
+  nodes_[nodeId].insert(relayId);
+  detached_.erase(nodeId);
+}
+
 void ConvergenceTracker::detach(const std::string& nodeId, const std::string& relayId) {
   const auto node = nodes_.find(nodeId);
   if (node == nodes_.end()) {
     // Lost before this controller led; it may still serve an older version while it looks for another relay.
-    nodes_[nodeId] = {relayId, false, time_.now()};
+    detached_.emplace(nodeId, time_.now());
     return;
   }
-  if (!node->second.attached || node->second.relayId != relayId) return;
-  node->second.attached = false;
-  node->second.lostAt = time_.now();
+  if (node->second.erase(relayId) == 0 || !node->second.empty()) return;
+  nodes_.erase(node);
+  detached_[nodeId] = time_.now();
+}
+
+void ConvergenceTracker::detachAllBut(const std::set<std::string>& kept, const std::string& relayId) {
+  std::vector<std::string> lost;
+  for (const auto& [nodeId, relays] : nodes_) {
+    if (relays.count(relayId) > 0 && kept.count(nodeId) == 0) lost.push_back(nodeId);
+  }
+  for (const auto& nodeId : lost) detach(nodeId, relayId);
 }
 
 void ConvergenceTracker::onReport(const std::string& relayId, const wire::ConvergenceReport& report) {
@@ -40,14 +55,9 @@
     relayLost_.erase(relayId);
   }
   auto& relay = relays_[relayId];
-  if (report.full) {
-    std::set<std::string> listed(report.attached.begin(), report.attached.end());
-    for (auto& [nodeId, node] : nodes_) {
-      if (node.relayId == relayId && listed.count(nodeId) == 0) detach(nodeId, relayId);
-    }
-  }
+  if (report.full) detachAllBut({report.attached.begin(), report.attached.end()}, relayId);
   for (const auto& nodeId : report.detached) detach(nodeId, relayId);
-  for (const auto& nodeId : report.attached) nodes_[nodeId] = {relayId, true, {}};
+  for (const auto& nodeId : report.attached) attach(nodeId, relayId);
   relay.inForceRevision = report.inForceRevision;
   relay.lagging.clear();
   for (const auto& status : report.lagging) relay.lagging[status.nodeId] = status.revision;
@@ -58,9 +68,7 @@
   if (relay == relays_.end()) return;
   relayLost_[relayId] = {time_.now(), relay->second.knowsSince};
   relays_.erase(relay);
-  for (auto& [nodeId, node] : nodes_) {
-    if (node.relayId == relayId) detach(nodeId, relayId);
-  }
+  detachAllBut({}, relayId);
 }
 
 base::TimePoint ConvergenceTracker::silentSince(const std::string& relayId) const {
@@ -84,27 +92,32 @@
   return silent;
 }
 
+int64_t ConvergenceTracker::revisionOf(const std::string& nodeId, const std::set<std::string>& relays) const {
+  // While two relays hold a connection to a node, one of them is stale; the lower word counts.
+  int64_t revision = INT64_MAX;
+  for (const auto& relayId : relays) {
+    const auto relay = relays_.find(relayId);
+    if (relay == relays_.end()) return 0;
+    const auto lagging = relay->second.lagging.find(nodeId);
+    const bool lags = lagging != relay->second.lagging.end();
+    revision = std::min(revision, lags ? lagging->second : relay->second.inForceRevision);
+  }
+  return revision;
+}
+
 ConvergenceView ConvergenceTracker::view(int64_t revision) const {
   ConvergenceView view;
   view.revision = revision;
-  const auto now = time_.now();
   view.complete = allReported();
-  for (const auto& [nodeId, node] : nodes_) {
-    if (!node.attached) {
-      if (now - node.lostAt >= lease_) {
-        ++view.gone;
-      } else if (view.lagging.size() < kMaxListedNodes) {
-        view.lagging.push_back({nodeId, 0, false});
-      }
-      continue;
-    }
-    const auto relay = relays_.find(node.relayId);
-    if (relay == relays_.end()) {
-      view.lagging.push_back({nodeId, 0, true});
-      continue;
+  for (const auto& [nodeId, lostAt] : detached_) {
+    if (time_.now() - lostAt >= lease_) {
+      ++view.gone;
+    } else {
+      view.lagging.push_back({nodeId, 0, false});
     }
-    const auto lagging = relay->second.lagging.find(nodeId);
-    const int64_t current = lagging != relay->second.lagging.end() ? lagging->second : relay->second.inForceRevision;
+  }
+  for (const auto& [nodeId, relays] : nodes_) {
+    const auto current = revisionOf(nodeId, relays);
     if (current >= revision) {
       ++view.inForce;
     } else {
@@ -114,10 +127,20 @@
   return view;
 }
 
-size_t ConvergenceTracker::attachedNodes() const {
-  size_t count = 0;
-  for (const auto& [nodeId, node] : nodes_) count += node.attached ? 1 : 0;
-  return count;
+bool ConvergenceTracker::inForceEverywhere(int64_t revision) const {
+  if (!allReported()) return false;
+  for (const auto& [relayId, relay] : relays_) {
+    if (relay.inForceRevision < revision) return false;
+    for (const auto& [nodeId, current] : relay.lagging) {
+      if (current < revision) return false;
+    }
+  }
+  return std::all_of(detached_.begin(), detached_.end(),
+                     [this](const auto& lost) { return time_.now() - lost.second >= lease_; });
+}
+
+void ConvergenceTracker::forgetGone() {
+  std::erase_if(detached_, [this](const auto& lost) { return time_.now() - lost.second >= kGoneListed; });
 }
 
 }  // namespace driftlug::controller
--- a/src/controller/convergence.h
+++ b/src/controller/convergence.h
@@ -51,21 +51,19 @@
   /// @return the state of a revision.
   ConvergenceView view(int64_t revision) const;
 
-  /// @return whether view(revision) would be everywhere(), without listing nodes.
-  bool inForceEverywhere(int64_t revision) const { return view(revision).everywhere(); }
+  /// @return whether view(revision) would be everywhere(), without looking at every node.
+  bool inForceEverywhere(int64_t revision) const;
 
-  size_t attachedNodes() const;
+  /// Drops nodes that have been gone for long; called now and then.
+  void forgetGone();
+
+  /// @return nodes that a relay holds a connection to.
+  size_t attachedNodes() const { return nodes_.size(); }
 
   /// @return registered relays that have not reported to this leader, or were lost, for longer than a duration.
   std::vector<std::string> silentRelays(base::Duration duration) const;
 
  private:
-  struct Node {
-    std::string relayId;  // relay that reported it last
-    bool attached = false;
-    base::TimePoint lostAt{};  // when it was detached
-  };
-
   struct Relay {
     base::TimePoint knowsSince{};  // before this time nodes may have been lost that it does not know of
     int64_t inForceRevision = 0;
@@ -79,7 +77,10 @@
 
   bool allReported() const;
   base::TimePoint silentSince(const std::string& relayId) const;
+  void attach(const std::string& nodeId, const std::string& relayId);
   void detach(const std::string& nodeId, const std::string& relayId);
+  void detachAllBut(const std::set<std::string>& kept, const std::string& relayId);
+  int64_t revisionOf(const std::string& nodeId, const std::set<std::string>& relays) const;
 
   const base::TimeSource& time_;
   base::Duration lease_;
@@ -87,7 +88,8 @@
   std::set<std::string> registered_;
   std::map<std::string, LostRelay> relayLost_;  // relays whose connection closed in this term
   std::map<std::string, Relay> relays_;
-  std::map<std::string, Node> nodes_;
+  std::map<std::string, std::set<std::string>> nodes_;  // attached nodes, with the relays that say so
+  std::map<std::string, base::TimePoint> detached_;     // nodes that no relay holds any more, with when that began
 };
 
 }  // namespace driftlug::controller
--- a/src/simulation/fault_plan.cc
+++ b/src/simulation/fault_plan.cc
@@ -23,6 +23,7 @@
     case FaultClass::kFreeze:
       return plan.controllers.size() + plan.relays.size() + plan.nodes.size();
     case FaultClass::kCutZone:
+    case FaultClass::kStaleRelays:
       return plan.groups.size();
     default:
       return plan.controllers.size();
@@ -49,6 +50,7 @@
       {FaultClass::kReconnectStorm, "reconnect-storm"},
       {FaultClass::kCutZone, "cut-zone"},
       {FaultClass::kFreeze, "freeze"},
+      {FaultClass::kStaleRelays, "stale-relays"},
       {FaultClass::kSlowNetwork, "slow-network"},
       {FaultClass::kLossyNetwork, "lossy-network"},
   };
@@ -134,6 +136,7 @@
       targets.push_back(cluster_.controllers()[fault.target].get());
       break;
     case FaultClass::kControlOutage:
+    case FaultClass::kStaleRelays:
       for (auto& machine : cluster_.controllers()) targets.push_back(machine.get());
       break;
     case FaultClass::kCrashRelay:
@@ -186,8 +189,9 @@
 void FaultInjector::apply(const Fault& fault) {
   constexpr uint64_t kPowerLossOdds = 2;
   const bool drawnPowerLoss = fault.detail % kPowerLossOdds == 0;
-  const auto name = std::string(faultName(fault.kind));
   cluster_.network().mixTrace(static_cast<uint64_t>(fault.kind));
+  if (fault.kind == FaultClass::kControlOutage) return crashAllControllers(fault);
+  if (fault.kind == FaultClass::kStaleRelays) return beginStaleRelays(fault);
   for (auto* machine : targetsOf(fault)) {
     const bool power = fault.kind == FaultClass::kPowerController || fault.kind == FaultClass::kControlOutage ||
                        (fault.kind != FaultClass::kCrashController && drawnPowerLoss);
@@ -246,7 +250,77 @@
   }
 }
 
+void FaultInjector::waitForCommit(const Fault& fault, base::Duration delay, std::function<void()> strike) {
+  const auto until = fault.at + fault.lasts;
+  armed_.push_back([this, delay, until, strike = std::move(strike)] {
+    cluster_.queue().after(delay, [this, until, strike] {
+      if (cluster_.queue().now() < until) strike();
+    });
+  });
+}
+
+void FaultInjector::onCommit() {
+  std::vector<std::function<void()>> armed;
+  armed.swap(armed_);
+  for (const auto& strike : armed) strike();
+}
+
+void FaultInjector::crashAllControllers(const Fault& fault) {
+  constexpr bool kPowerLoss = true;
+  constexpr uint64_t kLongestDelay = 400;  // microseconds after the commit
+  const auto crash = [this] {
+    for (auto& machine : cluster_.controllers()) machine->crash(kPowerLoss);
+  };
+  // Half of the outages come at the worst moment: just after an edit was committed.
+  if (fault.detail % 2 == 0) return crash();
+  waitForCommit(fault, base::microseconds(static_cast<int64_t>((fault.detail >> 1) % kLongestDelay)), crash);
+}
+
+std::vector<Machine*> FaultInjector::nodesOf(const std::string& zone) {
+  std::vector<Machine*> nodes;
+  for (auto& machine : cluster_.nodes()) {
+    if (machine->process().placement().zone == zone) nodes.push_back(machine.get());
+  }
+  return nodes;
+}
+
+void FaultInjector::beginStaleRelays(const Fault& fault) {
+  constexpr base::Duration kReachNodes = base::milliseconds(20);
+  disturbAll();
+  const auto& group = cluster_.plan().groups[fault.target];
+  // The first relay goes on; one other, or all others, miss what is committed from now on.
+  const size_t missing = fault.detail % 2 == 0 ? 1 : group.members.size() - 1;
+  for (size_t i = 1; i <= missing && i < group.members.size(); ++i) {
+    isolate(*cluster_.relays()[cluster_.relayPosition(group.members[i])], true, 0);
+  }
+  waitForCommit(fault, kReachNodes, [this, fault] { strikeStaleRelays(fault); });
+}
+
+void FaultInjector::strikeStaleRelays(const Fault& fault) {
+  const auto& group = cluster_.plan().groups[fault.target];
+  for (auto& machine : cluster_.controllers()) machine->crash(false);
+  cluster_.relays()[cluster_.relayPosition(group.members.front())]->crash(true);
+  for (size_t i = 1; i < group.members.size(); ++i) {
+    isolate(*cluster_.relays()[cluster_.relayPosition(group.members[i])], false, 0);
+  }
+  // Half of the nodes restart, the others only lose their relay.
+  size_t position = 0;
+  for (auto* node : nodesOf(group.zone)) {
+    if ((fault.detail >> (8 + position++ % 8)) % 2 != 0) continue;
+    node->crash(false);
+    restartLater(node, base::milliseconds(1));
+  }
+}
+
 void FaultInjector::heal(const Fault& fault) {
+  if (fault.kind == FaultClass::kStaleRelays) {
+    const auto& group = cluster_.plan().groups[fault.target];
+    for (const auto& member : group.members) {
+      isolate(*cluster_.relays()[cluster_.relayPosition(member)], false, 0);
+      restartLater(cluster_.relays()[cluster_.relayPosition(member)].get(), base::milliseconds(1));
+    }
+    disturbAll();
+  }
   size_t position = 0;
   for (auto* machine : targetsOf(fault)) {
     disturb(machine->name());
--- a/src/simulation/fault_plan.h
+++ b/src/simulation/fault_plan.h
@@ -1,6 +1,9 @@
 /// Faults of a run: drawn from the seed, applied in-band at their times, all healed before the run ends.
 #pragma once
 
+#include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +31,7 @@
   kReconnectStorm,     ///< all connections of the relays break at once
   kCutZone,            ///< a zone loses all others
   kFreeze,             ///< a process stops for a while and goes on as if nothing had happened
+  kStaleRelays,        ///< relays miss a change, then those that have it, the controllers and the nodes die
   kSlowNetwork,        ///< all latencies grow
   kLossyNetwork,       ///< frames are lost and sent again late
 };
@@ -76,6 +80,9 @@
  public:
   FaultInjector(Cluster& cluster, std::vector<Fault> faults);
 
+  /// An edit was committed; faults that wait for one strike.
+  void onCommit();
+
   /// Schedules all faults.
   void start();
 
@@ -93,6 +100,11 @@
   void cutZone(const std::string& zone, bool cut);
   void setCutBothWays(const std::string& left, const std::string& right, bool cut);
   void wipe(const Fault& fault);
+  void crashAllControllers(const Fault& fault);
+  void beginStaleRelays(const Fault& fault);
+  void strikeStaleRelays(const Fault& fault);
+  std::vector<Machine*> nodesOf(const std::string& zone);
+  void waitForCommit(const Fault& fault, base::Duration delay, std::function<void()> strike);
   void stepReplacement();
   bool wipeAllowed();
   void disturb(const std::string& node);
@@ -104,6 +116,7 @@
   std::vector<Fault> faults_;
   std::map<std::string, base::TimePoint> disturbed_;  // by node
   std::map<std::string, base::TimePoint> heldUntil_;  // processes that must stay as they are until then
+  std::vector<std::function<void()>> armed_;          // strike at the next commit
   std::string replacing_;                             // controller being replaced, empty when none
   bool removed_ = false;                              // whether its old identity has left the members
 };
--- a/src/simulation/invariants.h
+++ b/src/simulation/invariants.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -57,6 +58,9 @@
   /// A node activated a version.
   void onActivated(const std::string& node, const table::Interest& interest, const node::SliceStore& slices);
 
+  /// Called whenever an edit took effect for the first time.
+  void onCommit(std::function<void()> hook) { commitHook_ = std::move(hook); }
+
   /// An operator was told the outcome of an edit.
   void onOutcome(const std::string& requestId, const wire::EditOutcome& outcome);
 
@@ -115,6 +119,7 @@
   std::vector<std::string> converging_;           // accepted, not yet in force everywhere
   bool changed_ = false;                          // since the last trackConvergence()
   std::vector<Violation> violations_;
+  std::function<void()> commitHook_;  // may be empty
 };
 
 }  // namespace driftlug::simulation
--- a/src/simulation/operators.h
+++ b/src/simulation/operators.h
@@ -46,6 +46,9 @@
 
   const OperatorCounters& counters() const { return counters_; }
 
+  /// Called when an operator is told that an edit was accepted.
+  void onAccepted(std::function<void()> hook) { acceptedHook_ = std::move(hook); }
+
   /// Sends one edit now.
   void submit(wire::EditCommand edit);
 
@@ -60,6 +63,7 @@
   void onAnswer(const std::string& requestId, const controller::EditAnswer& answer);
   wire::EditCommand drawEdit(const table::Table& known);
   wire::Mutation changeOf(const table::Row& row);
+  wire::Mutation changeSecretsOf(const table::Row& service, const table::Table& known);
   void addBundle(wire::EditCommand* edit);
   void removeBundle(const table::Table& known, wire::EditCommand* edit);
   void breakReference(const table::Table& known, wire::EditCommand* edit);
@@ -72,6 +76,7 @@
   int64_t sequence_ = 0;
   size_t preferred_ = 0;  // controller that answered last
   OperatorCounters counters_;
+  std::function<void()> acceptedHook_;  // may be empty
 };
 
 }  // namespace driftlug::simulation
--- a/src/simulation/run.cc
+++ b/src/simulation/run.cc
@@ -21,18 +21,30 @@
   void start() {
     cluster_.queue().after(kProbeInterval, [this] {
       start();
-      auto* leader = cluster_.leader();
-      if (leader == nullptr) return;
-      auto* controller = leader->controller();
-      const auto revision = controller->state().table().revision();
-      controller->confirmLeadership([this, controller, revision](bool confirmed) {
-        if (!confirmed || !controller->convergence().inForceEverywhere(revision)) return;
-        cluster_.checker().onSaidEverywhere(revision, faults_.disturbedNodes(kExcuse));
-      });
+      ask();
     });
   }
 
+  /// Asks as an operator does who waits for a change: at once, and again and again.
+  void askOften() {
+    constexpr int kQuestions = 8;
+    for (int i = 0; i < kQuestions; ++i) {
+      cluster_.queue().after(i * base::microseconds(500), [this] { ask(); });
+    }
+  }
+
  private:
+  void ask() {
+    auto* leader = cluster_.leader();
+    if (leader == nullptr) return;
+    auto* controller = leader->controller();
+    const auto revision = controller->state().table().revision();
+    controller->confirmLeadership([this, controller, revision](bool confirmed) {
+      if (!confirmed || !controller->convergence().inForceEverywhere(revision)) return;
+      cluster_.checker().onSaidEverywhere(revision, faults_.disturbedNodes(kExcuse));
+    });
+  }
+
   Cluster& cluster_;
   FaultInjector& faults_;
 };
@@ -96,6 +108,8 @@
   Operators operators(cluster, operatorOptions);
   ConvergenceProbe probe(cluster, faults);
 
+  operators.onAccepted([&probe] { probe.askOften(); });
+  cluster.checker().onCommit([&faults] { faults.onCommit(); });
   cluster.start();
   operators.start();
   faults.start();
