Measure convergence from the commit, not from the operator's answer

Cause: the figure began when an operator learned of the answer, so a lost answer (one in ten) counted as 3 s of convergence.

--- a/src/simulation/invariants.h
+++ b/src/simulation/invariants.h
@@ -35,8 +35,8 @@
   std::string sentence;
 };
 
-/// An operator's view of one accepted edit.
-struct AcceptedEdit {
+/// One edit that took effect.
+struct CommittedEdit {
   std::string requestId;
   int64_t revision = 0;
   base::TimePoint committedAt{};  ///< when the first controller applied it, which is when its answer leaves
@@ -67,7 +67,7 @@
   /// A node stopped to serve; its next version must still not be older.
   void onNodeDown(const std::string& node) { serving_.erase(node); }
 
-  /// Notes which accepted edits are in force on all serving nodes; cheap when nothing changed.
+  /// Notes which committed edits are in force on all serving nodes; cheap when nothing changed.
   void trackConvergence();
 
   /// A controller says that a revision is in force everywhere.
@@ -82,7 +82,7 @@
   void violate(Guarantee guarantee, std::string sentence);
 
   const std::vector<Violation>& violations() const { return violations_; }
-  const std::map<std::string, AcceptedEdit>& accepted() const { return accepted_; }
+  const std::map<std::string, CommittedEdit>& committed() const { return committed_; }
   const table::Table& table() const { return truth_; }
   int64_t appliedIndex() const { return appliedIndex_; }
 
@@ -115,8 +115,8 @@
   std::map<table::Interest, SliceHistory> slices_;
   std::map<std::string, int64_t> newestActive_;   // by node, across its restarts
   std::map<std::string, Serving> serving_;        // nodes with an active version now
-  std::map<std::string, AcceptedEdit> accepted_;  // by request id
-  std::vector<std::string> converging_;           // accepted, not yet in force everywhere
+  std::map<std::string, CommittedEdit> committed_;  // by request id
+  std::vector<std::string> converging_;           // committed, not yet in force everywhere
   bool changed_ = false;                          // since the last trackConvergence()
   std::vector<Violation> violations_;
   std::function<void()> commitHook_;  // may be empty
