--- a/apps/controller_main.cc
+++ b/apps/controller_main.cc
@@ -73,6 +73,8 @@
   page->gauge("controller_commit_index", "last committed log entry", static_cast<double>(raft.commitIndex()));
   page->gauge("table_revision", "revision of the table", static_cast<double>(controller.state().table().revision()));
   page->gauge("table_rows", "live rows", static_cast<double>(controller.state().table().rows().size()));
+  page->gauge("ledger_keys", "idempotency keys remembered", static_cast<double>(controller.ledger().size()));
+  page->gauge("ledger_bytes", "memory of the ledger", static_cast<double>(controller.ledger().bytes()));
   page->gauge("controller_nodes", "nodes attached to relays",
               static_cast<double>(controller.convergence().attachedNodes()));
   const auto& relays = controller.relays().counters();
@@ -80,6 +82,12 @@
   page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
   page->counter("controller_full_updates_total", "whole tables sent to relays", relays.fullUpdates);
   page->counter("controller_heartbeat_bytes_total", "bytes of heartbeats to relays", relays.heartbeatBytes);
+  page->counter("control_bytes_sent_total", "bytes of configuration traffic sent",
+                frames.counters().sentFor(wire::Purpose::kControl));
+  page->counter("log_bytes_sent_total", "bytes of the replicated log sent",
+                frames.counters().sentFor(wire::Purpose::kLog));
+  page->counter("ledger_bytes_sent_total", "bytes of ledger traffic sent",
+                frames.counters().sentFor(wire::Purpose::kLedger));
   page->counter("frame_bytes_sent_total", "bytes of frames sent", frames.counters().bytesSent);
   page->counter("frame_bytes_received_total", "bytes of frames received", frames.counters().bytesReceived);
   page->counter("frame_bad_total", "connections closed for a bad frame", frames.counters().badFrames);
--- a/apps/node_main.cc
+++ b/apps/node_main.cc
@@ -31,6 +31,7 @@
 DEFINE_int32(backend_queue, 64, "requests waiting at once, where the table has no limit");
 DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
 DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
+DEFINE_bool(ledger, true, "claim requests that may not be repeated in the ledger before they run");
 DEFINE_int32(health_interval_ms, 250, "interval of health checks of the back end; 0 for none");
 DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
 
@@ -218,6 +219,7 @@
   page->counter("endpoint_calls_total", "calls taken from nodes", runs.calls);
   page->counter("endpoint_completed_total", "calls completed by the back end", runs.completed);
   page->counter("endpoint_refused_total", "calls refused as not run", runs.refused);
+  page->counter("endpoint_replayed_total", "calls answered from the ledger without a run", runs.replayed);
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
   page->gauge("endpoint_running", "requests in the back end", endpoint.limiter().running());
   page->gauge("endpoint_waiting", "requests waiting for a slot", static_cast<double>(endpoint.limiter().waiting()));
@@ -272,7 +274,11 @@
   entryOptions.zone = FLAGS_zone;
   node::EntryCalls entry(entryOptions, loop, base::RandomSource(random.bits()), callFrames);
   apps::HttpBackend backend(loop, backendAddress, static_cast<size_t>(FLAGS_backend_connections));
-  node::EndpointCalls endpoint({FLAGS_service, FLAGS_backend_slots, FLAGS_backend_queue}, loop, callFrames, backend);
+  node::ControlClient* controlClient = nullptr;
+  ledger::LedgerClient ledgerClient(loop, base::RandomSource(random.bits()), FLAGS_name,
+                                    [&](const wire::Message& message) { return controlClient->send(message); });
+  node::EndpointCalls endpoint({FLAGS_service, FLAGS_backend_slots, FLAGS_backend_queue}, loop, callFrames, backend,
+                               FLAGS_ledger ? &ledgerClient : nullptr);
   CallHandler callHandler(entry, endpoint);
   callFrames.setHandler(&callHandler);
   wire::Hello hello;
@@ -288,6 +294,8 @@
         endpoint.useTable(*table);
       },
       [&](const std::vector<wire::EndpointState>& states) { entry.onEndpointStates(states); });
+  controlClient = &control;
+  control.onLedgerReply([&](const wire::LedgerReply& reply) { ledgerClient.onReply(reply); });
   controlFrames.setHandler(&control);
 
   EndpointHealth health(loop, control, endpoint, backendAddress);
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -102,6 +102,8 @@
       return "backend_unreachable";
     case ErrorCode::kNoTable:
       return "no_table";
+    case ErrorCode::kLedgerUnavailable:
+      return "ledger_unavailable";
     case ErrorCode::kKeyReused:
       return "key_reused";
   }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -44,6 +44,7 @@
   kBackendUnreachable = 46,
   kNoTable = 47,
   kKeyReused = 48,
+  kLedgerUnavailable = 49,
 };
 
 /// @return the stable lower-case name of a code, as it appears in JSON bodies and logs.
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -24,6 +24,9 @@
   virtual TimePoint now() const = 0;
 };
 
+/// A point in calendar time; differs between machines, and is used for windows of hours only.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
 /// Identifies a scheduled callback; 0 is never used.
 using TimerId = uint64_t;
 
@@ -36,6 +39,9 @@
 
   /// Forgets a callback that has not run yet; unknown ids are ignored.
   virtual void cancel(TimerId id) = 0;
+
+  /// @return calendar time; in a simulation it runs with the virtual clock.
+  virtual WallTime wallTime() const = 0;
 };
 
 /// A single restartable timer that cancels itself on destruction.
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -156,6 +156,27 @@
   pending_[*index] = {raft_->term(), std::move(done)};
 }
 
+void Controller::submitLedger(wire::LedgerCommand command, LedgerReplyCallback done) {
+  command.timestampMs =
+      std::chrono::duration_cast<base::milliseconds>(scheduler_.wallTime().time_since_epoch()).count();
+  wire::LogEntry entry;
+  entry.kind = wire::EntryKind::LEDGER;
+  entry.__set_ledger(command);
+  const auto index = raft_->propose(entry);
+  if (!index.ok()) return done({wire::LedgerVerdict::UNAVAILABLE, nullptr});
+  pendingLedger_[*index] = std::move(done);
+}
+
+void Controller::onLedgerRequest(base::ConnectionId connection, const wire::LedgerRequest& request) {
+  submitLedger(request.command, [this, connection, requestId = request.requestId](const auto& outcome) {
+    wire::LedgerReply reply;
+    reply.requestId = requestId;
+    reply.verdict = outcome.verdict;
+    if (outcome.answer != nullptr) reply.__set_answer(*outcome.answer);
+    network_.send(connection, wire::encodeFrame(reply));
+  });
+}
+
 void Controller::confirmLeadership(consensus::Raft::ConfirmCallback done) {
   if (!raft_) return done(false);
   raft_->confirmLeadership(std::move(done));
@@ -173,6 +194,7 @@
 }
 
 void Controller::failPending() {
+  pendingLedger_.clear();
   std::map<int64_t, PendingEdit> failed;
   failed.swap(pending_);
   for (const auto& [index, edit] : failed) {
@@ -235,6 +257,8 @@
     if (relays_.relayOn(connection).empty()) return;
     convergence_.onReport(relayId, *report);
     if (reportHook_) reportHook_();
+  } else if (const auto* ledger = std::get_if<wire::LedgerRequest>(&message)) {
+    onLedgerRequest(connection, *ledger);
   } else if (const auto* confirm = std::get_if<wire::ConfirmRequest>(&message)) {
     confirmLeadership([this, alive = std::weak_ptr<bool>(alive_), connection, token = confirm->token](bool confirmed) {
       if (alive.expired() || !confirmed) return;
@@ -248,21 +272,30 @@
 
 void Controller::sendTo(const std::string& memberId, const wire::Message& message) { links_.sendTo(memberId, message); }
 
+void Controller::applyEdit(const wire::LogEntry& entry) {
+  const auto fingerprint = fingerprintOf(entry.edit);
+  auto outcome = state_.apply(entry.index, entry.edit);
+  if (appliedHook_) appliedHook_(entry);
+  if (outcome.fingerprint != fingerprint) outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
+  answerPending(entry.index, outcome);
+}
+
+void Controller::applyLedger(const wire::LogEntry& entry) {
+  const auto outcome = ledger_.apply(entry.ledger);
+  auto pending = pendingLedger_.extract(entry.index);
+  if (!pending.empty()) pending.mapped()(outcome);
+}
+
 void Controller::apply(const wire::LogEntry& entry) {
-  if (entry.kind == wire::EntryKind::EDIT) {
-    const auto fingerprint = fingerprintOf(entry.edit);
-    auto outcome = state_.apply(entry.index, entry.edit);
-    if (appliedHook_) appliedHook_(entry);
-    if (outcome.fingerprint != fingerprint) outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
-    answerPending(entry.index, outcome);
-  }
+  if (entry.kind == wire::EntryKind::EDIT) applyEdit(entry);
+  if (entry.kind == wire::EntryKind::LEDGER) applyLedger(entry);
   if (entry.kind == wire::EntryKind::RELAY) {
     state_.applyRelay(entry.relay);
     useRegisteredRelays();
   }
   if (entry.kind != wire::EntryKind::EDIT && appliedHook_) appliedHook_(entry);
   if (entry.kind == wire::EntryKind::MEMBERS) onMembers(entry);
-  if (pushScheduled_ || raft_->role() != RaftRole::kLeader) return;
+  if (entry.kind != wire::EntryKind::EDIT || pushScheduled_ || raft_->role() != RaftRole::kLeader) return;
   pushScheduled_ = true;
   scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired()) return;
@@ -271,12 +304,17 @@
   });
 }
 
-std::string Controller::takeSnapshot() { return wire::encodeStruct(state_.takeSnapshot()); }
+std::string Controller::takeSnapshot() {
+  auto snapshot = state_.takeSnapshot();
+  snapshot.ledger = ledger_.takeSnapshot();
+  return wire::encodeStruct(snapshot);
+}
 
 void Controller::restore(const std::string& state) {
   auto snapshot = wire::decodeStruct<wire::TableSnapshot>(state);
   if (snapshot.ok()) {
     state_.restore(*snapshot);
+    ledger_.restore(snapshot->ledger);
     useRegisteredRelays();
   } else {
     log_.error("snapshot can't be decoded: {}", base::errorText(snapshot.status()));
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -16,6 +16,7 @@
 #include "controller/convergence.h"
 #include "controller/relay_sessions.h"
 #include "controller/table_state.h"
+#include "ledger/ledger_state.h"
 #include "membership/peer_links.h"
 
 namespace driftlug::controller {
@@ -48,6 +49,7 @@
   std::string leaderName;     ///< set with kNotLeader when known
 };
 
+using LedgerReplyCallback = std::function<void(const ledger::LedgerOutcome&)>;
 using EditCallback = std::function<void(const EditAnswer&)>;
 
 /// One controller process without its sockets and files.
@@ -67,6 +69,9 @@
   /// kRequestIdReused, kNotLeader, kNotAccepted, kStorageFull or kOutcomeUnknown.
   void submitEdit(wire::EditCommand edit, EditCallback done);
 
+  /// Decides a ledger command; `done` is not called when leadership is lost meanwhile, the sender asks again.
+  void submitLedger(wire::LedgerCommand command, LedgerReplyCallback done);
+
   /// Calls back with true once this controller is known to have led after the call.
   void confirmLeadership(consensus::Raft::ConfirmCallback done);
 
@@ -86,6 +91,7 @@
   void prepareStop();
 
   const TableState& state() const { return state_; }
+  const ledger::LedgerState& ledger() const { return ledger_; }
   const consensus::Raft& raft() const { return *raft_; }
   const ConvergenceTracker& convergence() const { return convergence_; }
   const RelaySessions& relays() const { return relays_; }
@@ -125,6 +131,9 @@
   void promoteLearners();
   void answerPending(int64_t index, const wire::EditOutcome& outcome);
   void failPending();
+  void applyEdit(const wire::LogEntry& entry);
+  void applyLedger(const wire::LogEntry& entry);
+  void onLedgerRequest(base::ConnectionId connection, const wire::LedgerRequest& request);
   void onMembers(const wire::LogEntry& entry);
   void registerRelay(const wire::Hello& hello);
   void useRegisteredRelays();
@@ -140,12 +149,14 @@
   storage::LogStore store_;
   std::string identity_;  // bound to the data folder
   TableState state_;
+  ledger::LedgerState ledger_;
   membership::PeerLinks links_;
   RelaySessions relays_;
   ConvergenceTracker convergence_;
   std::unique_ptr<consensus::Raft> raft_;                    // null until recovery ended
   std::map<base::ConnectionId, wire::Hello> peers_;          // open connections
   std::map<int64_t, PendingEdit> pending_;                   // by log index
+  std::map<int64_t, LedgerReplyCallback> pendingLedger_;     // by log index
   std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
   std::map<std::string, ControllerAddress> joining_;         // added by an operator, not yet a member
   std::function<void(const wire::LogEntry&)> appliedHook_;   // may be empty
--- a/src/controller/convergence.h
+++ b/src/controller/convergence.h
@@ -87,7 +87,7 @@
   base::Duration lease_;
   base::TimePoint startedAt_{};
   std::set<std::string> registered_;
-  std::set<std::string> newRelays_;  // registered for the first time since startedAt_
+  std::set<std::string> newRelays_;             // registered for the first time since startedAt_
   std::map<std::string, LostRelay> relayLost_;  // relays whose connection closed in this term
   std::map<std::string, Relay> relays_;
   std::map<std::string, std::set<std::string>> nodes_;  // attached nodes, with the relays that say so
--- a/src/controller/http_api.cc
+++ b/src/controller/http_api.cc
@@ -18,6 +18,7 @@
 using transport::HttpResponse;
 
 constexpr char kRowsPath[] = "/v1/rows";
+constexpr char kKeysPath[] = "/v1/keys/";
 constexpr char kRevisionsPath[] = "/v1/revisions/";
 constexpr char kControllersPath[] = "/v1/controllers";
 constexpr base::Duration kWaitInterval = base::milliseconds(100);
@@ -187,6 +188,10 @@
     return confirmedRead(request, respond, [this, rest] { return oneRow(rest); });
   }
   if (path == "/v1/history") return confirmedRead(request, respond, [this, request] { return history(request); });
+  if (absl::StartsWith(path, kKeysPath)) {
+    const auto key = path.substr(std::string(kKeysPath).size());
+    return confirmedRead(request, respond, [this, key] { return ledgerKey(key); });
+  }
   if (path == "/v1/status") return respond(status());
   if (absl::StartsWith(path, kRevisionsPath) && absl::EndsWith(path, "/convergence")) {
     return getConvergence(request, respond);
@@ -275,6 +280,17 @@
   return transport::jsonResponse(200, body.dump() + "\n");
 }
 
+HttpResponse HttpApi::ledgerKey(const std::string& key) const {
+  const auto* record = controller_.ledger().find(key);
+  json body = {{"key", key}, {"state", "unknown"}};
+  if (record != nullptr) {
+    body["state"] = record->completed ? "completed" : "claimed";
+    body["owner"] = record->owner;
+    if (record->completed) body["http_status"] = record->answer.httpStatus;
+  }
+  return transport::jsonResponse(record == nullptr ? 404 : 200, body.dump() + "\n");
+}
+
 HttpResponse HttpApi::convergence(int64_t revision) const {
   const auto view = controller_.convergence().view(revision);
   json lagging = json::array();
--- a/src/controller/http_api.h
+++ b/src/controller/http_api.h
@@ -42,6 +42,7 @@
   void controllers(const transport::HttpRequest& request, const HttpRespond& respond);
   transport::HttpResponse rows(const transport::HttpRequest& request) const;
   transport::HttpResponse oneRow(const std::string& kindAndName) const;
+  transport::HttpResponse ledgerKey(const std::string& key) const;
   transport::HttpResponse history(const transport::HttpRequest& request) const;
   transport::HttpResponse status() const;
   transport::HttpResponse convergence(int64_t revision) const;
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <set>
 
 #include "base/error.h"
@@ -100,10 +101,18 @@
     return;
   }
   change.keep();
-  if (index - table_.horizon() > 2 * kTombstoneHorizon) table_.dropTombstones(index - kTombstoneHorizon);
+  if (table_.tombstones().size() > kMaxTombstones) dropOldTombstones();
   recordHistory(index, edit);
 }
 
+void TableState::dropOldTombstones() {
+  std::vector<int64_t> revisions;
+  for (const auto& [key, row] : table_.tombstones()) revisions.push_back(row->revision);
+  const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  table_.dropTombstones(*middle);
+}
+
 bool TableState::findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const {
   bool conflict = false;
   std::set<wire::RowKey, table::RowKeyLess> seen;
--- /dev/null
+++ b/src/ledger/ledger_client.cc
@@ -0,0 +1,92 @@
+#include "ledger/ledger_client.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace driftlug::ledger {
+namespace {
+
+/// A command without a reply is sent again after this time; it covers a change of leader or relay.
+constexpr base::Duration kResendInterval = base::milliseconds(150);
+
+}  // namespace
+
+LedgerClient::LedgerClient(base::Scheduler& scheduler, base::RandomSource random, std::string ownerPrefix, Send send)
+    : scheduler_(scheduler), random_(random), ownerPrefix_(std::move(ownerPrefix)), send_(std::move(send)) {}
+
+LedgerClient::~LedgerClient() { alive_.reset(); }
+
+std::string LedgerClient::newOwner() { return ownerPrefix_ + absl::StrFormat("/%016x", random_.bits()); }
+
+void LedgerClient::claim(const std::string& key, int64_t fingerprint, const std::string& owner, base::Duration limit,
+                         LedgerCallback done) {
+  wire::LedgerCommand command;
+  command.action = wire::LedgerAction::CLAIM;
+  command.key = key;
+  command.fingerprint = fingerprint;
+  command.owner = owner;
+  submit(std::move(command), limit, std::move(done));
+}
+
+void LedgerClient::complete(const std::string& key, const std::string& owner, const wire::StoredAnswer& answer,
+                            base::Duration limit) {
+  wire::LedgerCommand command;
+  command.action = wire::LedgerAction::COMPLETE;
+  command.key = key;
+  command.owner = owner;
+  command.__set_answer(answer);
+  submit(std::move(command), limit, nullptr);
+}
+
+void LedgerClient::release(const std::string& key, const std::string& owner, base::Duration limit,
+                           LedgerCallback done) {
+  wire::LedgerCommand command;
+  command.action = wire::LedgerAction::RELEASE;
+  command.key = key;
+  command.owner = owner;
+  submit(std::move(command), limit, std::move(done));
+}
+
+void LedgerClient::submit(wire::LedgerCommand command, base::Duration limit, LedgerCallback done) {
+  const auto requestId = nextRequest_++;
+  auto& pending = pending_[requestId];
+  pending.command = std::move(command);
+  pending.until = scheduler_.now() + limit;
+  pending.done = std::move(done);
+  attempt(requestId);
+}
+
+void LedgerClient::attempt(int64_t requestId) {
+  const auto found = pending_.find(requestId);
+  if (found == pending_.end()) return;
+  auto& pending = found->second;
+  const auto now = scheduler_.now();
+  if (now >= pending.until) return finish(requestId, LedgerAnswer{});
+  wire::LedgerRequest request;
+  request.requestId = requestId;
+  request.command = pending.command;
+  (void)send_(request);
+  const auto wait = std::min<base::Duration>(kResendInterval, pending.until - now);
+  pending.timer = scheduler_.schedule(wait, [this, alive = std::weak_ptr<bool>(alive_), requestId] {
+    if (!alive.expired()) attempt(requestId);
+  });
+}
+
+void LedgerClient::onReply(const wire::LedgerReply& reply) {
+  // A ledger that is full or has lost its leader says so; asking again may help until the limit.
+  if (reply.verdict == wire::LedgerVerdict::UNAVAILABLE) return;
+  LedgerAnswer answer;
+  answer.verdict = reply.verdict;
+  if (reply.__isset.answer) answer.stored = reply.answer;
+  finish(reply.requestId, answer);
+}
+
+void LedgerClient::finish(int64_t requestId, const LedgerAnswer& answer) {
+  auto node = pending_.extract(requestId);
+  if (node.empty()) return;
+  scheduler_.cancel(node.mapped().timer);
+  if (node.mapped().done) node.mapped().done(answer);
+}
+
+}  // namespace driftlug::ledger
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -12,6 +12,7 @@
 constexpr int kProtocolVersion = 1;
 constexpr base::Duration kWatchInterval = base::milliseconds(200);
 constexpr int kMaxBackoffDoublings = 4;
+constexpr int kServingPatience = 3;
 constexpr char kSliceFile[] = "slice";
 constexpr char kTemporaryFile[] = "slice.tmp";
 
@@ -27,10 +28,12 @@
       onStates_(std::move(onStates)),
       reconnectTimer_(scheduler, [this] { connect(); }),
       watchTimer_(scheduler, [this] { onWatch(); }),
-      keepAliveTimer_(scheduler, [this] {
-        keepAliveTimer_.start(options_.keepAlive);
-        if (open_) sendApplied();
-      }) {
+      keepAliveTimer_(scheduler,
+                      [this] {
+                        keepAliveTimer_.start(options_.keepAlive);
+                        if (open_) sendApplied();
+                      }),
+      homeTimer_(scheduler, [this] { goHome(); }) {
   slices_.setChecks(options_.checks);
 }
 
@@ -56,7 +59,22 @@
   open_ = false;
   sliceSeen_ = false;
   openedAt_ = scheduler_.now();
-  connection_ = network_.connect(options_.relays[position_ % options_.relays.size()]);
+  const size_t position = position_ % options_.relays.size();
+  connection_ = network_.connect(options_.relays[position]);
+  homeTimer_.stop();
+  const bool home = position < options_.nearRelays;
+  if (!home) homeTimer_.start(options_.returnAfter + random_.duration(options_.returnAfter));
+}
+
+void ControlClient::goHome() {
+  // Relays of other zones are for need only: they are further away, and have nodes of their own.
+  if (!open_ || !sliceSeen_) return homeTimer_.start(options_.returnAfter);
+  ++counters_.returns;
+  network_.close(connection_);
+  connection_ = 0;
+  pending_.clear();
+  position_ = 0;
+  connect();
 }
 
 void ControlClient::moveOn(base::Duration delay) {
@@ -109,9 +127,17 @@
     moveOn(base::milliseconds(later->delayMs) + random_.duration(options_.reconnectDelay));
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
     if (onStates_) onStates_(states->states);
+  } else if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) {
+    if (onLedgerReply_) onLedgerReply_(*reply);
   }
 }
 
+bool ControlClient::send(const wire::Message& message) {
+  if (!open_) return false;
+  network_.send(connection_, wire::encodeFrame(message));
+  return true;
+}
+
 void ControlClient::onUpdate(const wire::SliceUpdate& update) {
   sliceSeen_ = true;
   attempts_ = 0;
@@ -182,7 +208,9 @@
   const auto now = scheduler_.now();
   const bool silent = open_ && now - lastHeard_ > options_.relayTimeout;
   const bool noAnswer = !open_ && now - openedAt_ > options_.relayTimeout;
-  const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > options_.firstSliceTimeout;
+  // A node that has a version can wait for a relay that has just started; one without can't.
+  const auto patience = slices_.active() ? options_.firstSliceTimeout * kServingPatience : options_.firstSliceTimeout;
+  const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > patience;
   const bool stale = open_ && !fresh() && now - openedAt_ > options_.staleAfter;
   if (silent || noAnswer || noSlice || stale) reconnectLater();
 }
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -28,6 +28,8 @@
   base::Duration staleAfter = base::seconds(4);             ///< without an advance of freshness
   base::Duration reconnectDelay = base::milliseconds(200);  ///< highest first delay; it doubles up to a limit
   base::Duration keepAlive = base::seconds(1);
+  size_t nearRelays = 2;                           ///< of `relays`: those of the own zone
+  base::Duration returnAfter = base::seconds(20);  ///< least time at a relay of another zone before going home
   SliceStore::Checks checks;
 };
 
@@ -36,6 +38,7 @@
   int64_t activations = 0;
   int64_t rejected = 0;
   int64_t reconnects = 0;
+  int64_t returns = 0;  ///< moves back to a relay of the own zone
   int64_t bytesReceived = 0;
 };
 
@@ -59,6 +62,13 @@
   /// Announces the state of the endpoint beside this node.
   void announce(const wire::EndpointState& state);
 
+  /// Sends to the relay in use.
+  /// @return whether there is one
+  bool send(const wire::Message& message);
+
+  /// Sets who gets replies of the ledger.
+  void onLedgerReply(std::function<void(const wire::LedgerReply&)> handler) { onLedgerReply_ = std::move(handler); }
+
   const SliceStore& slices() const { return slices_; }
   bool connected() const { return open_; }
 
@@ -78,6 +88,7 @@
   void onUpdate(const wire::SliceUpdate& update);
   void onHeartbeat(const wire::Freshness& freshness);
   void sendApplied();
+  void goHome();
   void onWatch();
   void sendState();
   void refuse(SliceResult result, int64_t revision);
@@ -94,6 +105,7 @@
   base::Logger log_{"node"};
   ActivationHandler onActivation_;
   EndpointStatesHandler onStates_;
+  std::function<void(const wire::LedgerReply&)> onLedgerReply_;  // may be empty
   SliceStore slices_;
   storage::Disk* disk_ = nullptr;
   size_t position_ = 0;                // of the relay in use
@@ -114,6 +126,7 @@
   base::Timer reconnectTimer_;
   base::Timer watchTimer_;
   base::Timer keepAliveTimer_;
+  base::Timer homeTimer_;  // runs while the relay in use is one of another zone
 };
 
 }  // namespace driftlug::node
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -1,5 +1,7 @@
 #include "node/endpoint_calls.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "wire/frame.h"
@@ -12,6 +14,15 @@
 /// A back end that sheds load marks the answer so; it promises that the request did not run.
 constexpr char kShedHeader[] = "x-shed";
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
+constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
+/// Time for which a node goes on to tell the ledger how a request ended.
+constexpr base::Duration kLedgerPatience = base::seconds(2);
+
+/// @return a hash over what the request asks for, to notice a key that is used for another request.
+int64_t fingerprintOf(const wire::CallRequest& request) {
+  const auto content = request.serviceName + '\n' + request.method + '\n' + request.path + '\n' + request.body;
+  return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
+}
 
 bool hasHeader(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
   return std::any_of(headers.begin(), headers.end(), [&](const auto& header) { return header.name == name; });
@@ -20,13 +31,16 @@
 }  // namespace
 
 EndpointCalls::EndpointCalls(EndpointOptions options, base::Scheduler& scheduler, base::Network& network,
-                             BackendClient& backend)
+                             BackendClient& backend, ledger::LedgerClient* ledger)
     : options_(std::move(options)),
       scheduler_(scheduler),
       network_(network),
       backend_(backend),
+      ledger_(ledger),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue) {}
 
+EndpointCalls::~EndpointCalls() { alive_.reset(); }
+
 void EndpointCalls::useTable(const routing::RoutingTable& table) {
   const auto* limit = table.limit(options_.service);
   if (limit != nullptr) {
@@ -63,7 +77,47 @@
   auto& call = calls_[key];
   call.running = true;
   call.startedAt = scheduler_.now();
-  const auto timeout = call.deadline - call.startedAt;
+  if (ledger_ == nullptr || isRepeatable(call.request)) return sendToBackend(key);
+  call.owner = ledger_->newOwner();
+  claim(key);
+}
+
+void EndpointCalls::claim(const CallKey& key) {
+  auto& call = calls_[key];
+  ++call.claimsTried;
+  const auto left = call.deadline - scheduler_.now();
+  ledger_->claim(call.request.idempotencyKey, fingerprintOf(call.request), call.owner, left,
+                 [this, alive = std::weak_ptr<bool>(alive_), key](const ledger::LedgerAnswer& answer) {
+                   if (!alive.expired()) onClaim(key, answer);
+                 });
+}
+
+void EndpointCalls::onClaim(const CallKey& key, const ledger::LedgerAnswer& answer) {
+  constexpr int kMaxClaims = 4;
+  constexpr base::Duration kClaimInterval = base::milliseconds(100);
+  if (calls_.count(key) == 0) return;
+  switch (answer.verdict) {
+    case wire::LedgerVerdict::GRANTED:
+      return sendToBackend(key);
+    case wire::LedgerVerdict::COMPLETED:
+      return answerStored(key, *answer.stored);
+    case wire::LedgerVerdict::MISMATCH:
+      return refuse(key, ErrorCode::kKeyReused, base::Duration(0));
+    case wire::LedgerVerdict::CLAIMED:
+      // Another attempt with the key is running, or its node died; its answer may be stored in a moment.
+      if (calls_[key].claimsTried >= kMaxClaims) return answerUnknown(key, ErrorCode::kOutcomeUnknown);
+      scheduler_.schedule(kClaimInterval, [this, alive = std::weak_ptr<bool>(alive_), key] {
+        if (!alive.expired() && calls_.count(key) > 0) claim(key);
+      });
+      return;
+    case wire::LedgerVerdict::UNAVAILABLE:
+      return releaseThenRefuse(key, ErrorCode::kLedgerUnavailable, kLedgerRetryAfter);
+  }
+}
+
+void EndpointCalls::sendToBackend(const CallKey& key) {
+  auto& call = calls_[key];
+  const auto timeout = call.deadline - scheduler_.now();
   call.backendId = backend_.send(call.request, timeout,
                                  [this, key](BackendAnswer answer) { onBackendAnswer(key, std::move(answer)); });
 }
@@ -71,30 +125,72 @@
 void EndpointCalls::onBackendAnswer(const CallKey& key, BackendAnswer answer) {
   const auto found = calls_.find(key);
   if (found == calls_.end()) return;
-  const auto held = scheduler_.now() - found->second.startedAt;
+  const bool completed = answer.outcome == BackendOutcome::kCompleted;
   if (answer.outcome == BackendOutcome::kNotSent) {
-    refuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
-  } else if (answer.outcome == BackendOutcome::kCompleted && hasHeader(answer.headers, kShedHeader)) {
-    refuse(key, ErrorCode::kOverloaded, kShedRetryAfter);
-  } else {
-    wire::CallResponse response;
-    const bool completed = answer.outcome == BackendOutcome::kCompleted;
-    response.outcome = completed ? wire::CallOutcome::COMPLETED : wire::CallOutcome::UNKNOWN;
-    response.httpStatus = answer.httpStatus;
-    response.headers = std::move(answer.headers);
-    response.body = std::move(answer.body);
-    if (!completed) {
-      const auto error = answer.timedOut ? ErrorCode::kDeadlineExceeded : ErrorCode::kBackendFailed;
-      response.errorCode = static_cast<int>(error);
-    }
-    ++(completed ? counters_.completed : counters_.unknown);
-    this->answer(key, std::move(response));
+    return releaseThenRefuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
   }
-  limiter_.release(held);
+  if (completed && hasHeader(answer.headers, kShedHeader)) {
+    return releaseThenRefuse(key, ErrorCode::kOverloaded, kShedRetryAfter);
+  }
+  if (!completed) {
+    return answerUnknown(key, answer.timedOut ? ErrorCode::kDeadlineExceeded : ErrorCode::kBackendFailed);
+  }
+  const auto& call = found->second;
+  if (!call.owner.empty()) {
+    wire::StoredAnswer stored;
+    stored.httpStatus = answer.httpStatus;
+    stored.headers = answer.headers;
+    stored.body = answer.body;
+    ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerPatience);
+  }
+  wire::CallResponse response;
+  response.outcome = wire::CallOutcome::COMPLETED;
+  response.httpStatus = answer.httpStatus;
+  response.headers = std::move(answer.headers);
+  response.body = std::move(answer.body);
+  ++counters_.completed;
+  releaseSlot(call);
+  this->answer(key, std::move(response));
+}
+
+void EndpointCalls::answerStored(const CallKey& key, const wire::StoredAnswer& stored) {
+  ++counters_.replayed;
+  wire::CallResponse response;
+  response.outcome = wire::CallOutcome::COMPLETED;
+  response.httpStatus = stored.httpStatus;
+  response.headers = stored.headers;
+  response.body = stored.body;
+  releaseSlot(calls_[key]);
+  answer(key, std::move(response));
+}
+
+void EndpointCalls::answerUnknown(const CallKey& key, ErrorCode error) {
+  ++counters_.unknown;
+  wire::CallResponse response;
+  response.outcome = wire::CallOutcome::UNKNOWN;
+  response.errorCode = static_cast<int>(error);
+  releaseSlot(calls_[key]);
+  answer(key, std::move(response));
+}
+
+void EndpointCalls::releaseThenRefuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
+  const auto& call = calls_[key];
+  if (call.owner.empty()) return refuse(key, error, retryAfter);
+  // Another endpoint may run the request only once the key is free again; without the ledger's word it stays claimed,
+  // and a resend will be told that the outcome is unknown.
+  ledger_->release(call.request.idempotencyKey, call.owner, kLedgerPatience,
+                   [this, alive = std::weak_ptr<bool>(alive_), key, error, retryAfter](const ledger::LedgerAnswer&) {
+                     if (!alive.expired() && calls_.count(key) > 0) refuse(key, error, retryAfter);
+                   });
+}
+
+void EndpointCalls::releaseSlot(const Call& call) {
+  if (call.running) limiter_.release(scheduler_.now() - call.startedAt);
 }
 
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
   ++counters_.refused;
+  releaseSlot(calls_[key]);
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::NOT_RUN;
   response.errorCode = static_cast<int>(error);
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -7,6 +7,7 @@
 
 #include "base/network.h"
 #include "base/time.h"
+#include "ledger/ledger_client.h"
 #include "limits/slot_limiter.h"
 #include "node/call_types.h"
 #include "routing/routing_table.h"
@@ -27,13 +28,20 @@
   int64_t refused = 0;
   int64_t unknown = 0;
   int64_t cancelled = 0;
+  int64_t replayed = 0;  ///< answered from the ledger, without a run
 };
 
+/// A request that may not be repeated is claimed in the ledger before the back end sees it, under its idempotency
+/// key: whoever sends the key again gets the stored answer, or "outcome unknown", and never a second run.
+///
 /// Invariants: a call answered NOT_RUN was never sent to the back end, or the back end itself said that it did
 /// not run it; a call is sent to the back end at most once.
 class EndpointCalls {
  public:
-  EndpointCalls(EndpointOptions options, base::Scheduler& scheduler, base::Network& network, BackendClient& backend);
+  /// @param ledger null where requests that may not be repeated are taken without a claim
+  EndpointCalls(EndpointOptions options, base::Scheduler& scheduler, base::Network& network, BackendClient& backend,
+                ledger::LedgerClient* ledger);
+  ~EndpointCalls();
 
   /// Takes limits from a new version.
   void useTable(const routing::RoutingTable& table);
@@ -64,9 +72,18 @@
     bool running = false;
     uint64_t backendId = 0;
     base::TimePoint startedAt{};
+    std::string owner;    // of the claim, empty while there is none
+    int claimsTried = 0;  // while another owner holds the key
   };
 
   void run(const CallKey& key);
+  void sendToBackend(const CallKey& key);
+  void claim(const CallKey& key);
+  void onClaim(const CallKey& key, const ledger::LedgerAnswer& answer);
+  void answerStored(const CallKey& key, const wire::StoredAnswer& stored);
+  void releaseThenRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
+  void answerUnknown(const CallKey& key, base::ErrorCode error);
+  void releaseSlot(const Call& call);
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
@@ -76,10 +93,12 @@
   base::Scheduler& scheduler_;
   base::Network& network_;
   BackendClient& backend_;
+  ledger::LedgerClient* ledger_;  // may be null
   limits::SlotLimiter limiter_;
   std::map<CallKey, Call> calls_;
   bool draining_ = false;
   EndpointCounters counters_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace driftlug::node
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -18,6 +18,7 @@
 constexpr int kNotFoundStatus = 404;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kGatewayTimeoutStatus = 504;
+constexpr int kUnprocessableStatus = 422;
 constexpr int kDefaultRetryAfterMs = 200;
 constexpr int kMaxBackoffDoublings = 4;
 
@@ -232,6 +233,9 @@
     } else {
       picker_.onAbandoned(attempt.endpoint);
     }
+    if (error == ErrorCode::kKeyReused) {
+      return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
+    }
     // Its own node is the truth for draining; the choice heeds it before any relay says so.
     if (error == ErrorCode::kDraining) picker_.setAvailable(attempt.endpoint, false);
     return onAttemptFailed(attempt.call, true,
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -71,6 +71,10 @@
   if (session == nullptr || !session->confirmed) return;
   const bool current = session->appliedRevision > 0 && nodeDigest == session->slice->slice().digest();
   const int64_t revision = std::max(session->appliedRevision, session->slice->revision());
+  if (!current && !refuseOlder_) {
+    session->sentRevision = 0;
+    session->appliedRevision = 0;
+  }
   if (!current || releases_.released(session->zone) < revision) return deliver(connection, session);
   wire::SliceUpdate update;
   update.fromRevision = session->appliedRevision;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -7,6 +7,12 @@
 
 constexpr int kProtocolVersion = 1;
 constexpr base::Duration kReportDelay = base::milliseconds(1);
+/// A report that lists many lagging nodes is not repeated for each node that catches up: in a storm that would cost
+/// the square of the nodes.
+constexpr base::Duration kReportGapPerLagging = base::microseconds(500);
+constexpr base::Duration kLongestReportGap = base::milliseconds(200);
+/// Time from its start in which a relay keeps nodes though it can't release anything yet; all others may be starting.
+constexpr base::Duration kStartGrace = base::seconds(5);
 
 }  // namespace
 
@@ -108,6 +114,7 @@
   } else if (connection == source_.source()) {
     if (const auto* update = std::get_if<wire::TableUpdate>(&message)) onTableUpdate(*update);
     if (const auto* reply = std::get_if<wire::ConfirmReply>(&message)) onConfirmReply(*reply);
+    if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) onLedgerReply(*reply);
   }
 }
 
@@ -194,11 +201,31 @@
     if (news) scheduleReport();
   } else if (std::get_if<wire::SliceRejected>(&message) != nullptr) {
     nodes_.onRejected(connection);
+  } else if (const auto* ledger = std::get_if<wire::LedgerRequest>(&message)) {
+    forwardToLedger(connection, *ledger);
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
     onEndpointStates(states->states, hellos_[connection].id, true);
   }
 }
 
+void Relay::forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request) {
+  // Nodes send again what gets no reply, so the oldest may be forgotten.
+  constexpr size_t kMaxForwards = 10'000;
+  if (ledgerForwards_.size() >= kMaxForwards) ledgerForwards_.erase(ledgerForwards_.begin());
+  auto forwarded = request;
+  forwarded.requestId = ++lastLedgerId_;
+  ledgerForwards_[forwarded.requestId] = {connection, request.requestId};
+  (void)source_.send(forwarded);
+}
+
+void Relay::onLedgerReply(const wire::LedgerReply& reply) {
+  auto forward = ledgerForwards_.extract(reply.requestId);
+  if (forward.empty()) return;
+  auto own = reply;
+  own.requestId = forward.mapped().requestId;
+  network_.send(forward.mapped().connection, wire::encodeFrame(own));
+}
+
 bool Relay::admit() {
   const auto now = scheduler_.now();
   const double elapsed = std::chrono::duration<double>(now - admissionAt_).count();
@@ -323,7 +350,7 @@
   for (const auto& group : options_.releaseGroups) {
     blocked = blocked || (releases_.serves(group.zone) && releases_.released(group.zone) < replica_.revision());
   }
-  if (!blocked) releasedAt_ = now;
+  if (!blocked || now - startedAt_ < kStartGrace) releasedAt_ = now;
   if (blocked && now - releasedAt_ > options_.blockedLimit) {
     for (const auto& relayId : releases_.peers()) sendHeld(relayId, 0, true);
     sendAllAway();
@@ -333,7 +360,9 @@
 void Relay::scheduleReport() {
   if (reportScheduled_) return;
   reportScheduled_ = true;
-  scheduler_.schedule(kReportDelay, [this, alive = std::weak_ptr<bool>(alive_)] {
+  const auto gap = std::min<base::Duration>(kLongestReportGap, reportedLagging_ * kReportGapPerLagging);
+  const auto wait = std::max<base::Duration>(kReportDelay, reportedAt_ + gap - scheduler_.now());
+  scheduler_.schedule(wait, [this, alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired()) return;
     reportScheduled_ = false;
     sendReport();
@@ -358,6 +387,8 @@
     report.attached.assign(newlyAttached_.begin(), newlyAttached_.end());
     report.detached.assign(newlyDetached_.begin(), newlyDetached_.end());
   }
+  reportedAt_ = now;
+  reportedLagging_ = report.lagging.size();
   log_.debug("{} reports revision {}: {}{} attached, {} detached, {} lagging", options_.id, report.inForceRevision,
              full ? "all " : "", report.attached.size(), report.detached.size(), report.lagging.size());
   if (!source_.send(report)) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -95,6 +95,10 @@
   void sendAllAway();
   void onNodeTimer();
 
+  // Ledger
+  void forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request);
+  void onLedgerReply(const wire::LedgerReply& reply);
+
   // Reports
   void scheduleReport();
   void sendReport();
@@ -125,12 +129,20 @@
   bool stopping_ = false;
   int64_t lastToken_ = 0;  // of all questions about freshness; never reused
   bool reportScheduled_ = false;
+  base::TimePoint reportedAt_{};  // when the last report left
+  size_t reportedLagging_ = 0;    // nodes that it listed as lagging
   bool reportFull_ = true;
   int64_t reportSequence_ = 0;
   std::set<std::string> newlyAttached_;
   std::set<std::string> newlyDetached_;
   std::map<std::string, base::TimePoint> lostAt_;  // nodes lost within the lease of a node
   base::TimePoint startedAt_{};
+  struct LedgerForward {
+    base::ConnectionId connection;
+    int64_t requestId;  // as the node knows it
+  };
+  std::map<int64_t, LedgerForward> ledgerForwards_;  // by the id under which it was sent on, oldest first
+  int64_t lastLedgerId_ = 0;
   double admissionTokens_ = 0;
   base::TimePoint admissionAt_{};
   base::TimePoint releasedAt_{};  // when the table was last fully released
--- a/src/simulation/cluster.cc
+++ b/src/simulation/cluster.cc
@@ -49,7 +49,7 @@
   controller_ =
       std::make_unique<controller::Controller>(options, process_, base::RandomSource(random_.bits()), *sockets_, disk_);
   controller_->onApplied([this](const wire::LogEntry& entry) {
-    if (cluster_.plan().check) cluster_.checker().onApplied(name(), entry, controller_->state().table());
+    cluster_.checker().onApplied(name(), entry, controller_->state().table());
   });
   sockets_->setHandler(controller_.get());
   controller_->start([this](const absl::Status& status) {
@@ -136,7 +136,7 @@
   control_ = std::make_unique<node::ControlClient>(
       options, process_, base::RandomSource(random_.bits()), *sockets_,
       [this](const routing::RoutingTablePtr&) {
-        if (cluster_.plan().check) cluster_.checker().onActivated(name(), interest_, control_->slices());
+        cluster_.checker().onActivated(name(), interest_, control_->slices());
       },
       nullptr);
   sockets_->setHandler(control_.get());
@@ -159,7 +159,7 @@
   }
   for (size_t i = 0; i < plan_.relays.size(); ++i) relays_.push_back(std::make_unique<RelayMachine>(*this, i));
   for (size_t i = 0; i < plan_.nodes.size(); ++i) nodes_.push_back(std::make_unique<NodeMachine>(*this, i));
-  if (!plan_.check) return;
+  if (!plan_.check) checker_.measureOnly();
   for (const auto& node : nodes_) checker_.watch(node->interest());
 }
 
@@ -172,7 +172,6 @@
 void Cluster::runUntil(base::TimePoint time) {
   base::showLogTime(&queue_);
   while (queue_.runNext(time)) {
-    if (plan_.check) checker_.trackConvergence();
   }
   base::showLogTime(nullptr);
 }
--- a/src/simulation/invariants.cc
+++ b/src/simulation/invariants.cc
@@ -79,8 +79,12 @@
     truth_.put(row);
     keys.push_back(row->key);
   }
+  auto& edit = committed_[entry.edit.requestId];
+  edit = {entry.edit.requestId, entry.index, time_.now(), {}, false, {}};
   for (auto& [interest, history] : slices_) {
-    if (history.slice->refresh(truth_)) history.digests[entry.index] = history.slice->digest();
+    if (!history.slice->refresh(truth_)) continue;
+    history.digests[entry.index] = history.slice->digest();
+    edit.lagging.insert(history.nodes.begin(), history.nodes.end());
   }
   const auto problems = table::checkEdit(truth_, keys);
   if (!problems.empty()) {
@@ -88,9 +92,8 @@
             absl::StrFormat("revision %d leaves %s: %s", entry.index, table::keyText(problems.front().row),
                             problems.front().sentence));
   }
-  changed_ = true;
-  committed_[entry.edit.requestId] = {entry.edit.requestId, entry.index, time_.now(), {}, false};
   converging_.push_back(entry.edit.requestId);
+  finishConverged();
   if (commitHook_) commitHook_();
 }
 
@@ -109,6 +112,7 @@
     violate(Guarantee::kWholeVersion, absl::StrFormat("%s runs rows that revision %d does not have", node, revision));
   }
   for (const auto& [key, row] : slices.rows().rows()) {
+    if (measureOnly_) break;
     std::vector<table::Problem> problems;
     table::checkReferences(*row, slices.rows(), &problems);
     if (problems.empty()) continue;
@@ -116,8 +120,10 @@
                                                            table::keyText(key), problems.front().sentence));
     break;
   }
-  serving_[node] = {&history, revision};
-  changed_ = true;
+  auto& serving = serving_[node];
+  serving = {&history, revision};
+  history.nodes.insert(node);
+  updateLagging(node, &serving);
 }
 
 void InvariantChecker::onOutcome(const std::string& requestId, const wire::EditOutcome& outcome) {
@@ -131,31 +137,36 @@
   }
 }
 
-bool InvariantChecker::inForceOnAll(int64_t revision) {
-  for (const auto& [node, serving] : serving_) {
-    // What the node runs is as good as the revision when its slice did not change in between.
-    const auto& digests = serving.history->digests;
-    const auto needed = digests.upper_bound(revision);
-    if (needed == digests.begin() || serving.revision >= std::prev(needed)->first) continue;
-    return false;
-  }
-  return true;
+void InvariantChecker::onNodeDown(const std::string& node) {
+  const auto serving = serving_.find(node);
+  if (serving == serving_.end()) return;
+  serving->second.history->nodes.erase(node);
+  serving_.erase(serving);
+  updateLagging(node, nullptr);
 }
 
-void InvariantChecker::trackConvergence() {
-  if (!changed_ || converging_.empty()) return;
-  changed_ = false;
-  std::vector<std::string> waiting;
+void InvariantChecker::updateLagging(const std::string& node, const Serving* serving) {
   for (const auto& requestId : converging_) {
     auto& edit = committed_[requestId];
-    edit.inForce = inForceOnAll(edit.revision);
-    if (edit.inForce) {
-      edit.inForceAt = time_.now();
+    // What the node runs is as good as the revision when its slice did not change in between.
+    const bool needs = serving != nullptr && serving->history->digests.count(edit.revision) > 0;
+    if (needs && serving->revision < edit.revision) {
+      edit.lagging.insert(node);
     } else {
-      waiting.push_back(requestId);
+      edit.lagging.erase(node);
     }
   }
-  converging_.swap(waiting);
+  finishConverged();
+}
+
+void InvariantChecker::finishConverged() {
+  std::erase_if(converging_, [this](const auto& requestId) {
+    auto& edit = committed_[requestId];
+    if (!edit.lagging.empty()) return false;
+    edit.inForce = true;
+    edit.inForceAt = time_.now();
+    return true;
+  });
 }
 
 void InvariantChecker::onSaidEverywhere(int64_t revision, const std::set<std::string>& excused) {
@@ -165,8 +176,8 @@
     const bool current = needed == digests.begin() || serving.revision >= std::prev(needed)->first;
     if (current || excused.count(node) > 0) continue;
     violate(Guarantee::kAcceptedStays,
-            absl::StrFormat("revision %d was said to be in force everywhere while %s ran revision %d, not %d", revision, node,
-                            serving.revision, std::prev(needed)->first));
+            absl::StrFormat("revision %d was said to be in force everywhere while %s ran revision %d, not %d", revision,
+                            node, serving.revision, std::prev(needed)->first));
   }
 }
 
--- a/src/simulation/invariants.h
+++ b/src/simulation/invariants.h
@@ -42,6 +42,7 @@
   base::TimePoint committedAt{};  ///< when the first controller applied it, which is when its answer leaves
   base::TimePoint inForceAt{};    ///< when the last serving node had it; unset until then
   bool inForce = false;
+  std::set<std::string> lagging;  ///< serving nodes that need it and run an older version
 };
 
 /// Keeps the truth, which is the sequence of committed entries, and compares every controller and node with it.
@@ -65,10 +66,7 @@
   void onOutcome(const std::string& requestId, const wire::EditOutcome& outcome);
 
   /// A node stopped to serve; its next version must still not be older.
-  void onNodeDown(const std::string& node) { serving_.erase(node); }
-
-  /// Notes which committed edits are in force on all serving nodes; cheap when nothing changed.
-  void trackConvergence();
+  void onNodeDown(const std::string& node);
 
   /// A controller says that a revision is in force everywhere.
   /// @param excused nodes that were cut off, frozen or restarted a short time ago
@@ -81,6 +79,9 @@
   /// Reports a broken guarantee.
   void violate(Guarantee guarantee, std::string sentence);
 
+  /// Leaves out the checks whose cost grows with the square of the cluster; convergence is still measured.
+  void measureOnly() { measureOnly_ = true; }
+
   const std::vector<Violation>& violations() const { return violations_; }
   const std::map<std::string, CommittedEdit>& committed() const { return committed_; }
   const table::Table& table() const { return truth_; }
@@ -90,6 +91,7 @@
   struct SliceHistory {
     std::unique_ptr<table::Slice> slice;
     std::map<int64_t, table::Digest> digests;  // by the revision from which it was valid
+    std::set<std::string> nodes;               // that serve a version of it now
   };
 
   struct Effect {
@@ -104,7 +106,8 @@
 
   SliceHistory& historyOf(const table::Interest& interest);
   void takeEffect(const wire::LogEntry& entry);
-  bool inForceOnAll(int64_t revision);
+  void updateLagging(const std::string& node, const Serving* serving);
+  void finishConverged();
 
   const base::TimeSource& time_;
   table::Table truth_;
@@ -113,11 +116,11 @@
   std::map<int64_t, table::Digest> tableDigests_;  // after each edit, by its log index
   std::map<std::string, Effect> effects_;          // by request id
   std::map<table::Interest, SliceHistory> slices_;
-  std::map<std::string, int64_t> newestActive_;   // by node, across its restarts
-  std::map<std::string, Serving> serving_;        // nodes with an active version now
+  std::map<std::string, int64_t> newestActive_;     // by node, across its restarts
+  std::map<std::string, Serving> serving_;          // nodes with an active version now
   std::map<std::string, CommittedEdit> committed_;  // by request id
-  std::vector<std::string> converging_;           // committed, not yet in force everywhere
-  bool changed_ = false;                          // since the last trackConvergence()
+  std::vector<std::string> converging_;             // committed, not yet in force everywhere
+  bool measureOnly_ = false;
   std::vector<Violation> violations_;
   std::function<void()> commitHook_;  // may be empty
 };
--- a/src/simulation/process.h
+++ b/src/simulation/process.h
@@ -31,6 +31,7 @@
   base::TimePoint now() const override { return queue_.now(); }
   base::TimerId schedule(base::Duration delay, std::function<void()> callback) override;
   void cancel(base::TimerId id) override;
+  base::WallTime wallTime() const override { return base::WallTime(queue_.now().time_since_epoch()); }
 
   /// Begins a new incarnation.
   void start();
--- a/src/simulation/run.cc
+++ b/src/simulation/run.cc
@@ -61,11 +61,7 @@
 int64_t controlBytesOf(const Traffic& traffic) {
   int64_t bytes = 0;
   for (size_t kind = 0; kind < kMessageKinds; ++kind) {
-    const auto name = messageKindName(kind);
-    const bool log = name.rfind("Vote", 0) == 0 || name.rfind("Append", 0) == 0 || name.rfind("Snapshot", 0) == 0 ||
-                     name == "TimeoutNow";
-    const bool call = name.rfind("Call", 0) == 0;
-    if (!log && !call) bytes += traffic.bytes[kind];
+    if (wire::purposeOf(kind) == wire::Purpose::kControl) bytes += traffic.bytes[kind];
   }
   return bytes;
 }
--- a/src/simulation/simulated_network.cc
+++ b/src/simulation/simulated_network.cc
@@ -38,33 +38,44 @@
 void SimulatedNetwork::setCut(const std::string& from, const std::string& to, bool cut) {
   if (cut) {
     cuts_.insert({from, to});
-    return;
+  } else if (cuts_.erase({from, to}) > 0) {
+    releaseHealed();
+  }
+}
+
+void SimulatedNetwork::setRegionCut(const std::string& region, bool cut) {
+  if (cut) {
+    cutRegions_.insert(region);
+  } else if (cutRegions_.erase(region) > 0) {
+    releaseHealed();
   }
-  if (cuts_.erase({from, to}) > 0) release(from, to);
 }
 
 void SimulatedNetwork::healAll() {
-  auto cuts = std::move(cuts_);
   cuts_.clear();
-  for (const auto& [from, to] : cuts) release(from, to);
+  cutRegions_.clear();
+  releaseHealed();
+}
+
+bool SimulatedNetwork::isCut(const Process& from, const Process& to) const {
+  if (!cuts_.empty() && cuts_.count({from.name(), to.name()}) > 0) return true;
+  if (cutRegions_.empty() || from.placement().region == to.placement().region) return false;
+  return cutRegions_.count(from.placement().region) > 0 || cutRegions_.count(to.placement().region) > 0;
 }
 
 bool SimulatedNetwork::cutBetween(const Connection& connection, int toSide) const {
-  if (cuts_.empty()) return false;
   const auto* from = connection.sides[1 - toSide].process;
   const auto* to = connection.sides[toSide].process;
-  return from != nullptr && to != nullptr && isCut(from->name(), to->name());
+  return from != nullptr && to != nullptr && isCut(*from, *to);
 }
 
-void SimulatedNetwork::release(const std::string& from, const std::string& to) {
+void SimulatedNetwork::releaseHealed() {
   for (const auto& weak : connections_) {
     const auto connection = weak.lock();
     if (!connection) continue;
     for (int side = 0; side < 2; ++side) {
       auto& target = connection->sides[side];
-      const auto* sender = connection->sides[1 - side].process;
-      if (target.held.empty() || target.process == nullptr || sender == nullptr) continue;
-      if (sender->name() != from || target.process->name() != to) continue;
+      if (target.held.empty() || cutBetween(*connection, side)) continue;
       std::deque<InTransit> held;
       held.swap(target.held);
       for (auto& item : held) deliver(connection, side, std::move(item));
@@ -184,8 +195,8 @@
   }
   const auto found = network_.listeners_.find(address);
   const bool known = found != network_.listeners_.end();
-  const bool blocked = known && (network_.isCut(process_.name(), found->second->process_.name()) ||
-                                 network_.isCut(found->second->process_.name(), process_.name()));
+  const bool blocked =
+      known && (network_.isCut(process_, found->second->process_) || network_.isCut(found->second->process_, process_));
   if (!known || blocked || found->second->process_.frozen()) {
     // Nobody answers; a dead process's machine refuses at once, a cut or frozen one lets the attempt time out.
     const auto wait = known ? network_.options_.connectTimeout : 2 * network_.options_.betweenZones;
--- a/src/simulation/simulated_network.h
+++ b/src/simulation/simulated_network.h
@@ -49,11 +49,14 @@
   /// Cuts or heals the way from one process to another.
   void setCut(const std::string& from, const std::string& to, bool cut);
 
+  /// Cuts a whole region off from all others, or heals that.
+  void setRegionCut(const std::string& region, bool cut);
+
   /// Heals all cuts.
   void healAll();
 
   /// @return whether frames from one process can't reach another.
-  bool isCut(const std::string& from, const std::string& to) const { return cuts_.count({from, to}) > 0; }
+  bool isCut(const Process& from, const Process& to) const;
 
   /// Loses a share of frames; each costs a retransmission.
   void setLoss(double share) { loss_ = share; }
@@ -106,13 +109,14 @@
   void closeFrom(const ConnectionPtr& connection, int side);
   bool cutBetween(const Connection& connection, int toSide) const;
   void completeConnect(const ConnectionPtr& connection, const base::Address& address);
-  void release(const std::string& from, const std::string& to);
+  void releaseHealed();
 
   EventQueue& queue_;
   base::RandomSource random_;
   NetworkOptions options_;
   std::map<base::Address, ProcessNetwork*> listeners_;
   std::set<std::pair<std::string, std::string>> cuts_;  // (from, to)
+  std::set<std::string> cutRegions_;
   std::vector<std::weak_ptr<Connection>> connections_;  // swept now and then
   size_t sweepAt_ = 1024;
   double loss_ = 0;
--- a/src/simulation/traffic.cc
+++ b/src/simulation/traffic.cc
@@ -8,7 +8,7 @@
       "SnapshotAck",    "TimeoutNow",    "RelaySubscribe",    "NotLeader",     "TableUpdate",    "Heartbeat",
       "ConfirmRequest", "ConfirmReply",  "ConvergenceReport", "NodeSubscribe", "SliceUpdate",    "SliceApplied",
       "SliceRejected",  "NodeHeartbeat", "RetryLater",        "RelayHeld",     "EndpointStates", "CallRequest",
-      "CallResponse",   "CallCancel",    "KeepAlive"};
+      "CallResponse",   "CallCancel",    "KeepAlive",         "LedgerRequest", "LedgerReply"};
   return kind < kNames.size() ? kNames[kind] : "unknown";
 }
 
--- a/src/simulation/traffic.h
+++ b/src/simulation/traffic.h
@@ -21,7 +21,7 @@
   std::array<int64_t, kMessageKinds> bytes{};
 
   void add(const std::string& frame) {
-    const auto kind = static_cast<size_t>(static_cast<unsigned char>(frame[wire::kLengthBytes]));
+    const auto kind = wire::kindOf(frame);
     ++frames[kind];
     bytes[kind] += static_cast<int64_t>(frame.size());
   }
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -73,6 +73,10 @@
   return id;
 }
 
+base::WallTime EventLoop::wallTime() const {
+  return std::chrono::time_point_cast<base::Duration>(std::chrono::system_clock::now());
+}
+
 void EventLoop::cancel(base::TimerId id) {
   const auto found = timeOf_.find(id);
   if (found == timeOf_.end()) return;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -25,6 +25,7 @@
   base::TimePoint now() const override;
   base::TimerId schedule(base::Duration delay, std::function<void()> callback) override;
   void cancel(base::TimerId id) override;
+  base::WallTime wallTime() const override;
 
   /// Runs until stop() is called.
   void run();
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -92,6 +92,8 @@
   connection->queue.push_back(frame);
   connection->queuedBytes += frame->size();
   ++counters_.framesSent;
+  const auto purpose = wire::purposeOf(wire::kindOf(*frame));
+  counters_.bytesByPurpose[static_cast<size_t>(purpose)] += static_cast<int64_t>(frame->size());
   if (connection->established) lws_callback_on_writable(connection->wsi);
 }
 
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -1,6 +1,7 @@
 /// Frames over TCP, driven by libwebsockets.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -20,6 +21,9 @@
   int64_t framesReceived = 0;
   int64_t badFrames = 0;
   int64_t slowClosed = 0;
+  std::array<int64_t, wire::kPurposes> bytesByPurpose{};  ///< sent, by wire::Purpose
+
+  int64_t sentFor(wire::Purpose purpose) const { return bytesByPurpose[static_cast<size_t>(purpose)]; }
 };
 
 /// base::Network over real sockets. Every connection begins with a Hello from each side.
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -122,7 +122,17 @@
 
 enum LedgerAction {
   CLAIM = 1,
-  COMPLETE = 2
+  COMPLETE = 2,
+  RELEASE = 3
+}
+
+/** What the ledger says to a command. */
+enum LedgerVerdict {
+  GRANTED = 1,
+  COMPLETED = 2,
+  CLAIMED = 3,
+  MISMATCH = 4,
+  UNAVAILABLE = 5
 }
 
 struct HttpHeader {
@@ -147,6 +157,16 @@
   6: optional StoredAnswer answer
 }
 
+/** State of one idempotency key. */
+struct LedgerRecord {
+  1: string key
+  2: i64 fingerprint
+  3: string owner
+  4: bool completed
+  5: i64 claimedAtMs
+  6: optional StoredAnswer answer
+}
+
 /** One controller of the replicated log; the id is bound to its data folder, the name to its machine. */
 struct Member {
   1: string id
@@ -226,6 +246,7 @@
   9: i64 historyFloor
   10: i64 horizon
   11: list<RelayRecord> relays
+  12: list<LedgerRecord> ledger
 }
 
 /** First message on each connection, in both directions. */
@@ -421,6 +442,18 @@
   1: list<EndpointState> states
 }
 
+/** A ledger command on its way from a node over its relay to the leading controller. */
+struct LedgerRequest {
+  1: i64 requestId
+  2: LedgerCommand command
+}
+
+struct LedgerReply {
+  1: i64 requestId
+  2: LedgerVerdict verdict
+  3: optional StoredAnswer answer
+}
+
 struct CallRequest {
   1: i64 callId
   2: string serviceName
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -52,6 +52,20 @@
 
 constexpr auto kDecoders = makeDecoders(std::make_index_sequence<std::variant_size_v<Message>>());
 
+template <typename T>
+constexpr size_t positionOf() {
+  size_t position = 0;
+  [&]<size_t... Index>(std::index_sequence<Index...>) {
+    ((std::is_same_v<std::variant_alternative_t<Index, Message>, T> ? (position = Index) : 0), ...);
+  }(std::make_index_sequence<std::variant_size_v<Message>>());
+  return position;
+}
+
+template <typename... T>
+bool isOneOf(size_t kind) {
+  return ((kind == positionOf<T>()) || ...);
+}
+
 size_t readLength(const char* bytes) {
   size_t length = 0;
   for (size_t i = 0; i < kLengthBytes; ++i) length = (length << 8) | static_cast<unsigned char>(bytes[i]);
@@ -66,6 +80,14 @@
 
 }  // namespace
 
+Purpose purposeOf(size_t kind) {
+  if (isOneOf<CallRequest, CallResponse, CallCancel>(kind)) return Purpose::kCall;
+  if (isOneOf<LedgerRequest, LedgerReply>(kind)) return Purpose::kLedger;
+  const bool log = isOneOf<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck,
+                           TimeoutNow>(kind);
+  return log ? Purpose::kLog : Purpose::kControl;
+}
+
 FramePtr encodeFrame(const Message& message) {
   auto frame = std::make_shared<std::string>(kHeaderBytes, '\0');
   (*frame)[kLengthBytes] = static_cast<char>(message.index());
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -14,17 +14,29 @@
 namespace driftlug::wire {
 
 /// Every message that travels between processes. The position is the type byte and never changes.
-using Message =
-    std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck,
-                 TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat, ConfirmRequest, ConfirmReply,
-                 ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied, SliceRejected, NodeHeartbeat, RetryLater,
-                 RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel, KeepAlive>;
+using Message = std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
+                             SnapshotChunkAck, TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat,
+                             ConfirmRequest, ConfirmReply, ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied,
+                             SliceRejected, NodeHeartbeat, RetryLater, RelayHeld, EndpointStates, CallRequest,
+                             CallResponse, CallCancel, KeepAlive, LedgerRequest, LedgerReply>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
 
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kHeaderBytes = kLengthBytes + 1;
+/// What a message is for, so that traffic can be counted by purpose.
+enum class Purpose { kControl, kLog, kLedger, kCall };
+constexpr size_t kPurposes = 4;
+
+/// @return the purpose of a message by its type byte.
+Purpose purposeOf(size_t kind);
+
+/// @return the type byte of a frame.
+inline size_t kindOf(const std::string& frame) {
+  return static_cast<size_t>(static_cast<unsigned char>(frame[kLengthBytes]));
+}
+
 /// Longest frame that a peer may send, in bytes.
 constexpr size_t kMaxFrameBytes = 64U << 20;
 /// Longest string and longest list inside a frame.
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -120,13 +120,15 @@
 
 int _kLedgerActionValues[] = {
   LedgerAction::CLAIM,
-  LedgerAction::COMPLETE
+  LedgerAction::COMPLETE,
+  LedgerAction::RELEASE
 };
 const char* _kLedgerActionNames[] = {
   "CLAIM",
-  "COMPLETE"
+  "COMPLETE",
+  "RELEASE"
 };
-const std::map<int, const char*> _LedgerAction_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kLedgerActionValues, _kLedgerActionNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _LedgerAction_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kLedgerActionValues, _kLedgerActionNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const LedgerAction::type& val) {
   std::map<int, const char*>::const_iterator it = _LedgerAction_VALUES_TO_NAMES.find(val);
@@ -147,6 +149,41 @@
   }
 }
 
+int _kLedgerVerdictValues[] = {
+  LedgerVerdict::GRANTED,
+  LedgerVerdict::COMPLETED,
+  LedgerVerdict::CLAIMED,
+  LedgerVerdict::MISMATCH,
+  LedgerVerdict::UNAVAILABLE
+};
+const char* _kLedgerVerdictNames[] = {
+  "GRANTED",
+  "COMPLETED",
+  "CLAIMED",
+  "MISMATCH",
+  "UNAVAILABLE"
+};
+const std::map<int, const char*> _LedgerVerdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kLedgerVerdictValues, _kLedgerVerdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const LedgerVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _LedgerVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _LedgerVerdict_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const LedgerVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _LedgerVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _LedgerVerdict_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kSliceRejectReasonValues[] = {
   SliceRejectReason::DIGEST_MISMATCH,
   SliceRejectReason::DANGLING_REFERENCE,
@@ -2732,6 +2769,219 @@
 }
 
 
+LedgerRecord::~LedgerRecord() noexcept {
+}
+
+
+void LedgerRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void LedgerRecord::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void LedgerRecord::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void LedgerRecord::__set_completed(const bool val) {
+  this->completed = val;
+}
+
+void LedgerRecord::__set_claimedAtMs(const int64_t val) {
+  this->claimedAtMs = val;
+}
+
+void LedgerRecord::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->completed);
+          this->__isset.completed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->claimedAtMs);
+          this->__isset.claimedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->completed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("claimedAtMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->claimedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerRecord &a, LedgerRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.owner, b.owner);
+  swap(a.completed, b.completed);
+  swap(a.claimedAtMs, b.claimedAtMs);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerRecord::LedgerRecord(const LedgerRecord& other98) {
+  key = other98.key;
+  fingerprint = other98.fingerprint;
+  owner = other98.owner;
+  completed = other98.completed;
+  claimedAtMs = other98.claimedAtMs;
+  answer = other98.answer;
+  __isset = other98.__isset;
+}
+LedgerRecord::LedgerRecord(LedgerRecord&& other99) noexcept {
+  key = std::move(other99.key);
+  fingerprint = other99.fingerprint;
+  owner = std::move(other99.owner);
+  completed = other99.completed;
+  claimedAtMs = other99.claimedAtMs;
+  answer = std::move(other99.answer);
+  __isset = other99.__isset;
+}
+LedgerRecord& LedgerRecord::operator=(const LedgerRecord& other100) {
+  key = other100.key;
+  fingerprint = other100.fingerprint;
+  owner = other100.owner;
+  completed = other100.completed;
+  claimedAtMs = other100.claimedAtMs;
+  answer = other100.answer;
+  __isset = other100.__isset;
+  return *this;
+}
+LedgerRecord& LedgerRecord::operator=(LedgerRecord&& other101) noexcept {
+  key = std::move(other101.key);
+  fingerprint = other101.fingerprint;
+  owner = std::move(other101.owner);
+  completed = other101.completed;
+  claimedAtMs = other101.claimedAtMs;
+  answer = std::move(other101.answer);
+  __isset = other101.__isset;
+  return *this;
+}
+void LedgerRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "completed=" << to_string(completed);
+  out << ", " << "claimedAtMs=" << to_string(claimedAtMs);
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Member::~Member() noexcept {
 }
 
@@ -2892,42 +3142,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other98) {
-  id = other98.id;
-  name = other98.name;
-  address = other98.address;
-  framePort = other98.framePort;
-  httpPort = other98.httpPort;
-  voting = other98.voting;
-  __isset = other98.__isset;
+Member::Member(const Member& other102) {
+  id = other102.id;
+  name = other102.name;
+  address = other102.address;
+  framePort = other102.framePort;
+  httpPort = other102.httpPort;
+  voting = other102.voting;
+  __isset = other102.__isset;
 }
-Member::Member(Member&& other99) noexcept {
-  id = std::move(other99.id);
-  name = std::move(other99.name);
-  address = std::move(other99.address);
-  framePort = other99.framePort;
-  httpPort = other99.httpPort;
-  voting = other99.voting;
-  __isset = other99.__isset;
+Member::Member(Member&& other103) noexcept {
+  id = std::move(other103.id);
+  name = std::move(other103.name);
+  address = std::move(other103.address);
+  framePort = other103.framePort;
+  httpPort = other103.httpPort;
+  voting = other103.voting;
+  __isset = other103.__isset;
 }
-Member& Member::operator=(const Member& other100) {
-  id = other100.id;
-  name = other100.name;
-  address = other100.address;
-  framePort = other100.framePort;
-  httpPort = other100.httpPort;
-  voting = other100.voting;
-  __isset = other100.__isset;
+Member& Member::operator=(const Member& other104) {
+  id = other104.id;
+  name = other104.name;
+  address = other104.address;
+  framePort = other104.framePort;
+  httpPort = other104.httpPort;
+  voting = other104.voting;
+  __isset = other104.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other101) noexcept {
-  id = std::move(other101.id);
-  name = std::move(other101.name);
-  address = std::move(other101.address);
-  framePort = other101.framePort;
-  httpPort = other101.httpPort;
-  voting = other101.voting;
-  __isset = other101.__isset;
+Member& Member::operator=(Member&& other105) noexcept {
+  id = std::move(other105.id);
+  name = std::move(other105.name);
+  address = std::move(other105.address);
+  framePort = other105.framePort;
+  httpPort = other105.httpPort;
+  voting = other105.voting;
+  __isset = other105.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -3052,30 +3302,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRecord::RelayRecord(const RelayRecord& other102) {
-  id = other102.id;
-  zone = other102.zone;
-  removed = other102.removed;
-  __isset = other102.__isset;
+RelayRecord::RelayRecord(const RelayRecord& other106) {
+  id = other106.id;
+  zone = other106.zone;
+  removed = other106.removed;
+  __isset = other106.__isset;
 }
-RelayRecord::RelayRecord(RelayRecord&& other103) noexcept {
-  id = std::move(other103.id);
-  zone = std::move(other103.zone);
-  removed = other103.removed;
-  __isset = other103.__isset;
+RelayRecord::RelayRecord(RelayRecord&& other107) noexcept {
+  id = std::move(other107.id);
+  zone = std::move(other107.zone);
+  removed = other107.removed;
+  __isset = other107.__isset;
 }
-RelayRecord& RelayRecord::operator=(const RelayRecord& other104) {
-  id = other104.id;
-  zone = other104.zone;
-  removed = other104.removed;
-  __isset = other104.__isset;
+RelayRecord& RelayRecord::operator=(const RelayRecord& other108) {
+  id = other108.id;
+  zone = other108.zone;
+  removed = other108.removed;
+  __isset = other108.__isset;
   return *this;
 }
-RelayRecord& RelayRecord::operator=(RelayRecord&& other105) noexcept {
-  id = std::move(other105.id);
-  zone = std::move(other105.zone);
-  removed = other105.removed;
-  __isset = other105.__isset;
+RelayRecord& RelayRecord::operator=(RelayRecord&& other109) noexcept {
+  id = std::move(other109.id);
+  zone = std::move(other109.zone);
+  removed = other109.removed;
+  __isset = other109.__isset;
   return *this;
 }
 void RelayRecord::printTo(std::ostream& out) const {
@@ -3173,9 +3423,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast106;
-          xfer += iprot->readI32(ecast106);
-          this->kind = static_cast<EntryKind::type>(ecast106);
+          int32_t ecast110;
+          xfer += iprot->readI32(ecast110);
+          this->kind = static_cast<EntryKind::type>(ecast110);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3193,14 +3443,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->members.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->members.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->members[_i111].read(iprot);
+              xfer += this->members[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3271,10 +3521,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter112;
-      for (_iter112 = this->members.begin(); _iter112 != this->members.end(); ++_iter112)
+      std::vector<Member> ::const_iterator _iter116;
+      for (_iter116 = this->members.begin(); _iter116 != this->members.end(); ++_iter116)
       {
-        xfer += (*_iter112).write(oprot);
+        xfer += (*_iter116).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3312,50 +3562,50 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other113) {
-  index = other113.index;
-  term = other113.term;
-  kind = other113.kind;
-  edit = other113.edit;
-  members = other113.members;
-  forming = other113.forming;
-  ledger = other113.ledger;
-  relay = other113.relay;
-  __isset = other113.__isset;
-}
-LogEntry::LogEntry(LogEntry&& other114) noexcept {
-  index = other114.index;
-  term = other114.term;
-  kind = other114.kind;
-  edit = std::move(other114.edit);
-  members = std::move(other114.members);
-  forming = other114.forming;
-  ledger = std::move(other114.ledger);
-  relay = std::move(other114.relay);
-  __isset = other114.__isset;
-}
-LogEntry& LogEntry::operator=(const LogEntry& other115) {
-  index = other115.index;
-  term = other115.term;
-  kind = other115.kind;
-  edit = other115.edit;
-  members = other115.members;
-  forming = other115.forming;
-  ledger = other115.ledger;
-  relay = other115.relay;
-  __isset = other115.__isset;
+LogEntry::LogEntry(const LogEntry& other117) {
+  index = other117.index;
+  term = other117.term;
+  kind = other117.kind;
+  edit = other117.edit;
+  members = other117.members;
+  forming = other117.forming;
+  ledger = other117.ledger;
+  relay = other117.relay;
+  __isset = other117.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other118) noexcept {
+  index = other118.index;
+  term = other118.term;
+  kind = other118.kind;
+  edit = std::move(other118.edit);
+  members = std::move(other118.members);
+  forming = other118.forming;
+  ledger = std::move(other118.ledger);
+  relay = std::move(other118.relay);
+  __isset = other118.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other119) {
+  index = other119.index;
+  term = other119.term;
+  kind = other119.kind;
+  edit = other119.edit;
+  members = other119.members;
+  forming = other119.forming;
+  ledger = other119.ledger;
+  relay = other119.relay;
+  __isset = other119.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other116) noexcept {
-  index = other116.index;
-  term = other116.term;
-  kind = other116.kind;
-  edit = std::move(other116.edit);
-  members = std::move(other116.members);
-  forming = other116.forming;
-  ledger = std::move(other116.ledger);
-  relay = std::move(other116.relay);
-  __isset = other116.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other120) noexcept {
+  index = other120.index;
+  term = other120.term;
+  kind = other120.kind;
+  edit = std::move(other120.edit);
+  members = std::move(other120.members);
+  forming = other120.forming;
+  ledger = std::move(other120.ledger);
+  relay = std::move(other120.relay);
+  __isset = other120.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -3482,30 +3732,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other117) {
-  term = other117.term;
-  votedFor = other117.votedFor;
-  identity = other117.identity;
-  __isset = other117.__isset;
+HardState::HardState(const HardState& other121) {
+  term = other121.term;
+  votedFor = other121.votedFor;
+  identity = other121.identity;
+  __isset = other121.__isset;
 }
-HardState::HardState(HardState&& other118) noexcept {
-  term = other118.term;
-  votedFor = std::move(other118.votedFor);
-  identity = std::move(other118.identity);
-  __isset = other118.__isset;
+HardState::HardState(HardState&& other122) noexcept {
+  term = other122.term;
+  votedFor = std::move(other122.votedFor);
+  identity = std::move(other122.identity);
+  __isset = other122.__isset;
 }
-HardState& HardState::operator=(const HardState& other119) {
-  term = other119.term;
-  votedFor = other119.votedFor;
-  identity = other119.identity;
-  __isset = other119.__isset;
+HardState& HardState::operator=(const HardState& other123) {
+  term = other123.term;
+  votedFor = other123.votedFor;
+  identity = other123.identity;
+  __isset = other123.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other120) noexcept {
-  term = other120.term;
-  votedFor = std::move(other120.votedFor);
-  identity = std::move(other120.identity);
-  __isset = other120.__isset;
+HardState& HardState::operator=(HardState&& other124) noexcept {
+  term = other124.term;
+  votedFor = std::move(other124.votedFor);
+  identity = std::move(other124.identity);
+  __isset = other124.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -3644,34 +3894,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EditProblem::EditProblem(const EditProblem& other121) {
-  key = other121.key;
-  field = other121.field;
-  problem = other121.problem;
-  message = other121.message;
-  __isset = other121.__isset;
-}
-EditProblem::EditProblem(EditProblem&& other122) noexcept {
-  key = std::move(other122.key);
-  field = std::move(other122.field);
-  problem = std::move(other122.problem);
-  message = std::move(other122.message);
-  __isset = other122.__isset;
-}
-EditProblem& EditProblem::operator=(const EditProblem& other123) {
-  key = other123.key;
-  field = other123.field;
-  problem = other123.problem;
-  message = other123.message;
-  __isset = other123.__isset;
+EditProblem::EditProblem(const EditProblem& other125) {
+  key = other125.key;
+  field = other125.field;
+  problem = other125.problem;
+  message = other125.message;
+  __isset = other125.__isset;
+}
+EditProblem::EditProblem(EditProblem&& other126) noexcept {
+  key = std::move(other126.key);
+  field = std::move(other126.field);
+  problem = std::move(other126.problem);
+  message = std::move(other126.message);
+  __isset = other126.__isset;
+}
+EditProblem& EditProblem::operator=(const EditProblem& other127) {
+  key = other127.key;
+  field = other127.field;
+  problem = other127.problem;
+  message = other127.message;
+  __isset = other127.__isset;
   return *this;
 }
-EditProblem& EditProblem::operator=(EditProblem&& other124) noexcept {
-  key = std::move(other124.key);
-  field = std::move(other124.field);
-  problem = std::move(other124.problem);
-  message = std::move(other124.message);
-  __isset = other124.__isset;
+EditProblem& EditProblem::operator=(EditProblem&& other128) noexcept {
+  key = std::move(other128.key);
+  field = std::move(other128.field);
+  problem = std::move(other128.problem);
+  message = std::move(other128.message);
+  __isset = other128.__isset;
   return *this;
 }
 void EditProblem::printTo(std::ostream& out) const {
@@ -3768,14 +4018,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->problems.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->problems.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->problems.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->problems[_i129].read(iprot);
+              xfer += this->problems[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3788,14 +4038,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->currentRows.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->currentRows.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->currentRows.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->currentRows[_i134].read(iprot);
+              xfer += this->currentRows[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3844,10 +4094,10 @@
   xfer += oprot->writeFieldBegin("problems", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->problems.size()));
-    std::vector<EditProblem> ::const_iterator _iter135;
-    for (_iter135 = this->problems.begin(); _iter135 != this->problems.end(); ++_iter135)
+    std::vector<EditProblem> ::const_iterator _iter139;
+    for (_iter139 = this->problems.begin(); _iter139 != this->problems.end(); ++_iter139)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3856,10 +4106,10 @@
   xfer += oprot->writeFieldBegin("currentRows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->currentRows.size()));
-    std::vector<Row> ::const_iterator _iter136;
-    for (_iter136 = this->currentRows.begin(); _iter136 != this->currentRows.end(); ++_iter136)
+    std::vector<Row> ::const_iterator _iter140;
+    for (_iter140 = this->currentRows.begin(); _iter140 != this->currentRows.end(); ++_iter140)
     {
-      xfer += (*_iter136).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3885,42 +4135,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EditOutcome::EditOutcome(const EditOutcome& other137) {
-  requestId = other137.requestId;
-  revision = other137.revision;
-  code = other137.code;
-  problems = other137.problems;
-  currentRows = other137.currentRows;
-  fingerprint = other137.fingerprint;
-  __isset = other137.__isset;
-}
-EditOutcome::EditOutcome(EditOutcome&& other138) noexcept {
-  requestId = std::move(other138.requestId);
-  revision = other138.revision;
-  code = other138.code;
-  problems = std::move(other138.problems);
-  currentRows = std::move(other138.currentRows);
-  fingerprint = other138.fingerprint;
-  __isset = other138.__isset;
-}
-EditOutcome& EditOutcome::operator=(const EditOutcome& other139) {
-  requestId = other139.requestId;
-  revision = other139.revision;
-  code = other139.code;
-  problems = other139.problems;
-  currentRows = other139.currentRows;
-  fingerprint = other139.fingerprint;
-  __isset = other139.__isset;
+EditOutcome::EditOutcome(const EditOutcome& other141) {
+  requestId = other141.requestId;
+  revision = other141.revision;
+  code = other141.code;
+  problems = other141.problems;
+  currentRows = other141.currentRows;
+  fingerprint = other141.fingerprint;
+  __isset = other141.__isset;
+}
+EditOutcome::EditOutcome(EditOutcome&& other142) noexcept {
+  requestId = std::move(other142.requestId);
+  revision = other142.revision;
+  code = other142.code;
+  problems = std::move(other142.problems);
+  currentRows = std::move(other142.currentRows);
+  fingerprint = other142.fingerprint;
+  __isset = other142.__isset;
+}
+EditOutcome& EditOutcome::operator=(const EditOutcome& other143) {
+  requestId = other143.requestId;
+  revision = other143.revision;
+  code = other143.code;
+  problems = other143.problems;
+  currentRows = other143.currentRows;
+  fingerprint = other143.fingerprint;
+  __isset = other143.__isset;
   return *this;
 }
-EditOutcome& EditOutcome::operator=(EditOutcome&& other140) noexcept {
-  requestId = std::move(other140.requestId);
-  revision = other140.revision;
-  code = other140.code;
-  problems = std::move(other140.problems);
-  currentRows = std::move(other140.currentRows);
-  fingerprint = other140.fingerprint;
-  __isset = other140.__isset;
+EditOutcome& EditOutcome::operator=(EditOutcome&& other144) noexcept {
+  requestId = std::move(other144.requestId);
+  revision = other144.revision;
+  code = other144.code;
+  problems = std::move(other144.problems);
+  currentRows = std::move(other144.currentRows);
+  fingerprint = other144.fingerprint;
+  __isset = other144.__isset;
   return *this;
 }
 void EditOutcome::printTo(std::ostream& out) const {
@@ -4011,14 +4261,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->keys.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->keys.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->keys[_i145].read(iprot);
+              xfer += this->keys[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4059,10 +4309,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RowKey> ::const_iterator _iter146;
-    for (_iter146 = this->keys.begin(); _iter146 != this->keys.end(); ++_iter146)
+    std::vector<RowKey> ::const_iterator _iter150;
+    for (_iter150 = this->keys.begin(); _iter150 != this->keys.end(); ++_iter150)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4082,34 +4332,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRecord::HistoryRecord(const HistoryRecord& other147) {
-  revision = other147.revision;
-  requestId = other147.requestId;
-  author = other147.author;
-  keys = other147.keys;
-  __isset = other147.__isset;
-}
-HistoryRecord::HistoryRecord(HistoryRecord&& other148) noexcept {
-  revision = other148.revision;
-  requestId = std::move(other148.requestId);
-  author = std::move(other148.author);
-  keys = std::move(other148.keys);
-  __isset = other148.__isset;
-}
-HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other149) {
-  revision = other149.revision;
-  requestId = other149.requestId;
-  author = other149.author;
-  keys = other149.keys;
-  __isset = other149.__isset;
+HistoryRecord::HistoryRecord(const HistoryRecord& other151) {
+  revision = other151.revision;
+  requestId = other151.requestId;
+  author = other151.author;
+  keys = other151.keys;
+  __isset = other151.__isset;
+}
+HistoryRecord::HistoryRecord(HistoryRecord&& other152) noexcept {
+  revision = other152.revision;
+  requestId = std::move(other152.requestId);
+  author = std::move(other152.author);
+  keys = std::move(other152.keys);
+  __isset = other152.__isset;
+}
+HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other153) {
+  revision = other153.revision;
+  requestId = other153.requestId;
+  author = other153.author;
+  keys = other153.keys;
+  __isset = other153.__isset;
   return *this;
 }
-HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other150) noexcept {
-  revision = other150.revision;
-  requestId = std::move(other150.requestId);
-  author = std::move(other150.author);
-  keys = std::move(other150.keys);
-  __isset = other150.__isset;
+HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other154) noexcept {
+  revision = other154.revision;
+  requestId = std::move(other154.requestId);
+  author = std::move(other154.author);
+  keys = std::move(other154.keys);
+  __isset = other154.__isset;
   return *this;
 }
 void HistoryRecord::printTo(std::ostream& out) const {
@@ -4194,14 +4444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->members.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->members.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->members[_i155].read(iprot);
+              xfer += this->members[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4254,10 +4504,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter156;
-    for (_iter156 = this->members.begin(); _iter156 != this->members.end(); ++_iter156)
+    std::vector<Member> ::const_iterator _iter160;
+    for (_iter160 = this->members.begin(); _iter160 != this->members.end(); ++_iter160)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4286,38 +4536,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshot::LogSnapshot(const LogSnapshot& other157) {
-  index = other157.index;
-  term = other157.term;
-  members = other157.members;
-  forming = other157.forming;
-  state = other157.state;
-  __isset = other157.__isset;
-}
-LogSnapshot::LogSnapshot(LogSnapshot&& other158) noexcept {
-  index = other158.index;
-  term = other158.term;
-  members = std::move(other158.members);
-  forming = other158.forming;
-  state = std::move(other158.state);
-  __isset = other158.__isset;
-}
-LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other159) {
-  index = other159.index;
-  term = other159.term;
-  members = other159.members;
-  forming = other159.forming;
-  state = other159.state;
-  __isset = other159.__isset;
+LogSnapshot::LogSnapshot(const LogSnapshot& other161) {
+  index = other161.index;
+  term = other161.term;
+  members = other161.members;
+  forming = other161.forming;
+  state = other161.state;
+  __isset = other161.__isset;
+}
+LogSnapshot::LogSnapshot(LogSnapshot&& other162) noexcept {
+  index = other162.index;
+  term = other162.term;
+  members = std::move(other162.members);
+  forming = other162.forming;
+  state = std::move(other162.state);
+  __isset = other162.__isset;
+}
+LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other163) {
+  index = other163.index;
+  term = other163.term;
+  members = other163.members;
+  forming = other163.forming;
+  state = other163.state;
+  __isset = other163.__isset;
   return *this;
 }
-LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other160) noexcept {
-  index = other160.index;
-  term = other160.term;
-  members = std::move(other160.members);
-  forming = other160.forming;
-  state = std::move(other160.state);
-  __isset = other160.__isset;
+LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other164) noexcept {
+  index = other164.index;
+  term = other164.term;
+  members = std::move(other164.members);
+  forming = other164.forming;
+  state = std::move(other164.state);
+  __isset = other164.__isset;
   return *this;
 }
 void LogSnapshot::printTo(std::ostream& out) const {
@@ -4363,6 +4613,10 @@
 void TableSnapshot::__set_relays(const std::vector<RelayRecord> & val) {
   this->relays = val;
 }
+
+void TableSnapshot::__set_ledger(const std::vector<LedgerRecord> & val) {
+  this->ledger = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj)
 {
   obj.printTo(out);
@@ -4395,14 +4649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->rows.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->rows.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->rows[_i165].read(iprot);
+              xfer += this->rows[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4415,14 +4669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->outcomes.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->outcomes.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->outcomes[_i170].read(iprot);
+              xfer += this->outcomes[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4435,14 +4689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->history.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->history.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += this->history[_i175].read(iprot);
+              xfer += this->history[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4479,14 +4733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->relays.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->relays.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->relays[_i180].read(iprot);
+              xfer += this->relays[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4495,6 +4749,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ledger.clear();
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->ledger.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
+            {
+              xfer += this->ledger[_i189].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ledger = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4515,10 +4789,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter181;
-    for (_iter181 = this->rows.begin(); _iter181 != this->rows.end(); ++_iter181)
+    std::vector<Row> ::const_iterator _iter190;
+    for (_iter190 = this->rows.begin(); _iter190 != this->rows.end(); ++_iter190)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4527,10 +4801,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<EditOutcome> ::const_iterator _iter182;
-    for (_iter182 = this->outcomes.begin(); _iter182 != this->outcomes.end(); ++_iter182)
+    std::vector<EditOutcome> ::const_iterator _iter191;
+    for (_iter191 = this->outcomes.begin(); _iter191 != this->outcomes.end(); ++_iter191)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4539,10 +4813,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRecord> ::const_iterator _iter183;
-    for (_iter183 = this->history.begin(); _iter183 != this->history.end(); ++_iter183)
+    std::vector<HistoryRecord> ::const_iterator _iter192;
+    for (_iter192 = this->history.begin(); _iter192 != this->history.end(); ++_iter192)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4563,10 +4837,22 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayRecord> ::const_iterator _iter184;
-    for (_iter184 = this->relays.begin(); _iter184 != this->relays.end(); ++_iter184)
+    std::vector<RelayRecord> ::const_iterator _iter193;
+    for (_iter193 = this->relays.begin(); _iter193 != this->relays.end(); ++_iter193)
+    {
+      xfer += (*_iter193).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
+    std::vector<LedgerRecord> ::const_iterator _iter194;
+    for (_iter194 = this->ledger.begin(); _iter194 != this->ledger.end(); ++_iter194)
     {
-      xfer += (*_iter184).write(oprot);
+      xfer += (*_iter194).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4586,49 +4872,54 @@
   swap(a.historyFloor, b.historyFloor);
   swap(a.horizon, b.horizon);
   swap(a.relays, b.relays);
+  swap(a.ledger, b.ledger);
   swap(a.__isset, b.__isset);
 }
 
-TableSnapshot::TableSnapshot(const TableSnapshot& other185) {
-  rows = other185.rows;
-  outcomes = other185.outcomes;
-  history = other185.history;
-  tableRevision = other185.tableRevision;
-  historyFloor = other185.historyFloor;
-  horizon = other185.horizon;
-  relays = other185.relays;
-  __isset = other185.__isset;
-}
-TableSnapshot::TableSnapshot(TableSnapshot&& other186) noexcept {
-  rows = std::move(other186.rows);
-  outcomes = std::move(other186.outcomes);
-  history = std::move(other186.history);
-  tableRevision = other186.tableRevision;
-  historyFloor = other186.historyFloor;
-  horizon = other186.horizon;
-  relays = std::move(other186.relays);
-  __isset = other186.__isset;
-}
-TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other187) {
-  rows = other187.rows;
-  outcomes = other187.outcomes;
-  history = other187.history;
-  tableRevision = other187.tableRevision;
-  historyFloor = other187.historyFloor;
-  horizon = other187.horizon;
-  relays = other187.relays;
-  __isset = other187.__isset;
+TableSnapshot::TableSnapshot(const TableSnapshot& other195) {
+  rows = other195.rows;
+  outcomes = other195.outcomes;
+  history = other195.history;
+  tableRevision = other195.tableRevision;
+  historyFloor = other195.historyFloor;
+  horizon = other195.horizon;
+  relays = other195.relays;
+  ledger = other195.ledger;
+  __isset = other195.__isset;
+}
+TableSnapshot::TableSnapshot(TableSnapshot&& other196) noexcept {
+  rows = std::move(other196.rows);
+  outcomes = std::move(other196.outcomes);
+  history = std::move(other196.history);
+  tableRevision = other196.tableRevision;
+  historyFloor = other196.historyFloor;
+  horizon = other196.horizon;
+  relays = std::move(other196.relays);
+  ledger = std::move(other196.ledger);
+  __isset = other196.__isset;
+}
+TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other197) {
+  rows = other197.rows;
+  outcomes = other197.outcomes;
+  history = other197.history;
+  tableRevision = other197.tableRevision;
+  historyFloor = other197.historyFloor;
+  horizon = other197.horizon;
+  relays = other197.relays;
+  ledger = other197.ledger;
+  __isset = other197.__isset;
   return *this;
 }
-TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other188) noexcept {
-  rows = std::move(other188.rows);
-  outcomes = std::move(other188.outcomes);
-  history = std::move(other188.history);
-  tableRevision = other188.tableRevision;
-  historyFloor = other188.historyFloor;
-  horizon = other188.horizon;
-  relays = std::move(other188.relays);
-  __isset = other188.__isset;
+TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other198) noexcept {
+  rows = std::move(other198.rows);
+  outcomes = std::move(other198.outcomes);
+  history = std::move(other198.history);
+  tableRevision = other198.tableRevision;
+  historyFloor = other198.historyFloor;
+  horizon = other198.horizon;
+  relays = std::move(other198.relays);
+  ledger = std::move(other198.ledger);
+  __isset = other198.__isset;
   return *this;
 }
 void TableSnapshot::printTo(std::ostream& out) const {
@@ -4641,6 +4932,7 @@
   out << ", " << "historyFloor=" << to_string(historyFloor);
   out << ", " << "horizon=" << to_string(horizon);
   out << ", " << "relays=" << to_string(relays);
+  out << ", " << "ledger=" << to_string(ledger);
   out << ")";
 }
 
@@ -4706,9 +4998,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast189;
-          xfer += iprot->readI32(ecast189);
-          this->role = static_cast<Role::type>(ecast189);
+          int32_t ecast199;
+          xfer += iprot->readI32(ecast199);
+          this->role = static_cast<Role::type>(ecast199);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4790,38 +5082,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other190) {
-  protocolVersion = other190.protocolVersion;
-  role = other190.role;
-  id = other190.id;
-  zone = other190.zone;
-  blank = other190.blank;
-  __isset = other190.__isset;
-}
-Hello::Hello(Hello&& other191) noexcept {
-  protocolVersion = other191.protocolVersion;
-  role = other191.role;
-  id = std::move(other191.id);
-  zone = std::move(other191.zone);
-  blank = other191.blank;
-  __isset = other191.__isset;
-}
-Hello& Hello::operator=(const Hello& other192) {
-  protocolVersion = other192.protocolVersion;
-  role = other192.role;
-  id = other192.id;
-  zone = other192.zone;
-  blank = other192.blank;
-  __isset = other192.__isset;
+Hello::Hello(const Hello& other200) {
+  protocolVersion = other200.protocolVersion;
+  role = other200.role;
+  id = other200.id;
+  zone = other200.zone;
+  blank = other200.blank;
+  __isset = other200.__isset;
+}
+Hello::Hello(Hello&& other201) noexcept {
+  protocolVersion = other201.protocolVersion;
+  role = other201.role;
+  id = std::move(other201.id);
+  zone = std::move(other201.zone);
+  blank = other201.blank;
+  __isset = other201.__isset;
+}
+Hello& Hello::operator=(const Hello& other202) {
+  protocolVersion = other202.protocolVersion;
+  role = other202.role;
+  id = other202.id;
+  zone = other202.zone;
+  blank = other202.blank;
+  __isset = other202.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other193) noexcept {
-  protocolVersion = other193.protocolVersion;
-  role = other193.role;
-  id = std::move(other193.id);
-  zone = std::move(other193.zone);
-  blank = other193.blank;
-  __isset = other193.__isset;
+Hello& Hello::operator=(Hello&& other203) noexcept {
+  protocolVersion = other203.protocolVersion;
+  role = other203.role;
+  id = std::move(other203.id);
+  zone = std::move(other203.zone);
+  blank = other203.blank;
+  __isset = other203.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -4890,18 +5182,18 @@
   (void) b;
 }
 
-KeepAlive::KeepAlive(const KeepAlive& other194) noexcept {
-  (void) other194;
+KeepAlive::KeepAlive(const KeepAlive& other204) noexcept {
+  (void) other204;
 }
-KeepAlive::KeepAlive(KeepAlive&& other195) noexcept {
-  (void) other195;
+KeepAlive::KeepAlive(KeepAlive&& other205) noexcept {
+  (void) other205;
 }
-KeepAlive& KeepAlive::operator=(const KeepAlive& other196) noexcept {
-  (void) other196;
+KeepAlive& KeepAlive::operator=(const KeepAlive& other206) noexcept {
+  (void) other206;
   return *this;
 }
-KeepAlive& KeepAlive::operator=(KeepAlive&& other197) noexcept {
-  (void) other197;
+KeepAlive& KeepAlive::operator=(KeepAlive&& other207) noexcept {
+  (void) other207;
   return *this;
 }
 void KeepAlive::printTo(std::ostream& out) const {
@@ -5071,42 +5363,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other198) {
-  term = other198.term;
-  candidate = other198.candidate;
-  lastIndex = other198.lastIndex;
-  lastTerm = other198.lastTerm;
-  preVote = other198.preVote;
-  transfer = other198.transfer;
-  __isset = other198.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other199) noexcept {
-  term = other199.term;
-  candidate = std::move(other199.candidate);
-  lastIndex = other199.lastIndex;
-  lastTerm = other199.lastTerm;
-  preVote = other199.preVote;
-  transfer = other199.transfer;
-  __isset = other199.__isset;
-}
-VoteRequest& VoteRequest::operator=(const VoteRequest& other200) {
-  term = other200.term;
-  candidate = other200.candidate;
-  lastIndex = other200.lastIndex;
-  lastTerm = other200.lastTerm;
-  preVote = other200.preVote;
-  transfer = other200.transfer;
-  __isset = other200.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other208) {
+  term = other208.term;
+  candidate = other208.candidate;
+  lastIndex = other208.lastIndex;
+  lastTerm = other208.lastTerm;
+  preVote = other208.preVote;
+  transfer = other208.transfer;
+  __isset = other208.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other209) noexcept {
+  term = other209.term;
+  candidate = std::move(other209.candidate);
+  lastIndex = other209.lastIndex;
+  lastTerm = other209.lastTerm;
+  preVote = other209.preVote;
+  transfer = other209.transfer;
+  __isset = other209.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other210) {
+  term = other210.term;
+  candidate = other210.candidate;
+  lastIndex = other210.lastIndex;
+  lastTerm = other210.lastTerm;
+  preVote = other210.preVote;
+  transfer = other210.transfer;
+  __isset = other210.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other201) noexcept {
-  term = other201.term;
-  candidate = std::move(other201.candidate);
-  lastIndex = other201.lastIndex;
-  lastTerm = other201.lastTerm;
-  preVote = other201.preVote;
-  transfer = other201.transfer;
-  __isset = other201.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other211) noexcept {
+  term = other211.term;
+  candidate = std::move(other211.candidate);
+  lastIndex = other211.lastIndex;
+  lastTerm = other211.lastTerm;
+  preVote = other211.preVote;
+  transfer = other211.transfer;
+  __isset = other211.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -5231,30 +5523,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other202) noexcept {
-  term = other202.term;
-  granted = other202.granted;
-  preVote = other202.preVote;
-  __isset = other202.__isset;
+VoteResponse::VoteResponse(const VoteResponse& other212) noexcept {
+  term = other212.term;
+  granted = other212.granted;
+  preVote = other212.preVote;
+  __isset = other212.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other203) noexcept {
-  term = other203.term;
-  granted = other203.granted;
-  preVote = other203.preVote;
-  __isset = other203.__isset;
+VoteResponse::VoteResponse(VoteResponse&& other213) noexcept {
+  term = other213.term;
+  granted = other213.granted;
+  preVote = other213.preVote;
+  __isset = other213.__isset;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other204) noexcept {
-  term = other204.term;
-  granted = other204.granted;
-  preVote = other204.preVote;
-  __isset = other204.__isset;
+VoteResponse& VoteResponse::operator=(const VoteResponse& other214) noexcept {
+  term = other214.term;
+  granted = other214.granted;
+  preVote = other214.preVote;
+  __isset = other214.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other205) noexcept {
-  term = other205.term;
-  granted = other205.granted;
-  preVote = other205.preVote;
-  __isset = other205.__isset;
+VoteResponse& VoteResponse::operator=(VoteResponse&& other215) noexcept {
+  term = other215.term;
+  granted = other215.granted;
+  preVote = other215.preVote;
+  __isset = other215.__isset;
   return *this;
 }
 void VoteResponse::printTo(std::ostream& out) const {
@@ -5362,14 +5654,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->entries.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->entries.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->entries[_i210].read(iprot);
+              xfer += this->entries[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5430,10 +5722,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter211;
-    for (_iter211 = this->entries.begin(); _iter211 != this->entries.end(); ++_iter211)
+    std::vector<LogEntry> ::const_iterator _iter221;
+    for (_iter221 = this->entries.begin(); _iter221 != this->entries.end(); ++_iter221)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5464,46 +5756,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other212) {
-  term = other212.term;
-  leader = other212.leader;
-  previousIndex = other212.previousIndex;
-  previousTerm = other212.previousTerm;
-  entries = other212.entries;
-  commitIndex = other212.commitIndex;
-  round = other212.round;
-  __isset = other212.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other222) {
+  term = other222.term;
+  leader = other222.leader;
+  previousIndex = other222.previousIndex;
+  previousTerm = other222.previousTerm;
+  entries = other222.entries;
+  commitIndex = other222.commitIndex;
+  round = other222.round;
+  __isset = other222.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other213) noexcept {
-  term = other213.term;
-  leader = std::move(other213.leader);
-  previousIndex = other213.previousIndex;
-  previousTerm = other213.previousTerm;
-  entries = std::move(other213.entries);
-  commitIndex = other213.commitIndex;
-  round = other213.round;
-  __isset = other213.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other223) noexcept {
+  term = other223.term;
+  leader = std::move(other223.leader);
+  previousIndex = other223.previousIndex;
+  previousTerm = other223.previousTerm;
+  entries = std::move(other223.entries);
+  commitIndex = other223.commitIndex;
+  round = other223.round;
+  __isset = other223.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other214) {
-  term = other214.term;
-  leader = other214.leader;
-  previousIndex = other214.previousIndex;
-  previousTerm = other214.previousTerm;
-  entries = other214.entries;
-  commitIndex = other214.commitIndex;
-  round = other214.round;
-  __isset = other214.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other224) {
+  term = other224.term;
+  leader = other224.leader;
+  previousIndex = other224.previousIndex;
+  previousTerm = other224.previousTerm;
+  entries = other224.entries;
+  commitIndex = other224.commitIndex;
+  round = other224.round;
+  __isset = other224.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other215) noexcept {
-  term = other215.term;
-  leader = std::move(other215.leader);
-  previousIndex = other215.previousIndex;
-  previousTerm = other215.previousTerm;
-  entries = std::move(other215.entries);
-  commitIndex = other215.commitIndex;
-  round = other215.round;
-  __isset = other215.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other225) noexcept {
+  term = other225.term;
+  leader = std::move(other225.leader);
+  previousIndex = other225.previousIndex;
+  previousTerm = other225.previousTerm;
+  entries = std::move(other225.entries);
+  commitIndex = other225.commitIndex;
+  round = other225.round;
+  __isset = other225.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -5646,34 +5938,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other216) noexcept {
-  term = other216.term;
-  success = other216.success;
-  matchIndex = other216.matchIndex;
-  round = other216.round;
-  __isset = other216.__isset;
-}
-AppendResponse::AppendResponse(AppendResponse&& other217) noexcept {
-  term = other217.term;
-  success = other217.success;
-  matchIndex = other217.matchIndex;
-  round = other217.round;
-  __isset = other217.__isset;
-}
-AppendResponse& AppendResponse::operator=(const AppendResponse& other218) noexcept {
-  term = other218.term;
-  success = other218.success;
-  matchIndex = other218.matchIndex;
-  round = other218.round;
-  __isset = other218.__isset;
+AppendResponse::AppendResponse(const AppendResponse& other226) noexcept {
+  term = other226.term;
+  success = other226.success;
+  matchIndex = other226.matchIndex;
+  round = other226.round;
+  __isset = other226.__isset;
+}
+AppendResponse::AppendResponse(AppendResponse&& other227) noexcept {
+  term = other227.term;
+  success = other227.success;
+  matchIndex = other227.matchIndex;
+  round = other227.round;
+  __isset = other227.__isset;
+}
+AppendResponse& AppendResponse::operator=(const AppendResponse& other228) noexcept {
+  term = other228.term;
+  success = other228.success;
+  matchIndex = other228.matchIndex;
+  round = other228.round;
+  __isset = other228.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other219) noexcept {
-  term = other219.term;
-  success = other219.success;
-  matchIndex = other219.matchIndex;
-  round = other219.round;
-  __isset = other219.__isset;
+AppendResponse& AppendResponse::operator=(AppendResponse&& other229) noexcept {
+  term = other229.term;
+  success = other229.success;
+  matchIndex = other229.matchIndex;
+  round = other229.round;
+  __isset = other229.__isset;
   return *this;
 }
 void AppendResponse::printTo(std::ostream& out) const {
@@ -5864,46 +6156,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other220) {
-  term = other220.term;
-  leader = other220.leader;
-  lastIndex = other220.lastIndex;
-  lastTerm = other220.lastTerm;
-  offset = other220.offset;
-  totalBytes = other220.totalBytes;
-  data = other220.data;
-  __isset = other220.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other221) noexcept {
-  term = other221.term;
-  leader = std::move(other221.leader);
-  lastIndex = other221.lastIndex;
-  lastTerm = other221.lastTerm;
-  offset = other221.offset;
-  totalBytes = other221.totalBytes;
-  data = std::move(other221.data);
-  __isset = other221.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other222) {
-  term = other222.term;
-  leader = other222.leader;
-  lastIndex = other222.lastIndex;
-  lastTerm = other222.lastTerm;
-  offset = other222.offset;
-  totalBytes = other222.totalBytes;
-  data = other222.data;
-  __isset = other222.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other230) {
+  term = other230.term;
+  leader = other230.leader;
+  lastIndex = other230.lastIndex;
+  lastTerm = other230.lastTerm;
+  offset = other230.offset;
+  totalBytes = other230.totalBytes;
+  data = other230.data;
+  __isset = other230.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other231) noexcept {
+  term = other231.term;
+  leader = std::move(other231.leader);
+  lastIndex = other231.lastIndex;
+  lastTerm = other231.lastTerm;
+  offset = other231.offset;
+  totalBytes = other231.totalBytes;
+  data = std::move(other231.data);
+  __isset = other231.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other232) {
+  term = other232.term;
+  leader = other232.leader;
+  lastIndex = other232.lastIndex;
+  lastTerm = other232.lastTerm;
+  offset = other232.offset;
+  totalBytes = other232.totalBytes;
+  data = other232.data;
+  __isset = other232.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other223) noexcept {
-  term = other223.term;
-  leader = std::move(other223.leader);
-  lastIndex = other223.lastIndex;
-  lastTerm = other223.lastTerm;
-  offset = other223.offset;
-  totalBytes = other223.totalBytes;
-  data = std::move(other223.data);
-  __isset = other223.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other233) noexcept {
+  term = other233.term;
+  leader = std::move(other233.leader);
+  lastIndex = other233.lastIndex;
+  lastTerm = other233.lastTerm;
+  offset = other233.offset;
+  totalBytes = other233.totalBytes;
+  data = std::move(other233.data);
+  __isset = other233.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -6029,30 +6321,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other224) noexcept {
-  term = other224.term;
-  lastIndex = other224.lastIndex;
-  nextOffset = other224.nextOffset;
-  __isset = other224.__isset;
+SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other234) noexcept {
+  term = other234.term;
+  lastIndex = other234.lastIndex;
+  nextOffset = other234.nextOffset;
+  __isset = other234.__isset;
 }
-SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other225) noexcept {
-  term = other225.term;
-  lastIndex = other225.lastIndex;
-  nextOffset = other225.nextOffset;
-  __isset = other225.__isset;
+SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other235) noexcept {
+  term = other235.term;
+  lastIndex = other235.lastIndex;
+  nextOffset = other235.nextOffset;
+  __isset = other235.__isset;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other226) noexcept {
-  term = other226.term;
-  lastIndex = other226.lastIndex;
-  nextOffset = other226.nextOffset;
-  __isset = other226.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other236) noexcept {
+  term = other236.term;
+  lastIndex = other236.lastIndex;
+  nextOffset = other236.nextOffset;
+  __isset = other236.__isset;
   return *this;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other227) noexcept {
-  term = other227.term;
-  lastIndex = other227.lastIndex;
-  nextOffset = other227.nextOffset;
-  __isset = other227.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other237) noexcept {
+  term = other237.term;
+  lastIndex = other237.lastIndex;
+  nextOffset = other237.nextOffset;
+  __isset = other237.__isset;
   return *this;
 }
 void SnapshotChunkAck::printTo(std::ostream& out) const {
@@ -6140,22 +6432,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other228) noexcept {
-  term = other228.term;
-  __isset = other228.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other238) noexcept {
+  term = other238.term;
+  __isset = other238.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other229) noexcept {
-  term = other229.term;
-  __isset = other229.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other239) noexcept {
+  term = other239.term;
+  __isset = other239.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other230) noexcept {
-  term = other230.term;
-  __isset = other230.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other240) noexcept {
+  term = other240.term;
+  __isset = other240.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other231) noexcept {
-  term = other231.term;
-  __isset = other231.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other241) noexcept {
+  term = other241.term;
+  __isset = other241.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -6258,26 +6550,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Freshness::Freshness(const Freshness& other232) noexcept {
-  term = other232.term;
-  round = other232.round;
-  __isset = other232.__isset;
+Freshness::Freshness(const Freshness& other242) noexcept {
+  term = other242.term;
+  round = other242.round;
+  __isset = other242.__isset;
 }
-Freshness::Freshness(Freshness&& other233) noexcept {
-  term = other233.term;
-  round = other233.round;
-  __isset = other233.__isset;
+Freshness::Freshness(Freshness&& other243) noexcept {
+  term = other243.term;
+  round = other243.round;
+  __isset = other243.__isset;
 }
-Freshness& Freshness::operator=(const Freshness& other234) noexcept {
-  term = other234.term;
-  round = other234.round;
-  __isset = other234.__isset;
+Freshness& Freshness::operator=(const Freshness& other244) noexcept {
+  term = other244.term;
+  round = other244.round;
+  __isset = other244.__isset;
   return *this;
 }
-Freshness& Freshness::operator=(Freshness&& other235) noexcept {
-  term = other235.term;
-  round = other235.round;
-  __isset = other235.__isset;
+Freshness& Freshness::operator=(Freshness&& other245) noexcept {
+  term = other245.term;
+  round = other245.round;
+  __isset = other245.__isset;
   return *this;
 }
 void Freshness::printTo(std::ostream& out) const {
@@ -6381,26 +6673,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RelaySubscribe::RelaySubscribe(const RelaySubscribe& other236) noexcept {
-  revision = other236.revision;
-  digest = other236.digest;
-  __isset = other236.__isset;
+RelaySubscribe::RelaySubscribe(const RelaySubscribe& other246) noexcept {
+  revision = other246.revision;
+  digest = other246.digest;
+  __isset = other246.__isset;
 }
-RelaySubscribe::RelaySubscribe(RelaySubscribe&& other237) noexcept {
-  revision = other237.revision;
-  digest = std::move(other237.digest);
-  __isset = other237.__isset;
+RelaySubscribe::RelaySubscribe(RelaySubscribe&& other247) noexcept {
+  revision = other247.revision;
+  digest = std::move(other247.digest);
+  __isset = other247.__isset;
 }
-RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other238) noexcept {
-  revision = other238.revision;
-  digest = other238.digest;
-  __isset = other238.__isset;
+RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other248) noexcept {
+  revision = other248.revision;
+  digest = other248.digest;
+  __isset = other248.__isset;
   return *this;
 }
-RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other239) noexcept {
-  revision = other239.revision;
-  digest = std::move(other239.digest);
-  __isset = other239.__isset;
+RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other249) noexcept {
+  revision = other249.revision;
+  digest = std::move(other249.digest);
+  __isset = other249.__isset;
   return *this;
 }
 void RelaySubscribe::printTo(std::ostream& out) const {
@@ -6487,22 +6779,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other240) {
-  leaderId = other240.leaderId;
-  __isset = other240.__isset;
+NotLeader::NotLeader(const NotLeader& other250) {
+  leaderId = other250.leaderId;
+  __isset = other250.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other241) noexcept {
-  leaderId = std::move(other241.leaderId);
-  __isset = other241.__isset;
+NotLeader::NotLeader(NotLeader&& other251) noexcept {
+  leaderId = std::move(other251.leaderId);
+  __isset = other251.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other242) {
-  leaderId = other242.leaderId;
-  __isset = other242.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other252) {
+  leaderId = other252.leaderId;
+  __isset = other252.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other243) noexcept {
-  leaderId = std::move(other243.leaderId);
-  __isset = other243.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other253) noexcept {
+  leaderId = std::move(other253.leaderId);
+  __isset = other253.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -6592,14 +6884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size244;
-            ::apache::thrift::protocol::TType _etype247;
-            xfer += iprot->readListBegin(_etype247, _size244);
-            this->rows.resize(_size244);
-            uint32_t _i248;
-            for (_i248 = 0; _i248 < _size244; ++_i248)
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->rows.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
             {
-              xfer += this->rows[_i248].read(iprot);
+              xfer += this->rows[_i258].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6648,10 +6940,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter249;
-    for (_iter249 = this->rows.begin(); _iter249 != this->rows.end(); ++_iter249)
+    std::vector<Row> ::const_iterator _iter259;
+    for (_iter259 = this->rows.begin(); _iter259 != this->rows.end(); ++_iter259)
     {
-      xfer += (*_iter249).write(oprot);
+      xfer += (*_iter259).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6676,38 +6968,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TableUpdate::TableUpdate(const TableUpdate& other250) {
-  fromRevision = other250.fromRevision;
-  toRevision = other250.toRevision;
-  full = other250.full;
-  rows = other250.rows;
-  digest = other250.digest;
-  __isset = other250.__isset;
+TableUpdate::TableUpdate(const TableUpdate& other260) {
+  fromRevision = other260.fromRevision;
+  toRevision = other260.toRevision;
+  full = other260.full;
+  rows = other260.rows;
+  digest = other260.digest;
+  __isset = other260.__isset;
 }
-TableUpdate::TableUpdate(TableUpdate&& other251) noexcept {
-  fromRevision = other251.fromRevision;
-  toRevision = other251.toRevision;
-  full = other251.full;
-  rows = std::move(other251.rows);
-  digest = std::move(other251.digest);
-  __isset = other251.__isset;
+TableUpdate::TableUpdate(TableUpdate&& other261) noexcept {
+  fromRevision = other261.fromRevision;
+  toRevision = other261.toRevision;
+  full = other261.full;
+  rows = std::move(other261.rows);
+  digest = std::move(other261.digest);
+  __isset = other261.__isset;
 }
-TableUpdate& TableUpdate::operator=(const TableUpdate& other252) {
-  fromRevision = other252.fromRevision;
-  toRevision = other252.toRevision;
-  full = other252.full;
-  rows = other252.rows;
-  digest = other252.digest;
-  __isset = other252.__isset;
+TableUpdate& TableUpdate::operator=(const TableUpdate& other262) {
+  fromRevision = other262.fromRevision;
+  toRevision = other262.toRevision;
+  full = other262.full;
+  rows = other262.rows;
+  digest = other262.digest;
+  __isset = other262.__isset;
   return *this;
 }
-TableUpdate& TableUpdate::operator=(TableUpdate&& other253) noexcept {
-  fromRevision = other253.fromRevision;
-  toRevision = other253.toRevision;
-  full = other253.full;
-  rows = std::move(other253.rows);
-  digest = std::move(other253.digest);
-  __isset = other253.__isset;
+TableUpdate& TableUpdate::operator=(TableUpdate&& other263) noexcept {
+  fromRevision = other263.fromRevision;
+  toRevision = other263.toRevision;
+  full = other263.full;
+  rows = std::move(other263.rows);
+  digest = std::move(other263.digest);
+  __isset = other263.__isset;
   return *this;
 }
 void TableUpdate::printTo(std::ostream& out) const {
@@ -6814,26 +7106,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other254) noexcept {
-  revision = other254.revision;
-  freshness = other254.freshness;
-  __isset = other254.__isset;
+ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other264) noexcept {
+  revision = other264.revision;
+  freshness = other264.freshness;
+  __isset = other264.__isset;
 }
-ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other255) noexcept {
-  revision = other255.revision;
-  freshness = std::move(other255.freshness);
-  __isset = other255.__isset;
+ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other265) noexcept {
+  revision = other265.revision;
+  freshness = std::move(other265.freshness);
+  __isset = other265.__isset;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other256) noexcept {
-  revision = other256.revision;
-  freshness = other256.freshness;
-  __isset = other256.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other266) noexcept {
+  revision = other266.revision;
+  freshness = other266.freshness;
+  __isset = other266.__isset;
   return *this;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other257) noexcept {
-  revision = other257.revision;
-  freshness = std::move(other257.freshness);
-  __isset = other257.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other267) noexcept {
+  revision = other267.revision;
+  freshness = std::move(other267.freshness);
+  __isset = other267.__isset;
   return *this;
 }
 void ControllerHeartbeat::printTo(std::ostream& out) const {
@@ -6920,22 +7212,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other258) noexcept {
-  token = other258.token;
-  __isset = other258.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other268) noexcept {
+  token = other268.token;
+  __isset = other268.__isset;
 }
-ConfirmRequest::ConfirmRequest(ConfirmRequest&& other259) noexcept {
-  token = other259.token;
-  __isset = other259.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other269) noexcept {
+  token = other269.token;
+  __isset = other269.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other260) noexcept {
-  token = other260.token;
-  __isset = other260.__isset;
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other270) noexcept {
+  token = other270.token;
+  __isset = other270.__isset;
   return *this;
 }
-ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other261) noexcept {
-  token = other261.token;
-  __isset = other261.__isset;
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other271) noexcept {
+  token = other271.token;
+  __isset = other271.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -7038,26 +7330,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other262) noexcept {
-  token = other262.token;
-  revision = other262.revision;
-  __isset = other262.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other272) noexcept {
+  token = other272.token;
+  revision = other272.revision;
+  __isset = other272.__isset;
 }
-ConfirmReply::ConfirmReply(ConfirmReply&& other263) noexcept {
-  token = other263.token;
-  revision = other263.revision;
-  __isset = other263.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other273) noexcept {
+  token = other273.token;
+  revision = other273.revision;
+  __isset = other273.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other264) noexcept {
-  token = other264.token;
-  revision = other264.revision;
-  __isset = other264.__isset;
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other274) noexcept {
+  token = other274.token;
+  revision = other274.revision;
+  __isset = other274.__isset;
   return *this;
 }
-ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other265) noexcept {
-  token = other265.token;
-  revision = other265.revision;
-  __isset = other265.__isset;
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other275) noexcept {
+  token = other275.token;
+  revision = other275.revision;
+  __isset = other275.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -7161,26 +7453,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other266) {
-  nodeId = other266.nodeId;
-  revision = other266.revision;
-  __isset = other266.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other276) {
+  nodeId = other276.nodeId;
+  revision = other276.revision;
+  __isset = other276.__isset;
 }
-NodeStatus::NodeStatus(NodeStatus&& other267) noexcept {
-  nodeId = std::move(other267.nodeId);
-  revision = other267.revision;
-  __isset = other267.__isset;
+NodeStatus::NodeStatus(NodeStatus&& other277) noexcept {
+  nodeId = std::move(other277.nodeId);
+  revision = other277.revision;
+  __isset = other277.__isset;
 }
-NodeStatus& NodeStatus::operator=(const NodeStatus& other268) {
-  nodeId = other268.nodeId;
-  revision = other268.revision;
-  __isset = other268.__isset;
+NodeStatus& NodeStatus::operator=(const NodeStatus& other278) {
+  nodeId = other278.nodeId;
+  revision = other278.revision;
+  __isset = other278.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other269) noexcept {
-  nodeId = std::move(other269.nodeId);
-  revision = other269.revision;
-  __isset = other269.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other279) noexcept {
+  nodeId = std::move(other279.nodeId);
+  revision = other279.revision;
+  __isset = other279.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -7271,14 +7563,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attached.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->attached.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->attached.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
             {
-              xfer += iprot->readString(this->attached[_i274]);
+              xfer += iprot->readString(this->attached[_i284]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7291,14 +7583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->detached.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->detached.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->detached.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += iprot->readString(this->detached[_i279]);
+              xfer += iprot->readString(this->detached[_i289]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7311,14 +7603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->lagging.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->lagging.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
             {
-              xfer += this->lagging[_i284].read(iprot);
+              xfer += this->lagging[_i294].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7371,10 +7663,10 @@
   xfer += oprot->writeFieldBegin("attached", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->attached.size()));
-    std::vector<std::string> ::const_iterator _iter285;
-    for (_iter285 = this->attached.begin(); _iter285 != this->attached.end(); ++_iter285)
+    std::vector<std::string> ::const_iterator _iter295;
+    for (_iter295 = this->attached.begin(); _iter295 != this->attached.end(); ++_iter295)
     {
-      xfer += oprot->writeString((*_iter285));
+      xfer += oprot->writeString((*_iter295));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7383,10 +7675,10 @@
   xfer += oprot->writeFieldBegin("detached", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->detached.size()));
-    std::vector<std::string> ::const_iterator _iter286;
-    for (_iter286 = this->detached.begin(); _iter286 != this->detached.end(); ++_iter286)
+    std::vector<std::string> ::const_iterator _iter296;
+    for (_iter296 = this->detached.begin(); _iter296 != this->detached.end(); ++_iter296)
     {
-      xfer += oprot->writeString((*_iter286));
+      xfer += oprot->writeString((*_iter296));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7395,10 +7687,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<NodeStatus> ::const_iterator _iter287;
-    for (_iter287 = this->lagging.begin(); _iter287 != this->lagging.end(); ++_iter287)
+    std::vector<NodeStatus> ::const_iterator _iter297;
+    for (_iter297 = this->lagging.begin(); _iter297 != this->lagging.end(); ++_iter297)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7429,46 +7721,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConvergenceReport::ConvergenceReport(const ConvergenceReport& other288) {
-  sequence = other288.sequence;
-  inForceRevision = other288.inForceRevision;
-  attached = other288.attached;
-  detached = other288.detached;
-  lagging = other288.lagging;
-  full = other288.full;
-  runningMs = other288.runningMs;
-  __isset = other288.__isset;
-}
-ConvergenceReport::ConvergenceReport(ConvergenceReport&& other289) noexcept {
-  sequence = other289.sequence;
-  inForceRevision = other289.inForceRevision;
-  attached = std::move(other289.attached);
-  detached = std::move(other289.detached);
-  lagging = std::move(other289.lagging);
-  full = other289.full;
-  runningMs = other289.runningMs;
-  __isset = other289.__isset;
-}
-ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other290) {
-  sequence = other290.sequence;
-  inForceRevision = other290.inForceRevision;
-  attached = other290.attached;
-  detached = other290.detached;
-  lagging = other290.lagging;
-  full = other290.full;
-  runningMs = other290.runningMs;
-  __isset = other290.__isset;
+ConvergenceReport::ConvergenceReport(const ConvergenceReport& other298) {
+  sequence = other298.sequence;
+  inForceRevision = other298.inForceRevision;
+  attached = other298.attached;
+  detached = other298.detached;
+  lagging = other298.lagging;
+  full = other298.full;
+  runningMs = other298.runningMs;
+  __isset = other298.__isset;
+}
+ConvergenceReport::ConvergenceReport(ConvergenceReport&& other299) noexcept {
+  sequence = other299.sequence;
+  inForceRevision = other299.inForceRevision;
+  attached = std::move(other299.attached);
+  detached = std::move(other299.detached);
+  lagging = std::move(other299.lagging);
+  full = other299.full;
+  runningMs = other299.runningMs;
+  __isset = other299.__isset;
+}
+ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other300) {
+  sequence = other300.sequence;
+  inForceRevision = other300.inForceRevision;
+  attached = other300.attached;
+  detached = other300.detached;
+  lagging = other300.lagging;
+  full = other300.full;
+  runningMs = other300.runningMs;
+  __isset = other300.__isset;
   return *this;
 }
-ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other291) noexcept {
-  sequence = other291.sequence;
-  inForceRevision = other291.inForceRevision;
-  attached = std::move(other291.attached);
-  detached = std::move(other291.detached);
-  lagging = std::move(other291.lagging);
-  full = other291.full;
-  runningMs = other291.runningMs;
-  __isset = other291.__isset;
+ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other301) noexcept {
+  sequence = other301.sequence;
+  inForceRevision = other301.inForceRevision;
+  attached = std::move(other301.attached);
+  detached = std::move(other301.detached);
+  lagging = std::move(other301.lagging);
+  full = other301.full;
+  runningMs = other301.runningMs;
+  __isset = other301.__isset;
   return *this;
 }
 void ConvergenceReport::printTo(std::ostream& out) const {
@@ -7536,14 +7828,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->hosts.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->hosts.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
             {
-              xfer += iprot->readString(this->hosts[_i296]);
+              xfer += iprot->readString(this->hosts[_i306]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7556,14 +7848,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size297;
-            ::apache::thrift::protocol::TType _etype300;
-            xfer += iprot->readListBegin(_etype300, _size297);
-            this->services.resize(_size297);
-            uint32_t _i301;
-            for (_i301 = 0; _i301 < _size297; ++_i301)
+            uint32_t _size307;
+            ::apache::thrift::protocol::TType _etype310;
+            xfer += iprot->readListBegin(_etype310, _size307);
+            this->services.resize(_size307);
+            uint32_t _i311;
+            for (_i311 = 0; _i311 < _size307; ++_i311)
             {
-              xfer += iprot->readString(this->services[_i301]);
+              xfer += iprot->readString(this->services[_i311]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7608,10 +7900,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter302;
-    for (_iter302 = this->hosts.begin(); _iter302 != this->hosts.end(); ++_iter302)
+    std::vector<std::string> ::const_iterator _iter312;
+    for (_iter312 = this->hosts.begin(); _iter312 != this->hosts.end(); ++_iter312)
     {
-      xfer += oprot->writeString((*_iter302));
+      xfer += oprot->writeString((*_iter312));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7620,10 +7912,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter303;
-    for (_iter303 = this->services.begin(); _iter303 != this->services.end(); ++_iter303)
+    std::vector<std::string> ::const_iterator _iter313;
+    for (_iter313 = this->services.begin(); _iter313 != this->services.end(); ++_iter313)
     {
-      xfer += oprot->writeString((*_iter303));
+      xfer += oprot->writeString((*_iter313));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7651,34 +7943,34 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeSubscribe::NodeSubscribe(const NodeSubscribe& other304) {
-  hosts = other304.hosts;
-  services = other304.services;
-  revision = other304.revision;
-  digest = other304.digest;
-  __isset = other304.__isset;
-}
-NodeSubscribe::NodeSubscribe(NodeSubscribe&& other305) noexcept {
-  hosts = std::move(other305.hosts);
-  services = std::move(other305.services);
-  revision = other305.revision;
-  digest = std::move(other305.digest);
-  __isset = other305.__isset;
-}
-NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other306) {
-  hosts = other306.hosts;
-  services = other306.services;
-  revision = other306.revision;
-  digest = other306.digest;
-  __isset = other306.__isset;
+NodeSubscribe::NodeSubscribe(const NodeSubscribe& other314) {
+  hosts = other314.hosts;
+  services = other314.services;
+  revision = other314.revision;
+  digest = other314.digest;
+  __isset = other314.__isset;
+}
+NodeSubscribe::NodeSubscribe(NodeSubscribe&& other315) noexcept {
+  hosts = std::move(other315.hosts);
+  services = std::move(other315.services);
+  revision = other315.revision;
+  digest = std::move(other315.digest);
+  __isset = other315.__isset;
+}
+NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other316) {
+  hosts = other316.hosts;
+  services = other316.services;
+  revision = other316.revision;
+  digest = other316.digest;
+  __isset = other316.__isset;
   return *this;
 }
-NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other307) noexcept {
-  hosts = std::move(other307.hosts);
-  services = std::move(other307.services);
-  revision = other307.revision;
-  digest = std::move(other307.digest);
-  __isset = other307.__isset;
+NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other317) noexcept {
+  hosts = std::move(other317.hosts);
+  services = std::move(other317.services);
+  revision = other317.revision;
+  digest = std::move(other317.digest);
+  __isset = other317.__isset;
   return *this;
 }
 void NodeSubscribe::printTo(std::ostream& out) const {
@@ -7771,14 +8063,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size308;
-            ::apache::thrift::protocol::TType _etype311;
-            xfer += iprot->readListBegin(_etype311, _size308);
-            this->rows.resize(_size308);
-            uint32_t _i312;
-            for (_i312 = 0; _i312 < _size308; ++_i312)
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->rows.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
             {
-              xfer += this->rows[_i312].read(iprot);
+              xfer += this->rows[_i322].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7827,10 +8119,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter313;
-    for (_iter313 = this->rows.begin(); _iter313 != this->rows.end(); ++_iter313)
+    std::vector<Row> ::const_iterator _iter323;
+    for (_iter323 = this->rows.begin(); _iter323 != this->rows.end(); ++_iter323)
     {
-      xfer += (*_iter313).write(oprot);
+      xfer += (*_iter323).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7855,38 +8147,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceUpdate::SliceUpdate(const SliceUpdate& other314) {
-  fromRevision = other314.fromRevision;
-  toRevision = other314.toRevision;
-  full = other314.full;
-  rows = other314.rows;
-  digest = other314.digest;
-  __isset = other314.__isset;
+SliceUpdate::SliceUpdate(const SliceUpdate& other324) {
+  fromRevision = other324.fromRevision;
+  toRevision = other324.toRevision;
+  full = other324.full;
+  rows = other324.rows;
+  digest = other324.digest;
+  __isset = other324.__isset;
 }
-SliceUpdate::SliceUpdate(SliceUpdate&& other315) noexcept {
-  fromRevision = other315.fromRevision;
-  toRevision = other315.toRevision;
-  full = other315.full;
-  rows = std::move(other315.rows);
-  digest = std::move(other315.digest);
-  __isset = other315.__isset;
+SliceUpdate::SliceUpdate(SliceUpdate&& other325) noexcept {
+  fromRevision = other325.fromRevision;
+  toRevision = other325.toRevision;
+  full = other325.full;
+  rows = std::move(other325.rows);
+  digest = std::move(other325.digest);
+  __isset = other325.__isset;
 }
-SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other316) {
-  fromRevision = other316.fromRevision;
-  toRevision = other316.toRevision;
-  full = other316.full;
-  rows = other316.rows;
-  digest = other316.digest;
-  __isset = other316.__isset;
+SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other326) {
+  fromRevision = other326.fromRevision;
+  toRevision = other326.toRevision;
+  full = other326.full;
+  rows = other326.rows;
+  digest = other326.digest;
+  __isset = other326.__isset;
   return *this;
 }
-SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other317) noexcept {
-  fromRevision = other317.fromRevision;
-  toRevision = other317.toRevision;
-  full = other317.full;
-  rows = std::move(other317.rows);
-  digest = std::move(other317.digest);
-  __isset = other317.__isset;
+SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other327) noexcept {
+  fromRevision = other327.fromRevision;
+  toRevision = other327.toRevision;
+  full = other327.full;
+  rows = std::move(other327.rows);
+  digest = std::move(other327.digest);
+  __isset = other327.__isset;
   return *this;
 }
 void SliceUpdate::printTo(std::ostream& out) const {
@@ -7976,22 +8268,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceApplied::SliceApplied(const SliceApplied& other318) noexcept {
-  revision = other318.revision;
-  __isset = other318.__isset;
+SliceApplied::SliceApplied(const SliceApplied& other328) noexcept {
+  revision = other328.revision;
+  __isset = other328.__isset;
 }
-SliceApplied::SliceApplied(SliceApplied&& other319) noexcept {
-  revision = other319.revision;
-  __isset = other319.__isset;
+SliceApplied::SliceApplied(SliceApplied&& other329) noexcept {
+  revision = other329.revision;
+  __isset = other329.__isset;
 }
-SliceApplied& SliceApplied::operator=(const SliceApplied& other320) noexcept {
-  revision = other320.revision;
-  __isset = other320.__isset;
+SliceApplied& SliceApplied::operator=(const SliceApplied& other330) noexcept {
+  revision = other330.revision;
+  __isset = other330.__isset;
   return *this;
 }
-SliceApplied& SliceApplied::operator=(SliceApplied&& other321) noexcept {
-  revision = other321.revision;
-  __isset = other321.__isset;
+SliceApplied& SliceApplied::operator=(SliceApplied&& other331) noexcept {
+  revision = other331.revision;
+  __isset = other331.__isset;
   return *this;
 }
 void SliceApplied::printTo(std::ostream& out) const {
@@ -8051,9 +8343,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast322;
-          xfer += iprot->readI32(ecast322);
-          this->reason = static_cast<SliceRejectReason::type>(ecast322);
+          int32_t ecast332;
+          xfer += iprot->readI32(ecast332);
+          this->reason = static_cast<SliceRejectReason::type>(ecast332);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8096,26 +8388,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceRejected::SliceRejected(const SliceRejected& other323) noexcept {
-  revision = other323.revision;
-  reason = other323.reason;
-  __isset = other323.__isset;
+SliceRejected::SliceRejected(const SliceRejected& other333) noexcept {
+  revision = other333.revision;
+  reason = other333.reason;
+  __isset = other333.__isset;
 }
-SliceRejected::SliceRejected(SliceRejected&& other324) noexcept {
-  revision = other324.revision;
-  reason = other324.reason;
-  __isset = other324.__isset;
+SliceRejected::SliceRejected(SliceRejected&& other334) noexcept {
+  revision = other334.revision;
+  reason = other334.reason;
+  __isset = other334.__isset;
 }
-SliceRejected& SliceRejected::operator=(const SliceRejected& other325) noexcept {
-  revision = other325.revision;
-  reason = other325.reason;
-  __isset = other325.__isset;
+SliceRejected& SliceRejected::operator=(const SliceRejected& other335) noexcept {
+  revision = other335.revision;
+  reason = other335.reason;
+  __isset = other335.__isset;
   return *this;
 }
-SliceRejected& SliceRejected::operator=(SliceRejected&& other326) noexcept {
-  revision = other326.revision;
-  reason = other326.reason;
-  __isset = other326.__isset;
+SliceRejected& SliceRejected::operator=(SliceRejected&& other336) noexcept {
+  revision = other336.revision;
+  reason = other336.reason;
+  __isset = other336.__isset;
   return *this;
 }
 void SliceRejected::printTo(std::ostream& out) const {
@@ -8202,22 +8494,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other327) noexcept {
-  freshness = other327.freshness;
-  __isset = other327.__isset;
+NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other337) noexcept {
+  freshness = other337.freshness;
+  __isset = other337.__isset;
 }
-NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other328) noexcept {
-  freshness = std::move(other328.freshness);
-  __isset = other328.__isset;
+NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other338) noexcept {
+  freshness = std::move(other338.freshness);
+  __isset = other338.__isset;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other329) noexcept {
-  freshness = other329.freshness;
-  __isset = other329.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other339) noexcept {
+  freshness = other339.freshness;
+  __isset = other339.__isset;
   return *this;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other330) noexcept {
-  freshness = std::move(other330.freshness);
-  __isset = other330.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other340) noexcept {
+  freshness = std::move(other340.freshness);
+  __isset = other340.__isset;
   return *this;
 }
 void NodeHeartbeat::printTo(std::ostream& out) const {
@@ -8303,22 +8595,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other331) noexcept {
-  delayMs = other331.delayMs;
-  __isset = other331.__isset;
+RetryLater::RetryLater(const RetryLater& other341) noexcept {
+  delayMs = other341.delayMs;
+  __isset = other341.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other332) noexcept {
-  delayMs = other332.delayMs;
-  __isset = other332.__isset;
+RetryLater::RetryLater(RetryLater&& other342) noexcept {
+  delayMs = other342.delayMs;
+  __isset = other342.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other333) noexcept {
-  delayMs = other333.delayMs;
-  __isset = other333.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other343) noexcept {
+  delayMs = other343.delayMs;
+  __isset = other343.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other334) noexcept {
-  delayMs = other334.delayMs;
-  __isset = other334.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other344) noexcept {
+  delayMs = other344.delayMs;
+  __isset = other344.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -8472,38 +8764,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeld::RelayHeld(const RelayHeld& other335) noexcept {
-  revision = other335.revision;
-  recovered = other335.recovered;
-  probe = other335.probe;
-  wantsReply = other335.wantsReply;
-  freshness = other335.freshness;
-  __isset = other335.__isset;
-}
-RelayHeld::RelayHeld(RelayHeld&& other336) noexcept {
-  revision = other336.revision;
-  recovered = other336.recovered;
-  probe = other336.probe;
-  wantsReply = other336.wantsReply;
-  freshness = std::move(other336.freshness);
-  __isset = other336.__isset;
-}
-RelayHeld& RelayHeld::operator=(const RelayHeld& other337) noexcept {
-  revision = other337.revision;
-  recovered = other337.recovered;
-  probe = other337.probe;
-  wantsReply = other337.wantsReply;
-  freshness = other337.freshness;
-  __isset = other337.__isset;
+RelayHeld::RelayHeld(const RelayHeld& other345) noexcept {
+  revision = other345.revision;
+  recovered = other345.recovered;
+  probe = other345.probe;
+  wantsReply = other345.wantsReply;
+  freshness = other345.freshness;
+  __isset = other345.__isset;
+}
+RelayHeld::RelayHeld(RelayHeld&& other346) noexcept {
+  revision = other346.revision;
+  recovered = other346.recovered;
+  probe = other346.probe;
+  wantsReply = other346.wantsReply;
+  freshness = std::move(other346.freshness);
+  __isset = other346.__isset;
+}
+RelayHeld& RelayHeld::operator=(const RelayHeld& other347) noexcept {
+  revision = other347.revision;
+  recovered = other347.recovered;
+  probe = other347.probe;
+  wantsReply = other347.wantsReply;
+  freshness = other347.freshness;
+  __isset = other347.__isset;
   return *this;
 }
-RelayHeld& RelayHeld::operator=(RelayHeld&& other338) noexcept {
-  revision = other338.revision;
-  recovered = other338.recovered;
-  probe = other338.probe;
-  wantsReply = other338.wantsReply;
-  freshness = std::move(other338.freshness);
-  __isset = other338.__isset;
+RelayHeld& RelayHeld::operator=(RelayHeld&& other348) noexcept {
+  revision = other348.revision;
+  recovered = other348.recovered;
+  probe = other348.probe;
+  wantsReply = other348.wantsReply;
+  freshness = std::move(other348.freshness);
+  __isset = other348.__isset;
   return *this;
 }
 void RelayHeld::printTo(std::ostream& out) const {
@@ -8587,9 +8879,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast339;
-          xfer += iprot->readI32(ecast339);
-          this->condition = static_cast<EndpointCondition::type>(ecast339);
+          int32_t ecast349;
+          xfer += iprot->readI32(ecast349);
+          this->condition = static_cast<EndpointCondition::type>(ecast349);
           this->__isset.condition = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8663,38 +8955,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other340) {
-  serviceName = other340.serviceName;
-  endpoint = other340.endpoint;
-  condition = other340.condition;
-  incarnation = other340.incarnation;
-  sequence = other340.sequence;
-  __isset = other340.__isset;
+EndpointState::EndpointState(const EndpointState& other350) {
+  serviceName = other350.serviceName;
+  endpoint = other350.endpoint;
+  condition = other350.condition;
+  incarnation = other350.incarnation;
+  sequence = other350.sequence;
+  __isset = other350.__isset;
 }
-EndpointState::EndpointState(EndpointState&& other341) noexcept {
-  serviceName = std::move(other341.serviceName);
-  endpoint = std::move(other341.endpoint);
-  condition = other341.condition;
-  incarnation = other341.incarnation;
-  sequence = other341.sequence;
-  __isset = other341.__isset;
+EndpointState::EndpointState(EndpointState&& other351) noexcept {
+  serviceName = std::move(other351.serviceName);
+  endpoint = std::move(other351.endpoint);
+  condition = other351.condition;
+  incarnation = other351.incarnation;
+  sequence = other351.sequence;
+  __isset = other351.__isset;
 }
-EndpointState& EndpointState::operator=(const EndpointState& other342) {
-  serviceName = other342.serviceName;
-  endpoint = other342.endpoint;
-  condition = other342.condition;
-  incarnation = other342.incarnation;
-  sequence = other342.sequence;
-  __isset = other342.__isset;
+EndpointState& EndpointState::operator=(const EndpointState& other352) {
+  serviceName = other352.serviceName;
+  endpoint = other352.endpoint;
+  condition = other352.condition;
+  incarnation = other352.incarnation;
+  sequence = other352.sequence;
+  __isset = other352.__isset;
   return *this;
 }
-EndpointState& EndpointState::operator=(EndpointState&& other343) noexcept {
-  serviceName = std::move(other343.serviceName);
-  endpoint = std::move(other343.endpoint);
-  condition = other343.condition;
-  incarnation = other343.incarnation;
-  sequence = other343.sequence;
-  __isset = other343.__isset;
+EndpointState& EndpointState::operator=(EndpointState&& other353) noexcept {
+  serviceName = std::move(other353.serviceName);
+  endpoint = std::move(other353.endpoint);
+  condition = other353.condition;
+  incarnation = other353.incarnation;
+  sequence = other353.sequence;
+  __isset = other353.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -8748,14 +9040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->states.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size354;
+            ::apache::thrift::protocol::TType _etype357;
+            xfer += iprot->readListBegin(_etype357, _size354);
+            this->states.resize(_size354);
+            uint32_t _i358;
+            for (_i358 = 0; _i358 < _size354; ++_i358)
             {
-              xfer += this->states[_i348].read(iprot);
+              xfer += this->states[_i358].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8784,10 +9076,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<EndpointState> ::const_iterator _iter349;
-    for (_iter349 = this->states.begin(); _iter349 != this->states.end(); ++_iter349)
+    std::vector<EndpointState> ::const_iterator _iter359;
+    for (_iter359 = this->states.begin(); _iter359 != this->states.end(); ++_iter359)
     {
-      xfer += (*_iter349).write(oprot);
+      xfer += (*_iter359).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8804,22 +9096,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointStates::EndpointStates(const EndpointStates& other350) {
-  states = other350.states;
-  __isset = other350.__isset;
+EndpointStates::EndpointStates(const EndpointStates& other360) {
+  states = other360.states;
+  __isset = other360.__isset;
 }
-EndpointStates::EndpointStates(EndpointStates&& other351) noexcept {
-  states = std::move(other351.states);
-  __isset = other351.__isset;
+EndpointStates::EndpointStates(EndpointStates&& other361) noexcept {
+  states = std::move(other361.states);
+  __isset = other361.__isset;
 }
-EndpointStates& EndpointStates::operator=(const EndpointStates& other352) {
-  states = other352.states;
-  __isset = other352.__isset;
+EndpointStates& EndpointStates::operator=(const EndpointStates& other362) {
+  states = other362.states;
+  __isset = other362.__isset;
   return *this;
 }
-EndpointStates& EndpointStates::operator=(EndpointStates&& other353) noexcept {
-  states = std::move(other353.states);
-  __isset = other353.__isset;
+EndpointStates& EndpointStates::operator=(EndpointStates&& other363) noexcept {
+  states = std::move(other363.states);
+  __isset = other363.__isset;
   return *this;
 }
 void EndpointStates::printTo(std::ostream& out) const {
@@ -8830,6 +9122,278 @@
 }
 
 
+LedgerRequest::~LedgerRequest() noexcept {
+}
+
+
+void LedgerRequest::__set_requestId(const int64_t val) {
+  this->requestId = val;
+}
+
+void LedgerRequest::__set_command(const LedgerCommand& val) {
+  this->command = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->command.read(iprot);
+          this->__isset.command = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerRequest");
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->command.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerRequest &a, LedgerRequest &b) {
+  using ::std::swap;
+  swap(a.requestId, b.requestId);
+  swap(a.command, b.command);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerRequest::LedgerRequest(const LedgerRequest& other364) {
+  requestId = other364.requestId;
+  command = other364.command;
+  __isset = other364.__isset;
+}
+LedgerRequest::LedgerRequest(LedgerRequest&& other365) noexcept {
+  requestId = other365.requestId;
+  command = std::move(other365.command);
+  __isset = other365.__isset;
+}
+LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other366) {
+  requestId = other366.requestId;
+  command = other366.command;
+  __isset = other366.__isset;
+  return *this;
+}
+LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other367) noexcept {
+  requestId = other367.requestId;
+  command = std::move(other367.command);
+  __isset = other367.__isset;
+  return *this;
+}
+void LedgerRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerRequest(";
+  out << "requestId=" << to_string(requestId);
+  out << ", " << "command=" << to_string(command);
+  out << ")";
+}
+
+
+LedgerReply::~LedgerReply() noexcept {
+}
+
+
+void LedgerReply::__set_requestId(const int64_t val) {
+  this->requestId = val;
+}
+
+void LedgerReply::__set_verdict(const LedgerVerdict::type val) {
+  this->verdict = val;
+}
+
+void LedgerReply::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast368;
+          xfer += iprot->readI32(ecast368);
+          this->verdict = static_cast<LedgerVerdict::type>(ecast368);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerReply");
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerReply &a, LedgerReply &b) {
+  using ::std::swap;
+  swap(a.requestId, b.requestId);
+  swap(a.verdict, b.verdict);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerReply::LedgerReply(const LedgerReply& other369) {
+  requestId = other369.requestId;
+  verdict = other369.verdict;
+  answer = other369.answer;
+  __isset = other369.__isset;
+}
+LedgerReply::LedgerReply(LedgerReply&& other370) noexcept {
+  requestId = other370.requestId;
+  verdict = other370.verdict;
+  answer = std::move(other370.answer);
+  __isset = other370.__isset;
+}
+LedgerReply& LedgerReply::operator=(const LedgerReply& other371) {
+  requestId = other371.requestId;
+  verdict = other371.verdict;
+  answer = other371.answer;
+  __isset = other371.__isset;
+  return *this;
+}
+LedgerReply& LedgerReply::operator=(LedgerReply&& other372) noexcept {
+  requestId = other372.requestId;
+  verdict = other372.verdict;
+  answer = std::move(other372.answer);
+  __isset = other372.__isset;
+  return *this;
+}
+void LedgerReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerReply(";
+  out << "requestId=" << to_string(requestId);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ")";
+}
+
+
 CallRequest::~CallRequest() noexcept {
 }
 
@@ -8929,14 +9493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->headers.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
+            uint32_t _size373;
+            ::apache::thrift::protocol::TType _etype376;
+            xfer += iprot->readListBegin(_etype376, _size373);
+            this->headers.resize(_size373);
+            uint32_t _i377;
+            for (_i377 = 0; _i377 < _size373; ++_i377)
             {
-              xfer += this->headers[_i358].read(iprot);
+              xfer += this->headers[_i377].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9005,10 +9569,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter359;
-    for (_iter359 = this->headers.begin(); _iter359 != this->headers.end(); ++_iter359)
+    std::vector<HttpHeader> ::const_iterator _iter378;
+    for (_iter378 = this->headers.begin(); _iter378 != this->headers.end(); ++_iter378)
     {
-      xfer += (*_iter359).write(oprot);
+      xfer += (*_iter378).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9044,50 +9608,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other360) {
-  callId = other360.callId;
-  serviceName = other360.serviceName;
-  method = other360.method;
-  path = other360.path;
-  headers = other360.headers;
-  body = other360.body;
-  remainingMs = other360.remainingMs;
-  idempotencyKey = other360.idempotencyKey;
-  __isset = other360.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other361) noexcept {
-  callId = other361.callId;
-  serviceName = std::move(other361.serviceName);
-  method = std::move(other361.method);
-  path = std::move(other361.path);
-  headers = std::move(other361.headers);
-  body = std::move(other361.body);
-  remainingMs = other361.remainingMs;
-  idempotencyKey = std::move(other361.idempotencyKey);
-  __isset = other361.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other362) {
-  callId = other362.callId;
-  serviceName = other362.serviceName;
-  method = other362.method;
-  path = other362.path;
-  headers = other362.headers;
-  body = other362.body;
-  remainingMs = other362.remainingMs;
-  idempotencyKey = other362.idempotencyKey;
-  __isset = other362.__isset;
+CallRequest::CallRequest(const CallRequest& other379) {
+  callId = other379.callId;
+  serviceName = other379.serviceName;
+  method = other379.method;
+  path = other379.path;
+  headers = other379.headers;
+  body = other379.body;
+  remainingMs = other379.remainingMs;
+  idempotencyKey = other379.idempotencyKey;
+  __isset = other379.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other380) noexcept {
+  callId = other380.callId;
+  serviceName = std::move(other380.serviceName);
+  method = std::move(other380.method);
+  path = std::move(other380.path);
+  headers = std::move(other380.headers);
+  body = std::move(other380.body);
+  remainingMs = other380.remainingMs;
+  idempotencyKey = std::move(other380.idempotencyKey);
+  __isset = other380.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other381) {
+  callId = other381.callId;
+  serviceName = other381.serviceName;
+  method = other381.method;
+  path = other381.path;
+  headers = other381.headers;
+  body = other381.body;
+  remainingMs = other381.remainingMs;
+  idempotencyKey = other381.idempotencyKey;
+  __isset = other381.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other363) noexcept {
-  callId = other363.callId;
-  serviceName = std::move(other363.serviceName);
-  method = std::move(other363.method);
-  path = std::move(other363.path);
-  headers = std::move(other363.headers);
-  body = std::move(other363.body);
-  remainingMs = other363.remainingMs;
-  idempotencyKey = std::move(other363.idempotencyKey);
-  __isset = other363.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other382) noexcept {
+  callId = other382.callId;
+  serviceName = std::move(other382.serviceName);
+  method = std::move(other382.method);
+  path = std::move(other382.path);
+  headers = std::move(other382.headers);
+  body = std::move(other382.body);
+  remainingMs = other382.remainingMs;
+  idempotencyKey = std::move(other382.idempotencyKey);
+  __isset = other382.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -9178,9 +9742,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast364;
-          xfer += iprot->readI32(ecast364);
-          this->outcome = static_cast<CallOutcome::type>(ecast364);
+          int32_t ecast383;
+          xfer += iprot->readI32(ecast383);
+          this->outcome = static_cast<CallOutcome::type>(ecast383);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9198,14 +9762,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size365;
-            ::apache::thrift::protocol::TType _etype368;
-            xfer += iprot->readListBegin(_etype368, _size365);
-            this->headers.resize(_size365);
-            uint32_t _i369;
-            for (_i369 = 0; _i369 < _size365; ++_i369)
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            this->headers.resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
             {
-              xfer += this->headers[_i369].read(iprot);
+              xfer += this->headers[_i388].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9278,10 +9842,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter370;
-    for (_iter370 = this->headers.begin(); _iter370 != this->headers.end(); ++_iter370)
+    std::vector<HttpHeader> ::const_iterator _iter389;
+    for (_iter389 = this->headers.begin(); _iter389 != this->headers.end(); ++_iter389)
     {
-      xfer += (*_iter370).write(oprot);
+      xfer += (*_iter389).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9321,50 +9885,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other371) {
-  callId = other371.callId;
-  outcome = other371.outcome;
-  httpStatus = other371.httpStatus;
-  headers = other371.headers;
-  body = other371.body;
-  errorCode = other371.errorCode;
-  inFlight = other371.inFlight;
-  retryAfterMs = other371.retryAfterMs;
-  __isset = other371.__isset;
-}
-CallResponse::CallResponse(CallResponse&& other372) noexcept {
-  callId = other372.callId;
-  outcome = other372.outcome;
-  httpStatus = other372.httpStatus;
-  headers = std::move(other372.headers);
-  body = std::move(other372.body);
-  errorCode = other372.errorCode;
-  inFlight = other372.inFlight;
-  retryAfterMs = other372.retryAfterMs;
-  __isset = other372.__isset;
-}
-CallResponse& CallResponse::operator=(const CallResponse& other373) {
-  callId = other373.callId;
-  outcome = other373.outcome;
-  httpStatus = other373.httpStatus;
-  headers = other373.headers;
-  body = other373.body;
-  errorCode = other373.errorCode;
-  inFlight = other373.inFlight;
-  retryAfterMs = other373.retryAfterMs;
-  __isset = other373.__isset;
+CallResponse::CallResponse(const CallResponse& other390) {
+  callId = other390.callId;
+  outcome = other390.outcome;
+  httpStatus = other390.httpStatus;
+  headers = other390.headers;
+  body = other390.body;
+  errorCode = other390.errorCode;
+  inFlight = other390.inFlight;
+  retryAfterMs = other390.retryAfterMs;
+  __isset = other390.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other391) noexcept {
+  callId = other391.callId;
+  outcome = other391.outcome;
+  httpStatus = other391.httpStatus;
+  headers = std::move(other391.headers);
+  body = std::move(other391.body);
+  errorCode = other391.errorCode;
+  inFlight = other391.inFlight;
+  retryAfterMs = other391.retryAfterMs;
+  __isset = other391.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other392) {
+  callId = other392.callId;
+  outcome = other392.outcome;
+  httpStatus = other392.httpStatus;
+  headers = other392.headers;
+  body = other392.body;
+  errorCode = other392.errorCode;
+  inFlight = other392.inFlight;
+  retryAfterMs = other392.retryAfterMs;
+  __isset = other392.__isset;
   return *this;
 }
-CallResponse& CallResponse::operator=(CallResponse&& other374) noexcept {
-  callId = other374.callId;
-  outcome = other374.outcome;
-  httpStatus = other374.httpStatus;
-  headers = std::move(other374.headers);
-  body = std::move(other374.body);
-  errorCode = other374.errorCode;
-  inFlight = other374.inFlight;
-  retryAfterMs = other374.retryAfterMs;
-  __isset = other374.__isset;
+CallResponse& CallResponse::operator=(CallResponse&& other393) noexcept {
+  callId = other393.callId;
+  outcome = other393.outcome;
+  httpStatus = other393.httpStatus;
+  headers = std::move(other393.headers);
+  body = std::move(other393.body);
+  errorCode = other393.errorCode;
+  inFlight = other393.inFlight;
+  retryAfterMs = other393.retryAfterMs;
+  __isset = other393.__isset;
   return *this;
 }
 void CallResponse::printTo(std::ostream& out) const {
@@ -9457,22 +10021,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other375) noexcept {
-  callId = other375.callId;
-  __isset = other375.__isset;
+CallCancel::CallCancel(const CallCancel& other394) noexcept {
+  callId = other394.callId;
+  __isset = other394.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other376) noexcept {
-  callId = other376.callId;
-  __isset = other376.__isset;
+CallCancel::CallCancel(CallCancel&& other395) noexcept {
+  callId = other395.callId;
+  __isset = other395.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other377) noexcept {
-  callId = other377.callId;
-  __isset = other377.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other396) noexcept {
+  callId = other396.callId;
+  __isset = other396.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other378) noexcept {
-  callId = other378.callId;
-  __isset = other378.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other397) noexcept {
+  callId = other397.callId;
+  __isset = other397.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
