--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -78,7 +78,8 @@
 struct LedgerAction {
   enum type {
     CLAIM = 1,
-    COMPLETE = 2
+    COMPLETE = 2,
+    RELEASE = 3
   };
 };
 
@@ -88,6 +89,25 @@
 
 std::string to_string(const LedgerAction::type& val);
 
+/**
+ * What the ledger says to a command.
+ */
+struct LedgerVerdict {
+  enum type {
+    GRANTED = 1,
+    COMPLETED = 2,
+    CLAIMED = 3,
+    MISMATCH = 4,
+    UNAVAILABLE = 5
+  };
+};
+
+extern const std::map<int, const char*> _LedgerVerdict_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const LedgerVerdict::type& val);
+
+std::string to_string(const LedgerVerdict::type& val);
+
 struct SliceRejectReason {
   enum type {
     DIGEST_MISMATCH = 1,
@@ -164,6 +184,8 @@
 
 class LedgerCommand;
 
+class LedgerRecord;
+
 class Member;
 
 class RelayRecord;
@@ -236,6 +258,10 @@
 
 class EndpointStates;
 
+class LedgerRequest;
+
+class LedgerReply;
+
 class CallRequest;
 
 class CallResponse;
@@ -1232,6 +1258,90 @@
 
 std::ostream& operator<<(std::ostream& out, const LedgerCommand& obj);
 
+typedef struct _LedgerRecord__isset {
+  _LedgerRecord__isset() : key(false), fingerprint(false), owner(false), completed(false), claimedAtMs(false), answer(false) {}
+  bool key :1;
+  bool fingerprint :1;
+  bool owner :1;
+  bool completed :1;
+  bool claimedAtMs :1;
+  bool answer :1;
+} _LedgerRecord__isset;
+
+/**
+ * State of one idempotency key.
+ */
+class LedgerRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerRecord(const LedgerRecord&);
+  LedgerRecord(LedgerRecord&&) noexcept;
+  LedgerRecord& operator=(const LedgerRecord&);
+  LedgerRecord& operator=(LedgerRecord&&) noexcept;
+  LedgerRecord() noexcept
+               : key(),
+                 fingerprint(0),
+                 owner(),
+                 completed(0),
+                 claimedAtMs(0) {
+  }
+
+  virtual ~LedgerRecord() noexcept;
+  std::string key;
+  int64_t fingerprint;
+  std::string owner;
+  bool completed;
+  int64_t claimedAtMs;
+  StoredAnswer answer;
+
+  _LedgerRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_completed(const bool val);
+
+  void __set_claimedAtMs(const int64_t val);
+
+  void __set_answer(const StoredAnswer& val);
+
+  bool operator == (const LedgerRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(completed == rhs.completed))
+      return false;
+    if (!(claimedAtMs == rhs.claimedAtMs))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerRecord &a, LedgerRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerRecord& obj);
+
 typedef struct _Member__isset {
   _Member__isset() : id(false), name(false), address(false), framePort(false), httpPort(false), voting(false) {}
   bool id :1;
@@ -1834,7 +1944,7 @@
 std::ostream& operator<<(std::ostream& out, const LogSnapshot& obj);
 
 typedef struct _TableSnapshot__isset {
-  _TableSnapshot__isset() : rows(false), outcomes(false), history(false), tableRevision(false), historyFloor(false), horizon(false), relays(false) {}
+  _TableSnapshot__isset() : rows(false), outcomes(false), history(false), tableRevision(false), historyFloor(false), horizon(false), relays(false), ledger(false) {}
   bool rows :1;
   bool outcomes :1;
   bool history :1;
@@ -1842,6 +1952,7 @@
   bool historyFloor :1;
   bool horizon :1;
   bool relays :1;
+  bool ledger :1;
 } _TableSnapshot__isset;
 
 /**
@@ -1868,6 +1979,7 @@
   int64_t historyFloor;
   int64_t horizon;
   std::vector<RelayRecord>  relays;
+  std::vector<LedgerRecord>  ledger;
 
   _TableSnapshot__isset __isset;
 
@@ -1885,6 +1997,8 @@
 
   void __set_relays(const std::vector<RelayRecord> & val);
 
+  void __set_ledger(const std::vector<LedgerRecord> & val);
+
   bool operator == (const TableSnapshot & rhs) const
   {
     if (!(rows == rhs.rows))
@@ -1901,6 +2015,8 @@
       return false;
     if (!(relays == rhs.relays))
       return false;
+    if (!(ledger == rhs.ledger))
+      return false;
     return true;
   }
   bool operator != (const TableSnapshot &rhs) const {
@@ -3565,6 +3681,124 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointStates& obj);
 
+typedef struct _LedgerRequest__isset {
+  _LedgerRequest__isset() : requestId(false), command(false) {}
+  bool requestId :1;
+  bool command :1;
+} _LedgerRequest__isset;
+
+/**
+ * A ledger command on its way from a node over its relay to the leading controller.
+ */
+class LedgerRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerRequest(const LedgerRequest&);
+  LedgerRequest(LedgerRequest&&) noexcept;
+  LedgerRequest& operator=(const LedgerRequest&);
+  LedgerRequest& operator=(LedgerRequest&&) noexcept;
+  LedgerRequest() noexcept
+                : requestId(0) {
+  }
+
+  virtual ~LedgerRequest() noexcept;
+  int64_t requestId;
+  LedgerCommand command;
+
+  _LedgerRequest__isset __isset;
+
+  void __set_requestId(const int64_t val);
+
+  void __set_command(const LedgerCommand& val);
+
+  bool operator == (const LedgerRequest & rhs) const
+  {
+    if (!(requestId == rhs.requestId))
+      return false;
+    if (!(command == rhs.command))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerRequest &a, LedgerRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerRequest& obj);
+
+typedef struct _LedgerReply__isset {
+  _LedgerReply__isset() : requestId(false), verdict(false), answer(false) {}
+  bool requestId :1;
+  bool verdict :1;
+  bool answer :1;
+} _LedgerReply__isset;
+
+class LedgerReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerReply(const LedgerReply&);
+  LedgerReply(LedgerReply&&) noexcept;
+  LedgerReply& operator=(const LedgerReply&);
+  LedgerReply& operator=(LedgerReply&&) noexcept;
+  LedgerReply() noexcept
+              : requestId(0),
+                verdict(static_cast<LedgerVerdict::type>(0)) {
+  }
+
+  virtual ~LedgerReply() noexcept;
+  int64_t requestId;
+  /**
+   *
+   * @see LedgerVerdict
+   */
+  LedgerVerdict::type verdict;
+  StoredAnswer answer;
+
+  _LedgerReply__isset __isset;
+
+  void __set_requestId(const int64_t val);
+
+  void __set_verdict(const LedgerVerdict::type val);
+
+  void __set_answer(const StoredAnswer& val);
+
+  bool operator == (const LedgerReply & rhs) const
+  {
+    if (!(requestId == rhs.requestId))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerReply &a, LedgerReply &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
+
 typedef struct _CallRequest__isset {
   _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false) {}
   bool callId :1;
--- /dev/null
+++ b/test/controller/convergence_test.cc
@@ -0,0 +1,114 @@
+#include "controller/convergence.h"
+
+#include <catch2/catch.hpp>
+
+#include "manual_time.h"
+
+namespace driftlug::controller {
+namespace {
+
+constexpr base::Duration kLease = base::seconds(8);
+
+wire::ConvergenceReport report(int64_t revision, std::vector<std::string> attached, bool full) {
+  wire::ConvergenceReport report;
+  report.inForceRevision = revision;
+  report.attached = std::move(attached);
+  report.full = full;
+  report.runningMs = 3'600'000;
+  return report;
+}
+
+/// A tracker whose relays were registered before it began to lead.
+struct Fixture {
+  Fixture() : tracker(time, kLease) {
+    tracker.setRegistered({"relay-1", "relay-2"});
+    tracker.reset();
+  }
+  test::ManualTime time;
+  ConvergenceTracker tracker;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "silence of registered relays is not agreement") {
+  CHECK(!tracker.inForceEverywhere(5));
+  tracker.onReport("relay-1", report(5, {"node-1"}, true));
+  CHECK(!tracker.inForceEverywhere(5));
+  tracker.onReport("relay-2", report(5, {}, true));
+  CHECK(tracker.inForceEverywhere(5));
+  CHECK(!tracker.inForceEverywhere(6));
+}
+
+TEST_CASE_METHOD(Fixture, "a relay that stays silent until its nodes have left it no longer blocks") {
+  tracker.onReport("relay-1", report(5, {"node-1"}, true));
+  time.advance(base::seconds(11));
+  CHECK(!tracker.inForceEverywhere(5));
+  time.advance(base::seconds(2));
+  CHECK(tracker.inForceEverywhere(5));
+}
+
+TEST_CASE_METHOD(Fixture, "a lagging node blocks until its relay says otherwise") {
+  auto lagging = report(5, {"node-1", "node-2"}, true);
+  wire::NodeStatus status;
+  status.nodeId = "node-2";
+  status.revision = 4;
+  lagging.lagging.push_back(status);
+  tracker.onReport("relay-1", lagging);
+  tracker.onReport("relay-2", report(5, {}, true));
+  CHECK(!tracker.inForceEverywhere(5));
+  CHECK(tracker.inForceEverywhere(4));
+  const auto view = tracker.view(5);
+  CHECK(view.inForce == 1);
+  REQUIRE(view.lagging.size() == 1);
+  CHECK(view.lagging[0].nodeId == "node-2");
+  tracker.onReport("relay-1", report(5, {}, false));
+  CHECK(tracker.inForceEverywhere(5));
+}
+
+TEST_CASE_METHOD(Fixture, "a node that is held by two relays is lost only when both have lost it") {
+  tracker.onReport("relay-1", report(5, {"node-1"}, true));
+  tracker.onReport("relay-2", report(5, {"node-1"}, true));
+  auto left = report(5, {}, false);
+  left.detached = {"node-1"};
+  tracker.onReport("relay-1", left);
+  CHECK(tracker.attachedNodes() == 1);
+  CHECK(tracker.inForceEverywhere(5));
+  tracker.onReport("relay-2", left);
+  CHECK(tracker.attachedNodes() == 0);
+  CHECK(!tracker.inForceEverywhere(5));
+  time.advance(kLease);
+  CHECK(tracker.inForceEverywhere(5));
+  CHECK(tracker.view(5).gone == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a node lost before this controller led blocks until its lease ends") {
+  auto full = report(5, {}, true);
+  full.detached = {"node-1"};
+  tracker.onReport("relay-1", full);
+  tracker.onReport("relay-2", report(5, {}, true));
+  CHECK(!tracker.inForceEverywhere(5));
+  time.advance(kLease);
+  CHECK(tracker.inForceEverywhere(5));
+}
+
+TEST_CASE_METHOD(Fixture, "a relay that started a moment ago does not vouch for its predecessor's nodes") {
+  auto young = report(5, {}, true);
+  young.runningMs = 100;
+  tracker.onReport("relay-1", young);
+  tracker.onReport("relay-2", report(5, {}, true));
+  CHECK(!tracker.inForceEverywhere(5));
+  time.advance(kLease);
+  CHECK(tracker.inForceEverywhere(5));
+}
+
+TEST_CASE_METHOD(Fixture, "a relay that is new to the mesh has no predecessor") {
+  tracker.setRegistered({"relay-1", "relay-2", "relay-3"});
+  auto young = report(5, {}, true);
+  young.runningMs = 100;
+  tracker.onReport("relay-1", report(5, {}, true));
+  tracker.onReport("relay-2", report(5, {}, true));
+  tracker.onReport("relay-3", young);
+  CHECK(tracker.inForceEverywhere(5));
+}
+
+}  // namespace driftlug::controller
--- /dev/null
+++ b/test/node/endpoint_calls_test.cc
@@ -0,0 +1,193 @@
+#include "node/endpoint_calls.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+#include "ledger/ledger_state.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+/// Keeps the answers that are sent.
+class RecordingNetwork : public base::Network {
+ public:
+  void setHello(const wire::Hello&) override {}
+  base::ConnectionId connect(const base::Address&) override { return 1; }
+  void send(base::ConnectionId, const wire::FramePtr& frame) override {
+    auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
+    REQUIRE(message.ok());
+    answers.push_back(std::get<wire::CallResponse>(*message));
+  }
+  void close(base::ConnectionId) override {}
+  size_t queuedBytes(base::ConnectionId) const override { return 0; }
+  std::vector<wire::CallResponse> answers;
+};
+
+/// A back end that counts its runs and ends them in a given way.
+class CountingBackend : public BackendClient {
+ public:
+  explicit CountingBackend(base::Scheduler& scheduler) : scheduler_(scheduler) {}
+  uint64_t send(const wire::CallRequest& request, base::Duration, std::function<void(BackendAnswer)> done) override {
+    auto answer = next;
+    if (answer.outcome == BackendOutcome::kCompleted && answer.headers.empty()) ++runs;
+    answer.body = "done " + request.body;
+    scheduler_.schedule(base::milliseconds(5), [done, answer] { done(answer); });
+    return 1;
+  }
+  void cancel(uint64_t) override {}
+
+  BackendAnswer next{BackendOutcome::kCompleted, false, 201, {}, ""};
+  int runs = 0;
+
+ private:
+  base::Scheduler& scheduler_;
+};
+
+/// One endpoint node; several can share a ledger.
+struct Endpoint {
+  Endpoint(base::Scheduler& scheduler, const std::string& name, ledger::LedgerState* state, const bool* reachable)
+      : backend(scheduler),
+        client(scheduler, base::RandomSource(1), name,
+               [this, &scheduler, state, reachable](const wire::Message& message) {
+                 if (!*reachable) return false;
+                 const auto request = std::get<wire::LedgerRequest>(message);
+                 scheduler.schedule(base::milliseconds(1), [this, state, request] { decide(state, request); });
+                 return true;
+               }),
+        calls({"filings", 4, 4}, scheduler, network, backend, &client) {}
+
+  void decide(ledger::LedgerState* state, const wire::LedgerRequest& request) {
+    const auto outcome = state->apply(request.command);
+    wire::LedgerReply reply;
+    reply.requestId = request.requestId;
+    reply.verdict = outcome.verdict;
+    if (outcome.answer != nullptr) reply.__set_answer(*outcome.answer);
+    client.onReply(reply);
+  }
+
+  void file(int64_t callId, const std::string& key, const std::string& body) {
+    wire::CallRequest request;
+    request.callId = callId;
+    request.serviceName = "filings";
+    request.method = "POST";
+    request.path = "/filings";
+    request.body = body;
+    request.idempotencyKey = key;
+    request.remainingMs = 3000;
+    calls.onRequest(1, request);
+  }
+
+  RecordingNetwork network;
+  CountingBackend backend;
+  ledger::LedgerClient client;
+  EndpointCalls calls;
+};
+
+struct Fixture {
+  Fixture() : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 1}) {
+    process.start();
+    first = std::make_unique<Endpoint>(process, "first", &state, &reachable);
+    second = std::make_unique<Endpoint>(process, "second", &state, &reachable);
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  ledger::LedgerState state;
+  bool reachable = true;
+  std::unique_ptr<Endpoint> first;
+  std::unique_ptr<Endpoint> second;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a resent filing gets the first answer, also at another endpoint") {
+  first->file(1, "key", "claim 7");
+  runFor(base::seconds(1));
+  second->file(2, "key", "claim 7");
+  runFor(base::seconds(1));
+  REQUIRE(first->network.answers.size() == 1);
+  REQUIRE(second->network.answers.size() == 1);
+  CHECK(second->network.answers[0].outcome == wire::CallOutcome::COMPLETED);
+  CHECK(second->network.answers[0].body == first->network.answers[0].body);
+  CHECK(first->backend.runs + second->backend.runs == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "two attempts at once run once, and both get the answer") {
+  first->file(1, "key", "claim 7");
+  second->file(2, "key", "claim 7");
+  runFor(base::seconds(2));
+  REQUIRE(first->network.answers.size() == 1);
+  REQUIRE(second->network.answers.size() == 1);
+  CHECK(first->network.answers[0].body == second->network.answers[0].body);
+  CHECK(first->backend.runs + second->backend.runs == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a filing whose node is lost is answered as unknown, never run again") {
+  first->backend.next.outcome = BackendOutcome::kUnknown;
+  first->file(1, "key", "claim 7");
+  runFor(base::seconds(1));
+  second->file(2, "key", "claim 7");
+  runFor(base::seconds(2));
+  REQUIRE(second->network.answers.size() == 1);
+  CHECK(second->network.answers[0].outcome == wire::CallOutcome::UNKNOWN);
+  CHECK(second->backend.runs == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a filing that a back end shed may run elsewhere") {
+  wire::HttpHeader shed;
+  shed.name = "x-shed";
+  shed.value = "1";
+  first->backend.next.headers = {shed};
+  first->file(1, "key", "claim 7");
+  runFor(base::seconds(1));
+  REQUIRE(first->network.answers.size() == 1);
+  CHECK(first->network.answers[0].outcome == wire::CallOutcome::NOT_RUN);
+  second->file(2, "key", "claim 7");
+  runFor(base::seconds(1));
+  REQUIRE(second->network.answers.size() == 1);
+  CHECK(second->network.answers[0].outcome == wire::CallOutcome::COMPLETED);
+  CHECK(second->backend.runs == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "without the ledger a filing is refused as not run, and does not run") {
+  reachable = false;
+  first->file(1, "key", "claim 7");
+  runFor(base::seconds(8));
+  REQUIRE(first->network.answers.size() == 1);
+  CHECK(first->network.answers[0].outcome == wire::CallOutcome::NOT_RUN);
+  CHECK(first->network.answers[0].errorCode == static_cast<int>(base::ErrorCode::kLedgerUnavailable));
+  CHECK(first->backend.runs == 0);
+  CHECK(first->calls.limiter().running() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a key that is used for another filing is refused") {
+  first->file(1, "key", "claim 7");
+  runFor(base::seconds(1));
+  second->file(2, "key", "claim 8");
+  runFor(base::seconds(1));
+  REQUIRE(second->network.answers.size() == 1);
+  CHECK(second->network.answers[0].outcome == wire::CallOutcome::NOT_RUN);
+  CHECK(second->network.answers[0].errorCode == static_cast<int>(base::ErrorCode::kKeyReused));
+  CHECK(second->backend.runs == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "slots are free again after each way a filing can end") {
+  for (int i = 0; i < 20; ++i) {
+    first->file(i, "key-" + std::to_string(i % 7), "claim " + std::to_string(i % 3));
+    runFor(base::milliseconds(900));
+  }
+  runFor(base::seconds(4));
+  CHECK(first->network.answers.size() == 20);
+  CHECK(first->calls.limiter().running() == 0);
+  CHECK(first->calls.active() == 0);
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/test/relay/release_group_test.cc
@@ -0,0 +1,57 @@
+#include "relay/release_group.h"
+
+#include <catch2/catch.hpp>
+
+namespace driftlug::relay {
+namespace {
+
+ReleaseTracker tracker() {
+  return ReleaseTracker("relay-1", {{"zone-1", {"relay-1", "relay-2", "relay-3", "relay-4"}}});
+}
+
+}  // namespace
+
+TEST_CASE("any read quorum meets any write quorum") {
+  for (size_t members = 1; members <= 7; ++members) {
+    ReleaseGroup group{"zone-1", std::vector<std::string>(members)};
+    CHECK(group.readQuorum() + group.writeQuorum() > members);
+  }
+}
+
+TEST_CASE("a revision is released once two members hold it") {
+  auto releases = tracker();
+  releases.setOwn(10, true);
+  CHECK(releases.released("zone-1") == 0);
+  releases.onHeld("relay-3", 9, true);
+  CHECK(releases.released("zone-1") == 9);
+  releases.onHeld("relay-2", 10, true);
+  CHECK(releases.released("zone-1") == 10);
+}
+
+TEST_CASE("what others hold beyond the own table is not released here") {
+  auto releases = tracker();
+  releases.setOwn(10, true);
+  releases.onHeld("relay-2", 12, true);
+  releases.onHeld("relay-3", 12, true);
+  CHECK(releases.released("zone-1") == 10);
+}
+
+TEST_CASE("a release is never taken back, also when a peer restarts empty") {
+  auto releases = tracker();
+  releases.setOwn(10, true);
+  releases.onHeld("relay-2", 10, true);
+  releases.onConnection("relay-2", false);
+  releases.onHeld("relay-2", 0, false);
+  CHECK(releases.released("zone-1") == 10);
+  releases.setOwn(11, true);
+  CHECK(releases.released("zone-1") == 10);
+}
+
+TEST_CASE("zones of other groups are not served") {
+  auto releases = tracker();
+  releases.setOwn(10, true);
+  CHECK(!releases.serves("zone-9"));
+  CHECK(releases.released("zone-9") == 0);
+}
+
+}  // namespace driftlug::relay
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -130,8 +130,8 @@
     return 1;
   }
   const double rate = FLAGS_rate > 0 ? FLAGS_rate : deployment->rate;
-  const double bytesBefore = fleet.sumMetric(fleet.relays(), "frame_bytes_sent_total") +
-                             fleet.sumMetric(fleet.controllers(), "frame_bytes_sent_total");
+  const double bytesBefore = fleet.sumMetric(fleet.relays(), "control_bytes_sent_total") +
+                             fleet.sumMetric(fleet.controllers(), "control_bytes_sent_total");
   const double updatesBefore = fleet.sumMetric(fleet.relays(), "relay_update_bytes_total") +
                                fleet.sumMetric(fleet.controllers(), "controller_update_bytes_total");
   fleet.startLoad("load", rate, FLAGS_duration_ms, FLAGS_seed);
@@ -143,8 +143,8 @@
     tools::runScenario(scenario, fleet, [&] { makeEdits(fleet, 1, base::Duration(0), &edits); });
   }
   const auto load = fleet.finishLoad("load", FLAGS_duration_ms + 60'000);
-  const double controlBytes = fleet.sumMetric(fleet.relays(), "frame_bytes_sent_total") +
-                              fleet.sumMetric(fleet.controllers(), "frame_bytes_sent_total") - bytesBefore;
+  const double controlBytes = fleet.sumMetric(fleet.relays(), "control_bytes_sent_total") +
+                              fleet.sumMetric(fleet.controllers(), "control_bytes_sent_total") - bytesBefore;
   const double updateBytes = fleet.sumMetric(fleet.relays(), "relay_update_bytes_total") +
                              fleet.sumMetric(fleet.controllers(), "controller_update_bytes_total") - updatesBefore;
   const auto records = fleet.checkRecords({"load"});
--- a/tools/hollow_main.cc
+++ b/tools/hollow_main.cc
@@ -84,8 +84,7 @@
   std::unique_ptr<node::ControlClient> control;
 };
 
-node::ControlOptions optionsOf(const tools::ScaleShape& shape, int position,
-                               const std::vector<base::Address>& relays) {
+node::ControlOptions optionsOf(const tools::ScaleShape& shape, int position, const std::vector<base::Address>& relays) {
   const auto member = tools::nodeAt(shape, position);
   node::ControlOptions options;
   options.nodeId = member.name;
--- a/tools/scale_run.cc
+++ b/tools/scale_run.cc
@@ -58,7 +58,10 @@
 class ScaleRun {
  public:
   ScaleRun(const ScaleOptions& options, const std::string& binaries, const std::string& folder)
-      : options_(options), shape_(shapeFor(options.nodes)), binaries_(binaries), fleet_(deployment(), fleetOptions(folder)) {}
+      : options_(options),
+        shape_(shapeFor(options.nodes)),
+        binaries_(binaries),
+        fleet_(deployment(), fleetOptions(folder)) {}
 
   absl::Status start();
   void measureIdle();
@@ -121,10 +124,8 @@
   for (const auto& row : scaleRows(shape_, kHost)) {
     auto fields = table::rowToJson(row, true);
     for (const char* key : {"kind", "name", "revision"}) fields.erase(key);
-    edits.push_back({{"kind", table::kindName(row.key.kind)},
-                     {"name", row.key.name},
-                     {"expected_revision", 0},
-                     {"row", fields}});
+    edits.push_back(
+        {{"kind", table::kindName(row.key.kind)}, {"name", row.key.name}, {"expected_revision", 0}, {"row", fields}});
     if (edits.size() < kRowsPerEdit) continue;
     if (const auto status = flush(); !status.ok()) return status;
   }
@@ -233,8 +234,8 @@
     const int service = i * 37 % shape_.services;
     auto fields = table::rowToJson(limitRow(service, i + 1), true);
     for (const char* key : {"kind", "name", "revision"}) fields.erase(key);
-    const auto answer = fleet_.edit(json::array(
-        {{{"kind", "limit"}, {"name", serviceName(service)}, {"expected_revision", -1}, {"row", fields}}}));
+    const auto answer = fleet_.edit(
+        json::array({{{"kind", "limit"}, {"name", serviceName(service)}, {"expected_revision", -1}, {"row", fields}}}));
     const auto accepted = loop.now();
     const auto took = answer.status == 200
                           ? fleet_.waitEverywhere(answer.body.value("revision", int64_t{0}), accepted, kEditLimitMs)
