--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -160,6 +160,7 @@
     while (deployment_.zones[static_cast<size_t>(zone)] != endpoint.node.zone) ++zone;
     node.push_back(flag("relays", relayAddresses(zone)));
     if (options_.emulateLatency) node.push_back(flag("emulated-zone-delay-us", deployment_.zoneDelayUs));
+    backend.insert(backend.end(), options_.backendFlags.begin(), options_.backendFlags.end());
     if (!processes_.start(endpoint.backendName, backend) || !processes_.start(endpoint.node.name, node)) return false;
   }
   return true;
@@ -276,20 +277,26 @@
   return stuck;
 }
 
-void Fleet::startLoad(const std::string& name, double rate, int durationMs, int seed) {
-  std::vector<std::string> targets;
-  for (const auto& member : entries_) targets.push_back(std::string(kHost) + ":" + std::to_string(member.entryPort));
+void Fleet::startLoad(const std::string& name, const LoadOptions& options) {
   std::vector<std::string> lookups;
   std::vector<std::string> filings;
+  std::vector<std::string> targets;
   for (const auto& service : deployment_.services) (service.filings ? filings : lookups).push_back(service.path);
+  for (const auto& member : entries_) {
+    if (!options.direct) targets.push_back(std::string(kHost) + ":" + std::to_string(member.entryPort));
+  }
+  for (const auto& endpoint : endpoints_) {
+    if (options.direct) targets.push_back(std::string(kHost) + ":" + std::to_string(endpoint.backendPort));
+  }
   auto command = program("driftlug-load");
   command.push_back(flag("targets", absl::StrJoin(targets, ",")));
   command.push_back(flag("host", deployment_.host));
   command.push_back(flag("lookups", absl::StrJoin(lookups, ",")));
   command.push_back(flag("filings", absl::StrJoin(filings, ",")));
-  command.push_back(flag("rate", std::to_string(rate)));
-  command.push_back(flag("duration-ms", durationMs));
-  command.push_back(flag("seed", seed));
+  command.push_back(flag("filing-share", std::to_string(options.filingShare)));
+  command.push_back(flag("rate", std::to_string(options.rate)));
+  command.push_back(flag("duration-ms", options.durationMs));
+  command.push_back(flag("seed", options.seed));
   command.push_back(flag("record", options_.report + "/" + name + "-record.json"));
   if (options_.emulateLatency) command.push_back(flag("emulated-delay-us", deployment_.clientDelayUs));
   processes_.start(name, command);
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -36,6 +36,16 @@
   bool emulateLatency = true;
   std::vector<std::string> controllerFlags;
   std::vector<std::string> relayFlags;
+  std::vector<std::string> backendFlags;
+};
+
+/// What a stand-in caller sends.
+struct LoadOptions {
+  double rate = 500;
+  int durationMs = 5000;
+  int seed = 1;
+  double filingShare = 0.1;
+  bool direct = false;  ///< lookups straight to the back ends, to compare with
 };
 
 /// What was counted in the back ends after a run.
@@ -59,7 +69,7 @@
   std::vector<std::string> stop();
 
   /// Starts the stand-in caller in the background.
-  void startLoad(const std::string& name, double rate, int durationMs, int seed);
+  void startLoad(const std::string& name, const LoadOptions& options);
 
   /// Waits for a stand-in caller and returns its summary.
   nlohmann::json finishLoad(const std::string& name, int timeoutMs);
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -107,6 +107,71 @@
   return failed ? 1 : 0;
 }
 
+/// CPU seconds used so far by some members together.
+double cpuOf(tools::Fleet& fleet, const std::vector<tools::FleetMember>& members) {
+  double seconds = 0;
+  for (const auto& member : members) seconds += tools::usageOf(fleet.processes().pidOf(member.name)).cpuSeconds;
+  return seconds;
+}
+
+double rssOf(tools::Fleet& fleet, const std::vector<tools::FleetMember>& members) {
+  double megabytes = 0;
+  for (const auto& member : members) megabytes += tools::usageOf(fleet.processes().pidOf(member.name)).rssMb;
+  return members.empty() ? 0 : megabytes / static_cast<double>(members.size());
+}
+
+/// The same calls straight to the back ends and through the mesh, in turns, with back ends that take no time.
+int latency() {
+  constexpr int kRounds = 3;
+  const auto deployment = tools::readDeployment(FLAGS_deployment);
+  if (!deployment.ok()) apps::exitWithError(deployment.status());
+  tools::FleetOptions options;
+  options.binaries = folderOf(gflags::GetArgv0());
+  options.report = FLAGS_report;
+  options.emulateLatency = false;
+  options.backendFlags = {"--service-time-us=0", "--distribution=fixed", "--connection-cost-us=0"};
+  tools::Fleet fleet(*deployment, options);
+  if (const auto status = fleet.start(); !status.ok()) {
+    std::fprintf(stderr, "%s\n", base::errorText(status).c_str());
+    return 1;
+  }
+  std::vector<tools::FleetMember> endpointNodes;
+  for (const auto& endpoint : fleet.endpoints()) endpointNodes.push_back(endpoint.node);
+  json report = {{"deployment", deployment->name}, {"rounds", json::array()}};
+  for (int round = 0; round < kRounds; ++round) {
+    json measured;
+    for (const char* kind : {"direct", "mesh", "filings"}) {
+      tools::LoadOptions load;
+      load.rate = FLAGS_rate > 0 ? FLAGS_rate : deployment->rate;
+      load.durationMs = FLAGS_duration_ms;
+      load.seed = FLAGS_seed + round;
+      load.direct = std::string(kind) == "direct";
+      load.filingShare = std::string(kind) == "filings" ? 1 : 0;
+      const double entryCpu = cpuOf(fleet, fleet.entries());
+      const double endpointCpu = cpuOf(fleet, endpointNodes);
+      const auto name = std::string(kind) + "-" + std::to_string(round);
+      fleet.startLoad(name, load);
+      const auto result = fleet.finishLoad(name, FLAGS_duration_ms + 60'000);
+      const auto calls = result.value("ok", 0.0);
+      measured[kind] = {{"ok", calls},
+                        {"calls", result.value("calls", 0.0)},
+                        {"latency", result[load.filingShare > 0 ? "filings" : "lookups"]},
+                        {"entry_cpu_us_per_call", calls > 0 ? 1e6 * (cpuOf(fleet, fleet.entries()) - entryCpu) / calls : 0},
+                        {"endpoint_cpu_us_per_call",
+                         calls > 0 ? 1e6 * (cpuOf(fleet, endpointNodes) - endpointCpu) / calls : 0}};
+    }
+    report["rounds"].push_back(measured);
+  }
+  report["rss_mb"] = {{"entry", rssOf(fleet, fleet.entries())},
+                      {"endpoint", rssOf(fleet, endpointNodes)},
+                      {"relay", rssOf(fleet, fleet.relays())},
+                      {"controller", rssOf(fleet, fleet.controllers())}};
+  (void)fleet.stop();
+  std::ofstream(FLAGS_report + "/latency.json") << report.dump(2) << "\n";
+  std::printf("%s\n", report.dump().c_str());
+  return 0;
+}
+
 int run() {
   const auto deployment = tools::readDeployment(FLAGS_deployment);
   if (!deployment.ok()) apps::exitWithError(deployment.status());
@@ -134,7 +199,11 @@
                              fleet.sumMetric(fleet.controllers(), "control_bytes_sent_total");
   const double updatesBefore = fleet.sumMetric(fleet.relays(), "relay_update_bytes_total") +
                                fleet.sumMetric(fleet.controllers(), "controller_update_bytes_total");
-  fleet.startLoad("load", rate, FLAGS_duration_ms, FLAGS_seed);
+  tools::LoadOptions loadOptions;
+  loadOptions.rate = rate;
+  loadOptions.durationMs = FLAGS_duration_ms;
+  loadOptions.seed = FLAGS_seed;
+  fleet.startLoad("load", loadOptions);
   EditMeasurements edits;
   const base::Duration pause = base::milliseconds(FLAGS_duration_ms) / (2 * std::max(1, FLAGS_edits));
   if (scenario.steps.empty()) {
@@ -181,10 +250,12 @@
   gflags::SetArgv(argc, const_cast<const char**>(argv));
   auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
   apps::configureLogsFromSettings();
-  const bool known = arguments.size() == 1 && (arguments[0] == "run" || arguments[0] == "scale");
+  const bool known = arguments.size() == 1 &&
+                     (arguments[0] == "run" || arguments[0] == "scale" || arguments[0] == "latency");
   if (!known || FLAGS_report.empty()) {
-    std::fprintf(stderr, "bad_flag: the command is 'run' or 'scale', with --report FOLDER\n");
+    std::fprintf(stderr, "bad_flag: the command is 'run', 'scale' or 'latency', with --report FOLDER\n");
     return 2;
   }
+  if (arguments[0] == "latency") return latency();
   return arguments[0] == "run" ? run() : scale();
 }
--- a/tools/process_group.cc
+++ b/tools/process_group.cc
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <thread>
 
 extern char** environ;
@@ -98,6 +99,24 @@
   return found == processes_.end() ? 0 : found->second.pid;
 }
 
+ProcessUsage usageOf(pid_t pid) {
+  ProcessUsage usage;
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  // Fields are counted behind the name, which may contain blanks.
+  std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+  constexpr int kUserTimeField = 12;
+  constexpr int kRssField = 22;
+  std::string field;
+  double ticks = 0;
+  for (int i = 1; fields >> field; ++i) {
+    if (i == kUserTimeField || i == kUserTimeField + 1) ticks += std::stod(field);
+    if (i == kRssField) usage.rssMb = std::stod(field) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1 << 20);
+  }
+  usage.cpuSeconds = ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  return usage;
+}
+
 std::vector<int> findFreePorts(size_t count) {
   std::vector<int> sockets;
   std::vector<int> ports;
--- a/tools/process_group.h
+++ b/tools/process_group.h
@@ -54,6 +54,15 @@
   std::map<std::string, Process> processes_;
 };
 
+/// What one process has used since it started.
+struct ProcessUsage {
+  double cpuSeconds = 0;
+  double rssMb = 0;
+};
+
+/// @return what a process has used, zeros when there is none.
+ProcessUsage usageOf(pid_t pid);
+
 /// @return ports on loopback that are free now, all different.
 std::vector<int> findFreePorts(size_t count);
 
--- a/tools/scale_run.cc
+++ b/tools/scale_run.cc
@@ -1,12 +1,8 @@
 #include "scale_run.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
 #include "base/error.h"
 #include "table/row_json.h"
@@ -23,30 +19,6 @@
 constexpr int kEditLimitMs = 30'000;
 constexpr base::Duration kPoll = base::milliseconds(20);
 
-/// What one process has used since it started.
-struct ProcessUsage {
-  double cpuSeconds = 0;
-  double rssMb = 0;
-};
-
-ProcessUsage usageOf(pid_t pid) {
-  ProcessUsage usage;
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(stat)), {});
-  // Fields are counted behind the name, which may contain blanks.
-  std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
-  constexpr int kUserTimeField = 12;
-  constexpr int kRssField = 22;
-  std::string field;
-  double ticks = 0;
-  for (int i = 1; fields >> field; ++i) {
-    if (i == kUserTimeField || i == kUserTimeField + 1) ticks += std::stod(field);
-    if (i == kRssField) usage.rssMb = std::stod(field) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1 << 20);
-  }
-  usage.cpuSeconds = ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-  return usage;
-}
-
 /// Totals of a role at one moment.
 struct RoleSample {
   double cpuSeconds = 0;
