--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -213,7 +213,9 @@
 
 void Raft::compact() {
   const auto applied = static_cast<size_t>(appliedIndex_ - snapshotIndex_);
-  if (compacting_ || applied < options_.compactAfterEntries + options_.keepEntries) return;
+  const auto stateEntries = snapshot_.state.size() / options_.snapshotBytesPerEntry;
+  const auto enough = std::max(options_.compactAfterEntries, stateEntries) + options_.keepEntries;
+  if (compacting_ || applied < enough) return;
   compacting_ = true;
   wire::LogSnapshot snapshot;
   snapshot.state = listener_.takeSnapshot();
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -27,7 +27,10 @@
   base::Duration electionTimeout = base::milliseconds(300);  ///< lowest; the highest is twice that
   size_t maxBatchEntries = 256;                              ///< entries in one append
   size_t snapshotChunkBytes = 256 << 10;
-  size_t compactAfterEntries = 4096;  ///< applied entries kept before a snapshot is taken
+  size_t compactAfterEntries = 4096;  ///< applied entries kept before a snapshot is taken, at least
+  /// Bytes of the last snapshot for each of which another entry is kept, so that the cost of snapshots per entry
+  /// does not grow with the state.
+  size_t snapshotBytesPerEntry = 256;
   size_t keepEntries = 1024;          ///< entries kept behind a snapshot for slow followers
   // Switched off only in the simulator, to prove that a checker notices.
   bool checkQuorum = true;
--- a/src/ledger/ledger_state.cc
+++ b/src/ledger/ledger_state.cc
@@ -64,8 +64,8 @@
   bytes_ -= bytesOf(record);
   record.completed = true;
   record.__set_answer(command.answer);
-  if (record.answer.body.size() > kMaxAnswerBytes) record.answer.body.clear();
   bytes_ += bytesOf(record);
+  if (record.answer.body.size() > kMaxAnswerBytes) dropAnswer(&record);
   return {LedgerVerdict::COMPLETED, &record.answer};
 }
 
@@ -78,15 +78,37 @@
   return {LedgerVerdict::GRANTED, nullptr};
 }
 
+wire::LedgerRecord* LedgerState::recordAt(const Place& place) {
+  const auto found = records_.find(place.second);
+  // A key that was released and claimed again has a later place in the order.
+  const bool here = found != records_.end() && found->second.claimedAtMs == place.first;
+  return here ? &found->second : nullptr;
+}
+
+void LedgerState::dropAnswer(wire::LedgerRecord* record) {
+  bytes_ -= bytesOf(*record);
+  record->answer = wire::StoredAnswer();
+  record->answer.httpStatus = kAnswerGoneStatus;
+  bytes_ += bytesOf(*record);
+}
+
+void LedgerState::dropOldAnswers() {
+  while (answersDropped_ < order_.size() && order_[answersDropped_].first + kAnswerMs <= nowMs_) {
+    auto* record = recordAt(order_[answersDropped_]);
+    if (record != nullptr && record->completed) dropAnswer(record);
+    ++answersDropped_;
+  }
+}
+
 void LedgerState::expire() {
+  dropOldAnswers();
   while (!order_.empty() && order_.front().first + kWindowMs <= nowMs_) {
-    const auto found = records_.find(order_.front().second);
-    // A key that was released and claimed again has a later place in the order.
-    if (found != records_.end() && found->second.claimedAtMs == order_.front().first) {
-      bytes_ -= bytesOf(found->second);
-      records_.erase(found);
+    if (const auto* record = recordAt(order_.front())) {
+      bytes_ -= bytesOf(*record);
+      records_.erase(order_.front().second);
     }
     order_.pop_front();
+    if (answersDropped_ > 0) --answersDropped_;
   }
 }
 
--- a/test/ledger/ledger_state_test.cc
+++ b/test/ledger/ledger_state_test.cc
@@ -79,6 +79,18 @@
   CHECK(state.find("other") != nullptr);
 }
 
+TEST_CASE("an answer is dropped before its key, and says so") {
+  LedgerState state;
+  state.apply(command(LedgerAction::CLAIM, "k", "a", 1000));
+  state.apply(command(LedgerAction::COMPLETE, "k", "a", 1001));
+  const auto full = state.bytes();
+  const auto outcome = state.apply(command(LedgerAction::CLAIM, "k", "b", 1000 + kAnswerMs));
+  CHECK(outcome.verdict == LedgerVerdict::COMPLETED);
+  CHECK(outcome.answer->httpStatus == kAnswerGoneStatus);
+  CHECK(outcome.answer->body.empty());
+  CHECK(state.bytes() < full);
+}
+
 TEST_CASE("a full ledger refuses new keys and keeps what it has") {
   LedgerState state;
   const std::string body(kMaxAnswerBytes, 'x');
