--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -31,7 +31,7 @@
   /// Bytes of the last snapshot for each of which another entry is kept, so that the cost of snapshots per entry
   /// does not grow with the state.
   size_t snapshotBytesPerEntry = 256;
-  size_t keepEntries = 1024;          ///< entries kept behind a snapshot for slow followers
+  size_t keepEntries = 1024;  ///< entries kept behind a snapshot for slow followers
   // Switched off only in the simulator, to prove that a checker notices.
   bool checkQuorum = true;
   bool syncBeforeAcknowledge = true;
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -57,7 +57,8 @@
   size_t position = 0;
   [&]<size_t... Index>(std::index_sequence<Index...>) {
     ((std::is_same_v<std::variant_alternative_t<Index, Message>, T> ? (position = Index) : 0), ...);
-  }(std::make_index_sequence<std::variant_size_v<Message>>());
+  }
+  (std::make_index_sequence<std::variant_size_v<Message>>());
   return position;
 }
 
@@ -83,8 +84,9 @@
 Purpose purposeOf(size_t kind) {
   if (isOneOf<CallRequest, CallResponse, CallCancel>(kind)) return Purpose::kCall;
   if (isOneOf<LedgerRequest, LedgerReply>(kind)) return Purpose::kLedger;
-  const bool log = isOneOf<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck,
-                           TimeoutNow>(kind);
+  const bool log =
+      isOneOf<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck, TimeoutNow>(
+          kind);
   return log ? Purpose::kLog : Purpose::kControl;
 }
 
--- a/tools/backend_main.cc
+++ b/tools/backend_main.cc
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -27,6 +28,7 @@
 DEFINE_double(load_report_factor, 1.0, "multiplies the reported load; other than 1 it lies");
 DEFINE_int32(load_report_lag_ms, 0, "age of the reported load");
 DEFINE_bool(health_lies, false, "health answers are good even while draining");
+DEFINE_string(record_file, "", "file that keeps the record across restarts; empty for none");
 DEFINE_int32(seed, 1, "seed of service times");
 
 namespace {
@@ -49,7 +51,9 @@
         server_(
             loop, "backend", {},
             [this](ExchangeId exchange, HttpRequest request) { onRequest(exchange, std::move(request)); },
-            [this](ExchangeId exchange) { onAbort(exchange); }) {}
+            [this](ExchangeId exchange) { onAbort(exchange); }) {
+    loadRecord();
+  }
 
   void listenOrExit() {
     if (const auto status = server_.listen(FLAGS_listen_host, FLAGS_port); !status.ok()) apps::exitWithError(status);
@@ -118,9 +122,19 @@
     return base::Duration(static_cast<int64_t>(FLAGS_service_time_us * draw * factor) + cost);
   }
 
+  void loadRecord() {
+    if (FLAGS_record_file.empty()) return;
+    std::ifstream earlier(FLAGS_record_file);
+    for (std::string key; std::getline(earlier, key);) ++record_[key];
+    recordFile_.open(FLAGS_record_file, std::ios::app);
+  }
+
   void recordStart(const HttpRequest& request) {
     const auto key = std::string(request.header("idempotency-key"));
-    if (!key.empty()) ++record_[key];
+    if (key.empty()) return;
+    ++record_[key];
+    // Written before the request runs, so that the record outlives a killed process.
+    if (recordFile_.is_open()) recordFile_ << key << std::endl;
   }
 
   void finish(ExchangeId exchange) {
@@ -183,6 +197,7 @@
   std::deque<Job> waiting_;
   std::map<ExchangeId, Running> running_;
   std::map<std::string, int> record_;  // runs by idempotency key
+  std::ofstream recordFile_;           // one key a line; closed when there is none
   int load_ = 0;
   base::TimePoint loadAt_{};
   transport::HttpServer server_;
--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -33,6 +33,9 @@
   plan();
   // State of an earlier run in the same folder would form another cluster.
   for (const auto& member : controllers_) std::filesystem::remove_all(options_.report + "/data-" + member.name);
+  for (const auto& endpoint : endpoints_) {
+    std::filesystem::remove(options_.report + "/" + endpoint.backendName + ".record");
+  }
 }
 
 void Fleet::plan() {
@@ -144,6 +147,7 @@
     auto backend = program("driftlug-backend");
     backend.push_back(flag("name", endpoint.backendName));
     backend.push_back(flag("port", endpoint.backendPort));
+    backend.push_back(flag("record-file", options_.report + "/" + endpoint.backendName + ".record"));
     backend.push_back(flag("slots", service->slots));
     backend.push_back(flag("service-time-us", service->serviceTimeUs));
     backend.push_back(flag("seed", endpoint.backendPort));
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -153,12 +153,12 @@
       fleet.startLoad(name, load);
       const auto result = fleet.finishLoad(name, FLAGS_duration_ms + 60'000);
       const auto calls = result.value("ok", 0.0);
-      measured[kind] = {{"ok", calls},
-                        {"calls", result.value("calls", 0.0)},
-                        {"latency", result[load.filingShare > 0 ? "filings" : "lookups"]},
-                        {"entry_cpu_us_per_call", calls > 0 ? 1e6 * (cpuOf(fleet, fleet.entries()) - entryCpu) / calls : 0},
-                        {"endpoint_cpu_us_per_call",
-                         calls > 0 ? 1e6 * (cpuOf(fleet, endpointNodes) - endpointCpu) / calls : 0}};
+      measured[kind] = {
+          {"ok", calls},
+          {"calls", result.value("calls", 0.0)},
+          {"latency", result[load.filingShare > 0 ? "filings" : "lookups"]},
+          {"entry_cpu_us_per_call", calls > 0 ? 1e6 * (cpuOf(fleet, fleet.entries()) - entryCpu) / calls : 0},
+          {"endpoint_cpu_us_per_call", calls > 0 ? 1e6 * (cpuOf(fleet, endpointNodes) - endpointCpu) / calls : 0}};
     }
     report["rounds"].push_back(measured);
   }
@@ -250,8 +250,8 @@
   gflags::SetArgv(argc, const_cast<const char**>(argv));
   auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
   apps::configureLogsFromSettings();
-  const bool known = arguments.size() == 1 &&
-                     (arguments[0] == "run" || arguments[0] == "scale" || arguments[0] == "latency");
+  const bool known =
+      arguments.size() == 1 && (arguments[0] == "run" || arguments[0] == "scale" || arguments[0] == "latency");
   if (!known || FLAGS_report.empty()) {
     std::fprintf(stderr, "bad_flag: the command is 'run', 'scale' or 'latency', with --report FOLDER\n");
     return 2;
--- a/tools/process_group.cc
+++ b/tools/process_group.cc
@@ -53,6 +53,8 @@
 }
 
 bool ProcessGroup::startAgain(const std::string& name) {
+  // A second instance beside a running one would fight it for its ports, and could no longer be stopped.
+  if (running(name)) return true;
   const auto command = processes_[name].command;
   return start(name, command);
 }
