--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -135,7 +135,7 @@
   if (difference.size() > 1) return makeError(ErrorCode::kNotAccepted, "only one voter may change at a time");
   wire::LogEntry entry;
   entry.kind = wire::EntryKind::MEMBERS;
-  entry.__set_members(std::move(members));
+  entry.__set_members(members);
   entry.forming = forming;
   return propose(entry).status();
 }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -146,7 +146,7 @@
   }
   wire::LogEntry entry;
   entry.kind = wire::EntryKind::EDIT;
-  entry.__set_edit(std::move(edit));
+  entry.__set_edit(edit);
   const auto index = raft_->propose(entry);
   if (!index.ok()) {
     answer.code = base::errorCodeOf(index.status());
--- a/tools/hollow_main.cc
+++ b/tools/hollow_main.cc
@@ -111,7 +111,7 @@
   std::vector<base::Address> relays;
   for (const auto& text : base::splitList(FLAGS_relays)) relays.push_back(apps::parseAddressOrExit("relays", text));
   const auto shape = tools::shapeFor(FLAGS_nodes);
-  if (relays.size() != static_cast<size_t>(shape.zones * shape.relaysPerZone)) {
+  if (relays.size() != static_cast<size_t>(shape.zones) * static_cast<size_t>(shape.relaysPerZone)) {
     apps::exitWithError(base::makeError(base::ErrorCode::kBadSetting, "relays: not as many as the mesh has"));
   }
   transport::EventLoop loop;
--- a/tools/scale_run.cc
+++ b/tools/scale_run.cc
@@ -99,7 +99,7 @@
     edits.push_back(
         {{"kind", table::kindName(row.key.kind)}, {"name", row.key.name}, {"expected_revision", 0}, {"row", fields}});
     if (edits.size() < kRowsPerEdit) continue;
-    if (const auto status = flush(); !status.ok()) return status;
+    if (auto status = flush(); !status.ok()) return status;
   }
   return flush();
 }
@@ -142,8 +142,8 @@
 }
 
 absl::Status ScaleRun::start() {
-  if (const auto status = fleet_.start(); !status.ok()) return status;
-  if (const auto status = loadRows(); !status.ok()) return status;
+  if (auto status = fleet_.start(); !status.ok()) return status;
+  if (auto status = loadRows(); !status.ok()) return status;
   const auto began = fleet_.http().loop().now();
   if (!startHollow()) return base::makeError(base::ErrorCode::kConnectFailed, "hollow nodes did not start");
   for (const auto& member : hollow_) {
