Report less often when nothing changes, and show control bytes by kind

Change: relays report changes at once and otherwise every 5 s (was 1 s); nodes keep alive every 1.5 s (was 1 s; the relay drops them after 4 s).

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -89,35 +89,6 @@
   }
 }
 
-void Controller::updateLinks() {
-  std::set<base::Address> addresses;
-  for (const auto& controller : options_.controllers) {
-    if (controller.name != options_.name) addresses.insert(controller.frames);
-  }
-  for (const auto& member : raft_->members()) {
-    if (member.name != options_.name) addresses.insert({member.address, member.framePort});
-  }
-  for (const auto& [name, address] : joining_) addresses.insert(address.frames);
-  links_.setAddresses(addresses);
-}
-
-const ControllerAddress* Controller::ownAddress() const {
-  for (const auto& controller : options_.controllers) {
-    if (controller.name == options_.name) return &controller;
-  }
-  return nullptr;
-}
-
-wire::Member Controller::memberFor(const ControllerAddress& address, const wire::Hello& hello) const {
-  wire::Member member;
-  member.id = hello.id;
-  member.name = address.name;
-  member.address = address.frames.host;
-  member.framePort = address.frames.port;
-  member.httpPort = address.httpPort;
-  return member;
-}
-
 std::string Controller::leaderName() const {
   if (!raft_) return "";
   for (const auto& member : raft_->members()) {
@@ -339,41 +310,6 @@
   relays_.heartbeat(state_.table().revision(), raft_->freshness());
 }
 
-void Controller::onMembers(const wire::LogEntry& entry) {
-  updateLinks();
-  for (const auto& member : entry.members) {
-    log_.debug("{} counts {} as a {} since index {}", identity_, member.id, member.voting ? "voter" : "learner",
-               entry.index);
-  }
-}
-
-void Controller::useRegisteredRelays() {
-  std::set<std::string> relayIds;
-  for (const auto& [id, record] : state_.relays()) relayIds.insert(id);
-  convergence_.setRegistered(relayIds);
-}
-
-void Controller::registerRelay(const wire::Hello& hello) {
-  if (state_.relays().count(hello.id) > 0) return;
-  wire::LogEntry entry;
-  entry.kind = wire::EntryKind::RELAY;
-  entry.__isset.relay = true;
-  entry.relay.id = hello.id;
-  entry.relay.zone = hello.zone;
-  (void)raft_->propose(entry);
-}
-
-void Controller::removeSilentRelays() {
-  for (const auto& relayId : convergence_.silentRelays(options_.relayRegistration)) {
-    wire::LogEntry entry;
-    entry.kind = wire::EntryKind::RELAY;
-    entry.__isset.relay = true;
-    entry.relay.id = relayId;
-    entry.relay.removed = true;
-    (void)raft_->propose(entry);
-  }
-}
-
 void Controller::onHousekeeping() {
   housekeeping_.start(kHousekeepingInterval);
   updateLinks();
@@ -389,98 +325,6 @@
   }
 }
 
-void Controller::formCluster() {
-  const auto* own = ownAddress();
-  if (own == nullptr || options_.controllers.front().name != options_.name) return;
-  // Only when every initial member is there and none has ever been part of a cluster; otherwise this data folder
-  // was lost, and the controller waits to be added under its new identity.
-  for (const auto& controller : options_.controllers) {
-    if (controller.name == options_.name) continue;
-    const auto* hello = links_.helloOf(controller.frames);
-    if (hello == nullptr || !hello->blank) return;
-  }
-  wire::Hello self;
-  self.id = identity_;
-  auto member = memberFor(*own, self);
-  member.voting = true;
-  log_.info("{} forms a new cluster", identity_);
-  raft_->bootstrap(member);
-  announce();
-}
-
-void Controller::completeFormation() {
-  auto members = raft_->members();
-  for (const auto& controller : options_.controllers) {
-    const bool known =
-        std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.name == controller.name; });
-    if (known) continue;
-    const auto* hello = links_.helloOf(controller.frames);
-    if (hello == nullptr) return;
-    members.push_back(memberFor(controller, *hello));
-    (void)raft_->proposeMembers(members, true);
-    return;
-  }
-  const bool allVote = std::all_of(members.begin(), members.end(), [](const auto& member) { return member.voting; });
-  if (allVote) (void)raft_->proposeMembers(members, false);
-}
-
-void Controller::promoteLearners() {
-  if (raft_->membershipChangePending()) return;
-  auto members = raft_->members();
-  for (const auto& [name, address] : joining_) {
-    const auto* hello = links_.helloOf(address.frames);
-    if (hello == nullptr || !hello->blank) continue;
-    members.push_back(memberFor(address, *hello));
-    if (raft_->proposeMembers(members, raft_->forming()).ok()) joining_.erase(name);
-    return;
-  }
-  for (auto& member : members) {
-    if (member.voting || !raft_->recentlyActive(member.id) || !raft_->caughtUp(member.id)) continue;
-    member.voting = true;
-    (void)raft_->proposeMembers(members, raft_->forming());
-    return;
-  }
-}
-
-absl::Status Controller::addController(const ControllerAddress& address) {
-  if (!raft_ || raft_->role() != RaftRole::kLeader)
-    return makeError(ErrorCode::kNotLeader, "this controller does not lead");
-  for (const auto& member : raft_->members()) {
-    if (member.name == address.name) return makeError(ErrorCode::kNotAccepted, "a controller of that name is a member");
-  }
-  joining_[address.name] = address;
-  updateLinks();
-  return absl::OkStatus();
-}
-
-absl::Status Controller::removeController(const std::string& name) {
-  if (!raft_ || raft_->role() != RaftRole::kLeader)
-    return makeError(ErrorCode::kNotLeader, "this controller does not lead");
-  auto members = raft_->members();
-  const auto leaving =
-      std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.name == name; });
-  if (leaving == members.end()) return makeError(ErrorCode::kRowNotFound, "no controller of that name");
-  if (leaving->voting) {
-    // All that remain must be there and caught up, unless the one that leaves is already lost.
-    size_t remaining = 0;
-    size_t good = 0;
-    for (const auto& member : members) {
-      if (!member.voting || member.id == leaving->id) continue;
-      ++remaining;
-      const bool current = member.id == raft_->id() || raft_->caughtUp(member.id);
-      if (raft_->recentlyActive(member.id) && current) ++good;
-    }
-    if (remaining == 0) return makeError(ErrorCode::kNotAccepted, "the last voter can't be removed");
-    const bool leavingActive = raft_->recentlyActive(leaving->id);
-    if (good * 2 <= remaining || (leavingActive && good < remaining)) {
-      return makeError(ErrorCode::kNotAccepted, "the remaining voters are not all there and caught up");
-    }
-  }
-  joining_.erase(name);
-  members.erase(leaving);
-  return raft_->proposeMembers(members, false);
-}
-
 void Controller::prepareStop() {
   if (raft_) raft_->transferLeadership();
 }
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -27,9 +27,9 @@
   base::Duration firstSliceTimeout = base::milliseconds(2000);
   base::Duration staleAfter = base::seconds(4);             ///< without an advance of freshness
   base::Duration reconnectDelay = base::milliseconds(200);  ///< highest first delay; it doubles up to a limit
-  base::Duration keepAlive = base::seconds(1);
-  size_t nearRelays = 2;                           ///< of `relays`: those of the own zone
-  base::Duration returnAfter = base::seconds(20);  ///< least time at a relay of another zone before going home
+  base::Duration keepAlive = base::milliseconds(1500);      ///< the relay drops a node that is silent for 4 s
+  size_t nearRelays = 2;                                    ///< of `relays`: those of the own zone
+  base::Duration returnAfter = base::seconds(20);           ///< least time at a relay of another zone before going home
   SliceStore::Checks checks;
 };
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -29,8 +29,8 @@
   std::vector<base::Address> peers;         ///< all other relays
   std::vector<ReleaseGroup> releaseGroups;  ///< groups that this relay is a member of
   base::Duration nodeHeartbeat = base::milliseconds(600);
-  base::Duration nodeTimeout = base::seconds(4);  ///< a node that is silent for longer is dropped
-  base::Duration reportInterval = base::seconds(1);
+  base::Duration nodeTimeout = base::seconds(4);          ///< a node that is silent for longer is dropped
+  base::Duration reportInterval = base::seconds(5);       ///< changes are reported at once besides
   base::Duration nodeLease = base::seconds(8);            ///< a full report lists nodes lost within this time
   base::Duration endpointLease = base::seconds(2);        ///< after a node's connection was lost
   base::Duration peerLease = base::seconds(5);            ///< after a relay's connection was lost
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -14,6 +14,7 @@
 
 DEFINE_string(deployment, "examples/crash-report", "folder of the deployment");
 DEFINE_string(scenario, "", "TOML file with steps; empty for edits alone");
+DEFINE_int32(rounds, 0, "how often the scenario runs; 0 for as often as its file says");
 DEFINE_string(report, "", "folder for logs and report.json");
 DEFINE_int32(duration_ms, 6000, "time in which calls begin");
 DEFINE_int32(edits, 20, "edits made while calls run");
@@ -209,7 +210,7 @@
   if (scenario.steps.empty()) {
     makeEdits(fleet, FLAGS_edits, pause, &edits);
   } else {
-    tools::runScenario(scenario, fleet, [&] { makeEdits(fleet, 1, base::Duration(0), &edits); });
+    tools::runScenario(scenario, FLAGS_rounds, fleet, [&] { makeEdits(fleet, 1, base::Duration(0), &edits); });
   }
   const auto load = fleet.finishLoad("load", FLAGS_duration_ms + 60'000);
   const double controlBytes = fleet.sumMetric(fleet.relays(), "control_bytes_sent_total") +
--- a/tools/scenario.cc
+++ b/tools/scenario.cc
@@ -87,6 +87,8 @@
   Scenario scenario;
   scenario.name = document["name"].value_or(std::string());
   scenario.callsMayFail = document["calls_may_fail"].value_or(false);
+  scenario.rounds = document["rounds"].value_or(scenario.rounds);
+  scenario.roundMs = document["round_ms"].value_or(scenario.roundMs);
   const auto* steps = document["steps"].as_array();
   if (steps == nullptr) return base::makeError(base::ErrorCode::kBadSetting, path + ": steps are needed");
   for (const auto& item : *steps) {
@@ -102,13 +104,16 @@
   return scenario;
 }
 
-void runScenario(const Scenario& scenario, Fleet& fleet, const std::function<void()>& edit) {
+void runScenario(const Scenario& scenario, int rounds, Fleet& fleet, const std::function<void()>& edit) {
   const auto begun = fleet.http().loop().now();
-  for (const auto& step : scenario.steps) {
-    const auto at = begun + base::milliseconds(step.atMs);
-    const auto now = fleet.http().loop().now();
-    if (at > now) fleet.http().wait(std::chrono::duration_cast<base::Duration>(at - now));
-    runStep(step, fleet, edit);
+  const int times = rounds > 0 ? rounds : scenario.rounds;
+  for (int round = 0; round < times; ++round) {
+    for (const auto& step : scenario.steps) {
+      const auto at = begun + base::milliseconds(round * scenario.roundMs + step.atMs);
+      const auto now = fleet.http().loop().now();
+      if (at > now) fleet.http().wait(std::chrono::duration_cast<base::Duration>(at - now));
+      runStep(step, fleet, edit);
+    }
   }
 }
 
--- a/tools/scenario.h
+++ b/tools/scenario.h
@@ -32,6 +32,8 @@
   std::string name;
   bool callsMayFail = false;  ///< whether typed failures are expected
   std::vector<ScenarioStep> steps;
+  int rounds = 1;   ///< how often the steps run
+  int roundMs = 0;  ///< time from the begin of a round to that of the next
 };
 
 /// Reads a scenario file.
@@ -39,6 +41,7 @@
 absl::StatusOr<Scenario> readScenario(const std::string& path);
 
 /// Runs all steps; `edit` makes one measured edit.
-void runScenario(const Scenario& scenario, Fleet& fleet, const std::function<void()>& edit);
+/// @param rounds how often the steps run; 0 for as often as the file says
+void runScenario(const Scenario& scenario, int rounds, Fleet& fleet, const std::function<void()>& edit);
 
 }  // namespace driftlug::tools
--- a/tools/sim_run.cc
+++ b/tools/sim_run.cc
@@ -39,6 +39,10 @@
   }
   summary->convergenceMs.insert(summary->convergenceMs.end(), result.convergenceMs.begin(), result.convergenceMs.end());
   summary->controlBytes += result.controlBytes;
+  for (size_t kind = 0; kind < simulation::kMessageKinds; ++kind) {
+    summary->traffic.bytes[kind] += result.traffic.bytes[kind];
+    summary->traffic.frames[kind] += result.traffic.frames[kind];
+  }
   summary->operators.edits += result.operators.edits;
   summary->operators.accepted += result.operators.accepted;
   summary->operators.conflicts += result.operators.conflicts;
@@ -92,6 +96,11 @@
 std::string summaryLine(const std::string& deployment, RunSummary summary) {
   std::sort(summary.convergenceMs.begin(), summary.convergenceMs.end());
   const auto& sorted = summary.convergenceMs;
+  nlohmann::json byKind = nlohmann::json::object();
+  for (size_t kind = 0; kind < simulation::kMessageKinds; ++kind) {
+    if (summary.traffic.bytes[kind] == 0 || wire::purposeOf(kind) != wire::Purpose::kControl) continue;
+    byKind[std::string(simulation::messageKindName(kind))] = summary.traffic.bytes[kind];
+  }
   const nlohmann::json line = {{"deployment", deployment},
                                {"seeds", summary.seeds},
                                {"failed_seeds", summary.failedSeeds},
@@ -102,6 +111,7 @@
                                  {"max", sorted.empty() ? 0 : sorted.back()},
                                  {"count", sorted.size()}}},
                                {"control_bytes", summary.controlBytes},
+      {"control_bytes_by_kind", byKind},
                                {"edits", summary.operators.edits},
                                {"accepted", summary.operators.accepted},
                                {"conflicts", summary.operators.conflicts},
--- a/tools/sim_run.h
+++ b/tools/sim_run.h
@@ -25,6 +25,7 @@
   uint64_t firstFailed = 0;
   std::vector<double> convergenceMs;
   int64_t controlBytes = 0;
+  simulation::Traffic traffic;
   simulation::OperatorCounters operators;
 };
 
