--- a/src/simulation/cluster.cc
+++ b/src/simulation/cluster.cc
@@ -28,7 +28,7 @@
 
 ControllerMachine::ControllerMachine(Cluster& cluster, size_t position)
     : Machine(cluster.queue(), cluster.network(), cluster.plan().controllers[position],
-              cluster.controllerAddress(position), cluster.fork(), cluster.plan().disk),
+              cluster.controllerAddress(position), cluster.newRandom(), cluster.plan().disk),
       cluster_(cluster) {}
 
 void ControllerMachine::begin() {
@@ -78,7 +78,7 @@
 
 RelayMachine::RelayMachine(Cluster& cluster, size_t position)
     : Machine(cluster.queue(), cluster.network(), cluster.plan().relays[position], cluster.relayAddress(position),
-              cluster.fork(), cluster.plan().disk),
+              cluster.newRandom(), cluster.plan().disk),
       cluster_(cluster) {}
 
 void RelayMachine::begin() {
@@ -111,7 +111,7 @@
 NodeMachine::NodeMachine(Cluster& cluster, size_t position)
     : Machine(cluster.queue(), cluster.network(),
               {cluster.plan().nodes[position].name, cluster.plan().nodes[position].placement},
-              cluster.nodeAddress(position), cluster.fork(), cluster.plan().disk),
+              cluster.nodeAddress(position), cluster.newRandom(), cluster.plan().disk),
       cluster_(cluster),
       plan_(cluster.plan().nodes[position]),
       interest_{plan_.hosts, plan_.services} {}
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -152,7 +152,7 @@
   InvariantChecker& checker() { return checker_; }
   const ClusterPlan& plan() const { return plan_; }
   bool disabled(Mechanism mechanism) const { return plan_.disabled.count(mechanism) > 0; }
-  base::RandomSource fork() { return base::RandomSource(random_.bits()); }
+  base::RandomSource newRandom() { return base::RandomSource(random_.bits()); }
 
   std::vector<std::unique_ptr<ControllerMachine>>& controllers() { return controllers_; }
   std::vector<std::unique_ptr<RelayMachine>>& relays() { return relays_; }
--- a/src/simulation/operators.cc
+++ b/src/simulation/operators.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 Operators::Operators(Cluster& cluster, OperatorOptions options)
-    : cluster_(cluster), options_(options), random_(cluster.fork()) {}
+    : cluster_(cluster), options_(options), random_(cluster.newRandom()) {}
 
 std::string Operators::nextRequestId() { return absl::StrFormat("edit-%d", ++sequence_); }
 
--- a/src/simulation/run.cc
+++ b/src/simulation/run.cc
@@ -95,7 +95,7 @@
   faultOptions.from = begin + kFormation;
   faultOptions.until = calm;
   faultOptions.meanGap = options.meanFaultGap;
-  const auto drawn = drawFaults(faultOptions, cluster.fork(), cluster.plan());
+  const auto drawn = drawFaults(faultOptions, cluster.newRandom(), cluster.plan());
   FaultInjector faults(cluster, selectFaults(options, drawn));
   OperatorOptions operatorOptions;
   operatorOptions.from = begin + kFormation;
--- a/tools/sim_run.cc
+++ b/tools/sim_run.cc
@@ -111,7 +111,7 @@
                                  {"max", sorted.empty() ? 0 : sorted.back()},
                                  {"count", sorted.size()}}},
                                {"control_bytes", summary.controlBytes},
-      {"control_bytes_by_kind", byKind},
+                               {"control_bytes_by_kind", byKind},
                                {"edits", summary.operators.edits},
                                {"accepted", summary.operators.accepted},
                                {"conflicts", summary.operators.conflicts},
--- a/tools/sim_scale.cc
+++ b/tools/sim_scale.cc
@@ -110,7 +110,7 @@
 
 void SimScale::scheduleRestarts(base::TimePoint from, base::Duration lasts) {
   if (options_.restartsPerSecond <= 0) return;
-  auto random = cluster_.fork();
+  auto random = cluster_.newRandom();
   const auto gap = base::Duration(static_cast<int64_t>(1e6 / options_.restartsPerSecond));
   for (auto at = from; at < from + lasts; at += gap) {
     auto* machine = cluster_.nodes()[random.below(cluster_.nodes().size())].get();
