--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using base::ErrorCode;
-using base::makeError;
 using consensus::RaftRole;
 
 constexpr base::Duration kHousekeepingInterval = base::milliseconds(50);
