Say once what stood twice, and drop what nobody reads

Cause: a last read of the whole change. Percentiles stood four times in the tools, newer-than of a freshness twice, a completed answer was built in two places, the simulator began and ended each standing fault in two switches that had to agree, and the release tracker kept two facts of its peers that nothing used. healAll, refreshAll, and three accessors had no caller. Change: tools/percentiles.h, membership/freshness.h, answerCompleted(), FaultInjector::setStanding(); the unused pieces go, and setOwn, onHeld and onConnection (now onLost) lose the arguments that were ignored; their tests keep every assertion.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -1,9 +1,9 @@
 #include "node/control_client.h"
 
 #include <algorithm>
-#include <tuple>
 
 #include "base/error.h"
+#include "membership/freshness.h"
 #include "storage/record_file.h"
 
 namespace driftlug::node {
@@ -191,7 +191,7 @@
 }
 
 void ControlClient::onHeartbeat(const wire::Freshness& freshness) {
-  if (std::tie(freshness.term, freshness.round) <= std::tie(freshness_.term, freshness_.round)) return;
+  if (!membership::isNewer(freshness, freshness_)) return;
   freshness_ = freshness;
   freshSince_ = scheduler_.now();
 }
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -100,7 +100,8 @@
     case wire::LedgerVerdict::GRANTED:
       return sendToBackend(key);
     case wire::LedgerVerdict::COMPLETED:
-      return answerStored(key, *answer.stored);
+      ++counters_.replayed;
+      return answerCompleted(key, *answer.stored);
     case wire::LedgerVerdict::MISMATCH:
       return refuse(key, ErrorCode::kKeyReused, base::Duration(0));
     case wire::LedgerVerdict::CLAIMED:
@@ -135,31 +136,22 @@
   if (!completed) {
     return answerUnknown(key, answer.timedOut ? ErrorCode::kDeadlineExceeded : ErrorCode::kBackendFailed);
   }
+  wire::StoredAnswer stored;
+  stored.httpStatus = answer.httpStatus;
+  stored.headers = std::move(answer.headers);
+  stored.body = std::move(answer.body);
   const auto& call = found->second;
-  if (!call.owner.empty()) {
-    wire::StoredAnswer stored;
-    stored.httpStatus = answer.httpStatus;
-    stored.headers = answer.headers;
-    stored.body = answer.body;
-    ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerPatience);
-  }
-  wire::CallResponse response;
-  response.outcome = wire::CallOutcome::COMPLETED;
-  response.httpStatus = answer.httpStatus;
-  response.headers = std::move(answer.headers);
-  response.body = std::move(answer.body);
+  if (!call.owner.empty()) ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerPatience);
   ++counters_.completed;
-  releaseSlot(call);
-  this->answer(key, std::move(response));
+  answerCompleted(key, std::move(stored));
 }
 
-void EndpointCalls::answerStored(const CallKey& key, const wire::StoredAnswer& stored) {
-  ++counters_.replayed;
+void EndpointCalls::answerCompleted(const CallKey& key, wire::StoredAnswer stored) {
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::COMPLETED;
   response.httpStatus = stored.httpStatus;
-  response.headers = stored.headers;
-  response.body = stored.body;
+  response.headers = std::move(stored.headers);
+  response.body = std::move(stored.body);
   releaseSlot(calls_[key]);
   answer(key, std::move(response));
 }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -80,7 +80,7 @@
   void sendToBackend(const CallKey& key);
   void claim(const CallKey& key);
   void onClaim(const CallKey& key, const ledger::LedgerAnswer& answer);
-  void answerStored(const CallKey& key, const wire::StoredAnswer& stored);
+  void answerCompleted(const CallKey& key, wire::StoredAnswer stored);
   void releaseThenRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
   void releaseSlot(const Call& call);
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -91,7 +91,7 @@
   hellos_.erase(found);
   if (--connectionsOf_[peer.id] == 0) connectionsOf_.erase(peer.id);
   if (peer.role == wire::Role::RELAY) {
-    if (!outgoing) releases_.onConnection(peer.id, false);
+    if (!outgoing) releases_.onLost(peer.id);
     expireLater(peer.id, options_.peerLease);
   } else if (nodes_.find(connection) != nullptr) {
     dropNode(connection);
@@ -144,7 +144,7 @@
 }
 
 void Relay::onTableAdvanced() {
-  releases_.setOwn(replica_.revision(), recovered_);
+  releases_.setOwn(replica_.revision());
   announceHeld();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->onOwn(replica_.revision(), recovered_);
   nodes_.deliverAll();
@@ -177,7 +177,7 @@
 
 void Relay::onRelayMessage(const std::string& relayId, const wire::Message& message) {
   if (const auto* held = std::get_if<wire::RelayHeld>(&message)) {
-    releases_.onHeld(relayId, held->revision, held->recovered);
+    releases_.onHeld(relayId, held->revision);
     if (held->wantsReply) sendHeld(relayId, held->probe, false);
     if (!held->wantsReply && held->probe != 0) {
       for (const auto& [zone, confirmer] : confirmers_) {
--- a/src/relay/release_group.cc
+++ b/src/relay/release_group.cc
@@ -16,25 +16,16 @@
   }
 }
 
-void ReleaseTracker::setOwn(int64_t revision, bool /*recovered*/) {
+void ReleaseTracker::setOwn(int64_t revision) {
   ownRevision_ = std::max(ownRevision_, revision);
   recompute();
 }
 
-void ReleaseTracker::onHeld(const std::string& relayId, int64_t revision, bool recovered) {
-  auto& holding = holdings_[relayId];
-  holding.revision = revision;
-  holding.recovered = recovered;
+void ReleaseTracker::onHeld(const std::string& relayId, int64_t revision) {
+  holdings_[relayId] = revision;
   recompute();
 }
 
-void ReleaseTracker::onConnection(const std::string& relayId, bool connected) {
-  auto& holding = holdings_[relayId];
-  holding.connected = connected;
-  // A peer that was lost may have restarted without its table.
-  if (!connected) holding = PeerHolding{};
-}
-
 void ReleaseTracker::recompute() {
   for (const auto& [zone, group] : groups_) {
     std::vector<int64_t> revisions;
@@ -44,7 +35,7 @@
         continue;
       }
       const auto found = holdings_.find(relayId);
-      revisions.push_back(found == holdings_.end() ? 0 : found->second.revision);
+      revisions.push_back(found == holdings_.end() ? 0 : found->second);
     }
     std::sort(revisions.begin(), revisions.end(), std::greater<>());
     const int64_t quorum = disabled_ ? ownRevision_ : revisions[group.writeQuorum() - 1];
--- a/src/relay/release_group.h
+++ b/src/relay/release_group.h
@@ -14,13 +14,6 @@
 
 namespace driftlug::relay {
 
-/// What a relay knows of one other relay.
-struct PeerHolding {
-  int64_t revision = 0;
-  bool recovered = false;
-  bool connected = false;
-};
-
 /// Members of one zone's release group, by relay id.
 struct ReleaseGroup {
   std::string zone;
@@ -41,13 +34,13 @@
   ReleaseTracker(std::string ownId, std::vector<ReleaseGroup> groups);
 
   /// The own table moved forward.
-  void setOwn(int64_t revision, bool recovered);
+  void setOwn(int64_t revision);
 
   /// Another relay said what it holds.
-  void onHeld(const std::string& relayId, int64_t revision, bool recovered);
+  void onHeld(const std::string& relayId, int64_t revision);
 
-  /// A peer's connection opened or closed; what it said before it closed no longer counts for reads.
-  void onConnection(const std::string& relayId, bool connected);
+  /// A peer's connection closed; it may have restarted without its table.
+  void onLost(const std::string& relayId) { holdings_.erase(relayId); }
 
   /// @return the newest revision that may be handed to nodes of a zone; 0 for zones this relay does not serve.
   int64_t released(const std::string& zone) const;
@@ -70,8 +63,8 @@
   std::string ownId_;
   std::map<std::string, ReleaseGroup> groups_;  // by zone
   std::set<std::string> peers_;
-  std::map<std::string, PeerHolding> holdings_;  // by relay id, without this one
-  std::map<std::string, int64_t> released_;      // by zone
+  std::map<std::string, int64_t> holdings_;  // revisions held by other relays, by relay id
+  std::map<std::string, int64_t> released_;  // by zone
   int64_t ownRevision_ = 0;
   bool disabled_ = false;
 };
--- a/src/relay/slice_cache.cc
+++ b/src/relay/slice_cache.cc
@@ -68,13 +68,4 @@
   return refreshed;
 }
 
-std::vector<std::shared_ptr<CachedSlice>> SliceCache::refreshAll(const table::Table& table) {
-  std::vector<std::shared_ptr<CachedSlice>> refreshed;
-  for (const auto& [interest, entry] : slices_) {
-    const auto slice = entry.lock();
-    if (slice && slice->refresh(table)) refreshed.push_back(slice);
-  }
-  return refreshed;
-}
-
 }  // namespace driftlug::relay
--- a/src/relay/slice_cache.h
+++ b/src/relay/slice_cache.h
@@ -49,10 +49,6 @@
                                                           const std::vector<table::RowPtr>& changed,
                                                           const std::vector<table::RowPtr>& previous);
 
-  /// Computes every slice anew.
-  /// @return slices that changed
-  std::vector<std::shared_ptr<CachedSlice>> refreshAll(const table::Table& table);
-
   size_t size() const { return slices_.size(); }
 
  private:
--- a/src/relay/source.cc
+++ b/src/relay/source.cc
@@ -1,18 +1,17 @@
 #include "relay/source.h"
 
-#include <tuple>
+#include "membership/freshness.h"
 
 namespace driftlug::relay {
+
+using membership::isNewer;
+
 namespace {
 
 constexpr base::Duration kReconnectDelay = base::milliseconds(200);
 
 }  // namespace
 
-bool isNewer(const wire::Freshness& left, const wire::Freshness& right) {
-  return std::tie(left.term, left.round) > std::tie(right.term, right.round);
-}
-
 ControllerLinks::ControllerLinks(base::Network& network, base::Scheduler& scheduler, base::RandomSource random,
                                  std::vector<base::Address> controllers)
     : network_(network),
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -70,7 +70,4 @@
   base::Timer keepAliveTimer_;
 };
 
-/// @return whether `left` is newer than `right`.
-bool isNewer(const wire::Freshness& left, const wire::Freshness& right);
-
 }  // namespace driftlug::relay
--- a/src/simulation/fault_plan.cc
+++ b/src/simulation/fault_plan.cc
@@ -186,6 +186,46 @@
   }
 }
 
+void FaultInjector::breakAllConnections() {
+  for (auto& machine : cluster_.relays()) {
+    if (machine->sockets() != nullptr) machine->sockets()->resetAll();
+  }
+  disturbAll();
+}
+
+void FaultInjector::setStanding(const Fault& fault, bool stands) {
+  auto& network = cluster_.network();
+  const auto& controllers = cluster_.controllers();
+  switch (fault.kind) {
+    case FaultClass::kIsolateController:
+      isolate(*controllers[fault.target], stands, fault.detail);
+      return;
+    case FaultClass::kOneWayController:
+      network.setCut(controllers[fault.target]->name(), controllers[(fault.target + 1) % controllers.size()]->name(),
+                     stands);
+      return;
+    case FaultClass::kIsolateRelay:
+      isolate(*cluster_.relays()[fault.target], stands, 0);
+      break;
+    case FaultClass::kCutZone:
+      cutZone(cluster_.plan().groups[fault.target].zone, stands);
+      break;
+    case FaultClass::kSlowNetwork:
+      network.setSlowness(stands ? kSlowFactor : 1);
+      break;
+    case FaultClass::kLossyNetwork:
+      network.setLoss(stands ? kLossShare : 0);
+      break;
+    case FaultClass::kCrashRelay:
+    case FaultClass::kHerdRelays:
+      break;
+    default:
+      return;
+  }
+  // Nodes that depend on what was hit may lag for a while, at its begin and at its end.
+  disturbAll();
+}
+
 void FaultInjector::apply(const Fault& fault) {
   constexpr uint64_t kPowerLossOdds = 2;
   const bool drawnPowerLoss = fault.detail % kPowerLossOdds == 0;
@@ -206,48 +246,9 @@
     }
     disturb(machine->name());
   }
-  switch (fault.kind) {
-    case FaultClass::kIsolateController:
-      isolate(*cluster_.controllers()[fault.target], true, fault.detail);
-      break;
-    case FaultClass::kIsolateRelay:
-      isolate(*cluster_.relays()[fault.target], true, 0);
-      disturbAll();
-      break;
-    case FaultClass::kOneWayController: {
-      const auto& from = cluster_.controllers()[fault.target]->name();
-      const auto& to = cluster_.controllers()[(fault.target + 1) % cluster_.controllers().size()]->name();
-      cluster_.network().setCut(from, to, true);
-      break;
-    }
-    case FaultClass::kCutZone:
-      cutZone(cluster_.plan().groups[fault.target].zone, true);
-      disturbAll();
-      break;
-    case FaultClass::kReconnectStorm:
-      for (auto& machine : cluster_.relays()) {
-        if (machine->sockets() != nullptr) machine->sockets()->resetAll();
-      }
-      disturbAll();
-      break;
-    case FaultClass::kSlowNetwork:
-      cluster_.network().setSlowness(kSlowFactor);
-      disturbAll();
-      break;
-    case FaultClass::kLossyNetwork:
-      cluster_.network().setLoss(kLossShare);
-      disturbAll();
-      break;
-    case FaultClass::kWipeController:
-      wipe(fault);
-      break;
-    case FaultClass::kCrashRelay:
-    case FaultClass::kHerdRelays:
-      disturbAll();
-      break;
-    default:
-      break;
-  }
+  setStanding(fault, true);
+  if (fault.kind == FaultClass::kWipeController) wipe(fault);
+  if (fault.kind == FaultClass::kReconnectStorm) breakAllConnections();
 }
 
 void FaultInjector::waitForCommit(const Fault& fault, base::Duration delay, std::function<void()> strike) {
@@ -340,37 +341,7 @@
     restartLater(machine, base::Duration(static_cast<int64_t>((fault.detail >> (position++ % 8)) %
                                                               static_cast<uint64_t>(kHerdSpread.count()))));
   }
-  switch (fault.kind) {
-    case FaultClass::kIsolateController:
-      isolate(*cluster_.controllers()[fault.target], false, fault.detail);
-      break;
-    case FaultClass::kIsolateRelay:
-      isolate(*cluster_.relays()[fault.target], false, 0);
-      disturbAll();
-      break;
-    case FaultClass::kOneWayController: {
-      const auto& from = cluster_.controllers()[fault.target]->name();
-      const auto& to = cluster_.controllers()[(fault.target + 1) % cluster_.controllers().size()]->name();
-      cluster_.network().setCut(from, to, false);
-      break;
-    }
-    case FaultClass::kCutZone:
-      cutZone(cluster_.plan().groups[fault.target].zone, false);
-      disturbAll();
-      break;
-    case FaultClass::kSlowNetwork:
-      cluster_.network().setSlowness(1);
-      break;
-    case FaultClass::kLossyNetwork:
-      cluster_.network().setLoss(0);
-      break;
-    case FaultClass::kHerdRelays:
-    case FaultClass::kCrashRelay:
-      disturbAll();
-      break;
-    default:
-      break;
-  }
+  setStanding(fault, false);
 }
 
 void FaultInjector::restartLater(Machine* machine, base::Duration delay) {
--- a/src/simulation/fault_plan.h
+++ b/src/simulation/fault_plan.h
@@ -89,12 +89,11 @@
   /// @return nodes that a fault hit, or that restarted, within the time before now.
   std::set<std::string> disturbedNodes(base::Duration within) const;
 
-  /// @return whether a replacement of a controller is still in progress.
-  bool replacing() const { return !replacing_.empty(); }
-
  private:
   void apply(const Fault& fault);
   void heal(const Fault& fault);
+  void setStanding(const Fault& fault, bool stands);
+  void breakAllConnections();
   void restartLater(Machine* machine, base::Duration delay);
   void isolate(const Machine& machine, bool cut, uint64_t detail);
   void cutZone(const std::string& zone, bool cut);
--- a/src/simulation/invariants.h
+++ b/src/simulation/invariants.h
@@ -85,7 +85,6 @@
   const std::vector<Violation>& violations() const { return violations_; }
   const std::map<std::string, CommittedEdit>& committed() const { return committed_; }
   const table::Table& table() const { return truth_; }
-  int64_t appliedIndex() const { return appliedIndex_; }
 
  private:
   struct SliceHistory {
--- a/src/simulation/simulated_network.cc
+++ b/src/simulation/simulated_network.cc
@@ -51,12 +51,6 @@
   }
 }
 
-void SimulatedNetwork::healAll() {
-  cuts_.clear();
-  cutRegions_.clear();
-  releaseHealed();
-}
-
 bool SimulatedNetwork::isCut(const Process& from, const Process& to) const {
   if (!cuts_.empty() && cuts_.count({from.name(), to.name()}) > 0) return true;
   if (cutRegions_.empty() || from.placement().region == to.placement().region) return false;
--- a/src/simulation/simulated_network.h
+++ b/src/simulation/simulated_network.h
@@ -52,9 +52,6 @@
   /// Cuts a whole region off from all others, or heals that.
   void setRegionCut(const std::string& region, bool cut);
 
-  /// Heals all cuts.
-  void healAll();
-
   /// @return whether frames from one process can't reach another.
   bool isCut(const Process& from, const Process& to) const;
 
--- a/src/simulation/traffic.h
+++ b/src/simulation/traffic.h
@@ -31,12 +31,6 @@
     for (const auto count : bytes) sum += count;
     return sum;
   }
-
-  int64_t totalFrames() const {
-    int64_t sum = 0;
-    for (const auto count : frames) sum += count;
-    return sum;
-  }
 };
 
 }  // namespace driftlug::simulation
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -9,6 +9,7 @@
 #include "base/settings.h"
 #include "daemon.h"
 #include "fleet.h"
+#include "percentiles.h"
 #include "scale_run.h"
 #include "scenario.h"
 
@@ -37,12 +38,6 @@
   return slash == std::string::npos ? "." : program.substr(0, slash);
 }
 
-double percentile(std::vector<double> values, double share) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[std::min(values.size() - 1, static_cast<size_t>(share * static_cast<double>(values.size())))];
-}
-
 /// Measurements of the edits of one run.
 struct EditMeasurements {
   std::vector<double> convergenceMs;
@@ -78,10 +73,6 @@
   }
 }
 
-json convergenceSummary(const std::vector<double>& values) {
-  return {{"p50", percentile(values, 0.5)}, {"p99", percentile(values, 0.99)}, {"max", percentile(values, 1)}};
-}
-
 int scale() {
   json report = json::array();
   bool failed = false;
@@ -230,7 +221,7 @@
   report["truncated"] = load.value("truncated", int64_t{0});
   report["edits_accepted"] = edits.accepted;
   report["edits_failed"] = edits.failed;
-  report["convergence_ms"] = convergenceSummary(edits.convergenceMs);
+  report["convergence_ms"] = tools::percentiles(edits.convergenceMs);
   report["control_bytes"] = static_cast<int64_t>(controlBytes);
   report["update_bytes"] = static_cast<int64_t>(updateBytes);
   report["not_stopped"] = stuck;
--- a/tools/scale_run.cc
+++ b/tools/scale_run.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 
 #include "base/error.h"
+#include "percentiles.h"
 #include "table/row_json.h"
 
 namespace driftlug::tools {
@@ -19,6 +20,13 @@
 constexpr int kEditLimitMs = 30'000;
 constexpr base::Duration kPoll = base::milliseconds(20);
 
+/// @return a row's own fields, as an edit carries them.
+json fieldsOf(const wire::Row& row) {
+  auto fields = table::rowToJson(row, true);
+  for (const char* key : {"kind", "name", "revision"}) fields.erase(key);
+  return fields;
+}
+
 /// Totals of a role at one moment.
 struct RoleSample {
   double cpuSeconds = 0;
@@ -94,8 +102,7 @@
     return base::makeError(base::ErrorCode::kInvalidEdit, answer.body.dump().substr(0, 500));
   };
   for (const auto& row : scaleRows(shape_, kHost)) {
-    auto fields = table::rowToJson(row, true);
-    for (const char* key : {"kind", "name", "revision"}) fields.erase(key);
+    const auto fields = fieldsOf(row);
     edits.push_back(
         {{"kind", table::kindName(row.key.kind)}, {"name", row.key.name}, {"expected_revision", 0}, {"row", fields}});
     if (edits.size() < kRowsPerEdit) continue;
@@ -204,8 +211,7 @@
     const auto due = began + i * gap;
     if (loop.now() < due) fleet_.http().wait(due - loop.now());
     const int service = i * 37 % shape_.services;
-    auto fields = table::rowToJson(limitRow(service, i + 1), true);
-    for (const char* key : {"kind", "name", "revision"}) fields.erase(key);
+    const auto fields = fieldsOf(limitRow(service, i + 1));
     const auto answer = fleet_.edit(
         json::array({{{"kind", "limit"}, {"name", serviceName(service)}, {"expected_revision", -1}, {"row", fields}}}));
     const auto accepted = loop.now();
@@ -294,12 +300,6 @@
 }
 
 json scaleJson(const ScaleResult& result) {
-  auto sorted = result.convergenceMs;
-  std::sort(sorted.begin(), sorted.end());
-  const auto percentile = [&sorted](double share) {
-    if (sorted.empty()) return 0.0;
-    return sorted[std::min(sorted.size() - 1, static_cast<size_t>(share * static_cast<double>(sorted.size())))];
-  };
   json storms = json::array();
   for (const auto& storm : result.storms) {
     storms.push_back({{"name", storm.name},
@@ -309,8 +309,7 @@
   }
   return {{"nodes", result.nodes},
           {"start_ms", result.startMs},
-          {"convergence_ms",
-           {{"p50", percentile(0.5)}, {"p99", percentile(0.99)}, {"max", percentile(1)}, {"count", sorted.size()}}},
+          {"convergence_ms", percentiles(result.convergenceMs)},
           {"edits_failed", result.editsFailed},
           {"idle",
            {{"controllers", usageJson(result.controllersIdle)},
--- a/tools/sim_run.cc
+++ b/tools/sim_run.cc
@@ -2,7 +2,6 @@
 
 #include <absl/strings/numbers.h>
 
-#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <cstdio>
@@ -11,14 +10,11 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "percentiles.h"
+
 namespace driftlug::tools {
 namespace {
 
-double percentile(const std::vector<double>& sorted, double share) {
-  if (sorted.empty()) return 0;
-  return sorted[std::min(sorted.size() - 1, static_cast<size_t>(share * static_cast<double>(sorted.size())))];
-}
-
 void printResult(const simulation::RunResult& result) {
   std::printf("seed %llu trace %016llx events %llu edits %lld accepted %lld faults %zu violations %zu\n",
               static_cast<unsigned long long>(result.seed), static_cast<unsigned long long>(result.traceHash),
@@ -94,8 +90,6 @@
 }
 
 std::string summaryLine(const std::string& deployment, RunSummary summary) {
-  std::sort(summary.convergenceMs.begin(), summary.convergenceMs.end());
-  const auto& sorted = summary.convergenceMs;
   nlohmann::json byKind = nlohmann::json::object();
   for (size_t kind = 0; kind < simulation::kMessageKinds; ++kind) {
     if (summary.traffic.bytes[kind] == 0 || wire::purposeOf(kind) != wire::Purpose::kControl) continue;
@@ -105,11 +99,7 @@
                                {"seeds", summary.seeds},
                                {"failed_seeds", summary.failedSeeds},
                                {"violations", summary.violations},
-                               {"convergence_ms",
-                                {{"p50", percentile(sorted, 0.5)},
-                                 {"p99", percentile(sorted, 0.99)},
-                                 {"max", sorted.empty() ? 0 : sorted.back()},
-                                 {"count", sorted.size()}}},
+                               {"convergence_ms", percentiles(summary.convergenceMs)},
                                {"control_bytes", summary.controlBytes},
                                {"control_bytes_by_kind", byKind},
                                {"edits", summary.operators.edits},
--- a/tools/sim_scale.cc
+++ b/tools/sim_scale.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "percentiles.h"
 #include "simulated_plan.h"
 #include "simulation/operators.h"
 
@@ -18,15 +19,6 @@
 
 double milliseconds(base::Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
-json percentiles(std::vector<double> values) {
-  std::sort(values.begin(), values.end());
-  const auto at = [&values](double share) {
-    if (values.empty()) return 0.0;
-    return values[std::min(values.size() - 1, static_cast<size_t>(share * static_cast<double>(values.size())))];
-  };
-  return {{"p50", at(0.5)}, {"p99", at(0.99)}, {"max", at(1)}, {"count", values.size()}};
-}
-
 /// One run of one size.
 class SimScale {
  public:
