--- /dev/null
+++ b/apps/controller_daemon.cc
@@ -0,0 +1,250 @@
+#include "controller_daemon.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+
+#include "base/settings.h"
+#include "controller/http_api.h"
+#include "relay/relay.h"
+#include "storage/posix_disk.h"
+#include "transport/frame_transport.h"
+#include "wire/frame.h"
+
+DEFINE_string(name, "", "name of this controller; must be one of --controllers, or one added later");
+DEFINE_string(zone, "", "zone that this process runs in");
+DEFINE_string(listen_host, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(frame_port, 0, "port for relays and other controllers");
+DEFINE_int32(http_port, 0, "port for operators, health and metrics");
+DEFINE_string(http_listen, "", "host:port for operators, health and metrics, instead of listen_host and http_port");
+DEFINE_int32(relay_port, 0, "port of a relay within this process, which serves nodes of all zones; 0 for none");
+DEFINE_string(controllers, "", "initial controllers as name@host:frame_port:http_port, separated by commas");
+DEFINE_string(
+    seeds, "",
+    "hosts of controllers to find the others through, instead of controllers; all listen on the ports of this "
+    "one, and a port behind a host is ignored");
+DEFINE_bool(first_start, false, "whether the seeds may found the cluster, being all new");
+DEFINE_int32(fault_tolerance, 1, "controllers that may be lost at once; twice as many and one vote, with seeds");
+DEFINE_string(data_folder, "", "folder for the log and snapshots");
+DEFINE_int32(heartbeat_ms, 50, "interval of heartbeats between controllers");
+DEFINE_int32(election_timeout_ms, 300, "lowest time without a leader before an election");
+DEFINE_int32(replace_after_ms, 8000, "silence after which another controller votes in the place of one, with seeds");
+DEFINE_int32(snapshot_entries, 4096, "log entries between snapshots");
+DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
+DEFINE_bool(full_push, false, "send the whole table with each update; for experiments only");
+DEFINE_bool(inspect_data, false, "print and verify the data folder, then exit");
+
+namespace driftlug::apps {
+namespace {
+
+controller::ControllerAddress parseControllerOrExit(const std::string& text) {
+  const auto at = text.find('@');
+  const auto lastColon = text.rfind(':');
+  if (at == std::string::npos || lastColon == std::string::npos || lastColon < at) {
+    exitWithError(base::makeError(base::ErrorCode::kBadSetting,
+                                  "controllers: '" + text + "' is not name@host:frame_port:http_port"));
+  }
+  controller::ControllerAddress address;
+  address.name = text.substr(0, at);
+  address.frames = parseAddressOrExit("controllers", text.substr(at + 1, lastColon - at - 1));
+  address.httpPort = parseAddressOrExit("controllers", "http" + text.substr(lastColon)).port;
+  return address;
+}
+
+int inspectData(storage::Disk& disk) {
+  storage::LogStore store(disk);
+  const auto state = store.inspect();
+  if (!state.ok()) exitWithError(state.status());
+  std::printf("identity %s, term %lld, voted for '%s'\n", state->hardState.identity.c_str(),
+              static_cast<long long>(state->hardState.term), state->hardState.votedFor.c_str());
+  if (state->snapshot) {
+    std::printf("snapshot at index %lld, %zu bytes, %zu members\n", static_cast<long long>(state->snapshot->index),
+                state->snapshot->state.size(), state->snapshot->members.size());
+  }
+  for (const auto& entry : state->entries) {
+    std::printf("entry %lld term %lld kind %d", static_cast<long long>(entry.index), static_cast<long long>(entry.term),
+                static_cast<int>(entry.kind));
+    if (entry.__isset.edit) {
+      std::printf(" request %s, %zu rows", entry.edit.requestId.c_str(), entry.edit.mutations.size());
+    }
+    std::printf("\n");
+  }
+  std::printf("the data folder is sound\n");
+  return 0;
+}
+
+void addMetrics(const controller::Controller& controller, const transport::FrameTransport& frames,
+                base::MetricsPage* page) {
+  const auto& raft = controller.raft();
+  page->gauge("controller_leads", "1 while this controller leads", raft.role() == consensus::RaftRole::kLeader ? 1 : 0);
+  page->gauge("controller_term", "current term", static_cast<double>(raft.term()));
+  page->gauge("controller_commit_index", "last committed log entry", static_cast<double>(raft.commitIndex()));
+  page->gauge("table_revision", "revision of the table", static_cast<double>(controller.state().table().revision()));
+  page->gauge("table_rows", "live rows", static_cast<double>(controller.state().table().rows().size()));
+  page->gauge("ledger_keys", "idempotency keys remembered", static_cast<double>(controller.ledger().size()));
+  page->gauge("ledger_bytes", "memory of the ledger", static_cast<double>(controller.ledger().bytes()));
+  page->gauge("controller_nodes", "nodes attached to relays",
+              static_cast<double>(controller.convergence().attachedNodes()));
+  const auto& relays = controller.relays().counters();
+  page->counter("controller_updates_total", "updates sent to relays", relays.updates);
+  page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
+  page->counter("controller_full_updates_total", "whole tables sent to relays", relays.fullUpdates);
+  page->counter("controller_heartbeat_bytes_total", "bytes of heartbeats to relays", relays.heartbeatBytes);
+  page->counter("control_bytes_sent_total", "bytes of configuration traffic sent",
+                frames.counters().sentFor(wire::Purpose::kControl));
+  page->counter("log_bytes_sent_total", "bytes of the replicated log sent",
+                frames.counters().sentFor(wire::Purpose::kLog));
+  page->counter("ledger_bytes_sent_total", "bytes of ledger traffic sent",
+                frames.counters().sentFor(wire::Purpose::kLedger));
+  page->counter("frame_bytes_sent_total", "bytes of frames sent", frames.counters().bytesSent);
+  page->counter("frame_bytes_received_total", "bytes of frames received", frames.counters().bytesReceived);
+  page->counter("frame_bad_total", "connections closed for a bad frame", frames.counters().badFrames);
+}
+
+base::Address httpAddress() {
+  return listenAddressOrExit("http_listen", FLAGS_http_listen, FLAGS_listen_host, FLAGS_http_port);
+}
+
+/// Seeds are known by their hosts alone: all controllers of a fleet listen on the same ports.
+std::vector<controller::ControllerAddress> seedControllers(const std::string& text) {
+  std::vector<controller::ControllerAddress> seeds;
+  for (const auto& frames : hostsAtPort(text, FLAGS_frame_port)) {
+    seeds.push_back({frames.host, frames, httpAddress().port});
+  }
+  std::sort(seeds.begin(), seeds.end(), [](const auto& left, const auto& right) { return left.name < right.name; });
+  return seeds;
+}
+
+controller::ControllerOptions optionsFromSettings() {
+  controller::ControllerOptions options;
+  options.name = FLAGS_name;
+  options.zone = FLAGS_zone;
+  for (const auto& text : base::splitList(FLAGS_controllers)) {
+    options.controllers.push_back(parseControllerOrExit(text));
+  }
+  options.self = {FLAGS_name, {FLAGS_listen_host, FLAGS_frame_port}, httpAddress().port};
+  options.relayPort = FLAGS_relay_port;
+  if (!FLAGS_seeds.empty()) {
+    options.name = FLAGS_listen_host;
+    options.self.name = FLAGS_listen_host;
+    options.controllers = seedControllers(FLAGS_seeds);
+    options.founding = FLAGS_first_start;
+    options.membership.automatic = true;
+    options.membership.voters = 2 * static_cast<size_t>(FLAGS_fault_tolerance) + 1;
+    options.membership.replaceAfter = base::milliseconds(FLAGS_replace_after_ms);
+  }
+  options.raft.heartbeatInterval = base::milliseconds(FLAGS_heartbeat_ms);
+  options.raft.electionTimeout = base::milliseconds(FLAGS_election_timeout_ms);
+  options.raft.compactAfterEntries = static_cast<size_t>(FLAGS_snapshot_entries);
+  options.fullPush = FLAGS_full_push;
+  return options;
+}
+
+/// The relay within a controller's process; it reads from the leader like any other.
+class InnerRelay {
+ public:
+  explicit InnerRelay(transport::EventLoop& loop)
+      : frames_(loop, "relay"), relay_(options(), loop, base::RandomSource(processSeed()), frames_) {
+    frames_.setHandler(&relay_);
+  }
+
+  void startOrExit() {
+    if (const auto status = frames_.listen(FLAGS_listen_host, FLAGS_relay_port); !status.ok()) exitWithError(status);
+    relay_.start();
+  }
+
+  relay::Relay& relay() { return relay_; }
+
+ private:
+  static relay::RelayOptions options() {
+    constexpr base::Duration kLongLease = base::seconds(30);
+    relay::RelayOptions options;
+    options.id = FLAGS_name + "-relay";
+    options.zone = FLAGS_zone;
+    options.controllers = {{FLAGS_listen_host, FLAGS_frame_port}};
+    options.everyZone = true;
+    options.listening = {FLAGS_listen_host, FLAGS_relay_port};
+    // Nodes see for themselves whether an endpoint is in reach; one that has lost its relay still takes calls.
+    options.endpointLease = kLongLease;
+    options.peerLease = kLongLease;
+    return options;
+  }
+
+  transport::FrameTransport frames_;
+  relay::Relay relay_;
+};
+
+void declareSettings() {
+  base::declareRequired("name");
+  base::declareRequired("data_folder");
+  base::declareRange("frame_port", 1, 65535);
+  base::declareRange("http_port", 0, 65535);
+  base::declareRange("relay_port", 0, 65535);
+  base::declareRange("fault_tolerance", 0, 3);
+  base::declareRange("heartbeat_ms", 1, 60'000);
+  base::declareRange("election_timeout_ms", 10, 600'000);
+  base::declareRange("replace_after_ms", 100, 86'400'000);
+  base::declareRange("snapshot_entries", 16, 1'000'000);
+  base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
+}
+
+}  // namespace
+
+int runController(int argc, char** argv, const ExtraPagesFactory& makeExtraPages) {
+  declareSettings();
+  base::loadSettingsOrExit(argc, argv, "driftlug-controller: accepts edits and feeds relays", false);
+  configureLogsFromSettings();
+
+  transport::EventLoop loop;
+  storage::PosixDisk disk(FLAGS_data_folder, loop);
+  if (const auto status = disk.prepare(); !status.ok()) exitWithError(status);
+  if (FLAGS_inspect_data) return inspectData(disk);
+
+  transport::FrameTransport frames(loop, "frames");
+  frames.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
+  controller::Controller controller(optionsFromSettings(), loop, base::RandomSource(processSeed()), frames, disk);
+  controller::HttpApi api(controller, loop);
+  controller.onConvergenceReport([&api] { api.onConvergenceChanged(); });
+  frames.setHandler(&controller);
+  std::unique_ptr<InnerRelay> innerRelay;
+  if (FLAGS_relay_port > 0) innerRelay = std::make_unique<InnerRelay>(loop);
+  ExtraPages extraPages;
+  if (makeExtraPages) extraPages = makeExtraPages(controller);
+
+  DaemonPages pages;
+  pages.ready = [&controller] { return controller.ready(); };
+  pages.metrics = [&controller, &frames](base::MetricsPage* page) { addMetrics(controller, frames, page); };
+  pages.other = [&](const transport::HttpRequest& request, const controller::HttpRespond& respond) {
+    if (extraPages && extraPages(request, respond)) return;
+    api.handle(request, respond);
+  };
+  AdminServer admin(loop, pages);
+
+  controller.start([&](const absl::Status& status) {
+    if (!status.ok()) exitWithError(status);
+    if (const auto listening = frames.listen(FLAGS_listen_host, FLAGS_frame_port); !listening.ok()) {
+      exitWithError(listening);
+    }
+    const auto http = httpAddress();
+    admin.listenOrExit(http.host, http.port);
+    if (innerRelay) innerRelay->startOrExit();
+  });
+  const auto terminate = [&] {
+    constexpr base::Duration kStopTime = base::milliseconds(300);
+    admin.setStopping();
+    controller.prepareStop();
+    if (innerRelay) innerRelay->relay().prepareStop();
+    loop.schedule(kStopTime, [&loop] { loop.stop(); });
+  };
+  const auto reload = [&] {
+    const auto seeds = base::rereadSetting("seeds");
+    if (seeds && !seeds->empty()) controller.useSeeds(seedControllers(*seeds));
+  };
+  loop.onSignals({terminate, reload});
+  loop.run();
+  return 0;
+}
+
+}  // namespace driftlug::apps
--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 
 #include "base/error.h"
+#include "base/settings.h"
 
 DECLARE_bool(log_json);
 DECLARE_string(log_level);
@@ -17,27 +18,30 @@
 
 using transport::HttpResponse;
 
-AdminServer::AdminServer(transport::EventLoop& loop, DaemonPages pages)
-    : pages_(std::move(pages)),
+PageServer::PageServer(transport::EventLoop& loop, const std::string& name, PageHandler handler)
+    : handler_(std::move(handler)),
       server_(
-          loop, "admin", {},
+          loop, name, {},
           [this](transport::ExchangeId exchange, const transport::HttpRequest& request) {
-            onRequest(exchange, request);
+            handler_(request,
+                     [this, exchange](HttpResponse response) { server_.respond(exchange, std::move(response)); });
           },
           nullptr) {}
 
-void AdminServer::listenOrExit(const std::string& host, int port) {
+void PageServer::listenOrExit(const std::string& host, int port) {
   if (const auto status = server_.listen(host, port); !status.ok()) exitWithError(status);
 }
 
-void AdminServer::onRequest(transport::ExchangeId exchange, const transport::HttpRequest& request) {
-  if (request.path == "/healthz") {
-    return server_.respond(exchange, transport::jsonResponse(200, "{\"status\":\"ok\"}\n"));
-  }
+AdminServer::AdminServer(transport::EventLoop& loop, DaemonPages pages)
+    : pages_(std::move(pages)),
+      server_(loop, "admin", [this](const auto& request, auto respond) { onRequest(request, respond); }) {}
+
+void AdminServer::onRequest(const transport::HttpRequest& request, const std::function<void(HttpResponse)>& respond) {
+  if (request.path == "/healthz") return respond(transport::jsonResponse(200, "{\"status\":\"ok\"}\n"));
   if (request.path == "/readyz") {
     const bool ready = !stopping_ && pages_.ready();
     const char* body = ready ? "{\"status\":\"ready\"}\n" : "{\"status\":\"not ready\"}\n";
-    return server_.respond(exchange, transport::jsonResponse(ready ? 200 : 503, body));
+    return respond(transport::jsonResponse(ready ? 200 : 503, body));
   }
   if (request.path == "/metrics") {
     base::MetricsPage page;
@@ -45,14 +49,10 @@
     HttpResponse response;
     response.headers.push_back(transport::makeHeader("content-type", "text/plain; version=0.0.4"));
     response.body = page.text();
-    return server_.respond(exchange, response);
+    return respond(response);
   }
-  if (pages_.other) {
-    return pages_.other(request,
-                        [this, exchange](HttpResponse response) { server_.respond(exchange, std::move(response)); });
-  }
-  server_.respond(exchange,
-                  transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
+  if (pages_.other) return pages_.other(request, respond);
+  respond(transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
 }
 
 void exitWithError(const absl::Status& status) {
@@ -71,6 +71,17 @@
   exitWithError(base::makeError(base::ErrorCode::kBadSetting, setting + ": '" + text + "' is not host:port"));
 }
 
+base::Address listenAddressOrExit(const std::string& setting, const std::string& text, const std::string& host,
+                                  int port) {
+  return text.empty() ? base::Address{host, port} : parseAddressOrExit(setting, text);
+}
+
+std::vector<base::Address> hostsAtPort(const std::string& text, int port) {
+  std::vector<base::Address> addresses;
+  for (const auto& item : base::splitList(text)) addresses.push_back({item.substr(0, item.find(':')), port});
+  return addresses;
+}
+
 uint64_t processSeed() {
   const auto now = std::chrono::steady_clock::now().time_since_epoch().count();
   return static_cast<uint64_t>(now) ^ (static_cast<uint64_t>(getpid()) << 40);
--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/log.h"
 #include "base/metrics.h"
@@ -16,6 +17,19 @@
 /// Answers a request that is none of the shared pages.
 using PageHandler = std::function<void(const transport::HttpRequest&, std::function<void(transport::HttpResponse)>)>;
 
+/// A listener all of whose requests one handler answers.
+class PageServer {
+ public:
+  PageServer(transport::EventLoop& loop, const std::string& name, PageHandler handler);
+
+  /// Listens, or prints a typed line and exits 2.
+  void listenOrExit(const std::string& host, int port);
+
+ private:
+  PageHandler handler_;
+  transport::HttpServer server_;
+};
+
 /// What a daemon reports of itself.
 struct DaemonPages {
   std::function<bool()> ready;
@@ -29,17 +43,17 @@
   AdminServer(transport::EventLoop& loop, DaemonPages pages);
 
   /// Listens, or prints a typed line and exits 2.
-  void listenOrExit(const std::string& host, int port);
+  void listenOrExit(const std::string& host, int port) { server_.listenOrExit(host, port); }
 
   /// Makes /readyz answer 503 from now on.
   void setStopping() { stopping_ = true; }
 
  private:
-  void onRequest(transport::ExchangeId exchange, const transport::HttpRequest& request);
+  void onRequest(const transport::HttpRequest& request, const std::function<void(transport::HttpResponse)>& respond);
 
   DaemonPages pages_;
   bool stopping_ = false;
-  transport::HttpServer server_;
+  PageServer server_;
 };
 
 /// Prints one typed line and exits 2.
@@ -48,6 +62,13 @@
 /// Parses `host:port`; exits 2 when it is malformed.
 base::Address parseAddressOrExit(const std::string& setting, const std::string& text);
 
+/// @return the address that a `host:port` setting names, or host and port where it is empty; exits 2 when malformed.
+base::Address listenAddressOrExit(const std::string& setting, const std::string& text, const std::string& host,
+                                  int port);
+
+/// Parses hosts, each `host` or `host:port`, whose processes all listen on one port.
+std::vector<base::Address> hostsAtPort(const std::string& text, int port);
+
 /// @return a seed that differs between processes and starts.
 uint64_t processSeed();
 
--- a/apps/http_backend.cc
+++ b/apps/http_backend.cc
@@ -17,8 +17,14 @@
 
 }  // namespace
 
-HttpBackend::HttpBackend(transport::EventLoop& loop, const base::Address& address, size_t maxConnections)
-    : pool_(loop, "backend", address.host, address.port, maxConnections) {}
+HttpBackend::HttpBackend(transport::EventLoop& loop, const base::Address& address, size_t maxConnections,
+                         BackendHeaders headers)
+    : headers_(std::move(headers)), pool_(loop, "backend", address, [&] {
+        transport::HttpPoolOptions options;
+        options.maxConnections = maxConnections;
+        options.correlationHeader = headers_.correlation;
+        return options;
+      }()) {}
 
 uint64_t HttpBackend::send(const wire::CallRequest& request, base::Duration timeout,
                            std::function<void(node::BackendAnswer)> done) {
@@ -28,9 +34,13 @@
   out.path = request.path.substr(0, question);
   if (question != std::string::npos) out.query = request.path.substr(question + 1);
   out.headers = request.headers;
-  std::erase_if(out.headers,
-                [](const auto& header) { return header.name == "x-deadline-ms" || header.name == "idempotency-key"; });
-  out.headers.push_back(transport::makeHeader("x-deadline-ms", std::to_string(timeout.count() / 1000)));
+  std::erase_if(out.headers, [this](const auto& header) {
+    return header.name == headers_.deadline || header.name == headers_.incarnation || header.name == "idempotency-key";
+  });
+  out.headers.push_back(transport::makeHeader(headers_.deadline, std::to_string(timeout.count() / 1000)));
+  if (!headers_.incarnation.empty() && !request.endpoint.empty()) {
+    out.headers.push_back(transport::makeHeader(headers_.incarnation, request.endpoint));
+  }
   if (!request.idempotencyKey.empty()) {
     out.headers.push_back(transport::makeHeader("idempotency-key", request.idempotencyKey));
   }
--- /dev/null
+++ b/apps/node_daemon.cc
@@ -0,0 +1,416 @@
+#include "node_daemon.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "base/settings.h"
+#include "entry_server.h"
+#include "http_backend.h"
+#include "node/control_client.h"
+#include "node/endpoint_calls.h"
+#include "node/entry_calls.h"
+#include "storage/posix_disk.h"
+#include "transport/frame_transport.h"
+
+DEFINE_string(name, "", "name of this node; the name of its endpoint row when it runs beside a back end");
+DEFINE_string(zone, "", "zone that this process runs in");
+DEFINE_string(listen_host, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(frame_port, 0, "port for calls of other nodes; 0 on a node without a back end");
+DEFINE_string(frame_listen, "", "host:port for calls of other nodes, instead of listen_host and frame_port");
+DEFINE_int32(entry_port, 0, "port for HTTP calls of callers; 0 for none");
+DEFINE_string(entry_listen, "", "host:port for HTTP calls of callers, instead of listen_host and entry_port");
+DEFINE_int32(http_port, 0, "port for health, metrics and drain");
+DEFINE_string(http_listen, "", "host:port for health, metrics and drain, instead of listen_host and http_port");
+DEFINE_string(report_listen, "", "host:port on which the back end beside the node tells of itself");
+DEFINE_string(relays, "", "relays of the zone's release group as host:port, nearest first");
+DEFINE_string(seeds, "", "hosts of controllers to ask for relays, instead of relays; a port behind a host is ignored");
+DEFINE_int32(seed_relay_port, 0, "port on which the relays beside the seeds listen");
+DEFINE_string(hosts, "", "hosts that this node accepts calls for, separated by commas; * for all");
+DEFINE_string(service, "", "service of the back end beside this node; empty for none");
+DEFINE_string(backend, "", "address of the back end as host:port");
+DEFINE_int32(backend_connections, 130, "connections to the back end at most, where the table does not say");
+DEFINE_int32(backend_slots, 20, "requests in the back end at once, where the table has no limit");
+DEFINE_int32(backend_queue, 64, "requests waiting at once, where the table has no limit");
+DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
+DEFINE_int32(stop_linger_ms, 300, "time that a planned stop goes on taking calls, so that others hear of it");
+DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
+DEFINE_bool(ledger, true, "claim requests that may not be repeated in the ledger before they run");
+DEFINE_int32(health_interval_ms, 250, "interval of health checks of the back end; 0 for none");
+DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
+DEFINE_string(deadline_header, "x-deadline-ms", "header with the milliseconds that a caller waits");
+DEFINE_string(caller_header, "", "header set to the service beside the node where a call began; empty for none");
+DEFINE_string(correlation_header, "", "header that back ends return as it was sent; empty for none");
+DEFINE_string(incarnation_header, "", "header that names the back end's incarnation a call is meant for");
+DEFINE_string(not_run_header, "x-shed", "header by which a back end says that it did not run a request");
+DEFINE_bool(fractional_retry_after, false, "Retry-After in fractions of a second");
+DEFINE_bool(prefer_zone, false, "choose endpoints of the own zone while they have slots to spare");
+DEFINE_int32(retry_attempts, 1, "attempts of a call, where neither route nor service says");
+DEFINE_int32(retry_budget_percent, 0, "retries as a share of calls, where the service has no retry policy");
+DEFINE_int32(retry_burst, 10, "retries to one service that may be made at once");
+
+namespace driftlug::apps {
+namespace {
+
+/// Endpoint and entry sides of calls share one set of connections.
+class CallHandler : public base::ConnectionHandler {
+ public:
+  CallHandler(node::EntryCalls& entry, node::EndpointCalls& endpoint) : entry_(entry), endpoint_(endpoint) {}
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override { entry_.onOpen(connection, peer); }
+
+  void onMessage(base::ConnectionId connection, wire::Message message) override {
+    if (const auto* request = std::get_if<wire::CallRequest>(&message)) {
+      endpoint_.onRequest(connection, *request);
+    } else if (const auto* cancel = std::get_if<wire::CallCancel>(&message)) {
+      endpoint_.onCancel(connection, cancel->callId);
+    } else {
+      entry_.onMessage(connection, std::move(message));
+    }
+  }
+
+  void onClose(base::ConnectionId connection) override {
+    endpoint_.onClose(connection);
+    entry_.onClose(connection);
+  }
+
+ private:
+  node::EntryCalls& entry_;
+  node::EndpointCalls& endpoint_;
+};
+
+/// Decides whether the endpoint takes new work, from the back end's health and the operator's wish.
+class EndpointHealth {
+ public:
+  EndpointHealth(transport::EventLoop& loop, node::ControlClient& control, node::EndpointCalls& calls,
+                 const base::Address& backend)
+      : control_(control),
+        calls_(calls),
+        pool_(loop, "health", backend.host, backend.port, 1),
+        timer_(loop, [this] { check(); }) {
+    state_.endpoint = FLAGS_name;
+    state_.serviceName = FLAGS_service;
+    state_.condition = wire::EndpointCondition::LIVE;
+    state_.incarnation =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
+  }
+
+  void start() {
+    control_.announce(state_);
+    if (FLAGS_health_interval_ms > 0) timer_.start(base::milliseconds(FLAGS_health_interval_ms));
+  }
+
+  /// Takes no new work, or takes it again.
+  void setDrainAsked(bool asked) {
+    drainAsked_ = asked;
+    update();
+  }
+
+ private:
+  void check() {
+    const base::Duration interval = base::milliseconds(FLAGS_health_interval_ms);
+    transport::HttpRequest request;
+    request.method = "GET";
+    request.path = "/healthz";
+    pool_.send(request, interval * 2, [this, interval](const transport::HttpResult& result) {
+      // Only a clear word of the back end counts; a lost health check says nothing of requests.
+      const bool answered = result.outcome == transport::HttpOutcome::kCompleted;
+      backendDrains_ = answered && result.response.status == 503;
+      update();
+      timer_.start(interval);
+    });
+  }
+
+  void update() {
+    const bool draining = drainAsked_ || backendDrains_;
+    calls_.setDraining(draining);
+    const auto condition = draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE;
+    if (condition == state_.condition) return;
+    state_.condition = condition;
+    control_.announce(state_);
+  }
+
+  node::ControlClient& control_;
+  node::EndpointCalls& calls_;
+  transport::HttpClientPool pool_;
+  base::Timer timer_;
+  wire::EndpointState state_;
+  bool drainAsked_ = false;
+  bool backendDrains_ = false;
+};
+
+void addMetrics(const node::ControlClient& control, const node::EntryCalls& entry, const node::EndpointCalls& endpoint,
+                const transport::FrameTransport& controlFrames, base::MetricsPage* page) {
+  page->gauge("table_revision", "revision in force", static_cast<double>(control.slices().revision()));
+  page->gauge("node_connected", "1 while a relay is connected", control.connected() ? 1 : 0);
+  page->gauge("node_fresh", "1 while a quorum of controllers is heard of", control.fresh() ? 1 : 0);
+  page->counter("node_activations_total", "versions activated", control.counters().activations);
+  page->counter("node_rejected_total", "updates refused", control.counters().rejected);
+  page->counter("node_reconnects_total", "changes of relay", control.counters().reconnects);
+  page->counter("node_control_bytes_received_total", "bytes received from relays",
+                controlFrames.counters().bytesReceived);
+  page->counter("node_control_bytes_sent_total", "bytes sent to relays", controlFrames.counters().bytesSent);
+  const auto& calls = entry.counters();
+  page->counter("entry_calls_total", "calls taken from callers", calls.calls);
+  page->counter("entry_completed_total", "calls completed", calls.completed);
+  page->counter("entry_refused_total", "calls answered not run", calls.refused);
+  page->counter("entry_unknown_total", "calls answered outcome unknown", calls.unknown);
+  page->counter("entry_attempts_total", "attempts sent to endpoints", calls.attempts);
+  page->counter("entry_retries_total", "attempts after the first", calls.retries);
+  page->counter("entry_late_answers_total", "answers that came after their call had ended", calls.lateAnswers);
+  const auto& runs = endpoint.counters();
+  page->counter("endpoint_calls_total", "calls taken from nodes", runs.calls);
+  page->counter("endpoint_completed_total", "calls completed by the back end", runs.completed);
+  page->counter("endpoint_refused_total", "calls refused as not run", runs.refused);
+  page->counter("endpoint_replayed_total", "calls answered from the ledger without a run", runs.replayed);
+  page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
+  page->gauge("endpoint_running", "requests in the back end", endpoint.limiter().running());
+  page->gauge("endpoint_waiting", "requests waiting for a slot", static_cast<double>(endpoint.limiter().waiting()));
+}
+
+node::ControlOptions controlOptionsFromSettings() {
+  node::ControlOptions options;
+  options.nodeId = FLAGS_name;
+  options.zone = FLAGS_zone;
+  for (const auto& text : base::splitList(FLAGS_relays)) options.relays.push_back(parseAddressOrExit("relays", text));
+  if (!FLAGS_seeds.empty()) {
+    options.relays = hostsAtPort(FLAGS_seeds, FLAGS_seed_relay_port);
+    options.nearRelays = options.relays.size();
+  }
+  if (options.relays.empty()) {
+    exitWithError(base::makeError(base::ErrorCode::kBadSetting, "relays: relays or seeds must be set"));
+  }
+  options.hosts = base::splitList(FLAGS_hosts);
+  if (!FLAGS_service.empty()) options.services.push_back(FLAGS_service);
+  return options;
+}
+
+node::EntryOptions entryOptionsFromSettings() {
+  node::EntryOptions options;
+  options.nodeId = FLAGS_name;
+  options.zone = FLAGS_zone;
+  options.defaultRetry = {FLAGS_retry_attempts, FLAGS_retry_budget_percent};
+  options.retryBurst = FLAGS_retry_burst;
+  options.mintKeys = FLAGS_ledger;
+  if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
+  return options;
+}
+
+node::EndpointOptions endpointOptionsFromSettings() {
+  node::EndpointOptions options;
+  options.service = FLAGS_service;
+  options.defaultSlots = FLAGS_backend_slots;
+  options.defaultQueue = FLAGS_backend_queue;
+  options.notRunHeader = FLAGS_not_run_header;
+  options.dynamicEndpoint = !FLAGS_report_listen.empty();
+  return options;
+}
+
+EntryHeaders entryHeadersFromSettings() {
+  EntryHeaders headers;
+  headers.deadline = FLAGS_deadline_header;
+  headers.caller = FLAGS_caller_header;
+  headers.callerService = FLAGS_service;
+  headers.reserved = {FLAGS_incarnation_header};
+  headers.fractionalRetryAfter = FLAGS_fractional_retry_after;
+  return headers;
+}
+
+void declareSettings() {
+  base::declareRequired("name");
+  base::declareRequired("zone");
+  for (const char* port : {"frame_port", "entry_port", "http_port", "seed_relay_port"}) {
+    base::declareRange(port, 0, 65535);
+  }
+  base::declareRange("backend_connections", 1, 10'000);
+  base::declareRange("backend_slots", 1, 100'000);
+  base::declareRange("backend_queue", 0, 100'000);
+  base::declareRange("stop_linger_ms", 0, 600'000);
+  base::declareRange("stop_timeout_ms", 0, 600'000);
+  base::declareRange("health_interval_ms", 0, 60'000);
+  base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
+  base::declareRange("retry_attempts", 1, 10);
+  base::declareRange("retry_budget_percent", 0, 100);
+  base::declareRange("retry_burst", 0, 1000);
+}
+
+/// All parts of a node, wired up.
+class NodeDaemon {
+ public:
+  explicit NodeDaemon(const ReportPagesFactory& makeReportPages);
+
+  /// Opens all listeners, or prints a typed line and exits 2.
+  void listenOrExit();
+
+  void run();
+
+ private:
+  bool hasBackend() const { return !FLAGS_service.empty(); }
+  base::Address backendAddress() const;
+  void onActivation(const routing::RoutingTablePtr& table);
+  void onDrainPage(const transport::HttpRequest& request, const std::function<void(transport::HttpResponse)>& respond);
+  void onTerminate();
+  void onReload();
+  void waitForCalls(base::TimePoint until);
+  DaemonPages pages();
+
+  transport::EventLoop loop_;
+  base::Logger log_{"node"};
+  base::RandomSource random_{processSeed()};
+  transport::FrameTransport controlFrames_{loop_, "control"};
+  transport::FrameTransport callFrames_{loop_, "calls"};
+  node::EntryCalls entry_{entryOptionsFromSettings(), loop_, base::RandomSource(random_.bits()), callFrames_};
+  HttpBackend backend_;
+  ledger::LedgerClient ledgerClient_;
+  node::EndpointCalls endpoint_;
+  CallHandler callHandler_{entry_, endpoint_};
+  node::ControlClient control_;
+  EndpointHealth health_;
+  node::LocalBackend localBackend_;
+  EntryServer entryServer_;
+  AdminServer admin_;
+  PageHandler reportPages_;  // empty where the back end does not tell of itself
+  std::unique_ptr<PageServer> reportServer_;
+  std::unique_ptr<storage::PosixDisk> disk_;
+};
+
+wire::EndpointState placeFromSettings() {
+  const auto frames = listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
+  wire::EndpointState place;
+  place.serviceName = FLAGS_service;
+  place.address = frames.host;
+  place.port = frames.port;
+  place.zone = FLAGS_zone;
+  return place;
+}
+
+base::Address NodeDaemon::backendAddress() const {
+  return hasBackend() ? parseAddressOrExit("backend", FLAGS_backend) : base::Address{FLAGS_listen_host, 1};
+}
+
+NodeDaemon::NodeDaemon(const ReportPagesFactory& makeReportPages)
+    : backend_(loop_, backendAddress(), static_cast<size_t>(FLAGS_backend_connections),
+               {FLAGS_deadline_header, FLAGS_correlation_header, FLAGS_incarnation_header}),
+      ledgerClient_(loop_, base::RandomSource(random_.bits()), FLAGS_name,
+                    [this](const wire::Message& message) { return control_.send(message); }),
+      endpoint_(endpointOptionsFromSettings(), loop_, callFrames_, backend_, FLAGS_ledger ? &ledgerClient_ : nullptr),
+      control_(
+          controlOptionsFromSettings(), loop_, base::RandomSource(random_.bits()), controlFrames_,
+          [this](const routing::RoutingTablePtr& table) { onActivation(table); },
+          [this](const std::vector<wire::EndpointState>& states) { entry_.onEndpointStates(states); }),
+      health_(loop_, control_, endpoint_, backendAddress()),
+      localBackend_(placeFromSettings(), endpoint_,
+                    [this](const wire::EndpointState& state) { control_.announce(state); }),
+      entryServer_(loop_, entry_, entryHeadersFromSettings()),
+      admin_(loop_, pages()) {
+  controlFrames_.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
+  callFrames_.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
+  callFrames_.setHandler(&callHandler_);
+  controlFrames_.setHandler(&control_);
+  wire::Hello hello;
+  hello.role = wire::Role::NODE;
+  hello.id = FLAGS_name;
+  hello.zone = FLAGS_zone;
+  callFrames_.setHello(hello);
+  control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
+  endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
+  if (makeReportPages) reportPages_ = makeReportPages(localBackend_);
+}
+
+DaemonPages NodeDaemon::pages() {
+  DaemonPages pages;
+  // A node that is cut off from its relays serves what it has.
+  pages.ready = [this] { return control_.slices().active() != nullptr; };
+  pages.metrics = [this](base::MetricsPage* page) { addMetrics(control_, entry_, endpoint_, controlFrames_, page); };
+  pages.other = [this](const transport::HttpRequest& request, const auto& respond) { onDrainPage(request, respond); };
+  return pages;
+}
+
+void NodeDaemon::onActivation(const routing::RoutingTablePtr& table) {
+  entry_.useTable(table);
+  endpoint_.useTable(*table);
+  entryServer_.useTable(*table);
+  const int connections = table->maxConnections(FLAGS_service);
+  backend_.setMaxConnections(static_cast<size_t>(connections > 0 ? connections : FLAGS_backend_connections));
+}
+
+void NodeDaemon::onDrainPage(const transport::HttpRequest& request,
+                             const std::function<void(transport::HttpResponse)>& respond) {
+  if (request.path != "/drain" || request.method == "GET") {
+    return respond(transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
+  }
+  health_.setDrainAsked(request.method == "POST");
+  respond(transport::jsonResponse(
+      200, "{\"result\":\"" + std::string(endpoint_.draining() ? "draining" : "live") + "\"}\n"));
+}
+
+void NodeDaemon::listenOrExit() {
+  const auto http = listenAddressOrExit("http_listen", FLAGS_http_listen, FLAGS_listen_host, FLAGS_http_port);
+  admin_.listenOrExit(http.host, http.port);
+  const auto frames = listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
+  if (frames.port > 0) {
+    if (const auto status = callFrames_.listen(frames.host, frames.port); !status.ok()) exitWithError(status);
+  }
+  const auto entry = listenAddressOrExit("entry_listen", FLAGS_entry_listen, FLAGS_listen_host, FLAGS_entry_port);
+  if (entry.port > 0) {
+    if (const auto status = entryServer_.server().listen(entry.host, entry.port); !status.ok()) exitWithError(status);
+  }
+  if (!reportPages_ || FLAGS_report_listen.empty()) return;
+  const auto report = parseAddressOrExit("report_listen", FLAGS_report_listen);
+  reportServer_ = std::make_unique<PageServer>(loop_, "report", reportPages_);
+  reportServer_->listenOrExit(report.host, report.port);
+}
+
+void NodeDaemon::run() {
+  if (!FLAGS_data_folder.empty()) {
+    disk_ = std::make_unique<storage::PosixDisk>(FLAGS_data_folder, loop_);
+    if (const auto status = disk_->prepare(); !status.ok()) exitWithError(status);
+  }
+  control_.start(disk_.get());
+  if (hasBackend() && !reportServer_) health_.start();
+  loop_.onSignals({[this] { onTerminate(); }, [this] { onReload(); }});
+  log_.info("{} started in zone {}", FLAGS_name, FLAGS_zone);
+  loop_.run();
+}
+
+void NodeDaemon::onReload() {
+  const auto seeds = base::rereadSetting("seeds");
+  log_.info("{} reloads its settings, seeds {}", FLAGS_name, seeds.value_or("unchanged"));
+  if (seeds && !seeds->empty()) control_.useSeeds(hostsAtPort(*seeds, FLAGS_seed_relay_port));
+}
+
+void NodeDaemon::onTerminate() {
+  log_.info("{} stops, {} calls in progress", FLAGS_name, entry_.active() + endpoint_.active());
+  admin_.setStopping();
+  entryServer_.server().setDraining();
+  if (reportServer_) {
+    localBackend_.setStopping();
+  } else if (hasBackend()) {
+    health_.setDrainAsked(true);
+  }
+  const auto until = loop_.now() + base::milliseconds(FLAGS_stop_timeout_ms);
+  loop_.schedule(base::milliseconds(FLAGS_stop_linger_ms), [this, until] { waitForCalls(until); });
+}
+
+void NodeDaemon::waitForCalls(base::TimePoint until) {
+  constexpr base::Duration kPoll = base::milliseconds(20);
+  const bool idle = entry_.active() == 0 && endpoint_.active() == 0 && entryServer_.server().pending() == 0;
+  if (idle || loop_.now() >= until) return loop_.stop();
+  loop_.schedule(kPoll, [this, until] { waitForCalls(until); });
+}
+
+}  // namespace
+
+int runNode(int argc, char** argv, const ReportPagesFactory& makeReportPages) {
+  declareSettings();
+  base::loadSettingsOrExit(argc, argv, "driftlug-node: carries calls between callers and back ends", false);
+  configureLogsFromSettings();
+  NodeDaemon daemon(makeReportPages);
+  daemon.listenOrExit();
+  daemon.run();
+  return 0;
+}
+
+}  // namespace driftlug::apps
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -110,12 +110,13 @@
   admin.listenOrExit(FLAGS_listen_host, FLAGS_http_port);
   if (const auto status = frames.listen(FLAGS_listen_host, FLAGS_frame_port); !status.ok()) apps::exitWithError(status);
   relay.start();
-  loop.onTerminate([&] {
-    constexpr base::Duration kStopTime = base::milliseconds(500);
-    admin.setStopping();
-    relay.prepareStop();
-    loop.schedule(kStopTime, [&loop] { loop.stop(); });
-  });
+  loop.onSignals({[&] {
+                    constexpr base::Duration kStopTime = base::milliseconds(500);
+                    admin.setStopping();
+                    relay.prepareStop();
+                    loop.schedule(kStopTime, [&loop] { loop.stop(); });
+                  },
+                  {}});
   loop.run();
   return 0;
 }
--- a/apps/sync_http.cc
+++ b/apps/sync_http.cc
@@ -13,7 +13,7 @@
   }
   std::optional<transport::HttpResult> result;
   pool->send(std::move(request), timeout, [&result](transport::HttpResult done) { result = std::move(done); });
-  while (!result) lws_service(loop_.context(), 0);
+  while (!result) loop_.runOnce();
   return *result;
 }
 
@@ -29,7 +29,7 @@
 void SyncHttp::wait(base::Duration duration) {
   bool over = false;
   loop_.schedule(duration, [&over] { over = true; });
-  while (!over) lws_service(loop_.context(), 0);
+  while (!over) loop_.runOnce();
 }
 
 }  // namespace driftlug::apps
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -106,6 +106,10 @@
       return "ledger_unavailable";
     case ErrorCode::kKeyReused:
       return "key_reused";
+    case ErrorCode::kBackendRefused:
+      return "backend_refused";
+    case ErrorCode::kWrongEndpoint:
+      return "wrong_endpoint";
   }
   return "unnamed";
 }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -45,6 +45,8 @@
   kNoTable = 47,
   kKeyReused = 48,
   kLedgerUnavailable = 49,
+  kBackendRefused = 50,
+  kWrongEndpoint = 51,
 };
 
 /// @return the stable lower-case name of a code, as it appears in JSON bodies and logs.
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -248,6 +248,20 @@
   return result.positional;
 }
 
+std::optional<std::string> rereadSetting(const std::string& name) {
+  if (FLAGS_config.empty()) return std::nullopt;
+  try {
+    const toml::table table = toml::parse_file(FLAGS_config);
+    const auto* node = table.get(name);
+    bool supported = false;
+    if (node == nullptr) return std::nullopt;
+    const auto text = tomlValueText(*node, &supported);
+    return supported ? std::optional(text) : std::nullopt;
+  } catch (const toml::parse_error&) {
+    return std::nullopt;
+  }
+}
+
 std::vector<std::string> splitList(const std::string& text) {
   std::vector<std::string> items;
   for (const auto& part : absl::StrSplit(text, ',', absl::SkipWhitespace())) {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
 /// @return positional arguments
 std::vector<std::string> loadSettingsOrExit(int argc, char** argv, const std::string& summary, bool allowPositional);
 
+/// Reads one setting from the file named by --config again, as after a change of the file.
+/// @return its text, or nothing when there is no file, no such key, or the file can't be read
+std::optional<std::string> rereadSetting(const std::string& name);
+
 /// Splits a comma-separated setting; blanks around items are dropped.
 std::vector<std::string> splitList(const std::string& text);
 
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -120,6 +120,8 @@
 
 absl::Status Raft::proposeMembers(std::vector<wire::Member> members, bool forming) {
   if (role_ != RaftRole::kLeader) return makeError(ErrorCode::kNotLeader, "this member does not lead");
+  // Before its own term has an entry committed, a leader may not know of a change that an earlier one committed.
+  if (!appliedOwnTerm()) return makeError(ErrorCode::kNotAccepted, "this leader has just begun");
   if (membershipChangePending()) return makeError(ErrorCode::kNotAccepted, "another membership change is in progress");
   std::set<std::string> before;
   std::set<std::string> after;
--- /dev/null
+++ b/src/controller/automatic_membership.cc
@@ -0,0 +1,148 @@
+/// Membership without an operator: controllers find the cluster through any other, join as learners, and take the
+/// place of voters that are lost.
+#include <algorithm>
+
+#include "controller/controller.h"
+
+namespace driftlug::controller {
+
+bool Controller::isMember(const std::string& id) const {
+  const auto& members = raft_->members();
+  return std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.id == id; });
+}
+
+void Controller::useSeeds(std::vector<ControllerAddress> seeds) {
+  options_.controllers = std::move(seeds);
+  if (raft_) updateLinks();
+}
+
+base::Address Controller::leaderPages() const {
+  if (!raft_) return {};
+  for (const auto& member : raft_->members()) {
+    if (member.id == raft_->leaderId()) return {member.address, member.httpPort};
+  }
+  return {};
+}
+
+wire::MemberList Controller::memberList() const {
+  wire::MemberList list;
+  list.members = raft_->members();
+  return list;
+}
+
+void Controller::tellMembers(base::ConnectionId connection, const wire::Hello& peer) {
+  if (!options_.membership.automatic || raft_->members().empty()) return;
+  const bool stranger = peer.role == wire::Role::CONTROLLER && !isMember(peer.id);
+  if (stranger || peer.role == wire::Role::RELAY) network_.send(connection, wire::encodeFrame(memberList()));
+}
+
+void Controller::tellMembersToAll() {
+  for (const auto& [connection, peer] : peers_) tellMembers(connection, peer);
+}
+
+void Controller::onMemberList(const wire::MemberList& list) {
+  if (isMember(identity_)) return;
+  learned_.clear();
+  for (const auto& member : list.members) learned_[member.id] = member;
+  updateLinks();
+}
+
+void Controller::admitStrangers() {
+  // A controller that is no member and has connected wants to be one. Under the identity of a removed member it comes
+  // back with its log as it left it, which is as good as a blank one.
+  for (const auto& [connection, peer] : peers_) {
+    const bool stranger = peer.role == wire::Role::CONTROLLER && !peer.address.empty() && !isMember(peer.id);
+    if (!stranger) continue;
+    ControllerAddress address;
+    address.name = peer.address;
+    address.frames = {peer.address, peer.framePort};
+    address.httpPort = peer.httpPort;
+    if (raft_->membershipChangePending()) return;
+    auto members = raft_->members();
+    members.push_back(memberFor(address, peer));
+    log_.info("{} takes {} in as a learner", identity_, peer.id);
+    (void)raft_->proposeMembers(members, raft_->forming());
+    return;
+  }
+}
+
+void Controller::watchMembers() {
+  const auto now = scheduler_.now();
+  for (const auto& member : raft_->members()) {
+    const bool active = member.id == raft_->id() || raft_->recentlyActive(member.id);
+    if (active || lastActive_.count(member.id) == 0) lastActive_[member.id] = now;
+  }
+}
+
+bool Controller::superseded(const wire::Member& member) const {
+  if (member.id == raft_->id()) return false;
+  // Another identity at its address: its disk is gone, and it never comes back as what it was.
+  const auto* hello = links_.helloOf({member.address, member.framePort});
+  return hello != nullptr && hello->id != member.id;
+}
+
+bool Controller::lost(const wire::Member& member) const {
+  if (superseded(member)) return true;
+  const auto seen = lastActive_.find(member.id);
+  return seen != lastActive_.end() && scheduler_.now() - seen->second > options_.membership.replaceAfter;
+}
+
+const wire::Member* Controller::nextVoter() const {
+  std::map<std::string, int> votersByZone;
+  for (const auto& member : raft_->members()) {
+    if (member.voting && !lost(member)) ++votersByZone[member.zone];
+  }
+  const wire::Member* best = nullptr;
+  for (const auto& member : raft_->members()) {
+    const bool good = !member.voting && raft_->recentlyActive(member.id) && raft_->caughtUp(member.id);
+    if (!good || superseded(member)) continue;
+    if (best == nullptr || votersByZone[member.zone] < votersByZone[best->zone]) best = &member;
+  }
+  return best;
+}
+
+const wire::Member* Controller::memberToDrop() const {
+  size_t voters = 0;
+  size_t good = 0;
+  const wire::Member* lostVoter = nullptr;
+  for (const auto& member : raft_->members()) {
+    const bool gone = lost(member);
+    if (!member.voting) {
+      const auto silent = scheduler_.now() - lastActive_.at(member.id);
+      if (superseded(member) || silent > options_.membership.forgetAfter) return &member;
+      continue;
+    }
+    ++voters;
+    if (gone) lostVoter = &member;
+    if (!gone && (member.id == raft_->id() || raft_->recentlyActive(member.id))) ++good;
+  }
+  // A voter leaves only once enough others stand in for it.
+  const bool replaced = lostVoter != nullptr && good >= options_.membership.voters;
+  const bool wiped = lostVoter != nullptr && superseded(*lostVoter) && voters > options_.membership.voters;
+  return replaced || wiped ? lostVoter : nullptr;
+}
+
+void Controller::manageVoters() {
+  watchMembers();
+  if (raft_->forming() || raft_->membershipChangePending()) return;
+  auto members = raft_->members();
+  const auto change = [&](const wire::Member& subject) {
+    return std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.id == subject.id; });
+  };
+  if (const auto* leaving = memberToDrop(); leaving != nullptr) {
+    log_.info("{} removes {}, which is lost", identity_, leaving->id);
+    members.erase(change(*leaving));
+    (void)raft_->proposeMembers(members, false);
+    return;
+  }
+  size_t good = 0;
+  for (const auto& member : members) good += member.voting && !lost(member) ? 1 : 0;
+  if (good >= options_.membership.voters) return;
+  const auto* next = nextVoter();
+  if (next == nullptr) return;
+  log_.info("{} makes {} a voter", identity_, next->id);
+  change(*next)->voting = true;
+  (void)raft_->proposeMembers(members, false);
+}
+
+}  // namespace driftlug::controller
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -12,7 +12,7 @@
 using base::ErrorCode;
 using consensus::RaftRole;
 
-constexpr base::Duration kHousekeepingInterval = base::milliseconds(50);
+constexpr base::Duration kHousekeepingInterval = base::milliseconds(100);
 constexpr int kProtocolVersion = 1;
 
 }  // namespace
@@ -76,6 +76,10 @@
   hello.id = identity_;
   hello.zone = options_.zone;
   hello.blank = raft_->blank();
+  hello.address = options_.self.frames.host;
+  hello.framePort = options_.self.frames.port;
+  hello.httpPort = options_.self.httpPort;
+  hello.relayPort = options_.relayPort;
   return hello;
 }
 
@@ -180,6 +184,7 @@
   peers_[connection] = peer;
   // The other side may have taken this controller's Hello before it last changed.
   if (peer.role == wire::Role::CONTROLLER && raft_) network_.send(connection, wire::encodeFrame(ownHello()));
+  if (raft_) tellMembers(connection, peer);
   if (peer.role != wire::Role::RELAY) return;
   relays_.open(connection, peer.id);
   if (raft_ && announcedTerm_) relays_.heartbeatTo(connection, state_.table().revision(), raft_->freshness());
@@ -204,6 +209,7 @@
     links_.onHello(connection, *hello);
     return;
   }
+  if (const auto* members = std::get_if<wire::MemberList>(&message)) return onMemberList(*members);
   const bool wasBlank = raft_->blank();
   raft_->onMessage(peer->second.id, message);
   if (wasBlank && !raft_->blank()) announce();
@@ -294,6 +300,7 @@
 void Controller::onLeadership(RaftRole role) {
   convergence_.reset();
   announcedTerm_ = false;
+  lastActive_.clear();
   if (role == RaftRole::kLeader) return;
   // An addition that this leader did not finish must not come back when it leads again.
   joining_.clear();
@@ -315,7 +322,12 @@
   if (raft_->blank()) return formCluster();
   if (raft_->role() != RaftRole::kLeader) return;
   if (raft_->forming() && !raft_->membershipChangePending()) completeFormation();
-  promoteLearners();
+  if (options_.membership.automatic) {
+    admitStrangers();
+    manageVoters();
+  } else {
+    promoteLearners();
+  }
   removeSilentRelays();
   convergence_.forgetGone();
   for (const auto connection : relays_.silentSince(scheduler_.now() - options_.relayTimeout)) {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -28,11 +28,24 @@
   int httpPort = 0;
 };
 
+/// How the controllers of a fleet find each other and replace lost ones without an operator.
+struct MembershipOptions {
+  bool automatic = false;  ///< off: members are those of the settings and what an operator adds or removes
+  size_t voters = 3;       ///< how many members vote; further ones stand by as learners
+  base::Duration replaceAfter =
+      base::seconds(8);  ///< a voter that is silent for longer gives way to one that stands by
+  base::Duration forgetAfter = base::seconds(60);  ///< a learner that is silent for longer is removed
+};
+
 /// Settings of one controller.
 struct ControllerOptions {
   std::string name;
   std::string zone;
   std::vector<ControllerAddress> controllers;  ///< all initial members; the first one forms the cluster
+  bool founding = true;    ///< whether `controllers` may form a cluster; else they are only asked for it
+  ControllerAddress self;  ///< where others reach this controller; needed with automatic membership
+  int relayPort = 0;       ///< where nodes reach the relay beside this controller; 0 when there is none
+  MembershipOptions membership;
   consensus::RaftOptions raft;
   base::Duration relayHeartbeat = base::seconds(1);
   base::Duration relayTimeout = base::seconds(3);  ///< a relay that is silent for longer is dropped
@@ -81,6 +94,12 @@
   /// Removes a controller; refused when the remaining voters could not lose one more or are not caught up.
   absl::Status removeController(const std::string& name);
 
+  /// Asks other controllers for the cluster from now on, as after a change of the settings.
+  void useSeeds(std::vector<ControllerAddress> seeds);
+
+  /// @return the address of the leader's pages; port 0 when no leader is known.
+  base::Address leaderPages() const;
+
   /// Called for each committed entry once it is applied.
   void onApplied(std::function<void(const wire::LogEntry&)> hook) { appliedHook_ = std::move(hook); }
 
@@ -99,6 +118,9 @@
   std::string leaderName() const;
   bool ready() const { return raft_ != nullptr && !raft_->leaderId().empty(); }
 
+  /// @return whether this controller leads and has applied all that was committed before.
+  bool leads() const { return raft_ && raft_->role() == consensus::RaftRole::kLeader && raft_->appliedOwnTerm(); }
+
   // base::ConnectionHandler
   void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
   void onMessage(base::ConnectionId connection, wire::Message message) override;
@@ -135,6 +157,18 @@
   void applyLedger(const wire::LogEntry& entry);
   void onLedgerRequest(base::ConnectionId connection, const wire::LedgerRequest& request);
   void onMembers(const wire::LogEntry& entry);
+  bool isMember(const std::string& id) const;
+  wire::MemberList memberList() const;
+  void tellMembers(base::ConnectionId connection, const wire::Hello& peer);
+  void tellMembersToAll();
+  void onMemberList(const wire::MemberList& list);
+  void admitStrangers();
+  void manageVoters();
+  bool superseded(const wire::Member& member) const;
+  bool lost(const wire::Member& member) const;
+  void watchMembers();
+  const wire::Member* nextVoter() const;
+  const wire::Member* memberToDrop() const;
   void registerRelay(const wire::Hello& hello);
   void useRegisteredRelays();
   void removeSilentRelays();
@@ -159,6 +193,8 @@
   std::map<int64_t, LedgerReplyCallback> pendingLedger_;     // by log index
   std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
   std::map<std::string, ControllerAddress> joining_;         // added by an operator, not yet a member
+  std::map<std::string, wire::Member> learned_;              // controllers that others told of, by id
+  std::map<std::string, base::TimePoint> lastActive_;        // on the leader: when a member last answered
   std::function<void(const wire::LogEntry&)> appliedHook_;   // may be empty
   std::function<void()> reportHook_;                         // may be empty
   bool pushScheduled_ = false;
--- a/src/controller/controller_membership.cc
+++ b/src/controller/controller_membership.cc
@@ -11,6 +11,7 @@
 using consensus::RaftRole;
 
 void Controller::formCluster() {
+  if (!options_.founding) return;
   const auto* own = ownAddress();
   if (own == nullptr || options_.controllers.front().name != options_.name) return;
   // Only when every initial member is there and none has ever been part of a cluster; otherwise this data folder
@@ -20,9 +21,7 @@
     const auto* hello = links_.helloOf(controller.frames);
     if (hello == nullptr || !hello->blank) return;
   }
-  wire::Hello self;
-  self.id = identity_;
-  auto member = memberFor(*own, self);
+  auto member = memberFor(*own, ownHello());
   member.voting = true;
   log_.info("{} forms a new cluster", identity_);
   raft_->bootstrap(member);
@@ -109,6 +108,8 @@
   member.address = address.frames.host;
   member.framePort = address.frames.port;
   member.httpPort = address.httpPort;
+  member.relayPort = hello.relayPort;
+  member.zone = hello.zone;
   return member;
 }
 
@@ -121,6 +122,7 @@
 
 void Controller::onMembers(const wire::LogEntry& entry) {
   updateLinks();
+  tellMembersToAll();
   for (const auto& member : entry.members) {
     log_.debug("{} counts {} as a {} since index {}", identity_, member.id, member.voting ? "voter" : "learner",
                entry.index);
@@ -136,6 +138,11 @@
     if (member.name != options_.name) addresses.insert({member.address, member.framePort});
   }
   for (const auto& [name, address] : joining_) addresses.insert(address.frames);
+  if (!isMember(identity_)) {
+    for (const auto& [id, member] : learned_) {
+      if (member.name != options_.name) addresses.insert({member.address, member.framePort});
+    }
+  }
   links_.setAddresses(addresses);
 }
 
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -84,6 +84,12 @@
   startWaiting();
 }
 
+void SlotLimiter::refuseWaiting() {
+  std::map<Order, Request> refused;
+  refused.swap(waiting_);
+  for (auto& [order, request] : refused) request.refuse(SlotRefusal::kClosed);
+}
+
 bool SlotLimiter::cancel(TicketId ticket) {
   const auto found =
       std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& item) { return item.first.ticket == ticket; });
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -9,12 +9,20 @@
 
 namespace driftlug::limits {
 
-/// Which requests go first when slots are short.
+/// Which requests go first when slots are short; the lower the number, the more urgent. Numbers above those named
+/// here come from routes of lower priority, see rankOf().
 enum class Priority : int {
   kMustRun = 0,  ///< filings, orders: requests that may not be repeated
   kNormal = 1,
 };
 
+/// @return the rank of a request: by the priority of its route (0 is the most urgent), then by whether it may be
+/// repeated.
+inline Priority rankOf(int routePriority, bool repeatable) {
+  const auto within = static_cast<int>(repeatable ? Priority::kNormal : Priority::kMustRun);
+  return static_cast<Priority>(2 * routePriority + within);
+}
+
 /// Identifies one request within a limiter.
 using TicketId = uint64_t;
 
@@ -31,6 +39,7 @@
 enum class SlotRefusal {
   kQueueFull,
   kWouldBeLate,  ///< its deadline would pass before a slot is free
+  kClosed,       ///< no new work is taken
 };
 
 /// Bounds how many requests run at once; the others wait in a bounded queue or are refused while that is cheap.
@@ -50,6 +59,9 @@
   /// Asks for a slot. Exactly one of the callbacks is called, now or later, unless the ticket is cancelled.
   TicketId acquire(Priority priority, base::TimePoint deadline, Start start, Refuse refuse);
 
+  /// Refuses everything that waits; what runs goes on.
+  void refuseWaiting();
+
   /// A request that had started has ended.
   /// @param held how long it held its slot
   void release(base::Duration held);
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -35,6 +35,7 @@
                       }),
       homeTimer_(scheduler, [this] { goHome(); }) {
   slices_.setChecks(options_.checks);
+  seeds_ = options_.relays;
 }
 
 ControlClient::~ControlClient() { alive_.reset(); }
@@ -60,10 +61,49 @@
   sliceSeen_ = false;
   openedAt_ = scheduler_.now();
   const size_t position = position_ % options_.relays.size();
-  connection_ = network_.connect(options_.relays[position]);
+  relay_ = options_.relays[position];
+  connection_ = network_.connect(relay_);
   homeTimer_.stop();
   const bool home = position < options_.nearRelays;
-  if (!home) homeTimer_.start(options_.returnAfter + random_.duration(options_.returnAfter));
+  if (!home && options_.nearRelays > 0) homeTimer_.start(options_.returnAfter + random_.duration(options_.returnAfter));
+}
+
+void ControlClient::useSeeds(const std::vector<base::Address>& seeds) {
+  seeds_ = seeds;
+  useRelays();
+}
+
+void ControlClient::onRelayList(const wire::RelayList& list) {
+  learned_ = list;
+  useRelays();
+}
+
+void ControlClient::useRelays() {
+  std::vector<base::Address> near;
+  std::vector<base::Address> far;
+  for (const auto& relay : learned_.relays) {
+    (relay.zone == options_.zone ? near : far).push_back({relay.address, relay.port});
+  }
+  // Each node has an order of its own, so that the nodes of a lost relay spread over the others.
+  const auto shuffle = [this](std::vector<base::Address>* list) {
+    for (size_t i = list->size(); i > 1; --i) std::swap((*list)[i - 1], (*list)[random_.below(i)]);
+  };
+  shuffle(&near);
+  shuffle(&far);
+  if (!learned_.relays.empty()) options_.nearRelays = near.size();
+  near.insert(near.end(), far.begin(), far.end());
+  for (const auto& seed : seeds_) {
+    if (std::find(near.begin(), near.end(), seed) == near.end()) near.push_back(seed);
+  }
+  options_.relays = near;
+  const auto current = std::find(near.begin(), near.end(), relay_);
+  position_ = current == near.end() ? 0 : static_cast<size_t>(current - near.begin());
+  const bool home = position_ < options_.nearRelays;
+  if (home) {
+    homeTimer_.stop();
+  } else if (open_ && !homeTimer_.running()) {
+    homeTimer_.start(random_.duration(options_.returnAfter));
+  }
 }
 
 void ControlClient::goHome() {
@@ -127,6 +167,8 @@
     moveOn(base::milliseconds(later->delayMs) + random_.duration(options_.reconnectDelay));
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
     if (onStates_) onStates_(states->states);
+  } else if (const auto* relays = std::get_if<wire::RelayList>(&message)) {
+    onRelayList(*relays);
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) {
     if (onLedgerReply_) onLedgerReply_(*reply);
   }
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -59,6 +59,9 @@
   /// @param disk null where the node has none
   void start(storage::Disk* disk);
 
+  /// Uses other first addresses of relays, as after a change of the settings; those learned stay in use.
+  void useSeeds(const std::vector<base::Address>& seeds);
+
   /// Announces the state of the endpoint beside this node.
   void announce(const wire::EndpointState& state);
 
@@ -83,6 +86,8 @@
 
  private:
   void connect();
+  void onRelayList(const wire::RelayList& list);
+  void useRelays();
   void moveOn(base::Duration delay);
   void reconnectLater();
   void onUpdate(const wire::SliceUpdate& update);
@@ -108,6 +113,9 @@
   std::function<void(const wire::LedgerReply&)> onLedgerReply_;  // may be empty
   SliceStore slices_;
   storage::Disk* disk_ = nullptr;
+  std::vector<base::Address> seeds_;   // relays that the settings name
+  wire::RelayList learned_;            // relays that the last relay knew
+  base::Address relay_;                // the relay in use
   size_t position_ = 0;                // of the relay in use
   base::ConnectionId connection_ = 0;  // 0 while waiting to reconnect
   bool open_ = false;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -11,8 +11,7 @@
 
 using base::ErrorCode;
 
-/// A back end that sheds load marks the answer so; it promises that the request did not run.
-constexpr char kShedHeader[] = "x-shed";
+constexpr int kMisdirectedStatus = 421;
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
 /// Time for which a node goes on to tell the ledger how a request ended.
@@ -43,14 +42,30 @@
 
 void EndpointCalls::useTable(const routing::RoutingTable& table) {
   const auto* limit = table.limit(options_.service);
-  if (limit != nullptr) {
-    limiter_.setLimits(limit->maxConcurrent, limit->maxQueued);
-  } else {
-    limiter_.setLimits(options_.defaultSlots, options_.defaultQueue);
-  }
+  tableLimit_ = limit != nullptr ? std::optional(*limit) : std::nullopt;
+  applyLimits();
 }
 
-bool EndpointCalls::isRepeatable(const wire::CallRequest& request) { return request.idempotencyKey.empty(); }
+void EndpointCalls::applyLimits() {
+  if (tableLimit_) return limiter_.setLimits(tableLimit_->maxConcurrent, tableLimit_->maxQueued);
+  limiter_.setLimits(endpointSlots_ > 0 ? endpointSlots_ : options_.defaultSlots, options_.defaultQueue);
+}
+
+void EndpointCalls::setDraining(bool draining) {
+  draining_ = draining;
+  if (draining_) limiter_.refuseWaiting();
+}
+
+void EndpointCalls::useIncarnation(const std::string& endpoint, int slots) {
+  if (endpoint != endpoint_) limiter_.refuseWaiting();
+  endpoint_ = endpoint;
+  endpointSlots_ = slots;
+  applyLimits();
+}
+
+bool EndpointCalls::isRepeatable(const wire::CallRequest& request) {
+  return request.idempotencyKey.empty() && !request.runOnce;
+}
 
 void EndpointCalls::onRequest(base::ConnectionId connection, const wire::CallRequest& request) {
   const CallKey key{connection, request.callId};
@@ -59,20 +74,33 @@
   auto& call = calls_[key];
   call.request = request;
   call.deadline = scheduler_.now() + base::milliseconds(request.remainingMs);
-  if (options_.service.empty() || request.serviceName != options_.service) {
-    return refuse(key, ErrorCode::kNoEndpoint, base::Duration(0));
-  }
-  if (draining_) return refuse(key, ErrorCode::kDraining, base::Duration(0));
-  const auto priority = isRepeatable(request) ? limits::Priority::kNormal : limits::Priority::kMustRun;
+  if (refuseAtOnce(key, request)) return;
+  const auto priority = limits::rankOf(request.priority, isRepeatable(request));
   const auto ticket = limiter_.acquire(
       priority, call.deadline, [this, key] { run(key); },
-      [this, key](limits::SlotRefusal) {
+      [this, key](limits::SlotRefusal refusal) {
+        if (refusal == limits::SlotRefusal::kClosed) return refuse(key, ErrorCode::kDraining, base::Duration(0));
         const auto wait = std::max<base::Duration>(base::milliseconds(1), limiter_.expectedWait());
         refuse(key, ErrorCode::kOverloaded, wait);
       });
   if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
 }
 
+bool EndpointCalls::refuseAtOnce(const CallKey& key, const wire::CallRequest& request) {
+  ErrorCode error = ErrorCode::kNone;
+  const bool otherIncarnation = options_.dynamicEndpoint && (endpoint_.empty() || request.endpoint != endpoint_);
+  if (options_.service.empty() || request.serviceName != options_.service) {
+    error = ErrorCode::kNoEndpoint;
+  } else if (otherIncarnation) {
+    error = endpoint_.empty() ? ErrorCode::kDraining : ErrorCode::kWrongEndpoint;
+  } else if (draining_) {
+    error = ErrorCode::kDraining;
+  }
+  if (error == ErrorCode::kNone) return false;
+  refuse(key, error, base::Duration(0));
+  return true;
+}
+
 void EndpointCalls::run(const CallKey& key) {
   auto& call = calls_[key];
   call.running = true;
@@ -130,9 +158,7 @@
   if (answer.outcome == BackendOutcome::kNotSent) {
     return releaseThenRefuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
   }
-  if (completed && hasHeader(answer.headers, kShedHeader)) {
-    return releaseThenRefuse(key, ErrorCode::kOverloaded, kShedRetryAfter);
-  }
+  if (completed && backendRefused(key, answer)) return;
   if (!completed) {
     return answerUnknown(key, answer.timedOut ? ErrorCode::kDeadlineExceeded : ErrorCode::kBackendFailed);
   }
@@ -146,6 +172,19 @@
   answerCompleted(key, std::move(stored));
 }
 
+bool EndpointCalls::backendRefused(const CallKey& key, const BackendAnswer& answer) {
+  if (answer.httpStatus == kMisdirectedStatus && options_.dynamicEndpoint) {
+    // Another incarnation has taken the address; what this node believed of its back end is over.
+    const auto endpoint = calls_[key].request.endpoint;
+    releaseThenRefuse(key, ErrorCode::kWrongEndpoint, base::Duration(0));
+    if (onWrongIncarnation_) onWrongIncarnation_(endpoint);
+    return true;
+  }
+  if (!hasHeader(answer.headers, options_.notRunHeader)) return false;
+  releaseThenRefuse(key, ErrorCode::kBackendRefused, kShedRetryAfter);
+  return true;
+}
+
 void EndpointCalls::answerCompleted(const CallKey& key, wire::StoredAnswer stored) {
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::COMPLETED;
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -1,8 +1,10 @@
 /// The endpoint side of calls: admits them to the back end beside this node.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/network.h"
@@ -19,6 +21,10 @@
   std::string service;  ///< empty on a node without a back end
   int defaultSlots = 16;
   int defaultQueue = 32;
+  /// A header, in lower case, by which the back end says that it did not run the request.
+  std::string notRunHeader = "x-shed";
+  /// Whether calls are taken only for the incarnation of the back end that useIncarnation() named.
+  bool dynamicEndpoint = false;
 };
 
 /// Counters of the endpoint side.
@@ -50,8 +56,16 @@
   void onCancel(base::ConnectionId connection, int64_t callId);
   void onClose(base::ConnectionId connection);
 
-  /// Refuses new calls from now on, or accepts them again; running ones go on.
-  void setDraining(bool draining) { draining_ = draining; }
+  /// Refuses new calls and those that wait from now on, or accepts calls again; running ones go on.
+  void setDraining(bool draining);
+
+  /// The back end beside this node is another incarnation now.
+  /// @param endpoint its name; empty while none is known, and then every call is refused
+  /// @param slots requests that it works on at once; 0 when it does not say
+  void useIncarnation(const std::string& endpoint, int slots);
+
+  /// Called when the back end says that it is another incarnation than the named one.
+  void onWrongIncarnation(std::function<void(const std::string&)> handler) { onWrongIncarnation_ = std::move(handler); }
 
   bool draining() const { return draining_; }
   size_t active() const { return calls_.size(); }
@@ -84,6 +98,9 @@
   void releaseThenRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
   void releaseSlot(const Call& call);
+  void applyLimits();
+  bool refuseAtOnce(const CallKey& key, const wire::CallRequest& request);
+  bool backendRefused(const CallKey& key, const BackendAnswer& answer);
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
@@ -97,6 +114,10 @@
   limits::SlotLimiter limiter_;
   std::map<CallKey, Call> calls_;
   bool draining_ = false;
+  std::string endpoint_;  // the incarnation of the back end, with dynamicEndpoint
+  int endpointSlots_ = 0;
+  std::optional<routing::ServiceLimit> tableLimit_;
+  std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
   EndpointCounters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -47,31 +47,65 @@
 
 void EntryCalls::useTable(routing::RoutingTablePtr table) {
   table_ = std::move(table);
+  updateEndpoints();
+}
+
+void EntryCalls::updateEndpoints() {
+  endpoints_.clear();
+  if (table_) endpoints_ = table_->endpointsByService();
+  for (const auto& [name, state] : states_) {
+    if (state.address.empty() || state.condition == wire::EndpointCondition::GONE) continue;
+    endpoints_[state.serviceName].push_back(
+        {name, state.address, state.port, state.zone, routing::kFullWeight, state.slots});
+  }
+  updateLinks();
+}
+
+const std::vector<routing::EndpointTarget>& EntryCalls::endpointsOf(const std::string& service) const {
+  static const std::vector<routing::EndpointTarget> none;
+  const auto found = endpoints_.find(service);
+  return found == endpoints_.end() ? none : found->second;
+}
+
+void EntryCalls::updateLinks() {
   std::map<std::string, base::Address> wanted;
-  for (const auto& endpoint : table_->allEndpoints()) wanted[endpoint.name] = {endpoint.address, endpoint.port};
-  // Links of endpoints that left the table are closed once their last call has ended.
-  for (auto link = links_.begin(); link != links_.end();) {
-    const auto& [name, state] = *link;
+  for (const auto& [service, endpoints] : endpoints_) {
+    for (const auto& endpoint : endpoints) wanted[endpoint.name] = {endpoint.address, endpoint.port};
+  }
+  // Links of endpoints that left are closed once their last call has ended.
+  std::vector<std::string> leaving;
+  for (const auto& [name, link] : links_) {
     const auto found = wanted.find(name);
-    const bool moved = found == wanted.end() || !(found->second == state.address);
-    if (!moved || (state.open && picker_.inFlight(name) > 0 && found == wanted.end())) {
-      ++link;
-      continue;
-    }
-    const auto connection = state.connection;
-    picker_.setConnected(name, false);
-    link = links_.erase(link);
-    if (connection == 0) continue;
-    onClose(connection);
-    network_.close(connection);
+    const bool moved = found == wanted.end() || !(found->second == link.address);
+    const bool busy = link.open && picker_.inFlight(name) > 0 && found == wanted.end();
+    if (moved && !busy) leaving.push_back(name);
   }
+  for (const auto& name : leaving) closeLink(name);
   for (const auto& [name, address] : wanted) {
     if (links_.count(name) > 0) continue;
     links_[name].address = address;
+    links_[name].lostAt = scheduler_.now();
     connect(name);
   }
 }
 
+void EntryCalls::closeLink(const std::string& endpoint) {
+  const auto connection = links_[endpoint].connection;
+  picker_.setConnected(endpoint, false);
+  links_.erase(endpoint);
+  if (connection == 0) return;
+  onClose(connection);
+  network_.close(connection);
+}
+
+void EntryCalls::forgetUnreachable(const std::string& endpoint) {
+  const auto state = states_.find(endpoint);
+  if (state == states_.end() || state->second.address.empty()) return;
+  states_.erase(state);
+  picker_.forget(endpoint);
+  updateEndpoints();
+}
+
 void EntryCalls::connect(const std::string& endpoint) {
   const auto found = links_.find(endpoint);
   if (found == links_.end() || found->second.connection != 0) return;
@@ -102,13 +136,15 @@
     const auto attempt = attempts_[attemptId];
     attempts_.erase(attemptId);
     picker_.onDone(endpoint, base::Duration(0), true);
-    onAttemptFailed(attempt.call, false,
+    onAttemptFailed(attempt.call, Reach::kMayHaveRun,
                     failureAnswer(CallOutcome::UNKNOWN, ErrorCode::kConnectionLost, kBadGatewayStatus, 0));
   }
   const auto link = links_.find(endpoint);
   if (link == links_.end()) return;
   link->second.connection = 0;
+  if (link->second.open) link->second.lostAt = scheduler_.now();
   link->second.open = false;
+  if (scheduler_.now() - link->second.lostAt > options_.unreachableFor) return forgetUnreachable(endpoint);
   const auto limit = options_.reconnectDelay * (1 << std::min(link->second.failures, kMaxBackoffDoublings));
   ++link->second.failures;
   scheduler_.schedule(random_.duration(limit) + base::milliseconds(1),
@@ -118,16 +154,25 @@
 }
 
 void EntryCalls::onEndpointStates(const std::vector<wire::EndpointState>& states) {
+  bool announced = false;
   for (const auto& state : states) {
     const auto known = states_.find(state.endpoint);
     if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
     states_[state.endpoint] = state;
     picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
+    announced = announced || !state.address.empty();
   }
+  if (announced) updateEndpoints();
 }
 
 std::string EntryCalls::mintKey() { return options_.nodeId + "-" + absl::StrFormat("%016x", random_.bits()); }
 
+const routing::Route* EntryCalls::findRoute(const InboundCall& inbound) const {
+  if (!table_) return nullptr;
+  const std::string_view path = inbound.path;
+  return table_->match(inbound.host, path.substr(0, path.find('?')), inbound.method);
+}
+
 CallId EntryCalls::begin(InboundCall inbound, AnswerCallback done) {
   const auto id = nextCall_++;
   ++counters_.calls;
@@ -136,45 +181,50 @@
   call.done = std::move(done);
   call.table = table_;
   const auto now = scheduler_.now();
-  const auto path = call.inbound.path.substr(0, call.inbound.path.find('?'));
-  const auto* route = table_ ? table_->match(call.inbound.host, path, call.inbound.method) : nullptr;
+  const auto* route = findRoute(call.inbound);
   if (route == nullptr) {
-    const bool noTable = !table_;
-    call.lastFailure =
-        failureAnswer(CallOutcome::NOT_RUN, noTable ? ErrorCode::kNoTable : ErrorCode::kNoRoute,
-                      noTable ? kUnavailableStatus : kNotFoundStatus, noTable ? kDefaultRetryAfterMs : 0);
-    scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
-      if (!alive.expired() && calls_.count(id) > 0) finish(id, calls_[id].lastFailure);
-    });
+    refuseLater(id);
     return id;
   }
   int timeoutMs = route->timeoutMs;
   if (call.inbound.deadlineMs > 0) timeoutMs = std::min(timeoutMs, call.inbound.deadlineMs);
   call.deadline = now + base::milliseconds(timeoutMs);
   call.repeatable = route->repeatable;
+  call.priority = route->priority;
   call.service = splits_[route->name].pick(route->shares);
+  const auto rule = table_->retryRule(call.service).value_or(options_.defaultRetry);
+  call.maxAttempts = route->maxAttempts > 0 ? route->maxAttempts : rule.maxAttempts;
   call.idempotencyKey = headerValue(call.inbound.headers, kIdempotencyHeader);
-  if (!call.repeatable && call.idempotencyKey.empty()) call.idempotencyKey = mintKey();
+  if (!call.repeatable && call.idempotencyKey.empty() && options_.mintKeys) call.idempotencyKey = mintKey();
   if (call.repeatable) call.idempotencyKey.clear();
   call.timer = scheduler_.schedule(call.deadline - now, [this, alive = std::weak_ptr<bool>(alive_), id] {
     if (!alive.expired()) onDeadline(id);
   });
-  budgets_[call.service].onRequest(call.table->retryRule(call.service).budgetPercent);
+  budgets_.try_emplace(call.service, options_.retryBurst).first->second.onRequest(rule.budgetPercent);
   scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
     if (!alive.expired()) attempt(id);
   });
   return id;
 }
 
+void EntryCalls::refuseLater(CallId id) {
+  const bool noTable = !table_;
+  calls_[id].lastFailure =
+      failureAnswer(CallOutcome::NOT_RUN, noTable ? ErrorCode::kNoTable : ErrorCode::kNoRoute,
+                    noTable ? kUnavailableStatus : kNotFoundStatus, noTable ? kDefaultRetryAfterMs : 0);
+  scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
+    if (!alive.expired() && calls_.count(id) > 0) finish(id, calls_[id].lastFailure);
+  });
+}
+
 void EntryCalls::attempt(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
   // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
-  const auto& endpoints = table_->endpoints(call.service);
-  const auto* target = picker_.pick(endpoints, options_.zone, call.tried);
+  const auto* target = picker_.pick(endpointsOf(call.service), options_.zone, call.tried);
   if (target == nullptr) {
-    if (call.attempts > 0) return finish(id, call.lastFailure);
+    if (!call.tried.empty()) return finish(id, call.lastFailure);
     return finish(
         id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus, kDefaultRetryAfterMs));
   }
@@ -184,7 +234,6 @@
 void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target) {
   const auto now = scheduler_.now();
   const auto attemptId = nextAttempt_++;
-  ++call->attempts;
   ++counters_.attempts;
   call->tried.insert(target.name);
   call->attemptId = attemptId;
@@ -200,6 +249,9 @@
   request.body = call->inbound.body;
   request.remainingMs = static_cast<int32_t>(std::max<int64_t>(1, remainingMs(call->deadline, now)));
   request.idempotencyKey = call->idempotencyKey;
+  request.endpoint = target.name;
+  request.priority = call->priority;
+  request.runOnce = !call->repeatable;
   network_.send(link.connection, wire::encodeFrame(request));
 }
 
@@ -217,8 +269,10 @@
   attempts_.erase(found);
   const auto error = static_cast<ErrorCode>(response.errorCode);
   const auto latency = scheduler_.now() - attempt.sentAt;
+  const auto load = response.inFlight;
   if (response.outcome == CallOutcome::COMPLETED) {
     picker_.onDone(attempt.endpoint, latency, false);
+    picker_.onReport(attempt.endpoint, load);
     CallAnswer answer;
     answer.outcome = CallOutcome::COMPLETED;
     answer.httpStatus = response.httpStatus;
@@ -226,37 +280,51 @@
     answer.body = response.body;
     return finish(attempt.call, std::move(answer));
   }
-  if (response.outcome == CallOutcome::NOT_RUN) {
-    const bool fault = error == ErrorCode::kBackendUnreachable;
-    if (fault) {
-      picker_.onDone(attempt.endpoint, latency, true);
-    } else {
-      picker_.onAbandoned(attempt.endpoint);
-    }
-    if (error == ErrorCode::kKeyReused) {
-      return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
-    }
-    // Its own node is the truth for draining; the choice heeds it before any relay says so.
-    if (error == ErrorCode::kDraining) picker_.setAvailable(attempt.endpoint, false);
-    return onAttemptFailed(attempt.call, true,
-                           failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, response.retryAfterMs));
-  }
+  if (response.outcome == CallOutcome::NOT_RUN) return onNotRun(attempt, response);
   picker_.onDone(attempt.endpoint, latency, true);
   const int status = error == ErrorCode::kDeadlineExceeded ? kGatewayTimeoutStatus : kBadGatewayStatus;
-  onAttemptFailed(attempt.call, false, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
+  onAttemptFailed(attempt.call, Reach::kMayHaveRun, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
 }
 
-void EntryCalls::onAttemptFailed(CallId id, bool provablyNotRun, CallAnswer failure) {
+void EntryCalls::onNotRun(const Attempt& attempt, const wire::CallResponse& response) {
+  const auto error = static_cast<ErrorCode>(response.errorCode);
+  if (error == ErrorCode::kBackendUnreachable) {
+    picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, true);
+  } else {
+    picker_.onAbandoned(attempt.endpoint);
+  }
+  if (error == ErrorCode::kOverloaded) picker_.onReport(attempt.endpoint, response.inFlight);
+  if (error == ErrorCode::kKeyReused) {
+    return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
+  }
+  // Its own node is the truth for draining; the choice heeds it before any relay says so.
+  const bool leaving = error == ErrorCode::kDraining || error == ErrorCode::kWrongEndpoint;
+  if (leaving) picker_.setAvailable(attempt.endpoint, false);
+  if (error == ErrorCode::kWrongEndpoint) forgetUnreachable(attempt.endpoint);
+  const bool reachedBackend = error == ErrorCode::kBackendRefused;
+  const int retryAfterMs = response.retryAfterMs > 0 ? response.retryAfterMs : kDefaultRetryAfterMs;
+  onAttemptFailed(attempt.call, reachedBackend ? Reach::kRefusedByBackend : Reach::kNode,
+                  failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, retryAfterMs));
+}
+
+void EntryCalls::onAttemptFailed(CallId id, Reach reach, CallAnswer failure) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
   call.attemptId = 0;
   call.lastFailure = std::move(failure);
-  const auto rule = call.table->retryRule(call.service);
-  const bool allowed = options_.retries && (provablyNotRun || call.repeatable) && call.attempts < rule.maxAttempts &&
-                       scheduler_.now() < call.deadline;
+  const bool atBackend = reach != Reach::kNode;
+  if (atBackend) {
+    ++call.attempts;
+  } else {
+    ++call.refusals;
+  }
+  const bool mayRepeat = reach != Reach::kMayHaveRun || call.repeatable;
+  const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
+  const bool allowed = options_.retries && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
   if (!allowed) return finish(id, call.lastFailure);
-  if (!budgets_[call.service].spend()) {
+  // A refusal by a node costs no back end anything; what has reached one is paid for.
+  if (atBackend && !budgets_[call.service].spend()) {
     ++counters_.budgetSpent;
     return finish(id, call.lastFailure);
   }
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -24,6 +24,12 @@
   routing::PickerOptions picker;
   bool retries = true;
   base::Duration reconnectDelay = base::milliseconds(200);
+  routing::RetryRule defaultRetry;  ///< of services without a retry policy
+  double retryBurst = retry::RetryBudget::kDefaultBurst;
+  /// Whether requests that may not be repeated get a key of their own, under which the ledger knows them.
+  bool mintKeys = true;
+  int maxRefusals = 4;                                ///< endpoints that may refuse a request before it is given up
+  base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
 };
 
 /// Counters of the entry side.
@@ -75,11 +81,14 @@
     AnswerCallback done;
     routing::RoutingTablePtr table;  // the version the call began with
     std::string service;
+    int maxAttempts = 1;  // back ends that it may reach
+    int priority = 0;
     bool repeatable = false;
     std::string idempotencyKey;
     base::TimePoint deadline;
     base::TimerId timer = 0;
-    int attempts = 0;
+    int attempts = 0;       // that reached a back end, or may have
+    int refusals = 0;       // by nodes beside back ends
     int64_t attemptId = 0;  // of the attempt in flight, 0 while there is none
     std::set<std::string> tried;
     CallAnswer lastFailure;
@@ -97,12 +106,26 @@
     base::ConnectionId connection = 0;  // 0 while waiting to reconnect
     bool open = false;
     int failures = 0;  // connections lost in a row
+    base::TimePoint lostAt{};
   };
 
+  using Endpoints = std::map<std::string, std::vector<routing::EndpointTarget>>;
+
+  const routing::Route* findRoute(const InboundCall& inbound) const;
+  void refuseLater(CallId id);
+  void updateEndpoints();
+  void updateLinks();
+  void closeLink(const std::string& endpoint);
+  void forgetUnreachable(const std::string& endpoint);
+  const std::vector<routing::EndpointTarget>& endpointsOf(const std::string& service) const;
   void attempt(CallId id);
   void send(CallId id, Call* call, const routing::EndpointTarget& target);
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
-  void onAttemptFailed(CallId id, bool provablyNotRun, CallAnswer failure);
+  /// How far an attempt that failed had come.
+  enum class Reach { kNode, kRefusedByBackend, kMayHaveRun };
+
+  void onNotRun(const Attempt& attempt, const wire::CallResponse& response);
+  void onAttemptFailed(CallId id, Reach reach, CallAnswer failure);
   void onDeadline(CallId id);
   void finish(CallId id, CallAnswer answer);
   void connect(const std::string& endpoint);
@@ -122,6 +145,7 @@
   std::map<std::string, Link> links_;    // by endpoint
   std::map<base::ConnectionId, std::string> endpointOf_;
   std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
+  Endpoints endpoints_;                                // by service: those of the table and those announced
   CallId nextCall_ = 1;
   int64_t nextAttempt_ = 1;
   EntryCounters counters_;
--- /dev/null
+++ b/src/node/local_backend.cc
@@ -0,0 +1,74 @@
+#include "node/local_backend.h"
+
+#include <algorithm>
+
+namespace driftlug::node {
+namespace {
+
+constexpr size_t kMaxEnded = 256;
+
+}  // namespace
+
+LocalBackend::LocalBackend(wire::EndpointState place, EndpointCalls& calls, AnnounceFunction announce)
+    : place_(std::move(place)), calls_(calls), announce_(std::move(announce)) {}
+
+bool LocalBackend::hasEnded(const std::string& incarnation) const {
+  return std::find(ended_.begin(), ended_.end(), incarnation) != ended_.end();
+}
+
+ReportVerdict LocalBackend::onReport(const BackendReport& report) {
+  if (report.incarnation.empty() || hasEnded(report.incarnation)) return ReportVerdict::kOutdated;
+  const bool known = report.incarnation == current_.incarnation;
+  if (known && report.sequence <= current_.sequence) return ReportVerdict::kOutdated;
+  if (!known) {
+    if (!current_.incarnation.empty()) end(current_.incarnation);
+    learnedAt_ = report.sequence;
+    log_.info("{} is the back end now: {} slots, {}, sequence {}", report.incarnation, report.slots,
+              report.draining ? "draining" : "live", report.sequence);
+  } else if (report.draining != current_.draining) {
+    log_.info("{} is {} now, sequence {}", report.incarnation, report.draining ? "draining" : "live", report.sequence);
+  }
+  current_ = report;
+  apply();
+  return ReportVerdict::kTaken;
+}
+
+void LocalBackend::apply() {
+  const bool draining = current_.draining || stopping_;
+  calls_.useIncarnation(current_.incarnation, current_.slots);
+  calls_.setDraining(draining);
+  announce(draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE);
+}
+
+void LocalBackend::announce(wire::EndpointCondition::type condition) {
+  if (place_.endpoint == current_.incarnation && condition == announced_) return;
+  place_.endpoint = current_.incarnation;
+  place_.incarnation = learnedAt_;
+  place_.condition = condition;
+  place_.slots = current_.slots;
+  place_.coldMs = current_.coldMs;
+  announced_ = condition;
+  announce_(place_);
+}
+
+void LocalBackend::end(const std::string& incarnation) {
+  ended_.push_back(incarnation);
+  if (ended_.size() > kMaxEnded) ended_.pop_front();
+  if (incarnation != current_.incarnation) return;
+  log_.info("{} has ended", incarnation);
+  announce(wire::EndpointCondition::GONE);
+  current_ = BackendReport{};
+  calls_.useIncarnation("", 0);
+}
+
+void LocalBackend::onLeave(const std::string& incarnation) {
+  if (!hasEnded(incarnation)) end(incarnation);
+}
+
+void LocalBackend::setStopping() {
+  stopping_ = true;
+  if (current_.incarnation.empty()) return calls_.setDraining(true);
+  apply();
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/local_backend.h
@@ -0,0 +1,69 @@
+/// The back end beside a node, as it tells of itself: dynamic endpoints.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "base/log.h"
+#include "node/endpoint_calls.h"
+#include "wire/gen/driftlug_types.h"
+
+namespace driftlug::node {
+
+/// What a back end says of itself now and then. Every start of a back end is a new incarnation with a name of its own.
+struct BackendReport {
+  std::string incarnation;
+  int64_t sequence = 0;  ///< rises with every report of one incarnation
+  int slots = 0;         ///< requests that it works on at once; 0 when it does not say
+  int coldMs = 0;        ///< how much longer it is slow from its start
+  bool draining = false;
+};
+
+/// What became of a report.
+enum class ReportVerdict {
+  kTaken,
+  kOutdated,  ///< a newer report of the incarnation was taken, or the incarnation has ended
+};
+
+/// Keeps which incarnation of the back end takes calls, and announces it as an endpoint.
+///
+/// Invariants: an incarnation that has ended or was replaced never takes calls again; one that drains takes calls again
+/// only after a newer report says so; a report takes effect here before it is acknowledged, whatever is cut.
+class LocalBackend {
+ public:
+  using AnnounceFunction = std::function<void(const wire::EndpointState&)>;
+
+  /// @param place the endpoint's service, address, port and zone as others reach it
+  LocalBackend(wire::EndpointState place, EndpointCalls& calls, AnnounceFunction announce);
+
+  /// Takes a report of the back end.
+  ReportVerdict onReport(const BackendReport& report);
+
+  /// The incarnation ends, or has ended, or has turned out not to be there.
+  void onLeave(const std::string& incarnation);
+
+  /// This node stops: others are told to go elsewhere.
+  void setStopping();
+
+  const std::string& incarnation() const { return current_.incarnation; }
+
+ private:
+  bool hasEnded(const std::string& incarnation) const;
+  void end(const std::string& incarnation);
+  void apply();
+  void announce(wire::EndpointCondition::type condition);
+
+  base::Logger log_{"backend"};
+  wire::EndpointState place_;
+  EndpointCalls& calls_;
+  AnnounceFunction announce_;
+  BackendReport current_;          // incarnation empty while there is none
+  int64_t learnedAt_ = 0;          // sequence of the first report of the current incarnation that this process saw
+  std::deque<std::string> ended_;  // incarnations that have ended, oldest first
+  bool stopping_ = false;
+  wire::EndpointCondition::type announced_ = wire::EndpointCondition::GONE;
+};
+
+}  // namespace driftlug::node
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -37,6 +37,7 @@
   /// Revision that must be released before a whole slice is sent: the newest that this node may have run.
   int64_t floorRevision = 0;
   base::TimePoint lastHeard{};
+  std::set<std::string> toldServices;  ///< whose announced endpoints the node was told of
 };
 
 /// Sends slices to nodes once they are released.
@@ -82,6 +83,7 @@
   std::vector<wire::NodeStatus> lagging() const;
 
   const std::map<base::ConnectionId, NodeSession>& all() const { return sessions_; }
+  std::map<base::ConnectionId, NodeSession>& all() { return sessions_; }
   const NodeSessionCounters& counters() const { return counters_; }
 
   /// Sends whole slices instead of deltas; a baseline for experiments.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -32,6 +32,7 @@
       }) {
   nodes_.useFullPush(options_.fullPush);
   if (!options_.releaseQuorum) releases_.disable();
+  if (options_.everyZone) releases_.serveEveryZone();
   if (!options_.refuseOlder) nodes_.sendOlder();
 }
 
@@ -111,6 +112,8 @@
     if (source_.onLeader(connection, heartbeat->freshness)) subscribeToSource(replica_.revision());
   } else if (std::get_if<wire::NotLeader>(&message) != nullptr) {
     source_.onNotLeader(connection);
+  } else if (const auto* members = std::get_if<wire::MemberList>(&message)) {
+    onMemberList(*members);
   } else if (connection == source_.source()) {
     if (const auto* update = std::get_if<wire::TableUpdate>(&message)) onTableUpdate(*update);
     if (const auto* reply = std::get_if<wire::ConfirmReply>(&message)) onConfirmReply(*reply);
@@ -118,6 +121,28 @@
   }
 }
 
+void Relay::onMemberList(const wire::MemberList& list) {
+  std::set<base::Address> controllers;
+  std::set<base::Address> relays(options_.peers.begin(), options_.peers.end());
+  wire::RelayList known;
+  for (const auto& member : list.members) {
+    controllers.insert({member.address, member.framePort});
+    if (member.relayPort == 0) continue;
+    const base::Address address{member.address, member.relayPort};
+    if (!(address == options_.listening)) relays.insert(address);
+    wire::RelayAddress entry;
+    entry.address = member.address;
+    entry.port = member.relayPort;
+    entry.zone = member.zone;
+    known.relays.push_back(entry);
+  }
+  if (known == relayList_) return;
+  source_.useLearned(controllers);
+  peers_.setAddresses(relays);
+  relayList_ = known;
+  for (const auto& [connection, session] : nodes_.all()) network_.send(connection, wire::encodeFrame(relayList_));
+}
+
 void Relay::subscribeToSource(int64_t revision) {
   wire::RelaySubscribe subscribe;
   subscribe.revision = revision;
@@ -148,6 +173,7 @@
   announceHeld();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->onOwn(replica_.revision(), recovered_);
   nodes_.deliverAll();
+  tellNewServices();
   scheduleReport();
 }
 
@@ -284,6 +310,30 @@
     if (exceptional && nodes_.find(connection)->slice->slice().contains(key)) exceptions.push_back(state);
   }
   if (!exceptions.empty()) sendStates(connection, exceptions);
+  tellServices(connection, nodes_.find(connection));
+  if (!relayList_.relays.empty()) network_.send(connection, wire::encodeFrame(relayList_));
+}
+
+bool Relay::wants(const NodeSession& session, const wire::EndpointState& state) const {
+  const auto& slice = session.slice->slice();
+  if (state.address.empty()) return slice.contains(table::makeKey(table::RowKind::ENDPOINT, state.endpoint));
+  return slice.contains(table::makeKey(table::RowKind::SERVICE, state.serviceName));
+}
+
+void Relay::tellNewServices() {
+  for (auto& [connection, session] : nodes_.all()) tellServices(connection, &session);
+}
+
+void Relay::tellServices(base::ConnectionId connection, NodeSession* session) {
+  std::vector<wire::EndpointState> news;
+  std::set<std::string> wanted;
+  for (const auto& state : endpoints_.all()) {
+    if (state.address.empty() || !wants(*session, state)) continue;
+    wanted.insert(state.serviceName);
+    if (session->toldServices.count(state.serviceName) == 0) news.push_back(state);
+  }
+  session->toldServices = std::move(wanted);
+  if (!news.empty()) sendStates(connection, news);
 }
 
 FreshnessConfirmer& Relay::confirmerFor(const std::string& zone) {
@@ -418,8 +468,7 @@
   for (const auto& [connection, session] : nodes_.all()) {
     std::vector<wire::EndpointState> wanted;
     for (const auto& state : states) {
-      const auto key = table::makeKey(table::RowKind::ENDPOINT, state.endpoint);
-      if (session.slice->slice().contains(key)) wanted.push_back(state);
+      if (wants(session, state)) wanted.push_back(state);
     }
     if (!wanted.empty()) sendStates(connection, wanted);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -28,6 +28,8 @@
   std::vector<base::Address> controllers;
   std::vector<base::Address> peers;         ///< all other relays
   std::vector<ReleaseGroup> releaseGroups;  ///< groups that this relay is a member of
+  bool everyZone = false;                   ///< serve the nodes of every zone without a release group
+  base::Address listening;                  ///< where nodes and other relays reach this one; port 0 when not known
   base::Duration nodeHeartbeat = base::milliseconds(600);
   base::Duration nodeTimeout = base::seconds(4);          ///< a node that is silent for longer is dropped
   base::Duration reportInterval = base::seconds(5);       ///< changes are reported at once besides
@@ -80,6 +82,8 @@
   void onConfirmReply(const wire::ConfirmReply& reply);
   void onTableAdvanced();
 
+  void onMemberList(const wire::MemberList& list);
+
   // Peers
   void onRelayMessage(const std::string& relayId, const wire::Message& message);
   void announceHeld();
@@ -104,6 +108,9 @@
   void sendReport();
 
   // Endpoint states
+  bool wants(const NodeSession& session, const wire::EndpointState& state) const;
+  void tellNewServices();
+  void tellServices(base::ConnectionId connection, NodeSession* session);
   void onEndpointStates(const std::vector<wire::EndpointState>& states, const std::string& origin, bool fromNode);
   void spread(const std::vector<wire::EndpointState>& states, bool toPeers);
   void sendStates(base::ConnectionId connection, const std::vector<wire::EndpointState>& states);
@@ -125,6 +132,7 @@
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
   std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
   std::map<std::string, int> connectionsOf_;                               // open connections by peer id, for leases
+  wire::RelayList relayList_;                                              // all relays, as the controllers tell
   bool recovered_ = false;
   bool stopping_ = false;
   int64_t lastToken_ = 0;  // of all questions about freshness; never reused
--- a/src/relay/release_group.cc
+++ b/src/relay/release_group.cc
@@ -45,6 +45,7 @@
 }
 
 int64_t ReleaseTracker::released(const std::string& zone) const {
+  if (everyZone_) return ownRevision_;
   const auto found = released_.find(zone);
   return found == released_.end() ? 0 : found->second;
 }
--- a/src/relay/release_group.h
+++ b/src/relay/release_group.h
@@ -46,7 +46,11 @@
   int64_t released(const std::string& zone) const;
 
   /// @return whether this relay serves nodes of a zone.
-  bool serves(const std::string& zone) const { return groups_.count(zone) > 0; }
+  bool serves(const std::string& zone) const { return everyZone_ || groups_.count(zone) > 0; }
+
+  /// Serves the nodes of every zone without a group: what is held is released, and only the leading controller can
+  /// prove to a node that restarted that it is recent. For fleets whose relays come and go with the controllers.
+  void serveEveryZone() { everyZone_ = true; }
 
   /// @return relays in any of the own groups, without this one.
   const std::set<std::string>& peers() const { return peers_; }
@@ -67,6 +71,7 @@
   std::map<std::string, int64_t> released_;  // by zone
   int64_t ownRevision_ = 0;
   bool disabled_ = false;
+  bool everyZone_ = false;
 };
 
 }  // namespace driftlug::relay
--- a/src/relay/source.cc
+++ b/src/relay/source.cc
@@ -1,5 +1,7 @@
 #include "relay/source.h"
 
+#include <algorithm>
+
 #include "membership/freshness.h"
 
 namespace driftlug::relay {
@@ -17,29 +19,54 @@
     : network_(network),
       scheduler_(scheduler),
       random_(random),
-      controllers_(std::move(controllers)),
+      configured_(controllers.begin(), controllers.end()),
       keepAliveTimer_(scheduler, [this] { sendKeepAlive(); }) {}
 
 void ControllerLinks::start() {
+  started_ = true;
   freshSince_ = scheduler_.now();
   keepAliveTimer_.start(base::kConnectionKeepAlive);
-  for (size_t position = 0; position < controllers_.size(); ++position) connect(position);
+  for (const auto& address : configured_) connect(address);
+}
+
+bool ControllerLinks::wanted(const base::Address& address) const {
+  return configured_.count(address) > 0 || learned_.count(address) > 0;
+}
+
+void ControllerLinks::useLearned(const std::set<base::Address>& learned) {
+  learned_ = learned;
+  std::vector<base::ConnectionId> leaving;
+  std::set<base::Address> connected;
+  for (const auto& [connection, address] : byConnection_) {
+    if (!wanted(address)) leaving.push_back(connection);
+    connected.insert(address);
+  }
+  for (const auto connection : leaving) {
+    network_.close(connection);
+    onClose(connection);
+  }
+  if (!started_) return;
+  for (const auto& address : learned_) {
+    if (connected.count(address) == 0) connect(address);
+  }
 }
 
-void ControllerLinks::connect(size_t position) {
-  const auto connection = network_.connect(controllers_[position]);
-  byConnection_[connection] = position;
+void ControllerLinks::connect(const base::Address& address) {
+  const bool open =
+      std::any_of(byConnection_.begin(), byConnection_.end(), [&](const auto& item) { return item.second == address; });
+  if (open || !wanted(address)) return;
+  byConnection_[network_.connect(address)] = address;
 }
 
 void ControllerLinks::onOpen(base::ConnectionId connection) { open_[connection] = true; }
 
 bool ControllerLinks::onClose(base::ConnectionId connection) {
-  const auto position = byConnection_[connection];
+  const auto address = byConnection_[connection];
   byConnection_.erase(connection);
   open_.erase(connection);
   const auto delay = random_.duration(kReconnectDelay) + base::milliseconds(1);
-  scheduler_.schedule(delay, [this, alive = std::weak_ptr<bool>(alive_), position] {
-    if (!alive.expired()) connect(position);
+  scheduler_.schedule(delay, [this, alive = std::weak_ptr<bool>(alive_), address] {
+    if (!alive.expired()) connect(address);
   });
   if (connection != source_) return false;
   source_ = 0;
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "base/network.h"
@@ -23,6 +24,9 @@
   /// Opens all connections.
   void start();
 
+  /// Keeps connections to these controllers besides those it was made with, and closes all others.
+  void useLearned(const std::set<base::Address>& learned);
+
   bool owns(base::ConnectionId connection) const { return byConnection_.count(connection) > 0; }
 
   /// A connection opened.
@@ -54,15 +58,18 @@
   base::TimePoint freshSince() const { return freshSince_; }
 
  private:
-  void connect(size_t position);
+  bool wanted(const base::Address& address) const;
+  void connect(const base::Address& address);
   void sendKeepAlive();
 
   base::Network& network_;
   base::Scheduler& scheduler_;
   base::RandomSource random_;
-  std::vector<base::Address> controllers_;
+  std::set<base::Address> configured_;
+  std::set<base::Address> learned_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  std::map<base::ConnectionId, size_t> byConnection_;  // position in controllers_
+  std::map<base::ConnectionId, base::Address> byConnection_;
+  bool started_ = false;
   std::map<base::ConnectionId, bool> open_;
   base::ConnectionId source_ = 0;
   wire::Freshness freshness_;
--- a/src/retry/retry_budget.h
+++ b/src/retry/retry_budget.h
@@ -9,11 +9,14 @@
 /// (1 + percent/100) attempts a request, so seven hops cannot multiply.
 class RetryBudget {
  public:
-  /// Retries that an idle service may spend at once.
-  static constexpr double kBurst = 10;
+  /// Retries that an idle service may spend at once, where nothing else is asked for.
+  static constexpr double kDefaultBurst = 10;
+
+  /// @param burst retries that may be spent at once; half of it is there at the start
+  explicit RetryBudget(double burst = kDefaultBurst) : burst_(burst), tokens_(burst / 2) {}
 
   /// A first attempt was made.
-  void onRequest(int budgetPercent) { tokens_ = std::min(kBurst, tokens_ + budgetPercent / 100.0); }
+  void onRequest(int budgetPercent) { tokens_ = std::min(burst_, tokens_ + budgetPercent / 100.0); }
 
   /// @return whether a retry may be made; it is paid for.
   bool spend() {
@@ -23,7 +26,8 @@
   }
 
  private:
-  double tokens_ = kBurst / 2;
+  double burst_;
+  double tokens_;
 };
 
 }  // namespace driftlug::retry
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -67,6 +67,7 @@
   const auto choices = candidates(endpoints, excluded);
   if (choices.empty()) return nullptr;
   if (choices.size() == 1) return choices[0];
+  if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone);
   if (options_.policy == PickPolicy::kRoundRobin) return choices[turn_++ % choices.size()];
   const auto first = random_.below(choices.size());
   if (options_.policy == PickPolicy::kRandom) return choices[first];
@@ -75,6 +76,38 @@
   return cost(*choices[second], ownZone) < cost(*choices[first], ownZone) ? choices[second] : choices[first];
 }
 
+double EndpointPicker::busyShare(const EndpointTarget& target) {
+  const auto& state = states_[target.name];
+  const auto now = time_.now();
+  const double age = secondsOf(now - state.reportedAt) / secondsOf(options_.reportMemory);
+  const double others = state.othersInFlight * std::exp2(-age);
+  const int slots = target.slots > 0 ? target.slots : options_.assumedSlots;
+  return (others + state.inFlight) / (slots * slowStartShare(state, now));
+}
+
+const EndpointTarget* EndpointPicker::pickNearestIdle(const std::vector<const EndpointTarget*>& choices,
+                                                      const std::string& ownZone) {
+  const EndpointTarget* best = nullptr;
+  double lowest = 0;
+  // Equals are taken in turn, so that callers do not all choose the same one.
+  const size_t first = random_.below(choices.size());
+  for (size_t i = 0; i < choices.size(); ++i) {
+    const auto* target = choices[(first + i) % choices.size()];
+    double cost = std::max(options_.idleShare, busyShare(*target));
+    if (target->zone != ownZone) cost += options_.otherZonePenalty;
+    if (best != nullptr && cost >= lowest) continue;
+    best = target;
+    lowest = cost;
+  }
+  return best;
+}
+
+void EndpointPicker::onReport(const std::string& endpoint, int inFlight) {
+  auto& state = states_[endpoint];
+  state.othersInFlight = std::max(0, inFlight - state.inFlight);
+  state.reportedAt = time_.now();
+}
+
 void EndpointPicker::onSent(const std::string& endpoint) { ++states_[endpoint].inFlight; }
 
 void EndpointPicker::onAbandoned(const std::string& endpoint) {
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -18,6 +18,7 @@
   kRandom,
   kLeastInFlight,  ///< fewer own requests in flight, of two drawn at random
   kLeastCost,      ///< smaller (latency × requests in flight), of two drawn at random
+  kNearestIdle,    ///< the own zone while it has slots to spare, else the endpoint with the most
 };
 
 /// Settings of the picker.
@@ -27,7 +28,11 @@
   base::Duration latencyMemory = base::seconds(10);  ///< half-life of an observed latency
   int ejectAfterFailures = 5;                        ///< consecutive failures
   base::Duration ejectFor = base::seconds(3);
-  double maxEjectedShare = 0.5;  ///< of a service's endpoints
+  double maxEjectedShare = 0.5;   ///< of a service's endpoints
+  int assumedSlots = 16;          ///< of an endpoint that does not tell
+  double idleShare = 0.7;         ///< kNearestIdle: up to this share of busy slots endpoints count as equal
+  double otherZonePenalty = 0.3;  ///< kNearestIdle: share of busy slots that another zone counts more
+  base::Duration reportMemory = base::milliseconds(500);  ///< half-life of what an endpoint said of its load
 };
 
 /// State of all endpoints that this node uses, kept across table versions.
@@ -51,6 +56,12 @@
   /// @param failed whether the endpoint, not the request, was at fault
   void onDone(const std::string& endpoint, base::Duration latency, bool failed);
 
+  /// The endpoint told, with an answer, how many requests it runs or holds for all callers.
+  void onReport(const std::string& endpoint, int inFlight);
+
+  /// Forgets an endpoint that is gone for good.
+  void forget(const std::string& endpoint) { states_.erase(endpoint); }
+
   /// A request ended without telling anything of the endpoint.
   void onAbandoned(const std::string& endpoint);
 
@@ -67,6 +78,8 @@
     int inFlight = 0;
     double latencyUs = 0;  // moving average; 0 while unknown
     base::TimePoint latencyAt{};
+    double othersInFlight = 0;  // requests of other callers, when the endpoint last told
+    base::TimePoint reportedAt{};
     int failures = 0;  // consecutive
     base::TimePoint ejectedUntil{};
     bool connected = false;
@@ -76,6 +89,8 @@
 
   bool usable(const State& state, base::TimePoint now) const;
   double cost(const EndpointTarget& target, const std::string& ownZone);
+  double busyShare(const EndpointTarget& target);
+  const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone);
   double slowStartShare(const State& state, base::TimePoint now) const;
   std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
                                                 const std::set<std::string>& excluded);
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -20,6 +20,9 @@
   for (const auto& share : row.routeRow.shares) route.shares.push_back({share.serviceName, share.weight});
   route.repeatable = row.routeRow.repeatable;
   route.timeoutMs = row.routeRow.timeoutMs;
+  route.maxAttempts = row.routeRow.maxAttempts;
+  route.targetLatencyMs = row.routeRow.targetLatencyMs;
+  route.priority = row.routeRow.priority;
   return route;
 }
 
@@ -37,11 +40,16 @@
     if (row->__isset.endpointRow) {
       const auto& endpoint = row->endpointRow;
       endpointsByService_[endpoint.serviceName].push_back(
-          {key.name, endpoint.address, endpoint.port, endpoint.zone, endpoint.weight});
+          {key.name, endpoint.address, endpoint.port, endpoint.zone, endpoint.weight, 0});
     }
     if (row->__isset.limitRow) {
       limits_[row->limitRow.serviceName] = {row->limitRow.maxConcurrent, row->limitRow.maxQueued};
     }
+    if (row->__isset.ingressRow) {
+      const auto& ingress = row->ingressRow;
+      ingress_ = {ingress.maxHeadBytes, ingress.maxBodyBytes, ingress.headTimeoutMs, ingress.idleTimeoutMs};
+    }
+    if (row->__isset.serviceRow) maxConnections_[key.name] = row->serviceRow.maxConnections;
     if (!row->__isset.serviceRow || row->serviceRow.retryPolicy.empty()) continue;
     const auto policy = slice.find(table::makeKey(table::RowKind::RETRY_POLICY, row->serviceRow.retryPolicy));
     if (policy) retryRules_[key.name] = {policy->retryPolicyRow.maxAttempts, policy->retryPolicyRow.budgetPercent};
@@ -70,16 +78,15 @@
   return found == limits_.end() ? nullptr : &found->second;
 }
 
-RetryRule RoutingTable::retryRule(const std::string& service) const {
+std::optional<RetryRule> RoutingTable::retryRule(const std::string& service) const {
   const auto found = retryRules_.find(service);
-  return found == retryRules_.end() ? RetryRule{} : found->second;
+  if (found == retryRules_.end()) return std::nullopt;
+  return found->second;
 }
 
-std::vector<EndpointTarget> RoutingTable::allEndpoints() const {
-  std::vector<EndpointTarget> all;
-  for (const auto& [service, endpoints] : endpointsByService_)
-    all.insert(all.end(), endpoints.begin(), endpoints.end());
-  return all;
+int RoutingTable::maxConnections(const std::string& service) const {
+  const auto found = maxConnections_.find(service);
+  return found == maxConnections_.end() ? 0 : found->second;
 }
 
 }  // namespace driftlug::routing
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,9 @@
 
 namespace driftlug::routing {
 
+/// Weight of an endpoint that takes its full share.
+constexpr int kFullWeight = 100;
+
 /// Where to reach one endpoint.
 struct EndpointTarget {
   std::string name;
@@ -19,6 +23,7 @@
   int port = 0;
   std::string zone;
   int weight = 0;
+  int slots = 0;  ///< requests that the back end works on at once; 0 when unknown
 };
 
 /// Concurrency limits of a service at each endpoint.
@@ -42,6 +47,17 @@
   std::vector<WeightedChoice> shares;
   bool repeatable = false;
   int timeoutMs = 0;
+  int maxAttempts = 0;      ///< 0 leaves it to the service's retry rule
+  int targetLatencyMs = 0;  ///< 0 when none is stated
+  int priority = 0;         ///< 0 is the most urgent
+};
+
+/// Limits of what callers may send; 0 where the table states none.
+struct IngressLimits {
+  int maxHeadBytes = 0;
+  int64_t maxBodyBytes = 0;
+  int headTimeoutMs = 0;
+  int idleTimeoutMs = 0;
 };
 
 /// One version of a node's slice. Never changed once built; requests keep the version they began with.
@@ -60,11 +76,16 @@
   /// @return the limit of a service, or null.
   const ServiceLimit* limit(const std::string& service) const;
 
-  /// @return the retry rule of a service; one attempt when it has none.
-  RetryRule retryRule(const std::string& service) const;
+  /// @return the retry rule of a service, if it has one.
+  std::optional<RetryRule> retryRule(const std::string& service) const;
+
+  const IngressLimits& ingress() const { return ingress_; }
+
+  /// @return connections that a service's back end takes at most; 0 when the table does not say.
+  int maxConnections(const std::string& service) const;
 
-  /// @return all endpoints of all services.
-  std::vector<EndpointTarget> allEndpoints() const;
+  /// @return the endpoints of all services that have any.
+  const std::map<std::string, std::vector<EndpointTarget>>& endpointsByService() const { return endpointsByService_; }
 
  private:
   int64_t revision_;
@@ -72,6 +93,8 @@
   std::map<std::string, std::vector<EndpointTarget>> endpointsByService_;
   std::map<std::string, ServiceLimit> limits_;
   std::map<std::string, RetryRule> retryRules_;
+  std::map<std::string, int> maxConnections_;
+  IngressLimits ingress_;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
--- a/src/table/row.cc
+++ b/src/table/row.cc
@@ -13,8 +13,14 @@
 };
 
 constexpr KindName kKindNames[] = {
-    {RowKind::SERVICE, "service"}, {RowKind::ENDPOINT, "endpoint"},         {RowKind::ROUTE, "route"},
-    {RowKind::LIMIT, "limit"},     {RowKind::RETRY_POLICY, "retry_policy"}, {RowKind::SECRET, "secret"},
+    {RowKind::SERVICE, "service"},
+    {RowKind::ENDPOINT, "endpoint"},
+    {RowKind::ROUTE, "route"},
+    {RowKind::LIMIT, "limit"},
+    {RowKind::RETRY_POLICY, "retry_policy"},
+    {RowKind::SECRET, "secret"},
+    {RowKind::INGRESS, "ingress"},
+    {RowKind::NOTE, "note"},
 };
 
 XXH128_hash_t hashRow(const Row& row) {
@@ -49,8 +55,8 @@
 
 bool bodyMatchesKind(const Row& row) {
   const auto& set = row.__isset;
-  const int bodies =
-      set.serviceRow + set.endpointRow + set.routeRow + set.limitRow + set.retryPolicyRow + set.secretRow;
+  const int bodies = set.serviceRow + set.endpointRow + set.routeRow + set.limitRow + set.retryPolicyRow +
+                     set.secretRow + set.ingressRow + set.noteRow;
   if (row.deleted) return bodies == 0;
   if (bodies != 1) return false;
   switch (row.key.kind) {
@@ -66,6 +72,10 @@
       return set.retryPolicyRow;
     case RowKind::SECRET:
       return set.secretRow;
+    case RowKind::INGRESS:
+      return set.ingressRow;
+    case RowKind::NOTE:
+      return set.noteRow;
   }
   return false;
 }
--- a/src/table/row_json.cc
+++ b/src/table/row_json.cc
@@ -30,6 +30,13 @@
     *value = static_cast<int32_t>(wide);
   }
 
+  void wideNumber(const char* name, int64_t* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return;
+    if (!field->is_number_integer()) return fail(name, "must be a whole number");
+    *value = field->get<int64_t>();
+  }
+
   void flag(const char* name, bool* value) {
     const auto* field = take(name);
     if (field == nullptr) return;
@@ -101,6 +108,10 @@
   if (row.__isset.serviceRow) {
     out["retry_policy"] = row.serviceRow.retryPolicy;
     out["secrets"] = row.serviceRow.secrets;
+    out["max_connections"] = row.serviceRow.maxConnections;
+    out["health_path"] = row.serviceRow.healthPath;
+    out["protocol"] = row.serviceRow.protocol;
+    out["tls"] = row.serviceRow.tls;
   }
   if (row.__isset.endpointRow) {
     out["service"] = row.endpointRow.serviceName;
@@ -118,6 +129,9 @@
     out["required_secrets"] = row.routeRow.requiredSecrets;
     out["repeatable"] = row.routeRow.repeatable;
     out["timeout_ms"] = row.routeRow.timeoutMs;
+    out["max_attempts"] = row.routeRow.maxAttempts;
+    out["target_latency_ms"] = row.routeRow.targetLatencyMs;
+    out["priority"] = row.routeRow.priority;
   }
   if (row.__isset.limitRow) {
     out["service"] = row.limitRow.serviceName;
@@ -128,6 +142,13 @@
     out["max_attempts"] = row.retryPolicyRow.maxAttempts;
     out["budget_percent"] = row.retryPolicyRow.budgetPercent;
   }
+  if (row.__isset.ingressRow) {
+    out["max_head_bytes"] = row.ingressRow.maxHeadBytes;
+    out["max_body_bytes"] = row.ingressRow.maxBodyBytes;
+    out["head_timeout_ms"] = row.ingressRow.headTimeoutMs;
+    out["idle_timeout_ms"] = row.ingressRow.idleTimeoutMs;
+  }
+  if (row.__isset.noteRow) out["text"] = row.noteRow.text;
   if (row.__isset.secretRow) {
     if (withSecretValue) {
       out["value"] = row.secretRow.value;
@@ -148,6 +169,10 @@
       row.__isset.serviceRow = true;
       reader.text("retry_policy", &row.serviceRow.retryPolicy);
       reader.names("secrets", &row.serviceRow.secrets);
+      reader.number("max_connections", &row.serviceRow.maxConnections);
+      reader.text("health_path", &row.serviceRow.healthPath);
+      reader.text("protocol", &row.serviceRow.protocol);
+      reader.flag("tls", &row.serviceRow.tls);
       break;
     case RowKind::ENDPOINT:
       row.__isset.endpointRow = true;
@@ -168,6 +193,9 @@
       reader.names("required_secrets", &row.routeRow.requiredSecrets);
       reader.flag("repeatable", &row.routeRow.repeatable);
       reader.number("timeout_ms", &row.routeRow.timeoutMs);
+      reader.number("max_attempts", &row.routeRow.maxAttempts);
+      reader.number("target_latency_ms", &row.routeRow.targetLatencyMs);
+      reader.number("priority", &row.routeRow.priority);
       break;
     case RowKind::LIMIT:
       row.__isset.limitRow = true;
@@ -184,6 +212,17 @@
       row.__isset.secretRow = true;
       reader.text("value", &row.secretRow.value);
       break;
+    case RowKind::INGRESS:
+      row.__isset.ingressRow = true;
+      reader.number("max_head_bytes", &row.ingressRow.maxHeadBytes);
+      reader.wideNumber("max_body_bytes", &row.ingressRow.maxBodyBytes);
+      reader.number("head_timeout_ms", &row.ingressRow.headTimeoutMs);
+      reader.number("idle_timeout_ms", &row.ingressRow.idleTimeoutMs);
+      break;
+    case RowKind::NOTE:
+      row.__isset.noteRow = true;
+      reader.text("text", &row.noteRow.text);
+      break;
     default:
       return makeError(ErrorCode::kBadRequestBody, "unknown row kind");
   }
--- a/src/table/slice.cc
+++ b/src/table/slice.cc
@@ -27,6 +27,9 @@
   for (const auto& secret : row->routeRow.requiredSecrets) keys->insert(makeKey(RowKind::SECRET, secret));
 }
 
+/// Stands among the hosts of an interest for every host.
+constexpr char kEveryHost[] = "*";
+
 bool hasName(const std::vector<std::string>& sorted, const std::string& name) {
   return std::binary_search(sorted.begin(), sorted.end(), name);
 }
@@ -35,6 +38,11 @@
 
 std::set<RowKey, RowKeyLess> selectKeys(const Table& table, const Interest& interest) {
   KeySet keys;
+  const bool everyHost = hasName(interest.hosts, kEveryHost);
+  for (const auto& [key, row] : table.rows()) {
+    if (key.kind == RowKind::INGRESS) keys.insert(key);
+    if (key.kind == RowKind::ROUTE && everyHost) addRoute(table, key.name, &keys);
+  }
   for (const auto& host : interest.hosts) {
     for (const auto& route : table.routesOf(host)) addRoute(table, route, &keys);
   }
@@ -51,7 +59,10 @@
 bool Slice::mayContain(const Row& row, const Row* previous) const {
   if (members_.count(row.key) > 0) return true;
   const auto touches = [&](const Row& candidate) {
-    if (candidate.__isset.routeRow) return hasName(interest_.hosts, candidate.routeRow.host);
+    if (candidate.__isset.ingressRow) return true;
+    if (candidate.__isset.routeRow) {
+      return hasName(interest_.hosts, kEveryHost) || hasName(interest_.hosts, candidate.routeRow.host);
+    }
     if (candidate.__isset.endpointRow) return services_.count(candidate.endpointRow.serviceName) > 0;
     if (candidate.__isset.limitRow) return services_.count(candidate.limitRow.serviceName) > 0;
     if (candidate.__isset.serviceRow) return hasName(interest_.services, candidate.key.name);
--- a/src/table/validator.cc
+++ b/src/table/validator.cc
@@ -43,12 +43,22 @@
   problems->range("weight", endpoint.weight, 0, kWeightSum);
 }
 
+void checkIngress(const wire::IngressRow& ingress, RowProblems* problems) {
+  problems->range("max_head_bytes", ingress.maxHeadBytes, 0, kMaxIngressBytes);
+  problems->range("max_body_bytes", ingress.maxBodyBytes, 0, kMaxIngressBytes);
+  problems->range("head_timeout_ms", ingress.headTimeoutMs, 0, kMaxTimeoutMs);
+  problems->range("idle_timeout_ms", ingress.idleTimeoutMs, 0, kMaxTimeoutMs);
+}
+
 void checkRoute(const wire::RouteRow& route, RowProblems* problems) {
   if (route.host.empty()) problems->add("host", ProblemKind::kOutOfRange, "must not be empty");
   if (route.pathPrefix.empty() || route.pathPrefix[0] != '/') {
     problems->add("path_prefix", ProblemKind::kOutOfRange, "must begin with /");
   }
   problems->range("timeout_ms", route.timeoutMs, 1, kMaxTimeoutMs);
+  problems->range("max_attempts", route.maxAttempts, 0, kMaxAttempts);
+  problems->range("target_latency_ms", route.targetLatencyMs, 0, kMaxTimeoutMs);
+  problems->range("priority", route.priority, 0, kMaxPriority);
   int64_t sum = 0;
   for (const auto& share : route.shares) {
     problems->range("shares.weight", share.weight, 0, kWeightSum);
@@ -136,6 +146,13 @@
   if (row.deleted) return;
   if (row.__isset.endpointRow) checkEndpoint(row.endpointRow, &out);
   if (row.__isset.routeRow) checkRoute(row.routeRow, &out);
+  if (row.__isset.serviceRow) {
+    out.range("max_connections", row.serviceRow.maxConnections, 0, kMaxConnectionsLimit);
+  }
+  if (row.__isset.ingressRow) checkIngress(row.ingressRow, &out);
+  if (row.__isset.noteRow && row.noteRow.text.size() > kMaxNoteBytes) {
+    out.add("text", ProblemKind::kOutOfRange, "is too long");
+  }
   if (row.__isset.limitRow) {
     out.range("max_concurrent", row.limitRow.maxConcurrent, 1, kMaxConcurrentLimit);
     out.range("max_queued", row.limitRow.maxQueued, 0, kMaxQueuedLimit);
--- a/src/table/validator.h
+++ b/src/table/validator.h
@@ -37,6 +37,10 @@
 constexpr int kMaxQueuedLimit = 100'000;
 constexpr int kMaxAttempts = 10;
 constexpr int kMaxTimeoutMs = 600'000;
+constexpr int kMaxPriority = 1000;
+constexpr int kMaxConnectionsLimit = 1'000'000;
+constexpr int64_t kMaxIngressBytes = int64_t{1} << 30;
+constexpr size_t kMaxNoteBytes = 64 << 10;
 constexpr size_t kMaxNameBytes = 200;
 constexpr size_t kMaxSecretBytes = 64 << 10;
 
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -1,5 +1,7 @@
 #include "transport/event_loop.h"
 
+#include <fcntl.h>
+#include <libwebsockets.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -8,56 +10,81 @@
 #include <cstdlib>
 #include <cstring>
 
-#include "base/log.h"
+#include "transport/tcp_stream.h"
 
 namespace driftlug::transport {
 namespace {
 
-constexpr unsigned kMaxHttpHeaderBytes = 16 * 1024;
-constexpr int kKeepAliveSeconds = 60;
-constexpr base::Duration kTerminatePoll = base::milliseconds(50);
+constexpr unsigned kServiceBufferBytes = 4 * 1024;
+constexpr int64_t kNanosecondsPerSecond = 1'000'000'000;
 
-volatile std::sig_atomic_t terminateAsked = 0;
+int signalWriteEnd = -1;
 
-void onSignal(int) { terminateAsked = 1; }
-
-const lws_protocols* timerProtocols(lws_callback_function* callback, EventLoop* loop) {
-  static lws_protocols protocols[2];
-  std::memset(protocols, 0, sizeof(protocols));
-  protocols[0].name = "timer";
-  protocols[0].callback = callback;
-  protocols[0].user = loop;
-  return protocols;
+/// Async-signal-safe: passes the signal's number to the loop.
+void onSignal(int number) {
+  const auto byte = static_cast<unsigned char>(number);
+  (void)!::write(signalWriteEnd, &byte, 1);
 }
 
+/// A stream stays alive as long as libwebsockets knows its socket.
+using StreamHolder = std::shared_ptr<TcpStream>;
+
 }  // namespace
 
-EventLoop::EventLoop() {
+/// Two kinds of descriptors, each with a vhost and a protocol of its own.
+struct EventLoop::Library {
+  static int onFileEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+  static int onStreamEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+
+  Library() {
+    std::memset(fileProtocols, 0, sizeof(fileProtocols));
+    fileProtocols[0].name = "file";
+    fileProtocols[0].callback = &Library::onFileEvent;
+    std::memset(streamProtocols, 0, sizeof(streamProtocols));
+    streamProtocols[0].name = "stream";
+    streamProtocols[0].callback = &Library::onStreamEvent;
+  }
+
+  static lws_vhost* createVhost(lws_context* context, const char* name, const lws_protocols* protocols) {
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.vhost_name = name;
+    info.protocols = protocols;
+    return lws_create_vhost(context, &info);
+  }
+
+  lws_protocols fileProtocols[2];
+  lws_protocols streamProtocols[2];
+  lws_vhost* fileVhost = nullptr;
+  lws_vhost* streamVhost = nullptr;
+};
+
+EventLoop::EventLoop() : library_(std::make_unique<Library>()) {
+  std::signal(SIGPIPE, SIG_IGN);
   lws_set_log_level(std::getenv("DRIFTLUG_LWS_LOG") != nullptr ? 1023 : 0, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
-  info.max_http_header_data = kMaxHttpHeaderBytes;
-  info.pt_serv_buf_size = 64 * 1024;
+  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
+  info.pt_serv_buf_size = kServiceBufferBytes;
   context_ = lws_create_context(&info);
+  library_->fileVhost = Library::createVhost(context_, "files", library_->fileProtocols);
+  library_->streamVhost = Library::createVhost(context_, "streams", library_->streamProtocols);
   timerFile_ = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
-  lws_context_creation_info vhost{};
-  vhost.port = CONTEXT_PORT_NO_LISTEN;
-  vhost.vhost_name = "timer";
-  vhost.protocols = timerProtocols(&EventLoop::onTimerFile, this);
-  timerVhost_ = lws_create_vhost(context_, &vhost);
-  lws_sock_file_fd_type file{};
-  file.filefd = timerFile_;
-  lws_adopt_descriptor_vhost(timerVhost_, LWS_ADOPT_RAW_FILE_DESC, file, "timer", nullptr);
+  watchFile(timerFile_, [this] {
+    uint64_t expirations = 0;
+    (void)!::read(timerFile_, &expirations, sizeof(expirations));
+    armedFor_ = base::TimePoint{};
+  });
 }
 
 EventLoop::~EventLoop() { close(); }
 
 void EventLoop::close() {
   if (context_ == nullptr) return;
-  running_ = true;  // callbacks of closing sockets may schedule, but nothing runs any more
-  lws_context_destroy(context_);
+  auto* context = context_;
   context_ = nullptr;
+  lws_context_destroy(context);
 }
 
 base::TimePoint EventLoop::now() const {
@@ -69,7 +96,6 @@
   const auto at = now() + std::max(delay, base::Duration(0));
   due_[{at, id}] = std::move(callback);
   timeOf_[id] = at;
-  if (!running_) armTimer();
   return id;
 }
 
@@ -87,76 +113,125 @@
 void EventLoop::armTimer() {
   if (due_.empty()) return;
   const auto first = due_.begin()->first.at;
-  if (armedFor_ == first) return;
+  // A timer that is armed for an earlier moment wakes the loop once too often, which costs less than arming anew.
+  if (armedFor_ != base::TimePoint{} && armedFor_ <= first) return;
   armedFor_ = first;
   const auto wait = std::max<int64_t>(1, std::chrono::nanoseconds(first - now()).count());
   itimerspec spec{};
-  spec.it_value.tv_sec = wait / 1'000'000'000;
-  spec.it_value.tv_nsec = wait % 1'000'000'000;
+  spec.it_value.tv_sec = wait / kNanosecondsPerSecond;
+  spec.it_value.tv_nsec = wait % kNanosecondsPerSecond;
   timerfd_settime(timerFile_, 0, &spec, nullptr);
 }
 
 void EventLoop::runDue() {
-  running_ = true;
-  const auto until = now();
-  while (!due_.empty() && due_.begin()->first.at <= until) {
-    auto node = due_.extract(due_.begin());
-    timeOf_.erase(node.key().id);
-    node.mapped()();
+  // What callbacks schedule for now runs too, but a chain without end must not keep sockets waiting.
+  constexpr int kMaxRounds = 16;
+  for (int round = 0; round < kMaxRounds; ++round) {
+    const auto until = now();
+    if (due_.empty() || due_.begin()->first.at > until) return;
+    while (!due_.empty() && due_.begin()->first.at <= until) {
+      auto node = due_.extract(due_.begin());
+      timeOf_.erase(node.key().id);
+      node.mapped()();
+    }
   }
-  running_ = false;
-  armedFor_ = base::TimePoint{};
-  armTimer();
 }
 
-int EventLoop::onTimerFile(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/, size_t /*length*/) {
-  if (reason != LWS_CALLBACK_RAW_RX_FILE) return 0;
-  auto* loop = static_cast<EventLoop*>(lws_get_protocol(wsi)->user);
-  uint64_t expirations = 0;
-  if (::read(loop->timerFile_, &expirations, sizeof(expirations)) < 0) return 0;
-  loop->runDue();
-  return 0;
+void EventLoop::flushStreams() {
+  while (!dirty_.empty()) {
+    std::vector<std::weak_ptr<TcpStream>> streams;
+    streams.swap(dirty_);
+    for (const auto& weak : streams) {
+      if (const auto stream = weak.lock()) stream->flush();
+    }
+  }
+}
+
+void EventLoop::runOnce() {
+  if (context_ == nullptr) return;
+  flushStreams();
+  armTimer();
+  if (lws_service(context_, 0) < 0) stopped_ = true;
+  runDue();
+  flushStreams();
 }
 
 void EventLoop::run() {
-  while (!stopped_) {
-    if (lws_service(context_, 0) < 0) break;
-  }
+  while (!stopped_) runOnce();
   close();
 }
 
-void EventLoop::onTerminate(std::function<void()> callback) {
-  std::signal(SIGTERM, onSignal);
-  std::signal(SIGINT, onSignal);
-  std::signal(SIGPIPE, SIG_IGN);
-  schedule(kTerminatePoll, [this, callback = std::move(callback)]() mutable {
-    if (terminateAsked != 0) return callback();
-    onTerminate(std::move(callback));
-  });
+void EventLoop::onSignals(SignalHandlers handlers) {
+  signalHandlers_ = std::move(handlers);
+  int ends[2] = {-1, -1};
+  if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) return;
+  signalPipe_ = ends[0];
+  signalWriteEnd = ends[1];
+  watchFile(signalPipe_, [this] { onSignalPipe(); });
+  struct sigaction action {};
+  action.sa_handler = &onSignal;
+  action.sa_flags = SA_RESTART;
+  if (signalHandlers_.terminate) {
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+  }
+  if (signalHandlers_.reload) sigaction(SIGHUP, &action, nullptr);
 }
 
-lws_vhost* EventLoop::listen(const std::string& name, const std::string& host, int port, const lws_protocols* protocols,
-                             const char* role) {
-  lws_context_creation_info info{};
-  info.port = port;
-  info.iface = host.c_str();
-  info.vhost_name = name.c_str();
-  info.protocols = protocols;
-  info.keepalive_timeout = kKeepAliveSeconds;
-  if (role != nullptr) {
-    info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
-    info.listen_accept_role = role;
-    info.listen_accept_protocol = protocols[0].name;
+void EventLoop::onSignalPipe() {
+  unsigned char number = 0;
+  while (::read(signalPipe_, &number, 1) == 1) {
+    const auto& handler = number == SIGHUP ? signalHandlers_.reload : signalHandlers_.terminate;
+    if (handler) schedule(base::Duration(0), handler);
   }
-  return lws_create_vhost(context_, &info);
 }
 
-lws_vhost* EventLoop::createClientVhost(const std::string& name, const lws_protocols* protocols) {
-  lws_context_creation_info info{};
-  info.port = CONTEXT_PORT_NO_LISTEN;
-  info.vhost_name = name.c_str();
-  info.protocols = protocols;
-  return lws_create_vhost(context_, &info);
+void EventLoop::watchFile(int file, std::function<void()> onReadable) {
+  watches_.push_back(std::make_unique<FileWatch>(FileWatch{std::move(onReadable)}));
+  lws_sock_file_fd_type descriptor{};
+  descriptor.filefd = file;
+  auto* wsi = lws_adopt_descriptor_vhost(library_->fileVhost, LWS_ADOPT_RAW_FILE_DESC, descriptor, "file", nullptr);
+  if (wsi != nullptr) lws_set_opaque_user_data(wsi, watches_.back().get());
+}
+
+int EventLoop::Library::onFileEvent(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/,
+                                    size_t /*length*/) {
+  if (reason != LWS_CALLBACK_RAW_RX_FILE) return 0;
+  auto* watch = static_cast<FileWatch*>(lws_get_opaque_user_data(wsi));
+  if (watch != nullptr) watch->onReadable();
+  return 0;
+}
+
+bool EventLoop::adopt(int socket, const std::shared_ptr<TcpStream>& stream) {
+  if (context_ == nullptr) return false;
+  // As a file, the library only polls it: how a connection ended is then seen here, and a reset is no end of data.
+  lws_sock_file_fd_type descriptor{};
+  descriptor.filefd = socket;
+  auto* wsi = lws_adopt_descriptor_vhost(library_->streamVhost, LWS_ADOPT_RAW_FILE_DESC, descriptor, "stream", nullptr);
+  if (wsi == nullptr) return false;
+  lws_set_opaque_user_data(wsi, new StreamHolder(stream));
+  stream->attach(wsi, socket);
+  return true;
+}
+
+int EventLoop::Library::onStreamEvent(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/,
+                                      size_t /*length*/) {
+  auto* holder = static_cast<StreamHolder*>(lws_get_opaque_user_data(wsi));
+  if (holder == nullptr) return 0;
+  const auto stream = *holder;
+  switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+      return stream->onReadable() ? 0 : -1;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+      return stream->onWritable() ? 0 : -1;
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
+      lws_set_opaque_user_data(wsi, nullptr);
+      delete holder;
+      stream->onSocketClosed();
+      return 0;
+    default:
+      return 0;
+  }
 }
 
 }  // namespace driftlug::transport
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -1,20 +1,33 @@
 /// The event loop of a process: one libwebsockets context, with precise timers.
 #pragma once
 
-#include <libwebsockets.h>
-
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/time.h"
 
+struct lws;
+struct lws_context;
+struct lws_vhost;
+
 namespace driftlug::transport {
 
+class TcpStream;
+
+/// What a daemon does when it is told something by a signal. Empty callbacks are not installed.
+struct SignalHandlers {
+  std::function<void()> terminate;  ///< SIGTERM or SIGINT: a planned stop
+  std::function<void()> reload;     ///< SIGHUP: the settings have changed
+};
+
 /// Runs sockets and timers on the calling thread.
 ///
-/// Timers go through a timerfd, because the poll loop of libwebsockets waits in whole milliseconds.
+/// Timers go through a timerfd, because the poll loop of libwebsockets waits in whole milliseconds. Bytes written to
+/// streams during a turn leave together at its end.
 class EventLoop : public base::Scheduler {
  public:
   EventLoop();
@@ -30,6 +43,9 @@
   /// Runs until stop() is called.
   void run();
 
+  /// Waits for something to happen and deals with it.
+  void runOnce();
+
   /// Closes all sockets. Must come before the objects that own listeners and connections are destroyed; run()
   /// ends with it.
   void close();
@@ -37,19 +53,19 @@
   /// Ends run() after the current turn.
   void stop() { stopped_ = true; }
 
-  /// Calls back on the loop when the process gets SIGTERM or SIGINT.
-  void onTerminate(std::function<void()> callback);
+  /// Calls back on the loop when the process gets a signal; other signals keep their meaning, SIGPIPE is ignored.
+  void onSignals(SignalHandlers handlers);
 
-  lws_context* context() const { return context_; }
+  /// Calls back whenever a descriptor can be read; the descriptor stays open until the loop closes.
+  void watchFile(int file, std::function<void()> onReadable);
 
-  /// Creates a vhost that listens.
-  /// @param role `raw-skt` or null for HTTP
-  /// @return the vhost, or null when the address can't be used
-  lws_vhost* listen(const std::string& name, const std::string& host, int port, const lws_protocols* protocols,
-                    const char* role);
+  /// Hands a socket to the loop.
+  /// @param stream takes the events of the socket until it is closed
+  /// @return false when the loop has closed or has no room
+  bool adopt(int socket, const std::shared_ptr<TcpStream>& stream);
 
-  /// Creates a vhost for outgoing connections.
-  lws_vhost* createClientVhost(const std::string& name, const lws_protocols* protocols);
+  /// Writes what a stream has buffered at the end of this turn.
+  void flushLater(std::weak_ptr<TcpStream> stream) { dirty_.push_back(std::move(stream)); }
 
  private:
   struct Due {
@@ -58,19 +74,30 @@
     auto operator<=>(const Due&) const = default;
   };
 
-  static int onTimerFile(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
+  struct FileWatch {
+    std::function<void()> onReadable;
+  };
+
+  /// What of the library the loop uses; kept out of this header because its names clash with those of the parser.
+  struct Library;
+
   void armTimer();
   void runDue();
+  void flushStreams();
+  void onSignalPipe();
 
-  lws_context* context_ = nullptr;
-  lws_vhost* timerVhost_ = nullptr;
+  std::unique_ptr<Library> library_;
+  lws_context* context_ = nullptr;  // null once the loop is closed
+  std::vector<std::unique_ptr<FileWatch>> watches_;
   int timerFile_ = -1;
+  int signalPipe_ = -1;
+  SignalHandlers signalHandlers_;
   bool stopped_ = false;
-  bool running_ = false;  // inside runDue()
   base::TimerId nextId_ = 1;
   std::map<Due, std::function<void()>> due_;                   // by time, then by order of scheduling
   std::unordered_map<base::TimerId, base::TimePoint> timeOf_;  // of timers in due_
   base::TimePoint armedFor_{};
+  std::vector<std::weak_ptr<TcpStream>> dirty_;  // streams with bytes to write at the end of the turn
 };
 
 }  // namespace driftlug::transport
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -1,33 +1,27 @@
 #include "transport/frame_transport.h"
 
-#include <cstring>
-
 #include "base/error.h"
 
 namespace driftlug::transport {
 namespace {
 
 /// A peer that does not read is closed when this much is queued for it.
-constexpr size_t kMaxQueuedBytes = 256U << 20;
-constexpr size_t kMaxWriteBytes = 256U << 10;
-constexpr base::Duration kGreetingTimeout = base::seconds(5);
+constexpr size_t kMaxQueuedBytes = 64U << 20;
+constexpr base::Duration kGreetingTimeout = base::seconds(2);
 
 }  // namespace
 
-FrameTransport::FrameTransport(EventLoop& loop, std::string name) : loop_(loop), name_(std::move(name)) {
-  std::memset(protocols_, 0, sizeof(protocols_));
-  protocols_[0].name = "frames";
-  protocols_[0].callback = &FrameTransport::onEvent;
-  protocols_[0].user = this;
-  protocols_[0].rx_buffer_size = size_t{64} * 1024;
-  clientVhost_ = loop_.createClientVhost(name_ + "-client", protocols_);
-}
+FrameTransport::FrameTransport(EventLoop& loop, std::string name)
+    : loop_(loop),
+      name_(std::move(name)),
+      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }) {}
 
 FrameTransport::~FrameTransport() { *alive_ = false; }
 
 absl::Status FrameTransport::listen(const std::string& host, int port) {
-  if (loop_.listen(name_ + "-server", host, port, protocols_, "raw-skt") != nullptr) return absl::OkStatus();
-  return base::makeError(base::ErrorCode::kConnectFailed, "can't listen on " + host + ":" + std::to_string(port));
+  const auto status = listener_.listen(host, port, {});
+  if (status.ok()) listening_ = {host, listener_.port()};
+  return status;
 }
 
 FrameTransport::Connection* FrameTransport::find(base::ConnectionId id) {
@@ -35,36 +29,43 @@
   return found == connections_.end() ? nullptr : found->second.get();
 }
 
-FrameTransport::Connection* FrameTransport::connectionOf(lws* wsi) {
-  return find(reinterpret_cast<base::ConnectionId>(lws_get_opaque_user_data(wsi)));
+FrameTransport::Connection* FrameTransport::add() {
+  const auto id = nextId_++;
+  auto& slot = connections_[id];
+  slot = std::make_unique<Connection>(*this, id);
+  return slot.get();
 }
 
 base::ConnectionId FrameTransport::connect(const base::Address& address) {
-  const auto id = nextId_++;
-  auto connection = std::make_unique<Connection>();
-  connection->id = id;
+  if (listening_.port != 0 && address == listening_) return connectWithin();
+  auto* connection = add();
   connection->greeting = wire::encodeFrame(hello_);
-  connections_[id] = std::move(connection);
-  lws_client_connect_info info{};
-  info.context = loop_.context();
-  info.vhost = clientVhost_;
-  info.address = address.host.c_str();
-  info.host = address.host.c_str();
-  info.port = address.port;
-  info.method = "RAW";
-  info.local_protocol_name = protocols_[0].name;
-  info.opaque_user_data = reinterpret_cast<void*>(id);
-  lws* wsi = nullptr;
-  info.pwsi = &wsi;
-  const auto* result = lws_client_connect_via_info(&info);
-  if (auto* opened = find(id); result != nullptr && opened != nullptr) {
-    opened->wsi = wsi;
-    return id;
-  }
-  loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
-    if (*alive) onGone(id);
-  });
-  return id;
+  connection->stream = TcpStream::connect(loop_, address, connection, {});
+  return connection->id;
+}
+
+base::ConnectionId FrameTransport::connectWithin() {
+  const auto near = add()->id;
+  const auto far = add()->id;
+  const auto open = [this](base::ConnectionId id, base::ConnectionId other) {
+    auto* connection = find(id);
+    connection->otherEnd = other;
+    connection->greeted = true;
+    connection->peer = hello_;
+    loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
+      if (*alive && find(id) != nullptr && handler_ != nullptr) handler_->onOpen(id, find(id)->peer);
+    });
+  };
+  open(far, near);
+  open(near, far);
+  return near;
+}
+
+void FrameTransport::onAccepted(std::shared_ptr<TcpStream> stream) {
+  auto* connection = add();
+  connection->stream = std::move(stream);
+  connection->stream->setHandler(connection);
+  onEstablished(connection);
 }
 
 void FrameTransport::send(base::ConnectionId id, const wire::FramePtr& frame) {
@@ -80,163 +81,96 @@
 void FrameTransport::enqueue(base::ConnectionId id, const wire::FramePtr& frame) {
   auto* connection = find(id);
   if (connection == nullptr) return;
-  if (connection->queuedBytes > kMaxQueuedBytes) {
+  if (connection->otherEnd != 0) return deliverWithin(connection->otherEnd, frame);
+  if (connection->stream->queuedBytes() > kMaxQueuedBytes) {
     ++counters_.slowClosed;
     log_.warn("{} closes connection {}, the peer does not read", name_, id);
-    close(id);
-    loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
-      if (*alive && handler_ != nullptr) handler_->onClose(id);
-    });
-    return;
+    return closeLater(id);
   }
-  connection->queue.push_back(frame);
-  connection->queuedBytes += frame->size();
   ++counters_.framesSent;
+  counters_.bytesSent += static_cast<int64_t>(frame->size());
   const auto purpose = wire::purposeOf(wire::kindOf(*frame));
   counters_.bytesByPurpose[static_cast<size_t>(purpose)] += static_cast<int64_t>(frame->size());
-  if (connection->established) lws_callback_on_writable(connection->wsi);
+  connection->stream->write(*frame);
+}
+
+void FrameTransport::deliverWithin(base::ConnectionId to, const wire::FramePtr& frame) {
+  loop_.schedule(base::Duration(0), [this, alive = alive_, to, frame] {
+    if (!*alive || find(to) == nullptr || handler_ == nullptr) return;
+    auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
+    if (message.ok()) handler_->onMessage(to, std::move(*message));
+  });
 }
 
 void FrameTransport::close(base::ConnectionId id) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
-  auto* wsi = found->second->wsi;
   loop_.cancel(found->second->greetingTimer);
+  const auto otherEnd = found->second->otherEnd;
   connections_.erase(found);
-  if (wsi == nullptr) return;
-  lws_set_opaque_user_data(wsi, nullptr);
-  lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  if (otherEnd != 0) closeLater(otherEnd);
+}
+
+void FrameTransport::closeLater(base::ConnectionId id) {
+  loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
+    if (*alive) onGone(id);
+  });
 }
 
 size_t FrameTransport::queuedBytes(base::ConnectionId id) const {
   const auto found = connections_.find(id);
-  return found == connections_.end() ? 0 : found->second->queuedBytes;
-}
-
-int FrameTransport::onEvent(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* in, size_t length) {
-  const auto* protocol = lws_get_protocol(wsi);
-  if (protocol == nullptr || protocol->user == nullptr) return 0;
-  return static_cast<FrameTransport*>(protocol->user)->handleEvent(wsi, reason, in, length);
-}
-
-int FrameTransport::handleEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length) {
-  switch (reason) {
-    case LWS_CALLBACK_RAW_ADOPT: {
-      if (lws_get_opaque_user_data(wsi) != nullptr) return 0;
-      auto connection = std::make_unique<Connection>();
-      connection->id = nextId_++;
-      connection->wsi = wsi;
-      lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(connection->id));
-      auto* accepted = connection.get();
-      connections_[accepted->id] = std::move(connection);
-      onEstablished(accepted);
-      return 0;
-    }
-    case LWS_CALLBACK_RAW_CONNECTED: {
-      auto* connection = connectionOf(wsi);
-      if (connection == nullptr) return -1;
-      connection->wsi = wsi;
-      onEstablished(connection);
-      return 0;
-    }
-    case LWS_CALLBACK_RAW_RX: {
-      auto* connection = connectionOf(wsi);
-      if (connection == nullptr) return -1;
-      return onReceived(connection, {static_cast<const char*>(in), length});
-    }
-    case LWS_CALLBACK_RAW_WRITEABLE: {
-      auto* connection = connectionOf(wsi);
-      if (connection == nullptr) return -1;
-      return onWriteable(connection);
-    }
-    case LWS_CALLBACK_RAW_CLOSE:
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR: {
-      auto* connection = connectionOf(wsi);
-      lws_set_opaque_user_data(wsi, nullptr);
-      if (connection == nullptr) return 0;
-      connection->wsi = nullptr;
-      connection->established = false;
-      loop_.schedule(base::Duration(0), [this, alive = alive_, id = connection->id] {
-        if (*alive) onGone(id);
-      });
-      return 0;
-    }
-    default:
-      return 0;
-  }
+  const bool queues = found != connections_.end() && found->second->stream;
+  return queues ? found->second->stream->queuedBytes() : 0;
 }
 
 void FrameTransport::onEstablished(Connection* connection) {
-  connection->established = true;
   if (!connection->greeting) connection->greeting = wire::encodeFrame(hello_);
   enqueue(connection->id, connection->greeting);
-  lws_callback_on_writable(connection->wsi);
   connection->greetingTimer = loop_.schedule(kGreetingTimeout, [this, alive = alive_, id = connection->id] {
     if (!*alive || find(id) == nullptr || find(id)->greeted) return;
     log_.warn("{} closes connection {}, no greeting came", name_, id);
-    close(id);
-    if (handler_ != nullptr) handler_->onClose(id);
+    onGone(id);
   });
 }
 
-int FrameTransport::onReceived(Connection* connection, std::string_view bytes) {
+void FrameTransport::onReceived(base::ConnectionId id, std::string_view bytes) {
   counters_.bytesReceived += static_cast<int64_t>(bytes.size());
-  const auto id = connection->id;
-  connection->reader.append(bytes);
-  while ((connection = find(id)) != nullptr) {
+  find(id)->reader.append(bytes);
+  while (auto* connection = find(id)) {
     wire::Message message;
     const auto complete = connection->reader.next(&message);
     if (!complete.ok()) {
       ++counters_.badFrames;
       log_.warn("{} closes connection {}: {}", name_, id, base::errorText(complete.status()));
-      return -1;
+      return onGone(id);
     }
-    if (!*complete) return 0;
+    if (!*complete) return;
     ++counters_.framesReceived;
-    if (connection->greeted) {
-      if (handler_ != nullptr) handler_->onMessage(id, std::move(message));
-      continue;
-    }
-    const auto* hello = std::get_if<wire::Hello>(&message);
-    if (hello == nullptr) {
-      ++counters_.badFrames;
-      log_.warn("{} closes connection {}: the first frame is no greeting", name_, id);
-      return -1;
-    }
-    connection->greeted = true;
-    connection->peer = *hello;
-    loop_.cancel(connection->greetingTimer);
-    if (handler_ != nullptr) handler_->onOpen(id, *hello);
+    onFrame(id, std::move(message));
   }
-  return -1;
-}
-
-int FrameTransport::onWriteable(Connection* connection) {
-  std::string buffer(LWS_PRE, '\0');
-  while (!connection->queue.empty() && buffer.size() < LWS_PRE + kMaxWriteBytes) {
-    const auto& frame = connection->queue.front();
-    const size_t count = std::min(frame->size() - connection->offset, LWS_PRE + kMaxWriteBytes - buffer.size());
-    buffer.append(*frame, connection->offset, count);
-    connection->offset += count;
-    if (connection->offset < frame->size()) break;
-    connection->offset = 0;
-    connection->queue.pop_front();
+}
+
+void FrameTransport::onFrame(base::ConnectionId id, wire::Message message) {
+  auto* connection = find(id);
+  if (connection->greeted) {
+    if (handler_ != nullptr) handler_->onMessage(id, std::move(message));
+    return;
   }
-  const size_t length = buffer.size() - LWS_PRE;
-  if (length == 0) return 0;
-  connection->queuedBytes -= std::min(connection->queuedBytes, length);
-  counters_.bytesSent += static_cast<int64_t>(length);
-  auto* bytes = reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE;
-  if (lws_write(connection->wsi, bytes, length, LWS_WRITE_RAW) < static_cast<int>(length)) return -1;
-  if (!connection->queue.empty()) lws_callback_on_writable(connection->wsi);
-  return 0;
+  const auto* hello = std::get_if<wire::Hello>(&message);
+  if (hello == nullptr) {
+    ++counters_.badFrames;
+    log_.warn("{} closes connection {}: the first frame is no greeting", name_, id);
+    return onGone(id);
+  }
+  connection->greeted = true;
+  connection->peer = *hello;
+  loop_.cancel(connection->greetingTimer);
+  if (handler_ != nullptr) handler_->onOpen(id, *hello);
 }
 
 void FrameTransport::onGone(base::ConnectionId id) {
-  const auto found = connections_.find(id);
-  if (found == connections_.end()) return;
-  loop_.cancel(found->second->greetingTimer);
-  connections_.erase(found);
+  if (find(id) == nullptr) return;
+  close(id);
   if (handler_ != nullptr) handler_->onClose(id);
 }
 
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/network.h"
 #include "transport/event_loop.h"
+#include "transport/tcp_stream.h"
 
 namespace driftlug::transport {
 
@@ -27,6 +28,8 @@
 };
 
 /// base::Network over real sockets. Every connection begins with a Hello from each side.
+///
+/// A connection to the own listening address never leaves the process: its frames are handed over in memory.
 class FrameTransport : public base::Network {
  public:
   FrameTransport(EventLoop& loop, std::string name);
@@ -51,36 +54,45 @@
   size_t queuedBytes(base::ConnectionId connection) const override;
 
  private:
-  struct Connection {
-    base::ConnectionId id = 0;
-    lws* wsi = nullptr;
-    bool established = false;  // the socket is connected
-    bool greeted = false;      // the peer's Hello arrived
+  /// One connection and its socket, or its other end in this process.
+  struct Connection : public StreamHandler {
+    Connection(FrameTransport& owner, base::ConnectionId connectionId) : transport(owner), id(connectionId) {}
+    ~Connection() override {
+      if (stream) stream->close();
+    }
+    void onConnected() override { transport.onEstablished(this); }
+    void onBytes(std::string_view bytes) override { transport.onReceived(id, bytes); }
+    void onClosed(bool /*orderly*/) override { transport.onGone(id); }
+
+    FrameTransport& transport;
+    base::ConnectionId id;
+    std::shared_ptr<TcpStream> stream;  // null on a connection within the process
+    base::ConnectionId otherEnd = 0;    // of a connection within the process
+    bool greeted = false;               // the peer's Hello arrived
     wire::Hello peer;
     wire::FramePtr greeting;  // what this side said of itself when the connection began
     wire::FrameReader reader;
-    std::deque<wire::FramePtr> queue;
-    size_t queuedBytes = 0;
-    size_t offset = 0;  // bytes of the first queued frame already written
     base::TimerId greetingTimer = 0;
   };
 
-  static int onEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
-  int handleEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length);
   Connection* find(base::ConnectionId id);
-  Connection* connectionOf(lws* wsi);
+  Connection* add();
+  base::ConnectionId connectWithin();
+  void onAccepted(std::shared_ptr<TcpStream> stream);
   void onEstablished(Connection* connection);
-  int onReceived(Connection* connection, std::string_view bytes);
-  int onWriteable(Connection* connection);
+  void onReceived(base::ConnectionId id, std::string_view bytes);
+  void onFrame(base::ConnectionId id, wire::Message message);
   void onGone(base::ConnectionId id);
+  void closeLater(base::ConnectionId id);
   void enqueue(base::ConnectionId id, const wire::FramePtr& frame);
+  void deliverWithin(base::ConnectionId to, const wire::FramePtr& frame);
 
   EventLoop& loop_;
   std::string name_;
   base::Logger log_{"frames"};
   base::ConnectionHandler* handler_ = nullptr;
-  lws_protocols protocols_[2];
-  lws_vhost* clientVhost_ = nullptr;
+  TcpListener listener_;
+  base::Address listening_;  // port 0 while not listening
   wire::Hello hello_;
   base::Duration zoneDelay_{0};
   base::ConnectionId nextId_ = 1;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,280 +1,231 @@
 #include "transport/http_client.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
 
 #include <algorithm>
-#include <cstring>
-
-#include "transport/http_headers.h"
 
 namespace driftlug::transport {
 namespace {
 
-constexpr uint16_t kKeepWarmSeconds = 20;
-constexpr size_t kReadBufferBytes = size_t{64} * 1024;
-constexpr size_t kMaxHeadBytes = size_t{8} * 1024;
-/// Time in which libwebsockets has certainly closed a connection that it was told to kill.
-constexpr base::Duration kKillDelay = base::milliseconds(10);
+constexpr int kFirstFinalStatus = 200;
 
-/// Puts another host name into the request head that libwebsockets has written so far.
-/// @param position where the head ends; moved with it
-/// @return whether the result fits before end
-bool replaceHost(std::string_view current, std::string_view wanted, unsigned char** position,
-                 const unsigned char* end) {
-  const std::string field = "Host: " + std::string(current) + "\r\n";
-  auto* head = reinterpret_cast<char*>(*position);
-  // The head holds the field exactly once, at most kMaxHeadBytes before its end.
-  for (size_t back = field.size(); back < kMaxHeadBytes; ++back) {
-    char* start = head - back;
-    if (std::memcmp(start, field.data(), field.size()) != 0) continue;
-    const auto growth = static_cast<ptrdiff_t>(wanted.size()) - static_cast<ptrdiff_t>(current.size());
-    if (*position + growth >= end) return false;
-    char* rest = start + field.size() - 2;
-    std::memmove(rest + growth, rest, static_cast<size_t>(head - rest));
-    std::memcpy(rest - current.size(), wanted.data(), wanted.size());
-    *position += growth;
-    return true;
+/// @return the time in which a server says that it keeps an idle connection, or 0 when it says nothing.
+base::Duration statedIdleTime(const std::vector<wire::HttpHeader>& headers) {
+  for (const auto& part : absl::StrSplit(std::string(findHeader(headers, "keep-alive")), ',')) {
+    auto text = absl::StripAsciiWhitespace(part);
+    int seconds = 0;
+    if (absl::ConsumePrefix(&text, "timeout=") && absl::SimpleAtoi(text, &seconds)) return base::seconds(seconds);
   }
-  return false;
+  return base::Duration(0);
 }
 
 }  // namespace
 
 HttpClientPool::HttpClientPool(EventLoop& loop, std::string name, std::string host, int port, size_t maxConnections)
-    : loop_(loop), name_(std::move(name)), host_(std::move(host)), port_(port), maxConnections_(maxConnections) {
-  std::memset(protocols_, 0, sizeof(protocols_));
-  protocols_[0].name = "http-client";
-  protocols_[0].callback = &HttpClientPool::onEvent;
-  protocols_[0].user = this;
-  protocols_[0].rx_buffer_size = kReadBufferBytes;
-}
+    : HttpClientPool(loop, std::move(name), base::Address{std::move(host), port}, [&] {
+        HttpPoolOptions options;
+        options.maxConnections = maxConnections;
+        return options;
+      }()) {}
+
+HttpClientPool::HttpClientPool(EventLoop& loop, std::string name, const base::Address& address, HttpPoolOptions options)
+    : loop_(loop), name_(std::move(name)), address_(address), options_(std::move(options)) {}
 
 HttpClientPool::~HttpClientPool() {
   *alive_ = false;
-  protocols_[0].user = nullptr;
+  for (const auto& [id, active] : active_) loop_.cancel(active.timer);
 }
 
 HttpRequestId HttpClientPool::send(HttpRequest request, base::Duration timeout, Callback done) {
   const auto id = nextId_++;
   ++counters_.requests;
-  waiting_.push_back({id, std::move(request), timeout, std::move(done)});
-  startWaiting();
+  auto& active = active_[id];
+  active.request = std::move(request);
+  active.done = std::move(done);
+  active.deadline = loop_.now() + timeout;
+  active.timer = loop_.schedule(timeout, [this, alive = alive_, id] {
+    if (*alive) onTimeout(id);
+  });
+  start(id);
   return id;
 }
 
-void HttpClientPool::startWaiting() {
-  while (!waiting_.empty() && (!freeSlots_.empty() || slots_.size() < maxConnections_)) {
-    auto waiting = std::move(waiting_.front());
-    waiting_.pop_front();
-    start(std::move(waiting));
+HttpClientPool::Connection* HttpClientPool::takeIdle() {
+  const auto now = loop_.now();
+  while (!idle_.empty()) {
+    const auto id = idle_.back();
+    idle_.pop_back();
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) continue;
+    if (found->second->idleUntil > now) return found->second.get();
+    connections_.erase(found);
   }
+  return nullptr;
 }
 
-void HttpClientPool::start(Waiting waiting) {
-  if (freeSlots_.empty()) {
-    slots_.push_back(loop_.createClientVhost(name_ + "-" + std::to_string(slots_.size()), protocols_));
-    freeSlots_.push_back(slots_.size() - 1);
-  }
-  auto owned = std::make_unique<Active>();
-  auto* active = owned.get();
-  active->request = std::move(waiting.request);
-  active->done = std::move(waiting.done);
-  active->slot = freeSlots_.back();
-  freeSlots_.pop_back();
-  const auto id = waiting.id;
-  active_[id] = std::move(owned);
-  active->timer = loop_.schedule(waiting.timeout, [this, alive = alive_, id] {
-    if (*alive) onTimeout(id);
-  });
-  std::string path = active->request.path;
-  if (!active->request.query.empty()) path += "?" + active->request.query;
-  lws_client_connect_info info{};
-  info.context = loop_.context();
-  info.vhost = slots_[active->slot];
-  info.address = host_.c_str();
-  info.port = port_;
-  info.path = path.c_str();
-  // libwebsockets reuses a connection only when this equals the address; replaceHost() puts the real name in.
-  info.host = host_.c_str();
-  info.method = active->request.method.c_str();
-  info.local_protocol_name = protocols_[0].name;
-  info.opaque_user_data = reinterpret_cast<void*>(id);
-  // A redirect is the caller's to follow: it knows whether the request may be sent again.
-  info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-  info.keep_warm_secs = kKeepWarmSeconds;
-  lws* wsi = nullptr;
-  info.pwsi = &wsi;
-  const auto* result = lws_client_connect_via_info(&info);
-  active = find(id);
-  if (active == nullptr) return;
-  if (result != nullptr) {
-    active->wsi = wsi;
-    return;
-  }
-  loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
-    if (*alive) finish(id);
-  });
+HttpClientPool::Connection* HttpClientPool::open() {
+  const auto id = nextConnection_++;
+  ++counters_.connections;
+  auto& slot = connections_[id];
+  slot = std::make_unique<Connection>(*this, id);
+  slot->stream = TcpStream::connect(loop_, address_, slot.get(), {});
+  return slot.get();
 }
 
-HttpClientPool::Active* HttpClientPool::find(HttpRequestId id) {
-  const auto found = active_.find(id);
-  return found == active_.end() ? nullptr : found->second.get();
+void HttpClientPool::start(HttpRequestId id) {
+  auto* connection = takeIdle();
+  if (connection == nullptr && connections_.size() >= options_.maxConnections) {
+    waiting_.push_back(id);
+    return;
+  }
+  if (connection == nullptr) connection = open();
+  auto& active = active_[id];
+  active.connection = connection->id;
+  connection->request = id;
+  connection->sentBefore = connection->stream->sentBytes();
+  write(connection, active.request);
 }
 
-int HttpClientPool::onEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length) {
-  const auto* protocol = lws_get_protocol(wsi);
-  if (protocol == nullptr || protocol->user == nullptr) return lws_callback_http_dummy(wsi, reason, user, in, length);
-  return static_cast<HttpClientPool*>(protocol->user)->handleEvent(wsi, reason, in, length);
+void HttpClientPool::startWaiting() {
+  while (!waiting_.empty()) {
+    if (idle_.empty() && connections_.size() >= options_.maxConnections) return;
+    const auto id = waiting_.front();
+    waiting_.pop_front();
+    if (active_.count(id) > 0) start(id);
+  }
 }
 
-int HttpClientPool::handleEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length) {
-  const auto id = reinterpret_cast<HttpRequestId>(lws_get_opaque_user_data(wsi));
-  auto* active = find(id);
-  switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-      if (active == nullptr) return -1;
-      return appendHeaders(active, wsi, static_cast<unsigned char**>(in), length);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-      if (active == nullptr) return -1;
-      return writeBody(active, wsi);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-      if (active == nullptr) return -1;
-      readResponseHead(active, wsi);
-      return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
-      std::vector<char> buffer(LWS_PRE + kReadBufferBytes);
-      char* position = buffer.data() + LWS_PRE;
-      int room = static_cast<int>(kReadBufferBytes);
-      return lws_http_client_read(wsi, &position, &room) < 0 ? -1 : 0;
+void HttpClientPool::write(Connection* connection, const HttpRequest& request) {
+  std::string bytes = request.method + " " + request.path;
+  if (!request.query.empty()) bytes += "?" + request.query;
+  bytes += " HTTP/1.1\r\n";
+  if (request.header("host").empty()) {
+    bytes += "host: " + address_.host + ":" + std::to_string(address_.port) + "\r\n";
+  }
+  for (const auto& header : request.headers) {
+    if (!isHopByHop(header.name)) bytes += header.name + ": " + header.value + "\r\n";
+  }
+  const bool bodyExpected = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+  if (!request.body.empty() || bodyExpected) {
+    bytes += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  if (request.method == "HEAD") connection->reader.expectNoBody();
+  connection->stream->write(bytes);
+}
+
+void HttpClientPool::onBytes(Connection* connection, std::string_view bytes) {
+  const auto id = connection->id;
+  while (!bytes.empty()) {
+    if (connection->request == 0) {
+      // Nothing was asked for: whatever this is, it belongs to nobody.
+      ++counters_.strayResponses;
+      connections_.erase(id);
+      return;
     }
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-      if (active == nullptr) return -1;
-      active->result.response.body.append(static_cast<const char*>(in), length);
-      return 0;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-      if (active == nullptr) return -1;
-      active->completed = true;
-      finish(id);
-      return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-      lws_set_opaque_user_data(wsi, nullptr);
-      if (active == nullptr) return 0;
-      active->wsi = nullptr;
-      loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
-        if (*alive) finish(id);
-      });
-      return 0;
-    default:
-      return lws_callback_http_dummy(wsi, reason, nullptr, in, length);
+    const auto progress = connection->reader.feed(&bytes);
+    if (progress == HttpProgress::kIncomplete) return;
+    if (progress != HttpProgress::kMessage) return fail(id, false);
+    if (!onResponse(connection, !bytes.empty())) return;
   }
 }
 
-int HttpClientPool::appendHeaders(Active* active, lws* wsi, unsigned char** position, size_t room) {
-  active->handshakeSent = true;
-  auto* end = *position + room;
-  const auto hostName = active->request.header("host");
-  if (!hostName.empty() && hostName != host_ && !replaceHost(host_, hostName, position, end)) return -1;
-  auto headers = active->request.headers;
-  std::erase_if(headers, [](const auto& header) { return header.name == "host" || header.name == "origin"; });
-  if (!writeHeaders(wsi, headers, position, end)) return -1;
-  const bool hasBody = !active->request.body.empty() || active->request.method == "POST" ||
-                       active->request.method == "PUT" || active->request.method == "PATCH";
-  if (!hasBody) return 0;
-  const auto length = std::to_string(active->request.body.size());
-  const auto* name = reinterpret_cast<const unsigned char*>("content-length:");
-  const auto* value = reinterpret_cast<const unsigned char*>(length.data());
-  if (lws_add_http_header_by_name(wsi, name, value, static_cast<int>(length.size()), position, end) != 0) return -1;
-  if (active->request.body.empty()) return 0;
-  lws_client_http_body_pending(wsi, 1);
-  lws_callback_on_writable(wsi);
-  return 0;
-}
-
-int HttpClientPool::writeBody(Active* active, lws* wsi) {
-  if (active->bodySent || active->request.body.empty()) return 0;
-  active->bodySent = true;
-  std::string buffer(LWS_PRE, '\0');
-  buffer += active->request.body;
-  auto* bytes = reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE;
-  const auto length = active->request.body.size();
-  lws_client_http_body_pending(wsi, 0);
-  return lws_write(wsi, bytes, length, LWS_WRITE_HTTP_FINAL) < static_cast<int>(length) ? -1 : 0;
-}
-
-void HttpClientPool::readResponseHead(Active* active, lws* wsi) {
-  active->wsi = wsi;
-  active->result.response.status = static_cast<int>(lws_http_client_http_response(wsi));
-  active->result.response.headers = readHeaders(wsi);
-  int64_t length = 0;
-  if (absl::SimpleAtoi(readToken(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH), &length)) active->contentLength = length;
+bool HttpClientPool::belongs(const Connection& connection, const HttpHead& head) const {
+  if (options_.correlationHeader.empty()) return true;
+  const auto asked = active_.at(connection.request).request.header(options_.correlationHeader);
+  const auto got = findHeader(head.headers, options_.correlationHeader);
+  return asked.empty() || got.empty() || asked == got;
 }
 
-void HttpClientPool::release(Active* active) {
-  loop_.cancel(active->timer);
-  freeSlots_.push_back(active->slot);
-}
-
-void HttpClientPool::kill(Active* active) {
-  loop_.cancel(active->timer);
-  if (active->wsi != nullptr) {
-    lws_set_opaque_user_data(active->wsi, nullptr);
-    lws_set_timeout(active->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+bool HttpClientPool::onResponse(Connection* connection, bool moreBytes) {
+  auto head = connection->reader.takeHead();
+  auto body = connection->reader.takeBody();
+  if (head.status < kFirstFinalStatus) return true;
+  if (!belongs(*connection, head)) {
+    ++counters_.strayResponses;
+    connection->reusable = false;
+    return true;
   }
-  // A request that reused the slot before the connection is gone would be lost with it.
-  loop_.schedule(kKillDelay, [this, alive = alive_, slot = active->slot] {
-    if (!*alive) return;
-    freeSlots_.push_back(slot);
-    startWaiting();
-  });
+  HttpResult result;
+  result.outcome = HttpOutcome::kCompleted;
+  result.response.status = head.status;
+  result.response.body = std::move(body);
+  const auto request = connection->request;
+  keep(connection, head, moreBytes);
+  result.response.headers = endToEndHeaders(std::move(head.headers));
+  finish(request, std::move(result));
+  return false;
 }
 
-void HttpClientPool::finish(HttpRequestId id) {
-  const auto found = active_.find(id);
-  if (found == active_.end()) return;
-  auto active = std::move(found->second);
-  active_.erase(found);
-  if (active->result.timedOut) {
-    kill(active.get());
-  } else {
-    release(active.get());
+void HttpClientPool::keep(Connection* connection, const HttpHead& head, bool moreBytes) {
+  const bool sentWhole = connection->stream->queuedBytes() == 0;
+  if (!head.keepAlive || moreBytes || !sentWhole || !connection->reusable) {
+    connections_.erase(connection->id);
+    return;
   }
-  auto& result = active->result;
-  const auto received = static_cast<int64_t>(result.response.body.size());
-  const bool headOnly =
-      active->request.method == "HEAD" || result.response.status == 204 || result.response.status == 304;
-  const bool whole = active->completed && (headOnly || active->contentLength < 0 || active->contentLength == received);
-  if (whole) {
-    result.outcome = HttpOutcome::kCompleted;
-  } else {
-    ++counters_.failures;
-    result.outcome = active->handshakeSent ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
+  const auto stated = statedIdleTime(head.headers);
+  const auto idle = stated.count() > 0 ? stated - options_.idleMargin : options_.maxIdle;
+  connection->request = 0;
+  connection->idleUntil = loop_.now() + idle;
+  idle_.push_back(connection->id);
+}
+
+void HttpClientPool::onClosed(ConnectionId id, bool orderly) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  auto* connection = found->second.get();
+  if (connection->request != 0 && orderly && connection->reader.finish() == HttpProgress::kMessage) {
+    connection->reusable = false;
+    if (!onResponse(connection, false)) return;
   }
-  loop_.schedule(base::Duration(0), [this, alive = alive_, done = std::move(active->done), result] {
+  fail(id, false);
+}
+
+void HttpClientPool::fail(ConnectionId id, bool timedOut) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  const auto request = found->second->request;
+  HttpResult result;
+  result.timedOut = timedOut;
+  const bool sent = found->second->stream->sentBytes() > found->second->sentBefore;
+  result.outcome = sent ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
+  connections_.erase(found);
+  if (request == 0) return startWaiting();
+  ++counters_.failures;
+  finish(request, std::move(result));
+}
+
+void HttpClientPool::finish(HttpRequestId id, HttpResult result) {
+  auto node = active_.extract(id);
+  if (!node.empty()) {
+    loop_.cancel(node.mapped().timer);
+    const auto alive = alive_;
+    node.mapped().done(std::move(result));
     if (!*alive) return;
-    done(result);
-    if (*alive) startWaiting();
-  });
+  }
+  startWaiting();
 }
 
 void HttpClientPool::onTimeout(HttpRequestId id) {
-  auto* active = find(id);
-  if (active == nullptr) return;
-  active->timer = 0;
-  active->result.timedOut = true;
-  finish(id);
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
+  if (found->second.connection != 0) return fail(found->second.connection, true);
+  HttpResult result;
+  result.outcome = HttpOutcome::kNotSent;
+  result.timedOut = true;
+  ++counters_.failures;
+  finish(id, std::move(result));
 }
 
 void HttpClientPool::cancel(HttpRequestId id) {
-  const auto queued = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& item) { return item.id == id; });
-  if (queued != waiting_.end()) {
-    waiting_.erase(queued);
-    return;
-  }
-  auto* active = find(id);
-  if (active == nullptr) return;
-  kill(active);
-  active_.erase(id);
+  auto node = active_.extract(id);
+  if (node.empty()) return;
+  loop_.cancel(node.mapped().timer);
+  connections_.erase(node.mapped().connection);
+  startWaiting();
 }
 
 }  // namespace driftlug::transport
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -10,6 +10,8 @@
 
 #include "transport/event_loop.h"
 #include "transport/http.h"
+#include "transport/http_reader.h"
+#include "transport/tcp_stream.h"
 
 namespace driftlug::transport {
 
@@ -30,77 +32,103 @@
 /// Identifies one request of a pool; never reused.
 using HttpRequestId = uint64_t;
 
+/// Settings of a pool.
+struct HttpPoolOptions {
+  size_t maxConnections = 1;
+  /// A header, in lower case, that the server returns as the request had it; a response with another value belongs to
+  /// an earlier request and is dropped. Empty when there is none.
+  std::string correlationHeader;
+  /// How long a connection may have been idle and be used again, where the server does not state a time.
+  base::Duration maxIdle = base::seconds(4);
+  /// Taken off the time that the server states, for a close that is already on its way.
+  base::Duration idleMargin = base::milliseconds(800);
+};
+
 /// Counters of a pool.
 struct HttpPoolCounters {
   int64_t requests = 0;
   int64_t failures = 0;
+  int64_t connections = 0;     ///< opened
+  int64_t strayResponses = 0;  ///< dropped because they belonged to no waiting request
 };
 
-/// Sends requests over at most a given number of connections; more wait in order.
-///
-/// Each pool slot is a vhost of its own, because libwebsockets keeps connections per vhost and endpoint. A
-/// connection whose request ended without a whole response is closed, never reused.
+/// Sends requests over at most a given number of connections; more wait in order. One request is on a connection at a
+/// time. A connection is used again only behind a whole response to a request that was sent whole, with nothing else
+/// behind it.
 class HttpClientPool {
  public:
   using Callback = std::function<void(HttpResult)>;
 
   HttpClientPool(EventLoop& loop, std::string name, std::string host, int port, size_t maxConnections);
+  HttpClientPool(EventLoop& loop, std::string name, const base::Address& address, HttpPoolOptions options);
   ~HttpClientPool();
 
   /// Sends a request; the callback comes later, never from within this call.
   HttpRequestId send(HttpRequest request, base::Duration timeout, Callback done);
 
-  /// Gives up a request; no callback follows.
+  /// Gives up a request and closes its connection; no callback follows.
   void cancel(HttpRequestId id);
 
+  /// Changes how many connections there may be.
+  void setMaxConnections(size_t maxConnections) { options_.maxConnections = maxConnections; }
+
   size_t inFlight() const { return active_.size(); }
   const HttpPoolCounters& counters() const { return counters_; }
 
  private:
-  struct Active {
-    HttpRequest request;
-    Callback done;
-    size_t slot = 0;
-    lws* wsi = nullptr;
-    bool handshakeSent = false;
-    bool bodySent = false;
-    bool completed = false;
-    int64_t contentLength = -1;
-    HttpResult result;
-    base::TimerId timer = 0;
+  using ConnectionId = uint64_t;
+
+  struct Connection : public StreamHandler {
+    Connection(HttpClientPool& owner, ConnectionId connectionId)
+        : pool(owner), id(connectionId), reader(HttpReader::Kind::kResponses, {}) {}
+    ~Connection() override {
+      if (stream) stream->close();
+    }
+    void onBytes(std::string_view bytes) override { pool.onBytes(this, bytes); }
+    void onClosed(bool orderly) override { pool.onClosed(id, orderly); }
+
+    HttpClientPool& pool;
+    ConnectionId id;
+    std::shared_ptr<TcpStream> stream;
+    HttpReader reader;
+    HttpRequestId request = 0;  // 0 while idle
+    int64_t sentBefore = 0;     // bytes sent on the connection before the request in progress
+    base::TimePoint idleUntil{};
+    bool reusable = true;
   };
 
-  struct Waiting {
-    HttpRequestId id;
+  struct Active {
     HttpRequest request;
-    base::Duration timeout;
     Callback done;
+    ConnectionId connection = 0;
+    base::TimerId timer = 0;
+    base::TimePoint deadline{};
   };
 
-  static int onEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
-  int handleEvent(lws* wsi, lws_callback_reasons reason, void* in, size_t length);
-  void start(Waiting waiting);
+  void start(HttpRequestId id);
   void startWaiting();
-  Active* find(HttpRequestId id);
-  int appendHeaders(Active* active, lws* wsi, unsigned char** position, size_t room);
-  int writeBody(Active* active, lws* wsi);
-  void readResponseHead(Active* active, lws* wsi);
-  void finish(HttpRequestId id);
+  Connection* takeIdle();
+  Connection* open();
+  void write(Connection* connection, const HttpRequest& request);
+  void onBytes(Connection* connection, std::string_view bytes);
+  bool onResponse(Connection* connection, bool moreBytes);
+  void onClosed(ConnectionId id, bool orderly);
   void onTimeout(HttpRequestId id);
-  void release(Active* active);
-  void kill(Active* active);
+  void finish(HttpRequestId id, HttpResult result);
+  void fail(ConnectionId id, bool timedOut);
+  bool belongs(const Connection& connection, const HttpHead& head) const;
+  void keep(Connection* connection, const HttpHead& head, bool moreBytes);
 
   EventLoop& loop_;
   std::string name_;
-  std::string host_;
-  int port_;
-  size_t maxConnections_;
-  lws_protocols protocols_[2];
-  std::vector<lws_vhost*> slots_;  // one connection each
-  std::vector<size_t> freeSlots_;  // most recently used last
+  base::Address address_;
+  HttpPoolOptions options_;
   HttpRequestId nextId_ = 1;
-  std::map<HttpRequestId, std::unique_ptr<Active>> active_;
-  std::deque<Waiting> waiting_;
+  ConnectionId nextConnection_ = 1;
+  std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
+  std::vector<ConnectionId> idle_;  // most recently used last
+  std::map<HttpRequestId, Active> active_;
+  std::deque<HttpRequestId> waiting_;  // in active_, without a connection
   HttpPoolCounters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/src/transport/http_reader.cc
@@ -0,0 +1,177 @@
+#include "transport/http_reader.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+
+#include "transport/http.h"
+
+namespace driftlug::transport {
+namespace {
+
+HttpReader* readerOf(http_parser* parser) { return static_cast<HttpReader*>(parser->data); }
+
+}  // namespace
+
+const http_parser_settings& HttpReader::settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_message_begin = &HttpReader::onMessageBegin;
+    made.on_url = &HttpReader::onTarget;
+    made.on_header_field = &HttpReader::onHeaderField;
+    made.on_header_value = &HttpReader::onHeaderValue;
+    made.on_headers_complete = &HttpReader::onHeadersComplete;
+    made.on_body = &HttpReader::onBody;
+    made.on_message_complete = &HttpReader::onMessageComplete;
+    return made;
+  }();
+  return settings;
+}
+
+HttpReader::HttpReader(Kind kind, const HttpReaderLimits& limits) : limits_(limits) {
+  http_parser_init(&parser_, kind == Kind::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+}
+
+HttpProgress HttpReader::feed(std::string_view* bytes) {
+  if (failure_ != HttpProgress::kIncomplete) return failure_;
+  if (bytes->empty()) return HttpProgress::kIncomplete;
+  const auto offered = bytes->size();
+  const auto consumed = http_parser_execute(&parser_, &settings(), bytes->data(), offered);
+  bytes->remove_prefix(std::min(consumed, offered));
+  return progressAfter(consumed, offered);
+}
+
+HttpProgress HttpReader::finish() {
+  if (failure_ != HttpProgress::kIncomplete) return failure_;
+  if (!begun_ || complete_) return HttpProgress::kIncomplete;
+  (void)http_parser_execute(&parser_, &settings(), nullptr, 0);
+  return progressAfter(0, 0);
+}
+
+HttpProgress HttpReader::progressAfter(size_t consumed, size_t offered) {
+  const auto error = HTTP_PARSER_ERRNO(&parser_);
+  if (failure_ != HttpProgress::kIncomplete) return failure_;
+  if (complete_) {
+    if (error == HPE_PAUSED) http_parser_pause(&parser_, 0);
+    return HttpProgress::kMessage;
+  }
+  if (error == HPE_OK && consumed == offered) return HttpProgress::kIncomplete;
+  failure_ = error == HPE_HEADER_OVERFLOW ? HttpProgress::kHeadTooLarge : HttpProgress::kMalformed;
+  return failure_;
+}
+
+HttpHead HttpReader::takeHead() {
+  HttpHead head = std::move(head_);
+  head_ = HttpHead{};
+  return head;
+}
+
+std::string HttpReader::takeBody() {
+  std::string body = std::move(body_);
+  body_.clear();
+  begun_ = false;
+  headComplete_ = false;
+  complete_ = false;
+  skipBody_ = false;
+  return body;
+}
+
+bool HttpReader::countHead(size_t length) {
+  headBytes_ += length;
+  if (headBytes_ <= limits_.maxHeadBytes) return true;
+  failure_ = HttpProgress::kHeadTooLarge;
+  return false;
+}
+
+int HttpReader::onMessageBegin(http_parser* parser) {
+  auto* reader = readerOf(parser);
+  reader->begun_ = true;
+  reader->headBytes_ = 0;
+  reader->inValue_ = false;
+  reader->head_ = HttpHead{};
+  reader->body_.clear();
+  return 0;
+}
+
+int HttpReader::onTarget(http_parser* parser, const char* at, size_t length) {
+  auto* reader = readerOf(parser);
+  if (!reader->countHead(length)) return 1;
+  reader->head_.target.append(at, length);
+  return 0;
+}
+
+int HttpReader::onHeaderField(http_parser* parser, const char* at, size_t length) {
+  auto* reader = readerOf(parser);
+  if (!reader->countHead(length)) return 1;
+  if (reader->headComplete_) return 0;  // a trailer
+  auto& headers = reader->head_.headers;
+  if (headers.empty() || reader->inValue_) headers.emplace_back();
+  reader->inValue_ = false;
+  for (size_t i = 0; i < length; ++i) headers.back().name.push_back(absl::ascii_tolower(at[i]));
+  return 0;
+}
+
+int HttpReader::onHeaderValue(http_parser* parser, const char* at, size_t length) {
+  auto* reader = readerOf(parser);
+  if (!reader->countHead(length)) return 1;
+  if (reader->headComplete_) return 0;
+  reader->inValue_ = true;
+  reader->head_.headers.back().value.append(at, length);
+  return 0;
+}
+
+int HttpReader::onHeadersComplete(http_parser* parser) {
+  auto* reader = readerOf(parser);
+  reader->headComplete_ = true;
+  auto& head = reader->head_;
+  for (auto& header : head.headers) header.value = std::string(absl::StripAsciiWhitespace(header.value));
+  head.status = static_cast<int>(parser->status_code);
+  head.keepAlive = http_should_keep_alive(parser) != 0;
+  head.http10 = parser->http_major == 1 && parser->http_minor == 0;
+  if (parser->type == HTTP_REQUEST) {
+    head.method = http_method_str(static_cast<http_method>(parser->method));
+    if (parser->method == HTTP_CONNECT) return -1;
+    parser->upgrade = 0;  // the upgrade is declined by answering as usual
+    const bool sized = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (sized && parser->content_length > reader->limits_.maxBodyBytes) {
+      reader->failure_ = HttpProgress::kBodyTooLarge;
+      return -1;
+    }
+  }
+  return reader->skipBody_ ? 1 : 0;
+}
+
+int HttpReader::onBody(http_parser* parser, const char* at, size_t length) {
+  auto* reader = readerOf(parser);
+  if (reader->body_.size() + length > reader->limits_.maxBodyBytes) {
+    reader->failure_ = HttpProgress::kBodyTooLarge;
+    return 1;
+  }
+  reader->body_.append(at, length);
+  return 0;
+}
+
+int HttpReader::onMessageComplete(http_parser* parser) {
+  readerOf(parser)->complete_ = true;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+std::vector<wire::HttpHeader> endToEndHeaders(std::vector<wire::HttpHeader> headers) {
+  std::vector<std::string> named;
+  for (const auto& header : headers) {
+    if (header.name != "connection") continue;
+    for (const auto& token : absl::StrSplit(header.value, ',')) {
+      named.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(token)));
+    }
+  }
+  std::erase_if(headers, [&](const auto& header) {
+    return isHopByHop(header.name) || std::find(named.begin(), named.end(), header.name) != named.end();
+  });
+  return headers;
+}
+
+}  // namespace driftlug::transport
