--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,154 +1,150 @@
 #include "transport/http_server.h"
 
-#include <absl/strings/numbers.h>
-
-#include <cstring>
-
-#include "base/error.h"
-#include "transport/http_headers.h"
+#include <vector>
 
 namespace driftlug::transport {
 namespace {
 
-constexpr size_t kMaxHeaderBytes = size_t{32} * 1024;
-constexpr size_t kMaxWriteBytes = size_t{256} * 1024;
-constexpr int kBodyTimeoutSeconds = 10;
-
-struct MethodToken {
-  lws_token_indexes token;
-  const char* name;
-};
+constexpr base::Duration kSweepInterval = base::seconds(1);
+constexpr size_t kMaxUnreadBytes = 256U << 10;
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
 
-constexpr MethodToken kMethods[] = {
-    {WSI_TOKEN_GET_URI, "GET"},         {WSI_TOKEN_POST_URI, "POST"},     {WSI_TOKEN_PUT_URI, "PUT"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"},     {WSI_TOKEN_DELETE_URI, "DELETE"}, {WSI_TOKEN_HEAD_URI, "HEAD"},
-    {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
-};
-
-std::string readMethod(lws* wsi) {
-  for (const auto& method : kMethods) {
-    if (lws_hdr_total_length(wsi, method.token) > 0) return method.name;
-  }
-  return "";
+const char* reasonOf(int status) {
+  const char* reason = http_status_str(static_cast<http_status>(status));
+  return reason == nullptr ? "Unknown" : reason;
 }
 
+bool hasBody(int status) { return status >= 200 && status != 204 && status != 304; }
+
 }  // namespace
 
-HttpServer::HttpServer(EventLoop& loop, std::string name, HttpServerOptions options, RequestHandler onRequest,
+HttpServer::HttpServer(EventLoop& loop, std::string name, const HttpServerOptions& options, RequestHandler onRequest,
                        AbortHandler onAbort)
     : loop_(loop),
       name_(std::move(name)),
       options_(options),
       onRequest_(std::move(onRequest)),
-      onAbort_(std::move(onAbort)) {
-  std::memset(protocols_, 0, sizeof(protocols_));
-  protocols_[0].name = "http";
-  protocols_[0].callback = &HttpServer::onEvent;
-  protocols_[0].user = this;
-  protocols_[0].rx_buffer_size = size_t{64} * 1024;
-  protocols_[0].per_session_data_size = sizeof(int);  // requests seen on the connection
-}
+      onAbort_(std::move(onAbort)),
+      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }),
+      sweepTimer_(loop, [this] { sweep(); }) {}
+
+HttpServer::~HttpServer() = default;
+
+absl::Status HttpServer::listen(const std::string& host, int port) { return listener_.listen(host, port, {}); }
 
-absl::Status HttpServer::listen(const std::string& host, int port) {
-  if (loop_.listen(name_, host, port, protocols_, nullptr) != nullptr) return absl::OkStatus();
-  return base::makeError(base::ErrorCode::kConnectFailed, "can't listen on " + host + ":" + std::to_string(port));
+void HttpServer::setOptions(const HttpServerOptions& options) {
+  options_ = options;
+  for (const auto& [id, connection] : connections_) {
+    connection->reader.setLimits({options_.maxHeadBytes, options_.maxBodyBytes});
+  }
 }
 
-int HttpServer::onEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length) {
-  const auto* protocol = lws_get_protocol(wsi);
-  if (protocol == nullptr || protocol->user == nullptr) return lws_callback_http_dummy(wsi, reason, user, in, length);
-  return static_cast<HttpServer*>(protocol->user)->handleEvent(wsi, reason, user, in, length);
+void HttpServer::onAccepted(std::shared_ptr<TcpStream> stream) {
+  const auto id = nextConnection_++;
+  ++counters_.connections;
+  auto connection =
+      std::make_unique<Connection>(*this, id, HttpReaderLimits{options_.maxHeadBytes, options_.maxBodyBytes});
+  connection->stream = std::move(stream);
+  connection->stream->setHandler(connection.get());
+  connection->lastActive = loop_.now();
+  connections_[id] = std::move(connection);
+  if (!sweepTimer_.running()) sweepTimer_.start(kSweepInterval);
 }
 
-HttpServer::Exchange* HttpServer::exchangeOf(lws* wsi, ExchangeId* id) {
-  *id = reinterpret_cast<ExchangeId>(lws_get_opaque_user_data(wsi));
-  const auto found = exchanges_.find(*id);
-  return found == exchanges_.end() ? nullptr : &found->second;
+void HttpServer::onBytes(Connection* connection, std::string_view bytes) {
+  const auto id = connection->id;
+  connection->lastActive = loop_.now();
+  if (connection->closing) return;  // behind a request that ends the connection nothing counts
+  std::string kept;
+  if (!connection->unread.empty()) {
+    kept = std::move(connection->unread);
+    connection->unread.clear();
+    kept.append(bytes);
+    bytes = kept;
+  }
+  if (!takeRequests(connection, &bytes)) return;
+  if (connections_.count(id) == 0 || connection->closing || bytes.empty()) return;
+  connection->unread.assign(bytes);
+  if (connection->unread.size() > kMaxUnreadBytes && connection->reading) {
+    connection->reading = false;
+    connection->stream->setReading(false);
+  }
 }
 
-int HttpServer::handleEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length) {
-  ExchangeId id = 0;
-  switch (reason) {
-    case LWS_CALLBACK_HTTP:
-      return onRequestHead(wsi, static_cast<int*>(user), std::string(static_cast<const char*>(in), length));
-    case LWS_CALLBACK_HTTP_BODY: {
-      auto* exchange = exchangeOf(wsi, &id);
-      if (exchange == nullptr) return -1;
-      if (exchange->refused) return 0;
-      if (exchange->request.body.size() + length > options_.maxBodyBytes) {
-        ++counters_.tooLarge;
-        refuse(id, 413, "body_too_large", "the body is over the limit");
-        return 0;
-      }
-      exchange->request.body.append(static_cast<const char*>(in), length);
-      return 0;
+bool HttpServer::takeRequests(Connection* connection, std::string_view* bytes) {
+  const auto id = connection->id;
+  while (!bytes->empty() && connection->waiting.size() < options_.maxPipelined) {
+    if (!connection->reader.midMessage()) connection->messageBegan = loop_.now();
+    const auto progress = connection->reader.feed(bytes);
+    if (progress == HttpProgress::kIncomplete) break;
+    if (progress != HttpProgress::kMessage) {
+      refuse(connection, progress);
+      return false;
     }
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-      if (exchangeOf(wsi, &id) != nullptr) dispatch(id);
-      return 0;
-    case LWS_CALLBACK_HTTP_WRITEABLE:
-      return onWriteable(wsi);
-    case LWS_CALLBACK_CLOSED_HTTP: {
-      const auto* exchange = exchangeOf(wsi, &id);
-      lws_set_opaque_user_data(wsi, nullptr);
-      if (exchange == nullptr) return 0;
-      const bool waiting = exchange->dispatched && !exchange->responded;
-      exchanges_.erase(id);
-      if (!waiting) return 0;
-      ++counters_.aborted;
-      if (onAbort_) onAbort_(id);
-      return 0;
-    }
-    default:
-      return 0;
+    takeRequest(connection);
+    if (connections_.count(id) == 0 || connection->closing) return false;
+  }
+  if (!connection->reader.headComplete() || connection->continued) return true;
+  const auto& head = connection->reader.head();
+  if (!head.http10 && findHeader(head.headers, "expect") == "100-continue" && connection->waiting.empty()) {
+    connection->continued = true;
+    connection->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  return true;
 }
 
-int HttpServer::onRequestHead(lws* wsi, int* requestsBefore, std::string path) {
-  const auto id = nextId_++;
-  lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(id));
-  auto& exchange = exchanges_[id];
-  exchange.wsi = wsi;
-  if (requestsBefore != nullptr) exchange.request.firstOnConnection = (*requestsBefore)++ == 0;
-  exchange.request.method = readMethod(wsi);
-  exchange.request.path = std::move(path);
-  exchange.request.query = readToken(wsi, WSI_TOKEN_HTTP_URI_ARGS);
-  exchange.request.headers = readHeaders(wsi);
-  const auto lengthText = readToken(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  const bool chunked = lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
-  uint64_t expected = 0;
-  const bool badLength = !lengthText.empty() && !absl::SimpleAtoi(lengthText, &expected);
-  if (chunked || badLength) {
-    // A body whose length is not certain is where request smuggling begins; it is refused whole.
-    ++counters_.badLength;
-    refuse(id, chunked ? 411 : 400, "bad_request_body", "one valid Content-Length is needed");
-    return 0;
+void HttpServer::takeRequest(Connection* connection) {
+  auto head = connection->reader.takeHead();
+  HttpRequest request;
+  request.body = connection->reader.takeBody();
+  connection->continued = false;
+  size_t hosts = 0;
+  for (const auto& header : head.headers) hosts += header.name == "host" ? 1 : 0;
+  if (hosts > 1 || (hosts == 0 && !head.http10)) {
+    ++counters_.malformed;
+    return refuse(connection, kBadRequest, "bad_request", "one host is needed");
   }
-  if (expected > options_.maxBodyBytes) {
+  request.method = std::move(head.method);
+  const auto question = head.target.find('?');
+  request.path = head.target.substr(0, question);
+  if (question != std::string::npos) request.query = head.target.substr(question + 1);
+  request.headers = endToEndHeaders(std::move(head.headers));
+  std::erase_if(request.headers, [](const auto& header) { return header.name == "expect"; });
+  request.firstOnConnection = connection->requests++ == 0;
+  const auto id = nextExchange_++;
+  auto& exchange = exchanges_[id];
+  exchange.connection = connection->id;
+  exchange.keepAlive = head.keepAlive;
+  exchange.headRequest = request.method == "HEAD";
+  connection->waiting.push_back(id);
+  if (!head.keepAlive) connection->closing = true;
+  ++counters_.requests;
+  onRequest_(id, std::move(request));
+}
+
+void HttpServer::refuse(Connection* connection, HttpProgress problem) {
+  if (problem == HttpProgress::kBodyTooLarge) {
     ++counters_.tooLarge;
-    refuse(id, 413, "body_too_large", "the body is over the limit");
-    return 0;
+    return refuse(connection, kBodyTooLarge, "body_too_large", "the body is over the limit");
   }
-  exchange.expectedBytes = expected;
-  if (expected == 0) {
-    dispatch(id);
-  } else {
-    lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, kBodyTimeoutSeconds);
+  if (problem == HttpProgress::kHeadTooLarge) {
+    ++counters_.tooLarge;
+    return refuse(connection, kHeadTooLarge, "head_too_large", "the head is over the limit");
   }
-  return 0;
+  ++counters_.malformed;
+  refuse(connection, kBadRequest, "bad_request", "this is no HTTP request");
 }
 
-void HttpServer::dispatch(ExchangeId id) {
+void HttpServer::refuse(Connection* connection, int status, const char* error, const char* sentence) {
+  const auto id = nextExchange_++;
   auto& exchange = exchanges_[id];
-  if (exchange.dispatched || exchange.refused) return;
-  exchange.dispatched = true;
-  ++counters_.requests;
-  lws_set_timeout(exchange.wsi, NO_PENDING_TIMEOUT, 0);
-  onRequest_(id, std::move(exchange.request));
-}
-
-void HttpServer::refuse(ExchangeId id, int status, const char* error, const char* sentence) {
-  exchanges_[id].refused = true;
+  exchange.connection = connection->id;
+  exchange.keepAlive = false;
+  connection->waiting.push_back(id);
+  connection->closing = true;
   respond(id, jsonResponse(status, std::string(R"({"error":")") + error + R"(","message":")" + sentence + "\"}\n"));
 }
 
@@ -157,61 +153,98 @@
   if (found == exchanges_.end() || found->second.responded) return;
   found->second.responded = true;
   found->second.response = std::move(response);
-  lws_callback_on_writable(found->second.wsi);
+  sendReady(connections_.at(found->second.connection).get());
 }
 
-int HttpServer::writeHead(Exchange* exchange) {
-  std::vector<unsigned char> buffer(LWS_PRE + kMaxHeaderBytes);
-  auto* start = buffer.data() + LWS_PRE;
-  auto* position = start;
-  auto* end = buffer.data() + buffer.size();
-  const auto& response = exchange->response;
-  if (lws_add_http_header_status(exchange->wsi, static_cast<unsigned>(response.status), &position, end) != 0) return -1;
-  if (!writeHeaders(exchange->wsi, response.headers, &position, end)) return -1;
-  if (exchange->refused || draining_) {
-    if (!writeHeaders(exchange->wsi, {}, &position, end)) return -1;
-    const auto* name = reinterpret_cast<const unsigned char*>("connection:");
-    const auto* value = reinterpret_cast<const unsigned char*>("close");
-    if (lws_add_http_header_by_name(exchange->wsi, name, value, 5, &position, end) != 0) return -1;
+void HttpServer::sendReady(Connection* connection) {
+  bool sent = false;
+  while (!connection->waiting.empty() && !connection->lingering) {
+    const auto found = exchanges_.find(connection->waiting.front());
+    if (!found->second.responded) break;
+    writeResponse(connection, found->second);
+    exchanges_.erase(found);
+    connection->waiting.pop_front();
+    sent = true;
   }
-  if (lws_add_http_header_content_length(exchange->wsi, response.body.size(), &position, end) != 0) return -1;
-  if (lws_finalize_http_header(exchange->wsi, &position, end) != 0) return -1;
-  const auto length = static_cast<size_t>(position - start);
-  return lws_write(exchange->wsi, start, length, LWS_WRITE_HTTP_HEADERS) < static_cast<int>(length) ? -1 : 0;
+  if (!sent) return;
+  connection->lastActive = loop_.now();
+  // What waited behind a full pipeline goes on in a turn of its own.
+  if (connection->closing || (connection->unread.empty() && connection->reading)) return;
+  loop_.schedule(base::Duration(0), [this, id = connection->id] {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return;
+    if (!found->second->reading) {
+      found->second->reading = true;
+      found->second->stream->setReading(true);
+    }
+    onBytes(found->second.get(), {});
+  });
 }
 
-int HttpServer::onWriteable(lws* wsi) {
-  ExchangeId id = 0;
-  auto* exchange = exchangeOf(wsi, &id);
-  if (exchange == nullptr || !exchange->responded) return 0;
-  const auto& body = exchange->response.body;
-  if (!exchange->headersSent) {
-    exchange->headersSent = true;
-    if (writeHead(exchange) != 0) return -1;
-    if (!body.empty() && exchange->request.method != "HEAD") {
-      lws_callback_on_writable(wsi);
-      return 0;
-    }
+void HttpServer::writeResponse(Connection* connection, const Exchange& exchange) {
+  const auto& response = exchange.response;
+  const bool last = !exchange.keepAlive || draining_;
+  std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonOf(response.status) + "\r\n";
+  for (const auto& header : response.headers) {
+    if (isHopByHop(header.name)) continue;
+    head += header.name + ": " + header.value + "\r\n";
   }
-  if (exchange->offset < body.size()) {
-    const size_t count = std::min(kMaxWriteBytes, body.size() - exchange->offset);
-    std::string buffer(LWS_PRE, '\0');
-    buffer.append(body, exchange->offset, count);
-    exchange->offset += count;
-    const bool last = exchange->offset == body.size();
-    auto* bytes = reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE;
-    const auto kind = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
-    if (lws_write(wsi, bytes, count, kind) < static_cast<int>(count)) return -1;
-    if (!last) {
-      lws_callback_on_writable(wsi);
-      return 0;
+  if (hasBody(response.status)) head += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+  if (last) head += "connection: close\r\n";
+  head += "\r\n";
+  if (hasBody(response.status) && !exchange.headRequest) head += response.body;
+  connection->stream->write(head);
+  if (!last) return;
+  connection->closing = true;
+  connection->lingering = true;
+}
+
+void HttpServer::onDrained(Connection* connection) {
+  if (!connection->lingering) return;
+  // Closing at once could reset the connection before the peer has read the answer.
+  connection->stream->shutdownWrite();
+  loop_.schedule(options_.lingerTimeout, [this, id = connection->id] { drop(id); });
+}
+
+void HttpServer::drop(ConnectionId id) {
+  auto node = connections_.extract(id);
+  if (node.empty()) return;
+  for (const auto exchange : node.mapped()->waiting) {
+    const auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end()) continue;
+    const bool waiting = !found->second.responded;
+    exchanges_.erase(found);
+    if (!waiting) continue;
+    ++counters_.aborted;
+    if (onAbort_) onAbort_(exchange);
+  }
+}
+
+void HttpServer::sweep() {
+  const auto now = loop_.now();
+  std::vector<ConnectionId> ids;
+  ids.reserve(connections_.size());
+  for (const auto& [id, connection] : connections_) ids.push_back(id);
+  for (const auto id : ids) {
+    if (const auto found = connections_.find(id); found != connections_.end()) {
+      sweepConnection(found->second.get(), now);
     }
   }
-  const bool closes = exchange->refused || draining_;
-  exchanges_.erase(id);
-  lws_set_opaque_user_data(wsi, nullptr);
-  if (closes) return -1;
-  return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+  if (!connections_.empty()) sweepTimer_.start(kSweepInterval);
+}
+
+void HttpServer::sweepConnection(Connection* connection, base::TimePoint now) {
+  if (connection->closing) return;
+  const bool inHead = connection->reader.midMessage() && !connection->reader.headComplete();
+  const bool lateHead = inHead && now - connection->messageBegan > options_.headTimeout;
+  const bool lateBody =
+      connection->reader.midMessage() && !inHead && now - connection->lastActive > options_.idleTimeout;
+  if (lateHead || lateBody) {
+    ++counters_.timedOut;
+    return refuse(connection, kRequestTimeout, "request_timeout", "the rest of the request did not come");
+  }
+  const bool idle = connection->waiting.empty() && !connection->reader.midMessage() && connection->unread.empty();
+  if (idle && now - connection->lastActive > options_.idleTimeout) drop(connection->id);
 }
 
 }  // namespace driftlug::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,8 +1,9 @@
-/// An HTTP/1.1 server on libwebsockets that hands over whole requests.
+/// An HTTP/1.1 server that hands over whole requests.
 #pragma once
 
 #include <absl/status/status.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,15 +11,22 @@
 
 #include "transport/event_loop.h"
 #include "transport/http.h"
+#include "transport/http_reader.h"
+#include "transport/tcp_stream.h"
 
 namespace driftlug::transport {
 
 /// Identifies one request within a server; never reused.
 using ExchangeId = uint64_t;
 
-/// Limits of a server.
+/// Limits of a server; they may change while it runs.
 struct HttpServerOptions {
+  size_t maxHeadBytes = 64U << 10;
   size_t maxBodyBytes = 8U << 20;
+  size_t maxPipelined = 64;                                ///< requests of one connection that wait for their answers
+  base::Duration headTimeout = base::seconds(10);          ///< for the head of a request
+  base::Duration idleTimeout = base::seconds(60);          ///< between requests, and between pieces of a body
+  base::Duration lingerTimeout = base::milliseconds(800);  ///< for the peer to close after the last answer
 };
 
 /// Counters of a server.
@@ -26,10 +34,13 @@
   int64_t requests = 0;
   int64_t tooLarge = 0;
   int64_t aborted = 0;
-  int64_t badLength = 0;
+  int64_t malformed = 0;
+  int64_t timedOut = 0;
+  int64_t connections = 0;
 };
 
-/// Accepts requests and sends responses, in any order, each to the connection its request came on.
+/// Accepts requests and sends responses. Requests of one connection may be answered in any order; the responses leave
+/// in the order of the requests.
 class HttpServer {
  public:
   /// Takes a whole request; respond() is called for it once, then or later.
@@ -37,12 +48,21 @@
   /// The caller went away before it was answered.
   using AbortHandler = std::function<void(ExchangeId)>;
 
-  HttpServer(EventLoop& loop, std::string name, HttpServerOptions options, RequestHandler onRequest,
+  HttpServer(EventLoop& loop, std::string name, const HttpServerOptions& options, RequestHandler onRequest,
              AbortHandler onAbort);
+  ~HttpServer();
 
   /// @return OK, or kConnectFailed when the address can't be used
   absl::Status listen(const std::string& host, int port);
 
+  /// @return the port listened on.
+  int port() const { return listener_.port(); }
+
+  /// Uses other limits from now on, also on open connections.
+  void setOptions(const HttpServerOptions& options);
+
+  const HttpServerOptions& options() const { return options_; }
+
   /// Answers a request; ignored when the caller went away.
   void respond(ExchangeId exchange, HttpResponse response);
 
@@ -55,35 +75,65 @@
   size_t pending() const { return exchanges_.size(); }
 
  private:
+  using ConnectionId = uint64_t;
+
+  struct Connection : public StreamHandler {
+    Connection(HttpServer& owner, ConnectionId connectionId, const HttpReaderLimits& limits)
+        : server(owner), id(connectionId), reader(HttpReader::Kind::kRequests, limits) {}
+    ~Connection() override {
+      if (stream) stream->close();
+    }
+    void onBytes(std::string_view bytes) override { server.onBytes(this, bytes); }
+    void onDrained() override { server.onDrained(this); }
+    void onClosed(bool /*orderly*/) override { server.drop(id); }
+
+    HttpServer& server;
+    ConnectionId id;
+    std::shared_ptr<TcpStream> stream;
+    HttpReader reader;
+    std::string unread;              // bytes behind a request that can't be taken yet
+    std::deque<ExchangeId> waiting;  // requests to be answered, oldest first
+    int64_t requests = 0;
+    bool continued = false;  // the sender of the request in progress was told to go on
+    bool reading = true;
+    bool closing = false;    // no further request is taken
+    bool lingering = false;  // the last answer has left; the peer is to close
+    base::TimePoint lastActive{};
+    base::TimePoint messageBegan{};
+  };
+
   struct Exchange {
-    lws* wsi = nullptr;
-    HttpRequest request;
-    size_t expectedBytes = 0;
-    bool dispatched = false;  // the request is whole and was handed over
-    bool refused = false;     // answered before its body was read; the connection closes
+    ConnectionId connection = 0;
+    bool keepAlive = true;
+    bool headRequest = false;
     bool responded = false;
-    bool headersSent = false;
     HttpResponse response;
-    size_t offset = 0;  // bytes of the response body already written
   };
 
-  static int onEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
-  int handleEvent(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t length);
-  int onRequestHead(lws* wsi, int* requestsBefore, std::string path);
-  void dispatch(ExchangeId id);
-  void refuse(ExchangeId id, int status, const char* error, const char* sentence);
-  int onWriteable(lws* wsi);
-  int writeHead(Exchange* exchange);
-  Exchange* exchangeOf(lws* wsi, ExchangeId* id);
+  void onAccepted(std::shared_ptr<TcpStream> stream);
+  void onBytes(Connection* connection, std::string_view bytes);
+  bool takeRequests(Connection* connection, std::string_view* bytes);
+  void takeRequest(Connection* connection);
+  void refuse(Connection* connection, HttpProgress problem);
+  void refuse(Connection* connection, int status, const char* error, const char* sentence);
+  void sendReady(Connection* connection);
+  void writeResponse(Connection* connection, const Exchange& exchange);
+  void onDrained(Connection* connection);
+  void drop(ConnectionId id);
+  void sweep();
+  void sweepConnection(Connection* connection, base::TimePoint now);
 
   EventLoop& loop_;
   std::string name_;
   HttpServerOptions options_;
   RequestHandler onRequest_;
   AbortHandler onAbort_;
-  lws_protocols protocols_[2];
-  ExchangeId nextId_ = 1;
+  TcpListener listener_;
+  ConnectionId nextConnection_ = 1;
+  ExchangeId nextExchange_ = 1;
+  std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
   std::map<ExchangeId, Exchange> exchanges_;
+  base::Timer sweepTimer_;  // runs while there are connections
   bool draining_ = false;
   HttpServerCounters counters_;
 };
--- /dev/null
+++ b/src/transport/tcp_stream.cc
@@ -0,0 +1,235 @@
+#include "transport/tcp_stream.h"
+
+#include <arpa/inet.h>
+#include <libwebsockets.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include "base/error.h"
+
+namespace driftlug::transport {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kCompactBytes = 64 * 1024;
+
+bool fillAddress(const std::string& host, int port, sockaddr_in* address) {
+  std::memset(address, 0, sizeof(*address));
+  address->sin_family = AF_INET;
+  address->sin_port = htons(static_cast<uint16_t>(port));
+  return inet_pton(AF_INET, host.c_str(), &address->sin_addr) == 1;
+}
+
+void setOptions(int socket, const StreamOptions& options) {
+  const int on = 1;
+  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  const auto timeout = static_cast<unsigned>(options.unacknowledged.count() / 1000);
+  ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+}  // namespace
+
+std::shared_ptr<TcpStream> TcpStream::connect(EventLoop& loop, const base::Address& address, StreamHandler* handler,
+                                              const StreamOptions& options) {
+  std::shared_ptr<TcpStream> stream(new TcpStream(loop, handler, options));
+  sockaddr_in target{};
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  bool good = socket >= 0 && fillAddress(address.host, address.port, &target);
+  if (good) {
+    setOptions(socket, options);
+    const int result = ::connect(socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    good = result == 0 || errno == EINPROGRESS;
+  }
+  if (!good) {
+    if (socket >= 0) ::close(socket);
+    loop.schedule(base::Duration(0), [stream] { stream->onSocketClosed(); });
+    return stream;
+  }
+  if (!loop.adopt(socket, stream)) {
+    loop.schedule(base::Duration(0), [stream] { stream->onSocketClosed(); });
+    return stream;
+  }
+  lws_callback_on_writable(stream->wsi_);
+  stream->connectTimer_ = loop.schedule(options.connectTimeout, [weak = std::weak_ptr<TcpStream>(stream)] {
+    if (const auto waiting = weak.lock()) waiting->onConnectTimeout();
+  });
+  return stream;
+}
+
+std::shared_ptr<TcpStream> TcpStream::accept(EventLoop& loop, int socket, const StreamOptions& options) {
+  std::shared_ptr<TcpStream> stream(new TcpStream(loop, nullptr, options));
+  setOptions(socket, options);
+  stream->connected_ = true;
+  return loop.adopt(socket, stream) ? stream : nullptr;
+}
+
+TcpStream::~TcpStream() { loop_.cancel(connectTimer_); }
+
+void TcpStream::attach(lws* wsi, int socket) {
+  wsi_ = wsi;
+  socket_ = socket;
+}
+
+void TcpStream::onConnectTimeout() {
+  connectTimer_ = 0;
+  if (!connected_) fail();
+}
+
+void TcpStream::fail() {
+  auto* handler = handler_;
+  close();
+  if (handler != nullptr) handler->onClosed(false);
+}
+
+void TcpStream::write(std::string_view bytes) {
+  if (wsi_ == nullptr || closing_) return;
+  out_.append(bytes);
+  if (flushScheduled_ || !connected_) return;
+  flushScheduled_ = true;
+  loop_.flushLater(weak_from_this());
+}
+
+void TcpStream::flush() {
+  flushScheduled_ = false;
+  if (wsi_ == nullptr || closing_ || !connected_) return;
+  const bool hadBytes = queuedBytes() > 0;
+  while (queuedBytes() > 0) {
+    const auto sent = ::send(socket_, out_.data() + offset_, queuedBytes(), MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      lws_callback_on_writable(wsi_);
+      break;
+    }
+    if (sent <= 0) {
+      // The reading side will see the end of the connection; nothing more can leave.
+      closing_ = true;
+      lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+      return;
+    }
+    offset_ += static_cast<size_t>(sent);
+    sentBytes_ += sent;
+  }
+  if (queuedBytes() == 0) {
+    out_.clear();
+    offset_ = 0;
+    if (out_.capacity() > kCompactBytes) out_.shrink_to_fit();
+    if (shutdownAsked_) ::shutdown(socket_, SHUT_WR);
+    if (hadBytes && handler_ != nullptr) handler_->onDrained();
+  } else if (offset_ > kCompactBytes) {
+    out_.erase(0, offset_);
+    offset_ = 0;
+  }
+}
+
+void TcpStream::setReading(bool reading) {
+  if (wsi_ != nullptr && !closing_) lws_rx_flow_control(wsi_, reading ? 1 : 0);
+}
+
+void TcpStream::shutdownWrite() {
+  if (shutdownAsked_) return;
+  shutdownAsked_ = true;
+  if (queuedBytes() == 0 && wsi_ != nullptr && !closing_) ::shutdown(socket_, SHUT_WR);
+}
+
+void TcpStream::close() {
+  handler_ = nullptr;
+  loop_.cancel(connectTimer_);
+  connectTimer_ = 0;
+  if (wsi_ == nullptr || closing_) return;
+  closing_ = true;
+  // The peer is to hear of it now, not when the library gets round to it.
+  ::shutdown(socket_, SHUT_RDWR);
+  lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+bool TcpStream::onReadable() {
+  static thread_local std::array<char, kReadBytes> buffer;
+  while (!closing_) {
+    const auto count = ::recv(socket_, buffer.data(), buffer.size(), 0);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
+    if (count <= 0) {
+      orderly_ = count == 0;
+      return false;
+    }
+    if (handler_ != nullptr) handler_->onBytes({buffer.data(), static_cast<size_t>(count)});
+    if (static_cast<size_t>(count) < buffer.size()) break;
+  }
+  return !closing_;
+}
+
+bool TcpStream::onWritable() {
+  if (closing_) return false;
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(socket_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return false;
+    connected_ = true;
+    loop_.cancel(connectTimer_);
+    connectTimer_ = 0;
+    if (handler_ != nullptr) handler_->onConnected();
+    if (closing_) return false;
+  }
+  flush();
+  return !closing_;
+}
+
+void TcpStream::onSocketClosed() {
+  wsi_ = nullptr;
+  closing_ = true;
+  loop_.cancel(connectTimer_);
+  connectTimer_ = 0;
+  if (handler_ == nullptr) return;
+  loop_.schedule(base::Duration(0), [stream = shared_from_this()] {
+    auto* handler = stream->handler_;
+    stream->handler_ = nullptr;
+    if (handler != nullptr) handler->onClosed(stream->orderly_);
+  });
+}
+
+absl::Status TcpListener::listen(const std::string& host, int port, const StreamOptions& options) {
+  options_ = options;
+  const auto failed = [&](int socket) {
+    const std::string reason = std::strerror(errno);
+    if (socket >= 0) ::close(socket);
+    return base::makeError(base::ErrorCode::kConnectFailed,
+                           "can't listen on " + host + ":" + std::to_string(port) + ": " + reason);
+  };
+  sockaddr_in address{};
+  if (!fillAddress(host, port, &address)) {
+    errno = EINVAL;
+    return failed(-1);
+  }
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket < 0) return failed(socket);
+  const int on = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) return failed(socket);
+  if (::listen(socket, kBacklog) != 0) return failed(socket);
+  socklen_t size = sizeof(address);
+  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+  port_ = ntohs(address.sin_port);
+  socket_ = socket;
+  loop_.watchFile(socket_, [this] { acceptAll(); });
+  return absl::OkStatus();
+}
+
+void TcpListener::acceptAll() {
+  constexpr int kMaxPerTurn = 64;
+  for (int i = 0; i < kMaxPerTurn; ++i) {
+    const int accepted = ::accept4(socket_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) return;
+    auto stream = TcpStream::accept(loop_, accepted, options_);
+    if (stream) onAccept_(std::move(stream));
+  }
+}
+
+}  // namespace driftlug::transport
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -11,7 +11,9 @@
   ROUTE = 3,
   LIMIT = 4,
   RETRY_POLICY = 5,
-  SECRET = 6
+  SECRET = 6,
+  INGRESS = 7,
+  NOTE = 8
 }
 
 /** Roles a process announces when a connection opens. */
@@ -32,6 +34,10 @@
 struct ServiceRow {
   1: string retryPolicy
   2: list<string> secrets
+  3: i32 maxConnections
+  4: string healthPath
+  5: string protocol
+  6: bool tls
 }
 
 /** One back end, reached through the node that runs beside it. */
@@ -59,6 +65,9 @@
   6: list<string> requiredSecrets
   7: bool repeatable
   8: i32 timeoutMs
+  9: i32 maxAttempts
+  10: i32 targetLatencyMs
+  11: i32 priority
 }
 
 /** Concurrency bound of every endpoint of a service, enforced at the endpoint's node. */
@@ -79,6 +88,19 @@
   1: string value
 }
 
+/** Limits of what callers may send to any node; 0 leaves a limit at its default. */
+struct IngressRow {
+  1: i32 maxHeadBytes
+  2: i64 maxBodyBytes
+  3: i32 headTimeoutMs
+  4: i32 idleTimeoutMs
+}
+
+/** Text that an operator's tool keeps beside the rows; no node gets it. */
+struct NoteRow {
+  1: string text
+}
+
 /** One row; exactly the body that matches key.kind is set, none when deleted. */
 struct Row {
   1: RowKey key
@@ -90,6 +112,8 @@
   7: optional LimitRow limitRow
   8: optional RetryPolicyRow retryPolicyRow
   9: optional SecretRow secretRow
+  10: optional IngressRow ingressRow
+  11: optional NoteRow noteRow
 }
 
 /** Order-independent digest over the rows of a slice. */
@@ -175,6 +199,8 @@
   3: i32 framePort
   4: i32 httpPort
   5: bool voting
+  7: i32 relayPort
+  8: string zone
 }
 
 /** A relay that feeds nodes; known to every leader, so that none takes silence for agreement. */
@@ -256,6 +282,10 @@
   3: string id
   4: string zone
   5: bool blank
+  6: string address
+  7: i32 framePort
+  8: i32 httpPort
+  9: i32 relayPort
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -436,6 +466,11 @@
   2: EndpointCondition condition
   3: i64 incarnation
   4: i64 sequence
+  6: string address
+  7: i32 port
+  8: string zone
+  9: i32 slots
+  10: i32 coldMs
 }
 
 struct EndpointStates {
@@ -463,6 +498,9 @@
   6: binary body
   7: i32 remainingMs
   8: string idempotencyKey
+  9: string endpoint
+  10: i32 priority
+  11: bool runOnce
 }
 
 /** How a call ended, as seen by the side that answers it. */
@@ -486,3 +524,20 @@
 struct CallCancel {
   1: i64 callId
 }
+
+/** The members of the replicated log as a controller knows them, for those that look for them. */
+struct MemberList {
+  1: list<Member> members
+}
+
+/** Where to find a relay. */
+struct RelayAddress {
+  1: string address
+  2: i32 port
+  3: string zone
+}
+
+/** All relays that a relay knows, itself among them. */
+struct RelayList {
+  1: list<RelayAddress> relays
+}
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -18,7 +18,7 @@
                              SnapshotChunkAck, TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat,
                              ConfirmRequest, ConfirmReply, ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied,
                              SliceRejected, NodeHeartbeat, RetryLater, RelayHeld, EndpointStates, CallRequest,
-                             CallResponse, CallCancel, KeepAlive, LedgerRequest, LedgerReply>;
+                             CallResponse, CallCancel, KeepAlive, LedgerRequest, LedgerReply, MemberList, RelayList>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -19,7 +19,9 @@
   RowKind::ROUTE,
   RowKind::LIMIT,
   RowKind::RETRY_POLICY,
-  RowKind::SECRET
+  RowKind::SECRET,
+  RowKind::INGRESS,
+  RowKind::NOTE
 };
 const char* _kRowKindNames[] = {
   "SERVICE",
@@ -27,9 +29,11 @@
   "ROUTE",
   "LIMIT",
   "RETRY_POLICY",
-  "SECRET"
+  "SECRET",
+  "INGRESS",
+  "NOTE"
 };
-const std::map<int, const char*> _RowKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kRowKindValues, _kRowKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _RowKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kRowKindValues, _kRowKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const RowKind::type& val) {
   std::map<int, const char*>::const_iterator it = _RowKind_VALUES_TO_NAMES.find(val);
@@ -416,6 +420,22 @@
 void ServiceRow::__set_secrets(const std::vector<std::string> & val) {
   this->secrets = val;
 }
+
+void ServiceRow::__set_maxConnections(const int32_t val) {
+  this->maxConnections = val;
+}
+
+void ServiceRow::__set_healthPath(const std::string& val) {
+  this->healthPath = val;
+}
+
+void ServiceRow::__set_protocol(const std::string& val) {
+  this->protocol = val;
+}
+
+void ServiceRow::__set_tls(const bool val) {
+  this->tls = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceRow& obj)
 {
   obj.printTo(out);
@@ -472,6 +492,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxConnections);
+          this->__isset.maxConnections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->healthPath);
+          this->__isset.healthPath = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->protocol);
+          this->__isset.protocol = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tls);
+          this->__isset.tls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -505,6 +557,22 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("maxConnections", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->maxConnections);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("healthPath", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->healthPath);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("protocol", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->protocol);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tls", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->tls);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -514,28 +582,48 @@
   using ::std::swap;
   swap(a.retryPolicy, b.retryPolicy);
   swap(a.secrets, b.secrets);
+  swap(a.maxConnections, b.maxConnections);
+  swap(a.healthPath, b.healthPath);
+  swap(a.protocol, b.protocol);
+  swap(a.tls, b.tls);
   swap(a.__isset, b.__isset);
 }
 
 ServiceRow::ServiceRow(const ServiceRow& other11) {
   retryPolicy = other11.retryPolicy;
   secrets = other11.secrets;
+  maxConnections = other11.maxConnections;
+  healthPath = other11.healthPath;
+  protocol = other11.protocol;
+  tls = other11.tls;
   __isset = other11.__isset;
 }
 ServiceRow::ServiceRow(ServiceRow&& other12) noexcept {
   retryPolicy = std::move(other12.retryPolicy);
   secrets = std::move(other12.secrets);
+  maxConnections = other12.maxConnections;
+  healthPath = std::move(other12.healthPath);
+  protocol = std::move(other12.protocol);
+  tls = other12.tls;
   __isset = other12.__isset;
 }
 ServiceRow& ServiceRow::operator=(const ServiceRow& other13) {
   retryPolicy = other13.retryPolicy;
   secrets = other13.secrets;
+  maxConnections = other13.maxConnections;
+  healthPath = other13.healthPath;
+  protocol = other13.protocol;
+  tls = other13.tls;
   __isset = other13.__isset;
   return *this;
 }
 ServiceRow& ServiceRow::operator=(ServiceRow&& other14) noexcept {
   retryPolicy = std::move(other14.retryPolicy);
   secrets = std::move(other14.secrets);
+  maxConnections = other14.maxConnections;
+  healthPath = std::move(other14.healthPath);
+  protocol = std::move(other14.protocol);
+  tls = other14.tls;
   __isset = other14.__isset;
   return *this;
 }
@@ -544,6 +632,10 @@
   out << "ServiceRow(";
   out << "retryPolicy=" << to_string(retryPolicy);
   out << ", " << "secrets=" << to_string(secrets);
+  out << ", " << "maxConnections=" << to_string(maxConnections);
+  out << ", " << "healthPath=" << to_string(healthPath);
+  out << ", " << "protocol=" << to_string(protocol);
+  out << ", " << "tls=" << to_string(tls);
   out << ")";
 }
 
@@ -895,6 +987,18 @@
 void RouteRow::__set_timeoutMs(const int32_t val) {
   this->timeoutMs = val;
 }
+
+void RouteRow::__set_maxAttempts(const int32_t val) {
+  this->maxAttempts = val;
+}
+
+void RouteRow::__set_targetLatencyMs(const int32_t val) {
+  this->targetLatencyMs = val;
+}
+
+void RouteRow::__set_priority(const int32_t val) {
+  this->priority = val;
+}
 std::ostream& operator<<(std::ostream& out, const RouteRow& obj)
 {
   obj.printTo(out);
@@ -1023,6 +1127,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxAttempts);
+          this->__isset.maxAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetLatencyMs);
+          this->__isset.targetLatencyMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1096,6 +1224,18 @@
   xfer += oprot->writeI32(this->timeoutMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("maxAttempts", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->maxAttempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetLatencyMs", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->targetLatencyMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1111,6 +1251,9 @@
   swap(a.requiredSecrets, b.requiredSecrets);
   swap(a.repeatable, b.repeatable);
   swap(a.timeoutMs, b.timeoutMs);
+  swap(a.maxAttempts, b.maxAttempts);
+  swap(a.targetLatencyMs, b.targetLatencyMs);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -1123,6 +1266,9 @@
   requiredSecrets = other41.requiredSecrets;
   repeatable = other41.repeatable;
   timeoutMs = other41.timeoutMs;
+  maxAttempts = other41.maxAttempts;
+  targetLatencyMs = other41.targetLatencyMs;
+  priority = other41.priority;
   __isset = other41.__isset;
 }
 RouteRow::RouteRow(RouteRow&& other42) noexcept {
@@ -1134,6 +1280,9 @@
   requiredSecrets = std::move(other42.requiredSecrets);
   repeatable = other42.repeatable;
   timeoutMs = other42.timeoutMs;
+  maxAttempts = other42.maxAttempts;
+  targetLatencyMs = other42.targetLatencyMs;
+  priority = other42.priority;
   __isset = other42.__isset;
 }
 RouteRow& RouteRow::operator=(const RouteRow& other43) {
@@ -1145,6 +1294,9 @@
   requiredSecrets = other43.requiredSecrets;
   repeatable = other43.repeatable;
   timeoutMs = other43.timeoutMs;
+  maxAttempts = other43.maxAttempts;
+  targetLatencyMs = other43.targetLatencyMs;
+  priority = other43.priority;
   __isset = other43.__isset;
   return *this;
 }
@@ -1157,6 +1309,9 @@
   requiredSecrets = std::move(other44.requiredSecrets);
   repeatable = other44.repeatable;
   timeoutMs = other44.timeoutMs;
+  maxAttempts = other44.maxAttempts;
+  targetLatencyMs = other44.targetLatencyMs;
+  priority = other44.priority;
   __isset = other44.__isset;
   return *this;
 }
@@ -1171,6 +1326,9 @@
   out << ", " << "requiredSecrets=" << to_string(requiredSecrets);
   out << ", " << "repeatable=" << to_string(repeatable);
   out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ", " << "maxAttempts=" << to_string(maxAttempts);
+  out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
+  out << ", " << "priority=" << to_string(priority);
   out << ")";
 }
 
@@ -1544,59 +1702,33 @@
 }
 
 
-Row::~Row() noexcept {
-}
-
-
-void Row::__set_key(const RowKey& val) {
-  this->key = val;
-}
-
-void Row::__set_revision(const int64_t val) {
-  this->revision = val;
-}
-
-void Row::__set_deleted(const bool val) {
-  this->deleted = val;
-}
-
-void Row::__set_serviceRow(const ServiceRow& val) {
-  this->serviceRow = val;
-__isset.serviceRow = true;
+IngressRow::~IngressRow() noexcept {
 }
 
-void Row::__set_endpointRow(const EndpointRow& val) {
-  this->endpointRow = val;
-__isset.endpointRow = true;
-}
 
-void Row::__set_routeRow(const RouteRow& val) {
-  this->routeRow = val;
-__isset.routeRow = true;
+void IngressRow::__set_maxHeadBytes(const int32_t val) {
+  this->maxHeadBytes = val;
 }
 
-void Row::__set_limitRow(const LimitRow& val) {
-  this->limitRow = val;
-__isset.limitRow = true;
+void IngressRow::__set_maxBodyBytes(const int64_t val) {
+  this->maxBodyBytes = val;
 }
 
-void Row::__set_retryPolicyRow(const RetryPolicyRow& val) {
-  this->retryPolicyRow = val;
-__isset.retryPolicyRow = true;
+void IngressRow::__set_headTimeoutMs(const int32_t val) {
+  this->headTimeoutMs = val;
 }
 
-void Row::__set_secretRow(const SecretRow& val) {
-  this->secretRow = val;
-__isset.secretRow = true;
+void IngressRow::__set_idleTimeoutMs(const int32_t val) {
+  this->idleTimeoutMs = val;
 }
-std::ostream& operator<<(std::ostream& out, const Row& obj)
+std::ostream& operator<<(std::ostream& out, const IngressRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Row::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t IngressRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1618,73 +1750,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->key.read(iprot);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxHeadBytes);
+          this->__isset.maxHeadBytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->maxBodyBytes);
+          this->__isset.maxBodyBytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->deleted);
-          this->__isset.deleted = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->headTimeoutMs);
+          this->__isset.headTimeoutMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->serviceRow.read(iprot);
-          this->__isset.serviceRow = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->endpointRow.read(iprot);
-          this->__isset.endpointRow = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->routeRow.read(iprot);
-          this->__isset.routeRow = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->limitRow.read(iprot);
-          this->__isset.limitRow = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->retryPolicyRow.read(iprot);
-          this->__isset.retryPolicyRow = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->secretRow.read(iprot);
-          this->__isset.secretRow = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->idleTimeoutMs);
+          this->__isset.idleTimeoutMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1701,157 +1793,97 @@
   return xfer;
 }
 
-uint32_t Row::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t IngressRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Row");
+  xfer += oprot->writeStructBegin("IngressRow");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldBegin("maxHeadBytes", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->maxHeadBytes);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("maxBodyBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->maxBodyBytes);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldBegin("headTimeoutMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->headTimeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idleTimeoutMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->idleTimeoutMs);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.serviceRow) {
-    xfer += oprot->writeFieldBegin("serviceRow", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->serviceRow.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.endpointRow) {
-    xfer += oprot->writeFieldBegin("endpointRow", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->endpointRow.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.routeRow) {
-    xfer += oprot->writeFieldBegin("routeRow", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->routeRow.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.limitRow) {
-    xfer += oprot->writeFieldBegin("limitRow", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->limitRow.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.retryPolicyRow) {
-    xfer += oprot->writeFieldBegin("retryPolicyRow", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->retryPolicyRow.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.secretRow) {
-    xfer += oprot->writeFieldBegin("secretRow", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->secretRow.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Row &a, Row &b) {
+void swap(IngressRow &a, IngressRow &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.revision, b.revision);
-  swap(a.deleted, b.deleted);
-  swap(a.serviceRow, b.serviceRow);
-  swap(a.endpointRow, b.endpointRow);
-  swap(a.routeRow, b.routeRow);
-  swap(a.limitRow, b.limitRow);
-  swap(a.retryPolicyRow, b.retryPolicyRow);
-  swap(a.secretRow, b.secretRow);
+  swap(a.maxHeadBytes, b.maxHeadBytes);
+  swap(a.maxBodyBytes, b.maxBodyBytes);
+  swap(a.headTimeoutMs, b.headTimeoutMs);
+  swap(a.idleTimeoutMs, b.idleTimeoutMs);
   swap(a.__isset, b.__isset);
 }
 
-Row::Row(const Row& other57) {
-  key = other57.key;
-  revision = other57.revision;
-  deleted = other57.deleted;
-  serviceRow = other57.serviceRow;
-  endpointRow = other57.endpointRow;
-  routeRow = other57.routeRow;
-  limitRow = other57.limitRow;
-  retryPolicyRow = other57.retryPolicyRow;
-  secretRow = other57.secretRow;
+IngressRow::IngressRow(const IngressRow& other57) noexcept {
+  maxHeadBytes = other57.maxHeadBytes;
+  maxBodyBytes = other57.maxBodyBytes;
+  headTimeoutMs = other57.headTimeoutMs;
+  idleTimeoutMs = other57.idleTimeoutMs;
   __isset = other57.__isset;
 }
-Row::Row(Row&& other58) noexcept {
-  key = std::move(other58.key);
-  revision = other58.revision;
-  deleted = other58.deleted;
-  serviceRow = std::move(other58.serviceRow);
-  endpointRow = std::move(other58.endpointRow);
-  routeRow = std::move(other58.routeRow);
-  limitRow = std::move(other58.limitRow);
-  retryPolicyRow = std::move(other58.retryPolicyRow);
-  secretRow = std::move(other58.secretRow);
+IngressRow::IngressRow(IngressRow&& other58) noexcept {
+  maxHeadBytes = other58.maxHeadBytes;
+  maxBodyBytes = other58.maxBodyBytes;
+  headTimeoutMs = other58.headTimeoutMs;
+  idleTimeoutMs = other58.idleTimeoutMs;
   __isset = other58.__isset;
 }
-Row& Row::operator=(const Row& other59) {
-  key = other59.key;
-  revision = other59.revision;
-  deleted = other59.deleted;
-  serviceRow = other59.serviceRow;
-  endpointRow = other59.endpointRow;
-  routeRow = other59.routeRow;
-  limitRow = other59.limitRow;
-  retryPolicyRow = other59.retryPolicyRow;
-  secretRow = other59.secretRow;
+IngressRow& IngressRow::operator=(const IngressRow& other59) noexcept {
+  maxHeadBytes = other59.maxHeadBytes;
+  maxBodyBytes = other59.maxBodyBytes;
+  headTimeoutMs = other59.headTimeoutMs;
+  idleTimeoutMs = other59.idleTimeoutMs;
   __isset = other59.__isset;
   return *this;
 }
-Row& Row::operator=(Row&& other60) noexcept {
-  key = std::move(other60.key);
-  revision = other60.revision;
-  deleted = other60.deleted;
-  serviceRow = std::move(other60.serviceRow);
-  endpointRow = std::move(other60.endpointRow);
-  routeRow = std::move(other60.routeRow);
-  limitRow = std::move(other60.limitRow);
-  retryPolicyRow = std::move(other60.retryPolicyRow);
-  secretRow = std::move(other60.secretRow);
+IngressRow& IngressRow::operator=(IngressRow&& other60) noexcept {
+  maxHeadBytes = other60.maxHeadBytes;
+  maxBodyBytes = other60.maxBodyBytes;
+  headTimeoutMs = other60.headTimeoutMs;
+  idleTimeoutMs = other60.idleTimeoutMs;
   __isset = other60.__isset;
   return *this;
 }
-void Row::printTo(std::ostream& out) const {
+void IngressRow::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Row(";
-  out << "key=" << to_string(key);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "deleted=" << to_string(deleted);
-  out << ", " << "serviceRow="; (__isset.serviceRow ? (out << to_string(serviceRow)) : (out << "<null>"));
-  out << ", " << "endpointRow="; (__isset.endpointRow ? (out << to_string(endpointRow)) : (out << "<null>"));
-  out << ", " << "routeRow="; (__isset.routeRow ? (out << to_string(routeRow)) : (out << "<null>"));
-  out << ", " << "limitRow="; (__isset.limitRow ? (out << to_string(limitRow)) : (out << "<null>"));
-  out << ", " << "retryPolicyRow="; (__isset.retryPolicyRow ? (out << to_string(retryPolicyRow)) : (out << "<null>"));
-  out << ", " << "secretRow="; (__isset.secretRow ? (out << to_string(secretRow)) : (out << "<null>"));
+  out << "IngressRow(";
+  out << "maxHeadBytes=" << to_string(maxHeadBytes);
+  out << ", " << "maxBodyBytes=" << to_string(maxBodyBytes);
+  out << ", " << "headTimeoutMs=" << to_string(headTimeoutMs);
+  out << ", " << "idleTimeoutMs=" << to_string(idleTimeoutMs);
   out << ")";
 }
 
 
-Digest::~Digest() noexcept {
+NoteRow::~NoteRow() noexcept {
 }
 
 
-void Digest::__set_low(const int64_t val) {
-  this->low = val;
-}
-
-void Digest::__set_high(const int64_t val) {
-  this->high = val;
+void NoteRow::__set_text(const std::string& val) {
+  this->text = val;
 }
-std::ostream& operator<<(std::ostream& out, const Digest& obj)
+std::ostream& operator<<(std::ostream& out, const NoteRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Digest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t NoteRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1873,17 +1905,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->low);
-          this->__isset.low = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->high);
-          this->__isset.high = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1900,17 +1924,13 @@
   return xfer;
 }
 
-uint32_t Digest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t NoteRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Digest");
-
-  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->low);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("NoteRow");
 
-  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->high);
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->text);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1918,63 +1938,101 @@
   return xfer;
 }
 
-void swap(Digest &a, Digest &b) {
+void swap(NoteRow &a, NoteRow &b) {
   using ::std::swap;
-  swap(a.low, b.low);
-  swap(a.high, b.high);
+  swap(a.text, b.text);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other61) noexcept {
-  low = other61.low;
-  high = other61.high;
+NoteRow::NoteRow(const NoteRow& other61) {
+  text = other61.text;
   __isset = other61.__isset;
 }
-Digest::Digest(Digest&& other62) noexcept {
-  low = other62.low;
-  high = other62.high;
+NoteRow::NoteRow(NoteRow&& other62) noexcept {
+  text = std::move(other62.text);
   __isset = other62.__isset;
 }
-Digest& Digest::operator=(const Digest& other63) noexcept {
-  low = other63.low;
-  high = other63.high;
+NoteRow& NoteRow::operator=(const NoteRow& other63) {
+  text = other63.text;
   __isset = other63.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other64) noexcept {
-  low = other64.low;
-  high = other64.high;
+NoteRow& NoteRow::operator=(NoteRow&& other64) noexcept {
+  text = std::move(other64.text);
   __isset = other64.__isset;
   return *this;
 }
-void Digest::printTo(std::ostream& out) const {
+void NoteRow::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Digest(";
-  out << "low=" << to_string(low);
-  out << ", " << "high=" << to_string(high);
+  out << "NoteRow(";
+  out << "text=" << to_string(text);
   out << ")";
 }
 
 
-Mutation::~Mutation() noexcept {
+Row::~Row() noexcept {
 }
 
 
-void Mutation::__set_row(const Row& val) {
-  this->row = val;
+void Row::__set_key(const RowKey& val) {
+  this->key = val;
 }
 
-void Mutation::__set_expectedRevision(const int64_t val) {
-  this->expectedRevision = val;
+void Row::__set_revision(const int64_t val) {
+  this->revision = val;
 }
-std::ostream& operator<<(std::ostream& out, const Mutation& obj)
+
+void Row::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+
+void Row::__set_serviceRow(const ServiceRow& val) {
+  this->serviceRow = val;
+__isset.serviceRow = true;
+}
+
+void Row::__set_endpointRow(const EndpointRow& val) {
+  this->endpointRow = val;
+__isset.endpointRow = true;
+}
+
+void Row::__set_routeRow(const RouteRow& val) {
+  this->routeRow = val;
+__isset.routeRow = true;
+}
+
+void Row::__set_limitRow(const LimitRow& val) {
+  this->limitRow = val;
+__isset.limitRow = true;
+}
+
+void Row::__set_retryPolicyRow(const RetryPolicyRow& val) {
+  this->retryPolicyRow = val;
+__isset.retryPolicyRow = true;
+}
+
+void Row::__set_secretRow(const SecretRow& val) {
+  this->secretRow = val;
+__isset.secretRow = true;
+}
+
+void Row::__set_ingressRow(const IngressRow& val) {
+  this->ingressRow = val;
+__isset.ingressRow = true;
+}
+
+void Row::__set_noteRow(const NoteRow& val) {
+  this->noteRow = val;
+__isset.noteRow = true;
+}
+std::ostream& operator<<(std::ostream& out, const Row& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Mutation::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Row::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1997,16 +2055,88 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->row.read(iprot);
-          this->__isset.row = true;
+          xfer += this->key.read(iprot);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expectedRevision);
-          this->__isset.expectedRevision = true;
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->serviceRow.read(iprot);
+          this->__isset.serviceRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpointRow.read(iprot);
+          this->__isset.endpointRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routeRow.read(iprot);
+          this->__isset.routeRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limitRow.read(iprot);
+          this->__isset.limitRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->retryPolicyRow.read(iprot);
+          this->__isset.retryPolicyRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->secretRow.read(iprot);
+          this->__isset.secretRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ingressRow.read(iprot);
+          this->__isset.ingressRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->noteRow.read(iprot);
+          this->__isset.noteRow = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2023,89 +2153,179 @@
   return xfer;
 }
 
-uint32_t Mutation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Row::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Mutation");
+  xfer += oprot->writeStructBegin("Row");
 
-  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->row.write(oprot);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("expectedRevision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->expectedRevision);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->deleted);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.serviceRow) {
+    xfer += oprot->writeFieldBegin("serviceRow", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->serviceRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endpointRow) {
+    xfer += oprot->writeFieldBegin("endpointRow", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->endpointRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.routeRow) {
+    xfer += oprot->writeFieldBegin("routeRow", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->routeRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limitRow) {
+    xfer += oprot->writeFieldBegin("limitRow", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->limitRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retryPolicyRow) {
+    xfer += oprot->writeFieldBegin("retryPolicyRow", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->retryPolicyRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.secretRow) {
+    xfer += oprot->writeFieldBegin("secretRow", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->secretRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ingressRow) {
+    xfer += oprot->writeFieldBegin("ingressRow", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->ingressRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.noteRow) {
+    xfer += oprot->writeFieldBegin("noteRow", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->noteRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Mutation &a, Mutation &b) {
+void swap(Row &a, Row &b) {
   using ::std::swap;
-  swap(a.row, b.row);
-  swap(a.expectedRevision, b.expectedRevision);
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.deleted, b.deleted);
+  swap(a.serviceRow, b.serviceRow);
+  swap(a.endpointRow, b.endpointRow);
+  swap(a.routeRow, b.routeRow);
+  swap(a.limitRow, b.limitRow);
+  swap(a.retryPolicyRow, b.retryPolicyRow);
+  swap(a.secretRow, b.secretRow);
+  swap(a.ingressRow, b.ingressRow);
+  swap(a.noteRow, b.noteRow);
   swap(a.__isset, b.__isset);
 }
 
-Mutation::Mutation(const Mutation& other65) {
-  row = other65.row;
-  expectedRevision = other65.expectedRevision;
+Row::Row(const Row& other65) {
+  key = other65.key;
+  revision = other65.revision;
+  deleted = other65.deleted;
+  serviceRow = other65.serviceRow;
+  endpointRow = other65.endpointRow;
+  routeRow = other65.routeRow;
+  limitRow = other65.limitRow;
+  retryPolicyRow = other65.retryPolicyRow;
+  secretRow = other65.secretRow;
+  ingressRow = other65.ingressRow;
+  noteRow = other65.noteRow;
   __isset = other65.__isset;
 }
-Mutation::Mutation(Mutation&& other66) noexcept {
-  row = std::move(other66.row);
-  expectedRevision = other66.expectedRevision;
+Row::Row(Row&& other66) noexcept {
+  key = std::move(other66.key);
+  revision = other66.revision;
+  deleted = other66.deleted;
+  serviceRow = std::move(other66.serviceRow);
+  endpointRow = std::move(other66.endpointRow);
+  routeRow = std::move(other66.routeRow);
+  limitRow = std::move(other66.limitRow);
+  retryPolicyRow = std::move(other66.retryPolicyRow);
+  secretRow = std::move(other66.secretRow);
+  ingressRow = std::move(other66.ingressRow);
+  noteRow = std::move(other66.noteRow);
   __isset = other66.__isset;
 }
-Mutation& Mutation::operator=(const Mutation& other67) {
-  row = other67.row;
-  expectedRevision = other67.expectedRevision;
+Row& Row::operator=(const Row& other67) {
+  key = other67.key;
+  revision = other67.revision;
+  deleted = other67.deleted;
+  serviceRow = other67.serviceRow;
+  endpointRow = other67.endpointRow;
+  routeRow = other67.routeRow;
+  limitRow = other67.limitRow;
+  retryPolicyRow = other67.retryPolicyRow;
+  secretRow = other67.secretRow;
+  ingressRow = other67.ingressRow;
+  noteRow = other67.noteRow;
   __isset = other67.__isset;
   return *this;
 }
-Mutation& Mutation::operator=(Mutation&& other68) noexcept {
-  row = std::move(other68.row);
-  expectedRevision = other68.expectedRevision;
+Row& Row::operator=(Row&& other68) noexcept {
+  key = std::move(other68.key);
+  revision = other68.revision;
+  deleted = other68.deleted;
+  serviceRow = std::move(other68.serviceRow);
+  endpointRow = std::move(other68.endpointRow);
+  routeRow = std::move(other68.routeRow);
+  limitRow = std::move(other68.limitRow);
+  retryPolicyRow = std::move(other68.retryPolicyRow);
+  secretRow = std::move(other68.secretRow);
+  ingressRow = std::move(other68.ingressRow);
+  noteRow = std::move(other68.noteRow);
   __isset = other68.__isset;
   return *this;
 }
-void Mutation::printTo(std::ostream& out) const {
+void Row::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Mutation(";
-  out << "row=" << to_string(row);
-  out << ", " << "expectedRevision=" << to_string(expectedRevision);
+  out << "Row(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "serviceRow="; (__isset.serviceRow ? (out << to_string(serviceRow)) : (out << "<null>"));
+  out << ", " << "endpointRow="; (__isset.endpointRow ? (out << to_string(endpointRow)) : (out << "<null>"));
+  out << ", " << "routeRow="; (__isset.routeRow ? (out << to_string(routeRow)) : (out << "<null>"));
+  out << ", " << "limitRow="; (__isset.limitRow ? (out << to_string(limitRow)) : (out << "<null>"));
+  out << ", " << "retryPolicyRow="; (__isset.retryPolicyRow ? (out << to_string(retryPolicyRow)) : (out << "<null>"));
+  out << ", " << "secretRow="; (__isset.secretRow ? (out << to_string(secretRow)) : (out << "<null>"));
+  out << ", " << "ingressRow="; (__isset.ingressRow ? (out << to_string(ingressRow)) : (out << "<null>"));
+  out << ", " << "noteRow="; (__isset.noteRow ? (out << to_string(noteRow)) : (out << "<null>"));
   out << ")";
 }
 
 
-EditCommand::~EditCommand() noexcept {
-}
-
-
-void EditCommand::__set_requestId(const std::string& val) {
-  this->requestId = val;
+Digest::~Digest() noexcept {
 }
 
-void EditCommand::__set_author(const std::string& val) {
-  this->author = val;
-}
 
-void EditCommand::__set_mutations(const std::vector<Mutation> & val) {
-  this->mutations = val;
+void Digest::__set_low(const int64_t val) {
+  this->low = val;
 }
 
-void EditCommand::__set_baseRevision(const int64_t val) {
-  this->baseRevision = val;
+void Digest::__set_high(const int64_t val) {
+  this->high = val;
 }
-std::ostream& operator<<(std::ostream& out, const EditCommand& obj)
+std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EditCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Digest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2127,37 +2347,291 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestId);
-          this->__isset.requestId = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->low);
+          this->__isset.low = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->high);
+          this->__isset.high = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->mutations.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->mutations.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
-            {
-              xfer += this->mutations[_i73].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.mutations = true;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Digest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Digest");
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->low);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->high);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Digest &a, Digest &b) {
+  using ::std::swap;
+  swap(a.low, b.low);
+  swap(a.high, b.high);
+  swap(a.__isset, b.__isset);
+}
+
+Digest::Digest(const Digest& other69) noexcept {
+  low = other69.low;
+  high = other69.high;
+  __isset = other69.__isset;
+}
+Digest::Digest(Digest&& other70) noexcept {
+  low = other70.low;
+  high = other70.high;
+  __isset = other70.__isset;
+}
+Digest& Digest::operator=(const Digest& other71) noexcept {
+  low = other71.low;
+  high = other71.high;
+  __isset = other71.__isset;
+  return *this;
+}
+Digest& Digest::operator=(Digest&& other72) noexcept {
+  low = other72.low;
+  high = other72.high;
+  __isset = other72.__isset;
+  return *this;
+}
+void Digest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Digest(";
+  out << "low=" << to_string(low);
+  out << ", " << "high=" << to_string(high);
+  out << ")";
+}
+
+
+Mutation::~Mutation() noexcept {
+}
+
+
+void Mutation::__set_row(const Row& val) {
+  this->row = val;
+}
+
+void Mutation::__set_expectedRevision(const int64_t val) {
+  this->expectedRevision = val;
+}
+std::ostream& operator<<(std::ostream& out, const Mutation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Mutation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->row.read(iprot);
+          this->__isset.row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expectedRevision);
+          this->__isset.expectedRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Mutation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Mutation");
+
+  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->row.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expectedRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expectedRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Mutation &a, Mutation &b) {
+  using ::std::swap;
+  swap(a.row, b.row);
+  swap(a.expectedRevision, b.expectedRevision);
+  swap(a.__isset, b.__isset);
+}
+
+Mutation::Mutation(const Mutation& other73) {
+  row = other73.row;
+  expectedRevision = other73.expectedRevision;
+  __isset = other73.__isset;
+}
+Mutation::Mutation(Mutation&& other74) noexcept {
+  row = std::move(other74.row);
+  expectedRevision = other74.expectedRevision;
+  __isset = other74.__isset;
+}
+Mutation& Mutation::operator=(const Mutation& other75) {
+  row = other75.row;
+  expectedRevision = other75.expectedRevision;
+  __isset = other75.__isset;
+  return *this;
+}
+Mutation& Mutation::operator=(Mutation&& other76) noexcept {
+  row = std::move(other76.row);
+  expectedRevision = other76.expectedRevision;
+  __isset = other76.__isset;
+  return *this;
+}
+void Mutation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Mutation(";
+  out << "row=" << to_string(row);
+  out << ", " << "expectedRevision=" << to_string(expectedRevision);
+  out << ")";
+}
+
+
+EditCommand::~EditCommand() noexcept {
+}
+
+
+void EditCommand::__set_requestId(const std::string& val) {
+  this->requestId = val;
+}
+
+void EditCommand::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void EditCommand::__set_mutations(const std::vector<Mutation> & val) {
+  this->mutations = val;
+}
+
+void EditCommand::__set_baseRevision(const int64_t val) {
+  this->baseRevision = val;
+}
+std::ostream& operator<<(std::ostream& out, const EditCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EditCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->mutations.clear();
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->mutations.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
+            {
+              xfer += this->mutations[_i81].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.mutations = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2198,10 +2672,10 @@
   xfer += oprot->writeFieldBegin("mutations", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->mutations.size()));
-    std::vector<Mutation> ::const_iterator _iter74;
-    for (_iter74 = this->mutations.begin(); _iter74 != this->mutations.end(); ++_iter74)
+    std::vector<Mutation> ::const_iterator _iter82;
+    for (_iter82 = this->mutations.begin(); _iter82 != this->mutations.end(); ++_iter82)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2225,34 +2699,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EditCommand::EditCommand(const EditCommand& other75) {
-  requestId = other75.requestId;
-  author = other75.author;
-  mutations = other75.mutations;
-  baseRevision = other75.baseRevision;
-  __isset = other75.__isset;
-}
-EditCommand::EditCommand(EditCommand&& other76) noexcept {
-  requestId = std::move(other76.requestId);
-  author = std::move(other76.author);
-  mutations = std::move(other76.mutations);
-  baseRevision = other76.baseRevision;
-  __isset = other76.__isset;
-}
-EditCommand& EditCommand::operator=(const EditCommand& other77) {
-  requestId = other77.requestId;
-  author = other77.author;
-  mutations = other77.mutations;
-  baseRevision = other77.baseRevision;
-  __isset = other77.__isset;
+EditCommand::EditCommand(const EditCommand& other83) {
+  requestId = other83.requestId;
+  author = other83.author;
+  mutations = other83.mutations;
+  baseRevision = other83.baseRevision;
+  __isset = other83.__isset;
+}
+EditCommand::EditCommand(EditCommand&& other84) noexcept {
+  requestId = std::move(other84.requestId);
+  author = std::move(other84.author);
+  mutations = std::move(other84.mutations);
+  baseRevision = other84.baseRevision;
+  __isset = other84.__isset;
+}
+EditCommand& EditCommand::operator=(const EditCommand& other85) {
+  requestId = other85.requestId;
+  author = other85.author;
+  mutations = other85.mutations;
+  baseRevision = other85.baseRevision;
+  __isset = other85.__isset;
   return *this;
 }
-EditCommand& EditCommand::operator=(EditCommand&& other78) noexcept {
-  requestId = std::move(other78.requestId);
-  author = std::move(other78.author);
-  mutations = std::move(other78.mutations);
-  baseRevision = other78.baseRevision;
-  __isset = other78.__isset;
+EditCommand& EditCommand::operator=(EditCommand&& other86) noexcept {
+  requestId = std::move(other86.requestId);
+  author = std::move(other86.author);
+  mutations = std::move(other86.mutations);
+  baseRevision = other86.baseRevision;
+  __isset = other86.__isset;
   return *this;
 }
 void EditCommand::printTo(std::ostream& out) const {
@@ -2358,26 +2832,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HttpHeader::HttpHeader(const HttpHeader& other79) {
-  name = other79.name;
-  value = other79.value;
-  __isset = other79.__isset;
+HttpHeader::HttpHeader(const HttpHeader& other87) {
+  name = other87.name;
+  value = other87.value;
+  __isset = other87.__isset;
 }
-HttpHeader::HttpHeader(HttpHeader&& other80) noexcept {
-  name = std::move(other80.name);
-  value = std::move(other80.value);
-  __isset = other80.__isset;
+HttpHeader::HttpHeader(HttpHeader&& other88) noexcept {
+  name = std::move(other88.name);
+  value = std::move(other88.value);
+  __isset = other88.__isset;
 }
-HttpHeader& HttpHeader::operator=(const HttpHeader& other81) {
-  name = other81.name;
-  value = other81.value;
-  __isset = other81.__isset;
+HttpHeader& HttpHeader::operator=(const HttpHeader& other89) {
+  name = other89.name;
+  value = other89.value;
+  __isset = other89.__isset;
   return *this;
 }
-HttpHeader& HttpHeader::operator=(HttpHeader&& other82) noexcept {
-  name = std::move(other82.name);
-  value = std::move(other82.value);
-  __isset = other82.__isset;
+HttpHeader& HttpHeader::operator=(HttpHeader&& other90) noexcept {
+  name = std::move(other90.name);
+  value = std::move(other90.value);
+  __isset = other90.__isset;
   return *this;
 }
 void HttpHeader::printTo(std::ostream& out) const {
@@ -2444,14 +2918,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->headers.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->headers.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->headers[_i87].read(iprot);
+              xfer += this->headers[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2492,10 +2966,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter88;
-    for (_iter88 = this->headers.begin(); _iter88 != this->headers.end(); ++_iter88)
+    std::vector<HttpHeader> ::const_iterator _iter96;
+    for (_iter96 = this->headers.begin(); _iter96 != this->headers.end(); ++_iter96)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2518,30 +2992,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other89) {
-  httpStatus = other89.httpStatus;
-  headers = other89.headers;
-  body = other89.body;
-  __isset = other89.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other97) {
+  httpStatus = other97.httpStatus;
+  headers = other97.headers;
+  body = other97.body;
+  __isset = other97.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other90) noexcept {
-  httpStatus = other90.httpStatus;
-  headers = std::move(other90.headers);
-  body = std::move(other90.body);
-  __isset = other90.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other98) noexcept {
+  httpStatus = other98.httpStatus;
+  headers = std::move(other98.headers);
+  body = std::move(other98.body);
+  __isset = other98.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other91) {
-  httpStatus = other91.httpStatus;
-  headers = other91.headers;
-  body = other91.body;
-  __isset = other91.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other99) {
+  httpStatus = other99.httpStatus;
+  headers = other99.headers;
+  body = other99.body;
+  __isset = other99.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other92) noexcept {
-  httpStatus = other92.httpStatus;
-  headers = std::move(other92.headers);
-  body = std::move(other92.body);
-  __isset = other92.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other100) noexcept {
+  httpStatus = other100.httpStatus;
+  headers = std::move(other100.headers);
+  body = std::move(other100.body);
+  __isset = other100.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -2612,9 +3086,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast93;
-          xfer += iprot->readI32(ecast93);
-          this->action = static_cast<LedgerAction::type>(ecast93);
+          int32_t ecast101;
+          xfer += iprot->readI32(ecast101);
+          this->action = static_cast<LedgerAction::type>(ecast101);
           this->__isset.action = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2718,42 +3192,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerCommand::LedgerCommand(const LedgerCommand& other94) {
-  action = other94.action;
-  key = other94.key;
-  fingerprint = other94.fingerprint;
-  owner = other94.owner;
-  timestampMs = other94.timestampMs;
-  answer = other94.answer;
-  __isset = other94.__isset;
-}
-LedgerCommand::LedgerCommand(LedgerCommand&& other95) noexcept {
-  action = other95.action;
-  key = std::move(other95.key);
-  fingerprint = other95.fingerprint;
-  owner = std::move(other95.owner);
-  timestampMs = other95.timestampMs;
-  answer = std::move(other95.answer);
-  __isset = other95.__isset;
-}
-LedgerCommand& LedgerCommand::operator=(const LedgerCommand& other96) {
-  action = other96.action;
-  key = other96.key;
-  fingerprint = other96.fingerprint;
-  owner = other96.owner;
-  timestampMs = other96.timestampMs;
-  answer = other96.answer;
-  __isset = other96.__isset;
+LedgerCommand::LedgerCommand(const LedgerCommand& other102) {
+  action = other102.action;
+  key = other102.key;
+  fingerprint = other102.fingerprint;
+  owner = other102.owner;
+  timestampMs = other102.timestampMs;
+  answer = other102.answer;
+  __isset = other102.__isset;
+}
+LedgerCommand::LedgerCommand(LedgerCommand&& other103) noexcept {
+  action = other103.action;
+  key = std::move(other103.key);
+  fingerprint = other103.fingerprint;
+  owner = std::move(other103.owner);
+  timestampMs = other103.timestampMs;
+  answer = std::move(other103.answer);
+  __isset = other103.__isset;
+}
+LedgerCommand& LedgerCommand::operator=(const LedgerCommand& other104) {
+  action = other104.action;
+  key = other104.key;
+  fingerprint = other104.fingerprint;
+  owner = other104.owner;
+  timestampMs = other104.timestampMs;
+  answer = other104.answer;
+  __isset = other104.__isset;
   return *this;
 }
-LedgerCommand& LedgerCommand::operator=(LedgerCommand&& other97) noexcept {
-  action = other97.action;
-  key = std::move(other97.key);
-  fingerprint = other97.fingerprint;
-  owner = std::move(other97.owner);
-  timestampMs = other97.timestampMs;
-  answer = std::move(other97.answer);
-  __isset = other97.__isset;
+LedgerCommand& LedgerCommand::operator=(LedgerCommand&& other105) noexcept {
+  action = other105.action;
+  key = std::move(other105.key);
+  fingerprint = other105.fingerprint;
+  owner = std::move(other105.owner);
+  timestampMs = other105.timestampMs;
+  answer = std::move(other105.answer);
+  __isset = other105.__isset;
   return *this;
 }
 void LedgerCommand::printTo(std::ostream& out) const {
@@ -2931,42 +3405,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRecord::LedgerRecord(const LedgerRecord& other98) {
-  key = other98.key;
-  fingerprint = other98.fingerprint;
-  owner = other98.owner;
-  completed = other98.completed;
-  claimedAtMs = other98.claimedAtMs;
-  answer = other98.answer;
-  __isset = other98.__isset;
+LedgerRecord::LedgerRecord(const LedgerRecord& other106) {
+  key = other106.key;
+  fingerprint = other106.fingerprint;
+  owner = other106.owner;
+  completed = other106.completed;
+  claimedAtMs = other106.claimedAtMs;
+  answer = other106.answer;
+  __isset = other106.__isset;
 }
-LedgerRecord::LedgerRecord(LedgerRecord&& other99) noexcept {
-  key = std::move(other99.key);
-  fingerprint = other99.fingerprint;
-  owner = std::move(other99.owner);
-  completed = other99.completed;
-  claimedAtMs = other99.claimedAtMs;
-  answer = std::move(other99.answer);
-  __isset = other99.__isset;
+LedgerRecord::LedgerRecord(LedgerRecord&& other107) noexcept {
+  key = std::move(other107.key);
+  fingerprint = other107.fingerprint;
+  owner = std::move(other107.owner);
+  completed = other107.completed;
+  claimedAtMs = other107.claimedAtMs;
+  answer = std::move(other107.answer);
+  __isset = other107.__isset;
 }
-LedgerRecord& LedgerRecord::operator=(const LedgerRecord& other100) {
-  key = other100.key;
-  fingerprint = other100.fingerprint;
-  owner = other100.owner;
-  completed = other100.completed;
-  claimedAtMs = other100.claimedAtMs;
-  answer = other100.answer;
-  __isset = other100.__isset;
+LedgerRecord& LedgerRecord::operator=(const LedgerRecord& other108) {
+  key = other108.key;
+  fingerprint = other108.fingerprint;
+  owner = other108.owner;
+  completed = other108.completed;
+  claimedAtMs = other108.claimedAtMs;
+  answer = other108.answer;
+  __isset = other108.__isset;
   return *this;
 }
-LedgerRecord& LedgerRecord::operator=(LedgerRecord&& other101) noexcept {
-  key = std::move(other101.key);
-  fingerprint = other101.fingerprint;
-  owner = std::move(other101.owner);
-  completed = other101.completed;
-  claimedAtMs = other101.claimedAtMs;
-  answer = std::move(other101.answer);
-  __isset = other101.__isset;
+LedgerRecord& LedgerRecord::operator=(LedgerRecord&& other109) noexcept {
+  key = std::move(other109.key);
+  fingerprint = other109.fingerprint;
+  owner = std::move(other109.owner);
+  completed = other109.completed;
+  claimedAtMs = other109.claimedAtMs;
+  answer = std::move(other109.answer);
+  __isset = other109.__isset;
   return *this;
 }
 void LedgerRecord::printTo(std::ostream& out) const {
@@ -3009,6 +3483,14 @@
 void Member::__set_voting(const bool val) {
   this->voting = val;
 }
+
+void Member::__set_relayPort(const int32_t val) {
+  this->relayPort = val;
+}
+
+void Member::__set_zone(const std::string& val) {
+  this->zone = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -3085,6 +3567,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->relayPort);
+          this->__isset.relayPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3126,6 +3624,14 @@
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relayPort", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->relayPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3139,45 +3645,55 @@
   swap(a.framePort, b.framePort);
   swap(a.httpPort, b.httpPort);
   swap(a.voting, b.voting);
+  swap(a.relayPort, b.relayPort);
+  swap(a.zone, b.zone);
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other102) {
-  id = other102.id;
-  name = other102.name;
-  address = other102.address;
-  framePort = other102.framePort;
-  httpPort = other102.httpPort;
-  voting = other102.voting;
-  __isset = other102.__isset;
-}
-Member::Member(Member&& other103) noexcept {
-  id = std::move(other103.id);
-  name = std::move(other103.name);
-  address = std::move(other103.address);
-  framePort = other103.framePort;
-  httpPort = other103.httpPort;
-  voting = other103.voting;
-  __isset = other103.__isset;
-}
-Member& Member::operator=(const Member& other104) {
-  id = other104.id;
-  name = other104.name;
-  address = other104.address;
-  framePort = other104.framePort;
-  httpPort = other104.httpPort;
-  voting = other104.voting;
-  __isset = other104.__isset;
+Member::Member(const Member& other110) {
+  id = other110.id;
+  name = other110.name;
+  address = other110.address;
+  framePort = other110.framePort;
+  httpPort = other110.httpPort;
+  voting = other110.voting;
+  relayPort = other110.relayPort;
+  zone = other110.zone;
+  __isset = other110.__isset;
+}
+Member::Member(Member&& other111) noexcept {
+  id = std::move(other111.id);
+  name = std::move(other111.name);
+  address = std::move(other111.address);
+  framePort = other111.framePort;
+  httpPort = other111.httpPort;
+  voting = other111.voting;
+  relayPort = other111.relayPort;
+  zone = std::move(other111.zone);
+  __isset = other111.__isset;
+}
+Member& Member::operator=(const Member& other112) {
+  id = other112.id;
+  name = other112.name;
+  address = other112.address;
+  framePort = other112.framePort;
+  httpPort = other112.httpPort;
+  voting = other112.voting;
+  relayPort = other112.relayPort;
+  zone = other112.zone;
+  __isset = other112.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other105) noexcept {
-  id = std::move(other105.id);
-  name = std::move(other105.name);
-  address = std::move(other105.address);
-  framePort = other105.framePort;
-  httpPort = other105.httpPort;
-  voting = other105.voting;
-  __isset = other105.__isset;
+Member& Member::operator=(Member&& other113) noexcept {
+  id = std::move(other113.id);
+  name = std::move(other113.name);
+  address = std::move(other113.address);
+  framePort = other113.framePort;
+  httpPort = other113.httpPort;
+  voting = other113.voting;
+  relayPort = other113.relayPort;
+  zone = std::move(other113.zone);
+  __isset = other113.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -3189,6 +3705,8 @@
   out << ", " << "framePort=" << to_string(framePort);
   out << ", " << "httpPort=" << to_string(httpPort);
   out << ", " << "voting=" << to_string(voting);
+  out << ", " << "relayPort=" << to_string(relayPort);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
@@ -3302,30 +3820,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRecord::RelayRecord(const RelayRecord& other106) {
-  id = other106.id;
-  zone = other106.zone;
-  removed = other106.removed;
-  __isset = other106.__isset;
+RelayRecord::RelayRecord(const RelayRecord& other114) {
+  id = other114.id;
+  zone = other114.zone;
+  removed = other114.removed;
+  __isset = other114.__isset;
 }
-RelayRecord::RelayRecord(RelayRecord&& other107) noexcept {
-  id = std::move(other107.id);
-  zone = std::move(other107.zone);
-  removed = other107.removed;
-  __isset = other107.__isset;
+RelayRecord::RelayRecord(RelayRecord&& other115) noexcept {
+  id = std::move(other115.id);
+  zone = std::move(other115.zone);
+  removed = other115.removed;
+  __isset = other115.__isset;
 }
-RelayRecord& RelayRecord::operator=(const RelayRecord& other108) {
-  id = other108.id;
-  zone = other108.zone;
-  removed = other108.removed;
-  __isset = other108.__isset;
+RelayRecord& RelayRecord::operator=(const RelayRecord& other116) {
+  id = other116.id;
+  zone = other116.zone;
+  removed = other116.removed;
+  __isset = other116.__isset;
   return *this;
 }
-RelayRecord& RelayRecord::operator=(RelayRecord&& other109) noexcept {
-  id = std::move(other109.id);
-  zone = std::move(other109.zone);
-  removed = other109.removed;
-  __isset = other109.__isset;
+RelayRecord& RelayRecord::operator=(RelayRecord&& other117) noexcept {
+  id = std::move(other117.id);
+  zone = std::move(other117.zone);
+  removed = other117.removed;
+  __isset = other117.__isset;
   return *this;
 }
 void RelayRecord::printTo(std::ostream& out) const {
@@ -3423,9 +3941,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast110;
-          xfer += iprot->readI32(ecast110);
-          this->kind = static_cast<EntryKind::type>(ecast110);
+          int32_t ecast118;
+          xfer += iprot->readI32(ecast118);
+          this->kind = static_cast<EntryKind::type>(ecast118);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3443,14 +3961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->members.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->members.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->members[_i115].read(iprot);
+              xfer += this->members[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3521,10 +4039,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter116;
-      for (_iter116 = this->members.begin(); _iter116 != this->members.end(); ++_iter116)
+      std::vector<Member> ::const_iterator _iter124;
+      for (_iter124 = this->members.begin(); _iter124 != this->members.end(); ++_iter124)
       {
-        xfer += (*_iter116).write(oprot);
+        xfer += (*_iter124).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3562,50 +4080,50 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other117) {
-  index = other117.index;
-  term = other117.term;
-  kind = other117.kind;
-  edit = other117.edit;
-  members = other117.members;
-  forming = other117.forming;
-  ledger = other117.ledger;
-  relay = other117.relay;
-  __isset = other117.__isset;
+LogEntry::LogEntry(const LogEntry& other125) {
+  index = other125.index;
+  term = other125.term;
+  kind = other125.kind;
+  edit = other125.edit;
+  members = other125.members;
+  forming = other125.forming;
+  ledger = other125.ledger;
+  relay = other125.relay;
+  __isset = other125.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other126) noexcept {
+  index = other126.index;
+  term = other126.term;
+  kind = other126.kind;
+  edit = std::move(other126.edit);
+  members = std::move(other126.members);
+  forming = other126.forming;
+  ledger = std::move(other126.ledger);
+  relay = std::move(other126.relay);
+  __isset = other126.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other118) noexcept {
-  index = other118.index;
-  term = other118.term;
-  kind = other118.kind;
-  edit = std::move(other118.edit);
-  members = std::move(other118.members);
-  forming = other118.forming;
-  ledger = std::move(other118.ledger);
-  relay = std::move(other118.relay);
-  __isset = other118.__isset;
-}
-LogEntry& LogEntry::operator=(const LogEntry& other119) {
-  index = other119.index;
-  term = other119.term;
-  kind = other119.kind;
-  edit = other119.edit;
-  members = other119.members;
-  forming = other119.forming;
-  ledger = other119.ledger;
-  relay = other119.relay;
-  __isset = other119.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other127) {
+  index = other127.index;
+  term = other127.term;
+  kind = other127.kind;
+  edit = other127.edit;
+  members = other127.members;
+  forming = other127.forming;
+  ledger = other127.ledger;
+  relay = other127.relay;
+  __isset = other127.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other120) noexcept {
-  index = other120.index;
-  term = other120.term;
-  kind = other120.kind;
-  edit = std::move(other120.edit);
-  members = std::move(other120.members);
-  forming = other120.forming;
-  ledger = std::move(other120.ledger);
-  relay = std::move(other120.relay);
-  __isset = other120.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other128) noexcept {
+  index = other128.index;
+  term = other128.term;
+  kind = other128.kind;
+  edit = std::move(other128.edit);
+  members = std::move(other128.members);
+  forming = other128.forming;
+  ledger = std::move(other128.ledger);
+  relay = std::move(other128.relay);
+  __isset = other128.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -3732,30 +4250,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other121) {
-  term = other121.term;
-  votedFor = other121.votedFor;
-  identity = other121.identity;
-  __isset = other121.__isset;
+HardState::HardState(const HardState& other129) {
+  term = other129.term;
+  votedFor = other129.votedFor;
+  identity = other129.identity;
+  __isset = other129.__isset;
 }
-HardState::HardState(HardState&& other122) noexcept {
-  term = other122.term;
-  votedFor = std::move(other122.votedFor);
-  identity = std::move(other122.identity);
-  __isset = other122.__isset;
+HardState::HardState(HardState&& other130) noexcept {
+  term = other130.term;
+  votedFor = std::move(other130.votedFor);
+  identity = std::move(other130.identity);
+  __isset = other130.__isset;
 }
-HardState& HardState::operator=(const HardState& other123) {
-  term = other123.term;
-  votedFor = other123.votedFor;
-  identity = other123.identity;
-  __isset = other123.__isset;
+HardState& HardState::operator=(const HardState& other131) {
+  term = other131.term;
+  votedFor = other131.votedFor;
+  identity = other131.identity;
+  __isset = other131.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other124) noexcept {
-  term = other124.term;
-  votedFor = std::move(other124.votedFor);
-  identity = std::move(other124.identity);
-  __isset = other124.__isset;
+HardState& HardState::operator=(HardState&& other132) noexcept {
+  term = other132.term;
+  votedFor = std::move(other132.votedFor);
+  identity = std::move(other132.identity);
+  __isset = other132.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -3894,34 +4412,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EditProblem::EditProblem(const EditProblem& other125) {
-  key = other125.key;
-  field = other125.field;
-  problem = other125.problem;
-  message = other125.message;
-  __isset = other125.__isset;
-}
-EditProblem::EditProblem(EditProblem&& other126) noexcept {
-  key = std::move(other126.key);
-  field = std::move(other126.field);
-  problem = std::move(other126.problem);
-  message = std::move(other126.message);
-  __isset = other126.__isset;
-}
-EditProblem& EditProblem::operator=(const EditProblem& other127) {
-  key = other127.key;
-  field = other127.field;
-  problem = other127.problem;
-  message = other127.message;
-  __isset = other127.__isset;
+EditProblem::EditProblem(const EditProblem& other133) {
+  key = other133.key;
+  field = other133.field;
+  problem = other133.problem;
+  message = other133.message;
+  __isset = other133.__isset;
+}
+EditProblem::EditProblem(EditProblem&& other134) noexcept {
+  key = std::move(other134.key);
+  field = std::move(other134.field);
+  problem = std::move(other134.problem);
+  message = std::move(other134.message);
+  __isset = other134.__isset;
+}
+EditProblem& EditProblem::operator=(const EditProblem& other135) {
+  key = other135.key;
+  field = other135.field;
+  problem = other135.problem;
+  message = other135.message;
+  __isset = other135.__isset;
   return *this;
 }
-EditProblem& EditProblem::operator=(EditProblem&& other128) noexcept {
-  key = std::move(other128.key);
-  field = std::move(other128.field);
-  problem = std::move(other128.problem);
-  message = std::move(other128.message);
-  __isset = other128.__isset;
+EditProblem& EditProblem::operator=(EditProblem&& other136) noexcept {
+  key = std::move(other136.key);
+  field = std::move(other136.field);
+  problem = std::move(other136.problem);
+  message = std::move(other136.message);
+  __isset = other136.__isset;
   return *this;
 }
 void EditProblem::printTo(std::ostream& out) const {
@@ -4018,14 +4536,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->problems.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->problems.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->problems.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->problems[_i133].read(iprot);
+              xfer += this->problems[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4038,14 +4556,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->currentRows.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->currentRows.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->currentRows.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->currentRows[_i138].read(iprot);
+              xfer += this->currentRows[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4094,10 +4612,10 @@
   xfer += oprot->writeFieldBegin("problems", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->problems.size()));
-    std::vector<EditProblem> ::const_iterator _iter139;
-    for (_iter139 = this->problems.begin(); _iter139 != this->problems.end(); ++_iter139)
+    std::vector<EditProblem> ::const_iterator _iter147;
+    for (_iter147 = this->problems.begin(); _iter147 != this->problems.end(); ++_iter147)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4106,10 +4624,10 @@
   xfer += oprot->writeFieldBegin("currentRows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->currentRows.size()));
-    std::vector<Row> ::const_iterator _iter140;
-    for (_iter140 = this->currentRows.begin(); _iter140 != this->currentRows.end(); ++_iter140)
+    std::vector<Row> ::const_iterator _iter148;
+    for (_iter148 = this->currentRows.begin(); _iter148 != this->currentRows.end(); ++_iter148)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4135,42 +4653,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EditOutcome::EditOutcome(const EditOutcome& other141) {
-  requestId = other141.requestId;
-  revision = other141.revision;
-  code = other141.code;
-  problems = other141.problems;
-  currentRows = other141.currentRows;
-  fingerprint = other141.fingerprint;
-  __isset = other141.__isset;
-}
-EditOutcome::EditOutcome(EditOutcome&& other142) noexcept {
-  requestId = std::move(other142.requestId);
-  revision = other142.revision;
-  code = other142.code;
-  problems = std::move(other142.problems);
-  currentRows = std::move(other142.currentRows);
-  fingerprint = other142.fingerprint;
-  __isset = other142.__isset;
-}
-EditOutcome& EditOutcome::operator=(const EditOutcome& other143) {
-  requestId = other143.requestId;
-  revision = other143.revision;
-  code = other143.code;
-  problems = other143.problems;
-  currentRows = other143.currentRows;
-  fingerprint = other143.fingerprint;
-  __isset = other143.__isset;
+EditOutcome::EditOutcome(const EditOutcome& other149) {
+  requestId = other149.requestId;
+  revision = other149.revision;
+  code = other149.code;
+  problems = other149.problems;
+  currentRows = other149.currentRows;
+  fingerprint = other149.fingerprint;
+  __isset = other149.__isset;
+}
+EditOutcome::EditOutcome(EditOutcome&& other150) noexcept {
+  requestId = std::move(other150.requestId);
+  revision = other150.revision;
+  code = other150.code;
+  problems = std::move(other150.problems);
+  currentRows = std::move(other150.currentRows);
+  fingerprint = other150.fingerprint;
+  __isset = other150.__isset;
+}
+EditOutcome& EditOutcome::operator=(const EditOutcome& other151) {
+  requestId = other151.requestId;
+  revision = other151.revision;
+  code = other151.code;
+  problems = other151.problems;
+  currentRows = other151.currentRows;
+  fingerprint = other151.fingerprint;
+  __isset = other151.__isset;
   return *this;
 }
-EditOutcome& EditOutcome::operator=(EditOutcome&& other144) noexcept {
-  requestId = std::move(other144.requestId);
-  revision = other144.revision;
-  code = other144.code;
-  problems = std::move(other144.problems);
-  currentRows = std::move(other144.currentRows);
-  fingerprint = other144.fingerprint;
-  __isset = other144.__isset;
+EditOutcome& EditOutcome::operator=(EditOutcome&& other152) noexcept {
+  requestId = std::move(other152.requestId);
+  revision = other152.revision;
+  code = other152.code;
+  problems = std::move(other152.problems);
+  currentRows = std::move(other152.currentRows);
+  fingerprint = other152.fingerprint;
+  __isset = other152.__isset;
   return *this;
 }
 void EditOutcome::printTo(std::ostream& out) const {
@@ -4261,14 +4779,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->keys.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->keys.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->keys[_i149].read(iprot);
+              xfer += this->keys[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4309,10 +4827,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RowKey> ::const_iterator _iter150;
-    for (_iter150 = this->keys.begin(); _iter150 != this->keys.end(); ++_iter150)
+    std::vector<RowKey> ::const_iterator _iter158;
+    for (_iter158 = this->keys.begin(); _iter158 != this->keys.end(); ++_iter158)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4332,34 +4850,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRecord::HistoryRecord(const HistoryRecord& other151) {
-  revision = other151.revision;
-  requestId = other151.requestId;
-  author = other151.author;
-  keys = other151.keys;
-  __isset = other151.__isset;
-}
-HistoryRecord::HistoryRecord(HistoryRecord&& other152) noexcept {
-  revision = other152.revision;
-  requestId = std::move(other152.requestId);
-  author = std::move(other152.author);
-  keys = std::move(other152.keys);
-  __isset = other152.__isset;
-}
-HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other153) {
-  revision = other153.revision;
-  requestId = other153.requestId;
-  author = other153.author;
-  keys = other153.keys;
-  __isset = other153.__isset;
+HistoryRecord::HistoryRecord(const HistoryRecord& other159) {
+  revision = other159.revision;
+  requestId = other159.requestId;
+  author = other159.author;
+  keys = other159.keys;
+  __isset = other159.__isset;
+}
+HistoryRecord::HistoryRecord(HistoryRecord&& other160) noexcept {
+  revision = other160.revision;
+  requestId = std::move(other160.requestId);
+  author = std::move(other160.author);
+  keys = std::move(other160.keys);
+  __isset = other160.__isset;
+}
+HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other161) {
+  revision = other161.revision;
+  requestId = other161.requestId;
+  author = other161.author;
+  keys = other161.keys;
+  __isset = other161.__isset;
   return *this;
 }
-HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other154) noexcept {
-  revision = other154.revision;
-  requestId = std::move(other154.requestId);
-  author = std::move(other154.author);
-  keys = std::move(other154.keys);
-  __isset = other154.__isset;
+HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other162) noexcept {
+  revision = other162.revision;
+  requestId = std::move(other162.requestId);
+  author = std::move(other162.author);
+  keys = std::move(other162.keys);
+  __isset = other162.__isset;
   return *this;
 }
 void HistoryRecord::printTo(std::ostream& out) const {
@@ -4444,14 +4962,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->members.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->members.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->members[_i159].read(iprot);
+              xfer += this->members[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4504,10 +5022,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter160;
-    for (_iter160 = this->members.begin(); _iter160 != this->members.end(); ++_iter160)
+    std::vector<Member> ::const_iterator _iter168;
+    for (_iter168 = this->members.begin(); _iter168 != this->members.end(); ++_iter168)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter168).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4536,38 +5054,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshot::LogSnapshot(const LogSnapshot& other161) {
-  index = other161.index;
-  term = other161.term;
-  members = other161.members;
-  forming = other161.forming;
-  state = other161.state;
-  __isset = other161.__isset;
-}
-LogSnapshot::LogSnapshot(LogSnapshot&& other162) noexcept {
-  index = other162.index;
-  term = other162.term;
-  members = std::move(other162.members);
-  forming = other162.forming;
-  state = std::move(other162.state);
-  __isset = other162.__isset;
-}
-LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other163) {
-  index = other163.index;
-  term = other163.term;
-  members = other163.members;
-  forming = other163.forming;
-  state = other163.state;
-  __isset = other163.__isset;
+LogSnapshot::LogSnapshot(const LogSnapshot& other169) {
+  index = other169.index;
+  term = other169.term;
+  members = other169.members;
+  forming = other169.forming;
+  state = other169.state;
+  __isset = other169.__isset;
+}
+LogSnapshot::LogSnapshot(LogSnapshot&& other170) noexcept {
+  index = other170.index;
+  term = other170.term;
+  members = std::move(other170.members);
+  forming = other170.forming;
+  state = std::move(other170.state);
+  __isset = other170.__isset;
+}
+LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other171) {
+  index = other171.index;
+  term = other171.term;
+  members = other171.members;
+  forming = other171.forming;
+  state = other171.state;
+  __isset = other171.__isset;
   return *this;
 }
-LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other164) noexcept {
-  index = other164.index;
-  term = other164.term;
-  members = std::move(other164.members);
-  forming = other164.forming;
-  state = std::move(other164.state);
-  __isset = other164.__isset;
+LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other172) noexcept {
+  index = other172.index;
+  term = other172.term;
+  members = std::move(other172.members);
+  forming = other172.forming;
+  state = std::move(other172.state);
+  __isset = other172.__isset;
   return *this;
 }
 void LogSnapshot::printTo(std::ostream& out) const {
@@ -4649,14 +5167,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->rows.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->rows.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->rows[_i169].read(iprot);
+              xfer += this->rows[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4669,14 +5187,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->outcomes.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->outcomes.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->outcomes[_i174].read(iprot);
+              xfer += this->outcomes[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4689,14 +5207,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->history.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->history.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->history[_i179].read(iprot);
+              xfer += this->history[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4733,14 +5251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->relays.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->relays.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->relays[_i184].read(iprot);
+              xfer += this->relays[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4753,14 +5271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ledger.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->ledger.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->ledger.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->ledger[_i189].read(iprot);
+              xfer += this->ledger[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4789,10 +5307,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter190;
-    for (_iter190 = this->rows.begin(); _iter190 != this->rows.end(); ++_iter190)
+    std::vector<Row> ::const_iterator _iter198;
+    for (_iter198 = this->rows.begin(); _iter198 != this->rows.end(); ++_iter198)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4801,10 +5319,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<EditOutcome> ::const_iterator _iter191;
-    for (_iter191 = this->outcomes.begin(); _iter191 != this->outcomes.end(); ++_iter191)
+    std::vector<EditOutcome> ::const_iterator _iter199;
+    for (_iter199 = this->outcomes.begin(); _iter199 != this->outcomes.end(); ++_iter199)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4813,10 +5331,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRecord> ::const_iterator _iter192;
-    for (_iter192 = this->history.begin(); _iter192 != this->history.end(); ++_iter192)
+    std::vector<HistoryRecord> ::const_iterator _iter200;
+    for (_iter200 = this->history.begin(); _iter200 != this->history.end(); ++_iter200)
     {
-      xfer += (*_iter192).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4837,10 +5355,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayRecord> ::const_iterator _iter193;
-    for (_iter193 = this->relays.begin(); _iter193 != this->relays.end(); ++_iter193)
+    std::vector<RelayRecord> ::const_iterator _iter201;
+    for (_iter201 = this->relays.begin(); _iter201 != this->relays.end(); ++_iter201)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4849,10 +5367,10 @@
   xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
-    std::vector<LedgerRecord> ::const_iterator _iter194;
-    for (_iter194 = this->ledger.begin(); _iter194 != this->ledger.end(); ++_iter194)
+    std::vector<LedgerRecord> ::const_iterator _iter202;
+    for (_iter202 = this->ledger.begin(); _iter202 != this->ledger.end(); ++_iter202)
     {
-      xfer += (*_iter194).write(oprot);
+      xfer += (*_iter202).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4876,50 +5394,50 @@
   swap(a.__isset, b.__isset);
 }
 
-TableSnapshot::TableSnapshot(const TableSnapshot& other195) {
-  rows = other195.rows;
-  outcomes = other195.outcomes;
-  history = other195.history;
-  tableRevision = other195.tableRevision;
-  historyFloor = other195.historyFloor;
-  horizon = other195.horizon;
-  relays = other195.relays;
-  ledger = other195.ledger;
-  __isset = other195.__isset;
-}
-TableSnapshot::TableSnapshot(TableSnapshot&& other196) noexcept {
-  rows = std::move(other196.rows);
-  outcomes = std::move(other196.outcomes);
-  history = std::move(other196.history);
-  tableRevision = other196.tableRevision;
-  historyFloor = other196.historyFloor;
-  horizon = other196.horizon;
-  relays = std::move(other196.relays);
-  ledger = std::move(other196.ledger);
-  __isset = other196.__isset;
-}
-TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other197) {
-  rows = other197.rows;
-  outcomes = other197.outcomes;
-  history = other197.history;
-  tableRevision = other197.tableRevision;
-  historyFloor = other197.historyFloor;
-  horizon = other197.horizon;
-  relays = other197.relays;
-  ledger = other197.ledger;
-  __isset = other197.__isset;
+TableSnapshot::TableSnapshot(const TableSnapshot& other203) {
+  rows = other203.rows;
+  outcomes = other203.outcomes;
+  history = other203.history;
+  tableRevision = other203.tableRevision;
+  historyFloor = other203.historyFloor;
+  horizon = other203.horizon;
+  relays = other203.relays;
+  ledger = other203.ledger;
+  __isset = other203.__isset;
+}
+TableSnapshot::TableSnapshot(TableSnapshot&& other204) noexcept {
+  rows = std::move(other204.rows);
+  outcomes = std::move(other204.outcomes);
+  history = std::move(other204.history);
+  tableRevision = other204.tableRevision;
+  historyFloor = other204.historyFloor;
+  horizon = other204.horizon;
+  relays = std::move(other204.relays);
+  ledger = std::move(other204.ledger);
+  __isset = other204.__isset;
+}
+TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other205) {
+  rows = other205.rows;
+  outcomes = other205.outcomes;
+  history = other205.history;
+  tableRevision = other205.tableRevision;
+  historyFloor = other205.historyFloor;
+  horizon = other205.horizon;
+  relays = other205.relays;
+  ledger = other205.ledger;
+  __isset = other205.__isset;
   return *this;
 }
-TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other198) noexcept {
-  rows = std::move(other198.rows);
-  outcomes = std::move(other198.outcomes);
-  history = std::move(other198.history);
-  tableRevision = other198.tableRevision;
-  historyFloor = other198.historyFloor;
-  horizon = other198.horizon;
-  relays = std::move(other198.relays);
-  ledger = std::move(other198.ledger);
-  __isset = other198.__isset;
+TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other206) noexcept {
+  rows = std::move(other206.rows);
+  outcomes = std::move(other206.outcomes);
+  history = std::move(other206.history);
+  tableRevision = other206.tableRevision;
+  historyFloor = other206.historyFloor;
+  horizon = other206.horizon;
+  relays = std::move(other206.relays);
+  ledger = std::move(other206.ledger);
+  __isset = other206.__isset;
   return *this;
 }
 void TableSnapshot::printTo(std::ostream& out) const {
@@ -4960,6 +5478,22 @@
 void Hello::__set_blank(const bool val) {
   this->blank = val;
 }
+
+void Hello::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void Hello::__set_framePort(const int32_t val) {
+  this->framePort = val;
+}
+
+void Hello::__set_httpPort(const int32_t val) {
+  this->httpPort = val;
+}
+
+void Hello::__set_relayPort(const int32_t val) {
+  this->relayPort = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -4998,9 +5532,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast199;
-          xfer += iprot->readI32(ecast199);
-          this->role = static_cast<Role::type>(ecast199);
+          int32_t ecast207;
+          xfer += iprot->readI32(ecast207);
+          this->role = static_cast<Role::type>(ecast207);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5030,6 +5564,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->framePort);
+          this->__isset.framePort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->httpPort);
+          this->__isset.httpPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->relayPort);
+          this->__isset.relayPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5067,6 +5633,22 @@
   xfer += oprot->writeBool(this->blank);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("framePort", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->framePort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("httpPort", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->httpPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayPort", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->relayPort);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5079,41 +5661,61 @@
   swap(a.id, b.id);
   swap(a.zone, b.zone);
   swap(a.blank, b.blank);
+  swap(a.address, b.address);
+  swap(a.framePort, b.framePort);
+  swap(a.httpPort, b.httpPort);
+  swap(a.relayPort, b.relayPort);
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other200) {
-  protocolVersion = other200.protocolVersion;
-  role = other200.role;
-  id = other200.id;
-  zone = other200.zone;
-  blank = other200.blank;
-  __isset = other200.__isset;
-}
-Hello::Hello(Hello&& other201) noexcept {
-  protocolVersion = other201.protocolVersion;
-  role = other201.role;
-  id = std::move(other201.id);
-  zone = std::move(other201.zone);
-  blank = other201.blank;
-  __isset = other201.__isset;
-}
-Hello& Hello::operator=(const Hello& other202) {
-  protocolVersion = other202.protocolVersion;
-  role = other202.role;
-  id = other202.id;
-  zone = other202.zone;
-  blank = other202.blank;
-  __isset = other202.__isset;
+Hello::Hello(const Hello& other208) {
+  protocolVersion = other208.protocolVersion;
+  role = other208.role;
+  id = other208.id;
+  zone = other208.zone;
+  blank = other208.blank;
+  address = other208.address;
+  framePort = other208.framePort;
+  httpPort = other208.httpPort;
+  relayPort = other208.relayPort;
+  __isset = other208.__isset;
+}
+Hello::Hello(Hello&& other209) noexcept {
+  protocolVersion = other209.protocolVersion;
+  role = other209.role;
+  id = std::move(other209.id);
+  zone = std::move(other209.zone);
+  blank = other209.blank;
+  address = std::move(other209.address);
+  framePort = other209.framePort;
+  httpPort = other209.httpPort;
+  relayPort = other209.relayPort;
+  __isset = other209.__isset;
+}
+Hello& Hello::operator=(const Hello& other210) {
+  protocolVersion = other210.protocolVersion;
+  role = other210.role;
+  id = other210.id;
+  zone = other210.zone;
+  blank = other210.blank;
+  address = other210.address;
+  framePort = other210.framePort;
+  httpPort = other210.httpPort;
+  relayPort = other210.relayPort;
+  __isset = other210.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other203) noexcept {
-  protocolVersion = other203.protocolVersion;
-  role = other203.role;
-  id = std::move(other203.id);
-  zone = std::move(other203.zone);
-  blank = other203.blank;
-  __isset = other203.__isset;
+Hello& Hello::operator=(Hello&& other211) noexcept {
+  protocolVersion = other211.protocolVersion;
+  role = other211.role;
+  id = std::move(other211.id);
+  zone = std::move(other211.zone);
+  blank = other211.blank;
+  address = std::move(other211.address);
+  framePort = other211.framePort;
+  httpPort = other211.httpPort;
+  relayPort = other211.relayPort;
+  __isset = other211.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -5124,6 +5726,10 @@
   out << ", " << "id=" << to_string(id);
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "blank=" << to_string(blank);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "framePort=" << to_string(framePort);
+  out << ", " << "httpPort=" << to_string(httpPort);
+  out << ", " << "relayPort=" << to_string(relayPort);
   out << ")";
 }
 
@@ -5182,18 +5788,18 @@
   (void) b;
 }
 
-KeepAlive::KeepAlive(const KeepAlive& other204) noexcept {
-  (void) other204;
+KeepAlive::KeepAlive(const KeepAlive& other212) noexcept {
+  (void) other212;
 }
-KeepAlive::KeepAlive(KeepAlive&& other205) noexcept {
-  (void) other205;
+KeepAlive::KeepAlive(KeepAlive&& other213) noexcept {
+  (void) other213;
 }
-KeepAlive& KeepAlive::operator=(const KeepAlive& other206) noexcept {
-  (void) other206;
+KeepAlive& KeepAlive::operator=(const KeepAlive& other214) noexcept {
+  (void) other214;
   return *this;
 }
-KeepAlive& KeepAlive::operator=(KeepAlive&& other207) noexcept {
-  (void) other207;
+KeepAlive& KeepAlive::operator=(KeepAlive&& other215) noexcept {
+  (void) other215;
   return *this;
 }
 void KeepAlive::printTo(std::ostream& out) const {
@@ -5363,42 +5969,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other208) {
-  term = other208.term;
-  candidate = other208.candidate;
-  lastIndex = other208.lastIndex;
-  lastTerm = other208.lastTerm;
-  preVote = other208.preVote;
-  transfer = other208.transfer;
-  __isset = other208.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other209) noexcept {
-  term = other209.term;
-  candidate = std::move(other209.candidate);
-  lastIndex = other209.lastIndex;
-  lastTerm = other209.lastTerm;
-  preVote = other209.preVote;
-  transfer = other209.transfer;
-  __isset = other209.__isset;
-}
-VoteRequest& VoteRequest::operator=(const VoteRequest& other210) {
-  term = other210.term;
-  candidate = other210.candidate;
-  lastIndex = other210.lastIndex;
-  lastTerm = other210.lastTerm;
-  preVote = other210.preVote;
-  transfer = other210.transfer;
-  __isset = other210.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other216) {
+  term = other216.term;
+  candidate = other216.candidate;
+  lastIndex = other216.lastIndex;
+  lastTerm = other216.lastTerm;
+  preVote = other216.preVote;
+  transfer = other216.transfer;
+  __isset = other216.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other217) noexcept {
+  term = other217.term;
+  candidate = std::move(other217.candidate);
+  lastIndex = other217.lastIndex;
+  lastTerm = other217.lastTerm;
+  preVote = other217.preVote;
+  transfer = other217.transfer;
+  __isset = other217.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other218) {
+  term = other218.term;
+  candidate = other218.candidate;
+  lastIndex = other218.lastIndex;
+  lastTerm = other218.lastTerm;
+  preVote = other218.preVote;
+  transfer = other218.transfer;
+  __isset = other218.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other211) noexcept {
-  term = other211.term;
-  candidate = std::move(other211.candidate);
-  lastIndex = other211.lastIndex;
-  lastTerm = other211.lastTerm;
-  preVote = other211.preVote;
-  transfer = other211.transfer;
-  __isset = other211.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other219) noexcept {
+  term = other219.term;
+  candidate = std::move(other219.candidate);
+  lastIndex = other219.lastIndex;
+  lastTerm = other219.lastTerm;
+  preVote = other219.preVote;
+  transfer = other219.transfer;
+  __isset = other219.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -5523,30 +6129,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other212) noexcept {
-  term = other212.term;
-  granted = other212.granted;
-  preVote = other212.preVote;
-  __isset = other212.__isset;
+VoteResponse::VoteResponse(const VoteResponse& other220) noexcept {
+  term = other220.term;
+  granted = other220.granted;
+  preVote = other220.preVote;
+  __isset = other220.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other213) noexcept {
-  term = other213.term;
-  granted = other213.granted;
-  preVote = other213.preVote;
-  __isset = other213.__isset;
+VoteResponse::VoteResponse(VoteResponse&& other221) noexcept {
+  term = other221.term;
+  granted = other221.granted;
+  preVote = other221.preVote;
+  __isset = other221.__isset;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other214) noexcept {
-  term = other214.term;
-  granted = other214.granted;
-  preVote = other214.preVote;
-  __isset = other214.__isset;
+VoteResponse& VoteResponse::operator=(const VoteResponse& other222) noexcept {
+  term = other222.term;
+  granted = other222.granted;
+  preVote = other222.preVote;
+  __isset = other222.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other215) noexcept {
-  term = other215.term;
-  granted = other215.granted;
-  preVote = other215.preVote;
-  __isset = other215.__isset;
+VoteResponse& VoteResponse::operator=(VoteResponse&& other223) noexcept {
+  term = other223.term;
+  granted = other223.granted;
+  preVote = other223.preVote;
+  __isset = other223.__isset;
   return *this;
 }
 void VoteResponse::printTo(std::ostream& out) const {
@@ -5654,14 +6260,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->entries.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->entries.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += this->entries[_i220].read(iprot);
+              xfer += this->entries[_i228].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5722,10 +6328,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter221;
-    for (_iter221 = this->entries.begin(); _iter221 != this->entries.end(); ++_iter221)
+    std::vector<LogEntry> ::const_iterator _iter229;
+    for (_iter229 = this->entries.begin(); _iter229 != this->entries.end(); ++_iter229)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5756,46 +6362,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other222) {
-  term = other222.term;
-  leader = other222.leader;
-  previousIndex = other222.previousIndex;
-  previousTerm = other222.previousTerm;
-  entries = other222.entries;
-  commitIndex = other222.commitIndex;
-  round = other222.round;
-  __isset = other222.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other230) {
+  term = other230.term;
+  leader = other230.leader;
+  previousIndex = other230.previousIndex;
+  previousTerm = other230.previousTerm;
+  entries = other230.entries;
+  commitIndex = other230.commitIndex;
+  round = other230.round;
+  __isset = other230.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other223) noexcept {
-  term = other223.term;
-  leader = std::move(other223.leader);
-  previousIndex = other223.previousIndex;
-  previousTerm = other223.previousTerm;
-  entries = std::move(other223.entries);
-  commitIndex = other223.commitIndex;
-  round = other223.round;
-  __isset = other223.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other231) noexcept {
+  term = other231.term;
+  leader = std::move(other231.leader);
+  previousIndex = other231.previousIndex;
+  previousTerm = other231.previousTerm;
+  entries = std::move(other231.entries);
+  commitIndex = other231.commitIndex;
+  round = other231.round;
+  __isset = other231.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other224) {
-  term = other224.term;
-  leader = other224.leader;
-  previousIndex = other224.previousIndex;
-  previousTerm = other224.previousTerm;
-  entries = other224.entries;
-  commitIndex = other224.commitIndex;
-  round = other224.round;
-  __isset = other224.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other232) {
+  term = other232.term;
+  leader = other232.leader;
+  previousIndex = other232.previousIndex;
+  previousTerm = other232.previousTerm;
+  entries = other232.entries;
+  commitIndex = other232.commitIndex;
+  round = other232.round;
+  __isset = other232.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other225) noexcept {
-  term = other225.term;
-  leader = std::move(other225.leader);
-  previousIndex = other225.previousIndex;
-  previousTerm = other225.previousTerm;
-  entries = std::move(other225.entries);
-  commitIndex = other225.commitIndex;
-  round = other225.round;
-  __isset = other225.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other233) noexcept {
+  term = other233.term;
+  leader = std::move(other233.leader);
+  previousIndex = other233.previousIndex;
+  previousTerm = other233.previousTerm;
+  entries = std::move(other233.entries);
+  commitIndex = other233.commitIndex;
+  round = other233.round;
+  __isset = other233.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -5938,34 +6544,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other226) noexcept {
-  term = other226.term;
-  success = other226.success;
-  matchIndex = other226.matchIndex;
-  round = other226.round;
-  __isset = other226.__isset;
-}
-AppendResponse::AppendResponse(AppendResponse&& other227) noexcept {
-  term = other227.term;
-  success = other227.success;
-  matchIndex = other227.matchIndex;
-  round = other227.round;
-  __isset = other227.__isset;
-}
-AppendResponse& AppendResponse::operator=(const AppendResponse& other228) noexcept {
-  term = other228.term;
-  success = other228.success;
-  matchIndex = other228.matchIndex;
-  round = other228.round;
-  __isset = other228.__isset;
+AppendResponse::AppendResponse(const AppendResponse& other234) noexcept {
+  term = other234.term;
+  success = other234.success;
+  matchIndex = other234.matchIndex;
+  round = other234.round;
+  __isset = other234.__isset;
+}
+AppendResponse::AppendResponse(AppendResponse&& other235) noexcept {
+  term = other235.term;
+  success = other235.success;
+  matchIndex = other235.matchIndex;
+  round = other235.round;
+  __isset = other235.__isset;
+}
+AppendResponse& AppendResponse::operator=(const AppendResponse& other236) noexcept {
+  term = other236.term;
+  success = other236.success;
+  matchIndex = other236.matchIndex;
+  round = other236.round;
+  __isset = other236.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other229) noexcept {
-  term = other229.term;
-  success = other229.success;
-  matchIndex = other229.matchIndex;
-  round = other229.round;
-  __isset = other229.__isset;
+AppendResponse& AppendResponse::operator=(AppendResponse&& other237) noexcept {
+  term = other237.term;
+  success = other237.success;
+  matchIndex = other237.matchIndex;
+  round = other237.round;
+  __isset = other237.__isset;
   return *this;
 }
 void AppendResponse::printTo(std::ostream& out) const {
@@ -6156,46 +6762,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other230) {
-  term = other230.term;
-  leader = other230.leader;
-  lastIndex = other230.lastIndex;
-  lastTerm = other230.lastTerm;
-  offset = other230.offset;
-  totalBytes = other230.totalBytes;
-  data = other230.data;
-  __isset = other230.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other238) {
+  term = other238.term;
+  leader = other238.leader;
+  lastIndex = other238.lastIndex;
+  lastTerm = other238.lastTerm;
+  offset = other238.offset;
+  totalBytes = other238.totalBytes;
+  data = other238.data;
+  __isset = other238.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other231) noexcept {
-  term = other231.term;
-  leader = std::move(other231.leader);
-  lastIndex = other231.lastIndex;
-  lastTerm = other231.lastTerm;
-  offset = other231.offset;
-  totalBytes = other231.totalBytes;
-  data = std::move(other231.data);
-  __isset = other231.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other239) noexcept {
+  term = other239.term;
+  leader = std::move(other239.leader);
+  lastIndex = other239.lastIndex;
+  lastTerm = other239.lastTerm;
+  offset = other239.offset;
+  totalBytes = other239.totalBytes;
+  data = std::move(other239.data);
+  __isset = other239.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other232) {
-  term = other232.term;
-  leader = other232.leader;
-  lastIndex = other232.lastIndex;
-  lastTerm = other232.lastTerm;
-  offset = other232.offset;
-  totalBytes = other232.totalBytes;
-  data = other232.data;
-  __isset = other232.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other240) {
+  term = other240.term;
+  leader = other240.leader;
+  lastIndex = other240.lastIndex;
+  lastTerm = other240.lastTerm;
+  offset = other240.offset;
+  totalBytes = other240.totalBytes;
+  data = other240.data;
+  __isset = other240.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other233) noexcept {
-  term = other233.term;
-  leader = std::move(other233.leader);
-  lastIndex = other233.lastIndex;
-  lastTerm = other233.lastTerm;
-  offset = other233.offset;
-  totalBytes = other233.totalBytes;
-  data = std::move(other233.data);
-  __isset = other233.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other241) noexcept {
+  term = other241.term;
+  leader = std::move(other241.leader);
+  lastIndex = other241.lastIndex;
+  lastTerm = other241.lastTerm;
+  offset = other241.offset;
+  totalBytes = other241.totalBytes;
+  data = std::move(other241.data);
+  __isset = other241.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -6321,30 +6927,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other234) noexcept {
-  term = other234.term;
-  lastIndex = other234.lastIndex;
-  nextOffset = other234.nextOffset;
-  __isset = other234.__isset;
+SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other242) noexcept {
+  term = other242.term;
+  lastIndex = other242.lastIndex;
+  nextOffset = other242.nextOffset;
+  __isset = other242.__isset;
 }
-SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other235) noexcept {
-  term = other235.term;
-  lastIndex = other235.lastIndex;
-  nextOffset = other235.nextOffset;
-  __isset = other235.__isset;
+SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other243) noexcept {
+  term = other243.term;
+  lastIndex = other243.lastIndex;
+  nextOffset = other243.nextOffset;
+  __isset = other243.__isset;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other236) noexcept {
-  term = other236.term;
-  lastIndex = other236.lastIndex;
-  nextOffset = other236.nextOffset;
-  __isset = other236.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other244) noexcept {
+  term = other244.term;
+  lastIndex = other244.lastIndex;
+  nextOffset = other244.nextOffset;
+  __isset = other244.__isset;
   return *this;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other237) noexcept {
-  term = other237.term;
-  lastIndex = other237.lastIndex;
-  nextOffset = other237.nextOffset;
-  __isset = other237.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other245) noexcept {
+  term = other245.term;
+  lastIndex = other245.lastIndex;
+  nextOffset = other245.nextOffset;
+  __isset = other245.__isset;
   return *this;
 }
 void SnapshotChunkAck::printTo(std::ostream& out) const {
@@ -6432,22 +7038,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other238) noexcept {
-  term = other238.term;
-  __isset = other238.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other246) noexcept {
+  term = other246.term;
+  __isset = other246.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other239) noexcept {
-  term = other239.term;
-  __isset = other239.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other247) noexcept {
+  term = other247.term;
+  __isset = other247.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other240) noexcept {
-  term = other240.term;
-  __isset = other240.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other248) noexcept {
+  term = other248.term;
+  __isset = other248.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other241) noexcept {
-  term = other241.term;
-  __isset = other241.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other249) noexcept {
+  term = other249.term;
+  __isset = other249.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -6550,26 +7156,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Freshness::Freshness(const Freshness& other242) noexcept {
-  term = other242.term;
-  round = other242.round;
-  __isset = other242.__isset;
+Freshness::Freshness(const Freshness& other250) noexcept {
+  term = other250.term;
+  round = other250.round;
+  __isset = other250.__isset;
 }
-Freshness::Freshness(Freshness&& other243) noexcept {
-  term = other243.term;
-  round = other243.round;
-  __isset = other243.__isset;
+Freshness::Freshness(Freshness&& other251) noexcept {
+  term = other251.term;
+  round = other251.round;
+  __isset = other251.__isset;
 }
-Freshness& Freshness::operator=(const Freshness& other244) noexcept {
-  term = other244.term;
-  round = other244.round;
-  __isset = other244.__isset;
+Freshness& Freshness::operator=(const Freshness& other252) noexcept {
+  term = other252.term;
+  round = other252.round;
+  __isset = other252.__isset;
   return *this;
 }
-Freshness& Freshness::operator=(Freshness&& other245) noexcept {
-  term = other245.term;
-  round = other245.round;
-  __isset = other245.__isset;
+Freshness& Freshness::operator=(Freshness&& other253) noexcept {
+  term = other253.term;
+  round = other253.round;
+  __isset = other253.__isset;
   return *this;
 }
 void Freshness::printTo(std::ostream& out) const {
@@ -6673,26 +7279,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RelaySubscribe::RelaySubscribe(const RelaySubscribe& other246) noexcept {
-  revision = other246.revision;
-  digest = other246.digest;
-  __isset = other246.__isset;
+RelaySubscribe::RelaySubscribe(const RelaySubscribe& other254) noexcept {
+  revision = other254.revision;
+  digest = other254.digest;
+  __isset = other254.__isset;
 }
-RelaySubscribe::RelaySubscribe(RelaySubscribe&& other247) noexcept {
-  revision = other247.revision;
-  digest = std::move(other247.digest);
-  __isset = other247.__isset;
+RelaySubscribe::RelaySubscribe(RelaySubscribe&& other255) noexcept {
+  revision = other255.revision;
+  digest = std::move(other255.digest);
+  __isset = other255.__isset;
 }
-RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other248) noexcept {
-  revision = other248.revision;
-  digest = other248.digest;
-  __isset = other248.__isset;
+RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other256) noexcept {
+  revision = other256.revision;
+  digest = other256.digest;
+  __isset = other256.__isset;
   return *this;
 }
-RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other249) noexcept {
-  revision = other249.revision;
-  digest = std::move(other249.digest);
-  __isset = other249.__isset;
+RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other257) noexcept {
+  revision = other257.revision;
+  digest = std::move(other257.digest);
+  __isset = other257.__isset;
   return *this;
 }
 void RelaySubscribe::printTo(std::ostream& out) const {
@@ -6779,22 +7385,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other250) {
-  leaderId = other250.leaderId;
-  __isset = other250.__isset;
+NotLeader::NotLeader(const NotLeader& other258) {
+  leaderId = other258.leaderId;
+  __isset = other258.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other251) noexcept {
-  leaderId = std::move(other251.leaderId);
-  __isset = other251.__isset;
+NotLeader::NotLeader(NotLeader&& other259) noexcept {
+  leaderId = std::move(other259.leaderId);
+  __isset = other259.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other252) {
-  leaderId = other252.leaderId;
-  __isset = other252.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other260) {
+  leaderId = other260.leaderId;
+  __isset = other260.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other253) noexcept {
-  leaderId = std::move(other253.leaderId);
-  __isset = other253.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other261) noexcept {
+  leaderId = std::move(other261.leaderId);
+  __isset = other261.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -6884,14 +7490,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size254;
-            ::apache::thrift::protocol::TType _etype257;
-            xfer += iprot->readListBegin(_etype257, _size254);
-            this->rows.resize(_size254);
-            uint32_t _i258;
-            for (_i258 = 0; _i258 < _size254; ++_i258)
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->rows.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += this->rows[_i258].read(iprot);
+              xfer += this->rows[_i266].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6940,10 +7546,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter259;
-    for (_iter259 = this->rows.begin(); _iter259 != this->rows.end(); ++_iter259)
+    std::vector<Row> ::const_iterator _iter267;
+    for (_iter267 = this->rows.begin(); _iter267 != this->rows.end(); ++_iter267)
     {
-      xfer += (*_iter259).write(oprot);
+      xfer += (*_iter267).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6968,38 +7574,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TableUpdate::TableUpdate(const TableUpdate& other260) {
-  fromRevision = other260.fromRevision;
-  toRevision = other260.toRevision;
-  full = other260.full;
-  rows = other260.rows;
-  digest = other260.digest;
-  __isset = other260.__isset;
+TableUpdate::TableUpdate(const TableUpdate& other268) {
+  fromRevision = other268.fromRevision;
+  toRevision = other268.toRevision;
+  full = other268.full;
+  rows = other268.rows;
+  digest = other268.digest;
+  __isset = other268.__isset;
 }
-TableUpdate::TableUpdate(TableUpdate&& other261) noexcept {
-  fromRevision = other261.fromRevision;
-  toRevision = other261.toRevision;
-  full = other261.full;
-  rows = std::move(other261.rows);
-  digest = std::move(other261.digest);
-  __isset = other261.__isset;
+TableUpdate::TableUpdate(TableUpdate&& other269) noexcept {
+  fromRevision = other269.fromRevision;
+  toRevision = other269.toRevision;
+  full = other269.full;
+  rows = std::move(other269.rows);
+  digest = std::move(other269.digest);
+  __isset = other269.__isset;
 }
-TableUpdate& TableUpdate::operator=(const TableUpdate& other262) {
-  fromRevision = other262.fromRevision;
-  toRevision = other262.toRevision;
-  full = other262.full;
-  rows = other262.rows;
-  digest = other262.digest;
-  __isset = other262.__isset;
+TableUpdate& TableUpdate::operator=(const TableUpdate& other270) {
+  fromRevision = other270.fromRevision;
+  toRevision = other270.toRevision;
+  full = other270.full;
+  rows = other270.rows;
+  digest = other270.digest;
+  __isset = other270.__isset;
   return *this;
 }
-TableUpdate& TableUpdate::operator=(TableUpdate&& other263) noexcept {
-  fromRevision = other263.fromRevision;
-  toRevision = other263.toRevision;
-  full = other263.full;
-  rows = std::move(other263.rows);
-  digest = std::move(other263.digest);
-  __isset = other263.__isset;
+TableUpdate& TableUpdate::operator=(TableUpdate&& other271) noexcept {
+  fromRevision = other271.fromRevision;
+  toRevision = other271.toRevision;
+  full = other271.full;
+  rows = std::move(other271.rows);
+  digest = std::move(other271.digest);
+  __isset = other271.__isset;
   return *this;
 }
 void TableUpdate::printTo(std::ostream& out) const {
@@ -7106,26 +7712,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other264) noexcept {
-  revision = other264.revision;
-  freshness = other264.freshness;
-  __isset = other264.__isset;
+ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other272) noexcept {
+  revision = other272.revision;
+  freshness = other272.freshness;
+  __isset = other272.__isset;
 }
-ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other265) noexcept {
-  revision = other265.revision;
-  freshness = std::move(other265.freshness);
-  __isset = other265.__isset;
+ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other273) noexcept {
+  revision = other273.revision;
+  freshness = std::move(other273.freshness);
+  __isset = other273.__isset;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other266) noexcept {
-  revision = other266.revision;
-  freshness = other266.freshness;
-  __isset = other266.__isset;
-  return *this;
+ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other274) noexcept {
+  revision = other274.revision;
+  freshness = other274.freshness;
+  __isset = other274.__isset;
+  return *this;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other267) noexcept {
-  revision = other267.revision;
-  freshness = std::move(other267.freshness);
-  __isset = other267.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other275) noexcept {
+  revision = other275.revision;
+  freshness = std::move(other275.freshness);
+  __isset = other275.__isset;
   return *this;
 }
 void ControllerHeartbeat::printTo(std::ostream& out) const {
@@ -7212,22 +7818,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other268) noexcept {
-  token = other268.token;
-  __isset = other268.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other276) noexcept {
+  token = other276.token;
+  __isset = other276.__isset;
 }
-ConfirmRequest::ConfirmRequest(ConfirmRequest&& other269) noexcept {
-  token = other269.token;
-  __isset = other269.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other277) noexcept {
+  token = other277.token;
+  __isset = other277.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other270) noexcept {
-  token = other270.token;
-  __isset = other270.__isset;
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other278) noexcept {
+  token = other278.token;
+  __isset = other278.__isset;
   return *this;
 }
-ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other271) noexcept {
-  token = other271.token;
-  __isset = other271.__isset;
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other279) noexcept {
+  token = other279.token;
+  __isset = other279.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -7330,26 +7936,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other272) noexcept {
-  token = other272.token;
-  revision = other272.revision;
-  __isset = other272.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other280) noexcept {
+  token = other280.token;
+  revision = other280.revision;
+  __isset = other280.__isset;
 }
-ConfirmReply::ConfirmReply(ConfirmReply&& other273) noexcept {
-  token = other273.token;
-  revision = other273.revision;
-  __isset = other273.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other281) noexcept {
+  token = other281.token;
+  revision = other281.revision;
+  __isset = other281.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other274) noexcept {
-  token = other274.token;
-  revision = other274.revision;
-  __isset = other274.__isset;
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other282) noexcept {
+  token = other282.token;
+  revision = other282.revision;
+  __isset = other282.__isset;
   return *this;
 }
-ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other275) noexcept {
-  token = other275.token;
-  revision = other275.revision;
-  __isset = other275.__isset;
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other283) noexcept {
+  token = other283.token;
+  revision = other283.revision;
+  __isset = other283.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -7453,26 +8059,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other276) {
-  nodeId = other276.nodeId;
-  revision = other276.revision;
-  __isset = other276.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other284) {
+  nodeId = other284.nodeId;
+  revision = other284.revision;
+  __isset = other284.__isset;
 }
-NodeStatus::NodeStatus(NodeStatus&& other277) noexcept {
-  nodeId = std::move(other277.nodeId);
-  revision = other277.revision;
-  __isset = other277.__isset;
+NodeStatus::NodeStatus(NodeStatus&& other285) noexcept {
+  nodeId = std::move(other285.nodeId);
+  revision = other285.revision;
+  __isset = other285.__isset;
 }
-NodeStatus& NodeStatus::operator=(const NodeStatus& other278) {
-  nodeId = other278.nodeId;
-  revision = other278.revision;
-  __isset = other278.__isset;
+NodeStatus& NodeStatus::operator=(const NodeStatus& other286) {
+  nodeId = other286.nodeId;
+  revision = other286.revision;
+  __isset = other286.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other279) noexcept {
-  nodeId = std::move(other279.nodeId);
-  revision = other279.revision;
-  __isset = other279.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other287) noexcept {
+  nodeId = std::move(other287.nodeId);
+  revision = other287.revision;
+  __isset = other287.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -7563,14 +8169,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attached.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->attached.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->attached.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += iprot->readString(this->attached[_i284]);
+              xfer += iprot->readString(this->attached[_i292]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7583,14 +8189,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->detached.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->detached.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->detached.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
             {
-              xfer += iprot->readString(this->detached[_i289]);
+              xfer += iprot->readString(this->detached[_i297]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7603,14 +8209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->lagging.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->lagging.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += this->lagging[_i294].read(iprot);
+              xfer += this->lagging[_i302].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7663,10 +8269,10 @@
   xfer += oprot->writeFieldBegin("attached", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->attached.size()));
-    std::vector<std::string> ::const_iterator _iter295;
-    for (_iter295 = this->attached.begin(); _iter295 != this->attached.end(); ++_iter295)
+    std::vector<std::string> ::const_iterator _iter303;
+    for (_iter303 = this->attached.begin(); _iter303 != this->attached.end(); ++_iter303)
     {
-      xfer += oprot->writeString((*_iter295));
+      xfer += oprot->writeString((*_iter303));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7675,10 +8281,10 @@
   xfer += oprot->writeFieldBegin("detached", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->detached.size()));
-    std::vector<std::string> ::const_iterator _iter296;
-    for (_iter296 = this->detached.begin(); _iter296 != this->detached.end(); ++_iter296)
+    std::vector<std::string> ::const_iterator _iter304;
+    for (_iter304 = this->detached.begin(); _iter304 != this->detached.end(); ++_iter304)
     {
-      xfer += oprot->writeString((*_iter296));
+      xfer += oprot->writeString((*_iter304));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7687,10 +8293,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<NodeStatus> ::const_iterator _iter297;
-    for (_iter297 = this->lagging.begin(); _iter297 != this->lagging.end(); ++_iter297)
+    std::vector<NodeStatus> ::const_iterator _iter305;
+    for (_iter305 = this->lagging.begin(); _iter305 != this->lagging.end(); ++_iter305)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7721,46 +8327,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConvergenceReport::ConvergenceReport(const ConvergenceReport& other298) {
-  sequence = other298.sequence;
-  inForceRevision = other298.inForceRevision;
-  attached = other298.attached;
-  detached = other298.detached;
-  lagging = other298.lagging;
-  full = other298.full;
-  runningMs = other298.runningMs;
-  __isset = other298.__isset;
-}
-ConvergenceReport::ConvergenceReport(ConvergenceReport&& other299) noexcept {
-  sequence = other299.sequence;
-  inForceRevision = other299.inForceRevision;
-  attached = std::move(other299.attached);
-  detached = std::move(other299.detached);
-  lagging = std::move(other299.lagging);
-  full = other299.full;
-  runningMs = other299.runningMs;
-  __isset = other299.__isset;
-}
-ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other300) {
-  sequence = other300.sequence;
-  inForceRevision = other300.inForceRevision;
-  attached = other300.attached;
-  detached = other300.detached;
-  lagging = other300.lagging;
-  full = other300.full;
-  runningMs = other300.runningMs;
-  __isset = other300.__isset;
+ConvergenceReport::ConvergenceReport(const ConvergenceReport& other306) {
+  sequence = other306.sequence;
+  inForceRevision = other306.inForceRevision;
+  attached = other306.attached;
+  detached = other306.detached;
+  lagging = other306.lagging;
+  full = other306.full;
+  runningMs = other306.runningMs;
+  __isset = other306.__isset;
+}
+ConvergenceReport::ConvergenceReport(ConvergenceReport&& other307) noexcept {
+  sequence = other307.sequence;
+  inForceRevision = other307.inForceRevision;
+  attached = std::move(other307.attached);
+  detached = std::move(other307.detached);
+  lagging = std::move(other307.lagging);
+  full = other307.full;
+  runningMs = other307.runningMs;
+  __isset = other307.__isset;
+}
+ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other308) {
+  sequence = other308.sequence;
+  inForceRevision = other308.inForceRevision;
+  attached = other308.attached;
+  detached = other308.detached;
+  lagging = other308.lagging;
+  full = other308.full;
+  runningMs = other308.runningMs;
+  __isset = other308.__isset;
   return *this;
 }
-ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other301) noexcept {
-  sequence = other301.sequence;
-  inForceRevision = other301.inForceRevision;
-  attached = std::move(other301.attached);
-  detached = std::move(other301.detached);
-  lagging = std::move(other301.lagging);
-  full = other301.full;
-  runningMs = other301.runningMs;
-  __isset = other301.__isset;
+ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other309) noexcept {
+  sequence = other309.sequence;
+  inForceRevision = other309.inForceRevision;
+  attached = std::move(other309.attached);
+  detached = std::move(other309.detached);
+  lagging = std::move(other309.lagging);
+  full = other309.full;
+  runningMs = other309.runningMs;
+  __isset = other309.__isset;
   return *this;
 }
 void ConvergenceReport::printTo(std::ostream& out) const {
@@ -7828,14 +8434,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size302;
-            ::apache::thrift::protocol::TType _etype305;
-            xfer += iprot->readListBegin(_etype305, _size302);
-            this->hosts.resize(_size302);
-            uint32_t _i306;
-            for (_i306 = 0; _i306 < _size302; ++_i306)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->hosts.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += iprot->readString(this->hosts[_i306]);
+              xfer += iprot->readString(this->hosts[_i314]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7848,14 +8454,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size307;
-            ::apache::thrift::protocol::TType _etype310;
-            xfer += iprot->readListBegin(_etype310, _size307);
-            this->services.resize(_size307);
-            uint32_t _i311;
-            for (_i311 = 0; _i311 < _size307; ++_i311)
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->services.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
             {
-              xfer += iprot->readString(this->services[_i311]);
+              xfer += iprot->readString(this->services[_i319]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7900,10 +8506,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter312;
-    for (_iter312 = this->hosts.begin(); _iter312 != this->hosts.end(); ++_iter312)
+    std::vector<std::string> ::const_iterator _iter320;
+    for (_iter320 = this->hosts.begin(); _iter320 != this->hosts.end(); ++_iter320)
     {
-      xfer += oprot->writeString((*_iter312));
+      xfer += oprot->writeString((*_iter320));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7912,10 +8518,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter313;
-    for (_iter313 = this->services.begin(); _iter313 != this->services.end(); ++_iter313)
+    std::vector<std::string> ::const_iterator _iter321;
+    for (_iter321 = this->services.begin(); _iter321 != this->services.end(); ++_iter321)
     {
-      xfer += oprot->writeString((*_iter313));
+      xfer += oprot->writeString((*_iter321));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7943,34 +8549,34 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeSubscribe::NodeSubscribe(const NodeSubscribe& other314) {
-  hosts = other314.hosts;
-  services = other314.services;
-  revision = other314.revision;
-  digest = other314.digest;
-  __isset = other314.__isset;
-}
-NodeSubscribe::NodeSubscribe(NodeSubscribe&& other315) noexcept {
-  hosts = std::move(other315.hosts);
-  services = std::move(other315.services);
-  revision = other315.revision;
-  digest = std::move(other315.digest);
-  __isset = other315.__isset;
-}
-NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other316) {
-  hosts = other316.hosts;
-  services = other316.services;
-  revision = other316.revision;
-  digest = other316.digest;
-  __isset = other316.__isset;
+NodeSubscribe::NodeSubscribe(const NodeSubscribe& other322) {
+  hosts = other322.hosts;
+  services = other322.services;
+  revision = other322.revision;
+  digest = other322.digest;
+  __isset = other322.__isset;
+}
+NodeSubscribe::NodeSubscribe(NodeSubscribe&& other323) noexcept {
+  hosts = std::move(other323.hosts);
+  services = std::move(other323.services);
+  revision = other323.revision;
+  digest = std::move(other323.digest);
+  __isset = other323.__isset;
+}
+NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other324) {
+  hosts = other324.hosts;
+  services = other324.services;
+  revision = other324.revision;
+  digest = other324.digest;
+  __isset = other324.__isset;
   return *this;
 }
-NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other317) noexcept {
-  hosts = std::move(other317.hosts);
-  services = std::move(other317.services);
-  revision = other317.revision;
-  digest = std::move(other317.digest);
-  __isset = other317.__isset;
+NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other325) noexcept {
+  hosts = std::move(other325.hosts);
+  services = std::move(other325.services);
+  revision = other325.revision;
+  digest = std::move(other325.digest);
+  __isset = other325.__isset;
   return *this;
 }
 void NodeSubscribe::printTo(std::ostream& out) const {
@@ -8063,14 +8669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _etype321;
-            xfer += iprot->readListBegin(_etype321, _size318);
-            this->rows.resize(_size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->rows.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += this->rows[_i322].read(iprot);
+              xfer += this->rows[_i330].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8119,10 +8725,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter323;
-    for (_iter323 = this->rows.begin(); _iter323 != this->rows.end(); ++_iter323)
+    std::vector<Row> ::const_iterator _iter331;
+    for (_iter331 = this->rows.begin(); _iter331 != this->rows.end(); ++_iter331)
     {
-      xfer += (*_iter323).write(oprot);
+      xfer += (*_iter331).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8147,38 +8753,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceUpdate::SliceUpdate(const SliceUpdate& other324) {
-  fromRevision = other324.fromRevision;
-  toRevision = other324.toRevision;
-  full = other324.full;
-  rows = other324.rows;
-  digest = other324.digest;
-  __isset = other324.__isset;
-}
-SliceUpdate::SliceUpdate(SliceUpdate&& other325) noexcept {
-  fromRevision = other325.fromRevision;
-  toRevision = other325.toRevision;
-  full = other325.full;
-  rows = std::move(other325.rows);
-  digest = std::move(other325.digest);
-  __isset = other325.__isset;
+SliceUpdate::SliceUpdate(const SliceUpdate& other332) {
+  fromRevision = other332.fromRevision;
+  toRevision = other332.toRevision;
+  full = other332.full;
+  rows = other332.rows;
+  digest = other332.digest;
+  __isset = other332.__isset;
+}
+SliceUpdate::SliceUpdate(SliceUpdate&& other333) noexcept {
+  fromRevision = other333.fromRevision;
+  toRevision = other333.toRevision;
+  full = other333.full;
+  rows = std::move(other333.rows);
+  digest = std::move(other333.digest);
+  __isset = other333.__isset;
 }
-SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other326) {
-  fromRevision = other326.fromRevision;
-  toRevision = other326.toRevision;
-  full = other326.full;
-  rows = other326.rows;
-  digest = other326.digest;
-  __isset = other326.__isset;
+SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other334) {
+  fromRevision = other334.fromRevision;
+  toRevision = other334.toRevision;
+  full = other334.full;
+  rows = other334.rows;
+  digest = other334.digest;
+  __isset = other334.__isset;
   return *this;
 }
-SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other327) noexcept {
-  fromRevision = other327.fromRevision;
-  toRevision = other327.toRevision;
-  full = other327.full;
-  rows = std::move(other327.rows);
-  digest = std::move(other327.digest);
-  __isset = other327.__isset;
+SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other335) noexcept {
+  fromRevision = other335.fromRevision;
+  toRevision = other335.toRevision;
+  full = other335.full;
+  rows = std::move(other335.rows);
+  digest = std::move(other335.digest);
+  __isset = other335.__isset;
   return *this;
 }
 void SliceUpdate::printTo(std::ostream& out) const {
@@ -8268,22 +8874,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceApplied::SliceApplied(const SliceApplied& other328) noexcept {
-  revision = other328.revision;
-  __isset = other328.__isset;
+SliceApplied::SliceApplied(const SliceApplied& other336) noexcept {
+  revision = other336.revision;
+  __isset = other336.__isset;
 }
-SliceApplied::SliceApplied(SliceApplied&& other329) noexcept {
-  revision = other329.revision;
-  __isset = other329.__isset;
+SliceApplied::SliceApplied(SliceApplied&& other337) noexcept {
+  revision = other337.revision;
+  __isset = other337.__isset;
 }
-SliceApplied& SliceApplied::operator=(const SliceApplied& other330) noexcept {
-  revision = other330.revision;
-  __isset = other330.__isset;
+SliceApplied& SliceApplied::operator=(const SliceApplied& other338) noexcept {
+  revision = other338.revision;
+  __isset = other338.__isset;
   return *this;
 }
-SliceApplied& SliceApplied::operator=(SliceApplied&& other331) noexcept {
-  revision = other331.revision;
-  __isset = other331.__isset;
+SliceApplied& SliceApplied::operator=(SliceApplied&& other339) noexcept {
+  revision = other339.revision;
+  __isset = other339.__isset;
   return *this;
 }
 void SliceApplied::printTo(std::ostream& out) const {
@@ -8343,9 +8949,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast332;
-          xfer += iprot->readI32(ecast332);
-          this->reason = static_cast<SliceRejectReason::type>(ecast332);
+          int32_t ecast340;
+          xfer += iprot->readI32(ecast340);
+          this->reason = static_cast<SliceRejectReason::type>(ecast340);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8388,26 +8994,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceRejected::SliceRejected(const SliceRejected& other333) noexcept {
-  revision = other333.revision;
-  reason = other333.reason;
-  __isset = other333.__isset;
+SliceRejected::SliceRejected(const SliceRejected& other341) noexcept {
+  revision = other341.revision;
+  reason = other341.reason;
+  __isset = other341.__isset;
 }
-SliceRejected::SliceRejected(SliceRejected&& other334) noexcept {
-  revision = other334.revision;
-  reason = other334.reason;
-  __isset = other334.__isset;
+SliceRejected::SliceRejected(SliceRejected&& other342) noexcept {
+  revision = other342.revision;
+  reason = other342.reason;
+  __isset = other342.__isset;
 }
-SliceRejected& SliceRejected::operator=(const SliceRejected& other335) noexcept {
-  revision = other335.revision;
-  reason = other335.reason;
-  __isset = other335.__isset;
+SliceRejected& SliceRejected::operator=(const SliceRejected& other343) noexcept {
+  revision = other343.revision;
+  reason = other343.reason;
+  __isset = other343.__isset;
   return *this;
 }
-SliceRejected& SliceRejected::operator=(SliceRejected&& other336) noexcept {
-  revision = other336.revision;
-  reason = other336.reason;
-  __isset = other336.__isset;
+SliceRejected& SliceRejected::operator=(SliceRejected&& other344) noexcept {
+  revision = other344.revision;
+  reason = other344.reason;
+  __isset = other344.__isset;
   return *this;
 }
 void SliceRejected::printTo(std::ostream& out) const {
@@ -8494,22 +9100,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other337) noexcept {
-  freshness = other337.freshness;
-  __isset = other337.__isset;
+NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other345) noexcept {
+  freshness = other345.freshness;
+  __isset = other345.__isset;
 }
-NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other338) noexcept {
-  freshness = std::move(other338.freshness);
-  __isset = other338.__isset;
+NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other346) noexcept {
+  freshness = std::move(other346.freshness);
+  __isset = other346.__isset;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other339) noexcept {
-  freshness = other339.freshness;
-  __isset = other339.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other347) noexcept {
+  freshness = other347.freshness;
+  __isset = other347.__isset;
   return *this;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other340) noexcept {
-  freshness = std::move(other340.freshness);
-  __isset = other340.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other348) noexcept {
+  freshness = std::move(other348.freshness);
+  __isset = other348.__isset;
   return *this;
 }
 void NodeHeartbeat::printTo(std::ostream& out) const {
@@ -8595,22 +9201,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other341) noexcept {
-  delayMs = other341.delayMs;
-  __isset = other341.__isset;
+RetryLater::RetryLater(const RetryLater& other349) noexcept {
+  delayMs = other349.delayMs;
+  __isset = other349.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other342) noexcept {
-  delayMs = other342.delayMs;
-  __isset = other342.__isset;
+RetryLater::RetryLater(RetryLater&& other350) noexcept {
+  delayMs = other350.delayMs;
+  __isset = other350.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other343) noexcept {
-  delayMs = other343.delayMs;
-  __isset = other343.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other351) noexcept {
+  delayMs = other351.delayMs;
+  __isset = other351.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other344) noexcept {
-  delayMs = other344.delayMs;
-  __isset = other344.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other352) noexcept {
+  delayMs = other352.delayMs;
+  __isset = other352.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -8764,38 +9370,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeld::RelayHeld(const RelayHeld& other345) noexcept {
-  revision = other345.revision;
-  recovered = other345.recovered;
-  probe = other345.probe;
-  wantsReply = other345.wantsReply;
-  freshness = other345.freshness;
-  __isset = other345.__isset;
-}
-RelayHeld::RelayHeld(RelayHeld&& other346) noexcept {
-  revision = other346.revision;
-  recovered = other346.recovered;
-  probe = other346.probe;
-  wantsReply = other346.wantsReply;
-  freshness = std::move(other346.freshness);
-  __isset = other346.__isset;
+RelayHeld::RelayHeld(const RelayHeld& other353) noexcept {
+  revision = other353.revision;
+  recovered = other353.recovered;
+  probe = other353.probe;
+  wantsReply = other353.wantsReply;
+  freshness = other353.freshness;
+  __isset = other353.__isset;
 }
-RelayHeld& RelayHeld::operator=(const RelayHeld& other347) noexcept {
-  revision = other347.revision;
-  recovered = other347.recovered;
-  probe = other347.probe;
-  wantsReply = other347.wantsReply;
-  freshness = other347.freshness;
-  __isset = other347.__isset;
+RelayHeld::RelayHeld(RelayHeld&& other354) noexcept {
+  revision = other354.revision;
+  recovered = other354.recovered;
+  probe = other354.probe;
+  wantsReply = other354.wantsReply;
+  freshness = std::move(other354.freshness);
+  __isset = other354.__isset;
+}
+RelayHeld& RelayHeld::operator=(const RelayHeld& other355) noexcept {
+  revision = other355.revision;
+  recovered = other355.recovered;
+  probe = other355.probe;
+  wantsReply = other355.wantsReply;
+  freshness = other355.freshness;
+  __isset = other355.__isset;
   return *this;
 }
-RelayHeld& RelayHeld::operator=(RelayHeld&& other348) noexcept {
-  revision = other348.revision;
-  recovered = other348.recovered;
-  probe = other348.probe;
-  wantsReply = other348.wantsReply;
-  freshness = std::move(other348.freshness);
-  __isset = other348.__isset;
+RelayHeld& RelayHeld::operator=(RelayHeld&& other356) noexcept {
+  revision = other356.revision;
+  recovered = other356.recovered;
+  probe = other356.probe;
+  wantsReply = other356.wantsReply;
+  freshness = std::move(other356.freshness);
+  __isset = other356.__isset;
   return *this;
 }
 void RelayHeld::printTo(std::ostream& out) const {
@@ -8833,6 +9439,26 @@
 void EndpointState::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void EndpointState::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void EndpointState::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void EndpointState::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void EndpointState::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void EndpointState::__set_coldMs(const int32_t val) {
+  this->coldMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointState& obj)
 {
   obj.printTo(out);
@@ -8879,9 +9505,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast349;
-          xfer += iprot->readI32(ecast349);
-          this->condition = static_cast<EndpointCondition::type>(ecast349);
+          int32_t ecast357;
+          xfer += iprot->readI32(ecast357);
+          this->condition = static_cast<EndpointCondition::type>(ecast357);
           this->__isset.condition = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8903,6 +9529,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldMs);
+          this->__isset.coldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
