@@ -8940,6 +9606,26 @@
   xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldMs", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->coldMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8952,41 +9638,66 @@
   swap(a.condition, b.condition);
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.zone, b.zone);
+  swap(a.slots, b.slots);
+  swap(a.coldMs, b.coldMs);
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other350) {
-  serviceName = other350.serviceName;
-  endpoint = other350.endpoint;
-  condition = other350.condition;
-  incarnation = other350.incarnation;
-  sequence = other350.sequence;
-  __isset = other350.__isset;
-}
-EndpointState::EndpointState(EndpointState&& other351) noexcept {
-  serviceName = std::move(other351.serviceName);
-  endpoint = std::move(other351.endpoint);
-  condition = other351.condition;
-  incarnation = other351.incarnation;
-  sequence = other351.sequence;
-  __isset = other351.__isset;
-}
-EndpointState& EndpointState::operator=(const EndpointState& other352) {
-  serviceName = other352.serviceName;
-  endpoint = other352.endpoint;
-  condition = other352.condition;
-  incarnation = other352.incarnation;
-  sequence = other352.sequence;
-  __isset = other352.__isset;
+EndpointState::EndpointState(const EndpointState& other358) {
+  serviceName = other358.serviceName;
+  endpoint = other358.endpoint;
+  condition = other358.condition;
+  incarnation = other358.incarnation;
+  sequence = other358.sequence;
+  address = other358.address;
+  port = other358.port;
+  zone = other358.zone;
+  slots = other358.slots;
+  coldMs = other358.coldMs;
+  __isset = other358.__isset;
+}
+EndpointState::EndpointState(EndpointState&& other359) noexcept {
+  serviceName = std::move(other359.serviceName);
+  endpoint = std::move(other359.endpoint);
+  condition = other359.condition;
+  incarnation = other359.incarnation;
+  sequence = other359.sequence;
+  address = std::move(other359.address);
+  port = other359.port;
+  zone = std::move(other359.zone);
+  slots = other359.slots;
+  coldMs = other359.coldMs;
+  __isset = other359.__isset;
+}
+EndpointState& EndpointState::operator=(const EndpointState& other360) {
+  serviceName = other360.serviceName;
+  endpoint = other360.endpoint;
+  condition = other360.condition;
+  incarnation = other360.incarnation;
+  sequence = other360.sequence;
+  address = other360.address;
+  port = other360.port;
+  zone = other360.zone;
+  slots = other360.slots;
+  coldMs = other360.coldMs;
+  __isset = other360.__isset;
   return *this;
 }
-EndpointState& EndpointState::operator=(EndpointState&& other353) noexcept {
-  serviceName = std::move(other353.serviceName);
-  endpoint = std::move(other353.endpoint);
-  condition = other353.condition;
-  incarnation = other353.incarnation;
-  sequence = other353.sequence;
-  __isset = other353.__isset;
+EndpointState& EndpointState::operator=(EndpointState&& other361) noexcept {
+  serviceName = std::move(other361.serviceName);
+  endpoint = std::move(other361.endpoint);
+  condition = other361.condition;
+  incarnation = other361.incarnation;
+  sequence = other361.sequence;
+  address = std::move(other361.address);
+  port = other361.port;
+  zone = std::move(other361.zone);
+  slots = other361.slots;
+  coldMs = other361.coldMs;
+  __isset = other361.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -8997,6 +9708,11 @@
   out << ", " << "condition=" << to_string(condition);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "coldMs=" << to_string(coldMs);
   out << ")";
 }
 
@@ -9040,14 +9756,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->states.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->states.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
             {
-              xfer += this->states[_i358].read(iprot);
+              xfer += this->states[_i366].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9076,10 +9792,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<EndpointState> ::const_iterator _iter359;
-    for (_iter359 = this->states.begin(); _iter359 != this->states.end(); ++_iter359)
+    std::vector<EndpointState> ::const_iterator _iter367;
+    for (_iter367 = this->states.begin(); _iter367 != this->states.end(); ++_iter367)
     {
-      xfer += (*_iter359).write(oprot);
+      xfer += (*_iter367).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9096,22 +9812,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointStates::EndpointStates(const EndpointStates& other360) {
-  states = other360.states;
-  __isset = other360.__isset;
+EndpointStates::EndpointStates(const EndpointStates& other368) {
+  states = other368.states;
+  __isset = other368.__isset;
 }
-EndpointStates::EndpointStates(EndpointStates&& other361) noexcept {
-  states = std::move(other361.states);
-  __isset = other361.__isset;
+EndpointStates::EndpointStates(EndpointStates&& other369) noexcept {
+  states = std::move(other369.states);
+  __isset = other369.__isset;
 }
-EndpointStates& EndpointStates::operator=(const EndpointStates& other362) {
-  states = other362.states;
-  __isset = other362.__isset;
+EndpointStates& EndpointStates::operator=(const EndpointStates& other370) {
+  states = other370.states;
+  __isset = other370.__isset;
   return *this;
 }
-EndpointStates& EndpointStates::operator=(EndpointStates&& other363) noexcept {
-  states = std::move(other363.states);
-  __isset = other363.__isset;
+EndpointStates& EndpointStates::operator=(EndpointStates&& other371) noexcept {
+  states = std::move(other371.states);
+  __isset = other371.__isset;
   return *this;
 }
 void EndpointStates::printTo(std::ostream& out) const {
@@ -9214,26 +9930,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRequest::LedgerRequest(const LedgerRequest& other364) {
-  requestId = other364.requestId;
-  command = other364.command;
-  __isset = other364.__isset;
+LedgerRequest::LedgerRequest(const LedgerRequest& other372) {
+  requestId = other372.requestId;
+  command = other372.command;
+  __isset = other372.__isset;
 }
-LedgerRequest::LedgerRequest(LedgerRequest&& other365) noexcept {
-  requestId = other365.requestId;
-  command = std::move(other365.command);
-  __isset = other365.__isset;
+LedgerRequest::LedgerRequest(LedgerRequest&& other373) noexcept {
+  requestId = other373.requestId;
+  command = std::move(other373.command);
+  __isset = other373.__isset;
 }
-LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other366) {
-  requestId = other366.requestId;
-  command = other366.command;
-  __isset = other366.__isset;
+LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other374) {
+  requestId = other374.requestId;
+  command = other374.command;
+  __isset = other374.__isset;
   return *this;
 }
-LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other367) noexcept {
-  requestId = other367.requestId;
-  command = std::move(other367.command);
-  __isset = other367.__isset;
+LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other375) noexcept {
+  requestId = other375.requestId;
+  command = std::move(other375.command);
+  __isset = other375.__isset;
   return *this;
 }
 void LedgerRequest::printTo(std::ostream& out) const {
@@ -9299,9 +10015,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast368;
-          xfer += iprot->readI32(ecast368);
-          this->verdict = static_cast<LedgerVerdict::type>(ecast368);
+          int32_t ecast376;
+          xfer += iprot->readI32(ecast376);
+          this->verdict = static_cast<LedgerVerdict::type>(ecast376);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9358,30 +10074,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerReply::LedgerReply(const LedgerReply& other369) {
-  requestId = other369.requestId;
-  verdict = other369.verdict;
-  answer = other369.answer;
-  __isset = other369.__isset;
+LedgerReply::LedgerReply(const LedgerReply& other377) {
+  requestId = other377.requestId;
+  verdict = other377.verdict;
+  answer = other377.answer;
+  __isset = other377.__isset;
 }
-LedgerReply::LedgerReply(LedgerReply&& other370) noexcept {
-  requestId = other370.requestId;
-  verdict = other370.verdict;
-  answer = std::move(other370.answer);
-  __isset = other370.__isset;
+LedgerReply::LedgerReply(LedgerReply&& other378) noexcept {
+  requestId = other378.requestId;
+  verdict = other378.verdict;
+  answer = std::move(other378.answer);
+  __isset = other378.__isset;
 }
-LedgerReply& LedgerReply::operator=(const LedgerReply& other371) {
-  requestId = other371.requestId;
-  verdict = other371.verdict;
-  answer = other371.answer;
-  __isset = other371.__isset;
+LedgerReply& LedgerReply::operator=(const LedgerReply& other379) {
+  requestId = other379.requestId;
+  verdict = other379.verdict;
+  answer = other379.answer;
+  __isset = other379.__isset;
   return *this;
 }
-LedgerReply& LedgerReply::operator=(LedgerReply&& other372) noexcept {
-  requestId = other372.requestId;
-  verdict = other372.verdict;
-  answer = std::move(other372.answer);
-  __isset = other372.__isset;
+LedgerReply& LedgerReply::operator=(LedgerReply&& other380) noexcept {
+  requestId = other380.requestId;
+  verdict = other380.verdict;
+  answer = std::move(other380.answer);
+  __isset = other380.__isset;
   return *this;
 }
 void LedgerReply::printTo(std::ostream& out) const {
@@ -9429,6 +10145,18 @@
 void CallRequest::__set_idempotencyKey(const std::string& val) {
   this->idempotencyKey = val;
 }
+
+void CallRequest::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void CallRequest::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void CallRequest::__set_runOnce(const bool val) {
+  this->runOnce = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -9493,14 +10221,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size373;
-            ::apache::thrift::protocol::TType _etype376;
-            xfer += iprot->readListBegin(_etype376, _size373);
-            this->headers.resize(_size373);
-            uint32_t _i377;
-            for (_i377 = 0; _i377 < _size373; ++_i377)
+            uint32_t _size381;
+            ::apache::thrift::protocol::TType _etype384;
+            xfer += iprot->readListBegin(_etype384, _size381);
+            this->headers.resize(_size381);
+            uint32_t _i385;
+            for (_i385 = 0; _i385 < _size381; ++_i385)
             {
-              xfer += this->headers[_i377].read(iprot);
+              xfer += this->headers[_i385].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9533,6 +10261,629 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->runOnce);
+          this->__isset.runOnce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallRequest");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HttpHeader> ::const_iterator _iter386;
+    for (_iter386 = this->headers.begin(); _iter386 != this->headers.end(); ++_iter386)
+    {
+      xfer += (*_iter386).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->remainingMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotencyKey", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->idempotencyKey);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runOnce", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->runOnce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallRequest &a, CallRequest &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.serviceName, b.serviceName);
+  swap(a.method, b.method);
+  swap(a.path, b.path);
+  swap(a.headers, b.headers);
+  swap(a.body, b.body);
+  swap(a.remainingMs, b.remainingMs);
+  swap(a.idempotencyKey, b.idempotencyKey);
+  swap(a.endpoint, b.endpoint);
+  swap(a.priority, b.priority);
+  swap(a.runOnce, b.runOnce);
+  swap(a.__isset, b.__isset);
+}
+
+CallRequest::CallRequest(const CallRequest& other387) {
+  callId = other387.callId;
+  serviceName = other387.serviceName;
+  method = other387.method;
+  path = other387.path;
+  headers = other387.headers;
+  body = other387.body;
+  remainingMs = other387.remainingMs;
+  idempotencyKey = other387.idempotencyKey;
+  endpoint = other387.endpoint;
+  priority = other387.priority;
+  runOnce = other387.runOnce;
+  __isset = other387.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other388) noexcept {
+  callId = other388.callId;
+  serviceName = std::move(other388.serviceName);
+  method = std::move(other388.method);
+  path = std::move(other388.path);
+  headers = std::move(other388.headers);
+  body = std::move(other388.body);
+  remainingMs = other388.remainingMs;
+  idempotencyKey = std::move(other388.idempotencyKey);
+  endpoint = std::move(other388.endpoint);
+  priority = other388.priority;
+  runOnce = other388.runOnce;
+  __isset = other388.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other389) {
+  callId = other389.callId;
+  serviceName = other389.serviceName;
+  method = other389.method;
+  path = other389.path;
+  headers = other389.headers;
+  body = other389.body;
+  remainingMs = other389.remainingMs;
+  idempotencyKey = other389.idempotencyKey;
+  endpoint = other389.endpoint;
+  priority = other389.priority;
+  runOnce = other389.runOnce;
+  __isset = other389.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other390) noexcept {
+  callId = other390.callId;
+  serviceName = std::move(other390.serviceName);
+  method = std::move(other390.method);
+  path = std::move(other390.path);
+  headers = std::move(other390.headers);
+  body = std::move(other390.body);
+  remainingMs = other390.remainingMs;
+  idempotencyKey = std::move(other390.idempotencyKey);
+  endpoint = std::move(other390.endpoint);
+  priority = other390.priority;
+  runOnce = other390.runOnce;
+  __isset = other390.__isset;
+  return *this;
+}
+void CallRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallRequest(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "method=" << to_string(method);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "remainingMs=" << to_string(remainingMs);
+  out << ", " << "idempotencyKey=" << to_string(idempotencyKey);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "runOnce=" << to_string(runOnce);
+  out << ")";
+}
+
+
+CallResponse::~CallResponse() noexcept {
+}
+
+
+void CallResponse::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void CallResponse::__set_outcome(const CallOutcome::type val) {
+  this->outcome = val;
+}
+
+void CallResponse::__set_httpStatus(const int32_t val) {
+  this->httpStatus = val;
+}
+
+void CallResponse::__set_headers(const std::vector<HttpHeader> & val) {
+  this->headers = val;
+}
+
+void CallResponse::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void CallResponse::__set_errorCode(const int32_t val) {
+  this->errorCode = val;
+}
+
+void CallResponse::__set_inFlight(const int32_t val) {
+  this->inFlight = val;
+}
+
+void CallResponse::__set_retryAfterMs(const int32_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallResponse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast391;
+          xfer += iprot->readI32(ecast391);
+          this->outcome = static_cast<CallOutcome::type>(ecast391);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->httpStatus);
+          this->__isset.httpStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size392;
+            ::apache::thrift::protocol::TType _etype395;
+            xfer += iprot->readListBegin(_etype395, _size392);
+            this->headers.resize(_size392);
+            uint32_t _i396;
+            for (_i396 = 0; _i396 < _size392; ++_i396)
+            {
+              xfer += this->headers[_i396].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->errorCode);
+          this->__isset.errorCode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->inFlight);
+          this->__isset.inFlight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallResponse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallResponse");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("httpStatus", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->httpStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<HttpHeader> ::const_iterator _iter397;
+    for (_iter397 = this->headers.begin(); _iter397 != this->headers.end(); ++_iter397)
+    {
+      xfer += (*_iter397).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("errorCode", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->errorCode);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->inFlight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallResponse &a, CallResponse &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.outcome, b.outcome);
+  swap(a.httpStatus, b.httpStatus);
+  swap(a.headers, b.headers);
+  swap(a.body, b.body);
+  swap(a.errorCode, b.errorCode);
+  swap(a.inFlight, b.inFlight);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.__isset, b.__isset);
+}
+
+CallResponse::CallResponse(const CallResponse& other398) {
+  callId = other398.callId;
+  outcome = other398.outcome;
+  httpStatus = other398.httpStatus;
+  headers = other398.headers;
+  body = other398.body;
+  errorCode = other398.errorCode;
+  inFlight = other398.inFlight;
+  retryAfterMs = other398.retryAfterMs;
+  __isset = other398.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other399) noexcept {
+  callId = other399.callId;
+  outcome = other399.outcome;
+  httpStatus = other399.httpStatus;
+  headers = std::move(other399.headers);
+  body = std::move(other399.body);
+  errorCode = other399.errorCode;
+  inFlight = other399.inFlight;
+  retryAfterMs = other399.retryAfterMs;
+  __isset = other399.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other400) {
+  callId = other400.callId;
+  outcome = other400.outcome;
+  httpStatus = other400.httpStatus;
+  headers = other400.headers;
+  body = other400.body;
+  errorCode = other400.errorCode;
+  inFlight = other400.inFlight;
+  retryAfterMs = other400.retryAfterMs;
+  __isset = other400.__isset;
+  return *this;
+}
+CallResponse& CallResponse::operator=(CallResponse&& other401) noexcept {
+  callId = other401.callId;
+  outcome = other401.outcome;
+  httpStatus = other401.httpStatus;
+  headers = std::move(other401.headers);
+  body = std::move(other401.body);
+  errorCode = other401.errorCode;
+  inFlight = other401.inFlight;
+  retryAfterMs = other401.retryAfterMs;
+  __isset = other401.__isset;
+  return *this;
+}
+void CallResponse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallResponse(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "httpStatus=" << to_string(httpStatus);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "errorCode=" << to_string(errorCode);
+  out << ", " << "inFlight=" << to_string(inFlight);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ")";
+}
+
+
+CallCancel::~CallCancel() noexcept {
+}
+
+
+void CallCancel::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallCancel");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallCancel &a, CallCancel &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallCancel::CallCancel(const CallCancel& other402) noexcept {
+  callId = other402.callId;
+  __isset = other402.__isset;
+}
+CallCancel::CallCancel(CallCancel&& other403) noexcept {
+  callId = other403.callId;
+  __isset = other403.__isset;
+}
+CallCancel& CallCancel::operator=(const CallCancel& other404) noexcept {
+  callId = other404.callId;
+  __isset = other404.__isset;
+  return *this;
+}
+CallCancel& CallCancel::operator=(CallCancel&& other405) noexcept {
+  callId = other405.callId;
+  __isset = other405.__isset;
+  return *this;
+}
+void CallCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallCancel(";
+  out << "callId=" << to_string(callId);
+  out << ")";
+}
+
+
+MemberList::~MemberList() noexcept {
+}
+
+
+void MemberList::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->members.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
+            {
+              xfer += this->members[_i410].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9545,173 +10896,83 @@
   return xfer;
 }
 
-uint32_t CallRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberList::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallRequest");
-
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->serviceName);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->method);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->path);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("MemberList");
 
-  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter378;
-    for (_iter378 = this->headers.begin(); _iter378 != this->headers.end(); ++_iter378)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter411;
+    for (_iter411 = this->members.begin(); _iter411 != this->members.end(); ++_iter411)
     {
-      xfer += (*_iter378).write(oprot);
+      xfer += (*_iter411).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeBinary(this->body);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->remainingMs);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("idempotencyKey", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->idempotencyKey);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(CallRequest &a, CallRequest &b) {
+void swap(MemberList &a, MemberList &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
-  swap(a.serviceName, b.serviceName);
-  swap(a.method, b.method);
-  swap(a.path, b.path);
-  swap(a.headers, b.headers);
-  swap(a.body, b.body);
-  swap(a.remainingMs, b.remainingMs);
-  swap(a.idempotencyKey, b.idempotencyKey);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other379) {
-  callId = other379.callId;
-  serviceName = other379.serviceName;
-  method = other379.method;
-  path = other379.path;
-  headers = other379.headers;
-  body = other379.body;
-  remainingMs = other379.remainingMs;
-  idempotencyKey = other379.idempotencyKey;
-  __isset = other379.__isset;
+MemberList::MemberList(const MemberList& other412) {
+  members = other412.members;
+  __isset = other412.__isset;
 }
-CallRequest::CallRequest(CallRequest&& other380) noexcept {
-  callId = other380.callId;
-  serviceName = std::move(other380.serviceName);
-  method = std::move(other380.method);
-  path = std::move(other380.path);
-  headers = std::move(other380.headers);
-  body = std::move(other380.body);
-  remainingMs = other380.remainingMs;
-  idempotencyKey = std::move(other380.idempotencyKey);
-  __isset = other380.__isset;
+MemberList::MemberList(MemberList&& other413) noexcept {
+  members = std::move(other413.members);
+  __isset = other413.__isset;
 }
-CallRequest& CallRequest::operator=(const CallRequest& other381) {
-  callId = other381.callId;
-  serviceName = other381.serviceName;
-  method = other381.method;
-  path = other381.path;
-  headers = other381.headers;
-  body = other381.body;
-  remainingMs = other381.remainingMs;
-  idempotencyKey = other381.idempotencyKey;
-  __isset = other381.__isset;
+MemberList& MemberList::operator=(const MemberList& other414) {
+  members = other414.members;
+  __isset = other414.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other382) noexcept {
-  callId = other382.callId;
-  serviceName = std::move(other382.serviceName);
-  method = std::move(other382.method);
-  path = std::move(other382.path);
-  headers = std::move(other382.headers);
-  body = std::move(other382.body);
-  remainingMs = other382.remainingMs;
-  idempotencyKey = std::move(other382.idempotencyKey);
-  __isset = other382.__isset;
+MemberList& MemberList::operator=(MemberList&& other415) noexcept {
+  members = std::move(other415.members);
+  __isset = other415.__isset;
   return *this;
 }
-void CallRequest::printTo(std::ostream& out) const {
+void MemberList::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallRequest(";
-  out << "callId=" << to_string(callId);
-  out << ", " << "serviceName=" << to_string(serviceName);
-  out << ", " << "method=" << to_string(method);
-  out << ", " << "path=" << to_string(path);
-  out << ", " << "headers=" << to_string(headers);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "remainingMs=" << to_string(remainingMs);
-  out << ", " << "idempotencyKey=" << to_string(idempotencyKey);
+  out << "MemberList(";
+  out << "members=" << to_string(members);
   out << ")";
 }
 
 
-CallResponse::~CallResponse() noexcept {
-}
-
-
-void CallResponse::__set_callId(const int64_t val) {
-  this->callId = val;
-}
-
-void CallResponse::__set_outcome(const CallOutcome::type val) {
-  this->outcome = val;
-}
-
-void CallResponse::__set_httpStatus(const int32_t val) {
-  this->httpStatus = val;
-}
-
-void CallResponse::__set_headers(const std::vector<HttpHeader> & val) {
-  this->headers = val;
+RelayAddress::~RelayAddress() noexcept {
 }
 
-void CallResponse::__set_body(const std::string& val) {
-  this->body = val;
-}
 
-void CallResponse::__set_errorCode(const int32_t val) {
-  this->errorCode = val;
+void RelayAddress::__set_address(const std::string& val) {
+  this->address = val;
 }
 
-void CallResponse::__set_inFlight(const int32_t val) {
-  this->inFlight = val;
+void RelayAddress::__set_port(const int32_t val) {
+  this->port = val;
 }
 
-void CallResponse::__set_retryAfterMs(const int32_t val) {
-  this->retryAfterMs = val;
+void RelayAddress::__set_zone(const std::string& val) {
+  this->zone = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
+std::ostream& operator<<(std::ostream& out, const RelayAddress& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallResponse::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RelayAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9733,79 +10994,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->callId);
-          this->__isset.callId = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast383;
-          xfer += iprot->readI32(ecast383);
-          this->outcome = static_cast<CallOutcome::type>(ecast383);
-          this->__isset.outcome = true;
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->httpStatus);
-          this->__isset.httpStatus = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->headers.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->headers.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
-            {
-              xfer += this->headers[_i388].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.headers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->body);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->errorCode);
-          this->__isset.errorCode = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->inFlight);
-          this->__isset.inFlight = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->retryAfterMs);
-          this->__isset.retryAfterMs = true;
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9822,49 +11029,21 @@
   return xfer;
 }
 
-uint32_t CallResponse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RelayAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallResponse");
-
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("httpStatus", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->httpStatus);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter389;
-    for (_iter389 = this->headers.begin(); _iter389 != this->headers.end(); ++_iter389)
-    {
-      xfer += (*_iter389).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeBinary(this->body);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RelayAddress");
 
-  xfer += oprot->writeFieldBegin("errorCode", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->errorCode);
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->inFlight);
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->port);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(this->retryAfterMs);
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9872,95 +11051,65 @@
   return xfer;
 }
 
-void swap(CallResponse &a, CallResponse &b) {
+void swap(RelayAddress &a, RelayAddress &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
-  swap(a.outcome, b.outcome);
-  swap(a.httpStatus, b.httpStatus);
-  swap(a.headers, b.headers);
-  swap(a.body, b.body);
-  swap(a.errorCode, b.errorCode);
-  swap(a.inFlight, b.inFlight);
-  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.zone, b.zone);
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other390) {
-  callId = other390.callId;
-  outcome = other390.outcome;
-  httpStatus = other390.httpStatus;
-  headers = other390.headers;
-  body = other390.body;
-  errorCode = other390.errorCode;
-  inFlight = other390.inFlight;
-  retryAfterMs = other390.retryAfterMs;
-  __isset = other390.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other416) {
+  address = other416.address;
+  port = other416.port;
+  zone = other416.zone;
+  __isset = other416.__isset;
 }
-CallResponse::CallResponse(CallResponse&& other391) noexcept {
-  callId = other391.callId;
-  outcome = other391.outcome;
-  httpStatus = other391.httpStatus;
-  headers = std::move(other391.headers);
-  body = std::move(other391.body);
-  errorCode = other391.errorCode;
-  inFlight = other391.inFlight;
-  retryAfterMs = other391.retryAfterMs;
-  __isset = other391.__isset;
-}
-CallResponse& CallResponse::operator=(const CallResponse& other392) {
-  callId = other392.callId;
-  outcome = other392.outcome;
-  httpStatus = other392.httpStatus;
-  headers = other392.headers;
-  body = other392.body;
-  errorCode = other392.errorCode;
-  inFlight = other392.inFlight;
-  retryAfterMs = other392.retryAfterMs;
-  __isset = other392.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other417) noexcept {
+  address = std::move(other417.address);
+  port = other417.port;
+  zone = std::move(other417.zone);
+  __isset = other417.__isset;
+}
+RelayAddress& RelayAddress::operator=(const RelayAddress& other418) {
+  address = other418.address;
+  port = other418.port;
+  zone = other418.zone;
+  __isset = other418.__isset;
   return *this;
 }
-CallResponse& CallResponse::operator=(CallResponse&& other393) noexcept {
-  callId = other393.callId;
-  outcome = other393.outcome;
-  httpStatus = other393.httpStatus;
-  headers = std::move(other393.headers);
-  body = std::move(other393.body);
-  errorCode = other393.errorCode;
-  inFlight = other393.inFlight;
-  retryAfterMs = other393.retryAfterMs;
-  __isset = other393.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other419) noexcept {
+  address = std::move(other419.address);
+  port = other419.port;
+  zone = std::move(other419.zone);
+  __isset = other419.__isset;
   return *this;
 }
-void CallResponse::printTo(std::ostream& out) const {
+void RelayAddress::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallResponse(";
-  out << "callId=" << to_string(callId);
-  out << ", " << "outcome=" << to_string(outcome);
-  out << ", " << "httpStatus=" << to_string(httpStatus);
-  out << ", " << "headers=" << to_string(headers);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "errorCode=" << to_string(errorCode);
-  out << ", " << "inFlight=" << to_string(inFlight);
-  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << "RelayAddress(";
+  out << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
 
-CallCancel::~CallCancel() noexcept {
+RelayList::~RelayList() noexcept {
 }
 
 
-void CallCancel::__set_callId(const int64_t val) {
-  this->callId = val;
+void RelayList::__set_relays(const std::vector<RelayAddress> & val) {
+  this->relays = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
+std::ostream& operator<<(std::ostream& out, const RelayList& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RelayList::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9982,9 +11131,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->callId);
-          this->__isset.callId = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relays.clear();
+            uint32_t _size420;
+            ::apache::thrift::protocol::TType _etype423;
+            xfer += iprot->readListBegin(_etype423, _size420);
+            this->relays.resize(_size420);
+            uint32_t _i424;
+            for (_i424 = 0; _i424 < _size420; ++_i424)
+            {
+              xfer += this->relays[_i424].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relays = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10001,13 +11162,21 @@
   return xfer;
 }
 
-uint32_t CallCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RelayList::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallCancel");
+  xfer += oprot->writeStructBegin("RelayList");
 
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
+    std::vector<RelayAddress> ::const_iterator _iter425;
+    for (_iter425 = this->relays.begin(); _iter425 != this->relays.end(); ++_iter425)
+    {
+      xfer += (*_iter425).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10015,34 +11184,34 @@
   return xfer;
 }
 
-void swap(CallCancel &a, CallCancel &b) {
+void swap(RelayList &a, RelayList &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
+  swap(a.relays, b.relays);
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other394) noexcept {
-  callId = other394.callId;
-  __isset = other394.__isset;
+RelayList::RelayList(const RelayList& other426) {
+  relays = other426.relays;
+  __isset = other426.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other395) noexcept {
-  callId = other395.callId;
-  __isset = other395.__isset;
+RelayList::RelayList(RelayList&& other427) noexcept {
+  relays = std::move(other427.relays);
+  __isset = other427.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other396) noexcept {
-  callId = other396.callId;
-  __isset = other396.__isset;
+RelayList& RelayList::operator=(const RelayList& other428) {
+  relays = other428.relays;
+  __isset = other428.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other397) noexcept {
-  callId = other397.callId;
-  __isset = other397.__isset;
+RelayList& RelayList::operator=(RelayList&& other429) noexcept {
+  relays = std::move(other429.relays);
+  __isset = other429.__isset;
   return *this;
 }
-void CallCancel::printTo(std::ostream& out) const {
+void RelayList::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallCancel(";
-  out << "callId=" << to_string(callId);
+  out << "RelayList(";
+  out << "relays=" << to_string(relays);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -31,7 +31,9 @@
     ROUTE = 3,
     LIMIT = 4,
     RETRY_POLICY = 5,
-    SECRET = 6
+    SECRET = 6,
+    INGRESS = 7,
+    NOTE = 8
   };
 };
 
@@ -170,6 +172,10 @@
 
 class SecretRow;
 
+class IngressRow;
+
+class NoteRow;
+
 class Row;
 
 class Digest;
@@ -268,6 +274,12 @@
 
 class CallCancel;
 
+class MemberList;
+
+class RelayAddress;
+
+class RelayList;
+
 typedef struct _RowKey__isset {
   _RowKey__isset() : kind(false), name(false) {}
   bool kind :1;
@@ -328,9 +340,13 @@
 std::ostream& operator<<(std::ostream& out, const RowKey& obj);
 
 typedef struct _ServiceRow__isset {
-  _ServiceRow__isset() : retryPolicy(false), secrets(false) {}
+  _ServiceRow__isset() : retryPolicy(false), secrets(false), maxConnections(false), healthPath(false), protocol(false), tls(false) {}
   bool retryPolicy :1;
   bool secrets :1;
+  bool maxConnections :1;
+  bool healthPath :1;
+  bool protocol :1;
+  bool tls :1;
 } _ServiceRow__isset;
 
 /**
@@ -344,12 +360,20 @@
   ServiceRow& operator=(const ServiceRow&);
   ServiceRow& operator=(ServiceRow&&) noexcept;
   ServiceRow() noexcept
-             : retryPolicy() {
+             : retryPolicy(),
+               maxConnections(0),
+               healthPath(),
+               protocol(),
+               tls(0) {
   }
 
   virtual ~ServiceRow() noexcept;
   std::string retryPolicy;
   std::vector<std::string>  secrets;
+  int32_t maxConnections;
+  std::string healthPath;
+  std::string protocol;
+  bool tls;
 
   _ServiceRow__isset __isset;
 
@@ -357,12 +381,28 @@
 
   void __set_secrets(const std::vector<std::string> & val);
 
+  void __set_maxConnections(const int32_t val);
+
+  void __set_healthPath(const std::string& val);
+
+  void __set_protocol(const std::string& val);
+
+  void __set_tls(const bool val);
+
   bool operator == (const ServiceRow & rhs) const
   {
     if (!(retryPolicy == rhs.retryPolicy))
       return false;
     if (!(secrets == rhs.secrets))
       return false;
+    if (!(maxConnections == rhs.maxConnections))
+      return false;
+    if (!(healthPath == rhs.healthPath))
+      return false;
+    if (!(protocol == rhs.protocol))
+      return false;
+    if (!(tls == rhs.tls))
+      return false;
     return true;
   }
   bool operator != (const ServiceRow &rhs) const {
@@ -513,7 +553,7 @@
 std::ostream& operator<<(std::ostream& out, const WeightedService& obj);
 
 typedef struct _RouteRow__isset {
-  _RouteRow__isset() : host(false), pathPrefix(false), method(false), shares(false), requiredServices(false), requiredSecrets(false), repeatable(false), timeoutMs(false) {}
+  _RouteRow__isset() : host(false), pathPrefix(false), method(false), shares(false), requiredServices(false), requiredSecrets(false), repeatable(false), timeoutMs(false), maxAttempts(false), targetLatencyMs(false), priority(false) {}
   bool host :1;
   bool pathPrefix :1;
   bool method :1;
@@ -522,6 +562,9 @@
   bool requiredSecrets :1;
   bool repeatable :1;
   bool timeoutMs :1;
+  bool maxAttempts :1;
+  bool targetLatencyMs :1;
+  bool priority :1;
 } _RouteRow__isset;
 
 /**
@@ -539,7 +582,10 @@
              pathPrefix(),
              method(),
              repeatable(0),
-             timeoutMs(0) {
+             timeoutMs(0),
+             maxAttempts(0),
+             targetLatencyMs(0),
+             priority(0) {
   }
 
   virtual ~RouteRow() noexcept;
@@ -551,6 +597,9 @@
   std::vector<std::string>  requiredSecrets;
   bool repeatable;
   int32_t timeoutMs;
+  int32_t maxAttempts;
+  int32_t targetLatencyMs;
+  int32_t priority;
 
   _RouteRow__isset __isset;
 
@@ -570,6 +619,12 @@
 
   void __set_timeoutMs(const int32_t val);
 
+  void __set_maxAttempts(const int32_t val);
+
+  void __set_targetLatencyMs(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
   bool operator == (const RouteRow & rhs) const
   {
     if (!(host == rhs.host))
@@ -588,6 +643,12 @@
       return false;
     if (!(timeoutMs == rhs.timeoutMs))
       return false;
+    if (!(maxAttempts == rhs.maxAttempts))
+      return false;
+    if (!(targetLatencyMs == rhs.targetLatencyMs))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
     return true;
   }
   bool operator != (const RouteRow &rhs) const {
@@ -771,8 +832,125 @@
 
 std::ostream& operator<<(std::ostream& out, const SecretRow& obj);
 
+typedef struct _IngressRow__isset {
+  _IngressRow__isset() : maxHeadBytes(false), maxBodyBytes(false), headTimeoutMs(false), idleTimeoutMs(false) {}
+  bool maxHeadBytes :1;
+  bool maxBodyBytes :1;
+  bool headTimeoutMs :1;
+  bool idleTimeoutMs :1;
+} _IngressRow__isset;
+
+/**
+ * Limits of what callers may send to any node; 0 leaves a limit at its default.
+ */
+class IngressRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  IngressRow(const IngressRow&) noexcept;
+  IngressRow(IngressRow&&) noexcept;
+  IngressRow& operator=(const IngressRow&) noexcept;
+  IngressRow& operator=(IngressRow&&) noexcept;
+  IngressRow() noexcept
+             : maxHeadBytes(0),
+               maxBodyBytes(0),
+               headTimeoutMs(0),
+               idleTimeoutMs(0) {
+  }
+
+  virtual ~IngressRow() noexcept;
+  int32_t maxHeadBytes;
+  int64_t maxBodyBytes;
+  int32_t headTimeoutMs;
+  int32_t idleTimeoutMs;
+
+  _IngressRow__isset __isset;
+
+  void __set_maxHeadBytes(const int32_t val);
+
+  void __set_maxBodyBytes(const int64_t val);
+
+  void __set_headTimeoutMs(const int32_t val);
+
+  void __set_idleTimeoutMs(const int32_t val);
+
+  bool operator == (const IngressRow & rhs) const
+  {
+    if (!(maxHeadBytes == rhs.maxHeadBytes))
+      return false;
+    if (!(maxBodyBytes == rhs.maxBodyBytes))
+      return false;
+    if (!(headTimeoutMs == rhs.headTimeoutMs))
+      return false;
+    if (!(idleTimeoutMs == rhs.idleTimeoutMs))
+      return false;
+    return true;
+  }
+  bool operator != (const IngressRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const IngressRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(IngressRow &a, IngressRow &b);
+
+std::ostream& operator<<(std::ostream& out, const IngressRow& obj);
+
+typedef struct _NoteRow__isset {
+  _NoteRow__isset() : text(false) {}
+  bool text :1;
+} _NoteRow__isset;
+
+/**
+ * Text that an operator's tool keeps beside the rows; no node gets it.
+ */
+class NoteRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  NoteRow(const NoteRow&);
+  NoteRow(NoteRow&&) noexcept;
+  NoteRow& operator=(const NoteRow&);
+  NoteRow& operator=(NoteRow&&) noexcept;
+  NoteRow() noexcept
+          : text() {
+  }
+
+  virtual ~NoteRow() noexcept;
+  std::string text;
+
+  _NoteRow__isset __isset;
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const NoteRow & rhs) const
+  {
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const NoteRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NoteRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NoteRow &a, NoteRow &b);
+
+std::ostream& operator<<(std::ostream& out, const NoteRow& obj);
+
 typedef struct _Row__isset {
-  _Row__isset() : key(false), revision(false), deleted(false), serviceRow(false), endpointRow(false), routeRow(false), limitRow(false), retryPolicyRow(false), secretRow(false) {}
+  _Row__isset() : key(false), revision(false), deleted(false), serviceRow(false), endpointRow(false), routeRow(false), limitRow(false), retryPolicyRow(false), secretRow(false), ingressRow(false), noteRow(false) {}
   bool key :1;
   bool revision :1;
   bool deleted :1;
@@ -782,6 +960,8 @@
   bool limitRow :1;
   bool retryPolicyRow :1;
   bool secretRow :1;
+  bool ingressRow :1;
+  bool noteRow :1;
 } _Row__isset;
 
 /**
@@ -809,6 +989,8 @@
   LimitRow limitRow;
   RetryPolicyRow retryPolicyRow;
   SecretRow secretRow;
+  IngressRow ingressRow;
+  NoteRow noteRow;
 
   _Row__isset __isset;
 
@@ -830,6 +1012,10 @@
 
   void __set_secretRow(const SecretRow& val);
 
+  void __set_ingressRow(const IngressRow& val);
+
+  void __set_noteRow(const NoteRow& val);
+
   bool operator == (const Row & rhs) const
   {
     if (!(key == rhs.key))
@@ -862,6 +1048,14 @@
       return false;
     else if (__isset.secretRow && !(secretRow == rhs.secretRow))
       return false;
+    if (__isset.ingressRow != rhs.__isset.ingressRow)
+      return false;
+    else if (__isset.ingressRow && !(ingressRow == rhs.ingressRow))
+      return false;
+    if (__isset.noteRow != rhs.__isset.noteRow)
+      return false;
+    else if (__isset.noteRow && !(noteRow == rhs.noteRow))
+      return false;
     return true;
   }
   bool operator != (const Row &rhs) const {
@@ -1343,13 +1537,15 @@
 std::ostream& operator<<(std::ostream& out, const LedgerRecord& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : id(false), name(false), address(false), framePort(false), httpPort(false), voting(false) {}
+  _Member__isset() : id(false), name(false), address(false), framePort(false), httpPort(false), voting(false), relayPort(false), zone(false) {}
   bool id :1;
   bool name :1;
   bool address :1;
   bool framePort :1;
   bool httpPort :1;
   bool voting :1;
+  bool relayPort :1;
+  bool zone :1;
 } _Member__isset;
 
 /**
@@ -1368,7 +1564,9 @@
            address(),
            framePort(0),
            httpPort(0),
-           voting(0) {
+           voting(0),
+           relayPort(0),
+           zone() {
   }
 
   virtual ~Member() noexcept;
@@ -1378,6 +1576,8 @@
   int32_t framePort;
   int32_t httpPort;
   bool voting;
+  int32_t relayPort;
+  std::string zone;
 
   _Member__isset __isset;
 
@@ -1393,6 +1593,10 @@
 
   void __set_voting(const bool val);
 
+  void __set_relayPort(const int32_t val);
+
+  void __set_zone(const std::string& val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(id == rhs.id))
@@ -1407,6 +1611,10 @@
       return false;
     if (!(voting == rhs.voting))
       return false;
+    if (!(relayPort == rhs.relayPort))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -2036,12 +2244,16 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
   bool zone :1;
   bool blank :1;
+  bool address :1;
+  bool framePort :1;
+  bool httpPort :1;
+  bool relayPort :1;
 } _Hello__isset;
 
 /**
@@ -2059,7 +2271,11 @@
           role(static_cast<Role::type>(0)),
           id(),
           zone(),
-          blank(0) {
+          blank(0),
+          address(),
+          framePort(0),
+          httpPort(0),
+          relayPort(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2072,6 +2288,10 @@
   std::string id;
   std::string zone;
   bool blank;
+  std::string address;
+  int32_t framePort;
+  int32_t httpPort;
+  int32_t relayPort;
 
   _Hello__isset __isset;
 
@@ -2085,6 +2305,14 @@
 
   void __set_blank(const bool val);
 
+  void __set_address(const std::string& val);
+
+  void __set_framePort(const int32_t val);
+
+  void __set_httpPort(const int32_t val);
+
+  void __set_relayPort(const int32_t val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2097,6 +2325,14 @@
       return false;
     if (!(blank == rhs.blank))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(framePort == rhs.framePort))
+      return false;
+    if (!(httpPort == rhs.httpPort))
+      return false;
+    if (!(relayPort == rhs.relayPort))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -3558,12 +3794,17 @@
 std::ostream& operator<<(std::ostream& out, const RelayHeld& obj);
 
 typedef struct _EndpointState__isset {
-  _EndpointState__isset() : serviceName(false), endpoint(false), condition(false), incarnation(false), sequence(false) {}
+  _EndpointState__isset() : serviceName(false), endpoint(false), condition(false), incarnation(false), sequence(false), address(false), port(false), zone(false), slots(false), coldMs(false) {}
   bool serviceName :1;
   bool endpoint :1;
   bool condition :1;
   bool incarnation :1;
   bool sequence :1;
+  bool address :1;
+  bool port :1;
+  bool zone :1;
+  bool slots :1;
+  bool coldMs :1;
 } _EndpointState__isset;
 
 /**
@@ -3581,7 +3822,12 @@
                   endpoint(),
                   condition(static_cast<EndpointCondition::type>(0)),
                   incarnation(0),
-                  sequence(0) {
+                  sequence(0),
+                  address(),
+                  port(0),
+                  zone(),
+                  slots(0),
+                  coldMs(0) {
   }
 
   virtual ~EndpointState() noexcept;
@@ -3594,6 +3840,11 @@
   EndpointCondition::type condition;
   int64_t incarnation;
   int64_t sequence;
+  std::string address;
+  int32_t port;
+  std::string zone;
+  int32_t slots;
+  int32_t coldMs;
 
   _EndpointState__isset __isset;
 
@@ -3607,6 +3858,16 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_coldMs(const int32_t val);
+
   bool operator == (const EndpointState & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -3619,6 +3880,16 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(coldMs == rhs.coldMs))
+      return false;
     return true;
   }
   bool operator != (const EndpointState &rhs) const {
@@ -3800,7 +4071,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -3809,6 +4080,9 @@
   bool body :1;
   bool remainingMs :1;
   bool idempotencyKey :1;
+  bool endpoint :1;
+  bool priority :1;
+  bool runOnce :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -3825,7 +4099,10 @@
                 path(),
                 body(),
                 remainingMs(0),
-                idempotencyKey() {
+                idempotencyKey(),
+                endpoint(),
+                priority(0),
+                runOnce(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -3837,6 +4114,9 @@
   std::string body;
   int32_t remainingMs;
   std::string idempotencyKey;
+  std::string endpoint;
+  int32_t priority;
+  bool runOnce;
 
   _CallRequest__isset __isset;
 
@@ -3856,6 +4136,12 @@
 
   void __set_idempotencyKey(const std::string& val);
 
+  void __set_endpoint(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_runOnce(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -3874,6 +4160,12 @@
       return false;
     if (!(idempotencyKey == rhs.idempotencyKey))
       return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(runOnce == rhs.runOnce))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -4034,6 +4326,162 @@
 
 std::ostream& operator<<(std::ostream& out, const CallCancel& obj);
 
+typedef struct _MemberList__isset {
+  _MemberList__isset() : members(false) {}
+  bool members :1;
+} _MemberList__isset;
+
+/**
+ * The members of the replicated log as a controller knows them, for those that look for them.
+ */
+class MemberList : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberList(const MemberList&);
+  MemberList(MemberList&&) noexcept;
+  MemberList& operator=(const MemberList&);
+  MemberList& operator=(MemberList&&) noexcept;
+  MemberList() noexcept {
+  }
+
+  virtual ~MemberList() noexcept;
+  std::vector<Member>  members;
+
+  _MemberList__isset __isset;
+
+  void __set_members(const std::vector<Member> & val);
+
+  bool operator == (const MemberList & rhs) const
+  {
+    if (!(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberList &a, MemberList &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberList& obj);
+
+typedef struct _RelayAddress__isset {
+  _RelayAddress__isset() : address(false), port(false), zone(false) {}
+  bool address :1;
+  bool port :1;
+  bool zone :1;
+} _RelayAddress__isset;
+
+/**
+ * Where to find a relay.
+ */
+class RelayAddress : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayAddress(const RelayAddress&);
+  RelayAddress(RelayAddress&&) noexcept;
+  RelayAddress& operator=(const RelayAddress&);
+  RelayAddress& operator=(RelayAddress&&) noexcept;
+  RelayAddress() noexcept
+               : address(),
+                 port(0),
+                 zone() {
+  }
+
+  virtual ~RelayAddress() noexcept;
+  std::string address;
+  int32_t port;
+  std::string zone;
+
+  _RelayAddress__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const RelayAddress & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayAddress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayAddress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayAddress &a, RelayAddress &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayAddress& obj);
+
+typedef struct _RelayList__isset {
+  _RelayList__isset() : relays(false) {}
+  bool relays :1;
+} _RelayList__isset;
+
+/**
+ * All relays that a relay knows, itself among them.
+ */
+class RelayList : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayList(const RelayList&);
+  RelayList(RelayList&&) noexcept;
+  RelayList& operator=(const RelayList&);
+  RelayList& operator=(RelayList&&) noexcept;
+  RelayList() noexcept {
+  }
+
+  virtual ~RelayList() noexcept;
+  std::vector<RelayAddress>  relays;
+
+  _RelayList__isset __isset;
+
+  void __set_relays(const std::vector<RelayAddress> & val);
+
+  bool operator == (const RelayList & rhs) const
+  {
+    if (!(relays == rhs.relays))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayList &a, RelayList &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayList& obj);
+
 }} // namespace
 
 #endif
--- a/test/transport/http_client_test.cc
+++ b/test/transport/http_client_test.cc
@@ -41,7 +41,7 @@
       result = std::move(done);
       loop.stop();
     });
-    while (!result) lws_service(loop.context(), 0);
+    while (!result) loop.runOnce();
     return *result;
   }
 
@@ -90,7 +90,7 @@
   request.method = "GET";
   request.path = "/";
   nobody.send(request, base::seconds(20), [&](HttpResult done) { result = std::move(done); });
-  while (!result) lws_service(loop.context(), 0);
+  while (!result) loop.runOnce();
   CHECK(result->outcome == HttpOutcome::kNotSent);
 }
 
--- a/tools/backend_main.cc
+++ b/tools/backend_main.cc
@@ -218,11 +218,12 @@
     if (backend.idle()) return loop.stop();
     loop.schedule(base::milliseconds(20), waitForIdle);
   };
-  loop.onTerminate([&] {
-    constexpr base::Duration kDrainTime = base::milliseconds(800);
-    backend.startDrain();
-    loop.schedule(kDrainTime, waitForIdle);
-  });
+  loop.onSignals({[&] {
+                    constexpr base::Duration kDrainTime = base::milliseconds(800);
+                    backend.startDrain();
+                    loop.schedule(kDrainTime, waitForIdle);
+                  },
+                  {}});
   loop.run();
   return 0;
 }
--- a/tools/hollow_main.cc
+++ b/tools/hollow_main.cc
@@ -152,7 +152,7 @@
   for (auto& node : nodes) {
     loop.schedule(random.duration(kStartSpread), [&node] { node.control->start(nullptr); });
   }
-  loop.onTerminate([&loop] { loop.stop(); });
+  loop.onSignals({[&loop] { loop.stop(); }, {}});
   loop.run();
   return 0;
 }
