Let all founders vote: the cluster formed with one voter only

Ruled out: torn logs (all three survivors recovered index 45), links (they opened). Change: formation promotes as it does with static settings. Test: test/controller/automatic_membership_test.cc, five cases.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -322,7 +322,7 @@
   if (raft_->blank()) return formCluster();
   if (raft_->role() != RaftRole::kLeader) return;
   if (raft_->forming() && !raft_->membershipChangePending()) completeFormation();
-  if (options_.membership.automatic) {
+  if (options_.membership.automatic && !raft_->forming()) {
     admitStrangers();
     manageVoters();
   } else {
--- /dev/null
+++ b/test/controller/automatic_membership_test.cc
@@ -0,0 +1,202 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+
+#include "controller/controller.h"
+#include "simulation/simulated_disk.h"
+#include "simulation/simulated_network.h"
+
+namespace driftlug::controller {
+namespace {
+
+using simulation::EventQueue;
+using simulation::Process;
+using simulation::ProcessNetwork;
+using simulation::SimulatedDisk;
+using simulation::SimulatedNetwork;
+
+constexpr int kPort = 7000;
+
+/// One machine that runs a controller which knows only seeds.
+class Host {
+ public:
+  Host(EventQueue& queue, SimulatedNetwork& network, const std::string& ip, const std::string& zone, uint64_t seed)
+      : network_(network),
+        process_(queue, ip, {zone, "region"}, {ip, kPort}),
+        random_(seed),
+        disk_(std::make_unique<SimulatedDisk>(process_, base::RandomSource(seed), simulation::DiskOptions{})) {}
+
+  void start(const std::vector<std::string>& seeds, bool founding) {
+    process_.start();
+    sockets_ = std::make_unique<ProcessNetwork>(network_, process_);
+    ControllerOptions options;
+    options.name = process_.name();
+    options.zone = process_.placement().zone;
+    options.founding = founding;
+    options.membership.automatic = true;
+    options.membership.replaceAfter = base::seconds(5);
+    options.self = {process_.name(), {process_.name(), kPort}, 0};
+    for (const auto& seed : seeds) options.controllers.push_back({seed, {seed, kPort}, 0});
+    controller_ =
+        std::make_unique<Controller>(options, process_, base::RandomSource(random_.bits()), *sockets_, *disk_);
+    sockets_->setHandler(controller_.get());
+    controller_->start([this](const absl::Status& status) {
+      REQUIRE(status.ok());
+      network_.listen(sockets_.get());
+    });
+  }
+
+  void losePower() {
+    network_.onDeath(sockets_.get(), true);
+    process_.kill();
+    controller_.reset();
+    sockets_.reset();
+    disk_->crash();
+  }
+
+  void loseDisk() {
+    disk_ = std::make_unique<SimulatedDisk>(process_, base::RandomSource(random_.bits()), simulation::DiskOptions{});
+  }
+
+  bool running() const { return controller_ != nullptr; }
+  Controller& controller() { return *controller_; }
+  const std::string& ip() const { return process_.name(); }
+
+ private:
+  SimulatedNetwork& network_;
+  Process process_;
+  base::RandomSource random_;
+  std::unique_ptr<SimulatedDisk> disk_;
+  std::unique_ptr<ProcessNetwork> sockets_;
+  std::unique_ptr<Controller> controller_;
+};
+
+/// Four machines in four zones, of which three are everybody's seeds.
+struct Fixture {
+  Fixture() : network(queue, base::RandomSource(7), {}) {
+    for (int i = 1; i <= 4; ++i) add("10.0.0." + std::to_string(i), "zone-" + std::to_string(i));
+    for (const auto& host : hosts) host->start(seeds, true);
+    runFor(base::seconds(3));
+  }
+
+  Host& add(const std::string& ip, const std::string& zone) {
+    hosts.push_back(std::make_unique<Host>(queue, network, ip, zone, hosts.size() + 1));
+    return *hosts.back();
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  Host* leader() {
+    for (const auto& host : hosts) {
+      if (host->running() && host->controller().leads()) return host.get();
+    }
+    return nullptr;
+  }
+
+  size_t voters() {
+    const auto* found = leader();
+    if (found == nullptr) return 0;
+    const auto& members = leader()->controller().raft().members();
+    return static_cast<size_t>(
+        std::count_if(members.begin(), members.end(), [](const auto& member) { return member.voting; }));
+  }
+
+  bool votes(const std::string& ip) {
+    const auto& members = leader()->controller().raft().members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& m) { return m.voting && m.address == ip; });
+  }
+
+  /// Writes a note, and tells whether it was accepted.
+  bool edit(const std::string& name) {
+    wire::EditCommand command;
+    command.requestId = name;
+    wire::Mutation mutation;
+    mutation.row.key = table::makeKey(wire::RowKind::NOTE, name);
+    mutation.row.__isset.noteRow = true;
+    mutation.row.noteRow.text = "kept";
+    command.mutations.push_back(mutation);
+    bool accepted = false;
+    if (leader() == nullptr) return false;
+    leader()->controller().submitEdit(command, [&](const EditAnswer& answer) {
+      accepted = answer.code == base::ErrorCode::kNone;
+    });
+    runFor(base::seconds(1));
+    return accepted;
+  }
+
+  bool holds(const std::string& name) {
+    if (leader() == nullptr) return false;
+    return leader()->controller().state().table().find(table::makeKey(wire::RowKind::NOTE, name)) != nullptr;
+  }
+
+  EventQueue queue;
+  SimulatedNetwork network;
+  std::vector<std::string> seeds{"10.0.0.1", "10.0.0.2", "10.0.0.3"};
+  std::vector<std::unique_ptr<Host>> hosts;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "the seeds found a cluster in which all of them vote, and a further controller stands by") {
+  REQUIRE(leader() != nullptr);
+  CHECK(voters() == 3);
+  CHECK(leader()->controller().raft().members().size() == 4);
+  CHECK(!leader()->controller().raft().forming());
+}
+
+TEST_CASE_METHOD(Fixture, "what was accepted outlives the loss of one disk while all others lose power") {
+  REQUIRE(edit("accepted"));
+  auto* wiped = leader();
+  for (const auto& host : hosts) host->losePower();
+  wiped->loseDisk();
+  for (const auto& host : hosts) host->start(seeds, false);
+  runFor(base::seconds(5));
+  REQUIRE(leader() != nullptr);
+  CHECK(holds("accepted"));
+  CHECK(voters() == 3);
+}
+
+TEST_CASE_METHOD(Fixture, "a controller that lost its disk votes again under another identity") {
+  Host* follower = hosts[0].get() == leader() ? hosts[1].get() : hosts[0].get();
+  follower->losePower();
+  follower->loseDisk();
+  follower->start(seeds, false);
+  runFor(base::seconds(4));
+  CHECK(voters() == 3);
+  REQUIRE(edit("after"));
+  // Now a second one may go.
+  Host* second = hosts[2].get() == leader() ? hosts[1].get() : hosts[2].get();
+  second->losePower();
+  runFor(base::seconds(2));
+  CHECK(edit("after-the-second"));
+}
+
+TEST_CASE_METHOD(Fixture, "a controller at a new address takes the place of one that is gone for good") {
+  leader()->losePower();
+  runFor(base::seconds(1));
+  auto& replacement = add("10.0.0.9", "zone-1");
+  replacement.start({"10.0.0.2", "10.0.0.3", "10.0.0.4"}, false);
+  runFor(base::seconds(8));
+  REQUIRE(leader() != nullptr);
+  CHECK(voters() == 3);
+  CHECK(edit("after"));
+  CHECK(holds("after"));
+}
+
+TEST_CASE_METHOD(Fixture, "a newcomer whose only living seed is no member any more finds the cluster through it") {
+  leader()->losePower();
+  runFor(base::seconds(8));
+  REQUIRE(voters() == 3);
+  auto& newcomer = add("10.0.0.9", "zone-1");
+  newcomer.start({"10.0.0.4"}, false);
+  runFor(base::seconds(4));
+  const auto& members = leader()->controller().raft().members();
+  CHECK(std::any_of(members.begin(), members.end(), [](const auto& m) { return m.address == "10.0.0.9"; }));
+}
+
+}  // namespace driftlug::controller
