--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -30,6 +30,7 @@
 DEFINE_string(data_folder, "", "folder for the log and snapshots");
 DEFINE_int32(heartbeat_ms, 50, "interval of heartbeats between controllers");
 DEFINE_int32(election_timeout_ms, 300, "lowest time without a leader before an election");
+DEFINE_int32(relay_heartbeat_ms, 1000, "interval of heartbeats to relays, and of the inner relay to nodes");
 DEFINE_int32(replace_after_ms, 8000, "silence after which another controller votes in the place of one, with seeds");
 DEFINE_int32(snapshot_entries, 4096, "log entries between snapshots");
 DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
@@ -138,6 +139,7 @@
   options.raft.heartbeatInterval = base::milliseconds(FLAGS_heartbeat_ms);
   options.raft.electionTimeout = base::milliseconds(FLAGS_election_timeout_ms);
   options.raft.compactAfterEntries = static_cast<size_t>(FLAGS_snapshot_entries);
+  options.relayHeartbeat = base::milliseconds(FLAGS_relay_heartbeat_ms);
   options.fullPush = FLAGS_full_push;
   return options;
 }
@@ -165,6 +167,7 @@
     options.zone = FLAGS_zone;
     options.controllers = {{FLAGS_listen_host, FLAGS_frame_port}};
     options.everyZone = true;
+    options.nodeHeartbeat = base::milliseconds(FLAGS_relay_heartbeat_ms);
     options.listening = {FLAGS_listen_host, FLAGS_relay_port};
     // Nodes see for themselves whether an endpoint is in reach; one that has lost its relay still takes calls.
     options.endpointLease = kLongLease;
@@ -185,6 +188,7 @@
   base::declareRange("fault_tolerance", 0, 3);
   base::declareRange("heartbeat_ms", 1, 60'000);
   base::declareRange("election_timeout_ms", 10, 600'000);
+  base::declareRange("relay_heartbeat_ms", 10, 60'000);
   base::declareRange("replace_after_ms", 100, 86'400'000);
   base::declareRange("snapshot_entries", 16, 1'000'000);
   base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -49,6 +49,11 @@
 DEFINE_int32(retry_attempts, 1, "attempts of a call, where neither route nor service says");
 DEFINE_int32(retry_budget_percent, 0, "retries as a share of calls, where the service has no retry policy");
 DEFINE_int32(retry_burst, 10, "retries to one service that may be made at once");
+DEFINE_int32(stale_after_ms, 4000, "time without word of a controllers' quorum after which another relay is tried");
+DEFINE_bool(wait_within_target, false,
+            "refuse calls that would miss their route's target latency by waiting for a slot");
+DEFINE_int32(overload_retry_after_ms, 200, "least time after which callers refused for want of slots are to come back");
+DEFINE_int32(full_for_ms, 0, "time for which an endpoint that refused for want of slots is not asked again");
 
 namespace driftlug::apps {
 namespace {
@@ -182,6 +187,7 @@
   if (options.relays.empty()) {
     exitWithError(base::makeError(base::ErrorCode::kBadSetting, "relays: relays or seeds must be set"));
   }
+  options.staleAfter = base::milliseconds(FLAGS_stale_after_ms);
   options.hosts = base::splitList(FLAGS_hosts);
   if (!FLAGS_service.empty()) options.services.push_back(FLAGS_service);
   return options;
@@ -194,6 +200,8 @@
   options.defaultRetry = {FLAGS_retry_attempts, FLAGS_retry_budget_percent};
   options.retryBurst = FLAGS_retry_burst;
   options.mintKeys = FLAGS_ledger;
+  options.fullFor = base::milliseconds(FLAGS_full_for_ms);
+  options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
   return options;
 }
@@ -205,6 +213,8 @@
   options.defaultQueue = FLAGS_backend_queue;
   options.notRunHeader = FLAGS_not_run_header;
   options.dynamicEndpoint = !FLAGS_report_listen.empty();
+  options.waitWithinTarget = FLAGS_wait_within_target;
+  options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   return options;
 }
 
@@ -231,6 +241,9 @@
   base::declareRange("stop_timeout_ms", 0, 600'000);
   base::declareRange("health_interval_ms", 0, 60'000);
   base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
+  base::declareRange("stale_after_ms", 100, 600'000);
+  base::declareRange("overload_retry_after_ms", 1, 600'000);
+  base::declareRange("full_for_ms", 0, 600'000);
   base::declareRange("retry_attempts", 1, 10);
   base::declareRange("retry_budget_percent", 0, 100);
   base::declareRange("retry_burst", 0, 1000);
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -1,6 +1,7 @@
 #include "limits/slot_limiter.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace driftlug::limits {
 namespace {
@@ -23,9 +24,34 @@
   startWaiting();
 }
 
-base::Duration SlotLimiter::expectedWait() const {
-  const auto ahead = static_cast<double>(waiting_.size() + 1);
-  return base::Duration(static_cast<int64_t>(heldUs_ * ahead / std::max(1, maxConcurrent_)));
+base::Duration SlotLimiter::expectedWait(Priority priority) const {
+  if (running_ < maxConcurrent_ && waiting_.empty()) return base::Duration(0);
+  size_t ahead = 1;
+  for (const auto& [order, request] : waiting_) ahead += order.priority <= priority ? 1 : 0;
+  return base::Duration(static_cast<int64_t>(heldUs_ * static_cast<double>(ahead) / std::max(1, maxConcurrent_)));
+}
+
+std::optional<base::TimePoint> SlotLimiter::nextExpiry() const {
+  std::optional<base::TimePoint> next;
+  for (const auto& [order, request] : waiting_) {
+    if (!next || order.latestStart < *next) next = order.latestStart;
+  }
+  return next;
+}
+
+void SlotLimiter::refuseExpired() {
+  const auto now = time_.now();
+  std::vector<Request> refused;
+  for (auto item = waiting_.begin(); item != waiting_.end();) {
+    if (item->first.latestStart > now) {
+      ++item;
+      continue;
+    }
+    ++counters_.refusedLate;
+    refused.push_back(std::move(item->second));
+    item = waiting_.erase(item);
+  }
+  for (auto& request : refused) request.refuse(SlotRefusal::kWouldBeLate);
 }
 
 bool SlotLimiter::displaceFor(Priority priority) {
@@ -38,7 +64,7 @@
   return true;
 }
 
-TicketId SlotLimiter::acquire(Priority priority, base::TimePoint deadline, Start start, Refuse refuse) {
+TicketId SlotLimiter::acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse) {
   const auto ticket = nextTicket_++;
   if (running_ < maxConcurrent_ && waiting_.empty()) {
     ++running_;
@@ -46,7 +72,7 @@
     start();
     return ticket;
   }
-  if (priority != Priority::kMustRun && time_.now() + expectedWait() >= deadline) {
+  if (priority != Priority::kMustRun && time_.now() + expectedWait(priority) >= latestStart) {
     ++counters_.refusedLate;
     refuse(SlotRefusal::kWouldBeLate);
     return ticket;
@@ -58,7 +84,7 @@
     return ticket;
   }
   ++counters_.queued;
-  waiting_[{priority, deadline, ticket}] = {std::move(start), std::move(refuse)};
+  waiting_[{priority, latestStart, ticket}] = {std::move(start), std::move(refuse)};
   startWaiting();
   return ticket;
 }
@@ -66,7 +92,7 @@
 void SlotLimiter::startWaiting() {
   while (running_ < maxConcurrent_ && !waiting_.empty()) {
     auto first = waiting_.extract(waiting_.begin());
-    if (first.key().deadline <= time_.now()) {
+    if (first.key().latestStart <= time_.now()) {
       ++counters_.refusedLate;
       first.mapped().refuse(SlotRefusal::kWouldBeLate);
       continue;
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "base/time.h"
 
@@ -57,7 +58,8 @@
   void setLimits(int maxConcurrent, int maxQueued);
 
   /// Asks for a slot. Exactly one of the callbacks is called, now or later, unless the ticket is cancelled.
-  TicketId acquire(Priority priority, base::TimePoint deadline, Start start, Refuse refuse);
+  /// @param latestStart when the request must have started to be of use; nothing starts later
+  TicketId acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse);
 
   /// Refuses everything that waits; what runs goes on.
   void refuseWaiting();
@@ -73,15 +75,21 @@
   int running() const { return running_; }
   size_t waiting() const { return waiting_.size(); }
 
-  /// @return an estimate of when a new request would get a slot.
-  base::Duration expectedWait() const;
+  /// @return an estimate of when a new request of a priority would get a slot.
+  base::Duration expectedWait(Priority priority) const;
+
+  /// @return when the first of the waiting requests would start too late; nothing while none waits.
+  std::optional<base::TimePoint> nextExpiry() const;
+
+  /// Refuses the waiting requests that can't start in time any more.
+  void refuseExpired();
 
   const SlotCounters& counters() const { return counters_; }
 
  private:
   struct Order {
     Priority priority;
-    base::TimePoint deadline;
+    base::TimePoint latestStart;
     TicketId ticket;
     auto operator<=>(const Order&) const = default;
   };
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -36,7 +36,11 @@
       network_(network),
       backend_(backend),
       ledger_(ledger),
-      limiter_(scheduler, options_.defaultSlots, options_.defaultQueue) {}
+      limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
+      expiryTimer_(scheduler, [this] {
+        limiter_.refuseExpired();
+        armExpiry();
+      }) {}
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
 
@@ -77,13 +81,42 @@
   if (refuseAtOnce(key, request)) return;
   const auto priority = limits::rankOf(request.priority, isRepeatable(request));
   const auto ticket = limiter_.acquire(
-      priority, call.deadline, [this, key] { run(key); },
-      [this, key](limits::SlotRefusal refusal) {
+      priority, latestStartOf(call), [this, key] { run(key); },
+      [this, key, priority](limits::SlotRefusal refusal) {
         if (refusal == limits::SlotRefusal::kClosed) return refuse(key, ErrorCode::kDraining, base::Duration(0));
-        const auto wait = std::max<base::Duration>(base::milliseconds(1), limiter_.expectedWait());
-        refuse(key, ErrorCode::kOverloaded, wait);
+        refuse(key, ErrorCode::kOverloaded, retryAfterOverload(priority));
       });
   if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
+  armExpiry();
+}
+
+base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
+  const int targetMs = call.request.targetLatencyMs;
+  if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
+  const auto usual = usualRunUs_.find(targetMs);
+  const double runUs = usual == usualRunUs_.end() ? 0 : usual->second;
+  const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
+  const double waitUs = std::max(targetUs * options_.leastWaitShare, targetUs - options_.holdMargin * runUs);
+  return std::min(call.deadline, scheduler_.now() + base::Duration(static_cast<int64_t>(waitUs)));
+}
+
+void EndpointCalls::noteRun(const Call& call) {
+  constexpr double kWeight = 0.1;
+  if (call.request.targetLatencyMs == 0) return;
+  const auto runUs = static_cast<double>((scheduler_.now() - call.startedAt).count());
+  const auto [usual, first] = usualRunUs_.try_emplace(call.request.targetLatencyMs, runUs);
+  if (!first) usual->second += kWeight * (runUs - usual->second);
+}
+
+void EndpointCalls::armExpiry() {
+  const auto next = limiter_.nextExpiry();
+  if (!next) return expiryTimer_.stop();
+  expiryTimer_.start(std::max<base::Duration>(base::milliseconds(1), *next - scheduler_.now()));
+}
+
+base::Duration EndpointCalls::retryAfterOverload(limits::Priority priority) const {
+  const auto wait = std::max<base::Duration>(base::milliseconds(1), limiter_.expectedWait(priority));
+  return std::max(wait, options_.overloadRetryAfter);
 }
 
 bool EndpointCalls::refuseAtOnce(const CallKey& key, const wire::CallRequest& request) {
@@ -167,6 +200,7 @@
   stored.headers = std::move(answer.headers);
   stored.body = std::move(answer.body);
   const auto& call = found->second;
+  noteRun(call);
   if (!call.owner.empty()) ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerPatience);
   ++counters_.completed;
   answerCompleted(key, std::move(stored));
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -25,6 +25,12 @@
   std::string notRunHeader = "x-shed";
   /// Whether calls are taken only for the incarnation of the back end that useIncarnation() named.
   bool dynamicEndpoint = false;
+  /// Whether a request is refused at once when it would wait so long for a slot that its answer would miss the target
+  /// latency of its route; else it waits as long as its deadline allows.
+  bool waitWithinTarget = false;
+  double holdMargin = 1.3;       ///< with waitWithinTarget: what is kept free for the run, as a multiple of a usual run
+  double leastWaitShare = 0.15;  ///< with waitWithinTarget: share of the target that a request may wait at the least
+  base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
 };
 
 /// Counters of the endpoint side.
@@ -97,6 +103,10 @@
   void answerCompleted(const CallKey& key, wire::StoredAnswer stored);
   void releaseThenRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
+  base::TimePoint latestStartOf(const Call& call) const;
+  void noteRun(const Call& call);
+  void armExpiry();
+  base::Duration retryAfterOverload(limits::Priority priority) const;
   void releaseSlot(const Call& call);
   void applyLimits();
   bool refuseAtOnce(const CallKey& key, const wire::CallRequest& request);
@@ -114,7 +124,9 @@
   limits::SlotLimiter limiter_;
   std::map<CallKey, Call> calls_;
   bool draining_ = false;
-  std::string endpoint_;  // the incarnation of the back end, with dynamicEndpoint
+  std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
+  base::Timer expiryTimer_;           // runs while requests wait for a slot
+  std::string endpoint_;              // the incarnation of the back end, with dynamicEndpoint
   int endpointSlots_ = 0;
   std::optional<routing::ServiceLimit> tableLimit_;
   std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "limits/slot_limiter.h"
 #include "membership/endpoint_directory.h"
 #include "wire/frame.h"
 
@@ -29,6 +30,8 @@
   return "";
 }
 
+int milliseconds(base::Duration duration) { return static_cast<int>(duration.count() / 1000); }
+
 int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
 }
@@ -165,6 +168,13 @@
   if (announced) updateEndpoints();
 }
 
+int EntryCalls::rankOf(const Call& call) { return static_cast<int>(limits::rankOf(call.priority, call.repeatable)); }
+
+base::Duration EntryCalls::spread(base::Duration duration) {
+  // Callers that were refused together should not come back together.
+  return duration * 3 / 4 + random_.duration(duration / 2 + base::Duration(1));
+}
+
 std::string EntryCalls::mintKey() { return options_.nodeId + "-" + absl::StrFormat("%016x", random_.bits()); }
 
 const routing::Route* EntryCalls::findRoute(const InboundCall& inbound) const {
@@ -196,6 +206,7 @@
   call.deadline = now + base::milliseconds(timeoutMs);
   call.repeatable = route->repeatable;
   call.priority = route->priority;
+  call.targetLatencyMs = route->targetLatencyMs;
   call.service = splits_[route->name].pick(route->shares);
   const auto rule = table_->retryRule(call.service).value_or(options_.defaultRetry);
   call.maxAttempts = route->maxAttempts > 0 ? route->maxAttempts : rule.maxAttempts;
@@ -223,11 +234,11 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
-  const auto* target = picker_.pick(endpointsOf(call.service), options_.zone, call.tried);
+  const auto* target = picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call));
   if (target == nullptr) {
     if (!call.tried.empty()) return finish(id, call.lastFailure);
-    return finish(
-        id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus, kDefaultRetryAfterMs));
+    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
+                                    milliseconds(spread(options_.overloadRetryAfter))));
   }
   send(id, &call, *target);
 }
@@ -252,6 +263,7 @@
   request.idempotencyKey = call->idempotencyKey;
   request.endpoint = target.name;
   request.priority = call->priority;
+  request.targetLatencyMs = call->targetLatencyMs;
   request.runOnce = !call->repeatable;
   network_.send(link.connection, wire::encodeFrame(request));
 }
@@ -294,7 +306,11 @@
   } else {
     picker_.onAbandoned(attempt.endpoint);
   }
-  if (error == ErrorCode::kOverloaded) picker_.onReport(attempt.endpoint, response.inFlight);
+  if (error == ErrorCode::kOverloaded) {
+    picker_.onReport(attempt.endpoint, response.inFlight);
+    const auto call = calls_.find(attempt.call);
+    if (call != calls_.end()) picker_.onFull(attempt.endpoint, rankOf(call->second), options_.fullFor);
+  }
   if (error == ErrorCode::kKeyReused) {
     return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
   }
@@ -303,7 +319,8 @@
   if (leaving) picker_.setAvailable(attempt.endpoint, false);
   if (error == ErrorCode::kWrongEndpoint) forgetUnreachable(attempt.endpoint);
   const bool reachedBackend = error == ErrorCode::kBackendRefused;
-  const int retryAfterMs = response.retryAfterMs > 0 ? response.retryAfterMs : kDefaultRetryAfterMs;
+  const int askedMs = response.retryAfterMs > 0 ? response.retryAfterMs : kDefaultRetryAfterMs;
+  const int retryAfterMs = milliseconds(spread(base::milliseconds(askedMs)));
   onAttemptFailed(attempt.call, reachedBackend ? Reach::kRefusedByBackend : Reach::kNode,
                   failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, retryAfterMs));
 }
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -28,6 +28,8 @@
   double retryBurst = retry::RetryBudget::kDefaultBurst;
   /// Whether requests that may not be repeated get a key of their own, under which the ledger knows them.
   bool mintKeys = true;
+  base::Duration fullFor{0};  ///< how long an endpoint that refused for want of slots is not asked again
+  base::Duration overloadRetryAfter = base::milliseconds(200);  ///< told to callers when every endpoint is full
   int maxRefusals = 4;                                ///< endpoints that may refuse a request before it is given up
   base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
 };
@@ -86,6 +88,7 @@
     std::string service;
     int maxAttempts = 1;  // back ends that it may reach
     int priority = 0;
+    int targetLatencyMs = 0;
     bool repeatable = false;
     std::string idempotencyKey;
     base::TimePoint deadline;
@@ -133,6 +136,8 @@
   void finish(CallId id, CallAnswer answer);
   void connect(const std::string& endpoint);
   CallAnswer failureAnswer(wire::CallOutcome::type outcome, base::ErrorCode error, int status, int retryAfterMs) const;
+  static int rankOf(const Call& call);
+  base::Duration spread(base::Duration duration);
   std::string mintKey();
 
   EntryOptions options_;
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -23,7 +23,7 @@
 }
 
 std::vector<const EndpointTarget*> EndpointPicker::candidates(const std::vector<EndpointTarget>& endpoints,
-                                                              const std::set<std::string>& excluded) {
+                                                              const std::set<std::string>& excluded, int rank) {
   const auto now = time_.now();
   std::vector<const EndpointTarget*> good;
   std::vector<const EndpointTarget*> connected;
@@ -33,6 +33,7 @@
     ++weighted;
     const auto& state = states_[endpoint.name];
     if (!state.connected || excluded.count(endpoint.name) > 0) continue;
+    if (state.fullUntil > now && rank >= state.fullRank) continue;
     connected.push_back(&endpoint);
     if (usable(state, now)) good.push_back(&endpoint);
   }
@@ -63,8 +64,8 @@
 }
 
 const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
-                                           const std::set<std::string>& excluded) {
-  const auto choices = candidates(endpoints, excluded);
+                                           const std::set<std::string>& excluded, int rank) {
+  const auto choices = candidates(endpoints, excluded, rank);
   if (choices.empty()) return nullptr;
   if (choices.size() == 1) return choices[0];
   if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone);
@@ -102,6 +103,13 @@
   return best;
 }
 
+void EndpointPicker::onFull(const std::string& endpoint, int rank, base::Duration until) {
+  auto& state = states_[endpoint];
+  const auto now = time_.now();
+  state.fullRank = state.fullUntil > now ? std::min(state.fullRank, rank) : rank;
+  state.fullUntil = std::max(state.fullUntil, now + until);
+}
+
 void EndpointPicker::onReport(const std::string& endpoint, int inFlight) {
   auto& state = states_[endpoint];
   state.othersInFlight = std::max(0, inFlight - state.inFlight);
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -46,8 +46,10 @@
   /// Chooses among a service's endpoints.
   /// @param excluded endpoints that were already tried for this request
   /// @return null when there is no candidate
+  /// @param rank how urgent the request is, lower first; endpoints that refused an equal or more urgent request for
+  /// want of slots are left out for a while
   const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
-                             const std::set<std::string>& excluded);
+                             const std::set<std::string>& excluded, int rank = 0);
 
   /// A request was sent to an endpoint.
   void onSent(const std::string& endpoint);
@@ -59,6 +61,9 @@
   /// The endpoint told, with an answer, how many requests it runs or holds for all callers.
   void onReport(const std::string& endpoint, int inFlight);
 
+  /// The endpoint refused a request of this rank for want of slots, and is not asked again before the given time.
+  void onFull(const std::string& endpoint, int rank, base::Duration until);
+
   /// Forgets an endpoint that is gone for good.
   void forget(const std::string& endpoint) { states_.erase(endpoint); }
 
@@ -85,6 +90,8 @@
     bool connected = false;
     bool available = true;
     base::TimePoint since{};  // when it was first connected
+    int fullRank = 0;         // the most urgent rank that was refused, until fullUntil
+    base::TimePoint fullUntil{};
   };
 
   bool usable(const State& state, base::TimePoint now) const;
@@ -93,7 +100,7 @@
   const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone);
   double slowStartShare(const State& state, base::TimePoint now) const;
   std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
-                                                const std::set<std::string>& excluded);
+                                                const std::set<std::string>& excluded, int rank);
 
   PickerOptions options_;
   const base::TimeSource& time_;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -34,8 +34,8 @@
 
 /// Times after which a silent peer counts as gone.
 struct StreamOptions {
-  base::Duration connectTimeout = base::milliseconds(1000);
-  base::Duration unacknowledged = base::milliseconds(1500);  ///< sent bytes that nobody acknowledged
+  base::Duration connectTimeout = base::milliseconds(700);
+  base::Duration unacknowledged = base::milliseconds(800);  ///< sent bytes that nobody acknowledged
 };
 
 /// One TCP connection. Owned by its user and, as long as the socket is open, by the event loop.
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -501,6 +501,7 @@
   9: string endpoint
   10: i32 priority
   11: bool runOnce
+  12: i32 targetLatencyMs
 }
 
 /** How a call ended, as seen by the side that answers it. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -10157,6 +10157,10 @@
 void CallRequest::__set_runOnce(const bool val) {
   this->runOnce = val;
 }
+
+void CallRequest::__set_targetLatencyMs(const int32_t val) {
+  this->targetLatencyMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -10285,6 +10289,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetLatencyMs);
+          this->__isset.targetLatencyMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10354,6 +10366,10 @@
   xfer += oprot->writeBool(this->runOnce);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetLatencyMs", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->targetLatencyMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10372,6 +10388,7 @@
   swap(a.endpoint, b.endpoint);
   swap(a.priority, b.priority);
   swap(a.runOnce, b.runOnce);
+  swap(a.targetLatencyMs, b.targetLatencyMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -10387,6 +10404,7 @@
   endpoint = other387.endpoint;
   priority = other387.priority;
   runOnce = other387.runOnce;
+  targetLatencyMs = other387.targetLatencyMs;
   __isset = other387.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other388) noexcept {
@@ -10401,6 +10419,7 @@
   endpoint = std::move(other388.endpoint);
   priority = other388.priority;
   runOnce = other388.runOnce;
+  targetLatencyMs = other388.targetLatencyMs;
   __isset = other388.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other389) {
@@ -10415,6 +10434,7 @@
   endpoint = other389.endpoint;
   priority = other389.priority;
   runOnce = other389.runOnce;
+  targetLatencyMs = other389.targetLatencyMs;
   __isset = other389.__isset;
   return *this;
 }
@@ -10430,6 +10450,7 @@
   endpoint = std::move(other390.endpoint);
   priority = other390.priority;
   runOnce = other390.runOnce;
+  targetLatencyMs = other390.targetLatencyMs;
   __isset = other390.__isset;
   return *this;
 }
@@ -10447,6 +10468,7 @@
   out << ", " << "endpoint=" << to_string(endpoint);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "runOnce=" << to_string(runOnce);
+  out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -4071,7 +4071,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -4083,6 +4083,7 @@
   bool endpoint :1;
   bool priority :1;
   bool runOnce :1;
+  bool targetLatencyMs :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4102,7 +4103,8 @@
                 idempotencyKey(),
                 endpoint(),
                 priority(0),
-                runOnce(0) {
+                runOnce(0),
+                targetLatencyMs(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4117,6 +4119,7 @@
   std::string endpoint;
   int32_t priority;
   bool runOnce;
+  int32_t targetLatencyMs;
 
   _CallRequest__isset __isset;
 
@@ -4142,6 +4145,8 @@
 
   void __set_runOnce(const bool val);
 
+  void __set_targetLatencyMs(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4166,6 +4171,8 @@
       return false;
     if (!(runOnce == rhs.runOnce))
       return false;
+    if (!(targetLatencyMs == rhs.targetLatencyMs))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
