Let the nearer target go first within a priority

Ruled out: the budget (no repeat was involved), lost answers (50 cuts). Change: where targets count, waiting requests of one priority are ordered by the latest start that meets their target; the estimate of the wait counts only what goes before. Endpoints are left out as full for no request that is nearer to its target than the one they refused.

--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -24,10 +24,10 @@
   startWaiting();
 }
 
-base::Duration SlotLimiter::expectedWait(Priority priority) const {
+base::Duration SlotLimiter::expectedWait(Priority priority, base::TimePoint latestStart) const {
   if (running_ < maxConcurrent_ && waiting_.empty()) return base::Duration(0);
-  size_t ahead = 1;
-  for (const auto& [order, request] : waiting_) ahead += order.priority <= priority ? 1 : 0;
+  const Order own{priority, latestStart, nextTicket_};
+  const auto ahead = 1 + std::distance(waiting_.begin(), waiting_.lower_bound(own));
   return base::Duration(static_cast<int64_t>(heldUs_ * static_cast<double>(ahead) / std::max(1, maxConcurrent_)));
 }
 
@@ -72,7 +72,7 @@
     start();
     return ticket;
   }
-  if (priority != Priority::kMustRun && time_.now() + expectedWait(priority) >= latestStart) {
+  if (priority != Priority::kMustRun && time_.now() + expectedWait(priority, latestStart) >= latestStart) {
     ++counters_.refusedLate;
     refuse(SlotRefusal::kWouldBeLate);
     return ticket;
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -75,8 +75,8 @@
   int running() const { return running_; }
   size_t waiting() const { return waiting_.size(); }
 
-  /// @return an estimate of when a new request of a priority would get a slot.
-  base::Duration expectedWait(Priority priority) const;
+  /// @return an estimate of when a new request would get a slot, behind those that go before it.
+  base::Duration expectedWait(Priority priority, base::TimePoint latestStart) const;
 
   /// @return when the first of the waiting requests would start too late; nothing while none waits.
   std::optional<base::TimePoint> nextExpiry() const;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -79,12 +79,14 @@
   call.request = request;
   call.deadline = scheduler_.now() + base::milliseconds(request.remainingMs);
   if (refuseAtOnce(key, request)) return;
-  const auto priority = limits::rankOf(request.priority, isRepeatable(request));
+  const auto priority = priorityOf(request);
+  const auto latestStart = latestStartOf(call);
   const auto ticket = limiter_.acquire(
-      priority, latestStartOf(call), [this, key] { run(key); },
-      [this, key, priority](limits::SlotRefusal refusal) {
+      priority, latestStart, [this, key] { run(key); },
+      [this, key, priority, latestStart](limits::SlotRefusal refusal) {
         if (refusal == limits::SlotRefusal::kClosed) return refuse(key, ErrorCode::kDraining, base::Duration(0));
-        refuse(key, ErrorCode::kOverloaded, retryAfterOverload(priority));
+        const auto wait = std::max<base::Duration>(base::milliseconds(1), limiter_.expectedWait(priority, latestStart));
+        refuse(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter));
       });
   if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
   armExpiry();
@@ -114,9 +116,10 @@
   expiryTimer_.start(std::max<base::Duration>(base::milliseconds(1), *next - scheduler_.now()));
 }
 
-base::Duration EndpointCalls::retryAfterOverload(limits::Priority priority) const {
-  const auto wait = std::max<base::Duration>(base::milliseconds(1), limiter_.expectedWait(priority));
-  return std::max(wait, options_.overloadRetryAfter);
+limits::Priority EndpointCalls::priorityOf(const wire::CallRequest& request) const {
+  // Where targets count, the one that is nearest goes first within a priority, whether it may be repeated or not.
+  const bool byTarget = options_.waitWithinTarget && request.targetLatencyMs > 0;
+  return limits::rankOf(request.priority, byTarget || isRepeatable(request));
 }
 
 bool EndpointCalls::refuseAtOnce(const CallKey& key, const wire::CallRequest& request) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -106,7 +106,7 @@
   base::TimePoint latestStartOf(const Call& call) const;
   void noteRun(const Call& call);
   void armExpiry();
-  base::Duration retryAfterOverload(limits::Priority priority) const;
+  limits::Priority priorityOf(const wire::CallRequest& request) const;
   void releaseSlot(const Call& call);
   void applyLimits();
   bool refuseAtOnce(const CallKey& key, const wire::CallRequest& request);
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-#include "limits/slot_limiter.h"
 #include "membership/endpoint_directory.h"
+#include "table/validator.h"
 #include "wire/frame.h"
 
 namespace driftlug::node {
@@ -168,7 +168,11 @@
   if (announced) updateEndpoints();
 }
 
-int EntryCalls::rankOf(const Call& call) { return static_cast<int>(limits::rankOf(call.priority, call.repeatable)); }
+int EntryCalls::rankOf(const Call& call) {
+  // As endpoints order what waits: by priority, then by the nearer target.
+  constexpr int kTargets = table::kMaxTimeoutMs + 1;
+  return call.priority * kTargets + call.targetLatencyMs;
+}
 
 base::Duration EntryCalls::spread(base::Duration duration) {
   // Callers that were refused together should not come back together.
