--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -86,16 +86,30 @@
   return (others + state.inFlight) / (slots * slowStartShare(state, now));
 }
 
+double EndpointPicker::knownLatency(const EndpointTarget& target) {
+  const auto& state = states_[target.name];
+  const double age = secondsOf(time_.now() - state.latencyAt) / secondsOf(options_.latencyMemory);
+  return state.latencyUs * std::exp2(-age);
+}
+
 const EndpointTarget* EndpointPicker::pickNearestIdle(const std::vector<const EndpointTarget*>& choices,
                                                       const std::string& ownZone) {
   const EndpointTarget* best = nullptr;
   double lowest = 0;
+  double fastest = 0;  // the shortest known latency, 0 while none is
+  for (const auto* target : choices) {
+    const double latency = knownLatency(*target);
+    if (latency > 0 && (fastest == 0 || latency < fastest)) fastest = latency;
+  }
   // Equals are taken in turn, so that callers do not all choose the same one.
   const size_t first = random_.below(choices.size());
   for (size_t i = 0; i < choices.size(); ++i) {
     const auto* target = choices[(first + i) % choices.size()];
     double cost = std::max(options_.idleShare, busyShare(*target));
     if (target->zone != ownZone) cost += options_.otherZonePenalty;
+    const double latency = knownLatency(*target);
+    const double slowness = latency > 0 ? std::min(options_.maxSlowness, latency / fastest - 1) : 0;
+    cost += options_.slownessPenalty * slowness;
     if (best != nullptr && cost >= lowest) continue;
     best = target;
     lowest = cost;
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -32,6 +32,8 @@
   int assumedSlots = 16;          ///< of an endpoint that does not tell
   double idleShare = 0.7;         ///< kNearestIdle: up to this share of busy slots endpoints count as equal
   double otherZonePenalty = 0.3;  ///< kNearestIdle: share of busy slots that another zone counts more
+  double slownessPenalty = 0.3;   ///< kNearestIdle: for each time that an endpoint is slower than the fastest
+  double maxSlowness = 3;         ///< kNearestIdle: times slower that are told apart
   base::Duration reportMemory = base::milliseconds(500);  ///< half-life of what an endpoint said of its load
 };
 
@@ -97,6 +99,7 @@
   bool usable(const State& state, base::TimePoint now) const;
   double cost(const EndpointTarget& target, const std::string& ownZone);
   double busyShare(const EndpointTarget& target);
+  double knownLatency(const EndpointTarget& target);
   const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone);
   double slowStartShare(const State& state, base::TimePoint now) const;
   std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
