--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -30,9 +30,9 @@
   base::Duration ejectFor = base::seconds(3);
   double maxEjectedShare = 0.5;   ///< of a service's endpoints
   int assumedSlots = 16;          ///< of an endpoint that does not tell
-  double idleShare = 0.7;         ///< kNearestIdle: up to this share of busy slots endpoints count as equal
-  double otherZonePenalty = 0.3;  ///< kNearestIdle: share of busy slots that another zone counts more
-  double slownessPenalty = 0.3;   ///< kNearestIdle: for each time that an endpoint is slower than the fastest
+  double idleShare = 0.85;        ///< kNearestIdle: up to this share of busy slots endpoints count as equal
+  double otherZonePenalty = 0.5;  ///< kNearestIdle: share of busy slots that another zone counts more
+  double slownessPenalty = 0.2;   ///< kNearestIdle: for each time that an endpoint is slower than the fastest
   double maxSlowness = 3;         ///< kNearestIdle: times slower that are told apart
   base::Duration reportMemory = base::milliseconds(500);  ///< half-life of what an endpoint said of its load
 };
