--- /dev/null
+++ b/test/transport/frame_transport_test.cc
@@ -0,0 +1,128 @@
+#include "transport/frame_transport.h"
+
+#include <catch2/catch.hpp>
+
+#include "raw_client.h"
+
+namespace driftlug::transport {
+namespace {
+
+/// Remembers what a transport told.
+struct Recorder : public base::ConnectionHandler {
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override {
+    open.push_back(connection);
+    peers.push_back(peer.id);
+  }
+  void onMessage(base::ConnectionId connection, wire::Message message) override {
+    from.push_back(connection);
+    messages.push_back(std::move(message));
+  }
+  void onClose(base::ConnectionId connection) override { closed.push_back(connection); }
+
+  std::vector<base::ConnectionId> open;
+  std::vector<std::string> peers;
+  std::vector<base::ConnectionId> from;
+  std::vector<wire::Message> messages;
+  std::vector<base::ConnectionId> closed;
+};
+
+/// Two transports on one loop.
+struct Fixture {
+  Fixture() : left(loop, "left"), right(loop, "right") {
+    left.setHandler(&leftRecorder);
+    right.setHandler(&rightRecorder);
+  }
+  ~Fixture() { loop.close(); }
+
+  void begin(const std::string& leftZone, const std::string& rightZone, bool compress) {
+    if (compress) {
+      left.compressBetweenZones();
+      right.compressBetweenZones();
+    }
+    wire::Hello hello;
+    hello.id = "left";
+    hello.zone = leftZone;
+    left.setHello(hello);
+    hello.id = "right";
+    hello.zone = rightZone;
+    right.setHello(hello);
+    for (port = 39'300; port < 39'500; ++port) {
+      if (right.listen("127.0.0.1", port).ok()) break;
+    }
+    connection = left.connect({"127.0.0.1", port});
+    settle(loop);
+    REQUIRE(leftRecorder.open.size() == 1);
+    REQUIRE(rightRecorder.open.size() == 1);
+  }
+
+  static wire::FramePtr request(int64_t id) {
+    wire::CallRequest request;
+    request.callId = id;
+    request.path = "/a/path/that/repeats/from/call/to/call";
+    return wire::encodeFrame(request);
+  }
+
+  EventLoop loop;
+  FrameTransport left;
+  FrameTransport right;
+  Recorder leftRecorder;
+  Recorder rightRecorder;
+  int port = 0;
+  base::ConnectionId connection = 0;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "frames between zones are compressed, and arrive as they were in both directions") {
+  const bool compress = GENERATE(false, true);
+  begin("zone-a", "zone-b", compress);
+  constexpr int kFrames = 50;
+  for (int i = 0; i < kFrames; ++i) left.send(connection, request(i));
+  settle(loop);
+  REQUIRE(rightRecorder.messages.size() == kFrames);
+  for (int i = 0; i < kFrames; ++i) CHECK(std::get<wire::CallRequest>(rightRecorder.messages[i]).callId == i);
+  right.send(rightRecorder.open[0], request(7));
+  settle(loop);
+  REQUIRE(leftRecorder.messages.size() == 1);
+  const auto plain = static_cast<int64_t>(kFrames * request(1)->size());
+  CHECK((left.counters().bytesSent < plain / 2) == compress);
+}
+
+TEST_CASE_METHOD(Fixture, "frames within a zone are not compressed") {
+  begin("zone-a", "zone-a", true);
+  for (int i = 0; i < 50; ++i) left.send(connection, request(i));
+  settle(loop);
+  CHECK(left.counters().bytesSent > static_cast<int64_t>(50 * request(1)->size()));
+}
+
+TEST_CASE_METHOD(Fixture, "a connection to the own address stays within the process") {
+  begin("zone-a", "zone-b", false);
+  const auto own = right.connect({"127.0.0.1", port});
+  settle(loop);
+  REQUIRE(rightRecorder.open.size() == 3);
+  const auto sent = right.counters().bytesSent;
+  right.send(own, request(9));
+  settle(loop);
+  REQUIRE(rightRecorder.messages.size() == 1);
+  CHECK(rightRecorder.from[0] != own);
+  CHECK(right.counters().bytesSent == sent);
+  // What comes back is heard on the side that connected.
+  right.send(rightRecorder.from[0], request(10));
+  settle(loop);
+  REQUIRE(rightRecorder.messages.size() == 2);
+  CHECK(rightRecorder.from[1] == own);
+  right.close(own);
+  settle(loop);
+  REQUIRE(rightRecorder.closed.size() == 1);
+  CHECK(rightRecorder.closed[0] == rightRecorder.from[0]);
+}
+
+TEST_CASE_METHOD(Fixture, "bytes that are no frames end the connection") {
+  begin("zone-a", "zone-b", false);
+  RawClient client(loop, port);
+  client.send(std::string(200, '\xff'));
+  CHECK(client.ended());
+  CHECK(right.counters().badFrames == 1);
+}
+
+}  // namespace driftlug::transport
--- a/test/transport/http_client_test.cc
+++ b/test/transport/http_client_test.cc
@@ -94,4 +94,132 @@
   CHECK(result->outcome == HttpOutcome::kNotSent);
 }
 
+namespace {
+
+/// A server that answers with bytes written by hand, and a pool that knows its requests by a header.
+struct HandWritten {
+  HandWritten()
+      : listener(loop, [this](std::shared_ptr<TcpStream> stream) {
+          connections.push_back(std::make_unique<Peer>(*this, std::move(stream)));
+        }) {
+    REQUIRE(listener.listen("127.0.0.1", 0, {}).ok());
+    HttpPoolOptions options;
+    options.maxConnections = 4;
+    options.correlationHeader = "x-id";
+    pool.emplace(loop, "client", base::Address{"127.0.0.1", listener.port()}, options);
+  }
+  ~HandWritten() { loop.close(); }
+
+  struct Peer : public StreamHandler {
+    Peer(HandWritten& fixture, std::shared_ptr<TcpStream> accepted) : owner(fixture), stream(std::move(accepted)) {
+      stream->setHandler(this);
+    }
+    void onBytes(std::string_view bytes) override {
+      if (bytes.find("\r\n\r\n") == std::string_view::npos) return;
+      ++owner.requests;
+      owner.onRequest(*stream);
+    }
+    void onClosed(bool /*orderly*/) override {}
+    HandWritten& owner;
+    std::shared_ptr<TcpStream> stream;
+  };
+
+  HttpResult send(const std::string& id) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    request.headers.push_back(makeHeader("x-id", id));
+    std::optional<HttpResult> result;
+    pool->send(request, base::seconds(20), [&](HttpResult done) { result = std::move(done); });
+    while (!result) loop.runOnce();
+    return *result;
+  }
+
+  EventLoop loop;
+  std::function<void(TcpStream&)> onRequest;
+  std::vector<std::unique_ptr<Peer>> connections;
+  TcpListener listener;
+  int requests = 0;
+  std::optional<HttpClientPool> pool;
+};
+
+constexpr char kOwn[] = "HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 3\r\n\r\nown";
+constexpr char kOther[] = "HTTP/1.1 200 OK\r\nx-id: 0\r\ncontent-length: 5\r\n\r\nother";
+
+}  // namespace
+
+TEST_CASE_METHOD(HandWritten, "an answer to an earlier request is dropped, and the own one is waited for") {
+  onRequest = [](TcpStream& stream) { stream.write(std::string(kOther) + kOwn); };
+  const auto result = send("1");
+  CHECK(result.outcome == HttpOutcome::kCompleted);
+  CHECK(result.response.body == "own");
+  CHECK(pool->counters().strayResponses == 1);
+  (void)send("1");
+  CHECK(connections.size() == 2);
+}
+
+TEST_CASE_METHOD(HandWritten, "a connection with bytes behind its answer is not used again") {
+  onRequest = [](TcpStream& stream) { stream.write(std::string(kOwn) + kOther); };
+  CHECK(send("1").response.body == "own");
+  CHECK(send("1").response.body == "own");
+  CHECK(connections.size() == 2);
+}
+
+TEST_CASE_METHOD(HandWritten, "bytes on an idle connection end it and belong to nobody") {
+  onRequest = [](TcpStream& stream) { stream.write(kOwn); };
+  CHECK(send("1").response.body == "own");
+  connections[0]->stream->write(kOther);
+  bool over = false;
+  loop.schedule(base::milliseconds(20), [&] { over = true; });
+  while (!over) loop.runOnce();
+  CHECK(send("1").response.body == "own");
+  CHECK(connections.size() == 2);
+}
+
+TEST_CASE_METHOD(HandWritten, "a connection is kept no longer than the server says") {
+  onRequest = [](TcpStream& stream) {
+    stream.write("HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\ncontent-length: 0\r\n\r\n");
+  };
+  SECTION("it says no time") {
+    (void)send("1");
+    (void)send("1");
+    CHECK(connections.size() == 1);
+  }
+  SECTION("it says that it closes") {
+    onRequest = [](TcpStream& stream) {
+      stream.write("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+    };
+    (void)send("1");
+    (void)send("1");
+    CHECK(connections.size() == 2);
+  }
+  SECTION("the time that it states is shorter than the margin") {
+    onRequest = [](TcpStream& stream) {
+      stream.write("HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\ncontent-length: 0\r\n\r\n");
+    };
+    (void)send("1");
+    bool over = false;
+    loop.schedule(base::milliseconds(300), [&] { over = true; });
+    while (!over) loop.runOnce();
+    (void)send("1");
+    CHECK(connections.size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(HandWritten, "an answer that breaks off is unknown, whatever of it has come") {
+  onRequest = [this](TcpStream& stream) {
+    stream.write("HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\npart");
+    loop.schedule(base::milliseconds(5), [&stream] { stream.close(); });
+  };
+  CHECK(send("1").outcome == HttpOutcome::kUnknown);
+}
+
+TEST_CASE_METHOD(HandWritten, "bytes that are no answer are unknown, and the connection ends") {
+  onRequest = [](TcpStream& stream) { stream.write("garbage\r\n\r\n"); };
+  CHECK(send("1").outcome == HttpOutcome::kUnknown);
+  onRequest = [](TcpStream& stream) { stream.write(kOwn); };
+  CHECK(send("1").outcome == HttpOutcome::kCompleted);
+  CHECK(connections.size() == 2);
+}
+
 }  // namespace driftlug::transport
--- /dev/null
+++ b/test/transport/http_server_test.cc
@@ -0,0 +1,184 @@
+#include "transport/http_server.h"
+
+#include <catch2/catch.hpp>
+
+#include "raw_client.h"
+
+namespace driftlug::transport {
+namespace {
+
+/// A server that keeps what it is asked until the test answers.
+struct Fixture {
+  Fixture()
+      : server(
+            loop, "server", options(),
+            [this](ExchangeId exchange, HttpRequest request) {
+              exchanges.push_back(exchange);
+              requests.push_back(std::move(request));
+            },
+            [this](ExchangeId exchange) { aborted.push_back(exchange); }) {
+    REQUIRE(server.listen("127.0.0.1", 0).ok());
+  }
+  ~Fixture() { loop.close(); }
+
+  static HttpServerOptions options() {
+    HttpServerOptions options;
+    options.maxHeadBytes = 512;
+    options.maxBodyBytes = 1000;
+    return options;
+  }
+
+  void answer(size_t position, const std::string& body) {
+    HttpResponse response;
+    response.body = body;
+    server.respond(exchanges[position], response);
+  }
+
+  EventLoop loop;
+  std::vector<ExchangeId> exchanges;
+  std::vector<HttpRequest> requests;
+  std::vector<ExchangeId> aborted;
+  HttpServer server;
+};
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a body in chunks arrives whole, and its trailers are dropped") {
+  RawClient client(loop, server.port());
+  client.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  REQUIRE(requests.empty());
+  client.send("4\r\ndefg\r\n0\r\nX-Trailer: 1\r\n\r\n");
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].body == "abcdefg");
+  CHECK(requests[0].header("x-trailer").empty());
+  CHECK(requests[0].header("transfer-encoding").empty());
+}
+
+TEST_CASE_METHOD(Fixture, "pipelined requests are answered in their order, whichever is ready first") {
+  RawClient client(loop, server.port());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(requests.size() == 3);
+  answer(2, "third");
+  answer(1, "second");
+  CHECK(client.receive().empty());
+  answer(0, "first");
+  const auto text = client.receive();
+  const auto first = text.find("first");
+  const auto second = text.find("second");
+  const auto third = text.find("third");
+  REQUIRE(first != std::string::npos);
+  CHECK(first < second);
+  CHECK(second < third);
+}
+
+TEST_CASE_METHOD(Fixture, "more pipelined requests than are taken at once wait, and none is lost") {
+  RawClient client(loop, server.port());
+  constexpr size_t kRequests = 150;
+  std::string bytes;
+  for (size_t i = 0; i < kRequests; ++i) bytes += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  client.send(bytes);
+  CHECK(requests.size() == server.options().maxPipelined);
+  for (size_t i = 0; i < kRequests; ++i) {
+    REQUIRE(i < requests.size());
+    CHECK(requests[i].path == "/" + std::to_string(i));
+    answer(i, "x");
+    settle(loop);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a request that could be read in two ways is refused, and the connection ends") {
+  const std::string ambiguous = GENERATE(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost : h\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+      "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", "nonsense\r\n\r\n");
+  RawClient client(loop, server.port());
+  client.send(ambiguous + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(requests.empty());
+  CHECK(contains(client.receive(), "HTTP/1.1 400 "));
+  CHECK(client.ended());
+}
+
+TEST_CASE_METHOD(Fixture, "what is over a limit is refused by its own status") {
+  RawClient client(loop, server.port());
+  SECTION("a head") {
+    client.send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(600, 'x') + "\r\n\r\n");
+    CHECK(contains(client.receive(), "HTTP/1.1 431 "));
+  }
+  SECTION("a stated length") {
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+    CHECK(contains(client.receive(), "HTTP/1.1 413 "));
+  }
+  SECTION("chunks") {
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x'));
+    CHECK(contains(client.receive(), "HTTP/1.1 413 "));
+  }
+  CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "limits change on open connections") {
+  RawClient client(loop, server.port());
+  auto larger = options();
+  larger.maxBodyBytes = 5000;
+  server.setOptions(larger);
+  client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x'));
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].body.size() == 1001);
+}
+
+TEST_CASE_METHOD(Fixture, "a caller that closes is noticed while its answers are pending") {
+  RawClient client(loop, server.port());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(requests.size() == 2);
+  client.close();
+  settle(loop);
+  CHECK(aborted == exchanges);
+  answer(0, "too late");
+  CHECK(server.pending() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "headers of one connection are not passed on") {
+  RawClient client(loop, server.port());
+  client.send(
+      "GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Own\r\nX-Own: 1\r\nKeep-Alive: 5\r\nX-Kept: 2\r\n\r\n");
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].header("x-own").empty());
+  CHECK(requests[0].header("keep-alive").empty());
+  CHECK(requests[0].header("connection").empty());
+  CHECK(requests[0].header("x-kept") == "2");
+}
+
+TEST_CASE_METHOD(Fixture, "the last answer says so, and the connection ends behind it") {
+  RawClient client(loop, server.port());
+  SECTION("because the caller asked for it") { client.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); }
+  SECTION("because the server drains") {
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.setDraining();
+  }
+  SECTION("because the caller speaks HTTP/1.0") { client.send("GET / HTTP/1.0\r\n\r\n"); }
+  answer(0, "done");
+  const auto text = client.receive();
+  CHECK(contains(text, "connection: close\r\n"));
+  CHECK(contains(text, "content-length: 4\r\n"));
+  CHECK(contains(text, "\r\n\r\ndone"));
+  CHECK(client.ended());
+}
+
+TEST_CASE_METHOD(Fixture, "answers to HEAD have no body, and a caller that waits for 100 is told to go on") {
+  RawClient client(loop, server.port());
+  client.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer(0, "hidden");
+  const auto text = client.receive();
+  CHECK(contains(text, "content-length: 6\r\n"));
+  CHECK(!contains(text, "hidden"));
+  client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+  CHECK(contains(client.receive(), "HTTP/1.1 100 Continue"));
+  client.send("ok");
+  REQUIRE(requests.size() == 2);
+  CHECK(requests[1].body == "ok");
+}
+
+}  // namespace driftlug::transport
--- /dev/null
+++ b/test/transport/raw_client.h
@@ -0,0 +1,74 @@
+/// A plain socket that a test drives by hand against a server on the same loop.
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "transport/event_loop.h"
+
+namespace driftlug::transport {
+
+/// Runs a loop until nothing has happened on it for a moment.
+inline void settle(EventLoop& loop) {
+  bool over = false;
+  loop.schedule(base::milliseconds(10), [&] { over = true; });
+  while (!over) loop.runOnce();
+}
+
+/// One connection to 127.0.0.1.
+class RawClient {
+ public:
+  RawClient(EventLoop& loop, int port) : loop_(loop), socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    settle(loop_);
+  }
+  ~RawClient() { close(); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  /// Sends bytes and lets the server deal with them.
+  void send(const std::string& bytes) {
+    REQUIRE(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    settle(loop_);
+  }
+
+  /// @return everything that has arrived since the last call.
+  std::string receive() {
+    settle(loop_);
+    std::string all;
+    std::string buffer(65536, '\0');
+    ssize_t count = 0;
+    while ((count = ::recv(socket_, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0) {
+      all.append(buffer, 0, static_cast<size_t>(count));
+    }
+    ended_ = ended_ || count == 0;
+    return all;
+  }
+
+  /// @return whether the server has ended the connection.
+  bool ended() {
+    (void)receive();
+    return ended_;
+  }
+
+  void close() {
+    if (socket_ >= 0) ::close(socket_);
+    socket_ = -1;
+  }
+
+ private:
+  EventLoop& loop_;
+  int socket_;
+  bool ended_ = false;
+};
+
+}  // namespace driftlug::transport
