--- /dev/null
+++ b/test/node/entry_calls_test.cc
@@ -0,0 +1,267 @@
+#include "node/entry_calls.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+using wire::CallOutcome;
+
+wire::Row routeRow(const std::string& name, const std::string& prefix, bool repeatable) {
+  wire::Row row;
+  row.key = table::makeKey(wire::RowKind::ROUTE, name);
+  row.__isset.routeRow = true;
+  row.routeRow.host = "shop.example";
+  row.routeRow.pathPrefix = prefix;
+  row.routeRow.repeatable = repeatable;
+  row.routeRow.timeoutMs = 2000;
+  row.routeRow.maxAttempts = 2;
+  row.routeRow.targetLatencyMs = 400;
+  row.routeRow.priority = 1;
+  wire::WeightedService share;
+  share.serviceName = "records";
+  share.weight = 100;
+  row.routeRow.shares.push_back(share);
+  return row;
+}
+
+wire::EndpointState endpoint(const std::string& name, int host, wire::EndpointCondition::type condition) {
+  wire::EndpointState state;
+  state.endpoint = name;
+  state.serviceName = "records";
+  state.condition = condition;
+  state.incarnation = 1;
+  state.sequence = condition == wire::EndpointCondition::LIVE ? 1 : 2;
+  state.address = "10.0.0." + std::to_string(host);
+  state.port = 7000;
+  state.zone = "zone-" + std::to_string(host);
+  state.slots = 4;
+  return state;
+}
+
+/// An entry side with two announced endpoints, in its own zone and in another.
+struct Fixture {
+  Fixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.1", 7000}) {
+    process.start();
+    EntryOptions options;
+    options.nodeId = "node";
+    options.zone = "zone-1";
+    options.mintKeys = false;
+    options.defaultRetry = {2, 100};
+    options.retryBurst = 4;
+    options.fullFor = base::milliseconds(100);
+    options.picker.policy = routing::PickPolicy::kNearestIdle;
+    entry = std::make_unique<EntryCalls>(options, process, base::RandomSource(3), network);
+    table::Table rows;
+    rows.put(std::make_shared<wire::Row>(routeRow("safe", "/safe/", true)));
+    rows.put(std::make_shared<wire::Row>(routeRow("once", "/once/", false)));
+    entry->useTable(std::make_shared<routing::RoutingTable>(rows, 1));
+    entry->onEndpointStates(
+        {endpoint("near", 1, wire::EndpointCondition::LIVE), endpoint("far", 2, wire::EndpointCondition::LIVE)});
+    openAll();
+  }
+
+  void openAll() {
+    for (const auto& [connection, address] : network.connected) entry->onOpen(connection, {});
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  CallId call(const std::string& path) {
+    InboundCall inbound;
+    inbound.method = "GET";
+    inbound.host = "shop.example";
+    inbound.path = path;
+    const auto id = entry->begin(inbound, [this](CallAnswer got) { answers.push_back(std::move(got)); });
+    runFor(base::milliseconds(1));
+    return id;
+  }
+
+  const test::RecordingNetwork::Sent& lastRequest() {
+    for (auto item = network.sent.rbegin(); item != network.sent.rend(); ++item) {
+      if (std::holds_alternative<wire::CallRequest>(item->message)) return *item;
+    }
+    FAIL("no request was sent");
+    return network.sent.front();
+  }
+
+  void respond(CallOutcome::type outcome, ErrorCode error) {
+    const auto& last = lastRequest();
+    wire::CallResponse response;
+    response.callId = std::get<wire::CallRequest>(last.message).callId;
+    response.outcome = outcome;
+    response.errorCode = static_cast<int>(error);
+    response.httpStatus = 200;
+    entry->onMessage(last.connection, response);
+    runFor(base::milliseconds(1));
+  }
+
+  std::vector<std::string> asked() {
+    std::vector<std::string> names;
+    for (const auto& request : network.all<wire::CallRequest>()) names.push_back(request.endpoint);
+    return names;
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  std::unique_ptr<EntryCalls> entry;
+  std::vector<CallAnswer> answers;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a call goes to an announced endpoint of the own zone, by its incarnation") {
+  call("/safe/1");
+  REQUIRE(asked() == std::vector<std::string>{"near"});
+  const auto request = network.all<wire::CallRequest>()[0];
+  CHECK(request.serviceName == "records");
+  CHECK(request.targetLatencyMs == 400);
+  CHECK(request.priority == 1);
+  CHECK(!request.runOnce);
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 200);
+}
+
+TEST_CASE_METHOD(Fixture, "a request that may have run is repeated only where its route allows that") {
+  call("/once/1");
+  CHECK(network.all<wire::CallRequest>()[0].runOnce);
+  respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 502);
+  CHECK(answers[0].outcome == CallOutcome::UNKNOWN);
+  call("/safe/1");
+  respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
+  CHECK(answers.size() == 1);
+  CHECK(asked() == std::vector<std::string>{"near", "near", "far"});
+  respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
+  CHECK(answers.size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "refusals by nodes move a call on without a charge to the budget") {
+  for (int i = 0; i < 30; ++i) {
+    answers.clear();
+    call("/once/1");
+    respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
+    respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].httpStatus == 503);
+    CHECK(answers[0].retryAfterMs > 0);
+    runFor(base::milliseconds(200));
+  }
+  CHECK(entry->counters().budgetSpent == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "repeats that reached a back end are paid for") {
+  for (int i = 0; i < 4; ++i) {
+    call("/safe/1");
+    respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
+    respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  }
+  const auto retries = entry->counters().retries;
+  // A budget of one repeat a request, after a start with half of its burst.
+  CHECK(retries == 4);
+  CHECK(answers.size() == 4);
+}
+
+TEST_CASE_METHOD(Fixture, "an endpoint without slots is left out for a while by what is no more urgent") {
+  call("/safe/1");
+  respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  call("/safe/2");
+  CHECK(asked().back() == "far");
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  runFor(base::milliseconds(150));
+  call("/safe/3");
+  CHECK(asked().back() == "near");
+}
+
+TEST_CASE_METHOD(Fixture, "an endpoint that drains, is gone or is another one gets no further call") {
+  SECTION("it says so itself") {
+    call("/safe/1");
+    const auto error = GENERATE(ErrorCode::kDraining, ErrorCode::kWrongEndpoint);
+    respond(CallOutcome::NOT_RUN, error);
+    respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  }
+  SECTION("it is announced") {
+    const auto condition = GENERATE(wire::EndpointCondition::DRAINING, wire::EndpointCondition::GONE);
+    entry->onEndpointStates({endpoint("near", 1, condition)});
+  }
+  for (int i = 0; i < 5; ++i) {
+    call("/safe/2");
+    CHECK(asked().back() == "far");
+    respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a late word of an earlier state changes nothing") {
+  entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::GONE)});
+  entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::LIVE)});
+  call("/safe/1");
+  CHECK(asked().back() == "far");
+}
+
+TEST_CASE_METHOD(Fixture, "a caller that goes away ends the work for it") {
+  const auto id = call("/safe/1");
+  entry->abandon(id);
+  const auto cancels = network.all<wire::CallCancel>();
+  REQUIRE(cancels.size() == 1);
+  CHECK(cancels[0].callId == network.all<wire::CallRequest>()[0].callId);
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  CHECK(answers.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "a node that stops refuses new calls as not run, and ends those it has") {
+  call("/once/1");
+  entry->refuseNew();
+  call("/once/2");
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 503);
+  CHECK(answers[0].outcome == CallOutcome::NOT_RUN);
+  CHECK(answers[0].retryAfterMs > 0);
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[1].httpStatus == 200);
+}
+
+TEST_CASE_METHOD(Fixture, "a node without a version says so with a promise; one with a version knows its routes") {
+  call("/nowhere/1");
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 404);
+  EntryCalls fresh({}, process, base::RandomSource(1), network);
+  std::optional<CallAnswer> answer;
+  InboundCall inbound;
+  inbound.host = "shop.example";
+  inbound.path = "/safe/1";
+  fresh.begin(inbound, [&](CallAnswer got) { answer = std::move(got); });
+  runFor(base::milliseconds(1));
+  REQUIRE(answer);
+  CHECK(answer->httpStatus == 503);
+  CHECK(answer->error == ErrorCode::kNoTable);
+}
+
+TEST_CASE_METHOD(Fixture, "an endpoint that stays out of reach is forgotten") {
+  entry->onEndpointStates({endpoint("far", 2, wire::EndpointCondition::GONE)});
+  for (int second = 0; second < 40; ++second) {
+    std::vector<base::ConnectionId> open;
+    for (const auto& [connection, address] : network.connected) open.push_back(connection);
+    for (const auto connection : open) {
+      network.connected.erase(connection);
+      entry->onClose(connection);
+    }
+    runFor(base::seconds(5));
+  }
+  CHECK(network.connected.empty());
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/test/node/local_backend_test.cc
@@ -0,0 +1,202 @@
+#include "node/local_backend.h"
+
+#include <catch2/catch.hpp>
+
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+using wire::EndpointCondition;
+
+/// A back end that never answers by itself.
+class SilentBackend : public BackendClient {
+ public:
+  uint64_t send(const wire::CallRequest& request, base::Duration, std::function<void(BackendAnswer)> done) override {
+    requests.push_back(request);
+    pending.push_back(std::move(done));
+    return requests.size();
+  }
+  void cancel(uint64_t) override { ++cancelled; }
+
+  std::vector<wire::CallRequest> requests;
+  std::vector<std::function<void(BackendAnswer)>> pending;
+  int cancelled = 0;
+};
+
+BackendReport report(const std::string& incarnation, int64_t sequence, bool draining = false) {
+  return {incarnation, sequence, 1, 0, draining};
+}
+
+struct Fixture {
+  Fixture()
+      : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 7000}),
+        calls(options(), process, network, backend, nullptr),
+        local(place(), calls, [this](const wire::EndpointState& state) { announced.push_back(state); }) {
+    process.start();
+    calls.onWrongIncarnation([this](const std::string& incarnation) { local.onLeave(incarnation); });
+  }
+
+  static EndpointOptions options() {
+    EndpointOptions options;
+    options.service = "records";
+    options.dynamicEndpoint = true;
+    options.waitWithinTarget = true;
+    return options;
+  }
+
+  static wire::EndpointState place() {
+    wire::EndpointState place;
+    place.serviceName = "records";
+    place.address = "10.0.0.1";
+    place.port = 7000;
+    place.zone = "zone";
+    return place;
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  void call(int64_t id, const std::string& endpoint, int targetMs = 0) {
+    wire::CallRequest request;
+    request.callId = id;
+    request.serviceName = "records";
+    request.endpoint = endpoint;
+    request.remainingMs = 3000;
+    request.targetLatencyMs = targetMs;
+    calls.onRequest(1, request);
+  }
+
+  /// @return the error with which a call was refused, or kNone when it was not.
+  base::ErrorCode refusalOf(int64_t id) {
+    for (const auto& response : network.all<wire::CallResponse>()) {
+      if (response.callId != id) continue;
+      CHECK(response.outcome == wire::CallOutcome::NOT_RUN);
+      return static_cast<base::ErrorCode>(response.errorCode);
+    }
+    return base::ErrorCode::kNone;
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  SilentBackend backend;
+  EndpointCalls calls;
+  std::vector<wire::EndpointState> announced;
+  LocalBackend local;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "no call is taken before the back end has told of itself") {
+  call(1, "i-1");
+  CHECK(refusalOf(1) == base::ErrorCode::kDraining);
+  CHECK(local.onReport(report("i-1", 1)) == ReportVerdict::kTaken);
+  call(2, "i-1");
+  CHECK(backend.requests.size() == 1);
+  REQUIRE(announced.size() == 1);
+  CHECK(announced[0].endpoint == "i-1");
+  CHECK(announced[0].condition == EndpointCondition::LIVE);
+  CHECK(announced[0].slots == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a call for another incarnation is refused as not run") {
+  local.onReport(report("i-1", 1));
+  call(1, "i-0");
+  CHECK(refusalOf(1) == base::ErrorCode::kWrongEndpoint);
+  CHECK(backend.requests.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "from the report on, a draining back end gets no new call, not even one that waited") {
+  local.onReport(report("i-1", 1));
+  call(1, "i-1");
+  call(2, "i-1");
+  local.onReport(report("i-1", 2, true));
+  call(3, "i-1");
+  CHECK(backend.requests.size() == 1);
+  CHECK(refusalOf(2) == base::ErrorCode::kDraining);
+  CHECK(refusalOf(3) == base::ErrorCode::kDraining);
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {}, "done"});
+  CHECK(backend.requests.size() == 1);
+  CHECK(announced.back().condition == EndpointCondition::DRAINING);
+}
+
+TEST_CASE_METHOD(Fixture, "a late report changes nothing") {
+  local.onReport(report("i-1", 5, true));
+  CHECK(local.onReport(report("i-1", 4)) == ReportVerdict::kOutdated);
+  call(1, "i-1");
+  CHECK(refusalOf(1) == base::ErrorCode::kDraining);
+}
+
+TEST_CASE_METHOD(Fixture, "an incarnation that has ended never comes back") {
+  local.onReport(report("i-1", 1));
+  SECTION("it left") { local.onLeave("i-1"); }
+  SECTION("another one took its place") { local.onReport(report("i-2", 1)); }
+  CHECK(announced.size() >= 2);
+  CHECK(local.onReport(report("i-1", 9)) == ReportVerdict::kOutdated);
+  call(1, "i-1");
+  CHECK(refusalOf(1) != base::ErrorCode::kNone);
+  CHECK(backend.requests.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "a back end that says it is another one ends the incarnation") {
+  local.onReport(report("i-1", 1));
+  call(1, "i-1");
+  backend.pending[0]({BackendOutcome::kCompleted, false, 421, {}, ""});
+  CHECK(refusalOf(1) == base::ErrorCode::kWrongEndpoint);
+  CHECK(announced.back().condition == EndpointCondition::GONE);
+  CHECK(local.onReport(report("i-1", 2)) == ReportVerdict::kOutdated);
+  CHECK(local.onReport(report("i-2", 1)) == ReportVerdict::kTaken);
+}
+
+TEST_CASE_METHOD(Fixture, "after a restart of the node, the next report outdoes what its earlier life announced") {
+  local.onReport(report("i-1", 3));
+  const auto before = announced.back();
+  std::vector<wire::EndpointState> later;
+  LocalBackend restarted(place(), calls, [&](const wire::EndpointState& state) { later.push_back(state); });
+  restarted.onReport(report("i-1", 4));
+  REQUIRE(later.size() == 1);
+  CHECK(later[0].incarnation > before.incarnation);
+}
+
+TEST_CASE_METHOD(Fixture, "a node that stops announces that its endpoint drains") {
+  local.onReport(report("i-1", 1));
+  local.setStopping();
+  CHECK(announced.back().condition == EndpointCondition::DRAINING);
+  local.onReport(report("i-1", 2));
+  call(1, "i-1");
+  CHECK(refusalOf(1) == base::ErrorCode::kDraining);
+}
+
+TEST_CASE_METHOD(Fixture, "what would miss its target by waiting is refused, at once or when that is certain") {
+  local.onReport(report("i-1", 1));
+  // A first run tells that a usual one takes 100 ms.
+  call(1, "i-1", 200);
+  runFor(base::milliseconds(100));
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {}, ""});
+  call(2, "i-1", 200);
+  call(3, "i-1", 1000);
+  CHECK(refusalOf(2) == base::ErrorCode::kNone);
+  CHECK(refusalOf(3) == base::ErrorCode::kNone);
+  call(4, "i-1", 200);
+  CHECK(refusalOf(4) == base::ErrorCode::kOverloaded);
+  runFor(base::milliseconds(1100));
+  CHECK(refusalOf(3) == base::ErrorCode::kOverloaded);
+  CHECK(backend.requests.size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "within a priority the nearer target goes first") {
+  local.onReport(report("i-1", 1));
+  call(1, "i-1", 1000);
+  call(2, "i-1", 900);
+  call(3, "i-1", 300);
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {}, ""});
+  REQUIRE(backend.requests.size() == 2);
+  CHECK(backend.requests[1].callId == 3);
+}
+
+}  // namespace driftlug::node
