--- a/test/controller/automatic_membership_test.cc
+++ b/test/controller/automatic_membership_test.cc
@@ -3,74 +3,14 @@
 #include <algorithm>
 #include <memory>
 
-#include "controller/controller.h"
-#include "simulation/simulated_disk.h"
-#include "simulation/simulated_network.h"
+#include "controller_host.h"
 
 namespace driftlug::controller {
 namespace {
 
 using simulation::EventQueue;
-using simulation::Process;
-using simulation::ProcessNetwork;
-using simulation::SimulatedDisk;
 using simulation::SimulatedNetwork;
-
-constexpr int kPort = 7000;
-
-/// One machine that runs a controller which knows only seeds.
-class Host {
- public:
-  Host(EventQueue& queue, SimulatedNetwork& network, const std::string& ip, const std::string& zone, uint64_t seed)
-      : network_(network),
-        process_(queue, ip, {zone, "region"}, {ip, kPort}),
-        random_(seed),
-        disk_(std::make_unique<SimulatedDisk>(process_, base::RandomSource(seed), simulation::DiskOptions{})) {}
-
-  void start(const std::vector<std::string>& seeds, bool founding) {
-    process_.start();
-    sockets_ = std::make_unique<ProcessNetwork>(network_, process_);
-    ControllerOptions options;
-    options.name = process_.name();
-    options.zone = process_.placement().zone;
-    options.founding = founding;
-    options.membership.automatic = true;
-    options.membership.replaceAfter = base::seconds(5);
-    options.self = {process_.name(), {process_.name(), kPort}, 0};
-    for (const auto& seed : seeds) options.controllers.push_back({seed, {seed, kPort}, 0});
-    controller_ =
-        std::make_unique<Controller>(options, process_, base::RandomSource(random_.bits()), *sockets_, *disk_);
-    sockets_->setHandler(controller_.get());
-    controller_->start([this](const absl::Status& status) {
-      REQUIRE(status.ok());
-      network_.listen(sockets_.get());
-    });
-  }
-
-  void losePower() {
-    network_.onDeath(sockets_.get(), true);
-    process_.kill();
-    controller_.reset();
-    sockets_.reset();
-    disk_->crash();
-  }
-
-  void loseDisk() {
-    disk_ = std::make_unique<SimulatedDisk>(process_, base::RandomSource(random_.bits()), simulation::DiskOptions{});
-  }
-
-  bool running() const { return controller_ != nullptr; }
-  Controller& controller() { return *controller_; }
-  const std::string& ip() const { return process_.name(); }
-
- private:
-  SimulatedNetwork& network_;
-  Process process_;
-  base::RandomSource random_;
-  std::unique_ptr<SimulatedDisk> disk_;
-  std::unique_ptr<ProcessNetwork> sockets_;
-  std::unique_ptr<Controller> controller_;
-};
+using test::Host;
 
 /// Four machines in four zones, of which three are everybody's seeds.
 struct Fixture {
@@ -122,9 +62,8 @@
     command.mutations.push_back(mutation);
     bool accepted = false;
     if (leader() == nullptr) return false;
-    leader()->controller().submitEdit(command, [&](const EditAnswer& answer) {
-      accepted = answer.code == base::ErrorCode::kNone;
-    });
+    leader()->controller().submitEdit(
+        command, [&](const EditAnswer& answer) { accepted = answer.code == base::ErrorCode::kNone; });
     runFor(base::seconds(1));
     return accepted;
   }
--- /dev/null
+++ b/test/platform/config_document_test.cc
@@ -0,0 +1,80 @@
+#include "config_document.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+#include "platform_messages.h"
+
+namespace driftlug::platform {
+namespace {
+
+using test::configBody;
+using test::routeResource;
+using test::serviceResource;
+
+}  // namespace
+
+TEST_CASE("a configuration becomes rows, and reads back as it was sent") {
+  const auto body = configBody(7, 5,
+                               {routeResource("r-1", "a.example", "/p/", "safe", "s-1"), test::splitResource("r-2"),
+                                serviceResource("s-1"), serviceResource("s-2"), test::limitsResource()});
+  const auto document = parseConfig(body);
+  REQUIRE(document.ok());
+  CHECK(document->version.number == 7);
+  CHECK(document->baseNumber == 5);
+  table::Table rows;
+  for (const auto& change : changesFor(*document, rows)) rows.put(std::make_shared<wire::Row>(change.row));
+  CHECK(configVersionOf(rows).number == 7);
+  auto sent = nlohmann::json::parse(body);
+  auto read = nlohmann::json::parse(renderConfig(rows));
+  CHECK(read["version"] == "00000007");
+  const auto byText = [](nlohmann::json list) {
+    std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.dump() < b.dump(); });
+    return list;
+  };
+  CHECK(byText(read["resources"]) == byText(sent["resources"]));
+}
+
+TEST_CASE("changes are those rows only that differ, and the version") {
+  table::Table rows;
+  const auto first =
+      parseConfig(configBody(1, 0,
+                             {routeResource("r-1", "a.example", "/p/", "safe", "s-1"),
+                              routeResource("r-2", "a.example", "/q/", "safe", "s-1"), serviceResource("s-1")}));
+  REQUIRE(first.ok());
+  int64_t revision = 1;
+  for (auto change : changesFor(*first, rows)) {
+    change.row.revision = revision;
+    rows.put(std::make_shared<wire::Row>(change.row));
+  }
+  const auto second = parseConfig(
+      configBody(2, 1, {routeResource("r-1", "a.example", "/p/", "unsafe", "s-1"), serviceResource("s-1")}));
+  REQUIRE(second.ok());
+  const auto changes = changesFor(*second, rows);
+  REQUIRE(changes.size() == 3);
+  CHECK(changes[0].row.key.kind == wire::RowKind::NOTE);
+  CHECK(changes[0].expectedRevision == 1);
+  CHECK(changes[1].row.key.name == "r-1");
+  CHECK(changes[2].row.key.name == "r-2");
+  CHECK(changes[2].row.deleted);
+}
+
+TEST_CASE("what can't be read whole is refused with a reason") {
+  const auto whole =
+      configBody(7, 5, {routeResource("r-1", "a.example", "/p/", "safe", "s-1"), serviceResource("s-1")});
+  const auto bad = GENERATE_COPY(
+      whole.substr(0, whole.size() / 2), std::string(), std::string("[]"), std::string("{}"),
+      std::string(R"({"version":"zz","baseVersion":"00000000","resources":[]})"),
+      std::string(R"({"version":"00000001","baseVersion":"00000000","resources":{}})"),
+      std::string(R"({"version":"00000001","baseVersion":"00000000","resources":[1]})"),
+      configBody(7, 5, {routeResource("r-1", "a.example", "/p/", "odd", "s-1"), serviceResource("s-1")}),
+      configBody(7, 5,
+                 {{{"resourceType", "unknown"}, {"metadata", {{"name", "x"}}}, {"spec", nlohmann::json::object()}}}));
+  const auto document = parseConfig(bad);
+  REQUIRE(!document.ok());
+  CHECK(base::errorCodeOf(document.status()) == base::ErrorCode::kBadRequestBody);
+  CHECK(!base::errorText(document.status()).empty());
+}
+
+}  // namespace driftlug::platform
--- /dev/null
+++ b/test/platform/report_api_test.cc
@@ -0,0 +1,85 @@
+#include "report_api.h"
+
+#include <catch2/catch.hpp>
+
+#include "node/recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::platform {
+namespace {
+
+class NoBackend : public node::BackendClient {
+ public:
+  uint64_t send(const wire::CallRequest&, base::Duration, std::function<void(node::BackendAnswer)>) override {
+    return 1;
+  }
+  void cancel(uint64_t) override {}
+};
+
+struct Fixture {
+  Fixture()
+      : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 7000}),
+        calls({"huvo11a", 4, 4}, process, network, backend, nullptr),
+        local({}, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }),
+        api(local) {
+    process.start();
+  }
+
+  int ask(const std::string& method, const std::string& path, const std::string& body) {
+    transport::HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    int status = 0;
+    api.handle(request, [&](const transport::HttpResponse& response) { status = response.status; });
+    return status;
+  }
+
+  static std::string beat(int sequence, const std::string& state) {
+    return R"({"address":"10.0.0.1:8080","info":{"service":"huvo11a","version":"v1","zone":"hall-a","slots":9},)"
+           R"("status":{"state":")" +
+           state + R"(","sequence":)" + std::to_string(sequence) + R"(,"coldRemainingMs":250}})";
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  NoBackend backend;
+  node::EndpointCalls calls;
+  std::vector<wire::EndpointState> announced;
+  node::LocalBackend local;
+  ReportApi api;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a heartbeat announces the back end, its state and its slots") {
+  CHECK(ask("PUT", "/instances/i-7f3a91c2", beat(4, "ready")) == 200);
+  REQUIRE(announced.size() == 1);
+  CHECK(announced[0].endpoint == "i-7f3a91c2");
+  CHECK(announced[0].slots == 9);
+  CHECK(announced[0].coldMs == 250);
+  CHECK(announced[0].condition == wire::EndpointCondition::LIVE);
+  CHECK(ask("PUT", "/instances/i-7f3a91c2", beat(5, "draining")) == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::DRAINING);
+  CHECK(ask("PUT", "/instances/i-7f3a91c2", beat(4, "ready")) == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::DRAINING);
+}
+
+TEST_CASE_METHOD(Fixture, "a farewell ends the back end, with or without a word of draining before") {
+  CHECK(ask("PUT", "/instances/i-1", beat(1, "ready")) == 200);
+  CHECK(ask("DELETE", "/instances/i-1", "") == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::GONE);
+  CHECK(ask("PUT", "/instances/i-1", beat(2, "ready")) == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::GONE);
+}
+
+TEST_CASE_METHOD(Fixture, "what is no heartbeat is refused") {
+  CHECK(ask("PUT", "/instances/i-1", "{") == 400);
+  CHECK(ask("PUT", "/instances/i-1", R"({"info":1,"status":2})") == 400);
+  CHECK(ask("GET", "/instances/i-1", "") == 405);
+  CHECK(ask("PUT", "/elsewhere", "{}") == 404);
+  CHECK(announced.empty());
+}
+
+}  // namespace driftlug::platform
