Test limits, the choice of endpoints and what relays tell of them

One check is replaced: 'a request that would be late is refused at once' let eleven requests with deadlines far off wait, and expected one with a near deadline to be refused behind them. The queue is ordered by deadline, so that one goes first and can start in time; the estimate that refused it was wrong. The test now lets more urgent requests wait (refused as before), and a second one checks that nearer requests are admitted or refused by what goes before them, and start first.

--- a/test/limits/slot_limiter_test.cc
+++ b/test/limits/slot_limiter_test.cc
@@ -57,11 +57,26 @@
   const auto far = time.now() + base::seconds(100);
   ask(limiter, outcome, 0, far);
   limiter.release(base::milliseconds(100));
-  for (int id = 1; id < 12; ++id) ask(limiter, outcome, id, far);
+  for (int id = 1; id < 12; ++id) ask(limiter, outcome, id, far, Priority::kMustRun);
   ask(limiter, outcome, 99, time.now() + base::milliseconds(200));
   CHECK(outcome.refused == std::vector<int>{99});
 }
 
+TEST_CASE("a request that goes before all that waits is not refused for what waits behind it") {
+  test::ManualTime time;
+  limits::SlotLimiter limiter(time, 1, 100);
+  Outcome outcome;
+  const auto far = time.now() + base::seconds(100);
+  ask(limiter, outcome, 0, far);
+  limiter.release(base::milliseconds(100));
+  for (int id = 1; id < 12; ++id) ask(limiter, outcome, id, far);
+  ask(limiter, outcome, 98, time.now() + base::milliseconds(200));
+  ask(limiter, outcome, 99, time.now() + base::milliseconds(90));
+  CHECK(outcome.refused == std::vector<int>{99});
+  limiter.release(base::milliseconds(100));
+  CHECK(outcome.started == std::vector<int>{0, 1, 98});
+}
+
 TEST_CASE("a smaller limit cuts nothing that runs") {
   test::ManualTime time;
   limits::SlotLimiter limiter(time, 4, 4);
@@ -90,3 +105,48 @@
   limiter.release(base::milliseconds(1));
   CHECK(outcome.started == std::vector<int>{0});
 }
+
+TEST_CASE("what waits is ordered by priority, then by how soon it must start") {
+  test::ManualTime time;
+  limits::SlotLimiter limiter(time, 1, 10);
+  Outcome outcome;
+  const auto now = time.now();
+  ask(limiter, outcome, 0, now + base::seconds(9));
+  ask(limiter, outcome, 1, now + base::seconds(3), limits::rankOf(2, true));
+  ask(limiter, outcome, 2, now + base::seconds(8), limits::rankOf(1, true));
+  ask(limiter, outcome, 3, now + base::seconds(5), limits::rankOf(1, true));
+  for (int i = 0; i < 3; ++i) limiter.release(base::milliseconds(1));
+  CHECK(outcome.started == std::vector<int>{0, 3, 2, 1});
+}
+
+TEST_CASE("the estimate of the wait counts only what goes before") {
+  test::ManualTime time;
+  limits::SlotLimiter limiter(time, 1, 10);
+  Outcome outcome;
+  const auto now = time.now();
+  ask(limiter, outcome, 0, now + base::seconds(9));
+  limiter.release(base::milliseconds(100));
+  ask(limiter, outcome, 1, now + base::seconds(9));
+  for (int id = 2; id < 6; ++id) ask(limiter, outcome, id, now + base::seconds(5));
+  CHECK(limiter.expectedWait(Priority::kNormal, now + base::seconds(6)) == base::milliseconds(500));
+  CHECK(limiter.expectedWait(Priority::kNormal, now + base::seconds(4)) == base::milliseconds(100));
+  CHECK(limiter.expectedWait(Priority::kMustRun, now + base::seconds(6)) == base::milliseconds(100));
+}
+
+TEST_CASE("what can't start in time is refused, and what closes refuses all that waits") {
+  test::ManualTime time;
+  limits::SlotLimiter limiter(time, 1, 10);
+  Outcome outcome;
+  const auto now = time.now();
+  ask(limiter, outcome, 0, now + base::seconds(9));
+  ask(limiter, outcome, 1, now + base::seconds(1));
+  ask(limiter, outcome, 2, now + base::seconds(4));
+  CHECK(limiter.nextExpiry() == now + base::seconds(1));
+  time.advance(base::seconds(2));
+  limiter.refuseExpired();
+  CHECK(outcome.refused == std::vector<int>{1});
+  limiter.refuseWaiting();
+  CHECK(outcome.refused == std::vector<int>{1, 2});
+  CHECK(!limiter.nextExpiry());
+  CHECK(limiter.running() == 1);
+}
--- /dev/null
+++ b/test/relay/dynamic_endpoints_test.cc
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+
+#include "node/recording_network.h"
+#include "relay/relay.h"
+#include "simulation/process.h"
+
+namespace driftlug::relay {
+namespace {
+
+/// A relay that serves every zone, its source, a peer and nodes, all played by the test.
+struct Fixture {
+  Fixture() : process(queue, "relay", {"zone-1", "region"}, {"10.0.0.1", 7001}) {
+    process.start();
+    RelayOptions options;
+    options.id = "relay";
+    options.zone = "zone-1";
+    options.controllers = {{"10.0.0.1", 7000}};
+    options.everyZone = true;
+    options.confirmRestartedNodes = false;
+    options.listening = {"10.0.0.1", 7001};
+    relay = std::make_unique<Relay>(options, process, base::RandomSource(3), network);
+    relay->start();
+    runFor(base::milliseconds(10));
+    source = connectionTo({"10.0.0.1", 7000});
+    relay->onOpen(source, {});
+    wire::ControllerHeartbeat heartbeat;
+    heartbeat.freshness.term = 1;
+    heartbeat.freshness.round = 1;
+    relay->onMessage(source, heartbeat);
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  base::ConnectionId connectionTo(const base::Address& address) {
+    for (const auto& [connection, target] : network.connected) {
+      if (target == address) return connection;
+    }
+    return 0;
+  }
+
+  base::ConnectionId attach(base::ConnectionId connection, const std::string& id) {
+    wire::Hello hello;
+    hello.role = wire::Role::NODE;
+    hello.id = id;
+    hello.zone = "zone-2";
+    relay->onOpen(connection, hello);
+    wire::NodeSubscribe subscribe;
+    subscribe.hosts = {"*"};
+    relay->onMessage(connection, subscribe);
+    return connection;
+  }
+
+  /// The leader sends a table with a route to a service.
+  void update(int64_t revision, const std::string& service) {
+    wire::TableUpdate update;
+    update.toRevision = revision;
+    update.full = true;
+    table::Table rows;
+    const auto add = [&](wire::Row row) {
+      row.revision = revision;
+      update.rows.push_back(row);
+      rows.put(std::make_shared<wire::Row>(row));
+    };
+    wire::Row serviceRow;
+    serviceRow.key = table::makeKey(wire::RowKind::SERVICE, service);
+    serviceRow.__isset.serviceRow = true;
+    add(serviceRow);
+    wire::Row route;
+    route.key = table::makeKey(wire::RowKind::ROUTE, "route");
+    route.__isset.routeRow = true;
+    route.routeRow.host = "a.example";
+    route.routeRow.pathPrefix = "/";
+    route.routeRow.timeoutMs = 100;
+    wire::WeightedService share;
+    share.serviceName = service;
+    share.weight = 100;
+    route.routeRow.shares.push_back(share);
+    add(route);
+    update.digest = rows.digest();
+    relay->onMessage(source, update);
+    runFor(base::milliseconds(10));
+  }
+
+  void announce(base::ConnectionId node, const std::string& service, wire::EndpointCondition::type condition) {
+    wire::EndpointState state;
+    state.endpoint = "i-1";
+    state.serviceName = service;
+    state.condition = condition;
+    state.incarnation = 1;
+    state.sequence = ++sequence;
+    state.address = "10.0.0.5";
+    state.port = 7000;
+    wire::EndpointStates states;
+    states.states.push_back(state);
+    relay->onMessage(node, states);
+  }
+
+  /// @return the conditions that one connection was told of.
+  std::vector<wire::EndpointCondition::type> told(base::ConnectionId connection) {
+    std::vector<wire::EndpointCondition::type> conditions;
+    for (const auto& sent : network.sent) {
+      const auto* states = std::get_if<wire::EndpointStates>(&sent.message);
+      if (states == nullptr || sent.connection != connection) continue;
+      for (const auto& state : states->states) conditions.push_back(state.condition);
+    }
+    return conditions;
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  std::unique_ptr<Relay> relay;
+  base::ConnectionId source = 0;
+  int64_t sequence = 0;
+};
+
+using wire::EndpointCondition;
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a node is told of announced endpoints of the services that its routes need") {
+  update(1, "records");
+  const auto reader = attach(100, "reader");
+  const auto announcer = attach(101, "announcer");
+  announce(announcer, "other", EndpointCondition::LIVE);
+  CHECK(told(reader).empty());
+  announce(announcer, "records", EndpointCondition::LIVE);
+  CHECK(told(reader) == std::vector<EndpointCondition::type>{EndpointCondition::LIVE});
+  announce(announcer, "records", EndpointCondition::DRAINING);
+  CHECK(told(reader).back() == EndpointCondition::DRAINING);
+}
+
+TEST_CASE_METHOD(Fixture, "a node that comes later is told of what was announced before") {
+  update(1, "records");
+  const auto announcer = attach(101, "announcer");
+  announce(announcer, "records", EndpointCondition::LIVE);
+  const auto late = attach(102, "late");
+  CHECK(told(late) == std::vector<EndpointCondition::type>{EndpointCondition::LIVE});
+}
+
+TEST_CASE_METHOD(Fixture, "when routes begin to need a service, its endpoints are told") {
+  update(1, "records");
+  const auto reader = attach(100, "reader");
+  const auto announcer = attach(101, "announcer");
+  announce(announcer, "archive", EndpointCondition::LIVE);
+  CHECK(told(reader).empty());
+  update(2, "archive");
+  CHECK(told(reader) == std::vector<EndpointCondition::type>{EndpointCondition::LIVE});
+}
+
+TEST_CASE_METHOD(Fixture, "the controllers' members become the relays that nodes are told of, and peers") {
+  const auto reader = attach(100, "reader");
+  wire::MemberList list;
+  for (int i = 1; i <= 3; ++i) {
+    wire::Member member;
+    member.id = "c-" + std::to_string(i);
+    member.address = "10.0.0." + std::to_string(i);
+    member.framePort = 7000;
+    member.relayPort = 7001;
+    member.zone = "zone-" + std::to_string(i);
+    list.members.push_back(member);
+  }
+  relay->onMessage(source, list);
+  const auto lists = network.all<wire::RelayList>();
+  REQUIRE(lists.size() == 1);
+  CHECK(lists[0].relays.size() == 3);
+  CHECK(network.sent.back().connection == reader);
+  CHECK(connectionTo({"10.0.0.2", 7000}) != 0);
+  CHECK(connectionTo({"10.0.0.2", 7001}) != 0);
+  CHECK(connectionTo({"10.0.0.1", 7001}) == 0);
+  relay->onMessage(source, list);
+  CHECK(network.all<wire::RelayList>().size() == 1);
+  // A node that comes later is told at once.
+  attach(103, "late");
+  CHECK(network.all<wire::RelayList>().size() == 2);
+}
+
+}  // namespace driftlug::relay
--- /dev/null
+++ b/test/routing/nearest_idle_test.cc
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "manual_time.h"
+#include "routing/endpoint_picker.h"
+
+namespace driftlug::routing {
+namespace {
+
+/// Four endpoints of ten slots: two in the own zone, two elsewhere.
+struct Fixture {
+  Fixture() : picker(options(), time, base::RandomSource(3)) {
+    for (const auto* name : {"own-1", "own-2", "far-1", "far-2"}) {
+      const std::string zone = std::string(name).substr(0, 3);
+      endpoints.push_back({name, "10.0.0.1", 7000, zone, kFullWeight, 10});
+      picker.setConnected(name, true);
+    }
+    time.advance(base::seconds(60));
+  }
+
+  static PickerOptions options() {
+    PickerOptions options;
+    options.policy = PickPolicy::kNearestIdle;
+    return options;
+  }
+
+  std::map<std::string, int> send(int requests) {
+    std::map<std::string, int> picked;
+    for (int i = 0; i < requests; ++i) {
+      const auto* target = picker.pick(endpoints, "own", {}, 5);
+      REQUIRE(target != nullptr);
+      picker.onSent(target->name);
+      ++picked[target->name];
+    }
+    return picked;
+  }
+
+  test::ManualTime time;
+  EndpointPicker picker;
+  std::vector<EndpointTarget> endpoints;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "requests stay in the own zone while it has slots to spare, then go where there are some") {
+  const auto few = send(15);
+  CHECK(few.count("far-1") + few.count("far-2") == 0);
+  CHECK(few.at("own-1") >= 5);
+  CHECK(few.at("own-2") >= 5);
+  const auto more = send(25);
+  CHECK(more.at("far-1") + more.at("far-2") >= 10);
+}
+
+TEST_CASE_METHOD(Fixture, "what an endpoint told of its load counts, and fades") {
+  picker.onReport("own-1", 20);
+  picker.onReport("own-2", 20);
+  CHECK(send(1).count("own-1") == 0);
+  time.advance(base::seconds(5));
+  const auto later = send(1);
+  CHECK(later.count("own-1") + later.count("own-2") == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "an endpoint that is many times slower than the fastest is left for last") {
+  for (const auto* name : {"own-1", "own-2", "far-1", "far-2"}) {
+    picker.onSent(name);
+    picker.onDone(name, base::milliseconds(std::string(name) == "own-1" ? 500 : 100), false);
+  }
+  CHECK(send(6).count("own-1") == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a full endpoint is asked again by what is more urgent, or after the time") {
+  for (const auto* name : {"own-1", "own-2", "far-1"}) picker.onFull(name, 5, base::milliseconds(100));
+  CHECK(picker.pick(endpoints, "own", {}, 5)->name == "far-2");
+  CHECK(picker.pick(endpoints, "own", {}, 9)->name == "far-2");
+  CHECK(picker.pick(endpoints, "own", {}, 4)->zone == "own");
+  picker.onFull("far-2", 5, base::milliseconds(100));
+  CHECK(picker.pick(endpoints, "own", {}, 5) == nullptr);
+  time.advance(base::milliseconds(150));
+  CHECK(picker.pick(endpoints, "own", {}, 5)->zone == "own");
+}
+
+}  // namespace driftlug::routing
