Log each decision that touches a call, serve latency histograms, ask for the back end's name

Cause: a failed call could not be followed afterwards; a node that restarts refused calls until the next report of its back end, 1.5 s at the most. Ruled out: spdlog's asynchronous logger (a thread and a wake-up for each batch); a retry of announcements kept by relays (gone when all lose power). Change: DecisionLog, lines of key=value with the call's id, what decided and the outcome, bounded by token buckets, dropped lines counted; daemons write them to standard output without ever waiting; histograms of waiting, running and whole latencies; a restarted node asks the back end beside it for its name once. Tests: node/local_backend_test.cc.

--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -199,7 +199,7 @@
 int runController(int argc, char** argv, const ExtraPagesFactory& makeExtraPages) {
   declareSettings();
   base::loadSettingsOrExit(argc, argv, "driftlug-controller: accepts edits and feeds relays", false);
-  configureLogsFromSettings();
+  configureLogsFromSettings(base::LogTarget::kOutput);
 
   transport::EventLoop loop;
   storage::PosixDisk disk(FLAGS_data_folder, loop);
--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -87,6 +87,6 @@
   return static_cast<uint64_t>(now) ^ (static_cast<uint64_t>(getpid()) << 40);
 }
 
-void configureLogsFromSettings() { base::configureLogs(FLAGS_log_json, FLAGS_log_level); }
+void configureLogsFromSettings(base::LogTarget target) { base::configureLogs(FLAGS_log_json, FLAGS_log_level, target); }
 
 }  // namespace driftlug::apps
--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -73,6 +73,6 @@
 uint64_t processSeed();
 
 /// Sets logs up from --log_json and --log_level.
-void configureLogsFromSettings();
+void configureLogsFromSettings(base::LogTarget target = base::LogTarget::kErrors);
 
 }  // namespace driftlug::apps
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -36,6 +36,7 @@
 DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
 DEFINE_int32(stop_linger_ms, 300, "time that a planned stop goes on taking calls, so that others hear of it");
 DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
+DEFINE_bool(first_start, false, "whether the back end starts with this process, and need not be asked who it is");
 DEFINE_bool(ledger, true, "claim requests that may not be repeated in the ledger before they run");
 DEFINE_int32(health_interval_ms, 250, "interval of health checks of the back end; 0 for none");
 DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
@@ -43,6 +44,8 @@
 DEFINE_string(caller_header, "", "header set to the service beside the node where a call began; empty for none");
 DEFINE_string(correlation_header, "", "header that back ends return as it was sent; empty for none");
 DEFINE_string(incarnation_header, "", "header that names the back end's incarnation a call is meant for");
+DEFINE_string(identity_header, "", "header in which the back end names its incarnation when it is asked");
+DEFINE_string(identity_path, "/healthz", "page at which the back end is asked for its incarnation");
 DEFINE_string(not_run_header, "x-shed", "header by which a back end says that it did not run a request");
 DEFINE_bool(fractional_retry_after, false, "Retry-After in fractions of a second");
 DEFINE_bool(prefer_zone, false, "choose endpoints of the own zone while they have slots to spare");
@@ -59,6 +62,8 @@
 namespace driftlug::apps {
 namespace {
 
+constexpr int kOkStatus = 200;
+
 /// Endpoint and entry sides of calls share one set of connections.
 class CallHandler : public base::ConnectionHandler {
  public:
@@ -172,6 +177,12 @@
   page->counter("endpoint_refused_total", "calls refused as not run", runs.refused);
   page->counter("endpoint_replayed_total", "calls answered from the ledger without a run", runs.replayed);
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
+  page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
+  page->counter("entry_budget_spent_total", "retries that the budget did not allow", calls.budgetSpent);
+  page->histogram("entry_latency_seconds", "from a request to its answer, completed calls", calls.completedLatency);
+  page->histogram("endpoint_wait_seconds", "from a call's arrival to its start", runs.waited);
+  page->histogram("endpoint_run_seconds", "from a call's start to the back end's answer", runs.ran);
+  page->counter("log_lines_dropped_total", "log lines that nobody read in time", base::droppedLogLines());
   page->gauge("endpoint_running", "requests in the back end", endpoint.limiter().running());
   page->gauge("endpoint_waiting", "requests waiting for a slot", static_cast<double>(endpoint.limiter().waiting()));
 }
@@ -201,6 +212,7 @@
   options.defaultRetry = {FLAGS_retry_attempts, FLAGS_retry_budget_percent};
   options.retryBurst = FLAGS_retry_burst;
   options.mintKeys = FLAGS_ledger;
+  options.requestIdHeader = FLAGS_correlation_header;
   options.fullFor = base::milliseconds(FLAGS_full_for_ms);
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
@@ -215,6 +227,7 @@
   options.notRunHeader = FLAGS_not_run_header;
   options.dynamicEndpoint = !FLAGS_report_listen.empty();
   options.waitWithinTarget = FLAGS_wait_within_target;
+  options.requestIdHeader = FLAGS_correlation_header;
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   return options;
 }
@@ -268,6 +281,7 @@
   void onTerminate();
   void onReload();
   void waitForCalls(base::TimePoint until);
+  void askForIdentity();
   DaemonPages pages();
 
   transport::EventLoop loop_;
@@ -287,6 +301,7 @@
   AdminServer admin_;
   PageHandler reportPages_;  // empty where the back end does not tell of itself
   std::unique_ptr<PageServer> reportServer_;
+  std::unique_ptr<transport::HttpClientPool> identityPool_;  // once the back end was asked who it is
   std::unique_ptr<storage::PosixDisk> disk_;
 };
 
@@ -385,11 +400,31 @@
   }
   control_.start(disk_.get());
   if (hasBackend() && !reportServer_) health_.start();
+  if (reportServer_ && !FLAGS_identity_header.empty()) {
+    // A back end that starts with its node tells of itself soon; one that was there before may take a while.
+    constexpr base::Duration kPatience = base::milliseconds(30);
+    loop_.schedule(kPatience, [this] { askForIdentity(); });
+  }
   loop_.onSignals({[this] { onTerminate(); }, [this] { onReload(); }});
   log_.info("{} started in zone {}", FLAGS_name, FLAGS_zone);
   loop_.run();
 }
 
+void NodeDaemon::askForIdentity() {
+  constexpr base::Duration kTimeout = base::milliseconds(500);
+  if (FLAGS_first_start || !localBackend_.incarnation().empty()) return;
+  identityPool_ =
+      std::make_unique<transport::HttpClientPool>(loop_, "identity", backendAddress(), transport::HttpPoolOptions{});
+  transport::HttpRequest request;
+  request.method = "GET";
+  request.path = FLAGS_identity_path;
+  identityPool_->send(request, kTimeout, [this](const transport::HttpResult& result) {
+    const bool good = result.outcome == transport::HttpOutcome::kCompleted && result.response.status == kOkStatus;
+    if (!good) return;
+    localBackend_.onIdentified(std::string(transport::findHeader(result.response.headers, FLAGS_identity_header)));
+  });
+}
+
 void NodeDaemon::onReload() {
   const auto seeds = base::rereadSetting("seeds");
   log_.info("{} reloads its settings, seeds {}", FLAGS_name, seeds.value_or("unchanged"));
@@ -424,7 +459,7 @@
 int runNode(int argc, char** argv, const ReportPagesFactory& makeReportPages) {
   declareSettings();
   base::loadSettingsOrExit(argc, argv, "driftlug-node: carries calls between callers and back ends", false);
-  configureLogsFromSettings();
+  configureLogsFromSettings(base::LogTarget::kOutput);
   NodeDaemon daemon(makeReportPages);
   daemon.listenOrExit();
   daemon.run();
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -95,7 +95,7 @@
   base::declareRange("admissions_per_second", 1, 1'000'000);
   base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
   base::loadSettingsOrExit(argc, argv, "driftlug-relay: hands slices of the table to nodes", false);
-  apps::configureLogsFromSettings();
+  apps::configureLogsFromSettings(base::LogTarget::kOutput);
 
   transport::EventLoop loop;
   transport::FrameTransport frames(loop, "frames");
--- /dev/null
+++ b/src/base/decision_log.cc
@@ -0,0 +1,44 @@
+#include "base/decision_log.h"
+
+#include <algorithm>
+
+namespace driftlug::base {
+
+DecisionLog::DecisionLog(std::string_view prefix, const TimeSource& time, DecisionLogLimits limits)
+    : log_(prefix), time_(time), burstSeconds_(limits.burstSeconds) {
+  buckets_[static_cast<size_t>(LineWorth::kFailure)].perSecond = limits.failuresPerSecond;
+  buckets_[static_cast<size_t>(LineWorth::kRoutine)].perSecond = limits.routinePerSecond;
+  for (auto& bucket : buckets_) {
+    bucket.tokens = bucket.perSecond * burstSeconds_;
+    bucket.at = time.now();
+  }
+}
+
+bool DecisionLog::admit(LineWorth worth) {
+  auto& bucket = buckets_[static_cast<size_t>(worth)];
+  const auto now = time_.now();
+  const double elapsed = std::chrono::duration<double>(now - bucket.at).count();
+  bucket.at = now;
+  bucket.tokens = std::min(bucket.perSecond * burstSeconds_, bucket.tokens + elapsed * bucket.perSecond);
+  if (bucket.tokens < 1) {
+    ++bucket.dropped;
+    ++droppedInAll_;
+    return false;
+  }
+  bucket.tokens -= 1;
+  return true;
+}
+
+void DecisionLog::emit(LineWorth worth, const std::string& line) {
+  auto& bucket = buckets_[static_cast<size_t>(worth)];
+  const bool failure = worth == LineWorth::kFailure;
+  const std::string missing = bucket.dropped > 0 ? fmt::format(" dropped_before={}", bucket.dropped) : "";
+  bucket.dropped = 0;
+  if (failure) {
+    log_.warn("{}{}", line, missing);
+  } else {
+    log_.info("{}{}", line, missing);
+  }
+}
+
+}  // namespace driftlug::base
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,6 +1,10 @@
 #include "base/log.h"
 
+#include <fcntl.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 
@@ -8,13 +12,38 @@
 namespace {
 
 bool jsonForm = false;
+int64_t droppedLines = 0;
+
+/// Writes to standard output without ever waiting for its reader. Lines shorter than a pipe's atomic size are written
+/// whole or not at all.
+class NonBlockingSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  NonBlockingSink() { ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK); }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    const auto written = ::write(STDOUT_FILENO, line.data(), line.size());
+    if (written < static_cast<ssize_t>(line.size())) ++droppedLines;
+  }
+  void flush_() override {}
+};
 thread_local const TimeSource* shownClock = nullptr;
 
 }  // namespace
 
-void configureLogs(bool json, std::string_view level) {
+int64_t droppedLogLines() { return droppedLines; }
+
+void configureLogs(bool json, std::string_view level, LogTarget target) {
   jsonForm = json;
-  auto logger = std::make_shared<spdlog::logger>("driftlug", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  std::shared_ptr<spdlog::sinks::sink> sink;
+  if (target == LogTarget::kOutput) {
+    sink = std::make_shared<NonBlockingSink>();
+  } else {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  }
+  auto logger = std::make_shared<spdlog::logger>("driftlug", sink);
   logger->set_pattern(json ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %l %v");
   logger->set_level(spdlog::level::from_str(std::string(level)));
   logger->flush_on(spdlog::level::info);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -11,10 +11,19 @@
 
 namespace driftlug::base {
 
+/// Where logs go.
+enum class LogTarget {
+  kErrors,  ///< standard error, waiting for the reader: for tools whose output is their result
+  kOutput,  ///< standard output, never waiting: a line that a slow reader has no room for is dropped
+};
+
 /// Sets the process-wide form of logs.
 /// @param json one JSON object a line instead of text
 /// @param level spdlog's name of the lowest level that is written
-void configureLogs(bool json, std::string_view level);
+void configureLogs(bool json, std::string_view level, LogTarget target = LogTarget::kErrors);
+
+/// @return lines that were dropped because nobody read them.
+int64_t droppedLogLines();
 
 /// Shows this clock's time in the lines of the current thread; null for none. For simulations.
 void showLogTime(const TimeSource* clock);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "base/latency_histogram.h"
+
 namespace driftlug::base {
 
 /// Collects values of one scrape. Names get the prefix `driftlug_`.
@@ -18,6 +20,9 @@
   /// Adds a value that may go up and down.
   void gauge(const std::string& name, const std::string& help, double value);
 
+  /// Adds the distribution of a latency, in seconds.
+  void histogram(const std::string& name, const std::string& help, const LatencyHistogram& histogram);
+
   /// @return the page.
   std::string text() const;
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -37,10 +37,12 @@
       backend_(backend),
       ledger_(ledger),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
-      expiryTimer_(scheduler, [this] {
-        limiter_.refuseExpired();
-        armExpiry();
-      }) {}
+      expiryTimer_(scheduler,
+                   [this] {
+                     limiter_.refuseExpired();
+                     armExpiry();
+                   }),
+      decisions_("endpoint", scheduler) {}
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
 
@@ -77,6 +79,7 @@
   if (calls_.count(key) > 0) return;
   auto& call = calls_[key];
   call.request = request;
+  call.arrivedAt = scheduler_.now();
   call.deadline = scheduler_.now() + base::milliseconds(request.remainingMs);
   if (refuseAtOnce(key, request)) return;
   const auto priority = priorityOf(request);
@@ -104,6 +107,7 @@
 
 void EndpointCalls::noteRun(const Call& call) {
   constexpr double kWeight = 0.1;
+  counters_.ran.record(scheduler_.now() - call.startedAt);
   if (call.request.targetLatencyMs == 0) return;
   const auto runUs = static_cast<double>((scheduler_.now() - call.startedAt).count());
   const auto [usual, first] = usualRunUs_.try_emplace(call.request.targetLatencyMs, runUs);
@@ -141,6 +145,7 @@
   auto& call = calls_[key];
   call.running = true;
   call.startedAt = scheduler_.now();
+  counters_.waited.record(call.startedAt - call.arrivedAt);
   if (ledger_ == nullptr || isRepeatable(call.request)) return sendToBackend(key);
   call.owner = ledger_->newOwner();
   claim(key);
@@ -234,6 +239,7 @@
 
 void EndpointCalls::answerUnknown(const CallKey& key, ErrorCode error) {
   ++counters_.unknown;
+  logUnknown(calls_[key], error);
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::UNKNOWN;
   response.errorCode = static_cast<int>(error);
@@ -258,6 +264,7 @@
 
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
   ++counters_.refused;
+  logRefusal(calls_[key], error, retryAfter);
   releaseSlot(calls_[key]);
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::NOT_RUN;
@@ -266,6 +273,35 @@
   answer(key, std::move(response));
 }
 
+std::string EndpointCalls::requestIdOf(const wire::CallRequest& request) const {
+  for (const auto& header : request.headers) {
+    if (header.name == options_.requestIdHeader) return header.value;
+  }
+  return "";
+}
+
+void EndpointCalls::logRefusal(const Call& call, ErrorCode error, base::Duration retryAfter) {
+  decisions_.write(base::LineWorth::kFailure, [&] {
+    const auto waited = std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - call.arrivedAt);
+    return fmt::format(
+        "refused call={} service={} endpoint={} current={} error={} running={} waiting={} waited_ms={} "
+        "left_ms={} target_ms={} retry_after_ms={}",
+        requestIdOf(call.request), call.request.serviceName, call.request.endpoint, endpoint_, base::errorName(error),
+        limiter_.running(), limiter_.waiting(), waited.count(),
+        std::chrono::duration_cast<base::milliseconds>(call.deadline - scheduler_.now()).count(),
+        call.request.targetLatencyMs, retryAfter.count() / 1000);
+  });
+}
+
+void EndpointCalls::logUnknown(const Call& call, ErrorCode error) {
+  decisions_.write(base::LineWorth::kFailure, [&] {
+    const auto ran = std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - call.startedAt);
+    return fmt::format("unknown call={} service={} endpoint={} error={} ran_ms={} run_once={}",
+                       requestIdOf(call.request), call.request.serviceName, call.request.endpoint,
+                       base::errorName(error), ran.count(), call.request.runOnce);
+  });
+}
+
 void EndpointCalls::answer(const CallKey& key, wire::CallResponse response) {
   response.callId = key.callId;
   response.inFlight = limiter_.running() + static_cast<int>(limiter_.waiting());
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "base/decision_log.h"
+#include "base/latency_histogram.h"
 #include "base/network.h"
 #include "base/time.h"
 #include "ledger/ledger_client.h"
@@ -30,6 +32,7 @@
   bool waitWithinTarget = false;
   double holdMargin = 1.3;       ///< with waitWithinTarget: what is kept free for the run, as a multiple of a usual run
   double leastWaitShare = 0.15;  ///< with waitWithinTarget: share of the target that a request may wait at the least
+  std::string requestIdHeader;   ///< header, in lower case, by which logs name a call; empty for none
   base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
 };
 
@@ -40,7 +43,9 @@
   int64_t refused = 0;
   int64_t unknown = 0;
   int64_t cancelled = 0;
-  int64_t replayed = 0;  ///< answered from the ledger, without a run
+  int64_t replayed = 0;           ///< answered from the ledger, without a run
+  base::LatencyHistogram waited;  ///< of calls that started: from their arrival to their start
+  base::LatencyHistogram ran;     ///< of completed calls: from their start to the back end's answer
 };
 
 /// A request that may not be repeated is claimed in the ledger before the back end sees it, under its idempotency
@@ -88,6 +93,7 @@
   struct Call {
     wire::CallRequest request;
     base::TimePoint deadline;
+    base::TimePoint arrivedAt{};
     limits::TicketId ticket = 0;
     bool running = false;
     uint64_t backendId = 0;
@@ -114,6 +120,9 @@
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
+  void logRefusal(const Call& call, base::ErrorCode error, base::Duration retryAfter);
+  void logUnknown(const Call& call, base::ErrorCode error);
+  std::string requestIdOf(const wire::CallRequest& request) const;
   static bool isRepeatable(const wire::CallRequest& request);
 
   EndpointOptions options_;
@@ -131,6 +140,7 @@
   std::optional<routing::ServiceLimit> tableLimit_;
   std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
   EndpointCounters counters_;
+  base::DecisionLog decisions_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -36,6 +36,18 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
 }
 
+const char* conditionName(wire::EndpointCondition::type condition) {
+  switch (condition) {
+    case wire::EndpointCondition::LIVE:
+      return "live";
+    case wire::EndpointCondition::DRAINING:
+      return "draining";
+    case wire::EndpointCondition::GONE:
+      return "gone";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 EntryCalls::EntryCalls(EntryOptions options, base::Scheduler& scheduler, base::RandomSource random,
@@ -44,7 +56,8 @@
       scheduler_(scheduler),
       random_(random),
       network_(network),
-      picker_(options_.picker, scheduler, base::RandomSource(random_.bits())) {}
+      picker_(options_.picker, scheduler, base::RandomSource(random_.bits())),
+      decisions_("entry", scheduler) {}
 
 EntryCalls::~EntryCalls() { alive_.reset(); }
 
@@ -121,6 +134,7 @@
   if (endpoint == endpointOf_.end()) return;
   auto& link = links_[endpoint->second];
   link.open = true;
+  log_.info("link endpoint={} address={}:{} up", endpoint->second, link.address.host, link.address.port);
   link.failures = 0;
   picker_.setConnected(endpoint->second, true);
 }
@@ -145,7 +159,10 @@
   const auto link = links_.find(endpoint);
   if (link == links_.end()) return;
   link->second.connection = 0;
-  if (link->second.open) link->second.lostAt = scheduler_.now();
+  if (link->second.open) {
+    link->second.lostAt = scheduler_.now();
+    log_.warn("link endpoint={} lost, {} calls in flight", endpoint, lost.size());
+  }
   link->second.open = false;
   if (scheduler_.now() - link->second.lostAt > options_.unreachableFor) return forgetUnreachable(endpoint);
   const auto limit = options_.reconnectDelay * (1 << std::min(link->second.failures, kMaxBackoffDoublings));
@@ -162,6 +179,9 @@
     const auto known = states_.find(state.endpoint);
     if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
     states_[state.endpoint] = state;
+    log_.info("endpoint={} service={} address={}:{} condition={} incarnation={} sequence={}", state.endpoint,
+              state.serviceName, state.address, state.port, conditionName(state.condition), state.incarnation,
+              state.sequence);
     picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
     announced = announced || !state.address.empty();
   }
@@ -195,6 +215,7 @@
   call.done = std::move(done);
   call.table = table_;
   const auto now = scheduler_.now();
+  call.begunAt = now;
   const auto* route = findRoute(call.inbound);
   if (refusing_ || !table_) {
     const auto error = refusing_ ? ErrorCode::kDraining : ErrorCode::kNoTable;
@@ -208,6 +229,7 @@
   int timeoutMs = route->timeoutMs;
   if (call.inbound.deadlineMs > 0) timeoutMs = std::min(timeoutMs, call.inbound.deadlineMs);
   call.deadline = now + base::milliseconds(timeoutMs);
+  call.route = route->name;
   call.repeatable = route->repeatable;
   call.priority = route->priority;
   call.targetLatencyMs = route->targetLatencyMs;
@@ -252,6 +274,7 @@
   const auto attemptId = nextAttempt_++;
   ++counters_.attempts;
   call->tried.insert(target.name);
+  call->endpoint = target.name;
   call->attemptId = attemptId;
   const auto& link = links_[target.name];
   attempts_[attemptId] = {id, target.name, link.connection, now};
@@ -344,16 +367,52 @@
   const bool mayRepeat = reach != Reach::kMayHaveRun || call.repeatable;
   const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
   const bool allowed = options_.retries && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
-  if (!allowed) return finish(id, call.lastFailure);
+  if (!allowed) {
+    logAttemptFailed(call, reach, false, mayRepeat ? "attempts_used" : "may_have_run");
+    return finish(id, call.lastFailure);
+  }
   // A refusal by a node costs no back end anything; what has reached one is paid for.
   if (atBackend && !budgets_[call.service].spend()) {
     ++counters_.budgetSpent;
+    logAttemptFailed(call, reach, false, "budget_spent");
     return finish(id, call.lastFailure);
   }
   ++counters_.retries;
+  logAttemptFailed(call, reach, true, "allowed");
   attempt(id);
 }
 
+std::string EntryCalls::requestIdOf(const Call& call) const {
+  return options_.requestIdHeader.empty() ? "" : headerValue(call.inbound.headers, options_.requestIdHeader);
+}
+
+void EntryCalls::logAttemptFailed(const Call& call, Reach reach, bool again, const char* because) {
+  decisions_.write(base::LineWorth::kFailure, [&] {
+    const char* reached = reach == Reach::kNode ? "node" : reach == Reach::kMayHaveRun ? "may_have_run" : "refused";
+    return fmt::format(
+        "attempt call={} route={} service={} endpoint={} error={} reached={} attempts={} refusals={} "
+        "repeatable={} again={} because={} table={}",
+        requestIdOf(call), call.route, call.service, call.endpoint, base::errorName(call.lastFailure.error), reached,
+        call.attempts, call.refusals, call.repeatable, again, because, call.table ? call.table->revision() : 0);
+  });
+}
+
+void EntryCalls::logOutcome(const Call& call, const CallAnswer& answer) {
+  const bool completed = answer.outcome == CallOutcome::COMPLETED;
+  const auto worth = completed ? base::LineWorth::kRoutine : base::LineWorth::kFailure;
+  decisions_.write(worth, [&] {
+    const char* outcome = completed ? "completed" : answer.outcome == CallOutcome::NOT_RUN ? "not_run" : "unknown";
+    const auto now = scheduler_.now();
+    return fmt::format(
+        "outcome call={} {} {}{} route={} service={} endpoint={} outcome={} status={} error={} "
+        "attempts={} refusals={} elapsed_ms={} left_ms={} retry_after_ms={} table={}",
+        requestIdOf(call), call.inbound.method, call.inbound.host, call.inbound.path, call.route, call.service,
+        call.endpoint, outcome, answer.httpStatus, base::errorName(answer.error), call.attempts, call.refusals,
+        remainingMs(now, call.begunAt), remainingMs(call.deadline, now), answer.retryAfterMs,
+        call.table ? call.table->revision() : 0);
+  });
+}
+
 void EntryCalls::onDeadline(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
@@ -384,7 +443,16 @@
     picker_.onDone(attempt->second.endpoint, scheduler_.now() - attempt->second.sentAt, false);
     attempts_.erase(attempt);
   }
-  if (!call.done) return;
+  if (!call.done) {
+    ++counters_.abandoned;
+    decisions_.write(base::LineWorth::kRoutine, [&] {
+      return fmt::format("abandoned call={} route={} service={} endpoint={} elapsed_ms={}", requestIdOf(call),
+                         call.route, call.service, call.endpoint, remainingMs(scheduler_.now(), call.begunAt));
+    });
+    return;
+  }
+  logOutcome(call, answer);
+  if (answer.outcome == CallOutcome::COMPLETED) counters_.completedLatency.record(scheduler_.now() - call.begunAt);
   if (answer.outcome == CallOutcome::COMPLETED) ++counters_.completed;
   if (answer.outcome == CallOutcome::NOT_RUN) ++counters_.refused;
   if (answer.outcome == CallOutcome::UNKNOWN) ++counters_.unknown;
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -6,6 +6,8 @@
 #include <set>
 #include <string>
 
+#include "base/decision_log.h"
+#include "base/latency_histogram.h"
 #include "base/network.h"
 #include "base/random.h"
 #include "base/time.h"
@@ -30,7 +32,8 @@
   bool mintKeys = true;
   base::Duration fullFor{0};  ///< how long an endpoint that refused for want of slots is not asked again
   base::Duration overloadRetryAfter = base::milliseconds(200);  ///< told to callers when every endpoint is full
-  int maxRefusals = 4;                                ///< endpoints that may refuse a request before it is given up
+  std::string requestIdHeader;  ///< header, in lower case, by which logs name a call; empty for none
+  int maxRefusals = 4;          ///< endpoints that may refuse a request before it is given up
   base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
 };
 
@@ -42,8 +45,10 @@
   int64_t unknown = 0;  ///< final answers "outcome unknown"
   int64_t attempts = 0;
   int64_t retries = 0;
-  int64_t budgetSpent = 0;  ///< retries that the budget did not allow
-  int64_t lateAnswers = 0;  ///< answers that came after the call had ended; dropped
+  int64_t budgetSpent = 0;                  ///< retries that the budget did not allow
+  int64_t lateAnswers = 0;                  ///< answers that came after the call had ended; dropped
+  int64_t abandoned = 0;                    ///< callers that went away before their answer
+  base::LatencyHistogram completedLatency;  ///< of completed calls, from the request to the answer
 };
 
 /// Identifies one call within this object; never reused.
@@ -85,7 +90,10 @@
     InboundCall inbound;
     AnswerCallback done;
     routing::RoutingTablePtr table;  // the version the call began with
+    std::string route;
     std::string service;
+    std::string endpoint;  // that was asked last
+    base::TimePoint begunAt{};
     int maxAttempts = 1;  // back ends that it may reach
     int priority = 0;
     int targetLatencyMs = 0;
@@ -136,6 +144,9 @@
   void finish(CallId id, CallAnswer answer);
   void connect(const std::string& endpoint);
   CallAnswer failureAnswer(wire::CallOutcome::type outcome, base::ErrorCode error, int status, int retryAfterMs) const;
+  std::string requestIdOf(const Call& call) const;
+  void logAttemptFailed(const Call& call, Reach reach, bool again, const char* because);
+  void logOutcome(const Call& call, const CallAnswer& answer);
   static int rankOf(const Call& call);
   base::Duration spread(base::Duration duration);
   std::string mintKey();
@@ -158,6 +169,8 @@
   CallId nextCall_ = 1;
   int64_t nextAttempt_ = 1;
   EntryCounters counters_;
+  base::DecisionLog decisions_;
+  base::Logger log_{"entry"};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -22,9 +22,13 @@
   if (known && report.sequence <= current_.sequence) return ReportVerdict::kOutdated;
   if (!known) {
     if (!current_.incarnation.empty()) end(current_.incarnation);
-    learnedAt_ = report.sequence;
+    learnedAt_ = report.sequence + 1;  // 0 stands for "by name only"
     log_.info("{} is the back end now: {} slots, {}, sequence {}", report.incarnation, report.slots,
               report.draining ? "draining" : "live", report.sequence);
+  } else if (learnedAt_ == 0) {
+    // Known only by name so far: its announcement must outdo those of this node's earlier life.
+    learnedAt_ = report.sequence + 1;  // 0 stands for "by name only"
+    place_.endpoint.clear();
   } else if (report.draining != current_.draining) {
     log_.info("{} is {} now, sequence {}", report.incarnation, report.draining ? "draining" : "live", report.sequence);
   }
@@ -33,6 +37,15 @@
   return ReportVerdict::kTaken;
 }
 
+void LocalBackend::onIdentified(const std::string& incarnation) {
+  if (!current_.incarnation.empty() || incarnation.empty() || hasEnded(incarnation)) return;
+  learnedAt_ = 0;
+  current_ = BackendReport{};
+  current_.incarnation = incarnation;
+  log_.info("{} is the back end, by its own word when asked", incarnation);
+  apply();
+}
+
 void LocalBackend::apply() {
   const bool draining = current_.draining || stopping_;
   calls_.useIncarnation(current_.incarnation, current_.slots);
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -41,6 +41,10 @@
   /// Takes a report of the back end.
   ReportVerdict onReport(const BackendReport& report);
 
+  /// The back end named itself when it was asked, as a node does that has just started. Counts only until the first
+  /// report.
+  void onIdentified(const std::string& incarnation);
+
   /// The incarnation ends, or has ended, or has turned out not to be there.
   void onLeave(const std::string& incarnation);
 
--- a/test/node/local_backend_test.cc
+++ b/test/node/local_backend_test.cc
@@ -163,6 +163,23 @@
   CHECK(later[0].incarnation > before.incarnation);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a back end that named itself takes calls, and its first report outdoes earlier announcements") {
+  local.onIdentified("i-1");
+  call(1, "i-1");
+  CHECK(backend.requests.size() == 1);
+  REQUIRE(announced.size() == 1);
+  local.onReport(report("i-1", 4));
+  REQUIRE(announced.size() == 2);
+  CHECK(announced[1].incarnation > announced[0].incarnation);
+  CHECK(announced[1].condition == EndpointCondition::LIVE);
+  local.onIdentified("i-2");
+  CHECK(local.incarnation() == "i-1");
+  local.onLeave("i-1");
+  local.onIdentified("i-1");
+  CHECK(local.incarnation().empty());
+}
+
 TEST_CASE_METHOD(Fixture, "a node that stops announces that its endpoint drains") {
   local.onReport(report("i-1", 1));
   local.setStopping();
