Do not go home to a relay that is cut off

A node that learned the list of relays drew the time until it goes home from 0 to 20 s, so it could go home into the cut at once, and an old leader's relay was believed for 1.6 s. Change: the way home takes a quarter of its time at least; a relay that follows an earlier leader is left at once; each relay left is logged with the reason. Tests: node/control_client_test.cc.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -102,13 +102,14 @@
   if (home) {
     homeTimer_.stop();
   } else if (open_ && !homeTimer_.running()) {
-    homeTimer_.start(random_.duration(options_.returnAfter));
+    homeTimer_.start(options_.returnAfter / 4 + random_.duration(options_.returnAfter));
   }
 }
 
 void ControlClient::goHome() {
   // Relays of other zones are for need only: they are further away, and have nodes of their own.
   if (!open_ || !sliceSeen_) return homeTimer_.start(options_.returnAfter);
+  log_.info("{} goes back to a relay of its zone, revision {}", options_.nodeId, slices_.revision());
   ++counters_.returns;
   network_.close(connection_);
   connection_ = 0;
@@ -127,7 +128,10 @@
   reconnectTimer_.start(delay);
 }
 
-void ControlClient::reconnectLater() {
+void ControlClient::reconnectLater(const char* because) {
+  log_.info("{} leaves relay {}:{}: {}, revision {}, fresh {} ms ago, term {}", options_.nodeId, relay_.host,
+            relay_.port, because, slices_.revision(),
+            std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - freshSince_).count(), freshness_.term);
   const auto limit = options_.reconnectDelay * (1 << std::min(attempts_, kMaxBackoffDoublings));
   ++attempts_;
   // The first other relay is tried at once; only when that fails too does the node wait.
@@ -140,7 +144,7 @@
   open_ = true;
   lastHeard_ = scheduler_.now();
   openedAt_ = lastHeard_;
-  log_.debug("{} subscribes to {}", options_.nodeId, peer.id);
+  log_.info("{} subscribes to {} from revision {}", options_.nodeId, peer.id, slices_.revision());
   wire::NodeSubscribe subscribe;
   subscribe.hosts = options_.hosts;
   subscribe.services = options_.services;
@@ -153,7 +157,7 @@
 }
 
 void ControlClient::onClose(base::ConnectionId connection) {
-  if (connection == connection_) reconnectLater();
+  if (connection == connection_) reconnectLater(open_ ? "connection lost" : "not reached");
 }
 
 void ControlClient::onMessage(base::ConnectionId connection, wire::Message message) {
@@ -215,6 +219,7 @@
   slices_.activate(std::move(next));
   if (result == SliceResult::kActivated) {
     ++counters_.activations;
+    log_.info("{} runs revision {}", options_.nodeId, slices_.revision());
     if (onActivation_) onActivation_(slices_.active());
   }
   sendApplied();
@@ -223,7 +228,7 @@
 void ControlClient::refuse(SliceResult result, int64_t revision) {
   ++counters_.rejected;
   // A relay that is behind can't help; another one may be further.
-  if (result == SliceResult::kOlder) return reconnectLater();
+  if (result == SliceResult::kOlder) return reconnectLater("it is behind");
   wire::SliceRejected rejected;
   rejected.revision = revision;
   rejected.reason = wire::SliceRejectReason::DANGLING_REFERENCE;
@@ -233,6 +238,8 @@
 }
 
 void ControlClient::onHeartbeat(const wire::Freshness& freshness) {
+  // A relay that has heard of no leader yet may be starting; one that follows an earlier leader is cut off.
+  if (freshness.term > 0 && freshness.term < freshness_.term) return reconnectLater("it follows an earlier leader");
   if (!membership::isNewer(freshness, freshness_)) return;
   freshness_ = freshness;
   freshSince_ = scheduler_.now();
@@ -254,7 +261,10 @@
   const auto patience = slices_.active() ? options_.firstSliceTimeout * kServingPatience : options_.firstSliceTimeout;
   const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > patience;
   const bool stale = open_ && !fresh() && now - openedAt_ > options_.staleAfter;
-  if (silent || noAnswer || noSlice || stale) reconnectLater();
+  if (silent) return reconnectLater("silent");
+  if (noAnswer) return reconnectLater("no answer");
+  if (noSlice) return reconnectLater("no version came");
+  if (stale) reconnectLater("its word of the controllers is old");
 }
 
 void ControlClient::announce(const wire::EndpointState& state) {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -89,7 +89,7 @@
   void onRelayList(const wire::RelayList& list);
   void useRelays();
   void moveOn(base::Duration delay);
-  void reconnectLater();
+  void reconnectLater(const char* because);
   void onUpdate(const wire::SliceUpdate& update);
   void onHeartbeat(const wire::Freshness& freshness);
   void sendApplied();
--- /dev/null
+++ b/test/node/control_client_test.cc
@@ -0,0 +1,169 @@
+#include "node/control_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+const base::Address kHome{"10.0.0.1", 7001};
+const base::Address kFar{"10.0.0.2", 7001};
+
+/// A node that was given one seed and learns of relays in two zones.
+struct Fixture {
+  Fixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.9", 7000}) {
+    process.start();
+    ControlOptions options;
+    options.nodeId = "node";
+    options.zone = "zone-1";
+    options.relays = {kHome};
+    options.nearRelays = 1;
+    options.hosts = {"*"};
+    options.staleAfter = base::milliseconds(1600);
+    client = std::make_unique<ControlClient>(options, process, base::RandomSource(seed), network, nullptr, nullptr);
+    client->start(nullptr);
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  /// @return the connection in use.
+  base::ConnectionId current() const { return network.connected.empty() ? 0 : network.connected.rbegin()->first; }
+  base::Address relay() const { return network.connected.at(current()); }
+
+  void open() { client->onOpen(current(), {}); }
+
+  void tellRelays() {
+    wire::RelayList list;
+    for (const auto& [address, zone] : {std::pair(kHome, "zone-1"), std::pair(kFar, "zone-2")}) {
+      wire::RelayAddress entry;
+      entry.address = address.host;
+      entry.port = address.port;
+      entry.zone = zone;
+      list.relays.push_back(entry);
+    }
+    client->onMessage(current(), list);
+  }
+
+  void heartbeat(int64_t term, int64_t round) {
+    wire::NodeHeartbeat heartbeat;
+    heartbeat.freshness.term = term;
+    heartbeat.freshness.round = round;
+    client->onMessage(current(), heartbeat);
+  }
+
+  void version(int64_t revision) {
+    wire::SliceUpdate update;
+    update.full = true;
+    update.toRevision = revision;
+    update.digest = table::Table().digest();
+    client->onMessage(current(), update);
+  }
+
+  static constexpr uint64_t seed = 5;
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  std::unique_ptr<ControlClient> client;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a relay whose word of the controllers stands still is left in time") {
+  open();
+  tellRelays();
+  version(1);
+  int64_t round = 1;
+  for (int i = 0; i < 20; ++i) {
+    heartbeat(1, ++round);
+    runFor(base::milliseconds(400));
+  }
+  CHECK(relay() == kHome);
+  for (int i = 0; i < 5; ++i) {
+    heartbeat(1, round);
+    runFor(base::milliseconds(400));
+  }
+  CHECK(relay() == kFar);
+}
+
+TEST_CASE_METHOD(Fixture, "a node that left a relay does not go back to it before its time") {
+  // For many random sources, since the times are drawn.
+  for (uint64_t source = 1; source <= 40; ++source) {
+    test::RecordingNetwork own;
+    ControlOptions options;
+    options.nodeId = "node";
+    options.zone = "zone-1";
+    options.relays = {kHome};
+    options.nearRelays = 1;
+    options.hosts = {"*"};
+    ControlClient other(options, process, base::RandomSource(source), own, nullptr, nullptr);
+    other.start(nullptr);
+    other.onOpen(own.connected.rbegin()->first, {});
+    wire::RelayList list;
+    wire::RelayAddress home;
+    home.address = kHome.host;
+    home.port = kHome.port;
+    home.zone = "zone-1";
+    wire::RelayAddress far;
+    far.address = kFar.host;
+    far.port = kFar.port;
+    far.zone = "zone-2";
+    list.relays = {home, far};
+    other.onMessage(own.connected.rbegin()->first, list);
+    const auto first = own.connected.rbegin()->first;
+    own.connected.erase(first);
+    other.onClose(first);
+    runFor(base::milliseconds(300));
+    REQUIRE(own.connected.rbegin()->second == kFar);
+    const auto connection = own.connected.rbegin()->first;
+    other.onOpen(connection, {});
+    other.onMessage(connection, list);
+    wire::SliceUpdate update;
+    update.full = true;
+    update.toRevision = 1;
+    update.digest = table::Table().digest();
+    other.onMessage(connection, update);
+    for (int i = 0; i < 45; ++i) {
+      wire::NodeHeartbeat heartbeat;
+      heartbeat.freshness.term = 1;
+      heartbeat.freshness.round = i + 1;
+      other.onMessage(connection, heartbeat);
+      runFor(base::milliseconds(400));
+    }
+    REQUIRE(own.connected.count(connection) == 1);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a relay that follows an earlier leader is left at once") {
+  open();
+  tellRelays();
+  version(1);
+  heartbeat(3, 1);
+  client->onClose(current());
+  network.connected.clear();
+  runFor(base::milliseconds(300));
+  REQUIRE(relay() == kFar);
+  open();
+  heartbeat(0, 0);
+  runFor(base::milliseconds(10));
+  CHECK(relay() == kFar);
+  heartbeat(2, 50);
+  runFor(base::milliseconds(300));
+  CHECK(relay() == kHome);
+}
+
+TEST_CASE_METHOD(Fixture, "seeds that the settings change to are tried too") {
+  client->onClose(current());
+  network.connected.clear();
+  const base::Address other{"10.0.0.7", 7001};
+  client->useSeeds({other});
+  runFor(base::seconds(1));
+  CHECK(relay() == other);
+}
+
+}  // namespace driftlug::node
