--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -330,7 +330,7 @@
           [this](const routing::RoutingTablePtr& table) { onActivation(table); },
           [this](const std::vector<wire::EndpointState>& states) { entry_.onEndpointStates(states); }),
       health_(loop_, control_, endpoint_, backendAddress()),
-      localBackend_(placeFromSettings(), endpoint_,
+      localBackend_(placeFromSettings(), loop_, endpoint_,
                     [this](const wire::EndpointState& state) { control_.announce(state); }),
       entryServer_(loop_, entry_, entryHeadersFromSettings()),
       admin_(loop_, pages()) {
@@ -346,6 +346,7 @@
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
+  endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
   if (makeReportPages) reportPages_ = makeReportPages(localBackend_);
 }
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -196,7 +196,9 @@
   const auto found = calls_.find(key);
   if (found == calls_.end()) return;
   const bool completed = answer.outcome == BackendOutcome::kCompleted;
-  if (answer.outcome == BackendOutcome::kNotSent) {
+  const bool notReached = answer.outcome == BackendOutcome::kNotSent;
+  if (onBackendContact_ && (completed || notReached)) onBackendContact_(completed);
+  if (notReached) {
     return releaseThenRefuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
   }
   if (completed && backendRefused(key, answer)) return;
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -78,6 +78,9 @@
   /// Called when the back end says that it is another incarnation than the named one.
   void onWrongIncarnation(std::function<void(const std::string&)> handler) { onWrongIncarnation_ = std::move(handler); }
 
+  /// Called when the back end has answered a call, or could not be reached for one.
+  void onBackendContact(std::function<void(bool reached)> handler) { onBackendContact_ = std::move(handler); }
+
   bool draining() const { return draining_; }
   size_t active() const { return calls_.size(); }
   const EndpointCounters& counters() const { return counters_; }
@@ -139,6 +142,7 @@
   int endpointSlots_ = 0;
   std::optional<routing::ServiceLimit> tableLimit_;
   std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
+  std::function<void(bool)> onBackendContact_;                  // may be empty
   EndpointCounters counters_;
   base::DecisionLog decisions_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -9,8 +9,13 @@
 
 }  // namespace
 
-LocalBackend::LocalBackend(wire::EndpointState place, EndpointCalls& calls, AnnounceFunction announce)
-    : place_(std::move(place)), calls_(calls), announce_(std::move(announce)) {}
+LocalBackend::LocalBackend(wire::EndpointState place, base::Scheduler& scheduler, EndpointCalls& calls,
+                           AnnounceFunction announce, const LocalBackendOptions& options)
+    : place_(std::move(place)),
+      calls_(calls),
+      announce_(std::move(announce)),
+      options_(options),
+      silenceTimer_(scheduler, [this] { suspend("silent"); }) {}
 
 bool LocalBackend::hasEnded(const std::string& incarnation) const {
   return std::find(ended_.begin(), ended_.end(), incarnation) != ended_.end();
@@ -33,21 +38,42 @@
     log_.info("{} is {} now, sequence {}", report.incarnation, report.draining ? "draining" : "live", report.sequence);
   }
   current_ = report;
+  suspended_ = false;
+  heard();
   apply();
   return ReportVerdict::kTaken;
 }
 
+void LocalBackend::heard() {
+  unreachable_ = 0;
+  silenceTimer_.start(options_.silentFor);
+}
+
+void LocalBackend::onContact(bool reached) {
+  if (current_.incarnation.empty()) return;
+  if (reached) return heard();
+  if (++unreachable_ >= options_.unreachableLimit) suspend("out of reach");
+}
+
+void LocalBackend::suspend(const char* because) {
+  if (suspended_ || current_.incarnation.empty()) return;
+  log_.warn("{} is {}: it takes no calls until it reports again", current_.incarnation, because);
+  suspended_ = true;
+  apply();
+}
+
 void LocalBackend::onIdentified(const std::string& incarnation) {
   if (!current_.incarnation.empty() || incarnation.empty() || hasEnded(incarnation)) return;
   learnedAt_ = 0;
   current_ = BackendReport{};
   current_.incarnation = incarnation;
   log_.info("{} is the back end, by its own word when asked", incarnation);
+  heard();
   apply();
 }
 
 void LocalBackend::apply() {
-  const bool draining = current_.draining || stopping_;
+  const bool draining = current_.draining || stopping_ || suspended_;
   calls_.useIncarnation(current_.incarnation, current_.slots);
   calls_.setDraining(draining);
   announce(draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE);
@@ -71,6 +97,8 @@
   log_.info("{} has ended", incarnation);
   announce(wire::EndpointCondition::GONE);
   current_ = BackendReport{};
+  suspended_ = false;
+  silenceTimer_.stop();
   calls_.useIncarnation("", 0);
 }
 
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "base/time.h"
 #include "node/endpoint_calls.h"
 #include "wire/gen/driftlug_types.h"
 
@@ -29,6 +30,13 @@
 
 /// Keeps which incarnation of the back end takes calls, and announces it as an endpoint.
 ///
+/// Times of a back end's life.
+struct LocalBackendOptions {
+  /// A back end that neither reported nor answered a call for this long takes no calls until it reports again.
+  base::Duration silentFor = base::seconds(4);
+  int unreachableLimit = 3;  ///< connections in a row that failed, after which it takes none either
+};
+
 /// Invariants: an incarnation that has ended or was replaced never takes calls again; one that drains takes calls again
 /// only after a newer report says so; a report takes effect here before it is acknowledged, whatever is cut.
 class LocalBackend {
@@ -36,7 +44,8 @@
   using AnnounceFunction = std::function<void(const wire::EndpointState&)>;
 
   /// @param place the endpoint's service, address, port and zone as others reach it
-  LocalBackend(wire::EndpointState place, EndpointCalls& calls, AnnounceFunction announce);
+  LocalBackend(wire::EndpointState place, base::Scheduler& scheduler, EndpointCalls& calls, AnnounceFunction announce,
+               const LocalBackendOptions& options = {});
 
   /// Takes a report of the back end.
   ReportVerdict onReport(const BackendReport& report);
@@ -48,6 +57,9 @@
   /// The incarnation ends, or has ended, or has turned out not to be there.
   void onLeave(const std::string& incarnation);
 
+  /// A call reached the back end and was answered, or no connection to it could be made.
+  void onContact(bool reached);
+
   /// This node stops: others are told to go elsewhere.
   void setStopping();
 
@@ -56,6 +68,8 @@
  private:
   bool hasEnded(const std::string& incarnation) const;
   void end(const std::string& incarnation);
+  void heard();
+  void suspend(const char* because);
   void apply();
   void announce(wire::EndpointCondition::type condition);
 
@@ -66,6 +80,10 @@
   BackendReport current_;          // incarnation empty while there is none
   int64_t learnedAt_ = 0;          // sequence of the first report of the current incarnation that this process saw
   std::deque<std::string> ended_;  // incarnations that have ended, oldest first
+  LocalBackendOptions options_;
+  base::Timer silenceTimer_;  // runs while there is an incarnation
+  int unreachable_ = 0;       // connections in a row that failed
+  bool suspended_ = false;    // silent or out of reach, until it reports again
   bool stopping_ = false;
   wire::EndpointCondition::type announced_ = wire::EndpointCondition::GONE;
 };
--- a/test/node/local_backend_test.cc
+++ b/test/node/local_backend_test.cc
@@ -33,8 +33,9 @@
   Fixture()
       : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 7000}),
         calls(options(), process, network, backend, nullptr),
-        local(place(), calls, [this](const wire::EndpointState& state) { announced.push_back(state); }) {
+        local(place(), process, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }) {
     process.start();
+    calls.onBackendContact([this](bool reached) { local.onContact(reached); });
     calls.onWrongIncarnation([this](const std::string& incarnation) { local.onLeave(incarnation); });
   }
 
@@ -157,7 +158,7 @@
   local.onReport(report("i-1", 3));
   const auto before = announced.back();
   std::vector<wire::EndpointState> later;
-  LocalBackend restarted(place(), calls, [&](const wire::EndpointState& state) { later.push_back(state); });
+  LocalBackend restarted(place(), process, calls, [&](const wire::EndpointState& state) { later.push_back(state); });
   restarted.onReport(report("i-1", 4));
   REQUIRE(later.size() == 1);
   CHECK(later[0].incarnation > before.incarnation);
@@ -180,6 +181,36 @@
   CHECK(local.incarnation().empty());
 }
 
+TEST_CASE_METHOD(Fixture, "a back end that can't be reached takes no calls until it reports again") {
+  local.onReport(report("i-1", 1));
+  for (int64_t id = 1; id <= 3; ++id) {
+    call(id, "i-1");
+    REQUIRE(backend.pending.size() == static_cast<size_t>(id));
+    backend.pending.back()({BackendOutcome::kNotSent, false, 0, {}, ""});
+    CHECK(refusalOf(id) == base::ErrorCode::kBackendUnreachable);
+  }
+  CHECK(announced.back().condition == EndpointCondition::DRAINING);
+  call(4, "i-1");
+  CHECK(refusalOf(4) == base::ErrorCode::kDraining);
+  local.onReport(report("i-1", 2));
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  call(5, "i-1");
+  CHECK(refusalOf(5) == base::ErrorCode::kNone);
+}
+
+TEST_CASE_METHOD(Fixture, "a back end that falls silent takes no calls; one that answers is not silent") {
+  local.onReport(report("i-1", 1));
+  call(1, "i-1");
+  runFor(base::seconds(3));
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {}, ""});
+  runFor(base::seconds(3));
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  runFor(base::seconds(2));
+  CHECK(announced.back().condition == EndpointCondition::DRAINING);
+  local.onReport(report("i-1", 2));
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+}
+
 TEST_CASE_METHOD(Fixture, "a node that stops announces that its endpoint drains") {
   local.onReport(report("i-1", 1));
   local.setStopping();
--- a/test/platform/report_api_test.cc
+++ b/test/platform/report_api_test.cc
@@ -20,7 +20,7 @@
   Fixture()
       : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 7000}),
         calls({"huvo11a", 4, 4}, process, network, backend, nullptr),
-        local({}, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }),
+        local({}, process, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }),
         api(local) {
     process.start();
   }
