--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -53,6 +53,8 @@
 DEFINE_int32(retry_budget_percent, 0, "retries as a share of calls, where the service has no retry policy");
 DEFINE_int32(retry_burst, 10, "retries to one service that may be made at once");
 DEFINE_int32(stale_after_ms, 4000, "time without word of a controllers' quorum after which another relay is tried");
+DEFINE_int32(hedge_percent, 0,
+             "percent of its target latency after which a repeatable call is sent to a second, idle endpoint");
 DEFINE_bool(compress, false, "compress calls to nodes of other zones");
 DEFINE_bool(wait_within_target, false,
             "refuse calls that would miss their route's target latency by waiting for a slot");
@@ -177,6 +179,7 @@
   page->counter("endpoint_refused_total", "calls refused as not run", runs.refused);
   page->counter("endpoint_replayed_total", "calls answered from the ledger without a run", runs.replayed);
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
+  page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
   page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
   page->counter("entry_budget_spent_total", "retries that the budget did not allow", calls.budgetSpent);
   page->histogram("entry_latency_seconds", "from a request to its answer, completed calls", calls.completedLatency);
@@ -213,6 +216,7 @@
   options.retryBurst = FLAGS_retry_burst;
   options.mintKeys = FLAGS_ledger;
   options.requestIdHeader = FLAGS_correlation_header;
+  options.hedgeAfterShare = FLAGS_hedge_percent / 100.0;
   options.fullFor = base::milliseconds(FLAGS_full_for_ms);
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
@@ -257,6 +261,7 @@
   base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
   base::declareRange("stale_after_ms", 100, 600'000);
   base::declareRange("overload_retry_after_ms", 1, 600'000);
+  base::declareRange("hedge_percent", 0, 1000);
   base::declareRange("full_for_ms", 0, 600'000);
   base::declareRange("retry_attempts", 1, 10);
   base::declareRange("retry_budget_percent", 0, 100);
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -20,6 +20,7 @@
 constexpr int kBadGatewayStatus = 502;
 constexpr int kGatewayTimeoutStatus = 504;
 constexpr int kUnprocessableStatus = 422;
+constexpr int kFirstServerError = 500;
 constexpr int kDefaultRetryAfterMs = 200;
 constexpr int kMaxBackoffDoublings = 4;
 
@@ -152,6 +153,7 @@
   for (const auto attemptId : lost) {
     const auto attempt = attempts_[attemptId];
     attempts_.erase(attemptId);
+    dropAttempt(attempt.call, attemptId);
     picker_.onDone(endpoint, base::Duration(0), true);
     onAttemptFailed(attempt.call, Reach::kMayHaveRun,
                     failureAnswer(CallOutcome::UNKNOWN, ErrorCode::kConnectionLost, kBadGatewayStatus, 0));
@@ -267,6 +269,49 @@
                                     milliseconds(spread(options_.overloadRetryAfter))));
   }
   send(id, &call, *target);
+  armHedge(id, &call);
+}
+
+void EntryCalls::dropAttempt(CallId call, int64_t attemptId) {
+  const auto found = calls_.find(call);
+  if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
+}
+
+bool EntryCalls::mayHedge(const Call& call) const {
+  const int begun = call.attempts + static_cast<int>(call.inFlight.size());
+  return options_.hedgeAfterShare > 0 && call.repeatable && begun < call.maxAttempts;
+}
+
+void EntryCalls::armHedge(CallId id, Call* call) {
+  if (!mayHedge(*call) || call->targetLatencyMs == 0 || call->hedgeTimer != 0) return;
+  const base::Duration target = base::milliseconds(call->targetLatencyMs);
+  const auto after = std::chrono::duration_cast<base::Duration>(target * options_.hedgeAfterShare);
+  call->hedgeTimer = scheduler_.schedule(after, [this, alive = std::weak_ptr<bool>(alive_), id] {
+    if (!alive.expired()) onHedgeTimer(id);
+  });
+}
+
+const routing::EndpointTarget* EntryCalls::idleEndpoint(const Call& call) {
+  const auto* target = picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call));
+  const bool idle = target != nullptr && picker_.busyShare(*target) < options_.hedgeIdleShare;
+  return idle ? target : nullptr;
+}
+
+void EntryCalls::onHedgeTimer(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  call.hedgeTimer = 0;
+  if (call.inFlight.size() != 1 || !mayHedge(call)) return;
+  const auto* target = idleEndpoint(call);
+  if (target == nullptr || !budgets_[call.service].spend()) return;
+  ++counters_.hedges;
+  decisions_.write(base::LineWorth::kRoutine, [&] {
+    return fmt::format("hedge call={} route={} service={} first={} second={} elapsed_ms={}", requestIdOf(call),
+                       call.route, call.service, call.endpoint, target->name,
+                       remainingMs(scheduler_.now(), call.begunAt));
+  });
+  send(id, &call, *target);
 }
 
 void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target) {
@@ -275,7 +320,7 @@
   ++counters_.attempts;
   call->tried.insert(target.name);
   call->endpoint = target.name;
-  call->attemptId = attemptId;
+  call->inFlight.push_back(attemptId);
   const auto& link = links_[target.name];
   attempts_[attemptId] = {id, target.name, link.connection, now};
   picker_.onSent(target.name);
@@ -307,25 +352,33 @@
   }
   const auto attempt = found->second;
   attempts_.erase(found);
+  dropAttempt(attempt.call, response.callId);
   const auto error = static_cast<ErrorCode>(response.errorCode);
   const auto latency = scheduler_.now() - attempt.sentAt;
-  const auto load = response.inFlight;
-  if (response.outcome == CallOutcome::COMPLETED) {
-    picker_.onDone(attempt.endpoint, latency, false);
-    picker_.onReport(attempt.endpoint, load);
-    CallAnswer answer;
-    answer.outcome = CallOutcome::COMPLETED;
-    answer.httpStatus = response.httpStatus;
-    answer.headers = response.headers;
-    answer.body = response.body;
-    return finish(attempt.call, std::move(answer));
-  }
+  if (response.outcome == CallOutcome::COMPLETED) return onCompleted(attempt, response);
   if (response.outcome == CallOutcome::NOT_RUN) return onNotRun(attempt, response);
   picker_.onDone(attempt.endpoint, latency, true);
   const int status = error == ErrorCode::kDeadlineExceeded ? kGatewayTimeoutStatus : kBadGatewayStatus;
   onAttemptFailed(attempt.call, Reach::kMayHaveRun, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
 }
 
+void EntryCalls::onCompleted(const Attempt& attempt, const wire::CallResponse& response) {
+  picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, false);
+  picker_.onReport(attempt.endpoint, response.inFlight);
+  CallAnswer answer;
+  answer.outcome = CallOutcome::COMPLETED;
+  answer.httpStatus = response.httpStatus;
+  answer.headers = response.headers;
+  answer.body = response.body;
+  const auto found = calls_.find(attempt.call);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  const bool failed = response.httpStatus >= kFirstServerError;
+  const bool another = !call.inFlight.empty() || (mayHedge(call) && idleEndpoint(call) != nullptr);
+  if (!failed || !call.repeatable || !another) return finish(attempt.call, std::move(answer));
+  onAttemptFailed(attempt.call, Reach::kMayHaveRun, std::move(answer));
+}
+
 void EntryCalls::onNotRun(const Attempt& attempt, const wire::CallResponse& response) {
   const auto error = static_cast<ErrorCode>(response.errorCode);
   if (error == ErrorCode::kBackendUnreachable) {
@@ -356,7 +409,6 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
-  call.attemptId = 0;
   call.lastFailure = std::move(failure);
   const bool atBackend = reach != Reach::kNode;
   if (atBackend) {
@@ -364,6 +416,7 @@
   } else {
     ++call.refusals;
   }
+  if (!call.inFlight.empty()) return;  // the other attempt of a hedged call decides
   const bool mayRepeat = reach != Reach::kMayHaveRun || call.repeatable;
   const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
   const bool allowed = options_.retries && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
@@ -418,7 +471,7 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   call.timer = 0;
-  const bool inFlight = call.attemptId != 0;
+  const bool inFlight = !call.inFlight.empty();
   const auto outcome = inFlight ? CallOutcome::UNKNOWN : CallOutcome::NOT_RUN;
   finish(id, failureAnswer(outcome, ErrorCode::kDeadlineExceeded, kGatewayTimeoutStatus, 0));
 }
@@ -435,10 +488,12 @@
   if (node.empty()) return;
   auto& call = node.mapped();
   scheduler_.cancel(call.timer);
-  const auto attempt = attempts_.find(call.attemptId);
-  if (call.attemptId != 0 && attempt != attempts_.end()) {
+  scheduler_.cancel(call.hedgeTimer);
+  for (const auto attemptId : call.inFlight) {
+    const auto attempt = attempts_.find(attemptId);
+    if (attempt == attempts_.end()) continue;
     wire::CallCancel cancel;
-    cancel.callId = call.attemptId;
+    cancel.callId = attemptId;
     network_.send(attempt->second.connection, wire::encodeFrame(cancel));
     picker_.onDone(attempt->second.endpoint, scheduler_.now() - attempt->second.sentAt, false);
     attempts_.erase(attempt);
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -33,7 +33,11 @@
   base::Duration fullFor{0};  ///< how long an endpoint that refused for want of slots is not asked again
   base::Duration overloadRetryAfter = base::milliseconds(200);  ///< told to callers when every endpoint is full
   std::string requestIdHeader;  ///< header, in lower case, by which logs name a call; empty for none
-  int maxRefusals = 4;          ///< endpoints that may refuse a request before it is given up
+  /// Share of its target latency after which a repeatable call without an answer is sent to a second endpoint, if one
+  /// is idle; 0 for never. The first answer wins. A failure of the back end's own is repeated under the same condition.
+  double hedgeAfterShare = 0;
+  double hedgeIdleShare = 0.6;                        ///< an endpoint with a smaller share of its slots busy is idle
+  int maxRefusals = 4;                                ///< endpoints that may refuse a request before it is given up
   base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
 };
 
@@ -46,6 +50,7 @@
   int64_t attempts = 0;
   int64_t retries = 0;
   int64_t budgetSpent = 0;                  ///< retries that the budget did not allow
+  int64_t hedges = 0;                       ///< second attempts beside the first
   int64_t lateAnswers = 0;                  ///< answers that came after the call had ended; dropped
   int64_t abandoned = 0;                    ///< callers that went away before their answer
   base::LatencyHistogram completedLatency;  ///< of completed calls, from the request to the answer
@@ -101,9 +106,10 @@
     std::string idempotencyKey;
     base::TimePoint deadline;
     base::TimerId timer = 0;
-    int attempts = 0;       // that reached a back end, or may have
-    int refusals = 0;       // by nodes beside back ends
-    int64_t attemptId = 0;  // of the attempt in flight, 0 while there is none
+    int attempts = 0;               // that reached a back end, or may have
+    int refusals = 0;               // by nodes beside back ends
+    std::vector<int64_t> inFlight;  // ids of attempts; more than one only while the call is hedged
+    base::TimerId hedgeTimer = 0;
     std::set<std::string> tried;
     CallAnswer lastFailure;
   };
@@ -138,6 +144,12 @@
   /// How far an attempt that failed had come.
   enum class Reach { kNode, kRefusedByBackend, kMayHaveRun };
 
+  void armHedge(CallId id, Call* call);
+  void onHedgeTimer(CallId id);
+  const routing::EndpointTarget* idleEndpoint(const Call& call);
+  bool mayHedge(const Call& call) const;
+  void onCompleted(const Attempt& attempt, const wire::CallResponse& response);
+  void dropAttempt(CallId call, int64_t attemptId);
   void onNotRun(const Attempt& attempt, const wire::CallResponse& response);
   void onAttemptFailed(CallId id, Reach reach, CallAnswer failure);
   void onDeadline(CallId id);
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -80,6 +80,9 @@
 
   int inFlight(const std::string& endpoint) const;
 
+  /// @return the share of an endpoint's slots that is busy, as far as this node knows.
+  double busyShare(const EndpointTarget& target);
+
  private:
   struct State {
     int inFlight = 0;
@@ -98,7 +101,6 @@
 
   bool usable(const State& state, base::TimePoint now) const;
   double cost(const EndpointTarget& target, const std::string& ownZone);
-  double busyShare(const EndpointTarget& target);
   double knownLatency(const EndpointTarget& target);
   const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone);
   double slowStartShare(const State& state, base::TimePoint now) const;
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -24,7 +24,7 @@
 }
 
 absl::Status FrameTransport::listen(const std::string& host, int port) {
-  const auto status = listener_.listen(host, port, {});
+  auto status = listener_.listen(host, port, {});
   if (status.ok()) listening_ = {host, listener_.port()};
   return status;
 }
@@ -146,7 +146,7 @@
     return absl::OkStatus();
   }
   std::string restored;
-  const auto status = connection->inflater->add(bytes, &restored);
+  auto status = connection->inflater->add(bytes, &restored);
   connection->reader.append(restored);
   return status;
 }
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -17,8 +17,8 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-constexpr size_t kReadBytes = 64 * 1024;
-constexpr size_t kCompactBytes = 64 * 1024;
+constexpr size_t kReadBytes = size_t{64} * 1024;
+constexpr size_t kCompactBytes = size_t{64} * 1024;
 
 bool fillAddress(const std::string& host, int port, sockaddr_in* address) {
   std::memset(address, 0, sizeof(*address));
--- a/test/node/entry_calls_test.cc
+++ b/test/node/entry_calls_test.cc
@@ -55,6 +55,7 @@
     options.defaultRetry = {2, 100};
     options.retryBurst = 4;
     options.fullFor = base::milliseconds(100);
+    options.hedgeAfterShare = 0.5;
     options.picker.policy = routing::PickPolicy::kNearestIdle;
     entry = std::make_unique<EntryCalls>(options, process, base::RandomSource(3), network);
     table::Table rows;
@@ -204,6 +205,70 @@
   }
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a repeatable call without an answer is sent to a second idle endpoint, and the first answer wins") {
+  call("/safe/1");
+  runFor(base::milliseconds(150));
+  CHECK(asked().size() == 1);
+  runFor(base::milliseconds(100));
+  REQUIRE(asked() == std::vector<std::string>{"near", "far"});
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  REQUIRE(answers.size() == 1);
+  const auto cancels = network.all<wire::CallCancel>();
+  REQUIRE(cancels.size() == 1);
+  CHECK(cancels[0].callId == network.all<wire::CallRequest>()[0].callId);
+  CHECK(entry->active() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a hedged call fails only when both attempts have") {
+  call("/safe/1");
+  runFor(base::milliseconds(250));
+  REQUIRE(asked().size() == 2);
+  respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
+  CHECK(answers.empty());
+  const auto first = network.sent[0];
+  wire::CallResponse response;
+  response.callId = network.all<wire::CallRequest>()[0].callId;
+  response.outcome = CallOutcome::UNKNOWN;
+  response.errorCode = static_cast<int>(ErrorCode::kBackendFailed);
+  entry->onMessage(first.connection, response);
+  REQUIRE(answers.size() == 1);
+  CHECK(asked().size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "a call that may not be repeated is never hedged, and none is where all are busy") {
+  SECTION("not repeatable") { call("/once/1"); }
+  SECTION("busy") {
+    for (int i = 0; i < 8; ++i) call("/safe/" + std::to_string(i));
+  }
+  const auto before = asked().size();
+  runFor(base::milliseconds(250));
+  CHECK(asked().size() == before);
+}
+
+TEST_CASE_METHOD(Fixture, "a back end's own failure of a repeatable call is repeated once at an idle endpoint") {
+  const auto answer = [this](int status) {
+    const auto& last = lastRequest();
+    wire::CallResponse response;
+    response.callId = std::get<wire::CallRequest>(last.message).callId;
+    response.outcome = CallOutcome::COMPLETED;
+    response.httpStatus = status;
+    entry->onMessage(last.connection, response);
+    runFor(base::milliseconds(1));
+  };
+  call("/once/1");
+  answer(500);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 500);
+  call("/safe/1");
+  answer(500);
+  REQUIRE(answers.size() == 1);
+  answer(500);
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[1].httpStatus == 500);
+  CHECK(answers[1].outcome == CallOutcome::COMPLETED);
+}
+
 TEST_CASE_METHOD(Fixture, "a late word of an earlier state changes nothing") {
   entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::GONE)});
   entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::LIVE)});
