--- a/src/relay/freshness_confirmer.cc
+++ b/src/relay/freshness_confirmer.cc
@@ -33,6 +33,10 @@
   evaluate();
 }
 
+void FreshnessConfirmer::askAgain() {
+  if (!asked_.empty()) startRound();
+}
+
 void FreshnessConfirmer::onController(int64_t token, int64_t revision) {
   if (token != token_) return;
   controllerAnswered_ = true;
--- a/src/relay/freshness_confirmer.h
+++ b/src/relay/freshness_confirmer.h
@@ -28,6 +28,9 @@
   /// Calls back once the table is proven recent.
   void confirm(Waiter waiter);
 
+  /// Somebody new can be asked: those who wait are not kept until the next round.
+  void askAgain();
+
   /// The leading controller answered: its committed revision after the question.
   void onController(int64_t token, int64_t revision);
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -150,6 +150,7 @@
   source_.send(subscribe);
   reportFull_ = true;
   scheduleReport();
+  for (const auto& [zone, confirmer] : confirmers_) confirmer->askAgain();
   if (recovered_) return;
   wire::ConfirmRequest confirm;
   confirm.token = ++lastToken_;
--- a/test/relay/dynamic_endpoints_test.cc
+++ b/test/relay/dynamic_endpoints_test.cc
@@ -9,14 +9,15 @@
 
 /// A relay that serves every zone, its source, a peer and nodes, all played by the test.
 struct Fixture {
-  Fixture() : process(queue, "relay", {"zone-1", "region"}, {"10.0.0.1", 7001}) {
+  explicit Fixture(bool confirmRestartedNodes = false)
+      : process(queue, "relay", {"zone-1", "region"}, {"10.0.0.1", 7001}) {
     process.start();
     RelayOptions options;
     options.id = "relay";
     options.zone = "zone-1";
     options.controllers = {{"10.0.0.1", 7000}};
     options.everyZone = true;
-    options.confirmRestartedNodes = false;
+    options.confirmRestartedNodes = confirmRestartedNodes;
     options.listening = {"10.0.0.1", 7001};
     relay = std::make_unique<Relay>(options, process, base::RandomSource(3), network);
     relay->start();
@@ -26,7 +27,7 @@
     wire::ControllerHeartbeat heartbeat;
     heartbeat.freshness.term = 1;
     heartbeat.freshness.round = 1;
-    relay->onMessage(source, heartbeat);
+    if (!confirmRestartedNodes) relay->onMessage(source, heartbeat);
   }
 
   void runFor(base::Duration duration) {
@@ -120,8 +121,25 @@
 
 using wire::EndpointCondition;
 
+/// Nodes without a version wait for the leader's word, and there is no leader yet.
+struct LeaderlessFixture : public Fixture {
+  LeaderlessFixture() : Fixture(true) {}
+};
+
 }  // namespace
 
+TEST_CASE_METHOD(LeaderlessFixture, "nodes that wait are asked about as soon as a leader is found") {
+  attach(100, "waiting");
+  runFor(base::milliseconds(1100));
+  const auto before = network.all<wire::ConfirmRequest>().size();
+  wire::ControllerHeartbeat heartbeat;
+  heartbeat.freshness.term = 2;
+  heartbeat.freshness.round = 1;
+  relay->onMessage(source, heartbeat);
+  // One question for the relay's own table, one for the nodes that wait.
+  CHECK(network.all<wire::ConfirmRequest>().size() == before + 2);
+}
+
 TEST_CASE_METHOD(Fixture, "a node is told of announced endpoints of the services that its routes need") {
   update(1, "records");
   const auto reader = attach(100, "reader");
