--- a/apps/ctl_main.cc
+++ b/apps/ctl_main.cc
@@ -12,6 +12,7 @@
 #include "table/row_json.h"
 #include "table/table.h"
 #include "table_file.h"
+#include "trace_command.h"
 
 DEFINE_string(controllers, "127.0.0.1:7301", "HTTP addresses of controllers as host:port, separated by commas");
 DEFINE_int32(timeout_ms, 10000, "longest time to wait for an answer");
@@ -294,9 +295,17 @@
   return kDone;
 }
 
+/// Prints what processes logged of one call.
+int traceCall(Arguments arguments) {
+  if (arguments.size() < 2) return usageError("trace needs an ID and at least one FILE");
+  const auto callId = arguments[0];
+  arguments.erase(arguments.begin());
+  return apps::printTrace(callId, arguments) ? kDone : kNotFound;
+}
+
 int printCompletion() {
   std::printf(
-      "complete -W 'rows get set delete apply diff check history wait status drain controllers completion' "
+      "complete -W 'rows get set delete apply diff check history wait status drain controllers trace completion' "
       "driftlugctl\n");
   return kDone;
 }
@@ -312,6 +321,7 @@
       "  apply FILE | diff FILE | check FILE | history | wait REVISION | status\n"
       "  drain --node HOST:PORT [--undo]\n"
       "  controllers list | remove NAME | add|replace NAME HOST FRAME_PORT HTTP_PORT\n"
+      "  trace ID FILE …\n"
       "  completion\n"
       "Exit codes: 0 done, 2 bad input, 3 conflict, 4 invalid, 5 not accepted, 6 outcome unknown, 7 not in force in "
       "time, 8 not found",
@@ -321,6 +331,7 @@
   const auto command = arguments[0];
   arguments.erase(arguments.begin());
   if (command == "check") return checkFile(arguments);
+  if (command == "trace") return traceCall(arguments);
   if (command == "completion") return printCompletion();
   std::vector<base::Address> controllers;
   for (const auto& text : base::splitList(FLAGS_controllers)) {
