--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -93,15 +93,7 @@
   page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
   page->counter("controller_full_updates_total", "whole tables sent to relays", relays.fullUpdates);
   page->counter("controller_heartbeat_bytes_total", "bytes of heartbeats to relays", relays.heartbeatBytes);
-  page->counter("control_bytes_sent_total", "bytes of configuration traffic sent",
-                frames.counters().sentFor(wire::Purpose::kControl));
-  page->counter("log_bytes_sent_total", "bytes of the replicated log sent",
-                frames.counters().sentFor(wire::Purpose::kLog));
-  page->counter("ledger_bytes_sent_total", "bytes of ledger traffic sent",
-                frames.counters().sentFor(wire::Purpose::kLedger));
-  page->counter("frame_bytes_sent_total", "bytes of frames sent", frames.counters().bytesSent);
-  page->counter("frame_bytes_received_total", "bytes of frames received", frames.counters().bytesReceived);
-  page->counter("frame_bad_total", "connections closed for a bad frame", frames.counters().badFrames);
+  addFrameMetrics(frames, page);
 }
 
 base::Address httpAddress() {
--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -55,6 +55,18 @@
   respond(transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
 }
 
+void addFrameMetrics(const transport::FrameTransport& frames, base::MetricsPage* page) {
+  page->counter("control_bytes_sent_total", "bytes of configuration traffic sent",
+                frames.counters().sentFor(wire::Purpose::kControl));
+  page->counter("log_bytes_sent_total", "bytes of the replicated log sent",
+                frames.counters().sentFor(wire::Purpose::kLog));
+  page->counter("ledger_bytes_sent_total", "bytes of ledger traffic sent",
+                frames.counters().sentFor(wire::Purpose::kLedger));
+  page->counter("frame_bytes_sent_total", "bytes of frames sent", frames.counters().bytesSent);
+  page->counter("frame_bytes_received_total", "bytes of frames received", frames.counters().bytesReceived);
+  page->counter("frame_bad_total", "connections closed for a bad frame", frames.counters().badFrames);
+}
+
 void exitWithError(const absl::Status& status) {
   const std::string name(base::errorName(base::errorCodeOf(status)));
   std::fprintf(stderr, "%s: %s\n", name.c_str(), base::errorText(status).c_str());
--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "base/network.h"
 #include "transport/event_loop.h"
+#include "transport/frame_transport.h"
 #include "transport/http_server.h"
 
 namespace driftlug::apps {
@@ -56,6 +57,9 @@
   PageServer server_;
 };
 
+/// Adds the bytes of a frame transport by purpose, and its damaged frames.
+void addFrameMetrics(const transport::FrameTransport& frames, base::MetricsPage* page);
+
 /// Prints one typed line and exits 2.
 [[noreturn]] void exitWithError(const absl::Status& status);
 
--- /dev/null
+++ b/apps/endpoint_health.h
@@ -0,0 +1,79 @@
+/// Health checks of a back end that the table names.
+#pragma once
+
+#include <gflags/gflags.h>
+
+#include <chrono>
+
+#include "node/control_client.h"
+#include "node/endpoint_calls.h"
+#include "transport/http_client.h"
+
+DECLARE_string(name);
+DECLARE_string(service);
+DECLARE_int32(health_interval_ms);
+
+namespace driftlug::apps {
+
+/// Decides whether the endpoint takes new work, from the back end's health and the operator's wish.
+class EndpointHealth {
+ public:
+  EndpointHealth(transport::EventLoop& loop, node::ControlClient& control, node::EndpointCalls& calls,
+                 const base::Address& backend)
+      : control_(control),
+        calls_(calls),
+        pool_(loop, "health", backend.host, backend.port, 1),
+        timer_(loop, [this] { check(); }) {
+    state_.endpoint = FLAGS_name;
+    state_.serviceName = FLAGS_service;
+    state_.condition = wire::EndpointCondition::LIVE;
+    state_.incarnation =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
+  }
+
+  void start() {
+    control_.announce(state_);
+    if (FLAGS_health_interval_ms > 0) timer_.start(base::milliseconds(FLAGS_health_interval_ms));
+  }
+
+  /// Takes no new work, or takes it again.
+  void setDrainAsked(bool asked) {
+    drainAsked_ = asked;
+    update();
+  }
+
+ private:
+  void check() {
+    const base::Duration interval = base::milliseconds(FLAGS_health_interval_ms);
+    transport::HttpRequest request;
+    request.method = "GET";
+    request.path = "/healthz";
+    pool_.send(request, interval * 2, [this, interval](const transport::HttpResult& result) {
+      // Only a clear word of the back end counts; a lost health check says nothing of requests.
+      const bool answered = result.outcome == transport::HttpOutcome::kCompleted;
+      backendDrains_ = answered && result.response.status == 503;
+      update();
+      timer_.start(interval);
+    });
+  }
+
+  void update() {
+    const bool draining = drainAsked_ || backendDrains_;
+    calls_.setDraining(draining);
+    const auto condition = draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE;
+    if (condition == state_.condition) return;
+    state_.condition = condition;
+    control_.announce(state_);
+  }
+
+  node::ControlClient& control_;
+  node::EndpointCalls& calls_;
+  transport::HttpClientPool pool_;
+  base::Timer timer_;
+  wire::EndpointState state_;
+  bool drainAsked_ = false;
+  bool backendDrains_ = false;
+};
+
+}  // namespace driftlug::apps
--- /dev/null
+++ b/apps/node_settings.cc
@@ -0,0 +1,146 @@
+#include "node_settings.h"
+
+#include <gflags/gflags.h>
+
+#include "base/error.h"
+#include "base/settings.h"
+#include "daemon.h"
+
+DEFINE_string(name, "", "name of this node; the name of its endpoint row when it runs beside a back end");
+DEFINE_string(zone, "", "zone that this process runs in");
+DEFINE_string(listen_host, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(frame_port, 0, "port for calls of other nodes; 0 on a node without a back end");
+DEFINE_string(frame_listen, "", "host:port for calls of other nodes, instead of listen_host and frame_port");
+DEFINE_int32(entry_port, 0, "port for HTTP calls of callers; 0 for none");
+DEFINE_string(entry_listen, "", "host:port for HTTP calls of callers, instead of listen_host and entry_port");
+DEFINE_int32(http_port, 0, "port for health, metrics and drain");
+DEFINE_string(http_listen, "", "host:port for health, metrics and drain, instead of listen_host and http_port");
+DEFINE_string(report_listen, "", "host:port on which the back end beside the node tells of itself");
+DEFINE_string(relays, "", "relays of the zone's release group as host:port, nearest first");
+DEFINE_string(seeds, "", "hosts of controllers to ask for relays, instead of relays; a port behind a host is ignored");
+DEFINE_int32(seed_relay_port, 0, "port on which the relays beside the seeds listen");
+DEFINE_string(hosts, "", "hosts that this node accepts calls for, separated by commas; * for all");
+DEFINE_string(service, "", "service of the back end beside this node; empty for none");
+DEFINE_string(backend, "", "address of the back end as host:port");
+DEFINE_int32(backend_connections, 130, "connections to the back end at most, where the table does not say");
+DEFINE_int32(backend_slots, 20, "requests in the back end at once, where the table has no limit");
+DEFINE_int32(backend_queue, 64, "requests waiting at once, where the table has no limit");
+DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
+DEFINE_int32(stop_linger_ms, 300, "time that a planned stop goes on taking calls, so that others hear of it");
+DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
+DEFINE_bool(first_start, false, "whether the back end starts with this process, and need not be asked who it is");
+DEFINE_bool(ledger, true, "claim requests that may not be repeated in the ledger before they run");
+DEFINE_int32(health_interval_ms, 250, "interval of health checks of the back end; 0 for none");
+DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
+DEFINE_string(deadline_header, "x-deadline-ms", "header with the milliseconds that a caller waits");
+DEFINE_string(caller_header, "", "header set to the service beside the node where a call began; empty for none");
+DEFINE_string(correlation_header, "", "header that back ends return as it was sent; empty for none");
+DEFINE_string(incarnation_header, "", "header that names the back end's incarnation a call is meant for");
+DEFINE_string(identity_header, "", "header in which the back end names its incarnation when it is asked");
+DEFINE_string(identity_path, "/healthz", "page at which the back end is asked for its incarnation");
+DEFINE_string(not_run_header, "x-shed", "header by which a back end says that it did not run a request");
+DEFINE_bool(fractional_retry_after, false, "Retry-After in fractions of a second");
+DEFINE_bool(prefer_zone, false, "choose endpoints of the own zone while they have slots to spare");
+DEFINE_int32(retry_attempts, 1, "attempts of a call, where neither route nor service says");
+DEFINE_int32(retry_budget_percent, 0, "retries as a share of calls, where the service has no retry policy");
+DEFINE_int32(retry_burst, 10, "retries to one service that may be made at once");
+DEFINE_int32(stale_after_ms, 4000, "time without word of a controllers' quorum after which another relay is tried");
+DEFINE_int32(hedge_percent, 0,
+             "percent of its target latency after which a repeatable call is sent to a second, idle endpoint");
+DEFINE_bool(compress, false, "compress calls to nodes of other zones");
+DEFINE_bool(wait_within_target, false,
+            "refuse calls that would miss their route's target latency by waiting for a slot");
+DEFINE_int32(overload_retry_after_ms, 200, "least time after which callers refused for want of slots are to come back");
+DEFINE_int32(full_for_ms, 0, "time for which an endpoint that refused for want of slots is not asked again");
+
+namespace driftlug::apps {
+
+node::ControlOptions controlOptionsFromSettings() {
+  node::ControlOptions options;
+  options.nodeId = FLAGS_name;
+  options.zone = FLAGS_zone;
+  for (const auto& text : base::splitList(FLAGS_relays)) options.relays.push_back(parseAddressOrExit("relays", text));
+  if (!FLAGS_seeds.empty()) {
+    options.relays = hostsAtPort(FLAGS_seeds, FLAGS_seed_relay_port);
+    options.nearRelays = options.relays.size();
+  }
+  if (options.relays.empty()) {
+    exitWithError(base::makeError(base::ErrorCode::kBadSetting, "relays: relays or seeds must be set"));
+  }
+  options.staleAfter = base::milliseconds(FLAGS_stale_after_ms);
+  options.hosts = base::splitList(FLAGS_hosts);
+  if (!FLAGS_service.empty()) options.services.push_back(FLAGS_service);
+  return options;
+}
+
+node::EntryOptions entryOptionsFromSettings() {
+  node::EntryOptions options;
+  options.nodeId = FLAGS_name;
+  options.zone = FLAGS_zone;
+  options.defaultRetry = {FLAGS_retry_attempts, FLAGS_retry_budget_percent};
+  options.retryBurst = FLAGS_retry_burst;
+  options.mintKeys = FLAGS_ledger;
+  options.requestIdHeader = FLAGS_correlation_header;
+  options.hedgeAfterShare = FLAGS_hedge_percent / 100.0;
+  options.fullFor = base::milliseconds(FLAGS_full_for_ms);
+  options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
+  if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
+  return options;
+}
+
+node::EndpointOptions endpointOptionsFromSettings() {
+  node::EndpointOptions options;
+  options.service = FLAGS_service;
+  options.defaultSlots = FLAGS_backend_slots;
+  options.defaultQueue = FLAGS_backend_queue;
+  options.notRunHeader = FLAGS_not_run_header;
+  options.dynamicEndpoint = !FLAGS_report_listen.empty();
+  options.waitWithinTarget = FLAGS_wait_within_target;
+  options.requestIdHeader = FLAGS_correlation_header;
+  options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
+  return options;
+}
+
+EntryHeaders entryHeadersFromSettings() {
+  EntryHeaders headers;
+  headers.deadline = FLAGS_deadline_header;
+  headers.caller = FLAGS_caller_header;
+  headers.callerService = FLAGS_service;
+  headers.reserved = {FLAGS_incarnation_header};
+  headers.fractionalRetryAfter = FLAGS_fractional_retry_after;
+  return headers;
+}
+
+void declareNodeSettings() {
+  base::declareRequired("name");
+  base::declareRequired("zone");
+  for (const char* port : {"frame_port", "entry_port", "http_port", "seed_relay_port"}) {
+    base::declareRange(port, 0, 65535);
+  }
+  base::declareRange("backend_connections", 1, 10'000);
+  base::declareRange("backend_slots", 1, 100'000);
+  base::declareRange("backend_queue", 0, 100'000);
+  base::declareRange("stop_linger_ms", 0, 600'000);
+  base::declareRange("stop_timeout_ms", 0, 600'000);
+  base::declareRange("health_interval_ms", 0, 60'000);
+  base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
+  base::declareRange("stale_after_ms", 100, 600'000);
+  base::declareRange("overload_retry_after_ms", 1, 600'000);
+  base::declareRange("hedge_percent", 0, 1000);
+  base::declareRange("full_for_ms", 0, 600'000);
+  base::declareRange("retry_attempts", 1, 10);
+  base::declareRange("retry_budget_percent", 0, 100);
+  base::declareRange("retry_burst", 0, 1000);
+}
+
+wire::EndpointState placeFromSettings() {
+  const auto frames = listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
+  wire::EndpointState place;
+  place.serviceName = FLAGS_service;
+  place.address = frames.host;
+  place.port = frames.port;
+  place.zone = FLAGS_zone;
+  return place;
+}
+
+}  // namespace driftlug::apps
--- /dev/null
+++ b/apps/node_settings.h
@@ -0,0 +1,23 @@
+/// The settings of a node, as options of its parts.
+#pragma once
+
+#include "base/network.h"
+#include "entry_server.h"
+#include "node/control_client.h"
+#include "node/endpoint_calls.h"
+#include "node/entry_calls.h"
+
+namespace driftlug::apps {
+
+/// Declares the ranges that loadSettings() checks.
+void declareNodeSettings();
+
+node::ControlOptions controlOptionsFromSettings();
+node::EntryOptions entryOptionsFromSettings();
+node::EndpointOptions endpointOptionsFromSettings();
+EntryHeaders entryHeadersFromSettings();
+
+/// @return where others reach the endpoint beside this node.
+wire::EndpointState placeFromSettings();
+
+}  // namespace driftlug::apps
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -72,15 +72,7 @@
   page->counter("relay_full_bytes_total", "bytes of whole slices sent to nodes", nodes.fullBytes);
   page->counter("relay_heartbeat_bytes_total", "bytes of heartbeats sent to nodes", nodes.heartbeatBytes);
   page->counter("relay_rejected_total", "updates that nodes refused", nodes.rejected);
-  page->counter("control_bytes_sent_total", "bytes of configuration traffic sent",
-                frames.counters().sentFor(wire::Purpose::kControl));
-  page->counter("log_bytes_sent_total", "bytes of the replicated log sent",
-                frames.counters().sentFor(wire::Purpose::kLog));
-  page->counter("ledger_bytes_sent_total", "bytes of ledger traffic sent",
-                frames.counters().sentFor(wire::Purpose::kLedger));
-  page->counter("frame_bytes_sent_total", "bytes of frames sent", frames.counters().bytesSent);
-  page->counter("frame_bytes_received_total", "bytes of frames received", frames.counters().bytesReceived);
-  page->counter("frame_bad_total", "connections closed for a bad frame", frames.counters().badFrames);
+  apps::addFrameMetrics(frames, page);
 }
 
 }  // namespace
