Say once how a header and the frame address are found, and drop what nobody reads

Cause: the last read of the change: the value of a header was looked up by two loops of the node, the address for frames was derived in two places, and three members were written or declared but never read. Change: node::headerValue serves both sides of a call; frameAddressFromSettings; HttpClientPool::Active::deadline, TcpStream::connected and Controller::joined_ are gone. Behaviour is as it was.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -26,8 +26,6 @@
 DECLARE_string(entry_listen);
 DECLARE_int32(entry_port);
 DECLARE_bool(first_start);
-DECLARE_string(frame_listen);
-DECLARE_int32(frame_port);
 DECLARE_string(http_listen);
 DECLARE_int32(http_port);
 DECLARE_string(identity_header);
@@ -218,7 +216,7 @@
 void NodeDaemon::listenOrExit() {
   const auto http = listenAddressOrExit("http_listen", FLAGS_http_listen, FLAGS_listen_host, FLAGS_http_port);
   admin_.listenOrExit(http.host, http.port);
-  const auto frames = listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
+  const auto frames = frameAddressFromSettings();
   if (frames.port > 0) {
     if (const auto status = callFrames_.listen(frames.host, frames.port); !status.ok()) exitWithError(status);
   }
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -133,8 +133,12 @@
   base::declareRange("retry_burst", 0, 1000);
 }
 
+base::Address frameAddressFromSettings() {
+  return listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
+}
+
 wire::EndpointState placeFromSettings() {
-  const auto frames = listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
+  const auto frames = frameAddressFromSettings();
   wire::EndpointState place;
   place.serviceName = FLAGS_service;
   place.address = frames.host;
--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -17,6 +17,9 @@
 node::EndpointOptions endpointOptionsFromSettings();
 EntryHeaders entryHeadersFromSettings();
 
+/// @return where this node takes calls of other nodes; port 0 when it takes none.
+base::Address frameAddressFromSettings();
+
 /// @return where others reach the endpoint beside this node.
 wire::EndpointState placeFromSettings();
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -187,16 +187,15 @@
   membership::PeerLinks links_;
   RelaySessions relays_;
   ConvergenceTracker convergence_;
-  std::unique_ptr<consensus::Raft> raft_;                    // null until recovery ended
-  std::map<base::ConnectionId, wire::Hello> peers_;          // open connections
-  std::map<int64_t, PendingEdit> pending_;                   // by log index
-  std::map<int64_t, LedgerReplyCallback> pendingLedger_;     // by log index
-  std::map<std::string, std::vector<EditCallback>> joined_;  // resends of an edit still in progress
-  std::map<std::string, ControllerAddress> joining_;         // added by an operator, not yet a member
-  std::map<std::string, wire::Member> learned_;              // controllers that others told of, by id
-  std::map<std::string, base::TimePoint> lastActive_;        // on the leader: when a member last answered
-  std::function<void(const wire::LogEntry&)> appliedHook_;   // may be empty
-  std::function<void()> reportHook_;                         // may be empty
+  std::unique_ptr<consensus::Raft> raft_;                   // null until recovery ended
+  std::map<base::ConnectionId, wire::Hello> peers_;         // open connections
+  std::map<int64_t, PendingEdit> pending_;                  // by log index
+  std::map<int64_t, LedgerReplyCallback> pendingLedger_;    // by log index
+  std::map<std::string, ControllerAddress> joining_;        // added by an operator, not yet a member
+  std::map<std::string, wire::Member> learned_;             // controllers that others told of, by id
+  std::map<std::string, base::TimePoint> lastActive_;       // on the leader: when a member last answered
+  std::function<void(const wire::LogEntry&)> appliedHook_;  // may be empty
+  std::function<void()> reportHook_;                        // may be empty
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;  // relays were told of this term's leadership
   base::Timer housekeeping_;
--- a/src/node/call_types.h
+++ b/src/node/call_types.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/error.h"
@@ -11,6 +12,14 @@
 
 namespace driftlug::node {
 
+/// @return the value of the first header of a name, in lower case, or empty.
+inline std::string headerValue(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
+  for (const auto& header : headers) {
+    if (header.name == name) return header.value;
+  }
+  return "";
+}
+
 /// A request from a caller, as entry takes it.
 struct InboundCall {
   std::string method;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -276,10 +276,7 @@
 }
 
 std::string EndpointCalls::requestIdOf(const wire::CallRequest& request) const {
-  for (const auto& header : request.headers) {
-    if (header.name == options_.requestIdHeader) return header.value;
-  }
-  return "";
+  return headerValue(request.headers, options_.requestIdHeader);
 }
 
 void EndpointCalls::logRefusal(const Call& call, ErrorCode error, base::Duration retryAfter) {
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -24,13 +24,6 @@
 constexpr int kDefaultRetryAfterMs = 200;
 constexpr int kMaxBackoffDoublings = 4;
 
-std::string headerValue(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
-  for (const auto& header : headers) {
-    if (header.name == name) return header.value;
-  }
-  return "";
-}
-
 int milliseconds(base::Duration duration) { return static_cast<int>(duration.count() / 1000); }
 
 int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -44,7 +44,6 @@
   auto& active = active_[id];
   active.request = std::move(request);
   active.done = std::move(done);
-  active.deadline = loop_.now() + timeout;
   active.timer = loop_.schedule(timeout, [this, alive = alive_, id] {
     if (*alive) onTimeout(id);
   });
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -102,7 +102,6 @@
     Callback done;
     ConnectionId connection = 0;
     base::TimerId timer = 0;
-    base::TimePoint deadline{};
   };
 
   void start(HttpRequestId id);
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -74,8 +74,6 @@
   /// Closes the connection; bytes that are still queued are dropped.
   void close();
 
-  bool connected() const { return connected_; }
-
  private:
   friend class EventLoop;
 
