--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -26,7 +26,8 @@
     "hosts of controllers to find the others through, instead of controllers; all listen on the ports of this "
     "one, and a port behind a host is ignored");
 DEFINE_bool(first_start, false, "whether the seeds may found the cluster, being all new");
-DEFINE_int32(fault_tolerance, 1, "controllers that may be lost at once; twice as many and one vote, with seeds");
+DEFINE_int32(fault_tolerance, 1,
+             "controllers that may be lost at once; twice as many and one vote at the least, with seeds");
 DEFINE_string(data_folder, "", "folder for the log and snapshots");
 DEFINE_int32(heartbeat_ms, 50, "interval of heartbeats between controllers");
 DEFINE_int32(election_timeout_ms, 300, "lowest time without a leader before an election");
@@ -125,7 +126,7 @@
     options.controllers = seedControllers(FLAGS_seeds);
     options.founding = FLAGS_first_start;
     options.membership.automatic = true;
-    options.membership.voters = 2 * static_cast<size_t>(FLAGS_fault_tolerance) + 1;
+    options.membership.leastVoters = 2 * static_cast<size_t>(FLAGS_fault_tolerance) + 1;
     options.membership.replaceAfter = base::milliseconds(FLAGS_replace_after_ms);
   }
   options.raft.heartbeatInterval = base::milliseconds(FLAGS_heartbeat_ms);
--- a/src/controller/automatic_membership.cc
+++ b/src/controller/automatic_membership.cc
@@ -87,6 +87,17 @@
   return seen != lastActive_.end() && scheduler_.now() - seen->second > options_.membership.replaceAfter;
 }
 
+/// As many as there are members in reach, but an odd number: then any majority of the members holds a majority of the
+/// voters, and one that stands by never decides whether a cut cluster goes on.
+size_t Controller::wantedVoters() const {
+  const auto& members = raft_->members();
+  const auto inReach = static_cast<size_t>(std::count_if(members.begin(), members.end(), [&](const auto& member) {
+    return !superseded(member) && (member.id == raft_->id() || raft_->recentlyActive(member.id));
+  }));
+  const size_t odd = inReach % 2 == 1 ? inReach : inReach - 1;
+  return std::max(options_.membership.leastVoters, odd);
+}
+
 const wire::Member* Controller::nextVoter() const {
   std::map<std::string, int> votersByZone;
   for (const auto& member : raft_->members()) {
@@ -117,8 +128,9 @@
     if (!gone && (member.id == raft_->id() || raft_->recentlyActive(member.id))) ++good;
   }
   // A voter leaves only once enough others stand in for it.
-  const bool replaced = lostVoter != nullptr && good >= options_.membership.voters;
-  const bool wiped = lostVoter != nullptr && superseded(*lostVoter) && voters > options_.membership.voters;
+  const size_t wanted = wantedVoters();
+  const bool replaced = lostVoter != nullptr && good >= wanted;
+  const bool wiped = lostVoter != nullptr && superseded(*lostVoter) && voters > wanted;
   return replaced || wiped ? lostVoter : nullptr;
 }
 
@@ -137,7 +149,7 @@
   }
   size_t good = 0;
   for (const auto& member : members) good += member.voting && !lost(member) ? 1 : 0;
-  if (good >= options_.membership.voters) return;
+  if (good >= wantedVoters()) return;
   const auto* next = nextVoter();
   if (next == nullptr) return;
   log_.info("{} makes {} a voter", identity_, next->id);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -31,7 +31,7 @@
 /// How the controllers of a fleet find each other and replace lost ones without an operator.
 struct MembershipOptions {
   bool automatic = false;  ///< off: members are those of the settings and what an operator adds or removes
-  size_t voters = 3;       ///< how many members vote; further ones stand by as learners
+  size_t leastVoters = 3;  ///< 2f + 1, where f machines may be lost with their disks; see Controller::wantedVoters()
   base::Duration replaceAfter =
       base::seconds(8);  ///< a voter that is silent for longer gives way to one that stands by
   base::Duration forgetAfter = base::seconds(60);  ///< a learner that is silent for longer is removed
@@ -167,6 +167,7 @@
   bool superseded(const wire::Member& member) const;
   bool lost(const wire::Member& member) const;
   void watchMembers();
+  size_t wantedVoters() const;
   const wire::Member* nextVoter() const;
   const wire::Member* memberToDrop() const;
   void registerRelay(const wire::Hello& hello);
--- a/test/controller/automatic_membership_test.cc
+++ b/test/controller/automatic_membership_test.cc
@@ -14,9 +14,13 @@
 
 /// Four machines in four zones, of which three are everybody's seeds.
 struct Fixture {
-  Fixture() : network(queue, base::RandomSource(7), {}) {
-    for (int i = 1; i <= 4; ++i) add("10.0.0." + std::to_string(i), "zone-" + std::to_string(i));
-    for (const auto& host : hosts) host->start(seeds, true);
+  explicit Fixture(int machines = 4, size_t leastVoters = 3)
+      : network(queue, base::RandomSource(7), {}), leastVoters(leastVoters) {
+    constexpr int kZones = 4;
+    for (int i = 1; i <= machines; ++i) {
+      add("10.0.0." + std::to_string(i), "zone-" + std::to_string((i - 1) % kZones + 1));
+    }
+    for (const auto& host : hosts) host->start(seeds, true, leastVoters);
     runFor(base::seconds(3));
   }
 
@@ -75,12 +79,60 @@
 
   EventQueue queue;
   SimulatedNetwork network;
+  size_t leastVoters;
   std::vector<std::string> seeds{"10.0.0.1", "10.0.0.2", "10.0.0.3"};
   std::vector<std::unique_ptr<Host>> hosts;
 };
 
+/// Seven machines, two of which may be lost at once with their disks.
+struct SevenMachines : Fixture {
+  SevenMachines() : Fixture(7, 5) {}
+
+  /// Cuts the hosts from `first` on off from those before it, or joins them again.
+  void cutFrom(size_t first, bool cut) {
+    for (size_t i = 0; i < first; ++i) {
+      for (size_t j = first; j < hosts.size(); ++j) {
+        network.setCut(hosts[i]->ip(), hosts[j]->ip(), cut);
+        network.setCut(hosts[j]->ip(), hosts[i]->ip(), cut);
+      }
+    }
+  }
+};
+
 }  // namespace
 
+TEST_CASE_METHOD(SevenMachines, "as many controllers vote as are there, when their number is odd") {
+  REQUIRE(leader() != nullptr);
+  CHECK(voters() == 7);
+}
+
+TEST_CASE_METHOD(SevenMachines, "what was accepted outlives the loss of two disks while all others lose power") {
+  REQUIRE(edit("accepted"));
+  Host* first = leader();
+  Host* second = hosts[0].get() == first ? hosts[1].get() : hosts[0].get();
+  for (const auto& host : hosts) host->losePower();
+  first->loseDisk();
+  second->loseDisk();
+  for (const auto& host : hosts) host->start(seeds, false, leastVoters);
+  runFor(base::seconds(5));
+  REQUIRE(leader() != nullptr);
+  CHECK(holds("accepted"));
+  CHECK(voters() == 7);
+  CHECK(edit("after"));
+}
+
+TEST_CASE_METHOD(SevenMachines, "any majority of the controllers goes on by itself") {
+  for (const size_t first : {size_t{3}, size_t{4}}) {
+    cutFrom(first, true);
+    runFor(base::seconds(3));
+    REQUIRE(leader() != nullptr);
+    CHECK(edit("while-cut-" + std::to_string(first)));
+    cutFrom(first, false);
+    runFor(base::seconds(3));
+    REQUIRE(leader() != nullptr);
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "the seeds found a cluster in which all of them vote, and a further controller stands by") {
   REQUIRE(leader() != nullptr);
   CHECK(voters() == 3);
