Leave relays that are cut off together one after the other at once

A node left its relay after 1.6 s without news of the quorum, met another cut-off relay, and gave that one 1.6 s too: an accepted change was not in force 2.4 s after its acknowledgement. Ruled out: slow commit (version 15 committed and acknowledged by the new leader within 1.3 s of the cut). Change: a relay tells its freshness right after a subscription; a node that gave up on one relay leaves the next at once when that has heard nothing newer. Each relay is tried once that fast, then two in each staleAfter, so an outage of all controllers makes no storm. Tests: control_client_test, "cut off together" (failed before), "not run through".

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -240,9 +240,21 @@
 void ControlClient::onHeartbeat(const wire::Freshness& freshness) {
   // A relay that has heard of no leader yet may be starting; one that follows an earlier leader is cut off.
   if (freshness.term > 0 && freshness.term < freshness_.term) return reconnectLater("it follows an earlier leader");
-  if (!membership::isNewer(freshness, freshness_)) return;
+  if (!membership::isNewer(freshness, freshness_)) return leaveStale();
   freshness_ = freshness;
   freshSince_ = scheduler_.now();
+  staleRelays_ = 0;
+}
+
+/// Leaves a relay that has heard no more of the controllers than this node had when it gave up on the last one: several
+/// may be cut off together. Each relay is tried once that fast; when all are stale, the controllers are out, and the
+/// node stays with each for `staleAfter`.
+void ControlClient::leaveStale() {
+  const bool searching = staleRelays_ > 0 && staleRelays_ < options_.relays.size();
+  if (!open_ || !slices_.active() || fresh() || !searching) return;
+  ++staleRelays_;
+  attempts_ = 0;
+  reconnectLater("its word of the controllers is no newer");
 }
 
 void ControlClient::sendApplied() {
@@ -264,7 +276,9 @@
   if (silent) return reconnectLater("silent");
   if (noAnswer) return reconnectLater("no answer");
   if (noSlice) return reconnectLater("no version came");
-  if (stale) reconnectLater("its word of the controllers is old");
+  if (!stale) return;
+  staleRelays_ = std::min(std::max<size_t>(staleRelays_, 1), options_.relays.size() - 1);
+  reconnectLater("its word of the controllers is old");
 }
 
 void ControlClient::announce(const wire::EndpointState& state) {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -90,6 +90,7 @@
   void useRelays();
   void moveOn(base::Duration delay);
   void reconnectLater(const char* because);
+  void leaveStale();
   void onUpdate(const wire::SliceUpdate& update);
   void onHeartbeat(const wire::Freshness& freshness);
   void sendApplied();
@@ -121,6 +122,7 @@
   bool open_ = false;
   bool sliceSeen_ = false;  // on this connection
   int attempts_ = 0;        // since the last working connection
+  size_t staleRelays_ = 0;  // left in a row since freshness last advanced
   base::TimePoint lastHeard_{};
   base::TimePoint openedAt_{};
   base::TimePoint freshSince_{};
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -38,15 +38,17 @@
 
   void open() { client->onOpen(current(), {}); }
 
+  static wire::RelayAddress relayAt(const base::Address& address, const std::string& zone) {
+    wire::RelayAddress entry;
+    entry.address = address.host;
+    entry.port = address.port;
+    entry.zone = zone;
+    return entry;
+  }
+
   void tellRelays() {
     wire::RelayList list;
-    for (const auto& [address, zone] : {std::pair(kHome, "zone-1"), std::pair(kFar, "zone-2")}) {
-      wire::RelayAddress entry;
-      entry.address = address.host;
-      entry.port = address.port;
-      entry.zone = zone;
-      list.relays.push_back(entry);
-    }
+    list.relays = {relayAt(kHome, "zone-1"), relayAt(kFar, "zone-2")};
     client->onMessage(current(), list);
   }
 
@@ -166,4 +168,58 @@
   CHECK(relay() == other);
 }
 
+TEST_CASE_METHOD(Fixture, "relays that are cut off together are left one after the other at once") {
+  constexpr int kRelays = 7;
+  open();
+  wire::RelayList list;
+  list.relays.push_back(relayAt(kHome, "zone-1"));
+  for (int i = 2; i <= kRelays; ++i) list.relays.push_back(relayAt({"10.0.0." + std::to_string(i), 7001}, "zone-2"));
+  client->onMessage(current(), list);
+  version(1);
+  heartbeat(1, 10);
+  for (int i = 0; i < 6; ++i) {
+    heartbeat(1, 10);
+    runFor(base::milliseconds(400));
+    if (relay() != kHome) break;
+  }
+  REQUIRE(relay() != kHome);
+  // Three more have heard nothing newer either; the fifth has.
+  for (int hop = 0; hop < 3; ++hop) {
+    const auto left = relay();
+    open();
+    heartbeat(1, 10);
+    version(1);
+    runFor(base::milliseconds(100));
+    CHECK(relay() != left);
+  }
+  const auto fresh = relay();
+  open();
+  heartbeat(2, 1);
+  runFor(base::milliseconds(500));
+  CHECK(relay() == fresh);
+}
+
+TEST_CASE_METHOD(Fixture, "relays are not run through while the controllers are out") {
+  open();
+  tellRelays();
+  version(1);
+  heartbeat(1, 10);
+  int connections = 0;
+  base::Address last = relay();
+  for (int i = 0; i < 200; ++i) {
+    runFor(base::milliseconds(50));
+    if (network.connected.empty()) continue;  // between two relays
+    if (!(relay() == last)) {
+      ++connections;
+      last = relay();
+      open();
+      version(1);
+    }
+    heartbeat(1, 10);
+  }
+  // Ten seconds: six slow departures, and one fast for each at the most.
+  CHECK(connections <= 13);
+  CHECK(connections >= 4);
+}
+
 }  // namespace driftlug::node
