Send deltas across restarts of relays, and refuse an update only once

A relay that starts anew got the whole table without tombstones, and a slice asked for before the table came counted all rows as new, so no delta for a node fitted its digest. Each node took a whole slice of 2,200 routes (about 330 kB, 0.7 s on its link of 3.7 Mbit/s), 20 of them twice: deltas on their way were refused one by one. Nodes also waited up to 3.2 s between tries. Change: a full update carries the tombstones, a slice begins with the first table that is not empty and knows what was deleted before; after a refusal a node waits for the whole slice; the back-off of nodes ends at 0.8 s instead of 3.2 s.

--- a/src/controller/relay_sessions.cc
+++ b/src/controller/relay_sessions.cc
@@ -56,9 +56,8 @@
   update.full = fullPush_ || fromRevision < table.horizon() || fromRevision == 0;
   update.fromRevision = update.full ? 0 : fromRevision;
   update.toRevision = table.revision();
-  for (const auto& row : table.changedSince(update.fromRevision)) {
-    if (!update.full || !row->deleted) update.rows.push_back(*row);
-  }
+  // A full update carries the tombstones too: a relay that has just started needs them for the deltas of its nodes.
+  for (const auto& row : table.changedSince(update.fromRevision)) update.rows.push_back(*row);
   update.digest = table.digest();
   return wire::encodeFrame(update);
 }
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -11,7 +11,7 @@
 
 constexpr int kProtocolVersion = 1;
 constexpr base::Duration kWatchInterval = base::milliseconds(200);
-constexpr int kMaxBackoffDoublings = 4;
+constexpr int kMaxBackoffDoublings = 2;
 constexpr int kServingPatience = 3;
 constexpr char kSliceFile[] = "slice";
 constexpr char kTemporaryFile[] = "slice.tmp";
@@ -59,6 +59,7 @@
   if (options_.relays.empty()) return;
   open_ = false;
   sliceSeen_ = false;
+  awaitingWhole_ = false;
   openedAt_ = scheduler_.now();
   const size_t position = position_ % options_.relays.size();
   relay_ = options_.relays[position];
@@ -195,6 +196,9 @@
   while (!pending_.empty() && !persisting_) {
     const auto update = std::move(pending_.front());
     pending_.pop_front();
+    // What the relay sent before it heard of the refusal can't be applied; refusing it would cost another whole slice.
+    if (awaitingWhole_ && !update.full) continue;
+    awaitingWhole_ = false;
     SliceVersion next;
     const auto result = slices_.prepare(update, &next);
     if (result != SliceResult::kActivated && result != SliceResult::kUnchanged) {
@@ -229,6 +233,7 @@
   ++counters_.rejected;
   // A relay that is behind can't help; another one may be further.
   if (result == SliceResult::kOlder) return reconnectLater("it is behind");
+  awaitingWhole_ = true;
   wire::SliceRejected rejected;
   rejected.revision = revision;
   rejected.reason = wire::SliceRejectReason::DANGLING_REFERENCE;
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -120,9 +120,10 @@
   size_t position_ = 0;                // of the relay in use
   base::ConnectionId connection_ = 0;  // 0 while waiting to reconnect
   bool open_ = false;
-  bool sliceSeen_ = false;  // on this connection
-  int attempts_ = 0;        // since the last working connection
-  size_t staleRelays_ = 0;  // left in a row since freshness last advanced
+  bool sliceSeen_ = false;      // on this connection
+  bool awaitingWhole_ = false;  // an update was refused on this connection; only a whole slice helps
+  int attempts_ = 0;            // since the last working connection
+  size_t staleRelays_ = 0;      // left in a row since freshness last advanced
   base::TimePoint lastHeard_{};
   base::TimePoint openedAt_{};
   base::TimePoint freshSince_{};
--- a/src/relay/table_replica.cc
+++ b/src/relay/table_replica.cc
@@ -32,6 +32,10 @@
 ReplicaResult TableReplica::applyFull(const wire::TableUpdate& update, ReplicaChange* change) {
   table::Table fresh;
   for (const auto& row : update.rows) {
+    if (row.deleted) {
+      fresh.put(std::make_shared<wire::Row>(row));
+      continue;
+    }
     // Unchanged rows keep their identity, so that slices see which rows really changed.
     auto known = table_.find(row.key);
     if (known && known->revision == row.revision) {
--- a/src/table/slice.cc
+++ b/src/table/slice.cc
@@ -51,9 +51,11 @@
   return keys;
 }
 
-Slice::Slice(Interest interest, const Table& table) : interest_(std::move(interest)) {
-  refresh(table);
+Slice::Slice(Interest interest, const Table& table) : interest_(std::move(interest)) { refresh(table); }
+
+void Slice::begin(const Table& table) {
   firstRevision_ = table.revision();
+  for (const auto& [key, row] : table.tombstones()) departed_[key] = row->revision;
 }
 
 bool Slice::mayContain(const Row& row, const Row* previous) const {
@@ -75,6 +77,7 @@
   const auto keys = selectKeys(table, interest_);
   const int64_t now = table.revision();
   bool changed = false;
+  if (firstRevision_ == 0) begin(table);
   services_.clear();
   for (const auto& key : keys) {
     if (key.kind == RowKind::SERVICE) services_.insert(key.name);
--- a/src/table/slice.h
+++ b/src/table/slice.h
@@ -22,7 +22,8 @@
 std::set<RowKey, RowKeyLess> selectKeys(const Table& table, const Interest& interest);
 
 /// The rows of one interest, with the revision at which each entered or left, so that a delta from any
-/// revision since the slice was first computed is exact.
+/// revision since the slice was first computed is exact. From an earlier one it is exact as long as the only rows that
+/// left were deleted, since the table's tombstones tell of those.
 ///
 /// Invariants: rows() equals selectKeys() over the table given to the last refresh(); digest() covers rows().
 class Slice {
@@ -54,10 +55,12 @@
   /// @return every row.
   std::vector<Row> allRows() const;
 
-  /// @return the revision at which the slice was first computed.
+  /// @return the revision at which the slice was first computed from a table that was not empty.
   int64_t firstRevision() const { return firstRevision_; }
 
  private:
+  void begin(const Table& table);
+
   struct Member {
     RowPtr row;
     int64_t since;  // revision at which the row, as it is, became part of the slice
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -222,4 +222,47 @@
   CHECK(connections >= 4);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "an update that can't be applied is refused once, however many follow before the whole slice") {
+  open();
+  version(1);
+  const auto delta = [this](int64_t from, int64_t to, int64_t wrong) {
+    wire::SliceUpdate update;
+    update.fromRevision = from;
+    update.toRevision = to;
+    update.digest = table::Table().digest();
+    update.digest.low += wrong;
+    client->onMessage(current(), update);
+  };
+  delta(1, 2, 1);
+  delta(2, 3, 0);
+  delta(3, 4, 0);
+  const auto refusals = [this] {
+    return std::count_if(network.sent.begin(), network.sent.end(),
+                         [](const auto& sent) { return std::holds_alternative<wire::SliceRejected>(sent.message); });
+  };
+  CHECK(refusals() == 1);
+  version(4);
+  CHECK(client->slices().revision() == 4);
+  delta(3, 5, 0);
+  CHECK(refusals() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "after a loss of all relays a node tries again at least once a second") {
+  open();
+  tellRelays();
+  version(1);
+  base::TimePoint lastTry = queue.now();
+  for (int i = 0; i < 400; ++i) {
+    if (!network.connected.empty()) {
+      lastTry = queue.now();
+      const auto connection = current();
+      network.connected.erase(connection);
+      client->onClose(connection);
+    }
+    runFor(base::milliseconds(20));
+    CHECK(queue.now() - lastTry <= base::seconds(1));
+  }
+}
+
 }  // namespace driftlug::node
--- a/test/table/slice_test.cc
+++ b/test/table/slice_test.cc
@@ -50,6 +50,21 @@
   CHECK(after.find(table::makeKey(RowKind::SECRET, "k1")) == nullptr);
 }
 
+TEST_CASE("a slice that begins later still tells an earlier reader of rows that were deleted") {
+  auto table = twoServices();
+  const auto reader = applyRows({}, table::Slice({{"*"}, {}}, table).allRows());
+  table.put(test::routeRow("gone", "h", "/gone/", {{"s1", 100}}, 2));
+  const auto later = applyRows({}, table::Slice({{"*"}, {}}, table).allRows());
+  table.put(test::deletedRow(RowKind::ROUTE, "gone", 3));
+  table.put(test::routeRow("new", "h", "/new/", {{"s1", 100}}, 4));
+  table::Slice slice({{"*"}, {}}, table::Table());
+  CHECK(slice.refresh(table));
+  CHECK(applyRows(reader, slice.changedSince(1)).digest() == slice.digest());
+  CHECK(applyRows(later, slice.changedSince(2)).digest() == slice.digest());
+  // Only what changed is told.
+  CHECK(slice.changedSince(2).size() == 2);
+}
+
 TEST_CASE("deltas from any revision equal the full slice, over random edits") {
   base::RandomSource random(11);
   for (int round = 0; round < 20; ++round) {
