--- a/test/platform/config_api_test.cc
+++ b/test/platform/config_api_test.cc
@@ -157,4 +157,11 @@
   CHECK(ask(leader(), "GET", "").status == 404);
 }
 
+TEST_CASE_METHOD(Fixture, "a controller that does not lead sends a change on without reading it") {
+  const size_t follower = leader() == 0 ? 1 : 0;
+  const auto response = ask(follower, "PUT", "{ cut short");
+  CHECK(response.status == 307);
+  CHECK(put("{ cut short") == 400);
+}
+
 }  // namespace driftlug::platform
