Add a fault soak: driftlug-fleet soak, and driftlug-fault-proxy before each process

While it runs, nodes must not go back, no process ends by itself and accepted changes get rising revisions; afterwards no filing ran twice, nothing answered as done is missing, nothing answered as not run did run, no answer is crossed or cut, all accepted changes are there, all processes are ready and the last change is in force everywhere within 15 s, calls without a fault all succeed, and each back end gets calls again. A cut server can't be told apart from one whose connection attempts are lost: the proxy accepts and keeps silent, which is what a greeting time-out must bear.

--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -16,6 +16,7 @@
 using nlohmann::json;
 
 constexpr char kHost[] = "127.0.0.1";
+constexpr char kProxyName[] = "fault-proxy";
 constexpr int kReadyTimeoutMs = 20'000;
 constexpr int kStopTimeoutMs = 15'000;
 constexpr base::Duration kHttpTimeout = base::seconds(5);
@@ -67,6 +68,43 @@
       endpoints_.push_back({{name, zoneOf(i), nextPort(), nextPort(), 0}, service.name, nextPort(), name + "-backend"});
     }
   }
+  planProxy();
+}
+
+void Fleet::planProxy() {
+  std::vector<int> ports;
+  if (options_.faultProxy) ports = findFreePorts(controllers_.size() + relays_.size() + 2 * endpoints_.size() + 1);
+  const auto before = [&](const std::string& name, int target) {
+    if (ports.empty()) return target;
+    const int port = ports.back();
+    ports.pop_back();
+    links_.push_back(name + "=" + std::to_string(port) + ":" + std::to_string(target));
+    return port;
+  };
+  if (!ports.empty()) {
+    proxyPort_ = ports.back();
+    ports.pop_back();
+  }
+  for (auto& member : controllers_) member.dialPort = before(member.name, member.framePort);
+  for (auto& member : relays_) member.dialPort = before(member.name, member.framePort);
+  for (auto& endpoint : endpoints_) {
+    endpoint.node.dialPort = before(endpoint.node.name, endpoint.node.framePort);
+    endpoint.backendDialPort = before(endpoint.backendName, endpoint.backendPort);
+  }
+}
+
+bool Fleet::startProxy() {
+  if (links_.empty()) return true;
+  auto command = program("driftlug-fault-proxy");
+  command.push_back(flag("links", absl::StrJoin(links_, ",")));
+  command.push_back(flag("control-port", proxyPort_));
+  return processes_.start(kProxyName, command);
+}
+
+bool Fleet::setLinkFault(const std::string& link, std::string_view fault, int delayMs) {
+  const auto path = "/fault?link=" + link + "&fault=" + std::string(fault) + "&delay_ms=" + std::to_string(delayMs);
+  const auto result = http_.get({kHost, proxyPort_}, path, kHttpTimeout);
+  return result.outcome == transport::HttpOutcome::kCompleted && result.response.status == 200;
 }
 
 absl::Status Fleet::failed(const std::string& what) const {
@@ -79,7 +117,7 @@
 std::string Fleet::relayAddresses(int zone) const {
   std::vector<std::string> addresses;
   for (const int position : releaseGroupOf(deployment_, zone)) {
-    addresses.push_back(std::string(kHost) + ":" + std::to_string(relays_[static_cast<size_t>(position)].framePort));
+    addresses.push_back(std::string(kHost) + ":" + std::to_string(relays_[static_cast<size_t>(position)].dialPort));
   }
   return absl::StrJoin(addresses, ",");
 }
@@ -87,7 +125,7 @@
 bool Fleet::startControllers() {
   std::vector<std::string> addresses;
   for (const auto& member : controllers_) {
-    addresses.push_back(member.name + "@" + kHost + ":" + std::to_string(member.framePort) + ":" +
+    addresses.push_back(member.name + "@" + kHost + ":" + std::to_string(member.dialPort) + ":" +
                         std::to_string(member.httpPort));
   }
   for (const auto& member : controllers_) {
@@ -108,7 +146,7 @@
 bool Fleet::startRelays() {
   std::vector<std::string> controllerAddresses;
   for (const auto& member : controllers_) {
-    controllerAddresses.push_back(std::string(kHost) + ":" + std::to_string(member.framePort));
+    controllerAddresses.push_back(std::string(kHost) + ":" + std::to_string(member.dialPort));
   }
   std::vector<std::string> groups;
   for (size_t zone = 0; zone < deployment_.zones.size(); ++zone) {
@@ -121,7 +159,7 @@
   for (const auto& member : relays_) {
     std::vector<std::string> peers;
     for (const auto& other : relays_) {
-      if (other.name != member.name) peers.push_back(std::string(kHost) + ":" + std::to_string(other.framePort));
+      if (other.name != member.name) peers.push_back(std::string(kHost) + ":" + std::to_string(other.dialPort));
     }
     auto command = program("driftlug-relay");
     command.push_back(flag("name", member.name));
@@ -157,7 +195,7 @@
     node.push_back(flag("frame-port", endpoint.node.framePort));
     node.push_back(flag("http-port", endpoint.node.httpPort));
     node.push_back(flag("service", endpoint.service));
-    node.push_back(flag("backend", std::string(kHost) + ":" + std::to_string(endpoint.backendPort)));
+    node.push_back(flag("backend", std::string(kHost) + ":" + std::to_string(endpoint.backendDialPort)));
     node.push_back(flag("backend-connections", service->connections));
     node.push_back(flag("backend-slots", service->slots));
     int zone = 0;
@@ -212,7 +250,7 @@
   for (const auto& endpoint : endpoints_) {
     const json row = {{"service", endpoint.service},
                       {"address", kHost},
-                      {"port", endpoint.node.framePort},
+                      {"port", endpoint.node.dialPort},
                       {"zone", endpoint.node.zone}};
     edits.push_back({{"kind", "endpoint"}, {"name", endpoint.node.name}, {"expected_revision", 0}, {"row", row}});
   }
@@ -220,6 +258,7 @@
 }
 
 absl::Status Fleet::start() {
+  if (!startProxy()) return failed("the fault proxy");
   if (!startControllers()) return failed("a controller");
   std::vector<base::Address> addresses;
   for (const auto& member : controllers_) addresses.push_back(httpAddress(member));
@@ -278,6 +317,7 @@
   stopAll(backends);
   stopAll(relays);
   stopAll(controllers);
+  if (!links_.empty()) stopAll({kProxyName});
   return stuck;
 }
 
@@ -315,6 +355,10 @@
 
 apps::ApiAnswer Fleet::edit(const json& edits) { return api_->edit({{"edits", edits}, {"author", "fleet"}}); }
 
+apps::ApiAnswer Fleet::request(const std::string& method, const std::string& path) {
+  return api_->request(method, path, "");
+}
+
 double Fleet::waitEverywhere(int64_t revision, base::TimePoint since, int limitMs) {
   const auto until = http_.loop().now() + base::milliseconds(limitMs);
   while (http_.loop().now() < until) {
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -19,6 +19,7 @@
   int framePort = 0;
   int httpPort = 0;
   int entryPort = 0;
+  int dialPort = 0;  ///< where others reach its frame port: itself, or the fault proxy before it
 };
 
 /// One back end with the node beside it.
@@ -27,6 +28,7 @@
   std::string service;
   int backendPort = 0;
   std::string backendName;
+  int backendDialPort = 0;  ///< where its node reaches it
 };
 
 /// Options of a run.
@@ -34,6 +36,7 @@
   std::string binaries;  ///< folder of the programs
   std::string report;    ///< folder for logs, data and the report
   bool emulateLatency = true;
+  bool faultProxy = false;  ///< whether a fault proxy stands before every frame port and back end
   std::vector<std::string> controllerFlags;
   std::vector<std::string> relayFlags;
   std::vector<std::string> backendFlags;
@@ -77,6 +80,9 @@
   /// Makes an edit.
   apps::ApiAnswer edit(const nlohmann::json& edits);
 
+  /// Asks whichever controller leads.
+  apps::ApiAnswer request(const std::string& method, const std::string& path);
+
   /// Waits until a revision is in force everywhere.
   /// @return milliseconds since `since`, or -1 when it took longer than the limit
   double waitEverywhere(int64_t revision, base::TimePoint since, int limitMs);
@@ -97,6 +103,9 @@
   const std::vector<FleetEndpoint>& endpoints() const { return endpoints_; }
   std::vector<FleetMember> allNodes() const;
 
+  /// Puts a fault in force on the link to a process, or ends it with `none`.
+  bool setLinkFault(const std::string& link, std::string_view fault, int delayMs);
+
   /// @return the name of the controller that leads, or empty.
   std::string leader();
 
@@ -105,6 +114,8 @@
 
  private:
   void plan();
+  void planProxy();
+  bool startProxy();
   bool startControllers();
   bool startRelays();
   bool startEndpoints();
@@ -123,6 +134,8 @@
   std::vector<FleetMember> relays_;
   std::vector<FleetMember> entries_;
   std::vector<FleetEndpoint> endpoints_;
+  std::vector<std::string> links_;  ///< of the fault proxy, as its flag takes them
+  int proxyPort_ = 0;               ///< of its control page
 };
 
 }  // namespace driftlug::tools
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <map>
 
 #include "base/settings.h"
 #include "daemon.h"
@@ -12,6 +13,7 @@
 #include "percentiles.h"
 #include "scale_run.h"
 #include "scenario.h"
+#include "soak/soak_run.h"
 
 DEFINE_string(deployment, "examples/crash-report", "folder of the deployment");
 DEFINE_string(scenario, "", "TOML file with steps; empty for edits alone");
@@ -26,6 +28,8 @@
 DEFINE_double(edits_per_second, 2.8, "scale: edits a second; the letter's 24,000 a day, ten times over");
 DEFINE_int32(edit_seconds, 15, "scale: time in which edits are made");
 DEFINE_bool(storms, true, "scale: kill a relay, a pair and all relays");
+DEFINE_int32(longest_fault_ms, 6000, "soak: time that a fault lasts at most");
+DEFINE_int32(fault_gap_ms, 700, "soak: mean time between the beginnings of two faults");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
 
 namespace {
@@ -234,6 +238,35 @@
   return callsFailed || wrong ? 1 : 0;
 }
 
+/// Faults on running processes and their links, drawn from the seed.
+int runSoak() {
+  const auto deployment = tools::readDeployment(FLAGS_deployment);
+  if (!deployment.ok()) apps::exitWithError(deployment.status());
+  tools::FleetOptions options;
+  options.binaries = folderOf(gflags::GetArgv0());
+  options.report = FLAGS_report;
+  options.emulateLatency = FLAGS_emulate_latency;
+  options.faultProxy = true;
+  tools::Fleet fleet(*deployment, options);
+  if (const auto status = fleet.start(); !status.ok()) {
+    std::fprintf(stderr, "%s\n", base::errorText(status).c_str());
+    return 1;
+  }
+  soak::soak_options soakOptions;
+  soakOptions.seed = static_cast<uint64_t>(FLAGS_seed);
+  soakOptions.shape.durationMs = FLAGS_duration_ms;
+  soakOptions.shape.longestFaultMs = FLAGS_longest_fault_ms;
+  soakOptions.shape.meanGapMs = FLAGS_fault_gap_ms;
+  if (FLAGS_rate > 0) soakOptions.rate = FLAGS_rate;
+  auto report = soak::soak_run(fleet, soakOptions).run();
+  report["deployment"] = deployment->name;
+  report["not_stopped"] = fleet.stop();
+  std::ofstream(FLAGS_report + "/soak.json") << report.dump(2) << "\n";
+  report.erase("plan");
+  std::printf("%s\n", report.dump().c_str());
+  return report["broken"].empty() && report["not_stopped"].empty() ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -242,12 +275,12 @@
   gflags::SetArgv(argc, const_cast<const char**>(argv));
   auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
   apps::configureLogsFromSettings();
-  const bool known =
-      arguments.size() == 1 && (arguments[0] == "run" || arguments[0] == "scale" || arguments[0] == "latency");
+  const std::map<std::string, int (*)()> commands = {
+      {"run", run}, {"scale", scale}, {"latency", latency}, {"soak", runSoak}};
+  const bool known = arguments.size() == 1 && commands.count(arguments[0]) > 0;
   if (!known || FLAGS_report.empty()) {
-    std::fprintf(stderr, "bad_flag: the command is 'run', 'scale' or 'latency', with --report FOLDER\n");
+    std::fprintf(stderr, "bad_flag: the command is 'run', 'scale', 'latency' or 'soak', with --report FOLDER\n");
     return 2;
   }
-  if (arguments[0] == "latency") return latency();
-  return arguments[0] == "run" ? run() : scale();
+  return commands.at(arguments[0])();
 }
--- /dev/null
+++ b/tools/soak/fault_proxy.cc
@@ -0,0 +1,84 @@
+#include "soak/fault_proxy.h"
+
+#include <vector>
+
+#include "soak/relayed_connection.h"
+
+namespace driftlug::soak
+{
+namespace
+{
+constexpr char kLoopback[] = "127.0.0.1";
+
+}  // namespace
+
+fault_proxy::fault_proxy(transport::EventLoop& _loop, const base::Address& _target)
+	: m_loop(_loop)
+	, m_target(_target)
+	, m_listener(_loop,
+				 [this](std::shared_ptr<transport::TcpStream> _client)
+				 {
+					 onAccepted(std::move(_client));
+				 })
+{
+}
+
+fault_proxy::~fault_proxy()
+{
+	m_alive.reset();
+}
+
+absl::Status fault_proxy::listen(int _port)
+{
+	return m_listener.listen(kLoopback, _port, {});
+}
+
+int fault_proxy::port() const
+{
+	return m_listener.port();
+}
+
+size_t fault_proxy::connections() const
+{
+	return m_connections.size();
+}
+
+void fault_proxy::onAccepted(std::shared_ptr<transport::TcpStream> _client)
+{
+	if (link_fault::reset == m_fault)
+	{
+		return _client->close();
+	}
+	const auto id = m_nextId++;
+	m_connections[id] = std::make_unique<relayed_connection>(*this, id, std::move(_client));
+}
+
+void fault_proxy::setFault(link_fault _fault, base::Duration _delay)
+{
+	m_fault = _fault;
+	m_delay = _delay;
+	std::vector<relayed_connection*> all;
+	for (const auto& [id, connection] : m_connections)
+	{
+		all.push_back(connection.get());
+	}
+	// Connections end later, so none of these goes away meanwhile.
+	for (auto* connection : all)
+	{
+		connection->pump();
+	}
+}
+
+void fault_proxy::forget(uint64_t _id)
+{
+	m_loop.schedule(base::Duration(0),
+					[this, alive = std::weak_ptr<bool>(m_alive), _id]
+					{
+						if (!alive.expired())
+						{
+							m_connections.erase(_id);
+						}
+					});
+}
+
+}  // namespace driftlug::soak
--- /dev/null
+++ b/tools/soak/promise_watch.cc
@@ -0,0 +1,70 @@
+#include "soak/promise_watch.h"
+
+#include <fmt/format.h>
+
+#include "fleet.h"
+
+namespace driftlug::soak
+{
+promise_watch::promise_watch(tools::Fleet& _fleet)
+	: m_fleet(_fleet)
+{
+}
+
+void promise_watch::setHarmed(const std::string& _name, bool _harmed)
+{
+	if (_harmed)
+	{
+		m_harmed.insert(_name);
+	}
+	else
+	{
+		m_harmed.erase(_name);
+	}
+}
+
+int promise_watch::looks() const
+{
+	return m_looks;
+}
+
+std::string promise_watch::look()
+{
+	auto members = m_fleet.allNodes();
+	members.insert(members.end(), m_fleet.controllers().begin(), m_fleet.controllers().end());
+	members.insert(members.end(), m_fleet.relays().begin(), m_fleet.relays().end());
+	const auto& member = members[m_next++ % members.size()];
+	if (m_harmed.count(member.name) > 0)
+	{
+		return {};
+	}
+	++m_looks;
+	return lookAt(member);
+}
+
+std::string promise_watch::lookAt(const tools::FleetMember& _member)
+{
+	auto& processes = m_fleet.processes();
+	if (!processes.running(_member.name))
+	{
+		return fmt::format("{} ended by itself", _member.name);
+	}
+	const double revision = m_fleet.sumMetric({_member}, "table_revision");
+	const auto pid = processes.pidOf(_member.name);
+	auto& seen = m_seen[_member.name];
+	const bool sameLife = pid == seen.pid;
+	// Nothing is heard of a process that is busy; that is no revision.
+	if (0 == revision)
+	{
+		return {};
+	}
+	const double before = seen.revision;
+	seen = {pid, revision};
+	if (sameLife && revision < before)
+	{
+		return fmt::format("{} went back from revision {} to {}", _member.name, before, revision);
+	}
+	return {};
+}
+
+}  // namespace driftlug::soak
--- /dev/null
+++ b/tools/soak/relayed_connection.h
@@ -0,0 +1,55 @@
+/// One client's connection through a fault proxy.
+#ifndef DRIFTLUG_SOAK_RELAYED_CONNECTION_H_HEADER_GUARD
+#define DRIFTLUG_SOAK_RELAYED_CONNECTION_H_HEADER_GUARD
+
+#include <deque>
+#include <string>
+
+#include "soak/fault_proxy.h"
+
+namespace driftlug::soak
+{
+/// Two streams and what is on its way between them.
+class relayed_connection
+{
+public:
+	relayed_connection(fault_proxy& _owner, uint64_t _id, std::shared_ptr<transport::TcpStream> _client);
+	~relayed_connection();
+
+	/// Delivers what the fault in force lets pass by now.
+	void pump();
+
+private:
+	struct chunk
+	{
+		base::TimePoint due;
+		std::string bytes;
+		bool end = false;  //!< The sender has closed.
+	};
+
+	/// One direction: bytes read from a stream on their way to the other one.
+	struct direction : transport::StreamHandler
+	{
+		void onBytes(std::string_view _bytes) override;
+		void onClosed(bool _orderly) override;
+
+		relayed_connection* owner = nullptr;
+		bool toServer = false;
+		std::shared_ptr<transport::TcpStream> from;
+		std::deque<chunk> held;
+	};
+
+	void hold(direction* _direction, chunk _chunk);
+	bool blocked(const direction& _direction) const;
+	bool deliver(direction* _direction, transport::TcpStream* _to);
+
+	fault_proxy& m_owner;
+	uint64_t m_id;
+	direction m_toServer;
+	direction m_toClient;
+	base::Timer m_timer;
+};
+
+}  // namespace driftlug::soak
+
+#endif  // DRIFTLUG_SOAK_RELAYED_CONNECTION_H_HEADER_GUARD
--- /dev/null
+++ b/tools/soak/soak_run.h
@@ -0,0 +1,76 @@
+/// Runs a deployment as processes on loopback, harms them from outside, and checks what callers and back ends see.
+#ifndef DRIFTLUG_SOAK_SOAK_RUN_H_HEADER_GUARD
+#define DRIFTLUG_SOAK_SOAK_RUN_H_HEADER_GUARD
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/soak_plan.h"
+
+namespace driftlug::tools
+{
+class Fleet;
+}
+
+namespace driftlug::soak
+{
+class fault_injector;
+class promise_watch;
+
+/// How a soak runs.
+struct soak_options
+{
+	uint64_t seed = 1;
+	soak_shape shape;
+	double rate = 150;         //!< Calls a second.
+	double filingShare = 0.2;  //!< Of calls, those that may not be repeated.
+	int recoverMs = 15'000;    //!< Within which all is well again once the last fault is over.
+};
+
+/// One soak of one fleet.
+class soak_run
+{
+public:
+	///
+	/// @param[in] _fleet A started fleet with a fault proxy; outlives the run.
+	///
+	soak_run(tools::Fleet& _fleet, const soak_options& _options);
+	~soak_run();
+
+	/// Plays the plan and checks the promises.
+	/// @returns A report with `broken`, one text for each broken promise.
+	nlohmann::json run();
+
+private:
+	void play(const std::vector<soak_step>& _plan);
+	void apply(const soak_step& _step, bool _begin);
+	void idleUntil(int _atMs);
+	void edit();
+	void checkRecovery();
+	void checkEdits();
+	void checkCalls(const std::string& _load, nlohmann::json* _report);
+	void broken(const std::string& _what);
+	int elapsedMs();
+
+	tools::Fleet& m_fleet;
+	soak_options m_options;
+	std::unique_ptr<fault_injector> m_processFaults;
+	std::unique_ptr<fault_injector> m_linkFaults;
+	std::unique_ptr<promise_watch> m_watch;
+	int64_t m_begunUs = 0;
+	int m_edits = 0;
+	int m_unknownEdits = 0;
+	int64_t m_lastRevision = 0;
+	std::vector<std::string> m_acceptedNotes;
+	std::vector<std::string> m_broken;
+};
+
+/// @returns What of a fleet may be harmed.
+std::vector<soak_target> targetsOf(const tools::Fleet& _fleet);
+
+}  // namespace driftlug::soak
+
+#endif  // DRIFTLUG_SOAK_SOAK_RUN_H_HEADER_GUARD
