--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -54,7 +54,8 @@
   const auto now = time_.now();
   double cost = state.inFlight + 1;
   if (options_.policy == PickPolicy::kLeastCost) {
-    double latency = state.latencyUs > 0 ? state.latencyUs : kAssumedLatencyUs;
+    const bool probe = state.inFlight == 0 && now - state.latencyAt > options_.probeAfter;
+    double latency = state.latencyUs > 0 && !probe ? state.latencyUs : kAssumedLatencyUs;
     const double age = secondsOf(now - state.latencyAt) / secondsOf(options_.latencyMemory);
     latency = std::max(kAssumedLatencyUs / 10, latency * std::exp2(-age));
     cost *= latency;
@@ -150,7 +151,7 @@
   }
   state.failures = 0;
   const auto latencyUs = static_cast<double>(latency.count());
-  const bool known = state.latencyUs > 0;
+  const bool known = state.latencyUs > 0 && now - state.latencyAt <= options_.probeAfter;
   // A slower answer counts at once, a faster one only gradually.
   const double weight = known && latencyUs > state.latencyUs ? 2 * kAverageWeight : kAverageWeight;
   state.latencyUs = known ? state.latencyUs * (1 - weight) + latencyUs * weight : latencyUs;
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -26,7 +26,10 @@
   PickPolicy policy = PickPolicy::kLeastCost;
   base::Duration slowStart = base::seconds(5);       ///< over which a new endpoint gets its full share
   base::Duration latencyMemory = base::seconds(10);  ///< half-life of an observed latency
-  int ejectAfterFailures = 5;                        ///< consecutive failures
+  /// An endpoint without an answer for so long, and without a request, counts as one of unknown latency: what made it
+  /// slow may be over, and only a request can tell.
+  base::Duration probeAfter = base::seconds(2);
+  int ejectAfterFailures = 5;  ///< consecutive failures
   base::Duration ejectFor = base::seconds(3);
   double maxEjectedShare = 0.5;   ///< of a service's endpoints
   int assumedSlots = 16;          ///< of an endpoint that does not tell
--- a/test/routing/routing_test.cc
+++ b/test/routing/routing_test.cc
@@ -86,6 +86,29 @@
   CHECK(serve(routing::PickPolicy::kLeastCost, latency, 4000)["e0"] < 200);
 }
 
+TEST_CASE("an endpoint that was slow for a while is asked again soon") {
+  test::ManualTime time;
+  routing::PickerOptions options;
+  options.slowStart = base::Duration(0);
+  routing::EndpointPicker picker(options, time, base::RandomSource(3));
+  const auto endpoints = fourEndpoints();
+  for (const auto& endpoint : endpoints) picker.setConnected(endpoint.name, true);
+  for (const auto& endpoint : endpoints) {
+    picker.onSent(endpoint.name);
+    picker.onDone(endpoint.name, endpoint.name == "e0" ? base::milliseconds(3000) : base::milliseconds(5), false);
+  }
+  std::map<std::string, int> picked;
+  for (int i = 0; i < 4000; ++i) {
+    time.advance(base::milliseconds(1));
+    const auto* target = picker.pick(endpoints, "a", {});
+    picker.onSent(target->name);
+    picker.onDone(target->name, base::milliseconds(5), false);
+    ++picked[target->name];
+  }
+  // Two seconds after its slow answer it is asked, and each answer makes it cheaper.
+  CHECK(picked["e0"] > 100);
+}
+
 TEST_CASE("failures eject an endpoint, but reports never eject more than half") {
   test::ManualTime time;
   routing::PickerOptions options;
--- a/tools/process_group.cc
+++ b/tools/process_group.cc
@@ -120,18 +120,22 @@
 }
 
 std::vector<int> findFreePorts(size_t count) {
+  // Below the range from which the system takes the ports of outgoing connections: one of those could take the port of
+  // a process that is about to start again.
+  constexpr int kFirstPort = 12'000;
+  constexpr int kPortCount = 20'000;
+  static int next = static_cast<int>((static_cast<int64_t>(::getpid()) * 97) % kPortCount);
   std::vector<int> sockets;
   std::vector<int> ports;
-  for (size_t i = 0; i < count; ++i) {
+  for (int tried = 0; tried < kPortCount && ports.size() < count; ++tried) {
+    const int port = kFirstPort + next++ % kPortCount;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
+    address.sin_port = htons(static_cast<uint16_t>(port));
     sockets.push_back(fd);
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), length) != 0) continue;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ports.push_back(ntohs(address.sin_port));
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) ports.push_back(port);
   }
   for (const int fd : sockets) ::close(fd);
   return ports;
