Send nodes away from a full endpoint for longer, the more of them ask

Change: a refusal for want of slots says for how long to leave the endpoint alone: such that all nodes that asked within 2 s ask twice as often as slots become free; 100 ms as before on the small sites' fleets. Test: endpoint_calls_test "the longer each is sent away". Nodes late by links remain: open, being traced.

--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -31,6 +31,10 @@
   return base::Duration(static_cast<int64_t>(heldUs_ * static_cast<double>(ahead) / std::max(1, maxConcurrent_)));
 }
 
+base::Duration SlotLimiter::slotInterval() const {
+  return base::Duration(static_cast<int64_t>(heldUs_ / std::max(1, maxConcurrent_)));
+}
+
 std::optional<base::TimePoint> SlotLimiter::nextExpiry() const {
   std::optional<base::TimePoint> next;
   for (const auto& [order, request] : waiting_) {
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -78,6 +78,9 @@
   /// @return an estimate of when a new request would get a slot, behind those that go before it.
   base::Duration expectedWait(Priority priority, base::TimePoint latestStart) const;
 
+  /// @return the mean time between two slots becoming free while all are busy; 0 before the first request ended.
+  base::Duration slotInterval() const;
+
   /// @return when the first of the waiting requests would start too late; nothing while none waits.
   std::optional<base::TimePoint> nextExpiry() const;
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -12,6 +12,10 @@
 using base::ErrorCode;
 
 constexpr int kMisdirectedStatus = 421;
+/// A node that has asked within this time counts as one that will ask again.
+constexpr base::Duration kAskingMemory = base::seconds(2);
+/// How many requests are wanted for each slot that becomes free, so that none stays empty.
+constexpr int kRequestsPerFreeSlot = 2;
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
 /// Time for which a node goes on to tell the ledger how a request ended.
@@ -76,6 +80,7 @@
 void EndpointCalls::onRequest(base::ConnectionId connection, const wire::CallRequest& request) {
   const CallKey key{connection, request.callId};
   ++counters_.calls;
+  askedAt_[connection] = scheduler_.now();
   if (calls_.count(key) > 0) return;
   auto& call = calls_[key];
   call.request = request;
@@ -272,9 +277,19 @@
   response.outcome = wire::CallOutcome::NOT_RUN;
   response.errorCode = static_cast<int>(error);
   response.retryAfterMs = static_cast<int32_t>(retryAfter.count() / 1000);
+  if (error == ErrorCode::kOverloaded) response.fullForMs = static_cast<int32_t>(fullFor().count() / 1000);
   answer(key, std::move(response));
 }
 
+/// The nodes that ask are to ask, all together, somewhat more often than slots become free: a request that is refused
+/// has crossed this node's link with its body for nothing, and many nodes fill the link.
+base::Duration EndpointCalls::fullFor() const {
+  const auto since = scheduler_.now() - kAskingMemory;
+  const auto asking =
+      std::count_if(askedAt_.begin(), askedAt_.end(), [&](const auto& item) { return item.second >= since; });
+  return std::min(options_.maxFullFor, limiter_.slotInterval() * asking / kRequestsPerFreeSlot);
+}
+
 std::string EndpointCalls::requestIdOf(const wire::CallRequest& request) const {
   return headerValue(request.headers, options_.requestIdHeader);
 }
@@ -327,6 +342,7 @@
 }
 
 void EndpointCalls::onClose(base::ConnectionId connection) {
+  askedAt_.erase(connection);
   std::vector<int64_t> callIds;
   for (auto call = calls_.lower_bound({connection, INT64_MIN}); call != calls_.end(); ++call) {
     if (call->first.connection != connection) break;
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -34,6 +34,7 @@
   double leastWaitShare = 0.15;  ///< with waitWithinTarget: share of the target that a request may wait at the least
   std::string requestIdHeader;   ///< header, in lower case, by which logs name a call; empty for none
   base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
+  base::Duration maxFullFor = base::milliseconds(1500);  ///< longest time for which an asking node is sent away
 };
 
 /// Counters of the endpoint side.
@@ -123,6 +124,7 @@
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
+  base::Duration fullFor() const;
   void logRefusal(const Call& call, base::ErrorCode error, base::Duration retryAfter);
   void logUnknown(const Call& call, base::ErrorCode error);
   std::string requestIdOf(const wire::CallRequest& request) const;
@@ -135,6 +137,7 @@
   ledger::LedgerClient* ledger_;  // may be null
   limits::SlotLimiter limiter_;
   std::map<CallKey, Call> calls_;
+  std::map<base::ConnectionId, base::TimePoint> askedAt_;  // when each connected node last asked
   bool draining_ = false;
   std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
   base::Timer expiryTimer_;           // runs while requests wait for a slot
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -382,7 +382,8 @@
   if (error == ErrorCode::kOverloaded) {
     picker_.onReport(attempt.endpoint, response.inFlight);
     const auto call = calls_.find(attempt.call);
-    if (call != calls_.end()) picker_.onFull(attempt.endpoint, rankOf(call->second), options_.fullFor);
+    const auto fullFor = std::max(options_.fullFor, spread(base::milliseconds(response.fullForMs)));
+    if (call != calls_.end()) picker_.onFull(attempt.endpoint, rankOf(call->second), fullFor);
   }
   if (error == ErrorCode::kKeyReused) {
     return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -521,6 +521,8 @@
   6: i32 errorCode
   7: i32 inFlight
   8: i32 retryAfterMs
+  /** With OVERLOADED: time for which the asking node is to leave the endpoint alone; 0 when it may choose. */
+  9: i32 fullForMs
 }
 
 struct CallCancel {
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -10530,6 +10530,10 @@
 void CallResponse::__set_retryAfterMs(const int32_t val) {
   this->retryAfterMs = val;
 }
+
+void CallResponse::__set_fullForMs(const int32_t val) {
+  this->fullForMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -10636,6 +10640,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fullForMs);
+          this->__isset.fullForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10693,6 +10705,10 @@
   xfer += oprot->writeI32(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fullForMs", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->fullForMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10708,6 +10724,7 @@
   swap(a.errorCode, b.errorCode);
   swap(a.inFlight, b.inFlight);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.fullForMs, b.fullForMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -10720,6 +10737,7 @@
   errorCode = other398.errorCode;
   inFlight = other398.inFlight;
   retryAfterMs = other398.retryAfterMs;
+  fullForMs = other398.fullForMs;
   __isset = other398.__isset;
 }
 CallResponse::CallResponse(CallResponse&& other399) noexcept {
@@ -10731,6 +10749,7 @@
   errorCode = other399.errorCode;
   inFlight = other399.inFlight;
   retryAfterMs = other399.retryAfterMs;
+  fullForMs = other399.fullForMs;
   __isset = other399.__isset;
 }
 CallResponse& CallResponse::operator=(const CallResponse& other400) {
@@ -10742,6 +10761,7 @@
   errorCode = other400.errorCode;
   inFlight = other400.inFlight;
   retryAfterMs = other400.retryAfterMs;
+  fullForMs = other400.fullForMs;
   __isset = other400.__isset;
   return *this;
 }
@@ -10754,6 +10774,7 @@
   errorCode = other401.errorCode;
   inFlight = other401.inFlight;
   retryAfterMs = other401.retryAfterMs;
+  fullForMs = other401.fullForMs;
   __isset = other401.__isset;
   return *this;
 }
@@ -10768,6 +10789,7 @@
   out << ", " << "errorCode=" << to_string(errorCode);
   out << ", " << "inFlight=" << to_string(inFlight);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "fullForMs=" << to_string(fullForMs);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -4201,7 +4201,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false) {}
+  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false) {}
   bool callId :1;
   bool outcome :1;
   bool httpStatus :1;
@@ -4210,6 +4210,7 @@
   bool errorCode :1;
   bool inFlight :1;
   bool retryAfterMs :1;
+  bool fullForMs :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -4226,7 +4227,8 @@
                  body(),
                  errorCode(0),
                  inFlight(0),
-                 retryAfterMs(0) {
+                 retryAfterMs(0),
+                 fullForMs(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -4242,6 +4244,10 @@
   int32_t errorCode;
   int32_t inFlight;
   int32_t retryAfterMs;
+  /**
+   * With OVERLOADED: time for which the asking node is to leave the endpoint alone; 0 when it may choose.
+   */
+  int32_t fullForMs;
 
   _CallResponse__isset __isset;
 
@@ -4261,6 +4267,8 @@
 
   void __set_retryAfterMs(const int32_t val);
 
+  void __set_fullForMs(const int32_t val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4279,6 +4287,8 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(fullForMs == rhs.fullForMs))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -67,7 +67,7 @@
     client.onReply(reply);
   }
 
-  void file(int64_t callId, const std::string& key, const std::string& body) {
+  void file(int64_t callId, const std::string& key, const std::string& body, base::ConnectionId connection = 1) {
     wire::CallRequest request;
     request.callId = callId;
     request.serviceName = "filings";
@@ -76,7 +76,7 @@
     request.body = body;
     request.idempotencyKey = key;
     request.remainingMs = 3000;
-    calls.onRequest(1, request);
+    calls.onRequest(connection, request);
   }
 
   RecordingNetwork network;
@@ -190,4 +190,26 @@
   CHECK(first->calls.active() == 0);
 }
 
+TEST_CASE_METHOD(Fixture, "the more nodes ask a full endpoint, the longer each is sent away") {
+  const auto sentAwayFor = [this](int nodes) {
+    first->network.answers.clear();
+    for (int i = 1; i <= nodes; ++i) {
+      const auto key = std::to_string(nodes) + "-" + std::to_string(i);
+      first->file(nodes * 1000 + i, key, key, static_cast<base::ConnectionId>(i));
+    }
+    int32_t longest = 0;
+    for (const auto& answer : first->network.answers) longest = std::max(longest, answer.fullForMs);
+    runFor(base::seconds(5));
+    return longest;
+  };
+  sentAwayFor(4);
+  // Four slots, each held for some 6 ms: one is free about every 1.6 ms, and twice as many requests are wanted.
+  CHECK(sentAwayFor(20) <= 20);
+  const auto forMany = sentAwayFor(400);
+  CHECK(forMany >= 200);
+  CHECK(forMany <= 450);
+  for (int i = 1; i <= 400; ++i) first->calls.onClose(static_cast<base::ConnectionId>(i));
+  CHECK(sentAwayFor(20) <= 20);
+}
+
 }  // namespace driftlug::node
