Say once who the members of a fleet are and how a node is told of freshness

After a read of the whole change: the relay encoded a heartbeat beside NodeSessions::heartbeat, which builds and counts the same (now heartbeatTo, so the bytes of the first one are counted too); the soak put the list of all members together twice (Fleet::allMembers); promise_watch kept a member that nobody read; a comment on leaving stale relays told of an earlier behaviour.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -253,7 +253,7 @@
 
 /// Leaves a relay that has heard no more of the controllers than this node had when it gave up on the last one: several
 /// may be cut off together. Each relay is tried once that fast; when all are stale, the controllers are out, and the
-/// node stays with each for `staleAfter`.
+/// node tries two for each `staleAfter`.
 void ControlClient::leaveStale() {
   const bool searching = staleRelays_ > 0 && staleRelays_ < options_.relays.size();
   if (!open_ || !slices_.active() || fresh() || !searching) return;
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -86,14 +86,22 @@
   session->sentRevision = revision;
 }
 
+void NodeSessions::sendHeartbeat(base::ConnectionId connection, const wire::FramePtr& frame) {
+  network_.send(connection, frame);
+  counters_.heartbeatBytes += static_cast<int64_t>(frame->size());
+}
+
+void NodeSessions::heartbeatTo(base::ConnectionId connection, const wire::Freshness& freshness) {
+  wire::NodeHeartbeat heartbeat;
+  heartbeat.freshness = freshness;
+  sendHeartbeat(connection, wire::encodeFrame(heartbeat));
+}
+
 void NodeSessions::heartbeat(const wire::Freshness& freshness) {
   wire::NodeHeartbeat heartbeat;
   heartbeat.freshness = freshness;
   const auto frame = wire::encodeFrame(heartbeat);
-  for (const auto& [connection, session] : sessions_) {
-    network_.send(connection, frame);
-    counters_.heartbeatBytes += static_cast<int64_t>(frame->size());
-  }
+  for (const auto& [connection, session] : sessions_) sendHeartbeat(connection, frame);
 }
 
 std::vector<wire::NodeStatus> NodeSessions::lagging() const {
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -79,6 +79,9 @@
   /// Sends a heartbeat to every node.
   void heartbeat(const wire::Freshness& freshness);
 
+  /// Tells one node how fresh the table is.
+  void heartbeatTo(base::ConnectionId connection, const wire::Freshness& freshness);
+
   /// @return nodes whose slice has changed beyond what they have in force.
   std::vector<wire::NodeStatus> lagging() const;
 
@@ -93,6 +96,7 @@
   void sendOlder() { refuseOlder_ = false; }
 
  private:
+  void sendHeartbeat(base::ConnectionId connection, const wire::FramePtr& frame);
   void deliver(base::ConnectionId connection, NodeSession* session);
 
   base::Network& network_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -294,9 +294,7 @@
   lostAt_.erase(peer.id);
   scheduleReport();
   // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
-  wire::NodeHeartbeat heartbeat;
-  heartbeat.freshness = source_.freshness();
-  network_.send(connection, wire::encodeFrame(heartbeat));
+  nodes_.heartbeatTo(connection, source_.freshness());
   if (confirmed) {
     nodes_.deliverFirst(connection, request.digest);
   } else {
--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -292,6 +292,13 @@
   return nodes;
 }
 
+std::vector<FleetMember> Fleet::allMembers() const {
+  auto members = allNodes();
+  members.insert(members.end(), controllers_.begin(), controllers_.end());
+  members.insert(members.end(), relays_.begin(), relays_.end());
+  return members;
+}
+
 std::vector<std::string> Fleet::stop() {
   std::vector<std::string> stuck;
   const auto stopAll = [&](const std::vector<std::string>& names) {
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -103,6 +103,9 @@
   const std::vector<FleetEndpoint>& endpoints() const { return endpoints_; }
   std::vector<FleetMember> allNodes() const;
 
+  /// @return nodes, controllers and relays.
+  std::vector<FleetMember> allMembers() const;
+
   /// Puts a fault in force on the link to a process, or ends it with `none`.
   bool setLinkFault(const std::string& link, std::string_view fault, int delayMs);
 
--- a/tools/soak/promise_watch.cc
+++ b/tools/soak/promise_watch.cc
@@ -30,9 +30,7 @@
 
 std::string promise_watch::look()
 {
-	auto members = m_fleet.allNodes();
-	members.insert(members.end(), m_fleet.controllers().begin(), m_fleet.controllers().end());
-	members.insert(members.end(), m_fleet.relays().begin(), m_fleet.relays().end());
+	const auto members = m_fleet.allMembers();
 	const auto& member = members[m_next++ % members.size()];
 	if (m_harmed.count(member.name) > 0)
 	{
--- a/tools/soak/promise_watch.h
+++ b/tools/soak/promise_watch.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace driftlug::tools
 {
@@ -43,7 +42,6 @@
 	std::string lookAt(const tools::FleetMember& _member);
 
 	tools::Fleet& m_fleet;
-	std::vector<std::string> m_names;
 	std::set<std::string> m_harmed;
 	std::map<std::string, seen_revision> m_seen;
 	size_t m_next = 0;
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -155,14 +155,7 @@
 void soak_run::checkRecovery()
 {
 	const auto healed = m_fleet.http().loop().now();
-	const auto members = [this]
-	{
-		auto all = m_fleet.allNodes();
-		all.insert(all.end(), m_fleet.controllers().begin(), m_fleet.controllers().end());
-		all.insert(all.end(), m_fleet.relays().begin(), m_fleet.relays().end());
-		return all;
-	};
-	for (const auto& member : members())
+	for (const auto& member : m_fleet.allMembers())
 	{
 		if (!m_fleet.waitReady(member, m_options.recoverMs))
 		{
