--- a/src/table/row_json.cc
+++ b/src/table/row_json.cc
@@ -132,6 +132,7 @@
     out["max_attempts"] = row.routeRow.maxAttempts;
     out["target_latency_ms"] = row.routeRow.targetLatencyMs;
     out["priority"] = row.routeRow.priority;
+    out["large_bodies"] = row.routeRow.largeBodies;
   }
   if (row.__isset.limitRow) {
     out["service"] = row.limitRow.serviceName;
@@ -196,6 +197,7 @@
       reader.number("max_attempts", &row.routeRow.maxAttempts);
       reader.number("target_latency_ms", &row.routeRow.targetLatencyMs);
       reader.number("priority", &row.routeRow.priority);
+      reader.flag("large_bodies", &row.routeRow.largeBodies);
       break;
     case RowKind::LIMIT:
       row.__isset.limitRow = true;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -68,6 +68,8 @@
   9: i32 maxAttempts
   10: i32 targetLatencyMs
   11: i32 priority
+  /** Requests have large bodies; a matter of how they are carried, not of whether they may be repeated. */
+  12: bool largeBodies
 }
 
 /** Concurrency bound of every endpoint of a service, enforced at the endpoint's node. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -999,6 +999,10 @@
 void RouteRow::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void RouteRow::__set_largeBodies(const bool val) {
+  this->largeBodies = val;
+}
 std::ostream& operator<<(std::ostream& out, const RouteRow& obj)
 {
   obj.printTo(out);
@@ -1151,6 +1155,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->largeBodies);
+          this->__isset.largeBodies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1236,6 +1248,10 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("largeBodies", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->largeBodies);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1254,6 +1270,7 @@
   swap(a.maxAttempts, b.maxAttempts);
   swap(a.targetLatencyMs, b.targetLatencyMs);
   swap(a.priority, b.priority);
+  swap(a.largeBodies, b.largeBodies);
   swap(a.__isset, b.__isset);
 }
 
@@ -1269,6 +1286,7 @@
   maxAttempts = other41.maxAttempts;
   targetLatencyMs = other41.targetLatencyMs;
   priority = other41.priority;
+  largeBodies = other41.largeBodies;
   __isset = other41.__isset;
 }
 RouteRow::RouteRow(RouteRow&& other42) noexcept {
@@ -1283,6 +1301,7 @@
   maxAttempts = other42.maxAttempts;
   targetLatencyMs = other42.targetLatencyMs;
   priority = other42.priority;
+  largeBodies = other42.largeBodies;
   __isset = other42.__isset;
 }
 RouteRow& RouteRow::operator=(const RouteRow& other43) {
@@ -1297,6 +1316,7 @@
   maxAttempts = other43.maxAttempts;
   targetLatencyMs = other43.targetLatencyMs;
   priority = other43.priority;
+  largeBodies = other43.largeBodies;
   __isset = other43.__isset;
   return *this;
 }
@@ -1312,6 +1332,7 @@
   maxAttempts = other44.maxAttempts;
   targetLatencyMs = other44.targetLatencyMs;
   priority = other44.priority;
+  largeBodies = other44.largeBodies;
   __isset = other44.__isset;
   return *this;
 }
@@ -1329,6 +1350,7 @@
   out << ", " << "maxAttempts=" << to_string(maxAttempts);
   out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "largeBodies=" << to_string(largeBodies);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -555,7 +555,7 @@
 std::ostream& operator<<(std::ostream& out, const WeightedService& obj);
 
 typedef struct _RouteRow__isset {
-  _RouteRow__isset() : host(false), pathPrefix(false), method(false), shares(false), requiredServices(false), requiredSecrets(false), repeatable(false), timeoutMs(false), maxAttempts(false), targetLatencyMs(false), priority(false) {}
+  _RouteRow__isset() : host(false), pathPrefix(false), method(false), shares(false), requiredServices(false), requiredSecrets(false), repeatable(false), timeoutMs(false), maxAttempts(false), targetLatencyMs(false), priority(false), largeBodies(false) {}
   bool host :1;
   bool pathPrefix :1;
   bool method :1;
@@ -567,6 +567,7 @@
   bool maxAttempts :1;
   bool targetLatencyMs :1;
   bool priority :1;
+  bool largeBodies :1;
 } _RouteRow__isset;
 
 /**
@@ -587,7 +588,8 @@
              timeoutMs(0),
              maxAttempts(0),
              targetLatencyMs(0),
-             priority(0) {
+             priority(0),
+             largeBodies(0) {
   }
 
   virtual ~RouteRow() noexcept;
@@ -602,6 +604,10 @@
   int32_t maxAttempts;
   int32_t targetLatencyMs;
   int32_t priority;
+  /**
+   * Requests have large bodies; a matter of how they are carried, not of whether they may be repeated.
+   */
+  bool largeBodies;
 
   _RouteRow__isset __isset;
 
@@ -627,6 +633,8 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_largeBodies(const bool val);
+
   bool operator == (const RouteRow & rhs) const
   {
     if (!(host == rhs.host))
@@ -651,6 +659,8 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
+    if (!(largeBodies == rhs.largeBodies))
+      return false;
     return true;
   }
   bool operator != (const RouteRow &rhs) const {
--- a/test/platform/config_document_test.cc
+++ b/test/platform/config_document_test.cc
@@ -36,6 +36,20 @@
   CHECK(byText(read["resources"]) == byText(sent["resources"]));
 }
 
+TEST_CASE("a route of uploads runs once, and reads back as it was sent") {
+  const auto document = parseConfig(
+      configBody(1, 0, {routeResource("r-1", "a.example", "/p/", "upload", "s-1"), serviceResource("s-1")}));
+  REQUIRE(document.ok());
+  table::Table rows;
+  for (const auto& change : changesFor(*document, rows)) rows.put(std::make_shared<wire::Row>(change.row));
+  const auto route = rows.find(table::makeKey(wire::RowKind::ROUTE, "r-1"));
+  REQUIRE(route);
+  CHECK_FALSE(route->routeRow.repeatable);
+  CHECK(route->routeRow.largeBodies);
+  const auto read = nlohmann::json::parse(renderConfig(rows));
+  CHECK(read["resources"][1]["spec"]["routeType"] == "upload");
+}
+
 TEST_CASE("changes are those rows only that differ, and the version") {
   table::Table rows;
   const auto first =
