Calls that can still make their target go before those whose callers come back late

Cause: under overload a refused caller comes back, is late whatever happens, and took the slot of a fresh call, which was refused, came back and was late too. Change: an entry node learns what time first callers of a route state, and tells how long a caller has waited; endpoints and the choice among them put calls that are late already behind all that can make their target.

--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -50,6 +50,8 @@
 DEFINE_bool(compress, false, "compress calls to nodes of other zones");
 DEFINE_bool(wait_within_target, false,
             "refuse calls that would miss their route's target latency by waiting for a slot");
+DEFINE_bool(in_time_first, true,
+            "calls whose callers have waited beyond the target latency give way to those that can still make it");
 DEFINE_int32(overload_retry_after_ms, 200, "least time after which callers refused for want of slots are to come back");
 DEFINE_int32(full_for_ms, 0, "time for which an endpoint that refused for want of slots is not asked again");
 
@@ -82,6 +84,7 @@
   options.mintKeys = FLAGS_ledger;
   options.requestIdHeader = FLAGS_correlation_header;
   options.hedgeAfterShare = FLAGS_hedge_percent / 100.0;
+  options.inTimeFirst = FLAGS_in_time_first;
   options.fullFor = base::milliseconds(FLAGS_full_for_ms);
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -24,6 +24,12 @@
   return static_cast<Priority>(2 * routePriority + within);
 }
 
+/// @return the rank of a request that is late already: behind all that are not, and in the same order among its kind.
+inline Priority afterAllInTime(Priority priority) {
+  constexpr int kLateRanks = 1 << 20;
+  return static_cast<Priority>(kLateRanks + static_cast<int>(priority));
+}
+
 /// Identifies one request within a limiter.
 using TicketId = uint64_t;
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -103,13 +103,25 @@
 base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
   const int targetMs = call.request.targetLatencyMs;
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
-  const auto usual = usualRunUs_.find(targetMs);
-  const double runUs = usual == usualRunUs_.end() ? 0 : usual->second;
   const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
-  const double waitUs = std::max(targetUs * options_.leastWaitShare, targetUs - options_.holdMargin * runUs);
+  const double spareUs = leftOfTargetUs(call.request) - options_.holdMargin * usualRunUs(call.request);
+  const double waitUs = std::max(targetUs * options_.leastWaitShare, spareUs);
   return std::min(call.deadline, scheduler_.now() + base::Duration(static_cast<int64_t>(waitUs)));
 }
 
+double EndpointCalls::usualRunUs(const wire::CallRequest& request) const {
+  const auto usual = usualRunUs_.find(request.targetLatencyMs);
+  return usual == usualRunUs_.end() ? 0 : usual->second;
+}
+
+double EndpointCalls::leftOfTargetUs(const wire::CallRequest& request) const {
+  return static_cast<double>(base::Duration(base::milliseconds(request.targetLatencyMs - request.waitedMs)).count());
+}
+
+bool EndpointCalls::isLate(const wire::CallRequest& request) const {
+  return request.waitedMs > 0 && leftOfTargetUs(request) < usualRunUs(request);
+}
+
 void EndpointCalls::noteRun(const Call& call) {
   constexpr double kWeight = 0.1;
   counters_.ran.record(scheduler_.now() - call.startedAt);
@@ -128,7 +140,8 @@
 limits::Priority EndpointCalls::priorityOf(const wire::CallRequest& request) const {
   // Where targets count, the one that is nearest goes first within a priority, whether it may be repeated or not.
   const bool byTarget = options_.waitWithinTarget && request.targetLatencyMs > 0;
-  return limits::rankOf(request.priority, byTarget || isRepeatable(request));
+  const auto rank = limits::rankOf(request.priority, byTarget || isRepeatable(request));
+  return byTarget && isLate(request) ? limits::afterAllInTime(rank) : rank;
 }
 
 bool EndpointCalls::refuseAtOnce(const CallKey& key, const wire::CallRequest& request) {
@@ -299,11 +312,11 @@
     const auto waited = std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - call.arrivedAt);
     return fmt::format(
         "refused call={} service={} endpoint={} current={} error={} running={} waiting={} waited_ms={} "
-        "left_ms={} target_ms={} retry_after_ms={}",
+        "left_ms={} target_ms={} waited_before_ms={} retry_after_ms={}",
         requestIdOf(call.request), call.request.serviceName, call.request.endpoint, endpoint_, base::errorName(error),
         limiter_.running(), limiter_.waiting(), waited.count(),
         std::chrono::duration_cast<base::milliseconds>(call.deadline - scheduler_.now()).count(),
-        call.request.targetLatencyMs, retryAfter.count() / 1000);
+        call.request.targetLatencyMs, call.request.waitedMs, retryAfter.count() / 1000);
   });
 }
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -114,6 +114,9 @@
   void releaseThenRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
   base::TimePoint latestStartOf(const Call& call) const;
+  double usualRunUs(const wire::CallRequest& request) const;
+  double leftOfTargetUs(const wire::CallRequest& request) const;
+  bool isLate(const wire::CallRequest& request) const;
   void noteRun(const Call& call);
   void armExpiry();
   limits::Priority priorityOf(const wire::CallRequest& request) const;
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -186,7 +186,10 @@
 int EntryCalls::rankOf(const Call& call) {
   // As endpoints order what waits: by priority, then by the nearer target.
   constexpr int kTargets = table::kMaxTimeoutMs + 1;
-  return call.priority * kTargets + call.targetLatencyMs;
+  constexpr int kLateRank = 1 << 30;  // behind all priorities
+  static_assert(table::kMaxPriority * kTargets + table::kMaxTimeoutMs < kLateRank);
+  const bool late = call.targetLatencyMs > 0 && call.waitedMs >= call.targetLatencyMs;
+  return call.priority * kTargets + call.targetLatencyMs + (late ? kLateRank : 0);
 }
 
 base::Duration EntryCalls::spread(base::Duration duration) {
@@ -228,6 +231,7 @@
   call.repeatable = route->repeatable;
   call.priority = route->priority;
   call.targetLatencyMs = route->targetLatencyMs;
+  if (options_.inTimeFirst) call.waitedMs = patience_[route->name].onCall(call.inbound.deadlineMs);
   call.service = splits_[route->name].pick(route->shares);
   const auto rule = table_->retryRule(call.service).value_or(options_.defaultRetry);
   call.maxAttempts = route->maxAttempts > 0 ? route->maxAttempts : rule.maxAttempts;
@@ -330,6 +334,7 @@
   request.priority = call->priority;
   request.targetLatencyMs = call->targetLatencyMs;
   request.runOnce = !call->repeatable;
+  request.waitedMs = call->waitedMs;
   network_.send(link.connection, wire::encodeFrame(request));
 }
 
@@ -452,10 +457,10 @@
     const auto now = scheduler_.now();
     return fmt::format(
         "outcome call={} {} {}{} route={} service={} endpoint={} outcome={} status={} error={} "
-        "attempts={} refusals={} elapsed_ms={} left_ms={} retry_after_ms={} table={}",
+        "attempts={} refusals={} waited_before_ms={} elapsed_ms={} left_ms={} retry_after_ms={} table={}",
         requestIdOf(call), call.inbound.method, call.inbound.host, call.inbound.path, call.route, call.service,
         call.endpoint, outcome, answer.httpStatus, base::errorName(answer.error), call.attempts, call.refusals,
-        remainingMs(now, call.begunAt), remainingMs(call.deadline, now), answer.retryAfterMs,
+        call.waitedMs, remainingMs(now, call.begunAt), remainingMs(call.deadline, now), answer.retryAfterMs,
         call.table ? call.table->revision() : 0);
   });
 }
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -12,6 +12,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "node/call_types.h"
+#include "overload/caller_patience.h"
 #include "retry/retry_budget.h"
 #include "routing/endpoint_picker.h"
 #include "routing/routing_table.h"
@@ -36,6 +37,8 @@
   /// Share of its target latency after which a repeatable call without an answer is sent to a second endpoint, if one
   /// is idle; 0 for never. The first answer wins. A failure of the back end's own is repeated under the same condition.
   double hedgeAfterShare = 0;
+  /// Whether calls whose callers have waited longer than the target latency give way to those that can still make it.
+  bool inTimeFirst = true;
   double hedgeIdleShare = 0.6;                        ///< an endpoint with a smaller share of its slots busy is idle
   int maxRefusals = 4;                                ///< endpoints that may refuse a request before it is given up
   base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
@@ -102,6 +105,7 @@
     int maxAttempts = 1;  // back ends that it may reach
     int priority = 0;
     int targetLatencyMs = 0;
+    int waitedMs = 0;  // of the caller, with earlier calls that were refused
     bool repeatable = false;
     std::string idempotencyKey;
     base::TimePoint deadline;
@@ -169,8 +173,9 @@
   base::Network& network_;
   routing::RoutingTablePtr table_;  // null before the first version
   routing::EndpointPicker picker_;
-  std::map<std::string, routing::WeightedSplit> splits_;  // by route
-  std::map<std::string, retry::RetryBudget> budgets_;     // by service
+  std::map<std::string, routing::WeightedSplit> splits_;       // by route
+  std::map<std::string, overload::caller_patience> patience_;  // by route
+  std::map<std::string, retry::RetryBudget> budgets_;          // by service
   std::map<CallId, Call> calls_;
   std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
   std::map<std::string, Link> links_;    // by endpoint
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -505,6 +505,8 @@
   10: i32 priority
   11: bool runOnce
   12: i32 targetLatencyMs
+  /** How long the caller had waited before this call, with earlier ones that were refused; 0 when it is not known. */
+  13: i32 waitedMs
 }
 
 /** How a call ended, as seen by the side that answers it. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -10205,6 +10205,10 @@
 void CallRequest::__set_targetLatencyMs(const int32_t val) {
   this->targetLatencyMs = val;
 }
+
+void CallRequest::__set_waitedMs(const int32_t val) {
+  this->waitedMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -10341,6 +10345,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitedMs);
+          this->__isset.waitedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10414,6 +10426,10 @@
   xfer += oprot->writeI32(this->targetLatencyMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waitedMs", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->waitedMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10433,6 +10449,7 @@
   swap(a.priority, b.priority);
   swap(a.runOnce, b.runOnce);
   swap(a.targetLatencyMs, b.targetLatencyMs);
+  swap(a.waitedMs, b.waitedMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -10449,6 +10466,7 @@
   priority = other387.priority;
   runOnce = other387.runOnce;
   targetLatencyMs = other387.targetLatencyMs;
+  waitedMs = other387.waitedMs;
   __isset = other387.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other388) noexcept {
@@ -10464,6 +10482,7 @@
   priority = other388.priority;
   runOnce = other388.runOnce;
   targetLatencyMs = other388.targetLatencyMs;
+  waitedMs = other388.waitedMs;
   __isset = other388.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other389) {
@@ -10479,6 +10498,7 @@
   priority = other389.priority;
   runOnce = other389.runOnce;
   targetLatencyMs = other389.targetLatencyMs;
+  waitedMs = other389.waitedMs;
   __isset = other389.__isset;
   return *this;
 }
@@ -10495,6 +10515,7 @@
   priority = other390.priority;
   runOnce = other390.runOnce;
   targetLatencyMs = other390.targetLatencyMs;
+  waitedMs = other390.waitedMs;
   __isset = other390.__isset;
   return *this;
 }
@@ -10513,6 +10534,7 @@
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "runOnce=" << to_string(runOnce);
   out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
+  out << ", " << "waitedMs=" << to_string(waitedMs);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -4090,7 +4090,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -4103,6 +4103,7 @@
   bool priority :1;
   bool runOnce :1;
   bool targetLatencyMs :1;
+  bool waitedMs :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4123,7 +4124,8 @@
                 endpoint(),
                 priority(0),
                 runOnce(0),
-                targetLatencyMs(0) {
+                targetLatencyMs(0),
+                waitedMs(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4139,6 +4141,10 @@
   int32_t priority;
   bool runOnce;
   int32_t targetLatencyMs;
+  /**
+   * How long the caller had waited before this call, with earlier ones that were refused; 0 when it is not known.
+   */
+  int32_t waitedMs;
 
   _CallRequest__isset __isset;
 
@@ -4166,6 +4172,8 @@
 
   void __set_targetLatencyMs(const int32_t val);
 
+  void __set_waitedMs(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4192,6 +4200,8 @@
       return false;
     if (!(targetLatencyMs == rhs.targetLatencyMs))
       return false;
+    if (!(waitedMs == rhs.waitedMs))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -190,6 +190,39 @@
   CHECK(first->calls.active() == 0);
 }
 
+TEST_CASE_METHOD(Fixture, "a call that is late already gives way to one that can make its target") {
+  EndpointOptions options;
+  options.service = "records";
+  options.defaultSlots = 1;
+  options.defaultQueue = 4;
+  options.waitWithinTarget = true;
+  options.leastWaitShare = 0.3;
+  RecordingNetwork network;
+  CountingBackend backend(process);
+  EndpointCalls calls(options, process, network, backend, nullptr);
+  const auto ask = [&](int64_t id, int waitedMs) {
+    wire::CallRequest request;
+    request.callId = id;
+    request.serviceName = "records";
+    request.method = "GET";
+    request.path = "/records";
+    request.remainingMs = 1000;
+    request.targetLatencyMs = 100;
+    request.waitedMs = waitedMs;
+    calls.onRequest(1, request);
+  };
+  ask(1, 0);
+  runFor(base::milliseconds(20));
+  ask(2, 0);    // takes the slot
+  ask(3, 400);  // late
+  ask(4, 0);
+  ask(5, 50);  // has waited, and can still make it
+  runFor(base::milliseconds(100));
+  std::vector<int64_t> order;
+  for (const auto& answer : network.answers) order.push_back(answer.callId);
+  CHECK(order == std::vector<int64_t>{1, 2, 5, 4, 3});
+}
+
 TEST_CASE_METHOD(Fixture, "the more nodes ask a full endpoint, the longer each is sent away") {
   const auto sentAwayFor = [this](int nodes) {
     first->network.answers.clear();
--- a/test/node/entry_calls_test.cc
+++ b/test/node/entry_calls_test.cc
@@ -269,6 +269,43 @@
   CHECK(answers[1].outcome == CallOutcome::COMPLETED);
 }
 
+TEST_CASE_METHOD(Fixture, "a caller that comes back is known by the time that it has left") {
+  const auto waited = [this](int deadlineMs) {
+    InboundCall inbound;
+    inbound.method = "GET";
+    inbound.host = "shop.example";
+    inbound.path = "/safe/1";
+    inbound.deadlineMs = deadlineMs;
+    entry->begin(inbound, [](const CallAnswer&) {});
+    runFor(base::milliseconds(1));
+    return std::get<wire::CallRequest>(lastRequest().message).waitedMs;
+  };
+  for (int i = 0; i < 10; ++i) CHECK(waited(1500) == 0);
+  CHECK(waited(900) == 600);
+  CHECK(waited(0) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "an endpoint that is full for late calls is asked for one that can make its target") {
+  const auto begin = [this](int deadlineMs) {
+    InboundCall inbound;
+    inbound.method = "GET";
+    inbound.host = "shop.example";
+    inbound.path = "/safe/1";
+    inbound.deadlineMs = deadlineMs;
+    entry->begin(inbound, [](const CallAnswer&) {});
+    runFor(base::milliseconds(1));
+  };
+  for (int i = 0; i < 8; ++i) begin(1500);
+  begin(700);  // has waited for 800 ms, twice its target
+  respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
+  respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
+  const auto before = asked().size();
+  begin(700);
+  CHECK(asked().size() == before);
+  begin(1500);
+  CHECK(asked().size() == before + 1);
+}
+
 TEST_CASE_METHOD(Fixture, "a late word of an earlier state changes nothing") {
   entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::GONE)});
   entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::LIVE)});
