Nested calls go first at an endpoint, and wait as long as their answer is of use

Ruled out: telling nested calls by their address (the same as clients'), by their short deadline (gazetteer searches of another site look alike), and by the form of their ids, which no page promises. Change: nodes greet each other with the service beside them. An endpoint learns which kinds of calls never come from beside one of the services that call it otherwise: those are made by back ends. They go first, hold at most three quarters of the slots while others wait, and wait up to their end less a usual run.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -51,7 +51,10 @@
  public:
   CallHandler(node::EntryCalls& entry, node::EndpointCalls& endpoint) : entry_(entry), endpoint_(endpoint) {}
 
-  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override { entry_.onOpen(connection, peer); }
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override {
+    entry_.onOpen(connection, peer);
+    endpoint_.onOpen(connection, peer);
+  }
 
   void onMessage(base::ConnectionId connection, wire::Message message) override {
     if (const auto* request = std::get_if<wire::CallRequest>(&message)) {
@@ -179,6 +182,7 @@
   hello.role = wire::Role::NODE;
   hello.id = FLAGS_name;
   hello.zone = FLAGS_zone;
+  hello.serviceName = FLAGS_service;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -50,6 +50,7 @@
 DEFINE_bool(compress, false, "compress calls to nodes of other zones");
 DEFINE_bool(wait_within_target, false,
             "refuse calls that would miss their route's target latency by waiting for a slot");
+DEFINE_bool(nested_first, true, "calls that back ends make for calls of their own go before all others");
 DEFINE_bool(in_time_first, true,
             "calls whose callers have waited beyond the target latency give way to those that can still make it");
 DEFINE_int32(overload_retry_after_ms, 200, "least time after which callers refused for want of slots are to come back");
@@ -99,6 +100,7 @@
   options.notRunHeader = FLAGS_not_run_header;
   options.dynamicEndpoint = !FLAGS_report_listen.empty();
   options.waitWithinTarget = FLAGS_wait_within_target;
+  options.nestedFirst = FLAGS_nested_first;
   options.requestIdHeader = FLAGS_correlation_header;
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   return options;
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -71,8 +71,7 @@
 TicketId SlotLimiter::acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse) {
   const auto ticket = nextTicket_++;
   if (running_ < maxConcurrent_ && waiting_.empty()) {
-    ++running_;
-    ++counters_.admitted;
+    admit(priority);
     start();
     return ticket;
   }
@@ -93,22 +92,37 @@
   return ticket;
 }
 
+void SlotLimiter::admit(Priority priority) {
+  ++running_;
+  if (priority == Priority::kNested) ++runningNested_;
+  ++counters_.admitted;
+}
+
+SlotLimiter::Waiting::iterator SlotLimiter::nextToStart() {
+  const auto first = waiting_.begin();
+  const bool withinShare = runningNested_ + 1 <= nestedShare_ * maxConcurrent_;
+  if (first->first.priority != Priority::kNested || withinShare) return first;
+  const auto other =
+      std::find_if(first, waiting_.end(), [](const auto& item) { return item.first.priority != Priority::kNested; });
+  return other == waiting_.end() ? first : other;
+}
+
 void SlotLimiter::startWaiting() {
   while (running_ < maxConcurrent_ && !waiting_.empty()) {
-    auto first = waiting_.extract(waiting_.begin());
+    auto first = waiting_.extract(nextToStart());
     if (first.key().latestStart <= time_.now()) {
       ++counters_.refusedLate;
       first.mapped().refuse(SlotRefusal::kWouldBeLate);
       continue;
     }
-    ++running_;
-    ++counters_.admitted;
+    admit(first.key().priority);
     first.mapped().start();
   }
 }
 
-void SlotLimiter::release(base::Duration held) {
+void SlotLimiter::release(base::Duration held, Priority priority) {
   --running_;
+  if (priority == Priority::kNested) --runningNested_;
   const auto heldUs = static_cast<double>(held.count());
   heldUs_ = heldUs_ == 0 ? heldUs : heldUs_ * (1 - kAverageWeight) + heldUs * kAverageWeight;
   startWaiting();
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -13,6 +13,7 @@
 /// Which requests go first when slots are short; the lower the number, the more urgent. Numbers above those named
 /// here come from routes of lower priority, see rankOf().
 enum class Priority : int {
+  kNested = -1,  ///< made by a back end for a call that it is running, which fails with it
   kMustRun = 0,  ///< filings, orders: requests that may not be repeated
   kNormal = 1,
 };
@@ -52,7 +53,8 @@
 /// Bounds how many requests run at once; the others wait in a bounded queue or are refused while that is cheap.
 ///
 /// Invariants: at most maxConcurrent requests run, except that a smaller limit never cuts running ones; a
-/// kNormal request never starts before a waiting kMustRun request.
+/// kNormal request never starts before a waiting kMustRun request; while others wait, kNested requests hold at most
+/// their share of the slots.
 class SlotLimiter {
  public:
   using Start = std::function<void()>;
@@ -70,9 +72,13 @@
   /// Refuses everything that waits; what runs goes on.
   void refuseWaiting();
 
+  /// Bounds the slots that kNested requests may hold while others wait, as a share of all.
+  void setNestedShare(double share) { nestedShare_ = share; }
+
   /// A request that had started has ended.
   /// @param held how long it held its slot
-  void release(base::Duration held);
+  /// @param priority what it was acquired with
+  void release(base::Duration held, Priority priority = Priority::kNormal);
 
   /// Gives up a request that waits.
   /// @return false when it had started or was unknown
@@ -108,16 +114,22 @@
     Refuse refuse;
   };
 
+  using Waiting = std::map<Order, Request>;
+
   void startWaiting();
+  Waiting::iterator nextToStart();
+  void admit(Priority priority);
   bool displaceFor(Priority priority);
 
   const base::TimeSource& time_;
   int maxConcurrent_;
   int maxQueued_;
   int running_ = 0;
+  int runningNested_ = 0;
+  double nestedShare_ = 1;
   TicketId nextTicket_ = 1;
-  std::map<Order, Request> waiting_;  // first to start first
-  double heldUs_ = 0;                 // moving average of how long a slot is held
+  Waiting waiting_;    // first to start first
+  double heldUs_ = 0;  // moving average of how long a slot is held
   SlotCounters counters_;
 };
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -27,6 +27,12 @@
   return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
 }
 
+base::Duration microsecondsOf(double count) { return base::Duration(static_cast<int64_t>(count)); }
+
+overload::call_kind kindOf(const wire::CallRequest& request) {
+  return {request.priority, request.targetLatencyMs, request.runOnce};
+}
+
 bool hasHeader(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
   return std::any_of(headers.begin(), headers.end(), [&](const auto& header) { return header.name == name; });
 }
@@ -46,7 +52,9 @@
                      limiter_.refuseExpired();
                      armExpiry();
                    }),
-      decisions_("endpoint", scheduler) {}
+      decisions_("endpoint", scheduler) {
+  limiter_.setNestedShare(options_.nestedShare);
+}
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
 
@@ -87,7 +95,9 @@
   call.arrivedAt = scheduler_.now();
   call.deadline = scheduler_.now() + base::milliseconds(request.remainingMs);
   if (refuseAtOnce(key, request)) return;
-  const auto priority = priorityOf(request);
+  call.nested = learnWhetherNested(connection, request);
+  call.priority = priorityOf(call);
+  const auto priority = call.priority;
   const auto latestStart = latestStartOf(call);
   const auto ticket = limiter_.acquire(
       priority, latestStart, [this, key] { run(key); },
@@ -103,10 +113,12 @@
 base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
   const int targetMs = call.request.targetLatencyMs;
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
+  // A late answer still saves the work that hangs on a nested call; only one that comes after its end is worth nothing.
+  if (call.nested) return call.deadline - microsecondsOf(options_.holdMargin * usualRunUs(call.request));
   const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
   const double spareUs = leftOfTargetUs(call.request) - options_.holdMargin * usualRunUs(call.request);
   const double waitUs = std::max(targetUs * options_.leastWaitShare, spareUs);
-  return std::min(call.deadline, scheduler_.now() + base::Duration(static_cast<int64_t>(waitUs)));
+  return std::min(call.deadline, scheduler_.now() + microsecondsOf(waitUs));
 }
 
 double EndpointCalls::usualRunUs(const wire::CallRequest& request) const {
@@ -137,7 +149,18 @@
   expiryTimer_.start(std::max<base::Duration>(base::milliseconds(1), *next - scheduler_.now()));
 }
 
-limits::Priority EndpointCalls::priorityOf(const wire::CallRequest& request) const {
+bool EndpointCalls::learnWhetherNested(base::ConnectionId connection, const wire::CallRequest& request) {
+  if (!options_.nestedFirst) return false;
+  const auto service = callerServices_.find(connection);
+  if (service == callerServices_.end()) return false;
+  const auto kind = kindOf(request);
+  origins_.onCall(kind, service->second);
+  return origins_.nested(kind);
+}
+
+limits::Priority EndpointCalls::priorityOf(const Call& call) const {
+  if (call.nested) return limits::Priority::kNested;
+  const auto& request = call.request;
   // Where targets count, the one that is nearest goes first within a priority, whether it may be repeated or not.
   const bool byTarget = options_.waitWithinTarget && request.targetLatencyMs > 0;
   const auto rank = limits::rankOf(request.priority, byTarget || isRepeatable(request));
@@ -279,7 +302,7 @@
 }
 
 void EndpointCalls::releaseSlot(const Call& call) {
-  if (call.running) limiter_.release(scheduler_.now() - call.startedAt);
+  if (call.running) limiter_.release(scheduler_.now() - call.startedAt, call.priority);
 }
 
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
@@ -311,10 +334,10 @@
   decisions_.write(base::LineWorth::kFailure, [&] {
     const auto waited = std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - call.arrivedAt);
     return fmt::format(
-        "refused call={} service={} endpoint={} current={} error={} running={} waiting={} waited_ms={} "
+        "refused call={} nested={} service={} endpoint={} current={} error={} running={} waiting={} waited_ms={} "
         "left_ms={} target_ms={} waited_before_ms={} retry_after_ms={}",
-        requestIdOf(call.request), call.request.serviceName, call.request.endpoint, endpoint_, base::errorName(error),
-        limiter_.running(), limiter_.waiting(), waited.count(),
+        requestIdOf(call.request), call.nested, call.request.serviceName, call.request.endpoint, endpoint_,
+        base::errorName(error), limiter_.running(), limiter_.waiting(), waited.count(),
         std::chrono::duration_cast<base::milliseconds>(call.deadline - scheduler_.now()).count(),
         call.request.targetLatencyMs, call.request.waitedMs, retryAfter.count() / 1000);
   });
@@ -349,13 +372,19 @@
   // A request that may not be repeated is let finish, so that its outcome stays known to the back end.
   if (!isRepeatable(found->second.request)) return;
   const auto held = scheduler_.now() - found->second.startedAt;
+  const auto priority = found->second.priority;
   backend_.cancel(found->second.backendId);
   calls_.erase(found);
-  limiter_.release(held);
+  limiter_.release(held, priority);
+}
+
+void EndpointCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  callerServices_[connection] = peer.serviceName;
 }
 
 void EndpointCalls::onClose(base::ConnectionId connection) {
   askedAt_.erase(connection);
+  callerServices_.erase(connection);
   std::vector<int64_t> callIds;
   for (auto call = calls_.lower_bound({connection, INT64_MIN}); call != calls_.end(); ++call) {
     if (call->first.connection != connection) break;
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -14,6 +14,7 @@
 #include "ledger/ledger_client.h"
 #include "limits/slot_limiter.h"
 #include "node/call_types.h"
+#include "overload/call_origins.h"
 #include "routing/routing_table.h"
 
 namespace driftlug::node {
@@ -32,7 +33,10 @@
   bool waitWithinTarget = false;
   double holdMargin = 1.3;       ///< with waitWithinTarget: what is kept free for the run, as a multiple of a usual run
   double leastWaitShare = 0.15;  ///< with waitWithinTarget: share of the target that a request may wait at the least
-  std::string requestIdHeader;   ///< header, in lower case, by which logs name a call; empty for none
+  /// Whether nested calls, as far as they can be told, go first: the work that hangs on them is done already.
+  bool nestedFirst = true;
+  double nestedShare = 0.75;             ///< with nestedFirst: share of the slots that they may hold while others wait
+  std::string requestIdHeader;           ///< header, in lower case, by which logs name a call; empty for none
   base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
   base::Duration maxFullFor = base::milliseconds(1500);  ///< longest time for which an asking node is sent away
 };
@@ -64,6 +68,7 @@
   /// Takes limits from a new version.
   void useTable(const routing::RoutingTable& table);
 
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onRequest(base::ConnectionId connection, const wire::CallRequest& request);
   void onCancel(base::ConnectionId connection, int64_t callId);
   void onClose(base::ConnectionId connection);
@@ -99,6 +104,8 @@
     base::TimePoint deadline;
     base::TimePoint arrivedAt{};
     limits::TicketId ticket = 0;
+    bool nested = false;  // made by a back end, as far as can be told
+    limits::Priority priority = limits::Priority::kNormal;
     bool running = false;
     uint64_t backendId = 0;
     base::TimePoint startedAt{};
@@ -119,7 +126,8 @@
   bool isLate(const wire::CallRequest& request) const;
   void noteRun(const Call& call);
   void armExpiry();
-  limits::Priority priorityOf(const wire::CallRequest& request) const;
+  bool learnWhetherNested(base::ConnectionId connection, const wire::CallRequest& request);
+  limits::Priority priorityOf(const Call& call) const;
   void releaseSlot(const Call& call);
   void applyLimits();
   bool refuseAtOnce(const CallKey& key, const wire::CallRequest& request);
@@ -140,7 +148,9 @@
   ledger::LedgerClient* ledger_;  // may be null
   limits::SlotLimiter limiter_;
   std::map<CallKey, Call> calls_;
-  std::map<base::ConnectionId, base::TimePoint> askedAt_;  // when each connected node last asked
+  std::map<base::ConnectionId, base::TimePoint> askedAt_;     // when each connected node last asked
+  std::map<base::ConnectionId, std::string> callerServices_;  // the services beside the connected nodes
+  overload::call_origins origins_;
   bool draining_ = false;
   std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
   base::Timer expiryTimer_;           // runs while requests wait for a slot
--- /dev/null
+++ b/src/overload/call_origins.cc
@@ -0,0 +1,95 @@
+#include "overload/call_origins.h"
+
+namespace driftlug::overload
+{
+namespace
+{
+/// Calls after which older ones count half.
+constexpr double kMemoryCalls = 2000;
+/// Calls of a kind that a service's nodes should have sent by now before their silence tells anything.
+constexpr double kLeastExpected = 8;
+/// Share of the expected calls up to which a service counts as silent.
+constexpr double kSilentShare = 0.05;
+/// A count below this is dropped.
+constexpr double kLeastCalls = 0.3;
+
+}  // namespace
+
+void call_origins::onCall(const call_kind& _kind, std::string_view _service)
+{
+	if (_service.empty())
+	{
+		return;
+	}
+
+	if (kMemoryCalls <= m_calls)
+	{
+		forgetHalf();
+	}
+
+	origin& known = m_kinds[_kind];
+	const auto service = known.calls.find(_service);
+	if (known.calls.end() == service)
+	{
+		known.calls.emplace(_service, 1);
+	}
+	else
+	{
+		service->second += 1;
+	}
+	known.sum += 1;
+	m_calls += 1;
+}
+
+bool call_origins::nested(const call_kind& _kind) const
+{
+	const auto own = m_kinds.find(_kind);
+	if (m_kinds.end() == own)
+	{
+		return false;
+	}
+
+	by_service others;
+	for (const auto& [kind, known] : m_kinds)
+	{
+		if (kind == _kind)
+		{
+			continue;
+		}
+		for (const auto& [service, calls] : known.calls)
+		{
+			others[service] += calls;
+		}
+	}
+
+	const double sumOfOthers = m_calls - own->second.sum;
+	for (const auto& [service, calls] : others)
+	{
+		const double expected = own->second.sum * calls / sumOfOthers;
+		const auto sent = own->second.calls.find(service);
+		const double got = own->second.calls.end() == sent ? 0 : sent->second;
+		if (kLeastExpected <= expected && kSilentShare * expected >= got)
+		{
+			return true;
+		}
+	}
+	return false;
+}
+
+void call_origins::forgetHalf()
+{
+	m_calls = 0;
+	for (auto& [kind, known] : m_kinds)
+	{
+		known.sum = 0;
+		for (auto it = known.calls.begin(); known.calls.end() != it;)
+		{
+			it->second /= 2;
+			known.sum += it->second;
+			it = kLeastCalls > it->second ? known.calls.erase(it) : std::next(it);
+		}
+		m_calls += known.sum;
+	}
+}
+
+}  // namespace driftlug::overload
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -289,6 +289,8 @@
   8: i32 httpPort
   9: i32 relayPort
   10: bool compresses
+  /** Service of the back end beside a node; empty where there is none. */
+  11: string serviceName
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -5520,6 +5520,10 @@
 void Hello::__set_compresses(const bool val) {
   this->compresses = val;
 }
+
+void Hello::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -5630,6 +5634,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5687,6 +5699,10 @@
   xfer += oprot->writeBool(this->compresses);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5704,6 +5720,7 @@
   swap(a.httpPort, b.httpPort);
   swap(a.relayPort, b.relayPort);
   swap(a.compresses, b.compresses);
+  swap(a.serviceName, b.serviceName);
   swap(a.__isset, b.__isset);
 }
 
@@ -5718,6 +5735,7 @@
   httpPort = other208.httpPort;
   relayPort = other208.relayPort;
   compresses = other208.compresses;
+  serviceName = other208.serviceName;
   __isset = other208.__isset;
 }
 Hello::Hello(Hello&& other209) noexcept {
@@ -5731,6 +5749,7 @@
   httpPort = other209.httpPort;
   relayPort = other209.relayPort;
   compresses = other209.compresses;
+  serviceName = std::move(other209.serviceName);
   __isset = other209.__isset;
 }
 Hello& Hello::operator=(const Hello& other210) {
@@ -5744,6 +5763,7 @@
   httpPort = other210.httpPort;
   relayPort = other210.relayPort;
   compresses = other210.compresses;
+  serviceName = other210.serviceName;
   __isset = other210.__isset;
   return *this;
 }
@@ -5758,6 +5778,7 @@
   httpPort = other211.httpPort;
   relayPort = other211.relayPort;
   compresses = other211.compresses;
+  serviceName = std::move(other211.serviceName);
   __isset = other211.__isset;
   return *this;
 }
@@ -5774,6 +5795,7 @@
   out << ", " << "httpPort=" << to_string(httpPort);
   out << ", " << "relayPort=" << to_string(relayPort);
   out << ", " << "compresses=" << to_string(compresses);
+  out << ", " << "serviceName=" << to_string(serviceName);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -2256,7 +2256,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2267,6 +2267,7 @@
   bool httpPort :1;
   bool relayPort :1;
   bool compresses :1;
+  bool serviceName :1;
 } _Hello__isset;
 
 /**
@@ -2289,7 +2290,8 @@
           framePort(0),
           httpPort(0),
           relayPort(0),
-          compresses(0) {
+          compresses(0),
+          serviceName() {
   }
 
   virtual ~Hello() noexcept;
@@ -2307,6 +2309,10 @@
   int32_t httpPort;
   int32_t relayPort;
   bool compresses;
+  /**
+   * Service of the back end beside a node; empty where there is none.
+   */
+  std::string serviceName;
 
   _Hello__isset __isset;
 
@@ -2330,6 +2336,8 @@
 
   void __set_compresses(const bool val);
 
+  void __set_serviceName(const std::string& val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2352,6 +2360,8 @@
       return false;
     if (!(compresses == rhs.compresses))
       return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
--- a/test/limits/slot_limiter_test.cc
+++ b/test/limits/slot_limiter_test.cc
@@ -150,3 +150,22 @@
   CHECK(!limiter.nextExpiry());
   CHECK(limiter.running() == 1);
 }
+
+TEST_CASE("nested requests go first, and leave others their share of the slots") {
+  test::ManualTime time;
+  limits::SlotLimiter limiter(time, 4, 20);
+  limiter.setNestedShare(0.5);
+  Outcome outcome;
+  const auto far = time.now() + base::seconds(9);
+  for (int id = 0; id < 4; ++id) ask(limiter, outcome, id, far);
+  for (int id = 10; id < 14; ++id) ask(limiter, outcome, id, far, Priority::kMustRun);
+  for (int id = 20; id < 24; ++id) ask(limiter, outcome, id, far, Priority::kNested);
+  for (int i = 0; i < 4; ++i) limiter.release(base::milliseconds(1));
+  CHECK(outcome.started == std::vector<int>{0, 1, 2, 3, 20, 21, 10, 11});
+  limiter.release(base::milliseconds(1), Priority::kNested);
+  CHECK(outcome.started.back() == 22);
+  for (int i = 0; i < 2; ++i) limiter.release(base::milliseconds(1));
+  CHECK(outcome.started == std::vector<int>{0, 1, 2, 3, 20, 21, 10, 11, 22, 12, 13});
+  limiter.release(base::milliseconds(1));
+  CHECK(outcome.started.back() == 23);  // nobody else waits
+}
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -223,6 +223,50 @@
   CHECK(order == std::vector<int64_t>{1, 2, 5, 4, 3});
 }
 
+TEST_CASE_METHOD(Fixture, "a nested call goes first, and waits as long as its answer is of use") {
+  EndpointOptions options;
+  options.service = "records";
+  options.defaultSlots = 1;
+  options.defaultQueue = 40;
+  options.waitWithinTarget = true;
+  options.nestedShare = 1;
+  RecordingNetwork network;
+  CountingBackend backend(process);
+  EndpointCalls calls(options, process, network, backend, nullptr);
+  for (base::ConnectionId node = 1; node <= 2; ++node) {
+    wire::Hello hello;
+    hello.serviceName = node == 1 ? "orders" : "records";
+    calls.onOpen(node, hello);
+  }
+  int64_t id = 0;
+  const auto ask = [&](base::ConnectionId node, int targetMs, int remainingMs) {
+    wire::CallRequest request;
+    request.callId = ++id;
+    request.serviceName = "records";
+    request.method = "GET";
+    request.path = "/records";
+    request.remainingMs = remainingMs;
+    request.targetLatencyMs = targetMs;
+    calls.onRequest(node, request);
+  };
+  for (int i = 0; i < 40; ++i) {  // those of target 20 come from beside one service only
+    ask(1 + i % 2, 100, 2000);
+    runFor(base::milliseconds(10));
+    ask(1, 20, 400);
+    runFor(base::milliseconds(10));
+  }
+  network.answers.clear();
+  id = 100;
+  for (int i = 0; i < 5; ++i) ask(2, 100, 2000);
+  for (int i = 0; i < 8; ++i) ask(1, 20, 400);
+  runFor(base::milliseconds(200));
+  std::vector<int64_t> completed;
+  for (const auto& answer : network.answers) {
+    if (answer.outcome == wire::CallOutcome::COMPLETED) completed.push_back(answer.callId);
+  }
+  CHECK(completed == std::vector<int64_t>{101, 106, 107, 108, 109, 110, 111, 112, 113, 102, 103, 104, 105});
+}
+
 TEST_CASE_METHOD(Fixture, "the more nodes ask a full endpoint, the longer each is sent away") {
   const auto sentAwayFor = [this](int nodes) {
     first->network.answers.clear();
