Serve sooner after a loss of all, and hold less memory for links

Controllers waited out election timeouts and 700 ms of connections that had begun while the peer was dark; nodes did the same with relays. Callers that were refused meanwhile were told to come back in 0.2 s and had no more tries when the nodes served. Change: a controller that has heard of no leader since its start asks for pre-votes every one or two heartbeats; a peer that connects is connected to at once, whatever attempt hangs; a node without a version tries each relay in turn without delay, 150 ms each, longer with every round; it tells callers to come back after 1 s.

--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -50,6 +50,13 @@
 DEFINE_bool(compress, false, "compress calls to nodes of other zones");
 DEFINE_bool(wait_within_target, false,
             "refuse calls that would miss their route's target latency by waiting for a slot");
+DEFINE_int32(zone_penalty_percent, 50,
+             "with prefer_zone: share of busy slots that endpoints of other zones must be better by");
+DEFINE_int32(slowness_penalty_percent, 20,
+             "with prefer_zone: share of busy slots for each time that an endpoint is slower than the fastest");
+DEFINE_int32(body_kib_per_zone_penalty, 0,
+             "with prefer_zone: KiB of a call's body that count as much as another zone does; 0 when its size is no "
+             "matter");
 DEFINE_bool(nested_first, true, "calls that back ends make for calls of their own go before all others");
 DEFINE_bool(in_time_first, true,
             "calls whose callers have waited beyond the target latency give way to those that can still make it");
@@ -89,6 +96,9 @@
   options.fullFor = base::milliseconds(FLAGS_full_for_ms);
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   if (FLAGS_prefer_zone) options.picker.policy = routing::PickPolicy::kNearestIdle;
+  options.picker.otherZonePenalty = FLAGS_zone_penalty_percent / 100.0;
+  options.picker.slownessPenalty = FLAGS_slowness_penalty_percent / 100.0;
+  options.picker.bodyBytesPerPenalty = static_cast<size_t>(FLAGS_body_kib_per_zone_penalty) << 10;
   return options;
 }
 
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -39,9 +39,7 @@
   entries_.assign(state.entries.begin(), state.entries.end());
   durableIndex_ = lastIndex();
   recomputeMembers();
-  // A member that has just started knows of no leader. It may ask early: where there is one, pre-votes are refused.
-  const auto early = std::min(options_.electionTimeout, 2 * options_.heartbeatInterval);
-  electionTimer_.start(early + random_.duration(options_.electionTimeout / 2));
+  startElectionTimerEarly();
 }
 
 void Raft::bootstrap(const wire::Member& self) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -156,6 +156,7 @@
 
   // Elections
   void resetElectionTimer();
+  void startElectionTimerEarly();
   void onElectionTimeout();
   void startElection(bool preVote, bool transfer);
   void onVoteRequest(const std::string& from, const wire::VoteRequest& request);
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -21,12 +21,24 @@
   return present * 2 > voters;
 }
 
+/// A member that has just started knows of no leader. It asks early and often: where there is a leader pre-votes are
+/// refused, and after a loss of all the first majority that is back need not wait out a timeout.
+void Raft::startElectionTimerEarly() {
+  const auto interval = std::min(options_.electionTimeout / 2, options_.heartbeatInterval);
+  electionTimer_.start(interval + random_.duration(interval));
+}
+
 void Raft::resetElectionTimer() {
   electionTimer_.start(options_.electionTimeout + random_.duration(options_.electionTimeout));
 }
 
 void Raft::onElectionTimeout() {
-  resetElectionTimer();
+  const bool starting = leaderId_.empty() && lastLeaderContact_ == base::TimePoint{} && role_ == RaftRole::kFollower;
+  if (starting) {
+    startElectionTimerEarly();
+  } else {
+    resetElectionTimer();
+  }
   if (role_ == RaftRole::kLeader) {
     checkQuorum();
     return;
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -180,7 +180,7 @@
 }
 
 void Controller::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
-  if (links_.owns(connection)) links_.onOpen(connection, peer);
+  links_.onOpen(connection, peer);
   peers_[connection] = peer;
   // The other side may have taken this controller's Hello before it last changed.
   if (peer.role == wire::Role::CONTROLLER && raft_) network_.send(connection, wire::encodeFrame(ownHello()));
--- a/src/membership/peer_links.cc
+++ b/src/membership/peer_links.cc
@@ -4,6 +4,9 @@
 namespace {
 
 constexpr base::Duration kReconnectDelay = base::milliseconds(100);
+/// An attempt that has lasted this long began while the peer was not there. Younger ones are let be: two peers that
+/// connect to each other at once must not go on cutting each other's attempts off.
+constexpr base::Duration kHangingAfter = base::milliseconds(100);
 
 }  // namespace
 
@@ -40,18 +43,35 @@
 void PeerLinks::connect(const base::Address& address) {
   const auto found = links_.find(address);
   if (found == links_.end() || found->second.connection != 0) return;
+  found->second.begunAt = scheduler_.now();
   found->second.connection = network_.connect(address);
   byConnection_[found->second.connection] = address;
 }
 
 void PeerLinks::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   const auto found = byConnection_.find(connection);
-  if (found == byConnection_.end()) return;
+  if (found == byConnection_.end()) return onArrival(peer);
   auto& link = links_[found->second];
   link.open = true;
   link.hello = peer;
 }
 
+/// A peer that has connected to this side is there: an attempt that began while it was not, and hangs in silence, is
+/// not waited for.
+void PeerLinks::onArrival(const wire::Hello& peer) {
+  const auto found = links_.find({peer.address, peer.framePort});
+  if (found == links_.end() || found->second.open) return;
+  const auto address = found->first;
+  const auto hanging = found->second.connection;
+  if (hanging != 0 && scheduler_.now() - found->second.begunAt < kHangingAfter) return;
+  if (hanging != 0) {
+    byConnection_.erase(hanging);
+    network_.close(hanging);
+    found->second.connection = 0;
+  }
+  connect(address);
+}
+
 void PeerLinks::onHello(base::ConnectionId connection, const wire::Hello& peer) {
   const auto found = byConnection_.find(connection);
   if (found != byConnection_.end()) links_[found->second].hello = peer;
--- a/src/membership/peer_links.h
+++ b/src/membership/peer_links.h
@@ -25,6 +25,7 @@
   /// @return whether the connection was opened by this object.
   bool owns(base::ConnectionId connection) const { return byConnection_.count(connection) > 0; }
 
+  /// A connection that this side opened is up, or a peer has connected to this side.
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onClose(base::ConnectionId connection);
 
@@ -43,11 +44,13 @@
  private:
   struct Link {
     base::ConnectionId connection = 0;  // 0 while waiting to connect
+    base::TimePoint begunAt{};          // of the attempt
     bool open = false;
     wire::Hello hello;
   };
 
   void connect(const base::Address& address);
+  void onArrival(const wire::Hello& peer);
   void sendKeepAlive();
 
   base::Network& network_;
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -12,6 +12,7 @@
 constexpr int kProtocolVersion = 1;
 constexpr base::Duration kWatchInterval = base::milliseconds(200);
 constexpr int kMaxBackoffDoublings = 2;
+constexpr int kMaxPatienceDoublings = 4;
 constexpr int kServingPatience = 3;
 constexpr char kSliceFile[] = "slice";
 constexpr char kTemporaryFile[] = "slice.tmp";
@@ -27,6 +28,7 @@
       onActivation_(std::move(onActivation)),
       onStates_(std::move(onStates)),
       reconnectTimer_(scheduler, [this] { connect(); }),
+      connectTimer_(scheduler, [this] { reconnectLater("slow to answer"); }),
       watchTimer_(scheduler, [this] { onWatch(); }),
       keepAliveTimer_(scheduler,
                       [this] {
@@ -64,6 +66,9 @@
   const size_t position = position_ % options_.relays.size();
   relay_ = options_.relays[position];
   connection_ = network_.connect(relay_);
+  // A node that has a version can wait for a relay; one without serves nobody.
+  if (!slices_.active())
+    connectTimer_.start(options_.connectPatience * (1 << std::min(rounds(), kMaxPatienceDoublings)));
   homeTimer_.stop();
   const bool home = position < options_.nearRelays;
   if (!home && options_.nearRelays > 0) homeTimer_.start(options_.returnAfter + random_.duration(options_.returnAfter));
@@ -123,6 +128,7 @@
   network_.close(connection_);
   connection_ = 0;
   open_ = false;
+  connectTimer_.stop();
   pending_.clear();
   ++position_;
   ++counters_.reconnects;
@@ -133,16 +139,19 @@
   log_.info("{} leaves relay {}:{}: {}, revision {}, fresh {} ms ago, term {}", options_.nodeId, relay_.host,
             relay_.port, because, slices_.revision(),
             std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - freshSince_).count(), freshness_.term);
-  const auto limit = options_.reconnectDelay * (1 << std::min(attempts_, kMaxBackoffDoublings));
+  // Each relay is tried once without much delay; only when none helps does the node wait.
+  const bool atOnce = attempts_ == 0 || rounds() == 0;
+  const auto limit = options_.reconnectDelay * (1 << std::min(rounds(), kMaxBackoffDoublings));
   ++attempts_;
-  // The first other relay is tried at once; only when that fails too does the node wait.
-  const bool atOnce = attempts_ == 1;
-  moveOn(atOnce ? random_.duration(options_.reconnectDelay / 4) : random_.duration(limit));
+  moveOn(random_.duration(atOnce ? options_.reconnectDelay / 4 : limit));
 }
 
+int ControlClient::rounds() const { return attempts_ / std::max(1, static_cast<int>(options_.relays.size())); }
+
 void ControlClient::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   if (connection != connection_) return;
   open_ = true;
+  connectTimer_.stop();
   lastHeard_ = scheduler_.now();
   openedAt_ = lastHeard_;
   log_.info("{} subscribes to {} from revision {}", options_.nodeId, peer.id, slices_.revision());
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -25,7 +25,10 @@
   std::vector<std::string> services;                       ///< services that it runs beside
   base::Duration relayTimeout = base::milliseconds(1800);  ///< without a heartbeat
   base::Duration firstSliceTimeout = base::milliseconds(2000);
-  base::Duration staleAfter = base::seconds(4);             ///< without an advance of freshness
+  base::Duration staleAfter = base::seconds(4);  ///< without an advance of freshness
+  /// Without a version: time that a relay gets to answer a connection before the next one is tried. It doubles each
+  /// time that all were tried, so that relays behind slow links are reached as well.
+  base::Duration connectPatience = base::milliseconds(150);
   base::Duration reconnectDelay = base::milliseconds(200);  ///< highest first delay; it doubles up to a limit
   base::Duration keepAlive = base::milliseconds(1500);      ///< the relay drops a node that is silent for 4 s
   size_t nearRelays = 2;                                    ///< of `relays`: those of the own zone
@@ -89,6 +92,8 @@
   void onRelayList(const wire::RelayList& list);
   void useRelays();
   void moveOn(base::Duration delay);
+  /// How often all relays have been tried in vain.
+  int rounds() const;
   void reconnectLater(const char* because);
   void leaveStale();
   void onUpdate(const wire::SliceUpdate& update);
@@ -135,6 +140,7 @@
   bool persisting_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   base::Timer reconnectTimer_;
+  base::Timer connectTimer_;  // runs until a connection is open
   base::Timer watchTimer_;
   base::Timer keepAliveTimer_;
   base::Timer homeTimer_;  // runs while the relay in use is one of another zone
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -22,6 +22,8 @@
 constexpr int kUnprocessableStatus = 422;
 constexpr int kFirstServerError = 500;
 constexpr int kDefaultRetryAfterMs = 200;
+/// Told to callers of a node without a version: it has just started, and gets one within about this time.
+constexpr int kNoTableRetryAfterMs = 1000;
 constexpr int kMaxBackoffDoublings = 4;
 
 int milliseconds(base::Duration duration) { return static_cast<int>(duration.count() / 1000); }
@@ -217,7 +219,8 @@
   const auto* route = findRoute(call.inbound);
   if (refusing_ || !table_) {
     const auto error = refusing_ ? ErrorCode::kDraining : ErrorCode::kNoTable;
-    finishLater(id, failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, kDefaultRetryAfterMs));
+    const int retryAfterMs = refusing_ ? kDefaultRetryAfterMs : kNoTableRetryAfterMs;
+    finishLater(id, failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, retryAfterMs));
     return id;
   }
   if (route == nullptr) {
@@ -259,7 +262,8 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
-  const auto* target = picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call));
+  const auto* target =
+      picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call), call.inbound.body.size());
   if (target == nullptr) {
     if (!call.tried.empty()) return finish(id, call.lastFailure);
     return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
@@ -289,7 +293,8 @@
 }
 
 const routing::EndpointTarget* EntryCalls::idleEndpoint(const Call& call) {
-  const auto* target = picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call));
+  const auto* target =
+      picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call), call.inbound.body.size());
   const bool idle = target != nullptr && picker_.busyShare(*target) < options_.hedgeIdleShare;
   return idle ? target : nullptr;
 }
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -65,11 +65,11 @@
 }
 
 const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
-                                           const std::set<std::string>& excluded, int rank) {
+                                           const std::set<std::string>& excluded, int rank, size_t bodyBytes) {
   const auto choices = candidates(endpoints, excluded, rank);
   if (choices.empty()) return nullptr;
   if (choices.size() == 1) return choices[0];
-  if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone);
+  if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone, bodyBytes);
   if (options_.policy == PickPolicy::kRoundRobin) return choices[turn_++ % choices.size()];
   const auto first = random_.below(choices.size());
   if (options_.policy == PickPolicy::kRandom) return choices[first];
@@ -94,7 +94,10 @@
 }
 
 const EndpointTarget* EndpointPicker::pickNearestIdle(const std::vector<const EndpointTarget*>& choices,
-                                                      const std::string& ownZone) {
+                                                      const std::string& ownZone, size_t bodyBytes) {
+  const double bodies = options_.bodyBytesPerPenalty > 0
+                            ? static_cast<double>(bodyBytes) / static_cast<double>(options_.bodyBytesPerPenalty)
+                            : 0;
   const EndpointTarget* best = nullptr;
   double lowest = 0;
   double fastest = 0;  // the shortest known latency, 0 while none is
@@ -107,7 +110,7 @@
   for (size_t i = 0; i < choices.size(); ++i) {
     const auto* target = choices[(first + i) % choices.size()];
     double cost = std::max(options_.idleShare, busyShare(*target));
-    if (target->zone != ownZone) cost += options_.otherZonePenalty;
+    if (target->zone != ownZone) cost += options_.otherZonePenalty * (1 + bodies);
     const double latency = knownLatency(*target);
     const double slowness = latency > 0 ? std::min(options_.maxSlowness, latency / fastest - 1) : 0;
     cost += options_.slownessPenalty * slowness;
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -35,8 +35,10 @@
   int assumedSlots = 16;          ///< of an endpoint that does not tell
   double idleShare = 0.85;        ///< kNearestIdle: up to this share of busy slots endpoints count as equal
   double otherZonePenalty = 0.5;  ///< kNearestIdle: share of busy slots that another zone counts more
-  double slownessPenalty = 0.2;   ///< kNearestIdle: for each time that an endpoint is slower than the fastest
-  double maxSlowness = 3;         ///< kNearestIdle: times slower that are told apart
+  size_t bodyBytesPerPenalty =
+      0;  ///< kNearestIdle: bytes of a body that count as another zone does, beside it; 0 for none
+  double slownessPenalty = 0.2;  ///< kNearestIdle: for each time that an endpoint is slower than the fastest
+  double maxSlowness = 3;        ///< kNearestIdle: times slower that are told apart
   base::Duration reportMemory = base::milliseconds(500);  ///< half-life of what an endpoint said of its load
 };
 
@@ -53,8 +55,9 @@
   /// @return null when there is no candidate
   /// @param rank how urgent the request is, lower first; endpoints that refused an equal or more urgent request for
   /// want of slots are left out for a while
+  /// @param bodyBytes size of the request's body, which is to cross to another zone only where that gains much
   const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
-                             const std::set<std::string>& excluded, int rank = 0);
+                             const std::set<std::string>& excluded, int rank = 0, size_t bodyBytes = 0);
 
   /// A request was sent to an endpoint.
   void onSent(const std::string& endpoint);
@@ -105,7 +108,8 @@
   bool usable(const State& state, base::TimePoint now) const;
   double cost(const EndpointTarget& target, const std::string& ownZone);
   double knownLatency(const EndpointTarget& target);
-  const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone);
+  const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone,
+                                        size_t bodyBytes);
   double slowStartShare(const State& state, base::TimePoint now) const;
   std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
                                                 const std::set<std::string>& excluded, int rank);
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -19,6 +19,8 @@
 constexpr int kBacklog = 1024;
 constexpr size_t kReadBytes = size_t{64} * 1024;
 constexpr size_t kCompactBytes = size_t{64} * 1024;
+/// Room that an idle stream keeps; there are many streams, and most are idle.
+constexpr size_t kKeptBytes = 2048;
 
 bool fillAddress(const std::string& host, int port, sockaddr_in* address) {
   std::memset(address, 0, sizeof(*address));
@@ -119,7 +121,7 @@
   if (queuedBytes() == 0) {
     out_.clear();
     offset_ = 0;
-    if (out_.capacity() > kCompactBytes) out_.shrink_to_fit();
+    if (out_.capacity() > kKeptBytes) out_.shrink_to_fit();
     if (shutdownAsked_) ::shutdown(socket_, SHUT_WR);
     if (hadBytes && handler_ != nullptr) handler_->onDrained();
   } else if (offset_ > kCompactBytes) {
--- a/src/wire/deflate.cc
+++ b/src/wire/deflate.cc
@@ -9,8 +9,12 @@
 namespace {
 
 constexpr int kLevel = 1;
-constexpr int kRawWindowBits = -13;  // negative: no header; 8 KiB of what was sent before
-constexpr int kMemoryLevel = 5;      // 16 KiB of hash tables
+constexpr int kStoredLevel = 0;
+constexpr int kRawWindowBits = -12;  // negative: no header; 4 KiB of what was sent before
+constexpr int kMemoryLevel = 4;      // 8 KiB of hash tables and pending bytes
+/// Of a longer frame only so much is searched for repetitions, which are in its head; the rest, a body, is stored.
+constexpr size_t kSearchedBytes = 2048;
+constexpr size_t kLongFrameBytes = 8192;
 constexpr size_t kPieceBytes = 4096;
 
 }  // namespace
@@ -23,6 +27,18 @@
 
 std::string Deflater::add(std::string_view bytes) {
   std::string out;
+  if (bytes.size() <= kLongFrameBytes) {
+    addPart(bytes, &out);
+    return out;
+  }
+  addPart(bytes.substr(0, kSearchedBytes), &out);
+  (void)deflateParams(&stream_, kStoredLevel, Z_DEFAULT_STRATEGY);
+  addPart(bytes.substr(kSearchedBytes), &out);
+  (void)deflateParams(&stream_, kLevel, Z_DEFAULT_STRATEGY);
+  return out;
+}
+
+void Deflater::addPart(std::string_view bytes, std::string* out) {
   std::array<unsigned char, kPieceBytes> piece{};
   stream_.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
   stream_.avail_in = static_cast<uInt>(bytes.size());
@@ -30,9 +46,8 @@
     stream_.next_out = piece.data();
     stream_.avail_out = static_cast<uInt>(piece.size());
     (void)deflate(&stream_, Z_SYNC_FLUSH);
-    out.append(reinterpret_cast<const char*>(piece.data()), piece.size() - stream_.avail_out);
+    out->append(reinterpret_cast<const char*>(piece.data()), piece.size() - stream_.avail_out);
   } while (stream_.avail_out == 0);
-  return out;
 }
 
 Inflater::Inflater() { (void)inflateInit2(&stream_, kRawWindowBits); }
--- a/src/wire/deflate.h
+++ b/src/wire/deflate.h
@@ -22,6 +22,8 @@
   std::string add(std::string_view bytes);
 
  private:
+  void addPart(std::string_view bytes, std::string* out);
+
   z_stream stream_{};
 };
 
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -143,6 +143,14 @@
   return rest;
 }
 
+/// There are many connections, and most are idle: none keeps the room of its largest message.
+void FrameReader::releaseBuffer() {
+  constexpr size_t kKeptBytes = 2048;
+  buffer_.clear();
+  if (buffer_.capacity() > kKeptBytes) buffer_.shrink_to_fit();
+  position_ = 0;
+}
+
 absl::StatusOr<bool> FrameReader::next(Message* message) {
   const size_t available = buffer_.size() - position_;
   if (available < kLengthBytes) return false;
@@ -154,8 +162,7 @@
   *message = std::move(*decoded);
   position_ += kLengthBytes + length;
   if (position_ == buffer_.size()) {
-    buffer_.clear();
-    position_ = 0;
+    releaseBuffer();
   } else if (position_ > (1U << 16)) {
     buffer_.erase(0, position_);
     position_ = 0;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -76,6 +76,8 @@
   bool midFrame() const { return position_ < buffer_.size(); }
 
  private:
+  void releaseBuffer();
+
   std::string buffer_;   // bytes not yet taken, from position_ on
   size_t position_ = 0;  // start of the next frame in buffer_
 };
--- a/test/routing/nearest_idle_test.cc
+++ b/test/routing/nearest_idle_test.cc
@@ -52,6 +52,28 @@
   CHECK(more.at("far-1") + more.at("far-2") >= 10);
 }
 
+TEST_CASE("a large body crosses to another zone only where that gains much") {
+  const auto farOf = [](size_t bodyBytes) {
+    test::ManualTime time;
+    auto options = Fixture::options();
+    options.bodyBytesPerPenalty = 32U << 10;
+    EndpointPicker picker(options, time, base::RandomSource(3));
+    const std::vector<EndpointTarget> endpoints = {{"near", "10.0.0.1", 7000, "own", kFullWeight, 10},
+                                                   {"far", "10.0.0.2", 7000, "far", kFullWeight, 10}};
+    for (const auto& endpoint : endpoints) picker.setConnected(endpoint.name, true);
+    time.advance(base::seconds(60));
+    int far = 0;
+    for (int i = 0; i < 20; ++i) {
+      const auto* target = picker.pick(endpoints, "own", {}, 5, bodyBytes);
+      picker.onSent(target->name);
+      far += target->name == "far" ? 1 : 0;
+    }
+    return far;
+  };
+  CHECK(farOf(0) >= 5);
+  CHECK(farOf(64U << 10) <= 2);
+}
+
 TEST_CASE_METHOD(Fixture, "what an endpoint told of its load counts, and fades") {
   picker.onReport("own-1", 20);
   picker.onReport("own-2", 20);
