--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -11,7 +11,6 @@
 #include "daemon.h"
 #include "fleet.h"
 #include "percentiles.h"
-#include "scale_run.h"
 #include "scenario.h"
 #include "soak/soak_run.h"
 
@@ -24,10 +23,6 @@
 DEFINE_double(rate, 0, "calls a second; 0 for the deployment's own");
 DEFINE_int32(seed, 1, "seed of the load");
 DEFINE_bool(emulate_latency, true, "delay frames and calls by the deployment's latencies");
-DEFINE_string(hollow, "500", "scale: numbers of hollow nodes, one run each, separated by commas");
-DEFINE_double(edits_per_second, 2.8, "scale: edits a second; the letter's 24,000 a day, ten times over");
-DEFINE_int32(edit_seconds, 15, "scale: time in which edits are made");
-DEFINE_bool(storms, true, "scale: kill a relay, a pair and all relays");
 DEFINE_int32(longest_fault_ms, 6000, "soak: time that a fault lasts at most");
 DEFINE_int32(fault_gap_ms, 700, "soak: mean time between the beginnings of two faults");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
@@ -77,32 +72,6 @@
   }
 }
 
-int scale() {
-  json report = json::array();
-  bool failed = false;
-  for (const auto& text : base::splitList(FLAGS_hollow)) {
-    tools::ScaleOptions options;
-    if (!absl::SimpleAtoi(text, &options.nodes) || options.nodes < 1) {
-      apps::exitWithError(base::makeError(base::ErrorCode::kBadSetting, "hollow: '" + text + "' is no number"));
-    }
-    options.editsPerSecond = FLAGS_edits_per_second;
-    options.editSeconds = FLAGS_edit_seconds;
-    options.storms = FLAGS_storms;
-    const auto result = tools::runScale(options, folderOf(gflags::GetArgv0()), FLAGS_report + "/" + text);
-    if (!result.ok()) {
-      std::fprintf(stderr, "%s\n", base::errorText(result.status()).c_str());
-      failed = true;
-      continue;
-    }
-    failed = failed || result->editsFailed > 0;
-    report.push_back(tools::scaleJson(*result));
-    std::printf("%s\n", report.back().dump().c_str());
-    std::fflush(stdout);
-  }
-  std::ofstream(FLAGS_report + "/scale.json") << report.dump(2) << "\n";
-  return failed ? 1 : 0;
-}
-
 /// CPU seconds used so far by some members together.
 double cpuOf(tools::Fleet& fleet, const std::vector<tools::FleetMember>& members) {
   double seconds = 0;
@@ -275,11 +244,10 @@
   gflags::SetArgv(argc, const_cast<const char**>(argv));
   auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
   apps::configureLogsFromSettings();
-  const std::map<std::string, int (*)()> commands = {
-      {"run", run}, {"scale", scale}, {"latency", latency}, {"soak", runSoak}};
+  const std::map<std::string, int (*)()> commands = {{"run", run}, {"latency", latency}, {"soak", runSoak}};
   const bool known = arguments.size() == 1 && commands.count(arguments[0]) > 0;
   if (!known || FLAGS_report.empty()) {
-    std::fprintf(stderr, "bad_flag: the command is 'run', 'scale', 'latency' or 'soak', with --report FOLDER\n");
+    std::fprintf(stderr, "bad_flag: the command is 'run', 'latency' or 'soak', with --report FOLDER\n");
     return 2;
   }
   return commands.at(arguments[0])();
--- a/tools/sim_main.cc
+++ b/tools/sim_main.cc
@@ -10,7 +10,6 @@
 #include "daemon.h"
 #include "deployment.h"
 #include "sim_run.h"
-#include "sim_scale.h"
 #include "simulated_plan.h"
 
 DEFINE_string(deployment, "examples/crash-report", "folder of the deployment");
@@ -24,9 +23,6 @@
 DEFINE_bool(stop_at_first, false, "stop at the first seed that fails");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
 DEFINE_bool(verbose, false, "write the logs of all simulated processes");
-DEFINE_string(nodes, "1000", "scale: numbers of nodes, one run each, separated by commas");
-DEFINE_int32(edit_seconds, 30, "scale: virtual time in which edits are made");
-DEFINE_int32(region_cut_seconds, 120, "scale: virtual time for which a region loses all others; 0 for never");
 DEFINE_int32(threads, 0, "seeds run at once; 0 for one a core");
 DEFINE_int32(mean_fault_gap_ms, 6000, "mean time between faults");
 DEFINE_int32(mean_edit_gap_ms, 1500, "mean time between edits");
@@ -91,23 +87,6 @@
   }
 }
 
-int scale() {
-  bool wrong = false;
-  for (const auto& text : base::splitList(FLAGS_nodes)) {
-    int nodes = 0;
-    if (!absl::SimpleAtoi(text, &nodes) || nodes < 1) refuse("nodes: '" + text + "' is no number");
-    tools::SimScaleOptions options;
-    options.shape = tools::shapeFor(nodes);
-    options.regionCutSeconds = FLAGS_region_cut_seconds;
-    options.editSeconds = FLAGS_edit_seconds;
-    const auto result = tools::runSimScale(options);
-    std::printf("%s\n", result.dump().c_str());
-    std::fflush(stdout);
-    wrong = wrong || !result["violations"].empty() || result["edits"]["convergence_ms"]["pending"] != 0;
-  }
-  return wrong ? 1 : 0;
-}
-
 int run() {
   const auto options = optionsFromSettings();
   tools::SeedRange range;
@@ -144,7 +123,6 @@
     for (const auto& info : simulation::allFaults()) std::printf("%s\n", std::string(info.name).c_str());
     return 0;
   }
-  if (arguments.size() == 1 && arguments[0] == "scale") return scale();
-  if (arguments.size() != 1 || arguments[0] != "run") refuse("say what to do: run or scale");
+  if (arguments.size() != 1 || arguments[0] != "run") refuse("say what to do: run");
   return run();
 }
--- a/tools/simulated_plan.cc
+++ b/tools/simulated_plan.cc
@@ -83,32 +83,4 @@
   return plan;
 }
 
-ClusterPlan scalePlan(const ScaleShape& shape) {
-  ClusterPlan plan;
-  plan.check = false;
-  plan.network.hashFrames = false;
-  plan.network.betweenZones = base::microseconds(1000);
-  plan.network.betweenRegions = base::milliseconds(40);
-  const auto placeAt = [&](int zone) { return Placement{zoneName(shape, zone), regionName(shape, zone)}; };
-  for (int i = 0; i < shape.controllers; ++i) {
-    plan.controllers.push_back({"controller-" + std::to_string(i + 1), placeAt(i)});
-  }
-  for (int i = 0; i < shape.zones * shape.relaysPerZone; ++i) {
-    plan.relays.push_back({"relay-" + std::to_string(i + 1), placeAt(i / shape.relaysPerZone)});
-  }
-  for (int zone = 0; zone < shape.zones; ++zone) {
-    relay::ReleaseGroup group{zoneName(shape, zone), {}};
-    for (const int member : scaleGroup(shape, zone)) {
-      group.members.push_back(plan.relays[static_cast<size_t>(member)].name);
-    }
-    plan.groups.push_back(group);
-  }
-  for (auto& row : scaleRows(shape, "10.0.0.1")) plan.table.push_back(created(std::move(row)));
-  for (int i = 0; i < shape.nodes; ++i) {
-    const auto member = nodeAt(shape, i);
-    plan.nodes.push_back({member.name, placeAt(zoneOfNode(shape, i)), member.hosts, {member.service}, false});
-  }
-  return plan;
-}
-
 }  // namespace driftlug::tools
--- a/tools/simulated_plan.h
+++ b/tools/simulated_plan.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "deployment.h"
-#include "scale_shape.h"
 #include "simulation/cluster.h"
 
 namespace driftlug::tools {
@@ -10,7 +9,4 @@
 /// @return the deployment's processes, latencies and first rows.
 simulation::ClusterPlan planOf(const Deployment& deployment);
 
-/// @return a cluster of the shape, with WAN latencies between regions.
-simulation::ClusterPlan scalePlan(const ScaleShape& shape);
-
 }  // namespace driftlug::tools
