--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -228,7 +228,7 @@
   RaftRole role_ = RaftRole::kFollower;
   std::string leaderId_;  // empty when unknown
   base::TimePoint lastLeaderContact_{};
-  bool starting_ = true;  // since the start no leader was heard of and no election took part in
+  bool starting_ = true;         // since the start no leader was heard of and no election took part in
   std::set<std::string> votes_;  // granted in the current (pre-)election
   bool preVoting_ = false;
   bool transferring_ = false;
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -21,9 +21,10 @@
   return present * 2 > voters;
 }
 
-/// A member that has just started knows of no leader. It asks early and again soon: where there is a leader pre-votes are
-/// refused, and after a loss of all the first majority that is back need not wait out a timeout. Once it has taken part
-/// in an election it waits like any other, so that slow members do not overtake each other's elections without end.
+/// A member that has just started knows of no leader. It asks early and again soon: where there is a leader pre-votes
+/// are refused, and after a loss of all the first majority that is back need not wait out a timeout. Once it has taken
+/// part in an election it waits like any other, so that slow members do not overtake each other's elections without
+/// end.
 void Raft::startElectionTimerEarly() {
   const auto interval = std::min(options_.electionTimeout, 2 * options_.heartbeatInterval);
   electionTimer_.start(interval + random_.duration(interval));
