Give no vote that a full disk did not take

A full disk refuses a term and a vote without failing for good; the sync behind it then succeeded, the vote was given, and after an outage of all controllers it was given again to another. Change: what depends on a term or vote that is not written is not said until it is.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -162,6 +162,8 @@
     });
     return;
   }
+  // What depends on a term or a vote that the disk did not take is not said: a restart would forget it.
+  if (!hardStateSaved_ && !saveHardState()) return;
   store_.sync([this, alive = alive_, then = std::move(then)](const absl::Status& status) {
     if (!*alive) return;
     if (status.ok()) return then();
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -157,6 +157,7 @@
   // Elections
   void resetElectionTimer();
   void startElectionTimerEarly();
+  bool saveHardState();
   void onElectionTimeout();
   void startElection(bool preVote, bool transfer);
   void onVoteRequest(const std::string& from, const wire::VoteRequest& request);
@@ -228,6 +229,7 @@
   RaftRole role_ = RaftRole::kFollower;
   std::string leaderId_;  // empty when unknown
   base::TimePoint lastLeaderContact_{};
+  bool hardStateSaved_ = true;   // whether the disk took the last term and vote
   bool starting_ = true;         // since the start no leader was heard of and no election took part in
   std::set<std::string> votes_;  // granted in the current (pre-)election
   bool preVoting_ = false;
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -48,10 +48,17 @@
   startElection(true, false);
 }
 
+/// @return whether the term and the vote are written; a full disk refuses them and writes on later.
+bool Raft::saveHardState() {
+  hardStateSaved_ = store_.saveHardState(hardState_).ok();
+  if (!hardStateSaved_) log_.error("term {} could not be written", hardState_.term);
+  return hardStateSaved_;
+}
+
 void Raft::setTerm(int64_t term, const std::string& votedFor) {
   hardState_.term = term;
   hardState_.votedFor = votedFor;
-  if (!store_.saveHardState(hardState_).ok()) log_.error("term {} could not be written", term);
+  saveHardState();
 }
 
 void Raft::startElection(bool preVote, bool transfer) {
--- a/test/simulation/simulation_test.cc
+++ b/test/simulation/simulation_test.cc
@@ -80,12 +80,13 @@
 
 TEST_CASE("seeds that failed once stay mended") {
   // Wiped controllers added under their old identity; reports lost between leaders; refused pre-votes that raised
-  // terms; nodes taken for gone while another relay held them.
+  // terms; nodes taken for gone while another relay held them; votes given on a full disk (30441).
   requireNoViolations("crash-report", 86, 86);
   requireNoViolations("crash-report", 90, 90);
   requireNoViolations("crash-report", 413, 413);
   requireNoViolations("crash-report", 892, 892);
   requireNoViolations("crash-report", 1254, 1254);
+  requireNoViolations("crash-report", 30441, 30441);
   requireNoViolations("glenmorven", 523, 523);
   requireNoViolations("glenmorven", 842, 842);
   requireNoViolations("glenmorven", 1419, 1419);
