--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -45,6 +45,9 @@
 namespace {
 
 constexpr int kOkStatus = 200;
+/// What a planned stop keeps at its end for the answers to calls that it gives up, in milliseconds: two turns of the
+/// loop of a busy node, and the way to the caller.
+constexpr int kLastAnswersMs = 200;
 
 /// Endpoint and entry sides of calls share one set of connections.
 class CallHandler : public base::ConnectionHandler {
@@ -61,6 +64,8 @@
       endpoint_.onRequest(connection, *request);
     } else if (const auto* cancel = std::get_if<wire::CallCancel>(&message)) {
       endpoint_.onCancel(connection, cancel->callId);
+    } else if (const auto* piece = std::get_if<wire::CallBodyPiece>(&message)) {
+      endpoint_.onBodyPiece(connection, *piece);
     } else {
       entry_.onMessage(connection, std::move(message));
     }
@@ -100,6 +105,12 @@
   page->counter("endpoint_completed_total", "calls completed by the back end", runs.completed);
   page->counter("endpoint_refused_total", "calls refused as not run", runs.refused);
   page->counter("endpoint_replayed_total", "calls answered from the ledger without a run", runs.replayed);
+  page->counter("endpoint_refused_for_link_total", "calls refused since their body could not arrive in time",
+                runs.refusedForLink);
+  page->gauge("endpoint_body_missing_bytes", "bytes of announced bodies that have not arrived",
+              static_cast<double>(endpoint.bodies().missingBytes()));
+  page->gauge("endpoint_body_bytes_per_second", "what the link is taken to carry of bodies",
+              static_cast<double>(endpoint.bodies().bytesPerSecond()));
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
   page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
   page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
@@ -183,6 +194,7 @@
   hello.id = FLAGS_name;
   hello.zone = FLAGS_zone;
   hello.serviceName = FLAGS_service;
+  hello.takesBodyPieces = true;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
@@ -286,6 +298,8 @@
     entry_.refuseNew();
     waitForCalls(until);
   });
+  const base::Duration beforeEnd = base::milliseconds(std::max(0, FLAGS_stop_timeout_ms - kLastAnswersMs));
+  loop_.schedule(beforeEnd, [this] { entry_.refuseUnsent(); });
 }
 
 void NodeDaemon::waitForCalls(base::TimePoint until) {
@@ -297,11 +311,12 @@
 
 }  // namespace
 
-int runNode(int argc, char** argv, const ReportPagesFactory& makeReportPages) {
+int runNode(int argc, char** argv, const NodeExtensions& extensions) {
   declareNodeSettings();
   base::loadSettingsOrExit(argc, argv, "driftlug-node: carries calls between callers and back ends", false);
+  if (extensions.onSettings) extensions.onSettings();
   configureLogsFromSettings(base::LogTarget::kOutput);
-  NodeDaemon daemon(makeReportPages);
+  NodeDaemon daemon(extensions.makeReportPages);
   daemon.listenOrExit();
   daemon.run();
   return 0;
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -25,6 +25,7 @@
 DEFINE_int32(backend_connections, 130, "connections to the back end at most, where the table does not say");
 DEFINE_int32(backend_slots, 20, "requests in the back end at once, where the table has no limit");
 DEFINE_int32(backend_queue, 64, "requests waiting at once, where the table has no limit");
+DEFINE_double(link_mbps, 0, "what the link of this machine carries, in Mbit/s; 0 where it is not known");
 DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
 DEFINE_int32(stop_linger_ms, 300, "time that a planned stop goes on taking calls, so that others hear of it");
 DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
@@ -113,6 +114,8 @@
   options.nestedFirst = FLAGS_nested_first;
   options.requestIdHeader = FLAGS_correlation_header;
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  options.bodies.linkBytesPerSecond = static_cast<int64_t>(FLAGS_link_mbps * kBytesPerMegabit);
   return options;
 }
 
@@ -134,6 +137,7 @@
   }
   base::declareRange("backend_connections", 1, 10'000);
   base::declareRange("backend_slots", 1, 100'000);
+  base::declareRange("link_mbps", 0, 1'000'000);
   base::declareRange("backend_queue", 0, 100'000);
   base::declareRange("stop_linger_ms", 0, 600'000);
   base::declareRange("stop_timeout_ms", 0, 600'000);
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -16,6 +16,8 @@
 constexpr base::Duration kAskingMemory = base::seconds(2);
 /// How many requests are wanted for each slot that becomes free, so that none stays empty.
 constexpr int kRequestsPerFreeSlot = 2;
+/// Interval at which bodies that will not come are given up, and the room of stalled senders is granted to others.
+constexpr base::Duration kBodyInterval = base::milliseconds(50);
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
 /// Time for which a node goes on to tell the ledger how a request ended.
@@ -47,6 +49,8 @@
       backend_(backend),
       ledger_(ledger),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
+      bodies_(options_.bodies),
+      bodyTimer_(scheduler, [this] { onBodyTimer(); }),
       expiryTimer_(scheduler,
                    [this] {
                      limiter_.refuseExpired();
@@ -71,11 +75,16 @@
 
 void EndpointCalls::setDraining(bool draining) {
   draining_ = draining;
-  if (draining_) limiter_.refuseWaiting();
+  if (!draining_) return;
+  limiter_.refuseWaiting();
+  refuseAwaitingBodies();
 }
 
 void EndpointCalls::useIncarnation(const std::string& endpoint, int slots) {
-  if (endpoint != endpoint_) limiter_.refuseWaiting();
+  if (endpoint != endpoint_) {
+    limiter_.refuseWaiting();
+    refuseAwaitingBodies();
+  }
   endpoint_ = endpoint;
   endpointSlots_ = slots;
   applyLimits();
@@ -88,7 +97,9 @@
 void EndpointCalls::onRequest(base::ConnectionId connection, const wire::CallRequest& request) {
   const CallKey key{connection, request.callId};
   ++counters_.calls;
-  askedAt_[connection] = scheduler_.now();
+  auto& asker = askers_[connection];
+  asker.askedAt = scheduler_.now();
+  if (request.bodyBytes > 0) asker.announcedAt = scheduler_.now();
   if (calls_.count(key) > 0) return;
   auto& call = calls_[key];
   call.request = request;
@@ -97,8 +108,15 @@
   if (refuseAtOnce(key, request)) return;
   call.nested = learnWhetherNested(connection, request);
   call.priority = priorityOf(call);
+  call.latestStart = latestStartOf(call);
+  if (request.bodyBytes > 0) return awaitBody(key);
+  admit(key);
+}
+
+void EndpointCalls::admit(const CallKey& key) {
+  const auto& call = calls_[key];
   const auto priority = call.priority;
-  const auto latestStart = latestStartOf(call);
+  const auto latestStart = call.latestStart;
   const auto ticket = limiter_.acquire(
       priority, latestStart, [this, key] { run(key); },
       [this, key, priority, latestStart](limits::SlotRefusal refusal) {
@@ -110,6 +128,79 @@
   armExpiry();
 }
 
+/// A body that can't be here in time isn't sent: the refusal costs its sender and this node's link next to nothing.
+void EndpointCalls::awaitBody(const CallKey& key) {
+  auto& call = calls_[key];
+  const auto now = scheduler_.now();
+  const auto bytes = call.request.bodyBytes;
+  const auto arrival = bodies_.expectedWait(bytes, static_cast<int>(call.priority), call.latestStart);
+  const auto wait = arrival + limiter_.expectedWait(call.priority, call.latestStart);
+  if (now + wait > call.latestStart) return refuseForLink(key, wait);
+  call.awaitsBody = true;
+  call.request.body.reserve(static_cast<size_t>(bytes));
+  bodies_.announce({key.connection, key.callId}, bytes, static_cast<int>(call.priority), call.latestStart, now);
+  grantBodies();
+}
+
+void EndpointCalls::grantBodies() {
+  for (const auto& granted : bodies_.grant(scheduler_.now())) {
+    wire::CallBodyGrant grant;
+    grant.callId = granted.body.call;
+    grant.upToBytes = granted.upToBytes;
+    network_.send(granted.body.connection, wire::encodeFrame(grant));
+  }
+  if (bodies_.empty()) return bodyTimer_.stop();
+  if (!bodyTimer_.running()) bodyTimer_.start(kBodyInterval);
+}
+
+void EndpointCalls::onBodyTimer() {
+  for (const auto& body : bodies_.takeExpired(scheduler_.now())) {
+    const CallKey key{body.connection, body.call};
+    auto& call = calls_[key];
+    call.awaitsBody = false;
+    const auto rank = static_cast<int>(call.priority);
+    refuseForLink(key, bodies_.expectedWait(call.request.bodyBytes, rank, call.latestStart));
+  }
+  grantBodies();
+}
+
+void EndpointCalls::onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece) {
+  const CallKey key{connection, piece.callId};
+  const auto found = calls_.find(key);
+  if (found == calls_.end() || !found->second.awaitsBody) return;
+  auto& call = found->second;
+  call.request.body += piece.data;
+  const auto arrived = static_cast<int64_t>(piece.data.size());
+  const bool whole = bodies_.onBytes({connection, piece.callId}, arrived, scheduler_.now());
+  if (whole) {
+    call.awaitsBody = false;
+    const bool asAnnounced = static_cast<int64_t>(call.request.body.size()) == call.request.bodyBytes;
+    if (asAnnounced) {
+      admit(key);
+    } else {
+      refuse(key, ErrorCode::kBadFrame, base::Duration(0));
+    }
+  }
+  grantBodies();
+}
+
+void EndpointCalls::refuseAwaitingBodies() {
+  std::vector<CallKey> awaiting;
+  for (const auto& [key, call] : calls_) {
+    if (call.awaitsBody) awaiting.push_back(key);
+  }
+  for (const auto& key : awaiting) {
+    dropBody(key, &calls_[key]);
+    refuse(key, ErrorCode::kDraining, base::Duration(0));
+  }
+}
+
+void EndpointCalls::dropBody(const CallKey& key, Call* call) {
+  if (!call->awaitsBody) return;
+  call->awaitsBody = false;
+  bodies_.drop({key.connection, key.callId});
+}
+
 base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
   const int targetMs = call.request.targetLatencyMs;
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
@@ -317,12 +408,36 @@
   answer(key, std::move(response));
 }
 
+void EndpointCalls::refuseForLink(const CallKey& key, base::Duration wait) {
+  ++counters_.refused;
+  ++counters_.refusedForLink;
+  const auto retryAfter = std::max(wait, options_.overloadRetryAfter);
+  logRefusal(calls_[key], ErrorCode::kOverloaded, retryAfter);
+  wire::CallResponse response;
+  response.outcome = wire::CallOutcome::NOT_RUN;
+  response.errorCode = static_cast<int>(ErrorCode::kOverloaded);
+  response.retryAfterMs = static_cast<int32_t>(retryAfter.count() / 1000);
+  response.fullForBodies = true;
+  response.fullForMs = static_cast<int32_t>(fullForBody(calls_[key].request.bodyBytes).count() / 1000);
+  answer(key, std::move(response));
+}
+
+/// As fullFor(), for nodes that ask with bodies: a link takes the next one when one has come through.
+base::Duration EndpointCalls::fullForBody(int64_t bytes) const {
+  const auto since = scheduler_.now() - kAskingMemory;
+  const auto asking =
+      std::count_if(askers_.begin(), askers_.end(), [&](const auto& item) { return item.second.announcedAt >= since; });
+  const double interval = static_cast<double>(bytes) / static_cast<double>(bodies_.bytesPerSecond());
+  const auto each = microsecondsOf(interval * 1e6);
+  return std::min(options_.maxFullFor, each * asking / kRequestsPerFreeSlot);
+}
+
 /// The nodes that ask are to ask, all together, somewhat more often than slots become free: a request that is refused
 /// has crossed this node's link with its body for nothing, and many nodes fill the link.
 base::Duration EndpointCalls::fullFor() const {
   const auto since = scheduler_.now() - kAskingMemory;
   const auto asking =
-      std::count_if(askedAt_.begin(), askedAt_.end(), [&](const auto& item) { return item.second >= since; });
+      std::count_if(askers_.begin(), askers_.end(), [&](const auto& item) { return item.second.askedAt >= since; });
   return std::min(options_.maxFullFor, limiter_.slotInterval() * asking / kRequestsPerFreeSlot);
 }
 
@@ -364,6 +479,11 @@
   const auto found = calls_.find(key);
   if (found == calls_.end()) return;
   ++counters_.cancelled;
+  if (found->second.awaitsBody) {
+    dropBody(key, &found->second);
+    calls_.erase(found);
+    return grantBodies();
+  }
   if (!found->second.running) {
     limiter_.cancel(found->second.ticket);
     calls_.erase(found);
@@ -383,7 +503,7 @@
 }
 
 void EndpointCalls::onClose(base::ConnectionId connection) {
-  askedAt_.erase(connection);
+  askers_.erase(connection);
   callerServices_.erase(connection);
   std::vector<int64_t> callIds;
   for (auto call = calls_.lower_bound({connection, INT64_MIN}); call != calls_.end(); ++call) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -14,6 +14,7 @@
 #include "ledger/ledger_client.h"
 #include "limits/slot_limiter.h"
 #include "node/call_types.h"
+#include "overload/body_intake.h"
 #include "overload/call_origins.h"
 #include "routing/routing_table.h"
 
@@ -39,6 +40,7 @@
   std::string requestIdHeader;           ///< header, in lower case, by which logs name a call; empty for none
   base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
   base::Duration maxFullFor = base::milliseconds(1500);  ///< longest time for which an asking node is sent away
+  overload::body_intake_options bodies;
 };
 
 /// Counters of the endpoint side.
@@ -49,6 +51,7 @@
   int64_t unknown = 0;
   int64_t cancelled = 0;
   int64_t replayed = 0;           ///< answered from the ledger, without a run
+  int64_t refusedForLink = 0;     ///< refused since their body could not have arrived in time
   base::LatencyHistogram waited;  ///< of calls that started: from their arrival to their start
   base::LatencyHistogram ran;     ///< of completed calls: from their start to the back end's answer
 };
@@ -70,6 +73,7 @@
 
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onRequest(base::ConnectionId connection, const wire::CallRequest& request);
+  void onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece);
   void onCancel(base::ConnectionId connection, int64_t callId);
   void onClose(base::ConnectionId connection);
 
@@ -91,6 +95,7 @@
   size_t active() const { return calls_.size(); }
   const EndpointCounters& counters() const { return counters_; }
   const limits::SlotLimiter& limiter() const { return limiter_; }
+  const overload::body_intake& bodies() const { return bodies_; }
 
  private:
   struct CallKey {
@@ -103,6 +108,8 @@
     wire::CallRequest request;
     base::TimePoint deadline;
     base::TimePoint arrivedAt{};
+    base::TimePoint latestStart{};  // at which the back end must get it for its answer to be of use
+    bool awaitsBody = false;        // pieces of its body are still to come
     limits::TicketId ticket = 0;
     bool nested = false;  // made by a back end, as far as can be told
     limits::Priority priority = limits::Priority::kNormal;
@@ -113,6 +120,18 @@
     int claimsTried = 0;  // while another owner holds the key
   };
 
+  /// When a connected node last asked for something.
+  struct Asker {
+    base::TimePoint askedAt{};
+    base::TimePoint announcedAt{};  // a call with a body in pieces
+  };
+
+  void admit(const CallKey& key);
+  void awaitBody(const CallKey& key);
+  void grantBodies();
+  void onBodyTimer();
+  void refuseAwaitingBodies();
+  void dropBody(const CallKey& key, Call* call);
   void run(const CallKey& key);
   void sendToBackend(const CallKey& key);
   void claim(const CallKey& key);
@@ -136,6 +155,8 @@
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
   base::Duration fullFor() const;
+  base::Duration fullForBody(int64_t bytes) const;
+  void refuseForLink(const CallKey& key, base::Duration wait);
   void logRefusal(const Call& call, base::ErrorCode error, base::Duration retryAfter);
   void logUnknown(const Call& call, base::ErrorCode error);
   std::string requestIdOf(const wire::CallRequest& request) const;
@@ -148,9 +169,11 @@
   ledger::LedgerClient* ledger_;  // may be null
   limits::SlotLimiter limiter_;
   std::map<CallKey, Call> calls_;
-  std::map<base::ConnectionId, base::TimePoint> askedAt_;     // when each connected node last asked
+  std::map<base::ConnectionId, Asker> askers_;
   std::map<base::ConnectionId, std::string> callerServices_;  // the services beside the connected nodes
   overload::call_origins origins_;
+  overload::body_intake bodies_;
+  base::Timer bodyTimer_;  // runs while bodies are awaited
   bool draining_ = false;
   std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
   base::Timer expiryTimer_;           // runs while requests wait for a slot
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -25,6 +25,9 @@
 /// Told to callers of a node without a version: it has just started, and gets one within about this time.
 constexpr int kNoTableRetryAfterMs = 1000;
 constexpr int kMaxBackoffDoublings = 4;
+/// A body up to this size travels with its call: on a link of 2 Mbit/s it holds others up for 16 ms at the most, and to
+/// wait for a grant would cost a round trip.
+constexpr size_t kInlineBodyBytes = 4096;
 
 int milliseconds(base::Duration duration) { return static_cast<int>(duration.count() / 1000); }
 
@@ -125,11 +128,13 @@
   endpointOf_[found->second.connection] = endpoint;
 }
 
-void EntryCalls::onOpen(base::ConnectionId connection, const wire::Hello& /*peer*/) {
+void EntryCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   const auto endpoint = endpointOf_.find(connection);
   if (endpoint == endpointOf_.end()) return;
   auto& link = links_[endpoint->second];
   link.open = true;
+  // Bodies for the back end beside this node cross no link.
+  link.takesBodyPieces = peer.takesBodyPieces && peer.id != options_.nodeId;
   log_.info("link endpoint={} address={}:{} up", endpoint->second, link.address.host, link.address.port);
   link.failures = 0;
   picker_.setConnected(endpoint->second, true);
@@ -150,6 +155,12 @@
     attempts_.erase(attemptId);
     dropAttempt(attempt.call, attemptId);
     picker_.onDone(endpoint, base::Duration(0), true);
+    if (!bodyLeft(attempt)) {
+      onAttemptFailed(attempt.call, Reach::kNode,
+                      failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kConnectionLost, kUnavailableStatus,
+                                    milliseconds(spread(options_.overloadRetryAfter))));
+      continue;
+    }
     onAttemptFailed(attempt.call, Reach::kMayHaveRun,
                     failureAnswer(CallOutcome::UNKNOWN, ErrorCode::kConnectionLost, kBadGatewayStatus, 0));
   }
@@ -262,8 +273,7 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
-  const auto* target =
-      picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call), call.inbound.body.size());
+  const auto* target = pickEndpoint(call);
   if (target == nullptr) {
     if (!call.tried.empty()) return finish(id, call.lastFailure);
     return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
@@ -273,6 +283,12 @@
   armHedge(id, &call);
 }
 
+const routing::EndpointTarget* EntryCalls::pickEndpoint(const Call& call) {
+  const size_t bytes = call.inbound.body.size();
+  return picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call),
+                      bytes > kInlineBodyBytes ? bytes : 0);
+}
+
 void EntryCalls::dropAttempt(CallId call, int64_t attemptId) {
   const auto found = calls_.find(call);
   if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
@@ -293,8 +309,7 @@
 }
 
 const routing::EndpointTarget* EntryCalls::idleEndpoint(const Call& call) {
-  const auto* target =
-      picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call), call.inbound.body.size());
+  const auto* target = pickEndpoint(call);
   const bool idle = target != nullptr && picker_.busyShare(*target) < options_.hedgeIdleShare;
   return idle ? target : nullptr;
 }
@@ -324,7 +339,9 @@
   call->endpoint = target.name;
   call->inFlight.push_back(attemptId);
   const auto& link = links_[target.name];
-  attempts_[attemptId] = {id, target.name, link.connection, now};
+  const size_t bodyBytes = call->inbound.body.size();
+  const bool inPieces = link.takesBodyPieces && bodyBytes > kInlineBodyBytes;
+  attempts_[attemptId] = {id, target.name, link.connection, now, inPieces ? 0 : bodyBytes};
   picker_.onSent(target.name);
   wire::CallRequest request;
   request.callId = attemptId;
@@ -332,7 +349,11 @@
   request.method = call->inbound.method;
   request.path = call->inbound.path;
   request.headers = call->inbound.headers;
-  request.body = call->inbound.body;
+  if (inPieces) {
+    request.bodyBytes = static_cast<int64_t>(bodyBytes);
+  } else {
+    request.body = call->inbound.body;
+  }
   request.remainingMs = static_cast<int32_t>(std::max<int64_t>(1, remainingMs(call->deadline, now)));
   request.idempotencyKey = call->idempotencyKey;
   request.endpoint = target.name;
@@ -345,6 +366,40 @@
 
 void EntryCalls::onMessage(base::ConnectionId connection, wire::Message message) {
   if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
+  if (const auto* grant = std::get_if<wire::CallBodyGrant>(&message)) onBodyGrant(connection, *grant);
+}
+
+void EntryCalls::onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant) {
+  const auto found = attempts_.find(grant.callId);
+  if (found == attempts_.end() || found->second.connection != connection) return;
+  auto& attempt = found->second;
+  const auto& body = calls_.at(attempt.call).inbound.body;
+  const size_t upTo = std::min(body.size(), static_cast<size_t>(std::max<int64_t>(0, grant.upToBytes)));
+  if (upTo <= attempt.bodySent) return;
+  wire::CallBodyPiece piece;
+  piece.callId = grant.callId;
+  piece.data = body.substr(attempt.bodySent, upTo - attempt.bodySent);
+  attempt.bodySent = upTo;
+  network_.send(connection, wire::encodeFrame(piece));
+}
+
+bool EntryCalls::bodyLeft(const Attempt& attempt) const {
+  const auto call = calls_.find(attempt.call);
+  return call == calls_.end() || attempt.bodySent == call->second.inbound.body.size();
+}
+
+void EntryCalls::refuseUnsent() {
+  std::vector<CallId> unsent;
+  for (const auto& [id, call] : calls_) {
+    const bool left = std::any_of(call.inFlight.begin(), call.inFlight.end(), [this](int64_t attemptId) {
+      const auto attempt = attempts_.find(attemptId);
+      return attempt == attempts_.end() || bodyLeft(attempt->second);
+    });
+    if (!left) unsent.push_back(id);
+  }
+  for (const auto id : unsent) {
+    finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kDraining, kUnavailableStatus, kDefaultRetryAfterMs));
+  }
 }
 
 void EntryCalls::onResponse(base::ConnectionId connection, const wire::CallResponse& response) {
@@ -393,7 +448,11 @@
     picker_.onReport(attempt.endpoint, response.inFlight);
     const auto call = calls_.find(attempt.call);
     const auto fullFor = std::max(options_.fullFor, spread(base::milliseconds(response.fullForMs)));
-    if (call != calls_.end()) picker_.onFull(attempt.endpoint, rankOf(call->second), fullFor);
+    if (response.fullForBodies) {
+      picker_.onFullForBodies(attempt.endpoint, fullFor);
+    } else if (call != calls_.end()) {
+      picker_.onFull(attempt.endpoint, rankOf(call->second), fullFor);
+    }
   }
   if (error == ErrorCode::kKeyReused) {
     return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -82,6 +82,9 @@
   /// Refuses every call that begins from now on as not run; those in progress go on.
   void refuseNew() { refusing_ = true; }
 
+  /// Refuses the calls in progress whose bodies have not left whole: no back end can have run these.
+  void refuseUnsent();
+
   /// The caller went away.
   void abandon(CallId call);
 
@@ -123,13 +126,15 @@
     std::string endpoint;
     base::ConnectionId connection;
     base::TimePoint sentAt;
+    size_t bodySent = 0;  // bytes of the call's body
   };
 
   struct Link {
     base::Address address;
     base::ConnectionId connection = 0;  // 0 while waiting to reconnect
     bool open = false;
-    int failures = 0;  // connections lost in a row
+    bool takesBodyPieces = false;  // its node grants bodies as its link has room
+    int failures = 0;              // connections lost in a row
     base::TimePoint lostAt{};
   };
 
@@ -145,6 +150,9 @@
   void attempt(CallId id);
   void send(CallId id, Call* call, const routing::EndpointTarget& target);
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
+  void onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant);
+  bool bodyLeft(const Attempt& attempt) const;
+  const routing::EndpointTarget* pickEndpoint(const Call& call);
   /// How far an attempt that failed had come.
   enum class Reach { kNode, kRefusedByBackend, kMayHaveRun };
 
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -23,7 +23,8 @@
 }
 
 std::vector<const EndpointTarget*> EndpointPicker::candidates(const std::vector<EndpointTarget>& endpoints,
-                                                              const std::set<std::string>& excluded, int rank) {
+                                                              const std::set<std::string>& excluded, int rank,
+                                                              size_t bodyBytes) {
   const auto now = time_.now();
   std::vector<const EndpointTarget*> good;
   std::vector<const EndpointTarget*> connected;
@@ -34,6 +35,7 @@
     const auto& state = states_[endpoint.name];
     if (!state.connected || excluded.count(endpoint.name) > 0) continue;
     if (state.fullUntil > now && rank >= state.fullRank) continue;
+    if (bodyBytes > 0 && state.fullForBodiesUntil > now) continue;
     connected.push_back(&endpoint);
     if (usable(state, now)) good.push_back(&endpoint);
   }
@@ -66,7 +68,7 @@
 
 const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                                            const std::set<std::string>& excluded, int rank, size_t bodyBytes) {
-  const auto choices = candidates(endpoints, excluded, rank);
+  const auto choices = candidates(endpoints, excluded, rank, bodyBytes);
   if (choices.empty()) return nullptr;
   if (choices.size() == 1) return choices[0];
   if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone, bodyBytes);
@@ -128,6 +130,11 @@
   state.fullUntil = std::max(state.fullUntil, now + until);
 }
 
+void EndpointPicker::onFullForBodies(const std::string& endpoint, base::Duration duration) {
+  auto& state = states_[endpoint];
+  state.fullForBodiesUntil = std::max(state.fullForBodiesUntil, time_.now() + duration);
+}
+
 void EndpointPicker::onReport(const std::string& endpoint, int inFlight) {
   auto& state = states_[endpoint];
   state.othersInFlight = std::max(0, inFlight - state.inFlight);
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -55,7 +55,8 @@
   /// @return null when there is no candidate
   /// @param rank how urgent the request is, lower first; endpoints that refused an equal or more urgent request for
   /// want of slots are left out for a while
-  /// @param bodyBytes size of the request's body, which is to cross to another zone only where that gains much
+  /// @param bodyBytes size of a body that is large enough to matter, which is to cross to another zone only where that
+  /// gains much; else 0
   const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                              const std::set<std::string>& excluded, int rank = 0, size_t bodyBytes = 0);
 
@@ -72,6 +73,10 @@
   /// The endpoint refused a request of this rank for want of slots, and is not asked again before the given time.
   void onFull(const std::string& endpoint, int rank, base::Duration until);
 
+  /// The endpoint refused a request since its body could not have crossed the endpoint's link in time; no other request
+  /// with a large body goes there for this time.
+  void onFullForBodies(const std::string& endpoint, base::Duration duration);
+
   /// Forgets an endpoint that is gone for good.
   void forget(const std::string& endpoint) { states_.erase(endpoint); }
 
@@ -103,6 +108,7 @@
     base::TimePoint since{};  // when it was first connected
     int fullRank = 0;         // the most urgent rank that was refused, until fullUntil
     base::TimePoint fullUntil{};
+    base::TimePoint fullForBodiesUntil{};
   };
 
   bool usable(const State& state, base::TimePoint now) const;
@@ -112,7 +118,7 @@
                                         size_t bodyBytes);
   double slowStartShare(const State& state, base::TimePoint now) const;
   std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
-                                                const std::set<std::string>& excluded, int rank);
+                                                const std::set<std::string>& excluded, int rank, size_t bodyBytes);
 
   PickerOptions options_;
   const base::TimeSource& time_;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -291,6 +291,8 @@
   10: bool compresses
   /** Service of the back end beside a node; empty where there is none. */
   11: string serviceName
+  /** Whether the bodies of calls may follow in pieces, as they are granted. */
+  12: bool takesBodyPieces
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -509,6 +511,8 @@
   12: i32 targetLatencyMs
   /** How long the caller had waited before this call, with earlier ones that were refused; 0 when it is not known. */
   13: i32 waitedMs
+  /** Size of a body that follows in pieces; 0 where the body is in this message. */
+  14: i64 bodyBytes
 }
 
 /** How a call ended, as seen by the side that answers it. */
@@ -529,12 +533,26 @@
   8: i32 retryAfterMs
   /** With OVERLOADED: time for which the asking node is to leave the endpoint alone; 0 when it may choose. */
   9: i32 fullForMs
+  /** Whether only calls with large bodies are to leave the endpoint alone, since its link is full. */
+  10: bool fullForBodies
 }
 
 struct CallCancel {
   1: i64 callId
 }
 
+/** Allows the sender of a call to send its body up to this size. */
+struct CallBodyGrant {
+  1: i64 callId
+  2: i64 upToBytes
+}
+
+/** The next piece of the body of a call. */
+struct CallBodyPiece {
+  1: i64 callId
+  2: binary data
+}
+
 /** The members of the replicated log as a controller knows them, for those that look for them. */
 struct MemberList {
   1: list<Member> members
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -5524,6 +5524,10 @@
 void Hello::__set_serviceName(const std::string& val) {
   this->serviceName = val;
 }
+
+void Hello::__set_takesBodyPieces(const bool val) {
+  this->takesBodyPieces = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -5642,6 +5646,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takesBodyPieces);
+          this->__isset.takesBodyPieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5703,6 +5715,10 @@
   xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("takesBodyPieces", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->takesBodyPieces);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5721,6 +5737,7 @@
   swap(a.relayPort, b.relayPort);
   swap(a.compresses, b.compresses);
   swap(a.serviceName, b.serviceName);
+  swap(a.takesBodyPieces, b.takesBodyPieces);
   swap(a.__isset, b.__isset);
 }
 
@@ -5736,6 +5753,7 @@
   relayPort = other208.relayPort;
   compresses = other208.compresses;
   serviceName = other208.serviceName;
+  takesBodyPieces = other208.takesBodyPieces;
   __isset = other208.__isset;
 }
 Hello::Hello(Hello&& other209) noexcept {
@@ -5750,6 +5768,7 @@
   relayPort = other209.relayPort;
   compresses = other209.compresses;
   serviceName = std::move(other209.serviceName);
+  takesBodyPieces = other209.takesBodyPieces;
   __isset = other209.__isset;
 }
 Hello& Hello::operator=(const Hello& other210) {
@@ -5764,6 +5783,7 @@
   relayPort = other210.relayPort;
   compresses = other210.compresses;
   serviceName = other210.serviceName;
+  takesBodyPieces = other210.takesBodyPieces;
   __isset = other210.__isset;
   return *this;
 }
@@ -5779,6 +5799,7 @@
   relayPort = other211.relayPort;
   compresses = other211.compresses;
   serviceName = std::move(other211.serviceName);
+  takesBodyPieces = other211.takesBodyPieces;
   __isset = other211.__isset;
   return *this;
 }
@@ -5796,6 +5817,7 @@
   out << ", " << "relayPort=" << to_string(relayPort);
   out << ", " << "compresses=" << to_string(compresses);
   out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "takesBodyPieces=" << to_string(takesBodyPieces);
   out << ")";
 }
 
@@ -10231,6 +10253,10 @@
 void CallRequest::__set_waitedMs(const int32_t val) {
   this->waitedMs = val;
 }
+
+void CallRequest::__set_bodyBytes(const int64_t val) {
+  this->bodyBytes = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -10375,6 +10401,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyBytes);
+          this->__isset.bodyBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10452,6 +10486,10 @@
   xfer += oprot->writeI32(this->waitedMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->bodyBytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10472,6 +10510,7 @@
   swap(a.runOnce, b.runOnce);
   swap(a.targetLatencyMs, b.targetLatencyMs);
   swap(a.waitedMs, b.waitedMs);
+  swap(a.bodyBytes, b.bodyBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -10489,6 +10528,7 @@
   runOnce = other387.runOnce;
   targetLatencyMs = other387.targetLatencyMs;
   waitedMs = other387.waitedMs;
+  bodyBytes = other387.bodyBytes;
   __isset = other387.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other388) noexcept {
@@ -10505,6 +10545,7 @@
   runOnce = other388.runOnce;
   targetLatencyMs = other388.targetLatencyMs;
   waitedMs = other388.waitedMs;
+  bodyBytes = other388.bodyBytes;
   __isset = other388.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other389) {
@@ -10521,6 +10562,7 @@
   runOnce = other389.runOnce;
   targetLatencyMs = other389.targetLatencyMs;
   waitedMs = other389.waitedMs;
+  bodyBytes = other389.bodyBytes;
   __isset = other389.__isset;
   return *this;
 }
@@ -10538,6 +10580,7 @@
   runOnce = other390.runOnce;
   targetLatencyMs = other390.targetLatencyMs;
   waitedMs = other390.waitedMs;
+  bodyBytes = other390.bodyBytes;
   __isset = other390.__isset;
   return *this;
 }
@@ -10557,6 +10600,7 @@
   out << ", " << "runOnce=" << to_string(runOnce);
   out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
   out << ", " << "waitedMs=" << to_string(waitedMs);
+  out << ", " << "bodyBytes=" << to_string(bodyBytes);
   out << ")";
 }
 
@@ -10600,6 +10644,10 @@
 void CallResponse::__set_fullForMs(const int32_t val) {
   this->fullForMs = val;
 }
+
+void CallResponse::__set_fullForBodies(const bool val) {
+  this->fullForBodies = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -10714,6 +10762,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fullForBodies);
+          this->__isset.fullForBodies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10775,6 +10831,10 @@
   xfer += oprot->writeI32(this->fullForMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fullForBodies", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->fullForBodies);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10791,6 +10851,7 @@
   swap(a.inFlight, b.inFlight);
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.fullForMs, b.fullForMs);
+  swap(a.fullForBodies, b.fullForBodies);
   swap(a.__isset, b.__isset);
 }
 
@@ -10804,6 +10865,7 @@
   inFlight = other398.inFlight;
   retryAfterMs = other398.retryAfterMs;
   fullForMs = other398.fullForMs;
+  fullForBodies = other398.fullForBodies;
   __isset = other398.__isset;
 }
 CallResponse::CallResponse(CallResponse&& other399) noexcept {
@@ -10816,6 +10878,7 @@
   inFlight = other399.inFlight;
   retryAfterMs = other399.retryAfterMs;
   fullForMs = other399.fullForMs;
+  fullForBodies = other399.fullForBodies;
   __isset = other399.__isset;
 }
 CallResponse& CallResponse::operator=(const CallResponse& other400) {
@@ -10828,6 +10891,7 @@
   inFlight = other400.inFlight;
   retryAfterMs = other400.retryAfterMs;
   fullForMs = other400.fullForMs;
+  fullForBodies = other400.fullForBodies;
   __isset = other400.__isset;
   return *this;
 }
@@ -10841,6 +10905,7 @@
   inFlight = other401.inFlight;
   retryAfterMs = other401.retryAfterMs;
   fullForMs = other401.fullForMs;
+  fullForBodies = other401.fullForBodies;
   __isset = other401.__isset;
   return *this;
 }
@@ -10856,6 +10921,7 @@
   out << ", " << "inFlight=" << to_string(inFlight);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "fullForMs=" << to_string(fullForMs);
+  out << ", " << "fullForBodies=" << to_string(fullForBodies);
   out << ")";
 }
 
@@ -10961,6 +11027,252 @@
 }
 
 
+CallBodyGrant::~CallBodyGrant() noexcept {
+}
+
+
+void CallBodyGrant::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void CallBodyGrant::__set_upToBytes(const int64_t val) {
+  this->upToBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallBodyGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallBodyGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upToBytes);
+          this->__isset.upToBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallBodyGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallBodyGrant");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upToBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->upToBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallBodyGrant &a, CallBodyGrant &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.upToBytes, b.upToBytes);
+  swap(a.__isset, b.__isset);
+}
+
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other406) noexcept {
+  callId = other406.callId;
+  upToBytes = other406.upToBytes;
+  __isset = other406.__isset;
+}
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other407) noexcept {
+  callId = other407.callId;
+  upToBytes = other407.upToBytes;
+  __isset = other407.__isset;
+}
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other408) noexcept {
+  callId = other408.callId;
+  upToBytes = other408.upToBytes;
+  __isset = other408.__isset;
+  return *this;
+}
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other409) noexcept {
+  callId = other409.callId;
+  upToBytes = other409.upToBytes;
+  __isset = other409.__isset;
+  return *this;
+}
+void CallBodyGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallBodyGrant(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "upToBytes=" << to_string(upToBytes);
+  out << ")";
+}
+
+
+CallBodyPiece::~CallBodyPiece() noexcept {
+}
+
+
+void CallBodyPiece::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void CallBodyPiece::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallBodyPiece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallBodyPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallBodyPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallBodyPiece");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallBodyPiece &a, CallBodyPiece &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.data, b.data);
+  swap(a.__isset, b.__isset);
+}
+
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other410) {
+  callId = other410.callId;
+  data = other410.data;
+  __isset = other410.__isset;
+}
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other411) noexcept {
+  callId = other411.callId;
+  data = std::move(other411.data);
+  __isset = other411.__isset;
+}
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other412) {
+  callId = other412.callId;
+  data = other412.data;
+  __isset = other412.__isset;
+  return *this;
+}
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other413) noexcept {
+  callId = other413.callId;
+  data = std::move(other413.data);
+  __isset = other413.__isset;
+  return *this;
+}
+void CallBodyPiece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallBodyPiece(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "data=" << to_string(data);
+  out << ")";
+}
+
+
 MemberList::~MemberList() noexcept {
 }
 
@@ -11000,14 +11312,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->members.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->members.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->members[_i410].read(iprot);
+              xfer += this->members[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11036,10 +11348,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter411;
-    for (_iter411 = this->members.begin(); _iter411 != this->members.end(); ++_iter411)
+    std::vector<Member> ::const_iterator _iter419;
+    for (_iter419 = this->members.begin(); _iter419 != this->members.end(); ++_iter419)
     {
-      xfer += (*_iter411).write(oprot);
+      xfer += (*_iter419).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11056,22 +11368,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other412) {
-  members = other412.members;
-  __isset = other412.__isset;
+MemberList::MemberList(const MemberList& other420) {
+  members = other420.members;
+  __isset = other420.__isset;
 }
-MemberList::MemberList(MemberList&& other413) noexcept {
-  members = std::move(other413.members);
-  __isset = other413.__isset;
+MemberList::MemberList(MemberList&& other421) noexcept {
+  members = std::move(other421.members);
+  __isset = other421.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other414) {
-  members = other414.members;
-  __isset = other414.__isset;
+MemberList& MemberList::operator=(const MemberList& other422) {
+  members = other422.members;
+  __isset = other422.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other415) noexcept {
-  members = std::move(other415.members);
-  __isset = other415.__isset;
+MemberList& MemberList::operator=(MemberList&& other423) noexcept {
+  members = std::move(other423.members);
+  __isset = other423.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -11191,30 +11503,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other416) {
-  address = other416.address;
-  port = other416.port;
-  zone = other416.zone;
-  __isset = other416.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other424) {
+  address = other424.address;
+  port = other424.port;
+  zone = other424.zone;
+  __isset = other424.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other417) noexcept {
-  address = std::move(other417.address);
-  port = other417.port;
-  zone = std::move(other417.zone);
-  __isset = other417.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other425) noexcept {
+  address = std::move(other425.address);
+  port = other425.port;
+  zone = std::move(other425.zone);
+  __isset = other425.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other418) {
-  address = other418.address;
-  port = other418.port;
-  zone = other418.zone;
-  __isset = other418.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other426) {
+  address = other426.address;
+  port = other426.port;
+  zone = other426.zone;
+  __isset = other426.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other419) noexcept {
-  address = std::move(other419.address);
-  port = other419.port;
-  zone = std::move(other419.zone);
-  __isset = other419.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other427) noexcept {
+  address = std::move(other427.address);
+  port = other427.port;
+  zone = std::move(other427.zone);
+  __isset = other427.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -11266,14 +11578,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size420;
-            ::apache::thrift::protocol::TType _etype423;
-            xfer += iprot->readListBegin(_etype423, _size420);
-            this->relays.resize(_size420);
-            uint32_t _i424;
-            for (_i424 = 0; _i424 < _size420; ++_i424)
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->relays.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
             {
-              xfer += this->relays[_i424].read(iprot);
+              xfer += this->relays[_i432].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11302,10 +11614,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter425;
-    for (_iter425 = this->relays.begin(); _iter425 != this->relays.end(); ++_iter425)
+    std::vector<RelayAddress> ::const_iterator _iter433;
+    for (_iter433 = this->relays.begin(); _iter433 != this->relays.end(); ++_iter433)
     {
-      xfer += (*_iter425).write(oprot);
+      xfer += (*_iter433).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11322,22 +11634,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other426) {
-  relays = other426.relays;
-  __isset = other426.__isset;
+RelayList::RelayList(const RelayList& other434) {
+  relays = other434.relays;
+  __isset = other434.__isset;
 }
-RelayList::RelayList(RelayList&& other427) noexcept {
-  relays = std::move(other427.relays);
-  __isset = other427.__isset;
+RelayList::RelayList(RelayList&& other435) noexcept {
+  relays = std::move(other435.relays);
+  __isset = other435.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other428) {
-  relays = other428.relays;
-  __isset = other428.__isset;
+RelayList& RelayList::operator=(const RelayList& other436) {
+  relays = other436.relays;
+  __isset = other436.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other429) noexcept {
-  relays = std::move(other429.relays);
-  __isset = other429.__isset;
+RelayList& RelayList::operator=(RelayList&& other437) noexcept {
+  relays = std::move(other437.relays);
+  __isset = other437.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -11402,18 +11714,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other430) noexcept {
-  (void) other430;
+StartCompression::StartCompression(const StartCompression& other438) noexcept {
+  (void) other438;
 }
-StartCompression::StartCompression(StartCompression&& other431) noexcept {
-  (void) other431;
+StartCompression::StartCompression(StartCompression&& other439) noexcept {
+  (void) other439;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other432) noexcept {
-  (void) other432;
+StartCompression& StartCompression::operator=(const StartCompression& other440) noexcept {
+  (void) other440;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other433) noexcept {
-  (void) other433;
+StartCompression& StartCompression::operator=(StartCompression&& other441) noexcept {
+  (void) other441;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -274,6 +274,10 @@
 
 class CallCancel;
 
+class CallBodyGrant;
+
+class CallBodyPiece;
+
 class MemberList;
 
 class RelayAddress;
@@ -2256,7 +2260,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2268,6 +2272,7 @@
   bool relayPort :1;
   bool compresses :1;
   bool serviceName :1;
+  bool takesBodyPieces :1;
 } _Hello__isset;
 
 /**
@@ -2291,7 +2296,8 @@
           httpPort(0),
           relayPort(0),
           compresses(0),
-          serviceName() {
+          serviceName(),
+          takesBodyPieces(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2313,6 +2319,10 @@
    * Service of the back end beside a node; empty where there is none.
    */
   std::string serviceName;
+  /**
+   * Whether the bodies of calls may follow in pieces, as they are granted.
+   */
+  bool takesBodyPieces;
 
   _Hello__isset __isset;
 
@@ -2338,6 +2348,8 @@
 
   void __set_serviceName(const std::string& val);
 
+  void __set_takesBodyPieces(const bool val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2362,6 +2374,8 @@
       return false;
     if (!(serviceName == rhs.serviceName))
       return false;
+    if (!(takesBodyPieces == rhs.takesBodyPieces))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -4100,7 +4114,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -4114,6 +4128,7 @@
   bool runOnce :1;
   bool targetLatencyMs :1;
   bool waitedMs :1;
+  bool bodyBytes :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4135,7 +4150,8 @@
                 priority(0),
                 runOnce(0),
                 targetLatencyMs(0),
-                waitedMs(0) {
+                waitedMs(0),
+                bodyBytes(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4155,6 +4171,10 @@
    * How long the caller had waited before this call, with earlier ones that were refused; 0 when it is not known.
    */
   int32_t waitedMs;
+  /**
+   * Size of a body that follows in pieces; 0 where the body is in this message.
+   */
+  int64_t bodyBytes;
 
   _CallRequest__isset __isset;
 
@@ -4184,6 +4204,8 @@
 
   void __set_waitedMs(const int32_t val);
 
+  void __set_bodyBytes(const int64_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4212,6 +4234,8 @@
       return false;
     if (!(waitedMs == rhs.waitedMs))
       return false;
+    if (!(bodyBytes == rhs.bodyBytes))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -4231,7 +4255,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false) {}
+  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false), fullForBodies(false) {}
   bool callId :1;
   bool outcome :1;
   bool httpStatus :1;
@@ -4241,6 +4265,7 @@
   bool inFlight :1;
   bool retryAfterMs :1;
   bool fullForMs :1;
+  bool fullForBodies :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -4258,7 +4283,8 @@
                  errorCode(0),
                  inFlight(0),
                  retryAfterMs(0),
-                 fullForMs(0) {
+                 fullForMs(0),
+                 fullForBodies(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -4278,6 +4304,10 @@
    * With OVERLOADED: time for which the asking node is to leave the endpoint alone; 0 when it may choose.
    */
   int32_t fullForMs;
+  /**
+   * Whether only calls with large bodies are to leave the endpoint alone, since its link is full.
+   */
+  bool fullForBodies;
 
   _CallResponse__isset __isset;
 
@@ -4299,6 +4329,8 @@
 
   void __set_fullForMs(const int32_t val);
 
+  void __set_fullForBodies(const bool val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4319,6 +4351,8 @@
       return false;
     if (!(fullForMs == rhs.fullForMs))
       return false;
+    if (!(fullForBodies == rhs.fullForBodies))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
@@ -4382,6 +4416,116 @@
 
 std::ostream& operator<<(std::ostream& out, const CallCancel& obj);
 
+typedef struct _CallBodyGrant__isset {
+  _CallBodyGrant__isset() : callId(false), upToBytes(false) {}
+  bool callId :1;
+  bool upToBytes :1;
+} _CallBodyGrant__isset;
+
+/**
+ * Allows the sender of a call to send its body up to this size.
+ */
+class CallBodyGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallBodyGrant(const CallBodyGrant&) noexcept;
+  CallBodyGrant(CallBodyGrant&&) noexcept;
+  CallBodyGrant& operator=(const CallBodyGrant&) noexcept;
+  CallBodyGrant& operator=(CallBodyGrant&&) noexcept;
+  CallBodyGrant() noexcept
+                : callId(0),
+                  upToBytes(0) {
+  }
+
+  virtual ~CallBodyGrant() noexcept;
+  int64_t callId;
+  int64_t upToBytes;
+
+  _CallBodyGrant__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_upToBytes(const int64_t val);
+
+  bool operator == (const CallBodyGrant & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(upToBytes == rhs.upToBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const CallBodyGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallBodyGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallBodyGrant &a, CallBodyGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const CallBodyGrant& obj);
+
+typedef struct _CallBodyPiece__isset {
+  _CallBodyPiece__isset() : callId(false), data(false) {}
+  bool callId :1;
+  bool data :1;
+} _CallBodyPiece__isset;
+
+/**
+ * The next piece of the body of a call.
+ */
+class CallBodyPiece : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallBodyPiece(const CallBodyPiece&);
+  CallBodyPiece(CallBodyPiece&&) noexcept;
+  CallBodyPiece& operator=(const CallBodyPiece&);
+  CallBodyPiece& operator=(CallBodyPiece&&) noexcept;
+  CallBodyPiece() noexcept
+                : callId(0),
+                  data() {
+  }
+
+  virtual ~CallBodyPiece() noexcept;
+  int64_t callId;
+  std::string data;
+
+  _CallBodyPiece__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_data(const std::string& val);
+
+  bool operator == (const CallBodyPiece & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    return true;
+  }
+  bool operator != (const CallBodyPiece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallBodyPiece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallBodyPiece &a, CallBodyPiece &b);
+
+std::ostream& operator<<(std::ostream& out, const CallBodyPiece& obj);
+
 typedef struct _MemberList__isset {
   _MemberList__isset() : members(false) {}
   bool members :1;
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -18,11 +18,13 @@
   void send(base::ConnectionId, const wire::FramePtr& frame) override {
     auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
     REQUIRE(message.ok());
+    if (const auto* grant = std::get_if<wire::CallBodyGrant>(&*message)) return grants.push_back(*grant);
     answers.push_back(std::get<wire::CallResponse>(*message));
   }
   void close(base::ConnectionId) override {}
   size_t queuedBytes(base::ConnectionId) const override { return 0; }
   std::vector<wire::CallResponse> answers;
+  std::vector<wire::CallBodyGrant> grants;
 };
 
 /// A back end that counts its runs and ends them in a given way.
@@ -289,4 +291,120 @@
   CHECK(sentAwayFor(20) <= 20);
 }
 
+namespace {
+
+/// An endpoint node on a link of 7.8 Mbit/s, to which bodies come in pieces.
+struct UploadFixture : Fixture {
+  static constexpr int64_t kBodyBytes = 60'000;
+
+  UploadFixture() {
+    EndpointOptions options;
+    options.service = "proofs";
+    options.defaultSlots = 12;
+    options.waitWithinTarget = true;
+    options.bodies.linkBytesPerSecond = 975'000;
+    backend = std::make_unique<CountingBackend>(process);
+    calls = std::make_unique<EndpointCalls>(options, process, network, *backend, nullptr);
+  }
+
+  void announce(int64_t id, int waitedMs = 0) {
+    wire::CallRequest request;
+    request.callId = id;
+    request.serviceName = "proofs";
+    request.method = "POST";
+    request.path = "/proofs";
+    request.bodyBytes = kBodyBytes;
+    request.runOnce = true;
+    request.remainingMs = 6000;
+    request.targetLatencyMs = 1000;
+    request.waitedMs = waitedMs;
+    calls->onRequest(1, request);
+  }
+
+  /// Sends what was granted and not sent so far.
+  void sendGranted() {
+    const auto grants = std::move(network.grants);
+    network.grants.clear();
+    for (const auto& grant : grants) {
+      wire::CallBodyPiece piece;
+      piece.callId = grant.callId;
+      piece.data.assign(static_cast<size_t>(grant.upToBytes - sent[grant.callId]), 'x');
+      sent[grant.callId] = grant.upToBytes;
+      calls->onBodyPiece(1, piece);
+    }
+  }
+
+  RecordingNetwork network;
+  std::unique_ptr<CountingBackend> backend;
+  std::unique_ptr<EndpointCalls> calls;
+  std::map<int64_t, int64_t> sent;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(UploadFixture, "a body comes in the pieces that were granted, and the back end gets it whole") {
+  announce(1);
+  CHECK(!network.grants.empty());
+  CHECK(network.grants.back().upToBytes < kBodyBytes);
+  CHECK(backend->runs == 0);
+  while (!network.grants.empty()) sendGranted();
+  runFor(base::milliseconds(10));
+  REQUIRE(network.answers.size() == 1);
+  CHECK(network.answers[0].outcome == wire::CallOutcome::COMPLETED);
+  CHECK(network.answers[0].body == "done " + std::string(kBodyBytes, 'x'));
+  CHECK(backend->runs == 1);
+}
+
+TEST_CASE_METHOD(UploadFixture, "a body that could not arrive in time is refused before any of it is sent") {
+  for (int64_t id = 1; id <= 40; ++id) announce(id);
+  CHECK(network.answers.size() >= 20);  // 40 bodies take 2.9 s on this link, and the target is 1 s
+  CHECK(network.answers.size() <= 30);
+  for (const auto& answer : network.answers) {
+    CHECK(answer.outcome == wire::CallOutcome::NOT_RUN);
+    CHECK(answer.fullForBodies);
+    CHECK(answer.retryAfterMs > 0);
+    CHECK(answer.fullForMs > 0);
+  }
+  CHECK(backend->runs == 0);
+  CHECK(calls->counters().refusedForLink == static_cast<int64_t>(network.answers.size()));
+}
+
+TEST_CASE_METHOD(UploadFixture, "a stop refuses the calls whose bodies are half in, and they never run") {
+  announce(1);
+  sendGranted();
+  calls->setDraining(true);
+  sendGranted();
+  runFor(base::milliseconds(100));
+  REQUIRE(network.answers.size() == 1);
+  CHECK(network.answers[0].outcome == wire::CallOutcome::NOT_RUN);
+  CHECK(network.answers[0].errorCode == static_cast<int>(base::ErrorCode::kDraining));
+  CHECK(backend->runs == 0);
+  CHECK(calls->active() == 0);
+  CHECK(calls->bodies().empty());
+}
+
+TEST_CASE_METHOD(UploadFixture, "a caller that leaves while its body comes gives its room to the next one") {
+  announce(1);
+  announce(2);
+  CHECK(network.grants.back().callId == 1);
+  calls->onCancel(1, 1);
+  CHECK(network.grants.back().callId == 2);
+  CHECK(calls->active() == 1);
+  calls->onClose(1);
+  CHECK(calls->active() == 0);
+  CHECK(calls->bodies().empty());
+}
+
+TEST_CASE_METHOD(UploadFixture, "a sender that never sends its body is refused once it would be late") {
+  announce(1);
+  runFor(base::milliseconds(200));
+  CHECK(network.answers.empty());
+  for (int64_t id = 2; id <= 6; ++id) announce(id);
+  runFor(base::seconds(7));
+  CHECK(calls->active() == 0);
+  CHECK(network.answers.size() == 6);
+  for (const auto& answer : network.answers) CHECK(answer.outcome == wire::CallOutcome::NOT_RUN);
+  CHECK(backend->runs == 0);
+}
+
 }  // namespace driftlug::node
