--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -38,16 +38,15 @@
 DECLARE_int32(seed_relay_port);
 DECLARE_string(service);
 DECLARE_int32(stop_linger_ms);
-DECLARE_int32(stop_timeout_ms);
 DECLARE_string(zone);
 
 namespace driftlug::apps {
 namespace {
 
 constexpr int kOkStatus = 200;
-/// What a planned stop keeps at its end for the answers to calls that it gives up, in milliseconds: two turns of the
-/// loop of a busy node, and the way to the caller.
-constexpr int kLastAnswersMs = 200;
+/// What a planned stop keeps at its end for the answers to calls that it gives up: two turns of the loop of a busy node,
+/// and the way to the caller.
+constexpr base::Duration kLastAnswers = base::milliseconds(200);
 
 /// Endpoint and entry sides of calls share one set of connections.
 class CallHandler : public base::ConnectionHandler {
@@ -293,13 +292,13 @@
   } else if (hasBackend()) {
     health_.setDrainAsked(true);
   }
-  const auto until = loop_.now() + base::milliseconds(FLAGS_stop_timeout_ms);
+  const auto timeout = stopTimeoutFromSettings();
+  const auto until = loop_.now() + timeout;
   loop_.schedule(base::milliseconds(FLAGS_stop_linger_ms), [this, until] {
     entry_.refuseNew();
     waitForCalls(until);
   });
-  const base::Duration beforeEnd = base::milliseconds(std::max(0, FLAGS_stop_timeout_ms - kLastAnswersMs));
-  loop_.schedule(beforeEnd, [this] { entry_.refuseUnsent(); });
+  loop_.schedule(std::max(base::Duration(0), timeout - kLastAnswers), [this] { entry_.refuseUnsent(); });
 }
 
 void NodeDaemon::waitForCalls(base::TimePoint until) {
@@ -311,12 +310,11 @@
 
 }  // namespace
 
-int runNode(int argc, char** argv, const NodeExtensions& extensions) {
+int runNode(int argc, char** argv, const ReportPagesFactory& makeReportPages) {
   declareNodeSettings();
   base::loadSettingsOrExit(argc, argv, "driftlug-node: carries calls between callers and back ends", false);
-  if (extensions.onSettings) extensions.onSettings();
   configureLogsFromSettings(base::LogTarget::kOutput);
-  NodeDaemon daemon(extensions.makeReportPages);
+  NodeDaemon daemon(makeReportPages);
   daemon.listenOrExit();
   daemon.run();
   return 0;
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -2,6 +2,8 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
+
 #include "base/error.h"
 #include "base/settings.h"
 #include "daemon.h"
@@ -29,6 +31,9 @@
 DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
 DEFINE_int32(stop_linger_ms, 300, "time that a planned stop goes on taking calls, so that others hear of it");
 DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
+DEFINE_double(stop_grace_s, 0,
+              "time in seconds after which a process that was told to stop is killed, if that cuts stop_timeout_ms "
+              "short; 0 where it isn't");
 DEFINE_bool(first_start, false, "whether the back end starts with this process, and need not be asked who it is");
 DEFINE_bool(ledger, true, "claim requests that may not be repeated in the ledger before they run");
 DEFINE_int32(health_interval_ms, 250, "interval of health checks of the back end; 0 for none");
@@ -141,6 +146,7 @@
   base::declareRange("backend_queue", 0, 100'000);
   base::declareRange("stop_linger_ms", 0, 600'000);
   base::declareRange("stop_timeout_ms", 0, 600'000);
+  base::declareRange("stop_grace_s", 0, 600);
   base::declareRange("health_interval_ms", 0, 60'000);
   base::declareRange("emulated_zone_delay_us", 0, 10'000'000);
   base::declareRange("stale_after_ms", 100, 600'000);
@@ -152,6 +158,16 @@
   base::declareRange("retry_burst", 0, 1000);
 }
 
+base::Duration stopTimeoutFromSettings() {
+  /// From the last answer until the process is gone: its turn on a busy tenth of a core, and the close of connections.
+  constexpr base::Duration kTimeToEnd = base::milliseconds(500);
+  const base::Duration timeout = base::milliseconds(FLAGS_stop_timeout_ms);
+  if (FLAGS_stop_grace_s <= 0) return timeout;
+  const auto grace = std::chrono::duration<double>(FLAGS_stop_grace_s);
+  const auto untilKilled = std::chrono::duration_cast<base::Duration>(grace) - kTimeToEnd;
+  return std::clamp(untilKilled, base::Duration(0), timeout);
+}
+
 base::Address frameAddressFromSettings() {
   return listenAddressOrExit("frame_listen", FLAGS_frame_listen, FLAGS_listen_host, FLAGS_frame_port);
 }
--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -20,6 +20,9 @@
 /// @return where this node takes calls of other nodes; port 0 when it takes none.
 base::Address frameAddressFromSettings();
 
+/// @return how long a planned stop waits for calls in progress.
+base::Duration stopTimeoutFromSettings();
+
 /// @return where others reach the endpoint beside this node.
 wire::EndpointState placeFromSettings();
 
