Link to a subset of each service's endpoints, chosen by rendezvous hashing

Cause: every node kept a link to every endpoint of every service, some 78,000 connections at 281 nodes, with buffers and compression state at both ends; after a power loss of half the fleet all were made anew at once.

Ruled out: links on demand (the first call to an endpoint would wait for a connection, and nothing would be known of it), deterministic subsets by rounds (nodes would have to know each other's count).

News of endpoints that come one by one are taken together.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -99,6 +99,7 @@
   page->counter("entry_attempts_total", "attempts sent to endpoints", calls.attempts);
   page->counter("entry_retries_total", "attempts after the first", calls.retries);
   page->counter("entry_late_answers_total", "answers that came after their call had ended", calls.lateAnswers);
+  page->gauge("entry_links", "links to endpoints of all services", static_cast<double>(entry.links()));
   const auto& runs = endpoint.counters();
   page->counter("endpoint_calls_total", "calls taken from nodes", runs.calls);
   page->counter("endpoint_completed_total", "calls completed by the back end", runs.completed);
--- /dev/null
+++ b/src/node/endpoint_links.cc
@@ -0,0 +1,218 @@
+#include "node/endpoint_links.h"
+
+#include <algorithm>
+
+#include "membership/endpoint_directory.h"
+
+namespace driftlug::node {
+namespace {
+
+constexpr int kMaxBackoffDoublings = 4;
+/// News that come one by one, as at a start of the whole fleet, are taken together when they follow within this time:
+/// each costs a pass over all endpoints.
+constexpr base::Duration kGatherNews = base::milliseconds(20);
+/// Links added at once to a service whose chosen endpoints are full, and the most that are added.
+constexpr size_t kMoreAtOnce = 4;
+constexpr size_t kMostMore = 16;
+/// How long they stay behind the last sign that they are needed: longer than a burst of some seconds.
+constexpr base::Duration kMoreFor = base::seconds(10);
+
+const char* conditionName(wire::EndpointCondition::type condition) {
+  switch (condition) {
+    case wire::EndpointCondition::LIVE:
+      return "live";
+    case wire::EndpointCondition::DRAINING:
+      return "draining";
+    case wire::EndpointCondition::GONE:
+      return "gone";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+EndpointLinks::EndpointLinks(LinkOptions options, base::Scheduler& scheduler, base::RandomSource random,
+                             base::Network& network, routing::EndpointPicker& picker, LostHandler onLost)
+    : options_(std::move(options)),
+      scheduler_(scheduler),
+      random_(random),
+      network_(network),
+      picker_(picker),
+      onLost_(std::move(onLost)),
+      subset_(options_.subset, options_.nodeId, options_.zone),
+      chooseTimer_(scheduler, [this] {
+        newsAt_ = scheduler_.now();
+        collect();
+      }) {}
+
+EndpointLinks::~EndpointLinks() { alive_.reset(); }
+
+void EndpointLinks::useTable(const routing::RoutingTablePtr& table) {
+  table_ = table;
+  collect();
+}
+
+void EndpointLinks::onStates(const std::vector<wire::EndpointState>& states) {
+  bool announced = false;
+  for (const auto& state : states) {
+    const auto known = states_.find(state.endpoint);
+    if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
+    states_[state.endpoint] = state;
+    log_.info("endpoint={} service={} address={}:{} condition={} incarnation={} sequence={}", state.endpoint,
+              state.serviceName, state.address, state.port, conditionName(state.condition), state.incarnation,
+              state.sequence);
+    picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
+    announced = announced || !state.address.empty();
+  }
+  if (announced) chooseSoon();
+}
+
+void EndpointLinks::chooseSoon() {
+  if (chooseTimer_.running()) return;
+  const auto now = scheduler_.now();
+  if (newsAt_ && now - *newsAt_ < kGatherNews) return chooseTimer_.start(kGatherNews);
+  newsAt_ = now;
+  collect();
+}
+
+void EndpointLinks::collect() {
+  known_.clear();
+  if (table_) known_ = table_->endpointsByService();
+  for (const auto& [name, state] : states_) {
+    if (state.address.empty() || state.condition == wire::EndpointCondition::GONE) continue;
+    known_[state.serviceName].push_back(
+        {name, state.address, state.port, state.zone, routing::kFullWeight, state.slots});
+  }
+  choose();
+}
+
+void EndpointLinks::choose() {
+  chosen_.clear();
+  for (const auto& [service, endpoints] : known_) {
+    const auto unreached = [this](const std::string& endpoint) { return outOfReach(endpoint); };
+    chosen_[service] = subset_.choose(endpoints, moreFor(service), unreached);
+  }
+  updateLinks();
+}
+
+size_t EndpointLinks::moreFor(const std::string& service) {
+  const auto found = more_.find(service);
+  if (found == more_.end()) return 0;
+  if (found->second.until > scheduler_.now()) return found->second.count;
+  more_.erase(found);
+  return 0;
+}
+
+void EndpointLinks::onFull(const std::string& service) {
+  const auto known = known_.find(service);
+  if (known == known_.end() || chosen_[service].size() >= known->second.size()) return;
+  auto& more = more_[service];
+  more.until = scheduler_.now() + kMoreFor;
+  if (more.count >= kMostMore || chooseTimer_.running()) return;
+  more.count = std::min(kMostMore, more.count + kMoreAtOnce);
+  chooseTimer_.start(kGatherNews);
+}
+
+bool EndpointLinks::outOfReach(const std::string& endpoint) const {
+  const auto found = links_.find(endpoint);
+  return found != links_.end() && !found->second.open && found->second.failures > 0;
+}
+
+const std::vector<routing::EndpointTarget>& EndpointLinks::of(const std::string& service) const {
+  static const std::vector<routing::EndpointTarget> none;
+  const auto found = chosen_.find(service);
+  return found == chosen_.end() ? none : found->second;
+}
+
+const EndpointLinks::Link& EndpointLinks::link(const std::string& endpoint) const {
+  static const Link none;
+  const auto found = links_.find(endpoint);
+  return found == links_.end() ? none : found->second;
+}
+
+void EndpointLinks::updateLinks() {
+  std::map<std::string, base::Address> wanted;
+  for (const auto& [service, endpoints] : chosen_) {
+    for (const auto& endpoint : endpoints) wanted[endpoint.name] = {endpoint.address, endpoint.port};
+  }
+  std::vector<std::string> leaving;
+  for (const auto& [name, link] : links_) {
+    const auto found = wanted.find(name);
+    const bool moved = found == wanted.end() || !(found->second == link.address);
+    const bool busy = link.open && picker_.inFlight(name) > 0 && found == wanted.end();
+    if (moved && !busy) leaving.push_back(name);
+  }
+  for (const auto& name : leaving) closeLink(name);
+  for (const auto& [name, address] : wanted) {
+    if (links_.count(name) > 0) continue;
+    links_[name].address = address;
+    links_[name].lostAt = scheduler_.now();
+    connect(name);
+  }
+}
+
+void EndpointLinks::closeLink(const std::string& endpoint) {
+  const auto node = links_.extract(endpoint);
+  const auto connection = node.mapped().connection;
+  picker_.setConnected(endpoint, false);
+  if (connection == 0) return;
+  endpointOf_.erase(connection);
+  onLost_(connection, endpoint);
+  network_.close(connection);
+}
+
+void EndpointLinks::forget(const std::string& endpoint) {
+  const auto state = states_.find(endpoint);
+  if (state == states_.end() || state->second.address.empty()) return;
+  states_.erase(state);
+  picker_.forget(endpoint);
+  collect();
+}
+
+void EndpointLinks::connect(const std::string& endpoint) {
+  const auto found = links_.find(endpoint);
+  if (found == links_.end() || found->second.connection != 0) return;
+  found->second.connection = network_.connect(found->second.address);
+  endpointOf_[found->second.connection] = endpoint;
+}
+
+void EndpointLinks::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  const auto endpoint = endpointOf_.find(connection);
+  if (endpoint == endpointOf_.end()) return;
+  auto& link = links_[endpoint->second];
+  link.open = true;
+  // Bodies for the back end beside this node cross no link.
+  link.takesBodyPieces = peer.takesBodyPieces && peer.id != options_.nodeId;
+  link.failures = 0;
+  log_.info("link endpoint={} address={}:{} up", endpoint->second, link.address.host, link.address.port);
+  picker_.setConnected(endpoint->second, true);
+}
+
+void EndpointLinks::onClose(base::ConnectionId connection) {
+  const auto found = endpointOf_.find(connection);
+  if (found == endpointOf_.end()) return;
+  const auto endpoint = found->second;
+  endpointOf_.erase(found);
+  picker_.setConnected(endpoint, false);
+  const int calls = picker_.inFlight(endpoint);
+  onLost_(connection, endpoint);
+  const auto place = links_.find(endpoint);
+  if (place == links_.end()) return;
+  auto& link = place->second;
+  link.connection = 0;
+  if (link.open) {
+    link.lostAt = scheduler_.now();
+    log_.warn("link endpoint={} lost, {} calls in flight", endpoint, calls);
+  }
+  link.open = false;
+  if (scheduler_.now() - link.lostAt > options_.unreachableFor) return forget(endpoint);
+  const auto limit = options_.reconnectDelay * (1 << std::min(link.failures, kMaxBackoffDoublings));
+  ++link.failures;
+  scheduler_.schedule(random_.duration(limit) + base::milliseconds(1),
+                      [this, alive = std::weak_ptr<bool>(alive_), endpoint] {
+                        if (!alive.expired()) connect(endpoint);
+                      });
+  if (link.failures == 1) chooseSoon();  // another endpoint stands in for it
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/endpoint_links.h
@@ -0,0 +1,115 @@
+/// The endpoints that a node knows, and its links to those that it chose.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+#include "base/network.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "routing/endpoint_picker.h"
+#include "routing/routing_table.h"
+#include "subsetting/endpoint_subset.h"
+
+namespace driftlug::node {
+
+/// Settings of the links.
+struct LinkOptions {
+  std::string nodeId;
+  std::string zone;
+  base::Duration reconnectDelay = base::milliseconds(200);
+  base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
+  subsetting::subset_options subset;
+};
+
+/// Keeps links to a subset of each service's endpoints: its own choice, and more while those are full or out of reach.
+///
+/// Invariants: a link whose endpoint has left, or is chosen no more, stays until its last call has ended; a lost link
+/// is told once, and made again with growing pauses.
+class EndpointLinks {
+ public:
+  /// One link as its user needs it.
+  struct Link {
+    base::Address address;
+    base::ConnectionId connection = 0;  ///< 0 while waiting to reconnect
+    bool open = false;
+    bool takesBodyPieces = false;  ///< its node grants bodies as its link has room
+    int failures = 0;              ///< connections lost in a row
+    base::TimePoint lostAt{};
+  };
+
+  /// Called when a connection is gone, with the endpoint it led to.
+  using LostHandler = std::function<void(base::ConnectionId, const std::string&)>;
+
+  /// @param picker is told which endpoints are connected and available; outlives the links, like all else given here
+  EndpointLinks(LinkOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
+                routing::EndpointPicker& picker, LostHandler onLost);
+  ~EndpointLinks();
+
+  /// Takes the endpoints of a new version.
+  void useTable(const routing::RoutingTablePtr& table);
+
+  /// What relays say of endpoints.
+  void onStates(const std::vector<wire::EndpointState>& states);
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer);
+  void onClose(base::ConnectionId connection);
+
+  /// @return the chosen endpoints of a service.
+  const std::vector<routing::EndpointTarget>& of(const std::string& service) const;
+
+  /// @return the link to a chosen endpoint.
+  const Link& link(const std::string& endpoint) const;
+
+  /// The chosen endpoints of a service are full: more are linked for a while.
+  void onFull(const std::string& service);
+
+  /// An endpoint is known to be gone for good.
+  void forget(const std::string& endpoint);
+
+  size_t size() const { return links_.size(); }
+
+ private:
+  using Endpoints = std::map<std::string, std::vector<routing::EndpointTarget>>;
+
+  /// Links beyond the usual number, for a service whose chosen endpoints were full.
+  struct More {
+    size_t count = 0;
+    base::TimePoint until{};
+  };
+
+  void collect();
+  void choose();
+  void chooseSoon();
+  size_t moreFor(const std::string& service);
+  bool outOfReach(const std::string& endpoint) const;
+  void updateLinks();
+  void closeLink(const std::string& endpoint);
+  void connect(const std::string& endpoint);
+
+  LinkOptions options_;
+  base::Scheduler& scheduler_;
+  base::RandomSource random_;
+  base::Network& network_;
+  routing::EndpointPicker& picker_;
+  LostHandler onLost_;
+  subsetting::endpoint_subset subset_;
+  routing::RoutingTablePtr table_;                     // null before the first version
+  std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
+  Endpoints known_;                                    // by service: those of the table and those announced
+  Endpoints chosen_;                                   // by service: those with links
+  std::map<std::string, More> more_;                   // by service
+  std::map<std::string, Link> links_;                  // by endpoint
+  std::map<base::ConnectionId, std::string> endpointOf_;
+  std::optional<base::TimePoint> newsAt_;  // when news were taken, the last time
+  base::Timer chooseTimer_;                // runs while more news are gathered
+  base::Logger log_{"entry"};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace driftlug::node
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 
-#include "membership/endpoint_directory.h"
 #include "table/validator.h"
 #include "wire/frame.h"
 
@@ -24,7 +23,6 @@
 constexpr int kDefaultRetryAfterMs = 200;
 /// Told to callers of a node without a version: it has just started, and gets one within about this time.
 constexpr int kNoTableRetryAfterMs = 1000;
-constexpr int kMaxBackoffDoublings = 4;
 /// A body up to this size travels with its call: on a link of 2 Mbit/s it holds others up for 16 ms at the most, and to
 /// wait for a grant would cost a round trip.
 constexpr size_t kInlineBodyBytes = 4096;
@@ -35,16 +33,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
 }
 
-const char* conditionName(wire::EndpointCondition::type condition) {
-  switch (condition) {
-    case wire::EndpointCondition::LIVE:
-      return "live";
-    case wire::EndpointCondition::DRAINING:
-      return "draining";
-    case wire::EndpointCondition::GONE:
-      return "gone";
-  }
-  return "unknown";
+LinkOptions linkOptionsOf(const EntryOptions& options) {
+  auto links = options.links;
+  links.nodeId = options.nodeId;
+  links.zone = options.zone;
+  return links;
 }
 
 }  // namespace
@@ -56,96 +49,22 @@
       random_(random),
       network_(network),
       picker_(options_.picker, scheduler, base::RandomSource(random_.bits())),
+      links_(linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
+             [this](base::ConnectionId connection, const std::string& endpoint) { onLinkLost(connection, endpoint); }),
       decisions_("entry", scheduler) {}
 
 EntryCalls::~EntryCalls() { alive_.reset(); }
 
 void EntryCalls::useTable(routing::RoutingTablePtr table) {
   table_ = std::move(table);
-  updateEndpoints();
-}
-
-void EntryCalls::updateEndpoints() {
-  endpoints_.clear();
-  if (table_) endpoints_ = table_->endpointsByService();
-  for (const auto& [name, state] : states_) {
-    if (state.address.empty() || state.condition == wire::EndpointCondition::GONE) continue;
-    endpoints_[state.serviceName].push_back(
-        {name, state.address, state.port, state.zone, routing::kFullWeight, state.slots});
-  }
-  updateLinks();
+  links_.useTable(table_);
 }
 
-const std::vector<routing::EndpointTarget>& EntryCalls::endpointsOf(const std::string& service) const {
-  static const std::vector<routing::EndpointTarget> none;
-  const auto found = endpoints_.find(service);
-  return found == endpoints_.end() ? none : found->second;
-}
+void EntryCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) { links_.onOpen(connection, peer); }
 
-void EntryCalls::updateLinks() {
-  std::map<std::string, base::Address> wanted;
-  for (const auto& [service, endpoints] : endpoints_) {
-    for (const auto& endpoint : endpoints) wanted[endpoint.name] = {endpoint.address, endpoint.port};
-  }
-  // Links of endpoints that left are closed once their last call has ended.
-  std::vector<std::string> leaving;
-  for (const auto& [name, link] : links_) {
-    const auto found = wanted.find(name);
-    const bool moved = found == wanted.end() || !(found->second == link.address);
-    const bool busy = link.open && picker_.inFlight(name) > 0 && found == wanted.end();
-    if (moved && !busy) leaving.push_back(name);
-  }
-  for (const auto& name : leaving) closeLink(name);
-  for (const auto& [name, address] : wanted) {
-    if (links_.count(name) > 0) continue;
-    links_[name].address = address;
-    links_[name].lostAt = scheduler_.now();
-    connect(name);
-  }
-}
+void EntryCalls::onClose(base::ConnectionId connection) { links_.onClose(connection); }
 
-void EntryCalls::closeLink(const std::string& endpoint) {
-  const auto connection = links_[endpoint].connection;
-  picker_.setConnected(endpoint, false);
-  links_.erase(endpoint);
-  if (connection == 0) return;
-  onClose(connection);
-  network_.close(connection);
-}
-
-void EntryCalls::forgetUnreachable(const std::string& endpoint) {
-  const auto state = states_.find(endpoint);
-  if (state == states_.end() || state->second.address.empty()) return;
-  states_.erase(state);
-  picker_.forget(endpoint);
-  updateEndpoints();
-}
-
-void EntryCalls::connect(const std::string& endpoint) {
-  const auto found = links_.find(endpoint);
-  if (found == links_.end() || found->second.connection != 0) return;
-  found->second.connection = network_.connect(found->second.address);
-  endpointOf_[found->second.connection] = endpoint;
-}
-
-void EntryCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
-  const auto endpoint = endpointOf_.find(connection);
-  if (endpoint == endpointOf_.end()) return;
-  auto& link = links_[endpoint->second];
-  link.open = true;
-  // Bodies for the back end beside this node cross no link.
-  link.takesBodyPieces = peer.takesBodyPieces && peer.id != options_.nodeId;
-  log_.info("link endpoint={} address={}:{} up", endpoint->second, link.address.host, link.address.port);
-  link.failures = 0;
-  picker_.setConnected(endpoint->second, true);
-}
-
-void EntryCalls::onClose(base::ConnectionId connection) {
-  const auto found = endpointOf_.find(connection);
-  if (found == endpointOf_.end()) return;
-  const auto endpoint = found->second;
-  endpointOf_.erase(found);
-  picker_.setConnected(endpoint, false);
+void EntryCalls::onLinkLost(base::ConnectionId connection, const std::string& endpoint) {
   std::vector<int64_t> lost;
   for (const auto& [attemptId, attempt] : attempts_) {
     if (attempt.connection == connection) lost.push_back(attemptId);
@@ -164,38 +83,10 @@
     onAttemptFailed(attempt.call, Reach::kMayHaveRun,
                     failureAnswer(CallOutcome::UNKNOWN, ErrorCode::kConnectionLost, kBadGatewayStatus, 0));
   }
-  const auto link = links_.find(endpoint);
-  if (link == links_.end()) return;
-  link->second.connection = 0;
-  if (link->second.open) {
-    link->second.lostAt = scheduler_.now();
-    log_.warn("link endpoint={} lost, {} calls in flight", endpoint, lost.size());
-  }
-  link->second.open = false;
-  if (scheduler_.now() - link->second.lostAt > options_.unreachableFor) return forgetUnreachable(endpoint);
-  const auto limit = options_.reconnectDelay * (1 << std::min(link->second.failures, kMaxBackoffDoublings));
-  ++link->second.failures;
-  scheduler_.schedule(random_.duration(limit) + base::milliseconds(1),
-                      [this, alive = std::weak_ptr<bool>(alive_), endpoint] {
-                        if (!alive.expired()) connect(endpoint);
-                      });
-}
-
-void EntryCalls::onEndpointStates(const std::vector<wire::EndpointState>& states) {
-  bool announced = false;
-  for (const auto& state : states) {
-    const auto known = states_.find(state.endpoint);
-    if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
-    states_[state.endpoint] = state;
-    log_.info("endpoint={} service={} address={}:{} condition={} incarnation={} sequence={}", state.endpoint,
-              state.serviceName, state.address, state.port, conditionName(state.condition), state.incarnation,
-              state.sequence);
-    picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
-    announced = announced || !state.address.empty();
-  }
-  if (announced) updateEndpoints();
 }
 
+void EntryCalls::onEndpointStates(const std::vector<wire::EndpointState>& states) { links_.onStates(states); }
+
 int EntryCalls::rankOf(const Call& call) {
   // As endpoints order what waits: by priority, then by the nearer target.
   constexpr int kTargets = table::kMaxTimeoutMs + 1;
@@ -275,6 +166,7 @@
   // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
   const auto* target = pickEndpoint(call);
   if (target == nullptr) {
+    links_.onFull(call.service);
     if (!call.tried.empty()) return finish(id, call.lastFailure);
     return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
                                     milliseconds(spread(options_.overloadRetryAfter))));
@@ -285,7 +177,7 @@
 
 const routing::EndpointTarget* EntryCalls::pickEndpoint(const Call& call) {
   const size_t bytes = call.inbound.body.size();
-  return picker_.pick(endpointsOf(call.service), options_.zone, call.tried, rankOf(call),
+  return picker_.pick(links_.of(call.service), options_.zone, call.tried, rankOf(call),
                       bytes > kInlineBodyBytes ? bytes : 0);
 }
 
@@ -338,7 +230,7 @@
   call->tried.insert(target.name);
   call->endpoint = target.name;
   call->inFlight.push_back(attemptId);
-  const auto& link = links_[target.name];
+  const auto& link = links_.link(target.name);
   const size_t bodyBytes = call->inbound.body.size();
   const bool inPieces = link.takesBodyPieces && bodyBytes > kInlineBodyBytes;
   attempts_[attemptId] = {id, target.name, link.connection, now, inPieces ? 0 : bodyBytes};
@@ -460,7 +352,7 @@
   // Its own node is the truth for draining; the choice heeds it before any relay says so.
   const bool leaving = error == ErrorCode::kDraining || error == ErrorCode::kWrongEndpoint;
   if (leaving) picker_.setAvailable(attempt.endpoint, false);
-  if (error == ErrorCode::kWrongEndpoint) forgetUnreachable(attempt.endpoint);
+  if (error == ErrorCode::kWrongEndpoint) links_.forget(attempt.endpoint);
   const bool reachedBackend = error == ErrorCode::kBackendRefused;
   const int askedMs = response.retryAfterMs > 0 ? response.retryAfterMs : kDefaultRetryAfterMs;
   const int retryAfterMs = milliseconds(spread(base::milliseconds(askedMs)));
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -12,6 +12,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "node/call_types.h"
+#include "node/endpoint_links.h"
 #include "overload/caller_patience.h"
 #include "retry/retry_budget.h"
 #include "routing/endpoint_picker.h"
@@ -26,7 +27,6 @@
   std::string zone;
   routing::PickerOptions picker;
   bool retries = true;
-  base::Duration reconnectDelay = base::milliseconds(200);
   routing::RetryRule defaultRetry;  ///< of services without a retry policy
   double retryBurst = retry::RetryBudget::kDefaultBurst;
   /// Whether requests that may not be repeated get a key of their own, under which the ledger knows them.
@@ -39,9 +39,9 @@
   double hedgeAfterShare = 0;
   /// Whether calls whose callers have waited longer than the target latency give way to those that can still make it.
   bool inTimeFirst = true;
-  double hedgeIdleShare = 0.6;                        ///< an endpoint with a smaller share of its slots busy is idle
-  int maxRefusals = 4;                                ///< endpoints that may refuse a request before it is given up
-  base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
+  double hedgeIdleShare = 0.6;  ///< an endpoint with a smaller share of its slots busy is idle
+  int maxRefusals = 4;          ///< endpoints that may refuse a request before it is given up
+  LinkOptions links;
 };
 
 /// Counters of the entry side.
@@ -89,6 +89,7 @@
   void abandon(CallId call);
 
   size_t active() const { return calls_.size(); }
+  size_t links() const { return links_.size(); }
   const EntryCounters& counters() const { return counters_; }
   const routing::RoutingTablePtr& table() const { return table_; }
 
@@ -129,24 +130,9 @@
     size_t bodySent = 0;  // bytes of the call's body
   };
 
-  struct Link {
-    base::Address address;
-    base::ConnectionId connection = 0;  // 0 while waiting to reconnect
-    bool open = false;
-    bool takesBodyPieces = false;  // its node grants bodies as its link has room
-    int failures = 0;              // connections lost in a row
-    base::TimePoint lostAt{};
-  };
-
-  using Endpoints = std::map<std::string, std::vector<routing::EndpointTarget>>;
-
   const routing::Route* findRoute(const InboundCall& inbound) const;
   void finishLater(CallId id, CallAnswer answer);
-  void updateEndpoints();
-  void updateLinks();
-  void closeLink(const std::string& endpoint);
-  void forgetUnreachable(const std::string& endpoint);
-  const std::vector<routing::EndpointTarget>& endpointsOf(const std::string& service) const;
+  void onLinkLost(base::ConnectionId connection, const std::string& endpoint);
   void attempt(CallId id);
   void send(CallId id, Call* call, const routing::EndpointTarget& target);
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
@@ -166,7 +152,6 @@
   void onAttemptFailed(CallId id, Reach reach, CallAnswer failure);
   void onDeadline(CallId id);
   void finish(CallId id, CallAnswer answer);
-  void connect(const std::string& endpoint);
   CallAnswer failureAnswer(wire::CallOutcome::type outcome, base::ErrorCode error, int status, int retryAfterMs) const;
   std::string requestIdOf(const Call& call) const;
   void logAttemptFailed(const Call& call, Reach reach, bool again, const char* because);
@@ -186,10 +171,7 @@
   std::map<std::string, retry::RetryBudget> budgets_;          // by service
   std::map<CallId, Call> calls_;
   std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
-  std::map<std::string, Link> links_;    // by endpoint
-  std::map<base::ConnectionId, std::string> endpointOf_;
-  std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
-  Endpoints endpoints_;                                // by service: those of the table and those announced
+  EndpointLinks links_;
   bool refusing_ = false;
   CallId nextCall_ = 1;
   int64_t nextAttempt_ = 1;
--- /dev/null
+++ b/test/node/endpoint_links_test.cc
@@ -0,0 +1,114 @@
+#include "node/endpoint_links.h"
+
+#include <catch2/catch.hpp>
+
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+constexpr int kEndpoints = 60;
+
+wire::EndpointState endpointState(int index, wire::EndpointCondition::type condition) {
+  wire::EndpointState state;
+  state.endpoint = "endpoint-" + std::to_string(index);
+  state.serviceName = "records";
+  state.condition = condition;
+  state.incarnation = 1;
+  state.sequence = condition == wire::EndpointCondition::LIVE ? 1 : 2;
+  state.address = "10.0.0." + std::to_string(index);
+  state.port = 7000;
+  state.zone = "zone-" + std::to_string(index % 2);
+  state.slots = 4;
+  return state;
+}
+
+/// Links of a node that knows a large service.
+struct LinksFixture {
+  LinksFixture() : process(queue, "node", {"zone-0", "region"}, {"10.0.1.1", 7000}) {
+    process.start();
+    picker = std::make_unique<routing::EndpointPicker>(routing::PickerOptions{}, process, base::RandomSource(1));
+    LinkOptions options;
+    options.nodeId = "node";
+    options.zone = "zone-0";
+    links = std::make_unique<EndpointLinks>(
+        options, process, base::RandomSource(2), network, *picker,
+        [this](base::ConnectionId, const std::string& endpoint) { lost.push_back(endpoint); });
+    std::vector<wire::EndpointState> states;
+    for (int i = 1; i <= kEndpoints; ++i) states.push_back(endpointState(i, wire::EndpointCondition::LIVE));
+    links->onStates(states);
+    openAll();
+  }
+
+  void openAll() {
+    for (const auto& [connection, address] : network.connected) links->onOpen(connection, {});
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  std::unique_ptr<routing::EndpointPicker> picker;
+  std::unique_ptr<EndpointLinks> links;
+  std::vector<std::string> lost;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(LinksFixture, "a node links to a subset of a large service only") {
+  CHECK(network.connected.size() == 16);
+  CHECK(links->of("records").size() == 16);
+  CHECK(links->of("others").empty());
+}
+
+TEST_CASE_METHOD(LinksFixture, "another endpoint stands in for one that is out of reach") {
+  const auto connection = network.connected.begin()->first;
+  network.connected.erase(connection);
+  links->onClose(connection);
+  CHECK(lost.size() == 1);
+  runFor(base::milliseconds(30));
+  CHECK(links->of("records").size() == 17);
+  CHECK(network.connected.size() >= 16);
+}
+
+TEST_CASE_METHOD(LinksFixture, "more endpoints are linked while the chosen ones are full, and let go later") {
+  links->onFull("records");
+  runFor(base::milliseconds(30));
+  CHECK(links->of("records").size() == 20);
+  for (int i = 0; i < 20; ++i) {
+    links->onFull("records");
+    runFor(base::milliseconds(30));
+  }
+  CHECK(links->of("records").size() == 32);
+  runFor(base::seconds(11));
+  links->onStates({endpointState(kEndpoints + 1, wire::EndpointCondition::LIVE)});
+  CHECK(links->of("records").size() == 16);
+}
+
+TEST_CASE_METHOD(LinksFixture, "an endpoint that has left is replaced, and its link ends with its last call") {
+  const auto leaving = links->of("records").front().name;
+  picker->onSent(leaving);
+  links->onStates({endpointState(std::stoi(leaving.substr(9)), wire::EndpointCondition::GONE)});
+  CHECK(links->of("records").size() == 16);
+  CHECK(links->link(leaving).open);
+  picker->onAbandoned(leaving);
+  runFor(base::milliseconds(30));
+  links->onStates({endpointState(kEndpoints + 1, wire::EndpointCondition::LIVE)});
+  CHECK(!links->link(leaving).open);
+}
+
+TEST_CASE_METHOD(LinksFixture, "news that come one by one are taken together") {
+  for (int i = kEndpoints + 1; i <= kEndpoints + 40; ++i) {
+    links->onStates({endpointState(i, wire::EndpointCondition::LIVE)});
+  }
+  runFor(base::milliseconds(50));
+  CHECK(links->of("records").size() == 16);
+}
+
+}  // namespace driftlug::node
