Notice nodes that fall silent, and send calls that may run twice elsewhere

A dead node was told only by TCP after 800 ms, or not at all while nothing was sent on its link (a filing sent at 1.5 s, its machine dark at 3.25 s, got its 502 at 5.4 s); until then each caller gave it up to twelve calls more, since it looked idle.

Change: an endpoint's node acknowledges a call that it can't answer at once, in the same write as other frames; a link that acknowledges nothing for 250 ms is left out of the choice until it is heard, and its calls that may run twice are sent to another endpoint beside it, paid from the retry budget. A link on which calls run is asked for a sign of life after 500 ms.

Ruled out: a shorter TCP timeout (it cuts links that lose packets, and says nothing of an idle link).

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -44,8 +44,8 @@
 namespace {
 
 constexpr int kOkStatus = 200;
-/// What a planned stop keeps at its end for the answers to calls that it gives up: two turns of the loop of a busy node,
-/// and the way to the caller.
+/// What a planned stop keeps at its end for the answers to calls that it gives up: two turns of the loop of a busy
+/// node, and the way to the caller.
 constexpr base::Duration kLastAnswers = base::milliseconds(200);
 
 /// Endpoint and entry sides of calls share one set of connections.
@@ -65,6 +65,8 @@
       endpoint_.onCancel(connection, cancel->callId);
     } else if (const auto* piece = std::get_if<wire::CallBodyPiece>(&message)) {
       endpoint_.onBodyPiece(connection, *piece);
+    } else if (std::holds_alternative<wire::KeepAlive>(message) && !entry_.leadsFrom(connection)) {
+      endpoint_.onKeepAlive(connection);
     } else {
       entry_.onMessage(connection, std::move(message));
     }
@@ -113,6 +115,7 @@
               static_cast<double>(endpoint.bodies().bytesPerSecond()));
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
   page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
+  page->counter("entry_silent_links_total", "links that did not acknowledge what was sent on them", calls.silentLinks);
   page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
   page->counter("entry_budget_spent_total", "retries that the budget did not allow", calls.budgetSpent);
   page->histogram("entry_latency_seconds", "from a request to its answer, completed calls", calls.completedLatency);
@@ -195,6 +198,7 @@
   hello.zone = FLAGS_zone;
   hello.serviceName = FLAGS_service;
   hello.takesBodyPieces = true;
+  hello.acknowledgesCalls = true;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -111,6 +111,14 @@
   call.latestStart = latestStartOf(call);
   if (request.bodyBytes > 0) return awaitBody(key);
   admit(key);
+  if (calls_.count(key) == 0) return;
+  wire::CallAccepted accepted;
+  accepted.callId = request.callId;
+  network_.send(connection, wire::encodeFrame(accepted));
+}
+
+void EndpointCalls::onKeepAlive(base::ConnectionId connection) {
+  network_.send(connection, wire::encodeFrame(wire::KeepAlive()));
 }
 
 void EndpointCalls::admit(const CallKey& key) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -73,6 +73,9 @@
 
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onRequest(base::ConnectionId connection, const wire::CallRequest& request);
+  /// A caller asks for a sign of life.
+  void onKeepAlive(base::ConnectionId connection);
+
   void onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece);
   void onCancel(base::ConnectionId connection, int64_t callId);
   void onClose(base::ConnectionId connection);
--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -16,6 +16,13 @@
 constexpr size_t kMostMore = 16;
 /// How long they stay behind the last sign that they are needed: longer than a burst of some seconds.
 constexpr base::Duration kMoreFor = base::seconds(10);
+/// Interval at which links with calls in progress are looked at.
+constexpr base::Duration kWatchInterval = base::milliseconds(100);
+/// An acknowledgement comes within a few milliseconds; one that was lost on the way comes after TCP's least
+/// retransmission time of 200 ms.
+constexpr base::Duration kSilentAfter = base::milliseconds(250);
+/// A link on which calls run is asked for a sign of life when nothing was heard for so long.
+constexpr base::Duration kAskAfter = base::milliseconds(500);
 
 const char* conditionName(wire::EndpointCondition::type condition) {
   switch (condition) {
@@ -32,18 +39,22 @@
 }  // namespace
 
 EndpointLinks::EndpointLinks(LinkOptions options, base::Scheduler& scheduler, base::RandomSource random,
-                             base::Network& network, routing::EndpointPicker& picker, LostHandler onLost)
+                             base::Network& network, routing::EndpointPicker& picker, LostHandler onLost,
+                             SilentHandler onSilent)
     : options_(std::move(options)),
       scheduler_(scheduler),
       random_(random),
       network_(network),
       picker_(picker),
       onLost_(std::move(onLost)),
+      onSilent_(std::move(onSilent)),
       subset_(options_.subset, options_.nodeId, options_.zone),
-      chooseTimer_(scheduler, [this] {
-        newsAt_ = scheduler_.now();
-        collect();
-      }) {}
+      chooseTimer_(scheduler,
+                   [this] {
+                     newsAt_ = scheduler_.now();
+                     collect();
+                   }),
+      watchTimer_(scheduler, [this] { watch(); }) {}
 
 EndpointLinks::~EndpointLinks() { alive_.reset(); }
 
@@ -183,7 +194,12 @@
   link.open = true;
   // Bodies for the back end beside this node cross no link.
   link.takesBodyPieces = peer.takesBodyPieces && peer.id != options_.nodeId;
+  link.acknowledges = peer.acknowledgesCalls && peer.id != options_.nodeId;
   link.failures = 0;
+  link.heardAt = scheduler_.now();
+  link.awaitedSince.reset();
+  link.silent = false;
+  picker_.setSilent(endpoint->second, false);
   log_.info("link endpoint={} address={}:{} up", endpoint->second, link.address.host, link.address.port);
   picker_.setConnected(endpoint->second, true);
 }
@@ -215,4 +231,59 @@
   if (link.failures == 1) chooseSoon();  // another endpoint stands in for it
 }
 
+void EndpointLinks::onSent(const std::string& endpoint) {
+  const auto found = links_.find(endpoint);
+  if (found == links_.end() || !found->second.acknowledges) return;
+  const auto now = scheduler_.now();
+  if (!found->second.awaitedSince) found->second.awaitedSince = now;
+  if (watchTimer_.running()) return;
+  watchDue_ = now + kWatchInterval;
+  watchTimer_.start(kWatchInterval);
+}
+
+void EndpointLinks::onHeard(base::ConnectionId connection) {
+  const auto found = endpointOf_.find(connection);
+  if (found == endpointOf_.end()) return;
+  auto& link = links_[found->second];
+  link.heardAt = scheduler_.now();
+  link.awaitedSince.reset();
+  if (!link.silent) return;
+  link.silent = false;
+  picker_.setSilent(found->second, false);
+  log_.info("link endpoint={} is heard again", found->second);
+}
+
+void EndpointLinks::watch() {
+  const auto now = scheduler_.now();
+  // A process that was stopped or starved itself has not read yet what others sent.
+  const bool late = now - watchDue_ > kWatchInterval;
+  std::vector<std::string> busy;
+  for (auto& [name, link] : links_) {
+    if (!link.open || !link.acknowledges || picker_.inFlight(name) == 0) continue;
+    busy.push_back(name);
+    if (late && link.awaitedSince) link.awaitedSince = now;
+  }
+  for (const auto& name : busy) {
+    // What is done for one link may close another.
+    if (const auto found = links_.find(name); found != links_.end()) watchLink(name, &found->second);
+  }
+  if (busy.empty()) return;
+  watchDue_ = now + kWatchInterval;
+  watchTimer_.start(kWatchInterval);
+}
+
+void EndpointLinks::watchLink(const std::string& endpoint, Link* link) {
+  const auto now = scheduler_.now();
+  if (!link->awaitedSince) {
+    if (now - link->heardAt < kAskAfter) return;
+    link->awaitedSince = now;
+    return network_.send(link->connection, wire::encodeFrame(wire::KeepAlive()));
+  }
+  if (link->silent || now - *link->awaitedSince < kSilentAfter) return;
+  link->silent = true;
+  picker_.setSilent(endpoint, true);
+  log_.warn("link endpoint={} is silent, {} calls in progress", endpoint, picker_.inFlight(endpoint));
+  onSilent_(link->connection, endpoint);
+}
+
 }  // namespace driftlug::node
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -30,7 +30,8 @@
 /// Keeps links to a subset of each service's endpoints: its own choice, and more while those are full or out of reach.
 ///
 /// Invariants: a link whose endpoint has left, or is chosen no more, stays until its last call has ended; a lost link
-/// is told once, and made again with growing pauses.
+/// is told once, and made again with growing pauses; a link that is silent though something was sent on it is left out
+/// of the choice until it is heard.
 class EndpointLinks {
  public:
   /// One link as its user needs it.
@@ -39,16 +40,23 @@
     base::ConnectionId connection = 0;  ///< 0 while waiting to reconnect
     bool open = false;
     bool takesBodyPieces = false;  ///< its node grants bodies as its link has room
+    bool acknowledges = false;     ///< its node acknowledges what it gets, so its silence tells something
     int failures = 0;              ///< connections lost in a row
     base::TimePoint lostAt{};
+    base::TimePoint heardAt{};
+    std::optional<base::TimePoint>
+        awaitedSince;     ///< when the first message since heardAt was sent that is acknowledged
+    bool silent = false;  ///< it has been awaited for too long
   };
 
   /// Called when a connection is gone, with the endpoint it led to.
   using LostHandler = std::function<void(base::ConnectionId, const std::string&)>;
+  /// Called when a connection with calls in progress has fallen silent; it may be heard again.
+  using SilentHandler = std::function<void(base::ConnectionId, const std::string&)>;
 
   /// @param picker is told which endpoints are connected and available; outlives the links, like all else given here
   EndpointLinks(LinkOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
-                routing::EndpointPicker& picker, LostHandler onLost);
+                routing::EndpointPicker& picker, LostHandler onLost, SilentHandler onSilent);
   ~EndpointLinks();
 
   /// Takes the endpoints of a new version.
@@ -60,6 +68,15 @@
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onClose(base::ConnectionId connection);
 
+  /// A call was sent to an endpoint.
+  void onSent(const std::string& endpoint);
+
+  /// Something arrived.
+  void onHeard(base::ConnectionId connection);
+
+  /// @return whether this node opened the connection.
+  bool leadsFrom(base::ConnectionId connection) const { return endpointOf_.count(connection) > 0; }
+
   /// @return the chosen endpoints of a service.
   const std::vector<routing::EndpointTarget>& of(const std::string& service) const;
 
@@ -91,6 +108,8 @@
   void updateLinks();
   void closeLink(const std::string& endpoint);
   void connect(const std::string& endpoint);
+  void watch();
+  void watchLink(const std::string& endpoint, Link* link);
 
   LinkOptions options_;
   base::Scheduler& scheduler_;
@@ -98,6 +117,7 @@
   base::Network& network_;
   routing::EndpointPicker& picker_;
   LostHandler onLost_;
+  SilentHandler onSilent_;
   subsetting::endpoint_subset subset_;
   routing::RoutingTablePtr table_;                     // null before the first version
   std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
@@ -108,6 +128,8 @@
   std::map<base::ConnectionId, std::string> endpointOf_;
   std::optional<base::TimePoint> newsAt_;  // when news were taken, the last time
   base::Timer chooseTimer_;                // runs while more news are gathered
+  base::Timer watchTimer_;                 // runs while calls are in progress
+  base::TimePoint watchDue_{};
   base::Logger log_{"entry"};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -49,8 +49,10 @@
       random_(random),
       network_(network),
       picker_(options_.picker, scheduler, base::RandomSource(random_.bits())),
-      links_(linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
-             [this](base::ConnectionId connection, const std::string& endpoint) { onLinkLost(connection, endpoint); }),
+      links_(
+          linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
+          [this](base::ConnectionId connection, const std::string& endpoint) { onLinkLost(connection, endpoint); },
+          [this](base::ConnectionId connection, const std::string&) { onLinkSilent(connection); }),
       decisions_("entry", scheduler) {}
 
 EntryCalls::~EntryCalls() { alive_.reset(); }
@@ -85,6 +87,33 @@
   }
 }
 
+/// Calls that may run twice don't wait for a node that may have lost its power, its network or its processor: another
+/// endpoint is asked beside it, and the first answer wins.
+void EntryCalls::onLinkSilent(base::ConnectionId connection) {
+  ++counters_.silentLinks;
+  std::vector<CallId> waiting;
+  for (const auto& [attemptId, attempt] : attempts_) {
+    if (attempt.connection == connection) waiting.push_back(attempt.call);
+  }
+  for (const auto id : waiting) sendBeside(id, "silent");
+}
+
+void EntryCalls::sendBeside(CallId id, const char* because) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  if (call.inFlight.size() != 1 || !mayBeSentBeside(call)) return;
+  const auto* target = pickEndpoint(call);
+  if (target == nullptr || !budgets_[call.service].spend()) return;
+  ++counters_.hedges;
+  decisions_.write(base::LineWorth::kRoutine, [&] {
+    return fmt::format("second call={} route={} service={} first={} second={} elapsed_ms={} because={}",
+                       requestIdOf(call), call.route, call.service, call.endpoint, target->name,
+                       remainingMs(scheduler_.now(), call.begunAt), because);
+  });
+  send(id, &call, *target);
+}
+
 void EntryCalls::onEndpointStates(const std::vector<wire::EndpointState>& states) { links_.onStates(states); }
 
 int EntryCalls::rankOf(const Call& call) {
@@ -186,11 +215,13 @@
   if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
 }
 
-bool EntryCalls::mayHedge(const Call& call) const {
+bool EntryCalls::mayBeSentBeside(const Call& call) const {
   const int begun = call.attempts + static_cast<int>(call.inFlight.size());
-  return options_.hedgeAfterShare > 0 && call.repeatable && begun < call.maxAttempts;
+  return call.repeatable && begun < call.maxAttempts;
 }
 
+bool EntryCalls::mayHedge(const Call& call) const { return options_.hedgeAfterShare > 0 && mayBeSentBeside(call); }
+
 void EntryCalls::armHedge(CallId id, Call* call) {
   if (!mayHedge(*call) || call->targetLatencyMs == 0 || call->hedgeTimer != 0) return;
   const base::Duration target = base::milliseconds(call->targetLatencyMs);
@@ -211,16 +242,7 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   call.hedgeTimer = 0;
-  if (call.inFlight.size() != 1 || !mayHedge(call)) return;
-  const auto* target = idleEndpoint(call);
-  if (target == nullptr || !budgets_[call.service].spend()) return;
-  ++counters_.hedges;
-  decisions_.write(base::LineWorth::kRoutine, [&] {
-    return fmt::format("hedge call={} route={} service={} first={} second={} elapsed_ms={}", requestIdOf(call),
-                       call.route, call.service, call.endpoint, target->name,
-                       remainingMs(scheduler_.now(), call.begunAt));
-  });
-  send(id, &call, *target);
+  if (mayHedge(call) && idleEndpoint(call) != nullptr) sendBeside(id, "late");
 }
 
 void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target) {
@@ -235,6 +257,7 @@
   const bool inPieces = link.takesBodyPieces && bodyBytes > kInlineBodyBytes;
   attempts_[attemptId] = {id, target.name, link.connection, now, inPieces ? 0 : bodyBytes};
   picker_.onSent(target.name);
+  links_.onSent(target.name);
   wire::CallRequest request;
   request.callId = attemptId;
   request.serviceName = call->service;
@@ -257,6 +280,7 @@
 }
 
 void EntryCalls::onMessage(base::ConnectionId connection, wire::Message message) {
+  links_.onHeard(connection);
   if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
   if (const auto* grant = std::get_if<wire::CallBodyGrant>(&message)) onBodyGrant(connection, *grant);
 }
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -54,6 +54,7 @@
   int64_t retries = 0;
   int64_t budgetSpent = 0;                  ///< retries that the budget did not allow
   int64_t hedges = 0;                       ///< second attempts beside the first
+  int64_t silentLinks = 0;                  ///< links that did not acknowledge what was sent on them
   int64_t lateAnswers = 0;                  ///< answers that came after the call had ended; dropped
   int64_t abandoned = 0;                    ///< callers that went away before their answer
   base::LatencyHistogram completedLatency;  ///< of completed calls, from the request to the answer
@@ -89,6 +90,8 @@
   void abandon(CallId call);
 
   size_t active() const { return calls_.size(); }
+  /// @return whether a connection was opened by this side.
+  bool leadsFrom(base::ConnectionId connection) const { return links_.leadsFrom(connection); }
   size_t links() const { return links_.size(); }
   const EntryCounters& counters() const { return counters_; }
   const routing::RoutingTablePtr& table() const { return table_; }
@@ -133,6 +136,8 @@
   const routing::Route* findRoute(const InboundCall& inbound) const;
   void finishLater(CallId id, CallAnswer answer);
   void onLinkLost(base::ConnectionId connection, const std::string& endpoint);
+  void onLinkSilent(base::ConnectionId connection);
+  void sendBeside(CallId id, const char* because);
   void attempt(CallId id);
   void send(CallId id, Call* call, const routing::EndpointTarget& target);
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
@@ -146,6 +151,7 @@
   void onHedgeTimer(CallId id);
   const routing::EndpointTarget* idleEndpoint(const Call& call);
   bool mayHedge(const Call& call) const;
+  bool mayBeSentBeside(const Call& call) const;
   void onCompleted(const Attempt& attempt, const wire::CallResponse& response);
   void dropAttempt(CallId call, int64_t attemptId);
   void onNotRun(const Attempt& attempt, const wire::CallResponse& response);
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -33,7 +33,7 @@
     if (endpoint.weight <= 0) continue;
     ++weighted;
     const auto& state = states_[endpoint.name];
-    if (!state.connected || excluded.count(endpoint.name) > 0) continue;
+    if (!state.connected || state.silent || excluded.count(endpoint.name) > 0) continue;
     if (state.fullUntil > now && rank >= state.fullRank) continue;
     if (bodyBytes > 0 && state.fullForBodiesUntil > now) continue;
     connected.push_back(&endpoint);
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -89,6 +89,9 @@
   /// The endpoint said, or a relay said of it, that it takes no new work, or that it does again.
   void setAvailable(const std::string& endpoint, bool available);
 
+  /// The endpoint's node does not acknowledge what is sent to it, or does so again.
+  void setSilent(const std::string& endpoint, bool silent) { states_[endpoint].silent = silent; }
+
   int inFlight(const std::string& endpoint) const;
 
   /// @return the share of an endpoint's slots that is busy, as far as this node knows.
@@ -105,6 +108,7 @@
     base::TimePoint ejectedUntil{};
     bool connected = false;
     bool available = true;
+    bool silent = false;
     base::TimePoint since{};  // when it was first connected
     int fullRank = 0;         // the most urgent rank that was refused, until fullUntil
     base::TimePoint fullUntil{};
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -293,6 +293,8 @@
   11: string serviceName
   /** Whether the bodies of calls may follow in pieces, as they are granted. */
   12: bool takesBodyPieces
+  /** Whether calls are acknowledged as they arrive, and keep-alives are returned. */
+  13: bool acknowledgesCalls
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -541,6 +543,11 @@
   1: i64 callId
 }
 
+/** A call has arrived, and its answer will take a while. */
+struct CallAccepted {
+  1: i64 callId
+}
+
 /** Allows the sender of a call to send its body up to this size. */
 struct CallBodyGrant {
   1: i64 callId
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -82,7 +82,8 @@
 }  // namespace
 
 Purpose purposeOf(size_t kind) {
-  if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece>(kind)) return Purpose::kCall;
+  if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece, CallAccepted>(kind))
+    return Purpose::kCall;
   if (isOneOf<LedgerRequest, LedgerReply>(kind)) return Purpose::kLedger;
   const bool log =
       isOneOf<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck, TimeoutNow>(
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -5528,6 +5528,10 @@
 void Hello::__set_takesBodyPieces(const bool val) {
   this->takesBodyPieces = val;
 }
+
+void Hello::__set_acknowledgesCalls(const bool val) {
+  this->acknowledgesCalls = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -5654,6 +5658,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acknowledgesCalls);
+          this->__isset.acknowledgesCalls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5719,6 +5731,10 @@
   xfer += oprot->writeBool(this->takesBodyPieces);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("acknowledgesCalls", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->acknowledgesCalls);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5738,6 +5754,7 @@
   swap(a.compresses, b.compresses);
   swap(a.serviceName, b.serviceName);
   swap(a.takesBodyPieces, b.takesBodyPieces);
+  swap(a.acknowledgesCalls, b.acknowledgesCalls);
   swap(a.__isset, b.__isset);
 }
 
@@ -5754,6 +5771,7 @@
   compresses = other208.compresses;
   serviceName = other208.serviceName;
   takesBodyPieces = other208.takesBodyPieces;
+  acknowledgesCalls = other208.acknowledgesCalls;
   __isset = other208.__isset;
 }
 Hello::Hello(Hello&& other209) noexcept {
@@ -5769,6 +5787,7 @@
   compresses = other209.compresses;
   serviceName = std::move(other209.serviceName);
   takesBodyPieces = other209.takesBodyPieces;
+  acknowledgesCalls = other209.acknowledgesCalls;
   __isset = other209.__isset;
 }
 Hello& Hello::operator=(const Hello& other210) {
@@ -5784,6 +5803,7 @@
   compresses = other210.compresses;
   serviceName = other210.serviceName;
   takesBodyPieces = other210.takesBodyPieces;
+  acknowledgesCalls = other210.acknowledgesCalls;
   __isset = other210.__isset;
   return *this;
 }
@@ -5800,6 +5820,7 @@
   compresses = other211.compresses;
   serviceName = std::move(other211.serviceName);
   takesBodyPieces = other211.takesBodyPieces;
+  acknowledgesCalls = other211.acknowledgesCalls;
   __isset = other211.__isset;
   return *this;
 }
@@ -5818,6 +5839,7 @@
   out << ", " << "compresses=" << to_string(compresses);
   out << ", " << "serviceName=" << to_string(serviceName);
   out << ", " << "takesBodyPieces=" << to_string(takesBodyPieces);
+  out << ", " << "acknowledgesCalls=" << to_string(acknowledgesCalls);
   out << ")";
 }
 
@@ -11027,6 +11049,107 @@
 }
 
 
+CallAccepted::~CallAccepted() noexcept {
+}
+
+
+void CallAccepted::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallAccepted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallAccepted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallAccepted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallAccepted");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallAccepted &a, CallAccepted &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallAccepted::CallAccepted(const CallAccepted& other406) noexcept {
+  callId = other406.callId;
+  __isset = other406.__isset;
+}
+CallAccepted::CallAccepted(CallAccepted&& other407) noexcept {
+  callId = other407.callId;
+  __isset = other407.__isset;
+}
+CallAccepted& CallAccepted::operator=(const CallAccepted& other408) noexcept {
+  callId = other408.callId;
+  __isset = other408.__isset;
+  return *this;
+}
+CallAccepted& CallAccepted::operator=(CallAccepted&& other409) noexcept {
+  callId = other409.callId;
+  __isset = other409.__isset;
+  return *this;
+}
+void CallAccepted::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallAccepted(";
+  out << "callId=" << to_string(callId);
+  out << ")";
+}
+
+
 CallBodyGrant::~CallBodyGrant() noexcept {
 }
 
@@ -11119,26 +11242,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyGrant::CallBodyGrant(const CallBodyGrant& other406) noexcept {
-  callId = other406.callId;
-  upToBytes = other406.upToBytes;
-  __isset = other406.__isset;
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other410) noexcept {
+  callId = other410.callId;
+  upToBytes = other410.upToBytes;
+  __isset = other410.__isset;
 }
-CallBodyGrant::CallBodyGrant(CallBodyGrant&& other407) noexcept {
-  callId = other407.callId;
-  upToBytes = other407.upToBytes;
-  __isset = other407.__isset;
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other411) noexcept {
+  callId = other411.callId;
+  upToBytes = other411.upToBytes;
+  __isset = other411.__isset;
 }
-CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other408) noexcept {
-  callId = other408.callId;
-  upToBytes = other408.upToBytes;
-  __isset = other408.__isset;
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other412) noexcept {
+  callId = other412.callId;
+  upToBytes = other412.upToBytes;
+  __isset = other412.__isset;
   return *this;
 }
-CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other409) noexcept {
-  callId = other409.callId;
-  upToBytes = other409.upToBytes;
-  __isset = other409.__isset;
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other413) noexcept {
+  callId = other413.callId;
+  upToBytes = other413.upToBytes;
+  __isset = other413.__isset;
   return *this;
 }
 void CallBodyGrant::printTo(std::ostream& out) const {
@@ -11242,26 +11365,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyPiece::CallBodyPiece(const CallBodyPiece& other410) {
-  callId = other410.callId;
-  data = other410.data;
-  __isset = other410.__isset;
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other414) {
+  callId = other414.callId;
+  data = other414.data;
+  __isset = other414.__isset;
 }
-CallBodyPiece::CallBodyPiece(CallBodyPiece&& other411) noexcept {
-  callId = other411.callId;
-  data = std::move(other411.data);
-  __isset = other411.__isset;
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other415) noexcept {
+  callId = other415.callId;
+  data = std::move(other415.data);
+  __isset = other415.__isset;
 }
-CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other412) {
-  callId = other412.callId;
-  data = other412.data;
-  __isset = other412.__isset;
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other416) {
+  callId = other416.callId;
+  data = other416.data;
+  __isset = other416.__isset;
   return *this;
 }
-CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other413) noexcept {
-  callId = other413.callId;
-  data = std::move(other413.data);
-  __isset = other413.__isset;
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other417) noexcept {
+  callId = other417.callId;
+  data = std::move(other417.data);
+  __isset = other417.__isset;
   return *this;
 }
 void CallBodyPiece::printTo(std::ostream& out) const {
@@ -11312,14 +11435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->members.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size418;
+            ::apache::thrift::protocol::TType _etype421;
+            xfer += iprot->readListBegin(_etype421, _size418);
+            this->members.resize(_size418);
+            uint32_t _i422;
+            for (_i422 = 0; _i422 < _size418; ++_i422)
             {
-              xfer += this->members[_i418].read(iprot);
+              xfer += this->members[_i422].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11348,10 +11471,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter419;
-    for (_iter419 = this->members.begin(); _iter419 != this->members.end(); ++_iter419)
+    std::vector<Member> ::const_iterator _iter423;
+    for (_iter423 = this->members.begin(); _iter423 != this->members.end(); ++_iter423)
     {
-      xfer += (*_iter419).write(oprot);
+      xfer += (*_iter423).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11368,22 +11491,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other420) {
-  members = other420.members;
-  __isset = other420.__isset;
+MemberList::MemberList(const MemberList& other424) {
+  members = other424.members;
+  __isset = other424.__isset;
 }
-MemberList::MemberList(MemberList&& other421) noexcept {
-  members = std::move(other421.members);
-  __isset = other421.__isset;
+MemberList::MemberList(MemberList&& other425) noexcept {
+  members = std::move(other425.members);
+  __isset = other425.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other422) {
-  members = other422.members;
-  __isset = other422.__isset;
+MemberList& MemberList::operator=(const MemberList& other426) {
+  members = other426.members;
+  __isset = other426.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other423) noexcept {
-  members = std::move(other423.members);
-  __isset = other423.__isset;
+MemberList& MemberList::operator=(MemberList&& other427) noexcept {
+  members = std::move(other427.members);
+  __isset = other427.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -11503,30 +11626,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other424) {
-  address = other424.address;
-  port = other424.port;
-  zone = other424.zone;
-  __isset = other424.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other428) {
+  address = other428.address;
+  port = other428.port;
+  zone = other428.zone;
+  __isset = other428.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other425) noexcept {
-  address = std::move(other425.address);
-  port = other425.port;
-  zone = std::move(other425.zone);
-  __isset = other425.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other429) noexcept {
+  address = std::move(other429.address);
+  port = other429.port;
+  zone = std::move(other429.zone);
+  __isset = other429.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other426) {
-  address = other426.address;
-  port = other426.port;
-  zone = other426.zone;
-  __isset = other426.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other430) {
+  address = other430.address;
+  port = other430.port;
+  zone = other430.zone;
+  __isset = other430.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other427) noexcept {
-  address = std::move(other427.address);
-  port = other427.port;
-  zone = std::move(other427.zone);
-  __isset = other427.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other431) noexcept {
+  address = std::move(other431.address);
+  port = other431.port;
+  zone = std::move(other431.zone);
+  __isset = other431.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -11578,14 +11701,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->relays.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->relays.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += this->relays[_i432].read(iprot);
+              xfer += this->relays[_i436].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11614,10 +11737,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter433;
-    for (_iter433 = this->relays.begin(); _iter433 != this->relays.end(); ++_iter433)
+    std::vector<RelayAddress> ::const_iterator _iter437;
+    for (_iter437 = this->relays.begin(); _iter437 != this->relays.end(); ++_iter437)
     {
-      xfer += (*_iter433).write(oprot);
+      xfer += (*_iter437).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11634,22 +11757,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other434) {
-  relays = other434.relays;
-  __isset = other434.__isset;
+RelayList::RelayList(const RelayList& other438) {
+  relays = other438.relays;
+  __isset = other438.__isset;
 }
-RelayList::RelayList(RelayList&& other435) noexcept {
-  relays = std::move(other435.relays);
-  __isset = other435.__isset;
+RelayList::RelayList(RelayList&& other439) noexcept {
+  relays = std::move(other439.relays);
+  __isset = other439.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other436) {
-  relays = other436.relays;
-  __isset = other436.__isset;
+RelayList& RelayList::operator=(const RelayList& other440) {
+  relays = other440.relays;
+  __isset = other440.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other437) noexcept {
-  relays = std::move(other437.relays);
-  __isset = other437.__isset;
+RelayList& RelayList::operator=(RelayList&& other441) noexcept {
+  relays = std::move(other441.relays);
+  __isset = other441.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -11714,18 +11837,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other438) noexcept {
-  (void) other438;
+StartCompression::StartCompression(const StartCompression& other442) noexcept {
+  (void) other442;
 }
-StartCompression::StartCompression(StartCompression&& other439) noexcept {
-  (void) other439;
+StartCompression::StartCompression(StartCompression&& other443) noexcept {
+  (void) other443;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other440) noexcept {
-  (void) other440;
+StartCompression& StartCompression::operator=(const StartCompression& other444) noexcept {
+  (void) other444;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other441) noexcept {
-  (void) other441;
+StartCompression& StartCompression::operator=(StartCompression&& other445) noexcept {
+  (void) other445;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -274,6 +274,8 @@
 
 class CallCancel;
 
+class CallAccepted;
+
 class CallBodyGrant;
 
 class CallBodyPiece;
@@ -2260,7 +2262,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2273,6 +2275,7 @@
   bool compresses :1;
   bool serviceName :1;
   bool takesBodyPieces :1;
+  bool acknowledgesCalls :1;
 } _Hello__isset;
 
 /**
@@ -2297,7 +2300,8 @@
           relayPort(0),
           compresses(0),
           serviceName(),
-          takesBodyPieces(0) {
+          takesBodyPieces(0),
+          acknowledgesCalls(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2323,6 +2327,10 @@
    * Whether the bodies of calls may follow in pieces, as they are granted.
    */
   bool takesBodyPieces;
+  /**
+   * Whether calls are acknowledged as they arrive, and keep-alives are returned.
+   */
+  bool acknowledgesCalls;
 
   _Hello__isset __isset;
 
@@ -2350,6 +2358,8 @@
 
   void __set_takesBodyPieces(const bool val);
 
+  void __set_acknowledgesCalls(const bool val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2376,6 +2386,8 @@
       return false;
     if (!(takesBodyPieces == rhs.takesBodyPieces))
       return false;
+    if (!(acknowledgesCalls == rhs.acknowledgesCalls))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -4416,6 +4428,54 @@
 
 std::ostream& operator<<(std::ostream& out, const CallCancel& obj);
 
+typedef struct _CallAccepted__isset {
+  _CallAccepted__isset() : callId(false) {}
+  bool callId :1;
+} _CallAccepted__isset;
+
+/**
+ * A call has arrived, and its answer will take a while.
+ */
+class CallAccepted : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallAccepted(const CallAccepted&) noexcept;
+  CallAccepted(CallAccepted&&) noexcept;
+  CallAccepted& operator=(const CallAccepted&) noexcept;
+  CallAccepted& operator=(CallAccepted&&) noexcept;
+  CallAccepted() noexcept
+               : callId(0) {
+  }
+
+  virtual ~CallAccepted() noexcept;
+  int64_t callId;
+
+  _CallAccepted__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  bool operator == (const CallAccepted & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    return true;
+  }
+  bool operator != (const CallAccepted &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallAccepted & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallAccepted &a, CallAccepted &b);
+
+std::ostream& operator<<(std::ostream& out, const CallAccepted& obj);
+
 typedef struct _CallBodyGrant__isset {
   _CallBodyGrant__isset() : callId(false), upToBytes(false) {}
   bool callId :1;
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -19,6 +19,7 @@
     auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
     REQUIRE(message.ok());
     if (const auto* grant = std::get_if<wire::CallBodyGrant>(&*message)) return grants.push_back(*grant);
+    if (std::holds_alternative<wire::CallAccepted>(*message)) return;
     answers.push_back(std::get<wire::CallResponse>(*message));
   }
   void close(base::ConnectionId) override {}
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -34,7 +34,8 @@
     options.zone = "zone-0";
     links = std::make_unique<EndpointLinks>(
         options, process, base::RandomSource(2), network, *picker,
-        [this](base::ConnectionId, const std::string& endpoint) { lost.push_back(endpoint); });
+        [this](base::ConnectionId, const std::string& endpoint) { lost.push_back(endpoint); },
+        [this](base::ConnectionId, const std::string& endpoint) { silent.push_back(endpoint); });
     std::vector<wire::EndpointState> states;
     for (int i = 1; i <= kEndpoints; ++i) states.push_back(endpointState(i, wire::EndpointCondition::LIVE));
     links->onStates(states);
@@ -42,7 +43,10 @@
   }
 
   void openAll() {
-    for (const auto& [connection, address] : network.connected) links->onOpen(connection, {});
+    wire::Hello peer;
+    peer.id = "other";
+    peer.acknowledgesCalls = true;
+    for (const auto& [connection, address] : network.connected) links->onOpen(connection, peer);
   }
 
   void runFor(base::Duration duration) {
@@ -57,6 +61,7 @@
   std::unique_ptr<routing::EndpointPicker> picker;
   std::unique_ptr<EndpointLinks> links;
   std::vector<std::string> lost;
+  std::vector<std::string> silent;
 };
 
 }  // namespace
@@ -111,4 +116,39 @@
   CHECK(links->of("records").size() == 16);
 }
 
+TEST_CASE_METHOD(LinksFixture, "an endpoint that acknowledges nothing is left out until it is heard again") {
+  const auto name = links->of("records").front().name;
+  const auto send = [&] {
+    picker->onSent(name);
+    links->onSent(name);
+  };
+  send();
+  runFor(base::milliseconds(100));
+  links->onHeard(links->link(name).connection);
+  runFor(base::milliseconds(300));
+  CHECK(silent.empty());
+  send();
+  runFor(base::milliseconds(400));
+  CHECK(silent == std::vector<std::string>{name});
+  for (int i = 0; i < 200; ++i) CHECK(picker->pick(links->of("records"), "zone-0", {})->name != name);
+  links->onHeard(links->link(name).connection);
+  CHECK(!links->link(name).silent);
+}
+
+TEST_CASE_METHOD(LinksFixture, "a link on which a call runs for long is asked for a sign of life") {
+  const auto name = links->of("records").front().name;
+  picker->onSent(name);
+  links->onSent(name);
+  links->onHeard(links->link(name).connection);
+  runFor(base::milliseconds(450));
+  CHECK(network.all<wire::KeepAlive>().empty());
+  runFor(base::milliseconds(250));
+  CHECK(network.all<wire::KeepAlive>().size() == 1);
+  links->onHeard(links->link(name).connection);
+  runFor(base::milliseconds(400));
+  CHECK(silent.empty());
+  runFor(base::milliseconds(700));
+  CHECK(silent == std::vector<std::string>{name});
+}
+
 }  // namespace driftlug::node
--- a/test/node/entry_calls_test.cc
+++ b/test/node/entry_calls_test.cc
@@ -480,4 +480,24 @@
   CHECK(asked() == std::vector<std::string>{"near", "far", "far", "near"});
 }
 
+TEST_CASE_METHOD(Fixture, "a call that may run twice goes to another endpoint while the first one's node is silent") {
+  wire::Hello peer;
+  peer.id = "other";
+  peer.acknowledgesCalls = true;
+  for (const auto& [connection, address] : network.connected) entry->onOpen(connection, peer);
+  call("/once/1");
+  runFor(base::milliseconds(500));
+  CHECK(asked() == std::vector<std::string>{"near"});
+  entry->onMessage(lastRequest().connection, wire::CallAccepted());
+  call("/safe/1");
+  runFor(base::milliseconds(400));
+  REQUIRE(asked().size() == 3);
+  CHECK(asked()[1] != asked()[2]);
+  CHECK(entry->counters().silentLinks == 2);
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 200);
+  CHECK(entry->active() == 1);
+}
+
 }  // namespace driftlug::node
