--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -40,11 +40,11 @@
 
 enum class RaftRole { kFollower, kCandidate, kLeader };
 
-/// Sends messages to other members; delivery is not certain.
+/// Sends messages to other members, encoded, so that one that goes to many is encoded once; delivery is not certain.
 class RaftTransport {
  public:
   virtual ~RaftTransport() = default;
-  virtual void sendTo(const std::string& memberId, const wire::Message& message) = 0;
+  virtual void sendTo(const std::string& memberId, const wire::FramePtr& frame) = 0;
 };
 
 /// The state machine that the log drives.
@@ -148,6 +148,16 @@
     base::TimePoint lastChunk{};
   };
 
+  /// What an append says; members at the same place of the log get the same one.
+  struct AppendContent {
+    int64_t term = 0;
+    int64_t round = 0;
+    int64_t commitIndex = 0;
+    int64_t previousIndex = 0;
+    int64_t lastIndex = 0;
+    bool operator==(const AppendContent&) const = default;
+  };
+
   struct PendingConfirm {
     int64_t round;
     int64_t index;
@@ -172,7 +182,9 @@
   // Replication
   void onHeartbeatTimer();
   void broadcast();
+  void sendTo(const std::string& memberId, const wire::Message& message);
   void sendAppend(const std::string& memberId, Progress* progress);
+  wire::FramePtr encodeAppend(const AppendContent& content, int64_t previousTerm);
   void sendSnapshotChunk(const std::string& memberId, Progress* progress);
   void onAppendRequest(const std::string& from, const wire::AppendRequest& request);
   void answerAppend(const std::string& to, const wire::AppendRequest& request, bool success, int64_t matchIndex);
@@ -241,6 +253,8 @@
   base::TimePoint quorumSeen_{};  // when a quorum last answered
   std::vector<PendingConfirm> confirms_;
   bool confirmRoundSent_ = false;
+  AppendContent appendContent_;  // of appendFrame_
+  wire::FramePtr appendFrame_;   // the append that was sent last; null on followers
 
   std::string incoming_;  // snapshot being received
   int64_t incomingIndex_ = 0;
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -84,7 +84,7 @@
     const bool outdated = request.preVote ? hardState_.term + 1 != request.term : hardState_.term != request.term;
     if (outdated || role_ == RaftRole::kLeader) return;
     for (const auto& member : members_) {
-      if (member.voting && member.id != id_) transport_.sendTo(member.id, request);
+      if (member.voting && member.id != id_) sendTo(member.id, request);
     }
     wire::VoteResponse own;
     own.term = request.term;
@@ -113,7 +113,7 @@
     response.granted = !leaderIsFresh && request.term > hardState_.term && candidateIsUpToDate(request);
     // A refusal carries the own term only: the term that was asked for has not begun, and must not by a refusal.
     if (!response.granted) response.term = hardState_.term;
-    transport_.sendTo(from, response);
+    sendTo(from, response);
     return;
   }
   starting_ = false;
@@ -124,12 +124,12 @@
   response.term = hardState_.term;
   response.granted = request.term == hardState_.term && free && candidateIsUpToDate(request);
   if (!response.granted) {
-    transport_.sendTo(from, response);
+    sendTo(from, response);
     return;
   }
   if (hardState_.votedFor.empty()) setTerm(hardState_.term, request.candidate);
   resetElectionTimer();
-  afterSync([this, from, response] { transport_.sendTo(from, response); });
+  afterSync([this, from, response] { sendTo(from, response); });
 }
 
 void Raft::onVoteResponse(const std::string& from, const wire::VoteResponse& response) {
@@ -148,6 +148,7 @@
 }
 
 void Raft::becomeFollower(int64_t term, const std::string& leader) {
+  appendFrame_ = nullptr;
   const bool changed = role_ != RaftRole::kFollower || leaderId_ != leader;
   if (term > hardState_.term) setTerm(term, "");
   role_ = RaftRole::kFollower;
@@ -198,7 +199,7 @@
   transferring_ = true;
   wire::TimeoutNow now;
   now.term = hardState_.term;
-  transport_.sendTo(*target, now);
+  sendTo(*target, now);
 }
 
 }  // namespace driftlug::consensus
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -22,18 +22,37 @@
   const auto previousTerm = termAt(progress->nextIndex - 1);
   if (!previousTerm) return sendSnapshotChunk(memberId, progress);
   progress->snapshotOffset.reset();
+  AppendContent content;
+  content.term = hardState_.term;
+  content.round = round_;
+  content.commitIndex = commitIndex_;
+  content.previousIndex = progress->nextIndex - 1;
+  content.lastIndex = std::min(lastIndex(), content.previousIndex + static_cast<int64_t>(options_.maxBatchEntries));
+  progress->nextIndex = content.lastIndex + 1;
+  transport_.sendTo(memberId, encodeAppend(content, *previousTerm));
+}
+
+/// To encode a large entry for each of many members would keep a leader on a slow machine silent for longer than they
+/// wait for it.
+wire::FramePtr Raft::encodeAppend(const AppendContent& content, int64_t previousTerm) {
+  if (appendFrame_ && content == appendContent_) return appendFrame_;
   wire::AppendRequest request;
-  request.term = hardState_.term;
+  request.term = content.term;
   request.leader = id_;
-  request.previousIndex = progress->nextIndex - 1;
-  request.previousTerm = *previousTerm;
-  request.commitIndex = commitIndex_;
-  request.round = round_;
-  while (progress->nextIndex <= lastIndex() && request.entries.size() < options_.maxBatchEntries) {
-    request.entries.push_back(entryAt(progress->nextIndex));
-    ++progress->nextIndex;
+  request.previousIndex = content.previousIndex;
+  request.previousTerm = previousTerm;
+  request.commitIndex = content.commitIndex;
+  request.round = content.round;
+  for (auto index = content.previousIndex + 1; index <= content.lastIndex; ++index) {
+    request.entries.push_back(entryAt(index));
   }
-  transport_.sendTo(memberId, request);
+  appendContent_ = content;
+  appendFrame_ = wire::encodeFrame(request);
+  return appendFrame_;
+}
+
+void Raft::sendTo(const std::string& memberId, const wire::Message& message) {
+  transport_.sendTo(memberId, wire::encodeFrame(message));
 }
 
 void Raft::onAppendRequest(const std::string& from, const wire::AppendRequest& request) {
@@ -93,7 +112,7 @@
   response.success = success;
   response.matchIndex = matchIndex;
   response.round = request.round;
-  transport_.sendTo(to, response);
+  sendTo(to, response);
 }
 
 void Raft::onAppendResponse(const std::string& from, const wire::AppendResponse& response) {
@@ -198,7 +217,7 @@
   chunk.offset = *progress->snapshotOffset;
   chunk.totalBytes = static_cast<int64_t>(encodedSnapshot_.size());
   chunk.data = encodedSnapshot_.substr(static_cast<size_t>(chunk.offset), options_.snapshotChunkBytes);
-  transport_.sendTo(memberId, chunk);
+  sendTo(memberId, chunk);
 }
 
 void Raft::onSnapshotChunk(const std::string& from, const wire::SnapshotChunk& chunk) {
@@ -223,7 +242,7 @@
   ack.term = hardState_.term;
   ack.lastIndex = chunk.lastIndex;
   ack.nextOffset = static_cast<int64_t>(incoming_.size());
-  transport_.sendTo(from, ack);
+  sendTo(from, ack);
 }
 
 void Raft::installSnapshot(const std::string& from, const wire::SnapshotChunk& last) {
@@ -272,7 +291,7 @@
                         ack.term = hardState_.term;
                         ack.lastIndex = last.lastIndex;
                         ack.nextOffset = last.totalBytes;
-                        transport_.sendTo(from, ack);
+                        sendTo(from, ack);
                       });
 }
 
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -246,7 +246,7 @@
   }
 }
 
-void Controller::sendTo(const std::string& memberId, const wire::Message& message) { links_.sendTo(memberId, message); }
+void Controller::sendTo(const std::string& memberId, const wire::FramePtr& frame) { links_.sendTo(memberId, frame); }
 
 void Controller::applyEdit(const wire::LogEntry& entry) {
   const auto fingerprint = fingerprintOf(entry.edit);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -127,7 +127,7 @@
   void onClose(base::ConnectionId connection) override;
 
   // consensus::RaftTransport
-  void sendTo(const std::string& memberId, const wire::Message& message) override;
+  void sendTo(const std::string& memberId, const wire::FramePtr& frame) override;
 
   // consensus::RaftListener
   void apply(const wire::LogEntry& entry) override;
--- a/src/membership/peer_links.cc
+++ b/src/membership/peer_links.cc
@@ -89,10 +89,10 @@
   });
 }
 
-void PeerLinks::sendTo(const std::string& peerId, const wire::Message& message) {
+void PeerLinks::sendTo(const std::string& peerId, const wire::FramePtr& frame) {
   for (const auto& [address, link] : links_) {
     if (!link.open || link.hello.id != peerId) continue;
-    network_.send(link.connection, wire::encodeFrame(message));
+    network_.send(link.connection, frame);
     return;
   }
 }
--- a/src/membership/peer_links.h
+++ b/src/membership/peer_links.h
@@ -33,7 +33,7 @@
   void onHello(base::ConnectionId connection, const wire::Hello& peer);
 
   /// Sends to the process with this id, if a connection to it is open.
-  void sendTo(const std::string& peerId, const wire::Message& message);
+  void sendTo(const std::string& peerId, const wire::FramePtr& frame);
 
   /// Sends to every process that a connection is open to.
   void sendToAll(const wire::Message& message);
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -199,7 +199,7 @@
   held.probe = probe;
   held.wantsReply = wantsReply;
   held.freshness = source_.freshness();
-  peers_.sendTo(relayId, held);
+  peers_.sendTo(relayId, wire::encodeFrame(held));
 }
 
 void Relay::onRelayMessage(const std::string& relayId, const wire::Message& message) {
