Pack large slices and deltas for nodes that take them

Change: a relay packs a frame over 4 KiB once for all nodes that say in their Hello that they unpack (`PackedFrame`); the wire layer unpacks it. By test a slice of 1,200 rows shrinks to less than half.

Ruled out: compression of the whole control connection, which would deflate the same slice anew for each node.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -49,6 +49,7 @@
   hello.role = wire::Role::NODE;
   hello.id = options_.nodeId;
   hello.zone = options_.zone;
+  hello.unpacksFrames = true;
   network_.setHello(hello);
   freshSince_ = scheduler_.now();
   load();
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -51,7 +51,8 @@
   }
   const bool whole = session->sentRevision == 0 || fullPush_;
   if (whole && released < session->floorRevision) return;
-  const auto frame = whole ? session->slice->wholeAt(released) : session->slice->updateFrom(session->sentRevision);
+  const auto frame = whole ? session->slice->wholeAt(released, session->takesPacked)
+                           : session->slice->updateFrom(session->sentRevision, session->takesPacked);
   network_.send(connection, frame);
   ++counters_.updates;
   counters_.updateBytes += static_cast<int64_t>(frame->size());
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -33,7 +33,8 @@
   std::shared_ptr<CachedSlice> slice;
   int64_t sentRevision = 0;
   int64_t appliedRevision = 0;
-  bool confirmed = false;  ///< whether the node may be sent its first slice
+  bool confirmed = false;    ///< whether the node may be sent its first slice
+  bool takesPacked = false;  ///< whether the node unpacks frames
   /// Revision that must be released before a whole slice is sent: the newest that this node may have run.
   int64_t floorRevision = 0;
   base::TimePoint lastHeard{};
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -282,6 +282,7 @@
   NodeSession session;
   session.nodeId = peer.id;
   session.zone = peer.zone;
+  session.takesPacked = peer.unpacksFrames;
   session.slice = slices_.get(interest, replica_.table());
   session.sentRevision = request.revision;
   session.appliedRevision = request.revision;
--- a/src/relay/slice_cache.cc
+++ b/src/relay/slice_cache.cc
@@ -10,34 +10,40 @@
 bool CachedSlice::refresh(const table::Table& table) {
   if (!slice_.refresh(table)) return false;
   frames_.clear();
-  whole_.reset();
+  whole_ = {};
   return true;
 }
 
-wire::FramePtr CachedSlice::wholeAt(int64_t revision) {
-  if (whole_ && wholeRevision_ == revision) return whole_;
+wire::FramePtr CachedSlice::choose(Encoded* encoded, bool packed) {
+  if (!packed) return encoded->plain;
+  if (!encoded->packed) encoded->packed = wire::packFrame(encoded->plain);
+  return encoded->packed;
+}
+
+wire::FramePtr CachedSlice::wholeAt(int64_t revision, bool packed) {
+  if (whole_.plain && wholeRevision_ == revision) return choose(&whole_, packed);
   wire::SliceUpdate update;
   update.full = true;
   update.toRevision = revision;
   update.rows = slice_.allRows();
   update.digest = slice_.digest();
-  whole_ = wire::encodeFrame(update);
+  whole_ = {wire::encodeFrame(update), nullptr};
   wholeRevision_ = revision;
-  return whole_;
+  return choose(&whole_, packed);
 }
 
-wire::FramePtr CachedSlice::updateFrom(int64_t fromRevision) {
+wire::FramePtr CachedSlice::updateFrom(int64_t fromRevision, bool packed) {
   const auto found = frames_.find(fromRevision);
-  if (found != frames_.end()) return found->second;
+  if (found != frames_.end()) return choose(&found->second, packed);
   wire::SliceUpdate update;
   update.fromRevision = fromRevision;
   update.toRevision = slice_.revision();
   update.rows = slice_.changedSince(fromRevision);
   update.digest = slice_.digest();
-  auto frame = wire::encodeFrame(update);
   if (frames_.size() >= kMaxCachedFrames) frames_.clear();
-  frames_[fromRevision] = frame;
-  return frame;
+  auto& encoded = frames_[fromRevision];
+  encoded.plain = wire::encodeFrame(update);
+  return choose(&encoded, packed);
 }
 
 std::shared_ptr<CachedSlice> SliceCache::get(const table::Interest& interest, const table::Table& table) {
--- a/src/wire/deflate.cc
+++ b/src/wire/deflate.cc
@@ -19,6 +19,36 @@
 
 }  // namespace
 
+std::string deflateWhole(std::string_view bytes) {
+  auto size = compressBound(static_cast<uLong>(bytes.size()));
+  std::string out(size, '\0');
+  (void)compress2(reinterpret_cast<Bytef*>(out.data()), &size, reinterpret_cast<const Bytef*>(bytes.data()),
+                  static_cast<uLong>(bytes.size()), Z_BEST_SPEED);
+  out.resize(size);
+  return out;
+}
+
+absl::StatusOr<std::string> inflateWhole(std::string_view bytes, size_t most) {
+  z_stream stream{};
+  if (inflateInit(&stream) != Z_OK) return base::makeError(base::ErrorCode::kBadFrame, "no memory to unpack a frame");
+  stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+  stream.avail_in = static_cast<uInt>(bytes.size());
+  std::string out;
+  std::array<unsigned char, kPieceBytes> piece{};
+  int result = Z_OK;
+  while (result == Z_OK && out.size() <= most) {
+    stream.next_out = piece.data();
+    stream.avail_out = static_cast<uInt>(piece.size());
+    result = inflate(&stream, Z_NO_FLUSH);
+    out.append(reinterpret_cast<const char*>(piece.data()), piece.size() - stream.avail_out);
+  }
+  inflateEnd(&stream);
+  if (result != Z_STREAM_END || out.size() > most) {
+    return base::makeError(base::ErrorCode::kBadFrame, "a packed frame can't be unpacked");
+  }
+  return out;
+}
+
 Deflater::Deflater() {
   (void)deflateInit2(&stream_, kLevel, Z_DEFLATED, kRawWindowBits, kMemoryLevel, Z_DEFAULT_STRATEGY);
 }
--- a/src/wire/deflate.h
+++ b/src/wire/deflate.h
@@ -1,7 +1,8 @@
-/// Compression of a stream of frames with zlib, flushed behind each frame.
+/// Compression with zlib: of a stream of frames, flushed behind each frame, and of single pieces.
 #pragma once
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 #include <zlib.h>
 
 #include <string>
@@ -9,6 +10,12 @@
 
 namespace driftlug::wire {
 
+/// @return the bytes, deflated by themselves at the fastest level.
+std::string deflateWhole(std::string_view bytes);
+
+/// @return what was deflated, or kBadFrame when the bytes are no such thing or would grow beyond `most`
+absl::StatusOr<std::string> inflateWhole(std::string_view bytes, size_t most);
+
 /// Compresses one direction of a connection. What was sent before serves as the dictionary of what follows, so that
 /// the heads of calls, which are much alike, shrink to a few bytes.
 class Deflater {
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -295,6 +295,8 @@
   12: bool takesBodyPieces
   /** Whether calls are acknowledged as they arrive, and keep-alives are returned. */
   13: bool acknowledgesCalls
+  /** Whether large frames may come as PackedFrame. */
+  14: bool unpacksFrames
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -577,6 +579,11 @@
   1: list<RelayAddress> relays
 }
 
+/** Another frame, from its type byte on, deflated by itself, so that it is packed once for all who get it. */
+struct PackedFrame {
+  1: binary deflated
+}
+
 /** Everything behind this frame, in its direction, is one raw deflate stream. */
 struct StartCompression {
 }
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/error.h"
+#include "wire/deflate.h"
 
 namespace driftlug::wire {
 namespace {
@@ -67,6 +68,9 @@
   return ((kind == positionOf<T>()) || ...);
 }
 
+/// Below this a frame is one or two packets anyway.
+constexpr size_t kLeastPackedBytes = 4096;
+
 size_t readLength(const char* bytes) {
   size_t length = 0;
   for (size_t i = 0; i < kLengthBytes; ++i) length = (length << 8) | static_cast<unsigned char>(bytes[i]);
@@ -99,6 +103,27 @@
   return frame;
 }
 
+FramePtr packFrame(const FramePtr& frame) {
+  if (frame->size() < kLeastPackedBytes) return frame;
+  PackedFrame packed;
+  packed.deflated = deflateWhole(std::string_view(*frame).substr(kLengthBytes));
+  auto result = encodeFrame(packed);
+  return result->size() < frame->size() ? result : frame;
+}
+
+namespace {
+
+absl::StatusOr<Message> unpackFrame(const PackedFrame& packed) {
+  auto restored = inflateWhole(packed.deflated, kMaxFrameBytes);
+  if (!restored.ok()) return restored.status();
+  const bool packedTwice =
+      !restored->empty() && static_cast<unsigned char>((*restored)[0]) == positionOf<PackedFrame>();
+  if (packedTwice) return base::makeError(base::ErrorCode::kBadFrame, "a packed frame within another");
+  return decodeFrame(*restored);
+}
+
+}  // namespace
+
 absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload) {
   if (typeAndPayload.empty()) return base::makeError(base::ErrorCode::kBadFrame, "frame without a type");
   const auto type = static_cast<unsigned char>(typeAndPayload[0]);
@@ -107,6 +132,7 @@
   if (!kDecoders[type](typeAndPayload.substr(1), &message)) {
     return base::makeError(base::ErrorCode::kBadFrame, "message can't be decoded");
   }
+  if (const auto* packed = std::get_if<PackedFrame>(&message)) return unpackFrame(*packed);
   return message;
 }
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -14,12 +14,12 @@
 namespace driftlug::wire {
 
 /// Every message that travels between processes. The position is the type byte and never changes.
-using Message =
-    std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck,
-                 TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat, ConfirmRequest, ConfirmReply,
-                 ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied, SliceRejected, NodeHeartbeat, RetryLater,
-                 RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel, KeepAlive, LedgerRequest,
-                 LedgerReply, MemberList, RelayList, StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted>;
+using Message = std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
+                             SnapshotChunkAck, TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat,
+                             ConfirmRequest, ConfirmReply, ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied,
+                             SliceRejected, NodeHeartbeat, RetryLater, RelayHeld, EndpointStates, CallRequest,
+                             CallResponse, CallCancel, KeepAlive, LedgerRequest, LedgerReply, MemberList, RelayList,
+                             StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted, PackedFrame>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
@@ -47,7 +47,11 @@
 /// @return the message as a complete frame.
 FramePtr encodeFrame(const Message& message);
 
-/// Decodes the part of a frame behind its length.
+/// Packs a frame that is worth it, for peers that take PackedFrame.
+/// @return the packed frame, or the given one where packing it gains nothing
+FramePtr packFrame(const FramePtr& frame);
+
+/// Decodes the part of a frame behind its length; a packed one is unpacked.
 /// @return the message, or kBadFrame
 absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload);
 
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -5532,6 +5532,10 @@
 void Hello::__set_acknowledgesCalls(const bool val) {
   this->acknowledgesCalls = val;
 }
+
+void Hello::__set_unpacksFrames(const bool val) {
+  this->unpacksFrames = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -5666,6 +5670,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->unpacksFrames);
+          this->__isset.unpacksFrames = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5735,6 +5747,10 @@
   xfer += oprot->writeBool(this->acknowledgesCalls);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unpacksFrames", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->unpacksFrames);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5755,6 +5771,7 @@
   swap(a.serviceName, b.serviceName);
   swap(a.takesBodyPieces, b.takesBodyPieces);
   swap(a.acknowledgesCalls, b.acknowledgesCalls);
+  swap(a.unpacksFrames, b.unpacksFrames);
   swap(a.__isset, b.__isset);
 }
 
@@ -5772,6 +5789,7 @@
   serviceName = other208.serviceName;
   takesBodyPieces = other208.takesBodyPieces;
   acknowledgesCalls = other208.acknowledgesCalls;
+  unpacksFrames = other208.unpacksFrames;
   __isset = other208.__isset;
 }
 Hello::Hello(Hello&& other209) noexcept {
@@ -5788,6 +5806,7 @@
   serviceName = std::move(other209.serviceName);
   takesBodyPieces = other209.takesBodyPieces;
   acknowledgesCalls = other209.acknowledgesCalls;
+  unpacksFrames = other209.unpacksFrames;
   __isset = other209.__isset;
 }
 Hello& Hello::operator=(const Hello& other210) {
@@ -5804,6 +5823,7 @@
   serviceName = other210.serviceName;
   takesBodyPieces = other210.takesBodyPieces;
   acknowledgesCalls = other210.acknowledgesCalls;
+  unpacksFrames = other210.unpacksFrames;
   __isset = other210.__isset;
   return *this;
 }
@@ -5821,6 +5841,7 @@
   serviceName = std::move(other211.serviceName);
   takesBodyPieces = other211.takesBodyPieces;
   acknowledgesCalls = other211.acknowledgesCalls;
+  unpacksFrames = other211.unpacksFrames;
   __isset = other211.__isset;
   return *this;
 }
@@ -5840,6 +5861,7 @@
   out << ", " << "serviceName=" << to_string(serviceName);
   out << ", " << "takesBodyPieces=" << to_string(takesBodyPieces);
   out << ", " << "acknowledgesCalls=" << to_string(acknowledgesCalls);
+  out << ", " << "unpacksFrames=" << to_string(unpacksFrames);
   out << ")";
 }
 
@@ -11783,6 +11805,107 @@
 }
 
 
+PackedFrame::~PackedFrame() noexcept {
+}
+
+
+void PackedFrame::__set_deflated(const std::string& val) {
+  this->deflated = val;
+}
+std::ostream& operator<<(std::ostream& out, const PackedFrame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PackedFrame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->deflated);
+          this->__isset.deflated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PackedFrame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PackedFrame");
+
+  xfer += oprot->writeFieldBegin("deflated", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->deflated);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PackedFrame &a, PackedFrame &b) {
+  using ::std::swap;
+  swap(a.deflated, b.deflated);
+  swap(a.__isset, b.__isset);
+}
+
+PackedFrame::PackedFrame(const PackedFrame& other442) {
+  deflated = other442.deflated;
+  __isset = other442.__isset;
+}
+PackedFrame::PackedFrame(PackedFrame&& other443) noexcept {
+  deflated = std::move(other443.deflated);
+  __isset = other443.__isset;
+}
+PackedFrame& PackedFrame::operator=(const PackedFrame& other444) {
+  deflated = other444.deflated;
+  __isset = other444.__isset;
+  return *this;
+}
+PackedFrame& PackedFrame::operator=(PackedFrame&& other445) noexcept {
+  deflated = std::move(other445.deflated);
+  __isset = other445.__isset;
+  return *this;
+}
+void PackedFrame::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PackedFrame(";
+  out << "deflated=" << to_string(deflated);
+  out << ")";
+}
+
+
 StartCompression::~StartCompression() noexcept {
 }
 
@@ -11837,18 +11960,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other442) noexcept {
-  (void) other442;
+StartCompression::StartCompression(const StartCompression& other446) noexcept {
+  (void) other446;
 }
-StartCompression::StartCompression(StartCompression&& other443) noexcept {
-  (void) other443;
+StartCompression::StartCompression(StartCompression&& other447) noexcept {
+  (void) other447;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other444) noexcept {
-  (void) other444;
+StartCompression& StartCompression::operator=(const StartCompression& other448) noexcept {
+  (void) other448;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other445) noexcept {
-  (void) other445;
+StartCompression& StartCompression::operator=(StartCompression&& other449) noexcept {
+  (void) other449;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -286,6 +286,8 @@
 
 class RelayList;
 
+class PackedFrame;
+
 class StartCompression;
 
 typedef struct _RowKey__isset {
@@ -2262,7 +2264,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2276,6 +2278,7 @@
   bool serviceName :1;
   bool takesBodyPieces :1;
   bool acknowledgesCalls :1;
+  bool unpacksFrames :1;
 } _Hello__isset;
 
 /**
@@ -2301,7 +2304,8 @@
           compresses(0),
           serviceName(),
           takesBodyPieces(0),
-          acknowledgesCalls(0) {
+          acknowledgesCalls(0),
+          unpacksFrames(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2331,6 +2335,10 @@
    * Whether calls are acknowledged as they arrive, and keep-alives are returned.
    */
   bool acknowledgesCalls;
+  /**
+   * Whether large frames may come as PackedFrame.
+   */
+  bool unpacksFrames;
 
   _Hello__isset __isset;
 
@@ -2360,6 +2368,8 @@
 
   void __set_acknowledgesCalls(const bool val);
 
+  void __set_unpacksFrames(const bool val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2388,6 +2398,8 @@
       return false;
     if (!(acknowledgesCalls == rhs.acknowledgesCalls))
       return false;
+    if (!(unpacksFrames == rhs.unpacksFrames))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -4742,6 +4754,54 @@
 
 std::ostream& operator<<(std::ostream& out, const RelayList& obj);
 
+typedef struct _PackedFrame__isset {
+  _PackedFrame__isset() : deflated(false) {}
+  bool deflated :1;
+} _PackedFrame__isset;
+
+/**
+ * Another frame, from its type byte on, deflated by itself, so that it is packed once for all who get it.
+ */
+class PackedFrame : public virtual ::apache::thrift::TBase {
+ public:
+
+  PackedFrame(const PackedFrame&);
+  PackedFrame(PackedFrame&&) noexcept;
+  PackedFrame& operator=(const PackedFrame&);
+  PackedFrame& operator=(PackedFrame&&) noexcept;
+  PackedFrame() noexcept
+              : deflated() {
+  }
+
+  virtual ~PackedFrame() noexcept;
+  std::string deflated;
+
+  _PackedFrame__isset __isset;
+
+  void __set_deflated(const std::string& val);
+
+  bool operator == (const PackedFrame & rhs) const
+  {
+    if (!(deflated == rhs.deflated))
+      return false;
+    return true;
+  }
+  bool operator != (const PackedFrame &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PackedFrame & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PackedFrame &a, PackedFrame &b);
+
+std::ostream& operator<<(std::ostream& out, const PackedFrame& obj);
+
 
 /**
  * Everything behind this frame, in its direction, is one raw deflate stream.
--- a/test/wire/frame_test.cc
+++ b/test/wire/frame_test.cc
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "base/random.h"
+#include "wire/deflate.h"
 
 using namespace driftlug;
 
@@ -65,3 +66,42 @@
     if (!decoded.ok()) CHECK(base::errorCodeOf(decoded.status()) == base::ErrorCode::kBadFrame);
   }
 }
+
+TEST_CASE("a large frame is packed, and decodes as what it was; a small one is left alone") {
+  wire::SliceUpdate update;
+  update.full = true;
+  for (int i = 0; i < 1200; ++i) {
+    wire::Row row;
+    row.key.name = "r-" + std::to_string(i * 7919);
+    row.__isset.routeRow = true;
+    row.routeRow.host = "shop" + std::to_string(i % 20) + ".example";
+    row.routeRow.pathPrefix = "/path" + std::to_string(i) + "/";
+    update.rows.push_back(row);
+  }
+  const auto plain = wire::encodeFrame(update);
+  const auto packed = wire::packFrame(plain);
+  CHECK(packed->size() * 2 < plain->size());
+  const auto message = wire::decodeFrame(std::string_view(*packed).substr(wire::kLengthBytes));
+  REQUIRE(message.ok());
+  CHECK(std::get<wire::SliceUpdate>(*message).rows == update.rows);
+  const auto small = wire::encodeFrame(wire::KeepAlive());
+  CHECK(wire::packFrame(small) == small);
+}
+
+TEST_CASE("a packed frame that is broken, too long or packed twice is refused") {
+  const auto decode = [](const std::string& deflated) {
+    wire::PackedFrame packed;
+    packed.deflated = deflated;
+    const auto frame = wire::encodeFrame(packed);
+    return wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes)).status();
+  };
+  CHECK(base::errorCodeOf(decode("no deflated bytes")) == base::ErrorCode::kBadFrame);
+  const auto cut = wire::deflateWhole(std::string(100'000, 'x'));
+  CHECK(base::errorCodeOf(decode(cut.substr(0, cut.size() / 2))) == base::ErrorCode::kBadFrame);
+  CHECK(base::errorCodeOf(decode(wire::deflateWhole(std::string((64U << 20) + 1, 'x')))) == base::ErrorCode::kBadFrame);
+  wire::PackedFrame inner;
+  inner.deflated = wire::deflateWhole("x");
+  const auto twice = wire::encodeFrame(inner);
+  CHECK(base::errorCodeOf(decode(wire::deflateWhole(std::string_view(*twice).substr(wire::kLengthBytes)))) ==
+        base::ErrorCode::kBadFrame);
+}
