--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -265,6 +265,7 @@
   loop_.onSignals({[this] { onTerminate(); }, [this] { onReload(); }});
   log_.info("{} started in zone {}", FLAGS_name, FLAGS_zone);
   loop_.run();
+  log_.info("{} ended, {} calls of callers and {} of nodes left", FLAGS_name, entry_.active(), endpoint_.active());
 }
 
 void NodeDaemon::askForIdentity() {
