--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -63,6 +63,8 @@
       endpoint_.onRequest(connection, *request);
     } else if (const auto* cancel = std::get_if<wire::CallCancel>(&message)) {
       endpoint_.onCancel(connection, cancel->callId);
+    } else if (const auto* withdraw = std::get_if<wire::CallWithdraw>(&message)) {
+      endpoint_.onWithdraw(connection, withdraw->callId);
     } else if (const auto* piece = std::get_if<wire::CallBodyPiece>(&message)) {
       endpoint_.onBodyPiece(connection, *piece);
     } else if (std::holds_alternative<wire::KeepAlive>(message) && !entry_.leadsFrom(connection)) {
@@ -304,7 +306,7 @@
     entry_.refuseNew();
     waitForCalls(until);
   });
-  loop_.schedule(std::max(base::Duration(0), timeout - kLastAnswers), [this] { entry_.refuseUnsent(); });
+  loop_.schedule(std::max(base::Duration(0), timeout - kLastAnswers), [this] { entry_.refuseWaiting(); });
 }
 
 void NodeDaemon::waitForCalls(base::TimePoint until) {
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -506,6 +506,18 @@
   limiter_.release(held, priority);
 }
 
+void EndpointCalls::onWithdraw(base::ConnectionId connection, int64_t callId) {
+  const CallKey key{connection, callId};
+  const auto found = calls_.find(key);
+  if (found == calls_.end() || found->second.running) return;
+  if (found->second.awaitsBody) {
+    dropBody(key, &found->second);
+  } else {
+    limiter_.cancel(found->second.ticket);
+  }
+  refuse(key, ErrorCode::kDraining, base::Duration(0));
+}
+
 void EndpointCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   callerServices_[connection] = peer.serviceName;
 }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -78,6 +78,8 @@
 
   void onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece);
   void onCancel(base::ConnectionId connection, int64_t callId);
+  /// A caller's node stops: a call that has not begun to run is refused.
+  void onWithdraw(base::ConnectionId connection, int64_t callId);
   void onClose(base::ConnectionId connection);
 
   /// Refuses new calls and those that wait from now on, or accepts calls again; running ones go on.
--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -194,6 +194,7 @@
   link.open = true;
   // Bodies for the back end beside this node cross no link.
   link.takesBodyPieces = peer.takesBodyPieces && peer.id != options_.nodeId;
+  link.takesWithdrawals = peer.acknowledgesCalls;  // came with the same version
   link.acknowledges = peer.acknowledgesCalls && peer.id != options_.nodeId;
   link.failures = 0;
   link.heardAt = scheduler_.now();
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -40,8 +40,9 @@
     base::ConnectionId connection = 0;  ///< 0 while waiting to reconnect
     bool open = false;
     bool takesBodyPieces = false;  ///< its node grants bodies as its link has room
-    bool acknowledges = false;     ///< its node acknowledges what it gets, so its silence tells something
-    int failures = 0;              ///< connections lost in a row
+    bool takesWithdrawals = false;
+    bool acknowledges = false;  ///< its node acknowledges what it gets, so its silence tells something
+    int failures = 0;           ///< connections lost in a row
     base::TimePoint lostAt{};
     base::TimePoint heardAt{};
     std::optional<base::TimePoint>
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -304,7 +304,8 @@
   return call == calls_.end() || attempt.bodySent == call->second.inbound.body.size();
 }
 
-void EntryCalls::refuseUnsent() {
+void EntryCalls::refuseWaiting() {
+  ending_ = true;
   std::vector<CallId> unsent;
   for (const auto& [id, call] : calls_) {
     const bool left = std::any_of(call.inFlight.begin(), call.inFlight.end(), [this](int64_t attemptId) {
@@ -316,6 +317,12 @@
   for (const auto id : unsent) {
     finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kDraining, kUnavailableStatus, kDefaultRetryAfterMs));
   }
+  for (const auto& [attemptId, attempt] : attempts_) {
+    if (!links_.link(attempt.endpoint).takesWithdrawals) continue;
+    wire::CallWithdraw withdraw;
+    withdraw.callId = attemptId;
+    network_.send(attempt.connection, wire::encodeFrame(withdraw));
+  }
 }
 
 void EntryCalls::onResponse(base::ConnectionId connection, const wire::CallResponse& response) {
@@ -398,9 +405,9 @@
   if (!call.inFlight.empty()) return;  // the other attempt of a hedged call decides
   const bool mayRepeat = reach != Reach::kMayHaveRun || call.repeatable;
   const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
-  const bool allowed = options_.retries && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
+  const bool allowed = options_.retries && !ending_ && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
   if (!allowed) {
-    logAttemptFailed(call, reach, false, mayRepeat ? "attempts_used" : "may_have_run");
+    logAttemptFailed(call, reach, false, ending_ ? "stopping" : mayRepeat ? "attempts_used" : "may_have_run");
     return finish(id, call.lastFailure);
   }
   // A refusal by a node costs no back end anything; what has reached one is paid for.
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -83,8 +83,9 @@
   /// Refuses every call that begins from now on as not run; those in progress go on.
   void refuseNew() { refusing_ = true; }
 
-  /// Refuses the calls in progress whose bodies have not left whole: no back end can have run these.
-  void refuseUnsent();
+  /// Ends a planned stop: calls that no back end has begun to run get their final answer as not run, and nothing is
+  /// sent again. Those whose bodies have not left are answered at once; of the others the endpoints' nodes are asked.
+  void refuseWaiting();
 
   /// The caller went away.
   void abandon(CallId call);
@@ -179,6 +180,7 @@
   std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
   EndpointLinks links_;
   bool refusing_ = false;
+  bool ending_ = false;  // nothing is sent again
   CallId nextCall_ = 1;
   int64_t nextAttempt_ = 1;
   EntryCounters counters_;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -545,6 +545,11 @@
   1: i64 callId
 }
 
+/** Asks that a call which has not begun to run be answered as not run; one that runs is let finish. */
+struct CallWithdraw {
+  1: i64 callId
+}
+
 /** A call has arrived, and its answer will take a while. */
 struct CallAccepted {
   1: i64 callId
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -86,7 +86,7 @@
 }  // namespace
 
 Purpose purposeOf(size_t kind) {
-  if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece, CallAccepted>(kind))
+  if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece, CallAccepted, CallWithdraw>(kind))
     return Purpose::kCall;
   if (isOneOf<LedgerRequest, LedgerReply>(kind)) return Purpose::kLedger;
   const bool log =
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -11071,21 +11071,21 @@
 }
 
 
-CallAccepted::~CallAccepted() noexcept {
+CallWithdraw::~CallWithdraw() noexcept {
 }
 
 
-void CallAccepted::__set_callId(const int64_t val) {
+void CallWithdraw::__set_callId(const int64_t val) {
   this->callId = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallAccepted& obj)
+std::ostream& operator<<(std::ostream& out, const CallWithdraw& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallAccepted::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CallWithdraw::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -11126,10 +11126,10 @@
   return xfer;
 }
 
-uint32_t CallAccepted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CallWithdraw::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallAccepted");
+  xfer += oprot->writeStructBegin("CallWithdraw");
 
   xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->callId);
@@ -11140,30 +11140,131 @@
   return xfer;
 }
 
-void swap(CallAccepted &a, CallAccepted &b) {
+void swap(CallWithdraw &a, CallWithdraw &b) {
   using ::std::swap;
   swap(a.callId, b.callId);
   swap(a.__isset, b.__isset);
 }
 
-CallAccepted::CallAccepted(const CallAccepted& other406) noexcept {
+CallWithdraw::CallWithdraw(const CallWithdraw& other406) noexcept {
   callId = other406.callId;
   __isset = other406.__isset;
 }
-CallAccepted::CallAccepted(CallAccepted&& other407) noexcept {
+CallWithdraw::CallWithdraw(CallWithdraw&& other407) noexcept {
   callId = other407.callId;
   __isset = other407.__isset;
 }
-CallAccepted& CallAccepted::operator=(const CallAccepted& other408) noexcept {
+CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other408) noexcept {
   callId = other408.callId;
   __isset = other408.__isset;
   return *this;
 }
-CallAccepted& CallAccepted::operator=(CallAccepted&& other409) noexcept {
+CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other409) noexcept {
   callId = other409.callId;
   __isset = other409.__isset;
   return *this;
 }
+void CallWithdraw::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallWithdraw(";
+  out << "callId=" << to_string(callId);
+  out << ")";
+}
+
+
+CallAccepted::~CallAccepted() noexcept {
+}
+
+
+void CallAccepted::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallAccepted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallAccepted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallAccepted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallAccepted");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallAccepted &a, CallAccepted &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallAccepted::CallAccepted(const CallAccepted& other410) noexcept {
+  callId = other410.callId;
+  __isset = other410.__isset;
+}
+CallAccepted::CallAccepted(CallAccepted&& other411) noexcept {
+  callId = other411.callId;
+  __isset = other411.__isset;
+}
+CallAccepted& CallAccepted::operator=(const CallAccepted& other412) noexcept {
+  callId = other412.callId;
+  __isset = other412.__isset;
+  return *this;
+}
+CallAccepted& CallAccepted::operator=(CallAccepted&& other413) noexcept {
+  callId = other413.callId;
+  __isset = other413.__isset;
+  return *this;
+}
 void CallAccepted::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CallAccepted(";
@@ -11264,26 +11365,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyGrant::CallBodyGrant(const CallBodyGrant& other410) noexcept {
-  callId = other410.callId;
-  upToBytes = other410.upToBytes;
-  __isset = other410.__isset;
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other414) noexcept {
+  callId = other414.callId;
+  upToBytes = other414.upToBytes;
+  __isset = other414.__isset;
 }
-CallBodyGrant::CallBodyGrant(CallBodyGrant&& other411) noexcept {
-  callId = other411.callId;
-  upToBytes = other411.upToBytes;
-  __isset = other411.__isset;
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other415) noexcept {
+  callId = other415.callId;
+  upToBytes = other415.upToBytes;
+  __isset = other415.__isset;
 }
-CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other412) noexcept {
-  callId = other412.callId;
-  upToBytes = other412.upToBytes;
-  __isset = other412.__isset;
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other416) noexcept {
+  callId = other416.callId;
+  upToBytes = other416.upToBytes;
+  __isset = other416.__isset;
   return *this;
 }
-CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other413) noexcept {
-  callId = other413.callId;
-  upToBytes = other413.upToBytes;
-  __isset = other413.__isset;
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other417) noexcept {
+  callId = other417.callId;
+  upToBytes = other417.upToBytes;
+  __isset = other417.__isset;
   return *this;
 }
 void CallBodyGrant::printTo(std::ostream& out) const {
@@ -11387,26 +11488,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyPiece::CallBodyPiece(const CallBodyPiece& other414) {
-  callId = other414.callId;
-  data = other414.data;
-  __isset = other414.__isset;
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other418) {
+  callId = other418.callId;
+  data = other418.data;
+  __isset = other418.__isset;
 }
-CallBodyPiece::CallBodyPiece(CallBodyPiece&& other415) noexcept {
-  callId = other415.callId;
-  data = std::move(other415.data);
-  __isset = other415.__isset;
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other419) noexcept {
+  callId = other419.callId;
+  data = std::move(other419.data);
+  __isset = other419.__isset;
 }
-CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other416) {
-  callId = other416.callId;
-  data = other416.data;
-  __isset = other416.__isset;
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other420) {
+  callId = other420.callId;
+  data = other420.data;
+  __isset = other420.__isset;
   return *this;
 }
-CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other417) noexcept {
-  callId = other417.callId;
-  data = std::move(other417.data);
-  __isset = other417.__isset;
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other421) noexcept {
+  callId = other421.callId;
+  data = std::move(other421.data);
+  __isset = other421.__isset;
   return *this;
 }
 void CallBodyPiece::printTo(std::ostream& out) const {
@@ -11457,14 +11558,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size418;
-            ::apache::thrift::protocol::TType _etype421;
-            xfer += iprot->readListBegin(_etype421, _size418);
-            this->members.resize(_size418);
-            uint32_t _i422;
-            for (_i422 = 0; _i422 < _size418; ++_i422)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->members.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += this->members[_i422].read(iprot);
+              xfer += this->members[_i426].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11493,10 +11594,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter423;
-    for (_iter423 = this->members.begin(); _iter423 != this->members.end(); ++_iter423)
+    std::vector<Member> ::const_iterator _iter427;
+    for (_iter427 = this->members.begin(); _iter427 != this->members.end(); ++_iter427)
     {
-      xfer += (*_iter423).write(oprot);
+      xfer += (*_iter427).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11513,22 +11614,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other424) {
-  members = other424.members;
-  __isset = other424.__isset;
+MemberList::MemberList(const MemberList& other428) {
+  members = other428.members;
+  __isset = other428.__isset;
 }
-MemberList::MemberList(MemberList&& other425) noexcept {
-  members = std::move(other425.members);
-  __isset = other425.__isset;
+MemberList::MemberList(MemberList&& other429) noexcept {
+  members = std::move(other429.members);
+  __isset = other429.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other426) {
-  members = other426.members;
-  __isset = other426.__isset;
+MemberList& MemberList::operator=(const MemberList& other430) {
+  members = other430.members;
+  __isset = other430.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other427) noexcept {
-  members = std::move(other427.members);
-  __isset = other427.__isset;
+MemberList& MemberList::operator=(MemberList&& other431) noexcept {
+  members = std::move(other431.members);
+  __isset = other431.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -11648,30 +11749,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other428) {
-  address = other428.address;
-  port = other428.port;
-  zone = other428.zone;
-  __isset = other428.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other432) {
+  address = other432.address;
+  port = other432.port;
+  zone = other432.zone;
+  __isset = other432.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other429) noexcept {
-  address = std::move(other429.address);
-  port = other429.port;
-  zone = std::move(other429.zone);
-  __isset = other429.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other433) noexcept {
+  address = std::move(other433.address);
+  port = other433.port;
+  zone = std::move(other433.zone);
+  __isset = other433.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other430) {
-  address = other430.address;
-  port = other430.port;
-  zone = other430.zone;
-  __isset = other430.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other434) {
+  address = other434.address;
+  port = other434.port;
+  zone = other434.zone;
+  __isset = other434.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other431) noexcept {
-  address = std::move(other431.address);
-  port = other431.port;
-  zone = std::move(other431.zone);
-  __isset = other431.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other435) noexcept {
+  address = std::move(other435.address);
+  port = other435.port;
+  zone = std::move(other435.zone);
+  __isset = other435.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -11723,14 +11824,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size432;
-            ::apache::thrift::protocol::TType _etype435;
-            xfer += iprot->readListBegin(_etype435, _size432);
-            this->relays.resize(_size432);
-            uint32_t _i436;
-            for (_i436 = 0; _i436 < _size432; ++_i436)
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readListBegin(_etype439, _size436);
+            this->relays.resize(_size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              xfer += this->relays[_i436].read(iprot);
+              xfer += this->relays[_i440].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11759,10 +11860,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter437;
-    for (_iter437 = this->relays.begin(); _iter437 != this->relays.end(); ++_iter437)
+    std::vector<RelayAddress> ::const_iterator _iter441;
+    for (_iter441 = this->relays.begin(); _iter441 != this->relays.end(); ++_iter441)
     {
-      xfer += (*_iter437).write(oprot);
+      xfer += (*_iter441).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11779,22 +11880,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other438) {
-  relays = other438.relays;
-  __isset = other438.__isset;
+RelayList::RelayList(const RelayList& other442) {
+  relays = other442.relays;
+  __isset = other442.__isset;
 }
-RelayList::RelayList(RelayList&& other439) noexcept {
-  relays = std::move(other439.relays);
-  __isset = other439.__isset;
+RelayList::RelayList(RelayList&& other443) noexcept {
+  relays = std::move(other443.relays);
+  __isset = other443.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other440) {
-  relays = other440.relays;
-  __isset = other440.__isset;
+RelayList& RelayList::operator=(const RelayList& other444) {
+  relays = other444.relays;
+  __isset = other444.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other441) noexcept {
-  relays = std::move(other441.relays);
-  __isset = other441.__isset;
+RelayList& RelayList::operator=(RelayList&& other445) noexcept {
+  relays = std::move(other445.relays);
+  __isset = other445.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -11880,22 +11981,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PackedFrame::PackedFrame(const PackedFrame& other442) {
-  deflated = other442.deflated;
-  __isset = other442.__isset;
+PackedFrame::PackedFrame(const PackedFrame& other446) {
+  deflated = other446.deflated;
+  __isset = other446.__isset;
 }
-PackedFrame::PackedFrame(PackedFrame&& other443) noexcept {
-  deflated = std::move(other443.deflated);
-  __isset = other443.__isset;
+PackedFrame::PackedFrame(PackedFrame&& other447) noexcept {
+  deflated = std::move(other447.deflated);
+  __isset = other447.__isset;
 }
-PackedFrame& PackedFrame::operator=(const PackedFrame& other444) {
-  deflated = other444.deflated;
-  __isset = other444.__isset;
+PackedFrame& PackedFrame::operator=(const PackedFrame& other448) {
+  deflated = other448.deflated;
+  __isset = other448.__isset;
   return *this;
 }
-PackedFrame& PackedFrame::operator=(PackedFrame&& other445) noexcept {
-  deflated = std::move(other445.deflated);
-  __isset = other445.__isset;
+PackedFrame& PackedFrame::operator=(PackedFrame&& other449) noexcept {
+  deflated = std::move(other449.deflated);
+  __isset = other449.__isset;
   return *this;
 }
 void PackedFrame::printTo(std::ostream& out) const {
@@ -11960,18 +12061,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other446) noexcept {
-  (void) other446;
+StartCompression::StartCompression(const StartCompression& other450) noexcept {
+  (void) other450;
 }
-StartCompression::StartCompression(StartCompression&& other447) noexcept {
-  (void) other447;
+StartCompression::StartCompression(StartCompression&& other451) noexcept {
+  (void) other451;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other448) noexcept {
-  (void) other448;
+StartCompression& StartCompression::operator=(const StartCompression& other452) noexcept {
+  (void) other452;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other449) noexcept {
-  (void) other449;
+StartCompression& StartCompression::operator=(StartCompression&& other453) noexcept {
+  (void) other453;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -274,6 +274,8 @@
 
 class CallCancel;
 
+class CallWithdraw;
+
 class CallAccepted;
 
 class CallBodyGrant;
@@ -4440,6 +4442,54 @@
 
 std::ostream& operator<<(std::ostream& out, const CallCancel& obj);
 
+typedef struct _CallWithdraw__isset {
+  _CallWithdraw__isset() : callId(false) {}
+  bool callId :1;
+} _CallWithdraw__isset;
+
+/**
+ * Asks that a call which has not begun to run be answered as not run; one that runs is let finish.
+ */
+class CallWithdraw : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallWithdraw(const CallWithdraw&) noexcept;
+  CallWithdraw(CallWithdraw&&) noexcept;
+  CallWithdraw& operator=(const CallWithdraw&) noexcept;
+  CallWithdraw& operator=(CallWithdraw&&) noexcept;
+  CallWithdraw() noexcept
+               : callId(0) {
+  }
+
+  virtual ~CallWithdraw() noexcept;
+  int64_t callId;
+
+  _CallWithdraw__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  bool operator == (const CallWithdraw & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    return true;
+  }
+  bool operator != (const CallWithdraw &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallWithdraw & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallWithdraw &a, CallWithdraw &b);
+
+std::ostream& operator<<(std::ostream& out, const CallWithdraw& obj);
+
 typedef struct _CallAccepted__isset {
   _CallAccepted__isset() : callId(false) {}
   bool callId :1;
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -270,6 +270,34 @@
   CHECK(completed == std::vector<int64_t>{101, 106, 107, 108, 109, 110, 111, 112, 113, 102, 103, 104, 105});
 }
 
+TEST_CASE_METHOD(Fixture, "a call that is withdrawn is refused while it waits, and let finish while it runs") {
+  EndpointOptions options;
+  options.service = "records";
+  options.defaultSlots = 1;
+  RecordingNetwork network;
+  CountingBackend backend(process);
+  EndpointCalls calls(options, process, network, backend, nullptr);
+  for (int64_t id = 1; id <= 2; ++id) {
+    wire::CallRequest request;
+    request.callId = id;
+    request.serviceName = "records";
+    request.method = "GET";
+    request.path = "/records";
+    request.remainingMs = 1000;
+    calls.onRequest(1, request);
+  }
+  calls.onWithdraw(1, 1);
+  calls.onWithdraw(1, 2);
+  REQUIRE(network.answers.size() == 1);
+  CHECK(network.answers[0].callId == 2);
+  CHECK(network.answers[0].outcome == wire::CallOutcome::NOT_RUN);
+  runFor(base::milliseconds(50));
+  REQUIRE(network.answers.size() == 2);
+  CHECK(network.answers[1].callId == 1);
+  CHECK(network.answers[1].outcome == wire::CallOutcome::COMPLETED);
+  CHECK(backend.runs == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "the more nodes ask a full endpoint, the longer each is sent away") {
   const auto sentAwayFor = [this](int nodes) {
     first->network.answers.clear();
--- a/test/node/entry_calls_test.cc
+++ b/test/node/entry_calls_test.cc
@@ -456,7 +456,7 @@
   grant(1'000'000);
   upload(kBodyBytes);
   grant(8192);
-  entry->refuseUnsent();
+  entry->refuseWaiting();
   REQUIRE(answers.size() == 1);
   CHECK(answers[0].outcome == CallOutcome::NOT_RUN);
   CHECK(answers[0].httpStatus == 503);
@@ -464,6 +464,22 @@
   CHECK(entry->active() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "at the end of a stop calls that wait for a slot elsewhere are refused, and not sent again") {
+  wire::Hello peer;
+  peer.acknowledgesCalls = true;
+  for (const auto& [connection, address] : network.connected) entry->onOpen(connection, peer);
+  call("/safe/1");
+  entry->refuseWaiting();
+  REQUIRE(network.all<wire::CallWithdraw>().size() == 1);
+  CHECK(network.all<wire::CallWithdraw>()[0].callId == network.all<wire::CallRequest>()[0].callId);
+  CHECK(answers.empty());  // the back end may be at work on it
+  respond(CallOutcome::NOT_RUN, ErrorCode::kDraining);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].outcome == CallOutcome::NOT_RUN);
+  CHECK(answers[0].httpStatus == 503);
+  CHECK(asked().size() == 1);
+}
+
 TEST_CASE_METHOD(PiecesFixture,
                  "an endpoint whose link is full gets no large bodies for a while, and small calls go on") {
   upload(kBodyBytes);
