Acknowledge calls whose bodies wait, and bound what is announced

Cause: read again before the landing: a call whose body was not granted for 250 ms was not acknowledged, so its node was taken for silent and left out although it only had other bodies to take first; and an announced size of any value was reserved at once.

Change: such calls are acknowledged as others are; a size over the longest frame is refused, and memory is taken as pieces arrive. Two tests failed first.

--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -109,9 +109,12 @@
   call.nested = learnWhetherNested(connection, request);
   call.priority = priorityOf(call);
   call.latestStart = latestStartOf(call);
-  if (request.bodyBytes > 0) return awaitBody(key);
-  admit(key);
-  if (calls_.count(key) == 0) return;
+  if (request.bodyBytes > 0) {
+    awaitBody(key);
+  } else {
+    admit(key);
+  }
+  if (calls_.count(key) == 0) return;  // refused
   wire::CallAccepted accepted;
   accepted.callId = request.callId;
   network_.send(connection, wire::encodeFrame(accepted));
@@ -145,7 +148,6 @@
   const auto wait = arrival + limiter_.expectedWait(call.priority, call.latestStart);
   if (now + wait > call.latestStart) return refuseForLink(key, wait);
   call.awaitsBody = true;
-  call.request.body.reserve(static_cast<size_t>(bytes));
   bodies_.announce({key.connection, key.callId}, bytes, static_cast<int>(call.priority), call.latestStart, now);
   grantBodies();
 }
@@ -275,6 +277,8 @@
     error = endpoint_.empty() ? ErrorCode::kDraining : ErrorCode::kWrongEndpoint;
   } else if (draining_) {
     error = ErrorCode::kDraining;
+  } else if (request.bodyBytes > static_cast<int64_t>(wire::kMaxFrameBytes)) {
+    error = ErrorCode::kFrameTooLarge;
   }
   if (error == ErrorCode::kNone) return false;
   refuse(key, error, base::Duration(0));
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -19,13 +19,14 @@
     auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
     REQUIRE(message.ok());
     if (const auto* grant = std::get_if<wire::CallBodyGrant>(&*message)) return grants.push_back(*grant);
-    if (std::holds_alternative<wire::CallAccepted>(*message)) return;
+    if (const auto* note = std::get_if<wire::CallAccepted>(&*message)) return accepted.push_back(note->callId);
     answers.push_back(std::get<wire::CallResponse>(*message));
   }
   void close(base::ConnectionId) override {}
   size_t queuedBytes(base::ConnectionId) const override { return 0; }
   std::vector<wire::CallResponse> answers;
   std::vector<wire::CallBodyGrant> grants;
+  std::vector<int64_t> accepted;
 };
 
 /// A back end that counts its runs and ends them in a given way.
@@ -398,6 +399,23 @@
   CHECK(calls->counters().refusedForLink == static_cast<int64_t>(network.answers.size()));
 }
 
+TEST_CASE_METHOD(UploadFixture, "a call whose body has to wait is acknowledged, so that its node is not held for silent") {
+  for (int64_t id = 1; id <= 5; ++id) announce(id);
+  CHECK(network.accepted == std::vector<int64_t>{1, 2, 3, 4, 5});
+  CHECK(network.grants.back().callId == 1);
+}
+
+TEST_CASE_METHOD(UploadFixture, "a body that no frame could carry is refused") {
+  wire::CallRequest request;
+  request.callId = 1;
+  request.serviceName = "proofs";
+  request.bodyBytes = INT64_MAX;
+  request.remainingMs = 6000;
+  calls->onRequest(1, request);
+  REQUIRE(network.answers.size() == 1);
+  CHECK(network.answers[0].errorCode == static_cast<int>(base::ErrorCode::kFrameTooLarge));
+}
+
 TEST_CASE_METHOD(UploadFixture, "a stop refuses the calls whose bodies are half in, and they never run") {
   announce(1);
   sendGranted();
