--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -399,7 +399,8 @@
   CHECK(calls->counters().refusedForLink == static_cast<int64_t>(network.answers.size()));
 }
 
-TEST_CASE_METHOD(UploadFixture, "a call whose body has to wait is acknowledged, so that its node is not held for silent") {
+TEST_CASE_METHOD(UploadFixture,
+                 "a call whose body has to wait is acknowledged, so that its node is not held for silent") {
   for (int64_t id = 1; id <= 5; ++id) announce(id);
   CHECK(network.accepted == std::vector<int64_t>{1, 2, 3, 4, 5});
   CHECK(network.grants.back().callId == 1);
