One path for refusals, and each timer started in one place

Read again as a whole: refuseForLink built the same answer as refuse, and fullForBody counted askers as fullFor did; the watch timer and the gathering of news were each started at two places; a logger of EntryCalls was dead since its links have a class of their own; dropBody checked what its callers had checked; bodyLeft read as if a body were left over.

Change: refuseWith and sentAwayFor serve both, watchLater and takeNews stand once, bodyHasLeft says what it tells. Behaviour is as before; no test is changed. Ruled out: one inflate loop for streams and single pieces, whose ends differ; one runFor for the fixtures of ten tests, seven of them older.

--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -29,6 +29,8 @@
   return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
 }
 
+int32_t millisecondsOf(base::Duration duration) { return static_cast<int32_t>(duration.count() / 1000); }
+
 base::Duration microsecondsOf(double count) { return base::Duration(static_cast<int64_t>(count)); }
 
 overload::call_kind kindOf(const wire::CallRequest& request) {
@@ -206,7 +208,6 @@
 }
 
 void EndpointCalls::dropBody(const CallKey& key, Call* call) {
-  if (!call->awaitsBody) return;
   call->awaitsBody = false;
   bodies_.drop({key.connection, key.callId});
 }
@@ -409,48 +410,41 @@
 }
 
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
-  ++counters_.refused;
-  logRefusal(calls_[key], error, retryAfter);
-  releaseSlot(calls_[key]);
   wire::CallResponse response;
-  response.outcome = wire::CallOutcome::NOT_RUN;
-  response.errorCode = static_cast<int>(error);
-  response.retryAfterMs = static_cast<int32_t>(retryAfter.count() / 1000);
-  if (error == ErrorCode::kOverloaded) response.fullForMs = static_cast<int32_t>(fullFor().count() / 1000);
-  answer(key, std::move(response));
+  if (error == ErrorCode::kOverloaded) {
+    response.fullForMs = millisecondsOf(sentAwayFor(limiter_.slotInterval(), &Asker::askedAt));
+  }
+  refuseWith(key, error, retryAfter, std::move(response));
 }
 
 void EndpointCalls::refuseForLink(const CallKey& key, base::Duration wait) {
-  ++counters_.refused;
   ++counters_.refusedForLink;
-  const auto retryAfter = std::max(wait, options_.overloadRetryAfter);
-  logRefusal(calls_[key], ErrorCode::kOverloaded, retryAfter);
+  const auto bytes = static_cast<double>(calls_[key].request.bodyBytes);
+  const auto interval = microsecondsOf(bytes / static_cast<double>(bodies_.bytesPerSecond()) * 1e6);
   wire::CallResponse response;
-  response.outcome = wire::CallOutcome::NOT_RUN;
-  response.errorCode = static_cast<int>(ErrorCode::kOverloaded);
-  response.retryAfterMs = static_cast<int32_t>(retryAfter.count() / 1000);
   response.fullForBodies = true;
-  response.fullForMs = static_cast<int32_t>(fullForBody(calls_[key].request.bodyBytes).count() / 1000);
-  answer(key, std::move(response));
+  response.fullForMs = millisecondsOf(sentAwayFor(interval, &Asker::announcedAt));
+  refuseWith(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter), std::move(response));
 }
 
-/// As fullFor(), for nodes that ask with bodies: a link takes the next one when one has come through.
-base::Duration EndpointCalls::fullForBody(int64_t bytes) const {
-  const auto since = scheduler_.now() - kAskingMemory;
-  const auto asking =
-      std::count_if(askers_.begin(), askers_.end(), [&](const auto& item) { return item.second.announcedAt >= since; });
-  const double interval = static_cast<double>(bytes) / static_cast<double>(bodies_.bytesPerSecond());
-  const auto each = microsecondsOf(interval * 1e6);
-  return std::min(options_.maxFullFor, each * asking / kRequestsPerFreeSlot);
+void EndpointCalls::refuseWith(const CallKey& key, ErrorCode error, base::Duration retryAfter,
+                               wire::CallResponse response) {
+  ++counters_.refused;
+  logRefusal(calls_[key], error, retryAfter);
+  releaseSlot(calls_[key]);
+  response.outcome = wire::CallOutcome::NOT_RUN;
+  response.errorCode = static_cast<int>(error);
+  response.retryAfterMs = millisecondsOf(retryAfter);
+  answer(key, std::move(response));
 }
 
-/// The nodes that ask are to ask, all together, somewhat more often than slots become free: a request that is refused
-/// has crossed this node's link with its body for nothing, and many nodes fill the link.
-base::Duration EndpointCalls::fullFor() const {
+/// The nodes that ask are to ask, all together, somewhat more often than there is room for one more: a request that is
+/// refused has crossed this node's link for nothing, and many nodes fill the link.
+base::Duration EndpointCalls::sentAwayFor(base::Duration interval, base::TimePoint Asker::*askedAt) const {
   const auto since = scheduler_.now() - kAskingMemory;
   const auto asking =
-      std::count_if(askers_.begin(), askers_.end(), [&](const auto& item) { return item.second.askedAt >= since; });
-  return std::min(options_.maxFullFor, limiter_.slotInterval() * asking / kRequestsPerFreeSlot);
+      std::count_if(askers_.begin(), askers_.end(), [&](const auto& item) { return item.second.*askedAt >= since; });
+  return std::min(options_.maxFullFor, interval * asking / kRequestsPerFreeSlot);
 }
 
 std::string EndpointCalls::requestIdOf(const wire::CallRequest& request) const {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -159,9 +159,9 @@
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
-  base::Duration fullFor() const;
-  base::Duration fullForBody(int64_t bytes) const;
   void refuseForLink(const CallKey& key, base::Duration wait);
+  void refuseWith(const CallKey& key, base::ErrorCode error, base::Duration retryAfter, wire::CallResponse response);
+  base::Duration sentAwayFor(base::Duration interval, base::TimePoint Asker::*askedAt) const;
   void logRefusal(const Call& call, base::ErrorCode error, base::Duration retryAfter);
   void logUnknown(const Call& call, base::ErrorCode error);
   std::string requestIdOf(const wire::CallRequest& request) const;
--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -49,11 +49,7 @@
       onLost_(std::move(onLost)),
       onSilent_(std::move(onSilent)),
       subset_(options_.subset, options_.nodeId, options_.zone),
-      chooseTimer_(scheduler,
-                   [this] {
-                     newsAt_ = scheduler_.now();
-                     collect();
-                   }),
+      chooseTimer_(scheduler, [this] { takeNews(); }),
       watchTimer_(scheduler, [this] { watch(); }) {}
 
 EndpointLinks::~EndpointLinks() { alive_.reset(); }
@@ -80,9 +76,12 @@
 
 void EndpointLinks::chooseSoon() {
   if (chooseTimer_.running()) return;
-  const auto now = scheduler_.now();
-  if (newsAt_ && now - *newsAt_ < kGatherNews) return chooseTimer_.start(kGatherNews);
-  newsAt_ = now;
+  if (newsAt_ && scheduler_.now() - *newsAt_ < kGatherNews) return chooseTimer_.start(kGatherNews);
+  takeNews();
+}
+
+void EndpointLinks::takeNews() {
+  newsAt_ = scheduler_.now();
   collect();
 }
 
@@ -235,10 +234,12 @@
 void EndpointLinks::onSent(const std::string& endpoint) {
   const auto found = links_.find(endpoint);
   if (found == links_.end() || !found->second.acknowledges) return;
-  const auto now = scheduler_.now();
-  if (!found->second.awaitedSince) found->second.awaitedSince = now;
-  if (watchTimer_.running()) return;
-  watchDue_ = now + kWatchInterval;
+  if (!found->second.awaitedSince) found->second.awaitedSince = scheduler_.now();
+  if (!watchTimer_.running()) watchLater();
+}
+
+void EndpointLinks::watchLater() {
+  watchDue_ = scheduler_.now() + kWatchInterval;
   watchTimer_.start(kWatchInterval);
 }
 
@@ -268,9 +269,7 @@
     // What is done for one link may close another.
     if (const auto found = links_.find(name); found != links_.end()) watchLink(name, &found->second);
   }
-  if (busy.empty()) return;
-  watchDue_ = now + kWatchInterval;
-  watchTimer_.start(kWatchInterval);
+  if (!busy.empty()) watchLater();
 }
 
 void EndpointLinks::watchLink(const std::string& endpoint, Link* link) {
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -104,11 +104,13 @@
   void collect();
   void choose();
   void chooseSoon();
+  void takeNews();
   size_t moreFor(const std::string& service);
   bool outOfReach(const std::string& endpoint) const;
   void updateLinks();
   void closeLink(const std::string& endpoint);
   void connect(const std::string& endpoint);
+  void watchLater();
   void watch();
   void watchLink(const std::string& endpoint, Link* link);
 
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -76,7 +76,7 @@
     attempts_.erase(attemptId);
     dropAttempt(attempt.call, attemptId);
     picker_.onDone(endpoint, base::Duration(0), true);
-    if (!bodyLeft(attempt)) {
+    if (!bodyHasLeft(attempt)) {
       onAttemptFailed(attempt.call, Reach::kNode,
                       failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kConnectionLost, kUnavailableStatus,
                                     milliseconds(spread(options_.overloadRetryAfter))));
@@ -299,7 +299,7 @@
   network_.send(connection, wire::encodeFrame(piece));
 }
 
-bool EntryCalls::bodyLeft(const Attempt& attempt) const {
+bool EntryCalls::bodyHasLeft(const Attempt& attempt) const {
   const auto call = calls_.find(attempt.call);
   return call == calls_.end() || attempt.bodySent == call->second.inbound.body.size();
 }
@@ -310,7 +310,7 @@
   for (const auto& [id, call] : calls_) {
     const bool left = std::any_of(call.inFlight.begin(), call.inFlight.end(), [this](int64_t attemptId) {
       const auto attempt = attempts_.find(attemptId);
-      return attempt == attempts_.end() || bodyLeft(attempt->second);
+      return attempt == attempts_.end() || bodyHasLeft(attempt->second);
     });
     if (!left) unsent.push_back(id);
   }
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -143,7 +143,7 @@
   void send(CallId id, Call* call, const routing::EndpointTarget& target);
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
   void onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant);
-  bool bodyLeft(const Attempt& attempt) const;
+  bool bodyHasLeft(const Attempt& attempt) const;
   const routing::EndpointTarget* pickEndpoint(const Call& call);
   /// How far an attempt that failed had come.
   enum class Reach { kNode, kRefusedByBackend, kMayHaveRun };
@@ -185,7 +185,6 @@
   int64_t nextAttempt_ = 1;
   EntryCounters counters_;
   base::DecisionLog decisions_;
-  base::Logger log_{"entry"};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
