--- a/apps/entry_server.h
+++ b/apps/entry_server.h
@@ -25,6 +25,7 @@
   EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers);
 
   transport::HttpServer& server() { return server_; }
+  const transport::HttpServer& server() const { return server_; }
 
   /// Takes the limits of a new version of the table.
   void useTable(const routing::RoutingTable& table);
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -2,13 +2,12 @@
 
 #include <gflags/gflags.h>
 
-#include <algorithm>
-
 #include "base/error.h"
 #include "base/settings.h"
 #include "endpoint_health.h"
 #include "entry_server.h"
 #include "http_backend.h"
+#include "lifecycle/planned_stop.h"
 #include "node/control_client.h"
 #include "node/endpoint_calls.h"
 #include "node/entry_calls.h"
@@ -37,16 +36,12 @@
 DECLARE_string(report_listen);
 DECLARE_int32(seed_relay_port);
 DECLARE_string(service);
-DECLARE_int32(stop_linger_ms);
 DECLARE_string(zone);
 
 namespace driftlug::apps {
 namespace {
 
 constexpr int kOkStatus = 200;
-/// What a planned stop keeps at its end for the answers to calls that it gives up: two turns of the loop of a busy
-/// node, and the way to the caller.
-constexpr base::Duration kLastAnswers = base::milliseconds(200);
 
 /// Endpoint and entry sides of calls share one set of connections.
 class CallHandler : public base::ConnectionHandler {
@@ -129,7 +124,7 @@
 }
 
 /// All parts of a node, wired up.
-class NodeDaemon {
+class NodeDaemon : private lifecycle::stop_target {
  public:
   explicit NodeDaemon(const ReportPagesFactory& makeReportPages);
 
@@ -145,7 +140,10 @@
   void onDrainPage(const transport::HttpRequest& request, const std::function<void(transport::HttpResponse)>& respond);
   void onTerminate();
   void onReload();
-  void waitForCalls(base::TimePoint until);
+  void refuseNew() override { entry_.refuseNew(); }
+  void refuseWaiting() override { entry_.refuseWaiting(); }
+  bool idle() const override;
+  void end() override { loop_.stop(); }
   void askForIdentity();
   DaemonPages pages();
 
@@ -168,6 +166,7 @@
   std::unique_ptr<PageServer> reportServer_;
   std::unique_ptr<transport::HttpClientPool> identityPool_;  // once the back end was asked who it is
   std::unique_ptr<storage::PosixDisk> disk_;
+  lifecycle::planned_stop stop_{stopTimesFromSettings(), loop_, *this};
 };
 
 base::Address NodeDaemon::backendAddress() const {
@@ -300,20 +299,11 @@
   } else if (hasBackend()) {
     health_.setDrainAsked(true);
   }
-  const auto timeout = stopTimeoutFromSettings();
-  const auto until = loop_.now() + timeout;
-  loop_.schedule(base::milliseconds(FLAGS_stop_linger_ms), [this, until] {
-    entry_.refuseNew();
-    waitForCalls(until);
-  });
-  loop_.schedule(std::max(base::Duration(0), timeout - kLastAnswers), [this] { entry_.refuseWaiting(); });
+  stop_.begin();
 }
 
-void NodeDaemon::waitForCalls(base::TimePoint until) {
-  constexpr base::Duration kPoll = base::milliseconds(20);
-  const bool idle = entry_.active() == 0 && endpoint_.active() == 0 && entryServer_.server().pending() == 0;
-  if (idle || loop_.now() >= until) return loop_.stop();
-  loop_.schedule(kPoll, [this, until] { waitForCalls(until); });
+bool NodeDaemon::idle() const {
+  return entry_.active() == 0 && endpoint_.active() == 0 && entryServer_.server().pending() == 0;
 }
 
 }  // namespace
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -70,6 +70,20 @@
 DEFINE_int32(full_for_ms, 0, "time for which an endpoint that refused for want of slots is not asked again");
 
 namespace driftlug::apps {
+namespace {
+
+/// @return how long a planned stop may take.
+base::Duration stopTimeoutFromSettings() {
+  /// From the last answer until the process is gone: its turn on a busy tenth of a core, and the close of connections.
+  constexpr base::Duration kTimeToEnd = base::milliseconds(500);
+  const base::Duration timeout = base::milliseconds(FLAGS_stop_timeout_ms);
+  if (FLAGS_stop_grace_s <= 0) return timeout;
+  const auto grace = std::chrono::duration<double>(FLAGS_stop_grace_s);
+  const auto untilKilled = std::chrono::duration_cast<base::Duration>(grace) - kTimeToEnd;
+  return std::clamp(untilKilled, base::Duration(0), timeout);
+}
+
+}  // namespace
 
 node::ControlOptions controlOptionsFromSettings() {
   node::ControlOptions options;
@@ -158,14 +172,8 @@
   base::declareRange("retry_burst", 0, 1000);
 }
 
-base::Duration stopTimeoutFromSettings() {
-  /// From the last answer until the process is gone: its turn on a busy tenth of a core, and the close of connections.
-  constexpr base::Duration kTimeToEnd = base::milliseconds(500);
-  const base::Duration timeout = base::milliseconds(FLAGS_stop_timeout_ms);
-  if (FLAGS_stop_grace_s <= 0) return timeout;
-  const auto grace = std::chrono::duration<double>(FLAGS_stop_grace_s);
-  const auto untilKilled = std::chrono::duration_cast<base::Duration>(grace) - kTimeToEnd;
-  return std::clamp(untilKilled, base::Duration(0), timeout);
+lifecycle::stop_times stopTimesFromSettings() {
+  return {base::milliseconds(FLAGS_stop_linger_ms), stopTimeoutFromSettings()};
 }
 
 base::Address frameAddressFromSettings() {
--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -3,6 +3,7 @@
 
 #include "base/network.h"
 #include "entry_server.h"
+#include "lifecycle/planned_stop.h"
 #include "node/control_client.h"
 #include "node/endpoint_calls.h"
 #include "node/entry_calls.h"
@@ -20,8 +21,8 @@
 /// @return where this node takes calls of other nodes; port 0 when it takes none.
 base::Address frameAddressFromSettings();
 
-/// @return how long a planned stop waits for calls in progress.
-base::Duration stopTimeoutFromSettings();
+/// @return the times of a planned stop.
+lifecycle::stop_times stopTimesFromSettings();
 
 /// @return where others reach the endpoint beside this node.
 wire::EndpointState placeFromSettings();
--- /dev/null
+++ b/src/lifecycle/planned_stop.h
@@ -0,0 +1,55 @@
+/// How a node ends a planned stop.
+#ifndef DRIFTLUG_LIFECYCLE_PLANNED_STOP_H_HEADER_GUARD
+#define DRIFTLUG_LIFECYCLE_PLANNED_STOP_H_HEADER_GUARD
+
+#include "base/time.h"
+
+namespace driftlug::lifecycle
+{
+/// What a planned stop asks of the process that it ends.
+class stop_target
+{
+public:
+	virtual ~stop_target() = default;
+
+	/// Requests that come from now on are refused as not run; those in progress go on.
+	virtual void refuseNew() = 0;
+
+	/// Requests that no back end has begun to run get their final answer as not run.
+	virtual void refuseWaiting() = 0;
+
+	/// @returns Whether no request is in progress.
+	virtual bool idle() const = 0;
+
+	/// Ends the process.
+	virtual void end() = 0;
+};
+
+/// The times of a planned stop, from its beginning.
+struct stop_times
+{
+	base::Duration linger{0};   //!< Requests are taken for so long, so that others hear of the stop.
+	base::Duration timeout{0};  //!< The process ends by then, whatever is in progress.
+};
+
+/// Takes a process through a planned stop. A second order to stop changes nothing.
+class planned_stop
+{
+public:
+	planned_stop(const stop_times& _times, base::Scheduler& _scheduler, stop_target& _target);
+
+	void begin();
+
+private:
+	void waitUntilIdle();
+
+	stop_times m_times;
+	base::Scheduler& m_scheduler;
+	stop_target& m_target;
+	bool m_begun = false;
+	base::TimePoint m_until{};
+};
+
+}  // namespace driftlug::lifecycle
+
+#endif  // DRIFTLUG_LIFECYCLE_PLANNED_STOP_H_HEADER_GUARD
