--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -142,7 +142,9 @@
   void onReload();
   void refuseNew() override { entry_.refuseNew(); }
   void refuseWaiting() override { entry_.refuseWaiting(); }
+  void readNoMore() override { entryServer_.server().readNoMore(); }
   bool idle() const override;
+  size_t unsentBytes() const override { return entryServer_.server().unsentBytes() + callFrames_.unsentBytes(); }
   void end() override { loop_.stop(); }
   void askForIdentity();
   DaemonPages pages();
--- a/src/lifecycle/planned_stop.h
+++ b/src/lifecycle/planned_stop.h
@@ -2,6 +2,8 @@
 #ifndef DRIFTLUG_LIFECYCLE_PLANNED_STOP_H_HEADER_GUARD
 #define DRIFTLUG_LIFECYCLE_PLANNED_STOP_H_HEADER_GUARD
 
+#include <cstddef>
+
 #include "base/time.h"
 
 namespace driftlug::lifecycle
@@ -18,9 +20,15 @@
 	/// Requests that no back end has begun to run get their final answer as not run.
 	virtual void refuseWaiting() = 0;
 
+	/// No request is read from now on; connections without one end, and what was read is answered.
+	virtual void readNoMore() = 0;
+
 	/// @returns Whether no request is in progress.
 	virtual bool idle() const = 0;
 
+	/// @returns Bytes of answers that have not left the process.
+	virtual size_t unsentBytes() const = 0;
+
 	/// Ends the process.
 	virtual void end() = 0;
 };
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -130,6 +130,14 @@
   return queues ? found->second->stream->queuedBytes() : 0;
 }
 
+size_t FrameTransport::unsentBytes() const {
+  size_t bytes = 0;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->greeted && connection->stream) bytes += connection->stream->queuedBytes();
+  }
+  return bytes;
+}
+
 void FrameTransport::onEstablished(Connection* connection) {
   if (!connection->greeting) connection->greeting = wire::encodeFrame(hello_);
   enqueue(connection->id, connection->greeting);
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -57,6 +57,9 @@
   void close(base::ConnectionId connection) override;
   size_t queuedBytes(base::ConnectionId connection) const override;
 
+  /// @return bytes queued on all connections that are up.
+  size_t unsentBytes() const;
+
  private:
   /// One connection and its socket, or its other end in this process.
   struct Connection : public StreamHandler {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -42,7 +42,30 @@
   }
 }
 
+void HttpServer::readNoMore() {
+  reading_ = false;
+  draining_ = true;
+  std::vector<ConnectionId> unused;
+  for (const auto& [id, connection] : connections_) {
+    const bool answered = connection->waiting.empty() && !connection->lingering;
+    if (answered && connection->stream->queuedBytes() == 0) {
+      unused.push_back(id);
+      continue;
+    }
+    connection->closing = true;
+    connection->lingering = connection->lingering || answered;  // ends once the answer has left
+  }
+  for (const auto id : unused) drop(id);
+}
+
+size_t HttpServer::unsentBytes() const {
+  size_t bytes = 0;
+  for (const auto& [id, connection] : connections_) bytes += connection->stream->queuedBytes();
+  return bytes;
+}
+
 void HttpServer::onAccepted(std::shared_ptr<TcpStream> stream) {
+  if (!reading_) return stream->close();
   const auto id = nextConnection_++;
   ++counters_.connections;
   auto connection =
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -69,11 +69,18 @@
   /// Asks callers to close their connections after the next response.
   void setDraining() { draining_ = true; }
 
+  /// Reads no further request: connections that wait for no answer end now, the others with their last answer. What
+  /// has not been read whole was not taken, and its caller may send it again elsewhere.
+  void readNoMore();
+
   const HttpServerCounters& counters() const { return counters_; }
 
   /// @return requests that were not answered yet.
   size_t pending() const { return exchanges_.size(); }
 
+  /// @return bytes of answers that the system has not taken yet.
+  size_t unsentBytes() const;
+
  private:
   using ConnectionId = uint64_t;
 
@@ -135,6 +142,7 @@
   std::map<ExchangeId, Exchange> exchanges_;
   base::Timer sweepTimer_;  // runs while there are connections
   bool draining_ = false;
+  bool reading_ = true;  // requests
   HttpServerCounters counters_;
 };
 
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -181,4 +181,40 @@
   CHECK(requests[1].body == "ok");
 }
 
+TEST_CASE_METHOD(Fixture, "an answer counts as unsent until the system has taken all of it") {
+  constexpr size_t kMoreThanWindows = 16U << 20;
+  RawClient client(loop, server.port());
+  client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer(0, std::string(kMoreThanWindows, 'x'));
+  settle(loop);
+  CHECK(server.pending() == 0);
+  CHECK(server.unsentBytes() > 0);
+  SECTION("and the connection stays until then when the server reads no more") { server.readNoMore(); }
+  SECTION("and a kept connection is as good as one that ends") {}
+  std::string text;
+  while (text.size() < kMoreThanWindows && !client.ended()) text += client.receive();
+  CHECK(server.unsentBytes() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a server that reads no more ends what is idle, and answers what it has read") {
+  RawClient idle(loop, server.port());
+  RawClient used(loop, server.port());
+  RawClient half(loop, server.port());
+  used.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  half.send("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+  server.readNoMore();
+  CHECK(idle.ended());
+  CHECK(half.ended());
+  used.send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(requests.size() == 1);
+  answer(0, "done");
+  const auto text = used.receive();
+  CHECK(contains(text, "connection: close\r\n"));
+  CHECK(contains(text, "\r\n\r\ndone"));
+  CHECK(used.ended());
+  RawClient late(loop, server.port());
+  CHECK(late.ended());
+  CHECK(requests.size() == 1);
+}
+
 }  // namespace driftlug::transport
