End a planned stop behind its answers, and read no request that it can't answer

Root cause: a stop looked at calls in progress, not at what is queued. An answer that waited for room on a caller's or a node's connection was dropped when the process ended, and a request read in the last turn of a stop went unanswered.

Change: a stop ends once nothing is in progress, nothing of answers is queued on callers' connections or on links that are up, and no request is read any more: idle connections are closed unread, so that callers may send again what crossed the close. Its timeout stands (grace less 0.5 s).

--- a/src/lifecycle/planned_stop.cc
+++ b/src/lifecycle/planned_stop.cc
@@ -22,35 +22,76 @@
 
 void planned_stop::begin()
 {
-	if (m_begun)
+	if (stage::running != m_stage)
 	{
 		return;
 	}
-	m_begun = true;
+	m_stage = stage::lingering;
 	m_until = m_scheduler.now() + m_times.timeout;
 	m_scheduler.schedule(m_times.linger,
 						 [this]
 						 {
-							 m_target.refuseNew();
-							 waitUntilIdle();
+							 refuse();
 						 });
 	m_scheduler.schedule(std::max(base::Duration(0), m_times.timeout - kLastAnswers),
 						 [this]
 						 {
-							 m_target.refuseWaiting();
+							 giveUp();
 						 });
 }
 
-void planned_stop::waitUntilIdle()
+void planned_stop::refuse()
 {
-	if (m_target.idle() || m_scheduler.now() >= m_until)
+	if (stage::lingering == m_stage)
+	{
+		m_stage = stage::refusing;
+	}
+	m_target.refuseNew();
+	poll();
+}
+
+void planned_stop::giveUp()
+{
+	readNoMore();
+	m_target.refuseWaiting();
+}
+
+void planned_stop::readNoMore()
+{
+	if (stage::closing == m_stage)
+	{
+		return;
+	}
+	m_stage = stage::closing;
+	m_target.readNoMore();
+}
+
+bool planned_stop::allAnswered() const
+{
+	// An answer that waits for room on its connection is lost with the process: 12.9 MB of one of 16.8 MB to a peer
+	// that does not read, by the server's own count.
+	return m_target.idle() && 0 == m_target.unsentBytes();
+}
+
+void planned_stop::poll()
+{
+	if (m_scheduler.now() >= m_until)
 	{
 		return m_target.end();
 	}
+	if (allAnswered())
+	{
+		if (stage::closing == m_stage)
+		{
+			return m_target.end();
+		}
+		// What was read in this turn shows in the next poll.
+		readNoMore();
+	}
 	m_scheduler.schedule(kPoll,
 						 [this]
 						 {
-							 waitUntilIdle();
+							 poll();
 						 });
 }
 
--- a/src/lifecycle/planned_stop.h
+++ b/src/lifecycle/planned_stop.h
@@ -41,6 +41,9 @@
 };
 
 /// Takes a process through a planned stop. A second order to stop changes nothing.
+///
+/// Invariants: before its timeout a stop ends only once nothing is in progress, every answer has left and no request is
+/// read any more; at its timeout it ends in any case.
 class planned_stop
 {
 public:
@@ -49,12 +52,25 @@
 	void begin();
 
 private:
-	void waitUntilIdle();
+	/// How far a stop has come.
+	enum class stage
+	{
+		running,
+		lingering,  //!< Requests are taken.
+		refusing,   //!< New requests are refused, those in progress go on.
+		closing,    //!< No request is read.
+	};
+
+	void refuse();
+	void giveUp();
+	void readNoMore();
+	void poll();
+	bool allAnswered() const;
 
 	stop_times m_times;
 	base::Scheduler& m_scheduler;
 	stop_target& m_target;
-	bool m_begun = false;
+	stage m_stage = stage::running;
 	base::TimePoint m_until{};
 };
 
--- a/test/lifecycle/planned_stop_test.cc
+++ b/test/lifecycle/planned_stop_test.cc
@@ -124,9 +124,7 @@
 	target.isIdle = false;
 	stop.begin();
 	runUntil(10'000);
-	REQUIRE(3 <= target.notes.size());
-	CHECK(std::pair<std::string, int64_t>("refuse waiting", 5300) == target.notes[1]);
-	CHECK(std::pair<std::string, int64_t>("end", 5500) == target.notes.back());
+	CHECK(notes{{"refuse new", 3000}, {"read no more", 5300}, {"refuse waiting", 5300}, {"end", 5500}} == target.notes);
 }
 
 TEST_CASE_METHOD(fixture, "a second order to stop changes nothing")
@@ -136,8 +134,7 @@
 	runUntil(2000);
 	stop.begin();
 	runUntil(10'000);
-	CHECK(std::pair<std::string, int64_t>("end", 5500) == target.notes.back());
-	CHECK(3 == target.notes.size());
+	CHECK(notes{{"refuse new", 3000}, {"read no more", 5300}, {"refuse waiting", 5300}, {"end", 5500}} == target.notes);
 }
 
 // Symptom: a caller whose call was done gets no answer, since the process that it asked has ended.
