Answer all that was taken on a connection before a draining server ends it

Root cause: a draining server ended a connection with the next answer, whatever it had taken behind it. Requests sent behind each other had run, and their callers saw the connection end. Class: a planned stop that looks at one queue (calls) and not at the next (answers of a connection).

Change: the answer to the last request that was taken on a connection ends it; no further one is taken on it, an idle connection takes one more.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -42,9 +42,23 @@
   }
 }
 
+void HttpServer::setDraining() {
+  draining_ = true;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection->waiting.empty()) endBehindTaken(connection.get());
+  }
+}
+
+/// The connection ends with the answer to the last request that was taken, not with the next one: what was taken may
+/// run already, and a caller that sees the connection end before its answer can't send it again.
+void HttpServer::endBehindTaken(Connection* connection) {
+  connection->closing = true;
+  exchanges_.at(connection->waiting.back()).keepAlive = false;
+}
+
 void HttpServer::readNoMore() {
   reading_ = false;
-  draining_ = true;
+  setDraining();
   std::vector<ConnectionId> unused;
   for (const auto& [id, connection] : connections_) {
     const bool answered = connection->waiting.empty() && !connection->lingering;
@@ -52,8 +66,9 @@
       unused.push_back(id);
       continue;
     }
+    if (!answered) continue;
     connection->closing = true;
-    connection->lingering = connection->lingering || answered;  // ends once the answer has left
+    connection->lingering = true;  // ends once the answer has left
   }
   for (const auto id : unused) drop(id);
 }
@@ -144,6 +159,7 @@
   exchange.headRequest = request.method == "HEAD";
   connection->waiting.push_back(id);
   if (!head.keepAlive) connection->closing = true;
+  if (draining_) endBehindTaken(connection);
   ++counters_.requests;
   onRequest_(id, std::move(request));
 }
@@ -206,7 +222,7 @@
 
 void HttpServer::writeResponse(Connection* connection, const Exchange& exchange) {
   const auto& response = exchange.response;
-  const bool last = !exchange.keepAlive || draining_;
+  const bool last = !exchange.keepAlive;
   std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonOf(response.status) + "\r\n";
   for (const auto& header : response.headers) {
     if (isHopByHop(header.name)) continue;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -66,8 +66,8 @@
   /// Answers a request; ignored when the caller went away.
   void respond(ExchangeId exchange, HttpResponse response);
 
-  /// Asks callers to close their connections after the next response.
-  void setDraining() { draining_ = true; }
+  /// Ends each connection with the answer to the last request that was taken on it; an idle one takes one more.
+  void setDraining();
 
   /// Reads no further request: connections that wait for no answer end now, the others with their last answer. What
   /// has not been read whole was not taken, and its caller may send it again elsewhere.
@@ -123,6 +123,7 @@
   void takeRequest(Connection* connection);
   void refuse(Connection* connection, HttpProgress problem);
   void refuse(Connection* connection, int status, const char* error, const char* sentence);
+  void endBehindTaken(Connection* connection);
   void sendReady(Connection* connection);
   void writeResponse(Connection* connection, const Exchange& exchange);
   void onDrained(Connection* connection);
