Try relays beside each other, so that a node behind a full link comes back

Root cause: a handshake that took longer than 0.7 s was given up, whatever the node's own patience, and the next one began behind the same queue. A node behind a full link had no relay, served what it had and stayed ready. Class: a fixed time-out on a way whose delay depends on load; each try throws away the progress of the last.

Change: a relay that is slow to answer stays in the race while the next one is tried, four at the most, each for 3.5 s (three openings of TCP); the first that is up is used and the others are closed. Networks take a time-out for one connection. Frames between nodes keep 0.7 s: there a second endpoint is used at once.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -28,7 +28,7 @@
       onActivation_(std::move(onActivation)),
       onStates_(std::move(onStates)),
       reconnectTimer_(scheduler, [this] { connect(); }),
-      connectTimer_(scheduler, [this] { reconnectLater("slow to answer"); }),
+      connectTimer_(scheduler, [this] { tryBeside(); }),
       watchTimer_(scheduler, [this] { onWatch(); }),
       keepAliveTimer_(scheduler,
                       [this] {
@@ -66,15 +66,60 @@
   openedAt_ = scheduler_.now();
   const size_t position = position_ % options_.relays.size();
   relay_ = options_.relays[position];
-  connection_ = network_.connect(relay_);
+  const auto begun =
+      std::find_if(pending_.begin(), pending_.end(), [this](const auto& item) { return item.second == relay_; });
+  if (begun != pending_.end()) {
+    connection_ = begun->first;
+    pending_.erase(begun);
+  } else {
+    connection_ = network_.connectWithTimeout(relay_, options_.connectTimeout);
+  }
+  connectTimer_.start(connectPatience());
+  armHomeTimer();
+}
+
+base::Duration ControlClient::connectPatience() const {
   // A node that has a version can wait for a relay; one without serves nobody.
-  if (!slices_.active())
-    connectTimer_.start(options_.connectPatience * (1 << std::min(rounds(), kMaxPatienceDoublings)));
+  if (slices_.active()) return options_.servingConnectPatience;
+  return options_.connectPatience * (1 << std::min(rounds(), kMaxPatienceDoublings));
+}
+
+void ControlClient::armHomeTimer() {
   homeTimer_.stop();
-  const bool home = position < options_.nearRelays;
+  const bool home = position_ % options_.relays.size() < options_.nearRelays;
   if (!home && options_.nearRelays > 0) homeTimer_.start(options_.returnAfter + random_.duration(options_.returnAfter));
 }
 
+/// The connection goes on beside the next one, and the first that is up is used. Given up, each try would begin behind
+/// what is queued in front of the link, and where that takes longer than a try no relay is ever reached: 8 s without
+/// one by a node's log, five relays in reach.
+void ControlClient::tryBeside() {
+  pending_[connection_] = relay_;
+  if (pending_.size() >= options_.maxPending) {
+    const auto oldest = pending_.begin();
+    network_.close(oldest->first);
+    pending_.erase(oldest);
+  }
+  connection_ = 0;
+  reconnectLater("slow to answer");
+}
+
+/// A relay answered after the next one was tried.
+void ControlClient::adopt(base::ConnectionId connection) {
+  if (connection_ != 0) network_.close(connection_);
+  reconnectTimer_.stop();
+  connection_ = connection;
+  relay_ = pending_.extract(connection).mapped();
+  const auto current = std::find(options_.relays.begin(), options_.relays.end(), relay_);
+  position_ = current == options_.relays.end() ? 0 : static_cast<size_t>(current - options_.relays.begin());
+  armHomeTimer();
+}
+
+void ControlClient::dropPending() {
+  for (const auto& [connection, relay] : pending_) network_.close(connection);
+  pending_.clear();
+}
+
 void ControlClient::useSeeds(const std::vector<base::Address>& seeds) {
   seeds_ = seeds;
   useRelays();
@@ -120,17 +165,17 @@
   ++counters_.returns;
   network_.close(connection_);
   connection_ = 0;
-  pending_.clear();
+  updates_.clear();
   position_ = 0;
   connect();
 }
 
 void ControlClient::moveOn(base::Duration delay) {
-  network_.close(connection_);
+  if (connection_ != 0) network_.close(connection_);
   connection_ = 0;
   open_ = false;
   connectTimer_.stop();
-  pending_.clear();
+  updates_.clear();
   ++position_;
   ++counters_.reconnects;
   reconnectTimer_.start(delay);
@@ -150,7 +195,9 @@
 int ControlClient::rounds() const { return attempts_ / std::max(1, static_cast<int>(options_.relays.size())); }
 
 void ControlClient::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
+  if (pending_.count(connection) > 0 && !open_) adopt(connection);
   if (connection != connection_) return;
+  dropPending();
   open_ = true;
   connectTimer_.stop();
   lastHeard_ = scheduler_.now();
@@ -168,6 +215,7 @@
 }
 
 void ControlClient::onClose(base::ConnectionId connection) {
+  if (pending_.erase(connection) > 0) return;
   if (connection == connection_) reconnectLater(open_ ? "connection lost" : "not reached");
 }
 
@@ -198,14 +246,14 @@
 void ControlClient::onUpdate(const wire::SliceUpdate& update) {
   sliceSeen_ = true;
   attempts_ = 0;
-  pending_.push_back(update);
+  updates_.push_back(update);
   takePending();
 }
 
 void ControlClient::takePending() {
-  while (!pending_.empty() && !persisting_) {
-    const auto update = std::move(pending_.front());
-    pending_.pop_front();
+  while (!updates_.empty() && !persisting_) {
+    const auto update = std::move(updates_.front());
+    updates_.pop_front();
     // What the relay sent before it heard of the refusal can't be applied; refusing it would cost another whole slice.
     if (awaitingWhole_ && !update.full) continue;
     awaitingWhole_ = false;
@@ -283,13 +331,11 @@
   if (connection_ == 0) return;
   const auto now = scheduler_.now();
   const bool silent = open_ && now - lastHeard_ > options_.relayTimeout;
-  const bool noAnswer = !open_ && now - openedAt_ > options_.relayTimeout;
   // A node that has a version can wait for a relay that has just started; one without can't.
   const auto patience = slices_.active() ? options_.firstSliceTimeout * kServingPatience : options_.firstSliceTimeout;
   const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > patience;
   const bool stale = open_ && !fresh() && now - openedAt_ > options_.staleAfter;
   if (silent) return reconnectLater("silent");
-  if (noAnswer) return reconnectLater("no answer");
   if (noSlice) return reconnectLater("no version came");
   if (!stale) return;
   staleRelays_ = std::min(std::max<size_t>(staleRelays_, 1), options_.relays.size() - 1);
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,9 +27,13 @@
   base::Duration relayTimeout = base::milliseconds(1800);  ///< without a heartbeat
   base::Duration firstSliceTimeout = base::milliseconds(2000);
   base::Duration staleAfter = base::seconds(4);  ///< without an advance of freshness
-  /// Without a version: time that a relay gets to answer a connection before the next one is tried. It doubles each
-  /// time that all were tried, so that relays behind slow links are reached as well.
+  /// Time that a relay gets to answer a connection before the next one is tried beside it: without a version, doubled
+  /// each time that all were tried, and with one.
   base::Duration connectPatience = base::milliseconds(150);
+  base::Duration servingConnectPatience = base::milliseconds(700);
+  /// After this a connection that is not up counts as gone: three openings of TCP, at 0, 1 and 3 s, and half a second.
+  base::Duration connectTimeout = base::milliseconds(3500);
+  size_t maxPending = 4;                                    ///< connections that may be on their way up at once
   base::Duration reconnectDelay = base::milliseconds(200);  ///< highest first delay; it doubles up to a limit
   base::Duration keepAlive = base::milliseconds(1500);      ///< the relay drops a node that is silent for 4 s
   size_t nearRelays = 2;                                    ///< of `relays`: those of the own zone
@@ -51,7 +56,8 @@
 using ActivationHandler = std::function<void(const routing::RoutingTablePtr&)>;
 
 /// Invariants: at most one relay is subscribed to at a time, and what another connection says is ignored; where
-/// there is a disk, a version is durable before it is active, so a restart never serves an older one.
+/// there is a disk, a version is durable before it is active, so a restart never serves an older one; while a relay is
+/// subscribed to, no other connection is open or on its way up.
 class ControlClient : public base::ConnectionHandler {
  public:
   ControlClient(ControlOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
@@ -89,6 +95,11 @@
 
  private:
   void connect();
+  void tryBeside();
+  void adopt(base::ConnectionId connection);
+  void dropPending();
+  void armHomeTimer();
+  base::Duration connectPatience() const;
   void onRelayList(const wire::RelayList& list);
   void useRelays();
   void moveOn(base::Duration delay);
@@ -119,11 +130,12 @@
   std::function<void(const wire::LedgerReply&)> onLedgerReply_;  // may be empty
   SliceStore slices_;
   storage::Disk* disk_ = nullptr;
-  std::vector<base::Address> seeds_;   // relays that the settings name
-  wire::RelayList learned_;            // relays that the last relay knew
-  base::Address relay_;                // the relay in use
-  size_t position_ = 0;                // of the relay in use
-  base::ConnectionId connection_ = 0;  // 0 while waiting to reconnect
+  std::vector<base::Address> seeds_;                     // relays that the settings name
+  wire::RelayList learned_;                              // relays that the last relay knew
+  base::Address relay_;                                  // the relay in use
+  size_t position_ = 0;                                  // of the relay in use
+  base::ConnectionId connection_ = 0;                    // 0 while waiting to reconnect
+  std::map<base::ConnectionId, base::Address> pending_;  // on their way up, beside the relay that is tried now
   bool open_ = false;
   bool sliceSeen_ = false;      // on this connection
   bool awaitingWhole_ = false;  // an update was refused on this connection; only a whole slice helps
@@ -136,11 +148,11 @@
   bool announcing_ = false;
   wire::EndpointState state_;  // of the endpoint beside this node
   ControlCounters counters_;
-  std::deque<wire::SliceUpdate> pending_;  // arrived while a version was being written to the disk
+  std::deque<wire::SliceUpdate> updates_;  // arrived while a version was being written to the disk
   bool persisting_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   base::Timer reconnectTimer_;
-  base::Timer connectTimer_;  // runs until a connection is open
+  base::Timer connectTimer_;  // runs until the connection is open, or the next relay is tried beside it
   base::Timer watchTimer_;
   base::Timer keepAliveTimer_;
   base::Timer homeTimer_;  // runs while the relay in use is one of another zone
