Bound the connections of an HTTP server

Cause: callers' connections had no bound but the process's descriptors; an idle one stays for 60 s (idleTimeout), so that after an outage as many stay open as callers once waited at the same time. Ruled out by descriptors_test: connections whose callers gave up; they are closed within a turn.

Change: HttpServerOptions::maxConnections (none by default). At the bound a thirty-second of the connections is closed, those that were unused the longest, for a second at least; one whose next request has arrived but was not read yet stays (TcpStream::hasUnread). While all are in use the listener is held: new callers wait in the system's queue and lose nothing, where a connection that is accepted and closed would not tell whether its request ran. One log line a second, counters, accepting() for readiness. Without descriptors (EMFILE) idle connections make room in the same way.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,11 +1,17 @@
 #include "transport/http_server.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace driftlug::transport {
 namespace {
 
 constexpr base::Duration kSweepInterval = base::seconds(1);
+/// Interval at which a server that holds its listener looks for connections that became idle: a small part of the
+/// second or so that a caller waits to be connected.
+constexpr base::Duration kRoomInterval = base::milliseconds(100);
+/// Share of the connections that are closed at once to make room, so that a burst of callers costs few passes.
+constexpr size_t kRoomShare = 32;
 constexpr size_t kMaxUnreadBytes = 256U << 10;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -28,8 +34,11 @@
       options_(options),
       onRequest_(std::move(onRequest)),
       onAbort_(std::move(onAbort)),
-      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }),
-      sweepTimer_(loop, [this] { sweep(); }) {}
+      listener_(
+          loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }, [this] { closeIdle(); }),
+      sweepTimer_(loop, [this] { sweep(); }),
+      boundTimer_(loop, [this] { keepToBound(); }),
+      boundLog_(name_, loop, base::kOneLineASecond) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -40,6 +49,7 @@
   for (const auto& [id, connection] : connections_) {
     connection->reader.setLimits({options_.maxHeadBytes, options_.maxBodyBytes});
   }
+  keepToBound();
 }
 
 void HttpServer::onAccepted(std::shared_ptr<TcpStream> stream) {
@@ -52,6 +62,7 @@
   connection->lastActive = loop_.now();
   connections_[id] = std::move(connection);
   if (!sweepTimer_.running()) sweepTimer_.start(kSweepInterval);
+  keepToBound();
 }
 
 void HttpServer::onBytes(Connection* connection, std::string_view bytes) {
@@ -218,6 +229,7 @@
     ++counters_.aborted;
     if (onAbort_) onAbort_(exchange);
   }
+  if (connections_.size() < options_.maxConnections) listener_.setHeld(false);
 }
 
 void HttpServer::sweep() {
@@ -243,8 +255,45 @@
     ++counters_.timedOut;
     return refuse(connection, kRequestTimeout, "request_timeout", "the rest of the request did not come");
   }
-  const bool idle = connection->waiting.empty() && !connection->reader.midMessage() && connection->unread.empty();
-  if (idle && now - connection->lastActive > options_.idleTimeout) drop(connection->id);
+  if (isIdle(*connection) && now - connection->lastActive > options_.idleTimeout) drop(connection->id);
+}
+
+bool HttpServer::isIdle(const Connection& connection) {
+  return !connection.closing && connection.waiting.empty() && !connection.reader.midMessage() &&
+         connection.unread.empty();
+}
+
+void HttpServer::keepToBound() {
+  boundTimer_.stop();
+  if (connections_.size() < options_.maxConnections) return listener_.setHeld(false);
+  closeIdle();
+  if (connections_.size() < options_.maxConnections) return listener_.setHeld(false);
+  if (listener_.accepting()) ++counters_.held;
+  listener_.setHeld(true);
+  boundTimer_.start(kRoomInterval);
+  boundLog_.write(base::LineWorth::kFailure, [this] {
+    return fmt::format("server={} holds new callers: connections={} max_connections={} pending={}", name_,
+                       connections_.size(), options_.maxConnections, exchanges_.size());
+  });
+}
+
+void HttpServer::closeIdle() {
+  const auto unusedSince = loop_.now() - options_.leastIdle;
+  std::vector<Connection*> idle;
+  for (const auto& [id, connection] : connections_) {
+    // A request that has arrived and was not read yet would be lost.
+    if (isIdle(*connection) && connection->lastActive <= unusedSince && !connection->stream->hasUnread()) {
+      idle.push_back(connection.get());
+    }
+  }
+  const auto most = std::max<size_t>(1, std::min(options_.maxConnections, connections_.size()) / kRoomShare);
+  const auto end = idle.begin() + static_cast<std::ptrdiff_t>(std::min(most, idle.size()));
+  std::partial_sort(idle.begin(), end, idle.end(),
+                    [](const auto* left, const auto* right) { return left->lastActive < right->lastActive; });
+  for (auto it = idle.begin(); it != end; ++it) {
+    ++counters_.closedForRoom;
+    drop((*it)->id);
+  }
 }
 
 }  // namespace driftlug::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -27,6 +28,10 @@
   base::Duration headTimeout = base::seconds(10);          ///< for the head of a request
   base::Duration idleTimeout = base::seconds(60);          ///< between requests, and between pieces of a body
   base::Duration lingerTimeout = base::milliseconds(800);  ///< for the peer to close after the last answer
+  size_t maxConnections = SIZE_MAX;                        ///< open at once; more wait in the system's queue
+  /// How long a connection must have been unused to make room for a new one: long enough for a caller that has just
+  /// connected, or was just answered, to send its next request.
+  base::Duration leastIdle = base::seconds(1);
 };
 
 /// Counters of a server.
@@ -37,10 +42,16 @@
   int64_t malformed = 0;
   int64_t timedOut = 0;
   int64_t connections = 0;
+  int64_t closedForRoom = 0;  ///< idle connections that were closed for new ones
+  int64_t held = 0;           ///< times that accepting stopped at the bound of connections
 };
 
 /// Accepts requests and sends responses. Requests of one connection may be answered in any order; the responses leave
 /// in the order of the requests.
+///
+/// At the bound of connections those that were unused the longest are closed; while all are in use, new callers wait in
+/// the system's queue, unharmed: a connection that is accepted and closed would not tell them whether their request
+/// ran.
 class HttpServer {
  public:
   /// Takes a whole request; respond() is called for it once, then or later.
@@ -74,6 +85,15 @@
   /// @return requests that were not answered yet.
   size_t pending() const { return exchanges_.size(); }
 
+  /// @return connections that are open, those included that wait for the peer to close.
+  size_t connections() const { return connections_.size(); }
+
+  /// @return whether new connections are taken: neither the bound nor a want of descriptors keeps them waiting.
+  bool accepting() const { return listener_.accepting(); }
+
+  /// @return how often a connection could not be taken for want of descriptors.
+  int64_t starved() const { return listener_.starved(); }
+
  private:
   using ConnectionId = uint64_t;
 
@@ -122,6 +142,9 @@
   void drop(ConnectionId id);
   void sweep();
   void sweepConnection(Connection* connection, base::TimePoint now);
+  static bool isIdle(const Connection& connection);
+  void keepToBound();
+  void closeIdle();
 
   EventLoop& loop_;
   std::string name_;
@@ -134,6 +157,8 @@
   std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
   std::map<ExchangeId, Exchange> exchanges_;
   base::Timer sweepTimer_;  // runs while there are connections
+  base::Timer boundTimer_;  // runs while the listener is held
+  base::DecisionLog boundLog_;
   bool draining_ = false;
   HttpServerCounters counters_;
 };
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -137,6 +137,14 @@
   if (wsi_ != nullptr && !closing_) lws_rx_flow_control(wsi_, reading ? 1 : 0);
 }
 
+bool TcpStream::hasUnread() const {
+  if (wsi_ == nullptr || closing_) return false;
+  char byte = 0;
+  const auto count = ::recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count >= 0) return count > 0;
+  return errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
 void TcpStream::shutdownWrite() {
   if (shutdownAsked_) return;
   shutdownAsked_ = true;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -64,6 +64,9 @@
   /// @return bytes queued and not yet taken by the system.
   size_t queuedBytes() const { return out_.size() - offset_; }
 
+  /// @return whether bytes have arrived that were not read yet, or may have.
+  bool hasUnread() const;
+
   /// @return bytes that the system has taken so far.
   int64_t sentBytes() const { return sentBytes_; }
 
--- a/test/transport/descriptors_test.cc
+++ b/test/transport/descriptors_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -148,4 +149,122 @@
   CHECK(server.pending() == 0);
 }
 
+namespace {
+
+/// A server that takes few connections, and answers each request at once unless the test says otherwise.
+struct BoundedFixture : public Fixture {
+  static constexpr size_t kBound = 8;
+  static constexpr auto kIdle = base::milliseconds(50);
+
+  BoundedFixture() {
+    HttpServerOptions options;
+    options.maxConnections = kBound;
+    options.leastIdle = kIdle;
+    server.setOptions(options);
+  }
+  ~BoundedFixture() {
+    for (const int caller : callers) ::close(caller);
+  }
+
+  /// Connects callers, each with a request.
+  void call(size_t count) {
+    for (size_t i = 0; i < count; ++i) callers.push_back(connectAndSend(kRequest));
+    (void)runFor(base::milliseconds(30));
+  }
+
+  void answerAll() {
+    for (const auto exchange : exchanges) server.respond(exchange, {});
+    (void)runFor(base::milliseconds(10));
+  }
+
+  /// @return whether the server has closed a caller's connection in order; what it answered is dropped.
+  static bool closedInOrder(int caller) {
+    char buffer[4096];
+    ssize_t count = 0;
+    while ((count = ::recv(caller, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+    }
+    return count == 0;
+  }
+
+  std::vector<int> callers;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(BoundedFixture, "at the bound connections that were unused the longest make room") {
+  for (size_t i = 0; i < kBound - 1; ++i) {
+    call(1);
+    answerAll();
+  }
+  (void)runFor(2 * kIdle);
+  CHECK(server.counters().closedForRoom == 0);
+  // The first of these reaches the bound, and so does the second behind it.
+  call(2);
+  CHECK(exchanges.size() == kBound + 1);
+  CHECK(server.connections() < kBound);
+  CHECK(server.accepting());
+  CHECK(server.counters().closedForRoom == 2);
+  for (size_t i = 0; i < callers.size(); ++i) CHECK(closedInOrder(callers[i]) == (i < 2));
+  CHECK(aborted == 0);
+}
+
+TEST_CASE_METHOD(BoundedFixture, "at the bound of connections in use, new callers wait until one ends") {
+  call(kBound + 3);
+  CHECK(exchanges.size() == kBound);
+  CHECK(server.connections() == kBound);
+  CHECK(!server.accepting());
+  // The loop rests meanwhile.
+  CHECK(runFor(base::milliseconds(300)) < 50);
+  ::close(callers.front());
+  callers.erase(callers.begin());
+  (void)runFor(base::milliseconds(30));
+  CHECK(exchanges.size() == kBound + 1);
+  CHECK(!server.accepting());
+  SECTION("or has been answered, and is not used again") {
+    answerAll();
+    (void)runFor(base::milliseconds(300));
+    CHECK(exchanges.size() == kBound + 3);
+    CHECK(server.counters().closedForRoom >= 2);
+  }
+  SECTION("or the bound is raised") {
+    server.setOptions({});
+    (void)runFor(base::milliseconds(30));
+    CHECK(exchanges.size() == kBound + 3);
+    CHECK(server.accepting());
+  }
+}
+
+TEST_CASE_METHOD(BoundedFixture, "a connection whose request has arrived does not make room for another") {
+  call(kBound);
+  answerAll();
+  const auto answered = exchanges.size();
+  // All but the last have sent again, which the server has not read yet when its bound makes it look for room.
+  std::this_thread::sleep_for(2 * kIdle);
+  for (size_t i = 0; i + 1 < kBound; ++i) {
+    REQUIRE(::send(callers[i], kRequest.data(), kRequest.size(), MSG_NOSIGNAL) > 0);
+  }
+  server.setOptions(server.options());
+  CHECK(server.counters().closedForRoom == 1);
+  (void)runFor(base::milliseconds(30));
+  CHECK(exchanges.size() == answered + kBound - 1);
+  CHECK(aborted == 0);
+}
+
+TEST_CASE_METHOD(BoundedFixture, "without descriptors connections that nobody uses make room") {
+  call(4);
+  answerAll();
+  (void)runFor(2 * kIdle);
+  const int late = ::socket(AF_INET, SOCK_STREAM, 0);
+  callers.push_back(late);
+  NoDescriptorsLeft none;
+  REQUIRE(connectTo(late, server.port()) == 0);
+  REQUIRE(::send(late, kRequest.data(), kRequest.size(), MSG_NOSIGNAL) > 0);
+  (void)runFor(base::milliseconds(10));
+  CHECK(server.counters().closedForRoom == 1);
+  CHECK(!server.accepting());
+  (void)runFor(base::milliseconds(100));
+  CHECK(exchanges.size() == 5);
+  CHECK(server.accepting());
+}
+
 }  // namespace driftlug::transport
