Bound connections between nodes, on both sides

Cause: a node took any number of connections of others, and opened up to 32 for each service, three times as many while endpoints were out of reach; nothing bound the sum.

Change: FrameTransport::setMaxAccepted; one more is closed before its greeting, so that its peer knows that nothing was taken there, backs off and links to another endpoint. LinkOptions::maxLinks is shared evenly among the services: each gets fewer endpoints where there are many, and links out of reach count. What finds no room is tried again each second. Each bound has a counter and one log line a second.

Tests: frame_transport_test, "at the bound of accepted connections"; endpoint_links_test, "shared among the services", "stay within the bound", "wait for room".

--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -14,6 +14,8 @@
 /// Links added at once to a service whose chosen endpoints are full, and the most that are added.
 constexpr size_t kMoreAtOnce = 4;
 constexpr size_t kMostMore = 16;
+/// Pause after which links that the bound left no room for are tried again.
+constexpr base::Duration kRoomInterval = base::seconds(1);
 /// How long they stay behind the last sign that they are needed: longer than a burst of some seconds.
 constexpr base::Duration kMoreFor = base::seconds(10);
 /// Interval at which links with calls in progress are looked at.
@@ -49,8 +51,10 @@
       onLost_(std::move(onLost)),
       onSilent_(std::move(onSilent)),
       subset_(options_.subset, options_.nodeId, options_.zone),
+      subsetEndpoints_(options_.subset.endpoints),
       chooseTimer_(scheduler, [this] { takeNews(); }),
-      watchTimer_(scheduler, [this] { watch(); }) {}
+      watchTimer_(scheduler, [this] { watch(); }),
+      boundLog_("entry", scheduler, base::kOneLineASecond) {}
 
 EndpointLinks::~EndpointLinks() { alive_.reset(); }
 
@@ -96,7 +100,23 @@
   choose();
 }
 
+size_t EndpointLinks::linksPerService() const {
+  return std::max<size_t>(1, options_.maxLinks / std::max<size_t>(1, known_.size()));
+}
+
+void EndpointLinks::fitSubset() {
+  const auto fitting = std::min(options_.subset.endpoints, linksPerService());
+  if (fitting == subsetEndpoints_) return;
+  auto subset = options_.subset;
+  subset.mostOfOwnZone = std::max<size_t>(1, subset.mostOfOwnZone * fitting / subset.endpoints);
+  subset.endpoints = fitting;
+  subset_ = subsetting::endpoint_subset(subset, options_.nodeId, options_.zone);
+  subsetEndpoints_ = fitting;
+  log_.warn("links to {} of each of {} services, max_links={}", fitting, known_.size(), options_.maxLinks);
+}
+
 void EndpointLinks::choose() {
+  fitSubset();
   chosen_.clear();
   for (const auto& [service, endpoints] : known_) {
     const auto unreached = [this](const std::string& endpoint) { return outOfReach(endpoint); };
@@ -108,7 +128,8 @@
 size_t EndpointLinks::moreFor(const std::string& service) {
   const auto found = more_.find(service);
   if (found == more_.end()) return 0;
-  if (found->second.until > scheduler_.now()) return found->second.count;
+  if (found->second.until > scheduler_.now())
+    return std::min(found->second.count, linksPerService() - subsetEndpoints_);
   more_.erase(found);
   return 0;
 }
@@ -153,12 +174,28 @@
     if (moved && !busy) leaving.push_back(name);
   }
   for (const auto& name : leaving) closeLink(name);
+  addLinks(wanted);
+}
+
+void EndpointLinks::addLinks(const std::map<std::string, base::Address>& wanted) {
+  size_t leftOut = 0;
   for (const auto& [name, address] : wanted) {
     if (links_.count(name) > 0) continue;
+    if (links_.size() >= options_.maxLinks) {
+      ++leftOut;
+      continue;
+    }
     links_[name].address = address;
     links_[name].lostAt = scheduler_.now();
     connect(name);
   }
+  if (leftOut == 0) return;
+  leftOut_ += static_cast<int64_t>(leftOut);
+  boundLog_.write(base::LineWorth::kFailure, [&] {
+    return fmt::format("no room for links to {} endpoints, links={} max_links={}", leftOut, links_.size(),
+                       options_.maxLinks);
+  });
+  if (!chooseTimer_.running()) chooseTimer_.start(kRoomInterval);
 }
 
 void EndpointLinks::closeLink(const std::string& endpoint) {
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -1,6 +1,7 @@
 /// The endpoints that a node knows, and its links to those that it chose.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base/decision_log.h"
 #include "base/log.h"
 #include "base/network.h"
 #include "base/random.h"
@@ -25,6 +27,7 @@
   base::Duration reconnectDelay = base::milliseconds(200);
   base::Duration unreachableFor = base::seconds(30);  ///< an announced endpoint that long out of reach is forgotten
   subsetting::subset_options subset;
+  size_t maxLinks = SIZE_MAX;  ///< links of all services; where there are many services, each gets fewer
 };
 
 /// Keeps links to a subset of each service's endpoints: its own choice, and more while those are full or out of reach.
@@ -92,6 +95,9 @@
 
   size_t size() const { return links_.size(); }
 
+  /// @return how often a chosen endpoint was left without a link at the bound.
+  int64_t leftOut() const { return leftOut_; }
+
  private:
   using Endpoints = std::map<std::string, std::vector<routing::EndpointTarget>>;
 
@@ -103,9 +109,12 @@
 
   void collect();
   void choose();
+  void fitSubset();
   void chooseSoon();
   void takeNews();
   size_t moreFor(const std::string& service);
+  size_t linksPerService() const;
+  void addLinks(const std::map<std::string, base::Address>& wanted);
   bool outOfReach(const std::string& endpoint) const;
   void updateLinks();
   void closeLink(const std::string& endpoint);
@@ -122,6 +131,7 @@
   LostHandler onLost_;
   SilentHandler onSilent_;
   subsetting::endpoint_subset subset_;
+  size_t subsetEndpoints_;                             // of each service, by the bound of links
   routing::RoutingTablePtr table_;                     // null before the first version
   std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
   Endpoints known_;                                    // by service: those of the table and those announced
@@ -134,6 +144,8 @@
   base::Timer watchTimer_;                 // runs while calls are in progress
   base::TimePoint watchDue_{};
   base::Logger log_{"entry"};
+  base::DecisionLog boundLog_;
+  int64_t leftOut_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -14,7 +14,8 @@
 FrameTransport::FrameTransport(EventLoop& loop, std::string name)
     : loop_(loop),
       name_(std::move(name)),
-      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }) {}
+      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }),
+      boundLog_("frames", loop, base::kOneLineASecond) {}
 
 FrameTransport::~FrameTransport() { *alive_ = false; }
 
@@ -67,7 +68,15 @@
 }
 
 void FrameTransport::onAccepted(std::shared_ptr<TcpStream> stream) {
+  if (accepted_ >= maxAccepted_) {
+    ++counters_.refused;
+    boundLog_.write(base::LineWorth::kFailure,
+                    [this] { return fmt::format("{} refuses a connection, accepted={}", name_, accepted_); });
+    return stream->close();
+  }
+  ++accepted_;
   auto* connection = add();
+  connection->accepted = true;
   connection->stream = std::move(stream);
   connection->stream->setHandler(connection);
   onEstablished(connection);
@@ -114,10 +123,17 @@
   if (found == connections_.end()) return;
   loop_.cancel(found->second->greetingTimer);
   const auto otherEnd = found->second->otherEnd;
+  if (found->second->accepted) --accepted_;
   connections_.erase(found);
   if (otherEnd != 0) closeLater(otherEnd);
 }
 
+size_t FrameTransport::opened() const {
+  size_t count = 0;
+  for (const auto& [id, connection] : connections_) count += connection->stream && !connection->accepted ? 1 : 0;
+  return count;
+}
+
 void FrameTransport::closeLater(base::ConnectionId id) {
   loop_.schedule(base::Duration(0), [this, alive = alive_, id] {
     if (*alive) onGone(id);
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "base/decision_log.h"
 #include "base/log.h"
 #include "base/network.h"
 #include "transport/event_loop.h"
@@ -23,6 +25,7 @@
   int64_t framesReceived = 0;
   int64_t badFrames = 0;
   int64_t slowClosed = 0;
+  int64_t refused = 0;  ///< connections of others that were closed at the bound, before any greeting
   std::array<int64_t, wire::kPurposes> bytesByPurpose{};  ///< sent, by wire::Purpose
 
   int64_t sentFor(wire::Purpose purpose) const { return bytesByPurpose[static_cast<size_t>(purpose)]; }
@@ -49,8 +52,18 @@
   /// Compresses what is sent to peers in other zones that can take it. Set before the first connection.
   void compressBetweenZones() { compresses_ = true; }
 
+  /// Changes how many connections that others opened there may be. One more is closed before its greeting, so that its
+  /// peer knows that nothing it would send there was taken, and turns to others.
+  void setMaxAccepted(size_t most) { maxAccepted_ = most; }
+
   const FrameCounters& counters() const { return counters_; }
 
+  /// @return connections that others opened.
+  size_t accepted() const { return accepted_; }
+
+  /// @return connections that this side opened, or is opening, over sockets.
+  size_t opened() const;
+
   void setHello(const wire::Hello& hello) override;
   base::ConnectionId connect(const base::Address& address) override;
   void send(base::ConnectionId connection, const wire::FramePtr& frame) override;
@@ -72,6 +85,7 @@
     base::ConnectionId id;
     std::shared_ptr<TcpStream> stream;  // null on a connection within the process
     base::ConnectionId otherEnd = 0;    // of a connection within the process
+    bool accepted = false;              // the peer opened it
     bool greeted = false;               // the peer's Hello arrived
     wire::Hello peer;
     wire::FramePtr greeting;  // what this side said of itself when the connection began
@@ -106,6 +120,9 @@
   base::Duration zoneDelay_{0};
   base::ConnectionId nextId_ = 1;
   std::map<base::ConnectionId, std::unique_ptr<Connection>> connections_;
+  size_t maxAccepted_ = SIZE_MAX;
+  size_t accepted_ = 0;  // of connections_
+  base::DecisionLog boundLog_;
   FrameCounters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -26,12 +26,13 @@
 
 /// Links of a node that knows a large service.
 struct LinksFixture {
-  LinksFixture() : process(queue, "node", {"zone-0", "region"}, {"10.0.1.1", 7000}) {
+  explicit LinksFixture(size_t maxLinks = SIZE_MAX) : process(queue, "node", {"zone-0", "region"}, {"10.0.1.1", 7000}) {
     process.start();
     picker = std::make_unique<routing::EndpointPicker>(routing::PickerOptions{}, process, base::RandomSource(1));
     LinkOptions options;
     options.nodeId = "node";
     options.zone = "zone-0";
+    options.maxLinks = maxLinks;
     links = std::make_unique<EndpointLinks>(
         options, process, base::RandomSource(2), network, *picker,
         [this](base::ConnectionId, const std::string& endpoint) { lost.push_back(endpoint); },
@@ -66,6 +67,69 @@
 
 }  // namespace
 
+namespace {
+
+constexpr size_t kMaxLinks = 20;
+
+struct BoundedLinksFixture : public LinksFixture {
+  BoundedLinksFixture() : LinksFixture(kMaxLinks) {}
+
+  /// Adds a service with endpoints of its own.
+  void addService(const std::string& name) {
+    std::vector<wire::EndpointState> states;
+    for (int i = 1; i <= kEndpoints; ++i) {
+      auto state = endpointState(i, wire::EndpointCondition::LIVE);
+      state.serviceName = name;
+      state.endpoint = name + "-" + std::to_string(i);
+      states.push_back(state);
+    }
+    links->onStates(states);
+    runFor(base::milliseconds(50));
+    openAll();
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(BoundedLinksFixture, "the bound of links is shared among the services") {
+  CHECK(links->size() == 16);
+  for (const char* service : {"filings", "orders", "prices"}) addService(service);
+  CHECK(links->size() <= kMaxLinks);
+  CHECK(network.connected.size() <= kMaxLinks);
+  for (const char* service : {"records", "filings", "orders", "prices"}) {
+    size_t open = 0;
+    for (const auto& endpoint : links->of(service)) open += links->link(endpoint.name).open ? 1 : 0;
+    CHECK(open == kMaxLinks / 4);
+  }
+}
+
+TEST_CASE_METHOD(BoundedLinksFixture, "more links for a full service stay within the bound") {
+  for (int i = 0; i < 10; ++i) {
+    links->onFull("records");
+    runFor(base::milliseconds(50));
+  }
+  CHECK(links->of("records").size() == kMaxLinks);
+  CHECK(network.connected.size() == kMaxLinks);
+}
+
+TEST_CASE_METHOD(BoundedLinksFixture, "links out of reach count, and endpoints beyond the bound wait for room") {
+  // Nobody can be reached: others would stand in, up to three times as many.
+  for (int i = 0; i < 5; ++i) {
+    const auto before = network.connected;
+    for (const auto& [connection, address] : before) {
+      network.connected.erase(connection);
+      links->onClose(connection);
+    }
+    runFor(base::seconds(4));
+    CHECK(links->size() <= kMaxLinks);
+    CHECK(network.connected.size() <= kMaxLinks);
+  }
+  CHECK(links->leftOut() > 0);
+  openAll();
+  runFor(base::seconds(2));
+  CHECK(links->of("records").size() == 16);
+}
+
 TEST_CASE_METHOD(LinksFixture, "a node links to a subset of a large service only") {
   CHECK(network.connected.size() == 16);
   CHECK(links->of("records").size() == 16);
--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -117,6 +117,30 @@
   CHECK(rightRecorder.closed[0] == rightRecorder.from[0]);
 }
 
+TEST_CASE_METHOD(Fixture, "at the bound of accepted connections another one ends before its greeting") {
+  begin("zone-a", "zone-a", false);
+  right.setMaxAccepted(2);
+  const auto second = left.connect({"127.0.0.1", port});
+  settle(loop);
+  CHECK(leftRecorder.open.size() == 2);
+  const auto third = left.connect({"127.0.0.1", port});
+  settle(loop);
+  CHECK(leftRecorder.open.size() == 2);
+  REQUIRE(leftRecorder.closed.size() == 1);
+  CHECK(leftRecorder.closed[0] == third);
+  CHECK(right.counters().refused == 1);
+  CHECK(right.accepted() == 2);
+  CHECK(left.opened() == 2);
+  // A connection that ends makes room, and one to the own address takes none.
+  left.close(second);
+  (void)right.connect({"127.0.0.1", port});
+  settle(loop);
+  (void)left.connect({"127.0.0.1", port});
+  settle(loop);
+  CHECK(leftRecorder.open.size() == 3);
+  CHECK(right.accepted() == 2);
+}
+
 TEST_CASE_METHOD(Fixture, "bytes that are no frames end the connection") {
   begin("zone-a", "zone-b", false);
   RawClient client(loop, port);
