Share a node's descriptors out, with counts and readiness

Cause: nothing bound what a node opens in sum: callers, connections of other nodes, links and the back end's pool (the table's maxConnections, up to 1,700 on a large site, beside a limit of 4,100 descriptors).

Change: max_descriptors (0: the limit that the system states; the platform fills in its own) is shared out: a reserve of 512, then a half to callers, a fifth each to accepted and opened links, a tenth to the back end; of 4,100 that is 1,794, 717, 717 and 358.

--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -10,6 +10,7 @@
 
 #include "base/error.h"
 #include "base/settings.h"
+#include "descriptors/descriptor_shares.h"
 
 DECLARE_bool(log_json);
 DECLARE_string(log_level);
@@ -18,10 +19,20 @@
 
 using transport::HttpResponse;
 
+namespace {
+
+transport::HttpServerOptions pageOptions() {
+  transport::HttpServerOptions options;
+  options.maxConnections = descriptors::kPageConnections;
+  return options;
+}
+
+}  // namespace
+
 PageServer::PageServer(transport::EventLoop& loop, const std::string& name, PageHandler handler)
     : handler_(std::move(handler)),
       server_(
-          loop, name, {},
+          loop, name, pageOptions(),
           [this](transport::ExchangeId exchange, const transport::HttpRequest& request) {
             handler_(request,
                      [this, exchange](HttpResponse response) { server_.respond(exchange, std::move(response)); });
--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -26,6 +26,9 @@
   /// Listens, or prints a typed line and exits 2.
   void listenOrExit(const std::string& host, int port);
 
+  /// @return the port listened on.
+  int port() const { return server_.port(); }
+
  private:
   PageHandler handler_;
   transport::HttpServer server_;
@@ -46,6 +49,9 @@
   /// Listens, or prints a typed line and exits 2.
   void listenOrExit(const std::string& host, int port) { server_.listenOrExit(host, port); }
 
+  /// @return the port listened on.
+  int port() const { return server_.port(); }
+
   /// Makes /readyz answer 503 from now on.
   void setStopping() { stopping_ = true; }
 
--- a/apps/entry_server.cc
+++ b/apps/entry_server.cc
@@ -14,17 +14,13 @@
 constexpr int kMillisecondsPerSecond = 1000;
 constexpr size_t kMaxEntryBodyBytes = 64U << 20;
 
-transport::HttpServerOptions defaultOptions() {
-  transport::HttpServerOptions options;
-  options.maxBodyBytes = kMaxEntryBodyBytes;
-  return options;
-}
-
 }  // namespace
 
-EntryServer::EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers)
+EntryServer::EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers,
+                         size_t maxConnections)
     : entry_(entry),
       headers_(std::move(headers)),
+      maxConnections_(maxConnections),
       server_(
           loop, "entry", defaultOptions(),
           [this](transport::ExchangeId exchange, transport::HttpRequest request) {
@@ -32,6 +28,13 @@
           },
           [this](transport::ExchangeId exchange) { onAbort(exchange); }) {}
 
+transport::HttpServerOptions EntryServer::defaultOptions() const {
+  transport::HttpServerOptions options;
+  options.maxBodyBytes = kMaxEntryBodyBytes;
+  options.maxConnections = maxConnections_;
+  return options;
+}
+
 void EntryServer::useTable(const routing::RoutingTable& table) {
   const auto& limits = table.ingress();
   auto options = defaultOptions();
--- a/apps/entry_server.h
+++ b/apps/entry_server.h
@@ -1,6 +1,7 @@
 /// The HTTP listener of a node for callers.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -22,14 +23,18 @@
 /// Takes calls over HTTP, hands them to the entry side and returns the answers.
 class EntryServer {
  public:
-  EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers);
+  /// @param maxConnections of callers, open at once
+  EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers,
+              size_t maxConnections = SIZE_MAX);
 
   transport::HttpServer& server() { return server_; }
+  const transport::HttpServer& server() const { return server_; }
 
   /// Takes the limits of a new version of the table.
   void useTable(const routing::RoutingTable& table);
 
  private:
+  transport::HttpServerOptions defaultOptions() const;
   void onRequest(transport::ExchangeId exchange, transport::HttpRequest request);
   void onAbort(transport::ExchangeId exchange);
   node::InboundCall toInbound(transport::HttpRequest request) const;
@@ -37,6 +42,7 @@
 
   node::EntryCalls& entry_;
   EntryHeaders headers_;
+  size_t maxConnections_;
   std::map<transport::ExchangeId, node::CallId> calls_;
   transport::HttpServer server_;
 };
--- a/apps/http_backend.h
+++ b/apps/http_backend.h
@@ -24,6 +24,9 @@
   /// Changes how many connections there may be.
   void setMaxConnections(size_t maxConnections) { pool_.setMaxConnections(maxConnections); }
 
+  /// @return the pool of connections.
+  const transport::HttpClientPool& pool() const { return pool_; }
+
   const transport::HttpPoolCounters& counters() const { return pool_.counters(); }
 
   uint64_t send(const wire::CallRequest& request, base::Duration timeout,
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -128,6 +128,42 @@
   page->gauge("endpoint_waiting", "requests waiting for a slot", static_cast<double>(endpoint.limiter().waiting()));
 }
 
+/// What opens descriptors, beside its bound.
+struct DescriptorUsers {
+  const transport::EventLoop& loop;
+  const transport::HttpServer& callers;
+  const transport::FrameTransport& nodes;
+  const node::EntryCalls& entry;
+  const transport::HttpClientPool& backend;
+  const descriptors::descriptor_shares& shares;
+};
+
+void addDescriptorMetrics(const DescriptorUsers& users, base::MetricsPage* page) {
+  const auto count = [page](const std::string& name, const std::string& help, size_t value) {
+    page->gauge(name, help, static_cast<double>(value));
+  };
+  count("sockets_open", "open sockets of all kinds but listeners", users.loop.openSockets());
+  count("entry_connections", "open connections of callers", users.callers.connections());
+  count("entry_connections_max", "bound of connections of callers", users.shares.callers);
+  count("entry_accepting", "1 while connections of callers are taken", users.callers.accepting() ? 1 : 0);
+  page->counter("entry_connections_closed_for_room_total", "idle connections of callers closed for new ones",
+                users.callers.counters().closedForRoom);
+  page->counter("entry_connections_held_total", "times that callers began to wait at the bound of connections",
+                users.callers.counters().held);
+  page->counter("entry_no_descriptor_total", "tries to accept a caller that found no descriptor",
+                users.callers.starved());
+  count("node_connections_accepted", "open connections that other nodes opened", users.nodes.accepted());
+  count("node_connections_accepted_max", "bound of connections that other nodes open", users.shares.accepted);
+  page->counter("node_connections_refused_total", "connections of other nodes refused at the bound",
+                users.nodes.counters().refused);
+  count("node_connections_opened", "connections to other nodes, open or being opened", users.nodes.opened());
+  count("entry_links_max", "bound of links to endpoints", users.shares.links);
+  page->counter("entry_links_left_out_total", "endpoints left without a link at the bound", users.entry.linksLeftOut());
+  count("backend_connections", "connections to the back end, open or being opened", users.backend.connections());
+  count("backend_connections_max", "bound of connections to the back end", users.backend.maxConnections());
+  count("backend_requests_waiting", "requests that wait for a connection to the back end", users.backend.waiting());
+}
+
 /// All parts of a node, wired up.
 class NodeDaemon {
  public:
@@ -141,6 +177,7 @@
  private:
   bool hasBackend() const { return !FLAGS_service.empty(); }
   base::Address backendAddress() const;
+  size_t backendConnections(int connections) const;
   void onActivation(const routing::RoutingTablePtr& table);
   void onDrainPage(const transport::HttpRequest& request, const std::function<void(transport::HttpResponse)>& respond);
   void onTerminate();
@@ -151,6 +188,7 @@
 
   transport::EventLoop loop_;
   base::Logger log_{"node"};
+  const descriptors::descriptor_shares shares_ = descriptorSharesFromSettings();
   base::RandomSource random_{processSeed()};
   transport::FrameTransport controlFrames_{loop_, "control"};
   transport::FrameTransport callFrames_{loop_, "calls"};
@@ -175,7 +213,7 @@
 }
 
 NodeDaemon::NodeDaemon(const ReportPagesFactory& makeReportPages)
-    : backend_(loop_, backendAddress(), static_cast<size_t>(FLAGS_backend_connections),
+    : backend_(loop_, backendAddress(), backendConnections(FLAGS_backend_connections),
                {FLAGS_deadline_header, FLAGS_correlation_header, FLAGS_incarnation_header}),
       ledgerClient_(loop_, base::RandomSource(random_.bits()), FLAGS_name,
                     [this](const wire::Message& message) { return control_.send(message); }),
@@ -187,11 +225,12 @@
       health_(loop_, control_, endpoint_, backendAddress()),
       localBackend_(placeFromSettings(), loop_, endpoint_,
                     [this](const wire::EndpointState& state) { control_.announce(state); }),
-      entryServer_(loop_, entry_, entryHeadersFromSettings()),
+      entryServer_(loop_, entry_, entryHeadersFromSettings(), shares_.callers),
       admin_(loop_, pages()) {
   controlFrames_.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
   callFrames_.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
   if (FLAGS_compress) callFrames_.compressBetweenZones();
+  callFrames_.setMaxAccepted(shares_.accepted);
   callFrames_.setHandler(&callHandler_);
   controlFrames_.setHandler(&control_);
   wire::Hello hello;
@@ -210,9 +249,12 @@
 
 DaemonPages NodeDaemon::pages() {
   DaemonPages pages;
-  // A node that is cut off from its relays serves what it has.
-  pages.ready = [this] { return control_.slices().active() != nullptr; };
-  pages.metrics = [this](base::MetricsPage* page) { addMetrics(control_, entry_, endpoint_, controlFrames_, page); };
+  // A node that is cut off from its relays serves what it has; one that takes no connection serves nobody new.
+  pages.ready = [this] { return control_.slices().active() != nullptr && entryServer_.server().accepting(); };
+  pages.metrics = [this](base::MetricsPage* page) {
+    addMetrics(control_, entry_, endpoint_, controlFrames_, page);
+    addDescriptorMetrics({loop_, entryServer_.server(), callFrames_, entry_, backend_.pool(), shares_}, page);
+  };
   pages.other = [this](const transport::HttpRequest& request, const auto& respond) { onDrainPage(request, respond); };
   return pages;
 }
@@ -222,7 +264,16 @@
   endpoint_.useTable(*table);
   entryServer_.useTable(*table);
   const int connections = table->maxConnections(FLAGS_service);
-  backend_.setMaxConnections(static_cast<size_t>(connections > 0 ? connections : FLAGS_backend_connections));
+  backend_.setMaxConnections(backendConnections(connections > 0 ? connections : FLAGS_backend_connections));
+}
+
+size_t NodeDaemon::backendConnections(int connections) const {
+  const auto wanted = static_cast<size_t>(connections);
+  if (wanted > shares_.backend) {
+    log_.info("connections to the back end: {} of {}, so that descriptors are left for others", shares_.backend,
+              wanted);
+  }
+  return std::min(wanted, shares_.backend);
 }
 
 void NodeDaemon::onDrainPage(const transport::HttpRequest& request,
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -28,6 +28,7 @@
 DEFINE_int32(backend_slots, 20, "requests in the back end at once, where the table has no limit");
 DEFINE_int32(backend_queue, 64, "requests waiting at once, where the table has no limit");
 DEFINE_double(link_mbps, 0, "what the link of this machine carries, in Mbit/s; 0 where it is not known");
+DEFINE_int32(max_descriptors, 0, "descriptors that this process may have open; 0 for the limit that the system states");
 DEFINE_string(data_folder, "", "folder for the last version; empty on a machine without a disk");
 DEFINE_int32(stop_linger_ms, 300, "time that a planned stop goes on taking calls, so that others hear of it");
 DEFINE_int32(stop_timeout_ms, 10000, "longest time that a planned stop waits for calls in progress");
@@ -95,6 +96,7 @@
   options.zone = FLAGS_zone;
   options.defaultRetry = {FLAGS_retry_attempts, FLAGS_retry_budget_percent};
   options.retryBurst = FLAGS_retry_burst;
+  options.links.maxLinks = descriptorSharesFromSettings().links;
   options.mintKeys = FLAGS_ledger;
   options.requestIdHeader = FLAGS_correlation_header;
   options.hedgeAfterShare = FLAGS_hedge_percent / 100.0;
@@ -142,6 +144,7 @@
   }
   base::declareRange("backend_connections", 1, 10'000);
   base::declareRange("backend_slots", 1, 100'000);
+  base::declareRange("max_descriptors", 0, 100'000'000);
   base::declareRange("link_mbps", 0, 1'000'000);
   base::declareRange("backend_queue", 0, 100'000);
   base::declareRange("stop_linger_ms", 0, 600'000);
@@ -158,6 +161,12 @@
   base::declareRange("retry_burst", 0, 1000);
 }
 
+descriptors::descriptor_shares descriptorSharesFromSettings() {
+  const auto limit =
+      FLAGS_max_descriptors > 0 ? static_cast<size_t>(FLAGS_max_descriptors) : descriptors::processLimit();
+  return descriptors::shareDescriptors(limit);
+}
+
 base::Duration stopTimeoutFromSettings() {
   /// From the last answer until the process is gone: its turn on a busy tenth of a core, and the close of connections.
   constexpr base::Duration kTimeToEnd = base::milliseconds(500);
--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/network.h"
+#include "descriptors/descriptor_shares.h"
 #include "entry_server.h"
 #include "node/control_client.h"
 #include "node/endpoint_calls.h"
@@ -20,6 +21,9 @@
 /// @return where this node takes calls of other nodes; port 0 when it takes none.
 base::Address frameAddressFromSettings();
 
+/// @return the bounds of what opens descriptors.
+descriptors::descriptor_shares descriptorSharesFromSettings();
+
 /// @return how long a planned stop waits for calls in progress.
 base::Duration stopTimeoutFromSettings();
 
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -94,6 +94,9 @@
   /// @return whether a connection was opened by this side.
   bool leadsFrom(base::ConnectionId connection) const { return links_.leadsFrom(connection); }
   size_t links() const { return links_.size(); }
+
+  /// @return how often an endpoint was left without a link at the bound of links.
+  int64_t linksLeftOut() const { return links_.leftOut(); }
   const EntryCounters& counters() const { return counters_; }
   const routing::RoutingTablePtr& table() const { return table_; }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -72,7 +72,15 @@
   /// Changes how many connections there may be.
   void setMaxConnections(size_t maxConnections) { options_.maxConnections = maxConnections; }
 
+  size_t maxConnections() const { return options_.maxConnections; }
+
   size_t inFlight() const { return active_.size(); }
+
+  /// @return connections that are open or being opened.
+  size_t connections() const { return connections_.size(); }
+
+  /// @return requests that wait for a connection.
+  size_t waiting() const { return waiting_.size(); }
   const HttpPoolCounters& counters() const { return counters_; }
 
  private:
