Look for unread requests only at connections that are to be closed, and log the closing

Cause: each pass at the bound peeked at every idle connection, a system call each; and a server that closed idle connections said nothing, only one that held its callers did.

Change: idle connections are sorted by last use, and those that come first are polled until enough are found (poll, as the loop itself uses it). One line a second tells how many were closed.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -281,19 +281,25 @@
   const auto unusedSince = loop_.now() - options_.leastIdle;
   std::vector<Connection*> idle;
   for (const auto& [id, connection] : connections_) {
-    // A request that has arrived and was not read yet would be lost.
-    if (isIdle(*connection) && connection->lastActive <= unusedSince && !connection->stream->hasUnread()) {
-      idle.push_back(connection.get());
-    }
+    if (isIdle(*connection) && connection->lastActive <= unusedSince) idle.push_back(connection.get());
   }
+  std::sort(idle.begin(), idle.end(),
+            [](const auto* left, const auto* right) { return left->lastActive < right->lastActive; });
   const auto most = std::max<size_t>(1, std::min(options_.maxConnections, connections_.size()) / kRoomShare);
-  const auto end = idle.begin() + static_cast<std::ptrdiff_t>(std::min(most, idle.size()));
-  std::partial_sort(idle.begin(), end, idle.end(),
-                    [](const auto* left, const auto* right) { return left->lastActive < right->lastActive; });
-  for (auto it = idle.begin(); it != end; ++it) {
-    ++counters_.closedForRoom;
-    drop((*it)->id);
+  size_t closed = 0;
+  for (auto* connection : idle) {
+    if (closed == most) break;
+    // A request that has arrived and was not read yet would be lost.
+    if (connection->stream->hasUnread()) continue;
+    ++closed;
+    drop(connection->id);
   }
+  if (closed == 0) return;
+  counters_.closedForRoom += static_cast<int64_t>(closed);
+  boundLog_.write(base::LineWorth::kFailure, [&] {
+    return fmt::format("server={} closes idle connections for new ones: closed={} connections={} max_connections={}",
+                       name_, closed, connections_.size(), options_.maxConnections);
+  });
 }
 
 }  // namespace driftlug::transport
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -4,6 +4,7 @@
 #include <libwebsockets.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -139,10 +140,8 @@
 
 bool TcpStream::hasUnread() const {
   if (wsi_ == nullptr || closing_) return false;
-  char byte = 0;
-  const auto count = ::recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (count >= 0) return count > 0;
-  return errno != EAGAIN && errno != EWOULDBLOCK;
+  pollfd descriptor{socket_, POLLIN, 0};
+  return ::poll(&descriptor, 1, 0) != 0;
 }
 
 void TcpStream::shutdownWrite() {
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -64,7 +64,7 @@
   /// @return bytes queued and not yet taken by the system.
   size_t queuedBytes() const { return out_.size() - offset_; }
 
-  /// @return whether bytes have arrived that were not read yet, or may have.
+  /// @return whether something has arrived that was not read yet, bytes or the end of the connection, or may have.
   bool hasUnread() const;
 
   /// @return bytes that the system has taken so far.
