Merge the bounds of descriptors

Cause: nothing bounded callers' connections, the sum of links and what other nodes open; without descriptors a listener spun.

--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/network.h"
+#include "descriptors/descriptor_shares.h"
 #include "entry_server.h"
 #include "lifecycle/planned_stop.h"
 #include "node/control_client.h"
@@ -24,6 +25,9 @@
 /// @return the times of a planned stop.
 lifecycle::stop_times stopTimesFromSettings();
 
+/// @return the bounds of what opens descriptors.
+descriptors::descriptor_shares descriptorSharesFromSettings();
+
 /// @return where others reach the endpoint beside this node.
 wire::EndpointState placeFromSettings();
 
