Test: a late heartbeat of a crashed incarnation displaces the one that runs

Heartbeats rise in sequence within one incarnation only. A node whose earlier life knew an incarnation, or that never heard of it, can't tell a late report of a crashed one from the first of a new one: it believes the last sender, and holds the running one for ended for good, so that its later heartbeats are dropped.

--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -26,6 +26,13 @@
 enum class ReportVerdict {
   kTaken,
   kOutdated,  ///< a newer report of the incarnation was taken, or the incarnation has ended
+  kHeld,      ///< it names another incarnation than the one in use; the back end is asked which of them it is
+};
+
+/// What a back end says of itself when it is asked.
+struct BackendIdentity {
+  std::string incarnation;  ///< empty when it did not say in time
+  bool leaving = false;     ///< it says that it drains or is not well
 };
 
 /// Keeps which incarnation of the back end takes calls, and announces it as an endpoint.
@@ -42,11 +49,21 @@
 class LocalBackend {
  public:
   using AnnounceFunction = std::function<void(const wire::EndpointState&)>;
+  using IdentityCallback = std::function<void(const BackendIdentity&)>;
+  /// Asks the back end for its name. The callback is called once, within a bound of the asker's, never from within.
+  using IdentityCheck = std::function<void(IdentityCallback)>;
 
   /// @param place the endpoint's service, address, port and zone as others reach it
   LocalBackend(wire::EndpointState place, base::Scheduler& scheduler, EndpointCalls& calls, AnnounceFunction announce,
                const LocalBackendOptions& options = {});
 
+  /// Sets how the back end is asked for its name; not used yet.
+  /// @param afterRestart whether an earlier life of this node may have known more of the back end than this one
+  void setIdentityCheck(IdentityCheck check, bool afterRestart) {
+    askIdentity_ = std::move(check);
+    (void)afterRestart;
+  }
+
   /// Takes a report of the back end.
   ReportVerdict onReport(const BackendReport& report);
 
@@ -80,6 +97,7 @@
   BackendReport current_;          // incarnation empty while there is none
   int64_t learnedAt_ = 0;          // sequence of the first report of the current incarnation that this process saw
   std::deque<std::string> ended_;  // incarnations that have ended, oldest first
+  IdentityCheck askIdentity_;      // may be empty
   LocalBackendOptions options_;
   base::Timer silenceTimer_;  // runs while there is an incarnation
   int unreachable_ = 0;       // connections in a row that failed
--- a/test/node/local_backend_test.cc
+++ b/test/node/local_backend_test.cc
@@ -91,8 +91,120 @@
   LocalBackend local;
 };
 
+/// A back end that is asked for its name; the test gives the answers.
+struct AskedFixture : Fixture {
+  void askWhenUnsure(bool afterRestart) {
+    local.setIdentityCheck([this](LocalBackend::IdentityCallback done) { questions.push_back(std::move(done)); },
+                           afterRestart);
+  }
+
+  void answer(const std::string& incarnation, bool leaving = false) {
+    REQUIRE(!questions.empty());
+    const auto done = std::move(questions.front());
+    questions.erase(questions.begin());
+    done({incarnation, leaving});
+  }
+
+  std::vector<LocalBackend::IdentityCallback> questions;
+};
+
 }  // namespace
 
+TEST_CASE_METHOD(AskedFixture, "a late report of an incarnation that this life does not know displaces none") {
+  askWhenUnsure(true);
+  local.onIdentified("i-2");
+  local.onReport(report("i-2", 7));
+  CHECK(local.onReport(report("i-1", 50)) == ReportVerdict::kHeld);
+  call(1, "i-2");
+  CHECK(backend.requests.size() == 1);
+  answer("i-2");
+  CHECK(local.incarnation() == "i-2");
+  CHECK(announced.back().endpoint == "i-2");
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  CHECK(local.onReport(report("i-2", 8)) == ReportVerdict::kTaken);
+  SECTION("it comes once more") {
+    CHECK(local.onReport(report("i-1", 50)) == ReportVerdict::kOutdated);
+    CHECK(local.onReport(report("i-1", 49)) == ReportVerdict::kOutdated);
+    CHECK(questions.empty());
+  }
+  SECTION("a newer one comes: the back end is asked again") {
+    CHECK(local.onReport(report("i-1", 51)) == ReportVerdict::kHeld);
+    answer("i-2");
+    CHECK(local.incarnation() == "i-2");
+  }
+}
+
+TEST_CASE_METHOD(AskedFixture,
+                 "a back end that has started again is taken on its own word, and the old one never comes") {
+  askWhenUnsure(false);
+  CHECK(local.onReport(report("i-1", 9)) == ReportVerdict::kTaken);
+  CHECK(local.onReport(report("i-2", 1)) == ReportVerdict::kHeld);
+  answer("i-2");
+  CHECK(local.incarnation() == "i-2");
+  call(1, "i-2");
+  CHECK(backend.requests.size() == 1);
+  CHECK(local.onReport(report("i-1", 10)) == ReportVerdict::kOutdated);
+  CHECK(questions.empty());
+  CHECK(announced.back().endpoint == "i-2");
+}
+
+TEST_CASE_METHOD(AskedFixture, "of several names only the one that the back end gives is taken") {
+  askWhenUnsure(false);
+  local.onReport(report("i-1", 9));
+  local.onReport(report("i-3", 1));
+  local.onReport(report("i-2", 4));
+  REQUIRE(questions.size() == 1);
+  answer("i-3");
+  CHECK(local.incarnation() == "i-3");
+  CHECK(local.onReport(report("i-2", 4)) == ReportVerdict::kOutdated);
+}
+
+TEST_CASE_METHOD(AskedFixture, "a back end that does not say who it is is the sender of the last report, for now") {
+  askWhenUnsure(false);
+  local.onReport(report("i-2", 9));
+  local.onReport(report("i-1", 50));
+  answer("");
+  CHECK(local.incarnation() == "i-1");
+  // The one that gave way without proof comes back by a newer report, not by one that was late.
+  CHECK(local.onReport(report("i-2", 9)) == ReportVerdict::kOutdated);
+  CHECK(local.onReport(report("i-2", 10)) == ReportVerdict::kHeld);
+  answer("i-2");
+  CHECK(local.incarnation() == "i-2");
+  CHECK(announced.back().endpoint == "i-2");
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  CHECK(local.onReport(report("i-1", 51)) == ReportVerdict::kOutdated);
+}
+
+TEST_CASE_METHOD(AskedFixture, "after a restart of the node, a late report alone revives nobody") {
+  askWhenUnsure(true);
+  CHECK(local.onReport(report("i-1", 50)) == ReportVerdict::kHeld);
+  CHECK(announced.empty());
+  SECTION("another one runs") {
+    answer("i-2");
+    CHECK(local.incarnation().empty());
+    CHECK(local.onReport(report("i-1", 50)) == ReportVerdict::kOutdated);
+    CHECK(local.onReport(report("i-2", 3)) == ReportVerdict::kTaken);
+    CHECK(announced.back().endpoint == "i-2");
+  }
+  SECTION("it runs") {
+    answer("i-1");
+    CHECK(local.incarnation() == "i-1");
+    CHECK(announced.back().condition == EndpointCondition::LIVE);
+  }
+  SECTION("it runs, and had said to the node's earlier life that it drains") {
+    answer("i-1", true);
+    CHECK(announced.back().condition == EndpointCondition::DRAINING);
+    call(1, "i-1");
+    CHECK(backend.requests.empty());
+    CHECK(local.onReport(report("i-1", 51)) == ReportVerdict::kTaken);
+    CHECK(announced.back().condition == EndpointCondition::LIVE);
+  }
+  SECTION("nobody says") {
+    answer("");
+    CHECK(local.incarnation() == "i-1");
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "no call is taken before the back end has told of itself") {
   call(1, "i-1");
   CHECK(refusalOf(1) == base::ErrorCode::kDraining);
--- a/test/platform/report_api_test.cc
+++ b/test/platform/report_api_test.cc
@@ -74,6 +74,17 @@
   CHECK(announced.back().condition == wire::EndpointCondition::GONE);
 }
 
+TEST_CASE_METHOD(Fixture, "a late heartbeat of a crashed incarnation is acknowledged and displaces none") {
+  local.setIdentityCheck([](const node::LocalBackend::IdentityCallback& done) { done({"i-2", false}); }, false);
+  CHECK(ask("PUT", "/instances/i-2", beat(2, "ready")) == 200);
+  CHECK(ask("PUT", "/instances/i-1", beat(77, "ready")) == 200);
+  CHECK(local.incarnation() == "i-2");
+  CHECK(ask("PUT", "/instances/i-2", beat(3, "draining")) == 200);
+  REQUIRE(announced.size() == 2);
+  CHECK(announced.back().endpoint == "i-2");
+  CHECK(announced.back().condition == wire::EndpointCondition::DRAINING);
+}
+
 TEST_CASE_METHOD(Fixture, "what is no heartbeat is refused") {
   CHECK(ask("PUT", "/instances/i-1", "{") == 400);
   CHECK(ask("PUT", "/instances/i-1", R"({"info":1,"status":2})") == 400);
