The back end itself says which of two incarnations it is

Cause: between two incarnations nothing in a report tells late from new. Worst case before: the node restarts, i-2 is known, a delayed heartbeat of the crashed i-1 arrives; i-1 is announced, i-2 held for ended, and all its later heartbeats dropped: the endpoint is lost until the back end starts anew.

Ruled out: believing the last sender and undoing it by the next heartbeat of the other (flaps, and a sender that gave way by mistake must not stay ended); an answer to a call in progress as proof (after a freeze of the node, answer and report may be read in one turn in either order).

Change: a report that names another incarnation than that in use, and the first one that a restarted node hears, is held while the back end is asked at its identity page, over a new connection, for 200 ms at the most. Its answer comes from the process that runs now. Until then the one in use stays: its calls name it, and another incarnation refuses them as not run, so neither a real restart nor a late report costs a call. Without an answer the last sender is taken, and the other one comes back by a newer report. Incarnations that gave way are remembered with their sequence, so the same late report asks once. A back end that says 503 to a restarted node after a late 'ready' takes no calls until its next report.

Cost: one question for each start of a back end beside a running node, and one for each late report; none in between.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -34,6 +34,7 @@
 DECLARE_bool(ledger);
 DECLARE_string(listen_host);
 DECLARE_string(name);
+DECLARE_string(not_run_header);
 DECLARE_string(report_listen);
 DECLARE_int32(seed_relay_port);
 DECLARE_string(service);
@@ -44,6 +45,9 @@
 namespace {
 
 constexpr int kOkStatus = 200;
+/// For the back end to say which of two incarnations it is. It is on this machine: one that has just started answers
+/// within milliseconds, and calls to it wait no longer than this.
+constexpr base::Duration kIdentityTimeout = base::milliseconds(200);
 /// What a planned stop keeps at its end for the answers to calls that it gives up: two turns of the loop of a busy
 /// node, and the way to the caller.
 constexpr base::Duration kLastAnswers = base::milliseconds(200);
@@ -147,6 +151,7 @@
   void onReload();
   void waitForCalls(base::TimePoint until);
   void askForIdentity();
+  void askBackend(base::Duration timeout, node::LocalBackend::IdentityCallback done);
   DaemonPages pages();
 
   transport::EventLoop loop_;
@@ -206,6 +211,11 @@
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
   endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
   if (makeReportPages) reportPages_ = makeReportPages(localBackend_);
+  if (!FLAGS_identity_header.empty()) {
+    localBackend_.setIdentityCheck(
+        [this](node::LocalBackend::IdentityCallback done) { askBackend(kIdentityTimeout, std::move(done)); },
+        !FLAGS_first_start);
+  }
 }
 
 DaemonPages NodeDaemon::pages() {
@@ -273,15 +283,35 @@
 void NodeDaemon::askForIdentity() {
   constexpr base::Duration kTimeout = base::milliseconds(500);
   if (FLAGS_first_start || !localBackend_.incarnation().empty()) return;
-  identityPool_ =
-      std::make_unique<transport::HttpClientPool>(loop_, "identity", backendAddress(), transport::HttpPoolOptions{});
+  askBackend(kTimeout, [this](const node::BackendIdentity& identity) {
+    if (identity.well) localBackend_.onIdentified(identity.incarnation);
+  });
+}
+
+/// @param timeout after which it counts as not having said anything
+void NodeDaemon::askBackend(base::Duration timeout, node::LocalBackend::IdentityCallback done) {
+  if (!identityPool_) {
+    transport::HttpPoolOptions options;
+    options.maxConnections = 2;  // the question at the start, and one about a report
+    // No connection is used twice: an idle one may lead to a process that has ended, or have gone silent.
+    options.maxIdle = base::Duration(0);
+    options.idleMargin = base::seconds(24 * 60 * 60);
+    identityPool_ = std::make_unique<transport::HttpClientPool>(loop_, "identity", backendAddress(), options);
+  }
   transport::HttpRequest request;
   request.method = "GET";
   request.path = FLAGS_identity_path;
-  identityPool_->send(request, kTimeout, [this](const transport::HttpResult& result) {
-    const bool good = result.outcome == transport::HttpOutcome::kCompleted && result.response.status == kOkStatus;
-    if (!good) return;
-    localBackend_.onIdentified(std::string(transport::findHeader(result.response.headers, FLAGS_identity_header)));
+  identityPool_->send(request, timeout, [done = std::move(done)](const transport::HttpResult& result) {
+    const auto& headers = result.response.headers;
+    // A refusal for want of a slot tells nothing of how the back end is.
+    const bool refused = !FLAGS_not_run_header.empty() && !transport::findHeader(headers, FLAGS_not_run_header).empty();
+    node::BackendIdentity identity;
+    if (result.outcome == transport::HttpOutcome::kCompleted) {
+      identity.incarnation = std::string(transport::findHeader(headers, FLAGS_identity_header));
+      identity.well = kOkStatus == result.response.status;
+      identity.leaving = !identity.well && !refused;
+    }
+    done(identity);
   });
 }
 
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 
 #include "base/log.h"
@@ -33,6 +34,7 @@
 struct BackendIdentity {
   std::string incarnation;  ///< empty when it did not say in time
   bool leaving = false;     ///< it says that it drains or is not well
+  bool well = false;        ///< it says that it is well; neither when it refused the question for want of a slot
 };
 
 /// Keeps which incarnation of the back end takes calls, and announces it as an endpoint.
@@ -44,8 +46,15 @@
   int unreachableLimit = 3;  ///< connections in a row that failed, after which it takes none either
 };
 
-/// Invariants: an incarnation that has ended or was replaced never takes calls again; one that drains takes calls again
-/// only after a newer report says so; a report takes effect here before it is acknowledged, whatever is cut.
+/// A report can be late by seconds and come from an incarnation that has crashed since, when another one runs at its
+/// address. Sequences tell late from new within one incarnation only, so between two of them the back end itself
+/// decides: it is asked for its name when a report names another one than that in use, or is the first that a restarted
+/// node hears. Until it has answered, the one in use stays in use: its calls name it, and another incarnation refuses
+/// them as not run. When it does not answer, the sender of the last report is taken.
+///
+/// Invariants: an incarnation that has ended never takes calls again; one that drains takes calls again only after a
+/// newer report says so; a report of the incarnation in use takes effect here before it is acknowledged, whatever is
+/// cut; of an incarnation that gave way, only a newer report than all before is heeded.
 class LocalBackend {
  public:
   using AnnounceFunction = std::function<void(const wire::EndpointState&)>;
@@ -57,12 +66,9 @@
   LocalBackend(wire::EndpointState place, base::Scheduler& scheduler, EndpointCalls& calls, AnnounceFunction announce,
                const LocalBackendOptions& options = {});
 
-  /// Sets how the back end is asked for its name; not used yet.
+  /// Sets how the back end is asked for its name; without it, the sender of the last report is believed.
   /// @param afterRestart whether an earlier life of this node may have known more of the back end than this one
-  void setIdentityCheck(IdentityCheck check, bool afterRestart) {
-    askIdentity_ = std::move(check);
-    (void)afterRestart;
-  }
+  void setIdentityCheck(IdentityCheck check, bool afterRestart);
 
   /// Takes a report of the back end.
   ReportVerdict onReport(const BackendReport& report);
@@ -84,7 +90,14 @@
 
  private:
   bool hasEnded(const std::string& incarnation) const;
+  bool isPassed(const BackendReport& report) const;
+  void pass(const BackendReport& report);
+  ReportVerdict onOther(const BackendReport& report);
+  void take(const BackendReport& report);
+  void hold(const BackendReport& report);
+  void onAnswer(const BackendIdentity& identity);
   void end(const std::string& incarnation);
+  void leave();
   void heard();
   void suspend(const char* because);
   void apply();
@@ -98,6 +111,11 @@
   int64_t learnedAt_ = 0;          // sequence of the first report of the current incarnation that this process saw
   std::deque<std::string> ended_;  // incarnations that have ended, oldest first
   IdentityCheck askIdentity_;      // may be empty
+  bool afterRestart_ = false;      // until this life has heard of the back end
+  bool asking_ = false;
+  std::map<std::string, BackendReport> held_;  // reports that wait for the back end's word, by incarnation
+  std::string lastHeld_;                       // the incarnation that reported last of them
+  std::map<std::string, int64_t> passed_;      // of incarnations that gave way: the newest sequence
   LocalBackendOptions options_;
   base::Timer silenceTimer_;  // runs while there is an incarnation
   int unreachable_ = 0;       // connections in a row that failed
