Test: a link to a node that is silent for good is never made anew

The link is left out of the choice until it is heard; a connection that lost its way for good, while new ones work, is never heard again, so the endpoint is lost to this node.

--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -151,4 +151,64 @@
   CHECK(silent == std::vector<std::string>{name});
 }
 
+TEST_CASE_METHOD(LinksFixture, "a link that stays silent is made anew, and what runs on the old one goes on") {
+  const auto name = links->of("records").front().name;
+  picker->onSent(name);
+  links->onSent(name);
+  const auto first = links->link(name).connection;
+  runFor(base::milliseconds(400));
+  REQUIRE(silent == std::vector<std::string>{name});
+  SECTION("nothing runs on it any more") {
+    picker->onAbandoned(name);
+    runFor(base::milliseconds(1000));
+    CHECK(network.connected.count(first) == 0);
+    CHECK(lost.empty());
+  }
+  SECTION("a call that may not run twice waits on it, until the other end is taken for lost") {
+    runFor(base::milliseconds(1000));
+    CHECK(network.connected.count(first) == 1);
+    CHECK(links->leadsFrom(first));
+    CHECK(lost.empty());
+  }
+  const auto second = links->link(name).connection;
+  CHECK(second != 0);
+  CHECK(second != first);
+  // The new connection works, and the endpoint takes calls again.
+  openAll();
+  CHECK(links->link(name).open);
+  CHECK(!links->link(name).silent);
+  bool picked = false;
+  for (int i = 0; i < 400 && !picked; ++i) picked = picker->pick(links->of("records"), "zone-0", {})->name == name;
+  CHECK(picked);
+}
+
+TEST_CASE_METHOD(LinksFixture, "a call on a connection that was replaced ends with it") {
+  const auto name = links->of("records").front().name;
+  picker->onSent(name);
+  links->onSent(name);
+  const auto first = links->link(name).connection;
+  runFor(base::milliseconds(1400));
+  openAll();
+  REQUIRE(links->link(name).connection != first);
+  SECTION("because it breaks") { links->onClose(first); }
+  SECTION("because its time is over") { runFor(base::seconds(31)); }
+  CHECK(lost == std::vector<std::string>{name});
+  CHECK(!links->leadsFrom(first));
+  CHECK(links->link(name).open);
+}
+
+TEST_CASE_METHOD(LinksFixture, "a process that was itself stopped makes no link anew for the time it slept") {
+  const auto name = links->of("records").front().name;
+  picker->onSent(name);
+  links->onSent(name);
+  const auto first = links->link(name).connection;
+  runFor(base::milliseconds(400));
+  REQUIRE(silent.size() == 1);
+  process.setFrozen(true);
+  runFor(base::seconds(5));
+  process.setFrozen(false);
+  runFor(base::milliseconds(50));
+  CHECK(links->link(name).connection == first);
+}
+
 }  // namespace driftlug::node
