Test: a control connection that is silent for good is not noticed

Controllers answer each other on connections of their own, and followers tell relays nothing: on the connection that a process opened, nothing need ever be heard. TCP ends it only if its bytes stay unacknowledged.

--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -23,6 +23,8 @@
   hello_.compresses = compresses_;
 }
 
+void FrameTransport::useKeepAlives(base::Duration /*limit*/) {}
+
 absl::Status FrameTransport::listen(const std::string& host, int port) {
   auto status = listener_.listen(host, port, {});
   if (status.ok()) listening_ = {host, listener_.port()};
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -23,6 +23,7 @@
   int64_t framesReceived = 0;
   int64_t badFrames = 0;
   int64_t slowClosed = 0;
+  int64_t silentClosed = 0;                               ///< connections on which keep-alives were not returned
   std::array<int64_t, wire::kPurposes> bytesByPurpose{};  ///< sent, by wire::Purpose
 
   int64_t sentFor(wire::Purpose purpose) const { return bytesByPurpose[static_cast<size_t>(purpose)]; }
@@ -49,6 +50,11 @@
   /// Compresses what is sent to peers in other zones that can take it. Set before the first connection.
   void compressBetweenZones() { compresses_ = true; }
 
+  /// Returns the keep-alives of others, and closes a connection on which one's own are not returned: one that lost its
+  /// way for good ends by itself only if nothing on the way acknowledges its bytes. Set before the first connection.
+  /// @param limit how long a keep-alive may go without anything being heard
+  void useKeepAlives(base::Duration limit = base::seconds(2));
+
   const FrameCounters& counters() const { return counters_; }
 
   void setHello(const wire::Hello& hello) override;
--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -125,4 +125,81 @@
   CHECK(right.counters().badFrames == 1);
 }
 
+namespace {
+
+/// A peer that greets, reads everything and may say nothing more: as a connection that fell silent on the way.
+struct HandWrittenPeer : public StreamHandler {
+  HandWrittenPeer(EventLoop& loop, bool returnsKeepAlives)
+      : listener(loop, [this, returnsKeepAlives](auto accepted) {
+          stream = std::move(accepted);
+          stream->setHandler(this);
+          wire::Hello hello;
+          hello.id = "peer";
+          hello.acknowledgesCalls = returnsKeepAlives;
+          stream->write(*wire::encodeFrame(hello));
+        }) {
+    REQUIRE(listener.listen("127.0.0.1", 0, {}).ok());
+  }
+  void onBytes(std::string_view /*bytes*/) override {
+    if (speaks) stream->write(*wire::encodeFrame(wire::KeepAlive()));
+  }
+  void onClosed(bool /*orderly*/) override { ended = true; }
+
+  bool speaks = false;
+  bool ended = false;
+  std::shared_ptr<TcpStream> stream;
+  TcpListener listener;
+};
+
+void runFor(EventLoop& loop, base::Duration duration) {
+  bool over = false;
+  loop.schedule(duration, [&] { over = true; });
+  while (!over) loop.runOnce();
+}
+
+constexpr base::Duration kLimit = base::milliseconds(200);
+
+}  // namespace
+
+TEST_CASE("a connection on which keep-alives are not returned is closed, though its bytes are acknowledged") {
+  EventLoop loop;
+  FrameTransport transport(loop, "left");
+  Recorder recorder;
+  transport.setHandler(&recorder);
+  transport.useKeepAlives(kLimit);
+  transport.setHello({});
+  const bool returns = GENERATE(true, false);
+  HandWrittenPeer peer(loop, returns);
+  const auto connection = transport.connect({"127.0.0.1", peer.listener.port()});
+  settle(loop);
+  REQUIRE(recorder.open.size() == 1);
+  peer.speaks = GENERATE(true, false);
+  for (int i = 0; i < 12; ++i) {
+    transport.send(connection, wire::encodeFrame(wire::KeepAlive()));
+    runFor(loop, base::milliseconds(50));
+  }
+  // From a peer that does not say that it returns them, nothing is expected.
+  const bool closed = returns && !peer.speaks;
+  CHECK(recorder.closed.size() == (closed ? 1 : 0));
+  CHECK(transport.counters().silentClosed == (closed ? 1 : 0));
+  loop.close();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "keep-alives are returned on connections that others opened, and end the silent among those") {
+  left.useKeepAlives(kLimit);
+  right.useKeepAlives(kLimit);
+  begin("zone-a", "zone-a", false);
+  for (int i = 0; i < 12; ++i) {
+    left.send(connection, wire::encodeFrame(wire::KeepAlive()));
+    runFor(loop, base::milliseconds(50));
+  }
+  CHECK(leftRecorder.closed.empty());
+  CHECK(rightRecorder.closed.empty());
+  // Its opener has fallen silent: it opens another one, and this one is held for nothing.
+  runFor(loop, kLimit * 6);
+  CHECK(leftRecorder.closed.size() + rightRecorder.closed.size() >= 1);
+  CHECK(right.counters().silentClosed == 1);
+}
+
 }  // namespace driftlug::transport
