Control connections return keep-alives, and end when they don't

Cause: controllers answer each other on connections of their own, and followers tell relays nothing, so the opener of a connection need not hear anything on it. Keep-alives of 1 s were sent one way and rely on TCP, whose time-out needs unacknowledged bytes. A connection that is silent for good while its bytes are acknowledged stayed for ever: a leader that can't reach a follower any more, a relay that never hears of the next leader.

Change: between controllers and relays keep-alives are returned on connections that the other side opened. Where one goes 2 s without anything being heard, the opener closes the connection and opens another: 3.25 s at the most after the silence began. The other end is freed after 10 s without a keep-alive. A process that was itself stopped judges nobody for the time it slept; peers that don't say that they return keep-alives are not judged.

Cost: one more packet of some 60 bytes a second and connection; 7 controllers with relays inside hold 126 such connections, 7.6 kB a second in all, whatever the number of nodes (reckoned, not measured).

--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -143,6 +143,7 @@
   explicit InnerRelay(transport::EventLoop& loop)
       : frames_(loop, "relay"), relay_(options(), loop, base::RandomSource(processSeed()), frames_) {
     frames_.setHandler(&relay_);
+    frames_.useKeepAlives();
   }
 
   void startOrExit() {
@@ -200,6 +201,7 @@
   if (FLAGS_inspect_data) return inspectData(disk);
 
   transport::FrameTransport frames(loop, "frames");
+  frames.useKeepAlives();
   frames.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
   controller::Controller controller(optionsFromSettings(), loop, base::RandomSource(processSeed()), frames, disk);
   controller::HttpApi api(controller, loop);
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -91,6 +91,7 @@
 
   transport::EventLoop loop;
   transport::FrameTransport frames(loop, "frames");
+  frames.useKeepAlives();
   frames.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
   relay::Relay relay(optionsFromSettings(), loop, base::RandomSource(apps::processSeed()), frames);
   frames.setHandler(&relay);
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -1,29 +1,75 @@
 #include "transport/frame_transport.h"
 
+#include <vector>
+
 #include "base/error.h"
 
 namespace driftlug::transport {
 namespace {
 
+const size_t kKeepAliveKind = wire::Message(wire::KeepAlive()).index();
+
 /// A peer that does not read is closed when this much is queued for it.
 constexpr size_t kMaxQueuedBytes = 64U << 20;
 constexpr base::Duration kGreetingTimeout = base::seconds(2);
+/// How often in the time that a silent peer is given connections are looked at.
+constexpr int kWatchesPerLimit = 8;
+/// A connection that a peer opened is held for so many times that limit without a keep-alive: the peer notices first
+/// and opens another, and this end is only to be freed.
+constexpr int kAbandonedLimits = 5;
 
 }  // namespace
 
 FrameTransport::FrameTransport(EventLoop& loop, std::string name)
     : loop_(loop),
       name_(std::move(name)),
-      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }) {}
+      listener_(loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }),
+      watchTimer_(loop, [this] { watch(); }) {}
 
 FrameTransport::~FrameTransport() { *alive_ = false; }
 
 void FrameTransport::setHello(const wire::Hello& hello) {
   hello_ = hello;
   hello_.compresses = compresses_;
+  if (silenceLimit_.count() > 0) hello_.acknowledgesCalls = true;  // which says that keep-alives are returned
+}
+
+void FrameTransport::useKeepAlives(base::Duration limit) {
+  silenceLimit_ = limit;
+  hello_.acknowledgesCalls = true;
+  watchLater();
+}
+
+void FrameTransport::watchLater() {
+  const auto interval = silenceLimit_ / kWatchesPerLimit;
+  watchDue_ = loop_.now() + interval;
+  watchTimer_.start(interval);
+}
+
+bool FrameTransport::isSilent(const Connection& connection, base::TimePoint now) const {
+  if (connection.awaitedSince) return now - *connection.awaitedSince > silenceLimit_;
+  return connection.keptAlive && now - connection.heardAt > silenceLimit_ * kAbandonedLimits;
 }
 
-void FrameTransport::useKeepAlives(base::Duration /*limit*/) {}
+void FrameTransport::watch() {
+  const auto now = loop_.now();
+  // A process that was stopped or starved itself has not read yet what others sent.
+  const bool late = now - watchDue_ > silenceLimit_ / kWatchesPerLimit;
+  std::vector<base::ConnectionId> silent;
+  for (auto& [id, connection] : connections_) {
+    if (late && connection->awaitedSince) connection->awaitedSince = now;
+    if (late) connection->heardAt = now;
+    if (isSilent(*connection, now)) silent.push_back(id);
+  }
+  watchLater();
+  for (const auto id : silent) {
+    const auto* connection = find(id);
+    if (connection == nullptr) continue;
+    ++counters_.silentClosed;
+    log_.warn("{} closes connection {} with {}: it is silent", name_, id, connection->peer.id);
+    onGone(id);
+  }
+}
 
 absl::Status FrameTransport::listen(const std::string& host, int port) {
   auto status = listener_.listen(host, port, {});
@@ -72,6 +118,7 @@
   auto* connection = add();
   connection->stream = std::move(stream);
   connection->stream->setHandler(connection);
+  connection->accepted = true;
   onEstablished(connection);
 }
 
@@ -101,6 +148,11 @@
   const auto purpose = wire::purposeOf(wire::kindOf(*frame));
   counters_.bytesByPurpose[static_cast<size_t>(purpose)] += static_cast<int64_t>(bytes.size());
   connection->stream->write(bytes);
+  const bool isKeepAlive = wire::kindOf(*frame) == kKeepAliveKind;
+  const bool returned = !connection->accepted && connection->greeted && connection->peer.acknowledgesCalls;
+  if (silenceLimit_.count() > 0 && isKeepAlive && returned && !connection->awaitedSince) {
+    connection->awaitedSince = loop_.now();
+  }
 }
 
 void FrameTransport::deliverWithin(base::ConnectionId to, const wire::FramePtr& frame) {
@@ -155,6 +207,8 @@
 
 void FrameTransport::onReceived(base::ConnectionId id, std::string_view bytes) {
   counters_.bytesReceived += static_cast<int64_t>(bytes.size());
+  find(id)->heardAt = loop_.now();
+  find(id)->awaitedSince.reset();
   auto status = read(find(id), bytes);
   while (auto* connection = find(id)) {
     wire::Message message;
@@ -178,6 +232,11 @@
 void FrameTransport::onFrame(base::ConnectionId id, wire::Message message) {
   auto* connection = find(id);
   if (connection->greeted) {
+    const bool keepAlive = std::holds_alternative<wire::KeepAlive>(message);
+    if (silenceLimit_.count() > 0 && keepAlive && connection->accepted) {
+      connection->keptAlive = true;
+      enqueue(id, wire::encodeFrame(wire::KeepAlive()));
+    }
     if (handler_ != nullptr) handler_->onMessage(id, std::move(message));
     return;
   }
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/log.h"
@@ -85,6 +86,10 @@
     std::unique_ptr<wire::Deflater> deflater;  // of what is sent, once compression began
     std::unique_ptr<wire::Inflater> inflater;  // of what is received, once the peer began
     base::TimerId greetingTimer = 0;
+    bool accepted = false;  // the peer opened it
+    base::TimePoint heardAt{};
+    std::optional<base::TimePoint> awaitedSince;  // when the first keep-alive since heardAt was sent
+    bool keptAlive = false;                       // the peer sends keep-alives on it
   };
 
   Connection* find(base::ConnectionId id);
@@ -98,6 +103,9 @@
   void onHello(Connection* connection, const wire::Hello& hello);
   void onGone(base::ConnectionId id);
   void closeLater(base::ConnectionId id);
+  void watchLater();
+  void watch();
+  bool isSilent(const Connection& connection, base::TimePoint now) const;
   void enqueue(base::ConnectionId id, const wire::FramePtr& frame);
   void deliverWithin(base::ConnectionId to, const wire::FramePtr& frame);
 
@@ -110,6 +118,9 @@
   wire::Hello hello_;
   bool compresses_ = false;
   base::Duration zoneDelay_{0};
+  base::Duration silenceLimit_{0};  // 0 without keep-alives
+  base::Timer watchTimer_;          // runs with keep-alives
+  base::TimePoint watchDue_{};
   base::ConnectionId nextId_ = 1;
   std::map<base::ConnectionId, std::unique_ptr<Connection>> connections_;
   FrameCounters counters_;
