Test: each silent pooled connection costs a request its whole time

When the connections to a back end fall silent for good while new ones work, each idle one is used for one request, which hangs till its deadline.

--- a/test/transport/http_client_test.cc
+++ b/test/transport/http_client_test.cc
@@ -222,4 +222,69 @@
   CHECK(connections.size() == 2);
 }
 
+namespace {
+
+/// Connections that all fall silent at a moment, while new ones work.
+struct SilentLater : HandWritten {
+  SilentLater() {
+    onRequest = [this](TcpStream& stream) {
+      if (connections.size() > silent) stream.write(kOwn);
+    };
+    // Three requests at once leave three idle connections.
+    int done = 0;
+    for (int i = 0; i < 3; ++i) start(base::seconds(20), [&](const HttpResult&) { ++done; });
+    while (done < 3) loop.runOnce();
+    REQUIRE(connections.size() == 3);
+    silent = 3;
+  }
+
+  HttpRequestId start(base::Duration timeout, HttpClientPool::Callback done) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    return pool->send(request, timeout, std::move(done));
+  }
+
+  void runFor(base::Duration duration) {
+    bool over = false;
+    loop.schedule(duration, [&] { over = true; });
+    while (!over) loop.runOnce();
+  }
+
+  size_t silent = 0;  // that many of the first connections give no answer
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(SilentLater, "behind a request that got no answer, idle connections of its time are not used") {
+  std::optional<HttpResult> first;
+  const auto id = start(base::milliseconds(900), [&](const HttpResult& result) { first = result; });
+  SECTION("its time is over") {
+    while (!first) loop.runOnce();
+    CHECK(first->outcome == HttpOutcome::kUnknown);
+    CHECK(first->timedOut);
+  }
+  SECTION("it is given up since another endpoint has answered") {
+    runFor(base::milliseconds(800));
+    pool->cancel(id);
+  }
+  std::optional<HttpResult> second;
+  start(base::seconds(1), [&](const HttpResult& result) { second = result; });
+  while (!second) loop.runOnce();
+  CHECK(second->outcome == HttpOutcome::kCompleted);
+  CHECK(connections.size() == 4);
+}
+
+TEST_CASE_METHOD(SilentLater, "a request that is given up soon tells nothing of other connections") {
+  silent = 0;
+  onRequest = [this](TcpStream& stream) {
+    if (requests > 4) stream.write(kOwn);
+  };
+  const auto id = start(base::seconds(20), [](const HttpResult&) {});
+  runFor(base::milliseconds(100));
+  pool->cancel(id);
+  CHECK(send("1").outcome == HttpOutcome::kCompleted);
+  CHECK(connections.size() == 3);
+}
+
 }  // namespace driftlug::transport
