Idle connections of a silent request's time are not used again

Cause: the pool learns of a silent connection only when the request on it ends, and then offers the next idle one, which fell silent at the same moment: with n idle connections n requests in a row lost their time.

Change: a request that ends 700 ms or more after it was sent without a byte of an answer (deadline, TCP's time-out, or given up since another endpoint answered) drops the idle connections on which nothing was heard since it was sent. Callers that give up sooner drop none.

Cost: a new connection for each that was dropped in vain. Shown by http_client_test: 1 test red before (second request hung 1 s of 1 s; now answered on a fourth connection), test-transport green (35).

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+/// A request that ends this long after it was sent, without a byte of an answer, makes other connections doubtful: they
+/// may all have fallen silent at one moment, and each would cost another request its time. Shorter than TCP's own
+/// time-out of 800 ms, behind which this holds as well; a caller that gives up sooner tells nothing of connections. It
+/// costs a new connection for each idle one that nothing was heard on since.
+constexpr base::Duration kQuietAfter = base::milliseconds(700);
 
 /// @return the time in which a server says that it keeps an idle connection, or 0 when it says nothing.
 base::Duration statedIdleTime(const std::vector<wire::HttpHeader>& headers) {
@@ -84,6 +89,8 @@
   active.connection = connection->id;
   connection->request = id;
   connection->sentBefore = connection->stream->sentBytes();
+  connection->startedAt = loop_.now();
+  connection->heard = false;
   write(connection, active.request);
 }
 
@@ -118,6 +125,8 @@
 
 void HttpClientPool::onBytes(Connection* connection, std::string_view bytes) {
   const auto id = connection->id;
+  connection->heard = true;
+  connection->heardAt = loop_.now();
   while (!bytes.empty()) {
     if (connection->request == 0) {
       // Nothing was asked for: whatever this is, it belongs to nobody.
@@ -191,6 +200,7 @@
   result.timedOut = timedOut;
   const bool sent = found->second->stream->sentBytes() > found->second->sentBefore;
   result.outcome = sent ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
+  dropSilent(*found->second);
   connections_.erase(found);
   if (request == 0) return startWaiting();
   ++counters_.failures;
@@ -208,6 +218,19 @@
   startWaiting();
 }
 
+/// Drops the idle connections on which nothing was heard since a request was sent that ends without an answer.
+void HttpClientPool::dropSilent(const Connection& connection) {
+  const bool quiet = connection.request != 0 && !connection.heard && loop_.now() - connection.startedAt >= kQuietAfter;
+  if (!quiet) return;
+  std::erase_if(idle_, [&](ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return true;
+    if (found->second->heardAt > connection.startedAt) return false;
+    connections_.erase(found);
+    return true;
+  });
+}
+
 void HttpClientPool::onTimeout(HttpRequestId id) {
   const auto found = active_.find(id);
   if (found == active_.end()) return;
@@ -223,7 +246,10 @@
   auto node = active_.extract(id);
   if (node.empty()) return;
   loop_.cancel(node.mapped().timer);
-  connections_.erase(node.mapped().connection);
+  if (const auto found = connections_.find(node.mapped().connection); found != connections_.end()) {
+    dropSilent(*found->second);
+    connections_.erase(found);
+  }
   startWaiting();
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -54,7 +54,7 @@
 
 /// Sends requests over at most a given number of connections; more wait in order. One request is on a connection at a
 /// time. A connection is used again only behind a whole response to a request that was sent whole, with nothing else
-/// behind it.
+/// behind it, and not behind a request of its time on another connection that got no byte of an answer.
 class HttpClientPool {
  public:
   using Callback = std::function<void(HttpResult)>;
@@ -94,6 +94,9 @@
     HttpRequestId request = 0;  // 0 while idle
     int64_t sentBefore = 0;     // bytes sent on the connection before the request in progress
     base::TimePoint idleUntil{};
+    base::TimePoint startedAt{};  // of the request in progress
+    base::TimePoint heardAt{};    // when anything came on the connection
+    bool heard = false;           // something came since startedAt
     bool reusable = true;
   };
 
@@ -117,6 +120,7 @@
   void fail(ConnectionId id, bool timedOut);
   bool belongs(const Connection& connection, const HttpHead& head) const;
   void keep(Connection* connection, const HttpHead& head, bool moreBytes);
+  void dropSilent(const Connection& connection);
 
   EventLoop& loop_;
   std::string name_;
