Test: a close behind unread bytes is not seen

A request whose caller has closed before it was read is taken, and goes out to a back end in the same turn of the loop, before the end of the connection is read: a node that was slow or paused sends on the requests of callers long gone. While the server has paused to read, behind a full pipeline, a close is not seen at all.

--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -140,6 +140,55 @@
   CHECK(server.pending() == 0);
 }
 
+TEST_CASE_METHOD(Fixture, "a caller that ends its sending direction counts as one that has closed") {
+  RawClient client(loop, server.port());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(requests.size() == 1);
+  client.endSending();
+  settle(loop);
+  CHECK(aborted == exchanges);
+}
+
+TEST_CASE_METHOD(Fixture, "a request is not taken when its caller has closed before it was read") {
+  RawClient client(loop, server.port());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(requests.size() == 1);
+  client.sendUnread("GET /2 HTTP/1.1\r\nHost: h\r\n\r\nPOST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+  SECTION("in order") { client.close(); }
+  SECTION("with a reset") { client.reset(); }
+  settle(loop);
+  CHECK(requests.size() == 1);
+  CHECK(aborted == exchanges);
+  CHECK(server.pending() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a request on a new connection that was closed before it was accepted is not taken") {
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(std::make_unique<RawClient>(loop, server.port(), RawClient::Accepted::kLater));
+    clients.back()->sendUnread("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    if (i != 3) clients.back()->close();
+  }
+  settle(loop);
+  CHECK(requests.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a close is seen also while the server has paused to read") {
+  RawClient client(loop, server.port());
+  constexpr size_t kChunkBytes = 64U << 10;
+  std::string chunk;
+  while (chunk.size() < kChunkBytes) chunk += "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (int i = 0; i < 7; ++i) client.send(chunk);
+  REQUIRE(requests.size() == server.options().maxPipelined);
+  SECTION("in order") { client.close(); }
+  SECTION("with a reset") { client.reset(); }
+  bool over = false;
+  loop.schedule(base::milliseconds(200), [&] { over = true; });
+  while (!over) loop.runOnce();
+  CHECK(aborted == exchanges);
+  CHECK(requests.size() == server.options().maxPipelined);
+}
+
 TEST_CASE_METHOD(Fixture, "headers of one connection are not passed on") {
   RawClient client(loop, server.port());
   client.send(
--- a/test/transport/raw_client.h
+++ b/test/transport/raw_client.h
@@ -23,13 +23,17 @@
 /// One connection to 127.0.0.1.
 class RawClient {
  public:
-  RawClient(EventLoop& loop, int port) : loop_(loop), socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  /// When the server accepts the connection: before the constructor returns, or when its loop runs next.
+  enum class Accepted { kAtOnce, kLater };
+
+  RawClient(EventLoop& loop, int port, Accepted accepted = Accepted::kAtOnce)
+      : loop_(loop), socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     REQUIRE(::connect(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
-    settle(loop_);
+    if (Accepted::kAtOnce == accepted) settle(loop_);
   }
   ~RawClient() { close(); }
   RawClient(const RawClient&) = delete;
@@ -41,6 +45,21 @@
     settle(loop_);
   }
 
+  /// Sends bytes that the server has not read when this returns.
+  void sendUnread(const std::string& bytes) {
+    REQUIRE(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+
+  /// Ends the sending direction only.
+  void endSending() { ::shutdown(socket_, SHUT_WR); }
+
+  /// Closes with a reset.
+  void reset() {
+    const linger discard{1, 0};
+    ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    close();
+  }
+
   /// @return everything that has arrived since the last call.
   std::string receive() {
     settle(loop_);
