Tests: what follows a caller's close at every hop, and a silent connection to a back end

Four that show that it holds: a cancel ends what may be repeated at the back end, frees its slot and starts the next one; what may not be repeated is let finish, and withdrawn while it waits; every attempt of a call ends with its caller, and none is begun after it; a call that is given up in the turn of its request is not sent on.

--- a/test/node/entry_calls_test.cc
+++ b/test/node/entry_calls_test.cc
@@ -46,7 +46,7 @@
 
 /// An entry side with two announced endpoints, in its own zone and in another.
 struct Fixture {
-  Fixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.1", 7000}) {
+  explicit Fixture(double hedgeAfterShare = 0.5) : process(queue, "node", {"zone-1", "region"}, {"10.0.0.1", 7000}) {
     process.start();
     EntryOptions options;
     options.nodeId = "node";
@@ -55,7 +55,7 @@
     options.defaultRetry = {2, 100};
     options.retryBurst = 4;
     options.fullFor = base::milliseconds(100);
-    options.hedgeAfterShare = 0.5;
+    options.hedgeAfterShare = hedgeAfterShare;
     options.picker.policy = routing::PickPolicy::kNearestIdle;
     entry = std::make_unique<EntryCalls>(options, process, base::RandomSource(3), network);
     table::Table rows;
@@ -119,6 +119,11 @@
   std::vector<CallAnswer> answers;
 };
 
+/// Without hedging.
+struct LateFixture : Fixture {
+  LateFixture() : Fixture(0) {}
+};
+
 }  // namespace
 
 TEST_CASE_METHOD(Fixture, "a call goes to an announced endpoint of the own zone, by its incarnation") {
@@ -323,6 +328,36 @@
   CHECK(answers.empty());
 }
 
+TEST_CASE_METHOD(Fixture, "a caller that goes away ends every attempt, and none is begun after it") {
+  const auto id = call("/safe/1");
+  SECTION("while two are in progress") {
+    runFor(base::milliseconds(250));
+    REQUIRE(asked().size() == 2);
+  }
+  SECTION("before the second one") {}
+  SECTION("behind a refusal") { respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded); }
+  const auto begun = asked().size();
+  entry->abandon(id);
+  CHECK(entry->active() == 0);
+  respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
+  entry->onClose(lastRequest().connection);
+  runFor(base::seconds(3));
+  CHECK(asked().size() == begun);
+  CHECK(network.all<wire::CallCancel>().size() >= 1);
+  CHECK(answers.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "a caller that goes away in the turn of its request is not sent on") {
+  InboundCall inbound;
+  inbound.method = "GET";
+  inbound.host = "shop.example";
+  inbound.path = "/safe/1";
+  const auto id = entry->begin(inbound, [](const CallAnswer&) {});
+  entry->abandon(id);
+  runFor(base::milliseconds(10));
+  CHECK(asked().empty());
+}
+
 TEST_CASE_METHOD(Fixture, "a node that stops refuses new calls as not run, and ends those it has") {
   call("/once/1");
   entry->refuseNew();
@@ -496,6 +531,39 @@
   CHECK(asked() == std::vector<std::string>{"near", "far", "far", "near"});
 }
 
+TEST_CASE_METHOD(LateFixture,
+                 "a repeatable call long past its target is sent beside, as its connection may be silent") {
+  call("/safe/1");
+  call("/once/1");
+  runFor(base::milliseconds(750));
+  CHECK(asked().size() == 2);
+  runFor(base::milliseconds(100));
+  REQUIRE(asked().size() == 3);
+  CHECK(network.all<wire::CallRequest>()[2].path == "/safe/1");
+  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].outcome == CallOutcome::COMPLETED);
+  // The other one ends at its time, and truthfully.
+  runFor(base::seconds(2));
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[1].outcome == CallOutcome::UNKNOWN);
+  CHECK(answers[1].httpStatus == 504);
+}
+
+TEST_CASE_METHOD(LateFixture, "a failure of the back end's own is not repeated for that") {
+  call("/safe/1");
+  const auto& last = lastRequest();
+  wire::CallResponse response;
+  response.callId = std::get<wire::CallRequest>(last.message).callId;
+  response.outcome = CallOutcome::COMPLETED;
+  response.httpStatus = 500;
+  entry->onMessage(last.connection, response);
+  runFor(base::milliseconds(1));
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 500);
+  CHECK(asked().size() == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "a call that may run twice goes to another endpoint while the first one's node is silent") {
   wire::Hello peer;
   peer.id = "other";
--- a/test/node/local_backend_test.cc
+++ b/test/node/local_backend_test.cc
@@ -359,4 +359,38 @@
   CHECK(backend.requests[1].callId == 3);
 }
 
+TEST_CASE_METHOD(Fixture, "a caller that leaves ends what may be repeated at the back end, and the next one starts") {
+  local.onReport(report("i-1", 1));
+  for (int64_t id = 1; id <= 4; ++id) call(id, "i-1");
+  REQUIRE(backend.requests.size() == 1);
+  calls.onCancel(1, 2);
+  calls.onCancel(1, 1);
+  CHECK(backend.cancelled == 1);
+  REQUIRE(backend.requests.size() == 2);
+  CHECK(backend.requests[1].callId == 3);
+  calls.onClose(1);
+  CHECK(calls.active() == 0);
+  CHECK(calls.limiter().running() == 0);
+  CHECK(calls.limiter().waiting() == 0);
+  CHECK(backend.cancelled == static_cast<int>(backend.requests.size()));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "what may not be repeated is let finish when its caller leaves, and withdrawn while it waits") {
+  local.onReport(report("i-1", 1));
+  wire::CallRequest request;
+  request.serviceName = "records";
+  request.endpoint = "i-1";
+  request.remainingMs = 3000;
+  request.runOnce = true;
+  for (request.callId = 1; request.callId <= 2; ++request.callId) calls.onRequest(1, request);
+  calls.onCancel(1, 2);
+  calls.onCancel(1, 1);
+  CHECK(backend.cancelled == 0);
+  CHECK(calls.active() == 1);
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {}, "done"});
+  CHECK(calls.active() == 0);
+  CHECK(backend.requests.size() == 1);
+}
+
 }  // namespace driftlug::node
