--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/decision_log.h"
@@ -25,7 +26,8 @@
   int64_t framesReceived = 0;
   int64_t badFrames = 0;
   int64_t slowClosed = 0;
-  int64_t refused = 0;  ///< connections of others that were closed at the bound, before any greeting
+  int64_t refused = 0;                                    ///< connections of others closed at the bound, ungreeted
+  int64_t silentClosed = 0;                               ///< connections on which keep-alives were not returned
   std::array<int64_t, wire::kPurposes> bytesByPurpose{};  ///< sent, by wire::Purpose
 
   int64_t sentFor(wire::Purpose purpose) const { return bytesByPurpose[static_cast<size_t>(purpose)]; }
@@ -56,6 +58,11 @@
   /// peer knows that nothing it would send there was taken, and turns to others.
   void setMaxAccepted(size_t most) { maxAccepted_ = most; }
 
+  /// Returns the keep-alives of others, and closes a connection on which one's own are not returned: one that lost its
+  /// way for good ends by itself only if nothing on the way acknowledges its bytes. Set before the first connection.
+  /// @param limit how long a keep-alive may go without anything being heard
+  void useKeepAlives(base::Duration limit = base::seconds(2));
+
   const FrameCounters& counters() const { return counters_; }
 
   /// @return connections that others opened.
@@ -97,6 +104,9 @@
     std::unique_ptr<wire::Deflater> deflater;  // of what is sent, once compression began
     std::unique_ptr<wire::Inflater> inflater;  // of what is received, once the peer began
     base::TimerId greetingTimer = 0;
+    base::TimePoint heardAt{};
+    std::optional<base::TimePoint> awaitedSince;  // when the first keep-alive since heardAt was sent
+    bool keptAlive = false;                       // the peer sends keep-alives on it
   };
 
   Connection* find(base::ConnectionId id);
@@ -110,6 +120,9 @@
   void onHello(Connection* connection, const wire::Hello& hello);
   void onGone(base::ConnectionId id);
   void closeLater(base::ConnectionId id);
+  void watchLater();
+  void watch();
+  bool isSilent(const Connection& connection, base::TimePoint now) const;
   void enqueue(base::ConnectionId id, const wire::FramePtr& frame);
   void deliverWithin(base::ConnectionId to, const wire::FramePtr& frame);
 
@@ -122,6 +135,9 @@
   wire::Hello hello_;
   bool compresses_ = false;
   base::Duration zoneDelay_{0};
+  base::Duration silenceLimit_{0};  // 0 without keep-alives
+  base::Timer watchTimer_;          // runs with keep-alives
+  base::TimePoint watchDue_{};
   base::ConnectionId nextId_ = 1;
   std::map<base::ConnectionId, std::unique_ptr<Connection>> connections_;
   size_t maxAccepted_ = SIZE_MAX;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -13,6 +13,9 @@
 /// Share of the connections that are closed at once to make room, so that a burst of callers costs few passes.
 constexpr size_t kRoomShare = 32;
 constexpr size_t kMaxUnreadBytes = 256U << 10;
+/// How soon a close is seen on a connection that is not read for the moment. What its caller asked for is to end within
+/// 500 ms of the close, at the other nodes as well.
+constexpr base::Duration kPausedInterval = base::milliseconds(100);
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
@@ -37,6 +40,7 @@
       listener_(
           loop, [this](std::shared_ptr<TcpStream> stream) { onAccepted(std::move(stream)); }, [this] { closeIdle(); }),
       sweepTimer_(loop, [this] { sweep(); }),
+      pausedTimer_(loop, [this] { watchPaused(); }),
       boundTimer_(loop, [this] { keepToBound(); }),
       boundLog_(name_, loop, base::kOneLineASecond) {}
 
@@ -120,11 +124,26 @@
   if (connection->unread.size() > kMaxUnreadBytes && connection->reading) {
     connection->reading = false;
     connection->stream->setReading(false);
+    if (!pausedTimer_.running()) pausedTimer_.start(kPausedInterval);
   }
 }
 
+/// The end of a connection comes behind its bytes; where those are not read, it has to be asked for.
+void HttpServer::watchPaused() {
+  std::vector<ConnectionId> closed;
+  bool paused = false;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->reading) continue;
+    paused = true;
+    if (connection->stream->peerHasClosed()) closed.push_back(id);
+  }
+  for (const auto id : closed) drop(id);
+  if (paused) pausedTimer_.start(kPausedInterval);
+}
+
 bool HttpServer::takeRequests(Connection* connection, std::string_view* bytes) {
   const auto id = connection->id;
+  bool checked = false;  // whether the caller is still there
   while (!bytes->empty() && connection->waiting.size() < options_.maxPipelined) {
     if (!connection->reader.midMessage()) connection->messageBegan = loop_.now();
     const auto progress = connection->reader.feed(bytes);
@@ -133,6 +152,14 @@
       refuse(connection, progress);
       return false;
     }
+    // Within this turn a request would reach a back end; the end of its connection is read in the next one. It costs
+    // one call of the system for each read that completes a request.
+    if (onAbort_ && !checked && connection->stream->peerHasClosed()) {
+      ++counters_.aborted;
+      drop(id);
+      return false;
+    }
+    checked = true;
     takeRequest(connection);
     if (connections_.count(id) == 0 || connection->closing) return false;
   }
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -144,6 +144,15 @@
   return ::poll(&descriptor, 1, 0) != 0;
 }
 
+bool TcpStream::peerHasClosed() const {
+  if (wsi_ == nullptr || closing_) return true;
+  // The state is the first byte of what the system tells; the rest is not asked for.
+  uint8_t state = 0;
+  socklen_t size = sizeof(state);
+  return ::getsockopt(socket_, IPPROTO_TCP, TCP_INFO, &state, &size) == 0 &&
+         (TCP_CLOSE_WAIT == state || TCP_CLOSE == state);
+}
+
 void TcpStream::shutdownWrite() {
   if (shutdownAsked_) return;
   shutdownAsked_ = true;
