A node syncs what it reads at its start before it serves it

Cause: ControlClient served the version in its file at once.

Ruled out: the simulated disk (no sync ended between rename and loss of power) and the relays (the node served 20 before it asked one). Controllers had the same care already: LogStore::settle() comes before the first answer.

Change: start() syncs the file and the folder's names, and reads, serves and connects only then. A disk that fails here is given up as one that fails later.

Conclusion: the node's disk keeps the order 'durable, then in force' across a start too.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -52,7 +52,18 @@
   hello.unpacksFrames = true;
   network_.setHello(hello);
   freshSince_ = scheduler_.now();
-  load();
+  if (disk_ == nullptr) return join();
+  // What an earlier process wrote may not be durable yet: served before it is, it could be undone by a loss of power,
+  // and an older version be found at the next start.
+  disk_->sync(kSliceFile, [this, alive = std::weak_ptr<bool>(alive_)](const absl::Status& status) {
+    if (alive.expired()) return;
+    if (!status.ok()) return onDiskFailed(status, [this] { join(); });
+    load();
+    join();
+  });
+}
+
+void ControlClient::join() {
   connect();
   watchTimer_.start(kWatchInterval);
   keepAliveTimer_.start(options_.keepAlive);
@@ -340,7 +351,6 @@
 }
 
 void ControlClient::load() {
-  if (disk_ == nullptr) return;
   const auto bytes = disk_->read(kSliceFile);
   if (!bytes.ok()) return;
   const auto scan = storage::scanRecords(*bytes, false);
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -51,14 +51,15 @@
 using ActivationHandler = std::function<void(const routing::RoutingTablePtr&)>;
 
 /// Invariants: at most one relay is subscribed to at a time, and what another connection says is ignored; where
-/// there is a disk, a version is durable before it is active, so a restart never serves an older one.
+/// there is a disk, a version is durable before it is active, also one that was read back at a start, so a restart
+/// never serves an older one.
 class ControlClient : public base::ConnectionHandler {
  public:
   ControlClient(ControlOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
                 ActivationHandler onActivation, EndpointStatesHandler onStates);
   ~ControlClient() override;
 
-  /// Loads the last version from the disk, if there is one, and connects.
+  /// Loads the last version from the disk, if there is one, and connects, both once the disk answers.
   /// @param disk null where the node has none
   void start(storage::Disk* disk);
 
@@ -88,6 +89,7 @@
   void onClose(base::ConnectionId connection) override;
 
  private:
+  void join();
   void connect();
   void onRelayList(const wire::RelayList& list);
   void useRelays();
