--- a/test/node/version_on_disk_test.cc
+++ b/test/node/version_on_disk_test.cc
@@ -104,4 +104,75 @@
   }
 }
 
+TEST_CASE("a version that a full disk can't take leaves no older one behind") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Machine machine(seed);
+    machine.runFor(kSettled);
+    machine.send(1);
+    machine.runFor(kSettled);
+    machine.disk.setFull(true);
+    machine.send(2);
+    machine.runFor(kSettled);
+    CHECK(machine.serves() == 2);
+    machine.die(true);
+    machine.start();
+    machine.runFor(kSettled);
+    INFO("seed " << seed << ": " << machine.newest << " back to " << machine.serves());
+    CHECK(machine.neverBack());
+  }
+}
+
+TEST_CASE("a version waits for a disk that can neither keep it nor drop the one before") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Machine machine(seed);
+    machine.runFor(kSettled);
+    machine.send(1);
+    machine.runFor(kSettled);
+    machine.disk.setFailing(true);
+    machine.send(2);
+    machine.runFor(base::seconds(3));
+    const bool healed = seed % 2 == 0;
+    if (healed) {
+      machine.disk.setFailing(false);
+      machine.runFor(base::seconds(1));
+      CHECK(machine.serves() == 2);
+    }
+    machine.die(true);
+    machine.start();
+    machine.runFor(kSettled);
+    INFO("seed " << seed << ": " << machine.newest << " back to " << machine.serves());
+    CHECK(machine.neverBack());
+  }
+}
+
+TEST_CASE("a node whose disk fails at its start serves nothing that the disk could undo") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Machine machine(seed);
+    machine.runFor(kSettled);
+    machine.send(1);
+    machine.runFor(kSettled);
+    machine.die(false);
+    machine.disk.setFailing(true);
+    machine.start();
+    machine.runFor(base::seconds(3));
+    CHECK(machine.serves() == 0);
+    if (!machine.network.connected.empty()) machine.send(2);
+    machine.runFor(kSettled);
+    const bool healed = seed % 2 == 0;
+    if (healed) {
+      machine.disk.setFailing(false);
+      machine.runFor(base::seconds(1));
+      REQUIRE(!machine.network.connected.empty());
+      machine.send(3);
+      machine.runFor(kSettled);
+      CHECK(machine.serves() == 3);
+    }
+    machine.die(true);
+    machine.start();
+    machine.runFor(kSettled);
+    INFO("seed " << seed << ": " << machine.newest << " back to " << machine.serves());
+    CHECK(machine.neverBack());
+  }
+}
+
 }  // namespace driftlug::node
