A node gives up its disk only once the old version is durably gone

Cause: a node that couldn't write a version removed the file of the one before and went on in memory. The removal was never synced: a loss of power undid it, and the next start served the old version. Where the disk fails altogether, no order of steps makes the removal last.

Ruled out: truncating the file instead, which needs the same sync; a marker file, which a full disk refuses.

Change: the removal is synced, and repeated every 200 ms until it lasts. Only then the new version comes into force. What is given up is progress of one node for as long as its disk refuses syncs, against a step back.

Conclusion: a version is in force only once the disk holds it or durably holds none.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -14,6 +14,8 @@
 constexpr int kMaxBackoffDoublings = 2;
 constexpr int kMaxPatienceDoublings = 4;
 constexpr int kServingPatience = 3;
+/// Between attempts to drop a version from a disk that fails: a disk in trouble hangs for seconds.
+constexpr base::Duration kDiskRetryInterval = base::milliseconds(200);
 constexpr char kSliceFile[] = "slice";
 constexpr char kTemporaryFile[] = "slice.tmp";
 
@@ -57,7 +59,7 @@
   // and an older version be found at the next start.
   disk_->sync(kSliceFile, [this, alive = std::weak_ptr<bool>(alive_)](const absl::Status& status) {
     if (alive.expired()) return;
-    if (!status.ok()) return onDiskFailed(status, [this] { join(); });
+    if (!status.ok()) return giveUpDisk(status, [this] { join(); });
     load();
     join();
   });
@@ -329,25 +331,40 @@
   for (const auto& [key, row] : version.rows.rows()) whole.rows.push_back(*row);
   const auto record = storage::encodeRecord(storage::RecordType::kSnapshot, *wire::encodeFrame(whole), 0);
   (void)disk_->remove(kTemporaryFile);
-  if (const auto status = disk_->append(kTemporaryFile, record); !status.ok()) return onDiskFailed(status, done);
+  if (const auto status = disk_->append(kTemporaryFile, record); !status.ok()) return giveUpDisk(status, done);
   disk_->sync(kTemporaryFile, [this, alive = std::weak_ptr<bool>(alive_), done](absl::Status status) {
     if (alive.expired()) return;
     if (status.ok()) status = disk_->rename(kTemporaryFile, kSliceFile);
-    if (!status.ok()) return onDiskFailed(status, done);
+    if (!status.ok()) return giveUpDisk(status, done);
     disk_->sync(kSliceFile, [this, alive, done](const absl::Status& synced) {
       if (alive.expired()) return;
-      if (!synced.ok()) return onDiskFailed(synced, done);
+      if (!synced.ok()) return giveUpDisk(synced, done);
       done();
     });
   });
 }
 
-void ControlClient::onDiskFailed(const absl::Status& status, const std::function<void()>& done) {
-  // Without its disk the node goes on in memory; the file is dropped so that a restart can't serve it.
+void ControlClient::giveUpDisk(const absl::Status& status, std::function<void()> done) {
   log_.error("{} stops keeping its version on disk: {}", options_.nodeId, base::errorText(status));
+  dropVersion(std::move(done));
+}
+
+void ControlClient::dropVersion(std::function<void()> done) {
   (void)disk_->remove(kSliceFile);
-  disk_ = nullptr;
-  done();
+  const auto names = disk_->list();
+  const bool removed = names.ok() && std::find(names->begin(), names->end(), kSliceFile) == names->end();
+  // A removal that is not durable is undone by a loss of power; the next start would serve the old version. Until the
+  // disk answers, the node stays at what it runs.
+  disk_->sync(kSliceFile, [this, alive = std::weak_ptr<bool>(alive_), removed, done](const absl::Status& status) {
+    if (alive.expired()) return;
+    if (removed && status.ok()) {
+      disk_ = nullptr;
+      return done();
+    }
+    scheduler_.schedule(kDiskRetryInterval, [this, alive, done] {
+      if (!alive.expired()) dropVersion(done);
+    });
+  });
 }
 
 void ControlClient::load() {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -51,8 +51,8 @@
 using ActivationHandler = std::function<void(const routing::RoutingTablePtr&)>;
 
 /// Invariants: at most one relay is subscribed to at a time, and what another connection says is ignored; where
-/// there is a disk, a version is durable before it is active, also one that was read back at a start, so a restart
-/// never serves an older one.
+/// there is a disk, a version is active only once the disk holds it, or durably holds none, so a restart never serves
+/// an older one; that goes for a version read back at a start too.
 class ControlClient : public base::ConnectionHandler {
  public:
   ControlClient(ControlOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network,
@@ -107,7 +107,9 @@
   void refuse(SliceResult result, int64_t revision);
   void activate(SliceResult result, SliceVersion next);
   void persist(const SliceVersion& version, std::function<void()> done);
-  void onDiskFailed(const absl::Status& status, const std::function<void()>& done);
+  /// Goes on in memory, once the disk holds no version that a restart could serve.
+  void giveUpDisk(const absl::Status& status, std::function<void()> done);
+  void dropVersion(std::function<void()> done);
   void takePending();
   void load();
 
