Disks and logs make durable what an earlier process left

Cause: PosixDisk took its folder for synced at the start of a process, and created a file that it was asked to sync; LogStore::settle() synced the newest segment alone. So what was read at a start could be less durable than what was said to rest on it.

Ruled out: fsync for fdatasync, which leaves out renames and removals as well.

Change: a PosixDisk begins with its names taken as changed, so the first sync of a process covers the folder; a file that isn't there isn't created; settle() syncs every segment that open() read, one after the other. Cost: one fsync of the folder at the first sync of a process, and one fdatasync for each older segment at a controller's start.

--- a/src/storage/disk.h
+++ b/src/storage/disk.h
@@ -36,7 +36,8 @@
   /// Removes a file.
   virtual absl::Status remove(const std::string& name) = 0;
 
-  /// Makes the named file and the folder's list of names durable, then calls back, never from within the call.
+  /// Makes the named file, if it is there, and the folder's list of names durable, then calls back, never from within
+  /// the call. Covers what an earlier process left, too.
   virtual void sync(const std::string& name, SyncCallback done) = 0;
 };
 
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -93,8 +93,10 @@
     if (auto status = readSnapshot(disk_, snapshotName(snapshots.back()), &state); !status.ok()) return status;
   }
   const auto segments = numbersOf(*names, kSegmentPrefix);
+  settling_.clear();
   for (const auto number : segments) {
     const auto name = segmentName(number);
+    settling_.push_back(name);
     const auto bytes = disk_.read(name);
     if (!bytes.ok()) return bytes.status();
     const bool newest = number == segments.back();
@@ -115,7 +117,6 @@
   auto state = load(true);
   if (!state.ok()) return state;
   // A new segment keeps every older one free of tails that may be torn: settle() syncs them before it is used.
-  settling_ = segment_ > 0 ? segmentName(segment_) : "";
   ++segment_;
   written_ = 0;
   durable_ = 0;
@@ -171,9 +172,19 @@
 }
 
 void LogStore::settle(SyncCallback done) {
-  const auto name = settling_.empty() ? segmentName(segment_) : settling_;
-  settling_.clear();
-  disk_.sync(name, std::move(done));
+  // Where there is no segment, the sync covers the names.
+  if (settling_.empty()) settling_.push_back(segmentName(segment_));
+  settleNext(std::move(done));
+}
+
+void LogStore::settleNext(SyncCallback done) {
+  // All of them: a process that died while it began the newest left its entries in the one before.
+  const auto name = settling_.back();
+  settling_.pop_back();
+  disk_.sync(name, [this, done = std::move(done)](const absl::Status& status) {
+    if (!status.ok() || settling_.empty()) return done(status);
+    settleNext(done);
+  });
 }
 
 void LogStore::saveSnapshot(const wire::LogSnapshot& snapshot, std::function<CarriedState()> carry, SyncCallback done) {
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -66,6 +66,7 @@
 
  private:
   absl::StatusOr<RecoveredState> load(bool repair);
+  void settleNext(SyncCallback done);
   absl::Status write(const std::string& bytes);
   void startSync();
   void finishSync(const absl::Status& status);
@@ -73,12 +74,12 @@
   void removeOlderThan(int64_t segment, int64_t snapshotIndex);
 
   Disk& disk_;
-  std::string settling_;     // segment read by open() that may not be durable yet
-  int64_t segment_ = 0;      // number of the segment being written
-  size_t written_ = 0;       // bytes of the segment written
-  size_t durable_ = 0;       // bytes of the segment known to be durable
-  size_t syncTarget_ = 0;    // bytes that the sync in progress covers
-  int64_t syncSegment_ = 0;  // segment that the sync in progress covers
+  std::vector<std::string> settling_;  // segments read by open() that may not be durable yet
+  int64_t segment_ = 0;                // number of the segment being written
+  size_t written_ = 0;                 // bytes of the segment written
+  size_t durable_ = 0;                 // bytes of the segment known to be durable
+  size_t syncTarget_ = 0;              // bytes that the sync in progress covers
+  int64_t syncSegment_ = 0;            // segment that the sync in progress covers
   bool syncing_ = false;
   bool failed_ = false;
   std::vector<SyncCallback> inSync_;   // served by the sync in progress
--- a/src/storage/posix_disk.cc
+++ b/src/storage/posix_disk.cc
@@ -71,6 +71,10 @@
   return opened;
 }
 
+bool PosixDisk::missing(const std::string& name) const {
+  return open_.count(name) == 0 && ::access(path(name).c_str(), F_OK) != 0 && errno == ENOENT;
+}
+
 void PosixDisk::forget(const std::string& name) {
   const auto found = open_.find(name);
   if (found == open_.end()) return;
@@ -122,6 +126,8 @@
 }
 
 absl::Status PosixDisk::syncNow(const std::string& name) {
+  // After a removal only the names count; a full disk has no room for a file created here.
+  if (missing(name)) return folderDirty_ ? syncFolder() : absl::OkStatus();
   const auto file = descriptor(name);
   if (!file.ok()) return file.status();
   if (::fdatasync(*file) != 0) return systemError("can't sync " + name, errno);
--- a/src/storage/posix_disk.h
+++ b/src/storage/posix_disk.h
@@ -30,6 +30,8 @@
  private:
   std::string path(const std::string& name) const { return folder_ + "/" + name; }
   absl::StatusOr<int> descriptor(const std::string& name);
+  /// @return whether the file is known not to be there; an error that hides it does not count.
+  bool missing(const std::string& name) const;
   void forget(const std::string& name);
   absl::Status syncNow(const std::string& name);
   absl::Status syncFolder();
@@ -37,7 +39,7 @@
   std::string folder_;
   base::Scheduler& scheduler_;
   std::map<std::string, int> open_;  // descriptors of files being appended to
-  bool folderDirty_ = false;         // names changed since the folder was synced
+  bool folderDirty_ = true;          // names may have changed since the folder was synced, also by an earlier process
 };
 
 }  // namespace driftlug::storage
