Simulator: disks of nodes fill up and fail too

Full and failing disks struck controllers only, so no seed could show a node that gives up its disk. A class of faults of its own would change what every known seed draws.

A test plays 30 seeds of each deployment with disk faults, herds and outages.

--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -42,8 +42,9 @@
   DiskOptions disk;
   consensus::RaftOptions raft;
   MechanismSet disabled;
-  bool fullPush = false;  ///< baseline for experiments
-  bool check = true;      ///< whether invariants are checked; off in scale runs
+  bool fullPush = false;        ///< baseline for experiments
+  bool check = true;            ///< whether invariants are checked; off in scale runs
+  bool nodeDiskFaults = false;  ///< whether a full or failing disk of a controller comes with such disks of nodes
 };
 
 /// A machine that runs one process and may have a disk.
--- a/src/simulation/fault_plan.cc
+++ b/src/simulation/fault_plan.cc
@@ -126,14 +126,26 @@
   return machines;
 }
 
+/// Adds about half of the nodes, as the fault was drawn, so that other plans draw the same faults.
+void FaultInjector::addNodes(const Fault& fault, std::vector<Machine*>* targets) {
+  constexpr size_t kFirstBit = 20;  // the lower ones decide on power and delays
+  constexpr size_t kBits = 40;
+  for (size_t i = 0; i < cluster_.nodes().size(); ++i) {
+    if ((fault.detail >> (kFirstBit + i % kBits)) % 2 != 0) targets->push_back(cluster_.nodes()[i].get());
+  }
+}
+
 std::vector<Machine*> FaultInjector::targetsOf(const Fault& fault) {
   std::vector<Machine*> targets;
   switch (fault.kind) {
     case FaultClass::kCrashController:
     case FaultClass::kPowerController:
+      targets.push_back(cluster_.controllers()[fault.target].get());
+      break;
     case FaultClass::kFailingDisk:
     case FaultClass::kFullDisk:
       targets.push_back(cluster_.controllers()[fault.target].get());
+      if (cluster_.plan().nodeDiskFaults) addNodes(fault, &targets);
       break;
     case FaultClass::kControlOutage:
     case FaultClass::kStaleRelays:
--- a/src/simulation/fault_plan.h
+++ b/src/simulation/fault_plan.h
@@ -109,6 +109,7 @@
   void disturb(const std::string& node);
   void disturbAll();
   std::vector<Machine*> allMachines();
+  void addNodes(const Fault& fault, std::vector<Machine*>* targets);
   std::vector<Machine*> targetsOf(const Fault& fault);
 
   Cluster& cluster_;
--- a/test/simulation/simulation_test.cc
+++ b/test/simulation/simulation_test.cc
@@ -21,8 +21,7 @@
   return options;
 }
 
-void requireNoViolations(const std::string& deployment, uint64_t first, uint64_t last) {
-  auto options = optionsFor(deployment);
+void requireNoViolations(RunOptions options, uint64_t first, uint64_t last) {
   for (options.seed = first; options.seed <= last; ++options.seed) {
     const auto result = runSeed(options);
     INFO("seed " << options.seed);
@@ -34,6 +33,10 @@
   }
 }
 
+void requireNoViolations(const std::string& deployment, uint64_t first, uint64_t last) {
+  requireNoViolations(optionsFor(deployment), first, last);
+}
+
 /// @return whether some seed fails without the mechanism.
 bool trips(Mechanism mechanism, const std::string& deployment) {
   auto options = optionsFor(deployment);
@@ -78,6 +81,16 @@
   requireNoViolations("glenmorven", 1, 60);
 }
 
+TEST_CASE("disks of nodes that fill up or fail take no node back") {
+  for (const auto* deployment : {"crash-report", "glenmorven"}) {
+    auto options = optionsFor(deployment);
+    options.plan.nodeDiskFaults = true;
+    options.faults = {FaultClass::kFullDisk, FaultClass::kFailingDisk, FaultClass::kHerdNodes, FaultClass::kCrashNode,
+                      FaultClass::kControlOutage};
+    requireNoViolations(options, 1, 30);
+  }
+}
+
 TEST_CASE("seeds that failed once stay mended") {
   // Wiped controllers added under their old identity; reports lost between leaders; refused pre-votes that raised
   // terms; nodes taken for gone while another relay held them; votes given on a full disk (30441); a version served
--- a/tools/sim_main.cc
+++ b/tools/sim_main.cc
@@ -21,6 +21,7 @@
 DEFINE_bool(list_faults, false, "list the classes that --fault takes");
 DEFINE_bool(shrink, true, "find a short list of faults for the first seed that fails");
 DEFINE_bool(stop_at_first, false, "stop at the first seed that fails");
+DEFINE_bool(node_disk_faults, false, "full and failing disks strike nodes too, not controllers alone");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
 DEFINE_bool(verbose, false, "write the logs of all simulated processes");
 DEFINE_int32(threads, 0, "seeds run at once; 0 for one a core");
@@ -56,6 +57,7 @@
   simulation::RunOptions options;
   options.plan = tools::planOf(*deployment);
   options.plan.fullPush = FLAGS_full_push;
+  options.plan.nodeDiskFaults = FLAGS_node_disk_faults;
   options.faults = faultsFromSettings();
   options.meanFaultGap = base::milliseconds(FLAGS_mean_fault_gap_ms);
   options.meanEditGap = base::milliseconds(FLAGS_mean_edit_gap_ms);
