--- a/test/soak/fault_proxy_test.cc
+++ b/test/soak/fault_proxy_test.cc
@@ -146,7 +146,7 @@
 
 TEST_CASE_METHOD(proxied_server, "delayed bytes keep their order when the delay shrinks")
 {
-	proxy->setFault(link_fault::delay, base::milliseconds(60));
+	proxy->setFault(link_fault::delay, {base::milliseconds(60)});
 	client->write("first ");
 	runUntil(
 		[]
@@ -154,7 +154,7 @@
 			return false;
 		},
 		10);
-	proxy->setFault(link_fault::delay, base::milliseconds(1));
+	proxy->setFault(link_fault::delay, {base::milliseconds(1)});
 	client->write("second");
 	CHECK(runUntil(
 		[this]
@@ -181,4 +181,67 @@
 	stream->close();
 }
 
+TEST_CASE_METHOD(proxied_server, "a throttled link takes its time, keeps the order, and is shared")
+{
+	constexpr int64_t kBytesPerSecond = 20'000;
+	constexpr size_t kBytes = 4'000;
+	proxy->setFault(link_fault::throttle, {{}, kBytesPerSecond});
+	const auto begun = loop.now();
+	std::string sent;
+	for (size_t i = 0; i < kBytes; ++i)
+	{
+		sent += static_cast<char>('a' + i % 26);
+	}
+	client->write(sent);
+	CHECK(runUntil(
+		[&]
+		{
+			return sent == atServer.got;
+		}));
+	CHECK(loop.now() - begun >= base::milliseconds(1'000 * kBytes / kBytesPerSecond));
+}
+
+TEST_CASE_METHOD(proxied_server, "a muted connection carries nothing any more, not even its end, and new ones do")
+{
+	proxy->setFault(link_fault::mute, {});
+	proxy->setFault(link_fault::none, {});
+	const auto muted = server;
+	client->write("lost");
+	muted->write("lost");
+	CHECK_FALSE(runUntil(
+		[this]
+		{
+			return !atServer.got.empty() || !atClient.got.empty();
+		},
+		50));
+	recorder later;
+	server.reset();
+	auto stream = TcpStream::connect(loop, {"127.0.0.1", proxy->port()}, &later, {});
+	REQUIRE(runUntil(
+		[this]
+		{
+			return nullptr != server;
+		}));
+	stream->write("new");
+	CHECK(runUntil(
+		[this]
+		{
+			return "new" == atServer.got;
+		}));
+	stream->close();
+	client->close();
+	CHECK_FALSE(runUntil(
+		[this]
+		{
+			return 0 == proxy->connections();
+		},
+		50));
+	muted->close();
+	CHECK(runUntil(
+		[this]
+		{
+			return 0 == proxy->connections();
+		}));
+}
+
 }  // namespace driftlug::soak
--- a/tools/deployment.cc
+++ b/tools/deployment.cc
@@ -50,8 +50,9 @@
     return bad(path + ": " + std::string(error.description()));
   }
   const std::set<std::string> known = {
-      "name",        "host",     "zones",           "zone_delay_us",    "client_delay_us",
-      "controllers", "services", "relays_per_zone", "entries_per_zone", "rate"};
+      "name",        "host",      "zones",           "zone_delay_us",    "client_delay_us",
+      "controllers", "services",  "relays_per_zone", "entries_per_zone", "rate",
+      "link_mbps",   "body_bytes"};
   if (auto status = checkKeys(document, known, path + ":"); !status.ok()) return status;
   Deployment deployment;
   deployment.name = document["name"].value_or(std::string());
@@ -61,6 +62,8 @@
   deployment.controllers = document["controllers"].value_or(deployment.controllers);
   deployment.relaysPerZone = document["relays_per_zone"].value_or(deployment.relaysPerZone);
   deployment.entriesPerZone = document["entries_per_zone"].value_or(deployment.entriesPerZone);
+  deployment.linkMbps = document["link_mbps"].value_or(deployment.linkMbps);
+  deployment.bodyBytes = document["body_bytes"].value_or(deployment.bodyBytes);
   deployment.rate = document["rate"].value_or(deployment.rate);
   if (const auto* zones = document["zones"].as_array()) {
     for (const auto& zone : *zones) deployment.zones.push_back(zone.value_or(std::string()));
--- a/tools/deployment.h
+++ b/tools/deployment.h
@@ -31,7 +31,9 @@
   int controllers = 3;
   int relaysPerZone = 2;
   int entriesPerZone = 1;
-  double rate = 500;  ///< calls a second of the standard load
+  double rate = 500;    ///< calls a second of the standard load
+  double linkMbps = 0;  ///< what the link of a process carries, in Mbit/s, where a fault proxy stands; 0 for any number
+  int bodyBytes = 1000;  ///< of requests that may not be repeated, at most, on connections that are kept in use
   std::vector<DeployedService> services;
 };
 
--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -98,11 +98,13 @@
   auto command = program("driftlug-fault-proxy");
   command.push_back(flag("links", absl::StrJoin(links_, ",")));
   command.push_back(flag("control-port", proxyPort_));
+  command.push_back(flag("link-mbps", std::to_string(deployment_.linkMbps)));
   return processes_.start(kProxyName, command);
 }
 
-bool Fleet::setLinkFault(const std::string& link, std::string_view fault, int delayMs) {
-  const auto path = "/fault?link=" + link + "&fault=" + std::string(fault) + "&delay_ms=" + std::to_string(delayMs);
+bool Fleet::setLinkFault(const std::string& link, std::string_view fault, int delayMs, int bytesPerSecond) {
+  const auto path = "/fault?link=" + link + "&fault=" + std::string(fault) + "&delay_ms=" + std::to_string(delayMs) +
+                    "&bytes_per_second=" + std::to_string(bytesPerSecond);
   const auto result = http_.get({kHost, proxyPort_}, path, kHttpTimeout);
   return result.outcome == transport::HttpOutcome::kCompleted && result.response.status == 200;
 }
@@ -202,6 +204,8 @@
     while (deployment_.zones[static_cast<size_t>(zone)] != endpoint.node.zone) ++zone;
     node.push_back(flag("relays", relayAddresses(zone)));
     if (options_.emulateLatency) node.push_back(flag("emulated-zone-delay-us", deployment_.zoneDelayUs));
+    node.push_back(flag("link-mbps", std::to_string(deployment_.linkMbps)));
+    node.insert(node.end(), options_.nodeFlags.begin(), options_.nodeFlags.end());
     backend.insert(backend.end(), options_.backendFlags.begin(), options_.backendFlags.end());
     if (!processes_.start(endpoint.backendName, backend) || !processes_.start(endpoint.node.name, node)) return false;
   }
@@ -220,16 +224,31 @@
     command.push_back(flag("hosts", deployment_.host));
     command.push_back(flag("relays", relayAddresses(static_cast<int>(i) % zones)));
     if (options_.emulateLatency) command.push_back(flag("emulated-zone-delay-us", deployment_.zoneDelayUs));
+    command.insert(command.end(), options_.nodeFlags.begin(), options_.nodeFlags.end());
     if (!processes_.start(member.name, command)) return false;
   }
   return true;
 }
 
+bool Fleet::isReady(const FleetMember& member) {
+  const auto result = http_.get(httpAddress(member), "/readyz", kHttpTimeout);
+  return result.outcome == transport::HttpOutcome::kCompleted && result.response.status == 200;
+}
+
+bool Fleet::takesConnections(const FleetMember& member) {
+  // The connection that an earlier question left may be one to a process that has ended.
+  constexpr int kTries = 2;
+  for (int i = 0; i < kTries; ++i) {
+    const auto result = http_.get({kHost, member.entryPort}, "/", kHttpTimeout);
+    if (result.outcome == transport::HttpOutcome::kCompleted) return true;
+  }
+  return false;
+}
+
 bool Fleet::waitReady(const FleetMember& member, int timeoutMs) {
   const auto until = http_.loop().now() + base::milliseconds(timeoutMs);
   while (http_.loop().now() < until) {
-    const auto result = http_.get(httpAddress(member), "/readyz", kHttpTimeout);
-    if (result.outcome == transport::HttpOutcome::kCompleted && result.response.status == 200) return true;
+    if (isReady(member)) return true;
     http_.wait(base::milliseconds(20));
   }
   return false;
@@ -262,7 +281,7 @@
   if (!startControllers()) return failed("a controller");
   std::vector<base::Address> addresses;
   for (const auto& member : controllers_) addresses.push_back(httpAddress(member));
-  api_ = std::make_unique<apps::ControlApiClient>(http_, addresses, base::seconds(20));
+  api_ = std::make_unique<apps::ControlApiClient>(http_, addresses, options_.apiTimeout);
   for (const auto& member : controllers_) {
     if (!waitReady(member, kReadyTimeoutMs)) return failed(member.name);
   }
@@ -328,7 +347,7 @@
   return stuck;
 }
 
-void Fleet::startLoad(const std::string& name, const LoadOptions& options) {
+void Fleet::addTraffic(const LoadOptions& options, std::vector<std::string>* command) const {
   std::vector<std::string> lookups;
   std::vector<std::string> filings;
   std::vector<std::string> targets;
@@ -339,20 +358,38 @@
   for (const auto& endpoint : endpoints_) {
     if (options.direct) targets.push_back(std::string(kHost) + ":" + std::to_string(endpoint.backendPort));
   }
+  command->push_back(flag("targets", absl::StrJoin(targets, ",")));
+  command->push_back(flag("host", deployment_.host));
+  command->push_back(flag("lookups", absl::StrJoin(lookups, ",")));
+  command->push_back(flag("filings", absl::StrJoin(filings, ",")));
+  command->push_back(flag("filing-share", std::to_string(options.filingShare)));
+  command->push_back(flag("duration-ms", options.durationMs));
+  command->push_back(flag("seed", options.seed));
+}
+
+void Fleet::startLoad(const std::string& name, const LoadOptions& options) {
   auto command = program("driftlug-load");
-  command.push_back(flag("targets", absl::StrJoin(targets, ",")));
-  command.push_back(flag("host", deployment_.host));
-  command.push_back(flag("lookups", absl::StrJoin(lookups, ",")));
-  command.push_back(flag("filings", absl::StrJoin(filings, ",")));
-  command.push_back(flag("filing-share", std::to_string(options.filingShare)));
+  addTraffic(options, &command);
   command.push_back(flag("rate", std::to_string(options.rate)));
-  command.push_back(flag("duration-ms", options.durationMs));
-  command.push_back(flag("seed", options.seed));
   command.push_back(flag("record", options_.report + "/" + name + "-record.json"));
   if (options_.emulateLatency) command.push_back(flag("emulated-delay-us", deployment_.clientDelayUs));
   processes_.start(name, command);
 }
 
+void Fleet::startOpenCallers(const std::string& name, const LoadOptions& options) {
+  auto command = program("driftlug-soak-callers");
+  addTraffic(options, &command);
+  command.push_back(flag("body-bytes", deployment_.bodyBytes));
+  command.push_back(flag("record", options_.report + "/" + name + "-record.json"));
+  command.push_back(flag("unanswered", options_.report + "/" + name + "-unanswered.json"));
+  processes_.start(name, command);
+}
+
+json Fleet::unansweredOf(const std::string& name) const {
+  std::ifstream stream(options_.report + "/" + name + "-unanswered.json");
+  return json::parse(stream, nullptr, false);
+}
+
 json Fleet::finishLoad(const std::string& name, int timeoutMs) {
   const int code = processes_.waitFor(name, timeoutMs);
   auto summary = json::parse(processes_.output(name), nullptr, false);
@@ -377,7 +414,7 @@
   return -1;
 }
 
-RecordCheck Fleet::checkRecords(const std::vector<std::string>& loads) {
+std::map<std::string, int64_t> Fleet::runs() {
   std::map<std::string, int64_t> runs;
   for (const auto& endpoint : endpoints_) {
     const auto result = http_.get({kHost, endpoint.backendPort}, "/record", kHttpTimeout);
@@ -385,6 +422,11 @@
     if (!body.is_object()) continue;
     for (const auto& [key, count] : body["ran"].items()) runs[key] += count.get<int64_t>();
   }
+  return runs;
+}
+
+RecordCheck Fleet::checkRecords(const std::vector<std::string>& loads) {
+  auto runs = this->runs();
   RecordCheck check;
   for (const auto& load : loads) {
     std::ifstream stream(options_.report + "/" + load + "-record.json");
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -1,6 +1,7 @@
 /// A deployment running as processes on loopback.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,7 +40,9 @@
   bool faultProxy = false;  ///< whether a fault proxy stands before every frame port and back end
   std::vector<std::string> controllerFlags;
   std::vector<std::string> relayFlags;
+  std::vector<std::string> nodeFlags;
   std::vector<std::string> backendFlags;
+  base::Duration apiTimeout = base::seconds(20);  ///< for an answer of a controller that leads
 };
 
 /// What a stand-in caller sends.
@@ -74,6 +77,12 @@
   /// Starts the stand-in caller in the background.
   void startLoad(const std::string& name, const LoadOptions& options);
 
+  /// Starts callers that keep connections to the entry nodes in use, in the background.
+  void startOpenCallers(const std::string& name, const LoadOptions& options);
+
+  /// @return the requests that got no complete answer from such callers once they have ended, as they wrote them.
+  nlohmann::json unansweredOf(const std::string& name) const;
+
   /// Waits for a stand-in caller and returns its summary.
   nlohmann::json finishLoad(const std::string& name, int timeoutMs);
 
@@ -87,6 +96,9 @@
   /// @return milliseconds since `since`, or -1 when it took longer than the limit
   double waitEverywhere(int64_t revision, base::TimePoint since, int limitMs);
 
+  /// @return how often back ends ran each request that may not be repeated, by its key.
+  std::map<std::string, int64_t> runs();
+
   /// Compares the callers' outcomes with the back ends' records.
   RecordCheck checkRecords(const std::vector<std::string>& loads);
 
@@ -107,11 +119,17 @@
   std::vector<FleetMember> allMembers() const;
 
   /// Puts a fault in force on the link to a process, or ends it with `none`.
-  bool setLinkFault(const std::string& link, std::string_view fault, int delayMs);
+  bool setLinkFault(const std::string& link, std::string_view fault, int delayMs, int bytesPerSecond);
 
   /// @return the name of the controller that leads, or empty.
   std::string leader();
 
+  /// @return whether a member's /readyz is good.
+  bool isReady(const FleetMember& member);
+
+  /// @return whether a node takes a connection of a caller, and answers something on it.
+  bool takesConnections(const FleetMember& member);
+
   /// Waits until a member's /readyz is good.
   bool waitReady(const FleetMember& member, int timeoutMs);
 
@@ -123,6 +141,8 @@
   bool startRelays();
   bool startEndpoints();
   bool startEntries();
+  /// Adds where callers go and what they ask for.
+  void addTraffic(const LoadOptions& options, std::vector<std::string>* command) const;
   std::vector<std::string> program(const std::string& name) const;
   std::string relayAddresses(int zone) const;
   nlohmann::json endpointEdits() const;
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -25,6 +25,9 @@
 DEFINE_bool(emulate_latency, true, "delay frames and calls by the deployment's latencies");
 DEFINE_int32(longest_fault_ms, 6000, "soak: time that a fault lasts at most");
 DEFINE_int32(fault_gap_ms, 700, "soak: mean time between the beginnings of two faults");
+DEFINE_string(plan, "drawn", "soak: drawn from the seed, or rolling: every node is stopped in turn, twice");
+DEFINE_int32(rolling_gap_ms, 900, "soak: time between two stops of the rolling plan");
+DEFINE_string(node_flags, "", "soak: further settings of nodes, as --name=value, separated by commas");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
 
 namespace {
@@ -216,6 +219,8 @@
   options.report = FLAGS_report;
   options.emulateLatency = FLAGS_emulate_latency;
   options.faultProxy = true;
+  options.nodeFlags = base::splitList(FLAGS_node_flags);
+  options.apiTimeout = base::seconds(3);
   tools::Fleet fleet(*deployment, options);
   if (const auto status = fleet.start(); !status.ok()) {
     std::fprintf(stderr, "%s\n", base::errorText(status).c_str());
@@ -223,6 +228,8 @@
   }
   soak::soak_options soakOptions;
   soakOptions.seed = static_cast<uint64_t>(FLAGS_seed);
+  soakOptions.rolling = FLAGS_plan == "rolling";
+  soakOptions.rollingGapMs = FLAGS_rolling_gap_ms;
   soakOptions.shape.durationMs = FLAGS_duration_ms;
   soakOptions.shape.longestFaultMs = FLAGS_longest_fault_ms;
   soakOptions.shape.meanGapMs = FLAGS_fault_gap_ms;
@@ -241,6 +248,7 @@
 int main(int argc, char** argv) {
   base::declareRange("duration_ms", 1, 3'600'000);
   base::declareRange("edits", 0, 100'000);
+  base::declareRange("rolling_gap_ms", 1, 600'000);
   gflags::SetArgv(argc, const_cast<const char**>(argv));
   auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
   apps::configureLogsFromSettings();
--- a/tools/process_group.cc
+++ b/tools/process_group.cc
@@ -79,6 +79,12 @@
   return process.pid != 0;
 }
 
+int ProcessGroup::exitCodeOf(const std::string& name) {
+  auto& process = processes_[name];
+  collect(&process, false);
+  return process.exitCode;
+}
+
 int ProcessGroup::waitFor(const std::string& name, int timeoutMs) {
   auto& process = processes_[name];
   for (int waited = 0; waited < timeoutMs; waited += kPollMs) {
--- a/tools/process_group.h
+++ b/tools/process_group.h
@@ -31,6 +31,9 @@
   /// @return its exit code, 128 + signal when it was killed, -1 when it did not end in time and was killed
   int waitFor(const std::string& name, int timeoutMs);
 
+  /// @return the exit code of a process that has ended, 128 + signal when it was killed.
+  int exitCodeOf(const std::string& name);
+
   /// @return whether a process runs.
   bool running(const std::string& name);
 
--- /dev/null
+++ b/tools/soak/connection_record.cc
@@ -0,0 +1,101 @@
+#include "soak/connection_record.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace driftlug::soak
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr int64_t kUsPerMs = 1000;
+
+/// Age from which a request counts as read that a witness follows: many turns of the loop of a busy process.
+constexpr int64_t kCrossingUs = 200 * kUsPerMs;
+
+/// Age from which it counts as read without a witness: no process of a soak waits that long for its turn.
+constexpr int64_t kLongestTurnUs = 2'000 * kUsPerMs;
+
+/// How long harm may show behind its end: what a paused process has to catch up with.
+constexpr int64_t kAfterHarmUs = 1'000 * kUsPerMs;
+
+bool harmed(const unanswered_request& _request, std::span<const harm_window> _harms)
+{
+	return std::any_of(_harms.begin(), _harms.end(),
+					   [&](const harm_window& _harm)
+					   {
+						   return _harm.fromUs <= _request.endedUs && _request.sentUs <= _harm.untilUs + kAfterHarmUs;
+					   });
+}
+
+const char* reasonOf(const unanswered_request& _request, int _runs)
+{
+	const auto age = _request.endedUs - _request.sentUs;
+	switch (_request.end)
+	{
+		case request_end::partial:
+			return "its answer was cut short";
+		case request_end::silent:
+			return "it got no answer";
+		case request_end::unread:
+			return 0 < _runs ? "it ran, behind an answer that closed its connection" : nullptr;
+		case request_end::cut:
+			break;
+	}
+	if (0 < _runs)
+	{
+		return "it ran, and its connection was cut";
+	}
+	if (age > kCrossingUs && _request.witnessUs > _request.sentUs)
+	{
+		return "its connection was cut while later requests were answered";
+	}
+	return age > kLongestTurnUs ? "its connection was cut long after it was sent" : nullptr;
+}
+
+}  // namespace
+
+std::string judge(const unanswered_request& _request, int _runs, std::span<const harm_window> _harms)
+{
+	const auto* reason = reasonOf(_request, _runs);
+	if (nullptr == reason || harmed(_request, _harms))
+	{
+		return {};
+	}
+	return fmt::format("request {} to {}, {} ms old: {}", _request.id, _request.target,
+					   (_request.endedUs - _request.sentUs) / kUsPerMs, reason);
+}
+
+json toJson(std::span<const unanswered_request> _requests)
+{
+	json list = json::array();
+	for (const auto& request : _requests)
+	{
+		list.push_back({{"id", request.id},
+						{"target", request.target},
+						{"end", static_cast<int>(request.end)},
+						{"keyed", request.keyed},
+						{"sent_us", request.sentUs},
+						{"ended_us", request.endedUs},
+						{"witness_us", request.witnessUs}});
+	}
+	return list;
+}
+
+std::vector<unanswered_request> requestsOf(const json& _document)
+{
+	std::vector<unanswered_request> requests;
+	for (const auto& item : _document)
+	{
+		requests.push_back({item.at("id").get<std::string>(), item.at("target").get<std::string>(),
+							static_cast<request_end>(item.at("end").get<int>()), item.at("keyed").get<bool>(),
+							item.at("sent_us").get<int64_t>(), item.at("ended_us").get<int64_t>(),
+							item.at("witness_us").get<int64_t>()});
+	}
+	return requests;
+}
+
+}  // namespace driftlug::soak
--- a/tools/soak/fault_injector.cc
+++ b/tools/soak/fault_injector.cc
@@ -1,6 +1,9 @@
 #include "soak/fault_injector.h"
 
+#include <fmt/format.h>
+
 #include <csignal>
+#include <map>
 
 #include "fleet.h"
 #include "soak/soak_plan.h"
@@ -9,7 +12,10 @@
 {
 namespace
 {
-class process_faults : public fault_injector
+/// A planned stop has 10 s for its calls; the rest is what a busy machine takes.
+constexpr base::Duration kStopTimeout = base::seconds(15);
+
+class process_faults : public process_fault_injector
 {
 public:
 	explicit process_faults(tools::Fleet& _fleet)
@@ -19,32 +25,94 @@
 
 	void begin(const soak_step& _step) override
 	{
-		m_fleet.processes().signal(_step.target, beginSignal(_step.action));
+		m_fleet.processes().signal(_step.target, signalOf(_step.action));
+		if (soak_action::kill == _step.action || soak_action::restart == _step.action)
+		{
+			auto& state = m_ending[_step.target];
+			state.since = m_fleet.http().loop().now();
+			state.planned = soak_action::restart == _step.action && (0 == state.faults || state.planned);
+			state.startAgain = false;
+			++state.faults;
+		}
 	}
 
 	void end(const soak_step& _step) override
 	{
-		constexpr int kStopTimeoutMs = 15'000;
-		auto& processes = m_fleet.processes();
 		if (soak_action::pause == _step.action)
 		{
-			return processes.signal(_step.target, SIGCONT);
+			// A stop that was in progress has its time from here on.
+			if (const auto stopping = m_ending.find(_step.target); m_ending.end() != stopping)
+			{
+				stopping->second.since = m_fleet.http().loop().now();
+			}
+			return m_fleet.processes().signal(_step.target, SIGCONT);
+		}
+		m_ending[_step.target].startAgain = true;
+	}
+
+	std::string poll(std::vector<std::string>* _started) override
+	{
+		for (auto& [name, state] : m_ending)
+		{
+			if (m_fleet.processes().running(name))
+			{
+				if (m_fleet.http().loop().now() - state.since < kStopTimeout)
+				{
+					continue;
+				}
+				m_fleet.processes().signal(name, SIGABRT);
+				state.since = m_fleet.http().loop().now();
+				state.planned = false;
+				return fmt::format("{} did not end within {} s of its stop", name, kStopTimeout / base::seconds(1));
+			}
+			const int code = m_fleet.processes().exitCodeOf(name);
+			if (state.planned && 0 != code)
+			{
+				state.planned = false;
+				return fmt::format("{} ended with code {} in a planned stop", name, code);
+			}
+			if (state.startAgain)
+			{
+				m_fleet.processes().startAgain(name);
+				_started->insert(_started->end(), static_cast<size_t>(state.faults), name);
+				m_ending.erase(name);
+				return {};
+			}
 		}
-		processes.waitFor(_step.target, kStopTimeoutMs);
-		processes.startAgain(_step.target);
+		return {};
+	}
+
+	bool settled() const override
+	{
+		return m_ending.empty();
 	}
 
 private:
-	static int beginSignal(soak_action _action)
+	struct ending
+	{
+		base::TimePoint since{};
+		int faults = 0;  // that end it, if one comes while the last one's stop is in progress
+		bool planned = false;
+		bool startAgain = false;
+	};
+
+	static int signalOf(soak_action _action)
 	{
-		if (soak_action::kill == _action)
+		switch (_action)
 		{
-			return SIGKILL;
+			case soak_action::kill:
+				return SIGKILL;
+			case soak_action::pause:
+				return SIGSTOP;
+			case soak_action::reload:
+				return SIGHUP;
+			default:
+				return SIGTERM;
 		}
-		return soak_action::pause == _action ? SIGSTOP : SIGTERM;
 	}
 
 	tools::Fleet& m_fleet;
+	std::map<std::string, ending> m_ending;
 };
 
 class link_faults : public fault_injector
@@ -57,12 +125,12 @@
 
 	void begin(const soak_step& _step) override
 	{
-		(void)m_fleet.setLinkFault(_step.target, nameOf(_step.fault), _step.delayMs);
+		(void)m_fleet.setLinkFault(_step.target, nameOf(_step.fault), _step.delayMs, _step.bytesPerSecond);
 	}
 
 	void end(const soak_step& _step) override
 	{
-		(void)m_fleet.setLinkFault(_step.target, nameOf(link_fault::none), 0);
+		(void)m_fleet.setLinkFault(_step.target, nameOf(link_fault::none), 0, 0);
 	}
 
 private:
@@ -71,7 +139,7 @@
 
 }  // namespace
 
-std::unique_ptr<fault_injector> makeProcessFaults(tools::Fleet& _fleet)
+std::unique_ptr<process_fault_injector> makeProcessFaults(tools::Fleet& _fleet)
 {
 	return std::make_unique<process_faults>(_fleet);
 }
--- a/tools/soak/fault_injector.h
+++ b/tools/soak/fault_injector.h
@@ -3,6 +3,8 @@
 #define DRIFTLUG_SOAK_FAULT_INJECTOR_H_HEADER_GUARD
 
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace driftlug::tools
 {
@@ -26,8 +28,22 @@
 	virtual void end(const soak_step& _step) = 0;
 };
 
+/// Faults of processes. An ended process is started again as soon as it is gone, which may be later than its fault
+/// ends.
+class process_fault_injector : public fault_injector
+{
+public:
+	/// Starts what is due.
+	/// @param[out] _started Names of processes that run again, once for each fault that had ended them.
+	/// @returns What is wrong: a planned stop that took too long or failed. Empty when nothing is.
+	virtual std::string poll(std::vector<std::string>* _started) = 0;
+
+	/// @returns Whether every process runs again whose fault has ended.
+	virtual bool settled() const = 0;
+};
+
 /// Signals to processes that the fleet has started.
-std::unique_ptr<fault_injector> makeProcessFaults(tools::Fleet& _fleet);
+std::unique_ptr<process_fault_injector> makeProcessFaults(tools::Fleet& _fleet);
 
 /// Faults of the links before processes.
 std::unique_ptr<fault_injector> makeLinkFaults(tools::Fleet& _fleet);
--- a/tools/soak/fault_proxy.cc
+++ b/tools/soak/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "soak/fault_proxy.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "soak/relayed_connection.h"
@@ -53,10 +54,10 @@
 	m_connections[id] = std::make_unique<relayed_connection>(*this, id, std::move(_client));
 }
 
-void fault_proxy::setFault(link_fault _fault, base::Duration _delay)
+void fault_proxy::setFault(link_fault _fault, const fault_extent& _extent)
 {
 	m_fault = _fault;
-	m_delay = _delay;
+	m_extent = _extent;
 	std::vector<relayed_connection*> all;
 	for (const auto& [id, connection] : m_connections)
 	{
@@ -65,10 +66,33 @@
 	// Connections end later, so none of these goes away meanwhile.
 	for (auto* connection : all)
 	{
+		if (link_fault::mute == _fault)
+		{
+			connection->mute();
+		}
 		connection->pump();
 	}
 }
 
+void fault_proxy::setCapacity(int64_t _bytesPerSecond)
+{
+	m_capacity = _bytesPerSecond;
+}
+
+int64_t fault_proxy::bytesPerSecond() const
+{
+	return link_fault::throttle == m_fault ? m_extent.bytesPerSecond : m_capacity;
+}
+
+base::TimePoint fault_proxy::reserve(bool _toServer, size_t _bytes)
+{
+	constexpr int64_t kUsPerSecond = 1'000'000;
+	auto& free = _toServer ? m_freeToServer : m_freeToClient;
+	free = std::max(free, m_loop.now())
+		   + base::Duration(static_cast<int64_t>(_bytes) * kUsPerSecond / std::max<int64_t>(1, bytesPerSecond()));
+	return free;
+}
+
 void fault_proxy::forget(uint64_t _id)
 {
 	m_loop.schedule(base::Duration(0),
--- a/tools/soak/fault_proxy.h
+++ b/tools/soak/fault_proxy.h
@@ -19,7 +19,8 @@
 /// Forwards connections to one server.
 ///
 /// Bytes of one direction keep their order, also when the delay changes. What a silent link holds back is delivered
-/// after the fault, as TCP would, unless one of the sides has given the connection up by then.
+/// after the fault, as TCP would, unless one of the sides has given the connection up by then. A throttled link is
+/// shared by its connections, piece by piece, in the order in which these have something to send.
 class fault_proxy
 {
 public:
@@ -36,9 +37,19 @@
 	/// @returns The port it listens on.
 	int port() const;
 
+	/// What a fault needs beside its kind.
+	struct fault_extent
+	{
+		base::Duration delay{0};     //!< Of each direction, with `link_fault::delay`.
+		int64_t bytesPerSecond = 0;  //!< Of each direction, with `link_fault::throttle`.
+	};
+
 	/// Puts another fault in force.
-	/// @param[in] _delay Delay of each direction, with `link_fault::delay`.
-	void setFault(link_fault _fault, base::Duration _delay);
+	void setFault(link_fault _fault, const fault_extent& _extent);
+
+	/// Sets what the link carries in each direction while no fault throttles it.
+	/// @param[in] _bytesPerSecond 0 for any number.
+	void setCapacity(int64_t _bytesPerSecond);
 
 	/// @returns Open connections.
 	size_t connections() const;
@@ -49,11 +60,21 @@
 	void onAccepted(std::shared_ptr<transport::TcpStream> _client);
 	void forget(uint64_t _id);
 
+	/// @returns What the link carries in each direction, in bytes a second; 0 for any number.
+	int64_t bytesPerSecond() const;
+
+	/// Takes the link's next time to send some bytes.
+	/// @returns When they have passed.
+	base::TimePoint reserve(bool _toServer, size_t _bytes);
+
 	transport::EventLoop& m_loop;
 	base::Address m_target;
 	transport::TcpListener m_listener;
 	link_fault m_fault = link_fault::none;
-	base::Duration m_delay{0};
+	fault_extent m_extent;
+	int64_t m_capacity = 0;
+	base::TimePoint m_freeToServer{};  // when the link has passed all that was reserved
+	base::TimePoint m_freeToClient{};
 	uint64_t m_nextId = 1;
 	std::map<uint64_t, std::unique_ptr<relayed_connection>> m_connections;
 	std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tools/soak/fault_proxy_main.cc
+++ b/tools/soak/fault_proxy_main.cc
@@ -13,7 +13,8 @@
 #include "transport/http_server.h"
 
 DEFINE_string(links, "", "links as name=port:target_port, separated by commas");
-DEFINE_int32(control_port, 0, "port for GET /fault?link=NAME&fault=FAULT[&delay_ms=N]");
+DEFINE_int32(control_port, 0, "port for GET /fault?link=NAME&fault=FAULT[&delay_ms=N][&bytes_per_second=N]");
+DEFINE_double(link_mbps, 0, "what each link carries in each direction, in Mbit/s; 0 for any number");
 
 namespace
 {
@@ -44,6 +45,8 @@
 		}
 		auto& proxy = all[link.first];
 		proxy = std::make_unique<soak::fault_proxy>(_loop, base::Address{kLoopback, target});
+		constexpr double kBytesPerMegabit = 1e6 / 8;
+		proxy->setCapacity(static_cast<int64_t>(FLAGS_link_mbps * kBytesPerMegabit));
 		if (const auto status = proxy->listen(port); !status.ok())
 		{
 			apps::exitWithError(status);
@@ -62,7 +65,9 @@
 	}
 	int delayMs = 0;
 	(void)absl::SimpleAtoi(_request.parameter("delay_ms"), &delayMs);
-	found->second->setFault(*fault, base::milliseconds(delayMs));
+	int64_t bytesPerSecond = 0;
+	(void)absl::SimpleAtoi(_request.parameter("bytes_per_second"), &bytesPerSecond);
+	found->second->setFault(*fault, {base::milliseconds(delayMs), bytesPerSecond});
 	return transport::jsonResponse(200, "{}");
 }
 
@@ -72,6 +77,7 @@
 {
 	base::declareRequired("links");
 	base::declareRange("control_port", 1, 65535);
+	base::declareRange("link_mbps", 0, 1'000'000);
 	base::loadSettingsOrExit(argc, argv, "driftlug-fault-proxy: harms connections on loopback", false);
 	apps::configureLogsFromSettings();
 	transport::EventLoop loop;
--- a/tools/soak/link_fault.cc
+++ b/tools/soak/link_fault.cc
@@ -17,6 +17,8 @@
 	{link_fault::silence_in, "silence_in"},
 	{link_fault::silence_out, "silence_out"},
 	{link_fault::reset, "reset"},
+	{link_fault::throttle, "throttle"},
+	{link_fault::mute, "mute"},
 };
 
 }  // namespace
--- a/tools/soak/link_fault.h
+++ b/tools/soak/link_fault.h
@@ -16,6 +16,8 @@
 	silence_in,   //!< As silence, towards the server only.
 	silence_out,  //!< As silence, towards the client only.
 	reset,        //!< Connections are closed, new ones as soon as they are opened.
+	throttle,     //!< Each direction of a connection carries few bytes a second, and little of them waits on the way.
+	mute,         //!< Connections open when it begins carry nothing ever again, not even an end; new ones do.
 };
 
 /// Name of a fault, as in plans and requests.
--- a/tools/soak/promise_watch.cc
+++ b/tools/soak/promise_watch.cc
@@ -13,14 +13,13 @@
 
 void promise_watch::setHarmed(const std::string& _name, bool _harmed)
 {
-	if (_harmed)
-	{
-		m_harmed.insert(_name);
-	}
-	else
-	{
-		m_harmed.erase(_name);
-	}
+	m_harmed[_name] += _harmed ? 1 : -1;
+}
+
+bool promise_watch::harmed(const std::string& _name) const
+{
+	const auto found = m_harmed.find(_name);
+	return m_harmed.end() != found && found->second > 0;
 }
 
 int promise_watch::looks() const
@@ -32,7 +31,7 @@
 {
 	const auto members = m_fleet.allMembers();
 	const auto& member = members[m_next++ % members.size()];
-	if (m_harmed.count(member.name) > 0)
+	if (harmed(member.name))
 	{
 		return {};
 	}
@@ -40,6 +39,15 @@
 	return lookAt(member);
 }
 
+std::string promise_watch::lookAtDoor(const tools::FleetMember& _member)
+{
+	if (0 == _member.entryPort || !m_fleet.isReady(_member) || m_fleet.takesConnections(_member))
+	{
+		return {};
+	}
+	return fmt::format("{} is ready and takes no connections", _member.name);
+}
+
 std::string promise_watch::lookAt(const tools::FleetMember& _member)
 {
 	auto& processes = m_fleet.processes();
@@ -47,6 +55,10 @@
 	{
 		return fmt::format("{} ended by itself", _member.name);
 	}
+	if (auto wrong = lookAtDoor(_member); !wrong.empty())
+	{
+		return wrong;
+	}
 	const double revision = m_fleet.sumMetric({_member}, "table_revision");
 	const auto pid = processes.pidOf(_member.name);
 	auto& seen = m_seen[_member.name];
--- a/tools/soak/relayed_connection.cc
+++ b/tools/soak/relayed_connection.cc
@@ -4,6 +4,16 @@
 
 namespace driftlug::soak
 {
+namespace
+{
+/// What waits in a throttled link, as in a small buffer of a router; more stays with the sender.
+constexpr size_t kThrottledBufferBytes = 16U << 10;
+
+/// What a throttled link passes at once: about one packet.
+constexpr size_t kPieceBytes = 1460;
+
+}  // namespace
+
 relayed_connection::relayed_connection(fault_proxy& _owner, uint64_t _id, std::shared_ptr<transport::TcpStream> _client)
 	: m_owner(_owner)
 	, m_id(_id)
@@ -39,13 +49,19 @@
 
 void relayed_connection::hold(direction* _direction, chunk _chunk)
 {
-	const auto delay = link_fault::delay == m_owner.m_fault ? m_owner.m_delay : base::Duration(0);
+	if (m_muted)
+	{
+		return dropMuted(_direction, _chunk.end);
+	}
+	const auto delay = link_fault::delay == m_owner.m_fault ? m_owner.m_extent.delay : base::Duration(0);
 	_chunk.due = m_owner.m_loop.now() + delay;
 	if (!_direction->held.empty())
 	{
 		_chunk.due = std::max(_chunk.due, _direction->held.back().due);
 	}
+	_direction->heldBytes += _chunk.bytes.size();
 	_direction->held.push_back(std::move(_chunk));
+	throttleSender(_direction);
 	// Not from within an event of a stream: the end of a connection destroys both.
 	if (!m_timer.running())
 	{
@@ -53,10 +69,66 @@
 	}
 }
 
+void relayed_connection::mute()
+{
+	m_muted = true;
+	m_timer.stop();
+	for (auto* direction : {&m_toServer, &m_toClient})
+	{
+		direction->ended = !direction->held.empty() && direction->held.back().end;
+		direction->held.clear();
+	}
+}
+
+void relayed_connection::dropMuted(direction* _direction, bool _end)
+{
+	_direction->ended = _direction->ended || _end;
+	if (m_toServer.ended && m_toClient.ended)
+	{
+		m_owner.forget(m_id);
+	}
+}
+
 bool relayed_connection::blocked(const direction& _direction) const
 {
 	const auto oneWay = _direction.toServer ? link_fault::silence_in : link_fault::silence_out;
-	return link_fault::silence == m_owner.m_fault || oneWay == m_owner.m_fault;
+	return m_muted || link_fault::silence == m_owner.m_fault || oneWay == m_owner.m_fault;
+}
+
+void relayed_connection::throttleSender(direction* _direction)
+{
+	const bool reading = 0 == m_owner.bytesPerSecond() || _direction->heldBytes < kThrottledBufferBytes;
+	if (reading != _direction->reading)
+	{
+		_direction->reading = reading;
+		_direction->from->setReading(reading);
+	}
+}
+
+size_t relayed_connection::nextPiece(direction* _direction)
+{
+	const auto waiting = _direction->held.front().bytes.size();
+	if (0 == m_owner.bytesPerSecond() || 0 == waiting)
+	{
+		_direction->pieceBytes = 0;
+		return waiting;
+	}
+	if (0 == _direction->pieceBytes)
+	{
+		_direction->pieceBytes = std::min(waiting, kPieceBytes);
+		_direction->pieceDue = m_owner.reserve(_direction->toServer, _direction->pieceBytes);
+	}
+	return std::min(waiting, _direction->pieceBytes);
+}
+
+base::TimePoint relayed_connection::nextDue(const direction& _direction) const
+{
+	if (_direction.held.empty() || blocked(_direction))
+	{
+		return base::TimePoint::max();
+	}
+	const auto due = _direction.held.front().due;
+	return 0 == _direction.pieceBytes ? due : std::max(due, _direction.pieceDue);
 }
 
 bool relayed_connection::deliver(direction* _direction, transport::TcpStream* _to)
@@ -64,32 +136,41 @@
 	const auto now = m_owner.m_loop.now();
 	while (!_direction->held.empty() && _direction->held.front().due <= now && !blocked(*_direction))
 	{
-		const auto first = std::move(_direction->held.front());
-		_direction->held.pop_front();
+		auto& first = _direction->held.front();
 		if (first.end)
 		{
 			return false;
 		}
-		_to->write(first.bytes);
+		const auto bytes = nextPiece(_direction);
+		if (0 != _direction->pieceBytes && _direction->pieceDue > now)
+		{
+			break;
+		}
+		_direction->pieceBytes = 0;
+		_to->write(std::string_view(first.bytes).substr(0, bytes));
+		_direction->heldBytes -= bytes;
+		first.bytes.erase(0, bytes);
+		if (first.bytes.empty())
+		{
+			_direction->held.pop_front();
+		}
 	}
+	throttleSender(_direction);
 	return true;
 }
 
 void relayed_connection::pump()
 {
+	if (m_muted)
+	{
+		return;
+	}
 	if (link_fault::reset == m_owner.m_fault || !deliver(&m_toServer, m_toClient.from.get())
 		|| !deliver(&m_toClient, m_toServer.from.get()))
 	{
 		return m_owner.forget(m_id);
 	}
-	base::TimePoint next = base::TimePoint::max();
-	for (const auto* direction : {&m_toServer, &m_toClient})
-	{
-		if (!direction->held.empty() && !blocked(*direction))
-		{
-			next = std::min(next, direction->held.front().due);
-		}
-	}
+	const auto next = std::min(nextDue(m_toServer), nextDue(m_toClient));
 	if (base::TimePoint::max() != next)
 	{
 		m_timer.start(std::max<base::Duration>(base::Duration(1), next - m_owner.m_loop.now()));
--- a/tools/soak/relayed_connection.h
+++ b/tools/soak/relayed_connection.h
@@ -19,6 +19,9 @@
 	/// Delivers what the fault in force lets pass by now.
 	void pump();
 
+	/// Carries nothing from now on. The connection goes away once both sides have given it up.
+	void mute();
+
 private:
 	struct chunk
 	{
@@ -37,17 +40,27 @@
 		bool toServer = false;
 		std::shared_ptr<transport::TcpStream> from;
 		std::deque<chunk> held;
+		size_t heldBytes = 0;
+		bool reading = true;
+		bool ended = false;          //!< The sender has closed; kept of a muted connection.
+		size_t pieceBytes = 0;       //!< For which the link's time is taken; 0 when there is none.
+		base::TimePoint pieceDue{};  //!< When they have passed the link.
 	};
 
 	void hold(direction* _direction, chunk _chunk);
 	bool blocked(const direction& _direction) const;
 	bool deliver(direction* _direction, transport::TcpStream* _to);
+	size_t nextPiece(direction* _direction);
+	base::TimePoint nextDue(const direction& _direction) const;
+	void throttleSender(direction* _direction);
+	void dropMuted(direction* _direction, bool _end);
 
 	fault_proxy& m_owner;
 	uint64_t m_id;
 	direction m_toServer;
 	direction m_toClient;
 	base::Timer m_timer;
+	bool m_muted = false;
 };
 
 }  // namespace driftlug::soak
--- a/tools/soak/soak_plan.cc
+++ b/tools/soak/soak_plan.cc
@@ -13,64 +13,242 @@
 {
 constexpr int kShortestFaultMs = 200;
 constexpr int kLongestDelayMs = 80;
-constexpr link_fault kLinkFaults[] = {link_fault::delay, link_fault::silence, link_fault::silence_in,
-									  link_fault::silence_out, link_fault::reset};
+constexpr int kLongestStormMs = 3'000;
+constexpr int kElectionMs = 1'200;         // For which a disturbed election takes all controllers.
+constexpr int kSecondSignalMs = 500;       // After a stop, at the latest.
+constexpr int kRollingGapMs = 250;         // Between two stops of a rolling stop that is drawn.
+constexpr int kRollingDownMs = 700;        // Before a node of it is started again, at the earliest.
+constexpr int kSlowestLink = 20'000;       // Bytes a second.
+constexpr int kFastestThrottle = 200'000;  // Bytes a second.
+constexpr link_fault kLinkFaults[] = {link_fault::delay,       link_fault::silence, link_fault::silence_in,
+									  link_fault::silence_out, link_fault::reset,   link_fault::throttle,
+									  link_fault::mute};
 
-/// Keeps what is harmed at the time that steps are drawn for.
-class harmed_targets
+/// What of a process is harmed: itself, or the link to it. Both may be at once.
+enum class domain
+{
+	process,
+	link,
+};
+
+domain domainOf(soak_action _action)
+{
+	return soak_action::link == _action ? domain::link : domain::process;
+}
+
+/// Draws one plan.
+class plan_drawer
 {
 public:
-	harmed_targets(std::span<const soak_target> _targets, int _controllersAtOnce)
-		: m_targets(_targets)
-		, m_controllersAtOnce(_controllersAtOnce)
+	plan_drawer(uint64_t _seed, std::span<const soak_target> _targets, const soak_shape& _shape)
+		: m_random(_seed)
+		, m_targets(_targets)
+		, m_shape(_shape)
 	{
 	}
 
-	bool free(const soak_target& _target, int _atMs) const
+	std::vector<soak_step> draw()
 	{
-		const auto busy = [&](const soak_target& _other)
+		int atMs = 0;
+		while (true)
 		{
-			const auto found = m_until.find(_other.name);
-			return m_until.end() != found && found->second > _atMs;
-		};
-		if (busy(_target))
+			atMs += 1 + static_cast<int>(m_random.below(2 * static_cast<uint64_t>(m_shape.meanGapMs)));
+			if (atMs + kShortestFaultMs > m_shape.durationMs)
+			{
+				break;
+			}
+			drawAt(atMs);
+		}
+		std::stable_sort(m_plan.begin(), m_plan.end(),
+						 [](const soak_step& _left, const soak_step& _right)
+						 {
+							 return _left.atMs < _right.atMs;
+						 });
+		return std::move(m_plan);
+	}
+
+private:
+	int drawBetween(int _least, int _most)
+	{
+		return _least + static_cast<int>(m_random.below(static_cast<uint64_t>(_most - _least + 1)));
+	}
+
+	void drawAt(int _atMs)
+	{
+		const double kind = m_random.unit();
+		if (kind < 0.06)
 		{
-			return false;
+			return add({_atMs, drawBetween(kShortestFaultMs, kLongestStormMs), {}, soak_action::edit_storm});
+		}
+		if (kind < 0.12)
+		{
+			return drawReload(_atMs);
+		}
+		if (kind < 0.17)
+		{
+			return drawElection(_atMs);
 		}
-		if (soak_role::controller != _target.role)
+		if (kind < 0.20)
 		{
-			return true;
+			return drawRollingStop(_atMs);
 		}
-		const auto controllers = std::count_if(m_targets.begin(), m_targets.end(),
-											   [&](const soak_target& _other)
-											   {
-												   return soak_role::controller == _other.role && busy(_other);
-											   });
-		return controllers < m_controllersAtOnce;
+		drawFault(_atMs);
 	}
 
-	void take(const soak_target& _target, int _untilMs)
+	void drawReload(int _atMs)
 	{
-		m_until[_target.name] = _untilMs;
+		const auto& target = m_targets[m_random.below(m_targets.size())];
+		if (takesReload(target.role))
+		{
+			add({_atMs, 0, target.name, soak_action::reload});
+		}
 	}
 
-private:
-	std::span<const soak_target> m_targets;
-	int m_controllersAtOnce;
-	std::map<std::string, int> m_until;
-};
+	/// A relay has no settings to read again, and neither has a back end.
+	static bool takesReload(soak_role _role)
+	{
+		return soak_role::relay != _role && soak_role::back_end != _role;
+	}
 
-soak_action drawAction(base::RandomSource& _random, soak_role _role)
-{
-	// What a back end has run is known to itself alone, so it is only paused or cut off.
-	if (soak_role::back_end == _role)
+	/// The leader stops, and another controller while its successor is elected.
+	void drawElection(int _atMs)
 	{
-		return _random.chance(0.3) ? soak_action::pause : soak_action::link;
+		if (harmedControllers(_atMs) > 0 || _atMs < m_electionUntil || !fits(_atMs, kElectionMs))
+		{
+			return;
+		}
+		m_electionUntil = _atMs + kElectionMs;
+		add({_atMs, drawBetween(kShortestFaultMs, kElectionMs / 2), std::string(kLeaderTarget), soak_action::restart});
+		add({_atMs + drawBetween(50, kElectionMs / 3), kShortestFaultMs, std::string(kFollowerTarget),
+			 soak_action::restart});
 	}
-	constexpr soak_action kActions[] = {soak_action::kill, soak_action::pause, soak_action::restart, soak_action::link,
-										soak_action::link};
-	return kActions[_random.below(std::size(kActions))];
-}
+
+	void drawRollingStop(int _atMs)
+	{
+		const int begunMs = _atMs;
+		for (const auto& target : m_targets)
+		{
+			const bool node = soak_role::node == target.role || soak_role::entry == target.role;
+			if (node && free(target, domain::process, _atMs) && fits(_atMs, kRollingDownMs))
+			{
+				take(target.name, domain::process, _atMs + kRollingDownMs);
+				add({_atMs, kRollingDownMs, target.name, soak_action::restart});
+				_atMs += kRollingGapMs;
+			}
+		}
+		add({begunMs, std::max(kShortestFaultMs, _atMs - begunMs), {}, soak_action::edit_storm});
+	}
+
+	void drawFault(int _atMs)
+	{
+		soak_step step;
+		step.atMs = _atMs;
+		step.forMs = drawBetween(kShortestFaultMs, m_shape.longestFaultMs - 1);
+		const auto& target = m_targets[m_random.below(m_targets.size())];
+		step.target = target.name;
+		step.action = drawAction(target.role);
+		step.fault =
+			soak_action::link == step.action ? kLinkFaults[m_random.below(std::size(kLinkFaults))] : step.fault;
+		step.delayMs = drawBetween(1, kLongestDelayMs);
+		step.bytesPerSecond = drawBetween(kSlowestLink, kFastestThrottle);
+		if (!fits(_atMs, step.forMs) || !free(target, domainOf(step.action), _atMs))
+		{
+			return;
+		}
+		take(target.name, domainOf(step.action), _atMs + step.forMs);
+		if (soak_action::restart == step.action)
+		{
+			drawMoreSignals(step, target.role);
+		}
+		add(step);
+	}
+
+	void drawMoreSignals(const soak_step& _stop, soak_role _role)
+	{
+		const int latest = std::min(kSecondSignalMs, _stop.forMs - 1);
+		if (m_random.chance(0.5))
+		{
+			add({_stop.atMs + drawBetween(1, latest), 0, _stop.target, soak_action::stop_again});
+		}
+		if (m_random.chance(0.5) && takesReload(_role))
+		{
+			add({_stop.atMs + drawBetween(1, latest), 0, _stop.target, soak_action::reload});
+		}
+	}
+
+	soak_action drawAction(soak_role _role)
+	{
+		// What a back end has run is known to itself alone, so it is only paused or cut off.
+		if (soak_role::back_end == _role)
+		{
+			return m_random.chance(0.3) ? soak_action::pause : soak_action::link;
+		}
+		if (soak_role::entry == _role)
+		{
+			constexpr soak_action kActions[] = {soak_action::kill, soak_action::pause, soak_action::restart,
+												soak_action::restart, soak_action::restart};
+			return kActions[m_random.below(std::size(kActions))];
+		}
+		constexpr soak_action kActions[] = {soak_action::kill, soak_action::pause, soak_action::restart,
+											soak_action::link, soak_action::link};
+		return kActions[m_random.below(std::size(kActions))];
+	}
+
+	bool fits(int _atMs, int _forMs) const
+	{
+		return _atMs + _forMs <= m_shape.durationMs;
+	}
+
+	bool busy(const std::string& _name, domain _domain, int _atMs) const
+	{
+		const auto found = m_until.find({_name, _domain});
+		return m_until.end() != found && found->second > _atMs;
+	}
+
+	int64_t harmedControllers(int _atMs) const
+	{
+		return std::count_if(
+			m_targets.begin(), m_targets.end(),
+			[&](const soak_target& _target)
+			{
+				return soak_role::controller == _target.role
+					   && (busy(_target.name, domain::process, _atMs) || busy(_target.name, domain::link, _atMs));
+			});
+	}
+
+	bool free(const soak_target& _target, domain _domain, int _atMs) const
+	{
+		const bool election = soak_role::controller == _target.role && _atMs < m_electionUntil;
+		if (election || busy(_target.name, _domain, _atMs))
+		{
+			return false;
+		}
+		const auto other = domain::link == _domain ? domain::process : domain::link;
+		return soak_role::controller != _target.role || busy(_target.name, other, _atMs)
+			   || harmedControllers(_atMs) < m_shape.controllersAtOnce;
+	}
+
+	void take(const std::string& _name, domain _domain, int _untilMs)
+	{
+		auto& until = m_until[{_name, _domain}];
+		until = std::max(until, _untilMs);
+	}
+
+	void add(const soak_step& _step)
+	{
+		if (fits(_step.atMs, _step.forMs))
+		{
+			m_plan.push_back(_step);
+		}
+	}
+
+	base::RandomSource m_random;
+	std::span<const soak_target> m_targets;
+	const soak_shape& m_shape;
+	std::vector<soak_step> m_plan;
+	std::map<std::pair<std::string, domain>, int> m_until;
+	int m_electionUntil = 0;  // controllers are not harmed otherwise before
+};
 
 }  // namespace
 
@@ -86,38 +264,54 @@
 			return "restart";
 		case soak_action::link:
 			return "link";
+		case soak_action::reload:
+			return "reload";
+		case soak_action::stop_again:
+			return "stop_again";
+		case soak_action::edit_storm:
+			return "edit_storm";
 	}
 	return "unknown";
 }
 
+bool harms(soak_action _action)
+{
+	return soak_action::reload != _action && soak_action::stop_again != _action && soak_action::edit_storm != _action;
+}
+
 std::vector<soak_step> drawPlan(uint64_t _seed, std::span<const soak_target> _targets, const soak_shape& _shape)
 {
-	base::RandomSource random(_seed);
-	harmed_targets harmed(_targets, _shape.controllersAtOnce);
+	return plan_drawer(_seed, _targets, _shape).draw();
+}
+
+std::vector<soak_step> rollingPlan(std::span<const soak_target> _targets, int _gapMs)
+{
+	constexpr int kRounds = 2;
 	std::vector<soak_step> plan;
-	int atMs = 0;
-	while (true)
+	int atMs = _gapMs;
+	for (int round = 0; round < kRounds; ++round)
 	{
-		atMs += 1 + static_cast<int>(random.below(2 * static_cast<uint64_t>(_shape.meanGapMs)));
-		soak_step step;
-		step.atMs = atMs;
-		const auto longest = static_cast<uint64_t>(_shape.longestFaultMs - kShortestFaultMs);
-		step.forMs = kShortestFaultMs + static_cast<int>(random.below(longest));
-		if (atMs + step.forMs > _shape.durationMs)
-		{
-			return plan;
-		}
-		const auto& target = _targets[random.below(_targets.size())];
-		step.target = target.name;
-		step.action = drawAction(random, target.role);
-		step.fault = soak_action::link == step.action ? kLinkFaults[random.below(std::size(kLinkFaults))] : step.fault;
-		step.delayMs = 1 + static_cast<int>(random.below(kLongestDelayMs));
-		if (harmed.free(target, atMs))
+		for (const auto& target : _targets)
 		{
-			harmed.take(target, atMs + step.forMs);
-			plan.push_back(step);
+			if (soak_role::node == target.role || soak_role::entry == target.role)
+			{
+				plan.push_back({atMs, std::min(kRollingDownMs, _gapMs), target.name, soak_action::restart});
+				atMs += _gapMs;
+			}
 		}
 	}
+	plan.insert(plan.begin(), {0, atMs, {}, soak_action::edit_storm});
+	return plan;
+}
+
+int endOf(std::span<const soak_step> _plan)
+{
+	int endMs = 0;
+	for (const auto& step : _plan)
+	{
+		endMs = std::max(endMs, step.atMs + step.forMs);
+	}
+	return endMs;
 }
 
 std::string textOf(const soak_step& _step)
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 #include "fleet.h"
 #include "soak/fault_injector.h"
@@ -15,6 +16,7 @@
 using nlohmann::json;
 
 constexpr char kLoadName[] = "soak-load";
+constexpr char kOpenName[] = "open-connections";
 constexpr char kAfterName[] = "after-load";
 constexpr int kLoadTailMs = 60'000;
 constexpr int kAfterMs = 3'000;
@@ -25,14 +27,14 @@
 struct event
 {
 	int atMs;
-	const soak_step* step;
+	soak_step* step;
 	bool begin;
 };
 
-std::vector<event> eventsOf(const std::vector<soak_step>& _plan)
+std::vector<event> eventsOf(std::vector<soak_step>* _plan)
 {
 	std::vector<event> events;
-	for (const auto& step : _plan)
+	for (auto& step : *_plan)
 	{
 		events.push_back({step.atMs, &step, true});
 		events.push_back({step.atMs + step.forMs, &step, false});
@@ -58,6 +60,10 @@
 	{
 		targets.push_back({member.name, soak_role::relay});
 	}
+	for (const auto& member : _fleet.entries())
+	{
+		targets.push_back({member.name, soak_role::entry});
+	}
 	for (const auto& endpoint : _fleet.endpoints())
 	{
 		targets.push_back({endpoint.node.name, soak_role::node});
@@ -88,17 +94,72 @@
 	m_broken.push_back(fmt::format("{} ms: {}", elapsedMs(), _what));
 }
 
+bool soak_run::resolve(soak_step* _step)
+{
+	if (kLeaderTarget != _step->target && kFollowerTarget != _step->target)
+	{
+		return true;
+	}
+	const auto leader = m_fleet.leader();
+	if (kLeaderTarget == _step->target)
+	{
+		_step->target = leader;
+		return !leader.empty();
+	}
+	for (const auto& member : m_fleet.controllers())
+	{
+		if (leader != member.name && !m_watch->harmed(member.name))
+		{
+			_step->target = member.name;
+			return true;
+		}
+	}
+	return false;
+}
+
 void soak_run::apply(const soak_step& _step, bool _begin)
 {
-	auto& faults = soak_action::link == _step.action ? *m_linkFaults : *m_processFaults;
-	if (_begin)
+	if (soak_action::edit_storm == _step.action)
 	{
-		m_watch->setHarmed(_step.target, true);
-		faults.begin(_step);
+		m_storms += _begin ? 1 : -1;
 		return;
 	}
-	faults.end(_step);
-	m_watch->setHarmed(_step.target, false);
+	if (!harms(_step.action))
+	{
+		if (_begin)
+		{
+			m_processFaults->begin(_step);
+		}
+		return;
+	}
+	if (!_begin)
+	{
+		return applyEnd(_step);
+	}
+	const auto nowUs = m_fleet.http().loop().now().time_since_epoch().count();
+	if (soak_action::kill == _step.action || soak_action::pause == _step.action)
+	{
+		m_harms[_step.target].push_back({nowUs, nowUs + int64_t{1000} * _step.forMs});
+	}
+	m_watch->setHarmed(_step.target, true);
+	auto& faults = soak_action::link == _step.action ? *m_linkFaults : static_cast<fault_injector&>(*m_processFaults);
+	faults.begin(_step);
+}
+
+void soak_run::applyEnd(const soak_step& _step)
+{
+	if (soak_action::link == _step.action)
+	{
+		m_linkFaults->end(_step);
+		return m_watch->setHarmed(_step.target, false);
+	}
+	m_processFaults->end(_step);
+	if (soak_action::pause == _step.action)
+	{
+		const auto nowUs = m_fleet.http().loop().now().time_since_epoch().count();
+		m_harms[_step.target].push_back({nowUs, nowUs});
+		m_watch->setHarmed(_step.target, false);
+	}
 }
 
 void soak_run::edit()
@@ -126,30 +187,61 @@
 	m_lastRevision = std::max(m_lastRevision, revision);
 }
 
+void soak_run::turn(int _untilMs)
+{
+	if (m_storms > 0 || elapsedMs() / kEditMs >= m_edits)
+	{
+		edit();
+	}
+	std::vector<std::string> started;
+	if (auto wrong = m_processFaults->poll(&started); !wrong.empty())
+	{
+		broken(wrong);
+	}
+	for (const auto& name : started)
+	{
+		m_watch->setHarmed(name, false);
+	}
+	if (auto wrong = m_watch->look(); !wrong.empty())
+	{
+		broken(wrong);
+	}
+	m_fleet.http().wait(base::milliseconds(std::clamp(_untilMs - elapsedMs(), 1, kLookMs)));
+}
+
 void soak_run::idleUntil(int _atMs)
 {
 	while (elapsedMs() < _atMs)
 	{
-		if (elapsedMs() / kEditMs >= m_edits)
-		{
-			edit();
-		}
-		if (auto wrong = m_watch->look(); !wrong.empty())
-		{
-			broken(wrong);
-		}
-		m_fleet.http().wait(base::milliseconds(std::clamp(_atMs - elapsedMs(), 1, kLookMs)));
+		turn(_atMs);
+	}
+}
+
+void soak_run::settle()
+{
+	while (!m_processFaults->settled())
+	{
+		turn(elapsedMs() + kLookMs);
 	}
 }
 
-void soak_run::play(const std::vector<soak_step>& _plan)
+void soak_run::play(std::vector<soak_step> _plan)
 {
-	for (const auto& event : eventsOf(_plan))
+	std::set<const soak_step*> skipped;
+	for (const auto& event : eventsOf(&_plan))
 	{
 		idleUntil(event.atMs);
-		apply(*event.step, event.begin);
+		if (event.begin && !resolve(event.step))
+		{
+			skipped.insert(event.step);
+		}
+		if (0 == skipped.count(event.step))
+		{
+			apply(*event.step, event.begin);
+		}
 	}
 	idleUntil(m_options.shape.durationMs);
+	settle();
 }
 
 void soak_run::checkRecovery()
@@ -162,13 +254,73 @@
 			broken(fmt::format("{} is not ready {} ms after the last fault", member.name, m_options.recoverMs));
 		}
 	}
-	edit();
+	const auto accepted = m_acceptedNotes.size();
+	while (accepted == m_acceptedNotes.size()
+		   && m_fleet.http().loop().now() - healed < base::milliseconds(m_options.recoverMs))
+	{
+		edit();
+	}
+	if (accepted == m_acceptedNotes.size())
+	{
+		broken(fmt::format("no change was accepted within {} ms of the last fault", m_options.recoverMs));
+	}
 	if (m_fleet.waitEverywhere(m_lastRevision, healed, m_options.recoverMs) < 0)
 	{
 		broken(fmt::format("revision {} is not in force everywhere", m_lastRevision));
 	}
 }
 
+void soak_run::checkOpenConnections(json* _report)
+{
+	const auto summary = m_fleet.finishLoad(kOpenName, m_options.shape.durationMs + kLoadTailMs);
+	(*_report)[kOpenName] = summary;
+	const auto unanswered = m_fleet.unansweredOf(kOpenName);
+	if (summary.contains("failed") || !unanswered.is_array())
+	{
+		return broken(fmt::format("{} did not end", kOpenName));
+	}
+	std::map<std::string, std::string> entryOf;
+	for (const auto& member : m_fleet.entries())
+	{
+		entryOf[fmt::format("127.0.0.1:{}", member.entryPort)] = member.name;
+	}
+	const auto runs = m_fleet.runs();
+	for (const auto& request : requestsOf(unanswered))
+	{
+		const auto ran = runs.find(request.id);
+		const auto& entry = entryOf[request.target];
+		const auto wrong = judge(request, runs.end() == ran ? 0 : static_cast<int>(ran->second), m_harms[entry]);
+		if (!wrong.empty())
+		{
+			m_broken.push_back(fmt::format("{} ms: {}: {}", (request.endedUs - m_begunUs) / 1000, entry, wrong));
+		}
+	}
+	for (const char* outcome : {"crossed", "truncated", "stray"})
+	{
+		if (const auto count = summary["outcomes"].value(outcome, int64_t{0}); 0 != count)
+		{
+			broken(fmt::format("{}: {} answers {}", kOpenName, count, outcome));
+		}
+	}
+	checkRecords(kOpenName);
+}
+
+void soak_run::checkRecords(const std::string& _load)
+{
+	const auto records = m_fleet.checkRecords({_load});
+	mustBeZero(_load, "ran more than once", records.doubled);
+	mustBeZero(_load, "answered as done did not run", records.lost);
+	mustBeZero(_load, "answered as not run did run", records.falseNotRun);
+}
+
+void soak_run::mustBeZero(const std::string& _load, const char* _what, int64_t _count)
+{
+	if (0 != _count)
+	{
+		broken(fmt::format("{}: {} calls {}", _load, _count, _what));
+	}
+}
+
 void soak_run::checkEdits()
 {
 	const auto rows = m_fleet.request("GET", "/v1/rows?kind=note");
@@ -185,27 +337,17 @@
 void soak_run::checkCalls(const std::string& _load, json* _report)
 {
 	const auto load = m_fleet.finishLoad(_load, m_options.shape.durationMs + kLoadTailMs);
-	const auto records = m_fleet.checkRecords({_load});
 	(*_report)[_load] = load;
-	const auto mustBeZero = [&](const char* _what, int64_t _count)
-	{
-		if (0 != _count)
-		{
-			broken(fmt::format("{}: {} calls {}", _load, _count, _what));
-		}
-	};
 	if (load.contains("failed"))
 	{
 		return broken(fmt::format("{} did not end", _load));
 	}
-	mustBeZero("ran more than once", records.doubled);
-	mustBeZero("answered as done did not run", records.lost);
-	mustBeZero("answered as not run did run", records.falseNotRun);
-	mustBeZero("got another call's answer", load.value("crossed", int64_t{0}));
-	mustBeZero("got a part of their answer", load.value("truncated", int64_t{0}));
+	checkRecords(_load);
+	mustBeZero(_load, "got another call's answer", load.value("crossed", int64_t{0}));
+	mustBeZero(_load, "got a part of their answer", load.value("truncated", int64_t{0}));
 	if (kAfterName == _load)
 	{
-		mustBeZero("failed without a fault", load.value("calls", int64_t{0}) - load.value("ok", int64_t{0}));
+		mustBeZero(_load, "failed without a fault", load.value("calls", int64_t{0}) - load.value("ok", int64_t{0}));
 		for (const auto& endpoint : m_fleet.endpoints())
 		{
 			if (!load["by_backend"].contains(endpoint.backendName))
@@ -219,7 +361,12 @@
 json soak_run::run()
 {
 	const auto targets = targetsOf(m_fleet);
-	const auto plan = drawPlan(m_options.seed, targets, m_options.shape);
+	auto plan = m_options.rolling ? rollingPlan(targets, m_options.rollingGapMs)
+								  : drawPlan(m_options.seed, targets, m_options.shape);
+	if (m_options.rolling)
+	{
+		m_options.shape.durationMs = endOf(plan) + m_options.rollingGapMs;
+	}
 	json report = {{"seed", m_options.seed}, {"faults", plan.size()}, {"plan", json::array()}};
 	for (const auto& step : plan)
 	{
@@ -232,7 +379,9 @@
 	load.durationMs = m_options.shape.durationMs;
 	load.seed = static_cast<int>(m_options.seed % 1'000'000) + 1;
 	m_fleet.startLoad(kLoadName, load);
-	play(plan);
+	m_fleet.startOpenCallers(kOpenName, load);
+	play(std::move(plan));
+	checkOpenConnections(&report);
 	checkCalls(kLoadName, &report);
 	checkRecovery();
 	checkEdits();
@@ -240,6 +389,7 @@
 	load.seed += 1'000'000;
 	m_fleet.startLoad(kAfterName, load);
 	checkCalls(kAfterName, &report);
+	report["processes"] = m_fleet.allMembers().size() + m_fleet.endpoints().size();
 	report["edits_accepted"] = m_acceptedNotes.size();
 	report["edits_unknown"] = m_unknownEdits;
 	report["looks"] = m_watch->looks();
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -4,10 +4,12 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "soak/connection_record.h"
 #include "soak/soak_plan.h"
 
 namespace driftlug::tools
@@ -18,6 +20,7 @@
 namespace driftlug::soak
 {
 class fault_injector;
+class process_fault_injector;
 class promise_watch;
 
 /// How a soak runs.
@@ -27,6 +30,8 @@
 	soak_shape shape;
 	double rate = 150;         //!< Calls a second.
 	double filingShare = 0.2;  //!< Of calls, those that may not be repeated.
+	bool rolling = false;      //!< Every node is stopped in turn, twice, instead of a drawn plan.
+	int rollingGapMs = 900;    //!< Between two of these stops.
 	int recoverMs = 15'000;    //!< Within which all is well again once the last fault is over.
 };
 
@@ -45,22 +50,31 @@
 	nlohmann::json run();
 
 private:
-	void play(const std::vector<soak_step>& _plan);
+	void play(std::vector<soak_step> _plan);
+	bool resolve(soak_step* _step);
 	void apply(const soak_step& _step, bool _begin);
+	void applyEnd(const soak_step& _step);
+	void turn(int _untilMs);
 	void idleUntil(int _atMs);
+	void settle();
 	void edit();
 	void checkRecovery();
 	void checkEdits();
+	void checkOpenConnections(nlohmann::json* _report);
+	void checkRecords(const std::string& _load);
+	void mustBeZero(const std::string& _load, const char* _what, int64_t _count);
 	void checkCalls(const std::string& _load, nlohmann::json* _report);
 	void broken(const std::string& _what);
 	int elapsedMs();
 
 	tools::Fleet& m_fleet;
 	soak_options m_options;
-	std::unique_ptr<fault_injector> m_processFaults;
+	std::unique_ptr<process_fault_injector> m_processFaults;
 	std::unique_ptr<fault_injector> m_linkFaults;
 	std::unique_ptr<promise_watch> m_watch;
+	std::map<std::string, std::vector<harm_window>> m_harms;  // of processes, by anything but planned stops
 	int64_t m_begunUs = 0;
+	int m_storms = 0;  // edit storms in progress
 	int m_edits = 0;
 	int m_unknownEdits = 0;
 	int64_t m_lastRevision = 0;
