--- /dev/null
+++ b/test/soak/soak_checks_test.cc
@@ -0,0 +1,87 @@
+/// Each check of the soak trips where the mechanism behind it is taken away by a setting.
+#include <fmt/format.h>
+#include <stdlib.h>
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <filesystem>
+#include <string>
+
+namespace driftlug::soak
+{
+namespace
+{
+constexpr char kFleet[] = DRIFTLUG_FLEET;
+constexpr char kDeployment[] = DRIFTLUG_SOURCE_DIR "/test/soak/small";
+
+struct soak_result
+{
+	int exitCode = -1;
+	std::string output;
+};
+
+/// Stops every node of a small deployment in turn, twice.
+/// @param[in] _settings Further ones of driftlug-fleet.
+soak_result playRolling(const std::string& _settings)
+{
+	char folder[] = "/tmp/driftlug-soak-XXXXXX";
+	REQUIRE(nullptr != ::mkdtemp(folder));
+	const auto command =
+		fmt::format("{} soak --deployment {} --report {} --plan rolling --rolling-gap-ms 500 --recover-ms 8000 {} 2>&1",
+					kFleet, kDeployment, folder, _settings);
+	soak_result result;
+	auto* pipe = ::popen(command.c_str(), "r");
+	REQUIRE(nullptr != pipe);
+	char buffer[4096];
+	for (size_t read = 0; 0 < (read = ::fread(buffer, 1, sizeof(buffer), pipe));)
+	{
+		result.output.append(buffer, read);
+	}
+	result.exitCode = ::pclose(pipe);
+	std::filesystem::remove_all(folder);
+	return result;
+}
+
+bool contains(const soak_result& _result, const char* _text)
+{
+	return std::string::npos != _result.output.find(_text);
+}
+
+}  // namespace
+
+TEST_CASE("a stop that doesn't wait for its calls trips the check of open connections")
+{
+	const auto result = playRolling("--node-flags=--stop-timeout-ms=0,--stop-linger-ms=0");
+	INFO(result.output);
+	CHECK(0 != result.exitCode);
+	CHECK(contains(result, "it ran, and its connection was cut"));
+}
+
+TEST_CASE("a kill in place of a stop trips the checks of open connections and of planned stops")
+{
+	const auto result = playRolling("--stop-by-kill");
+	INFO(result.output);
+	CHECK(0 != result.exitCode);
+	CHECK(contains(result, "it ran, and its connection was cut"));
+	CHECK(contains(result, "ended with code 137 in a planned stop"));
+}
+
+TEST_CASE("a node that is ready without its listener trips the check of readiness")
+{
+	const auto result = playRolling("--node-flags=--entry-port=0");
+	INFO(result.output);
+	CHECK(0 != result.exitCode);
+	CHECK(contains(result, "is ready and takes no connections"));
+}
+
+TEST_CASE("a fleet that gets no time to recover trips the check of recovery")
+{
+	const auto result = playRolling("--recover-ms=0");
+	INFO(result.output);
+	CHECK(0 != result.exitCode);
+	CHECK(contains(result, "is not ready 0 ms after"));
+	CHECK(contains(result, "no change was accepted within 0 ms"));
+	CHECK(contains(result, "is not in force everywhere"));
+}
+
+}  // namespace driftlug::soak
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -27,6 +27,8 @@
 DEFINE_int32(fault_gap_ms, 700, "soak: mean time between the beginnings of two faults");
 DEFINE_string(plan, "drawn", "soak: drawn from the seed, or rolling: every node is stopped in turn, twice");
 DEFINE_int32(rolling_gap_ms, 900, "soak: time between two stops of the rolling plan");
+DEFINE_int32(recover_ms, 15'000, "soak: time within which all is well again once the last fault is over");
+DEFINE_bool(stop_by_kill, false, "soak: planned stops kill, to prove that the checks trip");
 DEFINE_string(node_flags, "", "soak: further settings of nodes, as --name=value, separated by commas");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
 
@@ -230,6 +232,8 @@
   soakOptions.seed = static_cast<uint64_t>(FLAGS_seed);
   soakOptions.rolling = FLAGS_plan == "rolling";
   soakOptions.rollingGapMs = FLAGS_rolling_gap_ms;
+  soakOptions.recoverMs = FLAGS_recover_ms;
+  soakOptions.stopByKill = FLAGS_stop_by_kill;
   soakOptions.shape.durationMs = FLAGS_duration_ms;
   soakOptions.shape.longestFaultMs = FLAGS_longest_fault_ms;
   soakOptions.shape.meanGapMs = FLAGS_fault_gap_ms;
@@ -249,6 +253,7 @@
   base::declareRange("duration_ms", 1, 3'600'000);
   base::declareRange("edits", 0, 100'000);
   base::declareRange("rolling_gap_ms", 1, 600'000);
+  base::declareRange("recover_ms", 0, 600'000);
   gflags::SetArgv(argc, const_cast<const char**>(argv));
   auto arguments = base::loadSettingsOrExit(argc, argv, "driftlug-fleet run --deployment FOLDER --report FOLDER", true);
   apps::configureLogsFromSettings();
--- a/tools/process_group.cc
+++ b/tools/process_group.cc
@@ -5,11 +5,14 @@
 #include <spawn.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -23,6 +26,32 @@
 constexpr int kPollMs = 5;
 constexpr int kSignalBase = 128;
 
+/// Claims a block of ports for the life of this process, so that two fleets on one machine never draw the same port:
+/// one that is free now may be that of a process which another fleet is about to start.
+bool claimPortBlock(int block) {
+  const auto name = "driftlug-fleet-ports-" + std::to_string(block);
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  // An abstract name: it goes away with the socket, which is left open on purpose.
+  std::copy(name.begin(), name.end(), &address.sun_path[1]);
+  const auto length = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+  const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (::bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0) return true;
+  ::close(fd);
+  return false;
+}
+
+bool canListen(int port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  const bool free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  ::close(fd);
+  return free;
+}
+
 }  // namespace
 
 ProcessGroup::~ProcessGroup() {
@@ -129,21 +158,21 @@
   // Below the range from which the system takes the ports of outgoing connections: one of those could take the port of
   // a process that is about to start again.
   constexpr int kFirstPort = 12'000;
-  constexpr int kPortCount = 20'000;
-  static int next = static_cast<int>((static_cast<int64_t>(::getpid()) * 97) % kPortCount);
-  std::vector<int> sockets;
+  constexpr int kBlockPorts = 250;
+  constexpr int kBlocks = 80;
+  static int block = static_cast<int>(::getpid()) % kBlocks;
+  static int position = kBlockPorts;  // in the block that is in use; at its end to begin with
   std::vector<int> ports;
-  for (int tried = 0; tried < kPortCount && ports.size() < count; ++tried) {
-    const int port = kFirstPort + next++ % kPortCount;
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<uint16_t>(port));
-    sockets.push_back(fd);
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) ports.push_back(port);
+  for (int tried = 0; ports.size() < count && tried <= kBlocks;) {
+    if (position == kBlockPorts) {
+      ++tried;
+      block = (block + 1) % kBlocks;
+      position = claimPortBlock(block) ? 0 : kBlockPorts;
+      continue;
+    }
+    const int port = kFirstPort + block * kBlockPorts + position++;
+    if (canListen(port)) ports.push_back(port);
   }
-  for (const int fd : sockets) ::close(fd);
   return ports;
 }
 
--- a/tools/soak/fault_injector.cc
+++ b/tools/soak/fault_injector.cc
@@ -18,8 +18,9 @@
 class process_faults : public process_fault_injector
 {
 public:
-	explicit process_faults(tools::Fleet& _fleet)
+	process_faults(tools::Fleet& _fleet, bool _stopByKill)
 		: m_fleet(_fleet)
+		, m_stopByKill(_stopByKill)
 	{
 	}
 
@@ -66,7 +67,8 @@
 				return fmt::format("{} did not end within {} s of its stop", name, kStopTimeout / base::seconds(1));
 			}
 			const int code = m_fleet.processes().exitCodeOf(name);
-			if (state.planned && 0 != code)
+			constexpr int kEndedByStop = 128 + SIGTERM;
+			if (state.planned && 0 != code && !(state.early && kEndedByStop == code))
 			{
 				state.planned = false;
 				return fmt::format("{} ended with code {} in a planned stop", name, code);
@@ -82,6 +84,11 @@
 		return {};
 	}
 
+	void expectEarlyStop(const std::string& _name) override
+	{
+		m_ending[_name].early = true;
+	}
+
 	bool settled() const override
 	{
 		return m_ending.empty();
@@ -93,10 +100,11 @@
 		base::TimePoint since{};
 		int faults = 0;  // that end it, if one comes while the last one's stop is in progress
 		bool planned = false;
+		bool early = false;
 		bool startAgain = false;
 	};
 
-	static int signalOf(soak_action _action)
+	int signalOf(soak_action _action) const
 	{
 		switch (_action)
 		{
@@ -107,11 +115,12 @@
 			case soak_action::reload:
 				return SIGHUP;
 			default:
-				return SIGTERM;
+				return m_stopByKill ? SIGKILL : SIGTERM;
 		}
 	}
 
 	tools::Fleet& m_fleet;
+	bool m_stopByKill;
 	std::map<std::string, ending> m_ending;
 };
 
@@ -139,9 +148,9 @@
 
 }  // namespace
 
-std::unique_ptr<process_fault_injector> makeProcessFaults(tools::Fleet& _fleet)
+std::unique_ptr<process_fault_injector> makeProcessFaults(tools::Fleet& _fleet, bool _stopByKill)
 {
-	return std::make_unique<process_faults>(_fleet);
+	return std::make_unique<process_faults>(_fleet, _stopByKill);
 }
 
 std::unique_ptr<fault_injector> makeLinkFaults(tools::Fleet& _fleet)
--- a/tools/soak/fault_injector.h
+++ b/tools/soak/fault_injector.h
@@ -38,12 +38,17 @@
 	/// @returns What is wrong: a planned stop that took too long or failed. Empty when nothing is.
 	virtual std::string poll(std::vector<std::string>* _started) = 0;
 
+	/// The next planned stop comes to a process that never was ready in this life: it may end by the signal alone, as
+	/// it may not deal with signals yet.
+	virtual void expectEarlyStop(const std::string& _name) = 0;
+
 	/// @returns Whether every process runs again whose fault has ended.
 	virtual bool settled() const = 0;
 };
 
 /// Signals to processes that the fleet has started.
-std::unique_ptr<process_fault_injector> makeProcessFaults(tools::Fleet& _fleet);
+/// @param[in] _stopByKill Whether a planned stop kills, to prove that the checks trip.
+std::unique_ptr<process_fault_injector> makeProcessFaults(tools::Fleet& _fleet, bool _stopByKill);
 
 /// Faults of the links before processes.
 std::unique_ptr<fault_injector> makeLinkFaults(tools::Fleet& _fleet);
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -75,7 +75,7 @@
 soak_run::soak_run(tools::Fleet& _fleet, const soak_options& _options)
 	: m_fleet(_fleet)
 	, m_options(_options)
-	, m_processFaults(makeProcessFaults(_fleet))
+	, m_processFaults(makeProcessFaults(_fleet, _options.stopByKill))
 	, m_linkFaults(makeLinkFaults(_fleet))
 	, m_watch(std::make_unique<promise_watch>(_fleet))
 {
@@ -141,11 +141,27 @@
 	{
 		m_harms[_step.target].push_back({nowUs, nowUs + int64_t{1000} * _step.forMs});
 	}
+	if (soak_action::restart == _step.action && !isReady(_step.target))
+	{
+		m_processFaults->expectEarlyStop(_step.target);
+	}
 	m_watch->setHarmed(_step.target, true);
 	auto& faults = soak_action::link == _step.action ? *m_linkFaults : static_cast<fault_injector&>(*m_processFaults);
 	faults.begin(_step);
 }
 
+bool soak_run::isReady(const std::string& _name)
+{
+	for (const auto& member : m_fleet.allMembers())
+	{
+		if (_name == member.name)
+		{
+			return m_fleet.isReady(member);
+		}
+	}
+	return false;
+}
+
 void soak_run::applyEnd(const soak_step& _step)
 {
 	if (soak_action::link == _step.action)
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -32,6 +32,7 @@
 	double filingShare = 0.2;  //!< Of calls, those that may not be repeated.
 	bool rolling = false;      //!< Every node is stopped in turn, twice, instead of a drawn plan.
 	int rollingGapMs = 900;    //!< Between two of these stops.
+	bool stopByKill = false;   //!< Planned stops kill; proves that the checks trip.
 	int recoverMs = 15'000;    //!< Within which all is well again once the last fault is over.
 };
 
@@ -53,6 +54,7 @@
 	void play(std::vector<soak_step> _plan);
 	bool resolve(soak_step* _step);
 	void apply(const soak_step& _step, bool _begin);
+	bool isReady(const std::string& _name);
 	void applyEnd(const soak_step& _step);
 	void turn(int _untilMs);
 	void idleUntil(int _atMs);
