--- a/tools/soak/connection_record.h
+++ b/tools/soak/connection_record.h
@@ -17,9 +17,8 @@
 {
 	cut,      //!< Its connection ended, and nothing told that it was not read.
 	partial,  //!< The same, within its answer.
-	unread,   //!< An answer before it on its connection said that the connection closes: a server that says so takes
-			 //!< nothing behind it.
-	silent,  //!< Its connection stays open, and no answer came in time.
+	unread,   //!< An answer before it said that the connection closes; nothing behind is read.
+	silent,   //!< Its connection stays open, and no answer came in time.
 };
 
 /// One request without a complete answer. Times are of the monotonic clock, in microseconds.
--- a/tools/soak/open_connection.h
+++ b/tools/soak/open_connection.h
@@ -53,9 +53,8 @@
 		base::Duration longestPause = base::milliseconds(400);
 	};
 
-	/// Makes the next request.
-	/// @param[out] _bytes As it is sent.
-	using request_maker = std::function<open_request(std::string* _bytes)>;
+	/// Makes the next request, and its bytes as they are sent.
+	using request_maker = std::function<open_request(std::string*)>;
 
 	open_connection(transport::EventLoop& _loop, const base::Address& _target, const traffic& _traffic,
 					base::RandomSource _random, request_maker _make, request_watcher& _watcher);
--- a/tools/soak/soak_plan.cc
+++ b/tools/soak/soak_plan.cc
@@ -70,7 +70,8 @@
 private:
 	int drawBetween(int _least, int _most)
 	{
-		return _least + static_cast<int>(m_random.below(static_cast<uint64_t>(_most - _least + 1)));
+		return _least
+			   + static_cast<int>(m_random.below(static_cast<uint64_t>(_most) - static_cast<uint64_t>(_least) + 1));
 	}
 
 	void drawAt(int _atMs)
