--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -1,5 +1,10 @@
 #include "transport/frame_transport.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
 #include "raw_client.h"
@@ -226,4 +231,28 @@
   CHECK(right.counters().silentClosed == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "a connection that is slow to come up gets the time that was given") {
+  // A listener whose queue is full drops the openings of connections, as a link does whose queue is.
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  REQUIRE(::listen(listener, 0) == 0);
+  socklen_t size = sizeof(address);
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  int waiting[3];
+  for (int& socket : waiting) {
+    socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    (void)::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
+  settle(loop);
+  const auto begun = loop.now();
+  left.connectWithTimeout({"127.0.0.1", ntohs(address.sin_port)}, base::milliseconds(3500));
+  while (leftRecorder.closed.empty()) loop.runOnce();
+  CHECK(loop.now() - begun >= base::milliseconds(3400));
+  for (const int socket : waiting) ::close(socket);
+  ::close(listener);
+}
+
 }  // namespace driftlug::transport
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -320,4 +320,33 @@
   CHECK(client.ended());
 }
 
+TEST_CASE_METHOD(Fixture, "a caller that does not read for two seconds gets its answer whole") {
+  constexpr size_t kMoreThanWindows = 16U << 20;
+  RawClient client(loop, server.port());
+  client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer(0, std::string(kMoreThanWindows, 'x'));
+  const auto until = loop.now() + base::seconds(2);
+  while (loop.now() < until) settle(loop);
+  std::string text;
+  for (int i = 0; i < 300 && text.size() < kMoreThanWindows; ++i) text += client.receive();
+  CHECK(text.size() > kMoreThanWindows);
+}
+
+TEST_CASE_METHOD(Fixture, "an answer that the system holds survives the end of reading and a request that crosses it") {
+  constexpr size_t kLessThanWindows = 3U << 20;
+  RawClient client(loop, server.port());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer(0, std::string(kLessThanWindows, 'x'));
+  settle(loop);
+  CHECK(server.unsentBytes() > 0);
+  server.readNoMore();
+  client.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::string text;
+  for (int i = 0; i < 300 && text.size() < kLessThanWindows; ++i) text += client.receive();
+  CHECK(text.size() > kLessThanWindows);
+  CHECK(requests.size() == 1);
+  settle(loop);
+  CHECK(server.unsentBytes() == 0);
+}
+
 }  // namespace driftlug::transport
