Give openings and slow readers their time, and count what the system holds of answers

Root cause: one time-out of 0.8 s for unacknowledged bytes on every socket, set before it is opened: an opening ended after 1.03 s whatever it was given, a caller that paused for 2 s got 128 kB of 16 MB. What the system held of an answer was not counted: a request that crossed the end of reading reset it, 128 kB of 3 MB arrived.

Change: until a connection is up its own time to connect holds; callers may pause for 10 s; a stop counts what callers have not acknowledged, and a connection with such bytes is ended behind them.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -12,6 +12,9 @@
 constexpr base::Duration kRoomInterval = base::milliseconds(100);
 /// Share of the connections that are closed at once to make room, so that a burst of callers costs few passes.
 constexpr size_t kRoomShare = 32;
+/// How long a caller may go without taking a byte of its answer. A link of 2 Mbit/s with 1 MB in front of it holds one
+/// back for 4 s; with the 0.8 s of frames, a caller that paused for 2 s got 128 kB of 16 MB.
+constexpr base::Duration kSlowReader = base::seconds(10);
 constexpr size_t kMaxUnreadBytes = 256U << 10;
 /// How soon a close is seen on a connection that is not read for the moment. What its caller asked for is to end within
 /// 500 ms of the close, at the other nodes as well.
@@ -46,7 +49,11 @@
 
 HttpServer::~HttpServer() = default;
 
-absl::Status HttpServer::listen(const std::string& host, int port) { return listener_.listen(host, port, {}); }
+absl::Status HttpServer::listen(const std::string& host, int port) {
+  StreamOptions options;
+  options.unacknowledged = kSlowReader;
+  return listener_.listen(host, port, options);
+}
 
 void HttpServer::setOptions(const HttpServerOptions& options) {
   options_ = options;
@@ -75,21 +82,22 @@
   setDraining();
   std::vector<ConnectionId> unused;
   for (const auto& [id, connection] : connections_) {
-    const bool answered = connection->waiting.empty() && !connection->lingering;
-    if (answered && connection->stream->queuedBytes() == 0) {
+    if (!connection->waiting.empty() || connection->lingering) continue;
+    if (connection->stream->undeliveredBytes() == 0) {
       unused.push_back(id);
       continue;
     }
-    if (!answered) continue;
+    // Closed now, a request that crosses the close would reset what is on its way: 128 kB of an answer of 3 MB arrived.
     connection->closing = true;
-    connection->lingering = true;  // ends once the answer has left
+    connection->lingering = true;
+    if (connection->stream->queuedBytes() == 0) onDrained(connection.get());
   }
   for (const auto id : unused) drop(id);
 }
 
 size_t HttpServer::unsentBytes() const {
   size_t bytes = 0;
-  for (const auto& [id, connection] : connections_) bytes += connection->stream->queuedBytes();
+  for (const auto& [id, connection] : connections_) bytes += connection->stream->undeliveredBytes();
   return bytes;
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -90,7 +90,7 @@
   /// @return requests that were not answered yet.
   size_t pending() const { return exchanges_.size(); }
 
-  /// @return bytes of answers that the system has not taken yet.
+  /// @return bytes of answers that callers have not acknowledged.
   size_t unsentBytes() const;
 
   /// @return connections that are open, those included that wait for the peer to close.
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -2,12 +2,15 @@
 
 #include <arpa/inet.h>
 #include <libwebsockets.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -33,11 +36,15 @@
   return inet_pton(AF_INET, host.c_str(), &address->sin_addr) == 1;
 }
 
-void setOptions(int socket, const StreamOptions& options) {
+void setUserTimeout(int socket, base::Duration unacknowledged) {
+  const auto timeout = static_cast<unsigned>(unacknowledged.count() / 1000);
+  ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+void setOptions(int socket, base::Duration unacknowledged) {
   const int on = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  const auto timeout = static_cast<unsigned>(options.unacknowledged.count() / 1000);
-  ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  setUserTimeout(socket, unacknowledged);
 }
 
 }  // namespace
@@ -49,7 +56,8 @@
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   bool good = socket >= 0 && fillAddress(address.host, address.port, &target);
   if (good) {
-    setOptions(socket, options);
+    // The opening counts as unacknowledged too: with 0.8 s it was over after 1.03 s, whatever the time to connect.
+    setOptions(socket, std::max(options.unacknowledged, options.connectTimeout));
     const int result = ::connect(socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
     good = result == 0 || errno == EINPROGRESS;
   }
@@ -71,7 +79,7 @@
 
 std::shared_ptr<TcpStream> TcpStream::accept(EventLoop& loop, int socket, const StreamOptions& options) {
   std::shared_ptr<TcpStream> stream(new TcpStream(loop, nullptr, options));
-  setOptions(socket, options);
+  setOptions(socket, options.unacknowledged);
   stream->connected_ = true;
   return loop.adopt(socket, stream) ? stream : nullptr;
 }
@@ -138,6 +146,12 @@
   if (wsi_ != nullptr && !closing_) lws_rx_flow_control(wsi_, reading ? 1 : 0);
 }
 
+size_t TcpStream::undeliveredBytes() const {
+  int held = 0;
+  if (wsi_ != nullptr && ::ioctl(socket_, SIOCOUTQ, &held) != 0) held = 0;  // where the system can't say
+  return queuedBytes() + static_cast<size_t>(std::max(0, held));
+}
+
 bool TcpStream::hasUnread() const {
   if (wsi_ == nullptr || closing_) return false;
   pollfd descriptor{socket_, POLLIN, 0};
@@ -194,6 +208,7 @@
     ::getsockopt(socket_, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) return false;
     connected_ = true;
+    setUserTimeout(socket_, options_.unacknowledged);
     loop_.cancel(connectTimer_);
     connectTimer_ = 0;
     if (handler_ != nullptr) handler_->onConnected();
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -67,6 +67,9 @@
   /// @return whether something has arrived that was not read yet, bytes or the end of the connection, or may have.
   bool hasUnread() const;
 
+  /// @return bytes queued here or in the system that the peer has not acknowledged.
+  size_t undeliveredBytes() const;
+
   /// @return bytes that the system has taken so far.
   int64_t sentBytes() const { return sentBytes_; }
 
