Play the end of a stop in the incident's test

Change: a third case with calls that wait beyond the stop: every one is answered, as run or as not run, and without the giving up some are not.

--- a/test/incidents/narrow_link_test.cc
+++ b/test/incidents/narrow_link_test.cc
@@ -101,7 +101,7 @@
 	base::Duration m_longest{0};
 };
 
-wire::Row routeOf(const std::string& _name, bool _repeatable)
+wire::Row routeOf(const std::string& _name, bool _repeatable, int _targetMs)
 {
 	wire::Row row;
 	row.key = table::makeKey(wire::RowKind::ROUTE, _name);
@@ -109,9 +109,9 @@
 	row.routeRow.host = "shop.example";
 	row.routeRow.pathPrefix = "/" + _name + "/";
 	row.routeRow.repeatable = _repeatable;
-	row.routeRow.timeoutMs = 6000;
+	row.routeRow.timeoutMs = 12'000;  // longer than all bodies take
 	row.routeRow.maxAttempts = 2;
-	row.routeRow.targetLatencyMs = 1000;
+	row.routeRow.targetLatencyMs = _targetMs;
 	row.routeRow.priority = _repeatable ? 0 : 1;
 	wire::WeightedService share;
 	share.serviceName = "deliveries";
@@ -125,7 +125,8 @@
 {
 public:
 	/// @param[in] _flowControl Whether the receiver says that it grants bodies and answers withdrawals.
-	explicit fleet(bool _flowControl)
+	/// @param[in] _targetMs Target latency of the routes; 0 for none, and then calls wait until their deadline.
+	explicit fleet(bool _flowControl, int _targetMs = 1000)
 		: m_process(m_queue, "fleet", {"zone", "region"}, {"10.0.0.1", 7000})
 		, m_link(m_queue)
 		, m_answers(*this)
@@ -141,7 +142,7 @@
 		m_endpoint->useIncarnation("receiver", 12);
 		for (int i = 0; i <= kNodes; ++i)
 		{
-			addNode(_flowControl);
+			addNode(_flowControl, _targetMs);
 		}
 	}
 
@@ -151,7 +152,7 @@
 		inbound.method = "POST";
 		inbound.host = "shop.example";
 		inbound.path = _path;
-		inbound.deadlineMs = 6000;
+		inbound.deadlineMs = 12'000;
 		inbound.body = std::string(_bodyBytes, 'b');
 		const auto begunAt = m_queue.now();
 		m_nodes[_node]->entry->begin(std::move(inbound),
@@ -177,7 +178,8 @@
 	}
 
 	/// All nodes are told to stop at the start.
-	void stopAll()
+	/// @param[in] _givesUp Whether what waits is given up before the end.
+	void stopAll(bool _givesUp = true)
 	{
 		runUntil(kLinger);
 		for (const auto& node : m_nodes)
@@ -187,6 +189,10 @@
 		runUntil(kLastRefusals);
 		for (const auto& node : m_nodes)
 		{
+			if (!_givesUp)
+			{
+				break;
+			}
 			node->entry->refuseWaiting();
 		}
 		runUntil(kStopEnds);
@@ -306,7 +312,7 @@
 		return std::move(*message);
 	}
 
-	void addNode(bool _flowControl)
+	void addNode(bool _flowControl, int _targetMs)
 	{
 		auto added = std::make_unique<node>();
 		added->network = std::make_unique<to_receiver>(*this, m_nodes.size());
@@ -318,8 +324,8 @@
 		added->entry =
 			std::make_unique<EntryCalls>(options, m_process, base::RandomSource(m_nodes.size() + 1), *added->network);
 		table::Table rows;
-		rows.put(std::make_shared<wire::Row>(routeOf("uploads", false)));
-		rows.put(std::make_shared<wire::Row>(routeOf("small", true)));
+		rows.put(std::make_shared<wire::Row>(routeOf("uploads", false, _targetMs)));
+		rows.put(std::make_shared<wire::Row>(routeOf("small", true, _targetMs)));
 		added->entry->useTable(std::make_shared<routing::RoutingTable>(rows, 1));
 		wire::EndpointState state;
 		state.endpoint = "receiver";
@@ -413,4 +419,27 @@
 	CHECK(kUploads + 1 > nodes.answers.size());
 }
 
+TEST_CASE("what still waits when a stop ends is answered as not run, and only what waits")
+{
+	const bool givesUp = GENERATE(true, false);
+	fleet nodes(true, 0);
+	nodes.uploadFromAll();
+	nodes.stopAll(givesUp);
+	const auto notRun = std::count_if(nodes.answers.begin(), nodes.answers.end(),
+									  [](const fleet::answer& _answer)
+									  {
+										  return wire::CallOutcome::NOT_RUN == _answer.outcome;
+									  });
+	if (givesUp)
+	{
+		CHECK(kUploads == nodes.answers.size());
+		CHECK(kUploads == nodes.runs().size() + static_cast<size_t>(notRun));
+		CHECK(0 < notRun);
+	}
+	else
+	{
+		CHECK(kUploads > nodes.answers.size());
+	}
+}
+
 }  // namespace driftlug::node
