--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -32,7 +32,7 @@
   /// Whether a request is refused at once when it would wait so long for a slot that its answer would miss the target
   /// latency of its route; else it waits as long as its deadline allows.
   bool waitWithinTarget = false;
-  double holdMargin = 1.3;       ///< with waitWithinTarget: what is kept free for the run, as a multiple of a usual run
+  double holdMargin = 1.6;       ///< with waitWithinTarget: what is kept free for the run, as a multiple of a usual run
   double leastWaitShare = 0.15;  ///< with waitWithinTarget: share of the target that a request may wait at the least
   /// Whether nested calls, as far as they can be told, go first: the work that hangs on them is done already.
   bool nestedFirst = true;
