Name failed requests by what they ask for, so that repeats are seen across nodes

Cause: a failed attempt is logged by the id of the try. Change: quarantine/request_fingerprint, a hash of 128 bits over method, host, path, calling service and body, in the lines of failed attempts and unknown runs at both nodes; a counter of runs that the back end cut. Conclusion: repeats of one request can be grepped at all nodes.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -115,6 +115,7 @@
   page->gauge("endpoint_body_bytes_per_second", "what the link is taken to carry of bodies",
               static_cast<double>(endpoint.bodies().bytesPerSecond()));
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
+  page->counter("endpoint_cut_runs_total", "runs whose connection the back end closed without an answer", runs.cutRuns);
   page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
   page->counter("entry_silent_links_total", "links that did not acknowledge what was sent on them", calls.silentLinks);
   page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
--- /dev/null
+++ b/src/node/call_fingerprint.cc
@@ -0,0 +1,23 @@
+#include "node/call_fingerprint.h"
+
+namespace driftlug::node {
+namespace {
+
+std::string_view hostIn(const std::vector<wire::HttpHeader>& headers) {
+  for (const auto& header : headers) {
+    if (header.name == "host") return std::string_view(header.value).substr(0, header.value.find(':'));
+  }
+  return {};
+}
+
+}  // namespace
+
+quarantine::request_fingerprint fingerprintOf(const InboundCall& call, std::string_view callerService) {
+  return quarantine::fingerprintOf({call.method, call.host, call.path, callerService, call.body});
+}
+
+quarantine::request_fingerprint fingerprintOf(const wire::CallRequest& call, std::string_view callerService) {
+  return quarantine::fingerprintOf({call.method, hostIn(call.headers), call.path, callerService, call.body});
+}
+
+}  // namespace driftlug::node
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "node/call_fingerprint.h"
 #include "wire/frame.h"
 
 namespace driftlug::node {
@@ -24,7 +25,7 @@
 constexpr base::Duration kLedgerPatience = base::seconds(2);
 
 /// @return a hash over what the request asks for, to notice a key that is used for another request.
-int64_t fingerprintOf(const wire::CallRequest& request) {
+int64_t contentHashOf(const wire::CallRequest& request) {
   const auto content = request.serviceName + '\n' + request.method + '\n' + request.path + '\n' + request.body;
   return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
 }
@@ -300,7 +301,7 @@
   auto& call = calls_[key];
   ++call.claimsTried;
   const auto left = call.deadline - scheduler_.now();
-  ledger_->claim(call.request.idempotencyKey, fingerprintOf(call.request), call.owner, left,
+  ledger_->claim(call.request.idempotencyKey, contentHashOf(call.request), call.owner, left,
                  [this, alive = std::weak_ptr<bool>(alive_), key](const ledger::LedgerAnswer& answer) {
                    if (!alive.expired()) onClaim(key, answer);
                  });
@@ -348,6 +349,7 @@
   }
   if (completed && backendRefused(key, answer)) return;
   if (!completed) {
+    if (!answer.timedOut) ++counters_.cutRuns;
     return answerUnknown(key, answer.timedOut ? ErrorCode::kDeadlineExceeded : ErrorCode::kBackendFailed);
   }
   wire::StoredAnswer stored;
@@ -386,7 +388,7 @@
 
 void EndpointCalls::answerUnknown(const CallKey& key, ErrorCode error) {
   ++counters_.unknown;
-  logUnknown(calls_[key], error);
+  logUnknown(key, error);
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::UNKNOWN;
   response.errorCode = static_cast<int>(error);
@@ -464,12 +466,20 @@
   });
 }
 
-void EndpointCalls::logUnknown(const Call& call, ErrorCode error) {
+std::string EndpointCalls::fingerprintText(const CallKey& key) const {
+  const auto caller = callerServices_.find(key.connection);
+  const auto& request = calls_.at(key).request;
+  return quarantine::toText(fingerprintOf(request, caller == callerServices_.end() ? "" : caller->second));
+}
+
+void EndpointCalls::logUnknown(const CallKey& key, ErrorCode error) {
   decisions_.write(base::LineWorth::kFailure, [&] {
+    const auto& call = calls_.at(key);
     const auto ran = std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - call.startedAt);
-    return fmt::format("unknown call={} service={} endpoint={} error={} ran_ms={} run_once={}",
-                       requestIdOf(call.request), call.request.serviceName, call.request.endpoint,
-                       base::errorName(error), ran.count(), call.request.runOnce);
+    return fmt::format("unknown call={} request={} {} {} service={} endpoint={} error={} ran_ms={} run_once={}",
+                       requestIdOf(call.request), fingerprintText(key), call.request.method, call.request.path,
+                       call.request.serviceName, call.request.endpoint, base::errorName(error), ran.count(),
+                       call.request.runOnce);
   });
 }
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -49,6 +49,7 @@
   int64_t completed = 0;
   int64_t refused = 0;
   int64_t unknown = 0;
+  int64_t cutRuns = 0;  ///< whose connection the back end closed without an answer, as it does when it crashes
   int64_t cancelled = 0;
   int64_t replayed = 0;           ///< answered from the ledger, without a run
   int64_t refusedForLink = 0;     ///< refused since their body could not have arrived in time
@@ -163,7 +164,8 @@
   void refuseWith(const CallKey& key, base::ErrorCode error, base::Duration retryAfter, wire::CallResponse response);
   base::Duration sentAwayFor(base::Duration interval, base::TimePoint Asker::*askedAt) const;
   void logRefusal(const Call& call, base::ErrorCode error, base::Duration retryAfter);
-  void logUnknown(const Call& call, base::ErrorCode error);
+  void logUnknown(const CallKey& key, base::ErrorCode error);
+  std::string fingerprintText(const CallKey& key) const;
   std::string requestIdOf(const wire::CallRequest& request) const;
   static bool isRepeatable(const wire::CallRequest& request);
 
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "node/call_fingerprint.h"
 #include "table/validator.h"
 #include "wire/frame.h"
 
@@ -430,14 +431,19 @@
   return options_.requestIdHeader.empty() ? "" : headerValue(call.inbound.headers, options_.requestIdHeader);
 }
 
+std::string EntryCalls::fingerprintText(const Call& call) const {
+  return quarantine::toText(fingerprintOf(call.inbound, options_.service));
+}
+
 void EntryCalls::logAttemptFailed(const Call& call, Reach reach, bool again, const char* because) {
   decisions_.write(base::LineWorth::kFailure, [&] {
     const char* reached = reach == Reach::kNode ? "node" : reach == Reach::kMayHaveRun ? "may_have_run" : "refused";
     return fmt::format(
-        "attempt call={} route={} service={} endpoint={} error={} reached={} attempts={} refusals={} "
+        "attempt call={} request={} route={} service={} endpoint={} error={} reached={} attempts={} refusals={} "
         "repeatable={} again={} because={} table={}",
-        requestIdOf(call), call.route, call.service, call.endpoint, base::errorName(call.lastFailure.error), reached,
-        call.attempts, call.refusals, call.repeatable, again, because, call.table ? call.table->revision() : 0);
+        requestIdOf(call), fingerprintText(call), call.route, call.service, call.endpoint,
+        base::errorName(call.lastFailure.error), reached, call.attempts, call.refusals, call.repeatable, again, because,
+        call.table ? call.table->revision() : 0);
   });
 }
 
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -25,6 +25,7 @@
 struct EntryOptions {
   std::string nodeId;
   std::string zone;
+  std::string service;  ///< of the back end beside this node; empty for none
   routing::PickerOptions picker;
   bool retries = true;
   routing::RetryRule defaultRetry;  ///< of services without a retry policy
@@ -169,6 +170,7 @@
   void finish(CallId id, CallAnswer answer);
   CallAnswer failureAnswer(wire::CallOutcome::type outcome, base::ErrorCode error, int status, int retryAfterMs) const;
   std::string requestIdOf(const Call& call) const;
+  std::string fingerprintText(const Call& call) const;
   void logAttemptFailed(const Call& call, Reach reach, bool again, const char* because);
   void logOutcome(const Call& call, const CallAnswer& answer);
   static int rankOf(const Call& call);
