--- a/src/base/time.h
+++ b/src/base/time.h
@@ -12,6 +12,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// @return a duration in whole milliseconds, as messages and headers carry it.
+inline int32_t millisecondsOf(Duration duration) { return static_cast<int32_t>(duration.count() / 1000); }
+
+/// @return a duration from what is counted in microseconds with fractions, as averages are.
+inline Duration microsecondsOf(double count) { return Duration(static_cast<int64_t>(count)); }
+
 /// A point on the process's (or the simulation's) monotonic clock.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -1,7 +1,5 @@
 #include "node/endpoint_calls.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 #include "node/call_fingerprint.h"
@@ -17,22 +15,7 @@
 constexpr base::Duration kAskingMemory = base::seconds(2);
 /// How many requests are wanted for each slot that becomes free, so that none stays empty.
 constexpr int kRequestsPerFreeSlot = 2;
-/// Interval at which bodies that will not come are given up, and the room of stalled senders is granted to others.
-constexpr base::Duration kBodyInterval = base::milliseconds(50);
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
-constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
-/// Time for which a node goes on to tell the ledger how a request ended.
-constexpr base::Duration kLedgerPatience = base::seconds(2);
-
-/// @return a hash over what the request asks for, to notice a key that is used for another request.
-int64_t contentHashOf(const wire::CallRequest& request) {
-  const auto content = request.serviceName + '\n' + request.method + '\n' + request.path + '\n' + request.body;
-  return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
-}
-
-int32_t millisecondsOf(base::Duration duration) { return static_cast<int32_t>(duration.count() / 1000); }
-
-base::Duration microsecondsOf(double count) { return base::Duration(static_cast<int64_t>(count)); }
 
 overload::call_kind kindOf(const wire::CallRequest& request) {
   return {request.priority, request.targetLatencyMs, request.runOnce};
@@ -142,86 +125,15 @@
   armExpiry();
 }
 
-/// A body that can't be here in time isn't sent: the refusal costs its sender and this node's link next to nothing.
-void EndpointCalls::awaitBody(const CallKey& key) {
-  auto& call = calls_[key];
-  const auto now = scheduler_.now();
-  const auto bytes = call.request.bodyBytes;
-  const auto arrival = bodies_.expectedWait(bytes, static_cast<int>(call.priority), call.latestStart);
-  const auto wait = arrival + limiter_.expectedWait(call.priority, call.latestStart);
-  if (now + wait > call.latestStart) return refuseForLink(key, wait);
-  call.awaitsBody = true;
-  bodies_.announce({key.connection, key.callId}, bytes, static_cast<int>(call.priority), call.latestStart, now);
-  grantBodies();
-}
-
-void EndpointCalls::grantBodies() {
-  for (const auto& granted : bodies_.grant(scheduler_.now())) {
-    wire::CallBodyGrant grant;
-    grant.callId = granted.body.call;
-    grant.upToBytes = granted.upToBytes;
-    network_.send(granted.body.connection, wire::encodeFrame(grant));
-  }
-  if (bodies_.empty()) return bodyTimer_.stop();
-  if (!bodyTimer_.running()) bodyTimer_.start(kBodyInterval);
-}
-
-void EndpointCalls::onBodyTimer() {
-  for (const auto& body : bodies_.takeExpired(scheduler_.now())) {
-    const CallKey key{body.connection, body.call};
-    auto& call = calls_[key];
-    call.awaitsBody = false;
-    const auto rank = static_cast<int>(call.priority);
-    refuseForLink(key, bodies_.expectedWait(call.request.bodyBytes, rank, call.latestStart));
-  }
-  grantBodies();
-}
-
-void EndpointCalls::onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece) {
-  const CallKey key{connection, piece.callId};
-  const auto found = calls_.find(key);
-  if (found == calls_.end() || !found->second.awaitsBody) return;
-  auto& call = found->second;
-  call.request.body += piece.data;
-  const auto arrived = static_cast<int64_t>(piece.data.size());
-  const bool whole = bodies_.onBytes({connection, piece.callId}, arrived, scheduler_.now());
-  if (whole) {
-    call.awaitsBody = false;
-    const bool asAnnounced = static_cast<int64_t>(call.request.body.size()) == call.request.bodyBytes;
-    if (asAnnounced) {
-      admit(key);
-    } else {
-      refuse(key, ErrorCode::kBadFrame, base::Duration(0));
-    }
-  }
-  grantBodies();
-}
-
-void EndpointCalls::refuseAwaitingBodies() {
-  std::vector<CallKey> awaiting;
-  for (const auto& [key, call] : calls_) {
-    if (call.awaitsBody) awaiting.push_back(key);
-  }
-  for (const auto& key : awaiting) {
-    dropBody(key, &calls_[key]);
-    refuse(key, ErrorCode::kDraining, base::Duration(0));
-  }
-}
-
-void EndpointCalls::dropBody(const CallKey& key, Call* call) {
-  call->awaitsBody = false;
-  bodies_.drop({key.connection, key.callId});
-}
-
 base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
   const int targetMs = call.request.targetLatencyMs;
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
   // A late answer still saves the work that hangs on a nested call; only one that comes after its end is worth nothing.
-  if (call.nested) return call.deadline - microsecondsOf(options_.holdMargin * usualRunUs(call.request));
+  if (call.nested) return call.deadline - base::microsecondsOf(options_.holdMargin * usualRunUs(call.request));
   const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
   const double spareUs = leftOfTargetUs(call.request) - options_.holdMargin * usualRunUs(call.request);
   const double waitUs = std::max(targetUs * options_.leastWaitShare, spareUs);
-  return std::min(call.deadline, scheduler_.now() + microsecondsOf(waitUs));
+  return std::min(call.deadline, scheduler_.now() + base::microsecondsOf(waitUs));
 }
 
 double EndpointCalls::usualRunUs(const wire::CallRequest& request) const {
@@ -297,40 +209,6 @@
   claim(key);
 }
 
-void EndpointCalls::claim(const CallKey& key) {
-  auto& call = calls_[key];
-  ++call.claimsTried;
-  const auto left = call.deadline - scheduler_.now();
-  ledger_->claim(call.request.idempotencyKey, contentHashOf(call.request), call.owner, left,
-                 [this, alive = std::weak_ptr<bool>(alive_), key](const ledger::LedgerAnswer& answer) {
-                   if (!alive.expired()) onClaim(key, answer);
-                 });
-}
-
-void EndpointCalls::onClaim(const CallKey& key, const ledger::LedgerAnswer& answer) {
-  constexpr int kMaxClaims = 4;
-  constexpr base::Duration kClaimInterval = base::milliseconds(100);
-  if (calls_.count(key) == 0) return;
-  switch (answer.verdict) {
-    case wire::LedgerVerdict::GRANTED:
-      return sendToBackend(key);
-    case wire::LedgerVerdict::COMPLETED:
-      ++counters_.replayed;
-      return answerCompleted(key, *answer.stored);
-    case wire::LedgerVerdict::MISMATCH:
-      return refuse(key, ErrorCode::kKeyReused, base::Duration(0));
-    case wire::LedgerVerdict::CLAIMED:
-      // Another attempt with the key is running, or its node died; its answer may be stored in a moment.
-      if (calls_[key].claimsTried >= kMaxClaims) return answerUnknown(key, ErrorCode::kOutcomeUnknown);
-      scheduler_.schedule(kClaimInterval, [this, alive = std::weak_ptr<bool>(alive_), key] {
-        if (!alive.expired() && calls_.count(key) > 0) claim(key);
-      });
-      return;
-    case wire::LedgerVerdict::UNAVAILABLE:
-      return releaseThenRefuse(key, ErrorCode::kLedgerUnavailable, kLedgerRetryAfter);
-  }
-}
-
 void EndpointCalls::sendToBackend(const CallKey& key) {
   auto& call = calls_[key];
   const auto timeout = call.deadline - scheduler_.now();
@@ -396,17 +274,6 @@
   answer(key, std::move(response));
 }
 
-void EndpointCalls::releaseThenRefuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
-  const auto& call = calls_[key];
-  if (call.owner.empty()) return refuse(key, error, retryAfter);
-  // Another endpoint may run the request only once the key is free again; without the ledger's word it stays claimed,
-  // and a resend will be told that the outcome is unknown.
-  ledger_->release(call.request.idempotencyKey, call.owner, kLedgerPatience,
-                   [this, alive = std::weak_ptr<bool>(alive_), key, error, retryAfter](const ledger::LedgerAnswer&) {
-                     if (!alive.expired() && calls_.count(key) > 0) refuse(key, error, retryAfter);
-                   });
-}
-
 void EndpointCalls::releaseSlot(const Call& call) {
   if (call.running) limiter_.release(scheduler_.now() - call.startedAt, call.priority);
 }
@@ -414,21 +281,11 @@
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
   wire::CallResponse response;
   if (error == ErrorCode::kOverloaded) {
-    response.fullForMs = millisecondsOf(sentAwayFor(limiter_.slotInterval(), &Asker::askedAt));
+    response.fullForMs = base::millisecondsOf(sentAwayFor(limiter_.slotInterval(), &Asker::askedAt));
   }
   refuseWith(key, error, retryAfter, std::move(response));
 }
 
-void EndpointCalls::refuseForLink(const CallKey& key, base::Duration wait) {
-  ++counters_.refusedForLink;
-  const auto bytes = static_cast<double>(calls_[key].request.bodyBytes);
-  const auto interval = microsecondsOf(bytes / static_cast<double>(bodies_.bytesPerSecond()) * 1e6);
-  wire::CallResponse response;
-  response.fullForBodies = true;
-  response.fullForMs = millisecondsOf(sentAwayFor(interval, &Asker::announcedAt));
-  refuseWith(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter), std::move(response));
-}
-
 void EndpointCalls::refuseWith(const CallKey& key, ErrorCode error, base::Duration retryAfter,
                                wire::CallResponse response) {
   ++counters_.refused;
@@ -436,7 +293,7 @@
   releaseSlot(calls_[key]);
   response.outcome = wire::CallOutcome::NOT_RUN;
   response.errorCode = static_cast<int>(error);
-  response.retryAfterMs = millisecondsOf(retryAfter);
+  response.retryAfterMs = base::millisecondsOf(retryAfter);
   answer(key, std::move(response));
 }
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -104,6 +104,9 @@
   const overload::body_intake& bodies() const { return bodies_; }
 
  private:
+  /// Time for which a node goes on to tell the ledger how a request ended.
+  static constexpr base::Duration kLedgerPatience = base::seconds(2);
+
   struct CallKey {
     base::ConnectionId connection;
     int64_t callId;
--- /dev/null
+++ b/src/node/endpoint_calls_bodies.cc
@@ -0,0 +1,96 @@
+/// Bodies of calls that follow in pieces.
+#include "node/endpoint_calls.h"
+#include "wire/frame.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+
+/// Interval at which bodies that will not come are given up, and the room of stalled senders is granted to others.
+constexpr base::Duration kBodyInterval = base::milliseconds(50);
+
+}  // namespace
+
+/// A body that can't be here in time isn't sent: the refusal costs its sender and this node's link next to nothing.
+void EndpointCalls::awaitBody(const CallKey& key) {
+  auto& call = calls_[key];
+  const auto now = scheduler_.now();
+  const auto bytes = call.request.bodyBytes;
+  const auto arrival = bodies_.expectedWait(bytes, static_cast<int>(call.priority), call.latestStart);
+  const auto wait = arrival + limiter_.expectedWait(call.priority, call.latestStart);
+  if (now + wait > call.latestStart) return refuseForLink(key, wait);
+  call.awaitsBody = true;
+  bodies_.announce({key.connection, key.callId}, bytes, static_cast<int>(call.priority), call.latestStart, now);
+  grantBodies();
+}
+
+void EndpointCalls::grantBodies() {
+  for (const auto& granted : bodies_.grant(scheduler_.now())) {
+    wire::CallBodyGrant grant;
+    grant.callId = granted.body.call;
+    grant.upToBytes = granted.upToBytes;
+    network_.send(granted.body.connection, wire::encodeFrame(grant));
+  }
+  if (bodies_.empty()) return bodyTimer_.stop();
+  if (!bodyTimer_.running()) bodyTimer_.start(kBodyInterval);
+}
+
+void EndpointCalls::onBodyTimer() {
+  for (const auto& body : bodies_.takeExpired(scheduler_.now())) {
+    const CallKey key{body.connection, body.call};
+    auto& call = calls_[key];
+    call.awaitsBody = false;
+    const auto rank = static_cast<int>(call.priority);
+    refuseForLink(key, bodies_.expectedWait(call.request.bodyBytes, rank, call.latestStart));
+  }
+  grantBodies();
+}
+
+void EndpointCalls::onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece) {
+  const CallKey key{connection, piece.callId};
+  const auto found = calls_.find(key);
+  if (found == calls_.end() || !found->second.awaitsBody) return;
+  auto& call = found->second;
+  call.request.body += piece.data;
+  const auto arrived = static_cast<int64_t>(piece.data.size());
+  const bool whole = bodies_.onBytes({connection, piece.callId}, arrived, scheduler_.now());
+  if (whole) {
+    call.awaitsBody = false;
+    const bool asAnnounced = static_cast<int64_t>(call.request.body.size()) == call.request.bodyBytes;
+    if (asAnnounced) {
+      admit(key);
+    } else {
+      refuse(key, ErrorCode::kBadFrame, base::Duration(0));
+    }
+  }
+  grantBodies();
+}
+
+void EndpointCalls::refuseAwaitingBodies() {
+  std::vector<CallKey> awaiting;
+  for (const auto& [key, call] : calls_) {
+    if (call.awaitsBody) awaiting.push_back(key);
+  }
+  for (const auto& key : awaiting) {
+    dropBody(key, &calls_[key]);
+    refuse(key, ErrorCode::kDraining, base::Duration(0));
+  }
+}
+
+void EndpointCalls::dropBody(const CallKey& key, Call* call) {
+  call->awaitsBody = false;
+  bodies_.drop({key.connection, key.callId});
+}
+
+void EndpointCalls::refuseForLink(const CallKey& key, base::Duration wait) {
+  ++counters_.refusedForLink;
+  const auto bytes = static_cast<double>(calls_[key].request.bodyBytes);
+  const auto interval = base::microsecondsOf(bytes / static_cast<double>(bodies_.bytesPerSecond()) * 1e6);
+  wire::CallResponse response;
+  response.fullForBodies = true;
+  response.fullForMs = base::millisecondsOf(sentAwayFor(interval, &Asker::announcedAt));
+  refuseWith(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter), std::move(response));
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/src/node/endpoint_calls_ledger.cc
@@ -0,0 +1,66 @@
+/// Claims of requests that may not be repeated.
+#include <xxhash.h>
+
+#include "node/endpoint_calls.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+
+constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
+
+/// @return a hash over what the request asks for, to notice a key that is used for another request.
+int64_t contentHashOf(const wire::CallRequest& request) {
+  const auto content = request.serviceName + '\n' + request.method + '\n' + request.path + '\n' + request.body;
+  return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
+}
+
+}  // namespace
+
+void EndpointCalls::claim(const CallKey& key) {
+  auto& call = calls_[key];
+  ++call.claimsTried;
+  const auto left = call.deadline - scheduler_.now();
+  ledger_->claim(call.request.idempotencyKey, contentHashOf(call.request), call.owner, left,
+                 [this, alive = std::weak_ptr<bool>(alive_), key](const ledger::LedgerAnswer& answer) {
+                   if (!alive.expired()) onClaim(key, answer);
+                 });
+}
+
+void EndpointCalls::onClaim(const CallKey& key, const ledger::LedgerAnswer& answer) {
+  constexpr int kMaxClaims = 4;
+  constexpr base::Duration kClaimInterval = base::milliseconds(100);
+  if (calls_.count(key) == 0) return;
+  switch (answer.verdict) {
+    case wire::LedgerVerdict::GRANTED:
+      return sendToBackend(key);
+    case wire::LedgerVerdict::COMPLETED:
+      ++counters_.replayed;
+      return answerCompleted(key, *answer.stored);
+    case wire::LedgerVerdict::MISMATCH:
+      return refuse(key, ErrorCode::kKeyReused, base::Duration(0));
+    case wire::LedgerVerdict::CLAIMED:
+      // Another attempt with the key is running, or its node died; its answer may be stored in a moment.
+      if (calls_[key].claimsTried >= kMaxClaims) return answerUnknown(key, ErrorCode::kOutcomeUnknown);
+      scheduler_.schedule(kClaimInterval, [this, alive = std::weak_ptr<bool>(alive_), key] {
+        if (!alive.expired() && calls_.count(key) > 0) claim(key);
+      });
+      return;
+    case wire::LedgerVerdict::UNAVAILABLE:
+      return releaseThenRefuse(key, ErrorCode::kLedgerUnavailable, kLedgerRetryAfter);
+  }
+}
+
+void EndpointCalls::releaseThenRefuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
+  const auto& call = calls_[key];
+  if (call.owner.empty()) return refuse(key, error, retryAfter);
+  // Another endpoint may run the request only once the key is free again; without the ledger's word it stays claimed,
+  // and a resend will be told that the outcome is unknown.
+  ledger_->release(call.request.idempotencyKey, call.owner, kLedgerPatience,
+                   [this, alive = std::weak_ptr<bool>(alive_), key, error, retryAfter](const ledger::LedgerAnswer&) {
+                     if (!alive.expired() && calls_.count(key) > 0) refuse(key, error, retryAfter);
+                   });
+}
+
+}  // namespace driftlug::node
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -28,8 +28,6 @@
 /// wait for a grant would cost a round trip.
 constexpr size_t kInlineBodyBytes = 4096;
 
-int milliseconds(base::Duration duration) { return static_cast<int>(duration.count() / 1000); }
-
 int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
 }
@@ -80,7 +78,7 @@
     if (!bodyHasLeft(attempt)) {
       onAttemptFailed(attempt.call, Reach::kNode,
                       failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kConnectionLost, kUnavailableStatus,
-                                    milliseconds(spread(options_.overloadRetryAfter))));
+                                    base::millisecondsOf(spread(options_.overloadRetryAfter))));
       continue;
     }
     onAttemptFailed(attempt.call, Reach::kMayHaveRun,
@@ -88,33 +86,6 @@
   }
 }
 
-/// Calls that may run twice don't wait for a node that may have lost its power, its network or its processor: another
-/// endpoint is asked beside it, and the first answer wins.
-void EntryCalls::onLinkSilent(base::ConnectionId connection) {
-  ++counters_.silentLinks;
-  std::vector<CallId> waiting;
-  for (const auto& [attemptId, attempt] : attempts_) {
-    if (attempt.connection == connection) waiting.push_back(attempt.call);
-  }
-  for (const auto id : waiting) sendBeside(id, "silent");
-}
-
-void EntryCalls::sendBeside(CallId id, const char* because) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  auto& call = found->second;
-  if (call.inFlight.size() != 1 || !mayBeSentBeside(call)) return;
-  const auto* target = pickEndpoint(call);
-  if (target == nullptr || !budgets_[call.service].spend()) return;
-  ++counters_.hedges;
-  decisions_.write(base::LineWorth::kRoutine, [&] {
-    return fmt::format("second call={} route={} service={} first={} second={} elapsed_ms={} because={}",
-                       requestIdOf(call), call.route, call.service, call.endpoint, target->name,
-                       remainingMs(scheduler_.now(), call.begunAt), because);
-  });
-  send(id, &call, *target);
-}
-
 void EntryCalls::onEndpointStates(const std::vector<wire::EndpointState>& states) { links_.onStates(states); }
 
 int EntryCalls::rankOf(const Call& call) {
@@ -199,7 +170,7 @@
     links_.onFull(call.service);
     if (!call.tried.empty()) return finish(id, call.lastFailure);
     return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
-                                    milliseconds(spread(options_.overloadRetryAfter))));
+                                    base::millisecondsOf(spread(options_.overloadRetryAfter))));
   }
   send(id, &call, *target);
   armHedge(id, &call);
@@ -216,41 +187,6 @@
   if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
 }
 
-bool EntryCalls::mayBeSentBeside(const Call& call) const {
-  const int begun = call.attempts + static_cast<int>(call.inFlight.size());
-  return call.repeatable && begun < call.maxAttempts;
-}
-
-bool EntryCalls::mayHedge(const Call& call) const { return options_.hedgeAfterShare > 0 && mayBeSentBeside(call); }
-
-double EntryCalls::besideAfterShare() const {
-  return options_.hedgeAfterShare > 0 ? options_.hedgeAfterShare : options_.lateAfterShare;
-}
-
-void EntryCalls::armHedge(CallId id, Call* call) {
-  const auto share = besideAfterShare();
-  if (share <= 0 || !mayBeSentBeside(*call) || call->targetLatencyMs == 0 || call->hedgeTimer != 0) return;
-  const base::Duration target = base::milliseconds(call->targetLatencyMs);
-  const auto after = std::chrono::duration_cast<base::Duration>(target * share);
-  call->hedgeTimer = scheduler_.schedule(after, [this, alive = std::weak_ptr<bool>(alive_), id] {
-    if (!alive.expired()) onHedgeTimer(id);
-  });
-}
-
-const routing::EndpointTarget* EntryCalls::idleEndpoint(const Call& call) {
-  const auto* target = pickEndpoint(call);
-  const bool idle = target != nullptr && picker_.busyShare(*target) < options_.hedgeIdleShare;
-  return idle ? target : nullptr;
-}
-
-void EntryCalls::onHedgeTimer(CallId id) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  auto& call = found->second;
-  call.hedgeTimer = 0;
-  if (mayBeSentBeside(call) && idleEndpoint(call) != nullptr) sendBeside(id, "late");
-}
-
 void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target) {
   const auto now = scheduler_.now();
   const auto attemptId = nextAttempt_++;
@@ -392,7 +328,7 @@
   if (error == ErrorCode::kWrongEndpoint) links_.forget(attempt.endpoint);
   const bool reachedBackend = error == ErrorCode::kBackendRefused;
   const int askedMs = response.retryAfterMs > 0 ? response.retryAfterMs : kDefaultRetryAfterMs;
-  const int retryAfterMs = milliseconds(spread(base::milliseconds(askedMs)));
+  const int retryAfterMs = base::millisecondsOf(spread(base::milliseconds(askedMs)));
   onAttemptFailed(attempt.call, reachedBackend ? Reach::kRefusedByBackend : Reach::kNode,
                   failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, retryAfterMs));
 }
