--- /dev/null
+++ b/apps/connect_presence.cc
@@ -0,0 +1,34 @@
+#include "connect_presence.h"
+
+#include <utility>
+
+namespace driftlug::apps {
+namespace {
+
+/// The back end is on this machine: a connection is up, or refused, within a millisecond. Calls that were cut wait for
+/// the answer, so a machine that says nothing is not waited for any longer.
+constexpr base::Duration kTimeout = base::milliseconds(200);
+
+}  // namespace
+
+ConnectPresence::~ConnectPresence() {
+  if (stream_) stream_->close();
+}
+
+void ConnectPresence::check(std::function<void(quarantine::presence)> done) {
+  done_ = std::move(done);
+  transport::StreamOptions options;
+  options.connectTimeout = kTimeout;
+  stream_ = transport::TcpStream::connect(loop_, address_, this, options);
+}
+
+void ConnectPresence::onClosed(bool) {
+  finish(stream_->refused() ? quarantine::presence::gone : quarantine::presence::unknown);
+}
+
+void ConnectPresence::finish(quarantine::presence found) {
+  std::exchange(stream_, nullptr)->close();
+  std::exchange(done_, nullptr)(found);
+}
+
+}  // namespace driftlug::apps
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "base/settings.h"
+#include "connect_presence.h"
 #include "endpoint_health.h"
 #include "entry_server.h"
 #include "http_backend.h"
@@ -188,6 +189,7 @@
   bool idle() const override;
   size_t unsentBytes() const override { return entryServer_.server().unsentBytes() + callFrames_.unsentBytes(); }
   void end() override { loop_.stop(); }
+  void onBackendCrash(uint64_t crash, const std::vector<quarantine::crashed_run>& runs);
   void askForIdentity();
   void askBackend(base::Duration timeout, node::LocalBackend::IdentityCallback done);
   DaemonPages pages();
@@ -206,6 +208,9 @@
   node::ControlClient control_;
   EndpointHealth health_;
   node::LocalBackend localBackend_;
+  quarantine::request_quarantine quarantine_{loop_};
+  ConnectPresence presence_;
+  quarantine::crash_watch crashWatch_;
   EntryServer entryServer_;
   AdminServer admin_;
   PageHandler reportPages_;  // empty where the back end does not tell of itself
@@ -232,6 +237,9 @@
       health_(loop_, control_, endpoint_, backendAddress()),
       localBackend_(placeFromSettings(), loop_, endpoint_,
                     [this](const wire::EndpointState& state) { control_.announce(state); }),
+      presence_(loop_, backendAddress()),
+      crashWatch_(loop_, base::RandomSource(random_.bits()), presence_,
+                  [this](uint64_t crash, const auto& runs) { onBackendCrash(crash, runs); }),
       entryServer_(loop_, entry_, entryHeadersFromSettings(), shares_.callers),
       admin_(loop_, pages()) {
   controlFrames_.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
@@ -249,6 +257,10 @@
   hello.acknowledgesCalls = true;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
+  entry_.useQuarantine(&quarantine_);
+  endpoint_.useQuarantine(&quarantine_, &crashWatch_);
+  control_.useQuarantine(&quarantine_);
+  quarantine_.onChange([this] { endpoint_.onQuarantineChange(); });
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
   endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
   if (makeReportPages) reportPages_ = makeReportPages(localBackend_);
@@ -333,6 +345,13 @@
   log_.info("{} ended, {} calls of callers and {} of nodes left", FLAGS_name, entry_.active(), endpoint_.active());
 }
 
+void NodeDaemon::onBackendCrash(uint64_t crash, const std::vector<quarantine::crashed_run>& runs) {
+  const auto& endpoint = localBackend_.incarnation().empty() ? FLAGS_name : localBackend_.incarnation();
+  log_.warn("{} has crashed, crash {:016x}, {} requests at work", endpoint, crash, runs.size());
+  quarantine_.onCrash(crash, FLAGS_service, endpoint, runs);
+  localBackend_.onCrash();
+}
+
 void NodeDaemon::askForIdentity() {
   constexpr base::Duration kTimeout = base::milliseconds(500);
   if (FLAGS_first_start || !localBackend_.incarnation().empty()) return;
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -111,7 +111,6 @@
   node::EntryOptions options;
   options.nodeId = FLAGS_name;
   options.zone = FLAGS_zone;
-  options.service = FLAGS_service;
   options.defaultRetry = {FLAGS_retry_attempts, FLAGS_retry_budget_percent};
   options.retryBurst = FLAGS_retry_burst;
   options.links.maxLinks = descriptorSharesFromSettings().links;
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -110,6 +110,12 @@
       return "backend_refused";
     case ErrorCode::kWrongEndpoint:
       return "wrong_endpoint";
+    case ErrorCode::kBackendCrashed:
+      return "backend_crashed";
+    case ErrorCode::kRequestHeld:
+      return "request_held";
+    case ErrorCode::kOnProbation:
+      return "on_probation";
   }
   return "unnamed";
 }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -47,6 +47,9 @@
   kLedgerUnavailable = 49,
   kBackendRefused = 50,
   kWrongEndpoint = 51,
+  kBackendCrashed = 52,
+  kRequestHeld = 53,
+  kOnProbation = 54,
 };
 
 /// @return the stable lower-case name of a code, as it appears in JSON bodies and logs.
--- a/src/node/call_fingerprint.cc
+++ b/src/node/call_fingerprint.cc
@@ -1,5 +1,7 @@
 #include "node/call_fingerprint.h"
 
+#include <string_view>
+
 namespace driftlug::node {
 namespace {
 
@@ -12,12 +14,12 @@
 
 }  // namespace
 
-quarantine::request_fingerprint fingerprintOf(const InboundCall& call, std::string_view callerService) {
-  return quarantine::fingerprintOf({call.method, call.host, call.path, callerService, call.body});
+quarantine::request_fingerprint fingerprintOf(const InboundCall& call) {
+  return quarantine::fingerprintOf({call.method, call.host, call.path, call.body});
 }
 
-quarantine::request_fingerprint fingerprintOf(const wire::CallRequest& call, std::string_view callerService) {
-  return quarantine::fingerprintOf({call.method, hostIn(call.headers), call.path, callerService, call.body});
+quarantine::request_fingerprint fingerprintOf(const wire::CallRequest& call) {
+  return quarantine::fingerprintOf({call.method, hostIn(call.headers), call.path, call.body});
 }
 
 }  // namespace driftlug::node
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -52,6 +52,7 @@
   hello.id = options_.nodeId;
   hello.zone = options_.zone;
   hello.unpacksFrames = true;
+  hello.takesCrashReports = true;
   network_.setHello(hello);
   freshSince_ = scheduler_.now();
   if (disk_ == nullptr) return join();
@@ -222,6 +223,9 @@
   subscribe.revision = slices_.revision();
   subscribe.digest = slices_.rows().digest();
   network_.send(connection, wire::encodeFrame(subscribe));
+  relayTakesCrashReports_ = peer.takesCrashReports;
+  // All of it: relays that were restarted have forgotten what they knew.
+  if (quarantine_ != nullptr) sendCrashReports(quarantine_->all());
   if (!announcing_) return;
   ++state_.sequence;
   sendState();
@@ -243,6 +247,8 @@
     moveOn(base::milliseconds(later->delayMs) + random_.duration(options_.reconnectDelay));
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
     if (onStates_) onStates_(states->states);
+  } else if (const auto* crashes = std::get_if<wire::CrashReports>(&message)) {
+    if (quarantine_ != nullptr) quarantine_->onReports(crashes->reports);
   } else if (const auto* relays = std::get_if<wire::RelayList>(&message)) {
     onRelayList(*relays);
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) {
@@ -363,6 +369,18 @@
   if (open_) sendState();
 }
 
+void ControlClient::useQuarantine(quarantine::request_quarantine* quarantine) {
+  quarantine_ = quarantine;
+  quarantine_->onNews([this](const auto& reports) { sendCrashReports(reports); });
+}
+
+void ControlClient::sendCrashReports(const quarantine::request_quarantine::reports& reports) {
+  if (!open_ || !relayTakesCrashReports_ || reports.empty()) return;
+  wire::CrashReports message;
+  message.reports = reports;
+  network_.send(connection_, wire::encodeFrame(message));
+}
+
 void ControlClient::sendState() {
   wire::EndpointStates states;
   states.states.push_back(state_);
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "node/slice_store.h"
+#include "quarantine/request_quarantine.h"
 #include "storage/disk.h"
 
 namespace driftlug::node {
@@ -79,6 +80,10 @@
   /// @return whether there is one
   bool send(const wire::Message& message);
 
+  /// Has crashes of back ends told to the relay and taken from it.
+  /// @param quarantine outlives this object
+  void useQuarantine(quarantine::request_quarantine* quarantine);
+
   /// Sets who gets replies of the ledger.
   void onLedgerReply(std::function<void(const wire::LedgerReply&)> handler) { onLedgerReply_ = std::move(handler); }
 
@@ -115,6 +120,7 @@
   void goHome();
   void onWatch();
   void sendState();
+  void sendCrashReports(const quarantine::request_quarantine::reports& reports);
   void refuse(SliceResult result, int64_t revision);
   void activate(SliceResult result, SliceVersion next);
   void persist(const SliceVersion& version, std::function<void()> done);
@@ -132,6 +138,8 @@
   ActivationHandler onActivation_;
   EndpointStatesHandler onStates_;
   std::function<void(const wire::LedgerReply&)> onLedgerReply_;  // may be empty
+  quarantine::request_quarantine* quarantine_ = nullptr;         // may stay null
+  bool relayTakesCrashReports_ = false;
   SliceStore slices_;
   storage::Disk* disk_ = nullptr;
   std::vector<base::Address> seeds_;                     // relays that the settings name
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -15,6 +15,8 @@
 constexpr base::Duration kAskingMemory = base::seconds(2);
 /// How many requests are wanted for each slot that becomes free, so that none stays empty.
 constexpr int kRequestsPerFreeSlot = 2;
+/// Suspects on the back end at once, so that a crash names one of them at the most.
+constexpr int kSuspectsAtOnce = 1;
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 
 overload::call_kind kindOf(const wire::CallRequest& request) {
@@ -35,11 +37,13 @@
       backend_(backend),
       ledger_(ledger),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
+      probation_(scheduler, kSuspectsAtOnce, options_.defaultQueue),
       bodies_(options_.bodies),
       bodyTimer_(scheduler, [this] { onBodyTimer(); }),
       expiryTimer_(scheduler,
                    [this] {
                      limiter_.refuseExpired();
+                     probation_.refuseExpired();
                      armExpiry();
                    }),
       decisions_("endpoint", scheduler) {
@@ -63,12 +67,14 @@
   draining_ = draining;
   if (!draining_) return;
   limiter_.refuseWaiting();
+  probation_.refuseWaiting();
   refuseAwaitingBodies();
 }
 
 void EndpointCalls::useIncarnation(const std::string& endpoint, int slots) {
   if (endpoint != endpoint_) {
     limiter_.refuseWaiting();
+    probation_.refuseWaiting();
     refuseAwaitingBodies();
   }
   endpoint_ = endpoint;
@@ -110,21 +116,23 @@
   network_.send(connection, wire::encodeFrame(wire::KeepAlive()));
 }
 
-void EndpointCalls::admit(const CallKey& key) {
+void EndpointCalls::acquireSlot(const CallKey& key) {
   const auto& call = calls_[key];
-  const auto priority = call.priority;
-  const auto latestStart = call.latestStart;
   const auto ticket = limiter_.acquire(
-      priority, latestStart, [this, key] { run(key); },
-      [this, key, priority, latestStart](limits::SlotRefusal refusal) {
-        if (refusal == limits::SlotRefusal::kClosed) return refuse(key, ErrorCode::kDraining, base::Duration(0));
-        const auto wait = std::max<base::Duration>(base::milliseconds(1), limiter_.expectedWait(priority, latestStart));
-        refuse(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter));
-      });
+      call.priority, call.latestStart, [this, key] { run(key); },
+      [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); });
   if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
   armExpiry();
 }
 
+void EndpointCalls::onSlotRefused(const CallKey& key, limits::SlotRefusal refusal) {
+  if (refusal == limits::SlotRefusal::kClosed) return refuse(key, ErrorCode::kDraining, base::Duration(0));
+  const auto& call = calls_[key];
+  const auto expected = limiter_.expectedWait(call.priority, call.latestStart);
+  const auto wait = std::max<base::Duration>(base::milliseconds(1), expected);
+  refuse(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter));
+}
+
 base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
   const int targetMs = call.request.targetLatencyMs;
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
@@ -159,7 +167,8 @@
 }
 
 void EndpointCalls::armExpiry() {
-  const auto next = limiter_.nextExpiry();
+  auto next = limiter_.nextExpiry();
+  if (const auto suspect = probation_.nextExpiry(); suspect && (!next || *suspect < *next)) next = suspect;
   if (!next) return expiryTimer_.stop();
   expiryTimer_.start(std::max<base::Duration>(base::milliseconds(1), *next - scheduler_.now()));
 }
@@ -203,6 +212,7 @@
   auto& call = calls_[key];
   call.running = true;
   call.startedAt = scheduler_.now();
+  if (!mayRunNow(key)) return;
   counters_.waited.record(call.startedAt - call.arrivedAt);
   if (ledger_ == nullptr || isRepeatable(call.request)) return sendToBackend(key);
   call.owner = ledger_->newOwner();
@@ -227,8 +237,7 @@
   }
   if (completed && backendRefused(key, answer)) return;
   if (!completed) {
-    if (!answer.timedOut) ++counters_.cutRuns;
-    return answerUnknown(key, answer.timedOut ? ErrorCode::kDeadlineExceeded : ErrorCode::kBackendFailed);
+    return answer.timedOut ? answerUnknown(key, ErrorCode::kDeadlineExceeded) : onCut(key);
   }
   wire::StoredAnswer stored;
   stored.httpStatus = answer.httpStatus;
@@ -236,6 +245,7 @@
   stored.body = std::move(answer.body);
   const auto& call = found->second;
   noteRun(call);
+  noteRanWell(key);
   if (!call.owner.empty()) ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerPatience);
   ++counters_.completed;
   answerCompleted(key, std::move(stored));
@@ -276,6 +286,7 @@
 
 void EndpointCalls::releaseSlot(const Call& call) {
   if (call.running) limiter_.release(scheduler_.now() - call.startedAt, call.priority);
+  if (call.onProbation) probation_.release(scheduler_.now() - call.onProbationAt, call.priority);
 }
 
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
@@ -323,11 +334,7 @@
   });
 }
 
-std::string EndpointCalls::fingerprintText(const CallKey& key) const {
-  const auto caller = callerServices_.find(key.connection);
-  const auto& request = calls_.at(key).request;
-  return quarantine::toText(fingerprintOf(request, caller == callerServices_.end() ? "" : caller->second));
-}
+std::string EndpointCalls::fingerprintText(const CallKey& key) { return quarantine::toText(fingerprintOfCall(key)); }
 
 void EndpointCalls::logUnknown(const CallKey& key, ErrorCode error) {
   decisions_.write(base::LineWorth::kFailure, [&] {
@@ -357,18 +364,19 @@
     calls_.erase(found);
     return grantBodies();
   }
-  if (!found->second.running) {
-    limiter_.cancel(found->second.ticket);
-    calls_.erase(found);
-    return;
-  }
+  if (!found->second.running) return forget(key);
   // A request that may not be repeated is let finish, so that its outcome stays known to the back end.
   if (!isRepeatable(found->second.request)) return;
-  const auto held = scheduler_.now() - found->second.startedAt;
-  const auto priority = found->second.priority;
   backend_.cancel(found->second.backendId);
-  calls_.erase(found);
-  limiter_.release(held, priority);
+  forget(key);
+}
+
+/// Drops a call that nobody waits for any more.
+void EndpointCalls::forget(const CallKey& key) {
+  const auto call = calls_.extract(key);
+  limiter_.cancel(call.mapped().ticket);
+  probation_.cancel(call.mapped().probationTicket);
+  releaseSlot(call.mapped());
 }
 
 void EndpointCalls::onWithdraw(base::ConnectionId connection, int64_t callId) {
@@ -379,6 +387,7 @@
     dropBody(key, &found->second);
   } else {
     limiter_.cancel(found->second.ticket);
+    probation_.cancel(found->second.probationTicket);
   }
   refuse(key, ErrorCode::kDraining, base::Duration(0));
 }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -16,6 +16,8 @@
 #include "node/call_types.h"
 #include "overload/body_intake.h"
 #include "overload/call_origins.h"
+#include "quarantine/crash_watch.h"
+#include "quarantine/request_quarantine.h"
 #include "routing/routing_table.h"
 
 namespace driftlug::node {
@@ -49,7 +51,9 @@
   int64_t completed = 0;
   int64_t refused = 0;
   int64_t unknown = 0;
-  int64_t cutRuns = 0;  ///< whose connection the back end closed without an answer, as it does when it crashes
+  int64_t heldBack = 0;       ///< refused since their request is held
+  int64_t probationRuns = 0;  ///< of suspects
+  int64_t cutRuns = 0;        ///< whose connection the back end closed without an answer, as it does when it crashes
   int64_t cancelled = 0;
   int64_t replayed = 0;           ///< answered from the ledger, without a run
   int64_t refusedForLink = 0;     ///< refused since their body could not have arrived in time
@@ -72,6 +76,14 @@
   /// Takes limits from a new version.
   void useTable(const routing::RoutingTable& table);
 
+  /// Has requests that crash the back end told from others; without it, none is.
+  /// @param quarantine what is known of them; outlives this object, as `watch` does
+  /// @param watch tells crashes; null where the back end can't be asked
+  void useQuarantine(quarantine::request_quarantine* quarantine, quarantine::crash_watch* watch);
+
+  /// The standing of requests may have changed: those that wait are judged again.
+  void onQuarantineChange();
+
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onRequest(base::ConnectionId connection, const wire::CallRequest& request);
   /// A caller asks for a sign of life.
@@ -86,6 +98,9 @@
   /// Refuses new calls and those that wait from now on, or accepts calls again; running ones go on.
   void setDraining(bool draining);
 
+  /// The back end says that it ends, or does not say so any more: what it cuts then tells of no crash.
+  void setLeaving(bool leaving) { leaving_ = leaving; }
+
   /// The back end beside this node is another incarnation now.
   /// @param endpoint its name; empty while none is known, and then every call is refused
   /// @param slots requests that it works on at once; 0 when it does not say
@@ -120,7 +135,12 @@
     base::TimePoint latestStart{};  // at which the back end must get it for its answer to be of use
     bool awaitsBody = false;        // pieces of its body are still to come
     limits::TicketId ticket = 0;
-    bool nested = false;  // made by a back end, as far as can be told
+    std::optional<quarantine::request_fingerprint> fingerprint;  // once it was needed
+    bool suspect = false;                                        // runs on probation
+    bool onProbation = false;                                    // holds the one place for suspects
+    base::TimePoint onProbationAt{};
+    limits::TicketId probationTicket = 0;  // while it waits for that place
+    bool nested = false;                   // made by a back end, as far as can be told
     limits::Priority priority = limits::Priority::kNormal;
     bool running = false;
     uint64_t backendId = 0;
@@ -136,6 +156,17 @@
   };
 
   void admit(const CallKey& key);
+  void acquireSlot(const CallKey& key);
+  void onSlotRefused(const CallKey& key, limits::SlotRefusal refusal);
+  const quarantine::request_fingerprint& fingerprintOfCall(const CallKey& key);
+  quarantine::standing judge(const CallKey& key);
+  void putOnProbation(const CallKey& key);
+  void refuseHeld(const CallKey& key);
+  bool mayRunNow(const CallKey& key);
+  void onCut(const CallKey& key);
+  void answerCrashed(const CallKey& key, uint64_t crash);
+  void noteRanWell(const CallKey& key);
+  void forget(const CallKey& key);
   void awaitBody(const CallKey& key);
   void grantBodies();
   void onBodyTimer();
@@ -168,7 +199,7 @@
   base::Duration sentAwayFor(base::Duration interval, base::TimePoint Asker::*askedAt) const;
   void logRefusal(const Call& call, base::ErrorCode error, base::Duration retryAfter);
   void logUnknown(const CallKey& key, base::ErrorCode error);
-  std::string fingerprintText(const CallKey& key) const;
+  std::string fingerprintText(const CallKey& key);
   std::string requestIdOf(const wire::CallRequest& request) const;
   static bool isRepeatable(const wire::CallRequest& request);
 
@@ -178,6 +209,10 @@
   BackendClient& backend_;
   ledger::LedgerClient* ledger_;  // may be null
   limits::SlotLimiter limiter_;
+  limits::SlotLimiter probation_;                         // one place, for suspects
+  quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
+  quarantine::crash_watch* watch_ = nullptr;              // may stay null
+  bool leaving_ = false;
   std::map<CallKey, Call> calls_;
   std::map<base::ConnectionId, Asker> askers_;
   std::map<base::ConnectionId, std::string> callerServices_;  // the services beside the connected nodes
--- /dev/null
+++ b/src/node/endpoint_calls_quarantine.cc
@@ -0,0 +1,150 @@
+/// Requests that crash the back end, told from the others that were at work with them.
+#include "node/call_fingerprint.h"
+#include "node/endpoint_calls.h"
+#include "wire/frame.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+using quarantine::standing;
+
+/// Longest time that is told to a caller whose request is held. Somebody who comes back after a day may be told again.
+constexpr base::Duration kLongestRetryAfter = std::chrono::hours(24);
+/// Told to callers whose request had to wait for other suspects: a run each, of some hundred milliseconds.
+constexpr base::Duration kProbationRetryAfter = base::milliseconds(500);
+
+}  // namespace
+
+void EndpointCalls::useQuarantine(quarantine::request_quarantine* quarantine, quarantine::crash_watch* watch) {
+  quarantine_ = quarantine;
+  watch_ = watch;
+}
+
+const quarantine::request_fingerprint& EndpointCalls::fingerprintOfCall(const CallKey& key) {
+  auto& call = calls_.at(key);
+  if (!call.fingerprint) call.fingerprint = fingerprintOf(call.request);
+  return *call.fingerprint;
+}
+
+/// The node that sends a call may know of a crash that this one has not heard of yet.
+standing EndpointCalls::judge(const CallKey& key) {
+  if (quarantine_ == nullptr) return standing::clear;
+  const auto told = calls_.at(key).request.suspect ? standing::suspect : standing::clear;
+  if (quarantine_->empty()) return told;
+  return std::max(told, quarantine_->standingOf(fingerprintOfCall(key), options_.service));
+}
+
+void EndpointCalls::admit(const CallKey& key) {
+  switch (judge(key)) {
+    case standing::clear:
+      return acquireSlot(key);
+    case standing::suspect:
+      return putOnProbation(key);
+    case standing::held:
+      return refuseHeld(key);
+  }
+}
+
+/// Suspects wait for each other as long as their answer is of use: their callers have lost a run already.
+void EndpointCalls::putOnProbation(const CallKey& key) {
+  auto& call = calls_.at(key);
+  call.suspect = true;
+  if (options_.waitWithinTarget) {
+    call.latestStart = call.deadline - base::microsecondsOf(options_.holdMargin * usualRunUs(call.request));
+  }
+  const auto ticket = probation_.acquire(
+      call.priority, call.latestStart,
+      [this, key] {
+        auto& started = calls_.at(key);
+        started.onProbation = true;
+        started.onProbationAt = scheduler_.now();
+        started.probationTicket = 0;
+        acquireSlot(key);
+      },
+      [this, key](limits::SlotRefusal refusal) {
+        const bool closed = refusal == limits::SlotRefusal::kClosed;
+        if (closed) return refuse(key, ErrorCode::kDraining, base::Duration(0));
+        refuse(key, ErrorCode::kOnProbation, kProbationRetryAfter);
+      });
+  const auto found = calls_.find(key);
+  if (found != calls_.end() && !found->second.onProbation) found->second.probationTicket = ticket;
+  armExpiry();
+}
+
+void EndpointCalls::refuseHeld(const CallKey& key) {
+  ++counters_.heldBack;
+  const auto probe = quarantine_->history().untilProbe(fingerprintOfCall(key));
+  refuse(key, ErrorCode::kRequestHeld, std::min(probe, kLongestRetryAfter));
+}
+
+/// A call may have become a suspect while it waited for its slot, which it gives back then.
+bool EndpointCalls::mayRunNow(const CallKey& key) {
+  auto& call = calls_.at(key);
+  const auto treatedAs = judge(key);
+  if (treatedAs == standing::held) {
+    refuseHeld(key);
+    return false;
+  }
+  if (call.onProbation) {
+    ++counters_.probationRuns;
+    return true;
+  }
+  if (treatedAs == standing::clear) return true;
+  call.running = false;
+  limiter_.release(base::Duration(0), call.priority);
+  putOnProbation(key);
+  return false;
+}
+
+void EndpointCalls::onQuarantineChange() {
+  std::vector<CallKey> waiting;
+  for (const auto& [key, call] : calls_) {
+    if (call.probationTicket != 0) waiting.push_back(key);
+  }
+  for (const auto& key : waiting) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end() || found->second.probationTicket == 0) continue;
+    const auto treatedAs = judge(key);
+    if (treatedAs == standing::suspect) continue;
+    probation_.cancel(found->second.probationTicket);
+    found->second.probationTicket = 0;
+    found->second.suspect = false;
+    if (treatedAs == standing::held) {
+      refuseHeld(key);
+    } else {
+      acquireSlot(key);
+    }
+  }
+}
+
+/// The back end closed the connection without an answer: it has crashed, or the connection was lost.
+void EndpointCalls::onCut(const CallKey& key) {
+  ++counters_.cutRuns;
+  const bool leaving = leaving_ || (options_.dynamicEndpoint && endpoint_.empty());
+  if (watch_ == nullptr || leaving) return answerUnknown(key, ErrorCode::kBackendFailed);
+  const quarantine::crashed_run run{fingerprintOfCall(key), calls_.at(key).onProbation};
+  watch_->onCut(run, [this, alive = std::weak_ptr<bool>(alive_), key](std::optional<uint64_t> crash) {
+    if (alive.expired() || calls_.count(key) == 0) return;
+    if (crash) return answerCrashed(key, *crash);
+    answerUnknown(key, ErrorCode::kBackendFailed);
+  });
+}
+
+void EndpointCalls::answerCrashed(const CallKey& key, uint64_t crash) {
+  ++counters_.unknown;
+  logUnknown(key, ErrorCode::kBackendCrashed);
+  wire::CallResponse response;
+  response.outcome = wire::CallOutcome::UNKNOWN;
+  response.errorCode = static_cast<int>(ErrorCode::kBackendCrashed);
+  response.crashId = static_cast<int64_t>(crash);
+  response.onProbation = calls_.at(key).onProbation;
+  releaseSlot(calls_.at(key));
+  answer(key, std::move(response));
+}
+
+void EndpointCalls::noteRanWell(const CallKey& key) {
+  if (quarantine_ != nullptr && !quarantine_->empty()) quarantine_->onRanWell(fingerprintOfCall(key));
+}
+
+}  // namespace driftlug::node
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -27,6 +27,8 @@
 /// A body up to this size travels with its call: on a link of 2 Mbit/s it holds others up for 16 ms at the most, and to
 /// wait for a grant would cost a round trip.
 constexpr size_t kInlineBodyBytes = 4096;
+/// Longest time that is told to a caller whose request is held. Somebody who comes back after a day may be told again.
+constexpr base::Duration kLongestRetryAfter = std::chrono::hours(24);
 
 int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
@@ -164,6 +166,15 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
+  switch (judge(&call)) {
+    case quarantine::standing::held:
+      return finishHeld(id, base::millisecondsOf(std::min(quarantine_->history().untilProbe(fingerprintOfCall(&call)),
+                                                          kLongestRetryAfter)));
+    case quarantine::standing::suspect:
+      return attemptOnProbation(id, &call);
+    case quarantine::standing::clear:
+      break;
+  }
   // The newest version decides where a request may go now; a retry must not go to an endpoint that has left.
   const auto* target = pickEndpoint(call);
   if (target == nullptr) {
@@ -187,7 +198,7 @@
   if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
 }
 
-void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target) {
+void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target, bool suspect) {
   const auto now = scheduler_.now();
   const auto attemptId = nextAttempt_++;
   ++counters_.attempts;
@@ -218,6 +229,7 @@
   request.targetLatencyMs = call->targetLatencyMs;
   request.runOnce = !call->repeatable;
   request.waitedMs = call->waitedMs;
+  request.suspect = suspect;
   network_.send(link.connection, wire::encodeFrame(request));
 }
 
@@ -281,6 +293,7 @@
   if (response.outcome == CallOutcome::COMPLETED) return onCompleted(attempt, response);
   if (response.outcome == CallOutcome::NOT_RUN) return onNotRun(attempt, response);
   picker_.onDone(attempt.endpoint, latency, true);
+  if (error == ErrorCode::kBackendCrashed) noteCrash(attempt, response);
   const int status = error == ErrorCode::kDeadlineExceeded ? kGatewayTimeoutStatus : kBadGatewayStatus;
   onAttemptFailed(attempt.call, Reach::kMayHaveRun, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
 }
@@ -297,7 +310,7 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   const bool failed = response.httpStatus >= kFirstServerError;
-  const bool another = !call.inFlight.empty() || (mayHedge(call) && idleEndpoint(call) != nullptr);
+  const bool another = !call.inFlight.empty() || (mayHedge(&call) && idleEndpoint(call) != nullptr);
   if (!failed || !call.repeatable || !another) return finish(attempt.call, std::move(answer));
   onAttemptFailed(attempt.call, Reach::kMayHaveRun, std::move(answer));
 }
@@ -322,6 +335,7 @@
   if (error == ErrorCode::kKeyReused) {
     return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
   }
+  if (error == ErrorCode::kRequestHeld) return finishHeld(attempt.call, response.retryAfterMs);
   // Its own node is the truth for draining; the choice heeds it before any relay says so.
   const bool leaving = error == ErrorCode::kDraining || error == ErrorCode::kWrongEndpoint;
   if (leaving) picker_.setAvailable(attempt.endpoint, false);
@@ -337,7 +351,10 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
-  call.lastFailure = std::move(failure);
+  // A back end's own answer tells the caller more than a refusal that comes behind it.
+  const bool answered = call.lastFailure.outcome == CallOutcome::COMPLETED;
+  if (!answered || failure.outcome == CallOutcome::COMPLETED) call.lastFailure = std::move(failure);
+  call.mayHaveRun = call.mayHaveRun || reach == Reach::kMayHaveRun;
   const bool atBackend = reach != Reach::kNode;
   if (atBackend) {
     ++call.attempts;
@@ -349,17 +366,17 @@
   const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
   const bool allowed = options_.retries && !ending_ && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
   if (!allowed) {
-    logAttemptFailed(call, reach, false, ending_ ? "stopping" : mayRepeat ? "attempts_used" : "may_have_run");
+    logAttemptFailed(&call, reach, false, ending_ ? "stopping" : mayRepeat ? "attempts_used" : "may_have_run");
     return finish(id, call.lastFailure);
   }
   // A refusal by a node costs no back end anything; what has reached one is paid for.
   if (atBackend && !budgets_[call.service].spend()) {
     ++counters_.budgetSpent;
-    logAttemptFailed(call, reach, false, "budget_spent");
+    logAttemptFailed(&call, reach, false, "budget_spent");
     return finish(id, call.lastFailure);
   }
   ++counters_.retries;
-  logAttemptFailed(call, reach, true, "allowed");
+  logAttemptFailed(&call, reach, true, "allowed");
   attempt(id);
 }
 
@@ -367,17 +384,16 @@
   return options_.requestIdHeader.empty() ? "" : headerValue(call.inbound.headers, options_.requestIdHeader);
 }
 
-std::string EntryCalls::fingerprintText(const Call& call) const {
-  return quarantine::toText(fingerprintOf(call.inbound, options_.service));
-}
+std::string EntryCalls::fingerprintText(Call* call) { return quarantine::toText(fingerprintOfCall(call)); }
 
-void EntryCalls::logAttemptFailed(const Call& call, Reach reach, bool again, const char* because) {
+void EntryCalls::logAttemptFailed(Call* failed, Reach reach, bool again, const char* because) {
   decisions_.write(base::LineWorth::kFailure, [&] {
+    const auto& call = *failed;
     const char* reached = reach == Reach::kNode ? "node" : reach == Reach::kMayHaveRun ? "may_have_run" : "refused";
     return fmt::format(
         "attempt call={} request={} route={} service={} endpoint={} error={} reached={} attempts={} refusals={} "
         "repeatable={} again={} because={} table={}",
-        requestIdOf(call), fingerprintText(call), call.route, call.service, call.endpoint,
+        requestIdOf(call), fingerprintText(failed), call.route, call.service, call.endpoint,
         base::errorName(call.lastFailure.error), reached, call.attempts, call.refusals, call.repeatable, again, because,
         call.table ? call.table->revision() : 0);
   });
@@ -439,6 +455,11 @@
     });
     return;
   }
+  if (call.mayHaveRun && answer.outcome == CallOutcome::NOT_RUN) {
+    // The last attempt was refused, but an earlier one has been at work.
+    answer.outcome = CallOutcome::UNKNOWN;
+    if (answer.httpStatus == kUnavailableStatus) answer.httpStatus = kBadGatewayStatus;
+  }
   logOutcome(call, answer);
   if (answer.outcome == CallOutcome::COMPLETED) counters_.completedLatency.record(scheduler_.now() - call.begunAt);
   if (answer.outcome == CallOutcome::COMPLETED) ++counters_.completed;
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -14,6 +15,7 @@
 #include "node/call_types.h"
 #include "node/endpoint_links.h"
 #include "overload/caller_patience.h"
+#include "quarantine/request_quarantine.h"
 #include "retry/retry_budget.h"
 #include "routing/endpoint_picker.h"
 #include "routing/routing_table.h"
@@ -25,7 +27,6 @@
 struct EntryOptions {
   std::string nodeId;
   std::string zone;
-  std::string service;  ///< of the back end beside this node; empty for none
   routing::PickerOptions picker;
   bool retries = true;
   routing::RetryRule defaultRetry;  ///< of services without a retry policy
@@ -59,6 +60,8 @@
   int64_t retries = 0;
   int64_t budgetSpent = 0;                  ///< retries that the budget did not allow
   int64_t hedges = 0;                       ///< second attempts beside the first
+  int64_t heldBack = 0;                     ///< refused since their request is held
+  int64_t probations = 0;                   ///< attempts of suspects
   int64_t silentLinks = 0;                  ///< links that did not acknowledge what was sent on them
   int64_t lateAnswers = 0;                  ///< answers that came after the call had ended; dropped
   int64_t abandoned = 0;                    ///< callers that went away before their answer
@@ -76,6 +79,10 @@
   EntryCalls(EntryOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network);
   ~EntryCalls() override;
 
+  /// Has requests that crash back ends told from others; without it, none is.
+  /// @param quarantine what is known of them; outlives this object
+  void useQuarantine(quarantine::request_quarantine* quarantine) { quarantine_ = quarantine; }
+
   /// Uses a new version for calls that begin from now on.
   void useTable(routing::RoutingTablePtr table);
 
@@ -131,6 +138,8 @@
     std::vector<int64_t> inFlight;  // ids of attempts; more than one only while the call is hedged
     base::TimerId hedgeTimer = 0;
     std::set<std::string> tried;
+    bool mayHaveRun = false;  // an attempt reached a back end and was not refused there
+    std::optional<quarantine::request_fingerprint> fingerprint;  // once it was needed
     CallAnswer lastFailure;
   };
 
@@ -148,20 +157,25 @@
   void onLinkSilent(base::ConnectionId connection);
   void sendBeside(CallId id, const char* because);
   void attempt(CallId id);
-  void send(CallId id, Call* call, const routing::EndpointTarget& target);
+  void send(CallId id, Call* call, const routing::EndpointTarget& target, bool suspect = false);
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
   void onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant);
   bool bodyHasLeft(const Attempt& attempt) const;
   const routing::EndpointTarget* pickEndpoint(const Call& call);
+  const quarantine::request_fingerprint& fingerprintOfCall(Call* call);
+  quarantine::standing judge(Call* call);
+  void finishHeld(CallId id, int retryAfterMs);
+  void attemptOnProbation(CallId id, Call* call);
+  void noteCrash(const Attempt& attempt, const wire::CallResponse& response);
   /// How far an attempt that failed had come.
   enum class Reach { kNode, kRefusedByBackend, kMayHaveRun };
 
   void armHedge(CallId id, Call* call);
   void onHedgeTimer(CallId id);
   const routing::EndpointTarget* idleEndpoint(const Call& call);
-  bool mayHedge(const Call& call) const;
+  bool mayHedge(Call* call);
   double besideAfterShare() const;
-  bool mayBeSentBeside(const Call& call) const;
+  bool mayBeSentBeside(Call* call);
   void onCompleted(const Attempt& attempt, const wire::CallResponse& response);
   void dropAttempt(CallId call, int64_t attemptId);
   void onNotRun(const Attempt& attempt, const wire::CallResponse& response);
@@ -170,8 +184,8 @@
   void finish(CallId id, CallAnswer answer);
   CallAnswer failureAnswer(wire::CallOutcome::type outcome, base::ErrorCode error, int status, int retryAfterMs) const;
   std::string requestIdOf(const Call& call) const;
-  std::string fingerprintText(const Call& call) const;
-  void logAttemptFailed(const Call& call, Reach reach, bool again, const char* because);
+  std::string fingerprintText(Call* call);
+  void logAttemptFailed(Call* call, Reach reach, bool again, const char* because);
   void logOutcome(const Call& call, const CallAnswer& answer);
   static int rankOf(const Call& call);
   base::Duration spread(base::Duration duration);
@@ -189,6 +203,7 @@
   std::map<CallId, Call> calls_;
   std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
   EndpointLinks links_;
+  quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
   bool refusing_ = false;
   bool ending_ = false;  // nothing is sent again
   CallId nextCall_ = 1;
--- a/src/node/entry_calls_beside.cc
+++ b/src/node/entry_calls_beside.cc
@@ -18,7 +18,7 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
-  if (call.inFlight.size() != 1 || !mayBeSentBeside(call)) return;
+  if (call.inFlight.size() != 1 || !mayBeSentBeside(&call)) return;
   const auto* target = pickEndpoint(call);
   if (target == nullptr || !budgets_[call.service].spend()) return;
   ++counters_.hedges;
@@ -30,12 +30,13 @@
   send(id, &call, *target);
 }
 
-bool EntryCalls::mayBeSentBeside(const Call& call) const {
-  const int begun = call.attempts + static_cast<int>(call.inFlight.size());
-  return call.repeatable && begun < call.maxAttempts;
+bool EntryCalls::mayBeSentBeside(Call* call) {
+  const int begun = call->attempts + static_cast<int>(call->inFlight.size());
+  // A request that may crash what runs it is at one back end at a time.
+  return call->repeatable && begun < call->maxAttempts && judge(call) == quarantine::standing::clear;
 }
 
-bool EntryCalls::mayHedge(const Call& call) const { return options_.hedgeAfterShare > 0 && mayBeSentBeside(call); }
+bool EntryCalls::mayHedge(Call* call) { return options_.hedgeAfterShare > 0 && mayBeSentBeside(call); }
 
 double EntryCalls::besideAfterShare() const {
   return options_.hedgeAfterShare > 0 ? options_.hedgeAfterShare : options_.lateAfterShare;
@@ -43,7 +44,7 @@
 
 void EntryCalls::armHedge(CallId id, Call* call) {
   const auto share = besideAfterShare();
-  if (share <= 0 || !mayBeSentBeside(*call) || call->targetLatencyMs == 0 || call->hedgeTimer != 0) return;
+  if (share <= 0 || !mayBeSentBeside(call) || call->targetLatencyMs == 0 || call->hedgeTimer != 0) return;
   const base::Duration target = base::milliseconds(call->targetLatencyMs);
   const auto after = std::chrono::duration_cast<base::Duration>(target * share);
   call->hedgeTimer = scheduler_.schedule(after, [this, alive = std::weak_ptr<bool>(alive_), id] {
@@ -62,7 +63,7 @@
   if (found == calls_.end()) return;
   auto& call = found->second;
   call.hedgeTimer = 0;
-  if (mayBeSentBeside(call) && idleEndpoint(call) != nullptr) sendBeside(id, "late");
+  if (mayBeSentBeside(&call) && idleEndpoint(call) != nullptr) sendBeside(id, "late");
 }
 
 }  // namespace driftlug::node
--- /dev/null
+++ b/src/node/entry_calls_quarantine.cc
@@ -0,0 +1,54 @@
+/// Requests that crash what runs them, at the node that takes them from callers.
+#include <algorithm>
+
+#include "node/call_fingerprint.h"
+#include "node/entry_calls.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+using quarantine::standing;
+using wire::CallOutcome;
+
+constexpr int kUnavailableStatus = 503;
+
+}  // namespace
+
+const quarantine::request_fingerprint& EntryCalls::fingerprintOfCall(Call* call) {
+  if (!call->fingerprint) call->fingerprint = fingerprintOf(call->inbound);
+  return *call->fingerprint;
+}
+
+standing EntryCalls::judge(Call* call) {
+  if (quarantine_ == nullptr || quarantine_->empty()) return standing::clear;
+  return quarantine_->standingOf(fingerprintOfCall(call), call->service);
+}
+
+void EntryCalls::finishHeld(CallId id, int retryAfterMs) {
+  ++counters_.heldBack;
+  finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kRequestHeld, kUnavailableStatus, retryAfterMs));
+}
+
+/// All nodes choose the same endpoint for a request, so that its copies meet there and wait for each other: a request
+/// that crashes what runs it ends two back ends of a service, the second on probation, whatever many callers send it.
+void EntryCalls::attemptOnProbation(CallId id, Call* call) {
+  const auto* target = picker_.pickFor(fingerprintOfCall(call).low, links_.of(call->service), call->tried);
+  if (target == nullptr) {
+    if (!call->tried.empty()) return finish(id, call->lastFailure);
+    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
+                                    base::millisecondsOf(spread(options_.overloadRetryAfter))));
+  }
+  ++counters_.probations;
+  send(id, call, *target, true);
+}
+
+/// What the answer tells is known here at once, so that the next attempt of this call is on probation already.
+void EntryCalls::noteCrash(const Attempt& attempt, const wire::CallResponse& response) {
+  const auto call = calls_.find(attempt.call);
+  if (quarantine_ == nullptr || call == calls_.end()) return;
+  const quarantine::crashed_run run{fingerprintOfCall(&call->second), response.onProbation};
+  quarantine_->onCrashElsewhere(static_cast<uint64_t>(response.crashId), call->second.service, attempt.endpoint, run);
+}
+
+}  // namespace driftlug::node
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -149,6 +149,7 @@
 void LocalBackend::apply() {
   const bool draining = current_.draining || stopping_ || suspended_;
   calls_.useIncarnation(current_.incarnation, current_.slots);
+  calls_.setLeaving(current_.draining);
   calls_.setDraining(draining);
   announce(draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE);
 }
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -83,6 +83,9 @@
   /// A call reached the back end and was answered, or no connection to it could be made.
   void onContact(bool reached);
 
+  /// Nothing listens at the back end's address any more: it takes no calls until it reports again.
+  void onCrash() { suspend("gone"); }
+
   /// This node stops: others are told to go elsewhere.
   void setStopping();
 
--- /dev/null
+++ b/src/quarantine/crash_watch.cc
@@ -0,0 +1,80 @@
+#include "quarantine/crash_watch.h"
+
+#include <utility>
+
+#include "quarantine/back_end_presence.h"
+
+namespace driftlug::quarantine
+{
+namespace
+{
+/// Connections of one process end together; a busy node finds the last of them closed some turns of its loop later. No
+/// back end is up again, and crashed again, so soon.
+constexpr base::Duration kSameCrash = base::milliseconds(200);
+
+}  // namespace
+
+crash_watch::crash_watch(const base::TimeSource& _time, base::RandomSource _random, back_end_presence& _presence,
+						 crash_handler _onCrash)
+	: m_time(_time)
+	, m_random(_random)
+	, m_presence(_presence)
+	, m_onCrash(std::move(_onCrash))
+{
+}
+
+crash_watch::~crash_watch()
+{
+	*m_alive = false;
+}
+
+void crash_watch::onCut(const crashed_run& _run, verdict _verdict)
+{
+	if (m_time.now() < m_joinUntil)
+	{
+		m_onCrash(m_crash, {_run});
+		_verdict(m_crash);
+		return;
+	}
+
+	m_waiting.push_back({_run, std::move(_verdict)});
+	if (m_asking)
+	{
+		return;
+	}
+	m_asking = true;
+	m_presence.check(
+		[this, alive = m_alive](presence _presence)
+		{
+			if (*alive)
+			{
+				onChecked(presence::gone == _presence);
+			}
+		});
+}
+
+void crash_watch::onChecked(bool _gone)
+{
+	m_asking = false;
+	const auto cuts = std::exchange(m_waiting, {});
+	std::optional<uint64_t> crash;
+	if (_gone)
+	{
+		m_crash = m_random.bits();
+		m_joinUntil = m_time.now() + kSameCrash;
+		crash = m_crash;
+		std::vector<crashed_run> runs;
+		runs.reserve(cuts.size());
+		for (const auto& one : cuts)
+		{
+			runs.push_back(one.run);
+		}
+		m_onCrash(m_crash, runs);
+	}
+	for (const auto& one : cuts)
+	{
+		one.done(crash);
+	}
+}
+
+}  // namespace driftlug::quarantine
--- a/src/quarantine/request_fingerprint.cc
+++ b/src/quarantine/request_fingerprint.cc
@@ -11,7 +11,7 @@
 request_fingerprint fingerprintOf(const request_identity& _request)
 {
 	// Each part by itself first, so that what ends one part can't begin the next.
-	const std::array parts{_request.method, _request.host, _request.path, _request.callerService, _request.body};
+	const std::array parts{_request.method, _request.host, _request.path, _request.body};
 	std::array<XXH128_hash_t, parts.size()> hashes;
 	std::transform(parts.begin(), parts.end(), hashes.begin(),
 				   [](std::string_view _part)
--- a/src/quarantine/request_fingerprint.h
+++ b/src/quarantine/request_fingerprint.h
@@ -9,7 +9,7 @@
 
 namespace driftlug::quarantine
 {
-/// Hash of 128 bits over what a request asks for and who asks. With as many requests as 100 a second make in a year,
+/// Hash of 128 bits over what a request asks for. With as many requests as 100 a second make in a year,
 /// the chance that any two different ones share a fingerprint is below 1e-19 (birthday bound).
 struct request_fingerprint
 {
@@ -19,15 +19,14 @@
 	auto operator<=>(const request_fingerprint&) const = default;
 };
 
-/// The parts of a request that its sender repeats when it sends it again. Headers are no part of it: ids of tries,
-/// deadlines and traces differ from one try to the next.
+/// The parts of a request that are the same when it is sent again, at whatever node. Headers are no part of it: ids of
+/// tries, deadlines, traces and the service beside the node differ from one try to the next.
 struct request_identity
 {
 	std::string_view method;
-	std::string_view host;           //!< Without a port.
-	std::string_view path;           //!< With the query.
-	std::string_view callerService;  //!< Service beside the node where the call began; empty for none.
-	std::string_view body;           //!< The whole of it.
+	std::string_view host;  //!< Without a port.
+	std::string_view path;  //!< With the query.
+	std::string_view body;  //!< The whole of it.
 };
 
 /// @returns The same for the same parts, in every process.
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -39,6 +39,8 @@
   int64_t floorRevision = 0;
   base::TimePoint lastHeard{};
   std::set<std::string> toldServices;  ///< whose announced endpoints the node was told of
+  bool takesCrashReports = false;
+  std::set<std::string> toldCrashesOf;  ///< services whose crashes before its time the node was told of
 };
 
 /// Sends slices to nodes once they are released.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -25,6 +25,7 @@
       nodes_(network, releases_),
       source_(network, scheduler, base::RandomSource(random_.bits()), options_.controllers),
       peers_(network, scheduler, base::RandomSource(random_.bits())),
+      crashes_(network, scheduler, nodes_, peers_),
       nodeTimer_(scheduler, [this] { onNodeTimer(); }),
       reportTimer_(scheduler, [this] {
         reportTimer_.start(options_.reportInterval);
@@ -44,6 +45,7 @@
   hello.role = wire::Role::RELAY;
   hello.id = options_.id;
   hello.zone = options_.zone;
+  hello.takesCrashReports = true;
   network_.setHello(hello);
   admissionTokens_ = options_.admissionBurst;
   startedAt_ = scheduler_.now();
@@ -71,6 +73,7 @@
   if (!peers_.owns(connection)) return;
   peers_.onOpen(connection, peer);
   sendHeld(peer.id, 0, false);
+  crashes_.onPeerOpen(peer);
   std::vector<wire::EndpointState> own;
   for (const auto& [nodeConnection, session] : nodes_.all()) {
     const auto states = endpoints_.ofOrigin(session.nodeId);
@@ -89,6 +92,7 @@
   const auto found = hellos_.find(connection);
   if (found == hellos_.end()) return;
   const auto peer = found->second;
+  if (outgoing) crashes_.onPeerClose(peer.id);
   hellos_.erase(found);
   if (--connectionsOf_[peer.id] == 0) connectionsOf_.erase(peer.id);
   if (peer.role == wire::Role::RELAY) {
@@ -173,6 +177,7 @@
   releases_.setOwn(replica_.revision());
   announceHeld();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->onOwn(replica_.revision(), recovered_);
+  tellOfCrashes();
   nodes_.deliverAll();
   tellNewServices();
   scheduleReport();
@@ -214,6 +219,8 @@
     nodes_.deliverAll();
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
     onEndpointStates(states->states, relayId, false);
+  } else if (const auto* crashes = std::get_if<wire::CrashReports>(&message)) {
+    crashes_.onPeerReports(crashes->reports);
   }
 }
 
@@ -232,6 +239,8 @@
     forwardToLedger(connection, *ledger);
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
     onEndpointStates(states->states, hellos_[connection].id, true);
+  } else if (const auto* crashes = std::get_if<wire::CrashReports>(&message)) {
+    crashes_.onNodeReports(connection, crashes->reports);
   }
 }
 
@@ -283,6 +292,7 @@
   session.nodeId = peer.id;
   session.zone = peer.zone;
   session.takesPacked = peer.unpacksFrames;
+  session.takesCrashReports = peer.takesCrashReports;
   session.slice = slices_.get(interest, replica_.table());
   session.sentRevision = request.revision;
   session.appliedRevision = request.revision;
@@ -294,6 +304,8 @@
   newlyDetached_.erase(peer.id);
   lostAt_.erase(peer.id);
   scheduleReport();
+  // Before its first version, so that a node that was restarted knows what crashes back ends before it serves.
+  crashes_.tell(connection, nodes_.find(connection));
   // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
   nodes_.heartbeatTo(connection, source_.freshness());
   if (confirmed) {
@@ -324,6 +336,10 @@
   return slice.contains(table::makeKey(table::RowKind::SERVICE, state.serviceName));
 }
 
+void Relay::tellOfCrashes() {
+  for (auto& [connection, session] : nodes_.all()) crashes_.tell(connection, &session);
+}
+
 void Relay::tellNewServices() {
   for (auto& [connection, session] : nodes_.all()) tellServices(connection, &session);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "membership/endpoint_directory.h"
 #include "membership/peer_links.h"
+#include "relay/crash_spread.h"
 #include "relay/freshness_confirmer.h"
 #include "relay/node_sessions.h"
 #include "relay/release_group.h"
@@ -62,6 +63,7 @@
   const NodeSessions& nodes() const { return nodes_; }
   const ReleaseTracker& releases() const { return releases_; }
   const membership::EndpointDirectory& endpoints() const { return endpoints_; }
+  const CrashSpread& crashes() const { return crashes_; }
   const ControllerLinks& source() const { return source_; }
 
   /// @return whether the table was confirmed by a controller since the start.
@@ -109,6 +111,7 @@
 
   // Endpoint states
   bool wants(const NodeSession& session, const wire::EndpointState& state) const;
+  void tellOfCrashes();
   void tellNewServices();
   void tellServices(base::ConnectionId connection, NodeSession* session);
   void onEndpointStates(const std::vector<wire::EndpointState>& states, const std::string& origin, bool fromNode);
@@ -129,6 +132,7 @@
   ControllerLinks source_;
   membership::PeerLinks peers_;
   membership::EndpointDirectory endpoints_;
+  CrashSpread crashes_;
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
   std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
   std::map<std::string, int> connectionsOf_;                               // open connections by peer id, for leases
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -1,5 +1,7 @@
 #include "routing/endpoint_picker.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -80,6 +82,23 @@
   return cost(*choices[second], ownZone) < cost(*choices[first], ownZone) ? choices[second] : choices[first];
 }
 
+const EndpointTarget* EndpointPicker::pickFor(uint64_t key, const std::vector<EndpointTarget>& endpoints,
+                                              const std::set<std::string>& excluded) {
+  const auto now = time_.now();
+  const EndpointTarget* best = nullptr;
+  uint64_t highest = 0;
+  for (const auto& endpoint : endpoints) {
+    const auto& state = states_[endpoint.name];
+    const bool takesWork = endpoint.weight > 0 && usable(state, now) && !state.silent;
+    if (!takesWork || excluded.count(endpoint.name) > 0) continue;
+    const uint64_t hash = XXH3_64bits_withSeed(endpoint.name.data(), endpoint.name.size(), key);
+    if (best != nullptr && hash <= highest) continue;
+    best = &endpoint;
+    highest = hash;
+  }
+  return best;
+}
+
 double EndpointPicker::busyShare(const EndpointTarget& target) {
   const auto& state = states_[target.name];
   const auto now = time_.now();
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -60,6 +60,12 @@
   const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                              const std::set<std::string>& excluded, int rank = 0, size_t bodyBytes = 0);
 
+  /// Chooses the endpoint that a key puts first among those that take work, the same at all nodes that know the same.
+  /// @param excluded endpoints that were already tried for this request
+  /// @return null when none takes work
+  const EndpointTarget* pickFor(uint64_t key, const std::vector<EndpointTarget>& endpoints,
+                                const std::set<std::string>& excluded);
+
   /// A request was sent to an endpoint.
   void onSent(const std::string& endpoint);
 
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -60,6 +60,7 @@
     setOptions(socket, std::max(options.unacknowledged, options.connectTimeout));
     const int result = ::connect(socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
     good = result == 0 || errno == EINPROGRESS;
+    stream->refused_ = !good && errno == ECONNREFUSED;
   }
   if (!good) {
     if (socket >= 0) ::close(socket);
@@ -191,6 +192,7 @@
     if (count < 0 && errno == EINTR) continue;
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
     if (count <= 0) {
+      refused_ = count < 0 && errno == ECONNREFUSED && !connected_;
       orderly_ = count == 0;
       return false;
     }
@@ -206,6 +208,7 @@
     int error = 0;
     socklen_t size = sizeof(error);
     ::getsockopt(socket_, SOL_SOCKET, SO_ERROR, &error, &size);
+    refused_ = error == ECONNREFUSED;
     if (error != 0) return false;
     connected_ = true;
     setUserTimeout(socket_, options_.unacknowledged);
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -73,6 +73,9 @@
   /// @return bytes that the system has taken so far.
   int64_t sentBytes() const { return sentBytes_; }
 
+  /// @return whether the connection was not opened since nobody listens at the address.
+  bool refused() const { return refused_; }
+
   /// Stops or resumes reading, to slow down a peer.
   void setReading(bool reading);
 
@@ -106,6 +109,7 @@
   int socket_ = -1;
   bool orderly_ = false;  // the peer ended its direction in order
   bool connected_ = false;
+  bool refused_ = false;
   bool closing_ = false;  // the socket is to be closed at the next event
   bool flushScheduled_ = false;
   bool shutdownAsked_ = false;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -297,6 +297,8 @@
   13: bool acknowledgesCalls
   /** Whether large frames may come as PackedFrame. */
   14: bool unpacksFrames
+  /** Whether crash reports are understood. */
+  15: bool takesCrashReports
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -488,6 +490,31 @@
   1: list<EndpointState> states
 }
 
+/** A request that was at work on a back end when it crashed. */
+struct CrashedRequest {
+  /** 16 bytes, the low half of the hash first, each half with its lowest byte first. */
+  1: binary fingerprint
+  /** It ran as a suspect, alone of its kind on that back end. */
+  2: bool onProbation
+  /** It has run well since, or was released by an operator. */
+  3: bool cleared
+}
+
+/** A back end crashed, under these requests among which one may be to blame. */
+struct CrashReport {
+  /** Drawn by the node that saw the crash. */
+  1: i64 id
+  2: string serviceName
+  3: string endpoint
+  /** How long ago, as far as the sender knows; clocks of machines are not compared. */
+  4: i64 ageMs
+  5: list<CrashedRequest> requests
+}
+
+struct CrashReports {
+  1: list<CrashReport> reports
+}
+
 /** A ledger command on its way from a node over its relay to the leading controller. */
 struct LedgerRequest {
   1: i64 requestId
@@ -517,6 +544,8 @@
   13: i32 waitedMs
   /** Size of a body that follows in pieces; 0 where the body is in this message. */
   14: i64 bodyBytes
+  /** The sender knows of a back end that crashed while it ran the same request. */
+  15: bool suspect
 }
 
 /** How a call ended, as seen by the side that answers it. */
@@ -539,6 +568,10 @@
   9: i32 fullForMs
   /** Whether only calls with large bodies are to leave the endpoint alone, since its link is full. */
   10: bool fullForBodies
+  /** With BACKEND_CRASHED: the crash that ended the run. */
+  11: i64 crashId
+  /** With BACKEND_CRASHED: whether the run was on probation. */
+  12: bool onProbation
 }
 
 struct CallCancel {
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -19,7 +19,8 @@
                              ConfirmRequest, ConfirmReply, ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied,
                              SliceRejected, NodeHeartbeat, RetryLater, RelayHeld, EndpointStates, CallRequest,
                              CallResponse, CallCancel, KeepAlive, LedgerRequest, LedgerReply, MemberList, RelayList,
-                             StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted, PackedFrame, CallWithdraw>;
+                             StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted, PackedFrame, CallWithdraw,
+                             CrashReports>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -5536,6 +5536,10 @@
 void Hello::__set_unpacksFrames(const bool val) {
   this->unpacksFrames = val;
 }
+
+void Hello::__set_takesCrashReports(const bool val) {
+  this->takesCrashReports = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -5678,6 +5682,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takesCrashReports);
+          this->__isset.takesCrashReports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5751,6 +5763,10 @@
   xfer += oprot->writeBool(this->unpacksFrames);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("takesCrashReports", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->takesCrashReports);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5772,6 +5788,7 @@
   swap(a.takesBodyPieces, b.takesBodyPieces);
   swap(a.acknowledgesCalls, b.acknowledgesCalls);
   swap(a.unpacksFrames, b.unpacksFrames);
+  swap(a.takesCrashReports, b.takesCrashReports);
   swap(a.__isset, b.__isset);
 }
 
@@ -5790,6 +5807,7 @@
   takesBodyPieces = other208.takesBodyPieces;
   acknowledgesCalls = other208.acknowledgesCalls;
   unpacksFrames = other208.unpacksFrames;
+  takesCrashReports = other208.takesCrashReports;
   __isset = other208.__isset;
 }
 Hello::Hello(Hello&& other209) noexcept {
@@ -5807,6 +5825,7 @@
   takesBodyPieces = other209.takesBodyPieces;
   acknowledgesCalls = other209.acknowledgesCalls;
   unpacksFrames = other209.unpacksFrames;
+  takesCrashReports = other209.takesCrashReports;
   __isset = other209.__isset;
 }
 Hello& Hello::operator=(const Hello& other210) {
@@ -5824,6 +5843,7 @@
   takesBodyPieces = other210.takesBodyPieces;
   acknowledgesCalls = other210.acknowledgesCalls;
   unpacksFrames = other210.unpacksFrames;
+  takesCrashReports = other210.takesCrashReports;
   __isset = other210.__isset;
   return *this;
 }
@@ -5842,6 +5862,7 @@
   takesBodyPieces = other211.takesBodyPieces;
   acknowledgesCalls = other211.acknowledgesCalls;
   unpacksFrames = other211.unpacksFrames;
+  takesCrashReports = other211.takesCrashReports;
   __isset = other211.__isset;
   return *this;
 }
@@ -5862,6 +5883,7 @@
   out << ", " << "takesBodyPieces=" << to_string(takesBodyPieces);
   out << ", " << "acknowledgesCalls=" << to_string(acknowledgesCalls);
   out << ", " << "unpacksFrames=" << to_string(unpacksFrames);
+  out << ", " << "takesCrashReports=" << to_string(takesCrashReports);
   out << ")";
 }
 
@@ -9970,6 +9992,481 @@
 }
 
 
+CrashedRequest::~CrashedRequest() noexcept {
+}
+
+
+void CrashedRequest::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+
+void CrashedRequest::__set_onProbation(const bool val) {
+  this->onProbation = val;
+}
+
+void CrashedRequest::__set_cleared(const bool val) {
+  this->cleared = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashedRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->onProbation);
+          this->__isset.onProbation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cleared);
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashedRequest");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("onProbation", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->onProbation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->cleared);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashedRequest &a, CrashedRequest &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.onProbation, b.onProbation);
+  swap(a.cleared, b.cleared);
+  swap(a.__isset, b.__isset);
+}
+
+CrashedRequest::CrashedRequest(const CrashedRequest& other372) {
+  fingerprint = other372.fingerprint;
+  onProbation = other372.onProbation;
+  cleared = other372.cleared;
+  __isset = other372.__isset;
+}
+CrashedRequest::CrashedRequest(CrashedRequest&& other373) noexcept {
+  fingerprint = std::move(other373.fingerprint);
+  onProbation = other373.onProbation;
+  cleared = other373.cleared;
+  __isset = other373.__isset;
+}
+CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other374) {
+  fingerprint = other374.fingerprint;
+  onProbation = other374.onProbation;
+  cleared = other374.cleared;
+  __isset = other374.__isset;
+  return *this;
+}
+CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other375) noexcept {
+  fingerprint = std::move(other375.fingerprint);
+  onProbation = other375.onProbation;
+  cleared = other375.cleared;
+  __isset = other375.__isset;
+  return *this;
+}
+void CrashedRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashedRequest(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "onProbation=" << to_string(onProbation);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ")";
+}
+
+
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void CrashReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void CrashReport::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void CrashReport::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void CrashReport::__set_requests(const std::vector<CrashedRequest> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size376;
+            ::apache::thrift::protocol::TType _etype379;
+            xfer += iprot->readListBegin(_etype379, _size376);
+            this->requests.resize(_size376);
+            uint32_t _i380;
+            for (_i380 = 0; _i380 < _size376; ++_i380)
+            {
+              xfer += this->requests[_i380].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<CrashedRequest> ::const_iterator _iter381;
+    for (_iter381 = this->requests.begin(); _iter381 != this->requests.end(); ++_iter381)
+    {
+      xfer += (*_iter381).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.serviceName, b.serviceName);
+  swap(a.endpoint, b.endpoint);
+  swap(a.ageMs, b.ageMs);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other382) {
+  id = other382.id;
+  serviceName = other382.serviceName;
+  endpoint = other382.endpoint;
+  ageMs = other382.ageMs;
+  requests = other382.requests;
+  __isset = other382.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other383) noexcept {
+  id = other383.id;
+  serviceName = std::move(other383.serviceName);
+  endpoint = std::move(other383.endpoint);
+  ageMs = other383.ageMs;
+  requests = std::move(other383.requests);
+  __isset = other383.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other384) {
+  id = other384.id;
+  serviceName = other384.serviceName;
+  endpoint = other384.endpoint;
+  ageMs = other384.ageMs;
+  requests = other384.requests;
+  __isset = other384.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other385) noexcept {
+  id = other385.id;
+  serviceName = std::move(other385.serviceName);
+  endpoint = std::move(other385.endpoint);
+  ageMs = other385.ageMs;
+  requests = std::move(other385.requests);
+  __isset = other385.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "id=" << to_string(id);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+CrashReports::~CrashReports() noexcept {
+}
+
+
+void CrashReports::__set_reports(const std::vector<CrashReport> & val) {
+  this->reports = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReports& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReports::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size386;
+            ::apache::thrift::protocol::TType _etype389;
+            xfer += iprot->readListBegin(_etype389, _size386);
+            this->reports.resize(_size386);
+            uint32_t _i390;
+            for (_i390 = 0; _i390 < _size386; ++_i390)
+            {
+              xfer += this->reports[_i390].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReports::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReports");
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<CrashReport> ::const_iterator _iter391;
+    for (_iter391 = this->reports.begin(); _iter391 != this->reports.end(); ++_iter391)
+    {
+      xfer += (*_iter391).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReports &a, CrashReports &b) {
+  using ::std::swap;
+  swap(a.reports, b.reports);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReports::CrashReports(const CrashReports& other392) {
+  reports = other392.reports;
+  __isset = other392.__isset;
+}
+CrashReports::CrashReports(CrashReports&& other393) noexcept {
+  reports = std::move(other393.reports);
+  __isset = other393.__isset;
+}
+CrashReports& CrashReports::operator=(const CrashReports& other394) {
+  reports = other394.reports;
+  __isset = other394.__isset;
+  return *this;
+}
+CrashReports& CrashReports::operator=(CrashReports&& other395) noexcept {
+  reports = std::move(other395.reports);
+  __isset = other395.__isset;
+  return *this;
+}
+void CrashReports::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReports(";
+  out << "reports=" << to_string(reports);
+  out << ")";
+}
+
+
 LedgerRequest::~LedgerRequest() noexcept {
 }
 
@@ -10062,26 +10559,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRequest::LedgerRequest(const LedgerRequest& other372) {
-  requestId = other372.requestId;
-  command = other372.command;
-  __isset = other372.__isset;
+LedgerRequest::LedgerRequest(const LedgerRequest& other396) {
+  requestId = other396.requestId;
+  command = other396.command;
+  __isset = other396.__isset;
 }
-LedgerRequest::LedgerRequest(LedgerRequest&& other373) noexcept {
-  requestId = other373.requestId;
-  command = std::move(other373.command);
-  __isset = other373.__isset;
+LedgerRequest::LedgerRequest(LedgerRequest&& other397) noexcept {
+  requestId = other397.requestId;
+  command = std::move(other397.command);
+  __isset = other397.__isset;
 }
-LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other374) {
-  requestId = other374.requestId;
-  command = other374.command;
-  __isset = other374.__isset;
+LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other398) {
+  requestId = other398.requestId;
+  command = other398.command;
+  __isset = other398.__isset;
   return *this;
 }
-LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other375) noexcept {
-  requestId = other375.requestId;
-  command = std::move(other375.command);
-  __isset = other375.__isset;
+LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other399) noexcept {
+  requestId = other399.requestId;
+  command = std::move(other399.command);
+  __isset = other399.__isset;
   return *this;
 }
 void LedgerRequest::printTo(std::ostream& out) const {
@@ -10147,9 +10644,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast376;
-          xfer += iprot->readI32(ecast376);
-          this->verdict = static_cast<LedgerVerdict::type>(ecast376);
+          int32_t ecast400;
+          xfer += iprot->readI32(ecast400);
+          this->verdict = static_cast<LedgerVerdict::type>(ecast400);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10206,30 +10703,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerReply::LedgerReply(const LedgerReply& other377) {
-  requestId = other377.requestId;
-  verdict = other377.verdict;
-  answer = other377.answer;
-  __isset = other377.__isset;
+LedgerReply::LedgerReply(const LedgerReply& other401) {
+  requestId = other401.requestId;
+  verdict = other401.verdict;
+  answer = other401.answer;
+  __isset = other401.__isset;
 }
-LedgerReply::LedgerReply(LedgerReply&& other378) noexcept {
-  requestId = other378.requestId;
-  verdict = other378.verdict;
-  answer = std::move(other378.answer);
-  __isset = other378.__isset;
+LedgerReply::LedgerReply(LedgerReply&& other402) noexcept {
+  requestId = other402.requestId;
+  verdict = other402.verdict;
+  answer = std::move(other402.answer);
+  __isset = other402.__isset;
 }
-LedgerReply& LedgerReply::operator=(const LedgerReply& other379) {
-  requestId = other379.requestId;
-  verdict = other379.verdict;
-  answer = other379.answer;
-  __isset = other379.__isset;
+LedgerReply& LedgerReply::operator=(const LedgerReply& other403) {
+  requestId = other403.requestId;
+  verdict = other403.verdict;
+  answer = other403.answer;
+  __isset = other403.__isset;
   return *this;
 }
-LedgerReply& LedgerReply::operator=(LedgerReply&& other380) noexcept {
-  requestId = other380.requestId;
-  verdict = other380.verdict;
-  answer = std::move(other380.answer);
-  __isset = other380.__isset;
+LedgerReply& LedgerReply::operator=(LedgerReply&& other404) noexcept {
+  requestId = other404.requestId;
+  verdict = other404.verdict;
+  answer = std::move(other404.answer);
+  __isset = other404.__isset;
   return *this;
 }
 void LedgerReply::printTo(std::ostream& out) const {
@@ -10301,6 +10798,10 @@
 void CallRequest::__set_bodyBytes(const int64_t val) {
   this->bodyBytes = val;
 }
+
+void CallRequest::__set_suspect(const bool val) {
+  this->suspect = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -10365,14 +10866,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size381;
-            ::apache::thrift::protocol::TType _etype384;
-            xfer += iprot->readListBegin(_etype384, _size381);
-            this->headers.resize(_size381);
-            uint32_t _i385;
-            for (_i385 = 0; _i385 < _size381; ++_i385)
+            uint32_t _size405;
+            ::apache::thrift::protocol::TType _etype408;
+            xfer += iprot->readListBegin(_etype408, _size405);
+            this->headers.resize(_size405);
+            uint32_t _i409;
+            for (_i409 = 0; _i409 < _size405; ++_i409)
             {
-              xfer += this->headers[_i385].read(iprot);
+              xfer += this->headers[_i409].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10453,6 +10954,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspect);
+          this->__isset.suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10489,10 +10998,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter386;
-    for (_iter386 = this->headers.begin(); _iter386 != this->headers.end(); ++_iter386)
+    std::vector<HttpHeader> ::const_iterator _iter410;
+    for (_iter410 = this->headers.begin(); _iter410 != this->headers.end(); ++_iter410)
     {
-      xfer += (*_iter386).write(oprot);
+      xfer += (*_iter410).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10534,6 +11043,10 @@
   xfer += oprot->writeI64(this->bodyBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspect", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->suspect);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10555,77 +11068,82 @@
   swap(a.targetLatencyMs, b.targetLatencyMs);
   swap(a.waitedMs, b.waitedMs);
   swap(a.bodyBytes, b.bodyBytes);
+  swap(a.suspect, b.suspect);
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other387) {
-  callId = other387.callId;
-  serviceName = other387.serviceName;
-  method = other387.method;
-  path = other387.path;
-  headers = other387.headers;
-  body = other387.body;
-  remainingMs = other387.remainingMs;
-  idempotencyKey = other387.idempotencyKey;
-  endpoint = other387.endpoint;
-  priority = other387.priority;
-  runOnce = other387.runOnce;
-  targetLatencyMs = other387.targetLatencyMs;
-  waitedMs = other387.waitedMs;
-  bodyBytes = other387.bodyBytes;
-  __isset = other387.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other388) noexcept {
-  callId = other388.callId;
-  serviceName = std::move(other388.serviceName);
-  method = std::move(other388.method);
-  path = std::move(other388.path);
-  headers = std::move(other388.headers);
-  body = std::move(other388.body);
-  remainingMs = other388.remainingMs;
-  idempotencyKey = std::move(other388.idempotencyKey);
-  endpoint = std::move(other388.endpoint);
-  priority = other388.priority;
-  runOnce = other388.runOnce;
-  targetLatencyMs = other388.targetLatencyMs;
-  waitedMs = other388.waitedMs;
-  bodyBytes = other388.bodyBytes;
-  __isset = other388.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other389) {
-  callId = other389.callId;
-  serviceName = other389.serviceName;
-  method = other389.method;
-  path = other389.path;
-  headers = other389.headers;
-  body = other389.body;
-  remainingMs = other389.remainingMs;
-  idempotencyKey = other389.idempotencyKey;
-  endpoint = other389.endpoint;
-  priority = other389.priority;
-  runOnce = other389.runOnce;
-  targetLatencyMs = other389.targetLatencyMs;
-  waitedMs = other389.waitedMs;
-  bodyBytes = other389.bodyBytes;
-  __isset = other389.__isset;
-  return *this;
-}
-CallRequest& CallRequest::operator=(CallRequest&& other390) noexcept {
-  callId = other390.callId;
-  serviceName = std::move(other390.serviceName);
-  method = std::move(other390.method);
-  path = std::move(other390.path);
-  headers = std::move(other390.headers);
-  body = std::move(other390.body);
-  remainingMs = other390.remainingMs;
-  idempotencyKey = std::move(other390.idempotencyKey);
-  endpoint = std::move(other390.endpoint);
-  priority = other390.priority;
-  runOnce = other390.runOnce;
-  targetLatencyMs = other390.targetLatencyMs;
-  waitedMs = other390.waitedMs;
-  bodyBytes = other390.bodyBytes;
-  __isset = other390.__isset;
+CallRequest::CallRequest(const CallRequest& other411) {
+  callId = other411.callId;
+  serviceName = other411.serviceName;
+  method = other411.method;
+  path = other411.path;
+  headers = other411.headers;
+  body = other411.body;
+  remainingMs = other411.remainingMs;
+  idempotencyKey = other411.idempotencyKey;
+  endpoint = other411.endpoint;
+  priority = other411.priority;
+  runOnce = other411.runOnce;
+  targetLatencyMs = other411.targetLatencyMs;
+  waitedMs = other411.waitedMs;
+  bodyBytes = other411.bodyBytes;
+  suspect = other411.suspect;
+  __isset = other411.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other412) noexcept {
+  callId = other412.callId;
+  serviceName = std::move(other412.serviceName);
+  method = std::move(other412.method);
+  path = std::move(other412.path);
+  headers = std::move(other412.headers);
+  body = std::move(other412.body);
+  remainingMs = other412.remainingMs;
+  idempotencyKey = std::move(other412.idempotencyKey);
+  endpoint = std::move(other412.endpoint);
+  priority = other412.priority;
+  runOnce = other412.runOnce;
+  targetLatencyMs = other412.targetLatencyMs;
+  waitedMs = other412.waitedMs;
+  bodyBytes = other412.bodyBytes;
+  suspect = other412.suspect;
+  __isset = other412.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other413) {
+  callId = other413.callId;
+  serviceName = other413.serviceName;
+  method = other413.method;
+  path = other413.path;
+  headers = other413.headers;
+  body = other413.body;
+  remainingMs = other413.remainingMs;
+  idempotencyKey = other413.idempotencyKey;
+  endpoint = other413.endpoint;
+  priority = other413.priority;
+  runOnce = other413.runOnce;
+  targetLatencyMs = other413.targetLatencyMs;
+  waitedMs = other413.waitedMs;
+  bodyBytes = other413.bodyBytes;
+  suspect = other413.suspect;
+  __isset = other413.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other414) noexcept {
+  callId = other414.callId;
+  serviceName = std::move(other414.serviceName);
+  method = std::move(other414.method);
+  path = std::move(other414.path);
+  headers = std::move(other414.headers);
+  body = std::move(other414.body);
+  remainingMs = other414.remainingMs;
+  idempotencyKey = std::move(other414.idempotencyKey);
+  endpoint = std::move(other414.endpoint);
+  priority = other414.priority;
+  runOnce = other414.runOnce;
+  targetLatencyMs = other414.targetLatencyMs;
+  waitedMs = other414.waitedMs;
+  bodyBytes = other414.bodyBytes;
+  suspect = other414.suspect;
+  __isset = other414.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -10645,6 +11163,7 @@
   out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
   out << ", " << "waitedMs=" << to_string(waitedMs);
   out << ", " << "bodyBytes=" << to_string(bodyBytes);
+  out << ", " << "suspect=" << to_string(suspect);
   out << ")";
 }
 
@@ -10692,6 +11211,14 @@
 void CallResponse::__set_fullForBodies(const bool val) {
   this->fullForBodies = val;
 }
+
+void CallResponse::__set_crashId(const int64_t val) {
+  this->crashId = val;
+}
+
+void CallResponse::__set_onProbation(const bool val) {
+  this->onProbation = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -10730,9 +11257,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast391;
-          xfer += iprot->readI32(ecast391);
-          this->outcome = static_cast<CallOutcome::type>(ecast391);
+          int32_t ecast415;
+          xfer += iprot->readI32(ecast415);
+          this->outcome = static_cast<CallOutcome::type>(ecast415);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10750,14 +11277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size392;
-            ::apache::thrift::protocol::TType _etype395;
-            xfer += iprot->readListBegin(_etype395, _size392);
-            this->headers.resize(_size392);
-            uint32_t _i396;
-            for (_i396 = 0; _i396 < _size392; ++_i396)
+            uint32_t _size416;
+            ::apache::thrift::protocol::TType _etype419;
+            xfer += iprot->readListBegin(_etype419, _size416);
+            this->headers.resize(_size416);
+            uint32_t _i420;
+            for (_i420 = 0; _i420 < _size416; ++_i420)
             {
-              xfer += this->headers[_i396].read(iprot);
+              xfer += this->headers[_i420].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10814,6 +11341,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->crashId);
+          this->__isset.crashId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->onProbation);
+          this->__isset.onProbation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10846,10 +11389,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter397;
-    for (_iter397 = this->headers.begin(); _iter397 != this->headers.end(); ++_iter397)
+    std::vector<HttpHeader> ::const_iterator _iter421;
+    for (_iter421 = this->headers.begin(); _iter421 != this->headers.end(); ++_iter421)
     {
-      xfer += (*_iter397).write(oprot);
+      xfer += (*_iter421).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10879,6 +11422,14 @@
   xfer += oprot->writeBool(this->fullForBodies);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashId", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->crashId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("onProbation", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->onProbation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10896,61 +11447,71 @@
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.fullForMs, b.fullForMs);
   swap(a.fullForBodies, b.fullForBodies);
+  swap(a.crashId, b.crashId);
+  swap(a.onProbation, b.onProbation);
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other398) {
-  callId = other398.callId;
-  outcome = other398.outcome;
-  httpStatus = other398.httpStatus;
-  headers = other398.headers;
-  body = other398.body;
-  errorCode = other398.errorCode;
-  inFlight = other398.inFlight;
-  retryAfterMs = other398.retryAfterMs;
-  fullForMs = other398.fullForMs;
-  fullForBodies = other398.fullForBodies;
-  __isset = other398.__isset;
-}
-CallResponse::CallResponse(CallResponse&& other399) noexcept {
-  callId = other399.callId;
-  outcome = other399.outcome;
-  httpStatus = other399.httpStatus;
-  headers = std::move(other399.headers);
-  body = std::move(other399.body);
-  errorCode = other399.errorCode;
-  inFlight = other399.inFlight;
-  retryAfterMs = other399.retryAfterMs;
-  fullForMs = other399.fullForMs;
-  fullForBodies = other399.fullForBodies;
-  __isset = other399.__isset;
-}
-CallResponse& CallResponse::operator=(const CallResponse& other400) {
-  callId = other400.callId;
-  outcome = other400.outcome;
-  httpStatus = other400.httpStatus;
-  headers = other400.headers;
-  body = other400.body;
-  errorCode = other400.errorCode;
-  inFlight = other400.inFlight;
-  retryAfterMs = other400.retryAfterMs;
-  fullForMs = other400.fullForMs;
-  fullForBodies = other400.fullForBodies;
-  __isset = other400.__isset;
-  return *this;
-}
-CallResponse& CallResponse::operator=(CallResponse&& other401) noexcept {
-  callId = other401.callId;
-  outcome = other401.outcome;
-  httpStatus = other401.httpStatus;
-  headers = std::move(other401.headers);
-  body = std::move(other401.body);
-  errorCode = other401.errorCode;
-  inFlight = other401.inFlight;
-  retryAfterMs = other401.retryAfterMs;
-  fullForMs = other401.fullForMs;
-  fullForBodies = other401.fullForBodies;
-  __isset = other401.__isset;
+CallResponse::CallResponse(const CallResponse& other422) {
+  callId = other422.callId;
+  outcome = other422.outcome;
+  httpStatus = other422.httpStatus;
+  headers = other422.headers;
+  body = other422.body;
+  errorCode = other422.errorCode;
+  inFlight = other422.inFlight;
+  retryAfterMs = other422.retryAfterMs;
+  fullForMs = other422.fullForMs;
+  fullForBodies = other422.fullForBodies;
+  crashId = other422.crashId;
+  onProbation = other422.onProbation;
+  __isset = other422.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other423) noexcept {
+  callId = other423.callId;
+  outcome = other423.outcome;
+  httpStatus = other423.httpStatus;
+  headers = std::move(other423.headers);
+  body = std::move(other423.body);
+  errorCode = other423.errorCode;
+  inFlight = other423.inFlight;
+  retryAfterMs = other423.retryAfterMs;
+  fullForMs = other423.fullForMs;
+  fullForBodies = other423.fullForBodies;
+  crashId = other423.crashId;
+  onProbation = other423.onProbation;
+  __isset = other423.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other424) {
+  callId = other424.callId;
+  outcome = other424.outcome;
+  httpStatus = other424.httpStatus;
+  headers = other424.headers;
+  body = other424.body;
+  errorCode = other424.errorCode;
+  inFlight = other424.inFlight;
+  retryAfterMs = other424.retryAfterMs;
+  fullForMs = other424.fullForMs;
+  fullForBodies = other424.fullForBodies;
+  crashId = other424.crashId;
+  onProbation = other424.onProbation;
+  __isset = other424.__isset;
+  return *this;
+}
+CallResponse& CallResponse::operator=(CallResponse&& other425) noexcept {
+  callId = other425.callId;
+  outcome = other425.outcome;
+  httpStatus = other425.httpStatus;
+  headers = std::move(other425.headers);
+  body = std::move(other425.body);
+  errorCode = other425.errorCode;
+  inFlight = other425.inFlight;
+  retryAfterMs = other425.retryAfterMs;
+  fullForMs = other425.fullForMs;
+  fullForBodies = other425.fullForBodies;
+  crashId = other425.crashId;
+  onProbation = other425.onProbation;
+  __isset = other425.__isset;
   return *this;
 }
 void CallResponse::printTo(std::ostream& out) const {
@@ -10966,6 +11527,8 @@
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "fullForMs=" << to_string(fullForMs);
   out << ", " << "fullForBodies=" << to_string(fullForBodies);
+  out << ", " << "crashId=" << to_string(crashId);
+  out << ", " << "onProbation=" << to_string(onProbation);
   out << ")";
 }
 
@@ -11045,22 +11608,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other402) noexcept {
-  callId = other402.callId;
-  __isset = other402.__isset;
+CallCancel::CallCancel(const CallCancel& other426) noexcept {
+  callId = other426.callId;
+  __isset = other426.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other403) noexcept {
-  callId = other403.callId;
-  __isset = other403.__isset;
+CallCancel::CallCancel(CallCancel&& other427) noexcept {
+  callId = other427.callId;
+  __isset = other427.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other404) noexcept {
-  callId = other404.callId;
-  __isset = other404.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other428) noexcept {
+  callId = other428.callId;
+  __isset = other428.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other405) noexcept {
-  callId = other405.callId;
-  __isset = other405.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other429) noexcept {
+  callId = other429.callId;
+  __isset = other429.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -11146,22 +11709,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallWithdraw::CallWithdraw(const CallWithdraw& other406) noexcept {
-  callId = other406.callId;
-  __isset = other406.__isset;
+CallWithdraw::CallWithdraw(const CallWithdraw& other430) noexcept {
+  callId = other430.callId;
+  __isset = other430.__isset;
 }
-CallWithdraw::CallWithdraw(CallWithdraw&& other407) noexcept {
-  callId = other407.callId;
-  __isset = other407.__isset;
+CallWithdraw::CallWithdraw(CallWithdraw&& other431) noexcept {
+  callId = other431.callId;
+  __isset = other431.__isset;
 }
-CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other408) noexcept {
-  callId = other408.callId;
-  __isset = other408.__isset;
+CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other432) noexcept {
+  callId = other432.callId;
+  __isset = other432.__isset;
   return *this;
 }
-CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other409) noexcept {
-  callId = other409.callId;
-  __isset = other409.__isset;
+CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other433) noexcept {
+  callId = other433.callId;
+  __isset = other433.__isset;
   return *this;
 }
 void CallWithdraw::printTo(std::ostream& out) const {
@@ -11247,22 +11810,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAccepted::CallAccepted(const CallAccepted& other410) noexcept {
-  callId = other410.callId;
-  __isset = other410.__isset;
+CallAccepted::CallAccepted(const CallAccepted& other434) noexcept {
+  callId = other434.callId;
+  __isset = other434.__isset;
 }
-CallAccepted::CallAccepted(CallAccepted&& other411) noexcept {
-  callId = other411.callId;
-  __isset = other411.__isset;
+CallAccepted::CallAccepted(CallAccepted&& other435) noexcept {
+  callId = other435.callId;
+  __isset = other435.__isset;
 }
-CallAccepted& CallAccepted::operator=(const CallAccepted& other412) noexcept {
-  callId = other412.callId;
-  __isset = other412.__isset;
+CallAccepted& CallAccepted::operator=(const CallAccepted& other436) noexcept {
+  callId = other436.callId;
+  __isset = other436.__isset;
   return *this;
 }
-CallAccepted& CallAccepted::operator=(CallAccepted&& other413) noexcept {
-  callId = other413.callId;
-  __isset = other413.__isset;
+CallAccepted& CallAccepted::operator=(CallAccepted&& other437) noexcept {
+  callId = other437.callId;
+  __isset = other437.__isset;
   return *this;
 }
 void CallAccepted::printTo(std::ostream& out) const {
@@ -11365,26 +11928,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyGrant::CallBodyGrant(const CallBodyGrant& other414) noexcept {
-  callId = other414.callId;
-  upToBytes = other414.upToBytes;
-  __isset = other414.__isset;
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other438) noexcept {
+  callId = other438.callId;
+  upToBytes = other438.upToBytes;
+  __isset = other438.__isset;
 }
-CallBodyGrant::CallBodyGrant(CallBodyGrant&& other415) noexcept {
-  callId = other415.callId;
-  upToBytes = other415.upToBytes;
-  __isset = other415.__isset;
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other439) noexcept {
+  callId = other439.callId;
+  upToBytes = other439.upToBytes;
+  __isset = other439.__isset;
 }
-CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other416) noexcept {
-  callId = other416.callId;
-  upToBytes = other416.upToBytes;
-  __isset = other416.__isset;
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other440) noexcept {
+  callId = other440.callId;
+  upToBytes = other440.upToBytes;
+  __isset = other440.__isset;
   return *this;
 }
-CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other417) noexcept {
-  callId = other417.callId;
-  upToBytes = other417.upToBytes;
-  __isset = other417.__isset;
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other441) noexcept {
+  callId = other441.callId;
+  upToBytes = other441.upToBytes;
+  __isset = other441.__isset;
   return *this;
 }
 void CallBodyGrant::printTo(std::ostream& out) const {
@@ -11488,26 +12051,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyPiece::CallBodyPiece(const CallBodyPiece& other418) {
-  callId = other418.callId;
-  data = other418.data;
-  __isset = other418.__isset;
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other442) {
+  callId = other442.callId;
+  data = other442.data;
+  __isset = other442.__isset;
 }
-CallBodyPiece::CallBodyPiece(CallBodyPiece&& other419) noexcept {
-  callId = other419.callId;
-  data = std::move(other419.data);
-  __isset = other419.__isset;
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other443) noexcept {
+  callId = other443.callId;
+  data = std::move(other443.data);
+  __isset = other443.__isset;
 }
-CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other420) {
-  callId = other420.callId;
-  data = other420.data;
-  __isset = other420.__isset;
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other444) {
+  callId = other444.callId;
+  data = other444.data;
+  __isset = other444.__isset;
   return *this;
 }
-CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other421) noexcept {
-  callId = other421.callId;
-  data = std::move(other421.data);
-  __isset = other421.__isset;
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other445) noexcept {
+  callId = other445.callId;
+  data = std::move(other445.data);
+  __isset = other445.__isset;
   return *this;
 }
 void CallBodyPiece::printTo(std::ostream& out) const {
@@ -11558,14 +12121,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->members.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size446;
+            ::apache::thrift::protocol::TType _etype449;
+            xfer += iprot->readListBegin(_etype449, _size446);
+            this->members.resize(_size446);
+            uint32_t _i450;
+            for (_i450 = 0; _i450 < _size446; ++_i450)
             {
-              xfer += this->members[_i426].read(iprot);
+              xfer += this->members[_i450].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11594,10 +12157,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter427;
-    for (_iter427 = this->members.begin(); _iter427 != this->members.end(); ++_iter427)
+    std::vector<Member> ::const_iterator _iter451;
+    for (_iter451 = this->members.begin(); _iter451 != this->members.end(); ++_iter451)
     {
-      xfer += (*_iter427).write(oprot);
+      xfer += (*_iter451).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11614,22 +12177,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other428) {
-  members = other428.members;
-  __isset = other428.__isset;
+MemberList::MemberList(const MemberList& other452) {
+  members = other452.members;
+  __isset = other452.__isset;
 }
-MemberList::MemberList(MemberList&& other429) noexcept {
-  members = std::move(other429.members);
-  __isset = other429.__isset;
+MemberList::MemberList(MemberList&& other453) noexcept {
+  members = std::move(other453.members);
+  __isset = other453.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other430) {
-  members = other430.members;
-  __isset = other430.__isset;
+MemberList& MemberList::operator=(const MemberList& other454) {
+  members = other454.members;
+  __isset = other454.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other431) noexcept {
-  members = std::move(other431.members);
-  __isset = other431.__isset;
+MemberList& MemberList::operator=(MemberList&& other455) noexcept {
+  members = std::move(other455.members);
+  __isset = other455.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -11749,30 +12312,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other432) {
-  address = other432.address;
-  port = other432.port;
-  zone = other432.zone;
-  __isset = other432.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other456) {
+  address = other456.address;
+  port = other456.port;
+  zone = other456.zone;
+  __isset = other456.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other433) noexcept {
-  address = std::move(other433.address);
-  port = other433.port;
-  zone = std::move(other433.zone);
-  __isset = other433.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other457) noexcept {
+  address = std::move(other457.address);
+  port = other457.port;
+  zone = std::move(other457.zone);
+  __isset = other457.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other434) {
-  address = other434.address;
-  port = other434.port;
-  zone = other434.zone;
-  __isset = other434.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other458) {
+  address = other458.address;
+  port = other458.port;
+  zone = other458.zone;
+  __isset = other458.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other435) noexcept {
-  address = std::move(other435.address);
-  port = other435.port;
-  zone = std::move(other435.zone);
-  __isset = other435.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other459) noexcept {
+  address = std::move(other459.address);
+  port = other459.port;
+  zone = std::move(other459.zone);
+  __isset = other459.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -11824,14 +12387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size436;
-            ::apache::thrift::protocol::TType _etype439;
-            xfer += iprot->readListBegin(_etype439, _size436);
-            this->relays.resize(_size436);
-            uint32_t _i440;
-            for (_i440 = 0; _i440 < _size436; ++_i440)
+            uint32_t _size460;
+            ::apache::thrift::protocol::TType _etype463;
+            xfer += iprot->readListBegin(_etype463, _size460);
+            this->relays.resize(_size460);
+            uint32_t _i464;
+            for (_i464 = 0; _i464 < _size460; ++_i464)
             {
-              xfer += this->relays[_i440].read(iprot);
+              xfer += this->relays[_i464].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11860,10 +12423,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter441;
-    for (_iter441 = this->relays.begin(); _iter441 != this->relays.end(); ++_iter441)
+    std::vector<RelayAddress> ::const_iterator _iter465;
+    for (_iter465 = this->relays.begin(); _iter465 != this->relays.end(); ++_iter465)
     {
-      xfer += (*_iter441).write(oprot);
+      xfer += (*_iter465).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11880,22 +12443,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other442) {
-  relays = other442.relays;
-  __isset = other442.__isset;
+RelayList::RelayList(const RelayList& other466) {
+  relays = other466.relays;
+  __isset = other466.__isset;
 }
-RelayList::RelayList(RelayList&& other443) noexcept {
-  relays = std::move(other443.relays);
-  __isset = other443.__isset;
+RelayList::RelayList(RelayList&& other467) noexcept {
+  relays = std::move(other467.relays);
+  __isset = other467.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other444) {
-  relays = other444.relays;
-  __isset = other444.__isset;
+RelayList& RelayList::operator=(const RelayList& other468) {
+  relays = other468.relays;
+  __isset = other468.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other445) noexcept {
-  relays = std::move(other445.relays);
-  __isset = other445.__isset;
+RelayList& RelayList::operator=(RelayList&& other469) noexcept {
+  relays = std::move(other469.relays);
+  __isset = other469.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -11981,22 +12544,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PackedFrame::PackedFrame(const PackedFrame& other446) {
-  deflated = other446.deflated;
-  __isset = other446.__isset;
+PackedFrame::PackedFrame(const PackedFrame& other470) {
+  deflated = other470.deflated;
+  __isset = other470.__isset;
 }
-PackedFrame::PackedFrame(PackedFrame&& other447) noexcept {
-  deflated = std::move(other447.deflated);
-  __isset = other447.__isset;
+PackedFrame::PackedFrame(PackedFrame&& other471) noexcept {
+  deflated = std::move(other471.deflated);
+  __isset = other471.__isset;
 }
-PackedFrame& PackedFrame::operator=(const PackedFrame& other448) {
-  deflated = other448.deflated;
-  __isset = other448.__isset;
+PackedFrame& PackedFrame::operator=(const PackedFrame& other472) {
+  deflated = other472.deflated;
+  __isset = other472.__isset;
   return *this;
 }
-PackedFrame& PackedFrame::operator=(PackedFrame&& other449) noexcept {
-  deflated = std::move(other449.deflated);
-  __isset = other449.__isset;
+PackedFrame& PackedFrame::operator=(PackedFrame&& other473) noexcept {
+  deflated = std::move(other473.deflated);
+  __isset = other473.__isset;
   return *this;
 }
 void PackedFrame::printTo(std::ostream& out) const {
@@ -12061,18 +12624,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other450) noexcept {
-  (void) other450;
+StartCompression::StartCompression(const StartCompression& other474) noexcept {
+  (void) other474;
 }
-StartCompression::StartCompression(StartCompression&& other451) noexcept {
-  (void) other451;
+StartCompression::StartCompression(StartCompression&& other475) noexcept {
+  (void) other475;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other452) noexcept {
-  (void) other452;
+StartCompression& StartCompression::operator=(const StartCompression& other476) noexcept {
+  (void) other476;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other453) noexcept {
-  (void) other453;
+StartCompression& StartCompression::operator=(StartCompression&& other477) noexcept {
+  (void) other477;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -264,6 +264,12 @@
 
 class EndpointStates;
 
+class CrashedRequest;
+
+class CrashReport;
+
+class CrashReports;
+
 class LedgerRequest;
 
 class LedgerReply;
@@ -2266,7 +2272,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false), takesCrashReports(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2281,6 +2287,7 @@
   bool takesBodyPieces :1;
   bool acknowledgesCalls :1;
   bool unpacksFrames :1;
+  bool takesCrashReports :1;
 } _Hello__isset;
 
 /**
@@ -2307,7 +2314,8 @@
           serviceName(),
           takesBodyPieces(0),
           acknowledgesCalls(0),
-          unpacksFrames(0) {
+          unpacksFrames(0),
+          takesCrashReports(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2341,6 +2349,10 @@
    * Whether large frames may come as PackedFrame.
    */
   bool unpacksFrames;
+  /**
+   * Whether crash reports are understood.
+   */
+  bool takesCrashReports;
 
   _Hello__isset __isset;
 
@@ -2372,6 +2384,8 @@
 
   void __set_unpacksFrames(const bool val);
 
+  void __set_takesCrashReports(const bool val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2402,6 +2416,8 @@
       return false;
     if (!(unpacksFrames == rhs.unpacksFrames))
       return false;
+    if (!(takesCrashReports == rhs.takesCrashReports))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -4021,6 +4037,202 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointStates& obj);
 
+typedef struct _CrashedRequest__isset {
+  _CrashedRequest__isset() : fingerprint(false), onProbation(false), cleared(false) {}
+  bool fingerprint :1;
+  bool onProbation :1;
+  bool cleared :1;
+} _CrashedRequest__isset;
+
+/**
+ * A request that was at work on a back end when it crashed.
+ */
+class CrashedRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashedRequest(const CrashedRequest&);
+  CrashedRequest(CrashedRequest&&) noexcept;
+  CrashedRequest& operator=(const CrashedRequest&);
+  CrashedRequest& operator=(CrashedRequest&&) noexcept;
+  CrashedRequest() noexcept
+                 : fingerprint(),
+                   onProbation(0),
+                   cleared(0) {
+  }
+
+  virtual ~CrashedRequest() noexcept;
+  /**
+   * 16 bytes, the low half of the hash first, each half with its lowest byte first.
+   */
+  std::string fingerprint;
+  /**
+   * It ran as a suspect, alone of its kind on that back end.
+   */
+  bool onProbation;
+  /**
+   * It has run well since, or was released by an operator.
+   */
+  bool cleared;
+
+  _CrashedRequest__isset __isset;
+
+  void __set_fingerprint(const std::string& val);
+
+  void __set_onProbation(const bool val);
+
+  void __set_cleared(const bool val);
+
+  bool operator == (const CrashedRequest & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(onProbation == rhs.onProbation))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashedRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashedRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashedRequest &a, CrashedRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashedRequest& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : id(false), serviceName(false), endpoint(false), ageMs(false), requests(false) {}
+  bool id :1;
+  bool serviceName :1;
+  bool endpoint :1;
+  bool ageMs :1;
+  bool requests :1;
+} _CrashReport__isset;
+
+/**
+ * A back end crashed, under these requests among which one may be to blame.
+ */
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&);
+  CrashReport(CrashReport&&) noexcept;
+  CrashReport& operator=(const CrashReport&);
+  CrashReport& operator=(CrashReport&&) noexcept;
+  CrashReport() noexcept
+              : id(0),
+                serviceName(),
+                endpoint(),
+                ageMs(0) {
+  }
+
+  virtual ~CrashReport() noexcept;
+  /**
+   * Drawn by the node that saw the crash.
+   */
+  int64_t id;
+  std::string serviceName;
+  std::string endpoint;
+  /**
+   * How long ago, as far as the sender knows; clocks of machines are not compared.
+   */
+  int64_t ageMs;
+  std::vector<CrashedRequest>  requests;
+
+  _CrashReport__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_requests(const std::vector<CrashedRequest> & val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
+typedef struct _CrashReports__isset {
+  _CrashReports__isset() : reports(false) {}
+  bool reports :1;
+} _CrashReports__isset;
+
+class CrashReports : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReports(const CrashReports&);
+  CrashReports(CrashReports&&) noexcept;
+  CrashReports& operator=(const CrashReports&);
+  CrashReports& operator=(CrashReports&&) noexcept;
+  CrashReports() noexcept {
+  }
+
+  virtual ~CrashReports() noexcept;
+  std::vector<CrashReport>  reports;
+
+  _CrashReports__isset __isset;
+
+  void __set_reports(const std::vector<CrashReport> & val);
+
+  bool operator == (const CrashReports & rhs) const
+  {
+    if (!(reports == rhs.reports))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReports &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReports & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReports &a, CrashReports &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReports& obj);
+
 typedef struct _LedgerRequest__isset {
   _LedgerRequest__isset() : requestId(false), command(false) {}
   bool requestId :1;
@@ -4140,7 +4352,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false), suspect(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -4155,6 +4367,7 @@
   bool targetLatencyMs :1;
   bool waitedMs :1;
   bool bodyBytes :1;
+  bool suspect :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -4177,7 +4390,8 @@
                 runOnce(0),
                 targetLatencyMs(0),
                 waitedMs(0),
-                bodyBytes(0) {
+                bodyBytes(0),
+                suspect(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -4201,6 +4415,10 @@
    * Size of a body that follows in pieces; 0 where the body is in this message.
    */
   int64_t bodyBytes;
+  /**
+   * The sender knows of a back end that crashed while it ran the same request.
+   */
+  bool suspect;
 
   _CallRequest__isset __isset;
 
@@ -4232,6 +4450,8 @@
 
   void __set_bodyBytes(const int64_t val);
 
+  void __set_suspect(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4262,6 +4482,8 @@
       return false;
     if (!(bodyBytes == rhs.bodyBytes))
       return false;
+    if (!(suspect == rhs.suspect))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -4281,7 +4503,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false), fullForBodies(false) {}
+  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false), fullForBodies(false), crashId(false), onProbation(false) {}
   bool callId :1;
   bool outcome :1;
   bool httpStatus :1;
@@ -4292,6 +4514,8 @@
   bool retryAfterMs :1;
   bool fullForMs :1;
   bool fullForBodies :1;
+  bool crashId :1;
+  bool onProbation :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -4310,7 +4534,9 @@
                  inFlight(0),
                  retryAfterMs(0),
                  fullForMs(0),
-                 fullForBodies(0) {
+                 fullForBodies(0),
+                 crashId(0),
+                 onProbation(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -4334,6 +4560,14 @@
    * Whether only calls with large bodies are to leave the endpoint alone, since its link is full.
    */
   bool fullForBodies;
+  /**
+   * With BACKEND_CRASHED: the crash that ended the run.
+   */
+  int64_t crashId;
+  /**
+   * With BACKEND_CRASHED: whether the run was on probation.
+   */
+  bool onProbation;
 
   _CallResponse__isset __isset;
 
@@ -4357,6 +4591,10 @@
 
   void __set_fullForBodies(const bool val);
 
+  void __set_crashId(const int64_t val);
+
+  void __set_onProbation(const bool val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -4379,6 +4617,10 @@
       return false;
     if (!(fullForBodies == rhs.fullForBodies))
       return false;
+    if (!(crashId == rhs.crashId))
+      return false;
+    if (!(onProbation == rhs.onProbation))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
--- /dev/null
+++ b/test/quarantine/crash_history_test.cc
@@ -0,0 +1,227 @@
+#include "quarantine/crash_history.h"
+
+#include <catch2/catch.hpp>
+
+#include "manual_time.h"
+#include "quarantine/fingerprint_bytes.h"
+
+namespace driftlug::quarantine
+{
+namespace
+{
+constexpr char kService[] = "tiles";
+
+request_fingerprint numbered(uint64_t _number)
+{
+	return {_number, 77};
+}
+
+const auto kGuilty = numbered(1);
+const auto kOther = numbered(2);
+const auto kThird = numbered(3);
+
+struct fixture
+{
+	test::ManualTime time;
+	crash_history history{time};
+
+	standing of(const request_fingerprint& _request) const
+	{
+		return history.standingOf(_request, kService);
+	}
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(fixture, "all that was at work on a back end that crashed is suspect, and nothing else")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}});
+	CHECK(standing::suspect == of(kGuilty));
+	CHECK(standing::suspect == of(kOther));
+	CHECK(standing::clear == of(kThird));
+}
+
+TEST_CASE_METHOD(fixture, "any number of crashes beside others holds nothing; one on probation does")
+{
+	for (uint64_t id = 10; id < 20; ++id)
+	{
+		history.addCrash(id, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}});
+	}
+	CHECK(standing::suspect == of(kGuilty));
+	history.addCrash(20, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}, {kThird}});
+	CHECK(standing::held == of(kGuilty));
+	CHECK(history.untilProbe(kGuilty) == std::chrono::minutes(5));
+}
+
+TEST_CASE_METHOD(fixture, "a held request accounts for its crashes")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}});
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}, {kThird}});
+	CHECK(standing::clear == of(kOther));
+	CHECK(standing::clear == of(kThird));
+	CHECK(1 == history.known().size());
+}
+
+TEST_CASE_METHOD(fixture, "one that was held beside a guilty one that nobody knew is released once that one is held")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}});
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty}, {kOther, true}});
+	CHECK(standing::held == of(kOther));
+	history.addCrash(12, kService, "i-3", std::vector<crashed_run>{{kGuilty, true}});
+	CHECK(standing::held == of(kGuilty));
+	CHECK(standing::clear == of(kOther));
+}
+
+TEST_CASE_METHOD(fixture, "a run that went well clears a suspect, and later crashes count anew")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}});
+	CHECK(1 == history.clear(kOther).size());
+	CHECK(standing::clear == of(kOther));
+	CHECK(standing::suspect == of(kGuilty));
+	CHECK(history.clear(kOther).empty());
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kOther}});
+	CHECK(standing::suspect == of(kOther));
+}
+
+TEST_CASE_METHOD(fixture, "reports may come in any order and twice")
+{
+	crash_history origin(time);
+	auto crash = origin.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}});
+	const auto cleared = origin.clear(kOther);
+	history.merge(cleared);
+	CHECK(standing::clear == of(kOther));
+	CHECK(1 == history.merge(crash).size());
+	CHECK(standing::clear == of(kOther));
+	CHECK(standing::suspect == of(kGuilty));
+	CHECK(history.merge(crash).empty());
+	CHECK(history.merge(cleared).empty());
+}
+
+TEST_CASE_METHOD(fixture, "a report that learns of probation later is news")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}});
+	CHECK(1 == history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty, true}}).size());
+	CHECK(standing::held == of(kGuilty));
+}
+
+TEST_CASE_METHOD(fixture, "what one knows brings another to the same judgement")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}, {kOther}, {kThird}});
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}});
+	history.addCrash(12, "orders", "i-3", std::vector<crashed_run>{{kThird}});
+	time.advance(base::seconds(30));
+	crash_history restarted(time);
+	restarted.merge(history.all(
+		[](const std::string& _service)
+		{
+			return kService == _service;
+		}));
+	CHECK(standing::held == restarted.standingOf(kGuilty, kService));
+	CHECK(standing::clear == restarted.standingOf(kOther, kService));
+	CHECK(standing::clear == restarted.standingOf(kThird, kService));
+	CHECK(history.untilProbe(kGuilty) == restarted.untilProbe(kGuilty));
+}
+
+TEST_CASE_METHOD(fixture, "a request that one service can't run is on probation at another")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}});
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}});
+	CHECK(standing::held == of(kGuilty));
+	CHECK(standing::suspect == history.standingOf(kGuilty, "other"));
+}
+
+TEST_CASE_METHOD(fixture, "a held request is probed ever more rarely, and is back after a run that went well")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}});
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}});
+	time.advance(std::chrono::minutes(5) - base::seconds(1));
+	CHECK(standing::held == of(kGuilty));
+	time.advance(base::seconds(1));
+	CHECK(standing::suspect == of(kGuilty));
+	history.addCrash(12, kService, "i-3", std::vector<crashed_run>{{kGuilty, true}});
+	CHECK(standing::held == of(kGuilty));
+	CHECK(history.untilProbe(kGuilty) == std::chrono::hours(1));
+	time.advance(std::chrono::hours(1));
+	CHECK(standing::suspect == of(kGuilty));
+	history.clear(kGuilty);
+	CHECK(standing::clear == of(kGuilty));
+	CHECK(history.empty());
+}
+
+TEST_CASE_METHOD(fixture, "probes end four back ends within a week, and six in a hundred days")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}});
+	history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}});
+	size_t probes = 0;
+	size_t probesOfAWeek = 0;
+	for (int minutes = 0; minutes < 100 * 24 * 60; ++minutes)
+	{
+		time.advance(std::chrono::minutes(1));
+		if (standing::suspect == of(kGuilty))
+		{
+			history.addCrash(12 + probes, kService, "i-3", std::vector<crashed_run>{{kGuilty, true}});
+			++probes;
+		}
+		probesOfAWeek = 7 * 24 * 60 > minutes ? probes : probesOfAWeek;
+	}
+	CHECK(4 == probesOfAWeek);
+	CHECK(5 == probes);
+}
+
+TEST_CASE_METHOD(fixture, "single marks are forgotten after a day, held requests are not")
+{
+	history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kOther}});
+	history.addCrash(11, kService, "i-1", std::vector<crashed_run>{{kGuilty}});
+	history.addCrash(12, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}});
+	time.advance(std::chrono::hours(25));
+	history.addCrash(13, kService, "i-2", std::vector<crashed_run>{{kThird}});
+	CHECK(standing::clear == of(kOther));
+	CHECK(3 == history.marks());
+}
+
+TEST_CASE_METHOD(fixture, "memory is bounded however many requests crash back ends, and the guilty are kept longest")
+{
+	crash_history_options options;
+	options.mostMarks = 100;
+	crash_history bounded(time, options);
+	bounded.addCrash(1, kService, "i-1", std::vector<crashed_run>{{kGuilty}});
+	bounded.addCrash(2, kService, "i-1", std::vector<crashed_run>{{kGuilty, true}});
+	for (uint64_t i = 0; i < 1000; ++i)
+	{
+		time.advance(base::milliseconds(1));
+		bounded.addCrash(10 + i, kService, "i-1",
+						 std::vector<crashed_run>{{numbered(100 + 2 * i)}, {numbered(101 + 2 * i)}});
+	}
+	CHECK(100 >= bounded.marks());
+	CHECK(standing::held == bounded.standingOf(kGuilty, kService));
+	CHECK(standing::suspect == bounded.standingOf(numbered(100 + 2 * 999), kService));
+	CHECK(standing::clear == bounded.standingOf(numbered(100), kService));
+}
+
+TEST_CASE_METHOD(fixture, "a request that was released stays so when one that was cut off tells of its crashes")
+{
+	crash_history cutOff(time);
+	cutOff.merge(history.addCrash(10, kService, "i-1", std::vector<crashed_run>{{kGuilty}}));
+	cutOff.merge(history.addCrash(11, kService, "i-2", std::vector<crashed_run>{{kGuilty, true}}));
+	history.clear(kGuilty);
+	time.advance(std::chrono::hours(1));
+	history.addCrash(12, kService, "i-2", std::vector<crashed_run>{{kThird}});
+	history.merge(cutOff.all(
+		[](const std::string&)
+		{
+			return true;
+		}));
+	CHECK(standing::held != of(kGuilty));
+}
+
+TEST_CASE("a fingerprint survives its way over the network and over pages")
+{
+	const request_fingerprint fingerprint{0x0123456789abcdef, 0xfedcba9876543210};
+	CHECK(fingerprint == fingerprintFromBytes(toBytes(fingerprint)));
+	CHECK(fingerprint == fingerprintFromText(toText(fingerprint)));
+	CHECK_FALSE(fingerprintFromBytes("short").has_value());
+	CHECK_FALSE(fingerprintFromText("xyz").has_value());
+	CHECK_FALSE(fingerprintFromText(std::string(32, 'x')).has_value());
+}
+
+}  // namespace driftlug::quarantine
--- a/test/transport/tcp_stream_test.cc
+++ b/test/transport/tcp_stream_test.cc
@@ -64,6 +64,31 @@
 
 }  // namespace
 
+TEST_CASE_METHOD(Fixture, "a connection that nobody listens for is told from one that was lost") {
+  Recorder outgoing;
+  const auto up = TcpStream::connect(loop, {"127.0.0.1", listener.port()}, &outgoing, {});
+  while (!outgoing.connected) loop.runOnce();
+  up->shutdownWrite();
+  accepted->close();
+  while (!outgoing.closed) loop.runOnce();
+  CHECK_FALSE(up->refused());
+
+  // A port that was bound a moment ago and is free again.
+  const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(::bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  socklen_t size = sizeof(address);
+  REQUIRE(::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  ::close(probe);
+  Recorder refused;
+  const auto none = TcpStream::connect(loop, {"127.0.0.1", ntohs(address.sin_port)}, &refused, {});
+  while (!refused.closed) loop.runOnce();
+  CHECK_FALSE(refused.connected);
+  CHECK(none->refused());
+}
+
 TEST_CASE_METHOD(Fixture, "what does not fit the window leaves as the peer reads") {
   constexpr size_t kBytes = 24U << 20;
   accepted->write(std::string(kBytes, 'x'));
