--- a/apps/ctl_main.cc
+++ b/apps/ctl_main.cc
@@ -22,7 +22,7 @@
 DEFINE_string(author, "", "author of an edit, for the history");
 DEFINE_int64(expect, -1, "set, delete: the row's revision must be this; -1 takes the one just read");
 DEFINE_bool(wait, false, "set, delete, apply: wait until the edit is in force everywhere");
-DEFINE_string(node, "", "drain: administration address of the node as host:port");
+DEFINE_string(node, "", "drain, held, release: administration address of the node as host:port");
 DEFINE_bool(undo, false, "drain: take new work again");
 
 namespace {
@@ -30,6 +30,9 @@
 using namespace driftlug;
 using nlohmann::json;
 
+constexpr int kOkStatus = 200;
+constexpr int kNotFoundStatus = 404;
+
 /// Exit codes by kind of answer.
 enum ExitCode {
   kDone = 0,
@@ -170,15 +173,13 @@
     return waitFor(revision);
   }
 
-  int drain(const Arguments&) {
-    if (FLAGS_node.empty()) return usageError("drain needs --node HOST:PORT");
-    transport::HttpRequest request;
-    request.method = FLAGS_undo ? "DELETE" : "POST";
-    request.path = "/drain";
-    const auto address = apps::parseAddressOrExit("node", FLAGS_node);
-    const auto result = http_.call(address, request, base::milliseconds(FLAGS_timeout_ms));
-    std::printf("%s", result.response.body.c_str());
-    return result.response.status == 200 ? kDone : kNotAccepted;
+  int drain(const Arguments&) { return askNode(FLAGS_undo ? "DELETE" : "POST", "/drain"); }
+
+  int held(const Arguments&) { return askNode("GET", "/quarantine"); }
+
+  int release(const Arguments& arguments) {
+    if (arguments.size() != 1) return usageError("release needs a REQUEST, as held lists it");
+    return askNode("DELETE", "/quarantine/" + arguments[0]);
   }
 
   int controllers(const Arguments& arguments) {
@@ -258,6 +259,19 @@
     return kDone;
   }
 
+  /// Asks a page of the node that --node names.
+  int askNode(const std::string& method, const std::string& path) {
+    if (FLAGS_node.empty()) return usageError("--node HOST:PORT is needed");
+    transport::HttpRequest request;
+    request.method = method;
+    request.path = path;
+    const auto address = apps::parseAddressOrExit("node", FLAGS_node);
+    const auto result = http_.call(address, request, base::milliseconds(FLAGS_timeout_ms));
+    std::printf("%s", result.response.body.c_str());
+    if (result.response.status == kNotFoundStatus) return kNotFound;
+    return result.response.status == kOkStatus ? kDone : kNotAccepted;
+  }
+
   apps::SyncHttp& http_;
   apps::ControlApiClient client_;
 };
@@ -305,7 +319,8 @@
 
 int printCompletion() {
   std::printf(
-      "complete -W 'rows get set delete apply diff check history wait status drain controllers trace completion' "
+      "complete -W 'rows get set delete apply diff check history wait status drain held release controllers trace "
+      "completion' "
       "driftlugctl\n");
   return kDone;
 }
@@ -320,6 +335,7 @@
       "  rows | get KIND/NAME | set KIND/NAME FIELD=VALUE … | delete KIND/NAME\n"
       "  apply FILE | diff FILE | check FILE | history | wait REVISION | status\n"
       "  drain --node HOST:PORT [--undo]\n"
+      "  held --node HOST:PORT | release REQUEST --node HOST:PORT\n"
       "  controllers list | remove NAME | add|replace NAME HOST FRAME_PORT HTTP_PORT\n"
       "  trace ID FILE …\n"
       "  completion\n"
@@ -351,6 +367,8 @@
       {"wait", [&](const Arguments& rest) { return commands.wait(rest); }},
       {"status", [&](const Arguments& rest) { return commands.status(rest); }},
       {"drain", [&](const Arguments& rest) { return commands.drain(rest); }},
+      {"held", [&](const Arguments& rest) { return commands.held(rest); }},
+      {"release", [&](const Arguments& rest) { return commands.release(rest); }},
       {"controllers", [&](const Arguments& rest) { return commands.controllers(rest); }},
   };
   const auto found = table.find(command);
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -13,6 +13,7 @@
 #include "node/endpoint_calls.h"
 #include "node/entry_calls.h"
 #include "node_settings.h"
+#include "quarantine_page.h"
 #include "storage/posix_disk.h"
 #include "transport/frame_transport.h"
 
@@ -117,6 +118,10 @@
               static_cast<double>(endpoint.bodies().bytesPerSecond()));
   page->counter("endpoint_unknown_total", "calls whose outcome is unknown", runs.unknown);
   page->counter("endpoint_cut_runs_total", "runs whose connection the back end closed without an answer", runs.cutRuns);
+  page->counter("endpoint_probation_runs_total", "runs of suspects", runs.probationRuns);
+  page->counter("endpoint_held_back_total", "calls refused since their request is held", runs.heldBack);
+  page->counter("entry_probations_total", "attempts of suspects", calls.probations);
+  page->counter("entry_held_back_total", "calls refused since their request is held", calls.heldBack);
   page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
   page->counter("entry_silent_links_total", "links that did not acknowledge what was sent on them", calls.silentLinks);
   page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
@@ -277,9 +282,13 @@
   pages.ready = [this] { return control_.slices().active() != nullptr && entryServer_.server().accepting(); };
   pages.metrics = [this](base::MetricsPage* page) {
     addMetrics(control_, entry_, endpoint_, controlFrames_, page);
+    addQuarantineMetrics(quarantine_, page);
     addDescriptorMetrics({loop_, entryServer_.server(), callFrames_, entry_, backend_.pool(), shares_}, page);
   };
-  pages.other = [this](const transport::HttpRequest& request, const auto& respond) { onDrainPage(request, respond); };
+  pages.other = [this](const transport::HttpRequest& request, const auto& respond) {
+    if (isQuarantinePage(request.path)) return respond(answerQuarantinePage(request, &quarantine_));
+    onDrainPage(request, respond);
+  };
   return pages;
 }
 
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -407,11 +407,12 @@
     const auto now = scheduler_.now();
     return fmt::format(
         "outcome call={} {} {}{} route={} service={} endpoint={} outcome={} status={} error={} "
-        "attempts={} refusals={} waited_before_ms={} elapsed_ms={} left_ms={} retry_after_ms={} table={}",
+        "attempts={} refusals={} waited_before_ms={} elapsed_ms={} left_ms={} retry_after_ms={} table={}{}",
         requestIdOf(call), call.inbound.method, call.inbound.host, call.inbound.path, call.route, call.service,
         call.endpoint, outcome, answer.httpStatus, base::errorName(answer.error), call.attempts, call.refusals,
         call.waitedMs, remainingMs(now, call.begunAt), remainingMs(call.deadline, now), answer.retryAfterMs,
-        call.table ? call.table->revision() : 0);
+        call.table ? call.table->revision() : 0,
+        completed ? "" : " request=" + quarantine::toText(fingerprintOf(call.inbound)));
   });
 }
 
--- /dev/null
+++ b/src/relay/relay_nodes.cc
@@ -0,0 +1,217 @@
+/// A relay towards its nodes.
+#include <algorithm>
+
+#include "relay/relay.h"
+
+namespace driftlug::relay {
+namespace {
+
+/// Time from its start in which a relay keeps nodes though it can't release anything yet; all others may be starting.
+constexpr base::Duration kStartGrace = base::seconds(5);
+
+}  // namespace
+
+void Relay::onNodeMessage(base::ConnectionId connection, const wire::Message& message) {
+  if (auto* session = nodes_.find(connection)) session->lastHeard = scheduler_.now();
+  if (const auto* subscribe = std::get_if<wire::NodeSubscribe>(&message)) {
+    onNodeSubscribe(connection, *subscribe);
+  } else if (const auto* applied = std::get_if<wire::SliceApplied>(&message)) {
+    const auto* session = nodes_.find(connection);
+    const bool news = session != nullptr && applied->revision > session->appliedRevision;
+    nodes_.onApplied(connection, applied->revision);
+    if (news) scheduleReport();
+  } else if (std::get_if<wire::SliceRejected>(&message) != nullptr) {
+    nodes_.onRejected(connection);
+  } else if (const auto* ledger = std::get_if<wire::LedgerRequest>(&message)) {
+    forwardToLedger(connection, *ledger);
+  } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
+    onEndpointStates(states->states, hellos_[connection].id, true);
+  } else if (const auto* crashes = std::get_if<wire::CrashReports>(&message)) {
+    crashes_.onNodeReports(connection, crashes->reports);
+  }
+}
+
+void Relay::forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request) {
+  // Nodes send again what gets no reply, so the oldest may be forgotten.
+  constexpr size_t kMaxForwards = 10'000;
+  if (ledgerForwards_.size() >= kMaxForwards) ledgerForwards_.erase(ledgerForwards_.begin());
+  auto forwarded = request;
+  forwarded.requestId = ++lastLedgerId_;
+  ledgerForwards_[forwarded.requestId] = {connection, request.requestId};
+  (void)source_.send(forwarded);
+}
+
+void Relay::onLedgerReply(const wire::LedgerReply& reply) {
+  auto forward = ledgerForwards_.extract(reply.requestId);
+  if (forward.empty()) return;
+  auto own = reply;
+  own.requestId = forward.mapped().requestId;
+  network_.send(forward.mapped().connection, wire::encodeFrame(own));
+}
+
+bool Relay::admit() {
+  const auto now = scheduler_.now();
+  const double elapsed = std::chrono::duration<double>(now - admissionAt_).count();
+  admissionAt_ = now;
+  admissionTokens_ =
+      std::min<double>(options_.admissionBurst, admissionTokens_ + elapsed * options_.admissionsPerSecond);
+  if (admissionTokens_ < 1) return false;
+  admissionTokens_ -= 1;
+  return true;
+}
+
+void Relay::sendRetryLater(base::ConnectionId connection, base::Duration delay) {
+  wire::RetryLater later;
+  later.delayMs = static_cast<int32_t>(delay.count() / 1000);
+  network_.send(connection, wire::encodeFrame(later));
+}
+
+void Relay::onNodeSubscribe(base::ConnectionId connection, const wire::NodeSubscribe& request) {
+  constexpr base::Duration kStormSpread = base::seconds(1);
+  constexpr base::Duration kElsewhereDelay = base::milliseconds(100);
+  const auto& peer = hellos_[connection];
+  if (!admit()) return sendRetryLater(connection, random_.duration(kStormSpread) + base::milliseconds(1));
+  if (stopping_ || !releases_.serves(peer.zone)) return sendRetryLater(connection, kElsewhereDelay);
+  table::Interest interest{request.hosts, request.services};
+  std::sort(interest.hosts.begin(), interest.hosts.end());
+  std::sort(interest.services.begin(), interest.services.end());
+  NodeSession session;
+  session.nodeId = peer.id;
+  session.zone = peer.zone;
+  session.takesPacked = peer.unpacksFrames;
+  session.takesCrashReports = peer.takesCrashReports;
+  session.slice = slices_.get(interest, replica_.table());
+  session.sentRevision = request.revision;
+  session.appliedRevision = request.revision;
+  session.confirmed = request.revision > 0 || !options_.confirmRestartedNodes;
+  session.lastHeard = scheduler_.now();
+  const bool confirmed = session.confirmed;
+  nodes_.add(connection, std::move(session));
+  newlyAttached_.insert(peer.id);
+  newlyDetached_.erase(peer.id);
+  lostAt_.erase(peer.id);
+  scheduleReport();
+  // Before its first version, so that a node that was restarted knows what crashes back ends before it serves.
+  crashes_.tell(connection, nodes_.find(connection));
+  // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
+  nodes_.heartbeatTo(connection, source_.freshness());
+  if (confirmed) {
+    nodes_.deliverFirst(connection, request.digest);
+  } else {
+    confirmerFor(peer.zone).confirm([this, connection] {
+      auto* waiting = nodes_.find(connection);
+      if (waiting == nullptr) return;
+      waiting->confirmed = true;
+      waiting->floorRevision = replica_.revision();
+      nodes_.deliver(connection);
+    });
+  }
+  std::vector<wire::EndpointState> exceptions;
+  for (const auto& state : endpoints_.all()) {
+    const auto key = table::makeKey(table::RowKind::ENDPOINT, state.endpoint);
+    const bool exceptional = state.condition != wire::EndpointCondition::LIVE;
+    if (exceptional && nodes_.find(connection)->slice->slice().contains(key)) exceptions.push_back(state);
+  }
+  if (!exceptions.empty()) sendStates(connection, exceptions);
+  tellServices(connection, nodes_.find(connection));
+  if (!relayList_.relays.empty()) network_.send(connection, wire::encodeFrame(relayList_));
+}
+
+bool Relay::wants(const NodeSession& session, const wire::EndpointState& state) const {
+  const auto& slice = session.slice->slice();
+  if (state.address.empty()) return slice.contains(table::makeKey(table::RowKind::ENDPOINT, state.endpoint));
+  return slice.contains(table::makeKey(table::RowKind::SERVICE, state.serviceName));
+}
+
+void Relay::tellOfCrashes() {
+  for (auto& [connection, session] : nodes_.all()) crashes_.tell(connection, &session);
+}
+
+void Relay::tellNewServices() {
+  for (auto& [connection, session] : nodes_.all()) tellServices(connection, &session);
+}
+
+void Relay::tellServices(base::ConnectionId connection, NodeSession* session) {
+  std::vector<wire::EndpointState> news;
+  std::set<std::string> wanted;
+  for (const auto& state : endpoints_.all()) {
+    if (state.address.empty() || !wants(*session, state)) continue;
+    wanted.insert(state.serviceName);
+    if (session->toldServices.count(state.serviceName) == 0) news.push_back(state);
+  }
+  session->toldServices = std::move(wanted);
+  if (!news.empty()) sendStates(connection, news);
+}
+
+FreshnessConfirmer& Relay::confirmerFor(const std::string& zone) {
+  auto& confirmer = confirmers_[zone];
+  if (confirmer) return *confirmer;
+  const auto* group = releases_.group(zone);
+  confirmer = std::make_unique<FreshnessConfirmer>(scheduler_, group, options_.id, [this, group] {
+    wire::ConfirmRequest confirm;
+    confirm.token = ++lastToken_;
+    source_.send(confirm);
+    if (group == nullptr) return confirm.token;
+    for (const auto& relayId : group->members) {
+      if (relayId != options_.id) sendHeld(relayId, confirm.token, true);
+    }
+    return confirm.token;
+  });
+  confirmer->onOwn(replica_.revision(), recovered_);
+  return *confirmer;
+}
+
+void Relay::dropNode(base::ConnectionId connection) {
+  const auto* session = nodes_.find(connection);
+  const auto nodeId = session->nodeId;
+  nodes_.remove(connection);
+  const bool elsewhere = std::any_of(nodes_.all().begin(), nodes_.all().end(),
+                                     [&](const auto& item) { return item.second.nodeId == nodeId; });
+  if (elsewhere) return;
+  newlyAttached_.erase(nodeId);
+  newlyDetached_.insert(nodeId);
+  lostAt_[nodeId] = scheduler_.now();
+  scheduleReport();
+  expireLater(nodeId, options_.endpointLease);
+}
+
+void Relay::sendAllAway() {
+  constexpr base::Duration kSpread = base::milliseconds(200);
+  std::vector<base::ConnectionId> connections;
+  for (const auto& [connection, session] : nodes_.all()) connections.push_back(connection);
+  for (const auto connection : connections) {
+    sendRetryLater(connection, random_.duration(kSpread));
+    dropNode(connection);
+  }
+}
+
+void Relay::onNodeTimer() {
+  nodeTimer_.start(options_.nodeHeartbeat);
+  nodes_.heartbeat(source_.freshness());
+  nodes_.deliverAll();
+  const auto now = scheduler_.now();
+  std::vector<base::ConnectionId> silent;
+  for (const auto& [connection, session] : nodes_.all()) {
+    if (now - session.lastHeard > options_.nodeTimeout) silent.push_back(connection);
+  }
+  for (const auto connection : silent) {
+    dropNode(connection);
+    network_.close(connection);
+    const auto hello = hellos_.find(connection);
+    if (hello == hellos_.end()) continue;
+    if (--connectionsOf_[hello->second.id] == 0) connectionsOf_.erase(hello->second.id);
+    hellos_.erase(hello);
+  }
+  // A relay whose releases stall can't serve changes; its nodes are better off elsewhere.
+  bool blocked = false;
+  for (const auto& group : options_.releaseGroups) {
+    blocked = blocked || (releases_.serves(group.zone) && releases_.released(group.zone) < replica_.revision());
+  }
+  if (!blocked || now - startedAt_ < kStartGrace) releasedAt_ = now;
+  if (blocked && now - releasedAt_ > options_.blockedLimit) {
+    for (const auto& relayId : releases_.peers()) sendHeld(relayId, 0, true);
+    sendAllAway();
+  }
+}
+
+}  // namespace driftlug::relay
