Soak: a request that crashes back ends, under all other faults

Cause: only the virtual clock had played a guilty request; the check whether anything listens is one of real sockets.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -36,6 +36,7 @@
 DECLARE_string(listen_host);
 DECLARE_string(name);
 DECLARE_string(not_run_header);
+DECLARE_bool(quarantine);
 DECLARE_string(report_listen);
 DECLARE_int32(seed_relay_port);
 DECLARE_string(service);
@@ -262,9 +263,11 @@
   hello.acknowledgesCalls = true;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
-  entry_.useQuarantine(&quarantine_);
-  endpoint_.useQuarantine(&quarantine_, &crashWatch_);
-  control_.useQuarantine(&quarantine_);
+  if (FLAGS_quarantine) {
+    entry_.useQuarantine(&quarantine_);
+    endpoint_.useQuarantine(&quarantine_, &crashWatch_);
+    control_.useQuarantine(&quarantine_);
+  }
   quarantine_.onChange([this] { endpoint_.onQuarantineChange(); });
   endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
   endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -67,6 +67,7 @@
 DEFINE_int32(body_kib_per_zone_penalty, 0,
              "with prefer_zone: KiB of a call's body that count as much as another zone does; 0 when its size is no "
              "matter");
+DEFINE_bool(quarantine, true, "tell requests that crash back ends from others, and keep them from back ends");
 DEFINE_bool(nested_first, true, "calls that back ends make for calls of their own go before all others");
 DEFINE_bool(in_time_first, true,
             "calls whose callers have waited beyond the target latency give way to those that can still make it");
--- a/src/node/entry_calls_quarantine.cc
+++ b/src/node/entry_calls_quarantine.cc
@@ -55,7 +55,7 @@
 
 /// What the answer tells is known here at once, so that the next attempt of this call is on probation already.
 void EntryCalls::noteCrash(const Attempt& attempt, const wire::CallResponse& response) {
-  picker_.setAvailable(attempt.endpoint, false);
+  picker_.eject(attempt.endpoint);
   const auto call = calls_.find(attempt.call);
   if (quarantine_ == nullptr || call == calls_.end()) return;
   const quarantine::crashed_run run{fingerprintOfCall(&call->second), response.onProbation};
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -148,6 +148,12 @@
   return best;
 }
 
+void EndpointPicker::eject(const std::string& endpoint) {
+  auto& state = states_[endpoint];
+  state.ejectedUntil = time_.now() + options_.ejectFor;
+  state.failures = 0;
+}
+
 void EndpointPicker::onFull(const std::string& endpoint, int rank, base::Duration until) {
   auto& state = states_[endpoint];
   const auto now = time_.now();
@@ -178,10 +184,7 @@
   auto& state = states_[endpoint];
   const auto now = time_.now();
   if (failed) {
-    if (++state.failures >= options_.ejectAfterFailures) {
-      state.ejectedUntil = now + options_.ejectFor;
-      state.failures = 0;
-    }
+    if (++state.failures >= options_.ejectAfterFailures) eject(endpoint);
     return;
   }
   state.failures = 0;
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -79,6 +79,9 @@
   /// The endpoint told, with an answer, how many requests it runs or holds for all callers.
   void onReport(const std::string& endpoint, int inFlight);
 
+  /// The endpoint's back end is known to be away: it is left out for as long as after failures in a row.
+  void eject(const std::string& endpoint);
+
   /// The endpoint refused a request of this rank for want of slots, and is not asked again before the given time.
   void onFull(const std::string& endpoint, int rank, base::Duration until);
 
--- a/test/soak/soak_checks_test.cc
+++ b/test/soak/soak_checks_test.cc
@@ -74,6 +74,14 @@
 	CHECK(contains(result, "is ready and takes no connections"));
 }
 
+TEST_CASE("nodes that tell no request from another trip the check of crashes")
+{
+	const auto result = playRolling("--crashes --node-flags=--quarantine=false");
+	INFO(result.output);
+	CHECK(0 != result.exitCode);
+	CHECK(contains(result, "one request crashed"));
+}
+
 TEST_CASE("a fleet that gets no time to recover trips the check of recovery")
 {
 	const auto result = playRolling("--recover-ms=0");
--- a/tools/backend_main.cc
+++ b/tools/backend_main.cc
@@ -30,6 +30,7 @@
 DEFINE_bool(health_lies, false, "health answers are good even while draining");
 DEFINE_string(record_file, "", "file that keeps the record across restarts; empty for none");
 DEFINE_int32(seed, 1, "seed of service times");
+DEFINE_string(fatal_path, "", "a request for this path ends the process while it runs; empty for none");
 
 namespace {
 
@@ -37,6 +38,7 @@
 using transport::ExchangeId;
 using transport::HttpRequest;
 
+constexpr int kCrashed = 70;  // exit code
 constexpr double kColdFactor = 10;
 constexpr double kLognormalSigma = 0.8;
 
@@ -102,7 +104,11 @@
         continue;
       }
       const auto exchange = job.exchange;
-      const auto timer = loop_.schedule(serviceTime(job.request), [this, exchange] { finish(exchange); });
+      const bool fatal = !FLAGS_fatal_path.empty() && job.request.path == FLAGS_fatal_path;
+      const auto timer = loop_.schedule(serviceTime(job.request), [this, exchange, fatal] {
+        if (fatal) std::_Exit(kCrashed);
+        finish(exchange);
+      });
       // What may not be repeated counts as run from here on, whether or not its caller waits.
       recordStart(job.request);
       running_[exchange] = {std::move(job), timer};
--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -89,7 +89,8 @@
   for (auto& member : relays_) member.dialPort = before(member.name, member.framePort);
   for (auto& endpoint : endpoints_) {
     endpoint.node.dialPort = before(endpoint.node.name, endpoint.node.framePort);
-    endpoint.backendDialPort = before(endpoint.backendName, endpoint.backendPort);
+    endpoint.backendDialPort =
+        options_.backendProxy ? before(endpoint.backendName, endpoint.backendPort) : endpoint.backendPort;
   }
 }
 
@@ -360,7 +361,7 @@
   }
   command->push_back(flag("targets", absl::StrJoin(targets, ",")));
   command->push_back(flag("host", deployment_.host));
-  command->push_back(flag("lookups", absl::StrJoin(lookups, ",")));
+  command->push_back(flag("lookups", options.samePath.empty() ? absl::StrJoin(lookups, ",") : options.samePath));
   command->push_back(flag("filings", absl::StrJoin(filings, ",")));
   command->push_back(flag("filing-share", std::to_string(options.filingShare)));
   command->push_back(flag("duration-ms", options.durationMs));
@@ -372,6 +373,7 @@
   addTraffic(options, &command);
   command.push_back(flag("rate", std::to_string(options.rate)));
   command.push_back(flag("record", options_.report + "/" + name + "-record.json"));
+  if (!options.samePath.empty()) command.push_back(flag("query", "same"));
   if (options_.emulateLatency) command.push_back(flag("emulated-delay-us", deployment_.clientDelayUs));
   processes_.start(name, command);
 }
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -37,7 +37,8 @@
   std::string binaries;  ///< folder of the programs
   std::string report;    ///< folder for logs, data and the report
   bool emulateLatency = true;
-  bool faultProxy = false;  ///< whether a fault proxy stands before every frame port and back end
+  bool faultProxy = false;   ///< whether a fault proxy stands before every frame port and back end
+  bool backendProxy = true;  ///< with faultProxy: before back ends too; it takes connections to one that is away
   std::vector<std::string> controllerFlags;
   std::vector<std::string> relayFlags;
   std::vector<std::string> nodeFlags;
@@ -51,7 +52,8 @@
   int durationMs = 5000;
   int seed = 1;
   double filingShare = 0.1;
-  bool direct = false;  ///< lookups straight to the back ends, to compare with
+  bool direct = false;   ///< lookups straight to the back ends, to compare with
+  std::string samePath;  ///< all calls are lookups of this path with the same query; empty for the deployment's paths
 };
 
 /// What was counted in the back ends after a run.
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -29,6 +29,7 @@
 DEFINE_int32(rolling_gap_ms, 900, "soak: time between two stops of the rolling plan");
 DEFINE_int32(recover_ms, 15'000, "soak: time within which all is well again once the last fault is over");
 DEFINE_bool(stop_by_kill, false, "soak: planned stops kill, to prove that the checks trip");
+DEFINE_bool(crashes, false, "soak: callers ask again and again for what crashes the back ends of a service");
 DEFINE_string(node_flags, "", "soak: further settings of nodes, as --name=value, separated by commas");
 DEFINE_bool(full_push, false, "baseline: send everything with each update");
 
@@ -212,6 +213,14 @@
   return callsFailed || wrong ? 1 : 0;
 }
 
+/// @return a path that callers look up, of the first service that has one.
+std::string lookupPath(const tools::Deployment& deployment) {
+  for (const auto& service : deployment.services) {
+    if (!service.filings) return service.path;
+  }
+  return "";
+}
+
 /// Faults on running processes and their links, drawn from the seed.
 int runSoak() {
   const auto deployment = tools::readDeployment(FLAGS_deployment);
@@ -221,6 +230,11 @@
   options.report = FLAGS_report;
   options.emulateLatency = FLAGS_emulate_latency;
   options.faultProxy = true;
+  const auto fatalPath = FLAGS_crashes ? lookupPath(*deployment) + "/fatal" : "";
+  if (FLAGS_crashes) {
+    options.backendProxy = false;
+    options.backendFlags = {"--fatal-path=" + fatalPath};
+  }
   options.nodeFlags = base::splitList(FLAGS_node_flags);
   options.apiTimeout = base::seconds(3);
   tools::Fleet fleet(*deployment, options);
@@ -238,6 +252,7 @@
   soakOptions.shape.longestFaultMs = FLAGS_longest_fault_ms;
   soakOptions.shape.meanGapMs = FLAGS_fault_gap_ms;
   if (FLAGS_rate > 0) soakOptions.rate = FLAGS_rate;
+  soakOptions.fatalPath = fatalPath;
   auto report = soak::soak_run(fleet, soakOptions).run();
   report["deployment"] = deployment->name;
   report["not_stopped"] = fleet.stop();
--- a/tools/load_main.cc
+++ b/tools/load_main.cc
@@ -28,6 +28,7 @@
 DEFINE_int32(call_timeout_ms, 5000, "a call without an answer by then is lost");
 DEFINE_int32(connections, 256, "connections to each target at most");
 DEFINE_int32(emulated_delay_us, 0, "one-way latency between caller and target; for tests only");
+DEFINE_string(query, "", "query of all calls, so that they ask for the same; empty for their ids");
 DEFINE_string(record, "", "file for the outcome of each filing, as JSON");
 DEFINE_int32(seed, 1, "seed of arrivals and ids");
 
@@ -121,7 +122,7 @@
     transport::HttpRequest request;
     request.method = filing ? "POST" : "GET";
     request.path = kind.paths[random_.below(kind.paths.size())];
-    request.query = "id=" + id;
+    request.query = FLAGS_query.empty() ? "id=" + id : FLAGS_query;
     request.headers.push_back(transport::makeHeader("host", FLAGS_host));
     request.headers.push_back(transport::makeHeader("x-request-id", id));
     if (filing) {
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "fleet.h"
+#include "soak/crash_keeper.h"
 #include "soak/fault_injector.h"
 #include "soak/promise_watch.h"
 
@@ -18,6 +19,11 @@
 constexpr char kLoadName[] = "soak-load";
 constexpr char kOpenName[] = "open-connections";
 constexpr char kAfterName[] = "after-load";
+constexpr char kFatalName[] = "fatal-load";
+constexpr double kFatalRate = 3;  // Calls a second.
+// Crashes of back ends by one request that are allowed: until it is known, and in all.
+constexpr size_t kMostPastThird = 3;
+constexpr size_t kMostCrashes = 6;
 constexpr int kLoadTailMs = 60'000;
 constexpr int kAfterMs = 3'000;
 constexpr int kLookMs = 40;   // Between two looks at the fleet.
@@ -79,6 +85,10 @@
 	, m_linkFaults(makeLinkFaults(_fleet))
 	, m_watch(std::make_unique<promise_watch>(_fleet))
 {
+	if (!m_options.fatalPath.empty())
+	{
+		m_crashes = std::make_unique<crash_keeper>(_fleet);
+	}
 }
 
 soak_run::~soak_run() = default;
@@ -218,6 +228,10 @@
 	{
 		m_watch->setHarmed(name, false);
 	}
+	if (m_crashes)
+	{
+		m_crashes->look();
+	}
 	if (auto wrong = m_watch->look(); !wrong.empty())
 	{
 		broken(wrong);
@@ -235,7 +249,7 @@
 
 void soak_run::settle()
 {
-	while (!m_processFaults->settled())
+	while (!m_processFaults->settled() || (m_crashes && !m_crashes->allRun()))
 	{
 		turn(elapsedMs() + kLookMs);
 	}
@@ -350,6 +364,21 @@
 	}
 }
 
+void soak_run::checkCrashes(json* _report)
+{
+	(*_report)[kFatalName] = m_fleet.finishLoad(kFatalName, m_options.shape.durationMs + kLoadTailMs);
+	(*_report)["crashes"] = m_crashes->crashes();
+	if (0 == m_crashes->crashes())
+	{
+		broken("the request that crashes back ends reached none");
+	}
+	if (kMostCrashes < m_crashes->crashes() || kMostPastThird < m_crashes->pastThird())
+	{
+		broken(fmt::format("one request crashed {} back ends, {} of them long after the third", m_crashes->crashes(),
+						   m_crashes->pastThird()));
+	}
+}
+
 void soak_run::checkCalls(const std::string& _load, json* _report)
 {
 	const auto load = m_fleet.finishLoad(_load, m_options.shape.durationMs + kLoadTailMs);
@@ -376,7 +405,16 @@
 
 json soak_run::run()
 {
-	const auto targets = targetsOf(m_fleet);
+	auto targets = targetsOf(m_fleet);
+	if (m_crashes)
+	{
+		// Back ends that are paused or cut off don't crash, and no proxy stands before them.
+		std::erase_if(targets,
+					  [](const soak_target& _target)
+					  {
+						  return soak_role::back_end == _target.role;
+					  });
+	}
 	auto plan = m_options.rolling ? rollingPlan(targets, m_options.rollingGapMs)
 								  : drawPlan(m_options.seed, targets, m_options.shape);
 	if (m_options.rolling)
@@ -396,7 +434,19 @@
 	load.seed = static_cast<int>(m_options.seed % 1'000'000) + 1;
 	m_fleet.startLoad(kLoadName, load);
 	m_fleet.startOpenCallers(kOpenName, load);
+	if (m_crashes)
+	{
+		auto fatal = load;
+		fatal.samePath = m_options.fatalPath;
+		fatal.rate = kFatalRate;
+		fatal.filingShare = 0;
+		m_fleet.startLoad(kFatalName, fatal);
+	}
 	play(std::move(plan));
+	if (m_crashes)
+	{
+		checkCrashes(&report);
+	}
 	checkOpenConnections(&report);
 	checkCalls(kLoadName, &report);
 	checkRecovery();
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -19,6 +19,7 @@
 
 namespace driftlug::soak
 {
+class crash_keeper;
 class fault_injector;
 class process_fault_injector;
 class promise_watch;
@@ -34,6 +35,7 @@
 	int rollingGapMs = 900;    //!< Between two of these stops.
 	bool stopByKill = false;   //!< Planned stops kill; proves that the checks trip.
 	int recoverMs = 15'000;    //!< Within which all is well again once the last fault is over.
+	std::string fatalPath;     //!< Callers ask for it again and again, and it crashes back ends; empty for none.
 };
 
 /// One soak of one fleet.
@@ -62,6 +64,7 @@
 	void edit();
 	void checkRecovery();
 	void checkEdits();
+	void checkCrashes(nlohmann::json* _report);
 	void checkOpenConnections(nlohmann::json* _report);
 	void checkRecords(const std::string& _load);
 	void mustBeZero(const std::string& _load, const char* _what, int64_t _count);
@@ -74,6 +77,7 @@
 	std::unique_ptr<process_fault_injector> m_processFaults;
 	std::unique_ptr<fault_injector> m_linkFaults;
 	std::unique_ptr<promise_watch> m_watch;
+	std::unique_ptr<crash_keeper> m_crashes;                  //!< Null where no request crashes back ends.
 	std::map<std::string, std::vector<harm_window>> m_harms;  // of processes, by anything but planned stops
 	int64_t m_begunUs = 0;
 	int m_storms = 0;  // edit storms in progress
