--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -286,6 +286,8 @@
   pages.metrics = [this](base::MetricsPage* page) {
     addMetrics(control_, entry_, endpoint_, controlFrames_, page);
     addQuarantineMetrics(quarantine_, page);
+    page->counter("backend_reports_refused_total", "reports of the back end that could not be read",
+                  localBackend_.unreadableReports());
     addDescriptorMetrics({loop_, entryServer_.server(), callFrames_, entry_, backend_.pool(), shares_}, page);
   };
   pages.other = [this](const transport::HttpRequest& request, const auto& respond) {
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -15,7 +15,8 @@
 
 LocalBackend::LocalBackend(wire::EndpointState place, base::Scheduler& scheduler, EndpointCalls& calls,
                            AnnounceFunction announce, const LocalBackendOptions& options)
-    : place_(std::move(place)),
+    : unreadable_("backend", scheduler, base::kOneLineASecond),
+      place_(std::move(place)),
       calls_(calls),
       announce_(std::move(announce)),
       options_(options),
@@ -30,6 +31,11 @@
   afterRestart_ = afterRestart;
 }
 
+void LocalBackend::onUnreadableReport(const std::string& what) {
+  ++unreadableReports_;
+  unreadable_.write(base::LineWorth::kFailure, [&] { return fmt::format("a report is refused: {}", what); });
+}
+
 ReportVerdict LocalBackend::onReport(const BackendReport& report) {
   if (report.incarnation.empty() || hasEnded(report.incarnation)) return ReportVerdict::kOutdated;
   if (report.incarnation != current_.incarnation) return onOther(report);
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -21,6 +21,7 @@
   int slots = 0;         ///< requests that it works on at once; 0 when it does not say
   int coldMs = 0;        ///< how much longer it is slow from its start
   bool draining = false;
+  int64_t startedAtMs = 0;  ///< Unix time of its start by its own clock, which may jump; 0 when it does not say
 };
 
 /// What became of a report.
@@ -73,6 +74,10 @@
   /// Takes a report of the back end.
   ReportVerdict onReport(const BackendReport& report);
 
+  /// Somebody sent what is no report of a back end of this service; nothing is believed of it.
+  /// @param what for the log
+  void onUnreadableReport(const std::string& what);
+
   /// The back end named itself when it was asked, as a node does that has just started. Counts only until the first
   /// report.
   void onIdentified(const std::string& incarnation);
@@ -90,6 +95,10 @@
   void setStopping();
 
   const std::string& incarnation() const { return current_.incarnation; }
+  const std::string& service() const { return place_.serviceName; }
+
+  /// @return reports that could not be read.
+  int64_t unreadableReports() const { return unreadableReports_; }
 
  private:
   bool hasEnded(const std::string& incarnation) const;
@@ -107,6 +116,8 @@
   void announce(wire::EndpointCondition::type condition);
 
   base::Logger log_{"backend"};
+  base::DecisionLog unreadable_;  // what is said of reports that can't be read
+  int64_t unreadableReports_ = 0;
   wire::EndpointState place_;
   EndpointCalls& calls_;
   AnnounceFunction announce_;
--- a/test/platform/report_api_test.cc
+++ b/test/platform/report_api_test.cc
@@ -1,6 +1,8 @@
 #include "report_api.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <tuple>
 
 #include "node/recording_network.h"
 #include "simulation/process.h"
@@ -20,11 +22,17 @@
   Fixture()
       : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 7000}),
         calls({"huvo11a", 4, 4}, process, network, backend, nullptr),
-        local({}, process, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }),
+        local(place(), process, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }),
         api(local) {
     process.start();
   }
 
+  static wire::EndpointState place() {
+    wire::EndpointState place;
+    place.serviceName = "huvo11a";
+    return place;
+  }
+
   int ask(const std::string& method, const std::string& path, const std::string& body) {
     transport::HttpRequest request;
     request.method = method;
@@ -93,4 +101,77 @@
   CHECK(announced.empty());
 }
 
+namespace {
+
+/// A heartbeat with one member replaced, or taken out where the value is discarded.
+std::string beatWith(const std::string& part, const std::string& member, const nlohmann::json& value) {
+  auto beat = nlohmann::json::parse(Fixture::beat(9, "ready"));
+  auto& object = part.empty() ? beat : beat[part];
+  object.erase(member);
+  if (!value.is_discarded()) object[member] = value;
+  return beat.dump();
+}
+
+const nlohmann::json kMissing(nlohmann::json::value_t::discarded);
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a report that can't be read is refused, and changes nothing of what is known") {
+  REQUIRE(ask("PUT", "/instances/i-1", beat(4, "ready")) == 200);
+  REQUIRE(announced.size() == 1);
+  const std::vector<std::tuple<const char*, const char*, nlohmann::json>> wrong = {
+      {"status", "state", 7},
+      {"status", "state", "resting"},
+      {"status", "state", nullptr},
+      {"status", "state", kMissing},
+      {"status", "sequence", "9"},
+      {"status", "sequence", 9.5},
+      {"status", "sequence", -1},
+      {"status", "sequence", kMissing},
+      {"status", "coldRemainingMs", "soon"},
+      {"status", "coldRemainingMs", -5},
+      {"status", "coldRemainingMs", 1e300},
+      {"status", "coldRemainingMs", kMissing},
+      {"info", "service", "another"},
+      {"info", "service", 5},
+      {"info", "service", kMissing},
+      {"info", "slots", "nine"},
+      {"info", "slots", 0},
+      {"info", "slots", 1e12},
+      {"info", "slots", kMissing},
+      {"info", "zone", 3},
+      {"info", "version", nlohmann::json::array()},
+      {"", "info", 1},
+      {"", "info", kMissing},
+      {"", "status", nlohmann::json::array({1})},
+      {"", "address", 80},
+      {"", "address", kMissing},
+      {"", "born", "yesterday"},
+      {"", "born", 1.5},
+      {"", "born", -3},
+  };
+  for (const auto& [part, member, value] : wrong) {
+    INFO(part << "." << member);
+    CHECK(ask("PUT", "/instances/i-1", beatWith(part, member, value)) == 400);
+    CHECK(ask("PUT", "/instances/i-2", beatWith(part, member, value)) == 400);
+  }
+  CHECK(ask("PUT", "/instances/i-1", "\xff\xfe{}") == 400);
+  CHECK(ask("PUT", "/instances/i-1", "") == 400);
+  CHECK(ask("PUT", "/instances/", beat(9, "ready")) == 400);
+  CHECK(announced.size() == 1);
+  CHECK(local.incarnation() == "i-1");
+  // The back end itself goes on as before.
+  CHECK(ask("PUT", "/instances/i-1", beat(5, "draining")) == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::DRAINING);
+}
+
+TEST_CASE_METHOD(Fixture, "what a report has beyond what is known does not matter") {
+  auto beat = nlohmann::json::parse(Fixture::beat(4, "ready"));
+  beat["mood"] = "good";
+  beat["info"]["colour"] = nlohmann::json::array({1, 2});
+  beat["born"] = 1764720000000;
+  CHECK(ask("PUT", "/instances/i-1", beat.dump()) == 200);
+  CHECK(announced.size() == 1);
+}
+
 }  // namespace driftlug::platform
