A back end that starts again under its name gets calls at its first report

Cause: reports were told apart by name and sequence; a back end that came back under its name with sequence 1 was outdated until its count had passed the old one, and links, latencies, ejections and ended names were kept by name. Ruled out: the start alone (a clock may step back), asking the back end (both lives have one name), the last report (a late one undoes a drain). Change: each start is an endpoint of its own, NAME~START; the node beside it decides between lives (docs/design/platform.md); runs of the life before are lost at once, as crashed, and its connections closed, also where it was up again before anybody asked.

--- a/apps/http_backend.cc
+++ b/apps/http_backend.cc
@@ -1,5 +1,7 @@
 #include "http_backend.h"
 
+#include "node/backend_life.h"
+
 namespace driftlug::apps {
 namespace {
 
@@ -39,7 +41,8 @@
   });
   out.headers.push_back(transport::makeHeader(headers_.deadline, std::to_string(timeout.count() / 1000)));
   if (!headers_.incarnation.empty() && !request.endpoint.empty()) {
-    out.headers.push_back(transport::makeHeader(headers_.incarnation, request.endpoint));
+    out.headers.push_back(
+        transport::makeHeader(headers_.incarnation, std::string(node::backendNameOf(request.endpoint))));
   }
   if (!request.idempotencyKey.empty()) {
     out.headers.push_back(transport::makeHeader("idempotency-key", request.idempotencyKey));
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -269,7 +269,7 @@
     control_.useQuarantine(&quarantine_);
   }
   quarantine_.onChange([this] { endpoint_.onQuarantineChange(); });
-  endpoint_.onWrongIncarnation([this](const std::string& incarnation) { localBackend_.onLeave(incarnation); });
+  endpoint_.onWrongIncarnation([this](const std::string& endpoint) { localBackend_.onWrongEndpoint(endpoint); });
   endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
   if (makeReportPages) reportPages_ = makeReportPages(localBackend_);
   if (!FLAGS_identity_header.empty()) {
--- a/src/node/call_types.h
+++ b/src/node/call_types.h
@@ -70,6 +70,9 @@
 
   /// Gives up a request; no callback follows.
   virtual void cancel(uint64_t id) = 0;
+
+  /// The back end has started again: idle connections lead nowhere.
+  virtual void forgetConnections() {}
 };
 
 }  // namespace driftlug::node
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -73,6 +73,7 @@
 
 void EndpointCalls::useIncarnation(const std::string& endpoint, int slots) {
   if (endpoint != endpoint_) {
+    formerName_.clear();
     limiter_.refuseWaiting();
     probation_.refuseWaiting();
     refuseAwaitingBodies();
@@ -82,6 +83,25 @@
   applyLimits();
 }
 
+void EndpointCalls::renameIncarnation(const std::string& endpoint) { formerName_ = std::exchange(endpoint_, endpoint); }
+
+void EndpointCalls::onBackendRestarted() {
+  limiter_.refuseWaiting();
+  probation_.refuseWaiting();
+  backend_.forgetConnections();
+  if (watch_ != nullptr && !leaving_) watch_->onRestart();
+  std::vector<CallKey> lost;
+  for (const auto& [key, call] : calls_) {
+    if (call.running) lost.push_back(key);
+  }
+  for (const auto& key : lost) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) continue;
+    backend_.cancel(found->second.backendId);
+    onCut(key);
+  }
+}
+
 bool EndpointCalls::isRepeatable(const wire::CallRequest& request) {
   return request.idempotencyKey.empty() && !request.runOnce;
 }
@@ -193,7 +213,8 @@
 
 bool EndpointCalls::refuseAtOnce(const CallKey& key, const wire::CallRequest& request) {
   ErrorCode error = ErrorCode::kNone;
-  const bool otherIncarnation = options_.dynamicEndpoint && (endpoint_.empty() || request.endpoint != endpoint_);
+  const bool named = request.endpoint == endpoint_ || (!formerName_.empty() && request.endpoint == formerName_);
+  const bool otherIncarnation = options_.dynamicEndpoint && (endpoint_.empty() || !named);
   if (options_.service.empty() || request.serviceName != options_.service) {
     error = ErrorCode::kNoEndpoint;
   } else if (otherIncarnation) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -106,6 +106,12 @@
   /// @param slots requests that it works on at once; 0 when it does not say
   void useIncarnation(const std::string& endpoint, int slots);
 
+  /// The incarnation in use goes by another name from now on; calls for the former one are taken too.
+  void renameIncarnation(const std::string& endpoint);
+
+  /// The back end has started again: what it was working on is lost, and so are all connections to it.
+  void onBackendRestarted();
+
   /// Called when the back end says that it is another incarnation than the named one.
   void onWrongIncarnation(std::function<void(const std::string&)> handler) { onWrongIncarnation_ = std::move(handler); }
 
@@ -223,6 +229,7 @@
   std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
   base::Timer expiryTimer_;           // runs while requests wait for a slot
   std::string endpoint_;              // the incarnation of the back end, with dynamicEndpoint
+  std::string formerName_;            // by which it was known before; may be empty
   int endpointSlots_ = 0;
   std::optional<routing::ServiceLimit> tableLimit_;
   std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
--- a/src/node/endpoint_calls_quarantine.cc
+++ b/src/node/endpoint_calls_quarantine.cc
@@ -121,8 +121,7 @@
 /// The back end closed the connection without an answer: it has crashed, or the connection was lost.
 void EndpointCalls::onCut(const CallKey& key) {
   ++counters_.cutRuns;
-  const bool leaving = leaving_ || (options_.dynamicEndpoint && endpoint_.empty());
-  if (watch_ == nullptr || leaving) return answerUnknown(key, ErrorCode::kBackendFailed);
+  if (watch_ == nullptr || leaving_) return answerUnknown(key, ErrorCode::kBackendFailed);
   const quarantine::crashed_run run{fingerprintOfCall(key), calls_.at(key).onProbation};
   watch_->onCut(run, [this, alive = std::weak_ptr<bool>(alive_), key](std::optional<uint64_t> crash) {
     if (alive.expired() || calls_.count(key) == 0) return;
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/backend_life.h"
+
 namespace driftlug::node {
 namespace {
 
@@ -11,6 +13,8 @@
 /// report can be late.
 constexpr size_t kMaxOthers = 16;
 
+std::string endpointOf(const BackendReport& report) { return endpointNameOf(report.incarnation, report.startedAtMs); }
+
 }  // namespace
 
 LocalBackend::LocalBackend(wire::EndpointState place, base::Scheduler& scheduler, EndpointCalls& calls,
@@ -22,8 +26,15 @@
       options_(options),
       silenceTimer_(scheduler, [this] { suspend("silent"); }) {}
 
-bool LocalBackend::hasEnded(const std::string& incarnation) const {
-  return std::find(ended_.begin(), ended_.end(), incarnation) != ended_.end();
+bool LocalBackend::hasEnded(const std::string& endpoint) const {
+  return std::find(ended_.begin(), ended_.end(), endpoint) != ended_.end();
+}
+
+std::string LocalBackend::endpoint() const { return current_.incarnation.empty() ? "" : endpointOf(current_); }
+
+bool LocalBackend::hadEarlierLife() const {
+  return std::any_of(ended_.begin(), ended_.end(),
+                     [this](const std::string& endpoint) { return backendNameOf(endpoint) == current_.incarnation; });
 }
 
 void LocalBackend::setIdentityCheck(IdentityCheck check, bool afterRestart) {
@@ -37,15 +48,16 @@
 }
 
 ReportVerdict LocalBackend::onReport(const BackendReport& report) {
-  if (report.incarnation.empty() || hasEnded(report.incarnation)) return ReportVerdict::kOutdated;
+  if (report.incarnation.empty() || hasEnded(endpointOf(report))) return ReportVerdict::kOutdated;
   if (report.incarnation != current_.incarnation) return onOther(report);
+  const bool byName = learnedAt_ == 0;
+  if (!byName && report.startedAtMs != current_.startedAtMs) return onOtherLife(report);
   if (report.sequence <= current_.sequence) return ReportVerdict::kOutdated;
-  if (learnedAt_ == 0) {
-    // Known only by name so far: its announcement must outdo those of this node's earlier life.
-    learnedAt_ = report.sequence + 1;  // 0 stands for "by name only"
-    place_.endpoint.clear();
+  candidate_.reset();
+  if (byName) {
+    nameAnew(report);
   } else if (report.draining != current_.draining) {
-    log_.info("{} is {} now, sequence {}", report.incarnation, report.draining ? "draining" : "live", report.sequence);
+    log_.info("{} is {} now, sequence {}", endpoint(), report.draining ? "draining" : "live", report.sequence);
   }
   current_ = report;
   suspended_ = false;
@@ -54,6 +66,37 @@
   return ReportVerdict::kTaken;
 }
 
+/// The first report of a back end that was known only by its name: its announcement must outdo those of this node's
+/// earlier life, and says which of its lives it is.
+void LocalBackend::nameAnew(const BackendReport& report) {
+  learnedAt_ = report.sequence + 1;  // 0 stands for "by name only"
+  if (endpointOf(report) != endpoint()) {
+    announce(wire::EndpointCondition::GONE);
+    calls_.renameIncarnation(endpointOf(report));
+  }
+  place_.endpoint.clear();
+}
+
+ReportVerdict LocalBackend::onOtherLife(const BackendReport& report) {
+  const bool later = report.startedAtMs > current_.startedAtMs;
+  const bool sameCandidate = candidate_ && candidate_->startedAtMs == report.startedAtMs;
+  const bool again = sameCandidate && report.sequence > candidate_->sequence && !current_.draining;
+  if (later || suspended_ || again) {
+    beginLife(report);
+    return ReportVerdict::kTaken;
+  }
+  if (!sameCandidate || report.sequence > candidate_->sequence) candidate_ = report;
+  return ReportVerdict::kDoubtful;
+}
+
+void LocalBackend::beginLife(const BackendReport& report) {
+  log_.info("{} has started again, {} ms after the start of its life before", report.incarnation,
+            report.startedAtMs - current_.startedAtMs);
+  calls_.onBackendRestarted();
+  end(endpoint());
+  take(report);
+}
+
 ReportVerdict LocalBackend::onOther(const BackendReport& report) {
   if (isPassed(report)) return ReportVerdict::kOutdated;
   const bool sure = current_.incarnation.empty() && !afterRestart_;
@@ -61,27 +104,27 @@
     hold(report);
     return ReportVerdict::kHeld;
   }
-  if (!current_.incarnation.empty()) end(current_.incarnation);
+  if (!current_.incarnation.empty()) end(endpoint());
   take(report);
   return ReportVerdict::kTaken;
 }
 
 bool LocalBackend::isPassed(const BackendReport& report) const {
-  const auto passed = passed_.find(report.incarnation);
-  const auto held = held_.find(report.incarnation);
+  const auto passed = passed_.find(endpointOf(report));
+  const auto held = held_.find(endpointOf(report));
   return (passed != passed_.end() && report.sequence <= passed->second) ||
          (held != held_.end() && report.sequence <= held->second.sequence);
 }
 
 void LocalBackend::pass(const BackendReport& report) {
   if (passed_.size() >= kMaxOthers) passed_.erase(passed_.begin());
-  passed_[report.incarnation] = report.sequence;
+  passed_[endpointOf(report)] = report.sequence;
 }
 
 void LocalBackend::hold(const BackendReport& report) {
   if (held_.size() >= kMaxOthers) held_.erase(held_.begin());
-  held_[report.incarnation] = report;
-  lastHeld_ = report.incarnation;
+  held_[endpointOf(report)] = report;
+  lastHeld_ = endpointOf(report);
   if (asking_) return;
   asking_ = true;
   log_.info("{} reports beside {}: the back end is asked who it is", report.incarnation, current_.incarnation);
@@ -91,32 +134,34 @@
 void LocalBackend::onAnswer(const BackendIdentity& identity) {
   asking_ = false;
   const bool afterRestart = std::exchange(afterRestart_, false);
-  auto held = std::exchange(held_, {});
+  const auto held = std::exchange(held_, {});
   const bool known = !identity.incarnation.empty();
-  const auto& chosen = known ? identity.incarnation : lastHeld_;
-  // A name that is not the back end's is late, or was given before its bearer has begun to listen: only what it reports
-  // from now on is heeded.
-  for (const auto& [incarnation, report] : held) {
-    if (incarnation != chosen) pass(report);
+  std::optional<BackendReport> chosen;
+  for (const auto& [endpoint, report] : held) {
+    const bool named = known ? report.incarnation == identity.incarnation : endpoint == lastHeld_;
+    if (named && (!chosen || report.startedAtMs > chosen->startedAtMs)) chosen = report;
+    // A name that is not the back end's is late, or was given before its bearer has begun to listen: only what it
+    // reports from now on is heeded.
+    if (!named) pass(report);
   }
-  if (chosen == current_.incarnation) return;
-  if (!current_.incarnation.empty() && known) end(current_.incarnation);
-  const auto report = held.find(chosen);
-  if (report == held.end() || hasEnded(chosen)) return;
+  if (known && identity.incarnation == current_.incarnation) return;
+  if (!current_.incarnation.empty() && known) end(endpoint());
+  if (!chosen || hasEnded(endpointOf(*chosen))) return;
   if (!current_.incarnation.empty()) {
     pass(current_);
     leave();
   }
   // What an earlier life of this node acknowledged as draining gets no calls for a late report.
-  if (afterRestart && identity.leaving) report->second.draining = true;
-  take(report->second);
+  if (afterRestart && identity.leaving) chosen->draining = true;
+  take(*chosen);
 }
 
 void LocalBackend::take(const BackendReport& report) {
   learnedAt_ = report.sequence + 1;  // 0 stands for "by name only"
-  log_.info("{} is the back end now: {} slots, {}, sequence {}", report.incarnation, report.slots,
+  log_.info("{} is the back end now: {} slots, {}, sequence {}", endpointOf(report), report.slots,
             report.draining ? "draining" : "live", report.sequence);
   afterRestart_ = false;
+  candidate_.reset();
   current_ = report;
   suspended_ = false;
   heard();
@@ -142,7 +187,10 @@
 }
 
 void LocalBackend::onIdentified(const std::string& incarnation) {
-  if (!current_.incarnation.empty() || incarnation.empty() || hasEnded(incarnation)) return;
+  if (!current_.incarnation.empty() || incarnation.empty()) return;
+  // Which of its lives it is can't be told once one of them has ended.
+  const auto sameName = [&](const std::string& ended) { return backendNameOf(ended) == incarnation; };
+  if (std::any_of(ended_.begin(), ended_.end(), sameName)) return;
   learnedAt_ = 0;
   afterRestart_ = false;
   current_ = BackendReport{};
@@ -153,16 +201,16 @@
 }
 
 void LocalBackend::apply() {
-  const bool draining = current_.draining || stopping_ || suspended_;
-  calls_.useIncarnation(current_.incarnation, current_.slots);
+  const bool draining = current_.draining || stopping_ || suspended_ || mayLeave_;
+  calls_.useIncarnation(endpoint(), current_.slots);
   calls_.setLeaving(current_.draining);
   calls_.setDraining(draining);
   announce(draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE);
 }
 
 void LocalBackend::announce(wire::EndpointCondition::type condition) {
-  if (place_.endpoint == current_.incarnation && condition == announced_) return;
-  place_.endpoint = current_.incarnation;
+  if (place_.endpoint == endpoint() && condition == announced_) return;
+  place_.endpoint = endpoint();
   place_.incarnation = learnedAt_;
   place_.condition = condition;
   place_.slots = current_.slots;
@@ -171,24 +219,50 @@
   announce_(place_);
 }
 
-void LocalBackend::end(const std::string& incarnation) {
-  ended_.push_back(incarnation);
+void LocalBackend::end(const std::string& endpoint) {
+  const bool current = endpoint == this->endpoint();
+  ended_.push_back(endpoint);
   if (ended_.size() > kMaxEnded) ended_.pop_front();
-  if (incarnation != current_.incarnation) return;
-  log_.info("{} has ended", incarnation);
+  if (!current) return;
+  log_.info("{} has ended", endpoint);
   leave();
 }
 
 void LocalBackend::leave() {
   announce(wire::EndpointCondition::GONE);
   current_ = BackendReport{};
+  candidate_.reset();
   suspended_ = false;
+  mayLeave_ = false;
   silenceTimer_.stop();
+  calls_.setLeaving(true);
   calls_.useIncarnation("", 0);
 }
 
-void LocalBackend::onLeave(const std::string& incarnation) {
-  if (!hasEnded(incarnation)) end(incarnation);
+void LocalBackend::onLeave(const std::string& incarnation, int64_t startedAtMs) {
+  const bool ofSomeLife = startedAtMs == 0 && incarnation == current_.incarnation;
+  if (ofSomeLife && hadEarlierLife() && askIdentity_) return askWhetherItLeaves();
+  const auto left = ofSomeLife ? endpoint() : endpointNameOf(incarnation, startedAtMs);
+  if (!hasEnded(left)) end(left);
+}
+
+/// The farewell may be a late one of an earlier life. Until the back end has said how it is, it gets no calls.
+void LocalBackend::askWhetherItLeaves() {
+  if (mayLeave_) return;
+  mayLeave_ = true;
+  apply();
+  askIdentity_([this, asked = endpoint()](const BackendIdentity& identity) {
+    if (!mayLeave_ || asked != endpoint()) return;
+    mayLeave_ = false;
+    if (identity.well && identity.incarnation == current_.incarnation) return apply();
+    end(asked);
+  });
+}
+
+void LocalBackend::onWrongEndpoint(const std::string& endpoint) {
+  const bool current = endpoint == this->endpoint() || endpoint == current_.incarnation;
+  if (current && !current_.incarnation.empty()) return end(this->endpoint());
+  if (!hasEnded(endpoint)) end(endpoint);
 }
 
 void LocalBackend::setStopping() {
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/log.h"
@@ -14,12 +15,13 @@
 
 namespace driftlug::node {
 
-/// What a back end says of itself now and then. Every start of a back end is a new incarnation with a name of its own.
+/// What a back end says of itself now and then. Every start of a back end is a new incarnation: under a name of its
+/// own, or under the name that it had, and then with another time of its start.
 struct BackendReport {
-  std::string incarnation;
-  int64_t sequence = 0;  ///< rises with every report of one incarnation
-  int slots = 0;         ///< requests that it works on at once; 0 when it does not say
-  int coldMs = 0;        ///< how much longer it is slow from its start
+  std::string incarnation;  ///< its name
+  int64_t sequence = 0;     ///< rises with every report of one incarnation
+  int slots = 0;            ///< requests that it works on at once; 0 when it does not say
+  int coldMs = 0;           ///< how much longer it is slow from its start
   bool draining = false;
   int64_t startedAtMs = 0;  ///< Unix time of its start by its own clock, which may jump; 0 when it does not say
 };
@@ -29,6 +31,7 @@
   kTaken,
   kOutdated,  ///< a newer report of the incarnation was taken, or the incarnation has ended
   kHeld,      ///< it names another incarnation than the one in use; the back end is asked which of them it is
+  kDoubtful,  ///< it is of another life than the one in use, and may be late; its sender is to say it again
 };
 
 /// What a back end says of itself when it is asked.
@@ -53,6 +56,11 @@
 /// node hears. Until it has answered, the one in use stays in use: its calls name it, and another incarnation refuses
 /// them as not run. When it does not answer, the sender of the last report is taken.
 ///
+/// Two lives of one name can't be told by asking. The one that started later is taken at once. The time of a start is
+/// of a clock that may jump back, so one that seems to have started earlier is taken as well once the life in use is
+/// over (nothing listened at its address, or it is silent), or once it has reported twice while the other did not,
+/// unless that one drains: a drain that was acknowledged is never undone by a report that may be late.
+///
 /// Invariants: an incarnation that has ended never takes calls again; one that drains takes calls again only after a
 /// newer report says so; a report of the incarnation in use takes effect here before it is acknowledged, whatever is
 /// cut; of an incarnation that gave way, only a newer report than all before is heeded.
@@ -82,8 +90,14 @@
   /// report.
   void onIdentified(const std::string& incarnation);
 
-  /// The incarnation ends, or has ended, or has turned out not to be there.
-  void onLeave(const std::string& incarnation);
+  /// A back end ends, or has ended.
+  /// @param startedAtMs as in reports; 0 when it did not say, and then the life in use is meant unless the back end
+  /// says that it is well
+  void onLeave(const std::string& incarnation, int64_t startedAtMs = 0);
+
+  /// The back end said that it is not the one that a call was meant for.
+  /// @param endpoint that the call named
+  void onWrongEndpoint(const std::string& endpoint);
 
   /// A call reached the back end and was answered, or no connection to it could be made.
   void onContact(bool reached);
@@ -101,14 +115,20 @@
   int64_t unreadableReports() const { return unreadableReports_; }
 
  private:
-  bool hasEnded(const std::string& incarnation) const;
+  bool hasEnded(const std::string& endpoint) const;
+  bool hadEarlierLife() const;
+  std::string endpoint() const;
+  ReportVerdict onOtherLife(const BackendReport& report);
+  void beginLife(const BackendReport& report);
+  void nameAnew(const BackendReport& report);
+  void askWhetherItLeaves();
   bool isPassed(const BackendReport& report) const;
   void pass(const BackendReport& report);
   ReportVerdict onOther(const BackendReport& report);
   void take(const BackendReport& report);
   void hold(const BackendReport& report);
   void onAnswer(const BackendIdentity& identity);
-  void end(const std::string& incarnation);
+  void end(const std::string& endpoint);
   void leave();
   void heard();
   void suspend(const char* because);
@@ -123,13 +143,15 @@
   AnnounceFunction announce_;
   BackendReport current_;          // incarnation empty while there is none
   int64_t learnedAt_ = 0;          // sequence of the first report of the current incarnation that this process saw
-  std::deque<std::string> ended_;  // incarnations that have ended, oldest first
-  IdentityCheck askIdentity_;      // may be empty
-  bool afterRestart_ = false;      // until this life has heard of the back end
+  std::deque<std::string> ended_;  // endpoints that have ended, oldest first
+  std::optional<BackendReport> candidate_;  // of another life than the current one
+  bool mayLeave_ = false;                   // until the back end has said whether it does
+  IdentityCheck askIdentity_;               // may be empty
+  bool afterRestart_ = false;               // until this life has heard of the back end
   bool asking_ = false;
-  std::map<std::string, BackendReport> held_;  // reports that wait for the back end's word, by incarnation
-  std::string lastHeld_;                       // the incarnation that reported last of them
-  std::map<std::string, int64_t> passed_;      // of incarnations that gave way: the newest sequence
+  std::map<std::string, BackendReport> held_;  // reports that wait for the back end's word, by endpoint
+  std::string lastHeld_;                       // the endpoint that reported last of them
+  std::map<std::string, int64_t> passed_;      // of endpoints that gave way: the newest sequence
   LocalBackendOptions options_;
   base::Timer silenceTimer_;  // runs while there is an incarnation
   int unreachable_ = 0;       // connections in a row that failed
--- a/src/quarantine/crash_watch.cc
+++ b/src/quarantine/crash_watch.cc
@@ -11,6 +11,9 @@
 /// Connections of one process end together; a busy node finds the last of them closed some turns of its loop later. No
 /// back end is up again, and crashed again, so soon.
 constexpr base::Duration kSameCrash = base::milliseconds(200);
+/// A back end whose supervisor starts it at once listens before anybody asks. It reports soon after its start.
+constexpr base::Duration kStartedWithin = base::seconds(5);
+constexpr size_t kMostSurvivors = 256;
 
 }  // namespace
 
@@ -57,23 +60,49 @@
 {
 	m_asking = false;
 	const auto cuts = std::exchange(m_waiting, {});
-	std::optional<uint64_t> crash;
+	std::vector<crashed_run> runs;
+	runs.reserve(cuts.size());
+	for (const auto& one : cuts)
+	{
+		runs.push_back(one.run);
+		m_survived.push_back({one.run, m_time.now()});
+	}
+	while (m_survived.size() > kMostSurvivors)
+	{
+		m_survived.pop_front();
+	}
 	if (_gone)
 	{
-		m_crash = m_random.bits();
-		m_joinUntil = m_time.now() + kSameCrash;
-		crash = m_crash;
-		std::vector<crashed_run> runs;
-		runs.reserve(cuts.size());
-		for (const auto& one : cuts)
+		m_survived.clear();
+		begin(runs);
+	}
+	for (const auto& one : cuts)
+	{
+		one.done(_gone ? std::optional(m_crash) : std::nullopt);
+	}
+}
+
+void crash_watch::begin(const std::vector<crashed_run>& _runs)
+{
+	m_crash = m_random.bits();
+	m_joinUntil = m_time.now() + kSameCrash;
+	m_onCrash(m_crash, _runs);
+}
+
+void crash_watch::onRestart()
+{
+	std::vector<crashed_run> runs;
+	for (const auto& one : std::exchange(m_survived, {}))
+	{
+		if (m_time.now() - one.at < kStartedWithin)
 		{
 			runs.push_back(one.run);
 		}
-		m_onCrash(m_crash, runs);
 	}
-	for (const auto& one : cuts)
+	// Unless the crash was seen as it happened, some seconds ago.
+	if (m_time.now() - m_joinUntil > kStartedWithin || !runs.empty())
 	{
-		one.done(crash);
+		begin(runs);
 	}
 }
 
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -3,6 +3,7 @@
 #define DRIFTLUG_QUARANTINE_CRASH_WATCH_H_HEADER_GUARD
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,6 +38,10 @@
 	/// @param[in] _verdict Called once, at once where it belongs to a crash that is known already.
 	void onCut(const crashed_run& _run, verdict _verdict);
 
+	/// The back end has started again without having been found gone: whatever it had cut in the last seconds, and what
+	/// is found cut now, was at work on it when it crashed.
+	void onRestart();
+
 private:
 	struct cut
 	{
@@ -44,13 +49,21 @@
 		verdict done;
 	};
 
+	struct survivor
+	{
+		crashed_run run;
+		base::TimePoint at{};
+	};
+
 	void onChecked(bool _gone);
+	void begin(const std::vector<crashed_run>& _runs);
 
 	const base::TimeSource& m_time;
 	base::RandomSource m_random;
 	back_end_presence& m_presence;
 	crash_handler m_onCrash;
 	std::vector<cut> m_waiting;
+	std::deque<survivor> m_survived;  //!< Cut lately, while something listened.
 	bool m_asking = false;
 	uint64_t m_crash = 0;  //!< The last one.
 	base::TimePoint m_joinUntil{};
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/strip.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace driftlug::transport {
 namespace {
@@ -231,6 +232,10 @@
   });
 }
 
+void HttpClientPool::dropIdle() {
+  for (const auto id : std::exchange(idle_, {})) connections_.erase(id);
+}
+
 void HttpClientPool::onTimeout(HttpRequestId id) {
   const auto found = active_.find(id);
   if (found == active_.end()) return;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -69,6 +69,9 @@
   /// Gives up a request and closes its connection; no callback follows.
   void cancel(HttpRequestId id);
 
+  /// Closes the connections that no request is on.
+  void dropIdle();
+
   /// Changes how many connections there may be.
   void setMaxConnections(size_t maxConnections) { options_.maxConnections = maxConnections; }
 
--- a/test/incidents/crash_fleet.h
+++ b/test/incidents/crash_fleet.h
@@ -27,6 +27,7 @@
 constexpr int kSlots = 9;
 constexpr int kDeadlineMs = 1200;
 constexpr int kTargetMs = 300;
+constexpr int64_t kClockAtStart = 1'764'720'000'000;  // Unix milliseconds, of the clocks of back ends
 
 inline base::TimePoint at(base::Duration _sinceStart)
 {
@@ -48,6 +49,25 @@
 	std::vector<arrival> crashes;        //!< By requests.
 	std::vector<base::TimePoint> plain;  //!< From outside.
 	std::vector<std::string> fatal;      //!< Paths of requests that crash what runs them.
+	std::vector<arrival> starts;         //!< First reports of back ends that have started again.
+	bool sameName = false;               //!< Back ends start again under the name that they had.
+	base::Duration clockStep{0};         //!< Between two starts, on the clock that they tell their starts by.
+
+	/// @returns How long after its first report each back end that started again got its first call.
+	std::vector<base::Duration> untilFirstCall() const
+	{
+		std::vector<base::Duration> times;
+		for (const auto& start : starts)
+		{
+			const auto first = std::find_if(arrivals.begin(), arrivals.end(),
+											[&](const arrival& _arrival)
+											{
+												return _arrival.node == start.node && _arrival.time >= start.time;
+											});
+			times.push_back(arrivals.end() == first ? base::Duration::max() : first->time - start.time);
+		}
+		return times;
+	}
 
 	bool isFatal(const std::string& _path) const
 	{
@@ -165,6 +185,8 @@
 							   m_up = true;
 							   ++m_incarnation;
 							   m_sequence = 0;
+							   m_startedAt = m_process.now() + m_record.clockStep * m_incarnation;
+							   m_record.starts.push_back({m_process.now(), {}, m_node});
 							   report();
 						   });
 	}
@@ -215,7 +237,9 @@
 	void report()
 	{
 		node::BackendReport report;
-		report.incarnation = "i-" + std::to_string(m_node) + "-" + std::to_string(m_incarnation);
+		report.incarnation = "i-" + std::to_string(m_node);
+		report.incarnation += m_record.sameName ? "" : "-" + std::to_string(m_incarnation);
+		report.startedAtMs = kClockAtStart + m_startedAt.time_since_epoch() / base::milliseconds(1);
 		report.sequence = ++m_sequence;
 		report.slots = kSlots;
 		onReport(report);
@@ -228,6 +252,7 @@
 	std::map<uint64_t, running> m_running;
 	uint64_t m_last = 0;
 	int m_incarnation = 1;
+	base::TimePoint m_startedAt{};
 	int64_t m_sequence = 0;
 	bool m_up = true;
 };
--- a/test/incidents/crashing_request_test.cc
+++ b/test/incidents/crashing_request_test.cc
@@ -241,4 +241,30 @@
 	CHECK(served + 8 <= mended.callers.served);
 }
 
+TEST_CASE("back ends that start again under their name get calls at once, and a request is held all the same")
+{
+	for (const base::Duration step : {base::milliseconds(0), base::milliseconds(20'137), base::milliseconds(-20'137)})
+	{
+		INFO("their clocks step by " << step / base::milliseconds(1) << " ms between two starts");
+		crash_fleet fleet(41);
+		fleet.backEnds.sameName = true;
+		fleet.backEnds.clockStep = step;
+		fleet.backEnds.fatal = {kFatal};
+		fleet.callAllTheTime(kCallsPerSecond, base::seconds(60));
+		fleet.runUntil(base::seconds(15));  // so that a sequence from 1 is far behind
+		fleet.repeat(kFatal, base::milliseconds(2500), base::seconds(60));
+		for (size_t i = 0; i < 8; ++i)
+		{
+			fleet.runUntil(base::seconds(20 + 5 * static_cast<int>(i)));
+			fleet.node(i % 4).backEnd()->crashPlainly();
+		}
+		fleet.runUntil(base::seconds(65));
+		CHECK(2 == fleet.backEnds.crashesBy(kFatal));
+		const auto times = fleet.backEnds.untilFirstCall();
+		REQUIRE(10 == times.size());
+		CHECK(base::milliseconds(150) > *std::max_element(times.begin(), times.end()));
+		CHECK(99 * fleet.callers.asked <= 100 * fleet.callers.inTime);
+	}
+}
+
 }  // namespace driftlug::test
--- a/test/platform/report_api_test.cc
+++ b/test/platform/report_api_test.cc
@@ -174,4 +174,25 @@
   CHECK(announced.size() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "a back end that starts again under its name is told from its life before by its start") {
+  const auto beatOf = [](int sequence, const char* state, int64_t start) {
+    auto beat = nlohmann::json::parse(Fixture::beat(sequence, state));
+    beat["born"] = start;
+    return beat.dump();
+  };
+  constexpr int64_t kFirst = 1764720000000;
+  CHECK(ask("PUT", "/instances/i-1", beatOf(90, "draining", kFirst)) == 200);
+  CHECK(ask("PUT", "/instances/i-1", beatOf(1, "ready", kFirst + 4000)) == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::LIVE);
+  const auto current = announced.back().endpoint;
+  CHECK(ask("PUT", "/instances/i-1", beatOf(91, "draining", kFirst)) == 200);
+  CHECK(ask("DELETE", "/instances/i-1", nlohmann::json{{"born", kFirst}}.dump()) == 200);
+  CHECK(announced.back().endpoint == current);
+  CHECK(announced.back().condition == wire::EndpointCondition::LIVE);
+  // One that may be late and may not is not acknowledged, so that its sender says it again.
+  CHECK(ask("PUT", "/instances/i-1", beatOf(1, "ready", kFirst - 8000)) == 503);
+  CHECK(ask("DELETE", "/instances/i-1", nlohmann::json{{"born", kFirst + 4000}}.dump()) == 200);
+  CHECK(announced.back().condition == wire::EndpointCondition::GONE);
+}
+
 }  // namespace driftlug::platform
