--- a/apps/entry_server.cc
+++ b/apps/entry_server.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 
 namespace driftlug::apps {
 namespace {
@@ -97,7 +98,7 @@
     const auto text = headers_.fractionalRetryAfter ? absl::StrFormat("%.3f", exact) : std::to_string(wholeSeconds);
     response.headers.push_back(transport::makeHeader("retry-after", text));
   }
-  response.body = body.dump() + "\n";
+  response.body = base::jsonText(body) + "\n";
   return response;
 }
 
--- a/apps/quarantine_page.cc
+++ b/apps/quarantine_page.cc
@@ -1,5 +1,7 @@
 #include "quarantine_page.h"
 
+#include "base/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -32,11 +34,11 @@
 transport::HttpResponse list(const quarantine::request_quarantine& quarantine) {
   json requests = json::array();
   for (const auto& request : quarantine.history().known()) requests.push_back(describe(request));
-  return transport::jsonResponse(kOk, json{{"requests", requests}}.dump() + "\n");
+  return transport::jsonResponse(kOk, base::jsonText({{"requests", requests}}) + "\n");
 }
 
 transport::HttpResponse failure(int status, const char* message) {
-  return transport::jsonResponse(status, json{{"error", "row_not_found"}, {"message", message}}.dump() + "\n");
+  return transport::jsonResponse(status, base::jsonText({{"error", "row_not_found"}, {"message", message}}) + "\n");
 }
 
 }  // namespace
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include "base/json_text.h"
+
 #include <fcntl.h>
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
@@ -69,7 +71,7 @@
   const auto seconds = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
   const nlohmann::json line = {
       {"time", seconds}, {"level", std::string(name.data(), name.size())}, {"part", prefix_}, {"message", sentence}};
-  logger->log(level, line.dump());
+  logger->log(level, jsonText(line));
 }
 
 }  // namespace driftlug::base
--- a/src/controller/http_api.cc
+++ b/src/controller/http_api.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 #include "table/row_json.h"
 
 namespace driftlug::controller {
@@ -133,7 +134,7 @@
 HttpResponse editResponse(const EditAnswer& answer) {
   if (answer.outcome.requestId.empty()) return errorResponse(answer.code, adviceFor(answer.code));
   const int status = answer.code == ErrorCode::kNone ? 200 : statusOf(answer.code);
-  return transport::jsonResponse(status, outcomeToJson(answer).dump() + "\n");
+  return transport::jsonResponse(status, base::jsonText(outcomeToJson(answer)) + "\n");
 }
 
 absl::StatusOr<ControllerAddress> parseController(const std::string& body) {
@@ -155,7 +156,7 @@
 
 HttpResponse errorResponse(ErrorCode code, const std::string& sentence) {
   const json body = {{"error", base::errorName(code)}, {"message", sentence}};
-  return transport::jsonResponse(statusOf(code), body.dump() + "\n");
+  return transport::jsonResponse(statusOf(code), base::jsonText(body) + "\n");
 }
 
 HttpApi::HttpApi(Controller& controller, base::Scheduler& scheduler)
@@ -226,7 +227,7 @@
     if (kind.empty() || table::kindName(key.kind) == kind) list.push_back(table::rowToJson(*row, false));
   }
   const json body = {{"revision", controller_.state().table().revision()}, {"rows", list}};
-  return transport::jsonResponse(200, body.dump() + "\n");
+  return transport::jsonResponse(200, base::jsonText(body) + "\n");
 }
 
 HttpResponse HttpApi::oneRow(const std::string& kindAndName) const {
@@ -235,7 +236,7 @@
   const auto name = slash == std::string::npos ? "" : kindAndName.substr(slash + 1);
   const auto row = controller_.state().table().find(table::makeKey(kind, name));
   if (!row) return errorResponse(ErrorCode::kRowNotFound, kindAndName + " does not exist");
-  return transport::jsonResponse(200, table::rowToJson(*row, false).dump() + "\n");
+  return transport::jsonResponse(200, base::jsonText(table::rowToJson(*row, false)) + "\n");
 }
 
 HttpResponse HttpApi::history(const HttpRequest& request) const {
@@ -250,7 +251,7 @@
                     {"author", record->author},
                     {"rows", keys}});
   }
-  return transport::jsonResponse(200, json{{"history", list}}.dump() + "\n");
+  return transport::jsonResponse(200, base::jsonText({{"history", list}}) + "\n");
 }
 
 HttpResponse HttpApi::status() const {
@@ -277,7 +278,7 @@
                      {"nodes", controller_.convergence().attachedNodes()},
                      {"storage_failed", raft.storageFailed()},
                      {"controllers", members}};
-  return transport::jsonResponse(200, body.dump() + "\n");
+  return transport::jsonResponse(200, base::jsonText(body) + "\n");
 }
 
 HttpResponse HttpApi::ledgerKey(const std::string& key) const {
@@ -288,7 +289,7 @@
     body["owner"] = record->owner;
     if (record->completed) body["http_status"] = record->answer.httpStatus;
   }
-  return transport::jsonResponse(record == nullptr ? 404 : 200, body.dump() + "\n");
+  return transport::jsonResponse(record == nullptr ? 404 : 200, base::jsonText(body) + "\n");
 }
 
 HttpResponse HttpApi::convergence(int64_t revision) const {
@@ -302,7 +303,7 @@
                      {"in_force", view.inForce}, {"lagging", view.lagging.size()},
                      {"gone", view.gone},        {"complete", view.complete},
                      {"lagging_nodes", lagging}};
-  return transport::jsonResponse(200, body.dump() + "\n");
+  return transport::jsonResponse(200, base::jsonText(body) + "\n");
 }
 
 void HttpApi::getConvergence(const HttpRequest& request, const HttpRespond& respond) {
