Time that promises rest on counts what a suspended machine slept

Cause: the event loop, its timer file and base::TimePoint were on the steady clock. On a machine that is suspended for some seconds it stands, so that a node or relay that woke believed word of the controllers, and deadlines, that had passed; and in the first turn the loop read sockets before it ran what had come due, so that what had waited was taken for new.

Ruled out: the steady clock with the boot clock asked beside it (two clocks, late timers), the time of day (jumps).

Change: base::BootClock (CLOCK_BOOTTIME) for everything; a loop that wakes a second late or more runs what is due, tells the process, and only then reads. Nodes and relays ask for the controllers' word anew, requests that waited unread at an endpoint are refused as not run (stale_request). The simulator's processes thaw in that order, and can have a clock that stands while they are frozen.

Conclusion: shown on the virtual clock and with SIGSTOP; not on a machine that is truly suspended.

--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -106,7 +106,7 @@
 }
 
 uint64_t processSeed() {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch().count();
+  const auto now = base::BootClock::now().time_since_epoch().count();
   return static_cast<uint64_t>(now) ^ (static_cast<uint64_t>(getpid()) << 40);
 }
 
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -189,6 +189,7 @@
   void onDrainPage(const transport::HttpRequest& request, const std::function<void(transport::HttpResponse)>& respond);
   void onTerminate();
   void onReload();
+  void onOverslept(base::Duration late);
   void refuseNew() override { entry_.refuseNew(); }
   void refuseWaiting() override { entry_.refuseWaiting(); }
   void readNoMore() override { entryServer_.server().readNoMore(); }
@@ -354,6 +355,7 @@
     loop_.schedule(kPatience, [this] { askForIdentity(); });
   }
   loop_.onSignals({[this] { onTerminate(); }, [this] { onReload(); }});
+  loop_.onOverslept([this](base::Duration late) { onOverslept(late); });
   log_.info("{} started in zone {}", FLAGS_name, FLAGS_zone);
   loop_.run();
   log_.info("{} ended, {} calls of callers and {} of nodes left", FLAGS_name, entry_.active(), endpoint_.active());
@@ -407,6 +409,13 @@
   if (seeds && !seeds->empty()) control_.useSeeds(hostsAtPort(*seeds, FLAGS_seed_relay_port));
 }
 
+void NodeDaemon::onOverslept(base::Duration late) {
+  log_.warn("{} was away for {} ms", FLAGS_name, base::millisecondsOf(late));
+  control_.onAway();
+  endpoint_.setStale(true);
+  loop_.schedule(base::Duration(0), [this] { endpoint_.setStale(false); });  // behind this turn's sockets
+}
+
 void NodeDaemon::onTerminate() {
   log_.info("{} stops, {} calls in progress", FLAGS_name, entry_.active() + endpoint_.active());
   admin_.setStopping();
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -110,6 +110,7 @@
                     loop.schedule(kStopTime, [&loop] { loop.stop(); });
                   },
                   {}});
+  loop.onOverslept([&relay](base::Duration) { relay.onAway(); });
   loop.run();
   return 0;
 }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -50,6 +50,7 @@
   kBackendCrashed = 52,
   kRequestHeld = 53,
   kOnProbation = 54,
+  kStaleRequest = 55,
 };
 
 /// @return the stable lower-case name of a code, as it appears in JSON bodies and logs.
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,4 +1,4 @@
-/// Time as the decision logic sees it: durations and points on a monotonic clock, in microseconds.
+/// Time as the decision logic sees it: durations and points on a clock that only moves forward, in microseconds.
 #pragma once
 
 #include <chrono>
@@ -18,10 +18,23 @@
 /// @return a duration from what is counted in microseconds with fractions, as averages are.
 inline Duration microsecondsOf(double count) { return Duration(static_cast<int64_t>(count)); }
 
-/// A point on the process's (or the simulation's) monotonic clock.
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+/// The clock of all promises that rest on time. It counts the time for which the machine was suspended too: with a
+/// clock that doesn't, a process that is back after some seconds believes leases, freshness and deadlines that have
+/// passed.
+struct BootClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now();
+};
+
+/// A point on the process's (or the simulation's) clock.
+using TimePoint = BootClock::time_point;
 
-/// Source of monotonic time; never compared between processes.
+/// Source of such time; never compared between processes.
 class TimeSource {
  public:
   virtual ~TimeSource() = default;
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -184,6 +184,14 @@
   connect();
 }
 
+void ControlClient::onAway() {
+  if (!open_) return;
+  network_.close(connection_);
+  connection_ = 0;
+  updates_.clear();
+  connect();
+}
+
 void ControlClient::moveOn(base::Duration delay) {
   if (connection_ != 0) network_.close(connection_);
   connection_ = 0;
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -73,6 +73,10 @@
   /// Uses other first addresses of relays, as after a change of the settings; those learned stay in use.
   void useSeeds(const std::vector<base::Address>& seeds);
 
+  /// This process was stopped, or its machine suspended: what the relay has sent meanwhile is as old, so it is asked
+  /// anew.
+  void onAway();
+
   /// Announces the state of the endpoint beside this node.
   void announce(const wire::EndpointState& state);
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -221,6 +221,8 @@
     error = endpoint_.empty() ? ErrorCode::kDraining : ErrorCode::kWrongEndpoint;
   } else if (draining_) {
     error = ErrorCode::kDraining;
+  } else if (stale_) {
+    error = ErrorCode::kStaleRequest;
   } else if (request.bodyBytes > static_cast<int64_t>(wire::kMaxFrameBytes)) {
     error = ErrorCode::kFrameTooLarge;
   }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -106,6 +106,10 @@
   /// @param slots requests that it works on at once; 0 when it does not say
   void useIncarnation(const std::string& endpoint, int slots);
 
+  /// Whether what arrives now may have waited unread while this process was stopped or its machine suspended: nobody
+  /// knows any more how much of its time is left, so it is refused as not run.
+  void setStale(bool stale) { stale_ = stale; }
+
   /// The incarnation in use goes by another name from now on; calls for the former one are taken too.
   void renameIncarnation(const std::string& endpoint);
 
@@ -219,6 +223,7 @@
   quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
   quarantine::crash_watch* watch_ = nullptr;              // may stay null
   bool leaving_ = false;
+  bool stale_ = false;
   std::map<CallKey, Call> calls_;
   std::map<base::ConnectionId, Asker> askers_;
   std::map<base::ConnectionId, std::string> callerServices_;  // the services beside the connected nodes
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -61,6 +61,11 @@
   sendAllAway();
 }
 
+void Relay::onAway() {
+  log_.warn("{} was away, asks the controllers anew", options_.id);
+  source_.onAway();
+}
+
 void Relay::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   if (source_.owns(connection)) {
     source_.onOpen(connection);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -69,6 +69,9 @@
   /// @return whether the table was confirmed by a controller since the start.
   bool recovered() const { return recovered_; }
 
+  /// This process was stopped, or its machine suspended, for more than a second.
+  void onAway();
+
   /// @return whether freshness has advanced within the given time.
   bool fresh(base::Duration within) const { return scheduler_.now() - source_.freshSince() <= within; }
 
--- a/src/relay/source.cc
+++ b/src/relay/source.cc
@@ -73,6 +73,15 @@
   return true;
 }
 
+void ControllerLinks::onAway() {
+  std::vector<base::ConnectionId> connections;
+  for (const auto& [connection, address] : byConnection_) connections.push_back(connection);
+  for (const auto connection : connections) {
+    network_.close(connection);
+    onClose(connection);
+  }
+}
+
 bool ControllerLinks::onLeader(base::ConnectionId connection, const wire::Freshness& freshness) {
   const bool newer = isNewer(freshness, freshness_);
   if (newer) {
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -36,6 +36,10 @@
   /// @return whether it was the source
   bool onClose(base::ConnectionId connection);
 
+  /// This process was stopped, or its machine suspended: what controllers have sent meanwhile is as old, so each is
+  /// asked anew.
+  void onAway();
+
   /// A controller answered as the leader with this freshness.
   /// @return whether it became the source just now
   bool onLeader(base::ConnectionId connection, const wire::Freshness& freshness);
--- a/src/simulation/cluster.cc
+++ b/src/simulation/cluster.cc
@@ -118,6 +118,7 @@
   sockets_->setHandler(relay_.get());
   network_.listen(sockets_.get());
   relay_->start();
+  process_.onAway([this] { relay_->onAway(); });
 }
 
 void RelayMachine::end() { relay_.reset(); }
@@ -155,6 +156,7 @@
       nullptr);
   sockets_->setHandler(control_.get());
   control_->start(plan_.hasDisk ? &disk_ : nullptr);
+  process_.onAway([this] { control_->onAway(); });
 }
 
 void NodeMachine::end() {
--- a/src/simulation/process.cc
+++ b/src/simulation/process.cc
@@ -1,20 +1,23 @@
 #include "simulation/process.h"
 
+#include <utility>
+
 namespace driftlug::simulation {
 
 base::TimerId Process::schedule(base::Duration delay, std::function<void()> callback) {
-  auto id = std::make_shared<EventId>(0);
-  *id = queue_.after(delay, [this, id, incarnation = incarnation_, callback = std::move(callback)]() mutable {
-    runOrDefer(incarnation, *id, std::move(callback));
-  });
-  return *id;
+  auto timer = std::make_shared<Timer>();
+  timer->due = now() + delay;
+  timer->incarnation = incarnation_;
+  timer->callback = std::move(callback);
+  timer->id = queue_.after(delay, [this, timer] { runTimer(timer); });
+  return timer->id;
 }
 
 void Process::cancel(base::TimerId id) {
-  queue_.cancel(id);
-  // The timer may have come due while the process was frozen.
-  for (auto& deferred : deferred_) {
-    if (deferred.id == id) deferred.action = nullptr;
+  const auto moved = moved_.extract(id);
+  queue_.cancel(moved ? moved.mapped() : id);
+  for (auto& timer : dueTimers_) {
+    if (timer->id == id) timer->callback = nullptr;
   }
 }
 
@@ -28,31 +31,60 @@
   alive_ = false;
   frozen_ = false;
   ++incarnation_;
-  deferred_.clear();
+  dueTimers_.clear();
+  waiting_.clear();
+  moved_.clear();
+  onAway_ = nullptr;
 }
 
 void Process::setFrozen(bool frozen) {
-  frozen_ = frozen;
-  while (!frozen_ && !deferred_.empty()) {
-    auto action = std::move(deferred_.front().action);
-    deferred_.pop_front();
-    if (!action) continue;
-    action();
-    if (eventHook_) eventHook_();
+  if (std::exchange(frozen_, frozen) == frozen) return;
+  if (frozen) {
+    frozenAt_ = queue_.now();
+  } else {
+    thaw();
   }
 }
 
-void Process::run(uint64_t incarnation, std::function<void()> action) {
-  constexpr EventId kNoTimer = 0;
-  runOrDefer(incarnation, kNoTimer, std::move(action));
+void Process::thaw() {
+  constexpr base::Duration kOverslept = base::seconds(1);  // as in transport::EventLoop
+  const auto away = queue_.now() - frozenAt_;
+  if (clockStands_) slept_ += away;
+  while (!dueTimers_.empty()) {
+    const auto timer = std::move(dueTimers_.front());
+    dueTimers_.pop_front();
+    runTimer(timer);
+  }
+  if (onAway_ && !clockStands_ && away >= kOverslept) runNow(onAway_);
+  while (!waiting_.empty()) {
+    const auto action = std::move(waiting_.front());
+    waiting_.pop_front();
+    runNow(action);
+  }
 }
 
-void Process::runOrDefer(uint64_t incarnation, EventId id, std::function<void()> action) {
+void Process::run(uint64_t incarnation, std::function<void()> action) {
   if (!alive_ || incarnation != incarnation_) return;
   if (frozen_) {
-    deferred_.push_back({id, std::move(action)});
-    return;
+    waiting_.push_back(std::move(action));
+  } else {
+    runNow(action);
   }
+}
+
+void Process::runTimer(const std::shared_ptr<Timer>& timer) {
+  if (!alive_ || timer->incarnation != incarnation_ || !timer->callback) return;
+  if (frozen_) {
+    dueTimers_.push_back(timer);
+  } else if (now() < timer->due) {
+    moved_[timer->id] = queue_.after(timer->due - now(), [this, timer] { runTimer(timer); });
+  } else {
+    moved_.erase(timer->id);
+    runNow(timer->callback);
+  }
+}
+
+void Process::runNow(const std::function<void()>& action) {
   action();
   if (eventHook_) eventHook_();
 }
--- a/src/simulation/process.h
+++ b/src/simulation/process.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "base/network.h"
 #include "simulation/event_queue.h"
@@ -20,15 +21,15 @@
 
 /// One process across its restarts. Each start is a new incarnation; what an earlier one scheduled never runs.
 ///
-/// Invariants: a frozen process runs nothing until it is thawed, then everything that came due, in order; a dead
-/// process runs nothing.
+/// Invariants: a frozen process runs nothing until it is thawed; then, as in transport::EventLoop, timers that came due,
+/// the handler for having been away, and what waited in its sockets, each in order. A dead process runs nothing.
 class Process : public base::Scheduler {
  public:
   Process(EventQueue& queue, std::string name, Placement placement, base::Address address)
       : queue_(queue), name_(std::move(name)), placement_(std::move(placement)), address_(std::move(address)) {}
 
   // base::Scheduler
-  base::TimePoint now() const override { return queue_.now(); }
+  base::TimePoint now() const override { return queue_.now() - slept_; }
   base::TimerId schedule(base::Duration delay, std::function<void()> callback) override;
   void cancel(base::TimerId id) override;
   base::WallTime wallTime() const override { return base::WallTime(queue_.now().time_since_epoch()); }
@@ -42,6 +43,14 @@
   /// Stops or resumes the execution of events.
   void setFrozen(bool frozen);
 
+  /// Whether the process's own clock doesn't count the time for which it is frozen, as a steady clock on a suspended
+  /// machine. For tests that show what such a clock costs.
+  void letClockStand(bool stands) { clockStands_ = stands; }
+
+  /// Calls back when a process thaws that was frozen for longer than transport::EventLoop lets pass; forgotten with the
+  /// incarnation.
+  void onAway(std::function<void()> handler) { onAway_ = std::move(handler); }
+
   /// Runs an action as part of the incarnation, now or when the process thaws; drops it once that one has ended.
   void run(uint64_t incarnation, std::function<void()> action);
 
@@ -56,12 +65,16 @@
   void onEvent(std::function<void()> hook) { eventHook_ = std::move(hook); }
 
  private:
-  struct Deferred {
-    EventId id;  // 0 for what is not a timer
-    std::function<void()> action;
+  struct Timer {
+    base::TimerId id = 0;  // of its first event
+    base::TimePoint due;   // on the own clock
+    uint64_t incarnation = 0;
+    std::function<void()> callback;
   };
 
-  void runOrDefer(uint64_t incarnation, EventId id, std::function<void()> action);
+  void runTimer(const std::shared_ptr<Timer>& timer);
+  void thaw();
+  void runNow(const std::function<void()>& action);
 
   EventQueue& queue_;
   std::string name_;
@@ -69,9 +82,15 @@
   base::Address address_;
   bool alive_ = false;
   bool frozen_ = false;
+  bool clockStands_ = false;
   uint64_t incarnation_ = 0;
-  std::deque<Deferred> deferred_;    // came due while frozen
-  std::function<void()> eventHook_;  // may be empty
+  base::TimePoint frozenAt_{};
+  base::Duration slept_{};  // what the own clock didn't count
+  std::deque<std::shared_ptr<Timer>> dueTimers_;      // came due while frozen; cancelled ones have no callback
+  std::deque<std::function<void()>> waiting_;         // arrived while frozen
+  std::unordered_map<base::TimerId, EventId> moved_;  // timers whose event is another than their first
+  std::function<void()> onAway_;                      // may be empty
+  std::function<void()> eventHook_;                   // may be empty
 };
 
 }  // namespace driftlug::simulation
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
+#include <utility>
 
 #include "transport/tcp_stream.h"
 
@@ -70,7 +71,7 @@
   context_ = lws_create_context(&info);
   library_->fileVhost = Library::createVhost(context_, "files", library_->fileProtocols);
   library_->streamVhost = Library::createVhost(context_, "streams", library_->streamProtocols);
-  timerFile_ = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  timerFile_ = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
   watchFile(timerFile_, [this] {
     uint64_t expirations = 0;
     (void)!::read(timerFile_, &expirations, sizeof(expirations));
@@ -87,9 +88,7 @@
   lws_context_destroy(context);
 }
 
-base::TimePoint EventLoop::now() const {
-  return std::chrono::time_point_cast<base::Duration>(std::chrono::steady_clock::now());
-}
+base::TimePoint EventLoop::now() const { return base::BootClock::now(); }
 
 base::TimerId EventLoop::schedule(base::Duration delay, std::function<void()> callback) {
   const auto id = nextId_++;
@@ -137,6 +136,18 @@
   }
 }
 
+/// Called with the first event of a turn, before it is dealt with.
+void EventLoop::beginTurn() {
+  /// Longer than any wait for a processor; peers hold a silent connection for lost by then.
+  constexpr base::Duration kOverslept = base::seconds(1);
+  const auto due = std::exchange(wakeBy_, base::TimePoint{});
+  if (due == base::TimePoint{}) return;
+  const auto late = now() - due;
+  if (late < kOverslept) return;
+  runDue();
+  if (onOverslept_) onOverslept_(late);
+}
+
 void EventLoop::flushStreams() {
   while (!dirty_.empty()) {
     std::vector<std::weak_ptr<TcpStream>> streams;
@@ -151,7 +162,10 @@
   if (context_ == nullptr) return;
   flushStreams();
   armTimer();
+  // A turn that took long itself has not been slept through.
+  if (armedFor_ != base::TimePoint{}) wakeBy_ = std::max(armedFor_, now());
   if (lws_service(context_, 0) < 0) stopped_ = true;
+  wakeBy_ = base::TimePoint{};
   runDue();
   flushStreams();
 }
@@ -187,7 +201,7 @@
 }
 
 void EventLoop::watchFile(int file, std::function<void()> onReadable) {
-  watches_.push_back(std::make_unique<FileWatch>(FileWatch{file, std::move(onReadable)}));
+  watches_.push_back(std::make_unique<FileWatch>(FileWatch{this, file, std::move(onReadable)}));
   lws_sock_file_fd_type descriptor{};
   descriptor.filefd = file;
   auto* wsi = lws_adopt_descriptor_vhost(library_->fileVhost, LWS_ADOPT_RAW_FILE_DESC, descriptor, "file", nullptr);
@@ -206,7 +220,9 @@
                                     size_t /*length*/) {
   if (reason != LWS_CALLBACK_RAW_RX_FILE) return 0;
   auto* watch = static_cast<FileWatch*>(lws_get_opaque_user_data(wsi));
-  if (watch != nullptr) watch->onReadable();
+  if (watch == nullptr) return 0;
+  watch->loop->beginTurn();
+  watch->onReadable();
   return 0;
 }
 
@@ -228,6 +244,7 @@
   auto* holder = static_cast<StreamHolder*>(lws_get_opaque_user_data(wsi));
   if (holder == nullptr) return 0;
   const auto stream = *holder;
+  stream->loop_.beginTurn();
   switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
       return stream->onReadable() ? 0 : -1;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -53,6 +53,10 @@
   /// Ends run() after the current turn.
   void stop() { stopped_ = true; }
 
+  /// Calls back when the loop woke more than a second later than it was to: the process was stopped, or its machine
+  /// suspended. What was due meanwhile has run by then, and what waits in sockets has not been read: it is as old.
+  void onOverslept(std::function<void(base::Duration)> handler) { onOverslept_ = std::move(handler); }
+
   /// Calls back on the loop when the process gets a signal; other signals keep their meaning, SIGPIPE is ignored.
   void onSignals(SignalHandlers handlers);
 
@@ -81,6 +85,7 @@
   };
 
   struct FileWatch {
+    EventLoop* loop = nullptr;
     int file = -1;
     std::function<void()> onReadable;
     lws* wsi = nullptr;  // null when the loop had no room
@@ -90,6 +95,7 @@
   struct Library;
 
   void armTimer();
+  void beginTurn();
   void runDue();
   void flushStreams();
   void onSignalPipe();
@@ -106,7 +112,9 @@
   std::map<Due, std::function<void()>> due_;                   // by time, then by order of scheduling
   std::unordered_map<base::TimerId, base::TimePoint> timeOf_;  // of timers in due_
   base::TimePoint armedFor_{};
-  std::vector<std::weak_ptr<TcpStream>> dirty_;  // streams with bytes to write at the end of the turn
+  base::TimePoint wakeBy_{};  // when this turn was to begin at the latest; unset once it has, or where nothing is due
+  std::function<void(base::Duration)> onOverslept_;  // may be empty
+  std::vector<std::weak_ptr<TcpStream>> dirty_;      // streams with bytes to write at the end of the turn
 };
 
 }  // namespace driftlug::transport
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -161,6 +161,19 @@
   CHECK(second->backend.runs == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "what has waited unread while the machine was suspended is refused as not run") {
+  first->calls.setStale(true);
+  first->file(1, "key", "claim 7");
+  first->calls.setStale(false);
+  first->file(2, "key", "claim 7");
+  runFor(base::seconds(1));
+  REQUIRE(first->network.answers.size() == 2);
+  CHECK(first->network.answers[0].outcome == wire::CallOutcome::NOT_RUN);
+  CHECK(first->network.answers[0].errorCode == static_cast<int>(base::ErrorCode::kStaleRequest));
+  CHECK(first->network.answers[1].outcome == wire::CallOutcome::COMPLETED);
+  CHECK(first->backend.runs == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "without the ledger a filing is refused as not run, and does not run") {
   reachable = false;
   first->file(1, "key", "claim 7");
