--- a/apps/ctl_main.cc
+++ b/apps/ctl_main.cc
@@ -349,10 +349,7 @@
   if (command == "check") return checkFile(arguments);
   if (command == "trace") return traceCall(arguments);
   if (command == "completion") return printCompletion();
-  std::vector<base::Address> controllers;
-  for (const auto& text : base::splitList(FLAGS_controllers)) {
-    controllers.push_back(apps::parseAddressOrExit("controllers", text));
-  }
+  const auto controllers = apps::parseAddressesOrExit("controllers", FLAGS_controllers);
   if (controllers.empty()) return usageError("--controllers must name at least one");
   apps::SyncHttp http;
   Commands commands(http, controllers);
--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -84,14 +84,36 @@
   std::exit(2);
 }
 
-base::Address parseAddressOrExit(const std::string& setting, const std::string& text) {
+absl::StatusOr<base::Address> parseAddress(const std::string& setting, const std::string& text) {
   base::Address address;
   const auto colon = text.rfind(':');
   if (colon != std::string::npos && absl::SimpleAtoi(text.substr(colon + 1), &address.port)) {
     address.host = text.substr(0, colon);
     if (address.port > 0 && address.port < 65536 && !address.host.empty()) return address;
   }
-  exitWithError(base::makeError(base::ErrorCode::kBadSetting, setting + ": '" + text + "' is not host:port"));
+  return base::makeError(base::ErrorCode::kBadSetting, setting + ": '" + text + "' is not host:port");
+}
+
+absl::StatusOr<std::vector<base::Address>> parseAddresses(const std::string& setting, const std::string& text) {
+  std::vector<base::Address> addresses;
+  for (const auto& item : base::splitList(text)) {
+    const auto address = parseAddress(setting, item);
+    if (!address.ok()) return address.status();
+    addresses.push_back(*address);
+  }
+  return addresses;
+}
+
+base::Address parseAddressOrExit(const std::string& setting, const std::string& text) {
+  const auto address = parseAddress(setting, text);
+  if (!address.ok()) exitWithError(address.status());
+  return *address;
+}
+
+std::vector<base::Address> parseAddressesOrExit(const std::string& setting, const std::string& text) {
+  auto addresses = parseAddresses(setting, text);
+  if (!addresses.ok()) exitWithError(addresses.status());
+  return *std::move(addresses);
 }
 
 base::Address listenAddressOrExit(const std::string& setting, const std::string& text, const std::string& host,
--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -69,8 +69,15 @@
 /// Prints one typed line and exits 2.
 [[noreturn]] void exitWithError(const absl::Status& status);
 
+/// @return an address that is written as host:port, or kBadSetting
+absl::StatusOr<base::Address> parseAddress(const std::string& setting, const std::string& text);
+
+/// @return addresses that are written as host:port, separated by commas, or kBadSetting
+absl::StatusOr<std::vector<base::Address>> parseAddresses(const std::string& setting, const std::string& text);
+
 /// Parses `host:port`; exits 2 when it is malformed.
 base::Address parseAddressOrExit(const std::string& setting, const std::string& text);
+std::vector<base::Address> parseAddressesOrExit(const std::string& setting, const std::string& text);
 
 /// @return the address that a `host:port` setting names, or host and port where it is empty; exits 2 when malformed.
 base::Address listenAddressOrExit(const std::string& setting, const std::string& text, const std::string& host,
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -94,7 +94,7 @@
   node::ControlOptions options;
   options.nodeId = FLAGS_name;
   options.zone = FLAGS_zone;
-  for (const auto& text : base::splitList(FLAGS_relays)) options.relays.push_back(parseAddressOrExit("relays", text));
+  options.relays = parseAddressesOrExit("relays", FLAGS_relays);
   if (!FLAGS_seeds.empty()) {
     options.relays = hostsAtPort(FLAGS_seeds, FLAGS_seed_relay_port);
     options.nearRelays = options.relays.size();
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -43,12 +43,8 @@
   relay::RelayOptions options;
   options.id = FLAGS_name;
   options.zone = FLAGS_zone;
-  for (const auto& text : base::splitList(FLAGS_controllers)) {
-    options.controllers.push_back(apps::parseAddressOrExit("controllers", text));
-  }
-  for (const auto& text : base::splitList(FLAGS_peers)) {
-    options.peers.push_back(apps::parseAddressOrExit("peers", text));
-  }
+  options.controllers = apps::parseAddressesOrExit("controllers", FLAGS_controllers);
+  options.peers = apps::parseAddressesOrExit("peers", FLAGS_peers);
   for (const auto& text : base::splitList(FLAGS_release_groups))
     options.releaseGroups.push_back(parseGroupOrExit(text));
   if (options.releaseGroups.empty()) options.releaseGroups.push_back({options.zone, {options.id}});
@@ -58,6 +54,18 @@
   return options;
 }
 
+/// SIGHUP: a relay that didn't take the signal ended with it, and its nodes lost their connections.
+void reload(relay::Relay& relay) {
+  const auto controllers =
+      apps::parseAddresses("controllers", base::rereadSetting("controllers").value_or(FLAGS_controllers));
+  const auto peers = apps::parseAddresses("peers", base::rereadSetting("peers").value_or(FLAGS_peers));
+  if (!controllers.ok() || !peers.ok() || controllers->empty()) {
+    base::Logger("relay").warn("{} keeps its settings, those of its file can't be used", FLAGS_name);
+    return;
+  }
+  relay.useSettings(*controllers, *peers);
+}
+
 void addMetrics(const relay::Relay& relay, const transport::FrameTransport& frames, base::MetricsPage* page) {
   constexpr base::Duration kFreshWithin = base::seconds(3);
   page->gauge("table_revision", "revision of the table held", static_cast<double>(relay.replica().revision()));
@@ -109,7 +117,7 @@
                     relay.prepareStop();
                     loop.schedule(kStopTime, [&loop] { loop.stop(); });
                   },
-                  {}});
+                  [&relay] { reload(relay); }});
   loop.onOverslept([&relay](base::Duration) { relay.onAway(); });
   loop.run();
   return 0;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -61,6 +61,22 @@
   sendAllAway();
 }
 
+void Relay::useSettings(const std::vector<base::Address>& controllers, const std::vector<base::Address>& peers) {
+  log_.info("{} uses {} controllers and {} relays of its settings", options_.id, controllers.size(), peers.size());
+  options_.peers = peers;
+  source_.useConfigured(controllers);
+  usePeers();
+}
+
+void Relay::usePeers() {
+  std::set<base::Address> peers(options_.peers.begin(), options_.peers.end());
+  for (const auto& relay : relayList_.relays) {
+    const base::Address address{relay.address, relay.port};
+    if (!(address == options_.listening)) peers.insert(address);
+  }
+  peers_.setAddresses(peers);
+}
+
 void Relay::onAway() {
   log_.warn("{} was away, asks the controllers anew", options_.id);
   source_.onAway();
@@ -130,13 +146,10 @@
 
 void Relay::onMemberList(const wire::MemberList& list) {
   std::set<base::Address> controllers;
-  std::set<base::Address> relays(options_.peers.begin(), options_.peers.end());
   wire::RelayList known;
   for (const auto& member : list.members) {
     controllers.insert({member.address, member.framePort});
     if (member.relayPort == 0) continue;
-    const base::Address address{member.address, member.relayPort};
-    if (!(address == options_.listening)) relays.insert(address);
     wire::RelayAddress entry;
     entry.address = member.address;
     entry.port = member.relayPort;
@@ -145,8 +158,8 @@
   }
   if (known == relayList_) return;
   source_.useLearned(controllers);
-  peers_.setAddresses(relays);
   relayList_ = known;
+  usePeers();
   for (const auto& [connection, session] : nodes_.all()) network_.send(connection, wire::encodeFrame(relayList_));
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -69,6 +69,9 @@
   /// @return whether the table was confirmed by a controller since the start.
   bool recovered() const { return recovered_; }
 
+  /// Uses other controllers and relays, as after a change of the settings; those learned stay in use.
+  void useSettings(const std::vector<base::Address>& controllers, const std::vector<base::Address>& peers);
+
   /// This process was stopped, or its machine suspended, for more than a second.
   void onAway();
 
@@ -88,6 +91,7 @@
   void onTableAdvanced();
 
   void onMemberList(const wire::MemberList& list);
+  void usePeers();
 
   // Peers
   void onRelayMessage(const std::string& relayId, const wire::Message& message);
--- a/src/relay/source.cc
+++ b/src/relay/source.cc
@@ -33,22 +33,28 @@
   return configured_.count(address) > 0 || learned_.count(address) > 0;
 }
 
+void ControllerLinks::useConfigured(const std::vector<base::Address>& configured) {
+  configured_ = {configured.begin(), configured.end()};
+  useWanted();
+}
+
 void ControllerLinks::useLearned(const std::set<base::Address>& learned) {
   learned_ = learned;
+  useWanted();
+}
+
+void ControllerLinks::useWanted() {
   std::vector<base::ConnectionId> leaving;
-  std::set<base::Address> connected;
   for (const auto& [connection, address] : byConnection_) {
     if (!wanted(address)) leaving.push_back(connection);
-    connected.insert(address);
   }
   for (const auto connection : leaving) {
     network_.close(connection);
     onClose(connection);
   }
   if (!started_) return;
-  for (const auto& address : learned_) {
-    if (connected.count(address) == 0) connect(address);
-  }
+  for (const auto& address : configured_) connect(address);
+  for (const auto& address : learned_) connect(address);
 }
 
 void ControllerLinks::connect(const base::Address& address) {
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -24,7 +24,10 @@
   /// Opens all connections.
   void start();
 
-  /// Keeps connections to these controllers besides those it was made with, and closes all others.
+  /// Keeps connections to these controllers and the learned ones, and closes all others.
+  void useConfigured(const std::vector<base::Address>& configured);
+
+  /// Keeps connections to these controllers besides the configured ones, and closes all others.
   void useLearned(const std::set<base::Address>& learned);
 
   bool owns(base::ConnectionId connection) const { return byConnection_.count(connection) > 0; }
@@ -63,6 +66,7 @@
 
  private:
   bool wanted(const base::Address& address) const;
+  void useWanted();
   void connect(const base::Address& address);
   void sendKeepAlive();
 
--- /dev/null
+++ b/test/apps/relay_reload_test.cc
@@ -0,0 +1,89 @@
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include "process_group.h"
+
+namespace driftlug::tools {
+namespace {
+
+constexpr int kPatienceMs = 10'000;
+constexpr int kMomentMs = 300;  // in which a process would end that doesn't take a signal
+
+/// What listens at a controller's address, and knows nothing else of one.
+class Listener {
+ public:
+  Listener() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(::listen(socket_, SOMAXCONN) == 0);
+    REQUIRE(::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~Listener() { ::close(socket_); }
+
+  const std::string& address() const { return address_; }
+
+  /// @return whether somebody connected in time.
+  bool reached() const {
+    pollfd wait{socket_, POLLIN, 0};
+    return ::poll(&wait, 1, kPatienceMs) == 1;
+  }
+
+ private:
+  int socket_;
+  std::string address_;
+};
+
+struct Fixture {
+  Fixture() {
+    char name[] = "/tmp/driftlug-relay-XXXXXX";
+    REQUIRE(::mkdtemp(name) != nullptr);
+    folder = name;
+  }
+  ~Fixture() { std::filesystem::remove_all(folder); }
+
+  std::string settings() const { return folder + "/relay.toml"; }
+
+  void writeSettings(const std::string& controllers) const {
+    const auto ports = findFreePorts(2);
+    std::ofstream(settings()) << "name = \"relay-1\"\nzone = \"zone-1\"\ncontrollers = \"" << controllers
+                              << "\"\nframe_port = " << ports[0] << "\nhttp_port = " << ports[1] << "\n";
+  }
+
+  std::string folder;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a relay that is told to reload goes on, with the controllers that its settings name now") {
+  const Listener first;
+  const Listener second;
+  ProcessGroup processes(folder);
+  writeSettings(first.address());
+  REQUIRE(processes.start("relay", {DRIFTLUG_RELAY, "--config=" + settings()}));
+  REQUIRE(first.reached());
+  writeSettings(second.address());
+  processes.signal("relay", SIGHUP);
+  CHECK(second.reached());
+  CHECK(processes.running("relay"));
+  writeSettings("nobody");
+  processes.signal("relay", SIGHUP);
+  ::usleep(kMomentMs * 1000);
+  CHECK(processes.running("relay"));
+  processes.signal("relay", SIGTERM);
+  CHECK(processes.waitFor("relay", kPatienceMs) == 0);
+}
+
+}  // namespace driftlug::tools
