Relays and controllers reach each other behind links on which openings take long

Cause: ControllerLinks and PeerLinks gave each opening 0.7 s and began anew. Behind a link whose queue takes longer than that no attempt ever came up, since each began again behind the queue. By reading first; shown by two tests on a network whose openings take 1.5 s: no link in 11 s.

Ruled out: a longer time alone (a machine that comes back would be noticed as much later).

Change: membership/openings, attempts beside each other, the first that is up is used, four at most. Both classes use it. A relay that was suspended also drops attempts in progress, whose connections may hold old word.

Figures: up after 1.5 s, one connection left (tests).

Not shown on a real narrow link between controllers.

--- /dev/null
+++ b/src/membership/openings.cc
@@ -0,0 +1,75 @@
+#include "membership/openings.h"
+
+namespace driftlug::membership {
+namespace {
+
+/// After this an answer is late on every way that isn't full, and the next attempt begins.
+constexpr base::Duration kNextAfter = base::milliseconds(700);
+constexpr size_t kMost = 4;
+constexpr base::Duration kTimeout = kMost * kNextAfter;  // the oldest ends when the one behind the last begins
+
+}  // namespace
+
+void Openings::start(const base::Address& address) {
+  if (inProgress(address)) return;
+  attempts_[address].next = std::make_unique<base::Timer>(scheduler_, [this, address] { begin(address); });
+  begin(address);
+}
+
+void Openings::begin(const base::Address& address) {
+  auto& attempts = attempts_[address];
+  if (attempts.connections.size() >= kMost) {
+    const auto oldest = attempts.connections.begin();
+    addressOf_.erase(*oldest);
+    network_.close(*oldest);
+    attempts.connections.erase(oldest);
+  }
+  const auto connection = network_.connectWithTimeout(address, kTimeout);
+  attempts.connections.insert(connection);
+  attempts.lastBegun = scheduler_.now();
+  attempts.next->start(kNextAfter);
+  addressOf_[connection] = address;
+}
+
+void Openings::stop(const base::Address& address) {
+  const auto found = attempts_.extract(address);
+  if (!found) return;
+  for (const auto connection : found.mapped().connections) {
+    addressOf_.erase(connection);
+    network_.close(connection);
+  }
+}
+
+std::vector<base::Address> Openings::addresses() const {
+  std::vector<base::Address> addresses;
+  for (const auto& [address, attempts] : attempts_) addresses.push_back(address);
+  return addresses;
+}
+
+std::optional<base::Duration> Openings::youngest(const base::Address& address) const {
+  const auto found = attempts_.find(address);
+  if (found == attempts_.end()) return std::nullopt;
+  return scheduler_.now() - found->second.lastBegun;
+}
+
+std::optional<base::Address> Openings::onOpen(base::ConnectionId connection) {
+  const auto found = addressOf_.extract(connection);
+  if (!found) return std::nullopt;
+  const auto address = found.mapped();
+  attempts_[address].connections.erase(connection);
+  stop(address);
+  return address;
+}
+
+std::optional<base::Address> Openings::onClose(base::ConnectionId connection) {
+  const auto found = addressOf_.extract(connection);
+  if (!found) return std::nullopt;
+  const auto address = found.mapped();
+  auto& attempts = attempts_[address];
+  attempts.connections.erase(connection);
+  if (!attempts.connections.empty()) return std::nullopt;
+  attempts_.erase(address);
+  return address;
+}
+
+}  // namespace driftlug::membership
--- a/src/membership/peer_links.cc
+++ b/src/membership/peer_links.cc
@@ -14,6 +14,7 @@
     : network_(network),
       scheduler_(scheduler),
       random_(random),
+      openings_(network, scheduler),
       keepAliveTimer_(scheduler, [this] { sendKeepAlive(); }) {
   keepAliveTimer_.start(base::kConnectionKeepAlive);
 }
@@ -29,8 +30,11 @@
       ++link;
       continue;
     }
-    byConnection_.erase(link->second.connection);
-    network_.close(link->second.connection);
+    openings_.stop(link->first);
+    if (link->second.open()) {
+      byConnection_.erase(link->second.connection);
+      network_.close(link->second.connection);
+    }
     link = links_.erase(link);
   }
   for (const auto& address : addresses) {
@@ -42,33 +46,25 @@
 
 void PeerLinks::connect(const base::Address& address) {
   const auto found = links_.find(address);
-  if (found == links_.end() || found->second.connection != 0) return;
-  found->second.begunAt = scheduler_.now();
-  found->second.connection = network_.connect(address);
-  byConnection_[found->second.connection] = address;
+  if (found != links_.end() && !found->second.open()) openings_.start(address);
 }
 
 void PeerLinks::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
-  const auto found = byConnection_.find(connection);
-  if (found == byConnection_.end()) return onArrival(peer);
-  auto& link = links_[found->second];
-  link.open = true;
+  const auto address = openings_.onOpen(connection);
+  if (!address) return onArrival(peer);
+  auto& link = links_[*address];
+  link.connection = connection;
   link.hello = peer;
+  byConnection_[connection] = *address;
 }
 
-/// A peer that has connected to this side is there: an attempt that began while it was not, and hangs in silence, is
-/// not waited for.
+/// A peer that has connected to this side is there: attempts that began while it was not, and hang in silence, are not
+/// waited for.
 void PeerLinks::onArrival(const wire::Hello& peer) {
-  const auto found = links_.find({peer.address, peer.framePort});
-  if (found == links_.end() || found->second.open) return;
-  const auto address = found->first;
-  const auto hanging = found->second.connection;
-  if (hanging != 0 && scheduler_.now() - found->second.begunAt < kHangingAfter) return;
-  if (hanging != 0) {
-    byConnection_.erase(hanging);
-    network_.close(hanging);
-    found->second.connection = 0;
-  }
+  const base::Address address{peer.address, peer.framePort};
+  const auto begun = openings_.youngest(address);
+  if (begun && *begun < kHangingAfter) return;
+  openings_.stop(address);
   connect(address);
 }
 
@@ -78,20 +74,21 @@
 }
 
 void PeerLinks::onClose(base::ConnectionId connection) {
-  const auto found = byConnection_.find(connection);
-  if (found == byConnection_.end()) return;
-  const auto address = found->second;
-  byConnection_.erase(found);
-  links_[address] = Link{};
+  auto address = openings_.onClose(connection);
+  if (const auto open = byConnection_.extract(connection)) {
+    address = open.mapped();
+    links_[*address] = Link{};
+  }
+  if (!address) return;
   const auto delay = kReconnectDelay / 2 + random_.duration(kReconnectDelay);
-  scheduler_.schedule(delay, [this, alive = std::weak_ptr<bool>(alive_), address] {
+  scheduler_.schedule(delay, [this, alive = std::weak_ptr<bool>(alive_), address = *address] {
     if (!alive.expired()) connect(address);
   });
 }
 
 void PeerLinks::sendTo(const std::string& peerId, const wire::FramePtr& frame) {
   for (const auto& [address, link] : links_) {
-    if (!link.open || link.hello.id != peerId) continue;
+    if (!link.open() || link.hello.id != peerId) continue;
     network_.send(link.connection, frame);
     return;
   }
@@ -100,13 +97,13 @@
 void PeerLinks::sendToAll(const wire::Message& message) {
   const auto frame = wire::encodeFrame(message);
   for (const auto& [address, link] : links_) {
-    if (link.open) network_.send(link.connection, frame);
+    if (link.open()) network_.send(link.connection, frame);
   }
 }
 
 const wire::Hello* PeerLinks::helloOf(const base::Address& address) const {
   const auto found = links_.find(address);
-  return found != links_.end() && found->second.open ? &found->second.hello : nullptr;
+  return found != links_.end() && found->second.open() ? &found->second.hello : nullptr;
 }
 
 }  // namespace driftlug::membership
--- a/src/membership/peer_links.h
+++ b/src/membership/peer_links.h
@@ -9,6 +9,7 @@
 #include "base/network.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "membership/openings.h"
 
 namespace driftlug::membership {
 
@@ -23,7 +24,9 @@
   void setAddresses(const std::set<base::Address>& addresses);
 
   /// @return whether the connection was opened by this object.
-  bool owns(base::ConnectionId connection) const { return byConnection_.count(connection) > 0; }
+  bool owns(base::ConnectionId connection) const {
+    return byConnection_.count(connection) > 0 || openings_.owns(connection);
+  }
 
   /// A connection that this side opened is up, or a peer has connected to this side.
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
@@ -43,10 +46,10 @@
 
  private:
   struct Link {
-    base::ConnectionId connection = 0;  // 0 while waiting to connect
-    base::TimePoint begunAt{};          // of the attempt
-    bool open = false;
-    wire::Hello hello;
+    base::ConnectionId connection = 0;  // 0 while it isn't open
+    wire::Hello hello;                  // of an open one
+
+    bool open() const { return connection != 0; }
   };
 
   void connect(const base::Address& address);
@@ -58,7 +61,8 @@
   base::RandomSource random_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::map<base::Address, Link> links_;
-  std::map<base::ConnectionId, base::Address> byConnection_;
+  std::map<base::ConnectionId, base::Address> byConnection_;  // of open ones
+  Openings openings_;
   base::Timer keepAliveTimer_;
 };
 
--- a/src/relay/source.cc
+++ b/src/relay/source.cc
@@ -20,6 +20,7 @@
       scheduler_(scheduler),
       random_(random),
       configured_(controllers.begin(), controllers.end()),
+      openings_(network, scheduler),
       keepAliveTimer_(scheduler, [this] { sendKeepAlive(); }) {}
 
 void ControllerLinks::start() {
@@ -45,46 +46,59 @@
 
 void ControllerLinks::useWanted() {
   std::vector<base::ConnectionId> leaving;
-  for (const auto& [connection, address] : byConnection_) {
+  for (const auto& [connection, address] : open_) {
     if (!wanted(address)) leaving.push_back(connection);
   }
-  for (const auto connection : leaving) {
-    network_.close(connection);
-    onClose(connection);
+  for (const auto connection : leaving) drop(connection);
+  for (const auto& address : openings_.addresses()) {
+    if (!wanted(address)) openings_.stop(address);
   }
   if (!started_) return;
   for (const auto& address : configured_) connect(address);
   for (const auto& address : learned_) connect(address);
 }
 
-void ControllerLinks::connect(const base::Address& address) {
-  const bool open =
-      std::any_of(byConnection_.begin(), byConnection_.end(), [&](const auto& item) { return item.second == address; });
-  if (open || !wanted(address)) return;
-  byConnection_[network_.connect(address)] = address;
+bool ControllerLinks::isOpen(const base::Address& address) const {
+  return std::any_of(open_.begin(), open_.end(), [&](const auto& item) { return item.second == address; });
 }
 
-void ControllerLinks::onOpen(base::ConnectionId connection) { open_[connection] = true; }
+void ControllerLinks::connect(const base::Address& address) {
+  if (wanted(address) && !isOpen(address)) openings_.start(address);
+}
 
-bool ControllerLinks::onClose(base::ConnectionId connection) {
-  const auto address = byConnection_[connection];
-  byConnection_.erase(connection);
-  open_.erase(connection);
+void ControllerLinks::reconnectLater(const base::Address& address) {
   const auto delay = random_.duration(kReconnectDelay) + base::milliseconds(1);
   scheduler_.schedule(delay, [this, alive = std::weak_ptr<bool>(alive_), address] {
     if (!alive.expired()) connect(address);
   });
+}
+
+void ControllerLinks::drop(base::ConnectionId connection) {
+  network_.close(connection);
+  onClose(connection);
+}
+
+void ControllerLinks::onOpen(base::ConnectionId connection) {
+  const auto address = openings_.onOpen(connection);
+  if (address) open_[connection] = *address;
+}
+
+bool ControllerLinks::onClose(base::ConnectionId connection) {
+  if (const auto address = openings_.onClose(connection)) reconnectLater(*address);
+  const auto closed = open_.extract(connection);
+  if (closed) reconnectLater(closed.mapped());
   if (connection != source_) return false;
   source_ = 0;
   return true;
 }
 
 void ControllerLinks::onAway() {
-  std::vector<base::ConnectionId> connections;
-  for (const auto& [connection, address] : byConnection_) connections.push_back(connection);
-  for (const auto connection : connections) {
-    network_.close(connection);
-    onClose(connection);
+  const auto open = open_;
+  for (const auto& [connection, address] : open) drop(connection);
+  // One that came up meanwhile has been sent old word too.
+  for (const auto& address : openings_.addresses()) {
+    openings_.stop(address);
+    reconnectLater(address);
   }
 }
 
@@ -120,7 +134,7 @@
 
 void ControllerLinks::sendToAll(const wire::Message& message) {
   const auto frame = wire::encodeFrame(message);
-  for (const auto& [connection, open] : open_) network_.send(connection, frame);
+  for (const auto& [connection, address] : open_) network_.send(connection, frame);
 }
 
 }  // namespace driftlug::relay
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -9,6 +9,7 @@
 #include "base/network.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "membership/openings.h"
 
 namespace driftlug::relay {
 
@@ -30,7 +31,9 @@
   /// Keeps connections to these controllers besides the configured ones, and closes all others.
   void useLearned(const std::set<base::Address>& learned);
 
-  bool owns(base::ConnectionId connection) const { return byConnection_.count(connection) > 0; }
+  bool owns(base::ConnectionId connection) const {
+    return open_.count(connection) > 0 || openings_.owns(connection);
+  }
 
   /// A connection opened.
   void onOpen(base::ConnectionId connection);
@@ -67,6 +70,9 @@
  private:
   bool wanted(const base::Address& address) const;
   void useWanted();
+  bool isOpen(const base::Address& address) const;
+  void reconnectLater(const base::Address& address);
+  void drop(base::ConnectionId connection);
   void connect(const base::Address& address);
   void sendKeepAlive();
 
@@ -76,9 +82,9 @@
   std::set<base::Address> configured_;
   std::set<base::Address> learned_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  std::map<base::ConnectionId, base::Address> byConnection_;
+  membership::Openings openings_;
+  std::map<base::ConnectionId, base::Address> open_;
   bool started_ = false;
-  std::map<base::ConnectionId, bool> open_;
   base::ConnectionId source_ = 0;
   wire::Freshness freshness_;
   base::TimePoint freshSince_{};
--- a/test/membership/peer_links_test.cc
+++ b/test/membership/peer_links_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "membership/slow_network.h"
 #include "node/recording_network.h"
 #include "simulation/process.h"
 
@@ -59,4 +60,55 @@
   CHECK(network.connected.begin()->second.host == "10.0.0.2");
 }
 
+namespace {
+
+/// Links over a network on which openings take their time.
+struct SlowFixture : public base::ConnectionHandler {
+  SlowFixture() : process(queue, "controller", {"zone", "region"}, {"10.0.0.1", 1}), network(process) {
+    process.start();
+    network.handler = this;
+    links = std::make_unique<PeerLinks>(network, process, base::RandomSource(1));
+  }
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& peer) override { links->onOpen(connection, peer); }
+  void onMessage(base::ConnectionId /*connection*/, wire::Message /*message*/) override {}
+  void onClose(base::ConnectionId connection) override { links->onClose(connection); }
+
+  /// @return whether the link is up within a time
+  bool upWithin(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+    return links->helloOf(kPeer) != nullptr;
+  }
+
+  const base::Address kPeer{"10.0.0.2", 7000};
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::SlowNetwork network;
+  std::unique_ptr<PeerLinks> links;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(SlowFixture, "a peer behind a link on which openings take 1.5 s is reached") {
+  network.openingTakes = base::milliseconds(1500);
+  links->setAddresses({kPeer});
+  CHECK(upWithin(base::milliseconds(1600)));
+  CHECK(network.connected.size() == 1);  // what was begun beside it is closed
+  CHECK(upWithin(base::seconds(10)));
+  CHECK(network.connected.size() == 1);
+}
+
+TEST_CASE_METHOD(SlowFixture, "a peer that is away costs four attempts at a time, and is reached when it is back") {
+  network.openingTakes = std::chrono::hours(1);
+  links->setAddresses({kPeer});
+  CHECK_FALSE(upWithin(base::seconds(30)));
+  CHECK(network.mostAtOnce == 4);
+  network.openingTakes = base::milliseconds(1);
+  CHECK(upWithin(base::seconds(1)));
+  links->setAddresses({});
+  CHECK(network.connected.empty());
+}
+
 }  // namespace driftlug::membership
--- a/test/relay/controller_links_test.cc
+++ b/test/relay/controller_links_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "../node/recording_network.h"
+#include "membership/slow_network.h"
+#include "node/recording_network.h"
 #include "relay/source.h"
 #include "simulation/process.h"
 
@@ -70,4 +71,49 @@
   CHECK(fresh());
 }
 
+namespace {
+
+/// A relay's link to one controller over a network on which openings take their time.
+struct SlowFixture : public base::ConnectionHandler {
+  SlowFixture()
+      : process(queue, "relay", {"zone", "region"}, {"10.0.0.9", 7001}),
+        network(process),
+        links(network, process, base::RandomSource(3), {{"10.0.0.1", 7000}}) {
+    process.start();
+    network.handler = this;
+  }
+
+  void onOpen(base::ConnectionId connection, const wire::Hello& /*peer*/) override {
+    REQUIRE(links.owns(connection));
+    links.onOpen(connection);
+    open.insert(connection);
+  }
+  void onMessage(base::ConnectionId /*connection*/, wire::Message /*message*/) override {}
+  void onClose(base::ConnectionId connection) override { links.onClose(connection); }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::SlowNetwork network;
+  ControllerLinks links;
+  std::set<base::ConnectionId> open;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(SlowFixture, "a controller behind a link on which openings take 1.5 s is reached") {
+  network.openingTakes = base::milliseconds(1500);
+  links.start();
+  runFor(base::milliseconds(1600));
+  CHECK(open.size() == 1);
+  CHECK(network.connected.size() == 1);
+  runFor(base::seconds(10));
+  CHECK(open.size() == 1);
+}
+
 }  // namespace driftlug::relay
