A process that is stopped in the middle of a turn notices too; so does the relay within a controller

Cause: the loop compared the time with that at which it was to wake. One that was stopped while it dealt with an event, as is likely under load, or before its first turn, took what had waited for new; found by a test that stops a relay right after it has connected. And only driftlug-relay heeded the call, not the relay within a controller.

Ruled out: one second within a turn too.

Change: the clock is looked at with each event and timer; two seconds within a turn count as stopped.

--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -242,6 +242,7 @@
     if (seeds && !seeds->empty()) controller.useSeeds(seedControllers(*seeds));
   };
   loop.onSignals({terminate, reload});
+  if (innerRelay) loop.onOverslept([&innerRelay](base::Duration) { innerRelay->relay().onAway(); });
   loop.run();
   return 0;
 }
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -129,6 +129,7 @@
     const auto until = now();
     if (due_.empty() || due_.begin()->first.at > until) return;
     while (!due_.empty() && due_.begin()->first.at <= until) {
+      watchClock();
       auto node = due_.extract(due_.begin());
       timeOf_.erase(node.key().id);
       node.mapped()();
@@ -136,18 +137,31 @@
   }
 }
 
-/// Called with the first event of a turn, before it is dealt with.
-void EventLoop::beginTurn() {
-  /// Longer than any wait for a processor; peers hold a silent connection for lost by then.
+/// Called at each event and timer: whoever is stopped in the middle of a turn is so under load above all.
+void EventLoop::watchClock() {
+  /// Longer than a process waits for a processor once it is to wake; peers hold a silent connection for lost by then.
   constexpr base::Duration kOverslept = base::seconds(1);
-  const auto due = std::exchange(wakeBy_, base::TimePoint{});
-  if (due == base::TimePoint{}) return;
-  const auto late = now() - due;
-  if (late < kOverslept) return;
+  /// Longer than one event takes: 59 ms of processor time by a leader's log, 0.9 s where it has 0.065 of a core.
+  constexpr base::Duration kStoodStill = base::seconds(2);
+  const auto time = now();
+  const auto late = time - std::exchange(expectedBy_, time);
+  const auto limit = std::exchange(waiting_, false) ? kOverslept : kStoodStill;
+  if (late >= limit) away_ = std::max(away_, late);
+}
+
+/// What is due runs, and the process hears of it, before more is read.
+void EventLoop::tellAway() {
+  if (away_ == base::Duration(0)) return;
+  const auto late = std::exchange(away_, base::Duration(0));
   runDue();
   if (onOverslept_) onOverslept_(late);
 }
 
+void EventLoop::beginEvent() {
+  watchClock();
+  tellAway();
+}
+
 void EventLoop::flushStreams() {
   while (!dirty_.empty()) {
     std::vector<std::weak_ptr<TcpStream>> streams;
@@ -160,12 +174,13 @@
 
 void EventLoop::runOnce() {
   if (context_ == nullptr) return;
+  beginEvent();
   flushStreams();
   armTimer();
-  // A turn that took long itself has not been slept through.
-  if (armedFor_ != base::TimePoint{}) wakeBy_ = std::max(armedFor_, now());
+  waiting_ = true;
+  expectedBy_ = armedFor_ == base::TimePoint{} ? base::TimePoint::max() : std::max(armedFor_, expectedBy_);
   if (lws_service(context_, 0) < 0) stopped_ = true;
-  wakeBy_ = base::TimePoint{};
+  watchClock();
   runDue();
   flushStreams();
 }
@@ -221,7 +236,7 @@
   if (reason != LWS_CALLBACK_RAW_RX_FILE) return 0;
   auto* watch = static_cast<FileWatch*>(lws_get_opaque_user_data(wsi));
   if (watch == nullptr) return 0;
-  watch->loop->beginTurn();
+  watch->loop->beginEvent();
   watch->onReadable();
   return 0;
 }
@@ -244,7 +259,7 @@
   auto* holder = static_cast<StreamHolder*>(lws_get_opaque_user_data(wsi));
   if (holder == nullptr) return 0;
   const auto stream = *holder;
-  stream->loop_.beginTurn();
+  stream->loop_.beginEvent();
   switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
       return stream->onReadable() ? 0 : -1;
--- a/test/apps/relay_reload_test.cc
+++ b/test/apps/relay_signals_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kPatienceMs = 10'000;
+constexpr int kStillMs = 2'500;  // longer than the relay's timers by more than a second
 constexpr int kMomentMs = 300;  // in which a process would end that doesn't take a signal
 
 /// What listens at a controller's address, and knows nothing else of one.
@@ -86,4 +87,22 @@
   CHECK(processes.waitFor("relay", kPatienceMs) == 0);
 }
 
+TEST_CASE_METHOD(Fixture, "a relay that stood still for a while asks its controllers anew") {
+  const Listener controller;
+  ProcessGroup processes(folder);
+  writeSettings(controller.address());
+  REQUIRE(processes.start("relay", {DRIFTLUG_RELAY, "--config=" + settings()}));
+  REQUIRE(controller.reached());
+  processes.signal("relay", SIGSTOP);
+  ::usleep(kStillMs * 1000);
+  processes.signal("relay", SIGCONT);
+  const std::string expected = "was away";
+  for (int waited = 0; waited < kPatienceMs && processes.output("relay").find(expected) == std::string::npos;
+       waited += kMomentMs) {
+    ::usleep(kMomentMs * 1000);
+  }
+  INFO(processes.output("relay"));  // it may be stopped before its loop has run
+  CHECK(processes.output("relay").find(expected) != std::string::npos);
+}
+
 }  // namespace driftlug::tools
--- a/test/transport/event_loop_test.cc
+++ b/test/transport/event_loop_test.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <string>
 
 namespace driftlug::transport {
@@ -27,28 +28,59 @@
 
 constexpr base::Duration kStopped = base::milliseconds(1500);
 
-/// A process of its own that says on a pipe what happens to it, in order.
-/// @param in what it reads
-/// @param out where it writes a letter for each event: t for a timer, o for having overslept, r for something to read
-[[noreturn]] void runChild(int in, int out) {
-  EventLoop loop;
-  const auto say = [out](char letter) { (void)!::write(out, &letter, 1); };
-  loop.onOverslept([&](base::Duration late) {
-    if (late > kStopped / 2) say('o');
-  });
-  // Due while the process is stopped.
-  loop.schedule(base::milliseconds(600), [&] { say('t'); });
-  ::fcntl(in, F_SETFL, O_NONBLOCK);
-  loop.watchFile(in, [&] {
-    char byte = 0;
-    if (::read(in, &byte, 1) != 1) return;
-    say('r');
-    loop.stop();
-  });
-  say('.');
-  loop.run();
-  ::_exit(0);
-}
+/// A process of its own that runs a loop and says on a pipe what happens to it, in order: a letter for each event.
+class Child {
+ public:
+  /// @param setUp what the loop of the process does; it gets the file that it reads from, and says letters
+  using SetUp = std::function<void(EventLoop&, int, const std::function<void(char)>&)>;
+
+  explicit Child(const SetUp& setUp) {
+    REQUIRE(::pipe(toChild_) == 0);
+    REQUIRE(::pipe(fromChild_) == 0);
+    process_ = ::fork();
+    REQUIRE(process_ >= 0);
+    if (process_ == 0) run(setUp);
+  }
+
+  ~Child() {
+    int status = 0;
+    CHECK(::waitpid(process_, &status, 0) == process_);
+    for (const int end : {toChild_[0], toChild_[1], fromChild_[0], fromChild_[1]}) ::close(end);
+  }
+
+  /// @return what was said up to a letter.
+  std::string saidUpTo(char last) {
+    std::string said;
+    char letter = 0;
+    while (said.find(last) == std::string::npos && ::read(fromChild_[0], &letter, 1) == 1) said += letter;
+    return said;
+  }
+
+  void write() { REQUIRE(::write(toChild_[1], "x", 1) == 1); }
+
+  /// Stops it for a while, in which something arrives.
+  void stopFor(base::Duration duration) {
+    REQUIRE(::kill(process_, SIGSTOP) == 0);
+    write();
+    ::usleep(static_cast<useconds_t>(duration.count()));
+    REQUIRE(::kill(process_, SIGCONT) == 0);
+  }
+
+ private:
+  [[noreturn]] void run(const SetUp& setUp) {
+    EventLoop loop;
+    const auto say = [this](char letter) { (void)!::write(fromChild_[1], &letter, 1); };
+    ::fcntl(toChild_[0], F_SETFL, O_NONBLOCK);
+    setUp(loop, toChild_[0], say);
+    say('.');
+    loop.run();
+    ::_exit(0);
+  }
+
+  int toChild_[2] = {-1, -1};
+  int fromChild_[2] = {-1, -1};
+  pid_t process_ = 0;
+};
 
 }  // namespace
 
@@ -66,26 +98,56 @@
 }
 
 TEST_CASE("a process that was stopped does what is due, and hears of it, before it reads what has waited") {
-  int toChild[2] = {-1, -1};
-  int fromChild[2] = {-1, -1};
-  REQUIRE(::pipe(toChild) == 0);
-  REQUIRE(::pipe(fromChild) == 0);
-  const auto child = ::fork();
-  REQUIRE(child >= 0);
-  if (child == 0) runChild(toChild[0], fromChild[1]);
-  char letter = 0;
-  REQUIRE(::read(fromChild[0], &letter, 1) == 1);
+  Child child([](EventLoop& loop, int in, const auto& say) {
+    loop.onOverslept([say](base::Duration late) { say(late > kStopped / 2 ? 'o' : '?'); });
+    // Due while the process is stopped.
+    loop.schedule(base::milliseconds(600), [say] { say('t'); });
+    loop.watchFile(in, [&loop, in, say] {
+      char byte = 0;
+      if (::read(in, &byte, 1) != 1) return;
+      say('r');
+      loop.stop();
+    });
+  });
+  CHECK(child.saidUpTo('.') == ".");
   ::usleep(100'000);  // it waits for an event now
-  REQUIRE(::kill(child, SIGSTOP) == 0);
-  REQUIRE(::write(toChild[1], "x", 1) == 1);
-  ::usleep(static_cast<useconds_t>((base::milliseconds(600) + kStopped).count()));
-  REQUIRE(::kill(child, SIGCONT) == 0);
-  std::string events;
-  while (events.find('r') == std::string::npos && ::read(fromChild[0], &letter, 1) == 1) events += letter;
-  CHECK(events == "tor");
-  int status = 0;
-  REQUIRE(::waitpid(child, &status, 0) == child);
-  for (const int end : {toChild[0], toChild[1], fromChild[0], fromChild[1]}) ::close(end);
+  child.stopFor(base::milliseconds(600) + kStopped);
+  CHECK(child.saidUpTo('r') == "tor");
+}
+
+TEST_CASE("a process that was stopped in the middle of a turn hears of it before it reads more") {
+  Child child([](EventLoop& loop, int in, const auto& say) {
+    loop.onOverslept([say](base::Duration late) { say(late > kStopped ? 'o' : '?'); });
+    loop.watchFile(in, [&loop, in, say, reads = 0]() mutable {
+      char byte = 0;
+      if (::read(in, &byte, 1) != 1) return;
+      say('r');
+      if (++reads == 2) return loop.stop();
+      ::usleep(300'000);  // is stopped in it
+    });
+  });
+  child.write();
+  CHECK(child.saidUpTo('r') == ".r");
+  child.stopFor(kStopped + base::seconds(1));
+  CHECK(child.saidUpTo('r') == "or");
+}
+
+TEST_CASE("a turn that takes long, and a wait without timers, are no sleep") {
+  Child child([](EventLoop& loop, int in, const auto& say) {
+    loop.onOverslept([say](base::Duration /*late*/) { say('o'); });
+    loop.watchFile(in, [&loop, in, say, reads = 0]() mutable {
+      char byte = 0;
+      if (::read(in, &byte, 1) != 1) return;
+      say('r');
+      if (++reads == 2) return loop.stop();
+      ::usleep(1'200'000);
+    });
+  });
+  ::usleep(1'200'000);
+  child.write();
+  CHECK(child.saidUpTo('r') == ".r");
+  child.write();
+  CHECK(child.saidUpTo('r') == "r");
 }
 
 }  // namespace driftlug::transport
