A node without a version stays shorter with a relay that has heard of no leader

Change: a relay tells nodes that wait for their first version of a leader only while it follows one; a node that has heard of none leaves after 0.6 s, doubled each time that all relays were tried.

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -76,6 +76,7 @@
   if (options_.relays.empty()) return;
   open_ = false;
   sliceSeen_ = false;
+  leaderHeard_ = false;
   awaitingWhole_ = false;
   openedAt_ = scheduler_.now();
   const size_t position = position_ % options_.relays.size();
@@ -330,6 +331,7 @@
 void ControlClient::onHeartbeat(const wire::Freshness& freshness) {
   // A relay that has heard of no leader yet may be starting; one that follows an earlier leader is cut off.
   if (freshness.term > 0 && freshness.term < freshness_.term) return reconnectLater("it follows an earlier leader");
+  leaderHeard_ = freshness.term > 0 && (leaderHeard_ || !membership::isNewer(freshness_, freshness));
   if (!membership::isNewer(freshness, freshness_)) return leaveStale();
   freshness_ = freshness;
   freshSince_ = scheduler_.now();
@@ -353,14 +355,19 @@
   network_.send(connection_, wire::encodeFrame(applied));
 }
 
+base::Duration ControlClient::firstSlicePatience() const {
+  // A node that has a version can wait for a relay that has just started; one without can't.
+  if (slices_.active()) return options_.firstSliceTimeout * kServingPatience;
+  if (leaderHeard_) return options_.firstSliceTimeout;
+  return std::min(options_.firstSliceTimeout, options_.leaderlessTimeout * (1 << std::min(rounds(), kMaxBackoffDoublings)));
+}
+
 void ControlClient::onWatch() {
   watchTimer_.start(kWatchInterval);
   if (connection_ == 0) return;
   const auto now = scheduler_.now();
   const bool silent = open_ && now - lastHeard_ > options_.relayTimeout;
-  // A node that has a version can wait for a relay that has just started; one without can't.
-  const auto patience = slices_.active() ? options_.firstSliceTimeout * kServingPatience : options_.firstSliceTimeout;
-  const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > patience;
+  const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > firstSlicePatience();
   const bool stale = open_ && !fresh() && now - openedAt_ > options_.staleAfter;
   if (silent) return reconnectLater("silent");
   if (noSlice) return reconnectLater("no version came");
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -27,6 +27,9 @@
   std::vector<std::string> services;                       ///< services that it runs beside
   base::Duration relayTimeout = base::milliseconds(1800);  ///< without a heartbeat
   base::Duration firstSliceTimeout = base::milliseconds(2000);
+  /// For a node without a version, at a relay that has heard of no leader: doubled each time that all were tried. Such a
+  /// node serves nobody, and stayed 1.8 s with a relay that was cut off (log of a node).
+  base::Duration leaderlessTimeout = base::milliseconds(600);
   base::Duration staleAfter = base::seconds(4);  ///< without an advance of freshness
   /// Time that a relay gets to answer a connection before the next one is tried beside it: without a version, doubled
   /// each time that all were tried, and with one.
@@ -120,6 +123,7 @@
   void leaveStale();
   void onUpdate(const wire::SliceUpdate& update);
   void onHeartbeat(const wire::Freshness& freshness);
+  base::Duration firstSlicePatience() const;
   void sendApplied();
   void goHome();
   void onWatch();
@@ -154,6 +158,7 @@
   std::map<base::ConnectionId, base::Address> pending_;  // on their way up, beside the relay that is tried now
   bool open_ = false;
   bool sliceSeen_ = false;      // on this connection
+  bool leaderHeard_ = false;    // on this connection: the relay knows of a leader, as new as any that was heard of
   bool awaitingWhole_ = false;  // an update was refused on this connection; only a whole slice helps
   int attempts_ = 0;            // since the last working connection
   size_t staleRelays_ = 0;      // left in a row since freshness last advanced
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -98,11 +98,14 @@
   sendHeartbeat(connection, wire::encodeFrame(heartbeat));
 }
 
-void NodeSessions::heartbeat(const wire::Freshness& freshness) {
+void NodeSessions::heartbeat(const wire::Freshness& freshness, bool follows) {
   wire::NodeHeartbeat heartbeat;
+  const auto leaderless = wire::encodeFrame(heartbeat);
   heartbeat.freshness = freshness;
   const auto frame = wire::encodeFrame(heartbeat);
-  for (const auto& [connection, session] : sessions_) sendHeartbeat(connection, frame);
+  for (const auto& [connection, session] : sessions_) {
+    sendHeartbeat(connection, follows || session.confirmed ? frame : leaderless);
+  }
 }
 
 std::vector<wire::NodeStatus> NodeSessions::lagging() const {
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -80,7 +80,9 @@
   void deliverFirst(base::ConnectionId connection, const wire::Digest& nodeDigest);
 
   /// Sends a heartbeat to every node.
-  void heartbeat(const wire::Freshness& freshness);
+  /// @param follows whether the relay follows a leader now; where it doesn't, nodes that wait for their first version are
+  /// told of none, since the relay can't confirm it
+  void heartbeat(const wire::Freshness& freshness, bool follows);
 
   /// Tells one node how fresh the table is.
   void heartbeatTo(base::ConnectionId connection, const wire::Freshness& freshness);
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -94,7 +94,8 @@
   // Before its first version, so that a node that was restarted knows what crashes back ends before it serves.
   crashes_.tell(connection, nodes_.find(connection));
   // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
-  nodes_.heartbeatTo(connection, source_.freshness());
+  const bool follows = source_.source() != 0;
+  nodes_.heartbeatTo(connection, confirmed || follows ? source_.freshness() : wire::Freshness());
   if (confirmed) {
     nodes_.deliverFirst(connection, request.digest);
   } else {
@@ -187,7 +188,7 @@
 
 void Relay::onNodeTimer() {
   nodeTimer_.start(options_.nodeHeartbeat);
-  nodes_.heartbeat(source_.freshness());
+  nodes_.heartbeat(source_.freshness(), source_.source() != 0);
   nodes_.deliverAll();
   const auto now = scheduler_.now();
   std::vector<base::ConnectionId> silent;
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -282,6 +282,39 @@
   CHECK(latest > silent);
 }
 
+TEST_CASE_METHOD(Fixture, "a node without a version doesn't wait long for a relay that has heard of no leader") {
+  open();
+  tellRelays();
+  heartbeat(0, 0);
+  const auto until = queue.now() + base::milliseconds(1000);
+  while (queue.now() < until && (current() == 0 || relay() == kHome)) runFor(base::milliseconds(10));
+  REQUIRE(current() != 0);
+  CHECK(relay() == kFar);
+  // As long as any, where the relay knows of a leader: its version may be on the way.
+  open();
+  heartbeat(2, 7);
+  runFor(base::milliseconds(1400));
+  CHECK(relay() == kFar);
+  version(1);
+}
+
+TEST_CASE_METHOD(Fixture, "while no relay has heard of a leader each gets more time") {
+  open();
+  tellRelays();
+  std::vector<base::Duration> stays;
+  for (int i = 0; i < 8; ++i) {
+    heartbeat(0, 0);
+    const auto begun = queue.now();
+    const auto at = current();
+    while (current() == at && queue.now() - begun < base::seconds(5)) runFor(base::milliseconds(10));
+    stays.push_back(queue.now() - begun);
+    while (current() == 0 || network.connected.empty()) runFor(base::milliseconds(10));
+    open();
+  }
+  CHECK(stays.front() < base::milliseconds(900));
+  CHECK(stays.back() > base::milliseconds(1500));
+}
+
 TEST_CASE_METHOD(Fixture, "the time to answer a connection grows, so that relays behind slow links are reached") {
   constexpr base::Duration kSlow = base::milliseconds(1200);
   bool reached = false;
--- a/test/relay/dynamic_endpoints_test.cc
+++ b/test/relay/dynamic_endpoints_test.cc
@@ -140,6 +140,28 @@
   CHECK(network.all<wire::ConfirmRequest>().size() == before + 2);
 }
 
+TEST_CASE_METHOD(LeaderlessFixture, "a node that waits for its first version hears of a leader only while there is one") {
+  wire::ControllerHeartbeat word;
+  word.freshness.term = 2;
+  word.freshness.round = 1;
+  relay->onMessage(source, word);
+  const auto waiting = attach(100, "waiting");
+  const auto lastTerm = [&] {
+    int64_t term = -1;
+    for (const auto& item : network.sent) {
+      const auto* heartbeat = std::get_if<wire::NodeHeartbeat>(&item.message);
+      if (heartbeat != nullptr && item.connection == waiting) term = heartbeat->freshness.term;
+    }
+    return term;
+  };
+  CHECK(lastTerm() == 2);
+  relay->onClose(source);
+  runFor(base::milliseconds(700));
+  CHECK(lastTerm() == 0);
+  attach(100, "again");
+  CHECK(lastTerm() == 0);
+}
+
 TEST_CASE_METHOD(Fixture, "a node is told of announced endpoints of the services that its routes need") {
   update(1, "records");
   const auto reader = attach(100, "reader");
