--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -359,7 +359,8 @@
   // A node that has a version can wait for a relay that has just started; one without can't.
   if (slices_.active()) return options_.firstSliceTimeout * kServingPatience;
   if (leaderHeard_) return options_.firstSliceTimeout;
-  return std::min(options_.firstSliceTimeout, options_.leaderlessTimeout * (1 << std::min(rounds(), kMaxBackoffDoublings)));
+  return std::min(options_.firstSliceTimeout,
+                  options_.leaderlessTimeout * (1 << std::min(rounds(), kMaxBackoffDoublings)));
 }
 
 void ControlClient::onWatch() {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -27,8 +27,8 @@
   std::vector<std::string> services;                       ///< services that it runs beside
   base::Duration relayTimeout = base::milliseconds(1800);  ///< without a heartbeat
   base::Duration firstSliceTimeout = base::milliseconds(2000);
-  /// For a node without a version, at a relay that has heard of no leader: doubled each time that all were tried. Such a
-  /// node serves nobody, and stayed 1.8 s with a relay that was cut off (log of a node).
+  /// For a node without a version, at a relay that has heard of no leader: doubled each time that all were tried. Such
+  /// a node serves nobody, and stayed 1.8 s with a relay that was cut off (log of a node).
   base::Duration leaderlessTimeout = base::milliseconds(600);
   base::Duration staleAfter = base::seconds(4);  ///< without an advance of freshness
   /// Time that a relay gets to answer a connection before the next one is tried beside it: without a version, doubled
--- a/src/quarantine/crash_history.cc
+++ b/src/quarantine/crash_history.cc
@@ -264,7 +264,7 @@
 	return report;
 }
 
-crash_history::reports crash_history::all(const std::function<bool(const std::string& _service)>& _wants) const
+crash_history::reports crash_history::all(const std::function<bool(const std::string& service)>& _wants) const
 {
 	reports wanted;
 	for (const auto& [id, known] : m_crashes)
--- a/src/quarantine/crash_history.h
+++ b/src/quarantine/crash_history.h
@@ -107,7 +107,7 @@
 
 	/// @returns All marks for those who lack them, the cleared ones too.
 	/// @param[in] _wants Chooses services.
-	reports all(const std::function<bool(const std::string& _service)>& _wants) const;
+	reports all(const std::function<bool(const std::string& service)>& _wants) const;
 
 	/// @returns Every request with a mark that counts.
 	std::vector<known_request> known() const;
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -24,10 +24,10 @@
 {
 public:
 	/// A run that was cut and, once that is known, the crash that cut it; nothing where there was none.
-	using verdict = std::function<void(std::optional<uint64_t> _crash)>;
+	using verdict = std::function<void(std::optional<uint64_t> crash)>;
 
 	/// Called for each crash, once or more, with the runs that were at work; before their verdicts.
-	using crash_handler = std::function<void(uint64_t _crash, const std::vector<crashed_run>& _runs)>;
+	using crash_handler = std::function<void(uint64_t crash, const std::vector<crashed_run>& runs)>;
 
 	/// @param[in] _presence Outlives the watch, as the source of time does.
 	crash_watch(const base::TimeSource& _time, base::RandomSource _random, back_end_presence& _presence,
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -80,8 +80,8 @@
   void deliverFirst(base::ConnectionId connection, const wire::Digest& nodeDigest);
 
   /// Sends a heartbeat to every node.
-  /// @param follows whether the relay follows a leader now; where it doesn't, nodes that wait for their first version are
-  /// told of none, since the relay can't confirm it
+  /// @param follows whether the relay follows a leader now; where it doesn't, nodes that wait for their first version
+  /// are told of none, since the relay can't confirm it
   void heartbeat(const wire::Freshness& freshness, bool follows);
 
   /// Tells one node how fresh the table is.
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -31,9 +31,7 @@
   /// Keeps connections to these controllers besides the configured ones, and closes all others.
   void useLearned(const std::set<base::Address>& learned);
 
-  bool owns(base::ConnectionId connection) const {
-    return open_.count(connection) > 0 || openings_.owns(connection);
-  }
+  bool owns(base::ConnectionId connection) const { return open_.count(connection) > 0 || openings_.owns(connection); }
 
   /// A connection opened.
   void onOpen(base::ConnectionId connection);
--- a/src/simulation/cluster.cc
+++ b/src/simulation/cluster.cc
@@ -1,6 +1,13 @@
 #include "simulation/cluster.h"
 
 namespace driftlug::simulation {
+namespace {
+
+/// Longest time behind the name of a snapshot in which the steps of a rotation fall: some syncs of a simulated disk.
+constexpr base::Duration kRotationSteps = base::milliseconds(2);
+constexpr base::Duration kDownInRotation = base::seconds(1);  // of a machine that lost power in one
+
+}  // namespace
 
 Machine::Machine(EventQueue& queue, SimulatedNetwork& network, const PlannedProcess& plan, base::Address address,
                  base::RandomSource random, const DiskOptions& disk)
@@ -62,14 +69,12 @@
 
 /// A snapshot has its name: the log is replaced from here on, in steps of a sync each.
 void ControllerMachine::losePowerInRotations(double share) {
-  constexpr base::Duration kRotation = base::milliseconds(2);
-  constexpr base::Duration kDown = base::seconds(1);
   disk_.onRename([this, share] {
     if (!random_.chance(share)) return;
-    queue_.after(random_.duration(kRotation), [this, incarnation = process_.incarnation()] {
+    queue_.after(random_.duration(kRotationSteps), [this, incarnation = process_.incarnation()] {
       if (process_.incarnation() == incarnation) crash(true);
     });
-    queue_.after(kDown, [this] { start(); });
+    queue_.after(kDownInRotation, [this] { start(); });
   });
 }
 
--- a/src/simulation/process.h
+++ b/src/simulation/process.h
@@ -21,8 +21,8 @@
 
 /// One process across its restarts. Each start is a new incarnation; what an earlier one scheduled never runs.
 ///
-/// Invariants: a frozen process runs nothing until it is thawed; then, as in transport::EventLoop, timers that came due,
-/// the handler for having been away, and what waited in its sockets, each in order. A dead process runs nothing.
+/// Invariants: a frozen process runs nothing until it is thawed; then, as in transport::EventLoop, timers that came
+/// due, the handler for having been away, and what waited in its sockets, each in order. A dead process runs nothing.
 class Process : public base::Scheduler {
  public:
   Process(EventQueue& queue, std::string name, Placement placement, base::Address address)
@@ -85,7 +85,7 @@
   bool clockStands_ = false;
   uint64_t incarnation_ = 0;
   base::TimePoint frozenAt_{};
-  base::Duration slept_{};  // what the own clock didn't count
+  base::Duration slept_{};                            // what the own clock didn't count
   std::deque<std::shared_ptr<Timer>> dueTimers_;      // came due while frozen; cancelled ones have no callback
   std::deque<std::function<void()>> waiting_;         // arrived while frozen
   std::unordered_map<base::TimerId, EventId> moved_;  // timers whose event is another than their first
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -54,8 +54,8 @@
   void stop() { stopped_ = true; }
 
   /// Calls back when the loop woke more than a second later than it was to, or stood still for two within a turn: the
-  /// process was stopped, or its machine suspended. What was due meanwhile has run by then, and what waits in sockets has
-  /// not been read: it is as old.
+  /// process was stopped, or its machine suspended. What was due meanwhile has run by then, and what waits in sockets
+  /// has not been read: it is as old.
   void onOverslept(std::function<void(base::Duration)> handler) { onOverslept_ = std::move(handler); }
 
   /// Calls back on the loop when the process gets a signal; other signals keep their meaning, SIGPIPE is ignored.
@@ -115,9 +115,9 @@
   std::map<Due, std::function<void()>> due_;                   // by time, then by order of scheduling
   std::unordered_map<base::TimerId, base::TimePoint> timeOf_;  // of timers in due_
   base::TimePoint armedFor_{};
-  base::TimePoint expectedBy_ = now();  // when the clock was to be looked at again at the latest
-  bool waiting_ = false;                // for an event or a timer
-  base::Duration away_{0};              // not told yet
+  base::TimePoint expectedBy_ = now();               // when the clock was to be looked at again at the latest
+  bool waiting_ = false;                             // for an event or a timer
+  base::Duration away_{0};                           // not told yet
   std::function<void(base::Duration)> onOverslept_;  // may be empty
   std::vector<std::weak_ptr<TcpStream>> dirty_;      // streams with bytes to write at the end of the turn
 };
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -14,13 +14,13 @@
 namespace driftlug::wire {
 
 /// Every message that travels between processes. The position is the type byte and never changes.
-using Message = std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
-                             SnapshotChunkAck, TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat,
-                             ConfirmRequest, ConfirmReply, ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied,
-                             SliceRejected, NodeHeartbeat, RetryLater, RelayHeld, EndpointStates, CallRequest,
-                             CallResponse, CallCancel, KeepAlive, LedgerRequest, LedgerReply, MemberList, RelayList,
-                             StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted, PackedFrame, CallWithdraw,
-                             CrashReports>;
+using Message =
+    std::variant<Hello, VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotChunkAck,
+                 TimeoutNow, RelaySubscribe, NotLeader, TableUpdate, ControllerHeartbeat, ConfirmRequest, ConfirmReply,
+                 ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied, SliceRejected, NodeHeartbeat, RetryLater,
+                 RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel, KeepAlive, LedgerRequest,
+                 LedgerReply, MemberList, RelayList, StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted,
+                 PackedFrame, CallWithdraw, CrashReports>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
--- a/test/apps/relay_signals_test.cc
+++ b/test/apps/relay_signals_test.cc
@@ -17,7 +17,7 @@
 
 constexpr int kPatienceMs = 10'000;
 constexpr int kStillMs = 2'500;  // longer than the relay's timers by more than a second
-constexpr int kMomentMs = 300;  // in which a process would end that doesn't take a signal
+constexpr int kMomentMs = 300;   // in which a process would end that doesn't take a signal
 
 /// What listens at a controller's address, and knows nothing else of one.
 class Listener {
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -470,7 +470,8 @@
   }
 };
 
-TEST_CASE_METHOD(SuspendedFixture, "a node that was suspended takes nothing for fresh that it heard before or that has waited") {
+TEST_CASE_METHOD(SuspendedFixture,
+                 "a node that was suspended takes nothing for fresh that it heard before or that has waited") {
   suspendFor(base::seconds(10));
   CHECK_FALSE(client->fresh());
   runFor(base::seconds(1));
@@ -481,14 +482,16 @@
   CHECK(client->fresh());
 }
 
-TEST_CASE_METHOD(SuspendedFixture, "a node that was suspended for less than its relay may be silent asks it anew at once") {
+TEST_CASE_METHOD(SuspendedFixture,
+                 "a node that was suspended for less than its relay may be silent asks it anew at once") {
   suspendFor(base::milliseconds(1200));
   REQUIRE(current() != 0);
   open();
   CHECK(network.all<wire::NodeSubscribe>().size() == 2);
 }
 
-TEST_CASE_METHOD(SuspendedFixture, "on a clock that stands while the machine is suspended the same node believes old word") {
+TEST_CASE_METHOD(SuspendedFixture,
+                 "on a clock that stands while the machine is suspended the same node believes old word") {
   process.letClockStand(true);
   suspendFor(base::seconds(10));
   CHECK(client->fresh());
--- a/test/relay/dynamic_endpoints_test.cc
+++ b/test/relay/dynamic_endpoints_test.cc
@@ -140,7 +140,8 @@
   CHECK(network.all<wire::ConfirmRequest>().size() == before + 2);
 }
 
-TEST_CASE_METHOD(LeaderlessFixture, "a node that waits for its first version hears of a leader only while there is one") {
+TEST_CASE_METHOD(LeaderlessFixture,
+                 "a node that waits for its first version hears of a leader only while there is one") {
   wire::ControllerHeartbeat word;
   word.freshness.term = 2;
   word.freshness.round = 1;
