Measure how soon a back end hears that its caller has gone, over two nodes under load

Change: close_propagation_test runs a small fleet of processes under load, closes connections while a back end is at work (half of them by a reset), and reads from the back ends' notes when each heard of it.

--- /dev/null
+++ b/test/soak/close_propagation_test.cc
@@ -0,0 +1,198 @@
+/// How soon a back end hears that the caller has gone, over two nodes.
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+
+namespace driftlug::tools
+{
+namespace
+{
+constexpr int kClosesAtOnce = 20;
+constexpr base::Duration kRunsFor = base::milliseconds(400);
+constexpr base::Duration kCloseAfter = base::milliseconds(100);
+constexpr char kNoted[] = "close-";
+
+/// Bound of the promise: a back end that works for a caller who has gone is told within this time.
+constexpr base::Duration kTold = base::milliseconds(500);
+
+int connectTo(int _port)
+{
+	sockaddr_in address{};
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(static_cast<uint16_t>(_port));
+	const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+	REQUIRE(0 == ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+	return socket;
+}
+
+/// What back ends saw of the noted requests.
+struct notes
+{
+	std::map<std::string, int64_t> began;    //!< In microseconds of the boot clock.
+	std::map<std::string, int64_t> aborted;  //!< The same, as all of these.
+	std::map<std::string, int64_t> ended;    //!< Run to their end.
+};
+
+/// A small fleet under load, and callers that close their connections while a back end works for them.
+class closing_callers
+{
+public:
+	closing_callers()
+	{
+		char folder[] = "/tmp/driftlug-closes-XXXXXX";
+		REQUIRE(nullptr != ::mkdtemp(folder));
+		m_folder = folder;
+		const auto deployment = readDeployment(DRIFTLUG_SOURCE_DIR "/test/soak/small");
+		REQUIRE(deployment.ok());
+		FleetOptions options;
+		options.binaries = DRIFTLUG_BINARIES;
+		options.report = m_folder;
+		options.emulateLatency = false;
+		options.backendFlags = {"--service-time-us=" + std::to_string(kRunsFor.count()), "--distribution=fixed",
+								std::string("--note-ids=") + kNoted};
+		m_fleet = std::make_unique<Fleet>(*deployment, options);
+		REQUIRE(m_fleet->start().ok());
+	}
+
+	~closing_callers()
+	{
+		m_fleet->stop();
+		std::filesystem::remove_all(m_folder);
+	}
+
+	void startLoad(double _rate, int _durationMs)
+	{
+		LoadOptions load;
+		load.rate = _rate;
+		load.durationMs = _durationMs;
+		m_fleet->startLoad("load", load);
+	}
+
+	void closeMany(int _count)
+	{
+		for (int begun = 0; begun < _count; begun += kClosesAtOnce)
+		{
+			std::vector<int> sockets;
+			for (int ii = 0; ii < kClosesAtOnce; ++ii)
+			{
+				const auto& entry = m_fleet->entries()[static_cast<size_t>(ii) % m_fleet->entries().size()];
+				sockets.push_back(connectTo(entry.entryPort));
+				const auto request =
+					"GET /lookups/1 HTTP/1.1\r\nhost: small.example\r\nx-request-id: " + idOf(begun + ii) + "\r\n\r\n";
+				REQUIRE(static_cast<ssize_t>(request.size())
+						== ::send(sockets.back(), request.data(), request.size(), 0));
+			}
+			::usleep(static_cast<useconds_t>(kCloseAfter.count()));
+			for (int ii = 0; ii < kClosesAtOnce; ++ii)
+			{
+				close(sockets[static_cast<size_t>(ii)], 0 != ii % 2);
+				m_closed[idOf(begun + ii)] = base::BootClock::now().time_since_epoch().count();
+			}
+		}
+		::usleep(static_cast<useconds_t>((kTold + kRunsFor).count()));
+	}
+
+	notes read() const
+	{
+		notes all;
+		for (const auto& endpoint : m_fleet->endpoints())
+		{
+			std::istringstream stream(m_fleet->processes().output(endpoint.backendName));
+			std::string what;
+			std::string id;
+			for (int64_t at = 0; stream >> what >> id >> at;)
+			{
+				("began" == what ? all.began : "ended" == what ? all.ended : all.aborted)[id] = at;
+			}
+		}
+		return all;
+	}
+
+	const std::map<std::string, int64_t>& closed() const
+	{
+		return m_closed;
+	}
+
+private:
+	static std::string idOf(int _call)
+	{
+		return kNoted + std::to_string(_call);
+	}
+
+	/// @param[in] _reset Whether the other side gets a reset in place of an end of data.
+	static void close(int _socket, bool _reset)
+	{
+		const linger atOnce{1, 0};
+		if (_reset)
+		{
+			REQUIRE(0 == ::setsockopt(_socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce)));
+		}
+		::close(_socket);
+	}
+
+	std::string m_folder;
+	std::unique_ptr<Fleet> m_fleet;
+	std::map<std::string, int64_t> m_closed;  //!< When callers closed, in microseconds of the boot clock.
+};
+
+/// @returns how long each back end that was at work took to hear of its caller's end, in order, in microseconds.
+std::vector<int64_t> delaysOf(const closing_callers& _callers, const notes& _notes)
+{
+	std::vector<int64_t> delays;
+	for (const auto& [id, at] : _notes.aborted)
+	{
+		delays.push_back(at - _callers.closed().at(id));
+	}
+	std::sort(delays.begin(), delays.end());
+	return delays;
+}
+
+void check(int _closes, double _rate)
+{
+	closing_callers callers;
+	callers.startLoad(_rate, _closes * 10 + 3000);
+	::usleep(500'000);
+	callers.closeMany(_closes);
+	const auto noted = callers.read();
+	const auto delays = delaysOf(callers, noted);
+	// The others had ended by then, or were refused.
+	REQUIRE(static_cast<size_t>(_closes) / 2 <= delays.size());
+	const auto isLate = [&](const auto& _noted)
+	{
+		return _noted.second > callers.closed().at(_noted.first) + kTold.count();
+	};
+	INFO(delays.size() << " of " << _closes << " closes reached a back end at work, p50 " << delays[delays.size() / 2]
+					   << " us, p99 " << delays[delays.size() * 99 / 100] << " us, longest " << delays.back() << " us");
+	CHECK(delays.back() < kTold.count());
+	CHECK(noted.aborted.size() + noted.ended.size() == noted.began.size());
+	CHECK(0 == std::count_if(noted.began.begin(), noted.began.end(), isLate));
+	CHECK(0 == std::count_if(noted.ended.begin(), noted.ended.end(), isLate));
+	WARN(delays.size() << " closes, p50 " << delays[delays.size() / 2] << " us, p99 "
+					   << delays[delays.size() * 99 / 100] << " us, longest " << delays.back() << " us");
+}
+
+}  // namespace
+
+TEST_CASE("a back end hears within half a second that its caller has gone, over two nodes under load")
+{
+	check(100, 100);
+}
+
+TEST_CASE("figures of closes: two nodes, 2,000 closes beside 150 calls a second", "[.figures]")
+{
+	check(2000, 150);
+}
+
+}  // namespace driftlug::tools
--- a/tools/backend_main.cc
+++ b/tools/backend_main.cc
@@ -30,6 +30,9 @@
 DEFINE_bool(health_lies, false, "health answers are good even while draining");
 DEFINE_string(record_file, "", "file that keeps the record across restarts; empty for none");
 DEFINE_int32(seed, 1, "seed of service times");
+DEFINE_string(note_ids, "",
+              "the beginning, the end and the abort of requests whose x-request-id begins so are written to standard "
+              "output, with microseconds of the boot clock; empty for none");
 DEFINE_string(fatal_path, "", "a request for this path ends the process while it runs; empty for none");
 
 namespace {
@@ -111,6 +114,7 @@
       });
       // What may not be repeated counts as run from here on, whether or not its caller waits.
       recordStart(job.request);
+      note("began", job.request);
       running_[exchange] = {std::move(job), timer};
     }
   }
@@ -143,9 +147,17 @@
     if (recordFile_.is_open()) recordFile_ << key << std::endl;
   }
 
+  void note(const char* what, const HttpRequest& request) const {
+    const auto id = std::string(request.header("x-request-id"));
+    if (FLAGS_note_ids.empty() || id.rfind(FLAGS_note_ids, 0) != 0) return;
+    std::printf("%s %s %lld\n", what, id.c_str(), static_cast<long long>(loop_.now().time_since_epoch().count()));
+    std::fflush(stdout);
+  }
+
   void finish(ExchangeId exchange) {
     auto node = running_.extract(exchange);
     const auto& request = node.mapped().job.request;
+    note("ended", request);
     const auto id = std::string(request.header("x-request-id"));
     nlohmann::json body = {{"id", id}, {"backend", FLAGS_name}, {"request_digest", tools::digestOf(request.body)}};
     body["content"] = tools::contentFor(id, static_cast<size_t>(FLAGS_content_bytes));
@@ -169,6 +181,7 @@
     std::erase_if(waiting_, [&](const auto& job) { return job.exchange == exchange; });
     const auto found = running_.find(exchange);
     if (found == running_.end() || !found->second.job.request.header("idempotency-key").empty()) return;
+    note("aborted", found->second.job.request);
     loop_.cancel(found->second.timer);
     running_.erase(found);
     startWaiting();
