A relay closes connections of nodes that greet and never subscribe

Cause: a relay timed out sessions only. A node that is lost in silence between its greeting and its subscription sends nothing more and is sent nothing that it could leave unacknowledged, so its connection stayed for good and kept the node's endpoints from expiring. And where such a connection did end, the lease of the endpoints did not begin: it had begun with the connection before, and found this one still open.

Change: connections of nodes without a session count from their greeting, or from the end of their session, and are closed like a silent session after 4 s; the end of each connection of a node starts the lease of its endpoints.

Conclusion: each connection that a relay holds has a bound in time now.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -89,6 +89,7 @@
   }
   hellos_[connection] = peer;
   ++connectionsOf_[peer.id];
+  if (peer.role == wire::Role::NODE) unsubscribed_[connection] = scheduler_.now();
   if (!peers_.owns(connection)) return;
   peers_.onOpen(connection, peer);
   sendHeld(peer.id, 0, false);
@@ -112,14 +113,21 @@
   if (found == hellos_.end()) return;
   const auto peer = found->second;
   if (outgoing) crashes_.onPeerClose(peer.id);
-  hellos_.erase(found);
-  if (--connectionsOf_[peer.id] == 0) connectionsOf_.erase(peer.id);
   if (peer.role == wire::Role::RELAY) {
     if (!outgoing) releases_.onLost(peer.id);
     expireLater(peer.id, options_.peerLease);
-  } else if (nodes_.find(connection) != nullptr) {
+  } else if (peer.role == wire::Role::NODE) {
     dropNode(connection);
   }
+  forgetConnection(connection);
+}
+
+void Relay::forgetConnection(base::ConnectionId connection) {
+  const auto hello = hellos_.extract(connection);
+  if (hello.empty()) return;
+  unsubscribed_.erase(connection);
+  const auto count = connectionsOf_.find(hello.mapped().id);
+  if (--count->second == 0) connectionsOf_.erase(count);
 }
 
 void Relay::onMessage(base::ConnectionId connection, wire::Message message) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -105,6 +105,9 @@
   bool admit();
   FreshnessConfirmer& confirmerFor(const std::string& zone);
   void dropNode(base::ConnectionId connection);
+  void closeNode(base::ConnectionId connection);
+  void closeSilentNodes();
+  void forgetConnection(base::ConnectionId connection);
   void sendAllAway();
   void onNodeTimer();
 
@@ -142,6 +145,7 @@
   CrashSpread crashes_;
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
   std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
+  std::map<base::ConnectionId, base::TimePoint> unsubscribed_;             // nodes' connections without a session
   std::map<std::string, int> connectionsOf_;                               // open connections by peer id, for leases
   wire::RelayList relayList_;                                              // all relays, as the controllers tell
   bool recovered_ = false;
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -87,6 +87,7 @@
   session.lastHeard = scheduler_.now();
   const bool confirmed = session.confirmed;
   nodes_.add(connection, std::move(session));
+  unsubscribed_.erase(connection);
   newlyAttached_.insert(peer.id);
   newlyDetached_.erase(peer.id);
   lostAt_.erase(peer.id);
@@ -163,9 +164,12 @@
 }
 
 void Relay::dropNode(base::ConnectionId connection) {
-  const auto* session = nodes_.find(connection);
-  const auto nodeId = session->nodeId;
+  // Also without a session: the last end of a node's connections starts the lease of its endpoints.
+  const auto nodeId = hellos_[connection].id;
+  expireLater(nodeId, options_.endpointLease);
+  if (nodes_.find(connection) == nullptr) return;
   nodes_.remove(connection);
+  unsubscribed_[connection] = scheduler_.now();
   const bool elsewhere = std::any_of(nodes_.all().begin(), nodes_.all().end(),
                                      [&](const auto& item) { return item.second.nodeId == nodeId; });
   if (elsewhere) return;
@@ -173,7 +177,26 @@
   newlyDetached_.insert(nodeId);
   lostAt_[nodeId] = scheduler_.now();
   scheduleReport();
-  expireLater(nodeId, options_.endpointLease);
+}
+
+void Relay::closeNode(base::ConnectionId connection) {
+  dropNode(connection);
+  network_.close(connection);
+  forgetConnection(connection);
+}
+
+/// Those without a session too: a node that is lost between its greeting and its subscription sends no more, gets
+/// nothing that it could leave unacknowledged, and would keep its endpoints alive for good.
+void Relay::closeSilentNodes() {
+  const auto limit = scheduler_.now() - options_.nodeTimeout;
+  std::vector<base::ConnectionId> silent;
+  for (const auto& [connection, session] : nodes_.all()) {
+    if (session.lastHeard < limit) silent.push_back(connection);
+  }
+  for (const auto& [connection, since] : unsubscribed_) {
+    if (since < limit) silent.push_back(connection);
+  }
+  for (const auto connection : silent) closeNode(connection);
 }
 
 void Relay::sendAllAway() {
@@ -191,18 +214,7 @@
   nodes_.heartbeat(source_.freshness(), source_.source() != 0);
   nodes_.deliverAll();
   const auto now = scheduler_.now();
-  std::vector<base::ConnectionId> silent;
-  for (const auto& [connection, session] : nodes_.all()) {
-    if (now - session.lastHeard > options_.nodeTimeout) silent.push_back(connection);
-  }
-  for (const auto connection : silent) {
-    dropNode(connection);
-    network_.close(connection);
-    const auto hello = hellos_.find(connection);
-    if (hello == hellos_.end()) continue;
-    if (--connectionsOf_[hello->second.id] == 0) connectionsOf_.erase(hello->second.id);
-    hellos_.erase(hello);
-  }
+  closeSilentNodes();
   // A relay whose releases stall can't serve changes; its nodes are better off elsewhere.
   bool blocked = false;
   for (const auto& group : options_.releaseGroups) {
--- a/test/node/recording_network.h
+++ b/test/node/recording_network.h
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "base/network.h"
@@ -27,7 +28,10 @@
     REQUIRE(message.ok());
     sent.push_back({connection, std::move(*message)});
   }
-  void close(base::ConnectionId connection) override { connected.erase(connection); }
+  void close(base::ConnectionId connection) override {
+    connected.erase(connection);
+    closed.insert(connection);
+  }
   size_t queuedBytes(base::ConnectionId) const override { return 0; }
 
   /// @return the messages of one kind that were sent.
@@ -42,6 +46,7 @@
 
   std::map<base::ConnectionId, base::Address> connected;
   std::vector<Sent> sent;
+  std::set<base::ConnectionId> closed;
 
  private:
   base::ConnectionId last_ = 0;
--- a/test/relay/dynamic_endpoints_test.cc
+++ b/test/relay/dynamic_endpoints_test.cc
@@ -220,4 +220,48 @@
   CHECK(network.all<wire::RelayList>().size() == 2);
 }
 
+/// A node announces its endpoint on one connection, opens another and greets on it; both ends of it are then lost.
+struct AbandonedFixture : public Fixture {
+  AbandonedFixture() {
+    update(1, "records");
+    attach(kReader, "reader");
+    attach(kFirst, "announcer");
+    announce(kFirst, "records", EndpointCondition::LIVE);
+    wire::Hello hello;
+    hello.role = wire::Role::NODE;
+    hello.id = "announcer";
+    hello.zone = "zone-2";
+    relay->onOpen(kSecond, hello);
+    relay->onClose(kFirst);
+  }
+
+  /// The reader stays heard meanwhile.
+  void passSeconds(int seconds) {
+    for (int i = 0; i < seconds; ++i) {
+      relay->onMessage(kReader, wire::KeepAlive());
+      runFor(base::seconds(1));
+    }
+  }
+
+  static constexpr base::ConnectionId kReader = 100;
+  static constexpr base::ConnectionId kFirst = 101;
+  static constexpr base::ConnectionId kSecond = 102;
+};
+
+TEST_CASE_METHOD(AbandonedFixture, "a node that greets and is then lost in silence keeps no endpoint alive") {
+  passSeconds(3);
+  CHECK(told(kReader).back() == EndpointCondition::LIVE);
+  CHECK(network.closed.count(kSecond) == 0);
+  passSeconds(4);
+  CHECK(told(kReader).back() == EndpointCondition::GONE);
+  CHECK(network.closed.count(kSecond) == 1);
+}
+
+TEST_CASE_METHOD(AbandonedFixture, "the end of a connection without a subscription starts the lease of endpoints too") {
+  passSeconds(3);
+  relay->onClose(kSecond);
+  passSeconds(3);
+  CHECK(told(kReader).back() == EndpointCondition::GONE);
+}
+
 }  // namespace driftlug::relay
