--- /dev/null
+++ b/test/soak/silence_detection_test.cc
@@ -0,0 +1,192 @@
+/// How soon each kind of connection is given up once it carries nothing any more, not even its end.
+#include <stdlib.h>
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+#include "soak/link_fault.h"
+
+namespace driftlug::tools
+{
+namespace
+{
+constexpr base::Duration kPoll = base::milliseconds(5);
+constexpr base::Duration kSettles = base::seconds(6);  //!< Until everyone is connected anew.
+constexpr base::Duration kGivenUp = base::seconds(20);
+constexpr double kCallsPerSecond = 200;
+
+/// One kind of connection, and the line by which an observer says that it has given one up.
+struct connection_kind
+{
+	std::string name;
+	std::string muted;                   //!< The process whose connections fall silent.
+	std::vector<std::string> observers;  //!< Each is to write the line.
+	std::string line;
+	base::Duration bound;
+};
+
+/// A small fleet under load, behind a fault proxy.
+class muted_fleet
+{
+public:
+	explicit muted_fleet(int _durationMs)
+	{
+		char folder[] = "/tmp/driftlug-silence-XXXXXX";
+		REQUIRE(nullptr != ::mkdtemp(folder));
+		m_folder = folder;
+		const auto deployment = readDeployment(DRIFTLUG_SOURCE_DIR "/test/soak/small");
+		REQUIRE(deployment.ok());
+		FleetOptions options;
+		options.binaries = DRIFTLUG_BINARIES;
+		options.report = m_folder;
+		options.emulateLatency = false;
+		options.faultProxy = true;
+		m_fleet = std::make_unique<Fleet>(*deployment, options);
+		REQUIRE(m_fleet->start().ok());
+		LoadOptions load;
+		load.rate = kCallsPerSecond;
+		load.durationMs = _durationMs;
+		m_fleet->startLoad("load", load);
+		::usleep(1'000'000);
+	}
+
+	~muted_fleet()
+	{
+		m_fleet->stop();
+		std::filesystem::remove_all(m_folder);
+	}
+
+	Fleet& fleet()
+	{
+		return *m_fleet;
+	}
+
+	/// @returns Time from the silence to each observer's line.
+	std::vector<base::Duration> detect(const connection_kind& _kind)
+	{
+		std::map<std::string, size_t> seen;
+		for (const auto& observer : _kind.observers)
+		{
+			seen[observer] = linesOf(observer, _kind.line);
+		}
+		const auto begun = base::BootClock::now();
+		REQUIRE(m_fleet->setLinkFault(_kind.muted, soak::nameOf(soak::link_fault::mute), 0, 0));
+		std::vector<base::Duration> delays;
+		while (!seen.empty() && base::BootClock::now() - begun < kGivenUp)
+		{
+			::usleep(static_cast<useconds_t>(kPoll.count()));
+			std::erase_if(
+				seen,
+				[&](const auto& _seen)
+				{
+					if (linesOf(_seen.first, _kind.line) == _seen.second)
+					{
+						return false;
+					}
+					delays.push_back(std::chrono::duration_cast<base::Duration>(base::BootClock::now() - begun));
+					return true;
+				});
+		}
+		for (const auto& [observer, count] : seen)
+		{
+			FAIL_CHECK(_kind.name << ": " << observer << " has not noticed");
+		}
+		REQUIRE(m_fleet->setLinkFault(_kind.muted, soak::nameOf(soak::link_fault::none), 0, 0));
+		::usleep(static_cast<useconds_t>(kSettles.count()));
+		return delays;
+	}
+
+private:
+	size_t linesOf(const std::string& _process, const std::string& _line) const
+	{
+		const auto output = m_fleet->processes().output(_process);
+		size_t count = 0;
+		for (size_t at = output.find(_line); std::string::npos != at; at = output.find(_line, at + 1))
+		{
+			++count;
+		}
+		return count;
+	}
+
+	std::string m_folder;
+	std::unique_ptr<Fleet> m_fleet;
+};
+
+std::vector<std::string> namesOf(const std::vector<FleetMember>& _members)
+{
+	std::vector<std::string> names;
+	for (const auto& member : _members)
+	{
+		names.push_back(member.name);
+	}
+	return names;
+}
+
+/// The kinds, each bound with its terms.
+std::vector<connection_kind> kindsOf(Fleet& _fleet)
+{
+	const auto relay = _fleet.relays()[0].name;
+	const auto leader = _fleet.leader();
+	std::vector<std::string> followers;
+	for (const auto& controller : _fleet.controllers())
+	{
+		if (controller.name != leader)
+		{
+			followers.push_back(controller.name);
+		}
+	}
+	const auto& endpoint = _fleet.endpoints()[0].node.name;
+	return {
+		// 250 ms, looked at each 100 ms, and the time to the next call.
+		{"node to node, calls in progress", endpoint, namesOf(_fleet.entries()), " is silent", base::milliseconds(800)},
+		// 1.8 s without a heartbeat, looked at each 200 ms.
+		{"node to relay", relay, namesOf(_fleet.allNodes()), ": silent,", base::milliseconds(2500)},
+		// A keep-alive each second, 2 s for its return, looked at each 250 ms.
+		{"relay to controller", leader, {relay}, ": it is silent", base::milliseconds(3800)},
+		{"controller to controller", _fleet.leader(), followers, ": it is silent", base::milliseconds(3800)},
+	};
+}
+
+void check(int _rounds, int _durationMs)
+{
+	muted_fleet muted(_durationMs);
+	std::map<std::string, std::vector<base::Duration>> delays;
+	for (int round = 0; round < _rounds; ++round)
+	{
+		for (size_t ii = 0; ii < kindsOf(muted.fleet()).size(); ++ii)
+		{
+			const auto kind = kindsOf(muted.fleet())[ii];
+			for (const auto delay : muted.detect(kind))
+			{
+				delays[kind.name].push_back(delay);
+				CHECK(delay < kind.bound);
+			}
+		}
+	}
+	for (auto& [name, all] : delays)
+	{
+		std::sort(all.begin(), all.end());
+		WARN(name << ": " << all.size() << " connections, p50 " << all[all.size() / 2].count() / 1000 << " ms, longest "
+				  << all.back().count() / 1000 << " ms");
+	}
+}
+
+}  // namespace
+
+TEST_CASE("connections that fall silent are given up within the time of their kind")
+{
+	check(1, 60'000);
+}
+
+TEST_CASE("figures of silence: ten rounds of each kind", "[.figures]")
+{
+	check(10, 500'000);
+}
+
+}  // namespace driftlug::tools
--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -256,4 +256,26 @@
   ::close(listener);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a peer that stands still keeps its connection unless more waits for it than its window takes") {
+  // The system acknowledges for a process that stands still, until what it holds for it is full.
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  REQUIRE(::listen(listener, 4) == 0);
+  socklen_t size = sizeof(address);
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  const bool full = GENERATE(false, true);
+  const auto peer = left.connect({"127.0.0.1", ntohs(address.sin_port)});
+  settle(loop);
+  wire::CallRequest request;
+  request.body.resize(full ? 16U << 20 : 32U << 10);
+  left.send(peer, wire::encodeFrame(request));
+  runFor(loop, base::milliseconds(1800));
+  CHECK(leftRecorder.closed.size() == (full ? 1 : 0));
+  ::close(listener);
+}
+
 }  // namespace driftlug::transport
