Split the tests of a node by what they are about

Change: lives of back ends, suspended machines and large bodies have files of their own; the fixtures they share are headers. Moves only: test cases and assertions as they were.

--- /dev/null
+++ b/test/node/backend_lives_test.cc
@@ -0,0 +1,177 @@
+/// Back ends that start again under their name.
+#include "node/backend_life.h"
+
+#include "local_backend_fixture.h"
+
+namespace driftlug::node {
+
+TEST_CASE("lives of a back end have names of their own, and its own name can be told from them") {
+  const auto first = endpointNameOf("i-1", kFirstStart);
+  CHECK(first != endpointNameOf("i-1", kFirstStart + 1));
+  CHECK(backendNameOf(first) == "i-1");
+  CHECK(endpointNameOf("i-1", 0) == "i-1");
+  CHECK(backendNameOf("i-1") == "i-1");
+  CHECK(backendNameOf(endpointNameOf("odd~name", 0)) == "odd~name");
+  CHECK(backendNameOf(endpointNameOf("odd~name", kFirstStart)) == "odd~name");
+}
+
+TEST_CASE_METHOD(LocalBackendFixture, "a back end that starts again under its name is taken at its first report") {
+  local.onReport(reportOf(kFirstStart, 400));
+  const auto first = announced.back().endpoint;
+  CHECK(local.onReport(reportOf(kFirstStart + 3000, 1)) == ReportVerdict::kTaken);
+  const auto second = announced.back().endpoint;
+  CHECK(first != second);
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  REQUIRE(announced.size() == 3);
+  CHECK(announced[1].endpoint == first);
+  CHECK(announced[1].condition == EndpointCondition::GONE);
+  call(1, second);
+  CHECK(backend.requests.size() == 1);
+  call(2, first);
+  CHECK(refusalOf(2) == base::ErrorCode::kWrongEndpoint);
+}
+
+TEST_CASE_METHOD(LocalBackendFixture, "what was said of the life before changes nothing any more") {
+  local.onReport(reportOf(kFirstStart, 400));
+  local.onReport(reportOf(kFirstStart + 3000, 1));
+  const auto current = announced.back().endpoint;
+  SECTION("a late report") { CHECK(local.onReport(reportOf(kFirstStart, 401)) == ReportVerdict::kOutdated); }
+  SECTION("a late word of draining") {
+    CHECK(local.onReport(reportOf(kFirstStart, 402, true)) == ReportVerdict::kOutdated);
+  }
+  SECTION("a late farewell that says of which life it is") { local.onLeave("i-1", kFirstStart); }
+  SECTION("a late answer of an earlier call") { local.onWrongEndpoint(endpointNameOf("i-1", kFirstStart)); }
+  CHECK(announced.back().endpoint == current);
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  call(1, current);
+  CHECK(backend.requests.size() == 1);
+}
+
+TEST_CASE_METHOD(AskedBackendFixture,
+                 "of a farewell that may be late the back end decides; until then it gets no calls") {
+  askWhenUnsure(false);
+  local.onReport(reportOf(kFirstStart, 400));
+  local.onReport(reportOf(kFirstStart + 3000, 1));
+  const auto current = announced.back().endpoint;
+  local.onLeave("i-1");
+  call(1, current);
+  CHECK(refusalOf(1) == base::ErrorCode::kDraining);
+  REQUIRE(questions.size() == 1);
+  SECTION("it is well") {
+    questions[0]({"i-1", false, true});
+    CHECK(announced.back().condition == EndpointCondition::LIVE);
+    call(2, current);
+    CHECK(backend.requests.size() == 1);
+  }
+  SECTION("it leaves") {
+    questions[0]({"i-1", true, false});
+    CHECK(announced.back().condition == EndpointCondition::GONE);
+    CHECK(local.onReport(reportOf(kFirstStart + 3000, 2)) == ReportVerdict::kOutdated);
+  }
+  SECTION("it does not say") {
+    questions[0]({"", false, false});
+    CHECK(announced.back().condition == EndpointCondition::GONE);
+  }
+}
+
+TEST_CASE_METHOD(AskedBackendFixture, "a farewell of the only life that is known ends it at once") {
+  askWhenUnsure(false);
+  local.onReport(reportOf(kFirstStart, 4));
+  local.onLeave("i-1");
+  CHECK(questions.empty());
+  CHECK(announced.back().condition == EndpointCondition::GONE);
+  CHECK(local.onReport(reportOf(kFirstStart, 5)) == ReportVerdict::kOutdated);
+  CHECK(local.onReport(reportOf(kFirstStart + 9000, 1)) == ReportVerdict::kTaken);
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+}
+
+TEST_CASE_METHOD(LocalBackendFixture,
+                 "nothing of the life before holds for the next: slots, drain, runs, what waited") {
+  local.onReport(reportOf(kFirstStart, 7));
+  const auto first = announced.back().endpoint;
+  call(1, first);
+  call(2, first);
+  CHECK(backend.requests.size() == 1);
+  CHECK(local.onReport(reportOf(kFirstStart, 8, true)) == ReportVerdict::kTaken);
+  CHECK(local.onReport(reportOf(kFirstStart + 3000, 1, false, 3)) == ReportVerdict::kTaken);
+  const auto second = announced.back().endpoint;
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  CHECK(announced.back().slots == 3);
+  // The run that the life before had begun is lost, and holds no slot of this one.
+  CHECK(backend.cancelled == 1);
+  CHECK(calls.limiter().running() == 0);
+  for (int64_t id = 3; id <= 5; ++id) call(id, second);
+  CHECK(backend.requests.size() == 4);
+}
+
+TEST_CASE_METHOD(LocalBackendFixture, "a later life whose clock went back is taken once the one in use is over") {
+  local.onReport(reportOf(kFirstStart, 7));
+  const auto first = announced.back().endpoint;
+  const auto earlier = kFirstStart - 2000;
+  SECTION("nothing listened any more") {
+    local.onCrash();
+    CHECK(local.onReport(reportOf(earlier, 1)) == ReportVerdict::kTaken);
+  }
+  SECTION("it is silent") {
+    runFor(base::seconds(5));
+    CHECK(local.onReport(reportOf(earlier, 1)) == ReportVerdict::kTaken);
+  }
+  SECTION("the other one reports again, and it does not") {
+    CHECK(local.onReport(reportOf(earlier, 1)) == ReportVerdict::kDoubtful);
+    CHECK(local.onReport(reportOf(earlier, 1)) == ReportVerdict::kDoubtful);
+    CHECK(announced.back().endpoint == first);
+    CHECK(local.onReport(reportOf(earlier, 2)) == ReportVerdict::kTaken);
+  }
+  CHECK(announced.back().endpoint == endpointNameOf("i-1", earlier));
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+}
+
+TEST_CASE_METHOD(LocalBackendFixture, "a late report of an earlier life that this node never knew displaces none") {
+  local.onReport(reportOf(kFirstStart, 7));
+  const auto current = announced.back().endpoint;
+  CHECK(local.onReport(reportOf(kFirstStart - 9000, 50)) == ReportVerdict::kDoubtful);
+  CHECK(local.onReport(reportOf(kFirstStart, 8)) == ReportVerdict::kTaken);
+  CHECK(local.onReport(reportOf(kFirstStart - 9000, 51)) == ReportVerdict::kDoubtful);
+  CHECK(announced.back().endpoint == current);
+  SECTION("nor does it undo a drain that was acknowledged, however often it comes") {
+    CHECK(local.onReport(reportOf(kFirstStart, 9, true)) == ReportVerdict::kTaken);
+    for (int64_t sequence = 52; sequence < 56; ++sequence) {
+      CHECK(local.onReport(reportOf(kFirstStart - 9000, sequence)) == ReportVerdict::kDoubtful);
+    }
+    CHECK(announced.back().condition == EndpointCondition::DRAINING);
+    call(1, current);
+    CHECK(refusalOf(1) == base::ErrorCode::kDraining);
+  }
+}
+
+TEST_CASE_METHOD(LocalBackendFixture,
+                 "a back end that was known by its name only goes by that of its life once it has told it") {
+  local.onIdentified("i-1");
+  call(1, "i-1");
+  CHECK(backend.requests.size() == 1);
+  CHECK(local.onReport(reportOf(kFirstStart, 4)) == ReportVerdict::kTaken);
+  REQUIRE(announced.size() == 3);
+  CHECK(announced[1].endpoint == "i-1");
+  CHECK(announced[1].condition == EndpointCondition::GONE);
+  CHECK(announced[2].endpoint == endpointNameOf("i-1", kFirstStart));
+  // Calls that were on their way under the name are taken, and what runs goes on.
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {}, "done"});
+  call(2, "i-1");
+  call(3, endpointNameOf("i-1", kFirstStart));
+  CHECK(refusalOf(2) == base::ErrorCode::kNone);
+  CHECK(refusalOf(3) == base::ErrorCode::kNone);
+  SECTION("a late report of the life before was first") {
+    CHECK(local.onReport(reportOf(kFirstStart + 5000, 2)) == ReportVerdict::kTaken);
+    CHECK(announced.back().endpoint == endpointNameOf("i-1", kFirstStart + 5000));
+  }
+}
+
+TEST_CASE_METHOD(AskedBackendFixture, "after a restart of the node, of two lives of a name the later one is taken") {
+  askWhenUnsure(true);
+  CHECK(local.onReport(reportOf(kFirstStart, 90)) == ReportVerdict::kHeld);
+  CHECK(local.onReport(reportOf(kFirstStart + 3000, 2)) == ReportVerdict::kHeld);
+  answer("i-1");
+  CHECK(announced.back().endpoint == endpointNameOf("i-1", kFirstStart + 3000));
+}
+
+}  // namespace driftlug::node
--- /dev/null
+++ b/test/node/control_client_fixture.h
@@ -0,0 +1,78 @@
+/// The control connection of a node, on a virtual clock.
+#pragma once
+
+#include <memory>
+
+#include "node/control_client.h"
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+
+inline const base::Address kHome{"10.0.0.1", 7001};
+inline const base::Address kFar{"10.0.0.2", 7001};
+
+/// A node that was given one seed and learns of relays in two zones.
+struct ControlClientFixture {
+  ControlClientFixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.9", 7000}) {
+    process.start();
+    ControlOptions options;
+    options.nodeId = "node";
+    options.zone = "zone-1";
+    options.relays = {kHome};
+    options.nearRelays = 1;
+    options.hosts = {"*"};
+    options.staleAfter = base::milliseconds(1600);
+    client = std::make_unique<ControlClient>(options, process, base::RandomSource(seed), network, nullptr, nullptr);
+    client->start(nullptr);
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  /// @return the connection in use.
+  base::ConnectionId current() const { return network.connected.empty() ? 0 : network.connected.rbegin()->first; }
+  base::Address relay() const { return network.connected.at(current()); }
+
+  void open() { client->onOpen(current(), {}); }
+
+  static wire::RelayAddress relayAt(const base::Address& address, const std::string& zone) {
+    wire::RelayAddress entry;
+    entry.address = address.host;
+    entry.port = address.port;
+    entry.zone = zone;
+    return entry;
+  }
+
+  void tellRelays() {
+    wire::RelayList list;
+    list.relays = {relayAt(kHome, "zone-1"), relayAt(kFar, "zone-2")};
+    client->onMessage(current(), list);
+  }
+
+  void heartbeat(int64_t term, int64_t round) {
+    wire::NodeHeartbeat heartbeat;
+    heartbeat.freshness.term = term;
+    heartbeat.freshness.round = round;
+    client->onMessage(current(), heartbeat);
+  }
+
+  void version(int64_t revision) {
+    wire::SliceUpdate update;
+    update.full = true;
+    update.toRevision = revision;
+    update.digest = table::Table().digest();
+    client->onMessage(current(), update);
+  }
+
+  static constexpr uint64_t seed = 5;
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  std::unique_ptr<ControlClient> client;
+};
+
+}  // namespace driftlug::node
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -2,81 +2,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "recording_network.h"
-#include "simulation/process.h"
+#include "control_client_fixture.h"
 
 namespace driftlug::node {
-namespace {
-
-const base::Address kHome{"10.0.0.1", 7001};
-const base::Address kFar{"10.0.0.2", 7001};
-
-/// A node that was given one seed and learns of relays in two zones.
-struct Fixture {
-  Fixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.9", 7000}) {
-    process.start();
-    ControlOptions options;
-    options.nodeId = "node";
-    options.zone = "zone-1";
-    options.relays = {kHome};
-    options.nearRelays = 1;
-    options.hosts = {"*"};
-    options.staleAfter = base::milliseconds(1600);
-    client = std::make_unique<ControlClient>(options, process, base::RandomSource(seed), network, nullptr, nullptr);
-    client->start(nullptr);
-  }
-
-  void runFor(base::Duration duration) {
-    const auto until = queue.now() + duration;
-    while (queue.runNext(until)) {
-    }
-  }
 
-  /// @return the connection in use.
-  base::ConnectionId current() const { return network.connected.empty() ? 0 : network.connected.rbegin()->first; }
-  base::Address relay() const { return network.connected.at(current()); }
-
-  void open() { client->onOpen(current(), {}); }
-
-  static wire::RelayAddress relayAt(const base::Address& address, const std::string& zone) {
-    wire::RelayAddress entry;
-    entry.address = address.host;
-    entry.port = address.port;
-    entry.zone = zone;
-    return entry;
-  }
-
-  void tellRelays() {
-    wire::RelayList list;
-    list.relays = {relayAt(kHome, "zone-1"), relayAt(kFar, "zone-2")};
-    client->onMessage(current(), list);
-  }
-
-  void heartbeat(int64_t term, int64_t round) {
-    wire::NodeHeartbeat heartbeat;
-    heartbeat.freshness.term = term;
-    heartbeat.freshness.round = round;
-    client->onMessage(current(), heartbeat);
-  }
-
-  void version(int64_t revision) {
-    wire::SliceUpdate update;
-    update.full = true;
-    update.toRevision = revision;
-    update.digest = table::Table().digest();
-    client->onMessage(current(), update);
-  }
-
-  static constexpr uint64_t seed = 5;
-  simulation::EventQueue queue;
-  simulation::Process process;
-  test::RecordingNetwork network;
-  std::unique_ptr<ControlClient> client;
-};
-
-}  // namespace
-
-TEST_CASE_METHOD(Fixture, "a relay whose word of the controllers stands still is left in time") {
+TEST_CASE_METHOD(ControlClientFixture, "a relay whose word of the controllers stands still is left in time") {
   open();
   tellRelays();
   version(1);
@@ -95,7 +25,7 @@
   CHECK(left);
 }
 
-TEST_CASE_METHOD(Fixture, "a node that left a relay does not go back to it before its time") {
+TEST_CASE_METHOD(ControlClientFixture, "a node that left a relay does not go back to it before its time") {
   // For many random sources, since the times are drawn.
   for (uint64_t source = 1; source <= 40; ++source) {
     test::RecordingNetwork own;
@@ -143,7 +73,7 @@
   }
 }
 
-TEST_CASE_METHOD(Fixture, "a relay that follows an earlier leader is left at once") {
+TEST_CASE_METHOD(ControlClientFixture, "a relay that follows an earlier leader is left at once") {
   open();
   tellRelays();
   version(1);
@@ -161,7 +91,7 @@
   CHECK(relay() == kHome);
 }
 
-TEST_CASE_METHOD(Fixture, "seeds that the settings change to are tried too") {
+TEST_CASE_METHOD(ControlClientFixture, "seeds that the settings change to are tried too") {
   client->onClose(current());
   network.connected.clear();
   const base::Address other{"10.0.0.7", 7001};
@@ -170,7 +100,7 @@
   CHECK(relay() == other);
 }
 
-TEST_CASE_METHOD(Fixture, "relays that are cut off together are left one after the other at once") {
+TEST_CASE_METHOD(ControlClientFixture, "relays that are cut off together are left one after the other at once") {
   constexpr int kRelays = 7;
   open();
   wire::RelayList list;
@@ -201,7 +131,7 @@
   CHECK(relay() == fresh);
 }
 
-TEST_CASE_METHOD(Fixture, "relays are not run through while the controllers are out") {
+TEST_CASE_METHOD(ControlClientFixture, "relays are not run through while the controllers are out") {
   open();
   tellRelays();
   version(1);
@@ -224,7 +154,7 @@
   CHECK(connections >= 4);
 }
 
-TEST_CASE_METHOD(Fixture,
+TEST_CASE_METHOD(ControlClientFixture,
                  "an update that can't be applied is refused once, however many follow before the whole slice") {
   open();
   version(1);
@@ -250,7 +180,7 @@
   CHECK(refusals() == 2);
 }
 
-TEST_CASE_METHOD(Fixture, "after a loss of all relays a node tries again at least once a second") {
+TEST_CASE_METHOD(ControlClientFixture, "after a loss of all relays a node tries again at least once a second") {
   open();
   tellRelays();
   version(1);
@@ -267,7 +197,7 @@
   }
 }
 
-TEST_CASE_METHOD(Fixture, "a relay that says nothing is not waited for when there are others") {
+TEST_CASE_METHOD(ControlClientFixture, "a relay that says nothing is not waited for when there are others") {
   open();
   tellRelays();
   client->onClose(current());
@@ -282,7 +212,8 @@
   CHECK(latest > silent);
 }
 
-TEST_CASE_METHOD(Fixture, "a node without a version doesn't wait long for a relay that has heard of no leader") {
+TEST_CASE_METHOD(ControlClientFixture,
+                 "a node without a version doesn't wait long for a relay that has heard of no leader") {
   open();
   tellRelays();
   heartbeat(0, 0);
@@ -298,7 +229,7 @@
   version(1);
 }
 
-TEST_CASE_METHOD(Fixture, "while no relay has heard of a leader each gets more time") {
+TEST_CASE_METHOD(ControlClientFixture, "while no relay has heard of a leader each gets more time") {
   open();
   tellRelays();
   std::vector<base::Duration> stays;
@@ -315,7 +246,8 @@
   CHECK(stays.back() > base::milliseconds(1500));
 }
 
-TEST_CASE_METHOD(Fixture, "the time to answer a connection grows, so that relays behind slow links are reached") {
+TEST_CASE_METHOD(ControlClientFixture,
+                 "the time to answer a connection grows, so that relays behind slow links are reached") {
   constexpr base::Duration kSlow = base::milliseconds(1200);
   bool reached = false;
   for (int i = 0; i < 100 && !reached; ++i) {
@@ -364,7 +296,7 @@
 };
 
 /// A node with a version that knows five relays, behind a link on which a handshake takes a given time.
-struct SlowLinkFixture : Fixture {
+struct SlowLinkFixture : ControlClientFixture {
   void begin(base::Duration handshake) {
     slow = std::make_unique<SlowNetwork>(process, handshake);
     ControlOptions options;
@@ -447,60 +379,4 @@
   CHECK(queue.now() - backAt <= base::milliseconds(2000));
 }
 
-/// A relay's word that was sent while the node's machine was suspended, and read after it.
-struct SuspendedFixture : Fixture {
-  void suspendFor(base::Duration duration) {
-    open();
-    tellRelays();
-    version(1);
-    heartbeat(1, 2);
-    runFor(base::milliseconds(100));
-    process.onAway([this] { client->onAway(); });
-    process.setFrozen(true);
-    const auto connection = current();
-    // Arrives, and waits in the socket.
-    process.run(process.incarnation(), [this, connection] {
-      wire::NodeHeartbeat old;
-      old.freshness.term = 1;
-      old.freshness.round = 3;
-      client->onMessage(connection, old);
-    });
-    runFor(duration);
-    process.setFrozen(false);
-  }
-};
-
-TEST_CASE_METHOD(SuspendedFixture,
-                 "a node that was suspended takes nothing for fresh that it heard before or that has waited") {
-  suspendFor(base::seconds(10));
-  CHECK_FALSE(client->fresh());
-  runFor(base::seconds(1));
-  REQUIRE(current() != 0);
-  open();
-  CHECK(network.all<wire::NodeSubscribe>().size() == 2);
-  heartbeat(1, 4);
-  CHECK(client->fresh());
-}
-
-TEST_CASE_METHOD(SuspendedFixture,
-                 "a node that was suspended for less than its relay may be silent asks it anew at once") {
-  suspendFor(base::milliseconds(1200));
-  REQUIRE(current() != 0);
-  open();
-  CHECK(network.all<wire::NodeSubscribe>().size() == 2);
-}
-
-TEST_CASE_METHOD(SuspendedFixture,
-                 "on a clock that stands while the machine is suspended the same node believes old word") {
-  process.letClockStand(true);
-  suspendFor(base::seconds(10));
-  CHECK(client->fresh());
-}
-
-TEST_CASE_METHOD(SuspendedFixture, "a moment without a processor changes nothing") {
-  suspendFor(base::milliseconds(600));
-  CHECK(client->fresh());
-  CHECK(network.all<wire::NodeSubscribe>().size() == 1);
-}
-
 }  // namespace driftlug::node
--- a/test/node/entry_calls_test.cc
+++ b/test/node/entry_calls_test.cc
@@ -1,132 +1,20 @@
 #include "node/entry_calls.h"
 
-#include <catch2/catch.hpp>
 #include <optional>
 
-#include "recording_network.h"
-#include "simulation/process.h"
+#include "entry_calls_fixture.h"
 
 namespace driftlug::node {
 namespace {
 
-using base::ErrorCode;
-using wire::CallOutcome;
-
-wire::Row routeRow(const std::string& name, const std::string& prefix, bool repeatable) {
-  wire::Row row;
-  row.key = table::makeKey(wire::RowKind::ROUTE, name);
-  row.__isset.routeRow = true;
-  row.routeRow.host = "shop.example";
-  row.routeRow.pathPrefix = prefix;
-  row.routeRow.repeatable = repeatable;
-  row.routeRow.timeoutMs = 2000;
-  row.routeRow.maxAttempts = 2;
-  row.routeRow.targetLatencyMs = 400;
-  row.routeRow.priority = 1;
-  wire::WeightedService share;
-  share.serviceName = "records";
-  share.weight = 100;
-  row.routeRow.shares.push_back(share);
-  return row;
-}
-
-wire::EndpointState endpoint(const std::string& name, int host, wire::EndpointCondition::type condition) {
-  wire::EndpointState state;
-  state.endpoint = name;
-  state.serviceName = "records";
-  state.condition = condition;
-  state.incarnation = 1;
-  state.sequence = condition == wire::EndpointCondition::LIVE ? 1 : 2;
-  state.address = "10.0.0." + std::to_string(host);
-  state.port = 7000;
-  state.zone = "zone-" + std::to_string(host);
-  state.slots = 4;
-  return state;
-}
-
-/// An entry side with two announced endpoints, in its own zone and in another.
-struct Fixture {
-  explicit Fixture(double hedgeAfterShare = 0.5) : process(queue, "node", {"zone-1", "region"}, {"10.0.0.1", 7000}) {
-    process.start();
-    EntryOptions options;
-    options.nodeId = "node";
-    options.zone = "zone-1";
-    options.mintKeys = false;
-    options.defaultRetry = {2, 100};
-    options.retryBurst = 4;
-    options.fullFor = base::milliseconds(100);
-    options.hedgeAfterShare = hedgeAfterShare;
-    options.picker.policy = routing::PickPolicy::kNearestIdle;
-    entry = std::make_unique<EntryCalls>(options, process, base::RandomSource(3), network);
-    table::Table rows;
-    rows.put(std::make_shared<wire::Row>(routeRow("safe", "/safe/", true)));
-    rows.put(std::make_shared<wire::Row>(routeRow("once", "/once/", false)));
-    entry->useTable(std::make_shared<routing::RoutingTable>(rows, 1));
-    entry->onEndpointStates(
-        {endpoint("near", 1, wire::EndpointCondition::LIVE), endpoint("far", 2, wire::EndpointCondition::LIVE)});
-    openAll();
-  }
-
-  void openAll() {
-    for (const auto& [connection, address] : network.connected) entry->onOpen(connection, {});
-  }
-
-  void runFor(base::Duration duration) {
-    const auto until = queue.now() + duration;
-    while (queue.runNext(until)) {
-    }
-  }
-
-  CallId call(const std::string& path) {
-    InboundCall inbound;
-    inbound.method = "GET";
-    inbound.host = "shop.example";
-    inbound.path = path;
-    const auto id = entry->begin(inbound, [this](CallAnswer got) { answers.push_back(std::move(got)); });
-    runFor(base::milliseconds(1));
-    return id;
-  }
-
-  const test::RecordingNetwork::Sent& lastRequest() {
-    for (auto item = network.sent.rbegin(); item != network.sent.rend(); ++item) {
-      if (std::holds_alternative<wire::CallRequest>(item->message)) return *item;
-    }
-    FAIL("no request was sent");
-    return network.sent.front();
-  }
-
-  void respond(CallOutcome::type outcome, ErrorCode error) {
-    const auto& last = lastRequest();
-    wire::CallResponse response;
-    response.callId = std::get<wire::CallRequest>(last.message).callId;
-    response.outcome = outcome;
-    response.errorCode = static_cast<int>(error);
-    response.httpStatus = 200;
-    entry->onMessage(last.connection, response);
-    runFor(base::milliseconds(1));
-  }
-
-  std::vector<std::string> asked() {
-    std::vector<std::string> names;
-    for (const auto& request : network.all<wire::CallRequest>()) names.push_back(request.endpoint);
-    return names;
-  }
-
-  simulation::EventQueue queue;
-  simulation::Process process;
-  test::RecordingNetwork network;
-  std::unique_ptr<EntryCalls> entry;
-  std::vector<CallAnswer> answers;
-};
-
 /// Without hedging.
-struct LateFixture : Fixture {
-  LateFixture() : Fixture(0) {}
+struct LateFixture : EntryCallsFixture {
+  LateFixture() : EntryCallsFixture(0) {}
 };
 
 }  // namespace
 
-TEST_CASE_METHOD(Fixture, "a call goes to an announced endpoint of the own zone, by its incarnation") {
+TEST_CASE_METHOD(EntryCallsFixture, "a call goes to an announced endpoint of the own zone, by its incarnation") {
   call("/safe/1");
   REQUIRE(asked() == std::vector<std::string>{"near"});
   const auto request = network.all<wire::CallRequest>()[0];
@@ -139,7 +27,7 @@
   CHECK(answers[0].httpStatus == 200);
 }
 
-TEST_CASE_METHOD(Fixture, "a request that may have run is repeated only where its route allows that") {
+TEST_CASE_METHOD(EntryCallsFixture, "a request that may have run is repeated only where its route allows that") {
   call("/once/1");
   CHECK(network.all<wire::CallRequest>()[0].runOnce);
   respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
@@ -154,7 +42,7 @@
   CHECK(answers.size() == 2);
 }
 
-TEST_CASE_METHOD(Fixture, "refusals by nodes move a call on without a charge to the budget") {
+TEST_CASE_METHOD(EntryCallsFixture, "refusals by nodes move a call on without a charge to the budget") {
   for (int i = 0; i < 30; ++i) {
     answers.clear();
     call("/once/1");
@@ -168,7 +56,7 @@
   CHECK(entry->counters().budgetSpent == 0);
 }
 
-TEST_CASE_METHOD(Fixture, "repeats that reached a back end are paid for") {
+TEST_CASE_METHOD(EntryCallsFixture, "repeats that reached a back end are paid for") {
   for (int i = 0; i < 4; ++i) {
     call("/safe/1");
     respond(CallOutcome::UNKNOWN, ErrorCode::kBackendFailed);
@@ -180,7 +68,7 @@
   CHECK(answers.size() == 4);
 }
 
-TEST_CASE_METHOD(Fixture, "an endpoint without slots is left out for a while by what is no more urgent") {
+TEST_CASE_METHOD(EntryCallsFixture, "an endpoint without slots is left out for a while by what is no more urgent") {
   call("/safe/1");
   respond(CallOutcome::NOT_RUN, ErrorCode::kOverloaded);
   respond(CallOutcome::COMPLETED, ErrorCode::kNone);
@@ -192,7 +80,7 @@
   CHECK(asked().back() == "near");
 }
 
-TEST_CASE_METHOD(Fixture, "an endpoint that drains, is gone or is another one gets no further call") {
+TEST_CASE_METHOD(EntryCallsFixture, "an endpoint that drains, is gone or is another one gets no further call") {
   SECTION("it says so itself") {
     call("/safe/1");
     const auto error = GENERATE(ErrorCode::kDraining, ErrorCode::kWrongEndpoint);
@@ -210,7 +98,7 @@
   }
 }
 
-TEST_CASE_METHOD(Fixture,
+TEST_CASE_METHOD(EntryCallsFixture,
                  "a repeatable call without an answer is sent to a second idle endpoint, and the first answer wins") {
   call("/safe/1");
   runFor(base::milliseconds(150));
@@ -225,7 +113,7 @@
   CHECK(entry->active() == 0);
 }
 
-TEST_CASE_METHOD(Fixture, "a hedged call fails only when both attempts have") {
+TEST_CASE_METHOD(EntryCallsFixture, "a hedged call fails only when both attempts have") {
   call("/safe/1");
   runFor(base::milliseconds(250));
   REQUIRE(asked().size() == 2);
@@ -241,7 +129,7 @@
   CHECK(asked().size() == 2);
 }
 
-TEST_CASE_METHOD(Fixture, "a call that may not be repeated is never hedged, and none is where all are busy") {
+TEST_CASE_METHOD(EntryCallsFixture, "a call that may not be repeated is never hedged, and none is where all are busy") {
   SECTION("not repeatable") { call("/once/1"); }
   SECTION("busy") {
     for (int i = 0; i < 8; ++i) call("/safe/" + std::to_string(i));
@@ -251,7 +139,8 @@
   CHECK(asked().size() == before);
 }
 
-TEST_CASE_METHOD(Fixture, "a back end's own failure of a repeatable call is repeated once at an idle endpoint") {
+TEST_CASE_METHOD(EntryCallsFixture,
+                 "a back end's own failure of a repeatable call is repeated once at an idle endpoint") {
   const auto answer = [this](int status) {
     const auto& last = lastRequest();
     wire::CallResponse response;
@@ -274,7 +163,7 @@
   CHECK(answers[1].outcome == CallOutcome::COMPLETED);
 }
 
-TEST_CASE_METHOD(Fixture, "a caller that comes back is known by the time that it has left") {
+TEST_CASE_METHOD(EntryCallsFixture, "a caller that comes back is known by the time that it has left") {
   const auto waited = [this](int deadlineMs) {
     InboundCall inbound;
     inbound.method = "GET";
@@ -290,7 +179,8 @@
   CHECK(waited(0) == 0);
 }
 
-TEST_CASE_METHOD(Fixture, "an endpoint that is full for late calls is asked for one that can make its target") {
+TEST_CASE_METHOD(EntryCallsFixture,
+                 "an endpoint that is full for late calls is asked for one that can make its target") {
   const auto begin = [this](int deadlineMs) {
     InboundCall inbound;
     inbound.method = "GET";
@@ -311,14 +201,14 @@
   CHECK(asked().size() == before + 1);
 }
 
-TEST_CASE_METHOD(Fixture, "a late word of an earlier state changes nothing") {
+TEST_CASE_METHOD(EntryCallsFixture, "a late word of an earlier state changes nothing") {
   entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::GONE)});
   entry->onEndpointStates({endpoint("near", 1, wire::EndpointCondition::LIVE)});
   call("/safe/1");
   CHECK(asked().back() == "far");
 }
 
-TEST_CASE_METHOD(Fixture, "a caller that goes away ends the work for it") {
+TEST_CASE_METHOD(EntryCallsFixture, "a caller that goes away ends the work for it") {
   const auto id = call("/safe/1");
   entry->abandon(id);
   const auto cancels = network.all<wire::CallCancel>();
@@ -328,7 +218,7 @@
   CHECK(answers.empty());
 }
 
-TEST_CASE_METHOD(Fixture, "a caller that goes away ends every attempt, and none is begun after it") {
+TEST_CASE_METHOD(EntryCallsFixture, "a caller that goes away ends every attempt, and none is begun after it") {
   const auto id = call("/safe/1");
   SECTION("while two are in progress") {
     runFor(base::milliseconds(250));
@@ -347,7 +237,7 @@
   CHECK(answers.empty());
 }
 
-TEST_CASE_METHOD(Fixture, "a caller that goes away in the turn of its request is not sent on") {
+TEST_CASE_METHOD(EntryCallsFixture, "a caller that goes away in the turn of its request is not sent on") {
   InboundCall inbound;
   inbound.method = "GET";
   inbound.host = "shop.example";
@@ -358,7 +248,7 @@
   CHECK(asked().empty());
 }
 
-TEST_CASE_METHOD(Fixture, "a node that stops refuses new calls as not run, and ends those it has") {
+TEST_CASE_METHOD(EntryCallsFixture, "a node that stops refuses new calls as not run, and ends those it has") {
   call("/once/1");
   entry->refuseNew();
   call("/once/2");
@@ -371,7 +261,8 @@
   CHECK(answers[1].httpStatus == 200);
 }
 
-TEST_CASE_METHOD(Fixture, "a node without a version says so with a promise; one with a version knows its routes") {
+TEST_CASE_METHOD(EntryCallsFixture,
+                 "a node without a version says so with a promise; one with a version knows its routes") {
   call("/nowhere/1");
   REQUIRE(answers.size() == 1);
   CHECK(answers[0].httpStatus == 404);
@@ -387,7 +278,7 @@
   CHECK(answer->error == ErrorCode::kNoTable);
 }
 
-TEST_CASE_METHOD(Fixture, "an endpoint that stays out of reach is forgotten") {
+TEST_CASE_METHOD(EntryCallsFixture, "an endpoint that stays out of reach is forgotten") {
   entry->onEndpointStates({endpoint("far", 2, wire::EndpointCondition::GONE)});
   for (int second = 0; second < 40; ++second) {
     std::vector<base::ConnectionId> open;
@@ -401,105 +292,8 @@
   CHECK(network.connected.empty());
 }
 
-namespace {
-
-/// The same, with nodes that take bodies in pieces.
-struct PiecesFixture : Fixture {
-  static constexpr size_t kBodyBytes = 20'000;
-
-  PiecesFixture() {
-    wire::Hello peer;
-    peer.id = "other";
-    peer.takesBodyPieces = true;
-    for (const auto& [connection, address] : network.connected) entry->onOpen(connection, peer);
-  }
-
-  CallId upload(size_t bytes) {
-    InboundCall inbound;
-    inbound.method = "POST";
-    inbound.host = "shop.example";
-    inbound.path = "/once/1";
-    for (size_t i = 0; i < bytes; ++i) inbound.body += static_cast<char>('a' + i % 26);
-    body = inbound.body;
-    const auto id = entry->begin(inbound, [this](CallAnswer got) { answers.push_back(std::move(got)); });
-    runFor(base::milliseconds(1));
-    return id;
-  }
-
-  void grant(int64_t upToBytes) {
-    wire::CallBodyGrant message;
-    message.callId = std::get<wire::CallRequest>(lastRequest().message).callId;
-    message.upToBytes = upToBytes;
-    entry->onMessage(lastRequest().connection, message);
-  }
-
-  std::string pieces() {
-    std::string joined;
-    for (const auto& piece : network.all<wire::CallBodyPiece>()) joined += piece.data;
-    return joined;
-  }
-
-  std::string body;
-};
-
-}  // namespace
-
-TEST_CASE_METHOD(PiecesFixture, "of a large body only what was granted is sent, once and in order") {
-  upload(kBodyBytes);
-  const auto request = network.all<wire::CallRequest>()[0];
-  CHECK(request.body.empty());
-  CHECK(request.bodyBytes == static_cast<int64_t>(kBodyBytes));
-  CHECK(pieces().empty());
-  grant(8192);
-  grant(8192);
-  grant(4096);
-  CHECK(pieces() == body.substr(0, 8192));
-  grant(1'000'000);
-  CHECK(pieces() == body);
-  respond(CallOutcome::COMPLETED, ErrorCode::kNone);
-  REQUIRE(answers.size() == 1);
-  CHECK(answers[0].httpStatus == 200);
-}
-
-TEST_CASE_METHOD(PiecesFixture, "a small body, and one for a node that takes no pieces, travels with its call") {
-  upload(300);
-  CHECK(network.all<wire::CallRequest>()[0].body == body);
-  CHECK(network.all<wire::CallRequest>()[0].bodyBytes == 0);
-  openAll();
-  upload(kBodyBytes);
-  CHECK(network.all<wire::CallRequest>()[1].body == body);
-  CHECK(network.all<wire::CallRequest>()[1].bodyBytes == 0);
-}
-
-TEST_CASE_METHOD(PiecesFixture,
-                 "a link lost before the body had left whole: the call has not run, and goes elsewhere") {
-  upload(kBodyBytes);
-  grant(8192);
-  entry->onClose(lastRequest().connection);
-  runFor(base::milliseconds(1));
-  CHECK(asked() == std::vector<std::string>{"near", "far"});
-  CHECK(answers.empty());
-  grant(1'000'000);
-  entry->onClose(lastRequest().connection);
-  runFor(base::milliseconds(1));
-  REQUIRE(answers.size() == 1);
-  CHECK(answers[0].outcome == CallOutcome::UNKNOWN);
-}
-
-TEST_CASE_METHOD(PiecesFixture, "a stop answers calls whose bodies have not left whole, and leaves the others alone") {
-  upload(kBodyBytes);
-  grant(1'000'000);
-  upload(kBodyBytes);
-  grant(8192);
-  entry->refuseWaiting();
-  REQUIRE(answers.size() == 1);
-  CHECK(answers[0].outcome == CallOutcome::NOT_RUN);
-  CHECK(answers[0].httpStatus == 503);
-  CHECK(network.all<wire::CallCancel>().size() == 1);
-  CHECK(entry->active() == 1);
-}
-
-TEST_CASE_METHOD(Fixture, "at the end of a stop calls that wait for a slot elsewhere are refused, and not sent again") {
+TEST_CASE_METHOD(EntryCallsFixture,
+                 "at the end of a stop calls that wait for a slot elsewhere are refused, and not sent again") {
   wire::Hello peer;
   peer.acknowledgesCalls = true;
   for (const auto& [connection, address] : network.connected) entry->onOpen(connection, peer);
@@ -515,22 +309,6 @@
   CHECK(asked().size() == 1);
 }
 
-TEST_CASE_METHOD(PiecesFixture,
-                 "an endpoint whose link is full gets no large bodies for a while, and small calls go on") {
-  upload(kBodyBytes);
-  wire::CallResponse refusal;
-  refusal.callId = network.all<wire::CallRequest>()[0].callId;
-  refusal.outcome = CallOutcome::NOT_RUN;
-  refusal.errorCode = static_cast<int>(ErrorCode::kOverloaded);
-  refusal.fullForBodies = true;
-  refusal.fullForMs = 1000;
-  entry->onMessage(lastRequest().connection, refusal);
-  runFor(base::milliseconds(1));
-  upload(kBodyBytes);
-  call("/safe/1");
-  CHECK(asked() == std::vector<std::string>{"near", "far", "far", "near"});
-}
-
 TEST_CASE_METHOD(LateFixture,
                  "a repeatable call long past its target is sent beside, as its connection may be silent") {
   call("/safe/1");
@@ -566,7 +344,8 @@
   CHECK(asked().size() == 1);
 }
 
-TEST_CASE_METHOD(Fixture, "a call that may run twice goes to another endpoint while the first one's node is silent") {
+TEST_CASE_METHOD(EntryCallsFixture,
+                 "a call that may run twice goes to another endpoint while the first one's node is silent") {
   wire::Hello peer;
   peer.id = "other";
   peer.acknowledgesCalls = true;
--- /dev/null
+++ b/test/node/local_backend_fixture.h
@@ -0,0 +1,119 @@
+/// A node's view of the back end beside it, on a virtual clock.
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include "node/local_backend.h"
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+
+using wire::EndpointCondition;
+
+/// A back end that never answers by itself.
+class SilentBackend : public BackendClient {
+ public:
+  uint64_t send(const wire::CallRequest& request, base::Duration, std::function<void(BackendAnswer)> done) override {
+    requests.push_back(request);
+    pending.push_back(std::move(done));
+    return requests.size();
+  }
+  void cancel(uint64_t) override { ++cancelled; }
+
+  std::vector<wire::CallRequest> requests;
+  std::vector<std::function<void(BackendAnswer)>> pending;
+  int cancelled = 0;
+};
+
+inline BackendReport report(const std::string& incarnation, int64_t sequence, bool draining = false) {
+  return {incarnation, sequence, 1, 0, draining};
+}
+
+inline constexpr int64_t kFirstStart = 1'764'720'000'000;  // Unix milliseconds
+
+/// A report of a life of a back end that started again under its name.
+inline BackendReport reportOf(int64_t startedAtMs, int64_t sequence, bool draining = false, int slots = 1) {
+  return {"i-1", sequence, slots, 0, draining, startedAtMs};
+}
+
+struct LocalBackendFixture {
+  LocalBackendFixture()
+      : process(queue, "node", {"zone", "region"}, {"10.0.0.1", 7000}),
+        calls(options(), process, network, backend, nullptr),
+        local(place(), process, calls, [this](const wire::EndpointState& state) { announced.push_back(state); }) {
+    process.start();
+    calls.onBackendContact([this](bool reached) { local.onContact(reached); });
+    calls.onWrongIncarnation([this](const std::string& endpoint) { local.onWrongEndpoint(endpoint); });
+  }
+
+  static EndpointOptions options() {
+    EndpointOptions options;
+    options.service = "records";
+    options.dynamicEndpoint = true;
+    options.waitWithinTarget = true;
+    return options;
+  }
+
+  static wire::EndpointState place() {
+    wire::EndpointState place;
+    place.serviceName = "records";
+    place.address = "10.0.0.1";
+    place.port = 7000;
+    place.zone = "zone";
+    return place;
+  }
+
+  void runFor(base::Duration duration) {
+    const auto until = queue.now() + duration;
+    while (queue.runNext(until)) {
+    }
+  }
+
+  void call(int64_t id, const std::string& endpoint, int targetMs = 0) {
+    wire::CallRequest request;
+    request.callId = id;
+    request.serviceName = "records";
+    request.endpoint = endpoint;
+    request.remainingMs = 3000;
+    request.targetLatencyMs = targetMs;
+    calls.onRequest(1, request);
+  }
+
+  /// @return the error with which a call was refused, or kNone when it was not.
+  base::ErrorCode refusalOf(int64_t id) {
+    for (const auto& response : network.all<wire::CallResponse>()) {
+      if (response.callId != id) continue;
+      CHECK(response.outcome == wire::CallOutcome::NOT_RUN);
+      return static_cast<base::ErrorCode>(response.errorCode);
+    }
+    return base::ErrorCode::kNone;
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  SilentBackend backend;
+  EndpointCalls calls;
+  std::vector<wire::EndpointState> announced;
+  LocalBackend local;
+};
+
+/// A back end that is asked for its name; the test gives the answers.
+struct AskedBackendFixture : LocalBackendFixture {
+  void askWhenUnsure(bool afterRestart) {
+    local.setIdentityCheck([this](LocalBackend::IdentityCallback done) { questions.push_back(std::move(done)); },
+                           afterRestart);
+  }
+
+  void answer(const std::string& incarnation, bool leaving = false) {
+    REQUIRE(!questions.empty());
+    const auto done = std::move(questions.front());
+    questions.erase(questions.begin());
+    done({incarnation, leaving});
+  }
+
+  std::vector<LocalBackend::IdentityCallback> questions;
+};
+
+}  // namespace driftlug::node
