Tests of connection ends share their small fleet

Cause: two new tests each started and removed the same fleet of processes.

Change: small_fleet holds it; the tests keep their checks.

--- a/test/soak/close_propagation_test.cc
+++ b/test/soak/close_propagation_test.cc
@@ -1,18 +1,16 @@
 /// How soon a back end hears that the caller has gone, over two nodes.
 #include <arpa/inet.h>
-#include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <filesystem>
 #include <map>
 #include <sstream>
 #include <string>
 #include <vector>
 
-#include "fleet.h"
+#include "small_fleet.h"
 
 namespace driftlug::tools
 {
@@ -50,34 +48,13 @@
 {
 public:
 	closing_callers()
+		: m_fleet(options())
 	{
-		char folder[] = "/tmp/driftlug-closes-XXXXXX";
-		REQUIRE(nullptr != ::mkdtemp(folder));
-		m_folder = folder;
-		const auto deployment = readDeployment(DRIFTLUG_SOURCE_DIR "/test/soak/small");
-		REQUIRE(deployment.ok());
-		FleetOptions options;
-		options.binaries = DRIFTLUG_BINARIES;
-		options.report = m_folder;
-		options.emulateLatency = false;
-		options.backendFlags = {"--service-time-us=" + std::to_string(kRunsFor.count()), "--distribution=fixed",
-								std::string("--note-ids=") + kNoted};
-		m_fleet = std::make_unique<Fleet>(*deployment, options);
-		REQUIRE(m_fleet->start().ok());
-	}
-
-	~closing_callers()
-	{
-		m_fleet->stop();
-		std::filesystem::remove_all(m_folder);
 	}
 
 	void startLoad(double _rate, int _durationMs)
 	{
-		LoadOptions load;
-		load.rate = _rate;
-		load.durationMs = _durationMs;
-		m_fleet->startLoad("load", load);
+		m_fleet.startLoad(_rate, _durationMs);
 	}
 
 	void closeMany(int _count)
@@ -126,6 +103,14 @@
 	}
 
 private:
+	static FleetOptions options()
+	{
+		FleetOptions options;
+		options.backendFlags = {"--service-time-us=" + std::to_string(kRunsFor.count()), "--distribution=fixed",
+								std::string("--note-ids=") + kNoted};
+		return options;
+	}
+
 	static std::string idOf(int _call)
 	{
 		return kNoted + std::to_string(_call);
@@ -142,8 +127,7 @@
 		::close(_socket);
 	}
 
-	std::string m_folder;
-	std::unique_ptr<Fleet> m_fleet;
+	small_fleet m_fleet;
 	std::map<std::string, int64_t> m_closed;  //!< When callers closed, in microseconds of the boot clock.
 };
 
--- a/test/soak/silence_detection_test.cc
+++ b/test/soak/silence_detection_test.cc
@@ -1,15 +1,12 @@
 /// How soon each kind of connection is given up once it carries nothing any more, not even its end.
-#include <stdlib.h>
 #include <unistd.h>
 #include <catch2/catch.hpp>
 
-#include <filesystem>
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "fleet.h"
+#include "small_fleet.h"
 #include "soak/link_fault.h"
 
 namespace driftlug::tools
@@ -36,33 +33,13 @@
 {
 public:
 	explicit muted_fleet(int _durationMs)
+		: m_fleet(behindProxy())
 	{
-		char folder[] = "/tmp/driftlug-silence-XXXXXX";
-		REQUIRE(nullptr != ::mkdtemp(folder));
-		m_folder = folder;
-		const auto deployment = readDeployment(DRIFTLUG_SOURCE_DIR "/test/soak/small");
-		REQUIRE(deployment.ok());
-		FleetOptions options;
-		options.binaries = DRIFTLUG_BINARIES;
-		options.report = m_folder;
-		options.emulateLatency = false;
-		options.faultProxy = true;
-		m_fleet = std::make_unique<Fleet>(*deployment, options);
-		REQUIRE(m_fleet->start().ok());
-		LoadOptions load;
-		load.rate = kCallsPerSecond;
-		load.durationMs = _durationMs;
-		m_fleet->startLoad("load", load);
+		m_fleet.startLoad(kCallsPerSecond, _durationMs);
 		::usleep(1'000'000);
 	}
 
-	~muted_fleet()
-	{
-		m_fleet->stop();
-		std::filesystem::remove_all(m_folder);
-	}
-
-	Fleet& fleet()
+	Fleet& fleet() const
 	{
 		return *m_fleet;
 	}
@@ -103,6 +80,13 @@
 	}
 
 private:
+	static FleetOptions behindProxy()
+	{
+		FleetOptions options;
+		options.faultProxy = true;
+		return options;
+	}
+
 	size_t linesOf(const std::string& _process, const std::string& _line) const
 	{
 		const auto output = m_fleet->processes().output(_process);
@@ -114,8 +98,7 @@
 		return count;
 	}
 
-	std::string m_folder;
-	std::unique_ptr<Fleet> m_fleet;
+	small_fleet m_fleet;
 };
 
 std::vector<std::string> namesOf(const std::vector<FleetMember>& _members)
@@ -149,7 +132,7 @@
 		{"node to relay", relay, namesOf(_fleet.allNodes()), ": silent,", base::milliseconds(2500)},
 		// A keep-alive each second, 2 s for its return, looked at each 250 ms.
 		{"relay to controller", leader, {relay}, ": it is silent", base::milliseconds(3800)},
-		{"controller to controller", _fleet.leader(), followers, ": it is silent", base::milliseconds(3800)},
+		{"controller to controller", leader, followers, ": it is silent", base::milliseconds(3800)},
 	};
 }
 
@@ -159,9 +142,10 @@
 	std::map<std::string, std::vector<base::Duration>> delays;
 	for (int round = 0; round < _rounds; ++round)
 	{
-		for (size_t ii = 0; ii < kindsOf(muted.fleet()).size(); ++ii)
+		// Anew for each, since another controller may lead by then.
+		for (size_t position = 0; position < kindsOf(muted.fleet()).size(); ++position)
 		{
-			const auto kind = kindsOf(muted.fleet())[ii];
+			const auto kind = kindsOf(muted.fleet())[position];
 			for (const auto delay : muted.detect(kind))
 			{
 				delays[kind.name].push_back(delay);
