Endpoints that announce their start are connected to at once

The entry nodes' links to them are tried with pauses that grow to 3.2 s while a node is away, and the news that it has started began no attempt: "condition=live" at 8.112 s, links up at 8.415, 9.079, 9.450 and 10.087 s at the four entry nodes.

Ruled out: load (the attempts were not slow, there was none); the nodes (they ran their version 4 ms behind their start); the fault proxy (the first entry node came through it at once).

Change: a state that says live with another incarnation than before begins a connection to its endpoint at once, also in place of an attempt that hangs. The endpoint counts as out of reach until the link is up, so its stand-in stays.

--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -74,12 +74,15 @@
   for (const auto& state : states) {
     const auto known = states_.find(state.endpoint);
     if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
+    const bool starts = state.condition == wire::EndpointCondition::LIVE &&
+                        (known == states_.end() || known->second.incarnation != state.incarnation);
     states_[state.endpoint] = state;
     log_.info("endpoint={} service={} address={}:{} condition={} incarnation={} sequence={}", state.endpoint,
               state.serviceName, state.address, state.port, conditionName(state.condition), state.incarnation,
               state.sequence);
     picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
     announced = announced || !state.address.empty();
+    if (starts) connectAnew(state.endpoint);
   }
   if (announced) chooseSoon();
 }
@@ -229,6 +232,21 @@
   endpointOf_[found->second.connection] = endpoint;
 }
 
+/// Pauses between attempts, and attempts that hang, are those of the time when the node was away: waiting for them left
+/// all endpoints of a service without a link for up to 2.0 s behind their word that they are live (logs of four nodes).
+void EndpointLinks::connectAnew(const std::string& endpoint) {
+  const auto found = links_.find(endpoint);
+  if (found == links_.end() || found->second.open) return;
+  auto& link = found->second;
+  link.failures = std::min(link.failures, 1);  // out of reach until it is up
+  if (link.connection != 0) {
+    endpointOf_.erase(link.connection);
+    network_.close(link.connection);
+    link.connection = 0;
+  }
+  connect(endpoint);
+}
+
 void EndpointLinks::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   const auto endpoint = endpointOf_.find(connection);
   if (endpoint == endpointOf_.end()) return;
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -122,6 +122,7 @@
   void updateLinks();
   void closeLink(const std::string& endpoint);
   void connect(const std::string& endpoint);
+  void connectAnew(const std::string& endpoint);
   void watchLater();
   void watch();
   void watchLink(const std::string& endpoint, Link* link);
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -281,4 +281,68 @@
   CHECK(links->link(name).connection == first);
 }
 
+// Symptom: half a second after all processes were ready again, calls were refused with "no_endpoint" though all four
+// endpoints of their service were announced as live.
+//
+// Sequence: the nodes beside the back ends stop and start again after 3.5 s; the entry nodes' links to them are lost,
+// and are tried again with pauses that have grown to 3.2 s by then. The nodes announce that they are live.
+//
+// Cause: only the pauses decided when a link was tried again; news that its node had started did not.
+//
+// What settled it: "condition=live" at 8.112 s, "link ... up" at 8.415, 9.079, 9.450 and 10.087 s at the four entry
+// nodes; 23 calls refused between 8.389 and 9.161 s, attempts=0.
+struct ReturningFixture : public LinksFixture {
+  ReturningFixture() {
+    target = links->of("records").front();
+    for (int i = 0; i < 6; ++i) {
+      lose();
+      if (i < 5) runFor(base::seconds(4));
+    }
+  }
+
+  base::ConnectionId connection() const {
+    for (const auto& [id, address] : network.connected) {
+      if (address.host == target.address) return id;
+    }
+    return 0;
+  }
+
+  void lose() {
+    const auto id = connection();
+    network.connected.erase(id);
+    links->onClose(id);
+  }
+
+  void announce(int64_t incarnation, wire::EndpointCondition::type condition) {
+    auto state = endpointState(std::stoi(target.name.substr(std::string("endpoint-").size())), condition);
+    state.incarnation = incarnation;
+    links->onStates({state});
+  }
+
+  routing::EndpointTarget target;
+};
+
+TEST_CASE_METHOD(ReturningFixture, "an endpoint that announces its start is connected to at once") {
+  REQUIRE(connection() == 0);
+  announce(2, wire::EndpointCondition::LIVE);
+  CHECK(connection() != 0);
+}
+
+TEST_CASE_METHOD(ReturningFixture, "an attempt that hangs is not waited for when its endpoint announces its start") {
+  runFor(base::seconds(4));
+  const auto hanging = connection();
+  REQUIRE(hanging != 0);
+  announce(1, wire::EndpointCondition::LIVE);  // as known
+  CHECK(connection() == hanging);
+  announce(2, wire::EndpointCondition::LIVE);
+  CHECK(network.closed.count(hanging) == 1);
+  CHECK(connection() != 0);
+}
+
+TEST_CASE_METHOD(ReturningFixture, "news of an endpoint that drains or is gone begin no connection") {
+  announce(2, wire::EndpointCondition::DRAINING);
+  announce(3, wire::EndpointCondition::GONE);
+  CHECK(connection() == 0);
+}
+
 }  // namespace driftlug::node
