The first word of an endpoint doesn't begin its attempt twice

Cause: news that an endpoint has started ended the attempt under way and began another. A node that has just started hears the first word of every endpoint of its tables right behind its first attempts, and so began each of them twice.

Change: only a start that this node sees, one of another incarnation than before, ends an attempt; the first word ends a pause between attempts alone. Two small functions in place of one that did both.

Ruled out: ages of attempts, as links between relays keep them; the first word tells all that is needed.

Conclusion: nothing is begun twice at a start; an attempt that hangs is still ended when its node comes back.

--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -1,6 +1,7 @@
 #include "node/endpoint_links.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "membership/endpoint_directory.h"
 
@@ -74,15 +75,18 @@
   for (const auto& state : states) {
     const auto known = states_.find(state.endpoint);
     if (known != states_.end() && !membership::supersedes(state, known->second)) continue;
+    const bool firstWord = known == states_.end();
     const bool starts = state.condition == wire::EndpointCondition::LIVE &&
-                        (known == states_.end() || known->second.incarnation != state.incarnation);
+                        (firstWord || known->second.incarnation != state.incarnation);
     states_[state.endpoint] = state;
     log_.info("endpoint={} service={} address={}:{} condition={} incarnation={} sequence={}", state.endpoint,
               state.serviceName, state.address, state.port, conditionName(state.condition), state.incarnation,
               state.sequence);
     picker_.setAvailable(state.endpoint, state.condition == wire::EndpointCondition::LIVE);
     announced = announced || !state.address.empty();
-    if (starts) connectAnew(state.endpoint);
+    // Of what lived before this node started, attempts have just begun: they are not begun twice.
+    if (starts && !firstWord) dropAttempt(state.endpoint);
+    if (starts) endPause(state.endpoint);
   }
   if (announced) chooseSoon();
 }
@@ -234,19 +238,21 @@
 
 /// Pauses between attempts, and attempts that hang, are those of the time when the node was away: waiting for them left
 /// all endpoints of a service without a link for up to 2.0 s behind their word that they are live (logs of four nodes).
-void EndpointLinks::connectAnew(const std::string& endpoint) {
+void EndpointLinks::endPause(const std::string& endpoint) {
   const auto found = links_.find(endpoint);
   if (found == links_.end() || found->second.open) return;
-  auto& link = found->second;
-  link.failures = std::min(link.failures, 1);  // out of reach until it is up
-  if (link.connection != 0) {
-    endpointOf_.erase(link.connection);
-    network_.close(link.connection);
-    link.connection = 0;
-  }
+  found->second.failures = std::min(found->second.failures, 1);  // out of reach until it is up
   connect(endpoint);
 }
 
+void EndpointLinks::dropAttempt(const std::string& endpoint) {
+  const auto found = links_.find(endpoint);
+  if (found == links_.end() || found->second.open || found->second.connection == 0) return;
+  const auto attempt = std::exchange(found->second.connection, 0);
+  endpointOf_.erase(attempt);
+  network_.close(attempt);
+}
+
 void EndpointLinks::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   const auto endpoint = endpointOf_.find(connection);
   if (endpoint == endpointOf_.end()) return;
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -122,7 +122,8 @@
   void updateLinks();
   void closeLink(const std::string& endpoint);
   void connect(const std::string& endpoint);
-  void connectAnew(const std::string& endpoint);
+  void endPause(const std::string& endpoint);
+  void dropAttempt(const std::string& endpoint);
   void watchLater();
   void watch();
   void watchLink(const std::string& endpoint, Link* link);
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -6,6 +6,7 @@
 
 #include "recording_network.h"
 #include "simulation/process.h"
+#include "table_rows.h"
 
 namespace driftlug::node {
 namespace {
@@ -345,4 +346,40 @@
   CHECK(connection() == 0);
 }
 
+/// A node that has just started: it has its version, and the attempts of its links are under way or have failed.
+struct FirstWordFixture : public LinksFixture {
+  FirstWordFixture() {
+    table::Table rows;
+    rows.put(test::serviceRow("archive", 1));
+    rows.put(test::endpointRow("archive-1", "archive", 1));
+    const auto before = network.connected;
+    links->useTable(std::make_shared<routing::RoutingTable>(rows, 1));
+    REQUIRE(network.connected.size() == before.size() + 1);
+    attempt = network.connected.rbegin()->first;
+  }
+
+  void tellThatItLives() {
+    auto state = endpointState(1, wire::EndpointCondition::LIVE);
+    state.endpoint = "archive-1";
+    state.serviceName = "archive";
+    state.address.clear();  // it stands in the table
+    links->onStates({state});
+  }
+
+  base::ConnectionId attempt = 0;
+};
+
+TEST_CASE_METHOD(FirstWordFixture, "the first word of an endpoint lets the attempt be that is under way") {
+  tellThatItLives();
+  CHECK(network.closed.count(attempt) == 0);
+  CHECK(network.connected.rbegin()->first == attempt);
+}
+
+TEST_CASE_METHOD(FirstWordFixture, "the first word of an endpoint ends the pause behind a failed attempt") {
+  network.connected.erase(attempt);
+  links->onClose(attempt);
+  tellThatItLives();
+  CHECK(network.connected.rbegin()->first > attempt);
+}
+
 }  // namespace driftlug::node
