--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -116,6 +116,16 @@
       return "request_held";
     case ErrorCode::kOnProbation:
       return "on_probation";
+    case ErrorCode::kUnknownKey:
+      return "unknown_key";
+    case ErrorCode::kOverQuota:
+      return "over_quota";
+    case ErrorCode::kQuotaUnavailable:
+      return "quota_unavailable";
+    case ErrorCode::kZoneEvacuated:
+      return "zone_evacuated";
+    case ErrorCode::kBackendCold:
+      return "backend_cold";
     case ErrorCode::kVersionNotReleased:
       return "version_not_released";
     case ErrorCode::kStaleRequest:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -52,6 +52,11 @@
   kOnProbation = 54,
   kStaleRequest = 55,
   kVersionNotReleased = 56,
+  kUnknownKey = 57,
+  kOverQuota = 58,
+  kQuotaUnavailable = 59,
+  kZoneEvacuated = 60,
+  kBackendCold = 61,
 };
 
 /// @return the stable lower-case name of a code, as it appears in JSON bodies and logs.
--- a/src/simulation/traffic.cc
+++ b/src/simulation/traffic.cc
@@ -13,7 +13,7 @@
       "SliceRejected",  "NodeHeartbeat",    "RetryLater",        "RelayHeld",     "EndpointStates", "CallRequest",
       "CallResponse",   "CallCancel",       "KeepAlive",         "LedgerRequest", "LedgerReply",    "MemberList",
       "RelayList",      "StartCompression", "CallBodyGrant",     "CallBodyPiece", "CallAccepted",   "PackedFrame",
-      "CallWithdraw",   "CrashReports",     "VersionReports",    "SeenVersions"};
+      "CallWithdraw",   "CrashReports",     "VersionReports",    "SeenVersions",  "QuotaAsk",       "QuotaGrant"};
   static_assert(std::size(kNames) == kMessageKinds);
   return kind < kMessageKinds ? kNames[kind] : "unknown";
 }
--- a/src/table/row.cc
+++ b/src/table/row.cc
@@ -22,6 +22,8 @@
     {RowKind::INGRESS, "ingress"},
     {RowKind::NOTE, "note"},
     {RowKind::ROLLOUT, "rollout"},
+    {RowKind::TENANT, "tenant"},
+    {RowKind::EVACUATION, "evacuation"},
 };
 
 XXH128_hash_t hashRow(const Row& row) {
@@ -57,7 +59,7 @@
 bool bodyMatchesKind(const Row& row) {
   const auto& set = row.__isset;
   const int bodies = set.serviceRow + set.endpointRow + set.routeRow + set.limitRow + set.retryPolicyRow +
-                     set.secretRow + set.ingressRow + set.noteRow + set.rolloutRow;
+                     set.secretRow + set.ingressRow + set.noteRow + set.rolloutRow + set.tenantRow + set.evacuationRow;
   if (row.deleted) return bodies == 0;
   if (bodies != 1) return false;
   switch (row.key.kind) {
@@ -79,6 +81,10 @@
       return set.noteRow;
     case RowKind::ROLLOUT:
       return set.rolloutRow;
+    case RowKind::TENANT:
+      return set.tenantRow;
+    case RowKind::EVACUATION:
+      return set.evacuationRow;
   }
   return false;
 }
--- a/src/table/row_json.cc
+++ b/src/table/row_json.cc
@@ -30,6 +30,20 @@
     *value = static_cast<int32_t>(wide);
   }
 
+  /// @return whether the field is there
+  bool fraction(const char* name, double* value) {
+    const auto* field = take(name);
+    if (field == nullptr) return false;
+    if (!field->is_number()) {
+      fail(name, "must be a number");
+      return false;
+    }
+    *value = field->get<double>();
+    return true;
+  }
+
+  bool has(const char* name) const { return fields_.contains(name); }
+
   void wideNumber(const char* name, int64_t* value) {
     const auto* field = take(name);
     if (field == nullptr) return;
@@ -126,6 +140,8 @@
     out["health_path"] = row.serviceRow.healthPath;
     out["protocol"] = row.serviceRow.protocol;
     out["tls"] = row.serviceRow.tls;
+    if (row.serviceRow.__isset.coldStartS) out["cold_start_s"] = row.serviceRow.coldStartS;
+    if (row.serviceRow.__isset.coldPerS) out["cold_per_s"] = row.serviceRow.coldPerS;
   }
   if (row.__isset.endpointRow) {
     out["service"] = row.endpointRow.serviceName;
@@ -147,6 +163,9 @@
     out["target_latency_ms"] = row.routeRow.targetLatencyMs;
     out["priority"] = row.routeRow.priority;
     out["large_bodies"] = row.routeRow.largeBodies;
+    out["large_answers"] = row.routeRow.largeAnswers;
+    if (row.routeRow.__isset.keyless) out["keyless"] = row.routeRow.keyless;
+    if (row.routeRow.__isset.regions) out["regions"] = row.routeRow.regions;
   }
   if (row.__isset.limitRow) {
     out["service"] = row.limitRow.serviceName;
@@ -174,6 +193,18 @@
     out["elapsed_ms"] = row.rolloutRow.elapsedMs;
     out["reason"] = row.rolloutRow.reason;
   }
+  if (row.__isset.tenantRow) {
+    const auto& tenant = row.tenantRow;
+    if (withSecretValue) {
+      out["keys"] = tenant.keys;
+    } else {
+      out["key_count"] = tenant.keys.size();
+    }
+    if (tenant.__isset.priority) out["priority"] = tenant.priority;
+    if (tenant.__isset.ratePerS) out["rate_per_s"] = tenant.ratePerS;
+    if (tenant.__isset.burst) out["burst"] = tenant.burst;
+    if (tenant.__isset.regions) out["regions"] = tenant.regions;
+  }
   if (row.__isset.secretRow) {
     if (withSecretValue) {
       out["value"] = row.secretRow.value;
@@ -198,6 +229,8 @@
       reader.text("health_path", &row.serviceRow.healthPath);
       reader.text("protocol", &row.serviceRow.protocol);
       reader.flag("tls", &row.serviceRow.tls);
+      row.serviceRow.__isset.coldStartS = reader.fraction("cold_start_s", &row.serviceRow.coldStartS);
+      row.serviceRow.__isset.coldPerS = reader.fraction("cold_per_s", &row.serviceRow.coldPerS);
       break;
     case RowKind::ENDPOINT:
       row.__isset.endpointRow = true;
@@ -222,6 +255,11 @@
       reader.number("target_latency_ms", &row.routeRow.targetLatencyMs);
       reader.number("priority", &row.routeRow.priority);
       reader.flag("large_bodies", &row.routeRow.largeBodies);
+      reader.flag("large_answers", &row.routeRow.largeAnswers);
+      row.routeRow.__isset.keyless = reader.has("keyless");
+      reader.flag("keyless", &row.routeRow.keyless);
+      row.routeRow.__isset.regions = reader.has("regions");
+      reader.names("regions", &row.routeRow.regions);
       break;
     case RowKind::LIMIT:
       row.__isset.limitRow = true;
@@ -249,6 +287,19 @@
       row.__isset.noteRow = true;
       reader.text("text", &row.noteRow.text);
       break;
+    case RowKind::TENANT:
+      row.__isset.tenantRow = true;
+      reader.names("keys", &row.tenantRow.keys);
+      row.tenantRow.__isset.priority = reader.has("priority");
+      reader.number("priority", &row.tenantRow.priority);
+      row.tenantRow.__isset.ratePerS = reader.fraction("rate_per_s", &row.tenantRow.ratePerS);
+      row.tenantRow.__isset.burst = reader.fraction("burst", &row.tenantRow.burst);
+      row.tenantRow.__isset.regions = reader.has("regions");
+      reader.names("regions", &row.tenantRow.regions);
+      break;
+    case RowKind::EVACUATION:
+      row.__isset.evacuationRow = true;
+      break;
     case RowKind::ROLLOUT:
       return makeError(ErrorCode::kBadRequestBody, keyText(key) + ": is changed by orders only");
     default:
--- a/src/table/slice.cc
+++ b/src/table/slice.cc
@@ -31,6 +31,11 @@
 /// Stands among the hosts of an interest for every host.
 constexpr char kEveryHost[] = "*";
 
+/// Rows that concern every node, whatever routes it serves.
+bool isForAll(RowKind::type kind) {
+  return kind == RowKind::INGRESS || kind == RowKind::TENANT || kind == RowKind::EVACUATION;
+}
+
 bool hasName(const std::vector<std::string>& sorted, const std::string& name) {
   return std::binary_search(sorted.begin(), sorted.end(), name);
 }
@@ -41,7 +46,7 @@
   KeySet keys;
   const bool everyHost = hasName(interest.hosts, kEveryHost);
   for (const auto& [key, row] : table.rows()) {
-    if (key.kind == RowKind::INGRESS) keys.insert(key);
+    if (isForAll(key.kind)) keys.insert(key);
     if (key.kind == RowKind::ROUTE && everyHost) addRoute(table, key.name, &keys);
   }
   for (const auto& host : interest.hosts) {
@@ -62,7 +67,7 @@
 bool Slice::mayContain(const Row& row, const Row* previous) const {
   if (members_.count(row.key) > 0) return true;
   const auto touches = [&](const Row& candidate) {
-    if (candidate.__isset.ingressRow) return true;
+    if (isForAll(candidate.key.kind)) return true;
     if (candidate.__isset.routeRow) {
       return hasName(interest_.hosts, kEveryHost) || hasName(interest_.hosts, candidate.routeRow.host);
     }
--- a/src/table/validator.cc
+++ b/src/table/validator.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
 #include <cctype>
 #include <string>
 
@@ -83,6 +84,42 @@
   }
 }
 
+void checkRate(const char* field, double value, RowProblems* problems) {
+  // Written so that a number that is none fails too.
+  if (!(value >= 0 && value <= kMaxRatePerS)) {
+    problems->add(field, ProblemKind::kOutOfRange, "must be a number from 0 on");
+  }
+}
+
+void checkTenant(const wire::TenantRow& tenant, RowProblems* problems) {
+  std::set<std::string> seen;
+  for (const auto& key : tenant.keys) {
+    if (key.empty() || key.size() > kMaxSecretBytes) {
+      problems->add("keys", ProblemKind::kOutOfRange, "a key is empty or too long");
+    } else if (!seen.insert(key).second) {
+      problems->add("keys", ProblemKind::kDuplicateMatch, "a key stands twice");
+    }
+  }
+  if (tenant.__isset.priority) problems->range("priority", tenant.priority, 0, kMaxPriority);
+  if (tenant.__isset.ratePerS) checkRate("rate_per_s", tenant.ratePerS, problems);
+  if (tenant.__isset.burst) checkRate("burst", tenant.burst, problems);
+}
+
+/// A key that two tenants hold would make it a matter of luck whose requests are counted.
+void checkSharedKeys(const Table& table, std::vector<Problem>* problems) {
+  std::map<std::string_view, std::string_view> holders;  // tenants by key
+  for (auto item = table.rows().lower_bound(makeKey(RowKind::TENANT, "")); item != table.rows().end(); ++item) {
+    const auto& [rowKey, row] = *item;
+    if (rowKey.kind != RowKind::TENANT) break;
+    for (const auto& key : row->tenantRow.keys) {
+      const auto holder = holders.try_emplace(key, rowKey.name).first->second;
+      if (holder == rowKey.name) continue;
+      RowProblems(rowKey, problems)
+          .add("keys", ProblemKind::kDuplicateMatch, "tenant " + std::string(holder) + " holds one of the keys");
+    }
+  }
+}
+
 /// Equal match conditions are an error; the order (longest prefix, then exact method) decides all others.
 void checkOtherRoutes(const Row& row, const Table& table, RowProblems* problems) {
   for (const auto& name : table.routesMatchingLike(row.routeRow)) {
@@ -148,12 +185,15 @@
   if (row.__isset.routeRow) checkRoute(row.routeRow, &out);
   if (row.__isset.serviceRow) {
     out.range("max_connections", row.serviceRow.maxConnections, 0, kMaxConnectionsLimit);
+    if (row.serviceRow.__isset.coldStartS) checkRate("cold_start_s", row.serviceRow.coldStartS, &out);
+    if (row.serviceRow.__isset.coldPerS) checkRate("cold_per_s", row.serviceRow.coldPerS, &out);
   }
   if (row.__isset.ingressRow) checkIngress(row.ingressRow, &out);
   if (row.__isset.noteRow && row.noteRow.text.size() > kMaxNoteBytes) {
     out.add("text", ProblemKind::kOutOfRange, "is too long");
   }
   if (row.__isset.rolloutRow) checkRollout(row.rolloutRow, &out);
+  if (row.__isset.tenantRow) checkTenant(row.tenantRow, &out);
   if (row.__isset.limitRow) {
     out.range("max_concurrent", row.limitRow.maxConcurrent, 1, kMaxConcurrentLimit);
     out.range("max_queued", row.limitRow.maxQueued, 0, kMaxQueuedLimit);
@@ -188,6 +228,9 @@
 
 std::vector<Problem> checkEdit(const Table& table, const std::vector<RowKey>& changed) {
   std::vector<Problem> problems;
+  const bool tenants =
+      std::any_of(changed.begin(), changed.end(), [](const RowKey& key) { return key.kind == RowKind::TENANT; });
+  if (tenants) checkSharedKeys(table, &problems);
   for (const auto& key : changed) {
     const auto row = table.find(key);
     if (!row) {
--- a/src/table/validator.h
+++ b/src/table/validator.h
@@ -43,6 +43,8 @@
 constexpr size_t kMaxNoteBytes = 64 << 10;
 constexpr size_t kMaxNameBytes = 200;
 constexpr size_t kMaxSecretBytes = 64 << 10;
+/// Of a tenant's requests; beyond what any fleet carries, and far from overflow.
+constexpr double kMaxRatePerS = 1e9;
 
 /// Checks the fields of one row by themselves.
 void checkRow(const Row& row, std::vector<Problem>* problems);
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -14,7 +14,9 @@
   SECRET = 6,
   INGRESS = 7,
   NOTE = 8,
-  ROLLOUT = 9
+  ROLLOUT = 9,
+  TENANT = 10,
+  EVACUATION = 11
 }
 
 /** How far the newest order to move a service to another version has come. */
@@ -48,6 +50,10 @@
   4: string healthPath
   5: string protocol
   6: bool tls
+  /** For how long back ends are slow from a start under traffic, in seconds; unset where nothing is said. */
+  7: optional double coldStartS
+  /** Requests a second that a cold back end bears; unset or 0 where nothing is said. */
+  8: optional double coldPerS
 }
 
 /** One back end, reached through the node that runs beside it. */
@@ -80,6 +86,12 @@
   11: i32 priority
   /** Requests have large bodies; a matter of how they are carried, not of whether they may be repeated. */
   12: bool largeBodies
+  /** Answers have large bodies. */
+  13: bool largeAnswers
+  /** Callers need no key where this is true, though there are tenants; unset where nothing is said. */
+  14: optional bool keyless
+  /** Regions whose back ends may serve the route; any where it is unset. */
+  15: optional list<string> regions
 }
 
 /** Concurrency bound of every endpoint of a service, enforced at the endpoint's node. */
@@ -113,6 +125,23 @@
   1: string text
 }
 
+/** Those whose requests are told by a key, and what they may send. */
+struct TenantRow {
+  1: list<string> keys
+  /** Goes before the priority of the route; unset where nothing is said. */
+  2: optional i32 priority
+  /** Requests a second over all nodes; unset or 0 for no limit. */
+  3: optional double ratePerS
+  /** Requests at once beyond the rate. */
+  4: optional double burst
+  /** Regions whose back ends may serve the tenant; any where it is unset. */
+  5: optional list<string> regions
+}
+
+/** Back ends of a zone take no requests while this row stands; named like the zone. */
+struct EvacuationRow {
+}
+
 /** Which versions of a service's back ends take requests; named like the service. */
 struct RolloutRow {
   /** Takes all requests but the share of the target. */
@@ -152,6 +181,8 @@
   10: optional IngressRow ingressRow
   11: optional NoteRow noteRow
   12: optional RolloutRow rolloutRow
+  13: optional TenantRow tenantRow
+  14: optional EvacuationRow evacuationRow
 }
 
 /** Order-independent digest over the rows of a slice. */
@@ -337,6 +368,8 @@
   15: bool takesCrashReports
   /** Whether reports of versions are understood. */
   16: bool takesVersionReports
+  /** Whether questions about quotas are answered. */
+  17: bool grantsQuotas
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -688,6 +721,31 @@
   2: binary data
 }
 
+/** Requests of a tenant that wait for a permit. */
+struct QuotaDemand {
+  1: string tenant
+  2: i32 count
+}
+
+/** Asks for permits; from a node to its relay, from a relay to the leader. */
+struct QuotaAsk {
+  1: list<QuotaDemand> demands
+}
+
+/** What became of requests that waited, those that had waited longest first. */
+struct QuotaDecision {
+  1: string tenant
+  2: i32 granted
+  /** Beyond the limit; these follow those that were granted. */
+  3: i32 denied
+  /** After how long another one may be granted, where some were denied. */
+  4: i32 retryAfterMs
+}
+
+struct QuotaGrant {
+  1: list<QuotaDecision> decisions
+}
+
 /** The members of the replicated log as a controller knows them, for those that look for them. */
 struct MemberList {
   1: list<Member> members
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -20,7 +20,7 @@
                  ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied, SliceRejected, NodeHeartbeat, RetryLater,
                  RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel, KeepAlive, LedgerRequest,
                  LedgerReply, MemberList, RelayList, StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted,
-                 PackedFrame, CallWithdraw, CrashReports, VersionReports, SeenVersions>;
+                 PackedFrame, CallWithdraw, CrashReports, VersionReports, SeenVersions, QuotaAsk, QuotaGrant>;
 
 /// An encoded frame, shared between the connections it is sent on.
 using FramePtr = std::shared_ptr<const std::string>;
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -22,7 +22,9 @@
   RowKind::SECRET,
   RowKind::INGRESS,
   RowKind::NOTE,
-  RowKind::ROLLOUT
+  RowKind::ROLLOUT,
+  RowKind::TENANT,
+  RowKind::EVACUATION
 };
 const char* _kRowKindNames[] = {
   "SERVICE",
@@ -33,9 +35,11 @@
   "SECRET",
   "INGRESS",
   "NOTE",
-  "ROLLOUT"
+  "ROLLOUT",
+  "TENANT",
+  "EVACUATION"
 };
-const std::map<int, const char*> _RowKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(9, _kRowKindValues, _kRowKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _RowKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(11, _kRowKindValues, _kRowKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const RowKind::type& val) {
   std::map<int, const char*>::const_iterator it = _RowKind_VALUES_TO_NAMES.find(val);
@@ -477,6 +481,16 @@
 void ServiceRow::__set_tls(const bool val) {
   this->tls = val;
 }
+
+void ServiceRow::__set_coldStartS(const double val) {
+  this->coldStartS = val;
+__isset.coldStartS = true;
+}
+
+void ServiceRow::__set_coldPerS(const double val) {
+  this->coldPerS = val;
+__isset.coldPerS = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceRow& obj)
 {
   obj.printTo(out);
@@ -565,6 +579,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldStartS);
+          this->__isset.coldStartS = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldPerS);
+          this->__isset.coldPerS = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -614,6 +644,16 @@
   xfer += oprot->writeBool(this->tls);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.coldStartS) {
+    xfer += oprot->writeFieldBegin("coldStartS", ::apache::thrift::protocol::T_DOUBLE, 7);
+    xfer += oprot->writeDouble(this->coldStartS);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.coldPerS) {
+    xfer += oprot->writeFieldBegin("coldPerS", ::apache::thrift::protocol::T_DOUBLE, 8);
+    xfer += oprot->writeDouble(this->coldPerS);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -627,6 +667,8 @@
   swap(a.healthPath, b.healthPath);
   swap(a.protocol, b.protocol);
   swap(a.tls, b.tls);
+  swap(a.coldStartS, b.coldStartS);
+  swap(a.coldPerS, b.coldPerS);
   swap(a.__isset, b.__isset);
 }
 
@@ -637,6 +679,8 @@
   healthPath = other11.healthPath;
   protocol = other11.protocol;
   tls = other11.tls;
+  coldStartS = other11.coldStartS;
+  coldPerS = other11.coldPerS;
   __isset = other11.__isset;
 }
 ServiceRow::ServiceRow(ServiceRow&& other12) noexcept {
@@ -646,6 +690,8 @@
   healthPath = std::move(other12.healthPath);
   protocol = std::move(other12.protocol);
   tls = other12.tls;
+  coldStartS = other12.coldStartS;
+  coldPerS = other12.coldPerS;
   __isset = other12.__isset;
 }
 ServiceRow& ServiceRow::operator=(const ServiceRow& other13) {
@@ -655,6 +701,8 @@
   healthPath = other13.healthPath;
   protocol = other13.protocol;
   tls = other13.tls;
+  coldStartS = other13.coldStartS;
+  coldPerS = other13.coldPerS;
   __isset = other13.__isset;
   return *this;
 }
@@ -665,6 +713,8 @@
   healthPath = std::move(other14.healthPath);
   protocol = std::move(other14.protocol);
   tls = other14.tls;
+  coldStartS = other14.coldStartS;
+  coldPerS = other14.coldPerS;
   __isset = other14.__isset;
   return *this;
 }
@@ -677,6 +727,8 @@
   out << ", " << "healthPath=" << to_string(healthPath);
   out << ", " << "protocol=" << to_string(protocol);
   out << ", " << "tls=" << to_string(tls);
+  out << ", " << "coldStartS="; (__isset.coldStartS ? (out << to_string(coldStartS)) : (out << "<null>"));
+  out << ", " << "coldPerS="; (__isset.coldPerS ? (out << to_string(coldPerS)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1044,6 +1096,20 @@
 void RouteRow::__set_largeBodies(const bool val) {
   this->largeBodies = val;
 }
+
+void RouteRow::__set_largeAnswers(const bool val) {
+  this->largeAnswers = val;
+}
+
+void RouteRow::__set_keyless(const bool val) {
+  this->keyless = val;
+__isset.keyless = true;
+}
+
+void RouteRow::__set_regions(const std::vector<std::string> & val) {
+  this->regions = val;
+__isset.regions = true;
+}
 std::ostream& operator<<(std::ostream& out, const RouteRow& obj)
 {
   obj.printTo(out);
@@ -1204,6 +1270,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->largeAnswers);
+          this->__isset.largeAnswers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keyless);
+          this->__isset.keyless = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->regions.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->regions.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += iprot->readString(this->regions[_i42]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.regions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1236,10 +1338,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<WeightedService> ::const_iterator _iter38;
-    for (_iter38 = this->shares.begin(); _iter38 != this->shares.end(); ++_iter38)
+    std::vector<WeightedService> ::const_iterator _iter43;
+    for (_iter43 = this->shares.begin(); _iter43 != this->shares.end(); ++_iter43)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1248,10 +1350,10 @@
   xfer += oprot->writeFieldBegin("requiredServices", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->requiredServices.size()));
-    std::vector<std::string> ::const_iterator _iter39;
-    for (_iter39 = this->requiredServices.begin(); _iter39 != this->requiredServices.end(); ++_iter39)
+    std::vector<std::string> ::const_iterator _iter44;
+    for (_iter44 = this->requiredServices.begin(); _iter44 != this->requiredServices.end(); ++_iter44)
     {
-      xfer += oprot->writeString((*_iter39));
+      xfer += oprot->writeString((*_iter44));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1260,10 +1362,10 @@
   xfer += oprot->writeFieldBegin("requiredSecrets", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->requiredSecrets.size()));
-    std::vector<std::string> ::const_iterator _iter40;
-    for (_iter40 = this->requiredSecrets.begin(); _iter40 != this->requiredSecrets.end(); ++_iter40)
+    std::vector<std::string> ::const_iterator _iter45;
+    for (_iter45 = this->requiredSecrets.begin(); _iter45 != this->requiredSecrets.end(); ++_iter45)
     {
-      xfer += oprot->writeString((*_iter40));
+      xfer += oprot->writeString((*_iter45));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1293,6 +1395,28 @@
   xfer += oprot->writeBool(this->largeBodies);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("largeAnswers", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->largeAnswers);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.keyless) {
+    xfer += oprot->writeFieldBegin("keyless", ::apache::thrift::protocol::T_BOOL, 14);
+    xfer += oprot->writeBool(this->keyless);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.regions) {
+    xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
+      std::vector<std::string> ::const_iterator _iter46;
+      for (_iter46 = this->regions.begin(); _iter46 != this->regions.end(); ++_iter46)
+      {
+        xfer += oprot->writeString((*_iter46));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1312,69 +1436,84 @@
   swap(a.targetLatencyMs, b.targetLatencyMs);
   swap(a.priority, b.priority);
   swap(a.largeBodies, b.largeBodies);
+  swap(a.largeAnswers, b.largeAnswers);
+  swap(a.keyless, b.keyless);
+  swap(a.regions, b.regions);
   swap(a.__isset, b.__isset);
 }
 
-RouteRow::RouteRow(const RouteRow& other41) {
-  host = other41.host;
-  pathPrefix = other41.pathPrefix;
-  method = other41.method;
-  shares = other41.shares;
-  requiredServices = other41.requiredServices;
-  requiredSecrets = other41.requiredSecrets;
-  repeatable = other41.repeatable;
-  timeoutMs = other41.timeoutMs;
-  maxAttempts = other41.maxAttempts;
-  targetLatencyMs = other41.targetLatencyMs;
-  priority = other41.priority;
-  largeBodies = other41.largeBodies;
-  __isset = other41.__isset;
-}
-RouteRow::RouteRow(RouteRow&& other42) noexcept {
-  host = std::move(other42.host);
-  pathPrefix = std::move(other42.pathPrefix);
-  method = std::move(other42.method);
-  shares = std::move(other42.shares);
-  requiredServices = std::move(other42.requiredServices);
-  requiredSecrets = std::move(other42.requiredSecrets);
-  repeatable = other42.repeatable;
-  timeoutMs = other42.timeoutMs;
-  maxAttempts = other42.maxAttempts;
-  targetLatencyMs = other42.targetLatencyMs;
-  priority = other42.priority;
-  largeBodies = other42.largeBodies;
-  __isset = other42.__isset;
-}
-RouteRow& RouteRow::operator=(const RouteRow& other43) {
-  host = other43.host;
-  pathPrefix = other43.pathPrefix;
-  method = other43.method;
-  shares = other43.shares;
-  requiredServices = other43.requiredServices;
-  requiredSecrets = other43.requiredSecrets;
-  repeatable = other43.repeatable;
-  timeoutMs = other43.timeoutMs;
-  maxAttempts = other43.maxAttempts;
-  targetLatencyMs = other43.targetLatencyMs;
-  priority = other43.priority;
-  largeBodies = other43.largeBodies;
-  __isset = other43.__isset;
-  return *this;
-}
-RouteRow& RouteRow::operator=(RouteRow&& other44) noexcept {
-  host = std::move(other44.host);
-  pathPrefix = std::move(other44.pathPrefix);
-  method = std::move(other44.method);
-  shares = std::move(other44.shares);
-  requiredServices = std::move(other44.requiredServices);
-  requiredSecrets = std::move(other44.requiredSecrets);
-  repeatable = other44.repeatable;
-  timeoutMs = other44.timeoutMs;
-  maxAttempts = other44.maxAttempts;
-  targetLatencyMs = other44.targetLatencyMs;
-  priority = other44.priority;
-  largeBodies = other44.largeBodies;
-  __isset = other44.__isset;
+RouteRow::RouteRow(const RouteRow& other47) {
+  host = other47.host;
+  pathPrefix = other47.pathPrefix;
+  method = other47.method;
+  shares = other47.shares;
+  requiredServices = other47.requiredServices;
+  requiredSecrets = other47.requiredSecrets;
+  repeatable = other47.repeatable;
+  timeoutMs = other47.timeoutMs;
+  maxAttempts = other47.maxAttempts;
+  targetLatencyMs = other47.targetLatencyMs;
+  priority = other47.priority;
+  largeBodies = other47.largeBodies;
+  largeAnswers = other47.largeAnswers;
+  keyless = other47.keyless;
+  regions = other47.regions;
+  __isset = other47.__isset;
+}
+RouteRow::RouteRow(RouteRow&& other48) noexcept {
+  host = std::move(other48.host);
+  pathPrefix = std::move(other48.pathPrefix);
+  method = std::move(other48.method);
+  shares = std::move(other48.shares);
+  requiredServices = std::move(other48.requiredServices);
+  requiredSecrets = std::move(other48.requiredSecrets);
+  repeatable = other48.repeatable;
+  timeoutMs = other48.timeoutMs;
+  maxAttempts = other48.maxAttempts;
+  targetLatencyMs = other48.targetLatencyMs;
+  priority = other48.priority;
+  largeBodies = other48.largeBodies;
+  largeAnswers = other48.largeAnswers;
+  keyless = other48.keyless;
+  regions = std::move(other48.regions);
+  __isset = other48.__isset;
+}
+RouteRow& RouteRow::operator=(const RouteRow& other49) {
+  host = other49.host;
+  pathPrefix = other49.pathPrefix;
+  method = other49.method;
+  shares = other49.shares;
+  requiredServices = other49.requiredServices;
+  requiredSecrets = other49.requiredSecrets;
+  repeatable = other49.repeatable;
+  timeoutMs = other49.timeoutMs;
+  maxAttempts = other49.maxAttempts;
+  targetLatencyMs = other49.targetLatencyMs;
+  priority = other49.priority;
+  largeBodies = other49.largeBodies;
+  largeAnswers = other49.largeAnswers;
+  keyless = other49.keyless;
+  regions = other49.regions;
+  __isset = other49.__isset;
+  return *this;
+}
+RouteRow& RouteRow::operator=(RouteRow&& other50) noexcept {
+  host = std::move(other50.host);
+  pathPrefix = std::move(other50.pathPrefix);
+  method = std::move(other50.method);
+  shares = std::move(other50.shares);
+  requiredServices = std::move(other50.requiredServices);
+  requiredSecrets = std::move(other50.requiredSecrets);
+  repeatable = other50.repeatable;
+  timeoutMs = other50.timeoutMs;
+  maxAttempts = other50.maxAttempts;
+  targetLatencyMs = other50.targetLatencyMs;
+  priority = other50.priority;
+  largeBodies = other50.largeBodies;
+  largeAnswers = other50.largeAnswers;
+  keyless = other50.keyless;
+  regions = std::move(other50.regions);
+  __isset = other50.__isset;
   return *this;
 }
 void RouteRow::printTo(std::ostream& out) const {
@@ -1392,6 +1531,9 @@
   out << ", " << "targetLatencyMs=" << to_string(targetLatencyMs);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "largeBodies=" << to_string(largeBodies);
+  out << ", " << "largeAnswers=" << to_string(largeAnswers);
+  out << ", " << "keyless="; (__isset.keyless ? (out << to_string(keyless)) : (out << "<null>"));
+  out << ", " << "regions="; (__isset.regions ? (out << to_string(regions)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1505,30 +1647,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitRow::LimitRow(const LimitRow& other45) {
-  serviceName = other45.serviceName;
-  maxConcurrent = other45.maxConcurrent;
-  maxQueued = other45.maxQueued;
-  __isset = other45.__isset;
+LimitRow::LimitRow(const LimitRow& other51) {
+  serviceName = other51.serviceName;
+  maxConcurrent = other51.maxConcurrent;
+  maxQueued = other51.maxQueued;
+  __isset = other51.__isset;
 }
-LimitRow::LimitRow(LimitRow&& other46) noexcept {
-  serviceName = std::move(other46.serviceName);
-  maxConcurrent = other46.maxConcurrent;
-  maxQueued = other46.maxQueued;
-  __isset = other46.__isset;
+LimitRow::LimitRow(LimitRow&& other52) noexcept {
+  serviceName = std::move(other52.serviceName);
+  maxConcurrent = other52.maxConcurrent;
+  maxQueued = other52.maxQueued;
+  __isset = other52.__isset;
 }
-LimitRow& LimitRow::operator=(const LimitRow& other47) {
-  serviceName = other47.serviceName;
-  maxConcurrent = other47.maxConcurrent;
-  maxQueued = other47.maxQueued;
-  __isset = other47.__isset;
+LimitRow& LimitRow::operator=(const LimitRow& other53) {
+  serviceName = other53.serviceName;
+  maxConcurrent = other53.maxConcurrent;
+  maxQueued = other53.maxQueued;
+  __isset = other53.__isset;
   return *this;
 }
-LimitRow& LimitRow::operator=(LimitRow&& other48) noexcept {
-  serviceName = std::move(other48.serviceName);
-  maxConcurrent = other48.maxConcurrent;
-  maxQueued = other48.maxQueued;
-  __isset = other48.__isset;
+LimitRow& LimitRow::operator=(LimitRow&& other54) noexcept {
+  serviceName = std::move(other54.serviceName);
+  maxConcurrent = other54.maxConcurrent;
+  maxQueued = other54.maxQueued;
+  __isset = other54.__isset;
   return *this;
 }
 void LimitRow::printTo(std::ostream& out) const {
@@ -1633,26 +1775,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryPolicyRow::RetryPolicyRow(const RetryPolicyRow& other49) noexcept {
-  maxAttempts = other49.maxAttempts;
-  budgetPercent = other49.budgetPercent;
-  __isset = other49.__isset;
+RetryPolicyRow::RetryPolicyRow(const RetryPolicyRow& other55) noexcept {
+  maxAttempts = other55.maxAttempts;
+  budgetPercent = other55.budgetPercent;
+  __isset = other55.__isset;
 }
-RetryPolicyRow::RetryPolicyRow(RetryPolicyRow&& other50) noexcept {
-  maxAttempts = other50.maxAttempts;
-  budgetPercent = other50.budgetPercent;
-  __isset = other50.__isset;
+RetryPolicyRow::RetryPolicyRow(RetryPolicyRow&& other56) noexcept {
+  maxAttempts = other56.maxAttempts;
+  budgetPercent = other56.budgetPercent;
+  __isset = other56.__isset;
 }
-RetryPolicyRow& RetryPolicyRow::operator=(const RetryPolicyRow& other51) noexcept {
-  maxAttempts = other51.maxAttempts;
-  budgetPercent = other51.budgetPercent;
-  __isset = other51.__isset;
+RetryPolicyRow& RetryPolicyRow::operator=(const RetryPolicyRow& other57) noexcept {
+  maxAttempts = other57.maxAttempts;
+  budgetPercent = other57.budgetPercent;
+  __isset = other57.__isset;
   return *this;
 }
-RetryPolicyRow& RetryPolicyRow::operator=(RetryPolicyRow&& other52) noexcept {
-  maxAttempts = other52.maxAttempts;
-  budgetPercent = other52.budgetPercent;
-  __isset = other52.__isset;
+RetryPolicyRow& RetryPolicyRow::operator=(RetryPolicyRow&& other58) noexcept {
+  maxAttempts = other58.maxAttempts;
+  budgetPercent = other58.budgetPercent;
+  __isset = other58.__isset;
   return *this;
 }
 void RetryPolicyRow::printTo(std::ostream& out) const {
@@ -1739,22 +1881,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SecretRow::SecretRow(const SecretRow& other53) {
-  value = other53.value;
-  __isset = other53.__isset;
+SecretRow::SecretRow(const SecretRow& other59) {
+  value = other59.value;
+  __isset = other59.__isset;
 }
-SecretRow::SecretRow(SecretRow&& other54) noexcept {
-  value = std::move(other54.value);
-  __isset = other54.__isset;
+SecretRow::SecretRow(SecretRow&& other60) noexcept {
+  value = std::move(other60.value);
+  __isset = other60.__isset;
 }
-SecretRow& SecretRow::operator=(const SecretRow& other55) {
-  value = other55.value;
-  __isset = other55.__isset;
+SecretRow& SecretRow::operator=(const SecretRow& other61) {
+  value = other61.value;
+  __isset = other61.__isset;
   return *this;
 }
-SecretRow& SecretRow::operator=(SecretRow&& other56) noexcept {
-  value = std::move(other56.value);
-  __isset = other56.__isset;
+SecretRow& SecretRow::operator=(SecretRow&& other62) noexcept {
+  value = std::move(other62.value);
+  __isset = other62.__isset;
   return *this;
 }
 void SecretRow::printTo(std::ostream& out) const {
@@ -1891,34 +2033,34 @@
   swap(a.__isset, b.__isset);
 }
 
-IngressRow::IngressRow(const IngressRow& other57) noexcept {
-  maxHeadBytes = other57.maxHeadBytes;
-  maxBodyBytes = other57.maxBodyBytes;
-  headTimeoutMs = other57.headTimeoutMs;
-  idleTimeoutMs = other57.idleTimeoutMs;
-  __isset = other57.__isset;
+IngressRow::IngressRow(const IngressRow& other63) noexcept {
+  maxHeadBytes = other63.maxHeadBytes;
+  maxBodyBytes = other63.maxBodyBytes;
+  headTimeoutMs = other63.headTimeoutMs;
+  idleTimeoutMs = other63.idleTimeoutMs;
+  __isset = other63.__isset;
 }
-IngressRow::IngressRow(IngressRow&& other58) noexcept {
-  maxHeadBytes = other58.maxHeadBytes;
-  maxBodyBytes = other58.maxBodyBytes;
-  headTimeoutMs = other58.headTimeoutMs;
-  idleTimeoutMs = other58.idleTimeoutMs;
-  __isset = other58.__isset;
+IngressRow::IngressRow(IngressRow&& other64) noexcept {
+  maxHeadBytes = other64.maxHeadBytes;
+  maxBodyBytes = other64.maxBodyBytes;
+  headTimeoutMs = other64.headTimeoutMs;
+  idleTimeoutMs = other64.idleTimeoutMs;
+  __isset = other64.__isset;
 }
-IngressRow& IngressRow::operator=(const IngressRow& other59) noexcept {
-  maxHeadBytes = other59.maxHeadBytes;
-  maxBodyBytes = other59.maxBodyBytes;
-  headTimeoutMs = other59.headTimeoutMs;
-  idleTimeoutMs = other59.idleTimeoutMs;
-  __isset = other59.__isset;
+IngressRow& IngressRow::operator=(const IngressRow& other65) noexcept {
+  maxHeadBytes = other65.maxHeadBytes;
+  maxBodyBytes = other65.maxBodyBytes;
+  headTimeoutMs = other65.headTimeoutMs;
+  idleTimeoutMs = other65.idleTimeoutMs;
+  __isset = other65.__isset;
   return *this;
 }
-IngressRow& IngressRow::operator=(IngressRow&& other60) noexcept {
-  maxHeadBytes = other60.maxHeadBytes;
-  maxBodyBytes = other60.maxBodyBytes;
-  headTimeoutMs = other60.headTimeoutMs;
-  idleTimeoutMs = other60.idleTimeoutMs;
-  __isset = other60.__isset;
+IngressRow& IngressRow::operator=(IngressRow&& other66) noexcept {
+  maxHeadBytes = other66.maxHeadBytes;
+  maxBodyBytes = other66.maxBodyBytes;
+  headTimeoutMs = other66.headTimeoutMs;
+  idleTimeoutMs = other66.idleTimeoutMs;
+  __isset = other66.__isset;
   return *this;
 }
 void IngressRow::printTo(std::ostream& out) const {
@@ -2007,22 +2149,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NoteRow::NoteRow(const NoteRow& other61) {
-  text = other61.text;
-  __isset = other61.__isset;
+NoteRow::NoteRow(const NoteRow& other67) {
+  text = other67.text;
+  __isset = other67.__isset;
 }
-NoteRow::NoteRow(NoteRow&& other62) noexcept {
-  text = std::move(other62.text);
-  __isset = other62.__isset;
+NoteRow::NoteRow(NoteRow&& other68) noexcept {
+  text = std::move(other68.text);
+  __isset = other68.__isset;
 }
-NoteRow& NoteRow::operator=(const NoteRow& other63) {
-  text = other63.text;
-  __isset = other63.__isset;
+NoteRow& NoteRow::operator=(const NoteRow& other69) {
+  text = other69.text;
+  __isset = other69.__isset;
   return *this;
 }
-NoteRow& NoteRow::operator=(NoteRow&& other64) noexcept {
-  text = std::move(other64.text);
-  __isset = other64.__isset;
+NoteRow& NoteRow::operator=(NoteRow&& other70) noexcept {
+  text = std::move(other70.text);
+  __isset = other70.__isset;
   return *this;
 }
 void NoteRow::printTo(std::ostream& out) const {
@@ -2033,57 +2175,41 @@
 }
 
 
-RolloutRow::~RolloutRow() noexcept {
-}
-
-
-void RolloutRow::__set_standing(const std::string& val) {
-  this->standing = val;
-}
-
-void RolloutRow::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void RolloutRow::__set_state(const RolloutState::type val) {
-  this->state = val;
-}
-
-void RolloutRow::__set_targetPermille(const int32_t val) {
-  this->targetPermille = val;
+TenantRow::~TenantRow() noexcept {
 }
 
-void RolloutRow::__set_groupOffset(const int32_t val) {
-  this->groupOffset = val;
-}
 
-void RolloutRow::__set_groupSize(const int32_t val) {
-  this->groupSize = val;
+void TenantRow::__set_keys(const std::vector<std::string> & val) {
+  this->keys = val;
 }
 
-void RolloutRow::__set_retiring(const bool val) {
-  this->retiring = val;
+void TenantRow::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
 }
 
-void RolloutRow::__set_finishByMs(const int64_t val) {
-  this->finishByMs = val;
+void TenantRow::__set_ratePerS(const double val) {
+  this->ratePerS = val;
+__isset.ratePerS = true;
 }
 
-void RolloutRow::__set_elapsedMs(const int64_t val) {
-  this->elapsedMs = val;
+void TenantRow::__set_burst(const double val) {
+  this->burst = val;
+__isset.burst = true;
 }
 
-void RolloutRow::__set_reason(const std::string& val) {
-  this->reason = val;
+void TenantRow::__set_regions(const std::vector<std::string> & val) {
+  this->regions = val;
+__isset.regions = true;
 }
-std::ostream& operator<<(std::ostream& out, const RolloutRow& obj)
+std::ostream& operator<<(std::ostream& out, const TenantRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RolloutRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TenantRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2105,83 +2231,65 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->standing);
-          this->__isset.standing = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keys.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->keys.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += iprot->readString(this->keys[_i75]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keys = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast65;
-          xfer += iprot->readI32(ecast65);
-          this->state = static_cast<RolloutState::type>(ecast65);
-          this->__isset.state = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->ratePerS);
+          this->__isset.ratePerS = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->targetPermille);
-          this->__isset.targetPermille = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->groupOffset);
-          this->__isset.groupOffset = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->groupSize);
-          this->__isset.groupSize = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->retiring);
-          this->__isset.retiring = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->finishByMs);
-          this->__isset.finishByMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->elapsedMs);
-          this->__isset.elapsedMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->reason);
-          this->__isset.reason = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->regions.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->regions.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += iprot->readString(this->regions[_i80]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.regions = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2198,26 +2306,372 @@
   return xfer;
 }
 
-uint32_t RolloutRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TenantRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RolloutRow");
+  xfer += oprot->writeStructBegin("TenantRow");
 
-  xfer += oprot->writeFieldBegin("standing", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->standing);
+  xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keys.size()));
+    std::vector<std::string> ::const_iterator _iter81;
+    for (_iter81 = this->keys.begin(); _iter81 != this->keys.end(); ++_iter81)
+    {
+      xfer += oprot->writeString((*_iter81));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ratePerS) {
+    xfer += oprot->writeFieldBegin("ratePerS", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->ratePerS);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.burst) {
+    xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->burst);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.regions) {
+    xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
+      std::vector<std::string> ::const_iterator _iter82;
+      for (_iter82 = this->regions.begin(); _iter82 != this->regions.end(); ++_iter82)
+      {
+        xfer += oprot->writeString((*_iter82));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
-  xfer += oprot->writeFieldEnd();
+void swap(TenantRow &a, TenantRow &b) {
+  using ::std::swap;
+  swap(a.keys, b.keys);
+  swap(a.priority, b.priority);
+  swap(a.ratePerS, b.ratePerS);
+  swap(a.burst, b.burst);
+  swap(a.regions, b.regions);
+  swap(a.__isset, b.__isset);
+}
 
-  xfer += oprot->writeFieldBegin("targetPermille", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->targetPermille);
-  xfer += oprot->writeFieldEnd();
+TenantRow::TenantRow(const TenantRow& other83) {
+  keys = other83.keys;
+  priority = other83.priority;
+  ratePerS = other83.ratePerS;
+  burst = other83.burst;
+  regions = other83.regions;
+  __isset = other83.__isset;
+}
+TenantRow::TenantRow(TenantRow&& other84) noexcept {
+  keys = std::move(other84.keys);
+  priority = other84.priority;
+  ratePerS = other84.ratePerS;
+  burst = other84.burst;
+  regions = std::move(other84.regions);
+  __isset = other84.__isset;
+}
+TenantRow& TenantRow::operator=(const TenantRow& other85) {
+  keys = other85.keys;
+  priority = other85.priority;
+  ratePerS = other85.ratePerS;
+  burst = other85.burst;
+  regions = other85.regions;
+  __isset = other85.__isset;
+  return *this;
+}
+TenantRow& TenantRow::operator=(TenantRow&& other86) noexcept {
+  keys = std::move(other86.keys);
+  priority = other86.priority;
+  ratePerS = other86.ratePerS;
+  burst = other86.burst;
+  regions = std::move(other86.regions);
+  __isset = other86.__isset;
+  return *this;
+}
+void TenantRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TenantRow(";
+  out << "keys=" << to_string(keys);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
+  out << ", " << "ratePerS="; (__isset.ratePerS ? (out << to_string(ratePerS)) : (out << "<null>"));
+  out << ", " << "burst="; (__isset.burst ? (out << to_string(burst)) : (out << "<null>"));
+  out << ", " << "regions="; (__isset.regions ? (out << to_string(regions)) : (out << "<null>"));
+  out << ")";
+}
+
+
+EvacuationRow::~EvacuationRow() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const EvacuationRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuationRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuationRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationRow");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationRow &a, EvacuationRow &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+EvacuationRow::EvacuationRow(const EvacuationRow& other87) noexcept {
+  (void) other87;
+}
+EvacuationRow::EvacuationRow(EvacuationRow&& other88) noexcept {
+  (void) other88;
+}
+EvacuationRow& EvacuationRow::operator=(const EvacuationRow& other89) noexcept {
+  (void) other89;
+  return *this;
+}
+EvacuationRow& EvacuationRow::operator=(EvacuationRow&& other90) noexcept {
+  (void) other90;
+  return *this;
+}
+void EvacuationRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuationRow(";
+  out << ")";
+}
+
+
+RolloutRow::~RolloutRow() noexcept {
+}
+
+
+void RolloutRow::__set_standing(const std::string& val) {
+  this->standing = val;
+}
+
+void RolloutRow::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void RolloutRow::__set_state(const RolloutState::type val) {
+  this->state = val;
+}
+
+void RolloutRow::__set_targetPermille(const int32_t val) {
+  this->targetPermille = val;
+}
+
+void RolloutRow::__set_groupOffset(const int32_t val) {
+  this->groupOffset = val;
+}
+
+void RolloutRow::__set_groupSize(const int32_t val) {
+  this->groupSize = val;
+}
+
+void RolloutRow::__set_retiring(const bool val) {
+  this->retiring = val;
+}
+
+void RolloutRow::__set_finishByMs(const int64_t val) {
+  this->finishByMs = val;
+}
+
+void RolloutRow::__set_elapsedMs(const int64_t val) {
+  this->elapsedMs = val;
+}
+
+void RolloutRow::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->standing);
+          this->__isset.standing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast91;
+          xfer += iprot->readI32(ecast91);
+          this->state = static_cast<RolloutState::type>(ecast91);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetPermille);
+          this->__isset.targetPermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->groupOffset);
+          this->__isset.groupOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->groupSize);
+          this->__isset.groupSize = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->retiring);
+          this->__isset.retiring = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->finishByMs);
+          this->__isset.finishByMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsedMs);
+          this->__isset.elapsedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutRow");
+
+  xfer += oprot->writeFieldBegin("standing", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->standing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetPermille", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->targetPermille);
+  xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("groupOffset", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->groupOffset);
@@ -2263,58 +2717,58 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutRow::RolloutRow(const RolloutRow& other66) {
-  standing = other66.standing;
-  target = other66.target;
-  state = other66.state;
-  targetPermille = other66.targetPermille;
-  groupOffset = other66.groupOffset;
-  groupSize = other66.groupSize;
-  retiring = other66.retiring;
-  finishByMs = other66.finishByMs;
-  elapsedMs = other66.elapsedMs;
-  reason = other66.reason;
-  __isset = other66.__isset;
+RolloutRow::RolloutRow(const RolloutRow& other92) {
+  standing = other92.standing;
+  target = other92.target;
+  state = other92.state;
+  targetPermille = other92.targetPermille;
+  groupOffset = other92.groupOffset;
+  groupSize = other92.groupSize;
+  retiring = other92.retiring;
+  finishByMs = other92.finishByMs;
+  elapsedMs = other92.elapsedMs;
+  reason = other92.reason;
+  __isset = other92.__isset;
 }
-RolloutRow::RolloutRow(RolloutRow&& other67) noexcept {
-  standing = std::move(other67.standing);
-  target = std::move(other67.target);
-  state = other67.state;
-  targetPermille = other67.targetPermille;
-  groupOffset = other67.groupOffset;
-  groupSize = other67.groupSize;
-  retiring = other67.retiring;
-  finishByMs = other67.finishByMs;
-  elapsedMs = other67.elapsedMs;
-  reason = std::move(other67.reason);
-  __isset = other67.__isset;
+RolloutRow::RolloutRow(RolloutRow&& other93) noexcept {
+  standing = std::move(other93.standing);
+  target = std::move(other93.target);
+  state = other93.state;
+  targetPermille = other93.targetPermille;
+  groupOffset = other93.groupOffset;
+  groupSize = other93.groupSize;
+  retiring = other93.retiring;
+  finishByMs = other93.finishByMs;
+  elapsedMs = other93.elapsedMs;
+  reason = std::move(other93.reason);
+  __isset = other93.__isset;
 }
-RolloutRow& RolloutRow::operator=(const RolloutRow& other68) {
-  standing = other68.standing;
-  target = other68.target;
-  state = other68.state;
-  targetPermille = other68.targetPermille;
-  groupOffset = other68.groupOffset;
-  groupSize = other68.groupSize;
-  retiring = other68.retiring;
-  finishByMs = other68.finishByMs;
-  elapsedMs = other68.elapsedMs;
-  reason = other68.reason;
-  __isset = other68.__isset;
+RolloutRow& RolloutRow::operator=(const RolloutRow& other94) {
+  standing = other94.standing;
+  target = other94.target;
+  state = other94.state;
+  targetPermille = other94.targetPermille;
+  groupOffset = other94.groupOffset;
+  groupSize = other94.groupSize;
+  retiring = other94.retiring;
+  finishByMs = other94.finishByMs;
+  elapsedMs = other94.elapsedMs;
+  reason = other94.reason;
+  __isset = other94.__isset;
   return *this;
 }
-RolloutRow& RolloutRow::operator=(RolloutRow&& other69) noexcept {
-  standing = std::move(other69.standing);
-  target = std::move(other69.target);
-  state = other69.state;
-  targetPermille = other69.targetPermille;
-  groupOffset = other69.groupOffset;
-  groupSize = other69.groupSize;
-  retiring = other69.retiring;
-  finishByMs = other69.finishByMs;
-  elapsedMs = other69.elapsedMs;
-  reason = std::move(other69.reason);
-  __isset = other69.__isset;
+RolloutRow& RolloutRow::operator=(RolloutRow&& other95) noexcept {
+  standing = std::move(other95.standing);
+  target = std::move(other95.target);
+  state = other95.state;
+  targetPermille = other95.targetPermille;
+  groupOffset = other95.groupOffset;
+  groupSize = other95.groupSize;
+  retiring = other95.retiring;
+  finishByMs = other95.finishByMs;
+  elapsedMs = other95.elapsedMs;
+  reason = std::move(other95.reason);
+  __isset = other95.__isset;
   return *this;
 }
 void RolloutRow::printTo(std::ostream& out) const {
@@ -2394,6 +2848,16 @@
   this->rolloutRow = val;
 __isset.rolloutRow = true;
 }
+
+void Row::__set_tenantRow(const TenantRow& val) {
+  this->tenantRow = val;
+__isset.tenantRow = true;
+}
+
+void Row::__set_evacuationRow(const EvacuationRow& val) {
+  this->evacuationRow = val;
+__isset.evacuationRow = true;
+}
 std::ostream& operator<<(std::ostream& out, const Row& obj)
 {
   obj.printTo(out);
@@ -2518,7 +2982,23 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tenantRow.read(iprot);
+          this->__isset.tenantRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuationRow.read(iprot);
+          this->__isset.evacuationRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
         xfer += iprot->skip(ftype);
         break;
     }
@@ -2592,6 +3072,16 @@
     xfer += this->rolloutRow.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenantRow) {
+    xfer += oprot->writeFieldBegin("tenantRow", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->tenantRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuationRow) {
+    xfer += oprot->writeFieldBegin("evacuationRow", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->evacuationRow.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2611,69 +3101,79 @@
   swap(a.ingressRow, b.ingressRow);
   swap(a.noteRow, b.noteRow);
   swap(a.rolloutRow, b.rolloutRow);
+  swap(a.tenantRow, b.tenantRow);
+  swap(a.evacuationRow, b.evacuationRow);
   swap(a.__isset, b.__isset);
 }
 
-Row::Row(const Row& other70) {
-  key = other70.key;
-  revision = other70.revision;
-  deleted = other70.deleted;
-  serviceRow = other70.serviceRow;
-  endpointRow = other70.endpointRow;
-  routeRow = other70.routeRow;
-  limitRow = other70.limitRow;
-  retryPolicyRow = other70.retryPolicyRow;
-  secretRow = other70.secretRow;
-  ingressRow = other70.ingressRow;
-  noteRow = other70.noteRow;
-  rolloutRow = other70.rolloutRow;
-  __isset = other70.__isset;
-}
-Row::Row(Row&& other71) noexcept {
-  key = std::move(other71.key);
-  revision = other71.revision;
-  deleted = other71.deleted;
-  serviceRow = std::move(other71.serviceRow);
-  endpointRow = std::move(other71.endpointRow);
-  routeRow = std::move(other71.routeRow);
-  limitRow = std::move(other71.limitRow);
-  retryPolicyRow = std::move(other71.retryPolicyRow);
-  secretRow = std::move(other71.secretRow);
-  ingressRow = std::move(other71.ingressRow);
-  noteRow = std::move(other71.noteRow);
-  rolloutRow = std::move(other71.rolloutRow);
-  __isset = other71.__isset;
-}
-Row& Row::operator=(const Row& other72) {
-  key = other72.key;
-  revision = other72.revision;
-  deleted = other72.deleted;
-  serviceRow = other72.serviceRow;
-  endpointRow = other72.endpointRow;
-  routeRow = other72.routeRow;
-  limitRow = other72.limitRow;
-  retryPolicyRow = other72.retryPolicyRow;
-  secretRow = other72.secretRow;
-  ingressRow = other72.ingressRow;
-  noteRow = other72.noteRow;
-  rolloutRow = other72.rolloutRow;
-  __isset = other72.__isset;
-  return *this;
-}
-Row& Row::operator=(Row&& other73) noexcept {
-  key = std::move(other73.key);
-  revision = other73.revision;
-  deleted = other73.deleted;
-  serviceRow = std::move(other73.serviceRow);
-  endpointRow = std::move(other73.endpointRow);
-  routeRow = std::move(other73.routeRow);
-  limitRow = std::move(other73.limitRow);
-  retryPolicyRow = std::move(other73.retryPolicyRow);
-  secretRow = std::move(other73.secretRow);
-  ingressRow = std::move(other73.ingressRow);
-  noteRow = std::move(other73.noteRow);
-  rolloutRow = std::move(other73.rolloutRow);
-  __isset = other73.__isset;
+Row::Row(const Row& other96) {
+  key = other96.key;
+  revision = other96.revision;
+  deleted = other96.deleted;
+  serviceRow = other96.serviceRow;
+  endpointRow = other96.endpointRow;
+  routeRow = other96.routeRow;
+  limitRow = other96.limitRow;
+  retryPolicyRow = other96.retryPolicyRow;
+  secretRow = other96.secretRow;
+  ingressRow = other96.ingressRow;
+  noteRow = other96.noteRow;
+  rolloutRow = other96.rolloutRow;
+  tenantRow = other96.tenantRow;
+  evacuationRow = other96.evacuationRow;
+  __isset = other96.__isset;
+}
+Row::Row(Row&& other97) noexcept {
+  key = std::move(other97.key);
+  revision = other97.revision;
+  deleted = other97.deleted;
+  serviceRow = std::move(other97.serviceRow);
+  endpointRow = std::move(other97.endpointRow);
+  routeRow = std::move(other97.routeRow);
+  limitRow = std::move(other97.limitRow);
+  retryPolicyRow = std::move(other97.retryPolicyRow);
+  secretRow = std::move(other97.secretRow);
+  ingressRow = std::move(other97.ingressRow);
+  noteRow = std::move(other97.noteRow);
+  rolloutRow = std::move(other97.rolloutRow);
+  tenantRow = std::move(other97.tenantRow);
+  evacuationRow = std::move(other97.evacuationRow);
+  __isset = other97.__isset;
+}
+Row& Row::operator=(const Row& other98) {
+  key = other98.key;
+  revision = other98.revision;
+  deleted = other98.deleted;
+  serviceRow = other98.serviceRow;
+  endpointRow = other98.endpointRow;
+  routeRow = other98.routeRow;
+  limitRow = other98.limitRow;
+  retryPolicyRow = other98.retryPolicyRow;
+  secretRow = other98.secretRow;
+  ingressRow = other98.ingressRow;
+  noteRow = other98.noteRow;
+  rolloutRow = other98.rolloutRow;
+  tenantRow = other98.tenantRow;
+  evacuationRow = other98.evacuationRow;
+  __isset = other98.__isset;
+  return *this;
+}
+Row& Row::operator=(Row&& other99) noexcept {
+  key = std::move(other99.key);
+  revision = other99.revision;
+  deleted = other99.deleted;
+  serviceRow = std::move(other99.serviceRow);
+  endpointRow = std::move(other99.endpointRow);
+  routeRow = std::move(other99.routeRow);
+  limitRow = std::move(other99.limitRow);
+  retryPolicyRow = std::move(other99.retryPolicyRow);
+  secretRow = std::move(other99.secretRow);
+  ingressRow = std::move(other99.ingressRow);
+  noteRow = std::move(other99.noteRow);
+  rolloutRow = std::move(other99.rolloutRow);
+  tenantRow = std::move(other99.tenantRow);
+  evacuationRow = std::move(other99.evacuationRow);
+  __isset = other99.__isset;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -2691,6 +3191,8 @@
   out << ", " << "ingressRow="; (__isset.ingressRow ? (out << to_string(ingressRow)) : (out << "<null>"));
   out << ", " << "noteRow="; (__isset.noteRow ? (out << to_string(noteRow)) : (out << "<null>"));
   out << ", " << "rolloutRow="; (__isset.rolloutRow ? (out << to_string(rolloutRow)) : (out << "<null>"));
+  out << ", " << "tenantRow="; (__isset.tenantRow ? (out << to_string(tenantRow)) : (out << "<null>"));
+  out << ", " << "evacuationRow="; (__isset.evacuationRow ? (out << to_string(evacuationRow)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2787,26 +3289,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other74) noexcept {
-  low = other74.low;
-  high = other74.high;
-  __isset = other74.__isset;
+Digest::Digest(const Digest& other100) noexcept {
+  low = other100.low;
+  high = other100.high;
+  __isset = other100.__isset;
 }
-Digest::Digest(Digest&& other75) noexcept {
-  low = other75.low;
-  high = other75.high;
-  __isset = other75.__isset;
+Digest::Digest(Digest&& other101) noexcept {
+  low = other101.low;
+  high = other101.high;
+  __isset = other101.__isset;
 }
-Digest& Digest::operator=(const Digest& other76) noexcept {
-  low = other76.low;
-  high = other76.high;
-  __isset = other76.__isset;
+Digest& Digest::operator=(const Digest& other102) noexcept {
+  low = other102.low;
+  high = other102.high;
+  __isset = other102.__isset;
   return *this;
 }
-Digest& Digest::operator=(Digest&& other77) noexcept {
-  low = other77.low;
-  high = other77.high;
-  __isset = other77.__isset;
+Digest& Digest::operator=(Digest&& other103) noexcept {
+  low = other103.low;
+  high = other103.high;
+  __isset = other103.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -2910,26 +3412,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Mutation::Mutation(const Mutation& other78) {
-  row = other78.row;
-  expectedRevision = other78.expectedRevision;
-  __isset = other78.__isset;
+Mutation::Mutation(const Mutation& other104) {
+  row = other104.row;
+  expectedRevision = other104.expectedRevision;
+  __isset = other104.__isset;
 }
-Mutation::Mutation(Mutation&& other79) noexcept {
-  row = std::move(other79.row);
-  expectedRevision = other79.expectedRevision;
-  __isset = other79.__isset;
+Mutation::Mutation(Mutation&& other105) noexcept {
+  row = std::move(other105.row);
+  expectedRevision = other105.expectedRevision;
+  __isset = other105.__isset;
 }
-Mutation& Mutation::operator=(const Mutation& other80) {
-  row = other80.row;
-  expectedRevision = other80.expectedRevision;
-  __isset = other80.__isset;
+Mutation& Mutation::operator=(const Mutation& other106) {
+  row = other106.row;
+  expectedRevision = other106.expectedRevision;
+  __isset = other106.__isset;
   return *this;
 }
-Mutation& Mutation::operator=(Mutation&& other81) noexcept {
-  row = std::move(other81.row);
-  expectedRevision = other81.expectedRevision;
-  __isset = other81.__isset;
+Mutation& Mutation::operator=(Mutation&& other107) noexcept {
+  row = std::move(other107.row);
+  expectedRevision = other107.expectedRevision;
+  __isset = other107.__isset;
   return *this;
 }
 void Mutation::printTo(std::ostream& out) const {
@@ -3008,14 +3510,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->mutations.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->mutations.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->mutations.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->mutations[_i86].read(iprot);
+              xfer += this->mutations[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3060,10 +3562,10 @@
   xfer += oprot->writeFieldBegin("mutations", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->mutations.size()));
-    std::vector<Mutation> ::const_iterator _iter87;
-    for (_iter87 = this->mutations.begin(); _iter87 != this->mutations.end(); ++_iter87)
+    std::vector<Mutation> ::const_iterator _iter113;
+    for (_iter113 = this->mutations.begin(); _iter113 != this->mutations.end(); ++_iter113)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3087,34 +3589,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EditCommand::EditCommand(const EditCommand& other88) {
-  requestId = other88.requestId;
-  author = other88.author;
-  mutations = other88.mutations;
-  baseRevision = other88.baseRevision;
-  __isset = other88.__isset;
+EditCommand::EditCommand(const EditCommand& other114) {
+  requestId = other114.requestId;
+  author = other114.author;
+  mutations = other114.mutations;
+  baseRevision = other114.baseRevision;
+  __isset = other114.__isset;
 }
-EditCommand::EditCommand(EditCommand&& other89) noexcept {
-  requestId = std::move(other89.requestId);
-  author = std::move(other89.author);
-  mutations = std::move(other89.mutations);
-  baseRevision = other89.baseRevision;
-  __isset = other89.__isset;
+EditCommand::EditCommand(EditCommand&& other115) noexcept {
+  requestId = std::move(other115.requestId);
+  author = std::move(other115.author);
+  mutations = std::move(other115.mutations);
+  baseRevision = other115.baseRevision;
+  __isset = other115.__isset;
 }
-EditCommand& EditCommand::operator=(const EditCommand& other90) {
-  requestId = other90.requestId;
-  author = other90.author;
-  mutations = other90.mutations;
-  baseRevision = other90.baseRevision;
-  __isset = other90.__isset;
+EditCommand& EditCommand::operator=(const EditCommand& other116) {
+  requestId = other116.requestId;
+  author = other116.author;
+  mutations = other116.mutations;
+  baseRevision = other116.baseRevision;
+  __isset = other116.__isset;
   return *this;
 }
-EditCommand& EditCommand::operator=(EditCommand&& other91) noexcept {
-  requestId = std::move(other91.requestId);
-  author = std::move(other91.author);
-  mutations = std::move(other91.mutations);
-  baseRevision = other91.baseRevision;
-  __isset = other91.__isset;
+EditCommand& EditCommand::operator=(EditCommand&& other117) noexcept {
+  requestId = std::move(other117.requestId);
+  author = std::move(other117.author);
+  mutations = std::move(other117.mutations);
+  baseRevision = other117.baseRevision;
+  __isset = other117.__isset;
   return *this;
 }
 void EditCommand::printTo(std::ostream& out) const {
@@ -3220,26 +3722,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HttpHeader::HttpHeader(const HttpHeader& other92) {
-  name = other92.name;
-  value = other92.value;
-  __isset = other92.__isset;
+HttpHeader::HttpHeader(const HttpHeader& other118) {
+  name = other118.name;
+  value = other118.value;
+  __isset = other118.__isset;
 }
-HttpHeader::HttpHeader(HttpHeader&& other93) noexcept {
-  name = std::move(other93.name);
-  value = std::move(other93.value);
-  __isset = other93.__isset;
+HttpHeader::HttpHeader(HttpHeader&& other119) noexcept {
+  name = std::move(other119.name);
+  value = std::move(other119.value);
+  __isset = other119.__isset;
 }
-HttpHeader& HttpHeader::operator=(const HttpHeader& other94) {
-  name = other94.name;
-  value = other94.value;
-  __isset = other94.__isset;
+HttpHeader& HttpHeader::operator=(const HttpHeader& other120) {
+  name = other120.name;
+  value = other120.value;
+  __isset = other120.__isset;
   return *this;
 }
-HttpHeader& HttpHeader::operator=(HttpHeader&& other95) noexcept {
-  name = std::move(other95.name);
-  value = std::move(other95.value);
-  __isset = other95.__isset;
+HttpHeader& HttpHeader::operator=(HttpHeader&& other121) noexcept {
+  name = std::move(other121.name);
+  value = std::move(other121.value);
+  __isset = other121.__isset;
   return *this;
 }
 void HttpHeader::printTo(std::ostream& out) const {
@@ -3306,14 +3808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->headers.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->headers.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->headers[_i100].read(iprot);
+              xfer += this->headers[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3354,10 +3856,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter101;
-    for (_iter101 = this->headers.begin(); _iter101 != this->headers.end(); ++_iter101)
+    std::vector<HttpHeader> ::const_iterator _iter127;
+    for (_iter127 = this->headers.begin(); _iter127 != this->headers.end(); ++_iter127)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3380,30 +3882,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other102) {
-  httpStatus = other102.httpStatus;
-  headers = other102.headers;
-  body = other102.body;
-  __isset = other102.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other128) {
+  httpStatus = other128.httpStatus;
+  headers = other128.headers;
+  body = other128.body;
+  __isset = other128.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other103) noexcept {
-  httpStatus = other103.httpStatus;
-  headers = std::move(other103.headers);
-  body = std::move(other103.body);
-  __isset = other103.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other129) noexcept {
+  httpStatus = other129.httpStatus;
+  headers = std::move(other129.headers);
+  body = std::move(other129.body);
+  __isset = other129.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other104) {
-  httpStatus = other104.httpStatus;
-  headers = other104.headers;
-  body = other104.body;
-  __isset = other104.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other130) {
+  httpStatus = other130.httpStatus;
+  headers = other130.headers;
+  body = other130.body;
+  __isset = other130.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other105) noexcept {
-  httpStatus = other105.httpStatus;
-  headers = std::move(other105.headers);
-  body = std::move(other105.body);
-  __isset = other105.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other131) noexcept {
+  httpStatus = other131.httpStatus;
+  headers = std::move(other131.headers);
+  body = std::move(other131.body);
+  __isset = other131.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -3474,9 +3976,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast106;
-          xfer += iprot->readI32(ecast106);
-          this->action = static_cast<LedgerAction::type>(ecast106);
+          int32_t ecast132;
+          xfer += iprot->readI32(ecast132);
+          this->action = static_cast<LedgerAction::type>(ecast132);
           this->__isset.action = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3580,42 +4082,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerCommand::LedgerCommand(const LedgerCommand& other107) {
-  action = other107.action;
-  key = other107.key;
-  fingerprint = other107.fingerprint;
-  owner = other107.owner;
-  timestampMs = other107.timestampMs;
-  answer = other107.answer;
-  __isset = other107.__isset;
+LedgerCommand::LedgerCommand(const LedgerCommand& other133) {
+  action = other133.action;
+  key = other133.key;
+  fingerprint = other133.fingerprint;
+  owner = other133.owner;
+  timestampMs = other133.timestampMs;
+  answer = other133.answer;
+  __isset = other133.__isset;
+}
+LedgerCommand::LedgerCommand(LedgerCommand&& other134) noexcept {
+  action = other134.action;
+  key = std::move(other134.key);
+  fingerprint = other134.fingerprint;
+  owner = std::move(other134.owner);
+  timestampMs = other134.timestampMs;
+  answer = std::move(other134.answer);
+  __isset = other134.__isset;
+}
+LedgerCommand& LedgerCommand::operator=(const LedgerCommand& other135) {
+  action = other135.action;
+  key = other135.key;
+  fingerprint = other135.fingerprint;
+  owner = other135.owner;
+  timestampMs = other135.timestampMs;
+  answer = other135.answer;
+  __isset = other135.__isset;
+  return *this;
 }
-LedgerCommand::LedgerCommand(LedgerCommand&& other108) noexcept {
-  action = other108.action;
-  key = std::move(other108.key);
-  fingerprint = other108.fingerprint;
-  owner = std::move(other108.owner);
-  timestampMs = other108.timestampMs;
-  answer = std::move(other108.answer);
-  __isset = other108.__isset;
-}
-LedgerCommand& LedgerCommand::operator=(const LedgerCommand& other109) {
-  action = other109.action;
-  key = other109.key;
-  fingerprint = other109.fingerprint;
-  owner = other109.owner;
-  timestampMs = other109.timestampMs;
-  answer = other109.answer;
-  __isset = other109.__isset;
-  return *this;
-}
-LedgerCommand& LedgerCommand::operator=(LedgerCommand&& other110) noexcept {
-  action = other110.action;
-  key = std::move(other110.key);
-  fingerprint = other110.fingerprint;
-  owner = std::move(other110.owner);
-  timestampMs = other110.timestampMs;
-  answer = std::move(other110.answer);
-  __isset = other110.__isset;
+LedgerCommand& LedgerCommand::operator=(LedgerCommand&& other136) noexcept {
+  action = other136.action;
+  key = std::move(other136.key);
+  fingerprint = other136.fingerprint;
+  owner = std::move(other136.owner);
+  timestampMs = other136.timestampMs;
+  answer = std::move(other136.answer);
+  __isset = other136.__isset;
   return *this;
 }
 void LedgerCommand::printTo(std::ostream& out) const {
@@ -3793,42 +4295,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRecord::LedgerRecord(const LedgerRecord& other111) {
-  key = other111.key;
-  fingerprint = other111.fingerprint;
-  owner = other111.owner;
-  completed = other111.completed;
-  claimedAtMs = other111.claimedAtMs;
-  answer = other111.answer;
-  __isset = other111.__isset;
-}
-LedgerRecord::LedgerRecord(LedgerRecord&& other112) noexcept {
-  key = std::move(other112.key);
-  fingerprint = other112.fingerprint;
-  owner = std::move(other112.owner);
-  completed = other112.completed;
-  claimedAtMs = other112.claimedAtMs;
-  answer = std::move(other112.answer);
-  __isset = other112.__isset;
-}
-LedgerRecord& LedgerRecord::operator=(const LedgerRecord& other113) {
-  key = other113.key;
-  fingerprint = other113.fingerprint;
-  owner = other113.owner;
-  completed = other113.completed;
-  claimedAtMs = other113.claimedAtMs;
-  answer = other113.answer;
-  __isset = other113.__isset;
-  return *this;
-}
-LedgerRecord& LedgerRecord::operator=(LedgerRecord&& other114) noexcept {
-  key = std::move(other114.key);
-  fingerprint = other114.fingerprint;
-  owner = std::move(other114.owner);
-  completed = other114.completed;
-  claimedAtMs = other114.claimedAtMs;
-  answer = std::move(other114.answer);
-  __isset = other114.__isset;
+LedgerRecord::LedgerRecord(const LedgerRecord& other137) {
+  key = other137.key;
+  fingerprint = other137.fingerprint;
+  owner = other137.owner;
+  completed = other137.completed;
+  claimedAtMs = other137.claimedAtMs;
+  answer = other137.answer;
+  __isset = other137.__isset;
+}
+LedgerRecord::LedgerRecord(LedgerRecord&& other138) noexcept {
+  key = std::move(other138.key);
+  fingerprint = other138.fingerprint;
+  owner = std::move(other138.owner);
+  completed = other138.completed;
+  claimedAtMs = other138.claimedAtMs;
+  answer = std::move(other138.answer);
+  __isset = other138.__isset;
+}
+LedgerRecord& LedgerRecord::operator=(const LedgerRecord& other139) {
+  key = other139.key;
+  fingerprint = other139.fingerprint;
+  owner = other139.owner;
+  completed = other139.completed;
+  claimedAtMs = other139.claimedAtMs;
+  answer = other139.answer;
+  __isset = other139.__isset;
+  return *this;
+}
+LedgerRecord& LedgerRecord::operator=(LedgerRecord&& other140) noexcept {
+  key = std::move(other140.key);
+  fingerprint = other140.fingerprint;
+  owner = std::move(other140.owner);
+  completed = other140.completed;
+  claimedAtMs = other140.claimedAtMs;
+  answer = std::move(other140.answer);
+  __isset = other140.__isset;
   return *this;
 }
 void LedgerRecord::printTo(std::ostream& out) const {
@@ -4038,50 +4540,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other115) {
-  id = other115.id;
-  name = other115.name;
-  address = other115.address;
-  framePort = other115.framePort;
-  httpPort = other115.httpPort;
-  voting = other115.voting;
-  relayPort = other115.relayPort;
-  zone = other115.zone;
-  __isset = other115.__isset;
-}
-Member::Member(Member&& other116) noexcept {
-  id = std::move(other116.id);
-  name = std::move(other116.name);
-  address = std::move(other116.address);
-  framePort = other116.framePort;
-  httpPort = other116.httpPort;
-  voting = other116.voting;
-  relayPort = other116.relayPort;
-  zone = std::move(other116.zone);
-  __isset = other116.__isset;
-}
-Member& Member::operator=(const Member& other117) {
-  id = other117.id;
-  name = other117.name;
-  address = other117.address;
-  framePort = other117.framePort;
-  httpPort = other117.httpPort;
-  voting = other117.voting;
-  relayPort = other117.relayPort;
-  zone = other117.zone;
-  __isset = other117.__isset;
-  return *this;
+Member::Member(const Member& other141) {
+  id = other141.id;
+  name = other141.name;
+  address = other141.address;
+  framePort = other141.framePort;
+  httpPort = other141.httpPort;
+  voting = other141.voting;
+  relayPort = other141.relayPort;
+  zone = other141.zone;
+  __isset = other141.__isset;
 }
-Member& Member::operator=(Member&& other118) noexcept {
-  id = std::move(other118.id);
-  name = std::move(other118.name);
-  address = std::move(other118.address);
-  framePort = other118.framePort;
-  httpPort = other118.httpPort;
-  voting = other118.voting;
-  relayPort = other118.relayPort;
-  zone = std::move(other118.zone);
-  __isset = other118.__isset;
+Member::Member(Member&& other142) noexcept {
+  id = std::move(other142.id);
+  name = std::move(other142.name);
+  address = std::move(other142.address);
+  framePort = other142.framePort;
+  httpPort = other142.httpPort;
+  voting = other142.voting;
+  relayPort = other142.relayPort;
+  zone = std::move(other142.zone);
+  __isset = other142.__isset;
+}
+Member& Member::operator=(const Member& other143) {
+  id = other143.id;
+  name = other143.name;
+  address = other143.address;
+  framePort = other143.framePort;
+  httpPort = other143.httpPort;
+  voting = other143.voting;
+  relayPort = other143.relayPort;
+  zone = other143.zone;
+  __isset = other143.__isset;
+  return *this;
+}
+Member& Member::operator=(Member&& other144) noexcept {
+  id = std::move(other144.id);
+  name = std::move(other144.name);
+  address = std::move(other144.address);
+  framePort = other144.framePort;
+  httpPort = other144.httpPort;
+  voting = other144.voting;
+  relayPort = other144.relayPort;
+  zone = std::move(other144.zone);
+  __isset = other144.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -4208,30 +4710,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRecord::RelayRecord(const RelayRecord& other119) {
-  id = other119.id;
-  zone = other119.zone;
-  removed = other119.removed;
-  __isset = other119.__isset;
+RelayRecord::RelayRecord(const RelayRecord& other145) {
+  id = other145.id;
+  zone = other145.zone;
+  removed = other145.removed;
+  __isset = other145.__isset;
 }
-RelayRecord::RelayRecord(RelayRecord&& other120) noexcept {
-  id = std::move(other120.id);
-  zone = std::move(other120.zone);
-  removed = other120.removed;
-  __isset = other120.__isset;
+RelayRecord::RelayRecord(RelayRecord&& other146) noexcept {
+  id = std::move(other146.id);
+  zone = std::move(other146.zone);
+  removed = other146.removed;
+  __isset = other146.__isset;
 }
-RelayRecord& RelayRecord::operator=(const RelayRecord& other121) {
-  id = other121.id;
-  zone = other121.zone;
-  removed = other121.removed;
-  __isset = other121.__isset;
+RelayRecord& RelayRecord::operator=(const RelayRecord& other147) {
+  id = other147.id;
+  zone = other147.zone;
+  removed = other147.removed;
+  __isset = other147.__isset;
   return *this;
 }
-RelayRecord& RelayRecord::operator=(RelayRecord&& other122) noexcept {
-  id = std::move(other122.id);
-  zone = std::move(other122.zone);
-  removed = other122.removed;
-  __isset = other122.__isset;
+RelayRecord& RelayRecord::operator=(RelayRecord&& other148) noexcept {
+  id = std::move(other148.id);
+  zone = std::move(other148.zone);
+  removed = other148.removed;
+  __isset = other148.__isset;
   return *this;
 }
 void RelayRecord::printTo(std::ostream& out) const {
@@ -4329,9 +4831,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast123;
-          xfer += iprot->readI32(ecast123);
-          this->kind = static_cast<EntryKind::type>(ecast123);
+          int32_t ecast149;
+          xfer += iprot->readI32(ecast149);
+          this->kind = static_cast<EntryKind::type>(ecast149);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4349,14 +4851,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->members.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->members.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->members[_i128].read(iprot);
+              xfer += this->members[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4427,10 +4929,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter129;
-      for (_iter129 = this->members.begin(); _iter129 != this->members.end(); ++_iter129)
+      std::vector<Member> ::const_iterator _iter155;
+      for (_iter155 = this->members.begin(); _iter155 != this->members.end(); ++_iter155)
       {
-        xfer += (*_iter129).write(oprot);
+        xfer += (*_iter155).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4468,50 +4970,50 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other130) {
-  index = other130.index;
-  term = other130.term;
-  kind = other130.kind;
-  edit = other130.edit;
-  members = other130.members;
-  forming = other130.forming;
-  ledger = other130.ledger;
-  relay = other130.relay;
-  __isset = other130.__isset;
+LogEntry::LogEntry(const LogEntry& other156) {
+  index = other156.index;
+  term = other156.term;
+  kind = other156.kind;
+  edit = other156.edit;
+  members = other156.members;
+  forming = other156.forming;
+  ledger = other156.ledger;
+  relay = other156.relay;
+  __isset = other156.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other131) noexcept {
-  index = other131.index;
-  term = other131.term;
-  kind = other131.kind;
-  edit = std::move(other131.edit);
-  members = std::move(other131.members);
-  forming = other131.forming;
-  ledger = std::move(other131.ledger);
-  relay = std::move(other131.relay);
-  __isset = other131.__isset;
+LogEntry::LogEntry(LogEntry&& other157) noexcept {
+  index = other157.index;
+  term = other157.term;
+  kind = other157.kind;
+  edit = std::move(other157.edit);
+  members = std::move(other157.members);
+  forming = other157.forming;
+  ledger = std::move(other157.ledger);
+  relay = std::move(other157.relay);
+  __isset = other157.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other132) {
-  index = other132.index;
-  term = other132.term;
-  kind = other132.kind;
-  edit = other132.edit;
-  members = other132.members;
-  forming = other132.forming;
-  ledger = other132.ledger;
-  relay = other132.relay;
-  __isset = other132.__isset;
-  return *this;
-}
-LogEntry& LogEntry::operator=(LogEntry&& other133) noexcept {
-  index = other133.index;
-  term = other133.term;
-  kind = other133.kind;
-  edit = std::move(other133.edit);
-  members = std::move(other133.members);
-  forming = other133.forming;
-  ledger = std::move(other133.ledger);
-  relay = std::move(other133.relay);
-  __isset = other133.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other158) {
+  index = other158.index;
+  term = other158.term;
+  kind = other158.kind;
+  edit = other158.edit;
+  members = other158.members;
+  forming = other158.forming;
+  ledger = other158.ledger;
+  relay = other158.relay;
+  __isset = other158.__isset;
+  return *this;
+}
+LogEntry& LogEntry::operator=(LogEntry&& other159) noexcept {
+  index = other159.index;
+  term = other159.term;
+  kind = other159.kind;
+  edit = std::move(other159.edit);
+  members = std::move(other159.members);
+  forming = other159.forming;
+  ledger = std::move(other159.ledger);
+  relay = std::move(other159.relay);
+  __isset = other159.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -4638,30 +5140,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other134) {
-  term = other134.term;
-  votedFor = other134.votedFor;
-  identity = other134.identity;
-  __isset = other134.__isset;
+HardState::HardState(const HardState& other160) {
+  term = other160.term;
+  votedFor = other160.votedFor;
+  identity = other160.identity;
+  __isset = other160.__isset;
 }
-HardState::HardState(HardState&& other135) noexcept {
-  term = other135.term;
-  votedFor = std::move(other135.votedFor);
-  identity = std::move(other135.identity);
-  __isset = other135.__isset;
+HardState::HardState(HardState&& other161) noexcept {
+  term = other161.term;
+  votedFor = std::move(other161.votedFor);
+  identity = std::move(other161.identity);
+  __isset = other161.__isset;
 }
-HardState& HardState::operator=(const HardState& other136) {
-  term = other136.term;
-  votedFor = other136.votedFor;
-  identity = other136.identity;
-  __isset = other136.__isset;
+HardState& HardState::operator=(const HardState& other162) {
+  term = other162.term;
+  votedFor = other162.votedFor;
+  identity = other162.identity;
+  __isset = other162.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other137) noexcept {
-  term = other137.term;
-  votedFor = std::move(other137.votedFor);
-  identity = std::move(other137.identity);
-  __isset = other137.__isset;
+HardState& HardState::operator=(HardState&& other163) noexcept {
+  term = other163.term;
+  votedFor = std::move(other163.votedFor);
+  identity = std::move(other163.identity);
+  __isset = other163.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -4800,34 +5302,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EditProblem::EditProblem(const EditProblem& other138) {
-  key = other138.key;
-  field = other138.field;
-  problem = other138.problem;
-  message = other138.message;
-  __isset = other138.__isset;
+EditProblem::EditProblem(const EditProblem& other164) {
+  key = other164.key;
+  field = other164.field;
+  problem = other164.problem;
+  message = other164.message;
+  __isset = other164.__isset;
 }
-EditProblem::EditProblem(EditProblem&& other139) noexcept {
-  key = std::move(other139.key);
-  field = std::move(other139.field);
-  problem = std::move(other139.problem);
-  message = std::move(other139.message);
-  __isset = other139.__isset;
+EditProblem::EditProblem(EditProblem&& other165) noexcept {
+  key = std::move(other165.key);
+  field = std::move(other165.field);
+  problem = std::move(other165.problem);
+  message = std::move(other165.message);
+  __isset = other165.__isset;
 }
-EditProblem& EditProblem::operator=(const EditProblem& other140) {
-  key = other140.key;
-  field = other140.field;
-  problem = other140.problem;
-  message = other140.message;
-  __isset = other140.__isset;
+EditProblem& EditProblem::operator=(const EditProblem& other166) {
+  key = other166.key;
+  field = other166.field;
+  problem = other166.problem;
+  message = other166.message;
+  __isset = other166.__isset;
   return *this;
 }
-EditProblem& EditProblem::operator=(EditProblem&& other141) noexcept {
-  key = std::move(other141.key);
-  field = std::move(other141.field);
-  problem = std::move(other141.problem);
-  message = std::move(other141.message);
-  __isset = other141.__isset;
+EditProblem& EditProblem::operator=(EditProblem&& other167) noexcept {
+  key = std::move(other167.key);
+  field = std::move(other167.field);
+  problem = std::move(other167.problem);
+  message = std::move(other167.message);
+  __isset = other167.__isset;
   return *this;
 }
 void EditProblem::printTo(std::ostream& out) const {
@@ -4924,14 +5426,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->problems.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->problems.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->problems.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->problems[_i146].read(iprot);
+              xfer += this->problems[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4944,14 +5446,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->currentRows.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->currentRows.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->currentRows.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->currentRows[_i151].read(iprot);
+              xfer += this->currentRows[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5000,10 +5502,10 @@
   xfer += oprot->writeFieldBegin("problems", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->problems.size()));
-    std::vector<EditProblem> ::const_iterator _iter152;
-    for (_iter152 = this->problems.begin(); _iter152 != this->problems.end(); ++_iter152)
+    std::vector<EditProblem> ::const_iterator _iter178;
+    for (_iter178 = this->problems.begin(); _iter178 != this->problems.end(); ++_iter178)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter178).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5012,10 +5514,10 @@
   xfer += oprot->writeFieldBegin("currentRows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->currentRows.size()));
-    std::vector<Row> ::const_iterator _iter153;
-    for (_iter153 = this->currentRows.begin(); _iter153 != this->currentRows.end(); ++_iter153)
+    std::vector<Row> ::const_iterator _iter179;
+    for (_iter179 = this->currentRows.begin(); _iter179 != this->currentRows.end(); ++_iter179)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter179).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5041,42 +5543,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EditOutcome::EditOutcome(const EditOutcome& other154) {
-  requestId = other154.requestId;
-  revision = other154.revision;
-  code = other154.code;
-  problems = other154.problems;
-  currentRows = other154.currentRows;
-  fingerprint = other154.fingerprint;
-  __isset = other154.__isset;
-}
-EditOutcome::EditOutcome(EditOutcome&& other155) noexcept {
-  requestId = std::move(other155.requestId);
-  revision = other155.revision;
-  code = other155.code;
-  problems = std::move(other155.problems);
-  currentRows = std::move(other155.currentRows);
-  fingerprint = other155.fingerprint;
-  __isset = other155.__isset;
-}
-EditOutcome& EditOutcome::operator=(const EditOutcome& other156) {
-  requestId = other156.requestId;
-  revision = other156.revision;
-  code = other156.code;
-  problems = other156.problems;
-  currentRows = other156.currentRows;
-  fingerprint = other156.fingerprint;
-  __isset = other156.__isset;
-  return *this;
-}
-EditOutcome& EditOutcome::operator=(EditOutcome&& other157) noexcept {
-  requestId = std::move(other157.requestId);
-  revision = other157.revision;
-  code = other157.code;
-  problems = std::move(other157.problems);
-  currentRows = std::move(other157.currentRows);
-  fingerprint = other157.fingerprint;
-  __isset = other157.__isset;
+EditOutcome::EditOutcome(const EditOutcome& other180) {
+  requestId = other180.requestId;
+  revision = other180.revision;
+  code = other180.code;
+  problems = other180.problems;
+  currentRows = other180.currentRows;
+  fingerprint = other180.fingerprint;
+  __isset = other180.__isset;
+}
+EditOutcome::EditOutcome(EditOutcome&& other181) noexcept {
+  requestId = std::move(other181.requestId);
+  revision = other181.revision;
+  code = other181.code;
+  problems = std::move(other181.problems);
+  currentRows = std::move(other181.currentRows);
+  fingerprint = other181.fingerprint;
+  __isset = other181.__isset;
+}
+EditOutcome& EditOutcome::operator=(const EditOutcome& other182) {
+  requestId = other182.requestId;
+  revision = other182.revision;
+  code = other182.code;
+  problems = other182.problems;
+  currentRows = other182.currentRows;
+  fingerprint = other182.fingerprint;
+  __isset = other182.__isset;
+  return *this;
+}
+EditOutcome& EditOutcome::operator=(EditOutcome&& other183) noexcept {
+  requestId = std::move(other183.requestId);
+  revision = other183.revision;
+  code = other183.code;
+  problems = std::move(other183.problems);
+  currentRows = std::move(other183.currentRows);
+  fingerprint = other183.fingerprint;
+  __isset = other183.__isset;
   return *this;
 }
 void EditOutcome::printTo(std::ostream& out) const {
@@ -5167,14 +5669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->keys.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->keys.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->keys[_i162].read(iprot);
+              xfer += this->keys[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5215,10 +5717,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RowKey> ::const_iterator _iter163;
-    for (_iter163 = this->keys.begin(); _iter163 != this->keys.end(); ++_iter163)
+    std::vector<RowKey> ::const_iterator _iter189;
+    for (_iter189 = this->keys.begin(); _iter189 != this->keys.end(); ++_iter189)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5238,34 +5740,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRecord::HistoryRecord(const HistoryRecord& other164) {
-  revision = other164.revision;
-  requestId = other164.requestId;
-  author = other164.author;
-  keys = other164.keys;
-  __isset = other164.__isset;
+HistoryRecord::HistoryRecord(const HistoryRecord& other190) {
+  revision = other190.revision;
+  requestId = other190.requestId;
+  author = other190.author;
+  keys = other190.keys;
+  __isset = other190.__isset;
 }
-HistoryRecord::HistoryRecord(HistoryRecord&& other165) noexcept {
-  revision = other165.revision;
-  requestId = std::move(other165.requestId);
-  author = std::move(other165.author);
-  keys = std::move(other165.keys);
-  __isset = other165.__isset;
+HistoryRecord::HistoryRecord(HistoryRecord&& other191) noexcept {
+  revision = other191.revision;
+  requestId = std::move(other191.requestId);
+  author = std::move(other191.author);
+  keys = std::move(other191.keys);
+  __isset = other191.__isset;
 }
-HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other166) {
-  revision = other166.revision;
-  requestId = other166.requestId;
-  author = other166.author;
-  keys = other166.keys;
-  __isset = other166.__isset;
+HistoryRecord& HistoryRecord::operator=(const HistoryRecord& other192) {
+  revision = other192.revision;
+  requestId = other192.requestId;
+  author = other192.author;
+  keys = other192.keys;
+  __isset = other192.__isset;
   return *this;
 }
-HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other167) noexcept {
-  revision = other167.revision;
-  requestId = std::move(other167.requestId);
-  author = std::move(other167.author);
-  keys = std::move(other167.keys);
-  __isset = other167.__isset;
+HistoryRecord& HistoryRecord::operator=(HistoryRecord&& other193) noexcept {
+  revision = other193.revision;
+  requestId = std::move(other193.requestId);
+  author = std::move(other193.author);
+  keys = std::move(other193.keys);
+  __isset = other193.__isset;
   return *this;
 }
 void HistoryRecord::printTo(std::ostream& out) const {
@@ -5350,14 +5852,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->members.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->members.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->members[_i172].read(iprot);
+              xfer += this->members[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5410,10 +5912,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter173;
-    for (_iter173 = this->members.begin(); _iter173 != this->members.end(); ++_iter173)
+    std::vector<Member> ::const_iterator _iter199;
+    for (_iter199 = this->members.begin(); _iter199 != this->members.end(); ++_iter199)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5442,38 +5944,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshot::LogSnapshot(const LogSnapshot& other174) {
-  index = other174.index;
-  term = other174.term;
-  members = other174.members;
-  forming = other174.forming;
-  state = other174.state;
-  __isset = other174.__isset;
-}
-LogSnapshot::LogSnapshot(LogSnapshot&& other175) noexcept {
-  index = other175.index;
-  term = other175.term;
-  members = std::move(other175.members);
-  forming = other175.forming;
-  state = std::move(other175.state);
-  __isset = other175.__isset;
-}
-LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other176) {
-  index = other176.index;
-  term = other176.term;
-  members = other176.members;
-  forming = other176.forming;
-  state = other176.state;
-  __isset = other176.__isset;
-  return *this;
-}
-LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other177) noexcept {
-  index = other177.index;
-  term = other177.term;
-  members = std::move(other177.members);
-  forming = other177.forming;
-  state = std::move(other177.state);
-  __isset = other177.__isset;
+LogSnapshot::LogSnapshot(const LogSnapshot& other200) {
+  index = other200.index;
+  term = other200.term;
+  members = other200.members;
+  forming = other200.forming;
+  state = other200.state;
+  __isset = other200.__isset;
+}
+LogSnapshot::LogSnapshot(LogSnapshot&& other201) noexcept {
+  index = other201.index;
+  term = other201.term;
+  members = std::move(other201.members);
+  forming = other201.forming;
+  state = std::move(other201.state);
+  __isset = other201.__isset;
+}
+LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other202) {
+  index = other202.index;
+  term = other202.term;
+  members = other202.members;
+  forming = other202.forming;
+  state = other202.state;
+  __isset = other202.__isset;
+  return *this;
+}
+LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other203) noexcept {
+  index = other203.index;
+  term = other203.term;
+  members = std::move(other203.members);
+  forming = other203.forming;
+  state = std::move(other203.state);
+  __isset = other203.__isset;
   return *this;
 }
 void LogSnapshot::printTo(std::ostream& out) const {
@@ -5555,14 +6057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->rows.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->rows.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->rows[_i182].read(iprot);
+              xfer += this->rows[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5575,14 +6077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->outcomes.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->outcomes.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->outcomes[_i187].read(iprot);
+              xfer += this->outcomes[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5595,14 +6097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->history.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->history.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->history[_i192].read(iprot);
+              xfer += this->history[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5639,14 +6141,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->relays.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->relays.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
             {
-              xfer += this->relays[_i197].read(iprot);
+              xfer += this->relays[_i223].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5659,14 +6161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ledger.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->ledger.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->ledger.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += this->ledger[_i202].read(iprot);
+              xfer += this->ledger[_i228].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5695,10 +6197,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter203;
-    for (_iter203 = this->rows.begin(); _iter203 != this->rows.end(); ++_iter203)
+    std::vector<Row> ::const_iterator _iter229;
+    for (_iter229 = this->rows.begin(); _iter229 != this->rows.end(); ++_iter229)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5707,10 +6209,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<EditOutcome> ::const_iterator _iter204;
-    for (_iter204 = this->outcomes.begin(); _iter204 != this->outcomes.end(); ++_iter204)
+    std::vector<EditOutcome> ::const_iterator _iter230;
+    for (_iter230 = this->outcomes.begin(); _iter230 != this->outcomes.end(); ++_iter230)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5719,10 +6221,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRecord> ::const_iterator _iter205;
-    for (_iter205 = this->history.begin(); _iter205 != this->history.end(); ++_iter205)
+    std::vector<HistoryRecord> ::const_iterator _iter231;
+    for (_iter231 = this->history.begin(); _iter231 != this->history.end(); ++_iter231)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5743,10 +6245,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayRecord> ::const_iterator _iter206;
-    for (_iter206 = this->relays.begin(); _iter206 != this->relays.end(); ++_iter206)
+    std::vector<RelayRecord> ::const_iterator _iter232;
+    for (_iter232 = this->relays.begin(); _iter232 != this->relays.end(); ++_iter232)
     {
-      xfer += (*_iter206).write(oprot);
+      xfer += (*_iter232).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5755,10 +6257,10 @@
   xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
-    std::vector<LedgerRecord> ::const_iterator _iter207;
-    for (_iter207 = this->ledger.begin(); _iter207 != this->ledger.end(); ++_iter207)
+    std::vector<LedgerRecord> ::const_iterator _iter233;
+    for (_iter233 = this->ledger.begin(); _iter233 != this->ledger.end(); ++_iter233)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter233).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5782,50 +6284,50 @@
   swap(a.__isset, b.__isset);
 }
 
-TableSnapshot::TableSnapshot(const TableSnapshot& other208) {
-  rows = other208.rows;
-  outcomes = other208.outcomes;
-  history = other208.history;
-  tableRevision = other208.tableRevision;
-  historyFloor = other208.historyFloor;
-  horizon = other208.horizon;
-  relays = other208.relays;
-  ledger = other208.ledger;
-  __isset = other208.__isset;
-}
-TableSnapshot::TableSnapshot(TableSnapshot&& other209) noexcept {
-  rows = std::move(other209.rows);
-  outcomes = std::move(other209.outcomes);
-  history = std::move(other209.history);
-  tableRevision = other209.tableRevision;
-  historyFloor = other209.historyFloor;
-  horizon = other209.horizon;
-  relays = std::move(other209.relays);
-  ledger = std::move(other209.ledger);
-  __isset = other209.__isset;
-}
-TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other210) {
-  rows = other210.rows;
-  outcomes = other210.outcomes;
-  history = other210.history;
-  tableRevision = other210.tableRevision;
-  historyFloor = other210.historyFloor;
-  horizon = other210.horizon;
-  relays = other210.relays;
-  ledger = other210.ledger;
-  __isset = other210.__isset;
-  return *this;
-}
-TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other211) noexcept {
-  rows = std::move(other211.rows);
-  outcomes = std::move(other211.outcomes);
-  history = std::move(other211.history);
-  tableRevision = other211.tableRevision;
-  historyFloor = other211.historyFloor;
-  horizon = other211.horizon;
-  relays = std::move(other211.relays);
-  ledger = std::move(other211.ledger);
-  __isset = other211.__isset;
+TableSnapshot::TableSnapshot(const TableSnapshot& other234) {
+  rows = other234.rows;
+  outcomes = other234.outcomes;
+  history = other234.history;
+  tableRevision = other234.tableRevision;
+  historyFloor = other234.historyFloor;
+  horizon = other234.horizon;
+  relays = other234.relays;
+  ledger = other234.ledger;
+  __isset = other234.__isset;
+}
+TableSnapshot::TableSnapshot(TableSnapshot&& other235) noexcept {
+  rows = std::move(other235.rows);
+  outcomes = std::move(other235.outcomes);
+  history = std::move(other235.history);
+  tableRevision = other235.tableRevision;
+  historyFloor = other235.historyFloor;
+  horizon = other235.horizon;
+  relays = std::move(other235.relays);
+  ledger = std::move(other235.ledger);
+  __isset = other235.__isset;
+}
+TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other236) {
+  rows = other236.rows;
+  outcomes = other236.outcomes;
+  history = other236.history;
+  tableRevision = other236.tableRevision;
+  historyFloor = other236.historyFloor;
+  horizon = other236.horizon;
+  relays = other236.relays;
+  ledger = other236.ledger;
+  __isset = other236.__isset;
+  return *this;
+}
+TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other237) noexcept {
+  rows = std::move(other237.rows);
+  outcomes = std::move(other237.outcomes);
+  history = std::move(other237.history);
+  tableRevision = other237.tableRevision;
+  historyFloor = other237.historyFloor;
+  horizon = other237.horizon;
+  relays = std::move(other237.relays);
+  ledger = std::move(other237.ledger);
+  __isset = other237.__isset;
   return *this;
 }
 void TableSnapshot::printTo(std::ostream& out) const {
@@ -5910,6 +6412,10 @@
 void Hello::__set_takesVersionReports(const bool val) {
   this->takesVersionReports = val;
 }
+
+void Hello::__set_grantsQuotas(const bool val) {
+  this->grantsQuotas = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -5948,9 +6454,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast212;
-          xfer += iprot->readI32(ecast212);
-          this->role = static_cast<Role::type>(ecast212);
+          int32_t ecast238;
+          xfer += iprot->readI32(ecast238);
+          this->role = static_cast<Role::type>(ecast238);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6068,6 +6574,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->grantsQuotas);
+          this->__isset.grantsQuotas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6149,6 +6663,10 @@
   xfer += oprot->writeBool(this->takesVersionReports);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("grantsQuotas", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->grantsQuotas);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6172,85 +6690,90 @@
   swap(a.unpacksFrames, b.unpacksFrames);
   swap(a.takesCrashReports, b.takesCrashReports);
   swap(a.takesVersionReports, b.takesVersionReports);
+  swap(a.grantsQuotas, b.grantsQuotas);
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other213) {
-  protocolVersion = other213.protocolVersion;
-  role = other213.role;
-  id = other213.id;
-  zone = other213.zone;
-  blank = other213.blank;
-  address = other213.address;
-  framePort = other213.framePort;
-  httpPort = other213.httpPort;
-  relayPort = other213.relayPort;
-  compresses = other213.compresses;
-  serviceName = other213.serviceName;
-  takesBodyPieces = other213.takesBodyPieces;
-  acknowledgesCalls = other213.acknowledgesCalls;
-  unpacksFrames = other213.unpacksFrames;
-  takesCrashReports = other213.takesCrashReports;
-  takesVersionReports = other213.takesVersionReports;
-  __isset = other213.__isset;
-}
-Hello::Hello(Hello&& other214) noexcept {
-  protocolVersion = other214.protocolVersion;
-  role = other214.role;
-  id = std::move(other214.id);
-  zone = std::move(other214.zone);
-  blank = other214.blank;
-  address = std::move(other214.address);
-  framePort = other214.framePort;
-  httpPort = other214.httpPort;
-  relayPort = other214.relayPort;
-  compresses = other214.compresses;
-  serviceName = std::move(other214.serviceName);
-  takesBodyPieces = other214.takesBodyPieces;
-  acknowledgesCalls = other214.acknowledgesCalls;
-  unpacksFrames = other214.unpacksFrames;
-  takesCrashReports = other214.takesCrashReports;
-  takesVersionReports = other214.takesVersionReports;
-  __isset = other214.__isset;
-}
-Hello& Hello::operator=(const Hello& other215) {
-  protocolVersion = other215.protocolVersion;
-  role = other215.role;
-  id = other215.id;
-  zone = other215.zone;
-  blank = other215.blank;
-  address = other215.address;
-  framePort = other215.framePort;
-  httpPort = other215.httpPort;
-  relayPort = other215.relayPort;
-  compresses = other215.compresses;
-  serviceName = other215.serviceName;
-  takesBodyPieces = other215.takesBodyPieces;
-  acknowledgesCalls = other215.acknowledgesCalls;
-  unpacksFrames = other215.unpacksFrames;
-  takesCrashReports = other215.takesCrashReports;
-  takesVersionReports = other215.takesVersionReports;
-  __isset = other215.__isset;
-  return *this;
-}
-Hello& Hello::operator=(Hello&& other216) noexcept {
-  protocolVersion = other216.protocolVersion;
-  role = other216.role;
-  id = std::move(other216.id);
-  zone = std::move(other216.zone);
-  blank = other216.blank;
-  address = std::move(other216.address);
-  framePort = other216.framePort;
-  httpPort = other216.httpPort;
-  relayPort = other216.relayPort;
-  compresses = other216.compresses;
-  serviceName = std::move(other216.serviceName);
-  takesBodyPieces = other216.takesBodyPieces;
-  acknowledgesCalls = other216.acknowledgesCalls;
-  unpacksFrames = other216.unpacksFrames;
-  takesCrashReports = other216.takesCrashReports;
-  takesVersionReports = other216.takesVersionReports;
-  __isset = other216.__isset;
+Hello::Hello(const Hello& other239) {
+  protocolVersion = other239.protocolVersion;
+  role = other239.role;
+  id = other239.id;
+  zone = other239.zone;
+  blank = other239.blank;
+  address = other239.address;
+  framePort = other239.framePort;
+  httpPort = other239.httpPort;
+  relayPort = other239.relayPort;
+  compresses = other239.compresses;
+  serviceName = other239.serviceName;
+  takesBodyPieces = other239.takesBodyPieces;
+  acknowledgesCalls = other239.acknowledgesCalls;
+  unpacksFrames = other239.unpacksFrames;
+  takesCrashReports = other239.takesCrashReports;
+  takesVersionReports = other239.takesVersionReports;
+  grantsQuotas = other239.grantsQuotas;
+  __isset = other239.__isset;
+}
+Hello::Hello(Hello&& other240) noexcept {
+  protocolVersion = other240.protocolVersion;
+  role = other240.role;
+  id = std::move(other240.id);
+  zone = std::move(other240.zone);
+  blank = other240.blank;
+  address = std::move(other240.address);
+  framePort = other240.framePort;
+  httpPort = other240.httpPort;
+  relayPort = other240.relayPort;
+  compresses = other240.compresses;
+  serviceName = std::move(other240.serviceName);
+  takesBodyPieces = other240.takesBodyPieces;
+  acknowledgesCalls = other240.acknowledgesCalls;
+  unpacksFrames = other240.unpacksFrames;
+  takesCrashReports = other240.takesCrashReports;
+  takesVersionReports = other240.takesVersionReports;
+  grantsQuotas = other240.grantsQuotas;
+  __isset = other240.__isset;
+}
+Hello& Hello::operator=(const Hello& other241) {
+  protocolVersion = other241.protocolVersion;
+  role = other241.role;
+  id = other241.id;
+  zone = other241.zone;
+  blank = other241.blank;
+  address = other241.address;
+  framePort = other241.framePort;
+  httpPort = other241.httpPort;
+  relayPort = other241.relayPort;
+  compresses = other241.compresses;
+  serviceName = other241.serviceName;
+  takesBodyPieces = other241.takesBodyPieces;
+  acknowledgesCalls = other241.acknowledgesCalls;
+  unpacksFrames = other241.unpacksFrames;
+  takesCrashReports = other241.takesCrashReports;
+  takesVersionReports = other241.takesVersionReports;
+  grantsQuotas = other241.grantsQuotas;
+  __isset = other241.__isset;
+  return *this;
+}
+Hello& Hello::operator=(Hello&& other242) noexcept {
+  protocolVersion = other242.protocolVersion;
+  role = other242.role;
+  id = std::move(other242.id);
+  zone = std::move(other242.zone);
+  blank = other242.blank;
+  address = std::move(other242.address);
+  framePort = other242.framePort;
+  httpPort = other242.httpPort;
+  relayPort = other242.relayPort;
+  compresses = other242.compresses;
+  serviceName = std::move(other242.serviceName);
+  takesBodyPieces = other242.takesBodyPieces;
+  acknowledgesCalls = other242.acknowledgesCalls;
+  unpacksFrames = other242.unpacksFrames;
+  takesCrashReports = other242.takesCrashReports;
+  takesVersionReports = other242.takesVersionReports;
+  grantsQuotas = other242.grantsQuotas;
+  __isset = other242.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -6272,6 +6795,7 @@
   out << ", " << "unpacksFrames=" << to_string(unpacksFrames);
   out << ", " << "takesCrashReports=" << to_string(takesCrashReports);
   out << ", " << "takesVersionReports=" << to_string(takesVersionReports);
+  out << ", " << "grantsQuotas=" << to_string(grantsQuotas);
   out << ")";
 }
 
@@ -6330,18 +6854,18 @@
   (void) b;
 }
 
-KeepAlive::KeepAlive(const KeepAlive& other217) noexcept {
-  (void) other217;
+KeepAlive::KeepAlive(const KeepAlive& other243) noexcept {
+  (void) other243;
 }
-KeepAlive::KeepAlive(KeepAlive&& other218) noexcept {
-  (void) other218;
+KeepAlive::KeepAlive(KeepAlive&& other244) noexcept {
+  (void) other244;
 }
-KeepAlive& KeepAlive::operator=(const KeepAlive& other219) noexcept {
-  (void) other219;
+KeepAlive& KeepAlive::operator=(const KeepAlive& other245) noexcept {
+  (void) other245;
   return *this;
 }
-KeepAlive& KeepAlive::operator=(KeepAlive&& other220) noexcept {
-  (void) other220;
+KeepAlive& KeepAlive::operator=(KeepAlive&& other246) noexcept {
+  (void) other246;
   return *this;
 }
 void KeepAlive::printTo(std::ostream& out) const {
@@ -6511,42 +7035,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other221) {
-  term = other221.term;
-  candidate = other221.candidate;
-  lastIndex = other221.lastIndex;
-  lastTerm = other221.lastTerm;
-  preVote = other221.preVote;
-  transfer = other221.transfer;
-  __isset = other221.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other222) noexcept {
-  term = other222.term;
-  candidate = std::move(other222.candidate);
-  lastIndex = other222.lastIndex;
-  lastTerm = other222.lastTerm;
-  preVote = other222.preVote;
-  transfer = other222.transfer;
-  __isset = other222.__isset;
-}
-VoteRequest& VoteRequest::operator=(const VoteRequest& other223) {
-  term = other223.term;
-  candidate = other223.candidate;
-  lastIndex = other223.lastIndex;
-  lastTerm = other223.lastTerm;
-  preVote = other223.preVote;
-  transfer = other223.transfer;
-  __isset = other223.__isset;
-  return *this;
-}
-VoteRequest& VoteRequest::operator=(VoteRequest&& other224) noexcept {
-  term = other224.term;
-  candidate = std::move(other224.candidate);
-  lastIndex = other224.lastIndex;
-  lastTerm = other224.lastTerm;
-  preVote = other224.preVote;
-  transfer = other224.transfer;
-  __isset = other224.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other247) {
+  term = other247.term;
+  candidate = other247.candidate;
+  lastIndex = other247.lastIndex;
+  lastTerm = other247.lastTerm;
+  preVote = other247.preVote;
+  transfer = other247.transfer;
+  __isset = other247.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other248) noexcept {
+  term = other248.term;
+  candidate = std::move(other248.candidate);
+  lastIndex = other248.lastIndex;
+  lastTerm = other248.lastTerm;
+  preVote = other248.preVote;
+  transfer = other248.transfer;
+  __isset = other248.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other249) {
+  term = other249.term;
+  candidate = other249.candidate;
+  lastIndex = other249.lastIndex;
+  lastTerm = other249.lastTerm;
+  preVote = other249.preVote;
+  transfer = other249.transfer;
+  __isset = other249.__isset;
+  return *this;
+}
+VoteRequest& VoteRequest::operator=(VoteRequest&& other250) noexcept {
+  term = other250.term;
+  candidate = std::move(other250.candidate);
+  lastIndex = other250.lastIndex;
+  lastTerm = other250.lastTerm;
+  preVote = other250.preVote;
+  transfer = other250.transfer;
+  __isset = other250.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -6671,30 +7195,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other225) noexcept {
-  term = other225.term;
-  granted = other225.granted;
-  preVote = other225.preVote;
-  __isset = other225.__isset;
+VoteResponse::VoteResponse(const VoteResponse& other251) noexcept {
+  term = other251.term;
+  granted = other251.granted;
+  preVote = other251.preVote;
+  __isset = other251.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other226) noexcept {
-  term = other226.term;
-  granted = other226.granted;
-  preVote = other226.preVote;
-  __isset = other226.__isset;
+VoteResponse::VoteResponse(VoteResponse&& other252) noexcept {
+  term = other252.term;
+  granted = other252.granted;
+  preVote = other252.preVote;
+  __isset = other252.__isset;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other227) noexcept {
-  term = other227.term;
-  granted = other227.granted;
-  preVote = other227.preVote;
-  __isset = other227.__isset;
+VoteResponse& VoteResponse::operator=(const VoteResponse& other253) noexcept {
+  term = other253.term;
+  granted = other253.granted;
+  preVote = other253.preVote;
+  __isset = other253.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other228) noexcept {
-  term = other228.term;
-  granted = other228.granted;
-  preVote = other228.preVote;
-  __isset = other228.__isset;
+VoteResponse& VoteResponse::operator=(VoteResponse&& other254) noexcept {
+  term = other254.term;
+  granted = other254.granted;
+  preVote = other254.preVote;
+  __isset = other254.__isset;
   return *this;
 }
 void VoteResponse::printTo(std::ostream& out) const {
@@ -6802,14 +7326,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->entries.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _etype258;
+            xfer += iprot->readListBegin(_etype258, _size255);
+            this->entries.resize(_size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
             {
-              xfer += this->entries[_i233].read(iprot);
+              xfer += this->entries[_i259].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6870,10 +7394,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter234;
-    for (_iter234 = this->entries.begin(); _iter234 != this->entries.end(); ++_iter234)
+    std::vector<LogEntry> ::const_iterator _iter260;
+    for (_iter260 = this->entries.begin(); _iter260 != this->entries.end(); ++_iter260)
     {
-      xfer += (*_iter234).write(oprot);
+      xfer += (*_iter260).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6904,46 +7428,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other235) {
-  term = other235.term;
-  leader = other235.leader;
-  previousIndex = other235.previousIndex;
-  previousTerm = other235.previousTerm;
-  entries = other235.entries;
-  commitIndex = other235.commitIndex;
-  round = other235.round;
-  __isset = other235.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other261) {
+  term = other261.term;
+  leader = other261.leader;
+  previousIndex = other261.previousIndex;
+  previousTerm = other261.previousTerm;
+  entries = other261.entries;
+  commitIndex = other261.commitIndex;
+  round = other261.round;
+  __isset = other261.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other236) noexcept {
-  term = other236.term;
-  leader = std::move(other236.leader);
-  previousIndex = other236.previousIndex;
-  previousTerm = other236.previousTerm;
-  entries = std::move(other236.entries);
-  commitIndex = other236.commitIndex;
-  round = other236.round;
-  __isset = other236.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other262) noexcept {
+  term = other262.term;
+  leader = std::move(other262.leader);
+  previousIndex = other262.previousIndex;
+  previousTerm = other262.previousTerm;
+  entries = std::move(other262.entries);
+  commitIndex = other262.commitIndex;
+  round = other262.round;
+  __isset = other262.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other237) {
-  term = other237.term;
-  leader = other237.leader;
-  previousIndex = other237.previousIndex;
-  previousTerm = other237.previousTerm;
-  entries = other237.entries;
-  commitIndex = other237.commitIndex;
-  round = other237.round;
-  __isset = other237.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other263) {
+  term = other263.term;
+  leader = other263.leader;
+  previousIndex = other263.previousIndex;
+  previousTerm = other263.previousTerm;
+  entries = other263.entries;
+  commitIndex = other263.commitIndex;
+  round = other263.round;
+  __isset = other263.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other238) noexcept {
-  term = other238.term;
-  leader = std::move(other238.leader);
-  previousIndex = other238.previousIndex;
-  previousTerm = other238.previousTerm;
-  entries = std::move(other238.entries);
-  commitIndex = other238.commitIndex;
-  round = other238.round;
-  __isset = other238.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other264) noexcept {
+  term = other264.term;
+  leader = std::move(other264.leader);
+  previousIndex = other264.previousIndex;
+  previousTerm = other264.previousTerm;
+  entries = std::move(other264.entries);
+  commitIndex = other264.commitIndex;
+  round = other264.round;
+  __isset = other264.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7086,34 +7610,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other239) noexcept {
-  term = other239.term;
-  success = other239.success;
-  matchIndex = other239.matchIndex;
-  round = other239.round;
-  __isset = other239.__isset;
+AppendResponse::AppendResponse(const AppendResponse& other265) noexcept {
+  term = other265.term;
+  success = other265.success;
+  matchIndex = other265.matchIndex;
+  round = other265.round;
+  __isset = other265.__isset;
 }
-AppendResponse::AppendResponse(AppendResponse&& other240) noexcept {
-  term = other240.term;
-  success = other240.success;
-  matchIndex = other240.matchIndex;
-  round = other240.round;
-  __isset = other240.__isset;
+AppendResponse::AppendResponse(AppendResponse&& other266) noexcept {
+  term = other266.term;
+  success = other266.success;
+  matchIndex = other266.matchIndex;
+  round = other266.round;
+  __isset = other266.__isset;
 }
-AppendResponse& AppendResponse::operator=(const AppendResponse& other241) noexcept {
-  term = other241.term;
-  success = other241.success;
-  matchIndex = other241.matchIndex;
-  round = other241.round;
-  __isset = other241.__isset;
+AppendResponse& AppendResponse::operator=(const AppendResponse& other267) noexcept {
+  term = other267.term;
+  success = other267.success;
+  matchIndex = other267.matchIndex;
+  round = other267.round;
+  __isset = other267.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other242) noexcept {
-  term = other242.term;
-  success = other242.success;
-  matchIndex = other242.matchIndex;
-  round = other242.round;
-  __isset = other242.__isset;
+AppendResponse& AppendResponse::operator=(AppendResponse&& other268) noexcept {
+  term = other268.term;
+  success = other268.success;
+  matchIndex = other268.matchIndex;
+  round = other268.round;
+  __isset = other268.__isset;
   return *this;
 }
 void AppendResponse::printTo(std::ostream& out) const {
@@ -7304,46 +7828,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other243) {
-  term = other243.term;
-  leader = other243.leader;
-  lastIndex = other243.lastIndex;
-  lastTerm = other243.lastTerm;
-  offset = other243.offset;
-  totalBytes = other243.totalBytes;
-  data = other243.data;
-  __isset = other243.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other244) noexcept {
-  term = other244.term;
-  leader = std::move(other244.leader);
-  lastIndex = other244.lastIndex;
-  lastTerm = other244.lastTerm;
-  offset = other244.offset;
-  totalBytes = other244.totalBytes;
-  data = std::move(other244.data);
-  __isset = other244.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other245) {
-  term = other245.term;
-  leader = other245.leader;
-  lastIndex = other245.lastIndex;
-  lastTerm = other245.lastTerm;
-  offset = other245.offset;
-  totalBytes = other245.totalBytes;
-  data = other245.data;
-  __isset = other245.__isset;
-  return *this;
-}
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other246) noexcept {
-  term = other246.term;
-  leader = std::move(other246.leader);
-  lastIndex = other246.lastIndex;
-  lastTerm = other246.lastTerm;
-  offset = other246.offset;
-  totalBytes = other246.totalBytes;
-  data = std::move(other246.data);
-  __isset = other246.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other269) {
+  term = other269.term;
+  leader = other269.leader;
+  lastIndex = other269.lastIndex;
+  lastTerm = other269.lastTerm;
+  offset = other269.offset;
+  totalBytes = other269.totalBytes;
+  data = other269.data;
+  __isset = other269.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other270) noexcept {
+  term = other270.term;
+  leader = std::move(other270.leader);
+  lastIndex = other270.lastIndex;
+  lastTerm = other270.lastTerm;
+  offset = other270.offset;
+  totalBytes = other270.totalBytes;
+  data = std::move(other270.data);
+  __isset = other270.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other271) {
+  term = other271.term;
+  leader = other271.leader;
+  lastIndex = other271.lastIndex;
+  lastTerm = other271.lastTerm;
+  offset = other271.offset;
+  totalBytes = other271.totalBytes;
+  data = other271.data;
+  __isset = other271.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other272) noexcept {
+  term = other272.term;
+  leader = std::move(other272.leader);
+  lastIndex = other272.lastIndex;
+  lastTerm = other272.lastTerm;
+  offset = other272.offset;
+  totalBytes = other272.totalBytes;
+  data = std::move(other272.data);
+  __isset = other272.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -7469,30 +7993,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other247) noexcept {
-  term = other247.term;
-  lastIndex = other247.lastIndex;
-  nextOffset = other247.nextOffset;
-  __isset = other247.__isset;
+SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other273) noexcept {
+  term = other273.term;
+  lastIndex = other273.lastIndex;
+  nextOffset = other273.nextOffset;
+  __isset = other273.__isset;
 }
-SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other248) noexcept {
-  term = other248.term;
-  lastIndex = other248.lastIndex;
-  nextOffset = other248.nextOffset;
-  __isset = other248.__isset;
+SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other274) noexcept {
+  term = other274.term;
+  lastIndex = other274.lastIndex;
+  nextOffset = other274.nextOffset;
+  __isset = other274.__isset;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other249) noexcept {
-  term = other249.term;
-  lastIndex = other249.lastIndex;
-  nextOffset = other249.nextOffset;
-  __isset = other249.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other275) noexcept {
+  term = other275.term;
+  lastIndex = other275.lastIndex;
+  nextOffset = other275.nextOffset;
+  __isset = other275.__isset;
   return *this;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other250) noexcept {
-  term = other250.term;
-  lastIndex = other250.lastIndex;
-  nextOffset = other250.nextOffset;
-  __isset = other250.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other276) noexcept {
+  term = other276.term;
+  lastIndex = other276.lastIndex;
+  nextOffset = other276.nextOffset;
+  __isset = other276.__isset;
   return *this;
 }
 void SnapshotChunkAck::printTo(std::ostream& out) const {
@@ -7580,22 +8104,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other251) noexcept {
-  term = other251.term;
-  __isset = other251.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other277) noexcept {
+  term = other277.term;
+  __isset = other277.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other252) noexcept {
-  term = other252.term;
-  __isset = other252.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other278) noexcept {
+  term = other278.term;
+  __isset = other278.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other253) noexcept {
-  term = other253.term;
-  __isset = other253.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other279) noexcept {
+  term = other279.term;
+  __isset = other279.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other254) noexcept {
-  term = other254.term;
-  __isset = other254.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other280) noexcept {
+  term = other280.term;
+  __isset = other280.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -7698,26 +8222,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Freshness::Freshness(const Freshness& other255) noexcept {
-  term = other255.term;
-  round = other255.round;
-  __isset = other255.__isset;
+Freshness::Freshness(const Freshness& other281) noexcept {
+  term = other281.term;
+  round = other281.round;
+  __isset = other281.__isset;
 }
-Freshness::Freshness(Freshness&& other256) noexcept {
-  term = other256.term;
-  round = other256.round;
-  __isset = other256.__isset;
+Freshness::Freshness(Freshness&& other282) noexcept {
+  term = other282.term;
+  round = other282.round;
+  __isset = other282.__isset;
 }
-Freshness& Freshness::operator=(const Freshness& other257) noexcept {
-  term = other257.term;
-  round = other257.round;
-  __isset = other257.__isset;
+Freshness& Freshness::operator=(const Freshness& other283) noexcept {
+  term = other283.term;
+  round = other283.round;
+  __isset = other283.__isset;
   return *this;
 }
-Freshness& Freshness::operator=(Freshness&& other258) noexcept {
-  term = other258.term;
-  round = other258.round;
-  __isset = other258.__isset;
+Freshness& Freshness::operator=(Freshness&& other284) noexcept {
+  term = other284.term;
+  round = other284.round;
+  __isset = other284.__isset;
   return *this;
 }
 void Freshness::printTo(std::ostream& out) const {
@@ -7821,26 +8345,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RelaySubscribe::RelaySubscribe(const RelaySubscribe& other259) noexcept {
-  revision = other259.revision;
-  digest = other259.digest;
-  __isset = other259.__isset;
+RelaySubscribe::RelaySubscribe(const RelaySubscribe& other285) noexcept {
+  revision = other285.revision;
+  digest = other285.digest;
+  __isset = other285.__isset;
 }
-RelaySubscribe::RelaySubscribe(RelaySubscribe&& other260) noexcept {
-  revision = other260.revision;
-  digest = std::move(other260.digest);
-  __isset = other260.__isset;
+RelaySubscribe::RelaySubscribe(RelaySubscribe&& other286) noexcept {
+  revision = other286.revision;
+  digest = std::move(other286.digest);
+  __isset = other286.__isset;
 }
-RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other261) noexcept {
-  revision = other261.revision;
-  digest = other261.digest;
-  __isset = other261.__isset;
+RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other287) noexcept {
+  revision = other287.revision;
+  digest = other287.digest;
+  __isset = other287.__isset;
   return *this;
 }
-RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other262) noexcept {
-  revision = other262.revision;
-  digest = std::move(other262.digest);
-  __isset = other262.__isset;
+RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other288) noexcept {
+  revision = other288.revision;
+  digest = std::move(other288.digest);
+  __isset = other288.__isset;
   return *this;
 }
 void RelaySubscribe::printTo(std::ostream& out) const {
@@ -7927,22 +8451,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other263) {
-  leaderId = other263.leaderId;
-  __isset = other263.__isset;
+NotLeader::NotLeader(const NotLeader& other289) {
+  leaderId = other289.leaderId;
+  __isset = other289.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other264) noexcept {
-  leaderId = std::move(other264.leaderId);
-  __isset = other264.__isset;
+NotLeader::NotLeader(NotLeader&& other290) noexcept {
+  leaderId = std::move(other290.leaderId);
+  __isset = other290.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other265) {
-  leaderId = other265.leaderId;
-  __isset = other265.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other291) {
+  leaderId = other291.leaderId;
+  __isset = other291.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other266) noexcept {
-  leaderId = std::move(other266.leaderId);
-  __isset = other266.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other292) noexcept {
+  leaderId = std::move(other292.leaderId);
+  __isset = other292.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -8032,14 +8556,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size267;
-            ::apache::thrift::protocol::TType _etype270;
-            xfer += iprot->readListBegin(_etype270, _size267);
-            this->rows.resize(_size267);
-            uint32_t _i271;
-            for (_i271 = 0; _i271 < _size267; ++_i271)
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->rows.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
             {
-              xfer += this->rows[_i271].read(iprot);
+              xfer += this->rows[_i297].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8088,10 +8612,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter272;
-    for (_iter272 = this->rows.begin(); _iter272 != this->rows.end(); ++_iter272)
+    std::vector<Row> ::const_iterator _iter298;
+    for (_iter298 = this->rows.begin(); _iter298 != this->rows.end(); ++_iter298)
     {
-      xfer += (*_iter272).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8116,38 +8640,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TableUpdate::TableUpdate(const TableUpdate& other273) {
-  fromRevision = other273.fromRevision;
-  toRevision = other273.toRevision;
-  full = other273.full;
-  rows = other273.rows;
-  digest = other273.digest;
-  __isset = other273.__isset;
-}
-TableUpdate::TableUpdate(TableUpdate&& other274) noexcept {
-  fromRevision = other274.fromRevision;
-  toRevision = other274.toRevision;
-  full = other274.full;
-  rows = std::move(other274.rows);
-  digest = std::move(other274.digest);
-  __isset = other274.__isset;
-}
-TableUpdate& TableUpdate::operator=(const TableUpdate& other275) {
-  fromRevision = other275.fromRevision;
-  toRevision = other275.toRevision;
-  full = other275.full;
-  rows = other275.rows;
-  digest = other275.digest;
-  __isset = other275.__isset;
-  return *this;
-}
-TableUpdate& TableUpdate::operator=(TableUpdate&& other276) noexcept {
-  fromRevision = other276.fromRevision;
-  toRevision = other276.toRevision;
-  full = other276.full;
-  rows = std::move(other276.rows);
-  digest = std::move(other276.digest);
-  __isset = other276.__isset;
+TableUpdate::TableUpdate(const TableUpdate& other299) {
+  fromRevision = other299.fromRevision;
+  toRevision = other299.toRevision;
+  full = other299.full;
+  rows = other299.rows;
+  digest = other299.digest;
+  __isset = other299.__isset;
+}
+TableUpdate::TableUpdate(TableUpdate&& other300) noexcept {
+  fromRevision = other300.fromRevision;
+  toRevision = other300.toRevision;
+  full = other300.full;
+  rows = std::move(other300.rows);
+  digest = std::move(other300.digest);
+  __isset = other300.__isset;
+}
+TableUpdate& TableUpdate::operator=(const TableUpdate& other301) {
+  fromRevision = other301.fromRevision;
+  toRevision = other301.toRevision;
+  full = other301.full;
+  rows = other301.rows;
+  digest = other301.digest;
+  __isset = other301.__isset;
+  return *this;
+}
+TableUpdate& TableUpdate::operator=(TableUpdate&& other302) noexcept {
+  fromRevision = other302.fromRevision;
+  toRevision = other302.toRevision;
+  full = other302.full;
+  rows = std::move(other302.rows);
+  digest = std::move(other302.digest);
+  __isset = other302.__isset;
   return *this;
 }
 void TableUpdate::printTo(std::ostream& out) const {
@@ -8254,26 +8778,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other277) noexcept {
-  revision = other277.revision;
-  freshness = other277.freshness;
-  __isset = other277.__isset;
+ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other303) noexcept {
+  revision = other303.revision;
+  freshness = other303.freshness;
+  __isset = other303.__isset;
 }
-ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other278) noexcept {
-  revision = other278.revision;
-  freshness = std::move(other278.freshness);
-  __isset = other278.__isset;
+ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other304) noexcept {
+  revision = other304.revision;
+  freshness = std::move(other304.freshness);
+  __isset = other304.__isset;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other279) noexcept {
-  revision = other279.revision;
-  freshness = other279.freshness;
-  __isset = other279.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other305) noexcept {
+  revision = other305.revision;
+  freshness = other305.freshness;
+  __isset = other305.__isset;
   return *this;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other280) noexcept {
-  revision = other280.revision;
-  freshness = std::move(other280.freshness);
-  __isset = other280.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other306) noexcept {
+  revision = other306.revision;
+  freshness = std::move(other306.freshness);
+  __isset = other306.__isset;
   return *this;
 }
 void ControllerHeartbeat::printTo(std::ostream& out) const {
@@ -8360,22 +8884,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other281) noexcept {
-  token = other281.token;
-  __isset = other281.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other307) noexcept {
+  token = other307.token;
+  __isset = other307.__isset;
 }
-ConfirmRequest::ConfirmRequest(ConfirmRequest&& other282) noexcept {
-  token = other282.token;
-  __isset = other282.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other308) noexcept {
+  token = other308.token;
+  __isset = other308.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other283) noexcept {
-  token = other283.token;
-  __isset = other283.__isset;
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other309) noexcept {
+  token = other309.token;
+  __isset = other309.__isset;
   return *this;
 }
-ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other284) noexcept {
-  token = other284.token;
-  __isset = other284.__isset;
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other310) noexcept {
+  token = other310.token;
+  __isset = other310.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -8478,26 +9002,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other285) noexcept {
-  token = other285.token;
-  revision = other285.revision;
-  __isset = other285.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other311) noexcept {
+  token = other311.token;
+  revision = other311.revision;
+  __isset = other311.__isset;
 }
-ConfirmReply::ConfirmReply(ConfirmReply&& other286) noexcept {
-  token = other286.token;
-  revision = other286.revision;
-  __isset = other286.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other312) noexcept {
+  token = other312.token;
+  revision = other312.revision;
+  __isset = other312.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other287) noexcept {
-  token = other287.token;
-  revision = other287.revision;
-  __isset = other287.__isset;
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other313) noexcept {
+  token = other313.token;
+  revision = other313.revision;
+  __isset = other313.__isset;
   return *this;
 }
-ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other288) noexcept {
-  token = other288.token;
-  revision = other288.revision;
-  __isset = other288.__isset;
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other314) noexcept {
+  token = other314.token;
+  revision = other314.revision;
+  __isset = other314.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -8601,26 +9125,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other289) {
-  nodeId = other289.nodeId;
-  revision = other289.revision;
-  __isset = other289.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other315) {
+  nodeId = other315.nodeId;
+  revision = other315.revision;
+  __isset = other315.__isset;
 }
-NodeStatus::NodeStatus(NodeStatus&& other290) noexcept {
-  nodeId = std::move(other290.nodeId);
-  revision = other290.revision;
-  __isset = other290.__isset;
+NodeStatus::NodeStatus(NodeStatus&& other316) noexcept {
+  nodeId = std::move(other316.nodeId);
+  revision = other316.revision;
+  __isset = other316.__isset;
 }
-NodeStatus& NodeStatus::operator=(const NodeStatus& other291) {
-  nodeId = other291.nodeId;
-  revision = other291.revision;
-  __isset = other291.__isset;
+NodeStatus& NodeStatus::operator=(const NodeStatus& other317) {
+  nodeId = other317.nodeId;
+  revision = other317.revision;
+  __isset = other317.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other292) noexcept {
-  nodeId = std::move(other292.nodeId);
-  revision = other292.revision;
-  __isset = other292.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other318) noexcept {
+  nodeId = std::move(other318.nodeId);
+  revision = other318.revision;
+  __isset = other318.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -8711,14 +9235,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attached.clear();
-            uint32_t _size293;
-            ::apache::thrift::protocol::TType _etype296;
-            xfer += iprot->readListBegin(_etype296, _size293);
-            this->attached.resize(_size293);
-            uint32_t _i297;
-            for (_i297 = 0; _i297 < _size293; ++_i297)
+            uint32_t _size319;
+            ::apache::thrift::protocol::TType _etype322;
+            xfer += iprot->readListBegin(_etype322, _size319);
+            this->attached.resize(_size319);
+            uint32_t _i323;
+            for (_i323 = 0; _i323 < _size319; ++_i323)
             {
-              xfer += iprot->readString(this->attached[_i297]);
+              xfer += iprot->readString(this->attached[_i323]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8731,14 +9255,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->detached.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->detached.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size324;
+            ::apache::thrift::protocol::TType _etype327;
+            xfer += iprot->readListBegin(_etype327, _size324);
+            this->detached.resize(_size324);
+            uint32_t _i328;
+            for (_i328 = 0; _i328 < _size324; ++_i328)
             {
-              xfer += iprot->readString(this->detached[_i302]);
+              xfer += iprot->readString(this->detached[_i328]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8751,14 +9275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->lagging.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->lagging.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
             {
-              xfer += this->lagging[_i307].read(iprot);
+              xfer += this->lagging[_i333].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8811,10 +9335,10 @@
   xfer += oprot->writeFieldBegin("attached", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->attached.size()));
-    std::vector<std::string> ::const_iterator _iter308;
-    for (_iter308 = this->attached.begin(); _iter308 != this->attached.end(); ++_iter308)
+    std::vector<std::string> ::const_iterator _iter334;
+    for (_iter334 = this->attached.begin(); _iter334 != this->attached.end(); ++_iter334)
     {
-      xfer += oprot->writeString((*_iter308));
+      xfer += oprot->writeString((*_iter334));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8823,10 +9347,10 @@
   xfer += oprot->writeFieldBegin("detached", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->detached.size()));
-    std::vector<std::string> ::const_iterator _iter309;
-    for (_iter309 = this->detached.begin(); _iter309 != this->detached.end(); ++_iter309)
+    std::vector<std::string> ::const_iterator _iter335;
+    for (_iter335 = this->detached.begin(); _iter335 != this->detached.end(); ++_iter335)
     {
-      xfer += oprot->writeString((*_iter309));
+      xfer += oprot->writeString((*_iter335));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8835,10 +9359,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<NodeStatus> ::const_iterator _iter310;
-    for (_iter310 = this->lagging.begin(); _iter310 != this->lagging.end(); ++_iter310)
+    std::vector<NodeStatus> ::const_iterator _iter336;
+    for (_iter336 = this->lagging.begin(); _iter336 != this->lagging.end(); ++_iter336)
     {
-      xfer += (*_iter310).write(oprot);
+      xfer += (*_iter336).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8869,46 +9393,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConvergenceReport::ConvergenceReport(const ConvergenceReport& other311) {
-  sequence = other311.sequence;
-  inForceRevision = other311.inForceRevision;
-  attached = other311.attached;
-  detached = other311.detached;
-  lagging = other311.lagging;
-  full = other311.full;
-  runningMs = other311.runningMs;
-  __isset = other311.__isset;
+ConvergenceReport::ConvergenceReport(const ConvergenceReport& other337) {
+  sequence = other337.sequence;
+  inForceRevision = other337.inForceRevision;
+  attached = other337.attached;
+  detached = other337.detached;
+  lagging = other337.lagging;
+  full = other337.full;
+  runningMs = other337.runningMs;
+  __isset = other337.__isset;
 }
-ConvergenceReport::ConvergenceReport(ConvergenceReport&& other312) noexcept {
-  sequence = other312.sequence;
-  inForceRevision = other312.inForceRevision;
-  attached = std::move(other312.attached);
-  detached = std::move(other312.detached);
-  lagging = std::move(other312.lagging);
-  full = other312.full;
-  runningMs = other312.runningMs;
-  __isset = other312.__isset;
+ConvergenceReport::ConvergenceReport(ConvergenceReport&& other338) noexcept {
+  sequence = other338.sequence;
+  inForceRevision = other338.inForceRevision;
+  attached = std::move(other338.attached);
+  detached = std::move(other338.detached);
+  lagging = std::move(other338.lagging);
+  full = other338.full;
+  runningMs = other338.runningMs;
+  __isset = other338.__isset;
 }
-ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other313) {
-  sequence = other313.sequence;
-  inForceRevision = other313.inForceRevision;
-  attached = other313.attached;
-  detached = other313.detached;
-  lagging = other313.lagging;
-  full = other313.full;
-  runningMs = other313.runningMs;
-  __isset = other313.__isset;
+ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other339) {
+  sequence = other339.sequence;
+  inForceRevision = other339.inForceRevision;
+  attached = other339.attached;
+  detached = other339.detached;
+  lagging = other339.lagging;
+  full = other339.full;
+  runningMs = other339.runningMs;
+  __isset = other339.__isset;
   return *this;
 }
-ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other314) noexcept {
-  sequence = other314.sequence;
-  inForceRevision = other314.inForceRevision;
-  attached = std::move(other314.attached);
-  detached = std::move(other314.detached);
-  lagging = std::move(other314.lagging);
-  full = other314.full;
-  runningMs = other314.runningMs;
-  __isset = other314.__isset;
+ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other340) noexcept {
+  sequence = other340.sequence;
+  inForceRevision = other340.inForceRevision;
+  attached = std::move(other340.attached);
+  detached = std::move(other340.detached);
+  lagging = std::move(other340.lagging);
+  full = other340.full;
+  runningMs = other340.runningMs;
+  __isset = other340.__isset;
   return *this;
 }
 void ConvergenceReport::printTo(std::ostream& out) const {
@@ -8976,14 +9500,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->hosts.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->hosts.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += iprot->readString(this->hosts[_i319]);
+              xfer += iprot->readString(this->hosts[_i345]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8996,14 +9520,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size320;
-            ::apache::thrift::protocol::TType _etype323;
-            xfer += iprot->readListBegin(_etype323, _size320);
-            this->services.resize(_size320);
-            uint32_t _i324;
-            for (_i324 = 0; _i324 < _size320; ++_i324)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->services.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += iprot->readString(this->services[_i324]);
+              xfer += iprot->readString(this->services[_i350]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9048,10 +9572,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter325;
-    for (_iter325 = this->hosts.begin(); _iter325 != this->hosts.end(); ++_iter325)
+    std::vector<std::string> ::const_iterator _iter351;
+    for (_iter351 = this->hosts.begin(); _iter351 != this->hosts.end(); ++_iter351)
     {
-      xfer += oprot->writeString((*_iter325));
+      xfer += oprot->writeString((*_iter351));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9060,10 +9584,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter326;
-    for (_iter326 = this->services.begin(); _iter326 != this->services.end(); ++_iter326)
+    std::vector<std::string> ::const_iterator _iter352;
+    for (_iter352 = this->services.begin(); _iter352 != this->services.end(); ++_iter352)
     {
-      xfer += oprot->writeString((*_iter326));
+      xfer += oprot->writeString((*_iter352));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9091,34 +9615,34 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeSubscribe::NodeSubscribe(const NodeSubscribe& other327) {
-  hosts = other327.hosts;
-  services = other327.services;
-  revision = other327.revision;
-  digest = other327.digest;
-  __isset = other327.__isset;
+NodeSubscribe::NodeSubscribe(const NodeSubscribe& other353) {
+  hosts = other353.hosts;
+  services = other353.services;
+  revision = other353.revision;
+  digest = other353.digest;
+  __isset = other353.__isset;
 }
-NodeSubscribe::NodeSubscribe(NodeSubscribe&& other328) noexcept {
-  hosts = std::move(other328.hosts);
-  services = std::move(other328.services);
-  revision = other328.revision;
-  digest = std::move(other328.digest);
-  __isset = other328.__isset;
+NodeSubscribe::NodeSubscribe(NodeSubscribe&& other354) noexcept {
+  hosts = std::move(other354.hosts);
+  services = std::move(other354.services);
+  revision = other354.revision;
+  digest = std::move(other354.digest);
+  __isset = other354.__isset;
 }
-NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other329) {
-  hosts = other329.hosts;
-  services = other329.services;
-  revision = other329.revision;
-  digest = other329.digest;
-  __isset = other329.__isset;
+NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other355) {
+  hosts = other355.hosts;
+  services = other355.services;
+  revision = other355.revision;
+  digest = other355.digest;
+  __isset = other355.__isset;
   return *this;
 }
-NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other330) noexcept {
-  hosts = std::move(other330.hosts);
-  services = std::move(other330.services);
-  revision = other330.revision;
-  digest = std::move(other330.digest);
-  __isset = other330.__isset;
+NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other356) noexcept {
+  hosts = std::move(other356.hosts);
+  services = std::move(other356.services);
+  revision = other356.revision;
+  digest = std::move(other356.digest);
+  __isset = other356.__isset;
   return *this;
 }
 void NodeSubscribe::printTo(std::ostream& out) const {
@@ -9211,14 +9735,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size331;
-            ::apache::thrift::protocol::TType _etype334;
-            xfer += iprot->readListBegin(_etype334, _size331);
-            this->rows.resize(_size331);
-            uint32_t _i335;
-            for (_i335 = 0; _i335 < _size331; ++_i335)
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->rows.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
             {
-              xfer += this->rows[_i335].read(iprot);
+              xfer += this->rows[_i361].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9267,10 +9791,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter336;
-    for (_iter336 = this->rows.begin(); _iter336 != this->rows.end(); ++_iter336)
+    std::vector<Row> ::const_iterator _iter362;
+    for (_iter362 = this->rows.begin(); _iter362 != this->rows.end(); ++_iter362)
     {
-      xfer += (*_iter336).write(oprot);
+      xfer += (*_iter362).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9295,38 +9819,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceUpdate::SliceUpdate(const SliceUpdate& other337) {
-  fromRevision = other337.fromRevision;
-  toRevision = other337.toRevision;
-  full = other337.full;
-  rows = other337.rows;
-  digest = other337.digest;
-  __isset = other337.__isset;
+SliceUpdate::SliceUpdate(const SliceUpdate& other363) {
+  fromRevision = other363.fromRevision;
+  toRevision = other363.toRevision;
+  full = other363.full;
+  rows = other363.rows;
+  digest = other363.digest;
+  __isset = other363.__isset;
 }
-SliceUpdate::SliceUpdate(SliceUpdate&& other338) noexcept {
-  fromRevision = other338.fromRevision;
-  toRevision = other338.toRevision;
-  full = other338.full;
-  rows = std::move(other338.rows);
-  digest = std::move(other338.digest);
-  __isset = other338.__isset;
+SliceUpdate::SliceUpdate(SliceUpdate&& other364) noexcept {
+  fromRevision = other364.fromRevision;
+  toRevision = other364.toRevision;
+  full = other364.full;
+  rows = std::move(other364.rows);
+  digest = std::move(other364.digest);
+  __isset = other364.__isset;
 }
-SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other339) {
-  fromRevision = other339.fromRevision;
-  toRevision = other339.toRevision;
-  full = other339.full;
-  rows = other339.rows;
-  digest = other339.digest;
-  __isset = other339.__isset;
+SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other365) {
+  fromRevision = other365.fromRevision;
+  toRevision = other365.toRevision;
+  full = other365.full;
+  rows = other365.rows;
+  digest = other365.digest;
+  __isset = other365.__isset;
   return *this;
 }
-SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other340) noexcept {
-  fromRevision = other340.fromRevision;
-  toRevision = other340.toRevision;
-  full = other340.full;
-  rows = std::move(other340.rows);
-  digest = std::move(other340.digest);
-  __isset = other340.__isset;
+SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other366) noexcept {
+  fromRevision = other366.fromRevision;
+  toRevision = other366.toRevision;
+  full = other366.full;
+  rows = std::move(other366.rows);
+  digest = std::move(other366.digest);
+  __isset = other366.__isset;
   return *this;
 }
 void SliceUpdate::printTo(std::ostream& out) const {
@@ -9416,22 +9940,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceApplied::SliceApplied(const SliceApplied& other341) noexcept {
-  revision = other341.revision;
-  __isset = other341.__isset;
+SliceApplied::SliceApplied(const SliceApplied& other367) noexcept {
+  revision = other367.revision;
+  __isset = other367.__isset;
 }
-SliceApplied::SliceApplied(SliceApplied&& other342) noexcept {
-  revision = other342.revision;
-  __isset = other342.__isset;
+SliceApplied::SliceApplied(SliceApplied&& other368) noexcept {
+  revision = other368.revision;
+  __isset = other368.__isset;
 }
-SliceApplied& SliceApplied::operator=(const SliceApplied& other343) noexcept {
-  revision = other343.revision;
-  __isset = other343.__isset;
+SliceApplied& SliceApplied::operator=(const SliceApplied& other369) noexcept {
+  revision = other369.revision;
+  __isset = other369.__isset;
   return *this;
 }
-SliceApplied& SliceApplied::operator=(SliceApplied&& other344) noexcept {
-  revision = other344.revision;
-  __isset = other344.__isset;
+SliceApplied& SliceApplied::operator=(SliceApplied&& other370) noexcept {
+  revision = other370.revision;
+  __isset = other370.__isset;
   return *this;
 }
 void SliceApplied::printTo(std::ostream& out) const {
@@ -9491,9 +10015,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast345;
-          xfer += iprot->readI32(ecast345);
-          this->reason = static_cast<SliceRejectReason::type>(ecast345);
+          int32_t ecast371;
+          xfer += iprot->readI32(ecast371);
+          this->reason = static_cast<SliceRejectReason::type>(ecast371);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9536,26 +10060,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceRejected::SliceRejected(const SliceRejected& other346) noexcept {
-  revision = other346.revision;
-  reason = other346.reason;
-  __isset = other346.__isset;
+SliceRejected::SliceRejected(const SliceRejected& other372) noexcept {
+  revision = other372.revision;
+  reason = other372.reason;
+  __isset = other372.__isset;
 }
-SliceRejected::SliceRejected(SliceRejected&& other347) noexcept {
-  revision = other347.revision;
-  reason = other347.reason;
-  __isset = other347.__isset;
+SliceRejected::SliceRejected(SliceRejected&& other373) noexcept {
+  revision = other373.revision;
+  reason = other373.reason;
+  __isset = other373.__isset;
 }
-SliceRejected& SliceRejected::operator=(const SliceRejected& other348) noexcept {
-  revision = other348.revision;
-  reason = other348.reason;
-  __isset = other348.__isset;
+SliceRejected& SliceRejected::operator=(const SliceRejected& other374) noexcept {
+  revision = other374.revision;
+  reason = other374.reason;
+  __isset = other374.__isset;
   return *this;
 }
-SliceRejected& SliceRejected::operator=(SliceRejected&& other349) noexcept {
-  revision = other349.revision;
-  reason = other349.reason;
-  __isset = other349.__isset;
+SliceRejected& SliceRejected::operator=(SliceRejected&& other375) noexcept {
+  revision = other375.revision;
+  reason = other375.reason;
+  __isset = other375.__isset;
   return *this;
 }
 void SliceRejected::printTo(std::ostream& out) const {
@@ -9642,22 +10166,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other350) noexcept {
-  freshness = other350.freshness;
-  __isset = other350.__isset;
+NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other376) noexcept {
+  freshness = other376.freshness;
+  __isset = other376.__isset;
 }
-NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other351) noexcept {
-  freshness = std::move(other351.freshness);
-  __isset = other351.__isset;
+NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other377) noexcept {
+  freshness = std::move(other377.freshness);
+  __isset = other377.__isset;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other352) noexcept {
-  freshness = other352.freshness;
-  __isset = other352.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other378) noexcept {
+  freshness = other378.freshness;
+  __isset = other378.__isset;
   return *this;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other353) noexcept {
-  freshness = std::move(other353.freshness);
-  __isset = other353.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other379) noexcept {
+  freshness = std::move(other379.freshness);
+  __isset = other379.__isset;
   return *this;
 }
 void NodeHeartbeat::printTo(std::ostream& out) const {
@@ -9743,22 +10267,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other354) noexcept {
-  delayMs = other354.delayMs;
-  __isset = other354.__isset;
+RetryLater::RetryLater(const RetryLater& other380) noexcept {
+  delayMs = other380.delayMs;
+  __isset = other380.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other355) noexcept {
-  delayMs = other355.delayMs;
-  __isset = other355.__isset;
+RetryLater::RetryLater(RetryLater&& other381) noexcept {
+  delayMs = other381.delayMs;
+  __isset = other381.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other356) noexcept {
-  delayMs = other356.delayMs;
-  __isset = other356.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other382) noexcept {
+  delayMs = other382.delayMs;
+  __isset = other382.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other357) noexcept {
-  delayMs = other357.delayMs;
-  __isset = other357.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other383) noexcept {
+  delayMs = other383.delayMs;
+  __isset = other383.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -9912,38 +10436,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeld::RelayHeld(const RelayHeld& other358) noexcept {
-  revision = other358.revision;
-  recovered = other358.recovered;
-  probe = other358.probe;
-  wantsReply = other358.wantsReply;
-  freshness = other358.freshness;
-  __isset = other358.__isset;
-}
-RelayHeld::RelayHeld(RelayHeld&& other359) noexcept {
-  revision = other359.revision;
-  recovered = other359.recovered;
-  probe = other359.probe;
-  wantsReply = other359.wantsReply;
-  freshness = std::move(other359.freshness);
-  __isset = other359.__isset;
-}
-RelayHeld& RelayHeld::operator=(const RelayHeld& other360) noexcept {
-  revision = other360.revision;
-  recovered = other360.recovered;
-  probe = other360.probe;
-  wantsReply = other360.wantsReply;
-  freshness = other360.freshness;
-  __isset = other360.__isset;
-  return *this;
-}
-RelayHeld& RelayHeld::operator=(RelayHeld&& other361) noexcept {
-  revision = other361.revision;
-  recovered = other361.recovered;
-  probe = other361.probe;
-  wantsReply = other361.wantsReply;
-  freshness = std::move(other361.freshness);
-  __isset = other361.__isset;
+RelayHeld::RelayHeld(const RelayHeld& other384) noexcept {
+  revision = other384.revision;
+  recovered = other384.recovered;
+  probe = other384.probe;
+  wantsReply = other384.wantsReply;
+  freshness = other384.freshness;
+  __isset = other384.__isset;
+}
+RelayHeld::RelayHeld(RelayHeld&& other385) noexcept {
+  revision = other385.revision;
+  recovered = other385.recovered;
+  probe = other385.probe;
+  wantsReply = other385.wantsReply;
+  freshness = std::move(other385.freshness);
+  __isset = other385.__isset;
+}
+RelayHeld& RelayHeld::operator=(const RelayHeld& other386) noexcept {
+  revision = other386.revision;
+  recovered = other386.recovered;
+  probe = other386.probe;
+  wantsReply = other386.wantsReply;
+  freshness = other386.freshness;
+  __isset = other386.__isset;
+  return *this;
+}
+RelayHeld& RelayHeld::operator=(RelayHeld&& other387) noexcept {
+  revision = other387.revision;
+  recovered = other387.recovered;
+  probe = other387.probe;
+  wantsReply = other387.wantsReply;
+  freshness = std::move(other387.freshness);
+  __isset = other387.__isset;
   return *this;
 }
 void RelayHeld::printTo(std::ostream& out) const {
@@ -10051,9 +10575,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast362;
-          xfer += iprot->readI32(ecast362);
-          this->condition = static_cast<EndpointCondition::type>(ecast362);
+          int32_t ecast388;
+          xfer += iprot->readI32(ecast388);
+          this->condition = static_cast<EndpointCondition::type>(ecast388);
           this->__isset.condition = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10205,62 +10729,62 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other363) {
-  serviceName = other363.serviceName;
-  endpoint = other363.endpoint;
-  condition = other363.condition;
-  incarnation = other363.incarnation;
-  sequence = other363.sequence;
-  address = other363.address;
-  port = other363.port;
-  zone = other363.zone;
-  slots = other363.slots;
-  coldMs = other363.coldMs;
-  version = other363.version;
-  __isset = other363.__isset;
-}
-EndpointState::EndpointState(EndpointState&& other364) noexcept {
-  serviceName = std::move(other364.serviceName);
-  endpoint = std::move(other364.endpoint);
-  condition = other364.condition;
-  incarnation = other364.incarnation;
-  sequence = other364.sequence;
-  address = std::move(other364.address);
-  port = other364.port;
-  zone = std::move(other364.zone);
-  slots = other364.slots;
-  coldMs = other364.coldMs;
-  version = std::move(other364.version);
-  __isset = other364.__isset;
+EndpointState::EndpointState(const EndpointState& other389) {
+  serviceName = other389.serviceName;
+  endpoint = other389.endpoint;
+  condition = other389.condition;
+  incarnation = other389.incarnation;
+  sequence = other389.sequence;
+  address = other389.address;
+  port = other389.port;
+  zone = other389.zone;
+  slots = other389.slots;
+  coldMs = other389.coldMs;
+  version = other389.version;
+  __isset = other389.__isset;
 }
-EndpointState& EndpointState::operator=(const EndpointState& other365) {
-  serviceName = other365.serviceName;
-  endpoint = other365.endpoint;
-  condition = other365.condition;
-  incarnation = other365.incarnation;
-  sequence = other365.sequence;
-  address = other365.address;
-  port = other365.port;
-  zone = other365.zone;
-  slots = other365.slots;
-  coldMs = other365.coldMs;
-  version = other365.version;
-  __isset = other365.__isset;
-  return *this;
+EndpointState::EndpointState(EndpointState&& other390) noexcept {
+  serviceName = std::move(other390.serviceName);
+  endpoint = std::move(other390.endpoint);
+  condition = other390.condition;
+  incarnation = other390.incarnation;
+  sequence = other390.sequence;
+  address = std::move(other390.address);
+  port = other390.port;
+  zone = std::move(other390.zone);
+  slots = other390.slots;
+  coldMs = other390.coldMs;
+  version = std::move(other390.version);
+  __isset = other390.__isset;
 }
-EndpointState& EndpointState::operator=(EndpointState&& other366) noexcept {
-  serviceName = std::move(other366.serviceName);
-  endpoint = std::move(other366.endpoint);
-  condition = other366.condition;
-  incarnation = other366.incarnation;
-  sequence = other366.sequence;
-  address = std::move(other366.address);
-  port = other366.port;
-  zone = std::move(other366.zone);
-  slots = other366.slots;
-  coldMs = other366.coldMs;
-  version = std::move(other366.version);
-  __isset = other366.__isset;
+EndpointState& EndpointState::operator=(const EndpointState& other391) {
+  serviceName = other391.serviceName;
+  endpoint = other391.endpoint;
+  condition = other391.condition;
+  incarnation = other391.incarnation;
+  sequence = other391.sequence;
+  address = other391.address;
+  port = other391.port;
+  zone = other391.zone;
+  slots = other391.slots;
+  coldMs = other391.coldMs;
+  version = other391.version;
+  __isset = other391.__isset;
+  return *this;
+}
+EndpointState& EndpointState::operator=(EndpointState&& other392) noexcept {
+  serviceName = std::move(other392.serviceName);
+  endpoint = std::move(other392.endpoint);
+  condition = other392.condition;
+  incarnation = other392.incarnation;
+  sequence = other392.sequence;
+  address = std::move(other392.address);
+  port = other392.port;
+  zone = std::move(other392.zone);
+  slots = other392.slots;
+  coldMs = other392.coldMs;
+  version = std::move(other392.version);
+  __isset = other392.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -10320,14 +10844,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size367;
-            ::apache::thrift::protocol::TType _etype370;
-            xfer += iprot->readListBegin(_etype370, _size367);
-            this->states.resize(_size367);
-            uint32_t _i371;
-            for (_i371 = 0; _i371 < _size367; ++_i371)
+            uint32_t _size393;
+            ::apache::thrift::protocol::TType _etype396;
+            xfer += iprot->readListBegin(_etype396, _size393);
+            this->states.resize(_size393);
+            uint32_t _i397;
+            for (_i397 = 0; _i397 < _size393; ++_i397)
             {
-              xfer += this->states[_i371].read(iprot);
+              xfer += this->states[_i397].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10356,10 +10880,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<EndpointState> ::const_iterator _iter372;
-    for (_iter372 = this->states.begin(); _iter372 != this->states.end(); ++_iter372)
+    std::vector<EndpointState> ::const_iterator _iter398;
+    for (_iter398 = this->states.begin(); _iter398 != this->states.end(); ++_iter398)
     {
-      xfer += (*_iter372).write(oprot);
+      xfer += (*_iter398).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10376,22 +10900,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointStates::EndpointStates(const EndpointStates& other373) {
-  states = other373.states;
-  __isset = other373.__isset;
+EndpointStates::EndpointStates(const EndpointStates& other399) {
+  states = other399.states;
+  __isset = other399.__isset;
 }
-EndpointStates::EndpointStates(EndpointStates&& other374) noexcept {
-  states = std::move(other374.states);
-  __isset = other374.__isset;
+EndpointStates::EndpointStates(EndpointStates&& other400) noexcept {
+  states = std::move(other400.states);
+  __isset = other400.__isset;
 }
-EndpointStates& EndpointStates::operator=(const EndpointStates& other375) {
-  states = other375.states;
-  __isset = other375.__isset;
+EndpointStates& EndpointStates::operator=(const EndpointStates& other401) {
+  states = other401.states;
+  __isset = other401.__isset;
   return *this;
 }
-EndpointStates& EndpointStates::operator=(EndpointStates&& other376) noexcept {
-  states = std::move(other376.states);
-  __isset = other376.__isset;
+EndpointStates& EndpointStates::operator=(EndpointStates&& other402) noexcept {
+  states = std::move(other402.states);
+  __isset = other402.__isset;
   return *this;
 }
 void EndpointStates::printTo(std::ostream& out) const {
@@ -10511,30 +11035,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashedRequest::CrashedRequest(const CrashedRequest& other377) {
-  fingerprint = other377.fingerprint;
-  onProbation = other377.onProbation;
-  cleared = other377.cleared;
-  __isset = other377.__isset;
+CrashedRequest::CrashedRequest(const CrashedRequest& other403) {
+  fingerprint = other403.fingerprint;
+  onProbation = other403.onProbation;
+  cleared = other403.cleared;
+  __isset = other403.__isset;
 }
-CrashedRequest::CrashedRequest(CrashedRequest&& other378) noexcept {
-  fingerprint = std::move(other378.fingerprint);
-  onProbation = other378.onProbation;
-  cleared = other378.cleared;
-  __isset = other378.__isset;
+CrashedRequest::CrashedRequest(CrashedRequest&& other404) noexcept {
+  fingerprint = std::move(other404.fingerprint);
+  onProbation = other404.onProbation;
+  cleared = other404.cleared;
+  __isset = other404.__isset;
 }
-CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other379) {
-  fingerprint = other379.fingerprint;
-  onProbation = other379.onProbation;
-  cleared = other379.cleared;
-  __isset = other379.__isset;
+CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other405) {
+  fingerprint = other405.fingerprint;
+  onProbation = other405.onProbation;
+  cleared = other405.cleared;
+  __isset = other405.__isset;
   return *this;
 }
-CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other380) noexcept {
-  fingerprint = std::move(other380.fingerprint);
-  onProbation = other380.onProbation;
-  cleared = other380.cleared;
-  __isset = other380.__isset;
+CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other406) noexcept {
+  fingerprint = std::move(other406.fingerprint);
+  onProbation = other406.onProbation;
+  cleared = other406.cleared;
+  __isset = other406.__isset;
   return *this;
 }
 void CrashedRequest::printTo(std::ostream& out) const {
@@ -10634,14 +11158,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size381;
-            ::apache::thrift::protocol::TType _etype384;
-            xfer += iprot->readListBegin(_etype384, _size381);
-            this->requests.resize(_size381);
-            uint32_t _i385;
-            for (_i385 = 0; _i385 < _size381; ++_i385)
+            uint32_t _size407;
+            ::apache::thrift::protocol::TType _etype410;
+            xfer += iprot->readListBegin(_etype410, _size407);
+            this->requests.resize(_size407);
+            uint32_t _i411;
+            for (_i411 = 0; _i411 < _size407; ++_i411)
             {
-              xfer += this->requests[_i385].read(iprot);
+              xfer += this->requests[_i411].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10686,10 +11210,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<CrashedRequest> ::const_iterator _iter386;
-    for (_iter386 = this->requests.begin(); _iter386 != this->requests.end(); ++_iter386)
+    std::vector<CrashedRequest> ::const_iterator _iter412;
+    for (_iter412 = this->requests.begin(); _iter412 != this->requests.end(); ++_iter412)
     {
-      xfer += (*_iter386).write(oprot);
+      xfer += (*_iter412).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10710,38 +11234,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other387) {
-  id = other387.id;
-  serviceName = other387.serviceName;
-  endpoint = other387.endpoint;
-  ageMs = other387.ageMs;
-  requests = other387.requests;
-  __isset = other387.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other388) noexcept {
-  id = other388.id;
-  serviceName = std::move(other388.serviceName);
-  endpoint = std::move(other388.endpoint);
-  ageMs = other388.ageMs;
-  requests = std::move(other388.requests);
-  __isset = other388.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other389) {
-  id = other389.id;
-  serviceName = other389.serviceName;
-  endpoint = other389.endpoint;
-  ageMs = other389.ageMs;
-  requests = other389.requests;
-  __isset = other389.__isset;
-  return *this;
-}
-CrashReport& CrashReport::operator=(CrashReport&& other390) noexcept {
-  id = other390.id;
-  serviceName = std::move(other390.serviceName);
-  endpoint = std::move(other390.endpoint);
-  ageMs = other390.ageMs;
-  requests = std::move(other390.requests);
-  __isset = other390.__isset;
+CrashReport::CrashReport(const CrashReport& other413) {
+  id = other413.id;
+  serviceName = other413.serviceName;
+  endpoint = other413.endpoint;
+  ageMs = other413.ageMs;
+  requests = other413.requests;
+  __isset = other413.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other414) noexcept {
+  id = other414.id;
+  serviceName = std::move(other414.serviceName);
+  endpoint = std::move(other414.endpoint);
+  ageMs = other414.ageMs;
+  requests = std::move(other414.requests);
+  __isset = other414.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other415) {
+  id = other415.id;
+  serviceName = other415.serviceName;
+  endpoint = other415.endpoint;
+  ageMs = other415.ageMs;
+  requests = other415.requests;
+  __isset = other415.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other416) noexcept {
+  id = other416.id;
+  serviceName = std::move(other416.serviceName);
+  endpoint = std::move(other416.endpoint);
+  ageMs = other416.ageMs;
+  requests = std::move(other416.requests);
+  __isset = other416.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
