@@ -10795,14 +11319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size391;
-            ::apache::thrift::protocol::TType _etype394;
-            xfer += iprot->readListBegin(_etype394, _size391);
-            this->reports.resize(_size391);
-            uint32_t _i395;
-            for (_i395 = 0; _i395 < _size391; ++_i395)
+            uint32_t _size417;
+            ::apache::thrift::protocol::TType _etype420;
+            xfer += iprot->readListBegin(_etype420, _size417);
+            this->reports.resize(_size417);
+            uint32_t _i421;
+            for (_i421 = 0; _i421 < _size417; ++_i421)
             {
-              xfer += this->reports[_i395].read(iprot);
+              xfer += this->reports[_i421].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10831,10 +11355,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<CrashReport> ::const_iterator _iter396;
-    for (_iter396 = this->reports.begin(); _iter396 != this->reports.end(); ++_iter396)
+    std::vector<CrashReport> ::const_iterator _iter422;
+    for (_iter422 = this->reports.begin(); _iter422 != this->reports.end(); ++_iter422)
     {
-      xfer += (*_iter396).write(oprot);
+      xfer += (*_iter422).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10851,22 +11375,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReports::CrashReports(const CrashReports& other397) {
-  reports = other397.reports;
-  __isset = other397.__isset;
+CrashReports::CrashReports(const CrashReports& other423) {
+  reports = other423.reports;
+  __isset = other423.__isset;
 }
-CrashReports::CrashReports(CrashReports&& other398) noexcept {
-  reports = std::move(other398.reports);
-  __isset = other398.__isset;
+CrashReports::CrashReports(CrashReports&& other424) noexcept {
+  reports = std::move(other424.reports);
+  __isset = other424.__isset;
 }
-CrashReports& CrashReports::operator=(const CrashReports& other399) {
-  reports = other399.reports;
-  __isset = other399.__isset;
+CrashReports& CrashReports::operator=(const CrashReports& other425) {
+  reports = other425.reports;
+  __isset = other425.__isset;
   return *this;
 }
-CrashReports& CrashReports::operator=(CrashReports&& other400) noexcept {
-  reports = std::move(other400.reports);
-  __isset = other400.__isset;
+CrashReports& CrashReports::operator=(CrashReports&& other426) noexcept {
+  reports = std::move(other426.reports);
+  __isset = other426.__isset;
   return *this;
 }
 void CrashReports::printTo(std::ostream& out) const {
@@ -10964,14 +11488,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size401;
-            ::apache::thrift::protocol::TType _etype404;
-            xfer += iprot->readListBegin(_etype404, _size401);
-            this->runs.resize(_size401);
-            uint32_t _i405;
-            for (_i405 = 0; _i405 < _size401; ++_i405)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->runs.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += iprot->readI64(this->runs[_i405]);
+              xfer += iprot->readI64(this->runs[_i431]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11016,10 +11540,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->runs.size()));
-    std::vector<int64_t> ::const_iterator _iter406;
-    for (_iter406 = this->runs.begin(); _iter406 != this->runs.end(); ++_iter406)
+    std::vector<int64_t> ::const_iterator _iter432;
+    for (_iter432 = this->runs.begin(); _iter432 != this->runs.end(); ++_iter432)
     {
-      xfer += oprot->writeI64((*_iter406));
+      xfer += oprot->writeI64((*_iter432));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11040,38 +11564,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RouteFigures::RouteFigures(const RouteFigures& other407) {
-  route = other407.route;
-  answered = other407.answered;
-  failed = other407.failed;
-  firstBucket = other407.firstBucket;
-  runs = other407.runs;
-  __isset = other407.__isset;
-}
-RouteFigures::RouteFigures(RouteFigures&& other408) noexcept {
-  route = other408.route;
-  answered = other408.answered;
-  failed = other408.failed;
-  firstBucket = other408.firstBucket;
-  runs = std::move(other408.runs);
-  __isset = other408.__isset;
-}
-RouteFigures& RouteFigures::operator=(const RouteFigures& other409) {
-  route = other409.route;
-  answered = other409.answered;
-  failed = other409.failed;
-  firstBucket = other409.firstBucket;
-  runs = other409.runs;
-  __isset = other409.__isset;
-  return *this;
-}
-RouteFigures& RouteFigures::operator=(RouteFigures&& other410) noexcept {
-  route = other410.route;
-  answered = other410.answered;
-  failed = other410.failed;
-  firstBucket = other410.firstBucket;
-  runs = std::move(other410.runs);
-  __isset = other410.__isset;
+RouteFigures::RouteFigures(const RouteFigures& other433) {
+  route = other433.route;
+  answered = other433.answered;
+  failed = other433.failed;
+  firstBucket = other433.firstBucket;
+  runs = other433.runs;
+  __isset = other433.__isset;
+}
+RouteFigures::RouteFigures(RouteFigures&& other434) noexcept {
+  route = other434.route;
+  answered = other434.answered;
+  failed = other434.failed;
+  firstBucket = other434.firstBucket;
+  runs = std::move(other434.runs);
+  __isset = other434.__isset;
+}
+RouteFigures& RouteFigures::operator=(const RouteFigures& other435) {
+  route = other435.route;
+  answered = other435.answered;
+  failed = other435.failed;
+  firstBucket = other435.firstBucket;
+  runs = other435.runs;
+  __isset = other435.__isset;
+  return *this;
+}
+RouteFigures& RouteFigures::operator=(RouteFigures&& other436) noexcept {
+  route = other436.route;
+  answered = other436.answered;
+  failed = other436.failed;
+  firstBucket = other436.firstBucket;
+  runs = std::move(other436.runs);
+  __isset = other436.__isset;
   return *this;
 }
 void RouteFigures::printTo(std::ostream& out) const {
@@ -11225,14 +11749,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->routes.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size437;
+            ::apache::thrift::protocol::TType _etype440;
+            xfer += iprot->readListBegin(_etype440, _size437);
+            this->routes.resize(_size437);
+            uint32_t _i441;
+            for (_i441 = 0; _i441 < _size437; ++_i441)
             {
-              xfer += this->routes[_i415].read(iprot);
+              xfer += this->routes[_i441].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11301,10 +11825,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<RouteFigures> ::const_iterator _iter416;
-    for (_iter416 = this->routes.begin(); _iter416 != this->routes.end(); ++_iter416)
+    std::vector<RouteFigures> ::const_iterator _iter442;
+    for (_iter442 = this->routes.begin(); _iter442 != this->routes.end(); ++_iter442)
     {
-      xfer += (*_iter416).write(oprot);
+      xfer += (*_iter442).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11334,58 +11858,58 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReport::VersionReport(const VersionReport& other417) {
-  serviceName = other417.serviceName;
-  endpoint = other417.endpoint;
-  version = other417.version;
-  sequence = other417.sequence;
-  revision = other417.revision;
-  active = other417.active;
-  slots = other417.slots;
-  coldMs = other417.coldMs;
-  routes = other417.routes;
-  life = other417.life;
-  __isset = other417.__isset;
-}
-VersionReport::VersionReport(VersionReport&& other418) noexcept {
-  serviceName = std::move(other418.serviceName);
-  endpoint = std::move(other418.endpoint);
-  version = std::move(other418.version);
-  sequence = other418.sequence;
-  revision = other418.revision;
-  active = other418.active;
-  slots = other418.slots;
-  coldMs = other418.coldMs;
-  routes = std::move(other418.routes);
-  life = other418.life;
-  __isset = other418.__isset;
-}
-VersionReport& VersionReport::operator=(const VersionReport& other419) {
-  serviceName = other419.serviceName;
-  endpoint = other419.endpoint;
-  version = other419.version;
-  sequence = other419.sequence;
-  revision = other419.revision;
-  active = other419.active;
-  slots = other419.slots;
-  coldMs = other419.coldMs;
-  routes = other419.routes;
-  life = other419.life;
-  __isset = other419.__isset;
-  return *this;
-}
-VersionReport& VersionReport::operator=(VersionReport&& other420) noexcept {
-  serviceName = std::move(other420.serviceName);
-  endpoint = std::move(other420.endpoint);
-  version = std::move(other420.version);
-  sequence = other420.sequence;
-  revision = other420.revision;
-  active = other420.active;
-  slots = other420.slots;
-  coldMs = other420.coldMs;
-  routes = std::move(other420.routes);
-  life = other420.life;
-  __isset = other420.__isset;
+VersionReport::VersionReport(const VersionReport& other443) {
+  serviceName = other443.serviceName;
+  endpoint = other443.endpoint;
+  version = other443.version;
+  sequence = other443.sequence;
+  revision = other443.revision;
+  active = other443.active;
+  slots = other443.slots;
+  coldMs = other443.coldMs;
+  routes = other443.routes;
+  life = other443.life;
+  __isset = other443.__isset;
+}
+VersionReport::VersionReport(VersionReport&& other444) noexcept {
+  serviceName = std::move(other444.serviceName);
+  endpoint = std::move(other444.endpoint);
+  version = std::move(other444.version);
+  sequence = other444.sequence;
+  revision = other444.revision;
+  active = other444.active;
+  slots = other444.slots;
+  coldMs = other444.coldMs;
+  routes = std::move(other444.routes);
+  life = other444.life;
+  __isset = other444.__isset;
+}
+VersionReport& VersionReport::operator=(const VersionReport& other445) {
+  serviceName = other445.serviceName;
+  endpoint = other445.endpoint;
+  version = other445.version;
+  sequence = other445.sequence;
+  revision = other445.revision;
+  active = other445.active;
+  slots = other445.slots;
+  coldMs = other445.coldMs;
+  routes = other445.routes;
+  life = other445.life;
+  __isset = other445.__isset;
+  return *this;
+}
+VersionReport& VersionReport::operator=(VersionReport&& other446) noexcept {
+  serviceName = std::move(other446.serviceName);
+  endpoint = std::move(other446.endpoint);
+  version = std::move(other446.version);
+  sequence = other446.sequence;
+  revision = other446.revision;
+  active = other446.active;
+  slots = other446.slots;
+  coldMs = other446.coldMs;
+  routes = std::move(other446.routes);
+  life = other446.life;
+  __isset = other446.__isset;
   return *this;
 }
 void VersionReport::printTo(std::ostream& out) const {
@@ -11444,14 +11968,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size421;
-            ::apache::thrift::protocol::TType _etype424;
-            xfer += iprot->readListBegin(_etype424, _size421);
-            this->reports.resize(_size421);
-            uint32_t _i425;
-            for (_i425 = 0; _i425 < _size421; ++_i425)
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->reports.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
             {
-              xfer += this->reports[_i425].read(iprot);
+              xfer += this->reports[_i451].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11480,10 +12004,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<VersionReport> ::const_iterator _iter426;
-    for (_iter426 = this->reports.begin(); _iter426 != this->reports.end(); ++_iter426)
+    std::vector<VersionReport> ::const_iterator _iter452;
+    for (_iter452 = this->reports.begin(); _iter452 != this->reports.end(); ++_iter452)
     {
-      xfer += (*_iter426).write(oprot);
+      xfer += (*_iter452).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11500,22 +12024,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReports::VersionReports(const VersionReports& other427) {
-  reports = other427.reports;
-  __isset = other427.__isset;
+VersionReports::VersionReports(const VersionReports& other453) {
+  reports = other453.reports;
+  __isset = other453.__isset;
 }
-VersionReports::VersionReports(VersionReports&& other428) noexcept {
-  reports = std::move(other428.reports);
-  __isset = other428.__isset;
+VersionReports::VersionReports(VersionReports&& other454) noexcept {
+  reports = std::move(other454.reports);
+  __isset = other454.__isset;
 }
-VersionReports& VersionReports::operator=(const VersionReports& other429) {
-  reports = other429.reports;
-  __isset = other429.__isset;
+VersionReports& VersionReports::operator=(const VersionReports& other455) {
+  reports = other455.reports;
+  __isset = other455.__isset;
   return *this;
 }
-VersionReports& VersionReports::operator=(VersionReports&& other430) noexcept {
-  reports = std::move(other430.reports);
-  __isset = other430.__isset;
+VersionReports& VersionReports::operator=(VersionReports&& other456) noexcept {
+  reports = std::move(other456.reports);
+  __isset = other456.__isset;
   return *this;
 }
 void VersionReports::printTo(std::ostream& out) const {
@@ -11635,30 +12159,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SeenVersion::SeenVersion(const SeenVersion& other431) {
-  serviceName = other431.serviceName;
-  version = other431.version;
-  endpoints = other431.endpoints;
-  __isset = other431.__isset;
+SeenVersion::SeenVersion(const SeenVersion& other457) {
+  serviceName = other457.serviceName;
+  version = other457.version;
+  endpoints = other457.endpoints;
+  __isset = other457.__isset;
 }
-SeenVersion::SeenVersion(SeenVersion&& other432) noexcept {
-  serviceName = std::move(other432.serviceName);
-  version = std::move(other432.version);
-  endpoints = other432.endpoints;
-  __isset = other432.__isset;
+SeenVersion::SeenVersion(SeenVersion&& other458) noexcept {
+  serviceName = std::move(other458.serviceName);
+  version = std::move(other458.version);
+  endpoints = other458.endpoints;
+  __isset = other458.__isset;
 }
-SeenVersion& SeenVersion::operator=(const SeenVersion& other433) {
-  serviceName = other433.serviceName;
-  version = other433.version;
-  endpoints = other433.endpoints;
-  __isset = other433.__isset;
+SeenVersion& SeenVersion::operator=(const SeenVersion& other459) {
+  serviceName = other459.serviceName;
+  version = other459.version;
+  endpoints = other459.endpoints;
+  __isset = other459.__isset;
   return *this;
 }
-SeenVersion& SeenVersion::operator=(SeenVersion&& other434) noexcept {
-  serviceName = std::move(other434.serviceName);
-  version = std::move(other434.version);
-  endpoints = other434.endpoints;
-  __isset = other434.__isset;
+SeenVersion& SeenVersion::operator=(SeenVersion&& other460) noexcept {
+  serviceName = std::move(other460.serviceName);
+  version = std::move(other460.version);
+  endpoints = other460.endpoints;
+  __isset = other460.__isset;
   return *this;
 }
 void SeenVersion::printTo(std::ostream& out) const {
@@ -11710,14 +12234,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size435;
-            ::apache::thrift::protocol::TType _etype438;
-            xfer += iprot->readListBegin(_etype438, _size435);
-            this->versions.resize(_size435);
-            uint32_t _i439;
-            for (_i439 = 0; _i439 < _size435; ++_i439)
+            uint32_t _size461;
+            ::apache::thrift::protocol::TType _etype464;
+            xfer += iprot->readListBegin(_etype464, _size461);
+            this->versions.resize(_size461);
+            uint32_t _i465;
+            for (_i465 = 0; _i465 < _size461; ++_i465)
             {
-              xfer += this->versions[_i439].read(iprot);
+              xfer += this->versions[_i465].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11746,10 +12270,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<SeenVersion> ::const_iterator _iter440;
-    for (_iter440 = this->versions.begin(); _iter440 != this->versions.end(); ++_iter440)
+    std::vector<SeenVersion> ::const_iterator _iter466;
+    for (_iter466 = this->versions.begin(); _iter466 != this->versions.end(); ++_iter466)
     {
-      xfer += (*_iter440).write(oprot);
+      xfer += (*_iter466).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11766,22 +12290,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SeenVersions::SeenVersions(const SeenVersions& other441) {
-  versions = other441.versions;
-  __isset = other441.__isset;
+SeenVersions::SeenVersions(const SeenVersions& other467) {
+  versions = other467.versions;
+  __isset = other467.__isset;
 }
-SeenVersions::SeenVersions(SeenVersions&& other442) noexcept {
-  versions = std::move(other442.versions);
-  __isset = other442.__isset;
+SeenVersions::SeenVersions(SeenVersions&& other468) noexcept {
+  versions = std::move(other468.versions);
+  __isset = other468.__isset;
 }
-SeenVersions& SeenVersions::operator=(const SeenVersions& other443) {
-  versions = other443.versions;
-  __isset = other443.__isset;
+SeenVersions& SeenVersions::operator=(const SeenVersions& other469) {
+  versions = other469.versions;
+  __isset = other469.__isset;
   return *this;
 }
-SeenVersions& SeenVersions::operator=(SeenVersions&& other444) noexcept {
-  versions = std::move(other444.versions);
-  __isset = other444.__isset;
+SeenVersions& SeenVersions::operator=(SeenVersions&& other470) noexcept {
+  versions = std::move(other470.versions);
+  __isset = other470.__isset;
   return *this;
 }
 void SeenVersions::printTo(std::ostream& out) const {
@@ -11884,26 +12408,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRequest::LedgerRequest(const LedgerRequest& other445) {
-  requestId = other445.requestId;
-  command = other445.command;
-  __isset = other445.__isset;
+LedgerRequest::LedgerRequest(const LedgerRequest& other471) {
+  requestId = other471.requestId;
+  command = other471.command;
+  __isset = other471.__isset;
 }
-LedgerRequest::LedgerRequest(LedgerRequest&& other446) noexcept {
-  requestId = other446.requestId;
-  command = std::move(other446.command);
-  __isset = other446.__isset;
+LedgerRequest::LedgerRequest(LedgerRequest&& other472) noexcept {
+  requestId = other472.requestId;
+  command = std::move(other472.command);
+  __isset = other472.__isset;
 }
-LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other447) {
-  requestId = other447.requestId;
-  command = other447.command;
-  __isset = other447.__isset;
+LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other473) {
+  requestId = other473.requestId;
+  command = other473.command;
+  __isset = other473.__isset;
   return *this;
 }
-LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other448) noexcept {
-  requestId = other448.requestId;
-  command = std::move(other448.command);
-  __isset = other448.__isset;
+LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other474) noexcept {
+  requestId = other474.requestId;
+  command = std::move(other474.command);
+  __isset = other474.__isset;
   return *this;
 }
 void LedgerRequest::printTo(std::ostream& out) const {
@@ -11969,9 +12493,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast449;
-          xfer += iprot->readI32(ecast449);
-          this->verdict = static_cast<LedgerVerdict::type>(ecast449);
+          int32_t ecast475;
+          xfer += iprot->readI32(ecast475);
+          this->verdict = static_cast<LedgerVerdict::type>(ecast475);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12028,30 +12552,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerReply::LedgerReply(const LedgerReply& other450) {
-  requestId = other450.requestId;
-  verdict = other450.verdict;
-  answer = other450.answer;
-  __isset = other450.__isset;
+LedgerReply::LedgerReply(const LedgerReply& other476) {
+  requestId = other476.requestId;
+  verdict = other476.verdict;
+  answer = other476.answer;
+  __isset = other476.__isset;
 }
-LedgerReply::LedgerReply(LedgerReply&& other451) noexcept {
-  requestId = other451.requestId;
-  verdict = other451.verdict;
-  answer = std::move(other451.answer);
-  __isset = other451.__isset;
+LedgerReply::LedgerReply(LedgerReply&& other477) noexcept {
+  requestId = other477.requestId;
+  verdict = other477.verdict;
+  answer = std::move(other477.answer);
+  __isset = other477.__isset;
 }
-LedgerReply& LedgerReply::operator=(const LedgerReply& other452) {
-  requestId = other452.requestId;
-  verdict = other452.verdict;
-  answer = other452.answer;
-  __isset = other452.__isset;
+LedgerReply& LedgerReply::operator=(const LedgerReply& other478) {
+  requestId = other478.requestId;
+  verdict = other478.verdict;
+  answer = other478.answer;
+  __isset = other478.__isset;
   return *this;
 }
-LedgerReply& LedgerReply::operator=(LedgerReply&& other453) noexcept {
-  requestId = other453.requestId;
-  verdict = other453.verdict;
-  answer = std::move(other453.answer);
-  __isset = other453.__isset;
+LedgerReply& LedgerReply::operator=(LedgerReply&& other479) noexcept {
+  requestId = other479.requestId;
+  verdict = other479.verdict;
+  answer = std::move(other479.answer);
+  __isset = other479.__isset;
   return *this;
 }
 void LedgerReply::printTo(std::ostream& out) const {
@@ -12196,14 +12720,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size454;
-            ::apache::thrift::protocol::TType _etype457;
-            xfer += iprot->readListBegin(_etype457, _size454);
-            this->headers.resize(_size454);
-            uint32_t _i458;
-            for (_i458 = 0; _i458 < _size454; ++_i458)
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->headers.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
             {
-              xfer += this->headers[_i458].read(iprot);
+              xfer += this->headers[_i484].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12336,10 +12860,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter459;
-    for (_iter459 = this->headers.begin(); _iter459 != this->headers.end(); ++_iter459)
+    std::vector<HttpHeader> ::const_iterator _iter485;
+    for (_iter485 = this->headers.begin(); _iter485 != this->headers.end(); ++_iter485)
     {
-      xfer += (*_iter459).write(oprot);
+      xfer += (*_iter485).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12416,82 +12940,82 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other460) {
-  callId = other460.callId;
-  serviceName = other460.serviceName;
-  method = other460.method;
-  path = other460.path;
-  headers = other460.headers;
-  body = other460.body;
-  remainingMs = other460.remainingMs;
-  idempotencyKey = other460.idempotencyKey;
-  endpoint = other460.endpoint;
-  priority = other460.priority;
-  runOnce = other460.runOnce;
-  targetLatencyMs = other460.targetLatencyMs;
-  waitedMs = other460.waitedMs;
-  bodyBytes = other460.bodyBytes;
-  suspect = other460.suspect;
-  route = other460.route;
-  __isset = other460.__isset;
+CallRequest::CallRequest(const CallRequest& other486) {
+  callId = other486.callId;
+  serviceName = other486.serviceName;
+  method = other486.method;
+  path = other486.path;
+  headers = other486.headers;
+  body = other486.body;
+  remainingMs = other486.remainingMs;
+  idempotencyKey = other486.idempotencyKey;
+  endpoint = other486.endpoint;
+  priority = other486.priority;
+  runOnce = other486.runOnce;
+  targetLatencyMs = other486.targetLatencyMs;
+  waitedMs = other486.waitedMs;
+  bodyBytes = other486.bodyBytes;
+  suspect = other486.suspect;
+  route = other486.route;
+  __isset = other486.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other487) noexcept {
+  callId = other487.callId;
+  serviceName = std::move(other487.serviceName);
+  method = std::move(other487.method);
+  path = std::move(other487.path);
+  headers = std::move(other487.headers);
+  body = std::move(other487.body);
+  remainingMs = other487.remainingMs;
+  idempotencyKey = std::move(other487.idempotencyKey);
+  endpoint = std::move(other487.endpoint);
+  priority = other487.priority;
+  runOnce = other487.runOnce;
+  targetLatencyMs = other487.targetLatencyMs;
+  waitedMs = other487.waitedMs;
+  bodyBytes = other487.bodyBytes;
+  suspect = other487.suspect;
+  route = other487.route;
+  __isset = other487.__isset;
 }
-CallRequest::CallRequest(CallRequest&& other461) noexcept {
-  callId = other461.callId;
-  serviceName = std::move(other461.serviceName);
-  method = std::move(other461.method);
-  path = std::move(other461.path);
-  headers = std::move(other461.headers);
-  body = std::move(other461.body);
-  remainingMs = other461.remainingMs;
-  idempotencyKey = std::move(other461.idempotencyKey);
-  endpoint = std::move(other461.endpoint);
-  priority = other461.priority;
-  runOnce = other461.runOnce;
-  targetLatencyMs = other461.targetLatencyMs;
-  waitedMs = other461.waitedMs;
-  bodyBytes = other461.bodyBytes;
-  suspect = other461.suspect;
-  route = other461.route;
-  __isset = other461.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other462) {
-  callId = other462.callId;
-  serviceName = other462.serviceName;
-  method = other462.method;
-  path = other462.path;
-  headers = other462.headers;
-  body = other462.body;
-  remainingMs = other462.remainingMs;
-  idempotencyKey = other462.idempotencyKey;
-  endpoint = other462.endpoint;
-  priority = other462.priority;
-  runOnce = other462.runOnce;
-  targetLatencyMs = other462.targetLatencyMs;
-  waitedMs = other462.waitedMs;
-  bodyBytes = other462.bodyBytes;
-  suspect = other462.suspect;
-  route = other462.route;
-  __isset = other462.__isset;
-  return *this;
-}
-CallRequest& CallRequest::operator=(CallRequest&& other463) noexcept {
-  callId = other463.callId;
-  serviceName = std::move(other463.serviceName);
-  method = std::move(other463.method);
-  path = std::move(other463.path);
-  headers = std::move(other463.headers);
-  body = std::move(other463.body);
-  remainingMs = other463.remainingMs;
-  idempotencyKey = std::move(other463.idempotencyKey);
-  endpoint = std::move(other463.endpoint);
-  priority = other463.priority;
-  runOnce = other463.runOnce;
-  targetLatencyMs = other463.targetLatencyMs;
-  waitedMs = other463.waitedMs;
-  bodyBytes = other463.bodyBytes;
-  suspect = other463.suspect;
-  route = other463.route;
-  __isset = other463.__isset;
+CallRequest& CallRequest::operator=(const CallRequest& other488) {
+  callId = other488.callId;
+  serviceName = other488.serviceName;
+  method = other488.method;
+  path = other488.path;
+  headers = other488.headers;
+  body = other488.body;
+  remainingMs = other488.remainingMs;
+  idempotencyKey = other488.idempotencyKey;
+  endpoint = other488.endpoint;
+  priority = other488.priority;
+  runOnce = other488.runOnce;
+  targetLatencyMs = other488.targetLatencyMs;
+  waitedMs = other488.waitedMs;
+  bodyBytes = other488.bodyBytes;
+  suspect = other488.suspect;
+  route = other488.route;
+  __isset = other488.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other489) noexcept {
+  callId = other489.callId;
+  serviceName = std::move(other489.serviceName);
+  method = std::move(other489.method);
+  path = std::move(other489.path);
+  headers = std::move(other489.headers);
+  body = std::move(other489.body);
+  remainingMs = other489.remainingMs;
+  idempotencyKey = std::move(other489.idempotencyKey);
+  endpoint = std::move(other489.endpoint);
+  priority = other489.priority;
+  runOnce = other489.runOnce;
+  targetLatencyMs = other489.targetLatencyMs;
+  waitedMs = other489.waitedMs;
+  bodyBytes = other489.bodyBytes;
+  suspect = other489.suspect;
+  route = other489.route;
+  __isset = other489.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -12606,9 +13130,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast464;
-          xfer += iprot->readI32(ecast464);
-          this->outcome = static_cast<CallOutcome::type>(ecast464);
+          int32_t ecast490;
+          xfer += iprot->readI32(ecast490);
+          this->outcome = static_cast<CallOutcome::type>(ecast490);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12626,14 +13150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size465;
-            ::apache::thrift::protocol::TType _etype468;
-            xfer += iprot->readListBegin(_etype468, _size465);
-            this->headers.resize(_size465);
-            uint32_t _i469;
-            for (_i469 = 0; _i469 < _size465; ++_i469)
+            uint32_t _size491;
+            ::apache::thrift::protocol::TType _etype494;
+            xfer += iprot->readListBegin(_etype494, _size491);
+            this->headers.resize(_size491);
+            uint32_t _i495;
+            for (_i495 = 0; _i495 < _size491; ++_i495)
             {
-              xfer += this->headers[_i469].read(iprot);
+              xfer += this->headers[_i495].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12738,10 +13262,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter470;
-    for (_iter470 = this->headers.begin(); _iter470 != this->headers.end(); ++_iter470)
+    std::vector<HttpHeader> ::const_iterator _iter496;
+    for (_iter496 = this->headers.begin(); _iter496 != this->headers.end(); ++_iter496)
     {
-      xfer += (*_iter470).write(oprot);
+      xfer += (*_iter496).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12801,102 +13325,532 @@
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other471) {
-  callId = other471.callId;
-  outcome = other471.outcome;
-  httpStatus = other471.httpStatus;
-  headers = other471.headers;
-  body = other471.body;
-  errorCode = other471.errorCode;
-  inFlight = other471.inFlight;
-  retryAfterMs = other471.retryAfterMs;
-  fullForMs = other471.fullForMs;
-  fullForBodies = other471.fullForBodies;
-  crashId = other471.crashId;
-  onProbation = other471.onProbation;
-  __isset = other471.__isset;
+CallResponse::CallResponse(const CallResponse& other497) {
+  callId = other497.callId;
+  outcome = other497.outcome;
+  httpStatus = other497.httpStatus;
+  headers = other497.headers;
+  body = other497.body;
+  errorCode = other497.errorCode;
+  inFlight = other497.inFlight;
+  retryAfterMs = other497.retryAfterMs;
+  fullForMs = other497.fullForMs;
+  fullForBodies = other497.fullForBodies;
+  crashId = other497.crashId;
+  onProbation = other497.onProbation;
+  __isset = other497.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other498) noexcept {
+  callId = other498.callId;
+  outcome = other498.outcome;
+  httpStatus = other498.httpStatus;
+  headers = std::move(other498.headers);
+  body = std::move(other498.body);
+  errorCode = other498.errorCode;
+  inFlight = other498.inFlight;
+  retryAfterMs = other498.retryAfterMs;
+  fullForMs = other498.fullForMs;
+  fullForBodies = other498.fullForBodies;
+  crashId = other498.crashId;
+  onProbation = other498.onProbation;
+  __isset = other498.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other499) {
+  callId = other499.callId;
+  outcome = other499.outcome;
+  httpStatus = other499.httpStatus;
+  headers = other499.headers;
+  body = other499.body;
+  errorCode = other499.errorCode;
+  inFlight = other499.inFlight;
+  retryAfterMs = other499.retryAfterMs;
+  fullForMs = other499.fullForMs;
+  fullForBodies = other499.fullForBodies;
+  crashId = other499.crashId;
+  onProbation = other499.onProbation;
+  __isset = other499.__isset;
+  return *this;
+}
+CallResponse& CallResponse::operator=(CallResponse&& other500) noexcept {
+  callId = other500.callId;
+  outcome = other500.outcome;
+  httpStatus = other500.httpStatus;
+  headers = std::move(other500.headers);
+  body = std::move(other500.body);
+  errorCode = other500.errorCode;
+  inFlight = other500.inFlight;
+  retryAfterMs = other500.retryAfterMs;
+  fullForMs = other500.fullForMs;
+  fullForBodies = other500.fullForBodies;
+  crashId = other500.crashId;
+  onProbation = other500.onProbation;
+  __isset = other500.__isset;
+  return *this;
+}
+void CallResponse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallResponse(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "httpStatus=" << to_string(httpStatus);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "errorCode=" << to_string(errorCode);
+  out << ", " << "inFlight=" << to_string(inFlight);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "fullForMs=" << to_string(fullForMs);
+  out << ", " << "fullForBodies=" << to_string(fullForBodies);
+  out << ", " << "crashId=" << to_string(crashId);
+  out << ", " << "onProbation=" << to_string(onProbation);
+  out << ")";
+}
+
+
+CallCancel::~CallCancel() noexcept {
+}
+
+
+void CallCancel::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallCancel");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallCancel &a, CallCancel &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallCancel::CallCancel(const CallCancel& other501) noexcept {
+  callId = other501.callId;
+  __isset = other501.__isset;
+}
+CallCancel::CallCancel(CallCancel&& other502) noexcept {
+  callId = other502.callId;
+  __isset = other502.__isset;
+}
+CallCancel& CallCancel::operator=(const CallCancel& other503) noexcept {
+  callId = other503.callId;
+  __isset = other503.__isset;
+  return *this;
+}
+CallCancel& CallCancel::operator=(CallCancel&& other504) noexcept {
+  callId = other504.callId;
+  __isset = other504.__isset;
+  return *this;
+}
+void CallCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallCancel(";
+  out << "callId=" << to_string(callId);
+  out << ")";
+}
+
+
+CallWithdraw::~CallWithdraw() noexcept {
+}
+
+
+void CallWithdraw::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallWithdraw& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallWithdraw::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallWithdraw::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallWithdraw");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallWithdraw &a, CallWithdraw &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallWithdraw::CallWithdraw(const CallWithdraw& other505) noexcept {
+  callId = other505.callId;
+  __isset = other505.__isset;
+}
+CallWithdraw::CallWithdraw(CallWithdraw&& other506) noexcept {
+  callId = other506.callId;
+  __isset = other506.__isset;
+}
+CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other507) noexcept {
+  callId = other507.callId;
+  __isset = other507.__isset;
+  return *this;
+}
+CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other508) noexcept {
+  callId = other508.callId;
+  __isset = other508.__isset;
+  return *this;
+}
+void CallWithdraw::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallWithdraw(";
+  out << "callId=" << to_string(callId);
+  out << ")";
+}
+
+
+CallAccepted::~CallAccepted() noexcept {
+}
+
+
+void CallAccepted::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallAccepted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallAccepted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallAccepted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallAccepted");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallAccepted &a, CallAccepted &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallAccepted::CallAccepted(const CallAccepted& other509) noexcept {
+  callId = other509.callId;
+  __isset = other509.__isset;
+}
+CallAccepted::CallAccepted(CallAccepted&& other510) noexcept {
+  callId = other510.callId;
+  __isset = other510.__isset;
+}
+CallAccepted& CallAccepted::operator=(const CallAccepted& other511) noexcept {
+  callId = other511.callId;
+  __isset = other511.__isset;
+  return *this;
+}
+CallAccepted& CallAccepted::operator=(CallAccepted&& other512) noexcept {
+  callId = other512.callId;
+  __isset = other512.__isset;
+  return *this;
+}
+void CallAccepted::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallAccepted(";
+  out << "callId=" << to_string(callId);
+  out << ")";
+}
+
+
+CallBodyGrant::~CallBodyGrant() noexcept {
+}
+
+
+void CallBodyGrant::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void CallBodyGrant::__set_upToBytes(const int64_t val) {
+  this->upToBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallBodyGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallBodyGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upToBytes);
+          this->__isset.upToBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallBodyGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallBodyGrant");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upToBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->upToBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallBodyGrant &a, CallBodyGrant &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.upToBytes, b.upToBytes);
+  swap(a.__isset, b.__isset);
+}
+
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other513) noexcept {
+  callId = other513.callId;
+  upToBytes = other513.upToBytes;
+  __isset = other513.__isset;
 }
-CallResponse::CallResponse(CallResponse&& other472) noexcept {
-  callId = other472.callId;
-  outcome = other472.outcome;
-  httpStatus = other472.httpStatus;
-  headers = std::move(other472.headers);
-  body = std::move(other472.body);
-  errorCode = other472.errorCode;
-  inFlight = other472.inFlight;
-  retryAfterMs = other472.retryAfterMs;
-  fullForMs = other472.fullForMs;
-  fullForBodies = other472.fullForBodies;
-  crashId = other472.crashId;
-  onProbation = other472.onProbation;
-  __isset = other472.__isset;
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other514) noexcept {
+  callId = other514.callId;
+  upToBytes = other514.upToBytes;
+  __isset = other514.__isset;
 }
-CallResponse& CallResponse::operator=(const CallResponse& other473) {
-  callId = other473.callId;
-  outcome = other473.outcome;
-  httpStatus = other473.httpStatus;
-  headers = other473.headers;
-  body = other473.body;
-  errorCode = other473.errorCode;
-  inFlight = other473.inFlight;
-  retryAfterMs = other473.retryAfterMs;
-  fullForMs = other473.fullForMs;
-  fullForBodies = other473.fullForBodies;
-  crashId = other473.crashId;
-  onProbation = other473.onProbation;
-  __isset = other473.__isset;
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other515) noexcept {
+  callId = other515.callId;
+  upToBytes = other515.upToBytes;
+  __isset = other515.__isset;
   return *this;
 }
-CallResponse& CallResponse::operator=(CallResponse&& other474) noexcept {
-  callId = other474.callId;
-  outcome = other474.outcome;
-  httpStatus = other474.httpStatus;
-  headers = std::move(other474.headers);
-  body = std::move(other474.body);
-  errorCode = other474.errorCode;
-  inFlight = other474.inFlight;
-  retryAfterMs = other474.retryAfterMs;
-  fullForMs = other474.fullForMs;
-  fullForBodies = other474.fullForBodies;
-  crashId = other474.crashId;
-  onProbation = other474.onProbation;
-  __isset = other474.__isset;
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other516) noexcept {
+  callId = other516.callId;
+  upToBytes = other516.upToBytes;
+  __isset = other516.__isset;
   return *this;
 }
-void CallResponse::printTo(std::ostream& out) const {
+void CallBodyGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallResponse(";
+  out << "CallBodyGrant(";
   out << "callId=" << to_string(callId);
-  out << ", " << "outcome=" << to_string(outcome);
-  out << ", " << "httpStatus=" << to_string(httpStatus);
-  out << ", " << "headers=" << to_string(headers);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "errorCode=" << to_string(errorCode);
-  out << ", " << "inFlight=" << to_string(inFlight);
-  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
-  out << ", " << "fullForMs=" << to_string(fullForMs);
-  out << ", " << "fullForBodies=" << to_string(fullForBodies);
-  out << ", " << "crashId=" << to_string(crashId);
-  out << ", " << "onProbation=" << to_string(onProbation);
+  out << ", " << "upToBytes=" << to_string(upToBytes);
   out << ")";
 }
 
 
-CallCancel::~CallCancel() noexcept {
+CallBodyPiece::~CallBodyPiece() noexcept {
 }
 
 
-void CallCancel::__set_callId(const int64_t val) {
+void CallBodyPiece::__set_callId(const int64_t val) {
   this->callId = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
+
+void CallBodyPiece::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallBodyPiece& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CallBodyPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -12925,6 +13879,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12937,67 +13899,81 @@
   return xfer;
 }
 
-uint32_t CallCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CallBodyPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallCancel");
+  xfer += oprot->writeStructBegin("CallBodyPiece");
 
   xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->callId);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(CallCancel &a, CallCancel &b) {
+void swap(CallBodyPiece &a, CallBodyPiece &b) {
   using ::std::swap;
   swap(a.callId, b.callId);
+  swap(a.data, b.data);
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other475) noexcept {
-  callId = other475.callId;
-  __isset = other475.__isset;
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other517) {
+  callId = other517.callId;
+  data = other517.data;
+  __isset = other517.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other476) noexcept {
-  callId = other476.callId;
-  __isset = other476.__isset;
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other518) noexcept {
+  callId = other518.callId;
+  data = std::move(other518.data);
+  __isset = other518.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other477) noexcept {
-  callId = other477.callId;
-  __isset = other477.__isset;
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other519) {
+  callId = other519.callId;
+  data = other519.data;
+  __isset = other519.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other478) noexcept {
-  callId = other478.callId;
-  __isset = other478.__isset;
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other520) noexcept {
+  callId = other520.callId;
+  data = std::move(other520.data);
+  __isset = other520.__isset;
   return *this;
 }
-void CallCancel::printTo(std::ostream& out) const {
+void CallBodyPiece::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallCancel(";
+  out << "CallBodyPiece(";
   out << "callId=" << to_string(callId);
+  out << ", " << "data=" << to_string(data);
   out << ")";
 }
 
 
-CallWithdraw::~CallWithdraw() noexcept {
+QuotaDemand::~QuotaDemand() noexcept {
 }
 
 
-void CallWithdraw::__set_callId(const int64_t val) {
-  this->callId = val;
+void QuotaDemand::__set_tenant(const std::string& val) {
+  this->tenant = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallWithdraw& obj)
+
+void QuotaDemand::__set_count(const int32_t val) {
+  this->count = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallWithdraw::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13019,9 +13995,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->callId);
-          this->__isset.callId = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13038,13 +14022,17 @@
   return xfer;
 }
 
-uint32_t CallWithdraw::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallWithdraw");
+  xfer += oprot->writeStructBegin("QuotaDemand");
 
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -13052,53 +14040,59 @@
   return xfer;
 }
 
-void swap(CallWithdraw &a, CallWithdraw &b) {
+void swap(QuotaDemand &a, QuotaDemand &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
+  swap(a.tenant, b.tenant);
+  swap(a.count, b.count);
   swap(a.__isset, b.__isset);
 }
 
-CallWithdraw::CallWithdraw(const CallWithdraw& other479) noexcept {
-  callId = other479.callId;
-  __isset = other479.__isset;
+QuotaDemand::QuotaDemand(const QuotaDemand& other521) {
+  tenant = other521.tenant;
+  count = other521.count;
+  __isset = other521.__isset;
 }
-CallWithdraw::CallWithdraw(CallWithdraw&& other480) noexcept {
-  callId = other480.callId;
-  __isset = other480.__isset;
+QuotaDemand::QuotaDemand(QuotaDemand&& other522) noexcept {
+  tenant = std::move(other522.tenant);
+  count = other522.count;
+  __isset = other522.__isset;
 }
-CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other481) noexcept {
-  callId = other481.callId;
-  __isset = other481.__isset;
+QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other523) {
+  tenant = other523.tenant;
+  count = other523.count;
+  __isset = other523.__isset;
   return *this;
 }
-CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other482) noexcept {
-  callId = other482.callId;
-  __isset = other482.__isset;
+QuotaDemand& QuotaDemand::operator=(QuotaDemand&& other524) noexcept {
+  tenant = std::move(other524.tenant);
+  count = other524.count;
+  __isset = other524.__isset;
   return *this;
 }
-void CallWithdraw::printTo(std::ostream& out) const {
+void QuotaDemand::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallWithdraw(";
-  out << "callId=" << to_string(callId);
+  out << "QuotaDemand(";
+  out << "tenant=" << to_string(tenant);
+  out << ", " << "count=" << to_string(count);
   out << ")";
 }
 
 
-CallAccepted::~CallAccepted() noexcept {
+QuotaAsk::~QuotaAsk() noexcept {
 }
 
 
-void CallAccepted::__set_callId(const int64_t val) {
-  this->callId = val;
+void QuotaAsk::__set_demands(const std::vector<QuotaDemand> & val) {
+  this->demands = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallAccepted& obj)
+std::ostream& operator<<(std::ostream& out, const QuotaAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallAccepted::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13120,9 +14114,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->callId);
-          this->__isset.callId = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size525;
+            ::apache::thrift::protocol::TType _etype528;
+            xfer += iprot->readListBegin(_etype528, _size525);
+            this->demands.resize(_size525);
+            uint32_t _i529;
+            for (_i529 = 0; _i529 < _size525; ++_i529)
+            {
+              xfer += this->demands[_i529].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13139,13 +14145,21 @@
   return xfer;
 }
 
-uint32_t CallAccepted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallAccepted");
+  xfer += oprot->writeStructBegin("QuotaAsk");
 
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<QuotaDemand> ::const_iterator _iter530;
+    for (_iter530 = this->demands.begin(); _iter530 != this->demands.end(); ++_iter530)
+    {
+      xfer += (*_iter530).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -13153,57 +14167,65 @@
   return xfer;
 }
 
-void swap(CallAccepted &a, CallAccepted &b) {
+void swap(QuotaAsk &a, QuotaAsk &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
+  swap(a.demands, b.demands);
   swap(a.__isset, b.__isset);
 }
 
-CallAccepted::CallAccepted(const CallAccepted& other483) noexcept {
-  callId = other483.callId;
-  __isset = other483.__isset;
+QuotaAsk::QuotaAsk(const QuotaAsk& other531) {
+  demands = other531.demands;
+  __isset = other531.__isset;
 }
-CallAccepted::CallAccepted(CallAccepted&& other484) noexcept {
-  callId = other484.callId;
-  __isset = other484.__isset;
+QuotaAsk::QuotaAsk(QuotaAsk&& other532) noexcept {
+  demands = std::move(other532.demands);
+  __isset = other532.__isset;
 }
-CallAccepted& CallAccepted::operator=(const CallAccepted& other485) noexcept {
-  callId = other485.callId;
-  __isset = other485.__isset;
+QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other533) {
+  demands = other533.demands;
+  __isset = other533.__isset;
   return *this;
 }
-CallAccepted& CallAccepted::operator=(CallAccepted&& other486) noexcept {
-  callId = other486.callId;
-  __isset = other486.__isset;
+QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other534) noexcept {
+  demands = std::move(other534.demands);
+  __isset = other534.__isset;
   return *this;
 }
-void CallAccepted::printTo(std::ostream& out) const {
+void QuotaAsk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallAccepted(";
-  out << "callId=" << to_string(callId);
+  out << "QuotaAsk(";
+  out << "demands=" << to_string(demands);
   out << ")";
 }
 
 
-CallBodyGrant::~CallBodyGrant() noexcept {
+QuotaDecision::~QuotaDecision() noexcept {
 }
 
 
-void CallBodyGrant::__set_callId(const int64_t val) {
-  this->callId = val;
+void QuotaDecision::__set_tenant(const std::string& val) {
+  this->tenant = val;
 }
 
-void CallBodyGrant::__set_upToBytes(const int64_t val) {
-  this->upToBytes = val;
+void QuotaDecision::__set_granted(const int32_t val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallBodyGrant& obj)
+
+void QuotaDecision::__set_denied(const int32_t val) {
+  this->denied = val;
+}
+
+void QuotaDecision::__set_retryAfterMs(const int32_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaDecision& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallBodyGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaDecision::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13225,17 +14247,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->callId);
-          this->__isset.callId = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->upToBytes);
-          this->__isset.upToBytes = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->denied);
+          this->__isset.denied = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13252,17 +14290,25 @@
   return xfer;
 }
 
-uint32_t CallBodyGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaDecision::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallBodyGrant");
+  xfer += oprot->writeStructBegin("QuotaDecision");
 
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->tenant);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("upToBytes", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->upToBytes);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("denied", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->denied);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -13270,63 +14316,71 @@
   return xfer;
 }
 
-void swap(CallBodyGrant &a, CallBodyGrant &b) {
+void swap(QuotaDecision &a, QuotaDecision &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
-  swap(a.upToBytes, b.upToBytes);
+  swap(a.tenant, b.tenant);
+  swap(a.granted, b.granted);
+  swap(a.denied, b.denied);
+  swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.__isset, b.__isset);
 }
 
-CallBodyGrant::CallBodyGrant(const CallBodyGrant& other487) noexcept {
-  callId = other487.callId;
-  upToBytes = other487.upToBytes;
-  __isset = other487.__isset;
+QuotaDecision::QuotaDecision(const QuotaDecision& other535) {
+  tenant = other535.tenant;
+  granted = other535.granted;
+  denied = other535.denied;
+  retryAfterMs = other535.retryAfterMs;
+  __isset = other535.__isset;
 }
-CallBodyGrant::CallBodyGrant(CallBodyGrant&& other488) noexcept {
-  callId = other488.callId;
-  upToBytes = other488.upToBytes;
-  __isset = other488.__isset;
+QuotaDecision::QuotaDecision(QuotaDecision&& other536) noexcept {
+  tenant = std::move(other536.tenant);
+  granted = other536.granted;
+  denied = other536.denied;
+  retryAfterMs = other536.retryAfterMs;
+  __isset = other536.__isset;
 }
-CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other489) noexcept {
-  callId = other489.callId;
-  upToBytes = other489.upToBytes;
-  __isset = other489.__isset;
+QuotaDecision& QuotaDecision::operator=(const QuotaDecision& other537) {
+  tenant = other537.tenant;
+  granted = other537.granted;
+  denied = other537.denied;
+  retryAfterMs = other537.retryAfterMs;
+  __isset = other537.__isset;
   return *this;
 }
-CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other490) noexcept {
-  callId = other490.callId;
-  upToBytes = other490.upToBytes;
-  __isset = other490.__isset;
+QuotaDecision& QuotaDecision::operator=(QuotaDecision&& other538) noexcept {
+  tenant = std::move(other538.tenant);
+  granted = other538.granted;
+  denied = other538.denied;
+  retryAfterMs = other538.retryAfterMs;
+  __isset = other538.__isset;
   return *this;
 }
-void CallBodyGrant::printTo(std::ostream& out) const {
+void QuotaDecision::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallBodyGrant(";
-  out << "callId=" << to_string(callId);
-  out << ", " << "upToBytes=" << to_string(upToBytes);
+  out << "QuotaDecision(";
+  out << "tenant=" << to_string(tenant);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "denied=" << to_string(denied);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ")";
 }
 
 
-CallBodyPiece::~CallBodyPiece() noexcept {
+QuotaGrant::~QuotaGrant() noexcept {
 }
 
 
-void CallBodyPiece::__set_callId(const int64_t val) {
-  this->callId = val;
-}
-
-void CallBodyPiece::__set_data(const std::string& val) {
-  this->data = val;
+void QuotaGrant::__set_decisions(const std::vector<QuotaDecision> & val) {
+  this->decisions = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallBodyPiece& obj)
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallBodyPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13348,17 +14402,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->callId);
-          this->__isset.callId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->data);
-          this->__isset.data = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->decisions.clear();
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->decisions.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
+            {
+              xfer += this->decisions[_i543].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.decisions = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13375,17 +14433,21 @@
   return xfer;
 }
 
-uint32_t CallBodyPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallBodyPiece");
-
-  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->callId);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("QuotaGrant");
 
-  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldBegin("decisions", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->decisions.size()));
+    std::vector<QuotaDecision> ::const_iterator _iter544;
+    for (_iter544 = this->decisions.begin(); _iter544 != this->decisions.end(); ++_iter544)
+    {
+      xfer += (*_iter544).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -13393,40 +14455,34 @@
   return xfer;
 }
 
-void swap(CallBodyPiece &a, CallBodyPiece &b) {
+void swap(QuotaGrant &a, QuotaGrant &b) {
   using ::std::swap;
-  swap(a.callId, b.callId);
-  swap(a.data, b.data);
+  swap(a.decisions, b.decisions);
   swap(a.__isset, b.__isset);
 }
 
-CallBodyPiece::CallBodyPiece(const CallBodyPiece& other491) {
-  callId = other491.callId;
-  data = other491.data;
-  __isset = other491.__isset;
+QuotaGrant::QuotaGrant(const QuotaGrant& other545) {
+  decisions = other545.decisions;
+  __isset = other545.__isset;
 }
-CallBodyPiece::CallBodyPiece(CallBodyPiece&& other492) noexcept {
-  callId = other492.callId;
-  data = std::move(other492.data);
-  __isset = other492.__isset;
+QuotaGrant::QuotaGrant(QuotaGrant&& other546) noexcept {
+  decisions = std::move(other546.decisions);
+  __isset = other546.__isset;
 }
-CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other493) {
-  callId = other493.callId;
-  data = other493.data;
-  __isset = other493.__isset;
+QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other547) {
+  decisions = other547.decisions;
+  __isset = other547.__isset;
   return *this;
 }
-CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other494) noexcept {
-  callId = other494.callId;
-  data = std::move(other494.data);
-  __isset = other494.__isset;
+QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other548) noexcept {
+  decisions = std::move(other548.decisions);
+  __isset = other548.__isset;
   return *this;
 }
-void CallBodyPiece::printTo(std::ostream& out) const {
+void QuotaGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CallBodyPiece(";
-  out << "callId=" << to_string(callId);
-  out << ", " << "data=" << to_string(data);
+  out << "QuotaGrant(";
+  out << "decisions=" << to_string(decisions);
   out << ")";
 }
 
@@ -13470,14 +14526,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size495;
-            ::apache::thrift::protocol::TType _etype498;
-            xfer += iprot->readListBegin(_etype498, _size495);
-            this->members.resize(_size495);
-            uint32_t _i499;
-            for (_i499 = 0; _i499 < _size495; ++_i499)
+            uint32_t _size549;
+            ::apache::thrift::protocol::TType _etype552;
+            xfer += iprot->readListBegin(_etype552, _size549);
+            this->members.resize(_size549);
+            uint32_t _i553;
+            for (_i553 = 0; _i553 < _size549; ++_i553)
             {
-              xfer += this->members[_i499].read(iprot);
+              xfer += this->members[_i553].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13506,10 +14562,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter500;
-    for (_iter500 = this->members.begin(); _iter500 != this->members.end(); ++_iter500)
+    std::vector<Member> ::const_iterator _iter554;
+    for (_iter554 = this->members.begin(); _iter554 != this->members.end(); ++_iter554)
     {
-      xfer += (*_iter500).write(oprot);
+      xfer += (*_iter554).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13526,22 +14582,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other501) {
-  members = other501.members;
-  __isset = other501.__isset;
+MemberList::MemberList(const MemberList& other555) {
+  members = other555.members;
+  __isset = other555.__isset;
 }
-MemberList::MemberList(MemberList&& other502) noexcept {
-  members = std::move(other502.members);
-  __isset = other502.__isset;
+MemberList::MemberList(MemberList&& other556) noexcept {
+  members = std::move(other556.members);
+  __isset = other556.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other503) {
-  members = other503.members;
-  __isset = other503.__isset;
+MemberList& MemberList::operator=(const MemberList& other557) {
+  members = other557.members;
+  __isset = other557.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other504) noexcept {
-  members = std::move(other504.members);
-  __isset = other504.__isset;
+MemberList& MemberList::operator=(MemberList&& other558) noexcept {
+  members = std::move(other558.members);
+  __isset = other558.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -13661,30 +14717,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other505) {
-  address = other505.address;
-  port = other505.port;
-  zone = other505.zone;
-  __isset = other505.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other559) {
+  address = other559.address;
+  port = other559.port;
+  zone = other559.zone;
+  __isset = other559.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other506) noexcept {
-  address = std::move(other506.address);
-  port = other506.port;
-  zone = std::move(other506.zone);
-  __isset = other506.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other560) noexcept {
+  address = std::move(other560.address);
+  port = other560.port;
+  zone = std::move(other560.zone);
+  __isset = other560.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other507) {
-  address = other507.address;
-  port = other507.port;
-  zone = other507.zone;
-  __isset = other507.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other561) {
+  address = other561.address;
+  port = other561.port;
+  zone = other561.zone;
+  __isset = other561.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other508) noexcept {
-  address = std::move(other508.address);
-  port = other508.port;
-  zone = std::move(other508.zone);
-  __isset = other508.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other562) noexcept {
+  address = std::move(other562.address);
+  port = other562.port;
+  zone = std::move(other562.zone);
+  __isset = other562.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -13736,14 +14792,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size509;
-            ::apache::thrift::protocol::TType _etype512;
-            xfer += iprot->readListBegin(_etype512, _size509);
-            this->relays.resize(_size509);
-            uint32_t _i513;
-            for (_i513 = 0; _i513 < _size509; ++_i513)
+            uint32_t _size563;
+            ::apache::thrift::protocol::TType _etype566;
+            xfer += iprot->readListBegin(_etype566, _size563);
+            this->relays.resize(_size563);
+            uint32_t _i567;
+            for (_i567 = 0; _i567 < _size563; ++_i567)
             {
-              xfer += this->relays[_i513].read(iprot);
+              xfer += this->relays[_i567].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13772,10 +14828,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter514;
-    for (_iter514 = this->relays.begin(); _iter514 != this->relays.end(); ++_iter514)
+    std::vector<RelayAddress> ::const_iterator _iter568;
+    for (_iter568 = this->relays.begin(); _iter568 != this->relays.end(); ++_iter568)
     {
-      xfer += (*_iter514).write(oprot);
+      xfer += (*_iter568).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13792,22 +14848,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other515) {
-  relays = other515.relays;
-  __isset = other515.__isset;
+RelayList::RelayList(const RelayList& other569) {
+  relays = other569.relays;
+  __isset = other569.__isset;
 }
-RelayList::RelayList(RelayList&& other516) noexcept {
-  relays = std::move(other516.relays);
-  __isset = other516.__isset;
+RelayList::RelayList(RelayList&& other570) noexcept {
+  relays = std::move(other570.relays);
+  __isset = other570.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other517) {
-  relays = other517.relays;
-  __isset = other517.__isset;
+RelayList& RelayList::operator=(const RelayList& other571) {
+  relays = other571.relays;
+  __isset = other571.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other518) noexcept {
-  relays = std::move(other518.relays);
-  __isset = other518.__isset;
+RelayList& RelayList::operator=(RelayList&& other572) noexcept {
+  relays = std::move(other572.relays);
+  __isset = other572.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -13893,22 +14949,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PackedFrame::PackedFrame(const PackedFrame& other519) {
-  deflated = other519.deflated;
-  __isset = other519.__isset;
+PackedFrame::PackedFrame(const PackedFrame& other573) {
+  deflated = other573.deflated;
+  __isset = other573.__isset;
 }
-PackedFrame::PackedFrame(PackedFrame&& other520) noexcept {
-  deflated = std::move(other520.deflated);
-  __isset = other520.__isset;
+PackedFrame::PackedFrame(PackedFrame&& other574) noexcept {
+  deflated = std::move(other574.deflated);
+  __isset = other574.__isset;
 }
-PackedFrame& PackedFrame::operator=(const PackedFrame& other521) {
-  deflated = other521.deflated;
-  __isset = other521.__isset;
+PackedFrame& PackedFrame::operator=(const PackedFrame& other575) {
+  deflated = other575.deflated;
+  __isset = other575.__isset;
   return *this;
 }
-PackedFrame& PackedFrame::operator=(PackedFrame&& other522) noexcept {
-  deflated = std::move(other522.deflated);
-  __isset = other522.__isset;
+PackedFrame& PackedFrame::operator=(PackedFrame&& other576) noexcept {
+  deflated = std::move(other576.deflated);
+  __isset = other576.__isset;
   return *this;
 }
 void PackedFrame::printTo(std::ostream& out) const {
@@ -13973,18 +15029,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other523) noexcept {
-  (void) other523;
+StartCompression::StartCompression(const StartCompression& other577) noexcept {
+  (void) other577;
 }
-StartCompression::StartCompression(StartCompression&& other524) noexcept {
-  (void) other524;
+StartCompression::StartCompression(StartCompression&& other578) noexcept {
+  (void) other578;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other525) noexcept {
-  (void) other525;
+StartCompression& StartCompression::operator=(const StartCompression& other579) noexcept {
+  (void) other579;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other526) noexcept {
-  (void) other526;
+StartCompression& StartCompression::operator=(StartCompression&& other580) noexcept {
+  (void) other580;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -34,7 +34,9 @@
     SECRET = 6,
     INGRESS = 7,
     NOTE = 8,
-    ROLLOUT = 9
+    ROLLOUT = 9,
+    TENANT = 10,
+    EVACUATION = 11
   };
 };
 
@@ -198,6 +200,10 @@
 
 class NoteRow;
 
+class TenantRow;
+
+class EvacuationRow;
+
 class RolloutRow;
 
 class Row;
@@ -322,6 +328,14 @@
 
 class CallBodyPiece;
 
+class QuotaDemand;
+
+class QuotaAsk;
+
+class QuotaDecision;
+
+class QuotaGrant;
+
 class MemberList;
 
 class RelayAddress;
@@ -392,13 +406,15 @@
 std::ostream& operator<<(std::ostream& out, const RowKey& obj);
 
 typedef struct _ServiceRow__isset {
-  _ServiceRow__isset() : retryPolicy(false), secrets(false), maxConnections(false), healthPath(false), protocol(false), tls(false) {}
+  _ServiceRow__isset() : retryPolicy(false), secrets(false), maxConnections(false), healthPath(false), protocol(false), tls(false), coldStartS(false), coldPerS(false) {}
   bool retryPolicy :1;
   bool secrets :1;
   bool maxConnections :1;
   bool healthPath :1;
   bool protocol :1;
   bool tls :1;
+  bool coldStartS :1;
+  bool coldPerS :1;
 } _ServiceRow__isset;
 
 /**
@@ -416,7 +432,9 @@
                maxConnections(0),
                healthPath(),
                protocol(),
-               tls(0) {
+               tls(0),
+               coldStartS(0),
+               coldPerS(0) {
   }
 
   virtual ~ServiceRow() noexcept;
@@ -426,6 +444,14 @@
   std::string healthPath;
   std::string protocol;
   bool tls;
+  /**
+   * For how long back ends are slow from a start under traffic, in seconds; unset where nothing is said.
+   */
+  double coldStartS;
+  /**
+   * Requests a second that a cold back end bears; unset or 0 where nothing is said.
+   */
+  double coldPerS;
 
   _ServiceRow__isset __isset;
 
@@ -441,6 +467,10 @@
 
   void __set_tls(const bool val);
 
+  void __set_coldStartS(const double val);
+
+  void __set_coldPerS(const double val);
+
   bool operator == (const ServiceRow & rhs) const
   {
     if (!(retryPolicy == rhs.retryPolicy))
@@ -455,6 +485,14 @@
       return false;
     if (!(tls == rhs.tls))
       return false;
+    if (__isset.coldStartS != rhs.__isset.coldStartS)
+      return false;
+    else if (__isset.coldStartS && !(coldStartS == rhs.coldStartS))
+      return false;
+    if (__isset.coldPerS != rhs.__isset.coldPerS)
+      return false;
+    else if (__isset.coldPerS && !(coldPerS == rhs.coldPerS))
+      return false;
     return true;
   }
   bool operator != (const ServiceRow &rhs) const {
@@ -605,7 +643,7 @@
 std::ostream& operator<<(std::ostream& out, const WeightedService& obj);
 
 typedef struct _RouteRow__isset {
-  _RouteRow__isset() : host(false), pathPrefix(false), method(false), shares(false), requiredServices(false), requiredSecrets(false), repeatable(false), timeoutMs(false), maxAttempts(false), targetLatencyMs(false), priority(false), largeBodies(false) {}
+  _RouteRow__isset() : host(false), pathPrefix(false), method(false), shares(false), requiredServices(false), requiredSecrets(false), repeatable(false), timeoutMs(false), maxAttempts(false), targetLatencyMs(false), priority(false), largeBodies(false), largeAnswers(false), keyless(false), regions(false) {}
   bool host :1;
   bool pathPrefix :1;
   bool method :1;
@@ -618,6 +656,9 @@
   bool targetLatencyMs :1;
   bool priority :1;
   bool largeBodies :1;
+  bool largeAnswers :1;
+  bool keyless :1;
+  bool regions :1;
 } _RouteRow__isset;
 
 /**
@@ -639,7 +680,9 @@
              maxAttempts(0),
              targetLatencyMs(0),
              priority(0),
-             largeBodies(0) {
+             largeBodies(0),
+             largeAnswers(0),
+             keyless(0) {
   }
 
   virtual ~RouteRow() noexcept;
@@ -658,6 +701,18 @@
    * Requests have large bodies; a matter of how they are carried, not of whether they may be repeated.
    */
   bool largeBodies;
+  /**
+   * Answers have large bodies.
+   */
+  bool largeAnswers;
+  /**
+   * Callers need no key where this is true, though there are tenants; unset where nothing is said.
+   */
+  bool keyless;
+  /**
+   * Regions whose back ends may serve the route; any where it is unset.
+   */
+  std::vector<std::string>  regions;
 
   _RouteRow__isset __isset;
 
@@ -685,6 +740,12 @@
 
   void __set_largeBodies(const bool val);
 
+  void __set_largeAnswers(const bool val);
+
+  void __set_keyless(const bool val);
+
+  void __set_regions(const std::vector<std::string> & val);
+
   bool operator == (const RouteRow & rhs) const
   {
     if (!(host == rhs.host))
@@ -711,6 +772,16 @@
       return false;
     if (!(largeBodies == rhs.largeBodies))
       return false;
+    if (!(largeAnswers == rhs.largeAnswers))
+      return false;
+    if (__isset.keyless != rhs.__isset.keyless)
+      return false;
+    else if (__isset.keyless && !(keyless == rhs.keyless))
+      return false;
+    if (__isset.regions != rhs.__isset.regions)
+      return false;
+    else if (__isset.regions && !(regions == rhs.regions))
+      return false;
     return true;
   }
   bool operator != (const RouteRow &rhs) const {
@@ -1011,6 +1082,136 @@
 
 std::ostream& operator<<(std::ostream& out, const NoteRow& obj);
 
+typedef struct _TenantRow__isset {
+  _TenantRow__isset() : keys(false), priority(false), ratePerS(false), burst(false), regions(false) {}
+  bool keys :1;
+  bool priority :1;
+  bool ratePerS :1;
+  bool burst :1;
+  bool regions :1;
+} _TenantRow__isset;
+
+/**
+ * Those whose requests are told by a key, and what they may send.
+ */
+class TenantRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  TenantRow(const TenantRow&);
+  TenantRow(TenantRow&&) noexcept;
+  TenantRow& operator=(const TenantRow&);
+  TenantRow& operator=(TenantRow&&) noexcept;
+  TenantRow() noexcept
+            : priority(0),
+              ratePerS(0),
+              burst(0) {
+  }
+
+  virtual ~TenantRow() noexcept;
+  std::vector<std::string>  keys;
+  /**
+   * Goes before the priority of the route; unset where nothing is said.
+   */
+  int32_t priority;
+  /**
+   * Requests a second over all nodes; unset or 0 for no limit.
+   */
+  double ratePerS;
+  /**
+   * Requests at once beyond the rate.
+   */
+  double burst;
+  /**
+   * Regions whose back ends may serve the tenant; any where it is unset.
+   */
+  std::vector<std::string>  regions;
+
+  _TenantRow__isset __isset;
+
+  void __set_keys(const std::vector<std::string> & val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_ratePerS(const double val);
+
+  void __set_burst(const double val);
+
+  void __set_regions(const std::vector<std::string> & val);
+
+  bool operator == (const TenantRow & rhs) const
+  {
+    if (!(keys == rhs.keys))
+      return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
+    if (__isset.ratePerS != rhs.__isset.ratePerS)
+      return false;
+    else if (__isset.ratePerS && !(ratePerS == rhs.ratePerS))
+      return false;
+    if (__isset.burst != rhs.__isset.burst)
+      return false;
+    else if (__isset.burst && !(burst == rhs.burst))
+      return false;
+    if (__isset.regions != rhs.__isset.regions)
+      return false;
+    else if (__isset.regions && !(regions == rhs.regions))
+      return false;
+    return true;
+  }
+  bool operator != (const TenantRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TenantRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TenantRow &a, TenantRow &b);
+
+std::ostream& operator<<(std::ostream& out, const TenantRow& obj);
+
+
+/**
+ * Back ends of a zone take no requests while this row stands; named like the zone.
+ */
+class EvacuationRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationRow(const EvacuationRow&) noexcept;
+  EvacuationRow(EvacuationRow&&) noexcept;
+  EvacuationRow& operator=(const EvacuationRow&) noexcept;
+  EvacuationRow& operator=(EvacuationRow&&) noexcept;
+  EvacuationRow() noexcept {
+  }
+
+  virtual ~EvacuationRow() noexcept;
+
+  bool operator == (const EvacuationRow & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const EvacuationRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationRow &a, EvacuationRow &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationRow& obj);
+
 typedef struct _RolloutRow__isset {
   _RolloutRow__isset() : standing(false), target(false), state(false), targetPermille(false), groupOffset(false), groupSize(false), retiring(false), finishByMs(false), elapsedMs(false), reason(false) {}
   bool standing :1;
@@ -1152,7 +1353,7 @@
 std::ostream& operator<<(std::ostream& out, const RolloutRow& obj);
 
 typedef struct _Row__isset {
-  _Row__isset() : key(false), revision(false), deleted(false), serviceRow(false), endpointRow(false), routeRow(false), limitRow(false), retryPolicyRow(false), secretRow(false), ingressRow(false), noteRow(false), rolloutRow(false) {}
+  _Row__isset() : key(false), revision(false), deleted(false), serviceRow(false), endpointRow(false), routeRow(false), limitRow(false), retryPolicyRow(false), secretRow(false), ingressRow(false), noteRow(false), rolloutRow(false), tenantRow(false), evacuationRow(false) {}
   bool key :1;
   bool revision :1;
   bool deleted :1;
@@ -1165,6 +1366,8 @@
   bool ingressRow :1;
   bool noteRow :1;
   bool rolloutRow :1;
+  bool tenantRow :1;
+  bool evacuationRow :1;
 } _Row__isset;
 
 /**
@@ -1195,6 +1398,8 @@
   IngressRow ingressRow;
   NoteRow noteRow;
   RolloutRow rolloutRow;
+  TenantRow tenantRow;
+  EvacuationRow evacuationRow;
 
   _Row__isset __isset;
 
@@ -1222,6 +1427,10 @@
 
   void __set_rolloutRow(const RolloutRow& val);
 
+  void __set_tenantRow(const TenantRow& val);
+
+  void __set_evacuationRow(const EvacuationRow& val);
+
   bool operator == (const Row & rhs) const
   {
     if (!(key == rhs.key))
@@ -1266,6 +1475,14 @@
       return false;
     else if (__isset.rolloutRow && !(rolloutRow == rhs.rolloutRow))
       return false;
+    if (__isset.tenantRow != rhs.__isset.tenantRow)
+      return false;
+    else if (__isset.tenantRow && !(tenantRow == rhs.tenantRow))
+      return false;
+    if (__isset.evacuationRow != rhs.__isset.evacuationRow)
+      return false;
+    else if (__isset.evacuationRow && !(evacuationRow == rhs.evacuationRow))
+      return false;
     return true;
   }
   bool operator != (const Row &rhs) const {
@@ -2454,7 +2671,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false), takesCrashReports(false), takesVersionReports(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false), takesCrashReports(false), takesVersionReports(false), grantsQuotas(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2471,6 +2688,7 @@
   bool unpacksFrames :1;
   bool takesCrashReports :1;
   bool takesVersionReports :1;
+  bool grantsQuotas :1;
 } _Hello__isset;
 
 /**
@@ -2499,7 +2717,8 @@
           acknowledgesCalls(0),
           unpacksFrames(0),
           takesCrashReports(0),
-          takesVersionReports(0) {
+          takesVersionReports(0),
+          grantsQuotas(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2541,6 +2760,10 @@
    * Whether reports of versions are understood.
    */
   bool takesVersionReports;
+  /**
+   * Whether questions about quotas are answered.
+   */
+  bool grantsQuotas;
 
   _Hello__isset __isset;
 
@@ -2576,6 +2799,8 @@
 
   void __set_takesVersionReports(const bool val);
 
+  void __set_grantsQuotas(const bool val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2610,6 +2835,8 @@
       return false;
     if (!(takesVersionReports == rhs.takesVersionReports))
       return false;
+    if (!(grantsQuotas == rhs.grantsQuotas))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -5463,6 +5690,227 @@
 
 std::ostream& operator<<(std::ostream& out, const CallBodyPiece& obj);
 
+typedef struct _QuotaDemand__isset {
+  _QuotaDemand__isset() : tenant(false), count(false) {}
+  bool tenant :1;
+  bool count :1;
+} _QuotaDemand__isset;
+
+/**
+ * Requests of a tenant that wait for a permit.
+ */
+class QuotaDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaDemand(const QuotaDemand&);
+  QuotaDemand(QuotaDemand&&) noexcept;
+  QuotaDemand& operator=(const QuotaDemand&);
+  QuotaDemand& operator=(QuotaDemand&&) noexcept;
+  QuotaDemand() noexcept
+              : tenant(),
+                count(0) {
+  }
+
+  virtual ~QuotaDemand() noexcept;
+  std::string tenant;
+  int32_t count;
+
+  _QuotaDemand__isset __isset;
+
+  void __set_tenant(const std::string& val);
+
+  void __set_count(const int32_t val);
+
+  bool operator == (const QuotaDemand & rhs) const
+  {
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaDemand &a, QuotaDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj);
+
+typedef struct _QuotaAsk__isset {
+  _QuotaAsk__isset() : demands(false) {}
+  bool demands :1;
+} _QuotaAsk__isset;
+
+/**
+ * Asks for permits; from a node to its relay, from a relay to the leader.
+ */
+class QuotaAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaAsk(const QuotaAsk&);
+  QuotaAsk(QuotaAsk&&) noexcept;
+  QuotaAsk& operator=(const QuotaAsk&);
+  QuotaAsk& operator=(QuotaAsk&&) noexcept;
+  QuotaAsk() noexcept {
+  }
+
+  virtual ~QuotaAsk() noexcept;
+  std::vector<QuotaDemand>  demands;
+
+  _QuotaAsk__isset __isset;
+
+  void __set_demands(const std::vector<QuotaDemand> & val);
+
+  bool operator == (const QuotaAsk & rhs) const
+  {
+    if (!(demands == rhs.demands))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaAsk &a, QuotaAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaAsk& obj);
+
+typedef struct _QuotaDecision__isset {
+  _QuotaDecision__isset() : tenant(false), granted(false), denied(false), retryAfterMs(false) {}
+  bool tenant :1;
+  bool granted :1;
+  bool denied :1;
+  bool retryAfterMs :1;
+} _QuotaDecision__isset;
+
+/**
+ * What became of requests that waited, those that had waited longest first.
+ */
+class QuotaDecision : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaDecision(const QuotaDecision&);
+  QuotaDecision(QuotaDecision&&) noexcept;
+  QuotaDecision& operator=(const QuotaDecision&);
+  QuotaDecision& operator=(QuotaDecision&&) noexcept;
+  QuotaDecision() noexcept
+                : tenant(),
+                  granted(0),
+                  denied(0),
+                  retryAfterMs(0) {
+  }
+
+  virtual ~QuotaDecision() noexcept;
+  std::string tenant;
+  int32_t granted;
+  /**
+   * Beyond the limit; these follow those that were granted.
+   */
+  int32_t denied;
+  /**
+   * After how long another one may be granted, where some were denied.
+   */
+  int32_t retryAfterMs;
+
+  _QuotaDecision__isset __isset;
+
+  void __set_tenant(const std::string& val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_denied(const int32_t val);
+
+  void __set_retryAfterMs(const int32_t val);
+
+  bool operator == (const QuotaDecision & rhs) const
+  {
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(denied == rhs.denied))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaDecision &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaDecision & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaDecision &a, QuotaDecision &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaDecision& obj);
+
+typedef struct _QuotaGrant__isset {
+  _QuotaGrant__isset() : decisions(false) {}
+  bool decisions :1;
+} _QuotaGrant__isset;
+
+class QuotaGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaGrant(const QuotaGrant&);
+  QuotaGrant(QuotaGrant&&) noexcept;
+  QuotaGrant& operator=(const QuotaGrant&);
+  QuotaGrant& operator=(QuotaGrant&&) noexcept;
+  QuotaGrant() noexcept {
+  }
+
+  virtual ~QuotaGrant() noexcept;
+  std::vector<QuotaDecision>  decisions;
+
+  _QuotaGrant__isset __isset;
+
+  void __set_decisions(const std::vector<QuotaDecision> & val);
+
+  bool operator == (const QuotaGrant & rhs) const
+  {
+    if (!(decisions == rhs.decisions))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaGrant &a, QuotaGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj);
+
 typedef struct _MemberList__isset {
   _MemberList__isset() : members(false) {}
   bool members :1;
--- a/test/platform/config_document_test.cc
+++ b/test/platform/config_document_test.cc
@@ -1,10 +1,12 @@
 #include "config_document.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
 #include "platform_messages.h"
+#include "table/validator.h"
 
 namespace driftlug::platform {
 namespace {
@@ -106,3 +108,70 @@
 }
 
 }  // namespace driftlug::platform
+
+namespace driftlug::platform {
+namespace {
+
+nlohmann::json tenantResource(const std::string& name, const nlohmann::json& spec) {
+  return {{"resourceType", "tenants"}, {"metadata", {{"name", name}}}, {"spec", spec}};
+}
+
+/// @return the problems that the table finds in a configuration with these tenants
+std::vector<table::Problem> problemsOf(const std::vector<nlohmann::json>& tenants) {
+  const auto document = parseConfig(test::configBody(1, 0, tenants));
+  REQUIRE(document.ok());
+  table::Table rows;
+  for (const auto& change : changesFor(*document, rows)) rows.put(std::make_shared<wire::Row>(change.row));
+  return table::checkTable(rows);
+}
+
+}  // namespace
+
+TEST_CASE("tenants, downloads, routes without keys, homes and cold back ends read back as they were sent") {
+  auto route = routeResource("r-1", "a.example", "/p/", "download", "s-1");
+  route["spec"]["noAuth"] = false;
+  route["spec"]["allowedRegions"] = {"east", "west"};
+  auto open = routeResource("r-2", "a.example", "/q/", "safe", "s-1");
+  open["spec"]["noAuth"] = true;
+  auto service = serviceResource("s-1");
+  service["spec"]["coldStartS"] = 3;
+  service["spec"]["coldPerS"] = 7.9;
+  const auto whole = tenantResource(
+      "t-1",
+      {{"apiKeys", {"k-1", "k-2"}}, {"priority", 1}, {"ratePerS", 700}, {"burst", 12.5}, {"allowedRegions", {"east"}}});
+  const auto bare = tenantResource("t-2", {{"apiKeys", nlohmann::json::array()}});
+  const std::vector<nlohmann::json> sent{route, open, service, whole, bare};
+  const auto document = parseConfig(configBody(1, 0, sent));
+  REQUIRE(document.ok());
+  table::Table rows;
+  for (const auto& change : changesFor(*document, rows)) rows.put(std::make_shared<wire::Row>(change.row));
+  CHECK(rows.find(table::makeKey(wire::RowKind::ROUTE, "r-1"))->routeRow.repeatable);
+  const auto read = nlohmann::json::parse(renderConfig(rows));
+  for (const auto& resource : sent) {
+    const auto& list = read["resources"];
+    CHECK(std::find(list.begin(), list.end(), resource) != list.end());
+  }
+}
+
+TEST_CASE("ill-formed tenants are refused") {
+  const auto tenant = [](const nlohmann::json& spec) { return tenantResource("t-1", spec); };
+  CHECK(problemsOf({tenant({{"apiKeys", {"k-1"}}})}).empty());
+  CHECK_FALSE(problemsOf({tenant({{"apiKeys", {"k-1", "k-1"}}})}).empty());
+  CHECK_FALSE(problemsOf({tenant({{"apiKeys", {""}}})}).empty());
+  CHECK_FALSE(problemsOf({tenant({{"apiKeys", {"k-1"}}, {"ratePerS", -1}})}).empty());
+  CHECK_FALSE(problemsOf({tenant({{"apiKeys", {"k-1"}}, {"burst", -1}})}).empty());
+  CHECK_FALSE(problemsOf({tenantResource("", {{"apiKeys", {"k-1"}}})}).empty());
+  CHECK_FALSE(problemsOf({tenantResource("t-1", {{"apiKeys", {"k-1"}}}), tenantResource("t-2", {{"apiKeys", {"k-1"}}})})
+                  .empty());
+  CHECK_FALSE(parseConfig(configBody(1, 0, {tenant({{"apiKeys", "k-1"}})})).ok());
+  CHECK_FALSE(parseConfig(configBody(1, 0, {tenant({{"apiKeys", {7}}})})).ok());
+  CHECK_FALSE(parseConfig(configBody(1, 0, {tenant({{"ratePerS", "many"}})})).ok());
+}
+
+TEST_CASE("a name that stands twice is refused") {
+  const auto route = routeResource("r-1", "a.example", "/p/", "safe", "s-1");
+  const auto other = routeResource("r-1", "a.example", "/q/", "safe", "s-1");
+  CHECK_FALSE(parseConfig(configBody(1, 0, {route, other, serviceResource("s-1")})).ok());
+}
+
+}  // namespace driftlug::platform
