--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -99,6 +99,11 @@
   page->counter("rollouts_rolled_back_total", "orders that this controller took back", rollouts.counters().rolledBack);
   page->counter("rollout_steps_total", "steps of orders taken by this controller", rollouts.counters().steps);
   page->counter("rollout_reports_total", "reports of endpoints taken by this controller", rollouts.counters().reports);
+  page->gauge("zones_evacuated", "zones whose back ends take no requests, by order",
+              static_cast<double>(controller.evacuations().zones().size()));
+  const auto& quotas = controller.quotas().counters();
+  page->counter("quota_granted_total", "permits that this controller granted to tenants with a limit", quotas.granted);
+  page->counter("quota_denied_total", "requests of tenants beyond their limit", quotas.denied);
   const auto& relays = controller.relays().counters();
   page->counter("controller_updates_total", "updates sent to relays", relays.updates);
   page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
--- a/apps/ctl_main.cc
+++ b/apps/ctl_main.cc
@@ -59,6 +59,9 @@
 
 int printAnswer(const apps::ApiAnswer& answer) { return apps::printAnswer(answer, FLAGS_json); }
 
+/// An edit with this expected revision applies whatever the row is.
+constexpr int64_t kAnyRevision = -1;
+
 /// Commands that talk to controllers.
 class Commands {
  public:
@@ -149,6 +152,20 @@
     return askNode("DELETE", "/quarantine/" + arguments[0]);
   }
 
+  int evacuate(const Arguments& arguments) {
+    if (arguments.size() != 1) return usageError("evacuate needs a ZONE");
+    return sendEdit(json::array({{{"kind", "evacuation"},
+                                  {"name", arguments[0]},
+                                  {"expected_revision", kAnyRevision},
+                                  {"row", json::object()}}}));
+  }
+
+  int restore(const Arguments& arguments) {
+    if (arguments.size() != 1) return usageError("restore needs a ZONE");
+    return sendEdit(json::array(
+        {{{"kind", "evacuation"}, {"name", arguments[0]}, {"expected_revision", kAnyRevision}, {"delete", true}}}));
+  }
+
   int rollout(const Arguments& arguments) {
     return apps::RolloutCommand(http_, client_, {FLAGS_finish_by_ms, FLAGS_wait, FLAGS_json}).run(arguments);
   }
@@ -290,7 +307,9 @@
 
 int printCompletion() {
   std::printf(
-      "complete -W 'rows get set delete apply diff check history wait status drain held release rollout controllers "
+      "complete -W 'rows get set delete apply diff check history wait status drain held release rollout evacuate "
+      "restore "
+      "controllers "
       "trace "
       "completion' "
       "driftlugctl\n");
@@ -309,6 +328,7 @@
       "  drain --node HOST:PORT [--undo]\n"
       "  held --node HOST:PORT | release REQUEST --node HOST:PORT\n"
       "  rollout start SERVICE VERSION --finish_by_ms=N [--wait] | status [SERVICE] | watch SERVICE | abort SERVICE\n"
+      "  evacuate ZONE | restore ZONE\n"
       "  controllers list | remove NAME | add|replace NAME HOST FRAME_PORT HTTP_PORT\n"
       "  trace ID FILE …\n"
       "  completion\n"
@@ -341,6 +361,8 @@
       {"held", [&](const Arguments& rest) { return commands.held(rest); }},
       {"release", [&](const Arguments& rest) { return commands.release(rest); }},
       {"rollout", [&](const Arguments& rest) { return commands.rollout(rest); }},
+      {"evacuate", [&](const Arguments& rest) { return commands.evacuate(rest); }},
+      {"restore", [&](const Arguments& rest) { return commands.restore(rest); }},
       {"controllers", [&](const Arguments& rest) { return commands.controllers(rest); }},
   };
   const auto found = table.find(command);
--- a/apps/entry_server.cc
+++ b/apps/entry_server.cc
@@ -68,6 +68,7 @@
   call.path = std::move(request.path);
   if (!request.query.empty()) call.path += "?" + request.query;
   (void)absl::SimpleAtoi(std::string(request.header(headers_.deadline)), &call.deadlineMs);
+  if (!headers_.credential.empty()) call.credential = std::string(request.header(headers_.credential));
   std::erase_if(request.headers, [this](const auto& header) {
     const auto& reserved = headers_.reserved;
     return std::find(reserved.begin(), reserved.end(), header.name) != reserved.end() || header.name == headers_.caller;
--- a/apps/entry_server.h
+++ b/apps/entry_server.h
@@ -14,6 +14,7 @@
 /// How callers and nodes speak of a call beside its own content. Header names are in lower case.
 struct EntryHeaders {
   std::string deadline = "x-deadline-ms";  ///< milliseconds that the caller waits
+  std::string credential;                  ///< key of a tenant, not passed on; empty for none
   std::string caller;                      ///< set by the entry node to the service beside it; empty for none
   std::string callerService;               ///< the value of that header
   std::vector<std::string> reserved;       ///< headers that only nodes may set; taken off what callers send
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -1,7 +1,10 @@
 #include "node_daemon.h"
 
+#include <absl/strings/numbers.h>
 #include <gflags/gflags.h>
 
+#include <optional>
+
 #include "base/error.h"
 #include "base/settings.h"
 #include "connect_presence.h"
@@ -20,6 +23,7 @@
 
 DECLARE_string(backend);
 DECLARE_int32(backend_connections);
+DECLARE_string(cold_header);
 DECLARE_bool(compress);
 DECLARE_string(correlation_header);
 DECLARE_string(data_folder);
@@ -47,10 +51,23 @@
 namespace {
 
 constexpr int kOkStatus = 200;
+/// Calls of tenants with a limit wait for permits. Calls that come within some milliseconds share a question; one that
+/// is not answered in the time of an election or two is refused.
+constexpr quota::quota_queue_options kQuotaTimes{base::milliseconds(5), base::milliseconds(700),
+                                                 base::milliseconds(250)};
 /// For the back end to say which of two incarnations it is. It is on this machine: one that has just started answers
 /// within milliseconds, and calls to it wait no longer than this.
 constexpr base::Duration kIdentityTimeout = base::milliseconds(200);
 
+/// @param well whether the back end is well; if so, and it names no time, it is not cold
+/// @return how much longer the back end is cold, if its answer tells
+std::optional<int> coldMsIn(const std::vector<wire::HttpHeader>& headers, bool well) {
+  const std::string text(transport::findHeader(headers, FLAGS_cold_header));
+  int coldMs = 0;
+  if (absl::SimpleAtoi(text, &coldMs)) return coldMs;
+  return well ? std::optional(0) : std::nullopt;
+}
+
 /// Endpoint and entry sides of calls share one set of connections.
 class CallHandler : public base::ConnectionHandler {
  public:
@@ -126,6 +143,8 @@
   page->counter("entry_held_back_total", "calls refused since their request is held", calls.heldBack);
   page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
   page->counter("entry_silent_links_total", "links that did not acknowledge what was sent on them", calls.silentLinks);
+  page->counter("entry_over_quota_total", "calls refused since their tenant is beyond its limit", calls.overQuota);
+  page->counter("entry_unknown_keys_total", "calls refused since no tenant holds their key", calls.unknownKeys);
   page->counter("entry_abandoned_total", "calls whose caller went away", calls.abandoned);
   page->counter("entry_budget_spent_total", "retries that the budget did not allow", calls.budgetSpent);
   page->histogram("entry_latency_seconds", "from a request to its answer, completed calls", calls.completedLatency);
@@ -199,6 +218,7 @@
   void end() override { loop_.stop(); }
   void onBackendCrash(uint64_t crash, const std::vector<quarantine::crashed_run>& runs);
   void askForIdentity();
+  void askWhetherCold();
   void askBackend(base::Duration timeout, node::LocalBackend::IdentityCallback done);
   DaemonPages pages();
 
@@ -218,6 +238,7 @@
   EndpointHealth health_;
   node::LocalBackend localBackend_;
   quarantine::request_quarantine quarantine_{loop_};
+  quota::quota_queue quotas_;
   ConnectPresence presence_;
   quarantine::crash_watch crashWatch_;
   EntryServer entryServer_;
@@ -248,6 +269,7 @@
       health_(loop_, control_, endpoint_, backendAddress()),
       localBackend_(placeFromSettings(), loop_, endpoint_,
                     [this](const wire::EndpointState& state) { control_.announce(state); }),
+      quotas_(loop_, kQuotaTimes, [this](const wire::QuotaAsk& question) { return control_.askForPermits(question); }),
       presence_(loop_, backendAddress()),
       crashWatch_(loop_, base::RandomSource(random_.bits()), presence_,
                   [this](uint64_t crash, const auto& runs) { onBackendCrash(crash, runs); }),
@@ -269,6 +291,8 @@
   hello.acknowledgesCalls = true;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
+  entry_.useQuotas(&quotas_);
+  control_.useQuotas(&quotas_);
   if (FLAGS_quarantine) {
     entry_.useQuarantine(&quarantine_);
     endpoint_.useQuarantine(&quarantine_, &crashWatch_);
@@ -278,7 +302,9 @@
   endpoint_.onWrongIncarnation([this](const std::string& endpoint) { localBackend_.onWrongEndpoint(endpoint); });
   endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
   endpoint_.onRunEnded([this](const node::EndedRun& run) { versionReporter_.onRun(run); });
+  endpoint_.onDoubtedWarmth([this] { askWhetherCold(); });
   localBackend_.onBackend([this](const std::string& endpoint, const node::BackendReport& report) {
+    endpoint_.onColdTold(base::milliseconds(report.coldMs), false);
     versionReporter_.useBackend(endpoint, report.version, report.slots, report.coldMs);
   });
   entry_.useFreshness([this] { return control_.fresh(); });
@@ -365,6 +391,7 @@
     constexpr base::Duration kPatience = base::milliseconds(30);
     loop_.schedule(kPatience, [this] { askForIdentity(); });
   }
+  if (!FLAGS_first_start) endpoint_.doubtWarmth();
   loop_.onOverslept([this](base::Duration late) { onOverslept(late); });
   log_.info("{} started in zone {}", FLAGS_name, FLAGS_zone);
   loop_.run();
@@ -386,6 +413,13 @@
   });
 }
 
+void NodeDaemon::askWhetherCold() {
+  if (FLAGS_cold_header.empty()) return;
+  askBackend(kIdentityTimeout, [this](const node::BackendIdentity& identity) {
+    if (identity.coldMs) endpoint_.onColdTold(base::milliseconds(*identity.coldMs), true);
+  });
+}
+
 /// @param timeout after which it counts as not having said anything
 void NodeDaemon::askBackend(base::Duration timeout, node::LocalBackend::IdentityCallback done) {
   if (!identityPool_) {
@@ -408,6 +442,7 @@
       identity.incarnation = std::string(transport::findHeader(headers, FLAGS_identity_header));
       identity.well = kOkStatus == result.response.status;
       identity.leaving = !identity.well && !refused;
+      identity.coldMs = coldMsIn(headers, identity.well);
     }
     done(identity);
   });
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -41,9 +41,13 @@
 DEFINE_int32(emulated_zone_delay_us, 0, "delay of frames to other zones; for tests only");
 DEFINE_string(deadline_header, "x-deadline-ms", "header with the milliseconds that a caller waits");
 DEFINE_string(caller_header, "", "header set to the service beside the node where a call began; empty for none");
+DEFINE_string(credential_header, "", "header with the key of a tenant; empty for none");
+DEFINE_string(tenant_header, "", "header that names the tenant to back ends; empty for none");
 DEFINE_string(correlation_header, "", "header that back ends return as it was sent; empty for none");
 DEFINE_string(incarnation_header, "", "header that names the back end's incarnation a call is meant for");
 DEFINE_string(identity_header, "", "header in which the back end names its incarnation when it is asked");
+DEFINE_string(cold_header, "", "header in which the back end tells the milliseconds for which it stays cold");
+DEFINE_double(cold_overage, 1, "what a cold back end is handed, as a multiple of what it bears by the table");
 DEFINE_string(identity_path, "/healthz", "page at which the back end is asked for its incarnation");
 DEFINE_string(not_run_header, "x-shed", "header by which a back end says that it did not run a request");
 DEFINE_bool(fractional_retry_after, false, "Retry-After in fractions of a second");
@@ -142,6 +146,7 @@
   options.links.maxLinks = descriptorSharesFromSettings().links;
   options.mintKeys = FLAGS_ledger;
   options.requestIdHeader = FLAGS_correlation_header;
+  options.tenantHeader = FLAGS_tenant_header;
   options.hedgeAfterShare = FLAGS_hedge_percent / 100.0;
   options.lateAfterShare = FLAGS_late_percent / 100.0;
   options.inTimeFirst = FLAGS_in_time_first;
@@ -159,6 +164,8 @@
 node::EndpointOptions endpointOptionsFromSettings() {
   node::EndpointOptions options;
   options.service = FLAGS_service;
+  options.zone = FLAGS_zone;
+  options.coldOverage = FLAGS_cold_overage;
   options.defaultSlots = FLAGS_backend_slots;
   options.defaultQueue = FLAGS_backend_queue;
   options.notRunHeader = FLAGS_not_run_header;
@@ -176,7 +183,10 @@
   headers.deadline = FLAGS_deadline_header;
   headers.caller = FLAGS_caller_header;
   headers.callerService = FLAGS_service;
-  headers.reserved = {FLAGS_incarnation_header};
+  headers.credential = FLAGS_credential_header;
+  for (const auto* reserved : {&FLAGS_incarnation_header, &FLAGS_credential_header, &FLAGS_tenant_header}) {
+    if (!reserved->empty()) headers.reserved.push_back(*reserved);
+  }
   headers.fractionalRetryAfter = FLAGS_fractional_retry_after;
   return headers;
 }
@@ -205,6 +215,7 @@
   base::declareRange("retry_attempts", 1, 10);
   base::declareRange("retry_budget_percent", 0, 100);
   base::declareRange("retry_burst", 0, 1000);
+  base::declareRange("cold_overage", 1, 100);
 }
 
 lifecycle::stop_times stopTimesFromSettings() {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -125,6 +125,9 @@
   /// @return whether a follower answered within the election timeout; only meaningful on the leader.
   bool recentlyActive(const std::string& memberId) const;
 
+  /// @return whether a quorum has answered this leader within the time in which its members vote for nobody else.
+  bool holdsLease() const;
+
   /// @return whether the disk failed for good.
   bool storageFailed() const { return store_.failed(); }
 
@@ -249,8 +252,10 @@
   std::map<std::string, Progress> progress_;  // leader only: other members
   int64_t round_ = 0;                         // heartbeat rounds begun in this term
   int64_t confirmedRound_ = 0;
-  int64_t termStartIndex_ = 0;    // the leader's first entry of its term
-  base::TimePoint quorumSeen_{};  // when a quorum last answered
+  int64_t termStartIndex_ = 0;                       // the leader's first entry of its term
+  base::TimePoint quorumSeen_{};                     // when a quorum last answered
+  std::map<int64_t, base::TimePoint> roundBegunAt_;  // of rounds that no quorum has confirmed yet
+  std::optional<base::TimePoint> leaseFrom_;         // when the last confirmed round began
   std::vector<PendingConfirm> confirms_;
   bool confirmRoundSent_ = false;
   AppendContent appendContent_;  // of appendFrame_
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -170,6 +170,8 @@
   progress_.clear();
   round_ = 0;
   confirmedRound_ = 0;
+  roundBegunAt_.clear();
+  leaseFrom_.reset();
   quorumSeen_ = scheduler_.now();
   for (const auto& member : members_) {
     if (member.id == id_) continue;
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -9,6 +9,7 @@
 void Raft::onHeartbeatTimer() {
   heartbeatTimer_.start(options_.heartbeatInterval);
   ++round_;
+  roundBegunAt_[round_] = scheduler_.now();
   checkQuorum();
   if (role_ == RaftRole::kLeader) broadcast();
   if (role_ == RaftRole::kLeader) confirmRounds();
@@ -186,6 +187,10 @@
   });
   const bool advanced = confirmed > confirmedRound_;
   confirmedRound_ = std::max(confirmedRound_, confirmed);
+  if (const auto begun = roundBegunAt_.find(confirmedRound_); begun != roundBegunAt_.end()) {
+    leaseFrom_ = begun->second;
+    roundBegunAt_.erase(roundBegunAt_.begin(), std::next(begun));
+  }
   std::vector<ConfirmCallback> served;
   std::erase_if(confirms_, [&](auto& pending) {
     if (pending.round > confirmedRound_ || pending.index > appliedIndex_) return false;
@@ -196,6 +201,13 @@
   if (advanced) listener_.onProgress();
 }
 
+bool Raft::holdsLease() const {
+  /// Share of the time in which members vote for nobody else; clocks do not run quite alike.
+  constexpr int kLeasePercent = 90;
+  if (role_ != RaftRole::kLeader || transferring_ || !leaseFrom_) return false;
+  return scheduler_.now() - *leaseFrom_ < options_.electionTimeout * kLeasePercent / 100;
+}
+
 void Raft::failConfirms() {
   std::vector<PendingConfirm> failed;
   failed.swap(confirms_);
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -29,6 +29,8 @@
       relays_(network),
       convergence_(scheduler, options_.nodeLease),
       rollouts_(*this, scheduler, options_.exposure),
+      evacuations_(*this),
+      quotas_(scheduler, [this](const std::string& tenant) { return limitOf(tenant); }),
       housekeeping_(scheduler, [this] { onHousekeeping(); }),
       heartbeat_(scheduler, [this] {
         heartbeat_.start(options_.relayHeartbeat);
@@ -238,6 +240,8 @@
     onLedgerRequest(connection, *ledger);
   } else if (const auto* reports = std::get_if<wire::VersionReports>(&message)) {
     rollouts_.onReports(*reports);
+  } else if (const auto* question = std::get_if<wire::QuotaAsk>(&message)) {
+    onQuotaAsk(connection, *question);
   } else if (const auto* seen = std::get_if<wire::SeenVersions>(&message)) {
     if (leads()) rollouts_.onSeen(*seen);
   } else if (const auto* confirm = std::get_if<wire::ConfirmRequest>(&message)) {
@@ -251,6 +255,19 @@
   }
 }
 
+/// Permits are given only by a leader that a quorum has heard within the time in which no other can be elected, so that
+/// two never give them at once.
+void Controller::onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& question) {
+  if (!leads() || !raft_->holdsLease()) return;
+  network_.send(connection, wire::encodeFrame(quotas_.decide(question)));
+}
+
+std::optional<quota::quota_limit> Controller::limitOf(const std::string& tenant) const {
+  const auto row = state_.table().find(table::makeKey(wire::RowKind::TENANT, tenant));
+  if (!row || !row->tenantRow.__isset.ratePerS || row->tenantRow.ratePerS <= 0) return std::nullopt;
+  return quota::quota_limit{row->tenantRow.ratePerS, row->tenantRow.__isset.burst ? row->tenantRow.burst : 0};
+}
+
 void Controller::sendTo(const std::string& memberId, const wire::FramePtr& frame) { links_.sendTo(memberId, frame); }
 
 void Controller::applyEdit(const wire::LogEntry& entry) {
@@ -315,6 +332,7 @@
   announcedTerm_ = false;
   lastActive_.clear();
   rollouts_.onLeadership();
+  quotas_.begin();
   if (role == RaftRole::kLeader) return;
   // An addition that this leader did not finish must not come back when it leads again.
   joining_.clear();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -14,11 +14,13 @@
 #include "base/time.h"
 #include "consensus/raft.h"
 #include "controller/convergence.h"
+#include "controller/evacuations.h"
 #include "controller/relay_sessions.h"
 #include "controller/rollouts.h"
 #include "controller/table_state.h"
 #include "ledger/ledger_state.h"
 #include "membership/peer_links.h"
+#include "quota/quota_grantor.h"
 
 namespace driftlug::controller {
 
@@ -118,6 +120,11 @@
   const RelaySessions& relays() const { return relays_; }
   Rollouts& rollouts() { return rollouts_; }
   const Rollouts& rollouts() const { return rollouts_; }
+  class evacuations& evacuations() {
+    return evacuations_;
+  }
+  const class evacuations& evacuations() const { return evacuations_; }
+  const quota::quota_grantor& quotas() const { return quotas_; }
   const std::string& name() const { return options_.name; }
   std::string leaderName() const;
   bool ready() const { return raft_ != nullptr && !raft_->leaderId().empty(); }
@@ -151,6 +158,8 @@
   void announce();
   void updateLinks();
   void onRelayMessage(base::ConnectionId connection, const wire::Message& message);
+  void onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& question);
+  std::optional<quota::quota_limit> limitOf(const std::string& tenant) const;
   void onHousekeeping();
   void formCluster();
   void completeFormation();
@@ -194,6 +203,8 @@
   RelaySessions relays_;
   ConvergenceTracker convergence_;
   Rollouts rollouts_;
+  class evacuations evacuations_;
+  quota::quota_grantor quotas_;
   std::unique_ptr<consensus::Raft> raft_;                   // null until recovery ended
   std::map<base::ConnectionId, wire::Hello> peers_;         // open connections
   std::map<int64_t, PendingEdit> pending_;                  // by log index
--- /dev/null
+++ b/src/limits/cold_pace.h
@@ -0,0 +1,53 @@
+/// How many requests a cold back end is handed.
+#pragma once
+
+#include <deque>
+#include <optional>
+
+#include "base/time.h"
+
+namespace driftlug::limits {
+
+/// Bounds the requests that start within any second while the back end is cold, or may be: one that has just started
+/// fails under the load that a warm one carries.
+///
+/// The node beside a back end sees every request to it, so the bound is exact here, whatever callers know. A back end
+/// may turn cold without a word, as when it was out of reach for a while: until it has been asked, it counts as cold.
+class ColdPace {
+ public:
+  explicit ColdPace(const base::TimeSource& time) : time_(time) {}
+
+  /// Sets what a cold back end bears, in requests a second; 0 where that is not known, and then nothing is bounded.
+  void setRate(double perSecond) { perSecond_ = perSecond; }
+
+  /// The back end said for how long it is cold.
+  /// @param asked whether it was asked just now; what it says by itself may be some seconds old
+  void onTold(base::Duration coldFor, bool asked);
+
+  /// The back end may have turned cold.
+  void onDoubt();
+
+  /// @return whether the back end is to be asked.
+  bool doubtful() const { return doubtedAt_ && perSecond_ > 0; }
+
+  /// @return whether starts are bounded now.
+  bool bounds() const;
+
+  /// A request starts.
+  void onStart();
+
+  /// @return when the next request may start; not later than now where nothing is bounded
+  base::TimePoint nextStart() const;
+
+  /// @return the mean time between two starts at the bound; 0 where nothing is bounded.
+  base::Duration interval() const;
+
+ private:
+  const base::TimeSource& time_;
+  double perSecond_ = 0;
+  base::TimePoint coldUntil_{};
+  std::optional<base::TimePoint> doubtedAt_;
+  std::deque<base::TimePoint> starts_;  // of the last second
+};
+
+}  // namespace driftlug::limits
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -24,17 +24,32 @@
   startWaiting();
 }
 
+bool SlotLimiter::mayStart() const {
+  return running_ < maxConcurrent_ && (pace_ == nullptr || pace_->nextStart() <= time_.now());
+}
+
+std::optional<base::TimePoint> SlotLimiter::nextPacedStart() const {
+  if (pace_ == nullptr || waiting_.empty() || running_ >= maxConcurrent_) return std::nullopt;
+  const auto next = pace_->nextStart();
+  return next > time_.now() ? std::optional(next) : std::nullopt;
+}
+
 base::Duration SlotLimiter::expectedWait(Priority priority, base::TimePoint latestStart) const {
   const Order own{priority, latestStart, nextTicket_};
+  const auto before = std::distance(waiting_.begin(), waiting_.lower_bound(own));
+  const auto paced = pace_ != nullptr && pace_->bounds() ? pace_->nextStart() - time_.now() + pace_->interval() * before
+                                                         : base::Duration(0);
   // Slots are free beside those that wait only while some of these aren't ready.
   const auto free = std::max(0, maxConcurrent_ - running_);
-  const auto ahead = 1 + std::distance(waiting_.begin(), waiting_.lower_bound(own)) - free;
-  if (ahead <= 0) return base::Duration(0);
-  return base::Duration(static_cast<int64_t>(heldUs_ * static_cast<double>(ahead) / std::max(1, maxConcurrent_)));
+  const auto ahead = 1 + before - free;
+  if (ahead <= 0) return std::max(paced, base::Duration(0));
+  const auto share = static_cast<double>(ahead) / std::max(1, maxConcurrent_);
+  return std::max<base::Duration>(paced, base::Duration(static_cast<int64_t>(heldUs_ * share)));
 }
 
 base::Duration SlotLimiter::slotInterval() const {
-  return base::Duration(static_cast<int64_t>(heldUs_ / std::max(1, maxConcurrent_)));
+  const auto held = base::Duration(static_cast<int64_t>(heldUs_ / std::max(1, maxConcurrent_)));
+  return pace_ == nullptr ? held : std::max(held, pace_->interval());
 }
 
 std::optional<base::TimePoint> SlotLimiter::nextExpiry() const {
@@ -72,7 +87,7 @@
 
 TicketId SlotLimiter::acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse, bool ready) {
   const auto ticket = nextTicket_++;
-  if (ready && running_ < maxConcurrent_ && waiting_.empty()) {
+  if (ready && mayStart() && waiting_.empty()) {
     admit(priority);
     start();
     return ticket;
@@ -98,6 +113,7 @@
   ++running_;
   if (priority == Priority::kNested) ++runningNested_;
   ++counters_.admitted;
+  if (pace_ != nullptr) pace_->onStart();
 }
 
 SlotLimiter::Waiting::iterator SlotLimiter::nextToStart() {
@@ -119,7 +135,7 @@
 }
 
 void SlotLimiter::startWaiting() {
-  while (running_ < maxConcurrent_ && !waiting_.empty()) {
+  while (mayStart() && !waiting_.empty()) {
     const auto next = nextToStart();
     if (next == waiting_.end()) return;
     auto first = waiting_.extract(next);
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "limits/cold_pace.h"
 
 namespace driftlug::limits {
 
@@ -80,6 +81,16 @@
   /// Bounds the slots that kNested requests may hold while others wait, as a share of all.
   void setNestedShare(double share) { nestedShare_ = share; }
 
+  /// Starts no more than a pace allows.
+  /// @param pace outlives this object; null for none
+  void usePace(ColdPace* pace) { pace_ = pace; }
+
+  /// @return when the pace lets the next of the waiting requests start, if it is the pace that it waits for.
+  std::optional<base::TimePoint> nextPacedStart() const;
+
+  /// Starts what waits, as far as there is room and the pace allows.
+  void startWaiting();
+
   /// A request that had started has ended.
   /// @param held how long it held its slot
   /// @param priority what it was acquired with
@@ -122,7 +133,7 @@
 
   using Waiting = std::map<Order, Request>;
 
-  void startWaiting();
+  bool mayStart() const;
   Waiting::iterator nextToStart();
   void admit(Priority priority);
   bool displaceFor(Priority priority);
@@ -131,6 +142,7 @@
   int maxConcurrent_;
   int maxQueued_;
   int running_ = 0;
+  ColdPace* pace_ = nullptr;  // may stay null
   int runningNested_ = 0;
   double nestedShare_ = 1;
   TicketId nextTicket_ = 1;
--- a/src/node/call_types.h
+++ b/src/node/call_types.h
@@ -27,7 +27,8 @@
   std::string path;  ///< with the query
   std::vector<wire::HttpHeader> headers;
   std::string body;
-  int deadlineMs = 0;  ///< from the caller; 0 when it set none
+  int deadlineMs = 0;      ///< from the caller; 0 when it set none
+  std::string credential;  ///< key of a tenant; empty when the caller sent none
 };
 
 /// The final answer to a caller.
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -234,6 +234,8 @@
   network_.send(connection, wire::encodeFrame(subscribe));
   relayTakesCrashReports_ = peer.takesCrashReports;
   relayTakesVersionReports_ = peer.takesVersionReports;
+  relayGrantsQuotas_ = peer.grantsQuotas;
+  if (quotas_ != nullptr) quotas_->askAnew();
   // All of it: relays that were restarted have forgotten what they knew.
   if (quarantine_ != nullptr) sendCrashReports(quarantine_->all());
   if (!announcing_) return;
@@ -263,6 +265,8 @@
     onRelayList(*relays);
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) {
     if (onLedgerReply_) onLedgerReply_(*reply);
+  } else if (const auto* grant = std::get_if<wire::QuotaGrant>(&message)) {
+    if (quotas_ != nullptr) quotas_->onGrant(*grant);
   }
 }
 
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "node/slice_store.h"
 #include "quarantine/request_quarantine.h"
+#include "quota/quota_queue.h"
 #include "storage/disk.h"
 
 namespace driftlug::node {
@@ -91,6 +92,10 @@
   /// @return whether there is one that understands them
   bool sendVersions(const wire::Message& message) { return relayTakesVersionReports_ && send(message); }
 
+  /// Asks the relay in use for permits.
+  /// @return whether there is one that grants them
+  bool askForPermits(const wire::QuotaAsk& question) { return relayGrantsQuotas_ && send(question); }
+
   /// Has crashes of back ends told to the relay and taken from it.
   /// @param quarantine outlives this object
   void useQuarantine(quarantine::request_quarantine* quarantine);
@@ -98,6 +103,10 @@
   /// Sets who gets replies of the ledger.
   void onLedgerReply(std::function<void(const wire::LedgerReply&)> handler) { onLedgerReply_ = std::move(handler); }
 
+  /// Sets who gets grants of permits, and hears that another relay is in use.
+  /// @param quotas outlives this object
+  void useQuotas(quota::quota_queue* quotas) { quotas_ = quotas; }
+
   const SliceStore& slices() const { return slices_; }
   bool connected() const { return open_; }
 
@@ -151,8 +160,10 @@
   EndpointStatesHandler onStates_;
   std::function<void(const wire::LedgerReply&)> onLedgerReply_;  // may be empty
   quarantine::request_quarantine* quarantine_ = nullptr;         // may stay null
+  quota::quota_queue* quotas_ = nullptr;                         // may stay null
   bool relayTakesCrashReports_ = false;
   bool relayTakesVersionReports_ = false;
+  bool relayGrantsQuotas_ = false;
   SliceStore slices_;
   storage::Disk* disk_ = nullptr;
   std::vector<base::Address> seeds_;                     // relays that the settings name
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -1,6 +1,7 @@
 #include "node/endpoint_calls.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "node/call_fingerprint.h"
 #include "wire/frame.h"
@@ -18,6 +19,8 @@
 constexpr int kRequestsPerFreeSlot = 2;
 /// Suspects on the back end at once, so that a crash names one of them at the most.
 constexpr int kSuspectsAtOnce = 1;
+/// Pause between two questions whether the back end is cold; one that has no slot free may not answer.
+constexpr base::Duration kWarmthInterval = base::milliseconds(300);
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 
 overload::call_kind kindOf(const wire::CallRequest& request) {
@@ -37,18 +40,22 @@
       network_(network),
       backend_(backend),
       ledger_(ledger),
+      pace_(scheduler),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
       probation_(scheduler, kSuspectsAtOnce, options_.defaultQueue),
       bodies_(options_.bodies),
       bodyTimer_(scheduler, [this] { onBodyTimer(); }),
+      warmthTimer_(scheduler, [this] { askForWarmth(); }),
       expiryTimer_(scheduler,
                    [this] {
                      limiter_.refuseExpired();
                      probation_.refuseExpired();
+                     limiter_.startWaiting();
                      armExpiry();
                    }),
       decisions_("endpoint", scheduler) {
   limiter_.setNestedShare(options_.nestedShare);
+  limiter_.usePace(&pace_);
 }
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
@@ -58,10 +65,34 @@
   tableLimit_ = limit != nullptr ? std::optional(*limit) : std::nullopt;
   const auto* versions = table.versions(options_.service);
   versions_ = versions != nullptr ? std::optional(*versions) : std::nullopt;
+  pace_.setRate(table.coldPerS(options_.service) * options_.coldOverage);
+  useEvacuation(table.evacuated(options_.zone));
   applyLimits();
   refuseUnreleased();
 }
 
+/// A zone is taken back when its back ends may have stood idle for long, and gone cold by it.
+void EndpointCalls::useEvacuation(bool evacuated) {
+  if (std::exchange(evacuated_, evacuated) && !evacuated) doubtWarmth();
+}
+
+void EndpointCalls::doubtWarmth() {
+  pace_.onDoubt();
+  if (pace_.doubtful() && !warmthTimer_.running()) askForWarmth();
+}
+
+void EndpointCalls::askForWarmth() {
+  if (!pace_.doubtful()) return;
+  warmthTimer_.start(kWarmthInterval);
+  if (onDoubtedWarmth_) onDoubtedWarmth_();
+}
+
+void EndpointCalls::onColdTold(base::Duration coldFor, bool asked) {
+  pace_.onTold(coldFor, asked);
+  limiter_.startWaiting();
+  armExpiry();
+}
+
 void EndpointCalls::useVersion(const std::string& version) {
   version_ = version;
   refuseUnreleased();
@@ -69,15 +100,16 @@
 
 /// @return why what waits is refused when no more is taken.
 ErrorCode EndpointCalls::closedError() const {
-  return draining_ || versionTakesCalls() ? ErrorCode::kDraining : ErrorCode::kVersionNotReleased;
+  if (draining_ || takesCalls()) return ErrorCode::kDraining;
+  return evacuated_ ? ErrorCode::kZoneEvacuated : ErrorCode::kVersionNotReleased;
 }
 
 bool EndpointCalls::versionTakesCalls() const { return !versions_ || versions_->takes(version_); }
 
-/// What waits for a version that takes no calls any more runs elsewhere; this holds also for calls of nodes with an
-/// older table.
+/// What waits for a version or in a zone that takes no calls any more runs elsewhere; this holds also for calls of
+/// nodes with an older table.
 void EndpointCalls::refuseUnreleased() {
-  if (versionTakesCalls()) return;
+  if (takesCalls()) return;
   limiter_.refuseWaiting();
   probation_.refuseWaiting();
   refuseAwaitingBodies();
@@ -215,6 +247,7 @@
 void EndpointCalls::armExpiry() {
   auto next = limiter_.nextExpiry();
   if (const auto suspect = probation_.nextExpiry(); suspect && (!next || *suspect < *next)) next = suspect;
+  if (const auto paced = limiter_.nextPacedStart(); paced && (!next || *paced < *next)) next = paced;
   if (!next) return expiryTimer_.stop();
   expiryTimer_.start(std::max<base::Duration>(base::milliseconds(1), *next - scheduler_.now()));
 }
@@ -247,6 +280,8 @@
     error = endpoint_.empty() ? ErrorCode::kDraining : ErrorCode::kWrongEndpoint;
   } else if (draining_) {
     error = ErrorCode::kDraining;
+  } else if (evacuated_) {
+    error = ErrorCode::kZoneEvacuated;
   } else if (!versionTakesCalls()) {
     error = ErrorCode::kVersionNotReleased;
   } else if (stale_) {
@@ -283,6 +318,7 @@
   const bool completed = answer.outcome == BackendOutcome::kCompleted;
   const bool notReached = answer.outcome == BackendOutcome::kNotSent;
   if (onBackendContact_ && (completed || notReached)) onBackendContact_(completed);
+  if (!completed) doubtWarmth();  // it may be another life of the back end that answers next
   if (notReached) {
     return releaseThenRefuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
   }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -12,6 +12,7 @@
 #include "base/network.h"
 #include "base/time.h"
 #include "ledger/ledger_client.h"
+#include "limits/cold_pace.h"
 #include "limits/slot_limiter.h"
 #include "node/call_types.h"
 #include "overload/body_intake.h"
@@ -34,6 +35,8 @@
   /// Whether a request is refused at once when it would wait so long for a slot that its answer would miss the target
   /// latency of its route; else it waits as long as its deadline allows.
   bool waitWithinTarget = false;
+  /// What a cold back end is handed, as a multiple of what it bears by the table.
+  double coldOverage = 1;
   double holdMargin = 1.3;       ///< with waitWithinTarget: what is kept free for the run, as a multiple of a usual run
   double leastWaitShare = 0.15;  ///< with waitWithinTarget: share of the target that a request may wait at the least
   /// Whether nested calls, as far as they can be told, go first: the work that hangs on them is done already.
@@ -42,6 +45,7 @@
   std::string requestIdHeader;           ///< header, in lower case, by which logs name a call; empty for none
   base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
   base::Duration maxFullFor = base::milliseconds(1500);  ///< longest time for which an asking node is sent away
+  std::string zone;                                      ///< of this node and its back end
   overload::body_intake_options bodies;
 };
 
@@ -126,6 +130,15 @@
   /// Called when the back end says that it is another incarnation than the named one.
   void onWrongIncarnation(std::function<void(const std::string&)> handler) { onWrongIncarnation_ = std::move(handler); }
 
+  /// The back end said for how long it is cold, by itself or when it was asked.
+  void onColdTold(base::Duration coldFor, bool asked);
+
+  /// The back end may have turned cold without saying so.
+  void doubtWarmth();
+
+  /// Called when the back end is to be asked whether it is cold; the answer goes to onColdTold().
+  void onDoubtedWarmth(std::function<void()> handler) { onDoubtedWarmth_ = std::move(handler); }
+
   /// Called when a run has ended, unless its caller gave it up.
   void onRunEnded(std::function<void(const EndedRun&)> handler) { onRunEnded_ = std::move(handler); }
 
@@ -214,6 +227,9 @@
   void releaseSlot(const Call& call);
   void applyLimits();
   bool versionTakesCalls() const;
+  bool takesCalls() const { return versionTakesCalls() && !evacuated_; }
+  void useEvacuation(bool evacuated);
+  void askForWarmth();
   base::ErrorCode closedError() const;
   void refuseUnreleased();
   void noteEnded(const Call& call, bool failed);
@@ -236,6 +252,7 @@
   base::Network& network_;
   BackendClient& backend_;
   ledger::LedgerClient* ledger_;  // may be null
+  limits::ColdPace pace_;
   limits::SlotLimiter limiter_;
   limits::SlotLimiter probation_;                         // one place, for suspects
   quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
@@ -249,6 +266,8 @@
   overload::body_intake bodies_;
   base::Timer bodyTimer_;  // runs while bodies are awaited
   bool draining_ = false;
+  bool evacuated_ = false;
+  base::Timer warmthTimer_;           // runs while it is doubtful whether the back end is warm
   std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
   base::Timer expiryTimer_;           // runs while requests wait for a slot
   std::string endpoint_;              // the incarnation of the back end, with dynamicEndpoint
@@ -258,6 +277,7 @@
   std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
   std::function<void(bool)> onBackendContact_;                  // may be empty
   std::function<void(const EndedRun&)> onRunEnded_;             // may be empty
+  std::function<void()> onDoubtedWarmth_;                       // may be empty
   std::string version_;                                         // of the back end's software; may be empty
   std::optional<rollout::version_policy> versions_;             // that take calls; all where nothing is known
   EndpointCounters counters_;
--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -122,13 +122,16 @@
 
 bool EndpointLinks::isKnown(const wire::EndpointState& state) const {
   const bool gone = state.address.empty() || state.condition == wire::EndpointCondition::GONE;
-  return !gone;
+  return !gone && !(table_ && table_->evacuated(state.zone));
 }
 
 void EndpointLinks::collect() {
   changed_.clear();
   known_.clear();
   if (table_) known_ = table_->endpointsByService();
+  for (auto& [service, endpoints] : known_) {
+    std::erase_if(endpoints, [this](const auto& endpoint) { return table_->evacuated(endpoint.zone); });
+  }
   for (const auto& [name, state] : states_) {
     if (isKnown(state)) addKnown(state);
   }
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "node/call_fingerprint.h"
 #include "table/validator.h"
@@ -18,6 +19,8 @@
 constexpr char kIdempotencyHeader[] = "idempotency-key";
 constexpr int kUnavailableStatus = 503;
 constexpr int kNotFoundStatus = 404;
+constexpr int kUnauthorizedStatus = 401;
+constexpr int kTooManyStatus = 429;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kGatewayTimeoutStatus = 504;
 constexpr int kUnprocessableStatus = 422;
@@ -127,12 +130,17 @@
     finishLater(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoRoute, kNotFoundStatus, 0));
     return id;
   }
+  call.priority = route->priority;
+  if (!authenticate(&call, *route)) {
+    ++counters_.unknownKeys;
+    finishLater(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kUnknownKey, kUnauthorizedStatus, 0));
+    return id;
+  }
   int timeoutMs = route->timeoutMs;
   if (call.inbound.deadlineMs > 0) timeoutMs = std::min(timeoutMs, call.inbound.deadlineMs);
   call.deadline = now + base::milliseconds(timeoutMs);
   call.route = route->name;
   call.repeatable = route->repeatable;
-  call.priority = route->priority;
   call.targetLatencyMs = route->targetLatencyMs;
   if (options_.inTimeFirst) call.waitedMs = patience_[route->name].onCall(call.inbound.deadlineMs);
   call.service = splits_[route->name].pick(route->shares);
@@ -145,12 +153,52 @@
     if (!alive.expired()) onDeadline(id);
   });
   budgets_.try_emplace(call.service, options_.retryBurst).first->second.onRequest(rule.budgetPercent);
+  const auto* tenant = call.tenant.empty() ? nullptr : table_->tenants().named(call.tenant);
+  if (quotas_ != nullptr && tenant != nullptr && tenant->limited()) {
+    askForPermit(id, call.tenant);
+    return id;
+  }
   scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id] {
     if (!alive.expired()) attempt(id);
   });
   return id;
 }
 
+/// Takes the tenant and its priority from the key of the call; the key goes no further.
+/// @return whether the call may go on
+bool EntryCalls::authenticate(Call* call, const routing::Route& route) {
+  const auto key = std::exchange(call->inbound.credential, {});
+  if (table_->tenants().empty() || route.keyless) return true;
+  const auto* tenant = table_->tenants().find(key);
+  if (tenant == nullptr) return false;
+  call->tenant = tenant->name;
+  if (tenant->priority) call->priority = *tenant->priority;
+  if (options_.tenantHeader.empty()) return true;
+  wire::HttpHeader header;
+  header.name = options_.tenantHeader;
+  header.value = tenant->name;
+  call->inbound.headers.push_back(header);
+  return true;
+}
+
+void EntryCalls::askForPermit(CallId id, const std::string& tenant) {
+  quotas_->wait(static_cast<uint64_t>(id), tenant, 1,
+                [this, alive = std::weak_ptr<bool>(alive_), id](const quota::permit_outcome& outcome) {
+                  if (!alive.expired()) onPermit(id, outcome);
+                });
+}
+
+void EntryCalls::onPermit(CallId id, const quota::permit_outcome& outcome) {
+  if (outcome.granted > 0) return attempt(id);
+  if (outcome.denied > 0) {
+    ++counters_.overQuota;
+    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kOverQuota, kTooManyStatus,
+                                    base::millisecondsOf(spread(outcome.retryAfter))));
+  }
+  finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kQuotaUnavailable, kUnavailableStatus,
+                           base::millisecondsOf(spread(options_.overloadRetryAfter))));
+}
+
 void EntryCalls::finishLater(CallId id, CallAnswer answer) {
   scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id, answer = std::move(answer)] {
     if (!alive.expired()) finish(id, answer);
@@ -425,12 +473,13 @@
     const char* outcome = completed ? "completed" : answer.outcome == CallOutcome::NOT_RUN ? "not_run" : "unknown";
     const auto now = scheduler_.now();
     return fmt::format(
-        "outcome call={} {} {}{} route={} service={} endpoint={} outcome={} status={} error={} "
+        "outcome call={} {} {}{} route={} tenant={} service={} endpoint={} outcome={} status={} error={} "
         "attempts={} refusals={} waited_before_ms={} elapsed_ms={} left_ms={} retry_after_ms={} table={}{}",
-        requestIdOf(call), call.inbound.method, call.inbound.host, call.inbound.path, call.route, call.service,
-        call.endpoint, outcome, answer.httpStatus, base::errorName(answer.error), call.attempts, call.refusals,
-        call.waitedMs, remainingMs(now, call.begunAt), remainingMs(call.deadline, now), answer.retryAfterMs,
-        call.table ? call.table->revision() : 0, completed ? "" : " request=" + fingerprintText(finished));
+        requestIdOf(call), call.inbound.method, call.inbound.host, call.inbound.path, call.route, call.tenant,
+        call.service, call.endpoint, outcome, answer.httpStatus, base::errorName(answer.error), call.attempts,
+        call.refusals, call.waitedMs, remainingMs(now, call.begunAt), remainingMs(call.deadline, now),
+        answer.retryAfterMs, call.table ? call.table->revision() : 0,
+        completed ? "" : " request=" + fingerprintText(finished));
   });
 }
 
@@ -457,6 +506,7 @@
   auto& call = node.mapped();
   scheduler_.cancel(call.timer);
   scheduler_.cancel(call.hedgeTimer);
+  if (quotas_ != nullptr && !call.tenant.empty()) quotas_->drop(static_cast<uint64_t>(id));
   for (const auto attemptId : call.inFlight) {
     const auto attempt = attempts_.find(attemptId);
     if (attempt == attempts_.end()) continue;
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -16,6 +16,7 @@
 #include "node/endpoint_links.h"
 #include "overload/caller_patience.h"
 #include "quarantine/request_quarantine.h"
+#include "quota/quota_queue.h"
 #include "retry/retry_budget.h"
 #include "routing/endpoint_picker.h"
 #include "routing/routing_table.h"
@@ -36,6 +37,7 @@
   base::Duration fullFor{0};  ///< how long an endpoint that refused for want of slots is not asked again
   base::Duration overloadRetryAfter = base::milliseconds(200);  ///< told to callers when every endpoint is full
   std::string requestIdHeader;  ///< header, in lower case, by which logs name a call; empty for none
+  std::string tenantHeader;     ///< header, in lower case, that names the tenant to back ends; empty for none
   /// Share of its target latency after which a repeatable call without an answer is sent to a second endpoint, if one
   /// is idle; 0 for never. The first answer wins. A failure of the back end's own is repeated under the same condition.
   double hedgeAfterShare = 0;
@@ -66,6 +68,8 @@
   int64_t probations = 0;                   ///< attempts of suspects
   int64_t silentLinks = 0;                  ///< links that did not acknowledge what was sent on them
   int64_t lateAnswers = 0;                  ///< answers that came after the call had ended; dropped
+  int64_t overQuota = 0;                    ///< refused since their tenant is beyond its limit
+  int64_t unknownKeys = 0;                  ///< refused since no tenant holds their key
   int64_t abandoned = 0;                    ///< callers that went away before their answer
   base::LatencyHistogram completedLatency;  ///< of completed calls, from the request to the answer
 };
@@ -85,6 +89,10 @@
   /// @param quarantine what is known of them; outlives this object
   void useQuarantine(quarantine::request_quarantine* quarantine) { quarantine_ = quarantine; }
 
+  /// Has calls of tenants with a limit wait for permits; without it, none does.
+  /// @param quotas outlives this object
+  void useQuotas(quota::quota_queue* quotas) { quotas_ = quotas; }
+
   /// Sets what tells whether this node hears of the controllers. While it doesn't, a version on trial gets nothing from
   /// here: nobody could take it back. Without it, the node is held to hear of them.
   void useFreshness(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
@@ -129,6 +137,7 @@
     routing::RoutingTablePtr table;  // the version the call began with
     std::string route;
     std::string service;
+    std::string tenant;    // empty where callers need no key
     std::string endpoint;  // that was asked last
     base::TimePoint begunAt{};
     int maxAttempts = 1;  // back ends that it may reach
@@ -159,6 +168,9 @@
   };
 
   const routing::Route* findRoute(const InboundCall& inbound) const;
+  bool authenticate(Call* call, const routing::Route& route);
+  void askForPermit(CallId id, const std::string& tenant);
+  void onPermit(CallId id, const quota::permit_outcome& outcome);
   void finishLater(CallId id, CallAnswer answer);
   void onLinkLost(base::ConnectionId connection, const std::string& endpoint);
   void onLinkSilent(base::ConnectionId connection);
@@ -215,6 +227,7 @@
   std::map<int64_t, Attempt> attempts_;  // by the id that travels in frames
   EndpointLinks links_;
   quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
+  quota::quota_queue* quotas_ = nullptr;                  // may stay null
   bool refusing_ = false;
   bool ending_ = false;  // nothing is sent again
   CallId nextCall_ = 1;
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -37,9 +37,10 @@
 
 /// What a back end says of itself when it is asked.
 struct BackendIdentity {
-  std::string incarnation;  ///< empty when it did not say in time
-  bool leaving = false;     ///< it says that it drains or is not well
-  bool well = false;        ///< it says that it is well; neither when it refused the question for want of a slot
+  std::string incarnation;      ///< empty when it did not say in time
+  bool leaving = false;         ///< it says that it drains or is not well
+  bool well = false;            ///< it says that it is well; neither when it refused the question for want of a slot
+  std::optional<int> coldMs{};  ///< how much longer it is slow from its start, if it said so
 };
 
 /// Keeps which incarnation of the back end takes calls, and announces it as an endpoint.
--- /dev/null
+++ b/src/quota/quota_queue.cc
@@ -0,0 +1,196 @@
+#include "quota/quota_queue.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace driftlug::quota
+{
+quota_queue::quota_queue(base::Scheduler& _scheduler, const quota_queue_options& _options, ask _ask)
+	: m_scheduler(_scheduler)
+	, m_options(_options)
+	, m_ask(std::move(_ask))
+	, m_timer(_scheduler,
+			  [this]
+			  {
+				  onTimer();
+			  })
+{
+}
+
+void quota_queue::wait(owner _owner, const std::string& _tenant, int _count, callback _done)
+{
+	const auto now = m_scheduler.now();
+	m_queues[_tenant].push_back({_owner, _count, now, std::nullopt, std::move(_done)});
+	const auto earliest = m_askedOnce ? m_askedAt + m_options.gather : now;
+	const auto pause = std::max<base::Duration>(base::Duration(0), earliest - now);
+	if (!m_gathering)
+	{
+		m_gathering = true;
+		m_timer.start(pause);
+	}
+}
+
+void quota_queue::forgetEmpty()
+{
+	std::erase_if(m_queues,
+				  [](const auto& _item)
+				  {
+					  return _item.second.empty();
+				  });
+}
+
+void quota_queue::drop(owner _owner)
+{
+	for (auto& [tenant, queue] : m_queues)
+	{
+		std::erase_if(queue,
+					  [_owner](const waiter& _waiter)
+					  {
+						  return _waiter.by == _owner;
+					  });
+	}
+	forgetEmpty();
+}
+
+void quota_queue::askAnew()
+{
+	for (auto& [tenant, queue] : m_queues)
+	{
+		for (auto& waiter : queue)
+		{
+			waiter.askedAt.reset();
+		}
+	}
+	if (!m_queues.empty())
+	{
+		m_timer.start(base::Duration(0));
+	}
+}
+
+void quota_queue::onTimer()
+{
+	m_gathering = false;
+	expire();
+	if (m_queues.empty())
+	{
+		return;
+	}
+	put();
+	m_timer.start(std::min(m_options.askAgainAfter, m_options.patience));
+}
+
+bool quota_queue::due(const waiter& _waiter) const
+{
+	return !_waiter.askedAt || m_scheduler.now() - *_waiter.askedAt >= m_options.askAgainAfter;
+}
+
+void quota_queue::put()
+{
+	wire::QuotaAsk question;
+	std::vector<waiter*> asked;
+	for (auto& [tenant, queue] : m_queues)
+	{
+		wire::QuotaDemand demand;
+		demand.tenant = tenant;
+		for (auto& waiter : queue)
+		{
+			if (due(waiter))
+			{
+				demand.count += waiter.count;
+				asked.push_back(&waiter);
+			}
+		}
+		if (0 < demand.count)
+		{
+			question.demands.push_back(demand);
+		}
+	}
+	if (question.demands.empty() || !m_ask(question))
+	{
+		return;
+	}
+	m_askedAt = m_scheduler.now();
+	m_askedOnce = true;
+	for (auto* waiter : asked)
+	{
+		waiter->askedAt = m_askedAt;
+	}
+}
+
+void quota_queue::expire()
+{
+	const auto limit = m_scheduler.now() - m_options.patience;
+	std::vector<waiter> expired;
+	for (auto& [tenant, queue] : m_queues)
+	{
+		while (!queue.empty() && queue.front().since <= limit)
+		{
+			expired.push_back(std::move(queue.front()));
+			queue.pop_front();
+		}
+	}
+	forgetEmpty();
+	for (const auto& waiter : expired)
+	{
+		permit_outcome outcome;
+		outcome.unanswered = waiter.count;
+		waiter.done(outcome);
+	}
+}
+
+void quota_queue::onGrant(const wire::QuotaGrant& _grant)
+{
+	for (const auto& decision : _grant.decisions)
+	{
+		const auto found = m_queues.find(decision.tenant);
+		if (m_queues.end() != found)
+		{
+			decide(&found->second, decision);
+		}
+	}
+	forgetEmpty();
+}
+
+/// Callbacks may add waiters and drop others, so that they are called behind all changes of the queue.
+void quota_queue::decide(waiters* _queue, const wire::QuotaDecision& _decision)
+{
+	int granted = std::max(0, _decision.granted);
+	int denied = std::max(0, _decision.denied);
+	std::vector<std::pair<callback, permit_outcome>> outcomes;
+	while (0 < granted + denied && !_queue->empty())
+	{
+		auto& first = _queue->front();
+		permit_outcome outcome;
+		outcome.granted = std::min(granted, first.count);
+		outcome.denied = std::min(denied, first.count - outcome.granted);
+		outcome.retryAfter = base::milliseconds(_decision.retryAfterMs);
+		granted -= outcome.granted;
+		denied -= outcome.denied;
+		first.count -= outcome.granted + outcome.denied;
+		outcomes.emplace_back(first.done, outcome);
+		if (0 == first.count)
+		{
+			_queue->pop_front();
+		}
+	}
+	for (const auto& [done, outcome] : outcomes)
+	{
+		done(outcome);
+	}
+}
+
+size_t quota_queue::waiting() const
+{
+	size_t count = 0;
+	for (const auto& [tenant, queue] : m_queues)
+	{
+		for (const auto& waiter : queue)
+		{
+			count += static_cast<size_t>(waiter.count);
+		}
+	}
+	return count;
+}
+
+}  // namespace driftlug::quota
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -11,6 +11,10 @@
 /// the square of the nodes.
 constexpr base::Duration kReportGapPerLagging = base::microseconds(500);
 constexpr base::Duration kLongestReportGap = base::milliseconds(200);
+/// Questions of nodes are gathered so that the leader gets some hundreds a second from all relays together, however
+/// many there are: a question costs it some 30 us of its tenth of a core.
+constexpr base::Duration kQuotaGatherPerRelay = base::microseconds(1500);
+constexpr quota::quota_queue_options kQuotaTimes{base::milliseconds(10), base::seconds(2), base::milliseconds(200)};
 
 }  // namespace
 
@@ -27,6 +31,7 @@
       crashes_(network, scheduler, nodes_, peers_),
       versions_(scheduler, replica_, endpoints_,
                 [this](const wire::Message& message) { return source_.send(message); }),
+      quotas_(scheduler, kQuotaTimes, [this](const wire::QuotaAsk& question) { return source_.send(question); }),
       nodeTimer_(scheduler, [this] { onNodeTimer(); }),
       reportTimer_(scheduler, [this] {
         reportTimer_.start(options_.reportInterval);
@@ -48,6 +53,7 @@
   hello.zone = options_.zone;
   hello.takesCrashReports = true;
   hello.takesVersionReports = true;
+  hello.grantsQuotas = true;
   network_.setHello(hello);
   admissionTokens_ = options_.admissionBurst;
   startedAt_ = scheduler_.now();
@@ -156,6 +162,7 @@
     if (const auto* update = std::get_if<wire::TableUpdate>(&message)) onTableUpdate(*update);
     if (const auto* reply = std::get_if<wire::ConfirmReply>(&message)) onConfirmReply(*reply);
     if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) onLedgerReply(*reply);
+    if (const auto* grant = std::get_if<wire::QuotaGrant>(&message)) quotas_.onGrant(*grant);
   }
 }
 
@@ -174,6 +181,8 @@
   if (known == relayList_) return;
   source_.useLearned(controllers);
   relayList_ = known;
+  quotas_.useGather(std::max<base::Duration>(kQuotaTimes.gather,
+                                             kQuotaGatherPerRelay * static_cast<int64_t>(relayList_.relays.size())));
   usePeers();
   for (const auto& [connection, session] : nodes_.all()) network_.send(connection, wire::encodeFrame(relayList_));
 }
@@ -183,6 +192,7 @@
   subscribe.revision = revision;
   subscribe.digest = replica_.table().digest();
   source_.send(subscribe);
+  quotas_.askAnew();
   reportFull_ = true;
   scheduleReport();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->askAgain();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "membership/endpoint_directory.h"
 #include "membership/peer_links.h"
+#include "quota/quota_queue.h"
 #include "relay/crash_spread.h"
 #include "relay/freshness_confirmer.h"
 #include "relay/node_sessions.h"
@@ -117,6 +118,9 @@
   void forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request);
   void onLedgerReply(const wire::LedgerReply& reply);
 
+  // Quotas
+  void onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& question);
+
   // Reports
   void scheduleReport();
   void sendReport();
@@ -144,6 +148,7 @@
   StateSpread spread_;
   CrashSpread crashes_;
   VersionReportSender versions_;
+  quota::quota_queue quotas_;                                              // of nodes, by their connection
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
   std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
   std::map<base::ConnectionId, base::TimePoint> unsubscribed_;             // nodes' connections without a session
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -28,11 +28,30 @@
     onEndpointStates(states->states, hellos_[connection].id, true);
   } else if (const auto* crashes = std::get_if<wire::CrashReports>(&message)) {
     crashes_.onNodeReports(connection, crashes->reports);
+  } else if (const auto* question = std::get_if<wire::QuotaAsk>(&message)) {
+    onQuotaAsk(connection, *question);
   } else if (const auto* versions = std::get_if<wire::VersionReports>(&message)) {
     versions_.onReports(*versions);
   }
 }
 
+void Relay::onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& question) {
+  for (const auto& demand : question.demands) {
+    quotas_.wait(connection, demand.tenant, demand.count,
+                 [this, connection, tenant = demand.tenant](const quota::permit_outcome& outcome) {
+                   if (outcome.granted + outcome.denied == 0) return;  // the node asks again by itself
+                   wire::QuotaDecision decision;
+                   decision.tenant = tenant;
+                   decision.granted = outcome.granted;
+                   decision.denied = outcome.denied;
+                   decision.retryAfterMs = base::millisecondsOf(outcome.retryAfter);
+                   wire::QuotaGrant grant;
+                   grant.decisions.push_back(decision);
+                   network_.send(connection, wire::encodeFrame(grant));
+                 });
+  }
+}
+
 void Relay::forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request) {
   // Nodes send again what gets no reply, so the oldest may be forgotten.
   constexpr size_t kMaxForwards = 10'000;
@@ -170,6 +189,7 @@
   expireLater(nodeId, options_.endpointLease);
   if (nodes_.find(connection) == nullptr) return;
   nodes_.remove(connection);
+  quotas_.drop(connection);
   unsubscribed_[connection] = scheduler_.now();
   const bool elsewhere = std::any_of(nodes_.all().begin(), nodes_.all().end(),
                                      [&](const auto& item) { return item.second.nodeId == nodeId; });
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -23,6 +23,7 @@
   route.maxAttempts = row.routeRow.maxAttempts;
   route.targetLatencyMs = row.routeRow.targetLatencyMs;
   route.priority = row.routeRow.priority;
+  route.keyless = row.routeRow.keyless;
   return route;
 }
 
@@ -49,6 +50,9 @@
       const auto& ingress = row->ingressRow;
       ingress_ = {ingress.maxHeadBytes, ingress.maxBodyBytes, ingress.headTimeoutMs, ingress.idleTimeoutMs};
     }
+    if (row->__isset.tenantRow) tenants_.add(key.name, row->tenantRow);
+    if (row->__isset.evacuationRow) evacuated_.insert(key.name);
+    if (row->__isset.serviceRow && row->serviceRow.__isset.coldPerS) coldPerS_[key.name] = row->serviceRow.coldPerS;
     if (row->__isset.rolloutRow) versions_[key.name] = rollout::policyOf(row->rolloutRow);
     if (row->__isset.serviceRow) maxConnections_[key.name] = row->serviceRow.maxConnections;
     if (!row->__isset.serviceRow || row->serviceRow.retryPolicy.empty()) continue;
@@ -90,6 +94,11 @@
   return found == versions_.end() ? nullptr : &found->second;
 }
 
+double RoutingTable::coldPerS(const std::string& service) const {
+  const auto found = coldPerS_.find(service);
+  return found == coldPerS_.end() ? 0 : found->second;
+}
+
 int RoutingTable::maxConnections(const std::string& service) const {
   const auto found = maxConnections_.find(service);
   return found == maxConnections_.end() ? 0 : found->second;
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "rollout/version_policy.h"
 #include "routing/weighted_split.h"
 #include "table/table.h"
+#include "tenants/tenant_directory.h"
 
 namespace driftlug::routing {
 
@@ -52,6 +54,7 @@
   int maxAttempts = 0;      ///< 0 leaves it to the service's retry rule
   int targetLatencyMs = 0;  ///< 0 when none is stated
   int priority = 0;         ///< 0 is the most urgent
+  bool keyless = false;     ///< callers need no key, though there are tenants
 };
 
 /// Limits of what callers may send; 0 where the table states none.
@@ -83,6 +86,14 @@
 
   const IngressLimits& ingress() const { return ingress_; }
 
+  const tenants::tenant_directory& tenants() const { return tenants_; }
+
+  /// @return whether back ends of a zone take no requests.
+  bool evacuated(const std::string& zone) const { return evacuated_.count(zone) > 0; }
+
+  /// @return requests a second that a cold back end of a service bears; 0 when the table does not say.
+  double coldPerS(const std::string& service) const;
+
   /// @return connections that a service's back end takes at most; 0 when the table does not say.
   int maxConnections(const std::string& service) const;
 
@@ -100,6 +111,9 @@
   std::map<std::string, RetryRule> retryRules_;
   std::map<std::string, int> maxConnections_;
   std::map<std::string, rollout::version_policy> versions_;  // by service
+  std::map<std::string, double> coldPerS_;                   // by service
+  tenants::tenant_directory tenants_;
+  std::set<std::string> evacuated_;  // zones
   IngressLimits ingress_;
 };
 
--- /dev/null
+++ b/test/limits/cold_pace_test.cc
@@ -0,0 +1,90 @@
+#include "limits/cold_pace.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "limits/slot_limiter.h"
+#include "manual_time.h"
+
+namespace driftlug::limits {
+namespace {
+
+constexpr double kBears = 8;
+
+/// Work that comes faster than a cold back end bears, each piece of it short.
+struct Load {
+  void offer(base::Duration duration) {
+    constexpr auto kGap = base::milliseconds(10);
+    for (base::Duration at{0}; at < duration; at += kGap) {
+      limiter.refuseExpired();
+      limiter.startWaiting();
+      limiter.acquire(
+          Priority::kNormal, time.now() + base::milliseconds(400), [this] { started.push_back(time.now()); },
+          [](SlotRefusal) {});
+      while (limiter.running() > 0) limiter.release(base::milliseconds(1));
+      time.advance(kGap);
+    }
+  }
+
+  /// @return the most that started within any second
+  size_t mostInASecond() const {
+    size_t most = 0;
+    for (auto first = started.begin(); first != started.end(); ++first) {
+      const auto last = std::lower_bound(first, started.end(), *first + base::seconds(1));
+      most = std::max(most, static_cast<size_t>(last - first));
+    }
+    return most;
+  }
+
+  Load() {
+    pace.setRate(kBears);
+    limiter.usePace(&pace);
+  }
+
+  test::ManualTime time;
+  ColdPace pace{time};
+  SlotLimiter limiter{time, 4, 16};
+  std::vector<base::TimePoint> started;
+};
+
+}  // namespace
+
+TEST_CASE("a cold back end gets no more in any second than it bears") {
+  Load load;
+  load.pace.onTold(base::seconds(10), true);
+  load.offer(base::seconds(5));
+  CHECK(load.mostInASecond() == static_cast<size_t>(kBears));
+  CHECK(load.started.size() >= 4 * static_cast<size_t>(kBears));
+}
+
+TEST_CASE("a back end that may have turned cold counts as cold until it was asked") {
+  Load load;
+  load.pace.onDoubt();
+  load.pace.onTold(base::Duration(0), false);  // may be older than the doubt
+  load.offer(base::seconds(2));
+  CHECK(load.mostInASecond() == static_cast<size_t>(kBears));
+  load.pace.onTold(base::Duration(0), true);
+  const auto before = load.started.size();
+  load.offer(base::seconds(1));
+  CHECK(load.started.size() - before > 5 * static_cast<size_t>(kBears));
+}
+
+TEST_CASE("what started before a back end turned cold counts in its first second") {
+  Load load;
+  load.offer(base::milliseconds(500));
+  const auto warm = load.started.size();
+  load.pace.onTold(base::seconds(10), true);
+  load.offer(base::milliseconds(400));
+  CHECK(load.started.size() == warm);
+}
+
+TEST_CASE("nothing is bounded where it is not known what a cold back end bears") {
+  Load load;
+  load.pace.setRate(0);
+  load.pace.onTold(base::seconds(10), true);
+  load.offer(base::seconds(1));
+  CHECK(load.started.size() >= 99);
+}
+
+}  // namespace driftlug::limits
--- /dev/null
+++ b/test/node/entry_calls_tenants_test.cc
@@ -0,0 +1,106 @@
+/// Keys of tenants at the node that takes calls.
+#include "entry_calls_fixture.h"
+
+namespace driftlug::node {
+namespace {
+
+constexpr char kKey[] = "key-of-press";
+constexpr char kTenantHeader[] = "x-tenant";
+
+wire::Row tenantRow(const std::string& name, const std::string& key, std::optional<int> priority) {
+  wire::Row row;
+  row.key = table::makeKey(wire::RowKind::TENANT, name);
+  row.__isset.tenantRow = true;
+  row.tenantRow.keys = {key};
+  if (priority) row.tenantRow.__set_priority(*priority);
+  return row;
+}
+
+struct Fixture : EntryCallsFixture {
+  Fixture() { useTenants({tenantRow("press", kKey, 7)}); }
+
+  void useTenants(const std::vector<wire::Row>& tenants) {
+    table::Table rows;
+    rows.put(std::make_shared<wire::Row>(routeRow("safe", "/safe/", true)));
+    auto open = routeRow("open", "/open/", true);
+    open.routeRow.__set_keyless(true);
+    rows.put(std::make_shared<wire::Row>(open));
+    for (const auto& tenant : tenants) rows.put(std::make_shared<wire::Row>(tenant));
+    entry->useTable(std::make_shared<routing::RoutingTable>(rows, ++revision));
+  }
+
+  void callWith(const std::string& path, const std::string& key) {
+    InboundCall inbound;
+    inbound.method = "GET";
+    inbound.host = "shop.example";
+    inbound.path = path;
+    inbound.credential = key;
+    entry->begin(inbound, [this](CallAnswer got) { answers.push_back(std::move(got)); });
+    runFor(base::milliseconds(1));
+  }
+
+  int64_t revision = 1;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a call with the key of a tenant goes on, with the tenant's priority and without the key") {
+  callWith("/safe/1", kKey);
+  const auto& request = std::get<wire::CallRequest>(lastRequest().message);
+  CHECK(request.priority == 7);
+  for (const auto& header : request.headers) CHECK(header.value != kKey);
+}
+
+TEST_CASE_METHOD(Fixture, "a call with no key or an unknown one is refused with 401 at once") {
+  callWith("/safe/1", "");
+  callWith("/safe/1", "another key");
+  REQUIRE(answers.size() == 2);
+  for (const auto& answer : answers) {
+    CHECK(answer.httpStatus == 401);
+    CHECK(answer.error == ErrorCode::kUnknownKey);
+  }
+  CHECK(network.all<wire::CallRequest>().empty());
+  CHECK(entry->counters().unknownKeys == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "routes without keys take calls of anybody") {
+  callWith("/open/1", "");
+  CHECK(network.all<wire::CallRequest>().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a key that was withdrawn is refused from the version on that withdrew it") {
+  callWith("/safe/1", kKey);
+  useTenants({tenantRow("press", "new key", 7)});
+  callWith("/safe/1", kKey);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].httpStatus == 401);
+  callWith("/safe/1", "new key");
+  CHECK(network.all<wire::CallRequest>().size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "a table without tenants asks for no keys") {
+  useTenants({});
+  callWith("/safe/1", "");
+  CHECK(network.all<wire::CallRequest>().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "back ends of an evacuated zone get nothing, and get calls again when it is taken back") {
+  const auto useZone = [&](bool evacuated) {
+    table::Table rows;
+    rows.put(std::make_shared<wire::Row>(routeRow("safe", "/safe/", true)));
+    wire::Row zone;
+    zone.key = table::makeKey(wire::RowKind::EVACUATION, "zone-1");
+    zone.__isset.evacuationRow = true;
+    if (evacuated) rows.put(std::make_shared<wire::Row>(zone));
+    entry->useTable(std::make_shared<routing::RoutingTable>(rows, ++revision));
+    openAll();
+  };
+  useZone(true);
+  for (int i = 0; i < 4; ++i) call("/safe/1");
+  CHECK(asked() == std::vector<std::string>(4, "far"));
+  useZone(false);
+  call("/safe/1");
+  CHECK(asked().back() == "near");
+}
+
+}  // namespace driftlug::node
