--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -166,9 +166,13 @@
   if (found->second.empty()) known_.erase(found);
 }
 
+/// In the order of their names, so that the choice doesn't hang on the order in which news came.
 void EndpointLinks::addKnown(const wire::EndpointState& state) {
-  known_[state.serviceName].push_back(
-      {state.endpoint, state.address, state.port, state.zone, routing::kFullWeight, state.slots, state.version});
+  auto& known = known_[state.serviceName];
+  const auto place = std::lower_bound(known.begin(), known.end(), state.endpoint,
+                                      [](const auto& target, const auto& name) { return target.name < name; });
+  known.insert(place, {state.endpoint, state.address, state.port, state.zone, routing::kFullWeight, state.slots,
+                       state.version});
 }
 
 size_t EndpointLinks::linksPerService() const {
