Retries beyond their share: all nodes together stay within the stated slack

Change: the node's part of the slack, by the endpoints that it knows, at least one and at most the setting.

--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -202,6 +202,8 @@
 
 /// @param services whose endpoints, or whose need of them, have changed
 void EndpointLinks::choose(const std::set<std::string>& services) {
+  knownEndpoints_ = 0;
+  for (const auto& [service, endpoints] : known_) knownEndpoints_ += endpoints.size();
   if (fitSubset()) return chooseAll();
   for (const auto& service : services) {
     chosen_.erase(service);
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -102,6 +102,9 @@
 
   size_t size() const { return links_.size(); }
 
+  /// @return endpoints of all services, chosen or not.
+  size_t known() const { return knownEndpoints_; }
+
   /// @return how often a chosen endpoint was left without a link at the bound.
   int64_t leftOut() const { return leftOut_; }
 
@@ -158,6 +161,7 @@
   std::map<std::string, wire::EndpointState> states_;  // newest said of each endpoint
   Endpoints known_;                                    // by service: those of the table and those announced
   std::map<std::string, std::string> changed_;         // services of endpoints whose states known_ does not show yet
+  size_t knownEndpoints_ = 0;                          // in known_
   std::set<std::string> unsettled_;                    // services to be chosen for anew
   Endpoints chosen_;                                   // by service: those with links
   std::map<std::string, Endpoints> ofVersion_;         // by service, then by version: while a rollout runs
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -152,7 +152,9 @@
   call.timer = scheduler_.schedule(call.deadline - now, [this, alive = std::weak_ptr<bool>(alive_), id] {
     if (!alive.expired()) onDeadline(id);
   });
-  budgets_.try_emplace(call.service, options_.retryBurst).first->second.onRequest(rule.budgetPercent);
+  auto& budget = budgets_.try_emplace(call.service, options_.retryBurst).first->second;
+  budget.useBurst(retryBurst());
+  budget.onRequest(rule.budgetPercent);
   const auto* tenant = call.tenant.empty() ? nullptr : table_->tenants().named(call.tenant);
   if (quotas_ != nullptr && tenant != nullptr && tenant->limited()) {
     askForPermit(id, call.tenant);
@@ -164,6 +166,13 @@
   return id;
 }
 
+/// About as many nodes send as there are endpoints, with a node beside each.
+double EntryCalls::retryBurst() const {
+  if (options_.retrySlack <= 0) return options_.retryBurst;
+  const auto nodes = static_cast<double>(std::max<size_t>(1, links_.known()));
+  return std::clamp(options_.retrySlack / nodes, 1.0, std::max(1.0, options_.retryBurst));
+}
+
 /// Takes the tenant and its priority from the key of the call; the key goes no further.
 /// @return whether the call may go on
 bool EntryCalls::authenticate(Call* call, const routing::Route& route) {
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -32,6 +32,9 @@
   bool retries = true;
   routing::RetryRule defaultRetry;  ///< of services without a retry policy
   double retryBurst = retry::RetryBudget::kDefaultBurst;
+  /// Retries to one service that all nodes together may make beyond their shares of calls; each gets its part of it, so
+  /// that the sum does not grow with the fleet. 0 leaves each node at retryBurst.
+  double retrySlack = 0;
   /// Whether requests that may not be repeated get a key of their own, under which the ledger knows them.
   bool mintKeys = true;
   base::Duration fullFor{0};  ///< how long an endpoint that refused for want of slots is not asked again
@@ -168,6 +171,7 @@
   };
 
   const routing::Route* findRoute(const InboundCall& inbound) const;
+  double retryBurst() const;
   bool authenticate(Call* call, const routing::Route& route);
   void askForPermit(CallId id, const std::string& tenant);
   void onPermit(CallId id, const quota::permit_outcome& outcome);
--- a/src/retry/retry_budget.h
+++ b/src/retry/retry_budget.h
@@ -15,6 +15,12 @@
   /// @param burst retries that may be spent at once; half of it is there at the start
   explicit RetryBudget(double burst = kDefaultBurst) : burst_(burst), tokens_(burst / 2) {}
 
+  /// Bounds what may be spent at once from now on.
+  void useBurst(double burst) {
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+  }
+
   /// A first attempt was made.
   void onRequest(int budgetPercent) { tokens_ = std::min(burst_, tokens_ + budgetPercent / 100.0); }
 
