--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -11,6 +11,10 @@
 /// the square of the nodes.
 constexpr base::Duration kReportGapPerLagging = base::microseconds(500);
 constexpr base::Duration kLongestReportGap = base::milliseconds(200);
+/// Questions of nodes are gathered so that the leader gets some hundreds a second from all relays together, however
+/// many there are: a question costs it some 30 us of its tenth of a core.
+constexpr base::Duration kQuotaGatherPerRelay = base::microseconds(1500);
+constexpr quota::quota_queue_options kQuotaTimes{base::milliseconds(10), base::seconds(2), base::milliseconds(200)};
 
 }  // namespace
 
@@ -23,9 +27,11 @@
       nodes_(network, releases_),
       source_(network, scheduler, base::RandomSource(random_.bits()), options_.controllers),
       peers_(network, scheduler, base::RandomSource(random_.bits())),
+      spread_(scheduler, network, endpoints_, nodes_, peers_),
       crashes_(network, scheduler, nodes_, peers_),
       versions_(scheduler, replica_, endpoints_,
                 [this](const wire::Message& message) { return source_.send(message); }),
+      quotas_(scheduler, kQuotaTimes, [this](const wire::QuotaAsk& question) { return source_.send(question); }),
       nodeTimer_(scheduler, [this] { onNodeTimer(); }),
       reportTimer_(scheduler, [this] {
         reportTimer_.start(options_.reportInterval);
@@ -47,6 +53,7 @@
   hello.zone = options_.zone;
   hello.takesCrashReports = true;
   hello.takesVersionReports = true;
+  hello.grantsQuotas = true;
   network_.setHello(hello);
   admissionTokens_ = options_.admissionBurst;
   startedAt_ = scheduler_.now();
@@ -102,7 +109,10 @@
     const auto states = endpoints_.ofOrigin(session.nodeId);
     own.insert(own.end(), states.begin(), states.end());
   }
-  if (!own.empty()) sendStates(connection, own);
+  if (own.empty()) return;
+  wire::EndpointStates message;
+  message.states = std::move(own);
+  network_.send(connection, wire::encodeFrame(message));
 }
 
 void Relay::onClose(base::ConnectionId connection) {
@@ -152,6 +162,7 @@
     if (const auto* update = std::get_if<wire::TableUpdate>(&message)) onTableUpdate(*update);
     if (const auto* reply = std::get_if<wire::ConfirmReply>(&message)) onConfirmReply(*reply);
     if (const auto* reply = std::get_if<wire::LedgerReply>(&message)) onLedgerReply(*reply);
+    if (const auto* grant = std::get_if<wire::QuotaGrant>(&message)) quotas_.onGrant(*grant);
   }
 }
 
@@ -170,6 +181,8 @@
   if (known == relayList_) return;
   source_.useLearned(controllers);
   relayList_ = known;
+  quotas_.useGather(std::max<base::Duration>(kQuotaTimes.gather,
+                                             kQuotaGatherPerRelay * static_cast<int64_t>(relayList_.relays.size())));
   usePeers();
   for (const auto& [connection, session] : nodes_.all()) network_.send(connection, wire::encodeFrame(relayList_));
 }
@@ -179,6 +192,7 @@
   subscribe.revision = revision;
   subscribe.digest = replica_.table().digest();
   source_.send(subscribe);
+  quotas_.askAnew();
   reportFull_ = true;
   scheduleReport();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->askAgain();
@@ -300,35 +314,13 @@
     if (endpoints_.update(state, origin)) news.push_back(state);
   }
   versions_.onNews(news);
-  spread(news, fromNode);
-}
-
-void Relay::spread(const std::vector<wire::EndpointState>& states, bool toPeers) {
-  if (states.empty()) return;
-  if (toPeers) {
-    wire::EndpointStates message;
-    message.states = states;
-    peers_.sendToAll(message);
-  }
-  for (const auto& [connection, session] : nodes_.all()) {
-    std::vector<wire::EndpointState> wanted;
-    for (const auto& state : states) {
-      if (wants(session, state)) wanted.push_back(state);
-    }
-    if (!wanted.empty()) sendStates(connection, wanted);
-  }
-}
-
-void Relay::sendStates(base::ConnectionId connection, const std::vector<wire::EndpointState>& states) {
-  wire::EndpointStates message;
-  message.states = states;
-  network_.send(connection, wire::encodeFrame(message));
+  spread_.add(news, fromNode);
 }
 
 void Relay::expireLater(const std::string& origin, base::Duration lease) {
   scheduler_.schedule(lease, [this, alive = std::weak_ptr<bool>(alive_), origin] {
     if (alive.expired() || connectionsOf_.count(origin) > 0) return;
-    spread(endpoints_.expire(origin), true);
+    spread_.add(endpoints_.expire(origin), true);
   });
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,11 +13,13 @@
 #include "base/time.h"
 #include "membership/endpoint_directory.h"
 #include "membership/peer_links.h"
+#include "quota/quota_queue.h"
 #include "relay/crash_spread.h"
 #include "relay/freshness_confirmer.h"
 #include "relay/node_sessions.h"
 #include "relay/release_group.h"
 #include "relay/source.h"
+#include "relay/state_spread.h"
 #include "relay/table_replica.h"
 #include "relay/version_reports.h"
 
@@ -116,18 +118,18 @@
   void forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request);
   void onLedgerReply(const wire::LedgerReply& reply);
 
+  // Quotas
+  void onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& question);
+
   // Reports
   void scheduleReport();
   void sendReport();
 
   // Endpoint states
-  bool wants(const NodeSession& session, const wire::EndpointState& state) const;
   void tellOfCrashes();
   void tellNewServices();
   void tellServices(base::ConnectionId connection, NodeSession* session);
   void onEndpointStates(const std::vector<wire::EndpointState>& states, const std::string& origin, bool fromNode);
-  void spread(const std::vector<wire::EndpointState>& states, bool toPeers);
-  void sendStates(base::ConnectionId connection, const std::vector<wire::EndpointState>& states);
   void expireLater(const std::string& origin, base::Duration lease);
 
   RelayOptions options_;
@@ -143,8 +145,10 @@
   ControllerLinks source_;
   membership::PeerLinks peers_;
   membership::EndpointDirectory endpoints_;
+  StateSpread spread_;
   CrashSpread crashes_;
   VersionReportSender versions_;
+  quota::quota_queue quotas_;                                              // of nodes, by their connection
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
   std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
   std::map<base::ConnectionId, base::TimePoint> unsubscribed_;             // nodes' connections without a session
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -28,11 +28,30 @@
     onEndpointStates(states->states, hellos_[connection].id, true);
   } else if (const auto* crashes = std::get_if<wire::CrashReports>(&message)) {
     crashes_.onNodeReports(connection, crashes->reports);
+  } else if (const auto* question = std::get_if<wire::QuotaAsk>(&message)) {
+    onQuotaAsk(connection, *question);
   } else if (const auto* versions = std::get_if<wire::VersionReports>(&message)) {
     versions_.onReports(*versions);
   }
 }
 
+void Relay::onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& question) {
+  for (const auto& demand : question.demands) {
+    quotas_.wait(connection, demand.tenant, demand.count,
+                 [this, connection, tenant = demand.tenant](const quota::permit_outcome& outcome) {
+                   if (outcome.granted + outcome.denied == 0) return;  // the node asks again by itself
+                   wire::QuotaDecision decision;
+                   decision.tenant = tenant;
+                   decision.granted = outcome.granted;
+                   decision.denied = outcome.denied;
+                   decision.retryAfterMs = base::millisecondsOf(outcome.retryAfter);
+                   wire::QuotaGrant grant;
+                   grant.decisions.push_back(decision);
+                   network_.send(connection, wire::encodeFrame(grant));
+                 });
+  }
+}
+
 void Relay::forwardToLedger(base::ConnectionId connection, const wire::LedgerRequest& request) {
   // Nodes send again what gets no reply, so the oldest may be forgotten.
   constexpr size_t kMaxForwards = 10'000;
@@ -111,22 +130,17 @@
     });
   }
   std::vector<wire::EndpointState> exceptions;
-  for (const auto& state : endpoints_.all()) {
+  auto* subscribed = nodes_.find(connection);
+  endpoints_.visit([&](const wire::EndpointState& state) {
+    if (state.condition == wire::EndpointCondition::LIVE) return;
     const auto key = table::makeKey(table::RowKind::ENDPOINT, state.endpoint);
-    const bool exceptional = state.condition != wire::EndpointCondition::LIVE;
-    if (exceptional && nodes_.find(connection)->slice->slice().contains(key)) exceptions.push_back(state);
-  }
-  if (!exceptions.empty()) sendStates(connection, exceptions);
-  tellServices(connection, nodes_.find(connection));
+    if (subscribed->slice->slice().contains(key)) exceptions.push_back(state);
+  });
+  spread_.sendTo(connection, *subscribed, exceptions);
+  tellServices(connection, subscribed);
   if (!relayList_.relays.empty()) network_.send(connection, wire::encodeFrame(relayList_));
 }
 
-bool Relay::wants(const NodeSession& session, const wire::EndpointState& state) const {
-  const auto& slice = session.slice->slice();
-  if (state.address.empty()) return slice.contains(table::makeKey(table::RowKind::ENDPOINT, state.endpoint));
-  return slice.contains(table::makeKey(table::RowKind::SERVICE, state.serviceName));
-}
-
 void Relay::tellOfCrashes() {
   for (auto& [connection, session] : nodes_.all()) crashes_.tell(connection, &session);
 }
@@ -135,16 +149,20 @@
   for (auto& [connection, session] : nodes_.all()) tellServices(connection, &session);
 }
 
+/// Costs nothing by endpoint where a node knows its services already, as after most changes of the table.
 void Relay::tellServices(base::ConnectionId connection, NodeSession* session) {
   std::vector<wire::EndpointState> news;
   std::set<std::string> wanted;
-  for (const auto& state : endpoints_.all()) {
-    if (state.address.empty() || !wants(*session, state)) continue;
-    wanted.insert(state.serviceName);
-    if (session->toldServices.count(state.serviceName) == 0) news.push_back(state);
+  for (const auto& service : endpoints_.announcedServices()) {
+    if (!session->slice->slice().contains(table::makeKey(table::RowKind::SERVICE, service))) continue;
+    wanted.insert(service);
+    if (session->toldServices.count(service) > 0) continue;
+    for (auto& state : endpoints_.ofService(service)) {
+      if (!state.address.empty()) news.push_back(std::move(state));
+    }
   }
   session->toldServices = std::move(wanted);
-  if (!news.empty()) sendStates(connection, news);
+  spread_.sendTo(connection, *session, news);
 }
 
 FreshnessConfirmer& Relay::confirmerFor(const std::string& zone) {
@@ -171,6 +189,7 @@
   expireLater(nodeId, options_.endpointLease);
   if (nodes_.find(connection) == nullptr) return;
   nodes_.remove(connection);
+  quotas_.drop(connection);
   unsubscribed_[connection] = scheduler_.now();
   const bool elsewhere = std::any_of(nodes_.all().begin(), nodes_.all().end(),
                                      [&](const auto& item) { return item.second.nodeId == nodeId; });
