A back end of unknown warmth is spared before its node has a version

Change: until there is a version a back end that is cold or in doubt gets as many in a second as it has slots; what started before a figure was known counts; what is in doubt when it comes is asked about then. Test: a load of 50 a second on a node without a version, and after its first.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -416,6 +416,8 @@
 void NodeDaemon::askWhetherCold() {
   if (FLAGS_cold_header.empty()) return;
   askBackend(kIdentityTimeout, [this](const node::BackendIdentity& identity) {
+    log_.info("{} was asked whether it is cold: well={} cold_ms={}", identity.incarnation, identity.well,
+              identity.coldMs.value_or(-1));
     if (identity.coldMs) endpoint_.onColdTold(base::milliseconds(*identity.coldMs), true);
   });
 }
--- a/src/limits/cold_pace.cc
+++ b/src/limits/cold_pace.cc
@@ -31,7 +31,7 @@
 bool ColdPace::bounds() const { return perSecond_ > 0 && (doubtedAt_ || coldUntil_ > time_.now()); }
 
 void ColdPace::onStart() {
-  if (perSecond_ <= 0) return;
+  // Also where nothing is bounded yet: what started just before counts.
   const auto now = time_.now();
   while (!starts_.empty() && now - starts_.front() >= kWindow) starts_.pop_front();
   starts_.push_back(now);
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -66,6 +66,8 @@
   const auto* versions = table.versions(options_.service);
   versions_ = versions != nullptr ? std::optional(*versions) : std::nullopt;
   pace_.setRate(table.coldPerS(options_.service) * options_.coldOverage);
+  hasTable_ = true;
+  if (pace_.doubtful() && !warmthTimer_.running()) askForWarmth();
   useEvacuation(table.evacuated(options_.zone));
   applyLimits();
   refuseUnreleased();
@@ -137,6 +139,8 @@
   }
   endpoint_ = endpoint;
   endpointSlots_ = slots;
+  // What a cold back end bears stands in the table; until it is here, one request a second for each slot is little.
+  if (!hasTable_) pace_.setRate(slots > 0 ? slots : options_.defaultSlots);
   applyLimits();
 }
 
@@ -318,7 +322,7 @@
   const bool completed = answer.outcome == BackendOutcome::kCompleted;
   const bool notReached = answer.outcome == BackendOutcome::kNotSent;
   if (onBackendContact_ && (completed || notReached)) onBackendContact_(completed);
-  if (!completed) doubtWarmth();  // it may be another life of the back end that answers next
+  if (!completed && hasTable_) doubtWarmth();  // it may be another life of the back end that answers next
   if (notReached) {
     return releaseThenRefuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
   }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -267,6 +267,7 @@
   base::Timer bodyTimer_;  // runs while bodies are awaited
   bool draining_ = false;
   bool evacuated_ = false;
+  bool hasTable_ = false;
   base::Timer warmthTimer_;           // runs while it is doubtful whether the back end is warm
   std::map<int, double> usualRunUs_;  // moving averages of runs, by the target latency of their routes
   base::Timer expiryTimer_;           // runs while requests wait for a slot
--- /dev/null
+++ b/test/node/endpoint_calls_cold_test.cc
@@ -0,0 +1,140 @@
+/// The node beside a back end that is cold, or whose zone is emptied.
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include "node/endpoint_calls.h"
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+constexpr int kSlots = 6;
+constexpr double kColdBears = 8;
+constexpr base::ConnectionId kCaller = 1;
+
+/// A back end that answers at once, and notes when it was asked.
+class PromptBackend : public BackendClient {
+ public:
+  explicit PromptBackend(base::Scheduler& scheduler) : scheduler_(scheduler) {}
+
+  uint64_t send(const wire::CallRequest&, base::Duration, std::function<void(BackendAnswer)> done) override {
+    askedAt.push_back(scheduler_.now());
+    scheduler_.schedule(base::milliseconds(5), [done] { done({BackendOutcome::kCompleted, false, 200, {}, ""}); });
+    return 1;
+  }
+  void cancel(uint64_t) override {}
+
+  size_t mostInASecond() const {
+    size_t most = 0;
+    for (auto first = askedAt.begin(); first != askedAt.end(); ++first) {
+      const auto last = std::lower_bound(first, askedAt.end(), *first + base::seconds(1));
+      most = std::max(most, static_cast<size_t>(last - first));
+    }
+    return most;
+  }
+
+  std::vector<base::TimePoint> askedAt;
+
+ private:
+  base::Scheduler& scheduler_;
+};
+
+struct Fixture {
+  Fixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.1", 7000}), backend(process) {
+    process.start();
+    EndpointOptions options;
+    options.service = "records";
+    options.zone = "zone-1";
+    options.dynamicEndpoint = true;
+    calls = std::make_unique<EndpointCalls>(options, process, network, backend, nullptr);
+    calls->onDoubtedWarmth([this] { ++questions; });
+    calls->useIncarnation("i-1", kSlots);
+  }
+
+  void useTable(bool evacuated) {
+    table::Table rows;
+    wire::Row service;
+    service.key = table::makeKey(wire::RowKind::SERVICE, "records");
+    service.__isset.serviceRow = true;
+    service.serviceRow.__set_coldPerS(kColdBears);
+    rows.put(std::make_shared<wire::Row>(service));
+    wire::Row zone;
+    zone.key = table::makeKey(wire::RowKind::EVACUATION, "zone-1");
+    zone.__isset.evacuationRow = true;
+    if (evacuated) rows.put(std::make_shared<wire::Row>(zone));
+    calls->useTable(routing::RoutingTable(rows, ++revision));
+  }
+
+  /// Other nodes send far more than a cold back end bears.
+  void load(base::Duration duration) {
+    constexpr auto kGap = base::milliseconds(20);
+    for (base::Duration at{0}; at < duration; at += kGap) {
+      wire::CallRequest request;
+      request.callId = ++lastCall;
+      request.serviceName = "records";
+      request.endpoint = "i-1";
+      request.remainingMs = 300;
+      calls->onRequest(kCaller, request);
+      const auto until = queue.now() + kGap;
+      while (queue.runNext(until)) {
+      }
+    }
+  }
+
+  size_t refusedWith(base::ErrorCode error) const {
+    const auto answers = network.all<wire::CallResponse>();
+    return static_cast<size_t>(std::count_if(answers.begin(), answers.end(), [&](const auto& answer) {
+      return answer.outcome == wire::CallOutcome::NOT_RUN && answer.errorCode == static_cast<int>(error);
+    }));
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::RecordingNetwork network;
+  PromptBackend backend;
+  std::unique_ptr<EndpointCalls> calls;
+  int64_t revision = 0;
+  int64_t lastCall = 0;
+  int questions = 0;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a node that started beside a back end of unknown warmth spares it before it has a version") {
+  calls->doubtWarmth();
+  load(base::seconds(2));
+  CHECK(backend.mostInASecond() <= kSlots);
+  useTable(false);
+  load(base::seconds(2));
+  CHECK(backend.mostInASecond() <= static_cast<size_t>(kColdBears));
+  CHECK(questions > 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a cold back end gets no more than the table says, and a warm one all") {
+  useTable(false);
+  calls->onColdTold(base::seconds(3), false);
+  load(base::seconds(2));
+  CHECK(backend.mostInASecond() <= static_cast<size_t>(kColdBears));
+  load(base::seconds(2));
+  CHECK(backend.mostInASecond() > 3 * static_cast<size_t>(kColdBears));
+}
+
+TEST_CASE_METHOD(
+    Fixture, "in an emptied zone calls are refused as not run; taken back, the back end counts as cold until asked") {
+  useTable(true);
+  load(base::seconds(1));
+  CHECK(backend.askedAt.empty());
+  CHECK(refusedWith(base::ErrorCode::kZoneEvacuated) == 50);
+  useTable(false);
+  CHECK(questions == 1);
+  load(base::seconds(2));
+  CHECK(backend.mostInASecond() <= static_cast<size_t>(kColdBears));
+  calls->onColdTold(base::Duration(0), true);
+  load(base::seconds(1));
+  CHECK(backend.mostInASecond() > 3 * static_cast<size_t>(kColdBears));
+}
+
+}  // namespace driftlug::node
