A free slot is given at once again

Cause: whether the pace lets a request start was decided by comparing two readings of the clock whose order C++ leaves open; read the wrong way round every request waited for the next one to end. Change: the pace tells until when it holds the next request, or nothing. Test: a limiter on a clock that moves at each look starts four requests on four slots.

--- a/src/limits/cold_pace.cc
+++ b/src/limits/cold_pace.cc
@@ -37,12 +37,11 @@
   starts_.push_back(now);
 }
 
-base::TimePoint ColdPace::nextStart() const {
-  const auto now = time_.now();
-  if (!bounds()) return now;
+std::optional<base::TimePoint> ColdPace::heldUntil() const {
   const auto most = std::max<size_t>(1, static_cast<size_t>(perSecond_));
-  if (starts_.size() < most) return now;
-  return starts_[starts_.size() - most] + kWindow;
+  if (!bounds() || starts_.size() < most) return std::nullopt;
+  const auto next = starts_[starts_.size() - most] + kWindow;
+  return next > time_.now() ? std::optional(next) : std::nullopt;
 }
 
 base::Duration ColdPace::interval() const {
--- a/src/limits/cold_pace.h
+++ b/src/limits/cold_pace.h
@@ -36,8 +36,8 @@
   /// A request starts.
   void onStart();
 
-  /// @return when the next request may start; not later than now where nothing is bounded
-  base::TimePoint nextStart() const;
+  /// @return when the next request may start; nothing where one may start now
+  std::optional<base::TimePoint> heldUntil() const;
 
   /// @return the mean time between two starts at the bound; 0 where nothing is bounded.
   base::Duration interval() const;
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -24,25 +24,27 @@
   startWaiting();
 }
 
-bool SlotLimiter::mayStart() const {
-  return running_ < maxConcurrent_ && (pace_ == nullptr || pace_->nextStart() <= time_.now());
-}
+bool SlotLimiter::mayStart() const { return running_ < maxConcurrent_ && (pace_ == nullptr || !pace_->heldUntil()); }
 
 std::optional<base::TimePoint> SlotLimiter::nextPacedStart() const {
   if (pace_ == nullptr || waiting_.empty() || running_ >= maxConcurrent_) return std::nullopt;
-  const auto next = pace_->nextStart();
-  return next > time_.now() ? std::optional(next) : std::nullopt;
+  return pace_->heldUntil();
+}
+
+base::Duration SlotLimiter::pacedWait(std::ptrdiff_t ahead) const {
+  if (pace_ == nullptr) return base::Duration(0);
+  const auto held = pace_->heldUntil();
+  return (held ? *held - time_.now() : base::Duration(0)) + pace_->interval() * ahead;
 }
 
 base::Duration SlotLimiter::expectedWait(Priority priority, base::TimePoint latestStart) const {
   const Order own{priority, latestStart, nextTicket_};
   const auto before = std::distance(waiting_.begin(), waiting_.lower_bound(own));
-  const auto paced = pace_ != nullptr && pace_->bounds() ? pace_->nextStart() - time_.now() + pace_->interval() * before
-                                                         : base::Duration(0);
   // Slots are free beside those that wait only while some of these aren't ready.
   const auto free = std::max(0, maxConcurrent_ - running_);
   const auto ahead = 1 + before - free;
-  if (ahead <= 0) return std::max(paced, base::Duration(0));
+  const auto paced = pacedWait(before);
+  if (ahead <= 0) return paced;
   const auto share = static_cast<double>(ahead) / std::max(1, maxConcurrent_);
   return std::max<base::Duration>(paced, base::Duration(static_cast<int64_t>(heldUs_ * share)));
 }
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -1,6 +1,7 @@
 /// Slots of one back end, with a short queue in order of deadline and priority.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -134,6 +135,7 @@
   using Waiting = std::map<Order, Request>;
 
   bool mayStart() const;
+  base::Duration pacedWait(std::ptrdiff_t ahead) const;
   Waiting::iterator nextToStart();
   void admit(Priority priority);
   bool displaceFor(Priority priority);
--- a/test/limits/cold_pace_test.cc
+++ b/test/limits/cold_pace_test.cc
@@ -87,4 +87,27 @@
   CHECK(load.started.size() >= 99);
 }
 
+/// A clock that is later each time that it is asked, as real ones are.
+class MovingTime : public base::TimeSource {
+ public:
+  base::TimePoint now() const override { return now_ += base::microseconds(1); }
+
+ private:
+  mutable base::TimePoint now_{base::seconds(1)};
+};
+
+TEST_CASE("a request starts at once where a slot is free and nothing is bounded, also while the clock moves") {
+  MovingTime time;
+  ColdPace pace(time);
+  SlotLimiter limiter(time, 4, 16);
+  limiter.usePace(&pace);
+  int started = 0;
+  for (int i = 0; i < 4; ++i) {
+    limiter.acquire(
+        Priority::kNormal, time.now() + base::seconds(1), [&] { ++started; }, [](SlotRefusal) {});
+  }
+  CHECK(started == 4);
+  CHECK(limiter.waiting() == 0);
+}
+
 }  // namespace driftlug::limits
