--- a/src/limits/cold_pace.cc
+++ b/src/limits/cold_pace.cc
@@ -31,18 +31,17 @@
 bool ColdPace::bounds() const { return perSecond_ > 0 && (doubtedAt_ || coldUntil_ > time_.now()); }
 
 void ColdPace::onStart() {
-  if (perSecond_ <= 0) return;
+  // Also where nothing is bounded yet: what started just before counts.
   const auto now = time_.now();
   while (!starts_.empty() && now - starts_.front() >= kWindow) starts_.pop_front();
   starts_.push_back(now);
 }
 
-base::TimePoint ColdPace::nextStart() const {
-  const auto now = time_.now();
-  if (!bounds()) return now;
+std::optional<base::TimePoint> ColdPace::heldUntil() const {
   const auto most = std::max<size_t>(1, static_cast<size_t>(perSecond_));
-  if (starts_.size() < most) return now;
-  return starts_[starts_.size() - most] + kWindow;
+  if (!bounds() || starts_.size() < most) return std::nullopt;
+  const auto next = starts_[starts_.size() - most] + kWindow;
+  return next > time_.now() ? std::optional(next) : std::nullopt;
 }
 
 base::Duration ColdPace::interval() const {
