Relays are told of members by the leader, when one came or went

Cause: on each change of the members every controller told every relay all members. Change: the leader tells relays, when an address came or went, with changes of a tenth of a second gathered; a new leader tells all. Strangers are told by everybody, as before.

--- a/src/controller/automatic_membership.cc
+++ b/src/controller/automatic_membership.cc
@@ -5,6 +5,12 @@
 #include "controller/controller.h"
 
 namespace driftlug::controller {
+namespace {
+
+/// While a cluster forms, its members change every few milliseconds; nobody needs each list.
+constexpr base::Duration kGatherMembers = base::milliseconds(100);
+
+}  // namespace
 
 bool Controller::isMember(const std::string& id) const {
   const auto& members = raft_->members();
@@ -36,8 +42,16 @@
   if (stranger || peer.role == wire::Role::RELAY) network_.send(connection, wire::encodeFrame(memberList()));
 }
 
+void Controller::tellMembersSoon() {
+  if (!tellTimer_.running()) tellTimer_.start(kGatherMembers);
+}
+
+/// Strangers look for the leader, so everybody tells them. Relays follow the leader, which tells them.
 void Controller::tellMembersToAll() {
-  for (const auto& [connection, peer] : peers_) tellMembers(connection, peer);
+  const bool news = raft_->role() == consensus::RaftRole::kLeader && memberNews_.take(raft_->members());
+  for (const auto& [connection, peer] : peers_) {
+    if (news || peer.role != wire::Role::RELAY) tellMembers(connection, peer);
+  }
 }
 
 void Controller::onMemberList(const wire::MemberList& list) {
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -31,6 +31,7 @@
       rollouts_(*this, scheduler, options_.exposure),
       evacuations_(*this),
       quotas_(scheduler, [this](const std::string& tenant) { return limitOf(tenant); }),
+      tellTimer_(scheduler, [this] { tellMembersToAll(); }),
       housekeeping_(scheduler, [this] { onHousekeeping(); }),
       heartbeat_(scheduler, [this] {
         heartbeat_.start(options_.relayHeartbeat);
@@ -333,7 +334,10 @@
   lastActive_.clear();
   rollouts_.onLeadership();
   quotas_.begin();
-  if (role == RaftRole::kLeader) return;
+  if (role == RaftRole::kLeader) {
+    memberNews_.forget();
+    return tellMembersSoon();
+  }
   // An addition that this leader did not finish must not come back when it leads again.
   joining_.clear();
   failPending();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -15,6 +15,7 @@
 #include "consensus/raft.h"
 #include "controller/convergence.h"
 #include "controller/evacuations.h"
+#include "controller/member_news.h"
 #include "controller/relay_sessions.h"
 #include "controller/rollouts.h"
 #include "controller/table_state.h"
@@ -174,6 +175,7 @@
   bool isMember(const std::string& id) const;
   wire::MemberList memberList() const;
   void tellMembers(base::ConnectionId connection, const wire::Hello& peer);
+  void tellMembersSoon();
   void tellMembersToAll();
   void onMemberList(const wire::MemberList& list);
   void admitStrangers();
@@ -216,6 +218,8 @@
   std::function<void()> reportHook_;                        // may be empty
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;  // relays were told of this term's leadership
+  MemberNews memberNews_;
+  base::Timer tellTimer_;  // runs while changes of the members are gathered
   base::Timer housekeeping_;
   base::Timer heartbeat_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/controller/controller_membership.cc
+++ b/src/controller/controller_membership.cc
@@ -122,7 +122,7 @@
 
 void Controller::onMembers(const wire::LogEntry& entry) {
   updateLinks();
-  tellMembersToAll();
+  tellMembersSoon();
   for (const auto& member : entry.members) {
     log_.debug("{} counts {} as a {} since index {}", identity_, member.id, member.voting ? "voter" : "learner",
                entry.index);
