Large answers that a link can't carry in time are refused before they are made

Change: a node learns how large the answers of each kind of call are, and refuses a call as not run whose answer, behind all that waits for its link, would be late. Answers for its own callers cross no link. Test: 33 calls a second for 90 kB on 1.5 MB/s: the queue stays within the target latency, nine tenths of the link are used.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -131,6 +131,8 @@
   page->counter("endpoint_replayed_total", "calls answered from the ledger without a run", runs.replayed);
   page->counter("endpoint_refused_for_link_total", "calls refused since their body could not arrive in time",
                 runs.refusedForLink);
+  page->counter("endpoint_refused_for_answer_total", "calls refused since their answer could not leave in time",
+                runs.refusedForAnswer);
   page->gauge("endpoint_body_missing_bytes", "bytes of announced bodies that have not arrived",
               static_cast<double>(endpoint.bodies().missingBytes()));
   page->gauge("endpoint_body_bytes_per_second", "what the link is taken to carry of bodies",
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -55,9 +55,10 @@
 DEFINE_int32(retry_attempts, 1, "attempts of a call, where neither route nor service says");
 DEFINE_int32(retry_budget_percent, 0, "retries as a share of calls, where the service has no retry policy");
 DEFINE_int32(retry_burst, 10, "retries to one service that may be made at once");
-DEFINE_double(retry_slack, 0,
-              "retries to one service that all nodes together may make beyond their shares of calls; 0 leaves each node "
-              "at retry_burst");
+DEFINE_double(
+    retry_slack, 0,
+    "retries to one service that all nodes together may make beyond their shares of calls; 0 leaves each node "
+    "at retry_burst");
 DEFINE_int32(stale_after_ms, 4000, "time without word of a controllers' quorum after which another relay is tried");
 DEFINE_int32(late_percent, 200,
              "share of its target latency after which a repeatable call without an answer is sent to a second, idle "
@@ -168,6 +169,7 @@
 node::EndpointOptions endpointOptionsFromSettings() {
   node::EndpointOptions options;
   options.service = FLAGS_service;
+  options.nodeId = FLAGS_name;
   options.zone = FLAGS_zone;
   options.coldOverage = FLAGS_cold_overage;
   options.defaultSlots = FLAGS_backend_slots;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -23,10 +23,6 @@
 constexpr base::Duration kWarmthInterval = base::milliseconds(300);
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 
-overload::call_kind kindOf(const wire::CallRequest& request) {
-  return {request.priority, request.targetLatencyMs, request.runOnce};
-}
-
 bool hasHeader(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
   return std::any_of(headers.begin(), headers.end(), [&](const auto& header) { return header.name == name; });
 }
@@ -44,6 +40,7 @@
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
       probation_(scheduler, kSuspectsAtOnce, options_.defaultQueue),
       bodies_(options_.bodies),
+      answers_(options_.bodies.linkBytesPerSecond),
       bodyTimer_(scheduler, [this] { onBodyTimer(); }),
       warmthTimer_(scheduler, [this] { askForWarmth(); }),
       expiryTimer_(scheduler,
@@ -182,6 +179,7 @@
   call.nested = learnWhetherNested(connection, request);
   call.priority = priorityOf(call);
   call.latestStart = latestStartOf(call);
+  if (answerWouldBeLate(key)) return refuseForAnswer(key);
   if (request.bodyBytes > 0) {
     awaitBody(key);
   } else {
@@ -336,6 +334,7 @@
   stored.headers = std::move(answer.headers);
   stored.body = std::move(answer.body);
   const auto& call = found->second;
+  answers_.onAnswer(kindOf(call.request), stored.body.size());
   noteRun(call);
   noteRanWell(key);
   if (!call.owner.empty()) ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerPatience);
@@ -490,6 +489,7 @@
 
 void EndpointCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   callerServices_[connection] = peer.serviceName;
+  if (peer.id == options_.nodeId) beside_ = connection;
 }
 
 void EndpointCalls::onClose(base::ConnectionId connection) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -15,6 +15,7 @@
 #include "limits/cold_pace.h"
 #include "limits/slot_limiter.h"
 #include "node/call_types.h"
+#include "overload/answer_room.h"
 #include "overload/body_intake.h"
 #include "overload/call_origins.h"
 #include "quarantine/crash_watch.h"
@@ -45,7 +46,8 @@
   std::string requestIdHeader;           ///< header, in lower case, by which logs name a call; empty for none
   base::Duration overloadRetryAfter{0};  ///< least time after which a refused caller is asked to come back
   base::Duration maxFullFor = base::milliseconds(1500);  ///< longest time for which an asking node is sent away
-  std::string zone;                                      ///< of this node and its back end
+  std::string nodeId;
+  std::string zone;  ///< of this node and its back end
   overload::body_intake_options bodies;
 };
 
@@ -61,6 +63,7 @@
   int64_t cancelled = 0;
   int64_t replayed = 0;           ///< answered from the ledger, without a run
   int64_t refusedForLink = 0;     ///< refused since their body could not have arrived in time
+  int64_t refusedForAnswer = 0;   ///< refused since their answer could not have left in time
   base::LatencyHistogram waited;  ///< of calls that started: from their arrival to their start
   base::LatencyHistogram ran;     ///< of completed calls: from their start to the back end's answer
 };
@@ -205,6 +208,9 @@
   void forget(const CallKey& key);
   void awaitBody(const CallKey& key);
   void grantBodies();
+  base::Duration answerDelay(const CallKey& key) const;
+  bool answerWouldBeLate(const CallKey& key) const;
+  void refuseForAnswer(const CallKey& key);
   void onBodyTimer();
   void onBodyWhole(const CallKey& key);
   void refuseAwaitingBodies();
@@ -216,6 +222,7 @@
   void answerCompleted(const CallKey& key, wire::StoredAnswer stored);
   void releaseThenRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
+  static overload::call_kind kindOf(const wire::CallRequest& request);
   base::TimePoint latestStartOf(const Call& call) const;
   double usualRunUs(const wire::CallRequest& request) const;
   double leftOfTargetUs(const wire::CallRequest& request) const;
@@ -264,7 +271,9 @@
   std::map<base::ConnectionId, std::string> callerServices_;  // the services beside the connected nodes
   overload::call_origins origins_;
   overload::body_intake bodies_;
-  base::Timer bodyTimer_;  // runs while bodies are awaited
+  overload::answer_room answers_;
+  base::ConnectionId beside_ = 0;  // of this node's own callers; crosses no link
+  base::Timer bodyTimer_;          // runs while bodies are awaited
   bool draining_ = false;
   bool evacuated_ = false;
   bool hasTable_ = false;
--- a/src/node/endpoint_calls_bodies.cc
+++ b/src/node/endpoint_calls_bodies.cc
@@ -1,4 +1,6 @@
-/// Bodies of calls that follow in pieces.
+/// Bodies of calls that follow in pieces, and answers with large bodies.
+#include <algorithm>
+
 #include "node/endpoint_calls.h"
 #include "wire/frame.h"
 
@@ -30,6 +32,41 @@
   grantBodies();
 }
 
+overload::call_kind EndpointCalls::kindOf(const wire::CallRequest& request) {
+  return {request.priority, request.targetLatencyMs, request.runOnce};
+}
+
+/// @return how long the answer to a call would wait for this node's link, and cross it, behind those that go before it.
+base::Duration EndpointCalls::answerDelay(const CallKey& key) const {
+  int64_t bytes = answers_.usualBytes(kindOf(calls_.at(key).request));
+  for (const auto& [connection, service] : callerServices_) {
+    bytes += static_cast<int64_t>(network_.queuedBytes(connection));
+  }
+  for (const auto& [other, call] : calls_) {
+    if (other == key || other.connection == beside_) continue;
+    const auto kind = kindOf(call.request);
+    if (answers_.large(kind)) bytes += answers_.usualBytes(kind);
+  }
+  return answers_.timeFor(bytes);
+}
+
+bool EndpointCalls::answerWouldBeLate(const CallKey& key) const {
+  const auto& request = calls_.at(key).request;
+  if (key.connection == beside_ || !answers_.large(kindOf(request))) return false;
+  const auto target = base::milliseconds(request.targetLatencyMs > 0 ? request.targetLatencyMs : request.remainingMs);
+  const auto left = std::min<base::Duration>(target, base::milliseconds(request.remainingMs));
+  return base::microsecondsOf(usualRunUs(request)) + answerDelay(key) > left;
+}
+
+void EndpointCalls::refuseForAnswer(const CallKey& key) {
+  ++counters_.refusedForAnswer;
+  const auto usual = answers_.timeFor(answers_.usualBytes(kindOf(calls_[key].request)));
+  const auto delay = answerDelay(key);
+  wire::CallResponse response;
+  response.fullForMs = base::millisecondsOf(sentAwayFor(usual, &Asker::askedAt));
+  refuseWith(key, ErrorCode::kOverloaded, std::max(delay, options_.overloadRetryAfter), std::move(response));
+}
+
 void EndpointCalls::grantBodies() {
   for (const auto& granted : bodies_.grant(scheduler_.now())) {
     wire::CallBodyGrant grant;
--- /dev/null
+++ b/test/node/endpoint_calls_answers_test.cc
@@ -0,0 +1,119 @@
+/// Large answers on a narrow link.
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "node/endpoint_calls.h"
+#include "recording_network.h"
+#include "simulation/process.h"
+
+namespace driftlug::node {
+namespace {
+
+constexpr int64_t kLinkBytesPerSecond = 1'500'000;
+constexpr size_t kLargeAnswer = 90'000;
+constexpr int kTargetMs = 800;
+constexpr base::ConnectionId kFar = 1;
+constexpr base::ConnectionId kOwn = 2;
+
+/// A back end that takes a while and answers with large bodies.
+class LargeBackend : public BackendClient {
+ public:
+  explicit LargeBackend(base::Scheduler& scheduler) : scheduler_(scheduler) {}
+
+  uint64_t send(const wire::CallRequest&, base::Duration, std::function<void(BackendAnswer)> done) override {
+    ++runs;
+    scheduler_.schedule(base::milliseconds(150), [done] {
+      done({BackendOutcome::kCompleted, false, 200, {}, std::string(kLargeAnswer, 'x')});
+    });
+    return 1;
+  }
+  void cancel(uint64_t) override {}
+
+  int runs = 0;
+
+ private:
+  base::Scheduler& scheduler_;
+};
+
+/// Answers wait in front of the link, which carries so many bytes a second.
+class NarrowNetwork : public test::RecordingNetwork {
+ public:
+  explicit NarrowNetwork(base::Scheduler& scheduler) : scheduler_(scheduler) {}
+
+  void send(base::ConnectionId connection, const wire::FramePtr& frame) override {
+    test::RecordingNetwork::send(connection, frame);
+    if (connection == kOwn) return;
+    queuedUntil_ = std::max(queuedUntil_, scheduler_.now()) +
+                   base::microsecondsOf(static_cast<double>(frame->size()) / kLinkBytesPerSecond * 1e6);
+    longestQueue = std::max(longestQueue, queuedUntil_ - scheduler_.now());
+  }
+
+  size_t queuedBytes(base::ConnectionId connection) const override {
+    const auto left = std::max(base::Duration(0), queuedUntil_ - scheduler_.now());
+    return connection == kFar ? static_cast<size_t>(left.count() * kLinkBytesPerSecond / 1'000'000) : 0;
+  }
+
+  base::Duration longestQueue{0};
+
+ private:
+  base::Scheduler& scheduler_;
+  base::TimePoint queuedUntil_{};
+};
+
+struct Fixture {
+  Fixture() : process(queue, "node", {"zone-1", "region"}, {"10.0.0.1", 7000}), network(process), backend(process) {
+    process.start();
+    EndpointOptions options;
+    options.service = "archive";
+    options.defaultSlots = 14;
+    options.nodeId = "node";
+    options.bodies.linkBytesPerSecond = kLinkBytesPerSecond;
+    calls = std::make_unique<EndpointCalls>(options, process, network, backend, nullptr);
+    wire::Hello peer;
+    peer.id = "far";
+    calls->onOpen(kFar, peer);
+    peer.id = "node";
+    calls->onOpen(kOwn, peer);
+  }
+
+  /// Asks for answers that take twice of what the link carries.
+  void load(base::ConnectionId connection, base::Duration duration) {
+    constexpr auto kGap = base::milliseconds(30);
+    for (base::Duration at{0}; at < duration; at += kGap) {
+      wire::CallRequest request;
+      request.callId = ++lastCall;
+      request.serviceName = "archive";
+      request.remainingMs = 2000;
+      request.targetLatencyMs = kTargetMs;
+      calls->onRequest(connection, request);
+      const auto until = queue.now() + kGap;
+      while (queue.runNext(until)) {
+      }
+    }
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  NarrowNetwork network;
+  LargeBackend backend;
+  std::unique_ptr<EndpointCalls> calls;
+  int64_t lastCall = 0;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "answers that a narrow link can't carry in time are refused before they are made") {
+  load(kFar, base::seconds(10));
+  CHECK(network.longestQueue <= base::milliseconds(kTargetMs));
+  CHECK(calls->counters().refusedForAnswer > 0);
+  // The link is used all the same: nine tenths of what it carries.
+  CHECK(backend.runs * static_cast<int64_t>(kLargeAnswer) >= kLinkBytesPerSecond * 10 * 9 / 10);
+}
+
+TEST_CASE_METHOD(Fixture, "answers for this node's own callers cross no link, and are not refused") {
+  load(kOwn, base::seconds(3));
+  CHECK(calls->counters().refusedForAnswer == 0);
+}
+
+}  // namespace driftlug::node
