--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -171,8 +171,8 @@
   auto& known = known_[state.serviceName];
   const auto place = std::lower_bound(known.begin(), known.end(), state.endpoint,
                                       [](const auto& target, const auto& name) { return target.name < name; });
-  known.insert(place, {state.endpoint, state.address, state.port, state.zone, routing::kFullWeight, state.slots,
-                       state.version});
+  known.insert(
+      place, {state.endpoint, state.address, state.port, state.zone, routing::kFullWeight, state.slots, state.version});
 }
 
 size_t EndpointLinks::linksPerService() const {
