--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -121,10 +121,8 @@
   const RelaySessions& relays() const { return relays_; }
   Rollouts& rollouts() { return rollouts_; }
   const Rollouts& rollouts() const { return rollouts_; }
-  class evacuations& evacuations() {
-    return evacuations_;
-  }
-  const class evacuations& evacuations() const { return evacuations_; }
+  Evacuations& evacuations() { return evacuations_; }
+  const Evacuations& evacuations() const { return evacuations_; }
   const quota::quota_grantor& quotas() const { return quotas_; }
   const std::string& name() const { return options_.name; }
   std::string leaderName() const;
@@ -205,7 +203,7 @@
   RelaySessions relays_;
   ConvergenceTracker convergence_;
   Rollouts rollouts_;
-  class evacuations evacuations_;
+  Evacuations evacuations_;
   quota::quota_grantor quotas_;
   std::unique_ptr<consensus::Raft> raft_;                   // null until recovery ended
   std::map<base::ConnectionId, wire::Hello> peers_;         // open connections
--- a/src/controller/evacuations.h
+++ b/src/controller/evacuations.h
@@ -1,6 +1,5 @@
 /// Orders to empty a zone, and to take it back.
-#ifndef DRIFTLUG_CONTROLLER_EVACUATIONS_H_HEADER_GUARD
-#define DRIFTLUG_CONTROLLER_EVACUATIONS_H_HEADER_GUARD
+#pragma once
 
 #include <functional>
 #include <memory>
@@ -17,31 +16,29 @@
 ///
 /// Invariants: an order is answered as accepted only when the table holds what it asks for, durably on a quorum; one
 /// that is sent again changes nothing.
-class evacuations {
+class Evacuations {
  public:
   /// Called with kNone, kInvalidEdit for what can't be a zone, kNotLeader, kNotAccepted or kOutcomeUnknown.
-  using callback = std::function<void(base::ErrorCode)>;
+  using Callback = std::function<void(base::ErrorCode)>;
 
-  explicit evacuations(Controller& _controller);
+  explicit Evacuations(Controller& controller);
 
   /// Empties a zone.
-  void evacuate(const std::string& _zone, callback _done);
+  void evacuate(const std::string& zone, Callback done);
 
   /// Takes a zone back.
-  void restore(const std::string& _zone, callback _done);
+  void restore(const std::string& zone, Callback done);
 
-  /// @returns The zones that are empty by order.
+  /// @return The zones that are empty by order.
   std::vector<std::string> zones() const;
 
  private:
-  void order(const std::string& _zone, bool _evacuated, const callback& _done);
-  void submit(const std::string& _zone, bool _evacuated, const callback& _done);
+  void order(const std::string& zone, bool evacuated, const Callback& done);
+  void submit(const std::string& zone, bool evacuated, const Callback& done);
 
-  Controller& m_controller;
-  base::Logger m_log{"evacuation"};
-  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  Controller& controller_;
+  base::Logger log_{"evacuation"};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace driftlug::controller
-
-#endif  // DRIFTLUG_CONTROLLER_EVACUATIONS_H_HEADER_GUARD
