--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -19,8 +19,6 @@
 constexpr int kRequestsPerFreeSlot = 2;
 /// Suspects on the back end at once, so that a crash names one of them at the most.
 constexpr int kSuspectsAtOnce = 1;
-/// Pause between two questions whether the back end is cold; one that has no slot free may not answer.
-constexpr base::Duration kWarmthInterval = base::milliseconds(300);
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 
 bool hasHeader(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
@@ -70,28 +68,6 @@
   refuseUnreleased();
 }
 
-/// A zone is taken back when its back ends may have stood idle for long, and gone cold by it.
-void EndpointCalls::useEvacuation(bool evacuated) {
-  if (std::exchange(evacuated_, evacuated) && !evacuated) doubtWarmth();
-}
-
-void EndpointCalls::doubtWarmth() {
-  pace_.onDoubt();
-  if (pace_.doubtful() && !warmthTimer_.running()) askForWarmth();
-}
-
-void EndpointCalls::askForWarmth() {
-  if (!pace_.doubtful()) return;
-  warmthTimer_.start(kWarmthInterval);
-  if (onDoubtedWarmth_) onDoubtedWarmth_();
-}
-
-void EndpointCalls::onColdTold(base::Duration coldFor, bool asked) {
-  pace_.onTold(coldFor, asked);
-  limiter_.startWaiting();
-  armExpiry();
-}
-
 void EndpointCalls::useVersion(const std::string& version) {
   version_ = version;
   refuseUnreleased();
--- /dev/null
+++ b/src/node/endpoint_links_known.cc
@@ -0,0 +1,74 @@
+/// The endpoints that a node knows, from its table and from what relays say.
+#include <algorithm>
+#include <utility>
+
+#include "node/endpoint_links.h"
+
+namespace driftlug::node {
+
+bool EndpointLinks::isKnown(const wire::EndpointState& state) const {
+  const bool gone = state.address.empty() || state.condition == wire::EndpointCondition::GONE;
+  return !gone && !(table_ && table_->evacuated(state.zone));
+}
+
+void EndpointLinks::collect() {
+  changed_.clear();
+  known_.clear();
+  if (table_) known_ = table_->endpointsByService();
+  for (auto& [service, endpoints] : known_) {
+    std::erase_if(endpoints, [this](const auto& endpoint) { return table_->evacuated(endpoint.zone); });
+  }
+  for (const auto& [name, state] : states_) {
+    if (isKnown(state)) addKnown(state);
+  }
+  chooseAll();
+}
+
+void EndpointLinks::noteChange(const wire::EndpointState& state) {
+  if (!state.address.empty()) changed_[state.endpoint] = state.serviceName;
+}
+
+/// Brings known_ up to date for what has changed only: at a thousand endpoints a whole pass for each of their states
+/// costs a node more than its calls.
+/// @return services whose endpoints changed
+std::set<std::string> EndpointLinks::collectChanged() {
+  std::set<std::string> services;
+  for (const auto& [endpoint, service] : std::exchange(changed_, {})) {
+    dropKnown(service, endpoint);
+    services.insert(service);
+    const auto state = states_.find(endpoint);
+    if (state == states_.end() || !isKnown(state->second)) continue;
+    dropKnown(state->second.serviceName, endpoint);
+    addKnown(state->second);
+    services.insert(state->second.serviceName);
+  }
+  return services;
+}
+
+void EndpointLinks::dropKnown(const std::string& service, const std::string& endpoint) {
+  const auto found = known_.find(service);
+  if (found == known_.end()) return;
+  std::erase_if(found->second, [&](const auto& known) { return known.name == endpoint; });
+  if (found->second.empty()) known_.erase(found);
+}
+
+/// In the order of their names, so that the choice doesn't hang on the order in which news came.
+void EndpointLinks::addKnown(const wire::EndpointState& state) {
+  auto& known = known_[state.serviceName];
+  const auto place = std::lower_bound(known.begin(), known.end(), state.endpoint,
+                                      [](const auto& target, const auto& name) { return target.name < name; });
+  known.insert(
+      place, {state.endpoint, state.address, state.port, state.zone, routing::kFullWeight, state.slots, state.version});
+}
+
+std::string EndpointLinks::serviceOf(const std::string& endpoint) const {
+  const auto state = states_.find(endpoint);
+  if (state != states_.end()) return state->second.serviceName;
+  for (const auto& [service, endpoints] : known_) {
+    const auto same = [&](const auto& known) { return known.name == endpoint; };
+    if (std::any_of(endpoints.begin(), endpoints.end(), same)) return service;
+  }
+  return "";
+}
+
+}  // namespace driftlug::node
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -20,7 +20,6 @@
 constexpr int kUnavailableStatus = 503;
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnauthorizedStatus = 401;
-constexpr int kTooManyStatus = 429;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kGatewayTimeoutStatus = 504;
 constexpr int kUnprocessableStatus = 422;
@@ -173,41 +172,6 @@
   return std::clamp(options_.retrySlack / nodes, 1.0, std::max(1.0, options_.retryBurst));
 }
 
-/// Takes the tenant and its priority from the key of the call; the key goes no further.
-/// @return whether the call may go on
-bool EntryCalls::authenticate(Call* call, const routing::Route& route) {
-  const auto key = std::exchange(call->inbound.credential, {});
-  if (table_->tenants().empty() || route.keyless) return true;
-  const auto* tenant = table_->tenants().find(key);
-  if (tenant == nullptr) return false;
-  call->tenant = tenant->name;
-  if (tenant->priority) call->priority = *tenant->priority;
-  if (options_.tenantHeader.empty()) return true;
-  wire::HttpHeader header;
-  header.name = options_.tenantHeader;
-  header.value = tenant->name;
-  call->inbound.headers.push_back(header);
-  return true;
-}
-
-void EntryCalls::askForPermit(CallId id, const std::string& tenant) {
-  quotas_->wait(static_cast<uint64_t>(id), tenant, 1,
-                [this, alive = std::weak_ptr<bool>(alive_), id](const quota::permit_outcome& outcome) {
-                  if (!alive.expired()) onPermit(id, outcome);
-                });
-}
-
-void EntryCalls::onPermit(CallId id, const quota::permit_outcome& outcome) {
-  if (outcome.granted > 0) return attempt(id);
-  if (outcome.denied > 0) {
-    ++counters_.overQuota;
-    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kOverQuota, kTooManyStatus,
-                                    base::millisecondsOf(spread(outcome.retryAfter))));
-  }
-  finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kQuotaUnavailable, kUnavailableStatus,
-                           base::millisecondsOf(spread(options_.overloadRetryAfter))));
-}
-
 void EntryCalls::finishLater(CallId id, CallAnswer answer) {
   scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_), id, answer = std::move(answer)] {
     if (!alive.expired()) finish(id, answer);
--- /dev/null
+++ b/src/node/entry_calls_tenants.cc
@@ -0,0 +1,52 @@
+/// Keys and quotas of tenants, at the node that takes calls.
+#include <utility>
+
+#include "node/entry_calls.h"
+
+namespace driftlug::node {
+namespace {
+
+using base::ErrorCode;
+using wire::CallOutcome;
+
+constexpr int kTooManyStatus = 429;
+constexpr int kUnavailableStatus = 503;
+
+}  // namespace
+
+/// Takes the tenant and its priority from the key of the call; the key goes no further.
+/// @return whether the call may go on
+bool EntryCalls::authenticate(Call* call, const routing::Route& route) {
+  const auto key = std::exchange(call->inbound.credential, {});
+  if (table_->tenants().empty() || route.keyless) return true;
+  const auto* tenant = table_->tenants().find(key);
+  if (tenant == nullptr) return false;
+  call->tenant = tenant->name;
+  if (tenant->priority) call->priority = *tenant->priority;
+  if (options_.tenantHeader.empty()) return true;
+  wire::HttpHeader header;
+  header.name = options_.tenantHeader;
+  header.value = tenant->name;
+  call->inbound.headers.push_back(header);
+  return true;
+}
+
+void EntryCalls::askForPermit(CallId id, const std::string& tenant) {
+  quotas_->wait(static_cast<uint64_t>(id), tenant, 1,
+                [this, alive = std::weak_ptr<bool>(alive_), id](const quota::permit_outcome& outcome) {
+                  if (!alive.expired()) onPermit(id, outcome);
+                });
+}
+
+void EntryCalls::onPermit(CallId id, const quota::permit_outcome& outcome) {
+  if (outcome.granted > 0) return attempt(id);
+  if (outcome.denied > 0) {
+    ++counters_.overQuota;
+    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kOverQuota, kTooManyStatus,
+                                    base::millisecondsOf(spread(outcome.retryAfter))));
+  }
+  finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kQuotaUnavailable, kUnavailableStatus,
+                           base::millisecondsOf(spread(options_.overloadRetryAfter))));
+}
+
+}  // namespace driftlug::node
