--- a/src/controller/automatic_membership.cc
+++ b/src/controller/automatic_membership.cc
@@ -46,9 +46,9 @@
   if (!tellTimer_.running()) tellTimer_.start(kGatherMembers);
 }
 
-/// Strangers look for the leader, so everybody tells them. Relays follow the leader, which tells them.
+/// Everybody tells: a relay that has not found the leader yet finds it through any other controller.
 void Controller::tellMembersToAll() {
-  const bool news = raft_->role() == consensus::RaftRole::kLeader && memberNews_.take(raft_->members());
+  const bool news = memberNews_.take(raft_->members());
   for (const auto& [connection, peer] : peers_) {
     if (news || peer.role != wire::Role::RELAY) tellMembers(connection, peer);
   }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -334,10 +334,7 @@
   lastActive_.clear();
   rollouts_.onLeadership();
   quotas_.begin();
-  if (role == RaftRole::kLeader) {
-    memberNews_.forget();
-    return tellMembersSoon();
-  }
+  if (role == RaftRole::kLeader) return;
   // An addition that this leader did not finish must not come back when it leads again.
   joining_.clear();
   failPending();
--- a/src/controller/member_news.h
+++ b/src/controller/member_news.h
@@ -20,9 +20,6 @@
   /// @return whether others are found elsewhere than when this last said so
   bool take(std::span<const wire::Member> members);
 
-  /// Whoever is to be told now may know nothing.
-  void forget() { told_.clear(); }
-
  private:
   using Place = std::tuple<std::string, std::string, int, int, std::string>;  // id, address, ports, zone
 
