Observability: what kept a loop busy, and how long a change took on each step

The four hypotheses of the incident could not be told apart by logs: a loop that stood still left no trace, a relay said nothing of the revisions that it holds, a node not whose version it runs, and no figure told from a commit to the last node.

- Loop: an event or timer of 100 ms or longer is logged with what it was, and counted (loop_long_events_total, loop_longest_event_seconds).
- Leader: rows and time of each commit; from a commit to all nodes as a log line and as the histogram controller_convergence_seconds.
- Relay: the revision it holds, rows changed, slices, nodes.
Node: relay and time of subscription of each version it runs.
- Consensus: for how long nothing was heard of the leader when votes are asked for.

No logic is changed. Tests: event_loop_test, convergence_test.

--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -92,6 +92,8 @@
   page->gauge("ledger_bytes", "memory of the ledger", static_cast<double>(controller.ledger().bytes()));
   page->gauge("controller_nodes", "nodes attached to relays",
               static_cast<double>(controller.convergence().attachedNodes()));
+  page->histogram("controller_convergence_seconds", "from a commit to its being in force on all nodes, at the leader",
+                  controller.convergenceTimes().histogram());
   const auto& rollouts = controller.rollouts();
   page->gauge("rollouts_running", "orders under way", static_cast<double>(rollouts.running()));
   page->counter("rollouts_begun_total", "orders accepted by this controller", rollouts.counters().begun);
@@ -230,7 +232,10 @@
 
   DaemonPages pages;
   pages.ready = [&controller] { return controller.ready(); };
-  pages.metrics = [&controller, &frames](base::MetricsPage* page) { addMetrics(controller, frames, page); };
+  pages.metrics = [&](base::MetricsPage* page) {
+    addMetrics(controller, frames, page);
+    addLoopMetrics(loop, page);
+  };
   pages.other = [&](const transport::HttpRequest& request, const controller::HttpRespond& respond) {
     if (extraPages && extraPages(request, respond)) return;
     api.handle(request, respond);
--- a/apps/daemon.cc
+++ b/apps/daemon.cc
@@ -66,6 +66,13 @@
   respond(transport::jsonResponse(404, "{\"error\":\"row_not_found\",\"message\":\"no such path\"}\n"));
 }
 
+void addLoopMetrics(const transport::EventLoop& loop, base::MetricsPage* page) {
+  const auto& events = loop.longEvents();
+  page->counter("loop_long_events_total", "events and timers that took 100 ms or longer", events.count);
+  page->gauge("loop_longest_event_seconds", "longest event or timer since the start",
+              std::chrono::duration<double>(events.longest).count());
+}
+
 void addFrameMetrics(const transport::FrameTransport& frames, base::MetricsPage* page) {
   page->counter("control_bytes_sent_total", "bytes of configuration traffic sent",
                 frames.counters().sentFor(wire::Purpose::kControl));
--- a/apps/daemon.h
+++ b/apps/daemon.h
@@ -63,6 +63,9 @@
   PageServer server_;
 };
 
+/// Adds how often and for how long single events kept the loop from all others.
+void addLoopMetrics(const transport::EventLoop& loop, base::MetricsPage* page);
+
 /// Adds the bytes of a frame transport by purpose, and its damaged frames.
 void addFrameMetrics(const transport::FrameTransport& frames, base::MetricsPage* page);
 
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -327,6 +327,7 @@
     addQuarantineMetrics(quarantine_, page);
     page->counter("backend_reports_refused_total", "reports of the back end that could not be read",
                   localBackend_.unreadableReports());
+    addLoopMetrics(loop_, page);
     addDescriptorMetrics({loop_, entryServer_.server(), callFrames_, entry_, backend_.pool(), shares_}, page);
   };
   pages.other = [this](const transport::HttpRequest& request, const auto& respond) {
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -45,6 +45,10 @@
     return;
   }
   if (!isVoter(id_) || store_.failed()) return;
+  if (!leaderId_.empty()) {
+    log_.info("{} heard nothing of {}, leader of term {}, for {} ms", id_, leaderId_, hardState_.term,
+              base::millisecondsOf(scheduler_.now() - lastLeaderContact_));
+  }
   startElection(true, false);
 }
 
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -28,6 +28,7 @@
       links_(network, scheduler, base::RandomSource(random_.bits())),
       relays_(network),
       convergence_(scheduler, options_.nodeLease),
+      convergenceTimes_(scheduler, convergence_),
       rollouts_(*this, scheduler, options_.exposure),
       evacuations_(*this),
       quotas_(scheduler, [this](const std::string& tenant) { return limitOf(tenant); }),
@@ -131,7 +132,7 @@
     if (answer.code == ErrorCode::kStorageFailed) answer.code = ErrorCode::kOutcomeUnknown;
     return done(answer);
   }
-  pending_[*index] = {raft_->term(), std::move(done)};
+  pending_[*index] = {raft_->term(), scheduler_.now(), std::move(done)};
 }
 
 void Controller::submitLedger(wire::LedgerCommand command, LedgerReplyCallback done) {
@@ -236,6 +237,7 @@
   } else if (const auto* report = std::get_if<wire::ConvergenceReport>(&message)) {
     if (relays_.relayOn(connection).empty()) return;
     convergence_.onReport(relayId, *report);
+    convergenceTimes_.onReport();
     if (reportHook_) reportHook_();
   } else if (const auto* ledger = std::get_if<wire::LedgerRequest>(&message)) {
     onLedgerRequest(connection, *ledger);
@@ -274,12 +276,25 @@
 void Controller::applyEdit(const wire::LogEntry& entry) {
   const auto fingerprint = fingerprintOf(entry.edit);
   auto outcome = state_.apply(entry.index, entry.edit);
-  if (outcome.code == static_cast<int>(ErrorCode::kNone)) noteRollouts(entry.edit);
+  if (outcome.code == static_cast<int>(ErrorCode::kNone)) {
+    noteRollouts(entry.edit);
+    noteCommit(entry);
+  }
   if (appliedHook_) appliedHook_(entry);
   if (outcome.fingerprint != fingerprint) outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
   answerPending(entry.index, outcome);
 }
 
+/// Only on the controller that took the edit: those that followed it are not measured.
+void Controller::noteCommit(const wire::LogEntry& entry) {
+  const auto edit = pending_.find(entry.index);
+  if (edit == pending_.end()) return;
+  convergenceTimes_.onCommit(entry.index);
+  log_.info("revision {} is committed, {} rows changed, {} rows, {} ms behind its proposal", entry.index,
+            entry.edit.mutations.size(), state_.table().rows().size(),
+            base::millisecondsOf(scheduler_.now() - edit->second.proposedAt));
+}
+
 void Controller::noteRollouts(const wire::EditCommand& edit) {
   for (const auto& mutation : edit.mutations) {
     if (mutation.row.__isset.rolloutRow) rollouts_.onApplied(mutation.row.key.name);
@@ -330,6 +345,7 @@
 
 void Controller::onLeadership(RaftRole role) {
   convergence_.reset();
+  convergenceTimes_.reset();
   announcedTerm_ = false;
   lastActive_.clear();
   rollouts_.onLeadership();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "consensus/raft.h"
 #include "controller/convergence.h"
+#include "controller/convergence_times.h"
 #include "controller/evacuations.h"
 #include "controller/member_news.h"
 #include "controller/relay_sessions.h"
@@ -118,6 +119,7 @@
   const ledger::LedgerState& ledger() const { return ledger_; }
   const consensus::Raft& raft() const { return *raft_; }
   const ConvergenceTracker& convergence() const { return convergence_; }
+  const ConvergenceTimes& convergenceTimes() const { return convergenceTimes_; }
   const RelaySessions& relays() const { return relays_; }
   Rollouts& rollouts() { return rollouts_; }
   const Rollouts& rollouts() const { return rollouts_; }
@@ -149,6 +151,7 @@
  private:
   struct PendingEdit {
     int64_t term;
+    base::TimePoint proposedAt;
     EditCallback done;
   };
 
@@ -166,6 +169,7 @@
   void answerPending(int64_t index, const wire::EditOutcome& outcome);
   void failPending();
   void applyEdit(const wire::LogEntry& entry);
+  void noteCommit(const wire::LogEntry& entry);
   void noteRollouts(const wire::EditCommand& edit);
   void applyLedger(const wire::LogEntry& entry);
   void onLedgerRequest(base::ConnectionId connection, const wire::LedgerRequest& request);
@@ -202,6 +206,7 @@
   membership::PeerLinks links_;
   RelaySessions relays_;
   ConvergenceTracker convergence_;
+  ConvergenceTimes convergenceTimes_;
   Rollouts rollouts_;
   Evacuations evacuations_;
   quota::quota_grantor quotas_;
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -314,7 +314,9 @@
   slices_.activate(std::move(next));
   if (result == SliceResult::kActivated) {
     ++counters_.activations;
-    log_.info("{} runs revision {}", options_.nodeId, slices_.revision());
+    log_.info("{} runs revision {} of relay {}:{}, subscribed for {} ms, {} rows", options_.nodeId, slices_.revision(),
+              relay_.host, relay_.port, base::millisecondsOf(scheduler_.now() - openedAt_),
+              slices_.rows().rows().size());
     if (onActivation_) onActivation_(slices_.active());
   }
   sendApplied();
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -210,7 +210,9 @@
     log_.warn("{} could not apply revision {} and asks for everything", options_.id, update.toRevision);
     return subscribeToSource(0);
   }
-  slices_.onTableChange(replica_.table(), change.changed, change.previous);
+  const auto slices = slices_.onTableChange(replica_.table(), change.changed, change.previous);
+  log_.info("{} holds revision {}, {} rows changed, {} slices with it, {} nodes", options_.id, replica_.revision(),
+            change.changed.size(), slices.size(), nodes_.all().size());
   onTableAdvanced();
 }
 
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -143,8 +143,19 @@
   constexpr base::Duration kStoodStill = base::seconds(2);
   const auto time = now();
   const auto late = time - std::exchange(expectedBy_, time);
-  const auto limit = std::exchange(waiting_, false) ? base::kOverslept : kStoodStill;
-  if (late >= limit) away_ = std::max(away_, late);
+  const bool waited = std::exchange(waiting_, false);
+  if (!waited) noteEvent(late);
+  if (late >= (waited ? base::kOverslept : kStoodStill)) away_ = std::max(away_, late);
+}
+
+/// Nothing is read or sent while an event is dealt with: a long one delays heartbeats and all that waits.
+void EventLoop::noteEvent(base::Duration took) {
+  constexpr base::Duration kLong = base::milliseconds(100);
+  const auto work = std::exchange(work_, {});
+  if (took < kLong) return;
+  ++longEvents_.count;
+  longEvents_.longest = std::max(longEvents_.longest, took);
+  log_.warn("{} ms in one event: {}", base::millisecondsOf(took), work.empty() ? "a timer" : work);
 }
 
 /// What is due runs, and the process hears of it, before more is read.
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -5,9 +5,11 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "base/log.h"
 #include "base/time.h"
 
 struct lws;
@@ -24,6 +26,12 @@
   std::function<void()> reload;     ///< SIGHUP: the settings have changed
 };
 
+/// Events and timers that kept the loop from all others for long.
+struct LongEvents {
+  int64_t count = 0;
+  base::Duration longest{0};
+};
+
 /// Runs sockets and timers on the calling thread.
 ///
 /// Timers go through a timerfd, because the poll loop of libwebsockets waits in whole milliseconds. Bytes written to
@@ -58,6 +66,13 @@
   /// has not been read: it is as old.
   void onOverslept(std::function<void(base::Duration)> handler) { onOverslept_ = std::move(handler); }
 
+  /// Says what the event or timer in progress is about, for the log line of one that takes long.
+  /// @param what text that lives as long as the loop
+  void describe(std::string_view what) { work_ = what; }
+
+  /// @return events and timers that took 100 ms or longer.
+  const LongEvents& longEvents() const { return longEvents_; }
+
   /// Calls back on the loop when the process gets a signal; other signals keep their meaning, SIGPIPE is ignored.
   void onSignals(SignalHandlers handlers);
 
@@ -97,6 +112,7 @@
 
   void armTimer();
   void watchClock();
+  void noteEvent(base::Duration took);
   void tellAway();
   void beginEvent();
   void runDue();
@@ -117,6 +133,9 @@
   base::TimePoint armedFor_{};
   base::TimePoint expectedBy_ = now();               // when the clock was to be looked at again at the latest
   bool waiting_ = false;                             // for an event or a timer
+  std::string_view work_;                            // what the event in progress is about; empty for a timer
+  LongEvents longEvents_;
+  base::Logger log_{"loop"};
   base::Duration away_{0};                           // not told yet
   std::function<void(base::Duration)> onOverslept_;  // may be empty
   std::vector<std::weak_ptr<TcpStream>> dirty_;      // streams with bytes to write at the end of the turn
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -172,6 +172,7 @@
 void FrameTransport::deliverWithin(base::ConnectionId to, const wire::FramePtr& frame) {
   loop_.schedule(base::Duration(0), [this, alive = alive_, to, frame] {
     if (!*alive || find(to) == nullptr || handler_ == nullptr) return;
+    loop_.describe(wire::messageName(wire::kindOf(*frame)));
     auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
     if (message.ok()) handler_->onMessage(to, std::move(*message));
   });
@@ -260,6 +261,7 @@
 
 void FrameTransport::onFrame(base::ConnectionId id, wire::Message message) {
   auto* connection = find(id);
+  loop_.describe(wire::messageName(message.index()));
   if (connection->greeted) {
     const bool keepAlive = std::holds_alternative<wire::KeepAlive>(message);
     if (silenceLimit_.count() > 0 && keepAlive && connection->accepted) {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -207,6 +207,7 @@
   if (!head.keepAlive) connection->closing = true;
   if (draining_) endBehindTaken(connection);
   ++counters_.requests;
+  loop_.describe("an HTTP request");
   onRequest_(id, std::move(request));
 }
 
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -63,6 +63,19 @@
   return position;
 }
 
+/// In the order of Message.
+constexpr std::string_view kNames[] = {
+    "Hello",           "VoteRequest",        "VoteResponse",     "AppendRequest",  "AppendResponse",
+    "SnapshotChunk",   "SnapshotChunkAck",   "TimeoutNow",       "RelaySubscribe", "NotLeader",
+    "TableUpdate",     "ControllerHeartbeat", "ConfirmRequest",  "ConfirmReply",   "ConvergenceReport",
+    "NodeSubscribe",   "SliceUpdate",        "SliceApplied",     "SliceRejected",  "NodeHeartbeat",
+    "RetryLater",      "RelayHeld",          "EndpointStates",   "CallRequest",    "CallResponse",
+    "CallCancel",      "KeepAlive",          "LedgerRequest",    "LedgerReply",    "MemberList",
+    "RelayList",       "StartCompression",   "CallBodyGrant",    "CallBodyPiece",  "CallAccepted",
+    "PackedFrame",     "CallWithdraw",       "CrashReports",     "VersionReports", "SeenVersions",
+    "QuotaAsk",        "QuotaGrant"};
+static_assert(std::size(kNames) == std::variant_size_v<Message>);
+
 template <typename... T>
 bool isOneOf(size_t kind) {
   return ((kind == positionOf<T>()) || ...);
@@ -85,6 +98,8 @@
 
 }  // namespace
 
+std::string_view messageName(size_t kind) { return kind < std::size(kNames) ? kNames[kind] : "unknown"; }
+
 Purpose purposeOf(size_t kind) {
   if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece, CallAccepted, CallWithdraw>(kind))
     return Purpose::kCall;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -39,6 +39,9 @@
   return static_cast<size_t>(static_cast<unsigned char>(frame[kLengthBytes]));
 }
 
+/// @return the name of a message as in the IDL, by its type byte; for logs.
+std::string_view messageName(size_t kind);
+
 /// Longest frame that a peer may send, in bytes.
 constexpr size_t kMaxFrameBytes = 64U << 20;
 /// Longest string and longest list inside a frame.
--- a/test/controller/convergence_test.cc
+++ b/test/controller/convergence_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "controller/convergence_times.h"
 #include "manual_time.h"
 
 namespace driftlug::controller {
@@ -111,4 +112,23 @@
   CHECK(tracker.inForceEverywhere(5));
 }
 
+TEST_CASE_METHOD(Fixture, "the time from a commit to the last node is measured") {
+  ConvergenceTimes times(time, tracker);
+  tracker.onReport("relay-2", report(5, {}, true));
+  auto behind = report(5, {"node-1"}, true);
+  wire::NodeStatus status;
+  status.nodeId = "node-1";
+  status.revision = 4;
+  behind.lagging.push_back(status);
+  tracker.onReport("relay-1", behind);
+  times.onCommit(5);
+  time.advance(base::milliseconds(500));
+  times.onReport();
+  CHECK(times.histogram().sumSeconds() == 0);
+  time.advance(base::milliseconds(500));
+  tracker.onReport("relay-1", report(5, {}, false));
+  times.onReport();
+  CHECK(times.histogram().sumSeconds() == Approx(1.0));
+}
+
 }  // namespace driftlug::controller
--- a/test/transport/event_loop_test.cc
+++ b/test/transport/event_loop_test.cc
@@ -150,4 +150,15 @@
   CHECK(child.saidUpTo('r') == "r");
 }
 
+TEST_CASE("an event that keeps the loop from all others is counted, waiting is not") {
+  EventLoop loop;
+  loop.schedule(base::milliseconds(150), [&loop] {
+    ::usleep(120'000);
+    loop.schedule(base::milliseconds(1), [&loop] { loop.stop(); });
+  });
+  loop.run();
+  CHECK(loop.longEvents().count == 1);
+  CHECK(loop.longEvents().longest >= base::milliseconds(120));
+}
+
 }  // namespace driftlug::transport
