Relays: a change costs what it changes, and nodes of every host share a slice

What callers saw: versions 1 to 1.7 s behind their acknowledgement, growing with the table, and leaders that changed in the second behind a large change.

Cause: at each change a relay selected every row of the table anew, once for each service that its nodes run beside, walked all rows of each slice for the frame, and copied the rows that it carries.

Change: a slice counts the references from its rows and follows changes row by row (SliceSelection); rows stand in the order of the revisions at which they entered or left; frames are encoded from the rows where they are; all nodes of every host share one slice, which covers every service.

--- a/src/controller/relay_sessions.cc
+++ b/src/controller/relay_sessions.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "wire/row_frames.h"
+
 namespace driftlug::controller {
 
 void RelaySessions::open(base::ConnectionId connection, const std::string& relayId) {
@@ -61,14 +63,14 @@
 }
 
 wire::FramePtr RelaySessions::encodeUpdate(const table::Table& table, int64_t fromRevision) const {
-  wire::TableUpdate update;
-  update.full = fullPush_ || fromRevision < table.horizon() || fromRevision == 0;
-  update.fromRevision = update.full ? 0 : fromRevision;
-  update.toRevision = table.revision();
+  wire::RowFrameHead head;
+  head.full = fullPush_ || fromRevision < table.horizon() || fromRevision == 0;
+  head.fromRevision = head.full ? 0 : fromRevision;
+  head.toRevision = table.revision();
+  head.digest = table.digest();
   // A full update carries the tombstones too: a relay that has just started needs them for the deltas of its nodes.
-  for (const auto& row : table.changedSince(update.fromRevision)) update.rows.push_back(*row);
-  update.digest = table.digest();
-  return wire::encodeFrame(update);
+  const auto changed = table.changedSince(head.fromRevision);
+  return wire::encodeTableUpdate(head, std::vector<const wire::Row*>(changed.begin(), changed.end()));
 }
 
 void RelaySessions::sendUpdate(base::ConnectionId connection, Session* session, const wire::FramePtr& frame,
--- a/src/relay/slice_cache.cc
+++ b/src/relay/slice_cache.cc
@@ -1,5 +1,7 @@
 #include "relay/slice_cache.h"
 
+#include "wire/row_frames.h"
+
 namespace driftlug::relay {
 namespace {
 
@@ -7,8 +9,9 @@
 
 }  // namespace
 
-bool CachedSlice::refresh(const table::Table& table) {
-  if (!slice_.refresh(table)) return false;
+bool CachedSlice::update(const table::Table& table, const std::vector<table::RowPtr>& changed,
+                         const std::vector<table::RowPtr>& previous) {
+  if (!slice_.update(table, changed, previous)) return false;
   frames_.clear();
   whole_ = {};
   return true;
@@ -22,12 +25,11 @@
 
 wire::FramePtr CachedSlice::wholeAt(int64_t revision, bool packed) {
   if (whole_.plain && wholeRevision_ == revision) return choose(&whole_, packed);
-  wire::SliceUpdate update;
-  update.full = true;
-  update.toRevision = revision;
-  update.rows = slice_.allRows();
-  update.digest = slice_.digest();
-  whole_ = {wire::encodeFrame(update), nullptr};
+  wire::RowFrameHead head;
+  head.full = true;
+  head.toRevision = revision;
+  head.digest = slice_.digest();
+  whole_ = {wire::encodeSliceUpdate(head, slice_.allRows()), nullptr};
   wholeRevision_ = revision;
   return choose(&whole_, packed);
 }
@@ -35,18 +37,19 @@
 wire::FramePtr CachedSlice::updateFrom(int64_t fromRevision, bool packed) {
   const auto found = frames_.find(fromRevision);
   if (found != frames_.end()) return choose(&found->second, packed);
-  wire::SliceUpdate update;
-  update.fromRevision = fromRevision;
-  update.toRevision = slice_.revision();
-  update.rows = slice_.changedSince(fromRevision);
-  update.digest = slice_.digest();
+  wire::RowFrameHead head;
+  head.fromRevision = fromRevision;
+  head.toRevision = slice_.revision();
+  head.digest = slice_.digest();
   if (frames_.size() >= kMaxCachedFrames) frames_.clear();
   auto& encoded = frames_[fromRevision];
-  encoded.plain = wire::encodeFrame(update);
+  encoded.plain = wire::encodeSliceUpdate(head, slice_.changedSince(fromRevision));
   return choose(&encoded, packed);
 }
 
-std::shared_ptr<CachedSlice> SliceCache::get(const table::Interest& interest, const table::Table& table) {
+std::shared_ptr<CachedSlice> SliceCache::get(const table::Interest& wanted, const table::Table& table) {
+  // Nodes of every host need the same, whatever service they run beside.
+  const auto interest = wanted.everyHost() ? table::Interest::inEveryHost() : wanted;
   auto& entry = slices_[interest];
   if (auto slice = entry.lock()) return slice;
   auto slice = std::make_shared<CachedSlice>(interest, table);
@@ -65,11 +68,7 @@
       continue;
     }
     ++entry;
-    bool touched = false;
-    for (size_t i = 0; i < changed.size() && !touched; ++i) {
-      touched = slice->slice().mayContain(*changed[i], previous[i].get());
-    }
-    if (touched && slice->refresh(table)) refreshed.push_back(slice);
+    if (slice->update(table, changed, previous)) refreshed.push_back(slice);
   }
   return refreshed;
 }
--- a/src/relay/slice_cache.h
+++ b/src/relay/slice_cache.h
@@ -18,9 +18,12 @@
   const table::Slice& slice() const { return slice_; }
   int64_t revision() const { return slice_.revision(); }
 
-  /// Computes the slice anew.
-  /// @return whether it changed
-  bool refresh(const table::Table& table);
+  /// Follows a change of the table.
+  /// @param changed rows as they are now
+  /// @param previous the same rows before, null where there was none
+  /// @return whether the slice changed
+  bool update(const table::Table& table, const std::vector<table::RowPtr>& changed,
+              const std::vector<table::RowPtr>& previous);
 
   /// @param packed whether the node takes packed frames, which spare a narrow link most of a large slice
   /// @return every row, labelled with a table revision at which the slice is as it is now.
@@ -49,7 +52,7 @@
 class SliceCache {
  public:
   /// @return the slice of an interest, computed from the table when it is new.
-  std::shared_ptr<CachedSlice> get(const table::Interest& interest, const table::Table& table);
+  std::shared_ptr<CachedSlice> get(const table::Interest& wanted, const table::Table& table);
 
   /// Brings slices up to date after rows changed.
   /// @param changed rows as they are now
--- a/src/table/slice.h
+++ b/src/table/slice.h
@@ -1,36 +1,29 @@
 /// Slices: the part of the table that one kind of node needs, and deltas between its versions.
 #pragma once
 
-#include <string>
+#include <map>
+#include <set>
 #include <vector>
 
+#include "table/slice_selection.h"
 #include "table/table.h"
 
 namespace driftlug::table {
 
-/// What a node asks for: routes of the hosts it accepts calls for, and the services it runs beside.
-struct Interest {
-  std::vector<std::string> hosts;     ///< sorted; routes with these hosts and all they need
-  std::vector<std::string> services;  ///< sorted; limits, policy and secrets of these services
-
-  bool operator==(const Interest&) const = default;
-  auto operator<=>(const Interest&) const = default;
-};
-
 /// @return the keys of the rows that an interest needs: routes with their transitive services, endpoints,
 /// limits, retry policies and secrets.
-std::set<RowKey, RowKeyLess> selectKeys(const Table& table, const Interest& interest);
+KeySet selectKeys(const Table& table, const Interest& interest);
 
 /// The rows of one interest, with the revision at which each entered or left, so that a delta from any
 /// revision since the slice was first computed is exact. From an earlier one it is exact as long as the only rows that
 /// left were deleted, since the table's tombstones tell of those.
 ///
-/// Invariants: rows() equals selectKeys() over the table given to the last refresh(); digest() covers rows().
+/// Invariants: the rows equal selectKeys() over the table given last; digest() covers them.
 class Slice {
  public:
   Slice(Interest interest, const Table& table);
 
-  const Interest& interest() const { return interest_; }
+  const Interest& interest() const { return selection_.interest(); }
 
   /// @return revision of the last change that touched the slice.
   int64_t revision() const { return revision_; }
@@ -41,35 +34,51 @@
   /// @return whether a row is part of the slice.
   bool contains(const RowKey& key) const { return members_.count(key) > 0; }
 
-  /// @return whether a change of this row may touch the slice.
-  bool mayContain(const Row& row, const Row* previous) const;
+  /// Follows a change of the table that was given last.
+  /// @param changed rows as they are now, tombstones among them
+  /// @param previous the same rows before, null where there was none
+  /// @return whether the slice changed
+  bool update(const Table& table, const std::vector<RowPtr>& changed, const std::vector<RowPtr>& previous);
 
-  /// Computes the slice anew.
+  /// Computes the slice anew from a table.
   /// @return whether it changed
   bool refresh(const Table& table);
 
-  /// @return rows that a reader at `fromRevision` lacks; rows that left come as deleted.
+  /// @return rows that a reader at `fromRevision` lacks, tombstones for those that left; valid until the next change.
   /// The delta is exact when fromRevision is at least firstRevision(), else the reader's digest decides.
-  std::vector<Row> changedSince(int64_t fromRevision) const;
+  std::vector<const Row*> changedSince(int64_t fromRevision) const;
 
-  /// @return every row.
-  std::vector<Row> allRows() const;
+  /// @return every row; valid until the next change.
+  std::vector<const Row*> allRows() const;
 
   /// @return the revision at which the slice was first computed from a table that was not empty.
   int64_t firstRevision() const { return firstRevision_; }
 
  private:
-  void begin(const Table& table);
-
-  struct Member {
+  /// A row of the slice, or the tombstone of one that left.
+  struct Entry {
     RowPtr row;
-    int64_t since;  // revision at which the row, as it is, became part of the slice
+    int64_t since;  // revision at which it entered or left; before the slice began, the row's own
   };
 
-  Interest interest_;
-  std::map<RowKey, Member, RowKeyLess> members_;    // rows of the slice
-  std::map<RowKey, int64_t, RowKeyLess> departed_;  // keys that left, with the revision
-  std::set<std::string> services_;                  // services whose rows are members
+  struct BySince {
+    using is_transparent = void;
+    bool operator()(const Entry* left, const Entry* right) const;
+    bool operator()(int64_t revision, const Entry* entry) const { return revision < entry->since; }
+    bool operator()(const Entry* entry, int64_t revision) const { return entry->since < revision; }
+  };
+
+  using Entries = std::map<RowKey, Entry, RowKeyLess>;
+
+  void begin(const Table& table);
+  bool settle(const RowKey& key, const RowPtr& row, int64_t now);
+  void place(Entries* entries, const RowKey& key, Entry entry);
+  void erase(Entries* entries, const RowKey& key);
+
+  SliceSelection selection_;
+  Entries members_;                          // rows of the slice
+  Entries departed_;                         // tombstones of rows that left
+  std::set<const Entry*, BySince> bySince_;  // of both
   DigestSum digest_;
   int64_t firstRevision_ = 0;
   int64_t revision_ = 0;
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -72,16 +72,6 @@
 
 constexpr auto kDecoders = makeDecoders(std::make_index_sequence<std::variant_size_v<Message>>());
 
-template <typename T>
-constexpr size_t positionOf() {
-  size_t position = 0;
-  [&]<size_t... Index>(std::index_sequence<Index...>) {
-    ((std::is_same_v<std::variant_alternative_t<Index, Message>, T> ? (position = Index) : 0), ...);
-  }
-  (std::make_index_sequence<std::variant_size_v<Message>>());
-  return position;
-}
-
 /// In the order of Message.
 constexpr std::string_view kNames[] = {
     "Hello",         "VoteRequest",         "VoteResponse",   "AppendRequest",  "AppendResponse",
@@ -97,7 +87,7 @@
 
 template <typename... T>
 bool isOneOf(size_t kind) {
-  return ((kind == positionOf<T>()) || ...);
+  return ((kind == kindOf<T>()) || ...);
 }
 
 /// Below this a frame is one or two packets anyway.
@@ -129,6 +119,14 @@
   return log ? Purpose::kLog : Purpose::kControl;
 }
 
+FramePtr frameOf(size_t kind, std::string_view encoded) {
+  auto frame = std::make_shared<std::string>(kHeaderBytes, '\0');
+  (*frame)[kLengthBytes] = static_cast<char>(kind);
+  frame->append(encoded);
+  writeLength(frame->size() - kLengthBytes, frame->data());
+  return frame;
+}
+
 FramePtr encodeFrame(const Message& message) {
   auto frame = std::make_shared<std::string>(kHeaderBytes, '\0');
   (*frame)[kLengthBytes] = static_cast<char>(message.index());
@@ -150,8 +148,7 @@
 absl::StatusOr<Message> unpackFrame(const PackedFrame& packed) {
   auto restored = inflateWhole(packed.deflated, kMaxFrameBytes);
   if (!restored.ok()) return restored.status();
-  const bool packedTwice =
-      !restored->empty() && static_cast<unsigned char>((*restored)[0]) == positionOf<PackedFrame>();
+  const bool packedTwice = !restored->empty() && static_cast<unsigned char>((*restored)[0]) == kindOf<PackedFrame>();
   if (packedTwice) return base::makeError(base::ErrorCode::kBadFrame, "a packed frame within another");
   return decodeFrame(*restored);
 }
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -39,6 +39,19 @@
   return static_cast<size_t>(static_cast<unsigned char>(frame[kLengthBytes]));
 }
 
+/// @return the type byte of a message.
+template <typename T>
+constexpr size_t kindOf() {
+  return []<typename... Kinds>(const std::variant<Kinds...>*) {
+    size_t position = 0;
+    (void)((std::is_same_v<Kinds, T> || (++position, false)) || ...);
+    return position;
+  }(static_cast<const Message*>(nullptr));
+}
+
+/// @return a frame of a message that is encoded already.
+FramePtr frameOf(size_t kind, std::string_view encoded);
+
 /// @return the name of a message as in the IDL, by its type byte; for logs.
 std::string_view messageName(size_t kind);
 
--- /dev/null
+++ b/src/wire/row_frames.h
@@ -0,0 +1,25 @@
+/// Frames that carry many rows, encoded from the rows where they are.
+#pragma once
+
+#include <cstdint>
+#include <span>
+
+#include "wire/frame.h"
+
+namespace driftlug::wire {
+
+/// What a message with rows says beside them.
+struct RowFrameHead {
+  int64_t fromRevision = 0;
+  int64_t toRevision = 0;
+  bool full = false;
+  Digest digest;
+};
+
+/// @return the frame of a SliceUpdate with these rows.
+FramePtr encodeSliceUpdate(const RowFrameHead& head, std::span<const Row* const> rows);
+
+/// @return the frame of a TableUpdate with these rows.
+FramePtr encodeTableUpdate(const RowFrameHead& head, std::span<const Row* const> rows);
+
+}  // namespace driftlug::wire
--- a/test/slow_fleet/core_machine.h
+++ b/test/slow_fleet/core_machine.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "allocation_meter.h"
 #include "controller/controller.h"
 #include "relay/relay.h"
 #include "simulation/simulated_disk.h"
 #include "simulation/simulated_network.h"
+#include "work/allocation_meter.h"
 
 namespace driftlug::test
 {
--- a/test/slow_fleet/slow_node.h
+++ b/test/slow_fleet/slow_node.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "allocation_meter.h"
 #include "node/control_client.h"
 #include "simulation/simulated_network.h"
+#include "work/allocation_meter.h"
 
 namespace driftlug::test
 {
--- a/test/table/slice_test.cc
+++ b/test/table/slice_test.cc
@@ -1,5 +1,6 @@
 #include "table/slice.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "base/random.h"
@@ -22,13 +23,128 @@
   return table;
 }
 
-table::Table applyRows(table::Table base, const std::vector<wire::Row>& rows) {
-  for (const auto& row : rows) base.put(table::storeRow(row));
+table::Table applyRows(table::Table base, const std::vector<const wire::Row*>& rows) {
+  for (const auto* row : rows) base.put(table::storeRow(*row));
   return base;
 }
 
+/// What an interest needs, by a walk over the whole table.
+class Walk {
+ public:
+  Walk(const table::Table& table, const table::Interest& interest) : table_(table) {
+    const bool every = interest.everyHost();
+    const auto has = [](const auto& names, const auto& name) {
+      return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    for (const auto& [key, row] : table.rows()) {
+      if (key.kind == RowKind::TENANT || key.kind == RowKind::INGRESS) keys_.insert(key);
+      if (key.kind == RowKind::ROUTE && (every || has(interest.hosts, row->routeRow.host))) addRoute(*row);
+      if (key.kind == RowKind::SERVICE && (every || has(interest.services, key.name))) addService(key.name, false);
+    }
+  }
+
+  const table::KeySet& keys() const { return keys_; }
+
+ private:
+  void add(RowKind::type kind, const std::string& name) {
+    if (table_.find(table::makeKey(kind, name))) keys_.insert(table::makeKey(kind, name));
+  }
+
+  void addRoute(const wire::Row& row) {
+    keys_.insert(row.key);
+    for (const auto& share : row.routeRow.shares) addService(share.serviceName, true);
+    for (const auto& service : row.routeRow.requiredServices) addService(service, true);
+    for (const auto& secret : row.routeRow.requiredSecrets) add(RowKind::SECRET, secret);
+  }
+
+  void addService(const std::string& name, bool routed) {
+    const auto service = table_.find(table::makeKey(RowKind::SERVICE, name));
+    if (!service) return;
+    keys_.insert(service->key);
+    add(RowKind::RETRY_POLICY, service->serviceRow.retryPolicy);
+    for (const auto& secret : service->serviceRow.secrets) add(RowKind::SECRET, secret);
+    add(RowKind::ROLLOUT, name);
+    for (const auto& [key, row] : table_.rows()) {
+      if (key.kind == RowKind::LIMIT && row->limitRow.serviceName == name) keys_.insert(key);
+      if (routed && key.kind == RowKind::ENDPOINT && row->endpointRow.serviceName == name) keys_.insert(key);
+    }
+  }
+
+  const table::Table& table_;
+  table::KeySet keys_;
+};
+
+/// Draws changes of all kinds of rows, references to rows that are not there among them.
+class RowDraw {
+ public:
+  explicit RowDraw(uint64_t seed) : random_(seed) {}
+
+  table::RowPtr next(int64_t revision) {
+    switch (random_.below(8)) {
+      case 0:
+        return test::deletedRow(kinds_[random_.below(kinds_.size())], name(), revision);
+      case 1:
+        return test::secretRow(name(), revision);
+      case 2:
+        return test::endpointRow(name(), name(), revision);
+      case 3:
+        return test::limitRow(name(), name(), revision);
+      case 4:
+        return policy(revision);
+      case 5:
+        return service(revision);
+      default:
+        return route(revision);
+    }
+  }
+
+ private:
+  std::string name() { return std::string(1, static_cast<char>('a' + random_.below(4))); }
+
+  table::RowPtr policy(int64_t revision) {
+    wire::Row row = test::makeRow(RowKind::RETRY_POLICY, name(), revision);
+    row.__isset.retryPolicyRow = true;
+    return table::storeRow(row);
+  }
+
+  table::RowPtr service(int64_t revision) {
+    wire::Row row = *test::serviceRow(name(), revision, {name()});
+    if (random_.chance(0.5)) row.serviceRow.retryPolicy = name();
+    return table::storeRow(row);
+  }
+
+  table::RowPtr route(int64_t revision) {
+    wire::Row row = *test::routeRow(name(), name(), "/", {{name(), 100}}, revision);
+    if (random_.chance(0.3)) row.routeRow.requiredServices = {name()};
+    if (random_.chance(0.3)) row.routeRow.requiredSecrets = {name()};
+    return table::storeRow(row);
+  }
+
+  const std::vector<RowKind::type> kinds_ = {RowKind::ROUTE,  RowKind::SERVICE, RowKind::ENDPOINT,
+                                             RowKind::SECRET, RowKind::LIMIT,   RowKind::RETRY_POLICY};
+  base::RandomSource random_;
+};
+
 }  // namespace
 
+TEST_CASE("a slice that follows changes holds what a walk over the whole table finds") {
+  const std::vector<table::Interest> interests = {{{"a"}, {}}, {{"a", "b"}, {"c"}}, {{}, {"a"}}, {{"*"}, {}}};
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    RowDraw draw(seed);
+    table::Table table;
+    table::Slice slice(interests[seed % interests.size()], table);
+    for (int64_t revision = 1; revision <= 120; ++revision) {
+      const auto row = draw.next(revision);
+      const auto previous = table.findAny(row->key);
+      table.put(row);
+      (void)slice.update(table, {row}, {previous});
+      table::KeySet held;
+      for (const auto* member : slice.allRows()) held.insert(member->key);
+      REQUIRE(held == Walk(table, slice.interest()).keys());
+    }
+  }
+}
+
 TEST_CASE("a slice holds routes and all that they need, and nothing else") {
   const auto table = twoServices();
   const table::Slice slice({{"h"}, {}}, table);
@@ -90,12 +206,13 @@
           row = test::limitRow("l", service, revision);
           break;
       }
-      const auto previous = table.find(row->key);
-      if (row->deleted && !previous) continue;
-      const bool touches = slice.mayContain(*row, previous.get());
+      const auto previous = table.findAny(row->key);
+      if (row->deleted && (!previous || previous->deleted)) continue;
+      const auto before = slice.digest();
       table.put(row);
-      const bool changed = slice.refresh(table);
-      CHECK((touches || !changed));
+      const bool changed = slice.update(table, {row}, {previous});
+      CHECK(changed == !(slice.digest() == before));
+      CHECK(slice.digest() == table::Slice(slice.interest(), table).digest());
       readers.emplace_back(revision, applyRows({}, slice.allRows()));
     }
     for (const auto& [revision, rows] : readers) {
--- a/test/wire/frame_test.cc
+++ b/test/wire/frame_test.cc
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "base/random.h"
 #include "wire/deflate.h"
+#include "wire/row_frames.h"
 
 using namespace driftlug;
 
@@ -105,3 +106,30 @@
   CHECK(base::errorCodeOf(decode(wire::deflateWhole(std::string_view(*twice).substr(wire::kLengthBytes)))) ==
         base::ErrorCode::kBadFrame);
 }
+
+TEST_CASE("frames of rows are encoded as the messages that they are") {
+  wire::SliceUpdate slice;
+  slice.fromRevision = 7;
+  slice.toRevision = 9;
+  slice.full = true;
+  slice.digest.low = 5;
+  slice.digest.high = -5;
+  std::vector<const wire::Row*> rows;
+  for (const char* name : {"a", "b", "c"}) {
+    wire::Row row;
+    row.key.kind = wire::RowKind::SECRET;
+    row.key.name = name;
+    row.__isset.secretRow = true;
+    slice.rows.push_back(row);
+  }
+  for (const auto& row : slice.rows) rows.push_back(&row);
+  const wire::RowFrameHead head{slice.fromRevision, slice.toRevision, slice.full, slice.digest};
+  CHECK(*wire::encodeSliceUpdate(head, rows) == *wire::encodeFrame(slice));
+  wire::TableUpdate table;
+  table.fromRevision = slice.fromRevision;
+  table.toRevision = slice.toRevision;
+  table.full = slice.full;
+  table.rows = slice.rows;
+  table.digest = slice.digest;
+  CHECK(*wire::encodeTableUpdate(head, rows) == *wire::encodeFrame(table));
+}
--- a/test/slow_fleet/allocation_meter.h
+++ b/test/work/allocation_meter.h
@@ -1,6 +1,6 @@
 /// Work as the heap allocations that it makes: the same on any machine, at any load.
-#ifndef DRIFTLUG_TEST_SLOW_FLEET_ALLOCATION_METER_H_HEADER_GUARD
-#define DRIFTLUG_TEST_SLOW_FLEET_ALLOCATION_METER_H_HEADER_GUARD
+#ifndef DRIFTLUG_TEST_WORK_ALLOCATION_METER_H_HEADER_GUARD
+#define DRIFTLUG_TEST_WORK_ALLOCATION_METER_H_HEADER_GUARD
 
 #include <cstdint>
 
@@ -37,4 +37,4 @@
 
 }  // namespace driftlug::test
 
-#endif  // DRIFTLUG_TEST_SLOW_FLEET_ALLOCATION_METER_H_HEADER_GUARD
+#endif  // DRIFTLUG_TEST_WORK_ALLOCATION_METER_H_HEADER_GUARD
--- /dev/null
+++ b/test/work/large_table.h
@@ -0,0 +1,67 @@
+/// Tables of many routes, and changes of them.
+#ifndef DRIFTLUG_TEST_WORK_LARGE_TABLE_H_HEADER_GUARD
+#define DRIFTLUG_TEST_WORK_LARGE_TABLE_H_HEADER_GUARD
+
+#include <string>
+#include <vector>
+
+#include "table_rows.h"
+
+namespace driftlug::test
+{
+/// A table that can be changed as an edit changes it.
+class large_table
+{
+public:
+	/// @param[in] _routes To two services, each of a host of its own.
+	explicit large_table(size_t _routes)
+	{
+		put(serviceRow("archive", 1));
+		put(serviceRow("intake", 1));
+		addRoutes(_routes);
+		changed.clear();
+		previous.clear();
+	}
+
+	/// Adds routes under the next revision; `changed` and `previous` tell of them.
+	void addRoutes(size_t _count)
+	{
+		const int64_t revision = table.revision() + 1;
+		changed.clear();
+		previous.clear();
+		for (size_t i = 0; i < _count; ++i)
+		{
+			const auto name = std::to_string(m_next++);
+			put(routeRow("r-" + name, name + ".example", "/" + name + "/", {{"archive", 100}}, revision));
+		}
+	}
+
+	/// @returns The rows of a change, as messages carry them.
+	std::vector<wire::Row> changedRows() const
+	{
+		std::vector<wire::Row> rows;
+		for (const auto& row : changed)
+		{
+			rows.push_back(*row);
+		}
+		return rows;
+	}
+
+	table::Table table;
+	std::vector<table::RowPtr> changed;
+	std::vector<table::RowPtr> previous;
+
+private:
+	void put(const table::RowPtr& _row)
+	{
+		previous.push_back(table.findAny(_row->key));
+		changed.push_back(_row);
+		table.put(_row);
+	}
+
+	size_t m_next = 0;
+};
+
+}  // namespace driftlug::test
+
+#endif  // DRIFTLUG_TEST_WORK_LARGE_TABLE_H_HEADER_GUARD
