Nodes: a change costs what it changes

What callers saw: nodes switched to a version 100 to 350 ms behind its arrival, with their calls held up meanwhile; links were logged as silent and second attempts made.

Cause: an update was verified on a copy of the whole slice, every reference of every row was checked again, and the lookup structures of all routes were built anew: at 8,200 rows for each change, however small.

Change: rows are changed in place and taken back where the update is refused (RowChange, which the controller and the relay's copy use too); references of changed rows only, unless one went that others may refer to; routes by host in versions that share what does not differ (RouteIndex), other parts rebuilt only when a row of theirs changed.

--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "base/error.h"
+#include "table/row_change.h"
 #include "wire/frame.h"
 
 namespace driftlug::controller {
@@ -24,38 +25,6 @@
   return out;
 }
 
-/// Changes rows in place and takes every change back unless it is kept.
-class TableEdit {
- public:
-  TableEdit(table::Table* table, int64_t revision)
-      : table_(table), revision_(revision), previousRevision_(table->revision()) {}
-  TableEdit(const TableEdit&) = delete;
-  TableEdit& operator=(const TableEdit&) = delete;
-
-  ~TableEdit() {
-    if (kept_) return;
-    for (size_t i = keys_.size(); i-- > 0;) table_->undoPut(keys_[i], previous_[i], previousRevision_);
-  }
-
-  void put(const wire::Row& row) {
-    previous_.push_back(table_->findAny(row.key));
-    keys_.push_back(row.key);
-    table_->put(table::storeRow(row, revision_));
-  }
-
-  std::vector<table::Problem> check() const { return table::checkEdit(*table_, keys_); }
-
-  void keep() { kept_ = true; }
-
- private:
-  table::Table* table_;
-  int64_t revision_;
-  int64_t previousRevision_;
-  bool kept_ = false;
-  std::vector<wire::RowKey> keys_;       // changed rows, in order
-  std::vector<table::RowPtr> previous_;  // what each was before; null when the key was not in use
-};
-
 }  // namespace
 
 int64_t fingerprintOf(const wire::EditCommand& edit) {
@@ -91,9 +60,13 @@
     outcome->code = static_cast<int>(ErrorCode::kRevisionConflict);
     return;
   }
-  TableEdit change(&table_, index);
-  for (const auto& mutation : edit.mutations) change.put(mutation.row);
-  for (const auto& problem : change.check()) outcome->problems.push_back(toWire(problem));
+  table::RowChange change(&table_);
+  std::vector<wire::RowKey> keys;
+  for (const auto& mutation : edit.mutations) {
+    change.put(table::storeRow(mutation.row, index));
+    keys.push_back(mutation.row.key);
+  }
+  for (const auto& problem : table::checkEdit(table_, keys)) outcome->problems.push_back(toWire(problem));
   if (checks_.rows && !outcome->problems.empty()) {
     outcome->code = static_cast<int>(ErrorCode::kInvalidEdit);
     return;
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "membership/freshness.h"
 #include "storage/record_file.h"
+#include "wire/row_frames.h"
 
 namespace driftlug::node {
 namespace {
@@ -230,7 +231,7 @@
   subscribe.hosts = options_.hosts;
   subscribe.services = options_.services;
   subscribe.revision = slices_.revision();
-  subscribe.digest = slices_.rows().digest();
+  subscribe.digest = slices_.digest();
   network_.send(connection, wire::encodeFrame(subscribe));
   relayTakesCrashReports_ = peer.takesCrashReports;
   relayTakesVersionReports_ = peer.takesVersionReports;
@@ -251,8 +252,8 @@
 void ControlClient::onMessage(base::ConnectionId connection, wire::Message message) {
   if (connection != connection_) return;
   lastHeard_ = scheduler_.now();
-  if (const auto* update = std::get_if<wire::SliceUpdate>(&message)) {
-    onUpdate(*update);
+  if (auto* update = std::get_if<wire::SliceUpdate>(&message)) {
+    onUpdate(std::move(*update));
   } else if (const auto* heartbeat = std::get_if<wire::NodeHeartbeat>(&message)) {
     onHeartbeat(heartbeat->freshness);
   } else if (const auto* later = std::get_if<wire::RetryLater>(&message)) {
@@ -276,24 +277,25 @@
   return true;
 }
 
-void ControlClient::onUpdate(const wire::SliceUpdate& update) {
+void ControlClient::onUpdate(wire::SliceUpdate update) {
   sliceSeen_ = true;
   attempts_ = 0;
-  updates_.push_back(update);
+  updates_.push_back(std::move(update));
   takePending();
 }
 
 void ControlClient::takePending() {
   while (!updates_.empty() && !persisting_) {
-    const auto update = std::move(updates_.front());
+    auto update = std::move(updates_.front());
     updates_.pop_front();
     // What the relay sent before it heard of the refusal can't be applied; refusing it would cost another whole slice.
     if (awaitingWhole_ && !update.full) continue;
     awaitingWhole_ = false;
     SliceVersion next;
-    const auto result = slices_.prepare(update, &next);
+    const int64_t revision = update.toRevision;
+    const auto result = slices_.prepare(std::move(update), &next);
     if (result != SliceResult::kActivated && result != SliceResult::kUnchanged) {
-      refuse(result, update.toRevision);
+      refuse(result, revision);
       continue;
     }
     if (disk_ == nullptr || result == SliceResult::kUnchanged) {
@@ -301,7 +303,7 @@
       continue;
     }
     persisting_ = true;
-    persist(next, [this, alive = std::weak_ptr<bool>(alive_), result, next] {
+    persist(next.revision, [this, alive = std::weak_ptr<bool>(alive_), result, next] {
       if (alive.expired()) return;
       persisting_ = false;
       activate(result, next);
@@ -410,13 +412,15 @@
   network_.send(connection_, wire::encodeFrame(states));
 }
 
-void ControlClient::persist(const SliceVersion& version, std::function<void()> done) {
-  wire::SliceUpdate whole;
+void ControlClient::persist(int64_t revision, std::function<void()> done) {
+  wire::RowFrameHead whole;
   whole.full = true;
-  whole.toRevision = version.revision;
-  whole.digest = version.rows.digest();
-  for (const auto& [key, row] : version.rows.rows()) whole.rows.push_back(*row);
-  const auto record = storage::encodeRecord(storage::RecordType::kSnapshot, *wire::encodeFrame(whole), 0);
+  whole.toRevision = revision;
+  whole.digest = slices_.rows().digest();
+  std::vector<const wire::Row*> rows;
+  for (const auto& [key, row] : slices_.rows().rows()) rows.push_back(row.get());
+  const auto frame = wire::encodeSliceUpdate(whole, rows);
+  const auto record = storage::encodeRecord(storage::RecordType::kSnapshot, *frame, 0);
   (void)disk_->remove(kTemporaryFile);
   if (const auto status = disk_->append(kTemporaryFile, record); !status.ok()) return giveUpDisk(status, done);
   disk_->sync(kTemporaryFile, [this, alive = std::weak_ptr<bool>(alive_), done](absl::Status status) {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -134,7 +134,7 @@
   int rounds() const;
   void reconnectLater(const char* because);
   void leaveStale();
-  void onUpdate(const wire::SliceUpdate& update);
+  void onUpdate(wire::SliceUpdate update);
   void onHeartbeat(const wire::Freshness& freshness);
   base::Duration firstSlicePatience() const;
   void sendApplied();
@@ -144,7 +144,8 @@
   void sendCrashReports(const quarantine::request_quarantine::reports& reports);
   void refuse(SliceResult result, int64_t revision);
   void activate(SliceResult result, SliceVersion next);
-  void persist(const SliceVersion& version, std::function<void()> done);
+  /// Writes the version that was prepared last.
+  void persist(int64_t revision, std::function<void()> done);
   /// Goes on in memory, once the disk holds no version that a restart could serve.
   void giveUpDisk(const absl::Status& status, std::function<void()> done);
   void dropVersion(std::function<void()> done);
--- a/src/node/slice_store.cc
+++ b/src/node/slice_store.cc
@@ -1,5 +1,8 @@
 #include "node/slice_store.h"
 
+#include <utility>
+
+#include "table/row_change.h"
 #include "table/validator.h"
 
 namespace driftlug::node {
@@ -11,30 +14,58 @@
   return problems.empty();
 }
 
+/// @return whether all references hold, provided that they did before the change.
+bool referencesHoldAfter(const table::RowChange& change, const table::Table& rows) {
+  std::vector<table::Problem> problems;
+  for (const auto& row : change.changed()) {
+    if (row->deleted && table::mayBeReferredTo(row->key.kind)) return referencesHold(rows);
+    if (!row->deleted) table::checkReferences(*row, rows, &problems);
+  }
+  return problems.empty();
+}
+
 }  // namespace
 
-SliceResult SliceStore::prepare(const wire::SliceUpdate& update, SliceVersion* next) const {
+SliceResult SliceStore::prepare(wire::SliceUpdate update, SliceVersion* next) {
   if (checks_.neverOlder && update.toRevision < version_.revision) return SliceResult::kOlder;
   if (!update.full && update.fromRevision != version_.revision) return SliceResult::kBaseMismatch;
   next->revision = update.toRevision;
-  if (!update.full) next->rows = version_.rows;
-  for (const auto& row : update.rows) next->rows.put(table::storeRow(row));
-  if (checks_.digest && !(next->rows.digest() == update.digest)) return SliceResult::kDigestMismatch;
-  if (version_.routing && update.rows.empty() && !update.full) {
+  return update.full ? prepareWhole(&update, next) : prepareDelta(&update, next);
+}
+
+SliceResult SliceStore::prepareWhole(wire::SliceUpdate* update, SliceVersion* next) {
+  table::Table rows;
+  for (auto& row : update->rows) rows.put(table::storeRow(std::move(row)));
+  if (checks_.digest && !(rows.digest() == update->digest)) return SliceResult::kDigestMismatch;
+  if (checks_.references && !referencesHold(rows)) return SliceResult::kDanglingReference;
+  rows.dropTombstones(update->toRevision);
+  rows_ = std::move(rows);
+  next->digest = rows_.digest();
+  next->routing = std::make_shared<const routing::RoutingTable>(rows_, next->revision);
+  return SliceResult::kActivated;
+}
+
+SliceResult SliceStore::prepareDelta(wire::SliceUpdate* update, SliceVersion* next) {
+  table::RowChange change(&rows_);
+  for (auto& row : update->rows) change.put(table::storeRow(std::move(row)));
+  if (checks_.digest && !(rows_.digest() == update->digest)) return SliceResult::kDigestMismatch;
+  next->digest = rows_.digest();
+  if (version_.routing && update->rows.empty()) {
     next->routing = version_.routing;
     return SliceResult::kUnchanged;
   }
-  if (checks_.references && !referencesHold(next->rows)) return SliceResult::kDanglingReference;
-  next->rows.dropTombstones(update.toRevision);
-  next->routing = std::make_shared<const routing::RoutingTable>(next->rows, next->revision);
+  if (checks_.references && !referencesHoldAfter(change, rows_)) return SliceResult::kDanglingReference;
+  change.keep();
+  rows_.dropTombstones(update->toRevision);
+  next->routing = version_.routing ? std::make_shared<const routing::RoutingTable>(
+                                         *version_.routing, rows_, next->revision, change.changed(), change.previous())
+                                   : std::make_shared<const routing::RoutingTable>(rows_, next->revision);
   return SliceResult::kActivated;
 }
 
-void SliceStore::activate(SliceVersion next) { version_ = std::move(next); }
-
-SliceResult SliceStore::apply(const wire::SliceUpdate& update) {
+SliceResult SliceStore::apply(wire::SliceUpdate update) {
   SliceVersion next;
-  const auto result = prepare(update, &next);
+  const auto result = prepare(std::move(update), &next);
   if (result == SliceResult::kActivated || result == SliceResult::kUnchanged) activate(std::move(next));
   return result;
 }
--- a/src/node/slice_store.h
+++ b/src/node/slice_store.h
@@ -1,8 +1,6 @@
 /// A node's slice of the table, and the rules by which a new version replaces it.
 #pragma once
 
-#include <functional>
-#include <memory>
 #include <vector>
 
 #include "routing/routing_table.h"
@@ -22,8 +20,8 @@
 
 /// A verified version of the slice.
 struct SliceVersion {
-  table::Table rows;
   int64_t revision = 0;
+  table::Digest digest;
   routing::RoutingTablePtr routing;  ///< null before the first version
 };
 
@@ -31,21 +29,27 @@
 /// active version is inside it.
 class SliceStore {
  public:
-  /// Verifies an update on a copy.
-  /// @param next set to the version to activate, with kActivated and kUnchanged
-  SliceResult prepare(const wire::SliceUpdate& update, SliceVersion* next) const;
+  /// Verifies an update and takes its rows in; where it is refused, the rows are as before.
+  /// @param next set to the version to activate, with kActivated and kUnchanged; nothing else may be prepared before
+  /// that
+  SliceResult prepare(wire::SliceUpdate update, SliceVersion* next);
 
   /// Replaces the active version in one step.
-  void activate(SliceVersion next);
+  void activate(SliceVersion next) { version_ = std::move(next); }
 
   /// prepare() and activate() in one.
-  SliceResult apply(const wire::SliceUpdate& update);
+  SliceResult apply(wire::SliceUpdate update);
 
   /// @return the active version, null before the first one; callers keep it as long as they need it.
   routing::RoutingTablePtr active() const { return version_.routing; }
 
   int64_t revision() const { return version_.revision; }
-  const table::Table& rows() const { return version_.rows; }
+
+  /// @return digest of the active version's rows.
+  const table::Digest& digest() const { return version_.digest; }
+
+  /// @return the rows of the version that was prepared last.
+  const table::Table& rows() const { return rows_; }
 
   /// Parts of the verification that the simulator can switch off, to prove that a checker notices.
   struct Checks {
@@ -56,7 +60,11 @@
   void setChecks(const Checks& checks) { checks_ = checks; }
 
  private:
+  SliceResult prepareWhole(wire::SliceUpdate* update, SliceVersion* next);
+  SliceResult prepareDelta(wire::SliceUpdate* update, SliceVersion* next);
+
   SliceVersion version_;
+  table::Table rows_;
   Checks checks_;
 };
 
--- a/src/relay/table_replica.cc
+++ b/src/relay/table_replica.cc
@@ -1,5 +1,7 @@
 #include "relay/table_replica.h"
 
+#include "table/row_change.h"
+
 namespace driftlug::relay {
 
 ReplicaResult TableReplica::apply(const wire::TableUpdate& update, ReplicaChange* change) {
@@ -10,23 +12,16 @@
 }
 
 ReplicaResult TableReplica::applyDelta(const wire::TableUpdate& update, ReplicaChange* change) {
-  const int64_t before = table_.revision();
+  table::RowChange rows(&table_);
   for (const auto& row : update.rows) {
-    if (row.revision <= table_.rowRevision(row.key)) continue;
-    change->previous.push_back(table_.findAny(row.key));
-    change->changed.push_back(table::storeRow(row));
-    table_.put(change->changed.back());
-  }
-  if (table_.digest() == update.digest) {
-    table_.advanceTo(update.toRevision);
-    return ReplicaResult::kApplied;
+    if (row.revision > table_.rowRevision(row.key)) rows.put(table::storeRow(row));
   }
-  for (size_t i = change->changed.size(); i-- > 0;) {
-    table_.undoPut(change->changed[i]->key, change->previous[i], before);
-  }
-  change->changed.clear();
-  change->previous.clear();
-  return ReplicaResult::kDigestMismatch;
+  if (!(table_.digest() == update.digest)) return ReplicaResult::kDigestMismatch;
+  rows.keep();
+  table_.advanceTo(update.toRevision);
+  change->changed = rows.changed();
+  change->previous = rows.previous();
+  return ReplicaResult::kApplied;
 }
 
 ReplicaResult TableReplica::applyFull(const wire::TableUpdate& update, ReplicaChange* change) {
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "rollout/version_policy.h"
-#include "routing/weighted_split.h"
+#include "routing/route_index.h"
 #include "table/table.h"
 #include "tenants/tenant_directory.h"
 
@@ -42,21 +42,6 @@
   int budgetPercent = 0;
 };
 
-/// A route, ready for use.
-struct Route {
-  std::string name;
-  std::string host;
-  std::string pathPrefix;
-  std::string method;
-  std::vector<WeightedChoice> shares;
-  bool repeatable = false;
-  int timeoutMs = 0;
-  int maxAttempts = 0;      ///< 0 leaves it to the service's retry rule
-  int targetLatencyMs = 0;  ///< 0 when none is stated
-  int priority = 0;         ///< 0 is the most urgent
-  bool keyless = false;     ///< callers need no key, though there are tenants
-};
-
 /// Limits of what callers may send; 0 where the table states none.
 struct IngressLimits {
   int maxHeadBytes = 0;
@@ -70,10 +55,19 @@
  public:
   explicit RoutingTable(const table::Table& slice, int64_t revision);
 
+  /// As a version built anew, at the cost of what differs.
+  /// @param before the version before, whose parts are shared where no row of theirs has changed
+  /// @param changed rows that differ between the versions, as they are now or tombstones
+  /// @param previous the same rows before, null where there was none
+  RoutingTable(const RoutingTable& before, const table::Table& slice, int64_t revision,
+               const std::vector<table::RowPtr>& changed, const std::vector<table::RowPtr>& previous);
+
   int64_t revision() const { return revision_; }
 
   /// @return the route with the longest prefix, an exact method before any method; null when none matches.
-  const Route* match(std::string_view host, std::string_view path, std::string_view method) const;
+  const Route* match(std::string_view host, std::string_view path, std::string_view method) const {
+    return routes_.match(host, path, method);
+  }
 
   /// @return the endpoints of a service.
   const std::vector<EndpointTarget>& endpoints(const std::string& service) const;
@@ -84,12 +78,12 @@
   /// @return the retry rule of a service, if it has one.
   std::optional<RetryRule> retryRule(const std::string& service) const;
 
-  const IngressLimits& ingress() const { return ingress_; }
+  const IngressLimits& ingress() const { return services_->ingress; }
 
-  const tenants::tenant_directory& tenants() const { return tenants_; }
+  const tenants::tenant_directory& tenants() const { return *tenants_; }
 
   /// @return whether back ends of a zone take no requests.
-  bool evacuated(const std::string& zone) const { return evacuated_.count(zone) > 0; }
+  bool evacuated(const std::string& zone) const { return services_->evacuated.count(zone) > 0; }
 
   /// @return requests a second that a cold back end of a service bears; 0 when the table does not say.
   double coldPerS(const std::string& service) const;
@@ -101,20 +95,28 @@
   const rollout::version_policy* versions(const std::string& service) const;
 
   /// @return the endpoints of all services that have any.
-  const std::map<std::string, std::vector<EndpointTarget>>& endpointsByService() const { return endpointsByService_; }
+  const std::map<std::string, std::vector<EndpointTarget>>& endpointsByService() const { return services_->endpoints; }
 
  private:
+  /// What is neither a route nor a tenant.
+  struct Services {
+    std::map<std::string, std::vector<EndpointTarget>> endpoints;  // by service
+    std::map<std::string, ServiceLimit> limits;                    // by service
+    std::map<std::string, RetryRule> retryRules;                   // by service
+    std::map<std::string, int> maxConnections;                     // by service
+    std::map<std::string, rollout::version_policy> versions;       // by service
+    std::map<std::string, double> coldPerS;                        // by service
+    std::set<std::string> evacuated;                               // zones
+    IngressLimits ingress;
+  };
+
+  static std::shared_ptr<const Services> servicesOf(const table::Table& slice);
+  static std::shared_ptr<const tenants::tenant_directory> tenantsOf(const table::Table& slice);
+
   int64_t revision_;
-  std::map<std::string, std::vector<Route>, std::less<>> routesByHost_;  // longest prefix first
-  std::map<std::string, std::vector<EndpointTarget>> endpointsByService_;
-  std::map<std::string, ServiceLimit> limits_;
-  std::map<std::string, RetryRule> retryRules_;
-  std::map<std::string, int> maxConnections_;
-  std::map<std::string, rollout::version_policy> versions_;  // by service
-  std::map<std::string, double> coldPerS_;                   // by service
-  tenants::tenant_directory tenants_;
-  std::set<std::string> evacuated_;  // zones
-  IngressLimits ingress_;
+  RouteIndex routes_;
+  std::shared_ptr<const Services> services_;
+  std::shared_ptr<const tenants::tenant_directory> tenants_;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
--- a/src/table/validator.cc
+++ b/src/table/validator.cc
@@ -152,6 +152,10 @@
 
 }  // namespace
 
+bool mayBeReferredTo(RowKind::type kind) {
+  return kind == RowKind::SERVICE || kind == RowKind::SECRET || kind == RowKind::RETRY_POLICY;
+}
+
 std::string_view problemName(ProblemKind kind) {
   switch (kind) {
     case ProblemKind::kBadName:
@@ -235,9 +239,7 @@
   for (const auto& key : changed) {
     const auto row = table.find(key);
     if (!row) {
-      if (key.kind == RowKind::SERVICE || key.kind == RowKind::SECRET || key.kind == RowKind::RETRY_POLICY) {
-        checkReferrers(key, table, &problems);
-      }
+      if (mayBeReferredTo(key.kind)) checkReferrers(key, table, &problems);
       continue;
     }
     checkRow(*row, &problems);
--- a/src/table/validator.h
+++ b/src/table/validator.h
@@ -46,6 +46,9 @@
 /// Of a tenant's requests; beyond what any fleet carries, and far from overflow.
 constexpr double kMaxRatePerS = 1e9;
 
+/// @return whether rows of other kinds may refer to rows of this one.
+bool mayBeReferredTo(RowKind::type kind);
+
 /// Checks the fields of one row by themselves.
 void checkRow(const Row& row, std::vector<Problem>* problems);
 
--- a/test/table/slice_test.cc
+++ b/test/table/slice_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "base/random.h"
+#include "row_draw.h"
 #include "table_rows.h"
 
 using namespace driftlug;
@@ -37,7 +38,9 @@
       return std::find(names.begin(), names.end(), name) != names.end();
     };
     for (const auto& [key, row] : table.rows()) {
-      if (key.kind == RowKind::TENANT || key.kind == RowKind::INGRESS) keys_.insert(key);
+      if (key.kind == RowKind::TENANT || key.kind == RowKind::INGRESS || key.kind == RowKind::EVACUATION) {
+        keys_.insert(key);
+      }
       if (key.kind == RowKind::ROUTE && (every || has(interest.hosts, row->routeRow.host))) addRoute(*row);
       if (key.kind == RowKind::SERVICE && (every || has(interest.services, key.name))) addService(key.name, false);
     }
@@ -74,63 +77,12 @@
   table::KeySet keys_;
 };
 
-/// Draws changes of all kinds of rows, references to rows that are not there among them.
-class RowDraw {
- public:
-  explicit RowDraw(uint64_t seed) : random_(seed) {}
-
-  table::RowPtr next(int64_t revision) {
-    switch (random_.below(8)) {
-      case 0:
-        return test::deletedRow(kinds_[random_.below(kinds_.size())], name(), revision);
-      case 1:
-        return test::secretRow(name(), revision);
-      case 2:
-        return test::endpointRow(name(), name(), revision);
-      case 3:
-        return test::limitRow(name(), name(), revision);
-      case 4:
-        return policy(revision);
-      case 5:
-        return service(revision);
-      default:
-        return route(revision);
-    }
-  }
-
- private:
-  std::string name() { return std::string(1, static_cast<char>('a' + random_.below(4))); }
-
-  table::RowPtr policy(int64_t revision) {
-    wire::Row row = test::makeRow(RowKind::RETRY_POLICY, name(), revision);
-    row.__isset.retryPolicyRow = true;
-    return table::storeRow(row);
-  }
-
-  table::RowPtr service(int64_t revision) {
-    wire::Row row = *test::serviceRow(name(), revision, {name()});
-    if (random_.chance(0.5)) row.serviceRow.retryPolicy = name();
-    return table::storeRow(row);
-  }
-
-  table::RowPtr route(int64_t revision) {
-    wire::Row row = *test::routeRow(name(), name(), "/", {{name(), 100}}, revision);
-    if (random_.chance(0.3)) row.routeRow.requiredServices = {name()};
-    if (random_.chance(0.3)) row.routeRow.requiredSecrets = {name()};
-    return table::storeRow(row);
-  }
-
-  const std::vector<RowKind::type> kinds_ = {RowKind::ROUTE,  RowKind::SERVICE, RowKind::ENDPOINT,
-                                             RowKind::SECRET, RowKind::LIMIT,   RowKind::RETRY_POLICY};
-  base::RandomSource random_;
-};
-
 }  // namespace
 
 TEST_CASE("a slice that follows changes holds what a walk over the whole table finds") {
   const std::vector<table::Interest> interests = {{{"a"}, {}}, {{"a", "b"}, {"c"}}, {{}, {"a"}}, {{"*"}, {}}};
   for (uint64_t seed = 1; seed <= 40; ++seed) {
-    RowDraw draw(seed);
+    test::RowDraw draw(seed);
     table::Table table;
     table::Slice slice(interests[seed % interests.size()], table);
     for (int64_t revision = 1; revision <= 120; ++revision) {
