A relay beside a controller serves that controller's table

What callers saw: after a loss of all processes nobody was served for ten seconds, with nine leaders in four seconds; behind each large change all relays asked the new leader.

Cause: a relay in a controller's process kept a table of its own, which the leader sent it although the log had brought the same rows there already: whole to eleven relays at each start of all, decoded, hashed and indexed anew in one turn, and 139 kB to each at each large change. Class: a copy that is kept current on a second way.

Change: the relay reads the controller's table and hears of its changes (TableObserver); it asks the leader for no updates (RelaySubscribe.sharesTable). Followers are told of commits at once. What a relay says of how recent it is covers its table only (CoveredFreshness), since the leader's word now comes on another way than the rows; nodes are sent away where the table stays behind for 0.8 s.

--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -149,21 +149,30 @@
   options.raft.heartbeatInterval = base::milliseconds(FLAGS_heartbeat_ms);
   options.raft.electionTimeout = base::milliseconds(FLAGS_election_timeout_ms);
   options.raft.compactAfterEntries = static_cast<size_t>(FLAGS_snapshot_entries);
+  options.raft.announceCommits = FLAGS_relay_port > 0;
   options.relayHeartbeat = base::milliseconds(FLAGS_relay_heartbeat_ms);
   options.fullPush = FLAGS_full_push;
   options.exposure.share = FLAGS_exposure_share;
   return options;
 }
 
-/// The relay within a controller's process; it reads from the leader like any other.
+/// The relay within a controller's process; it serves the table of that controller.
 class InnerRelay {
  public:
-  explicit InnerRelay(transport::EventLoop& loop)
-      : frames_(loop, "relay"), relay_(options(), loop, base::RandomSource(processSeed()), frames_) {
+  InnerRelay(transport::EventLoop& loop, controller::Controller& controller)
+      : controller_(controller),
+        frames_(loop, "relay"),
+        relay_(options(), loop, base::RandomSource(processSeed()), frames_) {
     frames_.setHandler(&relay_);
     frames_.useKeepAlives();
+    relay_.shareTable(controller.state().table());
+    controller.observeTable(&relay_);
   }
 
+  ~InnerRelay() { controller_.observeTable(nullptr); }
+  InnerRelay(const InnerRelay&) = delete;
+  InnerRelay& operator=(const InnerRelay&) = delete;
+
   void startOrExit() {
     if (const auto status = frames_.listen(FLAGS_listen_host, FLAGS_relay_port); !status.ok()) exitWithError(status);
     relay_.start();
@@ -187,6 +196,7 @@
     return options;
   }
 
+  controller::Controller& controller_;
   transport::FrameTransport frames_;
   relay::Relay relay_;
 };
@@ -226,7 +236,7 @@
   controller.onConvergenceReport([&api] { api.onConvergenceChanged(); });
   frames.setHandler(&controller);
   std::unique_ptr<InnerRelay> innerRelay;
-  if (FLAGS_relay_port > 0) innerRelay = std::make_unique<InnerRelay>(loop);
+  if (FLAGS_relay_port > 0) innerRelay = std::make_unique<InnerRelay>(loop, controller);
   ExtraPages extraPages;
   if (makeExtraPages) extraPages = makeExtraPages(controller);
 
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -34,6 +34,8 @@
   /// does not grow with the state.
   size_t snapshotBytesPerEntry = 256;
   size_t keepEntries = 1024;  ///< entries kept behind a snapshot for slow followers
+  /// Whether followers are told of a commit at once, not with the next entry or heartbeat.
+  bool announceCommits = false;
   // Switched off only in the simulator, to prove that a checker notices.
   bool checkQuorum = true;
   bool syncBeforeAcknowledge = true;
@@ -200,6 +202,7 @@
   void onSnapshotAck(const std::string& from, const wire::SnapshotChunkAck& ack);
   void installSnapshot(const std::string& from, const wire::SnapshotChunk& last);
   void advanceCommit();
+  void announceCommit();
   int64_t quorumValue(const std::function<int64_t(const std::string&)>& valueOf) const;
   void checkQuorum();
   void confirmRounds();
@@ -264,8 +267,9 @@
   std::optional<base::TimePoint> leaseFrom_;         // when the last confirmed round began
   std::vector<PendingConfirm> confirms_;
   bool confirmRoundSent_ = false;
-  AppendContent appendContent_;  // of appendFrame_
-  wire::FramePtr appendFrame_;   // the append that was sent last; null on followers
+  bool commitAnnounced_ = false;  // announceCommit() is scheduled
+  AppendContent appendContent_;   // of appendFrame_
+  wire::FramePtr appendFrame_;    // the append that was sent last; null on followers
 
   std::string incoming_;  // snapshot being received
   int64_t incomingIndex_ = 0;
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -172,6 +172,7 @@
   });
   if (index <= commitIndex_ || termAt(index) != hardState_.term) return;
   commitIndex_ = index;
+  if (options_.announceCommits) announceCommit();
   applyCommitted();
   if (role_ != RaftRole::kLeader) return;
   // A leader that was removed steps down once the others know that.
@@ -181,6 +182,17 @@
   }
 }
 
+/// Commits of one turn of the loop are announced together.
+void Raft::announceCommit() {
+  if (commitAnnounced_) return;
+  commitAnnounced_ = true;
+  scheduler_.schedule(base::Duration(0), [this, alive = alive_] {
+    if (!*alive) return;
+    commitAnnounced_ = false;
+    if (role_ == RaftRole::kLeader) broadcast();
+  });
+}
+
 void Raft::checkQuorum() {
   if (role_ != RaftRole::kLeader) return;
   std::set<std::string> active;
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -276,11 +276,13 @@
 
 void Controller::applyEdit(const wire::LogEntry& entry) {
   const auto fingerprint = fingerprintOf(entry.edit);
-  auto outcome = state_.apply(entry.index, entry.edit);
+  table::ChangedRows rows;
+  auto outcome = state_.apply(entry.index, entry.edit, &rows);
   if (outcome.code == static_cast<int>(ErrorCode::kNone)) {
     noteRollouts(entry.edit);
     noteCommit(entry);
   }
+  if (tableObserver_ != nullptr && !rows.empty()) tableObserver_->onTableChange(rows);
   if (appliedHook_) appliedHook_(entry);
   if (outcome.fingerprint != fingerprint) outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
   answerPending(entry.index, outcome);
@@ -337,6 +339,7 @@
   if (snapshot.ok()) {
     state_.restore(*snapshot);
     ledger_.restore(snapshot->ledger);
+    if (tableObserver_ != nullptr) tableObserver_->onTableReplaced();
     useRegisteredRelays();
     rollouts_.onRestored();
   } else {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -23,6 +23,7 @@
 #include "ledger/ledger_state.h"
 #include "membership/peer_links.h"
 #include "quota/quota_grantor.h"
+#include "table/table_observer.h"
 
 namespace driftlug::controller {
 
@@ -106,6 +107,10 @@
   /// @return the address of the leader's pages; port 0 when no leader is known.
   base::Address leaderPages() const;
 
+  /// Has an observer, which outlives this object or takes itself out, follow the table.
+  /// @param observer null for none
+  void observeTable(table::TableObserver* observer) { tableObserver_ = observer; }
+
   /// Called for each committed entry once it is applied.
   void onApplied(std::function<void(const wire::LogEntry&)> hook) { appliedHook_ = std::move(hook); }
 
@@ -219,6 +224,7 @@
   std::map<std::string, base::TimePoint> lastActive_;       // on the leader: when a member last answered
   std::function<void(const wire::LogEntry&)> appliedHook_;  // may be empty
   std::function<void()> reportHook_;                        // may be empty
+  table::TableObserver* tableObserver_ = nullptr;           // may stay null
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;  // relays were told of this term's leadership
   MemberNews memberNews_;
--- a/src/controller/relay_sessions.cc
+++ b/src/controller/relay_sessions.cc
@@ -15,6 +15,8 @@
   auto& session = sessions_[connection];
   session.relayId = relayId;
   session.subscribed = true;
+  session.takesUpdates = !request.sharesTable;
+  if (!session.takesUpdates) return;
   session.sentRevision = request.revision;
   const bool sameRevision = request.revision == table.revision();
   if (sameRevision && !(request.digest == table.digest())) session.sentRevision = 0;
@@ -84,7 +86,7 @@
 
 void RelaySessions::push(const table::Table& table) {
   for (auto& [connection, session] : sessions_) {
-    if (!session.subscribed || session.sentRevision >= table.revision()) continue;
+    if (!session.subscribed || !session.takesUpdates || session.sentRevision >= table.revision()) continue;
     sendUpdate(connection, &session, updateFrom(session.sentRevision, table), table);
   }
 }
--- a/src/controller/relay_sessions.h
+++ b/src/controller/relay_sessions.h
@@ -69,6 +69,7 @@
   struct Session {
     std::string relayId;
     bool subscribed = false;
+    bool takesUpdates = true;
     int64_t sentRevision = 0;
     base::TimePoint lastHeard{};
   };
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -40,25 +40,25 @@
   return &outcomes_[static_cast<size_t>(found->second - dropped_)];
 }
 
-const wire::EditOutcome& TableState::apply(int64_t index, const wire::EditCommand& edit) {
+const wire::EditOutcome& TableState::apply(int64_t index, const wire::EditCommand& edit, table::ChangedRows* rows) {
   if (const auto* known = findOutcome(edit.requestId); known != nullptr && checks_.resends) return *known;
   wire::EditOutcome outcome;
   outcome.requestId = edit.requestId;
   outcome.revision = index;
   outcome.fingerprint = fingerprintOf(edit);
-  decide(index, edit, &outcome);
+  *rows = decide(index, edit, &outcome);
   remember(std::move(outcome));
   return outcomes_.back();
 }
 
-void TableState::decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome) {
+table::ChangedRows TableState::decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome) {
   if (edit.baseRevision < windowFloor_) {
     outcome->code = static_cast<int>(ErrorCode::kRequestIdExpired);
-    return;
+    return {};
   }
   if (checks_.revisions && findConflicts(edit, outcome)) {
     outcome->code = static_cast<int>(ErrorCode::kRevisionConflict);
-    return;
+    return {};
   }
   table::RowChange change(&table_);
   std::vector<wire::RowKey> keys;
@@ -69,11 +69,12 @@
   for (const auto& problem : table::checkEdit(table_, keys)) outcome->problems.push_back(toWire(problem));
   if (checks_.rows && !outcome->problems.empty()) {
     outcome->code = static_cast<int>(ErrorCode::kInvalidEdit);
-    return;
+    return {};
   }
-  change.keep();
+  auto rows = change.keep();
   if (table_.tombstones().size() > kMaxTombstones) dropOldTombstones();
   recordHistory(index, edit);
+  return rows;
 }
 
 void TableState::dropOldTombstones() {
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "table/row_change.h"
 #include "table/table.h"
 #include "table/validator.h"
 #include "wire/gen/driftlug_types.h"
@@ -38,7 +39,8 @@
 
   /// Applies the edit of one log entry.
   /// @param index the entry's log index, which becomes the revision of changed rows
-  const wire::EditOutcome& apply(int64_t index, const wire::EditCommand& edit);
+  /// @param rows set to the rows that changed, none when the edit was refused
+  const wire::EditOutcome& apply(int64_t index, const wire::EditCommand& edit, table::ChangedRows* rows);
 
   /// Registers or removes a relay.
   void applyRelay(const wire::RelayRecord& record);
@@ -62,7 +64,7 @@
   void restore(const wire::TableSnapshot& snapshot);
 
  private:
-  void decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome);
+  table::ChangedRows decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome);
   bool findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const;
   void dropOldTombstones();
   void remember(wire::EditOutcome outcome);
--- a/src/node/slice_store.cc
+++ b/src/node/slice_store.cc
@@ -15,9 +15,9 @@
 }
 
 /// @return whether all references hold, provided that they did before the change.
-bool referencesHoldAfter(const table::RowChange& change, const table::Table& rows) {
+bool referencesHoldAfter(const table::ChangedRows& change, const table::Table& rows) {
   std::vector<table::Problem> problems;
-  for (const auto& row : change.changed()) {
+  for (const auto& row : change.changed) {
     if (row->deleted && table::mayBeReferredTo(row->key.kind)) return referencesHold(rows);
     if (!row->deleted) table::checkReferences(*row, rows, &problems);
   }
@@ -54,12 +54,12 @@
     next->routing = version_.routing;
     return SliceResult::kUnchanged;
   }
-  if (checks_.references && !referencesHoldAfter(change, rows_)) return SliceResult::kDanglingReference;
-  change.keep();
+  if (checks_.references && !referencesHoldAfter(change.rows(), rows_)) return SliceResult::kDanglingReference;
+  const auto changed = change.keep();
   rows_.dropTombstones(update->toRevision);
-  next->routing = version_.routing ? std::make_shared<const routing::RoutingTable>(
-                                         *version_.routing, rows_, next->revision, change.changed(), change.previous())
-                                   : std::make_shared<const routing::RoutingTable>(rows_, next->revision);
+  next->routing = version_.routing
+                      ? std::make_shared<const routing::RoutingTable>(*version_.routing, rows_, next->revision, changed)
+                      : std::make_shared<const routing::RoutingTable>(rows_, next->revision);
   return SliceResult::kActivated;
 }
 
--- /dev/null
+++ b/src/relay/covered_freshness.cc
@@ -0,0 +1,35 @@
+#include "relay/covered_freshness.h"
+
+#include "membership/freshness.h"
+
+namespace driftlug::relay {
+namespace {
+
+constexpr size_t kMaxWaiting = 8;
+
+}  // namespace
+
+void CoveredFreshness::onHeartbeat(const wire::ControllerHeartbeat& heartbeat, int64_t revision, base::TimePoint now) {
+  const auto& newest = waiting_.empty() ? value_ : waiting_.back().heartbeat.freshness;
+  if (membership::isNewer(newest, heartbeat.freshness)) return;
+  if (waiting_.size() < kMaxWaiting) {
+    waiting_.push_back({heartbeat, now});
+  } else {
+    waiting_.back().heartbeat = heartbeat;
+  }
+  onRevision(revision);
+}
+
+void CoveredFreshness::onRevision(int64_t revision) {
+  while (!waiting_.empty() && waiting_.front().heartbeat.revision <= revision) {
+    value_ = waiting_.front().heartbeat.freshness;
+    waiting_.pop_front();
+  }
+}
+
+std::optional<base::TimePoint> CoveredFreshness::behindSince() const {
+  if (waiting_.empty()) return std::nullopt;
+  return waiting_.front().heardAt;
+}
+
+}  // namespace driftlug::relay
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -153,6 +153,7 @@
 
 void Relay::onControllerMessage(base::ConnectionId connection, const wire::Message& message) {
   if (const auto* heartbeat = std::get_if<wire::ControllerHeartbeat>(&message)) {
+    freshness_.onHeartbeat(*heartbeat, replica_.revision(), scheduler_.now());
     if (source_.onLeader(connection, heartbeat->freshness)) subscribeToSource(replica_.revision());
   } else if (std::get_if<wire::NotLeader>(&message) != nullptr) {
     source_.onNotLeader(connection);
@@ -191,6 +192,7 @@
   wire::RelaySubscribe subscribe;
   subscribe.revision = revision;
   subscribe.digest = replica_.table().digest();
+  subscribe.sharesTable = replica_.shares();
   source_.send(subscribe);
   quotas_.askAnew();
   reportFull_ = true;
@@ -203,20 +205,49 @@
 }
 
 void Relay::onTableUpdate(const wire::TableUpdate& update) {
-  ReplicaChange change;
-  const auto result = replica_.apply(update, &change);
+  if (replica_.shares()) return;  // of a controller that doesn't know of it
+  table::ChangedRows rows;
+  const auto result = replica_.apply(update, &rows);
   if (result == ReplicaResult::kNothingNew) return;
   if (result != ReplicaResult::kApplied) {
     log_.warn("{} could not apply revision {} and asks for everything", options_.id, update.toRevision);
     return subscribeToSource(0);
   }
-  const auto slices = slices_.onTableChange(replica_.table(), change.changed, change.previous);
-  log_.info("{} holds revision {}, {} rows changed, {} slices with it, {} nodes", options_.id, replica_.revision(),
-            change.changed.size(), slices.size(), nodes_.all().size());
+  takeChange(rows);
   onTableAdvanced();
 }
 
+void Relay::takeChange(const table::ChangedRows& rows) {
+  const auto slices = slices_.onTableChange(replica_.table(), rows);
+  log_.info("{} holds revision {}, {} rows changed, {} slices with it, {} nodes", options_.id, replica_.revision(),
+            rows.changed.size(), slices.size(), nodes_.all().size());
+}
+
+void Relay::onTableChange(const table::ChangedRows& rows) {
+  takeChange(rows);
+  advanceSoon();
+}
+
+void Relay::onTableReplaced() {
+  slices_.refresh(replica_.table());
+  log_.info("{} holds revision {}, the table was replaced", options_.id, replica_.revision());
+  advanceSoon();
+}
+
+/// Changes that the controller applies together are handed to nodes together, in a turn of their own.
+void Relay::advanceSoon() {
+  if (advanceScheduled_) return;
+  advanceScheduled_ = true;
+  scheduler_.schedule(base::Duration(0), [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) return;
+    advanceScheduled_ = false;
+    onTableAdvanced();
+  });
+}
+
 void Relay::onTableAdvanced() {
+  freshness_.onRevision(replica_.revision());
+  recovered_ = recovered_ || (provenAt_ && replica_.revision() >= *provenAt_);
   releases_.setOwn(replica_.revision());
   announceHeld();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->onOwn(replica_.revision(), recovered_);
@@ -228,10 +259,8 @@
 
 void Relay::onConfirmReply(const wire::ConfirmReply& reply) {
   // Any answer of the leader proves the table, whoever asked.
-  if (!recovered_ && replica_.revision() >= reply.revision) {
-    recovered_ = true;
-    onTableAdvanced();
-  }
+  provenAt_ = reply.revision;
+  if (!recovered_ && replica_.revision() >= reply.revision) onTableAdvanced();
   for (const auto& [zone, confirmer] : confirmers_) confirmer->onController(reply.token, reply.revision);
 }
 
@@ -246,7 +275,7 @@
   held.recovered = recovered_;
   held.probe = probe;
   held.wantsReply = wantsReply;
-  held.freshness = source_.freshness();
+  held.freshness = freshness_.value();
   peers_.sendTo(relayId, wire::encodeFrame(held));
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "membership/endpoint_directory.h"
 #include "membership/peer_links.h"
 #include "quota/quota_queue.h"
+#include "relay/covered_freshness.h"
 #include "relay/crash_spread.h"
 #include "relay/freshness_confirmer.h"
 #include "relay/node_sessions.h"
@@ -22,6 +24,7 @@
 #include "relay/state_spread.h"
 #include "relay/table_replica.h"
 #include "relay/version_reports.h"
+#include "table/table_observer.h"
 
 namespace driftlug::relay {
 
@@ -51,11 +54,15 @@
 };
 
 /// One relay process without its sockets. All state is soft.
-class Relay : public base::ConnectionHandler {
+class Relay : public base::ConnectionHandler, public table::TableObserver {
  public:
   Relay(RelayOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network);
   ~Relay() override;
 
+  /// Serves the table of a controller in the same process, which outlives this object and tells it of changes. To be
+  /// called before start().
+  void shareTable(const table::Table& table) { replica_.share(table); }
+
   /// Connects to controllers and peers.
   void start();
 
@@ -85,13 +92,18 @@
   void onMessage(base::ConnectionId connection, wire::Message message) override;
   void onClose(base::ConnectionId connection) override;
 
+  void onTableChange(const table::ChangedRows& rows) override;
+  void onTableReplaced() override;
+
  private:
   // Source
   void onControllerMessage(base::ConnectionId connection, const wire::Message& message);
   void subscribeToSource(int64_t revision);
   void onTableUpdate(const wire::TableUpdate& update);
   void onConfirmReply(const wire::ConfirmReply& reply);
+  void takeChange(const table::ChangedRows& rows);
   void onTableAdvanced();
+  void advanceSoon();
 
   void onMemberList(const wire::MemberList& list);
   void usePeers();
@@ -154,7 +166,10 @@
   std::map<base::ConnectionId, base::TimePoint> unsubscribed_;             // nodes' connections without a session
   std::map<std::string, int> connectionsOf_;                               // open connections by peer id, for leases
   wire::RelayList relayList_;                                              // all relays, as the controllers tell
+  CoveredFreshness freshness_;  // of the controllers, as far as the table is at least as new
   bool recovered_ = false;
+  std::optional<int64_t> provenAt_;  // by a controller: the table is recent once it has reached this revision
+  bool advanceScheduled_ = false;
   bool stopping_ = false;
   int64_t lastToken_ = 0;  // of all questions about freshness; never reused
   bool reportScheduled_ = false;
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -117,7 +117,7 @@
   crashes_.tell(connection, nodes_.find(connection));
   // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
   const bool follows = source_.source() != 0;
-  nodes_.heartbeatTo(connection, confirmed || follows ? source_.freshness() : wire::Freshness());
+  nodes_.heartbeatTo(connection, confirmed || follows ? freshness_.value() : wire::Freshness());
   if (confirmed) {
     nodes_.deliverFirst(connection, request.digest);
   } else {
@@ -232,18 +232,21 @@
 
 void Relay::onNodeTimer() {
   nodeTimer_.start(options_.nodeHeartbeat);
-  nodes_.heartbeat(source_.freshness(), source_.source() != 0);
+  nodes_.heartbeat(freshness_.value(), source_.source() != 0);
   nodes_.deliverAll();
   versions_.tellUnsettled();
   const auto now = scheduler_.now();
   closeSilentNodes();
-  // A relay whose releases stall can't serve changes; its nodes are better off elsewhere.
+  // A relay whose table or whose releases stall can't serve changes; its nodes are better off elsewhere.
+  const auto behind = freshness_.behindSince();
+  const bool stalled = behind && now - *behind > options_.blockedLimit;
   bool blocked = false;
   for (const auto& group : options_.releaseGroups) {
     blocked = blocked || (releases_.serves(group.zone) && releases_.released(group.zone) < replica_.revision());
   }
-  if (!blocked || now - startedAt_ < kStartGrace) releasedAt_ = now;
-  if (blocked && now - releasedAt_ > options_.blockedLimit) {
+  const bool starting = now - startedAt_ < kStartGrace;
+  if (!blocked || starting) releasedAt_ = now;
+  if ((stalled && !starting) || (blocked && now - releasedAt_ > options_.blockedLimit)) {
     for (const auto& relayId : releases_.peers()) sendHeld(relayId, 0, true);
     sendAllAway();
   }
--- a/src/relay/slice_cache.cc
+++ b/src/relay/slice_cache.cc
@@ -9,14 +9,19 @@
 
 }  // namespace
 
-bool CachedSlice::update(const table::Table& table, const std::vector<table::RowPtr>& changed,
-                         const std::vector<table::RowPtr>& previous) {
-  if (!slice_.update(table, changed, previous)) return false;
+bool CachedSlice::update(const table::Table& table, const table::ChangedRows& rows) {
+  if (!slice_.update(table, rows)) return false;
   frames_.clear();
   whole_ = {};
   return true;
 }
 
+void CachedSlice::refresh(const table::Table& table) {
+  if (!slice_.refresh(table)) return;
+  frames_.clear();
+  whole_ = {};
+}
+
 wire::FramePtr CachedSlice::choose(Encoded* encoded, bool packed) {
   if (!packed) return encoded->plain;
   if (!encoded->packed) encoded->packed = wire::packFrame(encoded->plain);
@@ -58,8 +63,7 @@
 }
 
 std::vector<std::shared_ptr<CachedSlice>> SliceCache::onTableChange(const table::Table& table,
-                                                                    const std::vector<table::RowPtr>& changed,
-                                                                    const std::vector<table::RowPtr>& previous) {
+                                                                    const table::ChangedRows& rows) {
   std::vector<std::shared_ptr<CachedSlice>> refreshed;
   for (auto entry = slices_.begin(); entry != slices_.end();) {
     const auto slice = entry->second.lock();
@@ -68,9 +72,15 @@
       continue;
     }
     ++entry;
-    if (slice->update(table, changed, previous)) refreshed.push_back(slice);
+    if (slice->update(table, rows)) refreshed.push_back(slice);
   }
   return refreshed;
 }
 
+void SliceCache::refresh(const table::Table& table) {
+  for (const auto& [interest, entry] : slices_) {
+    if (const auto slice = entry.lock()) slice->refresh(table);
+  }
+}
+
 }  // namespace driftlug::relay
--- a/src/relay/slice_cache.h
+++ b/src/relay/slice_cache.h
@@ -19,11 +19,11 @@
   int64_t revision() const { return slice_.revision(); }
 
   /// Follows a change of the table.
-  /// @param changed rows as they are now
-  /// @param previous the same rows before, null where there was none
   /// @return whether the slice changed
-  bool update(const table::Table& table, const std::vector<table::RowPtr>& changed,
-              const std::vector<table::RowPtr>& previous);
+  bool update(const table::Table& table, const table::ChangedRows& rows);
+
+  /// Computes the slice anew, after the whole table was replaced.
+  void refresh(const table::Table& table);
 
   /// @param packed whether the node takes packed frames, which spare a narrow link most of a large slice
   /// @return every row, labelled with a table revision at which the slice is as it is now.
@@ -55,12 +55,11 @@
   std::shared_ptr<CachedSlice> get(const table::Interest& wanted, const table::Table& table);
 
   /// Brings slices up to date after rows changed.
-  /// @param changed rows as they are now
-  /// @param previous the same rows before, null where there was none
   /// @return slices that changed
-  std::vector<std::shared_ptr<CachedSlice>> onTableChange(const table::Table& table,
-                                                          const std::vector<table::RowPtr>& changed,
-                                                          const std::vector<table::RowPtr>& previous);
+  std::vector<std::shared_ptr<CachedSlice>> onTableChange(const table::Table& table, const table::ChangedRows& rows);
+
+  /// Computes all slices anew, after the whole table was replaced.
+  void refresh(const table::Table& table);
 
   size_t size() const { return slices_.size(); }
 
--- a/src/relay/table_replica.cc
+++ b/src/relay/table_replica.cc
@@ -1,30 +1,26 @@
 #include "relay/table_replica.h"
 
-#include "table/row_change.h"
-
 namespace driftlug::relay {
 
-ReplicaResult TableReplica::apply(const wire::TableUpdate& update, ReplicaChange* change) {
-  if (update.toRevision <= table_.revision()) return ReplicaResult::kNothingNew;
+ReplicaResult TableReplica::apply(const wire::TableUpdate& update, table::ChangedRows* change) {
+  if (update.toRevision <= copy_.revision()) return ReplicaResult::kNothingNew;
   if (update.full) return applyFull(update, change);
-  if (update.fromRevision > table_.revision()) return ReplicaResult::kBaseMismatch;
+  if (update.fromRevision > copy_.revision()) return ReplicaResult::kBaseMismatch;
   return applyDelta(update, change);
 }
 
-ReplicaResult TableReplica::applyDelta(const wire::TableUpdate& update, ReplicaChange* change) {
-  table::RowChange rows(&table_);
+ReplicaResult TableReplica::applyDelta(const wire::TableUpdate& update, table::ChangedRows* change) {
+  table::RowChange rows(&copy_);
   for (const auto& row : update.rows) {
-    if (row.revision > table_.rowRevision(row.key)) rows.put(table::storeRow(row));
+    if (row.revision > copy_.rowRevision(row.key)) rows.put(table::storeRow(row));
   }
-  if (!(table_.digest() == update.digest)) return ReplicaResult::kDigestMismatch;
-  rows.keep();
-  table_.advanceTo(update.toRevision);
-  change->changed = rows.changed();
-  change->previous = rows.previous();
+  if (!(copy_.digest() == update.digest)) return ReplicaResult::kDigestMismatch;
+  *change = rows.keep();
+  copy_.advanceTo(update.toRevision);
   return ReplicaResult::kApplied;
 }
 
-ReplicaResult TableReplica::applyFull(const wire::TableUpdate& update, ReplicaChange* change) {
+ReplicaResult TableReplica::applyFull(const wire::TableUpdate& update, table::ChangedRows* change) {
   table::Table fresh;
   for (const auto& row : update.rows) {
     if (row.deleted) {
@@ -32,7 +28,7 @@
       continue;
     }
     // Unchanged rows keep their identity, so that slices see which rows really changed.
-    auto known = table_.find(row.key);
+    auto known = copy_.find(row.key);
     if (known && known->revision == row.revision) {
       fresh.put(known);
       continue;
@@ -49,7 +45,7 @@
     change->previous.clear();
     return ReplicaResult::kDigestMismatch;
   }
-  for (const auto& [key, row] : table_.rows()) {
+  for (const auto& [key, row] : copy_.rows()) {
     if (fresh.find(key)) continue;
     wire::Row removed;
     removed.key = key;
@@ -58,7 +54,7 @@
     change->changed.push_back(table::storeRow(std::move(removed)));
     change->previous.push_back(row);
   }
-  table_ = std::move(fresh);
+  copy_ = std::move(fresh);
   return ReplicaResult::kApplied;
 }
 
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -22,17 +22,19 @@
 }
 
 RoutingTable::RoutingTable(const RoutingTable& before, const table::Table& slice, int64_t revision,
-                           const std::vector<table::RowPtr>& changed, const std::vector<table::RowPtr>& previous)
+                           const table::ChangedRows& rows)
     : revision_(revision), routes_(before.routes_), services_(before.services_), tenants_(before.tenants_) {
   std::set<std::string> hosts;
   bool servicesDiffer = false;
   bool tenantsDiffer = false;
-  for (size_t i = 0; i < changed.size(); ++i) {
-    const auto kind = changed[i]->key.kind;
+  for (size_t i = 0; i < rows.changed.size(); ++i) {
+    const auto& row = *rows.changed[i];
+    const auto& previous = rows.previous[i];
+    const auto kind = row.key.kind;
     servicesDiffer = servicesDiffer || (kind != table::RowKind::ROUTE && kind != table::RowKind::TENANT);
     tenantsDiffer = tenantsDiffer || kind == table::RowKind::TENANT;
-    if (changed[i]->__isset.routeRow) hosts.insert(changed[i]->routeRow.host);
-    if (previous[i] && previous[i]->__isset.routeRow) hosts.insert(previous[i]->routeRow.host);
+    if (row.__isset.routeRow) hosts.insert(row.routeRow.host);
+    if (previous && previous->__isset.routeRow) hosts.insert(previous->routeRow.host);
   }
   routes_.update(slice, hosts);
   if (servicesDiffer) services_ = servicesOf(slice);
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -11,6 +11,7 @@
 
 #include "rollout/version_policy.h"
 #include "routing/route_index.h"
+#include "table/row_change.h"
 #include "table/table.h"
 #include "tenants/tenant_directory.h"
 
@@ -57,10 +58,8 @@
 
   /// As a version built anew, at the cost of what differs.
   /// @param before the version before, whose parts are shared where no row of theirs has changed
-  /// @param changed rows that differ between the versions, as they are now or tombstones
-  /// @param previous the same rows before, null where there was none
-  RoutingTable(const RoutingTable& before, const table::Table& slice, int64_t revision,
-               const std::vector<table::RowPtr>& changed, const std::vector<table::RowPtr>& previous);
+  /// @param rows that differ between the versions
+  RoutingTable(const RoutingTable& before, const table::Table& slice, int64_t revision, const table::ChangedRows& rows);
 
   int64_t revision() const { return revision_; }
 
--- a/src/table/row_change.h
+++ b/src/table/row_change.h
@@ -1,12 +1,21 @@
 /// Changes of a table that are taken back unless they are kept.
 #pragma once
 
+#include <utility>
 #include <vector>
 
 #include "table/table.h"
 
 namespace driftlug::table {
 
+/// Rows that changed together.
+struct ChangedRows {
+  std::vector<RowPtr> changed;   ///< as they are now, tombstones among them
+  std::vector<RowPtr> previous;  ///< the same rows before, null where there was none
+
+  bool empty() const { return changed.empty(); }
+};
+
 /// Changes rows in place, so that what is refused costs no copy of the table.
 class RowChange {
  public:
@@ -17,29 +26,31 @@
   /// Takes all back, unless keep() was called.
   ~RowChange() {
     if (kept_) return;
-    for (size_t i = changed_.size(); i-- > 0;) table_->undoPut(changed_[i]->key, previous_[i], previousRevision_);
+    for (size_t i = rows_.changed.size(); i-- > 0;) {
+      table_->undoPut(rows_.changed[i]->key, rows_.previous[i], previousRevision_);
+    }
   }
 
   void put(const RowPtr& row) {
-    previous_.push_back(table_->findAny(row->key));
-    changed_.push_back(row);
+    rows_.previous.push_back(table_->findAny(row->key));
+    rows_.changed.push_back(row);
     table_->put(row);
   }
 
-  void keep() { kept_ = true; }
-
-  /// @return rows as they are now, tombstones among them, in the order of put().
-  const std::vector<RowPtr>& changed() const { return changed_; }
+  /// @return the rows that changed, in the order of put().
+  ChangedRows keep() {
+    kept_ = true;
+    return std::move(rows_);
+  }
 
-  /// @return the same rows before, null where there was none.
-  const std::vector<RowPtr>& previous() const { return previous_; }
+  /// @return the rows put so far.
+  const ChangedRows& rows() const { return rows_; }
 
  private:
   Table* table_;
   int64_t previousRevision_;
   bool kept_ = false;
-  std::vector<RowPtr> changed_;
-  std::vector<RowPtr> previous_;
+  ChangedRows rows_;
 };
 
 }  // namespace driftlug::table
--- a/src/table/slice.cc
+++ b/src/table/slice.cc
@@ -71,10 +71,10 @@
   return true;
 }
 
-bool Slice::update(const Table& table, const std::vector<RowPtr>& changed, const std::vector<RowPtr>& previous) {
+bool Slice::update(const Table& table, const ChangedRows& rows) {
   if (firstRevision_ == 0) return refresh(table);
   bool differs = false;
-  for (const auto& key : selection_.take(table, changed, previous)) {
+  for (const auto& key : selection_.take(table, rows)) {
     const auto row = table.find(key);
     const bool selected = row && selection_.selects(*row);
     differs = settle(key, selected ? row : nullptr, table.revision()) || differs;
--- a/src/table/slice.h
+++ b/src/table/slice.h
@@ -35,10 +35,8 @@
   bool contains(const RowKey& key) const { return members_.count(key) > 0; }
 
   /// Follows a change of the table that was given last.
-  /// @param changed rows as they are now, tombstones among them
-  /// @param previous the same rows before, null where there was none
   /// @return whether the slice changed
-  bool update(const Table& table, const std::vector<RowPtr>& changed, const std::vector<RowPtr>& previous);
+  bool update(const Table& table, const ChangedRows& rows);
 
   /// Computes the slice anew from a table.
   /// @return whether it changed
--- a/src/table/slice_selection.cc
+++ b/src/table/slice_selection.cc
@@ -70,14 +70,14 @@
   collecting_ = true;
 }
 
-KeySet SliceSelection::take(const Table& table, const std::vector<RowPtr>& changed,
-                            const std::vector<RowPtr>& previous) {
-  for (size_t i = 0; i < changed.size(); ++i) {
-    const auto& row = *changed[i];
+KeySet SliceSelection::take(const Table& table, const ChangedRows& rows) {
+  for (size_t i = 0; i < rows.changed.size(); ++i) {
+    const auto& row = *rows.changed[i];
     touch(row.key);
     if (row.key.kind == RowKind::SERVICE) unsettled_.insert(row.key.name);
     if (row.key.kind != RowKind::ROUTE) continue;
-    if (previous[i] && !previous[i]->deleted) takeRoute(*previous[i], false);
+    const auto& previous = rows.previous[i];
+    if (previous && !previous->deleted) takeRoute(*previous, false);
     if (!row.deleted) takeRoute(row, true);
   }
   for (const auto& name : std::exchange(unsettled_, {})) settleService(table, name);
--- a/src/table/slice_selection.h
+++ b/src/table/slice_selection.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "table/row_change.h"
 #include "table/table.h"
 
 namespace driftlug::table {
@@ -39,10 +40,8 @@
   void begin(const Table& table);
 
   /// Takes a change of the table in.
-  /// @param changed rows as they are now, tombstones among them
-  /// @param previous the same rows before, null where there was none
   /// @return the changed rows' keys, and those of rows that may be selected or not because of the change
-  KeySet take(const Table& table, const std::vector<RowPtr>& changed, const std::vector<RowPtr>& previous);
+  KeySet take(const Table& table, const ChangedRows& rows);
 
   /// @return whether a live row of the table is selected.
   bool selects(const StoredRow& row) const;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -438,6 +438,8 @@
 struct RelaySubscribe {
   1: i64 revision
   2: Digest digest
+  /** The relay reads the table of the controller in its process, and takes no updates. */
+  3: bool sharesTable
 }
 
 /** Answer of a controller that does not lead. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -8264,6 +8264,10 @@
 void RelaySubscribe::__set_digest(const Digest& val) {
   this->digest = val;
 }
+
+void RelaySubscribe::__set_sharesTable(const bool val) {
+  this->sharesTable = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelaySubscribe& obj)
 {
   obj.printTo(out);
@@ -8308,6 +8312,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sharesTable);
+          this->__isset.sharesTable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8333,6 +8345,10 @@
   xfer += this->digest.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sharesTable", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->sharesTable);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8342,28 +8358,33 @@
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.digest, b.digest);
+  swap(a.sharesTable, b.sharesTable);
   swap(a.__isset, b.__isset);
 }
 
 RelaySubscribe::RelaySubscribe(const RelaySubscribe& other285) noexcept {
   revision = other285.revision;
   digest = other285.digest;
+  sharesTable = other285.sharesTable;
   __isset = other285.__isset;
 }
 RelaySubscribe::RelaySubscribe(RelaySubscribe&& other286) noexcept {
   revision = other286.revision;
   digest = std::move(other286.digest);
+  sharesTable = other286.sharesTable;
   __isset = other286.__isset;
 }
 RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other287) noexcept {
   revision = other287.revision;
   digest = other287.digest;
+  sharesTable = other287.sharesTable;
   __isset = other287.__isset;
   return *this;
 }
 RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other288) noexcept {
   revision = other288.revision;
   digest = std::move(other288.digest);
+  sharesTable = other288.sharesTable;
   __isset = other288.__isset;
   return *this;
 }
@@ -8372,6 +8393,7 @@
   out << "RelaySubscribe(";
   out << "revision=" << to_string(revision);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "sharesTable=" << to_string(sharesTable);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -3432,9 +3432,10 @@
 std::ostream& operator<<(std::ostream& out, const Freshness& obj);
 
 typedef struct _RelaySubscribe__isset {
-  _RelaySubscribe__isset() : revision(false), digest(false) {}
+  _RelaySubscribe__isset() : revision(false), digest(false), sharesTable(false) {}
   bool revision :1;
   bool digest :1;
+  bool sharesTable :1;
 } _RelaySubscribe__isset;
 
 class RelaySubscribe : public virtual ::apache::thrift::TBase {
@@ -3445,12 +3446,17 @@
   RelaySubscribe& operator=(const RelaySubscribe&) noexcept;
   RelaySubscribe& operator=(RelaySubscribe&&) noexcept;
   RelaySubscribe() noexcept
-                 : revision(0) {
+                 : revision(0),
+                   sharesTable(0) {
   }
 
   virtual ~RelaySubscribe() noexcept;
   int64_t revision;
   Digest digest;
+  /**
+   * The relay reads the table of the controller in its process, and takes no updates.
+   */
+  bool sharesTable;
 
   _RelaySubscribe__isset __isset;
 
@@ -3458,12 +3464,16 @@
 
   void __set_digest(const Digest& val);
 
+  void __set_sharesTable(const bool val);
+
   bool operator == (const RelaySubscribe & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(sharesTable == rhs.sharesTable))
+      return false;
     return true;
   }
   bool operator != (const RelaySubscribe &rhs) const {
--- a/test/consensus/raft_replication_test.cc
+++ b/test/consensus/raft_replication_test.cc
@@ -35,11 +35,12 @@
 
 /// A leader of its own, with learners.
 struct LeaderFixture {
-  LeaderFixture() : process(queue, "leader", {"zone", "region"}, {"10.0.0.1", 1}), store(disk) {
+  explicit LeaderFixture(const RaftOptions& options = {})
+      : process(queue, "leader", {"zone", "region"}, {"10.0.0.1", 1}), store(disk) {
     process.start();
     const auto state = store.open();
     REQUIRE(state.ok());
-    raft = std::make_unique<Raft>("leader", RaftOptions{}, process, base::RandomSource(1), store, transport, listener);
+    raft = std::make_unique<Raft>("leader", options, process, base::RandomSource(1), store, transport, listener);
     raft->start(*state);
     raft->bootstrap(memberOf("leader", true));
     settle();
@@ -118,4 +119,23 @@
   CHECK(std::get<wire::AppendRequest>(*message).entries.size() == 1);
 }
 
+TEST_CASE("followers are told of a commit at once where they serve from what they apply") {
+  RaftOptions options;
+  options.announceCommits = true;
+  LeaderFixture leader(options);
+  wire::LogEntry entry;
+  entry.kind = wire::EntryKind::NOOP;
+  REQUIRE(leader.raft->propose(entry).ok());
+  leader.transport.sent.clear();
+  leader.disk.finishSyncs();
+  const auto before = leader.queue.now();
+  while (leader.queue.runNext(before)) {
+  }
+  REQUIRE(leader.transport.sent.size() == 3);
+  const auto& frame = leader.transport.sent.at("a").front();
+  const auto message = wire::decodeFrame(std::string_view(*frame).substr(wire::kLengthBytes));
+  REQUIRE(message.ok());
+  CHECK(std::get<wire::AppendRequest>(*message).commitIndex == leader.raft->lastIndex());
+}
+
 }  // namespace driftlug::consensus
--- a/test/slow_fleet/core_machine.cc
+++ b/test/slow_fleet/core_machine.cc
@@ -53,6 +53,7 @@
 	options.membership.leastVoters = kLeastVoters;
 	options.raft.heartbeatInterval = base::milliseconds(100);
 	options.raft.electionTimeout = base::milliseconds(400);
+	options.raft.announceCommits = true;
 	options.relayHeartbeat = kRelayHeartbeat;
 	for (const auto& seed : m_seeds)
 	{
@@ -89,6 +90,8 @@
 	m_relay =
 		std::make_unique<relay::Relay>(options, m_relayProcess, base::RandomSource(m_random.bits()), *m_relaySockets);
 	m_relaySockets->setHandler(m_relay.get());
+	m_relay->shareTable(m_controller->state().table());
+	m_controller->observeTable(m_relay.get());
 	m_simulated.listen(m_relaySockets.get());
 	m_relay->start();
 }
--- a/test/table/slice_test.cc
+++ b/test/table/slice_test.cc
@@ -89,7 +89,7 @@
       const auto row = draw.next(revision);
       const auto previous = table.findAny(row->key);
       table.put(row);
-      (void)slice.update(table, {row}, {previous});
+      (void)slice.update(table, {{row}, {previous}});
       table::KeySet held;
       for (const auto* member : slice.allRows()) held.insert(member->key);
       REQUIRE(held == Walk(table, slice.interest()).keys());
@@ -162,7 +162,7 @@
       if (row->deleted && (!previous || previous->deleted)) continue;
       const auto before = slice.digest();
       table.put(row);
-      const bool changed = slice.update(table, {row}, {previous});
+      const bool changed = slice.update(table, {{row}, {previous}});
       CHECK(changed == !(slice.digest() == before));
       CHECK(slice.digest() == table::Slice(slice.interest(), table).digest());
       readers.emplace_back(revision, applyRows({}, slice.allRows()));
--- a/test/work/large_table.h
+++ b/test/work/large_table.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "table/row_change.h"
 #include "table_rows.h"
 
 namespace driftlug::test
@@ -19,16 +20,14 @@
 		put(serviceRow("archive", 1));
 		put(serviceRow("intake", 1));
 		addRoutes(_routes);
-		changed.clear();
-		previous.clear();
+		change = {};
 	}
 
-	/// Adds routes under the next revision; `changed` and `previous` tell of them.
+	/// Adds routes under the next revision; `change` tells of them.
 	void addRoutes(size_t _count)
 	{
 		const int64_t revision = table.revision() + 1;
-		changed.clear();
-		previous.clear();
+		change = {};
 		for (size_t i = 0; i < _count; ++i)
 		{
 			const auto name = std::to_string(m_next++);
@@ -40,7 +39,7 @@
 	std::vector<wire::Row> changedRows() const
 	{
 		std::vector<wire::Row> rows;
-		for (const auto& row : changed)
+		for (const auto& row : change.changed)
 		{
 			rows.push_back(*row);
 		}
@@ -48,14 +47,13 @@
 	}
 
 	table::Table table;
-	std::vector<table::RowPtr> changed;
-	std::vector<table::RowPtr> previous;
+	table::ChangedRows change;  //!< Of the last addRoutes().
 
 private:
 	void put(const table::RowPtr& _row)
 	{
-		previous.push_back(table.findAny(_row->key));
-		changed.push_back(_row);
+		change.previous.push_back(table.findAny(_row->key));
+		change.changed.push_back(_row);
 		table.put(_row);
 	}
 
--- a/test/work/log_work_test.cc
+++ b/test/work/log_work_test.cc
@@ -89,7 +89,7 @@
 			entry.term = 1;
 			entry.kind = wire::EntryKind::EDIT;
 			entry.__isset.edit = true;
-			for (const auto& row : rows.changed)
+			for (const auto& row : rows.change.changed)
 			{
 				wire::Mutation mutation;
 				mutation.row = *row;
--- a/test/work/relay_work_test.cc
+++ b/test/work/relay_work_test.cc
@@ -21,7 +21,7 @@
 	const int64_t before = rows.table.revision();
 	rows.addRoutes(kChange);
 	const auto start = allocationsSoFar().count;
-	(void)slices.onTableChange(rows.table, rows.changed, rows.previous);
+	(void)slices.onTableChange(rows.table, rows.change);
 	(void)slice->updateFrom(before, true);
 	return allocationsSoFar().count - start;
 }
