--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -132,6 +132,9 @@
   const Evacuations& evacuations() const { return evacuations_; }
   const quota::quota_grantor& quotas() const { return quotas_; }
   const std::string& name() const { return options_.name; }
+
+  /// @return the loop that this controller runs on.
+  base::Scheduler& scheduler() { return scheduler_; }
   std::string leaderName() const;
   bool ready() const { return raft_ != nullptr && !raft_->leaderId().empty(); }
 
--- a/src/table/row.h
+++ b/src/table/row.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -52,6 +53,13 @@
   }
 };
 
+/// Hashes keys, for containers without an order.
+struct RowKeyHash {
+  size_t operator()(const RowKey& key) const {
+    return std::hash<std::string>()(key.name) * 31 + static_cast<size_t>(key.kind);
+  }
+};
+
 /// @return the name of a kind in paths and files, such as `retry_policy`.
 std::string_view kindName(RowKind::type kind);
 
--- a/test/slow_fleet/core_machine.cc
+++ b/test/slow_fleet/core_machine.cc
@@ -61,6 +61,7 @@
 	}
 	m_controller = std::make_unique<controller::Controller>(
 		options, m_controllerProcess, base::RandomSource(m_random.bits()), *m_controllerSockets, m_disk);
+	m_pages = std::make_unique<platform::ConfigApi>(*m_controller);
 	m_controllerSockets->setHandler(m_controller.get());
 	m_controller->start(
 		[this](const absl::Status& _status)
@@ -96,6 +97,15 @@
 	m_relay->start();
 }
 
+void core_machine::request(const transport::HttpRequest& _request, const platform::Respond& _respond)
+{
+	m_controllerProcess.run(m_controllerProcess.incarnation(),
+							[this, _request, _respond]
+							{
+								(void)m_pages->handle(_request, _respond);
+							});
+}
+
 void core_machine::kill()
 {
 	m_simulated.onDeath(m_controllerSockets.get(), false);
@@ -107,6 +117,7 @@
 	}
 	m_ready = false;
 	m_relay.reset();
+	m_pages.reset();
 	m_controller.reset();
 	m_relaySockets.reset();
 	m_controllerSockets.reset();
--- a/test/slow_fleet/core_machine.h
+++ b/test/slow_fleet/core_machine.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "config_api.h"
 #include "controller/controller.h"
 #include "relay/relay.h"
 #include "simulation/simulated_disk.h"
@@ -23,6 +24,9 @@
 
 	void start(bool _founding);
 
+	/// A client of the operators' pages sends a request; `_respond` may never be called.
+	void request(const transport::HttpRequest& _request, const platform::Respond& _respond);
+
 	/// Its process ends, the disk is kept.
 	void kill();
 
@@ -59,6 +63,7 @@
 	std::unique_ptr<simulation::ProcessNetwork> m_controllerSockets;
 	std::unique_ptr<simulation::ProcessNetwork> m_relaySockets;
 	std::unique_ptr<controller::Controller> m_controller;
+	std::unique_ptr<platform::ConfigApi> m_pages;
 	std::unique_ptr<relay::Relay> m_relay;
 	bool m_ready = false;
 };
--- a/test/slow_fleet/growing_table_test.cc
+++ b/test/slow_fleet/growing_table_test.cc
@@ -11,6 +11,7 @@
 constexpr int kChanges = 4;
 constexpr base::Duration kInForce = base::seconds(2);    // behind an acknowledgement, on all nodes
 constexpr base::Duration kRecovery = base::seconds(15);  // behind the start of all processes
+constexpr base::Duration kElectionTimeout = base::milliseconds(400);
 constexpr base::Duration kBetweenChanges = base::seconds(5);
 
 }  // namespace
@@ -29,6 +30,7 @@
 		fleet.runFor(kBetweenChanges);
 	}
 	CHECK(fleet.term() == term);
+	CHECK(fleet.longestEvent() < kElectionTimeout);
 }
 
 TEST_CASE("a large table is in force again in time after all processes were killed")
@@ -43,6 +45,7 @@
 	const auto term = fleet.term();
 	fleet.killAll(base::seconds(1));
 	fleet.runFor(kRecovery);
+	CHECK(fleet.readBack());
 	CHECK(fleet.nodesUpToDate() == fleet.nodes());
 	CHECK(fleet.term() <= term + 3);
 }
--- a/test/slow_fleet/slow_fleet.cc
+++ b/test/slow_fleet/slow_fleet.cc
@@ -1,5 +1,8 @@
 #include "slow_fleet.h"
 
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 
 namespace driftlug::test
@@ -24,28 +27,23 @@
 	return "10.0.0." + std::to_string(_position + 1);
 }
 
-wire::Mutation serviceNamed(const std::string& _name)
+std::string serviceResource(const std::string& _name)
+{
+	return R"({"resourceType":"services","metadata":{"name":")" + _name
+		   + R"("},"spec":{"healthPath":"/healthz","maxConnections":500,"protocol":"h1","tls":false}})";
+}
+
+std::string routeResource(const std::string& _name, const std::string& _service)
 {
-	wire::Mutation mutation;
-	mutation.row.key = table::makeKey(wire::RowKind::SERVICE, _name);
-	mutation.row.__isset.serviceRow = true;
-	return mutation;
+	return R"({"resourceType":"routes","metadata":{"name":"r-)" + _name + R"("},"spec":{"host":")" + _name
+		   + R"(.example","pathPrefix":"/)" + _name
+		   + R"(/","routeType":"safe","timeoutMs":1200,"targetLatencyMs":300,"priority":2,"retryAttempts":2,"service":")"
+		   + _service + R"("}})";
 }
 
-wire::Mutation routeTo(const std::string& _service, const std::string& _name)
+std::string versionText(int _version)
 {
-	wire::Mutation mutation;
-	mutation.row.key = table::makeKey(wire::RowKind::ROUTE, "r-" + _name);
-	mutation.row.__isset.routeRow = true;
-	auto& route = mutation.row.routeRow;
-	route.host = _name + ".example";
-	route.pathPrefix = "/" + _name + "/";
-	route.timeoutMs = 1000;
-	wire::WeightedService share;
-	share.serviceName = _service;
-	share.weight = table::kWeightSum;
-	route.shares.push_back(share);
-	return mutation;
+	return absl::StrFormat("%08x", _version);
 }
 
 }  // namespace
@@ -76,6 +74,10 @@
 		m_nodes.back()->start();
 	}
 	runFor(kFormation);
+	for (const auto& service : kServices)
+	{
+		m_resources.push_back(serviceResource(service));
+	}
 }
 
 void slow_fleet::runFor(base::Duration _duration)
@@ -109,49 +111,68 @@
 	}
 }
 
-wire::EditCommand slow_fleet::nextEdit(size_t _count)
+std::string slow_fleet::nextConfig(size_t _count)
 {
-	wire::EditCommand edit;
-	edit.requestId = "edit-" + std::to_string(++m_edits);
-	if (1 == m_edits)
-	{
-		for (const auto& service : kServices)
-		{
-			edit.mutations.push_back(serviceNamed(service));
-		}
-	}
 	for (size_t i = 0; i < _count; ++i)
 	{
-		const auto name = std::to_string(m_routes++) + "x" + std::to_string(m_random.below(1'000'000));
-		edit.mutations.push_back(routeTo(kServices[i % kServices.size()], name));
+		const auto name = std::to_string(m_resources.size()) + "x" + std::to_string(m_random.below(1'000'000));
+		m_resources.push_back(routeResource(name, kServices[i % kServices.size()]));
 	}
-	return edit;
+	const auto base = versionText(m_version);
+	const auto version = versionText(++m_version);
+	return R"({"version":")" + version + R"(","baseVersion":")" + base + R"(","resources":[)"
+		   + absl::StrJoin(m_resources, ",") + "]}";
 }
 
-bool slow_fleet::addRoutes(size_t _count)
+std::optional<transport::HttpResponse> slow_fleet::ask(const transport::HttpRequest& _request)
 {
-	auto edit = nextEdit(_count);
-	bool accepted = false;
+	std::optional<transport::HttpResponse> answer;
 	bool asking = false;
 	const auto until = m_queue.now() + kAcceptance;
-	while (!accepted && m_queue.now() < until)
+	while (m_queue.now() < until)
 	{
-		if (auto* leading = leader(); leading != nullptr && !asking)
+		auto* machine = leading();
+		if (machine != nullptr && !asking)
 		{
 			asking = true;
-			edit.baseRevision = leading->state().table().revision();
-			leading->submitEdit(edit,
-								[&](const controller::EditAnswer& _answer)
-								{
-									asking = false;
-									accepted = base::ErrorCode::kNone == _answer.code;
-									m_revision = _answer.outcome.revision;
-								});
+			machine->request(_request,
+							 [&](transport::HttpResponse _response)
+							 {
+								 asking = false;
+								 answer = std::move(_response);
+							 });
 		}
 		runFor(kStep);
+		if (answer && platform::kOk == answer->status)
+		{
+			return answer;
+		}
 	}
+	return std::nullopt;
+}
+
+bool slow_fleet::addRoutes(size_t _count)
+{
+	transport::HttpRequest request;
+	request.method = "PUT";
+	request.path = "/config";
+	request.body = nextConfig(_count);
+	const auto answer = ask(request);
 	m_acknowledgedAt = m_queue.now();
-	return accepted;
+	if (leader() != nullptr)
+	{
+		m_revision = leader()->state().table().revision();
+	}
+	return answer.has_value();
+}
+
+bool slow_fleet::readBack()
+{
+	transport::HttpRequest request;
+	request.method = "GET";
+	request.path = "/config";
+	const auto answer = ask(request);
+	return answer && answer->body.find(versionText(m_version)) != std::string::npos;
 }
 
 size_t slow_fleet::nodesUpToDate()
@@ -172,9 +193,9 @@
 	return m_queue.now() - m_acknowledgedAt;
 }
 
-controller::Controller* slow_fleet::leader()
+core_machine* slow_fleet::leading()
 {
-	controller::Controller* newest = nullptr;
+	core_machine* newest = nullptr;
 	for (auto& machine : m_core)
 	{
 		auto* controller = machine->controller();
@@ -182,14 +203,20 @@
 		{
 			continue;
 		}
-		if (newest == nullptr || controller->raft().term() > newest->raft().term())
+		if (newest == nullptr || controller->raft().term() > newest->controller()->raft().term())
 		{
-			newest = controller;
+			newest = machine.get();
 		}
 	}
 	return newest;
 }
 
+controller::Controller* slow_fleet::leader()
+{
+	auto* machine = leading();
+	return machine == nullptr ? nullptr : machine->controller();
+}
+
 int64_t slow_fleet::term()
 {
 	const auto* leading = leader();
--- a/test/slow_fleet/slow_fleet.h
+++ b/test/slow_fleet/slow_fleet.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,10 +31,14 @@
 	/// Ends all processes at once, and starts them again after a pause.
 	void killAll(base::Duration _pause);
 
-	/// Puts routes of three services into the table, behind those that are there.
+	/// An operator adds routes of three services to the configuration, and sends the whole of it.
 	/// @returns Whether the change was accepted within 10 s.
 	bool addRoutes(size_t _count);
 
+	/// An operator reads the configuration.
+	/// @returns Whether it came whole within 10 s.
+	bool readBack();
+
 	/// @returns How long behind the acknowledgement of the last change the last node ran it; 20 s for never.
 	base::Duration waitForNodes();
 
@@ -55,7 +60,12 @@
 	base::Duration longestEvent() const;
 
 private:
-	wire::EditCommand nextEdit(size_t _count);
+	std::string nextConfig(size_t _count);
+	core_machine* leading();
+
+	/// Asks whoever leads, again after each refusal.
+	/// @returns The first good answer, if one comes in time.
+	std::optional<transport::HttpResponse> ask(const transport::HttpRequest& _request);
 
 	slow_fleet_options m_options;
 	simulation::EventQueue m_queue;
@@ -63,8 +73,8 @@
 	std::vector<std::unique_ptr<core_machine>> m_core;
 	std::vector<std::unique_ptr<slow_node>> m_nodes;
 	base::RandomSource m_random;
-	size_t m_routes = 0;
-	int m_edits = 0;
+	std::vector<std::string> m_resources;  //!< Of the configuration.
+	int m_version = 0;
 	int64_t m_revision = 0;  //!< Of the last change.
 	base::TimePoint m_acknowledgedAt{};
 };
