A process that stood still takes its own stall for nobody's silence

What callers saw: leaders that stepped down as 'lost its quorum', and elections, behind work of their own; nodes that left relays as silent or old in the same second.

Cause: whether a peer is silent was decided by the clock alone. When a loop comes back from a long event its timers run first, while the peers' answers wait in its sockets. Class: one's own stall taken for the death of others. Links between nodes and keep-alives knew of it, each in its own way; the quorum, elections, a node's patience with its relay, a relay's with its nodes and a leader's with its relays didn't.

Change: a scheduler tells up to when all that had arrived was read (inputReadUntil), and all of these measure silence up to there. The two ways of before are gone.

Tests, failing before: own_stall_test (a leader steps down though its followers answer, a follower asks for votes though its leader's word waits), control_client_suspended_test (a node leaves its relay). Each with its opposite: who is really gone is noticed. event_loop_test for the loop itself.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -65,6 +65,10 @@
 
   /// @return calendar time; in a simulation it runs with the virtual clock.
   virtual WallTime wallTime() const = 0;
+
+  /// A process that stood still has not read yet what others sent meanwhile: others are silent only up to here.
+  /// @return the point in time up to which all that had arrived has been read.
+  virtual TimePoint inputReadUntil() const { return now(); }
 };
 
 /// A single restartable timer that cancels itself on destruction.
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -96,7 +96,7 @@
   if (memberId == id_) return true;
   const auto found = progress_.find(memberId);
   if (found == progress_.end() || found->second.lastAnswer == base::TimePoint{}) return false;
-  return scheduler_.now() - found->second.lastAnswer < options_.electionTimeout;
+  return scheduler_.inputReadUntil() - found->second.lastAnswer < options_.electionTimeout;
 }
 
 absl::StatusOr<int64_t> Raft::propose(wire::LogEntry entry) {
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -45,6 +45,9 @@
     return;
   }
   if (!isVoter(id_) || store_.failed()) return;
+  // A member that stood still has its leader's word still to read.
+  const bool heard = scheduler_.inputReadUntil() - lastLeaderContact_ < options_.electionTimeout;
+  if (!leaderId_.empty() && heard) return;
   if (!leaderId_.empty()) {
     log_.info("{} heard nothing of {}, leader of term {}, for {} ms", id_, leaderId_, hardState_.term,
               base::millisecondsOf(scheduler_.now() - lastLeaderContact_));
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -199,9 +199,9 @@
   for (const auto& member : members_) {
     if (recentlyActive(member.id)) active.insert(member.id);
   }
-  const auto now = scheduler_.now();
-  if (hasQuorum(active)) quorumSeen_ = now;
-  if (!options_.checkQuorum || now - quorumSeen_ < options_.electionTimeout * 2) return;
+  const auto heardUntil = scheduler_.inputReadUntil();
+  if (hasQuorum(active)) quorumSeen_ = heardUntil;
+  if (!options_.checkQuorum || heardUntil - quorumSeen_ < options_.electionTimeout * 2) return;
   log_.warn("{} lost its quorum in term {} and steps down", id_, hardState_.term);
   becomeFollower(hardState_.term, "");
 }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -386,7 +386,7 @@
   removeSilentRelays();
   convergence_.forgetGone();
   if (leads()) rollouts_.tick();
-  for (const auto connection : relays_.silentSince(scheduler_.now() - options_.relayTimeout)) {
+  for (const auto connection : relays_.silentSince(scheduler_.inputReadUntil() - options_.relayTimeout)) {
     network_.close(connection);
     onClose(connection);
   }
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -375,10 +375,11 @@
 void ControlClient::onWatch() {
   watchTimer_.start(kWatchInterval);
   if (connection_ == 0) return;
-  const auto now = scheduler_.now();
-  const bool silent = open_ && now - lastHeard_ > options_.relayTimeout;
-  const bool noSlice = open_ && !sliceSeen_ && now - openedAt_ > firstSlicePatience();
-  const bool stale = open_ && !fresh() && now - openedAt_ > options_.staleAfter;
+  const auto heardUntil = scheduler_.inputReadUntil();
+  const bool silent = open_ && heardUntil - lastHeard_ > options_.relayTimeout;
+  const bool noSlice = open_ && !sliceSeen_ && heardUntil - openedAt_ > firstSlicePatience();
+  const bool stale =
+      open_ && heardUntil - freshSince_ > options_.staleAfter && heardUntil - openedAt_ > options_.staleAfter;
   if (silent) return reconnectLater("silent");
   if (noSlice) return reconnectLater("no version came");
   if (!stale) return;
--- a/src/node/endpoint_links.cc
+++ b/src/node/endpoint_links.cc
@@ -383,10 +383,7 @@
   if (!watchTimer_.running()) watchLater();
 }
 
-void EndpointLinks::watchLater() {
-  watchDue_ = scheduler_.now() + kWatchInterval;
-  watchTimer_.start(kWatchInterval);
-}
+void EndpointLinks::watchLater() { watchTimer_.start(kWatchInterval); }
 
 void EndpointLinks::onHeard(base::ConnectionId connection) {
   const auto found = endpointOf_.find(connection);
@@ -401,15 +398,11 @@
 }
 
 void EndpointLinks::watch() {
-  const auto now = scheduler_.now();
-  // A process that was stopped or starved itself has not read yet what others sent.
-  const bool late = now - watchDue_ > kWatchInterval;
   std::vector<std::string> busy;
   for (auto& [name, link] : links_) {
     const bool awaited = picker_.inFlight(name) > 0 || link.silent;
     if (!link.open || !link.acknowledges || !awaited) continue;
     busy.push_back(name);
-    if (late && link.awaitedSince) link.awaitedSince = now;
   }
   for (const auto& name : busy) {
     // What is done for one link may close another.
@@ -419,14 +412,14 @@
 }
 
 void EndpointLinks::watchLink(const std::string& endpoint, Link* link) {
-  const auto now = scheduler_.now();
+  const auto heardUntil = scheduler_.inputReadUntil();
   if (!link->awaitedSince) {
-    if (now - link->heardAt < kAskAfter) return;
-    link->awaitedSince = now;
+    if (heardUntil - link->heardAt < kAskAfter) return;
+    link->awaitedSince = scheduler_.now();
     return network_.send(link->connection, wire::encodeFrame(wire::KeepAlive()));
   }
-  if (now - *link->awaitedSince >= kReplaceAfter) return replaceConnection(endpoint, link);
-  if (link->silent || now - *link->awaitedSince < kSilentAfter) return;
+  if (heardUntil - *link->awaitedSince >= kReplaceAfter) return replaceConnection(endpoint, link);
+  if (link->silent || heardUntil - *link->awaitedSince < kSilentAfter) return;
   link->silent = true;
   picker_.setSilent(endpoint, true);
   log_.warn("link endpoint={} is silent, {} calls in progress", endpoint, picker_.inFlight(endpoint));
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -172,7 +172,6 @@
   std::optional<base::TimePoint> newsAt_;             // when news were taken, the last time
   base::Timer chooseTimer_;                           // runs while more news are gathered
   base::Timer watchTimer_;                            // runs while calls are in progress, or a link is silent
-  base::TimePoint watchDue_{};
   base::Logger log_{"entry"};
   base::DecisionLog boundLog_;
   int64_t leftOut_ = 0;
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -209,7 +209,7 @@
 /// Those without a session too: a node that is lost between its greeting and its subscription sends no more, gets
 /// nothing that it could leave unacknowledged, and would keep its endpoints alive for good.
 void Relay::closeSilentNodes() {
-  const auto limit = scheduler_.now() - options_.nodeTimeout;
+  const auto limit = scheduler_.inputReadUntil() - options_.nodeTimeout;
   std::vector<base::ConnectionId> silent;
   for (const auto& [connection, session] : nodes_.all()) {
     if (session.lastHeard < limit) silent.push_back(connection);
--- a/src/simulation/process.cc
+++ b/src/simulation/process.cc
@@ -23,6 +23,11 @@
   }
 }
 
+base::TimePoint Process::inputReadUntil() const {
+  if (readUntil_) return *readUntil_;
+  return processor_ == nullptr ? now() : processor_->inputReadUntil() - slept_;
+}
+
 void Process::start() {
   alive_ = true;
   frozen_ = false;
@@ -51,6 +56,7 @@
 
 void Process::thaw() {
   const auto away = queue_.now() - frozenAt_;
+  readUntil_ = frozenAt_ - slept_;
   if (clockStands_) slept_ += away;
   while (!dueTimers_.empty()) {
     const auto timer = std::move(dueTimers_.front());
@@ -58,6 +64,7 @@
     runTimer(timer);
   }
   if (onAway_ && !clockStands_ && away >= base::kOverslept) runNow(onAway_);
+  readUntil_.reset();
   while (!waiting_.empty()) {
     const auto action = std::move(waiting_.front());
     waiting_.pop_front();
--- a/src/simulation/process.h
+++ b/src/simulation/process.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -34,6 +35,7 @@
   base::TimerId schedule(base::Duration delay, std::function<void()> callback) override;
   void cancel(base::TimerId id) override;
   base::WallTime wallTime() const override { return base::WallTime(queue_.now().time_since_epoch()); }
+  base::TimePoint inputReadUntil() const override;
 
   /// Begins a new incarnation.
   void start();
@@ -94,6 +96,7 @@
   bool clockStands_ = false;
   uint64_t incarnation_ = 0;
   base::TimePoint frozenAt_{};
+  std::optional<base::TimePoint> readUntil_;          // on the own clock, while it thaws
   base::Duration slept_{};                            // what the own clock didn't count
   std::deque<std::shared_ptr<Timer>> dueTimers_;      // came due while frozen; cancelled ones have no callback
   std::deque<std::shared_ptr<Timer>> busyTimers_;     // came due while the processor was at work; the same
--- a/src/simulation/processor.cc
+++ b/src/simulation/processor.cc
@@ -8,7 +8,11 @@
 void Processor::run(bool isTimer, std::function<void()> action) {
   const bool free = !working_ && queue_.now() >= freeAt_ && timers_.empty() && messages_.empty();
   if (free) return runNow(action);
-  (isTimer ? timers_ : messages_).push_back(std::move(action));
+  if (isTimer) {
+    timers_.push_back(std::move(action));
+  } else {
+    messages_.push_back({queue_.now(), std::move(action)});
+  }
   wake();
 }
 
@@ -32,16 +36,25 @@
   });
 }
 
+std::function<void()> Processor::takeNext() {
+  std::function<void()> action;
+  if (timers_.empty()) {
+    action = std::move(messages_.front().action);
+    messages_.pop_front();
+  } else {
+    action = std::move(timers_.front());
+    timers_.pop_front();
+  }
+  return action;
+}
+
 void Processor::wake() {
   if (waking_) return;
   waking_ = true;
   queue_.at(std::max(freeAt_, queue_.now()), [this] {
     waking_ = false;
     while (queue_.now() >= freeAt_ && (!timers_.empty() || !messages_.empty())) {
-      auto& next = timers_.empty() ? messages_ : timers_;
-      const auto action = std::move(next.front());
-      next.pop_front();
-      runNow(action);
+      runNow(takeNext());
     }
     if (!timers_.empty() || !messages_.empty()) wake();
   });
--- a/src/simulation/processor.h
+++ b/src/simulation/processor.h
@@ -25,12 +25,21 @@
   /// Runs an action at the end of the one in progress: what is written to a socket leaves at the end of a turn.
   void afterwards(std::function<void()> action);
 
+  /// @return when the oldest message that waits came, or now.
+  base::TimePoint inputReadUntil() const { return messages_.empty() ? queue_.now() : messages_.front().cameAt; }
+
   /// @return longest time that a single action took.
   base::Duration longest() const { return longest_; }
 
  private:
+  struct Message {
+    base::TimePoint cameAt;
+    std::function<void()> action;
+  };
+
   void runNow(const std::function<void()>& action);
   void wake();
+  std::function<void()> takeNext();
 
   EventQueue& queue_;
   Meter meter_;
@@ -39,7 +48,7 @@
   base::TimePoint freeAt_{};
   base::Duration longest_{0};
   std::deque<std::function<void()>> timers_;       // came due while it was at work
-  std::deque<std::function<void()>> messages_;     // came while it was at work
+  std::deque<Message> messages_;                   // came while it was at work
   std::deque<std::function<void()>> atEndOfTurn_;  // of the action in progress
 };
 
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -147,7 +147,11 @@
   const auto time = now();
   const auto late = time - std::exchange(expectedBy_, time);
   const bool waited = std::exchange(waiting_, false);
-  if (!waited) noteEvent(late);
+  if (waited) {
+    wokeAt_ = time;
+  } else {
+    noteEvent(late);
+  }
   if (late >= (waited ? base::kOverslept : kStoodStill)) away_ = std::max(away_, late);
 }
 
@@ -193,6 +197,7 @@
   expectedBy_ = armedFor_ == base::TimePoint{} ? base::TimePoint::max() : std::max(armedFor_, expectedBy_);
   if (lws_service(context_, 0) < 0) stopped_ = true;
   watchClock();
+  inputReadUntil_ = wokeAt_;
   runDue();
   flushStreams();
 }
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -47,6 +47,7 @@
   base::TimerId schedule(base::Duration delay, std::function<void()> callback) override;
   void cancel(base::TimerId id) override;
   base::WallTime wallTime() const override;
+  base::TimePoint inputReadUntil() const override { return inputReadUntil_; }
 
   /// Runs until stop() is called.
   void run();
@@ -136,7 +137,9 @@
   base::TimePoint armedFor_{};
   base::TimePoint expectedBy_ = now();  // when the clock was to be looked at again at the latest
   bool waiting_ = false;                // for an event or a timer
-  std::string_view work_;               // what the event in progress is about; empty for a timer
+  base::TimePoint wokeAt_ = now();      // when the last wait ended
+  base::TimePoint inputReadUntil_ = now();
+  std::string_view work_;  // what the event in progress is about; empty for a timer
   LongEvents longEvents_;
   base::Logger log_{"loop"};
   base::Duration away_{0};                           // not told yet
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -41,26 +41,18 @@
   watchLater();
 }
 
-void FrameTransport::watchLater() {
-  const auto interval = silenceLimit_ / kWatchesPerLimit;
-  watchDue_ = loop_.now() + interval;
-  watchTimer_.start(interval);
-}
+void FrameTransport::watchLater() { watchTimer_.start(silenceLimit_ / kWatchesPerLimit); }
 
-bool FrameTransport::isSilent(const Connection& connection, base::TimePoint now) const {
-  if (connection.awaitedSince) return now - *connection.awaitedSince > silenceLimit_;
-  return connection.keptAlive && now - connection.heardAt > silenceLimit_ * kAbandonedLimits;
+bool FrameTransport::isSilent(const Connection& connection, base::TimePoint heardUntil) const {
+  if (connection.awaitedSince) return heardUntil - *connection.awaitedSince > silenceLimit_;
+  return connection.keptAlive && heardUntil - connection.heardAt > silenceLimit_ * kAbandonedLimits;
 }
 
 void FrameTransport::watch() {
-  const auto now = loop_.now();
-  // A process that was stopped or starved itself has not read yet what others sent.
-  const bool late = now - watchDue_ > silenceLimit_ / kWatchesPerLimit;
+  const auto heardUntil = loop_.inputReadUntil();
   std::vector<base::ConnectionId> silent;
   for (auto& [id, connection] : connections_) {
-    if (late && connection->awaitedSince) connection->awaitedSince = now;
-    if (late) connection->heardAt = now;
-    if (isSilent(*connection, now)) silent.push_back(id);
+    if (isSilent(*connection, heardUntil)) silent.push_back(id);
   }
   watchLater();
   for (const auto id : silent) {
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -122,7 +122,7 @@
   void closeLater(base::ConnectionId id);
   void watchLater();
   void watch();
-  bool isSilent(const Connection& connection, base::TimePoint now) const;
+  bool isSilent(const Connection& connection, base::TimePoint heardUntil) const;
   void enqueue(base::ConnectionId id, const wire::FramePtr& frame);
   void deliverWithin(base::ConnectionId to, const wire::FramePtr& frame);
 
@@ -137,7 +137,6 @@
   base::Duration zoneDelay_{0};
   base::Duration silenceLimit_{0};  // 0 without keep-alives
   base::Timer watchTimer_;          // runs with keep-alives
-  base::TimePoint watchDue_{};
   base::ConnectionId nextId_ = 1;
   std::map<base::ConnectionId, std::unique_ptr<Connection>> connections_;
   size_t maxAccepted_ = SIZE_MAX;
--- /dev/null
+++ b/test/consensus/own_stall_test.cc
@@ -0,0 +1,142 @@
+#include <catch2/catch.hpp>
+
+#include "raft_fixture.h"
+
+namespace driftlug::consensus {
+namespace {
+
+constexpr base::Duration kStall = base::milliseconds(900);  // longer than a leader goes without a quorum
+
+/// @return whether a frame of a kind was sent to anybody.
+template <typename T>
+bool sentAny(const FrameKeeper& transport) {
+  for (const auto& [member, frames] : transport.sent) {
+    for (const auto& frame : frames) {
+      if (wire::kindOf(*frame) == wire::kindOf<T>()) return true;
+    }
+  }
+  return false;
+}
+
+/// A leader with two voters, whose process stands still for a while.
+struct StalledLeader : LeaderFixture {
+  StalledLeader() {
+    for (const auto* voter : {"a", "b"}) {
+      answer();
+      auto members = raft->members();
+      for (auto& member : members) member.voting = member.voting || member.id == voter;
+      REQUIRE(raft->proposeMembers(members, false).ok());
+      settle();
+      answer();
+    }
+    runFor(base::milliseconds(100), true);
+    REQUIRE(raft->role() == RaftRole::kLeader);
+  }
+
+  void answer() {
+    wire::AppendResponse response;
+    response.term = raft->term();
+    response.success = true;
+    response.matchIndex = raft->lastIndex();
+    for (const auto* member : {"a", "b", "c"}) {
+      process.run(process.incarnation(), [this, member, response] { raft->onMessage(member, response); });
+    }
+  }
+
+  void runFor(base::Duration duration, bool answered) {
+    constexpr base::Duration kStep = base::milliseconds(50);
+    for (const auto end = queue.now() + duration; queue.now() < end;) {
+      const auto until = queue.now() + kStep;
+      while (queue.runNext(until)) {
+      }
+      if (answered) answer();
+    }
+  }
+};
+
+/// A voter that hears its leader's heartbeats.
+struct StalledFollower {
+  StalledFollower() : process(queue, "follower", {"zone", "region"}, {"10.0.0.1", 1}), store(disk) {
+    process.start();
+    const auto state = store.open();
+    REQUIRE(state.ok());
+    raft =
+        std::make_unique<Raft>("follower", RaftOptions{}, process, base::RandomSource(1), store, transport, listener);
+    raft->start(*state);
+    wire::LogEntry members;
+    members.index = 1;
+    members.term = 1;
+    members.kind = wire::EntryKind::MEMBERS;
+    members.__set_members({memberOf("leader", true), memberOf("follower", true), memberOf("other", true)});
+    heartbeat({members}, 0);
+    for (int i = 0; i < 3; ++i) disk.finishSyncs();
+  }
+
+  void heartbeat(const std::vector<wire::LogEntry>& entries, int64_t previous) {
+    wire::AppendRequest request;
+    request.term = 1;
+    request.leader = "leader";
+    request.previousIndex = previous;
+    request.previousTerm = previous;
+    request.entries = entries;
+    process.run(process.incarnation(), [this, request] { raft->onMessage("leader", request); });
+  }
+
+  void runFor(base::Duration duration, bool heard) {
+    constexpr base::Duration kStep = base::milliseconds(50);
+    for (const auto end = queue.now() + duration; queue.now() < end;) {
+      const auto until = queue.now() + kStep;
+      while (queue.runNext(until)) {
+      }
+      if (heard) heartbeat({}, 1);
+    }
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::MemoryDisk disk;
+  storage::LogStore store;
+  FrameKeeper transport;
+  IgnoringListener listener;
+  std::unique_ptr<Raft> raft;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(StalledLeader, "a leader that stood still does not step down while its followers answer") {
+  process.setFrozen(true);
+  runFor(kStall, true);
+  process.setFrozen(false);
+  CHECK(raft->role() == RaftRole::kLeader);
+  runFor(base::seconds(2), true);
+  CHECK(raft->role() == RaftRole::kLeader);
+}
+
+TEST_CASE_METHOD(StalledLeader, "a leader that stood still steps down when its followers are gone") {
+  process.setFrozen(true);
+  runFor(kStall, false);
+  process.setFrozen(false);
+  runFor(base::seconds(2), false);
+  CHECK(raft->role() == RaftRole::kFollower);
+}
+
+TEST_CASE_METHOD(StalledFollower,
+                 "a follower that stood still asks for no votes while its leader's word waits to be read") {
+  runFor(base::milliseconds(500), true);
+  process.setFrozen(true);
+  runFor(kStall, true);
+  process.setFrozen(false);
+  runFor(base::seconds(1), true);
+  CHECK_FALSE(sentAny<wire::VoteRequest>(transport));
+}
+
+TEST_CASE_METHOD(StalledFollower, "a follower that stood still asks for votes when its leader is gone") {
+  runFor(base::milliseconds(500), true);
+  process.setFrozen(true);
+  runFor(kStall, false);
+  process.setFrozen(false);
+  runFor(base::seconds(2), false);
+  CHECK(sentAny<wire::VoteRequest>(transport));
+}
+
+}  // namespace driftlug::consensus
--- a/test/node/control_client_suspended_test.cc
+++ b/test/node/control_client_suspended_test.cc
@@ -64,4 +64,27 @@
   CHECK(network.all<wire::NodeSubscribe>().size() == 1);
 }
 
+TEST_CASE_METHOD(ControlClientFixture, "a node that stood still stays with a relay whose word waits to be read") {
+  open();
+  tellRelays();
+  version(1);
+  heartbeat(1, 2);
+  runFor(base::milliseconds(100));
+  process.setFrozen(true);
+  const auto connection = current();
+  for (int64_t round = 3; round < 8; ++round) {
+    runFor(base::milliseconds(380));
+    process.run(process.incarnation(), [this, connection, round] {
+      wire::NodeHeartbeat word;
+      word.freshness.term = 1;
+      word.freshness.round = round;
+      client->onMessage(connection, word);
+    });
+  }
+  process.setFrozen(false);
+  runFor(base::milliseconds(300));
+  CHECK(current() == connection);
+  CHECK(client->fresh());
+}
+
 }  // namespace driftlug::node
--- a/test/transport/event_loop_test.cc
+++ b/test/transport/event_loop_test.cc
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace driftlug::transport {
 namespace {
@@ -161,4 +162,29 @@
   CHECK(loop.longEvents().longest >= base::milliseconds(120));
 }
 
+TEST_CASE("behind a long event the input counts as read up to its begin") {
+  EventLoop loop;
+  int ends[2] = {-1, -1};
+  REQUIRE(::pipe2(ends, O_NONBLOCK | O_CLOEXEC) == 0);
+  constexpr base::Duration kLong = base::milliseconds(200);
+  std::vector<base::Duration> unread;  // at timers: for how long nothing was read
+  loop.watchFile(ends[0], [&] {
+    char byte = 0;
+    if (::read(ends[0], &byte, 1) != 1) return;
+    loop.schedule(kLong / 2, [&] {
+      unread.push_back(loop.now() - loop.inputReadUntil());
+      loop.schedule(kLong / 4, [&] {
+        unread.push_back(loop.now() - loop.inputReadUntil());
+        loop.stop();
+      });
+    });
+    ::usleep(static_cast<useconds_t>(kLong.count()));
+  });
+  REQUIRE(::write(ends[1], "x", 1) == 1);
+  loop.run();
+  REQUIRE(unread.size() == 2);
+  CHECK(unread[0] >= kLong);
+  CHECK(unread[1] < kLong / 2);
+}
+
 }  // namespace driftlug::transport
