Nodes: a relay is not left while a large version is on its way

Cause: a node without a version gave a relay 2 s, and any node 1.8 s without a message, whatever the size of what it waits for: a whole version of 8,200 rows takes 1.4 s of a link of 1 Mbit/s by itself, and heartbeats wait behind it. Each relay began anew. Class: a fixed time-out on something whose length depends on the table.

Tests: control_client_test 'stays with a relay while a large version is on its way' fails on the code before (left after 2 s); its opposite; frame_transport_test.

--- a/src/base/network.h
+++ b/src/base/network.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -63,6 +64,10 @@
 
   /// @return bytes queued on a connection and not yet taken by the system.
   virtual size_t queuedBytes(ConnectionId connection) const = 0;
+
+  /// @return when bytes last came of a message that has begun to arrive and is not whole yet; nullopt when there is
+  /// none.
+  virtual std::optional<TimePoint> partArrivedAt(ConnectionId /*connection*/) const { return std::nullopt; }
 };
 
 }  // namespace driftlug::base
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -198,6 +198,12 @@
   return queues ? found->second->stream->queuedBytes() : 0;
 }
 
+std::optional<base::TimePoint> FrameTransport::partArrivedAt(base::ConnectionId id) const {
+  const auto found = connections_.find(id);
+  if (found == connections_.end() || !found->second->reader.midFrame()) return std::nullopt;
+  return found->second->heardAt;
+}
+
 size_t FrameTransport::unsentBytes() const {
   size_t bytes = 0;
   for (const auto& [id, connection] : connections_) {
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -77,6 +77,7 @@
   void send(base::ConnectionId connection, const wire::FramePtr& frame) override;
   void close(base::ConnectionId connection) override;
   size_t queuedBytes(base::ConnectionId connection) const override;
+  std::optional<base::TimePoint> partArrivedAt(base::ConnectionId connection) const override;
 
   /// @return bytes queued on all connections that are up.
   size_t unsentBytes() const;
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -180,6 +180,32 @@
   CHECK(refusals() == 2);
 }
 
+TEST_CASE_METHOD(ControlClientFixture, "a node stays with a relay while a large version is on its way") {
+  open();
+  tellRelays();
+  heartbeat(1, 1);
+  const auto connection = current();
+  // Heartbeats wait behind the version, on a link that takes six seconds for it.
+  for (int i = 0; i < 12; ++i) {
+    network.partArrived = queue.now();
+    runFor(base::milliseconds(500));
+  }
+  CHECK(current() == connection);
+  network.partArrived.reset();
+  version(1);
+  CHECK(client->slices().revision() == 1);
+}
+
+TEST_CASE_METHOD(ControlClientFixture, "a node leaves a relay when a version stops on its way") {
+  open();
+  tellRelays();
+  heartbeat(1, 1);
+  const auto connection = current();
+  network.partArrived = queue.now();
+  runFor(base::seconds(4));
+  CHECK(current() != connection);
+}
+
 TEST_CASE_METHOD(ControlClientFixture, "after a loss of all relays a node tries again at least once a second") {
   open();
   tellRelays();
--- a/test/node/recording_network.h
+++ b/test/node/recording_network.h
@@ -33,6 +33,7 @@
     closed.insert(connection);
   }
   size_t queuedBytes(base::ConnectionId) const override { return 0; }
+  std::optional<base::TimePoint> partArrivedAt(base::ConnectionId) const override { return partArrived; }
 
   /// @return the messages of one kind that were sent.
   template <typename T>
@@ -45,6 +46,7 @@
   }
 
   std::map<base::ConnectionId, base::Address> connected;
+  std::optional<base::TimePoint> partArrived;  // of a message that is still on its way
   std::vector<Sent> sent;
   std::set<base::ConnectionId> closed;
 
--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -191,6 +191,29 @@
 
 }  // namespace
 
+TEST_CASE("a message that has arrived in part is told as such") {
+  EventLoop loop;
+  FrameTransport transport(loop, "own");
+  Recorder recorder;
+  transport.setHandler(&recorder);
+  HandWrittenPeer peer(loop, false);
+  const auto connection = transport.connect({"127.0.0.1", peer.listener.port()});
+  runFor(loop, base::milliseconds(20));
+  REQUIRE(recorder.open.size() == 1);
+  CHECK_FALSE(transport.partArrivedAt(connection).has_value());
+  const auto frame = Fixture::request(1);
+  const auto begun = loop.now();
+  peer.stream->write(frame->substr(0, frame->size() / 2));
+  runFor(loop, base::milliseconds(20));
+  REQUIRE(transport.partArrivedAt(connection).has_value());
+  CHECK(*transport.partArrivedAt(connection) >= begun);
+  peer.stream->write(frame->substr(frame->size() / 2));
+  runFor(loop, base::milliseconds(20));
+  CHECK_FALSE(transport.partArrivedAt(connection).has_value());
+  CHECK(recorder.messages.size() == 1);
+  loop.close();
+}
+
 TEST_CASE("a connection on which keep-alives are not returned is closed, though its bytes are acknowledged") {
   EventLoop loop;
   FrameTransport transport(loop, "left");
