--- a/src/table/row_index.h
+++ b/src/table/row_index.h
@@ -1,7 +1,6 @@
 /// Indexes over the rows of a table: sets of rows in other orders than that of their keys.
 #pragma once
 
-#include <ranges>
 #include <set>
 #include <string_view>
 #include <tuple>
@@ -67,6 +66,19 @@
 
 /// Rows of an index that belong to what was asked for; valid until the table changes.
 template <typename Index>
-using IndexedRows = std::ranges::subrange<typename Index::const_iterator>;
+class IndexedRows {
+ public:
+  using Iterator = typename Index::const_iterator;
+
+  IndexedRows(Iterator begin, Iterator end) : begin_(begin), end_(end) {}
+
+  Iterator begin() const { return begin_; }
+  Iterator end() const { return end_; }
+  bool empty() const { return begin_ == end_; }
+
+ private:
+  Iterator begin_;
+  Iterator end_;
+};
 
 }  // namespace driftlug::table
