Nodes: a relay that was cut off too is left at once

Cause: a node that leaves a relay whose word of the controllers is old asks the next one, which is cut off with it and heard one more round of the lost leader. That counted as recent, and the node stayed another 1.6 s. Class: order (term, round) taken for age.

Change: a relay tells how long ago it first heard its last word (NodeHeartbeat.ageMs); a node takes a word for as old as it is, and leaves at once when it is too old. A controller that repeats its last word makes it no younger.

Tests, failing before: control_client_test "was cut off too is left at once, though it heard a little more before" (stays three times), "word that was old when it came counts as old"; shared_table_test "how long ago it heard", "repeats is no younger".

--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -255,7 +255,7 @@
   if (auto* update = std::get_if<wire::SliceUpdate>(&message)) {
     onUpdate(std::move(*update));
   } else if (const auto* heartbeat = std::get_if<wire::NodeHeartbeat>(&message)) {
-    onHeartbeat(heartbeat->freshness);
+    onHeartbeat(*heartbeat);
   } else if (const auto* later = std::get_if<wire::RetryLater>(&message)) {
     moveOn(base::milliseconds(later->delayMs) + random_.duration(options_.reconnectDelay));
   } else if (const auto* states = std::get_if<wire::EndpointStates>(&message)) {
@@ -337,19 +337,20 @@
   network_.send(connection_, wire::encodeFrame(rejected));
 }
 
-void ControlClient::onHeartbeat(const wire::Freshness& freshness) {
+void ControlClient::onHeartbeat(const wire::NodeHeartbeat& heartbeat) {
+  const auto& freshness = heartbeat.freshness;
   // A relay that has heard of no leader yet may be starting; one that follows an earlier leader is cut off.
   if (freshness.term > 0 && freshness.term < freshness_.term) return reconnectLater("it follows an earlier leader");
   leaderHeard_ = freshness.term > 0 && (leaderHeard_ || !membership::isNewer(freshness_, freshness));
   if (!membership::isNewer(freshness, freshness_)) return leaveStale();
   freshness_ = freshness;
-  freshSince_ = scheduler_.now();
+  freshSince_ = std::max(freshSince_, scheduler_.now() - base::milliseconds(std::max(heartbeat.ageMs, 0)));
+  if (!fresh()) return leaveStale();
   staleRelays_ = 0;
 }
 
-/// Leaves a relay that has heard no more of the controllers than this node had when it gave up on the last one: several
-/// may be cut off together. Each relay is tried once that fast; when all are stale, the controllers are out, and the
-/// node tries two for each `staleAfter`.
+/// Leaves a relay that has heard nothing recent of the controllers either: several may be cut off together. Each relay
+/// is tried once that fast; when all are stale, the controllers are out, and the node tries two for each `staleAfter`.
 void ControlClient::leaveStale() {
   const bool searching = staleRelays_ > 0 && staleRelays_ < options_.relays.size();
   if (!open_ || !slices_.active() || fresh() || !searching) return;
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -135,7 +135,7 @@
   void reconnectLater(const char* because);
   void leaveStale();
   void onUpdate(wire::SliceUpdate update);
-  void onHeartbeat(const wire::Freshness& freshness);
+  void onHeartbeat(const wire::NodeHeartbeat& heartbeat);
   base::Duration firstSlicePatience() const;
   void sendApplied();
   void goHome();
--- a/src/relay/covered_freshness.cc
+++ b/src/relay/covered_freshness.cc
@@ -15,14 +15,18 @@
   if (waiting_.size() < kMaxWaiting) {
     waiting_.push_back({heartbeat, now});
   } else {
-    waiting_.back().heartbeat = heartbeat;
+    const bool newer = membership::isNewer(heartbeat.freshness, newest);
+    waiting_.back() = {heartbeat, newer ? now : waiting_.back().heardAt};
   }
   onRevision(revision);
 }
 
 void CoveredFreshness::onRevision(int64_t revision) {
   while (!waiting_.empty() && waiting_.front().heartbeat.revision <= revision) {
-    value_ = waiting_.front().heartbeat.freshness;
+    const auto& freshness = waiting_.front().heartbeat.freshness;
+    // A controller that has lost the leader repeats its last word, which is no younger for that.
+    if (membership::isNewer(freshness, value_)) heardAt_ = waiting_.front().heardAt;
+    value_ = freshness;
     waiting_.pop_front();
   }
 }
--- a/src/relay/covered_freshness.h
+++ b/src/relay/covered_freshness.h
@@ -23,6 +23,9 @@
   /// @return the newest word that the table covers.
   const wire::Freshness& value() const { return value_; }
 
+  /// @return when that word was first heard; the epoch while none was.
+  base::TimePoint heardAt() const { return heardAt_; }
+
   /// @return since when the table lacks a revision that a leader has; nullopt when it lacks none.
   std::optional<base::TimePoint> behindSince() const;
 
@@ -33,6 +36,7 @@
   };
 
   wire::Freshness value_;
+  base::TimePoint heardAt_{};
   std::deque<Waiting> waiting_;  // for the table, oldest first; bounded, as the last one stands for those behind it
 };
 
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -92,17 +92,13 @@
   counters_.heartbeatBytes += static_cast<int64_t>(frame->size());
 }
 
-void NodeSessions::heartbeatTo(base::ConnectionId connection, const wire::Freshness& freshness) {
-  wire::NodeHeartbeat heartbeat;
-  heartbeat.freshness = freshness;
-  sendHeartbeat(connection, wire::encodeFrame(heartbeat));
+void NodeSessions::heartbeatTo(base::ConnectionId connection, const wire::NodeHeartbeat& word) {
+  sendHeartbeat(connection, wire::encodeFrame(word));
 }
 
-void NodeSessions::heartbeat(const wire::Freshness& freshness, bool follows) {
-  wire::NodeHeartbeat heartbeat;
-  const auto leaderless = wire::encodeFrame(heartbeat);
-  heartbeat.freshness = freshness;
-  const auto frame = wire::encodeFrame(heartbeat);
+void NodeSessions::heartbeat(const wire::NodeHeartbeat& word, bool follows) {
+  const auto leaderless = wire::encodeFrame(wire::NodeHeartbeat());
+  const auto frame = wire::encodeFrame(word);
   for (const auto& [connection, session] : sessions_) {
     sendHeartbeat(connection, follows || session.confirmed ? frame : leaderless);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -118,6 +118,7 @@
   void onNodeSubscribe(base::ConnectionId connection, const wire::NodeSubscribe& request);
   void sendRetryLater(base::ConnectionId connection, base::Duration delay);
   bool admit();
+  wire::NodeHeartbeat wordOfControllers() const;
   FreshnessConfirmer& confirmerFor(const std::string& zone);
   void dropNode(base::ConnectionId connection);
   void closeNode(base::ConnectionId connection);
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -117,7 +117,7 @@
   crashes_.tell(connection, nodes_.find(connection));
   // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
   const bool follows = source_.source() != 0;
-  nodes_.heartbeatTo(connection, confirmed || follows ? freshness_.value() : wire::Freshness());
+  nodes_.heartbeatTo(connection, confirmed || follows ? wordOfControllers() : wire::NodeHeartbeat());
   if (confirmed) {
     nodes_.deliverFirst(connection, request.digest);
   } else {
@@ -183,6 +183,14 @@
   return *confirmer;
 }
 
+wire::NodeHeartbeat Relay::wordOfControllers() const {
+  wire::NodeHeartbeat word;
+  word.freshness = freshness_.value();
+  if (word.freshness.term == 0) return word;
+  word.ageMs = base::millisecondsOf(scheduler_.now() - freshness_.heardAt());
+  return word;
+}
+
 void Relay::dropNode(base::ConnectionId connection) {
   // Also without a session: the last end of a node's connections starts the lease of its endpoints.
   const auto nodeId = hellos_[connection].id;
@@ -232,7 +240,7 @@
 
 void Relay::onNodeTimer() {
   nodeTimer_.start(options_.nodeHeartbeat);
-  nodes_.heartbeat(freshness_.value(), source_.source() != 0);
+  nodes_.heartbeat(wordOfControllers(), source_.source() != 0);
   nodes_.deliverAll();
   versions_.tellUnsettled();
   const auto now = scheduler_.now();
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -523,6 +523,8 @@
 
 struct NodeHeartbeat {
   1: Freshness freshness
+  /** Time since the relay heard it; what a cut-off relay heard last may be newer than what a node knows, and old. */
+  2: i32 ageMs
 }
 
 /** The sender is overloaded or not ready; ask again after the given time. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -10120,6 +10120,10 @@
 void NodeHeartbeat::__set_freshness(const Freshness& val) {
   this->freshness = val;
 }
+
+void NodeHeartbeat::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const NodeHeartbeat& obj)
 {
   obj.printTo(out);
@@ -10156,6 +10160,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10177,6 +10189,10 @@
   xfer += this->freshness.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10185,24 +10201,29 @@
 void swap(NodeHeartbeat &a, NodeHeartbeat &b) {
   using ::std::swap;
   swap(a.freshness, b.freshness);
+  swap(a.ageMs, b.ageMs);
   swap(a.__isset, b.__isset);
 }
 
 NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other376) noexcept {
   freshness = other376.freshness;
+  ageMs = other376.ageMs;
   __isset = other376.__isset;
 }
 NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other377) noexcept {
   freshness = std::move(other377.freshness);
+  ageMs = other377.ageMs;
   __isset = other377.__isset;
 }
 NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other378) noexcept {
   freshness = other378.freshness;
+  ageMs = other378.ageMs;
   __isset = other378.__isset;
   return *this;
 }
 NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other379) noexcept {
   freshness = std::move(other379.freshness);
+  ageMs = other379.ageMs;
   __isset = other379.__isset;
   return *this;
 }
@@ -10210,6 +10231,7 @@
   using ::apache::thrift::to_string;
   out << "NodeHeartbeat(";
   out << "freshness=" << to_string(freshness);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -4141,8 +4141,9 @@
 std::ostream& operator<<(std::ostream& out, const SliceRejected& obj);
 
 typedef struct _NodeHeartbeat__isset {
-  _NodeHeartbeat__isset() : freshness(false) {}
+  _NodeHeartbeat__isset() : freshness(false), ageMs(false) {}
   bool freshness :1;
+  bool ageMs :1;
 } _NodeHeartbeat__isset;
 
 class NodeHeartbeat : public virtual ::apache::thrift::TBase {
@@ -4152,20 +4153,29 @@
   NodeHeartbeat(NodeHeartbeat&&) noexcept;
   NodeHeartbeat& operator=(const NodeHeartbeat&) noexcept;
   NodeHeartbeat& operator=(NodeHeartbeat&&) noexcept;
-  NodeHeartbeat() noexcept {
+  NodeHeartbeat() noexcept
+                : ageMs(0) {
   }
 
   virtual ~NodeHeartbeat() noexcept;
   Freshness freshness;
+  /**
+   * Time since the relay heard it; what a cut-off relay heard last may be newer than what a node knows, and old.
+   */
+  int32_t ageMs;
 
   _NodeHeartbeat__isset __isset;
 
   void __set_freshness(const Freshness& val);
 
+  void __set_ageMs(const int32_t val);
+
   bool operator == (const NodeHeartbeat & rhs) const
   {
     if (!(freshness == rhs.freshness))
       return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
     return true;
   }
   bool operator != (const NodeHeartbeat &rhs) const {
--- a/test/node/control_client_fixture.h
+++ b/test/node/control_client_fixture.h
@@ -53,10 +53,11 @@
     client->onMessage(current(), list);
   }
 
-  void heartbeat(int64_t term, int64_t round) {
+  void heartbeat(int64_t term, int64_t round, base::Duration age = base::Duration(0)) {
     wire::NodeHeartbeat heartbeat;
     heartbeat.freshness.term = term;
     heartbeat.freshness.round = round;
+    heartbeat.ageMs = base::millisecondsOf(age);
     client->onMessage(current(), heartbeat);
   }
 
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -131,6 +131,51 @@
   CHECK(relay() == fresh);
 }
 
+TEST_CASE_METHOD(ControlClientFixture,
+                 "a relay that was cut off too is left at once, though it heard a little more before") {
+  constexpr int kRelays = 7;
+  constexpr base::Duration kSinceCut = base::milliseconds(1700);
+  open();
+  wire::RelayList list;
+  list.relays.push_back(relayAt(kHome, "zone-1"));
+  for (int i = 2; i <= kRelays; ++i) list.relays.push_back(relayAt({"10.0.0." + std::to_string(i), 7001}, "zone-2"));
+  client->onMessage(current(), list);
+  version(1);
+  heartbeat(1, 10);
+  for (int i = 0; i < 6 && relay() == kHome; ++i) {
+    heartbeat(1, 10, kSinceCut);
+    runFor(base::milliseconds(400));
+  }
+  REQUIRE(relay() != kHome);
+  // Each of them heard one more round of the leader that they have lost.
+  for (int hop = 1; hop <= 3; ++hop) {
+    const auto left = relay();
+    open();
+    heartbeat(1, 10 + hop, kSinceCut + hop * base::milliseconds(100));
+    version(1);
+    runFor(base::milliseconds(100));
+    CHECK(relay() != left);
+  }
+  const auto fresh = relay();
+  open();
+  heartbeat(2, 1, base::milliseconds(100));
+  runFor(base::milliseconds(500));
+  CHECK(relay() == fresh);
+}
+
+TEST_CASE_METHOD(ControlClientFixture, "word that was old when it came counts as old") {
+  open();
+  tellRelays();
+  version(1);
+  heartbeat(1, 9);
+  runFor(base::seconds(1));
+  heartbeat(1, 10, base::milliseconds(900));
+  runFor(base::milliseconds(600));
+  CHECK(client->fresh());
+  runFor(base::milliseconds(200));
+  CHECK_FALSE(client->fresh());
+}
+
 TEST_CASE_METHOD(ControlClientFixture, "relays are not run through while the controllers are out") {
   open();
   tellRelays();
--- a/test/relay/shared_table_test.cc
+++ b/test/relay/shared_table_test.cc
@@ -117,6 +117,28 @@
   CHECK(network.all<wire::NodeHeartbeat>().back().freshness.round == 2);
 }
 
+TEST_CASE_METHOD(Fixture, "a relay tells how long ago it heard of the controllers") {
+  heartbeat(1, 1);
+  attach(1, table.digest());
+  CHECK(network.all<wire::NodeHeartbeat>().back().ageMs == 0);
+  runFor(base::milliseconds(1300));
+  const auto& last = network.all<wire::NodeHeartbeat>().back();
+  CHECK(last.ageMs >= 1100);
+  CHECK(last.ageMs <= 1300);
+}
+
+TEST_CASE_METHOD(Fixture, "word that a controller repeats is no younger for that") {
+  heartbeat(1, 1);
+  attach(1, table.digest());
+  for (int i = 0; i < 13; ++i) {
+    runFor(base::milliseconds(100));
+    heartbeat(1, 1);
+  }
+  runFor(base::milliseconds(200));
+  // Nodes are told every 400 ms.
+  CHECK(network.all<wire::NodeHeartbeat>().back().ageMs >= 1100);
+}
+
 TEST_CASE_METHOD(Fixture, "nodes are sent away from a relay whose table stays behind the leader's") {
   runFor(base::seconds(6));
   heartbeat(1, 1);
