Log: its memory is bounded by the rows of its entries

Class: a bound on a count that stands for something of any size.

Change: an entry counts once more for each four rows.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -212,6 +212,7 @@
     ++appliedIndex_;
     const auto& entry = entryAt(appliedIndex_);
     rows += 1 + entry.edit.mutations.size();
+    appliedWeight_ += weightOf(entry);
     listener_.apply(entry);
   }
   if (appliedIndex_ < commitIndex_) applyLater();
@@ -230,11 +231,14 @@
   });
 }
 
+size_t Raft::weightOf(const wire::LogEntry& entry) const {
+  return 1 + entry.edit.mutations.size() / options_.rowsPerEntry;
+}
+
 void Raft::compact() {
-  const auto applied = static_cast<size_t>(appliedIndex_ - snapshotIndex_);
   const auto stateEntries = snapshot_.state.size() / options_.snapshotBytesPerEntry;
   const auto enough = std::max(options_.compactAfterEntries, stateEntries) + options_.keepEntries;
-  if (compacting_ || applied < enough) return;
+  if (compacting_ || appliedWeight_ < enough) return;
   compacting_ = true;
   wire::LogSnapshot snapshot;
   snapshot.state = listener_.takeSnapshot();
@@ -263,7 +267,10 @@
       return;
     }
     if (snapshot.index <= snapshotIndex_) return;
-    while (!entries_.empty() && entries_.front().index <= snapshot.index) entries_.pop_front();
+    while (!entries_.empty() && entries_.front().index <= snapshot.index) {
+      appliedWeight_ -= weightOf(entries_.front());
+      entries_.pop_front();
+    }
     snapshotIndex_ = snapshot.index;
     snapshotTerm_ = snapshot.term;
     snapshotMembers_ = snapshot.members;
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -34,6 +34,8 @@
   /// does not grow with the state.
   size_t snapshotBytesPerEntry = 256;
   size_t keepEntries = 1024;  ///< entries kept behind a snapshot for slow followers
+  /// Rows for which an entry counts as one more, so that the memory of the log does not depend on how rows are edited.
+  size_t rowsPerEntry = 4;
   /// Whether followers are told of a commit at once, not with the next entry or heartbeat.
   bool announceCommits = false;
   // Switched off only in the simulator, to prove that a checker notices.
@@ -211,6 +213,7 @@
   void applyLater();
   int64_t batchEnd(int64_t previousIndex) const;
   void compact();
+  size_t weightOf(const wire::LogEntry& entry) const;
   void truncateFrom(int64_t index);
   void useMembersFrom(const wire::LogEntry& entry);
   void recomputeMembers();
@@ -239,6 +242,7 @@
   bool installing_ = false;      // the snapshot being written came from the leader
   int64_t commitIndex_ = 0;
   int64_t appliedIndex_ = 0;
+  size_t appliedWeight_ = 0;  // of the applied entries behind snapshotIndex_
   bool applyScheduled_ = false;
   int64_t durableIndex_ = 0;  // highest own entry known to be synced
   int64_t logEpoch_ = 0;      // changes whenever entries are cut from the end
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -322,6 +322,7 @@
                         snapshotForming_ = snapshot.forming;
                         commitIndex_ = snapshot.index;
                         appliedIndex_ = snapshot.index;
+                        appliedWeight_ = 0;
                         durableIndex_ = std::max(durableIndex_, snapshot.index);
                         if (!keepsTail) durableIndex_ = snapshot.index;
                         recomputeMembers();
--- a/test/work/log_work_test.cc
+++ b/test/work/log_work_test.cc
@@ -143,4 +143,14 @@
 	}
 }
 
+TEST_CASE_METHOD(follower_fixture, "the memory of a log is bounded when entries have many rows")
+{
+	constexpr int64_t kEntries = 16;
+	raft->onMessage("leader", append(kEntries, kEntries));
+	settle();
+	REQUIRE(raft->appliedIndex() == kEntries);
+	settle();  // The snapshot is synced.
+	CHECK(raft->firstIndex() > kEntries / 2);
+}
+
 }  // namespace driftlug::test
