Slices and copies of the table do not remember every deletion

Cause: the controllers' table forgets old deletions, a relay's copy and each slice never did: a process that runs for long keeps a tombstone for each row that ever left.

Change: both forget the older half beyond the bound of the table (Table::boundTombstones, Slice::boundDeparted). A reader from before that is told by the digest and gets all rows.

--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -67,19 +67,11 @@
     return {};
   }
   auto rows = change.keep();
-  if (table_.tombstones().size() > kMaxTombstones) dropOldTombstones();
+  table_.boundTombstones();
   recordHistory(index, edit);
   return rows;
 }
 
-void TableState::dropOldTombstones() {
-  std::vector<int64_t> revisions;
-  for (const auto& [key, row] : table_.tombstones()) revisions.push_back(row->revision);
-  const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
-  std::nth_element(revisions.begin(), middle, revisions.end());
-  table_.dropTombstones(*middle);
-}
-
 bool TableState::findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const {
   bool conflict = false;
   std::unordered_set<wire::RowKey, table::RowKeyHash> seen;
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -18,8 +18,6 @@
 constexpr size_t kOutcomeWindow = 10'000;
 /// Accepted edits that history shows.
 constexpr size_t kHistoryLength = 10'000;
-/// Tombstones that are kept; older ones go half at a time, and readers from before them get everything.
-constexpr size_t kMaxTombstones = 20'000;
 
 /// Applies committed edits; equal on every controller after equal entries.
 ///
@@ -66,7 +64,6 @@
  private:
   table::ChangedRows decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome);
   bool findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const;
-  void dropOldTombstones();
   void remember(wire::EditOutcome outcome);
   void recordHistory(int64_t index, const wire::EditCommand& edit);
 
--- a/src/relay/table_replica.cc
+++ b/src/relay/table_replica.cc
@@ -17,6 +17,7 @@
   if (!(copy_.digest() == update.digest)) return ReplicaResult::kDigestMismatch;
   *change = rows.keep();
   copy_.advanceTo(update.toRevision);
+  copy_.boundTombstones();
   return ReplicaResult::kApplied;
 }
 
--- a/src/table/slice.cc
+++ b/src/table/slice.cc
@@ -71,6 +71,20 @@
   return true;
 }
 
+/// Forgets the older half of the rows that left when there are too many.
+void Slice::boundDeparted() {
+  if (departed_.size() <= kMaxTombstones) return;
+  std::vector<int64_t> revisions;
+  revisions.reserve(departed_.size());
+  for (const auto& [key, entry] : departed_) revisions.push_back(entry.since);
+  const auto upTo = medianOf(std::move(revisions));
+  for (auto entry = departed_.begin(); entry != departed_.end();) {
+    const bool forgotten = entry->second.since <= upTo;
+    if (forgotten) bySince_.erase(&entry->second);
+    entry = forgotten ? departed_.erase(entry) : std::next(entry);
+  }
+}
+
 bool Slice::update(const Table& table, const ChangedRows& rows) {
   if (firstRevision_ == 0) return refresh(table);
   bool differs = false;
@@ -80,6 +94,7 @@
     differs = settle(key, selected ? row : nullptr, table.revision()) || differs;
   }
   if (differs) revision_ = table.revision();
+  boundDeparted();
   return differs;
 }
 
@@ -97,6 +112,7 @@
   }
   for (const auto& key : left) differs = settle(key, nullptr, table.revision()) || differs;
   if (differs) revision_ = table.revision();
+  boundDeparted();
   return differs;
 }
 
--- a/src/table/slice.h
+++ b/src/table/slice.h
@@ -43,7 +43,8 @@
   bool refresh(const Table& table);
 
   /// @return rows that a reader at `fromRevision` lacks, tombstones for those that left; valid until the next change.
-  /// The delta is exact when fromRevision is at least firstRevision(), else the reader's digest decides.
+  /// The delta is exact when fromRevision is at least firstRevision() and none of the rows that left
+  /// since is forgotten, else the reader's digest decides.
   std::vector<const Row*> changedSince(int64_t fromRevision) const;
 
   /// @return every row; valid until the next change.
@@ -72,10 +73,11 @@
   bool settle(const RowKey& key, const RowPtr& row, int64_t now);
   void place(Entries* entries, const RowKey& key, Entry entry);
   void erase(Entries* entries, const RowKey& key);
+  void boundDeparted();
 
   SliceSelection selection_;
   Entries members_;                          // rows of the slice
-  Entries departed_;                         // tombstones of rows that left
+  Entries departed_;                         // tombstones of rows that left, kMaxTombstones at most
   std::set<const Entry*, BySince> bySince_;  // of both
   DigestSum digest_;
   int64_t firstRevision_ = 0;
--- a/src/table/table.cc
+++ b/src/table/table.cc
@@ -13,6 +13,12 @@
 
 }  // namespace
 
+int64_t medianOf(std::vector<int64_t> revisions) {
+  const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  return *middle;
+}
+
 RowPtr Table::find(const RowKey& key) const {
   const auto found = rows_.find(key);
   return found == rows_.end() ? nullptr : found->second;
@@ -101,6 +107,14 @@
   horizon_ = std::max(horizon_, upTo);
 }
 
+void Table::boundTombstones() {
+  if (tombstones_.size() <= kMaxTombstones) return;
+  std::vector<int64_t> revisions;
+  revisions.reserve(tombstones_.size());
+  for (const auto& [key, row] : tombstones_) revisions.push_back(row->revision);
+  dropTombstones(medianOf(std::move(revisions)));
+}
+
 IndexedRows<RevisionIndex> Table::changedSince(int64_t revision) const {
   return {byRevision_.upper_bound(revision), byRevision_.end()};
 }
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -11,6 +11,13 @@
 
 namespace driftlug::table {
 
+/// Deleted rows that are remembered, for readers that lack the deletion.
+constexpr size_t kMaxTombstones = 20'000;
+
+/// @param revisions not empty
+/// @return a revision that half of them don't exceed.
+int64_t medianOf(std::vector<int64_t> revisions);
+
 using RowMap = std::map<RowKey, RowPtr, RowKeyLess>;
 
 /// All rows at one revision.
@@ -62,6 +69,10 @@
   /// Forgets tombstones up to a revision.
   void dropTombstones(int64_t upTo);
 
+  /// Forgets the older half of the tombstones when there are more than kMaxTombstones; readers from before them get
+  /// everything.
+  void boundTombstones();
+
   /// @return rows and tombstones changed after a revision, in revision order; valid until the table changes.
   IndexedRows<RevisionIndex> changedSince(int64_t revision) const;
 
--- a/test/table/slice_test.cc
+++ b/test/table/slice_test.cc
@@ -133,6 +133,25 @@
   CHECK(slice.changedSince(2).size() == 2);
 }
 
+TEST_CASE("a slice does not remember every row that ever left it") {
+  auto table = twoServices();
+  table::Slice slice({{"*"}, {}}, table);
+  const auto live = slice.size();
+  const auto put = [&](const table::RowPtr& row) {
+    const auto previous = table.put(row);
+    (void)slice.update(table, {{row}, {previous}});
+  };
+  int64_t revision = 1;
+  for (size_t i = 0; i < 2 * table::kMaxTombstones; ++i) {
+    const auto name = "e" + std::to_string(i + 10);
+    put(test::endpointRow(name, "s1", ++revision));
+    put(test::deletedRow(RowKind::ENDPOINT, name, ++revision));
+  }
+  CHECK(slice.changedSince(0).size() <= live + table::kMaxTombstones);
+  CHECK(slice.changedSince(revision - 1).size() == 1);
+  CHECK(slice.digest() == table::Slice(slice.interest(), table).digest());
+}
+
 TEST_CASE("deltas from any revision equal the full slice, over random edits") {
   base::RandomSource random(11);
   for (int round = 0; round < 20; ++round) {
