Controllers: history and outcomes of large edits are bounded

Cause: the last 10,000 edits are remembered whatever their size: history names every key, the outcome of a refused edit copies every row in conflict.

Change: both are bounded by keys and rows too. Edits from before the outcomes that are kept are refused as expired, as before.

Tests, failing before: table_state_test "the history of large edits" (250,000 keys, 100,000 allowed), "outcomes of large refused edits" (249,000 rows).

--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -25,6 +25,8 @@
   return out;
 }
 
+size_t detailsOf(const wire::EditOutcome& outcome) { return outcome.currentRows.size() + outcome.problems.size(); }
+
 }  // namespace
 
 int64_t fingerprintOf(const wire::EditCommand& edit) {
@@ -100,11 +102,19 @@
 void TableState::remember(wire::EditOutcome outcome) {
   outcomeByRequest_[outcome.requestId] = dropped_ + static_cast<int64_t>(outcomes_.size());
   outcomes_.push_back(std::move(outcome));
-  if (outcomes_.size() <= kOutcomeWindow) return;
-  windowFloor_ = outcomes_.front().revision;
-  outcomeByRequest_.erase(outcomes_.front().requestId);
-  outcomes_.pop_front();
-  ++dropped_;
+  outcomeDetails_ += detailsOf(outcomes_.back());
+  dropOldOutcomes();
+}
+
+void TableState::dropOldOutcomes() {
+  while (outcomes_.size() > kOutcomeWindow || (outcomeDetails_ > kMaxOutcomeDetails && outcomes_.size() > 1)) {
+    const auto& oldest = outcomes_.front();
+    windowFloor_ = oldest.revision;
+    outcomeByRequest_.erase(oldest.requestId);
+    outcomeDetails_ -= detailsOf(oldest);
+    outcomes_.pop_front();
+    ++dropped_;
+  }
 }
 
 void TableState::recordHistory(int64_t index, const wire::EditCommand& edit) {
@@ -113,8 +123,16 @@
   record.requestId = edit.requestId;
   record.author = edit.author;
   for (const auto& mutation : edit.mutations) record.keys.push_back(mutation.row.key);
+  historyKeys_ += record.keys.size();
   history_.push_back(std::move(record));
-  if (history_.size() > kHistoryLength) history_.pop_front();
+  dropOldHistory();
+}
+
+void TableState::dropOldHistory() {
+  while (history_.size() > kHistoryLength || (historyKeys_ > kMaxHistoryKeys && history_.size() > 1)) {
+    historyKeys_ -= history_.front().keys.size();
+    history_.pop_front();
+  }
 }
 
 void TableState::applyRelay(const wire::RelayRecord& record) {
@@ -146,8 +164,10 @@
   for (const auto& outcome : snapshot.outcomes) {
     outcomeByRequest_[outcome.requestId] = static_cast<int64_t>(outcomes_.size());
     outcomes_.push_back(outcome);
+    outcomeDetails_ += detailsOf(outcome);
   }
   history_.assign(snapshot.history.begin(), snapshot.history.end());
+  for (const auto& record : history_) historyKeys_ += record.keys.size();
   windowFloor_ = snapshot.historyFloor;
   for (const auto& record : snapshot.relays) relays_[record.id] = record;
 }
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -16,8 +16,12 @@
 
 /// Edits whose outcomes are remembered; an edit based on an older revision is refused.
 constexpr size_t kOutcomeWindow = 10'000;
+/// Rows and problems that they may tell of together.
+constexpr size_t kMaxOutcomeDetails = 100'000;
 /// Accepted edits that history shows.
 constexpr size_t kHistoryLength = 10'000;
+/// Keys of rows that they may name together.
+constexpr size_t kMaxHistoryKeys = 100'000;
 
 /// Applies committed edits; equal on every controller after equal entries.
 ///
@@ -65,15 +69,19 @@
   table::ChangedRows decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome);
   bool findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const;
   void remember(wire::EditOutcome outcome);
+  void dropOldOutcomes();
   void recordHistory(int64_t index, const wire::EditCommand& edit);
+  void dropOldHistory();
 
   Checks checks_;
   table::Table table_;
   std::deque<wire::EditOutcome> outcomes_;                     // oldest first, kOutcomeWindow at most
   std::unordered_map<std::string, int64_t> outcomeByRequest_;  // position in outcomes_ plus dropped_
+  size_t outcomeDetails_ = 0;                                  // of outcomes_
   int64_t dropped_ = 0;                                        // outcomes dropped at the front
   int64_t windowFloor_ = 0;
   std::deque<wire::HistoryRecord> history_;
+  size_t historyKeys_ = 0;                           // of history_
   std::map<std::string, wire::RelayRecord> relays_;  // by id
 };
 
--- /dev/null
+++ b/test/controller/table_state_test.cc
@@ -0,0 +1,66 @@
+#include "controller/table_state.h"
+
+#include <catch2/catch.hpp>
+
+#include "table_rows.h"
+
+using namespace driftlug;
+
+namespace {
+
+constexpr int kRows = 1000;
+constexpr int kEdits = 250;
+constexpr int64_t kAnyRevision = -1;
+
+wire::EditCommand editOfServices(int64_t index, int64_t expectedRevision) {
+  wire::EditCommand edit;
+  edit.requestId = "edit-" + std::to_string(index);
+  edit.baseRevision = index - 1;
+  for (int i = 0; i < kRows; ++i) {
+    wire::Mutation mutation;
+    mutation.row = *test::serviceRow("s" + std::to_string(i), 0);
+    mutation.expectedRevision = expectedRevision;
+    edit.mutations.push_back(std::move(mutation));
+  }
+  return edit;
+}
+
+const wire::EditOutcome& applyTo(controller::TableState* state, int64_t index, int64_t expectedRevision) {
+  table::ChangedRows rows;
+  return state->apply(index, editOfServices(index, expectedRevision), &rows);
+}
+
+size_t namedKeys(const controller::TableState& state) {
+  size_t keys = 0;
+  for (const auto& record : state.history()) keys += record.keys.size();
+  return keys;
+}
+
+}  // namespace
+
+TEST_CASE("the history of large edits is bounded by the keys that it names") {
+  controller::TableState state;
+  for (int64_t index = 1; index <= kEdits; ++index) CHECK(applyTo(&state, index, kAnyRevision).code == 0);
+  CHECK(namedKeys(state) <= controller::kMaxHistoryKeys);
+  CHECK(state.history().back().revision == kEdits);
+  controller::TableState restored;
+  restored.restore(state.takeSnapshot());
+  CHECK(applyTo(&restored, kEdits + 1, kAnyRevision).code == 0);
+  CHECK(namedKeys(restored) <= controller::kMaxHistoryKeys);
+}
+
+TEST_CASE("outcomes of large refused edits are bounded by the rows that they tell of") {
+  constexpr int64_t kNone = 0;
+  controller::TableState state;
+  CHECK(applyTo(&state, 1, kNone).code == 0);
+  for (int64_t index = 2; index <= kEdits; ++index) {
+    CHECK(applyTo(&state, index, kNone).currentRows.size() == kRows);
+  }
+  size_t rows = 0;
+  for (const auto& outcome : state.takeSnapshot().outcomes) rows += outcome.currentRows.size();
+  CHECK(rows <= controller::kMaxOutcomeDetails);
+  CHECK(state.findOutcome("edit-" + std::to_string(kEdits)) != nullptr);
+  // An edit from before the window is refused, as its outcome may be among those that were dropped.
+  CHECK(state.windowFloor() > 1);
+  CHECK(state.findOutcome("edit-1") == nullptr);
+}
