--- a/src/base/time.h
+++ b/src/base/time.h
@@ -66,8 +66,8 @@
   /// @return calendar time; in a simulation it runs with the virtual clock.
   virtual WallTime wallTime() const = 0;
 
-  /// A process that stood still has not read yet what others sent meanwhile: others are silent only up to here.
-  /// @return the point in time up to which all that had arrived has been read.
+  /// After a stall, input that arrived meanwhile is still unread, so the silence of peers is measured up to this time.
+  /// @return the time until which all input that had arrived was read.
   virtual TimePoint inputReadUntil() const { return now(); }
 };
 
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -45,7 +45,7 @@
     return;
   }
   if (!isVoter(id_) || store_.failed()) return;
-  // A member that stood still has its leader's word still to read.
+  // After a stall the leader's heartbeats may still be unread.
   const bool heard = scheduler_.inputReadUntil() - lastLeaderContact_ < options_.electionTimeout;
   if (!leaderId_.empty() && heard) return;
   if (!leaderId_.empty()) {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -107,7 +107,7 @@
   /// @return the address of the leader's pages; port 0 when no leader is known.
   base::Address leaderPages() const;
 
-  /// Has an observer, which outlives this object or takes itself out, follow the table.
+  /// Sets the observer of the table, which outlives this object or removes itself.
   /// @param observer null for none
   void observeTable(table::TableObserver* observer) { tableObserver_ = observer; }
 
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -68,7 +68,7 @@
     outcome->code = static_cast<int>(ErrorCode::kInvalidEdit);
     return {};
   }
-  auto rows = change.keep();
+  auto rows = change.commit();
   table_.boundTombstones();
   recordHistory(index, edit);
   return rows;
--- a/src/node/control_client.cc
+++ b/src/node/control_client.cc
@@ -377,7 +377,7 @@
   watchTimer_.start(kWatchInterval);
   if (connection_ == 0) return;
   const auto heardUntil = scheduler_.inputReadUntil();
-  // What the relay says waits behind a large version on a narrow link; to begin anew elsewhere would take longer.
+  // Heartbeats queue behind a large version on a slow link; starting over elsewhere would take longer.
   const auto part = network_.partArrivedAt(connection_);
   if (open_ && part && heardUntil - *part <= options_.relayTimeout) return;
   const bool silent = open_ && heardUntil - lastHeard_ > options_.relayTimeout;
--- a/src/node/slice_store.cc
+++ b/src/node/slice_store.cc
@@ -55,7 +55,7 @@
     return SliceResult::kUnchanged;
   }
   if (checks_.references && !referencesHoldAfter(change.rows(), rows_)) return SliceResult::kDanglingReference;
-  const auto changed = change.keep();
+  const auto changed = change.commit();
   rows_.dropTombstones(update->toRevision);
   next->routing = version_.routing
                       ? std::make_shared<const routing::RoutingTable>(*version_.routing, rows_, next->revision, changed)
--- a/src/relay/covered_freshness.cc
+++ b/src/relay/covered_freshness.cc
@@ -24,7 +24,7 @@
 void CoveredFreshness::onRevision(int64_t revision) {
   while (!waiting_.empty() && waiting_.front().heartbeat.revision <= revision) {
     const auto& freshness = waiting_.front().heartbeat.freshness;
-    // A controller that has lost the leader repeats its last word, which is no younger for that.
+    // A controller that has lost the leader repeats what it heard last.
     if (membership::isNewer(freshness, value_)) heardAt_ = waiting_.front().heardAt;
     value_ = freshness;
     waiting_.pop_front();
--- a/src/relay/covered_freshness.h
+++ b/src/relay/covered_freshness.h
@@ -9,21 +9,21 @@
 
 namespace driftlug::relay {
 
-/// A leader's word of its quorum counts once the table has reached the revision that the leader had when it gave it:
-/// the table may come on another way than the word.
+/// The freshness in a leader's heartbeat counts once the table has reached the revision that the leader had when it
+/// sent it, as rows and heartbeats may arrive over different connections.
 class CoveredFreshness {
  public:
-  /// A leader gave its word.
+  /// A heartbeat arrived from the leader.
   /// @param revision of the table now
   void onHeartbeat(const wire::ControllerHeartbeat& heartbeat, int64_t revision, base::TimePoint now);
 
   /// The table has reached a revision.
   void onRevision(int64_t revision);
 
-  /// @return the newest word that the table covers.
+  /// @return the newest freshness that the table covers.
   const wire::Freshness& value() const { return value_; }
 
-  /// @return when that word was first heard; the epoch while none was.
+  /// @return when that freshness was first received; the epoch if none was.
   base::TimePoint heardAt() const { return heardAt_; }
 
   /// @return since when the table lacks a revision that a leader has; nullopt when it lacks none.
@@ -37,7 +37,7 @@
 
   wire::Freshness value_;
   base::TimePoint heardAt_{};
-  std::deque<Waiting> waiting_;  // for the table, oldest first; bounded, as the last one stands for those behind it
+  std::deque<Waiting> waiting_;  // not covered yet, oldest first; when full, the last stands for later ones
 };
 
 }  // namespace driftlug::relay
--- a/src/relay/node_sessions.cc
+++ b/src/relay/node_sessions.cc
@@ -92,13 +92,13 @@
   counters_.heartbeatBytes += static_cast<int64_t>(frame->size());
 }
 
-void NodeSessions::heartbeatTo(base::ConnectionId connection, const wire::NodeHeartbeat& word) {
-  sendHeartbeat(connection, wire::encodeFrame(word));
+void NodeSessions::heartbeatTo(base::ConnectionId connection, const wire::NodeHeartbeat& heartbeat) {
+  sendHeartbeat(connection, wire::encodeFrame(heartbeat));
 }
 
-void NodeSessions::heartbeat(const wire::NodeHeartbeat& word, bool follows) {
+void NodeSessions::heartbeat(const wire::NodeHeartbeat& heartbeat, bool follows) {
   const auto leaderless = wire::encodeFrame(wire::NodeHeartbeat());
-  const auto frame = wire::encodeFrame(word);
+  const auto frame = wire::encodeFrame(heartbeat);
   for (const auto& [connection, session] : sessions_) {
     sendHeartbeat(connection, follows || session.confirmed ? frame : leaderless);
   }
--- a/src/relay/node_sessions.h
+++ b/src/relay/node_sessions.h
@@ -82,10 +82,10 @@
   /// Sends a heartbeat to every node.
   /// @param follows whether the relay follows a leader now; where it doesn't, nodes that wait for their first version
   /// are told of none, since the relay can't confirm it
-  void heartbeat(const wire::NodeHeartbeat& word, bool follows);
+  void heartbeat(const wire::NodeHeartbeat& heartbeat, bool follows);
 
   /// Tells one node how fresh the table is.
-  void heartbeatTo(base::ConnectionId connection, const wire::NodeHeartbeat& word);
+  void heartbeatTo(base::ConnectionId connection, const wire::NodeHeartbeat& heartbeat);
 
   /// @return nodes whose slice has changed beyond what they have in force.
   std::vector<wire::NodeStatus> lagging() const;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -59,8 +59,8 @@
   Relay(RelayOptions options, base::Scheduler& scheduler, base::RandomSource random, base::Network& network);
   ~Relay() override;
 
-  /// Serves the table of a controller in the same process, which outlives this object and tells it of changes. To be
-  /// called before start().
+  /// Serves the table of a controller in the same process, which outlives this object and notifies it of changes. Must
+  /// be called before start().
   void shareTable(const table::Table& table) { replica_.share(table); }
 
   /// Connects to controllers and peers.
@@ -118,7 +118,7 @@
   void onNodeSubscribe(base::ConnectionId connection, const wire::NodeSubscribe& request);
   void sendRetryLater(base::ConnectionId connection, base::Duration delay);
   bool admit();
-  wire::NodeHeartbeat wordOfControllers() const;
+  wire::NodeHeartbeat currentHeartbeat() const;
   FreshnessConfirmer& confirmerFor(const std::string& zone);
   void dropNode(base::ConnectionId connection);
   void closeNode(base::ConnectionId connection);
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -117,7 +117,7 @@
   crashes_.tell(connection, nodes_.find(connection));
   // At once, so that a node which left a relay for its old word of the controllers sees whether this one's is newer.
   const bool follows = source_.source() != 0;
-  nodes_.heartbeatTo(connection, confirmed || follows ? wordOfControllers() : wire::NodeHeartbeat());
+  nodes_.heartbeatTo(connection, confirmed || follows ? currentHeartbeat() : wire::NodeHeartbeat());
   if (confirmed) {
     nodes_.deliverFirst(connection, request.digest);
   } else {
@@ -183,12 +183,12 @@
   return *confirmer;
 }
 
-wire::NodeHeartbeat Relay::wordOfControllers() const {
-  wire::NodeHeartbeat word;
-  word.freshness = freshness_.value();
-  if (word.freshness.term == 0) return word;
-  word.ageMs = base::millisecondsOf(scheduler_.now() - freshness_.heardAt());
-  return word;
+wire::NodeHeartbeat Relay::currentHeartbeat() const {
+  wire::NodeHeartbeat heartbeat;
+  heartbeat.freshness = freshness_.value();
+  if (heartbeat.freshness.term == 0) return heartbeat;
+  heartbeat.ageMs = base::millisecondsOf(scheduler_.now() - freshness_.heardAt());
+  return heartbeat;
 }
 
 void Relay::dropNode(base::ConnectionId connection) {
@@ -240,7 +240,7 @@
 
 void Relay::onNodeTimer() {
   nodeTimer_.start(options_.nodeHeartbeat);
-  nodes_.heartbeat(wordOfControllers(), source_.source() != 0);
+  nodes_.heartbeat(currentHeartbeat(), source_.source() != 0);
   nodes_.deliverAll();
   versions_.tellUnsettled();
   const auto now = scheduler_.now();
--- a/src/relay/table_replica.cc
+++ b/src/relay/table_replica.cc
@@ -15,7 +15,7 @@
     if (row.revision > copy_.rowRevision(row.key)) rows.put(table::storeRow(row));
   }
   if (!(copy_.digest() == update.digest)) return ReplicaResult::kDigestMismatch;
-  *change = rows.keep();
+  *change = rows.commit();
   copy_.advanceTo(update.toRevision);
   copy_.boundTombstones();
   return ReplicaResult::kApplied;
--- a/src/table/row_change.h
+++ b/src/table/row_change.h
@@ -1,4 +1,4 @@
-/// Changes of a table that are taken back unless they are kept.
+/// Changes of a table that are rolled back unless they are committed.
 #pragma once
 
 #include <utility>
@@ -16,16 +16,16 @@
   bool empty() const { return changed.empty(); }
 };
 
-/// Changes rows in place, so that what is refused costs no copy of the table.
+/// Changes rows in place, so that a refused change costs no copy of the table.
 class RowChange {
  public:
   explicit RowChange(Table* table) : table_(table), previousRevision_(table->revision()) {}
   RowChange(const RowChange&) = delete;
   RowChange& operator=(const RowChange&) = delete;
 
-  /// Takes all back, unless keep() was called.
+  /// Rolls the change back unless commit() was called.
   ~RowChange() {
-    if (kept_) return;
+    if (committed_) return;
     for (size_t i = rows_.changed.size(); i-- > 0;) {
       table_->undoPut(rows_.changed[i]->key, rows_.previous[i], previousRevision_);
     }
@@ -37,8 +37,8 @@
   }
 
   /// @return the rows that changed, in the order of put().
-  ChangedRows keep() {
-    kept_ = true;
+  ChangedRows commit() {
+    committed_ = true;
     return std::move(rows_);
   }
 
@@ -48,7 +48,7 @@
  private:
   Table* table_;
   int64_t previousRevision_;
-  bool kept_ = false;
+  bool committed_ = false;
   ChangedRows rows_;
 };
 
--- a/src/table/table_observer.h
+++ b/src/table/table_observer.h
@@ -1,4 +1,4 @@
-/// Who follows the changes of a table.
+/// Observer of the changes of a table.
 #pragma once
 
 #include "table/row_change.h"
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -523,7 +523,7 @@
 
 struct NodeHeartbeat {
   1: Freshness freshness
-  /** Time since the relay heard it; what a cut-off relay heard last may be newer than what a node knows, and old. */
+  /** Time since the relay first received it. A partitioned relay's last one may be newer than a node's, and yet old. */
   2: i32 ageMs
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -4160,7 +4160,7 @@
   virtual ~NodeHeartbeat() noexcept;
   Freshness freshness;
   /**
-   * Time since the relay heard it; what a cut-off relay heard last may be newer than what a node knows, and old.
+   * Time since the relay first received it. A partitioned relay's last one may be newer than a node's, and yet old.
    */
   int32_t ageMs;
 
--- a/test/relay/shared_table_test.cc
+++ b/test/relay/shared_table_test.cc
@@ -40,7 +40,7 @@
   void put(const table::RowPtr& row) {
     table::RowChange change(&table);
     change.put(row);
-    relay->onTableChange(change.keep());
+    relay->onTableChange(change.commit());
   }
 
   /// The leader gives its word, at a revision of its table.
