Tests: one fixture for a single log member, and one list of cut-off relays

A leader and a stalled follower built their member, and let time pass, each in its own copy; so did two tests of relays that are cut off together.

--- a/test/consensus/own_stall_test.cc
+++ b/test/consensus/own_stall_test.cc
@@ -44,25 +44,15 @@
   }
 
   void runFor(base::Duration duration, bool answered) {
-    constexpr base::Duration kStep = base::milliseconds(50);
-    for (const auto end = queue.now() + duration; queue.now() < end;) {
-      const auto until = queue.now() + kStep;
-      while (queue.runNext(until)) {
-      }
+    MemberFixture::runFor(duration, [&] {
       if (answered) answer();
-    }
+    });
   }
 };
 
 /// A voter that hears its leader's heartbeats.
-struct StalledFollower {
-  StalledFollower() : process(queue, "follower", {"zone", "region"}, {"10.0.0.1", 1}), store(disk) {
-    process.start();
-    const auto state = store.open();
-    REQUIRE(state.ok());
-    raft =
-        std::make_unique<Raft>("follower", RaftOptions{}, process, base::RandomSource(1), store, transport, listener);
-    raft->start(*state);
+struct StalledFollower : MemberFixture {
+  StalledFollower() : MemberFixture("follower") {
     wire::LogEntry members;
     members.index = 1;
     members.term = 1;
@@ -83,22 +73,10 @@
   }
 
   void runFor(base::Duration duration, bool heard) {
-    constexpr base::Duration kStep = base::milliseconds(50);
-    for (const auto end = queue.now() + duration; queue.now() < end;) {
-      const auto until = queue.now() + kStep;
-      while (queue.runNext(until)) {
-      }
+    MemberFixture::runFor(duration, [&] {
       if (heard) heartbeat({}, 1);
-    }
+    });
   }
-
-  simulation::EventQueue queue;
-  simulation::Process process;
-  test::MemoryDisk disk;
-  storage::LogStore store;
-  FrameKeeper transport;
-  IgnoringListener listener;
-  std::unique_ptr<Raft> raft;
 };
 
 }  // namespace
--- a/test/consensus/raft_fixture.h
+++ b/test/consensus/raft_fixture.h
@@ -38,15 +38,42 @@
   return member;
 }
 
-/// A leader of its own, with learners.
-struct LeaderFixture {
-  explicit LeaderFixture(const RaftOptions& options = {})
-      : process(queue, "leader", {"zone", "region"}, {"10.0.0.1", 1}), store(disk) {
+/// One member with an empty log.
+struct MemberFixture {
+  explicit MemberFixture(const std::string& id, const RaftOptions& options = {})
+      : process(queue, id, {"zone", "region"}, {"10.0.0.1", 1}), store(disk) {
     process.start();
     const auto state = store.open();
     REQUIRE(state.ok());
-    raft = std::make_unique<Raft>("leader", options, process, base::RandomSource(1), store, transport, listener);
+    raft = std::make_unique<Raft>(id, options, process, base::RandomSource(1), store, transport, listener);
     raft->start(*state);
+  }
+
+  /// Lets time pass.
+  /// @param poll called every 50 ms
+  template <typename Poll>
+  void runFor(base::Duration duration, Poll poll) {
+    constexpr base::Duration kStep = base::milliseconds(50);
+    for (const auto end = queue.now() + duration; queue.now() < end;) {
+      const auto until = queue.now() + kStep;
+      while (queue.runNext(until)) {
+      }
+      poll();
+    }
+  }
+
+  simulation::EventQueue queue;
+  simulation::Process process;
+  test::MemoryDisk disk;
+  storage::LogStore store;
+  FrameKeeper transport;
+  IgnoringListener listener;
+  std::unique_ptr<Raft> raft;
+};
+
+/// A leader of its own, with learners.
+struct LeaderFixture : MemberFixture {
+  explicit LeaderFixture(const RaftOptions& options = {}) : MemberFixture("leader", options) {
     raft->bootstrap(memberOf("leader", true));
     settle();
     REQUIRE(raft->role() == RaftRole::kLeader);
@@ -66,14 +93,6 @@
       }
     }
   }
-
-  simulation::EventQueue queue;
-  simulation::Process process;
-  test::MemoryDisk disk;
-  storage::LogStore store;
-  FrameKeeper transport;
-  IgnoringListener listener;
-  std::unique_ptr<Raft> raft;
 };
 
 }  // namespace driftlug::consensus
--- a/test/node/control_client_fixture.h
+++ b/test/node/control_client_fixture.h
@@ -53,6 +53,14 @@
     client->onMessage(current(), list);
   }
 
+  /// Tells of the home relay and others in another zone.
+  void tellRelays(int count) {
+    wire::RelayList list;
+    list.relays.push_back(relayAt(kHome, "zone-1"));
+    for (int i = 2; i <= count; ++i) list.relays.push_back(relayAt({"10.0.0." + std::to_string(i), 7001}, "zone-2"));
+    client->onMessage(current(), list);
+  }
+
   void heartbeat(int64_t term, int64_t round, base::Duration age = base::Duration(0)) {
     wire::NodeHeartbeat heartbeat;
     heartbeat.freshness.term = term;
--- a/test/node/control_client_test.cc
+++ b/test/node/control_client_test.cc
@@ -101,12 +101,8 @@
 }
 
 TEST_CASE_METHOD(ControlClientFixture, "relays that are cut off together are left one after the other at once") {
-  constexpr int kRelays = 7;
   open();
-  wire::RelayList list;
-  list.relays.push_back(relayAt(kHome, "zone-1"));
-  for (int i = 2; i <= kRelays; ++i) list.relays.push_back(relayAt({"10.0.0." + std::to_string(i), 7001}, "zone-2"));
-  client->onMessage(current(), list);
+  tellRelays(7);
   version(1);
   heartbeat(1, 10);
   for (int i = 0; i < 6; ++i) {
@@ -133,13 +129,9 @@
 
 TEST_CASE_METHOD(ControlClientFixture,
                  "a relay that was cut off too is left at once, though it heard a little more before") {
-  constexpr int kRelays = 7;
   constexpr base::Duration kSinceCut = base::milliseconds(1700);
   open();
-  wire::RelayList list;
-  list.relays.push_back(relayAt(kHome, "zone-1"));
-  for (int i = 2; i <= kRelays; ++i) list.relays.push_back(relayAt({"10.0.0." + std::to_string(i), 7001}, "zone-2"));
-  client->onMessage(current(), list);
+  tellRelays(7);
   version(1);
   heartbeat(1, 10);
   for (int i = 0; i < 6 && relay() == kHome; ++i) {
