--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -45,10 +45,9 @@
     return;
   }
   if (!isVoter(id_) || store_.failed()) return;
-  // After a stall the leader's heartbeats may still be unread.
-  const bool heard = scheduler_.inputReadUntil() - lastLeaderContact_ < options_.electionTimeout;
-  if (!leaderId_.empty() && heard) return;
   if (!leaderId_.empty()) {
+    // After a stall the leader's heartbeats may still be unread.
+    if (scheduler_.inputReadUntil() - lastLeaderContact_ < options_.electionTimeout) return;
     log_.info("{} heard nothing of {}, leader of term {}, for {} ms", id_, leaderId_, hardState_.term,
               base::millisecondsOf(scheduler_.now() - lastLeaderContact_));
   }
--- a/src/relay/slice_cache.cc
+++ b/src/relay/slice_cache.cc
@@ -10,14 +10,16 @@
 }  // namespace
 
 bool CachedSlice::update(const table::Table& table, const table::ChangedRows& rows) {
-  if (!slice_.update(table, rows)) return false;
-  frames_.clear();
-  whole_ = {};
-  return true;
+  const bool changed = slice_.update(table, rows);
+  if (changed) dropFrames();
+  return changed;
 }
 
 void CachedSlice::refresh(const table::Table& table) {
-  if (!slice_.refresh(table)) return;
+  if (slice_.refresh(table)) dropFrames();
+}
+
+void CachedSlice::dropFrames() {
   frames_.clear();
   whole_ = {};
 }
--- a/src/relay/slice_cache.h
+++ b/src/relay/slice_cache.h
@@ -41,6 +41,7 @@
   };
 
   static wire::FramePtr choose(Encoded* encoded, bool packed);
+  void dropFrames();
 
   table::Slice slice_;
   Encoded whole_;
--- a/src/relay/source.h
+++ b/src/relay/source.h
@@ -60,7 +60,6 @@
   void sendToAll(const wire::Message& message);
 
   base::ConnectionId source() const { return source_; }
-  const wire::Freshness& freshness() const { return freshness_; }
 
   /// @return when the freshness last advanced.
   base::TimePoint freshSince() const { return freshSince_; }
--- a/src/table/slice.cc
+++ b/src/table/slice.cc
@@ -16,16 +16,6 @@
 
 }  // namespace
 
-KeySet selectKeys(const Table& table, const Interest& interest) {
-  SliceSelection selection(interest);
-  selection.begin(table);
-  KeySet keys;
-  for (const auto& [key, row] : table.rows()) {
-    if (selection.selects(*row)) keys.insert(key);
-  }
-  return keys;
-}
-
 bool Slice::BySince::operator()(const Entry* left, const Entry* right) const {
   return std::tie(left->since, left->row->key.kind, left->row->key.name) <
          std::tie(right->since, right->row->key.kind, right->row->key.name);
--- a/src/table/slice.h
+++ b/src/table/slice.h
@@ -10,15 +10,11 @@
 
 namespace driftlug::table {
 
-/// @return the keys of the rows that an interest needs: routes with their transitive services, endpoints,
-/// limits, retry policies and secrets.
-KeySet selectKeys(const Table& table, const Interest& interest);
-
 /// The rows of one interest, with the revision at which each entered or left, so that a delta from any
 /// revision since the slice was first computed is exact. From an earlier one it is exact as long as the only rows that
 /// left were deleted, since the table's tombstones tell of those.
 ///
-/// Invariants: the rows equal selectKeys() over the table given last; digest() covers them.
+/// Invariants: the rows are those that the interest selects from the table given last; digest() covers them.
 class Slice {
  public:
   Slice(Interest interest, const Table& table);
--- a/test/fuzz/text_decoders_test.cc
+++ b/test/fuzz/text_decoders_test.cc
@@ -2,11 +2,11 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "config_document.h"
 #include "controller/controller_host.h"
 #include "controller/http_api.h"
 #include "fuzz/mutator.h"
 #include "platform/platform_messages.h"
+#include "platform/whole_config.h"
 #include "report_document.h"
 #include "table/row_json.h"
 #include "transport/http_reader.h"
--- a/test/platform/config_document_test.cc
+++ b/test/platform/config_document_test.cc
@@ -1,4 +1,3 @@
-#include "config_document.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -7,6 +6,7 @@
 #include "base/error.h"
 #include "platform_messages.h"
 #include "table/validator.h"
+#include "whole_config.h"
 
 namespace driftlug::platform {
 namespace {
--- a/test/platform/config_steps_test.cc
+++ b/test/platform/config_steps_test.cc
@@ -5,6 +5,7 @@
 #include "config_writer.h"
 #include "pages_fixture.h"
 #include "platform_messages.h"
+#include "whole_config.h"
 
 namespace driftlug::platform {
 namespace {
--- a/test/platform/pages_fixture.h
+++ b/test/platform/pages_fixture.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "config_api.h"
-#include "config_document.h"
+#include "config_version.h"
 #include "controller/controller_host.h"
 #include "rollout_api.h"
 
