Nodes read, log and count what back ends say in their responses

The node beside the back end logs when a limit begins, changes and ends, counts these and values that are no number. Nothing is limited or excluded yet.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -133,6 +133,14 @@
                 runs.refusedForLink);
   page->counter("endpoint_refused_for_answer_total", "calls refused since their answer could not leave in time",
                 runs.refusedForAnswer);
+  page->gauge("endpoint_rate_limit", "requests per second that the back end accepts; 0 while it names no limit",
+              endpoint.advertisedRatePerS().value_or(0));
+  page->counter("endpoint_rate_limit_changes_total", "times the back end began, changed or ended its rate limit",
+                runs.rateLimitChanges);
+  page->counter("endpoint_unreadable_rate_limits_total", "responses whose rate limit is not a number of requests",
+                runs.unreadableRateLimits);
+  page->counter("endpoint_leaving_notices_total", "responses in which the back end said that it is shutting down",
+                runs.leavingNotices);
   page->gauge("endpoint_body_missing_bytes", "bytes of announced bodies that have not arrived",
               static_cast<double>(endpoint.bodies().missingBytes()));
   page->gauge("endpoint_body_bytes_per_second", "what the link is taken to carry of bodies",
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -49,6 +49,12 @@
 DEFINE_string(incarnation_header, "", "header with the back-end incarnation that a call is addressed to");
 DEFINE_string(identity_header, "", "response header in which the back end states its incarnation");
 DEFINE_string(cold_header, "", "response header with the remaining cold-start time of the back end in milliseconds");
+DEFINE_string(rate_limit_header, "",
+              "response header with the requests per second that the back end accepts; several names are separated by "
+              "commas, empty if it sends none");
+DEFINE_string(leaving_header, "",
+              "response header that is 1 while the back end is shutting down; several names are separated by commas, "
+              "empty if it sends none");
 DEFINE_double(cold_overage, 1, "request rate sent to a cold back end, as a multiple of its rate in the table");
 DEFINE_string(identity_path, "/healthz", "path at which the back end is queried for its incarnation");
 DEFINE_string(not_run_header, "x-shed", "response header that marks a request as not run by the back end");
@@ -127,6 +133,10 @@
   return FLAGS_link_mbps > 0 && FLAGS_link_mbps < kNarrowLinkMbps ? kNarrowLinkBonus : 0;
 }
 
+backpressure::notice_headers noticeHeadersFromSettings() {
+  return {base::splitList(FLAGS_rate_limit_header), base::splitList(FLAGS_leaving_header)};
+}
+
 }  // namespace
 
 node::ControlOptions controlOptionsFromSettings() {
@@ -187,6 +197,7 @@
   options.requestIdHeader = FLAGS_correlation_header;
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
   options.bodies.linkBytesPerSecond = linkBytesPerSecondFromSettings();
+  options.notices = noticeHeadersFromSettings();
   return options;
 }
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -107,6 +107,7 @@
 void EndpointCalls::useIncarnation(const std::string& endpoint, int slots) {
   if (endpoint != endpoint_) {
     previousEndpoint_.clear();
+    advertisedRate_ = {};
     limiter_.refuseWaiting();
     probationLimiter_.refuseWaiting();
     refuseAwaitingBodies();
@@ -303,6 +304,7 @@
   const bool notReached = answer.outcome == BackendOutcome::kNotSent;
   if (onBackendContact_ && (completed || notReached)) onBackendContact_(completed);
   if (!completed && hasTable_) markPossiblyCold();  // the back end may have restarted
+  if (completed) handleNotice(found->second, answer);
   if (notReached) {
     return releaseClaimAndRefuse(key, ErrorCode::kBackendUnreachable, base::Duration(0));
   }
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "backpressure/advertised_rate.h"
+#include "backpressure/backend_notice.h"
 #include "base/decision_log.h"
 #include "base/latency_histogram.h"
 #include "base/network.h"
@@ -50,6 +52,7 @@
   std::string nodeId;
   std::string zone;  ///< zone of this node and its back end
   overload::body_flow_controller_options bodies;
+  backpressure::notice_headers notices;
 };
 
 /// Counters of EndpointCalls.
@@ -65,6 +68,9 @@
   int64_t replayed = 0;              ///< answered from the ledger, without a run
   int64_t refusedForLink = 0;        ///< refused because their body could not have arrived in time
   int64_t refusedForAnswer = 0;      ///< refused because their answer could not have been sent in time
+  int64_t rateLimitChanges = 0;      ///< times the back end began, changed or ended its rate limit
+  int64_t unreadableRateLimits = 0;  ///< responses with a rate limit that is not a number of requests
+  int64_t leavingNotices = 0;        ///< responses in which the back end said that it is shutting down
   base::LatencyHistogram waitTimes;  ///< from arrival to start, of calls that started
   base::LatencyHistogram runTimes;   ///< from start to the back end's answer, of completed calls
 };
@@ -159,6 +165,10 @@
   size_t active() const { return calls_.size(); }
   const EndpointCounters& counters() const { return counters_; }
   const limits::SlotLimiter& limiter() const { return limiter_; }
+
+  /// @return the rate limit that the back end advertises, in requests per second; nullopt if there is none
+  std::optional<double> advertisedRatePerS() const { return advertisedRate_.ratePerS(); }
+
   const overload::body_flow_controller& bodies() const { return bodyFlowController_; }
 
  private:
@@ -246,6 +256,9 @@
   void notifyRunEnded(const Call& call, bool failed);
   bool refuseAtOnce(const CallKey& key, const wire::CallRequest& request);
   bool backendRefused(const CallKey& key, const BackendAnswer& answer);
+  void handleNotice(const Call& call, const BackendAnswer& answer);
+  void logUnreadableRate(const Call& call, const backpressure::backend_notice& notice);
+  void logRateChange(std::optional<double> before, const std::string& callId);
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
@@ -294,7 +307,9 @@
   std::function<void()> onColdCheckNeeded_;                     // may be empty
   std::string version_;                                         // version of the back end's software; may be empty
   std::optional<rollout::version_policy> versions_;             // versions that accept calls; all if unset
+  backpressure::advertised_rate advertisedRate_;
   EndpointCounters counters_;
+  base::Logger log_{"endpoint"};
   base::DecisionLog decisions_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
