--- a/test/fleet/fleet_back_end.h
+++ b/test/fleet/fleet_back_end.h
@@ -9,6 +9,10 @@
 
 namespace driftlug::test
 {
+/// Headers in which back ends name a rate limit and say that they are shutting down.
+constexpr char kRateLimitHeader[] = "rate-limit";
+constexpr char kLeavingHeader[] = "leaving";
+
 /// Runs requests, and reports its state to its node periodically.
 class fleet_back_end : public node::BackendClient
 {
--- a/test/fleet/fleet_node.cc
+++ b/test/fleet/fleet_node.cc
@@ -183,6 +183,7 @@
 	options.service = m_backEnd ? m_options.service : "";
 	options.defaultSlots = m_options.slots;
 	options.dynamicEndpoint = true;
+	options.notices = {{kRateLimitHeader}, {kLeavingHeader}};
 	options.waitWithinTarget = true;
 	options.overloadRetryAfter = base::milliseconds(1000);
 	node::BackendClient& backEnd = m_backEnd ? static_cast<node::BackendClient&>(*m_backEnd) : *m_noBackEnd;
--- a/test/incidents/crash_fleet.cc
+++ b/test/incidents/crash_fleet.cc
@@ -132,9 +132,17 @@
 	host.name = "host";
 	host.value = kHost;
 	inbound.headers = {host};
+	if (onAttemptSent)
+	{
+		onAttemptSent(_node, _path);
+	}
 	entry->begin(std::move(inbound),
-				 [this, _path, _begunAt, _triesLeft](const node::CallAnswer& _answer)
+				 [this, _path, _node, _begunAt, _triesLeft](const node::CallAnswer& _answer)
 				 {
+					 if (onAttemptAnswered)
+					 {
+						 onAttemptAnswered(_node, _answer);
+					 }
 					 onAttemptAnswer(_path, _begunAt, _triesLeft, _answer);
 				 });
 }
--- a/test/incidents/crash_fleet.h
+++ b/test/incidents/crash_fleet.h
@@ -2,6 +2,7 @@
 #ifndef DRIFTLUG_TEST_INCIDENTS_CRASH_FLEET_H_HEADER_GUARD
 #define DRIFTLUG_TEST_INCIDENTS_CRASH_FLEET_H_HEADER_GUARD
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -90,6 +91,10 @@
 	back_end_record backEnds;
 	caller_record callers;
 
+	/// Called with the node of each attempt of a caller when it is sent, and with its answer.
+	std::function<void(size_t, const std::string&)> onAttemptSent;
+	std::function<void(size_t, const node::CallAnswer&)> onAttemptAnswered;
+
 private:
 	void sendAttempt(const std::string& _path, size_t _node, base::TimePoint _begunAt, int _triesLeft);
 
--- a/test/incidents/crashing_back_end.cc
+++ b/test/incidents/crashing_back_end.cc
@@ -69,6 +69,10 @@
 		return id;
 	}
 	m_record.arrivals.push_back({m_process.now(), _request.path, m_node});
+	if (m_record.onArrival)
+	{
+		m_record.onArrival(m_record.arrivals.back());
+	}
 	m_running[id] = {_done, _request.path};
 	const bool fatal = m_record.isFatal(_request.path);
 	const auto run = fatal ? kCrashDelay : kMeanRunTime / 3 + m_random.duration(kMeanRunTime * 4 / 3);
@@ -108,6 +112,7 @@
 						   m_up = true;
 						   ++m_incarnation;
 						   m_sequence = 0;
+						   m_responseHeaders.clear();
 						   m_startedAt = m_process.now() + m_record.clockStep * m_incarnation;
 						   m_record.starts.push_back({m_process.now(), {}, m_node});
 						   report();
@@ -139,7 +144,24 @@
 void crashing_back_end::complete(uint64_t _id)
 {
 	const auto run = m_running.extract(_id);
-	run.mapped().done({node::BackendOutcome::kCompleted, false, 200, {}, "whole"});
+	run.mapped().done({node::BackendOutcome::kCompleted, false, 200, m_responseHeaders, "whole"});
+}
+
+void crashing_back_end::setResponseHeader(const std::string& _name, const std::string& _value)
+{
+	std::erase_if(m_responseHeaders,
+				  [&](const wire::HttpHeader& _header)
+				  {
+					  return _header.name == _name;
+				  });
+	if (_value.empty())
+	{
+		return;
+	}
+	wire::HttpHeader header;
+	header.name = _name;
+	header.value = _value;
+	m_responseHeaders.push_back(header);
 }
 
 void crashing_back_end::report()
--- a/test/incidents/crashing_back_end.h
+++ b/test/incidents/crashing_back_end.h
@@ -2,6 +2,7 @@
 #ifndef DRIFTLUG_TEST_INCIDENTS_CRASHING_BACK_END_H_HEADER_GUARD
 #define DRIFTLUG_TEST_INCIDENTS_CRASHING_BACK_END_H_HEADER_GUARD
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,12 +37,13 @@
 struct back_end_record
 {
 	std::vector<back_end_event> arrivals;
-	std::vector<back_end_event> crashes;           //!< Crashes caused by requests.
-	std::vector<base::TimePoint> externalCrashes;  //!< Crashes that no request causes.
-	std::vector<std::string> fatal;                //!< Paths of requests that crash back ends.
-	std::vector<back_end_event> starts;            //!< First reports of restarted back ends.
-	bool keepIncarnationName = false;              //!< Restarted back ends keep their incarnation name.
-	base::Duration clockStep{0};                   //!< Step of the back ends' clocks between two starts.
+	std::function<void(const back_end_event&)> onArrival;  //!< Called with each arrival; may be empty.
+	std::vector<back_end_event> crashes;                   //!< Crashes caused by requests.
+	std::vector<base::TimePoint> externalCrashes;          //!< Crashes that no request causes.
+	std::vector<std::string> fatal;                        //!< Paths of requests that crash back ends.
+	std::vector<back_end_event> starts;                    //!< First reports of restarted back ends.
+	bool keepIncarnationName = false;                      //!< Restarted back ends keep their incarnation name.
+	base::Duration clockStep{0};                           //!< Step of the back ends' clocks between two starts.
 
 	/// @returns Time from the first report of each restarted back end to its first call.
 	std::vector<base::Duration> restartToFirstCall() const;
@@ -73,6 +75,9 @@
 	uint64_t send(const wire::CallRequest& _request, base::Duration,
 				  std::function<void(node::BackendAnswer)> _done) override;
 
+	/// Sets a header of all further responses; an empty value removes it.
+	void setResponseHeader(const std::string& _name, const std::string& _value);
+
 	void cancel(uint64_t _id) override
 	{
 		m_running.erase(_id);
@@ -113,6 +118,7 @@
 	size_t m_node;
 	back_end_record& m_record;
 	std::map<uint64_t, running_request> m_running;
+	std::vector<wire::HttpHeader> m_responseHeaders;
 	uint64_t m_last = 0;
 	int m_incarnation = 1;
 	base::TimePoint m_startedAt{};
