The rate limit that a back end names is kept, over all callers and restarts

What callers saw: nothing; the back end in need got as many requests as before (record: 60 in 4 s where 37 were allowed). Cause: no node read the header. Class of fault: what a back end says of itself in its responses is passed on and not read. Change: the node beside the back end, which sees all requests to it, starts no more than the limit (backpressure/rate_limiter, beside the limiter of cold starts; both are limits::StartLimiter now). A call that has another endpoint is refused at once and goes there, without a charge to its refusals; one that has none waits if it can meet its target, and else is refused with the time until there is room. Hedges and health checks spare such a back end. Callers tell the limit that they know with each call, so that a restarted node keeps it before it sends more. Answers stored in the ledger keep no notices. token_bucket rounds its waits up: a wait of under a microsecond let requests pass uncharged.

--- a/apps/endpoint_health.h
+++ b/apps/endpoint_health.h
@@ -54,7 +54,7 @@
       const bool answered = result.outcome == transport::HttpOutcome::kCompleted;
       backendDraining_ = answered && result.response.status == 503;
       update();
-      timer_.start(interval);
+      timer_.start(calls_.healthCheckInterval(interval));
     });
   }
 
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -123,6 +123,8 @@
   page->counter("entry_attempts_total", "attempts sent to endpoints", calls.attempts);
   page->counter("entry_retries_total", "attempts after the first", calls.retries);
   page->counter("entry_late_answers_total", "answers that came after their call had ended", calls.lateAnswers);
+  page->gauge("entry_rate_limited_endpoints", "endpoints whose back ends name a rate limit, as far as is known here",
+              static_cast<double>(entry.rateLimitedEndpoints()));
   page->gauge("entry_links", "links to endpoints of all services", static_cast<double>(entry.links()));
   const auto& runs = endpoint.counters();
   page->counter("endpoint_calls_total", "calls taken from nodes", runs.calls);
@@ -135,6 +137,8 @@
                 runs.refusedForAnswer);
   page->gauge("endpoint_rate_limit", "requests per second that the back end accepts; 0 while it names no limit",
               endpoint.advertisedRatePerS().value_or(0));
+  page->counter("endpoint_refused_for_rate_total", "calls refused since the back end's rate limit left no room",
+                runs.refusedForRate);
   page->counter("endpoint_rate_limit_changes_total", "times the back end began, changed or ended its rate limit",
                 runs.rateLimitChanges);
   page->counter("endpoint_unreadable_rate_limits_total", "responses whose rate limit is not a number of requests",
@@ -450,7 +454,7 @@
   transport::HttpRequest request;
   request.method = "GET";
   request.path = FLAGS_identity_path;
-  identityPool_->send(request, timeout, [done = std::move(done)](const transport::HttpResult& result) {
+  identityPool_->send(request, timeout, [this, done = std::move(done)](const transport::HttpResult& result) {
     const auto& headers = result.response.headers;
     // A refusal for lack of a free slot does not show whether the back end is healthy.
     const bool refused = !FLAGS_not_run_header.empty() && !transport::findHeader(headers, FLAGS_not_run_header).empty();
@@ -462,6 +466,8 @@
       identity.coldMs = remainingColdMs(headers, identity.healthy);
     }
     done(identity);
+    const bool current = !identity.incarnation.empty() && identity.incarnation == localBackend_.incarnation();
+    if (current) endpoint_.onHealthNotice(backpressure::readNotice(headers, noticeHeadersFromSettings()));
   });
 }
 
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -133,10 +133,6 @@
   return FLAGS_link_mbps > 0 && FLAGS_link_mbps < kNarrowLinkMbps ? kNarrowLinkBonus : 0;
 }
 
-backpressure::notice_headers noticeHeadersFromSettings() {
-  return {base::splitList(FLAGS_rate_limit_header), base::splitList(FLAGS_leaving_header)};
-}
-
 }  // namespace
 
 node::ControlOptions controlOptionsFromSettings() {
@@ -157,6 +153,10 @@
   return options;
 }
 
+backpressure::notice_headers noticeHeadersFromSettings() {
+  return {base::splitList(FLAGS_rate_limit_header), base::splitList(FLAGS_leaving_header)};
+}
+
 node::EntryOptions entryOptionsFromSettings() {
   node::EntryOptions options;
   options.nodeId = FLAGS_name;
@@ -167,6 +167,7 @@
   options.links.maxLinks = descriptorSharesFromSettings().links;
   options.generateIdempotencyKeys = FLAGS_ledger;
   options.requestIdHeader = FLAGS_correlation_header;
+  options.notices = noticeHeadersFromSettings();
   options.tenantHeader = FLAGS_tenant_header;
   options.hedgeAfterShare = FLAGS_hedge_percent / 100.0;
   options.fallbackHedgeAfterShare = FLAGS_late_percent / 100.0;
--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -15,6 +15,7 @@
 void declareNodeSettings();
 
 node::ControlOptions controlOptionsFromSettings();
+backpressure::notice_headers noticeHeadersFromSettings();
 node::EntryOptions entryOptionsFromSettings();
 node::EndpointOptions endpointOptionsFromSettings();
 EntryHeaders entryHeadersFromSettings();
--- a/src/backpressure/advertised_rate.h
+++ b/src/backpressure/advertised_rate.h
@@ -34,6 +34,12 @@
 		return m_ratePerS;
 	}
 
+	/// @returns When the limit in force was last named.
+	base::TimePoint namedAt() const
+	{
+		return m_namedAt;
+	}
+
 private:
 	bool set(std::optional<double> _ratePerS, base::TimePoint _now);
 
--- a/src/backpressure/backend_notice.cc
+++ b/src/backpressure/backend_notice.cc
@@ -61,4 +61,9 @@
 	return notice;
 }
 
+bool isNotice(const wire::HttpHeader& _header, const notice_headers& _names)
+{
+	return contains(_names.leaving, _header.name) || contains(_names.rateLimit, _header.name);
+}
+
 }  // namespace driftlug::backpressure
--- a/src/backpressure/backend_notice.h
+++ b/src/backpressure/backend_notice.h
@@ -34,6 +34,9 @@
 /// Reads the notices of a response. The lowest of several limits counts.
 backend_notice readNotice(std::span<const wire::HttpHeader> _headers, const notice_headers& _names);
 
+/// @returns Whether a header holds a notice.
+bool isNotice(const wire::HttpHeader& _header, const notice_headers& _names);
+
 }  // namespace driftlug::backpressure
 
 #endif  // DRIFTLUG_BACKPRESSURE_BACKEND_NOTICE_H_HEADER_GUARD
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -126,6 +126,8 @@
       return "zone_evacuated";
     case ErrorCode::kBackendCold:
       return "backend_cold";
+    case ErrorCode::kBackendRateLimited:
+      return "backend_rate_limited";
     case ErrorCode::kVersionNotReleased:
       return "version_not_released";
     case ErrorCode::kStaleRequest:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -57,6 +57,7 @@
   kQuotaUnavailable = 59,
   kZoneEvacuated = 60,
   kBackendCold = 61,
+  kBackendRateLimited = 62,
 };
 
 /// @return the stable lower-case name of a code, as used in JSON bodies and logs.
--- a/src/limits/cold_start_limiter.h
+++ b/src/limits/cold_start_limiter.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "limits/start_limiter.h"
 
 namespace driftlug::limits {
 
@@ -14,7 +15,7 @@
 /// The local node of a back end sees every request to it, so the limit is exact regardless of what callers know. A back
 /// end can turn cold without reporting it, for example while it is unreachable. Until its state has been queried, it is
 /// treated as cold.
-class ColdStartLimiter {
+class ColdStartLimiter : public StartLimiter {
  public:
   explicit ColdStartLimiter(const base::TimeSource& time) : time_(time) {}
 
@@ -35,14 +36,9 @@
   /// @return whether the limit is in effect now.
   bool isLimiting() const;
 
-  /// Records the start of a request.
-  void onStart();
-
-  /// @return when the next request may start; nullopt if one may start now
-  std::optional<base::TimePoint> blockedUntil() const;
-
-  /// @return the mean time between two starts at the limit; 0 while the limit is not in effect.
-  base::Duration interval() const;
+  void onStart() override;
+  std::optional<base::TimePoint> blockedUntil() const override;
+  base::Duration interval() const override;
 
  private:
   const base::TimeSource& time_;
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -24,19 +24,31 @@
   startWaiting();
 }
 
-bool SlotLimiter::mayStart() const {
-  return running_ < maxConcurrent_ && (coldStartLimiter_ == nullptr || !coldStartLimiter_->blockedUntil());
+std::optional<base::TimePoint> SlotLimiter::blockedUntil() const {
+  std::optional<base::TimePoint> until;
+  for (const auto* limiter : startLimiters_) {
+    const auto blocked = limiter->blockedUntil();
+    if (blocked && (!until || *blocked > *until)) until = blocked;
+  }
+  return until;
+}
+
+base::Duration SlotLimiter::startInterval() const {
+  base::Duration interval{0};
+  for (const auto* limiter : startLimiters_) interval = std::max(interval, limiter->interval());
+  return interval;
 }
 
+bool SlotLimiter::mayStart() const { return running_ < maxConcurrent_ && !blockedUntil(); }
+
 std::optional<base::TimePoint> SlotLimiter::nextRateLimitedStart() const {
-  if (coldStartLimiter_ == nullptr || waiting_.empty() || running_ >= maxConcurrent_) return std::nullopt;
-  return coldStartLimiter_->blockedUntil();
+  if (waiting_.empty() || running_ >= maxConcurrent_) return std::nullopt;
+  return blockedUntil();
 }
 
 base::Duration SlotLimiter::rateLimitWait(std::ptrdiff_t ahead) const {
-  if (coldStartLimiter_ == nullptr) return base::Duration(0);
-  const auto held = coldStartLimiter_->blockedUntil();
-  return (held ? *held - time_.now() : base::Duration(0)) + coldStartLimiter_->interval() * ahead;
+  const auto held = blockedUntil();
+  return (held ? *held - time_.now() : base::Duration(0)) + startInterval() * ahead;
 }
 
 base::Duration SlotLimiter::expectedWait(Priority priority, base::TimePoint latestStart) const {
@@ -53,7 +65,7 @@
 
 base::Duration SlotLimiter::slotInterval() const {
   const auto held = base::Duration(static_cast<int64_t>(averageHoldUs_ / std::max(1, maxConcurrent_)));
-  return coldStartLimiter_ == nullptr ? held : std::max(held, coldStartLimiter_->interval());
+  return std::max(held, startInterval());
 }
 
 std::optional<base::TimePoint> SlotLimiter::nextExpiry() const {
@@ -79,6 +91,24 @@
   for (auto& request : refused) request.refuse(SlotRefusal::kWouldBeLate);
 }
 
+void SlotLimiter::refuseRateLimited() {
+  const auto now = time_.now();
+  std::vector<Request> refused;
+  std::ptrdiff_t ahead = 0;
+  for (auto item = waiting_.begin(); item != waiting_.end();) {
+    const auto wait = rateLimitWait(ahead);
+    if (wait == base::Duration(0) || now + wait < item->first.latestStart) {
+      ++ahead;
+      ++item;
+      continue;
+    }
+    ++counters_.refusedLate;
+    refused.push_back(std::move(item->second));
+    item = waiting_.erase(item);
+  }
+  for (auto& request : refused) request.refuse(SlotRefusal::kWouldBeLate);
+}
+
 bool SlotLimiter::displaceFor(Priority priority) {
   if (waiting_.empty()) return false;
   const auto last = std::prev(waiting_.end());
@@ -117,7 +147,7 @@
   ++running_;
   if (priority == Priority::kNested) ++runningNested_;
   ++counters_.admitted;
-  if (coldStartLimiter_ != nullptr) coldStartLimiter_->onStart();
+  for (auto* limiter : startLimiters_) limiter->onStart();
 }
 
 SlotLimiter::Waiting::iterator SlotLimiter::nextToStart() {
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -6,9 +6,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "base/time.h"
-#include "limits/cold_start_limiter.h"
+#include "limits/start_limiter.h"
 
 namespace driftlug::limits {
 
@@ -84,16 +85,19 @@
   /// Sets the share of all slots that kNested requests may hold while others wait.
   void setNestedShare(double share) { nestedShare_ = share; }
 
-  /// Limits the rate of starts while the back end is cold.
-  /// @param coldStartLimiter must outlive this object; null for no limit
-  void setColdStartLimiter(ColdStartLimiter* coldStartLimiter) { coldStartLimiter_ = coldStartLimiter; }
+  /// Adds a limit of when requests may start; all limits apply.
+  /// @param startLimiter must outlive this object
+  void addStartLimiter(StartLimiter* startLimiter) { startLimiters_.push_back(startLimiter); }
 
-  /// @return when the cold-start limit admits the next queued request, if that limit is what it waits for.
+  /// @return when the start limits admit the next queued request, if they are what it waits for.
   std::optional<base::TimePoint> nextRateLimitedStart() const;
 
-  /// Starts queued requests while slots are free and the cold-start limit admits them.
+  /// Starts queued requests while slots are free and the start limits admit them.
   void startWaiting();
 
+  /// Refuses the queued requests that the start limits do not admit before their latest start time.
+  void refuseRateLimited();
+
   /// Frees the slot of a request that has ended.
   /// @param held how long the request held its slot
   /// @param priority the priority that was passed to acquire()
@@ -137,6 +141,8 @@
   using Waiting = std::map<QueueKey, Request>;
 
   bool mayStart() const;
+  std::optional<base::TimePoint> blockedUntil() const;
+  base::Duration startInterval() const;
   base::Duration rateLimitWait(std::ptrdiff_t ahead) const;
   Waiting::iterator nextToStart();
   void admit(Priority priority);
@@ -146,7 +152,7 @@
   int maxConcurrent_;
   int maxQueued_;
   int running_ = 0;
-  ColdStartLimiter* coldStartLimiter_ = nullptr;  // may be null
+  std::vector<StartLimiter*> startLimiters_;
   int runningNested_ = 0;
   double nestedShare_ = 1;
   TicketId nextTicket_ = 1;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -36,6 +36,7 @@
       backend_(backend),
       ledger_(ledger),
       coldStartLimiter_(scheduler),
+      rateLimiter_(scheduler),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
       probationLimiter_(scheduler, kMaxConcurrentSuspects, options_.defaultQueue),
       bodyFlowController_(options_.bodies),
@@ -49,9 +50,11 @@
                      limiter_.startWaiting();
                      armExpiry();
                    }),
+      rateLog_("endpoint", scheduler),
       decisions_("endpoint", scheduler) {
   limiter_.setNestedShare(options_.nestedShare);
-  limiter_.setColdStartLimiter(&coldStartLimiter_);
+  limiter_.addStartLimiter(&coldStartLimiter_);
+  limiter_.addStartLimiter(&rateLimiter_);
 }
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
@@ -108,6 +111,7 @@
   if (endpoint != endpoint_) {
     previousEndpoint_.clear();
     advertisedRate_ = {};
+    rateLimiter_.setRate(std::nullopt);
     limiter_.refuseWaiting();
     probationLimiter_.refuseWaiting();
     refuseAwaitingBodies();
@@ -156,6 +160,7 @@
   call.arrivedAt = scheduler_.now();
   call.deadline = scheduler_.now() + base::milliseconds(request.remainingMs);
   if (refuseAtOnce(key, request)) return;
+  useCallersNotice(request);
   call.nested = detectNested(connection, request);
   call.priority = priorityOf(call);
   call.latestStart = latestStartOf(call);
@@ -177,6 +182,7 @@
 
 void EndpointCalls::acquireSlot(const CallKey& key, bool ready) {
   const auto& call = calls_[key];
+  if (exceedsAdvertisedRate(call)) return refuseForRate(key);
   const auto ticket = limiter_.acquire(
       call.priority, call.latestStart, [this, key] { run(key); },
       [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); }, ready);
@@ -187,6 +193,7 @@
 void EndpointCalls::onSlotRefused(const CallKey& key, limits::SlotRefusal refusal) {
   if (calls_[key].awaitsBody) dropBody(key, &calls_[key]);
   if (refusal == limits::SlotRefusal::kClosed) return refuse(key, closedError(), base::Duration(0));
+  if (rateLimiter_.blockedUntil()) return refuseForRate(key);
   const auto& call = calls_[key];
   const auto expected = limiter_.expectedWait(call.priority, call.latestStart);
   const auto wait = std::max<base::Duration>(base::milliseconds(1), expected);
@@ -321,7 +328,7 @@
   responseTransferEstimator_.onResponse(kindOf(call.request), stored.body.size());
   recordRunTime(call);
   recordSuccessfulRun(key);
-  if (!call.owner.empty()) ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerTimeout);
+  if (!call.owner.empty()) storeAnswer(call, stored);
   ++counters_.completed;
   answerCompleted(key, std::move(stored));
 }
@@ -370,7 +377,7 @@
 
 void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
   wire::CallResponse response;
-  if (error == ErrorCode::kOverloaded) {
+  if (error == ErrorCode::kOverloaded || error == ErrorCode::kBackendRateLimited) {
     response.fullForMs = base::millisecondsOf(callerBackoff(limiter_.slotInterval(), &CallerNode::lastRequestAt));
   }
   refuseWith(key, error, retryAfter, std::move(response));
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -9,6 +9,7 @@
 
 #include "backpressure/advertised_rate.h"
 #include "backpressure/backend_notice.h"
+#include "backpressure/rate_limiter.h"
 #include "base/decision_log.h"
 #include "base/latency_histogram.h"
 #include "base/network.h"
@@ -68,6 +69,7 @@
   int64_t replayed = 0;              ///< answered from the ledger, without a run
   int64_t refusedForLink = 0;        ///< refused because their body could not have arrived in time
   int64_t refusedForAnswer = 0;      ///< refused because their answer could not have been sent in time
+  int64_t refusedForRate = 0;        ///< refused because of the rate limit that the back end advertises
   int64_t rateLimitChanges = 0;      ///< times the back end began, changed or ended its rate limit
   int64_t unreadableRateLimits = 0;  ///< responses with a rate limit that is not a number of requests
   int64_t leavingNotices = 0;        ///< responses in which the back end said that it is shutting down
@@ -155,6 +157,13 @@
   /// Sets the handler for finished runs; not called for cancelled ones.
   void onRunEnded(std::function<void(const BackendRunResult&)> handler) { onRunEnded_ = std::move(handler); }
 
+  /// @return the interval between two health checks: `regular`, or longer while the back end has a low rate limit, so
+  /// that the checks take only a part of it
+  base::Duration healthCheckInterval(base::Duration regular) const;
+
+  /// Handles the notices of a response to a health check; they count until the first response to a call.
+  void onHealthNotice(const backpressure::backend_notice& notice);
+
   /// Sets the version of the back end's software; rollouts decide by it whether calls are accepted.
   void useVersion(const std::string& version);
 
@@ -233,6 +242,7 @@
   void sendToBackend(const CallKey& key);
   void claim(const CallKey& key);
   void onClaim(const CallKey& key, const ledger::LedgerAnswer& answer);
+  void storeAnswer(const Call& call, wire::StoredAnswer stored);
   void answerCompleted(const CallKey& key, wire::StoredAnswer stored);
   void releaseClaimAndRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
@@ -258,7 +268,12 @@
   bool backendRefused(const CallKey& key, const BackendAnswer& answer);
   void handleNotice(const Call& call, const BackendAnswer& answer);
   void logUnreadableRate(const Call& call, const backpressure::backend_notice& notice);
-  void logRateChange(std::optional<double> before, const std::string& callId);
+  void useCallersNotice(const wire::CallRequest& request);
+  void applyAdvertisedRate();
+  bool exceedsAdvertisedRate(const Call& call) const;
+  void refuseForRate(const CallKey& key);
+  void refuseWaitingWithAlternative();
+  void logRateChange(std::optional<double> before, const std::string& cause);
   void onBackendAnswer(const CallKey& key, BackendAnswer answer);
   void refuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answer(const CallKey& key, wire::CallResponse response);
@@ -277,6 +292,8 @@
   BackendClient& backend_;
   ledger::LedgerClient* ledger_;  // may be null
   limits::ColdStartLimiter coldStartLimiter_;
+  backpressure::advertised_rate advertisedRate_;  // of the current incarnation
+  backpressure::rate_limiter rateLimiter_;        // enforces it
   limits::SlotLimiter limiter_;
   limits::SlotLimiter probationLimiter_;                  // one slot, for suspects
   quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
@@ -307,9 +324,8 @@
   std::function<void()> onColdCheckNeeded_;                     // may be empty
   std::string version_;                                         // version of the back end's software; may be empty
   std::optional<rollout::version_policy> versions_;             // versions that accept calls; all if unset
-  backpressure::advertised_rate advertisedRate_;
   EndpointCounters counters_;
-  base::Logger log_{"endpoint"};
+  base::DecisionLog rateLog_;  // separate, so that other lines don't displace changes of the limit
   base::DecisionLog decisions_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/node/endpoint_calls_bodies.cc
+++ b/src/node/endpoint_calls_bodies.cc
@@ -20,6 +20,7 @@
 /// (mean of six loaded days, one run each), and by 0.08 for requests with bodies.
 void EndpointCalls::awaitBody(const CallKey& key) {
   auto& call = calls_[key];
+  if (exceedsAdvertisedRate(call)) return refuseForRate(key);
   const auto now = scheduler_.now();
   const auto bytes = call.request.bodyBytes;
   const auto arrival = bodyFlowController_.expectedWait(bytes, static_cast<int>(call.priority), call.latestStart);
--- a/src/node/endpoint_calls_cold.cc
+++ b/src/node/endpoint_calls_cold.cc
@@ -23,7 +23,7 @@
 
 void EndpointCalls::startColdCheck() {
   if (!coldStartLimiter_.isUncertain()) return;
-  coldCheckTimer_.start(kColdCheckInterval);
+  coldCheckTimer_.start(healthCheckInterval(kColdCheckInterval));
   if (onColdCheckNeeded_) onColdCheckNeeded_();
 }
 
--- a/src/node/endpoint_calls_ledger.cc
+++ b/src/node/endpoint_calls_ledger.cc
@@ -52,6 +52,14 @@
   }
 }
 
+/// Stores an answer for resends of its key, without notices: they would be taken for those of the endpoint that replays
+/// the answer.
+void EndpointCalls::storeAnswer(const Call& call, wire::StoredAnswer stored) {
+  std::erase_if(stored.headers,
+                [this](const auto& header) { return backpressure::isNotice(header, options_.notices); });
+  ledger_->complete(call.request.idempotencyKey, call.owner, stored, kLedgerTimeout);
+}
+
 void EndpointCalls::releaseClaimAndRefuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
   const auto& call = calls_[key];
   if (call.owner.empty()) return refuse(key, error, retryAfter);
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -25,6 +25,8 @@
 constexpr int kUnprocessableStatus = 422;
 constexpr int kFirstServerError = 500;
 constexpr int kDefaultRetryAfterMs = 200;
+/// Lower bound of the retry-after hint when an endpoint is about to be used again; a caller is not faster than this.
+constexpr int kMinRetryAfterMs = 10;
 /// Retry-after hint while this node has no routing table: it has just started, and receives one within about a second.
 constexpr int kNoTableRetryAfterMs = 1000;
 
@@ -52,6 +54,7 @@
           linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
           [this](base::ConnectionId connection, const std::string& endpoint) { onLinkLost(connection, endpoint); },
           [this](base::ConnectionId connection, const std::string&) { onLinkSilent(connection); }),
+      notices_(scheduler),
       decisionLog_("entry", scheduler) {}
 
 EntryCalls::~EntryCalls() { alive_.reset(); }
@@ -201,8 +204,7 @@
   if (target == nullptr) {
     links_.addExtraLinks(call.service);
     if (!call.tried.empty()) return finish(id, call.lastFailure);
-    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
-                                    base::millisecondsOf(withJitter(options_.overloadRetryAfter))));
+    return finish(id, noEndpointAnswer(call));
   }
   send(id, &call, *target);
   startHedgeTimer(id, &call);
@@ -234,6 +236,33 @@
                       bytes > options_.inlineBodyBytes ? bytes : 0);
 }
 
+/// @return whether a call could go to another endpoint than the given one that has no known rate limit.
+bool EntryCalls::hasAlternative(const Call& call, const std::string& endpoint) {
+  const auto& endpoints = candidatesFor(call);
+  // Without any rate limit, the exact answer is not worth its cost: it matters only until the first response.
+  if (notices_.rateLimited() == 0) return endpoints.size() > call.tried.size();
+  const size_t bytes = call.inbound.body.size();
+  const auto usable =
+      picker_.usableEndpoints(endpoints, call.tried, rankOf(call), bytes > options_.inlineBodyBytes ? bytes : 0);
+  return std::any_of(usable.begin(), usable.end(), [&](const auto* other) {
+    return other->name != endpoint && picker_.isHealthy(other->name) && !notices_.rateOf(other->name);
+  });
+}
+
+/// @return the answer for a call that no endpoint may get now.
+CallAnswer EntryCalls::noEndpointAnswer(const Call& call) {
+  const auto& endpoints = candidatesFor(call);
+  const bool rateLimited = std::any_of(endpoints.begin(), endpoints.end(),
+                                       [this](const auto& endpoint) { return notices_.rateOf(endpoint.name); });
+  const auto refused = picker_.refusedFor(endpoints, rankOf(call));
+  if (rateLimited && refused) {
+    return failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kBackendRateLimited, kUnavailableStatus,
+                         std::max(kMinRetryAfterMs, base::millisecondsOf(withJitter(*refused))));
+  }
+  return failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
+                       base::millisecondsOf(withJitter(options_.overloadRetryAfter)));
+}
+
 void EntryCalls::removeAttempt(CallId call, int64_t attemptId) {
   const auto found = calls_.find(call);
   if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
@@ -271,6 +300,8 @@
   request.runOnce = !call->repeatable;
   request.waitedMs = call->waitedMs;
   request.suspect = suspect;
+  request.hasAlternative = !suspect && hasAlternative(*call, target.name);
+  if (const auto rate = notices_.rateOf(target.name)) request.__set_knownRatePerS(*rate);
   const auto* versions = table_->versions(call->service);
   if (versions != nullptr && versions->running) {
     request.__set_route(static_cast<int64_t>(XXH3_64bits(call->route.data(), call->route.size())));
@@ -346,6 +377,7 @@
 void EntryCalls::onCompleted(const Attempt& attempt, const wire::CallResponse& response) {
   picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, false);
   picker_.onLoadReport(attempt.endpoint, response.inFlight);
+  notices_.onResponse(attempt.endpoint, backpressure::readNotice(response.headers, options_.notices), attempt.sentAt);
   CallAnswer answer;
   answer.outcome = CallOutcome::COMPLETED;
   answer.httpStatus = response.httpStatus;
@@ -367,7 +399,7 @@
   } else {
     picker_.onAbandoned(attempt.endpoint);
   }
-  if (error == ErrorCode::kOverloaded) {
+  if (error == ErrorCode::kOverloaded || error == ErrorCode::kBackendRateLimited) {
     picker_.onLoadReport(attempt.endpoint, response.inFlight);
     const auto call = calls_.find(attempt.call);
     const auto fullFor = std::max(options_.fullFor, withJitter(base::milliseconds(response.fullForMs)));
@@ -398,12 +430,17 @@
   auto& call = found->second;
   // A back end's own answer is more useful to the caller than a later refusal.
   const bool answered = call.lastFailure.outcome == CallOutcome::COMPLETED;
+  const bool rateLimited = failure.error == ErrorCode::kBackendRateLimited;
+  // The caller may return as soon as one of the endpoints that refused it has room.
+  if (rateLimited && call.lastFailure.error == ErrorCode::kBackendRateLimited)
+    failure.retryAfterMs = std::min(failure.retryAfterMs, call.lastFailure.retryAfterMs);
   if (!answered || failure.outcome == CallOutcome::COMPLETED) call.lastFailure = std::move(failure);
   call.mayHaveRun = call.mayHaveRun || progress == AttemptProgress::kMayHaveRun;
   const bool atBackend = progress != AttemptProgress::kBeforeBackend;
   if (atBackend) {
     ++call.attempts;
-  } else {
+  } else if (!rateLimited) {
+    // Refusals by rate limits are not counted: the other endpoints are tried before the caller is refused.
     ++call.refusals;
   }
   if (!call.inFlight.empty()) return;  // the other attempt of a hedged call decides the outcome
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -7,6 +7,8 @@
 #include <set>
 #include <string>
 
+#include "backpressure/backend_notice.h"
+#include "backpressure/endpoint_notices.h"
 #include "base/decision_log.h"
 #include "base/latency_histogram.h"
 #include "base/network.h"
@@ -61,6 +63,7 @@
   size_t inlineBodyBytes = 4096;
   int maxRefusals = 4;  ///< refusals by nodes after which a call fails
   LinkOptions links;
+  backpressure::notice_headers notices;
 };
 
 /// Counters of the entry side.
@@ -136,6 +139,9 @@
   bool isOutbound(base::ConnectionId connection) const { return links_.isOutbound(connection); }
   size_t links() const { return links_.size(); }
 
+  /// @return number of endpoints whose back ends advertise a rate limit, as far as this node knows.
+  size_t rateLimitedEndpoints() const { return notices_.rateLimited(); }
+
   /// @return how often an endpoint got no link because the link limit was reached.
   int64_t skippedLinks() const { return links_.skippedEndpoints(); }
   const EntryCounters& counters() const { return counters_; }
@@ -196,6 +202,8 @@
   void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
   void onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant);
   bool isBodySent(const Attempt& attempt) const;
+  bool hasAlternative(const Call& call, const std::string& endpoint);
+  CallAnswer noEndpointAnswer(const Call& call);
   const routing::EndpointTarget* pickEndpoint(const Call& call);
   bool drawsTargetVersion(const std::string& service);
   const std::vector<routing::EndpointTarget>& candidatesFor(const Call& call) const;
@@ -242,6 +250,7 @@
   std::map<CallId, Call> calls_;
   std::map<int64_t, Attempt> attempts_;  // by the call id used in frames
   EndpointLinks links_;
+  backpressure::endpoint_notices notices_;
   quarantine::request_quarantine* quarantine_ = nullptr;  // may stay null
   quota::quota_queue* quotas_ = nullptr;                  // may stay null
   bool refusingNewCalls_ = false;
--- a/src/node/entry_calls_hedging.cc
+++ b/src/node/entry_calls_hedging.cc
@@ -55,7 +55,8 @@
 
 const routing::EndpointTarget* EntryCalls::pickIdleEndpoint(const Call& call) {
   const auto* target = pickEndpoint(call);
-  const bool idle = target != nullptr && picker_.utilization(*target) < options_.hedgeIdleShare;
+  const bool idle =
+      target != nullptr && !notices_.rateOf(target->name) && picker_.utilization(*target) < options_.hedgeIdleShare;
   return idle ? target : nullptr;
 }
 
--- a/src/node/entry_calls_quarantine.cc
+++ b/src/node/entry_calls_quarantine.cc
@@ -41,8 +41,7 @@
   const auto* target = picker_.pickByKey(fingerprintOfCall(call).low, candidatesFor(*call), call->tried);
   if (target == nullptr) {
     if (!call->tried.empty()) return finish(id, call->lastFailure);
-    return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
-                                    base::millisecondsOf(withJitter(options_.overloadRetryAfter))));
+    return finish(id, noEndpointAnswer(*call));
   }
   const bool isOnlyEndpoint = picker_.hasSingleUsableEndpoint(candidatesFor(*call));
   if (isOnlyEndpoint &&
--- a/src/quota/token_bucket.cc
+++ b/src/quota/token_bucket.cc
@@ -58,7 +58,7 @@
 	{
 		return base::Duration(0);
 	}
-	return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(missing / m_limit.ratePerS));
+	return std::chrono::ceil<base::Duration>(std::chrono::duration<double>(missing / m_limit.ratePerS));
 }
 
 }  // namespace driftlug::quota
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -24,9 +24,9 @@
   return state.connected && state.available && state.ejectedUntil <= now;
 }
 
-std::vector<const EndpointTarget*> EndpointPicker::candidates(const std::vector<EndpointTarget>& endpoints,
-                                                              const std::set<std::string>& excluded, int rank,
-                                                              size_t bodyBytes) {
+std::vector<const EndpointTarget*> EndpointPicker::usableEndpoints(const std::vector<EndpointTarget>& endpoints,
+                                                                   const std::set<std::string>& excluded, int rank,
+                                                                   size_t bodyBytes) {
   const auto now = time_.now();
   std::vector<const EndpointTarget*> healthy;
   std::vector<const EndpointTarget*> connected;
@@ -70,7 +70,7 @@
 
 const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                                            const std::set<std::string>& excluded, int rank, size_t bodyBytes) {
-  const auto choices = candidates(endpoints, excluded, rank, bodyBytes);
+  const auto choices = usableEndpoints(endpoints, excluded, rank, bodyBytes);
   if (choices.empty()) return nullptr;
   if (choices.size() == 1) return choices[0];
   if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone, bodyBytes);
@@ -150,6 +150,18 @@
   return best;
 }
 
+std::optional<base::Duration> EndpointPicker::refusedFor(const std::vector<EndpointTarget>& endpoints, int rank) const {
+  const auto now = time_.now();
+  std::optional<base::Duration> earliest;
+  for (const auto& endpoint : endpoints) {
+    const auto found = states_.find(endpoint.name);
+    if (found == states_.end() || found->second.refusedUntil <= now || rank < found->second.refusedRank) continue;
+    const auto left = found->second.refusedUntil - now;
+    if (!earliest || left < *earliest) earliest = left;
+  }
+  return earliest;
+}
+
 void EndpointPicker::eject(const std::string& endpoint) {
   auto& state = states_[endpoint];
   state.ejectedUntil = time_.now() + options_.ejectFor;
@@ -210,6 +222,11 @@
   state.available = available;
 }
 
+bool EndpointPicker::isHealthy(const std::string& endpoint) const {
+  const auto found = states_.find(endpoint);
+  return found != states_.end() && usable(found->second, time_.now());
+}
+
 int EndpointPicker::inFlight(const std::string& endpoint) const {
   const auto found = states_.find(endpoint);
   return found == states_.end() ? 0 : found->second.inFlight;
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,6 +64,15 @@
   const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                              const std::set<std::string>& excluded, int rank = 0, size_t bodyBytes = 0);
 
+  /// @return the endpoints among which pick() chooses, for the same arguments; unhealthy ones only if reports rule out
+  /// most of the service's endpoints.
+  std::vector<const EndpointTarget*> usableEndpoints(const std::vector<EndpointTarget>& endpoints,
+                                                     const std::set<std::string>& excluded, int rank, size_t bodyBytes);
+
+  /// @return the time until the first endpoint is used again of those that recently refused a request of the same or a
+  /// higher priority; nullopt if none did
+  std::optional<base::Duration> refusedFor(const std::vector<EndpointTarget>& endpoints, int rank) const;
+
   /// Chooses an endpoint by rendezvous hashing; nodes with the same view choose the same one. Considers endpoints with
   /// a weight above 0 that are connected, available, responsive and not ejected.
   /// @param excluded endpoints that were already tried for this request
@@ -116,6 +126,9 @@
 
   int inFlight(const std::string& endpoint) const;
 
+  /// @return whether the endpoint is connected, available and not ejected.
+  bool isHealthy(const std::string& endpoint) const;
+
   /// @return the estimated share of an endpoint's slots that is busy; may exceed 1.
   double utilization(const EndpointTarget& target);
 
@@ -144,8 +157,6 @@
   const EndpointTarget* pickNearestIdle(const std::vector<const EndpointTarget*>& choices, const std::string& ownZone,
                                         size_t bodyBytes);
   double slowStartShare(const State& state, base::TimePoint now) const;
-  std::vector<const EndpointTarget*> candidates(const std::vector<EndpointTarget>& endpoints,
-                                                const std::set<std::string>& excluded, int rank, size_t bodyBytes);
 
   PickerOptions options_;
   const base::TimeSource& time_;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -671,6 +671,10 @@
   15: bool suspect
   /** Hash of the route's name, while a rollout of the service runs. */
   16: optional i64 route
+  /** Rate limit of the back end that the sender knows from its responses, in requests per second. */
+  17: optional double knownRatePerS
+  /** Whether the sender has another endpoint for the call, so that it need not wait for the rate limit of this one. */
+  18: bool hasAlternative
 }
 
 /** How a call ended, as seen by the side that answers it. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -12700,6 +12700,15 @@
   this->route = val;
 __isset.route = true;
 }
+
+void CallRequest::__set_knownRatePerS(const double val) {
+  this->knownRatePerS = val;
+__isset.knownRatePerS = true;
+}
+
+void CallRequest::__set_hasAlternative(const bool val) {
+  this->hasAlternative = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -12868,6 +12877,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->knownRatePerS);
+          this->__isset.knownRatePerS = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasAlternative);
+          this->__isset.hasAlternative = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12958,6 +12983,15 @@
     xfer += oprot->writeI64(this->route);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.knownRatePerS) {
+    xfer += oprot->writeFieldBegin("knownRatePerS", ::apache::thrift::protocol::T_DOUBLE, 17);
+    xfer += oprot->writeDouble(this->knownRatePerS);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("hasAlternative", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->hasAlternative);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12981,6 +13015,8 @@
   swap(a.bodyBytes, b.bodyBytes);
   swap(a.suspect, b.suspect);
   swap(a.route, b.route);
+  swap(a.knownRatePerS, b.knownRatePerS);
+  swap(a.hasAlternative, b.hasAlternative);
   swap(a.__isset, b.__isset);
 }
 
@@ -13001,6 +13037,8 @@
   bodyBytes = other486.bodyBytes;
   suspect = other486.suspect;
   route = other486.route;
+  knownRatePerS = other486.knownRatePerS;
+  hasAlternative = other486.hasAlternative;
   __isset = other486.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other487) noexcept {
@@ -13020,6 +13058,8 @@
   bodyBytes = other487.bodyBytes;
   suspect = other487.suspect;
   route = other487.route;
+  knownRatePerS = other487.knownRatePerS;
+  hasAlternative = other487.hasAlternative;
   __isset = other487.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other488) {
@@ -13039,6 +13079,8 @@
   bodyBytes = other488.bodyBytes;
   suspect = other488.suspect;
   route = other488.route;
+  knownRatePerS = other488.knownRatePerS;
+  hasAlternative = other488.hasAlternative;
   __isset = other488.__isset;
   return *this;
 }
@@ -13059,6 +13101,8 @@
   bodyBytes = other489.bodyBytes;
   suspect = other489.suspect;
   route = other489.route;
+  knownRatePerS = other489.knownRatePerS;
+  hasAlternative = other489.hasAlternative;
   __isset = other489.__isset;
   return *this;
 }
@@ -13081,6 +13125,8 @@
   out << ", " << "bodyBytes=" << to_string(bodyBytes);
   out << ", " << "suspect=" << to_string(suspect);
   out << ", " << "route="; (__isset.route ? (out << to_string(route)) : (out << "<null>"));
+  out << ", " << "knownRatePerS="; (__isset.knownRatePerS ? (out << to_string(knownRatePerS)) : (out << "<null>"));
+  out << ", " << "hasAlternative=" << to_string(hasAlternative);
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -5160,7 +5160,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false), suspect(false), route(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false), suspect(false), route(false), knownRatePerS(false), hasAlternative(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -5177,6 +5177,8 @@
   bool bodyBytes :1;
   bool suspect :1;
   bool route :1;
+  bool knownRatePerS :1;
+  bool hasAlternative :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -5201,7 +5203,9 @@
                 waitedMs(0),
                 bodyBytes(0),
                 suspect(0),
-                route(0) {
+                route(0),
+                knownRatePerS(0),
+                hasAlternative(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -5233,6 +5237,14 @@
    * Hash of the route's name, while a rollout of the service runs.
    */
   int64_t route;
+  /**
+   * Rate limit of the back end that the sender knows from its responses, in requests per second.
+   */
+  double knownRatePerS;
+  /**
+   * Whether the sender has another endpoint for the call, so that it need not wait for the rate limit of this one.
+   */
+  bool hasAlternative;
 
   _CallRequest__isset __isset;
 
@@ -5268,6 +5280,10 @@
 
   void __set_route(const int64_t val);
 
+  void __set_knownRatePerS(const double val);
+
+  void __set_hasAlternative(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -5304,6 +5320,12 @@
       return false;
     else if (__isset.route && !(route == rhs.route))
       return false;
+    if (__isset.knownRatePerS != rhs.__isset.knownRatePerS)
+      return false;
+    else if (__isset.knownRatePerS && !(knownRatePerS == rhs.knownRatePerS))
+      return false;
+    if (!(hasAlternative == rhs.hasAlternative))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
--- a/test/fleet/fleet_node.cc
+++ b/test/fleet/fleet_node.cc
@@ -163,6 +163,7 @@
 	options.nodeId = m_process.name();
 	options.zone = m_process.placement().zone;
 	options.generateIdempotencyKeys = false;
+	options.notices = {{kRateLimitHeader}, {kLeavingHeader}};
 	options.picker.policy = routing::PickPolicy::kNearestIdle;
 	options.defaultRetry = {2, 8};
 	options.retryBurst = 3;
--- a/test/incidents/back_end_notices_test.cc
+++ b/test/incidents/back_end_notices_test.cc
@@ -1,5 +1,7 @@
 // Back ends that state in their responses how many requests they accept, or that they are shutting down.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 
 #include "incidents/notice_checker.h"
 
@@ -46,6 +48,101 @@
 	CHECK(checker.mostInFourSeconds(0, kNoticeAt + kReactionTime) <= notice_checker::allowedInFourSeconds(2));
 }
 
+TEST_CASE("while all back ends have a rate limit, callers get what the limits allow and learn when to return")
+{
+	constexpr double kRate = 12;
+	crash_fleet fleet(6);
+	notice_checker checker(fleet);
+	fleet.startBackgroundTraffic(kCallsPerSecond, base::seconds(25));
+	fleet.runUntil(kNoticeAt);
+	for (size_t i = 0; i < 4; ++i)
+	{
+		checker.advertiseRate(i, std::to_string(kRate));
+	}
+	fleet.runUntil(kNoticeAt + kReactionTime);
+	const auto servedBefore = fleet.callers.served;
+	const auto begunAt = fleet.now();
+	std::vector<int> retryAfterMs;
+	const auto passOn = fleet.onAttemptAnswered;
+	fleet.onAttemptAnswered = [&](size_t _node, const node::CallAnswer& _answer)
+	{
+		passOn(_node, _answer);
+		if (wire::CallOutcome::NOT_RUN == _answer.outcome)
+		{
+			retryAfterMs.push_back(_answer.retryAfterMs);
+		}
+	};
+	fleet.runUntil(base::seconds(25));
+
+	CHECK(checker.worstExcess() <= 0);
+	const double seconds = std::chrono::duration<double>(fleet.now() - begunAt).count();
+	CHECK(fleet.callers.served - servedBefore >= 0.9 * 4 * kRate * seconds);
+	REQUIRE(!retryAfterMs.empty());
+	CHECK(*std::min_element(retryAfterMs.begin(), retryAfterMs.end()) > 0);
+	CHECK(*std::max_element(retryAfterMs.begin(), retryAfterMs.end()) <= 2000);
+}
+
+TEST_CASE("a back end whose rate limit has ended gets its share of the requests again")
+{
+	crash_fleet fleet(8);
+	notice_checker checker(fleet);
+	fleet.startBackgroundTraffic(kCallsPerSecond, base::seconds(30));
+	fleet.runUntil(kNoticeAt);
+	checker.advertiseRate(0, "0.5");
+	fleet.runUntil(base::seconds(15));
+	checker.advertiseRate(0, "");
+	fleet.runUntil(base::seconds(20));
+	const auto isOfFirst = [](const back_end_event& _arrival)
+	{
+		return 0 == _arrival.node;
+	};
+	const auto before = std::count_if(fleet.backEnds.arrivals.begin(), fleet.backEnds.arrivals.end(), isOfFirst);
+	fleet.runUntil(base::seconds(30));
+	const auto after = std::count_if(fleet.backEnds.arrivals.begin(), fleet.backEnds.arrivals.end(), isOfFirst);
+	CHECK(after - before >= 10 * kCallsPerSecond / 8);
+	CHECK(fleet.callers.lost.empty());
+}
+
+TEST_CASE("advertised rates are kept over restarts of nodes and crashes of back ends")
+{
+	const char* seeds = std::getenv("DRIFTLUG_NOTICE_SEEDS");
+	const int lastSeed = nullptr == seeds ? 40 : std::stoi(seeds);
+	for (int seed = 1; seed <= lastSeed; ++seed)
+	{
+		CAPTURE(seed);
+		crash_fleet fleet(static_cast<uint64_t>(seed));
+		notice_checker checker(fleet);
+		base::RandomSource random(static_cast<uint64_t>(seed) + 1000);
+		constexpr base::Duration kEnd = base::seconds(45);
+		fleet.startBackgroundTraffic(kCallsPerSecond, kEnd);
+		while (fleet.now() < kEnd)
+		{
+			fleet.runUntil(fleet.now() + base::milliseconds(200) + random.duration(base::milliseconds(2500)));
+			const auto backEnd = random.below(4);
+			switch (random.below(8))
+			{
+				case 0:
+					checker.advertiseRate(backEnd, "");
+					break;
+				case 1:
+					checker.crash(backEnd);
+					break;
+				case 2:
+				case 3:
+					checker.restartNode(backEnd, base::milliseconds(300) + random.duration(base::seconds(1)));
+					break;
+				case 4:
+					checker.restartNode(4 + random.below(6), base::milliseconds(500));
+					break;
+				default:
+					checker.advertiseRate(backEnd,
+										  std::to_string(0.5 + 0.01 * static_cast<double>(random.below(2000))));
+			}
+		}
+		CHECK(checker.worstExcess() <= 0);
+	}
+}
+
 TEST_CASE(
 	"a back end that says in its responses that it is leaving gets no more requests, also after its node restarts")
 {
--- a/test/incidents/notice_checker.cc
+++ b/test/incidents/notice_checker.cc
@@ -1,6 +1,8 @@
 #include "notice_checker.h"
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 
 namespace driftlug::test
 {
@@ -9,6 +11,7 @@
 constexpr char kPositionHeader[] = "back-end";
 constexpr base::Duration kWindow = base::seconds(4);
 constexpr base::Duration kPropagation = base::milliseconds(500);
+constexpr base::Duration kReactionTime = base::seconds(3);
 constexpr base::Duration kDrainTime = base::seconds(2);
 constexpr double kTolerance = 1.5;
 constexpr double kSlack = 5;
@@ -34,8 +37,19 @@
 
 void notice_checker::advertiseRate(size_t _backEnd, const std::string& _value)
 {
+	if (!m_fleet.backEnd(_backEnd).up())
+	{
+		return;
+	}
 	m_fleet.backEnd(_backEnd).setResponseHeader(kPositionHeader, std::to_string(_backEnd));
 	m_fleet.backEnd(_backEnd).setResponseHeader(kRateLimitHeader, _value);
+	m_rates[_backEnd].push_back({m_fleet.queue().now(), _value.empty() ? 0 : std::stod(_value)});
+}
+
+void notice_checker::crash(size_t _backEnd)
+{
+	m_fleet.backEnd(_backEnd).crashExternally();
+	m_rates[_backEnd].push_back({m_fleet.queue().now(), 0});
 }
 
 void notice_checker::leave(size_t _backEnd)
@@ -46,6 +60,10 @@
 
 void notice_checker::restartNode(size_t _node, base::Duration _downFor)
 {
+	if (nullptr == m_fleet.node(_node).entry())
+	{
+		return;
+	}
 	const auto isOfNode = [_node](const auto& _passed)
 	{
 		return _passed.first.first == _node;
@@ -116,6 +134,53 @@
 	return static_cast<size_t>(kTolerance * _ratePerS * std::chrono::duration<double>(kWindow).count() + kSlack);
 }
 
+/// @returns What the rates allow in the window from _first on; infinite if the window does not count.
+double notice_checker::allowedFrom(const std::vector<rate_change>& _rates, base::TimePoint _first) const
+{
+	constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+	double requests = 0;
+	std::optional<base::TimePoint> limitedSince;
+	for (auto rate = _rates.begin(); _rates.end() != rate && rate->time < _first + kWindow; ++rate)
+	{
+		const auto next = std::next(rate);
+		const auto end = std::min(_first + kWindow, _rates.end() == next ? m_fleet.queue().now() : next->time);
+		if (0 == rate->perSecond)
+		{
+			limitedSince.reset();
+			if (end > _first)
+			{
+				return kUnlimited;
+			}
+			continue;
+		}
+		limitedSince = limitedSince.value_or(rate->time);
+		const auto begin = std::max(_first, rate->time);
+		requests += rate->perSecond * std::max(0.0, std::chrono::duration<double>(end - begin).count());
+	}
+	const bool counts = limitedSince && *limitedSince + kReactionTime <= _first;
+	return counts ? kTolerance * requests + kSlack : kUnlimited;
+}
+
+double notice_checker::worstExcess() const
+{
+	double worst = -std::numeric_limits<double>::infinity();
+	for (const auto& [backEnd, rates] : m_rates)
+	{
+		const auto found = m_limitedArrivals.find(backEnd);
+		if (m_limitedArrivals.end() == found)
+		{
+			continue;
+		}
+		const auto& times = found->second;
+		for (auto first = times.begin(); times.end() != first; ++first)
+		{
+			const auto last = std::lower_bound(first, times.end(), *first + kWindow);
+			worst = std::max(worst, static_cast<double>(last - first) - allowedFrom(rates, *first));
+		}
+	}
+	return worst;
+}
+
 size_t notice_checker::arrivalsAfterLeaving(size_t _backEnd) const
 {
 	const auto found = m_arrivalsAfterLeaving.find(_backEnd);
--- a/test/limits/cold_start_limiter_test.cc
+++ b/test/limits/cold_start_limiter_test.cc
@@ -39,7 +39,7 @@
 
   Load() {
     coldStart.setRate(kColdRatePerSecond);
-    limiter.setColdStartLimiter(&coldStart);
+    limiter.addStartLimiter(&coldStart);
   }
 
   test::ManualTime time;
@@ -100,7 +100,7 @@
   MovingTime time;
   ColdStartLimiter coldStart(time);
   SlotLimiter limiter(time, 4, 16);
-  limiter.setColdStartLimiter(&coldStart);
+  limiter.addStartLimiter(&coldStart);
   int started = 0;
   for (int i = 0; i < 4; ++i) {
     limiter.acquire(
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -60,7 +60,13 @@
                  scheduler.schedule(base::milliseconds(1), [this, state, request] { decide(state, request); });
                  return true;
                }),
-        calls({"filings", 4, 4}, scheduler, network, backend, &client) {}
+        calls(options(), scheduler, network, backend, &client) {}
+
+  static EndpointOptions options() {
+    EndpointOptions options{"filings", 4, 4};
+    options.notices.rateLimit = {"rate-limit"};
+    return options;
+  }
 
   void decide(ledger::LedgerState* state, const wire::LedgerRequest& request) {
     const auto outcome = state->apply(request.command);
@@ -124,6 +130,24 @@
   CHECK(first->backend.runs + second->backend.runs == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "a replayed answer carries no notices of the back end that gave it") {
+  wire::HttpHeader limit;
+  limit.name = "rate-limit";
+  limit.value = "2";
+  wire::HttpHeader kept;
+  kept.name = "content-type";
+  first->backend.next.headers = {limit, kept};
+  first->sendFiling(1, "key", "claim 7");
+  runFor(base::seconds(1));
+  second->sendFiling(2, "key", "claim 7");
+  runFor(base::seconds(1));
+  REQUIRE(first->network.answers.size() == 1);
+  CHECK(first->network.answers[0].headers.size() == 2);
+  REQUIRE(second->network.answers.size() == 1);
+  REQUIRE(second->network.answers[0].headers.size() == 1);
+  CHECK(second->network.answers[0].headers[0].name == "content-type");
+}
+
 TEST_CASE_METHOD(Fixture, "two concurrent attempts run once, and both get the answer") {
   first->sendFiling(1, "key", "claim 7");
   second->sendFiling(2, "key", "claim 7");
