A back end that says in a response that it is leaving gets no more requests

What callers saw: nothing yet; a request could reach a back end after its node had passed on Server-Leaving, also from nodes that no longer hear of draining endpoints, and after a restart of the node beside the back end. Cause: the second header that no node read (the same class as the rate limit): only reports of a back end made it draining. Change: the node beside the back end takes such a response for the report of a drain, for as long as that start of the back end lives, whatever it reports later; health checks that name it count as unavailable. A node that passed such a response on drops the endpoint by itself (EndpointLinks::markLeaving) and ignores later announcements of it: the node beside it may have restarted without knowing. Endpoints of the table keep their name over restarts of their back end, so there only the node beside it decides, until nothing listens at the address any more. The test of random limits is now that of both notices, with the same check and seeds.

--- a/apps/endpoint_health.h
+++ b/apps/endpoint_health.h
@@ -37,6 +37,12 @@
     if (FLAGS_health_interval_ms > 0) timer_.start(base::milliseconds(FLAGS_health_interval_ms));
   }
 
+  /// Drains the endpoint until the back end has ended, since it said in a response that it is shutting down.
+  void onLeaving() {
+    leaving_ = true;
+    update();
+  }
+
   /// Starts or ends draining on request of an operator.
   void setDrainRequested(bool requested) {
     drainRequested_ = requested;
@@ -53,13 +59,14 @@
       // Only an explicit 503 counts: other requests may succeed even though a health check failed.
       const bool answered = result.outcome == transport::HttpOutcome::kCompleted;
       backendDraining_ = answered && result.response.status == 503;
+      if (result.outcome == transport::HttpOutcome::kNotSent) leaving_ = false;  // nothing listens any more
       update();
       timer_.start(calls_.healthCheckInterval(interval));
     });
   }
 
   void update() {
-    const bool draining = drainRequested_ || backendDraining_;
+    const bool draining = drainRequested_ || backendDraining_ || leaving_;
     calls_.setDraining(draining);
     const auto condition = draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE;
     if (condition == state_.condition) return;
@@ -74,6 +81,7 @@
   wire::EndpointState state_;
   bool drainRequested_ = false;
   bool backendDraining_ = false;
+  bool leaving_ = false;  // the back end said in a response that it is shutting down
 };
 
 }  // namespace driftlug::apps
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -231,6 +231,7 @@
   bool idle() const override;
   size_t unsentBytes() const override { return entryServer_.server().unsentBytes() + callFrames_.unsentBytes(); }
   void end() override { loop_.stop(); }
+  void onBackendLeaving(const std::string& endpoint);
   void onBackendCrash(uint64_t crash, const std::vector<quarantine::crashed_run>& runs);
   void queryIdentity();
   void queryColdState();
@@ -317,6 +318,7 @@
   quarantine_.onChange([this] { endpoint_.onQuarantineChange(); });
   endpoint_.onWrongIncarnation([this](const std::string& endpoint) { localBackend_.onWrongEndpoint(endpoint); });
   endpoint_.onBackendContact([this](bool reached) { localBackend_.onContact(reached); });
+  endpoint_.onBackendLeaving([this](const std::string& endpoint) { onBackendLeaving(endpoint); });
   endpoint_.onRunEnded([this](const node::BackendRunResult& run) { versionReporter_.onRun(run); });
   endpoint_.onColdCheckNeeded([this] { queryColdState(); });
   localBackend_.onBackend([this](const std::string& endpoint, const node::BackendReport& report) {
@@ -423,6 +425,11 @@
   localBackend_.onCrash();
 }
 
+void NodeDaemon::onBackendLeaving(const std::string& endpoint) {
+  if (reportPages_) return localBackend_.onLeaving(endpoint);
+  health_.onLeaving();
+}
+
 void NodeDaemon::queryIdentity() {
   constexpr base::Duration kTimeout = base::milliseconds(500);
   if (FLAGS_first_start || !localBackend_.incarnation().empty()) return;
@@ -458,16 +465,17 @@
     const auto& headers = result.response.headers;
     // A refusal for lack of a free slot does not show whether the back end is healthy.
     const bool refused = !FLAGS_not_run_header.empty() && !transport::findHeader(headers, FLAGS_not_run_header).empty();
+    const auto notice = backpressure::readNotice(headers, noticeHeadersFromSettings());
     node::BackendIdentity identity;
     if (result.outcome == transport::HttpOutcome::kCompleted) {
       identity.incarnation = std::string(transport::findHeader(headers, FLAGS_identity_header));
-      identity.healthy = kOkStatus == result.response.status;
-      identity.unavailable = !identity.healthy && !refused;
+      identity.healthy = kOkStatus == result.response.status && !notice.leaving;
+      identity.unavailable = notice.leaving || (!identity.healthy && !refused);
       identity.coldMs = remainingColdMs(headers, identity.healthy);
     }
     done(identity);
     const bool current = !identity.incarnation.empty() && identity.incarnation == localBackend_.incarnation();
-    if (current) endpoint_.onHealthNotice(backpressure::readNotice(headers, noticeHeadersFromSettings()));
+    if (current) endpoint_.onHealthNotice(notice);
   });
 }
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -144,6 +144,10 @@
   /// Sets the handler for calls that the back end rejects as meant for another incarnation.
   void onWrongIncarnation(std::function<void(const std::string&)> handler) { onWrongIncarnation_ = std::move(handler); }
 
+  /// Sets the handler for responses in which the back end says that it is shutting down, with the endpoint name in
+  /// their calls.
+  void onBackendLeaving(std::function<void(const std::string&)> handler) { onBackendLeaving_ = std::move(handler); }
+
   /// Handles the remaining cold time that the back end reported.
   /// @param asked whether it is the answer to a cold check
   void onColdReport(base::Duration coldFor, bool asked);
@@ -320,6 +324,7 @@
   std::optional<routing::ServiceLimit> tableLimit_;
   std::function<void(const std::string&)> onWrongIncarnation_;  // may be empty
   std::function<void(bool)> onBackendContact_;                  // may be empty
+  std::function<void(const std::string&)> onBackendLeaving_;    // may be empty
   std::function<void(const BackendRunResult&)> onRunEnded_;     // may be empty
   std::function<void()> onColdCheckNeeded_;                     // may be empty
   std::string version_;                                         // version of the back end's software; may be empty
--- a/src/node/endpoint_calls_notices.cc
+++ b/src/node/endpoint_calls_notices.cc
@@ -18,7 +18,10 @@
   // Another incarnation has taken over the address; it says nothing about this one.
   if (answer.httpStatus == kMisdirectedStatus && options_.dynamicEndpoint) return;
   const auto notice = backpressure::readNotice(answer.headers, options_.notices);
-  if (notice.leaving) ++counters_.leavingNotices;
+  if (notice.leaving) {
+    ++counters_.leavingNotices;
+    if (onBackendLeaving_) onBackendLeaving_(call.request.endpoint);
+  }
   if (notice.unreadableLimit) logUnreadableRate(call, notice);
   const auto before = advertisedRate_.ratePerS();
   if (!advertisedRate_.onResponse(notice, call.startedAt, scheduler_.now())) return;
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -101,6 +102,14 @@
   /// Temporarily adds links to a service whose chosen endpoints are full.
   void addExtraLinks(const std::string& service);
 
+  /// Excludes an announced endpoint whose back end has said that it is shutting down. Later announcements do not undo
+  /// this: the node beside it may have restarted without knowing it. An endpoint of the table is not excluded, because
+  /// its name does not change with a restart of its back end.
+  void markLeaving(const std::string& endpoint);
+
+  /// @return whether an endpoint was marked as leaving.
+  bool isLeaving(const std::string& endpoint) const { return leaving_.count(endpoint) > 0; }
+
   /// Removes an announced endpoint that is permanently gone.
   void removeAnnounced(const std::string& endpoint);
 
@@ -164,6 +173,8 @@
   routing::RoutingTablePtr table_;                       // null before the first table
   std::map<std::string, wire::EndpointState> states_;    // newest state of each endpoint
   Endpoints known_;                                      // by service: endpoints of the table and announced ones
+  std::set<std::string> leaving_;                        // announced endpoints that get no more calls
+  std::deque<std::string> leavingByAge_;                 // the same, oldest first
   std::map<std::string, std::string> changedEndpoints_;  // endpoint -> service, for states not yet in known_
   size_t knownEndpoints_ = 0;                            // in known_
   std::set<std::string> pendingServices_;                // services whose endpoints have to be chosen again
--- a/src/node/endpoint_links_known.cc
+++ b/src/node/endpoint_links_known.cc
@@ -5,10 +5,29 @@
 #include "node/endpoint_links.h"
 
 namespace driftlug::node {
+namespace {
+
+/// Names are unique to a start of a back end, so only those that can still be announced matter.
+constexpr size_t kMaxLeaving = 4096;
+
+}  // namespace
 
 bool EndpointLinks::isKnown(const wire::EndpointState& state) const {
   const bool gone = state.address.empty() || state.condition == wire::EndpointCondition::GONE;
-  return !gone && !(table_ && table_->evacuated(state.zone));
+  return !gone && !isLeaving(state.endpoint) && !(table_ && table_->evacuated(state.zone));
+}
+
+void EndpointLinks::markLeaving(const std::string& endpoint) {
+  const auto state = states_.find(endpoint);
+  if (state == states_.end() || state->second.address.empty() || !leaving_.insert(endpoint).second) return;
+  leavingByAge_.push_back(endpoint);
+  if (leavingByAge_.size() > kMaxLeaving) {
+    leaving_.erase(leavingByAge_.front());
+    leavingByAge_.pop_front();
+  }
+  log_.info("endpoint={} service={} is leaving, as its back end says", endpoint, state->second.serviceName);
+  markChanged(state->second);
+  choose(updateChangedEndpoints());
 }
 
 void EndpointLinks::rebuildKnownEndpoints() {
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -377,7 +377,9 @@
 void EntryCalls::onCompleted(const Attempt& attempt, const wire::CallResponse& response) {
   picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, false);
   picker_.onLoadReport(attempt.endpoint, response.inFlight);
-  notices_.onResponse(attempt.endpoint, backpressure::readNotice(response.headers, options_.notices), attempt.sentAt);
+  const auto notice = backpressure::readNotice(response.headers, options_.notices);
+  notices_.onResponse(attempt.endpoint, notice, attempt.sentAt);
+  if (notice.leaving) links_.markLeaving(attempt.endpoint);
   CallAnswer answer;
   answer.outcome = CallOutcome::COMPLETED;
   answer.httpStatus = response.httpStatus;
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -163,6 +163,7 @@
   afterRestart_ = false;
   candidate_.reset();
   current_ = report;
+  leaving_ = false;
   suspended_ = false;
   recordContact();
   apply();
@@ -201,11 +202,12 @@
 }
 
 void LocalBackend::apply() {
-  const bool draining = current_.draining || stopping_ || suspended_ || signOffUnconfirmed_;
+  const bool backendStopping = current_.draining || leaving_;
+  const bool draining = backendStopping || stopping_ || suspended_ || signOffUnconfirmed_;
   calls_.useVersion(current_.version);
   calls_.useIncarnation(endpoint(), current_.slots);
   if (onBackend_) onBackend_(endpoint(), current_);
-  calls_.setBackendStopping(current_.draining);
+  calls_.setBackendStopping(backendStopping);
   calls_.setDraining(draining);
   announce(draining ? wire::EndpointCondition::DRAINING : wire::EndpointCondition::LIVE);
 }
@@ -236,6 +238,7 @@
   announce(wire::EndpointCondition::GONE);
   current_ = BackendReport{};
   candidate_.reset();
+  leaving_ = false;
   suspended_ = false;
   signOffUnconfirmed_ = false;
   silenceTimer_.stop();
@@ -270,6 +273,14 @@
   if (!hasEnded(endpoint)) retire(endpoint);
 }
 
+void LocalBackend::onLeaving(const std::string& endpoint) {
+  const bool current = endpoint == this->endpoint() || endpoint == current_.incarnation;
+  if (leaving_ || !current || current_.incarnation.empty()) return;
+  log_.info("{} says in a response that it is leaving: it gets no more calls", endpoint);
+  leaving_ = true;
+  apply();
+}
+
 void LocalBackend::setStopping() {
   stopping_ = true;
   if (current_.incarnation.empty()) return calls_.setDraining(true);
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -101,6 +101,11 @@
   /// @param endpoint endpoint name in the call
   void onWrongEndpoint(const std::string& endpoint);
 
+  /// Handles a response in which the back end says that it is shutting down. Its current start gets no calls any more,
+  /// whatever it reports.
+  /// @param endpoint endpoint name in the call
+  void onLeaving(const std::string& endpoint);
+
   /// Records whether the back end answered a call or could not be connected to.
   void onContact(bool reached);
 
@@ -164,6 +169,7 @@
   LocalBackendOptions options_;
   base::Timer silenceTimer_;   // active while there is a current incarnation
   int failedConnections_ = 0;  // consecutive failed connections
+  bool leaving_ = false;       // the current start has said in a response that it is shutting down
   bool suspended_ = false;     // silent, unreachable or crashed; until its next report
   bool stopping_ = false;
   wire::EndpointCondition::type announced_ = wire::EndpointCondition::GONE;
--- a/test/fleet/fleet_node.cc
+++ b/test/fleet/fleet_node.cc
@@ -255,6 +255,11 @@
 		{
 			m_local->onContact(_reached);
 		});
+	m_endpoint->onBackendLeaving(
+		[this](const std::string& _endpoint)
+		{
+			m_local->onLeaving(_endpoint);
+		});
 	m_reporter = std::make_unique<node::VersionReporter>(m_options.service, m_process, _random, *m_endpoint,
 														 [this](const wire::Message& _message)
 														 {
--- a/test/incidents/back_end_notices_test.cc
+++ b/test/incidents/back_end_notices_test.cc
@@ -13,6 +13,29 @@
 constexpr base::Duration kNoticeAt = base::seconds(5);
 constexpr base::Duration kReactionTime = base::seconds(3);
 
+/// Makes a random back end change its notices or crash, or restarts a random node.
+void playNotice(crash_fleet& _fleet, notice_checker& _checker, base::RandomSource& _random)
+{
+	const auto backEnd = _random.below(4);
+	switch (_random.below(9))
+	{
+		case 0:
+			return _checker.advertiseRate(backEnd, "");
+		case 1:
+			return _checker.crash(backEnd);
+		case 2:
+		case 3:
+			return _checker.restartNode(backEnd, base::milliseconds(300) + _random.duration(base::seconds(1)));
+		case 4:
+			return _checker.restartNode(4 + _random.below(_fleet.nodes() - 4), base::milliseconds(500));
+		case 5:
+			return _checker.leave(backEnd);
+		default:
+			return _checker.advertiseRate(backEnd,
+										  std::to_string(0.5 + 0.01 * static_cast<double>(_random.below(2000))));
+	}
+}
+
 }  // namespace
 
 TEST_CASE("a back end gets no more requests than the rate that it advertises, and the others serve the rest")
@@ -103,7 +126,7 @@
 	CHECK(fleet.callers.lost.empty());
 }
 
-TEST_CASE("advertised rates are kept over restarts of nodes and crashes of back ends")
+TEST_CASE("notices of back ends are followed over restarts of nodes and crashes of back ends")
 {
 	const char* seeds = std::getenv("DRIFTLUG_NOTICE_SEEDS");
 	const int lastSeed = nullptr == seeds ? 40 : std::stoi(seeds);
@@ -111,35 +134,19 @@
 	{
 		CAPTURE(seed);
 		crash_fleet fleet(static_cast<uint64_t>(seed));
+		fleet.backEnds.keepIncarnationName = 0 == seed % 2;
 		notice_checker checker(fleet);
 		base::RandomSource random(static_cast<uint64_t>(seed) + 1000);
 		constexpr base::Duration kEnd = base::seconds(45);
 		fleet.startBackgroundTraffic(kCallsPerSecond, kEnd);
+		fleet.runUntil(base::seconds(4));  // back ends report the name that they keep
 		while (fleet.now() < kEnd)
 		{
 			fleet.runUntil(fleet.now() + base::milliseconds(200) + random.duration(base::milliseconds(2500)));
-			const auto backEnd = random.below(4);
-			switch (random.below(8))
-			{
-				case 0:
-					checker.advertiseRate(backEnd, "");
-					break;
-				case 1:
-					checker.crash(backEnd);
-					break;
-				case 2:
-				case 3:
-					checker.restartNode(backEnd, base::milliseconds(300) + random.duration(base::seconds(1)));
-					break;
-				case 4:
-					checker.restartNode(4 + random.below(6), base::milliseconds(500));
-					break;
-				default:
-					checker.advertiseRate(backEnd,
-										  std::to_string(0.5 + 0.01 * static_cast<double>(random.below(2000))));
-			}
+			playNotice(fleet, checker, random);
 		}
 		CHECK(checker.worstExcess() <= 0);
+		CHECK(0 == checker.arrivalsAfterLeaving());
 	}
 }
 
@@ -155,7 +162,7 @@
 	checker.restartNode(0, base::milliseconds(600));
 	fleet.runUntil(base::seconds(22));
 
-	CHECK(0 == checker.arrivalsAfterLeaving(0));
+	CHECK(0 == checker.arrivalsAfterLeaving());
 	CHECK(fleet.callers.inTime * 100 >= fleet.callers.requests * 99);
 }
 
--- a/test/incidents/notice_checker.cc
+++ b/test/incidents/notice_checker.cc
@@ -48,12 +48,22 @@
 
 void notice_checker::crash(size_t _backEnd)
 {
+	const auto isOfBackEnd = [_backEnd](const auto& _passed)
+	{
+		return _passed.first.second == _backEnd;
+	};
+	std::erase_if(m_ratesPassed, isOfBackEnd);
+	std::erase_if(m_leavingPassed, isOfBackEnd);
 	m_fleet.backEnd(_backEnd).crashExternally();
 	m_rates[_backEnd].push_back({m_fleet.queue().now(), 0});
 }
 
 void notice_checker::leave(size_t _backEnd)
 {
+	if (!m_fleet.backEnd(_backEnd).up())
+	{
+		return;
+	}
 	m_fleet.backEnd(_backEnd).setResponseHeader(kPositionHeader, std::to_string(_backEnd));
 	m_fleet.backEnd(_backEnd).setResponseHeader(kLeavingHeader, "1");
 }
@@ -108,7 +118,7 @@
 	if (const auto passed = m_leavingPassed.find(key);
 		m_leavingPassed.end() != passed && origin.sentAt > passed->second + kDrainTime)
 	{
-		++m_arrivalsAfterLeaving[_arrival.node];
+		++m_arrivalsAfterLeaving;
 	}
 }
 
@@ -181,10 +191,4 @@
 	return worst;
 }
 
-size_t notice_checker::arrivalsAfterLeaving(size_t _backEnd) const
-{
-	const auto found = m_arrivalsAfterLeaving.find(_backEnd);
-	return m_arrivalsAfterLeaving.end() == found ? 0 : found->second;
-}
-
 }  // namespace driftlug::test
--- a/test/incidents/notice_checker.h
+++ b/test/incidents/notice_checker.h
@@ -20,7 +20,8 @@
 	/// down.
 	void advertiseRate(size_t _backEnd, const std::string& _value);
 
-	/// Makes a back end say in its responses from now on that it is shutting down.
+	/// Makes a back end say in its responses from now on that it is shutting down. Ignored while
+	/// it is down.
 	void leave(size_t _backEnd);
 
 	/// Crashes a back end, which restarts without notices.
@@ -43,7 +44,10 @@
 
 	/// @returns Number of arrivals that callers had sent more than two seconds after their node had passed on that the
 	/// back end is leaving.
-	size_t arrivalsAfterLeaving(size_t _backEnd) const;
+	size_t arrivalsAfterLeaving() const
+	{
+		return m_arrivalsAfterLeaving;
+	}
 
 private:
 	struct attempt
@@ -71,8 +75,8 @@
 	passed_notices m_ratesPassed;
 	passed_notices m_leavingPassed;
 	std::map<size_t, std::vector<base::TimePoint>> m_limitedArrivals;  //!< By back end.
-	std::map<size_t, size_t> m_arrivalsAfterLeaving;                   //!< By back end.
-	std::map<size_t, std::vector<rate_change>> m_rates;                //!< By back end.
+	size_t m_arrivalsAfterLeaving = 0;
+	std::map<size_t, std::vector<rate_change>> m_rates;  //!< By back end.
 };
 
 }  // namespace driftlug::test
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -176,6 +176,27 @@
   CHECK(!links->link(leaving).open);
 }
 
+TEST_CASE_METHOD(LinksFixture,
+                 "an endpoint that said that it is leaving does not come back when it is announced again") {
+  const auto isChosen = [this](const std::string& endpoint) {
+    const auto& chosen = links->chosenEndpoints("records");
+    return std::any_of(chosen.begin(), chosen.end(), [&](const auto& target) { return target.name == endpoint; });
+  };
+  const auto name = links->chosenEndpoints("records").front().name;
+  const auto before = links->chosenEndpoints("records").size();
+  links->markLeaving(name);
+  CHECK(!isChosen(name));
+  CHECK(links->chosenEndpoints("records").size() == before);
+  auto again = endpointState(std::stoi(name.substr(name.find('-') + 1)), wire::EndpointCondition::GONE);
+  links->onStates({again});
+  runFor(base::seconds(1));
+  again.condition = wire::EndpointCondition::LIVE;
+  again.incarnation = 2;
+  links->onStates({again});
+  runFor(base::seconds(1));
+  CHECK(!isChosen(name));
+}
+
 TEST_CASE_METHOD(LinksFixture, "endpoint states that arrive one by one are applied in batches") {
   for (int i = kEndpoints + 1; i <= kEndpoints + 40; ++i) {
     links->onStates({endpointState(i, wire::EndpointCondition::LIVE)});
--- a/test/node/local_backend_fixture.h
+++ b/test/node/local_backend_fixture.h
@@ -44,6 +44,7 @@
         local(endpointState(), process, calls,
               [this](const wire::EndpointState& state) { announced.push_back(state); }) {
     process.start();
+    calls.onBackendLeaving([this](const std::string& endpoint) { local.onLeaving(endpoint); });
     calls.onBackendContact([this](bool reached) { local.onContact(reached); });
     calls.onWrongIncarnation([this](const std::string& endpoint) { local.onWrongEndpoint(endpoint); });
   }
@@ -53,6 +54,7 @@
     options.service = "records";
     options.dynamicEndpoint = true;
     options.waitWithinTarget = true;
+    options.notices.leaving = {"leaving"};
     return options;
   }
 
--- a/test/node/local_backend_test.cc
+++ b/test/node/local_backend_test.cc
@@ -222,6 +222,29 @@
   CHECK(announced.back().condition == EndpointCondition::LIVE);
 }
 
+TEST_CASE_METHOD(LocalBackendFixture,
+                 "a back end that says in a response that it is leaving gets no calls, whatever it reports") {
+  wire::HttpHeader leaving;
+  leaving.name = "leaving";
+  leaving.value = "1";
+  local.onReport(reportOf(kFirstStart, 1, false, 2));
+  const auto first = announced.back().endpoint;
+  call(1, first);
+  call(2, first);
+  call(3, first);
+  backend.pending[0]({BackendOutcome::kCompleted, false, 200, {leaving}, ""});
+  CHECK(announced.back().condition == EndpointCondition::DRAINING);
+  CHECK(refusalOf(3) == base::ErrorCode::kDraining);
+  local.onReport(reportOf(kFirstStart, 2, false, 2));
+  CHECK(announced.back().condition == EndpointCondition::DRAINING);
+  call(4, first);
+  CHECK(refusalOf(4) == base::ErrorCode::kDraining);
+  local.onReport(reportOf(kFirstStart + 5000, 1, false, 2));
+  CHECK(announced.back().condition == EndpointCondition::LIVE);
+  call(5, announced.back().endpoint);
+  CHECK(refusalOf(5) == base::ErrorCode::kNone);
+}
+
 TEST_CASE_METHOD(LocalBackendFixture, "a stopping node announces its endpoint as draining") {
   local.onReport(report("i-1", 1));
   local.setStopping();
