--- a/test/rollout/rollout_odds_test.cc
+++ b/test/rollout/rollout_odds_test.cc
@@ -107,13 +107,31 @@
 					   });
 }
 
+/// Strongest evidence against a version during its rollout.
+struct strongest_evidence
+{
+	base::Duration at{0};  //!< Time since the order.
+	rollout::version_verdict verdict;
+};
+
 rollout_outcome runBad(const drawn_rollout& _drawn)
 {
 	simulated_service service(_drawn.seed, _drawn.fault, faultsOf(_drawn.faultSet));
+	strongest_evidence strongest;
+	service.onEvaluated = [&](const rollout::rollout_situation& _situation)
+	{
+		if (_situation.verdict.strength > strongest.verdict.strength)
+		{
+			strongest = {_situation.elapsed, _situation.verdict};
+		}
+	};
 	const auto outcome = service.run(kFinishBy);
+	INFO("strongest evidence " << strongest.verdict.strength << " after " << secondsOf(strongest.at)
+							   << " s: " << strongest.verdict.reason);
 	INFO("seed " << _drawn.seed << " size " << service.size() << " fault " << static_cast<int>(_drawn.fault)
-				 << " decided after " << secondsOf(outcome.decidedAfter) << " s with " << outcome.badAnswers
-				 << " bad answers of " << outcome.requests << ": " << outcome.reason);
+				 << " decided after " << secondsOf(outcome.decidedAfter) << " s with " << outcome.badBeforeDecision
+				 << " bad answers of " << outcome.requests << " and " << outcome.badAnswers - outcome.badBeforeDecision
+				 << " later: " << outcome.reason);
 	CHECK(wire::RolloutState::ROLLED_BACK == outcome.state);
 	CHECK(outcome.decidedAfter <= kFinishBy);
 	const auto requests = static_cast<double>(outcome.requests);
--- a/test/rollout/simulated_service.cc
+++ b/test/rollout/simulated_service.cc
@@ -252,6 +252,7 @@
 	const bool open = wire::RolloutState::COMPLETED != m_row.state;
 	m_outcome.requests += open ? 1 : 0;
 	m_outcome.badAnswers += bad ? 1 : 0;
+	m_outcome.badBeforeDecision += open && bad ? 1 : 0;
 	if (bad && 50 == m_outcome.badAnswers)
 	{
 		m_fiftiethBadAnswerAt = m_time.now() + run;
@@ -314,6 +315,10 @@
 	situation.standingIdle = m_row.retiring && 0 == situation.standing.active;
 	situation.inForceEverywhere = m_rowAtNodes == m_row;
 	situation.nodes = 2 * m_size;
+	if (onEvaluated)
+	{
+		onEvaluated(situation);
+	}
 	if (const auto next = m_driver.next(m_row, situation))
 	{
 		writeRow(*next);
--- a/test/rollout/simulated_service.h
+++ b/test/rollout/simulated_service.h
@@ -3,6 +3,7 @@
 #define DRIFTLUG_TEST_ROLLOUT_SIMULATED_SERVICE_H_HEADER_GUARD
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,8 +42,9 @@
 	wire::RolloutState::type state = wire::RolloutState::RUNNING;
 	base::Duration decidedAfter{0};  //!< Time from the order to the decision.
 	double exposure = 0;             //!< Requests to the target version, as a share of all until the deadline.
-	int64_t requests = 0;            //!< Requests to the target version.
-	int64_t badAnswers = 0;          //!< Bad answers of the target version.
+	int64_t requests = 0;            //!< Requests to the target version until the rollout was completed.
+	int64_t badAnswers = 0;          //!< Bad answers of the target version, also after the decision.
+	int64_t badBeforeDecision = 0;   //!< Bad answers of the target version among the requests.
 	std::optional<base::Duration> rollbackDelay;  //!< From the 50th bad answer to the last request to the version.
 	std::string reason;
 };
@@ -60,6 +62,9 @@
 	/// @param[in] _finishBy Deadline, relative to the order.
 	rollout_outcome run(base::Duration _finishBy);
 
+	/// Called with each evaluation of the version; may be empty.
+	std::function<void(const rollout::rollout_situation&)> onEvaluated;
+
 	/// @returns The number of back ends of each version.
 	size_t size() const
 	{
