Answers under load count by themselves when a rollout is judged

Cause: evidence about different conditions was summed. During the trial most answers are given at low load, and the tenth that failed looked like single ill back ends.

--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -108,6 +108,7 @@
   bool cancel(TicketId ticket);
 
   int running() const { return running_; }
+  int maxConcurrent() const { return maxConcurrent_; }
   size_t waiting() const { return waiting_.size(); }
 
   /// @return the estimated time until a new request gets a slot, behind those that are ordered before it.
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -290,6 +290,7 @@
   auto& call = calls_[key];
   call.running = true;
   call.startedAt = scheduler_.now();
+  call.startedUnderLoad = 2 * (limiter_.running() - 1) > limiter_.maxConcurrent();
   if (!mayRunNow(key)) return;
   counters_.waitTimes.record(call.startedAt - call.arrivedAt);
   if (ledger_ == nullptr || isRepeatable(call.request)) return sendToBackend(key);
@@ -334,7 +335,7 @@
 }
 
 void EndpointCalls::notifyRunEnded(const Call& call, bool failed) {
-  if (onRunEnded_) onRunEnded_({call.request.route, failed, scheduler_.now() - call.startedAt});
+  if (onRunEnded_) onRunEnded_({call.request.route, failed, scheduler_.now() - call.startedAt, call.startedUnderLoad});
 }
 
 bool EndpointCalls::backendRefused(const CallKey& key, const BackendAnswer& answer) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -82,6 +82,7 @@
   int64_t route = 0;    ///< hash of the route's name; 0 if the caller did not send it
   bool failed = false;  ///< failed by the back end: a 5xx status, a connection closed before the answer, or a timeout
   base::Duration runTime{0};
+  bool underLoad = false;  ///< other requests kept over half of the slots busy when it started
 };
 
 /// Admits calls to the local back end.
@@ -209,6 +210,7 @@
     bool nested = false;                   // detected as a call made by a back end
     limits::Priority priority = limits::Priority::kNormal;
     bool running = false;
+    bool startedUnderLoad = false;  // other requests kept over half of the slots busy
     uint64_t backendId = 0;
     base::TimePoint startedAt{};
     std::string owner;      // owner of the ledger claim; empty without a claim
--- a/src/node/version_reporter.cc
+++ b/src/node/version_reporter.cc
@@ -44,7 +44,7 @@
 }
 
 void VersionReporter::onRun(const BackendRunResult& run) {
-  if (policy_ && policy_->running) statistics_.record(run.route, run.failed, run.runTime, cold());
+  if (policy_ && policy_->running) statistics_.record(run.route, run.failed, run.runTime, {cold(), run.underLoad});
 }
 
 void VersionReporter::report() {
--- a/src/rollout/run_statistics.cc
+++ b/src/rollout/run_statistics.cc
@@ -15,17 +15,22 @@
 
 }  // namespace
 
-void run_statistics::record(int64_t _route, bool _failed, base::Duration _run, bool _cold)
+void run_statistics::record(int64_t _route, bool _failed, base::Duration _run, const run_conditions& _conditions)
 {
 	const bool known = 0 < m_routes.count(_route);
 	auto& route = m_routes[known || kMaxRoutes > m_routes.size() ? _route : kOtherRoutes];
 	++m_answered;
 	++route.answered;
+	if (_conditions.underLoad)
+	{
+		++m_underLoad.answered;
+		m_underLoad.failed += _failed ? 1 : 0;
+	}
 	if (_failed)
 	{
 		++route.failed;
 	}
-	else if (!_cold)
+	else if (!_conditions.cold)
 	{
 		++route.runs[bucketOf(_run)];
 	}
@@ -52,11 +57,19 @@
 		}
 		_report->routes.push_back(figures);
 	}
+	if (0 < m_underLoad.answered)
+	{
+		wire::RouteFigures figures;
+		figures.answered = m_underLoad.answered;
+		figures.failed = m_underLoad.failed;
+		_report->__set_underLoad(figures);
+	}
 }
 
 void run_statistics::clear()
 {
 	m_routes.clear();
+	m_underLoad = {};
 	m_answered = 0;
 }
 
--- a/src/rollout/run_statistics.h
+++ b/src/rollout/run_statistics.h
@@ -15,6 +15,13 @@
 
 namespace driftlug::rollout
 {
+/// State of the back end when a run began.
+struct run_conditions
+{
+	bool cold = false;       //!< It is still warming up; the run time is not counted.
+	bool underLoad = false;  //!< Other requests keep over half of its slots busy.
+};
+
 /// Cumulative counts by route. Since they are cumulative, lost, late and duplicate reports do no harm: the latest one
 /// contains everything. Run times are measured at the back end, without the time spent waiting for a slot or a link.
 class run_statistics
@@ -23,8 +30,7 @@
 	/// Records a run that was answered, lost its connection or timed out.
 	/// @param[in] _route Hash of the route's name.
 	/// @param[in] _failed Whether the back end, not the request, was at fault.
-	/// @param[in] _cold Whether the back end is still warming up; its run time is not counted then.
-	void record(int64_t _route, bool _failed, base::Duration _run, bool _cold);
+	void record(int64_t _route, bool _failed, base::Duration _run, const run_conditions& _conditions);
 
 	/// Adds the counts to a report.
 	void fill(wire::VersionReport* _report) const;
@@ -47,6 +53,7 @@
 	};
 
 	std::map<int64_t, counts> m_routes;
+	counts m_underLoad;  //!< On all routes, without run times.
 	int64_t m_answered = 0;
 };
 
--- a/src/rollout/version_evidence.cc
+++ b/src/rollout/version_evidence.cc
@@ -58,9 +58,10 @@
 	{
 		return;
 	}
-	for (auto& [route, state] : endpoint.routes)
+	if (!sameIncarnation)
 	{
-		if (!sameIncarnation)
+		endpoint.underLoad.last = {};
+		for (auto& [route, state] : endpoint.routes)
 		{
 			state.last = {};
 		}
@@ -76,18 +77,29 @@
 	{
 		recordRoute(figures, _policy, first, &endpoint);
 	}
+	if (_report.__isset.underLoad)
+	{
+		const auto delta = takeDelta(_report.underLoad, &endpoint.underLoad);
+		if (!first && 0 < delta.answered)
+		{
+			run_sample sample;
+			sample.answered = delta.answered;
+			sample.failed = delta.failed;
+			endpoint.underLoad.history.add(sample, m_time.now());
+		}
+	}
 }
 
-void version_evidence::recordRoute(const wire::RouteFigures& _figures, const version_policy& _policy, bool _first,
-								   endpoint* _endpoint)
+/// Updates the cumulative counts of a state.
+/// @returns The increase since the last report.
+version_evidence::route_counts version_evidence::takeDelta(const wire::RouteFigures& _figures, route_state* _state)
 {
-	auto& state = _endpoint->routes[_figures.route];
 	route_counts now;
 	now.answered = std::max<int64_t>(0, _figures.answered);
 	now.failed = std::clamp<int64_t>(_figures.failed, 0, now.answered);
 	addTo(_figures.runs, static_cast<size_t>(std::max(0, _figures.firstBucket)), &now.runs);
-	const auto before = now.answered < state.last.answered ? route_counts{} : state.last;
-	state.last = now;
+	const auto before = now.answered < _state->last.answered ? route_counts{} : _state->last;
+	_state->last = now;
 	route_counts delta;
 	delta.answered = now.answered - before.answered;
 	delta.failed = std::clamp<int64_t>(now.failed - before.failed, 0, delta.answered);
@@ -95,6 +107,14 @@
 	{
 		delta.runs[i] = std::max<int64_t>(0, now.runs[i] - before.runs[i]);
 	}
+	return delta;
+}
+
+void version_evidence::recordRoute(const wire::RouteFigures& _figures, const version_policy& _policy, bool _first,
+								   endpoint* _endpoint)
+{
+	auto& state = _endpoint->routes[_figures.route];
+	const auto delta = takeDelta(_figures, &state);
 	// The first report of an endpoint only sets the starting counts: the time of its answers is unknown.
 	if (_first || 0 == delta.answered)
 	{
@@ -117,7 +137,7 @@
 	const auto [known, first] = m_slowOutlierThresholds.try_emplace(_route);
 	if (first || m_time.now() - known->second.at >= kThresholdRefreshInterval)
 	{
-		known->second = {slowOutlierThreshold(samplesOf(_policy.standing, &_route, kRateSpan)), m_time.now()};
+		known->second = {slowOutlierThreshold(samplesOf(_policy.standing, {&_route}, kRateSpan)), m_time.now()};
 	}
 	const auto own = meanLogRunTime(_history.since(m_time.now() - kRateSpan));
 	return own && *own >= known->second.value;
@@ -139,10 +159,13 @@
 	return sample;
 }
 
-/// @param[in] _route Route to sum up; null for all routes.
-std::vector<run_sample> version_evidence::samplesOf(std::string_view _version, const int64_t* _route,
+std::vector<run_sample> version_evidence::samplesOf(std::string_view _version, const answer_class& _class,
 													base::Duration _span) const
 {
+	const auto sampleOf = [&](const route_state& _state)
+	{
+		return kAllTime == _span ? _state.history.all() : _state.history.since(m_time.now() - _span);
+	};
 	std::vector<run_sample> samples;
 	for (const auto& [name, endpoint] : m_endpoints)
 	{
@@ -150,12 +173,17 @@
 		{
 			continue;
 		}
+		if (_class.underLoad)
+		{
+			samples.push_back(sampleOf(endpoint.underLoad));
+			continue;
+		}
 		run_sample sum;
 		for (const auto& [route, state] : endpoint.routes)
 		{
-			if (nullptr == _route || route == *_route)
+			if (nullptr == _class.route || route == *_class.route)
 			{
-				sum += kAllTime == _span ? state.history.all() : state.history.since(m_time.now() - _span);
+				sum += sampleOf(state);
 			}
 		}
 		samples.push_back(sum);
@@ -163,15 +191,34 @@
 	return samples;
 }
 
-void version_evidence::evaluateRoute(const int64_t* _route, base::Duration _span, const version_policy& _policy,
+symptom_baseline version_evidence::baselineOf(const symptom& _symptom, const answer_class& _class, base::Duration _span,
+											  const version_policy& _policy) const
+{
+	auto baseline = symptomBaselineOf(_symptom, samplesOf(_policy.standing, _class, _span));
+	if (_class.underLoad)
+	{
+		// The standing version may have few answers under load, so that a fault that affects both versions, such as a
+		// failing dependency, shows in its other answers only.
+		const auto all = symptomBaselineOf(_symptom, samplesOf(_policy.standing, {}, _span));
+		baseline.share = std::max(baseline.share, all.share);
+		baseline.faultyShare = std::max(baseline.faultyShare, all.faultyShare);
+	}
+	if (_policy.retiring)
+	{
+		const auto& earlier = nullptr == _class.route ? m_allRoutes : m_baselines.at(*_class.route);
+		baseline.share = std::max(baseline.share, earlier.failedShare()) + kNoComparisonMargin;
+	}
+	return baseline;
+}
+
+void version_evidence::evaluateClass(const answer_class& _class, base::Duration _span, const version_policy& _policy,
 									 version_verdict* _verdict) const
 {
-	const auto target = samplesOf(_policy.target, _route, _span);
+	const auto target = samplesOf(_policy.target, _class, _span);
 	if (target.empty())
 	{
 		return;
 	}
-	const auto standing = samplesOf(_policy.standing, _route, _span);
 	const auto known = reportsOf(_policy.target, kAllTime).size();
 	const auto keepStrongest = [&](const test_result& _result, const char* _name)
 	{
@@ -181,33 +228,29 @@
 			return;
 		}
 		_verdict->strength = _result.strength;
-		const auto route =
-			nullptr == _route ? "on all routes" : absl::StrFormat("on route %016x", static_cast<uint64_t>(*_route));
+		const auto answers = _class.underLoad ? "under load"
+							 : nullptr == _class.route
+								 ? "on all routes"
+								 : absl::StrFormat("on route %016x", static_cast<uint64_t>(*_class.route));
 		const auto span =
 			kAllTime == _span ? "all answers" : absl::StrFormat("the last %d ms", _span / base::milliseconds(1));
 		_verdict->reason =
-			absl::StrFormat("%s %s: strength %.2f over %d endpoints without the worst %d, of %s", _name, route,
+			absl::StrFormat("%s %s: strength %.2f over %d endpoints without the worst %d, of %s", _name, answers,
 							_result.strength, _result.testedEndpoints, _result.excludedEndpoints, span);
 	};
 	for (const auto& symptom : kSymptoms)
 	{
-		auto symptomBaseline = symptomBaselineOf(symptom, standing);
-		if (_policy.retiring)
+		// While the standing version retires, the load has changed and nothing provides run times to compare with.
+		if (!symptom.failing && (_policy.retiring || _class.underLoad))
 		{
-			// The load has changed, and the standing version no longer provides run times to compare with.
-			if (!symptom.failing)
-			{
-				continue;
-			}
-			const auto& baseline = nullptr == _route ? m_allRoutes : m_baselines.at(*_route);
-			symptomBaseline.share = std::max(symptomBaseline.share, baseline.failedShare()) + kNoComparisonMargin;
+			continue;
 		}
-		keepStrongest(testSymptom(symptom, symptomBaseline, target, known), symptom.name);
+		keepStrongest(testSymptom(symptom, baselineOf(symptom, _class, _span, _policy), target, known), symptom.name);
 	}
 	// Run times are only comparable within a route: the mix of routes may differ between the versions.
-	if (!_policy.retiring && nullptr != _route)
+	if (!_policy.retiring && nullptr != _class.route)
 	{
-		keepStrongest(testRunTimes(target, standing), "takes longer");
+		keepStrongest(testRunTimes(target, samplesOf(_policy.standing, _class, _span)), "takes longer");
 	}
 }
 
@@ -216,10 +259,11 @@
 	version_verdict verdict;
 	for (const auto span : kSpans)
 	{
-		evaluateRoute(nullptr, span, _policy, &verdict);
+		evaluateClass({}, span, _policy, &verdict);
+		evaluateClass({nullptr, true}, span, _policy, &verdict);
 		for (const auto& [route, baseline] : m_baselines)
 		{
-			evaluateRoute(&route, span, _policy, &verdict);
+			evaluateClass({&route}, span, _policy, &verdict);
 		}
 	}
 	if (1 <= verdict.strength)
--- a/src/rollout/version_evidence.h
+++ b/src/rollout/version_evidence.h
@@ -15,6 +15,9 @@
 
 namespace driftlug::rollout
 {
+struct symptom;
+struct symptom_baseline;
+
 /// Health of a target version.
 enum class version_health
 {
@@ -49,7 +52,8 @@
 /// Faults affect single back ends: some fail, some are slow, and machines differ in speed. An unhealthy version is
 /// unhealthy on all endpoints, but possibly not from the start, only on one route or only under load. The evaluation
 /// therefore tests each route for several symptoms over the last one, two and four seconds and over all answers, each
-/// time excluding the endpoints that may be faulty by chance.
+/// time excluding the endpoints that may be faulty by chance. Answers under load are also tested by themselves for
+/// failures: together with the others, the share of failures of a version that fails only under load is too small.
 ///
 /// This is soft state of the leading controller. Reports contain the cumulative counts of an endpoint, so lost, late
 /// and duplicate reports do no harm, and a new leader continues with the next report.
@@ -99,6 +103,14 @@
 	{
 		endpoint_report report;
 		std::map<int64_t, route_state> routes;
+		route_state underLoad;  //!< Answers under load on all routes; without run times.
+	};
+
+	/// Answers that are evaluated together: those of one route, those under load, or all.
+	struct answer_class
+	{
+		const int64_t* route = nullptr;  //!< Null for all routes.
+		bool underLoad = false;
 	};
 
 	/// Cached result of slowOutlierThreshold() and the time of its computation.
@@ -112,8 +124,12 @@
 					 endpoint* _endpoint);
 	run_sample sampleOf(int64_t _route, const route_counts& _delta) const;
 	bool isSlowOutlier(int64_t _route, const answer_history& _history, const version_policy& _policy);
-	std::vector<run_sample> samplesOf(std::string_view _version, const int64_t* _route, base::Duration _span) const;
-	void evaluateRoute(const int64_t* _route, base::Duration _span, const version_policy& _policy,
+	static route_counts takeDelta(const wire::RouteFigures& _figures, route_state* _state);
+	std::vector<run_sample> samplesOf(std::string_view _version, const answer_class& _class,
+									  base::Duration _span) const;
+	symptom_baseline baselineOf(const symptom& _symptom, const answer_class& _class, base::Duration _span,
+								const version_policy& _policy) const;
+	void evaluateClass(const answer_class& _class, base::Duration _span, const version_policy& _policy,
 					   version_verdict* _verdict) const;
 
 	const base::TimeSource& m_time;
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -621,6 +621,8 @@
   9: list<RouteFigures> routes
   /** Drawn at the start of its node, from where it counts anew. */
   10: i64 life
+  /** Answers on all routes to requests that began while over half of the slots were busy; without run times. */
+  11: optional RouteFigures underLoad
 }
 
 struct VersionReports {
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -11697,6 +11697,11 @@
 void VersionReport::__set_life(const int64_t val) {
   this->life = val;
 }
+
+void VersionReport::__set_underLoad(const RouteFigures& val) {
+  this->underLoad = val;
+__isset.underLoad = true;
+}
 std::ostream& operator<<(std::ostream& out, const VersionReport& obj)
 {
   obj.printTo(out);
@@ -11817,6 +11822,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->underLoad.read(iprot);
+          this->__isset.underLoad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11882,6 +11895,11 @@
   xfer += oprot->writeI64(this->life);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.underLoad) {
+    xfer += oprot->writeFieldBegin("underLoad", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->underLoad.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11899,6 +11917,7 @@
   swap(a.coldMs, b.coldMs);
   swap(a.routes, b.routes);
   swap(a.life, b.life);
+  swap(a.underLoad, b.underLoad);
   swap(a.__isset, b.__isset);
 }
 
@@ -11913,6 +11932,7 @@
   coldMs = other443.coldMs;
   routes = other443.routes;
   life = other443.life;
+  underLoad = other443.underLoad;
   __isset = other443.__isset;
 }
 VersionReport::VersionReport(VersionReport&& other444) noexcept {
@@ -11926,6 +11946,7 @@
   coldMs = other444.coldMs;
   routes = std::move(other444.routes);
   life = other444.life;
+  underLoad = std::move(other444.underLoad);
   __isset = other444.__isset;
 }
 VersionReport& VersionReport::operator=(const VersionReport& other445) {
@@ -11939,6 +11960,7 @@
   coldMs = other445.coldMs;
   routes = other445.routes;
   life = other445.life;
+  underLoad = other445.underLoad;
   __isset = other445.__isset;
   return *this;
 }
@@ -11953,6 +11975,7 @@
   coldMs = other446.coldMs;
   routes = std::move(other446.routes);
   life = other446.life;
+  underLoad = std::move(other446.underLoad);
   __isset = other446.__isset;
   return *this;
 }
@@ -11969,6 +11992,7 @@
   out << ", " << "coldMs=" << to_string(coldMs);
   out << ", " << "routes=" << to_string(routes);
   out << ", " << "life=" << to_string(life);
+  out << ", " << "underLoad="; (__isset.underLoad ? (out << to_string(underLoad)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -4767,7 +4767,7 @@
 std::ostream& operator<<(std::ostream& out, const RouteFigures& obj);
 
 typedef struct _VersionReport__isset {
-  _VersionReport__isset() : serviceName(false), endpoint(false), version(false), sequence(false), revision(false), active(false), slots(false), coldMs(false), routes(false), life(false) {}
+  _VersionReport__isset() : serviceName(false), endpoint(false), version(false), sequence(false), revision(false), active(false), slots(false), coldMs(false), routes(false), life(false), underLoad(false) {}
   bool serviceName :1;
   bool endpoint :1;
   bool version :1;
@@ -4778,6 +4778,7 @@
   bool coldMs :1;
   bool routes :1;
   bool life :1;
+  bool underLoad :1;
 } _VersionReport__isset;
 
 /**
@@ -4828,6 +4829,10 @@
    * Drawn at the start of its node, from where it counts anew.
    */
   int64_t life;
+  /**
+   * Answers on all routes to requests that began while over half of the slots were busy; without run times.
+   */
+  RouteFigures underLoad;
 
   _VersionReport__isset __isset;
 
@@ -4851,6 +4856,8 @@
 
   void __set_life(const int64_t val);
 
+  void __set_underLoad(const RouteFigures& val);
+
   bool operator == (const VersionReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -4873,6 +4880,10 @@
       return false;
     if (!(life == rhs.life))
       return false;
+    if (__isset.underLoad != rhs.__isset.underLoad)
+      return false;
+    else if (__isset.underLoad && !(underLoad == rhs.underLoad))
+      return false;
     return true;
   }
   bool operator != (const VersionReport &rhs) const {
--- a/test/rollout/rollout_odds_test.cc
+++ b/test/rollout/rollout_odds_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <functional>
 #include <vector>
 
@@ -18,6 +19,14 @@
 
 constexpr uint64_t kSingleFaultSets = 6;
 
+/// @returns The number of good and of bad rollouts to draw.
+uint64_t draws()
+{
+	constexpr uint64_t kDraws = 200;
+	const char* wanted = std::getenv("DRIFTLUG_ROLLOUT_DRAWS");
+	return nullptr == wanted ? kDraws : std::stoul(wanted);
+}
+
 /// Fault sets: none, each fault alone, two faults together, and all.
 background_faults faultsOf(uint64_t _kind)
 {
@@ -56,7 +65,7 @@
 {
 	int rolledBack = 0;
 	int late = 0;
-	for (uint64_t seed = 1; seed <= 200; ++seed)
+	for (uint64_t seed = 1; seed <= draws(); ++seed)
 	{
 		simulated_service service(seed, version_fault::none, faultsOf(seed % 8));
 		const auto outcome = service.run(kFinishBy);
@@ -66,13 +75,13 @@
 		CHECK(wire::RolloutState::COMPLETED == outcome.state);
 		CHECK(outcome.decidedAfter <= kFinishBy);
 	}
-	std::printf("good rollouts: 200 run, %d rolled back, %d not completed in time\n", rolledBack, late);
+	std::printf("good rollouts: %lu run, %d rolled back, %d not completed in time\n",
+				static_cast<unsigned long>(draws()), rolledBack, late);
 }
 
 namespace
 {
 constexpr uint64_t kFirstBadSeed = 1001;
-constexpr uint64_t kLastBadSeed = 1200;
 
 /// Parameters of an unhealthy rollout.
 struct drawn_rollout
@@ -93,10 +102,9 @@
 /// before they were sufficient evidence.
 const drawn_rollout kExposureRegression{1017, version_fault::oneRoute, 3};
 
-/// Known failures: small services with faults of their own. In the first, three of the seven endpoints of the standing
-/// version are five times slower; the last two fail only a tenth of the requests while the share is small.
-const drawn_rollout kKnownFailures[] = {
-	{1041, version_fault::slow, 2}, {1198, version_fault::underLoad, 3}, {1088, version_fault::underLoad, 1}};
+/// Known failures: small services with faults of their own. In the first, four of the seven endpoints of the standing
+/// version are five times slower; in the second, a dependency of both versions fails during half of the trial.
+const drawn_rollout kKnownFailures[] = {{1041, version_fault::slow, 2}, {1198, version_fault::underLoad, 3}};
 
 bool isKnownFailure(const drawn_rollout& _drawn)
 {
@@ -146,7 +154,7 @@
 {
 	std::vector<double> rollbackDelays;
 	std::vector<double> exposure;
-	for (uint64_t seed = kFirstBadSeed; seed <= kLastBadSeed; ++seed)
+	for (uint64_t seed = kFirstBadSeed; seed < kFirstBadSeed + draws(); ++seed)
 	{
 		const auto drawn = drawnBy(seed);
 		if (isKnownFailure(drawn))
--- a/test/rollout/simulated_service.cc
+++ b/test/rollout/simulated_service.cc
@@ -234,7 +234,8 @@
 	const auto elapsed = m_time.now() - m_begunAt;
 	const bool dependencyFails = m_faults.dependencyFails && elapsed > base::seconds(10) && elapsed < base::seconds(13);
 	const bool cold = m_time.now() - chosen->startedAt < kColdFor;
-	const bool bad = isBad(*chosen, _route, busyOf(chosen));
+	const int busy = busyOf(chosen);
+	const bool bad = isBad(*chosen, _route, busy);
 	const bool fails = m_random.chance(chosen->failing) || (dependencyFails && m_random.chance(0.3))
 					   || m_random.chance(0.01) || (bad && version_fault::slow != m_bad);
 	double ms = shape.workMs * std::exp(shape.spread * normal(&m_random) - shape.spread * shape.spread / 2);
@@ -243,7 +244,7 @@
 	const auto run =
 		std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, std::milli>(std::min(ms, kTimeoutMs)));
 	chosen->busyUntil.push_back(m_time.now() + run);
-	chosen->figures.record(_route, fails || ms > kTimeoutMs, run, cold);
+	chosen->figures.record(_route, fails || ms > kTimeoutMs, run, {cold, 2 * busy > m_slots});
 	if (!chosen->target)
 	{
 		return;
--- a/test/rollout/version_evidence_test.cc
+++ b/test/rollout/version_evidence_test.cc
@@ -25,7 +25,15 @@
 	{
 		for (int i = 0; i < _count; ++i)
 		{
-			figures.record(kRoute, i < _failed, _run, false);
+			figures.record(kRoute, i < _failed, _run, {});
+		}
+	}
+
+	void answerUnderLoad(int _count, int _failed)
+	{
+		for (int i = 0; i < _count; ++i)
+		{
+			figures.record(kRoute, i < _failed, base::milliseconds(100), {.underLoad = true});
 		}
 	}
 
@@ -120,6 +128,47 @@
 	CHECK(evaluations <= 8);
 }
 
+TEST_CASE_METHOD(
+	fixture,
+	"a version that fails only under load is unhealthy, although it fails no more requests than the standing one")
+{
+	const bool counted = GENERATE(false, true);
+	int evaluations = 0;
+	while (health() != version_health::unhealthy && evaluations < 12)
+	{
+		++evaluations;
+		for (auto& reporter : standing)
+		{
+			reporter.answer(30, 1);
+		}
+		for (auto& reporter : target)
+		{
+			reporter.answer(29, 0);
+			counted ? reporter.answerUnderLoad(1, 1) : reporter.answer(1, 1);
+		}
+		reportAll();
+	}
+	CHECK((health() == version_health::unhealthy) == counted);
+}
+
+TEST_CASE_METHOD(fixture, "a fault of both versions that only the target's answers under load show is not its own")
+{
+	for (int i = 0; i < 20; ++i)
+	{
+		for (auto& reporter : standing)
+		{
+			reporter.answer(6, 3);
+		}
+		for (auto& reporter : target)
+		{
+			reporter.answer(1, 0);
+			reporter.answerUnderLoad(2, 1);
+		}
+		reportAll();
+		CHECK(health() != version_health::unhealthy);
+	}
+}
+
 TEST_CASE_METHOD(fixture, "failures on both versions alike do not make the target version unhealthy")
 {
 	for (int i = 0; i < 20; ++i)
--- a/test/rollout/version_policy_test.cc
+++ b/test/rollout/version_policy_test.cc
@@ -94,10 +94,10 @@
 TEST_CASE("runs are counted by route, and run times only for warm back ends")
 {
 	run_statistics figures;
-	figures.record(1, false, base::milliseconds(100), false);
-	figures.record(1, false, base::milliseconds(100), true);
-	figures.record(1, true, base::milliseconds(2000), false);
-	figures.record(2, false, base::milliseconds(10), false);
+	figures.record(1, false, base::milliseconds(100), {});
+	figures.record(1, false, base::milliseconds(100), {.cold = true});
+	figures.record(1, true, base::milliseconds(2000), {});
+	figures.record(2, false, base::milliseconds(10), {.underLoad = true});
 	wire::VersionReport report;
 	figures.fill(&report);
 	REQUIRE(report.routes.size() == 2);
@@ -105,6 +105,8 @@
 	CHECK(report.routes[0].failed == 1);
 	CHECK(report.routes[0].runs == std::vector<int64_t>{1});
 	CHECK(static_cast<size_t>(report.routes[0].firstBucket) == bucketOf(base::milliseconds(100)));
+	CHECK(report.underLoad.answered == 1);
+	CHECK(report.underLoad.failed == 0);
 }
 
 TEST_CASE("the number of routes in a report is limited")
@@ -112,7 +114,7 @@
 	run_statistics figures;
 	for (int64_t route = 1; route <= 1000; ++route)
 	{
-		figures.record(route, false, base::milliseconds(10), false);
+		figures.record(route, false, base::milliseconds(10), {});
 	}
 	wire::VersionReport report;
 	figures.fill(&report);
