--- a/src/limits/start_limiter.h
+++ b/src/limits/start_limiter.h
@@ -1,4 +1,4 @@
-/// Limits when requests to a back end may start.
+/// Interface of limits on the starts of requests.
 #pragma once
 
 #include <optional>
@@ -7,6 +7,7 @@
 
 namespace driftlug::limits {
 
+/// Limits when requests to a back end may start. Each limiter sees every start, also while it limits nothing.
 class StartLimiter {
  public:
   virtual ~StartLimiter() = default;
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -25,7 +25,8 @@
 constexpr int kUnprocessableStatus = 422;
 constexpr int kFirstServerError = 500;
 constexpr int kDefaultRetryAfterMs = 200;
-/// Lower bound of the retry-after hint when an endpoint is about to be used again; a caller is not faster than this.
+/// Lower bound of the retry-after hint when an endpoint is about to be used again: a hint of 0 means that the time is
+/// unknown.
 constexpr int kMinRetryAfterMs = 10;
 /// Retry-after hint while this node has no routing table: it has just started, and receives one within about a second.
 constexpr int kNoTableRetryAfterMs = 1000;
