One loop for queued requests that can't start in time

Cause: the last read found refuseRateLimited() beside its twin refuseExpired(). Change: both call refuseLate() with the earliest start that they know.

--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -76,11 +76,14 @@
   return next;
 }
 
-void SlotLimiter::refuseExpired() {
-  const auto now = time_.now();
+/// Refuses the queued requests whose latest start time is before the given one.
+/// @param earliestStart of a request, by the number of those before it that are not refused
+void SlotLimiter::refuseLate(const std::function<base::TimePoint(std::ptrdiff_t ahead)>& earliestStart) {
   std::vector<Request> refused;
+  std::ptrdiff_t ahead = 0;
   for (auto item = waiting_.begin(); item != waiting_.end();) {
-    if (item->first.latestStart > now) {
+    if (item->first.latestStart > earliestStart(ahead)) {
+      ++ahead;
       ++item;
       continue;
     }
@@ -91,22 +94,12 @@
   for (auto& request : refused) request.refuse(SlotRefusal::kWouldBeLate);
 }
 
+void SlotLimiter::refuseExpired() {
+  refuseLate([now = time_.now()](std::ptrdiff_t) { return now; });
+}
+
 void SlotLimiter::refuseRateLimited() {
-  const auto now = time_.now();
-  std::vector<Request> refused;
-  std::ptrdiff_t ahead = 0;
-  for (auto item = waiting_.begin(); item != waiting_.end();) {
-    const auto wait = rateLimitWait(ahead);
-    if (wait == base::Duration(0) || now + wait < item->first.latestStart) {
-      ++ahead;
-      ++item;
-      continue;
-    }
-    ++counters_.refusedLate;
-    refused.push_back(std::move(item->second));
-    item = waiting_.erase(item);
-  }
-  for (auto& request : refused) request.refuse(SlotRefusal::kWouldBeLate);
+  refuseLate([this, now = time_.now()](std::ptrdiff_t ahead) { return now + rateLimitWait(ahead); });
 }
 
 bool SlotLimiter::displaceFor(Priority priority) {
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -144,6 +144,7 @@
   bool mayStart() const;
   std::optional<base::TimePoint> blockedUntil() const;
   base::Duration startInterval() const;
+  void refuseLate(const std::function<base::TimePoint(std::ptrdiff_t ahead)>& earliestStart);
   base::Duration rateLimitWait(std::ptrdiff_t ahead) const;
   Waiting::iterator nextToStart();
   void admit(Priority priority);
