--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -173,7 +173,7 @@
   routing::RoutingTablePtr table_;                       // null before the first table
   std::map<std::string, wire::EndpointState> states_;    // newest state of each endpoint
   Endpoints known_;                                      // by service: endpoints of the table and announced ones
-  std::set<std::string> leaving_;                        // announced endpoints that get no more calls
+  std::set<std::string> leaving_;                        // endpoints that are no longer used when announced
   std::deque<std::string> leavingByAge_;                 // the same, oldest first
   std::map<std::string, std::string> changedEndpoints_;  // endpoint -> service, for states not yet in known_
   size_t knownEndpoints_ = 0;                            // in known_
--- a/src/node/endpoint_links_known.cc
+++ b/src/node/endpoint_links_known.cc
@@ -18,14 +18,15 @@
 }
 
 void EndpointLinks::markLeaving(const std::string& endpoint) {
-  const auto state = states_.find(endpoint);
-  if (state == states_.end() || state->second.address.empty() || !leaving_.insert(endpoint).second) return;
+  if (!leaving_.insert(endpoint).second) return;
   leavingByAge_.push_back(endpoint);
   if (leavingByAge_.size() > kMaxLeaving) {
     leaving_.erase(leavingByAge_.front());
     leavingByAge_.pop_front();
   }
-  log_.info("endpoint={} service={} is leaving, as its back end says", endpoint, state->second.serviceName);
+  log_.info("endpoint={} service={} is leaving, as its back end says", endpoint, serviceOf(endpoint));
+  const auto state = states_.find(endpoint);
+  if (state == states_.end()) return;
   markChanged(state->second);
   choose(updateChangedEndpoints());
 }
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -197,6 +197,15 @@
   CHECK(!isChosen(name));
 }
 
+TEST_CASE_METHOD(LinksFixture, "an endpoint that said that it is leaving while it was not announced stays excluded") {
+  const auto endpoint = endpointState(kEndpoints + 1, wire::EndpointCondition::LIVE);
+  const auto before = links->knownEndpointCount();
+  links->markLeaving(endpoint.endpoint);
+  links->onStates({endpoint});
+  runFor(base::seconds(1));
+  CHECK(links->knownEndpointCount() == before);
+}
+
 TEST_CASE_METHOD(LinksFixture, "endpoint states that arrive one by one are applied in batches") {
   for (int i = kEndpoints + 1; i <= kEndpoints + 40; ++i) {
     links->onStates({endpointState(i, wire::EndpointCondition::LIVE)});
