--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -128,6 +128,10 @@
       return "backend_cold";
     case ErrorCode::kBackendRateLimited:
       return "backend_rate_limited";
+    case ErrorCode::kNestedOverloaded:
+      return "nested_overloaded";
+    case ErrorCode::kNoTimeLeft:
+      return "no_time_left";
     case ErrorCode::kVersionNotReleased:
       return "version_not_released";
     case ErrorCode::kStaleRequest:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -58,6 +58,8 @@
   kZoneEvacuated = 60,
   kBackendCold = 61,
   kBackendRateLimited = 62,
+  kNestedOverloaded = 63,  ///< a service that the back end calls for this request has no room
+  kNoTimeLeft = 64,        ///< no back end can answer before the caller's deadline
 };
 
 /// @return the stable lower-case name of a code, as used in JSON bodies and logs.
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -370,6 +370,25 @@
   16: bool takesVersionReports
   /** Whether questions about quotas are answered. */
   17: bool grantsQuotas
+  /** Whether the bodies of answers may follow in pieces. */
+  18: bool takesAnswerPieces
+}
+
+/** Load of an endpoint, as the node beside its back end knows it. */
+struct EndpointLoad {
+  /** Requests that run on the back end. */
+  1: i32 running
+  /** Requests that wait for a slot, at the node and in the back end. */
+  2: i32 waiting
+  3: i32 slots
+  /** How long work takes there, in percent of the usual time; 100 if the back end does not report it. */
+  4: i32 pacePercent
+  /** Predicted wait of a further request of the same kind, in milliseconds. */
+  5: i32 waitMs
+  /** Predicted run time of a request of the same kind, in milliseconds; 0 if unknown. */
+  6: i32 runMs
+  /** Time since the back end reported its load, in milliseconds. */
+  7: i32 ageMs
 }
 
 /** Carries nothing: a machine that lost the connection in silence answers it with a reset. */
@@ -677,6 +696,12 @@
   17: optional double knownRatePerS
   /** Whether the sender has another endpoint for the call, so that it need not wait for the rate limit of this one. */
   18: bool hasAlternative
+  /** Reservation that an earlier refusal of the same request named; 0 for none. */
+  19: i64 reservationId
+  /** Tenant of the caller; empty where callers need no key. */
+  20: string tenant
+  /** Whether the route has large answers; their bodies may follow in pieces. */
+  21: bool largeAnswer
 }
 
 /** How a call ended, as seen by the side that answers it. */
@@ -703,6 +728,14 @@
   11: i64 crashId
   /** With BACKEND_CRASHED: whether the run was on probation. */
   12: bool onProbation
+  /** Unset if the back end does not report its load. */
+  13: optional EndpointLoad load
+  /** Size of a body that follows in pieces; 0 where the body is in this message. */
+  14: i64 bodyBytes
+  /** With OVERLOADED: a place kept for this request; 0 for none. */
+  15: i64 reservationId
+  /** Time until the place is free, in milliseconds. */
+  16: i32 reservedInMs
 }
 
 struct CallCancel {
@@ -717,6 +750,10 @@
 /** A call has arrived, and its answer will take a while. */
 struct CallAccepted {
   1: i64 callId
+  /** Unset if the back end does not report its load. */
+  2: optional EndpointLoad load
+  /** Whether calls of this kind were found to be made by back ends. */
+  3: bool nested
 }
 
 /** Allows the sender of a call to send its body up to this size. */
@@ -731,10 +768,24 @@
   2: binary data
 }
 
+/** The next piece of the body of an answer. */
+struct CallAnswerPiece {
+  1: i64 callId
+  2: binary data
+}
+
+/** Allows the sender of an answer to send its body up to this size. */
+struct CallAnswerCredit {
+  1: i64 callId
+  2: i64 upToBytes
+}
+
 /** Requests of a tenant that wait for a permit. */
 struct QuotaDemand {
   1: string tenant
   2: i32 count
+  /** How long the requests can still wait for a permit, in milliseconds; 0 if they are not to be deferred. */
+  3: i32 maxWaitMs
 }
 
 /** Asks for permits; from a node to its relay, from a relay to the leader. */
@@ -750,6 +801,11 @@
   3: i32 denied
   /** After how long another one may be granted, where some were denied. */
   4: i32 retryAfterMs
+  /** Added to retryAfterMs for each further denied request, so that they do not return together. */
+  5: i32 retryAfterStepMs
+  /** Not decided yet; these follow those that were denied, and are asked for again after askAgainMs. */
+  6: i32 deferred
+  7: i32 askAgainMs
 }
 
 struct QuotaGrant {
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -74,15 +74,15 @@
 
 /// Message names, in the order of the alternatives of Message.
 constexpr std::string_view kMessageNames[] = {
-    "Hello",         "VoteRequest",         "VoteResponse",   "AppendRequest",  "AppendResponse",
-    "SnapshotChunk", "SnapshotChunkAck",    "TimeoutNow",     "RelaySubscribe", "NotLeader",
-    "TableUpdate",   "ControllerHeartbeat", "ConfirmRequest", "ConfirmReply",   "ConvergenceReport",
-    "NodeSubscribe", "SliceUpdate",         "SliceApplied",   "SliceRejected",  "NodeHeartbeat",
-    "RetryLater",    "RelayHeld",           "EndpointStates", "CallRequest",    "CallResponse",
-    "CallCancel",    "KeepAlive",           "LedgerRequest",  "LedgerReply",    "MemberList",
-    "RelayList",     "StartCompression",    "CallBodyGrant",  "CallBodyPiece",  "CallAccepted",
-    "PackedFrame",   "CallWithdraw",        "CrashReports",   "VersionReports", "SeenVersions",
-    "QuotaAsk",      "QuotaGrant"};
+    "Hello",         "VoteRequest",         "VoteResponse",    "AppendRequest",   "AppendResponse",
+    "SnapshotChunk", "SnapshotChunkAck",    "TimeoutNow",      "RelaySubscribe",  "NotLeader",
+    "TableUpdate",   "ControllerHeartbeat", "ConfirmRequest",  "ConfirmReply",    "ConvergenceReport",
+    "NodeSubscribe", "SliceUpdate",         "SliceApplied",    "SliceRejected",   "NodeHeartbeat",
+    "RetryLater",    "RelayHeld",           "EndpointStates",  "CallRequest",     "CallResponse",
+    "CallCancel",    "KeepAlive",           "LedgerRequest",   "LedgerReply",     "MemberList",
+    "RelayList",     "StartCompression",    "CallBodyGrant",   "CallBodyPiece",   "CallAccepted",
+    "PackedFrame",   "CallWithdraw",        "CrashReports",    "VersionReports",  "SeenVersions",
+    "QuotaAsk",      "QuotaGrant",          "CallAnswerPiece", "CallAnswerCredit"};
 static_assert(std::size(kMessageNames) == std::variant_size_v<Message>);
 
 template <typename... T>
@@ -110,7 +110,8 @@
 std::string_view messageName(size_t kind) { return kind < std::size(kMessageNames) ? kMessageNames[kind] : "unknown"; }
 
 Purpose purposeOf(size_t kind) {
-  if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece, CallAccepted, CallWithdraw>(kind))
+  if (isOneOf<CallRequest, CallResponse, CallCancel, CallBodyGrant, CallBodyPiece, CallAccepted, CallWithdraw,
+              CallAnswerPiece, CallAnswerCredit>(kind))
     return Purpose::kCall;
   if (isOneOf<LedgerRequest, LedgerReply>(kind)) return Purpose::kLedger;
   const bool log =
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -20,7 +20,8 @@
                  ConvergenceReport, NodeSubscribe, SliceUpdate, SliceApplied, SliceRejected, NodeHeartbeat, RetryLater,
                  RelayHeld, EndpointStates, CallRequest, CallResponse, CallCancel, KeepAlive, LedgerRequest,
                  LedgerReply, MemberList, RelayList, StartCompression, CallBodyGrant, CallBodyPiece, CallAccepted,
-                 PackedFrame, CallWithdraw, CrashReports, VersionReports, SeenVersions, QuotaAsk, QuotaGrant>;
+                 PackedFrame, CallWithdraw, CrashReports, VersionReports, SeenVersions, QuotaAsk, QuotaGrant,
+                 CallAnswerPiece, CallAnswerCredit>;
 
 /// An encoded frame, shared by all connections that send it.
 using FramePtr = std::shared_ptr<const std::string>;
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -6416,6 +6416,10 @@
 void Hello::__set_grantsQuotas(const bool val) {
   this->grantsQuotas = val;
 }
+
+void Hello::__set_takesAnswerPieces(const bool val) {
+  this->takesAnswerPieces = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -6582,6 +6586,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takesAnswerPieces);
+          this->__isset.takesAnswerPieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6667,6 +6679,10 @@
   xfer += oprot->writeBool(this->grantsQuotas);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("takesAnswerPieces", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->takesAnswerPieces);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6691,6 +6707,7 @@
   swap(a.takesCrashReports, b.takesCrashReports);
   swap(a.takesVersionReports, b.takesVersionReports);
   swap(a.grantsQuotas, b.grantsQuotas);
+  swap(a.takesAnswerPieces, b.takesAnswerPieces);
   swap(a.__isset, b.__isset);
 }
 
@@ -6712,6 +6729,7 @@
   takesCrashReports = other239.takesCrashReports;
   takesVersionReports = other239.takesVersionReports;
   grantsQuotas = other239.grantsQuotas;
+  takesAnswerPieces = other239.takesAnswerPieces;
   __isset = other239.__isset;
 }
 Hello::Hello(Hello&& other240) noexcept {
@@ -6732,6 +6750,7 @@
   takesCrashReports = other240.takesCrashReports;
   takesVersionReports = other240.takesVersionReports;
   grantsQuotas = other240.grantsQuotas;
+  takesAnswerPieces = other240.takesAnswerPieces;
   __isset = other240.__isset;
 }
 Hello& Hello::operator=(const Hello& other241) {
@@ -6752,6 +6771,7 @@
   takesCrashReports = other241.takesCrashReports;
   takesVersionReports = other241.takesVersionReports;
   grantsQuotas = other241.grantsQuotas;
+  takesAnswerPieces = other241.takesAnswerPieces;
   __isset = other241.__isset;
   return *this;
 }
@@ -6773,6 +6793,7 @@
   takesCrashReports = other242.takesCrashReports;
   takesVersionReports = other242.takesVersionReports;
   grantsQuotas = other242.grantsQuotas;
+  takesAnswerPieces = other242.takesAnswerPieces;
   __isset = other242.__isset;
   return *this;
 }
@@ -6796,6 +6817,240 @@
   out << ", " << "takesCrashReports=" << to_string(takesCrashReports);
   out << ", " << "takesVersionReports=" << to_string(takesVersionReports);
   out << ", " << "grantsQuotas=" << to_string(grantsQuotas);
+  out << ", " << "takesAnswerPieces=" << to_string(takesAnswerPieces);
+  out << ")";
+}
+
+
+EndpointLoad::~EndpointLoad() noexcept {
+}
+
+
+void EndpointLoad::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void EndpointLoad::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void EndpointLoad::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void EndpointLoad::__set_pacePercent(const int32_t val) {
+  this->pacePercent = val;
+}
+
+void EndpointLoad::__set_waitMs(const int32_t val) {
+  this->waitMs = val;
+}
+
+void EndpointLoad::__set_runMs(const int32_t val) {
+  this->runMs = val;
+}
+
+void EndpointLoad::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pacePercent);
+          this->__isset.pacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->runMs);
+          this->__isset.runMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointLoad");
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pacePercent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->pacePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runMs", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->runMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointLoad &a, EndpointLoad &b) {
+  using ::std::swap;
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.slots, b.slots);
+  swap(a.pacePercent, b.pacePercent);
+  swap(a.waitMs, b.waitMs);
+  swap(a.runMs, b.runMs);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointLoad::EndpointLoad(const EndpointLoad& other243) noexcept {
+  running = other243.running;
+  waiting = other243.waiting;
+  slots = other243.slots;
+  pacePercent = other243.pacePercent;
+  waitMs = other243.waitMs;
+  runMs = other243.runMs;
+  ageMs = other243.ageMs;
+  __isset = other243.__isset;
+}
+EndpointLoad::EndpointLoad(EndpointLoad&& other244) noexcept {
+  running = other244.running;
+  waiting = other244.waiting;
+  slots = other244.slots;
+  pacePercent = other244.pacePercent;
+  waitMs = other244.waitMs;
+  runMs = other244.runMs;
+  ageMs = other244.ageMs;
+  __isset = other244.__isset;
+}
+EndpointLoad& EndpointLoad::operator=(const EndpointLoad& other245) noexcept {
+  running = other245.running;
+  waiting = other245.waiting;
+  slots = other245.slots;
+  pacePercent = other245.pacePercent;
+  waitMs = other245.waitMs;
+  runMs = other245.runMs;
+  ageMs = other245.ageMs;
+  __isset = other245.__isset;
+  return *this;
+}
+EndpointLoad& EndpointLoad::operator=(EndpointLoad&& other246) noexcept {
+  running = other246.running;
+  waiting = other246.waiting;
+  slots = other246.slots;
+  pacePercent = other246.pacePercent;
+  waitMs = other246.waitMs;
+  runMs = other246.runMs;
+  ageMs = other246.ageMs;
+  __isset = other246.__isset;
+  return *this;
+}
+void EndpointLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointLoad(";
+  out << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "pacePercent=" << to_string(pacePercent);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "runMs=" << to_string(runMs);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
@@ -6854,18 +7109,18 @@
   (void) b;
 }
 
-KeepAlive::KeepAlive(const KeepAlive& other243) noexcept {
-  (void) other243;
+KeepAlive::KeepAlive(const KeepAlive& other247) noexcept {
+  (void) other247;
 }
-KeepAlive::KeepAlive(KeepAlive&& other244) noexcept {
-  (void) other244;
+KeepAlive::KeepAlive(KeepAlive&& other248) noexcept {
+  (void) other248;
 }
-KeepAlive& KeepAlive::operator=(const KeepAlive& other245) noexcept {
-  (void) other245;
+KeepAlive& KeepAlive::operator=(const KeepAlive& other249) noexcept {
+  (void) other249;
   return *this;
 }
-KeepAlive& KeepAlive::operator=(KeepAlive&& other246) noexcept {
-  (void) other246;
+KeepAlive& KeepAlive::operator=(KeepAlive&& other250) noexcept {
+  (void) other250;
   return *this;
 }
 void KeepAlive::printTo(std::ostream& out) const {
@@ -7035,42 +7290,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other247) {
-  term = other247.term;
-  candidate = other247.candidate;
-  lastIndex = other247.lastIndex;
-  lastTerm = other247.lastTerm;
-  preVote = other247.preVote;
-  transfer = other247.transfer;
-  __isset = other247.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other248) noexcept {
-  term = other248.term;
-  candidate = std::move(other248.candidate);
-  lastIndex = other248.lastIndex;
-  lastTerm = other248.lastTerm;
-  preVote = other248.preVote;
-  transfer = other248.transfer;
-  __isset = other248.__isset;
-}
-VoteRequest& VoteRequest::operator=(const VoteRequest& other249) {
-  term = other249.term;
-  candidate = other249.candidate;
-  lastIndex = other249.lastIndex;
-  lastTerm = other249.lastTerm;
-  preVote = other249.preVote;
-  transfer = other249.transfer;
-  __isset = other249.__isset;
-  return *this;
-}
-VoteRequest& VoteRequest::operator=(VoteRequest&& other250) noexcept {
-  term = other250.term;
-  candidate = std::move(other250.candidate);
-  lastIndex = other250.lastIndex;
-  lastTerm = other250.lastTerm;
-  preVote = other250.preVote;
-  transfer = other250.transfer;
-  __isset = other250.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other251) {
+  term = other251.term;
+  candidate = other251.candidate;
+  lastIndex = other251.lastIndex;
+  lastTerm = other251.lastTerm;
+  preVote = other251.preVote;
+  transfer = other251.transfer;
+  __isset = other251.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other252) noexcept {
+  term = other252.term;
+  candidate = std::move(other252.candidate);
+  lastIndex = other252.lastIndex;
+  lastTerm = other252.lastTerm;
+  preVote = other252.preVote;
+  transfer = other252.transfer;
+  __isset = other252.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other253) {
+  term = other253.term;
+  candidate = other253.candidate;
+  lastIndex = other253.lastIndex;
+  lastTerm = other253.lastTerm;
+  preVote = other253.preVote;
+  transfer = other253.transfer;
+  __isset = other253.__isset;
+  return *this;
+}
+VoteRequest& VoteRequest::operator=(VoteRequest&& other254) noexcept {
+  term = other254.term;
+  candidate = std::move(other254.candidate);
+  lastIndex = other254.lastIndex;
+  lastTerm = other254.lastTerm;
+  preVote = other254.preVote;
+  transfer = other254.transfer;
+  __isset = other254.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -7195,30 +7450,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other251) noexcept {
-  term = other251.term;
-  granted = other251.granted;
-  preVote = other251.preVote;
-  __isset = other251.__isset;
+VoteResponse::VoteResponse(const VoteResponse& other255) noexcept {
+  term = other255.term;
+  granted = other255.granted;
+  preVote = other255.preVote;
+  __isset = other255.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other252) noexcept {
-  term = other252.term;
-  granted = other252.granted;
-  preVote = other252.preVote;
-  __isset = other252.__isset;
+VoteResponse::VoteResponse(VoteResponse&& other256) noexcept {
+  term = other256.term;
+  granted = other256.granted;
+  preVote = other256.preVote;
+  __isset = other256.__isset;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other253) noexcept {
-  term = other253.term;
-  granted = other253.granted;
-  preVote = other253.preVote;
-  __isset = other253.__isset;
+VoteResponse& VoteResponse::operator=(const VoteResponse& other257) noexcept {
+  term = other257.term;
+  granted = other257.granted;
+  preVote = other257.preVote;
+  __isset = other257.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other254) noexcept {
-  term = other254.term;
-  granted = other254.granted;
-  preVote = other254.preVote;
-  __isset = other254.__isset;
+VoteResponse& VoteResponse::operator=(VoteResponse&& other258) noexcept {
+  term = other258.term;
+  granted = other258.granted;
+  preVote = other258.preVote;
+  __isset = other258.__isset;
   return *this;
 }
 void VoteResponse::printTo(std::ostream& out) const {
@@ -7326,14 +7581,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size255;
-            ::apache::thrift::protocol::TType _etype258;
-            xfer += iprot->readListBegin(_etype258, _size255);
-            this->entries.resize(_size255);
-            uint32_t _i259;
-            for (_i259 = 0; _i259 < _size255; ++_i259)
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->entries.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
             {
-              xfer += this->entries[_i259].read(iprot);
+              xfer += this->entries[_i263].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7394,10 +7649,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter260;
-    for (_iter260 = this->entries.begin(); _iter260 != this->entries.end(); ++_iter260)
+    std::vector<LogEntry> ::const_iterator _iter264;
+    for (_iter264 = this->entries.begin(); _iter264 != this->entries.end(); ++_iter264)
     {
-      xfer += (*_iter260).write(oprot);
+      xfer += (*_iter264).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7428,46 +7683,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other261) {
-  term = other261.term;
-  leader = other261.leader;
-  previousIndex = other261.previousIndex;
-  previousTerm = other261.previousTerm;
-  entries = other261.entries;
-  commitIndex = other261.commitIndex;
-  round = other261.round;
-  __isset = other261.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other262) noexcept {
-  term = other262.term;
-  leader = std::move(other262.leader);
-  previousIndex = other262.previousIndex;
-  previousTerm = other262.previousTerm;
-  entries = std::move(other262.entries);
-  commitIndex = other262.commitIndex;
-  round = other262.round;
-  __isset = other262.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other263) {
-  term = other263.term;
-  leader = other263.leader;
-  previousIndex = other263.previousIndex;
-  previousTerm = other263.previousTerm;
-  entries = other263.entries;
-  commitIndex = other263.commitIndex;
-  round = other263.round;
-  __isset = other263.__isset;
-  return *this;
-}
-AppendRequest& AppendRequest::operator=(AppendRequest&& other264) noexcept {
-  term = other264.term;
-  leader = std::move(other264.leader);
-  previousIndex = other264.previousIndex;
-  previousTerm = other264.previousTerm;
-  entries = std::move(other264.entries);
-  commitIndex = other264.commitIndex;
-  round = other264.round;
-  __isset = other264.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other265) {
+  term = other265.term;
+  leader = other265.leader;
+  previousIndex = other265.previousIndex;
+  previousTerm = other265.previousTerm;
+  entries = other265.entries;
+  commitIndex = other265.commitIndex;
+  round = other265.round;
+  __isset = other265.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other266) noexcept {
+  term = other266.term;
+  leader = std::move(other266.leader);
+  previousIndex = other266.previousIndex;
+  previousTerm = other266.previousTerm;
+  entries = std::move(other266.entries);
+  commitIndex = other266.commitIndex;
+  round = other266.round;
+  __isset = other266.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other267) {
+  term = other267.term;
+  leader = other267.leader;
+  previousIndex = other267.previousIndex;
+  previousTerm = other267.previousTerm;
+  entries = other267.entries;
+  commitIndex = other267.commitIndex;
+  round = other267.round;
+  __isset = other267.__isset;
+  return *this;
+}
+AppendRequest& AppendRequest::operator=(AppendRequest&& other268) noexcept {
+  term = other268.term;
+  leader = std::move(other268.leader);
+  previousIndex = other268.previousIndex;
+  previousTerm = other268.previousTerm;
+  entries = std::move(other268.entries);
+  commitIndex = other268.commitIndex;
+  round = other268.round;
+  __isset = other268.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7610,34 +7865,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other265) noexcept {
-  term = other265.term;
-  success = other265.success;
-  matchIndex = other265.matchIndex;
-  round = other265.round;
-  __isset = other265.__isset;
+AppendResponse::AppendResponse(const AppendResponse& other269) noexcept {
+  term = other269.term;
+  success = other269.success;
+  matchIndex = other269.matchIndex;
+  round = other269.round;
+  __isset = other269.__isset;
 }
-AppendResponse::AppendResponse(AppendResponse&& other266) noexcept {
-  term = other266.term;
-  success = other266.success;
-  matchIndex = other266.matchIndex;
-  round = other266.round;
-  __isset = other266.__isset;
+AppendResponse::AppendResponse(AppendResponse&& other270) noexcept {
+  term = other270.term;
+  success = other270.success;
+  matchIndex = other270.matchIndex;
+  round = other270.round;
+  __isset = other270.__isset;
 }
-AppendResponse& AppendResponse::operator=(const AppendResponse& other267) noexcept {
-  term = other267.term;
-  success = other267.success;
-  matchIndex = other267.matchIndex;
-  round = other267.round;
-  __isset = other267.__isset;
+AppendResponse& AppendResponse::operator=(const AppendResponse& other271) noexcept {
+  term = other271.term;
+  success = other271.success;
+  matchIndex = other271.matchIndex;
+  round = other271.round;
+  __isset = other271.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other268) noexcept {
-  term = other268.term;
-  success = other268.success;
-  matchIndex = other268.matchIndex;
-  round = other268.round;
-  __isset = other268.__isset;
+AppendResponse& AppendResponse::operator=(AppendResponse&& other272) noexcept {
+  term = other272.term;
+  success = other272.success;
+  matchIndex = other272.matchIndex;
+  round = other272.round;
+  __isset = other272.__isset;
   return *this;
 }
 void AppendResponse::printTo(std::ostream& out) const {
@@ -7828,46 +8083,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other269) {
-  term = other269.term;
-  leader = other269.leader;
-  lastIndex = other269.lastIndex;
-  lastTerm = other269.lastTerm;
-  offset = other269.offset;
-  totalBytes = other269.totalBytes;
-  data = other269.data;
-  __isset = other269.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other273) {
+  term = other273.term;
+  leader = other273.leader;
+  lastIndex = other273.lastIndex;
+  lastTerm = other273.lastTerm;
+  offset = other273.offset;
+  totalBytes = other273.totalBytes;
+  data = other273.data;
+  __isset = other273.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other270) noexcept {
-  term = other270.term;
-  leader = std::move(other270.leader);
-  lastIndex = other270.lastIndex;
-  lastTerm = other270.lastTerm;
-  offset = other270.offset;
-  totalBytes = other270.totalBytes;
-  data = std::move(other270.data);
-  __isset = other270.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other274) noexcept {
+  term = other274.term;
+  leader = std::move(other274.leader);
+  lastIndex = other274.lastIndex;
+  lastTerm = other274.lastTerm;
+  offset = other274.offset;
+  totalBytes = other274.totalBytes;
+  data = std::move(other274.data);
+  __isset = other274.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other271) {
-  term = other271.term;
-  leader = other271.leader;
-  lastIndex = other271.lastIndex;
-  lastTerm = other271.lastTerm;
-  offset = other271.offset;
-  totalBytes = other271.totalBytes;
-  data = other271.data;
-  __isset = other271.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other275) {
+  term = other275.term;
+  leader = other275.leader;
+  lastIndex = other275.lastIndex;
+  lastTerm = other275.lastTerm;
+  offset = other275.offset;
+  totalBytes = other275.totalBytes;
+  data = other275.data;
+  __isset = other275.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other272) noexcept {
-  term = other272.term;
-  leader = std::move(other272.leader);
-  lastIndex = other272.lastIndex;
-  lastTerm = other272.lastTerm;
-  offset = other272.offset;
-  totalBytes = other272.totalBytes;
-  data = std::move(other272.data);
-  __isset = other272.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other276) noexcept {
+  term = other276.term;
+  leader = std::move(other276.leader);
+  lastIndex = other276.lastIndex;
+  lastTerm = other276.lastTerm;
+  offset = other276.offset;
+  totalBytes = other276.totalBytes;
+  data = std::move(other276.data);
+  __isset = other276.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -7993,30 +8248,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other273) noexcept {
-  term = other273.term;
-  lastIndex = other273.lastIndex;
-  nextOffset = other273.nextOffset;
-  __isset = other273.__isset;
+SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other277) noexcept {
+  term = other277.term;
+  lastIndex = other277.lastIndex;
+  nextOffset = other277.nextOffset;
+  __isset = other277.__isset;
 }
-SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other274) noexcept {
-  term = other274.term;
-  lastIndex = other274.lastIndex;
-  nextOffset = other274.nextOffset;
-  __isset = other274.__isset;
+SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other278) noexcept {
+  term = other278.term;
+  lastIndex = other278.lastIndex;
+  nextOffset = other278.nextOffset;
+  __isset = other278.__isset;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other275) noexcept {
-  term = other275.term;
-  lastIndex = other275.lastIndex;
-  nextOffset = other275.nextOffset;
-  __isset = other275.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other279) noexcept {
+  term = other279.term;
+  lastIndex = other279.lastIndex;
+  nextOffset = other279.nextOffset;
+  __isset = other279.__isset;
   return *this;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other276) noexcept {
-  term = other276.term;
-  lastIndex = other276.lastIndex;
-  nextOffset = other276.nextOffset;
-  __isset = other276.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other280) noexcept {
+  term = other280.term;
+  lastIndex = other280.lastIndex;
+  nextOffset = other280.nextOffset;
+  __isset = other280.__isset;
   return *this;
 }
 void SnapshotChunkAck::printTo(std::ostream& out) const {
@@ -8104,22 +8359,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other277) noexcept {
-  term = other277.term;
-  __isset = other277.__isset;
-}
-TimeoutNow::TimeoutNow(TimeoutNow&& other278) noexcept {
-  term = other278.term;
-  __isset = other278.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other281) noexcept {
+  term = other281.term;
+  __isset = other281.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other279) noexcept {
-  term = other279.term;
-  __isset = other279.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other282) noexcept {
+  term = other282.term;
+  __isset = other282.__isset;
+}
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other283) noexcept {
+  term = other283.term;
+  __isset = other283.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other280) noexcept {
-  term = other280.term;
-  __isset = other280.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other284) noexcept {
+  term = other284.term;
+  __isset = other284.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -8222,26 +8477,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Freshness::Freshness(const Freshness& other281) noexcept {
-  term = other281.term;
-  round = other281.round;
-  __isset = other281.__isset;
+Freshness::Freshness(const Freshness& other285) noexcept {
+  term = other285.term;
+  round = other285.round;
+  __isset = other285.__isset;
 }
-Freshness::Freshness(Freshness&& other282) noexcept {
-  term = other282.term;
-  round = other282.round;
-  __isset = other282.__isset;
+Freshness::Freshness(Freshness&& other286) noexcept {
+  term = other286.term;
+  round = other286.round;
+  __isset = other286.__isset;
 }
-Freshness& Freshness::operator=(const Freshness& other283) noexcept {
-  term = other283.term;
-  round = other283.round;
-  __isset = other283.__isset;
+Freshness& Freshness::operator=(const Freshness& other287) noexcept {
+  term = other287.term;
+  round = other287.round;
+  __isset = other287.__isset;
   return *this;
 }
-Freshness& Freshness::operator=(Freshness&& other284) noexcept {
-  term = other284.term;
-  round = other284.round;
-  __isset = other284.__isset;
+Freshness& Freshness::operator=(Freshness&& other288) noexcept {
+  term = other288.term;
+  round = other288.round;
+  __isset = other288.__isset;
   return *this;
 }
 void Freshness::printTo(std::ostream& out) const {
@@ -8362,30 +8617,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelaySubscribe::RelaySubscribe(const RelaySubscribe& other285) noexcept {
-  revision = other285.revision;
-  digest = other285.digest;
-  sharesTable = other285.sharesTable;
-  __isset = other285.__isset;
+RelaySubscribe::RelaySubscribe(const RelaySubscribe& other289) noexcept {
+  revision = other289.revision;
+  digest = other289.digest;
+  sharesTable = other289.sharesTable;
+  __isset = other289.__isset;
 }
-RelaySubscribe::RelaySubscribe(RelaySubscribe&& other286) noexcept {
-  revision = other286.revision;
-  digest = std::move(other286.digest);
-  sharesTable = other286.sharesTable;
-  __isset = other286.__isset;
+RelaySubscribe::RelaySubscribe(RelaySubscribe&& other290) noexcept {
+  revision = other290.revision;
+  digest = std::move(other290.digest);
+  sharesTable = other290.sharesTable;
+  __isset = other290.__isset;
 }
-RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other287) noexcept {
-  revision = other287.revision;
-  digest = other287.digest;
-  sharesTable = other287.sharesTable;
-  __isset = other287.__isset;
+RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other291) noexcept {
+  revision = other291.revision;
+  digest = other291.digest;
+  sharesTable = other291.sharesTable;
+  __isset = other291.__isset;
   return *this;
 }
-RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other288) noexcept {
-  revision = other288.revision;
-  digest = std::move(other288.digest);
-  sharesTable = other288.sharesTable;
-  __isset = other288.__isset;
+RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other292) noexcept {
+  revision = other292.revision;
+  digest = std::move(other292.digest);
+  sharesTable = other292.sharesTable;
+  __isset = other292.__isset;
   return *this;
 }
 void RelaySubscribe::printTo(std::ostream& out) const {
@@ -8473,22 +8728,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other289) {
-  leaderId = other289.leaderId;
-  __isset = other289.__isset;
+NotLeader::NotLeader(const NotLeader& other293) {
+  leaderId = other293.leaderId;
+  __isset = other293.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other290) noexcept {
-  leaderId = std::move(other290.leaderId);
-  __isset = other290.__isset;
+NotLeader::NotLeader(NotLeader&& other294) noexcept {
+  leaderId = std::move(other294.leaderId);
+  __isset = other294.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other291) {
-  leaderId = other291.leaderId;
-  __isset = other291.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other295) {
+  leaderId = other295.leaderId;
+  __isset = other295.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other292) noexcept {
-  leaderId = std::move(other292.leaderId);
-  __isset = other292.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other296) noexcept {
+  leaderId = std::move(other296.leaderId);
+  __isset = other296.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -8578,14 +8833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size293;
-            ::apache::thrift::protocol::TType _etype296;
-            xfer += iprot->readListBegin(_etype296, _size293);
-            this->rows.resize(_size293);
-            uint32_t _i297;
-            for (_i297 = 0; _i297 < _size293; ++_i297)
+            uint32_t _size297;
+            ::apache::thrift::protocol::TType _etype300;
+            xfer += iprot->readListBegin(_etype300, _size297);
+            this->rows.resize(_size297);
+            uint32_t _i301;
+            for (_i301 = 0; _i301 < _size297; ++_i301)
             {
-              xfer += this->rows[_i297].read(iprot);
+              xfer += this->rows[_i301].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8634,10 +8889,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter298;
-    for (_iter298 = this->rows.begin(); _iter298 != this->rows.end(); ++_iter298)
+    std::vector<Row> ::const_iterator _iter302;
+    for (_iter302 = this->rows.begin(); _iter302 != this->rows.end(); ++_iter302)
     {
-      xfer += (*_iter298).write(oprot);
+      xfer += (*_iter302).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8662,38 +8917,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TableUpdate::TableUpdate(const TableUpdate& other299) {
-  fromRevision = other299.fromRevision;
-  toRevision = other299.toRevision;
-  full = other299.full;
-  rows = other299.rows;
-  digest = other299.digest;
-  __isset = other299.__isset;
-}
-TableUpdate::TableUpdate(TableUpdate&& other300) noexcept {
-  fromRevision = other300.fromRevision;
-  toRevision = other300.toRevision;
-  full = other300.full;
-  rows = std::move(other300.rows);
-  digest = std::move(other300.digest);
-  __isset = other300.__isset;
-}
-TableUpdate& TableUpdate::operator=(const TableUpdate& other301) {
-  fromRevision = other301.fromRevision;
-  toRevision = other301.toRevision;
-  full = other301.full;
-  rows = other301.rows;
-  digest = other301.digest;
-  __isset = other301.__isset;
-  return *this;
-}
-TableUpdate& TableUpdate::operator=(TableUpdate&& other302) noexcept {
-  fromRevision = other302.fromRevision;
-  toRevision = other302.toRevision;
-  full = other302.full;
-  rows = std::move(other302.rows);
-  digest = std::move(other302.digest);
-  __isset = other302.__isset;
+TableUpdate::TableUpdate(const TableUpdate& other303) {
+  fromRevision = other303.fromRevision;
+  toRevision = other303.toRevision;
+  full = other303.full;
+  rows = other303.rows;
+  digest = other303.digest;
+  __isset = other303.__isset;
+}
+TableUpdate::TableUpdate(TableUpdate&& other304) noexcept {
+  fromRevision = other304.fromRevision;
+  toRevision = other304.toRevision;
+  full = other304.full;
+  rows = std::move(other304.rows);
+  digest = std::move(other304.digest);
+  __isset = other304.__isset;
+}
+TableUpdate& TableUpdate::operator=(const TableUpdate& other305) {
+  fromRevision = other305.fromRevision;
+  toRevision = other305.toRevision;
+  full = other305.full;
+  rows = other305.rows;
+  digest = other305.digest;
+  __isset = other305.__isset;
+  return *this;
+}
+TableUpdate& TableUpdate::operator=(TableUpdate&& other306) noexcept {
+  fromRevision = other306.fromRevision;
+  toRevision = other306.toRevision;
+  full = other306.full;
+  rows = std::move(other306.rows);
+  digest = std::move(other306.digest);
+  __isset = other306.__isset;
   return *this;
 }
 void TableUpdate::printTo(std::ostream& out) const {
@@ -8800,26 +9055,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other303) noexcept {
-  revision = other303.revision;
-  freshness = other303.freshness;
-  __isset = other303.__isset;
+ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other307) noexcept {
+  revision = other307.revision;
+  freshness = other307.freshness;
+  __isset = other307.__isset;
 }
-ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other304) noexcept {
-  revision = other304.revision;
-  freshness = std::move(other304.freshness);
-  __isset = other304.__isset;
+ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other308) noexcept {
+  revision = other308.revision;
+  freshness = std::move(other308.freshness);
+  __isset = other308.__isset;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other305) noexcept {
-  revision = other305.revision;
-  freshness = other305.freshness;
-  __isset = other305.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other309) noexcept {
+  revision = other309.revision;
+  freshness = other309.freshness;
+  __isset = other309.__isset;
   return *this;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other306) noexcept {
-  revision = other306.revision;
-  freshness = std::move(other306.freshness);
-  __isset = other306.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other310) noexcept {
+  revision = other310.revision;
+  freshness = std::move(other310.freshness);
+  __isset = other310.__isset;
   return *this;
 }
 void ControllerHeartbeat::printTo(std::ostream& out) const {
@@ -8906,22 +9161,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other307) noexcept {
-  token = other307.token;
-  __isset = other307.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other311) noexcept {
+  token = other311.token;
+  __isset = other311.__isset;
 }
-ConfirmRequest::ConfirmRequest(ConfirmRequest&& other308) noexcept {
-  token = other308.token;
-  __isset = other308.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other312) noexcept {
+  token = other312.token;
+  __isset = other312.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other309) noexcept {
-  token = other309.token;
-  __isset = other309.__isset;
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other313) noexcept {
+  token = other313.token;
+  __isset = other313.__isset;
   return *this;
 }
-ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other310) noexcept {
-  token = other310.token;
-  __isset = other310.__isset;
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other314) noexcept {
+  token = other314.token;
+  __isset = other314.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -9024,26 +9279,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other311) noexcept {
-  token = other311.token;
-  revision = other311.revision;
-  __isset = other311.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other315) noexcept {
+  token = other315.token;
+  revision = other315.revision;
+  __isset = other315.__isset;
 }
-ConfirmReply::ConfirmReply(ConfirmReply&& other312) noexcept {
-  token = other312.token;
-  revision = other312.revision;
-  __isset = other312.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other316) noexcept {
+  token = other316.token;
+  revision = other316.revision;
+  __isset = other316.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other313) noexcept {
-  token = other313.token;
-  revision = other313.revision;
-  __isset = other313.__isset;
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other317) noexcept {
+  token = other317.token;
+  revision = other317.revision;
+  __isset = other317.__isset;
   return *this;
 }
-ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other314) noexcept {
-  token = other314.token;
-  revision = other314.revision;
-  __isset = other314.__isset;
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other318) noexcept {
+  token = other318.token;
+  revision = other318.revision;
+  __isset = other318.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -9147,26 +9402,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other315) {
-  nodeId = other315.nodeId;
-  revision = other315.revision;
-  __isset = other315.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other319) {
+  nodeId = other319.nodeId;
+  revision = other319.revision;
+  __isset = other319.__isset;
 }
-NodeStatus::NodeStatus(NodeStatus&& other316) noexcept {
-  nodeId = std::move(other316.nodeId);
-  revision = other316.revision;
-  __isset = other316.__isset;
+NodeStatus::NodeStatus(NodeStatus&& other320) noexcept {
+  nodeId = std::move(other320.nodeId);
+  revision = other320.revision;
+  __isset = other320.__isset;
 }
-NodeStatus& NodeStatus::operator=(const NodeStatus& other317) {
-  nodeId = other317.nodeId;
-  revision = other317.revision;
-  __isset = other317.__isset;
+NodeStatus& NodeStatus::operator=(const NodeStatus& other321) {
+  nodeId = other321.nodeId;
+  revision = other321.revision;
+  __isset = other321.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other318) noexcept {
-  nodeId = std::move(other318.nodeId);
-  revision = other318.revision;
-  __isset = other318.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other322) noexcept {
+  nodeId = std::move(other322.nodeId);
+  revision = other322.revision;
+  __isset = other322.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -9257,14 +9512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attached.clear();
-            uint32_t _size319;
-            ::apache::thrift::protocol::TType _etype322;
-            xfer += iprot->readListBegin(_etype322, _size319);
-            this->attached.resize(_size319);
-            uint32_t _i323;
-            for (_i323 = 0; _i323 < _size319; ++_i323)
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->attached.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
             {
-              xfer += iprot->readString(this->attached[_i323]);
+              xfer += iprot->readString(this->attached[_i327]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9277,14 +9532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->detached.clear();
-            uint32_t _size324;
-            ::apache::thrift::protocol::TType _etype327;
-            xfer += iprot->readListBegin(_etype327, _size324);
-            this->detached.resize(_size324);
-            uint32_t _i328;
-            for (_i328 = 0; _i328 < _size324; ++_i328)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->detached.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += iprot->readString(this->detached[_i328]);
+              xfer += iprot->readString(this->detached[_i332]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9297,14 +9552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->lagging.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->lagging.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += this->lagging[_i333].read(iprot);
+              xfer += this->lagging[_i337].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9357,10 +9612,10 @@
   xfer += oprot->writeFieldBegin("attached", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->attached.size()));
-    std::vector<std::string> ::const_iterator _iter334;
-    for (_iter334 = this->attached.begin(); _iter334 != this->attached.end(); ++_iter334)
+    std::vector<std::string> ::const_iterator _iter338;
+    for (_iter338 = this->attached.begin(); _iter338 != this->attached.end(); ++_iter338)
     {
-      xfer += oprot->writeString((*_iter334));
+      xfer += oprot->writeString((*_iter338));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9369,10 +9624,10 @@
   xfer += oprot->writeFieldBegin("detached", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->detached.size()));
-    std::vector<std::string> ::const_iterator _iter335;
-    for (_iter335 = this->detached.begin(); _iter335 != this->detached.end(); ++_iter335)
+    std::vector<std::string> ::const_iterator _iter339;
+    for (_iter339 = this->detached.begin(); _iter339 != this->detached.end(); ++_iter339)
     {
-      xfer += oprot->writeString((*_iter335));
+      xfer += oprot->writeString((*_iter339));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9381,10 +9636,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<NodeStatus> ::const_iterator _iter336;
-    for (_iter336 = this->lagging.begin(); _iter336 != this->lagging.end(); ++_iter336)
+    std::vector<NodeStatus> ::const_iterator _iter340;
+    for (_iter340 = this->lagging.begin(); _iter340 != this->lagging.end(); ++_iter340)
     {
-      xfer += (*_iter336).write(oprot);
+      xfer += (*_iter340).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9415,46 +9670,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConvergenceReport::ConvergenceReport(const ConvergenceReport& other337) {
-  sequence = other337.sequence;
-  inForceRevision = other337.inForceRevision;
-  attached = other337.attached;
-  detached = other337.detached;
-  lagging = other337.lagging;
-  full = other337.full;
-  runningMs = other337.runningMs;
-  __isset = other337.__isset;
-}
-ConvergenceReport::ConvergenceReport(ConvergenceReport&& other338) noexcept {
-  sequence = other338.sequence;
-  inForceRevision = other338.inForceRevision;
-  attached = std::move(other338.attached);
-  detached = std::move(other338.detached);
-  lagging = std::move(other338.lagging);
-  full = other338.full;
-  runningMs = other338.runningMs;
-  __isset = other338.__isset;
-}
-ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other339) {
-  sequence = other339.sequence;
-  inForceRevision = other339.inForceRevision;
-  attached = other339.attached;
-  detached = other339.detached;
-  lagging = other339.lagging;
-  full = other339.full;
-  runningMs = other339.runningMs;
-  __isset = other339.__isset;
-  return *this;
-}
-ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other340) noexcept {
-  sequence = other340.sequence;
-  inForceRevision = other340.inForceRevision;
-  attached = std::move(other340.attached);
-  detached = std::move(other340.detached);
-  lagging = std::move(other340.lagging);
-  full = other340.full;
-  runningMs = other340.runningMs;
-  __isset = other340.__isset;
+ConvergenceReport::ConvergenceReport(const ConvergenceReport& other341) {
+  sequence = other341.sequence;
+  inForceRevision = other341.inForceRevision;
+  attached = other341.attached;
+  detached = other341.detached;
+  lagging = other341.lagging;
+  full = other341.full;
+  runningMs = other341.runningMs;
+  __isset = other341.__isset;
+}
+ConvergenceReport::ConvergenceReport(ConvergenceReport&& other342) noexcept {
+  sequence = other342.sequence;
+  inForceRevision = other342.inForceRevision;
+  attached = std::move(other342.attached);
+  detached = std::move(other342.detached);
+  lagging = std::move(other342.lagging);
+  full = other342.full;
+  runningMs = other342.runningMs;
+  __isset = other342.__isset;
+}
+ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other343) {
+  sequence = other343.sequence;
+  inForceRevision = other343.inForceRevision;
+  attached = other343.attached;
+  detached = other343.detached;
+  lagging = other343.lagging;
+  full = other343.full;
+  runningMs = other343.runningMs;
+  __isset = other343.__isset;
+  return *this;
+}
+ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other344) noexcept {
+  sequence = other344.sequence;
+  inForceRevision = other344.inForceRevision;
+  attached = std::move(other344.attached);
+  detached = std::move(other344.detached);
+  lagging = std::move(other344.lagging);
+  full = other344.full;
+  runningMs = other344.runningMs;
+  __isset = other344.__isset;
   return *this;
 }
 void ConvergenceReport::printTo(std::ostream& out) const {
@@ -9522,14 +9777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->hosts.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->hosts.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += iprot->readString(this->hosts[_i345]);
+              xfer += iprot->readString(this->hosts[_i349]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9542,14 +9797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size346;
-            ::apache::thrift::protocol::TType _etype349;
-            xfer += iprot->readListBegin(_etype349, _size346);
-            this->services.resize(_size346);
-            uint32_t _i350;
-            for (_i350 = 0; _i350 < _size346; ++_i350)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->services.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += iprot->readString(this->services[_i350]);
+              xfer += iprot->readString(this->services[_i354]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9594,10 +9849,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter351;
-    for (_iter351 = this->hosts.begin(); _iter351 != this->hosts.end(); ++_iter351)
+    std::vector<std::string> ::const_iterator _iter355;
+    for (_iter355 = this->hosts.begin(); _iter355 != this->hosts.end(); ++_iter355)
     {
-      xfer += oprot->writeString((*_iter351));
+      xfer += oprot->writeString((*_iter355));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9606,10 +9861,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter352;
-    for (_iter352 = this->services.begin(); _iter352 != this->services.end(); ++_iter352)
+    std::vector<std::string> ::const_iterator _iter356;
+    for (_iter356 = this->services.begin(); _iter356 != this->services.end(); ++_iter356)
     {
-      xfer += oprot->writeString((*_iter352));
+      xfer += oprot->writeString((*_iter356));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9637,34 +9892,34 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeSubscribe::NodeSubscribe(const NodeSubscribe& other353) {
-  hosts = other353.hosts;
-  services = other353.services;
-  revision = other353.revision;
-  digest = other353.digest;
-  __isset = other353.__isset;
+NodeSubscribe::NodeSubscribe(const NodeSubscribe& other357) {
+  hosts = other357.hosts;
+  services = other357.services;
+  revision = other357.revision;
+  digest = other357.digest;
+  __isset = other357.__isset;
 }
-NodeSubscribe::NodeSubscribe(NodeSubscribe&& other354) noexcept {
-  hosts = std::move(other354.hosts);
-  services = std::move(other354.services);
-  revision = other354.revision;
-  digest = std::move(other354.digest);
-  __isset = other354.__isset;
+NodeSubscribe::NodeSubscribe(NodeSubscribe&& other358) noexcept {
+  hosts = std::move(other358.hosts);
+  services = std::move(other358.services);
+  revision = other358.revision;
+  digest = std::move(other358.digest);
+  __isset = other358.__isset;
 }
-NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other355) {
-  hosts = other355.hosts;
-  services = other355.services;
-  revision = other355.revision;
-  digest = other355.digest;
-  __isset = other355.__isset;
+NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other359) {
+  hosts = other359.hosts;
+  services = other359.services;
+  revision = other359.revision;
+  digest = other359.digest;
+  __isset = other359.__isset;
   return *this;
 }
-NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other356) noexcept {
-  hosts = std::move(other356.hosts);
-  services = std::move(other356.services);
-  revision = other356.revision;
-  digest = std::move(other356.digest);
-  __isset = other356.__isset;
+NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other360) noexcept {
+  hosts = std::move(other360.hosts);
+  services = std::move(other360.services);
+  revision = other360.revision;
+  digest = std::move(other360.digest);
+  __isset = other360.__isset;
   return *this;
 }
 void NodeSubscribe::printTo(std::ostream& out) const {
@@ -9757,14 +10012,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size357;
-            ::apache::thrift::protocol::TType _etype360;
-            xfer += iprot->readListBegin(_etype360, _size357);
-            this->rows.resize(_size357);
-            uint32_t _i361;
-            for (_i361 = 0; _i361 < _size357; ++_i361)
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->rows.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
             {
-              xfer += this->rows[_i361].read(iprot);
+              xfer += this->rows[_i365].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9813,10 +10068,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter362;
-    for (_iter362 = this->rows.begin(); _iter362 != this->rows.end(); ++_iter362)
+    std::vector<Row> ::const_iterator _iter366;
+    for (_iter366 = this->rows.begin(); _iter366 != this->rows.end(); ++_iter366)
     {
-      xfer += (*_iter362).write(oprot);
+      xfer += (*_iter366).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9841,38 +10096,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceUpdate::SliceUpdate(const SliceUpdate& other363) {
-  fromRevision = other363.fromRevision;
-  toRevision = other363.toRevision;
-  full = other363.full;
-  rows = other363.rows;
-  digest = other363.digest;
-  __isset = other363.__isset;
-}
-SliceUpdate::SliceUpdate(SliceUpdate&& other364) noexcept {
-  fromRevision = other364.fromRevision;
-  toRevision = other364.toRevision;
-  full = other364.full;
-  rows = std::move(other364.rows);
-  digest = std::move(other364.digest);
-  __isset = other364.__isset;
-}
-SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other365) {
-  fromRevision = other365.fromRevision;
-  toRevision = other365.toRevision;
-  full = other365.full;
-  rows = other365.rows;
-  digest = other365.digest;
-  __isset = other365.__isset;
-  return *this;
-}
-SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other366) noexcept {
-  fromRevision = other366.fromRevision;
-  toRevision = other366.toRevision;
-  full = other366.full;
-  rows = std::move(other366.rows);
-  digest = std::move(other366.digest);
-  __isset = other366.__isset;
+SliceUpdate::SliceUpdate(const SliceUpdate& other367) {
+  fromRevision = other367.fromRevision;
+  toRevision = other367.toRevision;
+  full = other367.full;
+  rows = other367.rows;
+  digest = other367.digest;
+  __isset = other367.__isset;
+}
+SliceUpdate::SliceUpdate(SliceUpdate&& other368) noexcept {
+  fromRevision = other368.fromRevision;
+  toRevision = other368.toRevision;
+  full = other368.full;
+  rows = std::move(other368.rows);
+  digest = std::move(other368.digest);
+  __isset = other368.__isset;
+}
+SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other369) {
+  fromRevision = other369.fromRevision;
+  toRevision = other369.toRevision;
+  full = other369.full;
+  rows = other369.rows;
+  digest = other369.digest;
+  __isset = other369.__isset;
+  return *this;
+}
+SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other370) noexcept {
+  fromRevision = other370.fromRevision;
+  toRevision = other370.toRevision;
+  full = other370.full;
+  rows = std::move(other370.rows);
+  digest = std::move(other370.digest);
+  __isset = other370.__isset;
   return *this;
 }
 void SliceUpdate::printTo(std::ostream& out) const {
@@ -9962,22 +10217,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceApplied::SliceApplied(const SliceApplied& other367) noexcept {
-  revision = other367.revision;
-  __isset = other367.__isset;
+SliceApplied::SliceApplied(const SliceApplied& other371) noexcept {
+  revision = other371.revision;
+  __isset = other371.__isset;
 }
-SliceApplied::SliceApplied(SliceApplied&& other368) noexcept {
-  revision = other368.revision;
-  __isset = other368.__isset;
+SliceApplied::SliceApplied(SliceApplied&& other372) noexcept {
+  revision = other372.revision;
+  __isset = other372.__isset;
 }
-SliceApplied& SliceApplied::operator=(const SliceApplied& other369) noexcept {
-  revision = other369.revision;
-  __isset = other369.__isset;
+SliceApplied& SliceApplied::operator=(const SliceApplied& other373) noexcept {
+  revision = other373.revision;
+  __isset = other373.__isset;
   return *this;
 }
-SliceApplied& SliceApplied::operator=(SliceApplied&& other370) noexcept {
-  revision = other370.revision;
-  __isset = other370.__isset;
+SliceApplied& SliceApplied::operator=(SliceApplied&& other374) noexcept {
+  revision = other374.revision;
+  __isset = other374.__isset;
   return *this;
 }
 void SliceApplied::printTo(std::ostream& out) const {
@@ -10037,9 +10292,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast371;
-          xfer += iprot->readI32(ecast371);
-          this->reason = static_cast<SliceRejectReason::type>(ecast371);
+          int32_t ecast375;
+          xfer += iprot->readI32(ecast375);
+          this->reason = static_cast<SliceRejectReason::type>(ecast375);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10082,26 +10337,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceRejected::SliceRejected(const SliceRejected& other372) noexcept {
-  revision = other372.revision;
-  reason = other372.reason;
-  __isset = other372.__isset;
+SliceRejected::SliceRejected(const SliceRejected& other376) noexcept {
+  revision = other376.revision;
+  reason = other376.reason;
+  __isset = other376.__isset;
 }
-SliceRejected::SliceRejected(SliceRejected&& other373) noexcept {
-  revision = other373.revision;
-  reason = other373.reason;
-  __isset = other373.__isset;
+SliceRejected::SliceRejected(SliceRejected&& other377) noexcept {
+  revision = other377.revision;
+  reason = other377.reason;
+  __isset = other377.__isset;
 }
-SliceRejected& SliceRejected::operator=(const SliceRejected& other374) noexcept {
-  revision = other374.revision;
-  reason = other374.reason;
-  __isset = other374.__isset;
+SliceRejected& SliceRejected::operator=(const SliceRejected& other378) noexcept {
+  revision = other378.revision;
+  reason = other378.reason;
+  __isset = other378.__isset;
   return *this;
 }
-SliceRejected& SliceRejected::operator=(SliceRejected&& other375) noexcept {
-  revision = other375.revision;
-  reason = other375.reason;
-  __isset = other375.__isset;
+SliceRejected& SliceRejected::operator=(SliceRejected&& other379) noexcept {
+  revision = other379.revision;
+  reason = other379.reason;
+  __isset = other379.__isset;
   return *this;
 }
 void SliceRejected::printTo(std::ostream& out) const {
@@ -10205,26 +10460,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other376) noexcept {
-  freshness = other376.freshness;
-  ageMs = other376.ageMs;
-  __isset = other376.__isset;
+NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other380) noexcept {
+  freshness = other380.freshness;
+  ageMs = other380.ageMs;
+  __isset = other380.__isset;
 }
-NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other377) noexcept {
-  freshness = std::move(other377.freshness);
-  ageMs = other377.ageMs;
-  __isset = other377.__isset;
+NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other381) noexcept {
+  freshness = std::move(other381.freshness);
+  ageMs = other381.ageMs;
+  __isset = other381.__isset;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other378) noexcept {
-  freshness = other378.freshness;
-  ageMs = other378.ageMs;
-  __isset = other378.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other382) noexcept {
+  freshness = other382.freshness;
+  ageMs = other382.ageMs;
+  __isset = other382.__isset;
   return *this;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other379) noexcept {
-  freshness = std::move(other379.freshness);
-  ageMs = other379.ageMs;
-  __isset = other379.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other383) noexcept {
+  freshness = std::move(other383.freshness);
+  ageMs = other383.ageMs;
+  __isset = other383.__isset;
   return *this;
 }
 void NodeHeartbeat::printTo(std::ostream& out) const {
@@ -10311,22 +10566,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other380) noexcept {
-  delayMs = other380.delayMs;
-  __isset = other380.__isset;
+RetryLater::RetryLater(const RetryLater& other384) noexcept {
+  delayMs = other384.delayMs;
+  __isset = other384.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other381) noexcept {
-  delayMs = other381.delayMs;
-  __isset = other381.__isset;
+RetryLater::RetryLater(RetryLater&& other385) noexcept {
+  delayMs = other385.delayMs;
+  __isset = other385.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other382) noexcept {
-  delayMs = other382.delayMs;
-  __isset = other382.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other386) noexcept {
+  delayMs = other386.delayMs;
+  __isset = other386.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other383) noexcept {
-  delayMs = other383.delayMs;
-  __isset = other383.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other387) noexcept {
+  delayMs = other387.delayMs;
+  __isset = other387.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -10480,38 +10735,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeld::RelayHeld(const RelayHeld& other384) noexcept {
-  revision = other384.revision;
-  recovered = other384.recovered;
-  probe = other384.probe;
-  wantsReply = other384.wantsReply;
-  freshness = other384.freshness;
-  __isset = other384.__isset;
-}
-RelayHeld::RelayHeld(RelayHeld&& other385) noexcept {
-  revision = other385.revision;
-  recovered = other385.recovered;
-  probe = other385.probe;
-  wantsReply = other385.wantsReply;
-  freshness = std::move(other385.freshness);
-  __isset = other385.__isset;
+RelayHeld::RelayHeld(const RelayHeld& other388) noexcept {
+  revision = other388.revision;
+  recovered = other388.recovered;
+  probe = other388.probe;
+  wantsReply = other388.wantsReply;
+  freshness = other388.freshness;
+  __isset = other388.__isset;
+}
+RelayHeld::RelayHeld(RelayHeld&& other389) noexcept {
+  revision = other389.revision;
+  recovered = other389.recovered;
+  probe = other389.probe;
+  wantsReply = other389.wantsReply;
+  freshness = std::move(other389.freshness);
+  __isset = other389.__isset;
 }
-RelayHeld& RelayHeld::operator=(const RelayHeld& other386) noexcept {
-  revision = other386.revision;
-  recovered = other386.recovered;
-  probe = other386.probe;
-  wantsReply = other386.wantsReply;
-  freshness = other386.freshness;
-  __isset = other386.__isset;
+RelayHeld& RelayHeld::operator=(const RelayHeld& other390) noexcept {
+  revision = other390.revision;
+  recovered = other390.recovered;
+  probe = other390.probe;
+  wantsReply = other390.wantsReply;
+  freshness = other390.freshness;
+  __isset = other390.__isset;
   return *this;
 }
-RelayHeld& RelayHeld::operator=(RelayHeld&& other387) noexcept {
-  revision = other387.revision;
-  recovered = other387.recovered;
-  probe = other387.probe;
-  wantsReply = other387.wantsReply;
-  freshness = std::move(other387.freshness);
-  __isset = other387.__isset;
+RelayHeld& RelayHeld::operator=(RelayHeld&& other391) noexcept {
+  revision = other391.revision;
+  recovered = other391.recovered;
+  probe = other391.probe;
+  wantsReply = other391.wantsReply;
+  freshness = std::move(other391.freshness);
+  __isset = other391.__isset;
   return *this;
 }
 void RelayHeld::printTo(std::ostream& out) const {
@@ -10619,9 +10874,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast388;
-          xfer += iprot->readI32(ecast388);
-          this->condition = static_cast<EndpointCondition::type>(ecast388);
+          int32_t ecast392;
+          xfer += iprot->readI32(ecast392);
+          this->condition = static_cast<EndpointCondition::type>(ecast392);
           this->__isset.condition = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10773,62 +11028,62 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other389) {
-  serviceName = other389.serviceName;
-  endpoint = other389.endpoint;
-  condition = other389.condition;
-  incarnation = other389.incarnation;
-  sequence = other389.sequence;
-  address = other389.address;
-  port = other389.port;
-  zone = other389.zone;
-  slots = other389.slots;
-  coldMs = other389.coldMs;
-  version = other389.version;
-  __isset = other389.__isset;
-}
-EndpointState::EndpointState(EndpointState&& other390) noexcept {
-  serviceName = std::move(other390.serviceName);
-  endpoint = std::move(other390.endpoint);
-  condition = other390.condition;
-  incarnation = other390.incarnation;
-  sequence = other390.sequence;
-  address = std::move(other390.address);
-  port = other390.port;
-  zone = std::move(other390.zone);
-  slots = other390.slots;
-  coldMs = other390.coldMs;
-  version = std::move(other390.version);
-  __isset = other390.__isset;
-}
-EndpointState& EndpointState::operator=(const EndpointState& other391) {
-  serviceName = other391.serviceName;
-  endpoint = other391.endpoint;
-  condition = other391.condition;
-  incarnation = other391.incarnation;
-  sequence = other391.sequence;
-  address = other391.address;
-  port = other391.port;
-  zone = other391.zone;
-  slots = other391.slots;
-  coldMs = other391.coldMs;
-  version = other391.version;
-  __isset = other391.__isset;
-  return *this;
-}
-EndpointState& EndpointState::operator=(EndpointState&& other392) noexcept {
-  serviceName = std::move(other392.serviceName);
-  endpoint = std::move(other392.endpoint);
-  condition = other392.condition;
-  incarnation = other392.incarnation;
-  sequence = other392.sequence;
-  address = std::move(other392.address);
-  port = other392.port;
-  zone = std::move(other392.zone);
-  slots = other392.slots;
-  coldMs = other392.coldMs;
-  version = std::move(other392.version);
-  __isset = other392.__isset;
+EndpointState::EndpointState(const EndpointState& other393) {
+  serviceName = other393.serviceName;
+  endpoint = other393.endpoint;
+  condition = other393.condition;
+  incarnation = other393.incarnation;
+  sequence = other393.sequence;
+  address = other393.address;
+  port = other393.port;
+  zone = other393.zone;
+  slots = other393.slots;
+  coldMs = other393.coldMs;
+  version = other393.version;
+  __isset = other393.__isset;
+}
+EndpointState::EndpointState(EndpointState&& other394) noexcept {
+  serviceName = std::move(other394.serviceName);
+  endpoint = std::move(other394.endpoint);
+  condition = other394.condition;
+  incarnation = other394.incarnation;
+  sequence = other394.sequence;
+  address = std::move(other394.address);
+  port = other394.port;
+  zone = std::move(other394.zone);
+  slots = other394.slots;
+  coldMs = other394.coldMs;
+  version = std::move(other394.version);
+  __isset = other394.__isset;
+}
+EndpointState& EndpointState::operator=(const EndpointState& other395) {
+  serviceName = other395.serviceName;
+  endpoint = other395.endpoint;
+  condition = other395.condition;
+  incarnation = other395.incarnation;
+  sequence = other395.sequence;
+  address = other395.address;
+  port = other395.port;
+  zone = other395.zone;
+  slots = other395.slots;
+  coldMs = other395.coldMs;
+  version = other395.version;
+  __isset = other395.__isset;
+  return *this;
+}
+EndpointState& EndpointState::operator=(EndpointState&& other396) noexcept {
+  serviceName = std::move(other396.serviceName);
+  endpoint = std::move(other396.endpoint);
+  condition = other396.condition;
+  incarnation = other396.incarnation;
+  sequence = other396.sequence;
+  address = std::move(other396.address);
+  port = other396.port;
+  zone = std::move(other396.zone);
+  slots = other396.slots;
+  coldMs = other396.coldMs;
+  version = std::move(other396.version);
+  __isset = other396.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -10888,14 +11143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size393;
-            ::apache::thrift::protocol::TType _etype396;
-            xfer += iprot->readListBegin(_etype396, _size393);
-            this->states.resize(_size393);
-            uint32_t _i397;
-            for (_i397 = 0; _i397 < _size393; ++_i397)
+            uint32_t _size397;
+            ::apache::thrift::protocol::TType _etype400;
+            xfer += iprot->readListBegin(_etype400, _size397);
+            this->states.resize(_size397);
+            uint32_t _i401;
+            for (_i401 = 0; _i401 < _size397; ++_i401)
             {
-              xfer += this->states[_i397].read(iprot);
+              xfer += this->states[_i401].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10924,10 +11179,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<EndpointState> ::const_iterator _iter398;
-    for (_iter398 = this->states.begin(); _iter398 != this->states.end(); ++_iter398)
+    std::vector<EndpointState> ::const_iterator _iter402;
+    for (_iter402 = this->states.begin(); _iter402 != this->states.end(); ++_iter402)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter402).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10944,22 +11199,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointStates::EndpointStates(const EndpointStates& other399) {
-  states = other399.states;
-  __isset = other399.__isset;
+EndpointStates::EndpointStates(const EndpointStates& other403) {
+  states = other403.states;
+  __isset = other403.__isset;
 }
-EndpointStates::EndpointStates(EndpointStates&& other400) noexcept {
-  states = std::move(other400.states);
-  __isset = other400.__isset;
+EndpointStates::EndpointStates(EndpointStates&& other404) noexcept {
+  states = std::move(other404.states);
+  __isset = other404.__isset;
 }
-EndpointStates& EndpointStates::operator=(const EndpointStates& other401) {
-  states = other401.states;
-  __isset = other401.__isset;
+EndpointStates& EndpointStates::operator=(const EndpointStates& other405) {
+  states = other405.states;
+  __isset = other405.__isset;
   return *this;
 }
-EndpointStates& EndpointStates::operator=(EndpointStates&& other402) noexcept {
-  states = std::move(other402.states);
-  __isset = other402.__isset;
+EndpointStates& EndpointStates::operator=(EndpointStates&& other406) noexcept {
+  states = std::move(other406.states);
+  __isset = other406.__isset;
   return *this;
 }
 void EndpointStates::printTo(std::ostream& out) const {
@@ -11079,30 +11334,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashedRequest::CrashedRequest(const CrashedRequest& other403) {
-  fingerprint = other403.fingerprint;
-  onProbation = other403.onProbation;
-  cleared = other403.cleared;
-  __isset = other403.__isset;
+CrashedRequest::CrashedRequest(const CrashedRequest& other407) {
+  fingerprint = other407.fingerprint;
+  onProbation = other407.onProbation;
+  cleared = other407.cleared;
+  __isset = other407.__isset;
 }
-CrashedRequest::CrashedRequest(CrashedRequest&& other404) noexcept {
-  fingerprint = std::move(other404.fingerprint);
-  onProbation = other404.onProbation;
-  cleared = other404.cleared;
-  __isset = other404.__isset;
+CrashedRequest::CrashedRequest(CrashedRequest&& other408) noexcept {
+  fingerprint = std::move(other408.fingerprint);
+  onProbation = other408.onProbation;
+  cleared = other408.cleared;
+  __isset = other408.__isset;
 }
-CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other405) {
-  fingerprint = other405.fingerprint;
-  onProbation = other405.onProbation;
-  cleared = other405.cleared;
-  __isset = other405.__isset;
+CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other409) {
+  fingerprint = other409.fingerprint;
+  onProbation = other409.onProbation;
+  cleared = other409.cleared;
+  __isset = other409.__isset;
   return *this;
 }
-CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other406) noexcept {
-  fingerprint = std::move(other406.fingerprint);
-  onProbation = other406.onProbation;
-  cleared = other406.cleared;
-  __isset = other406.__isset;
+CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other410) noexcept {
+  fingerprint = std::move(other410.fingerprint);
+  onProbation = other410.onProbation;
+  cleared = other410.cleared;
+  __isset = other410.__isset;
   return *this;
 }
 void CrashedRequest::printTo(std::ostream& out) const {
@@ -11202,14 +11457,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size407;
-            ::apache::thrift::protocol::TType _etype410;
-            xfer += iprot->readListBegin(_etype410, _size407);
-            this->requests.resize(_size407);
-            uint32_t _i411;
-            for (_i411 = 0; _i411 < _size407; ++_i411)
+            uint32_t _size411;
+            ::apache::thrift::protocol::TType _etype414;
+            xfer += iprot->readListBegin(_etype414, _size411);
+            this->requests.resize(_size411);
+            uint32_t _i415;
+            for (_i415 = 0; _i415 < _size411; ++_i415)
             {
-              xfer += this->requests[_i411].read(iprot);
+              xfer += this->requests[_i415].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11254,10 +11509,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<CrashedRequest> ::const_iterator _iter412;
-    for (_iter412 = this->requests.begin(); _iter412 != this->requests.end(); ++_iter412)
+    std::vector<CrashedRequest> ::const_iterator _iter416;
+    for (_iter416 = this->requests.begin(); _iter416 != this->requests.end(); ++_iter416)
     {
-      xfer += (*_iter412).write(oprot);
+      xfer += (*_iter416).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11278,38 +11533,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other413) {
-  id = other413.id;
-  serviceName = other413.serviceName;
-  endpoint = other413.endpoint;
-  ageMs = other413.ageMs;
-  requests = other413.requests;
-  __isset = other413.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other414) noexcept {
-  id = other414.id;
-  serviceName = std::move(other414.serviceName);
-  endpoint = std::move(other414.endpoint);
-  ageMs = other414.ageMs;
-  requests = std::move(other414.requests);
-  __isset = other414.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other415) {
-  id = other415.id;
-  serviceName = other415.serviceName;
-  endpoint = other415.endpoint;
-  ageMs = other415.ageMs;
-  requests = other415.requests;
-  __isset = other415.__isset;
-  return *this;
-}
-CrashReport& CrashReport::operator=(CrashReport&& other416) noexcept {
-  id = other416.id;
-  serviceName = std::move(other416.serviceName);
-  endpoint = std::move(other416.endpoint);
-  ageMs = other416.ageMs;
-  requests = std::move(other416.requests);
-  __isset = other416.__isset;
+CrashReport::CrashReport(const CrashReport& other417) {
+  id = other417.id;
+  serviceName = other417.serviceName;
+  endpoint = other417.endpoint;
+  ageMs = other417.ageMs;
+  requests = other417.requests;
+  __isset = other417.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other418) noexcept {
+  id = other418.id;
+  serviceName = std::move(other418.serviceName);
+  endpoint = std::move(other418.endpoint);
+  ageMs = other418.ageMs;
+  requests = std::move(other418.requests);
+  __isset = other418.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other419) {
+  id = other419.id;
+  serviceName = other419.serviceName;
+  endpoint = other419.endpoint;
+  ageMs = other419.ageMs;
+  requests = other419.requests;
+  __isset = other419.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other420) noexcept {
+  id = other420.id;
+  serviceName = std::move(other420.serviceName);
+  endpoint = std::move(other420.endpoint);
+  ageMs = other420.ageMs;
+  requests = std::move(other420.requests);
+  __isset = other420.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -11363,14 +11618,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size417;
-            ::apache::thrift::protocol::TType _etype420;
-            xfer += iprot->readListBegin(_etype420, _size417);
-            this->reports.resize(_size417);
-            uint32_t _i421;
-            for (_i421 = 0; _i421 < _size417; ++_i421)
+            uint32_t _size421;
+            ::apache::thrift::protocol::TType _etype424;
+            xfer += iprot->readListBegin(_etype424, _size421);
+            this->reports.resize(_size421);
+            uint32_t _i425;
+            for (_i425 = 0; _i425 < _size421; ++_i425)
             {
-              xfer += this->reports[_i421].read(iprot);
+              xfer += this->reports[_i425].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11399,10 +11654,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<CrashReport> ::const_iterator _iter422;
-    for (_iter422 = this->reports.begin(); _iter422 != this->reports.end(); ++_iter422)
+    std::vector<CrashReport> ::const_iterator _iter426;
+    for (_iter426 = this->reports.begin(); _iter426 != this->reports.end(); ++_iter426)
     {
-      xfer += (*_iter422).write(oprot);
+      xfer += (*_iter426).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11419,22 +11674,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReports::CrashReports(const CrashReports& other423) {
-  reports = other423.reports;
-  __isset = other423.__isset;
+CrashReports::CrashReports(const CrashReports& other427) {
+  reports = other427.reports;
+  __isset = other427.__isset;
 }
-CrashReports::CrashReports(CrashReports&& other424) noexcept {
-  reports = std::move(other424.reports);
-  __isset = other424.__isset;
+CrashReports::CrashReports(CrashReports&& other428) noexcept {
+  reports = std::move(other428.reports);
+  __isset = other428.__isset;
 }
-CrashReports& CrashReports::operator=(const CrashReports& other425) {
-  reports = other425.reports;
-  __isset = other425.__isset;
+CrashReports& CrashReports::operator=(const CrashReports& other429) {
+  reports = other429.reports;
+  __isset = other429.__isset;
   return *this;
 }
-CrashReports& CrashReports::operator=(CrashReports&& other426) noexcept {
-  reports = std::move(other426.reports);
-  __isset = other426.__isset;
+CrashReports& CrashReports::operator=(CrashReports&& other430) noexcept {
+  reports = std::move(other430.reports);
+  __isset = other430.__isset;
   return *this;
 }
 void CrashReports::printTo(std::ostream& out) const {
@@ -11532,14 +11787,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size427;
-            ::apache::thrift::protocol::TType _etype430;
-            xfer += iprot->readListBegin(_etype430, _size427);
-            this->runs.resize(_size427);
-            uint32_t _i431;
-            for (_i431 = 0; _i431 < _size427; ++_i431)
+            uint32_t _size431;
+            ::apache::thrift::protocol::TType _etype434;
+            xfer += iprot->readListBegin(_etype434, _size431);
+            this->runs.resize(_size431);
+            uint32_t _i435;
+            for (_i435 = 0; _i435 < _size431; ++_i435)
             {
-              xfer += iprot->readI64(this->runs[_i431]);
+              xfer += iprot->readI64(this->runs[_i435]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11584,10 +11839,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->runs.size()));
-    std::vector<int64_t> ::const_iterator _iter432;
-    for (_iter432 = this->runs.begin(); _iter432 != this->runs.end(); ++_iter432)
+    std::vector<int64_t> ::const_iterator _iter436;
+    for (_iter436 = this->runs.begin(); _iter436 != this->runs.end(); ++_iter436)
     {
-      xfer += oprot->writeI64((*_iter432));
+      xfer += oprot->writeI64((*_iter436));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11608,38 +11863,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RouteFigures::RouteFigures(const RouteFigures& other433) {
-  route = other433.route;
-  answered = other433.answered;
-  failed = other433.failed;
-  firstBucket = other433.firstBucket;
-  runs = other433.runs;
-  __isset = other433.__isset;
-}
-RouteFigures::RouteFigures(RouteFigures&& other434) noexcept {
-  route = other434.route;
-  answered = other434.answered;
-  failed = other434.failed;
-  firstBucket = other434.firstBucket;
-  runs = std::move(other434.runs);
-  __isset = other434.__isset;
-}
-RouteFigures& RouteFigures::operator=(const RouteFigures& other435) {
-  route = other435.route;
-  answered = other435.answered;
-  failed = other435.failed;
-  firstBucket = other435.firstBucket;
-  runs = other435.runs;
-  __isset = other435.__isset;
-  return *this;
-}
-RouteFigures& RouteFigures::operator=(RouteFigures&& other436) noexcept {
-  route = other436.route;
-  answered = other436.answered;
-  failed = other436.failed;
-  firstBucket = other436.firstBucket;
-  runs = std::move(other436.runs);
-  __isset = other436.__isset;
+RouteFigures::RouteFigures(const RouteFigures& other437) {
+  route = other437.route;
+  answered = other437.answered;
+  failed = other437.failed;
+  firstBucket = other437.firstBucket;
+  runs = other437.runs;
+  __isset = other437.__isset;
+}
+RouteFigures::RouteFigures(RouteFigures&& other438) noexcept {
+  route = other438.route;
+  answered = other438.answered;
+  failed = other438.failed;
+  firstBucket = other438.firstBucket;
+  runs = std::move(other438.runs);
+  __isset = other438.__isset;
+}
+RouteFigures& RouteFigures::operator=(const RouteFigures& other439) {
+  route = other439.route;
+  answered = other439.answered;
+  failed = other439.failed;
+  firstBucket = other439.firstBucket;
+  runs = other439.runs;
+  __isset = other439.__isset;
+  return *this;
+}
+RouteFigures& RouteFigures::operator=(RouteFigures&& other440) noexcept {
+  route = other440.route;
+  answered = other440.answered;
+  failed = other440.failed;
+  firstBucket = other440.firstBucket;
+  runs = std::move(other440.runs);
+  __isset = other440.__isset;
   return *this;
 }
 void RouteFigures::printTo(std::ostream& out) const {
@@ -11798,14 +12053,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size437;
-            ::apache::thrift::protocol::TType _etype440;
-            xfer += iprot->readListBegin(_etype440, _size437);
-            this->routes.resize(_size437);
-            uint32_t _i441;
-            for (_i441 = 0; _i441 < _size437; ++_i441)
+            uint32_t _size441;
+            ::apache::thrift::protocol::TType _etype444;
+            xfer += iprot->readListBegin(_etype444, _size441);
+            this->routes.resize(_size441);
+            uint32_t _i445;
+            for (_i445 = 0; _i445 < _size441; ++_i445)
             {
-              xfer += this->routes[_i441].read(iprot);
+              xfer += this->routes[_i445].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11882,10 +12137,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<RouteFigures> ::const_iterator _iter442;
-    for (_iter442 = this->routes.begin(); _iter442 != this->routes.end(); ++_iter442)
+    std::vector<RouteFigures> ::const_iterator _iter446;
+    for (_iter446 = this->routes.begin(); _iter446 != this->routes.end(); ++_iter446)
     {
-      xfer += (*_iter442).write(oprot);
+      xfer += (*_iter446).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11921,62 +12176,62 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReport::VersionReport(const VersionReport& other443) {
-  serviceName = other443.serviceName;
-  endpoint = other443.endpoint;
-  version = other443.version;
-  sequence = other443.sequence;
-  revision = other443.revision;
-  active = other443.active;
-  slots = other443.slots;
-  coldMs = other443.coldMs;
-  routes = other443.routes;
-  life = other443.life;
-  underLoad = other443.underLoad;
-  __isset = other443.__isset;
-}
-VersionReport::VersionReport(VersionReport&& other444) noexcept {
-  serviceName = std::move(other444.serviceName);
-  endpoint = std::move(other444.endpoint);
-  version = std::move(other444.version);
-  sequence = other444.sequence;
-  revision = other444.revision;
-  active = other444.active;
-  slots = other444.slots;
-  coldMs = other444.coldMs;
-  routes = std::move(other444.routes);
-  life = other444.life;
-  underLoad = std::move(other444.underLoad);
-  __isset = other444.__isset;
-}
-VersionReport& VersionReport::operator=(const VersionReport& other445) {
-  serviceName = other445.serviceName;
-  endpoint = other445.endpoint;
-  version = other445.version;
-  sequence = other445.sequence;
-  revision = other445.revision;
-  active = other445.active;
-  slots = other445.slots;
-  coldMs = other445.coldMs;
-  routes = other445.routes;
-  life = other445.life;
-  underLoad = other445.underLoad;
-  __isset = other445.__isset;
-  return *this;
-}
-VersionReport& VersionReport::operator=(VersionReport&& other446) noexcept {
-  serviceName = std::move(other446.serviceName);
-  endpoint = std::move(other446.endpoint);
-  version = std::move(other446.version);
-  sequence = other446.sequence;
-  revision = other446.revision;
-  active = other446.active;
-  slots = other446.slots;
-  coldMs = other446.coldMs;
-  routes = std::move(other446.routes);
-  life = other446.life;
-  underLoad = std::move(other446.underLoad);
-  __isset = other446.__isset;
+VersionReport::VersionReport(const VersionReport& other447) {
+  serviceName = other447.serviceName;
+  endpoint = other447.endpoint;
+  version = other447.version;
+  sequence = other447.sequence;
+  revision = other447.revision;
+  active = other447.active;
+  slots = other447.slots;
+  coldMs = other447.coldMs;
+  routes = other447.routes;
+  life = other447.life;
+  underLoad = other447.underLoad;
+  __isset = other447.__isset;
+}
+VersionReport::VersionReport(VersionReport&& other448) noexcept {
+  serviceName = std::move(other448.serviceName);
+  endpoint = std::move(other448.endpoint);
+  version = std::move(other448.version);
+  sequence = other448.sequence;
+  revision = other448.revision;
+  active = other448.active;
+  slots = other448.slots;
+  coldMs = other448.coldMs;
+  routes = std::move(other448.routes);
+  life = other448.life;
+  underLoad = std::move(other448.underLoad);
+  __isset = other448.__isset;
+}
+VersionReport& VersionReport::operator=(const VersionReport& other449) {
+  serviceName = other449.serviceName;
+  endpoint = other449.endpoint;
+  version = other449.version;
+  sequence = other449.sequence;
+  revision = other449.revision;
+  active = other449.active;
+  slots = other449.slots;
+  coldMs = other449.coldMs;
+  routes = other449.routes;
+  life = other449.life;
+  underLoad = other449.underLoad;
+  __isset = other449.__isset;
+  return *this;
+}
+VersionReport& VersionReport::operator=(VersionReport&& other450) noexcept {
+  serviceName = std::move(other450.serviceName);
+  endpoint = std::move(other450.endpoint);
+  version = std::move(other450.version);
+  sequence = other450.sequence;
+  revision = other450.revision;
+  active = other450.active;
+  slots = other450.slots;
+  coldMs = other450.coldMs;
+  routes = std::move(other450.routes);
+  life = other450.life;
+  underLoad = std::move(other450.underLoad);
+  __isset = other450.__isset;
   return *this;
 }
 void VersionReport::printTo(std::ostream& out) const {
@@ -12036,14 +12291,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _etype450;
-            xfer += iprot->readListBegin(_etype450, _size447);
-            this->reports.resize(_size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
+            uint32_t _size451;
+            ::apache::thrift::protocol::TType _etype454;
+            xfer += iprot->readListBegin(_etype454, _size451);
+            this->reports.resize(_size451);
+            uint32_t _i455;
+            for (_i455 = 0; _i455 < _size451; ++_i455)
             {
-              xfer += this->reports[_i451].read(iprot);
+              xfer += this->reports[_i455].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12072,10 +12327,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<VersionReport> ::const_iterator _iter452;
-    for (_iter452 = this->reports.begin(); _iter452 != this->reports.end(); ++_iter452)
+    std::vector<VersionReport> ::const_iterator _iter456;
+    for (_iter456 = this->reports.begin(); _iter456 != this->reports.end(); ++_iter456)
     {
-      xfer += (*_iter452).write(oprot);
+      xfer += (*_iter456).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12092,22 +12347,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReports::VersionReports(const VersionReports& other453) {
-  reports = other453.reports;
-  __isset = other453.__isset;
+VersionReports::VersionReports(const VersionReports& other457) {
+  reports = other457.reports;
+  __isset = other457.__isset;
 }
-VersionReports::VersionReports(VersionReports&& other454) noexcept {
-  reports = std::move(other454.reports);
-  __isset = other454.__isset;
+VersionReports::VersionReports(VersionReports&& other458) noexcept {
+  reports = std::move(other458.reports);
+  __isset = other458.__isset;
 }
-VersionReports& VersionReports::operator=(const VersionReports& other455) {
-  reports = other455.reports;
-  __isset = other455.__isset;
+VersionReports& VersionReports::operator=(const VersionReports& other459) {
+  reports = other459.reports;
+  __isset = other459.__isset;
   return *this;
 }
-VersionReports& VersionReports::operator=(VersionReports&& other456) noexcept {
-  reports = std::move(other456.reports);
-  __isset = other456.__isset;
+VersionReports& VersionReports::operator=(VersionReports&& other460) noexcept {
+  reports = std::move(other460.reports);
+  __isset = other460.__isset;
   return *this;
 }
 void VersionReports::printTo(std::ostream& out) const {
@@ -12227,30 +12482,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SeenVersion::SeenVersion(const SeenVersion& other457) {
-  serviceName = other457.serviceName;
-  version = other457.version;
-  endpoints = other457.endpoints;
-  __isset = other457.__isset;
+SeenVersion::SeenVersion(const SeenVersion& other461) {
+  serviceName = other461.serviceName;
+  version = other461.version;
+  endpoints = other461.endpoints;
+  __isset = other461.__isset;
 }
-SeenVersion::SeenVersion(SeenVersion&& other458) noexcept {
-  serviceName = std::move(other458.serviceName);
-  version = std::move(other458.version);
-  endpoints = other458.endpoints;
-  __isset = other458.__isset;
+SeenVersion::SeenVersion(SeenVersion&& other462) noexcept {
+  serviceName = std::move(other462.serviceName);
+  version = std::move(other462.version);
+  endpoints = other462.endpoints;
+  __isset = other462.__isset;
 }
-SeenVersion& SeenVersion::operator=(const SeenVersion& other459) {
-  serviceName = other459.serviceName;
-  version = other459.version;
-  endpoints = other459.endpoints;
-  __isset = other459.__isset;
+SeenVersion& SeenVersion::operator=(const SeenVersion& other463) {
+  serviceName = other463.serviceName;
+  version = other463.version;
+  endpoints = other463.endpoints;
+  __isset = other463.__isset;
   return *this;
 }
-SeenVersion& SeenVersion::operator=(SeenVersion&& other460) noexcept {
-  serviceName = std::move(other460.serviceName);
-  version = std::move(other460.version);
-  endpoints = other460.endpoints;
-  __isset = other460.__isset;
+SeenVersion& SeenVersion::operator=(SeenVersion&& other464) noexcept {
+  serviceName = std::move(other464.serviceName);
+  version = std::move(other464.version);
+  endpoints = other464.endpoints;
+  __isset = other464.__isset;
   return *this;
 }
 void SeenVersion::printTo(std::ostream& out) const {
@@ -12302,14 +12557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size461;
-            ::apache::thrift::protocol::TType _etype464;
-            xfer += iprot->readListBegin(_etype464, _size461);
-            this->versions.resize(_size461);
-            uint32_t _i465;
-            for (_i465 = 0; _i465 < _size461; ++_i465)
+            uint32_t _size465;
+            ::apache::thrift::protocol::TType _etype468;
+            xfer += iprot->readListBegin(_etype468, _size465);
+            this->versions.resize(_size465);
+            uint32_t _i469;
+            for (_i469 = 0; _i469 < _size465; ++_i469)
             {
-              xfer += this->versions[_i465].read(iprot);
+              xfer += this->versions[_i469].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12338,10 +12593,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<SeenVersion> ::const_iterator _iter466;
-    for (_iter466 = this->versions.begin(); _iter466 != this->versions.end(); ++_iter466)
+    std::vector<SeenVersion> ::const_iterator _iter470;
+    for (_iter470 = this->versions.begin(); _iter470 != this->versions.end(); ++_iter470)
     {
-      xfer += (*_iter466).write(oprot);
+      xfer += (*_iter470).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12358,22 +12613,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SeenVersions::SeenVersions(const SeenVersions& other467) {
-  versions = other467.versions;
-  __isset = other467.__isset;
+SeenVersions::SeenVersions(const SeenVersions& other471) {
+  versions = other471.versions;
+  __isset = other471.__isset;
 }
-SeenVersions::SeenVersions(SeenVersions&& other468) noexcept {
-  versions = std::move(other468.versions);
-  __isset = other468.__isset;
+SeenVersions::SeenVersions(SeenVersions&& other472) noexcept {
+  versions = std::move(other472.versions);
+  __isset = other472.__isset;
 }
-SeenVersions& SeenVersions::operator=(const SeenVersions& other469) {
-  versions = other469.versions;
-  __isset = other469.__isset;
+SeenVersions& SeenVersions::operator=(const SeenVersions& other473) {
+  versions = other473.versions;
+  __isset = other473.__isset;
   return *this;
 }
-SeenVersions& SeenVersions::operator=(SeenVersions&& other470) noexcept {
-  versions = std::move(other470.versions);
-  __isset = other470.__isset;
+SeenVersions& SeenVersions::operator=(SeenVersions&& other474) noexcept {
+  versions = std::move(other474.versions);
+  __isset = other474.__isset;
   return *this;
 }
 void SeenVersions::printTo(std::ostream& out) const {
@@ -12476,26 +12731,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRequest::LedgerRequest(const LedgerRequest& other471) {
-  requestId = other471.requestId;
-  command = other471.command;
-  __isset = other471.__isset;
+LedgerRequest::LedgerRequest(const LedgerRequest& other475) {
+  requestId = other475.requestId;
+  command = other475.command;
+  __isset = other475.__isset;
 }
-LedgerRequest::LedgerRequest(LedgerRequest&& other472) noexcept {
-  requestId = other472.requestId;
-  command = std::move(other472.command);
-  __isset = other472.__isset;
+LedgerRequest::LedgerRequest(LedgerRequest&& other476) noexcept {
+  requestId = other476.requestId;
+  command = std::move(other476.command);
+  __isset = other476.__isset;
 }
-LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other473) {
-  requestId = other473.requestId;
-  command = other473.command;
-  __isset = other473.__isset;
+LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other477) {
+  requestId = other477.requestId;
+  command = other477.command;
+  __isset = other477.__isset;
   return *this;
 }
-LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other474) noexcept {
-  requestId = other474.requestId;
-  command = std::move(other474.command);
-  __isset = other474.__isset;
+LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other478) noexcept {
+  requestId = other478.requestId;
+  command = std::move(other478.command);
+  __isset = other478.__isset;
   return *this;
 }
 void LedgerRequest::printTo(std::ostream& out) const {
@@ -12561,9 +12816,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast475;
-          xfer += iprot->readI32(ecast475);
-          this->verdict = static_cast<LedgerVerdict::type>(ecast475);
+          int32_t ecast479;
+          xfer += iprot->readI32(ecast479);
+          this->verdict = static_cast<LedgerVerdict::type>(ecast479);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12620,30 +12875,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerReply::LedgerReply(const LedgerReply& other476) {
-  requestId = other476.requestId;
-  verdict = other476.verdict;
-  answer = other476.answer;
-  __isset = other476.__isset;
+LedgerReply::LedgerReply(const LedgerReply& other480) {
+  requestId = other480.requestId;
+  verdict = other480.verdict;
+  answer = other480.answer;
+  __isset = other480.__isset;
 }
-LedgerReply::LedgerReply(LedgerReply&& other477) noexcept {
-  requestId = other477.requestId;
-  verdict = other477.verdict;
-  answer = std::move(other477.answer);
-  __isset = other477.__isset;
+LedgerReply::LedgerReply(LedgerReply&& other481) noexcept {
+  requestId = other481.requestId;
+  verdict = other481.verdict;
+  answer = std::move(other481.answer);
+  __isset = other481.__isset;
 }
-LedgerReply& LedgerReply::operator=(const LedgerReply& other478) {
-  requestId = other478.requestId;
-  verdict = other478.verdict;
-  answer = other478.answer;
-  __isset = other478.__isset;
+LedgerReply& LedgerReply::operator=(const LedgerReply& other482) {
+  requestId = other482.requestId;
+  verdict = other482.verdict;
+  answer = other482.answer;
+  __isset = other482.__isset;
   return *this;
 }
-LedgerReply& LedgerReply::operator=(LedgerReply&& other479) noexcept {
-  requestId = other479.requestId;
-  verdict = other479.verdict;
-  answer = std::move(other479.answer);
-  __isset = other479.__isset;
+LedgerReply& LedgerReply::operator=(LedgerReply&& other483) noexcept {
+  requestId = other483.requestId;
+  verdict = other483.verdict;
+  answer = std::move(other483.answer);
+  __isset = other483.__isset;
   return *this;
 }
 void LedgerReply::printTo(std::ostream& out) const {
@@ -12733,6 +12988,18 @@
 void CallRequest::__set_hasAlternative(const bool val) {
   this->hasAlternative = val;
 }
+
+void CallRequest::__set_reservationId(const int64_t val) {
+  this->reservationId = val;
+}
+
+void CallRequest::__set_tenant(const std::string& val) {
+  this->tenant = val;
+}
+
+void CallRequest::__set_largeAnswer(const bool val) {
+  this->largeAnswer = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -12797,14 +13064,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size480;
-            ::apache::thrift::protocol::TType _etype483;
-            xfer += iprot->readListBegin(_etype483, _size480);
-            this->headers.resize(_size480);
-            uint32_t _i484;
-            for (_i484 = 0; _i484 < _size480; ++_i484)
+            uint32_t _size484;
+            ::apache::thrift::protocol::TType _etype487;
+            xfer += iprot->readListBegin(_etype487, _size484);
+            this->headers.resize(_size484);
+            uint32_t _i488;
+            for (_i488 = 0; _i488 < _size484; ++_i488)
             {
-              xfer += this->headers[_i484].read(iprot);
+              xfer += this->headers[_i488].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12917,6 +13184,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reservationId);
+          this->__isset.reservationId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->largeAnswer);
+          this->__isset.largeAnswer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12953,10 +13244,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter485;
-    for (_iter485 = this->headers.begin(); _iter485 != this->headers.end(); ++_iter485)
+    std::vector<HttpHeader> ::const_iterator _iter489;
+    for (_iter489 = this->headers.begin(); _iter489 != this->headers.end(); ++_iter489)
     {
-      xfer += (*_iter485).write(oprot);
+      xfer += (*_iter489).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13016,6 +13307,18 @@
   xfer += oprot->writeBool(this->hasAlternative);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reservationId", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->reservationId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 20);
+  xfer += oprot->writeString(this->tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("largeAnswer", ::apache::thrift::protocol::T_BOOL, 21);
+  xfer += oprot->writeBool(this->largeAnswer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13041,93 +13344,108 @@
   swap(a.route, b.route);
   swap(a.knownRatePerS, b.knownRatePerS);
   swap(a.hasAlternative, b.hasAlternative);
+  swap(a.reservationId, b.reservationId);
+  swap(a.tenant, b.tenant);
+  swap(a.largeAnswer, b.largeAnswer);
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other486) {
-  callId = other486.callId;
-  serviceName = other486.serviceName;
-  method = other486.method;
-  path = other486.path;
-  headers = other486.headers;
-  body = other486.body;
-  remainingMs = other486.remainingMs;
-  idempotencyKey = other486.idempotencyKey;
-  endpoint = other486.endpoint;
-  priority = other486.priority;
-  runOnce = other486.runOnce;
-  targetLatencyMs = other486.targetLatencyMs;
-  waitedMs = other486.waitedMs;
-  bodyBytes = other486.bodyBytes;
-  suspect = other486.suspect;
-  route = other486.route;
-  knownRatePerS = other486.knownRatePerS;
-  hasAlternative = other486.hasAlternative;
-  __isset = other486.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other487) noexcept {
-  callId = other487.callId;
-  serviceName = std::move(other487.serviceName);
-  method = std::move(other487.method);
-  path = std::move(other487.path);
-  headers = std::move(other487.headers);
-  body = std::move(other487.body);
-  remainingMs = other487.remainingMs;
-  idempotencyKey = std::move(other487.idempotencyKey);
-  endpoint = std::move(other487.endpoint);
-  priority = other487.priority;
-  runOnce = other487.runOnce;
-  targetLatencyMs = other487.targetLatencyMs;
-  waitedMs = other487.waitedMs;
-  bodyBytes = other487.bodyBytes;
-  suspect = other487.suspect;
-  route = other487.route;
-  knownRatePerS = other487.knownRatePerS;
-  hasAlternative = other487.hasAlternative;
-  __isset = other487.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other488) {
-  callId = other488.callId;
-  serviceName = other488.serviceName;
-  method = other488.method;
-  path = other488.path;
-  headers = other488.headers;
-  body = other488.body;
-  remainingMs = other488.remainingMs;
-  idempotencyKey = other488.idempotencyKey;
-  endpoint = other488.endpoint;
-  priority = other488.priority;
-  runOnce = other488.runOnce;
-  targetLatencyMs = other488.targetLatencyMs;
-  waitedMs = other488.waitedMs;
-  bodyBytes = other488.bodyBytes;
-  suspect = other488.suspect;
-  route = other488.route;
-  knownRatePerS = other488.knownRatePerS;
-  hasAlternative = other488.hasAlternative;
-  __isset = other488.__isset;
-  return *this;
-}
-CallRequest& CallRequest::operator=(CallRequest&& other489) noexcept {
-  callId = other489.callId;
-  serviceName = std::move(other489.serviceName);
-  method = std::move(other489.method);
-  path = std::move(other489.path);
-  headers = std::move(other489.headers);
-  body = std::move(other489.body);
-  remainingMs = other489.remainingMs;
-  idempotencyKey = std::move(other489.idempotencyKey);
-  endpoint = std::move(other489.endpoint);
-  priority = other489.priority;
-  runOnce = other489.runOnce;
-  targetLatencyMs = other489.targetLatencyMs;
-  waitedMs = other489.waitedMs;
-  bodyBytes = other489.bodyBytes;
-  suspect = other489.suspect;
-  route = other489.route;
-  knownRatePerS = other489.knownRatePerS;
-  hasAlternative = other489.hasAlternative;
-  __isset = other489.__isset;
+CallRequest::CallRequest(const CallRequest& other490) {
+  callId = other490.callId;
+  serviceName = other490.serviceName;
+  method = other490.method;
+  path = other490.path;
+  headers = other490.headers;
+  body = other490.body;
+  remainingMs = other490.remainingMs;
+  idempotencyKey = other490.idempotencyKey;
+  endpoint = other490.endpoint;
+  priority = other490.priority;
+  runOnce = other490.runOnce;
+  targetLatencyMs = other490.targetLatencyMs;
+  waitedMs = other490.waitedMs;
+  bodyBytes = other490.bodyBytes;
+  suspect = other490.suspect;
+  route = other490.route;
+  knownRatePerS = other490.knownRatePerS;
+  hasAlternative = other490.hasAlternative;
+  reservationId = other490.reservationId;
+  tenant = other490.tenant;
+  largeAnswer = other490.largeAnswer;
+  __isset = other490.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other491) noexcept {
+  callId = other491.callId;
+  serviceName = std::move(other491.serviceName);
+  method = std::move(other491.method);
+  path = std::move(other491.path);
+  headers = std::move(other491.headers);
+  body = std::move(other491.body);
+  remainingMs = other491.remainingMs;
+  idempotencyKey = std::move(other491.idempotencyKey);
+  endpoint = std::move(other491.endpoint);
+  priority = other491.priority;
+  runOnce = other491.runOnce;
+  targetLatencyMs = other491.targetLatencyMs;
+  waitedMs = other491.waitedMs;
+  bodyBytes = other491.bodyBytes;
+  suspect = other491.suspect;
+  route = other491.route;
+  knownRatePerS = other491.knownRatePerS;
+  hasAlternative = other491.hasAlternative;
+  reservationId = other491.reservationId;
+  tenant = std::move(other491.tenant);
+  largeAnswer = other491.largeAnswer;
+  __isset = other491.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other492) {
+  callId = other492.callId;
+  serviceName = other492.serviceName;
+  method = other492.method;
+  path = other492.path;
+  headers = other492.headers;
+  body = other492.body;
+  remainingMs = other492.remainingMs;
+  idempotencyKey = other492.idempotencyKey;
+  endpoint = other492.endpoint;
+  priority = other492.priority;
+  runOnce = other492.runOnce;
+  targetLatencyMs = other492.targetLatencyMs;
+  waitedMs = other492.waitedMs;
+  bodyBytes = other492.bodyBytes;
+  suspect = other492.suspect;
+  route = other492.route;
+  knownRatePerS = other492.knownRatePerS;
+  hasAlternative = other492.hasAlternative;
+  reservationId = other492.reservationId;
+  tenant = other492.tenant;
+  largeAnswer = other492.largeAnswer;
+  __isset = other492.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other493) noexcept {
+  callId = other493.callId;
+  serviceName = std::move(other493.serviceName);
+  method = std::move(other493.method);
+  path = std::move(other493.path);
+  headers = std::move(other493.headers);
+  body = std::move(other493.body);
+  remainingMs = other493.remainingMs;
+  idempotencyKey = std::move(other493.idempotencyKey);
+  endpoint = std::move(other493.endpoint);
+  priority = other493.priority;
+  runOnce = other493.runOnce;
+  targetLatencyMs = other493.targetLatencyMs;
+  waitedMs = other493.waitedMs;
+  bodyBytes = other493.bodyBytes;
+  suspect = other493.suspect;
+  route = other493.route;
+  knownRatePerS = other493.knownRatePerS;
+  hasAlternative = other493.hasAlternative;
+  reservationId = other493.reservationId;
+  tenant = std::move(other493.tenant);
+  largeAnswer = other493.largeAnswer;
+  __isset = other493.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -13151,6 +13469,9 @@
   out << ", " << "route="; (__isset.route ? (out << to_string(route)) : (out << "<null>"));
   out << ", " << "knownRatePerS="; (__isset.knownRatePerS ? (out << to_string(knownRatePerS)) : (out << "<null>"));
   out << ", " << "hasAlternative=" << to_string(hasAlternative);
+  out << ", " << "reservationId=" << to_string(reservationId);
+  out << ", " << "tenant=" << to_string(tenant);
+  out << ", " << "largeAnswer=" << to_string(largeAnswer);
   out << ")";
 }
 
@@ -13206,6 +13527,23 @@
 void CallResponse::__set_onProbation(const bool val) {
   this->onProbation = val;
 }
+
+void CallResponse::__set_load(const EndpointLoad& val) {
+  this->load = val;
+__isset.load = true;
+}
+
+void CallResponse::__set_bodyBytes(const int64_t val) {
+  this->bodyBytes = val;
+}
+
+void CallResponse::__set_reservationId(const int64_t val) {
+  this->reservationId = val;
+}
+
+void CallResponse::__set_reservedInMs(const int32_t val) {
+  this->reservedInMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -13244,9 +13582,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast490;
-          xfer += iprot->readI32(ecast490);
-          this->outcome = static_cast<CallOutcome::type>(ecast490);
+          int32_t ecast494;
+          xfer += iprot->readI32(ecast494);
+          this->outcome = static_cast<CallOutcome::type>(ecast494);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13264,14 +13602,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size491;
-            ::apache::thrift::protocol::TType _etype494;
-            xfer += iprot->readListBegin(_etype494, _size491);
-            this->headers.resize(_size491);
-            uint32_t _i495;
-            for (_i495 = 0; _i495 < _size491; ++_i495)
+            uint32_t _size495;
+            ::apache::thrift::protocol::TType _etype498;
+            xfer += iprot->readListBegin(_etype498, _size495);
+            this->headers.resize(_size495);
+            uint32_t _i499;
+            for (_i499 = 0; _i499 < _size495; ++_i499)
             {
-              xfer += this->headers[_i495].read(iprot);
+              xfer += this->headers[_i499].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13344,6 +13682,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyBytes);
+          this->__isset.bodyBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reservationId);
+          this->__isset.reservationId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reservedInMs);
+          this->__isset.reservedInMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13376,10 +13746,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter496;
-    for (_iter496 = this->headers.begin(); _iter496 != this->headers.end(); ++_iter496)
+    std::vector<HttpHeader> ::const_iterator _iter500;
+    for (_iter500 = this->headers.begin(); _iter500 != this->headers.end(); ++_iter500)
     {
-      xfer += (*_iter496).write(oprot);
+      xfer += (*_iter500).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13417,9 +13787,26 @@
   xfer += oprot->writeBool(this->onProbation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->bodyBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reservationId", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->reservationId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reservedInMs", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->reservedInMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
 void swap(CallResponse &a, CallResponse &b) {
@@ -13436,69 +13823,89 @@
   swap(a.fullForBodies, b.fullForBodies);
   swap(a.crashId, b.crashId);
   swap(a.onProbation, b.onProbation);
+  swap(a.load, b.load);
+  swap(a.bodyBytes, b.bodyBytes);
+  swap(a.reservationId, b.reservationId);
+  swap(a.reservedInMs, b.reservedInMs);
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other497) {
-  callId = other497.callId;
-  outcome = other497.outcome;
-  httpStatus = other497.httpStatus;
-  headers = other497.headers;
-  body = other497.body;
-  errorCode = other497.errorCode;
-  inFlight = other497.inFlight;
-  retryAfterMs = other497.retryAfterMs;
-  fullForMs = other497.fullForMs;
-  fullForBodies = other497.fullForBodies;
-  crashId = other497.crashId;
-  onProbation = other497.onProbation;
-  __isset = other497.__isset;
-}
-CallResponse::CallResponse(CallResponse&& other498) noexcept {
-  callId = other498.callId;
-  outcome = other498.outcome;
-  httpStatus = other498.httpStatus;
-  headers = std::move(other498.headers);
-  body = std::move(other498.body);
-  errorCode = other498.errorCode;
-  inFlight = other498.inFlight;
-  retryAfterMs = other498.retryAfterMs;
-  fullForMs = other498.fullForMs;
-  fullForBodies = other498.fullForBodies;
-  crashId = other498.crashId;
-  onProbation = other498.onProbation;
-  __isset = other498.__isset;
-}
-CallResponse& CallResponse::operator=(const CallResponse& other499) {
-  callId = other499.callId;
-  outcome = other499.outcome;
-  httpStatus = other499.httpStatus;
-  headers = other499.headers;
-  body = other499.body;
-  errorCode = other499.errorCode;
-  inFlight = other499.inFlight;
-  retryAfterMs = other499.retryAfterMs;
-  fullForMs = other499.fullForMs;
-  fullForBodies = other499.fullForBodies;
-  crashId = other499.crashId;
-  onProbation = other499.onProbation;
-  __isset = other499.__isset;
-  return *this;
-}
-CallResponse& CallResponse::operator=(CallResponse&& other500) noexcept {
-  callId = other500.callId;
-  outcome = other500.outcome;
-  httpStatus = other500.httpStatus;
-  headers = std::move(other500.headers);
-  body = std::move(other500.body);
-  errorCode = other500.errorCode;
-  inFlight = other500.inFlight;
-  retryAfterMs = other500.retryAfterMs;
-  fullForMs = other500.fullForMs;
-  fullForBodies = other500.fullForBodies;
-  crashId = other500.crashId;
-  onProbation = other500.onProbation;
-  __isset = other500.__isset;
+CallResponse::CallResponse(const CallResponse& other501) {
+  callId = other501.callId;
+  outcome = other501.outcome;
+  httpStatus = other501.httpStatus;
+  headers = other501.headers;
+  body = other501.body;
+  errorCode = other501.errorCode;
+  inFlight = other501.inFlight;
+  retryAfterMs = other501.retryAfterMs;
+  fullForMs = other501.fullForMs;
+  fullForBodies = other501.fullForBodies;
+  crashId = other501.crashId;
+  onProbation = other501.onProbation;
+  load = other501.load;
+  bodyBytes = other501.bodyBytes;
+  reservationId = other501.reservationId;
+  reservedInMs = other501.reservedInMs;
+  __isset = other501.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other502) noexcept {
+  callId = other502.callId;
+  outcome = other502.outcome;
+  httpStatus = other502.httpStatus;
+  headers = std::move(other502.headers);
+  body = std::move(other502.body);
+  errorCode = other502.errorCode;
+  inFlight = other502.inFlight;
+  retryAfterMs = other502.retryAfterMs;
+  fullForMs = other502.fullForMs;
+  fullForBodies = other502.fullForBodies;
+  crashId = other502.crashId;
+  onProbation = other502.onProbation;
+  load = std::move(other502.load);
+  bodyBytes = other502.bodyBytes;
+  reservationId = other502.reservationId;
+  reservedInMs = other502.reservedInMs;
+  __isset = other502.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other503) {
+  callId = other503.callId;
+  outcome = other503.outcome;
+  httpStatus = other503.httpStatus;
+  headers = other503.headers;
+  body = other503.body;
+  errorCode = other503.errorCode;
+  inFlight = other503.inFlight;
+  retryAfterMs = other503.retryAfterMs;
+  fullForMs = other503.fullForMs;
+  fullForBodies = other503.fullForBodies;
+  crashId = other503.crashId;
+  onProbation = other503.onProbation;
+  load = other503.load;
+  bodyBytes = other503.bodyBytes;
+  reservationId = other503.reservationId;
+  reservedInMs = other503.reservedInMs;
+  __isset = other503.__isset;
+  return *this;
+}
+CallResponse& CallResponse::operator=(CallResponse&& other504) noexcept {
+  callId = other504.callId;
+  outcome = other504.outcome;
+  httpStatus = other504.httpStatus;
+  headers = std::move(other504.headers);
+  body = std::move(other504.body);
+  errorCode = other504.errorCode;
+  inFlight = other504.inFlight;
+  retryAfterMs = other504.retryAfterMs;
+  fullForMs = other504.fullForMs;
+  fullForBodies = other504.fullForBodies;
+  crashId = other504.crashId;
+  onProbation = other504.onProbation;
+  load = std::move(other504.load);
+  bodyBytes = other504.bodyBytes;
+  reservationId = other504.reservationId;
+  reservedInMs = other504.reservedInMs;
+  __isset = other504.__isset;
   return *this;
 }
 void CallResponse::printTo(std::ostream& out) const {
@@ -13516,6 +13923,10 @@
   out << ", " << "fullForBodies=" << to_string(fullForBodies);
   out << ", " << "crashId=" << to_string(crashId);
   out << ", " << "onProbation=" << to_string(onProbation);
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "bodyBytes=" << to_string(bodyBytes);
+  out << ", " << "reservationId=" << to_string(reservationId);
+  out << ", " << "reservedInMs=" << to_string(reservedInMs);
   out << ")";
 }
 
@@ -13595,22 +14006,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other501) noexcept {
-  callId = other501.callId;
-  __isset = other501.__isset;
+CallCancel::CallCancel(const CallCancel& other505) noexcept {
+  callId = other505.callId;
+  __isset = other505.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other502) noexcept {
-  callId = other502.callId;
-  __isset = other502.__isset;
+CallCancel::CallCancel(CallCancel&& other506) noexcept {
+  callId = other506.callId;
+  __isset = other506.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other503) noexcept {
-  callId = other503.callId;
-  __isset = other503.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other507) noexcept {
+  callId = other507.callId;
+  __isset = other507.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other504) noexcept {
-  callId = other504.callId;
-  __isset = other504.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other508) noexcept {
+  callId = other508.callId;
+  __isset = other508.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -13696,22 +14107,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallWithdraw::CallWithdraw(const CallWithdraw& other505) noexcept {
-  callId = other505.callId;
-  __isset = other505.__isset;
+CallWithdraw::CallWithdraw(const CallWithdraw& other509) noexcept {
+  callId = other509.callId;
+  __isset = other509.__isset;
 }
-CallWithdraw::CallWithdraw(CallWithdraw&& other506) noexcept {
-  callId = other506.callId;
-  __isset = other506.__isset;
+CallWithdraw::CallWithdraw(CallWithdraw&& other510) noexcept {
+  callId = other510.callId;
+  __isset = other510.__isset;
 }
-CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other507) noexcept {
-  callId = other507.callId;
-  __isset = other507.__isset;
+CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other511) noexcept {
+  callId = other511.callId;
+  __isset = other511.__isset;
   return *this;
 }
-CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other508) noexcept {
-  callId = other508.callId;
-  __isset = other508.__isset;
+CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other512) noexcept {
+  callId = other512.callId;
+  __isset = other512.__isset;
   return *this;
 }
 void CallWithdraw::printTo(std::ostream& out) const {
@@ -13729,6 +14140,15 @@
 void CallAccepted::__set_callId(const int64_t val) {
   this->callId = val;
 }
+
+void CallAccepted::__set_load(const EndpointLoad& val) {
+  this->load = val;
+__isset.load = true;
+}
+
+void CallAccepted::__set_nested(const bool val) {
+  this->nested = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallAccepted& obj)
 {
   obj.printTo(out);
@@ -13765,6 +14185,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->nested);
+          this->__isset.nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13786,6 +14222,15 @@
   xfer += oprot->writeI64(this->callId);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->nested);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13794,31 +14239,43 @@
 void swap(CallAccepted &a, CallAccepted &b) {
   using ::std::swap;
   swap(a.callId, b.callId);
+  swap(a.load, b.load);
+  swap(a.nested, b.nested);
   swap(a.__isset, b.__isset);
 }
 
-CallAccepted::CallAccepted(const CallAccepted& other509) noexcept {
-  callId = other509.callId;
-  __isset = other509.__isset;
+CallAccepted::CallAccepted(const CallAccepted& other513) noexcept {
+  callId = other513.callId;
+  load = other513.load;
+  nested = other513.nested;
+  __isset = other513.__isset;
 }
-CallAccepted::CallAccepted(CallAccepted&& other510) noexcept {
-  callId = other510.callId;
-  __isset = other510.__isset;
+CallAccepted::CallAccepted(CallAccepted&& other514) noexcept {
+  callId = other514.callId;
+  load = std::move(other514.load);
+  nested = other514.nested;
+  __isset = other514.__isset;
 }
-CallAccepted& CallAccepted::operator=(const CallAccepted& other511) noexcept {
-  callId = other511.callId;
-  __isset = other511.__isset;
+CallAccepted& CallAccepted::operator=(const CallAccepted& other515) noexcept {
+  callId = other515.callId;
+  load = other515.load;
+  nested = other515.nested;
+  __isset = other515.__isset;
   return *this;
 }
-CallAccepted& CallAccepted::operator=(CallAccepted&& other512) noexcept {
-  callId = other512.callId;
-  __isset = other512.__isset;
+CallAccepted& CallAccepted::operator=(CallAccepted&& other516) noexcept {
+  callId = other516.callId;
+  load = std::move(other516.load);
+  nested = other516.nested;
+  __isset = other516.__isset;
   return *this;
 }
 void CallAccepted::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CallAccepted(";
   out << "callId=" << to_string(callId);
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "nested=" << to_string(nested);
   out << ")";
 }
 
@@ -13915,26 +14372,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyGrant::CallBodyGrant(const CallBodyGrant& other513) noexcept {
-  callId = other513.callId;
-  upToBytes = other513.upToBytes;
-  __isset = other513.__isset;
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other517) noexcept {
+  callId = other517.callId;
+  upToBytes = other517.upToBytes;
+  __isset = other517.__isset;
 }
-CallBodyGrant::CallBodyGrant(CallBodyGrant&& other514) noexcept {
-  callId = other514.callId;
-  upToBytes = other514.upToBytes;
-  __isset = other514.__isset;
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other518) noexcept {
+  callId = other518.callId;
+  upToBytes = other518.upToBytes;
+  __isset = other518.__isset;
 }
-CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other515) noexcept {
-  callId = other515.callId;
-  upToBytes = other515.upToBytes;
-  __isset = other515.__isset;
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other519) noexcept {
+  callId = other519.callId;
+  upToBytes = other519.upToBytes;
+  __isset = other519.__isset;
   return *this;
 }
-CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other516) noexcept {
-  callId = other516.callId;
-  upToBytes = other516.upToBytes;
-  __isset = other516.__isset;
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other520) noexcept {
+  callId = other520.callId;
+  upToBytes = other520.upToBytes;
+  __isset = other520.__isset;
   return *this;
 }
 void CallBodyGrant::printTo(std::ostream& out) const {
@@ -14038,26 +14495,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyPiece::CallBodyPiece(const CallBodyPiece& other517) {
-  callId = other517.callId;
-  data = other517.data;
-  __isset = other517.__isset;
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other521) {
+  callId = other521.callId;
+  data = other521.data;
+  __isset = other521.__isset;
 }
-CallBodyPiece::CallBodyPiece(CallBodyPiece&& other518) noexcept {
-  callId = other518.callId;
-  data = std::move(other518.data);
-  __isset = other518.__isset;
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other522) noexcept {
+  callId = other522.callId;
+  data = std::move(other522.data);
+  __isset = other522.__isset;
 }
-CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other519) {
-  callId = other519.callId;
-  data = other519.data;
-  __isset = other519.__isset;
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other523) {
+  callId = other523.callId;
+  data = other523.data;
+  __isset = other523.__isset;
   return *this;
 }
-CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other520) noexcept {
-  callId = other520.callId;
-  data = std::move(other520.data);
-  __isset = other520.__isset;
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other524) noexcept {
+  callId = other524.callId;
+  data = std::move(other524.data);
+  __isset = other524.__isset;
   return *this;
 }
 void CallBodyPiece::printTo(std::ostream& out) const {
@@ -14069,6 +14526,252 @@
 }
 
 
+CallAnswerPiece::~CallAnswerPiece() noexcept {
+}
+
+
+void CallAnswerPiece::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void CallAnswerPiece::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallAnswerPiece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallAnswerPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallAnswerPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallAnswerPiece");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallAnswerPiece &a, CallAnswerPiece &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.data, b.data);
+  swap(a.__isset, b.__isset);
+}
+
+CallAnswerPiece::CallAnswerPiece(const CallAnswerPiece& other525) {
+  callId = other525.callId;
+  data = other525.data;
+  __isset = other525.__isset;
+}
+CallAnswerPiece::CallAnswerPiece(CallAnswerPiece&& other526) noexcept {
+  callId = other526.callId;
+  data = std::move(other526.data);
+  __isset = other526.__isset;
+}
+CallAnswerPiece& CallAnswerPiece::operator=(const CallAnswerPiece& other527) {
+  callId = other527.callId;
+  data = other527.data;
+  __isset = other527.__isset;
+  return *this;
+}
+CallAnswerPiece& CallAnswerPiece::operator=(CallAnswerPiece&& other528) noexcept {
+  callId = other528.callId;
+  data = std::move(other528.data);
+  __isset = other528.__isset;
+  return *this;
+}
+void CallAnswerPiece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallAnswerPiece(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "data=" << to_string(data);
+  out << ")";
+}
+
+
+CallAnswerCredit::~CallAnswerCredit() noexcept {
+}
+
+
+void CallAnswerCredit::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void CallAnswerCredit::__set_upToBytes(const int64_t val) {
+  this->upToBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallAnswerCredit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallAnswerCredit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upToBytes);
+          this->__isset.upToBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallAnswerCredit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallAnswerCredit");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upToBytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->upToBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallAnswerCredit &a, CallAnswerCredit &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.upToBytes, b.upToBytes);
+  swap(a.__isset, b.__isset);
+}
+
+CallAnswerCredit::CallAnswerCredit(const CallAnswerCredit& other529) noexcept {
+  callId = other529.callId;
+  upToBytes = other529.upToBytes;
+  __isset = other529.__isset;
+}
+CallAnswerCredit::CallAnswerCredit(CallAnswerCredit&& other530) noexcept {
+  callId = other530.callId;
+  upToBytes = other530.upToBytes;
+  __isset = other530.__isset;
+}
+CallAnswerCredit& CallAnswerCredit::operator=(const CallAnswerCredit& other531) noexcept {
+  callId = other531.callId;
+  upToBytes = other531.upToBytes;
+  __isset = other531.__isset;
+  return *this;
+}
+CallAnswerCredit& CallAnswerCredit::operator=(CallAnswerCredit&& other532) noexcept {
+  callId = other532.callId;
+  upToBytes = other532.upToBytes;
+  __isset = other532.__isset;
+  return *this;
+}
+void CallAnswerCredit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallAnswerCredit(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "upToBytes=" << to_string(upToBytes);
+  out << ")";
+}
+
+
 QuotaDemand::~QuotaDemand() noexcept {
 }
 
@@ -14080,6 +14783,10 @@
 void QuotaDemand::__set_count(const int32_t val) {
   this->count = val;
 }
+
+void QuotaDemand::__set_maxWaitMs(const int32_t val) {
+  this->maxWaitMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj)
 {
   obj.printTo(out);
@@ -14124,6 +14831,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxWaitMs);
+          this->__isset.maxWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14149,6 +14864,10 @@
   xfer += oprot->writeI32(this->count);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("maxWaitMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->maxWaitMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14158,29 +14877,34 @@
   using ::std::swap;
   swap(a.tenant, b.tenant);
   swap(a.count, b.count);
+  swap(a.maxWaitMs, b.maxWaitMs);
   swap(a.__isset, b.__isset);
 }
 
-QuotaDemand::QuotaDemand(const QuotaDemand& other521) {
-  tenant = other521.tenant;
-  count = other521.count;
-  __isset = other521.__isset;
+QuotaDemand::QuotaDemand(const QuotaDemand& other533) {
+  tenant = other533.tenant;
+  count = other533.count;
+  maxWaitMs = other533.maxWaitMs;
+  __isset = other533.__isset;
 }
-QuotaDemand::QuotaDemand(QuotaDemand&& other522) noexcept {
-  tenant = std::move(other522.tenant);
-  count = other522.count;
-  __isset = other522.__isset;
+QuotaDemand::QuotaDemand(QuotaDemand&& other534) noexcept {
+  tenant = std::move(other534.tenant);
+  count = other534.count;
+  maxWaitMs = other534.maxWaitMs;
+  __isset = other534.__isset;
 }
-QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other523) {
-  tenant = other523.tenant;
-  count = other523.count;
-  __isset = other523.__isset;
+QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other535) {
+  tenant = other535.tenant;
+  count = other535.count;
+  maxWaitMs = other535.maxWaitMs;
+  __isset = other535.__isset;
   return *this;
 }
-QuotaDemand& QuotaDemand::operator=(QuotaDemand&& other524) noexcept {
-  tenant = std::move(other524.tenant);
-  count = other524.count;
-  __isset = other524.__isset;
+QuotaDemand& QuotaDemand::operator=(QuotaDemand&& other536) noexcept {
+  tenant = std::move(other536.tenant);
+  count = other536.count;
+  maxWaitMs = other536.maxWaitMs;
+  __isset = other536.__isset;
   return *this;
 }
 void QuotaDemand::printTo(std::ostream& out) const {
@@ -14188,6 +14912,7 @@
   out << "QuotaDemand(";
   out << "tenant=" << to_string(tenant);
   out << ", " << "count=" << to_string(count);
+  out << ", " << "maxWaitMs=" << to_string(maxWaitMs);
   out << ")";
 }
 
@@ -14231,14 +14956,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size525;
-            ::apache::thrift::protocol::TType _etype528;
-            xfer += iprot->readListBegin(_etype528, _size525);
-            this->demands.resize(_size525);
-            uint32_t _i529;
-            for (_i529 = 0; _i529 < _size525; ++_i529)
+            uint32_t _size537;
+            ::apache::thrift::protocol::TType _etype540;
+            xfer += iprot->readListBegin(_etype540, _size537);
+            this->demands.resize(_size537);
+            uint32_t _i541;
+            for (_i541 = 0; _i541 < _size537; ++_i541)
             {
-              xfer += this->demands[_i529].read(iprot);
+              xfer += this->demands[_i541].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14267,10 +14992,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<QuotaDemand> ::const_iterator _iter530;
-    for (_iter530 = this->demands.begin(); _iter530 != this->demands.end(); ++_iter530)
+    std::vector<QuotaDemand> ::const_iterator _iter542;
+    for (_iter542 = this->demands.begin(); _iter542 != this->demands.end(); ++_iter542)
     {
-      xfer += (*_iter530).write(oprot);
+      xfer += (*_iter542).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14287,22 +15012,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaAsk::QuotaAsk(const QuotaAsk& other531) {
-  demands = other531.demands;
-  __isset = other531.__isset;
+QuotaAsk::QuotaAsk(const QuotaAsk& other543) {
+  demands = other543.demands;
+  __isset = other543.__isset;
 }
-QuotaAsk::QuotaAsk(QuotaAsk&& other532) noexcept {
-  demands = std::move(other532.demands);
-  __isset = other532.__isset;
+QuotaAsk::QuotaAsk(QuotaAsk&& other544) noexcept {
+  demands = std::move(other544.demands);
+  __isset = other544.__isset;
 }
-QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other533) {
-  demands = other533.demands;
-  __isset = other533.__isset;
+QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other545) {
+  demands = other545.demands;
+  __isset = other545.__isset;
   return *this;
 }
-QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other534) noexcept {
-  demands = std::move(other534.demands);
-  __isset = other534.__isset;
+QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other546) noexcept {
+  demands = std::move(other546.demands);
+  __isset = other546.__isset;
   return *this;
 }
 void QuotaAsk::printTo(std::ostream& out) const {
@@ -14332,6 +15057,18 @@
 void QuotaDecision::__set_retryAfterMs(const int32_t val) {
   this->retryAfterMs = val;
 }
+
+void QuotaDecision::__set_retryAfterStepMs(const int32_t val) {
+  this->retryAfterStepMs = val;
+}
+
+void QuotaDecision::__set_deferred(const int32_t val) {
+  this->deferred = val;
+}
+
+void QuotaDecision::__set_askAgainMs(const int32_t val) {
+  this->askAgainMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaDecision& obj)
 {
   obj.printTo(out);
@@ -14392,6 +15129,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterStepMs);
+          this->__isset.retryAfterStepMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->deferred);
+          this->__isset.deferred = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->askAgainMs);
+          this->__isset.askAgainMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14425,6 +15186,18 @@
   xfer += oprot->writeI32(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retryAfterStepMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->retryAfterStepMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deferred", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->deferred);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("askAgainMs", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->askAgainMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14436,37 +15209,52 @@
   swap(a.granted, b.granted);
   swap(a.denied, b.denied);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.retryAfterStepMs, b.retryAfterStepMs);
+  swap(a.deferred, b.deferred);
+  swap(a.askAgainMs, b.askAgainMs);
   swap(a.__isset, b.__isset);
 }
 
-QuotaDecision::QuotaDecision(const QuotaDecision& other535) {
-  tenant = other535.tenant;
-  granted = other535.granted;
-  denied = other535.denied;
-  retryAfterMs = other535.retryAfterMs;
-  __isset = other535.__isset;
+QuotaDecision::QuotaDecision(const QuotaDecision& other547) {
+  tenant = other547.tenant;
+  granted = other547.granted;
+  denied = other547.denied;
+  retryAfterMs = other547.retryAfterMs;
+  retryAfterStepMs = other547.retryAfterStepMs;
+  deferred = other547.deferred;
+  askAgainMs = other547.askAgainMs;
+  __isset = other547.__isset;
 }
-QuotaDecision::QuotaDecision(QuotaDecision&& other536) noexcept {
-  tenant = std::move(other536.tenant);
-  granted = other536.granted;
-  denied = other536.denied;
-  retryAfterMs = other536.retryAfterMs;
-  __isset = other536.__isset;
+QuotaDecision::QuotaDecision(QuotaDecision&& other548) noexcept {
+  tenant = std::move(other548.tenant);
+  granted = other548.granted;
+  denied = other548.denied;
+  retryAfterMs = other548.retryAfterMs;
+  retryAfterStepMs = other548.retryAfterStepMs;
+  deferred = other548.deferred;
+  askAgainMs = other548.askAgainMs;
+  __isset = other548.__isset;
 }
-QuotaDecision& QuotaDecision::operator=(const QuotaDecision& other537) {
-  tenant = other537.tenant;
-  granted = other537.granted;
-  denied = other537.denied;
-  retryAfterMs = other537.retryAfterMs;
-  __isset = other537.__isset;
+QuotaDecision& QuotaDecision::operator=(const QuotaDecision& other549) {
+  tenant = other549.tenant;
+  granted = other549.granted;
+  denied = other549.denied;
+  retryAfterMs = other549.retryAfterMs;
+  retryAfterStepMs = other549.retryAfterStepMs;
+  deferred = other549.deferred;
+  askAgainMs = other549.askAgainMs;
+  __isset = other549.__isset;
   return *this;
 }
-QuotaDecision& QuotaDecision::operator=(QuotaDecision&& other538) noexcept {
-  tenant = std::move(other538.tenant);
-  granted = other538.granted;
-  denied = other538.denied;
-  retryAfterMs = other538.retryAfterMs;
-  __isset = other538.__isset;
+QuotaDecision& QuotaDecision::operator=(QuotaDecision&& other550) noexcept {
+  tenant = std::move(other550.tenant);
+  granted = other550.granted;
+  denied = other550.denied;
+  retryAfterMs = other550.retryAfterMs;
+  retryAfterStepMs = other550.retryAfterStepMs;
+  deferred = other550.deferred;
+  askAgainMs = other550.askAgainMs;
+  __isset = other550.__isset;
   return *this;
 }
 void QuotaDecision::printTo(std::ostream& out) const {
@@ -14476,6 +15264,9 @@
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "denied=" << to_string(denied);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "retryAfterStepMs=" << to_string(retryAfterStepMs);
+  out << ", " << "deferred=" << to_string(deferred);
+  out << ", " << "askAgainMs=" << to_string(askAgainMs);
   out << ")";
 }
 
@@ -14519,14 +15310,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->decisions.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->decisions.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size551;
+            ::apache::thrift::protocol::TType _etype554;
+            xfer += iprot->readListBegin(_etype554, _size551);
+            this->decisions.resize(_size551);
+            uint32_t _i555;
+            for (_i555 = 0; _i555 < _size551; ++_i555)
             {
-              xfer += this->decisions[_i543].read(iprot);
+              xfer += this->decisions[_i555].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14555,10 +15346,10 @@
   xfer += oprot->writeFieldBegin("decisions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->decisions.size()));
-    std::vector<QuotaDecision> ::const_iterator _iter544;
-    for (_iter544 = this->decisions.begin(); _iter544 != this->decisions.end(); ++_iter544)
+    std::vector<QuotaDecision> ::const_iterator _iter556;
+    for (_iter556 = this->decisions.begin(); _iter556 != this->decisions.end(); ++_iter556)
     {
-      xfer += (*_iter544).write(oprot);
+      xfer += (*_iter556).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14575,22 +15366,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaGrant::QuotaGrant(const QuotaGrant& other545) {
-  decisions = other545.decisions;
-  __isset = other545.__isset;
+QuotaGrant::QuotaGrant(const QuotaGrant& other557) {
+  decisions = other557.decisions;
+  __isset = other557.__isset;
 }
-QuotaGrant::QuotaGrant(QuotaGrant&& other546) noexcept {
-  decisions = std::move(other546.decisions);
-  __isset = other546.__isset;
+QuotaGrant::QuotaGrant(QuotaGrant&& other558) noexcept {
+  decisions = std::move(other558.decisions);
+  __isset = other558.__isset;
 }
-QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other547) {
-  decisions = other547.decisions;
-  __isset = other547.__isset;
+QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other559) {
+  decisions = other559.decisions;
+  __isset = other559.__isset;
   return *this;
 }
-QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other548) noexcept {
-  decisions = std::move(other548.decisions);
-  __isset = other548.__isset;
+QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other560) noexcept {
+  decisions = std::move(other560.decisions);
+  __isset = other560.__isset;
   return *this;
 }
 void QuotaGrant::printTo(std::ostream& out) const {
@@ -14640,14 +15431,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size549;
-            ::apache::thrift::protocol::TType _etype552;
-            xfer += iprot->readListBegin(_etype552, _size549);
-            this->members.resize(_size549);
-            uint32_t _i553;
-            for (_i553 = 0; _i553 < _size549; ++_i553)
+            uint32_t _size561;
+            ::apache::thrift::protocol::TType _etype564;
+            xfer += iprot->readListBegin(_etype564, _size561);
+            this->members.resize(_size561);
+            uint32_t _i565;
+            for (_i565 = 0; _i565 < _size561; ++_i565)
             {
-              xfer += this->members[_i553].read(iprot);
+              xfer += this->members[_i565].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14676,10 +15467,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter554;
-    for (_iter554 = this->members.begin(); _iter554 != this->members.end(); ++_iter554)
+    std::vector<Member> ::const_iterator _iter566;
+    for (_iter566 = this->members.begin(); _iter566 != this->members.end(); ++_iter566)
     {
-      xfer += (*_iter554).write(oprot);
+      xfer += (*_iter566).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14696,22 +15487,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other555) {
-  members = other555.members;
-  __isset = other555.__isset;
+MemberList::MemberList(const MemberList& other567) {
+  members = other567.members;
+  __isset = other567.__isset;
 }
-MemberList::MemberList(MemberList&& other556) noexcept {
-  members = std::move(other556.members);
-  __isset = other556.__isset;
+MemberList::MemberList(MemberList&& other568) noexcept {
+  members = std::move(other568.members);
+  __isset = other568.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other557) {
-  members = other557.members;
-  __isset = other557.__isset;
+MemberList& MemberList::operator=(const MemberList& other569) {
+  members = other569.members;
+  __isset = other569.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other558) noexcept {
-  members = std::move(other558.members);
-  __isset = other558.__isset;
+MemberList& MemberList::operator=(MemberList&& other570) noexcept {
+  members = std::move(other570.members);
+  __isset = other570.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -14831,30 +15622,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other559) {
-  address = other559.address;
-  port = other559.port;
-  zone = other559.zone;
-  __isset = other559.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other571) {
+  address = other571.address;
+  port = other571.port;
+  zone = other571.zone;
+  __isset = other571.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other560) noexcept {
-  address = std::move(other560.address);
-  port = other560.port;
-  zone = std::move(other560.zone);
-  __isset = other560.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other572) noexcept {
+  address = std::move(other572.address);
+  port = other572.port;
+  zone = std::move(other572.zone);
+  __isset = other572.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other561) {
-  address = other561.address;
-  port = other561.port;
-  zone = other561.zone;
-  __isset = other561.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other573) {
+  address = other573.address;
+  port = other573.port;
+  zone = other573.zone;
+  __isset = other573.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other562) noexcept {
-  address = std::move(other562.address);
-  port = other562.port;
-  zone = std::move(other562.zone);
-  __isset = other562.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other574) noexcept {
+  address = std::move(other574.address);
+  port = other574.port;
+  zone = std::move(other574.zone);
+  __isset = other574.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -14906,14 +15697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size563;
-            ::apache::thrift::protocol::TType _etype566;
-            xfer += iprot->readListBegin(_etype566, _size563);
-            this->relays.resize(_size563);
-            uint32_t _i567;
-            for (_i567 = 0; _i567 < _size563; ++_i567)
+            uint32_t _size575;
+            ::apache::thrift::protocol::TType _etype578;
+            xfer += iprot->readListBegin(_etype578, _size575);
+            this->relays.resize(_size575);
+            uint32_t _i579;
+            for (_i579 = 0; _i579 < _size575; ++_i579)
             {
-              xfer += this->relays[_i567].read(iprot);
+              xfer += this->relays[_i579].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14942,10 +15733,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter568;
-    for (_iter568 = this->relays.begin(); _iter568 != this->relays.end(); ++_iter568)
+    std::vector<RelayAddress> ::const_iterator _iter580;
+    for (_iter580 = this->relays.begin(); _iter580 != this->relays.end(); ++_iter580)
     {
-      xfer += (*_iter568).write(oprot);
+      xfer += (*_iter580).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14962,22 +15753,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other569) {
-  relays = other569.relays;
-  __isset = other569.__isset;
+RelayList::RelayList(const RelayList& other581) {
+  relays = other581.relays;
+  __isset = other581.__isset;
 }
-RelayList::RelayList(RelayList&& other570) noexcept {
-  relays = std::move(other570.relays);
-  __isset = other570.__isset;
+RelayList::RelayList(RelayList&& other582) noexcept {
+  relays = std::move(other582.relays);
+  __isset = other582.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other571) {
-  relays = other571.relays;
-  __isset = other571.__isset;
+RelayList& RelayList::operator=(const RelayList& other583) {
+  relays = other583.relays;
+  __isset = other583.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other572) noexcept {
-  relays = std::move(other572.relays);
-  __isset = other572.__isset;
+RelayList& RelayList::operator=(RelayList&& other584) noexcept {
+  relays = std::move(other584.relays);
+  __isset = other584.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -15063,22 +15854,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PackedFrame::PackedFrame(const PackedFrame& other573) {
-  deflated = other573.deflated;
-  __isset = other573.__isset;
+PackedFrame::PackedFrame(const PackedFrame& other585) {
+  deflated = other585.deflated;
+  __isset = other585.__isset;
 }
-PackedFrame::PackedFrame(PackedFrame&& other574) noexcept {
-  deflated = std::move(other574.deflated);
-  __isset = other574.__isset;
+PackedFrame::PackedFrame(PackedFrame&& other586) noexcept {
+  deflated = std::move(other586.deflated);
+  __isset = other586.__isset;
 }
-PackedFrame& PackedFrame::operator=(const PackedFrame& other575) {
-  deflated = other575.deflated;
-  __isset = other575.__isset;
+PackedFrame& PackedFrame::operator=(const PackedFrame& other587) {
+  deflated = other587.deflated;
+  __isset = other587.__isset;
   return *this;
 }
-PackedFrame& PackedFrame::operator=(PackedFrame&& other576) noexcept {
-  deflated = std::move(other576.deflated);
-  __isset = other576.__isset;
+PackedFrame& PackedFrame::operator=(PackedFrame&& other588) noexcept {
+  deflated = std::move(other588.deflated);
+  __isset = other588.__isset;
   return *this;
 }
 void PackedFrame::printTo(std::ostream& out) const {
@@ -15143,18 +15934,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other577) noexcept {
-  (void) other577;
+StartCompression::StartCompression(const StartCompression& other589) noexcept {
+  (void) other589;
 }
-StartCompression::StartCompression(StartCompression&& other578) noexcept {
-  (void) other578;
+StartCompression::StartCompression(StartCompression&& other590) noexcept {
+  (void) other590;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other579) noexcept {
-  (void) other579;
+StartCompression& StartCompression::operator=(const StartCompression& other591) noexcept {
+  (void) other591;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other580) noexcept {
-  (void) other580;
+StartCompression& StartCompression::operator=(StartCompression&& other592) noexcept {
+  (void) other592;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -242,6 +242,8 @@
 
 class Hello;
 
+class EndpointLoad;
+
 class KeepAlive;
 
 class VoteRequest;
@@ -328,6 +330,10 @@
 
 class CallBodyPiece;
 
+class CallAnswerPiece;
+
+class CallAnswerCredit;
+
 class QuotaDemand;
 
 class QuotaAsk;
@@ -2671,7 +2677,7 @@
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false), takesCrashReports(false), takesVersionReports(false), grantsQuotas(false) {}
+  _Hello__isset() : protocolVersion(false), role(false), id(false), zone(false), blank(false), address(false), framePort(false), httpPort(false), relayPort(false), compresses(false), serviceName(false), takesBodyPieces(false), acknowledgesCalls(false), unpacksFrames(false), takesCrashReports(false), takesVersionReports(false), grantsQuotas(false), takesAnswerPieces(false) {}
   bool protocolVersion :1;
   bool role :1;
   bool id :1;
@@ -2689,6 +2695,7 @@
   bool takesCrashReports :1;
   bool takesVersionReports :1;
   bool grantsQuotas :1;
+  bool takesAnswerPieces :1;
 } _Hello__isset;
 
 /**
@@ -2718,7 +2725,8 @@
           unpacksFrames(0),
           takesCrashReports(0),
           takesVersionReports(0),
-          grantsQuotas(0) {
+          grantsQuotas(0),
+          takesAnswerPieces(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -2764,6 +2772,10 @@
    * Whether questions about quotas are answered.
    */
   bool grantsQuotas;
+  /**
+   * Whether the bodies of answers may follow in pieces.
+   */
+  bool takesAnswerPieces;
 
   _Hello__isset __isset;
 
@@ -2801,6 +2813,8 @@
 
   void __set_grantsQuotas(const bool val);
 
+  void __set_takesAnswerPieces(const bool val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocolVersion == rhs.protocolVersion))
@@ -2837,6 +2851,8 @@
       return false;
     if (!(grantsQuotas == rhs.grantsQuotas))
       return false;
+    if (!(takesAnswerPieces == rhs.takesAnswerPieces))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -2855,6 +2871,114 @@
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
+typedef struct _EndpointLoad__isset {
+  _EndpointLoad__isset() : running(false), waiting(false), slots(false), pacePercent(false), waitMs(false), runMs(false), ageMs(false) {}
+  bool running :1;
+  bool waiting :1;
+  bool slots :1;
+  bool pacePercent :1;
+  bool waitMs :1;
+  bool runMs :1;
+  bool ageMs :1;
+} _EndpointLoad__isset;
+
+/**
+ * Load of an endpoint, as the node beside its back end knows it.
+ */
+class EndpointLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointLoad(const EndpointLoad&) noexcept;
+  EndpointLoad(EndpointLoad&&) noexcept;
+  EndpointLoad& operator=(const EndpointLoad&) noexcept;
+  EndpointLoad& operator=(EndpointLoad&&) noexcept;
+  EndpointLoad() noexcept
+               : running(0),
+                 waiting(0),
+                 slots(0),
+                 pacePercent(0),
+                 waitMs(0),
+                 runMs(0),
+                 ageMs(0) {
+  }
+
+  virtual ~EndpointLoad() noexcept;
+  /**
+   * Requests that run on the back end.
+   */
+  int32_t running;
+  /**
+   * Requests that wait for a slot, at the node and in the back end.
+   */
+  int32_t waiting;
+  int32_t slots;
+  /**
+   * How long work takes there, in percent of the usual time; 100 if the back end does not report it.
+   */
+  int32_t pacePercent;
+  /**
+   * Predicted wait of a further request of the same kind, in milliseconds.
+   */
+  int32_t waitMs;
+  /**
+   * Predicted run time of a request of the same kind, in milliseconds; 0 if unknown.
+   */
+  int32_t runMs;
+  /**
+   * Time since the back end reported its load, in milliseconds.
+   */
+  int32_t ageMs;
+
+  _EndpointLoad__isset __isset;
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_pacePercent(const int32_t val);
+
+  void __set_waitMs(const int32_t val);
+
+  void __set_runMs(const int32_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const EndpointLoad & rhs) const
+  {
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(pacePercent == rhs.pacePercent))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    if (!(runMs == rhs.runMs))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointLoad &a, EndpointLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointLoad& obj);
+
 
 /**
  * Carries nothing: a machine that lost the connection in silence answers it with a reset.
@@ -5171,7 +5295,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerReply& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false), suspect(false), route(false), knownRatePerS(false), hasAlternative(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), method(false), path(false), headers(false), body(false), remainingMs(false), idempotencyKey(false), endpoint(false), priority(false), runOnce(false), targetLatencyMs(false), waitedMs(false), bodyBytes(false), suspect(false), route(false), knownRatePerS(false), hasAlternative(false), reservationId(false), tenant(false), largeAnswer(false) {}
   bool callId :1;
   bool serviceName :1;
   bool method :1;
@@ -5190,6 +5314,9 @@
   bool route :1;
   bool knownRatePerS :1;
   bool hasAlternative :1;
+  bool reservationId :1;
+  bool tenant :1;
+  bool largeAnswer :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -5216,7 +5343,10 @@
                 suspect(0),
                 route(0),
                 knownRatePerS(0),
-                hasAlternative(0) {
+                hasAlternative(0),
+                reservationId(0),
+                tenant(),
+                largeAnswer(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -5256,6 +5386,18 @@
    * Whether the sender has another endpoint for the call, so that it need not wait for the rate limit of this one.
    */
   bool hasAlternative;
+  /**
+   * Reservation that an earlier refusal of the same request named; 0 for none.
+   */
+  int64_t reservationId;
+  /**
+   * Tenant of the caller; empty where callers need no key.
+   */
+  std::string tenant;
+  /**
+   * Whether the route has large answers; their bodies may follow in pieces.
+   */
+  bool largeAnswer;
 
   _CallRequest__isset __isset;
 
@@ -5295,6 +5437,12 @@
 
   void __set_hasAlternative(const bool val);
 
+  void __set_reservationId(const int64_t val);
+
+  void __set_tenant(const std::string& val);
+
+  void __set_largeAnswer(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -5337,6 +5485,12 @@
       return false;
     if (!(hasAlternative == rhs.hasAlternative))
       return false;
+    if (!(reservationId == rhs.reservationId))
+      return false;
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(largeAnswer == rhs.largeAnswer))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -5356,7 +5510,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false), fullForBodies(false), crashId(false), onProbation(false) {}
+  _CallResponse__isset() : callId(false), outcome(false), httpStatus(false), headers(false), body(false), errorCode(false), inFlight(false), retryAfterMs(false), fullForMs(false), fullForBodies(false), crashId(false), onProbation(false), load(false), bodyBytes(false), reservationId(false), reservedInMs(false) {}
   bool callId :1;
   bool outcome :1;
   bool httpStatus :1;
@@ -5369,6 +5523,10 @@
   bool fullForBodies :1;
   bool crashId :1;
   bool onProbation :1;
+  bool load :1;
+  bool bodyBytes :1;
+  bool reservationId :1;
+  bool reservedInMs :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -5389,7 +5547,10 @@
                  fullForMs(0),
                  fullForBodies(0),
                  crashId(0),
-                 onProbation(0) {
+                 onProbation(0),
+                 bodyBytes(0),
+                 reservationId(0),
+                 reservedInMs(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -5421,6 +5582,22 @@
    * With BACKEND_CRASHED: whether the run was on probation.
    */
   bool onProbation;
+  /**
+   * Unset if the back end does not report its load.
+   */
+  EndpointLoad load;
+  /**
+   * Size of a body that follows in pieces; 0 where the body is in this message.
+   */
+  int64_t bodyBytes;
+  /**
+   * With OVERLOADED: a place kept for this request; 0 for none.
+   */
+  int64_t reservationId;
+  /**
+   * Time until the place is free, in milliseconds.
+   */
+  int32_t reservedInMs;
 
   _CallResponse__isset __isset;
 
@@ -5448,6 +5625,14 @@
 
   void __set_onProbation(const bool val);
 
+  void __set_load(const EndpointLoad& val);
+
+  void __set_bodyBytes(const int64_t val);
+
+  void __set_reservationId(const int64_t val);
+
+  void __set_reservedInMs(const int32_t val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -5474,6 +5659,16 @@
       return false;
     if (!(onProbation == rhs.onProbation))
       return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
+    if (!(bodyBytes == rhs.bodyBytes))
+      return false;
+    if (!(reservationId == rhs.reservationId))
+      return false;
+    if (!(reservedInMs == rhs.reservedInMs))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
@@ -5586,8 +5781,10 @@
 std::ostream& operator<<(std::ostream& out, const CallWithdraw& obj);
 
 typedef struct _CallAccepted__isset {
-  _CallAccepted__isset() : callId(false) {}
+  _CallAccepted__isset() : callId(false), load(false), nested(false) {}
   bool callId :1;
+  bool load :1;
+  bool nested :1;
 } _CallAccepted__isset;
 
 /**
@@ -5601,20 +5798,39 @@
   CallAccepted& operator=(const CallAccepted&) noexcept;
   CallAccepted& operator=(CallAccepted&&) noexcept;
   CallAccepted() noexcept
-               : callId(0) {
+               : callId(0),
+                 nested(0) {
   }
 
   virtual ~CallAccepted() noexcept;
   int64_t callId;
+  /**
+   * Unset if the back end does not report its load.
+   */
+  EndpointLoad load;
+  /**
+   * Whether calls of this kind were found to be made by back ends.
+   */
+  bool nested;
 
   _CallAccepted__isset __isset;
 
   void __set_callId(const int64_t val);
 
+  void __set_load(const EndpointLoad& val);
+
+  void __set_nested(const bool val);
+
   bool operator == (const CallAccepted & rhs) const
   {
     if (!(callId == rhs.callId))
       return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
+    if (!(nested == rhs.nested))
+      return false;
     return true;
   }
   bool operator != (const CallAccepted &rhs) const {
@@ -5743,10 +5959,121 @@
 
 std::ostream& operator<<(std::ostream& out, const CallBodyPiece& obj);
 
+typedef struct _CallAnswerPiece__isset {
+  _CallAnswerPiece__isset() : callId(false), data(false) {}
+  bool callId :1;
+  bool data :1;
+} _CallAnswerPiece__isset;
+
+/**
+ * The next piece of the body of an answer.
+ */
+class CallAnswerPiece : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallAnswerPiece(const CallAnswerPiece&);
+  CallAnswerPiece(CallAnswerPiece&&) noexcept;
+  CallAnswerPiece& operator=(const CallAnswerPiece&);
+  CallAnswerPiece& operator=(CallAnswerPiece&&) noexcept;
+  CallAnswerPiece() noexcept
+                  : callId(0),
+                    data() {
+  }
+
+  virtual ~CallAnswerPiece() noexcept;
+  int64_t callId;
+  std::string data;
+
+  _CallAnswerPiece__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_data(const std::string& val);
+
+  bool operator == (const CallAnswerPiece & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    return true;
+  }
+  bool operator != (const CallAnswerPiece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallAnswerPiece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallAnswerPiece &a, CallAnswerPiece &b);
+
+std::ostream& operator<<(std::ostream& out, const CallAnswerPiece& obj);
+
+typedef struct _CallAnswerCredit__isset {
+  _CallAnswerCredit__isset() : callId(false), upToBytes(false) {}
+  bool callId :1;
+  bool upToBytes :1;
+} _CallAnswerCredit__isset;
+
+/**
+ * Allows the sender of an answer to send its body up to this size.
+ */
+class CallAnswerCredit : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallAnswerCredit(const CallAnswerCredit&) noexcept;
+  CallAnswerCredit(CallAnswerCredit&&) noexcept;
+  CallAnswerCredit& operator=(const CallAnswerCredit&) noexcept;
+  CallAnswerCredit& operator=(CallAnswerCredit&&) noexcept;
+  CallAnswerCredit() noexcept
+                   : callId(0),
+                     upToBytes(0) {
+  }
+
+  virtual ~CallAnswerCredit() noexcept;
+  int64_t callId;
+  int64_t upToBytes;
+
+  _CallAnswerCredit__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_upToBytes(const int64_t val);
+
+  bool operator == (const CallAnswerCredit & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(upToBytes == rhs.upToBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const CallAnswerCredit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallAnswerCredit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallAnswerCredit &a, CallAnswerCredit &b);
+
+std::ostream& operator<<(std::ostream& out, const CallAnswerCredit& obj);
+
 typedef struct _QuotaDemand__isset {
-  _QuotaDemand__isset() : tenant(false), count(false) {}
+  _QuotaDemand__isset() : tenant(false), count(false), maxWaitMs(false) {}
   bool tenant :1;
   bool count :1;
+  bool maxWaitMs :1;
 } _QuotaDemand__isset;
 
 /**
@@ -5761,12 +6088,17 @@
   QuotaDemand& operator=(QuotaDemand&&) noexcept;
   QuotaDemand() noexcept
               : tenant(),
-                count(0) {
+                count(0),
+                maxWaitMs(0) {
   }
 
   virtual ~QuotaDemand() noexcept;
   std::string tenant;
   int32_t count;
+  /**
+   * How long the requests can still wait for a permit, in milliseconds; 0 if they are not to be deferred.
+   */
+  int32_t maxWaitMs;
 
   _QuotaDemand__isset __isset;
 
@@ -5774,12 +6106,16 @@
 
   void __set_count(const int32_t val);
 
+  void __set_maxWaitMs(const int32_t val);
+
   bool operator == (const QuotaDemand & rhs) const
   {
     if (!(tenant == rhs.tenant))
       return false;
     if (!(count == rhs.count))
       return false;
+    if (!(maxWaitMs == rhs.maxWaitMs))
+      return false;
     return true;
   }
   bool operator != (const QuotaDemand &rhs) const {
@@ -5846,11 +6182,14 @@
 std::ostream& operator<<(std::ostream& out, const QuotaAsk& obj);
 
 typedef struct _QuotaDecision__isset {
-  _QuotaDecision__isset() : tenant(false), granted(false), denied(false), retryAfterMs(false) {}
+  _QuotaDecision__isset() : tenant(false), granted(false), denied(false), retryAfterMs(false), retryAfterStepMs(false), deferred(false), askAgainMs(false) {}
   bool tenant :1;
   bool granted :1;
   bool denied :1;
   bool retryAfterMs :1;
+  bool retryAfterStepMs :1;
+  bool deferred :1;
+  bool askAgainMs :1;
 } _QuotaDecision__isset;
 
 /**
@@ -5867,7 +6206,10 @@
                 : tenant(),
                   granted(0),
                   denied(0),
-                  retryAfterMs(0) {
+                  retryAfterMs(0),
+                  retryAfterStepMs(0),
+                  deferred(0),
+                  askAgainMs(0) {
   }
 
   virtual ~QuotaDecision() noexcept;
@@ -5881,6 +6223,15 @@
    * After how long another one may be granted, where some were denied.
    */
   int32_t retryAfterMs;
+  /**
+   * Added to retryAfterMs for each further denied request, so that they do not return together.
+   */
+  int32_t retryAfterStepMs;
+  /**
+   * Not decided yet; these follow those that were denied, and are asked for again after askAgainMs.
+   */
+  int32_t deferred;
+  int32_t askAgainMs;
 
   _QuotaDecision__isset __isset;
 
@@ -5892,6 +6243,12 @@
 
   void __set_retryAfterMs(const int32_t val);
 
+  void __set_retryAfterStepMs(const int32_t val);
+
+  void __set_deferred(const int32_t val);
+
+  void __set_askAgainMs(const int32_t val);
+
   bool operator == (const QuotaDecision & rhs) const
   {
     if (!(tenant == rhs.tenant))
@@ -5902,6 +6259,12 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(retryAfterStepMs == rhs.retryAfterStepMs))
+      return false;
+    if (!(deferred == rhs.deferred))
+      return false;
+    if (!(askAgainMs == rhs.askAgainMs))
+      return false;
     return true;
   }
   bool operator != (const QuotaDecision &rhs) const {
