Calls of tenants are never taken for nested ones

Cause: a kind of call counts as nested if the nodes of some service send none of it. Ruled out: the other causes of a nested mark; only the detector sets it. Change: nodes pass the tenant with each call; a call with a tenant is external, since back ends call without a key.

--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -249,7 +249,8 @@
   if (service == callerServices_.end()) return false;
   const auto kind = kindOf(request);
   nestedCallDetector_.onCall(kind, service->second);
-  return nestedCallDetector_.isNested(kind);
+  // Back ends call without a key, so a call of a tenant comes from an external caller.
+  return request.tenant.empty() && nestedCallDetector_.isNested(kind);
 }
 
 limits::Priority EndpointCalls::priorityOf(const Call& call) const {
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -301,6 +301,7 @@
   request.runOnce = !call->repeatable;
   request.waitedMs = call->waitedMs;
   request.suspect = suspect;
+  request.tenant = call->tenant;
   request.hasAlternative = !suspect && hasAlternative(*call, target.name);
   if (const auto rate = notices_.rateOf(target.name)) request.__set_knownRatePerS(*rate);
   const auto* versions = table_->versions(call->service);
--- a/test/node/endpoint_calls_test.cc
+++ b/test/node/endpoint_calls_test.cc
@@ -308,6 +308,52 @@
   CHECK(completed == std::vector<int64_t>{101, 106, 107, 108, 109, 110, 111, 112, 113, 102, 103, 104, 105});
 }
 
+/// Guards against a burst of external calls being taken for nested ones while the nodes of another service send none of
+/// their kind: they would get slots before the calls that back ends wait for.
+TEST_CASE_METHOD(Fixture, "a call of a tenant is never taken for a nested one") {
+  EndpointOptions options;
+  options.service = "records";
+  options.defaultSlots = 1;
+  options.defaultQueue = 40;
+  options.waitWithinTarget = true;
+  options.nestedShare = 1;
+  RecordingNetwork network;
+  CountingBackend backend(process);
+  EndpointCalls calls(options, process, network, backend, nullptr);
+  for (base::ConnectionId node = 1; node <= 2; ++node) {
+    wire::Hello hello;
+    hello.serviceName = node == 1 ? "orders" : "records";
+    calls.onOpen(node, hello);
+  }
+  int64_t id = 0;
+  const auto ask = [&](base::ConnectionId node, int targetMs, const std::string& tenant) {
+    wire::CallRequest request;
+    request.callId = ++id;
+    request.serviceName = "records";
+    request.method = "GET";
+    request.path = "/records";
+    request.remainingMs = 2000;
+    request.targetLatencyMs = targetMs;
+    request.tenant = tenant;
+    calls.onRequest(node, request);
+  };
+  for (int i = 0; i < 40; ++i) {  // calls with target 400 come from nodes of one service only
+    ask(1 + i % 2, 100, "press");
+    runFor(base::milliseconds(10));
+    ask(1, 400, "press");
+    runFor(base::milliseconds(10));
+  }
+  network.answers.clear();
+  id = 100;
+  ask(2, 100, "press");  // takes the slot
+  ask(1, 400, "press");
+  ask(2, 100, "press");
+  runFor(base::milliseconds(100));
+  std::vector<int64_t> order;
+  for (const auto& answer : network.answers) order.push_back(answer.callId);
+  CHECK(order == std::vector<int64_t>{101, 103, 102});
+}
+
 TEST_CASE_METHOD(Fixture, "a withdrawn call is refused while it waits, and completes while it runs") {
   EndpointOptions options;
   options.service = "records";
--- a/test/node/entry_calls_tenants_test.cc
+++ b/test/node/entry_calls_tenants_test.cc
@@ -49,6 +49,7 @@
   const auto& request = std::get<wire::CallRequest>(lastRequest().message);
   CHECK(request.priority == 7);
   for (const auto& header : request.headers) CHECK(header.value != kKey);
+  CHECK(request.tenant == "press");
 }
 
 TEST_CASE_METHOD(Fixture, "a call with no key or an unknown one is refused with 401 at once") {
