Load reported by back ends, and service times predicted by kind and pace

Cause: a node predicted every wait and run by one mean of holding times. Kinds of 47, 190 and 760 ms share slots, and back ends that share their machine are 2.5 times slower for 0.6 s at a time, so short requests were refused that would have been in time, and others waited for an answer that was known to be late.

Change: the node beside a back end reads its load from the header that load_header names, on responses and health checks (overload::load_report, overload::reported_load). Run times are learned by kind at the usual pace (overload::service_time_predictor). limits::SlotLimiter takes holding times from a HoldPredictor and plays its queue forward; without one it behaves as before. Where the back end reports a pace, or the table holds tenants with limits, CallAccepted and CallResponse carry EndpointLoad, and the predictions decide on refusals, latest starts and Retry-After. A call that only the current pace makes late is refused at once if its sender knows another endpoint; otherwise it is served late. CallAccepted.nested is set from the nested call detector.

Result: test-overload (29 cases), test-limits (22) and test-node (167) pass. With predictions switched off in the same code, 9 of the new cases of test-node fail, among them the predicted wait behind three kinds, the slow back end and the own run times of slow back ends.

--- a/apps/endpoint_health.h
+++ b/apps/endpoint_health.h
@@ -55,10 +55,11 @@
     transport::HttpRequest request;
     request.method = "GET";
     request.path = "/healthz";
-    pool_.send(request, interval * 2, [this, interval](const transport::HttpResult& result) {
+    pool_.send(request, interval * 2, [this, interval, sentAt = calls_.now()](const transport::HttpResult& result) {
       // Only an explicit 503 counts: other requests may succeed even though a health check failed.
       const bool answered = result.outcome == transport::HttpOutcome::kCompleted;
       backendDraining_ = answered && result.response.status == 503;
+      if (answered) calls_.onHealthLoad(result.response.headers, sentAt);
       if (result.outcome == transport::HttpOutcome::kNotSent) leaving_ = false;  // nothing listens any more
       update();
       timer_.start(calls_.healthCheckInterval(interval));
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -104,6 +104,26 @@
   node::EndpointCalls& endpoint_;
 };
 
+void addLoadMetrics(const node::EndpointCalls& endpoint, base::MetricsPage* page) {
+  const auto& load = endpoint.load();
+  const auto report = load.reports.current(endpoint.now());
+  const auto age = load.reports.age(endpoint.now());
+  page->gauge("endpoint_load_aware", "1 while decisions use the load that the back end reports",
+              endpoint.loadAware() ? 1 : 0);
+  page->gauge("endpoint_pace", "factor by which work on the back end takes longer than usual, as taken now",
+              endpoint.pace());
+  page->gauge("endpoint_reported_running", "requests that the back end says it runs; 0 without a current report",
+              report ? report->running : 0);
+  page->gauge("endpoint_reported_waiting", "requests that the back end says wait in it; 0 without a current report",
+              report ? report->waiting : 0);
+  page->gauge("endpoint_load_report_age_seconds", "age of the last load report; -1 without a current report",
+              age ? std::chrono::duration<double>(*age).count() : -1);
+  page->counter("endpoint_unreadable_load_reports_total", "load reports that are not three or four whole numbers",
+                load.unreadableReports);
+  page->counter("endpoint_refused_for_pace_total", "calls refused since the back end was too slow for their target",
+                load.refusedForPace);
+}
+
 void addMetrics(const node::ControlClient& control, const node::EntryCalls& entry, const node::EndpointCalls& endpoint,
                 const transport::FrameTransport& controlFrames, base::MetricsPage* page) {
   page->gauge("table_revision", "revision in force", static_cast<double>(control.slices().revision()));
@@ -145,6 +165,7 @@
                 runs.unreadableRateLimits);
   page->counter("endpoint_leaving_notices_total", "responses in which the back end said that it is shutting down",
                 runs.leavingNotices);
+  addLoadMetrics(endpoint, page);
   page->gauge("endpoint_body_missing_bytes", "bytes of announced bodies that have not arrived",
               static_cast<double>(endpoint.bodies().missingBytes()));
   page->gauge("endpoint_body_bytes_per_second", "what the link is taken to carry of bodies",
@@ -461,7 +482,8 @@
   transport::HttpRequest request;
   request.method = "GET";
   request.path = FLAGS_identity_path;
-  identityPool_->send(request, timeout, [this, done = std::move(done)](const transport::HttpResult& result) {
+  const auto sentAt = loop_.now();
+  identityPool_->send(request, timeout, [this, sentAt, done = std::move(done)](const transport::HttpResult& result) {
     const auto& headers = result.response.headers;
     // A refusal for lack of a free slot does not show whether the back end is healthy.
     const bool refused = !FLAGS_not_run_header.empty() && !transport::findHeader(headers, FLAGS_not_run_header).empty();
@@ -475,7 +497,9 @@
     }
     done(identity);
     const bool current = !identity.incarnation.empty() && identity.incarnation == localBackend_.incarnation();
-    if (current) endpoint_.onHealthNotice(notice);
+    if (!current) return;
+    endpoint_.onHealthNotice(notice);
+    endpoint_.onHealthLoad(headers, sentAt);
   });
 }
 
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -55,6 +55,9 @@
 DEFINE_string(leaving_header, "",
               "response header that is 1 while the back end is shutting down; several names are separated by commas, "
               "empty if it sends none");
+DEFINE_string(load_header, "",
+              "response header in which the back end reports its load as running,waiting,slots or "
+              "running,waiting,slots,pace; empty if it sends none");
 DEFINE_double(cold_overage, 1, "request rate sent to a cold back end, as a multiple of its rate in the table");
 DEFINE_string(identity_path, "/healthz", "path at which the back end is queried for its incarnation");
 DEFINE_string(not_run_header, "x-shed", "response header that marks a request as not run by the back end");
@@ -197,6 +200,7 @@
   options.nestedFirst = FLAGS_nested_first;
   options.requestIdHeader = FLAGS_correlation_header;
   options.overloadRetryAfter = base::milliseconds(FLAGS_overload_retry_after_ms);
+  options.loadHeader = FLAGS_load_header;
   options.bodies.linkBytesPerSecond = linkBytesPerSecondFromSettings();
   options.notices = noticeHeadersFromSettings();
   return options;
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -1,6 +1,7 @@
 #include "limits/slot_limiter.h"
 
 #include <algorithm>
+#include <queue>
 #include <vector>
 
 namespace driftlug::limits {
@@ -59,12 +60,65 @@
   const auto ahead = 1 + before - free;
   const auto rateWait = rateLimitWait(before);
   if (ahead <= 0) return rateWait;
+  if (predictor_ != nullptr && predictor_->available()) return std::max(rateWait, predictedSlotWait(own));
   const auto share = static_cast<double>(ahead) / std::max(1, maxConcurrent_);
   return std::max<base::Duration>(rateWait, base::Duration(static_cast<int64_t>(averageHoldUs_ * share)));
 }
 
+/// Plays the queue forward to the start of a request: slots become free as predicted, and each queued request before it
+/// holds one for the predicted time of its kind. Requests that are not ready keep their place, as in acquire().
+base::Duration SlotLimiter::predictedSlotWait(const QueueKey& own) const {
+  struct End {
+    base::Duration at{0};
+    bool nested = false;
+    bool operator>(const End& other) const { return at > other.at; }
+  };
+  auto holds = predictor_->running();
+  // A request that has just freed its slot may still be listed: the one that would end first counts as ended.
+  std::sort(holds.begin(), holds.end(), [](const auto& one, const auto& other) { return one.rest < other.rest; });
+  const auto listed = static_cast<std::ptrdiff_t>(holds.size());
+  if (listed > running_) holds.erase(holds.begin(), holds.begin() + (listed - running_));
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends;
+  int nested = 0;
+  for (const auto& hold : holds) {
+    ends.push({hold.rest, hold.nested});
+    nested += hold.nested ? 1 : 0;
+  }
+  // Slots above a lowered limit are not used again.
+  for (int surplus = running_ - maxConcurrent_; surplus > 0 && !ends.empty(); --surplus) {
+    nested -= ends.top().nested ? 1 : 0;
+    ends.pop();
+  }
+  while (static_cast<int>(ends.size()) < maxConcurrent_) ends.push({});
+  const bool ownNested = own.priority == Priority::kNested;
+  auto nextNested = waiting_.begin();
+  auto nextOther = std::find_if(waiting_.begin(), waiting_.end(),
+                                [](const auto& item) { return item.first.priority > Priority::kNested; });
+  const auto firstOther = nextOther;
+  const auto behind = waiting_.lower_bound(own);
+  const auto lastNested = ownNested ? behind : firstOther;
+  const auto lastOther = ownNested ? waiting_.end() : behind;
+  while (!ends.empty()) {
+    const auto end = ends.top();
+    ends.pop();
+    nested -= end.nested ? 1 : 0;
+    const bool othersWait = nextOther != lastOther || !ownNested;
+    const bool nestedMayStart = !othersWait || nested + 1 <= nestedShare_ * maxConcurrent_;
+    const bool nestedWaits = nextNested != lastNested || ownNested;
+    auto* next = nestedWaits && nestedMayStart ? &nextNested : &nextOther;
+    if (*next == (next == &nextNested ? lastNested : lastOther)) return end.at;
+    const bool startsNested = next == &nextNested;
+    ends.push({end.at + predictor_->holdTime((*next)->second.kind), startsNested});
+    nested += startsNested ? 1 : 0;
+    ++*next;
+  }
+  return base::Duration(0);
+}
+
 base::Duration SlotLimiter::slotInterval() const {
-  const auto held = base::Duration(static_cast<int64_t>(averageHoldUs_ / std::max(1, maxConcurrent_)));
+  const bool predicted = predictor_ != nullptr && predictor_->available() && running_ > 0;
+  const auto holdUs = predicted ? static_cast<double>(predictor_->meanHoldTime().count()) : averageHoldUs_;
+  const auto held = base::Duration(static_cast<int64_t>(holdUs / std::max(1, maxConcurrent_)));
   return std::max(held, startInterval());
 }
 
@@ -112,7 +166,8 @@
   return true;
 }
 
-TicketId SlotLimiter::acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse, bool ready) {
+TicketId SlotLimiter::acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse, bool ready,
+                              HoldKind kind) {
   const auto ticket = nextTicket_++;
   if (ready && mayStart() && waiting_.empty()) {
     admit(priority);
@@ -131,7 +186,7 @@
     return ticket;
   }
   ++counters_.queued;
-  waiting_[{priority, latestStart, ticket}] = {std::move(start), std::move(refuse), ready};
+  waiting_[{priority, latestStart, ticket}] = {std::move(start), std::move(refuse), ready, kind};
   startWaiting();
   return ticket;
 }
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "limits/hold_predictor.h"
 #include "limits/start_limiter.h"
 
 namespace driftlug::limits {
@@ -74,7 +75,9 @@
   /// @param latestStart the request is refused if it has not started by then
   /// @param ready false for a request that can't start before setReady(). It keeps its place in the queue, so that it
   /// is not refused once its body has arrived; until then other requests are started ahead of it.
-  TicketId acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse, bool ready = true);
+  /// @param kind for the predictor of holding times
+  TicketId acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse, bool ready = true,
+                   HoldKind kind = 0);
 
   /// Marks a queued request as ready to start; ignored if it is no longer queued.
   void setReady(TicketId ticket);
@@ -85,6 +88,10 @@
   /// Sets the share of all slots that kNested requests may hold while others wait.
   void setNestedShare(double share) { nestedShare_ = share; }
 
+  /// Sets the predictor of holding times, which replaces the mean over all requests while it is available.
+  /// @param predictor must outlive this object; may be null
+  void usePredictor(const HoldPredictor* predictor) { predictor_ = predictor; }
+
   /// Adds a limit of when requests may start; all limits apply.
   /// @param startLimiter must outlive this object
   void addStartLimiter(StartLimiter* startLimiter) { startLimiters_.push_back(startLimiter); }
@@ -137,6 +144,7 @@
     Start start;
     Refuse refuse;
     bool ready = true;
+    HoldKind kind = 0;
   };
 
   using Waiting = std::map<QueueKey, Request>;
@@ -146,6 +154,7 @@
   base::Duration startInterval() const;
   void refuseLate(const std::function<base::TimePoint(std::ptrdiff_t ahead)>& earliestStart);
   base::Duration rateLimitWait(std::ptrdiff_t ahead) const;
+  base::Duration predictedSlotWait(const QueueKey& own) const;
   Waiting::iterator nextToStart();
   void admit(Priority priority);
   bool displaceFor(Priority priority);
@@ -155,6 +164,7 @@
   int maxQueued_;
   int running_ = 0;
   std::vector<StartLimiter*> startLimiters_;
+  const HoldPredictor* predictor_ = nullptr;
   int runningNested_ = 0;
   double nestedShare_ = 1;
   TicketId nextTicket_ = 1;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -39,6 +39,7 @@
       rateLimiter_(scheduler),
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
       probationLimiter_(scheduler, kMaxConcurrentSuspects, options_.defaultQueue),
+      load_(scheduler),
       bodyFlowController_(options_.bodies),
       responseTransferEstimator_(options_.bodies.linkBytesPerSecond),
       bodyTimer_(scheduler, [this] { onBodyTimer(); }),
@@ -55,6 +56,7 @@
   limiter_.setNestedShare(options_.nestedShare);
   limiter_.addStartLimiter(&coldStartLimiter_);
   limiter_.addStartLimiter(&rateLimiter_);
+  startLoadPredictions();
 }
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
@@ -65,6 +67,7 @@
   const auto* versions = table.versions(options_.service);
   versions_ = versions != nullptr ? std::optional(*versions) : std::nullopt;
   coldStartLimiter_.setRate(table.coldPerS(options_.service) * options_.coldOverage);
+  load_.limitedTenants = table.tenants().anyLimited();
   hasTable_ = true;
   if (coldStartLimiter_.isUncertain() && !coldCheckTimer_.running()) startColdCheck();
   setEvacuated(table.evacuated(options_.zone));
@@ -111,6 +114,7 @@
   if (endpoint != endpoint_) {
     previousEndpoint_.clear();
     advertisedRate_ = {};
+    forgetLoad();
     rateLimiter_.setRate(std::nullopt);
     limiter_.refuseWaiting();
     probationLimiter_.refuseWaiting();
@@ -128,6 +132,7 @@
 }
 
 void EndpointCalls::onBackendRestarted() {
+  forgetLoad();
   limiter_.refuseWaiting();
   probationLimiter_.refuseWaiting();
   backend_.dropIdleConnections();
@@ -165,6 +170,7 @@
   call.priority = priorityOf(call);
   call.latestStart = latestStartOf(call);
   if (answerWouldBeLate(key)) return refuseForAnswer(key);
+  if (isTooSlowFor(call)) return refuseForPace(key);
   if (request.bodyBytes > 0) {
     awaitBody(key);
   } else {
@@ -173,6 +179,8 @@
   if (calls_.count(key) == 0) return;  // refused
   wire::CallAccepted accepted;
   accepted.callId = request.callId;
+  accepted.nested = call.nested;
+  if (const auto load = loadFor(request)) accepted.__set_load(*load);
   network_.send(connection, wire::encodeFrame(accepted));
 }
 
@@ -185,7 +193,8 @@
   if (exceedsAdvertisedRate(call)) return refuseForRate(key);
   const auto ticket = limiter_.acquire(
       call.priority, call.latestStart, [this, key] { run(key); },
-      [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); }, ready);
+      [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); }, ready,
+      load_.serviceTimes.idOf(kindOf(call.request)));
   if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
   armExpiry();
 }
@@ -205,13 +214,13 @@
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
   // A late answer to a nested call is useful to its outer call until the deadline.
   if (call.nested) return call.deadline - base::microsecondsOf(options_.runTimeMargin * averageRunUs(call.request));
-  const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
   const double spareUs = remainingTargetUs(call.request) - options_.runTimeMargin * averageRunUs(call.request);
-  const double waitUs = std::max(targetUs * options_.minWaitShare, spareUs);
+  const double waitUs = std::max(minWaitUs(call.request), spareUs);
   return std::min(call.deadline, scheduler_.now() + base::microsecondsOf(waitUs));
 }
 
 double EndpointCalls::averageRunUs(const wire::CallRequest& request) const {
+  if (loadAware()) return static_cast<double>(predictedRun(request).value_or(base::Duration(0)).count());
   const auto average = averageRunUs_.find(request.targetLatencyMs);
   return average == averageRunUs_.end() ? 0 : average->second;
 }
@@ -227,6 +236,7 @@
 void EndpointCalls::recordRunTime(const Call& call) {
   constexpr double kWeight = 0.1;
   counters_.runTimes.record(scheduler_.now() - call.startedAt);
+  learnServiceTime(call);
   if (call.request.targetLatencyMs == 0) return;
   const auto runUs = static_cast<double>((scheduler_.now() - call.startedAt).count());
   const auto [average, first] = averageRunUs_.try_emplace(call.request.targetLatencyMs, runUs);
@@ -437,7 +447,10 @@
 void EndpointCalls::answer(const CallKey& key, wire::CallResponse response) {
   response.callId = key.callId;
   response.inFlight = limiter_.running() + static_cast<int>(limiter_.waiting());
-  calls_.erase(key);
+  const auto ended = calls_.extract(key);
+  if (!ended.empty()) {
+    if (const auto load = loadFor(ended.mapped().request)) response.__set_load(*load);
+  }
   network_.send(key.connection, wire::encodeFrame(response));
 }
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -18,6 +18,7 @@
 #include "limits/cold_start_limiter.h"
 #include "limits/slot_limiter.h"
 #include "node/call_types.h"
+#include "node/endpoint_load_state.h"
 #include "overload/body_flow_controller.h"
 #include "overload/nested_call_detector.h"
 #include "overload/response_transfer_estimator.h"
@@ -54,6 +55,7 @@
   std::string zone;  ///< zone of this node and its back end
   overload::body_flow_controller_options bodies;
   backpressure::notice_headers notices;
+  std::string loadHeader;  ///< response header, in lower case, in which the back end reports its load; empty for none
 };
 
 /// Counters of EndpointCalls.
@@ -169,6 +171,10 @@
   /// Handles the notices of a response to a health check; they count until the first response to a call.
   void onHealthNotice(const backpressure::backend_notice& notice);
 
+  /// Handles the load in a response to a health check.
+  /// @param sentAt when the check was sent
+  void onHealthLoad(const std::vector<wire::HttpHeader>& headers, base::TimePoint sentAt);
+
   /// Sets the version of the back end's software; rollouts decide by it whether calls are accepted.
   void useVersion(const std::string& version);
 
@@ -183,6 +189,25 @@
   /// @return the rate limit that the back end advertises, in requests per second; nullopt if there is none
   std::optional<double> advertisedRatePerS() const { return advertisedRate_.ratePerS(); }
 
+  /// @return whether decisions use predictions: the back end reports its load, and either reports its pace or the table
+  /// holds tenants with limits.
+  bool loadAware() const;
+
+  /// @return factor by which work takes longer than usual on the back end now; 1 if it does not report it
+  double pace() const;
+
+  /// @return predicted run time of a request of this kind that starts now; nullopt before the first run of the kind
+  std::optional<base::Duration> predictedRun(const wire::CallRequest& request) const;
+
+  /// @return predicted wait of a further request of this kind, behind those that are queued
+  base::Duration predictedWait(const wire::CallRequest& request) const;
+
+  /// @return the current time of the clock that dates load reports
+  base::TimePoint now() const { return scheduler_.now(); }
+
+  /// @return load reports of the back end, for metrics
+  const EndpointLoadState& load() const { return load_; }
+
   const overload::body_flow_controller& bodies() const { return bodyFlowController_; }
 
  private:
@@ -254,6 +279,16 @@
   void answerUnknown(const CallKey& key, base::ErrorCode error);
   static overload::call_kind kindOf(const wire::CallRequest& request);
   base::TimePoint latestStartOf(const Call& call) const;
+  class CallHoldPredictor;
+  void startLoadPredictions();
+  void readLoad(const std::vector<wire::HttpHeader>& headers, base::TimePoint sentAt, const std::string& source);
+  void logPaceChange(const std::string& source);
+  void forgetLoad();
+  double minWaitUs(const wire::CallRequest& request) const;
+  void learnServiceTime(const Call& call);
+  std::optional<wire::EndpointLoad> loadFor(const wire::CallRequest& request) const;
+  bool isTooSlowFor(const Call& call) const;
+  void refuseForPace(const CallKey& key);
   double averageRunUs(const wire::CallRequest& request) const;
   double remainingTargetUs(const wire::CallRequest& request) const;
   bool isLate(const wire::CallRequest& request) const;
@@ -306,6 +341,8 @@
   quarantine::crash_detector* watch_ = nullptr;           // may stay null
   bool backendStopping_ = false;
   bool stale_ = false;
+  EndpointLoadState load_;
+  std::unique_ptr<limits::HoldPredictor> holdPredictor_;
   std::map<CallKey, Call> calls_;
   std::map<base::ConnectionId, CallerNode> callerNodes_;
   std::map<base::ConnectionId, std::string> callerServices_;  // services of the connected nodes
--- a/src/node/endpoint_calls_notices.cc
+++ b/src/node/endpoint_calls_notices.cc
@@ -17,6 +17,7 @@
 void EndpointCalls::handleNotice(const Call& call, const BackendAnswer& answer) {
   // Another incarnation has taken over the address; it says nothing about this one.
   if (answer.httpStatus == kMisdirectedStatus && options_.dynamicEndpoint) return;
+  readLoad(answer.headers, call.startedAt, "call=" + requestIdOf(call.request));
   const auto notice = backpressure::readNotice(answer.headers, options_.notices);
   if (notice.leaving) {
     ++counters_.leavingNotices;
--- a/src/tenants/tenant_directory.cc
+++ b/src/tenants/tenant_directory.cc
@@ -38,6 +38,7 @@
 		added.priority = _row.priority;
 	}
 	added.ratePerS = _row.__isset.ratePerS ? _row.ratePerS : 0;
+	m_anyLimited = m_anyLimited || added.limited();
 	added.burst = _row.__isset.burst ? _row.burst : 0;
 	added.regions = _row.regions;
 	m_byName[added.name] = &added;
--- a/src/tenants/tenant_directory.h
+++ b/src/tenants/tenant_directory.h
@@ -55,6 +55,12 @@
 		return m_tenants.empty();
 	}
 
+	/// @returns Whether some tenant has a rate limit over all nodes.
+	bool anyLimited() const
+	{
+		return m_anyLimited;
+	}
+
 private:
 	struct key_entry
 	{
@@ -63,6 +69,7 @@
 	};
 
 	std::deque<tenant> m_tenants;  //!< A deque, since pointers to its elements must stay valid.
+	bool m_anyLimited = false;
 	std::unordered_map<std::string, const tenant*> m_byName;
 	std::unordered_map<uint64_t, std::vector<key_entry>> m_byHash;
 };
