Queued calls are refused when their back end becomes too slow for them; load model with slow intervals

Cause: a queued call kept its latest start of a time at which the back end was not slow, so it was refused only when that had passed, or served late. The load model knew no back ends that report load or are slow for a while.

Change: when a report raises the pace notably, queued calls that miss their target by it, and would meet it at the usual pace, are refused if their sender knows another endpoint. Services of tools/load_model take reported_figures, slow_share, slow_factor and slow_interval_ms.

--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -289,6 +289,7 @@
   std::optional<wire::EndpointLoad> loadFor(const wire::CallRequest& request) const;
   bool isTooSlowFor(const Call& call) const;
   void refuseForPace(const CallKey& key);
+  void refuseWaitingForPace();
   double averageRunUs(const wire::CallRequest& request) const;
   double remainingTargetUs(const wire::CallRequest& request) const;
   bool isLate(const wire::CallRequest& request) const;
--- a/src/node/endpoint_calls_load.cc
+++ b/src/node/endpoint_calls_load.cc
@@ -98,6 +98,7 @@
     });
   }
   if (!load_.reports.onReport(std::get<overload::load_report>(read), sentAt, scheduler_.now())) return;
+  if (pace() > load_.loggedPace * overload::reported_load::kNotableChange) refuseWaitingForPace();
   logPaceChange(source);
 }
 
@@ -165,10 +166,24 @@
   if (!options_.waitWithinTarget || request.targetLatencyMs == 0 || !loadAware()) return false;
   if (!request.hasAlternative || call.nested) return false;
   const auto usual = load_.serviceTimes.runTime(kindOf(request), 1);
-  const double remainingUs = remainingTargetUs(request);
+  const double remainingUs =
+      remainingTargetUs(request) - static_cast<double>((scheduler_.now() - call.arrivedAt).count());
   return usual && static_cast<double>(usual->count()) <= remainingUs && averageRunUs(request) > remainingUs;
 }
 
+/// Refuses the queued calls that the back end has become too slow for, so that another endpoint can still take them in
+/// time.
+void EndpointCalls::refuseWaitingForPace() {
+  std::vector<CallKey> tooSlow;
+  for (const auto& [key, call] : calls_) {
+    if (call.ticket != 0 && !call.running && !call.awaitsBody && isTooSlowFor(call)) tooSlow.push_back(key);
+  }
+  for (const auto& key : tooSlow) {
+    const auto found = calls_.find(key);
+    if (found != calls_.end() && limiter_.cancel(found->second.ticket)) refuseForPace(key);
+  }
+}
+
 void EndpointCalls::refuseForPace(const CallKey& key) {
   ++load_.refusedForPace;
   const auto& call = calls_.at(key);
--- a/test/load_model/load_model_test.cc
+++ b/test/load_model/load_model_test.cc
@@ -75,6 +75,30 @@
 	CHECK(play(pattern).inTimeShare() < 0.7);
 }
 
+// Guards against calls that are served late by a back end that is slow for a while, although others are idle.
+TEST_CASE("back ends that are slow for 0.6 s at a time and say so serve more in time than those that don't")
+{
+	auto pattern = singleServicePattern(100);
+	pattern.lengthS = 20;
+	auto& service = pattern.services[0];
+	service.backEnds = 12;
+	service.slowShare = 0.15;
+	auto& kind = pattern.kinds[0];
+	kind.workMs = 190;
+	kind.spread = 0.1;
+	kind.targetMs = 400;
+	kind.deadlineMs = kind.timeoutMs = 1500;
+	const auto silent = play(pattern);
+	service.reportedFigures = 3;
+	const auto three = play(pattern);
+	CHECK(three.kinds.at("view").inTime == silent.kinds.at("view").inTime);
+	service.reportedFigures = 4;
+	const auto paced = play(pattern);
+	CHECK(silent.inTimeShare() < 0.9);
+	CHECK(paced.inTimeShare() > 0.95);
+	CHECK(paced.kinds.at("view").refused + paced.kinds.at("view").failed == 0);
+}
+
 TEST_CASE("a burst multiplies the number of requests")
 {
 	auto pattern = singleServicePattern(100);
--- a/test/node/endpoint_calls_load_test.cc
+++ b/test/node/endpoint_calls_load_test.cc
@@ -257,6 +257,23 @@
   CHECK(node.refusals().empty());
 }
 
+// Guards against calls that wait in the queue of a back end that has become too slow for them.
+TEST_CASE("when a back end becomes slow, queued calls that it can't serve in time any more are refused at once") {
+  Endpoint node;
+  node.learn();
+  for (int i = 0; i < 9; ++i) node.send(kLookup);
+  node.run(base::milliseconds(120));
+  const auto lookup = node.send(kLookup);
+  const auto seal = node.send(kSeal);
+  CHECK(node.calls->limiter().waiting() == 2);
+  node.backend.pacePercent = 250;
+  node.calls->onHealthLoad(node.backend.headers(), node.queue.now());
+  REQUIRE(node.answerOf(lookup));
+  CHECK(node.answerOf(lookup)->outcome == wire::CallOutcome::NOT_RUN);
+  CHECK(!node.answerOf(seal));
+  CHECK(node.calls->load().refusedForPace == 1);
+}
+
 // Guards against a refusal where late service is the best that the caller can get.
 TEST_CASE("a slow back end serves late what has no other endpoint") {
   Endpoint node;
--- a/tools/load_model/load_pattern.cc
+++ b/tools/load_model/load_pattern.cc
@@ -39,6 +39,10 @@
 	service.backEnds = static_cast<size_t>(valueOf<int64_t>(_table, "back_ends", 0));
 	service.slots = static_cast<int>(valueOf<int64_t>(_table, "slots", 1));
 	service.queue = static_cast<int>(valueOf<int64_t>(_table, "queue", 0));
+	service.reportedFigures = static_cast<int>(valueOf<int64_t>(_table, "reported_figures", 0));
+	service.slowShare = valueOf(_table, "slow_share", 0.0);
+	service.slowFactor = valueOf(_table, "slow_factor", service.slowFactor);
+	service.slowIntervalMs = static_cast<int>(valueOf<int64_t>(_table, "slow_interval_ms", service.slowIntervalMs));
 	if (const auto* speeds = _table["speeds"].as_array())
 	{
 		service.speeds.clear();
@@ -96,6 +100,14 @@
 		{
 			return "service " + service.name + " has no back ends";
 		}
+		if (0 != service.reportedFigures && 3 != service.reportedFigures && 4 != service.reportedFigures)
+		{
+			return "service " + service.name + " reports other than 0, 3 or 4 figures";
+		}
+		if (0 > service.slowShare || 1 < service.slowShare || 0 >= service.slowFactor || 0 >= service.slowIntervalMs)
+		{
+			return "service " + service.name + " has slow intervals that can't be";
+		}
 	}
 	for (const auto& kind : _pattern.kinds)
 	{
--- a/tools/load_model/load_pattern.h
+++ b/tools/load_model/load_pattern.h
@@ -20,6 +20,10 @@
 	int slots = 1;                    //!< Requests that a back end runs concurrently.
 	int queue = 0;                    //!< Capacity of a back end's queue; further requests are refused as not run.
 	std::vector<double> speeds{1.0};  //!< Speed factors, assigned to the back ends in turn.
+	int reportedFigures = 0;          //!< Figures of the load that back ends report: 0 for none, 3, or 4 with the pace.
+	double slowShare = 0;             //!< Share of the intervals in which a back end is slow.
+	double slowFactor = 2.5;          //!< Factor by which work takes longer then.
+	int slowIntervalMs = 600;         //!< Length of an interval.
 };
 
 /// Nested calls that a back end makes before it responds to a request.
--- a/tools/load_model/modelled_back_end.cc
+++ b/tools/load_model/modelled_back_end.cc
@@ -49,10 +49,42 @@
 {
 }
 
+void modelled_back_end::drawPace()
+{
+	m_pace = m_random.chance(m_service.slowShare) ? m_service.slowFactor : 1;
+	m_process.schedule(base::milliseconds(m_service.slowIntervalMs),
+					   [this]
+					   {
+						   drawPace();
+					   });
+}
+
+std::vector<wire::HttpHeader> modelled_back_end::loadHeaders() const
+{
+	if (0 == m_service.reportedFigures)
+	{
+		return {};
+	}
+	wire::HttpHeader header;
+	header.name = kLoadHeader;
+	header.value =
+		std::to_string(m_busySlots) + "," + std::to_string(m_waiting.size()) + "," + std::to_string(m_service.slots);
+	if (3 < m_service.reportedFigures)
+	{
+		header.value += "," + std::to_string(std::lround(100 * m_pace));
+	}
+	return {header};
+}
+
 uint64_t modelled_back_end::send(const wire::CallRequest& _request, base::Duration _timeout,
 								 std::function<void(node::BackendAnswer)> _done)
 {
 	const auto id = ++m_lastId;
+	// Not at construction, when the process does not run yet and would drop the timer.
+	if (1 == id && 0 < m_service.slowShare)
+	{
+		drawPace();
+	}
 	// The first path segment is the name of the request's kind.
 	const auto name = _request.path.substr(1, _request.path.find('/', 1) - 1);
 	const bool full = m_busySlots >= m_service.slots && m_waiting.size() >= static_cast<size_t>(m_service.queue);
@@ -159,7 +191,7 @@
 {
 	const double drawn =
 		_kind.workMs * std::exp(_kind.spread * drawNormal(&m_random) - _kind.spread * _kind.spread / 2);
-	return std::min(drawn, _kind.maxWorkMs) / m_speed;
+	return std::min(drawn, _kind.maxWorkMs) / m_speed * m_pace;
 }
 
 void modelled_back_end::work(uint64_t _id)
@@ -186,9 +218,11 @@
 	--m_busySlots;
 	const auto bytes = kOk == _status ? -run.kind->answerBytes * std::log(1 - m_random.unit()) : 0;
 	m_process.schedule(kLocalDelay,
-					   [done = std::move(run.done), _status, bytes]
+					   [done = std::move(run.done), _status, bytes, load = loadHeaders()]
 					   {
-						   done(answerOf(_status, static_cast<size_t>(bytes)));
+						   auto answer = answerOf(_status, static_cast<size_t>(bytes));
+						   answer.headers = load;
+						   done(std::move(answer));
 					   });
 	startNext();
 }
--- a/tools/load_model/modelled_back_end.h
+++ b/tools/load_model/modelled_back_end.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/random.h"
 #include "load_model/load_pattern.h"
@@ -28,6 +29,9 @@
 class modelled_back_end : public node::BackendClient
 {
 public:
+	/// Response header with the load, in lower case.
+	static constexpr char kLoadHeader[] = "x-load";
+
 	/// @param[in] _kinds Kinds by name. All references must outlive the back end.
 	modelled_back_end(simulation::Process& _process, base::RandomSource _random, const service_pattern& _service,
 					  double _speed, const std::map<std::string, kind_pattern>& _kinds, slot_time_totals& _totals);
@@ -69,11 +73,14 @@
 	void work(uint64_t _id);
 	void finish(uint64_t _id, int _status);
 	double drawWorkMs(const kind_pattern& _kind);
+	void drawPace();
+	std::vector<wire::HttpHeader> loadHeaders() const;
 
 	simulation::Process& m_process;
 	base::RandomSource m_random;
 	const service_pattern& m_service;
 	double m_speed;
+	double m_pace = 1;  //!< Factor by which work that starts now takes longer than usual.
 	const std::map<std::string, kind_pattern>& m_kinds;
 	slot_time_totals& m_totals;
 	nested_call m_call;  //!< May be empty.
--- a/tools/load_model/modelled_node.cc
+++ b/tools/load_model/modelled_node.cc
@@ -38,6 +38,7 @@
 	auto endpoint = _model.m_policy.endpoint;
 	endpoint.service = _service.name;
 	endpoint.dynamicEndpoint = true;
+	endpoint.loadHeader = modelled_back_end::kLoadHeader;
 	m_endpoint = std::make_unique<node::EndpointCalls>(endpoint, m_process, m_network, m_backEnd, nullptr);
 	m_endpoint->useIncarnation(m_process.name(), _service.slots);
 	m_backEnd.useNestedCalls(
