--- a/src/node/endpoint_calls_load.cc
+++ b/src/node/endpoint_calls_load.cc
@@ -188,7 +188,8 @@
   ++load_.refusedForPace;
   const auto& call = calls_.at(key);
   const auto wait = predictedWait(call.request);
-  refuse(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter));
+  // Names no back-off: slots may be free, and other kinds may be served in time.
+  refuseWith(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter), {});
 }
 
 }  // namespace driftlug::node
--- a/test/node/endpoint_calls_load_test.cc
+++ b/test/node/endpoint_calls_load_test.cc
@@ -249,6 +249,8 @@
   }
   CHECK(lookups.size() >= 2);
   CHECK(refusedCalls == lookups);
+  // The back end still has slots for other kinds, so callers are not told to stay away.
+  for (const auto& answer : refused) CHECK(answer.fullForMs == 0);
   CHECK(node.calls->load().refusedForPace >= static_cast<int64_t>(lookups.size()));
   node.backend.pacePercent = 100;
   node.load(base::milliseconds(300));
