Routing: choose endpoints by expected completion where they report their load

Cause: the choice counted busy slots and added fixed penalties for slowness and for another zone. With 72 nodes, back ends of speeds 0.5 to 1.5 and reports that are half a second old, fast back ends had queues while slow ones were idle, and the other way round.

Change: the choice among usable endpoints is an interface (routing/placement/endpoint_chooser); the policies of EndpointPicker stay behind it unchanged. completion_chooser compares expected wait, run time of the kind, network delay, the probability of missing the target latency, and the bytes between zones. EntryCalls passes on loads of CallAccepted and CallResponse; counters and a log line in 5 s show the choices.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -156,6 +156,12 @@
   page->counter("entry_probations_total", "attempts of suspects", calls.probations);
   page->counter("entry_held_back_total", "calls refused since their request is held", calls.heldBack);
   page->counter("entry_hedges_total", "second attempts beside a first without an answer", calls.hedges);
+  const auto& placement = entry.placementCounters();
+  page->counter("entry_placed_by_completion_total", "attempts whose endpoint was chosen by expected completion",
+                placement.byCompletion);
+  page->counter("entry_placed_in_other_zone_total", "of these, attempts sent out of the zone", placement.leftZone);
+  page->counter("entry_unreadable_loads_total", "reported loads of endpoints with impossible values",
+                placement.unreadableLoads);
   page->counter("entry_silent_links_total", "links that did not acknowledge what was sent on them", calls.silentLinks);
   page->counter("entry_over_quota_total", "calls refused since their tenant is beyond its limit", calls.overQuota);
   page->counter("entry_unknown_keys_total", "calls refused since no tenant holds their key", calls.unknownKeys);
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -31,6 +31,9 @@
 /// Retry-after hint while this node has no routing table: it has just started, and receives one within about a second.
 constexpr int kNoTableRetryAfterMs = 1000;
 
+/// One line in 5 s: a line lists all candidates, and a node chooses some 20 times a second.
+constexpr base::DecisionLogLimits kPlacementLogLimits{1, 0.2, 5};
+
 int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
 }
@@ -51,12 +54,16 @@
       random_(random),
       network_(network),
       picker_(options_.picker, scheduler, base::RandomSource(random_.bits())),
+      placement_(picker_, scheduler, base::RandomSource(XXH3_64bits(options_.nodeId.data(), options_.nodeId.size()))),
       links_(
           linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
           [this](base::ConnectionId connection, const std::string& endpoint) { onLinkLost(connection, endpoint); },
           [this](base::ConnectionId connection, const std::string&) { onLinkSilent(connection); }),
       notices_(scheduler),
-      decisionLog_("entry", scheduler) {}
+      decisionLog_("entry", scheduler),
+      placementLog_("entry", scheduler, kPlacementLogLimits) {
+  picker_.useChooser(placement_);
+}
 
 EntryCalls::~EntryCalls() { alive_.reset(); }
 
@@ -78,6 +85,7 @@
     const auto attempt = attempts_[attemptId];
     attempts_.erase(attemptId);
     removeAttempt(attempt.call, attemptId);
+    placement_.onEnded(attemptId, routing::attempt_end::refused);
     picker_.onDone(endpoint, base::Duration(0), true);
     if (!isBodySent(attempt)) {
       onAttemptFailed(attempt.call, AttemptProgress::kBeforeBackend,
@@ -231,12 +239,6 @@
   return first && !targetEndpoints.empty() ? targetEndpoints : links_.chosenEndpoints(call.service, versions->standing);
 }
 
-const routing::EndpointTarget* EntryCalls::pickEndpoint(const Call& call) {
-  const size_t bytes = call.inbound.body.size();
-  return picker_.pick(candidatesFor(call), options_.zone, call.tried, rankOf(call),
-                      bytes > options_.inlineBodyBytes ? bytes : 0);
-}
-
 /// @return whether a call could go to another endpoint than the given one that has no known rate limit.
 bool EntryCalls::hasAlternative(const Call& call, const std::string& endpoint) {
   const auto& endpoints = candidatesFor(call);
@@ -281,6 +283,7 @@
   const bool inPieces = link.takesBodyPieces && bodyBytes > options_.inlineBodyBytes;
   attempts_[attemptId] = {id, target.name, link.connection, now, inPieces ? 0 : bodyBytes};
   picker_.onSent(target.name);
+  observeSent(attemptId, *call);
   links_.onSent(target.name);
   wire::CallRequest request;
   request.callId = attemptId;
@@ -314,6 +317,7 @@
   links_.onMessageReceived(connection);
   if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
   if (const auto* grant = std::get_if<wire::CallBodyGrant>(&message)) onBodyGrant(connection, *grant);
+  if (const auto* accepted = std::get_if<wire::CallAccepted>(&message)) observeAccepted(connection, *accepted);
 }
 
 void EntryCalls::onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant) {
@@ -365,6 +369,7 @@
   const auto attempt = found->second;
   attempts_.erase(found);
   removeAttempt(attempt.call, response.callId);
+  observeResponse(response);
   const auto error = static_cast<ErrorCode>(response.errorCode);
   const auto latency = scheduler_.now() - attempt.sentAt;
   if (response.outcome == CallOutcome::COMPLETED) return onCompleted(attempt, response);
@@ -535,6 +540,8 @@
     cancel.callId = attemptId;
     network_.send(attempt->second.connection, wire::encodeFrame(cancel));
     picker_.onDone(attempt->second.endpoint, scheduler_.now() - attempt->second.sentAt, false);
+    placement_.onEnded(attemptId, answer.error == ErrorCode::kDeadlineExceeded ? routing::attempt_end::refused
+                                                                               : routing::attempt_end::abandoned);
     attempts_.erase(attempt);
   }
   if (!call.done) {
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -21,6 +21,7 @@
 #include "quota/quota_queue.h"
 #include "retry/retry_budget.h"
 #include "routing/endpoint_picker.h"
+#include "routing/placement/completion_chooser.h"
 #include "routing/routing_table.h"
 #include "routing/weighted_split.h"
 
@@ -145,6 +146,7 @@
   /// @return how often an endpoint got no link because the link limit was reached.
   int64_t skippedLinks() const { return links_.skippedEndpoints(); }
   const EntryCounters& counters() const { return counters_; }
+  const routing::placement_counters& placementCounters() const { return placement_.counters(); }
   const routing::RoutingTablePtr& table() const { return table_; }
 
   void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
@@ -205,6 +207,9 @@
   bool hasAlternative(const Call& call, const std::string& endpoint);
   CallAnswer noEndpointAnswer(const Call& call);
   const routing::EndpointTarget* pickEndpoint(const Call& call);
+  void observeSent(int64_t attemptId, const Call& call);
+  void observeAccepted(base::ConnectionId connection, const wire::CallAccepted& accepted);
+  void observeResponse(const wire::CallResponse& response);
   bool drawsTargetVersion(const std::string& service);
   const std::vector<routing::EndpointTarget>& candidatesFor(const Call& call) const;
   const quarantine::request_fingerprint& fingerprintOfCall(Call* call);
@@ -242,6 +247,7 @@
   base::Network& network_;
   routing::RoutingTablePtr table_;  // null before the first table
   routing::EndpointPicker picker_;
+  routing::completion_chooser placement_;
   std::map<std::string, routing::WeightedSplit> routeSplits_;                    // by route
   std::map<std::string, routing::WeightedSplit> versionSplits_;                  // by service
   std::function<bool()> isFresh_;                                                // may be empty
@@ -259,6 +265,7 @@
   int64_t nextAttempt_ = 1;
   EntryCounters counters_;
   base::DecisionLog decisionLog_;
+  base::DecisionLog placementLog_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -70,16 +70,35 @@
 
 const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                                            const std::set<std::string>& excluded, int rank, size_t bodyBytes) {
-  const auto choices = usableEndpoints(endpoints, excluded, rank, bodyBytes);
+  choice_request request;
+  request.zone = ownZone;
+  request.rank = rank;
+  request.bodyBytes = bodyBytes;
+  return pick(endpoints, excluded, request);
+}
+
+const EndpointTarget* EndpointPicker::pick(const std::vector<EndpointTarget>& endpoints,
+                                           const std::set<std::string>& excluded, const choice_request& request) {
+  const auto choices = usableEndpoints(endpoints, excluded, request.rank, request.bodyBytes);
   if (choices.empty()) return nullptr;
   if (choices.size() == 1) return choices[0];
-  if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(choices, ownZone, bodyBytes);
-  if (options_.policy == PickPolicy::kRoundRobin) return choices[roundRobinIndex_++ % choices.size()];
-  const auto first = random_.below(choices.size());
-  if (options_.policy == PickPolicy::kRandom) return choices[first];
-  auto second = random_.below(choices.size() - 1);
+  return chooser_->choose(choices, request);
+}
+
+const EndpointTarget* EndpointPicker::choose(const std::vector<const EndpointTarget*>& usable,
+                                             const choice_request& request) {
+  if (options_.policy == PickPolicy::kNearestIdle) return pickNearestIdle(usable, request.zone, request.bodyBytes);
+  if (options_.policy == PickPolicy::kRoundRobin) return usable[roundRobinIndex_++ % usable.size()];
+  const auto first = random_.below(usable.size());
+  if (options_.policy == PickPolicy::kRandom) return usable[first];
+  auto second = random_.below(usable.size() - 1);
   if (second >= first) ++second;
-  return cost(*choices[second], ownZone) < cost(*choices[first], ownZone) ? choices[second] : choices[first];
+  return cost(*usable[second], request.zone) < cost(*usable[first], request.zone) ? usable[second] : usable[first];
+}
+
+void EndpointPicker::removeEndpoint(const std::string& endpoint) {
+  states_.erase(endpoint);
+  if (chooser_ != this) chooser_->removeEndpoint(endpoint);
 }
 
 const EndpointTarget* EndpointPicker::pickByKey(uint64_t key, const std::vector<EndpointTarget>& endpoints,
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "routing/placement/endpoint_chooser.h"
 #include "routing/routing_table.h"
 
 namespace driftlug::routing {
@@ -50,7 +51,7 @@
 ///
 /// Local observations take precedence over reports: reported load and availability can exclude endpoints, but at most
 /// maxEjectedShare of a service's endpoints, and never make a slow endpoint look fast.
-class EndpointPicker {
+class EndpointPicker : public endpoint_chooser {
  public:
   EndpointPicker(PickerOptions options, const base::TimeSource& time, base::RandomSource random);
 
@@ -64,6 +65,20 @@
   const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::string& ownZone,
                              const std::set<std::string>& excluded, int rank = 0, size_t bodyBytes = 0);
 
+  /// Replaces the configured policy as the strategy of pick(). The strategy gets only usable endpoints, at least two.
+  /// @param chooser must outlive this object; may use this object as its fallback
+  void useChooser(endpoint_chooser& chooser) { chooser_ = &chooser; }
+
+  /// Chooses among a service's endpoints by the strategy of useChooser(), or else by the configured policy.
+  /// @param excluded endpoints that were already tried for this request
+  /// @return null when there is no candidate
+  const EndpointTarget* pick(const std::vector<EndpointTarget>& endpoints, const std::set<std::string>& excluded,
+                             const choice_request& request);
+
+  /// Chooses by the configured policy.
+  const EndpointTarget* choose(const std::vector<const EndpointTarget*>& usable,
+                               const choice_request& request) override;
+
   /// @return the endpoints among which pick() chooses, for the same arguments; unhealthy ones only if reports rule out
   /// most of the service's endpoints.
   std::vector<const EndpointTarget*> usableEndpoints(const std::vector<EndpointTarget>& endpoints,
@@ -105,7 +120,7 @@
   void onLargeBodyRefused(const std::string& endpoint, base::Duration duration);
 
   /// Drops the state of a removed endpoint.
-  void removeEndpoint(const std::string& endpoint) { states_.erase(endpoint); }
+  void removeEndpoint(const std::string& endpoint) override;
 
   /// Records that a request ended without a result that affects the latency or failures of the endpoint.
   void onAbandoned(const std::string& endpoint);
@@ -161,6 +176,7 @@
   PickerOptions options_;
   const base::TimeSource& time_;
   base::RandomSource random_;
+  endpoint_chooser* chooser_ = this;
   std::map<std::string, State> states_;
   uint64_t roundRobinIndex_ = 0;
 };
