A call keeps its minimum wait where predictions are used

Cause: where predictions are used, a call with an alternative did not wait beyond the time from which on its answer was expected to be late.

Change: the minimum wait (minWaitShare) is as without predictions.

--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -214,8 +214,9 @@
   if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
   // A late answer to a nested call is useful to its outer call until the deadline.
   if (call.nested) return call.deadline - base::microsecondsOf(options_.runTimeMargin * averageRunUs(call.request));
+  const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
   const double spareUs = remainingTargetUs(call.request) - options_.runTimeMargin * averageRunUs(call.request);
-  const double waitUs = std::max(minWaitUs(call.request), spareUs);
+  const double waitUs = std::max(targetUs * options_.minWaitShare, spareUs);
   return std::min(call.deadline, scheduler_.now() + base::microsecondsOf(waitUs));
 }
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -284,7 +284,6 @@
   void readLoad(const std::vector<wire::HttpHeader>& headers, base::TimePoint sentAt, const std::string& source);
   void logPaceChange(const std::string& source);
   void forgetLoad();
-  double minWaitUs(const wire::CallRequest& request) const;
   void learnServiceTime(const Call& call);
   std::optional<wire::EndpointLoad> loadFor(const wire::CallRequest& request) const;
   bool isTooSlowFor(const Call& call) const;
--- a/src/node/endpoint_calls_load.cc
+++ b/src/node/endpoint_calls_load.cc
@@ -122,16 +122,6 @@
   load_.loggedPace = 1;
 }
 
-/// @return time that a call may always wait for a slot, in microseconds. With predictions, a call that another endpoint
-/// could take does not wait here beyond the time from which on its answer is expected to be late.
-double EndpointCalls::minWaitUs(const wire::CallRequest& request) const {
-  const auto target = base::Duration(base::milliseconds(request.targetLatencyMs));
-  const double minimum = static_cast<double>(target.count()) * options_.minWaitShare;
-  if (!request.hasAlternative || !loadAware()) return minimum;
-  const double inTimeUs = remainingTargetUs(request) - averageRunUs(request);
-  return inTimeUs > 0 ? std::min(minimum, inTimeUs) : minimum;
-}
-
 void EndpointCalls::learnServiceTime(const Call& call) {
   load_.serviceTimes.onRun(kindOf(call.request), load_.reports.usualTime(call.startedAt, scheduler_.now()));
 }
