Predicted waits take into account that run times vary

Cause: the limiter played its queue forward with the mean rest of each running request.

Change: the rests of running requests are spread by the mean deviation of their kinds.

--- a/src/limits/hold_predictor.h
+++ b/src/limits/hold_predictor.h
@@ -12,8 +12,9 @@
 
 /// A request that holds a slot.
 struct RunningHold {
-  base::Duration rest{0};  ///< predicted time until it frees the slot
-  bool nested = false;     ///< has Priority::kNested
+  base::Duration rest{0};       ///< predicted time until it frees the slot
+  bool nested = false;          ///< has Priority::kNested
+  base::Duration deviation{0};  ///< mean absolute deviation of the rest from its prediction
 };
 
 /// Predictions of the requests of one SlotLimiter.
--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -1,6 +1,7 @@
 #include "limits/slot_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <queue>
 #include <vector>
 
@@ -9,6 +10,20 @@
 
 constexpr double kAverageWeight = 0.1;
 
+/// Spreads predicted rests, in ascending order, as rests with their deviations are spread: the first of several slots
+/// becomes free earlier than any single prediction says. Uses the quantiles of a logistic distribution.
+void spreadRests(std::vector<RunningHold>* holds) {
+  constexpr double kScalePerDeviation = 0.72;  // a logistic distribution of scale 1 has a mean deviation of 2 ln 2
+  const auto count = static_cast<double>(holds->size());
+  double position = 0.5;
+  for (auto& hold : *holds) {
+    const double share = position++ / count;
+    const double shiftUs =
+        kScalePerDeviation * static_cast<double>(hold.deviation.count()) * std::log(share / (1 - share));
+    hold.rest = std::max(base::Duration(0), hold.rest + base::microsecondsOf(shiftUs));
+  }
+}
+
 }  // namespace
 
 SlotLimiter::SlotLimiter(const base::TimeSource& time, int maxConcurrent, int maxQueued)
@@ -78,6 +93,7 @@
   std::sort(holds.begin(), holds.end(), [](const auto& one, const auto& other) { return one.rest < other.rest; });
   const auto listed = static_cast<std::ptrdiff_t>(holds.size());
   if (listed > running_) holds.erase(holds.begin(), holds.begin() + (listed - running_));
+  spreadRests(&holds);
   std::priority_queue<End, std::vector<End>, std::greater<>> ends;
   int nested = 0;
   for (const auto& hold : holds) {
--- a/src/node/endpoint_calls_load.cc
+++ b/src/node/endpoint_calls_load.cc
@@ -34,7 +34,8 @@
       if (!call.running) continue;
       const auto elapsed = calls_.load_.reports.usualTime(call.startedAt, now);
       holds.push_back({calls_.load_.serviceTimes.restTime(kindOf(call.request), elapsed, pace),
-                       call.priority == limits::Priority::kNested});
+                       call.priority == limits::Priority::kNested,
+                       calls_.load_.serviceTimes.deviation(kindOf(call.request), pace)});
     }
     return holds;
   }
--- a/src/overload/service_time_predictor.cc
+++ b/src/overload/service_time_predictor.cc
@@ -77,4 +77,9 @@
 	return base::microsecondsOf(std::max(restUs, estimate.deviationUs) * _pace);
 }
 
+base::Duration service_time_predictor::deviation(const call_kind& _kind, double _pace) const
+{
+	return base::microsecondsOf(learned(estimateOf(_kind)).deviationUs * _pace);
+}
+
 }  // namespace driftlug::overload
--- a/src/overload/service_time_predictor.h
+++ b/src/overload/service_time_predictor.h
@@ -43,6 +43,9 @@
 	/// @param[in] _elapsed Time for which it has run, at the usual pace.
 	base::Duration restTime(const call_kind& _kind, base::Duration _elapsed, double _pace) const;
 
+	/// @returns Mean absolute deviation of the times of a kind, or of all kinds before its first run.
+	base::Duration deviation(const call_kind& _kind, double _pace) const;
+
 private:
 	struct estimate
 	{
--- a/test/limits/slot_limiter_prediction_test.cc
+++ b/test/limits/slot_limiter_prediction_test.cc
@@ -23,7 +23,7 @@
   base::Duration holdTime(HoldKind kind) const override { return base::milliseconds(kHoldMs[kind]); }
   std::vector<RunningHold> running() const override {
     std::vector<RunningHold> holds;
-    for (const auto& [end, kind] : ends) holds.push_back({end - time.now(), nestedKind == kind});
+    for (const auto& [end, kind] : ends) holds.push_back({end - time.now(), nestedKind == kind, deviation});
     return holds;
   }
   base::Duration meanHoldTime() const override {
@@ -79,6 +79,7 @@
   std::vector<double> errors;                     // relative errors of the predicted waits
   std::vector<double> otherErrors;                // of these, those of requests that are not nested
   bool predicts = true;
+  base::Duration deviation{0};  // mean absolute deviation of the predicted rests
   HoldKind nestedKind = -1;
   int requests = 0;
 };
@@ -150,6 +151,30 @@
   CHECK(slots.limiter.expectedWait(Priority::kNormal, far) == base::milliseconds(760));
 }
 
+// Guards against waits that are too long where run times vary: the first of nine slots becomes free well before the
+// mean.
+TEST_CASE("the first of several slots is expected earlier the more their holding times vary") {
+  constexpr int kRounds = 2000;
+  constexpr double kStandardDeviationMs = 250;
+  base::RandomSource random(3);
+  double sumMs = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    double firstMs = 1e9;
+    for (int slot = 0; slot < kSlots; ++slot) {
+      double normal = -6;
+      for (int i = 0; i < 12; ++i) normal += random.unit();
+      firstMs = std::min(firstMs, kHoldMs[2] + kStandardDeviationMs * normal);
+    }
+    sumMs += firstMs;
+  }
+  SharedSlots slots;
+  slots.limiter.usePredictor(&slots);
+  slots.deviation = base::milliseconds(200);  // of a normal distribution with that standard deviation
+  for (int i = 0; i < kSlots; ++i) slots.request(2);
+  const auto expected = slots.limiter.expectedWait(Priority::kNormal, slots.time.now() + base::seconds(100));
+  CHECK(std::chrono::duration<double, std::milli>(expected).count() == Approx(sumMs / kRounds).epsilon(0.25));
+}
+
 // Guards against a back-off of callers that follows the mean of past requests while long ones hold the slots.
 TEST_CASE("the interval between free slots follows what runs") {
   SharedSlots slots;
