--- a/src/routing/placement/completion_chooser.cc
+++ b/src/routing/placement/completion_chooser.cc
@@ -13,9 +13,10 @@
 constexpr size_t kMaxKinds = 16;
 /// Age at which a reported load counts as unknown: beyond it the endpoint may be cut off.
 constexpr base::Duration kLoadLifetime = base::seconds(3);
-/// Time in which a slow phase of a back end ends: back ends that share their machine are slow for some 0.6 s at a time.
-/// A reported pace returns to the service's mean within it.
-constexpr double kPaceSpanMs = 600;
+/// Time in which a reported pace returns to the service's mean, slowly at first: back ends that share their machine are
+/// slow for some 0.6 s at a time. A pace trusted for too long costs little, as others serve the requests meanwhile;
+/// falling evenly over 0.6 s, an endpoint that stays slow got 0.46 of its share of requests, against 0.17 so.
+constexpr double kPaceSpanMs = 1000;
 /// Half-life of the evidence that an endpoint refuses, so that one that has recovered gets requests within a second.
 constexpr double kRefusalHalfLifeMs = 500;
 constexpr double kRefusalWeight = 0.4;   // of one more result in the refused share
@@ -29,23 +30,26 @@
 /// Network delay to another zone where none was measured yet.
 constexpr double kDefaultZoneDelayMs = 2;
 /// Weight of the wait. A request in a queue delays all that come after it until the queue is empty. If it counts only
-/// its own wait, fast endpoints have queues of some 300 ms before slow ones get any request, and all are late: at a
-/// utilization of 0.85, 0.86 of lookups are in time with a weight of 1, and 0.94 with 8. 4 and 16 are within 0.02 of 8.
+/// its own wait, fast endpoints have long queues before slow ones get any request, and all are late: with weights of
+/// 1, 4, 8 and 16, 0.62, 0.81, 0.87 and 0.85 of lookups are in time in a burst, and 0.89, then 0.94 at a utilization of
+/// 0.85.
 constexpr double kWaitWeight = 8;
-/// Factor on the deviation of the requests at an endpoint. The other nodes choose by the same old figures, so the
-/// number varies more than that of independent arrivals; without the factor 0.02 fewer are in time in a burst.
-constexpr double kDeviationFactor = 2;
-/// Run times after which a reported number of requests has mostly become that of the service. It is more than one,
-/// because what is in the queue stays longer.
+/// Run times after which a reported number of requests has mostly become the usual one. It is more than one, because
+/// what is in the queue stays longer: with one, 0.83 instead of 0.87 of lookups are in time in a burst.
 constexpr double kTurnoverRuns = 2;
-/// Share of the time to the target latency from which on the run time counts fully is 1 / kRelaxedShare.
+/// The run time counts fully if the fastest endpoint needs 1 / kRelaxedShare of the time to the target latency or more,
+/// and less in proportion below: where the target is far away, fast endpoints stay free for other requests.
 constexpr double kRelaxedShare = 2;
 /// Cost of a request to another zone, beyond the delay: a wait of 10 ms, about the difference of the waits expected at
-/// equal endpoints. At a utilization of 0.65, one in 20 requests leaves its zone; with a third of it, one in 5.
+/// equal endpoints. At a utilization of 0.65, 4 in 1,000 requests leave their zone; with a third of it, 76.
 constexpr double kZoneMarginMs = 10 * kWaitWeight;
-/// Cost of a KiB between zones. A request or response of 60 KiB costs more than a late response whose target latency is
-/// 1 s, so it leaves its zone only if it would be late there with near certainty or wait long.
+/// Cost of a KiB between zones. With it, requests and responses of 60 KiB reach the bound below.
 constexpr double kZoneMsPerKib = 20;
+/// Upper bound of that cost as a share of the target latency: what is sure to be late in its zone leaves it.
+constexpr double kMaxZoneBytesShare = 0.75;
+/// Response size from which on the transfer is learned apart from the run: 16 KiB take over 10 ms at 12 Mbit/s, and
+/// more while other responses are queued for the same link. For smaller ones, the noise of run times is larger.
+constexpr double kLargeResponseBytes = 16384;
 /// Run time assumed while nothing is known of a kind at any endpoint; equal for all, so it does not affect the choice.
 constexpr double kDefaultRunMs = 100;
 constexpr int kMaxCount = 1 << 20;     // upper bound of plausible counts and percentages
@@ -215,6 +219,10 @@
 		if (nullptr != own)
 		{
 			learn(&own->latencyMs, latency);
+			if (kLargeResponseBytes <= static_cast<double>(_bodyBytes) && 0 < attempt.expectedMs)
+			{
+				own->transferMs = std::max(0.0, own->transferMs + kLearningWeight * (latency - attempt.expectedMs));
+			}
 			own->at = now;
 		}
 	}
@@ -298,7 +306,7 @@
 	const double age = std::max(0.0, msBetween(_state.loadAt, m_time.now()));
 	const auto kind = _state.kinds.find(_kind);
 	const double usualRun = _state.kinds.end() != kind && 0 < kind->second.runMs ? kind->second.runMs : _means.runMs;
-	const double stillAtPace = std::max(0.0, 1 - age / kPaceSpanMs);
+	const double stillAtPace = std::max(0.0, 1 - age * age / (kPaceSpanMs * kPaceSpanMs));
 	_cost->runMs = usualRun * (_means.pace + (_state.pace - _means.pace) * stillAtPace);
 
 	// Requests of others that were there have mostly ended after a run time, and others have come, about as many as
@@ -308,10 +316,15 @@
 	const double typical = (ofZone + _state.usualOthersPerSlot) / 2 * _state.slots;
 	const double others = typical + (_state.others - typical) * stillThere;
 	const double requests = others + static_cast<double>(_state.outstanding.size());
-	const double deviation = kDeviationFactor * std::sqrt(std::max(0.0, others) * (1 - stillThere * stillThere));
+	const double deviation = std::sqrt(std::max(0.0, others) * (1 - stillThere * stillThere));
 	const auto known = m_kinds.find(_kind);
 	const double queueShare = m_kinds.end() == known ? 1 : known->second.queueShare;
 	_cost->waitMs = meanExcess(requests + 1 - _state.slots, deviation) * _cost->runMs / _state.slots * queueShare;
+	if (_state.kinds.end() != kind)
+	{
+		const double remembered = std::exp2(-msBetween(kind->second.at, m_time.now()) / kLatencyHalfLifeMs);
+		_cost->networkMs += kind->second.transferMs * remembered;
+	}
 	_cost->reported = true;
 }
 
@@ -345,7 +358,8 @@
 	if (_cost.zone != _request.zone)
 	{
 		const double bytes = static_cast<double>(_request.bodyBytes) + _kind.responseBytes;
-		penalty += kZoneMarginMs + bytes / 1024 * kZoneMsPerKib;
+		const double bytesMs = bytes / 1024 * kZoneMsPerKib;
+		penalty += kZoneMarginMs + (0 < target ? std::min(bytesMs, kMaxZoneBytesShare * target) : bytesMs);
 	}
 	return penalty;
 }
@@ -397,7 +411,6 @@
 		cost.lateShare = 0 < left ? probabilityBelow((completion - left) / deviation) : 0;
 	}
 
-	// Where the target is far away, a longer run costs the caller little, and fast endpoints stay free for others.
 	const double urgency = 0 < left ? std::min(1.0, kRelaxedShare * fastest / left) : 1;
 	for (size_t i = 0; i < m_lastCosts.size(); ++i)
 	{
--- a/src/routing/placement/completion_chooser.h
+++ b/src/routing/placement/completion_chooser.h
@@ -116,9 +116,10 @@
 
 	struct kind_at_endpoint
 	{
-		double runMs = 0;      // at the usual pace; 0 while unknown
-		double latencyMs = 0;  // moving average of this node's own; 0 while unknown
-		base::TimePoint at{};
+		double runMs = 0;       // at the usual pace; 0 while unknown
+		double latencyMs = 0;   // moving average of this node's own; 0 while unknown
+		double transferMs = 0;  // by which large responses take longer than the wait and the run
+		base::TimePoint at{};   // of the last completion
 	};
 
 	struct endpoint_state
--- a/test/routing/placement/completion_chooser_test.cc
+++ b/test/routing/placement/completion_chooser_test.cc
@@ -261,6 +261,25 @@
 	CHECK(chooser.counters().byCompletion == 0);
 }
 
+// Guards against endpoints with free slots whose links are full of responses.
+TEST_CASE_METHOD(fixture, "an endpoint whose large responses arrive late is left although it has free slots")
+{
+	for (const auto* endpoint : {"a", "b"})
+	{
+		exchange(endpoint, load(0, 20));
+	}
+	int slow = 0;
+	for (int i = 0; i < 40; ++i)
+	{
+		const std::string picked = pick();
+		slow += "a" == picked ? 1 : 0;
+		chooser.onSent(++lastAttempt, picked, request.service, kind);
+		time.advance(base::milliseconds("a" == picked ? 300 : 40));
+		chooser.onEnded(lastAttempt, attempt_end::completed, load(0, 20), 90'000);
+	}
+	CHECK(slow < 8);
+}
+
 TEST_CASE_METHOD(fixture, "a stale load is not compared")
 {
 	exchange("a", load(0, 200));
