Quota: a new leader defers demands that will find a token in time

Cause: the token buckets of a new leader are empty, so it denied what had waited during the election. Nodes and relays repeat demands every 200 to 250 ms, and relays added each repeat to the earlier ones: by reading, up to three times the demand in the 700 ms that nodes waited. All refused requests of a decision were told the same time, plus or minus a quarter.

Change: the leader defers demands during its first 5 s, or until the bucket of the tenant has been full, if they will find a token within the time that they can wait. Deferred permits keep places in the order of their estimated arrival, by relay connection, so that a repeated demand takes the places of the earlier one. A request states all permits that are waited for; a relay replaces the demand of a node. A tenant's demand is not sent again while it is unanswered, before the resend interval has passed. Calls wait for permits for four fifths of their time. The k-th refused request of a decision is told retryAfterMs + k * retryAfterStepMs, and the leader continues that sequence over decisions. Invalid demands and decisions are counted and ignored.

--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -108,6 +108,11 @@
   const auto& quotas = controller.quotas().counters();
   page->counter("quota_granted_total", "permits that this controller granted to tenants with a limit", quotas.granted);
   page->counter("quota_denied_total", "requests of tenants beyond their limit", quotas.denied);
+  page->counter("quota_deferred_total", "permits that this controller deferred after it became leader",
+                quotas.deferred);
+  page->gauge("quota_deferred_now", "permits that are deferred",
+              static_cast<double>(controller.quotas().deferredNow()));
+  page->counter("quota_invalid_demands_total", "demands for permits with invalid values", quotas.invalidDemands);
   const auto& relays = controller.relays().counters();
   page->counter("controller_updates_total", "updates sent to relays", relays.updates);
   page->counter("controller_update_bytes_total", "bytes of updates sent to relays", relays.updateBytes);
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -51,8 +51,8 @@
 namespace {
 
 constexpr int kOkStatus = 200;
-/// Calls of rate-limited tenants wait for permits. Calls that arrive within 5 ms share a request. A call without an
-/// answer after 700 ms, the time of one or two elections, is refused.
+/// Calls of rate-limited tenants wait for permits, as long as an answer is still of use. Calls that arrive within 5 ms
+/// share a request. The timeout of 700 ms, the time of one or two elections, is for calls that do not state a time.
 constexpr quota::quota_queue_options kQuotaQueueOptions{base::milliseconds(5), base::milliseconds(700),
                                                         base::milliseconds(250)};
 /// Timeout of the query that decides which of two incarnations the back end is. The back end is on this machine and
@@ -343,6 +343,9 @@
     addQuarantineMetrics(quarantine_, page);
     page->counter("backend_reports_refused_total", "reports of the back end that could not be read",
                   localBackend_.unreadableReports());
+    page->gauge("quota_waiting", "calls that wait for a permit", static_cast<double>(quotas_.waiting()));
+    page->counter("quota_invalid_decisions_total", "decisions on permits with negative numbers",
+                  quotas_.invalidDecisions());
     addLoopMetrics(loop_, page);
     addDescriptorMetrics({loop_, entryServer_.server(), callFrames_, entry_, backend_.pool(), shares_}, page);
   };
--- a/apps/relay_main.cc
+++ b/apps/relay_main.cc
@@ -80,6 +80,8 @@
   page->counter("relay_full_updates_total", "whole slices sent to nodes", nodes.fullUpdates);
   page->counter("relay_full_bytes_total", "bytes of whole slices sent to nodes", nodes.fullBytes);
   page->counter("relay_heartbeat_bytes_total", "bytes of heartbeats sent to nodes", nodes.heartbeatBytes);
+  page->counter("relay_invalid_quota_demands_total", "demands of nodes for permits with invalid values",
+                relay.invalidQuotaDemands());
   page->counter("relay_rejected_total", "updates that nodes refused", nodes.rejected);
   apps::addFrameMetrics(frames, page);
 }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -200,6 +200,7 @@
   if (links_.owns(connection)) links_.onClose(connection);
   const auto relayId = relays_.remove(connection);
   peers_.erase(connection);
+  quotas_.forget(connection);
   if (relayId.empty()) return;
   convergence_.onRelayLost(relayId);
   log_.info("relay {} disconnected", relayId);
@@ -263,7 +264,7 @@
 /// controllers never grant at the same time.
 void Controller::onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& quotaRequest) {
   if (!leads() || !raft_->holdsLease()) return;
-  network_.send(connection, wire::encodeFrame(quotas_.decide(quotaRequest)));
+  network_.send(connection, wire::encodeFrame(quotas_.decide(connection, quotaRequest)));
 }
 
 std::optional<quota::quota_limit> Controller::limitOf(const std::string& tenant) const {
--- a/src/node/entry_calls_tenants.cc
+++ b/src/node/entry_calls_tenants.cc
@@ -1,4 +1,5 @@
 /// Entry side of tenant authentication and quotas.
+#include <algorithm>
 #include <utility>
 
 #include "node/entry_calls.h"
@@ -31,8 +32,12 @@
   return true;
 }
 
+/// Calls wait for a permit as long as they have time to run afterwards: service times of routes are a tenth to a
+/// seventh of their deadlines, so a fifth is left for the rest of the call.
 void EntryCalls::requestPermit(CallId id, const std::string& tenant) {
-  quotas_->wait(static_cast<uint64_t>(id), tenant, 1,
+  constexpr int kPermitSharePercent = 80;
+  const auto left = calls_.at(id).deadline - scheduler_.now();
+  quotas_->wait(static_cast<uint64_t>(id), tenant, 1, left * kPermitSharePercent / 100,
                 [this, alive = std::weak_ptr<bool>(alive_), id](const quota::permit_outcome& outcome) {
                   if (!alive.expired()) onPermit(id, outcome);
                 });
@@ -42,8 +47,9 @@
   if (outcome.granted > 0) return attempt(id);
   if (outcome.denied > 0) {
     ++counters_.overQuota;
+    // Each refused call has a time of its own, so no jitter is added.
     return finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kOverQuota, kTooManyRequestsStatus,
-                                    base::millisecondsOf(withJitter(outcome.retryAfter))));
+                                    std::max(1, base::millisecondsOf(outcome.retryAfter))));
   }
   finish(id, failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kQuotaUnavailable, kUnavailableStatus,
                            base::millisecondsOf(withJitter(options_.overloadRetryAfter))));
--- a/src/quota/quota_queue.cc
+++ b/src/quota/quota_queue.cc
@@ -2,10 +2,19 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace driftlug::quota
 {
+namespace
+{
+constexpr base::Duration kMaxWait = base::seconds(3600);
+/// The leader takes larger demands for invalid.
+constexpr int kMaxDemand = 1'000'000;
+/// Keeps times within the range of the messages.
+constexpr base::Duration kMaxRetryAfter = base::seconds(86'400);
+
+}  // namespace
+
 quota_queue::quota_queue(base::Scheduler& _scheduler, const quota_queue_options& _options, send_request _sendRequest)
 	: m_scheduler(_scheduler)
 	, m_options(_options)
@@ -19,15 +28,79 @@
 }
 
 void quota_queue::wait(owner _owner, const std::string& _tenant, int _count, callback _done)
+{
+	add({_owner, _count, m_scheduler.now() + m_options.answerTimeout, false, std::move(_done)}, _tenant);
+}
+
+void quota_queue::wait(owner _owner, const std::string& _tenant, int _count, base::Duration _maxWait, callback _done)
+{
+	add({_owner, _count, m_scheduler.now() + std::min(_maxWait, kMaxWait), true, std::move(_done)}, _tenant);
+}
+
+void quota_queue::setDemand(owner _owner, const std::string& _tenant, int _total, base::Duration _maxWait,
+							callback _done)
+{
+	const auto expiresAt = m_scheduler.now() + std::min(_maxWait, kMaxWait);
+	const auto found = m_queues.find(_tenant);
+	int further = _total;
+	if (m_queues.end() != found)
+	{
+		auto& queue = found->second;
+		for (auto& waiter : queue.waiters)
+		{
+			if (waiter.ownerId == _owner)
+			{
+				waiter.expiresAt = expiresAt;
+				further -= waiter.count;
+			}
+		}
+		for (auto last = queue.waiters.end(); 0 > further && queue.waiters.begin() != last;)
+		{
+			--last;
+			if (last->ownerId == _owner)
+			{
+				const int surplus = std::min(-further, last->count);
+				further += surplus;
+				takeFrom(&queue, last, surplus);
+				last = 0 == last->count ? queue.waiters.erase(last) : last;
+			}
+		}
+		queue.firstExpiry = std::min(queue.firstExpiry, expiresAt);
+		removeEmptyQueues();
+	}
+	if (0 < further)
+	{
+		add({_owner, further, expiresAt, true, std::move(_done)}, _tenant);
+	}
+}
+
+void quota_queue::add(waiter _waiter, const std::string& _tenant)
 {
 	const auto now = m_scheduler.now();
-	m_queues[_tenant].push_back({_owner, _count, now, std::nullopt, std::move(_done)});
-	const auto earliest = m_hasSent ? m_lastSentAt + m_options.batchInterval : now;
-	const auto pause = std::max<base::Duration>(base::Duration(0), earliest - now);
-	if (!m_batching)
+	const auto expiresAt = _waiter.expiresAt;
+	auto& queue = m_queues[_tenant];
+	queue.waiting += _waiter.count;
+	queue.firstExpiry = std::min(queue.firstExpiry, expiresAt);
+	++m_owners[_waiter.ownerId];
+	queue.waiters.push_back(std::move(_waiter));
+	wakeBy(std::min(std::max(now, m_earliestSendAt), expiresAt));
+}
+
+/// Lowers the count of a waiter. Waiters without a count are to be erased by the caller.
+///
+/// If the waiter was not deferred, the deferred ones are taken to be fewer than they are, which sends the demand early.
+void quota_queue::takeFrom(tenant_queue* _queue, std::deque<waiter>::iterator _waiter, int _count)
+{
+	_queue->waiting -= _count;
+	_queue->deferred = std::max(0, _queue->deferred - _count);
+	_waiter->count -= _count;
+	if (0 == _waiter->count)
 	{
-		m_batching = true;
-		m_timer.start(pause);
+		const auto owner = m_owners.find(_waiter->ownerId);
+		if (0 == --owner->second)
+		{
+			m_owners.erase(owner);
+		}
 	}
 }
 
@@ -36,19 +109,35 @@
 	std::erase_if(m_queues,
 				  [](const auto& _item)
 				  {
-					  return _item.second.empty();
+					  return _item.second.waiters.empty();
 				  });
 }
 
+void quota_queue::removeWaiters(tenant_queue* _queue, owner _owner)
+{
+	for (auto next = _queue->waiters.begin(); _queue->waiters.end() != next;)
+	{
+		if (next->ownerId == _owner)
+		{
+			takeFrom(_queue, next, next->count);
+			next = _queue->waiters.erase(next);
+		}
+		else
+		{
+			++next;
+		}
+	}
+}
+
 void quota_queue::drop(owner _owner)
 {
+	if (!m_owners.contains(_owner))
+	{
+		return;
+	}
 	for (auto& [tenant, queue] : m_queues)
 	{
-		std::erase_if(queue,
-					  [_owner](const waiter& _waiter)
-					  {
-						  return _waiter.ownerId == _owner;
-					  });
+		removeWaiters(&queue, _owner);
 	}
 	removeEmptyQueues();
 }
@@ -57,126 +146,230 @@
 {
 	for (auto& [tenant, queue] : m_queues)
 	{
-		for (auto& waiter : queue)
-		{
-			waiter.sentAt.reset();
-		}
+		queue.sentAt.reset();
+		queue.unanswered = 0;
+		queue.deferred = 0;
 	}
+	m_earliestSendAt = m_scheduler.now();
 	if (!m_queues.empty())
 	{
-		m_timer.start(base::Duration(0));
+		wakeBy(m_scheduler.now());
 	}
 }
 
 void quota_queue::onTimer()
 {
-	m_batching = false;
+	m_wakeAt = base::TimePoint::max();
 	expire();
+	if (m_scheduler.now() >= m_earliestSendAt)
+	{
+		sendDemands();
+	}
+	startTimer();
+}
+
+void quota_queue::startTimer()
+{
 	if (m_queues.empty())
 	{
 		return;
 	}
-	sendDemands();
-	m_timer.start(std::min(m_options.resendInterval, m_options.answerTimeout));
+	auto next = base::TimePoint::max();
+	for (const auto& [tenant, queue] : m_queues)
+	{
+		next = std::min({next, queue.firstExpiry, std::max(nextSendAt(queue), m_earliestSendAt)});
+	}
+	wakeBy(next);
+}
+
+/// Moves the end of the timer forward to the given time, if it is later.
+void quota_queue::wakeBy(base::TimePoint _time)
+{
+	if (_time < m_wakeAt)
+	{
+		m_wakeAt = _time;
+		m_timer.start(std::max<base::Duration>(base::Duration(0), _time - m_scheduler.now()));
+	}
 }
 
-bool quota_queue::needsSending(const waiter& _waiter) const
+/// @returns When the demands of a tenant are to be sent, apart from the batch interval.
+base::TimePoint quota_queue::nextSendAt(const tenant_queue& _queue) const
 {
-	return !_waiter.sentAt || m_scheduler.now() - *_waiter.sentAt >= m_options.resendInterval;
+	if (_queue.sentAt)
+	{
+		return *_queue.sentAt + m_options.resendInterval;
+	}
+	return _queue.waiting > _queue.deferred ? base::TimePoint{} : _queue.askAgainAt;
 }
 
 void quota_queue::sendDemands()
 {
+	const auto now = m_scheduler.now();
 	wire::QuotaAsk request;
-	std::vector<waiter*> waitersToSend;
+	std::vector<tenant_queue*> queuesToSend;
 	for (auto& [tenant, queue] : m_queues)
 	{
-		wire::QuotaDemand demand;
-		demand.tenant = tenant;
-		for (auto& waiter : queue)
+		if (nextSendAt(queue) > now)
 		{
-			if (needsSending(waiter))
-			{
-				demand.count += waiter.count;
-				waitersToSend.push_back(&waiter);
-			}
+			continue;
 		}
-		if (0 < demand.count)
+		// The longest time of all: with the shortest, one request without time would have all others denied.
+		base::Duration maxWait{0};
+		for (const auto& waiter : queue.waiters)
 		{
-			request.demands.push_back(demand);
+			maxWait = std::max<base::Duration>(maxWait, waiter.deferrable ? waiter.expiresAt - now : base::Duration(0));
 		}
+		wire::QuotaDemand demand;
+		demand.tenant = tenant;
+		demand.count = std::min(queue.waiting, kMaxDemand);
+		demand.maxWaitMs = base::millisecondsOf(maxWait);
+		request.demands.push_back(demand);
+		queuesToSend.push_back(&queue);
 	}
-	if (request.demands.empty() || !m_sendRequest(request))
+	if (request.demands.empty())
 	{
 		return;
 	}
-	m_lastSentAt = m_scheduler.now();
-	m_hasSent = true;
-	for (auto* waiter : waitersToSend)
+	if (!m_sendRequest(request))
 	{
-		waiter->sentAt = m_lastSentAt;
+		m_earliestSendAt = now + m_options.resendInterval;
+		return;
+	}
+	m_earliestSendAt = now + m_options.batchInterval;
+	for (auto* queue : queuesToSend)
+	{
+		queue->sentAt = now;
+		queue->unanswered = std::min(queue->waiting, kMaxDemand);
+		queue->deferred = 0;
 	}
 }
 
 void quota_queue::expire()
 {
-	const auto limit = m_scheduler.now() - m_options.answerTimeout;
-	std::vector<waiter> expired;
+	const auto now = m_scheduler.now();
+	std::vector<outcome_call> calls;
 	for (auto& [tenant, queue] : m_queues)
 	{
-		while (!queue.empty() && queue.front().since <= limit)
+		if (queue.firstExpiry > now)
+		{
+			continue;
+		}
+		queue.firstExpiry = base::TimePoint::max();
+		for (auto next = queue.waiters.begin(); queue.waiters.end() != next;)
 		{
-			expired.push_back(std::move(queue.front()));
-			queue.pop_front();
+			if (next->expiresAt > now)
+			{
+				queue.firstExpiry = std::min(queue.firstExpiry, next->expiresAt);
+				++next;
+				continue;
+			}
+			permit_outcome outcome;
+			outcome.unanswered = next->count;
+			calls.push_back({std::move(next->done), outcome});
+			takeFrom(&queue, next, next->count);
+			next = queue.waiters.erase(next);
 		}
 	}
 	removeEmptyQueues();
-	for (const auto& waiter : expired)
+	for (const auto& call : calls)
 	{
-		permit_outcome outcome;
-		outcome.unanswered = waiter.count;
-		waiter.done(outcome);
+		call.done(call.outcome);
 	}
 }
 
+/// Callbacks may add or remove waiters, so they are called after all changes to the queues.
 void quota_queue::onGrant(const wire::QuotaGrant& _grant)
 {
+	std::vector<outcome_call> calls;
 	for (const auto& decision : _grant.decisions)
 	{
+		const auto lowest = std::min({decision.granted, decision.denied, decision.deferred, decision.retryAfterMs,
+									  decision.retryAfterStepMs, decision.askAgainMs});
+		if (0 > lowest)
+		{
+			++m_invalidDecisions;
+			continue;
+		}
 		const auto found = m_queues.find(decision.tenant);
 		if (m_queues.end() != found)
 		{
-			decide(&found->second, decision);
+			decide(&found->second, decision, &calls);
 		}
 	}
 	removeEmptyQueues();
+	startTimer();
+	for (const auto& call : calls)
+	{
+		call.done(call.outcome);
+	}
 }
 
-/// Callbacks may add or remove waiters, so they are called after all changes to the queue.
-void quota_queue::decide(waiters* _queue, const wire::QuotaDecision& _decision)
+void quota_queue::decide(tenant_queue* _queue, const wire::QuotaDecision& _decision, std::vector<outcome_call>* _calls)
 {
-	int granted = std::max(0, _decision.granted);
-	int denied = std::max(0, _decision.denied);
-	std::vector<std::pair<callback, permit_outcome>> outcomes;
-	while (0 < granted + denied && !_queue->empty())
+	int granted = _decision.granted;
+	// A repeated answer may grant permits to any request of the tenant, but does not refuse requests that it is not
+	// for.
+	const int decided = std::min(_queue->unanswered, granted);
+	int denied = std::clamp(_decision.denied, 0, _queue->unanswered - decided);
+	const int deferred = std::clamp(_decision.deferred, 0, _queue->unanswered - decided - denied);
+	_queue->unanswered -= decided + denied + deferred;
+	const auto step = base::milliseconds(_decision.retryAfterStepMs);
+	base::Duration retryAfter = base::milliseconds(_decision.retryAfterMs);
+	while (0 < granted + denied && !_queue->waiters.empty())
 	{
-		auto& first = _queue->front();
+		const auto first = _queue->waiters.begin();
 		permit_outcome outcome;
-		outcome.granted = std::min(granted, first.count);
-		outcome.denied = std::min(denied, first.count - outcome.granted);
-		outcome.retryAfter = base::milliseconds(_decision.retryAfterMs);
+		outcome.granted = std::min(granted, first->count);
+		outcome.denied = std::min(denied, first->count - outcome.granted);
+		outcome.retryAfter = std::min(retryAfter, kMaxRetryAfter);
+		outcome.retryAfterStep = step;
+		retryAfter += step * outcome.denied;
 		granted -= outcome.granted;
 		denied -= outcome.denied;
-		first.count -= outcome.granted + outcome.denied;
-		outcomes.emplace_back(first.done, outcome);
-		if (0 == first.count)
+		_calls->push_back({first->done, outcome});
+		takeFrom(_queue, first, outcome.granted + outcome.denied);
+		if (0 == first->count)
 		{
-			_queue->pop_front();
+			_queue->waiters.pop_front();
 		}
 	}
-	for (const auto& [done, outcome] : outcomes)
+	if (0 < deferred)
+	{
+		_queue->askAgainAt = m_scheduler.now() + base::milliseconds(_decision.askAgainMs);
+		_queue->deferred = deferred;
+		denyExpiring(_queue, _decision, _calls);
+	}
+	if (0 == _queue->unanswered)
 	{
-		done(outcome);
+		_queue->sentAt.reset();
+	}
+}
+
+/// Denies the demands that can't wait until the first deferred one finds a token.
+void quota_queue::denyExpiring(tenant_queue* _queue, const wire::QuotaDecision& _decision,
+							   std::vector<outcome_call>* _calls)
+{
+	if (_queue->firstExpiry >= _queue->askAgainAt)
+	{
+		return;
+	}
+	const auto step = base::milliseconds(_decision.retryAfterStepMs);
+	base::Duration retryAfter = base::milliseconds(_decision.askAgainMs);
+	for (auto next = _queue->waiters.begin(); _queue->waiters.end() != next;)
+	{
+		if (next->expiresAt >= _queue->askAgainAt)
+		{
+			++next;
+			continue;
+		}
+		permit_outcome outcome;
+		outcome.denied = next->count;
+		outcome.retryAfter = retryAfter;
+		outcome.retryAfterStep = step;
+		retryAfter += step * next->count;
+		_calls->push_back({std::move(next->done), outcome});
+		takeFrom(_queue, next, next->count);
+		next = _queue->waiters.erase(next);
 	}
 }
 
@@ -185,10 +378,7 @@
 	size_t count = 0;
 	for (const auto& [tenant, queue] : m_queues)
 	{
-		for (const auto& waiter : queue)
-		{
-			count += static_cast<size_t>(waiter.count);
-		}
+		count += static_cast<size_t>(queue.waiting);
 	}
 	return count;
 }
--- a/src/quota/token_bucket.h
+++ b/src/quota/token_bucket.h
@@ -34,6 +34,18 @@
 	/// @returns Time until the next token is available; 0 if one is available now or the rate is 0.
 	base::Duration untilNext(base::TimePoint _now) const;
 
+	/// @returns Number of whole tokens that are available.
+	int available(base::TimePoint _now) const;
+
+	bool isFull(base::TimePoint _now) const;
+
+	/// @returns Time until the given number of tokens has come, if each is taken as soon as it comes; 0 if they are
+	/// available now or the rate is 0. At most a day.
+	base::Duration untilTokens(int64_t _count, base::TimePoint _now) const;
+
+	/// @returns Number of whole tokens that have come after the given time, if each is taken as soon as it comes.
+	int64_t tokensWithin(base::Duration _span, base::TimePoint _now) const;
+
 private:
 	double capacity() const;
 	double levelAt(base::TimePoint _now) const;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -78,6 +78,8 @@
 
   /// @return whether a controller has confirmed the table since the start.
   bool recovered() const { return recovered_; }
+  /// @return number of ignored demands of nodes for permits.
+  int64_t invalidQuotaDemands() const { return invalidQuotaDemands_; }
 
   /// Replaces the configured controllers and relays; those learned from the member list stay in use.
   void applySettings(const std::vector<base::Address>& controllers, const std::vector<base::Address>& peers);
@@ -163,6 +165,7 @@
   EndpointStateDistributor stateDistributor_;
   CrashReportDistributor crashDistributor_;
   VersionReportSender versions_;
+  int64_t invalidQuotaDemands_ = 0;
   quota::quota_queue quotas_;                                              // of nodes, by their connection
   std::map<std::string, std::unique_ptr<FreshnessConfirmer>> confirmers_;  // by zone
   std::map<base::ConnectionId, wire::Hello> hellos_;                       // open connections
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -9,6 +9,8 @@
 /// Time after its start during which a relay that cannot release revisions yet does not redirect its nodes, since all
 /// other relays may be starting too.
 constexpr base::Duration kStartGrace = base::seconds(5);
+/// Demands for more permits are invalid; a node has some hundred requests at a time.
+constexpr int kMaxQuotaDemand = 100'000;
 
 }  // namespace
 
@@ -38,18 +40,28 @@
 
 void Relay::onQuotaAsk(base::ConnectionId connection, const wire::QuotaAsk& quotaRequest) {
   for (const auto& demand : quotaRequest.demands) {
-    quotas_.wait(connection, demand.tenant, demand.count,
-                 [this, connection, tenant = demand.tenant](const quota::permit_outcome& outcome) {
-                   if (outcome.granted + outcome.denied == 0) return;  // the node retries by itself
-                   wire::QuotaDecision decision;
-                   decision.tenant = tenant;
-                   decision.granted = outcome.granted;
-                   decision.denied = outcome.denied;
-                   decision.retryAfterMs = base::millisecondsOf(outcome.retryAfter);
-                   wire::QuotaGrant grant;
-                   grant.decisions.push_back(decision);
-                   network_.send(connection, wire::encodeFrame(grant));
-                 });
+    if (demand.count <= 0 || demand.count > kMaxQuotaDemand || demand.maxWaitMs < 0) {
+      ++invalidQuotaDemands_;
+      continue;
+    }
+    const auto done = [this, connection, tenant = demand.tenant](const quota::permit_outcome& outcome) {
+      if (outcome.granted + outcome.denied == 0) return;  // the node retries by itself
+      wire::QuotaDecision decision;
+      decision.tenant = tenant;
+      decision.granted = outcome.granted;
+      decision.denied = outcome.denied;
+      decision.retryAfterMs = base::millisecondsOf(outcome.retryAfter);
+      decision.retryAfterStepMs = base::millisecondsOf(outcome.retryAfterStep);
+      wire::QuotaGrant grant;
+      grant.decisions.push_back(decision);
+      network_.send(connection, wire::encodeFrame(grant));
+    };
+    if (demand.maxWaitMs > 0) {
+      quotas_.setDemand(connection, demand.tenant, demand.count, base::milliseconds(demand.maxWaitMs), done);
+    } else {
+      // A node of an earlier version states only what it has not asked for yet.
+      quotas_.wait(connection, demand.tenant, demand.count, done);
+    }
   }
 }
 
--- a/test/node/entry_calls_tenants_test.cc
+++ b/test/node/entry_calls_tenants_test.cc
@@ -84,6 +84,77 @@
   CHECK(network.all<wire::CallRequest>().size() == 1);
 }
 
+namespace {
+
+wire::Row limitedTenantRow() {
+  auto row = tenantRow("press", kKey, 7);
+  row.tenantRow.__set_ratePerS(10);
+  row.tenantRow.__set_burst(10);
+  return row;
+}
+
+/// Calls of a tenant with a limit, whose permits come from the test.
+struct QuotaFixture : Fixture {
+  QuotaFixture() {
+    useTenants({limitedTenantRow()});
+    entry->useQuotas(&quotas);
+  }
+
+  void answer(int granted, int denied) {
+    wire::QuotaDecision decision;
+    decision.tenant = "press";
+    decision.granted = granted;
+    decision.denied = denied;
+    decision.retryAfterMs = 120;
+    decision.retryAfterStepMs = 100;
+    wire::QuotaGrant grant;
+    grant.decisions = {decision};
+    quotas.onGrant(grant);
+  }
+
+  std::vector<wire::QuotaAsk> requests;
+  quota::quota_queue quotas{process,
+                            {base::milliseconds(5), base::milliseconds(700), base::milliseconds(250)},
+                            [this](const wire::QuotaAsk& request) {
+                              requests.push_back(request);
+                              return true;
+                            }};
+};
+
+}  // namespace
+
+// Guards against calls that are refused while a permit can still be of use, and against permits that come too late.
+TEST_CASE_METHOD(QuotaFixture, "a call waits for its permit as long as it has time to run afterwards") {
+  callWith("/safe/1", kKey);
+  runFor(base::milliseconds(10));
+  REQUIRE(requests.size() == 1);
+  const auto wait = base::milliseconds(requests[0].demands.front().maxWaitMs);
+  CHECK(wait > base::milliseconds(700));
+  runFor(wait - base::milliseconds(20));
+  CHECK(answers.empty());
+  answer(1, 0);
+  CHECK(network.all<wire::CallRequest>().size() == 1);
+  callWith("/safe/2", kKey);
+  runFor(wait + base::milliseconds(10));
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].error == ErrorCode::kDeadlineExceeded);  // the first call; no back end answers here
+  CHECK(answers[1].httpStatus == 503);
+  CHECK(answers[1].error == ErrorCode::kQuotaUnavailable);
+  CHECK(answers[1].outcome == wire::CallOutcome::NOT_RUN);
+}
+
+// Guards against refused callers that return together.
+TEST_CASE_METHOD(QuotaFixture, "calls over the limit are told the times of the decision, each its own") {
+  for (int i = 0; i < 3; ++i) callWith("/safe/1", kKey);
+  runFor(base::milliseconds(300));  // the calls after the first are in the repeated demand
+  answer(0, 3);
+  REQUIRE(answers.size() == 3);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(answers[i].httpStatus == 429);
+    CHECK(answers[i].retryAfterMs == 120 + i * 100);
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "back ends of an evacuated zone get no calls until the evacuation ends") {
   const auto useZone = [&](bool evacuated) {
     table::Table rows;
