Calls of a node's own callers cross no link, whichever end of their connection opens last; fuzz of large answers

The endpoint side kept only the end that was opened last, so calls of the node's own callers were judged by the link. A socket whose contents were not looked at for a while could be taken for one without progress.

Change: both ends are known as within the machine. A socket counts as making progress if its contents were not reported for 120 ms. The fuzz of decoders has heads, pieces and credits of large answers, a caller that accepts pieces, and a back end that answers every second request with 5 kB (before, it answered none).

--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -488,7 +488,6 @@
 void EndpointCalls::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
   callerServices_[connection] = peer.serviceName;
   answers_.onOpen(connection, peer);
-  if (peer.id == options_.nodeId) ownConnection_ = connection;
 }
 
 void EndpointCalls::onClose(base::ConnectionId connection) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -325,8 +325,7 @@
   overload::body_flow_controller bodyFlowController_;
   overload::response_transfer_estimator responseTransferEstimator_;
   AnswerSender answers_;
-  base::ConnectionId ownConnection_ = 0;  // of this node's own callers; does not use the link
-  base::Timer bodyTimer_;                 // active while bodies are awaited
+  base::Timer bodyTimer_;  // active while bodies are awaited
   bool draining_ = false;
   bool evacuated_ = false;
   bool hasTable_ = false;
--- a/src/node/endpoint_calls_answers.cc
+++ b/src/node/endpoint_calls_answers.cc
@@ -27,12 +27,17 @@
       log_("endpoint", scheduler) {}
 
 void AnswerSender::onOpen(base::ConnectionId connection, const wire::Hello& peer) {
-  takesPieces_[connection] = peer.takesAnswerPieces && peer.id != nodeId_;
+  peers_[connection] = {peer.takesAnswerPieces, peer.id == nodeId_};
 }
 
 bool AnswerSender::takesPieces(base::ConnectionId connection, const wire::CallRequest& request) const {
-  const auto found = takesPieces_.find(connection);
-  return request.largeAnswer && found != takesPieces_.end() && found->second;
+  const auto found = peers_.find(connection);
+  return request.largeAnswer && found != peers_.end() && found->second.takesPieces && !found->second.withinMachine;
+}
+
+bool AnswerSender::isWithinMachine(base::ConnectionId connection) const {
+  const auto found = peers_.find(connection);
+  return found != peers_.end() && found->second.withinMachine;
 }
 
 int64_t AnswerSender::expectedBytes(const overload::call_kind& kind) const {
@@ -111,7 +116,7 @@
 }
 
 void AnswerSender::onClose(base::ConnectionId connection) {
-  takesPieces_.erase(connection);
+  peers_.erase(connection);
   for (const auto& call : queue_.dropConnection(connection)) {
     logDropped(call, "connection_lost");
     answers_.erase(call);
--- a/src/node/endpoint_calls_answers.h
+++ b/src/node/endpoint_calls_answers.h
@@ -55,6 +55,9 @@
   /// @return whether answers to this call may be sent in pieces; false on connections within the machine.
   bool takesPieces(base::ConnectionId connection, const wire::CallRequest& request) const;
 
+  /// @return whether a connection leads to this node itself, and crosses no link.
+  bool isWithinMachine(base::ConnectionId connection) const;
+
   /// Records the size of an answer to a call of a route with large answers.
   void recordSize(const overload::call_kind& kind, size_t bytes) { sizes_.onResponse(kind, bytes); }
 
@@ -66,6 +69,12 @@
   const AnswerCounters& counters() const { return counters_; }
 
  private:
+  /// A connected node that sends calls.
+  struct Peer {
+    bool takesPieces = false;
+    bool withinMachine = false;
+  };
+
   struct Queued {
     LargeAnswer answer;
     base::TimePoint queuedAt{};
@@ -82,7 +91,7 @@
   /// Sizes by kind, of routes with large answers only: requests of other routes with the same priority and target
   /// latency do not blur them.
   overload::response_transfer_estimator sizes_;
-  std::map<base::ConnectionId, bool> takesPieces_;  // by connection of a calling node
+  std::map<base::ConnectionId, Peer> peers_;
   std::map<overload::body_id, Queued> answers_;
   base::Timer timer_;  // runs while pieces wait for the link
   AnswerCounters counters_;
--- a/src/node/endpoint_calls_bodies.cc
+++ b/src/node/endpoint_calls_bodies.cc
@@ -46,7 +46,7 @@
     bytes += static_cast<int64_t>(network_.queuedBytes(connection));
   }
   for (const auto& [other, call] : calls_) {
-    if (other == key || other.connection == ownConnection_) continue;
+    if (other == key || answers_.isWithinMachine(other.connection)) continue;
     const auto kind = kindOf(call.request);
     if (responseTransferEstimator_.isLarge(kind)) bytes += responseTransferEstimator_.typicalBytes(kind);
   }
@@ -55,7 +55,7 @@
 
 bool EndpointCalls::answerWouldBeLate(const CallKey& key) const {
   const auto& request = calls_.at(key).request;
-  if (key.connection == ownConnection_ || !responseTransferEstimator_.isLarge(kindOf(request))) return false;
+  if (answers_.isWithinMachine(key.connection) || !responseTransferEstimator_.isLarge(kindOf(request))) return false;
   const auto target = base::milliseconds(request.targetLatencyMs > 0 ? request.targetLatencyMs : request.remainingMs);
   const auto left = std::min<base::Duration>(target, base::milliseconds(request.remainingMs));
   return base::microsecondsOf(averageRunUs(request)) + answerDelay(key) > left;
--- a/src/overload/response_scheduler.cc
+++ b/src/overload/response_scheduler.cc
@@ -29,6 +29,8 @@
 constexpr base::Duration kSocketCheckInterval = base::milliseconds(4);
 /// As kSocketCheckInterval, if only stalled sockets are left.
 constexpr base::Duration kStalledCheckInterval = base::milliseconds(50);
+/// Time between two reports of a socket's contents after which it counts as making progress.
+constexpr base::Duration kMaxUnobserved = base::milliseconds(120);
 /// Error of a forecast, as a share of its span: run times and sizes of responses vary.
 constexpr double kForecastMargin = 0.08;
 /// Time before its last chance at which a late response is sent ahead of those in time; leaves room for a few tries,
@@ -132,7 +134,7 @@
 	drop(_response);
 	m_responses[_response] = {_response, _bytes, 0, 0, _rank, _target, _deadline, _now};
 	m_queuedBytes += _bytes;
-	m_sockets.try_emplace(_response.connection, socket_state{0, _now});
+	m_sockets.try_emplace(_response.connection, socket_state{0, _now, _now});
 }
 
 bool response_scheduler::credit(const body_id& _response, int64_t _upToBytes, base::TimePoint _now)
@@ -200,11 +202,14 @@
 	}
 
 	socket_state& socket = found->second;
-	if (0 == _bytes || _bytes < socket.bytes)
+	// Without recent reports, nothing is known of acknowledgements: other messages may fill the socket again.
+	const bool unobserved = _now - socket.checkedAt > kMaxUnobserved;
+	if (0 == _bytes || _bytes < socket.bytes || unobserved)
 	{
 		socket.lastProgressAt = _now;
 	}
 	socket.bytes = _bytes;
+	socket.checkedAt = _now;
 	const auto first = m_responses.lower_bound({_connection, std::numeric_limits<int64_t>::min()});
 	const bool hasResponses = m_responses.end() != first && first->first.connection == _connection;
 	if (0 == _bytes && !hasResponses)
--- a/src/overload/response_scheduler.h
+++ b/src/overload/response_scheduler.h
@@ -152,6 +152,7 @@
 	{
 		int64_t bytes = 0;
 		base::TimePoint lastProgressAt{};  //!< When bytes were acknowledged last, or the socket was empty.
+		base::TimePoint checkedAt{};       //!< When its contents were reported last.
 	};
 
 	base::Duration transferTime(int64_t _bytes) const;
--- a/test/fuzz/binary_decoders_test.cc
+++ b/test/fuzz/binary_decoders_test.cc
@@ -92,6 +92,7 @@
 	request.path = "/tiles/7";
 	request.remainingMs = 1000;
 	request.endpoint = "i-1";
+	request.largeAnswer = true;
 	return request;
 }
 
@@ -162,6 +163,17 @@
 	return all;
 }
 
+/// @returns The head of a response whose body follows in pieces.
+wire::CallResponse largeAnswerHead()
+{
+	wire::CallResponse head;
+	head.callId = 1;
+	head.outcome = wire::CallOutcome::COMPLETED;
+	head.httpStatus = 200;
+	head.bodyBytes = 10;
+	return head;
+}
+
 template <size_t... Index>
 std::vector<wire::Message> emptyMessages(std::index_sequence<Index...>)
 {
@@ -189,6 +201,15 @@
 	answer.errorCode = 42;
 	answer.fullForMs = 100;
 	messages.emplace_back(answer);
+	messages.emplace_back(largeAnswerHead());
+	wire::CallAnswerPiece piece;
+	piece.callId = 1;
+	piece.data = "12345";
+	messages.emplace_back(piece);
+	wire::CallAnswerCredit credit;
+	credit.callId = 1;
+	credit.upToBytes = 100;
+	messages.emplace_back(credit);
 	wire::RelayList relays;
 	relays.relays.resize(2);
 	messages.emplace_back(relays);
@@ -241,6 +262,10 @@
 		{
 			m_endpoint->onWithdraw(5, withdraw->callId);
 		}
+		else if (const auto* credit = std::get_if<wire::CallAnswerCredit>(&_message))
+		{
+			m_endpoint->onAnswerCredit(5, *credit);
+		}
 		m_calls.sent.clear();
 		m_control.sent.clear();
 		m_relayNetwork.sent.clear();
@@ -277,12 +302,27 @@
 	static constexpr base::ConnectionId kNode = 100;
 	static constexpr base::ConnectionId kRelay = 101;
 
-	class idle_back_end : public node::BackendClient
+	/// Answers every second request with a large body, and the others never.
+	class half_idle_back_end : public node::BackendClient
 	{
 	public:
-		uint64_t send(const wire::CallRequest&, base::Duration, std::function<void(node::BackendAnswer)>) override
+		explicit half_idle_back_end(base::Scheduler& _scheduler)
+			: m_scheduler(_scheduler)
 		{
-			return ++m_last;
+		}
+
+		uint64_t send(const wire::CallRequest&, base::Duration, std::function<void(node::BackendAnswer)> _done) override
+		{
+			if (0 == ++m_last % 2)
+			{
+				m_scheduler.schedule(
+					base::milliseconds(1),
+					[_done]
+					{
+						_done({node::BackendOutcome::kCompleted, false, 200, {}, std::string(5000, 'x')});
+					});
+			}
+			return m_last;
 		}
 
 		void cancel(uint64_t) override
@@ -290,6 +330,7 @@
 		}
 
 	private:
+		base::Scheduler& m_scheduler;
 		uint64_t m_last = 0;
 	};
 
@@ -306,6 +347,11 @@
 		m_endpoint = std::make_unique<node::EndpointCalls>(endpoint, m_process, m_calls, m_backEnd, nullptr);
 		m_endpoint->useQuarantine(m_quarantine.get(), nullptr);
 		m_endpoint->useIncarnation("i-1", 9);
+		wire::Hello caller;
+		caller.role = wire::Role::NODE;
+		caller.id = "other";
+		caller.takesAnswerPieces = true;
+		m_endpoint->onOpen(5, caller);
 		node::ControlOptions control;
 		control.nodeId = "node";
 		control.zone = "zone";
@@ -358,7 +404,7 @@
 	RecordingNetwork m_calls;
 	RecordingNetwork m_control;
 	RecordingNetwork m_relayNetwork;
-	idle_back_end m_backEnd;
+	half_idle_back_end m_backEnd{m_process};
 	std::unique_ptr<quarantine::request_quarantine> m_quarantine;
 	std::unique_ptr<node::EntryCalls> m_entry;
 	std::unique_ptr<node::EndpointCalls> m_endpoint;
--- a/test/node/endpoint_calls_answer_pieces_test.cc
+++ b/test/node/endpoint_calls_answer_pieces_test.cc
@@ -195,6 +195,23 @@
   CHECK(network.all<wire::CallAnswerPiece>().empty());
 }
 
+// Guards against refusals for a link that the answers don't cross: the transport opens both ends of a connection within
+// the process, and calls arrive on the one that is opened first.
+TEST_CASE_METHOD(PiecesFixture, "calls of this node's own callers are not refused, whichever end is opened last") {
+  wire::Hello own;
+  own.id = "node";
+  own.takesAnswerPieces = true;
+  calls->onOpen(kOwn + 1, own);
+  const bool largeAnswer = GENERATE(true, false);
+  for (int i = 0; i < 100; ++i) {
+    (void)request(kOwn, kLargePath, largeAnswer);
+    runFor(10);
+  }
+  runFor(1000);
+  CHECK(calls->counters().refusedForAnswer == 0);
+  CHECK(calls->counters().completed == 100);
+}
+
 // Guards against head-of-line blocking of small answers, against a link that stands idle, and against answers that cost
 // a run and a transfer and are late.
 TEST_CASE_METHOD(PiecesFixture,
--- a/test/overload/response_scheduler_test.cc
+++ b/test/overload/response_scheduler_test.cc
@@ -167,6 +167,18 @@
 	CHECK(0 == scheduler.size());
 }
 
+// Guards against a response that is taken for stalled since its socket was not looked at while nothing was queued.
+TEST_CASE_METHOD(link_fixture, "a socket that was not looked at for long is not taken for stalled")
+{
+	add(1, 1, 500);
+	run(70);
+	nowMs += 1000;
+	queued = 20'000;  // of other messages
+	scheduler.onSocketBytes(1, 20'000, at(nowMs));
+	add(2, 1, nowMs + 500);
+	CHECK(scheduler.nextPiece(at(nowMs)));
+}
+
 TEST_CASE_METHOD(link_fixture, "credits are cumulative, and unknown ones are rejected")
 {
 	add(1, 1, 500, 1, kLarge, 10'000);
