--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -84,6 +84,7 @@
   for (const auto attemptId : lost) {
     const auto attempt = attempts_[attemptId];
     attempts_.erase(attemptId);
+    answers_.drop(attemptId);
     removeAttempt(attempt.call, attemptId);
     placement_.onEnded(attemptId, routing::attempt_end::refused);
     picker_.onDone(endpoint, base::Duration(0), true);
@@ -156,6 +157,7 @@
   call.route = route->name;
   call.repeatable = route->repeatable;
   call.targetLatencyMs = route->targetLatencyMs;
+  call.largeAnswer = route->largeAnswers;
   if (options_.deprioritizeLateCalls)
     call.waitedMs = callerWaitEstimators_[route->name].onCall(call.inbound.deadlineMs);
   call.service = routeSplits_[route->name].pick(route->shares);
@@ -301,6 +303,7 @@
   request.endpoint = target.name;
   request.priority = call->priority;
   request.targetLatencyMs = call->targetLatencyMs;
+  request.largeAnswer = call->largeAnswer;
   request.runOnce = !call->repeatable;
   request.waitedMs = call->waitedMs;
   request.suspect = suspect;
@@ -319,6 +322,7 @@
   if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
   if (const auto* grant = std::get_if<wire::CallBodyGrant>(&message)) onBodyGrant(connection, *grant);
   if (const auto* accepted = std::get_if<wire::CallAccepted>(&message)) observeAccepted(connection, *accepted);
+  if (const auto* piece = std::get_if<wire::CallAnswerPiece>(&message)) onAnswerPiece(connection, *piece);
 }
 
 void EntryCalls::onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant) {
@@ -367,6 +371,7 @@
     ++counters_.lateAnswers;
     return;
   }
+  if (gatherAnswer(response.callId, response)) return;
   const auto attempt = found->second;
   attempts_.erase(found);
   removeAttempt(attempt.call, response.callId);
@@ -544,6 +549,7 @@
     placement_.onEnded(attemptId, answer.error == ErrorCode::kDeadlineExceeded ? routing::attempt_end::refused
                                                                                : routing::attempt_end::abandoned);
     attempts_.erase(attempt);
+    answers_.drop(attemptId);
   }
   if (!call.done) {
     ++counters_.abandoned;
