--- a/src/node/endpoint_calls_reservations.cc
+++ b/src/node/endpoint_calls_reservations.cc
@@ -29,7 +29,8 @@
 }
 
 /// Applies the reservation that a returning request names. A request that can still be in time goes before new ones of
-/// its priority. One that can't goes behind all that can, and before late ones without a reservation.
+/// its priority. One that can't goes behind all that can, and before late ones without a reservation. Late requests,
+/// with or without one, wait as long as an answer is of use: it is worth part of one in time until the deadline.
 void EndpointCalls::useReservation(const CallKey& key) {
   auto& call = calls_.at(key);
   if (!loadAware()) return;
@@ -58,7 +59,7 @@
   return returns_->refusedAt && scheduler_.now() - *returns_->refusedAt < kCalm;
 }
 
-/// Lets the late requests with a reservation start once no more requests are refused that could have been in time. A
+/// Lets held late requests start once no more requests are refused that could have been in time. A
 /// slot that is free for a moment in an overload is of more use to the next of those than to a late one.
 void EndpointCalls::startHeldReturns() {
   if (refusesInTimeRequests()) return returns_->timer.start(*returns_->refusedAt + kCalm - scheduler_.now());
--- a/src/node/endpoint_returns.h
+++ b/src/node/endpoint_returns.h
@@ -18,7 +18,7 @@
   overload::reservation_book reservations;
   overload::nested_admission nested;
   std::optional<base::TimePoint> refusedAt;  ///< last refusal for capacity of a request that could have been in time
-  base::Timer timer;                         ///< runs while late requests with a reservation are held
+  base::Timer timer;                         ///< runs while late requests are held
 };
 
 }  // namespace driftlug::node
--- a/test/overload/nested_admission_test.cc
+++ b/test/overload/nested_admission_test.cc
@@ -15,7 +15,7 @@
 
 /// A node that gets an outer request every 5 ms. Each makes one nested call, which takes 50 ms; the service behind
 /// refuses those beyond a number per 100 ms at once.
-struct ring_fixture
+struct RingFixture
 {
 	/// @param[in] _outcome Of the n-th nested call within 100 ms.
 	void play(base::Duration _length, const std::function<nested_outcome(int)>& _outcome)
@@ -86,7 +86,7 @@
 }  // namespace
 
 // Guards against outer requests that take slots for work which is lost, and against a service that stays shut.
-TEST_CASE_METHOD(ring_fixture,
+TEST_CASE_METHOD(RingFixture,
 				 "a service behind that refuses all for 2 s closes the node to a few, and less than 1 s longer")
 {
 	CHECK(admittedOf(base::seconds(1), served) == 1);
@@ -101,7 +101,7 @@
 }
 
 // Guards against a share that falls too far: the service behind then has idle slots.
-TEST_CASE_METHOD(ring_fixture, "with half of the capacity behind, about half of the requests are admitted")
+TEST_CASE_METHOD(RingFixture, "with half of the capacity behind, about half of the requests are admitted")
 {
 	play(base::seconds(1), served);
 	const auto half = [](int _index)
@@ -116,7 +116,7 @@
 }
 
 // Guards against a node that refuses work because the back ends behind fail, which admission can't mend.
-TEST_CASE_METHOD(ring_fixture, "failures and refusals of back ends don't count")
+TEST_CASE_METHOD(RingFixture, "failures and refusals of back ends don't count")
 {
 	CHECK(admittedOf(base::seconds(3),
 					 [](int)
@@ -129,7 +129,7 @@
 }
 
 // Guards against a node that closes because of single refusals, which are part of normal load.
-TEST_CASE_METHOD(ring_fixture, "one refusal in twenty is tolerated")
+TEST_CASE_METHOD(RingFixture, "one refusal in twenty is tolerated")
 {
 	const auto few = [](int _index)
 	{
@@ -140,7 +140,7 @@
 }
 
 // Guards against slots that all wait for nested calls, when the service behind is slow besides refusing.
-TEST_CASE_METHOD(ring_fixture, "calls in flight are bounded by what was observed while the share is below 1")
+TEST_CASE_METHOD(RingFixture, "calls in flight are bounded by what was observed while the share is below 1")
 {
 	play(base::seconds(2), served);
 	CHECK(admission.maxInFlight() == 0);
@@ -163,7 +163,7 @@
 }
 
 // Guards against an old observation that closes the node to the first requests after a pause.
-TEST_CASE_METHOD(ring_fixture, "the share is forgotten when nothing was observed for over a second")
+TEST_CASE_METHOD(RingFixture, "the share is forgotten when nothing was observed for over a second")
 {
 	play(base::milliseconds(500), refusedForCapacity);
 	CHECK(admission.share() < 0.2);
--- a/test/overload/reservation_book_test.cc
+++ b/test/overload/reservation_book_test.cc
@@ -13,7 +13,7 @@
 constexpr base::Duration kInterval = base::milliseconds(13);
 constexpr size_t kLimit = 4;
 
-struct book_fixture
+struct BookFixture
 {
 	reservation_demand demand(int _rank = 3, base::Duration _freeIn = base::milliseconds(200),
 							  base::Duration _latestIn = base::milliseconds(500))
@@ -28,7 +28,7 @@
 }  // namespace
 
 // Guards against refused callers that all return at the same time, and against more promises than slots.
-TEST_CASE_METHOD(book_fixture, "reservations are spread over time and bounded by the limit")
+TEST_CASE_METHOD(BookFixture, "reservations are spread over time and bounded by the limit")
 {
 	std::vector<base::TimePoint> times;
 	for (size_t i = 0; i < kLimit; ++i)
@@ -48,7 +48,7 @@
 }
 
 // Guards against a time that the caller doesn't honour, since it returns earlier.
-TEST_CASE_METHOD(book_fixture, "a time beyond the latest one is not offered")
+TEST_CASE_METHOD(BookFixture, "a time beyond the latest one is not offered")
 {
 	CHECK_FALSE(book.offer(demand(3, base::milliseconds(600))));
 	CHECK(book.offer(demand(3, base::milliseconds(490))));
@@ -57,7 +57,7 @@
 }
 
 // Guards against slots that stay promised to callers that don't come back.
-TEST_CASE_METHOD(book_fixture, "a reservation that is not used within 100 ms of its time is given to others")
+TEST_CASE_METHOD(BookFixture, "a reservation that is not used within 100 ms of its time is given to others")
 {
 	const auto first = book.offer(demand());
 	for (size_t i = 1; i < kLimit; ++i)
@@ -74,7 +74,7 @@
 }
 
 // Guards against a second start by one reservation, and against callers that ignore Retry-After and go ahead of others.
-TEST_CASE_METHOD(book_fixture, "a reservation is used once, and not before its time")
+TEST_CASE_METHOD(BookFixture, "a reservation is used once, and not before its time")
 {
 	const auto offered = book.offer(demand());
 	REQUIRE(offered);
@@ -88,7 +88,7 @@
 }
 
 // Guards against a reservation of an earlier run of the node that is taken for one of this run.
-TEST_CASE_METHOD(book_fixture, "ids of another run are unknown")
+TEST_CASE_METHOD(BookFixture, "ids of another run are unknown")
 {
 	const auto offered = book.offer(demand(3, base::milliseconds(20)));
 	reservation_book later(time, 0xfedcba9876543210);
@@ -102,7 +102,7 @@
 }
 
 // Guards against urgent requests that are refused because of reservations of less urgent ones.
-TEST_CASE_METHOD(book_fixture, "reservations count for requests that they go ahead of only")
+TEST_CASE_METHOD(BookFixture, "reservations count for requests that they go ahead of only")
 {
 	REQUIRE(book.offer(demand(3)));
 	REQUIRE(book.offer(demand(5)));
