--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -1,5 +1,7 @@
 #include "node/endpoint_calls.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -22,6 +24,12 @@
 constexpr int kMaxConcurrentSuspects = 1;
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 
+/// @return the same for no two runs of a node: runs begin at different times.
+uint64_t firstReservationId(const std::string& nodeId, base::TimePoint startedAt) {
+  return XXH3_64bits_withSeed(nodeId.data(), nodeId.size(),
+                              static_cast<uint64_t>(startedAt.time_since_epoch().count()));
+}
+
 bool hasHeader(const std::vector<wire::HttpHeader>& headers, std::string_view name) {
   return std::any_of(headers.begin(), headers.end(), [&](const auto& header) { return header.name == name; });
 }
@@ -40,6 +48,8 @@
       limiter_(scheduler, options_.defaultSlots, options_.defaultQueue),
       probationLimiter_(scheduler, kMaxConcurrentSuspects, options_.defaultQueue),
       load_(scheduler),
+      returns_(std::make_unique<EndpointReturns>(scheduler, firstReservationId(options_.nodeId, scheduler.now()),
+                                                 [this] { startHeldReturns(); })),
       bodyFlowController_(options_.bodies),
       responseTransferEstimator_(options_.bodies.linkBytesPerSecond),
       answers_(options_.bodies.linkBytesPerSecond, options_.nodeId, scheduler, network),
@@ -58,6 +68,10 @@
   limiter_.addStartLimiter(&coldStartLimiter_);
   limiter_.addStartLimiter(&rateLimiter_);
   startLoadPredictions();
+  limiter_.usePromises([this](limits::Priority priority, base::TimePoint until) {
+    if (!usesReservations()) return std::ptrdiff_t{0};
+    return static_cast<std::ptrdiff_t>(returns_->reservations.ahead(static_cast<int>(priority), until));
+  });
 }
 
 EndpointCalls::~EndpointCalls() { alive_.reset(); }
@@ -113,6 +127,7 @@
 
 void EndpointCalls::useIncarnation(const std::string& endpoint, int slots) {
   if (endpoint != endpoint_) {
+    returns_->reservations.clear();
     previousEndpoint_.clear();
     advertisedRate_ = {};
     forgetLoad();
@@ -170,10 +185,13 @@
   call.nested = detectNested(connection, request);
   call.priority = priorityOf(call);
   call.latestStart = latestStartOf(call);
+  useReservation(key);
+  if (refuseForNested(key)) return;
+  if (hasNoTimeLeft(call)) return refuseForCapacity(key);
   const bool inPieces = answers_.takesPieces(connection, request);
   if (inPieces && refuseForLargeAnswer(key)) return;
   if (!inPieces && answerWouldBeLate(key)) return refuseForAnswer(key);
-  if (isTooSlowFor(call)) return refuseForPace(key);
+  if (call.reservation == 0 && isTooSlowFor(call)) return refuseForPace(key);
   if (request.bodyBytes > 0) {
     awaitBody(key);
   } else {
@@ -194,9 +212,10 @@
 void EndpointCalls::acquireSlot(const CallKey& key, bool ready) {
   const auto& call = calls_[key];
   if (exceedsAdvertisedRate(call)) return refuseForRate(key);
-  const auto ticket = limiter_.acquire(
+  const auto acquire = call.reservation != 0 ? &limits::SlotLimiter::acquireReserved : &limits::SlotLimiter::acquire;
+  const auto ticket = (limiter_.*acquire)(
       call.priority, call.latestStart, [this, key] { run(key); },
-      [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); }, ready,
+      [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); }, ready && !call.held,
       load_.serviceTimes.idOf(kindOf(call.request)));
   if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
   armExpiry();
@@ -206,10 +225,7 @@
   if (calls_[key].awaitsBody) dropBody(key, &calls_[key]);
   if (refusal == limits::SlotRefusal::kClosed) return refuse(key, closedError(), base::Duration(0));
   if (rateLimiter_.blockedUntil()) return refuseForRate(key);
-  const auto& call = calls_[key];
-  const auto expected = limiter_.expectedWait(call.priority, call.latestStart);
-  const auto wait = std::max<base::Duration>(base::milliseconds(1), expected);
-  refuse(key, ErrorCode::kOverloaded, std::max(wait, options_.overloadRetryAfter));
+  refuseForCapacity(key);
 }
 
 base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
