--- a/src/node/call_types.h
+++ b/src/node/call_types.h
@@ -1,6 +1,8 @@
 /// Types of calls shared by the entry and endpoint sides of a node.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -21,6 +23,11 @@
   return "";
 }
 
+/// @return time left until a deadline, in milliseconds; negative once it has passed.
+inline int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
+}
+
 /// A request received from a caller.
 struct InboundCall {
   std::string method;
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -15,11 +15,6 @@
 
 constexpr int kMisdirectedStatus = 421;
 constexpr int kFirstServerError = 500;
-/// A node that sent a request within this time counts as an active caller.
-constexpr base::Duration kActiveCallerWindow = base::seconds(2);
-/// Number of requests that all callers together should send for each slot that becomes free; more than one, so that no
-/// slot stays idle.
-constexpr int kRequestsPerFreeSlot = 2;
 /// Suspects that may run concurrently: with one, a crash identifies at most one suspect.
 constexpr int kMaxConcurrentSuspects = 1;
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
@@ -209,50 +204,6 @@
   network_.send(connection, wire::encodeFrame(wire::KeepAlive()));
 }
 
-void EndpointCalls::acquireSlot(const CallKey& key, bool ready) {
-  const auto& call = calls_[key];
-  if (exceedsAdvertisedRate(call)) return refuseForRate(key);
-  const auto acquire = call.reservation != 0 ? &limits::SlotLimiter::acquireReserved : &limits::SlotLimiter::acquire;
-  const auto ticket = (limiter_.*acquire)(
-      call.priority, call.latestStart, [this, key] { run(key); },
-      [this, key](limits::SlotRefusal refusal) { onSlotRefused(key, refusal); }, ready && !call.held,
-      load_.serviceTimes.idOf(kindOf(call.request)));
-  if (const auto found = calls_.find(key); found != calls_.end()) found->second.ticket = ticket;
-  armExpiry();
-}
-
-void EndpointCalls::onSlotRefused(const CallKey& key, limits::SlotRefusal refusal) {
-  if (calls_[key].awaitsBody) dropBody(key, &calls_[key]);
-  if (refusal == limits::SlotRefusal::kClosed) return refuse(key, closedError(), base::Duration(0));
-  if (rateLimiter_.blockedUntil()) return refuseForRate(key);
-  refuseForCapacity(key);
-}
-
-base::TimePoint EndpointCalls::latestStartOf(const Call& call) const {
-  const int targetMs = call.request.targetLatencyMs;
-  if (!options_.waitWithinTarget || targetMs == 0) return call.deadline;
-  // A late answer to a nested call is useful to its outer call until the deadline.
-  if (call.nested) return call.deadline - base::microsecondsOf(options_.runTimeMargin * averageRunUs(call.request));
-  const double targetUs = static_cast<double>(base::Duration(base::milliseconds(targetMs)).count());
-  const double spareUs = remainingTargetUs(call.request) - options_.runTimeMargin * averageRunUs(call.request);
-  const double waitUs = std::max(targetUs * options_.minWaitShare, spareUs);
-  return std::min(call.deadline, scheduler_.now() + base::microsecondsOf(waitUs));
-}
-
-double EndpointCalls::averageRunUs(const wire::CallRequest& request) const {
-  if (loadAware()) return static_cast<double>(predictedRun(request).value_or(base::Duration(0)).count());
-  const auto average = averageRunUs_.find(request.targetLatencyMs);
-  return average == averageRunUs_.end() ? 0 : average->second;
-}
-
-double EndpointCalls::remainingTargetUs(const wire::CallRequest& request) const {
-  return static_cast<double>(base::Duration(base::milliseconds(request.targetLatencyMs - request.waitedMs)).count());
-}
-
-bool EndpointCalls::isLate(const wire::CallRequest& request) const {
-  return request.waitedMs > 0 && remainingTargetUs(request) < averageRunUs(request);
-}
-
 void EndpointCalls::recordRunTime(const Call& call) {
   constexpr double kWeight = 0.1;
   counters_.runTimes.record(scheduler_.now() - call.startedAt);
@@ -263,60 +214,6 @@
   if (!first) average->second += kWeight * (runUs - average->second);
 }
 
-void EndpointCalls::armExpiry() {
-  auto next = limiter_.nextExpiry();
-  if (const auto suspect = probationLimiter_.nextExpiry(); suspect && (!next || *suspect < *next)) next = suspect;
-  if (const auto rateLimitedStart = limiter_.nextRateLimitedStart();
-      rateLimitedStart && (!next || *rateLimitedStart < *next))
-    next = rateLimitedStart;
-  if (!next) return expiryTimer_.stop();
-  expiryTimer_.start(std::max<base::Duration>(base::milliseconds(1), *next - scheduler_.now()));
-}
-
-bool EndpointCalls::detectNested(base::ConnectionId connection, const wire::CallRequest& request) {
-  if (!options_.nestedFirst) return false;
-  const auto service = callerServices_.find(connection);
-  if (service == callerServices_.end()) return false;
-  const auto kind = kindOf(request);
-  nestedCallDetector_.onCall(kind, service->second);
-  // Back ends call without a key, so a call of a tenant comes from an external caller.
-  return request.tenant.empty() && nestedCallDetector_.isNested(kind);
-}
-
-limits::Priority EndpointCalls::priorityOf(const Call& call) const {
-  if (call.nested) return limits::Priority::kNested;
-  const auto& request = call.request;
-  // Within a priority, the request whose target is due first goes first, whether or not it may be repeated.
-  const bool byTarget = options_.waitWithinTarget && request.targetLatencyMs > 0;
-  const auto rank = limits::priorityFor(request.priority, byTarget || isRepeatable(request));
-  return byTarget && isLate(request) ? limits::latePriority(rank) : rank;
-}
-
-bool EndpointCalls::refuseAtOnce(const CallKey& key, const wire::CallRequest& request) {
-  ErrorCode error = ErrorCode::kNone;
-  const bool named =
-      request.endpoint == endpoint_ || (!previousEndpoint_.empty() && request.endpoint == previousEndpoint_);
-  const bool otherIncarnation = options_.dynamicEndpoint && (endpoint_.empty() || !named);
-  if (options_.service.empty() || request.serviceName != options_.service) {
-    error = ErrorCode::kNoEndpoint;
-  } else if (otherIncarnation) {
-    error = endpoint_.empty() ? ErrorCode::kDraining : ErrorCode::kWrongEndpoint;
-  } else if (draining_) {
-    error = ErrorCode::kDraining;
-  } else if (evacuated_) {
-    error = ErrorCode::kZoneEvacuated;
-  } else if (!versionAcceptsCalls()) {
-    error = ErrorCode::kVersionNotReleased;
-  } else if (stale_) {
-    error = ErrorCode::kStaleRequest;
-  } else if (request.bodyBytes > static_cast<int64_t>(wire::kMaxFrameBytes)) {
-    error = ErrorCode::kFrameTooLarge;
-  }
-  if (error == ErrorCode::kNone) return false;
-  refuse(key, error, base::Duration(0));
-  return true;
-}
-
 void EndpointCalls::run(const CallKey& key) {
   auto& call = calls_[key];
   call.running = true;
@@ -407,51 +304,10 @@
   if (call.onProbation) probationLimiter_.release(scheduler_.now() - call.probationStartedAt, call.priority);
 }
 
-void EndpointCalls::refuse(const CallKey& key, ErrorCode error, base::Duration retryAfter) {
-  wire::CallResponse response;
-  if (error == ErrorCode::kOverloaded || error == ErrorCode::kBackendRateLimited) {
-    response.fullForMs = base::millisecondsOf(callerBackoff(limiter_.slotInterval(), &CallerNode::lastRequestAt));
-  }
-  refuseWith(key, error, retryAfter, std::move(response));
-}
-
-void EndpointCalls::refuseWith(const CallKey& key, ErrorCode error, base::Duration retryAfter,
-                               wire::CallResponse response) {
-  ++counters_.refused;
-  logRefusal(calls_[key], error, retryAfter);
-  releaseSlot(calls_[key]);
-  response.outcome = wire::CallOutcome::NOT_RUN;
-  response.errorCode = static_cast<int>(error);
-  response.retryAfterMs = base::millisecondsOf(retryAfter);
-  answer(key, std::move(response));
-}
-
-/// Returns the back-off for a calling node. All active callers together should send kRequestsPerFreeSlot requests per
-/// `interval`: refused requests waste bandwidth of this node's link, and those of many nodes can fill it.
-base::Duration EndpointCalls::callerBackoff(base::Duration interval, base::TimePoint CallerNode::*lastSeenAt) const {
-  const auto since = scheduler_.now() - kActiveCallerWindow;
-  const auto activeCallers = std::count_if(callerNodes_.begin(), callerNodes_.end(),
-                                           [&](const auto& item) { return item.second.*lastSeenAt >= since; });
-  return std::min(options_.maxCallerBackoff, interval * activeCallers / kRequestsPerFreeSlot);
-}
-
 std::string EndpointCalls::requestIdOf(const wire::CallRequest& request) const {
   return headerValue(request.headers, options_.requestIdHeader);
 }
 
-void EndpointCalls::logRefusal(const Call& call, ErrorCode error, base::Duration retryAfter) {
-  decisions_.write(base::LinePriority::kFailure, [&] {
-    const auto waited = std::chrono::duration_cast<base::milliseconds>(scheduler_.now() - call.arrivedAt);
-    return fmt::format(
-        "refused call={} nested={} service={} endpoint={} current={} error={} running={} waiting={} waited_ms={} "
-        "left_ms={} target_ms={} waited_before_ms={} retry_after_ms={}",
-        requestIdOf(call.request), call.nested, call.request.serviceName, call.request.endpoint, endpoint_,
-        base::errorName(error), limiter_.running(), limiter_.waiting(), waited.count(),
-        std::chrono::duration_cast<base::milliseconds>(call.deadline - scheduler_.now()).count(),
-        call.request.targetLatencyMs, call.request.waitedMs, retryAfter.count() / 1000);
-  });
-}
-
 std::string EndpointCalls::fingerprintText(const CallKey& key) { return quarantine::toText(fingerprintOfCall(key)); }
 
 void EndpointCalls::logUnknown(const CallKey& key, ErrorCode error) {
@@ -532,5 +388,4 @@
   }
   for (const auto callId : callIds) onCancel(connection, callId);
 }
-
 }  // namespace driftlug::node
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -22,22 +22,13 @@
 constexpr int kUnauthorizedStatus = 401;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kGatewayTimeoutStatus = 504;
-constexpr int kUnprocessableStatus = 422;
-constexpr int kFirstServerError = 500;
 constexpr int kDefaultRetryAfterMs = 200;
-/// Lower bound of the retry-after hint when an endpoint is about to be used again: a hint of 0 means that the time is
-/// unknown.
-constexpr int kMinRetryAfterMs = 10;
 /// Retry-after hint while this node has no routing table: it has just started, and receives one within about a second.
 constexpr int kNoTableRetryAfterMs = 1000;
 
 /// One line in 5 s: a line lists all candidates, and a node chooses some 20 times a second.
 constexpr base::DecisionLogLimits kPlacementLogLimits{1, 0.2, 5};
 
-int64_t remainingMs(base::TimePoint deadline, base::TimePoint now) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
-}
-
 LinkOptions linkOptionsOf(const EntryOptions& options) {
   auto links = options.links;
   links.nodeId = options.nodeId;
@@ -198,128 +189,6 @@
   });
 }
 
-void EntryCalls::attempt(CallId id) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  auto& call = found->second;
-  switch (quarantineStatus(&call)) {
-    case quarantine::request_status::held:
-      return finishHeld(id, base::millisecondsOf(quarantine_->retryAfter(fingerprintOfCall(&call))));
-    case quarantine::request_status::suspect:
-      return attemptOnProbation(id, &call);
-    case quarantine::request_status::clear:
-      break;
-  }
-  // Uses the current table, so that a retry does not go to an endpoint that was removed meanwhile.
-  if (call.tried.empty()) call.useTargetVersion = drawsTargetVersion(call.service);
-  const auto* reserved = reservedEndpoint(call);
-  const auto* target = reserved != nullptr ? reserved : pickEndpoint(call);
-  if (target == nullptr) {
-    links_.addExtraLinks(call.service);
-    if (!call.tried.empty()) return finish(id, call.lastFailure);
-    return finish(id, noEndpointAnswer(call));
-  }
-  send(id, &call, *target);
-  startHedgeTimer(id, &call);
-}
-
-bool EntryCalls::drawsTargetVersion(const std::string& service) {
-  const auto* versions = table_->versions(service);
-  if (versions == nullptr || !versions->running || (isFresh_ && !isFresh_())) return false;
-  const int standing = rollout::kWholePermille - versions->targetPermille;
-  const auto drawn =
-      versionSplits_[service].pick({{versions->standing, standing}, {versions->target, versions->targetPermille}});
-  return drawn == versions->target;
-}
-
-/// While a rollout runs, only the first attempt of a call may go to the target version; retries go to the standing
-/// version, which is known to work, unless that is being retired.
-const std::vector<routing::EndpointTarget>& EntryCalls::candidatesFor(const Call& call) const {
-  const auto* versions = table_->versions(call.service);
-  if (versions == nullptr || !versions->running) return links_.chosenEndpoints(call.service);
-  if (versions->retiring) return links_.chosenEndpoints(call.service, versions->target);
-  const auto& targetEndpoints = links_.chosenEndpoints(call.service, versions->target);
-  const bool first = call.useTargetVersion && call.tried.empty();
-  return first && !targetEndpoints.empty() ? targetEndpoints : links_.chosenEndpoints(call.service, versions->standing);
-}
-
-/// @return whether a call could go to another endpoint than the given one that has no known rate limit.
-bool EntryCalls::hasAlternative(const Call& call, const std::string& endpoint) {
-  const auto& endpoints = candidatesFor(call);
-  // Without any rate limit, the exact answer is not worth its cost: it matters only until the first response.
-  if (notices_.rateLimited() == 0) return endpoints.size() > call.tried.size();
-  const size_t bytes = call.inbound.body.size();
-  const auto usable =
-      picker_.usableEndpoints(endpoints, call.tried, rankOf(call), bytes > options_.inlineBodyBytes ? bytes : 0);
-  return std::any_of(usable.begin(), usable.end(), [&](const auto* other) {
-    return other->name != endpoint && picker_.isHealthy(other->name) && !notices_.rateOf(other->name);
-  });
-}
-
-/// @return the answer for a call that no endpoint may get now.
-CallAnswer EntryCalls::noEndpointAnswer(const Call& call) {
-  const auto& endpoints = candidatesFor(call);
-  const bool rateLimited = std::any_of(endpoints.begin(), endpoints.end(),
-                                       [this](const auto& endpoint) { return notices_.rateOf(endpoint.name); });
-  const auto refused = picker_.refusedFor(endpoints, rankOf(call));
-  if (rateLimited && refused) {
-    return failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kBackendRateLimited, kUnavailableStatus,
-                         std::max(kMinRetryAfterMs, base::millisecondsOf(withJitter(*refused))));
-  }
-  return failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kNoEndpoint, kUnavailableStatus,
-                       base::millisecondsOf(withJitter(options_.overloadRetryAfter)));
-}
-
-void EntryCalls::removeAttempt(CallId call, int64_t attemptId) {
-  const auto found = calls_.find(call);
-  if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
-}
-
-void EntryCalls::send(CallId id, Call* call, const routing::EndpointTarget& target, bool suspect) {
-  const auto now = scheduler_.now();
-  const auto attemptId = nextAttempt_++;
-  ++counters_.attempts;
-  call->tried.insert(target.name);
-  call->endpoint = target.name;
-  call->inFlight.push_back(attemptId);
-  const auto& link = links_.link(target.name);
-  const size_t bodyBytes = call->inbound.body.size();
-  const bool inPieces = link.takesBodyPieces && bodyBytes > options_.inlineBodyBytes;
-  attempts_[attemptId] = {id, target.name, link.connection, now, inPieces ? 0 : bodyBytes};
-  picker_.onSent(target.name);
-  observeSent(attemptId, *call);
-  links_.onSent(target.name);
-  wire::CallRequest request;
-  request.callId = attemptId;
-  request.serviceName = call->service;
-  request.method = call->inbound.method;
-  request.path = call->inbound.path;
-  request.headers = call->inbound.headers;
-  if (inPieces) {
-    request.bodyBytes = static_cast<int64_t>(bodyBytes);
-  } else {
-    request.body = call->inbound.body;
-  }
-  request.remainingMs = static_cast<int32_t>(std::max<int64_t>(1, remainingMs(call->deadline, now)));
-  request.idempotencyKey = call->idempotencyKey;
-  request.endpoint = target.name;
-  request.priority = call->priority;
-  request.targetLatencyMs = call->targetLatencyMs;
-  request.largeAnswer = call->largeAnswer;
-  request.runOnce = !call->repeatable;
-  request.waitedMs = call->waitedMs;
-  request.suspect = suspect;
-  request.tenant = call->tenant;
-  if (call->reservation && call->reservation->endpoint == target.name) request.reservationId = call->reservation->id;
-  request.hasAlternative = !suspect && hasAlternative(*call, target.name);
-  if (const auto rate = notices_.rateOf(target.name)) request.__set_knownRatePerS(*rate);
-  const auto* versions = table_->versions(call->service);
-  if (versions != nullptr && versions->running) {
-    request.__set_route(static_cast<int64_t>(XXH3_64bits(call->route.data(), call->route.size())));
-  }
-  network_.send(link.connection, wire::encodeFrame(request));
-}
-
 void EntryCalls::onMessage(base::ConnectionId connection, wire::Message message) {
   links_.onMessageReceived(connection);
   if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
@@ -331,25 +200,6 @@
   if (const auto* piece = std::get_if<wire::CallAnswerPiece>(&message)) onAnswerPiece(connection, *piece);
 }
 
-void EntryCalls::onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant) {
-  const auto found = attempts_.find(grant.callId);
-  if (found == attempts_.end() || found->second.connection != connection) return;
-  auto& attempt = found->second;
-  const auto& body = calls_.at(attempt.call).inbound.body;
-  const size_t upTo = std::min(body.size(), static_cast<size_t>(std::max<int64_t>(0, grant.upToBytes)));
-  if (upTo <= attempt.bodyBytesSent) return;
-  wire::CallBodyPiece piece;
-  piece.callId = grant.callId;
-  piece.data = body.substr(attempt.bodyBytesSent, upTo - attempt.bodyBytesSent);
-  attempt.bodyBytesSent = upTo;
-  network_.send(connection, wire::encodeFrame(piece));
-}
-
-bool EntryCalls::isBodySent(const Attempt& attempt) const {
-  const auto call = calls_.find(attempt.call);
-  return call == calls_.end() || attempt.bodyBytesSent == call->second.inbound.body.size();
-}
-
 void EntryCalls::refuseWaiting() {
   stopping_ = true;
   std::vector<CallId> unsent;
@@ -371,162 +221,6 @@
   }
 }
 
-void EntryCalls::onResponse(base::ConnectionId connection, const wire::CallResponse& response) {
-  const auto found = attempts_.find(response.callId);
-  if (found == attempts_.end() || found->second.connection != connection) {
-    ++counters_.lateAnswers;
-    return;
-  }
-  if (gatherAnswer(response.callId, response)) return;
-  const auto attempt = found->second;
-  attempts_.erase(found);
-  removeAttempt(attempt.call, response.callId);
-  observeResponse(response);
-  const auto error = static_cast<ErrorCode>(response.errorCode);
-  const auto latency = scheduler_.now() - attempt.sentAt;
-  if (response.outcome == CallOutcome::COMPLETED) return onCompleted(attempt, response);
-  if (response.outcome == CallOutcome::NOT_RUN) return onNotRun(attempt, response);
-  picker_.onDone(attempt.endpoint, latency, true);
-  if (error == ErrorCode::kBackendCrashed) recordCrash(attempt, response);
-  const int status = error == ErrorCode::kDeadlineExceeded ? kGatewayTimeoutStatus : kBadGatewayStatus;
-  onAttemptFailed(attempt.call, AttemptProgress::kMayHaveRun, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
-}
-
-void EntryCalls::onCompleted(const Attempt& attempt, const wire::CallResponse& response) {
-  picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, false);
-  picker_.onLoadReport(attempt.endpoint, response.inFlight);
-  const auto notice = backpressure::readNotice(response.headers, options_.notices);
-  notices_.onResponse(attempt.endpoint, notice, attempt.sentAt);
-  if (notice.leaving) links_.markLeaving(attempt.endpoint);
-  CallAnswer answer;
-  answer.outcome = CallOutcome::COMPLETED;
-  answer.httpStatus = response.httpStatus;
-  answer.headers = response.headers;
-  answer.body = response.body;
-  const auto found = calls_.find(attempt.call);
-  if (found == calls_.end()) return;
-  auto& call = found->second;
-  const bool failed = response.httpStatus >= kFirstServerError;
-  const bool hasAlternative = !call.inFlight.empty() || (hedgingEnabledFor(&call) && pickIdleEndpoint(call) != nullptr);
-  if (!failed || !call.repeatable || !hasAlternative) return finish(attempt.call, std::move(answer));
-  onAttemptFailed(attempt.call, AttemptProgress::kMayHaveRun, std::move(answer));
-}
-
-void EntryCalls::onNotRun(const Attempt& attempt, const wire::CallResponse& response) {
-  const auto error = static_cast<ErrorCode>(response.errorCode);
-  if (error == ErrorCode::kBackendUnreachable) {
-    picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, true);
-  } else {
-    picker_.onAbandoned(attempt.endpoint);
-  }
-  onRefusedByNode(attempt, response);
-  const bool noTimeLeft = error == ErrorCode::kNoTimeLeft;
-  if (error == ErrorCode::kOverloaded || noTimeLeft || error == ErrorCode::kBackendRateLimited) {
-    picker_.onLoadReport(attempt.endpoint, response.inFlight);
-    const auto call = calls_.find(attempt.call);
-    const auto fullFor = std::max(options_.fullFor, withJitter(base::milliseconds(response.fullForMs)));
-    if (response.fullForBodies) {
-      picker_.onLargeBodyRefused(attempt.endpoint, fullFor);
-    } else if (call != calls_.end()) {
-      picker_.onRequestRefused(attempt.endpoint, rankOf(call->second), fullFor);
-    }
-  }
-  if (error == ErrorCode::kKeyReused) {
-    return finish(attempt.call, failureAnswer(CallOutcome::NOT_RUN, error, kUnprocessableStatus, 0));
-  }
-  if (error == ErrorCode::kRequestHeld) return finishHeld(attempt.call, response.retryAfterMs);
-  // The endpoint's own node is authoritative for draining, so this does not wait for an announcement by a relay.
-  const bool leaving = error == ErrorCode::kDraining || error == ErrorCode::kWrongEndpoint;
-  if (leaving) picker_.setAvailable(attempt.endpoint, false);
-  if (error == ErrorCode::kWrongEndpoint) links_.removeAnnounced(attempt.endpoint);
-  const bool reachedBackend = error == ErrorCode::kBackendRefused;
-  const int suggestedMs = response.retryAfterMs > 0 ? response.retryAfterMs : kDefaultRetryAfterMs;
-  const int retryAfterMs = noTimeLeft ? suggestedMs : base::millisecondsOf(withJitter(base::milliseconds(suggestedMs)));
-  onAttemptFailed(attempt.call, reachedBackend ? AttemptProgress::kRefusedByBackend : AttemptProgress::kBeforeBackend,
-                  failureAnswer(CallOutcome::NOT_RUN, error, kUnavailableStatus, retryAfterMs));
-}
-
-void EntryCalls::onAttemptFailed(CallId id, AttemptProgress progress, CallAnswer failure) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  auto& call = found->second;
-  // A back end's own answer is more useful to the caller than a later refusal.
-  const bool answered = call.lastFailure.outcome == CallOutcome::COMPLETED;
-  const bool rateLimited = failure.error == ErrorCode::kBackendRateLimited;
-  // The caller may return as soon as one of the endpoints that refused it has room.
-  if (rateLimited && call.lastFailure.error == ErrorCode::kBackendRateLimited)
-    failure.retryAfterMs = std::min(failure.retryAfterMs, call.lastFailure.retryAfterMs);
-  // Another endpoint had no room, but could still answer before the deadline.
-  const bool othersHaveTime =
-      failure.error == ErrorCode::kNoTimeLeft && call.lastFailure.error == ErrorCode::kOverloaded;
-  if ((!answered && !othersHaveTime) || failure.outcome == CallOutcome::COMPLETED)
-    call.lastFailure = std::move(failure);
-  call.mayHaveRun = call.mayHaveRun || progress == AttemptProgress::kMayHaveRun;
-  const bool atBackend = progress != AttemptProgress::kBeforeBackend;
-  if (atBackend) {
-    ++call.attempts;
-  } else if (!rateLimited) {
-    // Refusals by rate limits are not counted: the other endpoints are tried before the caller is refused.
-    ++call.refusals;
-  }
-  if (!call.inFlight.empty()) return;  // the other attempt of a hedged call decides the outcome
-  const bool mayRepeat = progress != AttemptProgress::kMayHaveRun || call.repeatable;
-  const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
-  const bool allowed = options_.retries && !stopping_ && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
-  if (!allowed) {
-    logAttemptFailed(&call, progress, false, stopping_ ? "stopping" : mayRepeat ? "attempts_used" : "may_have_run");
-    return finish(id, call.lastFailure);
-  }
-  // A retry after a refusal by a node costs no back end any work, so it is not charged to the budget.
-  if (atBackend && !retryBudgets_[call.service].spend()) {
-    ++counters_.budgetDenials;
-    logAttemptFailed(&call, progress, false, "budget_spent");
-    return finish(id, call.lastFailure);
-  }
-  ++counters_.retries;
-  logAttemptFailed(&call, progress, true, "allowed");
-  attempt(id);
-}
-
-std::string EntryCalls::requestIdOf(const Call& call) const {
-  return options_.requestIdHeader.empty() ? "" : headerValue(call.inbound.headers, options_.requestIdHeader);
-}
-
-std::string EntryCalls::fingerprintText(Call* call) { return quarantine::toText(fingerprintOfCall(call)); }
-
-void EntryCalls::logAttemptFailed(Call* failed, AttemptProgress progress, bool willRetry, const char* reason) {
-  decisionLog_.write(base::LinePriority::kFailure, [&] {
-    const auto& call = *failed;
-    const char* reached = progress == AttemptProgress::kBeforeBackend ? "node"
-                          : progress == AttemptProgress::kMayHaveRun  ? "may_have_run"
-                                                                      : "refused";
-    return fmt::format(
-        "attempt call={} request={} route={} service={} endpoint={} error={} reached={} attempts={} refusals={} "
-        "repeatable={} again={} because={} table={}",
-        requestIdOf(call), fingerprintText(failed), call.route, call.service, call.endpoint,
-        base::errorName(call.lastFailure.error), reached, call.attempts, call.refusals, call.repeatable, willRetry,
-        reason, call.table ? call.table->revision() : 0);
-  });
-}
-
-void EntryCalls::logOutcome(Call* finished, const CallAnswer& answer) {
-  const bool completed = answer.outcome == CallOutcome::COMPLETED;
-  const auto linePriority = completed ? base::LinePriority::kRoutine : base::LinePriority::kFailure;
-  decisionLog_.write(linePriority, [&] {
-    const auto& call = *finished;
-    const char* outcome = completed ? "completed" : answer.outcome == CallOutcome::NOT_RUN ? "not_run" : "unknown";
-    const auto now = scheduler_.now();
-    return fmt::format(
-        "outcome call={} {} {}{} route={} tenant={} service={} endpoint={} outcome={} status={} error={} "
-        "attempts={} refusals={} waited_before_ms={} elapsed_ms={} left_ms={} retry_after_ms={} table={}{}",
-        requestIdOf(call), call.inbound.method, call.inbound.host, call.inbound.path, call.route, call.tenant,
-        call.service, call.endpoint, outcome, answer.httpStatus, base::errorName(answer.error), call.attempts,
-        call.refusals, call.waitedMs, remainingMs(now, call.startedAt), remainingMs(call.deadline, now),
-        answer.retryAfterMs, call.table ? call.table->revision() : 0,
-        completed ? "" : " request=" + fingerprintText(finished));
-  });
-}
-
 void EntryCalls::onDeadline(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
@@ -599,5 +293,4 @@
   answer.retryAfterMs = retryAfterMs;
   return answer;
 }
-
 }  // namespace driftlug::node
