Quota: deferral after an election is bounded by the backlog that is left

Cause: for 5 s after an election, demands were deferred for up to 1.5 s and the time of the burst. Ruled out: lost messages; other tenants were answered in time.

--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -114,6 +114,8 @@
   RaftRole role() const { return role_; }
   const std::string& id() const { return id_; }
   const std::string& leaderId() const { return leaderId_; }
+  /// @return time since the last message of a leader, as far as this process received any
+  base::Duration sinceLeaderContact() const { return scheduler_.now() - lastLeaderContact_; }
   int64_t term() const { return hardState_.term; }
   int64_t commitIndex() const { return commitIndex_; }
   int64_t appliedIndex() const { return appliedIndex_; }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -356,7 +356,7 @@
   announcedTerm_ = false;
   lastActive_.clear();
   rollouts_.onLeadership();
-  quotas_.reset();
+  quotas_.reset(raft_->sinceLeaderContact());
   if (role == RaftRole::kLeader) return;
   // Pending additions must not be resumed when this controller becomes leader again.
   pendingAdditions_.clear();
--- a/src/quota/quota_grantor.cc
+++ b/src/quota/quota_grantor.cc
@@ -15,14 +15,18 @@
 /// tenant at 0.6 of its rate has worked off the backlog of an election of 1.5 s after 2.25 s, and saved up a burst of
 /// one second of its rate 2.5 s later.
 constexpr base::Duration kDeferralPeriod = base::seconds(5);
+/// Share of its rate that a tenant is taken to send while it is below its limit.
+constexpr double kUsualShare = 0.6;
+/// Requests that a tenant below its limit may send at once beyond its usual rate, and an upper bound of the time in
+/// which tokens come for them.
+constexpr double kUnevenRequests = 6;
+constexpr double kMaxUnevenTimeS = 1;
 /// What the batch intervals of node and relay and the way back take of the time that a request can wait.
 constexpr base::Duration kDeliveryMargin = base::milliseconds(50);
 /// An asker that is alive asks again when its places are due; its requests are repeated every 200 ms.
 constexpr base::Duration kForgetAfter = base::milliseconds(500);
 /// Bounds memory and the work for a demand; two seconds of a tenant with 2,000 requests a second.
 constexpr size_t kMaxPlaces = 4096;
-/// Few callers can wait longer for a permit.
-constexpr double kMaxBurstTimeS = 5;
 /// Demands beyond these values are invalid.
 constexpr int kMaxCount = 1'000'000;
 constexpr int kMaxWaitMs = 3'600'000;
@@ -38,27 +42,21 @@
 	return std::chrono::ceil<base::milliseconds>(std::chrono::duration<double>(std::min(1 / _limit.ratePerS, kDayS)));
 }
 
-/// A tenant within its limit has at most the backlog of an election and a burst. What is further behind is over the
-/// limit, and is not left waiting.
-base::Duration longestDeferral(const quota_limit& _limit)
-{
-	const auto burstTime = std::chrono::duration<double>(std::min(_limit.burst / _limit.ratePerS, kMaxBurstTimeS));
-	return kMaxElection + std::chrono::ceil<base::Duration>(burstTime);
-}
-
 }  // namespace
 
 quota_grantor::quota_grantor(base::Scheduler& _time, limit_lookup _limitOf)
 	: m_time(_time)
 	, m_limitOf(std::move(_limitOf))
 	, m_startedAt(_time.now())
+	, m_outage(kMaxElection)
 	, m_decisions("quota", _time)
 {
 }
 
-void quota_grantor::reset()
+void quota_grantor::reset(base::Duration _outage)
 {
 	m_startedAt = m_time.now();
+	m_outage = std::clamp<base::Duration>(_outage, base::Duration(0), kMaxElection);
 	m_tenants.clear();
 	m_lastAskAt.clear();
 }
@@ -92,7 +90,7 @@
 wire::QuotaGrant quota_grantor::decide(asker _asker, const wire::QuotaAsk& _request)
 {
 	const auto now = m_time.now();
-	const auto arrivedSince = m_lastAskAt.try_emplace(_asker, now - kMaxElection).first->second;
+	const auto arrivedSince = m_lastAskAt.try_emplace(_asker, now - m_outage).first->second;
 	m_lastAskAt[_asker] = now;
 	wire::QuotaGrant grant;
 	for (const auto& demand : _request.demands)
@@ -180,6 +178,19 @@
 	return !_state.wasFull && base::Duration(0) < _maxWait && m_time.now() - m_startedAt < kDeferralPeriod;
 }
 
+/// @returns How long a demand may be deferred now.
+///
+/// The backlog of a tenant below its limit shrinks steadily after an election. One that grows beyond it is over the
+/// limit: if it were left waiting, all requests of the tenant would wait behind it and be late, also those that the
+/// limit allows.
+base::Duration quota_grantor::longestDeferral(const quota_limit& _limit) const
+{
+	const auto leading = m_time.now() - m_startedAt;
+	const auto backlog = std::chrono::duration<double>(m_outage * kUsualShare - leading * (1 - kUsualShare));
+	const auto uneven = std::min(kUnevenRequests / _limit.ratePerS, kMaxUnevenTimeS);
+	return std::chrono::ceil<base::Duration>(std::chrono::duration<double>(std::max(0.0, backlog.count()) + uneven));
+}
+
 void quota_grantor::forgetSilentAskers(tenant_state* _state) const
 {
 	const auto now = m_time.now();
--- a/src/quota/quota_grantor.h
+++ b/src/quota/quota_grantor.h
@@ -43,7 +43,8 @@
 	quota_grantor(base::Scheduler& _time, limit_lookup _limitOf);
 
 	/// Resets all buckets to empty and forgets deferred demands; called when the controller becomes leader.
-	void reset();
+	/// @param[in] _outage Time since the previous leader was last heard of, in which demands may have queued up.
+	void reset(base::Duration _outage);
 
 	/// @returns One decision for each valid demand.
 	wire::QuotaGrant decide(asker _asker, const wire::QuotaAsk& _request);
@@ -93,11 +94,13 @@
 						  wire::QuotaDecision* _decision) const;
 	void setRetryTimes(tenant_state* _state, const quota_limit& _limit, base::Duration _maxWait,
 					   wire::QuotaDecision* _decision) const;
+	base::Duration longestDeferral(const quota_limit& _limit) const;
 	bool mayDefer(const tenant_state& _state, base::Duration _maxWait) const;
 
 	base::Scheduler& m_time;
 	limit_lookup m_limitOf;
 	base::TimePoint m_startedAt{};
+	base::Duration m_outage;  //!< Before m_startedAt.
 	std::map<std::string, tenant_state> m_tenants;
 	std::map<asker, base::TimePoint> m_lastAskAt;
 	grantor_counters m_counters;
--- a/test/quota/quota_election_test.cc
+++ b/test/quota/quota_election_test.cc
@@ -1,5 +1,7 @@
 /// Quota permits over elections: deferral by a new leader, repeated messages and the times that refused requests get.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "quota_fleet.h"
 
@@ -47,6 +49,31 @@
   CHECK(most <= kMostInSpan);
 }
 
+// Guards against a standing queue of deferred demands: with one, all requests of a tenant that exceeds its limit soon
+// after an election wait for over half a second, also those that the limit allows.
+TEST_CASE("a tenant that exceeds its limit after an election is granted its limit without a standing queue") {
+  Fleet fleet(1);
+  fleet.setPermitWait(base::milliseconds(1200));
+  fleet.runFor(base::seconds(1));
+  fleet.send(0.6 * kRatePerS, base::seconds(6));
+  fleet.endLeader();
+  fleet.send(0.6 * kRatePerS, base::milliseconds(450));
+  fleet.newLeader();
+  fleet.send(0.6 * kRatePerS, base::milliseconds(700));
+  fleet.send(9 * kRatePerS, base::milliseconds(1800));
+  const auto before = static_cast<std::ptrdiff_t>(fleet.of("tenant").waits.size());
+  const auto grantedBefore = fleet.granted();
+  fleet.send(9 * kRatePerS, base::seconds(4));
+  const auto& waits = fleet.of("tenant").waits;
+  std::vector<base::Duration> later(waits.begin() + before, waits.end());
+  std::sort(later.begin(), later.end());
+  REQUIRE(!later.empty());
+  // A lookup runs for 270 ms of its target of 500 ms on average; permits may take half of the rest.
+  CHECK(later[later.size() / 2] <= base::milliseconds(115));
+  CHECK(fleet.granted() - grantedBefore >= static_cast<int64_t>(0.9 * 4 * kRatePerS));
+  CHECK(fleet.maxGrantedWithin(kSpan) <= kMostInSpan);
+}
+
 // Guards against a limit that is exceeded after leaders were killed, frozen or restarted, or relays were cut off.
 TEST_CASE("no span holds more than the limit over cuts and frozen, killed and restarted leaders") {
   size_t most = 0;
