--- a/src/node/endpoint_calls_answers.cc
+++ b/src/node/endpoint_calls_answers.cc
@@ -53,7 +53,7 @@
 }
 
 void AnswerSender::onCredit(base::ConnectionId connection, const wire::CallAnswerCredit& credit) {
-  // Credits for answers that were dropped a moment ago are not told from others without a queued answer.
+  // Credits for answers that were just dropped can't be distinguished from others without a queued answer.
   if (credit.upToBytes < 0 || !queue_.credit({connection, credit.callId}, credit.upToBytes, scheduler_.now())) {
     ++counters_.invalidCredits;
     return;
--- a/src/overload/nested_admission.h
+++ b/src/overload/nested_admission.h
@@ -9,12 +9,12 @@
 
 namespace driftlug::overload
 {
-/// How a nested call ended, as far as it tells about the capacity of the service that it went to.
+/// How a nested call ended, as evidence of the capacity of the service that it went to.
 enum class nested_outcome
 {
 	served,
 	refused_for_capacity,  //!< Refused by a node, not by a back end.
-	other,                 //!< Failed, abandoned, or refused for another reason; tells nothing about capacity.
+	other,                 //!< Failed, abandoned, or refused for another reason; no evidence of capacity.
 };
 
 /// Decides which share of the outer requests goes on to the back end.
--- a/src/overload/reported_load.h
+++ b/src/overload/reported_load.h
@@ -34,7 +34,7 @@
 	/// @returns Whether it counts; false if it is older than one that was counted, or belongs to an earlier start.
 	bool onReport(const load_report& _report, base::TimePoint _sentAt, base::TimePoint _now);
 
-	/// Forgets all reports, since the back end has started anew. Reports of requests sent before now don't count.
+	/// Forgets all reports, since the back end has restarted. Reports of requests sent before now don't count.
 	void reset(base::TimePoint _now);
 
 	/// @returns The report counted last; nullopt if there is none or it is stale.
--- a/src/quota/quota_grantor.cc
+++ b/src/quota/quota_grantor.cc
@@ -298,9 +298,8 @@
 	return result;
 }
 
-/// Each denied request is told the time at which the bucket will have a token for it, behind the places and behind
-/// those that were told a time before. A time that its caller can't wait for is not kept from later requests; such
-/// times have a sequence of their own.
+/// Each denied request gets the time at which the bucket will have a token for it, after the deferred permits and the
+/// times given before. A time that its caller can't wait for is not reserved; such times have a sequence of their own.
 void quota_grantor::setRetryTimes(tenant_state* _state, const quota_limit& _limit, base::Duration _maxWait,
 								  wire::QuotaDecision* _decision) const
 {
--- a/src/quota/quota_grantor.h
+++ b/src/quota/quota_grantor.h
@@ -43,7 +43,7 @@
 	quota_grantor(base::Scheduler& _time, limit_lookup _limitOf);
 
 	/// Resets all buckets to empty and forgets deferred demands; called when the controller becomes leader.
-	/// @param[in] _outage Time since the previous leader was last heard of, in which demands may have queued up.
+	/// @param[in] _outage Time since the last message of the previous leader, in which demands may have queued up.
 	void reset(base::Duration _outage);
 
 	/// @returns One decision for each valid demand.
@@ -75,8 +75,8 @@
 		bool wasFull;               //!< Since then, the bucket holds no less than one that outlived all elections.
 		std::vector<place> places;  //!< By arrival.
 		std::map<asker, base::TimePoint> forgottenAt;  //!< When the places of an asker are forgotten.
-		base::TimePoint lastRetryAt;                   //!< Latest time that a denied request was told and can wait for.
-		base::TimePoint lastFarRetryAt;                //!< Latest time that a denied request was told.
+		base::TimePoint lastRetryAt;                   //!< Latest retry time given to a request that can wait for it.
+		base::TimePoint lastFarRetryAt;                //!< Latest retry time given to any request.
 	};
 
 	/// Deferred permits after a decision.
