An attempt that ends by an invalid head of an answer ends for the placement too

Cause: placement and answers in pieces were built apart; the path of an invalid head ended the attempt without the placement, which counted it as outstanding for good and took the endpoint for cut off. Seen by reading the whole change. Ruled out: the other ends of attempts (lost link, response, end of the call) reach the placement. Change: endFailedAttempt() for this path and for lost links; onLinkLost() no longer takes the name that each attempt has.

--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -48,7 +48,7 @@
       placement_(picker_, scheduler, base::RandomSource(XXH3_64bits(options_.nodeId.data(), options_.nodeId.size()))),
       links_(
           linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
-          [this](base::ConnectionId connection, const std::string& endpoint) { onLinkLost(connection, endpoint); },
+          [this](base::ConnectionId connection, const std::string&) { onLinkLost(connection); },
           [this](base::ConnectionId connection, const std::string&) { onLinkSilent(connection); }),
       notices_(scheduler),
       decisionLog_("entry", scheduler),
@@ -67,18 +67,13 @@
 
 void EntryCalls::onClose(base::ConnectionId connection) { links_.onClose(connection); }
 
-void EntryCalls::onLinkLost(base::ConnectionId connection, const std::string& endpoint) {
+void EntryCalls::onLinkLost(base::ConnectionId connection) {
   std::vector<int64_t> lost;
   for (const auto& [attemptId, attempt] : attempts_) {
     if (attempt.connection == connection) lost.push_back(attemptId);
   }
   for (const auto attemptId : lost) {
-    const auto attempt = attempts_[attemptId];
-    attempts_.erase(attemptId);
-    answers_.drop(attemptId);
-    removeAttempt(attempt.call, attemptId);
-    placement_.onEnded(attemptId, routing::attempt_end::refused);
-    picker_.onDone(endpoint, base::Duration(0), true);
+    const auto attempt = endFailedAttempt(attemptId);
     if (!isBodySent(attempt)) {
       onAttemptFailed(attempt.call, AttemptProgress::kBeforeBackend,
                       failureAnswer(CallOutcome::NOT_RUN, ErrorCode::kConnectionLost, kUnavailableStatus,
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -217,7 +217,7 @@
   void requestPermit(CallId id, const std::string& tenant);
   void onPermit(CallId id, const quota::permit_outcome& outcome);
   void finishLater(CallId id, CallAnswer answer);
-  void onLinkLost(base::ConnectionId connection, const std::string& endpoint);
+  void onLinkLost(base::ConnectionId connection);
   void onLinkSilent(base::ConnectionId connection);
   void sendHedge(CallId id, const char* reason);
   void attempt(CallId id);
@@ -256,6 +256,7 @@
   double effectiveHedgeAfterShare() const;
   bool mayHedge(Call* call);
   void onCompleted(const Attempt& attempt, const wire::CallResponse& response);
+  Attempt endFailedAttempt(int64_t attemptId);
   void removeAttempt(CallId call, int64_t attemptId);
   void onNotRun(const Attempt& attempt, const wire::CallResponse& response);
   void onAttemptFailed(CallId id, AttemptProgress progress, CallAnswer failure);
--- a/src/node/entry_calls_answers.cc
+++ b/src/node/entry_calls_answers.cc
@@ -51,10 +51,7 @@
     return true;
   }
   ++answers_.counters().invalidHeads;
-  const auto attempt = attempts_.at(attemptId);
-  attempts_.erase(attemptId);
-  removeAttempt(attempt.call, attemptId);
-  picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, true);
+  const auto attempt = endFailedAttempt(attemptId);
   wire::CallCancel cancel;
   cancel.callId = attemptId;
   network_.send(attempt.connection, wire::encodeFrame(cancel));
--- a/src/node/entry_calls_attempts.cc
+++ b/src/node/entry_calls_attempts.cc
@@ -92,6 +92,16 @@
                        base::millisecondsOf(withJitter(options_.overloadRetryAfter)));
 }
 
+/// Ends an attempt in progress that failed because of its endpoint or the link to it.
+EntryCalls::Attempt EntryCalls::endFailedAttempt(int64_t attemptId) {
+  const auto attempt = attempts_.extract(attemptId).mapped();
+  answers_.drop(attemptId);
+  removeAttempt(attempt.call, attemptId);
+  placement_.onEnded(attemptId, routing::attempt_end::refused);
+  picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, true);
+  return attempt;
+}
+
 void EntryCalls::removeAttempt(CallId call, int64_t attemptId) {
   const auto found = calls_.find(call);
   if (found != calls_.end()) std::erase(found->second.inFlight, attemptId);
--- a/test/node/entry_calls_placement_test.cc
+++ b/test/node/entry_calls_placement_test.cc
@@ -24,6 +24,16 @@
     entry->onMessage(connection, accepted);
   }
 
+  void answerLast(int bodyBytes = 0) {
+    wire::CallResponse response;
+    response.callId = lastCallId();
+    response.outcome = CallOutcome::COMPLETED;
+    response.httpStatus = 200;
+    response.bodyBytes = bodyBytes;
+    response.__set_load(load(0));
+    entry->onMessage(lastRequest().connection, response);
+  }
+
   int64_t lastCallId() { return std::get<wire::CallRequest>(lastRequest().message).callId; }
 };
 
@@ -64,4 +74,17 @@
   CHECK(requestedEndpoints().back() == "far");
 }
 
+// Guards against an attempt that the placement counts as outstanding for good: its endpoint would look cut off.
+TEST_CASE_METHOD(PlacementFixture, "an endpoint whose answer announced an impossible size is used again later") {
+  call("/safe/1");
+  CHECK(requestedEndpoints().back() == "near");
+  answerLast(-1);
+  answerLast();  // the retry, at the other endpoint
+  runFor(base::seconds(60));
+  call("/safe/2");
+  answerLast();
+  call("/safe/3");
+  CHECK(requestedEndpoints().back() == "near");
+}
+
 }  // namespace driftlug::node
