One place for HTTP statuses, queueing of tickets and passing on of quota outcomes

Cause: the split of the call files left constants of statuses in up to four copies; acquireReserved() repeated the start and the queueing of acquire(); the relay and its stand-in in the tests built the same decision by hand. Change: node/http_status.h, SlotLimiter::startAtOnce() and enqueue(), quota::decisionOf(), which the stand-in calls too. Unused includes, a lost blank line and some comments of tests. Behaviour and checks are unchanged.

--- a/src/limits/slot_limiter.cc
+++ b/src/limits/slot_limiter.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <queue>
+#include <utility>
 #include <vector>
 
 namespace driftlug::limits {
@@ -195,14 +196,23 @@
   return true;
 }
 
+bool SlotLimiter::startAtOnce(Priority priority, const Start& start, bool ready) {
+  if (!ready || !mayStart() || !waiting_.empty()) return false;
+  admit(priority);
+  start();
+  return true;
+}
+
+void SlotLimiter::enqueue(const QueueKey& key, Request request) {
+  ++counters_.queued;
+  waiting_[key] = std::move(request);
+  startWaiting();
+}
+
 TicketId SlotLimiter::acquire(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse, bool ready,
                               HoldKind kind) {
   const auto ticket = nextTicket_++;
-  if (ready && mayStart() && waiting_.empty()) {
-    admit(priority);
-    start();
-    return ticket;
-  }
+  if (startAtOnce(priority, start, ready)) return ticket;
   if (priority != Priority::kMustRun && time_.now() + expectedWait(priority, latestStart) >= latestStart) {
     ++counters_.refusedLate;
     refuse(SlotRefusal::kWouldBeLate);
@@ -214,23 +224,15 @@
     refuse(SlotRefusal::kQueueFull);
     return ticket;
   }
-  ++counters_.queued;
-  waiting_[{priority, latestStart, ticket}] = {std::move(start), std::move(refuse), ready, kind};
-  startWaiting();
+  enqueue({priority, latestStart, ticket}, {std::move(start), std::move(refuse), ready, kind});
   return ticket;
 }
 
 TicketId SlotLimiter::acquireReserved(Priority priority, base::TimePoint latestStart, Start start, Refuse refuse,
                                       bool ready, HoldKind kind) {
   const auto ticket = nextTicket_++;
-  if (ready && mayStart() && waiting_.empty()) {
-    admit(priority);
-    start();
-    return ticket;
-  }
-  ++counters_.queued;
-  waiting_[{priority, latestStart, ticket}] = {std::move(start), std::move(refuse), ready, kind, true};
-  startWaiting();
+  if (startAtOnce(priority, start, ready)) return ticket;
+  enqueue({priority, latestStart, ticket}, {std::move(start), std::move(refuse), ready, kind, true});
   return ticket;
 }
 
--- a/src/limits/slot_limiter.h
+++ b/src/limits/slot_limiter.h
@@ -167,6 +167,8 @@
   void refuseLate(const std::function<base::TimePoint(std::ptrdiff_t ahead)>& earliestStart);
   base::Duration rateLimitWait(std::ptrdiff_t ahead) const;
   base::Duration predictedSlotWait(const QueueKey& own) const;
+  bool startAtOnce(Priority priority, const Start& start, bool ready);
+  void enqueue(const QueueKey& key, Request request);
   Waiting::iterator nextToStart();
   void admit(Priority priority);
   bool displaceFor(Priority priority);
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "node/call_fingerprint.h"
+#include "node/http_status.h"
 #include "wire/frame.h"
 
 namespace driftlug::node {
@@ -13,13 +13,11 @@
 
 using base::ErrorCode;
 
-constexpr int kMisdirectedStatus = 421;
-constexpr int kFirstServerError = 500;
 /// Suspects that may run concurrently: with one, a crash identifies at most one suspect.
 constexpr int kMaxConcurrentSuspects = 1;
 constexpr base::Duration kShedRetryAfter = base::milliseconds(100);
 
-/// @return the same for no two runs of a node: runs begin at different times.
+/// @return a number that differs between the runs of a node, which begin at different times.
 uint64_t firstReservationId(const std::string& nodeId, base::TimePoint startedAt) {
   return XXH3_64bits_withSeed(nodeId.data(), nodeId.size(),
                               static_cast<uint64_t>(startedAt.time_since_epoch().count()));
@@ -388,4 +386,5 @@
   }
   for (const auto callId : callIds) onCancel(connection, callId);
 }
+
 }  // namespace driftlug::node
--- a/src/node/endpoint_calls_answers.cc
+++ b/src/node/endpoint_calls_answers.cc
@@ -134,11 +134,10 @@
 
 /// @return the answer that a call is expected to lead to.
 overload::expected_response EndpointCalls::expectedAnswer(const Call& call) const {
-  const auto runTime = base::microsecondsOf(averageRunUs(call.request));
   const auto startsAt =
       call.running ? call.startedAt : scheduler_.now() + limiter_.expectedWait(call.priority, call.latestStart);
   return {answers_.expectedBytes(kindOf(call.request)), static_cast<int>(call.priority), answerTarget(call),
-          startsAt + runTime};
+          startsAt + expectedRun(call)};
 }
 
 /// Refuses a call whose large answer could not be sent in time.
--- a/src/node/endpoint_calls_notices.cc
+++ b/src/node/endpoint_calls_notices.cc
@@ -2,14 +2,13 @@
 #include <algorithm>
 
 #include "node/endpoint_calls.h"
+#include "node/http_status.h"
 
 namespace driftlug::node {
 namespace {
 
 using base::ErrorCode;
 
-constexpr int kMisdirectedStatus = 421;
-
 std::string rateText(std::optional<double> ratePerS) { return ratePerS ? fmt::format("{:g}", *ratePerS) : "none"; }
 
 }  // namespace
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "node/call_fingerprint.h"
+#include "node/http_status.h"
 #include "table/validator.h"
 #include "wire/frame.h"
 
@@ -17,12 +17,6 @@
 using wire::CallOutcome;
 
 constexpr char kIdempotencyHeader[] = "idempotency-key";
-constexpr int kUnavailableStatus = 503;
-constexpr int kNotFoundStatus = 404;
-constexpr int kUnauthorizedStatus = 401;
-constexpr int kBadGatewayStatus = 502;
-constexpr int kGatewayTimeoutStatus = 504;
-constexpr int kDefaultRetryAfterMs = 200;
 /// Retry-after hint while this node has no routing table: it has just started, and receives one within about a second.
 constexpr int kNoTableRetryAfterMs = 1000;
 
@@ -288,4 +282,5 @@
   answer.retryAfterMs = retryAfterMs;
   return answer;
 }
+
 }  // namespace driftlug::node
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -20,7 +20,6 @@
 #include "node/entry_returns.h"
 #include "overload/caller_wait_estimator.h"
 #include "overload/nested_admission.h"
-#include "overload/reservation_book.h"
 #include "quarantine/request_quarantine.h"
 #include "quota/quota_queue.h"
 #include "retry/retry_budget.h"
@@ -170,6 +169,9 @@
   void onClose(base::ConnectionId connection) override;
 
  private:
+  /// Retry-after hint where an endpoint or the state of this node names no time.
+  static constexpr int kDefaultRetryAfterMs = 200;
+
   struct Call {
     InboundCall inbound;
     AnswerCallback done;
--- a/src/node/entry_calls_answers.cc
+++ b/src/node/entry_calls_answers.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "node/entry_calls.h"
+#include "node/http_status.h"
 #include "wire/frame.h"
 
 namespace driftlug::node {
@@ -55,7 +56,6 @@
   wire::CallCancel cancel;
   cancel.callId = attemptId;
   network_.send(attempt.connection, wire::encodeFrame(cancel));
-  constexpr int kBadGatewayStatus = 502;
   onAttemptFailed(attempt.call, AttemptProgress::kMayHaveRun,
                   failureAnswer(wire::CallOutcome::UNKNOWN, base::ErrorCode::kBadFrame, kBadGatewayStatus, 0));
   return true;
--- a/src/node/entry_calls_attempts.cc
+++ b/src/node/entry_calls_attempts.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "node/entry_calls.h"
+#include "node/http_status.h"
 #include "wire/frame.h"
 
 namespace driftlug::node {
@@ -13,7 +14,6 @@
 using base::ErrorCode;
 using wire::CallOutcome;
 
-constexpr int kUnavailableStatus = 503;
 /// Lower bound of the retry-after hint when an endpoint is about to be used again: a hint of 0 means that the time is
 /// unknown.
 constexpr int kMinRetryAfterMs = 10;
--- a/src/node/entry_calls_outcomes.cc
+++ b/src/node/entry_calls_outcomes.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/entry_calls.h"
+#include "node/http_status.h"
 
 namespace driftlug::node {
 namespace {
@@ -10,13 +11,6 @@
 using base::ErrorCode;
 using wire::CallOutcome;
 
-constexpr int kUnavailableStatus = 503;
-constexpr int kBadGatewayStatus = 502;
-constexpr int kGatewayTimeoutStatus = 504;
-constexpr int kUnprocessableStatus = 422;
-constexpr int kFirstServerError = 500;
-constexpr int kDefaultRetryAfterMs = 200;
-
 }  // namespace
 
 void EntryCalls::onResponse(base::ConnectionId connection, const wire::CallResponse& response) {
--- a/src/node/entry_calls_placement.cc
+++ b/src/node/entry_calls_placement.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "node/entry_calls.h"
+#include "node/http_status.h"
 
 namespace driftlug::node {
 namespace {
@@ -10,7 +11,6 @@
 using routing::attempt_end;
 using wire::CallOutcome;
 
-constexpr int kFirstServerError = 500;
 constexpr size_t kLoggedCandidates = 4;
 
 overload::call_kind kindOf(int priority, int targetLatencyMs, bool repeatable) {
--- a/src/node/entry_calls_quarantine.cc
+++ b/src/node/entry_calls_quarantine.cc
@@ -3,6 +3,7 @@
 
 #include "node/call_fingerprint.h"
 #include "node/entry_calls.h"
+#include "node/http_status.h"
 
 namespace driftlug::node {
 namespace {
@@ -11,7 +12,6 @@
 using quarantine::request_status;
 using wire::CallOutcome;
 
-constexpr int kUnavailableStatus = 503;
 /// A suspect request does not run on the last available endpoint of a service while the others are down, until its last
 /// crash is this long ago, which is longer than a process takes to restart. With two back ends, a request that crashes
 /// the first then leaves the second running: 0.994 of the other requests are answered in time instead of 0.945, and
--- a/src/node/entry_calls_returns.cc
+++ b/src/node/entry_calls_returns.cc
@@ -2,6 +2,8 @@
 #include <algorithm>
 
 #include "node/entry_calls.h"
+#include "node/http_status.h"
+#include "overload/reservation_book.h"
 
 namespace driftlug::node {
 namespace {
@@ -10,8 +12,6 @@
 using overload::nested_outcome;
 using wire::CallOutcome;
 
-constexpr int kFirstServerError = 500;
-
 bool isLackOfCapacity(ErrorCode error) {
   return error == ErrorCode::kOverloaded || error == ErrorCode::kNoTimeLeft || error == ErrorCode::kNoEndpoint;
 }
--- a/src/node/entry_calls_tenants.cc
+++ b/src/node/entry_calls_tenants.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/entry_calls.h"
+#include "node/http_status.h"
 
 namespace driftlug::node {
 namespace {
@@ -10,9 +11,6 @@
 using base::ErrorCode;
 using wire::CallOutcome;
 
-constexpr int kTooManyRequestsStatus = 429;
-constexpr int kUnavailableStatus = 503;
-
 }  // namespace
 
 /// Sets the call's tenant and priority by its API key, and removes the key from the call.
--- a/src/quota/quota_queue.cc
+++ b/src/quota/quota_queue.cc
@@ -15,6 +15,17 @@
 
 }  // namespace
 
+wire::QuotaDecision decisionOf(const std::string& _tenant, const permit_outcome& _outcome)
+{
+	wire::QuotaDecision decision;
+	decision.tenant = _tenant;
+	decision.granted = _outcome.granted;
+	decision.denied = _outcome.denied;
+	decision.retryAfterMs = base::millisecondsOf(_outcome.retryAfter);
+	decision.retryAfterStepMs = base::millisecondsOf(_outcome.retryAfterStep);
+	return decision;
+}
+
 quota_queue::quota_queue(base::Scheduler& _scheduler, const quota_queue_options& _options, send_request _sendRequest)
 	: m_scheduler(_scheduler)
 	, m_options(_options)
--- a/src/quota/quota_queue.h
+++ b/src/quota/quota_queue.h
@@ -26,6 +26,9 @@
 	base::Duration retryAfterStep{0};  //!< Added for each further one that was denied.
 };
 
+/// @returns The decision that passes an outcome on to the asker of the permits, without those that are unanswered.
+wire::QuotaDecision decisionOf(const std::string& _tenant, const permit_outcome& _outcome);
+
 /// Timing of a queue.
 struct quota_queue_options
 {
--- a/src/relay/relay_nodes.cc
+++ b/src/relay/relay_nodes.cc
@@ -46,14 +46,8 @@
     }
     const auto done = [this, connection, tenant = demand.tenant](const quota::permit_outcome& outcome) {
       if (outcome.granted + outcome.denied == 0) return;  // the node retries by itself
-      wire::QuotaDecision decision;
-      decision.tenant = tenant;
-      decision.granted = outcome.granted;
-      decision.denied = outcome.denied;
-      decision.retryAfterMs = base::millisecondsOf(outcome.retryAfter);
-      decision.retryAfterStepMs = base::millisecondsOf(outcome.retryAfterStep);
       wire::QuotaGrant grant;
-      grant.decisions.push_back(decision);
+      grant.decisions.push_back(quota::decisionOf(tenant, outcome));
       network_.send(connection, wire::encodeFrame(grant));
     };
     if (demand.maxWaitMs > 0) {
--- a/test/node/endpoint_calls_load_test.cc
+++ b/test/node/endpoint_calls_load_test.cc
@@ -97,7 +97,7 @@
     restart();
   }
 
-  /// Starts the node anew; its back end goes on.
+  /// Restarts the node; its back end keeps running.
   void restart() {
     calls = std::make_unique<EndpointCalls>(options, process, network, backend, nullptr);
     calls->useIncarnation("i-1", 9);
@@ -234,7 +234,7 @@
   node.load(base::seconds(2));
   CHECK(node.refusals().empty());
   node.backend.pacePercent = 250;
-  node.load(base::milliseconds(200));  // until a report tells it
+  node.load(base::milliseconds(200));  // until a report states it
   node.network.sent.clear();
   const auto slowFrom = node.lastCall;
   node.load(base::milliseconds(400));
@@ -249,7 +249,7 @@
   }
   CHECK(lookups.size() >= 2);
   CHECK(refusedCalls == lookups);
-  // The back end still has slots for other kinds, so callers are not told to stay away.
+  // The back end still has slots for other kinds, so the refusal names no back-off.
   for (const auto& answer : refused) CHECK(answer.fullForMs == 0);
   CHECK(node.calls->load().refusedForPace >= static_cast<int64_t>(lookups.size()));
   node.backend.pacePercent = 100;
--- a/test/node/entry_calls_returns_test.cc
+++ b/test/node/entry_calls_returns_test.cc
@@ -102,7 +102,7 @@
   CHECK(returns.size() < 5);
 }
 
-// Guards against a caller that waits for its deadline, or is told a time that it doesn't have.
+// Guards against a caller that waits for its deadline, or gets a retry time after its deadline.
 TEST_CASE_METHOD(EntryReturnsFixture,
                  "no_time_left is the answer only if no endpoint has time, with the exact time left") {
   call("/safe/1");
--- a/test/overload/nested_admission_test.cc
+++ b/test/overload/nested_admission_test.cc
@@ -139,7 +139,7 @@
 	CHECK(admittedOf(base::seconds(3), few) > 0.95);
 }
 
-// Guards against slots that all wait for nested calls, when the service behind is slow besides refusing.
+// Guards against slots that all wait for nested calls, when the called service is slow and refuses calls.
 TEST_CASE_METHOD(RingFixture, "calls in flight are bounded by what was observed while the share is below 1")
 {
 	play(base::seconds(2), served);
--- a/test/quota/quota_election_test.cc
+++ b/test/quota/quota_election_test.cc
@@ -186,7 +186,7 @@
     most = std::max(
         most, static_cast<size_t>(std::lower_bound(first, times.end(), *first + base::milliseconds(100)) - first));
   }
-  // In 100 ms there are 4 tokens. Beyond the 2 s that these requests can wait, times are told a second time.
+  // In 100 ms there are 4 tokens. Beyond the 2 s that these requests can wait, retry times repeat.
   INFO("most within 100 ms: " << most);
   CHECK(most <= 12);
 }
--- a/test/quota/quota_fleet.h
+++ b/test/quota/quota_fleet.h
@@ -36,7 +36,7 @@
     int64_t unanswered = 0;
     std::vector<base::TimePoint> granted;
     std::vector<base::Duration> waits;      // of granted requests
-    std::vector<base::TimePoint> returnAt;  // times that denied requests were told
+    std::vector<base::TimePoint> returnAt;  // retry times of denied requests
   };
 
   explicit Fleet(uint64_t seed, FleetOptions options = {})
@@ -217,14 +217,8 @@
   }
 
   void answerNode(int node, const std::string& tenant, const permit_outcome& outcome) {
-    wire::QuotaDecision decision;
-    decision.tenant = tenant;
-    decision.granted = outcome.granted;
-    decision.denied = outcome.denied;
-    decision.retryAfterMs = base::millisecondsOf(outcome.retryAfter);
-    decision.retryAfterStepMs = base::millisecondsOf(outcome.retryAfterStep);
     wire::QuotaGrant grant;
-    grant.decisions.push_back(decision);
+    grant.decisions.push_back(decisionOf(tenant, outcome));
     process_.schedule(options_.oneWay, [this, node, grant] { nodes_[node]->onGrant(grant); });
   }
 
