--- a/src/node/entry_calls_attempts.cc
+++ b/src/node/entry_calls_attempts.cc
@@ -94,7 +94,7 @@
 
 /// Ends an attempt in progress that failed because of its endpoint or the link to it.
 EntryCalls::Attempt EntryCalls::endFailedAttempt(int64_t attemptId) {
-  const auto attempt = attempts_.extract(attemptId).mapped();
+  auto attempt = attempts_.extract(attemptId).mapped();
   answers_.drop(attemptId);
   removeAttempt(attempt.call, attemptId);
   placement_.onEnded(attemptId, routing::attempt_end::refused);
