--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -44,7 +44,7 @@
   for (int i = 0; trouble && i < kInvalid; ++i) {
     const long begun = nowMs();
     const auto status =
-        human.order("invalid " + std::to_string(i + 1), "PUT", "/config", config(5 + 2 * i, 3, false), nowMs() + 3000).status;
+        human.order("invalid " + std::to_string(i + 1), "PUT", "/config", config(5 + 2 * i, 3, false), nowMs() + 8000).status;
     refused += status >= 400 && status < 500 ? 1 : 0;
     while (nowMs() < begun + kGapMs) {
       core.watch();
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -10,7 +10,7 @@
 constexpr long kContactMs = 3000;  // contactMs
 constexpr int kSlots = 9;
 constexpr long kUsualWorkMs = 120;  // a repro-order
-constexpr long kSlowWorkMs = 1440;  // srv_slow, x = 12
+constexpr long kSlowWorkMs = 2400;  // srv_slow, x = 20; the largest dose on the site is 12
 
 std::atomic<int> nextAttempt{1};
 std::mutex sentMutex;
