--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -5,12 +5,13 @@
 
 namespace {
 
+// Figures of uma-mesh-grown and its `vehicle-record`.
 constexpr long kBeatMs = 1500;     // heartbeatMs
 constexpr long kDrainMs = 2000;    // drainMs
 constexpr long kContactMs = 3000;  // contactMs
-constexpr int kSlots = 9;
-constexpr long kUsualWorkMs = 120;  // a repro-order
-constexpr long kSlowWorkMs = 2400;  // srv_slow, x = 20; the largest dose on the site is 12
+constexpr int kSlots = 16;
+constexpr long kUsualWorkMs = 550;
+constexpr long kSlowWorkMs = 5 * kUsualWorkMs;  // srv_slow, x = 5, share = 2 of 3 (0.4 on the site, up to twice that)
 
 std::atomic<int> nextAttempt{1};
 std::mutex sentMutex;
@@ -27,8 +28,8 @@
   }
   const auto reply = call(sidecar.outbound, "GET", "/lepu270/2f",
                           {"Host: jepu9.example", std::string("X-Driftlug-Attempt-Id: ") + id,
-                           "X-Driftlug-Deadline-Ms: 4000"},
-                          "", 5000);
+                           "X-Driftlug-Deadline-Ms: 10000"},
+                          "", 10'500);
   record.line("client: %s sent at %.3f to %s -> %d", id, static_cast<double>(sentAt) / 1000, sidecar.id.c_str(),
               reply.status);
 }
@@ -104,7 +105,7 @@
 
   Operator human(core, record);
   ConfigText config(1, 0);
-  config.route("r-n2ctnfz", "jepu9.example", "/lepu270/", "safe", {"huvo11a"}, 4000);
+  config.route("r-n2ctnfz", "jepu9.example", "/lepu270/", "safe", {"huvo11a"}, 10'000, 1500);
   config.service("huvo11a");
   if (human.order("version 1", "PUT", "/config", config.text(), 20'000).status != 200) return finish(2);
   for (const auto& sidecar : sidecars) {
@@ -121,7 +122,7 @@
   threads.emplace_back([&] {
     for (int i = 0; !stopped; ++i) {
       inBackground(sidecars[1 + i % 3 / 2]);
-      sleepMs(25);
+      sleepMs(20);
     }
   });
   const auto finishAll = [&](int result) {
@@ -136,12 +137,15 @@
     if (arrivals.empty()) return finishAll(2);
   }
 
-  // srv_slow: the upstreams turn slow, and so their slots fill.
-  for (auto& upstream : upstreams) upstream->setWorkMs(kSlowWorkMs);
-  const long fullBy = nowMs() + 5000;
-  while (upstreams[0]->running() < kSlots && nowMs() < fullBy) {
+  // srv_slow: two of the upstreams turn slow, and so slots fill.
+  upstreams[0]->setWorkMs(kSlowWorkMs);
+  upstreams[1]->setWorkMs(kSlowWorkMs);
+  // What began before that has ended then.
+  const long slowedAt = nowMs();
+  const long fullBy = slowedAt + 5000;
+  while ((upstreams[0]->running() < kSlots || nowMs() < slowedAt + kUsualWorkMs + 100) && nowMs() < fullBy) {
     inBackground(sidecars[1]);
-    sleepMs(10);
+    sleepMs(5);
   }
   record.line("%s is at work on %d requests", upstreams[0]->id().c_str(), upstreams[0]->running());
 
@@ -169,7 +173,7 @@
     record.line("the heartbeat of %s, sequence %d, arrives %.1f s late -> %d", upstreams[0]->id().c_str(),
                 lateSequence, static_cast<double>(nowMs() - leftAt) / 1000, beat(0, lateSequence));
   }
-  upstreams[0]->setWorkMs(kUsualWorkMs);  // the others stay slow, so that there is work for this one
+  upstreams[0]->setWorkMs(kUsualWorkMs);  // the other one stays slow for the rest, 9 s at most
 
   // From here on all machines are in touch: contactMs after the start of the node, with some time to spare. Only
   // requests count that a client sent after that.
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,8 +7,12 @@
 number=$1
 review/build.sh >/dev/null || exit 2
 folder=$(mktemp -d) || exit 2
+program=
 trap 'rm -rf "$folder"' EXIT
-"review/bin/case-$number" "$PWD" "$folder" "review/$number/record.txt" "${TROUBLE:-1}"
+trap '[ -z "$program" ] || kill -TERM "$program"; exit 2' TERM INT HUP
+"review/bin/case-$number" "$PWD" "$folder" "review/$number/record.txt" "${TROUBLE:-1}" &
+program=$!
+wait "$program"
 result=$?
 [ "${KEEP_LOGS:-}" = "" ] || cp "$folder"/*.log "$KEEP_LOGS"/
 [ "$result" -le 2 ] || result=2
--- a/review/standins/core.h
+++ b/review/standins/core.h
@@ -93,19 +93,29 @@
 /// silence, with a growing pause; ends at once on 400, 409, 412, 413 and 422.
 class Operator {
  public:
-  Operator(Core& core, Record& record) : core_(core), record_(record) {}
+  /// @param watches whether this operator's thread also looks after the processes of the core
+  Operator(Core& core, Record& record, bool watches = true) : core_(core), record_(record), watches_(watches) {}
+
+  /// Loses acknowledgements on their way until a time, as `ack_lost` does.
+  void loseAcksUntil(long timeMs) { loseAcksUntil_ = timeMs; }
+  /// @return how many acknowledgements the platform has lost on their way
+  int lostAcks() const { return lostAcks_; }
+  /// Ends an order early, as seen from outside.
+  void stopWhen(std::function<bool()> condition) { stop_ = std::move(condition); }
 
   /// @return the last answer; status 0 if none came until the time
   Reply order(const std::string& name, const std::string& method, const std::string& path, const std::string& body,
               long untilMs) {
     Reply reply;
-    long pauseMs = 50;
+    constexpr long kPauseGrowsByMs = 50;
+    long pauseMs = kPauseGrowsByMs;
     int others = 0;  // other 4xx
-    for (int tries = 1; nowMs() < untilMs; ++tries) {
-      core_.watch();
+    for (int tries = 1; nowMs() < untilMs && !(stop_ && stop_()); ++tries) {
+      if (watches_) core_.watch();
       auto address = core_.addresses()[next_ % core_.addresses().size()];
       // One second of silence, longer for large bodies.
       const long silenceMs = 1000 + static_cast<long>(body.size() / 1000);
+      const long sentAt = nowMs();
       for (int redirects = 0;; ++redirects) {
         reply = call(address, method, path, {"Content-Type: application/json"}, body, silenceMs);
         const auto location = reply.message.header("location");
@@ -114,6 +124,13 @@
         const auto colon = location.find(':', 7);
         address = {location.substr(7, colon - 7), std::atoi(location.substr(colon + 1, slash - colon - 1).c_str())};
       }
+      if (reply.status == 200 && nowMs() < loseAcksUntil_) {
+        ++lostAcks_;
+        record_.line("platform: the acknowledgement (200) of order %s from %s is lost on its way", name.c_str(),
+                     address.text().c_str());
+        reply = Reply();
+        sleepUntil(sentAt + silenceMs);
+      }
       if (reply.status != 0 && reply.status != 503 && reply.status != 307) {
         record_.line("order %s: %s %s at %s, %zu bytes -> %d %.120s", name.c_str(), method.c_str(), path.c_str(),
                      address.text().c_str(), body.size(), reply.status, method == "GET" ? "" : reply.message.body.c_str());
@@ -128,10 +145,10 @@
       if (status >= 400 && status < 500 && status != 408 && status != 429 && ++others == 3) return reply;
       ++next_;
       for (const long until = nowMs() + pauseMs; nowMs() < until;) {
-        core_.watch();
+        if (watches_) core_.watch();
         sleepMs(10);
       }
-      pauseMs = std::min(pauseMs * 2, 1000L);
+      pauseMs += kPauseGrowsByMs;
     }
     return reply;
   }
@@ -139,6 +156,10 @@
  private:
   Core& core_;
   Record& record_;
+  bool watches_;
+  long loseAcksUntil_ = 0;
+  int lostAcks_ = 0;
+  std::function<bool()> stop_;
   size_t next_ = 0;
 };
 
@@ -153,7 +174,7 @@
 
   /// @param services one for `service`, several for a `trafficSplit` in equal parts that sum to 100
   void route(const std::string& name, const std::string& host, const std::string& prefix, const std::string& type,
-             const std::vector<std::string>& services, int timeoutMs = 800) {
+             const std::vector<std::string>& services, int timeoutMs = 800, int targetMs = 400) {
     std::string target = "\"service\":\"" + services[0] + "\"";
     if (services.size() > 1) {
       target = "\"trafficSplit\":[";
@@ -165,7 +186,7 @@
     }
     add("{\"resourceType\":\"routes\",\"metadata\":{\"name\":\"" + name + "\"},\"spec\":{\"host\":\"" + host +
         "\",\"pathPrefix\":\"" + prefix + "\",\"routeType\":\"" + type + "\",\"timeoutMs\":" +
-        std::to_string(timeoutMs) + ",\"targetLatencyMs\":400,\"priority\":1," + target + ",\"retryAttempts\":2}}");
+        std::to_string(timeoutMs) + ",\"targetLatencyMs\":" + std::to_string(targetMs) + ",\"priority\":1," + target + ",\"retryAttempts\":2}}");
   }
 
   void service(const std::string& name) {
--- a/review/standins/mesh.h
+++ b/review/standins/mesh.h
@@ -88,6 +88,8 @@
       std::string head;
       std::string body = health ? "" : "whole body of " + id_;
       const auto expected = request.header("x-driftlug-expected-instance");
+      const auto deadlineText = request.header("x-driftlug-deadline-ms");
+      const long deadline = nowMs() + (deadlineText.empty() ? 60'000 : std::atol(deadlineText.c_str()));
       bool close = leaving_;
       if (!health && !expected.empty() && expected != id_) {
         onArrival_(request, false);
@@ -95,15 +97,20 @@
         body.clear();
       } else if (!takeSlot()) {
         if (!health) onArrival_(request, false);
+        return;  // it is full: one of those that reset the connection
+      } else if (!health && nowMs() >= deadline) {
+        onArrival_(request, false);
         head = "503 Service Unavailable\r\nX-Driftlug-Not-Executed: 1";
         body.clear();
+        freeSlot();
       } else {
         if (health) {
           head = leaving_ ? "503 Service Unavailable" : "200 OK";
         } else {
           onArrival_(request, true);
-          sleepMs(workMs_);
-          head = "200 OK\r\nX-Driftlug-Server-Stamp: " + id_ + "." + request.header("x-driftlug-attempt-id");
+          const bool inTime = nowMs() + workMs_ <= deadline;
+          sleepUntil(std::min(nowMs() + workMs_, deadline));  // it stops working at the value that it is handed
+          head = std::string(inTime ? "200 OK" : "504 Gateway Timeout") + "\r\nX-Driftlug-Server-Stamp: " + id_ + "." + request.header("x-driftlug-attempt-id");
         }
         freeSlot();
       }
@@ -117,7 +124,7 @@
   }
 
   bool takeSlot() {
-    constexpr int kQueue = 36;
+    constexpr int kQueue = 64;
     std::unique_lock<std::mutex> lock(mutex_);
     if (running_ >= slots_ && waiting_ >= kQueue) return false;
     const long turn = nextTurn_++;
