--- a/apps/controller_daemon.cc
+++ b/apps/controller_daemon.cc
@@ -89,6 +89,10 @@
   page->gauge("controller_term", "current term", static_cast<double>(raft.term()));
   page->gauge("controller_commit_index", "last committed log entry", static_cast<double>(raft.commitIndex()));
   page->gauge("table_revision", "revision of the table", static_cast<double>(controller.state().table().revision()));
+  page->gauge("edit_window_floor",
+              "lowest base revision of an edit that is decided; above the table's revision while "
+              "only rejected edits are in the window",
+              static_cast<double>(controller.state().windowFloor()));
   page->gauge("table_rows", "live rows", static_cast<double>(controller.state().table().rows().size()));
   page->gauge("ledger_keys", "idempotency keys remembered", static_cast<double>(controller.ledger().size()));
   page->gauge("ledger_bytes", "memory of the ledger", static_cast<double>(controller.ledger().bytes()));
