--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -27,6 +27,8 @@
 
 size_t detailsOf(const wire::EditOutcome& outcome) { return outcome.currentRows.size() + outcome.problems.size(); }
 
+bool isAccepted(const wire::EditOutcome& outcome) { return outcome.code == static_cast<int>(ErrorCode::kNone); }
+
 }  // namespace
 
 int64_t fingerprintOf(const wire::EditCommand& edit) {
@@ -35,20 +37,20 @@
 }
 
 const wire::EditOutcome* TableState::findOutcome(const std::string& requestId) const {
-  const auto found = outcomeByRequest_.find(requestId);
-  if (found == outcomeByRequest_.end()) return nullptr;
-  return &outcomes_[static_cast<size_t>(found->second - droppedOutcomes_)];
+  const auto* displaced = displacedOutcomes_.find(requestId);
+  return displaced != nullptr ? displaced : window_.find(requestId);
 }
 
 const wire::EditOutcome& TableState::apply(int64_t index, const wire::EditCommand& edit, table::ChangedRows* rows) {
-  if (const auto* known = findOutcome(edit.requestId); known != nullptr && checks_.resends) return *known;
+  if (const auto* known = window_.find(edit.requestId); known != nullptr && checks_.resends) return *known;
   wire::EditOutcome outcome;
   outcome.requestId = edit.requestId;
   outcome.revision = index;
   outcome.fingerprint = fingerprintOf(edit);
   *rows = decide(index, edit, &outcome);
-  storeOutcome(std::move(outcome));
-  return outcomes_.back();
+  addToWindow(std::move(outcome));
+  dropOldOutcomes();
+  return window_.all().back();
 }
 
 table::ChangedRows TableState::decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome) {
@@ -99,21 +101,25 @@
   return conflict;
 }
 
-void TableState::storeOutcome(wire::EditOutcome outcome) {
-  outcomeByRequest_[outcome.requestId] = droppedOutcomes_ + static_cast<int64_t>(outcomes_.size());
-  outcomes_.push_back(std::move(outcome));
-  outcomeDetails_ += detailsOf(outcomes_.back());
-  dropOldOutcomes();
+void TableState::addToWindow(wire::EditOutcome outcome) {
+  windowDetails_ += detailsOf(outcome);
+  if (isAccepted(outcome)) ++windowAccepted_;
+  window_.push(std::move(outcome));
 }
 
 void TableState::dropOldOutcomes() {
-  while (outcomes_.size() > kOutcomeWindow || (outcomeDetails_ > kMaxOutcomeDetails && outcomes_.size() > 1)) {
-    const auto& oldest = outcomes_.front();
+  while (window_.size() > kOutcomeWindow || (windowDetails_ > kMaxOutcomeDetails && window_.size() > 1)) {
+    const auto& oldest = window_.all().front();
     windowFloor_ = oldest.revision;
-    outcomeByRequest_.erase(oldest.requestId);
-    outcomeDetails_ -= detailsOf(oldest);
-    outcomes_.pop_front();
-    ++droppedOutcomes_;
+    windowDetails_ -= detailsOf(oldest);
+    if (isAccepted(oldest)) {
+      --windowAccepted_;
+      displacedOutcomes_.push(oldest);
+    }
+    window_.popOldest();
+  }
+  while (displacedOutcomes_.size() > 0 && displacedOutcomes_.size() + windowAccepted_ > kOutcomeWindow) {
+    displacedOutcomes_.popOldest();
   }
 }
 
@@ -148,7 +154,8 @@
   for (const auto& [id, record] : relays_) snapshot.relays.push_back(record);
   for (const auto& [key, row] : table_.rows()) snapshot.rows.push_back(*row);
   for (const auto& [key, row] : table_.tombstones()) snapshot.rows.push_back(*row);
-  snapshot.outcomes.assign(outcomes_.begin(), outcomes_.end());
+  snapshot.outcomes.assign(window_.all().begin(), window_.all().end());
+  snapshot.displacedOutcomes.assign(displacedOutcomes_.all().begin(), displacedOutcomes_.all().end());
   snapshot.history.assign(history_.begin(), history_.end());
   snapshot.tableRevision = table_.revision();
   snapshot.historyFloor = windowFloor_;
@@ -161,11 +168,8 @@
   for (const auto& row : snapshot.rows) table_.put(table::storeRow(row));
   table_.advanceTo(snapshot.tableRevision);
   table_.setHorizon(snapshot.horizon);
-  for (const auto& outcome : snapshot.outcomes) {
-    outcomeByRequest_[outcome.requestId] = static_cast<int64_t>(outcomes_.size());
-    outcomes_.push_back(outcome);
-    outcomeDetails_ += detailsOf(outcome);
-  }
+  for (const auto& outcome : snapshot.outcomes) addToWindow(outcome);
+  for (const auto& outcome : snapshot.displacedOutcomes) displacedOutcomes_.push(outcome);
   history_.assign(snapshot.history.begin(), snapshot.history.end());
   for (const auto& record : history_) historyKeys_ += record.keys.size();
   windowFloor_ = snapshot.historyFloor;
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -4,9 +4,9 @@
 #include <deque>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
+#include "controller/outcome_log.h"
 #include "table/row_change.h"
 #include "table/table.h"
 #include "table/validator.h"
@@ -14,9 +14,10 @@
 
 namespace driftlug::controller {
 
-/// Maximum number of edit outcomes kept; an edit whose base revision precedes this window is rejected.
+/// Maximum number of edit outcomes kept; an edit whose base revision precedes this window is rejected. All controllers
+/// must have the same window: with different ones, two builds beside each other would decide an edit differently.
 constexpr size_t kOutcomeWindow = 10'000;
-/// Maximum total number of rows and problems in the kept outcomes.
+/// Maximum total number of rows and problems in the window.
 constexpr size_t kMaxOutcomeDetails = 100'000;
 /// Maximum number of accepted edits kept in the history.
 constexpr size_t kHistoryLength = 10'000;
@@ -26,7 +27,8 @@
 /// Applies committed edits. Deterministic: all controllers have the same state after the same entries.
 ///
 /// Invariants: an edit is applied completely or not at all; a request id has one outcome inside the window; the
-/// table's revision is the log index of the last accepted edit.
+/// table's revision is the log index of the last accepted edit; the outcomes of the last kOutcomeWindow accepted edits
+/// are known, however many edits were rejected since.
 class TableState {
  public:
   /// Checks that the simulator can disable to verify that its invariant checkers detect the fault.
@@ -50,7 +52,8 @@
   /// @return all registered relays, by id.
   const std::map<std::string, wire::RelayRecord>& relays() const { return relays_; }
 
-  /// @return the kept outcome of a request id, or null.
+  /// @return the known outcome of an operator's request id, or null. An edit that is known to be accepted may have left
+  /// the window.
   const wire::EditOutcome* findOutcome(const std::string& requestId) const;
 
   /// @return the lowest base revision that an edit may have.
@@ -68,18 +71,18 @@
  private:
   table::ChangedRows decide(int64_t index, const wire::EditCommand& edit, wire::EditOutcome* outcome);
   bool findConflicts(const wire::EditCommand& edit, wire::EditOutcome* outcome) const;
-  void storeOutcome(wire::EditOutcome outcome);
+  void addToWindow(wire::EditOutcome outcome);
   void dropOldOutcomes();
   void recordHistory(int64_t index, const wire::EditCommand& edit);
   void dropOldHistory();
 
   Checks checks_;
   table::Table table_;
-  std::deque<wire::EditOutcome> outcomes_;                     // oldest first, at most kOutcomeWindow
-  std::unordered_map<std::string, int64_t> outcomeByRequest_;  // position in outcomes_ plus droppedOutcomes_
-  size_t outcomeDetails_ = 0;                                  // of outcomes_
-  int64_t droppedOutcomes_ = 0;                                // number of outcomes dropped from the front
-  int64_t windowFloor_ = 0;
+  OutcomeLog window_;             // outcomes of the last edits, at most kOutcomeWindow
+  size_t windowDetails_ = 0;      // number of rows and problems in window_
+  size_t windowAccepted_ = 0;     // number of accepted edits in window_
+  int64_t windowFloor_ = 0;       // log index of the last outcome dropped from window_
+  OutcomeLog displacedOutcomes_;  // of accepted edits that rejected ones displaced from window_
   std::deque<wire::HistoryRecord> history_;
   size_t historyKeys_ = 0;                           // of history_
   std::map<std::string, wire::RelayRecord> relays_;  // by id
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -342,6 +342,8 @@
   10: i64 horizon
   11: list<RelayRecord> relays
   12: list<LedgerRecord> ledger
+  /** Outcomes of accepted edits that rejected ones have displaced from `outcomes`. */
+  13: list<EditOutcome> displacedOutcomes
 }
 
 /** First message on each connection, in both directions. */
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -6025,6 +6025,10 @@
 void TableSnapshot::__set_ledger(const std::vector<LedgerRecord> & val) {
   this->ledger = val;
 }
+
+void TableSnapshot::__set_displacedOutcomes(const std::vector<EditOutcome> & val) {
+  this->displacedOutcomes = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableSnapshot& obj)
 {
   obj.printTo(out);
@@ -6177,6 +6181,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->displacedOutcomes.clear();
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->displacedOutcomes.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
+            {
+              xfer += this->displacedOutcomes[_i233].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.displacedOutcomes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6197,10 +6221,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter229;
-    for (_iter229 = this->rows.begin(); _iter229 != this->rows.end(); ++_iter229)
+    std::vector<Row> ::const_iterator _iter234;
+    for (_iter234 = this->rows.begin(); _iter234 != this->rows.end(); ++_iter234)
     {
-      xfer += (*_iter229).write(oprot);
+      xfer += (*_iter234).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6209,10 +6233,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<EditOutcome> ::const_iterator _iter230;
-    for (_iter230 = this->outcomes.begin(); _iter230 != this->outcomes.end(); ++_iter230)
+    std::vector<EditOutcome> ::const_iterator _iter235;
+    for (_iter235 = this->outcomes.begin(); _iter235 != this->outcomes.end(); ++_iter235)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter235).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6221,10 +6245,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRecord> ::const_iterator _iter231;
-    for (_iter231 = this->history.begin(); _iter231 != this->history.end(); ++_iter231)
+    std::vector<HistoryRecord> ::const_iterator _iter236;
+    for (_iter236 = this->history.begin(); _iter236 != this->history.end(); ++_iter236)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter236).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6245,10 +6269,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayRecord> ::const_iterator _iter232;
-    for (_iter232 = this->relays.begin(); _iter232 != this->relays.end(); ++_iter232)
+    std::vector<RelayRecord> ::const_iterator _iter237;
+    for (_iter237 = this->relays.begin(); _iter237 != this->relays.end(); ++_iter237)
     {
-      xfer += (*_iter232).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6257,10 +6281,22 @@
   xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ledger.size()));
-    std::vector<LedgerRecord> ::const_iterator _iter233;
-    for (_iter233 = this->ledger.begin(); _iter233 != this->ledger.end(); ++_iter233)
+    std::vector<LedgerRecord> ::const_iterator _iter238;
+    for (_iter238 = this->ledger.begin(); _iter238 != this->ledger.end(); ++_iter238)
     {
-      xfer += (*_iter233).write(oprot);
+      xfer += (*_iter238).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("displacedOutcomes", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->displacedOutcomes.size()));
+    std::vector<EditOutcome> ::const_iterator _iter239;
+    for (_iter239 = this->displacedOutcomes.begin(); _iter239 != this->displacedOutcomes.end(); ++_iter239)
+    {
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6281,53 +6317,58 @@
   swap(a.horizon, b.horizon);
   swap(a.relays, b.relays);
   swap(a.ledger, b.ledger);
+  swap(a.displacedOutcomes, b.displacedOutcomes);
   swap(a.__isset, b.__isset);
 }
 
-TableSnapshot::TableSnapshot(const TableSnapshot& other234) {
-  rows = other234.rows;
-  outcomes = other234.outcomes;
-  history = other234.history;
-  tableRevision = other234.tableRevision;
-  historyFloor = other234.historyFloor;
-  horizon = other234.horizon;
-  relays = other234.relays;
-  ledger = other234.ledger;
-  __isset = other234.__isset;
-}
-TableSnapshot::TableSnapshot(TableSnapshot&& other235) noexcept {
-  rows = std::move(other235.rows);
-  outcomes = std::move(other235.outcomes);
-  history = std::move(other235.history);
-  tableRevision = other235.tableRevision;
-  historyFloor = other235.historyFloor;
-  horizon = other235.horizon;
-  relays = std::move(other235.relays);
-  ledger = std::move(other235.ledger);
-  __isset = other235.__isset;
-}
-TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other236) {
-  rows = other236.rows;
-  outcomes = other236.outcomes;
-  history = other236.history;
-  tableRevision = other236.tableRevision;
-  historyFloor = other236.historyFloor;
-  horizon = other236.horizon;
-  relays = other236.relays;
-  ledger = other236.ledger;
-  __isset = other236.__isset;
-  return *this;
-}
-TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other237) noexcept {
-  rows = std::move(other237.rows);
-  outcomes = std::move(other237.outcomes);
-  history = std::move(other237.history);
-  tableRevision = other237.tableRevision;
-  historyFloor = other237.historyFloor;
-  horizon = other237.horizon;
-  relays = std::move(other237.relays);
-  ledger = std::move(other237.ledger);
-  __isset = other237.__isset;
+TableSnapshot::TableSnapshot(const TableSnapshot& other240) {
+  rows = other240.rows;
+  outcomes = other240.outcomes;
+  history = other240.history;
+  tableRevision = other240.tableRevision;
+  historyFloor = other240.historyFloor;
+  horizon = other240.horizon;
+  relays = other240.relays;
+  ledger = other240.ledger;
+  displacedOutcomes = other240.displacedOutcomes;
+  __isset = other240.__isset;
+}
+TableSnapshot::TableSnapshot(TableSnapshot&& other241) noexcept {
+  rows = std::move(other241.rows);
+  outcomes = std::move(other241.outcomes);
+  history = std::move(other241.history);
+  tableRevision = other241.tableRevision;
+  historyFloor = other241.historyFloor;
+  horizon = other241.horizon;
+  relays = std::move(other241.relays);
+  ledger = std::move(other241.ledger);
+  displacedOutcomes = std::move(other241.displacedOutcomes);
+  __isset = other241.__isset;
+}
+TableSnapshot& TableSnapshot::operator=(const TableSnapshot& other242) {
+  rows = other242.rows;
+  outcomes = other242.outcomes;
+  history = other242.history;
+  tableRevision = other242.tableRevision;
+  historyFloor = other242.historyFloor;
+  horizon = other242.horizon;
+  relays = other242.relays;
+  ledger = other242.ledger;
+  displacedOutcomes = other242.displacedOutcomes;
+  __isset = other242.__isset;
+  return *this;
+}
+TableSnapshot& TableSnapshot::operator=(TableSnapshot&& other243) noexcept {
+  rows = std::move(other243.rows);
+  outcomes = std::move(other243.outcomes);
+  history = std::move(other243.history);
+  tableRevision = other243.tableRevision;
+  historyFloor = other243.historyFloor;
+  horizon = other243.horizon;
+  relays = std::move(other243.relays);
+  ledger = std::move(other243.ledger);
+  displacedOutcomes = std::move(other243.displacedOutcomes);
+  __isset = other243.__isset;
   return *this;
 }
 void TableSnapshot::printTo(std::ostream& out) const {
@@ -6341,6 +6382,7 @@
   out << ", " << "horizon=" << to_string(horizon);
   out << ", " << "relays=" << to_string(relays);
   out << ", " << "ledger=" << to_string(ledger);
+  out << ", " << "displacedOutcomes=" << to_string(displacedOutcomes);
   out << ")";
 }
 
@@ -6458,9 +6500,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast238;
-          xfer += iprot->readI32(ecast238);
-          this->role = static_cast<Role::type>(ecast238);
+          int32_t ecast244;
+          xfer += iprot->readI32(ecast244);
+          this->role = static_cast<Role::type>(ecast244);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6711,90 +6753,90 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other239) {
-  protocolVersion = other239.protocolVersion;
-  role = other239.role;
-  id = other239.id;
-  zone = other239.zone;
-  blank = other239.blank;
-  address = other239.address;
-  framePort = other239.framePort;
-  httpPort = other239.httpPort;
-  relayPort = other239.relayPort;
-  compresses = other239.compresses;
-  serviceName = other239.serviceName;
-  takesBodyPieces = other239.takesBodyPieces;
-  acknowledgesCalls = other239.acknowledgesCalls;
-  unpacksFrames = other239.unpacksFrames;
-  takesCrashReports = other239.takesCrashReports;
-  takesVersionReports = other239.takesVersionReports;
-  grantsQuotas = other239.grantsQuotas;
-  takesAnswerPieces = other239.takesAnswerPieces;
-  __isset = other239.__isset;
-}
-Hello::Hello(Hello&& other240) noexcept {
-  protocolVersion = other240.protocolVersion;
-  role = other240.role;
-  id = std::move(other240.id);
-  zone = std::move(other240.zone);
-  blank = other240.blank;
-  address = std::move(other240.address);
-  framePort = other240.framePort;
-  httpPort = other240.httpPort;
-  relayPort = other240.relayPort;
-  compresses = other240.compresses;
-  serviceName = std::move(other240.serviceName);
-  takesBodyPieces = other240.takesBodyPieces;
-  acknowledgesCalls = other240.acknowledgesCalls;
-  unpacksFrames = other240.unpacksFrames;
-  takesCrashReports = other240.takesCrashReports;
-  takesVersionReports = other240.takesVersionReports;
-  grantsQuotas = other240.grantsQuotas;
-  takesAnswerPieces = other240.takesAnswerPieces;
-  __isset = other240.__isset;
+Hello::Hello(const Hello& other245) {
+  protocolVersion = other245.protocolVersion;
+  role = other245.role;
+  id = other245.id;
+  zone = other245.zone;
+  blank = other245.blank;
+  address = other245.address;
+  framePort = other245.framePort;
+  httpPort = other245.httpPort;
+  relayPort = other245.relayPort;
+  compresses = other245.compresses;
+  serviceName = other245.serviceName;
+  takesBodyPieces = other245.takesBodyPieces;
+  acknowledgesCalls = other245.acknowledgesCalls;
+  unpacksFrames = other245.unpacksFrames;
+  takesCrashReports = other245.takesCrashReports;
+  takesVersionReports = other245.takesVersionReports;
+  grantsQuotas = other245.grantsQuotas;
+  takesAnswerPieces = other245.takesAnswerPieces;
+  __isset = other245.__isset;
 }
-Hello& Hello::operator=(const Hello& other241) {
-  protocolVersion = other241.protocolVersion;
-  role = other241.role;
-  id = other241.id;
-  zone = other241.zone;
-  blank = other241.blank;
-  address = other241.address;
-  framePort = other241.framePort;
-  httpPort = other241.httpPort;
-  relayPort = other241.relayPort;
-  compresses = other241.compresses;
-  serviceName = other241.serviceName;
-  takesBodyPieces = other241.takesBodyPieces;
-  acknowledgesCalls = other241.acknowledgesCalls;
-  unpacksFrames = other241.unpacksFrames;
-  takesCrashReports = other241.takesCrashReports;
-  takesVersionReports = other241.takesVersionReports;
-  grantsQuotas = other241.grantsQuotas;
-  takesAnswerPieces = other241.takesAnswerPieces;
-  __isset = other241.__isset;
-  return *this;
+Hello::Hello(Hello&& other246) noexcept {
+  protocolVersion = other246.protocolVersion;
+  role = other246.role;
+  id = std::move(other246.id);
+  zone = std::move(other246.zone);
+  blank = other246.blank;
+  address = std::move(other246.address);
+  framePort = other246.framePort;
+  httpPort = other246.httpPort;
+  relayPort = other246.relayPort;
+  compresses = other246.compresses;
+  serviceName = std::move(other246.serviceName);
+  takesBodyPieces = other246.takesBodyPieces;
+  acknowledgesCalls = other246.acknowledgesCalls;
+  unpacksFrames = other246.unpacksFrames;
+  takesCrashReports = other246.takesCrashReports;
+  takesVersionReports = other246.takesVersionReports;
+  grantsQuotas = other246.grantsQuotas;
+  takesAnswerPieces = other246.takesAnswerPieces;
+  __isset = other246.__isset;
 }
-Hello& Hello::operator=(Hello&& other242) noexcept {
-  protocolVersion = other242.protocolVersion;
-  role = other242.role;
-  id = std::move(other242.id);
-  zone = std::move(other242.zone);
-  blank = other242.blank;
-  address = std::move(other242.address);
-  framePort = other242.framePort;
-  httpPort = other242.httpPort;
-  relayPort = other242.relayPort;
-  compresses = other242.compresses;
-  serviceName = std::move(other242.serviceName);
-  takesBodyPieces = other242.takesBodyPieces;
-  acknowledgesCalls = other242.acknowledgesCalls;
-  unpacksFrames = other242.unpacksFrames;
-  takesCrashReports = other242.takesCrashReports;
-  takesVersionReports = other242.takesVersionReports;
-  grantsQuotas = other242.grantsQuotas;
-  takesAnswerPieces = other242.takesAnswerPieces;
-  __isset = other242.__isset;
+Hello& Hello::operator=(const Hello& other247) {
+  protocolVersion = other247.protocolVersion;
+  role = other247.role;
+  id = other247.id;
+  zone = other247.zone;
+  blank = other247.blank;
+  address = other247.address;
+  framePort = other247.framePort;
+  httpPort = other247.httpPort;
+  relayPort = other247.relayPort;
+  compresses = other247.compresses;
+  serviceName = other247.serviceName;
+  takesBodyPieces = other247.takesBodyPieces;
+  acknowledgesCalls = other247.acknowledgesCalls;
+  unpacksFrames = other247.unpacksFrames;
+  takesCrashReports = other247.takesCrashReports;
+  takesVersionReports = other247.takesVersionReports;
+  grantsQuotas = other247.grantsQuotas;
+  takesAnswerPieces = other247.takesAnswerPieces;
+  __isset = other247.__isset;
+  return *this;
+}
+Hello& Hello::operator=(Hello&& other248) noexcept {
+  protocolVersion = other248.protocolVersion;
+  role = other248.role;
+  id = std::move(other248.id);
+  zone = std::move(other248.zone);
+  blank = other248.blank;
+  address = std::move(other248.address);
+  framePort = other248.framePort;
+  httpPort = other248.httpPort;
+  relayPort = other248.relayPort;
+  compresses = other248.compresses;
+  serviceName = std::move(other248.serviceName);
+  takesBodyPieces = other248.takesBodyPieces;
+  acknowledgesCalls = other248.acknowledgesCalls;
+  unpacksFrames = other248.unpacksFrames;
+  takesCrashReports = other248.takesCrashReports;
+  takesVersionReports = other248.takesVersionReports;
+  grantsQuotas = other248.grantsQuotas;
+  takesAnswerPieces = other248.takesAnswerPieces;
+  __isset = other248.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -6999,46 +7041,46 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointLoad::EndpointLoad(const EndpointLoad& other243) noexcept {
-  running = other243.running;
-  waiting = other243.waiting;
-  slots = other243.slots;
-  pacePercent = other243.pacePercent;
-  waitMs = other243.waitMs;
-  runMs = other243.runMs;
-  ageMs = other243.ageMs;
-  __isset = other243.__isset;
-}
-EndpointLoad::EndpointLoad(EndpointLoad&& other244) noexcept {
-  running = other244.running;
-  waiting = other244.waiting;
-  slots = other244.slots;
-  pacePercent = other244.pacePercent;
-  waitMs = other244.waitMs;
-  runMs = other244.runMs;
-  ageMs = other244.ageMs;
-  __isset = other244.__isset;
-}
-EndpointLoad& EndpointLoad::operator=(const EndpointLoad& other245) noexcept {
-  running = other245.running;
-  waiting = other245.waiting;
-  slots = other245.slots;
-  pacePercent = other245.pacePercent;
-  waitMs = other245.waitMs;
-  runMs = other245.runMs;
-  ageMs = other245.ageMs;
-  __isset = other245.__isset;
+EndpointLoad::EndpointLoad(const EndpointLoad& other249) noexcept {
+  running = other249.running;
+  waiting = other249.waiting;
+  slots = other249.slots;
+  pacePercent = other249.pacePercent;
+  waitMs = other249.waitMs;
+  runMs = other249.runMs;
+  ageMs = other249.ageMs;
+  __isset = other249.__isset;
+}
+EndpointLoad::EndpointLoad(EndpointLoad&& other250) noexcept {
+  running = other250.running;
+  waiting = other250.waiting;
+  slots = other250.slots;
+  pacePercent = other250.pacePercent;
+  waitMs = other250.waitMs;
+  runMs = other250.runMs;
+  ageMs = other250.ageMs;
+  __isset = other250.__isset;
+}
+EndpointLoad& EndpointLoad::operator=(const EndpointLoad& other251) noexcept {
+  running = other251.running;
+  waiting = other251.waiting;
+  slots = other251.slots;
+  pacePercent = other251.pacePercent;
+  waitMs = other251.waitMs;
+  runMs = other251.runMs;
+  ageMs = other251.ageMs;
+  __isset = other251.__isset;
   return *this;
 }
-EndpointLoad& EndpointLoad::operator=(EndpointLoad&& other246) noexcept {
-  running = other246.running;
-  waiting = other246.waiting;
-  slots = other246.slots;
-  pacePercent = other246.pacePercent;
-  waitMs = other246.waitMs;
-  runMs = other246.runMs;
-  ageMs = other246.ageMs;
-  __isset = other246.__isset;
+EndpointLoad& EndpointLoad::operator=(EndpointLoad&& other252) noexcept {
+  running = other252.running;
+  waiting = other252.waiting;
+  slots = other252.slots;
+  pacePercent = other252.pacePercent;
+  waitMs = other252.waitMs;
+  runMs = other252.runMs;
+  ageMs = other252.ageMs;
+  __isset = other252.__isset;
   return *this;
 }
 void EndpointLoad::printTo(std::ostream& out) const {
@@ -7109,18 +7151,18 @@
   (void) b;
 }
 
-KeepAlive::KeepAlive(const KeepAlive& other247) noexcept {
-  (void) other247;
+KeepAlive::KeepAlive(const KeepAlive& other253) noexcept {
+  (void) other253;
 }
-KeepAlive::KeepAlive(KeepAlive&& other248) noexcept {
-  (void) other248;
+KeepAlive::KeepAlive(KeepAlive&& other254) noexcept {
+  (void) other254;
 }
-KeepAlive& KeepAlive::operator=(const KeepAlive& other249) noexcept {
-  (void) other249;
+KeepAlive& KeepAlive::operator=(const KeepAlive& other255) noexcept {
+  (void) other255;
   return *this;
 }
-KeepAlive& KeepAlive::operator=(KeepAlive&& other250) noexcept {
-  (void) other250;
+KeepAlive& KeepAlive::operator=(KeepAlive&& other256) noexcept {
+  (void) other256;
   return *this;
 }
 void KeepAlive::printTo(std::ostream& out) const {
@@ -7290,42 +7332,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other251) {
-  term = other251.term;
-  candidate = other251.candidate;
-  lastIndex = other251.lastIndex;
-  lastTerm = other251.lastTerm;
-  preVote = other251.preVote;
-  transfer = other251.transfer;
-  __isset = other251.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other257) {
+  term = other257.term;
+  candidate = other257.candidate;
+  lastIndex = other257.lastIndex;
+  lastTerm = other257.lastTerm;
+  preVote = other257.preVote;
+  transfer = other257.transfer;
+  __isset = other257.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other252) noexcept {
-  term = other252.term;
-  candidate = std::move(other252.candidate);
-  lastIndex = other252.lastIndex;
-  lastTerm = other252.lastTerm;
-  preVote = other252.preVote;
-  transfer = other252.transfer;
-  __isset = other252.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other258) noexcept {
+  term = other258.term;
+  candidate = std::move(other258.candidate);
+  lastIndex = other258.lastIndex;
+  lastTerm = other258.lastTerm;
+  preVote = other258.preVote;
+  transfer = other258.transfer;
+  __isset = other258.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other253) {
-  term = other253.term;
-  candidate = other253.candidate;
-  lastIndex = other253.lastIndex;
-  lastTerm = other253.lastTerm;
-  preVote = other253.preVote;
-  transfer = other253.transfer;
-  __isset = other253.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other259) {
+  term = other259.term;
+  candidate = other259.candidate;
+  lastIndex = other259.lastIndex;
+  lastTerm = other259.lastTerm;
+  preVote = other259.preVote;
+  transfer = other259.transfer;
+  __isset = other259.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other254) noexcept {
-  term = other254.term;
-  candidate = std::move(other254.candidate);
-  lastIndex = other254.lastIndex;
-  lastTerm = other254.lastTerm;
-  preVote = other254.preVote;
-  transfer = other254.transfer;
-  __isset = other254.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other260) noexcept {
+  term = other260.term;
+  candidate = std::move(other260.candidate);
+  lastIndex = other260.lastIndex;
+  lastTerm = other260.lastTerm;
+  preVote = other260.preVote;
+  transfer = other260.transfer;
+  __isset = other260.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -7450,30 +7492,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other255) noexcept {
-  term = other255.term;
-  granted = other255.granted;
-  preVote = other255.preVote;
-  __isset = other255.__isset;
+VoteResponse::VoteResponse(const VoteResponse& other261) noexcept {
+  term = other261.term;
+  granted = other261.granted;
+  preVote = other261.preVote;
+  __isset = other261.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other256) noexcept {
-  term = other256.term;
-  granted = other256.granted;
-  preVote = other256.preVote;
-  __isset = other256.__isset;
+VoteResponse::VoteResponse(VoteResponse&& other262) noexcept {
+  term = other262.term;
+  granted = other262.granted;
+  preVote = other262.preVote;
+  __isset = other262.__isset;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other257) noexcept {
-  term = other257.term;
-  granted = other257.granted;
-  preVote = other257.preVote;
-  __isset = other257.__isset;
+VoteResponse& VoteResponse::operator=(const VoteResponse& other263) noexcept {
+  term = other263.term;
+  granted = other263.granted;
+  preVote = other263.preVote;
+  __isset = other263.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other258) noexcept {
-  term = other258.term;
-  granted = other258.granted;
-  preVote = other258.preVote;
-  __isset = other258.__isset;
+VoteResponse& VoteResponse::operator=(VoteResponse&& other264) noexcept {
+  term = other264.term;
+  granted = other264.granted;
+  preVote = other264.preVote;
+  __isset = other264.__isset;
   return *this;
 }
 void VoteResponse::printTo(std::ostream& out) const {
@@ -7581,14 +7623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size259;
-            ::apache::thrift::protocol::TType _etype262;
-            xfer += iprot->readListBegin(_etype262, _size259);
-            this->entries.resize(_size259);
-            uint32_t _i263;
-            for (_i263 = 0; _i263 < _size259; ++_i263)
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->entries.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
             {
-              xfer += this->entries[_i263].read(iprot);
+              xfer += this->entries[_i269].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7649,10 +7691,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter264;
-    for (_iter264 = this->entries.begin(); _iter264 != this->entries.end(); ++_iter264)
+    std::vector<LogEntry> ::const_iterator _iter270;
+    for (_iter270 = this->entries.begin(); _iter270 != this->entries.end(); ++_iter270)
     {
-      xfer += (*_iter264).write(oprot);
+      xfer += (*_iter270).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7683,46 +7725,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other265) {
-  term = other265.term;
-  leader = other265.leader;
-  previousIndex = other265.previousIndex;
-  previousTerm = other265.previousTerm;
-  entries = other265.entries;
-  commitIndex = other265.commitIndex;
-  round = other265.round;
-  __isset = other265.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other266) noexcept {
-  term = other266.term;
-  leader = std::move(other266.leader);
-  previousIndex = other266.previousIndex;
-  previousTerm = other266.previousTerm;
-  entries = std::move(other266.entries);
-  commitIndex = other266.commitIndex;
-  round = other266.round;
-  __isset = other266.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other267) {
-  term = other267.term;
-  leader = other267.leader;
-  previousIndex = other267.previousIndex;
-  previousTerm = other267.previousTerm;
-  entries = other267.entries;
-  commitIndex = other267.commitIndex;
-  round = other267.round;
-  __isset = other267.__isset;
-  return *this;
-}
-AppendRequest& AppendRequest::operator=(AppendRequest&& other268) noexcept {
-  term = other268.term;
-  leader = std::move(other268.leader);
-  previousIndex = other268.previousIndex;
-  previousTerm = other268.previousTerm;
-  entries = std::move(other268.entries);
-  commitIndex = other268.commitIndex;
-  round = other268.round;
-  __isset = other268.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other271) {
+  term = other271.term;
+  leader = other271.leader;
+  previousIndex = other271.previousIndex;
+  previousTerm = other271.previousTerm;
+  entries = other271.entries;
+  commitIndex = other271.commitIndex;
+  round = other271.round;
+  __isset = other271.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other272) noexcept {
+  term = other272.term;
+  leader = std::move(other272.leader);
+  previousIndex = other272.previousIndex;
+  previousTerm = other272.previousTerm;
+  entries = std::move(other272.entries);
+  commitIndex = other272.commitIndex;
+  round = other272.round;
+  __isset = other272.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other273) {
+  term = other273.term;
+  leader = other273.leader;
+  previousIndex = other273.previousIndex;
+  previousTerm = other273.previousTerm;
+  entries = other273.entries;
+  commitIndex = other273.commitIndex;
+  round = other273.round;
+  __isset = other273.__isset;
+  return *this;
+}
+AppendRequest& AppendRequest::operator=(AppendRequest&& other274) noexcept {
+  term = other274.term;
+  leader = std::move(other274.leader);
+  previousIndex = other274.previousIndex;
+  previousTerm = other274.previousTerm;
+  entries = std::move(other274.entries);
+  commitIndex = other274.commitIndex;
+  round = other274.round;
+  __isset = other274.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7865,34 +7907,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other269) noexcept {
-  term = other269.term;
-  success = other269.success;
-  matchIndex = other269.matchIndex;
-  round = other269.round;
-  __isset = other269.__isset;
+AppendResponse::AppendResponse(const AppendResponse& other275) noexcept {
+  term = other275.term;
+  success = other275.success;
+  matchIndex = other275.matchIndex;
+  round = other275.round;
+  __isset = other275.__isset;
 }
-AppendResponse::AppendResponse(AppendResponse&& other270) noexcept {
-  term = other270.term;
-  success = other270.success;
-  matchIndex = other270.matchIndex;
-  round = other270.round;
-  __isset = other270.__isset;
+AppendResponse::AppendResponse(AppendResponse&& other276) noexcept {
+  term = other276.term;
+  success = other276.success;
+  matchIndex = other276.matchIndex;
+  round = other276.round;
+  __isset = other276.__isset;
 }
-AppendResponse& AppendResponse::operator=(const AppendResponse& other271) noexcept {
-  term = other271.term;
-  success = other271.success;
-  matchIndex = other271.matchIndex;
-  round = other271.round;
-  __isset = other271.__isset;
+AppendResponse& AppendResponse::operator=(const AppendResponse& other277) noexcept {
+  term = other277.term;
+  success = other277.success;
+  matchIndex = other277.matchIndex;
+  round = other277.round;
+  __isset = other277.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other272) noexcept {
-  term = other272.term;
-  success = other272.success;
-  matchIndex = other272.matchIndex;
-  round = other272.round;
-  __isset = other272.__isset;
+AppendResponse& AppendResponse::operator=(AppendResponse&& other278) noexcept {
+  term = other278.term;
+  success = other278.success;
+  matchIndex = other278.matchIndex;
+  round = other278.round;
+  __isset = other278.__isset;
   return *this;
 }
 void AppendResponse::printTo(std::ostream& out) const {
@@ -8083,46 +8125,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other273) {
-  term = other273.term;
-  leader = other273.leader;
-  lastIndex = other273.lastIndex;
-  lastTerm = other273.lastTerm;
-  offset = other273.offset;
-  totalBytes = other273.totalBytes;
-  data = other273.data;
-  __isset = other273.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other279) {
+  term = other279.term;
+  leader = other279.leader;
+  lastIndex = other279.lastIndex;
+  lastTerm = other279.lastTerm;
+  offset = other279.offset;
+  totalBytes = other279.totalBytes;
+  data = other279.data;
+  __isset = other279.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other274) noexcept {
-  term = other274.term;
-  leader = std::move(other274.leader);
-  lastIndex = other274.lastIndex;
-  lastTerm = other274.lastTerm;
-  offset = other274.offset;
-  totalBytes = other274.totalBytes;
-  data = std::move(other274.data);
-  __isset = other274.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other280) noexcept {
+  term = other280.term;
+  leader = std::move(other280.leader);
+  lastIndex = other280.lastIndex;
+  lastTerm = other280.lastTerm;
+  offset = other280.offset;
+  totalBytes = other280.totalBytes;
+  data = std::move(other280.data);
+  __isset = other280.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other275) {
-  term = other275.term;
-  leader = other275.leader;
-  lastIndex = other275.lastIndex;
-  lastTerm = other275.lastTerm;
-  offset = other275.offset;
-  totalBytes = other275.totalBytes;
-  data = other275.data;
-  __isset = other275.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other281) {
+  term = other281.term;
+  leader = other281.leader;
+  lastIndex = other281.lastIndex;
+  lastTerm = other281.lastTerm;
+  offset = other281.offset;
+  totalBytes = other281.totalBytes;
+  data = other281.data;
+  __isset = other281.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other276) noexcept {
-  term = other276.term;
-  leader = std::move(other276.leader);
-  lastIndex = other276.lastIndex;
-  lastTerm = other276.lastTerm;
-  offset = other276.offset;
-  totalBytes = other276.totalBytes;
-  data = std::move(other276.data);
-  __isset = other276.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other282) noexcept {
+  term = other282.term;
+  leader = std::move(other282.leader);
+  lastIndex = other282.lastIndex;
+  lastTerm = other282.lastTerm;
+  offset = other282.offset;
+  totalBytes = other282.totalBytes;
+  data = std::move(other282.data);
+  __isset = other282.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -8248,30 +8290,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other277) noexcept {
-  term = other277.term;
-  lastIndex = other277.lastIndex;
-  nextOffset = other277.nextOffset;
-  __isset = other277.__isset;
+SnapshotChunkAck::SnapshotChunkAck(const SnapshotChunkAck& other283) noexcept {
+  term = other283.term;
+  lastIndex = other283.lastIndex;
+  nextOffset = other283.nextOffset;
+  __isset = other283.__isset;
 }
-SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other278) noexcept {
-  term = other278.term;
-  lastIndex = other278.lastIndex;
-  nextOffset = other278.nextOffset;
-  __isset = other278.__isset;
+SnapshotChunkAck::SnapshotChunkAck(SnapshotChunkAck&& other284) noexcept {
+  term = other284.term;
+  lastIndex = other284.lastIndex;
+  nextOffset = other284.nextOffset;
+  __isset = other284.__isset;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other279) noexcept {
-  term = other279.term;
-  lastIndex = other279.lastIndex;
-  nextOffset = other279.nextOffset;
-  __isset = other279.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(const SnapshotChunkAck& other285) noexcept {
+  term = other285.term;
+  lastIndex = other285.lastIndex;
+  nextOffset = other285.nextOffset;
+  __isset = other285.__isset;
   return *this;
 }
-SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other280) noexcept {
-  term = other280.term;
-  lastIndex = other280.lastIndex;
-  nextOffset = other280.nextOffset;
-  __isset = other280.__isset;
+SnapshotChunkAck& SnapshotChunkAck::operator=(SnapshotChunkAck&& other286) noexcept {
+  term = other286.term;
+  lastIndex = other286.lastIndex;
+  nextOffset = other286.nextOffset;
+  __isset = other286.__isset;
   return *this;
 }
 void SnapshotChunkAck::printTo(std::ostream& out) const {
@@ -8359,22 +8401,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other281) noexcept {
-  term = other281.term;
-  __isset = other281.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other287) noexcept {
+  term = other287.term;
+  __isset = other287.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other282) noexcept {
-  term = other282.term;
-  __isset = other282.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other288) noexcept {
+  term = other288.term;
+  __isset = other288.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other283) noexcept {
-  term = other283.term;
-  __isset = other283.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other289) noexcept {
+  term = other289.term;
+  __isset = other289.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other284) noexcept {
-  term = other284.term;
-  __isset = other284.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other290) noexcept {
+  term = other290.term;
+  __isset = other290.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -8477,26 +8519,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Freshness::Freshness(const Freshness& other285) noexcept {
-  term = other285.term;
-  round = other285.round;
-  __isset = other285.__isset;
+Freshness::Freshness(const Freshness& other291) noexcept {
+  term = other291.term;
+  round = other291.round;
+  __isset = other291.__isset;
 }
-Freshness::Freshness(Freshness&& other286) noexcept {
-  term = other286.term;
-  round = other286.round;
-  __isset = other286.__isset;
+Freshness::Freshness(Freshness&& other292) noexcept {
+  term = other292.term;
+  round = other292.round;
+  __isset = other292.__isset;
 }
-Freshness& Freshness::operator=(const Freshness& other287) noexcept {
-  term = other287.term;
-  round = other287.round;
-  __isset = other287.__isset;
+Freshness& Freshness::operator=(const Freshness& other293) noexcept {
+  term = other293.term;
+  round = other293.round;
+  __isset = other293.__isset;
   return *this;
 }
-Freshness& Freshness::operator=(Freshness&& other288) noexcept {
-  term = other288.term;
-  round = other288.round;
-  __isset = other288.__isset;
+Freshness& Freshness::operator=(Freshness&& other294) noexcept {
+  term = other294.term;
+  round = other294.round;
+  __isset = other294.__isset;
   return *this;
 }
 void Freshness::printTo(std::ostream& out) const {
@@ -8617,30 +8659,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelaySubscribe::RelaySubscribe(const RelaySubscribe& other289) noexcept {
-  revision = other289.revision;
-  digest = other289.digest;
-  sharesTable = other289.sharesTable;
-  __isset = other289.__isset;
+RelaySubscribe::RelaySubscribe(const RelaySubscribe& other295) noexcept {
+  revision = other295.revision;
+  digest = other295.digest;
+  sharesTable = other295.sharesTable;
+  __isset = other295.__isset;
 }
-RelaySubscribe::RelaySubscribe(RelaySubscribe&& other290) noexcept {
-  revision = other290.revision;
-  digest = std::move(other290.digest);
-  sharesTable = other290.sharesTable;
-  __isset = other290.__isset;
+RelaySubscribe::RelaySubscribe(RelaySubscribe&& other296) noexcept {
+  revision = other296.revision;
+  digest = std::move(other296.digest);
+  sharesTable = other296.sharesTable;
+  __isset = other296.__isset;
 }
-RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other291) noexcept {
-  revision = other291.revision;
-  digest = other291.digest;
-  sharesTable = other291.sharesTable;
-  __isset = other291.__isset;
+RelaySubscribe& RelaySubscribe::operator=(const RelaySubscribe& other297) noexcept {
+  revision = other297.revision;
+  digest = other297.digest;
+  sharesTable = other297.sharesTable;
+  __isset = other297.__isset;
   return *this;
 }
-RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other292) noexcept {
-  revision = other292.revision;
-  digest = std::move(other292.digest);
-  sharesTable = other292.sharesTable;
-  __isset = other292.__isset;
+RelaySubscribe& RelaySubscribe::operator=(RelaySubscribe&& other298) noexcept {
+  revision = other298.revision;
+  digest = std::move(other298.digest);
+  sharesTable = other298.sharesTable;
+  __isset = other298.__isset;
   return *this;
 }
 void RelaySubscribe::printTo(std::ostream& out) const {
@@ -8728,22 +8770,22 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other293) {
-  leaderId = other293.leaderId;
-  __isset = other293.__isset;
+NotLeader::NotLeader(const NotLeader& other299) {
+  leaderId = other299.leaderId;
+  __isset = other299.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other294) noexcept {
-  leaderId = std::move(other294.leaderId);
-  __isset = other294.__isset;
+NotLeader::NotLeader(NotLeader&& other300) noexcept {
+  leaderId = std::move(other300.leaderId);
+  __isset = other300.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other295) {
-  leaderId = other295.leaderId;
-  __isset = other295.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other301) {
+  leaderId = other301.leaderId;
+  __isset = other301.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other296) noexcept {
-  leaderId = std::move(other296.leaderId);
-  __isset = other296.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other302) noexcept {
+  leaderId = std::move(other302.leaderId);
+  __isset = other302.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -8833,14 +8875,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size297;
-            ::apache::thrift::protocol::TType _etype300;
-            xfer += iprot->readListBegin(_etype300, _size297);
-            this->rows.resize(_size297);
-            uint32_t _i301;
-            for (_i301 = 0; _i301 < _size297; ++_i301)
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->rows.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
             {
-              xfer += this->rows[_i301].read(iprot);
+              xfer += this->rows[_i307].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8889,10 +8931,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter302;
-    for (_iter302 = this->rows.begin(); _iter302 != this->rows.end(); ++_iter302)
+    std::vector<Row> ::const_iterator _iter308;
+    for (_iter308 = this->rows.begin(); _iter308 != this->rows.end(); ++_iter308)
     {
-      xfer += (*_iter302).write(oprot);
+      xfer += (*_iter308).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8917,38 +8959,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TableUpdate::TableUpdate(const TableUpdate& other303) {
-  fromRevision = other303.fromRevision;
-  toRevision = other303.toRevision;
-  full = other303.full;
-  rows = other303.rows;
-  digest = other303.digest;
-  __isset = other303.__isset;
-}
-TableUpdate::TableUpdate(TableUpdate&& other304) noexcept {
-  fromRevision = other304.fromRevision;
-  toRevision = other304.toRevision;
-  full = other304.full;
-  rows = std::move(other304.rows);
-  digest = std::move(other304.digest);
-  __isset = other304.__isset;
-}
-TableUpdate& TableUpdate::operator=(const TableUpdate& other305) {
-  fromRevision = other305.fromRevision;
-  toRevision = other305.toRevision;
-  full = other305.full;
-  rows = other305.rows;
-  digest = other305.digest;
-  __isset = other305.__isset;
-  return *this;
-}
-TableUpdate& TableUpdate::operator=(TableUpdate&& other306) noexcept {
-  fromRevision = other306.fromRevision;
-  toRevision = other306.toRevision;
-  full = other306.full;
-  rows = std::move(other306.rows);
-  digest = std::move(other306.digest);
-  __isset = other306.__isset;
+TableUpdate::TableUpdate(const TableUpdate& other309) {
+  fromRevision = other309.fromRevision;
+  toRevision = other309.toRevision;
+  full = other309.full;
+  rows = other309.rows;
+  digest = other309.digest;
+  __isset = other309.__isset;
+}
+TableUpdate::TableUpdate(TableUpdate&& other310) noexcept {
+  fromRevision = other310.fromRevision;
+  toRevision = other310.toRevision;
+  full = other310.full;
+  rows = std::move(other310.rows);
+  digest = std::move(other310.digest);
+  __isset = other310.__isset;
+}
+TableUpdate& TableUpdate::operator=(const TableUpdate& other311) {
+  fromRevision = other311.fromRevision;
+  toRevision = other311.toRevision;
+  full = other311.full;
+  rows = other311.rows;
+  digest = other311.digest;
+  __isset = other311.__isset;
+  return *this;
+}
+TableUpdate& TableUpdate::operator=(TableUpdate&& other312) noexcept {
+  fromRevision = other312.fromRevision;
+  toRevision = other312.toRevision;
+  full = other312.full;
+  rows = std::move(other312.rows);
+  digest = std::move(other312.digest);
+  __isset = other312.__isset;
   return *this;
 }
 void TableUpdate::printTo(std::ostream& out) const {
@@ -9055,26 +9097,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other307) noexcept {
-  revision = other307.revision;
-  freshness = other307.freshness;
-  __isset = other307.__isset;
+ControllerHeartbeat::ControllerHeartbeat(const ControllerHeartbeat& other313) noexcept {
+  revision = other313.revision;
+  freshness = other313.freshness;
+  __isset = other313.__isset;
 }
-ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other308) noexcept {
-  revision = other308.revision;
-  freshness = std::move(other308.freshness);
-  __isset = other308.__isset;
+ControllerHeartbeat::ControllerHeartbeat(ControllerHeartbeat&& other314) noexcept {
+  revision = other314.revision;
+  freshness = std::move(other314.freshness);
+  __isset = other314.__isset;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other309) noexcept {
-  revision = other309.revision;
-  freshness = other309.freshness;
-  __isset = other309.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(const ControllerHeartbeat& other315) noexcept {
+  revision = other315.revision;
+  freshness = other315.freshness;
+  __isset = other315.__isset;
   return *this;
 }
-ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other310) noexcept {
-  revision = other310.revision;
-  freshness = std::move(other310.freshness);
-  __isset = other310.__isset;
+ControllerHeartbeat& ControllerHeartbeat::operator=(ControllerHeartbeat&& other316) noexcept {
+  revision = other316.revision;
+  freshness = std::move(other316.freshness);
+  __isset = other316.__isset;
   return *this;
 }
 void ControllerHeartbeat::printTo(std::ostream& out) const {
@@ -9161,22 +9203,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other311) noexcept {
-  token = other311.token;
-  __isset = other311.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other317) noexcept {
+  token = other317.token;
+  __isset = other317.__isset;
 }
-ConfirmRequest::ConfirmRequest(ConfirmRequest&& other312) noexcept {
-  token = other312.token;
-  __isset = other312.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other318) noexcept {
+  token = other318.token;
+  __isset = other318.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other313) noexcept {
-  token = other313.token;
-  __isset = other313.__isset;
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other319) noexcept {
+  token = other319.token;
+  __isset = other319.__isset;
   return *this;
 }
-ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other314) noexcept {
-  token = other314.token;
-  __isset = other314.__isset;
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other320) noexcept {
+  token = other320.token;
+  __isset = other320.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -9279,26 +9321,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other315) noexcept {
-  token = other315.token;
-  revision = other315.revision;
-  __isset = other315.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other321) noexcept {
+  token = other321.token;
+  revision = other321.revision;
+  __isset = other321.__isset;
 }
-ConfirmReply::ConfirmReply(ConfirmReply&& other316) noexcept {
-  token = other316.token;
-  revision = other316.revision;
-  __isset = other316.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other322) noexcept {
+  token = other322.token;
+  revision = other322.revision;
+  __isset = other322.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other317) noexcept {
-  token = other317.token;
-  revision = other317.revision;
-  __isset = other317.__isset;
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other323) noexcept {
+  token = other323.token;
+  revision = other323.revision;
+  __isset = other323.__isset;
   return *this;
 }
-ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other318) noexcept {
-  token = other318.token;
-  revision = other318.revision;
-  __isset = other318.__isset;
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other324) noexcept {
+  token = other324.token;
+  revision = other324.revision;
+  __isset = other324.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -9402,26 +9444,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other319) {
-  nodeId = other319.nodeId;
-  revision = other319.revision;
-  __isset = other319.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other325) {
+  nodeId = other325.nodeId;
+  revision = other325.revision;
+  __isset = other325.__isset;
 }
-NodeStatus::NodeStatus(NodeStatus&& other320) noexcept {
-  nodeId = std::move(other320.nodeId);
-  revision = other320.revision;
-  __isset = other320.__isset;
+NodeStatus::NodeStatus(NodeStatus&& other326) noexcept {
+  nodeId = std::move(other326.nodeId);
+  revision = other326.revision;
+  __isset = other326.__isset;
 }
-NodeStatus& NodeStatus::operator=(const NodeStatus& other321) {
-  nodeId = other321.nodeId;
-  revision = other321.revision;
-  __isset = other321.__isset;
+NodeStatus& NodeStatus::operator=(const NodeStatus& other327) {
+  nodeId = other327.nodeId;
+  revision = other327.revision;
+  __isset = other327.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other322) noexcept {
-  nodeId = std::move(other322.nodeId);
-  revision = other322.revision;
-  __isset = other322.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other328) noexcept {
+  nodeId = std::move(other328.nodeId);
+  revision = other328.revision;
+  __isset = other328.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -9512,14 +9554,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attached.clear();
-            uint32_t _size323;
-            ::apache::thrift::protocol::TType _etype326;
-            xfer += iprot->readListBegin(_etype326, _size323);
-            this->attached.resize(_size323);
-            uint32_t _i327;
-            for (_i327 = 0; _i327 < _size323; ++_i327)
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->attached.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
             {
-              xfer += iprot->readString(this->attached[_i327]);
+              xfer += iprot->readString(this->attached[_i333]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9532,14 +9574,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->detached.clear();
-            uint32_t _size328;
-            ::apache::thrift::protocol::TType _etype331;
-            xfer += iprot->readListBegin(_etype331, _size328);
-            this->detached.resize(_size328);
-            uint32_t _i332;
-            for (_i332 = 0; _i332 < _size328; ++_i332)
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->detached.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
             {
-              xfer += iprot->readString(this->detached[_i332]);
+              xfer += iprot->readString(this->detached[_i338]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9552,14 +9594,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size333;
-            ::apache::thrift::protocol::TType _etype336;
-            xfer += iprot->readListBegin(_etype336, _size333);
-            this->lagging.resize(_size333);
-            uint32_t _i337;
-            for (_i337 = 0; _i337 < _size333; ++_i337)
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->lagging.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
             {
-              xfer += this->lagging[_i337].read(iprot);
+              xfer += this->lagging[_i343].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9612,10 +9654,10 @@
   xfer += oprot->writeFieldBegin("attached", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->attached.size()));
-    std::vector<std::string> ::const_iterator _iter338;
-    for (_iter338 = this->attached.begin(); _iter338 != this->attached.end(); ++_iter338)
+    std::vector<std::string> ::const_iterator _iter344;
+    for (_iter344 = this->attached.begin(); _iter344 != this->attached.end(); ++_iter344)
     {
-      xfer += oprot->writeString((*_iter338));
+      xfer += oprot->writeString((*_iter344));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9624,10 +9666,10 @@
   xfer += oprot->writeFieldBegin("detached", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->detached.size()));
-    std::vector<std::string> ::const_iterator _iter339;
-    for (_iter339 = this->detached.begin(); _iter339 != this->detached.end(); ++_iter339)
+    std::vector<std::string> ::const_iterator _iter345;
+    for (_iter345 = this->detached.begin(); _iter345 != this->detached.end(); ++_iter345)
     {
-      xfer += oprot->writeString((*_iter339));
+      xfer += oprot->writeString((*_iter345));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9636,10 +9678,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<NodeStatus> ::const_iterator _iter340;
-    for (_iter340 = this->lagging.begin(); _iter340 != this->lagging.end(); ++_iter340)
+    std::vector<NodeStatus> ::const_iterator _iter346;
+    for (_iter346 = this->lagging.begin(); _iter346 != this->lagging.end(); ++_iter346)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter346).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9670,46 +9712,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConvergenceReport::ConvergenceReport(const ConvergenceReport& other341) {
-  sequence = other341.sequence;
-  inForceRevision = other341.inForceRevision;
-  attached = other341.attached;
-  detached = other341.detached;
-  lagging = other341.lagging;
-  full = other341.full;
-  runningMs = other341.runningMs;
-  __isset = other341.__isset;
-}
-ConvergenceReport::ConvergenceReport(ConvergenceReport&& other342) noexcept {
-  sequence = other342.sequence;
-  inForceRevision = other342.inForceRevision;
-  attached = std::move(other342.attached);
-  detached = std::move(other342.detached);
-  lagging = std::move(other342.lagging);
-  full = other342.full;
-  runningMs = other342.runningMs;
-  __isset = other342.__isset;
-}
-ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other343) {
-  sequence = other343.sequence;
-  inForceRevision = other343.inForceRevision;
-  attached = other343.attached;
-  detached = other343.detached;
-  lagging = other343.lagging;
-  full = other343.full;
-  runningMs = other343.runningMs;
-  __isset = other343.__isset;
-  return *this;
-}
-ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other344) noexcept {
-  sequence = other344.sequence;
-  inForceRevision = other344.inForceRevision;
-  attached = std::move(other344.attached);
-  detached = std::move(other344.detached);
-  lagging = std::move(other344.lagging);
-  full = other344.full;
-  runningMs = other344.runningMs;
-  __isset = other344.__isset;
+ConvergenceReport::ConvergenceReport(const ConvergenceReport& other347) {
+  sequence = other347.sequence;
+  inForceRevision = other347.inForceRevision;
+  attached = other347.attached;
+  detached = other347.detached;
+  lagging = other347.lagging;
+  full = other347.full;
+  runningMs = other347.runningMs;
+  __isset = other347.__isset;
+}
+ConvergenceReport::ConvergenceReport(ConvergenceReport&& other348) noexcept {
+  sequence = other348.sequence;
+  inForceRevision = other348.inForceRevision;
+  attached = std::move(other348.attached);
+  detached = std::move(other348.detached);
+  lagging = std::move(other348.lagging);
+  full = other348.full;
+  runningMs = other348.runningMs;
+  __isset = other348.__isset;
+}
+ConvergenceReport& ConvergenceReport::operator=(const ConvergenceReport& other349) {
+  sequence = other349.sequence;
+  inForceRevision = other349.inForceRevision;
+  attached = other349.attached;
+  detached = other349.detached;
+  lagging = other349.lagging;
+  full = other349.full;
+  runningMs = other349.runningMs;
+  __isset = other349.__isset;
+  return *this;
+}
+ConvergenceReport& ConvergenceReport::operator=(ConvergenceReport&& other350) noexcept {
+  sequence = other350.sequence;
+  inForceRevision = other350.inForceRevision;
+  attached = std::move(other350.attached);
+  detached = std::move(other350.detached);
+  lagging = std::move(other350.lagging);
+  full = other350.full;
+  runningMs = other350.runningMs;
+  __isset = other350.__isset;
   return *this;
 }
 void ConvergenceReport::printTo(std::ostream& out) const {
@@ -9777,14 +9819,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size345;
-            ::apache::thrift::protocol::TType _etype348;
-            xfer += iprot->readListBegin(_etype348, _size345);
-            this->hosts.resize(_size345);
-            uint32_t _i349;
-            for (_i349 = 0; _i349 < _size345; ++_i349)
+            uint32_t _size351;
+            ::apache::thrift::protocol::TType _etype354;
+            xfer += iprot->readListBegin(_etype354, _size351);
+            this->hosts.resize(_size351);
+            uint32_t _i355;
+            for (_i355 = 0; _i355 < _size351; ++_i355)
             {
-              xfer += iprot->readString(this->hosts[_i349]);
+              xfer += iprot->readString(this->hosts[_i355]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9797,14 +9839,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->services.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size356;
+            ::apache::thrift::protocol::TType _etype359;
+            xfer += iprot->readListBegin(_etype359, _size356);
+            this->services.resize(_size356);
+            uint32_t _i360;
+            for (_i360 = 0; _i360 < _size356; ++_i360)
             {
-              xfer += iprot->readString(this->services[_i354]);
+              xfer += iprot->readString(this->services[_i360]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9849,10 +9891,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter355;
-    for (_iter355 = this->hosts.begin(); _iter355 != this->hosts.end(); ++_iter355)
+    std::vector<std::string> ::const_iterator _iter361;
+    for (_iter361 = this->hosts.begin(); _iter361 != this->hosts.end(); ++_iter361)
     {
-      xfer += oprot->writeString((*_iter355));
+      xfer += oprot->writeString((*_iter361));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9861,10 +9903,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter356;
-    for (_iter356 = this->services.begin(); _iter356 != this->services.end(); ++_iter356)
+    std::vector<std::string> ::const_iterator _iter362;
+    for (_iter362 = this->services.begin(); _iter362 != this->services.end(); ++_iter362)
     {
-      xfer += oprot->writeString((*_iter356));
+      xfer += oprot->writeString((*_iter362));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9892,34 +9934,34 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeSubscribe::NodeSubscribe(const NodeSubscribe& other357) {
-  hosts = other357.hosts;
-  services = other357.services;
-  revision = other357.revision;
-  digest = other357.digest;
-  __isset = other357.__isset;
+NodeSubscribe::NodeSubscribe(const NodeSubscribe& other363) {
+  hosts = other363.hosts;
+  services = other363.services;
+  revision = other363.revision;
+  digest = other363.digest;
+  __isset = other363.__isset;
 }
-NodeSubscribe::NodeSubscribe(NodeSubscribe&& other358) noexcept {
-  hosts = std::move(other358.hosts);
-  services = std::move(other358.services);
-  revision = other358.revision;
-  digest = std::move(other358.digest);
-  __isset = other358.__isset;
+NodeSubscribe::NodeSubscribe(NodeSubscribe&& other364) noexcept {
+  hosts = std::move(other364.hosts);
+  services = std::move(other364.services);
+  revision = other364.revision;
+  digest = std::move(other364.digest);
+  __isset = other364.__isset;
 }
-NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other359) {
-  hosts = other359.hosts;
-  services = other359.services;
-  revision = other359.revision;
-  digest = other359.digest;
-  __isset = other359.__isset;
+NodeSubscribe& NodeSubscribe::operator=(const NodeSubscribe& other365) {
+  hosts = other365.hosts;
+  services = other365.services;
+  revision = other365.revision;
+  digest = other365.digest;
+  __isset = other365.__isset;
   return *this;
 }
-NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other360) noexcept {
-  hosts = std::move(other360.hosts);
-  services = std::move(other360.services);
-  revision = other360.revision;
-  digest = std::move(other360.digest);
-  __isset = other360.__isset;
+NodeSubscribe& NodeSubscribe::operator=(NodeSubscribe&& other366) noexcept {
+  hosts = std::move(other366.hosts);
+  services = std::move(other366.services);
+  revision = other366.revision;
+  digest = std::move(other366.digest);
+  __isset = other366.__isset;
   return *this;
 }
 void NodeSubscribe::printTo(std::ostream& out) const {
@@ -10012,14 +10054,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _etype364;
-            xfer += iprot->readListBegin(_etype364, _size361);
-            this->rows.resize(_size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _etype370;
+            xfer += iprot->readListBegin(_etype370, _size367);
+            this->rows.resize(_size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
             {
-              xfer += this->rows[_i365].read(iprot);
+              xfer += this->rows[_i371].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10068,10 +10110,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter366;
-    for (_iter366 = this->rows.begin(); _iter366 != this->rows.end(); ++_iter366)
+    std::vector<Row> ::const_iterator _iter372;
+    for (_iter372 = this->rows.begin(); _iter372 != this->rows.end(); ++_iter372)
     {
-      xfer += (*_iter366).write(oprot);
+      xfer += (*_iter372).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10096,38 +10138,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceUpdate::SliceUpdate(const SliceUpdate& other367) {
-  fromRevision = other367.fromRevision;
-  toRevision = other367.toRevision;
-  full = other367.full;
-  rows = other367.rows;
-  digest = other367.digest;
-  __isset = other367.__isset;
-}
-SliceUpdate::SliceUpdate(SliceUpdate&& other368) noexcept {
-  fromRevision = other368.fromRevision;
-  toRevision = other368.toRevision;
-  full = other368.full;
-  rows = std::move(other368.rows);
-  digest = std::move(other368.digest);
-  __isset = other368.__isset;
-}
-SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other369) {
-  fromRevision = other369.fromRevision;
-  toRevision = other369.toRevision;
-  full = other369.full;
-  rows = other369.rows;
-  digest = other369.digest;
-  __isset = other369.__isset;
-  return *this;
-}
-SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other370) noexcept {
-  fromRevision = other370.fromRevision;
-  toRevision = other370.toRevision;
-  full = other370.full;
-  rows = std::move(other370.rows);
-  digest = std::move(other370.digest);
-  __isset = other370.__isset;
+SliceUpdate::SliceUpdate(const SliceUpdate& other373) {
+  fromRevision = other373.fromRevision;
+  toRevision = other373.toRevision;
+  full = other373.full;
+  rows = other373.rows;
+  digest = other373.digest;
+  __isset = other373.__isset;
+}
+SliceUpdate::SliceUpdate(SliceUpdate&& other374) noexcept {
+  fromRevision = other374.fromRevision;
+  toRevision = other374.toRevision;
+  full = other374.full;
+  rows = std::move(other374.rows);
+  digest = std::move(other374.digest);
+  __isset = other374.__isset;
+}
+SliceUpdate& SliceUpdate::operator=(const SliceUpdate& other375) {
+  fromRevision = other375.fromRevision;
+  toRevision = other375.toRevision;
+  full = other375.full;
+  rows = other375.rows;
+  digest = other375.digest;
+  __isset = other375.__isset;
+  return *this;
+}
+SliceUpdate& SliceUpdate::operator=(SliceUpdate&& other376) noexcept {
+  fromRevision = other376.fromRevision;
+  toRevision = other376.toRevision;
+  full = other376.full;
+  rows = std::move(other376.rows);
+  digest = std::move(other376.digest);
+  __isset = other376.__isset;
   return *this;
 }
 void SliceUpdate::printTo(std::ostream& out) const {
@@ -10217,22 +10259,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceApplied::SliceApplied(const SliceApplied& other371) noexcept {
-  revision = other371.revision;
-  __isset = other371.__isset;
+SliceApplied::SliceApplied(const SliceApplied& other377) noexcept {
+  revision = other377.revision;
+  __isset = other377.__isset;
 }
-SliceApplied::SliceApplied(SliceApplied&& other372) noexcept {
-  revision = other372.revision;
-  __isset = other372.__isset;
+SliceApplied::SliceApplied(SliceApplied&& other378) noexcept {
+  revision = other378.revision;
+  __isset = other378.__isset;
 }
-SliceApplied& SliceApplied::operator=(const SliceApplied& other373) noexcept {
-  revision = other373.revision;
-  __isset = other373.__isset;
+SliceApplied& SliceApplied::operator=(const SliceApplied& other379) noexcept {
+  revision = other379.revision;
+  __isset = other379.__isset;
   return *this;
 }
-SliceApplied& SliceApplied::operator=(SliceApplied&& other374) noexcept {
-  revision = other374.revision;
-  __isset = other374.__isset;
+SliceApplied& SliceApplied::operator=(SliceApplied&& other380) noexcept {
+  revision = other380.revision;
+  __isset = other380.__isset;
   return *this;
 }
 void SliceApplied::printTo(std::ostream& out) const {
@@ -10292,9 +10334,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast375;
-          xfer += iprot->readI32(ecast375);
-          this->reason = static_cast<SliceRejectReason::type>(ecast375);
+          int32_t ecast381;
+          xfer += iprot->readI32(ecast381);
+          this->reason = static_cast<SliceRejectReason::type>(ecast381);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10337,26 +10379,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SliceRejected::SliceRejected(const SliceRejected& other376) noexcept {
-  revision = other376.revision;
-  reason = other376.reason;
-  __isset = other376.__isset;
+SliceRejected::SliceRejected(const SliceRejected& other382) noexcept {
+  revision = other382.revision;
+  reason = other382.reason;
+  __isset = other382.__isset;
 }
-SliceRejected::SliceRejected(SliceRejected&& other377) noexcept {
-  revision = other377.revision;
-  reason = other377.reason;
-  __isset = other377.__isset;
+SliceRejected::SliceRejected(SliceRejected&& other383) noexcept {
+  revision = other383.revision;
+  reason = other383.reason;
+  __isset = other383.__isset;
 }
-SliceRejected& SliceRejected::operator=(const SliceRejected& other378) noexcept {
-  revision = other378.revision;
-  reason = other378.reason;
-  __isset = other378.__isset;
+SliceRejected& SliceRejected::operator=(const SliceRejected& other384) noexcept {
+  revision = other384.revision;
+  reason = other384.reason;
+  __isset = other384.__isset;
   return *this;
 }
-SliceRejected& SliceRejected::operator=(SliceRejected&& other379) noexcept {
-  revision = other379.revision;
-  reason = other379.reason;
-  __isset = other379.__isset;
+SliceRejected& SliceRejected::operator=(SliceRejected&& other385) noexcept {
+  revision = other385.revision;
+  reason = other385.reason;
+  __isset = other385.__isset;
   return *this;
 }
 void SliceRejected::printTo(std::ostream& out) const {
@@ -10460,26 +10502,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other380) noexcept {
-  freshness = other380.freshness;
-  ageMs = other380.ageMs;
-  __isset = other380.__isset;
+NodeHeartbeat::NodeHeartbeat(const NodeHeartbeat& other386) noexcept {
+  freshness = other386.freshness;
+  ageMs = other386.ageMs;
+  __isset = other386.__isset;
 }
-NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other381) noexcept {
-  freshness = std::move(other381.freshness);
-  ageMs = other381.ageMs;
-  __isset = other381.__isset;
+NodeHeartbeat::NodeHeartbeat(NodeHeartbeat&& other387) noexcept {
+  freshness = std::move(other387.freshness);
+  ageMs = other387.ageMs;
+  __isset = other387.__isset;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other382) noexcept {
-  freshness = other382.freshness;
-  ageMs = other382.ageMs;
-  __isset = other382.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(const NodeHeartbeat& other388) noexcept {
+  freshness = other388.freshness;
+  ageMs = other388.ageMs;
+  __isset = other388.__isset;
   return *this;
 }
-NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other383) noexcept {
-  freshness = std::move(other383.freshness);
-  ageMs = other383.ageMs;
-  __isset = other383.__isset;
+NodeHeartbeat& NodeHeartbeat::operator=(NodeHeartbeat&& other389) noexcept {
+  freshness = std::move(other389.freshness);
+  ageMs = other389.ageMs;
+  __isset = other389.__isset;
   return *this;
 }
 void NodeHeartbeat::printTo(std::ostream& out) const {
@@ -10566,22 +10608,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other384) noexcept {
-  delayMs = other384.delayMs;
-  __isset = other384.__isset;
+RetryLater::RetryLater(const RetryLater& other390) noexcept {
+  delayMs = other390.delayMs;
+  __isset = other390.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other385) noexcept {
-  delayMs = other385.delayMs;
-  __isset = other385.__isset;
+RetryLater::RetryLater(RetryLater&& other391) noexcept {
+  delayMs = other391.delayMs;
+  __isset = other391.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other386) noexcept {
-  delayMs = other386.delayMs;
-  __isset = other386.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other392) noexcept {
+  delayMs = other392.delayMs;
+  __isset = other392.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other387) noexcept {
-  delayMs = other387.delayMs;
-  __isset = other387.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other393) noexcept {
+  delayMs = other393.delayMs;
+  __isset = other393.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -10735,38 +10777,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeld::RelayHeld(const RelayHeld& other388) noexcept {
-  revision = other388.revision;
-  recovered = other388.recovered;
-  probe = other388.probe;
-  wantsReply = other388.wantsReply;
-  freshness = other388.freshness;
-  __isset = other388.__isset;
+RelayHeld::RelayHeld(const RelayHeld& other394) noexcept {
+  revision = other394.revision;
+  recovered = other394.recovered;
+  probe = other394.probe;
+  wantsReply = other394.wantsReply;
+  freshness = other394.freshness;
+  __isset = other394.__isset;
 }
-RelayHeld::RelayHeld(RelayHeld&& other389) noexcept {
-  revision = other389.revision;
-  recovered = other389.recovered;
-  probe = other389.probe;
-  wantsReply = other389.wantsReply;
-  freshness = std::move(other389.freshness);
-  __isset = other389.__isset;
+RelayHeld::RelayHeld(RelayHeld&& other395) noexcept {
+  revision = other395.revision;
+  recovered = other395.recovered;
+  probe = other395.probe;
+  wantsReply = other395.wantsReply;
+  freshness = std::move(other395.freshness);
+  __isset = other395.__isset;
 }
-RelayHeld& RelayHeld::operator=(const RelayHeld& other390) noexcept {
-  revision = other390.revision;
-  recovered = other390.recovered;
-  probe = other390.probe;
-  wantsReply = other390.wantsReply;
-  freshness = other390.freshness;
-  __isset = other390.__isset;
+RelayHeld& RelayHeld::operator=(const RelayHeld& other396) noexcept {
+  revision = other396.revision;
+  recovered = other396.recovered;
+  probe = other396.probe;
+  wantsReply = other396.wantsReply;
+  freshness = other396.freshness;
+  __isset = other396.__isset;
   return *this;
 }
-RelayHeld& RelayHeld::operator=(RelayHeld&& other391) noexcept {
-  revision = other391.revision;
-  recovered = other391.recovered;
-  probe = other391.probe;
-  wantsReply = other391.wantsReply;
-  freshness = std::move(other391.freshness);
-  __isset = other391.__isset;
+RelayHeld& RelayHeld::operator=(RelayHeld&& other397) noexcept {
+  revision = other397.revision;
+  recovered = other397.recovered;
+  probe = other397.probe;
+  wantsReply = other397.wantsReply;
+  freshness = std::move(other397.freshness);
+  __isset = other397.__isset;
   return *this;
 }
 void RelayHeld::printTo(std::ostream& out) const {
@@ -10874,9 +10916,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast392;
-          xfer += iprot->readI32(ecast392);
-          this->condition = static_cast<EndpointCondition::type>(ecast392);
+          int32_t ecast398;
+          xfer += iprot->readI32(ecast398);
+          this->condition = static_cast<EndpointCondition::type>(ecast398);
           this->__isset.condition = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11028,62 +11070,62 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other393) {
-  serviceName = other393.serviceName;
-  endpoint = other393.endpoint;
-  condition = other393.condition;
-  incarnation = other393.incarnation;
-  sequence = other393.sequence;
-  address = other393.address;
-  port = other393.port;
-  zone = other393.zone;
-  slots = other393.slots;
-  coldMs = other393.coldMs;
-  version = other393.version;
-  __isset = other393.__isset;
-}
-EndpointState::EndpointState(EndpointState&& other394) noexcept {
-  serviceName = std::move(other394.serviceName);
-  endpoint = std::move(other394.endpoint);
-  condition = other394.condition;
-  incarnation = other394.incarnation;
-  sequence = other394.sequence;
-  address = std::move(other394.address);
-  port = other394.port;
-  zone = std::move(other394.zone);
-  slots = other394.slots;
-  coldMs = other394.coldMs;
-  version = std::move(other394.version);
-  __isset = other394.__isset;
-}
-EndpointState& EndpointState::operator=(const EndpointState& other395) {
-  serviceName = other395.serviceName;
-  endpoint = other395.endpoint;
-  condition = other395.condition;
-  incarnation = other395.incarnation;
-  sequence = other395.sequence;
-  address = other395.address;
-  port = other395.port;
-  zone = other395.zone;
-  slots = other395.slots;
-  coldMs = other395.coldMs;
-  version = other395.version;
-  __isset = other395.__isset;
-  return *this;
-}
-EndpointState& EndpointState::operator=(EndpointState&& other396) noexcept {
-  serviceName = std::move(other396.serviceName);
-  endpoint = std::move(other396.endpoint);
-  condition = other396.condition;
-  incarnation = other396.incarnation;
-  sequence = other396.sequence;
-  address = std::move(other396.address);
-  port = other396.port;
-  zone = std::move(other396.zone);
-  slots = other396.slots;
-  coldMs = other396.coldMs;
-  version = std::move(other396.version);
-  __isset = other396.__isset;
+EndpointState::EndpointState(const EndpointState& other399) {
+  serviceName = other399.serviceName;
+  endpoint = other399.endpoint;
+  condition = other399.condition;
+  incarnation = other399.incarnation;
+  sequence = other399.sequence;
+  address = other399.address;
+  port = other399.port;
+  zone = other399.zone;
+  slots = other399.slots;
+  coldMs = other399.coldMs;
+  version = other399.version;
+  __isset = other399.__isset;
+}
+EndpointState::EndpointState(EndpointState&& other400) noexcept {
+  serviceName = std::move(other400.serviceName);
+  endpoint = std::move(other400.endpoint);
+  condition = other400.condition;
+  incarnation = other400.incarnation;
+  sequence = other400.sequence;
+  address = std::move(other400.address);
+  port = other400.port;
+  zone = std::move(other400.zone);
+  slots = other400.slots;
+  coldMs = other400.coldMs;
+  version = std::move(other400.version);
+  __isset = other400.__isset;
+}
+EndpointState& EndpointState::operator=(const EndpointState& other401) {
+  serviceName = other401.serviceName;
+  endpoint = other401.endpoint;
+  condition = other401.condition;
+  incarnation = other401.incarnation;
+  sequence = other401.sequence;
+  address = other401.address;
+  port = other401.port;
+  zone = other401.zone;
+  slots = other401.slots;
+  coldMs = other401.coldMs;
+  version = other401.version;
+  __isset = other401.__isset;
+  return *this;
+}
+EndpointState& EndpointState::operator=(EndpointState&& other402) noexcept {
+  serviceName = std::move(other402.serviceName);
+  endpoint = std::move(other402.endpoint);
+  condition = other402.condition;
+  incarnation = other402.incarnation;
+  sequence = other402.sequence;
+  address = std::move(other402.address);
+  port = other402.port;
+  zone = std::move(other402.zone);
+  slots = other402.slots;
+  coldMs = other402.coldMs;
+  version = std::move(other402.version);
+  __isset = other402.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -11143,14 +11185,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size397;
-            ::apache::thrift::protocol::TType _etype400;
-            xfer += iprot->readListBegin(_etype400, _size397);
-            this->states.resize(_size397);
-            uint32_t _i401;
-            for (_i401 = 0; _i401 < _size397; ++_i401)
+            uint32_t _size403;
+            ::apache::thrift::protocol::TType _etype406;
+            xfer += iprot->readListBegin(_etype406, _size403);
+            this->states.resize(_size403);
+            uint32_t _i407;
+            for (_i407 = 0; _i407 < _size403; ++_i407)
             {
-              xfer += this->states[_i401].read(iprot);
+              xfer += this->states[_i407].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11179,10 +11221,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<EndpointState> ::const_iterator _iter402;
-    for (_iter402 = this->states.begin(); _iter402 != this->states.end(); ++_iter402)
+    std::vector<EndpointState> ::const_iterator _iter408;
+    for (_iter408 = this->states.begin(); _iter408 != this->states.end(); ++_iter408)
     {
-      xfer += (*_iter402).write(oprot);
+      xfer += (*_iter408).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11199,22 +11241,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointStates::EndpointStates(const EndpointStates& other403) {
-  states = other403.states;
-  __isset = other403.__isset;
+EndpointStates::EndpointStates(const EndpointStates& other409) {
+  states = other409.states;
+  __isset = other409.__isset;
 }
-EndpointStates::EndpointStates(EndpointStates&& other404) noexcept {
-  states = std::move(other404.states);
-  __isset = other404.__isset;
+EndpointStates::EndpointStates(EndpointStates&& other410) noexcept {
+  states = std::move(other410.states);
+  __isset = other410.__isset;
 }
-EndpointStates& EndpointStates::operator=(const EndpointStates& other405) {
-  states = other405.states;
-  __isset = other405.__isset;
+EndpointStates& EndpointStates::operator=(const EndpointStates& other411) {
+  states = other411.states;
+  __isset = other411.__isset;
   return *this;
 }
-EndpointStates& EndpointStates::operator=(EndpointStates&& other406) noexcept {
-  states = std::move(other406.states);
-  __isset = other406.__isset;
+EndpointStates& EndpointStates::operator=(EndpointStates&& other412) noexcept {
+  states = std::move(other412.states);
+  __isset = other412.__isset;
   return *this;
 }
 void EndpointStates::printTo(std::ostream& out) const {
@@ -11334,30 +11376,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashedRequest::CrashedRequest(const CrashedRequest& other407) {
-  fingerprint = other407.fingerprint;
-  onProbation = other407.onProbation;
-  cleared = other407.cleared;
-  __isset = other407.__isset;
+CrashedRequest::CrashedRequest(const CrashedRequest& other413) {
+  fingerprint = other413.fingerprint;
+  onProbation = other413.onProbation;
+  cleared = other413.cleared;
+  __isset = other413.__isset;
 }
-CrashedRequest::CrashedRequest(CrashedRequest&& other408) noexcept {
-  fingerprint = std::move(other408.fingerprint);
-  onProbation = other408.onProbation;
-  cleared = other408.cleared;
-  __isset = other408.__isset;
+CrashedRequest::CrashedRequest(CrashedRequest&& other414) noexcept {
+  fingerprint = std::move(other414.fingerprint);
+  onProbation = other414.onProbation;
+  cleared = other414.cleared;
+  __isset = other414.__isset;
 }
-CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other409) {
-  fingerprint = other409.fingerprint;
-  onProbation = other409.onProbation;
-  cleared = other409.cleared;
-  __isset = other409.__isset;
+CrashedRequest& CrashedRequest::operator=(const CrashedRequest& other415) {
+  fingerprint = other415.fingerprint;
+  onProbation = other415.onProbation;
+  cleared = other415.cleared;
+  __isset = other415.__isset;
   return *this;
 }
-CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other410) noexcept {
-  fingerprint = std::move(other410.fingerprint);
-  onProbation = other410.onProbation;
-  cleared = other410.cleared;
-  __isset = other410.__isset;
+CrashedRequest& CrashedRequest::operator=(CrashedRequest&& other416) noexcept {
+  fingerprint = std::move(other416.fingerprint);
+  onProbation = other416.onProbation;
+  cleared = other416.cleared;
+  __isset = other416.__isset;
   return *this;
 }
 void CrashedRequest::printTo(std::ostream& out) const {
@@ -11457,14 +11499,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->requests.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size417;
+            ::apache::thrift::protocol::TType _etype420;
+            xfer += iprot->readListBegin(_etype420, _size417);
+            this->requests.resize(_size417);
+            uint32_t _i421;
+            for (_i421 = 0; _i421 < _size417; ++_i421)
             {
-              xfer += this->requests[_i415].read(iprot);
+              xfer += this->requests[_i421].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11509,10 +11551,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<CrashedRequest> ::const_iterator _iter416;
-    for (_iter416 = this->requests.begin(); _iter416 != this->requests.end(); ++_iter416)
+    std::vector<CrashedRequest> ::const_iterator _iter422;
+    for (_iter422 = this->requests.begin(); _iter422 != this->requests.end(); ++_iter422)
     {
-      xfer += (*_iter416).write(oprot);
+      xfer += (*_iter422).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11533,38 +11575,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other417) {
-  id = other417.id;
-  serviceName = other417.serviceName;
-  endpoint = other417.endpoint;
-  ageMs = other417.ageMs;
-  requests = other417.requests;
-  __isset = other417.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other418) noexcept {
-  id = other418.id;
-  serviceName = std::move(other418.serviceName);
-  endpoint = std::move(other418.endpoint);
-  ageMs = other418.ageMs;
-  requests = std::move(other418.requests);
-  __isset = other418.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other419) {
-  id = other419.id;
-  serviceName = other419.serviceName;
-  endpoint = other419.endpoint;
-  ageMs = other419.ageMs;
-  requests = other419.requests;
-  __isset = other419.__isset;
-  return *this;
-}
-CrashReport& CrashReport::operator=(CrashReport&& other420) noexcept {
-  id = other420.id;
-  serviceName = std::move(other420.serviceName);
-  endpoint = std::move(other420.endpoint);
-  ageMs = other420.ageMs;
-  requests = std::move(other420.requests);
-  __isset = other420.__isset;
+CrashReport::CrashReport(const CrashReport& other423) {
+  id = other423.id;
+  serviceName = other423.serviceName;
+  endpoint = other423.endpoint;
+  ageMs = other423.ageMs;
+  requests = other423.requests;
+  __isset = other423.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other424) noexcept {
+  id = other424.id;
+  serviceName = std::move(other424.serviceName);
+  endpoint = std::move(other424.endpoint);
+  ageMs = other424.ageMs;
+  requests = std::move(other424.requests);
+  __isset = other424.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other425) {
+  id = other425.id;
+  serviceName = other425.serviceName;
+  endpoint = other425.endpoint;
+  ageMs = other425.ageMs;
+  requests = other425.requests;
+  __isset = other425.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other426) noexcept {
+  id = other426.id;
+  serviceName = std::move(other426.serviceName);
+  endpoint = std::move(other426.endpoint);
+  ageMs = other426.ageMs;
+  requests = std::move(other426.requests);
+  __isset = other426.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -11618,14 +11660,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size421;
-            ::apache::thrift::protocol::TType _etype424;
-            xfer += iprot->readListBegin(_etype424, _size421);
-            this->reports.resize(_size421);
-            uint32_t _i425;
-            for (_i425 = 0; _i425 < _size421; ++_i425)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->reports.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += this->reports[_i425].read(iprot);
+              xfer += this->reports[_i431].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11654,10 +11696,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<CrashReport> ::const_iterator _iter426;
-    for (_iter426 = this->reports.begin(); _iter426 != this->reports.end(); ++_iter426)
+    std::vector<CrashReport> ::const_iterator _iter432;
+    for (_iter432 = this->reports.begin(); _iter432 != this->reports.end(); ++_iter432)
     {
-      xfer += (*_iter426).write(oprot);
+      xfer += (*_iter432).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11674,22 +11716,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReports::CrashReports(const CrashReports& other427) {
-  reports = other427.reports;
-  __isset = other427.__isset;
+CrashReports::CrashReports(const CrashReports& other433) {
+  reports = other433.reports;
+  __isset = other433.__isset;
 }
-CrashReports::CrashReports(CrashReports&& other428) noexcept {
-  reports = std::move(other428.reports);
-  __isset = other428.__isset;
+CrashReports::CrashReports(CrashReports&& other434) noexcept {
+  reports = std::move(other434.reports);
+  __isset = other434.__isset;
 }
-CrashReports& CrashReports::operator=(const CrashReports& other429) {
-  reports = other429.reports;
-  __isset = other429.__isset;
+CrashReports& CrashReports::operator=(const CrashReports& other435) {
+  reports = other435.reports;
+  __isset = other435.__isset;
   return *this;
 }
-CrashReports& CrashReports::operator=(CrashReports&& other430) noexcept {
-  reports = std::move(other430.reports);
-  __isset = other430.__isset;
+CrashReports& CrashReports::operator=(CrashReports&& other436) noexcept {
+  reports = std::move(other436.reports);
+  __isset = other436.__isset;
   return *this;
 }
 void CrashReports::printTo(std::ostream& out) const {
@@ -11787,14 +11829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size431;
-            ::apache::thrift::protocol::TType _etype434;
-            xfer += iprot->readListBegin(_etype434, _size431);
-            this->runs.resize(_size431);
-            uint32_t _i435;
-            for (_i435 = 0; _i435 < _size431; ++_i435)
+            uint32_t _size437;
+            ::apache::thrift::protocol::TType _etype440;
+            xfer += iprot->readListBegin(_etype440, _size437);
+            this->runs.resize(_size437);
+            uint32_t _i441;
+            for (_i441 = 0; _i441 < _size437; ++_i441)
             {
-              xfer += iprot->readI64(this->runs[_i435]);
+              xfer += iprot->readI64(this->runs[_i441]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11839,10 +11881,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->runs.size()));
-    std::vector<int64_t> ::const_iterator _iter436;
-    for (_iter436 = this->runs.begin(); _iter436 != this->runs.end(); ++_iter436)
+    std::vector<int64_t> ::const_iterator _iter442;
+    for (_iter442 = this->runs.begin(); _iter442 != this->runs.end(); ++_iter442)
     {
-      xfer += oprot->writeI64((*_iter436));
+      xfer += oprot->writeI64((*_iter442));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11863,38 +11905,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RouteFigures::RouteFigures(const RouteFigures& other437) {
-  route = other437.route;
-  answered = other437.answered;
-  failed = other437.failed;
-  firstBucket = other437.firstBucket;
-  runs = other437.runs;
-  __isset = other437.__isset;
-}
-RouteFigures::RouteFigures(RouteFigures&& other438) noexcept {
-  route = other438.route;
-  answered = other438.answered;
-  failed = other438.failed;
-  firstBucket = other438.firstBucket;
-  runs = std::move(other438.runs);
-  __isset = other438.__isset;
-}
-RouteFigures& RouteFigures::operator=(const RouteFigures& other439) {
-  route = other439.route;
-  answered = other439.answered;
-  failed = other439.failed;
-  firstBucket = other439.firstBucket;
-  runs = other439.runs;
-  __isset = other439.__isset;
-  return *this;
-}
-RouteFigures& RouteFigures::operator=(RouteFigures&& other440) noexcept {
-  route = other440.route;
-  answered = other440.answered;
-  failed = other440.failed;
-  firstBucket = other440.firstBucket;
-  runs = std::move(other440.runs);
-  __isset = other440.__isset;
+RouteFigures::RouteFigures(const RouteFigures& other443) {
+  route = other443.route;
+  answered = other443.answered;
+  failed = other443.failed;
+  firstBucket = other443.firstBucket;
+  runs = other443.runs;
+  __isset = other443.__isset;
+}
+RouteFigures::RouteFigures(RouteFigures&& other444) noexcept {
+  route = other444.route;
+  answered = other444.answered;
+  failed = other444.failed;
+  firstBucket = other444.firstBucket;
+  runs = std::move(other444.runs);
+  __isset = other444.__isset;
+}
+RouteFigures& RouteFigures::operator=(const RouteFigures& other445) {
+  route = other445.route;
+  answered = other445.answered;
+  failed = other445.failed;
+  firstBucket = other445.firstBucket;
+  runs = other445.runs;
+  __isset = other445.__isset;
+  return *this;
+}
+RouteFigures& RouteFigures::operator=(RouteFigures&& other446) noexcept {
+  route = other446.route;
+  answered = other446.answered;
+  failed = other446.failed;
+  firstBucket = other446.firstBucket;
+  runs = std::move(other446.runs);
+  __isset = other446.__isset;
   return *this;
 }
 void RouteFigures::printTo(std::ostream& out) const {
@@ -12053,14 +12095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size441;
-            ::apache::thrift::protocol::TType _etype444;
-            xfer += iprot->readListBegin(_etype444, _size441);
-            this->routes.resize(_size441);
-            uint32_t _i445;
-            for (_i445 = 0; _i445 < _size441; ++_i445)
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->routes.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
             {
-              xfer += this->routes[_i445].read(iprot);
+              xfer += this->routes[_i451].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12137,10 +12179,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<RouteFigures> ::const_iterator _iter446;
-    for (_iter446 = this->routes.begin(); _iter446 != this->routes.end(); ++_iter446)
+    std::vector<RouteFigures> ::const_iterator _iter452;
+    for (_iter452 = this->routes.begin(); _iter452 != this->routes.end(); ++_iter452)
     {
-      xfer += (*_iter446).write(oprot);
+      xfer += (*_iter452).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12176,62 +12218,62 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReport::VersionReport(const VersionReport& other447) {
-  serviceName = other447.serviceName;
-  endpoint = other447.endpoint;
-  version = other447.version;
-  sequence = other447.sequence;
-  revision = other447.revision;
-  active = other447.active;
-  slots = other447.slots;
-  coldMs = other447.coldMs;
-  routes = other447.routes;
-  life = other447.life;
-  underLoad = other447.underLoad;
-  __isset = other447.__isset;
-}
-VersionReport::VersionReport(VersionReport&& other448) noexcept {
-  serviceName = std::move(other448.serviceName);
-  endpoint = std::move(other448.endpoint);
-  version = std::move(other448.version);
-  sequence = other448.sequence;
-  revision = other448.revision;
-  active = other448.active;
-  slots = other448.slots;
-  coldMs = other448.coldMs;
-  routes = std::move(other448.routes);
-  life = other448.life;
-  underLoad = std::move(other448.underLoad);
-  __isset = other448.__isset;
-}
-VersionReport& VersionReport::operator=(const VersionReport& other449) {
-  serviceName = other449.serviceName;
-  endpoint = other449.endpoint;
-  version = other449.version;
-  sequence = other449.sequence;
-  revision = other449.revision;
-  active = other449.active;
-  slots = other449.slots;
-  coldMs = other449.coldMs;
-  routes = other449.routes;
-  life = other449.life;
-  underLoad = other449.underLoad;
-  __isset = other449.__isset;
-  return *this;
-}
-VersionReport& VersionReport::operator=(VersionReport&& other450) noexcept {
-  serviceName = std::move(other450.serviceName);
-  endpoint = std::move(other450.endpoint);
-  version = std::move(other450.version);
-  sequence = other450.sequence;
-  revision = other450.revision;
-  active = other450.active;
-  slots = other450.slots;
-  coldMs = other450.coldMs;
-  routes = std::move(other450.routes);
-  life = other450.life;
-  underLoad = std::move(other450.underLoad);
-  __isset = other450.__isset;
+VersionReport::VersionReport(const VersionReport& other453) {
+  serviceName = other453.serviceName;
+  endpoint = other453.endpoint;
+  version = other453.version;
+  sequence = other453.sequence;
+  revision = other453.revision;
+  active = other453.active;
+  slots = other453.slots;
+  coldMs = other453.coldMs;
+  routes = other453.routes;
+  life = other453.life;
+  underLoad = other453.underLoad;
+  __isset = other453.__isset;
+}
+VersionReport::VersionReport(VersionReport&& other454) noexcept {
+  serviceName = std::move(other454.serviceName);
+  endpoint = std::move(other454.endpoint);
+  version = std::move(other454.version);
+  sequence = other454.sequence;
+  revision = other454.revision;
+  active = other454.active;
+  slots = other454.slots;
+  coldMs = other454.coldMs;
+  routes = std::move(other454.routes);
+  life = other454.life;
+  underLoad = std::move(other454.underLoad);
+  __isset = other454.__isset;
+}
+VersionReport& VersionReport::operator=(const VersionReport& other455) {
+  serviceName = other455.serviceName;
+  endpoint = other455.endpoint;
+  version = other455.version;
+  sequence = other455.sequence;
+  revision = other455.revision;
+  active = other455.active;
+  slots = other455.slots;
+  coldMs = other455.coldMs;
+  routes = other455.routes;
+  life = other455.life;
+  underLoad = other455.underLoad;
+  __isset = other455.__isset;
+  return *this;
+}
+VersionReport& VersionReport::operator=(VersionReport&& other456) noexcept {
+  serviceName = std::move(other456.serviceName);
+  endpoint = std::move(other456.endpoint);
+  version = std::move(other456.version);
+  sequence = other456.sequence;
+  revision = other456.revision;
+  active = other456.active;
+  slots = other456.slots;
+  coldMs = other456.coldMs;
+  routes = std::move(other456.routes);
+  life = other456.life;
+  underLoad = std::move(other456.underLoad);
+  __isset = other456.__isset;
   return *this;
 }
 void VersionReport::printTo(std::ostream& out) const {
@@ -12291,14 +12333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size451;
-            ::apache::thrift::protocol::TType _etype454;
-            xfer += iprot->readListBegin(_etype454, _size451);
-            this->reports.resize(_size451);
-            uint32_t _i455;
-            for (_i455 = 0; _i455 < _size451; ++_i455)
+            uint32_t _size457;
+            ::apache::thrift::protocol::TType _etype460;
+            xfer += iprot->readListBegin(_etype460, _size457);
+            this->reports.resize(_size457);
+            uint32_t _i461;
+            for (_i461 = 0; _i461 < _size457; ++_i461)
             {
-              xfer += this->reports[_i455].read(iprot);
+              xfer += this->reports[_i461].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12327,10 +12369,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<VersionReport> ::const_iterator _iter456;
-    for (_iter456 = this->reports.begin(); _iter456 != this->reports.end(); ++_iter456)
+    std::vector<VersionReport> ::const_iterator _iter462;
+    for (_iter462 = this->reports.begin(); _iter462 != this->reports.end(); ++_iter462)
     {
-      xfer += (*_iter456).write(oprot);
+      xfer += (*_iter462).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12347,22 +12389,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReports::VersionReports(const VersionReports& other457) {
-  reports = other457.reports;
-  __isset = other457.__isset;
+VersionReports::VersionReports(const VersionReports& other463) {
+  reports = other463.reports;
+  __isset = other463.__isset;
 }
-VersionReports::VersionReports(VersionReports&& other458) noexcept {
-  reports = std::move(other458.reports);
-  __isset = other458.__isset;
+VersionReports::VersionReports(VersionReports&& other464) noexcept {
+  reports = std::move(other464.reports);
+  __isset = other464.__isset;
 }
-VersionReports& VersionReports::operator=(const VersionReports& other459) {
-  reports = other459.reports;
-  __isset = other459.__isset;
+VersionReports& VersionReports::operator=(const VersionReports& other465) {
+  reports = other465.reports;
+  __isset = other465.__isset;
   return *this;
 }
-VersionReports& VersionReports::operator=(VersionReports&& other460) noexcept {
-  reports = std::move(other460.reports);
-  __isset = other460.__isset;
+VersionReports& VersionReports::operator=(VersionReports&& other466) noexcept {
+  reports = std::move(other466.reports);
+  __isset = other466.__isset;
   return *this;
 }
 void VersionReports::printTo(std::ostream& out) const {
@@ -12482,30 +12524,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SeenVersion::SeenVersion(const SeenVersion& other461) {
-  serviceName = other461.serviceName;
-  version = other461.version;
-  endpoints = other461.endpoints;
-  __isset = other461.__isset;
+SeenVersion::SeenVersion(const SeenVersion& other467) {
+  serviceName = other467.serviceName;
+  version = other467.version;
+  endpoints = other467.endpoints;
+  __isset = other467.__isset;
 }
-SeenVersion::SeenVersion(SeenVersion&& other462) noexcept {
-  serviceName = std::move(other462.serviceName);
-  version = std::move(other462.version);
-  endpoints = other462.endpoints;
-  __isset = other462.__isset;
+SeenVersion::SeenVersion(SeenVersion&& other468) noexcept {
+  serviceName = std::move(other468.serviceName);
+  version = std::move(other468.version);
+  endpoints = other468.endpoints;
+  __isset = other468.__isset;
 }
-SeenVersion& SeenVersion::operator=(const SeenVersion& other463) {
-  serviceName = other463.serviceName;
-  version = other463.version;
-  endpoints = other463.endpoints;
-  __isset = other463.__isset;
+SeenVersion& SeenVersion::operator=(const SeenVersion& other469) {
+  serviceName = other469.serviceName;
+  version = other469.version;
+  endpoints = other469.endpoints;
+  __isset = other469.__isset;
   return *this;
 }
-SeenVersion& SeenVersion::operator=(SeenVersion&& other464) noexcept {
-  serviceName = std::move(other464.serviceName);
-  version = std::move(other464.version);
-  endpoints = other464.endpoints;
-  __isset = other464.__isset;
+SeenVersion& SeenVersion::operator=(SeenVersion&& other470) noexcept {
+  serviceName = std::move(other470.serviceName);
+  version = std::move(other470.version);
+  endpoints = other470.endpoints;
+  __isset = other470.__isset;
   return *this;
 }
 void SeenVersion::printTo(std::ostream& out) const {
@@ -12557,14 +12599,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size465;
-            ::apache::thrift::protocol::TType _etype468;
-            xfer += iprot->readListBegin(_etype468, _size465);
-            this->versions.resize(_size465);
-            uint32_t _i469;
-            for (_i469 = 0; _i469 < _size465; ++_i469)
+            uint32_t _size471;
+            ::apache::thrift::protocol::TType _etype474;
+            xfer += iprot->readListBegin(_etype474, _size471);
+            this->versions.resize(_size471);
+            uint32_t _i475;
+            for (_i475 = 0; _i475 < _size471; ++_i475)
             {
-              xfer += this->versions[_i469].read(iprot);
+              xfer += this->versions[_i475].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12593,10 +12635,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<SeenVersion> ::const_iterator _iter470;
-    for (_iter470 = this->versions.begin(); _iter470 != this->versions.end(); ++_iter470)
+    std::vector<SeenVersion> ::const_iterator _iter476;
+    for (_iter476 = this->versions.begin(); _iter476 != this->versions.end(); ++_iter476)
     {
-      xfer += (*_iter470).write(oprot);
+      xfer += (*_iter476).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12613,22 +12655,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SeenVersions::SeenVersions(const SeenVersions& other471) {
-  versions = other471.versions;
-  __isset = other471.__isset;
+SeenVersions::SeenVersions(const SeenVersions& other477) {
+  versions = other477.versions;
+  __isset = other477.__isset;
 }
-SeenVersions::SeenVersions(SeenVersions&& other472) noexcept {
-  versions = std::move(other472.versions);
-  __isset = other472.__isset;
+SeenVersions::SeenVersions(SeenVersions&& other478) noexcept {
+  versions = std::move(other478.versions);
+  __isset = other478.__isset;
 }
-SeenVersions& SeenVersions::operator=(const SeenVersions& other473) {
-  versions = other473.versions;
-  __isset = other473.__isset;
+SeenVersions& SeenVersions::operator=(const SeenVersions& other479) {
+  versions = other479.versions;
+  __isset = other479.__isset;
   return *this;
 }
-SeenVersions& SeenVersions::operator=(SeenVersions&& other474) noexcept {
-  versions = std::move(other474.versions);
-  __isset = other474.__isset;
+SeenVersions& SeenVersions::operator=(SeenVersions&& other480) noexcept {
+  versions = std::move(other480.versions);
+  __isset = other480.__isset;
   return *this;
 }
 void SeenVersions::printTo(std::ostream& out) const {
@@ -12731,26 +12773,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRequest::LedgerRequest(const LedgerRequest& other475) {
-  requestId = other475.requestId;
-  command = other475.command;
-  __isset = other475.__isset;
+LedgerRequest::LedgerRequest(const LedgerRequest& other481) {
+  requestId = other481.requestId;
+  command = other481.command;
+  __isset = other481.__isset;
 }
-LedgerRequest::LedgerRequest(LedgerRequest&& other476) noexcept {
-  requestId = other476.requestId;
-  command = std::move(other476.command);
-  __isset = other476.__isset;
+LedgerRequest::LedgerRequest(LedgerRequest&& other482) noexcept {
+  requestId = other482.requestId;
+  command = std::move(other482.command);
+  __isset = other482.__isset;
 }
-LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other477) {
-  requestId = other477.requestId;
-  command = other477.command;
-  __isset = other477.__isset;
+LedgerRequest& LedgerRequest::operator=(const LedgerRequest& other483) {
+  requestId = other483.requestId;
+  command = other483.command;
+  __isset = other483.__isset;
   return *this;
 }
-LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other478) noexcept {
-  requestId = other478.requestId;
-  command = std::move(other478.command);
-  __isset = other478.__isset;
+LedgerRequest& LedgerRequest::operator=(LedgerRequest&& other484) noexcept {
+  requestId = other484.requestId;
+  command = std::move(other484.command);
+  __isset = other484.__isset;
   return *this;
 }
 void LedgerRequest::printTo(std::ostream& out) const {
@@ -12816,9 +12858,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast479;
-          xfer += iprot->readI32(ecast479);
-          this->verdict = static_cast<LedgerVerdict::type>(ecast479);
+          int32_t ecast485;
+          xfer += iprot->readI32(ecast485);
+          this->verdict = static_cast<LedgerVerdict::type>(ecast485);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12875,30 +12917,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerReply::LedgerReply(const LedgerReply& other480) {
-  requestId = other480.requestId;
-  verdict = other480.verdict;
-  answer = other480.answer;
-  __isset = other480.__isset;
+LedgerReply::LedgerReply(const LedgerReply& other486) {
+  requestId = other486.requestId;
+  verdict = other486.verdict;
+  answer = other486.answer;
+  __isset = other486.__isset;
 }
-LedgerReply::LedgerReply(LedgerReply&& other481) noexcept {
-  requestId = other481.requestId;
-  verdict = other481.verdict;
-  answer = std::move(other481.answer);
-  __isset = other481.__isset;
+LedgerReply::LedgerReply(LedgerReply&& other487) noexcept {
+  requestId = other487.requestId;
+  verdict = other487.verdict;
+  answer = std::move(other487.answer);
+  __isset = other487.__isset;
 }
-LedgerReply& LedgerReply::operator=(const LedgerReply& other482) {
-  requestId = other482.requestId;
-  verdict = other482.verdict;
-  answer = other482.answer;
-  __isset = other482.__isset;
+LedgerReply& LedgerReply::operator=(const LedgerReply& other488) {
+  requestId = other488.requestId;
+  verdict = other488.verdict;
+  answer = other488.answer;
+  __isset = other488.__isset;
   return *this;
 }
-LedgerReply& LedgerReply::operator=(LedgerReply&& other483) noexcept {
-  requestId = other483.requestId;
-  verdict = other483.verdict;
-  answer = std::move(other483.answer);
-  __isset = other483.__isset;
+LedgerReply& LedgerReply::operator=(LedgerReply&& other489) noexcept {
+  requestId = other489.requestId;
+  verdict = other489.verdict;
+  answer = std::move(other489.answer);
+  __isset = other489.__isset;
   return *this;
 }
 void LedgerReply::printTo(std::ostream& out) const {
@@ -13064,14 +13106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size484;
-            ::apache::thrift::protocol::TType _etype487;
-            xfer += iprot->readListBegin(_etype487, _size484);
-            this->headers.resize(_size484);
-            uint32_t _i488;
-            for (_i488 = 0; _i488 < _size484; ++_i488)
+            uint32_t _size490;
+            ::apache::thrift::protocol::TType _etype493;
+            xfer += iprot->readListBegin(_etype493, _size490);
+            this->headers.resize(_size490);
+            uint32_t _i494;
+            for (_i494 = 0; _i494 < _size490; ++_i494)
             {
-              xfer += this->headers[_i488].read(iprot);
+              xfer += this->headers[_i494].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13244,10 +13286,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter489;
-    for (_iter489 = this->headers.begin(); _iter489 != this->headers.end(); ++_iter489)
+    std::vector<HttpHeader> ::const_iterator _iter495;
+    for (_iter495 = this->headers.begin(); _iter495 != this->headers.end(); ++_iter495)
     {
-      xfer += (*_iter489).write(oprot);
+      xfer += (*_iter495).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13350,102 +13392,102 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other490) {
-  callId = other490.callId;
-  serviceName = other490.serviceName;
-  method = other490.method;
-  path = other490.path;
-  headers = other490.headers;
-  body = other490.body;
-  remainingMs = other490.remainingMs;
-  idempotencyKey = other490.idempotencyKey;
-  endpoint = other490.endpoint;
-  priority = other490.priority;
-  runOnce = other490.runOnce;
-  targetLatencyMs = other490.targetLatencyMs;
-  waitedMs = other490.waitedMs;
-  bodyBytes = other490.bodyBytes;
-  suspect = other490.suspect;
-  route = other490.route;
-  knownRatePerS = other490.knownRatePerS;
-  hasAlternative = other490.hasAlternative;
-  reservationId = other490.reservationId;
-  tenant = other490.tenant;
-  largeAnswer = other490.largeAnswer;
-  __isset = other490.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other491) noexcept {
-  callId = other491.callId;
-  serviceName = std::move(other491.serviceName);
-  method = std::move(other491.method);
-  path = std::move(other491.path);
-  headers = std::move(other491.headers);
-  body = std::move(other491.body);
-  remainingMs = other491.remainingMs;
-  idempotencyKey = std::move(other491.idempotencyKey);
-  endpoint = std::move(other491.endpoint);
-  priority = other491.priority;
-  runOnce = other491.runOnce;
-  targetLatencyMs = other491.targetLatencyMs;
-  waitedMs = other491.waitedMs;
-  bodyBytes = other491.bodyBytes;
-  suspect = other491.suspect;
-  route = other491.route;
-  knownRatePerS = other491.knownRatePerS;
-  hasAlternative = other491.hasAlternative;
-  reservationId = other491.reservationId;
-  tenant = std::move(other491.tenant);
-  largeAnswer = other491.largeAnswer;
-  __isset = other491.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other492) {
-  callId = other492.callId;
-  serviceName = other492.serviceName;
-  method = other492.method;
-  path = other492.path;
-  headers = other492.headers;
-  body = other492.body;
-  remainingMs = other492.remainingMs;
-  idempotencyKey = other492.idempotencyKey;
-  endpoint = other492.endpoint;
-  priority = other492.priority;
-  runOnce = other492.runOnce;
-  targetLatencyMs = other492.targetLatencyMs;
-  waitedMs = other492.waitedMs;
-  bodyBytes = other492.bodyBytes;
-  suspect = other492.suspect;
-  route = other492.route;
-  knownRatePerS = other492.knownRatePerS;
-  hasAlternative = other492.hasAlternative;
-  reservationId = other492.reservationId;
-  tenant = other492.tenant;
-  largeAnswer = other492.largeAnswer;
-  __isset = other492.__isset;
-  return *this;
-}
-CallRequest& CallRequest::operator=(CallRequest&& other493) noexcept {
-  callId = other493.callId;
-  serviceName = std::move(other493.serviceName);
-  method = std::move(other493.method);
-  path = std::move(other493.path);
-  headers = std::move(other493.headers);
-  body = std::move(other493.body);
-  remainingMs = other493.remainingMs;
-  idempotencyKey = std::move(other493.idempotencyKey);
-  endpoint = std::move(other493.endpoint);
-  priority = other493.priority;
-  runOnce = other493.runOnce;
-  targetLatencyMs = other493.targetLatencyMs;
-  waitedMs = other493.waitedMs;
-  bodyBytes = other493.bodyBytes;
-  suspect = other493.suspect;
-  route = other493.route;
-  knownRatePerS = other493.knownRatePerS;
-  hasAlternative = other493.hasAlternative;
-  reservationId = other493.reservationId;
-  tenant = std::move(other493.tenant);
-  largeAnswer = other493.largeAnswer;
-  __isset = other493.__isset;
+CallRequest::CallRequest(const CallRequest& other496) {
+  callId = other496.callId;
+  serviceName = other496.serviceName;
+  method = other496.method;
+  path = other496.path;
+  headers = other496.headers;
+  body = other496.body;
+  remainingMs = other496.remainingMs;
+  idempotencyKey = other496.idempotencyKey;
+  endpoint = other496.endpoint;
+  priority = other496.priority;
+  runOnce = other496.runOnce;
+  targetLatencyMs = other496.targetLatencyMs;
+  waitedMs = other496.waitedMs;
+  bodyBytes = other496.bodyBytes;
+  suspect = other496.suspect;
+  route = other496.route;
+  knownRatePerS = other496.knownRatePerS;
+  hasAlternative = other496.hasAlternative;
+  reservationId = other496.reservationId;
+  tenant = other496.tenant;
+  largeAnswer = other496.largeAnswer;
+  __isset = other496.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other497) noexcept {
+  callId = other497.callId;
+  serviceName = std::move(other497.serviceName);
+  method = std::move(other497.method);
+  path = std::move(other497.path);
+  headers = std::move(other497.headers);
+  body = std::move(other497.body);
+  remainingMs = other497.remainingMs;
+  idempotencyKey = std::move(other497.idempotencyKey);
+  endpoint = std::move(other497.endpoint);
+  priority = other497.priority;
+  runOnce = other497.runOnce;
+  targetLatencyMs = other497.targetLatencyMs;
+  waitedMs = other497.waitedMs;
+  bodyBytes = other497.bodyBytes;
+  suspect = other497.suspect;
+  route = other497.route;
+  knownRatePerS = other497.knownRatePerS;
+  hasAlternative = other497.hasAlternative;
+  reservationId = other497.reservationId;
+  tenant = std::move(other497.tenant);
+  largeAnswer = other497.largeAnswer;
+  __isset = other497.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other498) {
+  callId = other498.callId;
+  serviceName = other498.serviceName;
+  method = other498.method;
+  path = other498.path;
+  headers = other498.headers;
+  body = other498.body;
+  remainingMs = other498.remainingMs;
+  idempotencyKey = other498.idempotencyKey;
+  endpoint = other498.endpoint;
+  priority = other498.priority;
+  runOnce = other498.runOnce;
+  targetLatencyMs = other498.targetLatencyMs;
+  waitedMs = other498.waitedMs;
+  bodyBytes = other498.bodyBytes;
+  suspect = other498.suspect;
+  route = other498.route;
+  knownRatePerS = other498.knownRatePerS;
+  hasAlternative = other498.hasAlternative;
+  reservationId = other498.reservationId;
+  tenant = other498.tenant;
+  largeAnswer = other498.largeAnswer;
+  __isset = other498.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other499) noexcept {
+  callId = other499.callId;
+  serviceName = std::move(other499.serviceName);
+  method = std::move(other499.method);
+  path = std::move(other499.path);
+  headers = std::move(other499.headers);
+  body = std::move(other499.body);
+  remainingMs = other499.remainingMs;
+  idempotencyKey = std::move(other499.idempotencyKey);
+  endpoint = std::move(other499.endpoint);
+  priority = other499.priority;
+  runOnce = other499.runOnce;
+  targetLatencyMs = other499.targetLatencyMs;
+  waitedMs = other499.waitedMs;
+  bodyBytes = other499.bodyBytes;
+  suspect = other499.suspect;
+  route = other499.route;
+  knownRatePerS = other499.knownRatePerS;
+  hasAlternative = other499.hasAlternative;
+  reservationId = other499.reservationId;
+  tenant = std::move(other499.tenant);
+  largeAnswer = other499.largeAnswer;
+  __isset = other499.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -13582,9 +13624,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast494;
-          xfer += iprot->readI32(ecast494);
-          this->outcome = static_cast<CallOutcome::type>(ecast494);
+          int32_t ecast500;
+          xfer += iprot->readI32(ecast500);
+          this->outcome = static_cast<CallOutcome::type>(ecast500);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13602,14 +13644,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size495;
-            ::apache::thrift::protocol::TType _etype498;
-            xfer += iprot->readListBegin(_etype498, _size495);
-            this->headers.resize(_size495);
-            uint32_t _i499;
-            for (_i499 = 0; _i499 < _size495; ++_i499)
+            uint32_t _size501;
+            ::apache::thrift::protocol::TType _etype504;
+            xfer += iprot->readListBegin(_etype504, _size501);
+            this->headers.resize(_size501);
+            uint32_t _i505;
+            for (_i505 = 0; _i505 < _size501; ++_i505)
             {
-              xfer += this->headers[_i499].read(iprot);
+              xfer += this->headers[_i505].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13746,10 +13788,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<HttpHeader> ::const_iterator _iter500;
-    for (_iter500 = this->headers.begin(); _iter500 != this->headers.end(); ++_iter500)
+    std::vector<HttpHeader> ::const_iterator _iter506;
+    for (_iter506 = this->headers.begin(); _iter506 != this->headers.end(); ++_iter506)
     {
-      xfer += (*_iter500).write(oprot);
+      xfer += (*_iter506).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13830,82 +13872,82 @@
   swap(a.__isset, b.__isset);
 }
 
-CallResponse::CallResponse(const CallResponse& other501) {
-  callId = other501.callId;
-  outcome = other501.outcome;
-  httpStatus = other501.httpStatus;
-  headers = other501.headers;
-  body = other501.body;
-  errorCode = other501.errorCode;
-  inFlight = other501.inFlight;
-  retryAfterMs = other501.retryAfterMs;
-  fullForMs = other501.fullForMs;
-  fullForBodies = other501.fullForBodies;
-  crashId = other501.crashId;
-  onProbation = other501.onProbation;
-  load = other501.load;
-  bodyBytes = other501.bodyBytes;
-  reservationId = other501.reservationId;
-  reservedInMs = other501.reservedInMs;
-  __isset = other501.__isset;
-}
-CallResponse::CallResponse(CallResponse&& other502) noexcept {
-  callId = other502.callId;
-  outcome = other502.outcome;
-  httpStatus = other502.httpStatus;
-  headers = std::move(other502.headers);
-  body = std::move(other502.body);
-  errorCode = other502.errorCode;
-  inFlight = other502.inFlight;
-  retryAfterMs = other502.retryAfterMs;
-  fullForMs = other502.fullForMs;
-  fullForBodies = other502.fullForBodies;
-  crashId = other502.crashId;
-  onProbation = other502.onProbation;
-  load = std::move(other502.load);
-  bodyBytes = other502.bodyBytes;
-  reservationId = other502.reservationId;
-  reservedInMs = other502.reservedInMs;
-  __isset = other502.__isset;
-}
-CallResponse& CallResponse::operator=(const CallResponse& other503) {
-  callId = other503.callId;
-  outcome = other503.outcome;
-  httpStatus = other503.httpStatus;
-  headers = other503.headers;
-  body = other503.body;
-  errorCode = other503.errorCode;
-  inFlight = other503.inFlight;
-  retryAfterMs = other503.retryAfterMs;
-  fullForMs = other503.fullForMs;
-  fullForBodies = other503.fullForBodies;
-  crashId = other503.crashId;
-  onProbation = other503.onProbation;
-  load = other503.load;
-  bodyBytes = other503.bodyBytes;
-  reservationId = other503.reservationId;
-  reservedInMs = other503.reservedInMs;
-  __isset = other503.__isset;
-  return *this;
-}
-CallResponse& CallResponse::operator=(CallResponse&& other504) noexcept {
-  callId = other504.callId;
-  outcome = other504.outcome;
-  httpStatus = other504.httpStatus;
-  headers = std::move(other504.headers);
-  body = std::move(other504.body);
-  errorCode = other504.errorCode;
-  inFlight = other504.inFlight;
-  retryAfterMs = other504.retryAfterMs;
-  fullForMs = other504.fullForMs;
-  fullForBodies = other504.fullForBodies;
-  crashId = other504.crashId;
-  onProbation = other504.onProbation;
-  load = std::move(other504.load);
-  bodyBytes = other504.bodyBytes;
-  reservationId = other504.reservationId;
-  reservedInMs = other504.reservedInMs;
-  __isset = other504.__isset;
+CallResponse::CallResponse(const CallResponse& other507) {
+  callId = other507.callId;
+  outcome = other507.outcome;
+  httpStatus = other507.httpStatus;
+  headers = other507.headers;
+  body = other507.body;
+  errorCode = other507.errorCode;
+  inFlight = other507.inFlight;
+  retryAfterMs = other507.retryAfterMs;
+  fullForMs = other507.fullForMs;
+  fullForBodies = other507.fullForBodies;
+  crashId = other507.crashId;
+  onProbation = other507.onProbation;
+  load = other507.load;
+  bodyBytes = other507.bodyBytes;
+  reservationId = other507.reservationId;
+  reservedInMs = other507.reservedInMs;
+  __isset = other507.__isset;
+}
+CallResponse::CallResponse(CallResponse&& other508) noexcept {
+  callId = other508.callId;
+  outcome = other508.outcome;
+  httpStatus = other508.httpStatus;
+  headers = std::move(other508.headers);
+  body = std::move(other508.body);
+  errorCode = other508.errorCode;
+  inFlight = other508.inFlight;
+  retryAfterMs = other508.retryAfterMs;
+  fullForMs = other508.fullForMs;
+  fullForBodies = other508.fullForBodies;
+  crashId = other508.crashId;
+  onProbation = other508.onProbation;
+  load = std::move(other508.load);
+  bodyBytes = other508.bodyBytes;
+  reservationId = other508.reservationId;
+  reservedInMs = other508.reservedInMs;
+  __isset = other508.__isset;
+}
+CallResponse& CallResponse::operator=(const CallResponse& other509) {
+  callId = other509.callId;
+  outcome = other509.outcome;
+  httpStatus = other509.httpStatus;
+  headers = other509.headers;
+  body = other509.body;
+  errorCode = other509.errorCode;
+  inFlight = other509.inFlight;
+  retryAfterMs = other509.retryAfterMs;
+  fullForMs = other509.fullForMs;
+  fullForBodies = other509.fullForBodies;
+  crashId = other509.crashId;
+  onProbation = other509.onProbation;
+  load = other509.load;
+  bodyBytes = other509.bodyBytes;
+  reservationId = other509.reservationId;
+  reservedInMs = other509.reservedInMs;
+  __isset = other509.__isset;
+  return *this;
+}
+CallResponse& CallResponse::operator=(CallResponse&& other510) noexcept {
+  callId = other510.callId;
+  outcome = other510.outcome;
+  httpStatus = other510.httpStatus;
+  headers = std::move(other510.headers);
+  body = std::move(other510.body);
+  errorCode = other510.errorCode;
+  inFlight = other510.inFlight;
+  retryAfterMs = other510.retryAfterMs;
+  fullForMs = other510.fullForMs;
+  fullForBodies = other510.fullForBodies;
+  crashId = other510.crashId;
+  onProbation = other510.onProbation;
+  load = std::move(other510.load);
+  bodyBytes = other510.bodyBytes;
+  reservationId = other510.reservationId;
+  reservedInMs = other510.reservedInMs;
+  __isset = other510.__isset;
   return *this;
 }
 void CallResponse::printTo(std::ostream& out) const {
@@ -14006,22 +14048,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other505) noexcept {
-  callId = other505.callId;
-  __isset = other505.__isset;
+CallCancel::CallCancel(const CallCancel& other511) noexcept {
+  callId = other511.callId;
+  __isset = other511.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other506) noexcept {
-  callId = other506.callId;
-  __isset = other506.__isset;
+CallCancel::CallCancel(CallCancel&& other512) noexcept {
+  callId = other512.callId;
+  __isset = other512.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other507) noexcept {
-  callId = other507.callId;
-  __isset = other507.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other513) noexcept {
+  callId = other513.callId;
+  __isset = other513.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other508) noexcept {
-  callId = other508.callId;
-  __isset = other508.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other514) noexcept {
+  callId = other514.callId;
+  __isset = other514.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -14107,22 +14149,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallWithdraw::CallWithdraw(const CallWithdraw& other509) noexcept {
-  callId = other509.callId;
-  __isset = other509.__isset;
+CallWithdraw::CallWithdraw(const CallWithdraw& other515) noexcept {
+  callId = other515.callId;
+  __isset = other515.__isset;
 }
-CallWithdraw::CallWithdraw(CallWithdraw&& other510) noexcept {
-  callId = other510.callId;
-  __isset = other510.__isset;
+CallWithdraw::CallWithdraw(CallWithdraw&& other516) noexcept {
+  callId = other516.callId;
+  __isset = other516.__isset;
 }
-CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other511) noexcept {
-  callId = other511.callId;
-  __isset = other511.__isset;
+CallWithdraw& CallWithdraw::operator=(const CallWithdraw& other517) noexcept {
+  callId = other517.callId;
+  __isset = other517.__isset;
   return *this;
 }
-CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other512) noexcept {
-  callId = other512.callId;
-  __isset = other512.__isset;
+CallWithdraw& CallWithdraw::operator=(CallWithdraw&& other518) noexcept {
+  callId = other518.callId;
+  __isset = other518.__isset;
   return *this;
 }
 void CallWithdraw::printTo(std::ostream& out) const {
@@ -14244,30 +14286,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAccepted::CallAccepted(const CallAccepted& other513) noexcept {
-  callId = other513.callId;
-  load = other513.load;
-  nested = other513.nested;
-  __isset = other513.__isset;
+CallAccepted::CallAccepted(const CallAccepted& other519) noexcept {
+  callId = other519.callId;
+  load = other519.load;
+  nested = other519.nested;
+  __isset = other519.__isset;
 }
-CallAccepted::CallAccepted(CallAccepted&& other514) noexcept {
-  callId = other514.callId;
-  load = std::move(other514.load);
-  nested = other514.nested;
-  __isset = other514.__isset;
+CallAccepted::CallAccepted(CallAccepted&& other520) noexcept {
+  callId = other520.callId;
+  load = std::move(other520.load);
+  nested = other520.nested;
+  __isset = other520.__isset;
 }
-CallAccepted& CallAccepted::operator=(const CallAccepted& other515) noexcept {
-  callId = other515.callId;
-  load = other515.load;
-  nested = other515.nested;
-  __isset = other515.__isset;
+CallAccepted& CallAccepted::operator=(const CallAccepted& other521) noexcept {
+  callId = other521.callId;
+  load = other521.load;
+  nested = other521.nested;
+  __isset = other521.__isset;
   return *this;
 }
-CallAccepted& CallAccepted::operator=(CallAccepted&& other516) noexcept {
-  callId = other516.callId;
-  load = std::move(other516.load);
-  nested = other516.nested;
-  __isset = other516.__isset;
+CallAccepted& CallAccepted::operator=(CallAccepted&& other522) noexcept {
+  callId = other522.callId;
+  load = std::move(other522.load);
+  nested = other522.nested;
+  __isset = other522.__isset;
   return *this;
 }
 void CallAccepted::printTo(std::ostream& out) const {
@@ -14372,26 +14414,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyGrant::CallBodyGrant(const CallBodyGrant& other517) noexcept {
-  callId = other517.callId;
-  upToBytes = other517.upToBytes;
-  __isset = other517.__isset;
+CallBodyGrant::CallBodyGrant(const CallBodyGrant& other523) noexcept {
+  callId = other523.callId;
+  upToBytes = other523.upToBytes;
+  __isset = other523.__isset;
 }
-CallBodyGrant::CallBodyGrant(CallBodyGrant&& other518) noexcept {
-  callId = other518.callId;
-  upToBytes = other518.upToBytes;
-  __isset = other518.__isset;
+CallBodyGrant::CallBodyGrant(CallBodyGrant&& other524) noexcept {
+  callId = other524.callId;
+  upToBytes = other524.upToBytes;
+  __isset = other524.__isset;
 }
-CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other519) noexcept {
-  callId = other519.callId;
-  upToBytes = other519.upToBytes;
-  __isset = other519.__isset;
+CallBodyGrant& CallBodyGrant::operator=(const CallBodyGrant& other525) noexcept {
+  callId = other525.callId;
+  upToBytes = other525.upToBytes;
+  __isset = other525.__isset;
   return *this;
 }
-CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other520) noexcept {
-  callId = other520.callId;
-  upToBytes = other520.upToBytes;
-  __isset = other520.__isset;
+CallBodyGrant& CallBodyGrant::operator=(CallBodyGrant&& other526) noexcept {
+  callId = other526.callId;
+  upToBytes = other526.upToBytes;
+  __isset = other526.__isset;
   return *this;
 }
 void CallBodyGrant::printTo(std::ostream& out) const {
@@ -14495,26 +14537,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallBodyPiece::CallBodyPiece(const CallBodyPiece& other521) {
-  callId = other521.callId;
-  data = other521.data;
-  __isset = other521.__isset;
+CallBodyPiece::CallBodyPiece(const CallBodyPiece& other527) {
+  callId = other527.callId;
+  data = other527.data;
+  __isset = other527.__isset;
 }
-CallBodyPiece::CallBodyPiece(CallBodyPiece&& other522) noexcept {
-  callId = other522.callId;
-  data = std::move(other522.data);
-  __isset = other522.__isset;
+CallBodyPiece::CallBodyPiece(CallBodyPiece&& other528) noexcept {
+  callId = other528.callId;
+  data = std::move(other528.data);
+  __isset = other528.__isset;
 }
-CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other523) {
-  callId = other523.callId;
-  data = other523.data;
-  __isset = other523.__isset;
+CallBodyPiece& CallBodyPiece::operator=(const CallBodyPiece& other529) {
+  callId = other529.callId;
+  data = other529.data;
+  __isset = other529.__isset;
   return *this;
 }
-CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other524) noexcept {
-  callId = other524.callId;
-  data = std::move(other524.data);
-  __isset = other524.__isset;
+CallBodyPiece& CallBodyPiece::operator=(CallBodyPiece&& other530) noexcept {
+  callId = other530.callId;
+  data = std::move(other530.data);
+  __isset = other530.__isset;
   return *this;
 }
 void CallBodyPiece::printTo(std::ostream& out) const {
@@ -14618,26 +14660,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswerPiece::CallAnswerPiece(const CallAnswerPiece& other525) {
-  callId = other525.callId;
-  data = other525.data;
-  __isset = other525.__isset;
+CallAnswerPiece::CallAnswerPiece(const CallAnswerPiece& other531) {
+  callId = other531.callId;
+  data = other531.data;
+  __isset = other531.__isset;
 }
-CallAnswerPiece::CallAnswerPiece(CallAnswerPiece&& other526) noexcept {
-  callId = other526.callId;
-  data = std::move(other526.data);
-  __isset = other526.__isset;
+CallAnswerPiece::CallAnswerPiece(CallAnswerPiece&& other532) noexcept {
+  callId = other532.callId;
+  data = std::move(other532.data);
+  __isset = other532.__isset;
 }
-CallAnswerPiece& CallAnswerPiece::operator=(const CallAnswerPiece& other527) {
-  callId = other527.callId;
-  data = other527.data;
-  __isset = other527.__isset;
+CallAnswerPiece& CallAnswerPiece::operator=(const CallAnswerPiece& other533) {
+  callId = other533.callId;
+  data = other533.data;
+  __isset = other533.__isset;
   return *this;
 }
-CallAnswerPiece& CallAnswerPiece::operator=(CallAnswerPiece&& other528) noexcept {
-  callId = other528.callId;
-  data = std::move(other528.data);
-  __isset = other528.__isset;
+CallAnswerPiece& CallAnswerPiece::operator=(CallAnswerPiece&& other534) noexcept {
+  callId = other534.callId;
+  data = std::move(other534.data);
+  __isset = other534.__isset;
   return *this;
 }
 void CallAnswerPiece::printTo(std::ostream& out) const {
@@ -14741,26 +14783,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswerCredit::CallAnswerCredit(const CallAnswerCredit& other529) noexcept {
-  callId = other529.callId;
-  upToBytes = other529.upToBytes;
-  __isset = other529.__isset;
+CallAnswerCredit::CallAnswerCredit(const CallAnswerCredit& other535) noexcept {
+  callId = other535.callId;
+  upToBytes = other535.upToBytes;
+  __isset = other535.__isset;
 }
-CallAnswerCredit::CallAnswerCredit(CallAnswerCredit&& other530) noexcept {
-  callId = other530.callId;
-  upToBytes = other530.upToBytes;
-  __isset = other530.__isset;
+CallAnswerCredit::CallAnswerCredit(CallAnswerCredit&& other536) noexcept {
+  callId = other536.callId;
+  upToBytes = other536.upToBytes;
+  __isset = other536.__isset;
 }
-CallAnswerCredit& CallAnswerCredit::operator=(const CallAnswerCredit& other531) noexcept {
-  callId = other531.callId;
-  upToBytes = other531.upToBytes;
-  __isset = other531.__isset;
+CallAnswerCredit& CallAnswerCredit::operator=(const CallAnswerCredit& other537) noexcept {
+  callId = other537.callId;
+  upToBytes = other537.upToBytes;
+  __isset = other537.__isset;
   return *this;
 }
-CallAnswerCredit& CallAnswerCredit::operator=(CallAnswerCredit&& other532) noexcept {
-  callId = other532.callId;
-  upToBytes = other532.upToBytes;
-  __isset = other532.__isset;
+CallAnswerCredit& CallAnswerCredit::operator=(CallAnswerCredit&& other538) noexcept {
+  callId = other538.callId;
+  upToBytes = other538.upToBytes;
+  __isset = other538.__isset;
   return *this;
 }
 void CallAnswerCredit::printTo(std::ostream& out) const {
@@ -14881,30 +14923,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaDemand::QuotaDemand(const QuotaDemand& other533) {
-  tenant = other533.tenant;
-  count = other533.count;
-  maxWaitMs = other533.maxWaitMs;
-  __isset = other533.__isset;
+QuotaDemand::QuotaDemand(const QuotaDemand& other539) {
+  tenant = other539.tenant;
+  count = other539.count;
+  maxWaitMs = other539.maxWaitMs;
+  __isset = other539.__isset;
 }
-QuotaDemand::QuotaDemand(QuotaDemand&& other534) noexcept {
-  tenant = std::move(other534.tenant);
-  count = other534.count;
-  maxWaitMs = other534.maxWaitMs;
-  __isset = other534.__isset;
+QuotaDemand::QuotaDemand(QuotaDemand&& other540) noexcept {
+  tenant = std::move(other540.tenant);
+  count = other540.count;
+  maxWaitMs = other540.maxWaitMs;
+  __isset = other540.__isset;
 }
-QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other535) {
-  tenant = other535.tenant;
-  count = other535.count;
-  maxWaitMs = other535.maxWaitMs;
-  __isset = other535.__isset;
+QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other541) {
+  tenant = other541.tenant;
+  count = other541.count;
+  maxWaitMs = other541.maxWaitMs;
+  __isset = other541.__isset;
   return *this;
 }
-QuotaDemand& QuotaDemand::operator=(QuotaDemand&& other536) noexcept {
-  tenant = std::move(other536.tenant);
-  count = other536.count;
-  maxWaitMs = other536.maxWaitMs;
-  __isset = other536.__isset;
+QuotaDemand& QuotaDemand::operator=(QuotaDemand&& other542) noexcept {
+  tenant = std::move(other542.tenant);
+  count = other542.count;
+  maxWaitMs = other542.maxWaitMs;
+  __isset = other542.__isset;
   return *this;
 }
 void QuotaDemand::printTo(std::ostream& out) const {
@@ -14956,14 +14998,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size537;
-            ::apache::thrift::protocol::TType _etype540;
-            xfer += iprot->readListBegin(_etype540, _size537);
-            this->demands.resize(_size537);
-            uint32_t _i541;
-            for (_i541 = 0; _i541 < _size537; ++_i541)
+            uint32_t _size543;
+            ::apache::thrift::protocol::TType _etype546;
+            xfer += iprot->readListBegin(_etype546, _size543);
+            this->demands.resize(_size543);
+            uint32_t _i547;
+            for (_i547 = 0; _i547 < _size543; ++_i547)
             {
-              xfer += this->demands[_i541].read(iprot);
+              xfer += this->demands[_i547].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14992,10 +15034,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<QuotaDemand> ::const_iterator _iter542;
-    for (_iter542 = this->demands.begin(); _iter542 != this->demands.end(); ++_iter542)
+    std::vector<QuotaDemand> ::const_iterator _iter548;
+    for (_iter548 = this->demands.begin(); _iter548 != this->demands.end(); ++_iter548)
     {
-      xfer += (*_iter542).write(oprot);
+      xfer += (*_iter548).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15012,22 +15054,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaAsk::QuotaAsk(const QuotaAsk& other543) {
-  demands = other543.demands;
-  __isset = other543.__isset;
+QuotaAsk::QuotaAsk(const QuotaAsk& other549) {
+  demands = other549.demands;
+  __isset = other549.__isset;
 }
-QuotaAsk::QuotaAsk(QuotaAsk&& other544) noexcept {
-  demands = std::move(other544.demands);
-  __isset = other544.__isset;
+QuotaAsk::QuotaAsk(QuotaAsk&& other550) noexcept {
+  demands = std::move(other550.demands);
+  __isset = other550.__isset;
 }
-QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other545) {
-  demands = other545.demands;
-  __isset = other545.__isset;
+QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other551) {
+  demands = other551.demands;
+  __isset = other551.__isset;
   return *this;
 }
-QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other546) noexcept {
-  demands = std::move(other546.demands);
-  __isset = other546.__isset;
+QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other552) noexcept {
+  demands = std::move(other552.demands);
+  __isset = other552.__isset;
   return *this;
 }
 void QuotaAsk::printTo(std::ostream& out) const {
@@ -15215,46 +15257,46 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaDecision::QuotaDecision(const QuotaDecision& other547) {
-  tenant = other547.tenant;
-  granted = other547.granted;
-  denied = other547.denied;
-  retryAfterMs = other547.retryAfterMs;
-  retryAfterStepMs = other547.retryAfterStepMs;
-  deferred = other547.deferred;
-  askAgainMs = other547.askAgainMs;
-  __isset = other547.__isset;
-}
-QuotaDecision::QuotaDecision(QuotaDecision&& other548) noexcept {
-  tenant = std::move(other548.tenant);
-  granted = other548.granted;
-  denied = other548.denied;
-  retryAfterMs = other548.retryAfterMs;
-  retryAfterStepMs = other548.retryAfterStepMs;
-  deferred = other548.deferred;
-  askAgainMs = other548.askAgainMs;
-  __isset = other548.__isset;
-}
-QuotaDecision& QuotaDecision::operator=(const QuotaDecision& other549) {
-  tenant = other549.tenant;
-  granted = other549.granted;
-  denied = other549.denied;
-  retryAfterMs = other549.retryAfterMs;
-  retryAfterStepMs = other549.retryAfterStepMs;
-  deferred = other549.deferred;
-  askAgainMs = other549.askAgainMs;
-  __isset = other549.__isset;
-  return *this;
-}
-QuotaDecision& QuotaDecision::operator=(QuotaDecision&& other550) noexcept {
-  tenant = std::move(other550.tenant);
-  granted = other550.granted;
-  denied = other550.denied;
-  retryAfterMs = other550.retryAfterMs;
-  retryAfterStepMs = other550.retryAfterStepMs;
-  deferred = other550.deferred;
-  askAgainMs = other550.askAgainMs;
-  __isset = other550.__isset;
+QuotaDecision::QuotaDecision(const QuotaDecision& other553) {
+  tenant = other553.tenant;
+  granted = other553.granted;
+  denied = other553.denied;
+  retryAfterMs = other553.retryAfterMs;
+  retryAfterStepMs = other553.retryAfterStepMs;
+  deferred = other553.deferred;
+  askAgainMs = other553.askAgainMs;
+  __isset = other553.__isset;
+}
+QuotaDecision::QuotaDecision(QuotaDecision&& other554) noexcept {
+  tenant = std::move(other554.tenant);
+  granted = other554.granted;
+  denied = other554.denied;
+  retryAfterMs = other554.retryAfterMs;
+  retryAfterStepMs = other554.retryAfterStepMs;
+  deferred = other554.deferred;
+  askAgainMs = other554.askAgainMs;
+  __isset = other554.__isset;
+}
+QuotaDecision& QuotaDecision::operator=(const QuotaDecision& other555) {
+  tenant = other555.tenant;
+  granted = other555.granted;
+  denied = other555.denied;
+  retryAfterMs = other555.retryAfterMs;
+  retryAfterStepMs = other555.retryAfterStepMs;
+  deferred = other555.deferred;
+  askAgainMs = other555.askAgainMs;
+  __isset = other555.__isset;
+  return *this;
+}
+QuotaDecision& QuotaDecision::operator=(QuotaDecision&& other556) noexcept {
+  tenant = std::move(other556.tenant);
+  granted = other556.granted;
+  denied = other556.denied;
+  retryAfterMs = other556.retryAfterMs;
+  retryAfterStepMs = other556.retryAfterStepMs;
+  deferred = other556.deferred;
+  askAgainMs = other556.askAgainMs;
+  __isset = other556.__isset;
   return *this;
 }
 void QuotaDecision::printTo(std::ostream& out) const {
@@ -15310,14 +15352,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->decisions.clear();
-            uint32_t _size551;
-            ::apache::thrift::protocol::TType _etype554;
-            xfer += iprot->readListBegin(_etype554, _size551);
-            this->decisions.resize(_size551);
-            uint32_t _i555;
-            for (_i555 = 0; _i555 < _size551; ++_i555)
+            uint32_t _size557;
+            ::apache::thrift::protocol::TType _etype560;
+            xfer += iprot->readListBegin(_etype560, _size557);
+            this->decisions.resize(_size557);
+            uint32_t _i561;
+            for (_i561 = 0; _i561 < _size557; ++_i561)
             {
-              xfer += this->decisions[_i555].read(iprot);
+              xfer += this->decisions[_i561].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15346,10 +15388,10 @@
   xfer += oprot->writeFieldBegin("decisions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->decisions.size()));
-    std::vector<QuotaDecision> ::const_iterator _iter556;
-    for (_iter556 = this->decisions.begin(); _iter556 != this->decisions.end(); ++_iter556)
+    std::vector<QuotaDecision> ::const_iterator _iter562;
+    for (_iter562 = this->decisions.begin(); _iter562 != this->decisions.end(); ++_iter562)
     {
-      xfer += (*_iter556).write(oprot);
+      xfer += (*_iter562).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15366,22 +15408,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaGrant::QuotaGrant(const QuotaGrant& other557) {
-  decisions = other557.decisions;
-  __isset = other557.__isset;
+QuotaGrant::QuotaGrant(const QuotaGrant& other563) {
+  decisions = other563.decisions;
+  __isset = other563.__isset;
 }
-QuotaGrant::QuotaGrant(QuotaGrant&& other558) noexcept {
-  decisions = std::move(other558.decisions);
-  __isset = other558.__isset;
+QuotaGrant::QuotaGrant(QuotaGrant&& other564) noexcept {
+  decisions = std::move(other564.decisions);
+  __isset = other564.__isset;
 }
-QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other559) {
-  decisions = other559.decisions;
-  __isset = other559.__isset;
+QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other565) {
+  decisions = other565.decisions;
+  __isset = other565.__isset;
   return *this;
 }
-QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other560) noexcept {
-  decisions = std::move(other560.decisions);
-  __isset = other560.__isset;
+QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other566) noexcept {
+  decisions = std::move(other566.decisions);
+  __isset = other566.__isset;
   return *this;
 }
 void QuotaGrant::printTo(std::ostream& out) const {
@@ -15431,14 +15473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size561;
-            ::apache::thrift::protocol::TType _etype564;
-            xfer += iprot->readListBegin(_etype564, _size561);
-            this->members.resize(_size561);
-            uint32_t _i565;
-            for (_i565 = 0; _i565 < _size561; ++_i565)
+            uint32_t _size567;
+            ::apache::thrift::protocol::TType _etype570;
+            xfer += iprot->readListBegin(_etype570, _size567);
+            this->members.resize(_size567);
+            uint32_t _i571;
+            for (_i571 = 0; _i571 < _size567; ++_i571)
             {
-              xfer += this->members[_i565].read(iprot);
+              xfer += this->members[_i571].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15467,10 +15509,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter566;
-    for (_iter566 = this->members.begin(); _iter566 != this->members.end(); ++_iter566)
+    std::vector<Member> ::const_iterator _iter572;
+    for (_iter572 = this->members.begin(); _iter572 != this->members.end(); ++_iter572)
     {
-      xfer += (*_iter566).write(oprot);
+      xfer += (*_iter572).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15487,22 +15529,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberList::MemberList(const MemberList& other567) {
-  members = other567.members;
-  __isset = other567.__isset;
+MemberList::MemberList(const MemberList& other573) {
+  members = other573.members;
+  __isset = other573.__isset;
 }
-MemberList::MemberList(MemberList&& other568) noexcept {
-  members = std::move(other568.members);
-  __isset = other568.__isset;
+MemberList::MemberList(MemberList&& other574) noexcept {
+  members = std::move(other574.members);
+  __isset = other574.__isset;
 }
-MemberList& MemberList::operator=(const MemberList& other569) {
-  members = other569.members;
-  __isset = other569.__isset;
+MemberList& MemberList::operator=(const MemberList& other575) {
+  members = other575.members;
+  __isset = other575.__isset;
   return *this;
 }
-MemberList& MemberList::operator=(MemberList&& other570) noexcept {
-  members = std::move(other570.members);
-  __isset = other570.__isset;
+MemberList& MemberList::operator=(MemberList&& other576) noexcept {
+  members = std::move(other576.members);
+  __isset = other576.__isset;
   return *this;
 }
 void MemberList::printTo(std::ostream& out) const {
@@ -15622,30 +15664,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAddress::RelayAddress(const RelayAddress& other571) {
-  address = other571.address;
-  port = other571.port;
-  zone = other571.zone;
-  __isset = other571.__isset;
+RelayAddress::RelayAddress(const RelayAddress& other577) {
+  address = other577.address;
+  port = other577.port;
+  zone = other577.zone;
+  __isset = other577.__isset;
 }
-RelayAddress::RelayAddress(RelayAddress&& other572) noexcept {
-  address = std::move(other572.address);
-  port = other572.port;
-  zone = std::move(other572.zone);
-  __isset = other572.__isset;
+RelayAddress::RelayAddress(RelayAddress&& other578) noexcept {
+  address = std::move(other578.address);
+  port = other578.port;
+  zone = std::move(other578.zone);
+  __isset = other578.__isset;
 }
-RelayAddress& RelayAddress::operator=(const RelayAddress& other573) {
-  address = other573.address;
-  port = other573.port;
-  zone = other573.zone;
-  __isset = other573.__isset;
+RelayAddress& RelayAddress::operator=(const RelayAddress& other579) {
+  address = other579.address;
+  port = other579.port;
+  zone = other579.zone;
+  __isset = other579.__isset;
   return *this;
 }
-RelayAddress& RelayAddress::operator=(RelayAddress&& other574) noexcept {
-  address = std::move(other574.address);
-  port = other574.port;
-  zone = std::move(other574.zone);
-  __isset = other574.__isset;
+RelayAddress& RelayAddress::operator=(RelayAddress&& other580) noexcept {
+  address = std::move(other580.address);
+  port = other580.port;
+  zone = std::move(other580.zone);
+  __isset = other580.__isset;
   return *this;
 }
 void RelayAddress::printTo(std::ostream& out) const {
@@ -15697,14 +15739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relays.clear();
-            uint32_t _size575;
-            ::apache::thrift::protocol::TType _etype578;
-            xfer += iprot->readListBegin(_etype578, _size575);
-            this->relays.resize(_size575);
-            uint32_t _i579;
-            for (_i579 = 0; _i579 < _size575; ++_i579)
+            uint32_t _size581;
+            ::apache::thrift::protocol::TType _etype584;
+            xfer += iprot->readListBegin(_etype584, _size581);
+            this->relays.resize(_size581);
+            uint32_t _i585;
+            for (_i585 = 0; _i585 < _size581; ++_i585)
             {
-              xfer += this->relays[_i579].read(iprot);
+              xfer += this->relays[_i585].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15733,10 +15775,10 @@
   xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
-    std::vector<RelayAddress> ::const_iterator _iter580;
-    for (_iter580 = this->relays.begin(); _iter580 != this->relays.end(); ++_iter580)
+    std::vector<RelayAddress> ::const_iterator _iter586;
+    for (_iter586 = this->relays.begin(); _iter586 != this->relays.end(); ++_iter586)
     {
-      xfer += (*_iter580).write(oprot);
+      xfer += (*_iter586).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15753,22 +15795,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayList::RelayList(const RelayList& other581) {
-  relays = other581.relays;
-  __isset = other581.__isset;
+RelayList::RelayList(const RelayList& other587) {
+  relays = other587.relays;
+  __isset = other587.__isset;
 }
-RelayList::RelayList(RelayList&& other582) noexcept {
-  relays = std::move(other582.relays);
-  __isset = other582.__isset;
+RelayList::RelayList(RelayList&& other588) noexcept {
+  relays = std::move(other588.relays);
+  __isset = other588.__isset;
 }
-RelayList& RelayList::operator=(const RelayList& other583) {
-  relays = other583.relays;
-  __isset = other583.__isset;
+RelayList& RelayList::operator=(const RelayList& other589) {
+  relays = other589.relays;
+  __isset = other589.__isset;
   return *this;
 }
-RelayList& RelayList::operator=(RelayList&& other584) noexcept {
-  relays = std::move(other584.relays);
-  __isset = other584.__isset;
+RelayList& RelayList::operator=(RelayList&& other590) noexcept {
+  relays = std::move(other590.relays);
+  __isset = other590.__isset;
   return *this;
 }
 void RelayList::printTo(std::ostream& out) const {
@@ -15854,22 +15896,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PackedFrame::PackedFrame(const PackedFrame& other585) {
-  deflated = other585.deflated;
-  __isset = other585.__isset;
+PackedFrame::PackedFrame(const PackedFrame& other591) {
+  deflated = other591.deflated;
+  __isset = other591.__isset;
 }
-PackedFrame::PackedFrame(PackedFrame&& other586) noexcept {
-  deflated = std::move(other586.deflated);
-  __isset = other586.__isset;
+PackedFrame::PackedFrame(PackedFrame&& other592) noexcept {
+  deflated = std::move(other592.deflated);
+  __isset = other592.__isset;
 }
-PackedFrame& PackedFrame::operator=(const PackedFrame& other587) {
-  deflated = other587.deflated;
-  __isset = other587.__isset;
+PackedFrame& PackedFrame::operator=(const PackedFrame& other593) {
+  deflated = other593.deflated;
+  __isset = other593.__isset;
   return *this;
 }
-PackedFrame& PackedFrame::operator=(PackedFrame&& other588) noexcept {
-  deflated = std::move(other588.deflated);
-  __isset = other588.__isset;
+PackedFrame& PackedFrame::operator=(PackedFrame&& other594) noexcept {
+  deflated = std::move(other594.deflated);
+  __isset = other594.__isset;
   return *this;
 }
 void PackedFrame::printTo(std::ostream& out) const {
@@ -15934,18 +15976,18 @@
   (void) b;
 }
 
-StartCompression::StartCompression(const StartCompression& other589) noexcept {
-  (void) other589;
+StartCompression::StartCompression(const StartCompression& other595) noexcept {
+  (void) other595;
 }
-StartCompression::StartCompression(StartCompression&& other590) noexcept {
-  (void) other590;
+StartCompression::StartCompression(StartCompression&& other596) noexcept {
+  (void) other596;
 }
-StartCompression& StartCompression::operator=(const StartCompression& other591) noexcept {
-  (void) other591;
+StartCompression& StartCompression::operator=(const StartCompression& other597) noexcept {
+  (void) other597;
   return *this;
 }
-StartCompression& StartCompression::operator=(StartCompression&& other592) noexcept {
-  (void) other592;
+StartCompression& StartCompression::operator=(StartCompression&& other598) noexcept {
+  (void) other598;
   return *this;
 }
 void StartCompression::printTo(std::ostream& out) const {
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -2585,7 +2585,7 @@
 std::ostream& operator<<(std::ostream& out, const LogSnapshot& obj);
 
 typedef struct _TableSnapshot__isset {
-  _TableSnapshot__isset() : rows(false), outcomes(false), history(false), tableRevision(false), historyFloor(false), horizon(false), relays(false), ledger(false) {}
+  _TableSnapshot__isset() : rows(false), outcomes(false), history(false), tableRevision(false), historyFloor(false), horizon(false), relays(false), ledger(false), displacedOutcomes(false) {}
   bool rows :1;
   bool outcomes :1;
   bool history :1;
@@ -2594,6 +2594,7 @@
   bool horizon :1;
   bool relays :1;
   bool ledger :1;
+  bool displacedOutcomes :1;
 } _TableSnapshot__isset;
 
 /**
@@ -2621,6 +2622,10 @@
   int64_t horizon;
   std::vector<RelayRecord>  relays;
   std::vector<LedgerRecord>  ledger;
+  /**
+   * Outcomes of accepted edits that rejected ones have displaced from `outcomes`.
+   */
+  std::vector<EditOutcome>  displacedOutcomes;
 
   _TableSnapshot__isset __isset;
 
@@ -2640,6 +2645,8 @@
 
   void __set_ledger(const std::vector<LedgerRecord> & val);
 
+  void __set_displacedOutcomes(const std::vector<EditOutcome> & val);
+
   bool operator == (const TableSnapshot & rhs) const
   {
     if (!(rows == rhs.rows))
@@ -2658,6 +2665,8 @@
       return false;
     if (!(ledger == rhs.ledger))
       return false;
+    if (!(displacedOutcomes == rhs.displacedOutcomes))
+      return false;
     return true;
   }
   bool operator != (const TableSnapshot &rhs) const {
