Rejected edits no longer make every later edit expire

Evacuations, roll-outs and edits by the HTTP interface expired alike.

Cause: the floor of the window becomes the log index of each outcome that is dropped, also of rejected edits, while the table's revision rises with accepted ones only. Once the window holds nothing but rejected edits, the floor is above the table's revision, and every edit is based on that.

Change: the leader raises the base revision of an edit that is based on the current table to the end of the log before it proposes it. Such an edit was not accepted before, and a rejected one is rejected again by the unchanged table, so nothing applies twice; a copy of the edit that is still in flight is excluded. An edit that had expired is proposed under another request id, since the window keeps the expired outcome under the first one, and its outcome is found under the first one again. That also gets a fleet out that is in this state already, and its operators' pending changes with it.

While one of the old build leads, the fault remains. A fleet that goes back to the old build keeps its table and is as it was.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -1,5 +1,6 @@
 #include "controller/controller.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 
 constexpr base::Duration kHousekeepingInterval = base::milliseconds(100);
 constexpr int kProtocolVersion = 1;
+/// Separates the operator's request id from the log index in the request id of an edit that is proposed again.
+constexpr char kRetrySuffix[] = "#";
 
 }  // namespace
 
@@ -112,7 +115,10 @@
     answer.leaderName = leaderName();
     return done(answer);
   }
-  if (const auto* known = state_.findOutcome(edit.requestId); known != nullptr && options_.checks.resends) {
+  const bool renewable = mustNotExpire(edit);
+  const auto* known = state_.findOutcome(edit.requestId);
+  const bool expired = known != nullptr && known->code == static_cast<int>(ErrorCode::kRequestIdExpired);
+  if (known != nullptr && options_.checks.resends && !(expired && renewable)) {
     answer.code = static_cast<ErrorCode>(known->code);
     answer.outcome = *known;
     if (known->fingerprint != fingerprintOf(edit)) answer.code = ErrorCode::kRequestIdReused;
@@ -123,6 +129,13 @@
       done(final);
     });
   }
+  const auto requestId = edit.requestId;
+  if (renewable) edit.baseRevision = std::max(edit.baseRevision, raft_->lastIndex());
+  if (renewable && expired) {
+    // The log keeps the expired outcome under the operator's request id.
+    edit.__set_retryOf(requestId);
+    edit.requestId = absl::StrCat(requestId, kRetrySuffix, raft_->lastIndex() + 1);
+  }
   wire::LogEntry entry;
   entry.kind = wire::EntryKind::EDIT;
   entry.edit = std::move(edit);
@@ -133,7 +146,17 @@
     if (answer.code == ErrorCode::kStorageFailed) answer.code = ErrorCode::kOutcomeUnknown;
     return done(answer);
   }
-  pending_[*index] = {raft_->term(), scheduler_.now(), std::move(done)};
+  pending_[*index] = {requestId, raft_->term(), scheduler_.now(), std::move(done)};
+}
+
+/// An edit that is based on the table's current revision was not accepted before, which would have raised that revision,
+/// and if it was rejected, the unchanged table rejects it again. The leader therefore has it decided even if rejected
+/// edits alone fill the window: it raises the base revision in the log entry, which controllers of any build follow.
+/// @return whether the edit is based on the current revision, and no copy of it is being replicated
+bool Controller::mustNotExpire(const wire::EditCommand& edit) const {
+  if (!leads() || edit.baseRevision < state_.table().revision()) return false;
+  return std::none_of(pending_.begin(), pending_.end(),
+                      [&](const auto& item) { return item.second.requestId == edit.requestId; });
 }
 
 void Controller::submitLedger(wire::LedgerCommand command, LedgerOutcomeCallback done) {
@@ -288,7 +311,16 @@
   if (decidedBefore && outcome.fingerprint != fingerprintOf(entry.edit)) {
     outcome.code = static_cast<int>(ErrorCode::kRequestIdReused);
   }
-  answerPending(entry.index, outcome);
+  answerPending(entry.index, outcomeForOperator(entry.edit, std::move(outcome)));
+}
+
+/// Replaces the outcome of a copy that expired because another copy of the same edit was accepted before.
+wire::EditOutcome Controller::outcomeForOperator(const wire::EditCommand& edit, wire::EditOutcome outcome) const {
+  const auto* known = state_.findOutcome(operatorRequestId(edit));
+  const bool accepted = known != nullptr && known->code == static_cast<int>(ErrorCode::kNone);
+  if (accepted && outcome.code == static_cast<int>(ErrorCode::kRequestIdExpired)) return *known;
+  outcome.requestId = operatorRequestId(edit);
+  return outcome;
 }
 
 /// Only the controller that proposed the edit measures its commit and convergence time.
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -157,6 +157,7 @@
 
  private:
   struct PendingEdit {
+    std::string requestId;  // of the operator
     int64_t term;
     base::TimePoint proposedAt;
     EditCallback done;
@@ -173,6 +174,8 @@
   void formCluster();
   void completeFormation();
   void promoteLearners();
+  bool mustNotExpire(const wire::EditCommand& edit) const;
+  wire::EditOutcome outcomeForOperator(const wire::EditCommand& edit, wire::EditOutcome outcome) const;
   void answerPending(int64_t index, const wire::EditOutcome& outcome);
   void failPending();
   void applyEdit(const wire::LogEntry& entry);
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -31,6 +31,10 @@
 
 }  // namespace
 
+const std::string& operatorRequestId(const wire::EditCommand& edit) {
+  return edit.__isset.retryOf ? edit.retryOf : edit.requestId;
+}
+
 int64_t fingerprintOf(const wire::EditCommand& edit) {
   const auto bytes = wire::encodeMutations(edit.mutations);
   return static_cast<int64_t>(XXH3_64bits(bytes.data(), bytes.size()));
@@ -48,6 +52,11 @@
   outcome.revision = index;
   outcome.fingerprint = fingerprintOf(edit);
   *rows = decide(index, edit, &outcome);
+  if (isAccepted(outcome) && edit.__isset.retryOf) {
+    auto retried = outcome;
+    retried.requestId = edit.retryOf;
+    displacedOutcomes_.push(std::move(retried));
+  }
   addToWindow(std::move(outcome));
   dropOldOutcomes();
   return window_.all().back();
@@ -126,7 +135,7 @@
 void TableState::recordHistory(int64_t index, const wire::EditCommand& edit) {
   wire::HistoryRecord record;
   record.revision = index;
-  record.requestId = edit.requestId;
+  record.requestId = operatorRequestId(edit);
   record.author = edit.author;
   for (const auto& mutation : edit.mutations) record.keys.push_back(mutation.row.key);
   historyKeys_ += record.keys.size();
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -82,12 +82,15 @@
   size_t windowDetails_ = 0;      // number of rows and problems in window_
   size_t windowAccepted_ = 0;     // number of accepted edits in window_
   int64_t windowFloor_ = 0;       // log index of the last outcome dropped from window_
-  OutcomeLog displacedOutcomes_;  // of accepted edits that rejected ones displaced from window_
+  OutcomeLog displacedOutcomes_;  // of accepted edits that window_ does not hold under the operator's request id
   std::deque<wire::HistoryRecord> history_;
   size_t historyKeys_ = 0;                           // of history_
   std::map<std::string, wire::RelayRecord> relays_;  // by id
 };
 
+/// @return the request id that the operator gave to an edit.
+const std::string& operatorRequestId(const wire::EditCommand& edit);
+
 /// @return a hash of the edit's mutations, used to detect a request id that is reused for another edit.
 int64_t fingerprintOf(const wire::EditCommand& edit);
 
--- a/src/simulation/invariants.cc
+++ b/src/simulation/invariants.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "base/error.h"
+#include "controller/table_state.h"
 #include "table/validator.h"
 #include "wire/frame.h"
 
@@ -60,29 +61,28 @@
 }
 
 void InvariantChecker::applyEdit(const wire::LogEntry& entry) {
-  const auto [effect, first] = effects_.emplace(entry.edit.requestId, Effect{entry.index, time_.now()});
+  const auto& requestId = controller::operatorRequestId(entry.edit);
+  const auto [effect, first] = effects_.emplace(requestId, Effect{entry.index, time_.now()});
   if (!first) {
-    reportViolation(Guarantee::kAcceptedIsDurable,
-                    absl::StrFormat("edit %s took effect at revisions %d and %d", entry.edit.requestId,
-                                    effect->second.revision, entry.index));
+    reportViolation(Guarantee::kAcceptedIsDurable, absl::StrFormat("edit %s took effect at revisions %d and %d",
+                                                                   requestId, effect->second.revision, entry.index));
   }
   std::vector<table::RowPtr> changed;
   for (const auto& mutation : entry.edit.mutations) {
     const auto live = committedTable_.find(mutation.row.key);
     const int64_t current = live ? live->revision : 0;
     if (mutation.expectedRevision >= 0 && mutation.expectedRevision != current) {
-      reportViolation(
-          Guarantee::kAcceptedIsDurable,
-          absl::StrFormat("edit %s expected %s at revision %d and replaced revision %d", entry.edit.requestId,
-                          table::keyText(mutation.row.key), mutation.expectedRevision, current));
+      reportViolation(Guarantee::kAcceptedIsDurable,
+                      absl::StrFormat("edit %s expected %s at revision %d and replaced revision %d", requestId,
+                                      table::keyText(mutation.row.key), mutation.expectedRevision, current));
     }
   }
   for (const auto& mutation : entry.edit.mutations) {
     changed.push_back(table::storeRow(mutation.row, entry.index));
     committedTable_.put(changed.back());
   }
-  auto& edit = committed_[entry.edit.requestId];
-  edit = {entry.edit.requestId, entry.index, time_.now(), {}, false, {}};
+  auto& edit = committed_[requestId];
+  edit = {requestId, entry.index, time_.now(), {}, false, {}};
   for (auto& [interest, history] : slices_) {
     if (!history.slice->refresh(committedTable_)) continue;
     history.digests[entry.index] = history.slice->digest();
@@ -94,7 +94,7 @@
                     absl::StrFormat("revision %d leaves an invalid row %s: %s", entry.index,
                                     table::keyText(problems.front().row), problems.front().message));
   }
-  converging_.push_back(entry.edit.requestId);
+  converging_.push_back(requestId);
   finishConverged();
   if (commitHook_) commitHook_();
 }
--- a/src/wire/driftlug.thrift
+++ b/src/wire/driftlug.thrift
@@ -203,6 +203,8 @@
   2: string author
   3: list<Mutation> mutations
   4: i64 baseRevision
+  /** The operator's request id, if the edit expired under it and is proposed again under another one. */
+  5: optional string retryOf
 }
 
 enum EntryKind {
@@ -342,7 +344,7 @@
   10: i64 horizon
   11: list<RelayRecord> relays
   12: list<LedgerRecord> ledger
-  /** Outcomes of accepted edits that rejected ones have displaced from `outcomes`. */
+  /** Outcomes of accepted edits that `outcomes` does not hold under the operator's request id. */
   13: list<EditOutcome> displacedOutcomes
 }
 
--- a/src/wire/gen/driftlug_types.cpp
+++ b/src/wire/gen/driftlug_types.cpp
@@ -3462,6 +3462,11 @@
 void EditCommand::__set_baseRevision(const int64_t val) {
   this->baseRevision = val;
 }
+
+void EditCommand::__set_retryOf(const std::string& val) {
+  this->retryOf = val;
+__isset.retryOf = true;
+}
 std::ostream& operator<<(std::ostream& out, const EditCommand& obj)
 {
   obj.printTo(out);
@@ -3534,6 +3539,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->retryOf);
+          this->__isset.retryOf = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3575,6 +3588,11 @@
   xfer += oprot->writeI64(this->baseRevision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.retryOf) {
+    xfer += oprot->writeFieldBegin("retryOf", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->retryOf);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3586,6 +3604,7 @@
   swap(a.author, b.author);
   swap(a.mutations, b.mutations);
   swap(a.baseRevision, b.baseRevision);
+  swap(a.retryOf, b.retryOf);
   swap(a.__isset, b.__isset);
 }
 
@@ -3594,6 +3613,7 @@
   author = other114.author;
   mutations = other114.mutations;
   baseRevision = other114.baseRevision;
+  retryOf = other114.retryOf;
   __isset = other114.__isset;
 }
 EditCommand::EditCommand(EditCommand&& other115) noexcept {
@@ -3601,6 +3621,7 @@
   author = std::move(other115.author);
   mutations = std::move(other115.mutations);
   baseRevision = other115.baseRevision;
+  retryOf = std::move(other115.retryOf);
   __isset = other115.__isset;
 }
 EditCommand& EditCommand::operator=(const EditCommand& other116) {
@@ -3608,6 +3629,7 @@
   author = other116.author;
   mutations = other116.mutations;
   baseRevision = other116.baseRevision;
+  retryOf = other116.retryOf;
   __isset = other116.__isset;
   return *this;
 }
@@ -3616,6 +3638,7 @@
   author = std::move(other117.author);
   mutations = std::move(other117.mutations);
   baseRevision = other117.baseRevision;
+  retryOf = std::move(other117.retryOf);
   __isset = other117.__isset;
   return *this;
 }
@@ -3626,6 +3649,7 @@
   out << ", " << "author=" << to_string(author);
   out << ", " << "mutations=" << to_string(mutations);
   out << ", " << "baseRevision=" << to_string(baseRevision);
+  out << ", " << "retryOf="; (__isset.retryOf ? (out << to_string(retryOf)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/driftlug_types.h
+++ b/src/wire/gen/driftlug_types.h
@@ -1617,11 +1617,12 @@
 std::ostream& operator<<(std::ostream& out, const Mutation& obj);
 
 typedef struct _EditCommand__isset {
-  _EditCommand__isset() : requestId(false), author(false), mutations(false), baseRevision(false) {}
+  _EditCommand__isset() : requestId(false), author(false), mutations(false), baseRevision(false), retryOf(false) {}
   bool requestId :1;
   bool author :1;
   bool mutations :1;
   bool baseRevision :1;
+  bool retryOf :1;
 } _EditCommand__isset;
 
 /**
@@ -1637,7 +1638,8 @@
   EditCommand() noexcept
               : requestId(),
                 author(),
-                baseRevision(0) {
+                baseRevision(0),
+                retryOf() {
   }
 
   virtual ~EditCommand() noexcept;
@@ -1645,6 +1647,10 @@
   std::string author;
   std::vector<Mutation>  mutations;
   int64_t baseRevision;
+  /**
+   * The operator's request id, if the edit expired under it and is proposed again under another one.
+   */
+  std::string retryOf;
 
   _EditCommand__isset __isset;
 
@@ -1656,6 +1662,8 @@
 
   void __set_baseRevision(const int64_t val);
 
+  void __set_retryOf(const std::string& val);
+
   bool operator == (const EditCommand & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -1666,6 +1674,10 @@
       return false;
     if (!(baseRevision == rhs.baseRevision))
       return false;
+    if (__isset.retryOf != rhs.__isset.retryOf)
+      return false;
+    else if (__isset.retryOf && !(retryOf == rhs.retryOf))
+      return false;
     return true;
   }
   bool operator != (const EditCommand &rhs) const {
@@ -2623,7 +2635,7 @@
   std::vector<RelayRecord>  relays;
   std::vector<LedgerRecord>  ledger;
   /**
-   * Outcomes of accepted edits that rejected ones have displaced from `outcomes`.
+   * Outcomes of accepted edits that `outcomes` does not hold under the operator's request id.
    */
   std::vector<EditOutcome>  displacedOutcomes;
 
--- a/test/platform/config_api_test.cc
+++ b/test/platform/config_api_test.cc
@@ -13,6 +13,28 @@
 using test::routeResource;
 using test::serviceResource;
 
+constexpr int kRoutes = 700;
+constexpr int kServicesPerRoute = 25;
+
+/// @param listed whether the services are defined; without them each route refers to unknown ones
+std::string largeConfig(int version, int base, bool listed) {
+  std::vector<nlohmann::json> resources;
+  auto split = nlohmann::json::array();
+  for (int i = 0; i < kServicesPerRoute; ++i) {
+    const auto service = "s-" + std::to_string(i);
+    split.push_back({{"service", service}, {"weight", 100 / kServicesPerRoute}});
+    if (listed) resources.push_back(serviceResource(service));
+  }
+  for (int i = 0; i < kRoutes; ++i) {
+    const auto name = std::to_string(i);
+    auto route = routeResource("r-" + name, "a.example", "/" + name + "/", "safe", "");
+    route["spec"].erase("service");
+    route["spec"]["trafficSplit"] = split;
+    resources.push_back(std::move(route));
+  }
+  return configBody(version, base, resources);
+}
+
 /// Sends requests to the configuration page only.
 struct Fixture : PagesFixture {
   transport::HttpResponse sendRequest(size_t position, const std::string& method, const std::string& body) {
@@ -49,6 +71,16 @@
   CHECK(currentVersion() == 7);
 }
 
+TEST_CASE_METHOD(Fixture, "an applied configuration is acknowledged again after refused ones with many problems") {
+  const auto applied = largeConfig(3, 0, true);
+  CHECK(put(applied) == 200);
+  for (int i = 1; i <= 8; ++i) REQUIRE(put(largeConfig(3 + i, 3, false)) == 400);
+  REQUIRE(hosts[leader()]->controller().state().windowFloor() > 0);
+  CHECK(put(applied) == 200);
+  CHECK(put(config(20, 3)) == 200);
+  CHECK(put(applied) == 200);
+}
+
 TEST_CASE_METHOD(Fixture, "of two configurations based on the same version, only one is applied") {
   CHECK(put(config(3, 0)) == 200);
   const auto position = leader();
