Config page: the configuration in force is always acknowledged again

What callers saw: 412 to the resend of the configuration in force, once its outcome was no longer known.

Cause: a resend was recognized by the outcome of its edit only. The table itself holds version and digest of the configuration in force.

--- a/test/platform/config_api_test.cc
+++ b/test/platform/config_api_test.cc
@@ -81,6 +81,27 @@
   CHECK(put(applied) == 200);
 }
 
+TEST_CASE_METHOD(Fixture, "the configuration in force is acknowledged again after more edits than outcomes are kept") {
+  CHECK(put(config(3, 0)) == 200);
+  auto& controller = hosts[leader()]->controller();
+  for (size_t i = 0; i <= controller::kOutcomeWindow; ++i) {
+    wire::EditCommand edit;
+    edit.requestId = "note-" + std::to_string(i);
+    edit.baseRevision = controller.state().table().revision();
+    edit.mutations.emplace_back();
+    edit.mutations.back().row.key = table::makeKey(wire::RowKind::NOTE, "note");
+    edit.mutations.back().row.__isset.noteRow = true;
+    edit.mutations.back().expectedRevision = -1;
+    controller.submitEdit(std::move(edit), [](const controller::EditAnswer&) {});
+    if (i % 100 == 0) runFor(base::milliseconds(100));
+  }
+  runFor(base::seconds(1));
+  REQUIRE(controller.state().windowFloor() > 0);
+  CHECK(put(config(3, 0)) == 200);
+  CHECK(put(config(3, 0, "unsafe")) == 412);
+  CHECK(put(config(5, 3)) == 200);
+}
+
 TEST_CASE_METHOD(Fixture, "of two configurations based on the same version, only one is applied") {
   CHECK(put(config(3, 0)) == 200);
   const auto position = leader();
