Accepted edits that older builds dropped are known again from the history

After the upgrade a resend of one of these edits without a base revision would be decided as a new edit, and a resent configuration that is not the newest would get 412.

The fingerprint of its content is not known, so another content under its request id is answered with this outcome too.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -121,7 +121,8 @@
   if (known != nullptr && options_.checks.resends && !(expired && renewable)) {
     answer.code = static_cast<ErrorCode>(known->code);
     answer.outcome = *known;
-    if (known->fingerprint != fingerprintOf(edit)) answer.code = ErrorCode::kRequestIdReused;
+    const bool same = known->fingerprint == kUnknownFingerprint || known->fingerprint == fingerprintOf(edit);
+    if (!same) answer.code = ErrorCode::kRequestIdReused;
     // If this leader was partitioned away, its stored outcome may differ from what a quorum has committed.
     return confirmLeadership([answer, done](bool confirmed) {
       EditAnswer final = answer;
@@ -149,9 +150,10 @@
   pending_[*index] = {requestId, raft_->term(), scheduler_.now(), std::move(done)};
 }
 
-/// An edit that is based on the table's current revision was not accepted before, which would have raised that revision,
-/// and if it was rejected, the unchanged table rejects it again. The leader therefore has it decided even if rejected
-/// edits alone fill the window: it raises the base revision in the log entry, which controllers of any build follow.
+/// An edit that is based on the table's current revision was not accepted before, which would have raised that
+/// revision, and if it was rejected, the unchanged table rejects it again. The leader therefore has it decided even if
+/// rejected edits alone fill the window: it raises the base revision in the log entry, which controllers of any build
+/// follow.
 /// @return whether the edit is based on the current revision, and no copy of it is being replicated
 bool Controller::mustNotExpire(const wire::EditCommand& edit) const {
   if (!leads() || edit.baseRevision < state_.table().revision()) return false;
--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -181,8 +181,22 @@
   for (const auto& outcome : snapshot.displacedOutcomes) displacedOutcomes_.push(outcome);
   history_.assign(snapshot.history.begin(), snapshot.history.end());
   for (const auto& record : history_) historyKeys_ += record.keys.size();
+  restoreOutcomesFromHistory();
   windowFloor_ = snapshot.historyFloor;
   for (const auto& record : snapshot.relays) relays_[record.id] = record;
 }
 
+/// Snapshots of older builds lack the accepted edits that rejected ones displaced from the window. A resend of these
+/// must not be decided as a new edit.
+void TableState::restoreOutcomesFromHistory() {
+  for (const auto& record : history_) {
+    if (findOutcome(record.requestId) != nullptr) continue;
+    wire::EditOutcome outcome;
+    outcome.requestId = record.requestId;
+    outcome.revision = record.revision;
+    outcome.fingerprint = kUnknownFingerprint;
+    displacedOutcomes_.push(std::move(outcome));
+  }
+}
+
 }  // namespace driftlug::controller
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -75,6 +75,7 @@
   void dropOldOutcomes();
   void recordHistory(int64_t index, const wire::EditCommand& edit);
   void dropOldHistory();
+  void restoreOutcomesFromHistory();
 
   Checks checks_;
   table::Table table_;
@@ -91,6 +92,9 @@
 /// @return the request id that the operator gave to an edit.
 const std::string& operatorRequestId(const wire::EditCommand& edit);
 
+/// Fingerprint of an accepted edit of which only the history is known.
+constexpr int64_t kUnknownFingerprint = 0;
+
 /// @return a hash of the edit's mutations, used to detect a request id that is reused for another edit.
 int64_t fingerprintOf(const wire::EditCommand& edit);
 
--- a/test/controller/table_state_test.cc
+++ b/test/controller/table_state_test.cc
@@ -106,6 +106,21 @@
   CHECK(restored.findOutcome("edit-1")->fingerprint == state.findOutcome("edit-1")->fingerprint);
 }
 
+TEST_CASE("accepted edits of a snapshot without their outcomes are known from the history") {
+  controller::TableState state;
+  CHECK(applySmallEdit(&state, 1, kAnyRevision) == 0);
+  CHECK(applySmallEdit(&state, 2, 0) != 0);
+  auto snapshot = state.takeSnapshot();
+  snapshot.outcomes.erase(snapshot.outcomes.begin());
+  snapshot.historyFloor = 1;
+  controller::TableState restored;
+  restored.restore(snapshot);
+  REQUIRE(restored.findOutcome("edit-1") != nullptr);
+  CHECK(restored.findOutcome("edit-1")->code == 0);
+  CHECK(restored.findOutcome("edit-1")->revision == 1);
+  CHECK(restored.findOutcome("edit-2")->code != 0);
+}
+
 TEST_CASE("the number of accepted edits whose outcomes are known is bounded, whatever is rejected between them") {
   constexpr auto kWindow = static_cast<int64_t>(controller::kOutcomeWindow);
   controller::TableState state;
