An identity check without a result confirms no report

Cause: that a back end drains or has left is remembered by the process that acknowledged it, and by nothing that must have learned of it before a kill. A restarted node therefore asks the back end about the first report. A refusal for lack of a slot, or no answer within 200 ms, was taken as a confirmation of that report, and a busy back end gives nothing else. Evidence: the report took effect exactly when the check timed out, and the relay had told the new process 200 ms before that the endpoint is gone. Ruled out: that the back end called itself healthy, that others had not learned of the sign-off, that an older announcement came back. What relays know is no remedy: an acknowledgement may be given a millisecond before the kill, and an endpoint is gone for them as well when its node is lost.

Change: LocalBackend repeats the check until the back end says that it is healthy or not. After a restart no report makes it live before that, unless it arrives later than any report can be late (10 s), so that a faulty health check costs a back end no more than that. Nothing is confirmed for another name than the one that answered.

The report behind an answer "unavailable" is pending instead of accepted. The fixture's answers are healthy now where they meant that; they were refusals for lack of a slot.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -55,9 +55,11 @@
 /// share a request. The timeout of 700 ms, the time of one or two elections, is for calls that do not state a time.
 constexpr quota::quota_queue_options kQuotaQueueOptions{base::milliseconds(5), base::milliseconds(700),
                                                         base::milliseconds(250)};
-/// Timeout of the query that decides which of two incarnations the back end is. The back end is on this machine and
-/// answers within milliseconds of its start; calls to it are delayed by at most this time.
-constexpr base::Duration kIdentityTimeout = base::milliseconds(200);
+/// Timeout of an identity query. The back end is on this machine; while all its slots are taken, the query waits in its
+/// queue.
+constexpr base::Duration kIdentityTimeout = base::milliseconds(500);
+/// Timeout of a query for the cold state.
+constexpr base::Duration kColdStateTimeout = base::milliseconds(200);
 
 /// @param healthy whether the back end is healthy; a healthy back end that sends no cold time is warm
 /// @return remaining cold-start time in milliseconds; nullopt if an unhealthy back end does not send it
@@ -277,6 +279,7 @@
   base::Address backendAddress() const;
   size_t backendConnections(int connections) const;
   void onActivation(const routing::RoutingTablePtr& table);
+  void onEndpointStates(const std::vector<wire::EndpointState>& states);
   void onDrainRequest(const transport::HttpRequest& request,
                       const std::function<void(transport::HttpResponse)>& respond);
   void onTerminate();
@@ -290,7 +293,6 @@
   void end() override { loop_.stop(); }
   void onBackendLeaving(const std::string& endpoint);
   void onBackendCrash(uint64_t crash, const std::vector<quarantine::crashed_run>& runs);
-  void queryIdentity();
   void queryColdState();
   void queryBackend(base::Duration timeout, node::LocalBackend::IdentityCallback done);
   DaemonPages pages();
@@ -336,7 +338,7 @@
       control_(
           controlOptionsFromSettings(), loop_, base::RandomSource(random_.bits()), controlFrames_,
           [this](const routing::RoutingTablePtr& table) { onActivation(table); },
-          [this](const std::vector<wire::EndpointState>& states) { entry_.onEndpointStates(states); }),
+          [this](const std::vector<wire::EndpointState>& states) { onEndpointStates(states); }),
       versionReporter_(FLAGS_service, loop_, base::RandomSource(random_.bits()), endpoint_,
                        [this](const wire::Message& message) { return control_.sendVersions(message); }),
       health_(loop_, control_, endpoint_, backendAddress()),
@@ -392,6 +394,8 @@
     localBackend_.setIdentityCheck(
         [this](node::LocalBackend::IdentityCallback done) { queryBackend(kIdentityTimeout, std::move(done)); },
         !FLAGS_first_start);
+    localBackend_.setServiceCheck(
+        [this](const std::string& incarnation) { return entry_.isAnnounced(FLAGS_service, incarnation); });
   }
 }
 
@@ -417,6 +421,11 @@
   return pages;
 }
 
+void NodeDaemon::onEndpointStates(const std::vector<wire::EndpointState>& states) {
+  entry_.onEndpointStates(states);
+  localBackend_.onEndpointStates();
+}
+
 void NodeDaemon::onActivation(const routing::RoutingTablePtr& table) {
   entry_.useTable(table);
   endpoint_.useTable(*table);
@@ -472,7 +481,7 @@
     // A back end that starts together with its node sends its first report soon; one that was already running may take
     // longer and is queried instead.
     constexpr base::Duration kFirstReportDelay = base::milliseconds(30);
-    loop_.schedule(kFirstReportDelay, [this] { queryIdentity(); });
+    loop_.schedule(kFirstReportDelay, [this] { localBackend_.identify(); });
   }
   if (!FLAGS_first_start) endpoint_.markPossiblyCold();
   loop_.onStall([this](base::Duration stallTime) { onStall(stallTime); });
@@ -494,17 +503,9 @@
   health_.onLeaving();
 }
 
-void NodeDaemon::queryIdentity() {
-  constexpr base::Duration kTimeout = base::milliseconds(500);
-  if (FLAGS_first_start || !localBackend_.incarnation().empty()) return;
-  queryBackend(kTimeout, [this](const node::BackendIdentity& identity) {
-    if (identity.healthy) localBackend_.onIdentified(identity.incarnation);
-  });
-}
-
 void NodeDaemon::queryColdState() {
   if (FLAGS_cold_header.empty()) return;
-  queryBackend(kIdentityTimeout, [this](const node::BackendIdentity& identity) {
+  queryBackend(kColdStateTimeout, [this](const node::BackendIdentity& identity) {
     log_.info("cold state of {}: well={} cold_ms={}", identity.incarnation, identity.healthy,
               identity.coldMs.value_or(-1));
     if (identity.coldMs) endpoint_.onColdReport(base::milliseconds(*identity.coldMs), true);
--- a/src/node/endpoint_links_known.cc
+++ b/src/node/endpoint_links_known.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/endpoint_links.h"
+#include "node/endpoint_name.h"
 
 namespace driftlug::node {
 namespace {
@@ -17,6 +18,13 @@
   return !gone && !isLeaving(state.endpoint) && !(table_ && table_->evacuated(state.zone));
 }
 
+bool EndpointLinks::isAnnounced(const std::string& service, std::string_view backend) const {
+  return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
+    const auto& [endpoint, state] = item;
+    return state.serviceName == service && !state.address.empty() && backendNameOf(endpoint) == backend;
+  });
+}
+
 void EndpointLinks::markLeaving(const std::string& endpoint) {
   if (!leaving_.insert(endpoint).second) return;
   leavingByAge_.push_back(endpoint);
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -132,6 +132,11 @@
   /// Applies endpoint states received from relays.
   void onEndpointStates(const std::vector<wire::EndpointState>& states);
 
+  /// @return whether a back end has been announced as an endpoint of a service, whatever became of it.
+  bool isAnnounced(const std::string& service, std::string_view backend) const {
+    return links_.isAnnounced(service, backend);
+  }
+
   /// Begins a call. The callback runs once, unless the call is abandoned, and never from within begin().
   CallId begin(InboundCall call, AnswerCallback done);
 
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -24,6 +24,8 @@
       calls_(calls),
       announce_(std::move(announce)),
       options_(options),
+      scheduler_(scheduler),
+      identityTimer_(scheduler, [this] { startIdentityCheck(); }),
       silenceTimer_(scheduler, [this] { suspend("silent"); }) {}
 
 bool LocalBackend::hasEnded(const std::string& endpoint) const {
@@ -39,7 +41,22 @@
 
 void LocalBackend::setIdentityCheck(IdentityCheck check, bool afterRestart) {
   identityCheck_ = std::move(check);
-  afterRestart_ = afterRestart;
+  if (afterRestart) restartedAt_ = scheduler_.now();
+}
+
+/// @return whether reports that were sent to a previous process of this node may still arrive
+bool LocalBackend::recentlyRestarted() const {
+  return restartedAt_ && scheduler_.inputReadUntil() - *restartedAt_ < options_.maxReportDelay;
+}
+
+/// @return whether a report of an incarnation that arrives now may have been sent to a previous process of this node,
+/// and the incarnation has not been healthy since
+bool LocalBackend::mayPrecedeRestart(const std::string& incarnation) const {
+  return recentlyRestarted() && incarnation != healthy_;
+}
+
+void LocalBackend::identify() {
+  if (identityCheck_ && restartedAt_ && current_.incarnation.empty()) startIdentityCheck();
 }
 
 void LocalBackend::onUnreadableReport(const std::string& what) {
@@ -51,8 +68,10 @@
   if (report.incarnation.empty() || hasEnded(endpointOf(report))) return ReportResult::kOutdated;
   if (report.incarnation != current_.incarnation) return onOtherIncarnation(report);
   const bool knownByNameOnly = firstSequence_ == 0;
-  if (!knownByNameOnly && report.startedAtMs != current_.startedAtMs) return onOtherStart(report);
-  if (report.sequence <= current_.sequence) return ReportResult::kOutdated;
+  const bool otherStart = !knownByNameOnly && report.startedAtMs != current_.startedAtMs;
+  if (!otherStart && report.sequence <= current_.sequence) return ReportResult::kOutdated;
+  if (mayPrecedeRestart(report.incarnation) && !report.draining) return queueForIdentity(report);
+  if (otherStart) return onOtherStart(report);
   candidate_.reset();
   if (knownByNameOnly) {
     identifyStart(report);
@@ -61,6 +80,7 @@
   }
   current_ = report;
   suspended_ = false;
+  supersedePending();
   recordContact();
   apply();
   return ReportResult::kAccepted;
@@ -98,70 +118,123 @@
 }
 
 ReportResult LocalBackend::onOtherIncarnation(const BackendReport& report) {
+  const bool confirmed = current_.incarnation.empty() && !mayPrecedeRestart(report.incarnation);
+  if (identityCheck_ && !confirmed) return queueForIdentity(report);
   if (isSuperseded(report)) return ReportResult::kOutdated;
-  const bool confirmed = current_.incarnation.empty() && !afterRestart_;
-  if (identityCheck_ && !confirmed) {
-    queueForIdentity(report);
-    return ReportResult::kPending;
-  }
   if (!current_.incarnation.empty()) retire(endpoint());
   activate(report);
   return ReportResult::kAccepted;
 }
 
 bool LocalBackend::isSuperseded(const BackendReport& report) const {
-  const auto identityReplaced = supersededSequences_.find(endpointOf(report));
-  const auto pending = pendingReports_.find(endpointOf(report));
-  return (identityReplaced != supersededSequences_.end() && report.sequence <= identityReplaced->second) ||
-         (pending != pendingReports_.end() && report.sequence <= pending->second.sequence);
+  const auto name = endpointOf(report);
+  const auto replaced = [&](const auto& item) { return item.endpoint == name && report.sequence <= item.sequence; };
+  const auto pending = [&](const auto& item) {
+    return endpointOf(item.report) == name && report.sequence <= item.report.sequence;
+  };
+  return std::any_of(superseded_.begin(), superseded_.end(), replaced) ||
+         std::any_of(pendingReports_.begin(), pendingReports_.end(), pending);
 }
 
 void LocalBackend::markSuperseded(const BackendReport& report) {
-  if (supersededSequences_.size() >= kMaxOtherIncarnations) supersededSequences_.erase(supersededSequences_.begin());
-  supersededSequences_[endpointOf(report)] = report.sequence;
+  const auto name = endpointOf(report);
+  std::erase_if(superseded_, [&](const auto& item) { return item.endpoint == name; });
+  superseded_.push_back({name, report.sequence});
+  if (superseded_.size() > kMaxOtherIncarnations) superseded_.pop_front();
+}
+
+ReportResult LocalBackend::queueForIdentity(const BackendReport& report) {
+  if (isSuperseded(report)) return ReportResult::kOutdated;
+  const auto name = endpointOf(report);
+  std::erase_if(pendingReports_, [&](const auto& item) { return endpointOf(item.report) == name; });
+  pendingReports_.push_back({report, mayPrecedeRestart(report.incarnation)});
+  if (pendingReports_.size() > kMaxOtherIncarnations) pendingReports_.pop_front();
+  log_.info("report of {}, sequence {}, while {} is current: checking the identity of the back end", name,
+            report.sequence, current_.incarnation.empty() ? "none" : endpoint());
+  startIdentityCheck();
+  return ReportResult::kPending;
 }
 
-void LocalBackend::queueForIdentity(const BackendReport& report) {
-  if (pendingReports_.size() >= kMaxOtherIncarnations) pendingReports_.erase(pendingReports_.begin());
-  pendingReports_[endpointOf(report)] = report;
-  lastPendingEndpoint_ = endpointOf(report);
+void LocalBackend::startIdentityCheck() {
   if (identityCheckRunning_) return;
+  identityTimer_.stop();
   identityCheckRunning_ = true;
-  log_.info("report of {} while {} is current: checking the identity of the back end", report.incarnation,
-            current_.incarnation);
+  ++identityChecks_;
   identityCheck_([this](const BackendIdentity& identity) { onIdentity(identity); });
 }
 
 void LocalBackend::onIdentity(const BackendIdentity& identity) {
   identityCheckRunning_ = false;
-  const bool afterRestart = std::exchange(afterRestart_, false);
-  const auto pending = std::exchange(pendingReports_, {});
-  const bool known = !identity.incarnation.empty();
-  std::optional<BackendReport> chosen;
-  for (const auto& [endpoint, report] : pending) {
-    const bool named = known ? report.incarnation == identity.incarnation : endpoint == lastPendingEndpoint_;
-    if (named && (!chosen || report.startedAtMs > chosen->startedAtMs)) chosen = report;
-    // The report is late, or its sender has not begun to listen yet: only its newer reports are considered.
-    if (!named) markSuperseded(report);
+  const auto& name = identity.incarnation;
+  // A back end that refuses the check for lack of a slot may be leaving.
+  const bool stateKnown = identity.healthy || identity.unavailable;
+  if (name.empty() || (!stateKnown && mayPrecedeRestart(name))) return onNoIdentity();
+  log_.info("the back end is {}, {}, by identity check {}", name,
+            identity.healthy ? "healthy" : (identity.unavailable ? "unavailable" : "busy"),
+            std::exchange(identityChecks_, 0));
+  if (identity.healthy && restartedAt_) healthy_ = name;
+  auto chosen = takePending(name);
+  supersedePending();
+  const bool current = name == current_.incarnation;
+  if (!current && !current_.incarnation.empty()) retire(endpoint());
+  if (!chosen) return useHealthy();
+  if (!mayPrecedeRestart(name)) {
+    (void)onReport(*chosen);
+  } else if (!current) {
+    chosen->draining = true;
+    activate(*chosen);
   }
-  if (known && identity.incarnation == current_.incarnation) return;
-  if (!current_.incarnation.empty() && known) retire(endpoint());
-  if (!chosen || hasEnded(endpointOf(*chosen))) return;
+}
+
+/// Handles an identity check that the back end did not answer, or refused for lack of a slot.
+void LocalBackend::onNoIdentity() {
+  const bool unidentified = current_.incarnation.empty() && healthy_.empty() && recentlyRestarted();
+  if (pendingReports_.empty() && !unidentified) return;
+  if (identityChecks_ == 1) log_.info("the back end is busy or does not answer: the identity check is repeated");
+  const bool unused = current_.incarnation.empty() || suspended_;
+  if (!unused || pendingReports_.empty() || pendingReports_.back().mayPrecedeRestart) {
+    return identityTimer_.start(options_.identityRetryDelay);
+  }
+  const auto last = pendingReports_.back().report;
+  pendingReports_.pop_back();
   if (!current_.incarnation.empty()) {
     markSuperseded(current_);
     clearCurrent();
   }
-  // A drain that a previous process of this node acknowledged must not be undone by a late report.
-  if (afterRestart && identity.unavailable) chosen->draining = true;
-  activate(*chosen);
+  activate(last);
+}
+
+/// Uses a healthy back end before its first report.
+void LocalBackend::useHealthy() {
+  if (hadBackend_ || healthy_.empty()) return;
+  if (isOfService_ && isOfService_(healthy_)) onIdentified(healthy_);
+}
+
+/// Removes the pending report of the latest start of an incarnation.
+std::optional<BackendReport> LocalBackend::takePending(const std::string& incarnation) {
+  std::optional<BackendReport> latest;
+  for (const auto& [report, late] : pendingReports_) {
+    if (report.incarnation != incarnation) continue;
+    if (!latest || report.startedAtMs > latest->startedAtMs) latest = report;
+  }
+  std::erase_if(pendingReports_, [&](const auto& item) { return item.report.incarnation == incarnation; });
+  return latest;
+}
+
+/// Drops the pending reports: they are late, or their senders have not begun to listen yet.
+void LocalBackend::supersedePending() {
+  for (const auto& [report, late] : std::exchange(pendingReports_, {})) markSuperseded(report);
+  identityTimer_.stop();
+  identityChecks_ = 0;
 }
 
 void LocalBackend::activate(const BackendReport& report) {
   firstSequence_ = report.sequence + 1;  // 0 means "known by name only"
   log_.info("{} is the current back end: version {}, {} slots, {}, sequence {}", endpointOf(report), report.version,
             report.slots, report.draining ? "draining" : "live", report.sequence);
-  afterRestart_ = false;
+  supersedePending();
   candidate_.reset();
+  hadBackend_ = true;
   current_ = report;
   leaving_ = false;
   suspended_ = false;
@@ -193,7 +266,8 @@
   const auto sameName = [&](const std::string& ended) { return backendNameOf(ended) == incarnation; };
   if (std::any_of(ended_.begin(), ended_.end(), sameName)) return;
   firstSequence_ = 0;
-  afterRestart_ = false;
+  hadBackend_ = true;
+  healthy_ = incarnation;
   current_ = BackendReport{};
   current_.incarnation = incarnation;
   log_.info("{} is the back end, by its answer to the identity check", incarnation);
@@ -229,6 +303,7 @@
   const bool current = endpoint == this->endpoint();
   ended_.push_back(endpoint);
   if (ended_.size() > kMaxEnded) ended_.pop_front();
+  std::erase_if(pendingReports_, [&](const auto& item) { return endpointOf(item.report) == endpoint; });
   if (!current) return;
   log_.info("{} has ended", endpoint);
   clearCurrent();
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 
@@ -31,7 +30,7 @@
 enum class ReportResult {
   kAccepted,
   kOutdated,     ///< a newer report was accepted, or the reported start has ended
-  kPending,      ///< it names another incarnation than the current one; an identity check decides
+  kPending,      ///< an identity check decides: it names another incarnation than the current one, or may be late
   kUnconfirmed,  ///< it is of another start of the current incarnation and may be late; the sender has to repeat it
 };
 
@@ -48,15 +47,28 @@
   /// A back end that neither reports nor answers a call for this long gets no calls until its next report.
   base::Duration silenceTimeout = base::seconds(4);
   int maxFailedConnections = 3;  ///< consecutive failed connections after which it gets no calls until its next report
+  /// Longest time by which a report can be late. A report that arrives within this time after a restart of the node may
+  /// have been sent before a drain or sign-off that the node's previous process acknowledged.
+  base::Duration maxReportDelay = base::seconds(10);
+  /// Delay before an identity check without a result is repeated. A busy back end answers once it has a free slot.
+  base::Duration identityRetryDelay = base::milliseconds(200);
 };
 
 /// Tracks which incarnation of the local back end accepts calls, and announces it as an endpoint.
 ///
 /// A report can be seconds late and come from an incarnation that has crashed and been replaced at its address.
 /// Sequences order the reports of one start only. Between two incarnations, an identity check decides: the back end is
-/// asked for its name when a report names another incarnation than the current one, or is the first report after a
-/// restart of the node. Until it answers, the current incarnation stays in use: calls name their incarnation, and
-/// another one refuses them as not run. If it does not answer, the sender of the last report is used.
+/// asked for its name when a report names another incarnation than the current one. Until it answers, the current
+/// incarnation stays in use: calls name their incarnation, and another one refuses them as not run. The check is
+/// repeated until it has a result. Only if the current incarnation is suspended meanwhile, the sender of the last
+/// report is used without one.
+///
+/// After a restart of the node, nothing is known of the drains and sign-offs that its previous process acknowledged,
+/// possibly without having announced them. A report that may be late therefore does not make a back end live: it must
+/// answer an identity check as healthy first. A refusal for lack of a slot or a missing answer shows nothing. A report
+/// that arrives after LocalBackendOptions::maxReportDelay was sent to this process and needs no check, so that a back
+/// end with a faulty health check is not lost. A healthy back end is used before its first report only if its name has
+/// been announced for this service, since an address may pass to another service.
 ///
 /// An identity check can't distinguish two starts of the same name. A report with a later start time is accepted at
 /// once. Since the clock may jump back, a start with an earlier time is accepted too once the current one is suspended
@@ -82,6 +94,16 @@
   /// @param afterRestart whether a previous process of this node may have received reports that this one has not
   void setIdentityCheck(IdentityCheck check, bool afterRestart);
 
+  /// Sets the check whether an incarnation has been announced as an endpoint of this node's service; without one, no
+  /// back end is used before its first report.
+  void setServiceCheck(std::function<bool(const std::string& incarnation)> check) { isOfService_ = std::move(check); }
+
+  /// Asks the back end for its name after a restart of the node, without waiting for its next report.
+  void identify();
+
+  /// Handles a change of the announced endpoints.
+  void onEndpointStates() { useHealthy(); }
+
   /// Handles a report of the back end.
   ReportResult onReport(const BackendReport& report);
 
@@ -89,7 +111,7 @@
   /// @param what reason, for the log
   void onUnreadableReport(const std::string& what);
 
-  /// Handles the name that the back end gave when a starting node asked for it. It applies only until the first report.
+  /// Handles the name of a healthy back end that answered before its first report to this process.
   void onIdentified(const std::string& incarnation);
 
   /// Handles the sign-off of a back end that is stopping or has stopped.
@@ -128,8 +150,21 @@
   int64_t unreadableReports() const { return unreadableReports_; }
 
  private:
+  /// A report that waits for an identity check.
+  struct PendingReport {
+    BackendReport report;
+    bool mayPrecedeRestart;  // it may have been sent to a previous process of this node
+  };
+  /// The newest report of an incarnation that another one has replaced.
+  struct SupersededReport {
+    std::string endpoint;
+    int64_t sequence;
+  };
+
   bool hasEnded(const std::string& endpoint) const;
   bool hadEarlierStart() const;
+  bool recentlyRestarted() const;
+  bool mayPrecedeRestart(const std::string& incarnation) const;
   std::string endpoint() const;
   ReportResult onOtherStart(const BackendReport& report);
   void switchToStart(const BackendReport& report);
@@ -139,8 +174,13 @@
   void markSuperseded(const BackendReport& report);
   ReportResult onOtherIncarnation(const BackendReport& report);
   void activate(const BackendReport& report);
-  void queueForIdentity(const BackendReport& report);
+  ReportResult queueForIdentity(const BackendReport& report);
+  void startIdentityCheck();
   void onIdentity(const BackendIdentity& identity);
+  void onNoIdentity();
+  std::optional<BackendReport> takePending(const std::string& incarnation);
+  void supersedePending();
+  void useHealthy();
   void retire(const std::string& endpoint);
   void clearCurrent();
   void recordContact();
@@ -161,12 +201,17 @@
   std::optional<BackendReport> candidate_;  // last report of another start of the current incarnation
   bool signOffUnconfirmed_ = false;         // while an identity check for a sign-off is running
   IdentityCheck identityCheck_;             // may be empty
-  bool afterRestart_ = false;               // until this process has a report or the name of the back end
+  std::function<bool(const std::string& incarnation)> isOfService_;  // may be empty
+  std::optional<base::TimePoint> restartedAt_;                       // unset on a first start
+  bool hadBackend_ = false;                                          // whether this process has used a back end
+  std::string healthy_;  // name of the back end that answered an identity check as healthy after the restart
   bool identityCheckRunning_ = false;
-  std::map<std::string, BackendReport> pendingReports_;  // reports that wait for the identity check, by endpoint
-  std::string lastPendingEndpoint_;                      // endpoint of the last of these reports
-  std::map<std::string, int64_t> supersededSequences_;   // newest sequence of superseded endpoints
+  int identityChecks_ = 0;                    // since the last one with a result
+  std::deque<PendingReport> pendingReports_;  // the last one of each endpoint, oldest first
+  std::deque<SupersededReport> superseded_;   // one for each endpoint, oldest first
   LocalBackendOptions options_;
+  base::Scheduler& scheduler_;
+  base::Timer identityTimer_;  // repeats the identity check
   base::Timer silenceTimer_;   // active while there is a current incarnation
   int failedConnections_ = 0;  // consecutive failed connections
   bool leaving_ = false;       // the current start has said in a response that it is shutting down
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "node/endpoint_name.h"
 #include "recording_network.h"
 #include "simulation/process.h"
 #include "table_rows.h"
@@ -94,6 +95,18 @@
 
 }  // namespace
 
+TEST_CASE_METHOD(LinksFixture, "a back end is known for the service that it was announced for, in whatever condition") {
+  CHECK(links->isAnnounced("records", "endpoint-1"));
+  CHECK_FALSE(links->isAnnounced("filings", "endpoint-1"));
+  CHECK_FALSE(links->isAnnounced("records", "endpoint"));
+  auto state = endpointState(1, wire::EndpointCondition::GONE);
+  links->onStates({state});
+  CHECK(links->isAnnounced("records", "endpoint-1"));
+  state.endpoint = endpointNameOf("restarted", 1'764'720'000'000);
+  links->onStates({state});
+  CHECK(links->isAnnounced("records", "restarted"));
+}
+
 TEST_CASE_METHOD(BoundedLinksFixture, "the bound of links is shared among the services") {
   CHECK(links->size() == 16);
   for (const char* service : {"filings", "orders", "prices"}) addService(service);
--- a/test/node/local_backend_fixture.h
+++ b/test/node/local_backend_fixture.h
@@ -109,13 +109,21 @@
                            afterRestart);
   }
 
-  void answer(const std::string& incarnation, bool unavailable = false) {
+  void answer(const BackendIdentity& identity) {
     REQUIRE(!identityChecks.empty());
     const auto done = std::move(identityChecks.front());
     identityChecks.erase(identityChecks.begin());
-    done({incarnation, unavailable});
+    done(identity);
   }
 
+  /// The back end answers that it is healthy, or unavailable.
+  void answer(const std::string& incarnation, bool unavailable = false) {
+    answer(BackendIdentity{incarnation, unavailable, !unavailable});
+  }
+
+  void refuseForLackOfSlot(const std::string& incarnation = "") { answer(BackendIdentity{incarnation}); }
+  void answerNothing() { answer(BackendIdentity{}); }
+
   std::vector<LocalBackend::IdentityCallback> identityChecks;
 };
 
--- a/test/node/local_backend_test.cc
+++ b/test/node/local_backend_test.cc
@@ -54,21 +54,47 @@
   CHECK(local.onReport(report("i-2", 4)) == ReportResult::kOutdated);
 }
 
-TEST_CASE_METHOD(IdentityCheckFixture,
-                 "without an answer to the identity check, the sender of the last report is used for now") {
+TEST_CASE_METHOD(IdentityCheckFixture, "an identity check without an answer does not replace the current incarnation") {
   enableIdentityCheck(false);
   local.onReport(report("i-2", 9));
-  local.onReport(report("i-1", 50));
-  answer("");
-  CHECK(local.incarnation() == "i-1");
-  // An incarnation that was superseded without confirmation returns with a newer report, not with a late one.
-  CHECK(local.onReport(report("i-2", 9)) == ReportResult::kOutdated);
-  CHECK(local.onReport(report("i-2", 10)) == ReportResult::kPending);
-  answer("i-2");
+  CHECK(local.onReport(report("i-1", 50)) == ReportResult::kPending);
+  answerNothing();
   CHECK(local.incarnation() == "i-2");
-  CHECK(announced.back().endpoint == "i-2");
   CHECK(announced.back().condition == EndpointCondition::LIVE);
-  CHECK(local.onReport(report("i-1", 51)) == ReportResult::kOutdated);
+  CHECK(identityChecks.empty());
+  runFor(base::seconds(1));
+  REQUIRE(identityChecks.size() == 1);
+  SECTION("the repeated check confirms the current one") {
+    answer("i-2");
+    CHECK(local.onReport(report("i-1", 50)) == ReportResult::kOutdated);
+  }
+  SECTION("the repeated check confirms the other one") {
+    answer("i-1");
+    CHECK(local.incarnation() == "i-1");
+    CHECK(local.onReport(report("i-2", 10)) == ReportResult::kOutdated);
+  }
+  SECTION("the current one reports: the check is not repeated any more") {
+    CHECK(local.onReport(report("i-2", 10)) == ReportResult::kAccepted);
+    answerNothing();
+    runFor(base::seconds(1));
+    CHECK(identityChecks.empty());
+    CHECK(local.onReport(report("i-1", 50)) == ReportResult::kOutdated);
+  }
+  SECTION("the current one is silent: the sender of the last report is used") {
+    answerNothing();
+    runFor(base::seconds(4));
+    answerNothing();
+    CHECK(local.incarnation() == "i-1");
+    CHECK(announced.back().condition == EndpointCondition::LIVE);
+    // An incarnation that was superseded without confirmation returns with a newer report, not with a late one.
+    CHECK(local.onReport(report("i-2", 9)) == ReportResult::kOutdated);
+    CHECK(local.onReport(report("i-2", 10)) == ReportResult::kPending);
+    answer("i-2");
+    CHECK(local.incarnation() == "i-2");
+    CHECK(announced.back().endpoint == "i-2");
+    CHECK(announced.back().condition == EndpointCondition::LIVE);
+    CHECK(local.onReport(report("i-1", 51)) == ReportResult::kOutdated);
+  }
 }
 
 TEST_CASE_METHOD(IdentityCheckFixture,
@@ -93,12 +119,29 @@
     CHECK(announced.back().condition == EndpointCondition::DRAINING);
     call(1, "i-1");
     CHECK(backend.requests.empty());
-    CHECK(local.onReport(report("i-1", 51)) == ReportResult::kAccepted);
-    CHECK(announced.back().condition == EndpointCondition::LIVE);
+    // The next report may be late, too.
+    CHECK(local.onReport(report("i-1", 51)) == ReportResult::kPending);
+    CHECK(announced.back().condition == EndpointCondition::DRAINING);
+    SECTION("it is running again") {
+      answer("i-1");
+      CHECK(announced.back().condition == EndpointCondition::LIVE);
+      CHECK(local.onReport(report("i-1", 51)) == ReportResult::kOutdated);
+      CHECK(local.onReport(report("i-1", 52)) == ReportResult::kAccepted);
+    }
+    SECTION("it still drains") {
+      answer("i-1", true);
+      CHECK(announced.back().condition == EndpointCondition::DRAINING);
+      call(2, "i-1");
+      CHECK(refusalOf(2) == base::ErrorCode::kDraining);
+    }
   }
-  SECTION("there is no answer") {
-    answer("");
+  SECTION("it is too busy to answer") {
+    answerNothing();
+    CHECK(local.incarnation().empty());
+    runFor(base::seconds(1));
+    answer("i-1");
     CHECK(local.incarnation() == "i-1");
+    CHECK(announced.back().condition == EndpointCondition::LIVE);
   }
 }
 
