A sign-off with a start time ends a back end that is known by name only

Cause: after a restart of its node a healthy back end is used under its name before its first report. A sign-off carries the time of its start; it was entered for the endpoint of that start, while the one of the plain name stayed live.

Change: such a sign-off also has the name checked, as one that may be late has it already: no calls until the back end has answered, and none afterwards unless it is healthy.

--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -323,10 +323,14 @@
 }
 
 void LocalBackend::onSignOff(const std::string& incarnation, int64_t startedAtMs) {
-  const bool startUnknown = startedAtMs == 0 && incarnation == current_.incarnation;
+  const bool current = incarnation == current_.incarnation;
+  const bool startUnknown = current && startedAtMs == 0;
   if (startUnknown && hadEarlierStart() && identityCheck_) return confirmSignOff();
   const auto left = startUnknown ? endpoint() : endpointNameOf(incarnation, startedAtMs);
   if (!hasEnded(left)) retire(left);
+  // A back end that is known only by this name may be the start that signs off, or a later one.
+  const bool knownByNameOnly = !current_.incarnation.empty() && firstSequence_ == 0;
+  if (current && knownByNameOnly && identityCheck_) confirmSignOff();
 }
 
 /// The sign-off may be a late one of an earlier start. The back end gets no calls until it has answered.
--- a/test/node/node_restart_test.cc
+++ b/test/node/node_restart_test.cc
@@ -89,6 +89,31 @@
   CHECK(takesCalls("i-1"));
 }
 
+TEST_CASE_METHOD(RestartedNode, "a sign-off with a start time ends a back end that is known only by its name") {
+  local.identify();
+  answer("i-1");
+  CHECK(takesCalls("i-1"));
+  local.onSignOff("i-1", kFirstStart);
+  CHECK_FALSE(takesCalls("i-1"));
+  SECTION("it leaves") {
+    answer("i-1", true);
+    CHECK_FALSE(takesCalls("i-1"));
+    CHECK(local.onReport(reportOf(kFirstStart, 8)) == ReportResult::kOutdated);
+  }
+  SECTION("it is busy") {
+    refuseForLackOfSlot("i-1");
+    CHECK_FALSE(takesCalls("i-1"));
+    CHECK(local.onReport(reportOf(kFirstStart, 8)) == ReportResult::kOutdated);
+    CHECK_FALSE(takesCalls("i-1"));
+  }
+  SECTION("the sign-off was a late one of its previous start") {
+    answer("i-1");
+    CHECK(takesCalls("i-1"));
+    CHECK(local.onReport(reportOf(kFirstStart + 3000, 1, false, 9)) == ReportResult::kAccepted);
+    CHECK(takesCalls(endpointNameOf("i-1", kFirstStart + 3000)));
+  }
+}
+
 TEST_CASE_METHOD(RestartedNode, "a back end that has ended is not used by its name again") {
   local.identify();
   answer("i-1");
