A copy of an edit that is being decided after all is not answered as expired

Cause: while an edit that had expired is proposed again, a second copy of it found the expired outcome and was answered with it, though the first one may be accepted a moment later.

Change: the second copy gets outcome_unknown, for which operators send it again. submitEdit() is split: the answer to a resent edit and the search for a copy in flight stand by themselves.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -16,7 +16,7 @@
 constexpr base::Duration kHousekeepingInterval = base::milliseconds(100);
 constexpr int kProtocolVersion = 1;
 /// Separates the operator's request id from the log index in the request id of an edit that is proposed again.
-constexpr char kRetrySuffix[] = "#";
+constexpr char kRetrySeparator[] = "#";
 
 }  // namespace
 
@@ -118,24 +118,17 @@
   const bool renewable = mustNotExpire(edit);
   const auto* known = state_.findOutcome(edit.requestId);
   const bool expired = known != nullptr && known->code == static_cast<int>(ErrorCode::kRequestIdExpired);
-  if (known != nullptr && options_.checks.resends && !(expired && renewable)) {
-    answer.code = static_cast<ErrorCode>(known->code);
-    answer.outcome = *known;
-    const bool same = known->fingerprint == kUnknownFingerprint || known->fingerprint == fingerprintOf(edit);
-    if (!same) answer.code = ErrorCode::kRequestIdReused;
-    // If this leader was partitioned away, its stored outcome may differ from what a quorum has committed.
-    return confirmLeadership([answer, done](bool confirmed) {
-      EditAnswer final = answer;
-      if (!confirmed) final.code = ErrorCode::kOutcomeUnknown;
-      done(final);
-    });
+  if (expired && isInFlight(edit.requestId)) {
+    answer.code = ErrorCode::kOutcomeUnknown;
+    return done(answer);
   }
+  if (known != nullptr && options_.checks.resends && !(expired && renewable)) return answerKnown(*known, edit, done);
   const auto requestId = edit.requestId;
   if (renewable) edit.baseRevision = std::max(edit.baseRevision, raft_->lastIndex());
   if (renewable && expired) {
-    // The log keeps the expired outcome under the operator's request id.
+    // The window keeps the expired outcome under the operator's request id.
     edit.__set_retryOf(requestId);
-    edit.requestId = absl::StrCat(requestId, kRetrySuffix, raft_->lastIndex() + 1);
+    edit.requestId = absl::StrCat(requestId, kRetrySeparator, raft_->lastIndex() + 1);
   }
   wire::LogEntry entry;
   entry.kind = wire::EntryKind::EDIT;
@@ -150,15 +143,35 @@
   pending_[*index] = {requestId, raft_->term(), scheduler_.now(), std::move(done)};
 }
 
+/// Answers a resent edit with its known outcome.
+void Controller::answerKnown(const wire::EditOutcome& outcome, const wire::EditCommand& edit,
+                             const EditCallback& done) {
+  EditAnswer answer;
+  answer.code = static_cast<ErrorCode>(outcome.code);
+  answer.outcome = outcome;
+  const bool same = outcome.fingerprint == kUnknownFingerprint || outcome.fingerprint == fingerprintOf(edit);
+  if (!same) answer.code = ErrorCode::kRequestIdReused;
+  // If this leader was partitioned away, its stored outcome may differ from what a quorum has committed.
+  confirmLeadership([answer, done](bool confirmed) {
+    EditAnswer final = answer;
+    if (!confirmed) final.code = ErrorCode::kOutcomeUnknown;
+    done(final);
+  });
+}
+
 /// An edit that is based on the table's current revision was not accepted before, which would have raised that
 /// revision, and if it was rejected, the unchanged table rejects it again. The leader therefore has it decided even if
 /// rejected edits alone fill the window: it raises the base revision in the log entry, which controllers of any build
 /// follow.
-/// @return whether the edit is based on the current revision, and no copy of it is being replicated
+/// @return whether the edit is based on the current revision, and no copy of it is in flight
 bool Controller::mustNotExpire(const wire::EditCommand& edit) const {
-  if (!leads() || edit.baseRevision < state_.table().revision()) return false;
-  return std::none_of(pending_.begin(), pending_.end(),
-                      [&](const auto& item) { return item.second.requestId == edit.requestId; });
+  return leads() && edit.baseRevision >= state_.table().revision() && !isInFlight(edit.requestId);
+}
+
+/// @return whether this leader has proposed an edit under the operator's request id that is not applied yet
+bool Controller::isInFlight(const std::string& requestId) const {
+  return std::any_of(pending_.begin(), pending_.end(),
+                     [&](const auto& item) { return item.second.requestId == requestId; });
 }
 
 void Controller::submitLedger(wire::LedgerCommand command, LedgerOutcomeCallback done) {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -174,7 +174,9 @@
   void formCluster();
   void completeFormation();
   void promoteLearners();
+  void answerKnown(const wire::EditOutcome& outcome, const wire::EditCommand& edit, const EditCallback& done);
   bool mustNotExpire(const wire::EditCommand& edit) const;
+  bool isInFlight(const std::string& requestId) const;
   wire::EditOutcome outcomeForOperator(const wire::EditCommand& edit, wire::EditOutcome outcome) const;
   void answerPending(int64_t index, const wire::EditOutcome& outcome);
   void failPending();
--- a/src/node/local_backend.cc
+++ b/src/node/local_backend.cc
@@ -213,9 +213,9 @@
 /// Removes the pending report of the latest start of an incarnation.
 std::optional<BackendReport> LocalBackend::takePending(const std::string& incarnation) {
   std::optional<BackendReport> latest;
-  for (const auto& [report, late] : pendingReports_) {
-    if (report.incarnation != incarnation) continue;
-    if (!latest || report.startedAtMs > latest->startedAtMs) latest = report;
+  for (const auto& pending : pendingReports_) {
+    if (pending.report.incarnation != incarnation) continue;
+    if (!latest || pending.report.startedAtMs > latest->startedAtMs) latest = pending.report;
   }
   std::erase_if(pendingReports_, [&](const auto& item) { return item.report.incarnation == incarnation; });
   return latest;
@@ -223,7 +223,7 @@
 
 /// Drops the pending reports: they are late, or their senders have not begun to listen yet.
 void LocalBackend::supersedePending() {
-  for (const auto& [report, late] : std::exchange(pendingReports_, {})) markSuperseded(report);
+  for (const auto& pending : std::exchange(pendingReports_, {})) markSuperseded(pending.report);
   identityTimer_.stop();
   identityChecks_ = 0;
 }
--- a/test/controller/rejected_edits_test.cc
+++ b/test/controller/rejected_edits_test.cc
@@ -124,6 +124,21 @@
   CHECK(submit(edit).code == ErrorCode::kRequestIdReused);
 }
 
+TEST_CASE_METHOD(Fixture, "a copy of an edit that is decided after all is not answered as expired") {
+  fillWindow();
+  auto edit = editOf("next", "s-2", kAnyRevision);
+  --edit.baseRevision;
+  CHECK(submit(edit).code == ErrorCode::kRequestIdExpired);
+  ++edit.baseRevision;
+  std::vector<ErrorCode> codes;
+  for (int i = 0; i < 2; ++i) {
+    leader().submitEdit(edit, [&](const EditAnswer& answer) { codes.push_back(answer.code); });
+  }
+  runFor(base::seconds(1));
+  CHECK(codes == std::vector<ErrorCode>{ErrorCode::kOutcomeUnknown, ErrorCode::kNone});
+  CHECK(submit(edit).code == ErrorCode::kNone);
+}
+
 TEST_CASE_METHOD(Fixture, "two copies of an edit in flight take effect once, whatever is rejected between them") {
   fillWindow();
   const auto edit = editOf("next", "s-2", kAnyRevision);
