A healthy back end is used before its first report also where relays know nothing

Cause: since a name must have been announced for the node's service before it is used, nodes waited for the first report of their back end whenever the relays had lost what was announced, as after a loss of all power, and beside new back ends.

Change: the name is also used if the relay has sent its endpoints and none of them has this node's address. An address that passed to another service is known with the name of its former back end, so that case still waits for the report.

--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -280,6 +280,7 @@
   size_t backendConnections(int connections) const;
   void onActivation(const routing::RoutingTablePtr& table);
   void onEndpointStates(const std::vector<wire::EndpointState>& states);
+  bool isOfService(const std::string& incarnation) const;
   void onDrainRequest(const transport::HttpRequest& request,
                       const std::function<void(transport::HttpResponse)>& respond);
   void onTerminate();
@@ -318,7 +319,9 @@
   quarantine::crash_detector crashWatch_;
   EntryServer entryServer_;
   AdminServer admin_;
-  PageHandler reportPages_;  // empty if the back end does not report its state
+  bool endpointStatesAwaited_ = false;
+  bool endpointStatesReceived_ = false;  // whether the relay has sent the endpoints that have been announced
+  PageHandler reportPages_;              // empty if the back end does not report its state
   std::unique_ptr<PageServer> reportServer_;
   std::unique_ptr<transport::HttpClientPool> identityPool_;  // created by the first identity query
   std::unique_ptr<storage::PosixDisk> disk_;
@@ -394,8 +397,7 @@
     localBackend_.setIdentityCheck(
         [this](node::LocalBackend::IdentityCallback done) { queryBackend(kIdentityTimeout, std::move(done)); },
         !FLAGS_first_start);
-    localBackend_.setServiceCheck(
-        [this](const std::string& incarnation) { return entry_.isAnnounced(FLAGS_service, incarnation); });
+    localBackend_.setServiceCheck([this](const std::string& incarnation) { return isOfService(incarnation); });
   }
 }
 
@@ -421,12 +423,28 @@
   return pages;
 }
 
+/// @return whether a back end has been announced for this node's service, or no other one has been announced at this
+/// node's address, as after the relays have lost what was announced
+bool NodeDaemon::isOfService(const std::string& incarnation) const {
+  if (entry_.isAnnounced(FLAGS_service, incarnation)) return true;
+  return endpointStatesReceived_ && !entry_.isAnnouncedAt(frameAddressFromSettings());
+}
+
 void NodeDaemon::onEndpointStates(const std::vector<wire::EndpointState>& states) {
   entry_.onEndpointStates(states);
   localBackend_.onEndpointStates();
 }
 
 void NodeDaemon::onActivation(const routing::RoutingTablePtr& table) {
+  if (!endpointStatesAwaited_) {
+    // The relay sends the endpoints that have been announced together with the first version.
+    constexpr base::Duration kEndpointStatesDelay = base::milliseconds(50);
+    endpointStatesAwaited_ = true;
+    loop_.schedule(kEndpointStatesDelay, [this] {
+      endpointStatesReceived_ = true;
+      localBackend_.onEndpointStates();
+    });
+  }
   entry_.useTable(table);
   endpoint_.useTable(*table);
   versionReporter_.useTable(*table);
--- a/src/node/endpoint_links.h
+++ b/src/node/endpoint_links.h
@@ -105,6 +105,9 @@
   /// @return whether a back end has been announced as an endpoint of a service, whatever became of it.
   bool isAnnounced(const std::string& service, std::string_view backend) const;
 
+  /// @return whether any back end has been announced at an address, whatever became of it.
+  bool isAnnouncedAt(const base::Address& address) const;
+
   /// Excludes an announced endpoint whose back end has said that it is shutting down. Later announcements do not undo
   /// this: the node beside it may have restarted without knowing it. An endpoint of the table is not excluded, because
   /// its name does not change with a restart of its back end.
--- a/src/node/endpoint_links_known.cc
+++ b/src/node/endpoint_links_known.cc
@@ -25,6 +25,12 @@
   });
 }
 
+bool EndpointLinks::isAnnouncedAt(const base::Address& address) const {
+  return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
+    return item.second.address == address.host && item.second.port == address.port;
+  });
+}
+
 void EndpointLinks::markLeaving(const std::string& endpoint) {
   if (!leaving_.insert(endpoint).second) return;
   leavingByAge_.push_back(endpoint);
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -137,6 +137,9 @@
     return links_.isAnnounced(service, backend);
   }
 
+  /// @return whether any back end has been announced at an address, whatever became of it.
+  bool isAnnouncedAt(const base::Address& address) const { return links_.isAnnouncedAt(address); }
+
   /// Begins a call. The callback runs once, unless the call is abandoned, and never from within begin().
   CallId begin(InboundCall call, AnswerCallback done);
 
--- a/src/node/local_backend.h
+++ b/src/node/local_backend.h
@@ -67,8 +67,8 @@
 /// possibly without having announced them. A report that may be late therefore does not make a back end live: it must
 /// answer an identity check as healthy first. A refusal for lack of a slot or a missing answer shows nothing. A report
 /// that arrives after LocalBackendOptions::maxReportDelay was sent to this process and needs no check, so that a back
-/// end with a faulty health check is not lost. A healthy back end is used before its first report only if its name has
-/// been announced for this service, since an address may pass to another service.
+/// end with a faulty health check is not lost. A healthy back end is used before its first report only if its name is
+/// known to be of this service, since an address may pass to another service.
 ///
 /// An identity check can't distinguish two starts of the same name. A report with a later start time is accepted at
 /// once. Since the clock may jump back, a start with an earlier time is accepted too once the current one is suspended
@@ -94,8 +94,8 @@
   /// @param afterRestart whether a previous process of this node may have received reports that this one has not
   void setIdentityCheck(IdentityCheck check, bool afterRestart);
 
-  /// Sets the check whether an incarnation has been announced as an endpoint of this node's service; without one, no
-  /// back end is used before its first report.
+  /// Sets the check whether an incarnation is of this node's service; without one, no back end is used before its first
+  /// report.
   void setServiceCheck(std::function<bool(const std::string& incarnation)> check) { isOfService_ = std::move(check); }
 
   /// Asks the back end for its name after a restart of the node, without waiting for its next report.
--- a/test/node/endpoint_links_test.cc
+++ b/test/node/endpoint_links_test.cc
@@ -105,6 +105,9 @@
   state.endpoint = endpointNameOf("restarted", 1'764'720'000'000);
   links->onStates({state});
   CHECK(links->isAnnounced("records", "restarted"));
+  CHECK(links->isAnnouncedAt({"10.0.0.1", 7000}));
+  CHECK_FALSE(links->isAnnouncedAt({"10.0.0.1", 7001}));
+  CHECK_FALSE(links->isAnnouncedAt({"10.0.9.1", 7000}));
 }
 
 TEST_CASE_METHOD(BoundedLinksFixture, "the bound of links is shared among the services") {
