An accepted edit that has expired since in an older build stays accepted

Outcomes are restored from the history only for request ids without an outcome. An older build may have dropped the outcome of an accepted edit and then stored its resend as expired under the same id. That edit stayed "expired", and a resend without a base revision would have been proposed again and applied twice.

Change: an accepted edit of the history is restored unless its outcome is known as accepted. Two comments are plainer.

--- a/src/controller/table_state.cc
+++ b/src/controller/table_state.cc
@@ -190,7 +190,8 @@
 /// must not be decided as a new edit.
 void TableState::restoreOutcomesFromHistory() {
   for (const auto& record : history_) {
-    if (findOutcome(record.requestId) != nullptr) continue;
+    const auto* known = findOutcome(record.requestId);
+    if (known != nullptr && isAccepted(*known)) continue;
     wire::EditOutcome outcome;
     outcome.requestId = record.requestId;
     outcome.revision = record.revision;
--- a/src/controller/table_state.h
+++ b/src/controller/table_state.h
@@ -15,7 +15,7 @@
 namespace driftlug::controller {
 
 /// Maximum number of edit outcomes kept; an edit whose base revision precedes this window is rejected. All controllers
-/// must have the same window: with different ones, two builds beside each other would decide an edit differently.
+/// must have the same window: with different ones, controllers of two builds would decide the same edit differently.
 constexpr size_t kOutcomeWindow = 10'000;
 /// Maximum total number of rows and problems in the window.
 constexpr size_t kMaxOutcomeDetails = 100'000;
--- a/test/controller/table_state_test.cc
+++ b/test/controller/table_state_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "base/error.h"
 #include "table_rows.h"
 
 using namespace driftlug;
@@ -121,6 +122,17 @@
   CHECK(restored.findOutcome("edit-2")->code != 0);
 }
 
+TEST_CASE("an accepted edit of a snapshot that has expired since is known as accepted") {
+  controller::TableState state;
+  CHECK(applySmallEdit(&state, 1, kAnyRevision) == 0);
+  auto snapshot = state.takeSnapshot();
+  snapshot.outcomes.front().code = static_cast<int>(base::ErrorCode::kRequestIdExpired);
+  controller::TableState restored;
+  restored.restore(snapshot);
+  REQUIRE(restored.findOutcome("edit-1") != nullptr);
+  CHECK(restored.findOutcome("edit-1")->code == 0);
+}
+
 TEST_CASE("the number of accepted edits whose outcomes are known is bounded, whatever is rejected between them") {
   constexpr auto kWindow = static_cast<int64_t>(controller::kOutcomeWindow);
   controller::TableState state;
--- a/test/node/node_restart_test.cc
+++ b/test/node/node_restart_test.cc
@@ -1,4 +1,4 @@
-/// Reports that arrive late, after the node beside the back end has restarted.
+/// Late reports after a restart of the node that the back end reports to.
 #include <algorithm>
 #include <set>
 
