--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -30,8 +30,8 @@
   }
 
   void beat() {
-    const std::string body = R"({"address":")" + ip + ":" + std::to_string(port) + R"(","info":{"service":")" + service +
-                             R"(","version":"v1","zone":")" + zone +
+    const std::string body = R"({"address":")" + ip + ":" + std::to_string(port) + R"(","info":{"service":")" +
+                             service + R"(","version":"v1","zone":")" + zone +
                              R"(","slots":9},"status":{"state":"ready","sequence":)" + std::to_string(++sequence) +
                              R"(,"coldRemainingMs":0}})";
     call(ip, controlPort, "PUT", "/instances/" + id, "Content-Type: application/json\r\n", body, 1);
@@ -73,7 +73,8 @@
     }
   }
 
-  void watchFor(double seconds, const std::function<bool()>& done = [] { return false; }) {
+  void watchFor(
+      double seconds, const std::function<bool()>& done = [] { return false; }) {
     const double until = now() + seconds;
     while (now() < until && !done()) {
       watch();
@@ -116,9 +117,10 @@
   }
   const std::vector<Route> routes = {{"r-orders", "a.example", "/orders/", "unsafe", "orderdesk", 10000, 5000, 1, 1},
                                      {"r-sheets", "a.example", "/sheets/", "unsafe", "catalogue", 10000, 5000, 1, 1}};
-  const auto taken = orderUntilTaken(ips, ports.control, "PUT", "/config",
-                                     configText(1, 0, routes, {{"orderdesk", 120}, {"catalogue", 120}, {"tileserve", 120}}),
-                                     20, "configuration 1, maxBodyBytes 67108864");
+  const auto taken =
+      orderUntilTaken(ips, ports.control, "PUT", "/config",
+                      configText(1, 0, routes, {{"orderdesk", 120}, {"catalogue", 120}, {"tileserve", 120}}), 20,
+                      "configuration 1, maxBodyBytes 67108864");
   if (taken.status != 200) verdict(2, "the configuration was not taken");
   std::thread([&upstreams] {
     for (;;) {
@@ -136,9 +138,10 @@
     std::thread([&, path, bytes, counts] {
       const auto id = attemptId(++number);
       note("client sends POST %s %s, %zu bytes", path.c_str(), id.c_str(), bytes);
-      const auto answer = call(entry, ports.outbound, "POST", path + "1",
-                               "Host: a.example\r\nX-Driftlug-Attempt-Id: " + id + "\r\nX-Driftlug-Deadline-Ms: 10000\r\n",
-                               std::string(bytes, 'x'), 15);
+      const auto answer =
+          call(entry, ports.outbound, "POST", path + "1",
+               "Host: a.example\r\nX-Driftlug-Attempt-Id: " + id + "\r\nX-Driftlug-Deadline-Ms: 10000\r\n",
+               std::string(bytes, 'x'), 15);
       note("client gets %d for %s", answer.status, id.c_str());
       if (counts && answer.status != 200) ++lost;
       --open;
@@ -147,9 +150,10 @@
   /// Waits until a small request to a path is answered with success.
   const auto waitForService = [&](const std::string& path) {
     for (int i = 0; i < 60; ++i) {
-      const auto answer = call(entry, ports.outbound, "POST", path + "probe",
-                               "Host: a.example\r\nX-Driftlug-Attempt-Id: " + attemptId(++number) +
-                                   "\r\nX-Driftlug-Deadline-Ms: 2000\r\n", "x", 3);
+      const auto answer = call(
+          entry, ports.outbound, "POST", path + "probe",
+          "Host: a.example\r\nX-Driftlug-Attempt-Id: " + attemptId(++number) + "\r\nX-Driftlug-Deadline-Ms: 2000\r\n",
+          "x", 3);
       if (answer.status == 200) return;
       platform.watchFor(0.25);
     }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -299,13 +299,15 @@
   std::vector<std::string> seeds;  // control addresses
   std::map<std::string, std::string> bounds = {{"graceS", "6"}, {"budgetSlack", "62"}};
 
-  Deployment(std::string rootFolder, int cores, const std::vector<std::string>& services) : root(std::move(rootFolder)) {
+  Deployment(std::string rootFolder, int cores, const std::vector<std::string>& services)
+      : root(std::move(rootFolder)) {
     char name[] = "/tmp/driftlug-case-XXXXXX";
     folder = mkdtemp(name);
     current() = this;
     const std::vector<std::string> coreZones = {"wien-a", "wien-a", "wien-b", "graz", "linz"};
     const std::vector<std::string> zones = {"wien-a", "wien-b", "graz", "linz"};
-    const std::string block = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
+    const std::string block =
+        "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
     int last = 0;
     for (int i = 0; i < cores; ++i) {
       core.push_back(std::make_unique<Machine>());
@@ -313,7 +315,8 @@
     }
     for (size_t i = 0; i < services.size(); ++i) {
       sidecars.push_back(std::make_unique<Machine>());
-      *sidecars.back() = {"sidecar-" + std::to_string(i + 1), block + std::to_string(++last), zones[i % 4], services[i], 0, ""};
+      *sidecars.back() = {
+          "sidecar-" + std::to_string(i + 1), block + std::to_string(++last), zones[i % 4], services[i], 0, ""};
     }
     spareIp_ = block + std::to_string(++last);
     choosePorts();
@@ -375,7 +378,8 @@
   void start(Machine* machine, bool firstStart) {
     writeSettings(machine, firstStart);
     const bool sidecar = !machine->service.empty();
-    const std::string program = sidecar ? "target/bin/driftlug-platform-node" : "target/bin/driftlug-platform-controller";
+    const std::string program =
+        sidecar ? "target/bin/driftlug-platform-node" : "target/bin/driftlug-platform-controller";
     const std::string settings = machine->folder + "/settings.toml";
     const pid_t parent = getpid();
     const pid_t pid = fork();
@@ -391,7 +395,8 @@
       _exit(127);
     }
     machine->pid = pid;
-    note("platform starts %s at %s, firstStart=%s", machine->id.c_str(), machine->ip.c_str(), firstStart ? "true" : "false");
+    note("platform starts %s at %s, firstStart=%s", machine->id.c_str(), machine->ip.c_str(),
+         firstStart ? "true" : "false");
   }
 
   void signal(Machine* machine, int number) {
@@ -485,7 +490,8 @@
 inline std::string configText(int version, int base, const std::vector<Route>& routes,
                               const std::map<std::string, int>& services) {
   std::ostringstream out;
-  out << R"({"version":")" << versionText(version) << R"(","baseVersion":")" << versionText(base) << R"(","resources":[)";
+  out << R"({"version":")" << versionText(version) << R"(","baseVersion":")" << versionText(base)
+      << R"(","resources":[)";
   for (const auto& route : routes) {
     out << R"({"resourceType":"routes","metadata":{"name":")" << route.name << R"("},"spec":{"host":")" << route.host
         << R"(","pathPrefix":")" << route.prefix << R"(","routeType":")" << route.type << R"(","timeoutMs":)"
