--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -38,14 +38,18 @@
   }
 };
 
-/// @return the most memory that a process had so far, in bytes; 0 if it is gone
+/// @return the most memory that a process had so far without the pages of its program and libraries, in bytes; 0 if it
+/// is gone
 long peakMemory(pid_t pid) {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   std::string line;
+  long peak = 0;
+  long files = 0;
   while (std::getline(status, line)) {
-    if (line.rfind("VmHWM:", 0) == 0) return atol(line.c_str() + 6) * 1024;
+    if (line.rfind("VmHWM:", 0) == 0) peak = atol(line.c_str() + 6) * 1024;
+    if (line.rfind("RssFile:", 0) == 0) files = atol(line.c_str() + 8) * 1024;
   }
-  return 0;
+  return peak - files;
 }
 
 /// The platform's part: kills a sidecar process that is over memoryMb, and starts it again a second later.
@@ -61,9 +65,9 @@
       if (machine->pid > 0 && !deployment.running(machine.get())) verdict(2, machine->id + " ended");
       if (machine->pid > 0) {
         const long peak = peakMemory(machine->pid);
-        if (peak <= kMemoryMb * 1000 * 1000) continue;
+        if (peak <= kMemoryMb * 1024 * 1024) continue;
         ++kills[machine->id];
-        note("%s has %ld MB, over memoryMb = %ld: the platform kills it, time %d", machine->id.c_str(), peak / 1000000,
+        note("%s has %ld MiB, over memoryMb = %ld: the platform kills it, time %d", machine->id.c_str(), peak / 1024 / 1024,
              kMemoryMb, kills[machine->id]);
         deployment.kill(machine.get());
         startAt[machine->id] = now() + 1;
