--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -67,8 +67,8 @@
         const long peak = peakMemory(machine->pid);
         if (peak <= kMemoryMb * 1024 * 1024) continue;
         ++kills[machine->id];
-        note("%s has %ld MiB, over memoryMb = %ld: the platform kills it, time %d", machine->id.c_str(), peak / 1024 / 1024,
-             kMemoryMb, kills[machine->id]);
+        note("%s has %ld MiB, over memoryMb = %ld: the platform kills it, time %d", machine->id.c_str(),
+             peak / 1024 / 1024, kMemoryMb, kills[machine->id]);
         deployment.kill(machine.get());
         startAt[machine->id] = now() + 1;
       } else if (now() >= startAt[machine->id]) {
