Streams send bodies without copies, and deliver nothing once they are paused

Cause of the second: reading went on within one event after setReading(false), so that a paused stream still delivered what the kernel held.

TcpStream::writeBody() refers to a body until its last byte is sent, where write() copies it. The sent part of the buffer is removed once it is more than half, not every 64 KiB: the cost for a slow reader grew with the square of what was queued (by reading, not measured).

--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -8,12 +8,14 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "base/error.h"
 
@@ -23,6 +25,8 @@
 constexpr int kBacklog = 1024;
 constexpr size_t kReadBytes = size_t{64} * 1024;
 constexpr size_t kCompactThresholdBytes = size_t{64} * 1024;
+/// Number of queued buffers that one system call sends.
+constexpr size_t kMaxBuffersPerSend = 8;
 /// Buffer capacity that an idle stream retains. Small, because there are many streams and most are idle.
 constexpr size_t kMaxRetainedBufferBytes = 2048;
 /// Delay before a listener retries after it found no free descriptor. If it were still polled, it would wake the loop
@@ -106,17 +110,58 @@
 void TcpStream::write(std::string_view bytes) {
   if (wsi_ == nullptr || closing_) return;
   out_.append(bytes);
+  scheduleFlush();
+}
+
+void TcpStream::writeBody(memory::shared_body body) {
+  if (wsi_ == nullptr || closing_ || body.empty()) return;
+  if (!out_.empty()) {
+    // The offset now counts from the start of this buffer, or of a body in front of it.
+    bodyBytes_ += out_.size();
+    bodies_.emplace_back(std::move(out_));
+    out_ = {};
+  }
+  bodyBytes_ += body.size();
+  bodies_.push_back(std::move(body));
+  scheduleFlush();
+}
+
+void TcpStream::scheduleFlush() {
   if (flushScheduled_ || !connected_) return;
   flushScheduled_ = true;
   loop_.scheduleFlush(weak_from_this());
 }
 
+/// Drops bytes that the kernel has accepted.
+void TcpStream::advance(size_t sent) {
+  sentBytes_ += static_cast<int64_t>(sent);
+  offset_ += sent;
+  while (!bodies_.empty() && offset_ >= bodies_.front().size()) {
+    offset_ -= bodies_.front().size();
+    bodyBytes_ -= bodies_.front().size();
+    bodies_.pop_front();
+  }
+}
+
 void TcpStream::flush() {
   flushScheduled_ = false;
   if (wsi_ == nullptr || closing_ || !connected_) return;
   const bool hadBytes = queuedBytes() > 0;
   while (queuedBytes() > 0) {
-    const auto sent = ::send(socket_, out_.data() + offset_, queuedBytes(), MSG_NOSIGNAL);
+    std::array<iovec, kMaxBuffersPerSend> buffers;
+    size_t count = 0;
+    size_t skipped = offset_;
+    const auto add = [&](std::string_view bytes) {
+      bytes.remove_prefix(std::exchange(skipped, 0));
+      buffers[count++] = {const_cast<char*>(bytes.data()), bytes.size()};
+    };
+    for (auto body = bodies_.begin(); body != bodies_.end() && count < buffers.size(); ++body) add(body->view());
+    if (count < buffers.size() && !out_.empty()) add(out_);
+    msghdr message{};
+    message.msg_iov = buffers.data();
+    message.msg_iovlen = count;
+    const auto sent = count == 1 ? ::send(socket_, buffers[0].iov_base, buffers[0].iov_len, MSG_NOSIGNAL)
+                                 : ::sendmsg(socket_, &message, MSG_NOSIGNAL);
     if (sent < 0 && errno == EINTR) continue;
     if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
       lws_callback_on_writable(wsi_);
@@ -128,8 +173,7 @@
       lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
       return;
     }
-    offset_ += static_cast<size_t>(sent);
-    sentBytes_ += sent;
+    advance(static_cast<size_t>(sent));
   }
   if (queuedBytes() == 0) {
     out_.clear();
@@ -137,13 +181,14 @@
     if (out_.capacity() > kMaxRetainedBufferBytes) out_.shrink_to_fit();
     if (shutdownRequested_) ::shutdown(socket_, SHUT_WR);
     if (hadBytes && handler_ != nullptr) handler_->onDrained();
-  } else if (offset_ > kCompactThresholdBytes) {
+  } else if (bodies_.empty() && offset_ > kCompactThresholdBytes && offset_ > out_.size() / 2) {
     out_.erase(0, offset_);
     offset_ = 0;
   }
 }
 
 void TcpStream::setReading(bool reading) {
+  reading_ = reading;
   if (wsi_ != nullptr && !closing_) lws_rx_flow_control(wsi_, reading ? 1 : 0);
 }
 
@@ -179,6 +224,10 @@
   handler_ = nullptr;
   loop_.cancel(connectTimer_);
   connectTimer_ = 0;
+  bodies_.clear();
+  bodyBytes_ = 0;
+  out_.clear();
+  offset_ = 0;
   if (wsi_ == nullptr || closing_) return;
   closing_ = true;
   // Notifies the peer now; libwebsockets closes the socket later.
@@ -188,7 +237,7 @@
 
 bool TcpStream::onReadable() {
   static thread_local std::array<char, kReadBytes> buffer;
-  while (!closing_) {
+  while (!closing_ && reading_) {
     const auto count = ::recv(socket_, buffer.data(), buffer.size(), 0);
     if (count < 0 && errno == EINTR) continue;
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/status.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 #include "base/decision_log.h"
 #include "base/network.h"
 #include "base/time.h"
+#include "memory/shared_body.h"
 #include "transport/event_loop.h"
 
 namespace driftlug::transport {
@@ -61,8 +63,11 @@
   /// Queues bytes, which are sent at the end of the loop's iteration.
   void write(std::string_view bytes);
 
+  /// Queues a body without a copy; the stream refers to it until the kernel has accepted its last byte.
+  void writeBody(memory::shared_body body);
+
   /// @return queued bytes that the kernel has not accepted yet.
-  size_t queuedBytes() const { return out_.size() - offset_; }
+  size_t queuedBytes() const { return bodyBytes_ + out_.size() - offset_; }
 
   /// @return whether unread input, bytes or the end of the connection, has arrived; true also if poll() fails.
   bool hasUnread() const;
@@ -98,7 +103,9 @@
   bool onReadable();
   bool onWritable();
   void onSocketClosed();
+  void scheduleFlush();
   void flush();
+  void advance(size_t sent);
   void fail();
   void onConnectTimeout();
 
@@ -110,11 +117,14 @@
   bool orderly_ = false;  // the peer closed its direction without a reset
   bool connected_ = false;
   bool refused_ = false;
+  bool reading_ = true;
   bool closing_ = false;  // the socket is closed at the next event
   bool flushScheduled_ = false;
   bool shutdownRequested_ = false;
-  std::string out_;  // bytes from offset_ on are unsent
-  size_t offset_ = 0;
+  std::deque<memory::shared_body> bodies_;  // sent before out_
+  size_t bodyBytes_ = 0;                    // in bodies_
+  std::string out_;
+  size_t offset_ = 0;  // number of sent bytes of the first of bodies_, or of out_ if there is none
   int64_t sentBytes_ = 0;
   base::TimerId connectTimer_ = 0;
 };
--- a/test/transport/tcp_stream_test.cc
+++ b/test/transport/tcp_stream_test.cc
@@ -133,4 +133,64 @@
   CHECK(base::errorCodeOf(second.listen("nowhere", 0, {})) == base::ErrorCode::kConnectFailed);
 }
 
+// Guards against bodies that overtake the bytes around them, and against ones that are held after they were sent.
+TEST_CASE_METHOD(Fixture, "bodies and other bytes arrive in the order in which they were written") {
+  memory::body_budget budget;
+  std::string expected;
+  for (int i = 0; i < 12; ++i) {
+    const std::string head = "head " + std::to_string(i);
+    const std::string body(static_cast<size_t>(20'000 + 7'919 * i), static_cast<char>('a' + i));
+    expected += head + body;
+    accepted->write(head);
+    accepted->writeBody(memory::shared_body(
+        body, std::move(*budget.reserve(memory::body_use::caller_response, static_cast<int64_t>(body.size())))));
+    if (i % 4 == 3) settle();
+  }
+  accepted->write("end");
+  expected += "end";
+  std::string received;
+  std::string buffer(3000, '\0');
+  while (received.size() < expected.size()) {
+    settle();
+    ssize_t count = 0;
+    while ((count = ::recv(client, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0) {
+      received.append(buffer, 0, static_cast<size_t>(count));
+    }
+    REQUIRE(count != 0);
+  }
+  CHECK((received == expected));
+  CHECK(accepted->queuedBytes() == 0);
+  CHECK(accepted->sentBytes() == static_cast<int64_t>(expected.size()));
+  CHECK(budget.heldBytes() == 0);
+}
+
+// Guards against bytes that are delivered behind a pause, and are then read in the wrong order.
+TEST_CASE_METHOD(Fixture, "a paused stream delivers nothing more until it is resumed") {
+  struct Pausing : public Recorder {
+    void onBytes(std::string_view bytes) override {
+      Recorder::onBytes(bytes);
+      stream->setReading(false);
+    }
+    TcpStream* stream = nullptr;
+  } pausing;
+  pausing.stream = accepted.get();
+  accepted->setHandler(&pausing);
+  const std::string bytes(300'000, 'x');
+  size_t sent = 0;
+  while (sent < bytes.size()) {
+    const auto count = ::send(client, bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT);
+    if (count <= 0) break;
+    sent += static_cast<size_t>(count);
+  }
+  REQUIRE(sent > 70'000);
+  settle();
+  const auto first = pausing.received;
+  CHECK(first <= 65'536);
+  settle();
+  CHECK(pausing.received == first);
+  accepted->setReading(true);
+  settle();
+  CHECK(pausing.received > first);
+}
+
 }  // namespace driftlug::transport
