--- a/apps/entry_server.cc
+++ b/apps/entry_server.cc
@@ -18,10 +18,11 @@
 }  // namespace
 
 EntryServer::EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers,
-                         size_t maxConnections)
+                         size_t maxConnections, memory::body_budget* budget)
     : entry_(entry),
       headers_(std::move(headers)),
       maxConnections_(maxConnections),
+      budget_(budget),
       server_(
           loop, "entry", defaultOptions(),
           [this](transport::ExchangeId exchange, transport::HttpRequest request) {
@@ -33,6 +34,7 @@
   transport::HttpServerOptions options;
   options.maxBodyBytes = kMaxEntryBodyBytes;
   options.maxConnections = maxConnections_;
+  options.budget = budget_;
   return options;
 }
 
@@ -77,7 +79,7 @@
   if (!headers_.caller.empty()) {
     call.headers.push_back(transport::makeHeader(headers_.caller, headers_.callerService));
   }
-  call.body = std::move(request.body);
+  call.body = request.body.empty() ? std::move(request.sharedBody) : memory::shared_body(std::move(request.body));
   return call;
 }
 
@@ -87,7 +89,7 @@
   response.status = answer.httpStatus;
   response.headers = std::move(answer.headers);
   if (answer.outcome == wire::CallOutcome::COMPLETED) {
-    response.body = std::move(answer.body);
+    response.sharedBody = std::move(answer.body);
     return response;
   }
   const bool unknown = answer.outcome == wire::CallOutcome::UNKNOWN;
--- a/apps/entry_server.h
+++ b/apps/entry_server.h
@@ -25,8 +25,9 @@
 class EntryServer {
  public:
   /// @param maxConnections limit of concurrent caller connections
+  /// @param budget of the bodies of requests; null for none
   EntryServer(transport::EventLoop& loop, node::EntryCalls& entry, EntryHeaders headers,
-              size_t maxConnections = SIZE_MAX);
+              size_t maxConnections = SIZE_MAX, memory::body_budget* budget = nullptr);
 
   transport::HttpServer& server() { return server_; }
   const transport::HttpServer& server() const { return server_; }
@@ -44,6 +45,7 @@
   node::EntryCalls& entry_;
   EntryHeaders headers_;
   size_t maxConnections_;
+  memory::body_budget* budget_;  // may be null
   std::map<transport::ExchangeId, node::CallId> calls_;
   transport::HttpServer server_;
 };
--- a/apps/http_backend.cc
+++ b/apps/http_backend.cc
@@ -20,16 +20,22 @@
 }  // namespace
 
 HttpBackend::HttpBackend(transport::EventLoop& loop, const base::Address& address, size_t maxConnections,
-                         BackendHeaders headers)
+                         BackendHeaders headers, memory::body_budget* budget)
     : headers_(std::move(headers)), pool_(loop, "backend", address, [&] {
         transport::HttpPoolOptions options;
         options.maxConnections = maxConnections;
         options.correlationHeader = headers_.correlation;
+        options.budget = budget;
         return options;
       }()) {}
 
 uint64_t HttpBackend::send(const wire::CallRequest& request, base::Duration timeout,
                            std::function<void(node::BackendAnswer)> done) {
+  return sendWithBody(request, memory::shared_body(request.body), timeout, std::move(done));
+}
+
+uint64_t HttpBackend::sendWithBody(const wire::CallRequest& request, memory::shared_body body, base::Duration timeout,
+                                   std::function<void(node::BackendAnswer)> done) {
   transport::HttpRequest out;
   out.method = request.method;
   const auto question = request.path.find('?');
@@ -47,14 +53,15 @@
   if (!request.idempotencyKey.empty()) {
     out.headers.push_back(transport::makeHeader("idempotency-key", request.idempotencyKey));
   }
-  out.body = request.body;
+  out.sharedBody = std::move(body);
   return pool_.send(std::move(out), timeout, [done = std::move(done)](transport::HttpResult result) {
     node::BackendAnswer answer;
     answer.outcome = outcomeOf(result.outcome);
     answer.timedOut = result.timedOut;
     answer.httpStatus = result.response.status;
     answer.headers = std::move(result.response.headers);
-    answer.body = std::move(result.response.body);
+    answer.body = result.response.body.empty() ? std::move(result.response.sharedBody)
+                                               : memory::shared_body(std::move(result.response.body));
     done(std::move(answer));
   });
 }
--- a/apps/http_backend.h
+++ b/apps/http_backend.h
@@ -19,7 +19,9 @@
 /// Implements node::BackendClient with a pool of HTTP connections.
 class HttpBackend : public node::BackendClient {
  public:
-  HttpBackend(transport::EventLoop& loop, const base::Address& address, size_t maxConnections, BackendHeaders headers);
+  /// @param budget of the bodies of responses; null for none
+  HttpBackend(transport::EventLoop& loop, const base::Address& address, size_t maxConnections, BackendHeaders headers,
+              memory::body_budget* budget = nullptr);
 
   /// Sets the maximum number of connections.
   void setMaxConnections(size_t maxConnections) { pool_.setMaxConnections(maxConnections); }
@@ -31,6 +33,8 @@
 
   uint64_t send(const wire::CallRequest& request, base::Duration timeout,
                 std::function<void(node::BackendAnswer)> done) override;
+  uint64_t sendWithBody(const wire::CallRequest& request, memory::shared_body body, base::Duration timeout,
+                        std::function<void(node::BackendAnswer)> done) override;
   void cancel(uint64_t id) override;
   void dropIdleConnections() override { pool_.closeIdleConnections(); }
 
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 
 #include <optional>
 
@@ -60,6 +61,11 @@
 constexpr base::Duration kIdentityTimeout = base::milliseconds(500);
 /// Timeout of a query for the cold state.
 constexpr base::Duration kColdStateTimeout = base::milliseconds(200);
+/// Blocks from this size on, as of large bodies, are returned to the system when they are freed. By default glibc
+/// raises this threshold with the size of freed blocks, and keeps them.
+constexpr int kMappedBlockBytes = 1 << 20;
+/// Free memory at the end of the heap that is kept, since the threshold above disables its adjustment by glibc too.
+constexpr int kKeptHeapBytes = 512 << 10;
 
 /// @param healthy whether the back end is healthy; a healthy back end that sends no cold time is warm
 /// @return remaining cold-start time in milliseconds; nullopt if an unhealthy back end does not send it
@@ -228,6 +234,32 @@
   page->gauge("endpoint_waiting", "requests waiting for a slot", static_cast<double>(endpoint.limiter().waiting()));
 }
 
+void addBodyMetrics(const memory::body_budget& budget, const node::EntryCalls& entry,
+                    const node::EndpointCalls& endpoint, const transport::HttpServer& callers,
+                    const transport::HttpClientPool& backend, base::MetricsPage* page) {
+  for (size_t i = 0; i < memory::kBodyUses; ++i) {
+    const auto use = static_cast<memory::body_use>(i);
+    page->gauge(std::string("body_bytes_") + memory::nameOf(use), "bytes held of bodies of this use",
+                static_cast<double>(budget.heldBytes(use)));
+  }
+  page->gauge("body_bytes_max", "bound of the bytes held of all bodies",
+              static_cast<double>(budget.options().totalBytes));
+  page->gauge("body_bytes_peak", "the most bytes of bodies that were ever held",
+              static_cast<double>(budget.peakBytes()));
+  page->counter("body_no_room_total", "times that a body found no room, including repeated tries",
+                budget.counters().refused);
+  page->counter("body_requests_waited_total", "requests that waited unread for room for their bodies",
+                callers.counters().waitedForRoom);
+  page->counter("body_requests_refused_total", "requests of callers refused for lack of room for their bodies",
+                callers.counters().noRoom);
+  page->counter("body_calls_refused_total", "calls of nodes refused for lack of room for their bodies",
+                endpoint.counters().refusedForMemory);
+  page->counter("body_responses_waited_total", "responses of the back end that waited unread for room for their bodies",
+                backend.counters().waitedForRoom);
+  page->counter("body_requests_released_total", "sent bodies dropped for lack of room before their calls ended",
+                entry.counters().releasedBodies);
+}
+
 /// Users of file descriptors, and the limit of each.
 struct DescriptorUsers {
   const transport::EventLoop& loop;
@@ -304,6 +336,8 @@
   base::RandomSource random_{processSeed()};
   transport::FrameTransport controlFrames_{loop_, "control"};
   transport::FrameTransport callFrames_{loop_, "calls"};
+  memory::body_budget bodyBudget_{bodyBudgetFromSettings()};
+  node::BodyExchange bodyExchange_;
   node::EntryCalls entry_{entryOptionsFromSettings(), loop_, base::RandomSource(random_.bits()), callFrames_};
   HttpBackend backend_;
   ledger::LedgerClient ledgerClient_;
@@ -334,7 +368,7 @@
 
 NodeDaemon::NodeDaemon(const ReportPagesFactory& makeReportPages)
     : backend_(loop_, backendAddress(), backendConnections(FLAGS_backend_connections),
-               {FLAGS_deadline_header, FLAGS_correlation_header, FLAGS_incarnation_header}),
+               {FLAGS_deadline_header, FLAGS_correlation_header, FLAGS_incarnation_header}, &bodyBudget_),
       ledgerClient_(loop_, base::RandomSource(random_.bits()), FLAGS_name,
                     [this](const wire::Message& message) { return control_.send(message); }),
       endpoint_(endpointOptionsFromSettings(), loop_, callFrames_, backend_, FLAGS_ledger ? &ledgerClient_ : nullptr),
@@ -352,7 +386,7 @@
       presenceCheck_(loop_, backendAddress()),
       crashWatch_(loop_, base::RandomSource(random_.bits()), presenceCheck_,
                   [this](uint64_t crash, const auto& runs) { onBackendCrash(crash, runs); }),
-      entryServer_(loop_, entry_, entryHeadersFromSettings(), shares_.callers),
+      entryServer_(loop_, entry_, entryHeadersFromSettings(), shares_.callers, &bodyBudget_),
       admin_(loop_, pages()) {
   loop_.onSignals({[this] { onTerminate(); }, [this] { onReload(); }});
   controlFrames_.setEmulatedZoneDelay(base::microseconds(FLAGS_emulated_zone_delay_us));
@@ -371,6 +405,10 @@
   hello.takesAnswerPieces = true;
   callFrames_.setHello(hello);
   control_.onLedgerReply([this](const wire::LedgerReply& reply) { ledgerClient_.onReply(reply); });
+  entry_.useBodyBudget(&bodyBudget_);
+  entry_.useBodyExchange(&bodyExchange_);
+  endpoint_.useBodyBudget(&bodyBudget_);
+  endpoint_.useBodyExchange(&bodyExchange_);
   entry_.useQuotas(&quotas_);
   control_.useQuotas(&quotas_);
   if (FLAGS_quarantine) {
@@ -413,6 +451,7 @@
     page->gauge("quota_waiting", "calls that wait for a permit", static_cast<double>(quotas_.waiting()));
     page->counter("quota_invalid_decisions_total", "decisions on permits with negative numbers",
                   quotas_.invalidDecisions());
+    addBodyMetrics(bodyBudget_, entry_, endpoint_, entryServer_.server(), backend_.pool(), page);
     addLoopMetrics(loop_, page);
     addDescriptorMetrics({loop_, entryServer_.server(), callFrames_, entry_, backend_.pool(), shares_}, page);
   };
@@ -600,6 +639,8 @@
   declareNodeSettings();
   base::loadSettingsOrExit(argc, argv, "driftlug-node: carries calls between callers and back ends", false);
   configureLogsFromSettings(base::LogTarget::kOutput);
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes);
   NodeDaemon daemon(makeReportPages);
   daemon.listenOrExit();
   daemon.run();
--- a/apps/node_settings.cc
+++ b/apps/node_settings.cc
@@ -28,6 +28,10 @@
 DEFINE_int32(backend_slots, 20, "maximum number of concurrent requests to the back end, if the table sets no limit");
 DEFINE_int32(backend_queue, 64, "maximum number of queued requests, if the table sets no limit");
 DEFINE_double(link_mbps, 0, "bandwidth of this machine's link in Mbit/s; 0 if unknown");
+DEFINE_int32(memory_mb, 0, "memory of this machine in MiB; 0 if unknown");
+DEFINE_int32(body_memory_mb, 0,
+             "maximum memory for the bodies of requests and responses in MiB; 0 for one of the maximum size and some "
+             "small ones, or more if memory_mb allows it");
 DEFINE_int32(max_descriptors, 0, "maximum number of open descriptors; 0 for the limit of the system");
 DEFINE_string(data_folder, "", "folder for the last table version; empty on a machine without a disk");
 DEFINE_int32(stop_linger_ms, 300,
@@ -227,6 +231,8 @@
   }
   base::declareRange("backend_connections", 1, 10'000);
   base::declareRange("backend_slots", 1, 100'000);
+  base::declareRange("memory_mb", 0, 1'000'000);
+  base::declareRange("body_memory_mb", 0, 1'000'000);
   base::declareRange("max_descriptors", 0, 100'000'000);
   base::declareRange("link_mbps", 0, 1'000'000);
   base::declareRange("backend_queue", 0, 100'000);
@@ -251,6 +257,22 @@
   return {base::milliseconds(FLAGS_stop_linger_ms), stopTimeoutFromSettings()};
 }
 
+memory::body_budget_options bodyBudgetFromSettings() {
+  /// Share of a machine's memory that bodies may take; the rest is for the table, connections and allocation overhead.
+  constexpr double kBodyShare = 0.7;
+  /// Maximum share of the reserve for small bodies in a small budget.
+  constexpr int64_t kReserveDivisor = 4;
+  const auto fromMebibytes = [](double mebibytes) { return static_cast<int64_t>(mebibytes * 1024 * 1024); };
+  memory::body_budget_options options;
+  if (FLAGS_body_memory_mb > 0) {
+    options.totalBytes = fromMebibytes(FLAGS_body_memory_mb);
+  } else {
+    options.totalBytes = std::max(options.totalBytes, fromMebibytes(kBodyShare * FLAGS_memory_mb));
+  }
+  options.smallReserveBytes = std::min(options.smallReserveBytes, options.totalBytes / kReserveDivisor);
+  return options;
+}
+
 descriptors::descriptor_shares descriptorSharesFromSettings() {
   const auto limit =
       FLAGS_max_descriptors > 0 ? static_cast<size_t>(FLAGS_max_descriptors) : descriptors::processLimit();
--- a/apps/node_settings.h
+++ b/apps/node_settings.h
@@ -5,6 +5,7 @@
 #include "descriptors/descriptor_shares.h"
 #include "entry_server.h"
 #include "lifecycle/planned_stop.h"
+#include "memory/body_budget.h"
 #include "node/control_client.h"
 #include "node/endpoint_calls.h"
 #include "node/entry_calls.h"
@@ -26,6 +27,9 @@
 /// @return the timeouts of a planned stop.
 lifecycle::stop_times stopTimesFromSettings();
 
+/// @return the bound of the bodies that this node holds.
+memory::body_budget_options bodyBudgetFromSettings();
+
 /// @return the descriptor limits by use.
 descriptors::descriptor_shares descriptorSharesFromSettings();
 
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -132,6 +132,8 @@
       return "nested_overloaded";
     case ErrorCode::kNoTimeLeft:
       return "no_time_left";
+    case ErrorCode::kNoBodyMemory:
+      return "no_body_memory";
     case ErrorCode::kVersionNotReleased:
       return "version_not_released";
     case ErrorCode::kStaleRequest:
--- a/src/base/network.h
+++ b/src/base/network.h
@@ -68,6 +68,9 @@
   /// @return bytes sent on a connection, here or in the kernel, that the peer has not acknowledged.
   virtual size_t unacknowledgedBytes(ConnectionId connection) const { return queuedBytes(connection); }
 
+  /// @return whether both ends of a connection are in this process.
+  virtual bool isWithinProcess(ConnectionId /*connection*/) const { return false; }
+
   /// @return when the last bytes of a partially received message arrived; nullopt if no message is incomplete.
   virtual std::optional<TimePoint> partialMessageReceivedAt(ConnectionId /*connection*/) const { return std::nullopt; }
 };
--- a/src/node/call_fingerprint.cc
+++ b/src/node/call_fingerprint.cc
@@ -15,11 +15,11 @@
 }  // namespace
 
 quarantine::request_fingerprint fingerprintOf(const InboundCall& call) {
-  return quarantine::fingerprintOf({call.method, call.host, call.path, call.body});
+  return quarantine::fingerprintOf({call.method, call.host, call.path, call.body.view()});
 }
 
-quarantine::request_fingerprint fingerprintOf(const wire::CallRequest& call) {
-  return quarantine::fingerprintOf({call.method, hostWithoutPort(call.headers), call.path, call.body});
+quarantine::request_fingerprint fingerprintOf(const wire::CallRequest& call, std::string_view body) {
+  return quarantine::fingerprintOf({call.method, hostWithoutPort(call.headers), call.path, body});
 }
 
 }  // namespace driftlug::node
--- a/src/node/call_types.h
+++ b/src/node/call_types.h
@@ -6,10 +6,12 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/error.h"
 #include "base/time.h"
+#include "memory/shared_body.h"
 #include "wire/gen/driftlug_types.h"
 
 namespace driftlug::node {
@@ -34,7 +36,7 @@
   std::string host;
   std::string path;  ///< including the query
   std::vector<wire::HttpHeader> headers;
-  std::string body;
+  memory::shared_body body;
   int deadlineMs = 0;      ///< time limit set by the caller; 0 for none
   std::string credential;  ///< API key of a tenant; empty if the caller sent none
 };
@@ -45,7 +47,7 @@
   base::ErrorCode error = base::ErrorCode::kNone;
   int httpStatus = 503;
   std::vector<wire::HttpHeader> headers;
-  std::string body;
+  memory::shared_body body;
   int retryAfterMs = 0;  ///< suggested delay before a retry; 0 if unknown
 };
 
@@ -64,7 +66,7 @@
   bool timedOut = false;
   int httpStatus = 0;
   std::vector<wire::HttpHeader> headers;
-  std::string body;
+  memory::shared_body body;
 };
 
 /// Client of the local back end.
@@ -77,6 +79,14 @@
   virtual uint64_t send(const wire::CallRequest& request, base::Duration timeout,
                         std::function<void(BackendAnswer)> done) = 0;
 
+  /// Same as send() for a request whose body is not a part of `request`, and is not copied.
+  virtual uint64_t sendWithBody(const wire::CallRequest& request, memory::shared_body body, base::Duration timeout,
+                                std::function<void(BackendAnswer)> done) {
+    auto whole = request;
+    whole.body = body.view();
+    return send(whole, timeout, std::move(done));
+  }
+
   /// Cancels a request; its callback is not called.
   virtual void cancel(uint64_t id) = 0;
 
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "ledger/ledger_state.h"
 #include "node/http_status.h"
 #include "wire/frame.h"
 
@@ -171,6 +172,8 @@
   if (calls_.count(key) > 0) return;
   auto& call = calls_[key];
   call.request = request;
+  const bool handedOver = request.bodyBytes > 0 && exchange_ != nullptr && network_.isWithinProcess(connection);
+  if (handedOver) call.body = exchange_->takeRequest(request.callId);
   call.arrivedAt = scheduler_.now();
   call.deadline = scheduler_.now() + base::milliseconds(request.remainingMs);
   if (refuseAtOnce(key, request)) return;
@@ -185,7 +188,7 @@
   if (inPieces && refuseForLargeAnswer(key)) return;
   if (!inPieces && answerWouldBeLate(key)) return refuseForAnswer(key);
   if (call.reservation == 0 && isTooSlowFor(call)) return refuseForPace(key);
-  if (request.bodyBytes > 0) {
+  if (request.bodyBytes > 0 && call.body.empty()) {
     awaitBody(key);
   } else {
     admit(key);
@@ -227,8 +230,13 @@
 void EndpointCalls::sendToBackend(const CallKey& key) {
   auto& call = calls_[key];
   const auto timeout = call.deadline - scheduler_.now();
-  call.backendId = backend_.send(call.request, timeout,
-                                 [this, key](BackendAnswer answer) { onBackendAnswer(key, std::move(answer)); });
+  const auto done = [this, key](BackendAnswer answer) { onBackendAnswer(key, std::move(answer)); };
+  if (call.body.empty()) {
+    call.backendId = backend_.send(call.request, timeout, done);
+    return;
+  }
+  (void)fingerprintOfCall(key);  // logs and the quarantine may need it after the body is gone
+  call.backendId = backend_.sendWithBody(call.request, std::exchange(call.body, {}), timeout, done);
 }
 
 void EndpointCalls::onBackendAnswer(const CallKey& key, BackendAnswer answer) {
@@ -250,14 +258,18 @@
   wire::StoredAnswer stored;
   stored.httpStatus = answer.httpStatus;
   stored.headers = std::move(answer.headers);
-  stored.body = std::move(answer.body);
   const auto& call = found->second;
-  responseTransferEstimator_.onResponse(kindOf(call.request), stored.body.size());
+  responseTransferEstimator_.onResponse(kindOf(call.request), answer.body.size());
   recordRunTime(call);
   recordSuccessfulRun(key);
-  if (!call.owner.empty()) storeAnswer(call, stored);
+  if (!call.owner.empty()) {
+    auto record = stored;
+    // The ledger keeps no body over its limit, and needs no more of it to see that.
+    record.body = answer.body.view().substr(0, ledger::kMaxStoredAnswerBytes + 1);
+    storeAnswer(call, std::move(record));
+  }
   ++counters_.completed;
-  answerCompleted(key, std::move(stored));
+  answerCompleted(key, std::move(stored), std::move(answer.body));
 }
 
 void EndpointCalls::notifyRunEnded(const Call& call, bool failed) {
@@ -277,14 +289,14 @@
   return true;
 }
 
-void EndpointCalls::answerCompleted(const CallKey& key, wire::StoredAnswer stored) {
+/// @param stored without its body
+void EndpointCalls::answerCompleted(const CallKey& key, wire::StoredAnswer stored, memory::shared_body body) {
   wire::CallResponse response;
   response.outcome = wire::CallOutcome::COMPLETED;
   response.httpStatus = stored.httpStatus;
   response.headers = std::move(stored.headers);
-  response.body = std::move(stored.body);
   releaseSlot(calls_[key]);
-  answerInPieces(key, std::move(response));
+  answerInPieces(key, std::move(response), std::move(body));
 }
 
 void EndpointCalls::answerUnknown(const CallKey& key, ErrorCode error) {
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -1,6 +1,7 @@
 /// The endpoint side of calls: admits them to this node's local back end.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,8 @@
 #include "ledger/ledger_client.h"
 #include "limits/cold_start_limiter.h"
 #include "limits/slot_limiter.h"
+#include "memory/body_budget.h"
+#include "node/body_exchange.h"
 #include "node/call_types.h"
 #include "node/endpoint_calls_answers.h"
 #include "node/endpoint_load_state.h"
@@ -74,6 +77,7 @@
   int64_t cutRuns = 0;        ///< runs whose connection the back end closed without an answer, as in a crash
   int64_t cancelled = 0;
   int64_t replayed = 0;              ///< answered from the ledger, without a run
+  int64_t refusedForMemory = 0;      ///< refused because there was no room for their body
   int64_t refusedForLink = 0;        ///< refused because their body could not have arrived in time
   int64_t refusedForAnswer = 0;      ///< refused because their answer could not have been sent in time
   int64_t refusedForRate = 0;        ///< refused because of the rate limit that the back end advertises
@@ -118,6 +122,14 @@
   /// Re-evaluates the calls that wait for probation after a change of the quarantine.
   void onQuarantineChange();
 
+  /// Bounds the bodies that are held for the back end; without a budget, they have no bound.
+  /// @param budget outlives this object
+  void useBodyBudget(memory::body_budget* budget) { budget_ = budget; }
+
+  /// Takes and returns the bodies of calls of this process without copies.
+  /// @param exchange shared with the entry side; outlives this object
+  void useBodyExchange(BodyExchange* exchange) { exchange_ = exchange; }
+
   void onOpen(base::ConnectionId connection, const wire::Hello& peer);
   void onRequest(base::ConnectionId connection, const wire::CallRequest& request);
   /// Answers a caller's keep-alive.
@@ -248,8 +260,12 @@
     wire::CallRequest request;
     base::TimePoint deadline;
     base::TimePoint arrivedAt{};
-    base::TimePoint latestStart{};  // latest start at which the answer is still useful
-    bool awaitsBody = false;        // the body has not arrived completely
+    base::TimePoint latestStart{};             // latest start at which the answer is still useful
+    bool awaitsBody = false;                   // the body has not arrived completely
+    bool awaitsRoom = false;                   // there is no room yet for the body, of which nothing was granted
+    std::string gathered;                      // what has arrived of the body
+    memory::body_reservation bodyReservation;  // for `gathered`
+    memory::shared_body body;                  // complete, unless it is a part of `request`; empty once it was sent
     limits::TicketId ticket = 0;
     std::optional<quarantine::request_fingerprint> fingerprint;  // computed on first use
     bool suspect = false;                                        // must run on probation
@@ -266,6 +282,8 @@
     base::TimePoint startedAt{};
     std::string owner;      // owner of the ledger claim; empty without a claim
     int claimAttempts = 0;  // attempts to claim the key
+
+    std::string_view content() const { return body.empty() ? std::string_view(request.body) : body.view(); }
   };
 
   /// A connected node that sends calls.
@@ -287,6 +305,10 @@
   void recordSuccessfulRun(const CallKey& key);
   void abandonCall(const CallKey& key);
   void awaitBody(const CallKey& key);
+  bool reserveBody(Call* call);
+  void announceBody(const CallKey& key);
+  void checkAwaitingRoom();
+  void refuseForMemory(const CallKey& key);
   void grantBodies();
   base::Duration answerDelay(const CallKey& key) const;
   bool answerWouldBeLate(const CallKey& key) const;
@@ -294,7 +316,7 @@
   base::TimePoint answerTarget(const Call& call) const;
   overload::expected_response expectedAnswer(const Call& call) const;
   bool refuseForLargeAnswer(const CallKey& key);
-  void answerInPieces(const CallKey& key, wire::CallResponse response);
+  void answerInPieces(const CallKey& key, wire::CallResponse response, memory::shared_body body);
   void onBodyTimer();
   void onBodyComplete(const CallKey& key);
   void refuseAwaitingBodies();
@@ -304,7 +326,8 @@
   void claim(const CallKey& key);
   void onClaim(const CallKey& key, const ledger::LedgerAnswer& answer);
   void storeAnswer(const Call& call, wire::StoredAnswer stored);
-  void answerCompleted(const CallKey& key, wire::StoredAnswer stored);
+  void answerStored(const CallKey& key, wire::StoredAnswer stored);
+  void answerCompleted(const CallKey& key, wire::StoredAnswer stored, memory::shared_body body);
   void releaseClaimAndRefuse(const CallKey& key, base::ErrorCode error, base::Duration retryAfter);
   void answerUnknown(const CallKey& key, base::ErrorCode error);
   static overload::call_kind kindOf(const wire::CallRequest& request);
@@ -391,7 +414,10 @@
   overload::body_flow_controller bodyFlowController_;
   overload::response_transfer_estimator responseTransferEstimator_;
   AnswerSender answers_;
-  base::Timer bodyTimer_;  // active while bodies are awaited
+  memory::body_budget* budget_ = nullptr;  // may stay null
+  BodyExchange* exchange_ = nullptr;       // may stay null
+  std::deque<CallKey> awaitingRoom_;       // calls with awaitsRoom, oldest first, and ones that have ended
+  base::Timer bodyTimer_;                  // active while bodies are awaited
   bool draining_ = false;
   bool evacuated_ = false;
   bool hasTable_ = false;
--- a/src/node/endpoint_calls_answers.cc
+++ b/src/node/endpoint_calls_answers.cc
@@ -35,6 +35,11 @@
   return request.largeAnswer && found != peers_.end() && found->second.takesPieces && !found->second.withinMachine;
 }
 
+bool AnswerSender::peerTakesPieces(base::ConnectionId connection) const {
+  const auto found = peers_.find(connection);
+  return found != peers_.end() && found->second.takesPieces;
+}
+
 bool AnswerSender::isWithinMachine(base::ConnectionId connection) const {
   const auto found = peers_.find(connection);
   return found != peers_.end() && found->second.withinMachine;
@@ -67,7 +72,7 @@
     queue_.onSocketBytes(connection, static_cast<int64_t>(network_.unacknowledgedBytes(connection)), now);
   }
   while (const auto next = queue_.nextPiece(now)) {
-    const auto& body = answers_.at(next->response).answer.body;
+    const auto body = answers_.at(next->response).answer.body.view();
     wire::CallAnswerPiece piece;
     piece.callId = next->response.call;
     piece.data = body.substr(static_cast<size_t>(next->offset), static_cast<size_t>(next->bytes));
@@ -163,19 +168,26 @@
   return true;
 }
 
-/// Answers a completed call: large bodies follow in pieces where the route and the calling node allow it.
-void EndpointCalls::answerInPieces(const CallKey& key, wire::CallResponse response) {
+/// Answers a completed call. A large body is handed over within the process, or follows in pieces where the calling
+/// node takes them.
+void EndpointCalls::answerInPieces(const CallKey& key, wire::CallResponse response, memory::shared_body body) {
   const auto& call = calls_.at(key);
-  if (!answers_.takesPieces(key.connection, call.request)) return answer(key, std::move(response));
-  answers_.recordSize(kindOf(call.request), response.body.size());
-  if (response.body.size() <= AnswerSender::kMaxWholeBytes) return answer(key, std::move(response));
-  LargeAnswer large{{key.connection, key.callId},
-                    std::move(response.body),
-                    static_cast<int>(call.priority),
-                    answerTarget(call),
-                    call.deadline,
-                    requestIdOf(call.request)};
-  response.body.clear();
+  const bool largeRoute = answers_.takesPieces(key.connection, call.request);
+  if (largeRoute) answers_.recordSize(kindOf(call.request), body.size());
+  const bool handsOver =
+      exchange_ != nullptr && body.size() >= BodyExchange::kMinBytes && network_.isWithinProcess(key.connection);
+  if (handsOver) {
+    response.bodyBytes = static_cast<int64_t>(body.size());
+    exchange_->putResponse(key.callId, std::move(body));
+    return answer(key, std::move(response));
+  }
+  const size_t maxWhole = largeRoute ? AnswerSender::kMaxWholeBytes : AnswerSender::kMaxFrameBodyBytes;
+  if (body.size() <= maxWhole || !answers_.peerTakesPieces(key.connection)) {
+    response.body = body.take();
+    return answer(key, std::move(response));
+  }
+  LargeAnswer large{{key.connection, key.callId}, std::move(body), static_cast<int>(call.priority),
+                    answerTarget(call),           call.deadline,   requestIdOf(call.request)};
   response.bodyBytes = static_cast<int64_t>(large.body.size());
   answer(key, std::move(response));
   answers_.send(std::move(large));
--- a/src/node/endpoint_calls_answers.h
+++ b/src/node/endpoint_calls_answers.h
@@ -9,6 +9,7 @@
 #include "base/decision_log.h"
 #include "base/network.h"
 #include "base/time.h"
+#include "memory/shared_body.h"
 #include "overload/response_scheduler.h"
 #include "overload/response_transfer_estimator.h"
 
@@ -25,7 +26,7 @@
 /// An answer whose body is sent in pieces.
 struct LargeAnswer {
   overload::body_id call;
-  std::string body;
+  memory::shared_body body;
   int rank = 0;              ///< urgency of its request, lower values first
   base::TimePoint target{};  ///< when it has to be sent to be in time
   base::TimePoint deadline{};
@@ -35,8 +36,11 @@
 /// Holds large answers and sends their bodies as the link has room and their receivers give credits.
 class AnswerSender {
  public:
-  /// Larger bodies are sent in pieces; others with the answer's head, which costs less than the credit for them.
+  /// Larger bodies of routes with large answers are sent in pieces; others with the answer's head, which costs less
+  /// than the credit for them.
   static constexpr size_t kMaxWholeBytes = 4096;
+  /// The same for all other routes: both nodes hold a whole frame several times over.
+  static constexpr size_t kMaxFrameBodyBytes = size_t{256} << 10;
 
   /// @param linkBytesPerSecond bandwidth of the node's link; 0 if unknown
   AnswerSender(int64_t linkBytesPerSecond, std::string nodeId, base::Scheduler& scheduler, base::Network& network);
@@ -52,6 +56,9 @@
   /// @return whether it was queued
   bool cancel(base::ConnectionId connection, int64_t callId);
 
+  /// @return whether the node of a connection takes answers in pieces, whatever their route.
+  bool peerTakesPieces(base::ConnectionId connection) const;
+
   /// @return whether answers to this call may be sent in pieces; false on connections within the machine.
   bool takesPieces(base::ConnectionId connection, const wire::CallRequest& request) const;
 
--- a/src/node/endpoint_calls_bodies.cc
+++ b/src/node/endpoint_calls_bodies.cc
@@ -1,5 +1,6 @@
 /// Call bodies that arrive in pieces, and admission of calls with large answers.
 #include <algorithm>
+#include <utility>
 
 #include "node/endpoint_calls.h"
 #include "wire/frame.h"
@@ -11,6 +12,13 @@
 
 /// Interval at which expired bodies are dropped and the grants of stalled senders are passed to others.
 constexpr base::Duration kBodyInterval = base::milliseconds(50);
+/// Maximum time that a call waits until there is room for its body. It holds its place in the slot queue, and its body
+/// takes room at the sender.
+constexpr base::Duration kMaxRoomWait = base::seconds(1);
+/// Maximum number of calls that wait for room for their bodies: small calls need the places in the slot queue.
+constexpr size_t kMaxAwaitingRoom = 4;
+/// Retry-After of calls without room for their bodies; the transfer and the run of a large body take about as long.
+constexpr base::Duration kRoomRetryAfter = base::seconds(1);
 
 }  // namespace
 
@@ -26,14 +34,65 @@
   const auto arrival = bodyFlowController_.expectedWait(bytes, static_cast<int>(call.priority), call.latestStart);
   const auto wait = arrival + limiter_.expectedWait(call.priority, call.latestStart);
   if (now + wait > call.latestStart) return refuseForLink(key, wait);
+  if (budget_ != nullptr && !budget_->fitsAlone(bytes)) return refuseForMemory(key);
   call.awaitsBody = true;
   acquireSlot(key, false);
   if (calls_.count(key) == 0) return;
-  bodyFlowController_.announce({key.connection, key.callId}, bytes, static_cast<int>(call.priority), call.latestStart,
-                               now);
+  if (awaitingRoom_.empty() && reserveBody(&call)) return announceBody(key);
+  if (awaitingRoom_.size() >= kMaxAwaitingRoom) {
+    dropBody(key, &call);
+    return refuseForMemory(key);
+  }
+  call.awaitsRoom = true;
+  awaitingRoom_.push_back(key);
+  if (!bodyTimer_.running()) bodyTimer_.start(kBodyInterval);
+}
+
+/// Reserves a whole body before any of it is granted, so that no two bodies hold each other up halfway.
+/// @return whether there was room
+bool EndpointCalls::reserveBody(Call* call) {
+  if (budget_ == nullptr) return true;
+  auto reservation = budget_->reserve(memory::body_use::backend_request, call->request.bodyBytes);
+  if (!reservation) return false;
+  call->bodyReservation = std::move(*reservation);
+  call->gathered.reserve(static_cast<size_t>(call->request.bodyBytes));
+  return true;
+}
+
+void EndpointCalls::announceBody(const CallKey& key) {
+  const auto& call = calls_.at(key);
+  bodyFlowController_.announce({key.connection, key.callId}, call.request.bodyBytes, static_cast<int>(call.priority),
+                               call.latestStart, scheduler_.now());
   grantBodies();
 }
 
+/// Announces the bodies for which there is room now, in the order of their calls, and refuses calls that have waited
+/// too long.
+void EndpointCalls::checkAwaitingRoom() {
+  const auto now = scheduler_.now();
+  bool noRoom = false;
+  for (const auto& key : std::exchange(awaitingRoom_, {})) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end() || !found->second.awaitsRoom) continue;
+    auto& call = found->second;
+    noRoom = noRoom || !reserveBody(&call);
+    if (!noRoom) {
+      call.awaitsRoom = false;
+      announceBody(key);
+    } else if (now >= std::min<base::TimePoint>(call.latestStart, call.arrivedAt + kMaxRoomWait)) {
+      dropBody(key, &call);
+      refuseForMemory(key);
+    } else {
+      awaitingRoom_.push_back(key);
+    }
+  }
+}
+
+void EndpointCalls::refuseForMemory(const CallKey& key) {
+  ++counters_.refusedForMemory;
+  refuse(key, ErrorCode::kNoBodyMemory, kRoomRetryAfter);
+}
+
 overload::call_kind EndpointCalls::kindOf(const wire::CallRequest& request) {
   return {request.priority, request.targetLatencyMs, request.runOnce};
 }
@@ -78,11 +137,12 @@
     grant.upToBytes = granted.upToBytes;
     network_.send(granted.body.connection, wire::encodeFrame(grant));
   }
-  if (bodyFlowController_.empty()) return bodyTimer_.stop();
+  if (bodyFlowController_.empty() && awaitingRoom_.empty()) return bodyTimer_.stop();
   if (!bodyTimer_.running()) bodyTimer_.start(kBodyInterval);
 }
 
 void EndpointCalls::onBodyTimer() {
+  checkAwaitingRoom();
   for (const auto& body : bodyFlowController_.takeExpired(scheduler_.now())) {
     const CallKey key{body.connection, body.call};
     auto& call = calls_[key];
@@ -97,15 +157,16 @@
 void EndpointCalls::onBodyPiece(base::ConnectionId connection, const wire::CallBodyPiece& piece) {
   const CallKey key{connection, piece.callId};
   const auto found = calls_.find(key);
-  if (found == calls_.end() || !found->second.awaitsBody) return;
+  if (found == calls_.end() || !found->second.awaitsBody || found->second.awaitsRoom) return;
   auto& call = found->second;
-  call.request.body += piece.data;
+  call.gathered += piece.data;
   const auto arrived = static_cast<int64_t>(piece.data.size());
   const bool complete = bodyFlowController_.onBytes({connection, piece.callId}, arrived, scheduler_.now());
   if (complete) {
     call.awaitsBody = false;
-    const bool asAnnounced = static_cast<int64_t>(call.request.body.size()) == call.request.bodyBytes;
+    const bool asAnnounced = static_cast<int64_t>(call.gathered.size()) == call.request.bodyBytes;
     if (asAnnounced) {
+      call.body = memory::shared_body(std::move(call.gathered), std::move(call.bodyReservation));
       onBodyComplete(key);
     } else {
       limiter_.cancel(call.ticket);
@@ -135,6 +196,9 @@
 
 void EndpointCalls::dropBody(const CallKey& key, Call* call) {
   call->awaitsBody = false;
+  call->awaitsRoom = false;
+  call->gathered = {};
+  call->bodyReservation.release();
   limiter_.cancel(call->ticket);
   bodyFlowController_.drop({key.connection, key.callId});
 }
--- a/src/node/endpoint_calls_ledger.cc
+++ b/src/node/endpoint_calls_ledger.cc
@@ -1,6 +1,10 @@
 /// Ledger claims for requests that may not be repeated.
 #include <xxhash.h>
 
+#include <memory>
+#include <string_view>
+#include <utility>
+
 #include "node/endpoint_calls.h"
 
 namespace driftlug::node {
@@ -11,9 +15,13 @@
 constexpr base::Duration kLedgerRetryAfter = base::milliseconds(500);
 
 /// @return a hash of the request's content, to detect a key that is reused for another request.
-int64_t contentHashOf(const wire::CallRequest& request) {
-  const auto content = request.serviceName + '\n' + request.method + '\n' + request.path + '\n' + request.body;
-  return static_cast<int64_t>(XXH3_64bits(content.data(), content.size()));
+int64_t contentHashOf(const wire::CallRequest& request, std::string_view body) {
+  const auto head = request.serviceName + '\n' + request.method + '\n' + request.path + '\n';
+  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), &XXH3_freeState);
+  XXH3_64bits_reset(state.get());
+  XXH3_64bits_update(state.get(), head.data(), head.size());
+  XXH3_64bits_update(state.get(), body.data(), body.size());
+  return static_cast<int64_t>(XXH3_64bits_digest(state.get()));
 }
 
 }  // namespace
@@ -22,7 +30,7 @@
   auto& call = calls_[key];
   ++call.claimAttempts;
   const auto left = call.deadline - scheduler_.now();
-  ledger_->claim(call.request.idempotencyKey, contentHashOf(call.request), call.owner, left,
+  ledger_->claim(call.request.idempotencyKey, contentHashOf(call.request, call.content()), call.owner, left,
                  [this, alive = std::weak_ptr<bool>(alive_), key](const ledger::LedgerAnswer& answer) {
                    if (!alive.expired()) onClaim(key, answer);
                  });
@@ -37,7 +45,7 @@
       return sendToBackend(key);
     case wire::LedgerVerdict::COMPLETED:
       ++counters_.replayed;
-      return answerCompleted(key, *answer.stored);
+      return answerStored(key, *answer.stored);
     case wire::LedgerVerdict::MISMATCH:
       return refuse(key, ErrorCode::kKeyReused, base::Duration(0));
     case wire::LedgerVerdict::CLAIMED:
@@ -52,6 +60,11 @@
   }
 }
 
+void EndpointCalls::answerStored(const CallKey& key, wire::StoredAnswer stored) {
+  memory::shared_body body(std::move(stored.body));
+  answerCompleted(key, std::move(stored), std::move(body));
+}
+
 /// Stores an answer for resends of its key, without notices: they would be taken for those of the endpoint that replays
 /// the answer.
 void EndpointCalls::storeAnswer(const Call& call, wire::StoredAnswer stored) {
--- a/src/node/endpoint_calls_quarantine.cc
+++ b/src/node/endpoint_calls_quarantine.cc
@@ -21,7 +21,7 @@
 
 const quarantine::request_fingerprint& EndpointCalls::fingerprintOfCall(const CallKey& key) {
   auto& call = calls_.at(key);
-  if (!call.fingerprint) call.fingerprint = fingerprintOf(call.request);
+  if (!call.fingerprint) call.fingerprint = fingerprintOf(call.request, call.content());
   return *call.fingerprint;
 }
 
--- a/src/node/entry_calls.cc
+++ b/src/node/entry_calls.cc
@@ -40,6 +40,7 @@
       network_(network),
       picker_(options_.picker, scheduler, base::RandomSource(random_.bits())),
       placement_(picker_, scheduler, base::RandomSource(XXH3_64bits(options_.nodeId.data(), options_.nodeId.size()))),
+      roomTimer_(scheduler, [this] { reserveAnswers(); }),
       links_(
           linkOptionsOf(options_), scheduler, base::RandomSource(random_.bits()), network, picker_,
           [this](base::ConnectionId connection, const std::string&) { onLinkLost(connection); },
@@ -110,6 +111,7 @@
   ++counters_.calls;
   auto& call = calls_[id];
   call.inbound = std::move(inbound);
+  call.bodyBytes = call.inbound.body.size();
   call.done = std::move(done);
   call.table = table_;
   const auto now = scheduler_.now();
@@ -180,7 +182,7 @@
 
 void EntryCalls::onMessage(base::ConnectionId connection, wire::Message message) {
   links_.onMessageReceived(connection);
-  if (const auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, *response);
+  if (auto* response = std::get_if<wire::CallResponse>(&message)) onResponse(connection, std::move(*response));
   if (const auto* grant = std::get_if<wire::CallBodyGrant>(&message)) onBodyGrant(connection, *grant);
   if (const auto* accepted = std::get_if<wire::CallAccepted>(&message)) {
     observeAccepted(connection, *accepted);
@@ -245,6 +247,7 @@
                                                                                : routing::attempt_end::abandoned);
     attempts_.erase(attempt);
     answers_.drop(attemptId);
+    if (exchange_ != nullptr) exchange_->drop(attemptId);
   }
   endReturn(&call, &answer);
   if (!call.done) {
--- a/src/node/entry_calls.h
+++ b/src/node/entry_calls.h
@@ -14,6 +14,8 @@
 #include "base/network.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "memory/body_budget.h"
+#include "node/body_exchange.h"
 #include "node/call_types.h"
 #include "node/endpoint_links.h"
 #include "node/entry_calls_answers.h"
@@ -86,6 +88,7 @@
   int64_t lateAnswers = 0;                  ///< answers dropped because their attempt had already ended
   int64_t overQuota = 0;                    ///< calls refused because their tenant exceeds its limit
   int64_t unknownKeys = 0;                  ///< calls refused because no tenant has their key
+  int64_t releasedBodies = 0;               ///< sent bodies dropped for lack of memory before their calls ended
   int64_t abandoned = 0;                    ///< calls whose callers disconnected before the answer
   base::LatencyHistogram completedLatency;  ///< of completed calls, from request to answer
 };
@@ -109,6 +112,15 @@
   /// @param quarantine must outlive this object
   void useQuarantine(quarantine::request_quarantine* quarantine) { quarantine_ = quarantine; }
 
+  /// Bounds the answers that are held for callers; without a budget, they have no bound. Frees bodies of requests that
+  /// were sent and are kept for further attempts, when the budget has no room.
+  /// @param budget must outlive this object
+  void useBodyBudget(memory::body_budget* budget);
+
+  /// Passes and takes the bodies of calls to the local back end without copies.
+  /// @param exchange shared with the endpoint side; must outlive this object
+  void useBodyExchange(BodyExchange* exchange) { exchange_ = exchange; }
+
   /// Makes calls of tenants with a limit wait for quota permits; by default, limits are not enforced.
   /// @param quotas must outlive this object
   void useQuotas(quota::quota_queue* quotas) { quotas_ = quotas; }
@@ -182,6 +194,8 @@
 
   struct Call {
     InboundCall inbound;
+    size_t bodyBytes = 0;       // of the request
+    bool bodyReleased = false;  // its body was dropped, so that it can't be sent again
     AnswerCallback done;
     routing::RoutingTablePtr table;  // table in force when the call began
     std::string route;
@@ -232,8 +246,10 @@
   void sendHedge(CallId id, const char* reason);
   void attempt(CallId id);
   void send(CallId id, Call* call, const routing::EndpointTarget& target, bool suspect = false);
-  void onResponse(base::ConnectionId connection, const wire::CallResponse& response);
+  void onResponse(base::ConnectionId connection, wire::CallResponse response, memory::shared_body body = {});
   bool gatherAnswer(int64_t attemptId, const wire::CallResponse& response);
+  void reserveAnswers();
+  void releaseSentBodies(int64_t bytes);
   void onAnswerPiece(base::ConnectionId connection, const wire::CallAnswerPiece& piece);
   void sendAnswerCredits();
   void onBodyGrant(base::ConnectionId connection, const wire::CallBodyGrant& grant);
@@ -265,7 +281,7 @@
   bool hedgingEnabledFor(Call* call);
   double effectiveHedgeAfterShare() const;
   bool mayHedge(Call* call);
-  void onCompleted(const Attempt& attempt, const wire::CallResponse& response);
+  void onCompleted(const Attempt& attempt, const wire::CallResponse& response, memory::shared_body body);
   Attempt endFailedAttempt(int64_t attemptId);
   void removeAttempt(CallId call, int64_t attemptId);
   void onNotRun(const Attempt& attempt, const wire::CallResponse& response);
@@ -296,6 +312,8 @@
   std::map<CallId, Call> calls_;
   std::map<int64_t, Attempt> attempts_;  // by the call id used in frames
   AnswerGatherer answers_;
+  base::Timer roomTimer_;             // runs while an answer waits for room for its body
+  BodyExchange* exchange_ = nullptr;  // may stay null
   EndpointLinks links_;
   EntryReturns returns_;
   std::function<void()> onNestedBegan_;                                          // may be empty
--- a/src/node/entry_calls_answers.cc
+++ b/src/node/entry_calls_answers.cc
@@ -8,10 +8,35 @@
 #include "wire/frame.h"
 
 namespace driftlug::node {
+namespace {
+
+/// Interval at which answers that wait for room for their bodies are looked at.
+constexpr base::Duration kRoomInterval = base::milliseconds(10);
+/// Smaller bodies of sent requests are kept: dropping them would free little.
+constexpr int64_t kMinReleasedBytes = int64_t{256} << 10;
+
+}  // namespace
 
 void AnswerGatherer::begin(int64_t attempt, wire::CallResponse head) {
-  bodies_.begin(attempt, head.bodyBytes);
-  heads_[attempt] = std::move(head);
+  answers_[attempt] = {std::move(head), {}};
+  waiting_.insert(attempt);
+  reserveWaiting();
+}
+
+bool AnswerGatherer::reserve(Gathering* answer) {
+  if (budget_ == nullptr) return true;
+  auto reservation = budget_->reserve(memory::body_use::caller_response, answer->head.bodyBytes);
+  if (reservation) answer->reservation = std::move(*reservation);
+  return reservation.has_value();
+}
+
+void AnswerGatherer::reserveWaiting() {
+  // A smaller answer does not pass a larger one that has waited longer.
+  while (!waiting_.empty() && reserve(&answers_.at(*waiting_.begin()))) {
+    const auto attempt = *waiting_.begin();
+    waiting_.erase(attempt);
+    bodies_.begin(attempt, answers_.at(attempt).head.bodyBytes);
+  }
 }
 
 bool AnswerGatherer::add(int64_t attempt, std::string_view data) {
@@ -21,19 +46,49 @@
   return result == overload::piece_result::complete;
 }
 
-wire::CallResponse AnswerGatherer::take(int64_t attempt) {
-  auto head = std::move(heads_.at(attempt));
-  heads_.erase(attempt);
-  head.body = bodies_.takeBody(attempt);
-  head.bodyBytes = 0;
-  return head;
+GatheredAnswer AnswerGatherer::take(int64_t attempt) {
+  auto gathering = std::move(answers_.extract(attempt).mapped());
+  gathering.head.bodyBytes = 0;
+  return {std::move(gathering.head), {bodies_.takeBody(attempt), std::move(gathering.reservation)}};
 }
 
 void AnswerGatherer::drop(int64_t attempt) {
-  heads_.erase(attempt);
+  answers_.erase(attempt);
+  waiting_.erase(attempt);
   bodies_.drop(attempt);
 }
 
+void EntryCalls::useBodyBudget(memory::body_budget* budget) {
+  answers_.useBudget(budget);
+  budget->setReclaimer([this](int64_t bytes) { releaseSentBodies(bytes); });
+}
+
+void EntryCalls::reserveAnswers() {
+  answers_.reserveWaiting();
+  sendAnswerCredits();
+  if (answers_.waiting()) roomTimer_.start(kRoomInterval);
+}
+
+/// Drops bodies of requests that were sent whole and are kept only for further attempts, so that answers find room. The
+/// calls go on, but are not attempted again.
+void EntryCalls::releaseSentBodies(int64_t bytes) {
+  for (auto& [id, call] : calls_) {
+    const auto size = static_cast<int64_t>(call.inbound.body.size());
+    const bool sent =
+        !call.inFlight.empty() && std::all_of(call.inFlight.begin(), call.inFlight.end(), [this](int64_t attemptId) {
+          const auto attempt = attempts_.find(attemptId);
+          return attempt != attempts_.end() && isBodySent(attempt->second);
+        });
+    if (size < kMinReleasedBytes || !sent) continue;
+    (void)fingerprintOfCall(&call);  // logs and the quarantine may need it after the body is gone
+    call.inbound.body = {};
+    call.bodyReleased = true;
+    ++counters_.releasedBodies;
+    bytes -= size;
+    if (bytes <= 0) return;
+  }
+}
+
 /// Handles the head of an answer whose body follows in pieces. The attempt stays in progress until the body is
 /// complete, so that a lost link, a deadline and a caller that leaves are handled as before the answer.
 /// @param attemptId an attempt in progress on the connection
@@ -49,6 +104,7 @@
   if (valid) {
     answers_.begin(attemptId, response);
     sendAnswerCredits();
+    if (answers_.waiting() && !roomTimer_.running()) roomTimer_.start(kRoomInterval);
     return true;
   }
   ++answers_.counters().invalidHeads;
@@ -69,7 +125,10 @@
     ++(ended ? answers_.counters().latePieces : answers_.counters().invalidPieces);
     return;
   }
-  if (answers_.add(piece.callId, piece.data)) onResponse(connection, answers_.take(piece.callId));
+  if (answers_.add(piece.callId, piece.data)) {
+    auto answer = answers_.take(piece.callId);
+    onResponse(connection, std::move(answer.head), std::move(answer.body));
+  }
   sendAnswerCredits();
 }
 
--- a/src/node/entry_calls_attempts.cc
+++ b/src/node/entry_calls_attempts.cc
@@ -70,7 +70,7 @@
   const auto& endpoints = candidatesFor(call);
   // Without any rate limit, the exact answer is not worth its cost: it matters only until the first response.
   if (notices_.rateLimited() == 0) return endpoints.size() > call.tried.size();
-  const size_t bytes = call.inbound.body.size();
+  const size_t bytes = call.bodyBytes;
   const auto usable =
       picker_.usableEndpoints(endpoints, call.tried, rankOf(call), bytes > options_.inlineBodyBytes ? bytes : 0);
   return std::any_of(usable.begin(), usable.end(), [&](const auto* other) {
@@ -96,6 +96,7 @@
 EntryCalls::Attempt EntryCalls::endFailedAttempt(int64_t attemptId) {
   auto attempt = attempts_.extract(attemptId).mapped();
   answers_.drop(attemptId);
+  if (exchange_ != nullptr) exchange_->drop(attemptId);
   removeAttempt(attempt.call, attemptId);
   placement_.onEnded(attemptId, routing::attempt_end::refused);
   picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, true);
@@ -115,8 +116,10 @@
   call->endpoint = target.name;
   call->inFlight.push_back(attemptId);
   const auto& link = links_.link(target.name);
-  const size_t bodyBytes = call->inbound.body.size();
+  const size_t bodyBytes = call->bodyBytes;
   const bool inPieces = link.takesBodyPieces && bodyBytes > options_.inlineBodyBytes;
+  const bool handsOver =
+      exchange_ != nullptr && bodyBytes >= BodyExchange::kMinBytes && network_.isWithinProcess(link.connection);
   attempts_[attemptId] = {id, target.name, link.connection, now, inPieces ? 0 : bodyBytes};
   picker_.onSent(target.name);
   observeSent(attemptId, *call);
@@ -127,10 +130,11 @@
   request.method = call->inbound.method;
   request.path = call->inbound.path;
   request.headers = call->inbound.headers;
-  if (inPieces) {
+  if (handsOver) exchange_->putRequest(attemptId, call->inbound.body);
+  if (inPieces || handsOver) {
     request.bodyBytes = static_cast<int64_t>(bodyBytes);
   } else {
-    request.body = call->inbound.body;
+    request.body = call->inbound.body.view();
   }
   request.remainingMs = static_cast<int32_t>(std::max<int64_t>(1, remainingMs(call->deadline, now)));
   request.idempotencyKey = call->idempotencyKey;
@@ -156,7 +160,7 @@
   const auto found = attempts_.find(grant.callId);
   if (found == attempts_.end() || found->second.connection != connection) return;
   auto& attempt = found->second;
-  const auto& body = calls_.at(attempt.call).inbound.body;
+  const auto body = calls_.at(attempt.call).inbound.body.view();
   const size_t upTo = std::min(body.size(), static_cast<size_t>(std::max<int64_t>(0, grant.upToBytes)));
   if (upTo <= attempt.bodyBytesSent) return;
   wire::CallBodyPiece piece;
@@ -168,7 +172,7 @@
 
 bool EntryCalls::isBodySent(const Attempt& attempt) const {
   const auto call = calls_.find(attempt.call);
-  return call == calls_.end() || attempt.bodyBytesSent == call->second.inbound.body.size();
+  return call == calls_.end() || attempt.bodyBytesSent == call->second.bodyBytes;
 }
 
 }  // namespace driftlug::node
--- a/src/node/entry_calls_hedging.cc
+++ b/src/node/entry_calls_hedging.cc
@@ -35,7 +35,7 @@
 bool EntryCalls::mayHedge(Call* call) {
   const int startedAttempts = call->attempts + static_cast<int>(call->inFlight.size());
   // A request that may crash back ends runs on one back end at a time.
-  return call->repeatable && startedAttempts < call->maxAttempts &&
+  return call->repeatable && !call->bodyReleased && startedAttempts < call->maxAttempts &&
          quarantineStatus(call) == quarantine::request_status::clear;
 }
 
--- a/src/node/entry_calls_outcomes.cc
+++ b/src/node/entry_calls_outcomes.cc
@@ -13,20 +13,26 @@
 
 }  // namespace
 
-void EntryCalls::onResponse(base::ConnectionId connection, const wire::CallResponse& response) {
+/// @param body of the answer, if it is not a part of `response` and no pieces follow
+void EntryCalls::onResponse(base::ConnectionId connection, wire::CallResponse response, memory::shared_body body) {
+  const bool handedOver = response.bodyBytes > 0 && exchange_ != nullptr && network_.isWithinProcess(connection);
+  if (handedOver) body = exchange_->takeResponse(response.callId);
   const auto found = attempts_.find(response.callId);
   if (found == attempts_.end() || found->second.connection != connection) {
     ++counters_.lateAnswers;
     return;
   }
-  if (gatherAnswer(response.callId, response)) return;
+  if (body.empty()) {
+    if (gatherAnswer(response.callId, response)) return;
+    body = std::move(response.body);
+  }
   const auto attempt = found->second;
   attempts_.erase(found);
   removeAttempt(attempt.call, response.callId);
   observeResponse(response);
   const auto error = static_cast<ErrorCode>(response.errorCode);
   const auto latency = scheduler_.now() - attempt.sentAt;
-  if (response.outcome == CallOutcome::COMPLETED) return onCompleted(attempt, response);
+  if (response.outcome == CallOutcome::COMPLETED) return onCompleted(attempt, response, std::move(body));
   if (response.outcome == CallOutcome::NOT_RUN) return onNotRun(attempt, response);
   picker_.onDone(attempt.endpoint, latency, true);
   if (error == ErrorCode::kBackendCrashed) recordCrash(attempt, response);
@@ -34,7 +40,7 @@
   onAttemptFailed(attempt.call, AttemptProgress::kMayHaveRun, failureAnswer(CallOutcome::UNKNOWN, error, status, 0));
 }
 
-void EntryCalls::onCompleted(const Attempt& attempt, const wire::CallResponse& response) {
+void EntryCalls::onCompleted(const Attempt& attempt, const wire::CallResponse& response, memory::shared_body body) {
   picker_.onDone(attempt.endpoint, scheduler_.now() - attempt.sentAt, false);
   picker_.onLoadReport(attempt.endpoint, response.inFlight);
   const auto notice = backpressure::readNotice(response.headers, options_.notices);
@@ -44,7 +50,7 @@
   answer.outcome = CallOutcome::COMPLETED;
   answer.httpStatus = response.httpStatus;
   answer.headers = response.headers;
-  answer.body = response.body;
+  answer.body = std::move(body);
   const auto found = calls_.find(attempt.call);
   if (found == calls_.end()) return;
   auto& call = found->second;
@@ -112,11 +118,13 @@
     ++call.refusals;
   }
   if (!call.inFlight.empty()) return;  // the other attempt of a hedged call decides the outcome
-  const bool mayRepeat = progress != AttemptProgress::kMayHaveRun || call.repeatable;
+  const bool safe = progress != AttemptProgress::kMayHaveRun || call.repeatable;
+  const bool mayRepeat = safe && !call.bodyReleased;
   const bool attemptsLeft = call.attempts < call.maxAttempts && call.refusals < options_.maxRefusals;
   const bool allowed = options_.retries && !stopping_ && mayRepeat && attemptsLeft && scheduler_.now() < call.deadline;
   if (!allowed) {
-    logAttemptFailed(&call, progress, false, stopping_ ? "stopping" : mayRepeat ? "attempts_used" : "may_have_run");
+    const char* reason = !safe ? "may_have_run" : mayRepeat ? "attempts_used" : "body_released";
+    logAttemptFailed(&call, progress, false, stopping_ ? "stopping" : reason);
     return finish(id, call.lastFailure);
   }
   // A retry after a refusal by a node costs no back end any work, so it is not charged to the budget.
--- a/src/node/entry_calls_placement.cc
+++ b/src/node/entry_calls_placement.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 const routing::EndpointTarget* EntryCalls::pickEndpoint(const Call& call) {
-  const size_t bytes = call.inbound.body.size();
+  const size_t bytes = call.bodyBytes;
   routing::choice_request request;
   request.zone = options_.zone;
   request.service = call.service;
--- a/src/overload/response_gatherer.cc
+++ b/src/overload/response_gatherer.cc
@@ -13,7 +13,9 @@
 void response_gatherer::begin(int64_t _response, int64_t _bytes)
 {
 	drop(_response);
-	m_responses[_response].bytes = _bytes;
+	gathered& state = m_responses[_response];
+	state.bytes = _bytes;
+	state.body.reserve(static_cast<size_t>(_bytes));
 }
 
 piece_result response_gatherer::onPiece(int64_t _response, std::string_view _data)
--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -206,6 +206,11 @@
   return queues ? found->second->stream->unacknowledgedBytes() : 0;
 }
 
+bool FrameTransport::isWithinProcess(base::ConnectionId id) const {
+  const auto found = connections_.find(id);
+  return found != connections_.end() && found->second->inProcessPeer != 0;
+}
+
 std::optional<base::TimePoint> FrameTransport::partialMessageReceivedAt(base::ConnectionId id) const {
   const auto found = connections_.find(id);
   if (found == connections_.end() || !found->second->reader.hasPartialFrame()) return std::nullopt;
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -79,6 +79,7 @@
   void close(base::ConnectionId connection) override;
   size_t queuedBytes(base::ConnectionId connection) const override;
   size_t unacknowledgedBytes(base::ConnectionId connection) const override;
+  bool isWithinProcess(base::ConnectionId connection) const override;
   std::optional<base::TimePoint> partialMessageReceivedAt(base::ConnectionId connection) const override;
 
   /// @return bytes queued on all connections whose Hello arrived.
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "memory/shared_body.h"
 #include "wire/gen/driftlug_types.h"
 
 namespace driftlug::transport {
@@ -16,8 +17,12 @@
   std::string query;                      ///< without '?'
   std::vector<wire::HttpHeader> headers;  ///< lower-case names, without hop-by-hop headers
   std::string body;
+  memory::shared_body sharedBody;  ///< in place of `body` where that is empty: of servers with a budget, and of clients
   bool firstOnConnection = false;  ///< set by HttpServer for the first request of a connection
 
+  /// @return the body, whichever field holds it.
+  std::string_view content() const { return body.empty() ? sharedBody.view() : std::string_view(body); }
+
   /// @return the value of a header, or an empty string.
   std::string_view header(std::string_view name) const;
 
@@ -30,6 +35,10 @@
   int status = 200;
   std::vector<wire::HttpHeader> headers;
   std::string body;
+  memory::shared_body sharedBody;  ///< in place of `body` where that is empty: of pools with a budget, and of servers
+
+  /// @return the body, whichever field holds it.
+  std::string_view content() const { return body.empty() ? sharedBody.view() : std::string_view(body); }
 };
 
 /// @return a header with the given name and value.
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -27,6 +27,9 @@
   return base::Duration(0);
 }
 
+/// Interval at which responses that wait for room for their bodies are looked at.
+constexpr base::Duration kRoomInterval = base::milliseconds(10);
+
 }  // namespace
 
 HttpClientPool::HttpClientPool(EventLoop& loop, std::string name, std::string host, int port, size_t maxConnections)
@@ -37,7 +40,9 @@
       }()) {}
 
 HttpClientPool::HttpClientPool(EventLoop& loop, std::string name, const base::Address& address, HttpPoolOptions options)
-    : loop_(loop), name_(std::move(name)), address_(address), options_(std::move(options)) {}
+    : loop_(loop), name_(std::move(name)), address_(address), options_(std::move(options)), roomTimer_(loop, [this] {
+        checkAwaitingRoom();
+      }) {}
 
 HttpClientPool::~HttpClientPool() {
   *alive_ = false;
@@ -70,11 +75,18 @@
   return nullptr;
 }
 
+HttpReaderLimits HttpClientPool::readerLimits() const {
+  HttpReaderLimits limits;
+  limits.budget = options_.budget;
+  limits.use = memory::body_use::backend_response;
+  return limits;
+}
+
 HttpClientPool::Connection* HttpClientPool::open() {
   const auto id = nextConnection_++;
   ++counters_.connections;
   auto& slot = connections_[id];
-  slot = std::make_unique<Connection>(*this, id);
+  slot = std::make_unique<Connection>(*this, id, readerLimits());
   slot->stream = TcpStream::connect(loop_, address_, slot.get(), {});
   return slot.get();
 }
@@ -92,7 +104,7 @@
   connection->sentBytesAtStart = connection->stream->sentBytes();
   connection->startedAt = loop_.now();
   connection->receivedSinceStart = false;
-  write(connection, pending.request);
+  write(connection, &pending.request);
 }
 
 void HttpClientPool::startQueued() {
@@ -104,7 +116,9 @@
   }
 }
 
-void HttpClientPool::write(Connection* connection, const HttpRequest& request) {
+/// Writes a request; its body is then only held by the stream, until that has sent it.
+void HttpClientPool::write(Connection* connection, HttpRequest* pending) {
+  auto& request = *pending;
   std::string bytes = request.method + " " + request.path;
   if (!request.query.empty()) bytes += "?" + request.query;
   bytes += " HTTP/1.1\r\n";
@@ -115,19 +129,31 @@
     if (!isHopByHop(header.name)) bytes += header.name + ": " + header.value + "\r\n";
   }
   const bool bodyExpected = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-  if (!request.body.empty() || bodyExpected) {
-    bytes += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  const auto content = request.content();
+  if (!content.empty() || bodyExpected) {
+    bytes += "content-length: " + std::to_string(content.size()) + "\r\n";
   }
   bytes += "\r\n";
   bytes += request.body;
   if (request.method == "HEAD") connection->reader.expectNoBody();
   connection->stream->write(bytes);
+  if (request.body.empty()) connection->stream->writeBody(std::move(request.sharedBody));
+  request.body = {};
+  request.sharedBody = {};
 }
 
 void HttpClientPool::onBytes(Connection* connection, std::string_view bytes) {
-  const auto id = connection->id;
   connection->receivedSinceStart = true;
   connection->lastReceivedAt = loop_.now();
+  if (connection->awaitsRoom) {
+    connection->unparsed.append(bytes);
+    return;
+  }
+  parse(connection, bytes);
+}
+
+void HttpClientPool::parse(Connection* connection, std::string_view bytes) {
+  const auto id = connection->id;
   while (!bytes.empty()) {
     if (connection->request == 0) {
       // Bytes on an idle connection belong to no request.
@@ -136,12 +162,43 @@
       return;
     }
     const auto progress = connection->reader.feed(&bytes);
+    if (progress == HttpProgress::kAwaitingRoom) return awaitRoom(connection, bytes);
+    if (connection->awaitsRoom) {
+      connection->awaitsRoom = false;
+      connection->stream->setReading(true);
+    }
     if (progress == HttpProgress::kIncomplete) return;
     if (progress != HttpProgress::kMessage) return fail(id, false);
     if (!onResponse(connection, !bytes.empty())) return;
   }
 }
 
+void HttpClientPool::awaitRoom(Connection* connection, std::string_view bytes) {
+  connection->unparsed.assign(bytes);
+  if (!connection->awaitsRoom) {
+    connection->awaitsRoom = true;
+    connection->stream->setReading(false);
+    ++counters_.waitedForRoom;
+  }
+  if (!roomTimer_.running()) roomTimer_.start(kRoomInterval);
+}
+
+/// Continues with the responses for whose bodies there is room now.
+void HttpClientPool::checkAwaitingRoom() {
+  std::vector<ConnectionId> waiting;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->awaitsRoom) waiting.push_back(id);
+  }
+  const auto alive = alive_;
+  for (const auto id : waiting) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) continue;
+    const auto bytes = std::exchange(found->second->unparsed, {});
+    parse(found->second.get(), bytes);
+    if (!*alive) return;
+  }
+}
+
 bool HttpClientPool::matchesRequest(const Connection& connection, const HttpHead& head) const {
   if (options_.correlationHeader.empty()) return true;
   const auto expected = pending_.at(connection.request).request.header(options_.correlationHeader);
@@ -151,17 +208,21 @@
 
 bool HttpClientPool::onResponse(Connection* connection, bool moreBytes) {
   auto head = connection->reader.takeHead();
-  auto body = connection->reader.takeBody();
-  if (head.status < kFirstFinalStatus) return true;
-  if (!matchesRequest(*connection, head)) {
-    ++counters_.strayResponses;
-    connection->reusable = false;
+  auto body = connection->reader.takeSharedBody();
+  const bool interim = head.status < kFirstFinalStatus;
+  if (interim || !matchesRequest(*connection, head)) {
+    counters_.strayResponses += interim ? 0 : 1;
+    connection->reusable = connection->reusable && interim;
     return true;
   }
   HttpResult result;
   result.outcome = HttpOutcome::kCompleted;
   result.response.status = head.status;
-  result.response.body = std::move(body);
+  if (options_.budget != nullptr) {
+    result.response.sharedBody = std::move(body);
+  } else {
+    result.response.body = body.take();
+  }
   const auto request = connection->request;
   returnToPool(connection, head, moreBytes);
   result.response.headers = endToEndHeaders(std::move(head.headers));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -42,6 +42,9 @@
   base::Duration maxIdle = base::seconds(4);
   /// Subtracted from the server's Keep-Alive timeout, because a close may already be in flight.
   base::Duration idleMargin = base::milliseconds(800);
+  /// Budget of response bodies; null for none. With one, responses have a sharedBody. A response whose body has no room
+  /// is not read until there is.
+  memory::body_budget* budget = nullptr;
 };
 
 /// Counters of a pool.
@@ -50,6 +53,7 @@
   int64_t failures = 0;
   int64_t connections = 0;     ///< opened
   int64_t strayResponses = 0;  ///< dropped because no pending request matched
+  int64_t waitedForRoom = 0;   ///< responses that waited unread until there was room for their bodies
 };
 
 /// Sends requests over a limited number of connections; further requests wait in a FIFO queue. A connection carries one
@@ -90,8 +94,8 @@
   using ConnectionId = uint64_t;
 
   struct Connection : public StreamHandler {
-    Connection(HttpClientPool& owner, ConnectionId connectionId)
-        : pool(owner), id(connectionId), reader(HttpReader::Kind::kResponses, {}) {}
+    Connection(HttpClientPool& owner, ConnectionId connectionId, const HttpReaderLimits& limits)
+        : pool(owner), id(connectionId), reader(HttpReader::Kind::kResponses, limits) {}
     ~Connection() override {
       if (stream) stream->close();
     }
@@ -109,6 +113,8 @@
     base::TimePoint lastReceivedAt{};  // when the last bytes arrived
     bool receivedSinceStart = false;   // bytes arrived since startedAt
     bool reusable = true;
+    bool awaitsRoom = false;  // the response waits unread for room for its body
+    std::string unparsed;     // its bytes that were received
   };
 
   struct PendingRequest {
@@ -122,10 +128,14 @@
   void startQueued();
   Connection* takeIdle();
   Connection* open();
-  void write(Connection* connection, const HttpRequest& request);
+  void write(Connection* connection, HttpRequest* request);
+  HttpReaderLimits readerLimits() const;
   void onBytes(Connection* connection, std::string_view bytes);
+  void parse(Connection* connection, std::string_view bytes);
   bool onResponse(Connection* connection, bool moreBytes);
   void onClosed(ConnectionId id, bool orderly);
+  void awaitRoom(Connection* connection, std::string_view bytes);
+  void checkAwaitingRoom();
   void onTimeout(HttpRequestId id);
   void finish(HttpRequestId id, HttpResult result);
   void fail(ConnectionId id, bool timedOut);
@@ -143,6 +153,7 @@
   std::vector<ConnectionId> idle_;  // most recently used last
   std::map<HttpRequestId, PendingRequest> pending_;
   std::deque<HttpRequestId> queue_;  // entries of pending_ without a connection
+  base::Timer roomTimer_;            // runs while a response waits for room for its body
   HttpPoolCounters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/transport/http_reader.cc
+++ b/src/transport/http_reader.cc
@@ -4,12 +4,16 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <bit>
 
 #include "transport/http.h"
 
 namespace driftlug::transport {
 namespace {
 
+/// Capacity of the buffer of a body without a length when it is first extended.
+constexpr size_t kMinGrowthBytes = size_t{64} << 10;
+
 HttpReader* readerOf(http_parser* parser) { return static_cast<HttpReader*>(parser->data); }
 
 }  // namespace
@@ -38,6 +42,11 @@
 HttpProgress HttpReader::feed(std::string_view* bytes) {
   if (failure_ != HttpProgress::kIncomplete) return failure_;
   if (bytes->empty()) return HttpProgress::kIncomplete;
+  if (awaitedBytes_ > 0) {
+    if (!reserveBody(awaitedBytes_)) return HttpProgress::kAwaitingRoom;
+    awaitedBytes_ = 0;
+    http_parser_pause(&parser_, 0);
+  }
   const auto offered = bytes->size();
   const auto consumed = http_parser_execute(&parser_, &settings(), bytes->data(), offered);
   bytes->remove_prefix(std::min(consumed, offered));
@@ -53,13 +62,22 @@
 
 HttpProgress HttpReader::progressAfter(size_t consumed, size_t offered) {
   const auto error = HTTP_PARSER_ERRNO(&parser_);
-  if (failure_ != HttpProgress::kIncomplete) return failure_;
+  if (failure_ != HttpProgress::kIncomplete) return dropBody();
   if (complete_) {
     if (error == HPE_PAUSED) http_parser_pause(&parser_, 0);
     return HttpProgress::kMessage;
   }
+  if (awaitedBytes_ > 0) return HttpProgress::kAwaitingRoom;
   if (error == HPE_OK && consumed == offered) return HttpProgress::kIncomplete;
   failure_ = error == HPE_HEADER_OVERFLOW ? HttpProgress::kHeadTooLarge : HttpProgress::kMalformed;
+  return dropBody();
+}
+
+/// Frees what was read of a message that will not be completed.
+/// @return the error
+HttpProgress HttpReader::dropBody() {
+  body_ = {};
+  reservation_.release();
   return failure_;
 }
 
@@ -69,9 +87,12 @@
   return head;
 }
 
-std::string HttpReader::takeBody() {
-  std::string body = std::move(body_);
+std::string HttpReader::takeBody() { return takeSharedBody().take(); }
+
+memory::shared_body HttpReader::takeSharedBody() {
+  memory::shared_body body(std::move(body_), std::move(reservation_));
   body_.clear();
+  reservation_.release();
   begun_ = false;
   headComplete_ = false;
   complete_ = false;
@@ -93,6 +114,7 @@
   reader->readingValue_ = false;
   reader->head_ = HttpHead{};
   reader->body_.clear();
+  reader->reservation_.release();
   return 0;
 }
 
@@ -135,13 +157,52 @@
     head.method = http_method_str(static_cast<http_method>(parser->method));
     if (parser->method == HTTP_CONNECT) return -1;
     parser->upgrade = 0;  // declines the upgrade: the request is answered as an ordinary one
-    const bool sized = (parser->flags & F_CONTENTLENGTH) != 0;
-    if (sized && parser->content_length > reader->limits_.maxBodyBytes) {
-      reader->failure_ = HttpProgress::kBodyTooLarge;
+  }
+  if (reader->skipBody_) return 1;
+  const bool sized = (parser->flags & F_CONTENTLENGTH) != 0;
+  if (!sized) return 0;
+  if (parser->content_length > reader->limits_.maxBodyBytes) {
+    reader->failure_ = HttpProgress::kBodyTooLarge;
+    return -1;
+  }
+  if (parser->content_length > 0 && !reader->reserveBody(parser->content_length)) {
+    const auto* budget = reader->limits_.budget;
+    if (!budget->fitsAlone(static_cast<int64_t>(parser->content_length))) {
+      reader->failure_ = HttpProgress::kNoRoom;
       return -1;
     }
+    reader->awaitedBytes_ = parser->content_length;
+    http_parser_pause(parser, 1);
   }
-  return reader->skipBody_ ? 1 : 0;
+  return 0;
+}
+
+/// Reserves the body of a message with a length.
+/// @return whether there was room
+bool HttpReader::reserveBody(size_t bytes) {
+  if (limits_.budget == nullptr) return true;
+  auto reservation = limits_.budget->reserve(limits_.use, static_cast<int64_t>(bytes));
+  if (!reservation) return false;
+  reservation_ = std::move(*reservation);
+  // Pages that are not written yet take no memory.
+  body_.reserve(bytes);
+  return true;
+}
+
+/// Extends the buffer of a message without a length, so that it takes the given number of bytes.
+/// @return whether there was room
+bool HttpReader::growBody(size_t bytes) {
+  if (limits_.budget == nullptr || bytes <= static_cast<size_t>(reservation_.bytes())) return true;
+  const auto capacity = std::min(limits_.maxBodyBytes, std::max(kMinGrowthBytes, std::bit_ceil(bytes)));
+  if (reservation_.bytes() == 0) {
+    auto reservation = limits_.budget->reserve(limits_.use, static_cast<int64_t>(capacity));
+    if (!reservation) return false;
+    reservation_ = std::move(*reservation);
+  } else if (!reservation_.resize(static_cast<int64_t>(capacity))) {
+    return false;
+  }
+  body_.reserve(capacity);
+  return true;
 }
 
 int HttpReader::onBody(http_parser* parser, const char* at, size_t length) {
@@ -150,6 +211,10 @@
     reader->failure_ = HttpProgress::kBodyTooLarge;
     return 1;
   }
+  if (!reader->growBody(reader->body_.size() + length)) {
+    reader->failure_ = HttpProgress::kNoRoom;
+    return 1;
+  }
   reader->body_.append(at, length);
   return 0;
 }
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "memory/shared_body.h"
 #include "wire/gen/driftlug_types.h"
 
 namespace driftlug::transport {
@@ -25,22 +26,27 @@
 /// Result of reading bytes.
 enum class HttpProgress {
   kIncomplete,    ///< more bytes are needed
+  kAwaitingRoom,  ///< the body fits into the budget only later; feeding the same bytes again tries again
   kMessage,       ///< a complete message can be taken
   kMalformed,     ///< the bytes are not valid HTTP
   kHeadTooLarge,  ///< the head exceeds the limit
   kBodyTooLarge,  ///< the body exceeds the limit
+  kNoRoom,        ///< the body does not fit into the budget
 };
 
 /// Maximum sizes that a reader accepts, in bytes.
 struct HttpReaderLimits {
   size_t maxHeadBytes = 64U << 10;
   size_t maxBodyBytes = 64U << 20;
+  memory::body_budget* budget = nullptr;  ///< of all bodies of the process; null for none
+  memory::body_use use = memory::body_use::caller_request;
 };
 
 /// Reads the messages of one direction of a connection, one at a time.
 ///
 /// Invariants: only the framing of a message determines its end; a message with both a length and chunks, or with two
-/// lengths, is malformed; after an error no more bytes are read.
+/// lengths, is malformed; after an error no more bytes are read. With a budget, no byte of a body is held that is not
+/// reserved: one with a length is reserved whole before it is read, one without as it grows.
 class HttpReader {
  public:
   enum class Kind { kRequests, kResponses };
@@ -75,6 +81,9 @@
   HttpHead takeHead();
   std::string takeBody();
 
+  /// Takes the body of the complete message together with its reservation, and ends the message.
+  memory::shared_body takeSharedBody();
+
  private:
   static int onMessageBegin(http_parser* parser);
   static int onTarget(http_parser* parser, const char* at, size_t length);
@@ -85,12 +94,17 @@
   static int onMessageComplete(http_parser* parser);
   static const http_parser_settings& settings();
   bool addHeadBytes(size_t length);
+  bool reserveBody(size_t bytes);
+  bool growBody(size_t bytes);
+  HttpProgress dropBody();
   HttpProgress progressAfter(size_t consumed, size_t offered);
 
   http_parser parser_;
   HttpReaderLimits limits_;
   HttpHead head_;
   std::string body_;
+  memory::body_reservation reservation_;
+  size_t awaitedBytes_ = 0;  // size of the body while it waits for room
   size_t headBytes_ = 0;
   bool readingValue_ = false;  // the last callback for a header was for its value
   bool begun_ = false;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -20,10 +20,18 @@
 /// Interval at which paused connections are checked for a close by the client. The calls of a client must end within
 /// 500 ms of its close, on other nodes too.
 constexpr base::Duration kPausedCheckInterval = base::milliseconds(100);
+/// Interval at which requests that wait for room for their bodies are looked at.
+constexpr base::Duration kRoomInterval = base::milliseconds(10);
+/// Maximum time for which the rest of a rejected request is read and dropped, so that its response is not lost by
+/// a reset.
+constexpr base::Duration kMaxLinger = base::seconds(10);
+/// Bodies up to this size are copied behind the head of their response, which is cheaper than a buffer of their own.
+constexpr size_t kMaxCopiedBodyBytes = size_t{16} << 10;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kUnavailable = 503;
 
 const char* reasonOf(int status) {
   const char* reason = http_status_str(static_cast<http_status>(status));
@@ -46,6 +54,7 @@
           [this] { evictIdleConnections(); }),
       sweepTimer_(loop, [this] { sweep(); }),
       pausedTimer_(loop, [this] { checkPausedConnections(); }),
+      roomTimer_(loop, [this] { checkAwaitingRoom(); }),
       evictionTimer_(loop, [this] { enforceConnectionLimit(); }),
       limitLog_(name_, loop, base::kOneLinePerSecond) {}
 
@@ -60,7 +69,7 @@
 void HttpServer::setOptions(const HttpServerOptions& options) {
   options_ = options;
   for (const auto& [id, connection] : connections_) {
-    connection->reader.setLimits({options_.maxHeadBytes, options_.maxBodyBytes});
+    connection->reader.setLimits(readerLimits());
   }
   enforceConnectionLimit();
 }
@@ -108,8 +117,7 @@
   if (!acceptingRequests_) return stream->close();
   const auto id = nextConnection_++;
   ++counters_.connections;
-  auto connection =
-      std::make_unique<Connection>(*this, id, HttpReaderLimits{options_.maxHeadBytes, options_.maxBodyBytes});
+  auto connection = std::make_unique<Connection>(*this, id, readerLimits());
   connection->stream = std::move(stream);
   connection->stream->setHandler(connection.get());
   connection->lastActiveAt = loop_.now();
@@ -118,6 +126,10 @@
   enforceConnectionLimit();
 }
 
+HttpReaderLimits HttpServer::readerLimits() const {
+  return {options_.maxHeadBytes, options_.maxBodyBytes, options_.budget, memory::body_use::caller_request};
+}
+
 void HttpServer::onBytes(Connection* connection, std::string_view bytes) {
   const auto id = connection->id;
   connection->lastActiveAt = loop_.now();
@@ -132,11 +144,51 @@
   if (!parseRequests(connection, &bytes)) return;
   if (connections_.count(id) == 0 || connection->closing || bytes.empty()) return;
   connection->unparsed.assign(bytes);
-  if (connection->unparsed.size() > kMaxUnparsedBytes && connection->reading) {
-    connection->reading = false;
-    connection->stream->setReading(false);
-    if (!pausedTimer_.running()) pausedTimer_.start(kPausedCheckInterval);
+  if (connection->unparsed.size() > kMaxUnparsedBytes || connection->awaitingRoomSince) pauseReading(connection);
+}
+
+void HttpServer::pauseReading(Connection* connection) {
+  if (!connection->reading) return;
+  connection->reading = false;
+  connection->stream->setReading(false);
+  if (!pausedTimer_.running()) pausedTimer_.start(kPausedCheckInterval);
+}
+
+void HttpServer::resumeReading(Connection* connection) {
+  if (connection->reading) return;
+  connection->reading = true;
+  connection->stream->setReading(true);
+}
+
+void HttpServer::awaitRoom(Connection* connection) {
+  if (connection->awaitingRoomSince) return;
+  connection->awaitingRoomSince = loop_.now();
+  ++counters_.waitedForRoom;
+  if (!roomTimer_.running()) roomTimer_.start(kRoomInterval);
+}
+
+/// Continues with the requests for whose bodies there is room now, in the order in which they began to wait, and
+/// rejects those that have waited too long.
+void HttpServer::checkAwaitingRoom() {
+  std::vector<std::pair<base::TimePoint, ConnectionId>> waiting;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->awaitingRoomSince) waiting.emplace_back(*connection->awaitingRoomSince, id);
   }
+  std::sort(waiting.begin(), waiting.end());
+  bool stillWaiting = false;
+  for (const auto& [since, id] : waiting) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) continue;
+    auto* connection = found->second.get();
+    onBytes(connection, {});
+    if (connections_.count(id) == 0 || !connection->awaitingRoomSince) continue;
+    if (loop_.now() - since >= options_.roomTimeout) {
+      rejectForRoom(connection);
+    } else {
+      stillWaiting = true;
+    }
+  }
+  if (stillWaiting && !roomTimer_.running()) roomTimer_.start(kRoomInterval);
 }
 
 /// Drops paused connections that the client has closed. The end of a connection is delivered after its bytes, so that
@@ -159,6 +211,14 @@
   while (!bytes->empty() && connection->pendingExchanges.size() < options_.maxPipelined) {
     if (!connection->reader.midMessage()) connection->messageStartedAt = loop_.now();
     const auto progress = connection->reader.feed(bytes);
+    if (progress == HttpProgress::kAwaitingRoom) {
+      awaitRoom(connection);
+      return true;
+    }
+    if (connection->awaitingRoomSince) {
+      connection->awaitingRoomSince.reset();
+      resumeReading(connection);
+    }
     if (progress == HttpProgress::kIncomplete) break;
     if (progress != HttpProgress::kMessage) {
       rejectRequest(connection, progress);
@@ -187,7 +247,11 @@
 void HttpServer::dispatchRequest(Connection* connection) {
   auto head = connection->reader.takeHead();
   HttpRequest request;
-  request.body = connection->reader.takeBody();
+  if (options_.budget != nullptr) {
+    request.sharedBody = connection->reader.takeSharedBody();
+  } else {
+    request.body = connection->reader.takeBody();
+  }
   connection->continueSent = false;
   size_t hosts = 0;
   for (const auto& header : head.headers) hosts += header.name == "host" ? 1 : 0;
@@ -224,18 +288,41 @@
     ++counters_.tooLarge;
     return rejectRequest(connection, kHeadTooLarge, "head_too_large", "the head is over the limit");
   }
+  if (problem == HttpProgress::kNoRoom) return rejectForRoom(connection);
   ++counters_.malformed;
   rejectRequest(connection, kBadRequest, "bad_request", "this is no HTTP request");
 }
 
+/// The request was not delivered, so that its client may repeat it, whatever it is.
+void HttpServer::rejectForRoom(Connection* connection) {
+  ++counters_.noRoom;
+  limitLog_.write(base::LinePriority::kFailure, [&] {
+    return fmt::format("server={} has no room for the body of a request: held={} limit={}", name_,
+                       options_.budget->heldBytes(), options_.budget->options().totalBytes);
+  });
+  auto response = jsonResponse(kUnavailable, "{\"error\":\"no_body_memory\",\"outcome\":\"not_run\"}\n");
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(options_.noRoomRetryAfter).count();
+  response.headers.push_back(makeHeader("retry-after", std::to_string(seconds)));
+  rejectRequest(connection, std::move(response));
+}
+
 void HttpServer::rejectRequest(Connection* connection, int status, const char* error, const char* message) {
+  rejectRequest(connection,
+                jsonResponse(status, std::string(R"({"error":")") + error + R"(","message":")" + message + "\"}\n"));
+}
+
+/// Answers the request in progress, and drops the rest of it.
+void HttpServer::rejectRequest(Connection* connection, HttpResponse response) {
   const auto id = nextExchange_++;
   auto& exchange = exchanges_[id];
   exchange.connection = connection->id;
   exchange.keepAlive = false;
   connection->pendingExchanges.push_back(id);
   connection->closing = true;
-  respond(id, jsonResponse(status, std::string(R"({"error":")") + error + R"(","message":")" + message + "\"}\n"));
+  connection->awaitingRoomSince.reset();
+  connection->unparsed.clear();
+  resumeReading(connection);
+  respond(id, std::move(response));
 }
 
 void HttpServer::respond(ExchangeId id, HttpResponse response) {
@@ -263,10 +350,7 @@
   loop_.schedule(base::Duration(0), [this, id = connection->id] {
     const auto found = connections_.find(id);
     if (found == connections_.end()) return;
-    if (!found->second->reading) {
-      found->second->reading = true;
-      found->second->stream->setReading(true);
-    }
+    resumeReading(found->second.get());
     onBytes(found->second.get(), {});
   });
 }
@@ -279,11 +363,15 @@
     if (isHopByHop(header.name)) continue;
     head += header.name + ": " + header.value + "\r\n";
   }
-  if (hasBody(response.status)) head += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+  const auto content = response.content();
+  if (hasBody(response.status)) head += "content-length: " + std::to_string(content.size()) + "\r\n";
   if (last) head += "connection: close\r\n";
   head += "\r\n";
-  if (hasBody(response.status) && !exchange.headRequest) head += response.body;
+  const bool withBody = hasBody(response.status) && !exchange.headRequest;
+  const bool copied = response.sharedBody.empty() || content.size() <= kMaxCopiedBodyBytes;
+  if (withBody && copied) head += content;
   connection->stream->write(head);
+  if (withBody && !copied) connection->stream->writeBody(response.sharedBody);
   if (!last) return;
   connection->closing = true;
   connection->lingering = true;
@@ -293,7 +381,19 @@
   if (!connection->lingering) return;
   // An immediate close could reset the connection before the peer has read the response.
   connection->stream->shutdownWrite();
-  loop_.schedule(options_.lingerTimeout, [this, id = connection->id] { drop(id); });
+  lingerUntilSilent(connection->id, loop_.now());
+}
+
+/// Drops a connection after its last response once its client sends nothing more.
+void HttpServer::lingerUntilSilent(ConnectionId id, base::TimePoint since) {
+  loop_.schedule(options_.lingerTimeout, [this, id, since] {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return;
+    const auto now = loop_.now();
+    const bool sending = now - found->second->lastActiveAt < options_.lingerTimeout;
+    if (sending && now - since < kMaxLinger) return lingerUntilSilent(id, since);
+    drop(id);
+  });
 }
 
 void HttpServer::drop(ConnectionId id) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "transport/event_loop.h"
@@ -32,6 +33,12 @@
   /// Minimum idle time before a connection is evicted for a new one: a client that has just connected or received a
   /// response needs time to send its next request.
   base::Duration minIdleBeforeEviction = base::seconds(1);
+  /// Budget of request bodies; null for none. With one, requests are delivered with their sharedBody.
+  memory::body_budget* budget = nullptr;
+  /// Time for which a request whose body has no room waits unread. Callers give up on a request that is not read for
+  /// a second.
+  base::Duration roomTimeout = base::milliseconds(800);
+  base::Duration noRoomRetryAfter = base::seconds(1);  ///< Retry-After of requests without room for their bodies
 };
 
 /// Counters of a server.
@@ -44,6 +51,8 @@
   int64_t connections = 0;
   int64_t idleConnectionsEvicted = 0;  ///< idle connections closed to accept new ones
   int64_t acceptPauses = 0;            ///< times that accepting was paused at the connection limit
+  int64_t waitedForRoom = 0;           ///< requests that waited unread until there was room for their bodies
+  int64_t noRoom = 0;                  ///< requests refused for lack of room for their bodies
 };
 
 /// Accepts requests and sends responses. Requests of one connection may be answered in any order; the responses are
@@ -123,8 +132,9 @@
     int64_t requests = 0;
     bool continueSent = false;  // 100 Continue was sent for the request in progress
     bool reading = true;
-    bool closing = false;    // no further request is accepted
-    bool lingering = false;  // the last response was written; the peer is to close
+    bool closing = false;                              // no further request is accepted
+    bool lingering = false;                            // the last response was written; the peer is to close
+    std::optional<base::TimePoint> awaitingRoomSince;  // set while the request in progress waits for room for its body
     base::TimePoint lastActiveAt{};
     base::TimePoint messageStartedAt{};
   };
@@ -140,9 +150,17 @@
   void onAccepted(std::shared_ptr<TcpStream> stream);
   void onBytes(Connection* connection, std::string_view bytes);
   bool parseRequests(Connection* connection, std::string_view* bytes);
+  HttpReaderLimits readerLimits() const;
+  void pauseReading(Connection* connection);
+  void resumeReading(Connection* connection);
+  void awaitRoom(Connection* connection);
+  void checkAwaitingRoom();
+  void lingerUntilSilent(ConnectionId id, base::TimePoint since);
   void dispatchRequest(Connection* connection);
   void rejectRequest(Connection* connection, HttpProgress problem);
   void rejectRequest(Connection* connection, int status, const char* error, const char* message);
+  void rejectForRoom(Connection* connection);
+  void rejectRequest(Connection* connection, HttpResponse response);
   void closeAfterLastRequest(Connection* connection);
   void sendReadyResponses(Connection* connection);
   void writeResponse(Connection* connection, const Exchange& exchange);
@@ -167,6 +185,7 @@
   std::map<ExchangeId, Exchange> exchanges_;
   base::Timer sweepTimer_;     // runs while there are connections
   base::Timer pausedTimer_;    // runs while reading from a connection is paused
+  base::Timer roomTimer_;      // runs while a request waits for room for its body
   base::Timer evictionTimer_;  // runs while the listener is paused
   base::DecisionLog limitLog_;
   bool draining_ = false;
--- a/test/node/entry_calls_bodies_test.cc
+++ b/test/node/entry_calls_bodies_test.cc
@@ -20,8 +20,9 @@
     inbound.method = "POST";
     inbound.host = "shop.example";
     inbound.path = "/once/1";
-    for (size_t i = 0; i < bytes; ++i) inbound.body += static_cast<char>('a' + i % 26);
-    body = inbound.body;
+    body.clear();
+    for (size_t i = 0; i < bytes; ++i) body += static_cast<char>('a' + i % 26);
+    inbound.body = body;
     const auto id = entry->begin(inbound, [this](CallAnswer got) { answers.push_back(std::move(got)); });
     runFor(base::milliseconds(1));
     return id;
--- a/test/transport/http_client_test.cc
+++ b/test/transport/http_client_test.cc
@@ -290,4 +290,40 @@
   CHECK(connections.size() == 3);
 }
 
+// Guards against responses that together are more than the memory of the process.
+TEST_CASE_METHOD(ScriptedServer, "a response without room waits unread, and arrives whole once there is room") {
+  constexpr size_t kBytes = 600'000;
+  memory::body_budget budget(memory::body_budget_options{1'000'000, 0, 0});
+  HttpPoolOptions options;
+  options.maxConnections = 4;
+  options.budget = &budget;
+  pool.emplace(loop, "client", base::Address{"127.0.0.1", listener.port()}, options);
+  onRequest = [this](TcpStream& stream) {
+    stream.write("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(kBytes) + "\r\n\r\n" +
+                 std::string(kBytes, static_cast<char>('a' + requests)));
+  };
+  std::vector<HttpResult> results;
+  for (int i = 0; i < 2; ++i) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    pool->send(request, base::seconds(20), [&](HttpResult done) { results.push_back(std::move(done)); });
+  }
+  const auto runFor = [this](base::Duration duration) {
+    bool over = false;
+    loop.schedule(duration, [&] { over = true; });
+    while (!over) loop.runOnce();
+  };
+  runFor(base::milliseconds(200));
+  REQUIRE(results.size() == 1);
+  CHECK(budget.heldBytes() == static_cast<int64_t>(kBytes));
+  CHECK(pool->counters().waitedForRoom == 1);
+  const auto first = std::string(results[0].response.content());
+  results[0].response.sharedBody = {};
+  runFor(base::milliseconds(200));
+  REQUIRE(results.size() == 2);
+  CHECK(first == std::string(kBytes, first[0]));
+  CHECK(results[1].response.content() == std::string(kBytes, first[0] == 'b' ? 'c' : 'b'));
+}
+
 }  // namespace driftlug::transport
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -346,4 +346,105 @@
   CHECK(server.unsentBytes() == 0);
 }
 
+namespace {
+
+/// A server with room for one large body.
+struct BudgetFixture : Fixture {
+  BudgetFixture() { useRoomTimeout(base::seconds(5)); }
+
+  void useRoomTimeout(base::Duration timeout) {
+    auto changed = options();
+    changed.maxBodyBytes = 100'000;
+    changed.budget = &budget;
+    changed.roomTimeout = timeout;
+    server.setOptions(changed);
+  }
+
+  static std::string upload(size_t bytes) {
+    return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+           std::string(bytes, 'x');
+  }
+
+  memory::body_budget budget{memory::body_budget_options{1000, 200, 50}};
+};
+
+}  // namespace
+
+// Guards against bodies that together are more than the memory of the process.
+TEST_CASE_METHOD(BudgetFixture, "a body without room waits unread until there is room, and small ones pass it") {
+  RawClient first(loop, server.port());
+  RawClient second(loop, server.port());
+  RawClient small(loop, server.port());
+  first.send(upload(700));
+  second.send(upload(600));
+  REQUIRE(requests.size() == 1);
+  small.send(upload(50));
+  REQUIRE(requests.size() == 2);
+  CHECK(requests[1].content().size() == 50);
+  CHECK(budget.heldBytes() == 750);
+  requests[0].sharedBody = {};
+  settle(loop);
+  settle(loop);
+  REQUIRE(requests.size() == 3);
+  CHECK(requests[2].content() == std::string(600, 'x'));
+  answer(2, "done");
+  CHECK(contains(second.receive(), "done"));
+}
+
+// Guards against a client that sees a reset in place of the refusal, and cannot tell whether its request ran.
+TEST_CASE_METHOD(BudgetFixture, "a body that waits too long for room is refused as not run, and read to its end") {
+  useRoomTimeout(base::milliseconds(30));
+  RawClient first(loop, server.port());
+  first.send(upload(700));
+  RawClient second(loop, server.port());
+  const auto request = upload(600);
+  second.send(request.substr(0, 300));
+  for (int i = 0; i < 5; ++i) settle(loop);
+  second.send(request.substr(300));
+  const auto response = second.receive();
+  CHECK(contains(response, "HTTP/1.1 503"));
+  CHECK(contains(response, "retry-after: 1"));
+  CHECK(contains(response, "not_run"));
+  CHECK(requests.size() == 1);
+  CHECK(server.counters().noRoom == 1);
+}
+
+TEST_CASE_METHOD(BudgetFixture, "a body that never fits is refused at once") {
+  RawClient client(loop, server.port());
+  client.send(upload(801));
+  CHECK(contains(client.receive(), "HTTP/1.1 503"));
+  CHECK(requests.empty());
+  CHECK(budget.heldBytes() == 0);
+}
+
+// Guards against bodies of unknown size, which wait for each other halfway if they wait at all.
+TEST_CASE_METHOD(BudgetFixture,
+                 "a body without a length is refused when it outgrows the room, and its bytes are freed") {
+  memory::body_budget large{memory::body_budget_options{90'000, 0, 0}};
+  auto changed = server.options();
+  changed.budget = &large;
+  server.setOptions(changed);
+  RawClient client(loop, server.port());
+  client.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n" + std::string(60'000, 'x'));
+  CHECK(large.heldBytes() == 65'536);
+  client.send("\r\n7530\r\n" + std::string(30'000, 'x'));
+  CHECK(contains(client.receive(), "HTTP/1.1 503"));
+  CHECK(large.heldBytes() == 0);
+  CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(BudgetFixture, "a client that leaves while its body waits for room is forgotten") {
+  RawClient first(loop, server.port());
+  first.send(upload(700));
+  auto second = std::make_unique<RawClient>(loop, server.port());
+  second->send(upload(600));
+  second->close();
+  for (int i = 0; i < 15; ++i) settle(loop);
+  CHECK(server.connections() == 1);
+  requests[0].sharedBody = {};
+  settle(loop);
+  CHECK(requests.size() == 1);
+  CHECK(budget.heldBytes() == 0);
+}
+
 }  // namespace driftlug::transport
--- a/tools/backend_main.cc
+++ b/tools/backend_main.cc
@@ -22,7 +22,8 @@
 DEFINE_int32(queue, 1000, "capacity of the queue; further requests are shed");
 DEFINE_int32(service_time_us, 5000, "mean service time of a request");
 DEFINE_string(distribution, "exponential", "distribution of service times: fixed, exponential or lognormal");
-DEFINE_int32(content_bytes, 2000, "size of the content of a response");
+DEFINE_int32(content_bytes, 2000, "size of the content of a response, unless the query names another");
+DEFINE_int32(max_body_mb, 8, "maximum size of a request body in MiB");
 DEFINE_int32(connection_cost_us, 1000, "extra service time of the first request on a connection");
 DEFINE_int32(cold_start_ms, 0, "time after startup in which requests take ten times as long");
 DEFINE_double(slow_factor, 1.0, "multiplies service times");
@@ -56,7 +57,7 @@
         startedAt_(loop.now()),
         slowFactor_(FLAGS_slow_factor),
         server_(
-            loop, "backend", {},
+            loop, "backend", serverOptions(),
             [this](ExchangeId exchange, HttpRequest request) { onRequest(exchange, std::move(request)); },
             [this](ExchangeId exchange) { onAbort(exchange); }) {
     readRecordFile();
@@ -93,6 +94,12 @@
     startWaiting();
   }
 
+  static transport::HttpServerOptions serverOptions() {
+    transport::HttpServerOptions options;
+    options.maxBodyBytes = static_cast<size_t>(FLAGS_max_body_mb) << 20;
+    return options;
+  }
+
   /// Responds that a request was shed without running.
   void sendShedResponse(ExchangeId exchange) {
     auto response = transport::jsonResponse(503, "{\"error\":\"shed\"}\n");
@@ -162,7 +169,10 @@
     printEvent("ended", request);
     const auto id = std::string(request.header("x-request-id"));
     nlohmann::json body = {{"id", id}, {"backend", FLAGS_name}, {"request_digest", tools::digestOf(request.body)}};
-    body["content"] = tools::contentFor(id, static_cast<size_t>(FLAGS_content_bytes));
+    size_t contentBytes = static_cast<size_t>(FLAGS_content_bytes);
+    if (const auto text = request.parameter("content_bytes"); !text.empty())
+      (void)absl::SimpleAtoi(text, &contentBytes);
+    body["content"] = tools::contentFor(id, contentBytes);
     auto response = transport::jsonResponse(200, body.dump());
     response.headers.push_back(transport::makeHeader("x-load", std::to_string(reportedLoad())));
     server_.respond(exchange, std::move(response));
@@ -229,6 +239,7 @@
 int main(int argc, char** argv) {
   base::declareRange("port", 1, 65535);
   base::declareRange("slots", 1, 100'000);
+  base::declareRange("max_body_mb", 1, 1024);
   base::declareRange("service_time_us", 0, 60'000'000);
   base::loadSettingsOrExit(argc, argv, "driftlug-backend: a test back end", false);
   apps::configureLogsFromSettings();
