Responses without an end fail their request, and keep no connection

A back end may send interim responses, or responses with another correlation id, without end: the pool went on until the time-out of the request, on each connection at once. A body without a length, or in chunks without end, was held up to 64 MiB on each.

Change: after 16 other responses a request fails; bodies are bounded by the budget of the process and by a limit for each pool (64 KiB for health checks and identity queries). A response that announces more than the limit fails before its body is read. The outcome of such a request is unknown, since it may have run, and it is no sign of a crash: the quarantine does not hear of it.

--- a/apps/endpoint_health.h
+++ b/apps/endpoint_health.h
@@ -22,7 +22,7 @@
                  const base::Address& backend)
       : control_(control),
         calls_(calls),
-        pool_(loop, "health", backend.host, backend.port, 1),
+        pool_(loop, "health", backend, poolOptions()),
         timer_(loop, [this] { check(); }) {
     state_.endpoint = FLAGS_name;
     state_.serviceName = FLAGS_service;
@@ -50,6 +50,13 @@
   }
 
  private:
+  static transport::HttpPoolOptions poolOptions() {
+    constexpr size_t kMaxResponseBytes = size_t{64} << 10;
+    transport::HttpPoolOptions options;
+    options.maxBodyBytes = kMaxResponseBytes;
+    return options;
+  }
+
   void check() {
     const base::Duration interval = base::milliseconds(FLAGS_health_interval_ms);
     transport::HttpRequest request;
--- a/apps/http_backend.cc
+++ b/apps/http_backend.cc
@@ -60,6 +60,7 @@
     answer.timedOut = result.timedOut;
     answer.httpStatus = result.response.status;
     answer.headers = std::move(result.response.headers);
+    answer.overLimit = result.overLimit;
     answer.body = result.response.body.empty() ? std::move(result.response.sharedBody)
                                                : memory::shared_body(std::move(result.response.body));
     done(std::move(answer));
--- a/apps/node_daemon.cc
+++ b/apps/node_daemon.cc
@@ -61,6 +61,8 @@
 constexpr base::Duration kIdentityTimeout = base::milliseconds(500);
 /// Timeout of a query for the cold state.
 constexpr base::Duration kColdStateTimeout = base::milliseconds(200);
+/// Maximum size of the body of an identity response.
+constexpr size_t kMaxIdentityBytes = size_t{64} << 10;
 /// Blocks from this size on, as of large bodies, are returned to the system when they are freed. By default glibc
 /// raises this threshold with the size of freed blocks, and keeps them.
 constexpr int kMappedBlockBytes = 1 << 20;
@@ -258,6 +260,8 @@
                 backend.counters().waitedForRoom);
   page->counter("body_requests_released_total", "sent bodies dropped for lack of room before their calls ended",
                 entry.counters().releasedBodies);
+  page->counter("backend_over_limit_total", "requests to the back end that failed since it sent more than is read",
+                backend.counters().overLimit);
 }
 
 /// Users of file descriptors, and the limit of each.
@@ -578,6 +582,7 @@
     // Connections are not reused: an idle one may lead to a process that has exited or hangs.
     options.maxIdle = base::Duration(0);
     options.idleMargin = base::seconds(24 * 60 * 60);
+    options.maxBodyBytes = kMaxIdentityBytes;
     identityPool_ = std::make_unique<transport::HttpClientPool>(loop_, "identity", backendAddress(), options);
   }
   transport::HttpRequest request;
--- a/src/node/call_types.h
+++ b/src/node/call_types.h
@@ -67,6 +67,7 @@
   int httpStatus = 0;
   std::vector<wire::HttpHeader> headers;
   memory::shared_body body;
+  bool overLimit = false;  ///< the back end sent more than is read of an answer
 };
 
 /// Client of the local back end.
--- a/src/node/endpoint_calls.cc
+++ b/src/node/endpoint_calls.cc
@@ -252,6 +252,7 @@
   }
   if (completed && backendRefused(key, answer)) return;
   notifyRunEnded(found->second, !completed || answer.httpStatus >= kFirstServerError);
+  if (answer.overLimit) return answerUnknown(key, ErrorCode::kBackendFailed);
   if (!completed) {
     return answer.timedOut ? answerUnknown(key, ErrorCode::kDeadlineExceeded) : onBackendDisconnected(key);
   }
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -77,6 +77,7 @@
 
 HttpReaderLimits HttpClientPool::readerLimits() const {
   HttpReaderLimits limits;
+  limits.maxBodyBytes = options_.maxBodyBytes;
   limits.budget = options_.budget;
   limits.use = memory::body_use::backend_response;
   return limits;
@@ -104,6 +105,7 @@
   connection->sentBytesAtStart = connection->stream->sentBytes();
   connection->startedAt = loop_.now();
   connection->receivedSinceStart = false;
+  connection->otherResponses = 0;
   write(connection, &pending.request);
 }
 
@@ -168,7 +170,7 @@
       connection->stream->setReading(true);
     }
     if (progress == HttpProgress::kIncomplete) return;
-    if (progress != HttpProgress::kMessage) return fail(id, false);
+    if (progress != HttpProgress::kMessage) return fail(id, false, progress != HttpProgress::kMalformed);
     if (!onResponse(connection, !bytes.empty())) return;
   }
 }
@@ -213,7 +215,9 @@
   if (interim || !matchesRequest(*connection, head)) {
     counters_.strayResponses += interim ? 0 : 1;
     connection->reusable = connection->reusable && interim;
-    return true;
+    if (++connection->otherResponses <= options_.maxOtherResponses) return true;
+    fail(connection->id, false, true);
+    return false;
   }
   HttpResult result;
   result.outcome = HttpOutcome::kCompleted;
@@ -254,12 +258,14 @@
   fail(id, false);
 }
 
-void HttpClientPool::fail(ConnectionId id, bool timedOut) {
+void HttpClientPool::fail(ConnectionId id, bool timedOut, bool overLimit) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   const auto request = found->second->request;
   HttpResult result;
   result.timedOut = timedOut;
+  result.overLimit = overLimit;
+  counters_.overLimit += overLimit ? 1 : 0;
   const bool sent = found->second->stream->sentBytes() > found->second->sentBytesAtStart;
   result.outcome = sent ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
   closeUnresponsiveIdle(*found->second);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -26,6 +26,7 @@
 struct HttpResult {
   HttpOutcome outcome = HttpOutcome::kUnknown;
   bool timedOut = false;
+  bool overLimit = false;  ///< the server sent more than the pool reads of one response, or of others before it
   HttpResponse response;
 };
 
@@ -42,9 +43,12 @@
   base::Duration maxIdle = base::seconds(4);
   /// Subtracted from the server's Keep-Alive timeout, because a close may already be in flight.
   base::Duration idleMargin = base::milliseconds(800);
+  size_t maxBodyBytes = size_t{64} << 20;  ///< of a response
   /// Budget of response bodies; null for none. With one, responses have a sharedBody. A response whose body has no room
   /// is not read until there is.
   memory::body_budget* budget = nullptr;
+  /// Interim responses, and ones to other requests, after which a request fails: a server may send them without end.
+  int maxOtherResponses = 16;
 };
 
 /// Counters of a pool.
@@ -53,6 +57,7 @@
   int64_t failures = 0;
   int64_t connections = 0;     ///< opened
   int64_t strayResponses = 0;  ///< dropped because no pending request matched
+  int64_t overLimit = 0;       ///< requests that failed because the server sent more than is read
   int64_t waitedForRoom = 0;   ///< responses that waited unread until there was room for their bodies
 };
 
@@ -113,6 +118,7 @@
     base::TimePoint lastReceivedAt{};  // when the last bytes arrived
     bool receivedSinceStart = false;   // bytes arrived since startedAt
     bool reusable = true;
+    int otherResponses = 0;   // interim or stray, since startedAt
     bool awaitsRoom = false;  // the response waits unread for room for its body
     std::string unparsed;     // its bytes that were received
   };
@@ -138,7 +144,7 @@
   void checkAwaitingRoom();
   void onTimeout(HttpRequestId id);
   void finish(HttpRequestId id, HttpResult result);
-  void fail(ConnectionId id, bool timedOut);
+  void fail(ConnectionId id, bool timedOut, bool overLimit = false);
   bool matchesRequest(const Connection& connection, const HttpHead& head) const;
   void returnToPool(Connection* connection, const HttpHead& head, bool moreBytes);
   void closeUnresponsiveIdle(const Connection& connection);
--- a/test/node/body_memory_test.cc
+++ b/test/node/body_memory_test.cc
@@ -175,6 +175,19 @@
   CHECK(arrived == 1 << 20);
 }
 
+// Guards against a back end without an end to its answer, which looks like one that has crashed.
+TEST_CASE_METHOD(EndpointFixture, "a call whose answer is over the limit has an unknown outcome") {
+  announce(1, 10'000);
+  sendBody(1);
+  BackendAnswer answer;
+  answer.overLimit = true;
+  backend.answers[0](answer);
+  const auto responses = network.all<wire::CallResponse>();
+  REQUIRE(responses.size() == 1);
+  CHECK(responses[0].outcome == wire::CallOutcome::UNKNOWN);
+  CHECK(calls->counters().cutRuns == 0);
+}
+
 namespace {
 
 /// The entry side of a node with room for one large body, whose peers take bodies in pieces.
--- a/test/transport/http_client_test.cc
+++ b/test/transport/http_client_test.cc
@@ -290,6 +290,76 @@
   CHECK(connections.size() == 3);
 }
 
+namespace {
+
+/// A server that sends the same bytes again and again until its client closes the connection.
+struct EndlessServer : ScriptedServer {
+  void answerEndlessly(const std::string& head, const std::string& repeated) {
+    onRequest = [this, head, repeated](TcpStream& stream) {
+      stream.write(head);
+      sendMore(connections.size() - 1, repeated);
+    };
+  }
+
+  void sendMore(size_t connection, const std::string& repeated) {
+    connections[connection]->stream->write(repeated);
+    loop.schedule(base::milliseconds(1), [this, connection, repeated] { sendMore(connection, repeated); });
+  }
+
+  /// Sends a request and checks that it fails early, as one that may have run.
+  void checkFails() {
+    HttpPoolOptions options;
+    options.correlationHeader = "x-id";
+    options.maxBodyBytes = 100'000;
+    options.budget = &budget;
+    pool.emplace(loop, "client", base::Address{"127.0.0.1", listener.port()}, options);
+    const auto startedAt = loop.now();
+    const auto result = send("1");
+    CHECK(result.outcome == HttpOutcome::kUnknown);
+    CHECK(result.overLimit);
+    CHECK_FALSE(result.timedOut);
+    CHECK(loop.now() - startedAt < base::seconds(5));
+    CHECK(pool->connections() == 0);
+    CHECK(budget.heldBytes() == 0);
+  }
+
+  memory::body_budget budget{memory::body_budget_options{1'000'000, 0, 0}};
+};
+
+}  // namespace
+
+// These guard against a back end that takes a node's memory, and each of its connections, with bytes without an end.
+TEST_CASE_METHOD(EndlessServer, "a head without an end fails its request") {
+  answerEndlessly("HTTP/1.1 200 OK\r\n", "x-more: " + std::string(1000, 'x') + "\r\n");
+  checkFails();
+}
+
+TEST_CASE_METHOD(EndlessServer, "a chunked body without an end fails its request") {
+  answerEndlessly("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "3e8\r\n" + std::string(1000, 'x') + "\r\n");
+  checkFails();
+}
+
+TEST_CASE_METHOD(EndlessServer, "a body without a length and an end fails its request") {
+  answerEndlessly("HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x'));
+  checkFails();
+}
+
+TEST_CASE_METHOD(EndlessServer, "interim responses without an end fail their request") {
+  answerEndlessly("", "HTTP/1.1 102 Processing\r\n\r\n");
+  checkFails();
+}
+
+TEST_CASE_METHOD(EndlessServer, "responses to other requests without an end fail their request") {
+  answerEndlessly("", kStrayResponse);
+  checkFails();
+}
+
+// Guards against a response whose announced size is only noticed once the limit is reached.
+TEST_CASE_METHOD(EndlessServer, "a response that announces more than the limit fails before its body is read") {
+  onRequest = [](TcpStream& stream) { stream.write("HTTP/1.1 200 OK\r\ncontent-length: 100001\r\n\r\n"); };
+  checkFails();
+}
+
 // Guards against responses that together are more than the memory of the process.
 TEST_CASE_METHOD(ScriptedServer, "a response without room waits unread, and arrives whole once there is room") {
   constexpr size_t kBytes = 600'000;
