A new cluster takes no edits before enough controllers vote

Cause: a cluster begins with one voter and adds the others one by one. An edit was acknowledged with the quorum of the moment, one disk, although the settings ask for 2f + 1 voters. Ruled out: a loss in the log or in a later change of members; the case shows nothing once three controllers vote.

Change: until the first edit is accepted, the leader takes edits and claims of the ledger only once the cluster is formed and 2f + 1 controllers vote (cluster_forming, 503: nothing was accepted). With fewer controllers on purpose it takes them after 3 s without another one. A table with rows is past this, so that running clusters and ones of earlier builds are not asked.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -115,6 +115,10 @@
     answer.leaderName = leaderName();
     return done(answer);
   }
+  if (!takesEdits()) {
+    answer.code = ErrorCode::kForming;
+    return done(answer);
+  }
   const bool renewable = mustNotExpire(edit);
   const auto* known = state_.findOutcome(edit.requestId);
   const bool expired = known != nullptr && known->code == static_cast<int>(ErrorCode::kRequestIdExpired);
@@ -180,6 +184,8 @@
   wire::LogEntry entry;
   entry.kind = wire::EntryKind::LEDGER;
   entry.__set_ledger(command);
+  // A claim that is granted on too few disks could be granted again.
+  if (!takesEdits()) return done({wire::LedgerVerdict::UNAVAILABLE, nullptr});
   const auto index = raft_->propose(entry);
   if (!index.ok()) return done({wire::LedgerVerdict::UNAVAILABLE, nullptr});
   pendingLedger_[*index] = std::move(done);
@@ -402,6 +408,7 @@
   convergenceTimes_.reset();
   announcedTerm_ = false;
   lastActive_.clear();
+  leadsSince_ = scheduler_.now();
   rollouts_.onLeadership();
   quotas_.reset(raft_->sinceLeaderContact());
   if (role == RaftRole::kLeader) return;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -85,7 +85,7 @@
   void start(std::function<void(absl::Status)> ready);
 
   /// Submits an edit. The callback receives kNone, kInvalidEdit, kRevisionConflict, kRequestIdExpired,
-  /// kRequestIdReused, kNotLeader, kNotAccepted, kStorageFull or kOutcomeUnknown.
+  /// kRequestIdReused, kNotLeader, kNotAccepted, kForming, kStorageFull or kOutcomeUnknown.
   void submitEdit(wire::EditCommand edit, EditCallback done);
 
   /// Submits a ledger command. If leadership is lost before it is applied, `done` is not called and the sender retries.
@@ -140,6 +140,10 @@
   /// @return whether this controller is the leader and has applied everything committed before its term.
   bool leads() const { return raft_ && raft_->role() == consensus::RaftRole::kLeader && raft_->appliedOwnTerm(); }
 
+  /// @return whether the leader takes edits. In a new cluster it does not until as many controllers vote as the
+  /// tolerated loss of disks needs: what fewer have acknowledged could be lost with them.
+  bool takesEdits() const;
+
   // base::ConnectionHandler
   void onOpen(base::ConnectionId connection, const wire::Hello& peer) override;
   void onMessage(base::ConnectionId connection, wire::Message message) override;
@@ -173,6 +177,7 @@
   void onHousekeeping();
   void formCluster();
   void completeFormation();
+  bool isPresent(const wire::Member& member) const;
   void promoteLearners();
   void answerKnown(const wire::EditOutcome& outcome, const wire::EditCommand& edit, const EditCallback& done);
   bool mustNotExpire(const wire::EditCommand& edit) const;
@@ -232,6 +237,7 @@
   std::function<void(const wire::LogEntry&)> appliedHook_;     // may be empty
   std::function<void()> reportHook_;                           // may be empty
   table::TableObserver* tableObserver_ = nullptr;              // may stay null
+  base::TimePoint leadsSince_{};                               // leader only
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;  // whether relays were notified of this term's leader
   MemberAddressTracker memberAddresses_;
--- a/src/controller/controller_membership.cc
+++ b/src/controller/controller_membership.cc
@@ -10,6 +10,16 @@
 using base::makeError;
 using consensus::RaftRole;
 
+namespace {
+
+/// Time after which a leader takes edits with fewer voters than the tolerated loss of disks needs, if there are no
+/// further controllers: the service has fewer on purpose.
+constexpr base::Duration kVoterGrace = base::seconds(3);
+/// Time after which a learner of a new cluster that does not respond is taken for lost.
+constexpr base::Duration kLearnerGrace = base::seconds(1);
+
+}  // namespace
+
 void Controller::formCluster() {
   if (!options_.mayBootstrap) return;
   const auto* own = ownAddress();
@@ -44,6 +54,27 @@
   if (allVote) (void)raft_->proposeMembers(members, false);
 }
 
+/// @return whether a member was added or has responded lately
+bool Controller::isPresent(const wire::Member& member) const {
+  const auto lastActive = lastActive_.find(member.id);
+  return lastActive != lastActive_.end() && scheduler_.now() - lastActive->second < kLearnerGrace;
+}
+
+bool Controller::takesEdits() const {
+  // Later losses of voters are made up for by their replacement; edits go on meanwhile.
+  if (state_.table().revision() > 0) return true;
+  if (raft_->forming()) return false;
+  if (!options_.membership.automatic) return true;
+  size_t voters = 0;
+  bool moreWillVote = false;
+  for (const auto& member : raft_->members()) {
+    voters += member.voting ? 1 : 0;
+    moreWillVote = moreWillVote || (!member.voting && isPresent(member));
+  }
+  const bool alone = !moreWillVote && scheduler_.now() - leadsSince_ >= kVoterGrace;
+  return voters >= options_.membership.minVoters || alone;
+}
+
 void Controller::promoteLearners() {
   if (raft_->membershipChangePending()) return;
   auto members = raft_->members();
--- a/test/controller/automatic_membership_test.cc
+++ b/test/controller/automatic_membership_test.cc
@@ -216,4 +216,91 @@
   CHECK(std::any_of(members.begin(), members.end(), [](const auto& m) { return m.address == "10.0.0.9"; }));
 }
 
+namespace {
+
+/// Machines that are started by the test.
+struct NewCluster : Fixture {
+  NewCluster() : Fixture(0) {}
+
+  void addMachines(int count) {
+    for (int i = 1; i <= count; ++i) {
+      add("10.0.0." + std::to_string(i), "zone-" + std::to_string((i - 1) % 4 + 1));
+    }
+  }
+
+  void startAll() {
+    for (const auto& host : hosts) host->start(seeds, true, minVoters);
+  }
+
+  /// Sends an edit every 5 ms to whoever leads, until it is accepted or the time is up.
+  /// @return the host that accepted it, or null
+  Host* editUntilAccepted(const std::string& name, base::Duration limit) {
+    Host* accepted = nullptr;
+    const auto until = queue.now() + limit;
+    while (accepted == nullptr && queue.now() < until) {
+      wire::EditCommand command;
+      command.requestId = name;
+      wire::Mutation mutation;
+      mutation.row.key = table::makeKey(wire::RowKind::NOTE, name);
+      mutation.row.__isset.noteRow = true;
+      mutation.row.noteRow.text = "kept";
+      command.mutations.push_back(mutation);
+      for (const auto& host : hosts) {
+        if (!host->running() || !host->controller().leads()) continue;
+        host->controller().submitEdit(command, [&, found = host.get()](const EditAnswer& answer) {
+          if (answer.code == base::ErrorCode::kNone) accepted = found;
+        });
+      }
+      runFor(base::milliseconds(5));
+    }
+    return accepted;
+  }
+};
+
+}  // namespace
+
+// Guards against an edit that is acknowledged on one disk, and is lost with it.
+TEST_CASE_METHOD(NewCluster,
+                 "an edit that a new cluster has accepted survives the loss of as many disks as it tolerates") {
+  const size_t disks = GENERATE(size_t{1}, size_t{2});
+  minVoters = 2 * disks + 1;
+  addMachines(disks == 1 ? 5 : 7);
+  startAll();
+  Host* struck = editUntilAccepted("first", base::seconds(20));
+  REQUIRE(struck != nullptr);
+  std::vector<Host*> lost{struck};
+  for (const auto& host : hosts) {
+    if (lost.size() < disks && host.get() != struck) lost.push_back(host.get());
+  }
+  for (auto* host : lost) host->losePower();
+  for (auto* host : lost) host->loseDisk();
+  runFor(base::seconds(3));
+  for (auto* host : lost) host->start(seeds, false, minVoters);
+  runFor(base::seconds(10));
+  REQUIRE(leader() != nullptr);
+  CHECK(holds("first"));
+}
+
+// Guards against a fleet that can't start because one of its machines is late.
+TEST_CASE_METHOD(NewCluster, "three controllers of which one starts late accept edits once it is there") {
+  addMachines(3);
+  const size_t late = GENERATE(size_t{0}, size_t{1}, size_t{2});
+  for (size_t host = 0; host < hosts.size(); ++host) {
+    if (host != late) hosts[host]->start(seeds, true);
+  }
+  CHECK(editUntilAccepted("first", base::seconds(10)) == nullptr);
+  hosts[late]->start(seeds, true);
+  CHECK(editUntilAccepted("first", base::seconds(5)) != nullptr);
+  CHECK(voters() == 3);
+}
+
+TEST_CASE_METHOD(NewCluster, "a single controller accepts edits, also where one of several could be lost") {
+  add("10.0.0.1", "zone-1").start({"10.0.0.1"}, true, 3);
+  REQUIRE(editUntilAccepted("first", base::seconds(5)) != nullptr);
+  hosts[0]->losePower();
+  hosts[0]->start({"10.0.0.1"}, false, 3);
+  CHECK(editUntilAccepted("second", base::seconds(1)) != nullptr);
+  CHECK(holds("first"));
+}
+
 }  // namespace driftlug::controller
