A seed that is lost while a cluster is formed no longer holds the formation

Cause: the formation waited for each seed of the settings. Other controllers were not admitted meanwhile, and voters were not replaced.

Change, with automatic membership: other controllers take the place of seeds that are not there, until 2f + 1 vote; a learner that does not respond for 1 s holds nothing. After 2 s the first seed forms the cluster with a majority of the seeds. It is still the only one that may, and only at the first start, so that no two clusters are formed; three machines of which one is late wait for it as before.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -70,6 +70,7 @@
   raft_ = std::make_unique<consensus::Raft>(identity_, options_.raft, scheduler_, base::RandomSource(random_.bits()),
                                             store_, *this, *this);
   raft_->start(state);
+  startedAt_ = scheduler_.now();
   broadcastHello();
   updateLinks();
   housekeeping_.start(kHousekeepingInterval);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -177,6 +177,7 @@
   void onHousekeeping();
   void formCluster();
   void completeFormation();
+  bool enoughSeedsAreBlank() const;
   bool isPresent(const wire::Member& member) const;
   void promoteLearners();
   void answerKnown(const wire::EditOutcome& outcome, const wire::EditCommand& edit, const EditCallback& done);
@@ -237,6 +238,7 @@
   std::function<void(const wire::LogEntry&)> appliedHook_;     // may be empty
   std::function<void()> reportHook_;                           // may be empty
   table::TableObserver* tableObserver_ = nullptr;              // may stay null
+  base::TimePoint startedAt_{};                                // when the recovery had finished
   base::TimePoint leadsSince_{};                               // leader only
   bool pushScheduled_ = false;
   bool announcedTerm_ = false;  // whether relays were notified of this term's leader
--- a/src/controller/controller_membership.cc
+++ b/src/controller/controller_membership.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Time after which a new cluster is formed without seeds that are not connected. Processes that start together connect
+/// within it, so that these are lost or late.
+constexpr base::Duration kSeedGrace = base::seconds(2);
 /// Time after which a leader takes edits with fewer voters than the tolerated loss of disks needs, if there are no
 /// further controllers: the service has fewer on purpose.
 constexpr base::Duration kVoterGrace = base::seconds(3);
@@ -20,17 +23,31 @@
 
 }  // namespace
 
-void Controller::formCluster() {
-  if (!options_.mayBootstrap) return;
-  const auto* own = ownAddress();
-  if (own == nullptr || options_.controllers.front().name != options_.name) return;
-  // Bootstraps only if every initial member is connected and blank. If another one already belongs to a cluster, this
-  // controller's data folder was lost, and it waits to be added under its new identity.
+/// Without automatic membership every initial member must be connected. With it, a seed that is lost for good must not
+/// keep the others from starting; a majority is needed, so that a first seed that is cut off forms no cluster alone.
+/// Only the first seed does, and only at the first start of all, so that no two clusters are formed.
+/// @return whether a cluster may be formed with the seeds that are connected
+bool Controller::enoughSeedsAreBlank() const {
+  size_t connected = 1;
   for (const auto& controller : options_.controllers) {
     if (controller.name == options_.name) continue;
     const auto* hello = links_.helloOf(controller.frames);
-    if (hello == nullptr || !hello->blank) return;
+    if (hello == nullptr) continue;
+    // If another one already belongs to a cluster, this controller's data folder was lost, and it waits to be added
+    // under its new identity.
+    if (!hello->blank) return false;
+    ++connected;
   }
+  if (connected == options_.controllers.size()) return true;
+  const bool waited = scheduler_.now() - startedAt_ >= kSeedGrace;
+  return options_.membership.automatic && waited && 2 * connected > options_.controllers.size();
+}
+
+void Controller::formCluster() {
+  if (!options_.mayBootstrap) return;
+  const auto* own = ownAddress();
+  if (own == nullptr || options_.controllers.front().name != options_.name) return;
+  if (!enoughSeedsAreBlank()) return;
   auto member = memberFor(*own, ownHello());
   member.voting = true;
   log_.info("{} forms a new cluster", identity_);
@@ -38,20 +55,37 @@
   broadcastHello();
 }
 
+/// Adds the seeds one by one, and ends the formation once all of them vote. With automatic membership, other
+/// controllers take the place of seeds that are lost meanwhile.
 void Controller::completeFormation() {
+  const bool automatic = options_.membership.automatic;
+  updateLastActive();
   auto members = raft_->members();
   for (const auto& controller : options_.controllers) {
     const bool known =
         std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.name == controller.name; });
     if (known) continue;
     const auto* hello = links_.helloOf(controller.frames);
-    if (hello == nullptr) return;
+    if (hello == nullptr && !automatic) return;
+    if (hello == nullptr) continue;
     members.push_back(memberFor(controller, *hello));
     (void)raft_->proposeMembers(members, true);
     return;
   }
-  const bool allVote = std::all_of(members.begin(), members.end(), [](const auto& member) { return member.voting; });
-  if (allVote) (void)raft_->proposeMembers(members, false);
+  size_t voters = 0;
+  size_t learners = 0;  // without those that are lost
+  for (const auto& member : members) {
+    voters += member.voting ? 1 : 0;
+    learners += !member.voting && isPresent(member) ? 1 : 0;
+  }
+  const bool allVote = members.size() >= options_.controllers.size() && voters == members.size();
+  const bool waited = scheduler_.now() - leadsSince_ >= kVoterGrace;
+  const bool enoughVote = learners == 0 && (voters >= options_.membership.minVoters || (allVote && waited));
+  if (automatic ? enoughVote : allVote) {
+    (void)raft_->proposeMembers(members, false);
+  } else if (automatic && voters + learners < options_.membership.minVoters) {
+    admitNewControllers();
+  }
 }
 
 /// @return whether a member was added or has responded lately
--- a/test/controller/automatic_membership_test.cc
+++ b/test/controller/automatic_membership_test.cc
@@ -281,6 +281,36 @@
   CHECK(holds("first"));
 }
 
+// Guards against a cluster that is formed for ever, with too few voters.
+TEST_CASE_METHOD(NewCluster, "other controllers take the place of a seed that is lost while the cluster is formed") {
+  addMachines(5);
+  startAll();
+  const auto lostAfter = base::milliseconds(GENERATE(0, 20, 60, 100, 150, 200, 250, 300, 400, 600));
+  runFor(lostAfter);
+  hosts[2]->losePower();
+  runFor(base::seconds(1));
+  add("10.0.0.9", "zone-3").start({"10.0.0.1", "10.0.0.2", "10.0.0.4"}, false);
+  REQUIRE(editUntilAccepted("first", base::seconds(20)) != nullptr);
+  runFor(base::seconds(15));
+  REQUIRE(leader() != nullptr);
+  CHECK_FALSE(leader()->controller().raft().forming());
+  CHECK(voters() >= 3);
+  Host* struck = leader();
+  struck->losePower();
+  struck->loseDisk();
+  runFor(base::seconds(2));
+  struck->start({"10.0.0.1", "10.0.0.2", "10.0.0.4"}, false);
+  runFor(base::seconds(10));
+  CHECK(holds("first"));
+}
+
+TEST_CASE_METHOD(NewCluster, "a cluster is formed without a seed that never starts, if there are other controllers") {
+  addMachines(5);
+  for (const size_t host : {0, 1, 3, 4}) hosts[host]->start(seeds, true);
+  CHECK(editUntilAccepted("first", base::seconds(20)) != nullptr);
+  CHECK(voters() == 3);
+}
+
 // Guards against a fleet that can't start because one of its machines is late.
 TEST_CASE_METHOD(NewCluster, "three controllers of which one starts late accept edits once it is there") {
   addMachines(3);
