The first frame of a connection is at most as large as a Hello

By reading: 64 MiB were read of a frame, or unpacked from one, before anything was known of the peer, on each connection. Until its Hello has arrived a frame has 64 KiB at most, also what it is unpacked to.

Test: frame_transport_test, "larger than a Hello".

--- a/src/transport/frame_transport.cc
+++ b/src/transport/frame_transport.cc
@@ -291,6 +291,7 @@
 void FrameTransport::onHello(Connection* connection, const wire::Hello& hello) {
   const auto id = connection->id;
   connection->helloReceived = true;
+  connection->reader.setMaxFrameBytes(wire::kMaxFrameBytes);
   connection->peer = hello;
   loop_.cancel(connection->helloTimer);
   if (compressionEnabled_ && hello.compresses && hello.zone != hello_.zone) {
--- a/src/transport/frame_transport.h
+++ b/src/transport/frame_transport.h
@@ -86,9 +86,14 @@
   size_t unsentBytes() const;
 
  private:
+  /// Maximum length of the first frame: nothing is known yet of who sends it.
+  static constexpr size_t kMaxHelloBytes = size_t{64} << 10;
+
   /// One connection over a socket, or one end of a connection within the process.
   struct Connection : public StreamHandler {
-    Connection(FrameTransport& owner, base::ConnectionId connectionId) : transport(owner), id(connectionId) {}
+    Connection(FrameTransport& owner, base::ConnectionId connectionId) : transport(owner), id(connectionId) {
+      reader.setMaxFrameBytes(kMaxHelloBytes);
+    }
     ~Connection() override {
       if (stream) stream->close();
     }
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -146,8 +146,8 @@
 
 namespace {
 
-absl::StatusOr<Message> unpackFrame(const PackedFrame& packed) {
-  auto restored = inflateBuffer(packed.deflated, kMaxFrameBytes);
+absl::StatusOr<Message> unpackFrame(const PackedFrame& packed, size_t maxBytes) {
+  auto restored = inflateBuffer(packed.deflated, maxBytes);
   if (!restored.ok()) return restored.status();
   const bool packedTwice = !restored->empty() && static_cast<unsigned char>((*restored)[0]) == kindOf<PackedFrame>();
   if (packedTwice) return base::makeError(base::ErrorCode::kBadFrame, "a packed frame within another");
@@ -156,7 +156,7 @@
 
 }  // namespace
 
-absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload) {
+absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload, size_t maxUnpackedBytes) {
   if (typeAndPayload.empty()) return base::makeError(base::ErrorCode::kBadFrame, "frame without a type");
   const auto type = static_cast<unsigned char>(typeAndPayload[0]);
   if (type >= kDecoders.size()) return base::makeError(base::ErrorCode::kBadFrame, "unknown message type");
@@ -164,7 +164,7 @@
   if (!kDecoders[type](typeAndPayload.substr(1), &message)) {
     return base::makeError(base::ErrorCode::kBadFrame, "message can't be decoded");
   }
-  if (const auto* packed = std::get_if<PackedFrame>(&message)) return unpackFrame(*packed);
+  if (const auto* packed = std::get_if<PackedFrame>(&message)) return unpackFrame(*packed, maxUnpackedBytes);
   return message;
 }
 
@@ -215,9 +215,9 @@
   const size_t available = buffer_.size() - position_;
   if (available < kLengthBytes) return false;
   const size_t length = readLength(buffer_.data() + position_);
-  if (length > kMaxFrameBytes) return base::makeError(base::ErrorCode::kFrameTooLarge, "frame over the size limit");
+  if (length > maxFrameBytes_) return base::makeError(base::ErrorCode::kFrameTooLarge, "frame over the size limit");
   if (available < kLengthBytes + length) return false;
-  auto decoded = decodeFrame(std::string_view(buffer_).substr(position_ + kLengthBytes, length));
+  auto decoded = decodeFrame(std::string_view(buffer_).substr(position_ + kLengthBytes, length), maxFrameBytes_);
   if (!decoded.ok()) return decoded.status();
   *message = std::move(*decoded);
   position_ += kLengthBytes + length;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -70,8 +70,9 @@
 FramePtr packFrame(const FramePtr& frame);
 
 /// Decodes a frame without its length prefix; unpacks a PackedFrame.
+/// @param maxUnpackedBytes maximum length of what a PackedFrame holds
 /// @return the message, or kBadFrame
-absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload);
+absl::StatusOr<Message> decodeFrame(std::string_view typeAndPayload, size_t maxUnpackedBytes = kMaxFrameBytes);
 
 /// @return a struct in Thrift compact encoding, without a frame.
 template <typename T>
@@ -84,6 +85,9 @@
 /// Splits a byte stream into messages.
 class FrameReader {
  public:
+  /// Changes the maximum length of a frame.
+  void setMaxFrameBytes(size_t bytes) { maxFrameBytes_ = bytes; }
+
   /// Appends received bytes.
   void append(std::string_view bytes) { buffer_.append(bytes); }
 
@@ -101,6 +105,7 @@
  private:
   void releaseBuffer();
 
+  size_t maxFrameBytes_ = kMaxFrameBytes;
   std::string buffer_;   // unread bytes from position_ on
   size_t position_ = 0;  // start of the next frame in buffer_
 };
--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -301,4 +301,34 @@
   ::close(listener);
 }
 
+// Guards against a stranger that makes a process hold as much as the largest frame of a peer.
+TEST_CASE_METHOD(Fixture, "a connection whose first frame is larger than a Hello is closed before it is read") {
+  begin("zone-a", "zone-b", false);
+  RawClient stranger(loop, port);
+  const auto bad = right.counters().badFrames;
+  SECTION("by its length") {
+    constexpr char kLength[] = {0, 1, 0, 1};  // 65,537 bytes
+    stranger.send(std::string(kLength, sizeof(kLength)) + "x");
+  }
+  SECTION("by what it is unpacked to") {
+    wire::CallBodyPiece piece;
+    piece.data.assign(1 << 20, 'x');
+    const auto packed = wire::packFrame(wire::encodeFrame(piece));
+    REQUIRE(packed->size() < 65'536);
+    stranger.send(*packed);
+  }
+  CHECK(stranger.ended());
+  CHECK(right.counters().badFrames == bad + 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a peer sends large frames once its Hello has arrived") {
+  begin("zone-a", "zone-b", false);
+  wire::CallBodyPiece piece;
+  piece.data.assign(1 << 20, 'x');
+  left.send(connection, wire::encodeFrame(piece));
+  for (int i = 0; i < 100 && rightRecorder.messages.empty(); ++i) settle(loop);
+  REQUIRE(rightRecorder.messages.size() == 1);
+  CHECK(std::get<wire::CallBodyPiece>(rightRecorder.messages[0]).data.size() == piece.data.size());
+}
+
 }  // namespace driftlug::transport
