--- a/test/soak/large_bodies_test.cc
+++ b/test/soak/large_bodies_test.cc
@@ -200,7 +200,6 @@
 		CHECK((whole || kUnavailable == result.response.status));
 	}
 	CHECK(1 <= served);
-	WARN("served " << served);
 	CHECK(fleet.peakNodeMemory() < kNodeMemoryBytes);
 	const auto small = fleet.fleet()->finishLoad("load", 10'000);
 	INFO(small.dump());
--- a/test/transport/frame_transport_test.cc
+++ b/test/transport/frame_transport_test.cc
@@ -106,6 +106,8 @@
   const auto own = right.connect({"127.0.0.1", port});
   settle(loop);
   REQUIRE(rightRecorder.open.size() == 3);
+  CHECK(right.isWithinProcess(own));
+  CHECK_FALSE(left.isWithinProcess(connection));
   const auto sent = right.counters().bytesSent;
   right.send(own, request(9));
   settle(loop);
