Small bodies pass large ones that wait for room

By reading: a call with a body of a few KiB that was announced while large ones waited for room waited behind them, or was refused as the fifth; a small answer waited behind a large one without room, and behind one that was arriving, since the gatherer gives credits to the oldest alone above 8 MB.

Change: small bodies take their reserve at once, whoever waits; answers over 256 KiB don't count for the 8 MB, as the budget bounds them.

--- a/src/memory/body_budget.cc
+++ b/src/memory/body_budget.cc
@@ -98,6 +98,11 @@
 	return body_reservation(m_state, _use, _bytes);
 }
 
+bool body_budget::isSmall(int64_t _bytes) const
+{
+	return 0 == m_state->largeBytes(_bytes);
+}
+
 bool body_budget::fitsAlone(int64_t _bytes) const
 {
 	const auto& options = m_state->options;
--- a/src/memory/body_budget.h
+++ b/src/memory/body_budget.h
@@ -69,6 +69,9 @@
 	/// @returns A reservation, or nullopt if there is no room now.
 	std::optional<body_reservation> reserve(body_use _use, int64_t _bytes);
 
+	/// @returns Whether a body of this size may use the reserve; it is not to wait behind larger ones.
+	bool isSmall(int64_t _bytes) const;
+
 	/// @returns Whether a body of this size fits while no other is held.
 	bool fitsAlone(int64_t _bytes) const;
 
--- a/src/node/endpoint_calls.h
+++ b/src/node/endpoint_calls.h
@@ -305,6 +305,7 @@
   void recordSuccessfulRun(const CallKey& key);
   void abandonCall(const CallKey& key);
   void awaitBody(const CallKey& key);
+  bool mayPassWaiting(const Call& call) const;
   bool reserveBody(Call* call);
   void announceBody(const CallKey& key);
   void checkAwaitingRoom();
--- a/src/node/endpoint_calls_bodies.cc
+++ b/src/node/endpoint_calls_bodies.cc
@@ -38,7 +38,7 @@
   call.awaitsBody = true;
   acquireSlot(key, false);
   if (calls_.count(key) == 0) return;
-  if (awaitingRoom_.empty() && reserveBody(&call)) return announceBody(key);
+  if ((awaitingRoom_.empty() || mayPassWaiting(call)) && reserveBody(&call)) return announceBody(key);
   if (awaitingRoom_.size() >= kMaxAwaitingRoom) {
     dropBody(key, &call);
     return refuseForMemory(key);
@@ -48,6 +48,11 @@
   if (!bodyTimer_.running()) bodyTimer_.start(kBodyInterval);
 }
 
+/// @return whether a call does not wait behind others for room: small bodies have a reserve
+bool EndpointCalls::mayPassWaiting(const Call& call) const {
+  return budget_ == nullptr || budget_->isSmall(call.request.bodyBytes);
+}
+
 /// Reserves a whole body before any of it is granted, so that no two bodies hold each other up halfway.
 /// @return whether there was room
 bool EndpointCalls::reserveBody(Call* call) {
@@ -75,8 +80,10 @@
     const auto found = calls_.find(key);
     if (found == calls_.end() || !found->second.awaitsRoom) continue;
     auto& call = found->second;
-    noRoom = noRoom || !reserveBody(&call);
-    if (!noRoom) {
+    const bool passes = mayPassWaiting(call);
+    const bool reserved = (passes || !noRoom) && reserveBody(&call);
+    noRoom = noRoom || (!reserved && !passes);
+    if (reserved) {
       call.awaitsRoom = false;
       announceBody(key);
     } else if (now >= std::min<base::TimePoint>(call.latestStart, call.arrivedAt + kMaxRoomWait)) {
--- a/src/node/entry_calls_answers.cc
+++ b/src/node/entry_calls_answers.cc
@@ -17,6 +17,13 @@
 
 }  // namespace
 
+void AnswerGatherer::useBudget(memory::body_budget* budget) {
+  budget_ = budget;
+  overload::response_gatherer_options options;
+  options.maxBoundedBytes = budget->options().smallBodyBytes;
+  bodies_ = overload::response_gatherer(options);
+}
+
 void AnswerGatherer::begin(int64_t attempt, wire::CallResponse head) {
   answers_[attempt] = {std::move(head), {}};
   waiting_.insert(attempt);
@@ -31,11 +38,18 @@
 }
 
 void AnswerGatherer::reserveWaiting() {
-  // A smaller answer does not pass a larger one that has waited longer.
-  while (!waiting_.empty() && reserve(&answers_.at(*waiting_.begin()))) {
-    const auto attempt = *waiting_.begin();
-    waiting_.erase(attempt);
-    bodies_.begin(attempt, answers_.at(attempt).head.bodyBytes);
+  // Only small answers, which have a reserve, pass one that has waited longer.
+  bool noRoom = false;
+  for (auto attempt = waiting_.begin(); attempt != waiting_.end();) {
+    auto& answer = answers_.at(*attempt);
+    const bool passes = budget_ == nullptr || budget_->isSmall(answer.head.bodyBytes);
+    if ((noRoom && !passes) || !reserve(&answer)) {
+      noRoom = noRoom || !passes;
+      ++attempt;
+      continue;
+    }
+    bodies_.begin(*attempt, answer.head.bodyBytes);
+    attempt = waiting_.erase(attempt);
   }
 }
 
--- a/src/node/entry_calls_answers.h
+++ b/src/node/entry_calls_answers.h
@@ -31,8 +31,8 @@
 /// Holds the heads of large answers while their bodies arrive.
 class AnswerGatherer {
  public:
-  /// Bounds the bodies; without a budget, they have no bound.
-  void useBudget(memory::body_budget* budget) { budget_ = budget; }
+  /// Bounds the bodies; without a budget, they have no bound. Call before the first answer.
+  void useBudget(memory::body_budget* budget);
 
   /// Begins to gather the body that `head` announces, as soon as there is room for it.
   void begin(int64_t attempt, wire::CallResponse head);
--- a/src/overload/response_gatherer.cc
+++ b/src/overload/response_gatherer.cc
@@ -47,7 +47,7 @@
 
 	std::string body = std::move(found->second.body);
 	m_gatheredBytes -= static_cast<int64_t>(body.size());
-	m_creditedBytes -= found->second.credited;
+	m_creditedBytes -= isBounded(found->second) ? found->second.credited : 0;
 	m_responses.erase(found);
 	return body;
 }
@@ -66,12 +66,13 @@
 		// Further credits in halves of the window, so that they are few and the sender never waits for one.
 		const bool due = state.credited < state.bytes && state.credited - arrived <= m_options.windowBytes / 2;
 		const bool oldest = m_responses.begin()->first == response;
-		if (!due || (m_creditedBytes >= m_options.maxBytes && !oldest))
+		const bool full = isBounded(state) && m_creditedBytes >= m_options.maxBytes;
+		if (!due || (full && !oldest))
 		{
 			continue;
 		}
 		const int64_t upToBytes = std::min(state.bytes, arrived + m_options.windowBytes);
-		m_creditedBytes += upToBytes - state.credited;
+		m_creditedBytes += isBounded(state) ? upToBytes - state.credited : 0;
 		state.credited = upToBytes;
 		credits.push_back({response, upToBytes});
 	}
--- a/src/overload/response_gatherer.h
+++ b/src/overload/response_gatherer.h
@@ -18,6 +18,9 @@
 	int64_t maxBytes = int64_t{8} << 20;
 	/// Maximum credit of one response beyond what has arrived of it; most responses need one credit.
 	int64_t windowBytes = int64_t{256} << 10;
+	/// Larger responses don't count for maxBytes, and get credits whatever the total: whoever begins them bounds them
+	/// in another way. Otherwise one of them would hold up all smaller ones.
+	int64_t maxBoundedBytes = INT64_MAX;
 };
 
 /// Permission for the sender of a response to send it up to an offset.
@@ -42,7 +45,7 @@
 /// generous, so that they delay no response, until the total reaches the bound. Above it the oldest response alone gets
 /// credits: it is completed and freed, so that responses don't hold each other up halfway.
 ///
-/// Invariant: gathered and credited bytes exceed maxBytes by at most windowBytes.
+/// Invariant: gathered and credited bytes of responses up to maxBoundedBytes exceed maxBytes by at most windowBytes.
 class response_gatherer
 {
 public:
@@ -87,10 +90,15 @@
 		std::string body;
 	};
 
+	bool isBounded(const gathered& _response) const
+	{
+		return _response.bytes <= m_options.maxBoundedBytes;
+	}
+
 	response_gatherer_options m_options;
 	std::map<int64_t, gathered> m_responses;
 	int64_t m_gatheredBytes = 0;
-	int64_t m_creditedBytes = 0;  //!< Credited bytes of m_responses, arrived or not.
+	int64_t m_creditedBytes = 0;  //!< Credited bytes of bounded responses, arrived or not.
 };
 
 }  // namespace driftlug::overload
--- a/test/overload/response_gatherer_test.cc
+++ b/test/overload/response_gatherer_test.cc
@@ -100,4 +100,25 @@
 	CHECK(gatherer.credits().size() == 1);
 }
 
+// Guards against small responses that wait until a large one is complete.
+TEST_CASE("responses above the bounded size neither hold up others nor wait for them")
+{
+	response_gatherer_options options;
+	options.maxBytes = 100'000;
+	options.windowBytes = 50'000;
+	options.maxBoundedBytes = kLarge;
+	response_gatherer gatherer(options);
+	gatherer.begin(1, 1'000'000);
+	gatherer.begin(2, kLarge);
+	gatherer.begin(3, kLarge);
+	gatherer.begin(4, kLarge);
+	gatherer.begin(5, 1'000'000);
+	std::vector<int64_t> credited;
+	for (const auto& credit : gatherer.credits())
+	{
+		credited.push_back(credit.response);
+	}
+	CHECK(credited == std::vector<int64_t>{1, 2, 3, 5});
+}
+
 }  // namespace driftlug::overload
